--- /dev/null
+++ b/agent_main.c
@@ -0,0 +1,192 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <signal.h>
+#include <stdio.h>
+
+#include "libagent.h"
+#include "set.h"
+#include "slog.h"
+
+enum { TICK_MS = 100, LEAVE_MS = 300, ADMIN_BODY_MAX = 4096 };
+/* A tick that comes so late tells that the process was paused. */
+#define PAUSE_NS (2 * NS_S)
+
+static void on_tick(uv_timer_t *);
+static void on_signal(uv_signal_t *, int);
+static void on_left(void *);
+static void on_conf_changed(void *, const struct conf_entry *);
+
+#define F(member) offsetof(struct agent_set, member)
+
+static const struct field fields[] = {
+    {.name = "box", .type = FIELD_NAME, .offset = F(box), .required = true},
+    {.name = "hall", .type = FIELD_NAME, .offset = F(hall), .required = true},
+    {.name = "inbox", .type = FIELD_ADDRESS, .offset = F(inbox),
+	.required = true},
+    {.name = "gate_inbox", .type = FIELD_ADDRESS, .offset = F(gate_inbox),
+	.required = true},
+    {.name = "pass", .type = FIELD_ADDRESS, .offset = F(pass),
+	.required = true},
+    {.name = "admin_listen", .type = FIELD_ADDRESS, .offset = F(admin_listen),
+	.required = true},
+    {.name = "platform", .type = FIELD_ADDRESS, .offset = F(platform),
+	.required = true},
+    {.name = "seeds", .type = FIELD_ADDRESSES, .offset = F(seeds)},
+    {.name = "watchers", .type = FIELD_INT, .offset = F(watchers), .dflt = 2,
+	.min = 1, .max = 16},
+    {.name = "probe_rate", .type = FIELD_INT, .offset = F(probe_rate),
+	.dflt = 40, .min = 1, .max = 10000},
+    {.name = "platform_rate", .type = FIELD_INT, .offset = F(platform_rate),
+	.dflt = 5, .min = 1, .max = 1000},
+    {.name = "hello_ms", .type = FIELD_INT, .offset = F(hello_ms),
+	.dflt = 1000, .min = 50, .max = 2000},
+    {.name = "list_ms", .type = FIELD_INT, .offset = F(list_ms),
+	.dflt = 30000, .min = 500, .max = 3600000},
+};
+
+static bool
+open_all(struct agent *a, GError **err)
+{
+	struct memb_info self = {
+	    .box = a->set.box,
+	    .hall = a->set.hall,
+	    .inbox = a->set.inbox,
+	    .pass = a->set.pass,
+	    .gate_inbox = a->set.gate_inbox,
+	    .boot = (uint64_t)clk_wall_ms(a->clk),
+	};
+
+	a->loop = uv_default_loop();
+	tmr_open(&a->tmr, a->loop, a->clk);
+	a->up = up_open(a->loop, &a->tmr, a->clk);
+	a->plat = plat_http_open(a->up, &a->tmr, a->clk, a->set.platform);
+	a->cnt = agent_stat_open();
+	a->conf = conf_new(on_conf_changed, a);
+	a->memb = memb_new(&self);
+	a->wire = wire_open(a->loop, a->set.inbox, agent_peer_take, a, err);
+	if (a->wire == NULL)
+		return false;
+	a->admin = hsrv_open(a->loop, a->set.admin_listen, ADMIN_BODY_MAX,
+	    agent_stat_page, a, err);
+	if (a->admin == NULL)
+		return false;
+	agent_probe_open(a);
+	agent_peer_open(a);
+	agent_watch_open(a);
+	return true;
+}
+
+static void
+on_conf_changed(void *ctx, const struct conf_entry *e)
+{
+	struct agent *a = ctx;
+
+	slog(SLOG_CONF, "%.*s version %llu%s, from %.*s.", STR_ARG(e->key),
+	    (unsigned long long)e->version, e->deleted ? " deleted" : "",
+	    STR_ARG(e->source));
+	cnt_add(a->cnt, AC_CHANGES, 1);
+	a->targets_dirty = true;
+	a->targets_at = 0;
+	agent_peer_spread(a, e);
+	agent_status_soon(a);
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+	struct agent *a = timer->data;
+	int64_t now = clk_ns(a->clk), gap = now - a->last_tick;
+
+	if (a->last_tick != 0 && gap > PAUSE_NS) {
+		slog(SLOG_AGENT, "Was paused for %lld ms; looks anew.",
+		    (long long)(gap / NS_MS));
+		memb_paused(a->memb, gap);
+		agent_watch_resume(a);
+	}
+	a->last_tick = now;
+	agent_peer_tick(a, now);
+	agent_probe_tick(a, now);
+	slog_flush();
+}
+
+static void
+on_left(void *ctx)
+{
+	struct agent *a = ctx;
+
+	uv_stop(a->loop);
+}
+
+static void
+on_signal(uv_signal_t *signal, int signum)
+{
+	static struct tmr_item left;
+	struct agent *a = signal->data;
+
+	(void)signum;
+	if (a->leaving) {
+		uv_stop(a->loop);
+		return;
+	}
+	slog(SLOG_AGENT, "Leaves.");
+	a->leaving = true;
+	agent_peer_leave(a);
+	tmr_set(&a->tmr, &left, clk_ns(a->clk) + LEAVE_MS * NS_MS, on_left, a);
+}
+
+static void
+start_loop(struct agent *a)
+{
+	uv_timer_init(a->loop, &a->tick);
+	a->tick.data = a;
+	uv_timer_start(&a->tick, on_tick, TICK_MS, TICK_MS);
+	uv_signal_init(a->loop, &a->term);
+	uv_signal_init(a->loop, &a->intr);
+	a->term.data = a->intr.data = a;
+	uv_signal_start(&a->term, on_signal, SIGTERM);
+	uv_signal_start(&a->intr, on_signal, SIGINT);
+	slog(SLOG_AGENT, "Box %s in hall %s runs.", a->set.box.p,
+	    a->set.hall.p);
+	uv_run(a->loop, UV_RUN_DEFAULT);
+}
+
+int
+main(int argc, char **argv)
+{
+	static struct agent agent;
+	struct agent *a = &agent;
+	struct set_args args = {0};
+	GError *err = NULL;
+	bool ok;
+	int status;
+
+	if (!set_parse_args(argc, argv, "fernagent",
+		"The control process of a fernjunction box.", &args, &status))
+		return status;
+	signal(SIGPIPE, SIG_IGN);
+	a->clk = clk_system();
+	a->rnd = rnd_system();
+	slog_open(a->clk, args.quiet);
+	ok = set_load(
+	    args.settings, fields, G_N_ELEMENTS(fields), &a->set, &err);
+	if (ok && args.check)
+		printf("%s: the settings are right\n", args.settings);
+	else if (ok && open_all(a, &err))
+		start_loop(a);
+	slog_close();
+	g_free(args.settings);
+	if (err == NULL)
+		return 0;
+	fprintf(stderr, "fernagent: %s\n", err->message);
+	status = err_answer((enum err_kind)err->code)->exit_code;
+	g_error_free(err);
+	return status;
+}
--- /dev/null
+++ b/agent_peer.c
@@ -0,0 +1,317 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "libagent.h"
+#include "slog.h"
+
+/* Up to so many boxes a change is pushed to all; beyond, to one's hall. */
+enum { PUSH_ALL_MAX = 32, GOSSIP_MEMBERS = 8, SEEDS_PER_ROUND = 2 };
+
+#define MEMBERS_AGAIN_NS (5 * NS_S)
+#define GATE_SILENT_NS (4 * NS_S)
+
+static void on_hello_due(void *);
+static void send_hello(struct agent *, struct str);
+static void take_hello(struct agent *, const struct msg *);
+static void take_gate(struct agent *, const struct msg *);
+static void send_members(struct agent *, int64_t);
+
+static void
+send_to(void *ctx, struct str to, const struct msg *m)
+{
+	struct agent *a = ctx;
+	struct msg copy = *m;
+
+	wire_send(a->wire, to, &copy);
+}
+
+void
+agent_peer_open(struct agent *a)
+{
+	a->sync.conf = a->conf;
+	a->sync.send = send_to;
+	a->sync.ctx = a;
+	on_hello_due(a);
+}
+
+static void
+send_hello(struct agent *a, struct str to)
+{
+	const struct memb_member *some[GOSSIP_MEMBERS];
+	struct memb_info infos[GOSSIP_MEMBERS];
+	struct msg m = {.kind = MSG_HELLO};
+	size_t i, n;
+
+	n = memb_sample(
+	    a->memb, a->rnd, clk_ns(a->clk), some, GOSSIP_MEMBERS);
+	for (i = 0; i < n; i++)
+		infos[i] = some[i]->info;
+	m.u.hello.self = *memb_self(a->memb);
+	m.u.hello.digest = conf_digest(a->conf);
+	m.u.hello.floor = conf_floor(a->conf);
+	m.u.hello.others.items = infos;
+	m.u.hello.others.n = n;
+	wire_send(a->wire, to, &m);
+}
+
+/* To the gate: ready means that the configuration is safe to serve. */
+static void
+send_gate_hello(struct agent *a)
+{
+	struct msg m = {.kind = MSG_HELLO};
+
+	m.u.hello.self = *memb_self(a->memb);
+	m.u.hello.self.ready = conf_floor(a->conf) > 0;
+	m.u.hello.digest = conf_digest(a->conf);
+	m.u.hello.floor = conf_floor(a->conf);
+	wire_send(a->wire, a->set.gate_inbox, &m);
+}
+
+/* One choice among members, by reservoir: a box of our hall, and any box. */
+struct choice {
+	struct agent *agent;
+	unsigned near_seen, any_seen;
+	struct str near, any;
+};
+
+static void
+choose(void *ctx, const struct memb_member *m)
+{
+	struct choice *c = ctx;
+	struct agent *a = c->agent;
+
+	if (m->info.inbox.n == 0 || m->info.leaving)
+		return;
+	if (rnd_below(a->rnd, ++c->any_seen) == 0)
+		c->any = m->info.inbox;
+	if (str_eq(m->info.hall, a->set.hall) &&
+	    rnd_below(a->rnd, ++c->near_seen) == 0)
+		c->near = m->info.inbox;
+}
+
+/* Seeds are asked while they are needed: until we know some box. */
+static void
+ask_seeds(struct agent *a)
+{
+	size_t n = json_array_size(a->set.seeds), i;
+	json_t *seed;
+
+	for (i = 0; i < MIN(n, SEEDS_PER_ROUND); i++) {
+		seed = json_array_get(a->set.seeds, rnd_below(a->rnd, n));
+		if (!str_eq(str_c(json_string_value(seed)), a->set.inbox))
+			send_hello(a, str_c(json_string_value(seed)));
+	}
+}
+
+static void
+on_hello_due(void *ctx)
+{
+	struct agent *a = ctx;
+	struct choice c = {.agent = a};
+	int64_t now = clk_ns(a->clk);
+
+	memb_self(a->memb)->beat++;
+	memb_each(a->memb, choose, &c);
+	if (c.near.n > 0)
+		send_hello(a, c.near);
+	if (c.any.n > 0 && !str_eq(c.any, c.near))
+		send_hello(a, c.any);
+	if (memb_count_alive(a->memb, now) < 2 ||
+	    rnd_below(a->rnd, 10) == 0)
+		ask_seeds(a);
+	send_gate_hello(a);
+	tmr_set(&a->tmr, &a->hello_timer,
+	    now + rnd_jitter(a->rnd, a->set.hello_ms * NS_MS), on_hello_due, a);
+}
+
+static void
+take_hello(struct agent *a, const struct msg *m)
+{
+	const struct msg_hello *h = &m->u.hello;
+	const struct memb_info *others = h->others.items;
+	int64_t now = clk_ns(a->clk);
+	size_t i, before = memb_count_alive(a->memb, now);
+
+	memb_heard(a->memb, &h->self, now);
+	for (i = 0; i < h->others.n; i++)
+		memb_heard(a->memb, &others[i], now);
+	if (memb_count_alive(a->memb, now) > before)
+		send_hello(a, m->from);
+	sync_compare(&a->sync, m->from, h->digest, h->floor);
+	send_members(a, now);
+}
+
+static void
+take_gate(struct agent *a, const struct msg *m)
+{
+	const struct msg_gate *gt = &m->u.gate;
+	struct memb_info *self = memb_self(a->memb);
+	bool was_leaving = self->leaving;
+	bool fresh = gt->boot != a->gate_boot;
+
+	a->gate_heard = clk_ns(a->clk);
+	if (gt->digest != a->gate_digest || gt->ready != a->gate_ready)
+		agent_status_soon(a);
+	a->gate_boot = gt->boot;
+	a->gate_digest = gt->digest;
+	a->gate_floor = gt->floor;
+	a->gate_ready = gt->ready;
+	if (fresh) {
+		/* A new gate: whoever knew the old one must look anew. */
+		self->boot = MAX(self->boot + 1, gt->boot);
+		self->leaving = false;
+		a->members_sent = 0;
+		agent_probe_tell_gate(a);
+	}
+	self->ready = gt->ready;
+	if (gt->leaving && !was_leaving)
+		agent_peer_leave(a);
+	else if (fresh)
+		send_gate_hello(a);
+	sync_compare(&a->sync, m->from, gt->digest, gt->floor);
+	send_members(a, a->gate_heard);
+}
+
+struct gather {
+	struct agent *agent;
+	GArray *infos;
+	int64_t now;
+	uint64_t hash;
+};
+
+static void
+gather_alive(void *ctx, const struct memb_member *m)
+{
+	struct gather *g = ctx;
+	uint64_t h;
+
+	if (!memb_alive(g->agent->memb, m, g->now))
+		return;
+	g_array_append_val(g->infos, m->info);
+	h = m->info.boot * 2 + m->info.ready;
+	g->hash += XXH3_64bits_withSeed(m->info.box.p, m->info.box.n, h);
+}
+
+static void
+send_members(struct agent *a, int64_t now)
+{
+	struct gather g = {a, NULL, now, 1};
+	struct msg m = {.kind = MSG_MEMBERS};
+
+	g.infos = g_array_new(FALSE, FALSE, sizeof(struct memb_info));
+	memb_each(a->memb, gather_alive, &g);
+	if (g.hash != a->members_hash ||
+	    now - a->members_sent > MEMBERS_AGAIN_NS) {
+		a->members_hash = g.hash;
+		a->members_sent = now;
+		m.u.members.members.items = g.infos->data;
+		m.u.members.members.n = g.infos->len;
+		wire_send(a->wire, a->set.gate_inbox, &m);
+	}
+	g_array_free(g.infos, TRUE);
+}
+
+void
+agent_peer_tick(struct agent *a, int64_t now)
+{
+	struct memb_info *self = memb_self(a->memb);
+
+	memb_tick(a->memb, now);
+	if (self->ready && now - a->gate_heard > GATE_SILENT_NS) {
+		self->ready = false;
+		slog(SLOG_AGENT, "The gate is silent.");
+	}
+	send_members(a, now);
+}
+
+/* A message to many boxes. */
+struct spread {
+	struct agent *agent;
+	struct msg *msg;
+	const struct conf_entry *entry;
+	bool all;
+	int64_t now;
+};
+
+static void
+spread_to(void *ctx, const struct memb_member *m)
+{
+	struct spread *s = ctx;
+	struct agent *a = s->agent;
+
+	if (!memb_alive(a->memb, m, s->now) && s->entry != NULL)
+		return;
+	if (!s->all && !str_eq(m->info.hall, a->set.hall))
+		return;
+	if (s->entry != NULL)
+		sync_push(&a->sync, m->info.inbox, s->entry);
+	else
+		wire_send(a->wire, m->info.inbox, s->msg);
+}
+
+/* A change that the platform told us goes out at once. */
+void
+agent_peer_spread(struct agent *a, const struct conf_entry *e)
+{
+	struct spread s = {a, NULL, e, false, clk_ns(a->clk)};
+
+	s.all = memb_count_alive(a->memb, s.now) <= PUSH_ALL_MAX;
+	sync_push(&a->sync, a->set.gate_inbox, e);
+	if (a->from_platform)
+		memb_each(a->memb, spread_to, &s);
+}
+
+void
+agent_peer_all(struct agent *a, struct msg *m)
+{
+	struct spread s = {a, m, NULL, true, clk_ns(a->clk)};
+
+	memb_each(a->memb, spread_to, &s);
+}
+
+void
+agent_peer_leave(struct agent *a)
+{
+	struct msg m = {.kind = MSG_HELLO};
+	struct memb_info *self = memb_self(a->memb);
+
+	slog(SLOG_PEER, "Tells the other boxes that this one leaves.");
+	self->leaving = true;
+	self->beat++;
+	m.u.hello.self = *self;
+	m.u.hello.digest = conf_digest(a->conf);
+	m.u.hello.floor = conf_floor(a->conf);
+	agent_peer_all(a, &m);
+	agent_status_soon(a);
+}
+
+void
+agent_peer_take(void *ctx, const struct msg *m)
+{
+	struct agent *a = ctx;
+
+	switch (m->kind) {
+	case MSG_HELLO:
+		take_hello(a, m);
+		break;
+	case MSG_GATE:
+		take_gate(a, m);
+		break;
+	case MSG_HEALTH:
+		agent_probe_take(a, &m->u.health);
+		break;
+	default:
+		sync_take(&a->sync, m);
+		break;
+	}
+}
--- /dev/null
+++ b/agent_probe.c
@@ -0,0 +1,321 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <strings.h>
+
+#include "libagent.h"
+#include "slog.h"
+
+#define TARGETS_NS (1 * NS_S)
+#define HEALTH_AGAIN_NS (10 * NS_S)
+#define PROBE_TIMEOUT_NS (1 * NS_S)
+/* What nobody has said again for so long is no longer held against one. */
+#define HEALTH_KEEP_MS 35000
+
+/* What is thought of a backend server, by us or by the box that probes it. */
+struct agent_health {
+	enum msg_state state;
+	uint64_t at_ms;
+};
+
+/* One probe under way. */
+struct flight {
+	struct agent *agent;
+	struct str backend;
+	struct up_call *call;
+	struct tmr_item timer;
+	enum probe_found found;
+};
+
+static void start_probe(void *, struct str, struct str, struct str);
+static void on_changed(void *, struct str, enum msg_state);
+static void on_connected(void *, struct up_call *);
+static void on_head(
+    void *, struct up_call *, int, const h2o_header_t *, size_t);
+static void on_body(void *, struct up_call *);
+static void on_end(void *, struct up_call *);
+static void on_fail(void *, struct up_call *, enum err_kind);
+static void on_timeout(void *);
+static void land(struct flight *, enum probe_found);
+static void remember(struct agent *, struct str, enum msg_state, uint64_t);
+static void want_service(void *, const struct route_service *);
+
+static const struct up_ops probe_flight_ops = {
+    on_connected, on_head, on_body, on_end, on_fail};
+
+void
+agent_probe_open(struct agent *a)
+{
+	struct probe_ops ops = {start_probe, on_changed, a};
+
+	a->probe = probe_new(&ops, a->rnd, (double)a->set.probe_rate);
+	a->health =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static void
+start_probe(
+    void *ctx, struct str backend, struct str address, struct str path)
+{
+	struct agent *a = ctx;
+	struct flight *f = g_new0(struct flight, 1);
+	struct up_request rq = {.address = address,
+	    .method = STR_LIT("GET"),
+	    .path = path,
+	    .host = address};
+
+	f->agent = a;
+	f->backend = str_dup(backend);
+	tmr_set(&a->tmr, &f->timer, clk_ns(a->clk) + PROBE_TIMEOUT_NS,
+	    on_timeout, f);
+	f->call = up_start(a->up, &rq, &probe_flight_ops, f);
+}
+
+static void
+land(struct flight *f, enum probe_found found)
+{
+	struct agent *a = f->agent;
+
+	tmr_clear(&a->tmr, &f->timer);
+	probe_result(a->probe, f->backend, found, clk_ns(a->clk));
+	str_free(&f->backend);
+	g_free(f);
+}
+
+static void
+on_timeout(void *ctx)
+{
+	struct flight *f = ctx;
+
+	up_cancel(f->call);
+	land(f, PROBE_FAILED);
+}
+
+static void
+on_connected(void *ctx, struct up_call *call)
+{
+	(void)ctx;
+	(void)call;
+}
+
+static void
+on_head(void *ctx, struct up_call *call, int status,
+    const h2o_header_t *headers, size_t n)
+{
+	struct flight *f = ctx;
+	size_t i;
+
+	(void)call;
+	f->found = status < 400 ? PROBE_OK : PROBE_FAILED;
+	for (i = 0; i < n; i++)
+		if (h2o_lcstris(headers[i].name->base, headers[i].name->len,
+			H2O_STRLIT("fern-drain")))
+			f->found = PROBE_DRAINING;
+}
+
+static void
+on_body(void *ctx, struct up_call *call)
+{
+	(void)ctx;
+	h2o_buffer_consume(up_body(call), (*up_body(call))->size);
+}
+
+static void
+on_end(void *ctx, struct up_call *call)
+{
+	struct flight *f = ctx;
+
+	(void)call;
+	land(f, f->found);
+}
+
+static void
+on_fail(void *ctx, struct up_call *call, enum err_kind kind)
+{
+	(void)call;
+	(void)kind;
+	land(ctx, PROBE_FAILED);
+}
+
+static void
+remember(struct agent *a, struct str backend, enum msg_state state,
+    uint64_t at_ms)
+{
+	char *key = g_strndup(backend.p, backend.n);
+	struct agent_health *h = g_hash_table_lookup(a->health, key);
+
+	if (h == NULL) {
+		h = g_new0(struct agent_health, 1);
+		g_hash_table_insert(a->health, g_strdup(key), h);
+	}
+	g_free(key);
+	if (at_ms < h->at_ms)
+		return;
+	h->state = state;
+	h->at_ms = at_ms;
+}
+
+static void
+tell(struct agent *a, struct str backend, enum msg_state state, bool all)
+{
+	struct msg_state_of st = {backend, state,
+	    (uint64_t)clk_wall_ms(a->clk)};
+	struct msg m = {.kind = MSG_HEALTH};
+
+	remember(a, backend, state, st.at_ms);
+	m.u.health.states.items = &st;
+	m.u.health.states.n = 1;
+	wire_send(a->wire, a->set.gate_inbox, &m);
+	if (all)
+		agent_peer_all(a, &m);
+}
+
+static void
+on_changed(void *ctx, struct str backend, enum msg_state state)
+{
+	static const char *const names[] = {"unknown", "up", "down",
+	    "draining"};
+
+	slog(SLOG_PROBE, "%.*s is %s.", STR_ARG(backend), names[state]);
+	tell(ctx, backend, state, true);
+}
+
+/* Passed on to the gate unless we know something newer. */
+void
+agent_probe_take(struct agent *a, const struct msg_health *health)
+{
+	const struct msg_state_of *st = health->states.items;
+	struct msg m = {.kind = MSG_HEALTH};
+	size_t i;
+
+	for (i = 0; i < health->states.n; i++)
+		remember(a, st[i].backend, (enum msg_state)st[i].state,
+		    st[i].at_ms);
+	m.u.health = *health;
+	wire_send(a->wire, a->set.gate_inbox, &m);
+}
+
+void
+agent_probe_tell_gate(struct agent *a)
+{
+	const struct agent_health *h;
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, a->health);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		h = value;
+		tell(a, str_c(key), h->state, false);
+	}
+}
+
+/* Does a box of this hall live?  If none does, any box may probe there. */
+struct hall_query {
+	struct agent *agent;
+	struct str hall;
+	int64_t now;
+	bool found;
+};
+
+static void
+find_in_hall(void *ctx, const struct memb_member *m)
+{
+	struct hall_query *q = ctx;
+
+	if (str_eq(m->info.hall, q->hall) &&
+	    memb_alive(q->agent->memb, m, q->now))
+		q->found = true;
+}
+
+static bool
+is_prober(struct agent *a, struct str backend, struct str hall, int64_t now)
+{
+	struct hall_query q = {a, hall, now, str_eq(hall, a->set.hall)};
+
+	if (!q.found)
+		memb_each(a->memb, find_in_hall, &q);
+	return memb_is_first(
+	    a->memb, backend, q.found ? hall : str_c(NULL), 1, now);
+}
+
+static void
+want_service(void *ctx, const struct route_service *svc)
+{
+	struct agent *a = ctx;
+	int64_t now = clk_ns(a->clk);
+	const struct route_hall *h;
+	unsigned i, j;
+
+	for (i = 0; i < svc->nhalls; i++) {
+		h = &svc->halls[i];
+		for (j = 0; j < h->n; j++)
+			if (is_prober(a, h->backends[j].name, h->hall, now))
+				probe_want(a->probe, h->backends[j].name,
+				    h->backends[j].address,
+				    svc->obj->probe_path,
+				    svc->obj->probe_ms * NS_MS, now);
+	}
+}
+
+static void
+refresh_targets(struct agent *a)
+{
+	if (a->targets_dirty || a->routes == NULL) {
+		route_free(a->routes);
+		a->routes = route_build(a->conf);
+		a->targets_dirty = false;
+	}
+	probe_begin(a->probe);
+	route_each(a->routes, want_service, a);
+	probe_commit(a->probe);
+}
+
+static void
+tell_again(void *ctx, struct str backend, enum msg_state state)
+{
+	if (state == STATE_DOWN || state == STATE_DRAINING)
+		tell(ctx, backend, state, true);
+}
+
+/* Nobody says any more that it is down: it may be tried again. */
+static void
+forget_old(struct agent *a)
+{
+	uint64_t now = (uint64_t)clk_wall_ms(a->clk);
+	struct agent_health *h;
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, a->health);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		h = value;
+		if (now - h->at_ms < HEALTH_KEEP_MS)
+			continue;
+		if (h->state == STATE_DOWN || h->state == STATE_DRAINING)
+			tell(a, str_c(key), STATE_UNKNOWN, false);
+		else
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+void
+agent_probe_tick(struct agent *a, int64_t now)
+{
+	if (now - a->targets_at > TARGETS_NS) {
+		a->targets_at = now;
+		refresh_targets(a);
+	}
+	if (now - a->health_at > HEALTH_AGAIN_NS) {
+		a->health_at = now;
+		probe_each(a->probe, tell_again, a);
+		forget_old(a);
+	}
+	probe_tick(a->probe, now);
+}
--- /dev/null
+++ b/agent_watch.c
@@ -0,0 +1,435 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#define XXH_INLINE_ALL
+#include <stdio.h>
+#include <xxhash.h>
+
+#include "libagent.h"
+#include "slog.h"
+
+/*
+ * Few boxes of each hall watch the platform; the others learn from them.  A
+ * box lists by itself only if it is a watcher, or if no peer has given it a
+ * complete configuration soon after its start.
+ */
+
+#define FIRST_LIST_NS (400 * NS_MS)
+#define RECHECK_NS (1 * NS_S)
+#define BACKOFF_FIRST_NS (250 * NS_MS)
+#define BACKOFF_LAST_NS (15 * NS_S)
+#define BOXES_WATCHER_NS (2 * NS_S)
+#define BOXES_OTHER_NS (60 * NS_S)
+#define STATUS_SOON_NS (300 * NS_MS)
+#define STATUS_AGAIN_NS (60 * NS_S)
+/* Statuses of all boxes together: at most so many writes a second. */
+#define STATUS_FLEET_RATE 150
+
+enum { WATCH_WAIT_MS = 20000, LIST_TIMEOUT_MS = 5000, BACKOFF_SHIFT_MAX = 7 };
+
+static const struct str config_kinds = STR_LIT("backend,service,rule");
+
+static void watch_soon(struct agent *, int64_t);
+static void on_watch_due(void *);
+static void on_list(void *, enum plat_result, json_t *);
+static void on_watch(void *, enum plat_result, json_t *);
+static void on_boxes_due(void *);
+static void on_boxes(void *, enum plat_result, json_t *);
+static void on_status_due(void *);
+static void on_status(void *, enum plat_result, json_t *);
+
+/* Start a call if the budget has one; NULL if it must be put off. */
+static struct plat_call *
+call(struct agent *a, const struct plat_request *rq, plat_done_fn *done)
+{
+	if (!limit_take(&a->plat_budget, (double)a->set.platform_rate,
+		clk_ns(a->clk))) {
+		cnt_add(a->cnt, AC_PLATFORM_PUT_OFF, 1);
+		return NULL;
+	}
+	cnt_add(a->cnt, AC_PLATFORM_CALLS, 1);
+	return plat_start(a->plat, rq, done, a);
+}
+
+static int64_t
+backoff(struct agent *a, int fails)
+{
+	int64_t ns = BACKOFF_FIRST_NS << MIN(fails, BACKOFF_SHIFT_MAX);
+
+	return rnd_jitter(a->rnd, MIN(ns, BACKOFF_LAST_NS));
+}
+
+static void
+note_result(struct agent *a, enum plat_result result)
+{
+	bool up = result != PLAT_DOWN && result != PLAT_UNSURE;
+
+	if (!up)
+		cnt_add(a->cnt, AC_PLATFORM_DOWN, 1);
+	if (up != a->platform_up)
+		slog(SLOG_WATCH, "The platform %s.",
+		    up ? "answers" : "does not answer");
+	a->platform_up = up;
+}
+
+bool
+agent_is_watcher(struct agent *a)
+{
+	return memb_is_first(a->memb, STR_LIT("watch"), a->set.hall,
+	    (int)a->set.watchers, clk_ns(a->clk));
+}
+
+void
+agent_watch_open(struct agent *a)
+{
+	a->platform_up = true;
+	tmr_set(&a->tmr, &a->boxes_timer, clk_ns(a->clk), on_boxes_due, a);
+	watch_soon(a, rnd_jitter(a->rnd, FIRST_LIST_NS));
+}
+
+/* After a pause nothing that we held of the platform is taken for new. */
+void
+agent_watch_resume(struct agent *a)
+{
+	if (a->watch_call != NULL)
+		plat_cancel(a->plat, a->watch_call);
+	a->watch_call = NULL;
+	a->listed_at = 0;
+	watch_soon(a, 0);
+}
+
+static void
+watch_soon(struct agent *a, int64_t in)
+{
+	tmr_set(&a->tmr, &a->watch_timer, clk_ns(a->clk) + in, on_watch_due, a);
+}
+
+static void
+start_list(struct agent *a)
+{
+	struct plat_request rq = {.op = PLAT_LIST,
+	    .kind = config_kinds,
+	    .timeout_ms = LIST_TIMEOUT_MS};
+
+	a->watch_call = call(a, &rq, on_list);
+	if (a->watch_call == NULL)
+		watch_soon(a, rnd_jitter(a->rnd, RECHECK_NS));
+}
+
+static void
+start_watch(struct agent *a)
+{
+	struct plat_request rq = {.op = PLAT_WATCH,
+	    .kind = config_kinds,
+	    .version = a->watch_since,
+	    .wait_ms = WATCH_WAIT_MS};
+
+	a->watch_call = call(a, &rq, on_watch);
+	if (a->watch_call == NULL)
+		watch_soon(a, rnd_jitter(a->rnd, RECHECK_NS));
+}
+
+/*
+ * A watch may skip a change, so a watcher lists anew now and then; a list
+ * names its revision, so that a stale one does no harm.
+ */
+static void
+on_watch_due(void *ctx)
+{
+	struct agent *a = ctx;
+	int64_t now = clk_ns(a->clk);
+	bool watcher = agent_is_watcher(a);
+
+	cnt_set(a->cnt, AC_WATCHING, watcher);
+	if (a->watch_call != NULL || a->leaving)
+		return;
+	if (!watcher && conf_floor(a->conf) > 0) {
+		a->listed_at = 0;
+		watch_soon(a, rnd_jitter(a->rnd, RECHECK_NS));
+		return;
+	}
+	if (a->listed_at == 0 || a->watch_since == 0 ||
+	    now - a->listed_at > a->set.list_ms * NS_MS)
+		start_list(a);
+	else
+		start_watch(a);
+}
+
+static void
+offer(struct agent *a, json_t *o, GHashTable *keys)
+{
+	const char *kind = json_string_value(json_object_get(o, "kind"));
+	const char *name = json_string_value(json_object_get(o, "name"));
+	uint64_t version =
+	    (uint64_t)json_integer_value(json_object_get(o, "version"));
+	bool deleted = json_is_true(json_object_get(o, "deleted"));
+	json_t *spec = json_object_get(o, "spec");
+	enum conf_result got;
+	GError *err = NULL;
+	char *key;
+
+	if (kind == NULL || name == NULL || version == 0)
+		return;
+	key = g_strdup_printf("%s/%s", kind, name);
+	got = conf_offer(a->conf, str_c(key), version, deleted, spec,
+	    STR_LIT("platform"), &err);
+	if (got == CONF_REJECTED) {
+		slog(SLOG_CONF, "Rejected %s version %llu: %s.", key,
+		    (unsigned long long)version,
+		    err != NULL ? err->message : "see the status");
+		agent_status_soon(a);
+	}
+	g_clear_error(&err);
+	if (keys != NULL)
+		g_hash_table_add(keys, key);
+	else
+		g_free(key);
+}
+
+static void
+offer_all(struct agent *a, json_t *body, GHashTable *keys)
+{
+	json_t *objects = json_object_get(body, "objects"), *o;
+	size_t i;
+
+	a->from_platform = true;
+	json_array_foreach(objects, i, o)
+		offer(a, o, keys);
+	a->from_platform = false;
+}
+
+static uint64_t
+revision_of(json_t *body)
+{
+	return (uint64_t)json_integer_value(
+	    json_object_get(body, "revision"));
+}
+
+static void
+on_list(void *ctx, enum plat_result result, json_t *body)
+{
+	struct agent *a = ctx;
+	uint64_t revision = revision_of(body);
+	GHashTable *keys;
+
+	a->watch_call = NULL;
+	note_result(a, result);
+	if (result != PLAT_OK || !json_is_array(json_object_get(body, "objects"))) {
+		watch_soon(a, backoff(a, a->watch_fails++));
+		return;
+	}
+	a->watch_fails = 0;
+	keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	offer_all(a, body, keys);
+	a->from_platform = true;
+	conf_complete(a->conf, revision, keys);
+	a->from_platform = false;
+	g_hash_table_destroy(keys);
+	a->listed_at = clk_ns(a->clk);
+	a->watch_since = MAX(a->watch_since, revision);
+	slog(SLOG_WATCH, "Listed revision %llu: %zu objects in force.",
+	    (unsigned long long)revision, conf_count(a->conf));
+	agent_status_soon(a);
+	watch_soon(a, 0);
+}
+
+static void
+on_watch(void *ctx, enum plat_result result, json_t *body)
+{
+	struct agent *a = ctx;
+
+	a->watch_call = NULL;
+	note_result(a, result);
+	if (result == PLAT_TOO_OLD) {
+		a->listed_at = 0;
+		watch_soon(a, 0);
+		return;
+	}
+	if (result != PLAT_OK) {
+		/* What happened meanwhile is asked for whole. */
+		a->listed_at = 0;
+		watch_soon(a, backoff(a, a->watch_fails++));
+		return;
+	}
+	a->watch_fails = 0;
+	offer_all(a, body, NULL);
+	a->watch_since = MAX(a->watch_since, revision_of(body));
+	watch_soon(a, 0);
+}
+
+static void
+on_boxes_due(void *ctx)
+{
+	struct agent *a = ctx;
+	struct plat_request rq = {.op = PLAT_BOXES};
+
+	a->boxes_call = call(a, &rq, on_boxes);
+	if (a->boxes_call == NULL)
+		tmr_set(&a->tmr, &a->boxes_timer,
+		    clk_ns(a->clk) + rnd_jitter(a->rnd, RECHECK_NS),
+		    on_boxes_due, a);
+}
+
+static void
+take_boxes(struct agent *a, json_t *body)
+{
+	json_t *boxes = json_object_get(body, "boxes"), *box;
+	int64_t now = clk_ns(a->clk);
+	size_t i;
+
+	memb_list_begin(a->memb);
+	json_array_foreach(boxes, i, box)
+	{
+		struct str name =
+		    str_c(json_string_value(json_object_get(box, "name")));
+
+		if (name.n > 0)
+			memb_listed(a->memb, name,
+			    str_c(json_string_value(
+				json_object_get(box, "hall"))),
+			    str_c(json_string_value(
+				json_object_get(box, "inbox"))),
+			    json_is_true(json_object_get(box, "leaving")), now);
+	}
+}
+
+static void
+on_boxes(void *ctx, enum plat_result result, json_t *body)
+{
+	struct agent *a = ctx;
+	int64_t in;
+
+	a->boxes_call = NULL;
+	note_result(a, result);
+	if (result == PLAT_OK) {
+		a->boxes_fails = 0;
+		take_boxes(a, body);
+		in = rnd_jitter(a->rnd,
+		    agent_is_watcher(a) ? BOXES_WATCHER_NS : BOXES_OTHER_NS);
+	} else {
+		in = backoff(a, a->boxes_fails++);
+	}
+	tmr_set(&a->tmr, &a->boxes_timer, clk_ns(a->clk) + in, on_boxes_due, a);
+}
+
+/*
+ * A status is written soon after a change, but so seldom that all boxes
+ * together stay within the platform's rate.
+ */
+void
+agent_status_soon(struct agent *a)
+{
+	int64_t now = clk_ns(a->clk);
+	int64_t spread = (int64_t)memb_count_alive(a->memb, now) * NS_S /
+	    STATUS_FLEET_RATE;
+
+	if (a->status_timer.set || a->status_call != NULL)
+		return;
+	tmr_set(&a->tmr, &a->status_timer,
+	    now + rnd_jitter(a->rnd, STATUS_SOON_NS + spread), on_status_due,
+	    a);
+}
+
+static void
+add_rejected(void *ctx, const struct conf_entry *e)
+{
+	if (e->bad_version > 0)
+		json_array_append_new(ctx,
+		    json_pack("{s:s%, s:I, s:I, s:s}", "key", e->key.p,
+			e->key.n, "rejected", (json_int_t)e->bad_version,
+			"in_force", (json_int_t)e->version, "why",
+			e->bad_why));
+}
+
+static void
+add_version(void *ctx, const struct conf_entry *e)
+{
+	uint64_t *newest = ctx;
+
+	*newest = MAX(*newest, e->version);
+}
+
+static json_t *
+status_spec(struct agent *a)
+{
+	json_t *rejected = json_array();
+	uint64_t newest = 0;
+	char digest[20], gate[20];
+
+	conf_each(a->conf, add_rejected, rejected);
+	conf_each(a->conf, add_version, &newest);
+	snprintf(digest, sizeof(digest), "%016llx",
+	    (unsigned long long)conf_digest(a->conf));
+	snprintf(gate, sizeof(gate), "%016llx",
+	    (unsigned long long)a->gate_digest);
+	return json_pack("{s:s%, s:s%, s:I, s:I, s:s, s:s, s:b, s:b, s:i, s:o}",
+	    "box", a->set.box.p, a->set.box.n, "hall", a->set.hall.p,
+	    a->set.hall.n, "newest", (json_int_t)newest, "floor",
+	    (json_int_t)conf_floor(a->conf), "digest", digest, "gate_digest",
+	    gate, "gate_ready", (int)a->gate_ready, "leaving", (int)a->leaving,
+	    "objects", (int)conf_count(a->conf), "rejected", rejected);
+}
+
+static void
+on_status_due(void *ctx)
+{
+	struct agent *a = ctx;
+	json_t *spec = status_spec(a), *value;
+	char *text = json_dumps(spec, JSON_COMPACT | JSON_SORT_KEYS);
+	struct plat_request rq = {.kind = STR_LIT("status"),
+	    .name = a->set.box,
+	    .version = a->status_version};
+
+	rq.op = a->status_version == 0 ? PLAT_CREATE : PLAT_UPDATE;
+	a->status_digest = XXH3_64bits(text, strlen(text));
+	free(text);
+	value = json_pack("{s:o, s:s}", "spec", spec, "change", "status");
+	rq.value = value;
+	a->status_call = call(a, &rq, on_status);
+	json_decref(value);
+	if (a->status_call == NULL)
+		agent_status_soon(a);
+}
+
+/* A lost race for our own status is against an earlier start of ours. */
+static void
+on_status(void *ctx, enum plat_result result, json_t *body)
+{
+	struct agent *a = ctx;
+	json_t *spec, *current = json_object_get(body, "current");
+	int64_t in = rnd_jitter(a->rnd, STATUS_AGAIN_NS);
+	uint64_t digest;
+	char *text;
+
+	a->status_call = NULL;
+	note_result(a, result);
+	if (result == PLAT_OK)
+		a->status_version = (uint64_t)json_integer_value(
+		    json_object_get(body, "version"));
+	else if (result == PLAT_CONFLICT)
+		a->status_version = (uint64_t)json_integer_value(
+		    json_object_get(current, "version"));
+	if (result == PLAT_OK) {
+		a->status_fails = 0;
+		spec = status_spec(a);
+		text = json_dumps(spec, JSON_COMPACT | JSON_SORT_KEYS);
+		digest = XXH3_64bits(text, strlen(text));
+		free(text);
+		json_decref(spec);
+		if (digest != a->status_digest) {
+			agent_status_soon(a);
+			return;
+		}
+	} else {
+		in = backoff(a, a->status_fails++);
+	}
+	tmr_set(&a->tmr, &a->status_timer, clk_ns(a->clk) + in, on_status_due,
+	    a);
+}
--- /dev/null
+++ b/conf.c
@@ -0,0 +1,329 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "conf.h"
+#include "err.h"
+
+struct conf {
+	GHashTable *entries; /* char * key to struct conf_entry * */
+	uint64_t buckets[CONF_BUCKETS];
+	uint64_t digest;
+	uint64_t floor;
+	size_t live;
+	conf_changed_fn *changed;
+	void *ctx;
+};
+
+static void entry_free(void *);
+static struct conf_entry *entry_new(struct conf *, struct str, GError **);
+static void rehash(struct conf *, struct conf_entry *);
+static enum conf_result offer_bad(
+    struct conf *, struct conf_entry *, uint64_t, json_t *, GError *);
+static void enforce(struct conf *, struct conf_entry *, uint64_t, bool,
+    json_t *, struct obj *, struct str);
+static bool wins(const struct conf_entry *, uint64_t, bool, const json_t *);
+static gboolean is_buried(gpointer, gpointer, gpointer);
+
+static void
+clear_bad(struct conf_entry *e)
+{
+	json_decref(e->bad_spec);
+	g_free(e->bad_why);
+	e->bad_spec = NULL;
+	e->bad_why = NULL;
+	e->bad_version = 0;
+}
+
+static void
+entry_free(void *p)
+{
+	struct conf_entry *e = p;
+
+	clear_bad(e);
+	json_decref(e->spec);
+	obj_free(e->obj);
+	str_free(&e->source);
+	str_free(&e->key);
+	g_free(e);
+}
+
+struct conf *
+conf_new(conf_changed_fn *changed, void *ctx)
+{
+	struct conf *c = g_new0(struct conf, 1);
+
+	c->entries = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, entry_free);
+	c->changed = changed;
+	c->ctx = ctx;
+	return c;
+}
+
+void
+conf_free(struct conf *c)
+{
+	g_hash_table_destroy(c->entries);
+	g_free(c);
+}
+
+unsigned
+conf_bucket(struct str key)
+{
+	return (unsigned)(XXH3_64bits(key.p, key.n) % CONF_BUCKETS);
+}
+
+static uint64_t
+hash_spec(const json_t *spec)
+{
+	char *text = json_dumps(spec, JSON_COMPACT | JSON_SORT_KEYS);
+	uint64_t h = text == NULL ? 0 : XXH3_64bits(text, strlen(text));
+
+	free(text);
+	return h;
+}
+
+/*
+ * An entry's share of the digest.  Deletions have none: one box may have
+ * forgotten a deletion that another still keeps.
+ */
+static uint64_t
+hash_entry(const struct conf_entry *e)
+{
+	uint64_t parts[4] = {0};
+
+	if (!e->deleted && e->version > 0) {
+		parts[0] = e->version;
+		parts[1] = hash_spec(e->spec);
+	}
+	if (e->bad_version > 0) {
+		parts[2] = e->bad_version;
+		parts[3] = hash_spec(e->bad_spec);
+	}
+	if (parts[0] == 0 && parts[2] == 0)
+		return 0;
+	return XXH3_64bits_withSeed(
+	    parts, sizeof(parts), XXH3_64bits(e->key.p, e->key.n));
+}
+
+static void
+rehash(struct conf *c, struct conf_entry *e)
+{
+	uint64_t h = hash_entry(e), diff = h ^ e->hash;
+
+	c->buckets[conf_bucket(e->key)] ^= diff;
+	c->digest ^= diff;
+	e->hash = h;
+}
+
+static struct conf_entry *
+entry_new(struct conf *c, struct str key, GError **err)
+{
+	const char *slash = memchr(key.p, '/', key.n);
+	struct conf_entry *e;
+	enum obj_kind kind;
+	size_t head;
+
+	head = slash == NULL ? 0 : (size_t)(slash - key.p);
+	if (!obj_kind_by_name(str_n(key.p, head), &kind) ||
+	    !field_is_name(str_n(key.p + head + 1, key.n - head - 1))) {
+		err_set(err, ERR_OBJECT, "\"%.*s\" is no object's key",
+		    STR_ARG(key));
+		return NULL;
+	}
+	e = g_new0(struct conf_entry, 1);
+	e->key = str_dup(key);
+	e->kind = kind;
+	e->name = str_n(e->key.p + head + 1, key.n - head - 1);
+	g_hash_table_insert(c->entries, (char *)e->key.p, e);
+	return e;
+}
+
+/*
+ * Does an offer win over what is in force?  Versions are the platform's own
+ * and do not repeat; should two contents bear one version all the same (a
+ * store put back from a copy), the choice falls the same way everywhere: a
+ * deletion first, then the greater hash.
+ */
+static bool
+wins(const struct conf_entry *e, uint64_t version, bool deleted,
+    const json_t *spec)
+{
+	if (version != e->version)
+		return version > e->version;
+	if (e->deleted || deleted)
+		return !e->deleted;
+	return hash_spec(spec) > hash_spec(e->spec);
+}
+
+static void
+enforce(struct conf *c, struct conf_entry *e, uint64_t version, bool deleted,
+    json_t *spec, struct obj *obj, struct str source)
+{
+	bool was = e->version > 0 && !e->deleted;
+
+	json_decref(e->spec);
+	obj_free(e->obj);
+	str_free(&e->source);
+	e->spec = deleted ? NULL : json_incref(spec);
+	e->obj = obj;
+	e->version = version;
+	e->deleted = deleted;
+	e->source = str_dup(source);
+	if (e->bad_version <= version)
+		clear_bad(e);
+	c->live += (size_t)!deleted - (size_t)was;
+	rehash(c, e);
+	if (c->changed != NULL)
+		c->changed(c->ctx, e);
+}
+
+static enum conf_result
+offer_bad(struct conf *c, struct conf_entry *e, uint64_t version, json_t *spec,
+    GError *why)
+{
+	bool newer = version > e->version && version > e->bad_version;
+
+	if (newer) {
+		clear_bad(e);
+		e->bad_version = version;
+		e->bad_spec = json_incref(spec);
+		e->bad_why = g_strdup(why->message);
+		rehash(c, e);
+	}
+	g_error_free(why);
+	return newer ? CONF_REJECTED : CONF_OLDER;
+}
+
+enum conf_result
+conf_offer(struct conf *c, struct str key, uint64_t version, bool deleted,
+    json_t *spec, struct str source, GError **err)
+{
+	struct conf_entry *e;
+	struct obj *obj = NULL;
+	GError *why = NULL;
+	char *text = g_strndup(key.p, key.n);
+
+	e = g_hash_table_lookup(c->entries, text);
+	g_free(text);
+	if (e == NULL && (version == 0 || version <= c->floor))
+		return CONF_OLDER;
+	if (e != NULL && version == e->version && version > 0 &&
+	    deleted == e->deleted && (deleted || json_equal(spec, e->spec)))
+		return CONF_KNOWN;
+	if (e != NULL && version == e->bad_version)
+		return CONF_KNOWN;
+	if (e != NULL && !wins(e, version, deleted, spec))
+		return CONF_OLDER;
+	if (e == NULL)
+		e = entry_new(c, key, err);
+	if (e == NULL)
+		return CONF_REJECTED;
+	if (!deleted) {
+		obj = obj_read(e->kind, e->name, spec, NULL, &why);
+		if (obj == NULL)
+			return offer_bad(c, e, version, spec, why);
+	}
+	enforce(c, e, version, deleted, spec, obj, source);
+	return CONF_NEWER;
+}
+
+/* A deletion at or below the floor need not be kept: the floor tells it. */
+static gboolean
+is_buried(gpointer key, gpointer value, gpointer ctx)
+{
+	const struct conf_entry *e = value;
+	const struct conf *c = ctx;
+
+	(void)key;
+	return (e->deleted || e->version == 0) && e->bad_version == 0 &&
+	    e->version <= c->floor;
+}
+
+void
+conf_raise_floor(struct conf *c, uint64_t revision)
+{
+	if (revision <= c->floor)
+		return;
+	c->floor = revision;
+	g_hash_table_foreach_remove(c->entries, is_buried, c);
+}
+
+void
+conf_complete(struct conf *c, uint64_t revision, GHashTable *keys)
+{
+	struct conf_entry *e;
+	GHashTableIter it;
+	gpointer key, value;
+
+	if (revision < c->floor)
+		return;
+	g_hash_table_iter_init(&it, c->entries);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		e = value;
+		if (g_hash_table_contains(keys, key))
+			continue;
+		if (e->bad_version > 0 && e->bad_version <= revision) {
+			clear_bad(e);
+			rehash(c, e);
+		}
+		if (!e->deleted && e->version > 0 && e->version <= revision)
+			enforce(c, e, revision, true, NULL, NULL,
+			    STR_LIT("platform"));
+	}
+	conf_raise_floor(c, revision);
+}
+
+uint64_t
+conf_floor(const struct conf *c)
+{
+	return c->floor;
+}
+
+uint64_t
+conf_digest(const struct conf *c)
+{
+	return c->digest;
+}
+
+uint64_t
+conf_bucket_digest(const struct conf *c, unsigned bucket)
+{
+	return c->buckets[bucket % CONF_BUCKETS];
+}
+
+const struct conf_entry *
+conf_get(const struct conf *c, struct str key)
+{
+	char *text = g_strndup(key.p, key.n);
+	const struct conf_entry *e = g_hash_table_lookup(c->entries, text);
+
+	g_free(text);
+	return e;
+}
+
+void
+conf_each(const struct conf *c, conf_visit_fn *visit, void *ctx)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->entries);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		visit(ctx, value);
+}
+
+size_t
+conf_count(const struct conf *c)
+{
+	return c->live;
+}
--- /dev/null
+++ b/conf.h
@@ -0,0 +1,95 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef CONF_H
+#define CONF_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "obj.h"
+
+/*
+ * The merge of configuration.  Each object has a version that the platform
+ * gave it; for each object the highest version wins, in whatever order,
+ * however often and however late offers arrive.  The state is a function of
+ * the set of offers alone:
+ *
+ *  - in force is the highest version that is valid or a deletion;
+ *  - a higher version that is not valid is kept beside it as rejected;
+ *  - `floor` is a revision up to which a complete list has been seen: an
+ *    object not known here with a version at or below it has been deleted.
+ *
+ * No I/O is done here; changes go out through a callback.
+ */
+
+enum { CONF_BUCKETS = 64 };
+
+struct conf_entry {
+	struct str key;	      /* "kind/name" */
+	enum obj_kind kind;
+	struct str name;
+	uint64_t version;     /* in force; 0: none yet */
+	bool deleted;
+	json_t *spec;	      /* of the version in force */
+	struct obj *obj;      /* the same, checked */
+	uint64_t bad_version; /* rejected; 0: none */
+	json_t *bad_spec;
+	char *bad_why;
+	struct str source;    /* who offered the version in force */
+	uint64_t hash;	      /* this entry's share of the digest */
+};
+
+/* Called when another version of an object comes into force. */
+typedef void conf_changed_fn(void *, const struct conf_entry *);
+
+/* What became of an offer. */
+enum conf_result { CONF_NEWER, CONF_KNOWN, CONF_OLDER, CONF_REJECTED };
+
+struct conf;
+
+struct conf *conf_new(conf_changed_fn *, void *);
+void conf_free(struct conf *);
+
+/*
+ * Offer one version of one object.  `spec` is borrowed and may be NULL for
+ * a deletion.  ERR_OBJECT is set only where the key itself is not valid;
+ * a spec that is not valid is kept as rejected, with the reason.
+ */
+enum conf_result conf_offer(struct conf *, struct str key, uint64_t version,
+    bool deleted, json_t *spec, struct str source, GError **);
+
+/*
+ * A complete list at `revision` has been offered; `keys` holds the keys in
+ * it.  Whatever is not in it at or below that revision has been deleted.
+ */
+void conf_complete(struct conf *, uint64_t revision, GHashTable *keys);
+
+/* All changes up to `revision` have been offered, as by a watch. */
+void conf_raise_floor(struct conf *, uint64_t revision);
+uint64_t conf_floor(const struct conf *);
+
+/* Digest of all that is in force or rejected; equal sets, equal digests. */
+uint64_t conf_digest(const struct conf *);
+uint64_t conf_bucket_digest(const struct conf *, unsigned bucket);
+unsigned conf_bucket(struct str key);
+
+const struct conf_entry *conf_get(const struct conf *, struct str key);
+
+/* Visit all entries; deletions too. */
+typedef void conf_visit_fn(void *, const struct conf_entry *);
+void conf_each(const struct conf *, conf_visit_fn *, void *);
+
+/* Objects in force. */
+size_t conf_count(const struct conf *);
+
+#endif
--- /dev/null
+++ b/disp.h
@@ -0,0 +1,140 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef DISP_H
+#define DISP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "chart.h"
+#include "clk.h"
+#include "err.h"
+#include "limit.h"
+#include "obj.h"
+#include "pick.h"
+#include "queue.h"
+
+/*
+ * The dispatcher of one shard: one service's backend servers in one hall.
+ * It runs at the shard's home and holds requests until a slot is free.
+ * Pure: events come in by calls, actions go out by callbacks, clock and
+ * random numbers are passed in; one order of events gives one result.
+ */
+
+/* How one try at a backend server ended. */
+enum disp_outcome {
+	DISP_OK,      /* a whole answer */
+	DISP_REFUSED, /* the backend server says it did not run it */
+	DISP_CONNECT, /* nothing could be sent */
+	DISP_FAILED,  /* an answer that tells a failure, 5xx */
+	DISP_CUT,     /* the connection broke; it may have run */
+	DISP_LATE,    /* the deadline passed while it was there */
+	DISP_GONE,    /* the caller went away while it was there */
+	DISP_OUTCOME_MAX
+};
+
+/* One request, embedded in its owner's. */
+struct disp_req {
+	enum obj_class cls;
+	bool repeatable;
+	bool may_pass;	   /* may go to another hall's home */
+	bool may_retry;	   /* nothing of an answer has gone out yet */
+	int64_t deadline;  /* monotonic ns */
+	int64_t sent;	   /* start of the try under way */
+	int tries;
+	struct pick_backend *at;    /* where it is now; NULL: held or done */
+	struct pick_backend *avoid; /* where it failed last */
+	bool held;
+	struct queue_item item;
+};
+
+struct disp_ops {
+	/* Send the request to a backend server. */
+	void (*send)(void *, struct disp_req *, struct pick_backend *);
+	/* Pass the request to the home in another hall. */
+	void (*pass)(void *, struct disp_req *, struct str hall);
+	/* Answer the request with an error; retry_after in ns, 0: unsaid. */
+	void (*give_up)(
+	    void *, struct disp_req *, enum err_kind, int64_t retry_after);
+	/* A backend server is no longer used and will be freed. */
+	void (*release)(void *, struct pick_backend *);
+	void *ctx;
+};
+
+struct disp_params {
+	const struct pick_policy *policy;
+	const struct chart *chart;
+	int64_t queue_max;
+	int bulk_percent;
+	int64_t retry_percent;
+	double rate; /* this shard's part of the service's rate; 0: none */
+};
+
+/* A backend server as configuration has it. */
+struct disp_backend {
+	struct str name;
+	struct str address;
+	int slots;
+	bool drain;
+};
+
+struct disp;
+
+struct disp *disp_new(
+    const struct disp_ops *, const struct clk *, const struct rnd *);
+
+/* Only when no request is left in it. */
+void disp_free(struct disp *);
+
+void disp_configure(struct disp *, const struct disp_params *);
+
+/* The backend servers from now on; state of those that stay is kept. */
+void disp_backends(struct disp *, const struct disp_backend *, unsigned);
+
+/* A request arrives: one of the ops is called, now or later. */
+void disp_arrive(struct disp *, struct disp_req *);
+
+/* Would disp_done() take the request back after such an end of its try? */
+bool disp_retryable(
+    const struct disp *, const struct disp_req *, enum disp_outcome);
+
+/*
+ * A try has ended.  True if the request was taken back to be tried again;
+ * otherwise its owner answers it.
+ */
+bool disp_done(struct disp *, struct disp_req *, enum disp_outcome);
+
+/* A held request's caller went away. */
+void disp_forget(struct disp *, struct disp_req *);
+
+/* Time passes: deadlines of held requests, ends of ejections. */
+void disp_tick(struct disp *);
+
+/* The backend server says itself that it drains. */
+void disp_drain_told(struct disp *, struct pick_backend *);
+
+/* What probes say of a backend server. */
+void disp_health(struct disp *, struct str backend, bool down, bool drain);
+
+/* Another hall's home tells its room. */
+void disp_remote(struct disp *, struct str hall, int free, int waiting);
+
+/* Free slots and requests held, for other homes. */
+void disp_room(const struct disp *, int *free, int *waiting);
+
+unsigned disp_inflight(const struct disp *);
+unsigned disp_count(const struct disp *);
+
+/* Visit the backend servers, for status and explain. */
+typedef void disp_visit_fn(void *, const struct pick_backend *);
+void disp_each(const struct disp *, disp_visit_fn *, void *);
+
+#endif
--- /dev/null
+++ b/gate_conf.c
@@ -0,0 +1,227 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <stdio.h>
+
+#include "libgate.h"
+#include "slog.h"
+
+/* Changes that come together lead to one new table. */
+#define REBUILD_NS (2 * NS_MS)
+/* A shard that no request has used for so long is let go. */
+#define SHARD_IDLE_NS (60 * NS_S)
+
+static void on_changed(void *, const struct conf_entry *);
+static void on_rebuild(void *);
+static void send_to(void *, struct str, const struct msg *);
+static void shard_free(void *);
+static void shard_update(
+    struct gate *, struct gate_shard *, const struct route_service *);
+static void take_health(struct gate *, const struct msg_health *);
+static gboolean refresh_shard(gpointer, gpointer, gpointer);
+
+bool
+gate_conf_open(struct gate *g, GError **err)
+{
+	(void)err;
+	g->conf = conf_new(on_changed, g);
+	g->sync.conf = g->conf;
+	g->sync.send = send_to;
+	g->sync.ctx = g;
+	g->routes = route_build(g->conf);
+	g->shards = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, shard_free);
+	return true;
+}
+
+static void
+send_to(void *ctx, struct str to, const struct msg *m)
+{
+	struct gate *g = ctx;
+	struct msg copy = *m;
+
+	wire_send(g->wire, to, &copy);
+}
+
+static void
+on_changed(void *ctx, const struct conf_entry *e)
+{
+	struct gate *g = ctx;
+
+	slog(SLOG_CONF, "%.*s version %llu is in force%s.", STR_ARG(e->key),
+	    (unsigned long long)e->version, e->deleted ? ", deleted" : "");
+	if (!g->rebuild.set)
+		tmr_set(&g->tmr, &g->rebuild, clk_ns(g->clk) + REBUILD_NS,
+		    on_rebuild, g);
+}
+
+static void
+on_rebuild(void *ctx)
+{
+	struct gate *g = ctx;
+
+	route_free(g->routes);
+	g->routes = route_build(g->conf);
+	g_hash_table_foreach_remove(g->shards, refresh_shard, g);
+	cnt_set(g->cnt, GC_OBJECTS, conf_count(g->conf));
+	gate_conf_report(g);
+}
+
+/* Bring a shard up to date; one without service or use is removed. */
+static gboolean
+refresh_shard(gpointer key, gpointer value, gpointer ctx)
+{
+	struct gate *g = ctx;
+	struct gate_shard *s = value;
+	const struct route_service *svc = route_service(g->routes, s->service);
+	int free, waiting;
+
+	(void)key;
+	disp_room(s->disp, &free, &waiting);
+	if (svc != NULL) {
+		shard_update(g, s, svc);
+		return FALSE;
+	}
+	disp_backends(s->disp, NULL, 0);
+	return disp_inflight(s->disp) == 0 && waiting == 0;
+}
+
+static void
+shard_update(
+    struct gate *g, struct gate_shard *s, const struct route_service *svc)
+{
+	const struct route_hall *hall = route_hall(svc, s->hall);
+	struct disp_params p = {
+	    .policy = pick_by_name(g->set.policy),
+	    .chart = g->chart_backend,
+	    .queue_max = svc->obj->queue,
+	    .bulk_percent = (int)svc->obj->bulk_percent,
+	    .retry_percent = svc->obj->retry_percent,
+	};
+
+	if (hall != NULL && svc->slots > 0)
+		p.rate = (double)svc->obj->rate * hall->slots / svc->slots;
+	disp_configure(s->disp, &p);
+	disp_backends(s->disp, hall == NULL ? NULL : hall->backends,
+	    hall == NULL ? 0 : hall->n);
+}
+
+static void
+shard_free(void *p)
+{
+	struct gate_shard *s = p;
+
+	disp_free(s->disp);
+	str_free(&s->service);
+	str_free(&s->hall);
+	g_free(s);
+}
+
+struct gate_shard *
+gate_conf_shard(
+    struct gate *g, const struct route_service *svc, struct str hall)
+{
+	struct disp_ops ops = gate_req_disp_ops;
+	struct gate_shard *s;
+	char key[300];
+
+	snprintf(key, sizeof(key), "%.*s/%.*s", STR_ARG(svc->name),
+	    STR_ARG(hall));
+	s = g_hash_table_lookup(g->shards, key);
+	if (s == NULL) {
+		s = g_new0(struct gate_shard, 1);
+		s->gate = g;
+		s->service = str_dup(svc->name);
+		s->hall = str_dup(hall);
+		ops.ctx = s;
+		s->disp = disp_new(&ops, g->clk, g->rnd);
+		g_hash_table_insert(g->shards, g_strdup(key), s);
+		shard_update(g, s, svc);
+	}
+	s->used = clk_ns(g->clk);
+	return s;
+}
+
+/* Tell the agent what is in force here, and whether we serve. */
+void
+gate_conf_report(struct gate *g)
+{
+	struct msg m = {.kind = MSG_GATE};
+
+	m.u.gate.box = g->set.box;
+	m.u.gate.boot = g->boot;
+	m.u.gate.digest = conf_digest(g->conf);
+	m.u.gate.floor = conf_floor(g->conf);
+	m.u.gate.objects = conf_count(g->conf);
+	m.u.gate.leaving = g->leaving;
+	m.u.gate.ready = g->ready;
+	wire_send(g->wire, g->set.agent, &m);
+}
+
+static void
+take_health(struct gate *g, const struct msg_health *health)
+{
+	const struct msg_state_of *st = health->states.items;
+	struct gate_shard *s;
+	GHashTableIter it;
+	gpointer value;
+	size_t i;
+
+	for (i = 0; i < health->states.n; i++) {
+		g_hash_table_iter_init(&it, g->shards);
+		while (g_hash_table_iter_next(&it, NULL, &value)) {
+			s = value;
+			disp_health(s->disp, st[i].backend,
+			    st[i].state == STATE_DOWN,
+			    st[i].state == STATE_DRAINING);
+		}
+	}
+}
+
+/* Take a message from our agent or from another gate. */
+void
+gate_conf_take(void *ctx, const struct msg *m)
+{
+	struct gate *g = ctx;
+
+	switch (m->kind) {
+	case MSG_HELLO:
+		if (!g->ready && m->u.hello.floor > 0)
+			slog(SLOG_GATE, "The agent has a configuration.");
+		sync_compare(&g->sync, m->from, m->u.hello.digest,
+		    m->u.hello.floor);
+		if (conf_digest(g->conf) == m->u.hello.digest &&
+		    m->u.hello.self.ready && !g->ready) {
+			g->ready = true;
+			slog(SLOG_GATE, "Ready with %zu objects.",
+			    conf_count(g->conf));
+		}
+		gate_conf_report(g);
+		break;
+	case MSG_MEMBERS:
+		gate_home_members(g, &m->u.members);
+		break;
+	case MSG_HEALTH:
+		take_health(g, &m->u.health);
+		break;
+	case MSG_SUMMARY:
+		gate_home_heard(g, m->from);
+		gate_home_summary(g, &m->u.summary);
+		break;
+	case MSG_PING:
+	case MSG_PONG:
+		gate_home_heard(g, m->from);
+		gate_home_ping(g, m);
+		break;
+	default:
+		sync_take(&g->sync, m);
+		break;
+	}
+}
--- /dev/null
+++ b/gate_flow.c
@@ -0,0 +1,306 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <stdio.h>
+#include <strings.h>
+
+#include "libreq.h"
+#include "slog.h"
+
+enum {
+	BUFFER_MAX = 256 * 1024, /* of an answer, between both sides */
+	HEADERS_MAX = 128
+};
+
+/* The other side may be silent for so long in the middle of an answer. */
+#define SILENCE_NS (30 * NS_S)
+
+static void on_connected(void *, struct up_call *);
+static void on_head(
+    void *, struct up_call *, int, const h2o_header_t *, size_t);
+static void on_body(void *, struct up_call *);
+static void on_end(void *, struct up_call *);
+static void on_fail(void *, struct up_call *, enum err_kind);
+static void on_silence(void *);
+static void on_stop(h2o_generator_t *, h2o_req_t *);
+static void send_more(struct gate_req *);
+
+static const struct up_ops flow_ops = {
+    on_connected, on_head, on_body, on_end, on_fail};
+
+/* Headers that belong to one connection, or that we write ourselves. */
+static bool
+is_hop_header(const h2o_iovec_t *name)
+{
+	static const char *const names[] = {"connection", "keep-alive", "te",
+	    "trailer", "transfer-encoding", "upgrade", "content-length", "host",
+	    "proxy-connection", "http2-settings", "date", "server", "expect",
+	    "fern-hops", "fern-deadline-ms"};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++)
+		if (name->len == strlen(names[i]) &&
+		    strncasecmp(name->base, names[i], name->len) == 0)
+			return true;
+	return false;
+}
+
+static h2o_iovec_t hops_name = {H2O_STRLIT("fern-hops")};
+static h2o_iovec_t deadline_name = {H2O_STRLIT("fern-deadline-ms")};
+
+static size_t
+request_headers(struct gate_req *r, h2o_header_t *out, char *num, size_t numsz)
+{
+	const h2o_headers_t *in = &r->req->headers;
+	int64_t left = (r->d.deadline - clk_ns(r->gate->clk)) / NS_MS;
+	size_t i, n = 0;
+
+	for (i = 0; i < in->size && n < HEADERS_MAX - 2; i++)
+		if (!is_hop_header(in->entries[i].name))
+			out[n++] = in->entries[i];
+	snprintf(num, numsz, "%lld", (long long)MAX(left, 1));
+	out[n++] = (h2o_header_t){.name = &deadline_name,
+	    .value = h2o_iovec_init(num, strlen(num))};
+	if (r->peer == NULL)
+		return n;
+	out[n++] = (h2o_header_t){.name = &hops_name,
+	    .value = r->hops == 0 ? h2o_iovec_init(H2O_STRLIT("1"))
+				  : h2o_iovec_init(H2O_STRLIT("2"))};
+	return n;
+}
+
+void
+gate_flow_send(struct gate_req *r, struct str address, bool fresh)
+{
+	h2o_header_t headers[HEADERS_MAX];
+	char num[24];
+	h2o_req_t *req = r->req;
+	struct up_request rq = {
+	    .address = address,
+	    .method = str_n(req->method.base, req->method.len),
+	    .path = str_n(req->path.base, req->path.len),
+	    .host = str_n(req->authority.base, req->authority.len),
+	    .headers = headers,
+	    .body = str_n(req->entity.base, req->entity.len),
+	    .fresh = fresh,
+	};
+
+	rq.nheaders = request_headers(r, headers, num, sizeof(num));
+	gate_req_event(r, REQ_EV_TRY);
+	r->call = up_start(r->gate->up, &rq, &flow_ops, r);
+}
+
+void
+gate_flow_stop(struct gate_req *r)
+{
+	struct up_call *call = r->call;
+
+	r->call = NULL;
+	if (call != NULL)
+		up_cancel(call);
+}
+
+void
+gate_flow_dispose(struct gate_req *r)
+{
+	gate_flow_stop(r);
+	h2o_doublebuffer_dispose(&r->sending);
+	h2o_buffer_dispose(&r->rest);
+}
+
+static void
+on_connected(void *ctx, struct up_call *call)
+{
+	(void)call;
+	gate_req_event(ctx, REQ_EV_CONNECTED);
+}
+
+static void
+on_silence(void *ctx)
+{
+	struct gate_req *r = ctx;
+
+	if (r->call == NULL)
+		return;
+	gate_flow_stop(r);
+	on_fail(r, NULL, ERR_CUT);
+}
+
+static void
+watch_silence(struct gate_req *r)
+{
+	struct gate *g = r->gate;
+
+	tmr_set(&g->tmr, &r->timer, clk_ns(g->clk) + SILENCE_NS, on_silence, r);
+}
+
+static void
+answer_headers(struct gate_req *r, const h2o_header_t *headers, size_t n)
+{
+	h2o_req_t *req = r->req;
+	unsigned long long len;
+	h2o_iovec_t name, value;
+	size_t i;
+
+	req->res.content_length = SIZE_MAX;
+	for (i = 0; i < n; i++) {
+		name = *headers[i].name;
+		value = headers[i].value;
+		if (h2o_lcstris(name.base, name.len,
+			H2O_STRLIT("content-length")) &&
+		    str_u64(str_n(value.base, value.len), &len))
+			req->res.content_length = (size_t)len;
+		if (is_hop_header(&name))
+			continue;
+		name = h2o_strdup(&req->pool, name.base, name.len);
+		value = h2o_strdup(&req->pool, value.base, value.len);
+		h2o_add_header_by_str(&req->pool, &req->res.headers, name.base,
+		    name.len, 1, NULL, value.base, value.len);
+	}
+}
+
+static void
+on_head(void *ctx, struct up_call *call, int status,
+    const h2o_header_t *headers, size_t n)
+{
+	struct gate_req *r = ctx;
+	h2o_req_t *req = r->req;
+	struct gate *g = r->gate;
+
+	/*
+	 * The state is left before the judge is asked, as that may send the
+	 * request again at once.
+	 */
+	r->call = NULL;
+	if (r->state == REQ_SENT &&
+	    gate_try_head(r, status, headers, n)) {
+		up_drain(call);
+		return;
+	}
+	r->call = call;
+	gate_req_event(r, REQ_EV_HEAD);
+	watch_silence(r);
+	cnt_sample(g->cnt, GC_LATENCY, clk_ns(g->clk) - r->began);
+	req->res.status = status;
+	req->res.reason = status < 400 ? "OK" : "Error";
+	answer_headers(r, headers, n);
+	if (g->leaving)
+		req->http1_is_persistent = 0;
+	r->gen.proceed = gate_flow_proceed;
+	r->gen.stop = on_stop;
+	r->started = true;
+	h2o_start_response(req, &r->gen);
+}
+
+/* Hand the caller what is there, and the end when it has been reached. */
+static void
+send_more(struct gate_req *r)
+{
+	h2o_buffer_t **src = r->call == NULL ? &r->rest : up_body(r->call);
+	h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
+	h2o_iovec_t vec;
+
+	if (r->req == NULL || r->final || r->sending.bytes_inflight > 0)
+		return;
+	vec = h2o_doublebuffer_prepare(
+	    &r->sending, src, r->req->preferred_chunk_size);
+	if (r->ended && r->sending.buf->size == r->sending.bytes_inflight &&
+	    (*src)->size == 0) {
+		state = r->cut ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
+		r->final = true;
+		gate_req_event(r, REQ_EV_END);
+		gate_req_settle(r, r->refused && !r->cut);
+		cnt_add(r->gate->cnt, r->cut ? GC_CUT : GC_ANSWERED, 1);
+		tmr_clear(&r->gate->tmr, &r->timer);
+	}
+	if (vec.len > 0 || r->final)
+		h2o_send(r->req, &vec, vec.len > 0, state);
+}
+
+void
+gate_flow_proceed(h2o_generator_t *gen, h2o_req_t *req)
+{
+	struct gate_req *r =
+	    (struct gate_req *)((char *)gen - offsetof(struct gate_req, gen));
+
+	(void)req;
+	if (r->sending.bytes_inflight > 0)
+		h2o_doublebuffer_consume(&r->sending);
+	if (r->call != NULL && (*up_body(r->call))->size < BUFFER_MAX / 2) {
+		up_resume(r->call);
+		watch_silence(r);
+	}
+	send_more(r);
+}
+
+/* h2o breaks the answer off; on_dispose follows. */
+static void
+on_stop(h2o_generator_t *gen, h2o_req_t *req)
+{
+	struct gate_req *r =
+	    (struct gate_req *)((char *)gen - offsetof(struct gate_req, gen));
+
+	(void)req;
+	gate_try_abandon(r, DISP_GONE);
+}
+
+static void
+on_body(void *ctx, struct up_call *call)
+{
+	struct gate_req *r = ctx;
+
+	watch_silence(r);
+	send_more(r);
+	if (r->call == call && (*up_body(call))->size >= BUFFER_MAX) {
+		tmr_clear(&r->gate->tmr, &r->timer);
+		up_pause(call);
+	}
+}
+
+static void
+keep_rest(struct gate_req *r, struct up_call *call)
+{
+	h2o_buffer_t **body = up_body(call), *swap = r->rest;
+
+	r->rest = *body;
+	*body = swap;
+	r->call = NULL;
+	r->ended = true;
+}
+
+static void
+on_end(void *ctx, struct up_call *call)
+{
+	struct gate_req *r = ctx;
+
+	keep_rest(r, call);
+	gate_try_end(r);
+	send_more(r);
+}
+
+static void
+on_fail(void *ctx, struct up_call *call, enum err_kind kind)
+{
+	struct gate_req *r = ctx;
+
+	r->call = NULL;
+	if (!r->started) {
+		gate_try_failed(r, kind);
+		return;
+	}
+	if (call != NULL)
+		keep_rest(r, call);
+	r->ended = true;
+	r->cut = true;
+	slog(SLOG_GATE, "Request %llu: the answer was cut.",
+	    (unsigned long long)r->id);
+	gate_try_failed(r, kind);
+	send_more(r);
+}
--- /dev/null
+++ b/gate_home.c
@@ -0,0 +1,277 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <stdio.h>
+
+#include "libgate.h"
+#include "slog.h"
+
+/* A home that is silent for so long, with requests there, is asked. */
+#define SILENT_NS (20 * NS_MS)
+/* And left, for so long, if it does not answer within this time. */
+#define PING_WAIT_NS (40 * NS_MS)
+#define SUSPECT_NS (2 * NS_S)
+
+static struct gate_peer *find(struct gate *, struct str);
+static bool usable(const struct gate_peer *, int64_t);
+static void tell_room(struct gate *, struct gate_shard *, int64_t);
+
+static struct gate_peer *
+find(struct gate *g, struct str box)
+{
+	struct gate_peer *p;
+	guint i;
+
+	for (i = 0; i < g->peers->len; i++) {
+		p = g_ptr_array_index(g->peers, i);
+		if (str_eq(p->info.box, box))
+			return p;
+	}
+	return NULL;
+}
+
+static bool
+usable(const struct gate_peer *p, int64_t now)
+{
+	return p->listed && p->info.ready && !p->info.leaving &&
+	    p->info.pass.n > 0 && now >= p->suspect_until;
+}
+
+/*
+ * The home of a shard is the gate with the highest weight for it among those
+ * of the shard's hall that serve, or among all, where that hall has none.
+ * No gate has to agree: one that is taken for home acts as home.
+ */
+struct gate_peer *
+gate_home(struct gate *g, struct str service, struct str hall, bool *self)
+{
+	int64_t now = clk_ns(g->clk);
+	uint64_t w, best_w = 0;
+	struct gate_peer *p, *best = NULL;
+	char text[300];
+	struct str key;
+	bool near, any_near = false, near_self;
+	guint i;
+	int n;
+
+	n = snprintf(text, sizeof(text), "%.*s/%.*s", STR_ARG(service),
+	    STR_ARG(hall));
+	key = str_n(text, (size_t)MIN(n, (int)sizeof(text) - 1));
+	near_self = str_eq(g->set.hall, hall) && !g->leaving;
+	any_near = near_self;
+	for (i = 0; i < g->peers->len && !any_near; i++) {
+		p = g_ptr_array_index(g->peers, i);
+		any_near = usable(p, now) && str_eq(p->info.hall, hall);
+	}
+	*self = !g->leaving && (near_self || !any_near);
+	if (*self)
+		best_w = memb_weight(key, g->set.box);
+	for (i = 0; i < g->peers->len; i++) {
+		p = g_ptr_array_index(g->peers, i);
+		near = str_eq(p->info.hall, hall);
+		if (!usable(p, now) || (any_near && !near))
+			continue;
+		w = memb_weight(key, p->info.box);
+		if (best == NULL && !*self)
+			best_w = 0;
+		if (w > best_w) {
+			best_w = w;
+			best = p;
+			*self = false;
+		}
+	}
+	if (best == NULL)
+		*self = true;
+	return best;
+}
+
+/* The hall to send a request to: ours, if the service has slots here. */
+struct str
+gate_home_hall(struct gate *g, const struct route_service *svc)
+{
+	uint64_t at;
+	unsigned i;
+
+	if (route_hall(svc, g->set.hall) != NULL || svc->nhalls == 0)
+		return g->set.hall;
+	at = rnd_below(g->rnd, (uint64_t)svc->slots);
+	for (i = 0; i < svc->nhalls; i++) {
+		if (at < (uint64_t)svc->halls[i].slots)
+			break;
+		at -= (uint64_t)svc->halls[i].slots;
+	}
+	return svc->halls[MIN(i, svc->nhalls - 1)].hall;
+}
+
+void
+gate_home_members(struct gate *g, const struct msg_members *members)
+{
+	const struct memb_info *v = members->members.items;
+	struct gate_peer *p;
+	guint i;
+	size_t j;
+
+	for (i = 0; i < g->peers->len; i++) {
+		p = g_ptr_array_index(g->peers, i);
+		p->listed = false;
+	}
+	g->boxes = 1;
+	for (j = 0; j < members->members.n; j++) {
+		if (str_eq(v[j].box, g->set.box))
+			continue;
+		p = find(g, v[j].box);
+		if (p == NULL) {
+			p = g_new0(struct gate_peer, 1);
+			g_ptr_array_add(g->peers, p);
+		} else {
+			/* A new start of a box clears what we held against it. */
+			if (p->info.boot != v[j].boot)
+				p->suspect_until = 0;
+			memb_info_clear(&p->info);
+		}
+		memb_info_copy(&p->info, &v[j]);
+		p->listed = true;
+		g->boxes += p->info.ready && !p->info.leaving;
+	}
+	for (i = g->peers->len; i-- > 0;) {
+		p = g_ptr_array_index(g->peers, i);
+		if (p->listed || p->outstanding > 0)
+			continue;
+		memb_info_clear(&p->info);
+		g_free(p);
+		g_ptr_array_remove_index_fast(g->peers, i);
+	}
+}
+
+void
+gate_home_suspect(struct gate *g, struct gate_peer *p, const char *why)
+{
+	int64_t now = clk_ns(g->clk);
+
+	p->pinged = 0;
+	if (now < p->suspect_until)
+		return;
+	p->suspect_until = now + rnd_jitter(g->rnd, SUSPECT_NS);
+	cnt_add(g->cnt, GC_SUSPECTS, 1);
+	slog(SLOG_ROUTE, "Leaving home %.*s: %s.", STR_ARG(p->info.box), why);
+	gate_req_home_lost(g, p);
+}
+
+void
+gate_home_heard(struct gate *g, struct str inbox)
+{
+	struct gate_peer *p;
+	guint i;
+
+	for (i = 0; i < g->peers->len; i++) {
+		p = g_ptr_array_index(g->peers, i);
+		if (!str_eq(p->info.gate_inbox, inbox))
+			continue;
+		p->heard = clk_ns(g->clk);
+		p->pinged = 0;
+	}
+}
+
+void
+gate_home_ping(struct gate *g, const struct msg *m)
+{
+	struct msg pong = {.kind = MSG_PONG};
+
+	if (m->kind != MSG_PING)
+		return;
+	pong.u.ping.nonce = m->u.ping.nonce;
+	wire_send(g->wire, m->from, &pong);
+}
+
+/* Tell the homes of the service's other halls what room there is. */
+static void
+tell_room(struct gate *g, struct gate_shard *s, int64_t now)
+{
+	const struct route_service *svc = route_service(g->routes, s->service);
+	struct msg m = {.kind = MSG_SUMMARY};
+	struct gate_peer *p;
+	int free, waiting;
+	unsigned i;
+	bool self;
+
+	disp_room(s->disp, &free, &waiting);
+	if (svc == NULL || svc->nhalls < 2 || now - s->used > NS_S)
+		return;
+	if (free == s->told_free && waiting == s->told_waiting &&
+	    now - s->told_at < 5 * g->set.summary_ms * NS_MS)
+		return;
+	s->told_free = free;
+	s->told_waiting = waiting;
+	s->told_at = now;
+	m.u.summary.service = s->service;
+	m.u.summary.hall = s->hall;
+	m.u.summary.free = (uint64_t)free;
+	m.u.summary.waiting = (uint64_t)waiting;
+	for (i = 0; i < svc->nhalls; i++) {
+		if (str_eq(svc->halls[i].hall, s->hall))
+			continue;
+		p = gate_home(g, s->service, svc->halls[i].hall, &self);
+		if (self)
+			gate_home_summary(g, &m.u.summary);
+		else
+			wire_send(g->wire, p->info.gate_inbox, &m);
+	}
+}
+
+void
+gate_home_summary(struct gate *g, const struct msg_summary *sum)
+{
+	struct gate_shard *s;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->shards);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		s = value;
+		if (str_eq(s->service, sum->service) &&
+		    !str_eq(s->hall, sum->hall))
+			disp_remote(s->disp, sum->hall, (int)sum->free,
+			    (int)sum->waiting);
+	}
+}
+
+static void
+watch_peer(struct gate *g, struct gate_peer *p, int64_t now)
+{
+	struct msg m = {.kind = MSG_PING};
+
+	if (p->outstanding == 0 || now < p->suspect_until) {
+		p->pinged = 0;
+		return;
+	}
+	if (p->pinged != 0 && now - p->pinged > PING_WAIT_NS) {
+		gate_home_suspect(g, p, "it does not answer");
+		return;
+	}
+	if (p->pinged != 0 || now - p->heard < SILENT_NS)
+		return;
+	p->pinged = now;
+	m.u.ping.nonce = (uint64_t)now;
+	wire_send(g->wire, p->info.gate_inbox, &m);
+}
+
+void
+gate_home_tick(struct gate *g, int64_t now)
+{
+	GHashTableIter it;
+	gpointer value;
+	guint i;
+
+	for (i = 0; i < g->peers->len; i++)
+		watch_peer(g, g_ptr_array_index(g->peers, i), now);
+	g_hash_table_iter_init(&it, g->shards);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		tell_room(g, value, now);
+}
--- /dev/null
+++ b/gate_main.c
@@ -0,0 +1,259 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <signal.h>
+#include <stdio.h>
+
+#include "libreq.h"
+#include "set.h"
+#include "slog.h"
+
+enum {
+	TICK_MS = 5,
+	CALLER_CHECK_TICKS = 10,
+	REPORT_TICKS = 200,
+	PASS_QUIET_MS = 500, /* no other gate has passed us anything */
+	ADMIN_BODY_MAX = 4096
+};
+/* A tick that comes so late tells that the process was paused. */
+#define PAUSE_NS (1 * NS_S)
+
+static void on_tick(uv_timer_t *);
+static void on_signal(uv_signal_t *, int);
+static void watch_leaving(struct gate *, int64_t);
+static bool open_charts(struct gate *, GError **);
+static bool open_all(struct gate *, GError **);
+static void leave_now(struct gate *, const char *);
+
+#define F(member) offsetof(struct gate_set, member)
+
+static const char *const words_route[] = {"home", "alone", NULL};
+
+static const struct field fields[] = {
+    {.name = "box", .type = FIELD_NAME, .offset = F(box), .required = true},
+    {.name = "hall", .type = FIELD_NAME, .offset = F(hall), .required = true},
+    {.name = "listen", .type = FIELD_ADDRESS, .offset = F(listen),
+	.required = true},
+    {.name = "pass_listen", .type = FIELD_ADDRESS, .offset = F(pass_listen),
+	.required = true},
+    {.name = "admin_listen", .type = FIELD_ADDRESS, .offset = F(admin_listen),
+	.required = true},
+    {.name = "inbox", .type = FIELD_ADDRESS, .offset = F(inbox),
+	.required = true},
+    {.name = "agent", .type = FIELD_ADDRESS, .offset = F(agent),
+	.required = true},
+    {.name = "platform", .type = FIELD_ADDRESS, .offset = F(platform),
+	.required = true},
+    {.name = "charts", .type = FIELD_STR, .offset = F(charts),
+	.text_dflt = "/usr/local/share/fernjunction/charts"},
+    {.name = "policy", .type = FIELD_NAME, .offset = F(policy),
+	.text_dflt = "fern"},
+    {.name = "route", .type = FIELD_WORD, .offset = F(route),
+	.words = words_route},
+    {.name = "body_max", .type = FIELD_INT, .offset = F(body_max),
+	.dflt = 1 << 20, .min = 0, .max = 1 << 28},
+    {.name = "leave_wait_ms", .type = FIELD_INT, .offset = F(leave_wait_ms),
+	.dflt = 5000, .min = 0, .max = 600000},
+    {.name = "grace_ms", .type = FIELD_INT, .offset = F(grace_ms),
+	.dflt = 600000, .min = 0, .max = 86400000},
+    {.name = "summary_ms", .type = FIELD_INT, .offset = F(summary_ms),
+	.dflt = 10, .min = 5, .max = 1000},
+};
+
+static bool
+open_charts(struct gate *g, GError **err)
+{
+	char *path = g_strdup_printf("%s/backend.toml", g->set.charts.p);
+
+	g->chart_backend = chart_load(path, &pick_chart_names, err);
+	g_free(path);
+	if (g->chart_backend == NULL)
+		return false;
+	path = g_strdup_printf("%s/request.toml", g->set.charts.p);
+	g->chart_request = chart_load(path, &req_chart_names, err);
+	g_free(path);
+	return g->chart_request != NULL;
+}
+
+static bool
+check_settings(struct gate *g, const char *file, GError **err)
+{
+	if (!set_load(file, fields, G_N_ELEMENTS(fields), &g->set, err))
+		return false;
+	if (pick_by_name(g->set.policy) == NULL)
+		return err_set(err, ERR_SETTINGS,
+		    "%s: policy: found \"%s\"; allowed is fern or naive", file,
+		    g->set.policy.p);
+	return open_charts(g, err);
+}
+
+static bool
+open_all(struct gate *g, GError **err)
+{
+	size_t body = (size_t)g->set.body_max;
+
+	g->loop = uv_default_loop();
+	g->boot = (uint64_t)clk_wall_ms(g->clk);
+	g->boxes = 1;
+	tmr_open(&g->tmr, g->loop, g->clk);
+	g->up = up_open(g->loop, &g->tmr, g->clk);
+	g->plat = plat_http_open(g->up, &g->tmr, g->clk, g->set.platform);
+	g->cnt = gate_stat_open();
+	g->peers = g_ptr_array_new();
+	if (!gate_conf_open(g, err) || !gate_req_open(g, err))
+		return false;
+	g->wire = wire_open(g->loop, g->set.inbox, gate_conf_take, g, err);
+	if (g->wire == NULL)
+		return false;
+	g->callers = hsrv_open(
+	    g->loop, g->set.listen, body, gate_req_caller, g, err);
+	if (g->callers == NULL)
+		return false;
+	g->pass = hsrv_open(
+	    g->loop, g->set.pass_listen, body, gate_req_passed, g, err);
+	if (g->pass == NULL)
+		return false;
+	g->admin = hsrv_open(g->loop, g->set.admin_listen, ADMIN_BODY_MAX,
+	    gate_stat_page, g, err);
+	return g->admin != NULL;
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+	struct gate *g = timer->data;
+	int64_t now = clk_ns(g->clk), gap = now - g->last_tick;
+	struct gate_shard *s;
+	struct gate_peer *p;
+	GHashTableIter it;
+	gpointer value;
+	static uint64_t ticks;
+	guint i;
+
+	if (g->last_tick != 0 && gap > PAUSE_NS) {
+		slog(SLOG_GATE, "Was paused for %lld ms.",
+		    (long long)(gap / NS_MS));
+		for (i = 0; i < g->peers->len; i++) {
+			p = g_ptr_array_index(g->peers, i);
+			p->heard = now;
+			p->pinged = 0;
+		}
+	}
+	g->last_tick = now;
+	g_hash_table_iter_init(&it, g->shards);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		s = value;
+		disp_tick(s->disp);
+	}
+	gate_home_tick(g, now);
+	if (++ticks % CALLER_CHECK_TICKS == 0)
+		gate_req_tick(g, now);
+	if (ticks % REPORT_TICKS == 0)
+		gate_conf_report(g);
+	if (g->leaving)
+		watch_leaving(g, now);
+	slog_flush();
+}
+
+static void
+leave_now(struct gate *g, const char *why)
+{
+	slog(SLOG_GATE, "Ends: %s; %u requests cut.", why, gate_req_count(g));
+	g->stopped = true;
+	uv_stop(g->loop);
+}
+
+/*
+ * Leaving: callers and other gates are told and have time to go elsewhere;
+ * then the doors close, and the last answers go out.
+ */
+static void
+watch_leaving(struct gate *g, int64_t now)
+{
+	int64_t away = now - g->leaving_since;
+
+	if (away < g->set.leave_wait_ms * NS_MS)
+		return;
+	if (away > (g->set.leave_wait_ms + g->set.grace_ms) * NS_MS) {
+		leave_now(g, "the grace is over");
+		return;
+	}
+	if (now - g->last_pass < PASS_QUIET_MS * NS_MS)
+		return;
+	hsrv_stop(g->callers);
+	hsrv_stop(g->pass);
+	hsrv_shutdown(g->callers);
+	if (gate_req_count(g) == 0)
+		leave_now(g, "all is answered");
+}
+
+static void
+on_signal(uv_signal_t *signal, int signum)
+{
+	struct gate *g = signal->data;
+
+	(void)signum;
+	if (g->leaving) {
+		leave_now(g, "asked a second time");
+		return;
+	}
+	slog(SLOG_GATE, "Leaves; %u requests under way.", gate_req_count(g));
+	g->leaving = true;
+	g->leaving_since = clk_ns(g->clk);
+	hsrv_shutdown(g->callers);
+	gate_conf_report(g);
+}
+
+static void
+start_loop(struct gate *g)
+{
+	uv_timer_init(g->loop, &g->tick);
+	g->tick.data = g;
+	uv_timer_start(&g->tick, on_tick, TICK_MS, TICK_MS);
+	uv_signal_init(g->loop, &g->term);
+	uv_signal_init(g->loop, &g->intr);
+	g->term.data = g->intr.data = g;
+	uv_signal_start(&g->term, on_signal, SIGTERM);
+	uv_signal_start(&g->intr, on_signal, SIGINT);
+	slog(SLOG_GATE, "Box %s in hall %s serves on %s.", g->set.box.p,
+	    g->set.hall.p, g->set.listen.p);
+	gate_conf_report(g);
+	uv_run(g->loop, UV_RUN_DEFAULT);
+}
+
+int
+main(int argc, char **argv)
+{
+	static struct gate gate;
+	struct gate *g = &gate;
+	struct set_args args = {0};
+	GError *err = NULL;
+	int status;
+
+	if (!set_parse_args(argc, argv, "ferngate",
+		"The data path of a fernjunction box.", &args, &status))
+		return status;
+	signal(SIGPIPE, SIG_IGN);
+	g->clk = clk_system();
+	g->rnd = rnd_system();
+	slog_open(g->clk, args.quiet);
+	if (check_settings(g, args.settings, &err) && args.check)
+		printf("%s: the settings are right\n", args.settings);
+	else if (err == NULL && open_all(g, &err))
+		start_loop(g);
+	slog_close();
+	g_free(args.settings);
+	if (err == NULL)
+		return 0;
+	fprintf(stderr, "ferngate: %s\n", err->message);
+	status = err_answer((enum err_kind)err->code)->exit_code;
+	g_error_free(err);
+	return status;
+}
--- /dev/null
+++ b/gate_req.c
@@ -0,0 +1,435 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <stdio.h>
+#include <sys/socket.h>
+
+#include "libreq.h"
+#include "slog.h"
+
+/* A gate that passes a request on gives up a little before the deadline. */
+enum { DEADLINE_MIN_MS = 1, HOPS_MAX = 2, DEFAULT_DEADLINE_MS = 5000 };
+
+/* A request that has waited so long is checked for its caller. */
+#define CALLER_CHECK_NS (20 * NS_MS)
+
+static void arrive(struct gate *, h2o_req_t *, bool passed);
+static void admit(struct gate_req *, const struct route_rule *);
+static void on_dispose(void *);
+static void on_deadline(void *);
+static void on_claimed(void *, enum err_kind, bool);
+static bool over_limit(struct gate_req *, const struct route_rule *);
+static bool caller_gone(const struct gate_req *);
+static const struct route_rule *match(struct gate *, const h2o_req_t *);
+
+static const char *const state_names[] = {"new", "claiming", "held",
+    "connecting", "sent", "streaming", "done", "broken"};
+static const char *const event_names[] = {
+    "claim", "hold", "try", "connected", "head", "retry", "end"};
+
+const struct chart_names req_chart_names = {
+    "request", state_names, REQ_STATE_MAX, event_names, REQ_EVENT_MAX};
+
+/* Held by h2o's memory pool, so that its end tells us of the request's. */
+struct guard {
+	struct gate_req *r;
+};
+
+void
+gate_req_event(struct gate_req *r, enum req_event ev)
+{
+	enum req_state old = r->state;
+
+	r->state = (enum req_state)chart_step(
+	    r->gate->chart_request, (int)r->state, (int)ev);
+	if (r->state == REQ_BROKEN && old != REQ_BROKEN)
+		slog(SLOG_GATE, "Request %llu met %s while %s.",
+		    (unsigned long long)r->id, event_names[ev],
+		    state_names[old]);
+}
+
+enum err_ran
+gate_req_ran(const struct gate_req *r)
+{
+	if (r->maybe_ran || r->state == REQ_SENT || r->state == REQ_STREAMING ||
+	    r->state == REQ_BROKEN)
+		return RAN_UNKNOWN;
+	return RAN_NO;
+}
+
+void
+gate_req_caller(void *ctx, h2o_req_t *req)
+{
+	arrive(ctx, req, false);
+}
+
+void
+gate_req_passed(void *ctx, h2o_req_t *req)
+{
+	struct gate *g = ctx;
+
+	g->last_pass = clk_ns(g->clk);
+	arrive(ctx, req, true);
+}
+
+static struct str
+query_header(void *ctx, struct str name)
+{
+	const h2o_req_t *req = ctx;
+	ssize_t at =
+	    h2o_find_header_by_str(&req->headers, name.p, name.n, SIZE_MAX);
+
+	if (at < 0)
+		return str_c(NULL);
+	return str_n(req->headers.entries[at].value.base,
+	    req->headers.entries[at].value.len);
+}
+
+static const struct route_rule *
+match(struct gate *g, const h2o_req_t *req)
+{
+	struct route_query q = {
+	    .host = str_n(req->authority.base, req->authority.len),
+	    .method = str_n(req->method.base, req->method.len),
+	    .path = str_n(req->path.base, req->path.len),
+	    .header = query_header,
+	    .ctx = (void *)req,
+	};
+	const char *colon = memrchr(q.host.p, ':', q.host.n);
+
+	if (colon != NULL)
+		q.host.n = (size_t)(colon - q.host.p);
+	return route_match(g->routes, &q);
+}
+
+static struct gate_req *
+req_new(struct gate *g, h2o_req_t *req)
+{
+	struct gate_req *r = g_new0(struct gate_req, 1);
+	struct guard *guard;
+
+	guard = h2o_mem_alloc_shared(&req->pool, sizeof(*guard), on_dispose);
+	guard->r = r;
+	r->gate = g;
+	r->req = req;
+	r->id = ++g->seq;
+	r->began = clk_ns(g->clk);
+	r->state = (enum req_state)chart_start(g->chart_request);
+	r->link.data = r;
+	g_queue_push_tail_link(&g->reqs, &r->link);
+	h2o_doublebuffer_init(&r->sending, &h2o_socket_buffer_prototype);
+	h2o_buffer_init(&r->rest, &h2o_socket_buffer_prototype);
+	return r;
+}
+
+static void
+arrive(struct gate *g, h2o_req_t *req, bool passed)
+{
+	struct gate_req *r = req_new(g, req);
+	const struct route_rule *rule;
+	unsigned long long hops = 0;
+
+	cnt_add(g->cnt, passed ? GC_PASSED_IN : GC_REQUESTS, 1);
+	if (passed && !str_u64(hsrv_header(req, "fern-hops"), &hops))
+		hops = HOPS_MAX;
+	r->hops = (int)MIN(hops, HOPS_MAX);
+	if (g->leaving)
+		req->http1_is_persistent = 0;
+	if (!g->ready) {
+		gate_req_answer(r, ERR_NOT_READY, RAN_NO, 0);
+		return;
+	}
+	rule = match(g, req);
+	if (rule == NULL)
+		gate_req_answer(r, ERR_NO_RULE, RAN_NO, 0);
+	else if (rule->service == NULL)
+		gate_req_answer(r, ERR_NO_SERVICE, RAN_NO, 0);
+	else
+		admit(r, rule);
+}
+
+/* The caller's own deadline counts where it is the shorter one. */
+static int64_t
+deadline_of(const struct gate_req *r, const struct route_rule *rule)
+{
+	unsigned long long ms;
+	int64_t own = rule->obj->deadline_ms > 0
+	    ? rule->obj->deadline_ms
+	    : rule->service->obj->deadline_ms;
+
+	if (str_u64(hsrv_header(r->req, "fern-deadline-ms"), &ms) &&
+	    (int64_t)ms < own)
+		own = MAX((int64_t)ms, DEADLINE_MIN_MS);
+	return r->began + own * NS_MS;
+}
+
+static bool
+over_limit(struct gate_req *r, const struct route_rule *rule)
+{
+	struct gate *g = r->gate;
+	int64_t now = r->began;
+	double share = 1.0 / MAX(g->boxes, 1u);
+	struct sockaddr_storage sa;
+	struct limit *l;
+	struct str caller = {0};
+	char key[256];
+	int n;
+
+	if (rule->obj->rate > 0) {
+		l = g_hash_table_lookup(g->rule_limits, rule->name.p);
+		if (l == NULL) {
+			l = g_new0(struct limit, 1);
+			g_hash_table_insert(
+			    g->rule_limits, g_strdup(rule->name.p), l);
+		}
+		if (!limit_take(l, (double)rule->obj->rate * share, now))
+			return true;
+	}
+	if (rule->obj->caller_rate == 0)
+		return false;
+	if (rule->obj->caller_header.n > 0)
+		caller = hsrv_header(r->req, rule->obj->caller_header.p);
+	if (caller.n == 0) {
+		memset(&sa, 0, sizeof(sa));
+		r->req->conn->callbacks->get_peername(
+		    r->req->conn, (struct sockaddr *)&sa);
+		caller = sa.ss_family == AF_INET6
+		    ? str_n((char *)&((struct sockaddr_in6 *)&sa)->sin6_addr, 16)
+		    : str_n((char *)&((struct sockaddr_in *)&sa)->sin_addr, 4);
+	}
+	n = snprintf(key, sizeof(key), "%.*s ", STR_ARG(rule->name));
+	caller.n = MIN(caller.n, sizeof(key) - (size_t)n);
+	memcpy(key + n, caller.p, caller.n);
+	return !limit_table_take(g->caller_limits,
+	    str_n(key, (size_t)n + caller.n),
+	    (double)rule->obj->caller_rate * share, now);
+}
+
+/*
+ * Limits and claims are for the gate where a request comes in; a home takes
+ * both as done.
+ */
+static void
+admit(struct gate_req *r, const struct route_rule *rule)
+{
+	struct gate *g = r->gate;
+	struct str key = hsrv_header(r->req, "idempotency-key");
+	struct str method = str_n(r->req->method.base, r->req->method.len);
+
+	r->rule = str_dup(rule->name);
+	r->service = str_dup(rule->service->name);
+	r->keyed = key.n > 0;
+	r->allow_outage = rule->obj->on_outage == OUTAGE_ALLOW;
+	r->d.cls = (enum obj_class)rule->obj->cls;
+	r->d.repeatable = route_repeatable(rule->obj, method, r->keyed);
+	r->d.may_retry = true;
+	r->d.deadline = deadline_of(r, rule);
+	tmr_set(&g->tmr, &r->timer, r->d.deadline, on_deadline, r);
+	if (r->hops == 0 && over_limit(r, rule)) {
+		gate_req_answer(r, ERR_OVER_LIMIT, RAN_NO, 0);
+		return;
+	}
+	if (r->hops == 0 && r->keyed) {
+		gate_req_event(r, REQ_EV_CLAIM);
+		r->claim = gate_claim_start(
+		    g, r->rule, key, r->allow_outage, on_claimed, r);
+		return;
+	}
+	gate_req_route(r);
+}
+
+static void
+on_claimed(void *ctx, enum err_kind kind, bool claimed)
+{
+	struct gate_req *r = ctx;
+
+	if (!claimed)
+		r->claim = NULL;
+	if (kind == ERR_NONE)
+		gate_req_route(r);
+	else
+		gate_req_answer(
+		    r, kind, kind == ERR_DUPLICATE ? RAN_UNKNOWN : RAN_NO, 0);
+}
+
+/* Bring the request to its service's home, which may be this gate. */
+void
+gate_req_route(struct gate_req *r)
+{
+	struct gate *g = r->gate;
+	const struct route_service *svc = route_service(g->routes, r->service);
+	struct str hall;
+	bool self;
+
+	gate_req_event(r, REQ_EV_HOLD);
+	if (svc == NULL) {
+		gate_req_answer(r, ERR_NO_SERVICE, gate_req_ran(r), 0);
+		return;
+	}
+	hall = gate_home_hall(g, svc);
+	if (r->hops > 0 || g->set.route == ROUTE_ALONE)
+		self = true;
+	else
+		r->peer = gate_home(g, svc->name, hall, &self);
+	if (!self && r->passes < HOPS_MAX + 1) {
+		gate_try_home(r);
+		return;
+	}
+	r->peer = NULL;
+	r->shard = gate_conf_shard(g, svc, hall);
+	r->d.may_pass = r->hops < HOPS_MAX && g->set.route == ROUTE_HOME;
+	disp_arrive(r->shard->disp, &r->d);
+}
+
+/* What the claim comes to, once it is known how the request ended. */
+void
+gate_req_settle(struct gate_req *r, bool not_run)
+{
+	struct gate_claim *claim = r->claim;
+
+	r->claim = NULL;
+	if (claim == NULL)
+		return;
+	if (not_run)
+		gate_claim_release(claim);
+	else
+		gate_claim_keep(claim);
+}
+
+static void
+add_header(h2o_req_t *req, const char *name, const char *value)
+{
+	h2o_iovec_t copy = h2o_strdup(&req->pool, value, SIZE_MAX);
+
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name,
+	    strlen(name), 1, NULL, copy.base, copy.len);
+}
+
+/* Our own answer: one kind, whether the request ran, when to come back. */
+void
+gate_req_answer(struct gate_req *r, enum err_kind kind, enum err_ran ran,
+    int64_t retry_after)
+{
+	const struct err_row *a = err_answer(kind);
+	h2o_req_t *req = r->req;
+	int64_t after = a->retry_after_s;
+	char num[24], body[160];
+	int n;
+
+	if (r->state == REQ_DONE)
+		return;
+	gate_req_event(r, REQ_EV_END);
+	tmr_clear(&r->gate->tmr, &r->timer);
+	gate_req_settle(r, ran == RAN_NO);
+	cnt_add(r->gate->cnt, GC_REFUSED, 1);
+	slog_decision(SLOG_ROUTE, "Request %llu is refused: %s, ran %s.",
+	    (unsigned long long)r->id, a->name, err_ran_name(ran));
+	if (req == NULL)
+		return;
+	if (retry_after > 0)
+		after = (retry_after + NS_S - 1) / NS_S;
+	add_header(req, "fern-error", a->name);
+	add_header(req, "fern-ran", err_ran_name(ran));
+	if (after > 0) {
+		snprintf(num, sizeof(num), "%lld", (long long)after);
+		add_header(req, "retry-after", num);
+	}
+	n = snprintf(body, sizeof(body),
+	    "{\"error\":\"%s\",\"ran\":\"%s\",\"text\":\"%s\"}\n", a->name,
+	    err_ran_name(ran), a->sentence);
+	hsrv_answer(
+	    req, a->status, "application/json", str_n(body, (size_t)n));
+}
+
+static void
+on_deadline(void *ctx)
+{
+	struct gate_req *r = ctx;
+	enum err_ran ran = gate_req_ran(r);
+
+	gate_try_abandon(r, DISP_LATE);
+	gate_req_answer(r, ERR_DEADLINE, ran, 0);
+}
+
+/* h2o lets go of the request: it is answered, or its caller went away. */
+static void
+on_dispose(void *p)
+{
+	struct guard *guard = p;
+	struct gate_req *r = guard->r;
+	struct gate *g = r->gate;
+	bool not_run = gate_req_ran(r) == RAN_NO;
+
+	r->req = NULL;
+	tmr_clear(&g->tmr, &r->timer);
+	if (r->state != REQ_DONE) {
+		cnt_add(g->cnt, GC_GONE, 1);
+		slog_decision(SLOG_ROUTE, "Request %llu: its caller went away.",
+		    (unsigned long long)r->id);
+		gate_try_abandon(r, DISP_GONE);
+		gate_req_event(r, REQ_EV_END);
+	}
+	gate_req_settle(r, not_run);
+	g_queue_unlink(&g->reqs, &r->link);
+	gate_flow_dispose(r);
+	str_free(&r->rule);
+	str_free(&r->service);
+	g_free(r);
+}
+
+/* HTTP/1 is not read while a request is under way, so look for its end. */
+static bool
+caller_gone(const struct gate_req *r)
+{
+	h2o_socket_t *sock;
+	char byte;
+
+	if (r->req->version >= 0x200)
+		return false;
+	sock = r->req->conn->callbacks->get_socket(r->req->conn);
+	return sock != NULL &&
+	    recv(h2o_socket_get_fd(sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT) ==
+	    0;
+}
+
+void
+gate_req_tick(struct gate *g, int64_t now)
+{
+	struct gate_req *r;
+	GList *at, *next;
+
+	for (at = g->reqs.head; at != NULL; at = next) {
+		next = at->next;
+		r = at->data;
+		if (r->state == REQ_DONE || r->started || r->req == NULL ||
+		    now - r->began < CALLER_CHECK_NS || !caller_gone(r))
+			continue;
+		cnt_add(g->cnt, GC_GONE, 1);
+		gate_try_abandon(r, DISP_GONE);
+		gate_req_answer(r, ERR_GONE, gate_req_ran(r), 0);
+	}
+}
+
+unsigned
+gate_req_count(const struct gate *g)
+{
+	return g->reqs.length;
+}
+
+bool
+gate_req_open(struct gate *g, GError **err)
+{
+	(void)err;
+	g_queue_init(&g->reqs);
+	g->caller_limits = limit_table_new(10000);
+	g->rule_limits = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, g_free);
+	return true;
+}
--- /dev/null
+++ b/gate_stat.c
@@ -0,0 +1,197 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <stdio.h>
+
+#include "libgate.h"
+#include "slog.h"
+
+static void page_metrics(struct gate *, h2o_req_t *);
+static void page_ready(struct gate *, h2o_req_t *);
+static void page_backends(struct gate *, h2o_req_t *);
+static void page_homes(struct gate *, h2o_req_t *);
+
+static const struct cnt_desc descs[GC_MAX] = {
+    [GC_REQUESTS] = {"fern_requests_total",
+	"Requests that callers sent to this box.", CNT_COUNTER},
+    [GC_PASSED_IN] = {"fern_passed_in_total",
+	"Requests that other boxes passed to this one.", CNT_COUNTER},
+    [GC_PASSED_OUT] = {"fern_passed_out_total",
+	"Requests passed to other boxes.", CNT_COUNTER},
+    [GC_ANSWERED] = {"fern_answered_total",
+	"Requests whose answer was complete.", CNT_COUNTER},
+    [GC_REFUSED] = {"fern_refused_total",
+	"Requests answered by this box with an error.", CNT_COUNTER},
+    [GC_RETRIES] = {"fern_retries_total", "Tries after the first.",
+	CNT_COUNTER},
+    [GC_CUT] = {"fern_cut_total",
+	"Answers that broke off and were told as broken.", CNT_COUNTER},
+    [GC_GONE] = {"fern_callers_gone_total",
+	"Requests whose caller went away.", CNT_COUNTER},
+    [GC_CLAIMS] = {"fern_claims_total", "Requests with a key.", CNT_COUNTER},
+    [GC_CLAIM_CALLS] = {"fern_claim_calls_total",
+	"Calls to the platform for claims.", CNT_COUNTER},
+    [GC_DUPLICATES] = {"fern_duplicates_total",
+	"Requests refused because their key was taken.", CNT_COUNTER},
+    [GC_SUSPECTS] = {"fern_homes_left_total",
+	"Homes left because they did not answer.", CNT_COUNTER},
+    [GC_INFLIGHT] = {"fern_requests_inflight",
+	"Requests being worked on.", CNT_GAUGE},
+    [GC_OBJECTS] = {"fern_objects", "Objects in force.", CNT_GAUGE},
+    [GC_LOG_DROPPED] = {"fern_log_dropped_total",
+	"Log lines dropped under pressure.", CNT_COUNTER},
+    [GC_CONTROL_IN] = {"fern_control_in_bytes_total",
+	"Bytes of messages from other processes.", CNT_COUNTER},
+    [GC_CONTROL_OUT] = {"fern_control_out_bytes_total",
+	"Bytes of messages to other processes.", CNT_COUNTER},
+    [GC_LATENCY] = {"fern_answer_seconds",
+	"Time from a request's arrival to its answer's head.",
+	CNT_HISTOGRAM},
+    [GC_HELD] = {"fern_held_seconds",
+	"Time from a request's arrival to its sending.", CNT_HISTOGRAM},
+};
+
+static const struct {
+	const char *path;
+	void (*page)(struct gate *, h2o_req_t *);
+} pages[] = {
+    {"/metrics", page_metrics},
+    {"/ready", page_ready},
+    {"/backends", page_backends},
+    {"/homes", page_homes},
+};
+
+struct cnt *
+gate_stat_open(void)
+{
+	return cnt_new(descs, G_N_ELEMENTS(descs));
+}
+
+static void
+page_metrics(struct gate *g, h2o_req_t *req)
+{
+	GString *out = g_string_new(NULL);
+
+	cnt_set(g->cnt, GC_INFLIGHT, gate_req_count(g));
+	cnt_set(g->cnt, GC_LOG_DROPPED, slog_dropped());
+	cnt_set(g->cnt, GC_CONTROL_IN, wire_counts(g->wire)->bytes_in);
+	cnt_set(g->cnt, GC_CONTROL_OUT, wire_counts(g->wire)->bytes_out);
+	cnt_print(g->cnt, out);
+	hsrv_answer(req, 200, "text/plain; version=0.0.4",
+	    str_n(out->str, out->len));
+	g_string_free(out, TRUE);
+}
+
+static void
+page_ready(struct gate *g, h2o_req_t *req)
+{
+	bool ready = g->ready && !g->leaving;
+
+	hsrv_answer(req, ready ? 200 : 503, "text/plain",
+	    str_c(ready ? "ready\n" : g->leaving ? "leaving\n" : "empty\n"));
+}
+
+/* What is being printed, and the shard it is of. */
+struct print {
+	json_t *list;
+	const struct gate_shard *shard;
+};
+
+static void
+print_backend(void *ctx, const struct pick_backend *b)
+{
+	struct print *p = ctx;
+
+	json_array_append_new(p->list,
+	    json_pack("{s:s%, s:s%, s:s%, s:s, s:i, s:i, s:f, s:b}", "service",
+		p->shard->service.p, p->shard->service.n, "hall",
+		p->shard->hall.p, p->shard->hall.n, "backend", b->name.p,
+		b->name.n, "state",
+		chart_state_name(
+		    p->shard->gate->chart_backend, (int)b->state),
+		"inflight", b->inflight, "slots", b->slots, "usual_ms",
+		(double)b->usual / NS_MS, "probe_down", (int)b->probe_down));
+}
+
+static void
+answer_json(h2o_req_t *req, json_t *value)
+{
+	char *text = json_dumps(value, JSON_COMPACT);
+
+	hsrv_answer(req, 200, "application/json", str_c(text));
+	free(text);
+	json_decref(value);
+}
+
+static void
+page_backends(struct gate *g, h2o_req_t *req)
+{
+	struct print p = {json_array(), NULL};
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->shards);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		p.shard = value;
+		disp_each(p.shard->disp, print_backend, &p);
+	}
+	answer_json(req, p.list);
+}
+
+struct homes {
+	struct gate *gate;
+	json_t *list;
+};
+
+static void
+print_service(void *ctx, const struct route_service *svc)
+{
+	struct homes *h = ctx;
+	struct gate_peer *p;
+	struct str box;
+	unsigned i;
+	bool self;
+
+	for (i = 0; i < svc->nhalls; i++) {
+		p = gate_home(
+		    h->gate, svc->name, svc->halls[i].hall, &self);
+		box = self ? h->gate->set.box : p->info.box;
+		json_array_append_new(h->list,
+		    json_pack("{s:s%, s:s%, s:s%, s:i}", "service",
+			svc->name.p, svc->name.n, "hall",
+			svc->halls[i].hall.p, svc->halls[i].hall.n, "home",
+			box.p, box.n, "slots", svc->halls[i].slots));
+	}
+}
+
+static void
+page_homes(struct gate *g, h2o_req_t *req)
+{
+	struct homes h = {g, json_array()};
+
+	route_each(g->routes, print_service, &h);
+	answer_json(req, h.list);
+}
+
+void
+gate_stat_page(void *ctx, h2o_req_t *req)
+{
+	struct str path = hsrv_path(req);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(pages); i++) {
+		if (!str_eq(path, str_c(pages[i].path)))
+			continue;
+		pages[i].page(ctx, req);
+		return;
+	}
+	hsrv_answer(req, 404, "text/plain",
+	    str_c("pages: /metrics /ready /backends /homes\n"));
+}
--- /dev/null
+++ b/gate_try.c
@@ -0,0 +1,288 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <stdio.h>
+
+#include "libreq.h"
+#include "slog.h"
+
+/*
+ * One try of a request: at a backend server, when this gate is its home, or
+ * at another gate.  What the flow reports is judged here: answer, or again.
+ */
+
+static void op_send(void *, struct disp_req *, struct pick_backend *);
+static void op_pass(void *, struct disp_req *, struct str);
+static void op_give_up(void *, struct disp_req *, enum err_kind, int64_t);
+static void op_release(void *, struct pick_backend *);
+static enum disp_outcome outcome_of(int, const h2o_header_t *, size_t);
+static void leave_home(struct gate_req *);
+
+const struct disp_ops gate_req_disp_ops = {
+    op_send, op_pass, op_give_up, op_release, NULL};
+
+static struct gate_req *
+req_of(struct disp_req *d)
+{
+	return (struct gate_req *)((char *)d - offsetof(struct gate_req, d));
+}
+
+/* What must not repeat goes out on a connection of its own. */
+static void
+op_send(void *ctx, struct disp_req *d, struct pick_backend *b)
+{
+	struct gate_req *r = req_of(d);
+
+	(void)ctx;
+	slog_decision(SLOG_PICK,
+	    "Request %llu of %.*s goes to %.*s: %d of %d in use, held %lld us.",
+	    (unsigned long long)r->id, STR_ARG(r->service), STR_ARG(b->name),
+	    b->inflight - 1, b->slots,
+	    (long long)((d->sent - r->began) / NS_US));
+	cnt_sample(r->gate->cnt, GC_HELD, d->sent - r->began);
+	gate_flow_send(r, b->address, !d->repeatable);
+}
+
+static void
+op_pass(void *ctx, struct disp_req *d, struct str hall)
+{
+	struct gate_req *r = req_of(d);
+	bool self;
+
+	(void)ctx;
+	r->d.may_pass = false;
+	r->peer = gate_home(r->gate, r->service, hall, &self);
+	if (!self) {
+		gate_try_home(r);
+		return;
+	}
+	r->shard = gate_conf_shard(r->gate,
+	    route_service(r->gate->routes, r->service), hall);
+	disp_arrive(r->shard->disp, &r->d);
+}
+
+static void
+op_give_up(void *ctx, struct disp_req *d, enum err_kind kind, int64_t after)
+{
+	struct gate_req *r = req_of(d);
+
+	(void)ctx;
+	gate_req_answer(r, kind, gate_req_ran(r), after);
+}
+
+static void
+op_release(void *ctx, struct pick_backend *b)
+{
+	(void)ctx;
+	(void)b;
+}
+
+/* Pass the request to r->peer. */
+void
+gate_try_home(struct gate_req *r)
+{
+	struct gate_peer *p = r->peer;
+
+	r->passes++;
+	if (p->outstanding++ == 0)
+		p->heard = clk_ns(r->gate->clk);
+	cnt_add(r->gate->cnt, GC_PASSED_OUT, 1);
+	slog_decision(SLOG_ROUTE, "Request %llu of %.*s goes home to %.*s.",
+	    (unsigned long long)r->id, STR_ARG(r->service),
+	    STR_ARG(p->info.box));
+	gate_flow_send(r, p->info.pass, false);
+}
+
+static void
+leave_home(struct gate_req *r)
+{
+	if (r->peer == NULL)
+		return;
+	r->peer->outstanding--;
+	r->peer->heard = clk_ns(r->gate->clk);
+	r->peer = NULL;
+}
+
+static struct str
+find_header(const h2o_header_t *headers, size_t n, struct str name)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (h2o_lcstris(headers[i].name->base, headers[i].name->len,
+			name.p, name.n))
+			return str_n(
+			    headers[i].value.base, headers[i].value.len);
+	return str_c(NULL);
+}
+
+/*
+ * "Fern-Ran: no" is a backend server's word that it refused before running.
+ * Without it a 5xx may have run.
+ */
+static enum disp_outcome
+outcome_of(int status, const h2o_header_t *headers, size_t n)
+{
+	struct str ran = find_header(headers, n, STR_LIT("fern-ran"));
+
+	if (status >= 400 && str_eq(ran, STR_LIT("no")))
+		return DISP_REFUSED;
+	return status >= 500 ? DISP_FAILED : DISP_OK;
+}
+
+/* A home that could not even decide leaves the request to us. */
+static bool
+home_declined(const h2o_header_t *headers, size_t n)
+{
+	static const enum err_kind kinds[] = {
+	    ERR_LEAVING, ERR_NOT_READY, ERR_NO_RULE, ERR_NO_SERVICE};
+	struct str name = find_header(headers, n, STR_LIT("fern-error"));
+	enum err_kind kind = err_by_name(name);
+	size_t i;
+
+	for (i = 0; name.n > 0 && i < G_N_ELEMENTS(kinds); i++)
+		if (kind == kinds[i])
+			return true;
+	return false;
+}
+
+static bool
+retry_home(struct gate_req *r)
+{
+	gate_req_event(r, REQ_EV_RETRY);
+	cnt_add(r->gate->cnt, GC_RETRIES, 1);
+	gate_req_route(r);
+	return true;
+}
+
+bool
+gate_try_head(struct gate_req *r, int status, const h2o_header_t *headers,
+    size_t n)
+{
+	enum disp_outcome outcome = outcome_of(status, headers, n);
+	struct str drain = find_header(headers, n, STR_LIT("fern-drain"));
+
+	if (r->peer != NULL) {
+		if (!home_declined(headers, n) || r->passes > 2) {
+			r->maybe_ran = r->maybe_ran || outcome != DISP_REFUSED;
+			r->refused = !r->maybe_ran;
+			return false;
+		}
+		leave_home(r);
+		return retry_home(r);
+	}
+	if (drain.n > 0)
+		disp_drain_told(r->shard->disp, r->d.at);
+	if (outcome == DISP_OK)
+		return false;
+	r->maybe_ran = r->maybe_ran || outcome == DISP_FAILED;
+	r->refused = outcome == DISP_REFUSED && !r->maybe_ran;
+	if (!disp_retryable(r->shard->disp, &r->d, outcome)) {
+		disp_done(r->shard->disp, &r->d, outcome);
+		return false;
+	}
+	gate_req_event(r, REQ_EV_RETRY);
+	disp_done(r->shard->disp, &r->d, outcome);
+	slog_decision(SLOG_PICK, "Request %llu is tried again: %s.",
+	    (unsigned long long)r->id,
+	    outcome == DISP_REFUSED ? "refused" : "failed");
+	cnt_add(r->gate->cnt, GC_RETRIES, 1);
+	return true;
+}
+
+/* The whole answer is here; the slot is free again. */
+void
+gate_try_end(struct gate_req *r)
+{
+	leave_home(r);
+	if (r->d.at != NULL)
+		disp_done(r->shard->disp, &r->d, DISP_OK);
+}
+
+static void
+home_failed(struct gate_req *r, enum err_kind kind)
+{
+	struct gate_peer *p = r->peer;
+
+	leave_home(r);
+	gate_home_suspect(r->gate, p,
+	    kind == ERR_CONNECT ? "no connection" : "the connection broke");
+	if (r->started)
+		return;
+	if (kind != ERR_CONNECT)
+		r->maybe_ran = true;
+	if ((kind == ERR_CONNECT || r->d.repeatable) && r->passes <= 2)
+		retry_home(r);
+	else
+		gate_req_answer(r, kind, gate_req_ran(r), 0);
+}
+
+void
+gate_try_failed(struct gate_req *r, enum err_kind kind)
+{
+	enum disp_outcome outcome =
+	    kind == ERR_CONNECT ? DISP_CONNECT : DISP_CUT;
+	bool again;
+
+	if (r->peer != NULL) {
+		home_failed(r, kind);
+		return;
+	}
+	if (r->d.at == NULL)
+		return;
+	if (kind != ERR_CONNECT)
+		r->maybe_ran = true;
+	r->d.may_retry = !r->started;
+	if (!r->started)
+		gate_req_event(r, REQ_EV_RETRY);
+	again = disp_done(r->shard->disp, &r->d, outcome);
+	if (again)
+		cnt_add(r->gate->cnt, GC_RETRIES, 1);
+	else if (!r->started)
+		gate_req_answer(r, kind, gate_req_ran(r), 0);
+}
+
+void
+gate_try_abandon(struct gate_req *r, enum disp_outcome outcome)
+{
+	gate_flow_stop(r);
+	leave_home(r);
+	r->d.may_retry = false;
+	if (r->d.held)
+		disp_forget(r->shard->disp, &r->d);
+	if (r->d.at != NULL)
+		disp_done(r->shard->disp, &r->d, outcome);
+}
+
+/* A home is given up: what may be repeated is brought elsewhere now. */
+void
+gate_req_home_lost(struct gate *g, struct gate_peer *p)
+{
+	GPtrArray *lost = g_ptr_array_new();
+	struct gate_req *r;
+	GList *at;
+	guint i;
+
+	for (at = g->reqs.head; at != NULL; at = at->next) {
+		r = at->data;
+		if (r->peer == p && r->d.repeatable && !r->started &&
+		    r->passes <= 2)
+			g_ptr_array_add(lost, r);
+	}
+	for (i = 0; i < lost->len; i++) {
+		r = g_ptr_array_index(lost, i);
+		if (r->state == REQ_SENT)
+			r->maybe_ran = true;
+		gate_flow_stop(r);
+		leave_home(r);
+		retry_home(r);
+	}
+	g_ptr_array_free(lost, TRUE);
+}
--- /dev/null
+++ b/hsrv.c
@@ -0,0 +1,208 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <arpa/inet.h>
+
+#include "field.h"
+#include "hsrv.h"
+
+enum { BACKLOG = 1024 };
+
+struct handler {
+	h2o_handler_t super;
+	struct hsrv *srv;
+};
+
+struct hsrv {
+	uv_loop_t *loop;
+	h2o_globalconf_t conf;
+	h2o_context_t ctx;
+	h2o_accept_ctx_t accept;
+	uv_tcp_t listener;
+	bool listening;
+	hsrv_fn *fn;
+	void *fn_ctx;
+};
+
+static int on_request(h2o_handler_t *, h2o_req_t *);
+static void on_connection(uv_stream_t *, int);
+static bool listen_on(struct hsrv *, struct str, GError **);
+
+/*
+ * Refusals that h2o answers by itself, before a handler sees the request:
+ * they get the kind too, and as nothing was sent, the request did not run.
+ */
+static void
+on_setup(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
+{
+	enum err_kind kind =
+	    req->res.status == 413 ? ERR_TOO_LARGE : ERR_BAD_REQUEST;
+
+	(void)self;
+	h2o_add_header_by_str(&req->pool, &req->res.headers,
+	    H2O_STRLIT("fern-error"), 0, NULL, err_answer(kind)->name,
+	    strlen(err_answer(kind)->name));
+	h2o_add_header_by_str(&req->pool, &req->res.headers,
+	    H2O_STRLIT("fern-ran"), 0, NULL, H2O_STRLIT("no"));
+	h2o_setup_next_ostream(req, slot);
+}
+
+struct hsrv *
+hsrv_open(uv_loop_t *loop, struct str address, size_t body_max, hsrv_fn *fn,
+    void *ctx, GError **err)
+{
+	struct hsrv *s = g_new0(struct hsrv, 1);
+	h2o_hostconf_t *host;
+	h2o_pathconf_t *path;
+	h2o_filter_t *filter;
+	struct handler *h;
+
+	s->loop = loop;
+	s->fn = fn;
+	s->fn_ctx = ctx;
+	h2o_config_init(&s->conf);
+	s->conf.max_request_entity_size = body_max;
+	s->conf.server_name = h2o_iovec_init(H2O_STRLIT("fernjunction"));
+	host = h2o_config_register_host(
+	    &s->conf, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+	path = h2o_config_register_path(host, "/", 0);
+	h = (struct handler *)h2o_create_handler(path, sizeof(*h));
+	h->super.on_req = on_request;
+	h->srv = s;
+	filter = h2o_create_filter(&host->fallback_path, sizeof(*filter));
+	filter->on_setup_ostream = on_setup;
+	h2o_context_init(&s->ctx, loop, &s->conf);
+	s->accept.ctx = &s->ctx;
+	s->accept.hosts = s->conf.hosts;
+	if (listen_on(s, address, err))
+		return s;
+	return NULL;
+}
+
+static bool
+listen_on(struct hsrv *s, struct str address, GError **err)
+{
+	struct sockaddr_storage sa;
+	char ip[INET6_ADDRSTRLEN];
+	uint16_t port = 0;
+	int rc;
+
+	if (!field_address(address, ip, sizeof(ip), &port))
+		return err_set(err, ERR_SYSTEM, "%.*s is no address",
+		    STR_ARG(address));
+	if (uv_ip4_addr(ip, port, (struct sockaddr_in *)&sa) != 0)
+		uv_ip6_addr(ip, port, (struct sockaddr_in6 *)&sa);
+	uv_tcp_init(s->loop, &s->listener);
+	s->listener.data = s;
+	rc = uv_tcp_bind(&s->listener, (struct sockaddr *)&sa, 0);
+	if (rc == 0)
+		rc = uv_listen(
+		    (uv_stream_t *)&s->listener, BACKLOG, on_connection);
+	if (rc != 0)
+		return err_set(err, ERR_SYSTEM, "%.*s: %s", STR_ARG(address),
+		    uv_strerror(rc));
+	s->listening = true;
+	return true;
+}
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+	struct hsrv *s = listener->data;
+	uv_tcp_t *conn;
+
+	if (status != 0)
+		return;
+	conn = h2o_mem_alloc(sizeof(*conn));
+	uv_tcp_init(s->loop, conn);
+	if (uv_accept(listener, (uv_stream_t *)conn) != 0) {
+		uv_close((uv_handle_t *)conn, (uv_close_cb)free);
+		return;
+	}
+	uv_tcp_nodelay(conn, 1);
+	h2o_accept(&s->accept,
+	    h2o_uv_socket_create((uv_stream_t *)conn, (uv_close_cb)free));
+}
+
+static int
+on_request(h2o_handler_t *self, h2o_req_t *req)
+{
+	struct hsrv *s = ((struct handler *)self)->srv;
+
+	s->fn(s->fn_ctx, req);
+	return 0;
+}
+
+void
+hsrv_stop(struct hsrv *s)
+{
+	if (!s->listening)
+		return;
+	s->listening = false;
+	uv_close((uv_handle_t *)&s->listener, NULL);
+}
+
+void
+hsrv_shutdown(struct hsrv *s)
+{
+	h2o_context_request_shutdown(&s->ctx);
+}
+
+void
+hsrv_answer(h2o_req_t *req, int status, const char *type, struct str body)
+{
+	h2o_iovec_t copy = h2o_strdup(&req->pool, body.p, body.n);
+
+	req->res.status = status;
+	req->res.reason = status < 400 ? "OK" : "Refused";
+	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+	    NULL, type, strlen(type));
+	req->res.content_length = copy.len;
+	h2o_send_inline(req, copy.base, copy.len);
+}
+
+struct str
+hsrv_header(const h2o_req_t *req, const char *name)
+{
+	ssize_t at = h2o_find_header_by_str(
+	    &req->headers, name, strlen(name), SIZE_MAX);
+
+	if (at < 0)
+		return str_c(NULL);
+	return str_n(req->headers.entries[at].value.base,
+	    req->headers.entries[at].value.len);
+}
+
+struct str
+hsrv_query(const h2o_req_t *req, const char *name)
+{
+	size_t n = strlen(name), at, end;
+
+	if (req->query_at == SIZE_MAX)
+		return str_c(NULL);
+	for (at = req->query_at + 1; at < req->path.len; at = end + 1) {
+		const char *p = req->path.base + at;
+
+		for (end = at; end < req->path.len; end++)
+			if (req->path.base[end] == '&')
+				break;
+		if (end - at > n && memcmp(p, name, n) == 0 && p[n] == '=')
+			return str_n(p + n + 1, end - at - n - 1);
+	}
+	return str_c(NULL);
+}
+
+struct str
+hsrv_path(const h2o_req_t *req)
+{
+	size_t n = req->query_at == SIZE_MAX ? req->path.len : req->query_at;
+
+	return str_n(req->path.base, n);
+}
--- /dev/null
+++ b/hsrv.h
@@ -0,0 +1,49 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef HSRV_H
+#define HSRV_H
+
+#include <h2o.h>
+#include <stdbool.h>
+#include <uv.h>
+
+#include "err.h"
+#include "str.h"
+
+/* An HTTP server by h2o on libuv: HTTP/1.1 and HTTP/2 without TLS. */
+struct hsrv;
+
+/* Answer a request with h2o; it may be kept and answered later. */
+typedef void hsrv_fn(void *, h2o_req_t *);
+
+/* Listen on an address.  NULL and ERR_SYSTEM on failure. */
+struct hsrv *hsrv_open(uv_loop_t *, struct str address, size_t body_max,
+    hsrv_fn *, void *, GError **);
+
+/* Stop taking connections; those that are open go on. */
+void hsrv_stop(struct hsrv *);
+
+/* Tell HTTP/2 callers to go elsewhere (GOAWAY). */
+void hsrv_shutdown(struct hsrv *);
+
+/* Send a short answer: JSON or text. */
+void hsrv_answer(h2o_req_t *, int status, const char *type, struct str body);
+
+/* The value of a request's header; an empty string if it is not there. */
+struct str hsrv_header(const h2o_req_t *, const char *name);
+
+/* The value of a query argument, as written; empty if not there. */
+struct str hsrv_query(const h2o_req_t *, const char *name);
+
+/* A request's path without its query. */
+struct str hsrv_path(const h2o_req_t *);
+
+#endif
--- /dev/null
+++ b/libagent.h
@@ -0,0 +1,135 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef LIBAGENT_H
+#define LIBAGENT_H
+
+#include <uv.h>
+
+#include "clk.h"
+#include "cnt.h"
+#include "conf.h"
+#include "hsrv.h"
+#include "wire.h"
+#include "memb.h"
+#include "plat.h"
+#include "probe.h"
+#include "route.h"
+#include "sync.h"
+#include "tmr.h"
+#include "up.h"
+
+/* What fernagent's settings file holds; fernagent(8) describes each key. */
+struct agent_set {
+	struct str box;
+	struct str hall;
+	struct str inbox;
+	struct str gate_inbox;
+	struct str pass;
+	struct str admin_listen;
+	struct str platform;
+	json_t *seeds;
+	int64_t watchers;
+	int64_t probe_rate;
+	int64_t platform_rate;
+	int64_t hello_ms;
+	int64_t list_ms;
+};
+
+/* Counters, in the order of the table in agent_stat.c. */
+enum agent_cnt {
+	AC_PLATFORM_CALLS,
+	AC_PLATFORM_PUT_OFF,
+	AC_PLATFORM_DOWN,
+	AC_WATCHING,
+	AC_MEMBERS,
+	AC_OBJECTS,
+	AC_CHANGES,
+	AC_SYNC_MESSAGES,
+	AC_PROBES,
+	AC_PROBES_PUT_OFF,
+	AC_PROBE_TARGETS,
+	AC_CONTROL_IN,
+	AC_CONTROL_OUT,
+	AC_CONTROL_DROPPED,
+	AC_MALFORMED,
+	AC_MAX
+};
+
+struct agent {
+	struct agent_set set;
+	uv_loop_t *loop;
+	const struct clk *clk;
+	const struct rnd *rnd;
+	struct tmr tmr;
+	uv_timer_t tick;
+	uv_signal_t term, intr;
+	struct up *up;
+	struct wire *wire;
+	struct plat *plat;
+	struct limit plat_budget;
+	struct conf *conf;
+	struct sync sync;
+	struct memb *memb;
+	struct probe *probe;
+	struct cnt *cnt;
+	struct hsrv *admin;
+	/* agent_watch.c */
+	struct tmr_item watch_timer, boxes_timer, status_timer;
+	struct plat_call *watch_call, *boxes_call, *status_call;
+	uint64_t watch_since;	/* revision that the watch has reached */
+	int64_t listed_at;	/* the last complete list */
+	int watch_fails, boxes_fails, status_fails;
+	uint64_t status_version;
+	uint64_t status_digest; /* of what the last status told */
+	bool from_platform;	/* offers of now come from the platform */
+	bool platform_up;
+	/* agent_peer.c */
+	struct tmr_item hello_timer;
+	uint64_t gate_boot, gate_digest, gate_floor;
+	int64_t gate_heard;
+	bool gate_ready;
+	uint64_t members_hash;
+	int64_t members_sent;
+	/* agent_probe.c */
+	GHashTable *health; /* char * backend to struct agent_health * */
+	bool targets_dirty;
+	struct route_table *routes;
+	int64_t targets_at, health_at;
+	/* agent_main.c */
+	int64_t last_tick;
+	bool leaving;
+};
+
+/* agent_watch.c: the platform's objects, list of boxes, and our status. */
+void agent_watch_open(struct agent *);
+void agent_watch_resume(struct agent *);
+void agent_status_soon(struct agent *);
+bool agent_is_watcher(struct agent *);
+
+/* agent_peer.c: what goes between boxes, and to our gate. */
+void agent_peer_open(struct agent *);
+void agent_peer_take(void *, const struct msg *);
+void agent_peer_tick(struct agent *, int64_t now);
+void agent_peer_spread(struct agent *, const struct conf_entry *);
+void agent_peer_all(struct agent *, struct msg *);
+void agent_peer_leave(struct agent *);
+
+/* agent_probe.c: probes of backend servers, and what others found. */
+void agent_probe_open(struct agent *);
+void agent_probe_tick(struct agent *, int64_t now);
+void agent_probe_take(struct agent *, const struct msg_health *);
+void agent_probe_tell_gate(struct agent *);
+
+/* agent_stat.c */
+struct cnt *agent_stat_open(void);
+void agent_stat_page(void *, h2o_req_t *);
+
+#endif
--- /dev/null
+++ b/libgate.h
@@ -0,0 +1,168 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef LIBGATE_H
+#define LIBGATE_H
+
+#include <uv.h>
+
+#include "chart.h"
+#include "clk.h"
+#include "cnt.h"
+#include "conf.h"
+#include "disp.h"
+#include "hsrv.h"
+#include "wire.h"
+#include "plat.h"
+#include "route.h"
+#include "sync.h"
+#include "tmr.h"
+#include "up.h"
+
+/* What ferngate's settings file holds; ferngate(8) describes each key. */
+struct gate_set {
+	struct str box;
+	struct str hall;
+	struct str listen;
+	struct str pass_listen;
+	struct str admin_listen;
+	struct str inbox;
+	struct str agent;
+	struct str platform;
+	struct str charts;
+	struct str policy;
+	int route; /* enum gate_route */
+	int64_t body_max;
+	int64_t leave_wait_ms;
+	int64_t grace_ms;
+	int64_t summary_ms;
+};
+
+/* Where a request is decided: at its service's home, or where it came in. */
+enum gate_route { ROUTE_HOME, ROUTE_ALONE };
+
+/* Counters, in the order of the table in gate_stat.c. */
+enum gate_cnt {
+	GC_REQUESTS,
+	GC_PASSED_IN,
+	GC_PASSED_OUT,
+	GC_ANSWERED,
+	GC_REFUSED,
+	GC_RETRIES,
+	GC_CUT,
+	GC_GONE,
+	GC_CLAIMS,
+	GC_CLAIM_CALLS,
+	GC_DUPLICATES,
+	GC_SUSPECTS,
+	GC_INFLIGHT,
+	GC_OBJECTS,
+	GC_LOG_DROPPED,
+	GC_CONTROL_IN,
+	GC_CONTROL_OUT,
+	GC_LATENCY,
+	GC_HELD,
+	GC_MAX
+};
+
+/* Another box's gate. */
+struct gate_peer {
+	struct memb_info info;
+	int64_t suspect_until; /* nothing is passed to it before that */
+	int64_t heard;	       /* last sign of life */
+	int64_t pinged;	       /* 0: no ping is out */
+	unsigned outstanding;  /* requests passed to it and not answered */
+	bool listed;	       /* by the agent's last word */
+};
+
+/* One service's backend servers in one hall, where this gate is home. */
+struct gate_shard {
+	struct gate *gate;
+	struct str service;
+	struct str hall;
+	struct disp *disp;
+	int told_free, told_waiting; /* in the last summary */
+	int64_t told_at;
+	int64_t used; /* the last request */
+};
+
+struct gate {
+	struct gate_set set;
+	uv_loop_t *loop;
+	const struct clk *clk;
+	const struct rnd *rnd;
+	struct tmr tmr;
+	uv_timer_t tick;
+	uv_signal_t term, intr;
+	struct up *up;
+	struct wire *wire;
+	struct plat *plat;
+	struct conf *conf;
+	struct sync sync;
+	struct cnt *cnt;
+	struct chart *chart_backend, *chart_request;
+	struct hsrv *callers, *pass, *admin;
+	struct route_table *routes;
+	struct tmr_item rebuild;
+	GHashTable *shards; /* char * "service/hall" to struct gate_shard * */
+	GPtrArray *peers;   /* struct gate_peer * */
+	struct limit_table *caller_limits;
+	GHashTable *rule_limits; /* char * rule to struct limit * */
+	GQueue reqs;		 /* struct gate_req * that are live */
+	uint64_t boot, seq;
+	int64_t last_tick, last_pass, leaving_since;
+	unsigned boxes; /* gates that are alive, ours among them */
+	bool ready, leaving, stopped;
+	uint64_t passes_seen;
+};
+
+/* gate_conf.c: configuration from the agent, and what is built of it. */
+bool gate_conf_open(struct gate *, GError **);
+void gate_conf_take(void *, const struct msg *);
+void gate_conf_report(struct gate *);
+struct gate_shard *gate_conf_shard(
+    struct gate *, const struct route_service *, struct str hall);
+
+/* gate_home.c: which gate is home for a shard. */
+struct gate_peer *gate_home(
+    struct gate *, struct str service, struct str hall, bool *self);
+void gate_home_members(struct gate *, const struct msg_members *);
+void gate_home_suspect(struct gate *, struct gate_peer *, const char *why);
+void gate_home_heard(struct gate *, struct str inbox);
+void gate_home_tick(struct gate *, int64_t now);
+void gate_home_summary(struct gate *, const struct msg_summary *);
+void gate_home_ping(struct gate *, const struct msg *);
+struct str gate_home_hall(struct gate *, const struct route_service *);
+
+/* gate_req.c: the life of a request. */
+struct gate_req;
+bool gate_req_open(struct gate *, GError **);
+void gate_req_caller(void *, h2o_req_t *);
+void gate_req_passed(void *, h2o_req_t *);
+void gate_req_tick(struct gate *, int64_t now);
+void gate_req_home_lost(struct gate *, struct gate_peer *);
+unsigned gate_req_count(const struct gate *);
+extern const struct disp_ops gate_req_disp_ops;
+
+/* gate_claim.c: requests with a key, claimed on the platform. */
+struct gate_claim;
+typedef void gate_claim_fn(void *, enum err_kind, bool claimed);
+struct gate_claim *gate_claim_start(struct gate *, struct str rule,
+    struct str key, bool allow_outage, gate_claim_fn *, void *);
+/* The request did not run: give the key back.  Frees the claim. */
+void gate_claim_release(struct gate_claim *);
+/* The request ran or may have run: the claim stays.  Frees the claim. */
+void gate_claim_keep(struct gate_claim *);
+
+/* gate_stat.c: counters and the admin pages. */
+struct cnt *gate_stat_open(void);
+void gate_stat_page(void *, h2o_req_t *);
+
+#endif
--- /dev/null
+++ b/libreq.h
@@ -0,0 +1,94 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef LIBREQ_H
+#define LIBREQ_H
+
+#include "libgate.h"
+
+/* States and events of a request, as charts/request.toml has them. */
+enum req_state {
+	REQ_NEW,
+	REQ_CLAIMING,
+	REQ_HELD,
+	REQ_CONNECTING,
+	REQ_SENT,
+	REQ_STREAMING,
+	REQ_DONE,
+	REQ_BROKEN,
+	REQ_STATE_MAX
+};
+
+enum req_event {
+	REQ_EV_CLAIM,
+	REQ_EV_HOLD,
+	REQ_EV_TRY,
+	REQ_EV_CONNECTED,
+	REQ_EV_HEAD,
+	REQ_EV_RETRY,
+	REQ_EV_END,
+	REQ_EVENT_MAX
+};
+
+extern const struct chart_names req_chart_names;
+
+/* One request in the gate, from its arrival until h2o lets go of it. */
+struct gate_req {
+	struct disp_req d;
+	h2o_generator_t gen;
+	struct gate *gate;
+	h2o_req_t *req; /* NULL once h2o has let go of it */
+	GList link;	/* in gate->reqs */
+	uint64_t id;
+	enum req_state state;
+	int hops;	/* gates it came through before us */
+	int passes;	/* tries at homes */
+	bool maybe_ran; /* an earlier try may have run */
+	bool refused;	/* the answer on its way says that it did not run */
+	bool keyed;
+	int64_t began;
+	struct str rule, service; /* copies */
+	bool allow_outage;
+	struct gate_claim *claim;
+	struct gate_shard *shard; /* where it is held or was sent from */
+	struct gate_peer *peer;	  /* the home it was passed to */
+	struct up_call *call;
+	struct tmr_item timer; /* the deadline; later, silence */
+	/* The answer on its way to the caller. */
+	h2o_doublebuffer_t sending;
+	h2o_buffer_t *rest; /* what came after the connection went back */
+	bool started, ended, cut, final;
+};
+
+/* gate_req.c */
+void gate_req_event(struct gate_req *, enum req_event);
+void gate_req_route(struct gate_req *);
+void gate_req_answer(
+    struct gate_req *, enum err_kind, enum err_ran, int64_t retry_after);
+void gate_req_settle(struct gate_req *, bool not_run);
+enum err_ran gate_req_ran(const struct gate_req *);
+
+/* gate_flow.c: the request's way to the other side, and the answer's back. */
+void gate_flow_send(struct gate_req *, struct str address, bool fresh);
+void gate_flow_stop(struct gate_req *);
+void gate_flow_dispose(struct gate_req *);
+void gate_flow_proceed(h2o_generator_t *, h2o_req_t *);
+
+/* What the flow tells of a try; gate_try.c decides what follows. */
+void gate_try_failed(struct gate_req *, enum err_kind);
+/* True if the head is to be dropped, as the request is tried again. */
+bool gate_try_head(
+    struct gate_req *, int status, const h2o_header_t *, size_t);
+void gate_try_end(struct gate_req *);
+/* The try is over without an answer: the caller or the deadline ended it. */
+void gate_try_abandon(struct gate_req *, enum disp_outcome);
+void gate_try_home(struct gate_req *);
+
+#endif
--- /dev/null
+++ b/limit.c
@@ -0,0 +1,130 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <glib.h>
+
+#include "limit.h"
+
+/* What a quiet budget may save up, and what a new one begins with. */
+static const double BUDGET_MAX = 20.0;
+static const double BUDGET_START = 5.0;
+
+struct slot {
+	struct limit limit;
+	char *key;
+	GList *link; /* in the order of use */
+};
+
+struct limit_table {
+	GHashTable *slots;
+	GQueue order; /* struct slot *, the latest used first */
+	unsigned max;
+};
+
+static void slot_free(void *);
+
+bool
+limit_take(struct limit *l, double rate, int64_t now)
+{
+	double burst = rate * (double)LIMIT_BURST_NS / 1e9;
+
+	if (rate <= 0)
+		return true;
+	if (burst < 1)
+		burst = 1;
+	if (l->last == 0)
+		l->tokens = burst;
+	else
+		l->tokens += rate * (double)(now - l->last) / 1e9;
+	l->last = now;
+	if (l->tokens > burst)
+		l->tokens = burst;
+	if (l->tokens < 1)
+		return false;
+	l->tokens -= 1;
+	return true;
+}
+
+static void
+slot_free(void *p)
+{
+	struct slot *s = p;
+
+	g_free(s->key);
+	g_free(s);
+}
+
+struct limit_table *
+limit_table_new(unsigned max)
+{
+	struct limit_table *t = g_new0(struct limit_table, 1);
+
+	t->slots = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, slot_free);
+	g_queue_init(&t->order);
+	t->max = max;
+	return t;
+}
+
+void
+limit_table_free(struct limit_table *t)
+{
+	g_hash_table_destroy(t->slots);
+	g_queue_clear(&t->order);
+	g_free(t);
+}
+
+bool
+limit_table_take(
+    struct limit_table *t, struct str key, double rate, int64_t now)
+{
+	char *text = g_strndup(key.p, key.n);
+	struct slot *s = g_hash_table_lookup(t->slots, text);
+	struct slot *old;
+
+	if (s == NULL) {
+		s = g_new0(struct slot, 1);
+		s->key = g_strdup(text);
+		g_queue_push_head(&t->order, s);
+		s->link = t->order.head;
+		g_hash_table_insert(t->slots, s->key, s);
+	} else {
+		g_queue_unlink(&t->order, s->link);
+		g_queue_push_head_link(&t->order, s->link);
+	}
+	g_free(text);
+	if (t->order.length > t->max) {
+		old = g_queue_pop_tail(&t->order);
+		g_hash_table_remove(t->slots, old->key);
+	}
+	return limit_take(&s->limit, rate, now);
+}
+
+void
+retry_budget_pay(struct retry_budget *b, int64_t percent)
+{
+	if (b->saved == 0)
+		b->saved = BUDGET_START;
+	b->saved += (double)percent / 100;
+	if (b->saved > BUDGET_MAX)
+		b->saved = BUDGET_MAX;
+}
+
+bool
+retry_budget_has(const struct retry_budget *b)
+{
+	return b->saved >= 1;
+}
+
+void
+retry_budget_take(struct retry_budget *b)
+{
+	b->saved -= 1;
+}
--- /dev/null
+++ b/limit.h
@@ -0,0 +1,54 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef LIMIT_H
+#define LIMIT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "str.h"
+
+/*
+ * Limits as token buckets, pure functions of the times handed in.  A limit
+ * that is meant for the fleet is divided over the places that enforce it.
+ */
+struct limit {
+	double tokens;
+	int64_t last; /* monotonic ns; 0: never used */
+};
+
+/*
+ * Take one token of a bucket that fills at `rate` a second and holds
+ * LIMIT_BURST_NS worth of it, at least one.  A rate of 0 is no limit.
+ */
+bool limit_take(struct limit *, double rate, int64_t now);
+
+#define LIMIT_BURST_NS (INT64_C(200) * 1000 * 1000)
+
+/* Buckets for many callers; the least lately used goes when it is full. */
+struct limit_table;
+struct limit_table *limit_table_new(unsigned max);
+void limit_table_free(struct limit_table *);
+bool limit_table_take(
+    struct limit_table *, struct str key, double rate, int64_t now);
+
+/*
+ * A budget for retries as a share of requests: each request pays in
+ * `percent` hundredths, each retry takes a whole one out.
+ */
+struct retry_budget {
+	double saved;
+};
+void retry_budget_pay(struct retry_budget *, int64_t percent);
+bool retry_budget_has(const struct retry_budget *);
+void retry_budget_take(struct retry_budget *);
+
+#endif
--- /dev/null
+++ b/msg.h
@@ -0,0 +1,165 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef MSG_H
+#define MSG_H
+
+#include <glib.h>
+#include <msgpack.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "memb.h"
+#include "str.h"
+
+/*
+ * Messages between our own processes, as msgpack arrays.  The first element
+ * is the kind, the second the sender's inbox; the rest follows the shape
+ * that msg.c gives for the kind.
+ */
+enum msg_kind {
+	MSG_HELLO,    /* who I am, what I have, whom I know */
+	MSG_BUCKETS,  /* digests of all buckets */
+	MSG_VERSIONS, /* versions of all objects in some buckets */
+	MSG_WANT,     /* please send these objects */
+	MSG_OBJECTS,  /* objects */
+	MSG_MEMBERS,  /* agent to its gate: the boxes that are alive */
+	MSG_GATE,     /* gate to its agent: what the gate has */
+	MSG_HEALTH,   /* what probes found */
+	MSG_SUMMARY,  /* home to home: room for a service in a hall */
+	MSG_PING,     /* gate to gate: are you there? */
+	MSG_PONG,
+	MSG_KIND_MAX
+};
+
+/* A list of records of one shape. */
+struct msg_list {
+	void *items;
+	size_t n;
+};
+
+struct msg_hello {
+	struct memb_info self;
+	uint64_t digest;
+	uint64_t floor;
+	struct msg_list others; /* struct memb_info */
+};
+
+struct msg_u64 {
+	uint64_t v;
+};
+
+struct msg_buckets {
+	struct msg_list digests; /* struct msg_u64 */
+};
+
+struct msg_version {
+	struct str key;
+	uint64_t version;
+	uint64_t bad_version;
+	uint64_t hash; /* of the contents; 0 for a deletion */
+};
+
+struct msg_versions {
+	uint64_t buckets;	  /* a bit for each bucket listed */
+	struct msg_list versions; /* struct msg_version */
+};
+
+struct msg_key {
+	struct str key;
+};
+
+struct msg_want {
+	struct msg_list keys; /* struct msg_key */
+};
+
+struct msg_object {
+	struct str key;
+	uint64_t version;
+	bool deleted;
+	struct str spec; /* JSON text */
+};
+
+struct msg_objects {
+	struct msg_list objects; /* struct msg_object */
+};
+
+struct msg_members {
+	struct msg_list members; /* struct memb_info */
+};
+
+struct msg_gate {
+	struct str box;
+	uint64_t boot;
+	uint64_t digest;
+	uint64_t floor;
+	uint64_t objects;
+	bool leaving;
+	bool ready;
+};
+
+/* What probes found of one backend server. */
+enum msg_state { STATE_UNKNOWN, STATE_UP, STATE_DOWN, STATE_DRAINING };
+
+struct msg_state_of {
+	struct str backend;
+	uint64_t state; /* enum msg_state */
+	uint64_t at_ms; /* wall time of the probe at the prober */
+};
+
+struct msg_health {
+	struct msg_list states; /* struct msg_state_of */
+};
+
+struct msg_summary {
+	struct str service;
+	struct str hall;
+	uint64_t free;
+	uint64_t waiting;
+};
+
+struct msg_ping {
+	uint64_t nonce;
+};
+
+/* One message; which member of the union holds is told by the kind. */
+struct msg {
+	enum msg_kind kind;
+	struct str from; /* sender's inbox address */
+	union {
+		struct msg_hello hello;
+		struct msg_buckets buckets;
+		struct msg_versions versions;
+		struct msg_want want;
+		struct msg_objects objects;
+		struct msg_members members;
+		struct msg_gate gate;
+		struct msg_health health;
+		struct msg_summary summary;
+		struct msg_ping ping;
+	} u;
+	msgpack_unpacked raw; /* what the strings point into */
+	GPtrArray *arrays;    /* what the lists point into */
+};
+
+/* Append the bytes of a message to a buffer. */
+void msg_encode(const struct msg *, msgpack_sbuffer *);
+
+/*
+ * Read a message; strings point into `p`, which must outlive it.  False and
+ * ERR_MESSAGE on anything that does not have the shape.  Call msg_done()
+ * after use, on success only.
+ */
+bool msg_decode(const char *p, size_t n, struct msg *, GError **);
+void msg_done(struct msg *);
+
+const char *msg_kind_name(enum msg_kind);
+
+#endif
--- /dev/null
+++ b/obj.c
@@ -0,0 +1,225 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <stdio.h>
+
+#include "err.h"
+#include "obj.h"
+
+enum {
+	SLOTS_MAX = 4096,
+	CONNECTIONS_MAX = 65536,
+	DEADLINE_MAX_MS = 24 * 3600 * 1000,
+	QUEUE_MAX = 100000,
+	RATE_MAX = 10000000,
+	PROBE_MIN_MS = 100,
+	PROBE_MAX_MS = 600000
+};
+
+static bool finish_backend(struct obj *, GError **);
+static bool finish_service(struct obj *, GError **);
+static bool finish_rule(struct obj *, GError **);
+
+static const char *const words_repeatable[] = {"by-method", "yes", "no", NULL};
+static const char *const words_class[] = {"interactive", "bulk", NULL};
+static const char *const words_outage[] = {"refuse", "allow", NULL};
+
+#define B(member) offsetof(struct obj, u.backend.member)
+#define S(member) offsetof(struct obj, u.service.member)
+#define R(member) offsetof(struct obj, u.rule.member)
+
+static const struct field backend_fields[] = {
+    {.name = "address", .type = FIELD_ADDRESS, .offset = B(address),
+	.required = true},
+    {.name = "hall", .type = FIELD_NAME, .offset = B(hall), .required = true},
+    {.name = "slots", .type = FIELD_INT, .offset = B(slots), .dflt = 3,
+	.min = 1, .max = SLOTS_MAX},
+    {.name = "connections", .type = FIELD_INT, .offset = B(connections),
+	.dflt = 200, .min = 1, .max = CONNECTIONS_MAX},
+    {.name = "drain", .type = FIELD_BOOL, .offset = B(drain)},
+    {.name = "labels", .type = FIELD_LABELS, .offset = B(labels)},
+};
+
+static const struct field service_fields[] = {
+    {.name = "select", .type = FIELD_STR, .offset = S(select_text),
+	.required = true},
+    {.name = "deadline_ms", .type = FIELD_INT, .offset = S(deadline_ms),
+	.dflt = 5000, .min = 1, .max = DEADLINE_MAX_MS},
+    {.name = "queue", .type = FIELD_INT, .offset = S(queue), .dflt = 1000,
+	.min = 0, .max = QUEUE_MAX},
+    {.name = "bulk_percent", .type = FIELD_INT, .offset = S(bulk_percent),
+	.dflt = 40, .min = 1, .max = 100},
+    {.name = "rate", .type = FIELD_INT, .offset = S(rate), .min = 0,
+	.max = RATE_MAX},
+    {.name = "probe_ms", .type = FIELD_INT, .offset = S(probe_ms),
+	.dflt = 1000, .min = PROBE_MIN_MS, .max = PROBE_MAX_MS},
+    {.name = "probe_path", .type = FIELD_STR, .offset = S(probe_path),
+	.text_dflt = "/health"},
+    {.name = "retry_percent", .type = FIELD_INT, .offset = S(retry_percent),
+	.dflt = 10, .min = 0, .max = 100},
+};
+
+static const struct field rule_fields[] = {
+    {.name = "host", .type = FIELD_STR, .offset = R(host), .text_dflt = ""},
+    {.name = "path", .type = FIELD_STR, .offset = R(path), .text_dflt = "/"},
+    {.name = "method", .type = FIELD_STR, .offset = R(method),
+	.text_dflt = ""},
+    {.name = "header", .type = FIELD_STR, .offset = R(header),
+	.text_dflt = ""},
+    {.name = "service", .type = FIELD_NAME, .offset = R(service),
+	.required = true},
+    {.name = "repeatable", .type = FIELD_WORD, .offset = R(repeatable),
+	.words = words_repeatable},
+    {.name = "class", .type = FIELD_WORD, .offset = R(cls),
+	.words = words_class},
+    {.name = "rate", .type = FIELD_INT, .offset = R(rate), .min = 0,
+	.max = RATE_MAX},
+    {.name = "caller_rate", .type = FIELD_INT, .offset = R(caller_rate),
+	.min = 0, .max = RATE_MAX},
+    {.name = "caller_header", .type = FIELD_STR, .offset = R(caller_header),
+	.text_dflt = ""},
+    {.name = "on_outage", .type = FIELD_WORD, .offset = R(on_outage),
+	.words = words_outage},
+    {.name = "deadline_ms", .type = FIELD_INT, .offset = R(deadline_ms),
+	.min = 0, .max = DEADLINE_MAX_MS},
+};
+
+static const struct {
+	const char *name;
+	const struct field *fields;
+	size_t n;
+	bool (*finish)(struct obj *, GError **);
+} kinds[OBJ_KIND_MAX] = {
+    [OBJ_BACKEND] = {"backend", backend_fields,
+	G_N_ELEMENTS(backend_fields), finish_backend},
+    [OBJ_SERVICE] = {"service", service_fields,
+	G_N_ELEMENTS(service_fields), finish_service},
+    [OBJ_RULE] = {"rule", rule_fields, G_N_ELEMENTS(rule_fields), finish_rule},
+};
+
+const char *
+obj_kind_name(enum obj_kind kind)
+{
+	return kinds[kind].name;
+}
+
+bool
+obj_kind_by_name(struct str name, enum obj_kind *kind)
+{
+	int i;
+
+	for (i = 0; i < OBJ_KIND_MAX; i++) {
+		if (!str_eq(str_c(kinds[i].name), name))
+			continue;
+		*kind = (enum obj_kind)i;
+		return true;
+	}
+	return false;
+}
+
+const char *
+obj_class_name(enum obj_class cls)
+{
+	return words_class[cls];
+}
+
+static bool
+finish_backend(struct obj *o, GError **err)
+{
+	struct obj_backend *b = &o->u.backend;
+	json_t *labels = json_copy(b->labels);
+
+	(void)err;
+	json_decref(b->labels);
+	b->labels = labels;
+	json_object_set_new(
+	    labels, "hall", json_stringn(b->hall.p, b->hall.n));
+	json_object_set_new(labels, "name", json_stringn(o->name.p, o->name.n));
+	if (json_object_get(labels, "drain") != NULL)
+		b->drain = true;
+	return true;
+}
+
+static bool
+finish_service(struct obj *o, GError **err)
+{
+	struct obj_service *s = &o->u.service;
+
+	if (s->probe_path.n == 0 || s->probe_path.p[0] != '/')
+		return err_set(err, ERR_OBJECT,
+		    "service %s: probe_path: must begin with '/'", o->name.p);
+	s->select = sel_parse(s->select_text, err);
+	return s->select != NULL;
+}
+
+static bool
+finish_rule(struct obj *o, GError **err)
+{
+	struct obj_rule *r = &o->u.rule;
+
+	if (r->path.n == 0 || r->path.p[0] != '/')
+		return err_set(err, ERR_OBJECT,
+		    "rule %s: path: must begin with '/'", o->name.p);
+	if (r->header.n > 0 && memchr(r->header.p, ':', r->header.n) == NULL)
+		return err_set(err, ERR_OBJECT,
+		    "rule %s: header: must be \"name: value\"", o->name.p);
+	return true;
+}
+
+struct obj *
+obj_read(enum obj_kind kind, struct str name, const json_t *spec,
+    const struct doc *doc, GError **err)
+{
+	char where[192];
+	struct obj *o;
+
+	if (!field_is_name(name)) {
+		err_set(err, ERR_OBJECT, "%s \"%.*s\": the name is not valid",
+		    kinds[kind].name, STR_ARG(name));
+		return NULL;
+	}
+	if (doc == NULL)
+		snprintf(where, sizeof(where), "%s %.*s", kinds[kind].name,
+		    STR_ARG(name));
+	else
+		snprintf(where, sizeof(where), "%s", doc->file);
+	o = g_new0(struct obj, 1);
+	o->kind = kind;
+	o->refs = 1;
+	if (!field_read(kinds[kind].fields, kinds[kind].n, spec, doc, where,
+		ERR_OBJECT, o, err)) {
+		g_free(o);
+		return NULL;
+	}
+	o->name = str_dup(name);
+	if (kinds[kind].finish(o, err))
+		return o;
+	obj_free(o);
+	return NULL;
+}
+
+struct obj *
+obj_ref(struct obj *o)
+{
+	o->refs++;
+	return o;
+}
+
+void
+obj_free(struct obj *o)
+{
+	if (o == NULL || --o->refs > 0)
+		return;
+	if (o->kind == OBJ_SERVICE)
+		sel_free(o->u.service.select);
+	field_free(kinds[o->kind].fields, kinds[o->kind].n, o);
+	str_free(&o->name);
+	g_free(o);
+}
--- /dev/null
+++ b/obj.h
@@ -0,0 +1,105 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef OBJ_H
+#define OBJ_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "field.h"
+#include "sel.h"
+#include "str.h"
+
+/*
+ * The objects that operators write, each versioned by itself: a backend
+ * server, a service and a rule.  Specs are JSON on the platform and TOML in
+ * operators' files; both are checked here, by the same tables.
+ */
+enum obj_kind { OBJ_BACKEND, OBJ_SERVICE, OBJ_RULE, OBJ_KIND_MAX };
+
+/* The class of a request. */
+enum obj_class { CLASS_INTERACTIVE, CLASS_BULK, CLASS_MAX };
+
+/* What a keyed request does while the platform cannot take its claim. */
+enum obj_outage { OUTAGE_REFUSE, OUTAGE_ALLOW };
+
+struct obj_backend {
+	struct str address;
+	struct str hall;
+	int64_t slots;
+	int64_t connections;
+	bool drain;
+	json_t *labels; /* with "hall" and "name" added */
+};
+
+struct obj_service {
+	struct str select_text;
+	struct sel *select;
+	int64_t deadline_ms;	/* for requests that bring none */
+	int64_t queue;		/* requests that a home may hold */
+	int64_t bulk_percent;	/* share of the slots that bulk may take */
+	int64_t rate;		/* requests a second, fleet-wide; 0: no limit */
+	int64_t probe_ms;	/* interval between probes of one backend */
+	struct str probe_path;
+	int64_t retry_percent; /* retries, as a share of requests */
+};
+
+struct obj_rule {
+	struct str host;   /* exact, or empty for any */
+	struct str path;   /* a prefix */
+	struct str method; /* exact, or empty for any */
+	struct str header; /* "name: value", or empty for any */
+	struct str service;
+	int repeatable; /* 0: by method, 1: yes, 2: no */
+	int cls;	/* enum obj_class */
+	int64_t rate;	/* requests a second, fleet-wide; 0: no limit */
+	int64_t caller_rate; /* the same for each caller */
+	struct str caller_header; /* names the caller; empty: by address */
+	int on_outage;		  /* enum obj_outage */
+	int64_t deadline_ms;	  /* 0: the service's */
+};
+
+/* Values of a rule's `repeatable`. */
+enum { REPEATABLE_BY_METHOD, REPEATABLE_YES, REPEATABLE_NO };
+
+/* One checked object. */
+struct obj {
+	enum obj_kind kind;
+	int refs;
+	struct str name;
+	union {
+		struct obj_backend backend;
+		struct obj_service service;
+		struct obj_rule rule;
+	} u;
+};
+
+/* Names of kinds: "backend", "service", "rule". */
+const char *obj_kind_name(enum obj_kind);
+bool obj_kind_by_name(struct str, enum obj_kind *);
+
+/* Name of a class: "interactive", "bulk". */
+const char *obj_class_name(enum obj_class);
+
+/*
+ * Check a spec and make an object of it.  `doc` gives line numbers and may
+ * be NULL.  NULL and ERR_OBJECT or ERR_SELECTOR on failure.
+ */
+struct obj *obj_read(enum obj_kind, struct str name, const json_t *spec,
+    const struct doc *, GError **);
+
+/* Objects are shared by counting references; the last one frees. */
+struct obj *obj_ref(struct obj *);
+void obj_free(struct obj *);
+
+#endif
--- /dev/null
+++ b/pick.c
@@ -0,0 +1,138 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <glib.h>
+
+#include "pick.h"
+
+#define EJECT_FIRST_NS (1 * NS_S)
+#define EJECT_LAST_NS (30 * NS_S)
+
+enum {
+	BAD_ROW_LIMIT = 3,    /* bad answers in a row that eject */
+	WARM_ROW = 3,	      /* good answers in a row that warm up */
+	USUAL_WEIGHT = 8,     /* of the past against one sample */
+	EJECTIONS_MAX = 6
+};
+
+static const char *const state_names[] = {
+    "cold", "up", "ejected", "trial", "draining"};
+static const char *const event_names[] = {
+    "ok", "warm", "failing", "timer", "drain", "undrain"};
+
+const struct chart_names pick_chart_names = {
+    "backend", state_names, PICK_STATE_MAX, event_names, PICK_EVENT_MAX};
+
+static unsigned count_in_use(const struct pick_set *, int64_t);
+static void step(struct pick_backend *, const struct chart *, enum pick_event);
+
+static const struct pick_policy *const policies[] = {&pick_fern, &pick_naive};
+
+const struct pick_policy *
+pick_by_name(struct str name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(policies); i++)
+		if (str_eq(str_c(policies[i]->name), name))
+			return policies[i];
+	return NULL;
+}
+
+static void
+step(struct pick_backend *b, const struct chart *chart, enum pick_event ev)
+{
+	b->state = (enum pick_state)chart_step(chart, b->state, ev);
+}
+
+bool
+pick_usable(const struct pick_backend *b, int64_t now)
+{
+	(void)now;
+	return !b->gone && !b->probe_down && b->state != PICK_EJECTED &&
+	    b->state != PICK_DRAINING;
+}
+
+/* A cold or tried one gets one request at a time. */
+int
+pick_free(const struct pick_backend *b, int64_t now)
+{
+	int slots = b->slots;
+
+	if (!pick_usable(b, now) || now < b->full_until)
+		return 0;
+	if (b->state == PICK_COLD || b->state == PICK_TRIAL)
+		slots = 1;
+	return MAX(slots - b->inflight, 0);
+}
+
+void
+pick_good(struct pick_backend *b, const struct chart *chart, int64_t took)
+{
+	if (b->usual == 0)
+		b->usual = took;
+	else
+		b->usual += (took - b->usual) / USUAL_WEIGHT;
+	b->bad_row = 0;
+	b->good_row++;
+	step(b, chart, PICK_EV_OK);
+	if (b->good_row < WARM_ROW)
+		return;
+	b->ejections = 0;
+	step(b, chart, PICK_EV_WARM);
+}
+
+static unsigned
+count_in_use(const struct pick_set *set, int64_t now)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < set->n; i++)
+		n += pick_usable(set->v[i], now);
+	return n;
+}
+
+void
+pick_bad(struct pick_backend *b, const struct pick_set *set,
+    const struct chart *chart, int64_t now, const struct rnd *rnd)
+{
+	int64_t wait;
+
+	b->good_row = 0;
+	b->bad_row++;
+	if (b->bad_row < BAD_ROW_LIMIT && b->state != PICK_TRIAL)
+		return;
+	if (!pick_usable(b, now) || count_in_use(set, now) * 2 <= set->n)
+		return;
+	b->bad_row = 0;
+	b->ejections = MIN(b->ejections + 1, EJECTIONS_MAX);
+	wait = MIN(EJECT_FIRST_NS << (b->ejections - 1), EJECT_LAST_NS);
+	b->eject_until = now + rnd_jitter(rnd, wait);
+	step(b, chart, PICK_EV_FAILING);
+}
+
+void
+pick_tick(const struct pick_set *set, const struct chart *chart, int64_t now)
+{
+	struct pick_backend *b;
+	unsigned i;
+
+	for (i = 0; i < set->n; i++) {
+		b = set->v[i];
+		if (b->state == PICK_EJECTED && now >= b->eject_until)
+			step(b, chart, PICK_EV_TIMER);
+	}
+}
+
+void
+pick_drain(struct pick_backend *b, const struct chart *chart, bool drain)
+{
+	step(b, chart, drain ? PICK_EV_DRAIN : PICK_EV_UNDRAIN);
+}
--- /dev/null
+++ b/pick.h
@@ -0,0 +1,116 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef PICK_H
+#define PICK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "chart.h"
+#include "clk.h"
+#include "obj.h"
+#include "str.h"
+
+/*
+ * Choosing a backend server for a request.  Pure: the state of the backend
+ * servers comes in as an array, time and random numbers are passed in, and
+ * the choice is the only thing that goes out.
+ */
+
+/* States and events of a backend server, as charts/backend.toml has them. */
+enum pick_state {
+	PICK_COLD,     /* new or back: warming up, one request at a time */
+	PICK_UP,
+	PICK_EJECTED,  /* too slow or failing: nothing is sent */
+	PICK_TRIAL,    /* ejection over: one request decides */
+	PICK_DRAINING, /* leaving: nothing new is sent */
+	PICK_STATE_MAX
+};
+
+enum pick_event {
+	PICK_EV_OK,
+	PICK_EV_WARM,	/* enough good answers in a row */
+	PICK_EV_FAILING, /* too many bad answers in a row */
+	PICK_EV_TIMER,	/* the ejection is over */
+	PICK_EV_DRAIN,
+	PICK_EV_UNDRAIN,
+	PICK_EVENT_MAX
+};
+
+extern const struct chart_names pick_chart_names;
+
+/* One backend server as its home sees it. */
+struct pick_backend {
+	struct str name;
+	struct str address;
+	int slots;
+	int inflight;	   /* sent and not finished */
+	int inflight_bulk; /* of these, class bulk */
+	enum pick_state state;
+	bool drain_told;   /* by its object */
+	bool probe_down;   /* probes say that it does not work */
+	int64_t usual;	   /* ns an answer usually takes; 0: not known */
+	int64_t oldest;	   /* start of the oldest in flight; 0: none */
+	int64_t full_until; /* it refused for want of a slot */
+	int64_t eject_until;
+	int ejections;	    /* in a row, for the length of the next */
+	int bad_row, good_row;
+	bool gone;	    /* no longer selected; waits for its last answer */
+	uint64_t turns;	    /* requests sent, for round robin */
+	void *data;	    /* the owner's */
+};
+
+/* The backend servers of one service in one hall. */
+struct pick_set {
+	struct pick_backend **v;
+	unsigned n;
+	int bulk_percent;
+};
+
+/* What a policy chooses: an index, or PICK_NONE to hold the request. */
+enum { PICK_NONE = -1 };
+
+struct pick_policy {
+	const char *name;
+	int (*choose)(const struct pick_set *, enum obj_class,
+	    const struct pick_backend *avoid, int64_t now, const struct rnd *);
+	bool holds; /* waits for a free slot instead of queueing there */
+};
+
+/* By free slots, usual time and the age of what is in flight. */
+extern const struct pick_policy pick_fern;
+
+/* Round robin without any knowledge: the baseline. */
+extern const struct pick_policy pick_naive;
+
+const struct pick_policy *pick_by_name(struct str);
+
+/* May anything new be sent there? */
+bool pick_usable(const struct pick_backend *, int64_t now);
+
+/* Free slots of one backend server, 0 if nothing new may be sent. */
+int pick_free(const struct pick_backend *, int64_t now);
+
+/*
+ * A good or bad answer has come; moves the chart.  Ejection is bounded: it
+ * is left out when fewer than half of the set would remain in use.
+ */
+void pick_good(struct pick_backend *, const struct chart *, int64_t took);
+void pick_bad(struct pick_backend *, const struct pick_set *,
+    const struct chart *, int64_t now, const struct rnd *);
+
+/* Let ejections end whose time has come. */
+void pick_tick(const struct pick_set *, const struct chart *, int64_t now);
+
+/* Drain begins or ends, in whichever way it was told. */
+void pick_drain(struct pick_backend *, const struct chart *, bool drain);
+
+#endif
--- /dev/null
+++ b/pick_fern.c
@@ -0,0 +1,100 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <glib.h>
+
+#include "pick.h"
+
+/*
+ * A backend server whose oldest request has been out for so many times its
+ * usual time is taken to be in a slow spell, and is taken last.
+ */
+enum { AGE_FACTOR = 4 };
+#define AGE_MIN_NS (30 * NS_MS)
+#define USUAL_UNKNOWN_NS (5 * NS_MS)
+
+static int choose(const struct pick_set *, enum obj_class,
+    const struct pick_backend *, int64_t, const struct rnd *);
+static int64_t cost(const struct pick_backend *, int64_t);
+static bool bulk_may(const struct pick_set *, int64_t);
+static bool bulk_fits(const struct pick_set *, const struct pick_backend *);
+
+const struct pick_policy pick_fern = {"fern", choose, true};
+
+/* The time that one more request is likely to take there. */
+static int64_t
+cost(const struct pick_backend *b, int64_t now)
+{
+	int64_t usual = b->usual == 0 ? USUAL_UNKNOWN_NS : b->usual;
+	int64_t age = b->oldest == 0 ? 0 : now - b->oldest;
+	int64_t ns = usual * (b->slots + b->inflight) / b->slots;
+
+	if (age > MAX(usual * AGE_FACTOR, AGE_MIN_NS))
+		ns += age;
+	return ns;
+}
+
+/*
+ * Bulk takes at most its share of all slots, and leaves one free slot, so
+ * that the next interactive request need not wait for a bulk answer.
+ */
+static bool
+bulk_may(const struct pick_set *set, int64_t now)
+{
+	int slots = 0, bulk = 0, left = 0;
+	unsigned i;
+
+	for (i = 0; i < set->n; i++) {
+		if (!pick_usable(set->v[i], now))
+			continue;
+		slots += set->v[i]->slots;
+		bulk += set->v[i]->inflight_bulk;
+		left += pick_free(set->v[i], now);
+	}
+	if (bulk == 0)
+		return left > 1 || slots <= 1;
+	return left > 1 && (bulk + 1) * 100 <= slots * set->bulk_percent;
+}
+
+static bool
+bulk_fits(const struct pick_set *set, const struct pick_backend *b)
+{
+	return b->inflight_bulk == 0 ||
+	    (b->inflight_bulk + 1) * 100 <= b->slots * set->bulk_percent;
+}
+
+static int
+choose(const struct pick_set *set, enum obj_class cls,
+    const struct pick_backend *avoid, int64_t now, const struct rnd *rnd)
+{
+	const struct pick_backend *b;
+	int64_t c, best_cost = INT64_MAX;
+	unsigned i, at, from;
+	int best = PICK_NONE;
+
+	if (set->n == 0 || (cls == CLASS_BULK && !bulk_may(set, now)))
+		return PICK_NONE;
+	from = (unsigned)rnd_below(rnd, set->n);
+	for (i = 0; i < set->n; i++) {
+		at = (from + i) % set->n;
+		b = set->v[at];
+		if (pick_free(b, now) == 0 ||
+		    (cls == CLASS_BULK && !bulk_fits(set, b)))
+			continue;
+		c = cost(b, now);
+		if (b == avoid)
+			c = INT64_MAX - 1;
+		if (c < best_cost) {
+			best_cost = c;
+			best = (int)at;
+		}
+	}
+	return best;
+}
--- /dev/null
+++ b/plat.h
@@ -0,0 +1,93 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef PLAT_H
+#define PLAT_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "str.h"
+
+/*
+ * The platform's object API behind one interface, so that another wire form
+ * can be put in its place.  Objects have a kind, a name, a version that
+ * grows with every write, and a JSON value.
+ */
+enum plat_op {
+	PLAT_LIST,   /* all objects of the kinds; complete at a revision */
+	PLAT_GET,    /* one object */
+	PLAT_CREATE, /* only if it is not there */
+	PLAT_UPDATE, /* only if it has the version given */
+	PLAT_DELETE, /* only if it has the version given */
+	PLAT_WATCH,  /* changes since a revision; waits for one */
+	PLAT_BOXES   /* the list of boxes */
+};
+
+enum plat_result {
+	PLAT_OK,
+	PLAT_CONFLICT, /* the condition did not hold; the object is given */
+	PLAT_NONE,     /* no such object */
+	PLAT_TOO_OLD,  /* the watch's revision is no longer kept */
+	PLAT_UNSURE,   /* sent; whether it took effect is not known */
+	PLAT_DOWN,     /* not sent, or refused without effect */
+	PLAT_BAD       /* the platform says the call is wrong */
+};
+
+struct plat_request {
+	enum plat_op op;
+	struct str kind; /* or kinds, joined by commas, for list and watch */
+	struct str name;
+	uint64_t version; /* update, delete: condition; watch: since */
+	const json_t *value;
+	int64_t timeout_ms;
+	int64_t wait_ms; /* watch: how long to wait for a change */
+};
+
+/* The answer; `body` is borrowed and may be NULL. */
+typedef void plat_done_fn(void *, enum plat_result, json_t *body);
+
+struct plat_call;
+
+struct plat {
+	struct plat_call *(*start)(
+	    void *, const struct plat_request *, plat_done_fn *, void *);
+	void (*cancel)(void *, struct plat_call *);
+	void *ctx;
+	uint64_t calls; /* started since the beginning */
+};
+
+static inline struct plat_call *
+plat_start(struct plat *p, const struct plat_request *rq, plat_done_fn *done,
+    void *ctx)
+{
+	p->calls++;
+	return p->start(p->ctx, rq, done, ctx);
+}
+
+static inline void
+plat_cancel(struct plat *p, struct plat_call *call)
+{
+	p->cancel(p->ctx, call);
+}
+
+const char *plat_result_name(enum plat_result);
+
+/* A client that speaks HTTP and JSON, as fernplatform(7) describes. */
+struct up;
+struct tmr;
+struct clk;
+struct plat *plat_http_open(
+    struct up *, struct tmr *, const struct clk *, struct str address);
+void plat_http_close(struct plat *);
+
+#endif
--- /dev/null
+++ b/regress/standin_proxy.c
@@ -0,0 +1,325 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+/*
+ * A TCP proxy that injects faults.
+ *
+ *	standin_proxy LISTEN TARGET CONTROL
+ *	POST /standin/set?mode=M&delay_ms=N&bytes=N	on the control address
+ *
+ * Modes: pass; cut (all connections are reset, new ones too); blackhole
+ * (connections stand, nothing goes through); freeze (as blackhole, but what
+ * came meanwhile goes through later); truncate (connections are reset after
+ * so many bytes from the target); drop_answers (what callers send goes
+ * through, and the connection is reset in place of the first answer).
+ */
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "field.h"
+#include "hsrv.h"
+#include "tmr.h"
+
+enum mode {
+	M_PASS,
+	M_CUT,
+	M_BLACKHOLE,
+	M_FREEZE,
+	M_TRUNCATE,
+	M_DROP_ANSWERS,
+	M_MAX
+};
+
+static const char *const mode_names[M_MAX] = {
+    "pass", "cut", "blackhole", "freeze", "truncate", "drop_answers"};
+
+/* One direction's end of a connection. */
+struct end {
+	uv_tcp_t tcp;
+	struct conn *conn;
+	struct end *other;
+	bool target; /* towards the target */
+};
+
+struct conn {
+	struct end ends[2];
+	uv_connect_t connect;
+	uint64_t answered; /* bytes from the target */
+	int open;	   /* handles that are not closed yet */
+	int parcels;	   /* parcels under way */
+	bool closing;
+	GList link;
+};
+
+/* Bytes on their way, perhaps held back. */
+struct parcel {
+	struct tmr_item timer;
+	uv_write_t write;
+	struct end *to;
+	char *bytes;
+	size_t n;
+	bool is_end;
+};
+
+static struct {
+	uv_loop_t *loop;
+	struct tmr tmr;
+	uv_tcp_t listener;
+	struct sockaddr_storage target;
+	enum mode mode;
+	int64_t delay_ms;
+	uint64_t bytes, connections;
+	GQueue conns, frozen; /* struct conn *, struct parcel * */
+} st;
+
+static void conn_close(struct conn *, bool);
+static void deliver(void *);
+
+static void
+conn_free_if_done(struct conn *c)
+{
+	if (c->open > 0 || c->parcels > 0)
+		return;
+	g_queue_unlink(&st.conns, &c->link);
+	g_free(c);
+}
+
+static void
+on_close(uv_handle_t *h)
+{
+	struct end *e = h->data;
+
+	e->conn->open--;
+	conn_free_if_done(e->conn);
+}
+
+static void
+conn_close(struct conn *c, bool reset)
+{
+	int i;
+
+	if (c->closing)
+		return;
+	c->closing = true;
+	for (i = 0; i < 2; i++) {
+		if (!reset ||
+		    uv_tcp_close_reset(&c->ends[i].tcp, on_close) != 0)
+			uv_close((uv_handle_t *)&c->ends[i].tcp, on_close);
+	}
+}
+
+static void
+parcel_free(struct parcel *p)
+{
+	struct conn *c = p->to->conn;
+
+	g_free(p->bytes);
+	g_free(p);
+	c->parcels--;
+	conn_free_if_done(c);
+}
+
+static void
+on_written(uv_write_t *wr, int status)
+{
+	(void)status;
+	parcel_free(wr->data);
+}
+
+static void
+deliver(void *ctx)
+{
+	struct parcel *p = ctx;
+	uv_buf_t buf = uv_buf_init(p->bytes, (unsigned)p->n);
+
+	if (st.mode == M_FREEZE) {
+		g_queue_push_tail(&st.frozen, p);
+		return;
+	}
+	if (p->to->conn->closing || st.mode == M_BLACKHOLE) {
+		parcel_free(p);
+		return;
+	}
+	if (p->is_end) {
+		struct conn *c = p->to->conn;
+
+		conn_close(c, false);
+		parcel_free(p);
+		return;
+	}
+	p->write.data = p;
+	if (uv_write(&p->write, (uv_stream_t *)&p->to->tcp, &buf, 1,
+		on_written) != 0)
+		parcel_free(p);
+}
+
+static void
+ship(struct end *to, const char *bytes, size_t n, bool is_end)
+{
+	struct parcel *p = g_new0(struct parcel, 1);
+
+	p->to = to;
+	p->bytes = g_memdup2(bytes, n);
+	p->n = n;
+	p->is_end = is_end;
+	to->conn->parcels++;
+	if (st.delay_ms == 0)
+		deliver(p);
+	else
+		tmr_set(&st.tmr, &p->timer,
+		    clk_ns(clk_system()) + st.delay_ms * NS_MS, deliver, p);
+}
+
+static void
+on_alloc(uv_handle_t *h, size_t size, uv_buf_t *buf)
+{
+	(void)h;
+	*buf = uv_buf_init(g_malloc(size), (unsigned)size);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct end *e = stream->data;
+	struct conn *c = e->conn;
+	size_t len = n > 0 ? (size_t)n : 0;
+
+	if (n < 0) {
+		uv_read_stop(stream);
+		ship(e->other, NULL, 0, true);
+	} else if (n > 0 && e->target && st.mode == M_DROP_ANSWERS) {
+		conn_close(c, true);
+	} else if (n > 0 && e->target && st.mode == M_TRUNCATE &&
+	    c->answered + len >= st.bytes) {
+		conn_close(c, true);
+	} else if (n > 0) {
+		if (e->target)
+			c->answered += len;
+		ship(e->other, buf->base, len, false);
+	}
+	g_free(buf->base);
+}
+
+static void
+on_connected(uv_connect_t *rq, int status)
+{
+	struct conn *c = rq->data;
+
+	if (status != 0) {
+		conn_close(c, true);
+		return;
+	}
+	uv_read_start((uv_stream_t *)&c->ends[0].tcp, on_alloc, on_read);
+	uv_read_start((uv_stream_t *)&c->ends[1].tcp, on_alloc, on_read);
+}
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+	struct conn *c = g_new0(struct conn, 1);
+	int i;
+
+	(void)status;
+	st.connections++;
+	for (i = 0; i < 2; i++) {
+		uv_tcp_init(st.loop, &c->ends[i].tcp);
+		uv_tcp_nodelay(&c->ends[i].tcp, 1);
+		c->ends[i].tcp.data = &c->ends[i];
+		c->ends[i].conn = c;
+		c->ends[i].other = &c->ends[1 - i];
+	}
+	c->ends[1].target = true;
+	c->open = 2;
+	c->link.data = c;
+	g_queue_push_tail_link(&st.conns, &c->link);
+	if (uv_accept(listener, (uv_stream_t *)&c->ends[0].tcp) != 0 ||
+	    st.mode == M_CUT) {
+		conn_close(c, true);
+		return;
+	}
+	c->connect.data = c;
+	uv_tcp_connect(&c->connect, &c->ends[1].tcp,
+	    (struct sockaddr *)&st.target, on_connected);
+}
+
+static void
+set_mode(enum mode mode)
+{
+	GList *at, *next;
+	struct parcel *p;
+
+	st.mode = mode;
+	if (mode == M_CUT) {
+		for (at = st.conns.head; at != NULL; at = next) {
+			next = at->next;
+			conn_close(at->data, true);
+		}
+	}
+	while (mode != M_FREEZE && (p = g_queue_pop_head(&st.frozen)) != NULL)
+		deliver(p);
+}
+
+static void
+on_control(void *ctx, h2o_req_t *req)
+{
+	struct str mode = hsrv_query(req, "mode");
+	unsigned long long v;
+	char text[80];
+	int i, n;
+
+	(void)ctx;
+	if (str_u64(hsrv_query(req, "delay_ms"), &v))
+		st.delay_ms = (int64_t)v;
+	if (str_u64(hsrv_query(req, "bytes"), &v))
+		st.bytes = v;
+	for (i = 0; i < M_MAX; i++)
+		if (str_eq(mode, str_c(mode_names[i])))
+			set_mode((enum mode)i);
+	n = snprintf(text, sizeof(text), "{\"connections\":%llu,\"open\":%u}\n",
+	    (unsigned long long)st.connections, st.conns.length);
+	hsrv_answer(req, 200, "application/json", str_n(text, (size_t)n));
+}
+
+static bool
+to_sockaddr(const char *address, struct sockaddr_storage *sa)
+{
+	char ip[INET6_ADDRSTRLEN];
+	uint16_t port;
+
+	return field_address(str_c(address), ip, sizeof(ip), &port) &&
+	    uv_ip4_addr(ip, port, (struct sockaddr_in *)sa) == 0;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct sockaddr_storage sa;
+	GError *err = NULL;
+
+	if (argc != 4 || !to_sockaddr(argv[1], &sa) ||
+	    !to_sockaddr(argv[2], &st.target)) {
+		fprintf(stderr, "usage: standin_proxy LISTEN TARGET CONTROL\n");
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	st.loop = uv_default_loop();
+	tmr_open(&st.tmr, st.loop, clk_system());
+	uv_tcp_init(st.loop, &st.listener);
+	if (uv_tcp_bind(&st.listener, (struct sockaddr *)&sa, 0) != 0 ||
+	    uv_listen((uv_stream_t *)&st.listener, 1024, on_connection) != 0 ||
+	    hsrv_open(st.loop, str_c(argv[3]), 4096, on_control, NULL, &err) ==
+		NULL) {
+		fprintf(stderr, "standin_proxy: cannot listen\n");
+		return 1;
+	}
+	return uv_run(st.loop, UV_RUN_DEFAULT);
+}
--- /dev/null
+++ b/route.c
@@ -0,0 +1,280 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <glib.h>
+#include <stdlib.h>
+#include <strings.h>
+
+#include "route.h"
+
+struct route_table {
+	GPtrArray *services; /* struct route_service * */
+	GPtrArray *rules;    /* struct route_rule *, in order of matching */
+	GPtrArray *backends; /* struct obj *, sorted by name */
+	GPtrArray *objects;  /* struct obj *: our references */
+};
+
+static void collect(void *, const struct conf_entry *);
+static void fill(struct route_table *, struct route_service *);
+static struct route_hall *hall_of(struct route_service *, struct str);
+static int by_specificity(const void *, const void *);
+static int by_name(const void *, const void *);
+static bool rule_takes(
+    const struct obj_rule *, const struct route_query *);
+
+static int
+str_cmp(struct str a, struct str b)
+{
+	int c = memcmp(a.p, b.p, MIN(a.n, b.n));
+
+	return c != 0 ? c : (a.n > b.n) - (a.n < b.n);
+}
+
+static void
+service_free(void *p)
+{
+	struct route_service *s = p;
+	unsigned i;
+
+	for (i = 0; i < s->nhalls; i++)
+		g_free(s->halls[i].backends);
+	g_free(s->halls);
+	g_free(s);
+}
+
+static void
+collect(void *ctx, const struct conf_entry *e)
+{
+	struct route_table *t = ctx;
+	struct route_service *s;
+	struct route_rule *r;
+	struct obj *o = e->obj;
+
+	if (o == NULL)
+		return;
+	g_ptr_array_add(t->objects, obj_ref(o));
+	switch (o->kind) {
+	case OBJ_BACKEND:
+		g_ptr_array_add(t->backends, o);
+		break;
+	case OBJ_SERVICE:
+		s = g_new0(struct route_service, 1);
+		s->name = o->name;
+		s->obj = &o->u.service;
+		g_ptr_array_add(t->services, s);
+		break;
+	case OBJ_RULE:
+		r = g_new0(struct route_rule, 1);
+		r->name = o->name;
+		r->obj = &o->u.rule;
+		g_ptr_array_add(t->rules, r);
+		break;
+	default:
+		break;
+	}
+}
+
+static struct route_hall *
+hall_of(struct route_service *s, struct str hall)
+{
+	struct route_hall *h;
+	unsigned i;
+
+	for (i = 0; i < s->nhalls; i++)
+		if (str_eq(s->halls[i].hall, hall))
+			return &s->halls[i];
+	s->halls = g_renew(struct route_hall, s->halls, s->nhalls + 1);
+	h = &s->halls[s->nhalls++];
+	*h = (struct route_hall){.hall = hall};
+	return h;
+}
+
+static void
+fill(struct route_table *t, struct route_service *s)
+{
+	const struct obj *o;
+	const struct obj_backend *b;
+	struct route_hall *h;
+	guint i;
+
+	for (i = 0; i < t->backends->len; i++) {
+		o = g_ptr_array_index(t->backends, i);
+		b = &o->u.backend;
+		if (!sel_match(s->obj->select, b->labels))
+			continue;
+		h = hall_of(s, b->hall);
+		h->backends =
+		    g_renew(struct disp_backend, h->backends, h->n + 1);
+		h->backends[h->n++] = (struct disp_backend){
+		    o->name, b->address, (int)b->slots, b->drain};
+		h->slots += (int)b->slots;
+		s->slots += (int)b->slots;
+	}
+}
+
+static int
+by_name(const void *pa, const void *pb)
+{
+	const struct obj *const *a = pa, *const *b = pb;
+
+	return str_cmp((*a)->name, (*b)->name);
+}
+
+static int
+by_specificity(const void *pa, const void *pb)
+{
+	const struct route_rule *const *pra = pa, *const *prb = pb;
+	const struct obj_rule *a = (*pra)->obj, *b = (*prb)->obj;
+
+	if ((a->host.n > 0) != (b->host.n > 0))
+		return a->host.n > 0 ? -1 : 1;
+	if (a->path.n != b->path.n)
+		return a->path.n > b->path.n ? -1 : 1;
+	if ((a->header.n > 0) != (b->header.n > 0))
+		return a->header.n > 0 ? -1 : 1;
+	if ((a->method.n > 0) != (b->method.n > 0))
+		return a->method.n > 0 ? -1 : 1;
+	return str_cmp((*pra)->name, (*prb)->name);
+}
+
+struct route_table *
+route_build(const struct conf *conf)
+{
+	struct route_table *t = g_new0(struct route_table, 1);
+	struct route_rule *r;
+	guint i;
+
+	t->services = g_ptr_array_new_with_free_func(service_free);
+	t->rules = g_ptr_array_new_with_free_func(g_free);
+	t->backends = g_ptr_array_new();
+	t->objects = g_ptr_array_new_with_free_func((GDestroyNotify)obj_free);
+	conf_each(conf, collect, t);
+	g_ptr_array_sort(t->backends, by_name);
+	g_ptr_array_sort(t->rules, by_specificity);
+	for (i = 0; i < t->services->len; i++)
+		fill(t, g_ptr_array_index(t->services, i));
+	for (i = 0; i < t->rules->len; i++) {
+		r = g_ptr_array_index(t->rules, i);
+		r->service = route_service(t, r->obj->service);
+	}
+	return t;
+}
+
+void
+route_free(struct route_table *t)
+{
+	if (t == NULL)
+		return;
+	g_ptr_array_free(t->services, TRUE);
+	g_ptr_array_free(t->rules, TRUE);
+	g_ptr_array_free(t->backends, TRUE);
+	g_ptr_array_free(t->objects, TRUE);
+	g_free(t);
+}
+
+static bool
+eq_nocase(struct str a, struct str b)
+{
+	return a.n == b.n && strncasecmp(a.p, b.p, a.n) == 0;
+}
+
+/* A prefix ends at a slash, so that "/a" does not take "/ab". */
+static bool
+path_takes(struct str prefix, struct str path)
+{
+	if (!str_starts(path, prefix))
+		return false;
+	return path.n == prefix.n || prefix.p[prefix.n - 1] == '/' ||
+	    path.p[prefix.n] == '/' || path.p[prefix.n] == '?';
+}
+
+static bool
+header_takes(struct str wanted, const struct route_query *q)
+{
+	const char *colon = memchr(wanted.p, ':', wanted.n);
+	struct str name = str_n(wanted.p, (size_t)(colon - wanted.p));
+	struct str value = str_n(colon + 1, wanted.n - name.n - 1);
+
+	while (value.n > 0 && value.p[0] == ' ')
+		value = str_n(value.p + 1, value.n - 1);
+	return str_eq(q->header(q->ctx, name), value);
+}
+
+static bool
+rule_takes(const struct obj_rule *r, const struct route_query *q)
+{
+	if (r->host.n > 0 && !eq_nocase(r->host, q->host))
+		return false;
+	if (r->method.n > 0 && !str_eq(r->method, q->method))
+		return false;
+	if (!path_takes(r->path, q->path))
+		return false;
+	return r->header.n == 0 || header_takes(r->header, q);
+}
+
+const struct route_rule *
+route_match(const struct route_table *t, const struct route_query *q)
+{
+	const struct route_rule *r;
+	guint i;
+
+	for (i = 0; i < t->rules->len; i++) {
+		r = g_ptr_array_index(t->rules, i);
+		if (rule_takes(r->obj, q))
+			return r;
+	}
+	return NULL;
+}
+
+const struct route_service *
+route_service(const struct route_table *t, struct str name)
+{
+	const struct route_service *s;
+	guint i;
+
+	for (i = 0; i < t->services->len; i++) {
+		s = g_ptr_array_index(t->services, i);
+		if (str_eq(s->name, name))
+			return s;
+	}
+	return NULL;
+}
+
+const struct route_hall *
+route_hall(const struct route_service *s, struct str hall)
+{
+	unsigned i;
+
+	for (i = 0; i < s->nhalls; i++)
+		if (str_eq(s->halls[i].hall, hall))
+			return &s->halls[i];
+	return NULL;
+}
+
+void
+route_each(const struct route_table *t, route_visit_fn *visit, void *ctx)
+{
+	guint i;
+
+	for (i = 0; i < t->services->len; i++)
+		visit(ctx, g_ptr_array_index(t->services, i));
+}
+
+bool
+route_repeatable(const struct obj_rule *r, struct str method, bool has_key)
+{
+	if (has_key || r->repeatable == REPEATABLE_NO)
+		return false;
+	if (r->repeatable == REPEATABLE_YES)
+		return true;
+	return str_eq(method, STR_LIT("GET")) ||
+	    str_eq(method, STR_LIT("HEAD")) ||
+	    str_eq(method, STR_LIT("OPTIONS"));
+}
--- /dev/null
+++ b/set.h
@@ -0,0 +1,43 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef SET_H
+#define SET_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "field.h"
+
+/*
+ * Load a settings file into a struct by a table of its keys.  Messages tell
+ * file, line, key, what was found and what is allowed.
+ */
+bool set_load(
+    const char *file, const struct field *, size_t, void *, GError **);
+
+/* What the command line of a daemon says. */
+struct set_args {
+	char *settings; /* the settings file */
+	bool check;	/* check the settings and exit */
+	bool quiet;	/* no decision lines */
+};
+
+/*
+ * Read the command line of a daemon by argtable.  Answers --help and
+ * --version itself.  Returns false if the program should end, with *status
+ * as its exit status.
+ */
+bool set_parse_args(int argc, char **argv, const char *program, const char *about,
+    struct set_args *, int *status);
+
+#define SET_VERSION "0.1.0"
+
+#endif
--- /dev/null
+++ b/slog.c
@@ -0,0 +1,189 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <poll.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "slog.h"
+
+enum {
+	RING_SIZE = 1 << 20,
+	LINE_MAX_LEN = 512,
+	CHUNK = 4096, /* POLLOUT promises PIPE_BUF bytes on a pipe */
+	HEAD_LEN = 40
+};
+
+static GLogWriterOutput writer(
+    GLogLevelFlags, const GLogField *, gsize, gpointer);
+static void emit(GLogLevelFlags, enum slog_part, const char *, va_list);
+static void ring_put(const char *, size_t);
+static bool ring_write(void);
+
+static const char *const prefixes[SLOG_PART_MAX] = {
+    [SLOG_GATE] = "gate",
+    [SLOG_ROUTE] = "route",
+    [SLOG_PICK] = "pick",
+    [SLOG_CLAIM] = "claim",
+    [SLOG_CONF] = "conf",
+    [SLOG_PEER] = "peer",
+    [SLOG_PROBE] = "probe",
+    [SLOG_WATCH] = "watch",
+    [SLOG_AGENT] = "agent",
+    [SLOG_STANDIN] = "standin",
+};
+
+/* One process writes one log, so the ring is the process's own. */
+static struct {
+	const struct clk *clk;
+	bool quiet;
+	size_t head, used;
+	uint64_t dropped, said;
+	char bytes[RING_SIZE];
+} ring;
+
+static void
+ring_put(const char *p, size_t n)
+{
+	size_t at, first;
+
+	if (n > RING_SIZE - ring.used) {
+		ring.dropped++;
+		return;
+	}
+	at = (ring.head + ring.used) % RING_SIZE;
+	first = MIN(n, RING_SIZE - at);
+	memcpy(ring.bytes + at, p, first);
+	memcpy(ring.bytes, p + first, n - first);
+	ring.used += n;
+}
+
+/* Write one chunk if that cannot block; false if nothing was written. */
+static bool
+ring_write(void)
+{
+	struct pollfd pfd = {STDERR_FILENO, POLLOUT, 0};
+	size_t n = MIN(MIN(ring.used, RING_SIZE - ring.head), CHUNK);
+	ssize_t done;
+
+	if (n == 0 || poll(&pfd, 1, 0) != 1 || !(pfd.revents & POLLOUT))
+		return false;
+	done = write(STDERR_FILENO, ring.bytes + ring.head, n);
+	if (done <= 0)
+		return false;
+	ring.head = (ring.head + (size_t)done) % RING_SIZE;
+	ring.used -= (size_t)done;
+	return true;
+}
+
+/* The line's head: seconds and milliseconds since 1970, and the part. */
+static GLogWriterOutput
+writer(GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
+{
+	char line[LINE_MAX_LEN + HEAD_LEN];
+	const char *part = "glib", *text = "";
+	int64_t ms = clk_wall_ms(ring.clk);
+	gsize i;
+	int len;
+
+	(void)data;
+	(void)level;
+	for (i = 0; i < n; i++) {
+		if (strcmp(fields[i].key, "FERN_PART") == 0)
+			part = fields[i].value;
+		else if (strcmp(fields[i].key, "MESSAGE") == 0)
+			text = fields[i].value;
+	}
+	len = snprintf(line, sizeof(line), "%lld.%03d %s: %s\n",
+	    (long long)(ms / 1000), (int)(ms % 1000), part, text);
+	if (len >= (int)sizeof(line)) {
+		len = sizeof(line) - 1;
+		line[len - 1] = '\n';
+	}
+	ring_put(line, (size_t)len);
+	return G_LOG_WRITER_HANDLED;
+}
+
+void
+slog_open(const struct clk *clk, bool quiet)
+{
+	ring.clk = clk;
+	ring.quiet = quiet;
+	g_log_set_writer_func(writer, NULL, NULL);
+}
+
+static void
+emit(GLogLevelFlags level, enum slog_part part, const char *fmt, va_list ap)
+{
+	char text[LINE_MAX_LEN];
+	const GLogField fields[] = {
+	    {"FERN_PART", prefixes[part], -1},
+	    {"MESSAGE", text, -1},
+	};
+
+	if (ring.clk == NULL)
+		return;
+	vsnprintf(text, sizeof(text), fmt, ap);
+	g_log_structured_array(level, fields, G_N_ELEMENTS(fields));
+}
+
+void
+slog(enum slog_part part, const char *fmt, ...)
+{
+	va_list ap;
+
+	va_start(ap, fmt);
+	emit(G_LOG_LEVEL_MESSAGE, part, fmt, ap);
+	va_end(ap);
+}
+
+void
+slog_decision(enum slog_part part, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (ring.quiet)
+		return;
+	va_start(ap, fmt);
+	emit(G_LOG_LEVEL_INFO, part, fmt, ap);
+	va_end(ap);
+}
+
+void
+slog_flush(void)
+{
+	uint64_t lost = ring.dropped - ring.said;
+
+	while (ring.used > 0 && ring_write())
+		;
+	if (lost > 0 && ring.used < RING_SIZE / 2) {
+		ring.said = ring.dropped;
+		slog(SLOG_GATE, "Dropped %llu log lines under pressure.",
+		    (unsigned long long)lost);
+	}
+}
+
+void
+slog_close(void)
+{
+	struct pollfd pfd = {STDERR_FILENO, POLLOUT, 0};
+
+	while (ring.used > 0)
+		if (!ring_write() && poll(&pfd, 1, 100) <= 0)
+			return;
+}
+
+uint64_t
+slog_dropped(void)
+{
+	return ring.dropped;
+}
--- /dev/null
+++ b/slog.h
@@ -0,0 +1,59 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef SLOG_H
+#define SLOG_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "clk.h"
+
+/*
+ * Structured logging by GLib through a writer of ours: lines go into a
+ * ring in memory and from there to standard error, without ever blocking
+ * the loop.  Lines that find the ring full are counted and said later.
+ */
+
+/* The parts of the system; each has one fixed prefix in the log. */
+enum slog_part {
+	SLOG_GATE,
+	SLOG_ROUTE,
+	SLOG_PICK,
+	SLOG_CLAIM,
+	SLOG_CONF,
+	SLOG_PEER,
+	SLOG_PROBE,
+	SLOG_WATCH,
+	SLOG_AGENT,
+	SLOG_STANDIN,
+	SLOG_PART_MAX
+};
+
+/* Install the writer.  `quiet` keeps back debug and decision lines. */
+void slog_open(const struct clk *, bool quiet);
+
+/* Write one line; a few microseconds, no allocation, never blocks. */
+void slog(enum slog_part, const char *, ...) G_GNUC_PRINTF(2, 3);
+
+/* Write one line for a routing or placement decision. */
+void slog_decision(enum slog_part, const char *, ...) G_GNUC_PRINTF(2, 3);
+
+/* Hand what the ring holds to the system, as far as it takes it now. */
+void slog_flush(void);
+
+/* Flush and wait until all is written; for the end of a process. */
+void slog_close(void);
+
+/* Lines dropped since the start. */
+uint64_t slog_dropped(void);
+
+#endif
--- /dev/null
+++ b/sync.c
@@ -0,0 +1,319 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "err.h"
+#include "slog.h"
+#include "sync.h"
+
+enum {
+	OBJECTS_PER_MESSAGE = 128,
+	OBJECTS_PER_ENTRY = 2 /* the one in force and the rejected one */
+};
+
+/* Objects on their way out, a message at a time. */
+struct batch {
+	struct sync *sync;
+	struct str to;
+	GArray *objects; /* struct msg_object */
+	GPtrArray *texts;
+};
+
+/* What goes on while versions of some buckets are gathered. */
+struct gather {
+	const struct sync *sync;
+	uint64_t buckets;
+	GArray *versions; /* struct msg_version */
+};
+
+static void send_buckets(struct sync *, struct str);
+static void send_versions(struct sync *, struct str, uint64_t);
+static void take_buckets(struct sync *, const struct msg *);
+static void take_versions(struct sync *, const struct msg *);
+static void take_want(struct sync *, const struct msg *);
+static void take_objects(struct sync *, const struct msg *);
+static void batch_open(struct batch *, struct sync *, struct str);
+static void batch_add(struct batch *, const struct conf_entry *);
+static void batch_flush(struct batch *);
+static void batch_close(struct batch *);
+
+static void
+post(struct sync *s, struct str to, const struct msg *m)
+{
+	s->messages++;
+	s->send(s->ctx, to, m);
+}
+
+void
+sync_compare(struct sync *s, struct str from, uint64_t digest, uint64_t floor)
+{
+	if (digest != conf_digest(s->conf))
+		send_buckets(s, from);
+	else if (floor > conf_floor(s->conf))
+		conf_raise_floor(s->conf, floor);
+}
+
+static void
+send_buckets(struct sync *s, struct str to)
+{
+	struct msg_u64 digests[CONF_BUCKETS];
+	struct msg m = {.kind = MSG_BUCKETS};
+	unsigned i;
+
+	for (i = 0; i < CONF_BUCKETS; i++)
+		digests[i].v = conf_bucket_digest(s->conf, i);
+	m.u.buckets.digests.items = digests;
+	m.u.buckets.digests.n = CONF_BUCKETS;
+	post(s, to, &m);
+}
+
+static void
+take_buckets(struct sync *s, const struct msg *m)
+{
+	const struct msg_list *list = &m->u.buckets.digests;
+	const struct msg_u64 *digests = list->items;
+	uint64_t differ = 0;
+	unsigned i;
+
+	if (list->n != CONF_BUCKETS)
+		return;
+	for (i = 0; i < CONF_BUCKETS; i++)
+		if (digests[i].v != conf_bucket_digest(s->conf, i))
+			differ |= UINT64_C(1) << i;
+	if (differ != 0)
+		send_versions(s, m->from, differ);
+}
+
+static void
+gather_version(void *ctx, const struct conf_entry *e)
+{
+	struct gather *g = ctx;
+	struct msg_version v = {
+	    e->key, e->version, e->bad_version, e->hash};
+
+	if (g->buckets >> conf_bucket(e->key) & 1)
+		g_array_append_val(g->versions, v);
+}
+
+static void
+send_versions(struct sync *s, struct str to, uint64_t buckets)
+{
+	struct gather g = {s, buckets, NULL};
+	struct msg m = {.kind = MSG_VERSIONS};
+
+	g.versions = g_array_new(FALSE, FALSE, sizeof(struct msg_version));
+	conf_each(s->conf, gather_version, &g);
+	m.u.versions.buckets = buckets;
+	m.u.versions.versions.items = g.versions->data;
+	m.u.versions.versions.n = g.versions->len;
+	post(s, to, &m);
+	g_array_free(g.versions, TRUE);
+}
+
+static void
+batch_open(struct batch *b, struct sync *s, struct str to)
+{
+	b->sync = s;
+	b->to = to;
+	b->objects = g_array_new(FALSE, FALSE, sizeof(struct msg_object));
+	b->texts = g_ptr_array_new_with_free_func(free);
+}
+
+static void
+batch_put(struct batch *b, struct str key, uint64_t version, bool deleted,
+    const json_t *spec)
+{
+	char *text = spec == NULL ? NULL : json_dumps(spec, JSON_COMPACT);
+	struct msg_object o = {key, version, deleted, str_c(text)};
+
+	if (text != NULL)
+		g_ptr_array_add(b->texts, text);
+	g_array_append_val(b->objects, o);
+}
+
+static void
+batch_add(struct batch *b, const struct conf_entry *e)
+{
+	if (e->version > 0)
+		batch_put(b, e->key, e->version, e->deleted, e->spec);
+	if (e->bad_version > 0)
+		batch_put(b, e->key, e->bad_version, false, e->bad_spec);
+	if (b->objects->len + OBJECTS_PER_ENTRY > OBJECTS_PER_MESSAGE)
+		batch_flush(b);
+}
+
+static void
+batch_flush(struct batch *b)
+{
+	struct msg m = {.kind = MSG_OBJECTS};
+
+	if (b->objects->len == 0)
+		return;
+	m.u.objects.objects.items = b->objects->data;
+	m.u.objects.objects.n = b->objects->len;
+	post(b->sync, b->to, &m);
+	g_array_set_size(b->objects, 0);
+	g_ptr_array_set_size(b->texts, 0);
+}
+
+static void
+batch_close(struct batch *b)
+{
+	batch_flush(b);
+	g_array_free(b->objects, TRUE);
+	g_ptr_array_free(b->texts, TRUE);
+}
+
+/* Offer the peer all of its buckets that it did not list. */
+struct missing {
+	struct batch *batch;
+	GHashTable *listed;
+	uint64_t buckets;
+};
+
+static void
+add_missing(void *ctx, const struct conf_entry *e)
+{
+	struct missing *mi = ctx;
+
+	if ((mi->buckets >> conf_bucket(e->key) & 1) &&
+	    !g_hash_table_contains(mi->listed, e->key.p))
+		batch_add(mi->batch, e);
+}
+
+/* Compare one version of the peer's; true if its object is wanted. */
+static bool
+compare_version(struct sync *s, struct batch *b, const struct msg_version *v)
+{
+	const struct conf_entry *e = conf_get(s->conf, v->key);
+
+	if (e == NULL && MAX(v->version, v->bad_version) <= conf_floor(s->conf)) {
+		if (v->hash != 0)
+			batch_put(b, v->key, conf_floor(s->conf), true, NULL);
+		return false;
+	}
+	if (e == NULL)
+		return true;
+	if (e->hash == v->hash && v->hash != 0)
+		return false;
+	if (e->version > v->version || e->bad_version > v->bad_version)
+		batch_add(b, e);
+	return v->version > e->version ||
+	    v->bad_version > MAX(e->bad_version, e->version) ||
+	    (v->version == e->version && v->version > 0);
+}
+
+static void
+take_versions(struct sync *s, const struct msg *m)
+{
+	const struct msg_list *list = &m->u.versions.versions;
+	const struct msg_version *v = list->items;
+	struct msg want = {.kind = MSG_WANT};
+	struct missing mi;
+	struct batch b;
+	GArray *keys = g_array_new(FALSE, FALSE, sizeof(struct msg_key));
+	size_t i;
+
+	batch_open(&b, s, m->from);
+	mi.batch = &b;
+	mi.buckets = m->u.versions.buckets;
+	mi.listed =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (i = 0; i < list->n; i++) {
+		struct msg_key k = {v[i].key};
+
+		g_hash_table_add(mi.listed, g_strndup(k.key.p, k.key.n));
+		if (compare_version(s, &b, &v[i]))
+			g_array_append_val(keys, k);
+	}
+	conf_each(s->conf, add_missing, &mi);
+	batch_close(&b);
+	want.u.want.keys.items = keys->data;
+	want.u.want.keys.n = keys->len;
+	if (keys->len > 0)
+		post(s, m->from, &want);
+	g_hash_table_destroy(mi.listed);
+	g_array_free(keys, TRUE);
+}
+
+static void
+take_want(struct sync *s, const struct msg *m)
+{
+	const struct msg_list *list = &m->u.want.keys;
+	const struct msg_key *keys = list->items;
+	const struct conf_entry *e;
+	struct batch b;
+	size_t i;
+
+	batch_open(&b, s, m->from);
+	for (i = 0; i < list->n; i++) {
+		e = conf_get(s->conf, keys[i].key);
+		if (e != NULL)
+			batch_add(&b, e);
+	}
+	batch_close(&b);
+}
+
+static void
+take_objects(struct sync *s, const struct msg *m)
+{
+	const struct msg_list *list = &m->u.objects.objects;
+	const struct msg_object *o = list->items;
+	enum conf_result got;
+	GError *err = NULL;
+	json_t *spec;
+	size_t i;
+
+	for (i = 0; i < list->n; i++) {
+		spec = o[i].deleted ? NULL
+				    : json_loadb(o[i].spec.p, o[i].spec.n, 0, NULL);
+		if (!o[i].deleted && spec == NULL)
+			continue;
+		got = conf_offer(s->conf, o[i].key, o[i].version, o[i].deleted,
+		    spec, m->from, &err);
+		json_decref(spec);
+		if (err != NULL)
+			slog(SLOG_CONF, "Refused an object: %s.", err->message);
+		else if (got == CONF_REJECTED)
+			slog(SLOG_CONF, "Rejected %.*s version %llu from a peer.",
+			    STR_ARG(o[i].key), (unsigned long long)o[i].version);
+		g_clear_error(&err);
+	}
+}
+
+void
+sync_take(struct sync *s, const struct msg *m)
+{
+	switch (m->kind) {
+	case MSG_BUCKETS:
+		take_buckets(s, m);
+		break;
+	case MSG_VERSIONS:
+		take_versions(s, m);
+		break;
+	case MSG_WANT:
+		take_want(s, m);
+		break;
+	case MSG_OBJECTS:
+		take_objects(s, m);
+		break;
+	default:
+		break;
+	}
+}
+
+void
+sync_push(struct sync *s, struct str to, const struct conf_entry *e)
+{
+	struct batch b;
+
+	batch_open(&b, s, to);
+	batch_add(&b, e);
+	batch_close(&b);
+}
--- /dev/null
+++ b/sync.h
@@ -0,0 +1,49 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef SYNC_H
+#define SYNC_H
+
+#include "conf.h"
+#include "msg.h"
+
+/*
+ * The exchange of configuration between two processes, in at most four
+ * messages: digests that differ lead to the digests of all buckets, buckets
+ * that differ to the versions in them, and versions that differ to objects.
+ * What crosses the wire grows with the difference, not with what is kept.
+ * Used between agents and between an agent and its gate.  No I/O is done
+ * here: replies go out through a callback.
+ */
+
+/* Send a message to an inbox.  The message is valid during the call only. */
+typedef void sync_send_fn(void *, struct str to, const struct msg *);
+
+struct sync {
+	struct conf *conf;
+	sync_send_fn *send;
+	void *ctx;
+	uint64_t messages; /* sent, for the counters */
+};
+
+/*
+ * A peer has told its digest and floor.  Where they equal ours, its floor
+ * is taken over; where not, the exchange begins.
+ */
+void sync_compare(
+    struct sync *, struct str from, uint64_t digest, uint64_t floor);
+
+/* Take one of MSG_BUCKETS, MSG_VERSIONS, MSG_WANT and MSG_OBJECTS. */
+void sync_take(struct sync *, const struct msg *);
+
+/* Send one object in the state that is known here. */
+void sync_push(struct sync *, struct str to, const struct conf_entry *);
+
+#endif
--- /dev/null
+++ b/tmr.c
@@ -0,0 +1,92 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "tmr.h"
+
+static void on_timer(uv_timer_t *);
+static void arm(struct tmr *);
+
+void
+tmr_open(struct tmr *t, uv_loop_t *loop, const struct clk *clk)
+{
+	uv_timer_init(loop, &t->timer);
+	t->timer.data = t;
+	queue_init(&t->queue);
+	t->clk = clk;
+}
+
+void
+tmr_close(struct tmr *t)
+{
+	uv_timer_stop(&t->timer);
+	queue_clear(&t->queue);
+}
+
+/* libuv counts in ms: round up, so that nothing fires early. */
+static void
+arm(struct tmr *t)
+{
+	const struct queue_item *first = queue_first(&t->queue);
+	int64_t left;
+
+	if (first == NULL) {
+		uv_timer_stop(&t->timer);
+		return;
+	}
+	left = first->deadline - clk_ns(t->clk);
+	if (left < 0)
+		left = 0;
+	uv_update_time(t->timer.loop);
+	uv_timer_start(
+	    &t->timer, on_timer, (uint64_t)((left + NS_MS - 1) / NS_MS), 0);
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+	struct tmr *t = timer->data;
+	struct queue_item *first;
+	struct tmr_item *item;
+
+	for (;;) {
+		first = queue_first(&t->queue);
+		if (first == NULL || first->deadline > clk_ns(t->clk))
+			break;
+		queue_pop(&t->queue);
+		item = first->data;
+		item->set = false;
+		item->fire(item->ctx);
+	}
+	arm(t);
+}
+
+void
+tmr_set(struct tmr *t, struct tmr_item *item, int64_t at, tmr_fn *fire,
+    void *ctx)
+{
+	tmr_clear(t, item);
+	item->item.deadline = at;
+	item->item.data = item;
+	item->fire = fire;
+	item->ctx = ctx;
+	item->set = true;
+	queue_push(&t->queue, &item->item);
+	if (queue_first(&t->queue) == &item->item)
+		arm(t);
+}
+
+void
+tmr_clear(struct tmr *t, struct tmr_item *item)
+{
+	if (!item->set)
+		return;
+	queue_remove(&t->queue, &item->item);
+	item->set = false;
+}
--- /dev/null
+++ b/tmr.h
@@ -0,0 +1,47 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef TMR_H
+#define TMR_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "clk.h"
+#include "queue.h"
+
+/*
+ * Many timers over one libuv timer.  An item lives in its owner's struct
+ * and needs no closing: clearing it is enough before the owner is freed.
+ */
+typedef void tmr_fn(void *);
+
+struct tmr_item {
+	struct queue_item item;
+	tmr_fn *fire;
+	void *ctx;
+	bool set;
+};
+
+struct tmr {
+	uv_timer_t timer;
+	struct queue queue;
+	const struct clk *clk;
+};
+
+void tmr_open(struct tmr *, uv_loop_t *, const struct clk *);
+void tmr_close(struct tmr *);
+
+/* Fire once at a monotonic time in ns; an item that is set is set anew. */
+void tmr_set(struct tmr *, struct tmr_item *, int64_t at, tmr_fn *, void *);
+void tmr_clear(struct tmr *, struct tmr_item *);
+
+#endif
