--- /dev/null
+++ b/wire_zmq.c
@@ -0,0 +1,230 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <zmq.h>
+
+#include "err.h"
+#include "wire.h"
+#include "slog.h"
+
+enum {
+	QUEUE_MAX = 1000,	/* messages waiting for one peer */
+	INBOX_MAX = 10000,
+	MESSAGE_MAX = 4 << 20,
+	RECONNECT_MIN_MS = 50,
+	RECONNECT_MAX_MS = 2000,
+	SWEEP_MS = 20,		/* a look at the inbox even without an event */
+	IDLE_SWEEPS = 1500	/* 30 s without a message closes a peer */
+};
+
+struct peer {
+	void *sock;
+	uint64_t used; /* the sweep in which it was last written to */
+};
+
+struct wire {
+	void *zmq;
+	void *inbox;
+	struct str address;
+	GHashTable *peers; /* char * address to struct peer * */
+	uv_poll_t poll;
+	uv_timer_t sweep;
+	uint64_t sweeps;
+	wire_take_fn *take;
+	void *ctx;
+	struct wire_totals counts;
+};
+
+static void on_event(uv_poll_t *, int, int);
+static void on_sweep(uv_timer_t *);
+static void read_all(struct wire *);
+static void take_one(struct wire *, zmq_msg_t *);
+static struct peer *peer_of(struct wire *, struct str);
+static void peer_free(void *);
+static gboolean is_idle(gpointer, gpointer, gpointer);
+
+static void
+set_int(void *sock, int option, int value)
+{
+	zmq_setsockopt(sock, option, &value, sizeof(value));
+}
+
+static void
+peer_free(void *p)
+{
+	struct peer *peer = p;
+
+	zmq_close(peer->sock);
+	g_free(peer);
+}
+
+struct wire *
+wire_open(uv_loop_t *loop, struct str inbox, wire_take_fn *take, void *ctx,
+    GError **err)
+{
+	struct wire *l = g_new0(struct wire, 1);
+	char *url = g_strdup_printf("tcp://%.*s", STR_ARG(inbox));
+	size_t len = sizeof(int);
+	int fd;
+
+	l->zmq = zmq_ctx_new();
+	zmq_ctx_set(l->zmq, ZMQ_IO_THREADS, 1);
+	zmq_ctx_set(l->zmq, ZMQ_BLOCKY, 0);
+	l->inbox = zmq_socket(l->zmq, ZMQ_PULL);
+	set_int(l->inbox, ZMQ_RCVHWM, INBOX_MAX);
+	set_int(l->inbox, ZMQ_LINGER, 0);
+	if (zmq_bind(l->inbox, url) != 0) {
+		err_set(err, ERR_SYSTEM, "inbox %.*s: %s", STR_ARG(inbox),
+		    zmq_strerror(zmq_errno()));
+		zmq_close(l->inbox);
+		zmq_ctx_term(l->zmq);
+		g_free(url);
+		g_free(l);
+		return NULL;
+	}
+	g_free(url);
+	l->address = str_dup(inbox);
+	l->peers = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, peer_free);
+	l->take = take;
+	l->ctx = ctx;
+	zmq_getsockopt(l->inbox, ZMQ_FD, &fd, &len);
+	uv_poll_init(loop, &l->poll, fd);
+	l->poll.data = l;
+	uv_poll_start(&l->poll, UV_READABLE, on_event);
+	uv_timer_init(loop, &l->sweep);
+	l->sweep.data = l;
+	uv_timer_start(&l->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+	return l;
+}
+
+/* ZeroMQ's descriptor tells of edges only, so the inbox is read dry. */
+static void
+on_event(uv_poll_t *poll, int status, int events)
+{
+	(void)status;
+	(void)events;
+	read_all(poll->data);
+}
+
+static void
+on_sweep(uv_timer_t *timer)
+{
+	struct wire *l = timer->data;
+
+	l->sweeps++;
+	read_all(l);
+	if (l->sweeps % IDLE_SWEEPS == 0)
+		g_hash_table_foreach_remove(l->peers, is_idle, l);
+}
+
+static gboolean
+is_idle(gpointer key, gpointer value, gpointer ctx)
+{
+	const struct peer *peer = value;
+	const struct wire *l = ctx;
+
+	(void)key;
+	return l->sweeps - peer->used > IDLE_SWEEPS;
+}
+
+static void
+read_all(struct wire *l)
+{
+	zmq_msg_t zm;
+
+	zmq_msg_init(&zm);
+	while (zmq_msg_recv(&zm, l->inbox, ZMQ_DONTWAIT) >= 0)
+		take_one(l, &zm);
+	zmq_msg_close(&zm);
+}
+
+static void
+take_one(struct wire *l, zmq_msg_t *zm)
+{
+	GError *err = NULL;
+	struct msg m;
+
+	l->counts.in++;
+	l->counts.bytes_in += zmq_msg_size(zm);
+	if (!msg_decode(zmq_msg_data(zm), zmq_msg_size(zm), &m, &err)) {
+		l->counts.malformed++;
+		slog(SLOG_PEER, "Dropped a message: %s.", err->message);
+		g_error_free(err);
+		return;
+	}
+	l->take(l->ctx, &m);
+	msg_done(&m);
+}
+
+static struct peer *
+peer_of(struct wire *l, struct str to)
+{
+	char *key = g_strndup(to.p, to.n), *url;
+	struct peer *peer = g_hash_table_lookup(l->peers, key);
+
+	if (peer == NULL) {
+		url = g_strdup_printf("tcp://%s", key);
+		peer = g_new0(struct peer, 1);
+		peer->sock = zmq_socket(l->zmq, ZMQ_PUSH);
+		set_int(peer->sock, ZMQ_SNDHWM, QUEUE_MAX);
+		set_int(peer->sock, ZMQ_LINGER, 0);
+		set_int(peer->sock, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
+		set_int(peer->sock, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+		zmq_connect(peer->sock, url);
+		g_hash_table_insert(l->peers, g_strdup(key), peer);
+		g_free(url);
+	}
+	g_free(key);
+	peer->used = l->sweeps;
+	return peer;
+}
+
+bool
+wire_send(struct wire *l, struct str to, struct msg *m)
+{
+	msgpack_sbuffer buf;
+	bool ok;
+
+	if (to.n == 0)
+		return false;
+	m->from = l->address;
+	msgpack_sbuffer_init(&buf);
+	msg_encode(m, &buf);
+	ok = buf.size <= MESSAGE_MAX &&
+	    zmq_send(peer_of(l, to)->sock, buf.data, buf.size, ZMQ_DONTWAIT) >=
+		0;
+	if (ok) {
+		l->counts.out++;
+		l->counts.bytes_out += buf.size;
+	} else {
+		l->counts.dropped++;
+	}
+	msgpack_sbuffer_destroy(&buf);
+	return ok;
+}
+
+void
+wire_close(struct wire *l)
+{
+	uv_poll_stop(&l->poll);
+	uv_timer_stop(&l->sweep);
+	g_hash_table_destroy(l->peers);
+	zmq_close(l->inbox);
+	zmq_ctx_term(l->zmq);
+	str_free(&l->address);
+	g_free(l);
+}
+
+const struct wire_totals *
+wire_counts(const struct wire *l)
+{
+	return &l->counts;
+}
