--- a/disp.c
+++ b/disp.c
@@ -11,9 +11,7 @@
 #include "disp.h"
 
 /* A remote home's word is worth nothing after this long. */
-#define REMOTE_FRESH_NS (200 * NS_MS)
-/* A backend server that refused has no slot for this long. */
-#define FULL_NS (10 * NS_MS)
+#define REMOTE_FRESH_NS (1200 * NS_MS)
 /* Passing to another hall must spare at least this much waiting. */
 #define PASS_GAIN_NS (3 * NS_MS)
 #define USUAL_UNKNOWN_NS (5 * NS_MS)
@@ -23,8 +21,9 @@
 /* What another hall's home said last. */
 struct remote {
 	struct str hall;
+	int slots; /* by configuration */
 	int free, waiting;
-	int64_t told;
+	int64_t told; /* 0: never */
 };
 
 struct disp {
@@ -281,11 +280,23 @@
 	return true;
 }
 
-/* Pass to another hall whose home has room, if that spares time. */
+/* Is there room in another hall, as far as its home has told lately? */
+static bool
+has_room(const struct remote *m, int64_t now)
+{
+	return m->told != 0 && now - m->told <= REMOTE_FRESH_NS &&
+	    m->waiting == 0 && m->free > REMOTE_SPARE;
+}
+
+/*
+ * Pass to another hall whose home has room.  If nothing here can be used, a
+ * hall that has slots will do, whatever its home said last.
+ */
 static bool
 pass(struct disp *d, struct disp_req *r)
 {
 	int64_t now = clk_ns(d->clk);
+	bool must = disp_usable(d) == 0;
 	struct remote *m, *best = NULL;
 	guint i;
 
@@ -293,8 +304,7 @@
 		return false;
 	for (i = 0; i < d->remotes->len; i++) {
 		m = &g_array_index(d->remotes, struct remote, i);
-		if (now - m->told > REMOTE_FRESH_NS || m->waiting > 0 ||
-		    m->free <= REMOTE_SPARE)
+		if (m->slots == 0 || (!must && !has_room(m, now)))
 			continue;
 		if (best == NULL || m->free > best->free)
 			best = m;
@@ -327,7 +337,7 @@
 		if (pass(d, r))
 			return;
 	}
-	if (disp_count(d) == 0) {
+	if (disp_usable(d) == 0) {
 		drop(d, r, ERR_NO_BACKEND, 0);
 		return;
 	}
@@ -397,20 +407,27 @@
 	else if (outcomes[outcome].bad)
 		pick_bad(b, &set, d->params.chart, now, d->rnd);
 	else if (outcome == DISP_REFUSED)
-		b->full_until = now + rnd_jitter(d->rnd, FULL_NS);
+		pick_refused(b, now, d->rnd);
 }
 
+/*
+ * What was refused for want of a slot is held again, without a budget: the
+ * refusing backend server gets nothing for a while that doubles with each
+ * refusal in a row, and that bounds the refusals.
+ */
 bool
 disp_retryable(const struct disp *d, const struct disp_req *r,
     enum disp_outcome outcome)
 {
 	if (outcome == DISP_OK || outcome == DISP_LATE || outcome == DISP_GONE)
 		return false;
-	if (!r->may_retry || r->tries >= TRIES_MAX)
+	if (!r->may_retry || clk_ns(d->clk) >= r->deadline)
 		return false;
+	if (outcome == DISP_REFUSED)
+		return true;
 	if (!outcomes[outcome].not_run && !r->repeatable)
 		return false;
-	return clk_ns(d->clk) < r->deadline && retry_budget_has(&d->budget);
+	return r->tries < TRIES_MAX && retry_budget_has(&d->budget);
 }
 
 static bool
@@ -418,7 +435,8 @@
 {
 	if (!disp_retryable(d, r, outcome))
 		return false;
-	retry_budget_take(&d->budget);
+	if (outcome != DISP_REFUSED)
+		retry_budget_take(&d->budget);
 	hold(d, r);
 	return true;
 }
@@ -450,6 +468,21 @@
 		unhold(d, r);
 }
 
+/* Nothing can be used any more: what is held need not wait for that. */
+static void
+give_up_all(struct disp *d, enum obj_class cls)
+{
+	struct queue_item *item;
+	struct disp_req *r;
+
+	while ((item = queue_first(&d->queues[cls])) != NULL) {
+		r = item->data;
+		unhold(d, r);
+		if (!pass(d, r))
+			drop(d, r, ERR_NO_BACKEND, 0);
+	}
+}
+
 static void
 expire(struct disp *d, enum obj_class cls, int64_t now)
 {
@@ -476,6 +509,8 @@
 	for (i = 0; i < CLASS_MAX; i++)
 		expire(d, (enum obj_class)i, now);
 	pick_tick(&set, d->params.chart, now);
+	for (i = 0; i < CLASS_MAX && disp_usable(d) == 0; i++)
+		give_up_all(d, (enum obj_class)i);
 	serve(d);
 }
 
@@ -501,8 +536,8 @@
 	serve(d);
 }
 
-void
-disp_remote(struct disp *d, struct str hall, int free, int waiting)
+static struct remote *
+remote_of(struct disp *d, struct str hall)
 {
 	struct remote *m, add = {0};
 	guint i;
@@ -510,13 +545,24 @@
 	for (i = 0; i < d->remotes->len; i++) {
 		m = &g_array_index(d->remotes, struct remote, i);
 		if (str_eq(m->hall, hall))
-			break;
-	}
-	if (i == d->remotes->len) {
-		add.hall = str_dup(hall);
-		g_array_append_val(d->remotes, add);
+			return m;
 	}
-	m = &g_array_index(d->remotes, struct remote, i);
+	add.hall = str_dup(hall);
+	g_array_append_val(d->remotes, add);
+	return &g_array_index(d->remotes, struct remote, d->remotes->len - 1);
+}
+
+void
+disp_hall(struct disp *d, struct str hall, int slots)
+{
+	remote_of(d, hall)->slots = slots;
+}
+
+void
+disp_remote(struct disp *d, struct str hall, int free, int waiting)
+{
+	struct remote *m = remote_of(d, hall);
+
 	m->free = free;
 	m->waiting = waiting;
 	m->told = clk_ns(d->clk);
@@ -544,16 +590,14 @@
 }
 
 unsigned
-disp_count(const struct disp *d)
+disp_usable(const struct disp *d)
 {
-	const struct pick_backend *b;
+	int64_t now = clk_ns(d->clk);
 	unsigned n = 0;
 	guint i;
 
-	for (i = 0; i < d->backends->len; i++) {
-		b = g_ptr_array_index(d->backends, i);
-		n += !b->gone && b->state != PICK_DRAINING;
-	}
+	for (i = 0; i < d->backends->len; i++)
+		n += pick_usable(g_ptr_array_index(d->backends, i), now);
 	return n;
 }
 
--- a/disp.h
+++ b/disp.h
@@ -124,6 +124,9 @@
 /* What probes say of a backend server. */
 void disp_health(struct disp *, struct str backend, bool down, bool drain);
 
+/* Another hall has so many slots for the service. */
+void disp_hall(struct disp *, struct str hall, int slots);
+
 /* Another hall's home tells its room. */
 void disp_remote(struct disp *, struct str hall, int free, int waiting);
 
@@ -131,7 +134,9 @@
 void disp_room(const struct disp *, int *free, int *waiting);
 
 unsigned disp_inflight(const struct disp *);
-unsigned disp_count(const struct disp *);
+
+/* Backend servers to which something new may be sent. */
+unsigned disp_usable(const struct disp *);
 
 /* Visit the backend servers, for status and explain. */
 typedef void disp_visit_fn(void *, const struct pick_backend *);
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -15,8 +15,6 @@
 
 /* Changes that come together lead to one new table. */
 #define REBUILD_NS (2 * NS_MS)
-/* A shard that no request has used for so long is let go. */
-#define SHARD_IDLE_NS (60 * NS_S)
 
 static void on_changed(void *, const struct conf_entry *);
 static void on_rebuild(void *);
@@ -70,6 +68,7 @@
 	route_free(g->routes);
 	g->routes = route_build(g->conf);
 	g_hash_table_foreach_remove(g->shards, refresh_shard, g);
+	gate_conf_homes(g);
 	cnt_set(g->cnt, GC_OBJECTS, conf_count(g->conf));
 	gate_conf_report(g);
 }
@@ -105,10 +104,15 @@
 	    .bulk_percent = (int)svc->obj->bulk_percent,
 	    .retry_percent = svc->obj->retry_percent,
 	};
+	unsigned i;
 
 	if (hall != NULL && svc->slots > 0)
 		p.rate = (double)svc->obj->rate * hall->slots / svc->slots;
 	disp_configure(s->disp, &p);
+	for (i = 0; i < svc->nhalls; i++)
+		if (!str_eq(svc->halls[i].hall, s->hall))
+			disp_hall(s->disp, svc->halls[i].hall,
+			    svc->halls[i].slots);
 	disp_backends(s->disp, hall == NULL ? NULL : hall->backends,
 	    hall == NULL ? 0 : hall->n);
 }
@@ -145,10 +149,37 @@
 		g_hash_table_insert(g->shards, g_strdup(key), s);
 		shard_update(g, s, svc);
 	}
-	s->used = clk_ns(g->clk);
 	return s;
 }
 
+/* Have a shard for each hall of a service that we are home for. */
+static void
+open_homes(void *ctx, const struct route_service *svc)
+{
+	struct gate *g = ctx;
+	unsigned i;
+	bool self;
+
+	for (i = 0; i < svc->nhalls; i++) {
+		gate_home(g, svc->name, svc->halls[i].hall, &self);
+		if (self)
+			gate_conf_shard(g, svc, svc->halls[i].hall)->home = true;
+	}
+}
+
+/* Boxes or services have changed: find out anew what we are home for. */
+void
+gate_conf_homes(struct gate *g)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->shards);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		((struct gate_shard *)value)->home = false;
+	route_each(g->routes, open_homes, g);
+}
+
 /* Tell the agent what is in force here, and whether we serve. */
 void
 gate_conf_report(struct gate *g)
@@ -207,6 +238,7 @@
 		break;
 	case MSG_MEMBERS:
 		gate_home_members(g, &m->u.members);
+		gate_conf_homes(g);
 		break;
 	case MSG_HEALTH:
 		take_health(g, &m->u.health);
--- a/gate_home.c
+++ b/gate_home.c
@@ -18,6 +18,8 @@
 /* And left, for so long, if it does not answer within this time. */
 #define PING_WAIT_NS (40 * NS_MS)
 #define SUSPECT_NS (2 * NS_S)
+/* What has not changed is told again after this time. */
+#define TELL_AGAIN_NS (500 * NS_MS)
 
 static struct gate_peer *find(struct gate *, struct str);
 static bool usable(const struct gate_peer *, int64_t);
@@ -96,10 +98,11 @@
 struct str
 gate_home_hall(struct gate *g, const struct route_service *svc)
 {
+	const struct route_hall *own = route_hall(svc, g->set.hall);
 	uint64_t at;
 	unsigned i;
 
-	if (route_hall(svc, g->set.hall) != NULL || svc->nhalls == 0)
+	if (svc->slots == 0 || (own != NULL && own->slots > 0))
 		return g->set.hall;
 	at = rnd_below(g->rnd, (uint64_t)svc->slots);
 	for (i = 0; i < svc->nhalls; i++) {
@@ -107,7 +110,7 @@
 			break;
 		at -= (uint64_t)svc->halls[i].slots;
 	}
-	return svc->halls[MIN(i, svc->nhalls - 1)].hall;
+	return svc->halls[i].hall;
 }
 
 void
@@ -201,11 +204,12 @@
 	unsigned i;
 	bool self;
 
-	disp_room(s->disp, &free, &waiting);
-	if (svc == NULL || svc->nhalls < 2 || now - s->used > NS_S)
+	if (svc == NULL || svc->nhalls < 2 || !s->home ||
+	    now - s->told_at < g->set.summary_ms * NS_MS)
 		return;
+	disp_room(s->disp, &free, &waiting);
 	if (free == s->told_free && waiting == s->told_waiting &&
-	    now - s->told_at < 5 * g->set.summary_ms * NS_MS)
+	    now - s->told_at < TELL_AGAIN_NS)
 		return;
 	s->told_free = free;
 	s->told_waiting = waiting;
--- a/gate_stat.c
+++ b/gate_stat.c
@@ -42,6 +42,8 @@
 	"Requests refused because their key was taken.", CNT_COUNTER},
     [GC_SUSPECTS] = {"fern_homes_left_total",
 	"Homes left because they did not answer.", CNT_COUNTER},
+    [GC_BOXES] = {"fern_boxes", "Gates that serve, this one among them.",
+	CNT_GAUGE},
     [GC_INFLIGHT] = {"fern_requests_inflight",
 	"Requests being worked on.", CNT_GAUGE},
     [GC_OBJECTS] = {"fern_objects", "Objects in force.", CNT_GAUGE},
@@ -79,6 +81,7 @@
 {
 	GString *out = g_string_new(NULL);
 
+	cnt_set(g->cnt, GC_BOXES, g->boxes);
 	cnt_set(g->cnt, GC_INFLIGHT, gate_req_count(g));
 	cnt_set(g->cnt, GC_LOG_DROPPED, slog_dropped());
 	cnt_set(g->cnt, GC_CONTROL_IN, wire_counts(g->wire)->bytes_in);
--- a/libgate.h
+++ b/libgate.h
@@ -62,6 +62,7 @@
 	GC_CLAIM_CALLS,
 	GC_DUPLICATES,
 	GC_SUSPECTS,
+	GC_BOXES,
 	GC_INFLIGHT,
 	GC_OBJECTS,
 	GC_LOG_DROPPED,
@@ -90,7 +91,7 @@
 	struct disp *disp;
 	int told_free, told_waiting; /* in the last summary */
 	int64_t told_at;
-	int64_t used; /* the last request */
+	bool home; /* we take ourselves for its home */
 };
 
 struct gate {
@@ -127,6 +128,7 @@
 bool gate_conf_open(struct gate *, GError **);
 void gate_conf_take(void *, const struct msg *);
 void gate_conf_report(struct gate *);
+void gate_conf_homes(struct gate *);
 struct gate_shard *gate_conf_shard(
     struct gate *, const struct route_service *, struct str hall);
 
--- a/pick.c
+++ b/pick.c
@@ -14,12 +14,15 @@
 
 #define EJECT_FIRST_NS (1 * NS_S)
 #define EJECT_LAST_NS (30 * NS_S)
+/* A backend server that refused has no slot for this long, then doubled. */
+#define FULL_NS (5 * NS_MS)
 
 enum {
 	BAD_ROW_LIMIT = 3,    /* bad answers in a row that eject */
 	WARM_ROW = 3,	      /* good answers in a row that warm up */
 	USUAL_WEIGHT = 8,     /* of the past against one sample */
-	EJECTIONS_MAX = 6
+	EJECTIONS_MAX = 6,
+	REFUSED_ROW_MAX = 6
 };
 
 static const char *const state_names[] = {
@@ -81,6 +84,7 @@
 	else
 		b->usual += (took - b->usual) / USUAL_WEIGHT;
 	b->bad_row = 0;
+	b->refused_row = 0;
 	b->good_row++;
 	step(b, chart, PICK_EV_OK);
 	if (b->good_row < WARM_ROW)
@@ -89,6 +93,13 @@
 	step(b, chart, PICK_EV_WARM);
 }
 
+void
+pick_refused(struct pick_backend *b, int64_t now, const struct rnd *rnd)
+{
+	b->full_until = now + rnd_jitter(rnd, FULL_NS << b->refused_row);
+	b->refused_row = MIN(b->refused_row + 1, REFUSED_ROW_MAX);
+}
+
 static unsigned
 count_in_use(const struct pick_set *set, int64_t now)
 {
--- a/pick.h
+++ b/pick.h
@@ -62,7 +62,7 @@
 	int64_t full_until; /* it refused for want of a slot */
 	int64_t eject_until;
 	int ejections;	    /* in a row, for the length of the next */
-	int bad_row, good_row;
+	int bad_row, good_row, refused_row;
 	bool gone;	    /* no longer selected; waits for its last answer */
 	uint64_t turns;	    /* requests sent, for round robin */
 	void *data;	    /* the owner's */
@@ -107,6 +107,9 @@
 void pick_bad(struct pick_backend *, const struct pick_set *,
     const struct chart *, int64_t now, const struct rnd *);
 
+/* It refused without running: it is full, or does not want any. */
+void pick_refused(struct pick_backend *, int64_t now, const struct rnd *);
+
 /* Let ejections end whose time has come. */
 void pick_tick(const struct pick_set *, const struct chart *, int64_t now);
 
--- a/pick_fern.c
+++ b/pick_fern.c
@@ -43,12 +43,13 @@
 
 /*
  * Bulk takes at most its share of all slots, and leaves one free slot, so
- * that the next interactive request need not wait for a bulk answer.
+ * that the next interactive request need not wait for a bulk answer.  Where
+ * nothing at all is under way it may begin.
  */
 static bool
 bulk_may(const struct pick_set *set, int64_t now)
 {
-	int slots = 0, bulk = 0, left = 0;
+	int slots = 0, bulk = 0, left = 0, inflight = 0;
 	unsigned i;
 
 	for (i = 0; i < set->n; i++) {
@@ -56,11 +57,13 @@
 			continue;
 		slots += set->v[i]->slots;
 		bulk += set->v[i]->inflight_bulk;
+		inflight += set->v[i]->inflight;
 		left += pick_free(set->v[i], now);
 	}
-	if (bulk == 0)
-		return left > 1 || slots <= 1;
-	return left > 1 && (bulk + 1) * 100 <= slots * set->bulk_percent;
+	if (inflight == 0)
+		return true;
+	return left > 1 &&
+	    (bulk == 0 || (bulk + 1) * 100 <= slots * set->bulk_percent);
 }
 
 static bool
--- /dev/null
+++ b/regress/fleet.h
@@ -0,0 +1,219 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef FLEET_H
+#define FLEET_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+/*
+ * A small fleet of real processes on loopback addresses of its own: the
+ * stand-ins for platform, backend servers and network, and our gates and
+ * agents.  Everything waits for events; no test sleeps for luck.
+ */
+
+/* One HTTP answer, or the way in which there was none. */
+struct Reply {
+	int status = 0; /* 0: no answer */
+	bool complete = false;
+	std::map<std::string, std::string> headers; /* names in lower case */
+	std::string body;
+	bool connected = false;
+
+	std::string header(const std::string &name) const;
+	bool not_run() const { return header("fern-ran") == "no"; }
+};
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+/* One HTTP request, waited for while the loop runs. */
+Reply http(const std::string &method, const std::string &address,
+    const std::string &path, const Headers &headers = {},
+    const std::string &body = "", int timeout_ms = 10000);
+
+/* The same, not waited for. */
+void http_start(const std::string &method, const std::string &address,
+    const std::string &path, const Headers &headers, const std::string &body,
+    int timeout_ms, std::function<void(const Reply &)> done,
+    bool keep_body = true);
+
+/* Run the loop for a while, or until a condition holds. */
+void pump(int ms);
+bool until(const std::function<bool()> &, int timeout_ms = 30000);
+double now_ms();
+
+struct Process {
+	pid_t pid = 0;
+	std::vector<std::string> argv;
+	std::string log;
+
+	void start();
+	void signal(int signo) const;
+	/* Kill at once and reap. */
+	void kill9();
+	/* Reap; the exit status, or -1 if it still runs after the time. */
+	int wait_exit(int timeout_ms = 30000);
+	bool running() const { return pid > 0; }
+	/* Processor seconds used, and resident kilobytes now and at most. */
+	double cpu() const;
+	long rss_kb() const;
+	long peak_kb() const;
+	std::string read_log() const;
+};
+
+struct BackendOptions {
+	std::string name, hall = "north", app = "dir";
+	std::string keys = "ms=5"; /* for the stand-in, by spaces */
+	int slots = 3;
+	bool proxied = false;
+};
+
+struct FleetOptions {
+	int boxes = 2;
+	std::vector<std::string> halls = {"north"}; /* boxes take turns */
+	std::vector<BackendOptions> backends;
+	std::string gate_settings, agent_settings; /* added as they are */
+	bool platform_proxied = false;
+	bool pass_proxied = false;
+	bool quiet = true;
+	int pass_delay_ms = 0;
+};
+
+/* A fault proxy in front of some address. */
+struct Proxy {
+	Process process;
+	std::string address, control;
+
+	void set(const std::string &query) const;
+};
+
+struct Box {
+	std::string name, hall;
+	std::string listen, pass_listen, pass, admin, inbox, agent, agent_admin;
+	Process gate, agent_process;
+	std::unique_ptr<Proxy> pass_proxy;
+};
+
+struct Backend {
+	BackendOptions options;
+	std::string address, public_address, journal;
+	Process process;
+	std::unique_ptr<Proxy> proxy;
+
+	void set(const std::string &query) const;
+	long count(const std::string &key) const;
+};
+
+class Fleet {
+      public:
+	explicit Fleet(const FleetOptions &);
+	~Fleet();
+
+	FleetOptions options;
+	Process platform;
+	std::string platform_address, platform_public;
+	std::unique_ptr<Proxy> platform_proxy;
+	std::vector<Box> boxes;
+	std::vector<std::unique_ptr<Backend>> backends;
+	std::string dir;
+
+	/* Everything up, backends registered, rules applied, boxes ready. */
+	void start();
+	void start_box(size_t);
+	void stop_box_hard(size_t);
+	void add_backend(const BackendOptions &);
+	std::unique_ptr<Proxy> proxy(const std::string &target);
+
+	/* Write an object on the platform: create, or change what is there. */
+	long put(const std::string &key, const std::string &spec);
+	long remove(const std::string &key);
+	std::string backend_spec(const Backend &, const std::string &extra = "");
+	void set_platform(const std::string &query) const;
+	void list_boxes(const std::vector<std::string> &leaving = {});
+	long platform_count(const std::string &key) const;
+
+	bool ready(size_t box) const;
+	bool wait_ready(int timeout_ms = 30000);
+	/* Do all boxes' gates have this many objects and one digest? */
+	bool in_force(size_t objects) const;
+	std::string metrics(size_t box) const;
+	double metric(size_t box, const std::string &name) const;
+	double agent_metric(size_t box, const std::string &name) const;
+	/* A command of fernctl's: exit status and what it printed. */
+	int ctl(const std::vector<std::string> &args, std::string *out);
+
+	/* How often each id was run, by all journals. */
+	std::map<std::string, int> runs() const;
+
+	std::string ip(int host) const;
+
+      private:
+	int net_a, net_b, next_proxy = 200;
+};
+
+/* What became of one request of a load. */
+struct Outcome {
+	std::string id, kind, ran;
+	int status = 0;
+	bool complete = false, right = false, not_repeatable = false;
+	bool connected = false;
+	int cls = 0;
+	double intended_ms = 0, latency_ms = 0;
+};
+
+/* One stream of requests in a load. */
+struct Stream {
+	double rate = 100; /* a second, by a Poisson process */
+	std::string method = "GET", path = "/dir/x";
+	bool keyed = false;
+	int cls = 0;
+	int size = 1024;
+	int deadline_ms = 0;
+};
+
+/*
+ * An open-loop load on the boxes: latency counts from the time a request was
+ * meant to be sent, and each answer is checked against its own request.
+ */
+class Load {
+      public:
+	Load(std::vector<std::string> targets, std::vector<Stream> streams,
+	    unsigned seed);
+	~Load();
+
+	void start();
+	void stop(); /* no new requests; those under way go on */
+	bool drained() const;
+	std::vector<Outcome> outcomes;
+	std::function<bool(size_t)> target_up; /* the platform's balancer */
+	/* Change the rate of a stream while it runs. */
+	void rate(size_t stream, double);
+
+	/* Latencies of a class, sorted; failed requests count as failed_ms. */
+	std::vector<double> latencies(
+	    int cls, double from_ms = 0, double to_ms = 1e18) const;
+	static double percentile(const std::vector<double> &, double p);
+
+      private:
+	struct Impl;
+	std::unique_ptr<Impl> impl;
+};
+
+/* Check the promises that hold whatever happened; returns violations. */
+std::vector<std::string> violations(
+    const std::vector<Outcome> &, const std::map<std::string, int> &runs);
+
+#endif
--- a/regress/standin_backend.c
+++ b/regress/standin_backend.c
@@ -66,6 +66,7 @@
 	struct tmr_item timer;
 	bool queued, running;
 	uint64_t size, sent;
+	char *chunk; /* the bytes under way */
 	char id[64];
 };
 
@@ -112,6 +113,7 @@
 		g_queue_remove(&st.queue, w);
 	w->req = NULL;
 	finish(w);
+	g_free(w->chunk);
 	g_free(w);
 }
 
@@ -154,16 +156,15 @@
 	    (struct work *)((char *)gen - offsetof(struct work, gen));
 	uint64_t left = w->size - w->sent, n = MIN(left, CHUNK);
 	bool cut = st.v[K_CUT] > 0 && w->sent >= st.v[K_CUT];
-	h2o_iovec_t vec;
-	char *copy = h2o_mem_alloc_pool(&req->pool, w->size > CHUNK ? 1 : n + 1);
+	h2o_iovec_t vec = h2o_iovec_init(st.chunk, n);
 	size_t idn = strlen(w->id), i;
 
-	if (w->size > CHUNK) {
-		vec = h2o_iovec_init(st.chunk, n);
-	} else {
+	if (idn > 0) {
+		if (w->chunk == NULL)
+			w->chunk = g_malloc(CHUNK);
 		for (i = 0; i < n; i++)
-			copy[i] = idn == 0 ? 'x' : w->id[i % idn];
-		vec = h2o_iovec_init(copy, n);
+			w->chunk[i] = w->id[(w->sent + i) % idn];
+		vec.base = w->chunk;
 	}
 	if (cut) {
 		h2o_send(req, NULL, 0, H2O_SEND_STATE_ERROR);
--- /dev/null
+++ b/regress/test_promises.cpp
@@ -0,0 +1,413 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+/* What must always hold, under faults, with real processes. */
+#include <csignal>
+#include <gtest/gtest.h>
+
+#include "fleet.h"
+
+namespace
+{
+
+FleetOptions
+small_fleet(int boxes, int backends, const std::string &keys)
+{
+	FleetOptions o;
+
+	o.boxes = boxes;
+	o.halls = {"north", "south"};
+	o.gate_settings = "leave_wait_ms = 300\n";
+	o.agent_settings = "hello_ms = 200\nlist_ms = 2000\n";
+	for (int i = 0; i < backends; i++) {
+		BackendOptions b;
+
+		b.hall = i % 2 == 0 ? "north" : "south";
+		b.keys = keys;
+		o.backends.push_back(b);
+	}
+	return o;
+}
+
+/* Objects that put_rules() adds. */
+const size_t RULES = 4;
+
+void
+put_rules(Fleet &f)
+{
+	f.put("service/dir", R"({"select":"app=dir"})");
+	f.put("rule/dir", R"({"path":"/dir","service":"dir"})");
+	f.put("rule/pay",
+	    R"({"path":"/pay","service":"dir","repeatable":"no"})");
+	f.put("rule/bulk",
+	    R"({"path":"/bulk","service":"dir","class":"bulk"})");
+}
+
+bool
+up(Fleet &f)
+{
+	f.start();
+	put_rules(f);
+	size_t n = RULES + f.backends.size();
+
+	return f.wait_ready() && until([&] { return f.in_force(n); });
+}
+
+std::vector<std::string>
+doors(const Fleet &f)
+{
+	std::vector<std::string> v;
+
+	for (auto &b : f.boxes)
+		v.push_back(b.listen);
+	return v;
+}
+
+std::vector<Stream>
+mixed(double rate)
+{
+	Stream read, pay, keyed, bulk;
+
+	read.rate = rate;
+	pay.rate = keyed.rate = rate / 4;
+	pay.method = keyed.method = "POST";
+	pay.path = keyed.path = "/pay/x";
+	keyed.keyed = true;
+	bulk.rate = rate / 8;
+	bulk.path = "/bulk/x";
+	bulk.size = 200000;
+	bulk.cls = 1;
+	return {read, pay, keyed, bulk};
+}
+
+/* No new requests, all answered; then the promises are checked. */
+void
+settle(Fleet &f, Load &load)
+{
+	load.stop();
+	ASSERT_TRUE(until([&] { return load.drained(); }, 40000));
+	for (auto &v : violations(load.outcomes, f.runs()))
+		ADD_FAILURE() << v;
+}
+
+int
+count_good(const Load &load)
+{
+	int n = 0;
+
+	for (auto &o : load.outcomes)
+		n += o.right;
+	return n;
+}
+
+} // namespace
+
+TEST(Promise, KillsOfGatesAgentsAndBackendServersUnderLoad)
+{
+	Fleet f(small_fleet(3, 4, "ms=8 spread=1"));
+
+	ASSERT_TRUE(up(f));
+	Load load(doors(f), mixed(120), 11);
+	load.start();
+	for (int round = 0; round < 3; round++) {
+		pump(400);
+		f.boxes[static_cast<size_t>(round)].gate.kill9();
+		pump(200);
+		f.start_box(static_cast<size_t>(round));
+		f.boxes[static_cast<size_t>(round + 1) % 3]
+		    .agent_process.kill9();
+		pump(200);
+		f.start_box(static_cast<size_t>(round + 1) % 3);
+		f.backends[static_cast<size_t>(round)]->process.kill9();
+		pump(300);
+		f.backends[static_cast<size_t>(round)]->process.start();
+		ASSERT_TRUE(f.wait_ready());
+	}
+	settle(f, load);
+	EXPECT_GT(count_good(load), 300);
+}
+
+TEST(Promise, FreezesOfGatesAndBackendServers)
+{
+	Fleet f(small_fleet(3, 4, "ms=8 spread=1"));
+
+	ASSERT_TRUE(up(f));
+	Load load(doors(f), mixed(100), 12);
+	load.start();
+	for (size_t i = 0; i < 3; i++) {
+		pump(300);
+		f.boxes[i].gate.signal(SIGSTOP);
+		f.backends[i]->process.signal(SIGSTOP);
+		pump(1500);
+		f.boxes[i].gate.signal(SIGCONT);
+		f.backends[i]->process.signal(SIGCONT);
+	}
+	settle(f, load);
+	EXPECT_GT(count_good(load), 300);
+}
+
+TEST(Promise, CutTruncatedAndUnansweredConnections)
+{
+	FleetOptions o = small_fleet(2, 4, "ms=5 spread=1");
+
+	for (auto &b : o.backends)
+		b.proxied = true;
+	Fleet f(o);
+	ASSERT_TRUE(up(f));
+	Load load(doors(f), mixed(120), 13);
+	load.start();
+	const char *modes[] = {"mode=cut", "mode=truncate&bytes=600",
+	    "mode=drop_answers", "mode=blackhole", "mode=freeze"};
+	for (size_t i = 0; i < 5; i++) {
+		f.backends[i % 4]->proxy->set(modes[i]);
+		pump(600);
+		f.backends[i % 4]->proxy->set("mode=pass");
+		pump(200);
+	}
+	settle(f, load);
+	EXPECT_GT(count_good(load), 250);
+}
+
+TEST(Promise, AnIncompleteAnswerIsAnErrorAndNoCleanEnd)
+{
+	FleetOptions o = small_fleet(1, 1, "ms=2 cut=100000");
+	Fleet f(o);
+
+	ASSERT_TRUE(up(f));
+	for (const char *flag : {"--http1.1", "--http2-prior-knowledge"}) {
+		Process p;
+
+		p.argv = {"/usr/bin/curl", "-s", "-o", "/dev/null", flag,
+		    "--max-time", "10",
+		    "http://" + f.boxes[0].listen + "/dir/x?size=500000"};
+		p.log = f.dir + "/ctl.log";
+		p.start();
+		EXPECT_NE(0, p.wait_exit()) << flag;
+	}
+}
+
+TEST(Promise, NotRunIsSaidOnlyWhenItIsCertain)
+{
+	FleetOptions o = small_fleet(1, 1, "ms=2");
+
+	o.backends[0].proxied = true;
+	Fleet f(o);
+	ASSERT_TRUE(up(f));
+	std::string door = f.boxes[0].listen;
+	Headers id1 = {{"x-request-id", "one"}}, id2 = {{"x-request-id", "two"}};
+
+	/* The request arrives and runs, its answer is lost. */
+	f.backends[0]->proxy->set("mode=drop_answers");
+	Reply r = http("POST", door, "/pay/x", id1, "pay");
+	EXPECT_EQ(502, r.status);
+	EXPECT_EQ("cut", r.header("fern-error"));
+	EXPECT_EQ("unknown", r.header("fern-ran"));
+	EXPECT_EQ(1, f.runs()["one"]);
+	/* Nothing listens: nothing was sent, and that is said. */
+	f.backends[0]->proxy->process.kill9();
+	r = http("POST", door, "/pay/x", id2, "pay");
+	/* Which of the two depends on whether a probe came first. */
+	EXPECT_TRUE(r.header("fern-error") == "connect" ||
+	    r.header("fern-error") == "no-backend")
+	    << r.header("fern-error");
+	EXPECT_EQ("no", r.header("fern-ran"));
+	EXPECT_EQ(0, f.runs()["two"]);
+}
+
+TEST(Promise, ARefusalBeforeRunningIsTriedElsewhere)
+{
+	Fleet f(small_fleet(1, 4, "ms=2"));
+
+	ASSERT_TRUE(up(f));
+	f.backends[0]->set("refuse=1");
+	f.backends[2]->set("refuse=1");
+	f.backends[1]->set("refuse=1");
+	for (int i = 0; i < 10; i++) {
+		Reply r = http("POST", f.boxes[0].listen, "/pay/x",
+		    {{"x-request-id", "p" + std::to_string(i)}}, "pay");
+
+		if (r.status != 200) {
+			EXPECT_EQ("no", r.header("fern-ran"));
+			EXPECT_EQ(0, f.runs()["p" + std::to_string(i)]);
+		} else {
+			EXPECT_EQ(1, f.runs()["p" + std::to_string(i)]);
+		}
+	}
+}
+
+TEST(Promise, OneKeyRunsOnceThroughWhicheverBox)
+{
+	Fleet f(small_fleet(3, 2, "ms=20"));
+	int answered = 0, ran = 0, duplicates = 0;
+
+	ASSERT_TRUE(up(f));
+	for (int i = 0; i < 12; i++)
+		http_start("POST", f.boxes[static_cast<size_t>(i) % 3].listen,
+		    "/pay/x",
+		    {{"x-request-id", "same"}, {"idempotency-key", "k"}}, "pay",
+		    10000, [&](const Reply &r) {
+			    answered++;
+			    ran += r.status == 200;
+			    duplicates += r.status == 409;
+		    });
+	ASSERT_TRUE(until([&] { return answered == 12; }));
+	EXPECT_EQ(1, ran);
+	EXPECT_EQ(11, duplicates);
+	EXPECT_EQ(1, f.runs()["same"]);
+}
+
+TEST(Promise, AClaimWhoseAnswerIsLostIsReadBack)
+{
+	Fleet f(small_fleet(1, 2, "ms=2"));
+
+	ASSERT_TRUE(up(f));
+	f.set_platform("mode=lost");
+	Reply r = http("POST", f.boxes[0].listen, "/pay/x",
+	    {{"x-request-id", "lost"}, {"idempotency-key", "lost"}}, "pay");
+	EXPECT_EQ(200, r.status);
+	EXPECT_EQ(1, f.runs()["lost"]);
+	f.set_platform("mode=up");
+	r = http("POST", f.boxes[0].listen, "/pay/x",
+	    {{"x-request-id", "lost"}, {"idempotency-key", "lost"}}, "pay");
+	EXPECT_EQ(409, r.status);
+	EXPECT_EQ(1, f.runs()["lost"]);
+}
+
+TEST(Promise, WithThePlatformDownAKeyIsRefusedAsNotRun)
+{
+	Fleet f(small_fleet(1, 2, "ms=2"));
+
+	ASSERT_TRUE(up(f));
+	f.set_platform("mode=down");
+	Headers h = {{"x-request-id", "out"}, {"idempotency-key", "out"}};
+	Reply r = http("POST", f.boxes[0].listen, "/pay/x", h, "pay");
+	EXPECT_EQ(503, r.status);
+	EXPECT_EQ("claim", r.header("fern-error"));
+	EXPECT_EQ("no", r.header("fern-ran"));
+	EXPECT_NE("", r.header("retry-after"));
+	EXPECT_EQ(0, f.runs()["out"]);
+	/* Reads go on, and the key works once the platform is back. */
+	EXPECT_EQ(200, http("GET", f.boxes[0].listen, "/dir/x").status);
+	f.set_platform("mode=up");
+	EXPECT_EQ(200,
+	    http("POST", f.boxes[0].listen, "/pay/x", h, "pay").status);
+	EXPECT_EQ(1, f.runs()["out"]);
+}
+
+TEST(Promise, ADrainIsKeptInEachWayItIsTold)
+{
+	Fleet f(small_fleet(2, 4, "ms=3"));
+	std::string out;
+
+	ASSERT_TRUE(up(f));
+	/* By its object, by a label, by its own answers, by its health. */
+	EXPECT_EQ(0, f.ctl({"drain", "b0"}, &out));
+	EXPECT_EQ(0, f.ctl({"label", "b1", "drain=yes"}, &out));
+	f.backends[2]->set("drain=1");
+	Load load(doors(f), mixed(100), 14);
+	load.start();
+	pump(3000);
+	long before[3];
+	for (size_t i = 0; i < 3; i++)
+		before[i] = f.backends[i]->count("ran");
+	pump(1000);
+	for (size_t i = 0; i < 3; i++)
+		EXPECT_EQ(before[i], f.backends[i]->count("ran")) << i;
+	settle(f, load);
+	for (auto &o : load.outcomes)
+		EXPECT_EQ(200, o.status) << o.kind;
+	EXPECT_EQ(0, f.ctl({"undrain", "b0"}, &out));
+	EXPECT_TRUE(until([&] {
+		http("GET", f.boxes[0].listen, "/dir/x");
+		return f.backends[0]->count("ran") > before[0];
+	}));
+}
+
+TEST(Promise, ARollingRestartOfAllBoxesCutsOffNothing)
+{
+	Fleet f(small_fleet(3, 4, "ms=8 spread=1"));
+	std::vector<bool> in(3, true);
+
+	ASSERT_TRUE(up(f));
+	Load load(doors(f), mixed(100), 15);
+	/* The platform's balancer uses the boxes that say they are ready. */
+	load.target_up = [&](size_t i) { return in[i]; };
+	load.start();
+	for (size_t i = 0; i < 3; i++) {
+		f.boxes[i].gate.signal(SIGTERM);
+		until([&] { return !f.ready(i); });
+		in[i] = false;
+		EXPECT_EQ(0, f.boxes[i].gate.wait_exit());
+		f.boxes[i].agent_process.signal(SIGTERM);
+		EXPECT_EQ(0, f.boxes[i].agent_process.wait_exit());
+		EXPECT_NE(std::string::npos,
+		    f.boxes[i].gate.read_log().find("0 requests cut"));
+		f.start_box(i);
+		ASSERT_TRUE(f.wait_ready());
+		in[i] = true;
+		pump(200);
+	}
+	settle(f, load);
+	for (auto &o : load.outcomes)
+		EXPECT_TRUE(o.right) << o.id << " " << o.status << " "
+				     << o.kind;
+	EXPECT_GT(count_good(load), 200);
+}
+
+TEST(Promise, APlannedStopLetsALongExtractEnd)
+{
+	Fleet f(small_fleet(2, 2, "ms=2"));
+	Process p;
+
+	ASSERT_TRUE(up(f));
+	p.argv = {"/usr/bin/curl", "-s", "--fail", "-o", "/dev/null",
+	    "--limit-rate", "20M", "--max-time", "60",
+	    "http://" + f.boxes[0].listen + "/bulk/x?size=50000000"};
+	p.log = f.dir + "/ctl.log";
+	p.start();
+	ASSERT_TRUE(until([&] {
+		return f.metric(0, "fern_requests_inflight") >= 1;
+	}));
+	f.boxes[0].gate.signal(SIGTERM);
+	EXPECT_EQ(0, p.wait_exit(60000));
+	EXPECT_EQ(0, f.boxes[0].gate.wait_exit());
+}
+
+TEST(Promise, ASecondSignalEndsAndSaysWhatWasCut)
+{
+	Fleet f(small_fleet(1, 1, "ms=20000"));
+	bool ended = false;
+
+	ASSERT_TRUE(up(f));
+	http_start("GET", f.boxes[0].listen, "/dir/x", {}, "", 20000,
+	    [&](const Reply &) { ended = true; });
+	ASSERT_TRUE(until([&] {
+		return f.metric(0, "fern_requests_inflight") >= 1;
+	}));
+	f.boxes[0].gate.signal(SIGTERM);
+	ASSERT_TRUE(until([&] { return !f.ready(0); }));
+	f.boxes[0].gate.signal(SIGTERM);
+	EXPECT_EQ(0, f.boxes[0].gate.wait_exit());
+	EXPECT_NE(std::string::npos,
+	    f.boxes[0].gate.read_log().find("1 requests cut"));
+	EXPECT_TRUE(until([&] { return ended; }));
+}
+
+TEST(Promise, TheGateServesWhenItsAgentIsGone)
+{
+	Fleet f(small_fleet(1, 2, "ms=2"));
+
+	ASSERT_TRUE(up(f));
+	f.boxes[0].agent_process.kill9();
+	f.platform.kill9();
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(
+		    200, http("GET", f.boxes[0].listen, "/dir/x").status);
+}
--- a/route.c
+++ b/route.c
@@ -114,6 +114,8 @@
 		    g_renew(struct disp_backend, h->backends, h->n + 1);
 		h->backends[h->n++] = (struct disp_backend){
 		    o->name, b->address, (int)b->slots, b->drain};
+		if (b->drain)
+			continue;
 		h->slots += (int)b->slots;
 		s->slots += (int)b->slots;
 	}
--- a/route.h
+++ b/route.h
@@ -30,7 +30,7 @@
 	struct str hall;
 	struct disp_backend *backends;
 	unsigned n;
-	int slots; /* of all of them */
+	int slots; /* of those that do not drain */
 };
 
 struct route_service {
@@ -38,7 +38,7 @@
 	const struct obj_service *obj;
 	struct route_hall *halls;
 	unsigned nhalls;
-	int slots;
+	int slots; /* of all halls */
 };
 
 struct route_rule {
