--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,25 @@
-# fernjunction: see README.md for the two commands that matter.
+# fernjunction: README.md names the two commands that matter.
+
 include config.mk
 
 PROGS = ferngate fernagent fernctl
-STANDINS = regress/standin_platform regress/standin_backend regress/standin_proxy
+STANDINS = regress/standin_platform regress/standin_backend \
+	regress/standin_proxy
+UNIT_TESTS = regress/test_units regress/test_conf regress/test_disp
+FLEET_TESTS = regress/test_path regress/test_config regress/test_promises
+TESTS = $(UNIT_TESTS) $(FLEET_TESTS)
+BENCHES = regress/bench_pick regress/bench_gate regress/bench_tail \
+	regress/bench_capacity regress/soak regress/demo
 
 COMMON = chart.o clk.o cnt.o conf.o disp.o doc_toml.o err.o field.o hsrv.o \
-	limit.o wire_zmq.o memb.o msg.o obj.o pick.o pick_fern.o pick_naive.o \
+	limit.o memb.o msg.o obj.o pick.o pick_fern.o pick_naive.o \
 	plat_http.o probe.o queue.o route.o sel.o set.o slog.o str.o sync.o \
-	tmr.o up.o
+	tmr.o up.o wire_zmq.o
 GATE = gate_claim.o gate_conf.o gate_flow.o gate_home.o gate_main.o \
 	gate_req.o gate_stat.o gate_try.o
 AGENT = agent_main.o agent_peer.o agent_probe.o agent_stat.o agent_watch.o
 CTL = ctl_call.o ctl_edit.o ctl_main.o ctl_show.o
+FLEET = regress/fleet.o regress/fleet_http.o
 
 all: $(PROGS)
 
@@ -23,37 +31,65 @@
 	$(CXX) -o $@ $(GATE) libfern.a $(LDLIBS)
 fernagent: $(AGENT) libfern.a
 	$(CXX) -o $@ $(AGENT) libfern.a $(LDLIBS)
-
 fernctl: $(CTL) libfern.a
 	$(CXX) -o $@ $(CTL) libfern.a $(LDLIBS)
 
-regress/standin_platform: regress/standin_platform.o libfern.a
-	$(CXX) -o $@ $@.o libfern.a $(LDLIBS)
-regress/standin_backend: regress/standin_backend.o libfern.a
-	$(CXX) -o $@ $@.o libfern.a $(LDLIBS)
-regress/standin_proxy: regress/standin_proxy.o libfern.a
-	$(CXX) -o $@ $@.o libfern.a $(LDLIBS)
-
-TESTS = regress/test_path regress/test_promises
-FLEET = regress/fleet.o regress/fleet_http.o
-
-regress/test_path: regress/test_path.o $(FLEET) libfern.a
-	$(CXX) -o $@ $@.o $(FLEET) libfern.a $(LDLIBS) $(GTEST)
-regress/test_promises: regress/test_promises.o $(FLEET) libfern.a
-	$(CXX) -o $@ $@.o $(FLEET) libfern.a $(LDLIBS) $(GTEST)
+$(STANDINS): %: %.o libfern.a
+	$(CXX) -o $@ $< libfern.a $(LDLIBS)
+$(UNIT_TESTS): %: %.o libfern.a
+	$(CXX) -o $@ $< libfern.a $(LDLIBS) $(GTEST)
+$(FLEET_TESTS): %: %.o $(FLEET) libfern.a
+	$(CXX) -o $@ $< $(FLEET) libfern.a $(LDLIBS) $(GTEST)
+$(BENCHES): %: %.o $(FLEET) libfern.a
+	$(CXX) -o $@ $< $(FLEET) libfern.a $(LDLIBS)
 
 .SUFFIXES: .c .cpp .o
 .c.o:
-	$(CC) $(CFLAGS) -I. -MMD -c -o $@ $<
+	$(CC) $(CFLAGS) -I. -MMD -MP -c -o $@ $<
 .cpp.o:
-	$(CXX) $(CXXFLAGS) -I. -MMD -c -o $@ $<
+	$(CXX) $(CXXFLAGS) -I. -MMD -MP -c -o $@ $<
 
 -include $(wildcard *.d regress/*.d)
 
-config.mk: configure
+config.mk: configure regress/setup
+	./regress/setup
 	./configure
 
+# Built with all processors; CI runs on a machine of its own.
+build-all:
+	$(MAKE) -j $$(nproc) $(PROGS) $(STANDINS) $(TESTS) $(BENCHES)
+
+check: build-all
+	./regress/check $(addprefix ./,$(TESTS))
+demo: build-all
+	FERN_ROOT=. ./regress/demo
+soak: build-all
+	FERN_ROOT=. ./regress/soak $(or $(MINUTES),1)
+prove: build-all
+	./regress/prove
+bench-pick bench-gate bench-tail bench-capacity: build-all
+	FERN_ROOT=. ./regress/$(subst -,_,$@)
+
+format:
+	clang-format -i *.c *.h *.cpp regress/*.c regress/*.h regress/*.cpp
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/sbin $(DESTDIR)$(PREFIX)/bin
+	install -d $(DESTDIR)$(PREFIX)/share/fernjunction/charts
+	install -d $(DESTDIR)$(PREFIX)/share/man/man1
+	install -d $(DESTDIR)$(PREFIX)/share/man/man7
+	install -d $(DESTDIR)$(PREFIX)/share/man/man8
+	install ferngate fernagent $(DESTDIR)$(PREFIX)/sbin
+	install fernctl $(DESTDIR)$(PREFIX)/bin
+	install -m 644 charts/*.toml \
+	    $(DESTDIR)$(PREFIX)/share/fernjunction/charts
+	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 man/*.7 $(DESTDIR)$(PREFIX)/share/man/man7
+	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
+
 clean:
-	rm -f *.o *.d *.a regress/*.o regress/*.d $(PROGS) $(STANDINS)
+	rm -f *.o *.d *.a regress/*.o regress/*.d config.mk
+	rm -f $(PROGS) $(STANDINS) $(TESTS) $(BENCHES)
 
-.PHONY: all clean
+.PHONY: all build-all check demo soak prove format install clean \
+	bench-pick bench-gate bench-tail bench-capacity
--- a/agent_peer.c
+++ b/agent_peer.c
@@ -52,8 +52,7 @@
 	struct msg m = {.kind = MSG_HELLO};
 	size_t i, n;
 
-	n = memb_sample(
-	    a->memb, a->rnd, clk_ns(a->clk), some, GOSSIP_MEMBERS);
+	n = memb_sample(a->memb, a->rnd, clk_ns(a->clk), some, GOSSIP_MEMBERS);
 	for (i = 0; i < n; i++)
 		infos[i] = some[i]->info;
 	m.u.hello.self = *memb_self(a->memb);
@@ -126,8 +125,7 @@
 		send_hello(a, c.near);
 	if (c.any.n > 0 && !str_eq(c.any, c.near))
 		send_hello(a, c.any);
-	if (memb_count_alive(a->memb, now) < 2 ||
-	    rnd_below(a->rnd, 10) == 0)
+	if (memb_count_alive(a->memb, now) < 2 || rnd_below(a->rnd, 10) == 0)
 		ask_seeds(a);
 	send_gate_hello(a);
 	tmr_set(&a->tmr, &a->hello_timer,
@@ -227,6 +225,8 @@
 	struct memb_info *self = memb_self(a->memb);
 
 	memb_tick(a->memb, now);
+	if (conf_digest(a->conf) != a->status_told)
+		agent_status_soon(a);
 	if (self->ready && now - a->gate_heard > GATE_SILENT_NS) {
 		self->ready = false;
 		slog(SLOG_AGENT, "The gate is silent.");
--- a/agent_probe.c
+++ b/agent_probe.c
@@ -37,8 +37,8 @@
 static void start_probe(void *, struct str, struct str, struct str);
 static void on_changed(void *, struct str, enum msg_state);
 static void on_connected(void *, struct up_call *);
-static void on_head(
-    void *, struct up_call *, int, const h2o_header_t *, size_t);
+static void
+on_head(void *, struct up_call *, int, const h2o_header_t *, size_t);
 static void on_body(void *, struct up_call *);
 static void on_end(void *, struct up_call *);
 static void on_fail(void *, struct up_call *, enum err_kind);
@@ -61,8 +61,7 @@
 }
 
 static void
-start_probe(
-    void *ctx, struct str backend, struct str address, struct str path)
+start_probe(void *ctx, struct str backend, struct str address, struct str path)
 {
 	struct agent *a = ctx;
 	struct flight *f = g_new0(struct flight, 1);
@@ -145,8 +144,8 @@
 }
 
 static void
-remember(struct agent *a, struct str backend, enum msg_state state,
-    uint64_t at_ms)
+remember(
+    struct agent *a, struct str backend, enum msg_state state, uint64_t at_ms)
 {
 	char *key = g_strndup(backend.p, backend.n);
 	struct agent_health *h = g_hash_table_lookup(a->health, key);
@@ -165,8 +164,8 @@
 static void
 tell(struct agent *a, struct str backend, enum msg_state state, bool all)
 {
-	struct msg_state_of st = {backend, state,
-	    (uint64_t)clk_wall_ms(a->clk)};
+	struct msg_state_of st = {
+	    backend, state, (uint64_t)clk_wall_ms(a->clk)};
 	struct msg m = {.kind = MSG_HEALTH};
 
 	remember(a, backend, state, st.at_ms);
@@ -180,8 +179,8 @@
 static void
 on_changed(void *ctx, struct str backend, enum msg_state state)
 {
-	static const char *const names[] = {"unknown", "up", "down",
-	    "draining"};
+	static const char *const names[] = {
+	    "unknown", "up", "down", "draining"};
 
 	slog(SLOG_PROBE, "%.*s is %s.", STR_ARG(backend), names[state]);
 	tell(ctx, backend, state, true);
@@ -196,8 +195,8 @@
 	size_t i;
 
 	for (i = 0; i < health->states.n; i++)
-		remember(a, st[i].backend, (enum msg_state)st[i].state,
-		    st[i].at_ms);
+		remember(
+		    a, st[i].backend, (enum msg_state)st[i].state, st[i].at_ms);
 	m.u.health = *health;
 	wire_send(a->wire, a->set.gate_inbox, &m);
 }
--- a/agent_stat.c
+++ b/agent_stat.c
@@ -52,8 +52,7 @@
 {
 	const struct wire_totals *lc = wire_counts(a->wire);
 
-	cnt_set(a->cnt, AC_MEMBERS,
-	    memb_count_alive(a->memb, clk_ns(a->clk)));
+	cnt_set(a->cnt, AC_MEMBERS, memb_count_alive(a->memb, clk_ns(a->clk)));
 	cnt_set(a->cnt, AC_OBJECTS, conf_count(a->conf));
 	cnt_set(a->cnt, AC_SYNC_MESSAGES, a->sync.messages);
 	cnt_set(a->cnt, AC_PROBES, probe_started(a->probe));
@@ -78,7 +77,7 @@
 	refresh(a);
 	out = g_string_new(NULL);
 	cnt_print(a->cnt, out);
-	hsrv_answer(req, 200, "text/plain; version=0.0.4",
-	    str_n(out->str, out->len));
+	hsrv_answer(
+	    req, 200, "text/plain; version=0.0.4", str_n(out->str, out->len));
 	g_string_free(out, TRUE);
 }
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -129,7 +129,7 @@
 	struct plat_request rq = {.op = PLAT_WATCH,
 	    .kind = config_kinds,
 	    .version = a->watch_since,
-	    .wait_ms = WATCH_WAIT_MS};
+	    .wait_ms = MIN(WATCH_WAIT_MS, a->set.list_ms)};
 
 	a->watch_call = call(a, &rq, on_watch);
 	if (a->watch_call == NULL)
@@ -180,12 +180,10 @@
 	key = g_strdup_printf("%s/%s", kind, name);
 	got = conf_offer(a->conf, str_c(key), version, deleted, spec,
 	    STR_LIT("platform"), &err);
-	if (got == CONF_REJECTED) {
+	if (got == CONF_REJECTED)
 		slog(SLOG_CONF, "Rejected %s version %llu: %s.", key,
 		    (unsigned long long)version,
 		    err != NULL ? err->message : "see the status");
-		agent_status_soon(a);
-	}
 	g_clear_error(&err);
 	if (keys != NULL)
 		g_hash_table_add(keys, key);
@@ -200,7 +198,7 @@
 	size_t i;
 
 	a->from_platform = true;
-	json_array_foreach(objects, i, o)
+	json_array_foreach (objects, i, o)
 		offer(a, o, keys);
 	a->from_platform = false;
 }
@@ -208,8 +206,7 @@
 static uint64_t
 revision_of(json_t *body)
 {
-	return (uint64_t)json_integer_value(
-	    json_object_get(body, "revision"));
+	return (uint64_t)json_integer_value(json_object_get(body, "revision"));
 }
 
 static void
@@ -221,7 +218,8 @@
 
 	a->watch_call = NULL;
 	note_result(a, result);
-	if (result != PLAT_OK || !json_is_array(json_object_get(body, "objects"))) {
+	if (result != PLAT_OK ||
+	    !json_is_array(json_object_get(body, "objects"))) {
 		watch_soon(a, backoff(a, a->watch_fails++));
 		return;
 	}
@@ -285,8 +283,7 @@
 	size_t i;
 
 	memb_list_begin(a->memb);
-	json_array_foreach(boxes, i, box)
-	{
+	json_array_foreach (boxes, i, box) {
 		struct str name =
 		    str_c(json_string_value(json_object_get(box, "name")));
 
@@ -327,14 +324,16 @@
 agent_status_soon(struct agent *a)
 {
 	int64_t now = clk_ns(a->clk);
-	int64_t spread = (int64_t)memb_count_alive(a->memb, now) * NS_S /
-	    STATUS_FLEET_RATE;
+	int64_t spread =
+	    (int64_t)memb_count_alive(a->memb, now) * NS_S / STATUS_FLEET_RATE;
+
+	int64_t at = now + rnd_jitter(a->rnd, STATUS_SOON_NS + spread);
 
-	if (a->status_timer.set || a->status_call != NULL)
+	a->status_told = conf_digest(a->conf);
+	if (a->status_call != NULL ||
+	    (a->status_timer.set && a->status_timer.item.deadline <= at))
 		return;
-	tmr_set(&a->tmr, &a->status_timer,
-	    now + rnd_jitter(a->rnd, STATUS_SOON_NS + spread), on_status_due,
-	    a);
+	tmr_set(&a->tmr, &a->status_timer, at, on_status_due, a);
 }
 
 static void
@@ -344,8 +343,7 @@
 		json_array_append_new(ctx,
 		    json_pack("{s:s%, s:I, s:I, s:s}", "key", e->key.p,
 			e->key.n, "rejected", (json_int_t)e->bad_version,
-			"in_force", (json_int_t)e->version, "why",
-			e->bad_why));
+			"in_force", (json_int_t)e->version, "why", e->bad_why));
 }
 
 static void
@@ -367,8 +365,8 @@
 	conf_each(a->conf, add_version, &newest);
 	snprintf(digest, sizeof(digest), "%016llx",
 	    (unsigned long long)conf_digest(a->conf));
-	snprintf(gate, sizeof(gate), "%016llx",
-	    (unsigned long long)a->gate_digest);
+	snprintf(
+	    gate, sizeof(gate), "%016llx", (unsigned long long)a->gate_digest);
 	return json_pack("{s:s%, s:s%, s:I, s:I, s:s, s:s, s:b, s:b, s:i, s:o}",
 	    "box", a->set.box.p, a->set.box.n, "hall", a->set.hall.p,
 	    a->set.hall.n, "newest", (json_int_t)newest, "floor",
@@ -430,6 +428,6 @@
 	} else {
 		in = backoff(a, a->status_fails++);
 	}
-	tmr_set(&a->tmr, &a->status_timer, clk_ns(a->clk) + in, on_status_due,
-	    a);
+	tmr_set(
+	    &a->tmr, &a->status_timer, clk_ns(a->clk) + in, on_status_due, a);
 }
--- a/chart.c
+++ b/chart.c
@@ -22,11 +22,11 @@
 
 static int find(const char *const *, int, const char *);
 static bool read_states(struct chart *, const struct doc *, GError **);
-static bool read_state(
-    struct chart *, int, const struct doc *, json_t *, GError **);
+static bool
+read_state(struct chart *, int, const struct doc *, json_t *, GError **);
 static bool check_reach(const struct chart *, const char *, GError **);
-static struct chart *compile(
-    struct doc *, const struct chart_names *, GError **);
+static struct chart *
+compile(struct doc *, const struct chart_names *, GError **);
 
 static int
 find(const char *const *names, int n, const char *name)
@@ -48,8 +48,7 @@
 	json_t *value;
 	int i, to;
 
-	json_object_foreach(row, key, value)
-	{
+	json_object_foreach (row, key, value) {
 		if (find(nm->events, nm->nevents, key) < 0)
 			return err_set(err, ERR_CHART,
 			    "%s:%d: %s: unknown event %s", doc->file,
@@ -75,8 +74,7 @@
 	const char *key;
 	int i;
 
-	json_object_foreach(states, key, row)
-	{
+	json_object_foreach (states, key, row) {
 		if (find(nm->states, nm->nstates, key) < 0)
 			return err_set(err, ERR_CHART,
 			    "%s:%d: unknown state %s", doc->file,
@@ -128,7 +126,7 @@
 	const char *start;
 
 	c->names = names;
-	c->next = g_new0(int, names->nstates *names->nevents);
+	c->next = g_new0(int, names->nstates * names->nevents);
 	start = json_string_value(json_object_get(doc->root, "start"));
 	c->start = find(names->states, names->nstates, start);
 	if (c->start < 0)
--- a/chart.h
+++ b/chart.h
@@ -35,8 +35,8 @@
  * each state answers each event, and that each state can be reached.
  * NULL and ERR_CHART or ERR_SETTINGS on failure.
  */
-struct chart *chart_load(
-    const char *file, const struct chart_names *, GError **);
+struct chart *
+chart_load(const char *file, const struct chart_names *, GError **);
 
 /* The same from text in memory. */
 struct chart *chart_parse(const char *text, size_t n, const char *file,
--- a/conf.c
+++ b/conf.c
@@ -27,8 +27,8 @@
 static void entry_free(void *);
 static struct conf_entry *entry_new(struct conf *, struct str, GError **);
 static void rehash(struct conf *, struct conf_entry *);
-static enum conf_result offer_bad(
-    struct conf *, struct conf_entry *, uint64_t, json_t *, GError *);
+static enum conf_result
+offer_bad(struct conf *, struct conf_entry *, uint64_t, json_t *, GError *);
 static void enforce(struct conf *, struct conf_entry *, uint64_t, bool,
     json_t *, struct obj *, struct str);
 static bool wins(const struct conf_entry *, uint64_t, bool, const json_t *);
@@ -62,8 +62,8 @@
 {
 	struct conf *c = g_new0(struct conf, 1);
 
-	c->entries = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, entry_free);
+	c->entries =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, entry_free);
 	c->changed = changed;
 	c->ctx = ctx;
 	return c;
--- a/conf.h
+++ b/conf.h
@@ -35,18 +35,18 @@
 enum { CONF_BUCKETS = 64 };
 
 struct conf_entry {
-	struct str key;	      /* "kind/name" */
+	struct str key; /* "kind/name" */
 	enum obj_kind kind;
 	struct str name;
-	uint64_t version;     /* in force; 0: none yet */
+	uint64_t version; /* in force; 0: none yet */
 	bool deleted;
-	json_t *spec;	      /* of the version in force */
-	struct obj *obj;      /* the same, checked */
+	json_t *spec; /* of the version in force */
+	struct obj *obj; /* the same, checked */
 	uint64_t bad_version; /* rejected; 0: none */
 	json_t *bad_spec;
 	char *bad_why;
-	struct str source;    /* who offered the version in force */
-	uint64_t hash;	      /* this entry's share of the digest */
+	struct str source; /* who offered the version in force */
+	uint64_t hash; /* this entry's share of the digest */
 };
 
 /* Called when another version of an object comes into force. */
--- a/ctl_call.c
+++ b/ctl_call.c
@@ -113,8 +113,8 @@
 }
 
 static bool
-lost_race(struct str kind, struct str name, json_t *old, json_t *now,
-    GError **err)
+lost_race(
+    struct str kind, struct str name, json_t *old, json_t *now, GError **err)
 {
 	char *text = json_dumps(
 	    json_object_get(now, "spec"), JSON_COMPACT | JSON_SORT_KEYS);
@@ -144,7 +144,7 @@
 		return FATE_UNKNOWN;
 	}
 	if (*now == NULL)
-		return deletes ? FATE_DONE
+		return deletes	  ? FATE_DONE
 		    : old == NULL ? FATE_NOT_DONE
 				  : FATE_OVERTAKEN;
 	change = json_string_value(json_object_get(*now, "change"));
@@ -225,6 +225,5 @@
 		return true;
 	}
 	return err_set(err, ERR_USAGE,
-	    "\"%s\": wanted is KIND/NAME, with backend, service or rule",
-	    text);
+	    "\"%s\": wanted is KIND/NAME, with backend, service or rule", text);
 }
--- a/ctl_edit.c
+++ b/ctl_edit.c
@@ -26,14 +26,14 @@
 static bool each_item(struct ctl *, item_fn *, GError **);
 static bool apply_item(struct ctl *, const struct item *, GError **);
 static bool diff_item(struct ctl *, const struct item *, GError **);
-static bool edit_backend(struct ctl *, json_t *(*)(json_t *, char **),
-    char **, GError **);
-static void report(
-    const struct ctl *, const char *, struct str, const char *, uint64_t);
+static bool
+edit_backend(struct ctl *, json_t *(*)(json_t *, char **), char **, GError **);
+static void
+report(const struct ctl *, const char *, struct str, const char *, uint64_t);
 
 static void
-report(const struct ctl *c, const char *kind, struct str name,
-    const char *what, uint64_t version)
+report(const struct ctl *c, const char *kind, struct str name, const char *what,
+    uint64_t version)
 {
 	if (c->json)
 		printf("{\"key\":\"%s/%.*s\",\"result\":\"%s\","
@@ -55,8 +55,8 @@
 	if (!json_is_string(name))
 		return err_set(err, ERR_OBJECT, "%s: a %s has no name",
 		    doc->file, obj_kind_name(kind));
-	item.name = str_dup(
-	    str_n(json_string_value(name), json_string_length(name)));
+	item.name =
+	    str_dup(str_n(json_string_value(name), json_string_length(name)));
 	json_object_del(table, "name");
 	item.spec = table;
 	obj = obj_read(kind, item.name, table, doc, err);
@@ -74,16 +74,14 @@
 	const char *key;
 	size_t i;
 
-	json_object_foreach(doc->root, key, list)
-	{
+	json_object_foreach (doc->root, key, list) {
 		if (!obj_kind_by_name(str_c(key), &kind) ||
 		    !json_is_array(list))
 			return err_set(err, ERR_OBJECT,
 			    "%s:%d: %s: wanted is [[backend]], [[service]] or "
 			    "[[rule]]",
 			    doc->file, doc_line(doc, doc->root, key), key);
-		json_array_foreach(list, i, table)
-		{
+		json_array_foreach (list, i, table) {
 			if (!read_item(doc, kind, table, items, err))
 				return false;
 		}
@@ -161,8 +159,7 @@
 	unsigned n = 0;
 	char *text;
 
-	json_object_foreach((json_t *)spec, key, value)
-	{
+	json_object_foreach ((json_t *)spec, key, value) {
 		if (json_equal(json_object_get(old, key), value))
 			continue;
 		text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
@@ -237,8 +234,8 @@
 }
 
 static bool
-edit_backend(struct ctl *c, json_t *(*change)(json_t *, char **),
-    char **words, GError **err)
+edit_backend(struct ctl *c, json_t *(*change)(json_t *, char **), char **words,
+    GError **err)
 {
 	if (c->nargs < 1)
 		return err_set(err, ERR_USAGE, "a backend server is wanted");
@@ -370,10 +367,9 @@
 		return false;
 	}
 	if (old == NULL)
-		return err_set(
-		    err, ERR_OBJECT, "%s is not there", c->args[0]);
-	ok = ctl_write(c, str_c(obj_kind_name(kind)), name, old, NULL,
-	    &version, err);
+		return err_set(err, ERR_OBJECT, "%s is not there", c->args[0]);
+	ok = ctl_write(
+	    c, str_c(obj_kind_name(kind)), name, old, NULL, &version, err);
 	if (ok)
 		report(c, obj_kind_name(kind), name, "deleted", version);
 	json_decref(old);
--- a/ctl_main.c
+++ b/ctl_main.c
@@ -56,8 +56,8 @@
 	arg_print_glossary(stdout, table, "  %-28s %s\n");
 	printf("Commands:\n");
 	for (i = 0; i < G_N_ELEMENTS(commands); i++)
-		printf("  %-8s %-31s %s\n", commands[i].name,
-		    commands[i].words, commands[i].about);
+		printf("  %-8s %-31s %s\n", commands[i].name, commands[i].words,
+		    commands[i].about);
 }
 
 static ctl_fn *
@@ -129,19 +129,19 @@
 		err_set(&err, ERR_USAGE, "a command is wanted; try --help");
 	else if ((fn = find_command(l->words->sval[0])) == NULL)
 		err_set(&err, ERR_USAGE,
-		    "%s: no such command; the nearest is %s",
-		    l->words->sval[0], nearest_command(l->words->sval[0]));
+		    "%s: no such command; the nearest is %s", l->words->sval[0],
+		    nearest_command(l->words->sval[0]));
 	else if (open_platform(c, l, &err)) {
 		c->json = l->json->count > 0;
 		c->nargs = l->words->count - 1;
 		c->args = g_new0(char *, c->nargs + 1);
 		memcpy(c->args, l->words->sval + 1,
 		    sizeof(char *) * (size_t)c->nargs);
-		c->method = (char *)(l->method->count > 0 ? l->method->sval[0]
-							  : "GET");
+		c->method =
+		    (char *)(l->method->count > 0 ? l->method->sval[0] : "GET");
 		c->host = (char *)(l->host->count > 0 ? l->host->sval[0] : "");
-		c->header = (char *)(l->header->count > 0 ? l->header->sval[0]
-							  : NULL);
+		c->header =
+		    (char *)(l->header->count > 0 ? l->header->sval[0] : NULL);
 		fn(c, &err);
 	}
 	fflush(stdout);
--- a/ctl_show.c
+++ b/ctl_show.c
@@ -17,8 +17,8 @@
 
 static struct conf *load_conf(struct ctl *, json_t *);
 static void print_json(json_t *);
-static void print_explain(
-    struct ctl *, const struct route_rule *, const struct obj_rule *);
+static void
+print_explain(struct ctl *, const struct route_rule *, const struct obj_rule *);
 
 static const struct str config_kinds = STR_LIT("backend,service,rule");
 
@@ -72,10 +72,9 @@
 	if (c->json) {
 		print_json(objects);
 	} else {
-		printf("%-9s %-24s %-8s %s\n", "KIND", "NAME", "VERSION",
-		    "SPEC");
-		json_array_foreach(objects, i, o)
-		{
+		printf(
+		    "%-9s %-24s %-8s %s\n", "KIND", "NAME", "VERSION", "SPEC");
+		json_array_foreach (objects, i, o) {
 			spec = json_dumps(json_object_get(o, "spec"),
 			    JSON_COMPACT | JSON_SORT_KEYS);
 			printf("%-9s %-24s %-8lld %s\n", text_of(o, "kind"),
@@ -99,8 +98,7 @@
 
 	printf("%-12s %-10s %-8s %-17s %-17s %-6s %s\n", "BOX", "HALL",
 	    "NEWEST", "AGENT HAS", "GATE HAS", "READY", "OBJECTS");
-	json_array_foreach(objects, i, o)
-	{
+	json_array_foreach (objects, i, o) {
 		spec = json_object_get(o, "spec");
 		printf("%-12s %-10s %-8lld %-17s %-17s %-6s %lld\n",
 		    text_of(spec, "box"), text_of(spec, "hall"),
@@ -112,8 +110,7 @@
 			: "no",
 		    number_of(spec, "objects"));
 		rejected = json_object_get(spec, "rejected");
-		json_array_foreach(rejected, j, r)
-		{
+		json_array_foreach (rejected, j, r) {
 			printf("  rejected: %s version %lld, in force is %lld: "
 			       "%s\n",
 			    text_of(r, "key"), number_of(r, "rejected"),
@@ -145,8 +142,7 @@
 	char *key;
 	size_t i;
 
-	json_array_foreach(objects, i, o)
-	{
+	json_array_foreach (objects, i, o) {
 		key = g_strdup_printf(
 		    "%s/%s", text_of(o, "kind"), text_of(o, "name"));
 		conf_offer(conf, str_c(key), (uint64_t)number_of(o, "version"),
@@ -165,8 +161,7 @@
 	const struct ctl *c = ctx;
 	const char *value;
 
-	if (c->header == NULL ||
-	    strncasecmp(c->header, name.p, name.n) != 0 ||
+	if (c->header == NULL || strncasecmp(c->header, name.p, name.n) != 0 ||
 	    c->header[name.n] != ':')
 		return str_c(NULL);
 	value = c->header + name.n + 1;
@@ -176,8 +171,8 @@
 }
 
 static void
-print_explain(struct ctl *c, const struct route_rule *rule,
-    const struct obj_rule *obj)
+print_explain(
+    struct ctl *c, const struct route_rule *rule, const struct obj_rule *obj)
 {
 	const struct route_service *svc = rule->service;
 	struct str method = str_c(c->method);
@@ -190,9 +185,8 @@
 	printf("repeatable  %s\n",
 	    route_repeatable(obj, method, key) ? "yes"
 		: key ? "no: it carries an Idempotency-Key"
-		: obj->repeatable == REPEATABLE_NO
-		? "no: the rule says so"
-		: "no: by its method");
+		: obj->repeatable == REPEATABLE_NO ? "no: the rule says so"
+						   : "no: by its method");
 	printf("class       %s\n", obj_class_name((enum obj_class)obj->cls));
 	if (svc == NULL) {
 		printf("service     %s: there is no such service\n",
--- a/disp.c
+++ b/disp.c
@@ -38,14 +38,14 @@
 	struct limit limit;
 	unsigned inflight;
 	bool serving; /* serve() is under way */
-	bool again;   /* and must look once more */
+	bool again; /* and must look once more */
 };
 
 /* What each outcome means. */
 static const struct {
 	bool not_run; /* it surely did not run */
-	bool bad;     /* it speaks against the backend server */
-	bool good;    /* it speaks for it */
+	bool bad; /* it speaks against the backend server */
+	bool good; /* it speaks for it */
 } outcomes[DISP_OUTCOME_MAX] = {
     [DISP_OK] = {false, false, true},
     [DISP_REFUSED] = {true, false, false},
@@ -70,8 +70,8 @@
 static void refresh_oldest(struct disp *, struct pick_backend *);
 
 struct disp *
-disp_new(const struct disp_ops *ops, const struct clk *clk,
-    const struct rnd *rnd)
+disp_new(
+    const struct disp_ops *ops, const struct clk *clk, const struct rnd *rnd)
 {
 	struct disp *d = g_new0(struct disp, 1);
 	int i;
@@ -416,8 +416,8 @@
  * refusal in a row, and that bounds the refusals.
  */
 bool
-disp_retryable(const struct disp *d, const struct disp_req *r,
-    enum disp_outcome outcome)
+disp_retryable(
+    const struct disp *d, const struct disp_req *r, enum disp_outcome outcome)
 {
 	if (outcome == DISP_OK || outcome == DISP_LATE || outcome == DISP_GONE)
 		return false;
@@ -457,7 +457,8 @@
 	judge(d, r, b, outcome);
 	again = retry(d, r, outcome);
 	serve(d);
-	sweep(d);
+	if (b->gone)
+		sweep(d);
 	return again;
 }
 
--- a/disp.h
+++ b/disp.h
@@ -31,13 +31,13 @@
 
 /* How one try at a backend server ended. */
 enum disp_outcome {
-	DISP_OK,      /* a whole answer */
+	DISP_OK, /* a whole answer */
 	DISP_REFUSED, /* the backend server says it did not run it */
 	DISP_CONNECT, /* nothing could be sent */
-	DISP_FAILED,  /* an answer that tells a failure, 5xx */
-	DISP_CUT,     /* the connection broke; it may have run */
-	DISP_LATE,    /* the deadline passed while it was there */
-	DISP_GONE,    /* the caller went away while it was there */
+	DISP_FAILED, /* an answer that tells a failure, 5xx */
+	DISP_CUT, /* the connection broke; it may have run */
+	DISP_LATE, /* the deadline passed while it was there */
+	DISP_GONE, /* the caller went away while it was there */
 	DISP_OUTCOME_MAX
 };
 
@@ -45,12 +45,12 @@
 struct disp_req {
 	enum obj_class cls;
 	bool repeatable;
-	bool may_pass;	   /* may go to another hall's home */
-	bool may_retry;	   /* nothing of an answer has gone out yet */
-	int64_t deadline;  /* monotonic ns */
-	int64_t sent;	   /* start of the try under way */
+	bool may_pass; /* may go to another hall's home */
+	bool may_retry; /* nothing of an answer has gone out yet */
+	int64_t deadline; /* monotonic ns */
+	int64_t sent; /* start of the try under way */
 	int tries;
-	struct pick_backend *at;    /* where it is now; NULL: held or done */
+	struct pick_backend *at; /* where it is now; NULL: held or done */
 	struct pick_backend *avoid; /* where it failed last */
 	bool held;
 	struct queue_item item;
@@ -88,8 +88,8 @@
 
 struct disp;
 
-struct disp *disp_new(
-    const struct disp_ops *, const struct clk *, const struct rnd *);
+struct disp *
+disp_new(const struct disp_ops *, const struct clk *, const struct rnd *);
 
 /* Only when no request is left in it. */
 void disp_free(struct disp *);
@@ -103,8 +103,8 @@
 void disp_arrive(struct disp *, struct disp_req *);
 
 /* Would disp_done() take the request back after such an end of its try? */
-bool disp_retryable(
-    const struct disp *, const struct disp_req *, enum disp_outcome);
+bool
+disp_retryable(const struct disp *, const struct disp_req *, enum disp_outcome);
 
 /*
  * A try has ended.  True if the request was taken back to be tried again;
--- a/doc.h
+++ b/doc.h
@@ -24,9 +24,9 @@
  * stands on.  The parser is toml++, behind this header.
  */
 struct doc {
-	json_t *root;	   /* always an object */
+	json_t *root; /* always an object */
 	GHashTable *lines; /* table and key to line number */
-	char *file;	   /* name for messages */
+	char *file; /* name for messages */
 };
 
 /* Read a file.  NULL and ERR_SETTINGS if it cannot be read or parsed. */
--- a/doc_toml.cpp
+++ b/doc_toml.cpp
@@ -14,9 +14,24 @@
  */
 #include <fstream>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 
+/*
+ * The parser checks itself by assertions, some of which malformed text can
+ * reach; where it goes on, the text is refused all the same.
+ */
+static bool assertion_failed;
+
+static inline bool
+note_failure()
+{
+	assertion_failed = true;
+	return true;
+}
+
+#define TOML_ASSERT(expr) static_cast<void>((expr) || note_failure())
 #include <toml++/toml.h>
 
 #include "doc.h"
@@ -99,8 +114,11 @@
 	struct doc *doc;
 
 	try {
+		assertion_failed = false;
 		toml::table table = toml::parse(
 		    std::string_view(text, n), std::string_view(name));
+		if (assertion_failed)
+			throw std::runtime_error("is malformed");
 		doc = g_new0(struct doc, 1);
 		doc->file = g_strdup(name);
 		doc->lines = g_hash_table_new_full(
@@ -112,6 +130,9 @@
 		err_set(err, ERR_SETTINGS, "%s:%d: %s", name,
 		    static_cast<int>(e.source().begin.line), why.c_str());
 		return nullptr;
+	} catch (const std::exception &e) {
+		err_set(err, ERR_SETTINGS, "%s: %s", name, e.what());
+		return nullptr;
 	}
 }
 
--- a/err.h
+++ b/err.h
@@ -56,10 +56,10 @@
 
 /* What a kind means to the one who meets it. */
 struct err_row {
-	const char *name;     /* the kind's name on the wire and in logs */
-	int status;	      /* HTTP status; 0 for kinds not sent to callers */
-	int retry_after_s;    /* Retry-After in seconds; 0 for none */
-	int exit_code;	      /* exit status of a command that ends on it */
+	const char *name; /* the kind's name on the wire and in logs */
+	int status; /* HTTP status; 0 for kinds not sent to callers */
+	int retry_after_s; /* Retry-After in seconds; 0 for none */
+	int exit_code; /* exit status of a command that ends on it */
 	const char *sentence; /* the answer's text */
 };
 
@@ -77,7 +77,6 @@
 GQuark err_quark(void);
 
 /* Set a GError of ours and return false, for "return err_set(...)". */
-bool err_set(GError **, enum err_kind, const char *, ...)
-    G_GNUC_PRINTF(3, 4);
+bool err_set(GError **, enum err_kind, const char *, ...) G_GNUC_PRINTF(3, 4);
 
 #endif
--- a/field.c
+++ b/field.c
@@ -25,8 +25,8 @@
 	GError **err;
 };
 
-typedef bool read_fn(
-    const struct reader *, const struct field *, json_t *, void *);
+typedef bool
+read_fn(const struct reader *, const struct field *, json_t *, void *);
 
 static read_fn read_str;
 static read_fn read_name;
@@ -36,10 +36,10 @@
 static read_fn read_word;
 static read_fn read_labels;
 static read_fn read_addresses;
-static bool bad(const struct reader *, const struct field *, const json_t *,
-    const char *);
-static bool unknown(
-    const struct reader *, const struct field *, size_t, const char *);
+static bool
+bad(const struct reader *, const struct field *, const json_t *, const char *);
+static bool
+unknown(const struct reader *, const struct field *, size_t, const char *);
 static bool known(const struct field *, size_t, const char *);
 static void set_default(const struct field *, void *);
 
@@ -79,25 +79,25 @@
 }
 
 static bool
-read_str(const struct reader *r, const struct field *f, json_t *value,
-    void *out)
+read_str(
+    const struct reader *r, const struct field *f, json_t *value, void *out)
 {
 	if (!json_is_string(value))
 		return bad(r, f, value, "a string");
-	*(struct str *)member(f, out) = str_dup(
-	    str_n(json_string_value(value), json_string_length(value)));
+	*(struct str *)member(f, out) =
+	    str_dup(str_n(json_string_value(value), json_string_length(value)));
 	return true;
 }
 
 static bool
-read_name(const struct reader *r, const struct field *f, json_t *value,
-    void *out)
+read_name(
+    const struct reader *r, const struct field *f, json_t *value, void *out)
 {
 	if (!json_is_string(value) ||
-	    !field_is_name(str_n(
-		json_string_value(value), json_string_length(value))))
-		return bad(r, f, value,
-		    "a name of letters, digits, '-', '_' and '.'");
+	    !field_is_name(
+		str_n(json_string_value(value), json_string_length(value))))
+		return bad(
+		    r, f, value, "a name of letters, digits, '-', '_' and '.'");
 	return read_str(r, f, value, out);
 }
 
@@ -114,8 +114,8 @@
 }
 
 static bool
-read_address(const struct reader *r, const struct field *f, json_t *value,
-    void *out)
+read_address(
+    const struct reader *r, const struct field *f, json_t *value, void *out)
 {
 	if (!is_address(value))
 		return bad(r, f, value, "an IP number and a port");
@@ -123,8 +123,8 @@
 }
 
 static bool
-read_int(const struct reader *r, const struct field *f, json_t *value,
-    void *out)
+read_int(
+    const struct reader *r, const struct field *f, json_t *value, void *out)
 {
 	char allowed[80];
 	json_int_t v = json_integer_value(value);
@@ -140,8 +140,8 @@
 }
 
 static bool
-read_bool(const struct reader *r, const struct field *f, json_t *value,
-    void *out)
+read_bool(
+    const struct reader *r, const struct field *f, json_t *value, void *out)
 {
 	if (!json_is_boolean(value))
 		return bad(r, f, value, "true or false");
@@ -150,8 +150,8 @@
 }
 
 static bool
-read_word(const struct reader *r, const struct field *f, json_t *value,
-    void *out)
+read_word(
+    const struct reader *r, const struct field *f, json_t *value, void *out)
 {
 	const char *s = json_string_value(value);
 	char *allowed;
@@ -170,16 +170,15 @@
 }
 
 static bool
-read_labels(const struct reader *r, const struct field *f, json_t *value,
-    void *out)
+read_labels(
+    const struct reader *r, const struct field *f, json_t *value, void *out)
 {
 	const char *key;
 	json_t *item;
 
 	if (!json_is_object(value))
 		return bad(r, f, value, "a table of names to strings");
-	json_object_foreach(value, key, item)
-	{
+	json_object_foreach (value, key, item) {
 		if (!field_is_name(str_c(key)) || !json_is_string(item))
 			return bad(r, f, value, "a table of names to strings");
 	}
@@ -188,16 +187,15 @@
 }
 
 static bool
-read_addresses(const struct reader *r, const struct field *f, json_t *value,
-    void *out)
+read_addresses(
+    const struct reader *r, const struct field *f, json_t *value, void *out)
 {
 	json_t *item;
 	size_t i;
 
 	if (!json_is_array(value))
 		return bad(r, f, value, "a list of IP numbers and ports");
-	json_array_foreach(value, i, item)
-	{
+	json_array_foreach (value, i, item) {
 		if (!is_address(item))
 			return bad(r, f, item, "an IP number and a port");
 	}
@@ -217,8 +215,8 @@
 }
 
 static bool
-unknown(const struct reader *r, const struct field *tab, size_t n,
-    const char *name)
+unknown(
+    const struct reader *r, const struct field *tab, size_t n, const char *name)
 {
 	size_t i, d, best = SIZE_MAX;
 	const char *nearest = "";
@@ -275,8 +273,7 @@
 
 	if (!json_is_object(obj))
 		return err_set(err, kind, "%s: is not a table", where);
-	json_object_foreach((json_t *)obj, key, value)
-	{
+	json_object_foreach ((json_t *)obj, key, value) {
 		if (!known(tab, n, key))
 			return unknown(&r, tab, n, key);
 	}
--- a/field.h
+++ b/field.h
@@ -23,13 +23,13 @@
 
 /* The types that a settings key or an object's field may have. */
 enum field_type {
-	FIELD_STR,     /* struct str, a heap copy */
-	FIELD_NAME,    /* struct str: letters, digits, '-', '_', '.' */
+	FIELD_STR, /* struct str, a heap copy */
+	FIELD_NAME, /* struct str: letters, digits, '-', '_', '.' */
 	FIELD_ADDRESS, /* struct str: an IP number and a port */
-	FIELD_INT,     /* int64_t within min and max */
-	FIELD_BOOL,    /* bool */
-	FIELD_WORD,    /* int: index into words */
-	FIELD_LABELS,  /* json_t *: an object of strings; a reference */
+	FIELD_INT, /* int64_t within min and max */
+	FIELD_BOOL, /* bool */
+	FIELD_WORD, /* int: index into words */
+	FIELD_LABELS, /* json_t *: an object of strings; a reference */
 	FIELD_ADDRESSES, /* json_t *: an array of addresses; a reference */
 };
 
@@ -42,7 +42,7 @@
 	int64_t dflt;
 	int64_t min, max;
 	const char *const *words; /* FIELD_WORD: NULL-terminated */
-	const char *text_dflt;	  /* strings: the default */
+	const char *text_dflt; /* strings: the default */
 };
 
 /*
--- a/gate_claim.c
+++ b/gate_claim.c
@@ -24,8 +24,8 @@
  */
 
 enum {
-	ASKS_MAX = 4,		/* creates and read-backs for one claim */
-	RELEASES_MAX = 6,	/* tries to give a key back */
+	ASKS_MAX = 4, /* creates and read-backs for one claim */
+	RELEASES_MAX = 6, /* tries to give a key back */
 	CALL_MS = 500
 };
 #define RELEASE_WAIT_NS (500 * NS_MS)
@@ -143,8 +143,8 @@
 
 	if (id == NULL || strcmp(id, c->id) != 0)
 		return false;
-	c->version = (uint64_t)json_integer_value(
-	    json_object_get(object, "version"));
+	c->version =
+	    (uint64_t)json_integer_value(json_object_get(object, "version"));
 	return true;
 }
 
@@ -161,7 +161,8 @@
 		tell(c, ERR_NONE);
 		break;
 	case PLAT_CONFLICT:
-		tell(c, is_ours(c, json_object_get(body, "current"))
+		tell(c,
+		    is_ours(c, json_object_get(body, "current"))
 			? ERR_NONE
 			: ERR_DUPLICATE);
 		break;
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -20,8 +20,8 @@
 static void on_rebuild(void *);
 static void send_to(void *, struct str, const struct msg *);
 static void shard_free(void *);
-static void shard_update(
-    struct gate *, struct gate_shard *, const struct route_service *);
+static void
+shard_update(struct gate *, struct gate_shard *, const struct route_service *);
 static void take_health(struct gate *, const struct msg_health *);
 static gboolean refresh_shard(gpointer, gpointer, gpointer);
 
@@ -34,8 +34,8 @@
 	g->sync.send = send_to;
 	g->sync.ctx = g;
 	g->routes = route_build(g->conf);
-	g->shards = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, shard_free);
+	g->shards =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, shard_free);
 	return true;
 }
 
@@ -92,6 +92,21 @@
 	return disp_inflight(s->disp) == 0 && waiting == 0;
 }
 
+/* Where each box decides alone, its shard has the backends of all halls. */
+static void
+use_all_halls(struct gate_shard *s, const struct route_service *svc)
+{
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct disp_backend));
+	unsigned i;
+
+	for (i = 0; i < svc->nhalls; i++)
+		g_array_append_vals(
+		    all, svc->halls[i].backends, svc->halls[i].n);
+	disp_backends(
+	    s->disp, (const struct disp_backend *)all->data, all->len);
+	g_array_free(all, TRUE);
+}
+
 static void
 shard_update(
     struct gate *g, struct gate_shard *s, const struct route_service *svc)
@@ -108,7 +123,13 @@
 
 	if (hall != NULL && svc->slots > 0)
 		p.rate = (double)svc->obj->rate * hall->slots / svc->slots;
+	else if (s->hall.n == 0)
+		p.rate = (double)svc->obj->rate / MAX(g->boxes, 1u);
 	disp_configure(s->disp, &p);
+	if (s->hall.n == 0) {
+		use_all_halls(s, svc);
+		return;
+	}
 	for (i = 0; i < svc->nhalls; i++)
 		if (!str_eq(svc->halls[i].hall, s->hall))
 			disp_hall(s->disp, svc->halls[i].hall,
@@ -136,8 +157,8 @@
 	struct gate_shard *s;
 	char key[300];
 
-	snprintf(key, sizeof(key), "%.*s/%.*s", STR_ARG(svc->name),
-	    STR_ARG(hall));
+	snprintf(
+	    key, sizeof(key), "%.*s/%.*s", STR_ARG(svc->name), STR_ARG(hall));
 	s = g_hash_table_lookup(g->shards, key);
 	if (s == NULL) {
 		s = g_new0(struct gate_shard, 1);
@@ -163,7 +184,8 @@
 	for (i = 0; i < svc->nhalls; i++) {
 		gate_home(g, svc->name, svc->halls[i].hall, &self);
 		if (self)
-			gate_conf_shard(g, svc, svc->halls[i].hall)->home = true;
+			gate_conf_shard(g, svc, svc->halls[i].hall)->home =
+			    true;
 	}
 }
 
@@ -226,8 +248,8 @@
 	case MSG_HELLO:
 		if (!g->ready && m->u.hello.floor > 0)
 			slog(SLOG_GATE, "The agent has a configuration.");
-		sync_compare(&g->sync, m->from, m->u.hello.digest,
-		    m->u.hello.floor);
+		sync_compare(
+		    &g->sync, m->from, m->u.hello.digest, m->u.hello.floor);
 		if (conf_digest(g->conf) == m->u.hello.digest &&
 		    m->u.hello.self.ready && !g->ready) {
 			g->ready = true;
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -23,8 +23,8 @@
 #define SILENCE_NS (30 * NS_S)
 
 static void on_connected(void *, struct up_call *);
-static void on_head(
-    void *, struct up_call *, int, const h2o_header_t *, size_t);
+static void
+on_head(void *, struct up_call *, int, const h2o_header_t *, size_t);
 static void on_body(void *, struct up_call *);
 static void on_end(void *, struct up_call *);
 static void on_fail(void *, struct up_call *, enum err_kind);
@@ -66,8 +66,8 @@
 		if (!is_hop_header(in->entries[i].name))
 			out[n++] = in->entries[i];
 	snprintf(num, numsz, "%lld", (long long)MAX(left, 1));
-	out[n++] = (h2o_header_t){.name = &deadline_name,
-	    .value = h2o_iovec_init(num, strlen(num))};
+	out[n++] = (h2o_header_t){
+	    .name = &deadline_name, .value = h2o_iovec_init(num, strlen(num))};
 	if (r->peer == NULL)
 		return n;
 	out[n++] = (h2o_header_t){.name = &hops_name,
@@ -153,8 +153,8 @@
 	for (i = 0; i < n; i++) {
 		name = *headers[i].name;
 		value = headers[i].value;
-		if (h2o_lcstris(name.base, name.len,
-			H2O_STRLIT("content-length")) &&
+		if (h2o_lcstris(
+			name.base, name.len, H2O_STRLIT("content-length")) &&
 		    str_u64(str_n(value.base, value.len), &len))
 			req->res.content_length = (size_t)len;
 		if (is_hop_header(&name))
@@ -179,8 +179,7 @@
 	 * request again at once.
 	 */
 	r->call = NULL;
-	if (r->state == REQ_SENT &&
-	    gate_try_head(r, status, headers, n)) {
+	if (r->state == REQ_SENT && gate_try_head(r, status, headers, n)) {
 		up_drain(call);
 		return;
 	}
--- a/gate_home.c
+++ b/gate_home.c
@@ -63,8 +63,8 @@
 	guint i;
 	int n;
 
-	n = snprintf(text, sizeof(text), "%.*s/%.*s", STR_ARG(service),
-	    STR_ARG(hall));
+	n = snprintf(
+	    text, sizeof(text), "%.*s/%.*s", STR_ARG(service), STR_ARG(hall));
 	key = str_n(text, (size_t)MIN(n, (int)sizeof(text) - 1));
 	near_self = str_eq(g->set.hall, hall) && !g->leaving;
 	any_near = near_self;
@@ -134,7 +134,8 @@
 			p = g_new0(struct gate_peer, 1);
 			g_ptr_array_add(g->peers, p);
 		} else {
-			/* A new start of a box clears what we held against it. */
+			/* A new start of a box clears what we held against it.
+			 */
 			if (p->info.boot != v[j].boot)
 				p->suspect_until = 0;
 			memb_info_clear(&p->info);
--- a/gate_req.c
+++ b/gate_req.c
@@ -201,7 +201,8 @@
 		r->req->conn->callbacks->get_peername(
 		    r->req->conn, (struct sockaddr *)&sa);
 		caller = sa.ss_family == AF_INET6
-		    ? str_n((char *)&((struct sockaddr_in6 *)&sa)->sin6_addr, 16)
+		    ? str_n(
+			  (char *)&((struct sockaddr_in6 *)&sa)->sin6_addr, 16)
 		    : str_n((char *)&((struct sockaddr_in *)&sa)->sin_addr, 4);
 	}
 	n = snprintf(key, sizeof(key), "%.*s ", STR_ARG(rule->name));
@@ -273,7 +274,8 @@
 		gate_req_answer(r, ERR_NO_SERVICE, gate_req_ran(r), 0);
 		return;
 	}
-	hall = gate_home_hall(g, svc);
+	hall = g->set.route == ROUTE_ALONE ? str_c(NULL)
+					   : gate_home_hall(g, svc);
 	if (r->hops > 0 || g->set.route == ROUTE_ALONE)
 		self = true;
 	else
@@ -308,8 +310,8 @@
 {
 	h2o_iovec_t copy = h2o_strdup(&req->pool, value, SIZE_MAX);
 
-	h2o_add_header_by_str(&req->pool, &req->res.headers, name,
-	    strlen(name), 1, NULL, copy.base, copy.len);
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name, strlen(name),
+	    1, NULL, copy.base, copy.len);
 }
 
 /* Our own answer: one kind, whether the request ran, when to come back. */
@@ -344,8 +346,7 @@
 	n = snprintf(body, sizeof(body),
 	    "{\"error\":\"%s\",\"ran\":\"%s\",\"text\":\"%s\"}\n", a->name,
 	    err_ran_name(ran), a->sentence);
-	hsrv_answer(
-	    req, a->status, "application/json", str_n(body, (size_t)n));
+	hsrv_answer(req, a->status, "application/json", str_n(body, (size_t)n));
 }
 
 static void
@@ -429,7 +430,7 @@
 	(void)err;
 	g_queue_init(&g->reqs);
 	g->caller_limits = limit_table_new(10000);
-	g->rule_limits = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, g_free);
+	g->rule_limits =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return true;
 }
--- a/gate_stat.c
+++ b/gate_stat.c
@@ -33,8 +33,8 @@
 	CNT_COUNTER},
     [GC_CUT] = {"fern_cut_total",
 	"Answers that broke off and were told as broken.", CNT_COUNTER},
-    [GC_GONE] = {"fern_callers_gone_total",
-	"Requests whose caller went away.", CNT_COUNTER},
+    [GC_GONE] = {"fern_callers_gone_total", "Requests whose caller went away.",
+	CNT_COUNTER},
     [GC_CLAIMS] = {"fern_claims_total", "Requests with a key.", CNT_COUNTER},
     [GC_CLAIM_CALLS] = {"fern_claim_calls_total",
 	"Calls to the platform for claims.", CNT_COUNTER},
@@ -44,8 +44,8 @@
 	"Homes left because they did not answer.", CNT_COUNTER},
     [GC_BOXES] = {"fern_boxes", "Gates that serve, this one among them.",
 	CNT_GAUGE},
-    [GC_INFLIGHT] = {"fern_requests_inflight",
-	"Requests being worked on.", CNT_GAUGE},
+    [GC_INFLIGHT] = {"fern_requests_inflight", "Requests being worked on.",
+	CNT_GAUGE},
     [GC_OBJECTS] = {"fern_objects", "Objects in force.", CNT_GAUGE},
     [GC_LOG_DROPPED] = {"fern_log_dropped_total",
 	"Log lines dropped under pressure.", CNT_COUNTER},
@@ -54,8 +54,7 @@
     [GC_CONTROL_OUT] = {"fern_control_out_bytes_total",
 	"Bytes of messages to other processes.", CNT_COUNTER},
     [GC_LATENCY] = {"fern_answer_seconds",
-	"Time from a request's arrival to its answer's head.",
-	CNT_HISTOGRAM},
+	"Time from a request's arrival to its answer's head.", CNT_HISTOGRAM},
     [GC_HELD] = {"fern_held_seconds",
 	"Time from a request's arrival to its sending.", CNT_HISTOGRAM},
 };
@@ -87,8 +86,8 @@
 	cnt_set(g->cnt, GC_CONTROL_IN, wire_counts(g->wire)->bytes_in);
 	cnt_set(g->cnt, GC_CONTROL_OUT, wire_counts(g->wire)->bytes_out);
 	cnt_print(g->cnt, out);
-	hsrv_answer(req, 200, "text/plain; version=0.0.4",
-	    str_n(out->str, out->len));
+	hsrv_answer(
+	    req, 200, "text/plain; version=0.0.4", str_n(out->str, out->len));
 	g_string_free(out, TRUE);
 }
 
@@ -98,7 +97,9 @@
 	bool ready = g->ready && !g->leaving;
 
 	hsrv_answer(req, ready ? 200 : 503, "text/plain",
-	    str_c(ready ? "ready\n" : g->leaving ? "leaving\n" : "empty\n"));
+	    str_c(ready		 ? "ready\n"
+		    : g->leaving ? "leaving\n"
+				 : "empty\n"));
 }
 
 /* What is being printed, and the shard it is of. */
@@ -117,8 +118,7 @@
 		p->shard->service.p, p->shard->service.n, "hall",
 		p->shard->hall.p, p->shard->hall.n, "backend", b->name.p,
 		b->name.n, "state",
-		chart_state_name(
-		    p->shard->gate->chart_backend, (int)b->state),
+		chart_state_name(p->shard->gate->chart_backend, (int)b->state),
 		"inflight", b->inflight, "slots", b->slots, "usual_ms",
 		(double)b->usual / NS_MS, "probe_down", (int)b->probe_down));
 }
@@ -163,14 +163,13 @@
 	bool self;
 
 	for (i = 0; i < svc->nhalls; i++) {
-		p = gate_home(
-		    h->gate, svc->name, svc->halls[i].hall, &self);
+		p = gate_home(h->gate, svc->name, svc->halls[i].hall, &self);
 		box = self ? h->gate->set.box : p->info.box;
 		json_array_append_new(h->list,
-		    json_pack("{s:s%, s:s%, s:s%, s:i}", "service",
-			svc->name.p, svc->name.n, "hall",
-			svc->halls[i].hall.p, svc->halls[i].hall.n, "home",
-			box.p, box.n, "slots", svc->halls[i].slots));
+		    json_pack("{s:s%, s:s%, s:s%, s:i}", "service", svc->name.p,
+			svc->name.n, "hall", svc->halls[i].hall.p,
+			svc->halls[i].hall.n, "home", box.p, box.n, "slots",
+			svc->halls[i].slots));
 	}
 }
 
--- a/gate_try.c
+++ b/gate_try.c
@@ -63,8 +63,8 @@
 		gate_try_home(r);
 		return;
 	}
-	r->shard = gate_conf_shard(r->gate,
-	    route_service(r->gate->routes, r->service), hall);
+	r->shard = gate_conf_shard(
+	    r->gate, route_service(r->gate->routes, r->service), hall);
 	disp_arrive(r->shard->disp, &r->d);
 }
 
@@ -163,8 +163,8 @@
 }
 
 bool
-gate_try_head(struct gate_req *r, int status, const h2o_header_t *headers,
-    size_t n)
+gate_try_head(
+    struct gate_req *r, int status, const h2o_header_t *headers, size_t n)
 {
 	enum disp_outcome outcome = outcome_of(status, headers, n);
 	struct str drain = find_header(headers, n, STR_LIT("fern-drain"));
--- a/hsrv.c
+++ b/hsrv.c
@@ -95,8 +95,8 @@
 	int rc;
 
 	if (!field_address(address, ip, sizeof(ip), &port))
-		return err_set(err, ERR_SYSTEM, "%.*s is no address",
-		    STR_ARG(address));
+		return err_set(
+		    err, ERR_SYSTEM, "%.*s is no address", STR_ARG(address));
 	if (uv_ip4_addr(ip, port, (struct sockaddr_in *)&sa) != 0)
 		uv_ip6_addr(ip, port, (struct sockaddr_in6 *)&sa);
 	uv_tcp_init(s->loop, &s->listener);
@@ -171,8 +171,8 @@
 struct str
 hsrv_header(const h2o_req_t *req, const char *name)
 {
-	ssize_t at = h2o_find_header_by_str(
-	    &req->headers, name, strlen(name), SIZE_MAX);
+	ssize_t at =
+	    h2o_find_header_by_str(&req->headers, name, strlen(name), SIZE_MAX);
 
 	if (at < 0)
 		return str_c(NULL);
--- a/libagent.h
+++ b/libagent.h
@@ -84,12 +84,13 @@
 	/* agent_watch.c */
 	struct tmr_item watch_timer, boxes_timer, status_timer;
 	struct plat_call *watch_call, *boxes_call, *status_call;
-	uint64_t watch_since;	/* revision that the watch has reached */
-	int64_t listed_at;	/* the last complete list */
+	uint64_t watch_since; /* revision that the watch has reached */
+	int64_t listed_at; /* the last complete list */
 	int watch_fails, boxes_fails, status_fails;
 	uint64_t status_version;
 	uint64_t status_digest; /* of what the last status told */
-	bool from_platform;	/* offers of now come from the platform */
+	uint64_t status_told; /* the configuration it was asked for last */
+	bool from_platform; /* offers of now come from the platform */
 	bool platform_up;
 	/* agent_peer.c */
 	struct tmr_item hello_timer;
--- a/libctl.h
+++ b/libctl.h
@@ -30,8 +30,8 @@
 	struct tmr tmr;
 	struct up *up;
 	struct plat *plat;
-	bool json;	/* print JSON in place of tables */
-	char **args;	/* the words behind the command's name */
+	bool json; /* print JSON in place of tables */
+	char **args; /* the words behind the command's name */
 	int nargs;
 	char *method, *host, *header; /* for explain */
 };
@@ -45,8 +45,8 @@
 /* ctl_call.c: calls to the platform that wait for their answer. */
 
 /* One call; *body is a new reference or NULL. */
-enum plat_result ctl_call(
-    struct ctl *, const struct plat_request *, json_t **body);
+enum plat_result
+ctl_call(struct ctl *, const struct plat_request *, json_t **body);
 
 /* Read an object: NULL with no error set if it is not there. */
 json_t *ctl_read(struct ctl *, struct str kind, struct str name, GError **);
--- a/libgate.h
+++ b/libgate.h
@@ -77,10 +77,10 @@
 struct gate_peer {
 	struct memb_info info;
 	int64_t suspect_until; /* nothing is passed to it before that */
-	int64_t heard;	       /* last sign of life */
-	int64_t pinged;	       /* 0: no ping is out */
-	unsigned outstanding;  /* requests passed to it and not answered */
-	bool listed;	       /* by the agent's last word */
+	int64_t heard; /* last sign of life */
+	int64_t pinged; /* 0: no ping is out */
+	unsigned outstanding; /* requests passed to it and not answered */
+	bool listed; /* by the agent's last word */
 };
 
 /* One service's backend servers in one hall, where this gate is home. */
@@ -113,10 +113,10 @@
 	struct route_table *routes;
 	struct tmr_item rebuild;
 	GHashTable *shards; /* char * "service/hall" to struct gate_shard * */
-	GPtrArray *peers;   /* struct gate_peer * */
+	GPtrArray *peers; /* struct gate_peer * */
 	struct limit_table *caller_limits;
 	GHashTable *rule_limits; /* char * rule to struct limit * */
-	GQueue reqs;		 /* struct gate_req * that are live */
+	GQueue reqs; /* struct gate_req * that are live */
 	uint64_t boot, seq;
 	int64_t last_tick, last_pass, leaving_since;
 	unsigned boxes; /* gates that are alive, ours among them */
@@ -129,12 +129,12 @@
 void gate_conf_take(void *, const struct msg *);
 void gate_conf_report(struct gate *);
 void gate_conf_homes(struct gate *);
-struct gate_shard *gate_conf_shard(
-    struct gate *, const struct route_service *, struct str hall);
+struct gate_shard *
+gate_conf_shard(struct gate *, const struct route_service *, struct str hall);
 
 /* gate_home.c: which gate is home for a shard. */
-struct gate_peer *gate_home(
-    struct gate *, struct str service, struct str hall, bool *self);
+struct gate_peer *
+gate_home(struct gate *, struct str service, struct str hall, bool *self);
 void gate_home_members(struct gate *, const struct msg_members *);
 void gate_home_suspect(struct gate *, struct gate_peer *, const char *why);
 void gate_home_heard(struct gate *, struct str inbox);
--- a/libreq.h
+++ b/libreq.h
@@ -45,20 +45,20 @@
 	h2o_generator_t gen;
 	struct gate *gate;
 	h2o_req_t *req; /* NULL once h2o has let go of it */
-	GList link;	/* in gate->reqs */
+	GList link; /* in gate->reqs */
 	uint64_t id;
 	enum req_state state;
-	int hops;	/* gates it came through before us */
-	int passes;	/* tries at homes */
+	int hops; /* gates it came through before us */
+	int passes; /* tries at homes */
 	bool maybe_ran; /* an earlier try may have run */
-	bool refused;	/* the answer on its way says that it did not run */
+	bool refused; /* the answer on its way says that it did not run */
 	bool keyed;
 	int64_t began;
 	struct str rule, service; /* copies */
 	bool allow_outage;
 	struct gate_claim *claim;
 	struct gate_shard *shard; /* where it is held or was sent from */
-	struct gate_peer *peer;	  /* the home it was passed to */
+	struct gate_peer *peer; /* the home it was passed to */
 	struct up_call *call;
 	struct tmr_item timer; /* the deadline; later, silence */
 	/* The answer on its way to the caller. */
@@ -84,8 +84,7 @@
 /* What the flow tells of a try; gate_try.c decides what follows. */
 void gate_try_failed(struct gate_req *, enum err_kind);
 /* True if the head is to be dropped, as the request is tried again. */
-bool gate_try_head(
-    struct gate_req *, int status, const h2o_header_t *, size_t);
+bool gate_try_head(struct gate_req *, int status, const h2o_header_t *, size_t);
 void gate_try_end(struct gate_req *);
 /* The try is over without an answer: the caller or the deadline ended it. */
 void gate_try_abandon(struct gate_req *, enum disp_outcome);
--- a/limit.c
+++ b/limit.c
@@ -66,8 +66,8 @@
 {
 	struct limit_table *t = g_new0(struct limit_table, 1);
 
-	t->slots = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, slot_free);
+	t->slots =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, slot_free);
 	g_queue_init(&t->order);
 	t->max = max;
 	return t;
--- a/memb.c
+++ b/memb.c
@@ -117,8 +117,8 @@
 		return false;
 	if (info->boot == m->info.boot && info->beat <= m->info.beat)
 		return false;
-	leaving = info->leaving ||
-	    (info->boot == m->info.boot && m->info.leaving);
+	leaving =
+	    info->leaving || (info->boot == m->info.boot && m->info.leaving);
 	memb_info_clear(&m->info);
 	memb_info_copy(&m->info, info);
 	m->info.leaving = leaving;
@@ -139,8 +139,8 @@
 }
 
 void
-memb_listed(struct memb *mb, struct str box, struct str hall,
-    struct str inbox, bool leaving, int64_t now)
+memb_listed(struct memb *mb, struct str box, struct str hall, struct str inbox,
+    bool leaving, int64_t now)
 {
 	struct memb_member *m;
 
@@ -217,13 +217,12 @@
 uint64_t
 memb_weight(struct str key, struct str box)
 {
-	return XXH3_64bits_withSeed(
-	    key.p, key.n, XXH3_64bits(box.p, box.n));
+	return XXH3_64bits_withSeed(key.p, key.n, XXH3_64bits(box.p, box.n));
 }
 
 bool
-memb_is_first(const struct memb *mb, struct str key, struct str hall, int k,
-    int64_t now)
+memb_is_first(
+    const struct memb *mb, struct str key, struct str hall, int k, int64_t now)
 {
 	uint64_t own = memb_weight(key, mb->self.box);
 	const struct memb_member *m;
@@ -257,8 +256,7 @@
 		return 0;
 	at = (guint)rnd_below(rnd, mb->members->len);
 	for (i = 0; i < mb->members->len && got < n; i++) {
-		m = g_ptr_array_index(
-		    mb->members, (at + i) % mb->members->len);
+		m = g_ptr_array_index(mb->members, (at + i) % mb->members->len);
 		if (m->heard != 0 && now - m->heard <= MEMB_ALIVE_NS)
 			out[got++] = m;
 	}
--- a/memb.h
+++ b/memb.h
@@ -32,11 +32,11 @@
 struct memb_info {
 	struct str box;
 	struct str hall;
-	struct str inbox;      /* its agent's ZeroMQ address */
-	struct str pass;       /* its gate's address for passed requests */
+	struct str inbox; /* its agent's ZeroMQ address */
+	struct str pass; /* its gate's address for passed requests */
 	struct str gate_inbox; /* its gate's ZeroMQ address */
-	uint64_t boot;	       /* start of its agent, ms since 1970 */
-	uint64_t beat;	       /* counts up while it lives */
+	uint64_t boot; /* start of its agent, ms since 1970 */
+	uint64_t beat; /* counts up while it lives */
 	bool leaving;
 	bool ready; /* its gate serves */
 };
@@ -44,7 +44,7 @@
 struct memb_member {
 	struct memb_info info;
 	int64_t heard; /* monotonic ns of the last new beat; 0: never */
-	bool listed;   /* on the platform's list */
+	bool listed; /* on the platform's list */
 };
 
 struct memb;
@@ -66,7 +66,8 @@
 /* Forget boxes that are neither listed nor heard of for long. */
 void memb_tick(struct memb *, int64_t now);
 
-/* We were paused for `away` ns: what we did not hear meanwhile tells nothing. */
+/* We were paused for `away` ns: what we did not hear meanwhile tells nothing.
+ */
 void memb_paused(struct memb *, int64_t away);
 
 bool memb_alive(const struct memb *, const struct memb_member *, int64_t now);
--- a/msg.c
+++ b/msg.c
@@ -33,18 +33,33 @@
 };
 
 static void pack_record(msgpack_packer *, const struct shape *, const void *);
-static bool unpack_record(struct msg *, const struct shape *,
-    const msgpack_object *, size_t, void *);
-static bool unpack_field(struct msg *, const struct msg_field *,
-    const msgpack_object *, void *);
-static bool unpack_list(
-    struct msg *, const struct shape *, const msgpack_object *, void *);
+static bool unpack_record(
+    struct msg *, const struct shape *, const msgpack_object *, size_t, void *);
+static bool unpack_field(
+    struct msg *, const struct msg_field *, const msgpack_object *, void *);
+static bool
+unpack_list(struct msg *, const struct shape *, const msgpack_object *, void *);
 
-#define U64(type, m) {F_U64, offsetof(struct type, m), NULL}
-#define STR(type, m) {F_STR, offsetof(struct type, m), NULL}
-#define BOOL(type, m) {F_BOOL, offsetof(struct type, m), NULL}
-#define LIST(type, m, s) {F_LIST, offsetof(struct type, m), &(s)}
-#define SHAPE(type, f) {#type, sizeof(struct type), f, G_N_ELEMENTS(f)}
+#define U64(type, m)                                                           \
+	{                                                                      \
+		F_U64, offsetof(struct type, m), NULL                          \
+	}
+#define STR(type, m)                                                           \
+	{                                                                      \
+		F_STR, offsetof(struct type, m), NULL                          \
+	}
+#define BOOL(type, m)                                                          \
+	{                                                                      \
+		F_BOOL, offsetof(struct type, m), NULL                         \
+	}
+#define LIST(type, m, s)                                                       \
+	{                                                                      \
+		F_LIST, offsetof(struct type, m), &(s)                         \
+	}
+#define SHAPE(type, f)                                                         \
+	{                                                                      \
+#type, sizeof(struct type), f, G_N_ELEMENTS(f)                 \
+	}
 
 static const struct msg_field info_fields[] = {STR(memb_info, box),
     STR(memb_info, hall), STR(memb_info, inbox), STR(memb_info, pass),
@@ -64,27 +79,25 @@
 static const struct shape key_shape = SHAPE(msg_key, key_fields);
 
 static const struct msg_field object_fields[] = {STR(msg_object, key),
-    U64(msg_object, version), BOOL(msg_object, deleted),
-    STR(msg_object, spec)};
+    U64(msg_object, version), BOOL(msg_object, deleted), STR(msg_object, spec)};
 static const struct shape object_shape = SHAPE(msg_object, object_fields);
 
 static const struct msg_field state_fields[] = {STR(msg_state_of, backend),
     U64(msg_state_of, state), U64(msg_state_of, at_ms)};
 static const struct shape state_shape = SHAPE(msg_state_of, state_fields);
 
-static const struct msg_field hello_fields[] = {
-    STR(msg_hello, self.box), STR(msg_hello, self.hall),
-    STR(msg_hello, self.inbox), STR(msg_hello, self.pass),
-    STR(msg_hello, self.gate_inbox), U64(msg_hello, self.boot),
-    U64(msg_hello, self.beat), BOOL(msg_hello, self.leaving),
-    BOOL(msg_hello, self.ready), U64(msg_hello, digest),
-    U64(msg_hello, floor), LIST(msg_hello, others, info_shape)};
+static const struct msg_field hello_fields[] = {STR(msg_hello, self.box),
+    STR(msg_hello, self.hall), STR(msg_hello, self.inbox),
+    STR(msg_hello, self.pass), STR(msg_hello, self.gate_inbox),
+    U64(msg_hello, self.boot), U64(msg_hello, self.beat),
+    BOOL(msg_hello, self.leaving), BOOL(msg_hello, self.ready),
+    U64(msg_hello, digest), U64(msg_hello, floor),
+    LIST(msg_hello, others, info_shape)};
 static const struct msg_field buckets_fields[] = {
     LIST(msg_buckets, digests, u64_shape)};
 static const struct msg_field versions_fields[] = {
     U64(msg_versions, buckets), LIST(msg_versions, versions, version_shape)};
-static const struct msg_field want_fields[] = {
-    LIST(msg_want, keys, key_shape)};
+static const struct msg_field want_fields[] = {LIST(msg_want, keys, key_shape)};
 static const struct msg_field objects_fields[] = {
     LIST(msg_objects, objects, object_shape)};
 static const struct msg_field members_fields[] = {
@@ -95,8 +108,7 @@
 static const struct msg_field health_fields[] = {
     LIST(msg_health, states, state_shape)};
 static const struct msg_field summary_fields[] = {STR(msg_summary, service),
-    STR(msg_summary, hall), U64(msg_summary, free),
-    U64(msg_summary, waiting)};
+    STR(msg_summary, hall), U64(msg_summary, free), U64(msg_summary, waiting)};
 static const struct msg_field ping_fields[] = {U64(msg_ping, nonce)};
 
 static const struct shape shapes[MSG_KIND_MAX] = {
@@ -127,8 +139,8 @@
 }
 
 static void
-pack_list(msgpack_packer *pk, const struct shape *item,
-    const struct msg_list *list)
+pack_list(
+    msgpack_packer *pk, const struct shape *item, const struct msg_list *list)
 {
 	size_t i;
 
@@ -177,8 +189,8 @@
 }
 
 static bool
-unpack_list(struct msg *m, const struct shape *item, const msgpack_object *o,
-    void *at)
+unpack_list(
+    struct msg *m, const struct shape *item, const msgpack_object *o, void *at)
 {
 	struct msg_list *list = at;
 	const msgpack_object *rec;
@@ -201,8 +213,8 @@
 }
 
 static bool
-unpack_field(struct msg *m, const struct msg_field *f, const msgpack_object *o,
-    void *at)
+unpack_field(
+    struct msg *m, const struct msg_field *f, const msgpack_object *o, void *at)
 {
 	switch (f->kind) {
 	case F_U64:
@@ -263,13 +275,13 @@
 		goto bad;
 	m->kind = (enum msg_kind)elems[0].via.u64;
 	m->from = str_n(elems[1].via.str.ptr, elems[1].via.str.size);
-	if (unpack_record(m, &shapes[m->kind], elems + 2,
-		o->via.array.size - 2, &m->u))
+	if (unpack_record(
+		m, &shapes[m->kind], elems + 2, o->via.array.size - 2, &m->u))
 		return true;
 bad:
 	msg_done(m);
-	return err_set(err, ERR_MESSAGE, "a message of %zu bytes is malformed",
-	    n);
+	return err_set(
+	    err, ERR_MESSAGE, "a message of %zu bytes is malformed", n);
 }
 
 void
--- a/msg.h
+++ b/msg.h
@@ -25,16 +25,16 @@
  * that msg.c gives for the kind.
  */
 enum msg_kind {
-	MSG_HELLO,    /* who I am, what I have, whom I know */
-	MSG_BUCKETS,  /* digests of all buckets */
+	MSG_HELLO, /* who I am, what I have, whom I know */
+	MSG_BUCKETS, /* digests of all buckets */
 	MSG_VERSIONS, /* versions of all objects in some buckets */
-	MSG_WANT,     /* please send these objects */
-	MSG_OBJECTS,  /* objects */
-	MSG_MEMBERS,  /* agent to its gate: the boxes that are alive */
-	MSG_GATE,     /* gate to its agent: what the gate has */
-	MSG_HEALTH,   /* what probes found */
-	MSG_SUMMARY,  /* home to home: room for a service in a hall */
-	MSG_PING,     /* gate to gate: are you there? */
+	MSG_WANT, /* please send these objects */
+	MSG_OBJECTS, /* objects */
+	MSG_MEMBERS, /* agent to its gate: the boxes that are alive */
+	MSG_GATE, /* gate to its agent: what the gate has */
+	MSG_HEALTH, /* what probes found */
+	MSG_SUMMARY, /* home to home: room for a service in a hall */
+	MSG_PING, /* gate to gate: are you there? */
 	MSG_PONG,
 	MSG_KIND_MAX
 };
@@ -68,7 +68,7 @@
 };
 
 struct msg_versions {
-	uint64_t buckets;	  /* a bit for each bucket listed */
+	uint64_t buckets; /* a bit for each bucket listed */
 	struct msg_list versions; /* struct msg_version */
 };
 
@@ -146,7 +146,7 @@
 		struct msg_ping ping;
 	} u;
 	msgpack_unpacked raw; /* what the strings point into */
-	GPtrArray *arrays;    /* what the lists point into */
+	GPtrArray *arrays; /* what the lists point into */
 };
 
 /* Append the bytes of a message to a buffer. */
--- a/obj.h
+++ b/obj.h
@@ -45,28 +45,28 @@
 struct obj_service {
 	struct str select_text;
 	struct sel *select;
-	int64_t deadline_ms;	/* for requests that bring none */
-	int64_t queue;		/* requests that a home may hold */
-	int64_t bulk_percent;	/* share of the slots that bulk may take */
-	int64_t rate;		/* requests a second, fleet-wide; 0: no limit */
-	int64_t probe_ms;	/* interval between probes of one backend */
+	int64_t deadline_ms; /* for requests that bring none */
+	int64_t queue; /* requests that a home may hold */
+	int64_t bulk_percent; /* share of the slots that bulk may take */
+	int64_t rate; /* requests a second, fleet-wide; 0: no limit */
+	int64_t probe_ms; /* interval between probes of one backend */
 	struct str probe_path;
 	int64_t retry_percent; /* retries, as a share of requests */
 };
 
 struct obj_rule {
-	struct str host;   /* exact, or empty for any */
-	struct str path;   /* a prefix */
+	struct str host; /* exact, or empty for any */
+	struct str path; /* a prefix */
 	struct str method; /* exact, or empty for any */
 	struct str header; /* "name: value", or empty for any */
 	struct str service;
 	int repeatable; /* 0: by method, 1: yes, 2: no */
-	int cls;	/* enum obj_class */
-	int64_t rate;	/* requests a second, fleet-wide; 0: no limit */
+	int cls; /* enum obj_class */
+	int64_t rate; /* requests a second, fleet-wide; 0: no limit */
 	int64_t caller_rate; /* the same for each caller */
 	struct str caller_header; /* names the caller; empty: by address */
-	int on_outage;		  /* enum obj_outage */
-	int64_t deadline_ms;	  /* 0: the service's */
+	int on_outage; /* enum obj_outage */
+	int64_t deadline_ms; /* 0: the service's */
 };
 
 /* Values of a rule's `repeatable`. */
--- a/pick.c
+++ b/pick.c
@@ -18,9 +18,9 @@
 #define FULL_NS (5 * NS_MS)
 
 enum {
-	BAD_ROW_LIMIT = 3,    /* bad answers in a row that eject */
-	WARM_ROW = 3,	      /* good answers in a row that warm up */
-	USUAL_WEIGHT = 8,     /* of the past against one sample */
+	BAD_ROW_LIMIT = 3, /* bad answers in a row that eject */
+	WARM_ROW = 3, /* good answers in a row that warm up */
+	USUAL_WEIGHT = 8, /* of the past against one sample */
 	EJECTIONS_MAX = 6,
 	REFUSED_ROW_MAX = 6
 };
--- a/pick.h
+++ b/pick.h
@@ -27,19 +27,19 @@
 
 /* States and events of a backend server, as charts/backend.toml has them. */
 enum pick_state {
-	PICK_COLD,     /* new or back: warming up, one request at a time */
+	PICK_COLD, /* new or back: warming up, one request at a time */
 	PICK_UP,
-	PICK_EJECTED,  /* too slow or failing: nothing is sent */
-	PICK_TRIAL,    /* ejection over: one request decides */
+	PICK_EJECTED, /* too slow or failing: nothing is sent */
+	PICK_TRIAL, /* ejection over: one request decides */
 	PICK_DRAINING, /* leaving: nothing new is sent */
 	PICK_STATE_MAX
 };
 
 enum pick_event {
 	PICK_EV_OK,
-	PICK_EV_WARM,	/* enough good answers in a row */
+	PICK_EV_WARM, /* enough good answers in a row */
 	PICK_EV_FAILING, /* too many bad answers in a row */
-	PICK_EV_TIMER,	/* the ejection is over */
+	PICK_EV_TIMER, /* the ejection is over */
 	PICK_EV_DRAIN,
 	PICK_EV_UNDRAIN,
 	PICK_EVENT_MAX
@@ -52,20 +52,20 @@
 	struct str name;
 	struct str address;
 	int slots;
-	int inflight;	   /* sent and not finished */
+	int inflight; /* sent and not finished */
 	int inflight_bulk; /* of these, class bulk */
 	enum pick_state state;
-	bool drain_told;   /* by its object */
-	bool probe_down;   /* probes say that it does not work */
-	int64_t usual;	   /* ns an answer usually takes; 0: not known */
-	int64_t oldest;	   /* start of the oldest in flight; 0: none */
+	bool drain_told; /* by its object */
+	bool probe_down; /* probes say that it does not work */
+	int64_t usual; /* ns an answer usually takes; 0: not known */
+	int64_t oldest; /* start of the oldest in flight; 0: none */
 	int64_t full_until; /* it refused for want of a slot */
 	int64_t eject_until;
-	int ejections;	    /* in a row, for the length of the next */
+	int ejections; /* in a row, for the length of the next */
 	int bad_row, good_row, refused_row;
-	bool gone;	    /* no longer selected; waits for its last answer */
-	uint64_t turns;	    /* requests sent, for round robin */
-	void *data;	    /* the owner's */
+	bool gone; /* no longer selected; waits for its last answer */
+	uint64_t turns; /* requests sent, for round robin */
+	void *data; /* the owner's */
 };
 
 /* The backend servers of one service in one hall. */
--- a/pick_naive.c
+++ b/pick_naive.c
@@ -30,8 +30,7 @@
 	for (i = 0; i < set->n; i++) {
 		if (set->v[i]->gone || set->v[i]->state == PICK_DRAINING)
 			continue;
-		if (best == PICK_NONE ||
-		    set->v[i]->turns < set->v[best]->turns)
+		if (best == PICK_NONE || set->v[i]->turns < set->v[best]->turns)
 			best = (int)i;
 	}
 	return best;
--- a/plat.h
+++ b/plat.h
@@ -24,23 +24,23 @@
  * grows with every write, and a JSON value.
  */
 enum plat_op {
-	PLAT_LIST,   /* all objects of the kinds; complete at a revision */
-	PLAT_GET,    /* one object */
+	PLAT_LIST, /* all objects of the kinds; complete at a revision */
+	PLAT_GET, /* one object */
 	PLAT_CREATE, /* only if it is not there */
 	PLAT_UPDATE, /* only if it has the version given */
 	PLAT_DELETE, /* only if it has the version given */
-	PLAT_WATCH,  /* changes since a revision; waits for one */
-	PLAT_BOXES   /* the list of boxes */
+	PLAT_WATCH, /* changes since a revision; waits for one */
+	PLAT_BOXES /* the list of boxes */
 };
 
 enum plat_result {
 	PLAT_OK,
 	PLAT_CONFLICT, /* the condition did not hold; the object is given */
-	PLAT_NONE,     /* no such object */
-	PLAT_TOO_OLD,  /* the watch's revision is no longer kept */
-	PLAT_UNSURE,   /* sent; whether it took effect is not known */
-	PLAT_DOWN,     /* not sent, or refused without effect */
-	PLAT_BAD       /* the platform says the call is wrong */
+	PLAT_NONE, /* no such object */
+	PLAT_TOO_OLD, /* the watch's revision is no longer kept */
+	PLAT_UNSURE, /* sent; whether it took effect is not known */
+	PLAT_DOWN, /* not sent, or refused without effect */
+	PLAT_BAD /* the platform says the call is wrong */
 };
 
 struct plat_request {
--- a/plat_http.c
+++ b/plat_http.c
@@ -37,12 +37,12 @@
 	GString *answer;
 };
 
-static struct plat_call *start(
-    void *, const struct plat_request *, plat_done_fn *, void *);
+static struct plat_call *
+start(void *, const struct plat_request *, plat_done_fn *, void *);
 static void cancel(void *, struct plat_call *);
 static void on_connected(void *, struct up_call *);
-static void on_head(
-    void *, struct up_call *, int, const h2o_header_t *, size_t);
+static void
+on_head(void *, struct up_call *, int, const h2o_header_t *, size_t);
 static void on_body(void *, struct up_call *);
 static void on_end(void *, struct up_call *);
 static void on_fail(void *, struct up_call *, enum err_kind);
@@ -52,12 +52,16 @@
 static const struct up_ops ops = {
     on_connected, on_head, on_body, on_end, on_fail};
 
-static const char *const result_names[] = {"ok", "conflict", "none",
-    "too-old", "unsure", "down", "bad"};
+static const char *const result_names[] = {
+    "ok", "conflict", "none", "too-old", "unsure", "down", "bad"};
 
 static const char *const methods[] = {[PLAT_LIST] = "GET",
-    [PLAT_GET] = "GET", [PLAT_CREATE] = "PUT", [PLAT_UPDATE] = "PUT",
-    [PLAT_DELETE] = "DELETE", [PLAT_WATCH] = "GET", [PLAT_BOXES] = "GET"};
+    [PLAT_GET] = "GET",
+    [PLAT_CREATE] = "PUT",
+    [PLAT_UPDATE] = "PUT",
+    [PLAT_DELETE] = "DELETE",
+    [PLAT_WATCH] = "GET",
+    [PLAT_BOXES] = "GET"};
 
 const char *
 plat_result_name(enum plat_result r)
@@ -66,8 +70,8 @@
 }
 
 struct plat *
-plat_http_open(struct up *up, struct tmr *tmr, const struct clk *clk,
-    struct str address)
+plat_http_open(
+    struct up *up, struct tmr *tmr, const struct clk *clk, struct str address)
 {
 	struct plat_http *h = g_new0(struct plat_http, 1);
 
@@ -131,8 +135,8 @@
 	c->reads = strcmp(methods[rq->op], "GET") == 0;
 	if (rq->value != NULL)
 		c->body = json_dumps(rq->value, JSON_COMPACT);
-	n = snprintf(version, sizeof(version), "%llu",
-	    (unsigned long long)rq->version);
+	n = snprintf(
+	    version, sizeof(version), "%llu", (unsigned long long)rq->version);
 	if (rq->op == PLAT_CREATE) {
 		header.name = (h2o_iovec_t *)&if_none;
 		header.value = h2o_iovec_init(H2O_STRLIT("*"));
@@ -148,8 +152,8 @@
 	up.headers = &header;
 	up.nheaders = !c->reads;
 	up.connect_ns = CONNECT_NS;
-	tmr_set(h->tmr, &c->timer,
-	    clk_ns(h->clk) + (ms + rq->wait_ms) * NS_MS, on_timeout, c);
+	tmr_set(h->tmr, &c->timer, clk_ns(h->clk) + (ms + rq->wait_ms) * NS_MS,
+	    on_timeout, c);
 	c->up = up_start(h->up, &up, &ops, c);
 	return c;
 }
@@ -200,8 +204,8 @@
 }
 
 static void
-on_head(void *ctx, struct up_call *up, int status,
-    const h2o_header_t *headers, size_t n)
+on_head(void *ctx, struct up_call *up, int status, const h2o_header_t *headers,
+    size_t n)
 {
 	struct plat_call *c = ctx;
 
@@ -269,6 +273,6 @@
 
 	(void)up;
 	c->up = NULL;
-	finish(c,
-	    kind == ERR_CONNECT || c->reads ? PLAT_DOWN : PLAT_UNSURE, NULL);
+	finish(
+	    c, kind == ERR_CONNECT || c->reads ? PLAT_DOWN : PLAT_UNSURE, NULL);
 }
--- a/probe.c
+++ b/probe.c
@@ -54,8 +54,8 @@
 	p->ops = *ops;
 	p->rnd = rnd;
 	p->rate = rate;
-	p->targets = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, target_free);
+	p->targets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, target_free);
 	return p;
 }
 
@@ -154,8 +154,8 @@
 }
 
 void
-probe_result(struct probe *p, struct str backend, enum probe_found found,
-    int64_t now)
+probe_result(
+    struct probe *p, struct str backend, enum probe_found found, int64_t now)
 {
 	char *key = g_strndup(backend.p, backend.n);
 	struct target *t = g_hash_table_lookup(p->targets, key);
--- a/probe.h
+++ b/probe.h
@@ -26,8 +26,8 @@
  */
 struct probe_ops {
 	/* Probe a backend server now; the result comes by probe_result(). */
-	void (*probe)(void *, struct str backend, struct str address,
-	    struct str path);
+	void (*probe)(
+	    void *, struct str backend, struct str address, struct str path);
 	/* What is thought of a backend server has changed. */
 	void (*changed)(void *, struct str backend, enum msg_state);
 	void *ctx;
@@ -38,8 +38,8 @@
 
 struct probe;
 
-struct probe *probe_new(const struct probe_ops *, const struct rnd *,
-    double rate);
+struct probe *
+probe_new(const struct probe_ops *, const struct rnd *, double rate);
 void probe_free(struct probe *);
 
 /* The backend servers that this box has to probe, told anew each time. */
@@ -51,8 +51,8 @@
 /* Start the probes that are due, as far as the budget allows. */
 void probe_tick(struct probe *, int64_t now);
 
-void probe_result(
-    struct probe *, struct str backend, enum probe_found, int64_t now);
+void
+probe_result(struct probe *, struct str backend, enum probe_found, int64_t now);
 
 /* Visit what is thought now. */
 typedef void probe_visit_fn(void *, struct str backend, enum msg_state);
--- a/queue.h
+++ b/queue.h
@@ -21,8 +21,8 @@
  */
 struct queue_item {
 	int64_t deadline; /* monotonic ns */
-	uint64_t order;	  /* ties go to the earlier */
-	size_t at;	  /* place in the heap, for queue_remove() */
+	uint64_t order; /* ties go to the earlier */
+	size_t at; /* place in the heap, for queue_remove() */
 	void *data;
 };
 
--- a/regress/fleet.cpp
+++ b/regress/fleet.cpp
@@ -85,8 +85,8 @@
 	std::string text = slurp("/proc/" + std::to_string(pid) + "/status");
 	size_t at = text.find(key);
 
-	return at == std::string::npos ? 0 : atol(text.c_str() + at +
-						 strlen(key));
+	return at == std::string::npos ? 0
+				       : atol(text.c_str() + at + strlen(key));
 }
 
 } // namespace
@@ -101,10 +101,10 @@
 		args.push_back(const_cast<char *>(a.c_str()));
 	args.push_back(nullptr);
 	posix_spawn_file_actions_init(&actions);
-	posix_spawn_file_actions_addopen(&actions, 2, log.c_str(),
-	    O_WRONLY | O_CREAT | O_APPEND, 0644);
-	if (posix_spawn(&pid, args[0], &actions, nullptr, args.data(),
-		environ) != 0)
+	posix_spawn_file_actions_addopen(
+	    &actions, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+	if (posix_spawn(
+		&pid, args[0], &actions, nullptr, args.data(), environ) != 0)
 		throw std::runtime_error("cannot start " + argv[0]);
 	posix_spawn_file_actions_destroy(&actions);
 }
@@ -137,8 +137,7 @@
 	if (!gone)
 		return -1;
 	pid = 0;
-	return WIFEXITED(status) ? WEXITSTATUS(status)
-				 : 128 + WTERMSIG(status);
+	return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
 double
@@ -202,8 +201,8 @@
 
 	net_a = 16 + static_cast<int>(n / 250 % 200);
 	net_b = 1 + static_cast<int>(n % 250);
-	snprintf(name, sizeof(name), "/tmp/fern-regress-%d-%d", getpid(),
-	    serial);
+	snprintf(
+	    name, sizeof(name), "/tmp/fern-regress-%d-%d", getpid(), serial);
 	dir = name;
 	mkdir(dir.c_str(), 0755);
 }
@@ -255,14 +254,14 @@
 {
 	auto p = std::make_unique<Proxy>();
 	int host = next_proxy++;
-	std::string at = ip(host % 250) + ":" +
-	    std::to_string(7000 + host / 250 * 10);
+	std::string at =
+	    ip(host % 250) + ":" + std::to_string(7000 + host / 250 * 10);
 
 	p->address = at;
-	p->control = ip(host % 250) + ":" +
-	    std::to_string(7001 + host / 250 * 10);
-	p->process.argv = {root() + "/regress/standin_proxy", p->address,
-	    target, p->control};
+	p->control =
+	    ip(host % 250) + ":" + std::to_string(7001 + host / 250 * 10);
+	p->process.argv = {
+	    root() + "/regress/standin_proxy", p->address, target, p->control};
 	p->process.log = dir + "/proxy.log";
 	p->process.start();
 	until([&] {
@@ -299,9 +298,8 @@
 Fleet::backend_spec(const Backend &b, const std::string &extra)
 {
 	return "{\"address\":\"" + b.public_address + "\",\"hall\":\"" +
-	    b.options.hall + "\",\"slots\":" +
-	    std::to_string(b.options.slots) + ",\"labels\":{\"app\":\"" +
-	    b.options.app + "\"}" + extra + "}";
+	    b.options.hall + "\",\"slots\":" + std::to_string(b.options.slots) +
+	    ",\"labels\":{\"app\":\"" + b.options.app + "\"}" + extra + "}";
 }
 
 long
@@ -358,8 +356,8 @@
 
 		list += (list.empty() ? "" : ",");
 		list += "{\"name\":\"" + b.name + "\",\"hall\":\"" + b.hall +
-		    "\",\"inbox\":\"" + b.agent + "\",\"leaving\":" +
-		    (leaves ? "true" : "false") + "}";
+		    "\",\"inbox\":\"" + b.agent +
+		    "\",\"leaving\":" + (leaves ? "true" : "false") + "}";
 	}
 	http("POST", platform_address, "/standin/boxes", {},
 	    "{\"boxes\":[" + list + "]}");
@@ -372,15 +370,14 @@
 	std::string gate = dir + "/" + b.name + "-gate.toml";
 	std::string agent = dir + "/" + b.name + "-agent.toml";
 
-	std::ofstream(gate) << "box = \"" << b.name << "\"\nhall = \"" << b.hall
-			    << "\"\nlisten = \"" << b.listen
-			    << "\"\npass_listen = \"" << b.pass_listen
-			    << "\"\nadmin_listen = \"" << b.admin
-			    << "\"\ninbox = \"" << b.inbox << "\"\nagent = \""
-			    << b.agent << "\"\nplatform = \""
-			    << platform_public << "\"\ncharts = \"" << root()
-			    << "/charts\"\n"
-			    << options.gate_settings;
+	std::ofstream(gate)
+	    << "box = \"" << b.name << "\"\nhall = \"" << b.hall
+	    << "\"\nlisten = \"" << b.listen << "\"\npass_listen = \""
+	    << b.pass_listen << "\"\nadmin_listen = \"" << b.admin
+	    << "\"\ninbox = \"" << b.inbox << "\"\nagent = \"" << b.agent
+	    << "\"\nplatform = \"" << platform_public << "\"\ncharts = \""
+	    << root() << "/charts\"\n"
+	    << options.gate_settings;
 	std::ofstream(agent)
 	    << "box = \"" << b.name << "\"\nhall = \"" << b.hall
 	    << "\"\ninbox = \"" << b.agent << "\"\ngate_inbox = \"" << b.inbox
@@ -443,8 +440,9 @@
 		std::string at = ip(10 + i);
 
 		b.name = "box" + std::to_string(i);
-		b.hall = options.halls[static_cast<size_t>(i) %
-		    options.halls.size()];
+		b.hall =
+		    options
+			.halls[static_cast<size_t>(i) % options.halls.size()];
 		b.listen = at + ":8080";
 		b.pass_listen = b.pass = at + ":8180";
 		b.admin = at + ":8280";
@@ -521,9 +519,8 @@
 	Process p;
 	int status;
 
-	p.argv = {"/bin/sh", "-c",
-	    "exec \"$@\" >" + dir + "/ctl.out 2>&1", "sh",
-	    root() + "/fernctl", "--platform", platform_public};
+	p.argv = {"/bin/sh", "-c", "exec \"$@\" >" + dir + "/ctl.out 2>&1",
+	    "sh", root() + "/fernctl", "--platform", platform_public};
 	p.argv.insert(p.argv.end(), args.begin(), args.end());
 	p.log = dir + "/ctl.log";
 	p.start();
--- a/regress/fleet.h
+++ b/regress/fleet.h
@@ -34,7 +34,10 @@
 	bool connected = false;
 
 	std::string header(const std::string &name) const;
-	bool not_run() const { return header("fern-ran") == "no"; }
+	bool not_run() const
+	{
+		return header("fern-ran") == "no";
+	}
 };
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
@@ -66,7 +69,10 @@
 	void kill9();
 	/* Reap; the exit status, or -1 if it still runs after the time. */
 	int wait_exit(int timeout_ms = 30000);
-	bool running() const { return pid > 0; }
+	bool running() const
+	{
+		return pid > 0;
+	}
 	/* Processor seconds used, and resident kilobytes now and at most. */
 	double cpu() const;
 	long rss_kb() const;
@@ -117,7 +123,8 @@
 	long count(const std::string &key) const;
 };
 
-class Fleet {
+class Fleet
+{
       public:
 	explicit Fleet(const FleetOptions &);
 	~Fleet();
@@ -140,7 +147,8 @@
 	/* Write an object on the platform: create, or change what is there. */
 	long put(const std::string &key, const std::string &spec);
 	long remove(const std::string &key);
-	std::string backend_spec(const Backend &, const std::string &extra = "");
+	std::string
+	backend_spec(const Backend &, const std::string &extra = "");
 	void set_platform(const std::string &query) const;
 	void list_boxes(const std::vector<std::string> &leaving = {});
 	long platform_count(const std::string &key) const;
@@ -188,7 +196,8 @@
  * An open-loop load on the boxes: latency counts from the time a request was
  * meant to be sent, and each answer is checked against its own request.
  */
-class Load {
+class Load
+{
       public:
 	Load(std::vector<std::string> targets, std::vector<Stream> streams,
 	    unsigned seed);
@@ -203,8 +212,8 @@
 	void rate(size_t stream, double);
 
 	/* Latencies of a class, sorted; failed requests count as failed_ms. */
-	std::vector<double> latencies(
-	    int cls, double from_ms = 0, double to_ms = 1e18) const;
+	std::vector<double>
+	latencies(int cls, double from_ms = 0, double to_ms = 1e18) const;
 	static double percentile(const std::vector<double> &, double p);
 
       private:
--- a/regress/fleet_http.cpp
+++ b/regress/fleet_http.cpp
@@ -221,7 +221,8 @@
 			return true;
 		if (now_ms() > end)
 			return false;
-		tmr_set(&net().tmr, &wake, clk_ns(clk_system()) + 5 * NS_MS,
+		tmr_set(
+		    &net().tmr, &wake, clk_ns(clk_system()) + 5 * NS_MS,
 		    [](void *) {}, nullptr);
 		uv_run(net().loop, UV_RUN_ONCE);
 		tmr_clear(&net().tmr, &wake);
@@ -253,8 +254,7 @@
 	};
 	std::vector<Tick> ticks;
 
-	double
-	gap(size_t i)
+	double gap(size_t i)
 	{
 		std::exponential_distribution<double> d(
 		    std::max(streams[i].rate, 0.001) / 1000.0);
@@ -262,23 +262,20 @@
 		return d(rng);
 	}
 
-	void
-	arm(size_t i)
+	void arm(size_t i)
 	{
 		tmr_set(&net().tmr, &timers[i],
 		    static_cast<int64_t>(next[i] * NS_MS), fire, &ticks[i]);
 	}
 
-	static void
-	fire(void *ctx)
+	static void fire(void *ctx)
 	{
 		Tick *t = static_cast<Tick *>(ctx);
 
 		t->impl->due(t->stream);
 	}
 
-	void
-	due(size_t i)
+	void due(size_t i)
 	{
 		if (stopped)
 			return;
@@ -289,8 +286,7 @@
 		arm(i);
 	}
 
-	size_t
-	pick_target()
+	size_t pick_target()
 	{
 		for (size_t k = 0; k < targets.size(); k++) {
 			size_t at = turn++ % targets.size();
@@ -301,12 +297,10 @@
 		return turn++ % targets.size();
 	}
 
-	void
-	send(const Stream &s, double intended)
+	void send(const Stream &s, double intended)
 	{
 		std::string id = prefix + std::to_string(sent++);
-		std::string path =
-		    s.path + "?size=" + std::to_string(s.size);
+		std::string path = s.path + "?size=" + std::to_string(s.size);
 		Headers headers = {{"x-request-id", id}};
 		Outcome o;
 
@@ -322,13 +316,11 @@
 		out++;
 		http_start(s.method, targets[pick_target()], path, headers,
 		    s.method == "GET" ? "" : "body", 20000,
-		    [this, o, size = s.size](const Reply &r) {
-			    got(o, r, size);
-		    });
+		    [this, o, size = s.size](
+			const Reply &r) { got(o, r, size); });
 	}
 
-	void
-	got(Outcome o, const Reply &r, int size)
+	void got(Outcome o, const Reply &r, int size)
 	{
 		out--;
 		o.status = r.status;
@@ -437,8 +429,8 @@
 		int n = it == runs.end() ? 0 : it->second;
 
 		if (o.not_repeatable && n > 1)
-			bad.push_back(o.id + " ran " + std::to_string(n) +
-			    " times");
+			bad.push_back(
+			    o.id + " ran " + std::to_string(n) + " times");
 		if (o.ran == "no" && n > 0)
 			bad.push_back(o.id + " was told as not run, and ran");
 		if (o.status == 200 && o.complete && !o.right)
--- a/regress/standin_backend.c
+++ b/regress/standin_backend.c
@@ -54,8 +54,8 @@
 };
 
 static const char *const key_names[K_MAX] = {"slots", "shed", "ms", "spread",
-    "slow", "spell_every", "spell_ms", "fail", "refuse", "drain", "sick",
-    "lie", "cut", "cold"};
+    "slow", "spell_every", "spell_ms", "fail", "refuse", "drain", "sick", "lie",
+    "cut", "cold"};
 
 enum { CHUNK = 65536, SPELL_SLOW = 10, COLD_SLOW = 5 };
 
@@ -122,8 +122,8 @@
 {
 	h2o_iovec_t copy = h2o_strdup(&req->pool, value, SIZE_MAX);
 
-	h2o_add_header_by_str(&req->pool, &req->res.headers, name,
-	    strlen(name), 0, NULL, copy.base, copy.len);
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name, strlen(name),
+	    0, NULL, copy.base, copy.len);
 }
 
 static void
@@ -274,8 +274,8 @@
 	*guard = w;
 	w->req = req;
 	snprintf(w->id, sizeof(w->id), "%.*s", STR_ARG(id));
-	w->size = str_u64(hsrv_query(req, "size"), &size) && size > 0 ? size
-								     : 1024;
+	w->size =
+	    str_u64(hsrv_query(req, "size"), &size) && size > 0 ? size : 1024;
 	if (st.v[K_REFUSE]) {
 		refuse(w, 503, true);
 	} else if (st.v[K_FAIL]) {
@@ -298,8 +298,8 @@
 	st.probes++;
 	if (st.v[K_DRAIN])
 		add_header(req, "fern-drain", "yes");
-	hsrv_answer(req, st.v[K_SICK] && !st.v[K_LIE] ? 500 : 200,
-	    "text/plain", str_c("health\n"));
+	hsrv_answer(req, st.v[K_SICK] && !st.v[K_LIE] ? 500 : 200, "text/plain",
+	    str_c("health\n"));
 }
 
 static void
@@ -310,8 +310,8 @@
 	    "{\"ran\":%llu,\"shed\":%llu,\"probes\":%llu,\"running\":%u,"
 	    "\"queued\":%u,\"peak\":%u,\"cancelled\":%llu}\n",
 	    (unsigned long long)st.ran, (unsigned long long)st.shed,
-	    (unsigned long long)st.probes, st.running, st.queue.length,
-	    st.peak, (unsigned long long)st.cancelled);
+	    (unsigned long long)st.probes, st.running, st.queue.length, st.peak,
+	    (unsigned long long)st.cancelled);
 
 	hsrv_answer(req, 200, "application/json", str_n(text, (size_t)n));
 }
--- a/regress/standin_platform.c
+++ b/regress/standin_platform.c
@@ -109,8 +109,8 @@
 	w = waiter_new(req);
 	w->answer = body;
 	w->status = status;
-	tmr_set(&st.tmr, &w->timer,
-	    clk_ns(clk_system()) + st.slow_ms * NS_MS, on_late, w);
+	tmr_set(&st.tmr, &w->timer, clk_ns(clk_system()) + st.slow_ms * NS_MS,
+	    on_late, w);
 }
 
 static bool
@@ -131,11 +131,12 @@
 	g_hash_table_iter_init(&it, st.objects);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		json_t *o = value;
-		uint64_t v = (uint64_t)json_integer_value(
-		    json_object_get(o, "version"));
+		uint64_t v =
+		    (uint64_t)json_integer_value(json_object_get(o, "version"));
 
 		if (v > since && kind_in(kinds, o) &&
-		    (deleted_too || !json_is_true(json_object_get(o, "deleted"))))
+		    (deleted_too ||
+			!json_is_true(json_object_get(o, "deleted"))))
 			json_array_append(list, o);
 	}
 	return json_pack(
@@ -239,15 +240,16 @@
 {
 	struct str none = hsrv_header(req, "if-none-match");
 	struct str match = hsrv_header(req, "if-match");
-	unsigned long long v;
+	unsigned long long v = 0;
 	uint64_t have = version_of(old);
 	bool ok = none.n > 0 ? have == 0
 			     : str_u64(match, &v) && v == have && have != 0;
 
 	if (ok)
 		return true;
-	answer(req, 412, have == 0 ? json_pack("{s:n}", "current")
-				   : json_pack("{s:O}", "current", old));
+	answer(req, 412,
+	    have == 0 ? json_pack("{s:n}", "current")
+		      : json_pack("{s:O}", "current", old));
 	return false;
 }
 
@@ -292,8 +294,8 @@
 
 	if (h2o_memis(req->method.base, req->method.len, H2O_STRLIT("PUT"))) {
 		write_object(req, key, false);
-	} else if (h2o_memis(
-		       req->method.base, req->method.len, H2O_STRLIT("DELETE"))) {
+	} else if (h2o_memis(req->method.base, req->method.len,
+		       H2O_STRLIT("DELETE"))) {
 		write_object(req, key, true);
 	} else {
 		st.reads++;
@@ -331,7 +333,8 @@
 	}
 	if (str_eq(path, STR_LIT("/standin/boxes"))) {
 		json_decref(st.boxes);
-		st.boxes = json_loadb(req->entity.base, req->entity.len, 0, NULL);
+		st.boxes =
+		    json_loadb(req->entity.base, req->entity.len, 0, NULL);
 	}
 	for (i = 0; i < G_N_ELEMENTS(mode_names); i++)
 		if (str_eq(mode, str_c(mode_names[i])))
@@ -384,8 +387,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	st.loop = uv_default_loop();
 	tmr_open(&st.tmr, st.loop, clk_system());
-	st.objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-	    (GDestroyNotify)json_decref);
+	st.objects = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_decref);
 	st.watches = g_ptr_array_new();
 	st.boxes = json_pack("{s:[]}", "boxes");
 	if (hsrv_open(st.loop, str_c(argv[1]), 1 << 20, on_request, NULL,
--- a/regress/standin_proxy.c
+++ b/regress/standin_proxy.c
@@ -54,8 +54,8 @@
 	struct end ends[2];
 	uv_connect_t connect;
 	uint64_t answered; /* bytes from the target */
-	int open;	   /* handles that are not closed yet */
-	int parcels;	   /* parcels under way */
+	int open; /* handles that are not closed yet */
+	int parcels; /* parcels under way */
 	bool closing;
 	GList link;
 };
--- /dev/null
+++ b/regress/test_conf.cpp
@@ -0,0 +1,327 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+/* The merge and exchange of configuration, through all orders of events. */
+#include <algorithm>
+#include <deque>
+#include <gtest/gtest.h>
+#include <map>
+#include <random>
+#include <string>
+
+extern "C" {
+#include "conf.h"
+#include "sync.h"
+}
+
+namespace
+{
+
+const char *const GOOD = R"({"select":"app=%"})";
+const char *const BAD = R"({"selekt":"app=%"})";
+
+struct str
+view(const std::string &s)
+{
+	return str_n(s.data(), s.size());
+}
+
+/* One thing that can be told to a merge. */
+struct Offer {
+	std::string key;
+	uint64_t version;
+	char what; /* 'g'ood, 'b'ad, 'd'eletion, 'l'ist without the key */
+};
+
+void
+tell(struct conf *c, const Offer &o)
+{
+	std::string text = o.what == 'b' ? BAD : GOOD;
+
+	text.replace(text.find('%'), 1, std::to_string(o.version));
+	if (o.what == 'l') {
+		GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+
+		conf_complete(c, o.version, keys);
+		g_hash_table_destroy(keys);
+		return;
+	}
+	json_t *spec =
+	    o.what == 'd' ? nullptr : json_loads(text.c_str(), 0, nullptr);
+
+	conf_offer(c, view(o.key), o.version, o.what == 'd', spec, STR_LIT("t"),
+	    nullptr);
+	json_decref(spec);
+}
+
+/* What is in force for a key, as text. */
+std::string
+state(const struct conf *c, const std::string &key)
+{
+	const struct conf_entry *e = conf_get(c, view(key));
+
+	if (e == nullptr || e->version == 0 || e->deleted)
+		return e != nullptr && e->bad_version > 0
+		    ? "none, bad " + std::to_string(e->bad_version)
+		    : "none";
+	return std::to_string(e->version) +
+	    (e->bad_version > 0 ? ", bad " + std::to_string(e->bad_version)
+				: "");
+}
+
+} // namespace
+
+TEST(Conf, EachOrderOfOffersLeadsToOneState)
+{
+	/* Versions 1 to 6 of one object, some deletions, some not valid. */
+	const std::vector<std::vector<Offer>> sets = {
+	    {{"service/a", 1, 'g'}, {"service/a", 3, 'g'},
+		{"service/a", 2, 'g'}, {"service/a", 5, 'd'},
+		{"service/a", 4, 'b'}, {"service/a", 6, 'b'}},
+	    {{"service/a", 1, 'g'}, {"service/a", 2, 'b'},
+		{"service/a", 3, 'd'}, {"service/a", 4, 'g'},
+		{"service/a", 5, 'b'}, {"service/a", 5, 'b'}},
+	    {{"service/a", 2, 'g'}, {"", 3, 'l'}, {"service/a", 1, 'g'},
+		{"service/a", 3, 'g'}, {"service/a", 2, 'b'}},
+	    {{"service/a", 2, 'g'}, {"", 3, 'l'}, {"service/a", 5, 'g'},
+		{"", 1, 'l'}, {"service/a", 4, 'd'}},
+	};
+	const std::vector<std::string> want = {
+	    "none, bad 6", "4, bad 5", "none", "5"};
+
+	for (size_t s = 0; s < sets.size(); s++) {
+		std::vector<size_t> order(sets[s].size());
+
+		for (size_t i = 0; i < order.size(); i++)
+			order[i] = i;
+		do {
+			struct conf *c = conf_new(nullptr, nullptr);
+			uint64_t highest = 0;
+
+			for (size_t i : order) {
+				const struct conf_entry *e;
+
+				tell(c, sets[s][i]);
+				e = conf_get(c, STR_LIT("service/a"));
+				/* What is in force never goes back. */
+				if (e != nullptr && !e->deleted) {
+					ASSERT_GE(e->version, highest);
+					highest = e->version;
+				}
+			}
+			ASSERT_EQ(want[s], state(c, "service/a"));
+			conf_free(c);
+		} while (std::next_permutation(order.begin(), order.end()));
+	}
+}
+
+TEST(Conf, RepeatedAndOldOffersChangeNothing)
+{
+	struct conf *c = conf_new(nullptr, nullptr);
+	uint64_t digest;
+
+	tell(c, {"service/a", 4, 'g'});
+	digest = conf_digest(c);
+	for (uint64_t v : {4, 3, 2, 1, 4})
+		tell(c, {"service/a", v, 'g'});
+	tell(c, {"service/a", 2, 'd'});
+	EXPECT_EQ(digest, conf_digest(c));
+	EXPECT_EQ("4", state(c, "service/a"));
+	/* A stale list that has not the object does not delete it. */
+	tell(c, {"", 3, 'l'});
+	EXPECT_EQ("4", state(c, "service/a"));
+	tell(c, {"", 4, 'l'});
+	EXPECT_EQ("none", state(c, "service/a"));
+	conf_free(c);
+}
+
+TEST(Conf, AnObjectThatIsNotValidLeavesTheLastGoodOne)
+{
+	struct conf *c = conf_new(nullptr, nullptr);
+	const struct conf_entry *e;
+
+	tell(c, {"service/a", 1, 'g'});
+	tell(c, {"service/a", 2, 'b'});
+	e = conf_get(c, STR_LIT("service/a"));
+	EXPECT_EQ(1u, e->version);
+	EXPECT_EQ(2u, e->bad_version);
+	EXPECT_NE(nullptr, strstr(e->bad_why, "the nearest known name"));
+	tell(c, {"service/a", 3, 'g'});
+	EXPECT_EQ("3", state(c, "service/a"));
+	conf_free(c);
+}
+
+namespace
+{
+
+/* Peers over a network that loses, repeats and reorders messages. */
+struct Net {
+	struct Peer {
+		Net *net;
+		std::string name;
+		struct conf *conf;
+		struct sync sync;
+	};
+	std::deque<std::pair<std::string, std::string>> wire;
+	std::map<std::string, Peer> peers;
+	std::mt19937 rng;
+	unsigned sent = 0;
+
+	static void on_send(void *ctx, struct str to, const struct msg *m)
+	{
+		Peer *p = static_cast<Peer *>(ctx);
+		struct msg copy = *m;
+		msgpack_sbuffer buf;
+
+		copy.from = view(p->name);
+		msgpack_sbuffer_init(&buf);
+		msg_encode(&copy, &buf);
+		p->net->wire.push_back(
+		    {std::string(to.p, to.n), std::string(buf.data, buf.size)});
+		p->net->sent++;
+		msgpack_sbuffer_destroy(&buf);
+	}
+
+	void add(const std::string &name)
+	{
+		Peer &p = peers[name];
+
+		p.net = this;
+		p.name = name;
+		p.conf = conf_new(nullptr, nullptr);
+		p.sync = {p.conf, on_send, &p, 0};
+	}
+
+	void deliver(bool faults)
+	{
+		if (faults && wire.size() > 1)
+			std::swap(wire[0], wire[rng() % wire.size()]);
+		auto w = wire.front();
+		wire.pop_front();
+		if (faults && rng() % 5 == 0)
+			return;
+		if (faults && rng() % 5 == 0)
+			wire.push_back(w);
+		struct msg m;
+
+		ASSERT_TRUE(
+		    msg_decode(w.second.data(), w.second.size(), &m, nullptr));
+		sync_take(&peers[w.first].sync, &m);
+		msg_done(&m);
+	}
+
+	void compare(const std::string &a, const std::string &b)
+	{
+		sync_compare(&peers[a].sync, view(b),
+		    conf_digest(peers[b].conf), conf_floor(peers[b].conf));
+	}
+
+	~Net()
+	{
+		for (auto &p : peers)
+			conf_free(p.second.conf);
+	}
+};
+
+} // namespace
+
+TEST(Sync, PeersComeTogetherOverABadNetworkAndNeverGoBack)
+{
+	for (unsigned seed = 0; seed < 60; seed++) {
+		Net net;
+		std::map<std::string, std::map<std::string, uint64_t>> seen;
+		uint64_t version = 0;
+		const char *names[] = {"p0", "p1", "p2"};
+
+		net.rng.seed(seed);
+		for (auto n : names)
+			net.add(n);
+		for (int step = 0; step < 300; step++) {
+			auto &p = net.peers[names[net.rng() % 3]];
+
+			if (net.rng() % 4 == 0 && step < 200)
+				tell(p.conf,
+				    {"service/s" +
+					    std::to_string(net.rng() % 8),
+					++version, "ggggdb"[net.rng() % 6]});
+			net.compare(names[net.rng() % 3], names[net.rng() % 3]);
+			for (int k = 0; k < 3 && !net.wire.empty(); k++)
+				net.deliver(step < 250);
+			for (auto &q : net.peers) {
+				for (int s = 0; s < 8; s++) {
+					std::string key =
+					    "service/s" + std::to_string(s);
+					auto *e =
+					    conf_get(q.second.conf, view(key));
+
+					if (e == nullptr)
+						continue;
+					ASSERT_GE(
+					    e->version, seen[q.first][key]);
+					seen[q.first][key] = e->version;
+				}
+			}
+		}
+		for (int k = 0; k < 40; k++) {
+			net.compare("p0", "p1");
+			net.compare("p1", "p2");
+			net.compare("p2", "p0");
+			while (!net.wire.empty())
+				net.deliver(false);
+		}
+		uint64_t d = conf_digest(net.peers["p0"].conf);
+		EXPECT_EQ(d, conf_digest(net.peers["p1"].conf)) << seed;
+		EXPECT_EQ(d, conf_digest(net.peers["p2"].conf)) << seed;
+	}
+}
+
+TEST(Sync, ADeletedObjectDoesNotComeBackFromAnOldPeer)
+{
+	Net net;
+
+	net.add("fresh");
+	net.add("old");
+	tell(net.peers["old"].conf, {"service/gone", 5, 'g'});
+	tell(net.peers["old"].conf, {"service/kept", 6, 'g'});
+	/* The fresh one lists at revision 9: only the other one is left. */
+	GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+	g_hash_table_add(keys, const_cast<char *>("service/kept"));
+	tell(net.peers["fresh"].conf, {"service/kept", 6, 'g'});
+	conf_complete(net.peers["fresh"].conf, 9, keys);
+	g_hash_table_destroy(keys);
+	for (int i = 0; i < 4; i++) {
+		net.compare("old", "fresh");
+		net.compare("fresh", "old");
+		while (!net.wire.empty())
+			net.deliver(false);
+	}
+	EXPECT_EQ("none", state(net.peers["fresh"].conf, "service/gone"));
+	EXPECT_EQ("none", state(net.peers["old"].conf, "service/gone"));
+	EXPECT_EQ("6", state(net.peers["old"].conf, "service/kept"));
+	EXPECT_EQ(9u, conf_floor(net.peers["old"].conf));
+}
+
+TEST(Sync, TheExchangeGrowsWithTheDifference)
+{
+	Net net;
+
+	net.add("a");
+	net.add("b");
+	for (uint64_t v = 1; v <= 1000; v++)
+		for (auto n : {"a", "b"})
+			tell(net.peers[n].conf,
+			    {"service/s" + std::to_string(v), v, 'g'});
+	tell(net.peers["a"].conf, {"service/s500", 2000, 'g'});
+	net.compare("b", "a");
+	while (!net.wire.empty())
+		net.deliver(false);
+	EXPECT_EQ("2000", state(net.peers["b"].conf, "service/s500"));
+	EXPECT_LE(net.sent, 4u);
+}
--- /dev/null
+++ b/regress/test_disp.cpp
@@ -0,0 +1,601 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+/* The dispatcher with a clock and random numbers of our own. */
+#include <algorithm>
+#include <cstdlib>
+#include <deque>
+#include <functional>
+#include <gtest/gtest.h>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+extern "C" {
+#include "disp.h"
+}
+
+namespace
+{
+
+struct World;
+
+struct Req {
+	struct disp_req d = {};
+	World *world = nullptr;
+	int id = 0;
+	int sends = 0, maybe_runs = 0;
+	bool ended = false, passed = false;
+	enum err_kind kind = ERR_NONE;
+	int64_t arrived = 0;
+};
+
+/* A dispatcher, its clock, and what it asked for. */
+struct World {
+	int64_t now = NS_S;
+	uint64_t seed = 1;
+	struct clk clk;
+	struct rnd rnd;
+	struct chart *chart;
+	struct disp *disp;
+	std::vector<std::string> trace;
+	std::function<void(Req *, struct pick_backend *)> on_send;
+	std::function<void(Req *)> on_end;
+
+	static Req *of(struct disp_req *d)
+	{
+		return reinterpret_cast<Req *>(d);
+	}
+
+	static struct timespec mono(void *ctx)
+	{
+		int64_t t = static_cast<World *>(ctx)->now;
+
+		return {t / NS_S, t % NS_S};
+	}
+
+	static uint64_t next(void *ctx)
+	{
+		return rnd_split(&static_cast<World *>(ctx)->seed);
+	}
+
+	static void send(void *ctx, struct disp_req *d, struct pick_backend *b)
+	{
+		World *w = static_cast<World *>(ctx);
+		Req *r = of(d);
+
+		r->sends++;
+		w->trace.push_back("send " + std::to_string(r->id) + " " +
+		    std::string(b->name.p, b->name.n));
+		if (w->on_send)
+			w->on_send(r, b);
+	}
+
+	static void pass(void *ctx, struct disp_req *d, struct str hall)
+	{
+		World *w = static_cast<World *>(ctx);
+
+		of(d)->passed = of(d)->ended = true;
+		w->trace.push_back("pass " + std::to_string(of(d)->id) + " " +
+		    std::string(hall.p, hall.n));
+	}
+
+	static void
+	give_up(void *ctx, struct disp_req *d, enum err_kind kind, int64_t)
+	{
+		World *w = static_cast<World *>(ctx);
+
+		EXPECT_FALSE(of(d)->ended);
+		of(d)->ended = true;
+		of(d)->kind = kind;
+		w->trace.push_back("give up " + std::to_string(of(d)->id) +
+		    " " + err_answer(kind)->name);
+		if (w->on_end)
+			w->on_end(of(d));
+	}
+
+	static void release(void *, struct pick_backend *)
+	{
+	}
+
+	explicit World(const char *policy = "fern", int64_t queue = 1000)
+	    : clk{mono, mono, this}, rnd{next, this}
+	{
+		struct disp_ops ops = {send, pass, give_up, release, this};
+		struct disp_params p = {};
+		GError *err = nullptr;
+		const char *root = getenv("FERN_ROOT");
+		std::string file =
+		    std::string(root ? root : ".") + "/charts/backend.toml";
+
+		static struct chart *loaded =
+		    chart_load(file.c_str(), &pick_chart_names, &err);
+
+		EXPECT_EQ(nullptr, err);
+		chart = loaded;
+		disp = disp_new(&ops, &clk, &rnd);
+		p.policy = pick_by_name(str_c(policy));
+		p.chart = chart;
+		p.queue_max = queue;
+		p.bulk_percent = 40;
+		p.retry_percent = 10;
+		disp_configure(disp, &p);
+	}
+
+	~World()
+	{
+		disp_free(disp);
+	}
+
+	void backends(int n, int slots, int drained = -1)
+	{
+		std::vector<struct disp_backend> v;
+		static std::vector<std::string> names;
+
+		if (names.empty())
+			for (int i = 0; i < 1000; i++)
+				names.push_back("b" + std::to_string(i));
+		for (int i = 0; i < n; i++)
+			v.push_back(
+			    {str_c(names[static_cast<size_t>(i)].c_str()),
+				STR_LIT("127.0.0.1:1"), slots, i == drained});
+		disp_backends(disp, v.data(), static_cast<unsigned>(n));
+	}
+
+	Req *arrive(Req *r, int64_t deadline_ms = 1000,
+	    enum obj_class cls = CLASS_INTERACTIVE, bool repeatable = true)
+	{
+		r->world = this;
+		r->arrived = now;
+		r->d.cls = cls;
+		r->d.repeatable = repeatable;
+		r->d.may_retry = true;
+		r->d.deadline = now + deadline_ms * NS_MS;
+		disp_arrive(disp, &r->d);
+		return r;
+	}
+
+	bool done(Req *r, enum disp_outcome outcome)
+	{
+		if (outcome == DISP_CUT || outcome == DISP_FAILED)
+			r->maybe_runs++;
+		bool again = disp_done(disp, &r->d, outcome);
+
+		if (!again && !r->ended)
+			r->ended = true;
+		return again;
+	}
+
+	/* Bring all backend servers out of their cold state. */
+	void warm(int n)
+	{
+		for (int i = 0; i < n * 12; i++) {
+			Req r;
+
+			arrive(&r);
+			now += 5 * NS_MS;
+			if (r.d.at != nullptr)
+				done(&r, DISP_OK);
+		}
+	}
+};
+
+} // namespace
+
+namespace
+{
+
+/* Two requests, one of which must not repeat, at one slot. */
+struct Explorer {
+	enum { ARRIVE, OK, REFUSED, CONNECT, CUT, FORGET, KINDS };
+	enum { TICK = 2 * KINDS, DRAIN, EVENTS };
+	const size_t depth = 6;
+	long orders = 0;
+
+	static bool possible(const Req &r, int kind)
+	{
+		if (kind == ARRIVE)
+			return r.sends == 0 && !r.ended && !r.d.held;
+		if (kind == FORGET)
+			return r.d.held;
+		return r.d.at != nullptr;
+	}
+
+	static void apply(World &w, std::vector<Req> &reqs, int ev)
+	{
+		static const enum disp_outcome outcomes[] = {
+		    DISP_OK, DISP_OK, DISP_REFUSED, DISP_CONNECT, DISP_CUT};
+		Req *r = &reqs[static_cast<size_t>(ev / KINDS % 2)];
+
+		if (ev == TICK) {
+			w.now += 400 * NS_MS;
+			disp_tick(w.disp);
+		} else if (ev == DRAIN) {
+			w.backends(1, 1, 0);
+		} else if (ev % KINDS == ARRIVE) {
+			r->id = ev / KINDS;
+			w.arrive(r, 1000, CLASS_INTERACTIVE, r->id == 0);
+		} else if (ev % KINDS == FORGET) {
+			disp_forget(w.disp, &r->d);
+			r->ended = true;
+		} else {
+			w.done(r, outcomes[ev % KINDS]);
+		}
+	}
+
+	static void check(const World &w, const std::vector<Req> &reqs)
+	{
+		unsigned at = 0;
+
+		for (auto &r : reqs) {
+			at += r.d.at != nullptr;
+			/* Held, out, ended or not yet there: just one. */
+			ASSERT_LE((r.d.at != nullptr) + r.d.held + r.ended, 1);
+			if (!r.d.repeatable && r.maybe_runs > 0) {
+				ASSERT_EQ(nullptr, r.d.at);
+				ASSERT_FALSE(r.d.held);
+			}
+		}
+		ASSERT_EQ(at, disp_inflight(w.disp));
+		ASSERT_LE(at, 1u);
+	}
+
+	void explore(std::vector<int> &path)
+	{
+		std::vector<bool> next(EVENTS, true);
+
+		{
+			World w;
+			std::vector<Req> reqs(2);
+
+			w.backends(1, 1);
+			for (int ev : path)
+				apply(w, reqs, ev);
+			check(w, reqs);
+			for (int ev = 0; ev < TICK; ev++)
+				next[static_cast<size_t>(ev)] = possible(
+				    reqs[static_cast<size_t>(ev / KINDS)],
+				    ev % KINDS);
+			for (auto &r : reqs) {
+				if (r.d.held)
+					disp_forget(w.disp, &r.d);
+				if (r.d.at != nullptr)
+					disp_done(w.disp, &r.d, DISP_GONE);
+			}
+		}
+		orders++;
+		if (path.size() == depth || testing::Test::HasFatalFailure())
+			return;
+		for (int ev = 0; ev < EVENTS; ev++) {
+			if (!next[static_cast<size_t>(ev)])
+				continue;
+			path.push_back(ev);
+			explore(path);
+			path.pop_back();
+		}
+	}
+};
+
+} // namespace
+
+TEST(Disp, AllOrdersOfEventsToASmallDepth)
+{
+	Explorer e;
+	std::vector<int> path;
+
+	e.explore(path);
+	printf("%ld orders of events\n", e.orders);
+	EXPECT_GT(e.orders, 1000);
+}
+
+TEST(Disp, HoldsByDeadlineAndInteractiveFirst)
+{
+	World w;
+	std::vector<Req> r(5);
+
+	w.backends(1, 1);
+	for (int i = 0; i < 5; i++)
+		r[static_cast<size_t>(i)].id = i;
+	w.arrive(&r[0]);
+	w.arrive(&r[1], 900, CLASS_BULK);
+	w.arrive(&r[2], 800);
+	w.arrive(&r[3], 300);
+	w.arrive(&r[4], 500);
+	for (int i : {0, 3, 4, 2, 1}) {
+		ASSERT_NE(nullptr, r[static_cast<size_t>(i)].d.at) << i;
+		w.now += NS_MS;
+		w.done(&r[static_cast<size_t>(i)], DISP_OK);
+	}
+}
+
+TEST(Disp, GivesUpAtOnceWhatCannotBeMet)
+{
+	World w;
+	std::vector<Req> r(40);
+
+	w.backends(1, 1);
+	w.warm(1); /* 5 ms is usual */
+	for (auto &q : r)
+		w.arrive(&q, 100);
+	/* 100 ms hold twenty times 5 ms, and no more. */
+	int busy = 0;
+	for (auto &q : r)
+		busy += q.kind == ERR_BUSY;
+	EXPECT_GE(busy, 15);
+	EXPECT_LE(busy, 25);
+	for (auto &q : r)
+		if (q.d.held)
+			disp_forget(w.disp, &q.d);
+	for (auto &q : r)
+		if (q.d.at != nullptr)
+			w.done(&q, DISP_GONE);
+}
+
+TEST(Disp, WhatMustNotRepeatIsNotSentTwice)
+{
+	for (enum disp_outcome o : {DISP_FAILED, DISP_CUT, DISP_LATE}) {
+		World w;
+		Req r;
+
+		w.backends(3, 3);
+		w.arrive(&r, 1000, CLASS_INTERACTIVE, false);
+		EXPECT_FALSE(w.done(&r, o));
+		EXPECT_EQ(1, r.sends);
+	}
+	for (enum disp_outcome o : {DISP_REFUSED, DISP_CONNECT}) {
+		World w;
+		Req r;
+
+		w.backends(3, 3);
+		w.arrive(&r, 1000, CLASS_INTERACTIVE, false);
+		EXPECT_TRUE(w.done(&r, o));
+		EXPECT_EQ(2, r.sends);
+		w.done(&r, DISP_OK);
+	}
+}
+
+TEST(Disp, BulkLeavesRoomAndMoves)
+{
+	World w;
+	std::vector<Req> bulk(30), more(10);
+	int out = 0;
+
+	w.backends(4, 3);
+	w.warm(4);
+	for (auto &r : bulk)
+		w.arrive(&r, 100000, CLASS_BULK);
+	for (auto &r : bulk)
+		out += r.d.at != nullptr;
+	/* At most 40 % of the slots, and it does move. */
+	EXPECT_GE(out, 3);
+	EXPECT_LE(out, 4);
+	for (auto &r : more)
+		w.arrive(&r);
+	out = 0;
+	for (auto &r : more)
+		out += r.d.at != nullptr;
+	EXPECT_GE(out, 8);
+	for (auto &r : bulk)
+		if (r.d.held)
+			disp_forget(w.disp, &r.d);
+	for (auto *set : {&bulk, &more}) {
+		for (auto &r : *set) {
+			if (r.d.held)
+				disp_forget(w.disp, &r.d);
+			if (r.d.at != nullptr)
+				w.done(&r, DISP_GONE);
+		}
+	}
+}
+
+TEST(Disp, ACommonFaultDoesNotEmptyThePool)
+{
+	World w;
+
+	w.backends(6, 3);
+	w.warm(6);
+	for (int i = 0; i < 200; i++) {
+		Req r;
+
+		w.arrive(&r, 1000, CLASS_INTERACTIVE, false);
+		w.now += NS_MS;
+		ASSERT_NE(nullptr, r.d.at);
+		w.done(&r, DISP_FAILED);
+	}
+	EXPECT_GE(disp_usable(w.disp), 3u);
+	EXPECT_LT(disp_usable(w.disp), 6u);
+	/* Time and good answers bring all of them back. */
+	for (int i = 0; i < 200; i++) {
+		Req r;
+
+		w.now += 400 * NS_MS;
+		disp_tick(w.disp);
+		w.arrive(&r);
+		w.now += 5 * NS_MS;
+		if (r.d.at != nullptr)
+			w.done(&r, DISP_OK);
+	}
+	EXPECT_EQ(6u, disp_usable(w.disp));
+}
+
+TEST(Disp, PassesOnWhereAnotherHallHasRoom)
+{
+	World w;
+	std::vector<Req> r(6);
+
+	w.backends(1, 1);
+	w.warm(1);
+	disp_hall(w.disp, STR_LIT("south"), 6);
+	w.arrive(&r[0]);
+	for (auto &q : r)
+		q.d.may_pass = true;
+	w.arrive(&r[1]);
+	EXPECT_TRUE(r[1].d.held); /* nothing is known of the other hall */
+	disp_remote(w.disp, STR_LIT("south"), 4, 0);
+	EXPECT_TRUE(r[1].passed);
+	w.arrive(&r[2]);
+	w.arrive(&r[3]);
+	EXPECT_TRUE(r[2].passed);
+	EXPECT_TRUE(r[3].passed);
+	w.arrive(&r[4]);
+	EXPECT_FALSE(r[4].passed); /* one slot is left to the other hall */
+	disp_forget(w.disp, &r[4].d);
+	w.done(&r[0], DISP_GONE);
+}
+
+namespace
+{
+
+/* One day's worth of requests in virtual time against one policy. */
+struct Result {
+	std::vector<double> ms;
+	int failed = 0;
+	std::vector<std::string> trace;
+
+	double p(double q)
+	{
+		std::sort(ms.begin(), ms.end());
+		return ms[std::min(
+		    ms.size() - 1, static_cast<size_t>(q / 100 * ms.size()))];
+	}
+};
+
+/* How a backend server behaves at a time. */
+using Service = std::function<double(int backend, int64_t now, double draw)>;
+
+Result
+drive(const char *policy, unsigned seed, double per_ms, const Service &service,
+    int fails_fast)
+{
+	const int N = 10, SLOTS = 3, REQUESTS = 20000;
+	World w(policy);
+	Result run;
+	std::mt19937_64 rng(seed);
+	std::exponential_distribution<double> gap(per_ms), unit(1.0);
+	std::vector<Req> reqs(REQUESTS);
+	std::multimap<int64_t, std::function<void()>> events;
+	struct Server {
+		int busy = 0;
+		std::deque<std::function<void()>> queue;
+	};
+	std::vector<Server> servers(N);
+
+	w.seed = seed;
+	w.backends(N, SLOTS);
+	auto finish = [&](Req *r, enum disp_outcome o) {
+		if (w.done(r, o))
+			return;
+		if (o == DISP_OK)
+			run.ms.push_back(
+			    static_cast<double>(w.now - r->arrived) / NS_MS);
+		else
+			run.failed++;
+	};
+	std::function<void(int, Req *)> begin = [&](int i, Req *r) {
+		servers[static_cast<size_t>(i)].busy++;
+		double ms = service(i, w.now, unit(rng));
+
+		events.emplace(
+		    w.now + static_cast<int64_t>(ms * NS_MS), [&, i, r] {
+			    Server &s = servers[static_cast<size_t>(i)];
+
+			    s.busy--;
+			    if (!s.queue.empty()) {
+				    auto next = s.queue.front();
+				    s.queue.pop_front();
+				    next();
+			    }
+			    finish(r, DISP_OK);
+		    });
+	};
+	w.on_send = [&](Req *r, struct pick_backend *b) {
+		int i = atoi(std::string(b->name.p + 1, b->name.n - 1).c_str());
+		Server &s = servers[static_cast<size_t>(i)];
+
+		if (i == fails_fast) {
+			events.emplace(w.now + NS_MS / 2,
+			    [&, r] { finish(r, DISP_FAILED); });
+			return;
+		}
+		if (s.busy < SLOTS)
+			begin(i, r);
+		else
+			s.queue.push_back([&, i, r] { begin(i, r); });
+	};
+	w.on_end = [&](Req *) {
+		run.failed++;
+	};
+	int64_t at = w.now;
+	for (int k = 0; k < REQUESTS; k++) {
+		at += static_cast<int64_t>(gap(rng) * NS_MS);
+		reqs[static_cast<size_t>(k)].id = k;
+		events.emplace(at,
+		    [&, k] { w.arrive(&reqs[static_cast<size_t>(k)], 60000); });
+	}
+	for (int64_t t = w.now; t < at + 60 * NS_S; t += 20 * NS_MS)
+		events.emplace(t, [&] { disp_tick(w.disp); });
+	while (!events.empty()) {
+		auto e = events.begin();
+
+		w.now = std::max(w.now, e->first);
+		auto fn = e->second;
+		events.erase(e);
+		fn();
+	}
+	run.trace = w.trace;
+	return run;
+}
+
+/* Slow spells of 300 ms, ten times as slow, at one server after another. */
+double
+spells(int i, int64_t now, double draw)
+{
+	int64_t turn = now / (300 * NS_MS);
+
+	return draw * 10 * (turn % 13 == i ? 10 : 1);
+}
+
+} // namespace
+
+TEST(Differential, NoisyNeighboursHurtLessThanInNaive)
+{
+	Result naive = drive("naive", 5, 1.5, spells, -1);
+	Result fern = drive("fern", 5, 1.5, spells, -1);
+
+	printf("p50 p99 p99.9 ms: naive %.1f %.1f %.1f, fern %.1f %.1f %.1f\n",
+	    naive.p(50), naive.p(99), naive.p(99.9), fern.p(50), fern.p(99),
+	    fern.p(99.9));
+	EXPECT_EQ(0, fern.failed);
+	EXPECT_LT(fern.p(99), naive.p(99) / 3);
+	EXPECT_LT(fern.p(99.9), naive.p(99.9));
+}
+
+TEST(Differential, OneThatFailsFastDrawsNoTraffic)
+{
+	auto calm = [](int, int64_t, double draw) {
+		return draw * 10;
+	};
+	Result fern = drive("fern", 6, 1.5, calm, 4);
+	size_t there = 0;
+
+	for (auto &t : fern.trace)
+		there += t.size() > 3 && t.substr(t.size() - 3) == " b4";
+	EXPECT_EQ(0, fern.failed);
+	EXPECT_LT(there, 100u);
+}
+
+TEST(Disp, OneOrderOfEventsGivesOneResult)
+{
+	Result a = drive("fern", 7, 1.5, spells, 2);
+	Result b = drive("fern", 7, 1.5, spells, 2);
+
+	EXPECT_EQ(a.trace, b.trace);
+}
--- a/regress/test_path.cpp
+++ b/regress/test_path.cpp
@@ -86,8 +86,7 @@
 	EXPECT_EQ(503, r.status);
 	EXPECT_EQ("no-service", r.header("fern-error"));
 	EXPECT_EQ("2", r.header("retry-after"));
-	r = http("POST", f.boxes[0].listen, "/dir", {},
-	    std::string(2000, 'x'));
+	r = http("POST", f.boxes[0].listen, "/dir", {}, std::string(2000, 'x'));
 	EXPECT_EQ(413, r.status);
 	EXPECT_EQ("too-large", r.header("fern-error"));
 	EXPECT_EQ("no", r.header("fern-ran"));
@@ -178,12 +177,10 @@
 	for (int i = 0; i < 9; i++)
 		http_start("GET", f.boxes[0].listen, "/dir/x", {}, "", 10000,
 		    [&](const Reply &) { done++; });
-	until([&] {
-		return f.metric(0, "fern_requests_inflight") >= 9;
-	});
+	until([&] { return f.metric(0, "fern_requests_inflight") >= 9; });
 	double began = now_ms();
-	Reply r = http("GET", f.boxes[0].listen, "/dir/x",
-	    {{"fern-deadline-ms", "300"}});
+	Reply r = http(
+	    "GET", f.boxes[0].listen, "/dir/x", {{"fern-deadline-ms", "300"}});
 	EXPECT_EQ(503, r.status);
 	EXPECT_EQ("busy", r.header("fern-error"));
 	EXPECT_EQ("no", r.header("fern-ran"));
--- a/regress/test_promises.cpp
+++ b/regress/test_promises.cpp
@@ -44,10 +44,10 @@
 {
 	f.put("service/dir", R"({"select":"app=dir"})");
 	f.put("rule/dir", R"({"path":"/dir","service":"dir"})");
-	f.put("rule/pay",
-	    R"({"path":"/pay","service":"dir","repeatable":"no"})");
-	f.put("rule/bulk",
-	    R"({"path":"/bulk","service":"dir","class":"bulk"})");
+	f.put(
+	    "rule/pay", R"({"path":"/pay","service":"dir","repeatable":"no"})");
+	f.put(
+	    "rule/bulk", R"({"path":"/bulk","service":"dir","class":"bulk"})");
 }
 
 bool
@@ -201,7 +201,8 @@
 	Fleet f(o);
 	ASSERT_TRUE(up(f));
 	std::string door = f.boxes[0].listen;
-	Headers id1 = {{"x-request-id", "one"}}, id2 = {{"x-request-id", "two"}};
+	Headers id1 = {{"x-request-id", "one"}},
+		id2 = {{"x-request-id", "two"}};
 
 	/* The request arrives and runs, its answer is lost. */
 	f.backends[0]->proxy->set("mode=drop_answers");
@@ -296,8 +297,8 @@
 	/* Reads go on, and the key works once the platform is back. */
 	EXPECT_EQ(200, http("GET", f.boxes[0].listen, "/dir/x").status);
 	f.set_platform("mode=up");
-	EXPECT_EQ(200,
-	    http("POST", f.boxes[0].listen, "/pay/x", h, "pay").status);
+	EXPECT_EQ(
+	    200, http("POST", f.boxes[0].listen, "/pay/x", h, "pay").status);
 	EXPECT_EQ(1, f.runs()["out"]);
 }
 
@@ -338,7 +339,9 @@
 	ASSERT_TRUE(up(f));
 	Load load(doors(f), mixed(100), 15);
 	/* The platform's balancer uses the boxes that say they are ready. */
-	load.target_up = [&](size_t i) { return in[i]; };
+	load.target_up = [&](size_t i) {
+		return in[i];
+	};
 	load.start();
 	for (size_t i = 0; i < 3; i++) {
 		f.boxes[i].gate.signal(SIGTERM);
@@ -356,8 +359,8 @@
 	}
 	settle(f, load);
 	for (auto &o : load.outcomes)
-		EXPECT_TRUE(o.right) << o.id << " " << o.status << " "
-				     << o.kind;
+		EXPECT_TRUE(o.right)
+		    << o.id << " " << o.status << " " << o.kind;
 	EXPECT_GT(count_good(load), 200);
 }
 
@@ -372,9 +375,8 @@
 	    "http://" + f.boxes[0].listen + "/bulk/x?size=50000000"};
 	p.log = f.dir + "/ctl.log";
 	p.start();
-	ASSERT_TRUE(until([&] {
-		return f.metric(0, "fern_requests_inflight") >= 1;
-	}));
+	ASSERT_TRUE(
+	    until([&] { return f.metric(0, "fern_requests_inflight") >= 1; }));
 	f.boxes[0].gate.signal(SIGTERM);
 	EXPECT_EQ(0, p.wait_exit(60000));
 	EXPECT_EQ(0, f.boxes[0].gate.wait_exit());
@@ -388,9 +390,8 @@
 	ASSERT_TRUE(up(f));
 	http_start("GET", f.boxes[0].listen, "/dir/x", {}, "", 20000,
 	    [&](const Reply &) { ended = true; });
-	ASSERT_TRUE(until([&] {
-		return f.metric(0, "fern_requests_inflight") >= 1;
-	}));
+	ASSERT_TRUE(
+	    until([&] { return f.metric(0, "fern_requests_inflight") >= 1; }));
 	f.boxes[0].gate.signal(SIGTERM);
 	ASSERT_TRUE(until([&] { return !f.ready(0); }));
 	f.boxes[0].gate.signal(SIGTERM);
@@ -408,6 +409,5 @@
 	f.boxes[0].agent_process.kill9();
 	f.platform.kill9();
 	for (int i = 0; i < 20; i++)
-		EXPECT_EQ(
-		    200, http("GET", f.boxes[0].listen, "/dir/x").status);
+		EXPECT_EQ(200, http("GET", f.boxes[0].listen, "/dir/x").status);
 }
--- /dev/null
+++ b/regress/test_units.cpp
@@ -0,0 +1,562 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+/* The small modules, one by one. */
+#include <cstring>
+#include <gtest/gtest.h>
+#include <random>
+#include <string>
+
+extern "C" {
+#include "chart.h"
+#include "doc.h"
+#include "err.h"
+#include "field.h"
+#include "limit.h"
+#include "memb.h"
+#include "msg.h"
+#include "obj.h"
+#include "pick.h"
+#include "probe.h"
+#include "queue.h"
+#include "sel.h"
+}
+
+namespace
+{
+
+struct str
+view(const std::string &s)
+{
+	return str_n(s.data(), s.size());
+}
+
+bool
+matches(const std::string &selector, const std::string &labels)
+{
+	GError *err = nullptr;
+	struct sel *s = sel_parse(view(selector), &err);
+	json_t *l = json_loads(labels.c_str(), 0, nullptr);
+	bool ok;
+
+	EXPECT_NE(nullptr, s)
+	    << selector << ": " << (err != nullptr ? err->message : "");
+	g_clear_error(&err);
+	if (s == nullptr)
+		return false;
+	ok = sel_match(s, l);
+	sel_free(s);
+	json_decref(l);
+	return ok;
+}
+
+std::string
+refusal(const std::string &selector)
+{
+	GError *err = nullptr;
+	struct sel *s = sel_parse(view(selector), &err);
+	std::string text = err != nullptr ? err->message : "";
+
+	EXPECT_EQ(nullptr, s) << selector;
+	sel_free(s);
+	g_clear_error(&err);
+	return text;
+}
+
+uint64_t
+step_random(void *ctx)
+{
+	return rnd_split(static_cast<uint64_t *>(ctx));
+}
+
+} // namespace
+
+TEST(Err, EachKindHasARowAndAName)
+{
+	for (int i = 0; i < ERR_MAX; i++) {
+		const struct err_row *a = err_answer((enum err_kind)i);
+
+		ASSERT_NE(nullptr, a->name) << i;
+		EXPECT_NE(nullptr, a->sentence) << i;
+		EXPECT_EQ(i, err_by_name(str_c(a->name)));
+		if (i > ERR_NONE && i <= ERR_ANSWER_LAST) {
+			EXPECT_GE(a->status, 400) << a->name;
+		}
+	}
+	EXPECT_STREQ("system", err_answer((enum err_kind)999)->name);
+}
+
+TEST(Str, NumbersAndDistances)
+{
+	unsigned long long v;
+
+	EXPECT_TRUE(str_u64(STR_LIT("120"), &v));
+	EXPECT_EQ(120u, v);
+	EXPECT_FALSE(str_u64(STR_LIT(""), &v));
+	EXPECT_FALSE(str_u64(STR_LIT("-1"), &v));
+	EXPECT_FALSE(str_u64(STR_LIT("1234567890123456789"), &v));
+	EXPECT_EQ(0u, str_distance(STR_LIT("hall"), STR_LIT("hall")));
+	EXPECT_EQ(1u, str_distance(STR_LIT("hal"), STR_LIT("hall")));
+	EXPECT_EQ(3u, str_distance(STR_LIT("kitten"), STR_LIT("sitting")));
+}
+
+TEST(Sel, EachFormMatches)
+{
+	const char *labels = R"({"app":"directory","hall":"north"})";
+
+	EXPECT_TRUE(matches("app", labels));
+	EXPECT_FALSE(matches("cold", labels));
+	EXPECT_TRUE(matches("!cold", labels));
+	EXPECT_FALSE(matches("!app", labels));
+	EXPECT_TRUE(matches("app=directory", labels));
+	EXPECT_TRUE(matches("app == directory", labels));
+	EXPECT_FALSE(matches("app=other", labels));
+	EXPECT_TRUE(matches("app!=other", labels));
+	EXPECT_TRUE(matches("cold!=yes", labels));
+	EXPECT_TRUE(matches("hall in (north,south)", labels));
+	EXPECT_FALSE(matches("hall in (east)", labels));
+	EXPECT_TRUE(matches("hall notin (east, west)", labels));
+	EXPECT_TRUE(matches("zone notin (a)", labels));
+	EXPECT_TRUE(
+	    matches("app=directory,hall in (north,south),!cold", labels));
+	EXPECT_FALSE(matches("app=directory,hall=south", labels));
+	EXPECT_FALSE(matches("", labels));
+}
+
+TEST(Sel, MistakesNameTheColumn)
+{
+	EXPECT_NE(std::string::npos, refusal("app=").find("column 5"));
+	EXPECT_NE(std::string::npos, refusal("app in north").find("'('"));
+	EXPECT_NE(std::string::npos, refusal("app in (a").find("',' or ')'"));
+	EXPECT_NE(std::string::npos, refusal("a,,b").find("column 3"));
+	EXPECT_NE(std::string::npos, refusal("a b").find("column 3"));
+	EXPECT_NE(std::string::npos, refusal("a=b,").find("a label's name"));
+	EXPECT_NE(std::string::npos, refusal("(").find("column 1"));
+}
+
+TEST(Field, AddressesAndNames)
+{
+	char ip[64];
+	uint16_t port;
+
+	EXPECT_TRUE(
+	    field_address(STR_LIT("127.0.0.1:80"), ip, sizeof(ip), &port));
+	EXPECT_EQ(80, port);
+	EXPECT_TRUE(
+	    field_address(STR_LIT("[::1]:8080"), ip, sizeof(ip), &port));
+	EXPECT_STREQ("::1", ip);
+	for (const char *bad : {"", ":", "127.0.0.1", "127.0.0.1:", "x:80",
+		 "127.0.0.1:0", "127.0.0.1:65536", "localhost:80", "[::1:80"})
+		EXPECT_FALSE(field_address(str_c(bad), ip, sizeof(ip), &port))
+		    << bad;
+	EXPECT_TRUE(field_is_name(STR_LIT("a-b_c.9")));
+	EXPECT_FALSE(field_is_name(STR_LIT("a/b")));
+	EXPECT_FALSE(field_is_name(STR_LIT("")));
+}
+
+TEST(Obj, DefaultsAndRefusals)
+{
+	struct {
+		enum obj_kind kind;
+		const char *spec, *why; /* NULL: it is right */
+	} cases[] = {
+	    {OBJ_SERVICE, R"({"select":"app=a"})", nullptr},
+	    {OBJ_SERVICE, R"({})", "select: is missing"},
+	    {OBJ_SERVICE, R"({"select":"app="})", "column"},
+	    {OBJ_SERVICE, R"({"select":"a","deadline_ms":0})",
+		"from 1 to 86400000"},
+	    {OBJ_SERVICE, R"({"select":"a","probe_path":"x"})", "'/'"},
+	    {OBJ_BACKEND, R"({"address":"127.0.0.1:1","hall":"n"})", nullptr},
+	    {OBJ_BACKEND, R"({"address":"nowhere","hall":"n"})",
+		"an IP number and a port"},
+	    {OBJ_BACKEND, R"({"address":"127.0.0.1:1","hall":"n","slot":1})",
+		"the nearest known name is slots"},
+	    {OBJ_BACKEND,
+		R"({"address":"127.0.0.1:1","hall":"n","labels":{"a":1}})",
+		"names to strings"},
+	    {OBJ_RULE, R"({"service":"s"})", nullptr},
+	    {OBJ_RULE, R"({"service":"s","class":"bulky"})",
+		"interactive or bulk"},
+	    {OBJ_RULE, R"({"service":"s","path":"x"})", "'/'"},
+	    {OBJ_RULE, R"({"service":"s","header":"x"})", "name: value"},
+	    {OBJ_RULE, R"([])", "is not a table"},
+	};
+
+	for (auto &c : cases) {
+		GError *err = nullptr;
+		json_t *spec = json_loads(c.spec, 0, nullptr);
+		struct obj *o =
+		    obj_read(c.kind, STR_LIT("x"), spec, nullptr, &err);
+
+		EXPECT_EQ(c.why == nullptr, o != nullptr) << c.spec;
+		if (c.why != nullptr && err != nullptr) {
+			EXPECT_NE(nullptr, strstr(err->message, c.why))
+			    << err->message;
+		}
+		obj_free(o);
+		g_clear_error(&err);
+		json_decref(spec);
+	}
+}
+
+TEST(Doc, LinesOfTablesAndKeys)
+{
+	const char *text = "a = 1\n[[rule]]\nname = \"x\"\nflag = true\n";
+	struct doc *d = doc_parse(text, strlen(text), "f", nullptr);
+	json_t *rule = json_array_get(json_object_get(d->root, "rule"), 0);
+
+	EXPECT_EQ(1, doc_line(d, d->root, "a"));
+	EXPECT_EQ(4, doc_line(d, rule, "flag"));
+	EXPECT_EQ(0, doc_line(d, rule, "none"));
+	doc_free(d);
+}
+
+TEST(Chart, MistakesAreRefused)
+{
+	static const char *const states[] = {"a", "b"};
+	static const char *const events[] = {"x"};
+	struct chart_names names = {"t", states, 2, events, 1};
+	struct {
+		const char *text, *why;
+	} cases[] = {
+	    {"start = \"a\"\n[state.a]\nx = \"b\"\n[state.b]\nx = \"a\"\n",
+		nullptr},
+	    {"start = \"c\"\n", "names no known state"},
+	    {"start = \"a\"\n[state.a]\nx = \"b\"\n", "state b is missing"},
+	    {"start = \"a\"\n[state.a]\nx = \"b\"\n[state.b]\n",
+		"event x leads to no known state"},
+	    {"start = \"a\"\n[state.a]\nx = \"a\"\n[state.b]\nx = \"a\"\n",
+		"state b cannot be reached"},
+	    {"start = \"a\"\n[state.a]\nx = \"b\"\ny = \"b\"\n[state.b]\n"
+	     "x = \"a\"\n",
+		"unknown event y"},
+	    {"start = \"a\"\n[state.q]\nx = \"a\"\n", "unknown state q"},
+	};
+
+	for (auto &c : cases) {
+		GError *err = nullptr;
+		struct chart *ch =
+		    chart_parse(c.text, strlen(c.text), "f", &names, &err);
+
+		EXPECT_EQ(c.why == nullptr, ch != nullptr);
+		if (c.why != nullptr) {
+			ASSERT_NE(nullptr, err);
+			EXPECT_NE(nullptr, strstr(err->message, c.why))
+			    << err->message;
+		} else {
+			EXPECT_EQ(1, chart_step(ch, 0, 0));
+		}
+		chart_free(ch);
+		g_clear_error(&err);
+	}
+}
+
+TEST(Queue, AnyOrderOfChangesKeepsTheOrder)
+{
+	std::mt19937 rng(3);
+	std::vector<struct queue_item> items(200);
+	std::vector<struct queue_item *> in;
+	struct queue q;
+
+	queue_init(&q);
+	for (int step = 0; step < 20000; step++) {
+		if (in.size() < items.size() && rng() % 2 == 0) {
+			for (auto &i : items) {
+				if (i.data != nullptr)
+					continue;
+				i.deadline = static_cast<int64_t>(rng() % 50);
+				i.data = &i;
+				queue_push(&q, &i);
+				in.push_back(&i);
+				break;
+			}
+		} else if (!in.empty()) {
+			size_t at = rng() % in.size();
+			struct queue_item *i =
+			    rng() % 2 == 0 ? in[at] : queue_first(&q);
+
+			queue_remove(&q, i);
+			i->data = nullptr;
+			in.erase(std::find(in.begin(), in.end(), i));
+		}
+		ASSERT_EQ(in.size(), q.n);
+		for (auto *i : in)
+			ASSERT_LE(queue_first(&q)->deadline, i->deadline);
+	}
+	queue_clear(&q);
+}
+
+TEST(Limit, RateAndBurst)
+{
+	struct limit l = {0, 0};
+	int64_t now = NS_S;
+	int taken = 0;
+
+	for (int ms = 0; ms < 10000; ms++, now += NS_MS)
+		taken += limit_take(&l, 50, now);
+	EXPECT_GE(taken, 500);
+	EXPECT_LE(taken, 511);
+	EXPECT_TRUE(limit_take(&l, 0, now));
+}
+
+TEST(Limit, TableForgetsTheLeastLatelyUsed)
+{
+	struct limit_table *t = limit_table_new(2);
+	int64_t now = NS_S;
+
+	EXPECT_TRUE(limit_table_take(t, STR_LIT("a"), 1, now));
+	EXPECT_FALSE(limit_table_take(t, STR_LIT("a"), 1, now));
+	EXPECT_TRUE(limit_table_take(t, STR_LIT("b"), 1, now));
+	EXPECT_TRUE(limit_table_take(t, STR_LIT("c"), 1, now));
+	EXPECT_FALSE(limit_table_take(t, STR_LIT("c"), 1, now));
+	EXPECT_TRUE(limit_table_take(t, STR_LIT("a"), 1, now));
+	limit_table_free(t);
+}
+
+TEST(Limit, RetriesAreAShareOfRequests)
+{
+	struct retry_budget b = {0};
+	int retries = 0;
+
+	for (int i = 0; i < 10000; i++) {
+		retry_budget_pay(&b, 10);
+		if (retry_budget_has(&b)) {
+			retry_budget_take(&b);
+			retries++;
+		}
+	}
+	EXPECT_GE(retries, 995);
+	EXPECT_LE(retries, 1010);
+}
+
+TEST(Memb, LaterBootAndBeatWinAndLeavingStays)
+{
+	struct memb_info self = {}, b = {};
+	struct memb *m;
+
+	self.box = STR_LIT("a");
+	self.hall = STR_LIT("n");
+	m = memb_new(&self);
+	b.box = STR_LIT("b");
+	b.hall = STR_LIT("n");
+	b.boot = 5;
+	b.beat = 10;
+	EXPECT_TRUE(memb_heard(m, &b, NS_S));
+	EXPECT_EQ(2u, memb_count_alive(m, NS_S));
+	EXPECT_FALSE(memb_heard(m, &b, 2 * NS_S));
+	b.beat = 11;
+	b.leaving = true;
+	EXPECT_TRUE(memb_heard(m, &b, 2 * NS_S));
+	EXPECT_EQ(1u, memb_count_alive(m, 2 * NS_S));
+	/* A word from before it left changes nothing. */
+	b.beat = 12;
+	b.leaving = false;
+	memb_heard(m, &b, 2 * NS_S);
+	EXPECT_EQ(1u, memb_count_alive(m, 2 * NS_S));
+	/* A new start does. */
+	b.boot = 6;
+	b.beat = 1;
+	EXPECT_TRUE(memb_heard(m, &b, 3 * NS_S));
+	EXPECT_EQ(2u, memb_count_alive(m, 3 * NS_S));
+	b.boot = 4;
+	b.beat = 99;
+	EXPECT_FALSE(memb_heard(m, &b, 3 * NS_S));
+	/* Silence counts, unless it was we who were paused. */
+	EXPECT_EQ(1u, memb_count_alive(m, 13 * NS_S));
+	memb_paused(m, 10 * NS_S);
+	EXPECT_EQ(2u, memb_count_alive(m, 13 * NS_S));
+	memb_free(m);
+}
+
+TEST(Memb, JustKBoxesAreFirst)
+{
+	const int N = 12, K = 2;
+	std::vector<std::string> names;
+	int first = 0;
+
+	for (int i = 0; i < N; i++)
+		names.push_back("box" + std::to_string(i));
+	for (int i = 0; i < N; i++) {
+		struct memb_info self = {};
+		struct memb *m;
+
+		self.box = view(names[static_cast<size_t>(i)]);
+		self.hall = STR_LIT("n");
+		m = memb_new(&self);
+		for (int j = 0; j < N; j++) {
+			struct memb_info o = {};
+
+			o.box = view(names[static_cast<size_t>(j)]);
+			o.hall = STR_LIT("n");
+			o.boot = o.beat = 1;
+			memb_heard(m, &o, NS_S);
+		}
+		first +=
+		    memb_is_first(m, STR_LIT("watch"), STR_LIT("n"), K, NS_S);
+		memb_free(m);
+	}
+	EXPECT_EQ(K, first);
+}
+
+namespace
+{
+
+/* What a schedule of probes did. */
+struct Probing {
+	struct probe *probe = nullptr;
+	std::vector<std::string> started;
+	std::vector<enum msg_state> states;
+
+	static void
+	on_probe(void *ctx, struct str backend, struct str, struct str)
+	{
+		static_cast<Probing *>(ctx)->started.push_back(
+		    std::string(backend.p, backend.n));
+	}
+
+	static void on_change(void *ctx, struct str, enum msg_state state)
+	{
+		static_cast<Probing *>(ctx)->states.push_back(state);
+	}
+};
+
+} // namespace
+
+TEST(Probe, StaysInItsBudgetAndConcludes)
+{
+	uint64_t seed = 9;
+	struct rnd rnd = {step_random, &seed};
+	Probing p;
+	struct probe_ops ops = {Probing::on_probe, Probing::on_change, &p};
+	int64_t now = NS_S;
+
+	p.probe = probe_new(&ops, &rnd, 10);
+	for (int ms = 0; ms < 10000; ms += 100, now += 100 * NS_MS) {
+		probe_begin(p.probe);
+		for (int i = 0; i < 100; i++)
+			probe_want(p.probe, view("b" + std::to_string(i)),
+			    STR_LIT("127.0.0.1:1"), STR_LIT("/"), NS_S, now);
+		probe_commit(p.probe);
+		probe_tick(p.probe, now);
+		for (auto &name : p.started)
+			probe_result(p.probe, view(name), PROBE_OK, now);
+	}
+	/* 100 wish for one a second; 10 a second go out. */
+	EXPECT_GE(p.started.size(), 95u);
+	EXPECT_LE(p.started.size(), 105u);
+	EXPECT_GT(probe_put_off(p.probe), 0u);
+	std::string b = p.started[0];
+	p.states.clear();
+	probe_result(p.probe, view(b), PROBE_FAILED, now);
+	EXPECT_TRUE(p.states.empty());
+	probe_result(p.probe, view(b), PROBE_FAILED, now);
+	probe_result(p.probe, view(b), PROBE_DRAINING, now);
+	probe_result(p.probe, view(b), PROBE_OK, now);
+	EXPECT_EQ(
+	    (std::vector<enum msg_state>{STATE_DOWN, STATE_DRAINING, STATE_UP}),
+	    p.states);
+	probe_free(p.probe);
+}
+
+namespace
+{
+
+std::string
+encode(struct msg *m)
+{
+	msgpack_sbuffer buf;
+	std::string s;
+
+	msgpack_sbuffer_init(&buf);
+	m->from = STR_LIT("127.0.0.1:1");
+	msg_encode(m, &buf);
+	s.assign(buf.data, buf.size);
+	msgpack_sbuffer_destroy(&buf);
+	return s;
+}
+
+std::string
+sample_hello()
+{
+	struct memb_info other = {};
+	struct msg m = {};
+
+	other.box = STR_LIT("b");
+	other.beat = UINT64_MAX;
+	m.kind = MSG_HELLO;
+	m.u.hello.self.box = STR_LIT("a");
+	m.u.hello.self.leaving = true;
+	m.u.hello.digest = 77;
+	m.u.hello.others.items = &other;
+	m.u.hello.others.n = 1;
+	return encode(&m);
+}
+
+} // namespace
+
+TEST(Msg, RoundTrip)
+{
+	std::string bytes = sample_hello();
+	struct msg m;
+
+	ASSERT_TRUE(msg_decode(bytes.data(), bytes.size(), &m, nullptr));
+	EXPECT_EQ(MSG_HELLO, m.kind);
+	EXPECT_TRUE(str_eq(m.u.hello.self.box, STR_LIT("a")));
+	EXPECT_TRUE(m.u.hello.self.leaving);
+	EXPECT_EQ(77u, m.u.hello.digest);
+	ASSERT_EQ(1u, m.u.hello.others.n);
+	EXPECT_EQ(UINT64_MAX,
+	    static_cast<struct memb_info *>(m.u.hello.others.items)->beat);
+	msg_done(&m);
+}
+
+TEST(Fuzz, MessagesSelectorsDocumentsAndObjects)
+{
+	std::mt19937 rng(4);
+	std::string hello = sample_hello();
+	const std::string sel = "app=directory,hall in (north,south),!cold";
+	const std::string toml =
+	    "[[rule]]\nname = \"x\"\npath = \"/\"\nrate = 3\n";
+	const std::string json =
+	    R"({"address":"127.0.0.1:1","hall":"n","labels":{"a":"b"}})";
+
+	for (int i = 0; i < 20000; i++) {
+		auto spoil = [&](std::string s) {
+			size_t n = 1 + rng() % 4;
+
+			for (size_t k = 0; k < n && !s.empty(); k++) {
+				size_t at = rng() % s.size();
+
+				if (rng() % 4 == 0)
+					s.erase(at);
+				else
+					s[at] = static_cast<char>(rng());
+			}
+			return s;
+		};
+		std::string b = spoil(hello);
+		struct msg m;
+
+		if (msg_decode(b.data(), b.size(), &m, nullptr))
+			msg_done(&m);
+		b = spoil(sel);
+		sel_free(sel_parse(view(b), nullptr));
+		b = spoil(toml);
+		doc_free(doc_parse(b.data(), b.size(), "f", nullptr));
+		b = spoil(json);
+		json_t *spec = json_loadb(b.data(), b.size(), 0, nullptr);
+		if (spec != nullptr)
+			obj_free(obj_read(
+			    OBJ_BACKEND, STR_LIT("x"), spec, nullptr, nullptr));
+		json_decref(spec);
+		chart_free(chart_parse(
+		    b.data(), b.size(), "f", &pick_chart_names, nullptr));
+	}
+}
--- a/route.c
+++ b/route.c
@@ -16,9 +16,9 @@
 
 struct route_table {
 	GPtrArray *services; /* struct route_service * */
-	GPtrArray *rules;    /* struct route_rule *, in order of matching */
+	GPtrArray *rules; /* struct route_rule *, in order of matching */
 	GPtrArray *backends; /* struct obj *, sorted by name */
-	GPtrArray *objects;  /* struct obj *: our references */
+	GPtrArray *objects; /* struct obj *: our references */
 };
 
 static void collect(void *, const struct conf_entry *);
@@ -26,8 +26,7 @@
 static struct route_hall *hall_of(struct route_service *, struct str);
 static int by_specificity(const void *, const void *);
 static int by_name(const void *, const void *);
-static bool rule_takes(
-    const struct obj_rule *, const struct route_query *);
+static bool rule_takes(const struct obj_rule *, const struct route_query *);
 
 static int
 str_cmp(struct str a, struct str b)
--- a/route.h
+++ b/route.h
@@ -68,21 +68,20 @@
  * without, then the longer path, then a header, then a method, then the
  * name.
  */
-const struct route_rule *route_match(
-    const struct route_table *, const struct route_query *);
+const struct route_rule *
+route_match(const struct route_table *, const struct route_query *);
 
-const struct route_service *route_service(
-    const struct route_table *, struct str name);
+const struct route_service *
+route_service(const struct route_table *, struct str name);
 
-const struct route_hall *route_hall(
-    const struct route_service *, struct str hall);
+const struct route_hall *
+route_hall(const struct route_service *, struct str hall);
 
 /* Visit all services. */
 typedef void route_visit_fn(void *, const struct route_service *);
 void route_each(const struct route_table *, route_visit_fn *, void *);
 
 /* May the request be sent again if it is not known whether it ran? */
-bool route_repeatable(
-    const struct obj_rule *, struct str method, bool has_key);
+bool route_repeatable(const struct obj_rule *, struct str method, bool has_key);
 
 #endif
--- a/sel.c
+++ b/sel.c
@@ -93,8 +93,7 @@
 
 	skip_space(c);
 	from = c->at;
-	while (c->at < c->text.n &&
-	    field_is_name(str_n(c->text.p + c->at, 1)))
+	while (c->at < c->text.n && field_is_name(str_n(c->text.p + c->at, 1)))
 		c->at++;
 	*word = str_n(c->text.p + from, c->at - from);
 	return field_is_name(*word);
--- a/set.c
+++ b/set.c
@@ -50,7 +50,8 @@
 	    arg_lit0("c", "check", "check the settings and exit");
 	struct arg_lit *quiet =
 	    arg_lit0("q", "quiet", "no log line for each decision");
-	struct arg_file *file = arg_file0(NULL, NULL, "SETTINGS", "a TOML file");
+	struct arg_file *file =
+	    arg_file0(NULL, NULL, "SETTINGS", "a TOML file");
 	struct arg_end *end = arg_end(ERRORS_MAX);
 	void *table[] = {help, version, check, quiet, file, end};
 	int errors = arg_parse(argc, argv, table);
@@ -65,8 +66,8 @@
 		if (errors > 0)
 			arg_print_errors(stderr, end, program);
 		else
-			fprintf(stderr, "%s: a settings file is wanted\n",
-			    program);
+			fprintf(
+			    stderr, "%s: a settings file is wanted\n", program);
 		fprintf(stderr, "Try '%s --help'.\n", program);
 		*status = err_answer(ERR_USAGE)->exit_code;
 	} else {
--- a/set.h
+++ b/set.h
@@ -20,14 +20,14 @@
  * Load a settings file into a struct by a table of its keys.  Messages tell
  * file, line, key, what was found and what is allowed.
  */
-bool set_load(
-    const char *file, const struct field *, size_t, void *, GError **);
+bool
+set_load(const char *file, const struct field *, size_t, void *, GError **);
 
 /* What the command line of a daemon says. */
 struct set_args {
 	char *settings; /* the settings file */
-	bool check;	/* check the settings and exit */
-	bool quiet;	/* no decision lines */
+	bool check; /* check the settings and exit */
+	bool quiet; /* no decision lines */
 };
 
 /*
@@ -35,8 +35,8 @@
  * --version itself.  Returns false if the program should end, with *status
  * as its exit status.
  */
-bool set_parse_args(int argc, char **argv, const char *program, const char *about,
-    struct set_args *, int *status);
+bool set_parse_args(int argc, char **argv, const char *program,
+    const char *about, struct set_args *, int *status);
 
 #define SET_VERSION "0.1.0"
 
--- a/slog.c
+++ b/slog.c
@@ -23,8 +23,8 @@
 	HEAD_LEN = 40
 };
 
-static GLogWriterOutput writer(
-    GLogLevelFlags, const GLogField *, gsize, gpointer);
+static GLogWriterOutput
+writer(GLogLevelFlags, const GLogField *, gsize, gpointer);
 static void emit(GLogLevelFlags, enum slog_part, const char *, va_list);
 static void ring_put(const char *, size_t);
 static bool ring_write(void);
--- a/sync.c
+++ b/sync.c
@@ -94,8 +94,7 @@
 gather_version(void *ctx, const struct conf_entry *e)
 {
 	struct gather *g = ctx;
-	struct msg_version v = {
-	    e->key, e->version, e->bad_version, e->hash};
+	struct msg_version v = {e->key, e->version, e->bad_version, e->hash};
 
 	if (g->buckets >> conf_bucket(e->key) & 1)
 		g_array_append_val(g->versions, v);
@@ -193,7 +192,8 @@
 {
 	const struct conf_entry *e = conf_get(s->conf, v->key);
 
-	if (e == NULL && MAX(v->version, v->bad_version) <= conf_floor(s->conf)) {
+	if (e == NULL &&
+	    MAX(v->version, v->bad_version) <= conf_floor(s->conf)) {
 		if (v->hash != 0)
 			batch_put(b, v->key, conf_floor(s->conf), true, NULL);
 		return false;
@@ -271,8 +271,9 @@
 	size_t i;
 
 	for (i = 0; i < list->n; i++) {
-		spec = o[i].deleted ? NULL
-				    : json_loadb(o[i].spec.p, o[i].spec.n, 0, NULL);
+		spec = o[i].deleted
+		    ? NULL
+		    : json_loadb(o[i].spec.p, o[i].spec.n, 0, NULL);
 		if (!o[i].deleted && spec == NULL)
 			continue;
 		got = conf_offer(s->conf, o[i].key, o[i].version, o[i].deleted,
@@ -281,8 +282,10 @@
 		if (err != NULL)
 			slog(SLOG_CONF, "Refused an object: %s.", err->message);
 		else if (got == CONF_REJECTED)
-			slog(SLOG_CONF, "Rejected %.*s version %llu from a peer.",
-			    STR_ARG(o[i].key), (unsigned long long)o[i].version);
+			slog(SLOG_CONF,
+			    "Rejected %.*s version %llu from a peer.",
+			    STR_ARG(o[i].key),
+			    (unsigned long long)o[i].version);
 		g_clear_error(&err);
 	}
 }
--- a/sync.h
+++ b/sync.h
@@ -37,8 +37,8 @@
  * A peer has told its digest and floor.  Where they equal ours, its floor
  * is taken over; where not, the exchange begins.
  */
-void sync_compare(
-    struct sync *, struct str from, uint64_t digest, uint64_t floor);
+void
+sync_compare(struct sync *, struct str from, uint64_t digest, uint64_t floor);
 
 /* Take one of MSG_BUCKETS, MSG_VERSIONS, MSG_WANT and MSG_OBJECTS. */
 void sync_take(struct sync *, const struct msg *);
--- a/tmr.c
+++ b/tmr.c
@@ -68,8 +68,8 @@
 }
 
 void
-tmr_set(struct tmr *t, struct tmr_item *item, int64_t at, tmr_fn *fire,
-    void *ctx)
+tmr_set(
+    struct tmr *t, struct tmr_item *item, int64_t at, tmr_fn *fire, void *ctx)
 {
 	tmr_clear(t, item);
 	item->item.deadline = at;
--- a/up.c
+++ b/up.c
@@ -47,8 +47,8 @@
 	bool in_callback; /* h2o's client must not be cancelled now */
 };
 
-static h2o_http1client_head_cb on_connect(h2o_http1client_t *, const char *,
-    h2o_iovec_t **, size_t *, int *);
+static h2o_http1client_head_cb
+on_connect(h2o_http1client_t *, const char *, h2o_iovec_t **, size_t *, int *);
 static h2o_http1client_body_cb on_head(h2o_http1client_t *, const char *, int,
     int, h2o_iovec_t, struct st_h2o_header_t *, size_t, int);
 static int on_body(h2o_http1client_t *, const char *);
@@ -105,8 +105,8 @@
 	up->ctx.loop = loop;
 	up->ctx.getaddr_receiver = &up->receiver;
 	up->ctx.io_timeout = &up->io_timeout;
-	up->pools = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, pool_free);
+	up->pools =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, pool_free);
 	return up;
 }
 
@@ -202,8 +202,9 @@
 		append(mem, &parts, H2O_STRLIT("\r\n"));
 	}
 	n = snprintf(num, sizeof(num), "content-length: %zu\r\n", rq->body.n);
-	if (rq->body.n > 0 || !(str_eq(rq->method, STR_LIT("GET")) ||
-				  str_eq(rq->method, STR_LIT("HEAD"))))
+	if (rq->body.n > 0 ||
+	    !(str_eq(rq->method, STR_LIT("GET")) ||
+		str_eq(rq->method, STR_LIT("HEAD"))))
 		append(mem, &parts, num, (size_t)n);
 	if (rq->fresh)
 		append(mem, &parts, H2O_STRLIT("connection: close\r\n"));
--- a/up.h
+++ b/up.h
@@ -26,18 +26,18 @@
  * other side, and whether its answer was complete.
  */
 
-struct up;	/* connections to all destinations */
+struct up; /* connections to all destinations */
 struct up_call; /* one request */
 
 struct up_request {
 	struct str address; /* IP number and port */
 	struct str method;
 	struct str path;
-	struct str host;	    /* Host header */
+	struct str host; /* Host header */
 	const h2o_header_t *headers; /* without Host and Content-Length */
 	size_t nheaders;
 	struct str body; /* must outlive the call */
-	bool fresh;	 /* no kept-alive connection */
+	bool fresh; /* no kept-alive connection */
 	int64_t connect_ns; /* time to make a connection; 0: the default */
 };
 
@@ -46,8 +46,8 @@
 	/* The connection stands and the request goes out now. */
 	void (*connected)(void *, struct up_call *);
 	/* The answer's head has come. */
-	void (*head)(void *, struct up_call *, int status,
-	    const h2o_header_t *, size_t);
+	void (*head)(
+	    void *, struct up_call *, int status, const h2o_header_t *, size_t);
 	/* Bytes of the body have come; see up_body(). */
 	void (*body)(void *, struct up_call *);
 	/* The answer is complete; the rest of it is in up_body(). */
@@ -59,8 +59,8 @@
 struct up *up_open(uv_loop_t *, struct tmr *, const struct clk *);
 void up_close(struct up *);
 
-struct up_call *up_start(
-    struct up *, const struct up_request *, const struct up_ops *, void *);
+struct up_call *
+up_start(struct up *, const struct up_request *, const struct up_ops *, void *);
 
 /* End a call; the connection is closed, which tells the other side. */
 void up_cancel(struct up_call *);
--- a/wire.h
+++ b/wire.h
@@ -32,8 +32,8 @@
  * Bind the inbox at an address ("127.0.0.1:9000") and read it on the loop.
  * NULL and ERR_SYSTEM on failure.
  */
-struct wire *wire_open(
-    uv_loop_t *, struct str inbox, wire_take_fn *, void *, GError **);
+struct wire *
+wire_open(uv_loop_t *, struct str inbox, wire_take_fn *, void *, GError **);
 
 /* Stop reading and free; messages still on their way out are dropped. */
 void wire_close(struct wire *);
--- a/wire_zmq.c
+++ b/wire_zmq.c
@@ -15,13 +15,13 @@
 #include "slog.h"
 
 enum {
-	QUEUE_MAX = 1000,	/* messages waiting for one peer */
+	QUEUE_MAX = 1000, /* messages waiting for one peer */
 	INBOX_MAX = 10000,
 	MESSAGE_MAX = 4 << 20,
 	RECONNECT_MIN_MS = 50,
 	RECONNECT_MAX_MS = 2000,
-	SWEEP_MS = 20,		/* a look at the inbox even without an event */
-	IDLE_SWEEPS = 1500	/* 30 s without a message closes a peer */
+	SWEEP_MS = 20, /* a look at the inbox even without an event */
+	IDLE_SWEEPS = 1500 /* 30 s without a message closes a peer */
 };
 
 struct peer {
@@ -91,8 +91,8 @@
 	}
 	g_free(url);
 	l->address = str_dup(inbox);
-	l->peers = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, peer_free);
+	l->peers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, peer_free);
 	l->take = take;
 	l->ctx = ctx;
 	zmq_getsockopt(l->inbox, ZMQ_FD, &fd, &len);
