Loads may spin to send at the very time; a bench of tails

Cause: the load's timers counted in ms, so that even a direct call had a p50 of 0.75 ms, which hid what a gate adds. Change: a load may spin; the stand-in answers without a timer where it is told to take no time.

--- a/regress/bench_gate.cpp
+++ b/regress/bench_gate.cpp
@@ -39,6 +39,7 @@
 
 	s.rate = rate;
 	Load load({target}, {s}, seed);
+	load.spin = true;
 	load.start();
 	pump(500);
 	double from = now_ms();
--- a/regress/fleet.h
+++ b/regress/fleet.h
@@ -189,6 +189,7 @@
 	bool keyed = false;
 	int cls = 0;
 	int size = 1024;
+	int ms = 0; /* asked of the stand-in; 0: its own */
 	int deadline_ms = 0;
 };
 
@@ -208,6 +209,8 @@
 	bool drained() const;
 	std::vector<Outcome> outcomes;
 	std::function<bool(size_t)> target_up; /* the platform's balancer */
+	/* Spin to send at the very time; libuv's timers count in ms. */
+	bool spin = false;
 	/* Change the rate of a stream while it runs. */
 	void rate(size_t stream, double);
 
--- a/regress/fleet_http.cpp
+++ b/regress/fleet_http.cpp
@@ -247,6 +247,7 @@
 	size_t turn = 0, sent = 0, out = 0;
 	bool stopped = false;
 	Load *load = nullptr;
+	uv_idle_t *idle = nullptr;
 
 	struct Tick {
 		Impl *impl;
@@ -283,7 +284,26 @@
 			send(streams[i], next[i]);
 			next[i] += gap(i);
 		}
-		arm(i);
+		if (idle == nullptr)
+			arm(i);
+	}
+
+	static void
+	on_idle(uv_idle_t *handle)
+	{
+		Impl *self = static_cast<Impl *>(handle->data);
+
+		for (size_t i = 0; i < self->streams.size(); i++)
+			self->due(i);
+	}
+
+	void
+	start_spinning()
+	{
+		idle = new uv_idle_t;
+		idle->data = this;
+		uv_idle_init(net().loop, idle);
+		uv_idle_start(idle, on_idle);
 	}
 
 	size_t pick_target()
@@ -300,7 +320,8 @@
 	void send(const Stream &s, double intended)
 	{
 		std::string id = prefix + std::to_string(sent++);
-		std::string path = s.path + "?size=" + std::to_string(s.size);
+		std::string path = s.path + "?size=" + std::to_string(s.size) +
+		    (s.ms > 0 ? "&ms=" + std::to_string(s.ms) : "");
 		Headers headers = {{"x-request-id", id}};
 		Outcome o;
 
@@ -369,14 +390,23 @@
 {
 	for (size_t i = 0; i < impl->streams.size(); i++) {
 		impl->next.push_back(now_ms() + impl->gap(i));
-		impl->arm(i);
+		if (!spin)
+			impl->arm(i);
 	}
+	if (spin)
+		impl->start_spinning();
 }
 
 void
 Load::stop()
 {
 	impl->stopped = true;
+	if (impl->idle != nullptr)
+		uv_close(reinterpret_cast<uv_handle_t *>(impl->idle),
+		    [](uv_handle_t *h) {
+			    delete reinterpret_cast<uv_idle_t *>(h);
+		    });
+	impl->idle = nullptr;
 	for (auto &t : impl->timers)
 		tmr_clear(&net().tmr, &t);
 }
--- a/regress/standin_backend.c
+++ b/regress/standin_backend.c
@@ -65,7 +65,7 @@
 	h2o_generator_t gen;
 	struct tmr_item timer;
 	bool queued, running;
-	uint64_t size, sent;
+	uint64_t size, sent, ms;
 	char *chunk; /* the bytes under way */
 	char id[64];
 };
@@ -212,7 +212,7 @@
 static void
 run(struct work *w)
 {
-	double ms = (double)st.v[K_MS];
+	double ms = (double)(w->ms > 0 ? w->ms : st.v[K_MS]);
 
 	w->running = true;
 	st.running++;
@@ -228,8 +228,12 @@
 		st.v[K_COLD]--;
 		ms *= COLD_SLOW;
 	}
-	tmr_set(&st.tmr, &w->timer,
-	    clk_ns(clk_system()) + (int64_t)(ms * (double)NS_MS), on_served, w);
+	if (ms <= 0)
+		on_served(w);
+	else
+		tmr_set(&st.tmr, &w->timer,
+		    clk_ns(clk_system()) + (int64_t)(ms * (double)NS_MS),
+		    on_served, w);
 }
 
 /* The caller of a queued request has closed its connection: cancelled. */
@@ -268,7 +272,7 @@
 {
 	struct work *w = g_new0(struct work, 1), **guard;
 	struct str id = hsrv_header(req, "x-request-id");
-	unsigned long long size = 0;
+	unsigned long long size = 0, ms = 0;
 
 	guard = h2o_mem_alloc_shared(&req->pool, sizeof(*guard), on_dispose);
 	*guard = w;
@@ -276,6 +280,7 @@
 	snprintf(w->id, sizeof(w->id), "%.*s", STR_ARG(id));
 	w->size =
 	    str_u64(hsrv_query(req, "size"), &size) && size > 0 ? size : 1024;
+	w->ms = str_u64(hsrv_query(req, "ms"), &ms) ? ms : 0;
 	if (st.v[K_REFUSE]) {
 		refuse(w, 503, true);
 	} else if (st.v[K_FAIL]) {
