Stop tries that are far too slow; leave slow backend servers to others

Cause: under slow spells the tail was made by requests that sat at a backend server in its spell, and by new ones sent there because it alone had a slot.

Change: a repeatable interactive try that takes four times its usual length, and at least 40 ms, is stopped once and begun elsewhere, within the retry budget and where a slot is free; a backend server four times as costly as the best gets one request at a time; a new request goes to the hall that would take it much sooner.

--- a/disp.c
+++ b/disp.c
@@ -15,8 +15,10 @@
 /* Passing to another hall must spare at least this much waiting. */
 #define PASS_GAIN_NS (3 * NS_MS)
 #define USUAL_UNKNOWN_NS (5 * NS_MS)
+/* A try is stopped after so many times its usual length, and no sooner. */
+#define STOP_MIN_NS (40 * NS_MS)
 
-enum { TRIES_MAX = 4, REMOTE_SPARE = 1 };
+enum { TRIES_MAX = 4, REMOTE_SPARE = 1, STOP_FACTOR = 4 };
 
 /* What another hall's home said last. */
 struct remote {
@@ -36,7 +38,7 @@
 	GArray *remotes; /* struct remote */
 	struct retry_budget budget;
 	struct limit limit;
-	unsigned inflight;
+	GQueue out; /* struct disp_req *, the longest out first */
 	bool serving; /* serve() is under way */
 	bool again; /* and must look once more */
 };
@@ -54,6 +56,7 @@
     [DISP_CUT] = {false, true, false},
     [DISP_LATE] = {false, true, false},
     [DISP_GONE] = {false, false, false},
+    [DISP_SLOW] = {false, false, false},
 };
 
 static struct pick_set set_of(const struct disp *);
@@ -63,7 +66,9 @@
 static bool pass(struct disp *, struct disp_req *);
 static void hold(struct disp *, struct disp_req *);
 static void drop(struct disp *, struct disp_req *, enum err_kind, int64_t);
+static int64_t usual_of(const struct disp *);
 static int64_t expected_wait(const struct disp *, enum obj_class);
+static bool pass_to_shorter(struct disp *, struct disp_req *, int64_t);
 static void expire(struct disp *, enum obj_class, int64_t);
 static struct pick_backend *find(const struct disp *, struct str);
 static void sweep(struct disp *);
@@ -81,6 +86,7 @@
 	d->rnd = rnd;
 	d->backends = g_ptr_array_new();
 	d->remotes = g_array_new(FALSE, TRUE, sizeof(struct remote));
+	g_queue_init(&d->out);
 	for (i = 0; i < CLASS_MAX; i++)
 		queue_init(&d->queues[i]);
 	return d;
@@ -207,6 +213,32 @@
 	}
 }
 
+/*
+ * What a request usually takes here: the mean over the backend servers, but
+ * for those that are far slower than the fastest.
+ */
+static int64_t
+usual_of(const struct disp *d)
+{
+	const struct pick_backend *b;
+	int64_t sum = 0, least = 0;
+	guint i, n = 0;
+
+	for (i = 0; i < d->backends->len; i++) {
+		b = g_ptr_array_index(d->backends, i);
+		if (b->usual > 0 && (least == 0 || b->usual < least))
+			least = b->usual;
+	}
+	for (i = 0; i < d->backends->len; i++) {
+		b = g_ptr_array_index(d->backends, i);
+		if (b->usual == 0 || b->usual > least * STOP_FACTOR)
+			continue;
+		sum += b->usual;
+		n++;
+	}
+	return n == 0 ? USUAL_UNKNOWN_NS : sum / n;
+}
+
 /*
  * The time until a new request of a class would get a slot: those before it,
  * at the pace at which all usable slots free up.
@@ -272,7 +304,8 @@
 	b->turns++;
 	if (b->oldest == 0)
 		b->oldest = now;
-	d->inflight++;
+	r->link.data = r;
+	g_queue_push_tail_link(&d->out, &r->link);
 	r->at = b;
 	r->sent = now;
 	r->tries++;
@@ -316,6 +349,38 @@
 	return true;
 }
 
+/*
+ * Where all halls hold requests, a new one goes to a hall that would take it
+ * much sooner, so that a surge ends everywhere at the same time.
+ */
+static bool
+pass_to_shorter(struct disp *d, struct disp_req *r, int64_t wait)
+{
+	int64_t now = clk_ns(d->clk), usual = usual_of(d), there;
+	struct remote *m, *best = NULL;
+	int64_t best_wait = wait - 2 * PASS_GAIN_NS;
+	guint i;
+
+	if (!r->may_pass || !d->params.policy->holds)
+		return false;
+	for (i = 0; i < d->remotes->len; i++) {
+		m = &g_array_index(d->remotes, struct remote, i);
+		if (m->slots == 0 || m->told == 0 ||
+		    now - m->told > REMOTE_FRESH_NS)
+			continue;
+		there = usual * (m->waiting + 1) / m->slots;
+		if (there >= best_wait)
+			continue;
+		best_wait = there;
+		best = m;
+	}
+	if (best == NULL)
+		return false;
+	best->waiting++;
+	d->ops.pass(d->ops.ctx, r, best->hall);
+	return true;
+}
+
 void
 disp_arrive(struct disp *d, struct disp_req *r)
 {
@@ -333,10 +398,8 @@
 	if (d->queues[r->cls].n == 0 && start(d, r))
 		return;
 	wait = expected_wait(d, r->cls);
-	if (wait >= PASS_GAIN_NS || d->queues[CLASS_INTERACTIVE].n == 0) {
-		if (pass(d, r))
-			return;
-	}
+	if (pass(d, r) || pass_to_shorter(d, r, wait))
+		return;
 	if (disp_usable(d) == 0) {
 		drop(d, r, ERR_NO_BACKEND, 0);
 		return;
@@ -388,11 +451,21 @@
 	d->serving = false;
 }
 
-/* The next oldest is not known; it started at the earliest just now. */
+/* The requests that are out are in the order of their start. */
 static void
 refresh_oldest(struct disp *d, struct pick_backend *b)
 {
-	b->oldest = b->inflight == 0 ? 0 : clk_ns(d->clk);
+	const struct disp_req *r;
+	const GList *at;
+
+	b->oldest = 0;
+	for (at = d->out.head; b->inflight > 0 && at != NULL; at = at->next) {
+		r = at->data;
+		if (r->at != b)
+			continue;
+		b->oldest = r->sent;
+		return;
+	}
 }
 
 static void
@@ -408,6 +481,8 @@
 		pick_bad(b, &set, d->params.chart, now, d->rnd);
 	else if (outcome == DISP_REFUSED)
 		pick_refused(b, now, d->rnd);
+	else if (outcome == DISP_SLOW)
+		pick_slow(b, now - r->sent);
 }
 
 /*
@@ -449,7 +524,7 @@
 
 	b->inflight--;
 	b->inflight_bulk -= r->cls == CLASS_BULK;
-	d->inflight--;
+	g_queue_unlink(&d->out, &r->link);
 	r->at = NULL;
 	r->avoid = b;
 	if (b->oldest == r->sent || b->inflight == 0)
@@ -500,6 +575,54 @@
 	}
 }
 
+/*
+ * A try that takes far longer than usual is stopped and begun elsewhere,
+ * once for each request and within the retry budget, where that can be done
+ * at once.  Bulk takes the time it takes.
+ */
+static bool
+is_stuck(struct disp *d, const struct disp_req *r, int64_t now)
+{
+	const struct pick_backend *b = r->at;
+	struct pick_set set = set_of(d);
+	int64_t limit = MAX(usual_of(d) * STOP_FACTOR, STOP_MIN_NS);
+	int at;
+
+	if (now - r->sent <= limit || r->stopped ||
+	    r->cls != CLASS_INTERACTIVE || !disp_retryable(d, r, DISP_SLOW))
+		return false;
+	at = d->params.policy->choose(&set, r->cls, b, now, d->rnd);
+	return at != PICK_NONE && set.v[at] != b;
+}
+
+static struct disp_req *
+first_stuck(struct disp *d, int64_t now)
+{
+	struct disp_req *r;
+	GList *at;
+
+	for (at = d->out.head; at != NULL; at = at->next) {
+		r = at->data;
+		if (now - r->sent <= STOP_MIN_NS)
+			return NULL;
+		if (is_stuck(d, r, now))
+			return r;
+	}
+	return NULL;
+}
+
+/* Each stop changes the list, so it is looked through anew. */
+static void
+stop_stuck(struct disp *d, int64_t now)
+{
+	struct disp_req *r;
+
+	while ((r = first_stuck(d, now)) != NULL) {
+		r->stopped = true;
+		d->ops.stop(d->ops.ctx, r);
+	}
+}
+
 void
 disp_tick(struct disp *d)
 {
@@ -510,6 +633,8 @@
 	for (i = 0; i < CLASS_MAX; i++)
 		expire(d, (enum obj_class)i, now);
 	pick_tick(&set, d->params.chart, now);
+	if (d->params.policy->holds)
+		stop_stuck(d, now);
 	for (i = 0; i < CLASS_MAX && disp_usable(d) == 0; i++)
 		give_up_all(d, (enum obj_class)i);
 	serve(d);
@@ -587,7 +712,7 @@
 unsigned
 disp_inflight(const struct disp *d)
 {
-	return d->inflight;
+	return d->out.length;
 }
 
 unsigned
--- a/disp.h
+++ b/disp.h
@@ -11,6 +11,7 @@
 #ifndef DISP_H
 #define DISP_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -38,6 +39,7 @@
 	DISP_CUT, /* the connection broke; it may have run */
 	DISP_LATE, /* the deadline passed while it was there */
 	DISP_GONE, /* the caller went away while it was there */
+	DISP_SLOW, /* it takes far longer than usual, and was stopped */
 	DISP_OUTCOME_MAX
 };
 
@@ -53,7 +55,9 @@
 	struct pick_backend *at; /* where it is now; NULL: held or done */
 	struct pick_backend *avoid; /* where it failed last */
 	bool held;
+	bool stopped; /* a try of it was stopped as too slow */
 	struct queue_item item;
+	GList link; /* among the requests that are out, by their start */
 };
 
 struct disp_ops {
@@ -64,6 +68,11 @@
 	/* Answer the request with an error; retry_after in ns, 0: unsaid. */
 	void (*give_up)(
 	    void *, struct disp_req *, enum err_kind, int64_t retry_after);
+	/*
+	 * Stop the try under way, which is far too slow, and then call
+	 * disp_done() with DISP_SLOW.
+	 */
+	void (*stop)(void *, struct disp_req *);
 	/* A backend server is no longer used and will be freed. */
 	void (*release)(void *, struct pick_backend *);
 	void *ctx;
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -132,8 +132,8 @@
 	}
 	for (i = 0; i < svc->nhalls; i++)
 		if (!str_eq(svc->halls[i].hall, s->hall))
-			disp_hall(s->disp, svc->halls[i].hall,
-			    svc->halls[i].slots);
+			disp_hall(
+			    s->disp, svc->halls[i].hall, svc->halls[i].slots);
 	disp_backends(s->disp, hall == NULL ? NULL : hall->backends,
 	    hall == NULL ? 0 : hall->n);
 }
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -195,6 +195,7 @@
 	r->gen.proceed = gate_flow_proceed;
 	r->gen.stop = on_stop;
 	r->started = true;
+	r->d.may_retry = false;
 	h2o_start_response(req, &r->gen);
 }
 
--- a/gate_req.c
+++ b/gate_req.c
@@ -274,8 +274,8 @@
 		gate_req_answer(r, ERR_NO_SERVICE, gate_req_ran(r), 0);
 		return;
 	}
-	hall = g->set.route == ROUTE_ALONE ? str_c(NULL)
-					   : gate_home_hall(g, svc);
+	hall =
+	    g->set.route == ROUTE_ALONE ? str_c(NULL) : gate_home_hall(g, svc);
 	if (r->hops > 0 || g->set.route == ROUTE_ALONE)
 		self = true;
 	else
--- a/gate_stat.c
+++ b/gate_stat.c
@@ -31,6 +31,8 @@
 	"Requests answered by this box with an error.", CNT_COUNTER},
     [GC_RETRIES] = {"fern_retries_total", "Tries after the first.",
 	CNT_COUNTER},
+    [GC_STOPPED] = {"fern_stopped_total",
+	"Tries stopped as far too slow and begun elsewhere.", CNT_COUNTER},
     [GC_CUT] = {"fern_cut_total",
 	"Answers that broke off and were told as broken.", CNT_COUNTER},
     [GC_GONE] = {"fern_callers_gone_total", "Requests whose caller went away.",
--- a/gate_try.c
+++ b/gate_try.c
@@ -21,12 +21,13 @@
 static void op_send(void *, struct disp_req *, struct pick_backend *);
 static void op_pass(void *, struct disp_req *, struct str);
 static void op_give_up(void *, struct disp_req *, enum err_kind, int64_t);
+static void op_stop(void *, struct disp_req *);
 static void op_release(void *, struct pick_backend *);
 static enum disp_outcome outcome_of(int, const h2o_header_t *, size_t);
 static void leave_home(struct gate_req *);
 
 const struct disp_ops gate_req_disp_ops = {
-    op_send, op_pass, op_give_up, op_release, NULL};
+    op_send, op_pass, op_give_up, op_stop, op_release, NULL};
 
 static struct gate_req *
 req_of(struct disp_req *d)
@@ -77,6 +78,23 @@
 	gate_req_answer(r, kind, gate_req_ran(r), after);
 }
 
+/* Only what may be repeated is stopped, before any of its answer came. */
+static void
+op_stop(void *ctx, struct disp_req *d)
+{
+	struct gate_req *r = req_of(d);
+	struct gate_shard *s = ctx;
+
+	slog_decision(SLOG_PICK, "Request %llu is stopped at %.*s: too slow.",
+	    (unsigned long long)r->id, STR_ARG(d->at->name));
+	r->maybe_ran = true;
+	gate_flow_stop(r);
+	gate_req_event(r, REQ_EV_RETRY);
+	cnt_add(r->gate->cnt, GC_STOPPED, 1);
+	if (!disp_done(s->disp, d, DISP_SLOW))
+		gate_req_answer(r, ERR_DEADLINE, RAN_UNKNOWN, 0);
+}
+
 static void
 op_release(void *ctx, struct pick_backend *b)
 {
--- a/libgate.h
+++ b/libgate.h
@@ -56,6 +56,7 @@
 	GC_ANSWERED,
 	GC_REFUSED,
 	GC_RETRIES,
+	GC_STOPPED,
 	GC_CUT,
 	GC_GONE,
 	GC_CLAIMS,
--- a/pick.c
+++ b/pick.c
@@ -100,6 +100,14 @@
 	b->refused_row = MIN(b->refused_row + 1, REFUSED_ROW_MAX);
 }
 
+/* The true time is not known, but it is no less than this. */
+void
+pick_slow(struct pick_backend *b, int64_t age)
+{
+	b->usual = MAX(b->usual, age);
+	b->good_row = 0;
+}
+
 static unsigned
 count_in_use(const struct pick_set *set, int64_t now)
 {
--- a/pick.h
+++ b/pick.h
@@ -110,6 +110,9 @@
 /* It refused without running: it is full, or does not want any. */
 void pick_refused(struct pick_backend *, int64_t now, const struct rnd *);
 
+/* A request there was stopped after `age` ns, as it took far too long. */
+void pick_slow(struct pick_backend *, int64_t age);
+
 /* Let ejections end whose time has come. */
 void pick_tick(const struct pick_set *, const struct chart *, int64_t now);
 
--- a/pick_fern.c
+++ b/pick_fern.c
@@ -17,6 +17,12 @@
  * usual time is taken to be in a slow spell, and is taken last.
  */
 enum { AGE_FACTOR = 4 };
+/*
+ * One that would take so many times as long as the best of all is not used
+ * beyond one request at a time, even if the others have no slot: they will
+ * have one sooner.
+ */
+enum { SLOW_FACTOR = 4 };
 #define AGE_MIN_NS (30 * NS_MS)
 #define USUAL_UNKNOWN_NS (5 * NS_MS)
 
@@ -41,6 +47,23 @@
 	return ns;
 }
 
+/* The least cost of all that can be used, with or without a free slot. */
+static int64_t
+least_cost(const struct pick_set *set, int64_t now)
+{
+	int64_t c, least = INT64_MAX / SLOW_FACTOR;
+	unsigned i;
+
+	for (i = 0; i < set->n; i++) {
+		if (!pick_usable(set->v[i], now))
+			continue;
+		c = cost(set->v[i], now);
+		if (c < least)
+			least = c;
+	}
+	return least;
+}
+
 /*
  * Bulk takes at most its share of all slots, and leaves one free slot, so
  * that the next interactive request need not wait for a bulk answer.  Where
@@ -78,7 +101,7 @@
     const struct pick_backend *avoid, int64_t now, const struct rnd *rnd)
 {
 	const struct pick_backend *b;
-	int64_t c, best_cost = INT64_MAX;
+	int64_t c, best_cost = INT64_MAX, least = least_cost(set, now);
 	unsigned i, at, from;
 	int best = PICK_NONE;
 
@@ -92,6 +115,8 @@
 		    (cls == CLASS_BULK && !bulk_fits(set, b)))
 			continue;
 		c = cost(b, now);
+		if (b->inflight > 0 && c > least * SLOW_FACTOR)
+			continue;
 		if (b == avoid)
 			c = INT64_MAX - 1;
 		if (c < best_cost) {
--- a/regress/bench_pick.cpp
+++ b/regress/bench_pick.cpp
@@ -39,6 +39,11 @@
 {
 }
 
+void
+ignore_stop(void *, struct disp_req *)
+{
+}
+
 void
 ignore_release(void *, struct pick_backend *)
 {
@@ -49,8 +54,8 @@
 decision_us(const char *policy, int backends, size_t *allocated)
 {
 	const int ROUNDS = 200000;
-	struct disp_ops ops = {
-	    ignore_send, ignore_pass, ignore_give_up, ignore_release, nullptr};
+	struct disp_ops ops = {ignore_send, ignore_pass, ignore_give_up,
+	    ignore_stop, ignore_release, nullptr};
 	struct disp_params p = {};
 	struct disp *d = disp_new(&ops, clk_system(), rnd_system());
 	std::vector<std::string> names;
--- a/regress/demo.cpp
+++ b/regress/demo.cpp
@@ -83,7 +83,9 @@
 	    {read, pay}, 1);
 	/* The platform's balancer leaves out a box that is not ready. */
 	std::vector<bool> in(3, true);
-	load.target_up = [&](size_t i) { return in[i]; };
+	load.target_up = [&](size_t i) {
+		return in[i];
+	};
 	load.start();
 	double t0 = now_ms();
 	pump(4000);
@@ -98,8 +100,8 @@
 				return false;
 		return true;
 	});
-	printf("       in force on all boxes after %.0f ms\n",
-	    now_ms() - began);
+	printf(
+	    "       in force on all boxes after %.0f ms\n", now_ms() - began);
 	say(there, "the new rule answers on each box");
 	say(f.ctl({"drain", "b3"}, &out) == 0, "a backend server drained");
 	pump(3000);
@@ -133,11 +135,13 @@
 	auto bad = violations(load.outcomes, f.runs());
 	for (auto &v : bad)
 		printf("       %s\n", v.c_str());
-	say(bad.empty(), "no answer mixed up, nothing run twice, no \"not "
-			 "run\" that ran");
+	say(bad.empty(),
+	    "no answer mixed up, nothing run twice, no \"not "
+	    "run\" that ran");
 	f.ctl({"status"}, &out);
 	printf("\n%s", out.c_str());
-	printf("\n%s\n", failures == 0 ? "The demonstration went well."
-				       : "The demonstration failed.");
+	printf("\n%s\n",
+	    failures == 0 ? "The demonstration went well."
+			  : "The demonstration failed.");
 	return failures != 0;
 }
--- a/regress/fleet_http.cpp
+++ b/regress/fleet_http.cpp
@@ -288,8 +288,7 @@
 			arm(i);
 	}
 
-	static void
-	on_idle(uv_idle_t *handle)
+	static void on_idle(uv_idle_t *handle)
 	{
 		Impl *self = static_cast<Impl *>(handle->data);
 
@@ -297,8 +296,7 @@
 			self->due(i);
 	}
 
-	void
-	start_spinning()
+	void start_spinning()
 	{
 		idle = new uv_idle_t;
 		idle->data = this;
--- a/regress/soak.cpp
+++ b/regress/soak.cpp
@@ -29,14 +29,12 @@
 	std::mt19937 rng;
 	std::map<std::string, int> faults;
 
-	size_t
-	any(size_t n)
+	size_t any(size_t n)
 	{
 		return rng() % n;
 	}
 
-	void
-	fault()
+	void fault()
 	{
 		size_t box = any(f.boxes.size());
 		size_t b = any(f.backends.size());
@@ -117,8 +115,7 @@
 			f.start_box(i);
 	}
 
-	void
-	note(const std::string &what)
+	void note(const std::string &what)
 	{
 		faults[what]++;
 	}
@@ -152,10 +149,10 @@
 	f.start();
 	f.put("service/dir", R"({"select":"app=dir"})");
 	f.put("rule/dir", R"({"path":"/dir","service":"dir"})");
-	f.put("rule/pay",
-	    R"({"path":"/pay","service":"dir","repeatable":"no"})");
-	f.put("rule/bulk",
-	    R"({"path":"/bulk","service":"dir","class":"bulk"})");
+	f.put(
+	    "rule/pay", R"({"path":"/pay","service":"dir","repeatable":"no"})");
+	f.put(
+	    "rule/bulk", R"({"path":"/bulk","service":"dir","class":"bulk"})");
 	if (!f.wait_ready())
 		return 1;
 	Stream read, pay, keyed, bulk;
@@ -184,9 +181,8 @@
 	auto bad = violations(load.outcomes, f.runs());
 	std::map<std::string, int> results;
 	for (auto &r : load.outcomes)
-		results[r.right ? "right"
-			: r.status == 0
-			? "no answer"
+		results[r.right		  ? "right"
+			: r.status == 0	  ? "no answer"
 			: r.status == 200 ? "broken off, told so"
 					  : r.kind + ", ran " + r.ran]++;
 	int faults = 0;
--- a/regress/test_promises.cpp
+++ b/regress/test_promises.cpp
@@ -331,6 +331,80 @@
 	}));
 }
 
+TEST(Promise, ADrainIsKeptByItsOwnAnswers)
+{
+	FleetOptions o = small_fleet(1, 4, "ms=3");
+
+	/* Probes are far too seldom to tell it. */
+	Fleet f(o);
+	f.start();
+	f.put("service/dir", R"({"select":"app=dir","probe_ms":600000})");
+	f.put("rule/dir", R"({"path":"/dir","service":"dir"})");
+	ASSERT_TRUE(f.wait_ready());
+	ASSERT_TRUE(until([&] { return f.in_force(6); }));
+	ASSERT_TRUE(until([&] {
+		http("GET", f.boxes[0].listen, "/dir/x");
+		return f.backends[0]->count("ran") > 0;
+	}));
+	f.backends[0]->set("drain=1");
+	long before = f.backends[0]->count("ran");
+	for (int i = 0; i < 60; i++)
+		http("GET", f.boxes[0].listen, "/dir/x");
+	/* The answer that tells it is the last one. */
+	EXPECT_LE(f.backends[0]->count("ran"), before + 1);
+}
+
+TEST(Promise, AFrozenHomeIsLeftWithinMilliseconds)
+{
+	FleetOptions o = small_fleet(2, 2, "ms=3");
+
+	o.halls = {"north"};
+	for (auto &b : o.backends)
+		b.hall = "north";
+	Fleet f(o);
+	ASSERT_TRUE(up(f));
+	/* The box that is not home passes; find it by its counter. */
+	for (auto &b : f.boxes)
+		http("GET", b.listen, "/dir/x");
+	size_t home = f.metric(0, "fern_passed_out_total") > 0 ? 1 : 0;
+	for (int i = 0; i < 10; i++)
+		http("GET", f.boxes[1 - home].listen, "/dir/x");
+	f.boxes[home].gate.signal(SIGSTOP);
+	double began = now_ms();
+	Reply r = http("GET", f.boxes[1 - home].listen, "/dir/x");
+	double took = now_ms() - began;
+	f.boxes[home].gate.signal(SIGCONT);
+	EXPECT_EQ(200, r.status);
+	/* Asked after 20 ms, left after 40 more; the rest is for slow
+	 * machines, and far below the deadline of 5 s. */
+	EXPECT_LT(took, 1000);
+}
+
+TEST(Promise, ALeavingBoxIsPassedNothingMore)
+{
+	FleetOptions o = small_fleet(2, 2, "ms=3");
+
+	o.halls = {"north"};
+	for (auto &b : o.backends)
+		b.hall = "north";
+	o.gate_settings = "leave_wait_ms = 4000\n";
+	Fleet f(o);
+	ASSERT_TRUE(up(f));
+	for (auto &b : f.boxes)
+		http("GET", b.listen, "/dir/x");
+	size_t home = f.metric(0, "fern_passed_out_total") > 0 ? 1 : 0;
+	f.boxes[home].gate.signal(SIGTERM);
+	/* Long before the doors close the other box knows. */
+	EXPECT_TRUE(
+	    until([&] { return f.metric(1 - home, "fern_boxes") == 1; }, 3000));
+	double passed = f.metric(1 - home, "fern_passed_out_total");
+	for (int i = 0; i < 10; i++)
+		EXPECT_EQ(200,
+		    http("GET", f.boxes[1 - home].listen, "/dir/x").status);
+	EXPECT_EQ(passed, f.metric(1 - home, "fern_passed_out_total"));
+	EXPECT_EQ(0, f.boxes[home].gate.wait_exit());
+}
+
 TEST(Promise, ARollingRestartOfAllBoxesCutsOffNothing)
 {
 	Fleet f(small_fleet(3, 4, "ms=8 spread=1"));
