Split the dispatcher by job; one main for both daemons

Change: disp.c dispatches, disp_set.c keeps the backend servers, disp_pass.c knows other halls; daemon.c reads command lines and ends programs.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 BENCHES = regress/bench_pick regress/bench_gate regress/bench_tail \
 	regress/bench_capacity regress/soak regress/demo
 
-COMMON = chart.o clk.o cnt.o conf.o disp.o doc_toml.o err.o field.o hsrv.o \
+COMMON = chart.o clk.o cnt.o conf.o daemon.o disp.o disp_pass.o disp_set.o doc_toml.o err.o field.o hsrv.o \
 	limit.o memb.o msg.o obj.o pick.o pick_fern.o pick_naive.o \
 	plat_http.o probe.o queue.o route.o sel.o set.o slog.o str.o sync.o \
 	tmr.o up.o wire_zmq.o
--- a/agent_main.c
+++ b/agent_main.c
@@ -9,9 +9,9 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include <signal.h>
-#include <stdio.h>
 
 #include "libagent.h"
+#include "daemon.h"
 #include "set.h"
 #include "slog.h"
 
@@ -83,8 +83,17 @@
 };
 
 static bool
-open_all(struct agent *a, GError **err)
+load(void *ctx, const char *file, GError **err)
 {
+	struct agent *a = ctx;
+
+	return set_load(file, fields, G_N_ELEMENTS(fields), &a->set, err);
+}
+
+static bool
+open_all(void *ctx, GError **err)
+{
+	struct agent *a = ctx;
 	struct memb_info self = {
 	    .box = a->set.box,
 	    .hall = a->set.hall,
@@ -173,8 +182,10 @@
 }
 
 static void
-start_loop(struct agent *a)
+start_loop(void *ctx)
 {
+	struct agent *a = ctx;
+
 	uv_timer_init(a->loop, &a->tick);
 	a->tick.data = a;
 	uv_timer_start(&a->tick, on_tick, TICK_MS, TICK_MS);
@@ -192,31 +203,11 @@
 main(int argc, char **argv)
 {
 	static struct agent agent;
-	struct agent *a = &agent;
-	struct set_args args = {0};
-	GError *err = NULL;
-	bool ok;
-	int status;
-
-	if (!set_parse_args(argc, argv, "fernagent",
-		"The control process of a fernjunction box.", &args, &status))
-		return status;
-	signal(SIGPIPE, SIG_IGN);
-	a->clk = clk_system();
-	a->rnd = rnd_system();
-	slog_open(a->clk, args.quiet);
-	ok = set_load(
-	    args.settings, fields, G_N_ELEMENTS(fields), &a->set, &err);
-	if (ok && args.check)
-		printf("%s: the settings are right\n", args.settings);
-	else if (ok && open_all(a, &err))
-		start_loop(a);
-	slog_close();
-	g_free(args.settings);
-	if (err == NULL)
-		return 0;
-	fprintf(stderr, "fernagent: %s\n", err->message);
-	status = err_answer((enum err_kind)err->code)->exit_code;
-	g_error_free(err);
-	return status;
+	const struct daemon_ops ops = {"fernagent",
+	    "The control process of a fernjunction box.", load, open_all,
+	    start_loop, &agent};
+
+	agent.clk = clk_system();
+	agent.rnd = rnd_system();
+	return daemon_main(argc, argv, &ops);
 }
--- /dev/null
+++ b/daemon.c
@@ -0,0 +1,117 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+
+#include "clk.h"
+#include "daemon.h"
+#include "err.h"
+#include "set.h"
+#include "slog.h"
+
+enum { ERRORS_MAX = 8 };
+
+/* What the command line says. */
+struct args {
+	char *settings; /* the settings file */
+	bool check; /* check the settings and exit */
+	bool quiet; /* no decision lines */
+};
+
+static bool
+parse(int, char **, const struct daemon_ops *, struct args *, int *);
+static int finish(const char *, GError *);
+
+static void
+usage(const char *program, const char *about, void **table)
+{
+	printf("Usage: %s", program);
+	arg_print_syntax(stdout, table, "\n");
+	printf("%s\n", about);
+	arg_print_glossary(stdout, table, "  %-24s %s\n");
+}
+
+/* False if the program should end, with *status as its exit status. */
+static bool
+parse(int argc, char **argv, const struct daemon_ops *ops, struct args *args,
+    int *status)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
+	struct arg_lit *version = arg_lit0("V", "version", "print the version");
+	struct arg_lit *check =
+	    arg_lit0("c", "check", "check the settings and exit");
+	struct arg_lit *quiet =
+	    arg_lit0("q", "quiet", "no log line for each decision");
+	struct arg_file *file =
+	    arg_file0(NULL, NULL, "SETTINGS", "a TOML file");
+	struct arg_end *end = arg_end(ERRORS_MAX);
+	void *table[] = {help, version, check, quiet, file, end};
+	int errors = arg_parse(argc, argv, table);
+	bool go = false;
+
+	*status = 0;
+	if (help->count > 0)
+		usage(ops->program, ops->about, table);
+	else if (version->count > 0)
+		printf("%s %s\n", ops->program, SET_VERSION);
+	else if (errors > 0 || file->count == 0) {
+		if (errors > 0)
+			arg_print_errors(stderr, end, ops->program);
+		else
+			fprintf(stderr, "%s: a settings file is wanted\n",
+			    ops->program);
+		fprintf(stderr, "Try '%s --help'.\n", ops->program);
+		*status = err_answer(ERR_USAGE)->exit_code;
+	} else {
+		args->settings = g_strdup(file->filename[0]);
+		args->check = check->count > 0;
+		args->quiet = quiet->count > 0;
+		go = true;
+	}
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return go;
+}
+
+static int
+finish(const char *program, GError *err)
+{
+	int status;
+
+	if (err == NULL)
+		return 0;
+	fprintf(stderr, "%s: %s\n", program, err->message);
+	status = err_answer((enum err_kind)err->code)->exit_code;
+	g_error_free(err);
+	return status;
+}
+
+int
+daemon_main(int argc, char **argv, const struct daemon_ops *ops)
+{
+	struct args args = {0};
+	GError *err = NULL;
+	int status;
+
+	if (!parse(argc, argv, ops, &args, &status))
+		return status;
+	signal(SIGPIPE, SIG_IGN);
+	slog_open(clk_system(), args.quiet);
+	if (ops->load(ops->ctx, args.settings, &err)) {
+		if (args.check)
+			printf("%s: the settings are right\n", args.settings);
+		else if (ops->open(ops->ctx, &err))
+			ops->run(ops->ctx);
+	}
+	slog_close();
+	g_free(args.settings);
+	return finish(ops->program, err);
+}
--- a/disp.c
+++ b/disp.c
@@ -8,40 +8,12 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
-#include "disp.h"
+#include "libdisp.h"
 
-/* A remote home's word is worth nothing after this long. */
-#define REMOTE_FRESH_NS (1200 * NS_MS)
-/* Passing to another hall must spare at least this much waiting. */
-#define PASS_GAIN_NS (3 * NS_MS)
-#define USUAL_UNKNOWN_NS (5 * NS_MS)
 /* A try is stopped after so many times its usual length, and no sooner. */
 #define STOP_MIN_NS (40 * NS_MS)
 
-enum { TRIES_MAX = 4, REMOTE_SPARE = 1, STOP_FACTOR = 4 };
-
-/* What another hall's home said last. */
-struct remote {
-	struct str hall;
-	int slots; /* by configuration */
-	int free, waiting;
-	int64_t told; /* 0: never */
-};
-
-struct disp {
-	struct disp_ops ops;
-	const struct clk *clk;
-	const struct rnd *rnd;
-	struct disp_params params;
-	GPtrArray *backends; /* struct pick_backend * */
-	struct queue queues[CLASS_MAX];
-	GArray *remotes; /* struct remote */
-	struct retry_budget budget;
-	struct limit limit;
-	GQueue out; /* struct disp_req *, the longest out first */
-	bool serving; /* serve() is under way */
-	bool again; /* and must look once more */
-};
+enum { TRIES_MAX = 4, STOP_FACTOR = 4 };
 
 /* What each outcome means. */
 static const struct {
@@ -59,19 +31,12 @@
     [DISP_SLOW] = {false, false, false},
 };
 
-static struct pick_set set_of(const struct disp *);
-static void serve(struct disp *);
 static bool serve_class(struct disp *, enum obj_class);
 static bool start(struct disp *, struct disp_req *);
-static bool pass(struct disp *, struct disp_req *);
 static void hold(struct disp *, struct disp_req *);
 static void drop(struct disp *, struct disp_req *, enum err_kind, int64_t);
-static int64_t usual_of(const struct disp *);
 static int64_t expected_wait(const struct disp *, enum obj_class);
-static bool pass_to_shorter(struct disp *, struct disp_req *, int64_t);
 static void expire(struct disp *, enum obj_class, int64_t);
-static struct pick_backend *find(const struct disp *, struct str);
-static void sweep(struct disp *);
 static void refresh_oldest(struct disp *, struct pick_backend *);
 
 struct disp *
@@ -85,34 +50,24 @@
 	d->clk = clk;
 	d->rnd = rnd;
 	d->backends = g_ptr_array_new();
-	d->remotes = g_array_new(FALSE, TRUE, sizeof(struct remote));
+	d->remotes = g_array_new(FALSE, TRUE, sizeof(struct disp_remote_hall));
 	g_queue_init(&d->out);
 	for (i = 0; i < CLASS_MAX; i++)
 		queue_init(&d->queues[i]);
 	return d;
 }
 
-static void
-backend_free(struct disp *d, struct pick_backend *b)
-{
-	d->ops.release(d->ops.ctx, b);
-	str_free(&b->name);
-	str_free(&b->address);
-	g_free(b);
-}
-
 void
 disp_free(struct disp *d)
 {
 	guint i;
 
-	for (i = 0; i < d->backends->len; i++)
-		backend_free(d, g_ptr_array_index(d->backends, i));
+	disp_set_free(d);
 	for (i = 0; i < d->remotes->len; i++)
-		str_free(&g_array_index(d->remotes, struct remote, i).hall);
+		str_free(&g_array_index(d->remotes, struct disp_remote_hall, i)
+			      .hall);
 	for (i = 0; i < CLASS_MAX; i++)
 		queue_clear(&d->queues[i]);
-	g_ptr_array_free(d->backends, TRUE);
 	g_array_free(d->remotes, TRUE);
 	g_free(d);
 }
@@ -123,122 +78,6 @@
 	d->params = *params;
 }
 
-static struct pick_set
-set_of(const struct disp *d)
-{
-	struct pick_set set = {(struct pick_backend **)d->backends->pdata,
-	    d->backends->len, d->params.bulk_percent};
-
-	return set;
-}
-
-static struct pick_backend *
-find(const struct disp *d, struct str name)
-{
-	struct pick_backend *b;
-	guint i;
-
-	for (i = 0; i < d->backends->len; i++) {
-		b = g_ptr_array_index(d->backends, i);
-		if (!b->gone && str_eq(b->name, name))
-			return b;
-	}
-	return NULL;
-}
-
-/* A backend server with another address is another backend server. */
-static void
-update(struct disp *d, const struct disp_backend *conf)
-{
-	struct pick_backend *b = find(d, conf->name);
-
-	if (b != NULL && !str_eq(b->address, conf->address)) {
-		b->gone = true;
-		b = NULL;
-	}
-	if (b == NULL) {
-		b = g_new0(struct pick_backend, 1);
-		b->name = str_dup(conf->name);
-		b->address = str_dup(conf->address);
-		b->state = (enum pick_state)chart_start(d->params.chart);
-		g_ptr_array_add(d->backends, b);
-	}
-	b->slots = conf->slots;
-	if (b->drain_told != conf->drain)
-		pick_drain(b, d->params.chart, conf->drain);
-	b->drain_told = conf->drain;
-}
-
-static bool
-listed(const struct disp_backend *v, unsigned n, struct str name)
-{
-	unsigned i;
-
-	for (i = 0; i < n; i++)
-		if (str_eq(v[i].name, name))
-			return true;
-	return false;
-}
-
-void
-disp_backends(struct disp *d, const struct disp_backend *v, unsigned n)
-{
-	struct pick_backend *b;
-	unsigned i;
-
-	for (i = 0; i < d->backends->len; i++) {
-		b = g_ptr_array_index(d->backends, i);
-		if (!listed(v, n, b->name))
-			b->gone = true;
-	}
-	for (i = 0; i < n; i++)
-		update(d, &v[i]);
-	sweep(d);
-	serve(d);
-}
-
-/* Free the backend servers that are gone and have answered all. */
-static void
-sweep(struct disp *d)
-{
-	struct pick_backend *b;
-	guint i;
-
-	for (i = d->backends->len; i-- > 0;) {
-		b = g_ptr_array_index(d->backends, i);
-		if (!b->gone || b->inflight > 0)
-			continue;
-		g_ptr_array_remove_index_fast(d->backends, i);
-		backend_free(d, b);
-	}
-}
-
-/*
- * What a request usually takes here: the mean over the backend servers, but
- * for those that are far slower than the fastest.
- */
-static int64_t
-usual_of(const struct disp *d)
-{
-	const struct pick_backend *b;
-	int64_t sum = 0, least = 0;
-	guint i, n = 0;
-
-	for (i = 0; i < d->backends->len; i++) {
-		b = g_ptr_array_index(d->backends, i);
-		if (b->usual > 0 && (least == 0 || b->usual < least))
-			least = b->usual;
-	}
-	for (i = 0; i < d->backends->len; i++) {
-		b = g_ptr_array_index(d->backends, i);
-		if (b->usual == 0 || b->usual > least * STOP_FACTOR)
-			continue;
-		sum += b->usual;
-		n++;
-	}
-	return n == 0 ? USUAL_UNKNOWN_NS : sum / n;
-}
-
 /*
  * The time until a new request of a class would get a slot: those before it,
  * at the pace at which all usable slots free up.
@@ -290,7 +129,7 @@
 static bool
 start(struct disp *d, struct disp_req *r)
 {
-	struct pick_set set = set_of(d);
+	struct pick_set set = disp_set_of(d);
 	int64_t now = clk_ns(d->clk);
 	struct pick_backend *b;
 	int at;
@@ -313,74 +152,6 @@
 	return true;
 }
 
-/* Is there room in another hall, as far as its home has told lately? */
-static bool
-has_room(const struct remote *m, int64_t now)
-{
-	return m->told != 0 && now - m->told <= REMOTE_FRESH_NS &&
-	    m->waiting == 0 && m->free > REMOTE_SPARE;
-}
-
-/*
- * Pass to another hall whose home has room.  If nothing here can be used, a
- * hall that has slots will do, whatever its home said last.
- */
-static bool
-pass(struct disp *d, struct disp_req *r)
-{
-	int64_t now = clk_ns(d->clk);
-	bool must = disp_usable(d) == 0;
-	struct remote *m, *best = NULL;
-	guint i;
-
-	if (!r->may_pass || !d->params.policy->holds)
-		return false;
-	for (i = 0; i < d->remotes->len; i++) {
-		m = &g_array_index(d->remotes, struct remote, i);
-		if (m->slots == 0 || (!must && !has_room(m, now)))
-			continue;
-		if (best == NULL || m->free > best->free)
-			best = m;
-	}
-	if (best == NULL)
-		return false;
-	best->free--;
-	d->ops.pass(d->ops.ctx, r, best->hall);
-	return true;
-}
-
-/*
- * Where all halls hold requests, a new one goes to a hall that would take it
- * much sooner, so that a surge ends everywhere at the same time.
- */
-static bool
-pass_to_shorter(struct disp *d, struct disp_req *r, int64_t wait)
-{
-	int64_t now = clk_ns(d->clk), usual = usual_of(d), there;
-	struct remote *m, *best = NULL;
-	int64_t best_wait = wait - 2 * PASS_GAIN_NS;
-	guint i;
-
-	if (!r->may_pass || !d->params.policy->holds)
-		return false;
-	for (i = 0; i < d->remotes->len; i++) {
-		m = &g_array_index(d->remotes, struct remote, i);
-		if (m->slots == 0 || m->told == 0 ||
-		    now - m->told > REMOTE_FRESH_NS)
-			continue;
-		there = usual * (m->waiting + 1) / m->slots;
-		if (there >= best_wait)
-			continue;
-		best_wait = there;
-		best = m;
-	}
-	if (best == NULL)
-		return false;
-	best->waiting++;
-	d->ops.pass(d->ops.ctx, r, best->hall);
-	return true;
-}
-
 void
 disp_arrive(struct disp *d, struct disp_req *r)
 {
@@ -398,7 +169,7 @@
 	if (d->queues[r->cls].n == 0 && start(d, r))
 		return;
 	wait = expected_wait(d, r->cls);
-	if (pass(d, r) || pass_to_shorter(d, r, wait))
+	if (disp_pass(d, r) || disp_pass_to_shorter(d, r, wait))
 		return;
 	if (disp_usable(d) == 0) {
 		drop(d, r, ERR_NO_BACKEND, 0);
@@ -422,7 +193,7 @@
 		return false;
 	r = item->data;
 	unhold(d, r);
-	if (start(d, r) || pass(d, r))
+	if (start(d, r) || disp_pass(d, r))
 		return true;
 	hold(d, r);
 	return false;
@@ -432,8 +203,8 @@
  * Serve what is held, the interactive ones first.  A callback may end a
  * request and so bring us here again; one level then looks twice.
  */
-static void
-serve(struct disp *d)
+void
+disp_serve(struct disp *d)
 {
 	d->again = true;
 	if (d->serving)
@@ -472,7 +243,7 @@
 judge(struct disp *d, struct disp_req *r, struct pick_backend *b,
     enum disp_outcome outcome)
 {
-	struct pick_set set = set_of(d);
+	struct pick_set set = disp_set_of(d);
 	int64_t now = clk_ns(d->clk);
 
 	if (outcomes[outcome].good)
@@ -536,9 +307,9 @@
 		refresh_oldest(d, b);
 	judge(d, r, b, outcome);
 	again = retry(d, r, outcome);
-	serve(d);
+	disp_serve(d);
 	if (b->gone)
-		sweep(d);
+		disp_sweep(d);
 	return again;
 }
 
@@ -559,7 +330,7 @@
 	while ((item = queue_first(&d->queues[cls])) != NULL) {
 		r = item->data;
 		unhold(d, r);
-		if (!pass(d, r))
+		if (!disp_pass(d, r))
 			drop(d, r, ERR_NO_BACKEND, 0);
 	}
 }
@@ -589,8 +360,8 @@
 is_stuck(struct disp *d, const struct disp_req *r, int64_t now)
 {
 	const struct pick_backend *b = r->at;
-	struct pick_set set = set_of(d);
-	int64_t limit = MAX(usual_of(d) * STOP_FACTOR, STOP_MIN_NS);
+	struct pick_set set = disp_set_of(d);
+	int64_t limit = MAX(disp_usual(d) * STOP_FACTOR, STOP_MIN_NS);
 	int at;
 
 	if (now - r->sent <= limit || r->stopped ||
@@ -631,7 +402,7 @@
 void
 disp_tick(struct disp *d)
 {
-	struct pick_set set = set_of(d);
+	struct pick_set set = disp_set_of(d);
 	int64_t now = clk_ns(d->clk);
 	int i;
 
@@ -642,76 +413,7 @@
 		stop_stuck(d, now);
 	for (i = 0; i < CLASS_MAX && disp_usable(d) == 0; i++)
 		give_up_all(d, (enum obj_class)i);
-	serve(d);
-}
-
-void
-disp_drain_told(struct disp *d, struct pick_backend *b)
-{
-	pick_drain(b, d->params.chart, true);
-}
-
-/* A drain that its object tells is not undone by a probe. */
-void
-disp_health(struct disp *d, struct str backend, bool down, bool drain)
-{
-	struct pick_backend *b = find(d, backend);
-
-	if (b == NULL)
-		return;
-	b->probe_down = down;
-	if (drain)
-		pick_drain(b, d->params.chart, true);
-	else if (!down && !b->drain_told && b->state == PICK_DRAINING)
-		pick_drain(b, d->params.chart, false);
-	serve(d);
-}
-
-static struct remote *
-remote_of(struct disp *d, struct str hall)
-{
-	struct remote *m, add = {0};
-	guint i;
-
-	for (i = 0; i < d->remotes->len; i++) {
-		m = &g_array_index(d->remotes, struct remote, i);
-		if (str_eq(m->hall, hall))
-			return m;
-	}
-	add.hall = str_dup(hall);
-	g_array_append_val(d->remotes, add);
-	return &g_array_index(d->remotes, struct remote, d->remotes->len - 1);
-}
-
-void
-disp_hall(struct disp *d, struct str hall, int slots)
-{
-	remote_of(d, hall)->slots = slots;
-}
-
-void
-disp_remote(struct disp *d, struct str hall, int free, int waiting)
-{
-	struct remote *m = remote_of(d, hall);
-
-	m->free = free;
-	m->waiting = waiting;
-	m->told = clk_ns(d->clk);
-	serve(d);
-}
-
-void
-disp_room(const struct disp *d, int *free, int *waiting)
-{
-	int64_t now = clk_ns(d->clk);
-	guint i;
-
-	*free = 0;
-	*waiting = 0;
-	for (i = 0; i < d->backends->len; i++)
-		*free += pick_free(g_ptr_array_index(d->backends, i), now);
-	for (i = 0; i < CLASS_MAX; i++)
-		*waiting += (int)d->queues[i].n;
+	disp_serve(d);
 }
 
 unsigned
@@ -719,24 +421,3 @@
 {
 	return d->out.length;
 }
-
-unsigned
-disp_usable(const struct disp *d)
-{
-	int64_t now = clk_ns(d->clk);
-	unsigned n = 0;
-	guint i;
-
-	for (i = 0; i < d->backends->len; i++)
-		n += pick_usable(g_ptr_array_index(d->backends, i), now);
-	return n;
-}
-
-void
-disp_each(const struct disp *d, disp_visit_fn *visit, void *ctx)
-{
-	guint i;
-
-	for (i = 0; i < d->backends->len; i++)
-		visit(ctx, g_ptr_array_index(d->backends, i));
-}
--- /dev/null
+++ b/disp_pass.c
@@ -0,0 +1,118 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "libdisp.h"
+
+/* Passing to another hall must spare at least this much waiting. */
+#define PASS_GAIN_NS (3 * NS_MS)
+
+enum { REMOTE_SPARE = 1 }; /* slots left to the hall they are in */
+
+static struct disp_remote_hall *
+remote_of(struct disp *d, struct str hall)
+{
+	struct disp_remote_hall *m, add = {0};
+	guint i;
+
+	for (i = 0; i < d->remotes->len; i++) {
+		m = &g_array_index(d->remotes, struct disp_remote_hall, i);
+		if (str_eq(m->hall, hall))
+			return m;
+	}
+	add.hall = str_dup(hall);
+	g_array_append_val(d->remotes, add);
+	return &g_array_index(
+	    d->remotes, struct disp_remote_hall, d->remotes->len - 1);
+}
+
+/* Is there room in another hall, as far as its home has told lately? */
+static bool
+has_room(const struct disp_remote_hall *m, int64_t now)
+{
+	return m->told != 0 && now - m->told <= REMOTE_FRESH_NS &&
+	    m->waiting == 0 && m->free > REMOTE_SPARE;
+}
+
+/*
+ * Pass to another hall whose home has room.  If nothing here can be used, a
+ * hall that has slots will do, whatever its home said last.
+ */
+bool
+disp_pass(struct disp *d, struct disp_req *r)
+{
+	int64_t now = clk_ns(d->clk);
+	bool must = disp_usable(d) == 0;
+	struct disp_remote_hall *m, *best = NULL;
+	guint i;
+
+	if (!r->may_pass || !d->params.policy->holds)
+		return false;
+	for (i = 0; i < d->remotes->len; i++) {
+		m = &g_array_index(d->remotes, struct disp_remote_hall, i);
+		if (m->slots == 0 || (!must && !has_room(m, now)))
+			continue;
+		if (best == NULL || m->free > best->free)
+			best = m;
+	}
+	if (best == NULL)
+		return false;
+	best->free--;
+	d->ops.pass(d->ops.ctx, r, best->hall);
+	return true;
+}
+
+/*
+ * Where all halls hold requests, a new one goes to a hall that would take it
+ * much sooner, so that a surge ends everywhere at the same time.
+ */
+bool
+disp_pass_to_shorter(struct disp *d, struct disp_req *r, int64_t wait)
+{
+	int64_t now = clk_ns(d->clk), usual = disp_usual(d), there;
+	struct disp_remote_hall *m, *best = NULL;
+	int64_t best_wait = wait - 2 * PASS_GAIN_NS;
+	guint i;
+
+	if (!r->may_pass || !d->params.policy->holds)
+		return false;
+	for (i = 0; i < d->remotes->len; i++) {
+		m = &g_array_index(d->remotes, struct disp_remote_hall, i);
+		if (m->slots == 0 || m->told == 0 ||
+		    now - m->told > REMOTE_FRESH_NS)
+			continue;
+		there = usual * (m->waiting + 1) / m->slots;
+		if (there >= best_wait)
+			continue;
+		best_wait = there;
+		best = m;
+	}
+	if (best == NULL)
+		return false;
+	best->waiting++;
+	d->ops.pass(d->ops.ctx, r, best->hall);
+	return true;
+}
+
+void
+disp_hall(struct disp *d, struct str hall, int slots)
+{
+	remote_of(d, hall)->slots = slots;
+}
+
+void
+disp_remote(struct disp *d, struct str hall, int free, int waiting)
+{
+	struct disp_remote_hall *m = remote_of(d, hall);
+
+	m->free = free;
+	m->waiting = waiting;
+	m->told = clk_ns(d->clk);
+	disp_serve(d);
+}
--- /dev/null
+++ b/disp_set.c
@@ -0,0 +1,206 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "libdisp.h"
+
+/* Those so many times as slow as the fastest say nothing of the rest. */
+enum { FAR_FACTOR = 4 };
+
+struct pick_set
+disp_set_of(const struct disp *d)
+{
+	struct pick_set set = {(struct pick_backend **)d->backends->pdata,
+	    d->backends->len, d->params.bulk_percent};
+
+	return set;
+}
+
+static void
+backend_free(struct disp *d, struct pick_backend *b)
+{
+	d->ops.release(d->ops.ctx, b);
+	str_free(&b->name);
+	str_free(&b->address);
+	g_free(b);
+}
+
+void
+disp_set_free(struct disp *d)
+{
+	guint i;
+
+	for (i = 0; i < d->backends->len; i++)
+		backend_free(d, g_ptr_array_index(d->backends, i));
+	g_ptr_array_free(d->backends, TRUE);
+}
+
+static struct pick_backend *
+find(const struct disp *d, struct str name)
+{
+	struct pick_backend *b;
+	guint i;
+
+	for (i = 0; i < d->backends->len; i++) {
+		b = g_ptr_array_index(d->backends, i);
+		if (!b->gone && str_eq(b->name, name))
+			return b;
+	}
+	return NULL;
+}
+
+/* A backend server with another address is another backend server. */
+static void
+update(struct disp *d, const struct disp_backend *conf)
+{
+	struct pick_backend *b = find(d, conf->name);
+
+	if (b != NULL && !str_eq(b->address, conf->address)) {
+		b->gone = true;
+		b = NULL;
+	}
+	if (b == NULL) {
+		b = g_new0(struct pick_backend, 1);
+		b->name = str_dup(conf->name);
+		b->address = str_dup(conf->address);
+		b->state = (enum pick_state)chart_start(d->params.chart);
+		g_ptr_array_add(d->backends, b);
+	}
+	b->slots = conf->slots;
+	if (b->drain_told != conf->drain)
+		pick_drain(b, d->params.chart, conf->drain);
+	b->drain_told = conf->drain;
+}
+
+static bool
+listed(const struct disp_backend *v, unsigned n, struct str name)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++)
+		if (str_eq(v[i].name, name))
+			return true;
+	return false;
+}
+
+void
+disp_backends(struct disp *d, const struct disp_backend *v, unsigned n)
+{
+	struct pick_backend *b;
+	unsigned i;
+
+	for (i = 0; i < d->backends->len; i++) {
+		b = g_ptr_array_index(d->backends, i);
+		if (!listed(v, n, b->name))
+			b->gone = true;
+	}
+	for (i = 0; i < n; i++)
+		update(d, &v[i]);
+	disp_sweep(d);
+	disp_serve(d);
+}
+
+/* Free the backend servers that are gone and have answered all. */
+void
+disp_sweep(struct disp *d)
+{
+	struct pick_backend *b;
+	guint i;
+
+	for (i = d->backends->len; i-- > 0;) {
+		b = g_ptr_array_index(d->backends, i);
+		if (!b->gone || b->inflight > 0)
+			continue;
+		g_ptr_array_remove_index_fast(d->backends, i);
+		backend_free(d, b);
+	}
+}
+
+/*
+ * What a request usually takes here: the mean over the backend servers, but
+ * for those that are far slower than the fastest.
+ */
+int64_t
+disp_usual(const struct disp *d)
+{
+	const struct pick_backend *b;
+	int64_t sum = 0, least = 0;
+	guint i, n = 0;
+
+	for (i = 0; i < d->backends->len; i++) {
+		b = g_ptr_array_index(d->backends, i);
+		if (b->usual > 0 && (least == 0 || b->usual < least))
+			least = b->usual;
+	}
+	for (i = 0; i < d->backends->len; i++) {
+		b = g_ptr_array_index(d->backends, i);
+		if (b->usual == 0 || b->usual > least * FAR_FACTOR)
+			continue;
+		sum += b->usual;
+		n++;
+	}
+	return n == 0 ? USUAL_UNKNOWN_NS : sum / n;
+}
+
+/* A drain that its object tells is not undone by a probe. */
+void
+disp_health(struct disp *d, struct str backend, bool down, bool drain)
+{
+	struct pick_backend *b = find(d, backend);
+
+	if (b == NULL)
+		return;
+	b->probe_down = down;
+	if (drain)
+		pick_drain(b, d->params.chart, true);
+	else if (!down && !b->drain_told && b->state == PICK_DRAINING)
+		pick_drain(b, d->params.chart, false);
+	disp_serve(d);
+}
+
+void
+disp_drain_told(struct disp *d, struct pick_backend *b)
+{
+	pick_drain(b, d->params.chart, true);
+}
+
+void
+disp_room(const struct disp *d, int *free, int *waiting)
+{
+	int64_t now = clk_ns(d->clk);
+	guint i;
+
+	*free = 0;
+	*waiting = 0;
+	for (i = 0; i < d->backends->len; i++)
+		*free += pick_free(g_ptr_array_index(d->backends, i), now);
+	for (i = 0; i < CLASS_MAX; i++)
+		*waiting += (int)d->queues[i].n;
+}
+
+unsigned
+disp_usable(const struct disp *d)
+{
+	int64_t now = clk_ns(d->clk);
+	unsigned n = 0;
+	guint i;
+
+	for (i = 0; i < d->backends->len; i++)
+		n += pick_usable(g_ptr_array_index(d->backends, i), now);
+	return n;
+}
+
+void
+disp_each(const struct disp *d, disp_visit_fn *visit, void *ctx)
+{
+	guint i;
+
+	for (i = 0; i < d->backends->len; i++)
+		visit(ctx, g_ptr_array_index(d->backends, i));
+}
--- a/gate_main.c
+++ b/gate_main.c
@@ -9,9 +9,9 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include <signal.h>
-#include <stdio.h>
 
 #include "libreq.h"
+#include "daemon.h"
 #include "set.h"
 #include "slog.h"
 
@@ -26,7 +26,6 @@
 
 static void on_tick(uv_timer_t *);
 static bool open_charts(struct gate *, GError **);
-static bool open_all(struct gate *, GError **);
 
 #define F(member) offsetof(struct gate_set, member)
 
@@ -122,8 +121,10 @@
 }
 
 static bool
-check_settings(struct gate *g, const char *file, GError **err)
+load(void *ctx, const char *file, GError **err)
 {
+	struct gate *g = ctx;
+
 	if (!set_load(file, fields, G_N_ELEMENTS(fields), &g->set, err))
 		return false;
 	if (pick_by_name(g->set.policy) == NULL)
@@ -134,8 +135,9 @@
 }
 
 static bool
-open_all(struct gate *g, GError **err)
+open_all(void *ctx, GError **err)
 {
+	struct gate *g = ctx;
 	size_t body = (size_t)g->set.body_max;
 
 	g->loop = uv_default_loop();
@@ -201,8 +203,10 @@
 }
 
 static void
-start_loop(struct gate *g)
+start_loop(void *ctx)
 {
+	struct gate *g = ctx;
+
 	uv_timer_init(g->loop, &g->tick);
 	g->tick.data = g;
 	uv_timer_start(&g->tick, on_tick, TICK_MS, TICK_MS);
@@ -217,28 +221,11 @@
 main(int argc, char **argv)
 {
 	static struct gate gate;
-	struct gate *g = &gate;
-	struct set_args args = {0};
-	GError *err = NULL;
-	int status;
-
-	if (!set_parse_args(argc, argv, "ferngate",
-		"The data path of a fernjunction box.", &args, &status))
-		return status;
-	signal(SIGPIPE, SIG_IGN);
-	g->clk = clk_system();
-	g->rnd = rnd_system();
-	slog_open(g->clk, args.quiet);
-	if (check_settings(g, args.settings, &err) && args.check)
-		printf("%s: the settings are right\n", args.settings);
-	else if (err == NULL && open_all(g, &err))
-		start_loop(g);
-	slog_close();
-	g_free(args.settings);
-	if (err == NULL)
-		return 0;
-	fprintf(stderr, "ferngate: %s\n", err->message);
-	status = err_answer((enum err_kind)err->code)->exit_code;
-	g_error_free(err);
-	return status;
+	const struct daemon_ops ops = {"ferngate",
+	    "The data path of a fernjunction box.", load, open_all, start_loop,
+	    &gate};
+
+	gate.clk = clk_system();
+	gate.rnd = rnd_system();
+	return daemon_main(argc, argv, &ops);
 }
--- a/regress/bench_gate.cpp
+++ b/regress/bench_gate.cpp
@@ -82,6 +82,42 @@
 	return ok;
 }
 
+/* From the start of a box to its first right answer, in ms. */
+double
+cold_start(Fleet &f, size_t box)
+{
+	f.stop_box_hard(box);
+	double from = now_ms();
+	f.start_box(box);
+	until([&] {
+		return http("GET", f.boxes[box].listen, "/dir/x", {}, "", 500)
+			   .status == 200;
+	});
+	return now_ms() - from;
+}
+
+void
+cold_starts()
+{
+	FleetOptions o;
+
+	o.boxes = 2;
+	o.backends.resize(2);
+	o.backends[0].keys = o.backends[1].keys = "ms=1";
+	Fleet f(o);
+	f.start();
+	f.put("service/dir", R"({"select":"app=dir"})");
+	f.put("rule/dir", R"({"path":"/dir","service":"dir"})");
+	f.wait_ready();
+	until([&] { return f.in_force(4); });
+	printf("\ncold start to the first answer, ms, three runs\n");
+	printf("platform up       %.0f %.0f %.0f\n", cold_start(f, 1),
+	    cold_start(f, 1), cold_start(f, 1));
+	f.set_platform("mode=hang");
+	printf("platform down     %.0f %.0f %.0f\n", cold_start(f, 1),
+	    cold_start(f, 1), cold_start(f, 1));
+}
+
 } // namespace
 
 int
@@ -153,5 +189,6 @@
 		printf(
 		    "%16zu  %8zu  %ld\n", sum, sum, f.boxes[0].gate.rss_kb());
 	}
+	cold_starts();
 	return 0;
 }
--- a/regress/test_disp.cpp
+++ b/regress/test_disp.cpp
@@ -612,6 +612,28 @@
 	EXPECT_LT(fern.p(99.9), naive.p(99.9));
 }
 
+TEST(Disp, OneWithAnOldRequestIsTakenLast)
+{
+	World w;
+	Req old, fresh[2], next;
+	struct pick_backend *slow;
+
+	w.backends(2, 3);
+	w.warm(2);
+	w.arrive(&old, 1000, CLASS_INTERACTIVE, false);
+	slow = old.d.at;
+	w.now += 60 * NS_MS;
+	for (auto &r : fresh)
+		w.arrive(&r);
+	EXPECT_NE(slow, fresh[0].d.at);
+	EXPECT_NE(slow, fresh[1].d.at);
+	/* The other one is fuller now, and still the better choice. */
+	w.arrive(&next);
+	EXPECT_NE(slow, next.d.at);
+	for (auto *r : {&old, &fresh[0], &fresh[1], &next})
+		w.done(r, DISP_OK);
+}
+
 TEST(Disp, ATryThatIsFarTooSlowIsBegunElsewhereOnce)
 {
 	World w;
--- a/set.h
+++ b/set.h
@@ -23,21 +23,6 @@
 bool
 set_load(const char *file, const struct field *, size_t, void *, GError **);
 
-/* What the command line of a daemon says. */
-struct set_args {
-	char *settings; /* the settings file */
-	bool check; /* check the settings and exit */
-	bool quiet; /* no decision lines */
-};
-
-/*
- * Read the command line of a daemon by argtable.  Answers --help and
- * --version itself.  Returns false if the program should end, with *status
- * as its exit status.
- */
-bool set_parse_args(int argc, char **argv, const char *program,
-    const char *about, struct set_args *, int *status);
-
 #define SET_VERSION "0.1.0"
 
 #endif
