Membership by questions and answers, so that it does not grow

A box counted as alive while news of it was less than 6 s old, and each word carried 8 of the others at random: at 32 boxes some member was always unheard of for 6 s.

Ruled out: longer times (they only move the size at which it fails); all members in each word (cost grows with the square of the fleet).

Change: a box is alive until it says that it leaves or does not answer a question within 3 s, which is then told as news; it refutes that with a higher beat. News are told a logarithmic number of times; a box that knows few gets all members at once.

--- a/agent_peer.c
+++ b/agent_peer.c
@@ -15,13 +15,13 @@
 #include "slog.h"
 
 /* Up to so many boxes a change is pushed to all; beyond, to one's hall. */
-enum { PUSH_ALL_MAX = 32, GOSSIP_MEMBERS = 8, SEEDS_PER_ROUND = 2 };
+enum { PUSH_ALL_MAX = 32, GOSSIP_MEMBERS = 12, SEEDS_PER_ROUND = 2 };
 
 #define MEMBERS_AGAIN_NS (5 * NS_S)
 #define GATE_SILENT_NS (4 * NS_S)
 
 static void on_hello_due(void *);
-static void send_hello(struct agent *, struct str);
+static void send_hello(struct agent *, struct str, struct str, bool);
 static void take_hello(struct agent *, const struct msg *);
 static void take_gate(struct agent *, const struct msg *);
 static void send_members(struct agent *, int64_t);
@@ -45,21 +45,25 @@
 }
 
 static void
-send_hello(struct agent *a, struct str to)
+send_hello(struct agent *a, struct str to, struct str box, bool asks)
 {
 	const struct memb_member *some[GOSSIP_MEMBERS];
 	struct memb_info infos[GOSSIP_MEMBERS];
 	struct msg m = {.kind = MSG_HELLO};
 	size_t i, n;
 
-	n = memb_sample(a->memb, a->rnd, clk_ns(a->clk), some, GOSSIP_MEMBERS);
+	n = memb_news(a->memb, a->rnd, box, some, GOSSIP_MEMBERS);
 	for (i = 0; i < n; i++)
 		infos[i] = some[i]->info;
 	m.u.hello.self = *memb_self(a->memb);
 	m.u.hello.digest = conf_digest(a->conf);
 	m.u.hello.floor = conf_floor(a->conf);
+	m.u.hello.members = memb_count_alive(a->memb, clk_ns(a->clk));
+	m.u.hello.asks = asks;
 	m.u.hello.others.items = infos;
 	m.u.hello.others.n = n;
+	if (asks)
+		memb_asked(a->memb, box, clk_ns(a->clk));
 	wire_send(a->wire, to, &m);
 }
 
@@ -76,26 +80,13 @@
 	wire_send(a->wire, a->set.gate_inbox, &m);
 }
 
-/* One choice among members, by reservoir: a box of our hall, and any box. */
-struct choice {
-	struct agent *agent;
-	unsigned near_seen, any_seen;
-	struct str near, any;
-};
-
 static void
-choose(void *ctx, const struct memb_member *m)
+ask(struct agent *a, struct str hall)
 {
-	struct choice *c = ctx;
-	struct agent *a = c->agent;
+	const struct memb_member *m = memb_ask_next(a->memb, a->rnd, hall);
 
-	if (m->info.inbox.n == 0 || m->info.leaving)
-		return;
-	if (rnd_below(a->rnd, ++c->any_seen) == 0)
-		c->any = m->info.inbox;
-	if (str_eq(m->info.hall, a->set.hall) &&
-	    rnd_below(a->rnd, ++c->near_seen) == 0)
-		c->near = m->info.inbox;
+	if (m != NULL)
+		send_hello(a, m->info.inbox, m->info.box, true);
 }
 
 /* Seeds are asked while they are needed: until we know some box. */
@@ -108,7 +99,8 @@
 	for (i = 0; i < MIN(n, SEEDS_PER_ROUND); i++) {
 		seed = json_array_get(a->set.seeds, rnd_below(a->rnd, n));
 		if (!str_eq(str_c(json_string_value(seed)), a->set.inbox))
-			send_hello(a, str_c(json_string_value(seed)));
+			send_hello(a, str_c(json_string_value(seed)),
+			    str_c(NULL), true);
 	}
 }
 
@@ -116,15 +108,10 @@
 on_hello_due(void *ctx)
 {
 	struct agent *a = ctx;
-	struct choice c = {.agent = a};
 	int64_t now = clk_ns(a->clk);
 
-	memb_self(a->memb)->beat++;
-	memb_each(a->memb, choose, &c);
-	if (c.near.n > 0)
-		send_hello(a, c.near);
-	if (c.any.n > 0 && !str_eq(c.any, c.near))
-		send_hello(a, c.any);
+	ask(a, a->set.hall);
+	ask(a, str_c(NULL));
 	if (memb_count_alive(a->memb, now) < 2 || rnd_below(a->rnd, 10) == 0)
 		ask_seeds(a);
 	send_gate_hello(a);
@@ -132,19 +119,65 @@
 	    now + rnd_jitter(a->rnd, a->set.hello_ms * NS_MS), on_hello_due, a);
 }
 
+struct gather {
+	struct agent *agent;
+	GArray *infos;
+	int64_t now;
+	uint64_t hash;
+};
+
+static void
+gather_alive(void *ctx, const struct memb_member *m)
+{
+	struct gather *g = ctx;
+	uint64_t h;
+
+	if (!memb_alive(g->agent->memb, m, g->now))
+		return;
+	g_array_append_val(g->infos, m->info);
+	h = m->info.boot * 2 + m->info.ready;
+	g->hash += XXH3_64bits_withSeed(m->info.box.p, m->info.box.n, h);
+}
+
+/* All we know of the boxes, for one that knows few. */
+static void
+send_all_members(struct agent *a, struct str to)
+{
+	struct gather g = {a, NULL, clk_ns(a->clk), 0};
+	struct msg m = {.kind = MSG_MEMBERS};
+
+	g.infos = g_array_new(FALSE, FALSE, sizeof(struct memb_info));
+	memb_each(a->memb, gather_alive, &g);
+	m.u.members.members.items = g.infos->data;
+	m.u.members.members.n = g.infos->len;
+	wire_send(a->wire, to, &m);
+	g_array_free(g.infos, TRUE);
+}
+
+static void
+take_members(struct agent *a, const struct memb_info *infos, size_t n)
+{
+	int64_t now = clk_ns(a->clk);
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		memb_heard(a->memb, &infos[i], now);
+}
+
 static void
 take_hello(struct agent *a, const struct msg *m)
 {
 	const struct msg_hello *h = &m->u.hello;
-	const struct memb_info *others = h->others.items;
 	int64_t now = clk_ns(a->clk);
-	size_t i, before = memb_count_alive(a->memb, now);
-
-	memb_heard(a->memb, &h->self, now);
-	for (i = 0; i < h->others.n; i++)
-		memb_heard(a->memb, &others[i], now);
-	if (memb_count_alive(a->memb, now) > before)
-		send_hello(a, m->from);
+	bool news;
+
+	news = memb_heard(a->memb, &h->self, now);
+	memb_answered(a->memb, h->self.box, now);
+	take_members(a, h->others.items, h->others.n);
+	if (h->asks || news)
+		send_hello(a, m->from, h->self.box, false);
+	if (h->members * 2 < memb_count_alive(a->memb, now))
+		send_all_members(a, m->from);
 	sync_compare(&a->sync, m->from, h->digest, h->floor);
 	send_members(a, now);
 }
@@ -171,6 +204,8 @@
 		a->members_sent = 0;
 		agent_probe_tell_gate(a);
 	}
+	if (fresh || self->ready != gt->ready)
+		self->beat++;
 	self->ready = gt->ready;
 	if (gt->leaving && !was_leaving)
 		agent_peer_leave(a);
@@ -180,26 +215,6 @@
 	send_members(a, a->gate_heard);
 }
 
-struct gather {
-	struct agent *agent;
-	GArray *infos;
-	int64_t now;
-	uint64_t hash;
-};
-
-static void
-gather_alive(void *ctx, const struct memb_member *m)
-{
-	struct gather *g = ctx;
-	uint64_t h;
-
-	if (!memb_alive(g->agent->memb, m, g->now))
-		return;
-	g_array_append_val(g->infos, m->info);
-	h = m->info.boot * 2 + m->info.ready;
-	g->hash += XXH3_64bits_withSeed(m->info.box.p, m->info.box.n, h);
-}
-
 static void
 send_members(struct agent *a, int64_t now)
 {
@@ -224,11 +239,14 @@
 {
 	struct memb_info *self = memb_self(a->memb);
 
-	memb_tick(a->memb, now);
+	if (memb_tick(a->memb, now))
+		slog(SLOG_PEER, "A box did not answer: %zu are alive.",
+		    memb_count_alive(a->memb, now));
 	if (conf_digest(a->conf) != a->status_told)
 		agent_status_soon(a);
 	if (self->ready && now - a->gate_heard > GATE_SILENT_NS) {
 		self->ready = false;
+		self->beat++;
 		slog(SLOG_AGENT, "The gate is silent.");
 	}
 	send_members(a, now);
@@ -307,6 +325,10 @@
 	case MSG_GATE:
 		take_gate(a, m);
 		break;
+	case MSG_MEMBERS:
+		take_members(
+		    a, m->u.members.members.items, m->u.members.members.n);
+		break;
 	case MSG_HEALTH:
 		agent_probe_take(a, &m->u.health);
 		break;
--- a/memb.c
+++ b/memb.c
@@ -13,6 +13,9 @@
 
 #include "memb.h"
 
+/* One question in so many goes to a box that is dead or only listed. */
+enum { ASK_LOST_ONE_IN = 6 };
+
 struct memb {
 	struct memb_info self;
 	GPtrArray *members; /* struct memb_member *, ourselves not among them */
@@ -101,31 +104,122 @@
 	return m;
 }
 
-/* A later boot wins, then a later beat; leaving stays said for a boot. */
+/* Every news reaches all with near certainty after so many tellings. */
+static unsigned
+tellings(const struct memb *mb)
+{
+	unsigned n = 4, boxes;
+
+	for (boxes = mb->members->len; boxes > 0; boxes /= 2)
+		n += 2;
+	return n;
+}
+
+/* Of two words with one beat, the worse one counts. */
+static int
+badness(const struct memb_info *info)
+{
+	return info->dead ? 2 : info->leaving ? 1 : 0;
+}
+
+/* We are told dead, or by an earlier start of ours: say the contrary. */
+static bool
+refute(struct memb *mb, const struct memb_info *info)
+{
+	if (info->boot > mb->self.boot)
+		mb->self.boot = info->boot + 1;
+	else if (info->boot < mb->self.boot || !info->dead ||
+	    info->beat < mb->self.beat)
+		return false;
+	mb->self.beat = MAX(mb->self.beat, info->beat) + 1;
+	return true;
+}
+
+/*
+ * A later boot wins, then a later beat, then the worse word.  Of a box that
+ * is not known a death is no news.
+ */
 bool
 memb_heard(struct memb *mb, const struct memb_info *info, int64_t now)
 {
 	struct memb_member *m;
-	bool leaving;
 
-	if (info->box.n == 0 || str_eq(info->box, mb->self.box))
+	if (info->box.n == 0)
 		return false;
+	if (str_eq(info->box, mb->self.box))
+		return refute(mb, info);
 	m = find(mb, info->box);
+	if (m == NULL && info->dead)
+		return false;
 	if (m == NULL)
 		m = add(mb, info->box);
-	if (info->boot < m->info.boot)
+	if (m->heard != 0 &&
+	    (info->boot < m->info.boot ||
+		(info->boot == m->info.boot &&
+		    (info->beat < m->info.beat ||
+			(info->beat == m->info.beat &&
+			    badness(info) <= badness(&m->info))))))
 		return false;
-	if (info->boot == m->info.boot && info->beat <= m->info.beat)
-		return false;
-	leaving =
-	    info->leaving || (info->boot == m->info.boot && m->info.leaving);
 	memb_info_clear(&m->info);
 	memb_info_copy(&m->info, info);
-	m->info.leaving = leaving;
 	m->heard = now;
+	m->asked = 0;
+	m->untold = tellings(mb);
 	return true;
 }
 
+void
+memb_asked(struct memb *mb, struct str box, int64_t now)
+{
+	struct memb_member *m = find(mb, box);
+
+	if (m != NULL && m->asked == 0 && m->heard != 0)
+		m->asked = now;
+}
+
+void
+memb_answered(struct memb *mb, struct str box, int64_t now)
+{
+	struct memb_member *m = find(mb, box);
+
+	(void)now;
+	if (m != NULL)
+		m->asked = 0;
+}
+
+static bool
+may_ask(const struct memb_member *m, struct str hall, bool lost)
+{
+	if (m->info.inbox.n == 0 || m->info.leaving)
+		return false;
+	if (hall.n > 0 && !str_eq(hall, m->info.hall))
+		return false;
+	return lost == (m->info.dead || m->heard == 0);
+}
+
+const struct memb_member *
+memb_ask_next(const struct memb *mb, const struct rnd *rnd, struct str hall)
+{
+	const struct memb_member *m, *chosen = NULL;
+	bool lost = rnd_below(rnd, ASK_LOST_ONE_IN) == 0;
+	unsigned seen = 0;
+	guint i;
+
+	for (i = 0; i < mb->members->len; i++) {
+		m = g_ptr_array_index(mb->members, i);
+		if (may_ask(m, hall, lost) && rnd_below(rnd, ++seen) == 0)
+			chosen = m;
+	}
+	if (chosen != NULL || !lost)
+		return chosen;
+	for (i = 0; i < mb->members->len; i++) {
+		m = g_ptr_array_index(mb->members, i);
+		if (may_ask(m, hall, false) && rnd_below(rnd, ++seen) == 0)
+			chosen = m;
+	}
+	return chosen;
+}
+
 void
 memb_list_begin(struct memb *mb)
 {
@@ -160,17 +254,28 @@
 	m->info.leaving = leaving;
 }
 
-void
+bool
 memb_tick(struct memb *mb, int64_t now)
 {
 	struct memb_member *m;
+	bool died = false;
 	guint i;
 
 	for (i = mb->members->len; i-- > 0;) {
 		m = g_ptr_array_index(mb->members, i);
-		if (!m->listed && now - m->heard > MEMB_FORGET_NS)
+		if (m->asked != 0 && now - m->asked > MEMB_ANSWER_NS &&
+		    !m->info.dead) {
+			m->info.dead = true;
+			m->asked = 0;
+			m->heard = now;
+			m->untold = tellings(mb);
+			died = true;
+		}
+		if (!m->listed && (m->info.dead || m->info.leaving) &&
+		    now - m->heard > MEMB_FORGET_NS)
 			g_ptr_array_remove_index_fast(mb->members, i);
 	}
+	return died;
 }
 
 void
@@ -179,10 +284,10 @@
 	struct memb_member *m;
 	guint i;
 
+	(void)away;
 	for (i = 0; i < mb->members->len; i++) {
 		m = g_ptr_array_index(mb->members, i);
-		if (m->heard != 0)
-			m->heard += away;
+		m->asked = 0;
 	}
 }
 
@@ -190,8 +295,8 @@
 memb_alive(const struct memb *mb, const struct memb_member *m, int64_t now)
 {
 	(void)mb;
-	return m->heard != 0 && now - m->heard <= MEMB_ALIVE_NS &&
-	    !m->info.leaving;
+	(void)now;
+	return m->heard != 0 && !m->info.dead && !m->info.leaving;
 }
 
 void
@@ -245,20 +350,27 @@
 }
 
 size_t
-memb_sample(const struct memb *mb, const struct rnd *rnd, int64_t now,
+memb_news(struct memb *mb, const struct rnd *rnd, struct str to,
     const struct memb_member **out, size_t n)
 {
-	const struct memb_member *m;
+	struct memb_member *m, *own = find(mb, to);
 	size_t got = 0;
-	guint i, at;
+	guint i, at, len = mb->members->len;
 
-	if (mb->members->len == 0)
+	if (len == 0 || n == 0)
 		return 0;
-	at = (guint)rnd_below(rnd, mb->members->len);
-	for (i = 0; i < mb->members->len && got < n; i++) {
-		m = g_ptr_array_index(mb->members, (at + i) % mb->members->len);
-		if (m->heard != 0 && now - m->heard <= MEMB_ALIVE_NS)
-			out[got++] = m;
+	if (own != NULL && own->info.dead)
+		out[got++] = own;
+	at = (guint)rnd_below(rnd, len);
+	for (i = 0; i < len && got < n; i++) {
+		m = g_ptr_array_index(mb->members, (at + i) % len);
+		if (m->untold == 0 || m == own)
+			continue;
+		m->untold--;
+		out[got++] = m;
 	}
+	m = g_ptr_array_index(mb->members, at);
+	if (got == 0 && m->heard != 0 && m != own)
+		out[got++] = m;
 	return got;
 }
--- a/memb.h
+++ b/memb.h
@@ -19,13 +19,15 @@
 #include "str.h"
 
 /*
- * Membership: the platform's lagging list of boxes joined with what was
- * heard from the boxes themselves.  A box counts as alive when it was heard,
- * from itself or through others, within MEMB_ALIVE_NS and did not say that
- * it is leaving; the list only tells whom to try.  No I/O is done here.
+ * Membership: the platform's lagging list of boxes joined with what the boxes
+ * tell of each other.  A box counts as alive from its first word until it
+ * says that it leaves, or until some box that asked it got no answer and
+ * tells so.  A box that hears itself told as dead refutes that with a higher
+ * beat.  At rest nothing is told but questions and answers, so that the cost
+ * does not grow with the fleet.  No I/O is done here.
  */
 
-#define MEMB_ALIVE_NS (6 * NS_S)
+#define MEMB_ANSWER_NS (3 * NS_S) /* time to answer before it is told dead */
 #define MEMB_FORGET_NS (120 * NS_S)
 
 /* What a box tells about itself. */
@@ -36,14 +38,17 @@
 	struct str pass; /* its gate's address for passed requests */
 	struct str gate_inbox; /* its gate's ZeroMQ address */
 	uint64_t boot; /* start of its agent, ms since 1970 */
-	uint64_t beat; /* counts up while it lives */
+	uint64_t beat; /* counts up with each change of its word */
+	bool dead; /* told by a box that got no answer */
 	bool leaving;
 	bool ready; /* its gate serves */
 };
 
 struct memb_member {
 	struct memb_info info;
-	int64_t heard; /* monotonic ns of the last new beat; 0: never */
+	int64_t heard; /* monotonic ns of the last news; 0: never */
+	int64_t asked; /* monotonic ns of a question without answer; 0: none */
+	unsigned untold; /* how often this news is still to be passed on */
 	bool listed; /* on the platform's list */
 };
 
@@ -58,13 +63,27 @@
 /* A box was heard of.  True if this tells something new. */
 bool memb_heard(struct memb *, const struct memb_info *, int64_t now);
 
+/* A box was asked; it answered, or told something by itself. */
+void memb_asked(struct memb *, struct str box, int64_t now);
+void memb_answered(struct memb *, struct str box, int64_t now);
+
+/*
+ * Whom to ask next: any box (hall empty) or one of a hall, at random; now and
+ * then one that is dead or only listed, as it may be back.  NULL if none.
+ */
+const struct memb_member *
+memb_ask_next(const struct memb *, const struct rnd *, struct str hall);
+
 /* The platform's list names a box; those not named since begin are unlisted. */
 void memb_list_begin(struct memb *);
 void memb_listed(struct memb *, struct str box, struct str hall,
     struct str inbox, bool leaving, int64_t now);
 
-/* Forget boxes that are neither listed nor heard of for long. */
-void memb_tick(struct memb *, int64_t now);
+/*
+ * Time passes: boxes that did not answer are dead, and those that are dead
+ * for long and not listed are forgotten.  True if somebody died.
+ */
+bool memb_tick(struct memb *, int64_t now);
 
 /* We were paused for `away` ns: what we did not hear meanwhile tells nothing.
  */
@@ -89,8 +108,11 @@
 /* The weight of a box for a key, as memb_is_first() ranks them. */
 uint64_t memb_weight(struct str key, struct str box);
 
-/* Copy up to n members at random, for gossip; returns how many. */
-size_t memb_sample(const struct memb *, const struct rnd *, int64_t now,
+/*
+ * Up to n members worth passing on to a box: what is held of that box itself
+ * if that is not its own word, then news, then one at random.
+ */
+size_t memb_news(struct memb *, const struct rnd *, struct str to,
     const struct memb_member **, size_t n);
 
 void memb_info_copy(struct memb_info *, const struct memb_info *);
--- a/msg.h
+++ b/msg.h
@@ -49,6 +49,8 @@
 	struct memb_info self;
 	uint64_t digest;
 	uint64_t floor;
+	uint64_t members; /* how many the sender knows */
+	bool asks; /* an answer is wanted */
 	struct msg_list others; /* struct memb_info */
 };
 
