--- a/Makefile
+++ b/Makefile
@@ -55,8 +55,23 @@
 	./regress/setup
 	./configure
 
+# make check SANITIZE=1 builds all anew with the sanitizers, and back.
+ifeq ($(SANITIZE),1)
+SAN = -fsanitize=address,undefined -fno-omit-frame-pointer
+CFLAGS += $(SAN)
+CXXFLAGS += $(SAN)
+LDLIBS += $(SAN)
+export ASAN_OPTIONS = detect_leaks=0
+export UBSAN_OPTIONS = halt_on_error=1
+endif
+
+flavour:
+	@[ "$$(cat .flavour 2>/dev/null)" = "san$(SANITIZE)" ] || \
+	    $(MAKE) clean-objects
+	@echo "san$(SANITIZE)" >.flavour
+
 # Built with all processors; CI runs on a machine of its own.
-build-all:
+build-all: flavour
 	$(MAKE) -j $$(nproc) $(PROGS) $(STANDINS) $(TESTS) $(BENCHES)
 
 check: build-all
@@ -87,9 +102,11 @@
 	install -m 644 man/*.7 $(DESTDIR)$(PREFIX)/share/man/man7
 	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
 
-clean:
-	rm -f *.o *.d *.a regress/*.o regress/*.d config.mk
+clean-objects:
+	rm -f *.o *.d *.a regress/*.o regress/*.d
 	rm -f $(PROGS) $(STANDINS) $(TESTS) $(BENCHES)
+clean: clean-objects
+	rm -f config.mk .flavour
 
-.PHONY: all build-all check demo soak prove format install clean \
+.PHONY: all flavour clean-objects build-all check demo soak prove format install clean \
 	bench-pick bench-gate bench-tail bench-capacity
--- a/agent_main.c
+++ b/agent_main.c
@@ -147,7 +147,7 @@
 	if (a->last_tick != 0 && gap > PAUSE_NS) {
 		slog(SLOG_AGENT, "Was paused for %lld ms; looks anew.",
 		    (long long)(gap / NS_MS));
-		memb_paused(a->memb, gap);
+		memb_paused(a->memb);
 		agent_watch_resume(a);
 	}
 	a->last_tick = now;
--- a/agent_peer.c
+++ b/agent_peer.c
@@ -15,9 +15,14 @@
 #include "slog.h"
 
 /* Up to so many boxes a change is pushed to all; beyond, to one's hall. */
-enum { PUSH_ALL_MAX = 32, GOSSIP_MEMBERS = 12, SEEDS_PER_ROUND = 2 };
+enum {
+	PUSH_ALL_MAX = 32,
+	GOSSIP_MEMBERS = 12,
+	SEEDS_PER_ROUND = 2,
+	SEEDS_ONE_IN = 10
+};
 
-#define MEMBERS_AGAIN_NS (5 * NS_S)
+#define MEMBERS_AGAIN_NS (30 * NS_S)
 #define GATE_SILENT_NS (4 * NS_S)
 
 static void on_hello_due(void *);
@@ -58,7 +63,7 @@
 	m.u.hello.self = *memb_self(a->memb);
 	m.u.hello.digest = conf_digest(a->conf);
 	m.u.hello.floor = conf_floor(a->conf);
-	m.u.hello.members = memb_count_alive(a->memb, clk_ns(a->clk));
+	m.u.hello.members = memb_count_alive(a->memb);
 	m.u.hello.asks = asks;
 	m.u.hello.others.items = infos;
 	m.u.hello.others.n = n;
@@ -89,7 +94,10 @@
 		send_hello(a, m->info.inbox, m->info.box, true);
 }
 
-/* Seeds are asked while they are needed: until we know some box. */
+/*
+ * Seeds are asked while we know no other box, and then so seldom that they
+ * get few questions from the whole fleet.
+ */
 static void
 ask_seeds(struct agent *a)
 {
@@ -109,10 +117,11 @@
 {
 	struct agent *a = ctx;
 	int64_t now = clk_ns(a->clk);
+	size_t alive = memb_count_alive(a->memb);
 
 	ask(a, a->set.hall);
 	ask(a, str_c(NULL));
-	if (memb_count_alive(a->memb, now) < 2 || rnd_below(a->rnd, 10) == 0)
+	if (rnd_below(a->rnd, SEEDS_ONE_IN * (alive - 1)) == 0)
 		ask_seeds(a);
 	send_gate_hello(a);
 	tmr_set(&a->tmr, &a->hello_timer,
@@ -122,7 +131,6 @@
 struct gather {
 	struct agent *agent;
 	GArray *infos;
-	int64_t now;
 	uint64_t hash;
 };
 
@@ -132,7 +140,7 @@
 	struct gather *g = ctx;
 	uint64_t h;
 
-	if (!memb_alive(g->agent->memb, m, g->now))
+	if (!memb_alive(m))
 		return;
 	g_array_append_val(g->infos, m->info);
 	h = m->info.boot * 2 + m->info.ready;
@@ -143,7 +151,7 @@
 static void
 send_all_members(struct agent *a, struct str to)
 {
-	struct gather g = {a, NULL, clk_ns(a->clk), 0};
+	struct gather g = {a, NULL, 0};
 	struct msg m = {.kind = MSG_MEMBERS};
 
 	g.infos = g_array_new(FALSE, FALSE, sizeof(struct memb_info));
@@ -172,11 +180,11 @@
 	bool news;
 
 	news = memb_heard(a->memb, &h->self, now);
-	memb_answered(a->memb, h->self.box, now);
+	memb_answered(a->memb, h->self.box);
 	take_members(a, h->others.items, h->others.n);
 	if (h->asks || news)
 		send_hello(a, m->from, h->self.box, false);
-	if (h->members * 2 < memb_count_alive(a->memb, now))
+	if (h->members * 2 < memb_count_alive(a->memb))
 		send_all_members(a, m->from);
 	sync_compare(&a->sync, m->from, h->digest, h->floor);
 	send_members(a, now);
@@ -218,7 +226,7 @@
 static void
 send_members(struct agent *a, int64_t now)
 {
-	struct gather g = {a, NULL, now, 1};
+	struct gather g = {a, NULL, 1};
 	struct msg m = {.kind = MSG_MEMBERS};
 
 	g.infos = g_array_new(FALSE, FALSE, sizeof(struct memb_info));
@@ -241,7 +249,7 @@
 
 	if (memb_tick(a->memb, now))
 		slog(SLOG_PEER, "A box did not answer: %zu are alive.",
-		    memb_count_alive(a->memb, now));
+		    memb_count_alive(a->memb));
 	if (conf_digest(a->conf) != a->status_told)
 		agent_status_soon(a);
 	if (self->ready && now - a->gate_heard > GATE_SILENT_NS) {
@@ -258,7 +266,6 @@
 	struct msg *msg;
 	const struct conf_entry *entry;
 	bool all;
-	int64_t now;
 };
 
 static void
@@ -267,7 +274,7 @@
 	struct spread *s = ctx;
 	struct agent *a = s->agent;
 
-	if (!memb_alive(a->memb, m, s->now) && s->entry != NULL)
+	if (!memb_alive(m) && s->entry != NULL)
 		return;
 	if (!s->all && !str_eq(m->info.hall, a->set.hall))
 		return;
@@ -281,9 +288,9 @@
 void
 agent_peer_spread(struct agent *a, const struct conf_entry *e)
 {
-	struct spread s = {a, NULL, e, false, clk_ns(a->clk)};
+	struct spread s = {a, NULL, e, false};
 
-	s.all = memb_count_alive(a->memb, s.now) <= PUSH_ALL_MAX;
+	s.all = memb_count_alive(a->memb) <= PUSH_ALL_MAX;
 	sync_push(&a->sync, a->set.gate_inbox, e);
 	if (a->from_platform)
 		memb_each(a->memb, spread_to, &s);
@@ -292,7 +299,7 @@
 void
 agent_peer_all(struct agent *a, struct msg *m)
 {
-	struct spread s = {a, m, NULL, true, clk_ns(a->clk)};
+	struct spread s = {a, m, NULL, true};
 
 	memb_each(a->memb, spread_to, &s);
 }
--- a/agent_probe.c
+++ b/agent_probe.c
@@ -217,9 +217,7 @@
 
 /* Does a box of this hall live?  If none does, any box may probe there. */
 struct hall_query {
-	struct agent *agent;
 	struct str hall;
-	int64_t now;
 	bool found;
 };
 
@@ -228,20 +226,18 @@
 {
 	struct hall_query *q = ctx;
 
-	if (str_eq(m->info.hall, q->hall) &&
-	    memb_alive(q->agent->memb, m, q->now))
+	if (str_eq(m->info.hall, q->hall) && memb_alive(m))
 		q->found = true;
 }
 
 static bool
-is_prober(struct agent *a, struct str backend, struct str hall, int64_t now)
+is_prober(struct agent *a, struct str backend, struct str hall)
 {
-	struct hall_query q = {a, hall, now, str_eq(hall, a->set.hall)};
+	struct hall_query q = {hall, str_eq(hall, a->set.hall)};
 
 	if (!q.found)
 		memb_each(a->memb, find_in_hall, &q);
-	return memb_is_first(
-	    a->memb, backend, q.found ? hall : str_c(NULL), 1, now);
+	return memb_is_first(a->memb, backend, q.found ? hall : str_c(NULL), 1);
 }
 
 static void
@@ -255,7 +251,7 @@
 	for (i = 0; i < svc->nhalls; i++) {
 		h = &svc->halls[i];
 		for (j = 0; j < h->n; j++)
-			if (is_prober(a, h->backends[j].name, h->hall, now))
+			if (is_prober(a, h->backends[j].name, h->hall))
 				probe_want(a->probe, h->backends[j].name,
 				    h->backends[j].address,
 				    svc->obj->probe_path,
--- a/agent_stat.c
+++ b/agent_stat.c
@@ -52,7 +52,7 @@
 {
 	const struct wire_totals *lc = wire_counts(a->wire);
 
-	cnt_set(a->cnt, AC_MEMBERS, memb_count_alive(a->memb, clk_ns(a->clk)));
+	cnt_set(a->cnt, AC_MEMBERS, memb_count_alive(a->memb));
 	cnt_set(a->cnt, AC_OBJECTS, conf_count(a->conf));
 	cnt_set(a->cnt, AC_SYNC_MESSAGES, a->sync.messages);
 	cnt_set(a->cnt, AC_PROBES, probe_started(a->probe));
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -82,8 +82,8 @@
 bool
 agent_is_watcher(struct agent *a)
 {
-	return memb_is_first(a->memb, STR_LIT("watch"), a->set.hall,
-	    (int)a->set.watchers, clk_ns(a->clk));
+	return memb_is_first(
+	    a->memb, STR_LIT("watch"), a->set.hall, (int)a->set.watchers);
 }
 
 void
@@ -279,7 +279,6 @@
 take_boxes(struct agent *a, json_t *body)
 {
 	json_t *boxes = json_object_get(body, "boxes"), *box;
-	int64_t now = clk_ns(a->clk);
 	size_t i;
 
 	memb_list_begin(a->memb);
@@ -293,7 +292,7 @@
 				json_object_get(box, "hall"))),
 			    str_c(json_string_value(
 				json_object_get(box, "inbox"))),
-			    json_is_true(json_object_get(box, "leaving")), now);
+			    json_is_true(json_object_get(box, "leaving")));
 	}
 }
 
@@ -325,7 +324,7 @@
 {
 	int64_t now = clk_ns(a->clk);
 	int64_t spread =
-	    (int64_t)memb_count_alive(a->memb, now) * NS_S / STATUS_FLEET_RATE;
+	    (int64_t)memb_count_alive(a->memb) * NS_S / STATUS_FLEET_RATE;
 
 	int64_t at = now + rnd_jitter(a->rnd, STATUS_SOON_NS + spread);
 
--- a/gate_home.c
+++ b/gate_home.c
@@ -23,6 +23,8 @@
 
 static struct gate_peer *find(struct gate *, struct str);
 static bool usable(const struct gate_peer *, int64_t);
+static bool hall_serves(const struct gate *, struct str, int64_t);
+static struct str shard_key(char *, size_t, struct str, struct str);
 static void tell_room(struct gate *, struct gate_shard *, int64_t);
 
 static struct gate_peer *
@@ -46,6 +48,32 @@
 	    p->info.pass.n > 0 && now >= p->suspect_until;
 }
 
+static struct str
+shard_key(char *text, size_t size, struct str service, struct str hall)
+{
+	int n =
+	    snprintf(text, size, "%.*s/%.*s", STR_ARG(service), STR_ARG(hall));
+
+	return str_n(text, (size_t)MIN(n, (int)size - 1));
+}
+
+/* Does any gate of a hall serve? */
+static bool
+hall_serves(const struct gate *g, struct str hall, int64_t now)
+{
+	const struct gate_peer *p;
+	guint i;
+
+	if (str_eq(g->set.hall, hall) && !gate_box_leaving(g))
+		return true;
+	for (i = 0; i < g->peers->len; i++) {
+		p = g_ptr_array_index(g->peers, i);
+		if (usable(p, now) && str_eq(p->info.hall, hall))
+			return true;
+	}
+	return false;
+}
+
 /*
  * The home of a shard is the gate with the highest weight for it among those
  * of the shard's hall that serve, or among all, where that hall has none.
@@ -55,42 +83,26 @@
 gate_home(struct gate *g, struct str service, struct str hall, bool *self)
 {
 	int64_t now = clk_ns(g->clk);
-	uint64_t w, best_w = 0;
 	struct gate_peer *p, *best = NULL;
+	uint64_t w, best_w = 0;
 	char text[300];
-	struct str key;
-	bool near, any_near = false, near_self;
+	struct str key = shard_key(text, sizeof(text), service, hall);
+	bool near = hall_serves(g, hall, now);
 	guint i;
-	int n;
 
-	n = snprintf(
-	    text, sizeof(text), "%.*s/%.*s", STR_ARG(service), STR_ARG(hall));
-	key = str_n(text, (size_t)MIN(n, (int)sizeof(text) - 1));
-	near_self = str_eq(g->set.hall, hall) && !gate_box_leaving(g);
-	any_near = near_self;
-	for (i = 0; i < g->peers->len && !any_near; i++) {
-		p = g_ptr_array_index(g->peers, i);
-		any_near = usable(p, now) && str_eq(p->info.hall, hall);
-	}
-	*self = !gate_box_leaving(g) && (near_self || !any_near);
-	if (*self)
+	if (!gate_box_leaving(g) && (!near || str_eq(g->set.hall, hall)))
 		best_w = memb_weight(key, g->set.box);
 	for (i = 0; i < g->peers->len; i++) {
 		p = g_ptr_array_index(g->peers, i);
-		near = str_eq(p->info.hall, hall);
-		if (!usable(p, now) || (any_near && !near))
+		if (!usable(p, now) || (near && !str_eq(p->info.hall, hall)))
 			continue;
 		w = memb_weight(key, p->info.box);
-		if (best == NULL && !*self)
-			best_w = 0;
-		if (w > best_w) {
-			best_w = w;
-			best = p;
-			*self = false;
-		}
+		if (w < best_w)
+			continue;
+		best_w = w;
+		best = p;
 	}
-	if (best == NULL)
-		*self = true;
+	*self = best == NULL;
 	return best;
 }
 
--- a/gate_req.c
+++ b/gate_req.c
@@ -171,46 +171,67 @@
 }
 
 static bool
-over_limit(struct gate_req *r, const struct route_rule *rule)
+rule_limited(struct gate_req *r, const struct route_rule *rule, double share)
 {
 	struct gate *g = r->gate;
-	int64_t now = r->began;
-	double share = 1.0 / MAX(g->boxes, 1u);
-	struct sockaddr_storage sa;
 	struct limit *l;
+
+	if (rule->obj->rate == 0)
+		return false;
+	l = g_hash_table_lookup(g->rule_limits, rule->name.p);
+	if (l == NULL) {
+		l = g_new0(struct limit, 1);
+		g_hash_table_insert(g->rule_limits, g_strdup(rule->name.p), l);
+	}
+	return !limit_take(l, (double)rule->obj->rate * share, r->began);
+}
+
+/* Who calls: by the rule's header, else by address; valid until *sa goes. */
+static struct str
+caller_of(const struct gate_req *r, const struct route_rule *rule,
+    struct sockaddr_storage *sa)
+{
 	struct str caller = {0};
+
+	if (rule->obj->caller_header.n > 0)
+		caller = hsrv_header(r->req, rule->obj->caller_header.p);
+	if (caller.n > 0)
+		return caller;
+	memset(sa, 0, sizeof(*sa));
+	r->req->conn->callbacks->get_peername(
+	    r->req->conn, (struct sockaddr *)sa);
+	if (sa->ss_family == AF_INET6)
+		return str_n(
+		    (char *)&((struct sockaddr_in6 *)sa)->sin6_addr, 16);
+	return str_n((char *)&((struct sockaddr_in *)sa)->sin_addr, 4);
+}
+
+static bool
+caller_limited(struct gate_req *r, const struct route_rule *rule, double share)
+{
+	struct sockaddr_storage sa;
+	struct str caller;
 	char key[256];
-	int n;
+	size_t n;
 
-	if (rule->obj->rate > 0) {
-		l = g_hash_table_lookup(g->rule_limits, rule->name.p);
-		if (l == NULL) {
-			l = g_new0(struct limit, 1);
-			g_hash_table_insert(
-			    g->rule_limits, g_strdup(rule->name.p), l);
-		}
-		if (!limit_take(l, (double)rule->obj->rate * share, now))
-			return true;
-	}
 	if (rule->obj->caller_rate == 0)
 		return false;
-	if (rule->obj->caller_header.n > 0)
-		caller = hsrv_header(r->req, rule->obj->caller_header.p);
-	if (caller.n == 0) {
-		memset(&sa, 0, sizeof(sa));
-		r->req->conn->callbacks->get_peername(
-		    r->req->conn, (struct sockaddr *)&sa);
-		caller = sa.ss_family == AF_INET6
-		    ? str_n(
-			  (char *)&((struct sockaddr_in6 *)&sa)->sin6_addr, 16)
-		    : str_n((char *)&((struct sockaddr_in *)&sa)->sin_addr, 4);
-	}
-	n = snprintf(key, sizeof(key), "%.*s ", STR_ARG(rule->name));
-	caller.n = MIN(caller.n, sizeof(key) - (size_t)n);
+	caller = caller_of(r, rule, &sa);
+	n = (size_t)snprintf(key, sizeof(key), "%.*s ", STR_ARG(rule->name));
+	caller.n = MIN(caller.n, sizeof(key) - n);
 	memcpy(key + n, caller.p, caller.n);
-	return !limit_table_take(g->caller_limits,
-	    str_n(key, (size_t)n + caller.n),
-	    (double)rule->obj->caller_rate * share, now);
+	return !limit_table_take(r->gate->caller_limits,
+	    str_n(key, n + caller.n), (double)rule->obj->caller_rate * share,
+	    r->began);
+}
+
+/* Each gate that serves enforces its share of the fleet's limits. */
+static bool
+over_limit(struct gate_req *r, const struct route_rule *rule)
+{
+	double share = 1.0 / MAX(r->gate->boxes, 1u);
+
+	return rule_limited(r, rule, share) || caller_limited(r, rule, share);
 }
 
 /*
--- a/memb.c
+++ b/memb.c
@@ -178,11 +178,10 @@
 }
 
 void
-memb_answered(struct memb *mb, struct str box, int64_t now)
+memb_answered(struct memb *mb, struct str box)
 {
 	struct memb_member *m = find(mb, box);
 
-	(void)now;
 	if (m != NULL)
 		m->asked = 0;
 }
@@ -234,11 +233,10 @@
 
 void
 memb_listed(struct memb *mb, struct str box, struct str hall, struct str inbox,
-    bool leaving, int64_t now)
+    bool leaving)
 {
 	struct memb_member *m;
 
-	(void)now;
 	if (str_eq(box, mb->self.box))
 		return;
 	m = find(mb, box);
@@ -279,12 +277,11 @@
 }
 
 void
-memb_paused(struct memb *mb, int64_t away)
+memb_paused(struct memb *mb)
 {
 	struct memb_member *m;
 	guint i;
 
-	(void)away;
 	for (i = 0; i < mb->members->len; i++) {
 		m = g_ptr_array_index(mb->members, i);
 		m->asked = 0;
@@ -292,10 +289,8 @@
 }
 
 bool
-memb_alive(const struct memb *mb, const struct memb_member *m, int64_t now)
+memb_alive(const struct memb_member *m)
 {
-	(void)mb;
-	(void)now;
 	return m->heard != 0 && !m->info.dead && !m->info.leaving;
 }
 
@@ -309,13 +304,13 @@
 }
 
 size_t
-memb_count_alive(const struct memb *mb, int64_t now)
+memb_count_alive(const struct memb *mb)
 {
 	size_t n = 1;
 	guint i;
 
 	for (i = 0; i < mb->members->len; i++)
-		n += memb_alive(mb, g_ptr_array_index(mb->members, i), now);
+		n += memb_alive(g_ptr_array_index(mb->members, i));
 	return n;
 }
 
@@ -326,8 +321,7 @@
 }
 
 bool
-memb_is_first(
-    const struct memb *mb, struct str key, struct str hall, int k, int64_t now)
+memb_is_first(const struct memb *mb, struct str key, struct str hall, int k)
 {
 	uint64_t own = memb_weight(key, mb->self.box);
 	const struct memb_member *m;
@@ -339,7 +333,7 @@
 		return false;
 	for (i = 0; i < mb->members->len; i++) {
 		m = g_ptr_array_index(mb->members, i);
-		if (!memb_alive(mb, m, now))
+		if (!memb_alive(m))
 			continue;
 		if (hall.n > 0 && !str_eq(hall, m->info.hall))
 			continue;
--- a/memb.h
+++ b/memb.h
@@ -65,7 +65,7 @@
 
 /* A box was asked; it answered, or told something by itself. */
 void memb_asked(struct memb *, struct str box, int64_t now);
-void memb_answered(struct memb *, struct str box, int64_t now);
+void memb_answered(struct memb *, struct str box);
 
 /*
  * Whom to ask next: any box (hall empty) or one of a hall, at random; now and
@@ -77,7 +77,7 @@
 /* The platform's list names a box; those not named since begin are unlisted. */
 void memb_list_begin(struct memb *);
 void memb_listed(struct memb *, struct str box, struct str hall,
-    struct str inbox, bool leaving, int64_t now);
+    struct str inbox, bool leaving);
 
 /*
  * Time passes: boxes that did not answer are dead, and those that are dead
@@ -85,25 +85,23 @@
  */
 bool memb_tick(struct memb *, int64_t now);
 
-/* We were paused for `away` ns: what we did not hear meanwhile tells nothing.
- */
-void memb_paused(struct memb *, int64_t away);
+/* We were paused: that nobody answered meanwhile tells nothing. */
+void memb_paused(struct memb *);
 
-bool memb_alive(const struct memb *, const struct memb_member *, int64_t now);
+bool memb_alive(const struct memb_member *);
 
 /* Visit all members except ourselves. */
 typedef void memb_visit_fn(void *, const struct memb_member *);
 void memb_each(const struct memb *, memb_visit_fn *, void *);
 
-size_t memb_count_alive(const struct memb *, int64_t now);
+size_t memb_count_alive(const struct memb *);
 
 /*
  * Is our box among the k that come first for a key, by highest random
  * weight over the boxes of `hall` that are alive (of all, if hall is empty)?
  * Needs no agreement: boxes that see other lists may both think so.
  */
-bool memb_is_first(
-    const struct memb *, struct str key, struct str hall, int k, int64_t now);
+bool memb_is_first(const struct memb *, struct str key, struct str hall, int k);
 
 /* The weight of a box for a key, as memb_is_first() ranks them. */
 uint64_t memb_weight(struct str key, struct str box);
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -349,20 +349,20 @@
 	b.boot = 5;
 	b.beat = 10;
 	EXPECT_TRUE(memb_heard(m, &b, NS_S));
-	EXPECT_EQ(2u, memb_count_alive(m, NS_S));
+	EXPECT_EQ(2u, memb_count_alive(m));
 	EXPECT_FALSE(memb_heard(m, &b, 2 * NS_S));
 	b.leaving = true;
 	EXPECT_TRUE(memb_heard(m, &b, 2 * NS_S));
-	EXPECT_EQ(1u, memb_count_alive(m, 2 * NS_S));
+	EXPECT_EQ(1u, memb_count_alive(m));
 	/* A word from before it left changes nothing. */
 	b.leaving = false;
 	EXPECT_FALSE(memb_heard(m, &b, 2 * NS_S));
-	EXPECT_EQ(1u, memb_count_alive(m, 2 * NS_S));
+	EXPECT_EQ(1u, memb_count_alive(m));
 	/* A new start does. */
 	b.boot = 6;
 	b.beat = 1;
 	EXPECT_TRUE(memb_heard(m, &b, 3 * NS_S));
-	EXPECT_EQ(2u, memb_count_alive(m, 3 * NS_S));
+	EXPECT_EQ(2u, memb_count_alive(m));
 	b.boot = 4;
 	b.beat = 99;
 	EXPECT_FALSE(memb_heard(m, &b, 3 * NS_S));
@@ -384,20 +384,20 @@
 	/* Silence alone says nothing; a question without answer does. */
 	EXPECT_FALSE(memb_tick(m, now += 60 * NS_S));
 	memb_asked(m, b.box, now);
-	memb_answered(m, b.box, now);
+	memb_answered(m, b.box);
 	EXPECT_FALSE(memb_tick(m, now += 10 * NS_S));
 	memb_asked(m, b.box, now);
 	/* It was we who were paused: ask anew. */
-	memb_paused(m, 10 * NS_S);
+	memb_paused(m);
 	EXPECT_FALSE(memb_tick(m, now += 10 * NS_S));
 	memb_asked(m, b.box, now);
 	EXPECT_TRUE(memb_tick(m, now += 10 * NS_S));
-	EXPECT_EQ(1u, memb_count_alive(m, now));
+	EXPECT_EQ(1u, memb_count_alive(m));
 	EXPECT_FALSE(memb_heard(m, &b, now));
-	EXPECT_EQ(1u, memb_count_alive(m, now));
+	EXPECT_EQ(1u, memb_count_alive(m));
 	b.beat = 2;
 	EXPECT_TRUE(memb_heard(m, &b, now));
-	EXPECT_EQ(2u, memb_count_alive(m, now));
+	EXPECT_EQ(2u, memb_count_alive(m));
 	/* We hear that we are dead, and refute that. */
 	told.box = self.box;
 	told.boot = 3;
@@ -460,8 +460,7 @@
 			o.boot = o.beat = 1;
 			memb_heard(m, &o, NS_S);
 		}
-		first +=
-		    memb_is_first(m, STR_LIT("watch"), STR_LIT("n"), K, NS_S);
+		first += memb_is_first(m, STR_LIT("watch"), STR_LIT("n"), K);
 		memb_free(m);
 	}
 	EXPECT_EQ(K, first);
