A backend server of which nothing is known is tried first

Cause: the check in a fresh clone failed once, in Promise.ADrainIsKeptByItsOwnAnswers (30 s without a first request to one of four backend servers). An unknown one was taken to need 5 ms, so that it was never tried at low load while others were measured faster: the verdict hung on the machine's speed.

Ruled out: the drain itself; rules or boxes not ready.

Change: what has no usual time yet and nothing in flight is tried first, one request at a time as it is cold; it does not count for the least cost.

--- a/pick_fern.c
+++ b/pick_fern.c
@@ -55,7 +55,7 @@
 	unsigned i;
 
 	for (i = 0; i < set->n; i++) {
-		if (!pick_usable(set->v[i], now))
+		if (!pick_usable(set->v[i], now) || set->v[i]->usual == 0)
 			continue;
 		c = cost(set->v[i], now);
 		if (c < least)
@@ -115,6 +115,9 @@
 		    (cls == CLASS_BULK && !bulk_fits(set, b)))
 			continue;
 		c = cost(b, now);
+		/* What is not known yet is tried, or it never would be. */
+		if (b->usual == 0 && b->inflight == 0)
+			c = 0;
 		if (b->inflight > 0 && c > least * SLOW_FACTOR)
 			continue;
 		if (b == avoid)
--- a/regress/test_disp.cpp
+++ b/regress/test_disp.cpp
@@ -612,6 +612,25 @@
 	EXPECT_LT(fern.p(99.9), naive.p(99.9));
 }
 
+TEST(Disp, ANewOneIsTriedAlthoughTheOthersAreFast)
+{
+	World w;
+	Req r;
+
+	w.backends(1, 3);
+	for (int i = 0; i < 20; i++) {
+		Req fast;
+
+		w.arrive(&fast);
+		w.now += NS_MS;
+		w.done(&fast, DISP_OK);
+	}
+	w.backends(2, 3);
+	w.arrive(&r);
+	EXPECT_TRUE(str_eq(r.d.at->name, STR_LIT("b1")));
+	w.done(&r, DISP_OK);
+}
+
 TEST(Disp, OneWithAnOldRequestIsTakenLast)
 {
 	World w;
