--- a/conf.h
+++ b/conf.h
@@ -74,7 +74,10 @@
  */
 void conf_complete(struct conf *, uint64_t revision, GHashTable *keys);
 
-/* All changes up to `revision` have been offered, as by a watch. */
+/*
+ * What is here is complete up to `revision`: by a list, or because a peer
+ * with an equal digest says so of its own.  A watch may skip, and is no ground.
+ */
 void conf_raise_floor(struct conf *, uint64_t revision);
 uint64_t conf_floor(const struct conf *);
 
