--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,12 @@
 
 include config.mk
 
-PROGS = ferngate fernagent fernctl
+# Where the sources are; objects go where make runs.
+SRC = .
+vpath %.c $(SRC)
+vpath %.cpp $(SRC)
+
+PROGS = ferngate fernagent fernbox fernctl
 STANDINS = regress/standin_platform regress/standin_backend \
 	regress/standin_proxy
 UNIT_TESTS = regress/test_units regress/test_conf regress/test_disp
@@ -11,13 +16,16 @@
 BENCHES = regress/bench_pick regress/bench_gate regress/bench_tail \
 	regress/bench_capacity regress/soak regress/demo
 
-COMMON = chart.o clk.o cnt.o conf.o daemon.o disp.o disp_pass.o disp_set.o doc_toml.o err.o field.o hsrv.o \
-	limit.o memb.o msg.o obj.o pick.o pick_fern.o pick_naive.o \
-	plat_http.o probe.o queue.o route.o sel.o set.o slog.o str.o sync.o \
+COMMON = chart.o clk.o cnt.o conf.o daemon.o dial.o disp.o disp_pass.o \
+	disp_set.o doc_toml.o err.o field.o hsrv.o limit.o memb.o msg.o obj.o \
+	pick.o pick_fern.o pick_naive.o plat.o plat_fern.o plat_http.o \
+	platform/pf_config.o platform/pf_dial.o platform/pf_store.o \
+	probe.o queue.o route.o sel.o set.o slog.o str.o sync.o \
 	tmr.o up.o wire_zmq.o
-GATE = gate_box.o gate_claim.o gate_conf.o gate_flow.o gate_home.o gate_main.o \
-	gate_req.o gate_stat.o gate_try.o
-AGENT = agent_main.o agent_peer.o agent_probe.o agent_stat.o agent_watch.o
+GATE = gate_box.o gate_claim.o gate_conf.o gate_flow.o gate_home.o gate_open.o \
+	gate_pass.o gate_req.o gate_stat.o gate_try.o
+AGENT = agent_lapse.o agent_open.o agent_peer.o agent_probe.o agent_stat.o \
+	agent_watch.o
 CTL = ctl_call.o ctl_edit.o ctl_main.o ctl_show.o
 FLEET = regress/fleet.o regress/fleet_http.o
 
@@ -27,10 +35,12 @@
 	rm -f $@
 	$(AR) rcs $@ $(COMMON)
 
-ferngate: $(GATE) libfern.a
-	$(CXX) -o $@ $(GATE) libfern.a $(LDLIBS)
-fernagent: $(AGENT) libfern.a
-	$(CXX) -o $@ $(AGENT) libfern.a $(LDLIBS)
+ferngate: ferngate.o $(GATE) libfern.a
+	$(CXX) -o $@ ferngate.o $(GATE) libfern.a $(LDLIBS)
+fernagent: fernagent.o $(AGENT) libfern.a
+	$(CXX) -o $@ fernagent.o $(AGENT) libfern.a $(LDLIBS)
+fernbox: fernbox.o $(GATE) $(AGENT) libfern.a
+	$(CXX) -o $@ fernbox.o $(GATE) $(AGENT) libfern.a $(LDLIBS)
 fernctl: $(CTL) libfern.a
 	$(CXX) -o $@ $(CTL) libfern.a $(LDLIBS)
 
@@ -45,15 +55,15 @@
 
 .SUFFIXES: .c .cpp .o
 .c.o:
-	$(CC) $(CFLAGS) -I. -MMD -MP -c -o $@ $<
+	$(CC) $(CFLAGS) -I$(SRC) -MMD -MP -c -o $@ $<
 .cpp.o:
-	$(CXX) $(CXXFLAGS) -I. -MMD -MP -c -o $@ $<
+	$(CXX) $(CXXFLAGS) -I$(SRC) -MMD -MP -c -o $@ $<
 
--include $(wildcard *.d regress/*.d)
+-include $(wildcard *.d platform/*.d regress/*.d)
 
-config.mk: configure regress/setup
-	./regress/setup
-	./configure
+config.mk: $(SRC)/configure $(SRC)/regress/setup
+	$(SRC)/regress/setup
+	$(SRC)/configure
 
 # make check SANITIZE=1 builds all anew with the sanitizers, and back.
 ifeq ($(SANITIZE),1)
@@ -90,7 +100,7 @@
 	FERN_ROOT=. ./regress/$(subst -,_,$@)
 
 format:
-	clang-format -i *.c *.h *.cpp regress/*.c regress/*.h regress/*.cpp
+	clang-format -i *.c *.h *.cpp platform/*.[ch] regress/*.c regress/*.h regress/*.cpp
 
 install: all
 	install -d $(DESTDIR)$(PREFIX)/sbin $(DESTDIR)$(PREFIX)/bin
@@ -98,7 +108,7 @@
 	install -d $(DESTDIR)$(PREFIX)/share/man/man1
 	install -d $(DESTDIR)$(PREFIX)/share/man/man7
 	install -d $(DESTDIR)$(PREFIX)/share/man/man8
-	install ferngate fernagent $(DESTDIR)$(PREFIX)/sbin
+	install ferngate fernagent fernbox $(DESTDIR)$(PREFIX)/sbin
 	install fernctl $(DESTDIR)$(PREFIX)/bin
 	install -m 644 charts/*.toml \
 	    $(DESTDIR)$(PREFIX)/share/fernjunction/charts
@@ -107,7 +117,7 @@
 	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
 
 clean-objects:
-	rm -f *.o *.d *.a regress/*.o regress/*.d
+	rm -f *.o *.d *.a platform/*.o platform/*.d regress/*.o regress/*.d
 	rm -f $(PROGS) $(STANDINS) $(TESTS) $(BENCHES)
 clean: clean-objects
 	rm -f config.mk .flavour
--- a/agent_main.c
+++ b/agent_open.c
@@ -11,15 +11,15 @@
 #include <signal.h>
 
 #include "libagent.h"
-#include "daemon.h"
 #include "set.h"
 #include "slog.h"
 
-enum { TICK_MS = 100, LEAVE_MS = 300, ADMIN_BODY_MAX = 4096 };
+enum { LEAVE_MS = 300, ADMIN_BODY_MAX = 4096 };
+#define TICK_NS (100 * NS_MS)
 /* A tick that comes so late tells that the process was paused. */
 #define PAUSE_NS (2 * NS_S)
 
-static void on_tick(uv_timer_t *);
+static void on_tick(void *);
 static void on_signal(uv_signal_t *, int);
 static void on_left(void *);
 static void on_conf_changed(void *, const struct conf_entry *);
@@ -44,7 +44,7 @@
     {.name = "admin_listen",
 	.type = FIELD_ADDRESS,
 	.offset = F(admin_listen),
-	.required = true},
+	.text_dflt = ""},
     {.name = "platform",
 	.type = FIELD_ADDRESS,
 	.offset = F(platform),
@@ -80,20 +80,48 @@
 	.dflt = 30000,
 	.min = 500,
 	.max = 3600000},
+    {.name = "watch_ms",
+	.type = FIELD_INT,
+	.offset = F(watch_ms),
+	.dflt = 20000,
+	.min = 500,
+	.max = 30000},
+    {.name = "retry_ms",
+	.type = FIELD_INT,
+	.offset = F(retry_ms),
+	.dflt = 15000,
+	.min = 250,
+	.max = 600000},
+    {.name = "status_ms",
+	.type = FIELD_INT,
+	.offset = F(status_ms),
+	.dflt = 0,
+	.min = 0,
+	.max = 86400000},
+    {.name = "platform_form",
+	.type = FIELD_NAME,
+	.offset = F(form),
+	.text_dflt = "fern"},
 };
 
-static bool
-load(void *ctx, const char *file, GError **err)
+bool
+agent_load(struct agent *a, const char *file, const char *section, GError **err)
 {
-	struct agent *a = ctx;
-
-	return set_load(file, fields, G_N_ELEMENTS(fields), &a->set, err);
+	if (!set_load(
+		file, section, fields, G_N_ELEMENTS(fields), &a->set, err))
+		return false;
+	a->form = plat_form_by_name(a->set.form);
+	if (a->form == NULL)
+		return err_set(err, ERR_SETTINGS,
+		    "%s: platform_form: found \"%s\"; allowed is fern or "
+		    "objects",
+		    file, a->set.form.p);
+	return true;
 }
 
-static bool
-open_all(void *ctx, GError **err)
+bool
+agent_open(struct agent *a, GError **err)
 {
-	struct agent *a = ctx;
 	struct memb_info self = {
 	    .box = a->set.box,
 	    .hall = a->set.hall,
@@ -106,17 +134,21 @@
 	a->loop = uv_default_loop();
 	tmr_open(&a->tmr, a->loop, a->clk);
 	a->up = up_open(a->loop, &a->tmr, a->clk);
-	a->plat = plat_http_open(a->up, &a->tmr, a->clk, a->set.platform);
+	a->plat = plat_http_open(
+	    a->up, &a->tmr, a->clk, a->set.platform, a->form->codec);
 	a->cnt = agent_stat_open();
 	a->conf = conf_new(on_conf_changed, a);
 	a->memb = memb_new(&self);
 	a->wire = wire_open(a->loop, a->set.inbox, agent_peer_take, a, err);
 	if (a->wire == NULL)
 		return false;
-	a->admin = hsrv_open(a->loop, a->set.admin_listen, ADMIN_BODY_MAX,
-	    agent_stat_page, a, err);
-	if (a->admin == NULL)
-		return false;
+	if (a->set.admin_listen.n > 0) {
+		a->admin = hsrv_open(a->loop, a->set.admin_listen,
+		    ADMIN_BODY_MAX, agent_stat_page, a, err);
+		if (a->admin == NULL)
+			return false;
+	}
+	agent_lapse_open(a);
 	agent_probe_open(a);
 	agent_peer_open(a);
 	agent_watch_open(a);
@@ -139,9 +171,9 @@
 }
 
 static void
-on_tick(uv_timer_t *timer)
+on_tick(void *ctx)
 {
-	struct agent *a = timer->data;
+	struct agent *a = ctx;
 	int64_t now = clk_ns(a->clk), gap = now - a->last_tick;
 
 	if (a->last_tick != 0 && gap > PAUSE_NS) {
@@ -154,6 +186,7 @@
 	agent_peer_tick(a, now);
 	agent_probe_tick(a, now);
 	slog_flush();
+	tmr_set(&a->tmr, &a->tick, now + TICK_NS, on_tick, a);
 }
 
 static void
@@ -181,33 +214,21 @@
 	tmr_set(&a->tmr, &left, clk_ns(a->clk) + LEAVE_MS * NS_MS, on_left, a);
 }
 
-static void
-start_loop(void *ctx)
+void
+agent_start(struct agent *a)
 {
-	struct agent *a = ctx;
+	tmr_set(&a->tmr, &a->tick, clk_ns(a->clk), on_tick, a);
+	slog(
+	    SLOG_AGENT, "Box %s in hall %s runs.", a->set.box.p, a->set.hall.p);
+}
 
-	uv_timer_init(a->loop, &a->tick);
-	a->tick.data = a;
-	uv_timer_start(&a->tick, on_tick, TICK_MS, TICK_MS);
+/* Leave on a signal; an agent beside its gate leaves with the gate. */
+void
+agent_on_signals(struct agent *a)
+{
 	uv_signal_init(a->loop, &a->term);
 	uv_signal_init(a->loop, &a->intr);
 	a->term.data = a->intr.data = a;
 	uv_signal_start(&a->term, on_signal, SIGTERM);
 	uv_signal_start(&a->intr, on_signal, SIGINT);
-	slog(
-	    SLOG_AGENT, "Box %s in hall %s runs.", a->set.box.p, a->set.hall.p);
-	uv_run(a->loop, UV_RUN_DEFAULT);
-}
-
-int
-main(int argc, char **argv)
-{
-	static struct agent agent;
-	const struct daemon_ops ops = {"fernagent",
-	    "The control process of a fernjunction box.", load, open_all,
-	    start_loop, &agent};
-
-	agent.clk = clk_system();
-	agent.rnd = rnd_system();
-	return daemon_main(argc, argv, &ops);
 }
--- a/agent_peer.c
+++ b/agent_peer.c
@@ -278,6 +278,9 @@
 		return;
 	if (!s->all && !str_eq(m->info.hall, a->set.hall))
 		return;
+	/* A watcher hears it from the platform. */
+	if (s->entry != NULL && agent_watches(a, &m->info))
+		return;
 	if (s->entry != NULL)
 		sync_push(&a->sync, m->info.inbox, s->entry);
 	else
--- a/agent_probe.c
+++ b/agent_probe.c
@@ -109,14 +109,11 @@
     const h2o_header_t *headers, size_t n)
 {
 	struct flight *f = ctx;
-	size_t i;
 
 	(void)call;
 	f->found = status < 400 ? PROBE_OK : PROBE_FAILED;
-	for (i = 0; i < n; i++)
-		if (h2o_lcstris(headers[i].name->base, headers[i].name->len,
-			H2O_STRLIT("fern-drain")))
-			f->found = PROBE_DRAINING;
+	if (f->agent->form->dial->drains(headers, n))
+		f->found = PROBE_DRAINING;
 }
 
 static void
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -24,7 +24,6 @@
 #define FIRST_LIST_NS (400 * NS_MS)
 #define RECHECK_NS (1 * NS_S)
 #define BACKOFF_FIRST_NS (250 * NS_MS)
-#define BACKOFF_LAST_NS (15 * NS_S)
 #define BOXES_WATCHER_NS (2 * NS_S)
 #define BOXES_OTHER_NS (60 * NS_S)
 #define STATUS_SOON_NS (300 * NS_MS)
@@ -32,11 +31,9 @@
 /* Statuses of all boxes together: at most so many writes a second. */
 #define STATUS_FLEET_RATE 150
 
-enum { WATCH_WAIT_MS = 20000, LIST_TIMEOUT_MS = 5000, BACKOFF_SHIFT_MAX = 7 };
+enum { LIST_TIMEOUT_MS = 5000, BACKOFF_SHIFT_MAX = 7 };
 
-static const struct str config_kinds = STR_LIT("backend,service,rule");
-
-static void watch_soon(struct agent *, int64_t);
+static void watch_soon(struct agent_feed *, int64_t);
 static void on_watch_due(void *);
 static void on_list(void *, enum plat_result, json_t *);
 static void on_watch(void *, enum plat_result, json_t *);
@@ -47,7 +44,8 @@
 
 /* Start a call if the budget has one; NULL if it must be put off. */
 static struct plat_call *
-call(struct agent *a, const struct plat_request *rq, plat_done_fn *done)
+call(struct agent *a, const struct plat_request *rq, plat_done_fn *done,
+    void *ctx)
 {
 	if (!limit_take(&a->plat_budget, (double)a->set.platform_rate,
 		clk_ns(a->clk))) {
@@ -55,7 +53,7 @@
 		return NULL;
 	}
 	cnt_add(a->cnt, AC_PLATFORM_CALLS, 1);
-	return plat_start(a->plat, rq, done, a);
+	return plat_start(a->plat, rq, done, ctx);
 }
 
 static int64_t
@@ -63,7 +61,7 @@
 {
 	int64_t ns = BACKOFF_FIRST_NS << MIN(fails, BACKOFF_SHIFT_MAX);
 
-	return rnd_jitter(a->rnd, MIN(ns, BACKOFF_LAST_NS));
+	return rnd_jitter(a->rnd, MIN(ns, a->set.retry_ms * NS_MS));
 }
 
 static void
@@ -73,67 +71,111 @@
 
 	if (!up)
 		cnt_add(a->cnt, AC_PLATFORM_DOWN, 1);
+	if (up && !a->platform_up)
+		a->platform_back = clk_ns(a->clk);
 	if (up != a->platform_up)
 		slog(SLOG_WATCH, "The platform %s.",
 		    up ? "answers" : "does not answer");
 	a->platform_up = up;
 }
 
+/* Is a box one of its hall's that watch the platform? */
+bool
+agent_watches(struct agent *a, const struct memb_info *box)
+{
+	return memb_ranks_first(
+	    a->memb, box, STR_LIT("watch"), box->hall, (int)a->set.watchers);
+}
+
 bool
 agent_is_watcher(struct agent *a)
 {
-	return memb_is_first(
-	    a->memb, STR_LIT("watch"), a->set.hall, (int)a->set.watchers);
+	return agent_watches(a, memb_self(a->memb));
+}
+
+/* The kinds that a feed's text names, as bits. */
+static unsigned
+mask_of(const char *kinds)
+{
+	char **names = g_strsplit(kinds, ",", -1);
+	enum obj_kind kind;
+	unsigned mask = 0;
+	int i;
+
+	for (i = 0; names[i] != NULL; i++)
+		if (obj_kind_by_name(str_c(names[i]), &kind))
+			mask |= 1u << kind;
+	g_strfreev(names);
+	return mask;
 }
 
 void
 agent_watch_open(struct agent *a)
 {
+	struct agent_feed *f;
+	unsigned i;
+
 	a->platform_up = true;
 	tmr_set(&a->tmr, &a->boxes_timer, clk_ns(a->clk), on_boxes_due, a);
-	watch_soon(a, rnd_jitter(a->rnd, FIRST_LIST_NS));
+	for (i = 0; i < AGENT_FEEDS_MAX && a->form->feeds[i] != NULL; i++) {
+		f = &a->feeds[i];
+		f->agent = a;
+		f->kinds = a->form->feeds[i];
+		f->mask = mask_of(f->kinds);
+		watch_soon(f, rnd_jitter(a->rnd, FIRST_LIST_NS));
+	}
+	a->nfeeds = i;
 }
 
 /* After a pause nothing that we held of the platform is taken for new. */
 void
 agent_watch_resume(struct agent *a)
 {
-	if (a->watch_call != NULL)
-		plat_cancel(a->plat, a->watch_call);
-	a->watch_call = NULL;
-	a->listed_at = 0;
-	watch_soon(a, 0);
+	struct agent_feed *f;
+	unsigned i;
+
+	for (i = 0; i < a->nfeeds; i++) {
+		f = &a->feeds[i];
+		if (f->call != NULL)
+			plat_cancel(a->plat, f->call);
+		f->call = NULL;
+		f->listed_at = 0;
+		watch_soon(f, 0);
+	}
 }
 
 static void
-watch_soon(struct agent *a, int64_t in)
+watch_soon(struct agent_feed *f, int64_t in)
 {
-	tmr_set(&a->tmr, &a->watch_timer, clk_ns(a->clk) + in, on_watch_due, a);
+	struct agent *a = f->agent;
+
+	tmr_set(&a->tmr, &f->timer, clk_ns(a->clk) + in, on_watch_due, f);
 }
 
 static void
-start_list(struct agent *a)
+start_list(struct agent_feed *f)
 {
 	struct plat_request rq = {.op = PLAT_LIST,
-	    .kind = config_kinds,
+	    .kind = str_c(f->kinds),
 	    .timeout_ms = LIST_TIMEOUT_MS};
 
-	a->watch_call = call(a, &rq, on_list);
-	if (a->watch_call == NULL)
-		watch_soon(a, rnd_jitter(a->rnd, RECHECK_NS));
+	f->call = call(f->agent, &rq, on_list, f);
+	if (f->call == NULL)
+		watch_soon(f, rnd_jitter(f->agent->rnd, RECHECK_NS));
 }
 
 static void
-start_watch(struct agent *a)
+start_watch(struct agent_feed *f)
 {
+	struct agent *a = f->agent;
 	struct plat_request rq = {.op = PLAT_WATCH,
-	    .kind = config_kinds,
-	    .version = a->watch_since,
-	    .wait_ms = MIN(WATCH_WAIT_MS, a->set.list_ms)};
+	    .kind = str_c(f->kinds),
+	    .version = f->since,
+	    .wait_ms = MIN(a->set.watch_ms, a->set.list_ms)};
 
-	a->watch_call = call(a, &rq, on_watch);
-	if (a->watch_call == NULL)
-		watch_soon(a, rnd_jitter(a->rnd, RECHECK_NS));
+	f->call = call(a, &rq, on_watch, f);
+	if (f->call == NULL)
+		watch_soon(f, rnd_jitter(a->rnd, RECHECK_NS));
 }
 
 /*
@@ -143,23 +185,24 @@
 static void
 on_watch_due(void *ctx)
 {
-	struct agent *a = ctx;
+	struct agent_feed *f = ctx;
+	struct agent *a = f->agent;
 	int64_t now = clk_ns(a->clk);
 	bool watcher = agent_is_watcher(a);
 
 	cnt_set(a->cnt, AC_WATCHING, watcher);
-	if (a->watch_call != NULL || a->leaving)
+	if (f->call != NULL || a->leaving)
 		return;
 	if (!watcher && conf_floor(a->conf) > 0) {
-		a->listed_at = 0;
-		watch_soon(a, rnd_jitter(a->rnd, RECHECK_NS));
+		f->listed_at = 0;
+		watch_soon(f, rnd_jitter(a->rnd, RECHECK_NS));
 		return;
 	}
-	if (a->listed_at == 0 || a->watch_since == 0 ||
-	    now - a->listed_at > a->set.list_ms * NS_MS)
-		start_list(a);
+	if (f->listed_at == 0 || f->since == 0 ||
+	    now - f->listed_at > a->set.list_ms * NS_MS)
+		start_list(f);
 	else
-		start_watch(a);
+		start_watch(f);
 }
 
 static void
@@ -171,15 +214,17 @@
 	    (uint64_t)json_integer_value(json_object_get(o, "version"));
 	bool deleted = json_is_true(json_object_get(o, "deleted"));
 	json_t *spec = json_object_get(o, "spec");
-	enum conf_result got;
+	enum conf_result got = CONF_KNOWN;
 	GError *err = NULL;
 	char *key;
 
 	if (kind == NULL || name == NULL || version == 0)
 		return;
 	key = g_strdup_printf("%s/%s", kind, name);
-	got = conf_offer(a->conf, str_c(key), version, deleted, spec,
-	    STR_LIT("platform"), &err);
+	if (!deleted ||
+	    !agent_lapse_hold(a, conf_get(a->conf, str_c(key)), version))
+		got = conf_offer(a->conf, str_c(key), version, deleted, spec,
+		    STR_LIT("platform"), &err);
 	if (got == CONF_REJECTED)
 		slog(SLOG_CONF, "Rejected %s version %llu: %s.", key,
 		    (unsigned long long)version,
@@ -209,57 +254,95 @@
 	return (uint64_t)json_integer_value(json_object_get(body, "revision"));
 }
 
+/* What a list lacks, and whether that may have lapsed only. */
+struct absent {
+	struct agent_feed *feed;
+	GHashTable *keys;
+	uint64_t revision;
+};
+
+static void
+hold_absent(void *ctx, const struct conf_entry *e)
+{
+	struct absent *ab = ctx;
+
+	if ((ab->feed->mask >> e->kind & 1) == 0 || e->deleted ||
+	    e->version > ab->revision ||
+	    g_hash_table_contains(ab->keys, e->key.p))
+		return;
+	if (agent_lapse_hold(ab->feed->agent, e, ab->revision))
+		g_hash_table_add(ab->keys, g_strdup(e->key.p));
+}
+
+/* The floor is what the lists of all feeds have reached. */
+static void
+raise_floor(struct agent *a)
+{
+	uint64_t floor = UINT64_MAX;
+	unsigned i;
+
+	for (i = 0; i < a->nfeeds; i++)
+		floor = MIN(floor, a->feeds[i].complete);
+	conf_raise_floor(a->conf, floor);
+}
+
 static void
 on_list(void *ctx, enum plat_result result, json_t *body)
 {
-	struct agent *a = ctx;
+	struct agent_feed *f = ctx;
+	struct agent *a = f->agent;
 	uint64_t revision = revision_of(body);
-	GHashTable *keys;
+	struct absent ab = {f, NULL, revision};
 
-	a->watch_call = NULL;
+	f->call = NULL;
 	note_result(a, result);
 	if (result != PLAT_OK ||
 	    !json_is_array(json_object_get(body, "objects"))) {
-		watch_soon(a, backoff(a, a->watch_fails++));
+		watch_soon(f, backoff(a, f->fails++));
 		return;
 	}
-	a->watch_fails = 0;
-	keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	offer_all(a, body, keys);
+	f->fails = 0;
+	ab.keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	offer_all(a, body, ab.keys);
+	conf_each(a->conf, hold_absent, &ab);
 	a->from_platform = true;
-	conf_complete(a->conf, revision, keys);
+	if (revision >= conf_floor(a->conf))
+		conf_complete_kinds(a->conf, f->mask, revision, ab.keys);
 	a->from_platform = false;
-	g_hash_table_destroy(keys);
-	a->listed_at = clk_ns(a->clk);
-	a->watch_since = MAX(a->watch_since, revision);
-	slog(SLOG_WATCH, "Listed revision %llu: %zu objects in force.",
-	    (unsigned long long)revision, conf_count(a->conf));
+	g_hash_table_destroy(ab.keys);
+	f->listed_at = clk_ns(a->clk);
+	f->since = MAX(f->since, revision);
+	f->complete = MAX(f->complete, revision);
+	raise_floor(a);
+	slog(SLOG_WATCH, "Listed %s at revision %llu: %zu objects in force.",
+	    f->kinds, (unsigned long long)revision, conf_count(a->conf));
 	agent_status_soon(a);
-	watch_soon(a, 0);
+	watch_soon(f, 0);
 }
 
 static void
 on_watch(void *ctx, enum plat_result result, json_t *body)
 {
-	struct agent *a = ctx;
+	struct agent_feed *f = ctx;
+	struct agent *a = f->agent;
 
-	a->watch_call = NULL;
+	f->call = NULL;
 	note_result(a, result);
 	if (result == PLAT_TOO_OLD) {
-		a->listed_at = 0;
-		watch_soon(a, 0);
+		f->listed_at = 0;
+		watch_soon(f, 0);
 		return;
 	}
 	if (result != PLAT_OK) {
 		/* What happened meanwhile is asked for whole. */
-		a->listed_at = 0;
-		watch_soon(a, backoff(a, a->watch_fails++));
+		f->listed_at = 0;
+		watch_soon(f, backoff(a, f->fails++));
 		return;
 	}
-	a->watch_fails = 0;
+	f->fails = 0;
 	offer_all(a, body, NULL);
-	a->watch_since = MAX(a->watch_since, revision_of(body));
-	watch_soon(a, 0);
+	f->since = MAX(f->since, revision_of(body));
+	watch_soon(f, 0);
 }
 
 static void
@@ -268,7 +351,7 @@
 	struct agent *a = ctx;
 	struct plat_request rq = {.op = PLAT_BOXES};
 
-	a->boxes_call = call(a, &rq, on_boxes);
+	a->boxes_call = call(a, &rq, on_boxes, a);
 	if (a->boxes_call == NULL)
 		tmr_set(&a->tmr, &a->boxes_timer,
 		    clk_ns(a->clk) + rnd_jitter(a->rnd, RECHECK_NS),
@@ -328,6 +411,9 @@
 
 	int64_t at = now + rnd_jitter(a->rnd, STATUS_SOON_NS + spread);
 
+	if (a->status_at != 0)
+		at = MAX(at, a->status_at + a->set.status_ms * NS_MS);
+
 	a->status_told = conf_digest(a->conf);
 	if (a->status_call != NULL ||
 	    (a->status_timer.set && a->status_timer.item.deadline <= at))
@@ -366,12 +452,14 @@
 	    (unsigned long long)conf_digest(a->conf));
 	snprintf(
 	    gate, sizeof(gate), "%016llx", (unsigned long long)a->gate_digest);
-	return json_pack("{s:s%, s:s%, s:I, s:I, s:s, s:s, s:b, s:b, s:i, s:o}",
-	    "box", a->set.box.p, a->set.box.n, "hall", a->set.hall.p,
-	    a->set.hall.n, "newest", (json_int_t)newest, "floor",
-	    (json_int_t)conf_floor(a->conf), "digest", digest, "gate_digest",
-	    gate, "gate_ready", (int)a->gate_ready, "leaving", (int)a->leaving,
-	    "objects", (int)conf_count(a->conf), "rejected", rejected);
+	return json_pack(
+	    "{s:s%, s:s%, s:s%, s:I, s:I, s:s, s:s, s:b, s:b, s:i, s:o}", "box",
+	    a->set.box.p, a->set.box.n, "hall", a->set.hall.p, a->set.hall.n,
+	    "inbox", a->set.inbox.p, a->set.inbox.n, "newest",
+	    (json_int_t)newest, "floor", (json_int_t)conf_floor(a->conf),
+	    "digest", digest, "gate_digest", gate, "gate_ready",
+	    (int)a->gate_ready, "leaving", (int)a->leaving, "objects",
+	    (int)conf_count(a->conf), "rejected", rejected);
 }
 
 static void
@@ -389,7 +477,7 @@
 	free(text);
 	value = json_pack("{s:o, s:s}", "spec", spec, "change", "status");
 	rq.value = value;
-	a->status_call = call(a, &rq, on_status);
+	a->status_call = call(a, &rq, on_status, a);
 	json_decref(value);
 	if (a->status_call == NULL)
 		agent_status_soon(a);
@@ -401,7 +489,8 @@
 {
 	struct agent *a = ctx;
 	json_t *spec, *current = json_object_get(body, "current");
-	int64_t in = rnd_jitter(a->rnd, STATUS_AGAIN_NS);
+	int64_t in =
+	    rnd_jitter(a->rnd, MAX(STATUS_AGAIN_NS, a->set.status_ms * NS_MS));
 	uint64_t digest;
 	char *text;
 
@@ -415,6 +504,7 @@
 		    json_object_get(current, "version"));
 	if (result == PLAT_OK) {
 		a->status_fails = 0;
+		a->status_at = clk_ns(a->clk);
 		spec = status_spec(a);
 		text = json_dumps(spec, JSON_COMPACT | JSON_SORT_KEYS);
 		digest = XXH3_64bits(text, strlen(text));
--- a/conf.c
+++ b/conf.c
@@ -260,17 +260,26 @@
 
 void
 conf_complete(struct conf *c, uint64_t revision, GHashTable *keys)
+{
+	if (revision < c->floor)
+		return;
+	conf_complete_kinds(c, ~0u, revision, keys);
+	conf_raise_floor(c, revision);
+}
+
+void
+conf_complete_kinds(
+    struct conf *c, unsigned kinds, uint64_t revision, GHashTable *keys)
 {
 	struct conf_entry *e;
 	GHashTableIter it;
 	gpointer key, value;
 
-	if (revision < c->floor)
-		return;
 	g_hash_table_iter_init(&it, c->entries);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		e = value;
-		if (g_hash_table_contains(keys, key))
+		if ((kinds >> e->kind & 1) == 0 ||
+		    g_hash_table_contains(keys, key))
 			continue;
 		if (e->bad_version > 0 && e->bad_version <= revision) {
 			clear_bad(e);
@@ -280,7 +289,6 @@
 			enforce(c, e, revision, true, NULL, NULL,
 			    STR_LIT("platform"));
 	}
-	conf_raise_floor(c, revision);
 }
 
 uint64_t
--- a/conf.h
+++ b/conf.h
@@ -74,6 +74,13 @@
  */
 void conf_complete(struct conf *, uint64_t revision, GHashTable *keys);
 
+/*
+ * The same for some kinds only, a bit 1 << kind for each.  The floor stays:
+ * its owner raises it once lists of all kinds are at or above it.
+ */
+void conf_complete_kinds(
+    struct conf *, unsigned kinds, uint64_t revision, GHashTable *keys);
+
 /*
  * What is here is complete up to `revision`: by a list, or because a peer
  * with an equal digest says so of its own.  A watch may skip, and is no ground.
--- a/ctl_show.c
+++ b/ctl_show.c
@@ -17,6 +17,46 @@
 
 static struct conf *load_conf(struct ctl *, json_t *);
 static void print_json(json_t *);
+static void
+print_backends(const struct route_service *svc)
+{
+	const struct disp_backend *b;
+	unsigned i, j;
+
+	if (svc->nhalls == 0)
+		printf("backends    none: the selector matches no backend "
+		       "server\n");
+	for (i = 0; i < svc->nhalls; i++) {
+		for (j = 0; j < svc->halls[i].n; j++) {
+			b = &svc->halls[i].backends[j];
+			printf("backend     %.*s in %.*s at %.*s, %d slots%s\n",
+			    STR_ARG(b->name), STR_ARG(svc->halls[i].hall),
+			    STR_ARG(b->address), b->slots,
+			    b->drain ? ", draining" : "");
+		}
+	}
+}
+
+static void
+print_part(const struct route_rule *rule, const struct route_part *part)
+{
+	const struct route_service *svc = part->service;
+
+	if (svc == NULL) {
+		printf("service     %s: there is no such service\n",
+		    rule->obj->service.n > 0 ? rule->obj->service.p
+					     : "of the split");
+		return;
+	}
+	printf("service     %.*s: %s", STR_ARG(svc->name),
+	    svc->obj->select_text.p);
+	if (rule->nparts > 1)
+		printf(", %llu of %llu", (unsigned long long)part->weight,
+		    (unsigned long long)rule->weight);
+	printf("\n");
+	print_backends(svc);
+}
+
 static void
 print_explain(struct ctl *, const struct route_rule *, const struct obj_rule *);
 
@@ -174,11 +214,9 @@
 print_explain(
     struct ctl *c, const struct route_rule *rule, const struct obj_rule *obj)
 {
-	const struct route_service *svc = rule->service;
 	struct str method = str_c(c->method);
 	bool key = given_header(c, STR_LIT("idempotency-key")).n > 0;
-	const struct disp_backend *b;
-	unsigned i, j;
+	unsigned i;
 
 	printf("rule        %.*s (host \"%s\", path \"%s\", method \"%s\")\n",
 	    STR_ARG(rule->name), obj->host.p, obj->path.p, obj->method.p);
@@ -188,25 +226,8 @@
 		: obj->repeatable == REPEATABLE_NO ? "no: the rule says so"
 						   : "no: by its method");
 	printf("class       %s\n", obj_class_name((enum obj_class)obj->cls));
-	if (svc == NULL) {
-		printf("service     %s: there is no such service\n",
-		    obj->service.p);
-		return;
-	}
-	printf("service     %.*s: %s\n", STR_ARG(svc->name),
-	    svc->obj->select_text.p);
-	if (svc->nhalls == 0)
-		printf("backends    none: the selector matches no backend "
-		       "server\n");
-	for (i = 0; i < svc->nhalls; i++) {
-		for (j = 0; j < svc->halls[i].n; j++) {
-			b = &svc->halls[i].backends[j];
-			printf("backend     %.*s in %.*s at %.*s, %d slots%s\n",
-			    STR_ARG(b->name), STR_ARG(svc->halls[i].hall),
-			    STR_ARG(b->address), b->slots,
-			    b->drain ? ", draining" : "");
-		}
-	}
+	for (i = 0; i < rule->nparts; i++)
+		print_part(rule, &rule->parts[i]);
 }
 
 /* explain PATH: the same code as the gate's decides. */
--- /dev/null
+++ b/dial.c
@@ -0,0 +1,94 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <stdio.h>
+
+#include "dial.h"
+
+enum { PACE_USUAL = 100 };
+
+static bool refused(int, const h2o_header_t *, size_t);
+static bool moved(int, const h2o_header_t *, size_t);
+static bool drains(const h2o_header_t *, size_t);
+static bool load(const h2o_header_t *, size_t, struct dial_load *);
+
+const struct dial dial_fern = {
+    .name = "fern",
+    .deadline = {"fern-deadline-ms", 16},
+    .retried = {"fern-retried", 12},
+    .refused = refused,
+    .moved = moved,
+    .drains = drains,
+    .load = load,
+};
+
+struct str
+dial_header(const h2o_header_t *headers, size_t n, struct str name)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (h2o_lcstris(headers[i].name->base, headers[i].name->len,
+			name.p, name.n))
+			return str_n(
+			    headers[i].value.base, headers[i].value.len);
+	return str_c(NULL);
+}
+
+bool
+dial_read_load(struct str text, struct dial_load *out)
+{
+	char copy[64];
+	int n;
+
+	if (text.n == 0 || text.n >= sizeof(copy))
+		return false;
+	memcpy(copy, text.p, text.n);
+	copy[text.n] = '\0';
+	out->pace = PACE_USUAL;
+	n = sscanf(copy, "%d,%d,%d,%d", &out->running, &out->waiting,
+	    &out->slots, &out->pace);
+	return n >= 3 && out->running >= 0 && out->waiting >= 0 &&
+	    out->slots > 0 && out->pace > 0;
+}
+
+/*
+ * "Fern-Ran: no" is a backend server's word that it refused before running.
+ * Without it a 5xx may have run.
+ */
+static bool
+refused(int status, const h2o_header_t *headers, size_t n)
+{
+	struct str ran = dial_header(headers, n, STR_LIT("fern-ran"));
+
+	return status >= 400 && str_eq(ran, STR_LIT("no"));
+}
+
+static bool
+moved(int status, const h2o_header_t *headers, size_t n)
+{
+	(void)status;
+	(void)headers;
+	(void)n;
+	return false;
+}
+
+static bool
+drains(const h2o_header_t *headers, size_t n)
+{
+	return dial_header(headers, n, STR_LIT("fern-drain")).n > 0;
+}
+
+static bool
+load(const h2o_header_t *headers, size_t n, struct dial_load *out)
+{
+	return dial_read_load(
+	    dial_header(headers, n, STR_LIT("fern-load")), out);
+}
--- /dev/null
+++ b/dial.h
@@ -0,0 +1,64 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef DIAL_H
+#define DIAL_H
+
+#include <h2o.h>
+#include <stdbool.h>
+
+#include "str.h"
+
+/*
+ * A dialect: how callers and backend servers say what HTTP itself leaves
+ * open.  The gate knows what is meant; the dialect knows the headers.
+ */
+
+/* What a backend server tells of itself with an answer. */
+struct dial_load {
+	int running; /* requests that it works on */
+	int waiting; /* requests in its own queue */
+	int slots;
+	int pace; /* percent of the usual time that work takes there now */
+};
+
+struct dial {
+	const char *name;
+	/* Header names in lower case; an empty one is not used. */
+	struct str id; /* names a request; backend servers repeat it */
+	struct str deadline; /* milliseconds that are left */
+	struct str instance; /* the backend server that is meant */
+	struct str retried; /* "yes" on a request that was sent before */
+	bool fractions; /* Retry-After may be a fraction of a second */
+	/*
+	 * 408, 421, 429 and 503 promise by themselves that a request has not
+	 * run, so that none of them may be used where it may have.
+	 */
+	bool status_promises;
+	/* The backend server says that it did not run the request. */
+	bool (*refused)(int status, const h2o_header_t *, size_t);
+	/* It says that another backend server has its address now. */
+	bool (*moved)(int status, const h2o_header_t *, size_t);
+	/* It says that it drains. */
+	bool (*drains)(const h2o_header_t *, size_t);
+	/* It tells its load; false if it does not. */
+	bool (*load)(const h2o_header_t *, size_t, struct dial_load *);
+};
+
+/* Fernjunction's own dialect, as ferncaller(7) describes it. */
+extern const struct dial dial_fern;
+
+/* The value of a header; an empty string if it is not there. */
+struct str dial_header(const h2o_header_t *, size_t, struct str name);
+
+/* Read "running,waiting,slots[,pace]"; false if it is malformed. */
+bool dial_read_load(struct str, struct dial_load *);
+
+#endif
--- a/disp.c
+++ b/disp.c
@@ -29,6 +29,7 @@
     [DISP_LATE] = {false, true, false},
     [DISP_GONE] = {false, false, false},
     [DISP_SLOW] = {false, false, false},
+    [DISP_MOVED] = {true, false, false},
 };
 
 static bool serve_class(struct disp *, enum obj_class);
@@ -254,6 +255,8 @@
 		pick_refused(b, now, d->rnd);
 	else if (outcome == DISP_SLOW)
 		pick_slow(b, now - r->sent);
+	else if (outcome == DISP_MOVED)
+		pick_drain(b, d->params.chart, true);
 }
 
 /*
@@ -272,6 +275,8 @@
 		return false;
 	if (!r->may_retry || clk_ns(d->clk) >= r->deadline)
 		return false;
+	if (r->attempts > 0 && r->tries >= r->attempts)
+		return false;
 	if (outcome == DISP_REFUSED)
 		return true;
 	if (!outcomes[outcome].not_run && !r->repeatable)
--- a/disp.h
+++ b/disp.h
@@ -40,6 +40,7 @@
 	DISP_LATE, /* the deadline passed while it was there */
 	DISP_GONE, /* the caller went away while it was there */
 	DISP_SLOW, /* it takes far longer than usual, and was stopped */
+	DISP_MOVED, /* another backend server has its address now */
 	DISP_OUTCOME_MAX
 };
 
@@ -52,6 +53,8 @@
 	int64_t deadline; /* monotonic ns */
 	int64_t sent; /* start of the try under way */
 	int tries;
+	int attempts; /* how many tries it may have; 0: the default */
+	int rank; /* the lower, the more urgent */
 	struct pick_backend *at; /* where it is now; NULL: held or done */
 	struct pick_backend *avoid; /* where it failed last */
 	bool held;
@@ -131,6 +134,13 @@
 /* The backend server says itself that it drains. */
 void disp_drain_told(struct disp *, struct pick_backend *);
 
+/*
+ * What a backend server says with an answer: requests that it works on, those
+ * that wait there, and the time that work takes now in percent of the usual.
+ */
+void disp_load_told(
+    struct disp *, struct pick_backend *, int running, int waiting, int pace);
+
 /* What probes say of a backend server. */
 void disp_health(struct disp *, struct str backend, bool down, bool drain);
 
--- a/disp_set.c
+++ b/disp_set.c
@@ -164,6 +164,16 @@
 	disp_serve(d);
 }
 
+void
+disp_load_told(
+    struct disp *d, struct pick_backend *b, int running, int waiting, int pace)
+{
+	b->told_running = running;
+	b->told_waiting = waiting;
+	b->told_pace = pace;
+	b->told_at = clk_ns(d->clk);
+}
+
 void
 disp_drain_told(struct disp *d, struct pick_backend *b)
 {
--- a/err.c
+++ b/err.c
@@ -53,6 +53,18 @@
 	return &answers[kind];
 }
 
+int
+err_promise_status(enum err_kind kind, enum err_ran ran)
+{
+	int status = err_answer(kind)->status;
+
+	if (ran == RAN_NO && status >= 500)
+		return 503;
+	if (ran == RAN_UNKNOWN && (status == 503 || status == 429))
+		return kind == ERR_BUSY || kind == ERR_NO_BACKEND ? 504 : 502;
+	return status;
+}
+
 enum err_kind
 err_by_name(struct str name)
 {
--- a/err.h
+++ b/err.h
@@ -66,6 +66,13 @@
 /* Look up a kind.  Never fails: an unknown kind gives ERR_SYSTEM's. */
 const struct err_row *err_answer(enum err_kind);
 
+/*
+ * The status of an answer where statuses promise by themselves whether a
+ * request has run: one that did not run is never told as a failure on the
+ * way, and one that may have run never as refused.
+ */
+int err_promise_status(enum err_kind, enum err_ran);
+
 /* Find a kind by its name; ERR_NONE if there is none. */
 enum err_kind err_by_name(struct str);
 
--- /dev/null
+++ b/fernbox.c
@@ -0,0 +1,63 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "daemon.h"
+#include "libagent.h"
+#include "libgate.h"
+
+/*
+ * Gate and agent of a box in one process, for boxes with a small share of a
+ * processor: each process that wakes up costs, also where it does nothing.
+ * Both run on one loop and talk as they do from process to process.
+ */
+struct box {
+	struct gate gate;
+	struct agent agent;
+};
+
+static bool
+load(void *ctx, const char *file, GError **err)
+{
+	struct box *b = ctx;
+
+	return gate_load(&b->gate, file, "gate", err) &&
+	    agent_load(&b->agent, file, "agent", err);
+}
+
+static bool
+open_all(void *ctx, GError **err)
+{
+	struct box *b = ctx;
+
+	return gate_open(&b->gate, err) && agent_open(&b->agent, err);
+}
+
+static void
+run(void *ctx)
+{
+	struct box *b = ctx;
+
+	gate_start(&b->gate);
+	agent_start(&b->agent);
+	uv_run(b->gate.loop, UV_RUN_DEFAULT);
+}
+
+int
+main(int argc, char **argv)
+{
+	static struct box box;
+	const struct daemon_ops ops = {"fernbox",
+	    "Data path and control of a fernjunction box in one process.", load,
+	    open_all, run, &box};
+
+	box.gate.clk = box.agent.clk = clk_system();
+	box.gate.rnd = box.agent.rnd = rnd_system();
+	return daemon_main(argc, argv, &ops);
+}
--- a/field.c
+++ b/field.c
@@ -14,7 +14,7 @@
 #include "err.h"
 #include "field.h"
 
-enum { NAME_MAX_LEN = 128 };
+enum { NAME_MAX_LEN = 128, WEIGHT_MAX = 1000000 };
 
 /* What a reader carries along, for its messages. */
 struct reader {
@@ -36,6 +36,7 @@
 static read_fn read_word;
 static read_fn read_labels;
 static read_fn read_addresses;
+static read_fn read_weights;
 static bool
 bad(const struct reader *, const struct field *, const json_t *, const char *);
 static bool
@@ -52,6 +53,7 @@
     [FIELD_WORD] = read_word,
     [FIELD_LABELS] = read_labels,
     [FIELD_ADDRESSES] = read_addresses,
+    [FIELD_WEIGHTS] = read_weights,
 };
 
 static void *
@@ -186,6 +188,25 @@
 	return true;
 }
 
+static bool
+read_weights(
+    const struct reader *r, const struct field *f, json_t *value, void *out)
+{
+	const char *key;
+	json_t *item;
+
+	if (!json_is_object(value))
+		return bad(r, f, value, "a table of names to weights");
+	json_object_foreach (value, key, item) {
+		if (!field_is_name(str_c(key)) || !json_is_integer(item) ||
+		    json_integer_value(item) < 0 ||
+		    json_integer_value(item) > WEIGHT_MAX)
+			return bad(r, f, value, "a table of names to weights");
+	}
+	*(json_t **)member(f, out) = json_incref(value);
+	return true;
+}
+
 static bool
 read_addresses(
     const struct reader *r, const struct field *f, json_t *value, void *out)
@@ -253,6 +274,7 @@
 		*(int *)member(f, out) = (int)f->dflt;
 		break;
 	case FIELD_LABELS:
+	case FIELD_WEIGHTS:
 		*(json_t **)member(f, out) = json_object();
 		break;
 	case FIELD_ADDRESSES:
@@ -308,6 +330,7 @@
 			str_free(member(&tab[i], out));
 			break;
 		case FIELD_LABELS:
+		case FIELD_WEIGHTS:
 		case FIELD_ADDRESSES:
 			json_decref(*(json_t **)member(&tab[i], out));
 			break;
--- a/field.h
+++ b/field.h
@@ -31,6 +31,7 @@
 	FIELD_WORD, /* int: index into words */
 	FIELD_LABELS, /* json_t *: an object of strings; a reference */
 	FIELD_ADDRESSES, /* json_t *: an array of addresses; a reference */
+	FIELD_WEIGHTS, /* json_t *: an object of weights; a reference */
 };
 
 /* One settings key or object field, with where its value goes. */
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -16,7 +16,9 @@
 
 enum {
 	BUFFER_MAX = 256 * 1024, /* of an answer, between both sides */
-	HEADERS_MAX = 128
+	HEADERS_MAX = 128,
+	OWN_HEADERS = 4,
+	PASS_MARGIN_MS = 5
 };
 
 /* The other side may be silent for so long in the middle of an answer. */
@@ -35,48 +37,103 @@
 static const struct up_ops flow_ops = {
     on_connected, on_head, on_body, on_end, on_fail};
 
+static bool
+is_header(const h2o_iovec_t *name, struct str other)
+{
+	return name->len == other.n &&
+	    strncasecmp(name->base, other.p, other.n) == 0;
+}
+
 /* Headers that belong to one connection, or that we write ourselves. */
 static bool
-is_hop_header(const h2o_iovec_t *name)
+is_hop_header(const h2o_iovec_t *name, const struct dial *dial)
 {
 	static const char *const names[] = {"connection", "keep-alive", "te",
 	    "trailer", "transfer-encoding", "upgrade", "content-length", "host",
 	    "proxy-connection", "http2-settings", "date", "server", "expect",
-	    "fern-hops", "fern-deadline-ms", "fern-retried"};
+	    "fern-retried", GATE_PASS_HEADER};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(names); i++)
-		if (name->len == strlen(names[i]) &&
-		    strncasecmp(name->base, names[i], name->len) == 0)
+		if (is_header(name, str_c(names[i])))
 			return true;
-	return false;
+	return is_header(name, dial->deadline) ||
+	    (dial->instance.n > 0 && is_header(name, dial->instance));
 }
 
-static h2o_iovec_t hops_name = {H2O_STRLIT("fern-hops")};
-static h2o_iovec_t retried_name = {H2O_STRLIT("fern-retried")};
-static h2o_iovec_t deadline_name = {H2O_STRLIT("fern-deadline-ms")};
+/* The headers that we write ourselves, and room for what they point to. */
+struct own_headers {
+	h2o_iovec_t names[OWN_HEADERS];
+	char deadline[24];
+	char pass[320];
+};
+
+static h2o_header_t
+own_header(
+    struct own_headers *own, size_t at, struct str name, struct str value)
+{
+	own->names[at] = h2o_iovec_init(name.p, name.n);
+	return (h2o_header_t){
+	    .name = &own->names[at], .value = h2o_iovec_init(value.p, value.n)};
+}
+
+static struct str
+pass_text(const struct gate_req *r, struct own_headers *own, int64_t now)
+{
+	struct gate_pass pass = {
+	    .hops = (unsigned)r->hops + 1,
+	    .bulk = r->d.cls == CLASS_BULK,
+	    .repeatable = r->d.repeatable,
+	    .retried = r->maybe_ran || r->d.retried,
+	    .tries = (unsigned)r->d.tries,
+	    .attempts = (unsigned)r->d.attempts,
+	    .rank = (unsigned)r->d.rank,
+	    .service = r->service,
+	};
+
+	if (r->target != 0)
+		pass.target_ms = MAX((r->target - now) / NS_MS, 1);
+	return str_n(
+	    own->pass, gate_pass_write(&pass, own->pass, sizeof(own->pass)));
+}
 
+/*
+ * A gate that it is passed to has a little less time, so that its answer is
+ * here before ours would be due.
+ */
 static size_t
-request_headers(struct gate_req *r, h2o_header_t *out, char *num, size_t numsz)
+request_headers(struct gate_req *r, h2o_header_t *out, struct own_headers *own)
 {
+	const struct dial *dial = r->gate->dial;
 	const h2o_headers_t *in = &r->req->headers;
-	int64_t left = (r->d.deadline - clk_ns(r->gate->clk)) / NS_MS;
+	int64_t now = clk_ns(r->gate->clk);
+	int64_t left = (r->d.deadline - now) / NS_MS;
+	struct str pass;
 	size_t i, n = 0;
 
-	for (i = 0; i < in->size && n < HEADERS_MAX - 3; i++)
-		if (!is_hop_header(in->entries[i].name))
+	for (i = 0; i < in->size && n < HEADERS_MAX - OWN_HEADERS; i++)
+		if (!is_hop_header(in->entries[i].name, dial))
 			out[n++] = in->entries[i];
-	snprintf(num, numsz, "%lld", (long long)MAX(left, 1));
-	out[n++] = (h2o_header_t){
-	    .name = &deadline_name, .value = h2o_iovec_init(num, strlen(num))};
-	if (r->maybe_ran || r->d.retried)
-		out[n++] = (h2o_header_t){.name = &retried_name,
-		    .value = h2o_iovec_init(H2O_STRLIT("yes"))};
-	if (r->peer == NULL)
+	if (r->peer != NULL)
+		left -= PASS_MARGIN_MS;
+	snprintf(own->deadline, sizeof(own->deadline), "%lld",
+	    (long long)MAX(left, 1));
+	out[n] = own_header(own, 0, dial->deadline, str_c(own->deadline));
+	n++;
+	if (r->peer != NULL) {
+		pass = pass_text(r, own, now);
+		out[n] = own_header(own, 1, STR_LIT(GATE_PASS_HEADER), pass);
+		n++;
 		return n;
-	out[n++] = (h2o_header_t){.name = &hops_name,
-	    .value = r->hops == 0 ? h2o_iovec_init(H2O_STRLIT("1"))
-				  : h2o_iovec_init(H2O_STRLIT("2"))};
+	}
+	if (dial->retried.n > 0 && (r->maybe_ran || r->d.retried)) {
+		out[n] = own_header(own, 2, dial->retried, STR_LIT("yes"));
+		n++;
+	}
+	if (dial->instance.n > 0 && r->d.at != NULL) {
+		out[n] = own_header(own, 3, dial->instance, r->d.at->name);
+		n++;
+	}
 	return n;
 }
 
@@ -84,7 +141,7 @@
 gate_flow_send(struct gate_req *r, struct str address, bool fresh)
 {
 	h2o_header_t headers[HEADERS_MAX];
-	char num[24];
+	struct own_headers own;
 	h2o_req_t *req = r->req;
 	struct up_request rq = {
 	    .address = address,
@@ -96,7 +153,7 @@
 	    .fresh = fresh,
 	};
 
-	rq.nheaders = request_headers(r, headers, num, sizeof(num));
+	rq.nheaders = request_headers(r, headers, &own);
 	gate_req_event(r, REQ_EV_TRY);
 	r->call = up_start(r->gate->up, &rq, &flow_ops, r);
 }
@@ -161,7 +218,7 @@
 			name.base, name.len, H2O_STRLIT("content-length")) &&
 		    str_u64(str_n(value.base, value.len), &len))
 			req->res.content_length = (size_t)len;
-		if (is_hop_header(&name))
+		if (is_hop_header(&name, r->gate->dial))
 			continue;
 		name = h2o_strdup(&req->pool, name.base, name.len);
 		value = h2o_strdup(&req->pool, value.base, value.len);
@@ -170,6 +227,25 @@
 	}
 }
 
+/*
+ * An answer names its request.  One that names another is late, and came in
+ * the place of ours.
+ */
+static bool
+is_own_answer(
+    const struct gate_req *r, int status, const h2o_header_t *headers, size_t n)
+{
+	const struct dial *dial = r->gate->dial;
+	struct str id;
+
+	if (dial->id.n == 0 || r->name.n == 0)
+		return true;
+	id = dial_header(headers, n, dial->id);
+	if (id.n == 0)
+		return status >= 300;
+	return str_eq(id, r->name);
+}
+
 static void
 on_head(void *ctx, struct up_call *call, int status,
     const h2o_header_t *headers, size_t n)
@@ -178,6 +254,11 @@
 	h2o_req_t *req = r->req;
 	struct gate *g = r->gate;
 
+	if (r->peer == NULL && !is_own_answer(r, status, headers, n)) {
+		gate_flow_stop(r);
+		on_fail(r, NULL, ERR_CUT);
+		return;
+	}
 	/*
 	 * The state is left before the judge is asked, as that may send the
 	 * request again at once.
--- a/gate_main.c
+++ b/gate_open.c
@@ -11,20 +11,22 @@
 #include <signal.h>
 
 #include "libreq.h"
-#include "daemon.h"
 #include "set.h"
 #include "slog.h"
 
-enum {
-	TICK_MS = 5,
-	CALLER_CHECK_TICKS = 10,
-	REPORT_TICKS = 200,
-	ADMIN_BODY_MAX = 4096
-};
+enum { ADMIN_BODY_MAX = 4096 };
+
+/* Between two looks at the dispatchers: with requests held, out, or none. */
+#define TICK_HELD_NS (10 * NS_MS)
+#define TICK_BUSY_NS (25 * NS_MS)
+#define TICK_IDLE_NS (250 * NS_MS)
+/* Between two looks whether callers are still there. */
+#define CALLERS_NS (100 * NS_MS)
+#define REPORT_NS (1 * NS_S)
 /* A tick that comes so late tells that the process was paused. */
 #define PAUSE_NS (1 * NS_S)
 
-static void on_tick(uv_timer_t *);
+static void on_tick(void *);
 static bool open_charts(struct gate *, GError **);
 
 #define F(member) offsetof(struct gate_set, member)
@@ -88,6 +90,10 @@
 	.dflt = 600000,
 	.min = 0,
 	.max = 86400000},
+    {.name = "platform_form",
+	.type = FIELD_NAME,
+	.offset = F(form),
+	.text_dflt = "fern"},
     {.name = "summary_ms",
 	.type = FIELD_INT,
 	.offset = F(summary_ms),
@@ -120,24 +126,29 @@
 	return g->chart_box != NULL;
 }
 
-static bool
-load(void *ctx, const char *file, GError **err)
+bool
+gate_load(struct gate *g, const char *file, const char *section, GError **err)
 {
-	struct gate *g = ctx;
-
-	if (!set_load(file, fields, G_N_ELEMENTS(fields), &g->set, err))
+	if (!set_load(
+		file, section, fields, G_N_ELEMENTS(fields), &g->set, err))
 		return false;
 	if (pick_by_name(g->set.policy) == NULL)
 		return err_set(err, ERR_SETTINGS,
 		    "%s: policy: found \"%s\"; allowed is fern or naive", file,
 		    g->set.policy.p);
+	g->form = plat_form_by_name(g->set.form);
+	if (g->form == NULL)
+		return err_set(err, ERR_SETTINGS,
+		    "%s: platform_form: found \"%s\"; allowed is fern or "
+		    "objects",
+		    file, g->set.form.p);
+	g->dial = g->form->dial;
 	return open_charts(g, err);
 }
 
-static bool
-open_all(void *ctx, GError **err)
+bool
+gate_open(struct gate *g, GError **err)
 {
-	struct gate *g = ctx;
 	size_t body = (size_t)g->set.body_max;
 
 	g->loop = uv_default_loop();
@@ -145,7 +156,8 @@
 	g->boxes = 1;
 	tmr_open(&g->tmr, g->loop, g->clk);
 	g->up = up_open(g->loop, &g->tmr, g->clk);
-	g->plat = plat_http_open(g->up, &g->tmr, g->clk, g->set.platform);
+	g->plat = plat_http_open(
+	    g->up, &g->tmr, g->clk, g->set.platform, g->form->codec);
 	g->cnt = gate_stat_open();
 	g->peers = g_ptr_array_new();
 	if (!gate_conf_open(g, err) || !gate_req_open(g, err))
@@ -166,27 +178,56 @@
 	return g->admin != NULL;
 }
 
+/* A pause tells nothing of the others. */
 static void
-on_tick(uv_timer_t *timer)
+was_paused(struct gate *g, int64_t now, int64_t gap)
 {
-	struct gate *g = timer->data;
-	int64_t now = clk_ns(g->clk), gap = now - g->last_tick;
-	struct gate_shard *s;
 	struct gate_peer *p;
+	guint i;
+
+	slog(SLOG_GATE, "Was paused for %lld ms.", (long long)(gap / NS_MS));
+	for (i = 0; i < g->peers->len; i++) {
+		p = g_ptr_array_index(g->peers, i);
+		p->heard = now;
+		p->pinged = 0;
+	}
+}
+
+/*
+ * Looks that need no exact time go by one tick, which is rare while there is
+ * nothing to look at: waking up is most of what an idle process costs.
+ */
+static int64_t
+next_tick(const struct gate *g)
+{
+	struct gate_shard *s;
 	GHashTableIter it;
 	gpointer value;
-	static uint64_t ticks;
-	guint i;
+	int free, waiting;
 
-	if (g->last_tick != 0 && gap > PAUSE_NS) {
-		slog(SLOG_GATE, "Was paused for %lld ms.",
-		    (long long)(gap / NS_MS));
-		for (i = 0; i < g->peers->len; i++) {
-			p = g_ptr_array_index(g->peers, i);
-			p->heard = now;
-			p->pinged = 0;
-		}
+	if (gate_req_count(g) == 0)
+		return gate_box_leaving(g) ? TICK_BUSY_NS : TICK_IDLE_NS;
+	g_hash_table_iter_init(&it, g->shards);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		s = value;
+		disp_room(s->disp, &free, &waiting);
+		if (waiting > 0)
+			return TICK_HELD_NS;
 	}
+	return TICK_BUSY_NS;
+}
+
+static void
+on_tick(void *ctx)
+{
+	struct gate *g = ctx;
+	int64_t now = clk_ns(g->clk), gap = now - g->last_tick;
+	struct gate_shard *s;
+	GHashTableIter it;
+	gpointer value;
+
+	if (g->last_tick != 0 && gap > PAUSE_NS)
+		was_paused(g, now, gap);
 	g->last_tick = now;
 	g_hash_table_iter_init(&it, g->shards);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
@@ -194,38 +235,35 @@
 		disp_tick(s->disp);
 	}
 	gate_home_tick(g, now);
-	if (++ticks % CALLER_CHECK_TICKS == 0)
+	if (now - g->callers_checked >= CALLERS_NS) {
+		g->callers_checked = now;
 		gate_req_tick(g, now);
-	if (ticks % REPORT_TICKS == 0)
+	}
+	if (now - g->reported >= REPORT_NS) {
+		g->reported = now;
 		gate_conf_report(g);
+	}
 	gate_box_tick(g, now);
 	slog_flush();
+	tmr_set(&g->tmr, &g->tick, now + next_tick(g), on_tick, g);
 }
 
-static void
-start_loop(void *ctx)
+/* A request has come: the next look must not be far. */
+void
+gate_tick_soon(struct gate *g)
 {
-	struct gate *g = ctx;
+	int64_t at = clk_ns(g->clk) + TICK_HELD_NS;
 
-	uv_timer_init(g->loop, &g->tick);
-	g->tick.data = g;
-	uv_timer_start(&g->tick, on_tick, TICK_MS, TICK_MS);
+	if (g->tick.set && g->tick.item.deadline > at)
+		tmr_set(&g->tmr, &g->tick, at, on_tick, g);
+}
+
+void
+gate_start(struct gate *g)
+{
+	tmr_set(&g->tmr, &g->tick, clk_ns(g->clk), on_tick, g);
 	gate_box_open(g);
 	slog(SLOG_GATE, "Box %s in hall %s serves on %s.", g->set.box.p,
 	    g->set.hall.p, g->set.listen.p);
 	gate_conf_report(g);
-	uv_run(g->loop, UV_RUN_DEFAULT);
-}
-
-int
-main(int argc, char **argv)
-{
-	static struct gate gate;
-	const struct daemon_ops ops = {"ferngate",
-	    "The data path of a fernjunction box.", load, open_all, start_loop,
-	    &gate};
-
-	gate.clk = clk_system();
-	gate.rnd = rnd_system();
-	return daemon_main(argc, argv, &ops);
 }
--- /dev/null
+++ b/gate_pass.c
@@ -0,0 +1,51 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <stdio.h>
+
+#include "libreq.h"
+
+enum { FIELDS = 8, TEXT_MAX = 256 };
+
+/* Numbers divided by blanks, and the service's name last. */
+bool
+gate_pass_read(struct str text, struct gate_pass *out)
+{
+	char copy[TEXT_MAX];
+	unsigned bulk, repeatable, retried;
+	long long target;
+	int at = 0, n;
+
+	if (text.n == 0 || text.n >= sizeof(copy))
+		return false;
+	memcpy(copy, text.p, text.n);
+	copy[text.n] = '\0';
+	n = sscanf(copy, "%u %u %u %u %u %u %u %lld %n", &out->hops, &bulk,
+	    &repeatable, &retried, &out->tries, &out->attempts, &out->rank,
+	    &target, &at);
+	if (n != FIELDS || at == 0)
+		return false;
+	out->bulk = bulk != 0;
+	out->repeatable = repeatable != 0;
+	out->retried = retried != 0;
+	out->target_ms = target;
+	out->service = str_n(text.p + at, text.n - (size_t)at);
+	return out->service.n > 0;
+}
+
+size_t
+gate_pass_write(const struct gate_pass *p, char *out, size_t size)
+{
+	int n = snprintf(out, size, "%u %u %u %u %u %u %u %lld %.*s", p->hops,
+	    p->bulk, p->repeatable, p->retried, p->tries, p->attempts, p->rank,
+	    (long long)p->target_ms, STR_ARG(p->service));
+
+	return MIN((size_t)n, size - 1);
+}
--- a/gate_req.c
+++ b/gate_req.c
@@ -22,6 +22,7 @@
 
 static void arrive(struct gate *, h2o_req_t *, bool passed);
 static void admit(struct gate_req *, const struct route_rule *);
+static void admit_passed(struct gate_req *);
 static void on_dispose(void *);
 static void on_deadline(void *);
 static void on_claimed(void *, enum err_kind, bool);
@@ -120,10 +121,13 @@
 	r->gate = g;
 	r->req = req;
 	r->id = ++g->seq;
+	if (g->dial->id.n > 0)
+		r->name = str_dup(hsrv_header(req, g->dial->id.p));
 	r->began = clk_ns(g->clk);
 	r->state = (enum req_state)chart_start(g->chart_request);
 	r->link.data = r;
 	g_queue_push_tail_link(&g->reqs, &r->link);
+	gate_tick_soon(g);
 	h2o_doublebuffer_init(&r->sending, &h2o_socket_buffer_prototype);
 	h2o_buffer_init(&r->rest, &h2o_socket_buffer_prototype);
 	return r;
@@ -134,42 +138,84 @@
 {
 	struct gate_req *r = req_new(g, req);
 	const struct route_rule *rule;
-	unsigned long long hops = 0;
 
 	cnt_add(g->cnt, passed ? GC_PASSED_IN : GC_REQUESTS, 1);
-	if (passed && !str_u64(hsrv_header(req, "fern-hops"), &hops))
-		hops = HOPS_MAX;
-	r->hops = (int)MIN(hops, HOPS_MAX);
 	if (gate_box_leaving(g))
 		req->http1_is_persistent = 0;
 	if (g->state == BOX_EMPTY) {
 		gate_req_answer(r, ERR_NOT_READY, RAN_NO, 0);
 		return;
 	}
+	if (passed) {
+		admit_passed(r);
+		return;
+	}
 	rule = match(g, req);
 	if (rule == NULL)
 		gate_req_answer(r, ERR_NO_RULE, RAN_NO, 0);
-	else if (rule->service == NULL)
-		gate_req_answer(r, ERR_NO_SERVICE, RAN_NO, 0);
 	else
 		admit(r, rule);
 }
 
 /* The caller's own deadline counts where it is the shorter one. */
 static int64_t
-deadline_of(const struct gate_req *r, const struct route_rule *rule)
+shorter_deadline(const struct gate_req *r, int64_t own)
 {
 	unsigned long long ms;
-	int64_t own = rule->obj->deadline_ms > 0
-	    ? rule->obj->deadline_ms
-	    : rule->service->obj->deadline_ms;
 
-	if (str_u64(hsrv_header(r->req, "fern-deadline-ms"), &ms) &&
+	if (str_u64(hsrv_header(r->req, r->gate->dial->deadline.p), &ms) &&
 	    (int64_t)ms < own)
 		own = MAX((int64_t)ms, DEADLINE_MIN_MS);
 	return r->began + own * NS_MS;
 }
 
+static int64_t
+deadline_of(const struct gate_req *r, const struct route_rule *rule,
+    const struct route_service *svc)
+{
+	int64_t own = rule->obj->deadline_ms;
+
+	if (own == 0)
+		own = svc->obj->deadline_ms;
+	return shorter_deadline(r, own);
+}
+
+/*
+ * A request that another gate passed to us: what its rule says was found
+ * there, so that both gates agree even while their configurations differ.
+ */
+static void
+admit_passed(struct gate_req *r)
+{
+	struct gate *g = r->gate;
+	struct gate_pass pass;
+	const struct route_service *svc;
+
+	if (!gate_pass_read(hsrv_header(r->req, GATE_PASS_HEADER), &pass)) {
+		gate_req_answer(r, ERR_BAD_REQUEST, RAN_NO, 0);
+		return;
+	}
+	svc = route_service(g->routes, pass.service);
+	if (svc == NULL) {
+		gate_req_answer(r, ERR_NO_SERVICE, RAN_NO, 0);
+		return;
+	}
+	r->hops = (int)MIN(pass.hops, HOPS_MAX);
+	r->service = str_dup(svc->name);
+	r->d.cls = pass.bulk ? CLASS_BULK : CLASS_INTERACTIVE;
+	r->d.repeatable = pass.repeatable;
+	r->d.may_retry = true;
+	r->d.retried = pass.retried;
+	r->d.tries = (int)pass.tries;
+	r->d.attempts = (int)pass.attempts;
+	r->d.rank = (int)pass.rank;
+	if (pass.target_ms > 0)
+		r->target = r->began + pass.target_ms * NS_MS;
+	r->d.deadline = shorter_deadline(r, svc->obj->deadline_ms);
+	tmr_set(&g->tmr, &r->timer, r->d.deadline, on_deadline, r);
+	gate_req_route(r);
+}
+
 static bool
 rule_limited(struct gate_req *r, const struct route_rule *rule, double share)
 {
@@ -244,22 +290,31 @@
 	struct gate *g = r->gate;
 	struct str key = hsrv_header(r->req, "idempotency-key");
 	struct str method = str_n(r->req->method.base, r->req->method.len);
+	const struct route_service *svc = route_choose(rule, g->rnd);
 
+	if (svc == NULL) {
+		gate_req_answer(r, ERR_NO_SERVICE, RAN_NO, 0);
+		return;
+	}
 	r->rule = str_dup(rule->name);
-	r->service = str_dup(rule->service->name);
+	r->service = str_dup(svc->name);
 	r->keyed = key.n > 0;
 	r->allow_outage = rule->obj->on_outage == OUTAGE_ALLOW;
 	r->d.cls = (enum obj_class)rule->obj->cls;
 	r->d.repeatable = route_repeatable(rule->obj, method, r->keyed);
 	r->d.may_retry = true;
 	r->d.retried = hsrv_header(r->req, "fern-retried").n > 0;
-	r->d.deadline = deadline_of(r, rule);
+	r->d.attempts = (int)rule->obj->attempts;
+	r->d.rank = (int)rule->obj->rank;
+	if (rule->obj->target_ms > 0)
+		r->target = r->began + rule->obj->target_ms * NS_MS;
+	r->d.deadline = deadline_of(r, rule, svc);
 	tmr_set(&g->tmr, &r->timer, r->d.deadline, on_deadline, r);
-	if (r->hops == 0 && over_limit(r, rule)) {
+	if (over_limit(r, rule)) {
 		gate_req_answer(r, ERR_OVER_LIMIT, RAN_NO, 0);
 		return;
 	}
-	if (r->hops == 0 && r->keyed) {
+	if (r->keyed) {
 		gate_req_event(r, REQ_EV_CLAIM);
 		r->claim = gate_claim_start(
 		    g, r->rule, key, r->allow_outage, on_claimed, r);
@@ -336,15 +391,32 @@
 	    1, NULL, copy.base, copy.len);
 }
 
+/* When to come back; whole seconds unless fractions are understood. */
+static void
+add_retry_after(struct gate_req *r, int64_t after)
+{
+	char num[24];
+
+	if (after <= 0)
+		return;
+	if (r->gate->dial->fractions)
+		snprintf(num, sizeof(num), "%.3f", (double)after / NS_S);
+	else
+		snprintf(num, sizeof(num), "%lld",
+		    (long long)((after + NS_S - 1) / NS_S));
+	add_header(r->req, "retry-after", num);
+}
+
 /* Our own answer: one kind, whether the request ran, when to come back. */
 void
 gate_req_answer(struct gate_req *r, enum err_kind kind, enum err_ran ran,
     int64_t retry_after)
 {
 	const struct err_row *a = err_answer(kind);
+	const struct dial *dial = r->gate->dial;
 	h2o_req_t *req = r->req;
-	int64_t after = a->retry_after_s;
-	char num[24], body[160];
+	int status = a->status;
+	char body[160];
 	int n;
 
 	if (r->state == REQ_DONE)
@@ -357,18 +429,16 @@
 	    (unsigned long long)r->id, a->name, err_ran_name(ran));
 	if (req == NULL)
 		return;
-	if (retry_after > 0)
-		after = (retry_after + NS_S - 1) / NS_S;
+	if (dial->status_promises)
+		status = err_promise_status(kind, ran);
 	add_header(req, "fern-error", a->name);
 	add_header(req, "fern-ran", err_ran_name(ran));
-	if (after > 0) {
-		snprintf(num, sizeof(num), "%lld", (long long)after);
-		add_header(req, "retry-after", num);
-	}
+	add_retry_after(
+	    r, retry_after > 0 ? retry_after : a->retry_after_s * NS_S);
 	n = snprintf(body, sizeof(body),
 	    "{\"error\":\"%s\",\"ran\":\"%s\",\"text\":\"%s\"}\n", a->name,
 	    err_ran_name(ran), a->sentence);
-	hsrv_answer(req, a->status, "application/json", str_n(body, (size_t)n));
+	hsrv_answer(req, status, "application/json", str_n(body, (size_t)n));
 }
 
 static void
@@ -404,6 +474,7 @@
 	gate_flow_dispose(r);
 	str_free(&r->rule);
 	str_free(&r->service);
+	str_free(&r->name);
 	g_free(r);
 }
 
--- a/gate_try.c
+++ b/gate_try.c
@@ -23,7 +23,8 @@
 static void op_give_up(void *, struct disp_req *, enum err_kind, int64_t);
 static void op_stop(void *, struct disp_req *);
 static void op_release(void *, struct pick_backend *);
-static enum disp_outcome outcome_of(int, const h2o_header_t *, size_t);
+static enum disp_outcome
+outcome_of(const struct gate_req *, int, const h2o_header_t *, size_t);
 static void leave_home(struct gate_req *);
 
 const struct disp_ops gate_req_disp_ops = {
@@ -128,29 +129,19 @@
 	r->peer = NULL;
 }
 
-static struct str
-find_header(const h2o_header_t *headers, size_t n, struct str name)
-{
-	size_t i;
-
-	for (i = 0; i < n; i++)
-		if (h2o_lcstris(headers[i].name->base, headers[i].name->len,
-			name.p, name.n))
-			return str_n(
-			    headers[i].value.base, headers[i].value.len);
-	return str_c(NULL);
-}
-
 /*
- * "Fern-Ran: no" is a backend server's word that it refused before running.
- * Without it a 5xx may have run.
+ * Without a word of the backend server that it refused before running, a 5xx
+ * may have run.  Another gate says so in our own dialect.
  */
 static enum disp_outcome
-outcome_of(int status, const h2o_header_t *headers, size_t n)
+outcome_of(
+    const struct gate_req *r, int status, const h2o_header_t *headers, size_t n)
 {
-	struct str ran = find_header(headers, n, STR_LIT("fern-ran"));
+	const struct dial *dial = r->peer != NULL ? &dial_fern : r->gate->dial;
 
-	if (status >= 400 && str_eq(ran, STR_LIT("no")))
+	if (dial->moved(status, headers, n))
+		return DISP_MOVED;
+	if (dial->refused(status, headers, n))
 		return DISP_REFUSED;
 	return status >= 500 ? DISP_FAILED : DISP_OK;
 }
@@ -161,7 +152,7 @@
 {
 	static const enum err_kind kinds[] = {
 	    ERR_LEAVING, ERR_NOT_READY, ERR_NO_RULE, ERR_NO_SERVICE};
-	struct str name = find_header(headers, n, STR_LIT("fern-error"));
+	struct str name = dial_header(headers, n, STR_LIT("fern-error"));
 	enum err_kind kind = err_by_name(name);
 	size_t i;
 
@@ -180,29 +171,65 @@
 	return true;
 }
 
+/* What a backend server tells of itself with an answer. */
+static void
+take_word(struct gate_req *r, const h2o_header_t *headers, size_t n)
+{
+	const struct dial *dial = r->gate->dial;
+	struct dial_load load;
+
+	if (dial->drains(headers, n))
+		disp_drain_told(r->shard->disp, r->d.at);
+	if (dial->load(headers, n, &load))
+		disp_load_told(r->shard->disp, r->d.at, load.running,
+		    load.waiting, load.pace);
+}
+
+static bool
+head_from_home(
+    struct gate_req *r, int status, const h2o_header_t *headers, size_t n)
+{
+	enum disp_outcome outcome = outcome_of(r, status, headers, n);
+
+	if (!home_declined(headers, n) || r->passes > 2) {
+		r->maybe_ran = r->maybe_ran || outcome != DISP_REFUSED;
+		r->refused = !r->maybe_ran;
+		return false;
+	}
+	leave_home(r);
+	return retry_home(r);
+}
+
+/*
+ * A refusal is not handed on as it is: whether the request has run depends
+ * on its earlier tries too.
+ */
+static bool
+end_refused(struct gate_req *r, enum disp_outcome outcome)
+{
+	gate_req_event(r, REQ_EV_RETRY);
+	disp_done(r->shard->disp, &r->d, outcome);
+	gate_req_answer(r, ERR_REFUSED, gate_req_ran(r), 0);
+	return true;
+}
+
 bool
 gate_try_head(
     struct gate_req *r, int status, const h2o_header_t *headers, size_t n)
 {
-	enum disp_outcome outcome = outcome_of(status, headers, n);
-	struct str drain = find_header(headers, n, STR_LIT("fern-drain"));
+	enum disp_outcome outcome;
 
-	if (r->peer != NULL) {
-		if (!home_declined(headers, n) || r->passes > 2) {
-			r->maybe_ran = r->maybe_ran || outcome != DISP_REFUSED;
-			r->refused = !r->maybe_ran;
-			return false;
-		}
-		leave_home(r);
-		return retry_home(r);
-	}
-	if (drain.n > 0)
-		disp_drain_told(r->shard->disp, r->d.at);
+	if (r->peer != NULL)
+		return head_from_home(r, status, headers, n);
+	take_word(r, headers, n);
+	outcome = outcome_of(r, status, headers, n);
 	if (outcome == DISP_OK)
 		return false;
 	r->maybe_ran = r->maybe_ran || outcome == DISP_FAILED;
 	r->refused = outcome == DISP_REFUSED && !r->maybe_ran;
 	if (!disp_retryable(r->shard->disp, &r->d, outcome)) {
+		if (outcome != DISP_FAILED && r->gate->dial->status_promises)
+			return end_refused(r, outcome);
 		disp_done(r->shard->disp, &r->d, outcome);
 		return false;
 	}
--- a/libagent.h
+++ b/libagent.h
@@ -16,6 +16,7 @@
 #include "clk.h"
 #include "cnt.h"
 #include "conf.h"
+#include "dial.h"
 #include "hsrv.h"
 #include "wire.h"
 #include "memb.h"
@@ -41,8 +42,27 @@
 	int64_t platform_rate;
 	int64_t hello_ms;
 	int64_t list_ms;
+	int64_t watch_ms;
+	int64_t retry_ms;
+	int64_t status_ms;
+	struct str form; /* the platform's form, by name */
 };
 
+/* Kinds of configuration that are listed and watched together. */
+struct agent_feed {
+	struct agent *agent;
+	const char *kinds; /* joined by commas */
+	unsigned mask; /* a bit 1 << kind for each */
+	struct tmr_item timer;
+	struct plat_call *call;
+	uint64_t since; /* revision that the watch has reached */
+	uint64_t complete; /* revision of the last complete list */
+	int64_t listed_at; /* monotonic ns of it; 0: list anew */
+	int fails; /* calls in a row without an answer */
+};
+
+enum { AGENT_FEEDS_MAX = 4 };
+
 /* Counters, in the order of the table in agent_stat.c. */
 enum agent_cnt {
 	AC_PLATFORM_CALLS,
@@ -69,11 +89,12 @@
 	const struct clk *clk;
 	const struct rnd *rnd;
 	struct tmr tmr;
-	uv_timer_t tick;
+	struct tmr_item tick;
 	uv_signal_t term, intr;
 	struct up *up;
 	struct wire *wire;
 	struct plat *plat;
+	const struct plat_form *form;
 	struct limit plat_budget;
 	struct conf *conf;
 	struct sync sync;
@@ -82,16 +103,19 @@
 	struct cnt *cnt;
 	struct hsrv *admin;
 	/* agent_watch.c */
-	struct tmr_item watch_timer, boxes_timer, status_timer;
-	struct plat_call *watch_call, *boxes_call, *status_call;
-	uint64_t watch_since; /* revision that the watch has reached */
-	int64_t listed_at; /* the last complete list */
-	int watch_fails, boxes_fails, status_fails;
+	struct agent_feed feeds[AGENT_FEEDS_MAX];
+	unsigned nfeeds;
+	struct tmr_item boxes_timer, status_timer;
+	struct plat_call *boxes_call, *status_call;
+	int boxes_fails, status_fails;
+	int64_t status_at; /* the last status was written; 0: never */
 	uint64_t status_version;
 	uint64_t status_digest; /* of what the last status told */
 	uint64_t status_told; /* the configuration it was asked for last */
 	bool from_platform; /* offers of now come from the platform */
 	bool platform_up;
+	int64_t platform_back; /* it answered again after an outage; 0: never */
+	GHashTable *lapses; /* char * key to struct agent_lapse * */
 	/* agent_peer.c */
 	struct tmr_item hello_timer;
 	uint64_t gate_boot, gate_digest, gate_floor;
@@ -109,11 +133,26 @@
 	bool leaving;
 };
 
+/*
+ * agent_open.c: settings, all that an agent opens, and its tick.  `section`
+ * is the table of the settings file, NULL for the whole file.
+ */
+bool
+agent_load(struct agent *, const char *file, const char *section, GError **);
+bool agent_open(struct agent *, GError **);
+void agent_start(struct agent *);
+void agent_on_signals(struct agent *);
+
 /* agent_watch.c: the platform's objects, list of boxes, and our status. */
 void agent_watch_open(struct agent *);
 void agent_watch_resume(struct agent *);
 void agent_status_soon(struct agent *);
 bool agent_is_watcher(struct agent *);
+bool agent_watches(struct agent *, const struct memb_info *);
+
+/* agent_lapse.c: backend servers whose entries have gone from the platform. */
+void agent_lapse_open(struct agent *);
+bool agent_lapse_hold(struct agent *, const struct conf_entry *, uint64_t);
 
 /* agent_peer.c: what goes between boxes, and to our gate. */
 void agent_peer_open(struct agent *);
--- a/libgate.h
+++ b/libgate.h
@@ -17,6 +17,7 @@
 #include "clk.h"
 #include "cnt.h"
 #include "conf.h"
+#include "dial.h"
 #include "disp.h"
 #include "hsrv.h"
 #include "wire.h"
@@ -43,6 +44,7 @@
 	int64_t leave_wait_ms;
 	int64_t grace_ms;
 	int64_t summary_ms;
+	struct str form; /* the platform's form, by name */
 };
 
 /* Where a request is decided: at its service's home, or where it came in. */
@@ -120,11 +122,14 @@
 	const struct clk *clk;
 	const struct rnd *rnd;
 	struct tmr tmr;
-	uv_timer_t tick;
+	struct tmr_item tick;
+	int64_t callers_checked, reported; /* last, by the tick */
 	uv_signal_t term, intr;
 	struct up *up;
 	struct wire *wire;
 	struct plat *plat;
+	const struct plat_form *form;
+	const struct dial *dial;
 	struct conf *conf;
 	struct sync sync;
 	struct cnt *cnt;
@@ -143,6 +148,15 @@
 	enum box_state state;
 };
 
+/*
+ * gate_open.c: settings, all that a gate opens, and its tick.  `section` is
+ * the table of the settings file, NULL for the whole file.
+ */
+bool gate_load(struct gate *, const char *file, const char *section, GError **);
+bool gate_open(struct gate *, GError **);
+void gate_start(struct gate *);
+void gate_tick_soon(struct gate *);
+
 /* gate_box.c: the life of the gate, up to its planned end. */
 extern const struct chart_names gate_box_chart_names;
 void gate_box_open(struct gate *);
--- a/libreq.h
+++ b/libreq.h
@@ -50,6 +50,8 @@
 	enum req_state state;
 	int hops; /* gates it came through before us */
 	int passes; /* tries at homes */
+	struct str name; /* as its caller names it, for the log; a copy */
+	int64_t target; /* an answer is worth most before; 0: unsaid */
 	bool maybe_ran; /* an earlier try may have run */
 	bool refused; /* the answer on its way says that it did not run */
 	bool keyed;
@@ -67,6 +69,26 @@
 	bool started, ended, cut, final;
 };
 
+/*
+ * What one gate tells another with a request that it passes on.  Sent as one
+ * header, which is never taken from callers nor sent to backend servers.
+ */
+struct gate_pass {
+	unsigned hops; /* gates it came through */
+	bool bulk, repeatable, retried;
+	unsigned tries; /* backend servers that it was sent to */
+	unsigned attempts; /* how many it may be sent to; 0: unsaid */
+	unsigned rank;
+	int64_t target_ms; /* left until its target; 0: unsaid */
+	struct str service; /* points into the header */
+};
+
+#define GATE_PASS_HEADER "fern-pass"
+
+/* gate_pass.c */
+bool gate_pass_read(struct str, struct gate_pass *);
+size_t gate_pass_write(const struct gate_pass *, char *, size_t);
+
 /* gate_req.c */
 void gate_req_event(struct gate_req *, enum req_event);
 void gate_req_route(struct gate_req *);
--- a/memb.c
+++ b/memb.c
@@ -323,14 +323,25 @@
 bool
 memb_is_first(const struct memb *mb, struct str key, struct str hall, int k)
 {
-	uint64_t own = memb_weight(key, mb->self.box);
+	return memb_ranks_first(mb, &mb->self, key, hall, k);
+}
+
+bool
+memb_ranks_first(const struct memb *mb, const struct memb_info *who,
+    struct str key, struct str hall, int k)
+{
+	uint64_t own = memb_weight(key, who->box);
 	const struct memb_member *m;
 	guint i;
 
-	if (mb->self.leaving)
+	if (who->leaving)
 		return false;
-	if (hall.n > 0 && !str_eq(hall, mb->self.hall))
+	if (hall.n > 0 && !str_eq(hall, who->hall))
 		return false;
+	if (who != &mb->self && !mb->self.leaving &&
+	    (hall.n == 0 || str_eq(hall, mb->self.hall)) &&
+	    memb_weight(key, mb->self.box) > own)
+		k--;
 	for (i = 0; i < mb->members->len; i++) {
 		m = g_ptr_array_index(mb->members, i);
 		if (!memb_alive(m))
--- a/memb.h
+++ b/memb.h
@@ -103,6 +103,10 @@
  */
 bool memb_is_first(const struct memb *, struct str key, struct str hall, int k);
 
+/* The same of any box, ours or another one that is alive. */
+bool memb_ranks_first(const struct memb *, const struct memb_info *,
+    struct str key, struct str hall, int k);
+
 /* The weight of a box for a key, as memb_is_first() ranks them. */
 uint64_t memb_weight(struct str key, struct str box);
 
--- a/obj.c
+++ b/obj.c
@@ -20,12 +20,18 @@
 	QUEUE_MAX = 100000,
 	RATE_MAX = 10000000,
 	PROBE_MIN_MS = 100,
-	PROBE_MAX_MS = 600000
+	PROBE_MAX_MS = 600000,
+	ATTEMPTS_MAX = 100,
+	RANK_MAX = 1000,
+	BODY_MAX = 1 << 28
 };
 
 static bool finish_backend(struct obj *, GError **);
 static bool finish_service(struct obj *, GError **);
 static bool finish_rule(struct obj *, GError **);
+static bool finish_any(struct obj *, GError **);
+static struct obj *read_bundle(
+    struct str, const json_t *, const struct doc *, const char *, GError **);
 
 static const char *const words_repeatable[] = {"by-method", "yes", "no", NULL};
 static const char *const words_class[] = {"interactive", "bulk", NULL};
@@ -34,6 +40,7 @@
 #define B(member) offsetof(struct obj, u.backend.member)
 #define S(member) offsetof(struct obj, u.service.member)
 #define R(member) offsetof(struct obj, u.rule.member)
+#define L(member) offsetof(struct obj, u.listener.member)
 
 static const struct field backend_fields[] = {
     {.name = "address",
@@ -54,6 +61,11 @@
 	.min = 1,
 	.max = CONNECTIONS_MAX},
     {.name = "drain", .type = FIELD_BOOL, .offset = B(drain)},
+    {.name = "warm_ms",
+	.type = FIELD_INT,
+	.offset = B(warm_ms),
+	.min = 0,
+	.max = DEADLINE_MAX_MS},
     {.name = "labels", .type = FIELD_LABELS, .offset = B(labels)},
 };
 
@@ -111,7 +123,23 @@
     {.name = "service",
 	.type = FIELD_NAME,
 	.offset = R(service),
-	.required = true},
+	.text_dflt = ""},
+    {.name = "split", .type = FIELD_WEIGHTS, .offset = R(split)},
+    {.name = "target_ms",
+	.type = FIELD_INT,
+	.offset = R(target_ms),
+	.min = 0,
+	.max = DEADLINE_MAX_MS},
+    {.name = "attempts",
+	.type = FIELD_INT,
+	.offset = R(attempts),
+	.min = 0,
+	.max = ATTEMPTS_MAX},
+    {.name = "rank",
+	.type = FIELD_INT,
+	.offset = R(rank),
+	.min = 0,
+	.max = RANK_MAX},
     {.name = "repeatable",
 	.type = FIELD_WORD,
 	.offset = R(repeatable),
@@ -145,6 +173,21 @@
 	.max = DEADLINE_MAX_MS},
 };
 
+static const struct field listener_fields[] = {
+    {.name = "body_max",
+	.type = FIELD_INT,
+	.offset = L(body_max),
+	.dflt = 1 << 20,
+	.min = 0,
+	.max = BODY_MAX},
+    {.name = "idle_ms",
+	.type = FIELD_INT,
+	.offset = L(idle_ms),
+	.dflt = 10000,
+	.min = 1000,
+	.max = DEADLINE_MAX_MS},
+};
+
 static const struct {
 	const char *name;
 	const struct field *fields;
@@ -156,6 +199,9 @@
     [OBJ_SERVICE] = {"service", service_fields, G_N_ELEMENTS(service_fields),
 	finish_service},
     [OBJ_RULE] = {"rule", rule_fields, G_N_ELEMENTS(rule_fields), finish_rule},
+    [OBJ_LISTENER] = {"listener", listener_fields,
+	G_N_ELEMENTS(listener_fields), finish_any},
+    [OBJ_BUNDLE] = {"bundle", NULL, 0, finish_any},
 };
 
 const char *
@@ -223,9 +269,85 @@
 	if (r->header.n > 0 && memchr(r->header.p, ':', r->header.n) == NULL)
 		return err_set(err, ERR_OBJECT,
 		    "rule %s: header: must be \"name: value\"", o->name.p);
+	if ((r->service.n > 0) == (json_object_size(r->split) > 0))
+		return err_set(err, ERR_OBJECT,
+		    "rule %s: must have either a service or a split",
+		    o->name.p);
+	return true;
+}
+
+static bool
+finish_any(struct obj *o, GError **err)
+{
+	(void)o;
+	(void)err;
 	return true;
 }
 
+/* Read the objects of one kind in a bundle: a table of names to specs. */
+static bool
+read_members(struct obj *bundle, enum obj_kind kind, const json_t *specs,
+    const struct doc *doc, GError **err)
+{
+	const char *name;
+	json_t *spec;
+	struct obj *o;
+
+	json_object_foreach ((json_t *)specs, name, spec) {
+		o = obj_read(kind, str_c(name), spec, doc, err);
+		if (o == NULL)
+			return false;
+		g_ptr_array_add(bundle->u.bundle.objects, o);
+	}
+	return true;
+}
+
+static bool
+read_all_members(struct obj *bundle, const json_t *spec, const struct doc *doc,
+    const char *where, GError **err)
+{
+	enum obj_kind kind;
+	const char *key;
+	json_t *specs;
+
+	json_object_foreach ((json_t *)spec, key, specs) {
+		if (!obj_kind_by_name(str_c(key), &kind) ||
+		    kind == OBJ_BUNDLE || kind == OBJ_BACKEND)
+			return err_set(err, ERR_OBJECT,
+			    "%s: %s: a bundle holds service, rule and listener",
+			    where, key);
+		if (!json_is_object(specs))
+			return err_set(err, ERR_OBJECT,
+			    "%s: %s: must be a table of names to specs", where,
+			    key);
+		if (!read_members(bundle, kind, specs, doc, err))
+			return false;
+	}
+	return true;
+}
+
+static struct obj *
+read_bundle(struct str name, const json_t *spec, const struct doc *doc,
+    const char *where, GError **err)
+{
+	struct obj *o;
+
+	if (!json_is_object(spec)) {
+		err_set(err, ERR_OBJECT, "%s: is not a table", where);
+		return NULL;
+	}
+	o = g_new0(struct obj, 1);
+	o->kind = OBJ_BUNDLE;
+	o->refs = 1;
+	o->name = str_dup(name);
+	o->u.bundle.objects =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)obj_free);
+	if (read_all_members(o, spec, doc, where, err))
+		return o;
+	obj_free(o);
+	return NULL;
+}
+
 struct obj *
 obj_read(enum obj_kind kind, struct str name, const json_t *spec,
     const struct doc *doc, GError **err)
@@ -243,6 +365,8 @@
 		    STR_ARG(name));
 	else
 		snprintf(where, sizeof(where), "%s", doc->file);
+	if (kind == OBJ_BUNDLE)
+		return read_bundle(name, spec, doc, where, err);
 	o = g_new0(struct obj, 1);
 	o->kind = kind;
 	o->refs = 1;
@@ -272,6 +396,8 @@
 		return;
 	if (o->kind == OBJ_SERVICE)
 		sel_free(o->u.service.select);
+	if (o->kind == OBJ_BUNDLE)
+		g_ptr_array_free(o->u.bundle.objects, TRUE);
 	field_free(kinds[o->kind].fields, kinds[o->kind].n, o);
 	str_free(&o->name);
 	g_free(o);
--- a/obj.h
+++ b/obj.h
@@ -22,10 +22,19 @@
 
 /*
  * The objects that operators write, each versioned by itself: a backend
- * server, a service and a rule.  Specs are JSON on the platform and TOML in
- * operators' files; both are checked here, by the same tables.
+ * server, a service and a rule, bounds for callers, and a bundle, which is a
+ * set of the latter three under one version: it comes into force whole or not
+ * at all.  Specs are JSON on the platform and TOML in operators' files; both
+ * are checked here, by the same tables.
  */
-enum obj_kind { OBJ_BACKEND, OBJ_SERVICE, OBJ_RULE, OBJ_KIND_MAX };
+enum obj_kind {
+	OBJ_BACKEND,
+	OBJ_SERVICE,
+	OBJ_RULE,
+	OBJ_LISTENER,
+	OBJ_BUNDLE,
+	OBJ_KIND_MAX
+};
 
 /* The class of a request. */
 enum obj_class { CLASS_INTERACTIVE, CLASS_BULK, CLASS_MAX };
@@ -39,6 +48,7 @@
 	int64_t slots;
 	int64_t connections;
 	bool drain;
+	int64_t warm_ms; /* it is slow for so long after its start */
 	json_t *labels; /* with "hall" and "name" added */
 };
 
@@ -59,7 +69,11 @@
 	struct str path; /* a prefix */
 	struct str method; /* exact, or empty for any */
 	struct str header; /* "name: value", or empty for any */
-	struct str service;
+	struct str service; /* empty where a split is given */
+	json_t *split; /* names of services to their weights */
+	int64_t target_ms; /* an answer is worth most within it; 0: unsaid */
+	int64_t attempts; /* backend servers one request may see; 0: unsaid */
+	int64_t rank; /* the lower, the more urgent */
 	int repeatable; /* 0: by method, 1: yes, 2: no */
 	int cls; /* enum obj_class */
 	int64_t rate; /* requests a second, fleet-wide; 0: no limit */
@@ -69,6 +83,17 @@
 	int64_t deadline_ms; /* 0: the service's */
 };
 
+/* What callers may send, and how long they may take or be idle. */
+struct obj_listener {
+	int64_t body_max; /* bytes of a request's body */
+	int64_t idle_ms; /* a kept connection without a request */
+};
+
+/* Services, rules and a listener that come into force together. */
+struct obj_bundle {
+	GPtrArray *objects; /* struct obj * */
+};
+
 /* Values of a rule's `repeatable`. */
 enum { REPEATABLE_BY_METHOD, REPEATABLE_YES, REPEATABLE_NO };
 
@@ -81,10 +106,12 @@
 		struct obj_backend backend;
 		struct obj_service service;
 		struct obj_rule rule;
+		struct obj_listener listener;
+		struct obj_bundle bundle;
 	} u;
 };
 
-/* Names of kinds: "backend", "service", "rule". */
+/* Names of kinds: "backend", "service", "rule", "listener", "bundle". */
 const char *obj_kind_name(enum obj_kind);
 bool obj_kind_by_name(struct str, enum obj_kind *);
 
--- a/pick.h
+++ b/pick.h
@@ -61,6 +61,10 @@
 	int64_t oldest; /* start of the oldest in flight; 0: none */
 	int64_t full_until; /* it refused for want of a slot */
 	int64_t eject_until;
+	/* What it told of itself last; told_at 0: nothing yet. */
+	int told_running, told_waiting;
+	int told_pace; /* percent of the usual time that work takes */
+	int64_t told_at;
 	int ejections; /* in a row, for the length of the next */
 	int bad_row, good_row, refused_row;
 	bool gone; /* no longer selected; waits for its last answer */
--- /dev/null
+++ b/plat.c
@@ -0,0 +1,43 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "dial.h"
+#include "plat.h"
+#include "platform/platform.h"
+
+extern const struct plat_codec plat_fern_codec;
+
+static const char *const result_names[] = {
+    "ok", "conflict", "none", "too-old", "unsure", "down", "bad"};
+
+static const char *const fern_feeds[] = {
+    "backend,service,rule,listener,bundle", NULL};
+
+static const struct plat_form fern_form = {
+    "fern", &plat_fern_codec, &dial_fern, fern_feeds};
+
+static const struct plat_form *const forms[] = {&fern_form, &platform_form};
+
+const char *
+plat_result_name(enum plat_result r)
+{
+	return result_names[r];
+}
+
+const struct plat_form *
+plat_form_by_name(struct str name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(forms); i++)
+		if (str_eq(str_c(forms[i]->name), name))
+			return forms[i];
+	return NULL;
+}
--- a/plat.h
+++ b/plat.h
@@ -82,12 +82,61 @@
 
 const char *plat_result_name(enum plat_result);
 
-/* A client that speaks HTTP and JSON, as fernplatform(7) describes. */
+/* One HTTP exchange with the platform; what it points to is freed after it. */
+struct plat_exchange {
+	const char *method;
+	char *path;
+	const char *header; /* one header, or NULL */
+	char *value;
+	char *body; /* or NULL */
+};
+
+/*
+ * How calls and answers are written down.  Answers are given in one form,
+ * whatever the platform's is:
+ *
+ *	list, watch	{"revision": N, "objects": [OBJECT, ...]}
+ *	get		OBJECT
+ *	create, update	{"version": N}
+ *	conflict	{"current": OBJECT or null}
+ *	boxes		{"boxes": [{"name", "hall", "inbox", "leaving"}, ...]}
+ *
+ * with OBJECT {"kind", "name", "version", "deleted", "spec", "change"}.
+ */
+struct plat_codec {
+	/* `after` is what decode() gave for the page before, else empty. */
+	void (*encode)(const struct plat_request *, struct str after,
+	    struct plat_exchange *);
+	enum plat_result (*result)(const struct plat_request *, int status);
+	/*
+	 * A new reference, NULL if the body cannot be understood.  Sets *after
+	 * to a new string where a further page has to be fetched.
+	 */
+	json_t *(*decode)(const struct plat_request *, enum plat_result,
+	    json_t *body, char **after);
+};
+
+struct dial;
+
+/* All that depends on whose platform it is. */
+struct plat_form {
+	const char *name;
+	const struct plat_codec *codec;
+	const struct dial *dial;
+	/* Kinds of configuration; each entry is listed and watched by itself.
+	 */
+	const char *const *feeds;
+};
+
+/* The forms are "fern", of fernplatform(7), and "objects".  NULL: unknown. */
+const struct plat_form *plat_form_by_name(struct str);
+
+/* A client that speaks HTTP and JSON in the form that the codec knows. */
 struct up;
 struct tmr;
 struct clk;
-struct plat *plat_http_open(
-    struct up *, struct tmr *, const struct clk *, struct str address);
+struct plat *plat_http_open(struct up *, struct tmr *, const struct clk *,
+    struct str address, const struct plat_codec *);
 void plat_http_close(struct plat *);
 
 #endif
--- a/plat_http.c
+++ b/plat_http.c
@@ -8,7 +8,7 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
-#include <stdio.h>
+#include <string.h>
 
 #include "plat.h"
 #include "tmr.h"
@@ -23,23 +23,27 @@
 	struct tmr *tmr;
 	const struct clk *clk;
 	struct str address;
+	const struct plat_codec *codec;
 };
 
 struct plat_call {
 	struct plat_http *http;
+	struct plat_request rq; /* with copies of its strings */
+	struct plat_exchange ex;
 	struct up_call *up;
 	struct tmr_item timer;
 	plat_done_fn *done;
 	void *ctx;
-	char *path, *body;
 	bool sent, reads;
 	int status;
 	GString *answer;
+	json_t *pages; /* of a list, as far as they are here */
 };
 
 static struct plat_call *
 start(void *, const struct plat_request *, plat_done_fn *, void *);
 static void cancel(void *, struct plat_call *);
+static void exchange(struct plat_call *, struct str after);
 static void on_connected(void *, struct up_call *);
 static void
 on_head(void *, struct up_call *, int, const h2o_header_t *, size_t);
@@ -52,26 +56,9 @@
 static const struct up_ops ops = {
     on_connected, on_head, on_body, on_end, on_fail};
 
-static const char *const result_names[] = {
-    "ok", "conflict", "none", "too-old", "unsure", "down", "bad"};
-
-static const char *const methods[] = {[PLAT_LIST] = "GET",
-    [PLAT_GET] = "GET",
-    [PLAT_CREATE] = "PUT",
-    [PLAT_UPDATE] = "PUT",
-    [PLAT_DELETE] = "DELETE",
-    [PLAT_WATCH] = "GET",
-    [PLAT_BOXES] = "GET"};
-
-const char *
-plat_result_name(enum plat_result r)
-{
-	return result_names[r];
-}
-
 struct plat *
-plat_http_open(
-    struct up *up, struct tmr *tmr, const struct clk *clk, struct str address)
+plat_http_open(struct up *up, struct tmr *tmr, const struct clk *clk,
+    struct str address, const struct plat_codec *codec)
 {
 	struct plat_http *h = g_new0(struct plat_http, 1);
 
@@ -82,6 +69,7 @@
 	h->tmr = tmr;
 	h->clk = clk;
 	h->address = str_dup(address);
+	h->codec = codec;
 	return &h->plat;
 }
 
@@ -94,68 +82,63 @@
 	g_free(h);
 }
 
-static char *
-path_of(const struct plat_request *rq)
-{
-	switch (rq->op) {
-	case PLAT_LIST:
-		return g_strdup_printf(
-		    "/v1/objects?kind=%.*s", STR_ARG(rq->kind));
-	case PLAT_WATCH:
-		return g_strdup_printf(
-		    "/v1/watch?kind=%.*s&since=%llu&wait_ms=%lld",
-		    STR_ARG(rq->kind), (unsigned long long)rq->version,
-		    (long long)rq->wait_ms);
-	case PLAT_BOXES:
-		return g_strdup("/v1/boxes");
-	default:
-		return g_strdup_printf("/v1/objects/%.*s/%.*s",
-		    STR_ARG(rq->kind), STR_ARG(rq->name));
-	}
-}
-
 static struct plat_call *
 start(void *ctx, const struct plat_request *rq, plat_done_fn *done, void *arg)
 {
 	struct plat_http *h = ctx;
 	struct plat_call *c = g_new0(struct plat_call, 1);
-	static const h2o_iovec_t if_match = {H2O_STRLIT("if-match")};
-	static const h2o_iovec_t if_none = {H2O_STRLIT("if-none-match")};
-	h2o_header_t header = {0};
-	struct up_request up = {0};
-	char version[32];
 	int64_t ms = rq->timeout_ms > 0 ? rq->timeout_ms : TIMEOUT_MS;
-	int n;
 
 	c->http = h;
 	c->done = done;
 	c->ctx = arg;
-	c->path = path_of(rq);
+	c->rq = *rq;
+	c->rq.kind = str_dup(rq->kind);
+	c->rq.name = str_dup(rq->name);
 	c->answer = g_string_new(NULL);
-	c->reads = strcmp(methods[rq->op], "GET") == 0;
-	if (rq->value != NULL)
-		c->body = json_dumps(rq->value, JSON_COMPACT);
-	n = snprintf(
-	    version, sizeof(version), "%llu", (unsigned long long)rq->version);
-	if (rq->op == PLAT_CREATE) {
-		header.name = (h2o_iovec_t *)&if_none;
-		header.value = h2o_iovec_init(H2O_STRLIT("*"));
-	} else {
-		header.name = (h2o_iovec_t *)&if_match;
-		header.value = h2o_iovec_init(version, (size_t)n);
-	}
+	tmr_set(h->tmr, &c->timer, clk_ns(h->clk) + (ms + rq->wait_ms) * NS_MS,
+	    on_timeout, c);
+	exchange(c, str_c(NULL));
+	c->rq.value = NULL;
+	return c;
+}
+
+static void
+exchange_clear(struct plat_call *c)
+{
+	g_free(c->ex.path);
+	g_free(c->ex.value);
+	free(c->ex.body);
+	memset(&c->ex, 0, sizeof(c->ex));
+}
+
+/* Send the call, or ask for its next page. */
+static void
+exchange(struct plat_call *c, struct str after)
+{
+	struct plat_http *h = c->http;
+	struct up_request up = {0};
+	h2o_header_t header;
+	h2o_iovec_t name;
+
+	exchange_clear(c);
+	g_string_truncate(c->answer, 0);
+	h->codec->encode(&c->rq, after, &c->ex);
+	c->reads = strcmp(c->ex.method, "GET") == 0;
 	up.address = h->address;
 	up.host = h->address;
-	up.method = str_c(methods[rq->op]);
-	up.path = str_c(c->path);
-	up.body = str_c(c->body);
-	up.headers = &header;
-	up.nheaders = !c->reads;
+	up.method = str_c(c->ex.method);
+	up.path = str_c(c->ex.path);
+	up.body = str_c(c->ex.body);
 	up.connect_ns = CONNECT_NS;
-	tmr_set(h->tmr, &c->timer, clk_ns(h->clk) + (ms + rq->wait_ms) * NS_MS,
-	    on_timeout, c);
+	if (c->ex.header != NULL) {
+		name = h2o_iovec_init(c->ex.header, strlen(c->ex.header));
+		header.name = &name;
+		header.value = h2o_iovec_init(c->ex.value, strlen(c->ex.value));
+		up.headers = &header;
+		up.nheaders = 1;
+	}
 	c->up = up_start(h->up, &up, &ops, c);
-	return c;
 }
 
 static void
@@ -163,8 +146,10 @@
 {
 	tmr_clear(c->http->tmr, &c->timer);
 	g_string_free(c->answer, TRUE);
-	g_free(c->path);
-	free(c->body);
+	exchange_clear(c);
+	json_decref(c->pages);
+	str_free(&c->rq.kind);
+	str_free(&c->rq.name);
 	g_free(c);
 }
 
@@ -232,38 +217,42 @@
 	take(ctx, up);
 }
 
-static enum plat_result
-result_of(const struct plat_call *c)
+/* A later page adds its objects to those before it. */
+static void
+add_page(struct plat_call *c, json_t *page)
 {
-	if (c->status >= 200 && c->status < 300)
-		return PLAT_OK;
-	if (c->status == 412)
-		return PLAT_CONFLICT;
-	if (c->status == 404)
-		return PLAT_NONE;
-	if (c->status == 410)
-		return PLAT_TOO_OLD;
-	if (c->status == 503 || c->status == 429)
-		return PLAT_DOWN;
-	if (c->status >= 500)
-		return c->reads ? PLAT_DOWN : PLAT_UNSURE;
-	return PLAT_BAD;
+	if (c->pages == NULL)
+		c->pages = json_incref(page);
+	else
+		json_array_extend(json_object_get(c->pages, "objects"),
+		    json_object_get(page, "objects"));
 }
 
 static void
 on_end(void *ctx, struct up_call *up)
 {
 	struct plat_call *c = ctx;
-	enum plat_result result = result_of(c);
-	json_t *body;
+	const struct plat_codec *codec = c->http->codec;
+	enum plat_result result = codec->result(&c->rq, c->status);
+	json_t *body, *page = NULL;
+	char *after = NULL;
 
 	take(c, up);
 	c->up = NULL;
 	body = json_loadb(c->answer->str, c->answer->len, 0, NULL);
-	if (body == NULL && result == PLAT_OK)
-		result = c->reads ? PLAT_DOWN : PLAT_UNSURE;
-	finish(c, result, body);
+	if (body != NULL)
+		page = codec->decode(&c->rq, result, body, &after);
 	json_decref(body);
+	if (page == NULL && result == PLAT_OK && c->rq.op != PLAT_DELETE)
+		result = c->reads ? PLAT_DOWN : PLAT_UNSURE;
+	if (page != NULL)
+		add_page(c, page);
+	json_decref(page);
+	if (after != NULL && result == PLAT_OK)
+		exchange(c, str_c(after));
+	else
+		finish(c, result, c->pages);
+	g_free(after);
 }
 
 static void
--- a/route.c
+++ b/route.c
@@ -19,9 +19,12 @@
 	GPtrArray *rules; /* struct route_rule *, in order of matching */
 	GPtrArray *backends; /* struct obj *, sorted by name */
 	GPtrArray *objects; /* struct obj *: our references */
+	const struct obj_listener *listener;
 };
 
 static void collect(void *, const struct conf_entry *);
+static void collect_obj(struct route_table *, struct obj *);
+static void bind_parts(const struct route_table *, struct route_rule *);
 static void fill(struct route_table *, struct route_service *);
 static struct route_hall *hall_of(struct route_service *, struct str);
 static int by_specificity(const void *, const void *);
@@ -48,17 +51,33 @@
 	g_free(s);
 }
 
+static void
+rule_free(void *p)
+{
+	struct route_rule *r = p;
+
+	g_free(r->parts);
+	g_free(r);
+}
+
 static void
 collect(void *ctx, const struct conf_entry *e)
 {
 	struct route_table *t = ctx;
+
+	if (e->obj == NULL)
+		return;
+	g_ptr_array_add(t->objects, obj_ref(e->obj));
+	collect_obj(t, e->obj);
+}
+
+static void
+collect_obj(struct route_table *t, struct obj *o)
+{
 	struct route_service *s;
 	struct route_rule *r;
-	struct obj *o = e->obj;
+	guint i;
 
-	if (o == NULL)
-		return;
-	g_ptr_array_add(t->objects, obj_ref(o));
 	switch (o->kind) {
 	case OBJ_BACKEND:
 		g_ptr_array_add(t->backends, o);
@@ -75,11 +94,40 @@
 		r->obj = &o->u.rule;
 		g_ptr_array_add(t->rules, r);
 		break;
+	case OBJ_LISTENER:
+		t->listener = &o->u.listener;
+		break;
+	case OBJ_BUNDLE:
+		for (i = 0; i < o->u.bundle.objects->len; i++)
+			collect_obj(
+			    t, g_ptr_array_index(o->u.bundle.objects, i));
+		break;
 	default:
 		break;
 	}
 }
 
+/* Find the services that a rule names. */
+static void
+bind_parts(const struct route_table *t, struct route_rule *r)
+{
+	json_t *weight;
+	const char *name;
+	unsigned i = 0;
+
+	r->nparts = MAX(1u, (unsigned)json_object_size(r->obj->split));
+	r->parts = g_new0(struct route_part, r->nparts);
+	r->parts[0] = (struct route_part){
+	    r->obj->service.n == 0 ? NULL : route_service(t, r->obj->service),
+	    1};
+	json_object_foreach (r->obj->split, name, weight) {
+		r->parts[i].service = route_service(t, str_c(name));
+		r->parts[i++].weight = (uint64_t)json_integer_value(weight);
+	}
+	for (i = 0; i < r->nparts; i++)
+		r->weight += r->parts[i].weight;
+}
+
 static struct route_hall *
 hall_of(struct route_service *s, struct str hall)
 {
@@ -149,11 +197,10 @@
 route_build(const struct conf *conf)
 {
 	struct route_table *t = g_new0(struct route_table, 1);
-	struct route_rule *r;
 	guint i;
 
 	t->services = g_ptr_array_new_with_free_func(service_free);
-	t->rules = g_ptr_array_new_with_free_func(g_free);
+	t->rules = g_ptr_array_new_with_free_func(rule_free);
 	t->backends = g_ptr_array_new();
 	t->objects = g_ptr_array_new_with_free_func((GDestroyNotify)obj_free);
 	conf_each(conf, collect, t);
@@ -161,10 +208,8 @@
 	g_ptr_array_sort(t->rules, by_specificity);
 	for (i = 0; i < t->services->len; i++)
 		fill(t, g_ptr_array_index(t->services, i));
-	for (i = 0; i < t->rules->len; i++) {
-		r = g_ptr_array_index(t->rules, i);
-		r->service = route_service(t, r->obj->service);
-	}
+	for (i = 0; i < t->rules->len; i++)
+		bind_parts(t, g_ptr_array_index(t->rules, i));
 	return t;
 }
 
@@ -234,6 +279,26 @@
 	return NULL;
 }
 
+const struct route_service *
+route_choose(const struct route_rule *r, const struct rnd *rnd)
+{
+	uint64_t at = rnd_below(rnd, r->weight);
+	unsigned i;
+
+	for (i = 0; i + 1 < r->nparts; i++) {
+		if (at < r->parts[i].weight)
+			break;
+		at -= r->parts[i].weight;
+	}
+	return r->parts[i].service;
+}
+
+const struct obj_listener *
+route_listener(const struct route_table *t)
+{
+	return t->listener;
+}
+
 const struct route_service *
 route_service(const struct route_table *t, struct str name)
 {
--- a/route.h
+++ b/route.h
@@ -14,6 +14,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "clk.h"
 #include "conf.h"
 #include "disp.h"
 #include "obj.h"
@@ -41,10 +42,18 @@
 	int slots; /* of all halls */
 };
 
+/* One of the services that a rule's requests are divided among. */
+struct route_part {
+	const struct route_service *service; /* NULL: it is not there */
+	uint64_t weight;
+};
+
 struct route_rule {
 	struct str name;
 	const struct obj_rule *obj;
-	const struct route_service *service; /* NULL: it is not there */
+	struct route_part *parts;
+	unsigned nparts; /* at least one */
+	uint64_t weight; /* of all parts */
 };
 
 /* A request as rules see it. */
@@ -71,9 +80,16 @@
 const struct route_rule *
 route_match(const struct route_table *, const struct route_query *);
 
+/* A service for a request, by the parts' weights; NULL: it is not there. */
+const struct route_service *
+route_choose(const struct route_rule *, const struct rnd *);
+
 const struct route_service *
 route_service(const struct route_table *, struct str name);
 
+/* What callers may send; NULL where the configuration does not say. */
+const struct obj_listener *route_listener(const struct route_table *);
+
 const struct route_hall *
 route_hall(const struct route_service *, struct str hall);
 
--- a/set.c
+++ b/set.c
@@ -13,15 +13,23 @@
 #include "set.h"
 
 bool
-set_load(const char *file, const struct field *tab, size_t n, void *out,
-    GError **err)
+set_load(const char *file, const char *section, const struct field *tab,
+    size_t n, void *out, GError **err)
 {
 	struct doc *doc = doc_load(file, err);
+	json_t *values;
 	bool ok;
 
 	if (doc == NULL)
 		return false;
-	ok = field_read(tab, n, doc->root, doc, file, ERR_SETTINGS, out, err);
+	values =
+	    section == NULL ? doc->root : json_object_get(doc->root, section);
+	if (values == NULL)
+		ok = err_set(
+		    err, ERR_SETTINGS, "%s: [%s]: is missing", file, section);
+	else
+		ok = field_read(
+		    tab, n, values, doc, file, ERR_SETTINGS, out, err);
 	doc_free(doc);
 	return ok;
 }
--- a/set.h
+++ b/set.h
@@ -17,11 +17,12 @@
 #include "field.h"
 
 /*
- * Load a settings file into a struct by a table of its keys.  Messages tell
- * file, line, key, what was found and what is allowed.
+ * Load a settings file into a struct by a table of its keys.  `section` is
+ * the TOML table to read, NULL for the whole file.  Messages tell file, line,
+ * key, what was found and what is allowed.
  */
-bool
-set_load(const char *file, const struct field *, size_t, void *, GError **);
+bool set_load(const char *file, const char *section, const struct field *,
+    size_t, void *, GError **);
 
 #define SET_VERSION "0.1.0"
 
--- a/up.h
+++ b/up.h
@@ -12,7 +12,6 @@
 #define UP_H
 
 #include <h2o.h>
-#include <h2o/http1client.h>
 #include <stdbool.h>
 #include <uv.h>
 
@@ -21,7 +20,7 @@
 #include "tmr.h"
 
 /*
- * HTTP requests to other processes, over h2o's http1client.  A call tells
+ * HTTP requests to other processes, over libuv and http_parser.  A call tells
  * exactly how far it came: whether its request may have been read by the
  * other side, and whether its answer was complete.
  */
--- a/wire_zmq.c
+++ b/wire_zmq.c
@@ -20,8 +20,9 @@
 	MESSAGE_MAX = 4 << 20,
 	RECONNECT_MIN_MS = 50,
 	RECONNECT_MAX_MS = 2000,
-	SWEEP_MS = 20, /* a look at the inbox even without an event */
-	IDLE_SWEEPS = 1500 /* 30 s without a message closes a peer */
+	SWEEP_MS = 250, /* a look at the inbox even without an event */
+	IDLE_SWEEPS = 120, /* 30 s without a message closes a peer */
+	UNACKED_MS = 2000 /* then a connection is given up and made anew */
 };
 
 struct peer {
@@ -30,8 +31,9 @@
 };
 
 struct wire {
-	void *zmq;
 	void *inbox;
+	GQueue local; /* GBytes * from inboxes of this process */
+	uv_timer_t local_timer;
 	struct str address;
 	GHashTable *peers; /* char * address to struct peer * */
 	uv_poll_t poll;
@@ -42,10 +44,17 @@
 	struct wire_totals counts;
 };
 
+/* Inboxes of one process share ZeroMQ's threads. */
+static struct {
+	void *zmq;
+	GPtrArray *wires; /* struct wire * */
+} shared;
+
+static void on_local(uv_timer_t *);
 static void on_event(uv_poll_t *, int, int);
 static void on_sweep(uv_timer_t *);
 static void read_all(struct wire *);
-static void take_one(struct wire *, zmq_msg_t *);
+static void take_one(struct wire *, const char *, size_t);
 static struct peer *peer_of(struct wire *, struct str);
 static void peer_free(void *);
 static gboolean is_idle(gpointer, gpointer, gpointer);
@@ -65,6 +74,27 @@
 	g_free(peer);
 }
 
+static void
+shared_open(void)
+{
+	if (shared.zmq != NULL)
+		return;
+	shared.zmq = zmq_ctx_new();
+	zmq_ctx_set(shared.zmq, ZMQ_IO_THREADS, 1);
+	zmq_ctx_set(shared.zmq, ZMQ_BLOCKY, 0);
+	shared.wires = g_ptr_array_new();
+}
+
+static void
+shared_close(void)
+{
+	if (shared.wires->len > 0)
+		return;
+	zmq_ctx_term(shared.zmq);
+	g_ptr_array_free(shared.wires, TRUE);
+	shared.zmq = NULL;
+}
+
 struct wire *
 wire_open(uv_loop_t *loop, struct str inbox, wire_take_fn *take, void *ctx,
     GError **err)
@@ -74,17 +104,15 @@
 	size_t len = sizeof(int);
 	int fd;
 
-	l->zmq = zmq_ctx_new();
-	zmq_ctx_set(l->zmq, ZMQ_IO_THREADS, 1);
-	zmq_ctx_set(l->zmq, ZMQ_BLOCKY, 0);
-	l->inbox = zmq_socket(l->zmq, ZMQ_PULL);
+	shared_open();
+	l->inbox = zmq_socket(shared.zmq, ZMQ_PULL);
 	set_int(l->inbox, ZMQ_RCVHWM, INBOX_MAX);
 	set_int(l->inbox, ZMQ_LINGER, 0);
 	if (zmq_bind(l->inbox, url) != 0) {
 		err_set(err, ERR_SYSTEM, "inbox %.*s: %s", STR_ARG(inbox),
 		    zmq_strerror(zmq_errno()));
 		zmq_close(l->inbox);
-		zmq_ctx_term(l->zmq);
+		shared_close();
 		g_free(url);
 		g_free(l);
 		return NULL;
@@ -99,6 +127,10 @@
 	uv_poll_init(loop, &l->poll, fd);
 	l->poll.data = l;
 	uv_poll_start(&l->poll, UV_READABLE, on_event);
+	g_queue_init(&l->local);
+	uv_timer_init(loop, &l->local_timer);
+	l->local_timer.data = l;
+	g_ptr_array_add(shared.wires, l);
 	uv_timer_init(loop, &l->sweep);
 	l->sweep.data = l;
 	uv_timer_start(&l->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
@@ -142,19 +174,56 @@
 
 	zmq_msg_init(&zm);
 	while (zmq_msg_recv(&zm, l->inbox, ZMQ_DONTWAIT) >= 0)
-		take_one(l, &zm);
+		take_one(l, zmq_msg_data(&zm), zmq_msg_size(&zm));
 	zmq_msg_close(&zm);
 }
 
 static void
-take_one(struct wire *l, zmq_msg_t *zm)
+on_after_send(uv_timer_t *timer)
+{
+	on_local(timer);
+	read_all(timer->data);
+}
+
+/* What another inbox of this process has sent. */
+static void
+on_local(uv_timer_t *timer)
+{
+	struct wire *l = timer->data;
+	GBytes *bytes;
+	gconstpointer p;
+	gsize n;
+
+	while ((bytes = g_queue_pop_head(&l->local)) != NULL) {
+		p = g_bytes_get_data(bytes, &n);
+		take_one(l, p, n);
+		g_bytes_unref(bytes);
+	}
+}
+
+static struct wire *
+local_inbox(struct str address)
+{
+	struct wire *l;
+	guint i;
+
+	for (i = 0; i < shared.wires->len; i++) {
+		l = g_ptr_array_index(shared.wires, i);
+		if (str_eq(l->address, address))
+			return l;
+	}
+	return NULL;
+}
+
+static void
+take_one(struct wire *l, const char *p, size_t n)
 {
 	GError *err = NULL;
 	struct msg m;
 
 	l->counts.in++;
-	l->counts.bytes_in += zmq_msg_size(zm);
-	if (!msg_decode(zmq_msg_data(zm), zmq_msg_size(zm), &m, &err)) {
+	l->counts.bytes_in += n;
+	if (!msg_decode(p, n, &m, &err)) {
 		l->counts.malformed++;
 		slog(SLOG_PEER, "Dropped a message: %s.", err->message);
 		g_error_free(err);
@@ -173,9 +242,10 @@
 	if (peer == NULL) {
 		url = g_strdup_printf("tcp://%s", key);
 		peer = g_new0(struct peer, 1);
-		peer->sock = zmq_socket(l->zmq, ZMQ_PUSH);
+		peer->sock = zmq_socket(shared.zmq, ZMQ_PUSH);
 		set_int(peer->sock, ZMQ_SNDHWM, QUEUE_MAX);
 		set_int(peer->sock, ZMQ_LINGER, 0);
+		set_int(peer->sock, ZMQ_TCP_MAXRT, UNACKED_MS);
 		set_int(peer->sock, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
 		set_int(peer->sock, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 		zmq_connect(peer->sock, url);
@@ -190,6 +260,7 @@
 bool
 wire_send(struct wire *l, struct str to, struct msg *m)
 {
+	struct wire *local;
 	msgpack_sbuffer buf;
 	bool ok;
 
@@ -198,6 +269,14 @@
 	m->from = l->address;
 	msgpack_sbuffer_init(&buf);
 	msg_encode(m, &buf);
+	local = local_inbox(to);
+	if (local != NULL) {
+		g_queue_push_tail(
+		    &local->local, g_bytes_new(buf.data, buf.size));
+		uv_timer_start(&local->local_timer, on_after_send, 0, 0);
+		msgpack_sbuffer_destroy(&buf);
+		return true;
+	}
 	ok = buf.size <= MESSAGE_MAX &&
 	    zmq_send(peer_of(l, to)->sock, buf.data, buf.size, ZMQ_DONTWAIT) >=
 		0;
@@ -208,6 +287,8 @@
 		l->counts.dropped++;
 	}
 	msgpack_sbuffer_destroy(&buf);
+	/* Sending may swallow the event that tells of a message come in. */
+	uv_timer_start(&l->local_timer, on_after_send, 0, 0);
 	return ok;
 }
 
@@ -216,9 +297,12 @@
 {
 	uv_poll_stop(&l->poll);
 	uv_timer_stop(&l->sweep);
+	uv_timer_stop(&l->local_timer);
+	g_queue_clear_full(&l->local, (GDestroyNotify)g_bytes_unref);
 	g_hash_table_destroy(l->peers);
 	zmq_close(l->inbox);
-	zmq_ctx_term(l->zmq);
+	g_ptr_array_remove(shared.wires, l);
+	shared_close();
 	str_free(&l->address);
 	g_free(l);
 }
