--- a/Makefile
+++ b/Makefile
@@ -16,14 +16,15 @@
 BENCHES = regress/bench_pick regress/bench_gate regress/bench_tail \
 	regress/bench_capacity regress/soak regress/demo
 
-COMMON = chart.o clk.o cnt.o conf.o daemon.o dial.o disp.o disp_pass.o \
+COMMON = chart.o clk.o cnt.o conf.o daemon.o dial.o disp.o disp_move.o \
+	disp_pass.o disp_peek.o disp_work.o \
 	disp_set.o doc_toml.o err.o field.o hsrv.o limit.o memb.o msg.o obj.o \
-	pick.o pick_fern.o pick_naive.o plat.o plat_fern.o plat_http.o \
+	pace.o pick.o pick_fern.o pick_naive.o pick_pace.o plat.o plat_fern.o plat_http.o \
 	platform/pf_config.o platform/pf_dial.o platform/pf_store.o \
-	probe.o queue.o route.o sel.o set.o slog.o str.o sync.o \
+	probe.o queue.o reload.o route.o sel.o set.o slog.o str.o sync.o \
 	tmr.o up.o wire_zmq.o
 GATE = gate_box.o gate_claim.o gate_conf.o gate_flow.o gate_home.o gate_open.o \
-	gate_pass.o gate_req.o gate_stat.o gate_try.o
+	gate_pass.o gate_peek.o gate_req.o gate_stat.o gate_try.o
 AGENT = agent_lapse.o agent_open.o agent_peer.o agent_probe.o agent_stat.o \
 	agent_watch.o
 CTL = ctl_call.o ctl_edit.o ctl_main.o ctl_show.o
--- a/agent_open.c
+++ b/agent_open.c
@@ -60,7 +60,7 @@
 	.type = FIELD_INT,
 	.offset = F(probe_rate),
 	.dflt = 40,
-	.min = 1,
+	.min = 0,
 	.max = 10000},
     {.name = "platform_rate",
 	.type = FIELD_INT,
@@ -104,9 +104,44 @@
 	.text_dflt = "fern"},
 };
 
+/*
+ * Read the settings anew and take over what may change while the agent runs.
+ * A file that is not valid changes nothing.
+ */
+void
+agent_reload(struct agent *a)
+{
+	struct agent_set set = {0};
+	GError *err = NULL;
+	json_t *seeds;
+
+	if (!set_load(a->file, a->section, fields, G_N_ELEMENTS(fields), &set,
+		&err)) {
+		slog(SLOG_AGENT, "Settings are kept as they were: %s.",
+		    err->message);
+		g_error_free(err);
+		return;
+	}
+	seeds = a->set.seeds;
+	a->set.seeds = set.seeds;
+	set.seeds = seeds;
+	a->set.watchers = set.watchers;
+	a->set.probe_rate = set.probe_rate;
+	a->set.platform_rate = set.platform_rate;
+	a->set.hello_ms = set.hello_ms;
+	a->set.list_ms = set.list_ms;
+	a->set.watch_ms = set.watch_ms;
+	a->set.retry_ms = set.retry_ms;
+	a->set.status_ms = set.status_ms;
+	field_free(fields, G_N_ELEMENTS(fields), &set);
+	slog(SLOG_AGENT, "Settings are read anew.");
+}
+
 bool
 agent_load(struct agent *a, const char *file, const char *section, GError **err)
 {
+	a->file = g_strdup(file);
+	a->section = section;
 	if (!set_load(
 		file, section, fields, G_N_ELEMENTS(fields), &a->set, err))
 		return false;
--- a/agent_probe.c
+++ b/agent_probe.c
@@ -300,6 +300,8 @@
 void
 agent_probe_tick(struct agent *a, int64_t now)
 {
+	if (a->set.probe_rate == 0)
+		return;
 	if (now - a->targets_at > TARGETS_NS) {
 		a->targets_at = now;
 		refresh_targets(a);
--- a/disp.c
+++ b/disp.c
@@ -9,10 +9,17 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include "libdisp.h"
+#include "pace.h"
 
 /* A try is stopped after so many times its usual length, and no sooner. */
 #define STOP_MIN_NS (40 * NS_MS)
 
+/* When a refused request may come back: no sooner, and no later. */
+#define COME_BACK_MIN_NS (50 * NS_MS)
+#define COME_BACK_NS (300 * NS_MS)
+/* A pass to another hall and back takes about so long. */
+#define PASS_COST_NS (5 * NS_MS)
+
 enum { TRIES_MAX = 4, STOP_FACTOR = 4 };
 
 /* What each outcome means. */
@@ -32,12 +39,12 @@
     [DISP_MOVED] = {true, false, false},
 };
 
-static bool serve_class(struct disp *, enum obj_class);
+static bool serve_queue(struct disp *, int queue);
 static bool start(struct disp *, struct disp_req *);
 static void hold(struct disp *, struct disp_req *);
 static void drop(struct disp *, struct disp_req *, enum err_kind, int64_t);
 static int64_t expected_wait(const struct disp *, enum obj_class);
-static void expire(struct disp *, enum obj_class, int64_t);
+static void expire(struct disp *, int queue, int64_t);
 static void refresh_oldest(struct disp *, struct pick_backend *);
 
 struct disp *
@@ -52,8 +59,10 @@
 	d->rnd = rnd;
 	d->backends = g_ptr_array_new();
 	d->remotes = g_array_new(FALSE, TRUE, sizeof(struct disp_remote_hall));
+	d->works = g_array_new(FALSE, TRUE, sizeof(struct disp_work));
+	d->mean_rate = 1;
 	g_queue_init(&d->out);
-	for (i = 0; i < CLASS_MAX; i++)
+	for (i = 0; i < QUEUES; i++)
 		queue_init(&d->queues[i]);
 	return d;
 }
@@ -67,8 +76,9 @@
 	for (i = 0; i < d->remotes->len; i++)
 		str_free(&g_array_index(d->remotes, struct disp_remote_hall, i)
 			      .hall);
-	for (i = 0; i < CLASS_MAX; i++)
+	for (i = 0; i < QUEUES; i++)
 		queue_clear(&d->queues[i]);
+	g_array_free(d->works, TRUE);
 	g_array_free(d->remotes, TRUE);
 	g_free(d);
 }
@@ -77,6 +87,7 @@
 disp_configure(struct disp *d, const struct disp_params *params)
 {
 	d->params = *params;
+	d->budget.max = params->retry_max;
 }
 
 /*
@@ -110,35 +121,68 @@
 	d->ops.give_up(d->ops.ctx, r, kind, after);
 }
 
+/* Can it be answered before its target, if it starts now? */
+static bool
+is_in_time(const struct disp_req *r, int64_t now)
+{
+	return r->target == 0 || now + r->work <= r->target;
+}
+
+/*
+ * Requests that can be in time wait by the latest moment to start them; late
+ * ones behind all of them, by their deadlines.
+ */
 static void
 hold(struct disp *d, struct disp_req *r)
 {
 	r->held = true;
+	r->queue = (int)r->cls;
 	r->item.deadline = r->deadline;
 	r->item.data = r;
-	queue_push(&d->queues[r->cls], &r->item);
+	if (r->target != 0 && is_in_time(r, clk_ns(d->clk)))
+		r->item.deadline = r->target - r->work;
+	else if (r->target != 0)
+		r->queue = QUEUE_LATE;
+	queue_push(&d->queues[r->queue], &r->item);
 }
 
 static void
 unhold(struct disp *d, struct disp_req *r)
 {
-	queue_remove(&d->queues[r->cls], &r->item);
+	queue_remove(&d->queues[r->queue], &r->item);
 	r->held = false;
 }
 
+/*
+ * Is the request late at the best place here, and may be in time in another
+ * hall that has room?
+ */
+static bool
+is_better_elsewhere(const struct disp *d, const struct disp_req *r,
+    const struct pick_backend *b, int64_t now)
+{
+	if (!d->params.policy->paced || !r->may_pass || r->target == 0 ||
+	    r->work == 0 || !is_in_time(r, now + PASS_COST_NS))
+		return false;
+	return now + pace_time(b, r->work, d->mean_rate, now) > r->target;
+}
+
 /* Try to start a request now; false if it has to wait. */
 static bool
 start(struct disp *d, struct disp_req *r)
 {
 	struct pick_set set = disp_set_of(d);
+	struct pick_want want = {r->cls, r->avoid, r->work};
 	int64_t now = clk_ns(d->clk);
 	struct pick_backend *b;
 	int at;
 
-	at = d->params.policy->choose(&set, r->cls, r->avoid, now, d->rnd);
+	at = d->params.policy->choose(&set, &want, now, d->rnd);
 	if (at == PICK_NONE)
 		return false;
 	b = set.v[at];
+	if (is_better_elsewhere(d, r, b, now) && disp_pass(d, r))
+		return true;
 	b->inflight++;
 	b->inflight_bulk += r->cls == CLASS_BULK;
 	b->turns++;
@@ -149,24 +193,108 @@
 	r->at = b;
 	r->sent = now;
 	r->tries++;
+	disp_work_begin(d, r);
 	d->ops.send(d->ops.ctx, r, b);
 	return true;
 }
 
+/* The time until a slot is free for one more request, with all that wait. */
+static int64_t
+paced_wait(const struct disp *d)
+{
+	int64_t now = clk_ns(d->clk), work = d->mean_work;
+	const struct pick_backend *b;
+	double slots = 0;
+	guint i;
+
+	for (i = 0; i < d->backends->len; i++) {
+		b = g_ptr_array_index(d->backends, i);
+		if (pick_usable(b, now))
+			slots += b->slots;
+	}
+	if (slots == 0)
+		return 0;
+	return (int64_t)((double)(d->queues[CLASS_INTERACTIVE].n + 1) *
+	    (double)work / d->mean_rate / slots);
+}
+
+/*
+ * May the request wait for a slot?  What would be late is refused at once,
+ * with the time when to come back, while coming back can still be worth
+ * something; it is worth more than a late answer, and spares the queue.
+ */
+static bool
+may_wait(struct disp *d, struct disp_req *r)
+{
+	int64_t now = clk_ns(d->clk), wait = paced_wait(d);
+	int64_t end = now + wait + (int64_t)((double)r->work / d->mean_rate);
+
+	r->judged = true;
+	if (disp_usable(d) == 0) {
+		drop(d, r, ERR_NO_BACKEND, COME_BACK_NS);
+		return false;
+	}
+	if (end > r->deadline || (r->target != 0 && end > r->target)) {
+		drop(d, r, ERR_BUSY,
+		    CLAMP(wait, COME_BACK_MIN_NS, COME_BACK_NS));
+		return false;
+	}
+	return true;
+}
+
+static void
+arrive_paced(struct disp *d, struct disp_req *r)
+{
+	int64_t now = clk_ns(d->clk);
+
+	r->work = disp_work_of(d, r->kind);
+	if (disp_peek_first(d, r, now)) {
+		hold(d, r);
+		return;
+	}
+	if (d->queues[r->cls].n == 0 && start(d, r))
+		return;
+	if (disp_pass(d, r) || disp_pass_to_shorter(d, r, paced_wait(d)))
+		return;
+	if (may_wait(d, r))
+		hold(d, r);
+}
+
+/* A request that was sent before, from another gate, counts as a retry. */
+static bool
+may_arrive(struct disp *d, struct disp_req *r)
+{
+	if (clk_ns(d->clk) >= r->deadline) {
+		drop(d, r, ERR_DEADLINE, 0);
+		return false;
+	}
+	if (!limit_take(&d->limit, d->params.rate, clk_ns(d->clk))) {
+		drop(d, r, ERR_OVER_LIMIT, 0);
+		return false;
+	}
+	if (r->tries == 0) {
+		retry_budget_pay(&d->budget, d->params.retry_percent);
+		return true;
+	}
+	if (!retry_budget_has(&d->budget)) {
+		drop(d, r, ERR_CUT, 0);
+		return false;
+	}
+	retry_budget_take(&d->budget);
+	return true;
+}
+
 void
 disp_arrive(struct disp *d, struct disp_req *r)
 {
 	int64_t now = clk_ns(d->clk), wait;
 
-	if (now >= r->deadline) {
-		drop(d, r, ERR_DEADLINE, 0);
+	if (!may_arrive(d, r))
 		return;
-	}
-	if (!limit_take(&d->limit, d->params.rate, now)) {
-		drop(d, r, ERR_OVER_LIMIT, 0);
+	if (d->params.policy->paced) {
+		arrive_paced(d, r);
 		return;
 	}
-	retry_budget_pay(&d->budget, d->params.retry_percent);
 	if (d->queues[r->cls].n == 0 && start(d, r))
 		return;
 	wait = expected_wait(d, r->cls);
@@ -184,18 +312,40 @@
 	hold(d, r);
 }
 
+/* What can no longer be in time makes way for what can. */
+static void
+sort_late(struct disp *d)
+{
+	int64_t now = clk_ns(d->clk);
+	struct queue_item *item;
+	struct disp_req *r;
+
+	for (;;) {
+		item = queue_first(&d->queues[CLASS_INTERACTIVE]);
+		r = item == NULL ? NULL : item->data;
+		if (r == NULL || r->target == 0 || is_in_time(r, now))
+			return;
+		unhold(d, r);
+		hold(d, r);
+	}
+}
+
 static bool
-serve_class(struct disp *d, enum obj_class cls)
+serve_queue(struct disp *d, int queue)
 {
-	struct queue_item *item = queue_first(&d->queues[cls]);
+	struct queue_item *item = queue_first(&d->queues[queue]);
 	struct disp_req *r;
 
 	if (item == NULL)
 		return false;
 	r = item->data;
+	if (disp_peek_first(d, r, clk_ns(d->clk)))
+		return false;
 	unhold(d, r);
 	if (start(d, r) || disp_pass(d, r))
 		return true;
+	if (d->params.policy->paced && !r->judged && !may_wait(d, r))
+		return true;
 	hold(d, r);
 	return false;
 }
@@ -213,11 +363,14 @@
 	d->serving = true;
 	while (d->again) {
 		d->again = false;
-		while (serve_class(d, CLASS_INTERACTIVE))
+		sort_late(d);
+		while (serve_queue(d, CLASS_INTERACTIVE))
 			;
 		if (d->queues[CLASS_INTERACTIVE].n > 0)
 			continue;
-		while (serve_class(d, CLASS_BULK))
+		while (serve_queue(d, QUEUE_LATE))
+			;
+		while (serve_queue(d, CLASS_BULK))
 			;
 	}
 	d->serving = false;
@@ -247,6 +400,8 @@
 	struct pick_set set = disp_set_of(d);
 	int64_t now = clk_ns(d->clk);
 
+	if (outcomes[outcome].good && d->params.policy->paced)
+		disp_work_done(d, r, b, now);
 	if (outcomes[outcome].good)
 		pick_good(b, d->params.chart, now - r->sent);
 	else if (outcomes[outcome].bad)
@@ -278,7 +433,7 @@
 	if (r->attempts > 0 && r->tries >= r->attempts)
 		return false;
 	if (outcome == DISP_REFUSED)
-		return true;
+		return r->attempts == 0 || retry_budget_has(&d->budget);
 	if (!outcomes[outcome].not_run && !r->repeatable)
 		return false;
 	if (!outcomes[outcome].not_run && r->retried)
@@ -291,7 +446,7 @@
 {
 	if (!disp_retryable(d, r, outcome))
 		return false;
-	if (outcome != DISP_REFUSED)
+	if (outcome != DISP_REFUSED || r->attempts > 0)
 		retry_budget_take(&d->budget);
 	hold(d, r);
 	return true;
@@ -327,32 +482,43 @@
 
 /* Nothing can be used any more: what is held need not wait for that. */
 static void
-give_up_all(struct disp *d, enum obj_class cls)
+give_up_all(struct disp *d, int queue)
 {
 	struct queue_item *item;
 	struct disp_req *r;
 
-	while ((item = queue_first(&d->queues[cls])) != NULL) {
+	while ((item = queue_first(&d->queues[queue])) != NULL) {
 		r = item->data;
 		unhold(d, r);
 		if (!disp_pass(d, r))
-			drop(d, r, ERR_NO_BACKEND, 0);
+			drop(d, r, ERR_NO_BACKEND, COME_BACK_NS);
 	}
 }
 
+/*
+ * Those whose deadline has passed.  A late one is refused as soon as it
+ * cannot be answered before its deadline any more: it has not run.
+ */
 static void
-expire(struct disp *d, enum obj_class cls, int64_t now)
+expire(struct disp *d, int queue, int64_t now)
 {
 	struct queue_item *item;
 	struct disp_req *r;
 
 	for (;;) {
-		item = queue_first(&d->queues[cls]);
-		if (item == NULL || item->deadline > now)
+		item = queue_first(&d->queues[queue]);
+		r = item == NULL ? NULL : item->data;
+		if (r == NULL)
 			return;
-		r = item->data;
-		unhold(d, r);
-		drop(d, r, ERR_DEADLINE, 0);
+		if (queue == QUEUE_LATE && now + r->work > r->deadline) {
+			unhold(d, r);
+			drop(d, r, ERR_BUSY, COME_BACK_MIN_NS);
+		} else if (r->deadline <= now) {
+			unhold(d, r);
+			drop(d, r, ERR_DEADLINE, 0);
+		} else {
+			return;
+		}
 	}
 }
 
@@ -366,13 +532,14 @@
 {
 	const struct pick_backend *b = r->at;
 	struct pick_set set = disp_set_of(d);
+	struct pick_want want = {r->cls, b, r->work};
 	int64_t limit = MAX(disp_usual(d) * STOP_FACTOR, STOP_MIN_NS);
 	int at;
 
 	if (now - r->sent <= limit || r->stopped ||
 	    r->cls != CLASS_INTERACTIVE || !disp_retryable(d, r, DISP_SLOW))
 		return false;
-	at = d->params.policy->choose(&set, r->cls, b, now, d->rnd);
+	at = d->params.policy->choose(&set, &want, now, d->rnd);
 	return at != PICK_NONE && set.v[at] != b;
 }
 
@@ -411,13 +578,16 @@
 	int64_t now = clk_ns(d->clk);
 	int i;
 
-	for (i = 0; i < CLASS_MAX; i++)
-		expire(d, (enum obj_class)i, now);
+	sort_late(d);
+	for (i = 0; i < QUEUES; i++)
+		expire(d, i, now);
 	pick_tick(&set, d->params.chart, now);
-	if (d->params.policy->holds)
+	if (d->params.policy->paced)
+		disp_move(d, now);
+	else if (d->params.policy->holds)
 		stop_stuck(d, now);
-	for (i = 0; i < CLASS_MAX && disp_usable(d) == 0; i++)
-		give_up_all(d, (enum obj_class)i);
+	for (i = 0; i < QUEUES && disp_usable(d) == 0; i++)
+		give_up_all(d, i);
 	disp_serve(d);
 }
 
--- a/disp.h
+++ b/disp.h
@@ -55,6 +55,15 @@
 	int tries;
 	int attempts; /* how many tries it may have; 0: the default */
 	int rank; /* the lower, the more urgent */
+	int64_t target; /* an answer is worth most before; 0: unsaid */
+	unsigned kind; /* requests of one kind take alike */
+	/* The rest is the dispatcher's own. */
+	int64_t work; /* ns that it is thought to take at the usual speed */
+	double done; /* ns of it done by the try under way, by done_at */
+	int64_t done_at;
+	int64_t peek_until; /* held for answers to questions; 0: not asked */
+	bool judged; /* it was decided that it may wait */
+	int queue; /* where it is held */
 	struct pick_backend *at; /* where it is now; NULL: held or done */
 	struct pick_backend *avoid; /* where it failed last */
 	bool held;
@@ -77,6 +86,8 @@
 	 * disp_done() with DISP_SLOW.
 	 */
 	void (*stop)(void *, struct disp_req *);
+	/* Ask a backend server how fast it is, and call disp_peeked(). */
+	void (*peek)(void *, struct pick_backend *);
 	/* A backend server is no longer used and will be freed. */
 	void (*release)(void *, struct pick_backend *);
 	void *ctx;
@@ -88,6 +99,7 @@
 	int64_t queue_max;
 	int bulk_percent;
 	int64_t retry_percent;
+	double retry_max; /* tries that may be saved up; 0: the default */
 	double rate; /* this shard's part of the service's rate; 0: none */
 };
 
@@ -141,6 +153,10 @@
 void disp_load_told(
     struct disp *, struct pick_backend *, int running, int waiting, int pace);
 
+/* An answer to a question that peek() sent, or that none has come. */
+void disp_peeked(struct disp *, struct str backend, bool answered, int running,
+    int waiting, int pace);
+
 /* What probes say of a backend server. */
 void disp_health(struct disp *, struct str backend, bool down, bool drain);
 
--- a/disp_set.c
+++ b/disp_set.c
@@ -17,7 +17,7 @@
 disp_set_of(const struct disp *d)
 {
 	struct pick_set set = {(struct pick_backend **)d->backends->pdata,
-	    d->backends->len, d->params.bulk_percent};
+	    d->backends->len, d->params.bulk_percent, d->mean_rate};
 
 	return set;
 }
@@ -168,12 +168,32 @@
 disp_load_told(
     struct disp *d, struct pick_backend *b, int running, int waiting, int pace)
 {
+	disp_work_told(d, b, pace);
 	b->told_running = running;
 	b->told_waiting = waiting;
 	b->told_pace = pace;
 	b->told_at = clk_ns(d->clk);
 }
 
+/* Two questions in a row without an answer speak against a backend server. */
+void
+disp_peeked(struct disp *d, struct str backend, bool answered, int running,
+    int waiting, int pace)
+{
+	struct pick_backend *b = find(d, backend);
+
+	if (b == NULL)
+		return;
+	b->peeking = false;
+	if (answered) {
+		b->silent = 0;
+		disp_load_told(d, b, running, waiting, pace);
+	} else {
+		b->silent++;
+	}
+	disp_serve(d);
+}
+
 void
 disp_drain_told(struct disp *d, struct pick_backend *b)
 {
@@ -190,7 +210,7 @@
 	*waiting = 0;
 	for (i = 0; i < d->backends->len; i++)
 		*free += pick_free(g_ptr_array_index(d->backends, i), now);
-	for (i = 0; i < CLASS_MAX; i++)
+	for (i = 0; i < QUEUES; i++)
 		*waiting += (int)d->queues[i].n;
 }
 
--- a/fernagent.c
+++ b/fernagent.c
@@ -25,6 +25,12 @@
 	return agent_open(ctx, err);
 }
 
+static void
+on_reload(void *ctx)
+{
+	agent_reload(ctx);
+}
+
 static void
 run(void *ctx)
 {
@@ -32,6 +38,7 @@
 
 	agent_start(a);
 	agent_on_signals(a);
+	reload_open(&a->reload, a->loop, &a->tmr, a->file, on_reload, a);
 	uv_run(a->loop, UV_RUN_DEFAULT);
 }
 
--- a/fernbox.c
+++ b/fernbox.c
@@ -39,6 +39,15 @@
 	return gate_open(&b->gate, err) && agent_open(&b->agent, err);
 }
 
+static void
+on_reload(void *ctx)
+{
+	struct box *b = ctx;
+
+	gate_reload(&b->gate);
+	agent_reload(&b->agent);
+}
+
 static void
 run(void *ctx)
 {
@@ -46,6 +55,8 @@
 
 	gate_start(&b->gate);
 	agent_start(&b->agent);
+	reload_open(&b->gate.reload, b->gate.loop, &b->gate.tmr, b->gate.file,
+	    on_reload, b);
 	uv_run(b->gate.loop, UV_RUN_DEFAULT);
 }
 
--- a/ferngate.c
+++ b/ferngate.c
@@ -25,12 +25,19 @@
 	return gate_open(ctx, err);
 }
 
+static void
+on_reload(void *ctx)
+{
+	gate_reload(ctx);
+}
+
 static void
 run(void *ctx)
 {
 	struct gate *g = ctx;
 
 	gate_start(g);
+	reload_open(&g->reload, g->loop, &g->tmr, g->file, on_reload, g);
 	uv_run(g->loop, UV_RUN_DEFAULT);
 }
 
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -16,6 +16,10 @@
 /* Changes that come together lead to one new table. */
 #define REBUILD_NS (2 * NS_MS)
 
+enum { SHARD_KEY = 300 };
+/* Of what the platform allows for retries, this share is used. */
+static const double RETRY_USED = 0.75;
+
 static void on_changed(void *, const struct conf_entry *);
 static void on_rebuild(void *);
 static void send_to(void *, struct str, const struct msg *);
@@ -121,6 +125,12 @@
 	};
 	unsigned i;
 
+	if (g->bounds.retry_slack > 0) {
+		p.retry_percent =
+		    (int64_t)(g->bounds.retry_ratio * RETRY_USED * 100);
+		p.retry_max = (double)g->bounds.retry_slack * RETRY_USED /
+		    MAX(svc->nhalls, 1u);
+	}
 	if (hall != NULL && svc->slots > 0)
 		p.rate = (double)svc->obj->rate * hall->slots / svc->slots;
 	else if (s->hall.n == 0)
@@ -149,18 +159,32 @@
 	g_free(s);
 }
 
+static void
+shard_key(char *key, struct str service, struct str hall)
+{
+	snprintf(key, SHARD_KEY, "%.*s/%.*s", STR_ARG(service), STR_ARG(hall));
+}
+
+/* NULL if there is none. */
+struct gate_shard *
+gate_conf_find_shard(struct gate *g, struct str service, struct str hall)
+{
+	char key[SHARD_KEY];
+
+	shard_key(key, service, hall);
+	return g_hash_table_lookup(g->shards, key);
+}
+
 struct gate_shard *
 gate_conf_shard(
     struct gate *g, const struct route_service *svc, struct str hall)
 {
 	struct disp_ops ops = gate_req_disp_ops;
-	struct gate_shard *s;
-	char key[300];
+	struct gate_shard *s = gate_conf_find_shard(g, svc->name, hall);
+	char key[SHARD_KEY];
 
-	snprintf(
-	    key, sizeof(key), "%.*s/%.*s", STR_ARG(svc->name), STR_ARG(hall));
-	s = g_hash_table_lookup(g->shards, key);
 	if (s == NULL) {
+		shard_key(key, svc->name, hall);
 		s = g_new0(struct gate_shard, 1);
 		s->gate = g;
 		s->service = str_dup(svc->name);
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -88,11 +88,12 @@
 	    .tries = (unsigned)r->d.tries,
 	    .attempts = (unsigned)r->d.attempts,
 	    .rank = (unsigned)r->d.rank,
+	    .kind = r->d.kind,
 	    .service = r->service,
 	};
 
-	if (r->target != 0)
-		pass.target_ms = MAX((r->target - now) / NS_MS, 1);
+	if (r->d.target != 0)
+		pass.target_ms = MAX((r->d.target - now) / NS_MS, 1);
 	return str_n(
 	    own->pass, gate_pass_write(&pass, own->pass, sizeof(own->pass)));
 }
--- a/gate_home.c
+++ b/gate_home.c
@@ -13,10 +13,7 @@
 #include "libgate.h"
 #include "slog.h"
 
-/* A home that is silent for so long, with requests there, is asked. */
-#define SILENT_NS (20 * NS_MS)
-/* And left, for so long, if it does not answer within this time. */
-#define PING_WAIT_NS (40 * NS_MS)
+/* And left, for so long, if it does not answer a ping. */
 #define SUSPECT_NS (2 * NS_S)
 /* What has not changed is told again after this time. */
 #define TELL_AGAIN_NS (500 * NS_MS)
@@ -268,11 +265,11 @@
 		p->pinged = 0;
 		return;
 	}
-	if (p->pinged != 0 && now - p->pinged > PING_WAIT_NS) {
+	if (p->pinged != 0 && now - p->pinged > g->set.ping_wait_ms * NS_MS) {
 		gate_home_suspect(g, p, "it does not answer");
 		return;
 	}
-	if (p->pinged != 0 || now - p->heard < SILENT_NS)
+	if (p->pinged != 0 || now - p->heard < g->set.silent_ms * NS_MS)
 		return;
 	p->pinged = now;
 	m.u.ping.nonce = (uint64_t)now;
--- a/gate_open.c
+++ b/gate_open.c
@@ -90,6 +90,19 @@
 	.dflt = 600000,
 	.min = 0,
 	.max = 86400000},
+    {.name = "silent_ms",
+	.type = FIELD_INT,
+	.offset = F(silent_ms),
+	.dflt = 20,
+	.min = 5,
+	.max = 60000},
+    {.name = "ping_wait_ms",
+	.type = FIELD_INT,
+	.offset = F(ping_wait_ms),
+	.dflt = 40,
+	.min = 5,
+	.max = 60000},
+    {.name = "bounds", .type = FIELD_STR, .offset = F(bounds), .text_dflt = ""},
     {.name = "platform_form",
 	.type = FIELD_NAME,
 	.offset = F(form),
@@ -126,16 +139,46 @@
 	return g->chart_box != NULL;
 }
 
+/*
+ * Read the settings anew and take over what may change while the gate runs.
+ * A file that is not valid changes nothing.
+ */
+void
+gate_reload(struct gate *g)
+{
+	struct gate_set set = {0};
+	GError *err = NULL;
+
+	if (!set_load(g->file, g->section, fields, G_N_ELEMENTS(fields), &set,
+		&err)) {
+		slog(SLOG_GATE, "Settings are kept as they were: %s.",
+		    err->message);
+		g_error_free(err);
+		return;
+	}
+	g->set.leave_wait_ms = set.leave_wait_ms;
+	g->set.grace_ms = set.grace_ms;
+	g->set.summary_ms = set.summary_ms;
+	g->set.silent_ms = set.silent_ms;
+	g->set.ping_wait_ms = set.ping_wait_ms;
+	if (g->form->bounds != NULL)
+		g->form->bounds(set.bounds, &g->bounds);
+	field_free(fields, G_N_ELEMENTS(fields), &set);
+	slog(SLOG_GATE, "Settings are read anew.");
+}
+
 bool
 gate_load(struct gate *g, const char *file, const char *section, GError **err)
 {
+	g->file = g_strdup(file);
+	g->section = section;
 	if (!set_load(
 		file, section, fields, G_N_ELEMENTS(fields), &g->set, err))
 		return false;
 	if (pick_by_name(g->set.policy) == NULL)
 		return err_set(err, ERR_SETTINGS,
-		    "%s: policy: found \"%s\"; allowed is fern or naive", file,
-		    g->set.policy.p);
+		    "%s: policy: found \"%s\"; allowed is fern, pace or naive",
+		    file, g->set.policy.p);
 	g->form = plat_form_by_name(g->set.form);
 	if (g->form == NULL)
 		return err_set(err, ERR_SETTINGS,
@@ -143,6 +186,11 @@
 		    "objects",
 		    file, g->set.form.p);
 	g->dial = g->form->dial;
+	if (g->form->bounds != NULL)
+		g->form->bounds(g->set.bounds, &g->bounds);
+	slog(SLOG_GATE, "Bounds %.*s: retries %.2f + %lld, grace %lld ms.",
+	    STR_ARG(g->set.bounds), g->bounds.retry_ratio,
+	    (long long)g->bounds.retry_slack, (long long)g->bounds.grace_ms);
 	return open_charts(g, err);
 }
 
--- a/gate_pass.c
+++ b/gate_pass.c
@@ -12,7 +12,7 @@
 
 #include "libreq.h"
 
-enum { FIELDS = 8, TEXT_MAX = 256 };
+enum { FIELDS = 9, TEXT_MAX = 256 };
 
 /* Numbers divided by blanks, and the service's name last. */
 bool
@@ -27,9 +27,9 @@
 		return false;
 	memcpy(copy, text.p, text.n);
 	copy[text.n] = '\0';
-	n = sscanf(copy, "%u %u %u %u %u %u %u %lld %n", &out->hops, &bulk,
+	n = sscanf(copy, "%u %u %u %u %u %u %u %u %lld %n", &out->hops, &bulk,
 	    &repeatable, &retried, &out->tries, &out->attempts, &out->rank,
-	    &target, &at);
+	    &out->kind, &target, &at);
 	if (n != FIELDS || at == 0)
 		return false;
 	out->bulk = bulk != 0;
@@ -43,9 +43,9 @@
 size_t
 gate_pass_write(const struct gate_pass *p, char *out, size_t size)
 {
-	int n = snprintf(out, size, "%u %u %u %u %u %u %u %lld %.*s", p->hops,
-	    p->bulk, p->repeatable, p->retried, p->tries, p->attempts, p->rank,
-	    (long long)p->target_ms, STR_ARG(p->service));
+	int n = snprintf(out, size, "%u %u %u %u %u %u %u %u %lld %.*s",
+	    p->hops, p->bulk, p->repeatable, p->retried, p->tries, p->attempts,
+	    p->rank, p->kind, (long long)p->target_ms, STR_ARG(p->service));
 
 	return MIN((size_t)n, size - 1);
 }
--- /dev/null
+++ b/gate_peek.c
@@ -0,0 +1,131 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "libgate.h"
+#include "slog.h"
+
+/*
+ * Questions for the load of a backend server, on its service's probe path.
+ * They are asked by the gate that is home for it and uses the answer.
+ */
+
+/* Health answers come at once; one that takes longer counts as none. */
+#define TIMEOUT_NS (60 * NS_MS)
+
+struct peek {
+	struct gate *gate;
+	struct str service, hall, backend;
+	struct up_call *call;
+	struct tmr_item timer;
+	bool told;
+	struct dial_load load;
+};
+
+static void on_connected(void *, struct up_call *);
+static void
+on_head(void *, struct up_call *, int, const h2o_header_t *, size_t);
+static void on_body(void *, struct up_call *);
+static void on_end(void *, struct up_call *);
+static void on_fail(void *, struct up_call *, enum err_kind);
+static void on_timeout(void *);
+
+static const struct up_ops peek_ops = {
+    on_connected, on_head, on_body, on_end, on_fail};
+
+void
+gate_peek_start(struct gate_shard *s, const struct pick_backend *b)
+{
+	struct gate *g = s->gate;
+	const struct route_service *svc = route_service(g->routes, s->service);
+	struct peek *p = g_new0(struct peek, 1);
+	struct up_request rq = {.address = b->address,
+	    .method = STR_LIT("GET"),
+	    .path = svc == NULL ? STR_LIT("/health") : svc->obj->probe_path,
+	    .host = b->address,
+	    .connect_ns = TIMEOUT_NS};
+
+	p->gate = g;
+	p->service = str_dup(s->service);
+	p->hall = str_dup(s->hall);
+	p->backend = str_dup(b->name);
+	cnt_add(g->cnt, GC_PEEKS, 1);
+	tmr_set(&g->tmr, &p->timer, clk_ns(g->clk) + TIMEOUT_NS, on_timeout, p);
+	p->call = up_start(g->up, &rq, &peek_ops, p);
+}
+
+/* The shard and the backend server may be gone by now. */
+static void
+finish(struct peek *p, bool answered)
+{
+	struct gate *g = p->gate;
+	struct gate_shard *s = gate_conf_find_shard(g, p->service, p->hall);
+
+	tmr_clear(&g->tmr, &p->timer);
+	if (!answered)
+		cnt_add(g->cnt, GC_PEEKS_LOST, 1);
+	if (s != NULL)
+		disp_peeked(s->disp, p->backend, answered, p->load.running,
+		    p->load.waiting, p->load.pace);
+	str_free(&p->service);
+	str_free(&p->hall);
+	str_free(&p->backend);
+	g_free(p);
+}
+
+static void
+on_connected(void *ctx, struct up_call *call)
+{
+	(void)ctx;
+	(void)call;
+}
+
+static void
+on_head(void *ctx, struct up_call *call, int status,
+    const h2o_header_t *headers, size_t n)
+{
+	struct peek *p = ctx;
+
+	(void)call;
+	(void)status;
+	p->told = p->gate->dial->load(headers, n, &p->load);
+}
+
+static void
+on_body(void *ctx, struct up_call *call)
+{
+	(void)ctx;
+	h2o_buffer_consume(up_body(call), (*up_body(call))->size);
+}
+
+static void
+on_end(void *ctx, struct up_call *call)
+{
+	struct peek *p = ctx;
+
+	(void)call;
+	finish(p, p->told);
+}
+
+static void
+on_fail(void *ctx, struct up_call *call, enum err_kind kind)
+{
+	(void)call;
+	(void)kind;
+	finish(ctx, false);
+}
+
+static void
+on_timeout(void *ctx)
+{
+	struct peek *p = ctx;
+
+	up_cancel(p->call);
+	finish(p, false);
+}
--- a/gate_req.c
+++ b/gate_req.c
@@ -209,8 +209,10 @@
 	r->d.tries = (int)pass.tries;
 	r->d.attempts = (int)pass.attempts;
 	r->d.rank = (int)pass.rank;
+	r->d.kind = pass.kind;
+	r->maybe_ran = pass.retried;
 	if (pass.target_ms > 0)
-		r->target = r->began + pass.target_ms * NS_MS;
+		r->d.target = r->began + pass.target_ms * NS_MS;
 	r->d.deadline = shorter_deadline(r, svc->obj->deadline_ms);
 	tmr_set(&g->tmr, &r->timer, r->d.deadline, on_deadline, r);
 	gate_req_route(r);
@@ -306,8 +308,9 @@
 	r->d.retried = hsrv_header(r->req, "fern-retried").n > 0;
 	r->d.attempts = (int)rule->obj->attempts;
 	r->d.rank = (int)rule->obj->rank;
+	r->d.kind = (unsigned)rule->obj->target_ms;
 	if (rule->obj->target_ms > 0)
-		r->target = r->began + rule->obj->target_ms * NS_MS;
+		r->d.target = r->began + rule->obj->target_ms * NS_MS;
 	r->d.deadline = deadline_of(r, rule, svc);
 	tmr_set(&g->tmr, &r->timer, r->d.deadline, on_deadline, r);
 	if (over_limit(r, rule)) {
--- a/gate_try.c
+++ b/gate_try.c
@@ -22,13 +22,14 @@
 static void op_pass(void *, struct disp_req *, struct str);
 static void op_give_up(void *, struct disp_req *, enum err_kind, int64_t);
 static void op_stop(void *, struct disp_req *);
+static void op_peek(void *, struct pick_backend *);
 static void op_release(void *, struct pick_backend *);
 static enum disp_outcome
 outcome_of(const struct gate_req *, int, const h2o_header_t *, size_t);
 static void leave_home(struct gate_req *);
 
 const struct disp_ops gate_req_disp_ops = {
-    op_send, op_pass, op_give_up, op_stop, op_release, NULL};
+    op_send, op_pass, op_give_up, op_stop, op_peek, op_release, NULL};
 
 static struct gate_req *
 req_of(struct disp_req *d)
@@ -96,6 +97,12 @@
 		gate_req_answer(r, ERR_DEADLINE, RAN_UNKNOWN, 0);
 }
 
+static void
+op_peek(void *ctx, struct pick_backend *b)
+{
+	gate_peek_start(ctx, b);
+}
+
 static void
 op_release(void *ctx, struct pick_backend *b)
 {
@@ -251,6 +258,13 @@
 		disp_done(r->shard->disp, &r->d, DISP_OK);
 }
 
+/* May it be sent to one more backend server? */
+static bool
+may_try_more(const struct gate_req *r)
+{
+	return r->d.attempts == 0 || r->d.tries < r->d.attempts;
+}
+
 static void
 home_failed(struct gate_req *r, enum err_kind kind)
 {
@@ -261,9 +275,13 @@
 	    kind == ERR_CONNECT ? "no connection" : "the connection broke");
 	if (r->started)
 		return;
-	if (kind != ERR_CONNECT)
+	if (kind != ERR_CONNECT) {
 		r->maybe_ran = true;
-	if ((kind == ERR_CONNECT || r->d.repeatable) && r->passes <= 2)
+		r->d.tries++;
+	}
+	if (kind != ERR_CONNECT && !may_try_more(r))
+		gate_req_answer(r, kind, RAN_UNKNOWN, 0);
+	else if ((kind == ERR_CONNECT || r->d.repeatable) && r->passes <= 2)
 		retry_home(r);
 	else
 		gate_req_answer(r, kind, gate_req_ran(r), 0);
@@ -323,11 +341,16 @@
 	}
 	for (i = 0; i < lost->len; i++) {
 		r = g_ptr_array_index(lost, i);
-		if (r->state == REQ_SENT)
+		if (r->state == REQ_SENT) {
 			r->maybe_ran = true;
+			r->d.tries++;
+		}
 		gate_flow_stop(r);
 		leave_home(r);
-		retry_home(r);
+		if (may_try_more(r))
+			retry_home(r);
+		else
+			gate_req_answer(r, ERR_CUT, gate_req_ran(r), 0);
 	}
 	g_ptr_array_free(lost, TRUE);
 }
--- a/libagent.h
+++ b/libagent.h
@@ -22,6 +22,7 @@
 #include "memb.h"
 #include "plat.h"
 #include "probe.h"
+#include "reload.h"
 #include "route.h"
 #include "sync.h"
 #include "tmr.h"
@@ -85,6 +86,9 @@
 
 struct agent {
 	struct agent_set set;
+	char *file; /* of the settings */
+	const char *section; /* its table; NULL: the whole file */
+	struct reload reload;
 	uv_loop_t *loop;
 	const struct clk *clk;
 	const struct rnd *rnd;
@@ -142,6 +146,7 @@
 bool agent_open(struct agent *, GError **);
 void agent_start(struct agent *);
 void agent_on_signals(struct agent *);
+void agent_reload(struct agent *);
 
 /* agent_watch.c: the platform's objects, list of boxes, and our status. */
 void agent_watch_open(struct agent *);
--- a/libdisp.h
+++ b/libdisp.h
@@ -26,13 +26,25 @@
 	int64_t told; /* 0: never */
 };
 
+/* What requests of one kind take at the usual speed, as far as is known. */
+struct disp_work {
+	unsigned kind;
+	int64_t ns;
+};
+
+/* Where requests are held: those in time by class, and those that are late. */
+enum { QUEUE_LATE = CLASS_MAX, QUEUES };
+
 struct disp {
 	struct disp_ops ops;
 	const struct clk *clk;
 	const struct rnd *rnd;
 	struct disp_params params;
 	GPtrArray *backends; /* struct pick_backend * */
-	struct queue queues[CLASS_MAX];
+	struct queue queues[QUEUES];
+	GArray *works; /* struct disp_work */
+	double mean_rate; /* of the backend servers, over time */
+	int64_t mean_work; /* of all requests, over time; 0: not known */
 	GArray *remotes; /* struct disp_remote_hall */
 	struct retry_budget budget;
 	struct limit limit;
@@ -50,6 +62,20 @@
 void disp_set_free(struct disp *);
 int64_t disp_usual(const struct disp *);
 
+/* disp_work.c: how long requests take. */
+int64_t disp_work_of(const struct disp *, unsigned kind);
+void disp_work_begin(struct disp *, struct disp_req *);
+void disp_work_told(struct disp *, struct pick_backend *, int pace);
+void disp_work_done(
+    struct disp *, const struct disp_req *, struct pick_backend *, int64_t now);
+
+/* disp_peek.c: questions for the load of backend servers. */
+bool disp_peek_first(struct disp *, struct disp_req *, int64_t now);
+bool disp_peek_one(struct disp *, struct pick_backend *, int64_t now);
+
+/* disp_move.c: tries that are begun elsewhere. */
+void disp_move(struct disp *, int64_t now);
+
 /* disp_pass.c: other halls.  True if the request was passed on. */
 bool disp_pass(struct disp *, struct disp_req *);
 bool disp_pass_to_shorter(struct disp *, struct disp_req *, int64_t wait);
--- a/libgate.h
+++ b/libgate.h
@@ -22,6 +22,7 @@
 #include "hsrv.h"
 #include "wire.h"
 #include "plat.h"
+#include "reload.h"
 #include "route.h"
 #include "sync.h"
 #include "tmr.h"
@@ -44,6 +45,9 @@
 	int64_t leave_wait_ms;
 	int64_t grace_ms;
 	int64_t summary_ms;
+	int64_t silent_ms;
+	int64_t ping_wait_ms;
+	struct str bounds; /* the platform's, in its own words */
 	struct str form; /* the platform's form, by name */
 };
 
@@ -90,6 +94,8 @@
 	GC_LOG_DROPPED,
 	GC_CONTROL_IN,
 	GC_CONTROL_OUT,
+	GC_PEEKS,
+	GC_PEEKS_LOST,
 	GC_LATENCY,
 	GC_HELD,
 	GC_MAX
@@ -118,6 +124,9 @@
 
 struct gate {
 	struct gate_set set;
+	char *file; /* of the settings */
+	const char *section; /* its table; NULL: the whole file */
+	struct reload reload;
 	uv_loop_t *loop;
 	const struct clk *clk;
 	const struct rnd *rnd;
@@ -130,6 +139,7 @@
 	struct plat *plat;
 	const struct plat_form *form;
 	const struct dial *dial;
+	struct plat_bounds bounds;
 	struct conf *conf;
 	struct sync sync;
 	struct cnt *cnt;
@@ -155,6 +165,7 @@
 bool gate_load(struct gate *, const char *file, const char *section, GError **);
 bool gate_open(struct gate *, GError **);
 void gate_start(struct gate *);
+void gate_reload(struct gate *);
 void gate_tick_soon(struct gate *);
 
 /* gate_box.c: the life of the gate, up to its planned end. */
@@ -181,6 +192,8 @@
 void gate_home_tick(struct gate *, int64_t now);
 void gate_home_summary(struct gate *, const struct msg_summary *);
 void gate_home_ping(struct gate *, const struct msg *);
+struct gate_shard *
+gate_conf_find_shard(struct gate *, struct str service, struct str hall);
 struct str gate_home_hall(struct gate *, const struct route_service *);
 
 /* gate_req.c: the life of a request. */
@@ -203,6 +216,9 @@
 /* The request ran or may have run: the claim stays.  Frees the claim. */
 void gate_claim_keep(struct gate_claim *);
 
+/* gate_peek.c: questions for the load of backend servers. */
+void gate_peek_start(struct gate_shard *, const struct pick_backend *);
+
 /* gate_stat.c: counters and the admin pages. */
 struct cnt *gate_stat_open(void);
 void gate_stat_page(void *, h2o_req_t *);
--- a/libreq.h
+++ b/libreq.h
@@ -51,7 +51,6 @@
 	int hops; /* gates it came through before us */
 	int passes; /* tries at homes */
 	struct str name; /* as its caller names it, for the log; a copy */
-	int64_t target; /* an answer is worth most before; 0: unsaid */
 	bool maybe_ran; /* an earlier try may have run */
 	bool refused; /* the answer on its way says that it did not run */
 	bool keyed;
@@ -79,6 +78,7 @@
 	unsigned tries; /* backend servers that it was sent to */
 	unsigned attempts; /* how many it may be sent to; 0: unsaid */
 	unsigned rank;
+	unsigned kind; /* requests of one kind take alike */
 	int64_t target_ms; /* left until its target; 0: unsaid */
 	struct str service; /* points into the header */
 };
--- a/limit.c
+++ b/limit.c
@@ -14,7 +14,7 @@
 
 /* What a quiet budget may save up, and what a new one begins with. */
 static const double BUDGET_MAX = 20.0;
-static const double BUDGET_START = 5.0;
+static const double BUDGET_START_SHARE = 0.25;
 
 struct slot {
 	struct limit limit;
@@ -110,11 +110,13 @@
 void
 retry_budget_pay(struct retry_budget *b, int64_t percent)
 {
+	double max = b->max > 0 ? b->max : BUDGET_MAX;
+
 	if (b->saved == 0)
-		b->saved = BUDGET_START;
+		b->saved = max * BUDGET_START_SHARE;
 	b->saved += (double)percent / 100;
-	if (b->saved > BUDGET_MAX)
-		b->saved = BUDGET_MAX;
+	if (b->saved > max)
+		b->saved = max;
 }
 
 bool
--- /dev/null
+++ b/pace.h
@@ -0,0 +1,38 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef PACE_H
+#define PACE_H
+
+#include <stdint.h>
+
+#include "pick.h"
+
+/*
+ * How fast a backend server works now, and how long a piece of work will take
+ * there.  A rate is the share of the usual speed: 1 is as usual, 0.2 is five
+ * times slower.  What a backend server told is the better the fresher it is;
+ * with age the estimate goes over to the mean.  Pure.
+ */
+
+/* The rate that is expected at a time. */
+double pace_rate(const struct pick_backend *, double mean, int64_t now);
+
+/* The time that `work`, in ns at the usual speed, takes from now. */
+int64_t
+pace_time(const struct pick_backend *, int64_t work, double mean, int64_t now);
+
+/* Is what it told so fresh that asking again would bring nothing? */
+bool pace_is_fresh(const struct pick_backend *, int64_t now);
+
+/* Did it tell freshly that it works about as usual? */
+bool pace_is_good(const struct pick_backend *, int64_t now);
+
+#endif
--- a/pick.c
+++ b/pick.c
@@ -21,6 +21,7 @@
 	BAD_ROW_LIMIT = 3, /* bad answers in a row that eject */
 	WARM_ROW = 3, /* good answers in a row that warm up */
 	USUAL_WEIGHT = 8, /* of the past against one sample */
+	FAILING_WEIGHT = 8,
 	EJECTIONS_MAX = 6,
 	REFUSED_ROW_MAX = 6
 };
@@ -36,7 +37,8 @@
 static unsigned count_in_use(const struct pick_set *, int64_t);
 static void step(struct pick_backend *, const struct chart *, enum pick_event);
 
-static const struct pick_policy *const policies[] = {&pick_fern, &pick_naive};
+static const struct pick_policy *const policies[] = {
+    &pick_fern, &pick_pace, &pick_naive};
 
 const struct pick_policy *
 pick_by_name(struct str name)
@@ -85,6 +87,8 @@
 		b->usual += (took - b->usual) / USUAL_WEIGHT;
 	b->bad_row = 0;
 	b->refused_row = 0;
+	b->silent = 0;
+	b->failing -= b->failing / FAILING_WEIGHT;
 	b->good_row++;
 	step(b, chart, PICK_EV_OK);
 	if (b->good_row < WARM_ROW)
@@ -125,6 +129,7 @@
 	int64_t wait;
 
 	b->good_row = 0;
+	b->failing += (1 - b->failing) / FAILING_WEIGHT;
 	b->bad_row++;
 	if (b->bad_row < BAD_ROW_LIMIT && b->state != PICK_TRIAL)
 		return;
--- a/pick.h
+++ b/pick.h
@@ -65,6 +65,12 @@
 	int told_running, told_waiting;
 	int told_pace; /* percent of the usual time that work takes */
 	int64_t told_at;
+	double factor; /* its own time for work against that of all; 0: 1 */
+	double failing; /* share of bad answers lately */
+	/* A question for its load is out; the last one; unanswered in a row. */
+	bool peeking;
+	int64_t peeked_at;
+	int silent;
 	int ejections; /* in a row, for the length of the next */
 	int bad_row, good_row, refused_row;
 	bool gone; /* no longer selected; waits for its last answer */
@@ -77,6 +83,14 @@
 	struct pick_backend **v;
 	unsigned n;
 	int bulk_percent;
+	double mean_rate; /* of all backend servers over time: pace.h */
+};
+
+/* What is looked for. */
+struct pick_want {
+	enum obj_class cls;
+	const struct pick_backend *avoid;
+	int64_t work; /* ns that it takes at the usual speed; 0: not known */
 };
 
 /* What a policy chooses: an index, or PICK_NONE to hold the request. */
@@ -84,14 +98,18 @@
 
 struct pick_policy {
 	const char *name;
-	int (*choose)(const struct pick_set *, enum obj_class,
-	    const struct pick_backend *avoid, int64_t now, const struct rnd *);
+	int (*choose)(const struct pick_set *, const struct pick_want *,
+	    int64_t now, const struct rnd *);
 	bool holds; /* waits for a free slot instead of queueing there */
+	bool paced; /* goes by how fast backend servers say they are now */
 };
 
 /* By free slots, usual time and the age of what is in flight. */
 extern const struct pick_policy pick_fern;
 
+/* By the time that the work would take at the speed told last. */
+extern const struct pick_policy pick_pace;
+
 /* Round robin without any knowledge: the baseline. */
 extern const struct pick_policy pick_naive;
 
--- a/pick_fern.c
+++ b/pick_fern.c
@@ -26,13 +26,13 @@
 #define AGE_MIN_NS (30 * NS_MS)
 #define USUAL_UNKNOWN_NS (5 * NS_MS)
 
-static int choose(const struct pick_set *, enum obj_class,
-    const struct pick_backend *, int64_t, const struct rnd *);
+static int choose(const struct pick_set *, const struct pick_want *, int64_t,
+    const struct rnd *);
 static int64_t cost(const struct pick_backend *, int64_t);
 static bool bulk_may(const struct pick_set *, int64_t);
 static bool bulk_fits(const struct pick_set *, const struct pick_backend *);
 
-const struct pick_policy pick_fern = {"fern", choose, true};
+const struct pick_policy pick_fern = {"fern", choose, true, false};
 
 /* The time that one more request is likely to take there. */
 static int64_t
@@ -97,9 +97,10 @@
 }
 
 static int
-choose(const struct pick_set *set, enum obj_class cls,
-    const struct pick_backend *avoid, int64_t now, const struct rnd *rnd)
+choose(const struct pick_set *set, const struct pick_want *want, int64_t now,
+    const struct rnd *rnd)
 {
+	enum obj_class cls = want->cls;
 	const struct pick_backend *b;
 	int64_t c, best_cost = INT64_MAX, least = least_cost(set, now);
 	unsigned i, at, from;
@@ -120,7 +121,7 @@
 			c = 0;
 		if (b->inflight > 0 && c > least * SLOW_FACTOR)
 			continue;
-		if (b == avoid)
+		if (b == want->avoid)
 			c = INT64_MAX - 1;
 		if (c < best_cost) {
 			best_cost = c;
--- a/pick_naive.c
+++ b/pick_naive.c
@@ -10,21 +10,20 @@
  */
 #include "pick.h"
 
-static int choose(const struct pick_set *, enum obj_class,
-    const struct pick_backend *, int64_t, const struct rnd *);
+static int choose(const struct pick_set *, const struct pick_want *, int64_t,
+    const struct rnd *);
 
-const struct pick_policy pick_naive = {"naive", choose, false};
+const struct pick_policy pick_naive = {"naive", choose, false, false};
 
 /* Round robin: the one that has had the fewest turns comes next. */
 static int
-choose(const struct pick_set *set, enum obj_class cls,
-    const struct pick_backend *avoid, int64_t now, const struct rnd *rnd)
+choose(const struct pick_set *set, const struct pick_want *want, int64_t now,
+    const struct rnd *rnd)
 {
 	int best = PICK_NONE;
 	unsigned i;
 
-	(void)cls;
-	(void)avoid;
+	(void)want;
 	(void)now;
 	(void)rnd;
 	for (i = 0; i < set->n; i++) {
--- a/plat.h
+++ b/plat.h
@@ -116,6 +116,13 @@
 	    json_t *body, char **after);
 };
 
+/* What the platform bounds us by; zero where it does not say. */
+struct plat_bounds {
+	double retry_ratio; /* tries beyond the first, as a share of requests */
+	int64_t retry_slack; /* and so many more in each window */
+	int64_t grace_ms; /* between the signal to stop and the end */
+};
+
 struct dial;
 
 /* All that depends on whose platform it is. */
@@ -126,6 +133,8 @@
 	/* Kinds of configuration; each entry is listed and watched by itself.
 	 */
 	const char *const *feeds;
+	/* Read the platform's bounds from a setting's text; NULL: none. */
+	void (*bounds)(struct str, struct plat_bounds *);
 };
 
 /* The forms are "fern", of fernplatform(7), and "objects".  NULL: unknown. */
--- a/regress/test_disp.cpp
+++ b/regress/test_disp.cpp
@@ -121,7 +121,7 @@
 	    : clk{mono, mono, this}, rnd{next, this}
 	{
 		struct disp_ops ops = {
-		    send, pass, give_up, stop, release, this};
+		    send, pass, give_up, stop, nullptr, release, this};
 		struct disp_params p = {};
 		GError *err = nullptr;
 		const char *root = getenv("FERN_ROOT");
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -343,7 +343,7 @@
 
 TEST(Limit, RetriesAreAShareOfRequests)
 {
-	struct retry_budget b = {0};
+	struct retry_budget b = {};
 	int retries = 0;
 
 	for (int i = 0; i < 10000; i++) {
--- a/up.c
+++ b/up.c
@@ -270,6 +270,21 @@
 	*buf = uv_buf_init(conn->pool->up->chunk, READ_MAX);
 }
 
+/*
+ * Was the connection closed in order?  libuv tells a reset that comes right
+ * behind data as an end of file, so the socket itself is asked.
+ */
+static bool
+closed_in_order(struct conn *conn, ssize_t nread)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	return nread == UV_EOF &&
+	    uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0 &&
+	    recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 /*
  * An answer without a length ends with its connection, but only where that
  * was closed in order: one that was reset is not complete.
@@ -281,7 +296,7 @@
 		conn_close(conn);
 		return;
 	}
-	if (nread == UV_EOF)
+	if (closed_in_order(conn, nread))
 		http_parser_execute(&conn->parser, &parser_settings, NULL, 0);
 	if (conn->call != NULL && conn->done)
 		conn_finish(conn);
