A request keeps the pace at which it began: wait for a good place, move what is overdue

Cause: p99 of each kind was seven times its work, so that a spell holds for all of a request that begins in it; estimates that let it recover sent requests into known spells and moved them too late.

Change: pace.c estimates the pace at the start; a request waits for a freshly told good place while it can be in time all the same (disp_peek.c); a try is overdue at 1.6 times what was expected, and then taken for one in a spell.

--- a/disp.c
+++ b/disp.c
@@ -20,6 +20,9 @@
 /* A pass to another hall and back takes about so long. */
 #define PASS_COST_NS (5 * NS_MS)
 
+/* Of a slow spell, until one was told. */
+static const double SLOW_PACE_FIRST = 3;
+
 enum { TRIES_MAX = 4, STOP_FACTOR = 4 };
 
 /* What each outcome means. */
@@ -60,7 +63,8 @@
 	d->backends = g_ptr_array_new();
 	d->remotes = g_array_new(FALSE, TRUE, sizeof(struct disp_remote_hall));
 	d->works = g_array_new(FALSE, TRUE, sizeof(struct disp_work));
-	d->mean_rate = 1;
+	d->mean_pace = 1;
+	d->slow_pace = SLOW_PACE_FIRST;
 	g_queue_init(&d->out);
 	for (i = 0; i < QUEUES; i++)
 		queue_init(&d->queues[i]);
@@ -164,7 +168,7 @@
 	if (!d->params.policy->paced || !r->may_pass || r->target == 0 ||
 	    r->work == 0 || !is_in_time(r, now + PASS_COST_NS))
 		return false;
-	return now + pace_time(b, r->work, d->mean_rate, now) > r->target;
+	return now + pace_time(b, r->work, d->mean_pace, now) > r->target;
 }
 
 /* Try to start a request now; false if it has to wait. */
@@ -215,7 +219,7 @@
 	if (slots == 0)
 		return 0;
 	return (int64_t)((double)(d->queues[CLASS_INTERACTIVE].n + 1) *
-	    (double)work / d->mean_rate / slots);
+	    (double)work * d->mean_pace / slots);
 }
 
 /*
@@ -227,7 +231,7 @@
 may_wait(struct disp *d, struct disp_req *r)
 {
 	int64_t now = clk_ns(d->clk), wait = paced_wait(d);
-	int64_t end = now + wait + (int64_t)((double)r->work / d->mean_rate);
+	int64_t end = now + wait + (int64_t)((double)r->work * d->mean_pace);
 
 	r->judged = true;
 	if (disp_usable(d) == 0) {
--- a/disp.h
+++ b/disp.h
@@ -59,9 +59,9 @@
 	unsigned kind; /* requests of one kind take alike */
 	/* The rest is the dispatcher's own. */
 	int64_t work; /* ns that it is thought to take at the usual speed */
-	double done; /* ns of it done by the try under way, by done_at */
-	int64_t done_at;
-	int64_t peek_until; /* held for answers to questions; 0: not asked */
+	double pace; /* that was expected when the try under way began */
+	bool told; /* and that rested on a fresh word */
+	bool asked; /* backend servers were asked for it once */
 	bool judged; /* it was decided that it may wait */
 	int queue; /* where it is held */
 	struct pick_backend *at; /* where it is now; NULL: held or done */
--- a/disp_move.c
+++ b/disp_move.c
@@ -14,15 +14,13 @@
 /*
  * A try that sits in a slow spell is begun elsewhere where that changes what
  * the answer is worth: it would come after its target, or not at all, and
- * elsewhere it comes in time.  Both ends are asked for their speed first.
+ * elsewhere it comes in time.
  */
 
-/* No try is moved before this share of its work should be done. */
-static const double EARLIEST = 0.7;
-/* Some work may always be left, whatever was summed up. */
-static const double LEFT_MIN = 0.15;
-/* A move must spare at least this share of the work. */
-static const double GAIN_MIN = 0.25;
+/* A try that has taken so many times what was expected met a spell. */
+static const double OVERDUE = 1.6;
+/* Elsewhere it is reckoned with this much more than the work. */
+static const double RESERVE = 1.2;
 
 enum { TRIES_MAX = 3 };
 
@@ -33,17 +31,19 @@
 	return b->silent >= 2;
 }
 
+/* When the try under way is likely to end. */
 static int64_t
 end_here(const struct disp *d, const struct disp_req *r, int64_t now)
 {
-	double done = r->done +
-	    (double)(now - r->done_at) * pace_rate(r->at, d->mean_rate, now);
-	double work = (double)r->work;
-	double left = MAX(work - done, work * LEFT_MIN);
+	double own = r->at->factor > 0 ? r->at->factor : 1;
+	double work = (double)r->work * own;
+	double expected = work * (r->told ? r->pace : 1);
 
 	if (is_silent(r->at))
 		return INT64_MAX;
-	return now + pace_time(r->at, (int64_t)left, d->mean_rate, now);
+	if ((double)(now - r->sent) > expected * OVERDUE)
+		expected = work * MAX(d->slow_pace, r->pace);
+	return MAX(r->sent + (int64_t)expected, now);
 }
 
 /* Would an end at `there` be worth more than one at `here`? */
@@ -56,42 +56,36 @@
 }
 
 static bool
-may_move(const struct disp *d, const struct disp_req *r, int64_t now)
+may_move(const struct disp *d, const struct disp_req *r)
 {
 	int tries = r->attempts > 0 ? r->attempts : TRIES_MAX;
 
 	return r->target != 0 && r->work != 0 && r->repeatable &&
-	    r->tries < tries &&
-	    (double)(now - r->sent) >= (double)r->work * EARLIEST &&
-	    disp_retryable(d, r, DISP_SLOW);
+	    r->tries < tries && disp_retryable(d, r, DISP_SLOW);
 }
 
 /*
- * True if the try should be moved now.  Where that rests on old words, those
- * concerned are asked, and the next look decides.
+ * True if the try should be moved now.  Where no good place is known, some
+ * are asked, and their answers lead here again.
  */
 static bool
 should_move(struct disp *d, const struct disp_req *r, int64_t now)
 {
 	struct pick_set set = disp_set_of(d);
 	struct pick_want want = {r->cls, r->at, r->work};
-	int64_t here = end_here(d, r, now), there;
+	int64_t here = end_here(d, r, now);
+	int64_t there = now + (int64_t)((double)r->work * RESERVE);
 	int at;
 
-	if (!is_worth_more(r, here, now + r->work))
+	if (!is_worth_more(r, here, there))
 		return false;
-	if (!is_silent(r->at) && !pace_is_fresh(r->at, now)) {
-		disp_peek_one(d, r->at, now);
-		return false;
-	}
 	at = d->params.policy->choose(&set, &want, now, d->rnd);
 	if (at == PICK_NONE || set.v[at] == r->at)
 		return false;
-	if (!pace_is_fresh(set.v[at], now) && disp_peek_one(d, set.v[at], now))
-		return false;
-	there = now + pace_time(set.v[at], r->work, d->mean_rate, now);
-	return is_worth_more(r, here, there) &&
-	    (double)there + (double)r->work * GAIN_MIN < (double)here;
+	if (pace_is_good(set.v[at], now))
+		return true;
+	disp_peek_some(d, r->work, now);
+	return false;
 }
 
 static struct disp_req *
@@ -102,7 +96,7 @@
 
 	for (at = d->out.head; at != NULL; at = at->next) {
 		r = at->data;
-		if (may_move(d, r, now) && should_move(d, r, now))
+		if (may_move(d, r) && should_move(d, r, now))
 			return r;
 	}
 	return NULL;
--- a/disp_peek.c
+++ b/disp_peek.c
@@ -13,16 +13,20 @@
 
 /*
  * Questions.  What a backend server told is old after some tens of
- * milliseconds; a request that has no freshly told good place has a few of
- * them asked, and waits for the answers for a moment.
+ * milliseconds, and a request that begins in a slow spell is slow to its end.
+ * So a request that has no freshly told good place has some backend servers
+ * asked, and waits for a good one as long as it can be in time all the same.
  */
 
 /* One backend server is asked no more often than this. */
 #define GAP_NS (20 * NS_MS)
-/* A request waits for answers no longer than this. */
+/* A request without a target waits for the first answers only. */
 #define WAIT_NS (12 * NS_MS)
 
-enum { FAN = 3 }; /* backend servers that are asked for one request */
+enum { FAN = 3 }; /* backend servers that are asked at once */
+
+/* Of the work, kept in reserve at the latest start of a request. */
+static const double RESERVE = 0.35;
 
 static bool
 may_ask(const struct disp *d, const struct pick_backend *b, int64_t now)
@@ -56,7 +60,7 @@
 		if (pick_free(b, now) == 0 || pace_is_fresh(b, now) ||
 		    !may_ask(d, b, now))
 			continue;
-		t = pace_time(b, work, d->mean_rate, now);
+		t = pace_time(b, work, d->mean_pace, now);
 		if (t < least) {
 			least = t;
 			best = b;
@@ -65,7 +69,22 @@
 	return best;
 }
 
-/* How many are free, and whether one of them is known to be good now. */
+/* Ask the best few of those that are free. */
+void
+disp_peek_some(struct disp *d, int64_t work, int64_t now)
+{
+	struct pick_backend *b;
+	unsigned i;
+
+	for (i = 0; i < FAN; i++) {
+		b = best_to_ask(d, work, now);
+		if (b == NULL)
+			return;
+		disp_peek_one(d, b, now);
+	}
+}
+
+/* How many are free and tell their load; is one of them good, or asked? */
 static unsigned
 count_free(const struct disp *d, int64_t now, bool *good, bool *asked)
 {
@@ -76,7 +95,7 @@
 	*good = *asked = false;
 	for (i = 0; i < d->backends->len; i++) {
 		b = g_ptr_array_index(d->backends, i);
-		if (pick_free(b, now) == 0)
+		if (pick_free(b, now) == 0 || b->told_at == 0)
 			continue;
 		n++;
 		*good = *good || pace_is_good(b, now);
@@ -85,27 +104,27 @@
 	return n;
 }
 
-/* True if the request should wait for answers before it is sent. */
+/* The latest moment to begin, wherever that is then. */
+static int64_t
+latest_start(const struct disp_req *r, int64_t now)
+{
+	if (r->target == 0)
+		return r->asked ? 0 : now + WAIT_NS;
+	return r->target - (int64_t)((double)r->work * (1 + RESERVE));
+}
+
+/* True if the request should wait for a good place before it is sent. */
 bool
 disp_peek_first(struct disp *d, struct disp_req *r, int64_t now)
 {
-	struct pick_backend *b;
 	bool good, asked;
-	unsigned i;
 
 	if (!d->params.policy->paced || d->ops.peek == NULL || r->work == 0 ||
-	    (r->peek_until != 0 && now >= r->peek_until))
+	    now >= latest_start(r, now))
 		return false;
-	if (count_free(d, now, &good, &asked) < 2 || good)
+	if (count_free(d, now, &good, &asked) == 0 || good)
 		return false;
-	if (r->peek_until != 0)
-		return asked;
-	for (i = 0; i < FAN; i++) {
-		b = best_to_ask(d, r->work, now);
-		if (b == NULL)
-			break;
-		asked = disp_peek_one(d, b, now) || asked;
-	}
-	r->peek_until = now + WAIT_NS;
-	return asked;
+	disp_peek_some(d, r->work, now);
+	r->asked = true;
+	return true;
 }
--- a/disp_set.c
+++ b/disp_set.c
@@ -17,7 +17,7 @@
 disp_set_of(const struct disp *d)
 {
 	struct pick_set set = {(struct pick_backend **)d->backends->pdata,
-	    d->backends->len, d->params.bulk_percent, d->mean_rate};
+	    d->backends->len, d->params.bulk_percent, d->mean_pace};
 
 	return set;
 }
@@ -168,7 +168,7 @@
 disp_load_told(
     struct disp *d, struct pick_backend *b, int running, int waiting, int pace)
 {
-	disp_work_told(d, b, pace);
+	disp_work_told(d, pace);
 	b->told_running = running;
 	b->told_waiting = waiting;
 	b->told_pace = pace;
@@ -191,6 +191,8 @@
 	} else {
 		b->silent++;
 	}
+	if (d->params.policy->paced)
+		disp_move(d, clk_ns(d->clk));
 	disp_serve(d);
 }
 
--- a/disp_work.c
+++ b/disp_work.c
@@ -12,18 +12,21 @@
 #include "pace.h"
 
 /*
- * What requests take.  The work of a kind is learned in ns at the usual
- * speed, so that slow spells do not count as work: while a request is out,
- * the work done is summed up by what its backend server tells.
+ * What requests take.  The work of a kind is learned in ns at the usual pace:
+ * the time that a request took, over the pace at which it began.
  */
 
 enum {
-	WORK_WEIGHT = 16, /* of the past against one request */
+	UP_WEIGHT = 16, /* of the past against one request that took longer */
+	DOWN_WEIGHT = 6, /* and one that took less */
 	FACTOR_WEIGHT = 8,
-	RATE_WEIGHT = 64,
-	PERCENT = 100
+	PACE_WEIGHT = 64,
+	PERCENT = 100,
+	SLOW_PACE = 150 /* percent; above, it counts as a slow spell */
 };
 
+/* Beyond so many times the work a request met a spell that nobody told. */
+static const double ODD = 2.5;
 /* A backend server's own factor stays within these. */
 static const double FACTOR_MIN = 0.5, FACTOR_MAX = 8;
 
@@ -54,34 +57,18 @@
 disp_work_begin(struct disp *d, struct disp_req *r)
 {
 	r->work = disp_work_of(d, r->kind);
-	r->done = 0;
-	r->done_at = r->sent;
-}
-
-/* Sum up what was done since the last word, at the mean of both rates. */
-static void
-advance(struct disp *d, struct disp_req *r, double rate, int64_t now)
-{
-	double before = pace_rate(r->at, d->mean_rate, now);
-
-	r->done += (double)(now - r->done_at) * (before + rate) / 2;
-	r->done_at = now;
+	r->pace = pace_now(r->at, d->mean_pace, r->sent);
+	r->told = pace_is_fresh(r->at, r->sent);
 }
 
 void
-disp_work_told(struct disp *d, struct pick_backend *b, int pace)
+disp_work_told(struct disp *d, int pace)
 {
-	double rate = (double)PERCENT / pace;
-	int64_t now = clk_ns(d->clk);
-	struct disp_req *r;
-	GList *at;
+	double p = (double)pace / PERCENT;
 
-	for (at = d->out.head; at != NULL; at = at->next) {
-		r = at->data;
-		if (r->at == b)
-			advance(d, r, rate, now);
-	}
-	d->mean_rate += (rate - d->mean_rate) / RATE_WEIGHT;
+	d->mean_pace += (p - d->mean_pace) / PACE_WEIGHT;
+	if (pace > SLOW_PACE)
+		d->slow_pace += (p - d->slow_pace) / PACE_WEIGHT;
 }
 
 static void
@@ -93,25 +80,35 @@
 	b->factor = CLAMP(b->factor, FACTOR_MIN, FACTOR_MAX);
 }
 
+static void
+learn(int64_t *mean, double ns)
+{
+	double diff = ns - (double)*mean;
+
+	*mean += (int64_t)(diff / (diff > 0 ? UP_WEIGHT : DOWN_WEIGHT));
+	*mean = MAX(*mean, NS_US);
+}
+
 /* A request was answered: learn from it. */
 void
 disp_work_done(struct disp *d, const struct disp_req *r, struct pick_backend *b,
     int64_t now)
 {
-	double rate = pace_rate(b, d->mean_rate, now);
-	double ns = r->done + (double)(now - r->done_at) * rate;
 	double own = b->factor > 0 ? b->factor : 1;
+	double ns = (double)(now - r->sent) / (r->told ? r->pace : 1);
 	struct disp_work add = {r->kind, (int64_t)ns};
 	struct disp_work *w = find(d, r->kind);
 
 	if (w == NULL) {
 		g_array_append_val(d->works, add);
-	} else {
-		learn_factor(b, ns / (double)w->ns);
-		w->ns += (int64_t)(ns / own - (double)w->ns) / WORK_WEIGHT;
-		w->ns = MAX(w->ns, NS_US);
+		return;
 	}
+	if (r->told)
+		learn_factor(b, ns / (double)w->ns);
+	if (ns > ODD * own * (double)w->ns)
+		return;
+	learn(&w->ns, ns / own);
 	if (d->mean_work == 0)
-		d->mean_work = (int64_t)ns;
-	d->mean_work += ((int64_t)ns - d->mean_work) / WORK_WEIGHT;
+		d->mean_work = w->ns;
+	learn(&d->mean_work, ns);
 }
--- a/libdisp.h
+++ b/libdisp.h
@@ -43,7 +43,8 @@
 	GPtrArray *backends; /* struct pick_backend * */
 	struct queue queues[QUEUES];
 	GArray *works; /* struct disp_work */
-	double mean_rate; /* of the backend servers, over time */
+	double mean_pace; /* of the backend servers, over time */
+	double slow_pace; /* of those in slow spells, over time */
 	int64_t mean_work; /* of all requests, over time; 0: not known */
 	GArray *remotes; /* struct disp_remote_hall */
 	struct retry_budget budget;
@@ -65,13 +66,14 @@
 /* disp_work.c: how long requests take. */
 int64_t disp_work_of(const struct disp *, unsigned kind);
 void disp_work_begin(struct disp *, struct disp_req *);
-void disp_work_told(struct disp *, struct pick_backend *, int pace);
+void disp_work_told(struct disp *, int pace);
 void disp_work_done(
     struct disp *, const struct disp_req *, struct pick_backend *, int64_t now);
 
 /* disp_peek.c: questions for the load of backend servers. */
 bool disp_peek_first(struct disp *, struct disp_req *, int64_t now);
 bool disp_peek_one(struct disp *, struct pick_backend *, int64_t now);
+void disp_peek_some(struct disp *, int64_t work, int64_t now);
 
 /* disp_move.c: tries that are begun elsewhere. */
 void disp_move(struct disp *, int64_t now);
--- a/pace.h
+++ b/pace.h
@@ -11,21 +11,23 @@
 #ifndef PACE_H
 #define PACE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "pick.h"
 
 /*
  * How fast a backend server works now, and how long a piece of work will take
- * there.  A rate is the share of the usual speed: 1 is as usual, 0.2 is five
- * times slower.  What a backend server told is the better the fresher it is;
- * with age the estimate goes over to the mean.  Pure.
+ * there.  A pace is the time that work takes against the usual: 1 is as
+ * usual, 5 is five times slower.  A request keeps the pace at which it began.
+ * What a backend server told is the better the fresher it is; with age the
+ * estimate goes over to the mean of all.  Pure.
  */
 
-/* The rate that is expected at a time. */
-double pace_rate(const struct pick_backend *, double mean, int64_t now);
+/* The pace that is expected of a request that begins now. */
+double pace_now(const struct pick_backend *, double mean, int64_t now);
 
-/* The time that `work`, in ns at the usual speed, takes from now. */
+/* The time that `work`, in ns at the usual pace, takes if it begins now. */
 int64_t
 pace_time(const struct pick_backend *, int64_t work, double mean, int64_t now);
 
--- a/pick.h
+++ b/pick.h
@@ -83,7 +83,7 @@
 	struct pick_backend **v;
 	unsigned n;
 	int bulk_percent;
-	double mean_rate; /* of all backend servers over time: pace.h */
+	double mean_pace; /* of all backend servers over time: pace.h */
 };
 
 /* What is looked for. */
--- a/pick_pace.c
+++ b/pick_pace.c
@@ -14,9 +14,7 @@
 
 /*
  * The choice among backend servers that tell how fast they are at a moment:
- * the one where the work will be done first.  A free slot is never left idle
- * while a request waits, as work goes on also where it is slow, and a try that
- * turns out badly can be moved.
+ * the one where the work will be done first.
  */
 
 /* A request that fails costs about so many times its own time. */
@@ -33,7 +31,7 @@
 cost(const struct pick_set *set, const struct pick_backend *b, int64_t work,
     int64_t now)
 {
-	double ns = (double)pace_time(b, work, set->mean_rate, now);
+	double ns = (double)pace_time(b, work, set->mean_pace, now);
 
 	ns *= 1 + FAILING_COST * b->failing;
 	return ns * (1 + b->silent);
