Watches gather changes; what has no good place in its hall is passed on

Cause: backend entries come one a watch answer (27 calls a box before traffic); requests in a hall with one backend server waited for its spell to end although other halls had room.

Change: gather_ms between a watch's answer and the next call; boxes_ms for the list of boxes; disp_peek.c lets a request go to another hall once all that were asked here are slow.

--- a/agent_open.c
+++ b/agent_open.c
@@ -86,6 +86,18 @@
 	.dflt = 20000,
 	.min = 500,
 	.max = 30000},
+    {.name = "gather_ms",
+	.type = FIELD_INT,
+	.offset = F(gather_ms),
+	.dflt = 0,
+	.min = 0,
+	.max = 10000},
+    {.name = "boxes_ms",
+	.type = FIELD_INT,
+	.offset = F(boxes_ms),
+	.dflt = 2000,
+	.min = 100,
+	.max = 3600000},
     {.name = "retry_ms",
 	.type = FIELD_INT,
 	.offset = F(retry_ms),
@@ -131,6 +143,8 @@
 	a->set.hello_ms = set.hello_ms;
 	a->set.list_ms = set.list_ms;
 	a->set.watch_ms = set.watch_ms;
+	a->set.gather_ms = set.gather_ms;
+	a->set.boxes_ms = set.boxes_ms;
 	a->set.retry_ms = set.retry_ms;
 	a->set.status_ms = set.status_ms;
 	field_free(fields, G_N_ELEMENTS(fields), &set);
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -24,7 +24,6 @@
 #define FIRST_LIST_NS (400 * NS_MS)
 #define RECHECK_NS (1 * NS_S)
 #define BACKOFF_FIRST_NS (250 * NS_MS)
-#define BOXES_WATCHER_NS (2 * NS_S)
 #define BOXES_OTHER_NS (60 * NS_S)
 #define STATUS_SOON_NS (300 * NS_MS)
 #define STATUS_AGAIN_NS (60 * NS_S)
@@ -340,9 +339,13 @@
 		return;
 	}
 	f->fails = 0;
+	slog(SLOG_WATCH, "Watched %s up to revision %llu: %zu changes.",
+	    f->kinds, (unsigned long long)revision_of(body),
+	    json_array_size(json_object_get(body, "objects")));
 	offer_all(a, body, NULL);
 	f->since = MAX(f->since, revision_of(body));
-	watch_soon(f, 0);
+	/* Changes come in rows; those of a moment are fetched together. */
+	watch_soon(f, a->set.gather_ms * NS_MS);
 }
 
 static void
@@ -391,7 +394,8 @@
 		a->boxes_fails = 0;
 		take_boxes(a, body);
 		in = rnd_jitter(a->rnd,
-		    agent_is_watcher(a) ? BOXES_WATCHER_NS : BOXES_OTHER_NS);
+		    agent_is_watcher(a) ? a->set.boxes_ms * NS_MS
+					: BOXES_OTHER_NS);
 	} else {
 		in = backoff(a, a->boxes_fails++);
 	}
--- a/disp_pass.c
+++ b/disp_pass.c
@@ -40,6 +40,20 @@
 	    m->waiting == 0 && m->free > REMOTE_SPARE;
 }
 
+bool
+disp_has_room_elsewhere(const struct disp *d, int64_t now)
+{
+	const struct disp_remote_hall *m;
+	guint i;
+
+	for (i = 0; i < d->remotes->len; i++) {
+		m = &g_array_index(d->remotes, struct disp_remote_hall, i);
+		if (m->slots > 0 && has_room(m, now))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Pass to another hall whose home has room.  If nothing here can be used, a
  * hall that has slots will do, whatever its home said last.
--- a/disp_peek.c
+++ b/disp_peek.c
@@ -19,7 +19,7 @@
  */
 
 /* One backend server is asked no more often than this. */
-#define GAP_NS (20 * NS_MS)
+#define GAP_NS (10 * NS_MS)
 /* A request without a target waits for the first answers only. */
 #define WAIT_NS (12 * NS_MS)
 
@@ -124,6 +124,10 @@
 		return false;
 	if (count_free(d, now, &good, &asked) == 0 || good)
 		return false;
+	/* All that were asked here are slow: start() looks elsewhere. */
+	if (r->asked && !asked && r->may_pass &&
+	    disp_has_room_elsewhere(d, now))
+		return false;
 	disp_peek_some(d, r->work, now);
 	r->asked = true;
 	return true;
--- a/libagent.h
+++ b/libagent.h
@@ -44,6 +44,8 @@
 	int64_t hello_ms;
 	int64_t list_ms;
 	int64_t watch_ms;
+	int64_t gather_ms;
+	int64_t boxes_ms;
 	int64_t retry_ms;
 	int64_t status_ms;
 	struct str form; /* the platform's form, by name */
--- a/libdisp.h
+++ b/libdisp.h
@@ -80,6 +80,7 @@
 
 /* disp_pass.c: other halls.  True if the request was passed on. */
 bool disp_pass(struct disp *, struct disp_req *);
+bool disp_has_room_elsewhere(const struct disp *, int64_t now);
 bool disp_pass_to_shorter(struct disp *, struct disp_req *, int64_t wait);
 
 #endif
--- a/pace.c
+++ b/pace.c
@@ -18,7 +18,7 @@
  */
 #define MEMORY_NS (100 * NS_MS)
 /* Below this age asking again is not worth a probe. */
-#define FRESH_NS (20 * NS_MS)
+#define FRESH_NS (6 * NS_MS)
 
 /* Up to so many percent of the usual time counts as usual. */
 enum { GOOD_PACE = 150, PERCENT = 100 };
