A moved try that is passed on is charged once

Change: the pass says whether tries are within a budget; only what a lost home leaves behind is charged where it arrives. A move reckons with the other end's own time.

--- a/disp.c
+++ b/disp.c
@@ -276,7 +276,7 @@
 		drop(d, r, ERR_OVER_LIMIT, 0);
 		return false;
 	}
-	if (r->tries == 0) {
+	if (r->tries == 0 || r->paid) {
 		retry_budget_pay(&d->budget, d->params.retry_percent);
 		return true;
 	}
@@ -452,6 +452,8 @@
 		return false;
 	if (outcome != DISP_REFUSED || r->attempts > 0)
 		retry_budget_take(&d->budget);
+	r->judged = true;
+	r->paid = true;
 	hold(d, r);
 	return true;
 }
--- a/disp.h
+++ b/disp.h
@@ -62,6 +62,7 @@
 	double pace; /* that was expected when the try under way began */
 	bool told; /* and that rested on a fresh word */
 	bool asked; /* backend servers were asked for it once */
+	bool paid; /* its tries so far are within a retry budget */
 	bool judged; /* it was decided that it may wait */
 	int queue; /* where it is held */
 	struct pick_backend *at; /* where it is now; NULL: held or done */
--- a/disp_move.c
+++ b/disp_move.c
@@ -82,8 +82,10 @@
 	at = d->params.policy->choose(&set, &want, now, d->rnd);
 	if (at == PICK_NONE || set.v[at] == r->at)
 		return false;
-	if (pace_is_good(set.v[at], now))
-		return true;
+	if (pace_is_good(set.v[at], now)) {
+		there = now + pace_time(set.v[at], r->work, d->mean_pace, now);
+		return is_worth_more(r, here, there);
+	}
 	disp_peek_some(d, r->work, now);
 	return false;
 }
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -85,6 +85,7 @@
 	    .bulk = r->d.cls == CLASS_BULK,
 	    .repeatable = r->d.repeatable,
 	    .retried = r->maybe_ran || r->d.retried,
+	    .paid = r->d.paid,
 	    .tries = (unsigned)r->d.tries,
 	    .attempts = (unsigned)r->d.attempts,
 	    .rank = (unsigned)r->d.rank,
--- a/gate_pass.c
+++ b/gate_pass.c
@@ -12,14 +12,14 @@
 
 #include "libreq.h"
 
-enum { FIELDS = 9, TEXT_MAX = 256 };
+enum { FIELDS = 10, TEXT_MAX = 256 };
 
 /* Numbers divided by blanks, and the service's name last. */
 bool
 gate_pass_read(struct str text, struct gate_pass *out)
 {
 	char copy[TEXT_MAX];
-	unsigned bulk, repeatable, retried;
+	unsigned bulk, repeatable, retried, paid;
 	long long target;
 	int at = 0, n;
 
@@ -27,14 +27,15 @@
 		return false;
 	memcpy(copy, text.p, text.n);
 	copy[text.n] = '\0';
-	n = sscanf(copy, "%u %u %u %u %u %u %u %u %lld %n", &out->hops, &bulk,
-	    &repeatable, &retried, &out->tries, &out->attempts, &out->rank,
-	    &out->kind, &target, &at);
+	n = sscanf(copy, "%u %u %u %u %u %u %u %u %u %lld %n", &out->hops,
+	    &bulk, &repeatable, &retried, &paid, &out->tries, &out->attempts,
+	    &out->rank, &out->kind, &target, &at);
 	if (n != FIELDS || at == 0)
 		return false;
 	out->bulk = bulk != 0;
 	out->repeatable = repeatable != 0;
 	out->retried = retried != 0;
+	out->paid = paid != 0;
 	out->target_ms = target;
 	out->service = str_n(text.p + at, text.n - (size_t)at);
 	return out->service.n > 0;
@@ -43,9 +44,10 @@
 size_t
 gate_pass_write(const struct gate_pass *p, char *out, size_t size)
 {
-	int n = snprintf(out, size, "%u %u %u %u %u %u %u %u %lld %.*s",
-	    p->hops, p->bulk, p->repeatable, p->retried, p->tries, p->attempts,
-	    p->rank, p->kind, (long long)p->target_ms, STR_ARG(p->service));
+	int n = snprintf(out, size, "%u %u %u %u %u %u %u %u %u %lld %.*s",
+	    p->hops, p->bulk, p->repeatable, p->retried, p->paid, p->tries,
+	    p->attempts, p->rank, p->kind, (long long)p->target_ms,
+	    STR_ARG(p->service));
 
 	return MIN((size_t)n, size - 1);
 }
--- a/gate_req.c
+++ b/gate_req.c
@@ -207,6 +207,7 @@
 	r->d.may_retry = true;
 	r->d.retried = pass.retried;
 	r->d.tries = (int)pass.tries;
+	r->d.paid = pass.paid;
 	r->d.attempts = (int)pass.attempts;
 	r->d.rank = (int)pass.rank;
 	r->d.kind = pass.kind;
--- a/gate_try.c
+++ b/gate_try.c
@@ -278,6 +278,7 @@
 	if (kind != ERR_CONNECT) {
 		r->maybe_ran = true;
 		r->d.tries++;
+		r->d.paid = false;
 	}
 	if (kind != ERR_CONNECT && !may_try_more(r))
 		gate_req_answer(r, kind, RAN_UNKNOWN, 0);
@@ -344,6 +345,7 @@
 		if (r->state == REQ_SENT) {
 			r->maybe_ran = true;
 			r->d.tries++;
+			r->d.paid = false;
 		}
 		gate_flow_stop(r);
 		leave_home(r);
--- a/libreq.h
+++ b/libreq.h
@@ -75,6 +75,7 @@
 struct gate_pass {
 	unsigned hops; /* gates it came through */
 	bool bulk, repeatable, retried;
+	bool paid; /* its tries are within a retry budget */
 	unsigned tries; /* backend servers that it was sent to */
 	unsigned attempts; /* how many it may be sent to; 0: unsaid */
 	unsigned rank;
