Structured log lines on standard output; backend servers are asked before their first request

Change: slog() takes a message and key=value fields, writes to standard output from its ring, and bounds the lines for decisions to 2000 a second. A home asks backend servers that have told nothing yet, and one that tells no load is not asked again.

--- a/agent_lapse.c
+++ b/agent_lapse.c
@@ -55,9 +55,10 @@
 	const struct conf_entry *e = conf_get(a->conf, l->key);
 	bool gone = e != NULL && !e->deleted && e->version <= l->version;
 
-	slog(SLOG_WATCH, "%.*s: %s.", STR_ARG(l->key),
-	    gone ? "its entry did not come back; it is gone"
-		 : "its entry came back");
+	slog(SLOG_WATCH,
+	    gone ? "lapsed entry is gone" : "lapsed entry came back",
+	    "key=%.*s version=%llu", STR_ARG(l->key),
+	    (unsigned long long)l->version);
 	a->from_platform = true;
 	conf_offer(
 	    a->conf, l->key, l->version, true, NULL, STR_LIT("platform"), NULL);
@@ -88,7 +89,8 @@
 	l->version = version;
 	g_hash_table_insert(a->lapses, (char *)l->key.p, l);
 	tmr_set(&a->tmr, &l->timer, due, on_due, l);
-	slog(SLOG_WATCH, "%.*s: its entry is gone; held for %lld ms.",
-	    STR_ARG(e->key), (long long)((due - now) / NS_MS));
+	slog(SLOG_WATCH, "entry lapsed, deletion is held",
+	    "key=%.*s version=%llu hold_ms=%lld", STR_ARG(e->key),
+	    (unsigned long long)version, (long long)((due - now) / NS_MS));
 	return true;
 }
--- a/agent_open.c
+++ b/agent_open.c
@@ -129,8 +129,9 @@
 
 	if (!set_load(a->file, a->section, fields, G_N_ELEMENTS(fields), &set,
 		&err)) {
-		slog(SLOG_AGENT, "Settings are kept as they were: %s.",
-		    err->message);
+		slog(SLOG_AGENT,
+		    "settings are kept, the new ones are not valid", "why=%s",
+		    slog_quote(err->message));
 		g_error_free(err);
 		return;
 	}
@@ -148,7 +149,7 @@
 	a->set.retry_ms = set.retry_ms;
 	a->set.status_ms = set.status_ms;
 	field_free(fields, G_N_ELEMENTS(fields), &set);
-	slog(SLOG_AGENT, "Settings are read anew.");
+	slog(SLOG_AGENT, "settings are read anew", "file=%s", a->file);
 }
 
 bool
@@ -209,9 +210,9 @@
 {
 	struct agent *a = ctx;
 
-	slog(SLOG_CONF, "%.*s version %llu%s, from %.*s.", STR_ARG(e->key),
-	    (unsigned long long)e->version, e->deleted ? " deleted" : "",
-	    STR_ARG(e->source));
+	slog(SLOG_CONF, e->deleted ? "object is deleted" : "object is known",
+	    "key=%.*s version=%llu from=%.*s", STR_ARG(e->key),
+	    (unsigned long long)e->version, STR_ARG(e->source));
 	cnt_add(a->cnt, AC_CHANGES, 1);
 	a->targets_dirty = true;
 	a->targets_at = 0;
@@ -226,7 +227,7 @@
 	int64_t now = clk_ns(a->clk), gap = now - a->last_tick;
 
 	if (a->last_tick != 0 && gap > PAUSE_NS) {
-		slog(SLOG_AGENT, "Was paused for %lld ms; looks anew.",
+		slog(SLOG_AGENT, "was paused, looks anew", "gap_ms=%lld",
 		    (long long)(gap / NS_MS));
 		memb_paused(a->memb);
 		agent_watch_resume(a);
@@ -257,7 +258,7 @@
 		uv_stop(a->loop);
 		return;
 	}
-	slog(SLOG_AGENT, "Leaves.");
+	slog(SLOG_AGENT, "leaves", "boxes=%zu", memb_count_alive(a->memb));
 	a->leaving = true;
 	agent_peer_leave(a);
 	tmr_set(&a->tmr, &left, clk_ns(a->clk) + LEAVE_MS * NS_MS, on_left, a);
@@ -267,8 +268,8 @@
 agent_start(struct agent *a)
 {
 	tmr_set(&a->tmr, &a->tick, clk_ns(a->clk), on_tick, a);
-	slog(
-	    SLOG_AGENT, "Box %s in hall %s runs.", a->set.box.p, a->set.hall.p);
+	slog(SLOG_AGENT, "started", "box=%s hall=%s inbox=%s platform=%s",
+	    a->set.box.p, a->set.hall.p, a->set.inbox.p, a->set.platform.p);
 }
 
 /* Leave on a signal; an agent beside its gate leaves with the gate. */
--- a/agent_peer.c
+++ b/agent_peer.c
@@ -248,14 +248,15 @@
 	struct memb_info *self = memb_self(a->memb);
 
 	if (memb_tick(a->memb, now))
-		slog(SLOG_PEER, "A box did not answer: %zu are alive.",
+		slog(SLOG_PEER, "a box did not answer", "alive=%zu",
 		    memb_count_alive(a->memb));
 	if (conf_digest(a->conf) != a->status_told)
 		agent_status_soon(a);
 	if (self->ready && now - a->gate_heard > GATE_SILENT_NS) {
 		self->ready = false;
 		self->beat++;
-		slog(SLOG_AGENT, "The gate is silent.");
+		slog(SLOG_AGENT, "the gate is silent", "for_ms=%lld",
+		    (long long)((now - a->gate_heard) / NS_MS));
 	}
 	send_members(a, now);
 }
@@ -313,7 +314,8 @@
 	struct msg m = {.kind = MSG_HELLO};
 	struct memb_info *self = memb_self(a->memb);
 
-	slog(SLOG_PEER, "Tells the other boxes that this one leaves.");
+	slog(SLOG_PEER, "tells the other boxes that this one leaves",
+	    "boxes=%zu", memb_count_alive(a->memb));
 	self->leaving = true;
 	self->beat++;
 	m.u.hello.self = *self;
--- a/agent_probe.c
+++ b/agent_probe.c
@@ -179,7 +179,8 @@
 	static const char *const names[] = {
 	    "unknown", "up", "down", "draining"};
 
-	slog(SLOG_PROBE, "%.*s is %s.", STR_ARG(backend), names[state]);
+	slog(SLOG_PROBE, "backend server by probes", "backend=%.*s state=%s",
+	    STR_ARG(backend), names[state]);
 	tell(ctx, backend, state, true);
 }
 
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -73,8 +73,10 @@
 	if (up && !a->platform_up)
 		a->platform_back = clk_ns(a->clk);
 	if (up != a->platform_up)
-		slog(SLOG_WATCH, "The platform %s.",
-		    up ? "answers" : "does not answer");
+		slog(SLOG_WATCH,
+		    up ? "platform answers again" : "platform does not answer",
+		    "platform=%s result=%s", a->set.platform.p,
+		    plat_result_name(result));
 	a->platform_up = up;
 }
 
@@ -204,6 +206,16 @@
 		start_watch(f);
 }
 
+static const char *
+why_rejected(struct agent *a, const char *key, const GError *err)
+{
+	const struct conf_entry *e = conf_get(a->conf, str_c(key));
+
+	if (err != NULL)
+		return err->message;
+	return e != NULL && e->bad_why != NULL ? e->bad_why : "unknown";
+}
+
 static void
 offer(struct agent *a, json_t *o, GHashTable *keys)
 {
@@ -225,9 +237,10 @@
 		got = conf_offer(a->conf, str_c(key), version, deleted, spec,
 		    STR_LIT("platform"), &err);
 	if (got == CONF_REJECTED)
-		slog(SLOG_CONF, "Rejected %s version %llu: %s.", key,
+		slog(SLOG_CONF, "object is rejected, the last good one stays",
+		    "key=%s version=%llu why=%s", key,
 		    (unsigned long long)version,
-		    err != NULL ? err->message : "see the status");
+		    slog_quote(why_rejected(a, key, err)));
 	g_clear_error(&err);
 	if (keys != NULL)
 		g_hash_table_add(keys, key);
@@ -313,7 +326,7 @@
 	f->since = MAX(f->since, revision);
 	f->complete = MAX(f->complete, revision);
 	raise_floor(a);
-	slog(SLOG_WATCH, "Listed %s at revision %llu: %zu objects in force.",
+	slog(SLOG_WATCH, "listed", "kinds=%s revision=%llu in_force=%zu",
 	    f->kinds, (unsigned long long)revision, conf_count(a->conf));
 	agent_status_soon(a);
 	watch_soon(f, 0);
@@ -339,7 +352,7 @@
 		return;
 	}
 	f->fails = 0;
-	slog(SLOG_WATCH, "Watched %s up to revision %llu: %zu changes.",
+	slog(SLOG_WATCH, "watched", "kinds=%s revision=%llu changes=%zu",
 	    f->kinds, (unsigned long long)revision_of(body),
 	    json_array_size(json_object_get(body, "objects")));
 	offer_all(a, body, NULL);
--- a/disp.c
+++ b/disp.c
@@ -23,7 +23,11 @@
 /* Of a slow spell, until one was told. */
 static const double SLOW_PACE_FIRST = 3;
 
-enum { TRIES_MAX = 4, STOP_FACTOR = 4 };
+enum {
+	TRIES_MAX = 4,
+	STOP_FACTOR = 4,
+	WORK_GUESS = 4 /* of a target, where nothing is known of the work */
+};
 
 /* What each outcome means. */
 static const struct {
@@ -252,6 +256,8 @@
 	int64_t now = clk_ns(d->clk);
 
 	r->work = disp_work_of(d, r->kind);
+	if (r->work == 0 && r->target != 0)
+		r->work = (r->target - now) / WORK_GUESS;
 	if (disp_peek_first(d, r, now)) {
 		hold(d, r);
 		return;
--- a/disp.h
+++ b/disp.h
@@ -154,7 +154,10 @@
 void disp_load_told(
     struct disp *, struct pick_backend *, int running, int waiting, int pace);
 
-/* An answer to a question that peek() sent, or that none has come. */
+/*
+ * An answer to a question that peek() sent, or that none has come.  A pace of
+ * 0 says that the backend server does not tell its load.
+ */
 void disp_peeked(struct disp *, struct str backend, bool answered, int running,
     int waiting, int pace);
 
--- a/disp_peek.c
+++ b/disp_peek.c
@@ -31,7 +31,7 @@
 static bool
 may_ask(const struct disp *d, const struct pick_backend *b, int64_t now)
 {
-	return d->ops.peek != NULL && b->told_at != 0 && !b->peeking &&
+	return d->ops.peek != NULL && !b->mute && !b->peeking &&
 	    now - b->peeked_at >= GAP_NS;
 }
 
@@ -95,7 +95,7 @@
 	*good = *asked = false;
 	for (i = 0; i < d->backends->len; i++) {
 		b = g_ptr_array_index(d->backends, i);
-		if (pick_free(b, now) == 0 || b->told_at == 0)
+		if (pick_free(b, now) == 0 || b->mute)
 			continue;
 		n++;
 		*good = *good || pace_is_good(b, now);
--- a/disp_set.c
+++ b/disp_set.c
@@ -187,8 +187,11 @@
 	b->peeking = false;
 	if (answered) {
 		b->silent = 0;
+		b->mute = pace == 0;
+	}
+	if (answered && !b->mute) {
 		disp_load_told(d, b, running, waiting, pace);
-	} else {
+	} else if (!answered) {
 		b->silent++;
 	}
 	if (d->params.policy->paced)
--- a/gate_box.c
+++ b/gate_box.c
@@ -53,11 +53,11 @@
 		return;
 	switch (g->state) {
 	case BOX_READY:
-		slog(SLOG_GATE, "Ready with %zu objects.", conf_count(g->conf));
+		slog(SLOG_GATE, "ready", "objects=%zu conf=%llu",
+		    conf_count(g->conf), (unsigned long long)g->conf_version);
 		break;
 	case BOX_LEAVING:
-		slog(SLOG_GATE, "Leaves; %u requests under way.",
-		    gate_req_count(g));
+		slog(SLOG_GATE, "leaves", "requests=%u", gate_req_count(g));
 		g->leaving_since = clk_ns(g->clk);
 		hsrv_shutdown(g->callers);
 		break;
@@ -67,8 +67,8 @@
 		hsrv_shutdown(g->callers);
 		break;
 	case BOX_GONE:
-		slog(SLOG_GATE, "Ends: %s; %u requests cut.", why,
-		    gate_req_count(g));
+		slog(SLOG_GATE, "ends", "why=%s requests_cut=%u",
+		    slog_quote(why), gate_req_count(g));
 		uv_stop(g->loop);
 		break;
 	default:
--- a/gate_claim.c
+++ b/gate_claim.c
@@ -117,7 +117,7 @@
 	struct gate *g = c->gate;
 	bool ours = kind == ERR_NONE;
 
-	slog_decision(SLOG_CLAIM, "Claim %s: %s.", c->name,
+	slog_decision(SLOG_CLAIM, "claim", "claim=%s result=%s", c->name,
 	    kind == ERR_NONE ? "ours" : err_answer(kind)->name);
 	if (kind == ERR_DUPLICATE)
 		cnt_add(g->cnt, GC_DUPLICATES, 1);
@@ -238,8 +238,8 @@
 	struct gate *g = c->gate;
 
 	if (++c->asks >= RELEASES_MAX) {
-		slog(SLOG_CLAIM, "Claim %s stays: it cannot be given back.",
-		    c->name);
+		slog(SLOG_CLAIM, "claim stays, it cannot be given back",
+		    "claim=%s", c->name);
 		claim_free(c);
 		return;
 	}
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -57,8 +57,11 @@
 {
 	struct gate *g = ctx;
 
-	slog(SLOG_CONF, "%.*s version %llu is in force%s.", STR_ARG(e->key),
-	    (unsigned long long)e->version, e->deleted ? ", deleted" : "");
+	slog(SLOG_CONF, e->deleted ? "deletion is in force" : "in force",
+	    "key=%.*s version=%llu", STR_ARG(e->key),
+	    (unsigned long long)e->version);
+	if (e->kind != OBJ_BACKEND)
+		g->conf_version = MAX(g->conf_version, e->version);
 	if (!g->rebuild.set)
 		tmr_set(&g->tmr, &g->rebuild, clk_ns(g->clk) + REBUILD_NS,
 		    on_rebuild, g);
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -305,6 +305,11 @@
 		gate_req_event(r, REQ_EV_END);
 		gate_req_settle(r, r->refused && !r->cut);
 		cnt_add(r->gate->cnt, r->cut ? GC_CUT : GC_ANSWERED, 1);
+		slog_decision(SLOG_ROUTE, "answered",
+		    "id=%.*s status=%d whole=%d ms=%lld tries=%d",
+		    STR_ARG(r->name), r->req->res.status, !r->cut,
+		    (long long)((clk_ns(r->gate->clk) - r->began) / NS_MS),
+		    r->d.tries);
 		tmr_clear(&r->gate->tmr, &r->timer);
 	}
 	if (vec.len > 0 || r->final)
@@ -386,8 +391,8 @@
 		keep_rest(r, call);
 	r->ended = true;
 	r->cut = true;
-	slog(SLOG_GATE, "Request %llu: the answer was cut.",
-	    (unsigned long long)r->id);
+	slog_decision(SLOG_GATE, "answer was cut", "id=%.*s why=%s",
+	    STR_ARG(r->name), err_answer(kind)->name);
 	gate_try_failed(r, kind);
 	send_more(r);
 }
--- a/gate_home.c
+++ b/gate_home.c
@@ -173,7 +173,8 @@
 		return;
 	p->suspect_until = now + rnd_jitter(g->rnd, SUSPECT_NS);
 	cnt_add(g->cnt, GC_SUSPECTS, 1);
-	slog(SLOG_ROUTE, "Leaving home %.*s: %s.", STR_ARG(p->info.box), why);
+	slog(SLOG_ROUTE, "a home is left", "box=%.*s why=%s outstanding=%u",
+	    STR_ARG(p->info.box), slog_quote(why), p->outstanding);
 	gate_req_home_lost(g, p);
 }
 
--- a/gate_open.c
+++ b/gate_open.c
@@ -151,8 +151,8 @@
 
 	if (!set_load(g->file, g->section, fields, G_N_ELEMENTS(fields), &set,
 		&err)) {
-		slog(SLOG_GATE, "Settings are kept as they were: %s.",
-		    err->message);
+		slog(SLOG_GATE, "settings are kept, the new ones are not valid",
+		    "why=%s", slog_quote(err->message));
 		g_error_free(err);
 		return;
 	}
@@ -164,7 +164,7 @@
 	if (g->form->bounds != NULL)
 		g->form->bounds(set.bounds, &g->bounds);
 	field_free(fields, G_N_ELEMENTS(fields), &set);
-	slog(SLOG_GATE, "Settings are read anew.");
+	slog(SLOG_GATE, "settings are read anew", "file=%s", g->file);
 }
 
 bool
@@ -188,9 +188,8 @@
 	g->dial = g->form->dial;
 	if (g->form->bounds != NULL)
 		g->form->bounds(g->set.bounds, &g->bounds);
-	slog(SLOG_GATE, "Bounds %.*s: retries %.2f + %lld, grace %lld ms.",
-	    STR_ARG(g->set.bounds), g->bounds.retry_ratio,
-	    (long long)g->bounds.retry_slack, (long long)g->bounds.grace_ms);
+	slog(SLOG_GATE, "bounds", "retry_ratio=%.2f retry_slack=%lld",
+	    g->bounds.retry_ratio, (long long)g->bounds.retry_slack);
 	return open_charts(g, err);
 }
 
@@ -233,7 +232,7 @@
 	struct gate_peer *p;
 	guint i;
 
-	slog(SLOG_GATE, "Was paused for %lld ms.", (long long)(gap / NS_MS));
+	slog(SLOG_GATE, "was paused", "gap_ms=%lld", (long long)(gap / NS_MS));
 	for (i = 0; i < g->peers->len; i++) {
 		p = g_ptr_array_index(g->peers, i);
 		p->heard = now;
@@ -311,7 +310,8 @@
 {
 	tmr_set(&g->tmr, &g->tick, clk_ns(g->clk), on_tick, g);
 	gate_box_open(g);
-	slog(SLOG_GATE, "Box %s in hall %s serves on %s.", g->set.box.p,
-	    g->set.hall.p, g->set.listen.p);
+	slog(SLOG_GATE, "started", "box=%s hall=%s listen=%s policy=%s form=%s",
+	    g->set.box.p, g->set.hall.p, g->set.listen.p, g->set.policy.p,
+	    g->form->name);
 	gate_conf_report(g);
 }
--- a/gate_peek.c
+++ b/gate_peek.c
@@ -24,8 +24,7 @@
 	struct str service, hall, backend;
 	struct up_call *call;
 	struct tmr_item timer;
-	bool told;
-	struct dial_load load;
+	struct dial_load load; /* pace 0: not told */
 };
 
 static void on_connected(void *, struct up_call *);
@@ -94,7 +93,8 @@
 
 	(void)call;
 	(void)status;
-	p->told = p->gate->dial->load(headers, n, &p->load);
+	if (!p->gate->dial->load(headers, n, &p->load))
+		p->load.pace = 0;
 }
 
 static void
@@ -110,7 +110,7 @@
 	struct peek *p = ctx;
 
 	(void)call;
-	finish(p, p->told);
+	finish(p, true);
 }
 
 static void
--- a/gate_req.c
+++ b/gate_req.c
@@ -51,9 +51,9 @@
 	r->state = (enum req_state)chart_step(
 	    r->gate->chart_request, (int)r->state, (int)ev);
 	if (r->state == REQ_BROKEN && old != REQ_BROKEN)
-		slog(SLOG_GATE, "Request %llu met %s while %s.",
-		    (unsigned long long)r->id, event_names[ev],
-		    state_names[old]);
+		slog(SLOG_GATE, "a state met an event that it must not meet",
+		    "id=%.*s event=%s state=%s", STR_ARG(r->name),
+		    event_names[ev], state_names[old]);
 }
 
 enum err_ran
@@ -110,6 +110,21 @@
 	return route_match(g->routes, &q);
 }
 
+/* As its caller names it, or else by our own count; a copy. */
+static struct str
+request_name(const struct gate *g, const h2o_req_t *req, uint64_t seq)
+{
+	struct str name = str_c(NULL);
+	char number[24];
+
+	if (g->dial->id.n > 0)
+		name = hsrv_header(req, g->dial->id.p);
+	if (name.n > 0)
+		return str_dup(name);
+	snprintf(number, sizeof(number), "%llu", (unsigned long long)seq);
+	return str_dup(str_c(number));
+}
+
 static struct gate_req *
 req_new(struct gate *g, h2o_req_t *req)
 {
@@ -121,8 +136,7 @@
 	r->gate = g;
 	r->req = req;
 	r->id = ++g->seq;
-	if (g->dial->id.n > 0)
-		r->name = str_dup(hsrv_header(req, g->dial->id.p));
+	r->name = request_name(g, req, r->id);
 	r->began = clk_ns(g->clk);
 	r->state = (enum req_state)chart_start(g->chart_request);
 	r->link.data = r;
@@ -429,12 +443,17 @@
 	tmr_clear(&r->gate->tmr, &r->timer);
 	gate_req_settle(r, ran == RAN_NO);
 	cnt_add(r->gate->cnt, GC_REFUSED, 1);
-	slog_decision(SLOG_ROUTE, "Request %llu is refused: %s, ran %s.",
-	    (unsigned long long)r->id, a->name, err_ran_name(ran));
-	if (req == NULL)
-		return;
 	if (dial->status_promises)
 		status = err_promise_status(kind, ran);
+	slog_decision(SLOG_ROUTE, "refused",
+	    "id=%.*s why=%s ran=%s status=%d age_ms=%lld tries=%d "
+	    "retry_after_ms=%lld rule=%.*s service=%.*s conf=%llu",
+	    STR_ARG(r->name), a->name, err_ran_name(ran), status,
+	    (long long)((clk_ns(r->gate->clk) - r->began) / NS_MS), r->d.tries,
+	    (long long)(retry_after / NS_MS), STR_ARG(r->rule),
+	    STR_ARG(r->service), (unsigned long long)r->gate->conf_version);
+	if (req == NULL)
+		return;
 	add_header(req, "fern-error", a->name);
 	add_header(req, "fern-ran", err_ran_name(ran));
 	add_retry_after(
@@ -468,8 +487,10 @@
 	tmr_clear(&g->tmr, &r->timer);
 	if (r->state != REQ_DONE) {
 		cnt_add(g->cnt, GC_GONE, 1);
-		slog_decision(SLOG_ROUTE, "Request %llu: its caller went away.",
-		    (unsigned long long)r->id);
+		slog_decision(SLOG_ROUTE, "its caller went away",
+		    "id=%.*s age_ms=%lld state=%s", STR_ARG(r->name),
+		    (long long)((clk_ns(g->clk) - r->began) / NS_MS),
+		    state_names[r->state]);
 		gate_try_abandon(r, DISP_GONE);
 		gate_req_event(r, REQ_EV_END);
 	}
--- a/gate_try.c
+++ b/gate_try.c
@@ -44,11 +44,15 @@
 	struct gate_req *r = req_of(d);
 
 	(void)ctx;
-	slog_decision(SLOG_PICK,
-	    "Request %llu of %.*s goes to %.*s: %d of %d in use, held %lld us.",
-	    (unsigned long long)r->id, STR_ARG(r->service), STR_ARG(b->name),
-	    b->inflight - 1, b->slots,
-	    (long long)((d->sent - r->began) / NS_US));
+	slog_decision(SLOG_PICK, "sent",
+	    "id=%.*s service=%.*s backend=%.*s in_use=%d slots=%d pace=%d "
+	    "pace_age_ms=%lld held_us=%lld tries=%d conf=%llu",
+	    STR_ARG(r->name), STR_ARG(r->service), STR_ARG(b->name),
+	    b->inflight - 1, b->slots, b->told_pace,
+	    b->told_at == 0 ? -1LL
+			    : (long long)((d->sent - b->told_at) / NS_MS),
+	    (long long)((d->sent - r->began) / NS_US), d->tries,
+	    (unsigned long long)r->gate->conf_version);
 	cnt_sample(r->gate->cnt, GC_HELD, d->sent - r->began);
 	gate_flow_send(r, b->address, !d->repeatable);
 }
@@ -87,8 +91,11 @@
 	struct gate_req *r = req_of(d);
 	struct gate_shard *s = ctx;
 
-	slog_decision(SLOG_PICK, "Request %llu is stopped at %.*s: too slow.",
-	    (unsigned long long)r->id, STR_ARG(d->at->name));
+	slog_decision(SLOG_PICK, "moved, it is too slow there",
+	    "id=%.*s backend=%.*s out_ms=%lld work_ms=%lld", STR_ARG(r->name),
+	    STR_ARG(d->at->name),
+	    (long long)((clk_ns(r->gate->clk) - d->sent) / NS_MS),
+	    (long long)(d->work / NS_MS));
 	r->maybe_ran = true;
 	gate_flow_stop(r);
 	gate_req_event(r, REQ_EV_RETRY);
@@ -120,9 +127,12 @@
 	if (p->outstanding++ == 0)
 		p->heard = clk_ns(r->gate->clk);
 	cnt_add(r->gate->cnt, GC_PASSED_OUT, 1);
-	slog_decision(SLOG_ROUTE, "Request %llu of %.*s goes home to %.*s.",
-	    (unsigned long long)r->id, STR_ARG(r->service),
-	    STR_ARG(p->info.box));
+	slog_decision(SLOG_ROUTE, "passed to its home",
+	    "id=%.*s rule=%.*s service=%.*s box=%.*s hall=%.*s hops=%d "
+	    "tries=%d conf=%llu",
+	    STR_ARG(r->name), STR_ARG(r->rule), STR_ARG(r->service),
+	    STR_ARG(p->info.box), STR_ARG(p->info.hall), r->hops, r->d.tries,
+	    (unsigned long long)r->gate->conf_version);
 	gate_flow_send(r, p->info.pass, false);
 }
 
@@ -242,9 +252,9 @@
 	}
 	gate_req_event(r, REQ_EV_RETRY);
 	disp_done(r->shard->disp, &r->d, outcome);
-	slog_decision(SLOG_PICK, "Request %llu is tried again: %s.",
-	    (unsigned long long)r->id,
-	    outcome == DISP_REFUSED ? "refused" : "failed");
+	slog_decision(SLOG_PICK, "tried again",
+	    "id=%.*s why=%s status=%d tries=%d", STR_ARG(r->name),
+	    outcome == DISP_FAILED ? "failed" : "refused", status, r->d.tries);
 	cnt_add(r->gate->cnt, GC_RETRIES, 1);
 	return true;
 }
--- a/libgate.h
+++ b/libgate.h
@@ -153,6 +153,7 @@
 	GHashTable *rule_limits; /* char * rule to struct limit * */
 	GQueue reqs; /* struct gate_req * that are live */
 	uint64_t boot, seq;
+	uint64_t conf_version; /* the newest of what routes depend on */
 	int64_t last_tick, last_pass, leaving_since;
 	unsigned boxes; /* gates that are alive, ours among them */
 	enum box_state state;
--- a/pick.h
+++ b/pick.h
@@ -69,6 +69,7 @@
 	double failing; /* share of bad answers lately */
 	/* A question for its load is out; the last one; unanswered in a row. */
 	bool peeking;
+	bool mute; /* it answered without telling a load */
 	int64_t peeked_at;
 	int silent;
 	int ejections; /* in a row, for the length of the next */
--- a/slog.c
+++ b/slog.c
@@ -14,18 +14,27 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "limit.h"
 #include "slog.h"
 
 enum {
 	RING_SIZE = 1 << 20,
 	LINE_MAX_LEN = 512,
 	CHUNK = 4096, /* POLLOUT promises PIPE_BUF bytes on a pipe */
-	HEAD_LEN = 40
+	HEAD_LEN = 128,
+	QUOTE_MAX = 400
 };
 
+/*
+ * Lines for decisions, a second: some for each of the requests that a box of
+ * today's sites takes, with room for a surge.
+ */
+static const double DECISIONS_RATE = 2000;
+
 static GLogWriterOutput
 writer(GLogLevelFlags, const GLogField *, gsize, gpointer);
-static void emit(GLogLevelFlags, enum slog_part, const char *, va_list);
+static void
+emit(GLogLevelFlags, enum slog_part, const char *, const char *, va_list);
 static void ring_put(const char *, size_t);
 static bool ring_write(void);
 
@@ -48,6 +57,7 @@
 	bool quiet;
 	size_t head, used;
 	uint64_t dropped, said;
+	struct limit decisions;
 	char bytes[RING_SIZE];
 } ring;
 
@@ -71,13 +81,13 @@
 static bool
 ring_write(void)
 {
-	struct pollfd pfd = {STDERR_FILENO, POLLOUT, 0};
+	struct pollfd pfd = {STDOUT_FILENO, POLLOUT, 0};
 	size_t n = MIN(MIN(ring.used, RING_SIZE - ring.head), CHUNK);
 	ssize_t done;
 
 	if (n == 0 || poll(&pfd, 1, 0) != 1 || !(pfd.revents & POLLOUT))
 		return false;
-	done = write(STDERR_FILENO, ring.bytes + ring.head, n);
+	done = write(STDOUT_FILENO, ring.bytes + ring.head, n);
 	if (done <= 0)
 		return false;
 	ring.head = (ring.head + (size_t)done) % RING_SIZE;
@@ -85,26 +95,36 @@
 	return true;
 }
 
-/* The line's head: seconds and milliseconds since 1970, and the part. */
+static const char *
+field_of(const GLogField *fields, gsize n, const char *key)
+{
+	gsize i;
+
+	for (i = 0; i < n; i++)
+		if (strcmp(fields[i].key, key) == 0)
+			return fields[i].value;
+	return "";
+}
+
+/* Time in seconds since 1970.  GLib's own lines have no part or fields. */
 static GLogWriterOutput
 writer(GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
 {
 	char line[LINE_MAX_LEN + HEAD_LEN];
-	const char *part = "glib", *text = "";
+	const char *part = field_of(fields, n, "FERN_PART");
 	int64_t ms = clk_wall_ms(ring.clk);
-	gsize i;
 	int len;
 
 	(void)data;
-	(void)level;
-	for (i = 0; i < n; i++) {
-		if (strcmp(fields[i].key, "FERN_PART") == 0)
-			part = fields[i].value;
-		else if (strcmp(fields[i].key, "MESSAGE") == 0)
-			text = fields[i].value;
-	}
-	len = snprintf(line, sizeof(line), "%lld.%03d %s: %s\n",
-	    (long long)(ms / 1000), (int)(ms % 1000), part, text);
+	len = snprintf(line, sizeof(line),
+	    "time=%lld.%03d level=%s part=%s msg=%s %s\n",
+	    (long long)(ms / 1000), (int)(ms % 1000),
+	    level & G_LOG_LEVEL_MASK & ~(G_LOG_LEVEL_MESSAGE | G_LOG_LEVEL_INFO)
+		? "warning"
+		: "info",
+	    part[0] != '\0' ? part : "glib",
+	    slog_quote(field_of(fields, n, "MESSAGE")),
+	    field_of(fields, n, "FERN_FIELDS"));
 	if (len >= (int)sizeof(line)) {
 		len = sizeof(line) - 1;
 		line[len - 1] = '\n';
@@ -113,6 +133,24 @@
 	return G_LOG_WRITER_HANDLED;
 }
 
+const char *
+slog_quote(const char *text)
+{
+	static char out[2][QUOTE_MAX + 3];
+	static unsigned turn;
+	char *to = out[turn++ % 2], *begin = to;
+
+	*to++ = '"';
+	for (; *text != '\0' && to < begin + QUOTE_MAX; text++) {
+		if (*text == '"' || *text == '\\')
+			*to++ = '\\';
+		*to++ = (unsigned char)*text < ' ' ? ' ' : *text;
+	}
+	*to++ = '"';
+	*to = '\0';
+	return begin;
+}
+
 void
 slog_open(const struct clk *clk, bool quiet)
 {
@@ -122,12 +160,14 @@
 }
 
 static void
-emit(GLogLevelFlags level, enum slog_part part, const char *fmt, va_list ap)
+emit(GLogLevelFlags level, enum slog_part part, const char *msg,
+    const char *fmt, va_list ap)
 {
 	char text[LINE_MAX_LEN];
 	const GLogField fields[] = {
 	    {"FERN_PART", prefixes[part], -1},
-	    {"MESSAGE", text, -1},
+	    {"MESSAGE", msg, -1},
+	    {"FERN_FIELDS", text, -1},
 	};
 
 	if (ring.clk == NULL)
@@ -137,24 +177,28 @@
 }
 
 void
-slog(enum slog_part part, const char *fmt, ...)
+slog(enum slog_part part, const char *msg, const char *fmt, ...)
 {
 	va_list ap;
 
 	va_start(ap, fmt);
-	emit(G_LOG_LEVEL_MESSAGE, part, fmt, ap);
+	emit(G_LOG_LEVEL_MESSAGE, part, msg, fmt, ap);
 	va_end(ap);
 }
 
 void
-slog_decision(enum slog_part part, const char *fmt, ...)
+slog_decision(enum slog_part part, const char *msg, const char *fmt, ...)
 {
 	va_list ap;
 
-	if (ring.quiet)
+	if (ring.quiet || ring.clk == NULL)
+		return;
+	if (!limit_take(&ring.decisions, DECISIONS_RATE, clk_ns(ring.clk))) {
+		ring.dropped++;
 		return;
+	}
 	va_start(ap, fmt);
-	emit(G_LOG_LEVEL_INFO, part, fmt, ap);
+	emit(G_LOG_LEVEL_INFO, part, msg, fmt, ap);
 	va_end(ap);
 }
 
@@ -167,7 +211,7 @@
 		;
 	if (lost > 0 && ring.used < RING_SIZE / 2) {
 		ring.said = ring.dropped;
-		slog(SLOG_GATE, "Dropped %llu log lines under pressure.",
+		slog(SLOG_GATE, "log lines were left out", "lines=%llu",
 		    (unsigned long long)lost);
 	}
 }
@@ -175,7 +219,7 @@
 void
 slog_close(void)
 {
-	struct pollfd pfd = {STDERR_FILENO, POLLOUT, 0};
+	struct pollfd pfd = {STDOUT_FILENO, POLLOUT, 0};
 
 	while (ring.used > 0)
 		if (!ring_write() && poll(&pfd, 1, 100) <= 0)
--- a/slog.h
+++ b/slog.h
@@ -18,9 +18,14 @@
 #include "clk.h"
 
 /*
- * Structured logging by GLib through a writer of ours: lines go into a
- * ring in memory and from there to standard error, without ever blocking
- * the loop.  Lines that find the ring full are counted and said later.
+ * Structured logging by GLib through a writer of ours: lines of key=value
+ * pairs go into a ring in memory and from there to standard output, without
+ * ever blocking the loop:
+ *
+ *	time=1768204449.036 level=info part=pick msg="sent" id=9c41 slots=3
+ *
+ * Lines that find the ring full, or that come faster than their bound, are
+ * left out, and how many is said later.
  */
 
 /* The parts of the system; each has one fixed prefix in the log. */
@@ -38,14 +43,25 @@
 	SLOG_PART_MAX
 };
 
-/* Install the writer.  `quiet` keeps back debug and decision lines. */
+/* Install the writer.  `quiet` keeps back the lines for decisions. */
 void slog_open(const struct clk *, bool quiet);
 
-/* Write one line; a few microseconds, no allocation, never blocks. */
-void slog(enum slog_part, const char *, ...) G_GNUC_PRINTF(2, 3);
+/*
+ * Write one line: a short message and, in printf's form, its fields.  Takes a
+ * few microseconds and never blocks.
+ */
+void slog(enum slog_part, const char *msg, const char *fields, ...)
+    G_GNUC_PRINTF(3, 4);
 
-/* Write one line for a routing or placement decision. */
-void slog_decision(enum slog_part, const char *, ...) G_GNUC_PRINTF(2, 3);
+/* The same for a decision on a request; these lines are bounded in number. */
+void slog_decision(enum slog_part, const char *msg, const char *fields, ...)
+    G_GNUC_PRINTF(3, 4);
+
+/*
+ * A text as a quoted value, for texts that are not ours.  Valid until the
+ * next call.
+ */
+const char *slog_quote(const char *);
 
 /* Hand what the ring holds to the system, as far as it takes it now. */
 void slog_flush(void);
@@ -53,7 +69,7 @@
 /* Flush and wait until all is written; for the end of a process. */
 void slog_close(void);
 
-/* Lines dropped since the start. */
+/* Lines left out since the start. */
 uint64_t slog_dropped(void);
 
 #endif
--- a/sync.c
+++ b/sync.c
@@ -280,10 +280,12 @@
 		    spec, m->from, &err);
 		json_decref(spec);
 		if (err != NULL)
-			slog(SLOG_CONF, "Refused an object: %s.", err->message);
+			slog(SLOG_CONF, "an object of a peer's is refused",
+			    "from=%.*s why=%s", STR_ARG(m->from),
+			    slog_quote(err->message));
 		else if (got == CONF_REJECTED)
-			slog(SLOG_CONF,
-			    "Rejected %.*s version %llu from a peer.",
+			slog(SLOG_CONF, "an object of a peer's is rejected",
+			    "from=%.*s key=%.*s version=%llu", STR_ARG(m->from),
 			    STR_ARG(o[i].key),
 			    (unsigned long long)o[i].version);
 		g_clear_error(&err);
--- a/wire_zmq.c
+++ b/wire_zmq.c
@@ -225,7 +225,8 @@
 	l->counts.bytes_in += n;
 	if (!msg_decode(p, n, &m, &err)) {
 		l->counts.malformed++;
-		slog(SLOG_PEER, "Dropped a message: %s.", err->message);
+		slog(SLOG_PEER, "a message is dropped", "why=%s",
+		    slog_quote(err->message));
 		g_error_free(err);
 		return;
 	}
