--- a/agent_peer.c
+++ b/agent_peer.c
@@ -14,9 +14,9 @@
 #include "libagent.h"
 #include "slog.h"
 
-/* Up to so many boxes a change is pushed to all; beyond, to one's hall. */
 enum {
-	PUSH_ALL_MAX = 32,
+	PUSH_SMALL_MAX =
+	    8192, /* bytes of an object that every watcher pushes */
 	GOSSIP_MEMBERS = 12,
 	SEEDS_PER_ROUND = 2,
 	SEEDS_ONE_IN = 10
@@ -266,7 +266,8 @@
 	struct agent *agent;
 	struct msg *msg;
 	const struct conf_entry *entry;
-	bool all;
+	unsigned share; /* one in so many gets it from us; 0: all boxes do */
+	unsigned own; /* which ones */
 };
 
 static void
@@ -275,35 +276,70 @@
 	struct spread *s = ctx;
 	struct agent *a = s->agent;
 
-	if (!memb_alive(m) && s->entry != NULL)
+	if (s->share == 0) {
+		wire_send(a->wire, m->info.inbox, s->msg);
 		return;
-	if (!s->all && !str_eq(m->info.hall, a->set.hall))
+	}
+	if (!memb_alive(m) || !str_eq(m->info.hall, a->set.hall))
 		return;
+	if (s->entry == NULL)
+		wire_send(a->wire, m->info.inbox, s->msg);
 	/* A watcher hears it from the platform. */
-	if (s->entry != NULL && agent_watches(a, &m->info))
-		return;
-	if (s->entry != NULL)
+	else if (!agent_watches(a, &m->info) &&
+	    memb_weight(STR_LIT("push"), m->info.box) % s->share == s->own)
 		sync_push(&a->sync, m->info.inbox, s->entry);
-	else
-		wire_send(a->wire, m->info.inbox, s->msg);
 }
 
-/* A change that the platform told us goes out at once. */
+static size_t
+size_of(const struct conf_entry *e)
+{
+	return e->spec == NULL ? 0 : json_dumpb(e->spec, NULL, 0, JSON_COMPACT);
+}
+
+/*
+ * A change that the platform told us goes out at once to the boxes of our
+ * hall that do not watch; other halls have watchers of their own.  Every
+ * watcher pushes what is small to all, so that one that is cut off is not
+ * missed; what is large goes to a share of them, and digests heal the rest.
+ */
 void
 agent_peer_spread(struct agent *a, const struct conf_entry *e)
 {
-	struct spread s = {a, NULL, e, false};
+	struct spread s = {a, NULL, e, 1, 0};
 
-	s.all = memb_count_alive(a->memb) <= PUSH_ALL_MAX;
 	sync_push(&a->sync, a->set.gate_inbox, e);
-	if (a->from_platform)
-		memb_each(a->memb, spread_to, &s);
+	if (!a->from_platform)
+		return;
+	if (size_of(e) > PUSH_SMALL_MAX) {
+		s.share = (unsigned)a->set.watchers;
+		s.own = (unsigned)memb_rank_seeing(a->memb, memb_self(a->memb),
+			    STR_LIT("watch"), a->set.hall) %
+		    s.share;
+	}
+	memb_each(a->memb, spread_to, &s);
+}
+
+/* Tell our hall that the platform does, or does not, answer us. */
+void
+agent_peer_blind(struct agent *a, bool blind)
+{
+	struct msg m = {.kind = MSG_HELLO};
+	struct spread s = {a, &m, NULL, 1, 0};
+	struct memb_info *self = memb_self(a->memb);
+
+	self->blind = blind;
+	self->beat++;
+	m.u.hello.self = *self;
+	m.u.hello.digest = conf_digest(a->conf);
+	m.u.hello.floor = conf_floor(a->conf);
+	m.u.hello.members = memb_count_alive(a->memb);
+	memb_each(a->memb, spread_to, &s);
 }
 
 void
 agent_peer_all(struct agent *a, struct msg *m)
 {
-	struct spread s = {a, m, NULL, true};
+	struct spread s = {a, m, NULL, 0, 0};
 
 	memb_each(a->memb, spread_to, &s);
 }
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -77,6 +77,8 @@
 		    up ? "platform answers again" : "platform does not answer",
 		    "platform=%s result=%s", a->set.platform.p,
 		    plat_result_name(result));
+	if (up != a->platform_up)
+		agent_peer_blind(a, !up);
 	a->platform_up = up;
 }
 
--- a/libagent.h
+++ b/libagent.h
@@ -168,6 +168,7 @@
 void agent_peer_spread(struct agent *, const struct conf_entry *);
 void agent_peer_all(struct agent *, struct msg *);
 void agent_peer_leave(struct agent *);
+void agent_peer_blind(struct agent *, bool blind);
 
 /* agent_probe.c: probes of backend servers, and what others found. */
 void agent_probe_open(struct agent *);
--- a/memb.c
+++ b/memb.c
@@ -326,32 +326,75 @@
 	return memb_ranks_first(mb, &mb->self, key, hall, k);
 }
 
-bool
-memb_ranks_first(const struct memb *mb, const struct memb_info *who,
-    struct str key, struct str hall, int k)
+/* Those that come before a box in a ranking, and all that are in it. */
+struct ranking {
+	const struct memb_info *who;
+	struct str key, hall;
+	bool seeing; /* only those that the platform answers */
+	uint64_t own;
+	int before, all;
+};
+
+static void
+rank(struct ranking *rk, const struct memb_info *info)
+{
+	if (info->leaving || (rk->seeing && info->blind) ||
+	    (rk->hall.n > 0 && !str_eq(rk->hall, info->hall)))
+		return;
+	rk->all++;
+	if (info != rk->who && memb_weight(rk->key, info->box) > rk->own)
+		rk->before++;
+}
+
+static void
+rank_all(const struct memb *mb, struct ranking *rk)
 {
-	uint64_t own = memb_weight(key, who->box);
 	const struct memb_member *m;
 	guint i;
 
-	if (who->leaving)
-		return false;
-	if (hall.n > 0 && !str_eq(hall, who->hall))
-		return false;
-	if (who != &mb->self && !mb->self.leaving &&
-	    (hall.n == 0 || str_eq(hall, mb->self.hall)) &&
-	    memb_weight(key, mb->self.box) > own)
-		k--;
+	rk->own = memb_weight(rk->key, rk->who->box);
+	rank(rk, &mb->self);
 	for (i = 0; i < mb->members->len; i++) {
 		m = g_ptr_array_index(mb->members, i);
-		if (!memb_alive(m))
-			continue;
-		if (hall.n > 0 && !str_eq(hall, m->info.hall))
-			continue;
-		if (memb_weight(key, m->info.box) > own)
-			k--;
+		if (memb_alive(m))
+			rank(rk, &m->info);
 	}
-	return k > 0;
+}
+
+bool
+memb_ranks_first(const struct memb *mb, const struct memb_info *who,
+    struct str key, struct str hall, int k)
+{
+	struct ranking rk = {who, key, hall, false, 0, 0, 0};
+
+	if (who->leaving || (hall.n > 0 && !str_eq(hall, who->hall)))
+		return false;
+	rank_all(mb, &rk);
+	return rk.before < k;
+}
+
+int
+memb_rank_seeing(const struct memb *mb, const struct memb_info *who,
+    struct str key, struct str hall)
+{
+	struct ranking rk = {who, key, hall, true, 0, 0, 0};
+
+	rank_all(mb, &rk);
+	return rk.before;
+}
+
+bool
+memb_ranks_first_seeing(const struct memb *mb, const struct memb_info *who,
+    struct str key, struct str hall, int k)
+{
+	struct ranking rk = {who, key, hall, true, 0, 0, 0};
+
+	if (who->leaving || (hall.n > 0 && !str_eq(hall, who->hall)))
+		return false;
+	rank_all(mb, &rk);
+	if (!who->blind && rk.before < k)
+		return true;
+	return rk.all < k && memb_ranks_first(mb, who, key, hall, k);
 }
 
 size_t
--- a/memb.h
+++ b/memb.h
@@ -42,6 +42,7 @@
 	bool dead; /* told by a box that got no answer */
 	bool leaving;
 	bool ready; /* its gate serves */
+	bool blind; /* the platform does not answer it */
 };
 
 struct memb_member {
@@ -107,6 +108,17 @@
 bool memb_ranks_first(const struct memb *, const struct memb_info *,
     struct str key, struct str hall, int k);
 
+/* How many boxes of a hall that the platform answers come before a box. */
+int memb_rank_seeing(const struct memb *, const struct memb_info *,
+    struct str key, struct str hall);
+
+/*
+ * The same among those that the platform answers; where these are fewer than
+ * k, a box that is first among all is first here too.
+ */
+bool memb_ranks_first_seeing(const struct memb *, const struct memb_info *,
+    struct str key, struct str hall, int k);
+
 /* The weight of a box for a key, as memb_is_first() ranks them. */
 uint64_t memb_weight(struct str key, struct str box);
 
