--- a/agent_open.c
+++ b/agent_open.c
@@ -14,8 +14,10 @@
 #include "set.h"
 #include "slog.h"
 
-enum { LEAVE_MS = 300, ADMIN_BODY_MAX = 4096 };
+enum { LEAVE_MS = 300, ADMIN_BODY_MAX = 4096, POWER_UNIT = 1000 };
+/* Between two looks, with probes to start or without. */
 #define TICK_NS (100 * NS_MS)
+#define TICK_IDLE_NS (500 * NS_MS)
 /* A tick that comes so late tells that the process was paused. */
 #define PAUSE_NS (2 * NS_S)
 
@@ -50,6 +52,12 @@
 	.offset = F(platform),
 	.required = true},
     {.name = "seeds", .type = FIELD_ADDRESSES, .offset = F(seeds)},
+    {.name = "power",
+	.type = FIELD_REAL,
+	.offset = F(power),
+	.dflt = 1,
+	.min = 0,
+	.max = 1024},
     {.name = "watchers",
 	.type = FIELD_INT,
 	.offset = F(watchers),
@@ -179,6 +187,7 @@
 	    .pass = a->set.pass,
 	    .gate_inbox = a->set.gate_inbox,
 	    .boot = (uint64_t)clk_wall_ms(a->clk),
+	    .power = (uint64_t)(a->set.power * POWER_UNIT),
 	};
 
 	a->loop = uv_default_loop();
@@ -236,7 +245,8 @@
 	agent_peer_tick(a, now);
 	agent_probe_tick(a, now);
 	slog_flush();
-	tmr_set(&a->tmr, &a->tick, now + TICK_NS, on_tick, a);
+	tmr_set(&a->tmr, &a->tick,
+	    now + (a->set.probe_rate > 0 ? TICK_NS : TICK_IDLE_NS), on_tick, a);
 }
 
 static void
--- a/agent_peer.c
+++ b/agent_peer.c
@@ -18,11 +18,14 @@
 	PUSH_SMALL_MAX =
 	    8192, /* bytes of an object that every watcher pushes */
 	GOSSIP_MEMBERS = 12,
+	AWAY_ROUNDS = 3, /* one question in so many may go to another hall */
 	SEEDS_PER_ROUND = 2,
 	SEEDS_ONE_IN = 10
 };
 
 #define MEMBERS_AGAIN_NS (30 * NS_S)
+/* A difference to another hall that lasts so long is healed from there. */
+#define AWAY_WAIT_NS (1500 * NS_MS)
 #define GATE_SILENT_NS (4 * NS_S)
 
 static void on_hello_due(void *);
@@ -120,7 +123,8 @@
 	size_t alive = memb_count_alive(a->memb);
 
 	ask(a, a->set.hall);
-	ask(a, str_c(NULL));
+	if (a->rounds++ % AWAY_ROUNDS == 0)
+		ask(a, str_c(NULL));
 	if (rnd_below(a->rnd, SEEDS_ONE_IN * (alive - 1)) == 0)
 		ask_seeds(a);
 	send_gate_hello(a);
@@ -172,6 +176,42 @@
 		memb_heard(a->memb, &infos[i], now);
 }
 
+/* Does a box of our hall, or this one, hear from the platform? */
+struct sight {
+	const struct agent *agent;
+	bool seeing;
+};
+
+static void
+look_for_sight(void *ctx, const struct memb_member *m)
+{
+	struct sight *s = ctx;
+
+	if (memb_alive(m) && !m->info.blind &&
+	    str_eq(m->info.hall, s->agent->set.hall))
+		s->seeing = true;
+}
+
+/*
+ * A difference to a box of another hall heals by itself while our own hall
+ * hears from the platform; bytes between halls are dear.
+ */
+static bool
+should_compare(struct agent *a, const struct msg_hello *h, int64_t now)
+{
+	struct sight s = {a, a->platform_up};
+
+	if (h->digest == conf_digest(a->conf))
+		a->differs_since = 0;
+	else if (a->differs_since == 0)
+		a->differs_since = now;
+	if (str_eq(h->self.hall, a->set.hall) || conf_floor(a->conf) == 0 ||
+	    a->differs_since == 0 || now - a->differs_since > AWAY_WAIT_NS)
+		return true;
+	memb_each(a->memb, look_for_sight, &s);
+	return !s.seeing;
+}
+
 static void
 take_hello(struct agent *a, const struct msg *m)
 {
@@ -186,7 +226,8 @@
 		send_hello(a, m->from, h->self.box, false);
 	if (h->members * 2 < memb_count_alive(a->memb))
 		send_all_members(a, m->from);
-	sync_compare(&a->sync, m->from, h->digest, h->floor);
+	if (should_compare(a, h, now))
+		sync_compare(&a->sync, m->from, h->digest, h->floor);
 	send_members(a, now);
 }
 
--- a/disp.c
+++ b/disp.c
@@ -434,7 +434,7 @@
  */
 bool
 disp_retryable(
-    const struct disp *d, const struct disp_req *r, enum disp_outcome outcome)
+    struct disp *d, const struct disp_req *r, enum disp_outcome outcome)
 {
 	if (outcome == DISP_OK || outcome == DISP_LATE || outcome == DISP_GONE)
 		return false;
--- a/disp.h
+++ b/disp.h
@@ -129,8 +129,7 @@
 void disp_arrive(struct disp *, struct disp_req *);
 
 /* Would disp_done() take the request back after such an end of its try? */
-bool
-disp_retryable(const struct disp *, const struct disp_req *, enum disp_outcome);
+bool disp_retryable(struct disp *, const struct disp_req *, enum disp_outcome);
 
 /*
  * A try has ended.  True if the request was taken back to be tried again;
--- a/disp_move.c
+++ b/disp_move.c
@@ -56,7 +56,7 @@
 }
 
 static bool
-may_move(const struct disp *d, const struct disp_req *r)
+may_move(struct disp *d, const struct disp_req *r)
 {
 	int tries = r->attempts > 0 ? r->attempts : TRIES_MAX;
 
--- a/field.c
+++ b/field.c
@@ -32,6 +32,7 @@
 static read_fn read_name;
 static read_fn read_address;
 static read_fn read_int;
+static read_fn read_real;
 static read_fn read_bool;
 static read_fn read_word;
 static read_fn read_labels;
@@ -49,6 +50,7 @@
     [FIELD_NAME] = read_name,
     [FIELD_ADDRESS] = read_address,
     [FIELD_INT] = read_int,
+    [FIELD_REAL] = read_real,
     [FIELD_BOOL] = read_bool,
     [FIELD_WORD] = read_word,
     [FIELD_LABELS] = read_labels,
@@ -141,6 +143,23 @@
 	return true;
 }
 
+static bool
+read_real(
+    const struct reader *r, const struct field *f, json_t *value, void *out)
+{
+	char allowed[80];
+	double v = json_number_value(value);
+
+	if (!json_is_number(value) || v < (double)f->min ||
+	    v > (double)f->max) {
+		snprintf(allowed, sizeof(allowed), "a number from %lld to %lld",
+		    (long long)f->min, (long long)f->max);
+		return bad(r, f, value, allowed);
+	}
+	*(double *)member(f, out) = v;
+	return true;
+}
+
 static bool
 read_bool(
     const struct reader *r, const struct field *f, json_t *value, void *out)
@@ -267,6 +286,9 @@
 	case FIELD_INT:
 		*(int64_t *)member(f, out) = f->dflt;
 		break;
+	case FIELD_REAL:
+		*(double *)member(f, out) = (double)f->dflt;
+		break;
 	case FIELD_BOOL:
 		*(bool *)member(f, out) = f->dflt != 0;
 		break;
--- a/field.h
+++ b/field.h
@@ -27,6 +27,7 @@
 	FIELD_NAME, /* struct str: letters, digits, '-', '_', '.' */
 	FIELD_ADDRESS, /* struct str: an IP number and a port */
 	FIELD_INT, /* int64_t within min and max */
+	FIELD_REAL, /* double within min and max */
 	FIELD_BOOL, /* bool */
 	FIELD_WORD, /* int: index into words */
 	FIELD_LABELS, /* json_t *: an object of strings; a reference */
--- a/gate_home.c
+++ b/gate_home.c
@@ -18,6 +18,8 @@
 /* What has not changed is told again after this time. */
 #define TELL_AGAIN_NS (500 * NS_MS)
 
+enum { POWER_RATIO = 2, POWER_UNIT = 1000 };
+
 static struct gate_peer *find(struct gate *, struct str);
 static bool usable(const struct gate_peer *, int64_t);
 static bool hall_serves(const struct gate *, struct str, int64_t);
@@ -54,6 +56,12 @@
 	return str_n(text, (size_t)MIN(n, (int)size - 1));
 }
 
+static uint64_t
+own_power(const struct gate *g)
+{
+	return (uint64_t)(g->set.power * POWER_UNIT);
+}
+
 /* Does any gate of a hall serve? */
 static bool
 hall_serves(const struct gate *g, struct str hall, int64_t now)
@@ -71,9 +79,29 @@
 	return false;
 }
 
+/* The most powerful gate that may be home, in thousandths of a processor. */
+static uint64_t
+most_power(const struct gate *g, struct str hall, bool near, int64_t now)
+{
+	const struct gate_peer *p;
+	uint64_t most = 0;
+	guint i;
+
+	if (!gate_box_leaving(g) && (!near || str_eq(g->set.hall, hall)))
+		most = own_power(g);
+	for (i = 0; i < g->peers->len; i++) {
+		p = g_ptr_array_index(g->peers, i);
+		if (usable(p, now) && (!near || str_eq(p->info.hall, hall)))
+			most = MAX(most, p->info.power);
+	}
+	return most;
+}
+
 /*
  * The home of a shard is the gate with the highest weight for it among those
  * of the shard's hall that serve, or among all, where that hall has none.
+ * Boxes with less than half the power of the most powerful one are left out:
+ * all of a shard's requests go through its home.
  * No gate has to agree: one that is taken for home acts as home.
  */
 struct gate_peer *
@@ -85,13 +113,16 @@
 	char text[300];
 	struct str key = shard_key(text, sizeof(text), service, hall);
 	bool near = hall_serves(g, hall, now);
+	uint64_t least = most_power(g, hall, near, now) / POWER_RATIO;
 	guint i;
 
-	if (!gate_box_leaving(g) && (!near || str_eq(g->set.hall, hall)))
+	if (!gate_box_leaving(g) && own_power(g) >= least &&
+	    (!near || str_eq(g->set.hall, hall)))
 		best_w = memb_weight(key, g->set.box);
 	for (i = 0; i < g->peers->len; i++) {
 		p = g_ptr_array_index(g->peers, i);
-		if (!usable(p, now) || (near && !str_eq(p->info.hall, hall)))
+		if (!usable(p, now) || p->info.power < least ||
+		    (near && !str_eq(p->info.hall, hall)))
 			continue;
 		w = memb_weight(key, p->info.box);
 		if (w < best_w)
--- a/gate_try.c
+++ b/gate_try.c
@@ -18,6 +18,8 @@
  * at another gate.  What the flow reports is judged here: answer, or again.
  */
 
+enum { LOST_TRIES = 2 };
+
 static void op_send(void *, struct disp_req *, struct pick_backend *);
 static void op_pass(void *, struct disp_req *, struct str);
 static void op_give_up(void *, struct disp_req *, enum err_kind, int64_t);
@@ -268,6 +270,18 @@
 		disp_done(r->shard->disp, &r->d, DISP_OK);
 }
 
+/*
+ * A home that is lost with a request may have sent it to a backend server,
+ * and moved it to another one; nothing was charged for it that we know of.
+ */
+static void
+count_lost_try(struct gate_req *r)
+{
+	r->maybe_ran = true;
+	r->d.tries += LOST_TRIES;
+	r->d.paid = false;
+}
+
 /* May it be sent to one more backend server? */
 static bool
 may_try_more(const struct gate_req *r)
@@ -285,11 +299,8 @@
 	    kind == ERR_CONNECT ? "no connection" : "the connection broke");
 	if (r->started)
 		return;
-	if (kind != ERR_CONNECT) {
-		r->maybe_ran = true;
-		r->d.tries++;
-		r->d.paid = false;
-	}
+	if (kind != ERR_CONNECT)
+		count_lost_try(r);
 	if (kind != ERR_CONNECT && !may_try_more(r))
 		gate_req_answer(r, kind, RAN_UNKNOWN, 0);
 	else if ((kind == ERR_CONNECT || r->d.repeatable) && r->passes <= 2)
@@ -352,11 +363,8 @@
 	}
 	for (i = 0; i < lost->len; i++) {
 		r = g_ptr_array_index(lost, i);
-		if (r->state == REQ_SENT) {
-			r->maybe_ran = true;
-			r->d.tries++;
-			r->d.paid = false;
-		}
+		if (r->state == REQ_SENT)
+			count_lost_try(r);
 		gate_flow_stop(r);
 		leave_home(r);
 		if (may_try_more(r))
--- a/libagent.h
+++ b/libagent.h
@@ -38,6 +38,7 @@
 	struct str admin_listen;
 	struct str platform;
 	json_t *seeds;
+	double power; /* share of a processor that the box has */
 	int64_t watchers;
 	int64_t probe_rate;
 	int64_t platform_rate;
@@ -124,6 +125,9 @@
 	GHashTable *lapses; /* char * key to struct agent_lapse * */
 	/* agent_peer.c */
 	struct tmr_item hello_timer;
+	unsigned rounds;
+	int64_t
+	    differs_since; /* our digest from that of another hall; 0: not */
 	uint64_t gate_boot, gate_digest, gate_floor;
 	int64_t gate_heard;
 	bool gate_ready;
--- a/libgate.h
+++ b/libgate.h
@@ -46,6 +46,7 @@
 	int64_t grace_ms;
 	int64_t summary_ms;
 	int64_t silent_ms;
+	double power; /* share of a processor that the box has */
 	int64_t ping_wait_ms;
 	struct str bounds; /* the platform's, in its own words */
 	struct str form; /* the platform's form, by name */
--- a/limit.c
+++ b/limit.c
@@ -107,21 +107,34 @@
 	return limit_take(&s->limit, rate, now);
 }
 
+static double
+budget_max(const struct retry_budget *b)
+{
+	return b->max > 0 ? b->max : BUDGET_MAX;
+}
+
+/* A new budget begins with a part of what it may save up. */
+static void
+budget_begin(struct retry_budget *b)
+{
+	if (!b->begun)
+		b->saved = budget_max(b) * BUDGET_START_SHARE;
+	b->begun = true;
+}
+
 void
 retry_budget_pay(struct retry_budget *b, int64_t percent)
 {
-	double max = b->max > 0 ? b->max : BUDGET_MAX;
-
-	if (b->saved == 0)
-		b->saved = max * BUDGET_START_SHARE;
+	budget_begin(b);
 	b->saved += (double)percent / 100;
-	if (b->saved > max)
-		b->saved = max;
+	if (b->saved > budget_max(b))
+		b->saved = budget_max(b);
 }
 
 bool
-retry_budget_has(const struct retry_budget *b)
+retry_budget_has(struct retry_budget *b)
 {
+	budget_begin(b);
 	return b->saved >= 1;
 }
 
--- a/limit.h
+++ b/limit.h
@@ -47,9 +47,10 @@
 struct retry_budget {
 	double saved;
 	double max; /* what may be saved up; 0: the default */
+	bool begun;
 };
 void retry_budget_pay(struct retry_budget *, int64_t percent);
-bool retry_budget_has(const struct retry_budget *);
+bool retry_budget_has(struct retry_budget *);
 void retry_budget_take(struct retry_budget *);
 
 #endif
--- a/memb.h
+++ b/memb.h
@@ -39,6 +39,7 @@
 	struct str gate_inbox; /* its gate's ZeroMQ address */
 	uint64_t boot; /* start of its agent, ms since 1970 */
 	uint64_t beat; /* counts up with each change of its word */
+	uint64_t power; /* its share of a processor, in thousandths */
 	bool dead; /* told by a box that got no answer */
 	bool leaving;
 	bool ready; /* its gate serves */
--- a/msg.c
+++ b/msg.c
@@ -64,8 +64,8 @@
 static const struct msg_field info_fields[] = {STR(memb_info, box),
     STR(memb_info, hall), STR(memb_info, inbox), STR(memb_info, pass),
     STR(memb_info, gate_inbox), U64(memb_info, boot), U64(memb_info, beat),
-    BOOL(memb_info, dead), BOOL(memb_info, leaving), BOOL(memb_info, ready),
-    BOOL(memb_info, blind)};
+    U64(memb_info, power), BOOL(memb_info, dead), BOOL(memb_info, leaving),
+    BOOL(memb_info, ready), BOOL(memb_info, blind)};
 static const struct shape info_shape = SHAPE(memb_info, info_fields);
 
 static const struct msg_field u64_fields[] = {U64(msg_u64, v)};
@@ -91,10 +91,11 @@
     STR(msg_hello, self.hall), STR(msg_hello, self.inbox),
     STR(msg_hello, self.pass), STR(msg_hello, self.gate_inbox),
     U64(msg_hello, self.boot), U64(msg_hello, self.beat),
-    BOOL(msg_hello, self.dead), BOOL(msg_hello, self.leaving),
-    BOOL(msg_hello, self.ready), BOOL(msg_hello, self.blind),
-    U64(msg_hello, digest), U64(msg_hello, floor), U64(msg_hello, members),
-    BOOL(msg_hello, asks), LIST(msg_hello, others, info_shape)};
+    U64(msg_hello, self.power), BOOL(msg_hello, self.dead),
+    BOOL(msg_hello, self.leaving), BOOL(msg_hello, self.ready),
+    BOOL(msg_hello, self.blind), U64(msg_hello, digest), U64(msg_hello, floor),
+    U64(msg_hello, members), BOOL(msg_hello, asks),
+    LIST(msg_hello, others, info_shape)};
 static const struct msg_field buckets_fields[] = {
     LIST(msg_buckets, digests, u64_shape)};
 static const struct msg_field versions_fields[] = {
--- a/regress/fleet.cpp
+++ b/regress/fleet.cpp
@@ -102,7 +102,8 @@
 	args.push_back(nullptr);
 	posix_spawn_file_actions_init(&actions);
 	posix_spawn_file_actions_addopen(
-	    &actions, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+	    &actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+	posix_spawn_file_actions_adddup2(&actions, 1, 2);
 	if (posix_spawn(
 		&pid, args[0], &actions, nullptr, args.data(), environ) != 0)
 		throw std::runtime_error("cannot start " + argv[0]);
--- a/regress/test_config.cpp
+++ b/regress/test_config.cpp
@@ -99,10 +99,10 @@
 	/* It says where it got them. */
 	EXPECT_TRUE(until([&] {
 		return f.boxes[1].agent_process.read_log().find(
-			   "service/dir version 3, from " + f.ip(10)) !=
+			   "key=service/dir version=3 from=" + f.ip(10)) !=
 		    std::string::npos ||
 		    f.boxes[1].agent_process.read_log().find(
-			"service/dir version 3, from " + f.ip(12)) !=
+			"key=service/dir version=3 from=" + f.ip(12)) !=
 		    std::string::npos;
 	}));
 }
@@ -118,7 +118,8 @@
 	f.start_box(0);
 	ASSERT_TRUE(until([&] {
 		return f.boxes[0].agent_process.read_log().find(
-			   "The platform does not answer") != std::string::npos;
+			   "msg=\"platform does not answer\"") !=
+		    std::string::npos;
 	}));
 	EXPECT_FALSE(f.ready(0));
 	Reply r = http("GET", f.boxes[0].listen, "/dir/x");
@@ -225,7 +226,8 @@
 	f.boxes[1].agent_process.signal(SIGCONT);
 	ASSERT_TRUE(until([&] {
 		return f.boxes[1].agent_process.read_log().find(
-			   "Was paused for") != std::string::npos;
+			   "msg=\"was paused, looks anew\" gap_ms=") !=
+		    std::string::npos;
 	}));
 	EXPECT_TRUE(until([&] { return !serves(f, 1, "/x"); }));
 	for (int i = 0; i < 20; i++) {
--- a/regress/test_promises.cpp
+++ b/regress/test_promises.cpp
@@ -434,7 +434,7 @@
 		f.boxes[i].agent_process.signal(SIGTERM);
 		EXPECT_EQ(0, f.boxes[i].agent_process.wait_exit());
 		EXPECT_NE(std::string::npos,
-		    f.boxes[i].gate.read_log().find("0 requests cut"));
+		    f.boxes[i].gate.read_log().find(" requests_cut=0\n"));
 		f.start_box(i);
 		ASSERT_TRUE(f.wait_ready());
 		in[i] = true;
@@ -480,7 +480,7 @@
 	f.boxes[0].gate.signal(SIGTERM);
 	EXPECT_EQ(0, f.boxes[0].gate.wait_exit());
 	EXPECT_NE(std::string::npos,
-	    f.boxes[0].gate.read_log().find("1 requests cut"));
+	    f.boxes[0].gate.read_log().find(" requests_cut=1\n"));
 	EXPECT_TRUE(until([&] { return ended; }));
 }
 
--- a/wire_zmq.c
+++ b/wire_zmq.c
@@ -20,8 +20,8 @@
 	MESSAGE_MAX = 4 << 20,
 	RECONNECT_MIN_MS = 50,
 	RECONNECT_MAX_MS = 2000,
-	SWEEP_MS = 250, /* a look at the inbox even without an event */
-	IDLE_SWEEPS = 120, /* 30 s without a message closes a peer */
+	SWEEP_MS = 500, /* a look at the inbox even without an event */
+	IDLE_SWEEPS = 60, /* 30 s without a message closes a peer */
 	UNACKED_MS = 2000 /* then a connection is given up and made anew */
 };
 
