A box that starts serves as soon as it has a configuration

Cause: after a fault that took all boxes, each listed the store up to half a second late, its gate was told that the configuration is whole by the next hello up to a second later, early requests were refused meanwhile, and each box thought for seconds that it was alone.

Ruled out: time to start the process (0.06 s).

Change: first_ms bounds the wait before the first list; the gate is told at once; requests that come early wait for the configuration (early_ms); listed boxes are greeted once.

--- a/agent_peer.c
+++ b/agent_peer.c
@@ -17,6 +17,7 @@
 enum {
 	PUSH_SMALL_MAX =
 	    8192, /* bytes of an object that every watcher pushes */
+	GREET_ALL_MAX = 32,
 	GOSSIP_MEMBERS = 12,
 	AWAY_ROUNDS = 3, /* one question in so many may go to another hall */
 	SEEDS_PER_ROUND = 2,
@@ -88,6 +89,17 @@
 	wire_send(a->wire, a->set.gate_inbox, &m);
 }
 
+/* The gate waits for a whole configuration: tell it at once that it is. */
+void
+agent_peer_tell_gate(struct agent *a)
+{
+	bool ready = conf_floor(a->conf) > 0;
+
+	if (ready && !a->told_ready)
+		send_gate_hello(a);
+	a->told_ready = ready;
+}
+
 static void
 ask(struct agent *a, struct str hall)
 {
@@ -228,6 +240,7 @@
 		send_all_members(a, m->from);
 	if (should_compare(a, h, now))
 		sync_compare(&a->sync, m->from, h->digest, h->floor);
+	agent_peer_tell_gate(a);
 	send_members(a, now);
 }
 
@@ -360,6 +373,42 @@
 	memb_each(a->memb, spread_to, &s);
 }
 
+static void
+greet(void *ctx, const struct memb_member *m)
+{
+	struct agent *a = ctx;
+
+	if (m->heard != 0 || m->info.inbox.n == 0 || m->info.leaving)
+		return;
+	if (a->greets_all || str_eq(m->info.hall, a->set.hall))
+		send_hello(a, m->info.inbox, m->info.box, true);
+}
+
+static void
+count_member(void *ctx, const struct memb_member *m)
+{
+	(void)m;
+	++*(unsigned *)ctx;
+}
+
+/*
+ * Ask the boxes that the platform lists, once: after a fault that took all
+ * of them, each would think for seconds that it is alone.  A large fleet
+ * learns of other halls from the boxes of its own.
+ */
+void
+agent_peer_greet(struct agent *a)
+{
+	unsigned n = 0;
+
+	if (a->greeted)
+		return;
+	a->greeted = true;
+	memb_each(a->memb, count_member, &n);
+	a->greets_all = n <= GREET_ALL_MAX;
+	memb_each(a->memb, greet, a);
+}
+
 /* Tell our hall that the platform does, or does not, answer us. */
 void
 agent_peer_blind(struct agent *a, bool blind)
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -21,7 +21,6 @@
  * complete configuration soon after its start.
  */
 
-#define FIRST_LIST_NS (400 * NS_MS)
 #define RECHECK_NS (1 * NS_S)
 #define BACKOFF_FIRST_NS (250 * NS_MS)
 #define BOXES_OTHER_NS (60 * NS_S)
@@ -125,7 +124,7 @@
 		f->agent = a;
 		f->kinds = a->form->feeds[i];
 		f->mask = mask_of(f->kinds);
-		watch_soon(f, rnd_jitter(a->rnd, FIRST_LIST_NS));
+		watch_soon(f, rnd_jitter(a->rnd, a->set.first_ms * NS_MS));
 	}
 	a->nfeeds = i;
 }
@@ -298,6 +297,7 @@
 	for (i = 0; i < a->nfeeds; i++)
 		floor = MIN(floor, a->feeds[i].complete);
 	conf_raise_floor(a->conf, floor);
+	agent_peer_tell_gate(a);
 }
 
 static void
@@ -408,6 +408,7 @@
 	if (result == PLAT_OK) {
 		a->boxes_fails = 0;
 		take_boxes(a, body);
+		agent_peer_greet(a);
 		in = rnd_jitter(a->rnd,
 		    agent_is_watcher(a) ? a->set.boxes_ms * NS_MS
 					: BOXES_OTHER_NS);
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -80,6 +80,16 @@
 	gate_conf_report(g);
 }
 
+/* Do now what a changed object has put off. */
+static void
+rebuild_now(struct gate *g)
+{
+	if (!g->rebuild.set)
+		return;
+	tmr_clear(&g->tmr, &g->rebuild);
+	on_rebuild(g);
+}
+
 /* Bring a shard up to date; one without service or use is removed. */
 static gboolean
 refresh_shard(gpointer key, gpointer value, gpointer ctx)
@@ -276,8 +286,10 @@
 		sync_compare(
 		    &g->sync, m->from, m->u.hello.digest, m->u.hello.floor);
 		if (conf_digest(g->conf) == m->u.hello.digest &&
-		    m->u.hello.self.ready)
+		    m->u.hello.self.ready) {
+			rebuild_now(g);
 			gate_box_configured(g);
+		}
 		gate_conf_report(g);
 		break;
 	case MSG_MEMBERS:
--- a/gate_req.c
+++ b/gate_req.c
@@ -17,6 +17,9 @@
 /* A gate that passes a request on gives up a little before the deadline. */
 enum { DEADLINE_MIN_MS = 1, HOPS_MAX = 2, DEFAULT_DEADLINE_MS = 5000 };
 
+/* When one that came too early is to come back. */
+#define EARLY_AGAIN_NS (200 * NS_MS)
+
 /* A request that has waited so long is checked for its caller. */
 #define CALLER_CHECK_NS (20 * NS_MS)
 
@@ -147,28 +150,74 @@
 	return r;
 }
 
+/* The gate has a configuration: what its rule says is found out now. */
+static void
+find_rule(struct gate_req *r)
+{
+	const struct route_rule *rule;
+
+	if (r->passed) {
+		admit_passed(r);
+		return;
+	}
+	rule = match(r->gate, r->req);
+	if (rule == NULL)
+		gate_req_answer(r, ERR_NO_RULE, RAN_NO, 0);
+	else
+		admit(r, rule);
+}
+
+static void
+on_too_early(void *ctx)
+{
+	struct gate_req *r = ctx;
+
+	r->early = false;
+	gate_req_answer(r, ERR_NOT_READY, RAN_NO, EARLY_AGAIN_NS);
+}
+
 static void
 arrive(struct gate *g, h2o_req_t *req, bool passed)
 {
 	struct gate_req *r = req_new(g, req);
-	const struct route_rule *rule;
 
+	r->passed = passed;
 	cnt_add(g->cnt, passed ? GC_PASSED_IN : GC_REQUESTS, 1);
 	if (gate_box_leaving(g))
 		req->http1_is_persistent = 0;
-	if (g->state == BOX_EMPTY) {
-		gate_req_answer(r, ERR_NOT_READY, RAN_NO, 0);
+	if (g->state != BOX_EMPTY) {
+		find_rule(r);
 		return;
 	}
-	if (passed) {
-		admit_passed(r);
+	if (g->set.early_ms == 0) {
+		gate_req_answer(r, ERR_NOT_READY, RAN_NO, 0);
 		return;
 	}
-	rule = match(g, req);
-	if (rule == NULL)
-		gate_req_answer(r, ERR_NO_RULE, RAN_NO, 0);
-	else
-		admit(r, rule);
+	r->early = true;
+	tmr_set(&g->tmr, &r->timer, r->began + g->set.early_ms * NS_MS,
+	    on_too_early, r);
+}
+
+/* The first configuration is here: serve what came before it. */
+void
+gate_req_admit_early(struct gate *g)
+{
+	GPtrArray *early = g_ptr_array_new();
+	struct gate_req *r;
+	GList *at;
+	guint i;
+
+	for (at = g->reqs.head; at != NULL; at = at->next) {
+		r = at->data;
+		if (r->early)
+			g_ptr_array_add(early, r);
+	}
+	for (i = 0; i < early->len; i++) {
+		r = g_ptr_array_index(early, i);
+		r->early = false;
+		find_rule(r);
+	}
+	g_ptr_array_free(early, TRUE);
 }
 
 /* The caller's own deadline counts where it is the shorter one. */
--- a/libagent.h
+++ b/libagent.h
@@ -46,6 +46,7 @@
 	int64_t list_ms;
 	int64_t watch_ms;
 	int64_t gather_ms;
+	int64_t first_ms;
 	int64_t boxes_ms;
 	int64_t retry_ms;
 	int64_t status_ms;
@@ -126,6 +127,9 @@
 	/* agent_peer.c */
 	struct tmr_item hello_timer;
 	unsigned rounds;
+	bool told_ready; /* the gate knows that the configuration is whole */
+	bool greets_all;
+	bool greeted; /* the boxes that the platform lists */
 	int64_t
 	    differs_since; /* our digest from that of another hall; 0: not */
 	uint64_t gate_boot, gate_digest, gate_floor;
@@ -172,6 +176,8 @@
 void agent_peer_spread(struct agent *, const struct conf_entry *);
 void agent_peer_all(struct agent *, struct msg *);
 void agent_peer_leave(struct agent *);
+void agent_peer_greet(struct agent *);
+void agent_peer_tell_gate(struct agent *);
 void agent_peer_blind(struct agent *, bool blind);
 
 /* agent_probe.c: probes of backend servers, and what others found. */
--- a/libgate.h
+++ b/libgate.h
@@ -46,6 +46,7 @@
 	int64_t grace_ms;
 	int64_t summary_ms;
 	int64_t silent_ms;
+	int64_t early_ms; /* a request may wait for the first configuration */
 	double power; /* share of a processor that the box has */
 	int64_t ping_wait_ms;
 	struct str bounds; /* the platform's, in its own words */
@@ -204,6 +205,7 @@
 void gate_req_caller(void *, h2o_req_t *);
 void gate_req_passed(void *, h2o_req_t *);
 void gate_req_tick(struct gate *, int64_t now);
+void gate_req_admit_early(struct gate *);
 void gate_req_home_lost(struct gate *, struct gate_peer *);
 unsigned gate_req_count(const struct gate *);
 extern const struct disp_ops gate_req_disp_ops;
--- a/libreq.h
+++ b/libreq.h
@@ -54,6 +54,8 @@
 	bool maybe_ran; /* an earlier try may have run */
 	bool refused; /* the answer on its way says that it did not run */
 	bool keyed;
+	bool early; /* it waits for the first configuration */
+	bool passed; /* by another gate */
 	int64_t began;
 	struct str rule, service; /* copies */
 	bool allow_outage;
