--- a/agent_peer.c
+++ b/agent_peer.c
@@ -15,8 +15,8 @@
 #include "slog.h"
 
 enum {
-	PUSH_SMALL_MAX =
-	    8192, /* bytes of an object that every watcher pushes */
+	PUSH_SMALL_MAX = 8192, /* bytes of an object that several push */
+	PUSH_COPIES = 4, /* watchers that push it to one box */
 	GREET_ALL_MAX = 32,
 	GOSSIP_MEMBERS = 12,
 	AWAY_ROUNDS = 3, /* one question in so many may go to another hall */
@@ -352,9 +352,9 @@
 
 /*
  * A change that the platform told us goes out at once to the boxes of our
- * hall that do not watch; other halls have watchers of their own.  Every
- * watcher pushes what is small to all, so that one that is cut off is not
- * missed; what is large goes to a share of them, and digests heal the rest.
+ * hall that do not watch; other halls have watchers of their own.  What is
+ * small reaches each box from several watchers, so that one that is cut off
+ * is not missed; what is large comes from one, and digests heal the rest.
  */
 void
 agent_peer_spread(struct agent *a, const struct conf_entry *e)
@@ -364,12 +364,12 @@
 	sync_push(&a->sync, a->set.gate_inbox, e);
 	if (!a->from_platform)
 		return;
-	if (size_of(e) > PUSH_SMALL_MAX) {
-		s.share = (unsigned)a->set.watchers;
-		s.own = (unsigned)memb_rank_seeing(a->memb, memb_self(a->memb),
-			    STR_LIT("watch"), a->set.hall) %
-		    s.share;
-	}
+	s.share = (unsigned)a->set.watchers;
+	if (size_of(e) <= PUSH_SMALL_MAX)
+		s.share = MAX(s.share / PUSH_COPIES, 1);
+	s.own = (unsigned)memb_rank_seeing(a->memb, memb_self(a->memb),
+		    STR_LIT("watch"), a->set.hall) %
+	    s.share;
 	memb_each(a->memb, spread_to, &s);
 }
 
