Tests of the adapter, the client, passes, budgets, ranking and the paced dispatcher

A try that outlasts any spell is reckoned to take as long again: the test of moves found that its end was always taken for now.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,8 @@
 PROGS = ferngate fernagent fernbox fernctl
 STANDINS = regress/standin_platform regress/standin_backend \
 	regress/standin_proxy
-UNIT_TESTS = regress/test_units regress/test_conf regress/test_disp
+UNIT_TESTS = regress/test_units regress/test_conf regress/test_disp \
+	regress/test_platform regress/test_up
 FLEET_TESTS = regress/test_path regress/test_config regress/test_promises
 TESTS = $(UNIT_TESTS) $(FLEET_TESTS)
 BENCHES = regress/bench_pick regress/bench_gate regress/bench_tail \
@@ -47,8 +48,8 @@
 
 $(STANDINS): %: %.o libfern.a
 	$(CXX) -o $@ $< libfern.a $(LDLIBS)
-$(UNIT_TESTS): %: %.o libfern.a
-	$(CXX) -o $@ $< libfern.a $(LDLIBS) $(GTEST)
+$(UNIT_TESTS): %: %.o gate_pass.o libfern.a
+	$(CXX) -o $@ $< gate_pass.o libfern.a $(LDLIBS) $(GTEST)
 $(FLEET_TESTS): %: %.o $(FLEET) libfern.a
 	$(CXX) -o $@ $< $(FLEET) libfern.a $(LDLIBS) $(GTEST)
 $(BENCHES): %: %.o $(FLEET) libfern.a
--- a/disp_move.c
+++ b/disp_move.c
@@ -43,7 +43,10 @@
 		return INT64_MAX;
 	if ((double)(now - r->sent) > expected * OVERDUE)
 		expected = work * MAX(d->slow_pace, r->pace);
-	return MAX(r->sent + (int64_t)expected, now);
+	/* Longer than any spell explains: it may take as long again. */
+	if ((double)(now - r->sent) > expected)
+		expected = (double)(now - r->sent) * 2;
+	return r->sent + (int64_t)expected;
 }
 
 /* Would an end at `there` be worth more than one at `here`? */
--- a/regress/test_disp.cpp
+++ b/regress/test_disp.cpp
@@ -47,6 +47,7 @@
 	struct chart *chart;
 	struct disp *disp;
 	std::vector<std::string> trace;
+	std::vector<std::string> asked; /* for their load */
 	std::function<void(Req *, struct pick_backend *)> on_send;
 	std::function<void(Req *)> on_end, on_stop;
 
@@ -113,6 +114,13 @@
 		EXPECT_TRUE(disp_done(w->disp, d, DISP_SLOW));
 	}
 
+	static void peek(void *ctx, struct pick_backend *b)
+	{
+		World *w = static_cast<World *>(ctx);
+
+		w->asked.push_back(std::string(b->name.p, b->name.n));
+	}
+
 	static void release(void *, struct pick_backend *)
 	{
 	}
@@ -121,7 +129,7 @@
 	    : clk{mono, mono, this}, rnd{next, this}
 	{
 		struct disp_ops ops = {
-		    send, pass, give_up, stop, nullptr, release, this};
+		    send, pass, give_up, stop, peek, release, this};
 		struct disp_params p = {};
 		GError *err = nullptr;
 		const char *root = getenv("FERN_ROOT");
@@ -298,6 +306,218 @@
 
 } // namespace
 
+namespace
+{
+
+/* Requests with a target of 100 ms that are known to take 20 ms. */
+struct Paced : World {
+	explicit Paced(int n) : World("pace")
+	{
+		backends(n, 3);
+		for (int i = 0; i < 12 * n; i++) {
+			Req r;
+
+			answer(100);
+			aim(&r);
+			answer(100);
+			now += 20 * NS_MS;
+			if (r.d.at != nullptr)
+				done(&r, DISP_OK);
+			now += NS_S;
+		}
+		asked.clear();
+	}
+
+	Req *aim(Req *r, bool repeatable = true, int attempts = 2,
+	    int64_t target_ms = 100)
+	{
+		r->d.target = now + target_ms * NS_MS;
+		r->d.kind = 1;
+		r->d.attempts = attempts;
+		return arrive(r, 400, CLASS_INTERACTIVE, repeatable);
+	}
+
+	/* Answer all questions that are out. */
+	void answer(int pace)
+	{
+		std::vector<std::string> names;
+
+		names.swap(asked);
+		for (auto &b : names)
+			disp_peeked(
+			    disp, str_n(b.data(), b.size()), true, 0, 0, pace);
+	}
+};
+
+} // namespace
+
+TEST(Paced, ARequestWaitsForAGoodPlaceButNotTooLong)
+{
+	Paced w(3);
+	Req r;
+
+	w.aim(&r);
+	EXPECT_EQ(nullptr, r.d.at);
+	EXPECT_EQ(3u, w.asked.size());
+	w.answer(500);
+	EXPECT_EQ(nullptr, r.d.at);
+	w.now += 15 * NS_MS;
+	disp_tick(w.disp);
+	EXPECT_FALSE(w.asked.empty()); /* they are asked again */
+	w.answer(100);
+	ASSERT_NE(nullptr, r.d.at);
+	w.now += 20 * NS_MS;
+	w.done(&r, DISP_OK);
+
+	/* In a spell to the end it begins while it can still be in time. */
+	Req late;
+	int64_t began = w.now += NS_S;
+	w.aim(&late);
+	while (late.d.at == nullptr && w.now < began + NS_S) {
+		w.answer(500);
+		w.now += 5 * NS_MS;
+		disp_tick(w.disp);
+	}
+	ASSERT_NE(nullptr, late.d.at);
+	EXPECT_GT(w.now - began, 40 * NS_MS);
+	EXPECT_LT(w.now - began, 100 * NS_MS);
+	w.done(&late, DISP_OK);
+}
+
+TEST(Paced, ASlowTryIsMovedWhereThatIsInTimeAndMayBe)
+{
+	Paced w(3);
+	Req r, pay;
+	struct pick_backend *first;
+
+	/* A spell is reckoned as three times the work: 60 ms, too late. */
+	w.aim(&r, true, 2, 58);
+	w.answer(100);
+	w.aim(&pay, false, 2, 58);
+	w.answer(100);
+	ASSERT_NE(nullptr, r.d.at);
+	ASSERT_NE(nullptr, pay.d.at);
+	first = r.d.at;
+	w.now += 25 * NS_MS;
+	disp_tick(w.disp);
+	w.answer(100);
+	EXPECT_EQ(first, r.d.at); /* not overdue yet */
+	w.now += 8 * NS_MS;
+	disp_tick(w.disp);
+	w.answer(100);
+	EXPECT_NE(first, r.d.at);
+	EXPECT_EQ(2, r.sends);
+	EXPECT_EQ(1, pay.sends);
+	/* Two are all that its rule allows. */
+	w.now += 50 * NS_MS;
+	disp_tick(w.disp);
+	w.answer(100);
+	EXPECT_EQ(2, r.sends);
+	w.done(&r, DISP_OK);
+	w.done(&pay, DISP_OK);
+}
+
+TEST(Paced, WhatWouldBeLateIsRefusedAtOnce)
+{
+	Paced w(1);
+	std::vector<Req> r(60);
+	int refused = 0;
+
+	for (auto &q : r) {
+		w.aim(&q);
+		w.answer(100);
+		refused += q.kind == ERR_BUSY;
+	}
+	/* Three slots serve about 15 of 20 ms each within 100 ms. */
+	EXPECT_GE(refused, 35);
+	EXPECT_LE(refused, 55);
+	for (auto &q : r)
+		if (q.d.held)
+			disp_forget(w.disp, &q.d);
+	for (auto &q : r)
+		if (q.d.at != nullptr)
+			w.done(&q, DISP_GONE);
+}
+
+TEST(Paced, NoSlotIsLeftIdleWhileALateRequestWaits)
+{
+	Paced w(2);
+	Req r;
+
+	r.d.target = w.now + 100 * NS_MS;
+	r.d.kind = 1;
+	w.now += 95 * NS_MS; /* it can no longer be in time */
+	w.arrive(&r, 300);
+	EXPECT_NE(nullptr, r.d.at);
+	w.done(&r, DISP_OK);
+}
+
+TEST(Paced, WhatALostHomeLeavesIsChargedOnce)
+{
+	Paced w(2);
+	int sent = 0;
+
+	/* New here, sent elsewhere before, and charged by nobody. */
+	for (int i = 0; i < 40; i++) {
+		Req r;
+
+		r.d.tries = 1;
+		w.aim(&r, true, 3);
+		w.answer(100);
+		sent += r.d.at != nullptr;
+		if (r.d.at != nullptr)
+			w.done(&r, DISP_GONE);
+	}
+	EXPECT_GT(sent, 0);
+	EXPECT_LT(sent, 30);
+	/* What another home moved here was charged there. */
+	Req paid;
+	paid.d.tries = 1;
+	paid.d.paid = true;
+	w.aim(&paid, true, 3);
+	w.answer(100);
+	EXPECT_NE(nullptr, paid.d.at);
+	w.done(&paid, DISP_GONE);
+}
+
+TEST(Paced, OneThatTellsNoLoadIsAskedOnce)
+{
+	World w("pace");
+	Req r, next;
+
+	w.backends(2, 3);
+	r.d.target = w.now + 100 * NS_MS;
+	w.arrive(&r, 400);
+	EXPECT_EQ(2u, w.asked.size());
+	for (auto &b : std::vector<std::string>(w.asked))
+		disp_peeked(w.disp, str_n(b.data(), b.size()), true, 0, 0, 0);
+	EXPECT_NE(nullptr, r.d.at);
+	w.asked.clear();
+	w.now += NS_S;
+	next.d.target = w.now + 100 * NS_MS;
+	w.arrive(&next, 400);
+	EXPECT_TRUE(w.asked.empty());
+	EXPECT_NE(nullptr, next.d.at);
+	w.done(&r, DISP_OK);
+	w.done(&next, DISP_OK);
+}
+
+TEST(Paced, OneThatDoesNotAnswerIsTakenLast)
+{
+	Paced w(2);
+	Req r;
+
+	w.aim(&r);
+	ASSERT_EQ(2u, w.asked.size());
+	std::string silent = w.asked[0], good = w.asked[1];
+	disp_peeked(
+	    w.disp, str_n(silent.data(), silent.size()), false, 0, 0, 0);
+	disp_peeked(w.disp, str_n(good.data(), good.size()), true, 0, 0, 100);
+	ASSERT_NE(nullptr, r.d.at);
+	EXPECT_EQ(good, std::string(r.d.at->name.p, r.d.at->name.n));
+	w.done(&r, DISP_OK);
+}
+
 TEST(Disp, AllOrdersOfEventsToASmallDepth)
 {
 	Explorer e;
--- /dev/null
+++ b/regress/test_platform.cpp
@@ -0,0 +1,468 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+/* The users' platform's form: decoding and encoding, without any process. */
+#include <gtest/gtest.h>
+#include <string>
+
+/* In C++ a function that has a struct's name hides its constructor. */
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
+extern "C" {
+#include "conf.h"
+#include "dial.h"
+#include "libreq.h"
+#include "pace.h"
+#include "plat.h"
+#include "platform/platform.h"
+#include "route.h"
+}
+#pragma GCC diagnostic pop
+
+namespace
+{
+
+const char *const config = R"({"version": "r7", "newField": 1, "resources": [
+  {"resourceType": "routes", "metadata": {"name": "buy"}, "spec": {
+     "host": "shop.example", "pathPrefix": "/buy/", "routeType": "unsafe",
+     "timeout": "1.2s", "targetLatency": "300ms", "priority": 1,
+     "service": "till", "maxAttempts": 2, "novel": true}},
+  {"resourceType": "routes", "metadata": {"name": "look"}, "spec": {
+     "host": "shop.example", "pathPrefix": "/", "routeType": "safe",
+     "timeout": "1000ms", "targetLatency": "250ms", "priority": 2,
+     "trafficSplit": [{"service": "old", "weight": 90},
+                      {"service": "new", "weight": 10}], "maxAttempts": 3}},
+  {"resourceType": "services", "metadata": {"name": "till"},
+     "spec": {"healthPath": "/h", "maxConns": 260}},
+  {"resourceType": "services", "metadata": {"name": "old"},
+     "spec": {"healthPath": "/h", "maxConns": 260}},
+  {"resourceType": "services", "metadata": {"name": "new"},
+     "spec": {"healthPath": "/h", "maxConns": 260}},
+  {"resourceType": "limits", "metadata": {},
+     "spec": {"maxBodyBytes": 1000, "idleTimeout": "15s"}}]})";
+
+struct Json {
+	json_t *v;
+
+	explicit Json(const std::string &text)
+	    : v(json_loads(text.c_str(), JSON_DECODE_ANY, nullptr))
+	{
+	}
+	explicit Json(json_t *value) : v(value)
+	{
+	}
+	~Json()
+	{
+		json_decref(v);
+	}
+	Json(const Json &) = delete;
+	Json &operator=(const Json &) = delete;
+	std::string text() const
+	{
+		char *p = json_dumps(
+		    v, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
+		std::string s = p == nullptr ? "" : p;
+
+		free(p);
+		return s;
+	}
+};
+
+/* The route table of one bundle and some backend servers. */
+struct Table {
+	struct conf *conf = conf_new(nullptr, nullptr);
+	struct route_table *routes = nullptr;
+
+	enum conf_result offer(const char *key, uint64_t version, json_t *spec)
+	{
+		return conf_offer(conf, str_c(key), version, false, spec,
+		    STR_LIT("test"), nullptr);
+	}
+	void build()
+	{
+		route_free(routes);
+		routes = route_build(conf);
+	}
+	std::string match(const char *host, const char *path)
+	{
+		struct route_query q = {};
+
+		q.host = str_c(host);
+		q.method = STR_LIT("GET");
+		q.path = str_c(path);
+		q.header = [](void *, struct str) {
+			return str_c(nullptr);
+		};
+		const struct route_rule *r = route_match(routes, &q);
+		return r == nullptr ? "" : std::string(r->name.p, r->name.n);
+	}
+	~Table()
+	{
+		route_free(routes);
+		conf_free(conf);
+	}
+};
+
+struct plat_exchange
+encode(enum plat_op op, const char *kind, const char *name, uint64_t version,
+    const json_t *value = nullptr, const char *after = nullptr)
+{
+	struct plat_request rq = {};
+	struct plat_exchange ex = {};
+
+	rq.op = op;
+	rq.kind = str_c(kind);
+	rq.name = str_c(name);
+	rq.version = version;
+	rq.value = value;
+	rq.wait_ms = 20000;
+	pf_codec.encode(&rq, str_c(after), &ex);
+	return ex;
+}
+
+std::string
+line(enum plat_op op, const char *kind, const char *name, uint64_t version,
+    const char *after = nullptr)
+{
+	struct plat_exchange ex =
+	    encode(op, kind, name, version, nullptr, after);
+	std::string s = std::string(ex.method) + " " + ex.path;
+
+	g_free(ex.path);
+	g_free(ex.value);
+	free(ex.body);
+	return s;
+}
+
+std::string
+decode(enum plat_op op, const char *kind, enum plat_result res,
+    const std::string &body, std::string *after = nullptr)
+{
+	struct plat_request rq = {};
+	char *next = nullptr;
+	Json in(body);
+
+	rq.op = op;
+	rq.kind = str_c(kind);
+	Json out(pf_codec.decode(&rq, res, in.v, &next));
+	if (after != nullptr)
+		*after = next == nullptr ? "" : next;
+	g_free(next);
+	return out.text();
+}
+
+} // namespace
+
+TEST(Platform, AConfigurationBecomesABundle)
+{
+	Json in{std::string(config)};
+	Json spec(pf_bundle(in.v));
+	GError *err = nullptr;
+	Table t;
+
+	struct obj *o =
+	    obj_read(OBJ_BUNDLE, STR_LIT("main"), spec.v, nullptr, &err);
+	ASSERT_NE(nullptr, o) << err->message;
+	EXPECT_EQ(6u, o->u.bundle.objects->len);
+	obj_free(o);
+	EXPECT_EQ(CONF_NEWER, t.offer("bundle/main", 7, spec.v));
+	t.build();
+	EXPECT_EQ("buy", t.match("shop.example", "/buy/1"));
+	EXPECT_EQ("look", t.match("SHOP.example", "/other"));
+	EXPECT_EQ("", t.match("else.example", "/buy/1"));
+	struct route_query q = {};
+	q.host = STR_LIT("shop.example");
+	q.method = STR_LIT("POST");
+	q.path = STR_LIT("/buy/1");
+	const struct route_rule *r = route_match(t.routes, &q);
+	EXPECT_EQ(1200, r->obj->deadline_ms);
+	EXPECT_EQ(300, r->obj->target_ms);
+	EXPECT_EQ(2, r->obj->attempts);
+	EXPECT_EQ(1, r->obj->rank);
+	EXPECT_FALSE(route_repeatable(r->obj, STR_LIT("GET"), false));
+	EXPECT_EQ(1000, route_listener(t.routes)->body_max);
+	EXPECT_EQ(15000, route_listener(t.routes)->idle_ms);
+}
+
+TEST(Platform, SplitsAreDrawnByTheirWeights)
+{
+	Json in{std::string(config)};
+	Json spec(pf_bundle(in.v));
+	struct route_query q = {};
+	int old = 0;
+	Table t;
+
+	t.offer("bundle/main", 7, spec.v);
+	t.build();
+	q.host = STR_LIT("shop.example");
+	q.method = STR_LIT("GET");
+	q.path = STR_LIT("/");
+	const struct route_rule *r = route_match(t.routes, &q);
+	for (int i = 0; i < 10000; i++)
+		old +=
+		    str_eq(route_choose(r, rnd_system())->name, STR_LIT("old"));
+	EXPECT_NEAR(9000, old, 200);
+}
+
+TEST(Platform, ABundleIsTakenWholeOrNotAtAll)
+{
+	Json in{std::string(config)};
+	Json good(pf_bundle(in.v));
+	uint64_t version = 7;
+	Table t;
+
+	EXPECT_EQ(CONF_NEWER, t.offer("bundle/main", version, good.v));
+	/* One route without a service, one with a broken time-out. */
+	for (const char *spec :
+	    {R"({"host":"a.example","pathPrefix":"/","routeType":"safe"})",
+		R"({"host":"a.example","pathPrefix":"/","service":"x",
+		    "priority":-1})"}) {
+		Json bad(std::string(R"({"resources":[
+		    {"resourceType":"routes","metadata":{"name":"r"},"spec":)") +
+		    spec + "}]}");
+		Json bundle(pf_bundle(bad.v));
+
+		EXPECT_EQ(
+		    CONF_REJECTED, t.offer("bundle/main", ++version, bundle.v));
+		const struct conf_entry *e =
+		    conf_get(t.conf, STR_LIT("bundle/main"));
+		EXPECT_EQ(7u, e->version);
+		EXPECT_NE(nullptr, strstr(e->bad_why, "rule r"));
+		t.build();
+		EXPECT_EQ("buy", t.match("shop.example", "/buy/1"));
+	}
+	/* What is older than that never comes back. */
+	Json newer(pf_bundle(in.v));
+	json_object_set_new(
+	    json_object_get(newer.v, "rule"), "gone", json_null());
+	json_object_del(json_object_get(newer.v, "rule"), "gone");
+	json_object_del(json_object_get(newer.v, "rule"), "buy");
+	EXPECT_EQ(CONF_NEWER, t.offer("bundle/main", 10, newer.v));
+	EXPECT_EQ(CONF_OLDER, t.offer("bundle/main", 7, good.v));
+	t.build();
+	EXPECT_EQ("look", t.match("shop.example", "/buy/1"));
+}
+
+TEST(Platform, EntriesBecomeBackendServers)
+{
+	Json ready{std::string(R"({"service":"till","addr":"10.1.0.9:80",
+	    "zone":"north","version":"v2","slots":5,"state":"ready",
+	    "slowStart_time":"3s","seq":4})")};
+	Json leaving{std::string(R"({"service":"till","addr":"10.1.0.9:80",
+	    "zone":"north","slots":5,"state":"draining"})")};
+	Json a(pf_backend(ready.v)), b(pf_backend(leaving.v));
+
+	EXPECT_EQ(R"({"address":"10.1.0.9:80","drain":false,"hall":"north",)"
+		  R"("labels":{"service":"till","version":"v2"},"slots":5,)"
+		  R"("warm_ms":3000})",
+	    a.text());
+	EXPECT_TRUE(json_is_true(json_object_get(b.v, "drain")));
+	/* Cut short: judged as any object is, with the field's name. */
+	Json cut{std::string(R"({"service":"till","zone":"north"})")};
+	Json c(pf_backend(cut.v));
+	GError *err = nullptr;
+	EXPECT_EQ(
+	    nullptr, obj_read(OBJ_BACKEND, STR_LIT("b"), c.v, nullptr, &err));
+	EXPECT_NE(nullptr, strstr(err->message, "address"));
+	g_error_free(err);
+}
+
+TEST(Platform, CallsOfTheStore)
+{
+	EXPECT_EQ(
+	    "GET /api/objects/servers", line(PLAT_LIST, "backend", nullptr, 0));
+	EXPECT_EQ("GET /api/objects/servers?after=i-9",
+	    line(PLAT_LIST, "backend", nullptr, 0, "i-9"));
+	EXPECT_EQ("GET /api/objects/config?watch=12&waitMs=20000",
+	    line(PLAT_WATCH, "bundle", nullptr, 12));
+	EXPECT_EQ("GET /api/objects/boxes?allowStale=1",
+	    line(PLAT_BOXES, nullptr, nullptr, 0));
+	EXPECT_EQ(
+	    "POST /api/objects/boxes", line(PLAT_CREATE, "status", "b1", 0));
+	EXPECT_EQ(
+	    "PUT /api/objects/boxes/b1", line(PLAT_UPDATE, "status", "b1", 3));
+	EXPECT_EQ("DELETE /api/objects/claims/k?rev=3",
+	    line(PLAT_DELETE, "claim", "k", 3));
+	Json value{std::string(R"({"spec":{"a":1},"change":"c"})")};
+	struct plat_exchange ex = encode(PLAT_UPDATE, "claim", "k", 3, value.v);
+	EXPECT_STREQ(R"({"metadata":{"name":"k","rev":3},)"
+		     R"("spec":{"spec":{"a":1},"change":"c"}})",
+	    ex.body);
+	g_free(ex.path);
+	g_free(ex.value);
+	free(ex.body);
+}
+
+TEST(Platform, AnswersOfTheStore)
+{
+	std::string after;
+
+	EXPECT_EQ(R"({"objects":[{"deleted":false,"kind":"backend",)"
+		  R"("name":"i-1","spec":{"drain":false,"labels":{}},)"
+		  R"("version":5}],"revision":9})",
+	    decode(PLAT_LIST, "backend", PLAT_OK,
+		R"({"items":[{"metadata":{"name":"i-1","rev":5},"spec":{}}],
+		    "hasMore":true,"currentRev":9})",
+		&after));
+	EXPECT_EQ("i-1", after);
+	EXPECT_EQ(R"({"objects":[{"deleted":true,"kind":"backend",)"
+		  R"("name":"i-1","version":10}],"revision":11})",
+	    decode(PLAT_WATCH, "backend", PLAT_OK,
+		R"({"events":[{"tombstone":true,"object":
+		    {"metadata":{"name":"i-1","rev":10}}}],"currentRev":11})",
+		&after));
+	EXPECT_EQ("", after);
+	EXPECT_EQ(R"({"current":{"change":"c","deleted":false,"kind":"claim",)"
+		  R"("name":"k","spec":{"a":1},"version":4}})",
+	    decode(PLAT_CREATE, "claim", PLAT_CONFLICT,
+		R"({"metadata":{"name":"k","rev":4},
+		    "spec":{"spec":{"a":1},"change":"c"}})"));
+	EXPECT_EQ(R"({"boxes":[{"hall":"n","inbox":"10.0.0.1:1",)"
+		  R"("leaving":false,"name":"b1"}]})",
+	    decode(PLAT_BOXES, "", PLAT_OK,
+		R"({"items":[{"metadata":{"name":"b1","rev":4},"spec":{"spec":
+		    {"box":"b1","hall":"n","inbox":"10.0.0.1:1",
+		     "leaving":false}}}],"hasMore":false})"));
+}
+
+TEST(Platform, StatusesOfTheStoreAndWhatTheySayOfACall)
+{
+	struct plat_request read = {}, write = {};
+
+	read.op = PLAT_LIST;
+	write.op = PLAT_UPDATE;
+	for (int down : {429, 503}) {
+		EXPECT_EQ(PLAT_DOWN, pf_codec.result(&read, down));
+		/* Nothing was done, so it need not be looked up. */
+		EXPECT_EQ(PLAT_DOWN, pf_codec.result(&write, down));
+	}
+	EXPECT_EQ(PLAT_UNSURE, pf_codec.result(&write, 500));
+	EXPECT_EQ(PLAT_DOWN, pf_codec.result(&read, 500));
+	EXPECT_EQ(PLAT_TOO_OLD, pf_codec.result(&read, 410));
+	EXPECT_EQ(PLAT_CONFLICT, pf_codec.result(&write, 409));
+	EXPECT_EQ(PLAT_NONE, pf_codec.result(&write, 404));
+}
+
+TEST(Platform, HeadersOfBackendServers)
+{
+	const struct dial *d = platform_form.dial;
+	h2o_iovec_t name = {
+	    const_cast<char *>("fernjunction-not-executed"), 25};
+	h2o_iovec_t load = {
+	    const_cast<char *>("fernjunction-backend-load"), 25};
+	h2o_header_t h = {};
+	struct dial_load l = {};
+
+	h.name = &name;
+	h.value = h2o_iovec_init("1", 1);
+	EXPECT_TRUE(d->refused(503, &h, 1));
+	EXPECT_FALSE(d->refused(503, &h, 0));
+	EXPECT_TRUE(d->refused(421, &h, 0));
+	EXPECT_TRUE(d->moved(421, &h, 0));
+	EXPECT_FALSE(d->moved(503, &h, 1));
+	h.name = &load;
+	h.value = h2o_iovec_init("3,1,8,250", 9);
+	ASSERT_TRUE(d->load(&h, 1, &l));
+	EXPECT_EQ(3, l.running);
+	EXPECT_EQ(1, l.waiting);
+	EXPECT_EQ(8, l.slots);
+	EXPECT_EQ(250, l.pace);
+	h.value = h2o_iovec_init("3,0,8", 5);
+	ASSERT_TRUE(d->load(&h, 1, &l));
+	EXPECT_EQ(100, l.pace);
+	for (const char *bad : {"", "3,0", "3,0,0", "a,b,c", "3,0,8,0"}) {
+		h.value = h2o_iovec_init(bad, strlen(bad));
+		EXPECT_FALSE(d->load(&h, 1, &l)) << bad;
+	}
+}
+
+TEST(Platform, Bounds)
+{
+	struct plat_bounds b = {};
+
+	pf_bounds(STR_LIT(R"({"retryBudgetRatio":0.2,"retryBudgetSlack":56,)"
+			  R"("grace":"6s","later":"1ms"})"),
+	    &b);
+	EXPECT_DOUBLE_EQ(0.2, b.retry_ratio);
+	EXPECT_EQ(56, b.retry_slack);
+	EXPECT_EQ(6000, b.grace_ms);
+	struct plat_bounds none = {};
+	pf_bounds(STR_LIT("not a table"), &none);
+	EXPECT_EQ(0, none.retry_slack);
+}
+
+TEST(Pass, WhatIsWrittenIsRead)
+{
+	struct gate_pass in = {}, out = {};
+	char text[320];
+
+	in.hops = 1;
+	in.repeatable = true;
+	in.paid = true;
+	in.tries = 1;
+	in.attempts = 3;
+	in.rank = 2;
+	in.kind = 250;
+	in.target_ms = 140;
+	in.service = STR_LIT("till");
+	size_t n = gate_pass_write(&in, text, sizeof(text));
+	ASSERT_TRUE(gate_pass_read(str_n(text, n), &out));
+	EXPECT_EQ(1u, out.hops);
+	EXPECT_TRUE(out.repeatable);
+	EXPECT_FALSE(out.bulk);
+	EXPECT_FALSE(out.retried);
+	EXPECT_TRUE(out.paid);
+	EXPECT_EQ(1u, out.tries);
+	EXPECT_EQ(3u, out.attempts);
+	EXPECT_EQ(2u, out.rank);
+	EXPECT_EQ(250u, out.kind);
+	EXPECT_EQ(140, out.target_ms);
+	EXPECT_TRUE(str_eq(STR_LIT("till"), out.service));
+	for (const char *bad : {"", "1", "1 0 1 0 1 1 3 2 250 140",
+		 "x 0 1 0 1 1 3 2 250 140 till"})
+		EXPECT_FALSE(gate_pass_read(str_c(bad), &out)) << bad;
+}
+
+TEST(Err, AStatusThatPromisesIsTrue)
+{
+	for (int k = ERR_NO_BACKEND; k <= ERR_ANSWER_LAST; k++) {
+		enum err_kind kind = static_cast<enum err_kind>(k);
+		int unsure = err_promise_status(kind, RAN_UNKNOWN);
+
+		/* These promise that a request has not run. */
+		EXPECT_NE(503, unsure) << k;
+		EXPECT_NE(429, unsure) << k;
+		EXPECT_NE(408, unsure) << k;
+		EXPECT_NE(421, unsure) << k;
+	}
+	EXPECT_EQ(503, err_promise_status(ERR_DEADLINE, RAN_NO));
+	EXPECT_EQ(504, err_promise_status(ERR_DEADLINE, RAN_UNKNOWN));
+	EXPECT_EQ(503, err_promise_status(ERR_CONNECT, RAN_NO));
+	EXPECT_EQ(404, err_promise_status(ERR_NO_RULE, RAN_NO));
+}
+
+TEST(Pace, AWordLosesItsWorthWithAge)
+{
+	struct pick_backend b = {};
+
+	b.slots = 3;
+	EXPECT_DOUBLE_EQ(2, pace_now(&b, 2, NS_S));
+	b.told_pace = 500;
+	b.told_at = NS_S;
+	EXPECT_DOUBLE_EQ(5, pace_now(&b, 2, NS_S));
+	EXPECT_LT(pace_now(&b, 2, NS_S + 100 * NS_MS), 4);
+	EXPECT_NEAR(2, pace_now(&b, 2, 3 * NS_S), 0.01);
+	EXPECT_EQ(50 * NS_MS, pace_time(&b, 10 * NS_MS, 2, NS_S));
+	EXPECT_TRUE(pace_is_fresh(&b, NS_S));
+	EXPECT_FALSE(pace_is_good(&b, NS_S));
+	b.told_pace = 100;
+	EXPECT_TRUE(pace_is_good(&b, NS_S));
+	EXPECT_FALSE(pace_is_good(&b, NS_S + 100 * NS_MS));
+}
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -13,6 +13,7 @@
 #include <gtest/gtest.h>
 #include <random>
 #include <string>
+#include <vector>
 
 extern "C" {
 #include "chart.h"
@@ -357,6 +358,94 @@
 	EXPECT_LE(retries, 1010);
 }
 
+TEST(Limit, ABudgetSpentToZeroIsNotANewOne)
+{
+	struct retry_budget b = {};
+	int taken = 0;
+
+	/* Begins with a quarter of 20, and nothing is paid in. */
+	for (int i = 0; i < 100; i++) {
+		retry_budget_pay(&b, 0);
+		if (!retry_budget_has(&b))
+			continue;
+		retry_budget_take(&b);
+		taken++;
+	}
+	EXPECT_EQ(5, taken);
+}
+
+TEST(Limit, TheWorstSumOfBudgetsStaysInTheFleets)
+{
+	/* Four halls with a share each, all used up at once in one window. */
+	const double slack = 64, used = 0.75;
+	const int halls = 4, requests = 1000;
+	double sum = 0;
+
+	for (int h = 0; h < halls; h++) {
+		struct retry_budget b = {};
+
+		b.max = slack * used / halls;
+		/* Saved up to the full before the window begins. */
+		for (int i = 0; i < 10000; i++)
+			retry_budget_pay(&b, 15);
+		for (int i = 0; i < requests / halls; i++) {
+			retry_budget_pay(&b, 15);
+			while (retry_budget_has(&b)) {
+				retry_budget_take(&b);
+				sum += 1;
+			}
+		}
+	}
+	EXPECT_LE(sum, 0.2 * requests + slack);
+}
+
+TEST(Memb, BlindBoxesDoNotWatch)
+{
+	struct memb_info self = {};
+	std::vector<std::string> names;
+	int first = 0, seeing = 0;
+
+	self.box = STR_LIT("b0");
+	self.hall = STR_LIT("north");
+	self.blind = true;
+	struct memb *mb = memb_new(&self);
+	for (int i = 1; i < 10; i++)
+		names.push_back("b" + std::to_string(i));
+	std::vector<struct memb_info> infos;
+	for (size_t i = 0; i < names.size(); i++) {
+		struct memb_info m = {};
+
+		m.box = view(names[i]);
+		m.hall = STR_LIT("north");
+		m.boot = 1;
+		m.blind = i % 2 == 0;
+		infos.push_back(m);
+		memb_heard(mb, &m, NS_S);
+	}
+	for (auto &m : infos) {
+		bool is = memb_ranks_first_seeing(
+		    mb, &m, STR_LIT("watch"), STR_LIT("north"), 3);
+
+		first += is;
+		seeing += is && !m.blind;
+	}
+	EXPECT_EQ(3, first);
+	EXPECT_EQ(3, seeing);
+	/* Where nobody sees, those that are first among all go on trying. */
+	for (auto &m : infos) {
+		m.blind = true;
+		m.beat++;
+		memb_heard(mb, &m, NS_S);
+	}
+	first = memb_ranks_first_seeing(
+	    mb, memb_self(mb), STR_LIT("watch"), STR_LIT("north"), 3);
+	for (auto &m : infos)
+		first += memb_ranks_first_seeing(
+		    mb, &m, STR_LIT("watch"), STR_LIT("north"), 3);
+	EXPECT_EQ(3, first);
+	memb_free(mb);
+}
+
 TEST(Memb, LaterBootAndBeatWinAndThenTheWorseWord)
 {
 	struct memb_info self = {}, b = {};
--- /dev/null
+++ b/regress/test_up.cpp
@@ -0,0 +1,351 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+/*
+ * The HTTP client against a peer that is a bare socket, so that each byte and
+ * each end of a connection is ours.
+ */
+#include <arpa/inet.h>
+#include <atomic>
+#include <functional>
+#include <gtest/gtest.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+extern "C" {
+#include "up.h"
+}
+
+namespace
+{
+
+/* Serves one connection after another, each by a function. */
+class Peer
+{
+      public:
+	using Serve = std::function<void(int fd, int turn)>;
+
+	explicit Peer(Serve fn) : serve(fn)
+	{
+		struct sockaddr_in sa = {};
+		socklen_t n = sizeof(sa);
+
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		sa.sin_family = AF_INET;
+		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(0, bind(fd, (struct sockaddr *)&sa, sizeof(sa)));
+		EXPECT_EQ(0, listen(fd, 16));
+		getsockname(fd, (struct sockaddr *)&sa, &n);
+		address = "127.0.0.1:" + std::to_string(ntohs(sa.sin_port));
+		thread = std::thread([this] { run(); });
+	}
+
+	~Peer()
+	{
+		shutdown(fd, SHUT_RDWR);
+		thread.join();
+		close(fd);
+	}
+
+	std::string address;
+	std::atomic<int> connections{0};
+
+      private:
+	void run()
+	{
+		for (;;) {
+			int conn = accept(fd, nullptr, nullptr);
+
+			if (conn < 0)
+				return;
+			serve(conn, ++connections);
+			close(conn);
+		}
+	}
+
+	Serve serve;
+	int fd;
+	std::thread thread;
+};
+
+/* Read a request's head; false at the end of the connection. */
+bool
+read_head(int fd)
+{
+	std::string in;
+	char byte;
+
+	while (in.find("\r\n\r\n") == std::string::npos) {
+		if (read(fd, &byte, 1) != 1)
+			return false;
+		in += byte;
+	}
+	return true;
+}
+
+void
+say(int fd, const std::string &text)
+{
+	EXPECT_EQ(static_cast<ssize_t>(text.size()),
+	    write(fd, text.data(), text.size()));
+}
+
+/* Close so that the other side sees a reset. */
+void
+reset_on_close(int fd)
+{
+	struct linger l = {1, 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+}
+
+/* What became of one call. */
+struct Call {
+	int status = 0;
+	std::string body, end;
+	bool sent = false;
+
+	static void connected(void *ctx, struct up_call *)
+	{
+		static_cast<Call *>(ctx)->sent = true;
+	}
+	static void head(void *ctx, struct up_call *, int status,
+	    const h2o_header_t *, size_t)
+	{
+		static_cast<Call *>(ctx)->status = status;
+	}
+	static void take(Call *c, struct up_call *call)
+	{
+		h2o_buffer_t **b = up_body(call);
+
+		c->body.append((*b)->bytes, (*b)->size);
+		h2o_buffer_consume(b, (*b)->size);
+	}
+	static void on_body(void *ctx, struct up_call *call)
+	{
+		take(static_cast<Call *>(ctx), call);
+	}
+	static void on_end(void *ctx, struct up_call *call)
+	{
+		take(static_cast<Call *>(ctx), call);
+		static_cast<Call *>(ctx)->end = "whole";
+	}
+	static void fail(void *ctx, struct up_call *, enum err_kind kind)
+	{
+		static_cast<Call *>(ctx)->end = err_answer(kind)->name;
+	}
+};
+
+const struct up_ops ops = {
+    Call::connected, Call::head, Call::on_body, Call::on_end, Call::fail};
+
+struct Client {
+	uv_loop_t loop;
+	struct tmr tmr;
+	struct up *up;
+
+	Client()
+	{
+		uv_loop_init(&loop);
+		tmr_open(&tmr, &loop, clk_system());
+		up = up_open(&loop, &tmr, clk_system());
+	}
+	~Client()
+	{
+		up_close(up);
+		tmr_close(&tmr);
+		uv_close((uv_handle_t *)&tmr.timer, nullptr);
+		uv_run(&loop, UV_RUN_DEFAULT);
+		uv_loop_close(&loop);
+	}
+
+	Call get(const std::string &address, bool fresh = false)
+	{
+		struct up_request rq = {};
+		int64_t until = clk_ns(clk_system()) + 5 * NS_S;
+		Call c;
+
+		rq.address = str_n(address.data(), address.size());
+		rq.host = rq.address;
+		rq.method = STR_LIT("GET");
+		rq.path = STR_LIT("/");
+		rq.fresh = fresh;
+		up_start(up, &rq, &ops, &c);
+		while (c.end.empty() && clk_ns(clk_system()) < until)
+			uv_run(&loop, UV_RUN_ONCE);
+		return c;
+	}
+
+	void idle(int ms)
+	{
+		int64_t until = clk_ns(clk_system()) + ms * NS_MS;
+
+		while (clk_ns(clk_system()) < until) {
+			uv_run(&loop, UV_RUN_NOWAIT);
+			usleep(1000);
+		}
+	}
+};
+
+const char *const ok = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST(Up, AnAnswerWithoutLengthEndsWithItsConnection)
+{
+	Peer peer([](int fd, int) {
+		read_head(fd);
+		say(fd,
+		    "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nsome bytes");
+	});
+	Client client;
+	Call c = client.get(peer.address);
+
+	EXPECT_EQ("whole", c.end);
+	EXPECT_EQ("some bytes", c.body);
+}
+
+/* libuv tells a reset right behind data as an end of file. */
+TEST(Up, AnAnswerWithoutLengthThatIsResetIsNotWhole)
+{
+	for (int i = 0; i < 20; i++) {
+		Peer peer([](int fd, int) {
+			read_head(fd);
+			say(fd, "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n");
+			usleep(1000);
+			say(fd, "some bytes");
+			usleep(2000);
+			reset_on_close(fd);
+		});
+		Client client;
+
+		EXPECT_EQ("cut", client.get(peer.address).end);
+	}
+}
+
+TEST(Up, AnAnswerThatIsCutShortIsNotWhole)
+{
+	for (const char *text :
+	    {"HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\nshort",
+		"HTTP/1.1 200 OK\r\ntransfer-encoding: "
+		"chunked\r\n\r\n5\r\nshort",
+		"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+		"no answer at all\r\n\r\n", "HTTP/1.1 200", ""}) {
+		Peer peer([text](int fd, int) {
+			read_head(fd);
+			if (*text != '\0')
+				say(fd, text);
+		});
+		Client client;
+
+		EXPECT_EQ("cut", client.get(peer.address).end) << text;
+	}
+}
+
+TEST(Up, BytesBehindAnAnswerBelongToNoRequest)
+{
+	Peer peer([](int fd, int turn) {
+		read_head(fd);
+		say(fd, std::string(ok) + (turn == 1 ? ok : ""));
+		read_head(fd);
+	});
+	Client client;
+
+	EXPECT_EQ("ok", client.get(peer.address).body);
+	EXPECT_EQ("ok", client.get(peer.address).body);
+	EXPECT_EQ(2, peer.connections);
+}
+
+TEST(Up, AnAnswerThatNobodyAskedForEndsAnIdleConnection)
+{
+	Peer peer([](int fd, int turn) {
+		read_head(fd);
+		say(fd, ok);
+		if (turn == 1) {
+			usleep(20000);
+			say(fd, ok);
+		}
+		read_head(fd);
+	});
+	Client client;
+
+	EXPECT_EQ("ok", client.get(peer.address).body);
+	client.idle(60);
+	EXPECT_EQ("ok", client.get(peer.address).body);
+	EXPECT_EQ(2, peer.connections);
+}
+
+TEST(Up, AConnectionIsKeptWithinItsTimeOnly)
+{
+	Peer peer([](int fd, int) {
+		while (read_head(fd))
+			say(fd,
+			    "HTTP/1.1 200 OK\r\nkeep-alive: timeout=1\r\n"
+			    "content-length: 0\r\n\r\n");
+	});
+	Client client;
+
+	client.get(peer.address);
+	client.get(peer.address);
+	EXPECT_EQ(1, peer.connections);
+	client.idle(900); /* of one second, four fifths are used */
+	client.get(peer.address);
+	EXPECT_EQ(2, peer.connections);
+}
+
+TEST(Up, AFreshCallHasItsOwnConnection)
+{
+	Peer peer([](int fd, int turn) {
+		/* The first one is let go once it was answered. */
+		while (read_head(fd)) {
+			say(fd, ok);
+			if (turn == 1)
+				break;
+		}
+		usleep(turn == 1 ? 50000 : 0);
+	});
+	Client client;
+
+	EXPECT_EQ("whole", client.get(peer.address).end);
+	EXPECT_EQ("whole", client.get(peer.address, true).end);
+	EXPECT_EQ(2, peer.connections);
+}
+
+TEST(Up, AnInterimAnswerIsNoAnswer)
+{
+	Peer peer([](int fd, int) {
+		read_head(fd);
+		say(fd, std::string("HTTP/1.1 100 Continue\r\n\r\n") + ok);
+		read_head(fd);
+	});
+	Client client;
+	Call c = client.get(peer.address);
+
+	EXPECT_EQ(200, c.status);
+	EXPECT_EQ("ok", c.body);
+}
+
+TEST(Up, WhereNothingListensNothingWasSent)
+{
+	std::string address;
+
+	{
+		Peer peer([](int, int) {});
+		address = peer.address;
+	}
+	Client client;
+	Call c = client.get(address);
+
+	EXPECT_EQ("connect", c.end);
+	EXPECT_FALSE(c.sent);
+}
