--- a/disp_move.c
+++ b/disp_move.c
@@ -18,7 +18,7 @@
  */
 
 /* A try that has taken so many times what was expected met a spell. */
-static const double OVERDUE = 1.6;
+static const double OVERDUE = 2.0;
 /* Elsewhere it is reckoned with this much more than the work. */
 static const double RESERVE = 1.2;
 
@@ -43,10 +43,7 @@
 		return INT64_MAX;
 	if ((double)(now - r->sent) > expected * OVERDUE)
 		expected = work * MAX(d->slow_pace, r->pace);
-	/* Longer than any spell explains: it may take as long again. */
-	if ((double)(now - r->sent) > expected)
-		expected = (double)(now - r->sent) * 2;
-	return r->sent + (int64_t)expected;
+	return MAX(r->sent + (int64_t)expected, now);
 }
 
 /* Would an end at `there` be worth more than one at `here`? */
