A box as one process against a stand-in of the users' platform

Change: regress/objects is the store and the backend servers on one thread; test_box plays ten stories on it: configuration, early requests, drains, lapsed entries, promises, moved addresses, a configuration that is not valid, an outage with lost history, SIGHUP, a planned stop. Found by it: a store without a configuration made a box ready, and each request got 404; a gate waits for a rule now.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,8 @@
 	regress/standin_proxy
 UNIT_TESTS = regress/test_units regress/test_conf regress/test_disp \
 	regress/test_platform regress/test_up
-FLEET_TESTS = regress/test_path regress/test_config regress/test_promises
+FLEET_TESTS = regress/test_path regress/test_config regress/test_promises \
+	regress/test_box
 TESTS = $(UNIT_TESTS) $(FLEET_TESTS)
 BENCHES = regress/bench_pick regress/bench_gate regress/bench_tail \
 	regress/bench_capacity regress/soak regress/demo
@@ -29,7 +30,7 @@
 AGENT = agent_lapse.o agent_open.o agent_peer.o agent_probe.o agent_stat.o \
 	agent_watch.o
 CTL = ctl_call.o ctl_edit.o ctl_main.o ctl_show.o
-FLEET = regress/fleet.o regress/fleet_http.o
+FLEET = regress/fleet.o regress/fleet_http.o regress/objects.o
 
 all: $(PROGS)
 
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -288,7 +288,9 @@
 		if (conf_digest(g->conf) == m->u.hello.digest &&
 		    m->u.hello.self.ready) {
 			rebuild_now(g);
-			gate_box_configured(g);
+			/* Without a rule each request would get a 404. */
+			if (route_rules(g->routes) > 0)
+				gate_box_configured(g);
 		}
 		gate_conf_report(g);
 		break;
--- /dev/null
+++ b/regress/objects.cpp
@@ -0,0 +1,406 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <cstring>
+#include <functional>
+#include <future>
+#include <stdexcept>
+
+#include "objects.h"
+
+namespace
+{
+
+const char *const answer_type = "application/json";
+
+std::string
+text_of(struct str s)
+{
+	return std::string(s.p == nullptr ? "" : s.p, s.n);
+}
+
+void
+send(h2o_req_t *req, int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT | JSON_ENCODE_ANY);
+
+	hsrv_answer(req, status, answer_type, str_c(text));
+	free(text);
+	json_decref(body);
+}
+
+void
+add_header(h2o_req_t *req, const char *name, const std::string &value)
+{
+	h2o_iovec_t copy = h2o_strdup(&req->pool, value.data(), value.size());
+
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name, strlen(name),
+	    1, nullptr, copy.base, copy.len);
+}
+
+/* "/api/objects/KIND[/NAME]", without what is in front of KIND. */
+std::string
+key_of(const h2o_req_t *req)
+{
+	static const std::string head = "/api/objects/";
+	std::string path = text_of(hsrv_path(req));
+
+	return path.compare(0, head.size(), head) == 0
+	    ? path.substr(head.size())
+	    : "";
+}
+
+} // namespace
+
+Objects::Objects(const std::string &address)
+{
+	GError *err = nullptr;
+
+	uv_loop_init(&loop);
+	uv_async_init(&loop, &async, on_wake);
+	async.data = this;
+	tmr_open(&tmr, &loop, clk_system());
+	if (hsrv_open(&loop, str_n(address.data(), address.size()), 1 << 20,
+		on_store, this, &err) == nullptr)
+		throw std::runtime_error(err->message);
+	thread = std::thread([this] { run_loop(); });
+}
+
+Objects::~Objects()
+{
+	in_loop([this] { uv_stop(&loop); });
+	thread.join();
+}
+
+void
+Objects::run_loop()
+{
+	uv_run(&loop, UV_RUN_DEFAULT);
+}
+
+void
+Objects::on_wake(uv_async_t *async)
+{
+	Objects *o = static_cast<Objects *>(async->data);
+	std::vector<std::function<void()>> todo;
+
+	{
+		std::lock_guard<std::mutex> hold(o->lock);
+		todo.swap(o->todo);
+	}
+	for (auto &fn : todo)
+		fn();
+}
+
+/* Do something on the stand-in's thread, and wait until it is done. */
+void
+Objects::in_loop(const std::function<void()> &fn)
+{
+	std::promise<void> done;
+
+	{
+		std::lock_guard<std::mutex> hold(lock);
+		todo.push_back([&] {
+			fn();
+			done.set_value();
+		});
+	}
+	uv_async_send(&async);
+	done.get_future().wait();
+}
+
+json_t *
+Objects::object(const std::string &kind, const std::string &name)
+{
+	auto it = objects.find(kind + "/" + name);
+
+	return it == objects.end() ? nullptr : it->second;
+}
+
+void
+Objects::store(
+    const std::string &kind, const std::string &name, json_t *o, bool tombstone)
+{
+	json_t *meta = json_object_get(o, "metadata");
+	std::string key = kind + "/" + name;
+
+	json_object_set_new(
+	    meta, "rev", json_integer(static_cast<json_int_t>(++rev)));
+	history.push_back({rev, kind, tombstone, json_deep_copy(o)});
+	if (tombstone)
+		objects.erase(key);
+	else
+		objects[key] = o;
+	answer_watches();
+}
+
+void
+Objects::put(
+    const std::string &kind, const std::string &name, const std::string &spec)
+{
+	in_loop([&] {
+		store(kind, name,
+		    json_pack("{s:{s:s}, s:o}", "metadata", "name",
+			name.c_str(), "spec",
+			json_loads(spec.c_str(), 0, nullptr)),
+		    false);
+	});
+}
+
+void
+Objects::remove(const std::string &kind, const std::string &name)
+{
+	in_loop([&] {
+		json_t *o = object(kind, name);
+
+		if (o != nullptr)
+			store(kind, name, o, true);
+	});
+}
+
+void
+Objects::answer_all(int with)
+{
+	in_loop([&] { status = with; });
+}
+
+void
+Objects::compact()
+{
+	in_loop([&] {
+		kept = rev;
+		history.clear();
+		answer_watches();
+	});
+}
+
+size_t
+Objects::calls()
+{
+	size_t n = 0;
+
+	in_loop([&] { n = ncalls; });
+	return n;
+}
+
+json_t *
+Objects::events(const std::string &kind, uint64_t since)
+{
+	json_t *list = json_array();
+
+	for (auto &e : history)
+		if (e.rev > since && e.kind == kind)
+			json_array_append_new(list,
+			    json_pack("{s:b, s:O}", "tombstone", e.tombstone,
+				"object", e.object));
+	return list;
+}
+
+void
+Objects::answer_watches()
+{
+	std::vector<Waiter *> ready;
+
+	for (Waiter *w : waiters) {
+		json_t *list = events(w->kind, w->since);
+
+		if (json_array_size(list) > 0 || w->since < kept)
+			ready.push_back(w);
+		json_decref(list);
+	}
+	for (Waiter *w : ready)
+		on_wait_over(w);
+}
+
+void
+Objects::on_wait_over(void *ctx)
+{
+	Waiter *w = static_cast<Waiter *>(ctx);
+	Objects *o = w->owner;
+	h2o_req_t *req = w->req;
+
+	if (req == nullptr)
+		return;
+	w->req = nullptr;
+	tmr_clear(&o->tmr, &w->timer);
+	o->waiters.erase(w);
+	if (w->since < o->kept)
+		send(req, 410, json_object());
+	else
+		send(req, 200,
+		    json_pack("{s:o, s:I}", "events",
+			o->events(w->kind, w->since), "currentRev",
+			static_cast<json_int_t>(o->rev)));
+}
+
+void
+Objects::on_gone(void *p)
+{
+	Waiter *w = *static_cast<Waiter **>(p);
+
+	tmr_clear(&w->owner->tmr, &w->timer);
+	w->owner->waiters.erase(w);
+	delete w;
+}
+
+void
+Objects::watch(h2o_req_t *req, const std::string &kind)
+{
+	int64_t wait = atoll(text_of(hsrv_query(req, "waitMs")).c_str());
+	Waiter *w = new Waiter{req, kind,
+	    strtoull(text_of(hsrv_query(req, "watch")).c_str(), nullptr, 10),
+	    {}, this};
+	Waiter **guard = static_cast<Waiter **>(
+	    h2o_mem_alloc_shared(&req->pool, sizeof(w), on_gone));
+
+	*guard = w;
+	waiters.insert(w);
+	tmr_set(&tmr, &w->timer, clk_ns(clk_system()) + wait * NS_MS,
+	    on_wait_over, w);
+	answer_watches();
+}
+
+/* Pages of two, so that following pages is needed with three objects. */
+void
+Objects::list(h2o_req_t *req, const std::string &kind)
+{
+	std::string after = text_of(hsrv_query(req, "after"));
+	json_t *items = json_array();
+	bool more = false;
+
+	for (auto &o : objects) {
+		if (o.first.compare(0, kind.size() + 1, kind + "/") != 0 ||
+		    o.first.substr(kind.size() + 1) <= after)
+			continue;
+		if (json_array_size(items) == 2) {
+			more = true;
+			break;
+		}
+		json_array_append(items, o.second);
+	}
+	send(req, 200,
+	    json_pack("{s:o, s:b, s:I}", "items", items, "hasMore", more,
+		"currentRev", static_cast<json_int_t>(rev)));
+}
+
+void
+Objects::write(h2o_req_t *req, const std::string &kind)
+{
+	json_t *o = json_loadb(req->entity.base, req->entity.len, 0, nullptr);
+	json_t *meta = json_object_get(o, "metadata");
+	std::string name = json_string_value(json_object_get(meta, "name"));
+	json_t *old = object(kind, name);
+	json_int_t want = json_integer_value(json_object_get(meta, "rev"));
+	json_int_t have = json_integer_value(
+	    json_object_get(json_object_get(old, "metadata"), "rev"));
+	bool creates =
+	    h2o_memis(req->method.base, req->method.len, H2O_STRLIT("POST"));
+
+	if (creates ? old != nullptr : want != have) {
+		send(req, 409, json_deep_copy(old));
+		json_decref(o);
+		return;
+	}
+	store(kind, name, o, false);
+	send(req, 200, json_deep_copy(o));
+}
+
+void
+Objects::on_store(void *ctx, h2o_req_t *req)
+{
+	Objects *o = static_cast<Objects *>(ctx);
+	std::string key = key_of(req), kind = key.substr(0, key.find('/'));
+
+	o->ncalls++;
+	if (o->status != 0)
+		send(req, o->status, json_object());
+	else if (!h2o_memis(
+		     req->method.base, req->method.len, H2O_STRLIT("GET")))
+		o->write(req, kind);
+	else if (hsrv_query(req, "watch").n > 0)
+		o->watch(req, kind);
+	else
+		o->list(req, kind);
+}
+
+void
+Objects::on_backend(void *ctx, h2o_req_t *req)
+{
+	Backend *b = static_cast<Backend *>(ctx);
+	std::string id = text_of(hsrv_header(req, "fernjunction-request-id"));
+	std::string want =
+	    text_of(hsrv_header(req, "fernjunction-expect-instance"));
+
+	add_header(req, "fernjunction-backend-load",
+	    "0,0,3," + std::to_string(b->pace));
+	if (text_of(hsrv_path(req)) == "/health") {
+		hsrv_answer(req, 200, "text/plain", STR_LIT("well"));
+		return;
+	}
+	add_header(req, "fernjunction-request-id", id);
+	if (want != b->id) {
+		hsrv_answer(req, 421, "text/plain", STR_LIT("another"));
+		return;
+	}
+	if (b->refuse) {
+		add_header(req, "fernjunction-not-executed", "1");
+		hsrv_answer(req, 503, "text/plain", STR_LIT("full"));
+		return;
+	}
+	b->ran.push_back(id);
+	if (b->lose) {
+		h2o_socket_t *sock =
+		    req->conn->callbacks->get_socket(req->conn);
+
+		shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+		return;
+	}
+	add_header(req, "fernjunction-response-signature", b->id + "-" + id);
+	hsrv_answer(req, 200, "text/plain", STR_LIT("the answer"));
+}
+
+void
+Objects::start_backend(const std::string &id, const std::string &service,
+    const std::string &address)
+{
+	in_loop([&] {
+		auto b = std::make_unique<Backend>();
+		GError *err = nullptr;
+
+		b->id = id;
+		b->service = service;
+		b->address = address;
+		b->owner = this;
+		b->srv = hsrv_open(&loop, str_n(address.data(), address.size()),
+		    1 << 20, on_backend, b.get(), &err);
+		if (b->srv == nullptr)
+			throw std::runtime_error(err->message);
+		backends[id] = std::move(b);
+	});
+}
+
+void
+Objects::set(const std::string &id, int pace, bool refuse, bool lose)
+{
+	in_loop([&] {
+		backends[id]->pace = pace;
+		backends[id]->refuse = refuse;
+		backends[id]->lose = lose;
+	});
+}
+
+size_t
+Objects::ran(const std::string &id)
+{
+	size_t n = 0;
+
+	in_loop([&] { n = backends[id]->ran.size(); });
+	return n;
+}
--- /dev/null
+++ b/regress/objects.h
@@ -0,0 +1,112 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef OBJECTS_H
+#define OBJECTS_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+extern "C" {
+#include "hsrv.h"
+#include "tmr.h"
+}
+#include <jansson.h>
+
+/*
+ * Stand-in for the users' platform: its store and its backend servers, on one
+ * thread with a loop of its own, behind one lock.
+ */
+class Objects
+{
+      public:
+	/* The store at `store`; backend servers are added by start_backend().
+	 */
+	explicit Objects(const std::string &store);
+	~Objects();
+
+	struct Backend {
+		std::string id, service, address;
+		int pace = 100;
+		bool refuse = false; /* answer that nothing was run */
+		bool lose = false; /* run, and answer nothing */
+		std::vector<std::string> ran; /* request ids */
+		struct hsrv *srv = nullptr;
+		Objects *owner = nullptr;
+	};
+
+	void start_backend(const std::string &id, const std::string &service,
+	    const std::string &address);
+	void set(const std::string &id, int pace, bool refuse, bool lose);
+	size_t ran(const std::string &id);
+
+	/* Write, or remove, an object of the store. */
+	void put(const std::string &kind, const std::string &name,
+	    const std::string &spec);
+	void remove(const std::string &kind, const std::string &name);
+	/* Answer every call with this status; 0: as usual. */
+	void answer_all(int status);
+	/* Forget what changed so far: watches from before get 410. */
+	void compact();
+	size_t calls();
+
+      private:
+	struct Event {
+		uint64_t rev;
+		std::string kind;
+		bool tombstone;
+		json_t *object;
+	};
+	struct Waiter {
+		h2o_req_t *req;
+		std::string kind;
+		uint64_t since;
+		struct tmr_item timer;
+		Objects *owner;
+	};
+
+	static void on_store(void *, h2o_req_t *);
+	static void on_backend(void *, h2o_req_t *);
+	static void on_wake(uv_async_t *);
+	static void on_wait_over(void *);
+	static void on_gone(void *);
+	void run_loop();
+	void in_loop(const std::function<void()> &);
+	void list(h2o_req_t *, const std::string &kind);
+	void watch(h2o_req_t *, const std::string &kind);
+	void write(h2o_req_t *, const std::string &kind);
+	json_t *events(const std::string &kind, uint64_t since);
+	void answer_watches();
+	json_t *object(const std::string &kind, const std::string &name);
+	void store(const std::string &kind, const std::string &name,
+	    json_t *object, bool tombstone);
+
+	uv_loop_t loop;
+	uv_async_t async;
+	struct tmr tmr;
+	std::mutex lock;
+	std::vector<std::function<void()>> todo;
+	std::map<std::string, json_t *> objects; /* "kind/name" */
+	std::vector<Event> history;
+	std::set<Waiter *> waiters;
+	std::map<std::string, std::unique_ptr<Backend>> backends;
+	uint64_t rev = 1, kept = 0;
+	int status = 0;
+	size_t ncalls = 0;
+	std::thread thread;
+};
+
+#endif
--- /dev/null
+++ b/regress/test_box.cpp
@@ -0,0 +1,349 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+/* A box as one process on the users' platform, with a stand-in for that. */
+#include <fstream>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "fleet.h"
+#include "objects.h"
+
+namespace
+{
+
+const char *const settings = R"([gate]
+box = "b1"
+hall = "north"
+listen = "@:8080"
+admin_listen = "@:8280"
+pass_listen = "@:8180"
+inbox = "@:8380"
+agent = "@:8480"
+platform = "@:9000"
+platform_form = "objects"
+policy = "pace"
+charts = "@root/charts"
+early_ms = 1000
+leave_wait_ms = 100
+bounds = '{"retryBudgetRatio":0.2,"retryBudgetSlack":60}'
+[agent]
+box = "b1"
+hall = "north"
+inbox = "@:8480"
+gate_inbox = "@:8380"
+pass = "@:8180"
+platform = "@:9000"
+platform_form = "objects"
+seeds = []
+watchers = 8
+probe_rate = 0
+platform_rate = 50
+first_ms = 10
+retry_ms = 300
+)";
+
+std::string
+replaced(std::string text, const std::string &what, const std::string &with)
+{
+	for (size_t at = text.find(what); at != std::string::npos;
+	     at = text.find(what, at + with.size()))
+		text.replace(at, what.size(), with);
+	return text;
+}
+
+/* Each world has an address of its own: the stand-ins keep theirs. */
+std::string
+own_ip()
+{
+	static int n;
+
+	return "127.77." + std::to_string(getpid() % 250) + "." +
+	    std::to_string(++n);
+}
+
+/* A box, its platform, and two services of two backend servers each. */
+struct World {
+	std::string ip = own_ip();
+	std::string dir, file;
+	Objects platform{ip + ":9000"};
+	Process box;
+
+	explicit World(bool configured = true)
+	{
+		char name[] = "/tmp/fernbox.XXXXXX";
+
+		dir = mkdtemp(name);
+		file = dir + "/settings.toml";
+		write_settings("");
+		for (int i = 0; i < 4; i++) {
+			std::string id = "i-" + std::to_string(i);
+
+			platform.start_backend(id, i < 2 ? "till" : "shelf",
+			    ip + ":" + std::to_string(9100 + i));
+			enter(i, "ready");
+		}
+		if (configured)
+			configure("till");
+		const char *root = getenv("FERN_ROOT");
+		box.argv = {std::string(root ? root : ".") + "/fernbox", file};
+		box.log = dir + "/log";
+		box.start();
+	}
+
+	~World()
+	{
+		box.kill9();
+		unlink(box.log.c_str());
+		unlink(file.c_str());
+		rmdir(dir.c_str());
+	}
+
+	void write_settings(const std::string &more)
+	{
+		const char *root = getenv("FERN_ROOT");
+		std::string text =
+		    replaced(settings, "@root", root != nullptr ? root : ".");
+		std::ofstream out(file);
+
+		out << more << replaced(text, "@", ip);
+	}
+
+	void enter(int i, const std::string &state)
+	{
+		platform.put("servers", "i-" + std::to_string(i),
+		    "{\"service\":\"" + std::string(i < 2 ? "till" : "shelf") +
+			"\",\"addr\":\"" + ip + ":" + std::to_string(9100 + i) +
+			"\",\"zone\":\"north\",\"slots\":3,\"state\":\"" +
+			state + "\"}");
+	}
+
+	/* One rule for each kind of request, both to one service. */
+	void configure(const std::string &service)
+	{
+		std::string route = R"({"resourceType":"routes",
+		    "metadata":{"name":"NAME"},"spec":{"host":"shop.example",
+		    "pathPrefix":"/NAME/","routeType":"TYPE","timeout":"900ms",
+		    "targetLatency":"300ms","priority":1,"maxAttempts":2,
+		    "service":"SERVICE"}},)";
+		std::string safe =
+		    replaced(replaced(route, "NAME", "look"), "TYPE", "safe");
+		std::string unsafe =
+		    replaced(replaced(route, "NAME", "buy"), "TYPE", "unsafe");
+
+		platform.put("config", "main",
+		    "{\"version\":\"r1\",\"resources\":[" +
+			replaced(safe + unsafe, "SERVICE", service) +
+			R"({"resourceType":"services","metadata":{"name":"till"},
+			    "spec":{"healthPath":"/health"}},
+			   {"resourceType":"services","metadata":{"name":"shelf"},
+			    "spec":{"healthPath":"/health"}}]})");
+	}
+
+	Reply ask(const std::string &path, const std::string &method = "GET")
+	{
+		static int n;
+		std::string id = "req" + std::to_string(++n);
+
+		return http(method, ip + ":8080", path,
+		    {{"Host", "shop.example"}, {"fernjunction-request-id", id},
+			{"fernjunction-deadline-ms", "800"}},
+		    method == "POST" ? "body" : "");
+	}
+
+	bool ready()
+	{
+		return http("GET", ip + ":8280", "/ready", {}, "", 500)
+			   .status == 200;
+	}
+
+	bool logged(const std::string &text)
+	{
+		return box.read_log().find(text) != std::string::npos;
+	}
+
+	size_t ran(int from, int to)
+	{
+		size_t n = 0;
+
+		for (int i = from; i <= to; i++)
+			n += platform.ran("i-" + std::to_string(i));
+		return n;
+	}
+};
+
+} // namespace
+
+TEST(Box, ServesByTheConfigurationInTheStore)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	Reply r = w.ask("/look/1");
+	EXPECT_EQ(200, r.status);
+	EXPECT_EQ("the answer", r.body);
+	EXPECT_NE("", r.header("fernjunction-response-signature"));
+	EXPECT_EQ(200, w.ask("/buy/1", "POST").status);
+	EXPECT_EQ(404, w.ask("/nothing/1").status);
+	EXPECT_EQ(2u, w.ran(0, 1));
+	EXPECT_EQ(0u, w.ran(2, 3));
+	/* Another service, within the time that a change may take. */
+	w.configure("shelf");
+	EXPECT_TRUE(until(
+	    [&] {
+		    w.ask("/look/2");
+		    return w.ran(2, 3) > 0;
+	    },
+	    2000));
+}
+
+TEST(Box, EarlyRequestsWaitForTheFirstConfiguration)
+{
+	World w(false);
+
+	ASSERT_TRUE(
+	    until([&] { return w.logged("part=gate msg=\"started\""); }));
+	EXPECT_FALSE(w.ready());
+	/* Nothing comes: refused as not run, never as unknown. */
+	EXPECT_EQ(503, w.ask("/look/1").status);
+	w.configure("till");
+	EXPECT_TRUE(until([&] { return w.ask("/look/1").status == 200; }));
+}
+
+TEST(Box, ADrainedBackendServerGetsNothingNew)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.enter(0, "draining");
+	ASSERT_TRUE(
+	    until([&] { return w.logged("key=backend/i-0 version=7"); }));
+	size_t before = w.ran(0, 0);
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(200, w.ask("/look/1").status);
+	EXPECT_EQ(before, w.ran(0, 0));
+}
+
+TEST(Box, ALapsedEntryThatComesBackIsNotMissed)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.platform.remove("servers", "i-0");
+	ASSERT_TRUE(until([&] { return w.logged("deletion is held"); }));
+	w.enter(0, "ready");
+	ASSERT_TRUE(until([&] { return w.logged("lapsed entry came back"); }));
+	EXPECT_FALSE(w.logged("deletion is in force"));
+	/* One that stays away is gone. */
+	w.platform.remove("servers", "i-1");
+	EXPECT_TRUE(
+	    until([&] { return w.logged("lapsed entry is gone"); }, 3000));
+	size_t before = w.ran(1, 1);
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(200, w.ask("/look/1").status);
+	EXPECT_EQ(before, w.ran(1, 1));
+}
+
+TEST(Box, WhatMayHaveRunIsNeverRefused)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.platform.set("i-0", 100, false, true);
+	w.platform.set("i-1", 100, false, true);
+	Reply r = w.ask("/buy/1", "POST");
+	EXPECT_EQ(502, r.status);
+	EXPECT_EQ(1u, w.ran(0, 1));
+	/* Nothing was run: a refusal, with the time to come back. */
+	w.platform.set("i-0", 100, true, false);
+	w.platform.set("i-1", 100, true, false);
+	r = w.ask("/buy/1", "POST");
+	EXPECT_EQ(503, r.status);
+	EXPECT_NE("", r.header("retry-after"));
+	EXPECT_EQ(1u, w.ran(0, 1));
+}
+
+TEST(Box, AnAddressThatBelongsToAnotherIsLeft)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	/* i-0 is said to be where i-2 is: that one answers 421. */
+	w.platform.put("servers", "i-0",
+	    "{\"service\":\"till\",\"addr\":\"" + w.ip +
+		":9102\",\"zone\":\"north\",\"slots\":3,\"state\":\"ready\"}");
+	ASSERT_TRUE(
+	    until([&] { return w.logged("key=backend/i-0 version=7"); }));
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(200, w.ask("/buy/1", "POST").status);
+	EXPECT_EQ(0u, w.ran(2, 2));
+}
+
+TEST(Box, AConfigurationThatIsNotValidLeavesTheLastGoodOne)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.platform.put("config", "main",
+	    R"({"version":"r9","resources":[{"resourceType":"routes",
+		"metadata":{"name":"bad"},"spec":{"host":"h",
+		"pathPrefix":"/"}}]})");
+	EXPECT_TRUE(until([&] { return w.logged("object is rejected"); }));
+	EXPECT_TRUE(
+	    w.logged("rule bad: must have either a service or a split"));
+	EXPECT_EQ(200, w.ask("/look/1").status);
+}
+
+TEST(Box, AnOutageAndALostHistoryAreHealed)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.platform.answer_all(503);
+	w.platform.compact();
+	ASSERT_TRUE(
+	    until([&] { return w.logged("platform does not answer"); }));
+	EXPECT_EQ(200, w.ask("/look/1").status);
+	w.configure("shelf");
+	w.platform.answer_all(0);
+	EXPECT_TRUE(until(
+	    [&] {
+		    w.ask("/look/2");
+		    return w.ran(2, 3) > 0;
+	    },
+	    4000));
+	EXPECT_TRUE(until([&] { return w.logged("platform answers again"); }));
+}
+
+TEST(Box, SettingsAreReadAnewOnSighup)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.write_settings("# changed\n");
+	w.box.signal(SIGHUP);
+	EXPECT_TRUE(until([&] { return w.logged("settings are read anew"); }));
+	w.write_settings("[gate\n");
+	w.box.signal(SIGHUP);
+	EXPECT_TRUE(until([&] { return w.logged("settings are kept"); }));
+	EXPECT_TRUE(w.box.running());
+	EXPECT_EQ(200, w.ask("/look/1").status);
+}
+
+TEST(Box, APlannedStopEndsInTime)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.box.signal(SIGTERM);
+	EXPECT_TRUE(until([&] { return !w.ready(); }, 2000));
+	EXPECT_EQ(0, w.box.wait_exit(5000));
+	EXPECT_TRUE(w.logged(" requests_cut=0\n"));
+}
--- a/route.c
+++ b/route.c
@@ -293,6 +293,12 @@
 	return r->parts[i].service;
 }
 
+unsigned
+route_rules(const struct route_table *t)
+{
+	return t->rules->len;
+}
+
 const struct obj_listener *
 route_listener(const struct route_table *t)
 {
--- a/route.h
+++ b/route.h
@@ -87,6 +87,9 @@
 const struct route_service *
 route_service(const struct route_table *, struct str name);
 
+/* How many rules there are. */
+unsigned route_rules(const struct route_table *);
+
 /* What callers may send; NULL where the configuration does not say. */
 const struct obj_listener *route_listener(const struct route_table *);
 
