Bounds of a listener are in force

Cause: kept connections were closed after h2o's ten seconds, while callers may reuse them for four fifths of what the configuration states; body_max of the configuration was read and not used.

Change: hsrv_limits(); the settings bound what the configuration allows. Test: Box.WhatACallerMaySendIsBounded.

--- a/gate_conf.c
+++ b/gate_conf.c
@@ -67,6 +67,18 @@
 		    on_rebuild, g);
 }
 
+/* The settings bound what the configuration may allow. */
+static void
+take_listener(struct gate *g)
+{
+	const struct obj_listener *l = route_listener(g->routes);
+
+	if (l != NULL && g->callers != NULL)
+		hsrv_limits(g->callers,
+		    (size_t)MIN(l->body_max, g->set.body_max),
+		    (uint64_t)l->idle_ms);
+}
+
 static void
 on_rebuild(void *ctx)
 {
@@ -75,6 +87,7 @@
 	route_free(g->routes);
 	g->routes = route_build(g->conf);
 	g_hash_table_foreach_remove(g->shards, refresh_shard, g);
+	take_listener(g);
 	gate_conf_homes(g);
 	cnt_set(g->cnt, GC_OBJECTS, conf_count(g->conf));
 	gate_conf_report(g);
--- a/hsrv.c
+++ b/hsrv.c
@@ -140,6 +140,14 @@
 	return 0;
 }
 
+/* h2o has one time for idle connections and for slow heads of requests. */
+void
+hsrv_limits(struct hsrv *s, size_t body_max, uint64_t idle_ms)
+{
+	s->conf.max_request_entity_size = body_max;
+	s->ctx.http1.req_timeout.timeout = idle_ms;
+}
+
 void
 hsrv_stop(struct hsrv *s)
 {
--- a/hsrv.h
+++ b/hsrv.h
@@ -31,6 +31,9 @@
 /* Stop taking connections; those that are open go on. */
 void hsrv_stop(struct hsrv *);
 
+/* From now on: bytes of a body, and ms that a connection may be idle. */
+void hsrv_limits(struct hsrv *, size_t body_max, uint64_t idle_ms);
+
 /* Tell HTTP/2 callers to go elsewhere (GOAWAY). */
 void hsrv_shutdown(struct hsrv *);
 
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -126,7 +126,7 @@
 	}
 
 	/* One rule for each kind of request, both to one service. */
-	void configure(const std::string &service)
+	void configure(const std::string &service, const std::string &more = "")
 	{
 		std::string route = R"({"resourceType":"routes",
 		    "metadata":{"name":"NAME"},"spec":{"host":"shop.example",
@@ -140,7 +140,7 @@
 
 		platform.put("config", "main",
 		    "{\"version\":\"r1\",\"resources\":[" +
-			replaced(safe + unsafe, "SERVICE", service) +
+			replaced(safe + unsafe, "SERVICE", service) + more +
 			R"({"resourceType":"services","metadata":{"name":"till"},
 			    "spec":{"healthPath":"/health"}},
 			   {"resourceType":"services","metadata":{"name":"shelf"},
@@ -204,6 +204,18 @@
 	    2000));
 }
 
+TEST(Box, WhatACallerMaySendIsBounded)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	EXPECT_EQ(200, w.ask("/buy/1", "POST").status);
+	w.configure("till", R"({"resourceType":"limits","metadata":{},
+	    "spec":{"maxBodyBytes":3,"idleTimeout":"15s"}},)");
+	EXPECT_TRUE(
+	    until([&] { return w.ask("/buy/1", "POST").status == 413; }));
+}
+
 TEST(Box, EarlyRequestsWaitForTheFirstConfiguration)
 {
 	World w(false);
