An early request that was answered is not admitted again

One way to that is a request that waits for the first configuration, is answered as its caller has gone away, and is admitted all the same when the configuration comes, while the answer is still on its way.

Ruled out so far: nothing else; the test shows the story but passes without the change too, as on loopback the answer is out at once.

Change: an answer ends the wait.

--- a/gate_req.c
+++ b/gate_req.c
@@ -489,6 +489,7 @@
 	if (r->state == REQ_DONE)
 		return;
 	gate_req_event(r, REQ_EV_END);
+	r->early = false;
 	tmr_clear(&r->gate->tmr, &r->timer);
 	gate_req_settle(r, ran == RAN_NO);
 	cnt_add(r->gate->cnt, GC_REFUSED, 1);
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -229,6 +229,23 @@
 	EXPECT_TRUE(until([&] { return w.ask("/look/1").status == 200; }));
 }
 
+/* It is answered once: h2o ends the process where an answer comes twice. */
+TEST(Box, AnEarlyRequestWhoseCallerGoesAwayIsForgotten)
+{
+	World w(false);
+
+	ASSERT_TRUE(
+	    until([&] { return w.logged("part=gate msg=\"started\""); }));
+	/* The caller waits for less than the gate would. */
+	http("GET", w.ip + ":8080", "/look/1", {{"Host", "shop.example"}}, "",
+	    300);
+	EXPECT_TRUE(until([&] { return w.logged("why=gone"); }));
+	w.configure("till");
+	EXPECT_TRUE(until([&] { return w.ready(); }));
+	EXPECT_TRUE(w.box.running());
+	EXPECT_EQ(200, w.ask("/look/1").status);
+}
+
 TEST(Box, ADrainedBackendServerGetsNothingNew)
 {
 	World w;
