What cannot be tried again stays with a home that is silent

Change: only what may be brought elsewhere leaves a home that is suspected; the rest waits for its answer, the end of the connection or its deadline.

--- a/gate_try.c
+++ b/gate_try.c
@@ -346,6 +346,20 @@
 		disp_done(r->shard->disp, &r->d, outcome);
 }
 
+/*
+ * Is the request better brought elsewhere, now that its home does not answer?
+ * A home may be slow only: what cannot be tried once more is left there, as
+ * its answer may still come.
+ */
+static bool
+may_leave(const struct gate_req *r)
+{
+	if (!r->d.repeatable || r->started || r->passes > 2)
+		return false;
+	return r->state != REQ_SENT || r->d.attempts == 0 ||
+	    r->d.tries + LOST_TRIES < r->d.attempts;
+}
+
 /* A home is given up: what may be repeated is brought elsewhere now. */
 void
 gate_req_home_lost(struct gate *g, struct gate_peer *p)
@@ -357,8 +371,7 @@
 
 	for (at = g->reqs.head; at != NULL; at = at->next) {
 		r = at->data;
-		if (r->peer == p && r->d.repeatable && !r->started &&
-		    r->passes <= 2)
+		if (r->peer == p && may_leave(r))
 			g_ptr_array_add(lost, r);
 	}
 	for (i = 0; i < lost->len; i++) {
@@ -367,10 +380,7 @@
 			count_lost_try(r);
 		gate_flow_stop(r);
 		leave_home(r);
-		if (may_try_more(r))
-			retry_home(r);
-		else
-			gate_req_answer(r, ERR_CUT, gate_req_ran(r), 0);
+		retry_home(r);
 	}
 	g_ptr_array_free(lost, TRUE);
 }
