A backend server that tells no load is known by its answers

Cause: its own factor was learned from requests whose pace was told only, so that a slow one among those that tell nothing was never left; a request that was refused everywhere was told to come back after a second, whatever it had.

Change: the factor is learned from all answers of one that tells nothing; 100 ms for the refused.

--- a/disp_work.c
+++ b/disp_work.c
@@ -103,7 +103,8 @@
 		g_array_append_val(d->works, add);
 		return;
 	}
-	if (r->told)
+	/* One that tells nothing is known by its answers alone. */
+	if (r->told || b->mute)
 		learn_factor(b, ns / (double)w->ns);
 	if (ns > ODD * own * (double)w->ns)
 		return;
--- a/gate_try.c
+++ b/gate_try.c
@@ -19,6 +19,8 @@
  */
 
 enum { LOST_TRIES = 2 };
+/* When a request that backend servers refused may come back. */
+#define REFUSED_AGAIN_NS (100 * NS_MS)
 
 static void op_send(void *, struct disp_req *, struct pick_backend *);
 static void op_pass(void *, struct disp_req *, struct str);
@@ -228,7 +230,7 @@
 {
 	gate_req_event(r, REQ_EV_RETRY);
 	disp_done(r->shard->disp, &r->d, outcome);
-	gate_req_answer(r, ERR_REFUSED, gate_req_ran(r), 0);
+	gate_req_answer(r, ERR_REFUSED, gate_req_ran(r), REFUSED_AGAIN_NS);
 	return true;
 }
 
--- a/regress/test_disp.cpp
+++ b/regress/test_disp.cpp
@@ -505,6 +505,35 @@
 	w.done(&next, DISP_OK);
 }
 
+TEST(Paced, OneThatTellsNoLoadIsKnownByItsAnswers)
+{
+	World w("pace");
+	int there = 0;
+
+	w.backends(2, 3);
+	for (int i = 0; i < 60; i++) {
+		Req r;
+
+		for (auto &b : std::vector<std::string>(w.asked))
+			disp_peeked(
+			    w.disp, str_n(b.data(), b.size()), true, 0, 0, 0);
+		w.asked.clear();
+		r.d.target = w.now + 300 * NS_MS;
+		r.d.kind = 1;
+		w.arrive(&r, 1000);
+		for (auto &b : std::vector<std::string>(w.asked))
+			disp_peeked(
+			    w.disp, str_n(b.data(), b.size()), true, 0, 0, 0);
+		ASSERT_NE(nullptr, r.d.at);
+		bool slow = str_eq(r.d.at->name, STR_LIT("b0"));
+
+		there += slow && i >= 20;
+		w.now += (slow ? 80 : 20) * NS_MS;
+		w.done(&r, DISP_OK);
+	}
+	EXPECT_LT(there, 8);
+}
+
 TEST(Paced, OneThatDoesNotAnswerIsTakenLast)
 {
 	Paced w(2);
