The HTTP client: calls, connections and answers in a file each

Hard to read: up.c held three jobs in 720 lines, with callbacks of calls, sockets and parser between one another.

Change: up.c keeps the calls, up_conn.c has the connections, up_answer.c what the parser finds; libup.h is what they share. Structs and functions that they share carry the prefix. Behaviour is the same.

--- /dev/null
+++ b/up_conn.c
@@ -0,0 +1,328 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <netinet/tcp.h>
+
+#include "libup.h"
+
+/*
+ * Connections: made for a call, kept for the next one where the answer allows
+ * it, and closed when they break or the other side has gone.
+ */
+
+enum {
+	IDLE_PER_ADDRESS = 64,
+	/* A peer that is dead or cut off is noticed after about so long. */
+	KEEPALIVE_IDLE_S = 1,
+	KEEPALIVE_STEP_S = 1,
+	KEEPALIVE_STEPS = 2,
+	UNACKED_MS = 2000
+};
+
+static void conn_finish(struct up_conn *);
+static void on_connect_timeout(void *);
+
+static void
+on_closed(uv_handle_t *handle)
+{
+	struct up_conn *conn = handle->data;
+
+	g_string_free(conn->head, TRUE);
+	g_array_free(conn->marks, TRUE);
+	g_free(conn);
+}
+
+void
+up_conn_close(struct up_conn *conn)
+{
+	if (conn->closing)
+		return;
+	if (conn->idle)
+		g_queue_unlink(&conn->pool->idle, &conn->link);
+	conn->idle = false;
+	conn->closing = true;
+	uv_close((uv_handle_t *)&conn->tcp, on_closed);
+}
+
+/* End the call of a connection with a failure, and close the connection. */
+void
+up_conn_fail(struct up_conn *conn, enum err_kind kind)
+{
+	struct up_call *c = conn->call;
+
+	conn->call = NULL;
+	up_conn_close(conn);
+	if (c == NULL)
+		return;
+	c->conn = NULL;
+	c->ops->fail(c->ctx, c, kind);
+	up_call_free(c);
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	struct up_conn *conn = handle->data;
+
+	(void)suggested;
+	*buf = uv_buf_init(conn->pool->up->chunk, UP_READ_MAX);
+}
+
+/*
+ * Was the connection closed in order?  libuv tells a reset that comes right
+ * behind data as an end of file, so the socket itself is asked.
+ */
+static bool
+closed_in_order(struct up_conn *conn, ssize_t nread)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	return nread == UV_EOF &&
+	    uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0 &&
+	    recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/*
+ * An answer without a length ends with its connection, but only where that
+ * was closed in order: one that was reset is not complete.
+ */
+static void
+on_closed_by_peer(struct up_conn *conn, ssize_t nread)
+{
+	if (conn->call == NULL) {
+		up_conn_close(conn);
+		return;
+	}
+	if (closed_in_order(conn, nread))
+		http_parser_execute(
+		    &conn->parser, &up_answer_settings, NULL, 0);
+	if (conn->call != NULL && conn->done)
+		conn_finish(conn);
+	else
+		up_conn_fail(conn, ERR_CUT);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
+{
+	struct up_conn *conn = stream->data;
+	size_t used;
+
+	if (nread == 0 || conn->closing)
+		return;
+	if (nread < 0) {
+		on_closed_by_peer(conn, nread);
+		return;
+	}
+	/* Bytes that no call asked for: the connection is of no use. */
+	if (conn->call == NULL) {
+		up_conn_close(conn);
+		return;
+	}
+	used = http_parser_execute(
+	    &conn->parser, &up_answer_settings, buf->base, (size_t)nread);
+	if (conn->closing)
+		return;
+	if (conn->done) {
+		conn->surplus = used < (size_t)nread;
+		conn_finish(conn);
+	} else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
+		up_conn_fail(conn, ERR_CUT);
+	}
+}
+
+static void
+on_written(uv_write_t *req, int status)
+{
+	struct up_conn *conn = req->data;
+
+	conn->writing = false;
+	/* A peer may answer early and then read no more: wait for that answer.
+	 */
+	if (status < 0 && !conn->closing && conn->call != NULL &&
+	    status != UV_EPIPE && status != UV_ECONNRESET)
+		up_conn_fail(conn, ERR_CUT);
+}
+
+int
+up_conn_read(struct up_conn *conn)
+{
+	int rc = 0;
+
+	if (!conn->reading)
+		rc =
+		    uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+	conn->reading = rc == 0;
+	return rc;
+}
+
+/* Fail a call whose up_start() has not returned yet: a moment later. */
+static void
+fail_soon(struct up_conn *conn, struct up_call *c)
+{
+	conn->call = NULL;
+	c->conn = NULL;
+	up_conn_close(conn);
+	tmr_set(
+	    c->up->tmr, &c->timer, clk_ns(c->up->clk), on_connect_timeout, c);
+}
+
+/* Send the call's request on a connection that stands. */
+void
+up_conn_start(struct up_conn *conn, struct up_call *c)
+{
+	int rc;
+
+	conn->call = c;
+	c->conn = conn;
+	conn->done = conn->surplus = false;
+	up_answer_begin(conn);
+	conn->writing = true;
+	conn->write.data = conn;
+	c->ops->connected(c->ctx, c);
+	rc = uv_write(&conn->write, (uv_stream_t *)&conn->tcp, c->bufs,
+	    c->bufs[1].len > 0 ? 2 : 1, on_written);
+	if (rc == 0)
+		rc = up_conn_read(conn);
+	if (rc != 0)
+		fail_soon(conn, c);
+}
+
+static void
+set_option(int fd, int level, int option, int value)
+{
+	/* Only a matter of noticing sooner; the timers notice anyway. */
+	(void)setsockopt(fd, level, option, &value, sizeof(value));
+}
+
+static void
+set_options(struct up_conn *conn)
+{
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(&conn->tcp, 1);
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) != 0)
+		return;
+	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_STEP_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_STEPS);
+	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_MS);
+}
+
+static void
+on_connected(uv_connect_t *req, int status)
+{
+	struct up_conn *conn = req->data;
+	struct up_call *c = conn->call;
+
+	if (conn->closing || c == NULL)
+		return;
+	tmr_clear(c->up->tmr, &c->timer);
+	if (status != 0) {
+		up_conn_fail(conn, ERR_CONNECT);
+		return;
+	}
+	set_options(conn);
+	up_conn_start(conn, c);
+}
+
+static void
+on_connect_timeout(void *ctx)
+{
+	struct up_call *c = ctx;
+
+	if (c->conn != NULL) {
+		up_conn_fail(c->conn, ERR_CONNECT);
+		return;
+	}
+	c->ops->fail(c->ctx, c, ERR_CONNECT);
+	up_call_free(c);
+}
+
+static struct up_conn *
+conn_new(struct up_pool *pool)
+{
+	struct up_conn *conn = g_new0(struct up_conn, 1);
+
+	conn->pool = pool;
+	conn->link.data = conn;
+	conn->head = g_string_new(NULL);
+	conn->marks = g_array_new(FALSE, FALSE, sizeof(struct up_mark));
+	uv_tcp_init(pool->up->loop, &conn->tcp);
+	conn->tcp.data = conn;
+	return conn;
+}
+
+/* Connect, and send the request once the connection stands. */
+void
+up_conn_connect(struct up_pool *pool, struct up_call *c, int64_t wait)
+{
+	struct up_conn *conn = conn_new(pool);
+	int rc;
+
+	conn->call = c;
+	c->conn = conn;
+	conn->connect.data = conn;
+	rc = uv_tcp_connect(&conn->connect, &conn->tcp,
+	    (struct sockaddr *)&pool->sa, on_connected);
+	if (rc != 0) {
+		fail_soon(conn, c);
+		return;
+	}
+	tmr_set(pool->up->tmr, &c->timer, clk_ns(pool->up->clk) + wait,
+	    on_connect_timeout, c);
+}
+
+/* The connection used last is the one that is least likely to be closed. */
+struct up_conn *
+up_conn_take_idle(struct up_pool *pool)
+{
+	int64_t now = clk_ns(pool->up->clk);
+	struct up_conn *conn;
+
+	while ((conn = g_queue_peek_head(&pool->idle)) != NULL) {
+		if (now < conn->idle_until) {
+			g_queue_unlink(&pool->idle, &conn->link);
+			conn->idle = false;
+			return conn;
+		}
+		up_conn_close(conn);
+	}
+	return NULL;
+}
+
+/*
+ * The answer is complete.  The connection is kept where nothing came behind
+ * the answer and the request has gone out whole.
+ */
+static void
+conn_finish(struct up_conn *conn)
+{
+	struct up_call *c = conn->call;
+	struct up_pool *pool = conn->pool;
+	bool keep;
+
+	keep = http_should_keep_alive(&conn->parser) && !conn->surplus &&
+	    !conn->writing && !c->fresh && !c->paused &&
+	    pool->idle.length < IDLE_PER_ADDRESS;
+	conn->call = NULL;
+	c->conn = NULL;
+	if (keep) {
+		conn->idle = true;
+		conn->idle_until = clk_ns(pool->up->clk) + conn->idle_ns;
+		g_queue_push_head_link(&pool->idle, &conn->link);
+	} else {
+		up_conn_close(conn);
+	}
+	c->ops->end(c->ctx, c);
+	up_call_free(c);
+}
