--- a/agent_probe.c
+++ b/agent_probe.c
@@ -36,10 +36,8 @@
 
 static void start_probe(void *, struct str, struct str, struct str);
 static void on_changed(void *, struct str, enum msg_state);
-static void on_connected(void *, struct up_call *);
 static void
 on_head(void *, struct up_call *, int, const h2o_header_t *, size_t);
-static void on_body(void *, struct up_call *);
 static void on_end(void *, struct up_call *);
 static void on_fail(void *, struct up_call *, enum err_kind);
 static void on_timeout(void *);
@@ -48,7 +46,7 @@
 static void want_service(void *, const struct route_service *);
 
 static const struct up_ops probe_flight_ops = {
-    on_connected, on_head, on_body, on_end, on_fail};
+    up_ignore, on_head, up_skip_body, on_end, on_fail};
 
 void
 agent_probe_open(struct agent *a)
@@ -97,13 +95,6 @@
 	land(f, PROBE_FAILED);
 }
 
-static void
-on_connected(void *ctx, struct up_call *call)
-{
-	(void)ctx;
-	(void)call;
-}
-
 static void
 on_head(void *ctx, struct up_call *call, int status,
     const h2o_header_t *headers, size_t n)
@@ -116,13 +107,6 @@
 		f->found = PROBE_DRAINING;
 }
 
-static void
-on_body(void *ctx, struct up_call *call)
-{
-	(void)ctx;
-	h2o_buffer_consume(up_body(call), (*up_body(call))->size);
-}
-
 static void
 on_end(void *ctx, struct up_call *call)
 {
--- a/gate_peek.c
+++ b/gate_peek.c
@@ -27,16 +27,14 @@
 	struct dial_load load; /* pace 0: not told */
 };
 
-static void on_connected(void *, struct up_call *);
 static void
 on_head(void *, struct up_call *, int, const h2o_header_t *, size_t);
-static void on_body(void *, struct up_call *);
 static void on_end(void *, struct up_call *);
 static void on_fail(void *, struct up_call *, enum err_kind);
 static void on_timeout(void *);
 
 static const struct up_ops peek_ops = {
-    on_connected, on_head, on_body, on_end, on_fail};
+    up_ignore, on_head, up_skip_body, on_end, on_fail};
 
 void
 gate_peek_start(struct gate_shard *s, const struct pick_backend *b)
@@ -78,13 +76,6 @@
 	g_free(p);
 }
 
-static void
-on_connected(void *ctx, struct up_call *call)
-{
-	(void)ctx;
-	(void)call;
-}
-
 static void
 on_head(void *ctx, struct up_call *call, int status,
     const h2o_header_t *headers, size_t n)
@@ -97,13 +88,6 @@
 		p->load.pace = 0;
 }
 
-static void
-on_body(void *ctx, struct up_call *call)
-{
-	(void)ctx;
-	h2o_buffer_consume(up_body(call), (*up_body(call))->size);
-}
-
 static void
 on_end(void *ctx, struct up_call *call)
 {
--- a/up.c
+++ b/up.c
@@ -21,14 +21,22 @@
 /* Time to make a connection; one in a hall takes well below a millisecond. */
 #define CONNECT_NS (300 * NS_MS)
 
-/* What a drained call does: nothing, to the end. */
-static void
-ignore(void *ctx, struct up_call *c)
+void
+up_ignore(void *ctx, struct up_call *c)
 {
 	(void)ctx;
 	(void)c;
 }
 
+void
+up_skip_body(void *ctx, struct up_call *c)
+{
+	(void)ctx;
+	h2o_buffer_consume(&c->body, c->body->size);
+}
+
+/* What a drained call does: nothing, to the end. */
+
 static void
 ignore_head(void *ctx, struct up_call *c, int status,
     const h2o_header_t *headers, size_t n)
@@ -49,7 +57,7 @@
 }
 
 const struct up_ops up_drain_ops = {
-    ignore, ignore_head, ignore, ignore, ignore_fail};
+    up_ignore, ignore_head, up_ignore, up_ignore, ignore_fail};
 
 static void
 pool_free(void *p)
--- a/up.h
+++ b/up.h
@@ -70,6 +70,10 @@
 /* The body's bytes not consumed yet; valid during ops.body and ops.end. */
 h2o_buffer_t **up_body(struct up_call *);
 
+/* For ops of owners whom it does not concern, or who need no body. */
+void up_ignore(void *, struct up_call *);
+void up_skip_body(void *, struct up_call *);
+
 /* Stop and go on reading, for back-pressure. */
 void up_pause(struct up_call *);
 void up_resume(struct up_call *);
