The dispatcher: queues, arrivals by pace and stops in a file each

Hard to read: disp.c had grown to 610 lines; what belongs to the policy that goes by pace, to the requests held and to stopped tries stood between the core that all policies share, with seven prototypes to hold it together.

Change: disp_hold.c has the requests that are held, disp_pace.c the arrivals under the policy that goes by pace, disp_stop.c the tries that are far too slow. Behaviour is the same.

--- a/Makefile
+++ b/Makefile
@@ -18,9 +18,9 @@
 BENCHES = regress/bench_pick regress/bench_gate regress/bench_tail \
 	regress/bench_capacity regress/soak regress/demo
 
-COMMON = chart.o clk.o cnt.o conf.o daemon.o dial.o disp.o disp_move.o \
-	disp_pass.o disp_peek.o disp_work.o \
-	disp_set.o doc_toml.o err.o field.o hsrv.o limit.o memb.o msg.o obj.o \
+COMMON = chart.o clk.o cnt.o conf.o daemon.o dial.o disp.o disp_hold.o \
+	disp_move.o disp_pace.o disp_pass.o disp_peek.o disp_set.o disp_stop.o \
+	disp_work.o doc_toml.o err.o field.o hsrv.o limit.o memb.o msg.o obj.o \
 	pace.o pick.o pick_fern.o pick_naive.o pick_pace.o plat.o plat_fern.o plat_http.o \
 	platform/pf_config.o platform/pf_dial.o platform/pf_store.o \
 	probe.o queue.o reload.o route.o sel.o set.o slog.o str.o sync.o \
--- /dev/null
+++ b/disp_hold.c
@@ -0,0 +1,105 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "libdisp.h"
+
+/* The queues of requests that wait for a slot, in time or late. */
+
+/* Can it be answered before its target, if it starts now? */
+bool
+disp_is_in_time(const struct disp_req *r, int64_t now)
+{
+	return r->target == 0 || now + r->work <= r->target;
+}
+
+/*
+ * Requests that can be in time wait by the latest moment to start them; late
+ * ones behind all of them, by their deadlines.
+ */
+void
+disp_hold(struct disp *d, struct disp_req *r)
+{
+	r->held = true;
+	r->queue = (int)r->cls;
+	r->item.deadline = r->deadline;
+	r->item.data = r;
+	if (r->target != 0 && disp_is_in_time(r, clk_ns(d->clk)))
+		r->item.deadline = r->target - r->work;
+	else if (r->target != 0)
+		r->queue = QUEUE_LATE;
+	queue_push(&d->queues[r->queue], &r->item);
+}
+
+void
+disp_unhold(struct disp *d, struct disp_req *r)
+{
+	queue_remove(&d->queues[r->queue], &r->item);
+	r->held = false;
+}
+
+/* What can no longer be in time makes way for what can. */
+void
+disp_sort_late(struct disp *d)
+{
+	int64_t now = clk_ns(d->clk);
+	struct queue_item *item;
+	struct disp_req *r;
+
+	for (;;) {
+		item = queue_first(&d->queues[CLASS_INTERACTIVE]);
+		r = item == NULL ? NULL : item->data;
+		if (r == NULL || r->target == 0 || disp_is_in_time(r, now))
+			return;
+		disp_unhold(d, r);
+		disp_hold(d, r);
+	}
+}
+
+/*
+ * Those whose deadline has passed.  A late one is refused as soon as it
+ * cannot be answered before its deadline any more: it has not run.
+ */
+void
+disp_expire(struct disp *d, int queue, int64_t now)
+{
+	struct queue_item *item;
+	struct disp_req *r;
+
+	for (;;) {
+		item = queue_first(&d->queues[queue]);
+		r = item == NULL ? NULL : item->data;
+		if (r == NULL)
+			return;
+		if (queue == QUEUE_LATE && now + r->work > r->deadline) {
+			disp_unhold(d, r);
+			disp_drop(d, r, ERR_BUSY, COME_BACK_MIN_NS);
+		} else if (r->deadline <= now) {
+			disp_unhold(d, r);
+			disp_drop(d, r, ERR_DEADLINE, 0);
+		} else {
+			return;
+		}
+	}
+}
+
+/* Nothing can be used any more: what is held need not wait for that. */
+void
+disp_give_up_all(struct disp *d, int queue)
+{
+	struct queue_item *item;
+	struct disp_req *r;
+
+	while ((item = queue_first(&d->queues[queue])) != NULL) {
+		r = item->data;
+		disp_unhold(d, r);
+		if (!disp_pass(d, r))
+			disp_drop(d, r, ERR_NO_BACKEND, COME_BACK_NS);
+	}
+}
--- a/libdisp.h
+++ b/libdisp.h
@@ -17,6 +17,9 @@
 #define REMOTE_FRESH_NS (1200 * NS_MS)
 /* What a request takes where nothing is known yet. */
 #define USUAL_UNKNOWN_NS (5 * NS_MS)
+/* When a refused request may come back: no sooner, and no later. */
+#define COME_BACK_MIN_NS (50 * NS_MS)
+#define COME_BACK_NS (300 * NS_MS)
 
 /* What another hall's home said last. */
 struct disp_remote_hall {
@@ -55,8 +58,28 @@
 };
 
 /* disp.c */
+/* Try to start a request now; false if it has to wait. */
+bool disp_start(struct disp *, struct disp_req *);
+void disp_drop(struct disp *, struct disp_req *, enum err_kind, int64_t after);
 void disp_serve(struct disp *);
 
+/* disp_hold.c: the requests that are held. */
+bool disp_is_in_time(const struct disp_req *, int64_t now);
+void disp_hold(struct disp *, struct disp_req *);
+void disp_unhold(struct disp *, struct disp_req *);
+void disp_sort_late(struct disp *);
+void disp_expire(struct disp *, int queue, int64_t now);
+void disp_give_up_all(struct disp *, int queue);
+
+/* disp_pace.c: arrivals under the policy that goes by pace. */
+void disp_pace_arrive(struct disp *, struct disp_req *);
+bool disp_pace_may_wait(struct disp *, struct disp_req *);
+bool disp_pace_better_elsewhere(const struct disp *, const struct disp_req *,
+    const struct pick_backend *, int64_t now);
+
+/* disp_stop.c: tries that are far too slow, where no pace is told. */
+void disp_stop_stuck(struct disp *, int64_t now);
+
 /* disp_set.c: the shard's backend servers. */
 struct pick_set disp_set_of(const struct disp *);
 void disp_sweep(struct disp *);
