The gate's requests: admission, early ones and answers in a file each

Hard to read: gate_req.c held, in 600 lines, the life of a request, what its rule says, limits, claims, the wait for the first configuration and the answers of our own, with eleven prototypes.

Change: gate_admit.c finds what holds for a request, gate_early.c keeps those that wait for the first configuration, gate_answer.c has our own answers; gate_req.c keeps the life of a request and its way to its home. The answer is gate_answer() now, as it is not only for what gate_req.c does. The deadline's timer, which was set in two places, is gate_req_set_deadline(). A constant that nothing used, DEFAULT_DEADLINE_MS, is gone. Behaviour is the same.

--- /dev/null
+++ b/gate_admit.c
@@ -0,0 +1,252 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <stdio.h>
+
+#include "libreq.h"
+
+/*
+ * What holds for a request: its rule and service, its deadline, its target,
+ * the limits it counts against and the claim that it needs.
+ */
+
+/* A gate that passes a request on gives up a little before the deadline. */
+enum { DEADLINE_MIN_MS = 1 };
+
+static struct str
+query_header(void *ctx, struct str name)
+{
+	const h2o_req_t *req = ctx;
+	ssize_t at =
+	    h2o_find_header_by_str(&req->headers, name.p, name.n, SIZE_MAX);
+
+	if (at < 0)
+		return str_c(NULL);
+	return str_n(req->headers.entries[at].value.base,
+	    req->headers.entries[at].value.len);
+}
+
+static const struct route_rule *
+match(struct gate *g, const h2o_req_t *req)
+{
+	struct route_query q = {
+	    .host = str_n(req->authority.base, req->authority.len),
+	    .method = str_n(req->method.base, req->method.len),
+	    .path = str_n(req->path.base, req->path.len),
+	    .header = query_header,
+	    .ctx = (void *)req,
+	};
+	const char *colon = memrchr(q.host.p, ':', q.host.n);
+
+	if (colon != NULL)
+		q.host.n = (size_t)(colon - q.host.p);
+	return route_match(g->routes, &q);
+}
+
+/* The caller's own deadline counts where it is the shorter one. */
+static int64_t
+shorter_deadline(const struct gate_req *r, int64_t own)
+{
+	unsigned long long ms;
+
+	if (str_u64(hsrv_header(r->req, r->gate->dial->deadline.p), &ms) &&
+	    (int64_t)ms < own)
+		own = MAX((int64_t)ms, DEADLINE_MIN_MS);
+	return r->began + own * NS_MS;
+}
+
+static int64_t
+deadline_of(const struct gate_req *r, const struct route_rule *rule,
+    const struct route_service *svc)
+{
+	int64_t own = rule->obj->deadline_ms;
+
+	if (own == 0)
+		own = svc->obj->deadline_ms;
+	return shorter_deadline(r, own);
+}
+
+/*
+ * A request that another gate passed to us: what its rule says was found
+ * there, so that both gates agree even while their configurations differ.
+ */
+static void
+admit_passed(struct gate_req *r)
+{
+	struct gate *g = r->gate;
+	struct gate_pass pass;
+	const struct route_service *svc;
+
+	if (!gate_pass_read(hsrv_header(r->req, GATE_PASS_HEADER), &pass)) {
+		gate_answer(r, ERR_BAD_REQUEST, RAN_NO, 0);
+		return;
+	}
+	svc = route_service(g->routes, pass.service);
+	if (svc == NULL) {
+		gate_answer(r, ERR_NO_SERVICE, RAN_NO, 0);
+		return;
+	}
+	r->hops = (int)MIN(pass.hops, HOPS_MAX);
+	r->service = str_dup(svc->name);
+	r->d.cls = pass.bulk ? CLASS_BULK : CLASS_INTERACTIVE;
+	r->d.repeatable = pass.repeatable;
+	r->d.may_retry = true;
+	r->d.retried = pass.retried;
+	r->d.tries = (int)pass.tries;
+	r->d.paid = pass.paid;
+	r->d.attempts = (int)pass.attempts;
+	r->d.rank = (int)pass.rank;
+	r->d.kind = pass.kind;
+	r->maybe_ran = pass.retried;
+	if (pass.target_ms > 0)
+		r->d.target = r->began + pass.target_ms * NS_MS;
+	r->d.deadline = shorter_deadline(r, svc->obj->deadline_ms);
+	gate_req_set_deadline(r);
+	gate_req_route(r);
+}
+
+static bool
+rule_limited(struct gate_req *r, const struct route_rule *rule, double share)
+{
+	struct gate *g = r->gate;
+	struct limit *l;
+
+	if (rule->obj->rate == 0)
+		return false;
+	l = g_hash_table_lookup(g->rule_limits, rule->name.p);
+	if (l == NULL) {
+		l = g_new0(struct limit, 1);
+		g_hash_table_insert(g->rule_limits, g_strdup(rule->name.p), l);
+	}
+	return !limit_take(l, (double)rule->obj->rate * share, r->began);
+}
+
+/* Who calls: by the rule's header, else by address; valid until *sa goes. */
+static struct str
+caller_of(const struct gate_req *r, const struct route_rule *rule,
+    struct sockaddr_storage *sa)
+{
+	struct str caller = {0};
+
+	if (rule->obj->caller_header.n > 0)
+		caller = hsrv_header(r->req, rule->obj->caller_header.p);
+	if (caller.n > 0)
+		return caller;
+	memset(sa, 0, sizeof(*sa));
+	r->req->conn->callbacks->get_peername(
+	    r->req->conn, (struct sockaddr *)sa);
+	if (sa->ss_family == AF_INET6)
+		return str_n(
+		    (char *)&((struct sockaddr_in6 *)sa)->sin6_addr, 16);
+	return str_n((char *)&((struct sockaddr_in *)sa)->sin_addr, 4);
+}
+
+static bool
+caller_limited(struct gate_req *r, const struct route_rule *rule, double share)
+{
+	struct sockaddr_storage sa;
+	struct str caller;
+	char key[256];
+	size_t n;
+
+	if (rule->obj->caller_rate == 0)
+		return false;
+	caller = caller_of(r, rule, &sa);
+	n = (size_t)snprintf(key, sizeof(key), "%.*s ", STR_ARG(rule->name));
+	caller.n = MIN(caller.n, sizeof(key) - n);
+	memcpy(key + n, caller.p, caller.n);
+	return !limit_table_take(r->gate->caller_limits,
+	    str_n(key, n + caller.n), (double)rule->obj->caller_rate * share,
+	    r->began);
+}
+
+/* Each gate that serves enforces its share of the fleet's limits. */
+static bool
+over_limit(struct gate_req *r, const struct route_rule *rule)
+{
+	double share = 1.0 / MAX(r->gate->boxes, 1u);
+
+	return rule_limited(r, rule, share) || caller_limited(r, rule, share);
+}
+
+static void
+on_claimed(void *ctx, enum err_kind kind, bool claimed)
+{
+	struct gate_req *r = ctx;
+
+	if (!claimed)
+		r->claim = NULL;
+	if (kind == ERR_NONE)
+		gate_req_route(r);
+	else
+		gate_answer(
+		    r, kind, kind == ERR_DUPLICATE ? RAN_UNKNOWN : RAN_NO, 0);
+}
+
+/*
+ * Limits and claims are for the gate where a request comes in; a home takes
+ * both as done.
+ */
+static void
+admit(struct gate_req *r, const struct route_rule *rule)
+{
+	struct gate *g = r->gate;
+	struct str key = hsrv_header(r->req, "idempotency-key");
+	struct str method = str_n(r->req->method.base, r->req->method.len);
+	const struct route_service *svc = route_choose(rule, g->rnd);
+
+	if (svc == NULL) {
+		gate_answer(r, ERR_NO_SERVICE, RAN_NO, 0);
+		return;
+	}
+	r->rule = str_dup(rule->name);
+	r->service = str_dup(svc->name);
+	r->keyed = key.n > 0;
+	r->allow_outage = rule->obj->on_outage == OUTAGE_ALLOW;
+	r->d.cls = (enum obj_class)rule->obj->cls;
+	r->d.repeatable = route_repeatable(rule->obj, method, r->keyed);
+	r->d.may_retry = true;
+	r->d.retried = hsrv_header(r->req, "fern-retried").n > 0;
+	r->d.attempts = (int)rule->obj->attempts;
+	r->d.rank = (int)rule->obj->rank;
+	r->d.kind = (unsigned)rule->obj->target_ms;
+	if (rule->obj->target_ms > 0)
+		r->d.target = r->began + rule->obj->target_ms * NS_MS;
+	r->d.deadline = deadline_of(r, rule, svc);
+	gate_req_set_deadline(r);
+	if (over_limit(r, rule)) {
+		gate_answer(r, ERR_OVER_LIMIT, RAN_NO, 0);
+		return;
+	}
+	if (r->keyed) {
+		gate_req_event(r, REQ_EV_CLAIM);
+		r->claim = gate_claim_start(
+		    g, r->rule, key, r->allow_outage, on_claimed, r);
+		return;
+	}
+	gate_req_route(r);
+}
+
+/* The gate has a configuration: what its rule says is found out now. */
+void
+gate_admit(struct gate_req *r)
+{
+	const struct route_rule *rule;
+
+	if (r->passed) {
+		admit_passed(r);
+		return;
+	}
+	rule = match(r->gate, r->req);
+	if (rule == NULL)
+		gate_answer(r, ERR_NO_RULE, RAN_NO, 0);
+	else
+		admit(r, rule);
+}
--- /dev/null
+++ b/gate_answer.c
@@ -0,0 +1,81 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <stdio.h>
+
+#include "libreq.h"
+#include "slog.h"
+
+/* The gate's own answers: what a caller is told of a request not served. */
+
+static void
+add_header(h2o_req_t *req, const char *name, const char *value)
+{
+	h2o_iovec_t copy = h2o_strdup(&req->pool, value, SIZE_MAX);
+
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name, strlen(name),
+	    1, NULL, copy.base, copy.len);
+}
+
+/* When to come back; whole seconds unless fractions are understood. */
+static void
+add_retry_after(struct gate_req *r, int64_t after)
+{
+	char num[24];
+
+	if (after <= 0)
+		return;
+	if (r->gate->dial->fractions)
+		snprintf(num, sizeof(num), "%.3f", (double)after / NS_S);
+	else
+		snprintf(num, sizeof(num), "%lld",
+		    (long long)((after + NS_S - 1) / NS_S));
+	add_header(r->req, "retry-after", num);
+}
+
+/* Our own answer: one kind, whether the request ran, when to come back. */
+void
+gate_answer(struct gate_req *r, enum err_kind kind, enum err_ran ran,
+    int64_t retry_after)
+{
+	const struct err_row *a = err_answer(kind);
+	const struct dial *dial = r->gate->dial;
+	h2o_req_t *req = r->req;
+	int status = a->status;
+	char body[160];
+	int n;
+
+	if (r->state == REQ_DONE)
+		return;
+	gate_req_event(r, REQ_EV_END);
+	r->early = false;
+	tmr_clear(&r->gate->tmr, &r->timer);
+	gate_req_settle(r, ran == RAN_NO);
+	cnt_add(r->gate->cnt, GC_REFUSED, 1);
+	if (dial->status_promises)
+		status = err_promise_status(kind, ran);
+	slog_decision(SLOG_ROUTE, "refused",
+	    "id=%.*s why=%s ran=%s status=%d age_ms=%lld tries=%d "
+	    "retry_after_ms=%lld rule=%.*s service=%.*s conf=%llu",
+	    STR_ARG(r->name), a->name, err_ran_name(ran), status,
+	    (long long)((clk_ns(r->gate->clk) - r->began) / NS_MS), r->d.tries,
+	    (long long)(retry_after / NS_MS), STR_ARG(r->rule),
+	    STR_ARG(r->service), (unsigned long long)r->gate->conf_version);
+	if (req == NULL)
+		return;
+	add_header(req, "fern-error", a->name);
+	add_header(req, "fern-ran", err_ran_name(ran));
+	add_retry_after(
+	    r, retry_after > 0 ? retry_after : a->retry_after_s * NS_S);
+	n = snprintf(body, sizeof(body),
+	    "{\"error\":\"%s\",\"ran\":\"%s\",\"text\":\"%s\"}\n", a->name,
+	    err_ran_name(ran), a->sentence);
+	hsrv_answer(req, status, "application/json", str_n(body, (size_t)n));
+}
--- a/gate_box.c
+++ b/gate_box.c
@@ -55,7 +55,7 @@
 	case BOX_READY:
 		slog(SLOG_GATE, "ready", "objects=%zu conf=%llu",
 		    conf_count(g->conf), (unsigned long long)g->conf_version);
-		gate_req_admit_early(g);
+		gate_early_admit(g);
 		break;
 	case BOX_LEAVING:
 		slog(SLOG_GATE, "leaves", "requests=%u", gate_req_count(g));
--- /dev/null
+++ b/gate_early.c
@@ -0,0 +1,61 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "libreq.h"
+
+/* Requests that come before the first configuration, and wait for it. */
+
+/* When one that came too early is to come back. */
+#define EARLY_AGAIN_NS (200 * NS_MS)
+
+static void
+on_too_early(void *ctx)
+{
+	struct gate_req *r = ctx;
+
+	r->early = false;
+	gate_answer(r, ERR_NOT_READY, RAN_NO, EARLY_AGAIN_NS);
+}
+
+void
+gate_early_wait(struct gate_req *r)
+{
+	struct gate *g = r->gate;
+
+	if (g->set.early_ms == 0) {
+		gate_answer(r, ERR_NOT_READY, RAN_NO, 0);
+		return;
+	}
+	r->early = true;
+	tmr_set(&g->tmr, &r->timer, r->began + g->set.early_ms * NS_MS,
+	    on_too_early, r);
+}
+
+/* The first configuration is here: serve what came before it. */
+void
+gate_early_admit(struct gate *g)
+{
+	GPtrArray *early = g_ptr_array_new();
+	struct gate_req *r;
+	GList *at;
+	guint i;
+
+	for (at = g->reqs.head; at != NULL; at = at->next) {
+		r = at->data;
+		if (r->early)
+			g_ptr_array_add(early, r);
+	}
+	for (i = 0; i < early->len; i++) {
+		r = g_ptr_array_index(early, i);
+		r->early = false;
+		gate_admit(r);
+	}
+	g_ptr_array_free(early, TRUE);
+}
--- a/gate_try.c
+++ b/gate_try.c
@@ -83,7 +83,7 @@
 	struct gate_req *r = req_of(d);
 
 	(void)ctx;
-	gate_req_answer(r, kind, gate_req_ran(r), after);
+	gate_answer(r, kind, gate_req_ran(r), after);
 }
 
 /* Only what may be repeated is stopped, before any of its answer came. */
@@ -103,7 +103,7 @@
 	gate_req_event(r, REQ_EV_RETRY);
 	cnt_add(r->gate->cnt, GC_STOPPED, 1);
 	if (!disp_done(s->disp, d, DISP_SLOW))
-		gate_req_answer(r, ERR_DEADLINE, RAN_UNKNOWN, 0);
+		gate_answer(r, ERR_DEADLINE, RAN_UNKNOWN, 0);
 }
 
 static void
@@ -228,7 +228,7 @@
 {
 	gate_req_event(r, REQ_EV_RETRY);
 	disp_done(r->shard->disp, &r->d, outcome);
-	gate_req_answer(r, ERR_REFUSED, gate_req_ran(r), 0);
+	gate_answer(r, ERR_REFUSED, gate_req_ran(r), 0);
 	return true;
 }
 
@@ -302,11 +302,11 @@
 	if (kind != ERR_CONNECT)
 		count_lost_try(r);
 	if (kind != ERR_CONNECT && !may_try_more(r))
-		gate_req_answer(r, kind, RAN_UNKNOWN, 0);
+		gate_answer(r, kind, RAN_UNKNOWN, 0);
 	else if ((kind == ERR_CONNECT || r->d.repeatable) && r->passes <= 2)
 		retry_home(r);
 	else
-		gate_req_answer(r, kind, gate_req_ran(r), 0);
+		gate_answer(r, kind, gate_req_ran(r), 0);
 }
 
 void
@@ -331,7 +331,7 @@
 	if (again)
 		cnt_add(r->gate->cnt, GC_RETRIES, 1);
 	else if (!r->started)
-		gate_req_answer(r, kind, gate_req_ran(r), 0);
+		gate_answer(r, kind, gate_req_ran(r), 0);
 }
 
 void
@@ -370,7 +370,7 @@
 		if (may_try_more(r))
 			retry_home(r);
 		else
-			gate_req_answer(r, ERR_CUT, gate_req_ran(r), 0);
+			gate_answer(r, ERR_CUT, gate_req_ran(r), 0);
 	}
 	g_ptr_array_free(lost, TRUE);
 }
--- a/libgate.h
+++ b/libgate.h
@@ -205,11 +205,13 @@
 void gate_req_caller(void *, h2o_req_t *);
 void gate_req_passed(void *, h2o_req_t *);
 void gate_req_tick(struct gate *, int64_t now);
-void gate_req_admit_early(struct gate *);
 void gate_req_home_lost(struct gate *, struct gate_peer *);
 unsigned gate_req_count(const struct gate *);
 extern const struct disp_ops gate_req_disp_ops;
 
+/* gate_early.c: the first configuration is here. */
+void gate_early_admit(struct gate *);
+
 /* gate_claim.c: requests with a key, claimed on the platform. */
 struct gate_claim;
 typedef void gate_claim_fn(void *, enum err_kind, bool claimed);
--- a/libreq.h
+++ b/libreq.h
@@ -37,6 +37,9 @@
 	REQ_EVENT_MAX
 };
 
+/* Gates that a request comes through before the one that must keep it. */
+enum { HOPS_MAX = 2 };
+
 extern const struct chart_names req_chart_names;
 
 /* One request in the gate, from its arrival until h2o lets go of it. */
@@ -95,11 +98,20 @@
 /* gate_req.c */
 void gate_req_event(struct gate_req *, enum req_event);
 void gate_req_route(struct gate_req *);
-void gate_req_answer(
-    struct gate_req *, enum err_kind, enum err_ran, int64_t retry_after);
+void gate_req_set_deadline(struct gate_req *);
 void gate_req_settle(struct gate_req *, bool not_run);
 enum err_ran gate_req_ran(const struct gate_req *);
 
+/* gate_admit.c: what holds for a request, by its rule or the gate before. */
+void gate_admit(struct gate_req *);
+
+/* gate_early.c: requests that wait for the first configuration. */
+void gate_early_wait(struct gate_req *);
+
+/* gate_answer.c: our own answer; retry_after in ns, 0: the kind's own. */
+void gate_answer(
+    struct gate_req *, enum err_kind, enum err_ran, int64_t retry_after);
+
 /* gate_flow.c: the request's way to the other side, and the answer's back. */
 void gate_flow_send(struct gate_req *, struct str address, bool fresh);
 void gate_flow_stop(struct gate_req *);
