--- a/gate_try.c
+++ b/gate_try.c
@@ -85,7 +85,7 @@
 	struct gate_req *r = req_of(d);
 
 	(void)ctx;
-	gate_req_answer(r, kind, gate_req_ran(r), after);
+	gate_answer(r, kind, gate_req_ran(r), after);
 }
 
 /* Only what may be repeated is stopped, before any of its answer came. */
@@ -105,7 +105,7 @@
 	gate_req_event(r, REQ_EV_RETRY);
 	cnt_add(r->gate->cnt, GC_STOPPED, 1);
 	if (!disp_done(s->disp, d, DISP_SLOW))
-		gate_req_answer(r, ERR_DEADLINE, RAN_UNKNOWN, 0);
+		gate_answer(r, ERR_DEADLINE, RAN_UNKNOWN, 0);
 }
 
 static void
@@ -230,7 +230,7 @@
 {
 	gate_req_event(r, REQ_EV_RETRY);
 	disp_done(r->shard->disp, &r->d, outcome);
-	gate_req_answer(r, ERR_REFUSED, gate_req_ran(r), REFUSED_AGAIN_NS);
+	gate_answer(r, ERR_REFUSED, gate_req_ran(r), REFUSED_AGAIN_NS);
 	return true;
 }
 
@@ -304,11 +304,11 @@
 	if (kind != ERR_CONNECT)
 		count_lost_try(r);
 	if (kind != ERR_CONNECT && !may_try_more(r))
-		gate_req_answer(r, kind, RAN_UNKNOWN, 0);
+		gate_answer(r, kind, RAN_UNKNOWN, 0);
 	else if ((kind == ERR_CONNECT || r->d.repeatable) && r->passes <= 2)
 		retry_home(r);
 	else
-		gate_req_answer(r, kind, gate_req_ran(r), 0);
+		gate_answer(r, kind, gate_req_ran(r), 0);
 }
 
 void
@@ -333,7 +333,7 @@
 	if (again)
 		cnt_add(r->gate->cnt, GC_RETRIES, 1);
 	else if (!r->started)
-		gate_req_answer(r, kind, gate_req_ran(r), 0);
+		gate_answer(r, kind, gate_req_ran(r), 0);
 }
 
 void
