The agent: messages to many boxes in agent_push.c, greetings built in one place

Hard to read: one struct and one callback served three ways of sending to many boxes, told apart by a zero and a null; the greeting was put together in four places, the list of live boxes in two.

Change: agent_push.c has a callback for each way: to all boxes, to our hall, a change to those that need it. hello_of() begins each greeting, gather() and send_gathered() serve both lists of boxes. Four prototypes and a member that nothing read are gone. Behaviour is the same.

--- a/agent_open.c
+++ b/agent_open.c
@@ -231,7 +231,7 @@
 	cnt_add(a->cnt, AC_CHANGES, 1);
 	a->targets_dirty = true;
 	a->targets_at = 0;
-	agent_peer_spread(a, e);
+	agent_push_change(a, e);
 	agent_status_soon(a);
 }
 
--- a/agent_peer.c
+++ b/agent_peer.c
@@ -14,9 +14,12 @@
 #include "libagent.h"
 #include "slog.h"
 
+/*
+ * What this box says to the others and to its gate, and what it makes of
+ * theirs: greetings, members, configuration that differs.
+ */
+
 enum {
-	PUSH_SMALL_MAX = 8192, /* bytes of an object that several push */
-	PUSH_COPIES = 4, /* watchers that push it to one box */
 	GREET_ALL_MAX = 32,
 	GOSSIP_MEMBERS = 12,
 	AWAY_ROUNDS = 3, /* one question in so many may go to another hall */
@@ -30,10 +33,6 @@
 #define GATE_SILENT_NS (4 * NS_S)
 
 static void on_hello_due(void *);
-static void send_hello(struct agent *, struct str, struct str, bool);
-static void take_hello(struct agent *, const struct msg *);
-static void take_gate(struct agent *, const struct msg *);
-static void send_members(struct agent *, int64_t);
 
 static void
 send_to(void *ctx, struct str to, const struct msg *m)
@@ -53,20 +52,29 @@
 	on_hello_due(a);
 }
 
+/* Who we are and what configuration we have. */
+static struct msg
+hello_of(const struct agent *a)
+{
+	struct msg m = {.kind = MSG_HELLO};
+
+	m.u.hello.self = *memb_self(a->memb);
+	m.u.hello.digest = conf_digest(a->conf);
+	m.u.hello.floor = conf_floor(a->conf);
+	return m;
+}
+
 static void
 send_hello(struct agent *a, struct str to, struct str box, bool asks)
 {
 	const struct memb_member *some[GOSSIP_MEMBERS];
 	struct memb_info infos[GOSSIP_MEMBERS];
-	struct msg m = {.kind = MSG_HELLO};
+	struct msg m = hello_of(a);
 	size_t i, n;
 
 	n = memb_news(a->memb, a->rnd, box, some, GOSSIP_MEMBERS);
 	for (i = 0; i < n; i++)
 		infos[i] = some[i]->info;
-	m.u.hello.self = *memb_self(a->memb);
-	m.u.hello.digest = conf_digest(a->conf);
-	m.u.hello.floor = conf_floor(a->conf);
 	m.u.hello.members = memb_count_alive(a->memb);
 	m.u.hello.asks = asks;
 	m.u.hello.others.items = infos;
@@ -80,12 +88,9 @@
 static void
 send_gate_hello(struct agent *a)
 {
-	struct msg m = {.kind = MSG_HELLO};
+	struct msg m = hello_of(a);
 
-	m.u.hello.self = *memb_self(a->memb);
-	m.u.hello.self.ready = conf_floor(a->conf) > 0;
-	m.u.hello.digest = conf_digest(a->conf);
-	m.u.hello.floor = conf_floor(a->conf);
+	m.u.hello.self.ready = m.u.hello.floor > 0;
 	wire_send(a->wire, a->set.gate_inbox, &m);
 }
 
@@ -144,9 +149,9 @@
 	    now + rnd_jitter(a->rnd, a->set.hello_ms * NS_MS), on_hello_due, a);
 }
 
+/* The boxes that are alive. */
 struct gather {
-	struct agent *agent;
-	GArray *infos;
+	GArray *infos; /* struct memb_info */
 	uint64_t hash;
 };
 
@@ -163,18 +168,48 @@
 	g->hash += XXH3_64bits_withSeed(m->info.box.p, m->info.box.n, h);
 }
 
-/* All we know of the boxes, for one that knows few. */
-static void
-send_all_members(struct agent *a, struct str to)
+static struct gather
+gather(struct agent *a)
 {
-	struct gather g = {a, NULL, 0};
-	struct msg m = {.kind = MSG_MEMBERS};
+	struct gather g = {NULL, 1};
 
 	g.infos = g_array_new(FALSE, FALSE, sizeof(struct memb_info));
 	memb_each(a->memb, gather_alive, &g);
-	m.u.members.members.items = g.infos->data;
-	m.u.members.members.n = g.infos->len;
+	return g;
+}
+
+static void
+send_gathered(struct agent *a, struct str to, const struct gather *g)
+{
+	struct msg m = {.kind = MSG_MEMBERS};
+
+	m.u.members.members.items = (struct memb_info *)g->infos->data;
+	m.u.members.members.n = g->infos->len;
 	wire_send(a->wire, to, &m);
+}
+
+/* All we know of the boxes, for one that knows few. */
+static void
+send_all_members(struct agent *a, struct str to)
+{
+	struct gather g = gather(a);
+
+	send_gathered(a, to, &g);
+	g_array_free(g.infos, TRUE);
+}
+
+/* To the gate, when they have changed and now and then. */
+static void
+send_members(struct agent *a, int64_t now)
+{
+	struct gather g = gather(a);
+
+	if (g.hash != a->members_hash ||
+	    now - a->members_sent > MEMBERS_AGAIN_NS) {
+		a->members_hash = g.hash;
+		a->members_sent = now;
+		send_gathered(a, a->set.gate_inbox, &g);
+	}
 	g_array_free(g.infos, TRUE);
 }
 
@@ -277,25 +312,6 @@
 	send_members(a, a->gate_heard);
 }
 
-static void
-send_members(struct agent *a, int64_t now)
-{
-	struct gather g = {a, NULL, 1};
-	struct msg m = {.kind = MSG_MEMBERS};
-
-	g.infos = g_array_new(FALSE, FALSE, sizeof(struct memb_info));
-	memb_each(a->memb, gather_alive, &g);
-	if (g.hash != a->members_hash ||
-	    now - a->members_sent > MEMBERS_AGAIN_NS) {
-		a->members_hash = g.hash;
-		a->members_sent = now;
-		m.u.members.members.items = g.infos->data;
-		m.u.members.members.n = g.infos->len;
-		wire_send(a->wire, a->set.gate_inbox, &m);
-	}
-	g_array_free(g.infos, TRUE);
-}
-
 void
 agent_peer_tick(struct agent *a, int64_t now)
 {
@@ -315,64 +331,6 @@
 	send_members(a, now);
 }
 
-/* A message to many boxes. */
-struct spread {
-	struct agent *agent;
-	struct msg *msg;
-	const struct conf_entry *entry;
-	unsigned share; /* one in so many gets it from us; 0: all boxes do */
-	unsigned own; /* which ones */
-};
-
-static void
-spread_to(void *ctx, const struct memb_member *m)
-{
-	struct spread *s = ctx;
-	struct agent *a = s->agent;
-
-	if (s->share == 0) {
-		wire_send(a->wire, m->info.inbox, s->msg);
-		return;
-	}
-	if (!memb_alive(m) || !str_eq(m->info.hall, a->set.hall))
-		return;
-	if (s->entry == NULL)
-		wire_send(a->wire, m->info.inbox, s->msg);
-	/* A watcher hears it from the platform. */
-	else if (!agent_watches(a, &m->info) &&
-	    memb_weight(STR_LIT("push"), m->info.box) % s->share == s->own)
-		sync_push(&a->sync, m->info.inbox, s->entry);
-}
-
-static size_t
-size_of(const struct conf_entry *e)
-{
-	return e->spec == NULL ? 0 : json_dumpb(e->spec, NULL, 0, JSON_COMPACT);
-}
-
-/*
- * A change that the platform told us goes out at once to the boxes of our
- * hall that do not watch; other halls have watchers of their own.  What is
- * small reaches each box from several watchers, so that one that is cut off
- * is not missed; what is large comes from one, and digests heal the rest.
- */
-void
-agent_peer_spread(struct agent *a, const struct conf_entry *e)
-{
-	struct spread s = {a, NULL, e, 1, 0};
-
-	sync_push(&a->sync, a->set.gate_inbox, e);
-	if (!a->from_platform)
-		return;
-	s.share = (unsigned)a->set.watchers;
-	if (size_of(e) <= PUSH_SMALL_MAX)
-		s.share = MAX(s.share / PUSH_COPIES, 1);
-	s.own = (unsigned)memb_rank_seeing(a->memb, memb_self(a->memb),
-		    STR_LIT("watch"), a->set.hall) %
-	    s.share;
-	memb_each(a->memb, spread_to, &s);
-}
-
 static void
 greet(void *ctx, const struct memb_member *m)
 {
@@ -413,41 +371,28 @@
 void
 agent_peer_blind(struct agent *a, bool blind)
 {
-	struct msg m = {.kind = MSG_HELLO};
-	struct spread s = {a, &m, NULL, 1, 0};
 	struct memb_info *self = memb_self(a->memb);
+	struct msg m;
 
 	self->blind = blind;
 	self->beat++;
-	m.u.hello.self = *self;
-	m.u.hello.digest = conf_digest(a->conf);
-	m.u.hello.floor = conf_floor(a->conf);
+	m = hello_of(a);
 	m.u.hello.members = memb_count_alive(a->memb);
-	memb_each(a->memb, spread_to, &s);
-}
-
-void
-agent_peer_all(struct agent *a, struct msg *m)
-{
-	struct spread s = {a, m, NULL, 0, 0};
-
-	memb_each(a->memb, spread_to, &s);
+	agent_push_hall(a, &m);
 }
 
 void
 agent_peer_leave(struct agent *a)
 {
-	struct msg m = {.kind = MSG_HELLO};
 	struct memb_info *self = memb_self(a->memb);
+	struct msg m;
 
 	slog(SLOG_PEER, "tells the other boxes that this one leaves",
 	    "boxes=%zu", memb_count_alive(a->memb));
 	self->leaving = true;
 	self->beat++;
-	m.u.hello.self = *self;
-	m.u.hello.digest = conf_digest(a->conf);
-	m.u.hello.floor = conf_floor(a->conf);
-	agent_peer_all(a, &m);
+	m = hello_of(a);
+	agent_push_all(a, &m);
 	agent_status_soon(a);
 }
 
--- a/agent_probe.c
+++ b/agent_probe.c
@@ -154,7 +154,7 @@
 	m.u.health.states.n = 1;
 	wire_send(a->wire, a->set.gate_inbox, &m);
 	if (all)
-		agent_peer_all(a, &m);
+		agent_push_all(a, &m);
 }
 
 static void
--- a/libagent.h
+++ b/libagent.h
@@ -173,13 +173,16 @@
 void agent_peer_open(struct agent *);
 void agent_peer_take(void *, const struct msg *);
 void agent_peer_tick(struct agent *, int64_t now);
-void agent_peer_spread(struct agent *, const struct conf_entry *);
-void agent_peer_all(struct agent *, struct msg *);
 void agent_peer_leave(struct agent *);
 void agent_peer_greet(struct agent *);
 void agent_peer_tell_gate(struct agent *);
 void agent_peer_blind(struct agent *, bool blind);
 
+/* agent_push.c: messages to many boxes. */
+void agent_push_all(struct agent *, struct msg *);
+void agent_push_hall(struct agent *, struct msg *);
+void agent_push_change(struct agent *, const struct conf_entry *);
+
 /* agent_probe.c: probes of backend servers, and what others found. */
 void agent_probe_open(struct agent *);
 void agent_probe_tick(struct agent *, int64_t now);
