Block comments that say what a file is for

Hard to read: twenty files, most of them changed or added of late, had no word on their job at their head.

Change: each of them says it in a sentence. No code is changed.

--- a/agent_open.c
+++ b/agent_open.c
@@ -14,6 +14,11 @@
 #include "set.h"
 #include "slog.h"
 
+/*
+ * The agent's settings, its start and its end, and the tick that all its parts
+ * share.
+ */
+
 enum { LEAVE_MS = 300, ADMIN_BODY_MAX = 4096, POWER_UNIT = 1000 };
 /* Between two looks, with probes to start or without. */
 #define TICK_NS (100 * NS_MS)
--- a/agent_probe.c
+++ b/agent_probe.c
@@ -13,6 +13,11 @@
 #include "libagent.h"
 #include "slog.h"
 
+/*
+ * Probes of backend servers, what other boxes found, and what of both is told
+ * on.
+ */
+
 #define TARGETS_NS (1 * NS_S)
 #define HEALTH_AGAIN_NS (10 * NS_S)
 #define PROBE_TIMEOUT_NS (1 * NS_S)
--- a/agent_stat.c
+++ b/agent_stat.c
@@ -10,6 +10,8 @@
  */
 #include "libagent.h"
 
+/* The agent's counters and its admin page. */
+
 static const struct cnt_desc descs[AC_MAX] = {
     [AC_PLATFORM_CALLS] = {"fern_platform_calls_total",
 	"Calls to the platform, a waiting watch as one.", CNT_COUNTER},
--- a/daemon.c
+++ b/daemon.c
@@ -18,6 +18,8 @@
 #include "set.h"
 #include "slog.h"
 
+/* The main of a daemon, from its command line to its exit status. */
+
 enum { ERRORS_MAX = 8 };
 
 /* What the command line says. */
--- a/dial.c
+++ b/dial.c
@@ -12,6 +12,8 @@
 
 #include "dial.h"
 
+/* What callers and backend servers say by headers, in our own dialect. */
+
 enum { PACE_USUAL = 100 };
 
 static bool refused(int, const h2o_header_t *, size_t);
--- a/disp_pass.c
+++ b/disp_pass.c
@@ -10,6 +10,11 @@
  */
 #include "libdisp.h"
 
+/*
+ * Other halls: what their homes told of their room, and what is passed to
+ * them.
+ */
+
 /* Passing to another hall must spare at least this much waiting. */
 #define PASS_GAIN_NS (3 * NS_MS)
 
--- a/disp_set.c
+++ b/disp_set.c
@@ -10,6 +10,11 @@
  */
 #include "libdisp.h"
 
+/*
+ * The shard's backend servers, as configuration, probes and they themselves
+ * tell.
+ */
+
 /* Those so many times as slow as the fastest say nothing of the rest. */
 enum { FAR_FACTOR = 4 };
 
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -13,6 +13,8 @@
 #include "libgate.h"
 #include "slog.h"
 
+/* Configuration in force, and what is built of it: routes, shards, limits. */
+
 /* Changes that come together lead to one new table. */
 #define REBUILD_NS (2 * NS_MS)
 
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -14,6 +14,11 @@
 #include "libreq.h"
 #include "slog.h"
 
+/*
+ * The way of a request to the other side, and of the answer back to its
+ * caller.
+ */
+
 enum {
 	BUFFER_MAX = 256 * 1024, /* of an answer, between both sides */
 	HEADERS_MAX = 128,
--- a/gate_home.c
+++ b/gate_home.c
@@ -13,6 +13,8 @@
 #include "libgate.h"
 #include "slog.h"
 
+/* Which gate is home for a shard, and what homes tell one another. */
+
 /* And left, for so long, if it does not answer a ping. */
 #define SUSPECT_NS (2 * NS_S)
 /* What has not changed is told again after this time. */
--- a/gate_open.c
+++ b/gate_open.c
@@ -14,6 +14,8 @@
 #include "set.h"
 #include "slog.h"
 
+/* The gate's settings and its start, and the tick that all its parts share. */
+
 enum { ADMIN_BODY_MAX = 4096 };
 
 /* Between two looks at the dispatchers: with requests held, out, or none. */
--- a/gate_pass.c
+++ b/gate_pass.c
@@ -12,6 +12,8 @@
 
 #include "libreq.h"
 
+/* The header that a gate sends with a request that it passes on. */
+
 enum { FIELDS = 10, TEXT_MAX = 256 };
 
 /* Numbers divided by blanks, and the service's name last. */
--- a/gate_stat.c
+++ b/gate_stat.c
@@ -13,6 +13,8 @@
 #include "libgate.h"
 #include "slog.h"
 
+/* The gate's counters and its admin pages. */
+
 static void page_metrics(struct gate *, h2o_req_t *);
 static void page_ready(struct gate *, h2o_req_t *);
 static void page_backends(struct gate *, h2o_req_t *);
--- a/hsrv.c
+++ b/hsrv.c
@@ -13,6 +13,11 @@
 #include "field.h"
 #include "hsrv.h"
 
+/*
+ * The HTTP server, on h2o: requests to a function, its bounds, its own
+ * refusals.
+ */
+
 enum { BACKLOG = 1024 };
 
 struct handler {
--- a/pick.c
+++ b/pick.c
@@ -12,6 +12,11 @@
 
 #include "pick.h"
 
+/*
+ * What answers, refusals and time make of a backend server, and how many slots
+ * of it are free.
+ */
+
 #define EJECT_FIRST_NS (1 * NS_S)
 #define EJECT_LAST_NS (30 * NS_S)
 /* A backend server that refused has no slot for this long, then doubled. */
--- a/pick_naive.c
+++ b/pick_naive.c
@@ -10,6 +10,8 @@
  */
 #include "pick.h"
 
+/* Round robin, to compare with. */
+
 static int choose(const struct pick_set *, const struct pick_want *, int64_t,
     const struct rnd *);
 
--- a/plat.c
+++ b/plat.c
@@ -12,6 +12,8 @@
 #include "plat.h"
 #include "platform/platform.h"
 
+/* The forms in which the platform is told, by name. */
+
 extern const struct plat_codec plat_fern_codec;
 
 static const char *const result_names[] = {
--- a/plat_http.c
+++ b/plat_http.c
@@ -14,6 +14,8 @@
 #include "tmr.h"
 #include "up.h"
 
+/* Calls to the platform over HTTP, page by page, whatever its form. */
+
 enum { ANSWER_MAX = 64 << 20, TIMEOUT_MS = 2000 };
 #define CONNECT_NS (1 * NS_S)
 
--- a/reload.c
+++ b/reload.c
@@ -12,6 +12,8 @@
 
 #include "reload.h"
 
+/* Looks whether a settings file is to be read anew. */
+
 /* Soon enough for an operator, and cheap: one stat. */
 #define LOOK_NS (2 * NS_S)
 
--- a/wire_zmq.c
+++ b/wire_zmq.c
@@ -14,6 +14,8 @@
 #include "wire.h"
 #include "slog.h"
 
+/* Messages between inboxes: over ZeroMQ, or in memory within one process. */
+
 enum {
 	QUEUE_MAX = 1000, /* messages waiting for one peer */
 	INBOX_MAX = 10000,
