--- a/agent_open.c
+++ b/agent_open.c
@@ -14,6 +14,11 @@
 #include "set.h"
 #include "slog.h"
 
+/*
+ * The agent's settings, its start and its end, and the tick that all its parts
+ * share.
+ */
+
 enum { LEAVE_MS = 300, ADMIN_BODY_MAX = 4096, POWER_UNIT = 1000 };
 /* Between two looks, with probes to start or without. */
 #define TICK_NS (100 * NS_MS)
@@ -231,7 +236,7 @@
 	cnt_add(a->cnt, AC_CHANGES, 1);
 	a->targets_dirty = true;
 	a->targets_at = 0;
-	agent_peer_spread(a, e);
+	agent_push_change(a, e);
 	agent_status_soon(a);
 }
 
--- a/agent_probe.c
+++ b/agent_probe.c
@@ -13,6 +13,11 @@
 #include "libagent.h"
 #include "slog.h"
 
+/*
+ * Probes of backend servers, what other boxes found, and what of both is told
+ * on.
+ */
+
 #define TARGETS_NS (1 * NS_S)
 #define HEALTH_AGAIN_NS (10 * NS_S)
 #define PROBE_TIMEOUT_NS (1 * NS_S)
@@ -154,7 +159,7 @@
 	m.u.health.states.n = 1;
 	wire_send(a->wire, a->set.gate_inbox, &m);
 	if (all)
-		agent_peer_all(a, &m);
+		agent_push_all(a, &m);
 }
 
 static void
