Only where configuration is one object does a gate wait for a rule

Cause: Config.ABoxWithoutPlatformAndPeersIsNotReady failed each time since a gate waits for a rule: its fleet has backend servers and no rule, which is a configuration there; on the users' platform it says that none has been written.

Change: the form says which (waits_for_rules). The test passes unchanged, and Box.EarlyRequestsWaitForTheFirstConfiguration with it.

--- a/gate_conf.c
+++ b/gate_conf.c
@@ -304,7 +304,8 @@
 		    m->u.hello.self.ready) {
 			rebuild_now(g);
 			/* Without a rule each request would get a 404. */
-			if (route_rules(g->routes) > 0)
+			if (!g->form->waits_for_rules ||
+			    route_rules(g->routes) > 0)
 				gate_box_configured(g);
 		}
 		gate_conf_report(g);
--- a/plat.c
+++ b/plat.c
@@ -23,7 +23,7 @@
     "backend,service,rule,listener,bundle", NULL};
 
 static const struct plat_form fern_form = {
-    "fern", &plat_fern_codec, &dial_fern, fern_feeds, NULL};
+    "fern", &plat_fern_codec, &dial_fern, fern_feeds, false, NULL};
 
 static const struct plat_form *const forms[] = {&fern_form, &platform_form};
 
--- a/plat.h
+++ b/plat.h
@@ -133,6 +133,11 @@
 	/* Kinds of configuration; each entry is listed and watched by itself.
 	 */
 	const char *const *feeds;
+	/*
+	 * Its configuration is one object: none has been written yet as long
+	 * as there is no rule.  Elsewhere no rule is a configuration as well.
+	 */
+	bool waits_for_rules;
 	/* Read the platform's bounds from a setting's text; NULL: none. */
 	void (*bounds)(struct str, struct plat_bounds *);
 };
