Nothing is passed to a hall that cannot serve it

Cause, from the logs of both gates (FERN_KEEP now keeps decision lines): a home that held nothing but whose backend servers all drained told 'free 0, waiting 0', which reads as a short queue; a home with a queue passed it a request that had come through two gates by then, and that could not be passed on. Ruled out: probes (all said up), ejection (never of the only one in use).

Change: homes tell the slots that may be used, and a hall without any is not passed to for its short queue. Where it loses its last one while a request is under way, the gate that passed it takes it back.

Test: Disp.NothingIsPassedToAHallThatCannotServeIt, failed before.

--- a/disp.h
+++ b/disp.h
@@ -94,6 +94,13 @@
 	void *ctx;
 };
 
+/* What a shard can take, as homes tell each other. */
+struct disp_room {
+	int slots; /* of the backend servers that may be used, taken or free */
+	int free; /* of these, the free ones */
+	int waiting; /* requests that are held */
+};
+
 struct disp_params {
 	const struct pick_policy *policy;
 	const struct chart *chart;
@@ -167,10 +174,10 @@
 void disp_hall(struct disp *, struct str hall, int slots);
 
 /* Another hall's home tells its room. */
-void disp_remote(struct disp *, struct str hall, int free, int waiting);
+void disp_remote(struct disp *, struct str hall, const struct disp_room *);
 
 /* Free slots and requests held, for other homes. */
-void disp_room(const struct disp *, int *free, int *waiting);
+struct disp_room disp_room_of(const struct disp *);
 
 unsigned disp_inflight(const struct disp *);
 
--- a/disp_pass.c
+++ b/disp_pass.c
@@ -42,7 +42,7 @@
 has_room(const struct disp_remote_hall *m, int64_t now)
 {
 	return m->told != 0 && now - m->told <= REMOTE_FRESH_NS &&
-	    m->waiting == 0 && m->free > REMOTE_SPARE;
+	    m->room.waiting == 0 && m->room.free > REMOTE_SPARE;
 }
 
 bool
@@ -77,12 +77,12 @@
 		m = &g_array_index(d->remotes, struct disp_remote_hall, i);
 		if (m->slots == 0 || (!must && !has_room(m, now)))
 			continue;
-		if (best == NULL || m->free > best->free)
+		if (best == NULL || m->room.free > best->room.free)
 			best = m;
 	}
 	if (best == NULL)
 		return false;
-	best->free--;
+	best->room.free--;
 	d->ops.pass(d->ops.ctx, r, best->hall);
 	return true;
 }
@@ -103,10 +103,10 @@
 		return false;
 	for (i = 0; i < d->remotes->len; i++) {
 		m = &g_array_index(d->remotes, struct disp_remote_hall, i);
-		if (m->slots == 0 || m->told == 0 ||
+		if (m->slots == 0 || m->told == 0 || m->room.slots == 0 ||
 		    now - m->told > REMOTE_FRESH_NS)
 			continue;
-		there = usual * (m->waiting + 1) / m->slots;
+		there = usual * (m->room.waiting + 1) / m->room.slots;
 		if (there >= best_wait)
 			continue;
 		best_wait = there;
@@ -114,7 +114,7 @@
 	}
 	if (best == NULL)
 		return false;
-	best->waiting++;
+	best->room.waiting++;
 	d->ops.pass(d->ops.ctx, r, best->hall);
 	return true;
 }
@@ -126,12 +126,11 @@
 }
 
 void
-disp_remote(struct disp *d, struct str hall, int free, int waiting)
+disp_remote(struct disp *d, struct str hall, const struct disp_room *room)
 {
 	struct disp_remote_hall *m = remote_of(d, hall);
 
-	m->free = free;
-	m->waiting = waiting;
+	m->room = *room;
 	m->told = clk_ns(d->clk);
 	disp_serve(d);
 }
--- a/disp_set.c
+++ b/disp_set.c
@@ -210,18 +210,23 @@
 	pick_drain(b, d->params.chart, true);
 }
 
-void
-disp_room(const struct disp *d, int *free, int *waiting)
+struct disp_room
+disp_room_of(const struct disp *d)
 {
 	int64_t now = clk_ns(d->clk);
+	const struct pick_backend *b;
+	struct disp_room room = {0};
 	guint i;
 
-	*free = 0;
-	*waiting = 0;
-	for (i = 0; i < d->backends->len; i++)
-		*free += pick_free(g_ptr_array_index(d->backends, i), now);
+	for (i = 0; i < d->backends->len; i++) {
+		b = g_ptr_array_index(d->backends, i);
+		room.free += pick_free(b, now);
+		if (pick_usable(b, now))
+			room.slots += b->slots;
+	}
 	for (i = 0; i < QUEUES; i++)
-		*waiting += (int)d->queues[i].n;
+		room.waiting += (int)d->queues[i].n;
+	return room;
 }
 
 unsigned
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -112,16 +112,14 @@
 	struct gate *g = ctx;
 	struct gate_shard *s = value;
 	const struct route_service *svc = route_service(g->routes, s->service);
-	int free, waiting;
 
 	(void)key;
-	disp_room(s->disp, &free, &waiting);
 	if (svc != NULL) {
 		shard_update(g, s, svc);
 		return FALSE;
 	}
 	disp_backends(s->disp, NULL, 0);
-	return disp_inflight(s->disp) == 0 && waiting == 0;
+	return disp_inflight(s->disp) == 0 && disp_room_of(s->disp).waiting == 0;
 }
 
 /* Where each box decides alone, its shard has the backends of all halls. */
--- a/gate_home.c
+++ b/gate_home.c
@@ -244,24 +244,24 @@
 	const struct route_service *svc = route_service(g->routes, s->service);
 	struct msg m = {.kind = MSG_SUMMARY};
 	struct gate_peer *p;
-	int free, waiting;
+	struct disp_room room;
 	unsigned i;
 	bool self;
 
 	if (svc == NULL || svc->nhalls < 2 || !s->home ||
 	    now - s->told_at < g->set.summary_ms * NS_MS)
 		return;
-	disp_room(s->disp, &free, &waiting);
-	if (free == s->told_free && waiting == s->told_waiting &&
+	room = disp_room_of(s->disp);
+	if (memcmp(&room, &s->told, sizeof(room)) == 0 &&
 	    now - s->told_at < TELL_AGAIN_NS)
 		return;
-	s->told_free = free;
-	s->told_waiting = waiting;
+	s->told = room;
 	s->told_at = now;
 	m.u.summary.service = s->service;
 	m.u.summary.hall = s->hall;
-	m.u.summary.free = (uint64_t)free;
-	m.u.summary.waiting = (uint64_t)waiting;
+	m.u.summary.slots = (uint64_t)room.slots;
+	m.u.summary.free = (uint64_t)room.free;
+	m.u.summary.waiting = (uint64_t)room.waiting;
 	for (i = 0; i < svc->nhalls; i++) {
 		if (str_eq(svc->halls[i].hall, s->hall))
 			continue;
@@ -276,6 +276,8 @@
 void
 gate_home_summary(struct gate *g, const struct msg_summary *sum)
 {
+	struct disp_room room = {
+	    (int)sum->slots, (int)sum->free, (int)sum->waiting};
 	struct gate_shard *s;
 	GHashTableIter it;
 	gpointer value;
@@ -285,8 +287,7 @@
 		s = value;
 		if (str_eq(s->service, sum->service) &&
 		    !str_eq(s->hall, sum->hall))
-			disp_remote(s->disp, sum->hall, (int)sum->free,
-			    (int)sum->waiting);
+			disp_remote(s->disp, sum->hall, &room);
 	}
 }
 
--- a/gate_open.c
+++ b/gate_open.c
@@ -264,15 +264,13 @@
 	struct gate_shard *s;
 	GHashTableIter it;
 	gpointer value;
-	int free, waiting;
 
 	if (gate_req_count(g) == 0)
 		return gate_box_leaving(g) ? TICK_BUSY_NS : TICK_IDLE_NS;
 	g_hash_table_iter_init(&it, g->shards);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		s = value;
-		disp_room(s->disp, &free, &waiting);
-		if (waiting > 0)
+		if (disp_room_of(s->disp).waiting > 0)
 			return TICK_HELD_NS;
 	}
 	return TICK_BUSY_NS;
--- a/gate_try.c
+++ b/gate_try.c
@@ -183,6 +183,17 @@
 	return false;
 }
 
+/* Another hall has nothing that can be used, but this one has by now. */
+static bool
+serves_better_here(
+    const struct gate_req *r, const h2o_header_t *headers, size_t n)
+{
+	struct str name = dial_header(headers, n, STR_LIT("fern-error"));
+
+	return err_by_name(name) == ERR_NO_BACKEND && r->shard != NULL &&
+	    disp_usable(r->shard->disp) > 0;
+}
+
 static bool
 retry_home(struct gate_req *r)
 {
@@ -212,7 +223,9 @@
 {
 	enum disp_outcome outcome = outcome_of(r, status, headers, n);
 
-	if (!home_declined(headers, n) || r->passes > 2) {
+	if ((!home_declined(headers, n) &&
+		!serves_better_here(r, headers, n)) ||
+	    r->passes > 2) {
 		r->maybe_ran = r->maybe_ran || outcome != DISP_REFUSED;
 		r->refused = !r->maybe_ran;
 		return false;
--- a/libdisp.h
+++ b/libdisp.h
@@ -25,7 +25,7 @@
 struct disp_remote_hall {
 	struct str hall;
 	int slots; /* by configuration */
-	int free, waiting;
+	struct disp_room room;
 	int64_t told; /* 0: never */
 };
 
--- a/libgate.h
+++ b/libgate.h
@@ -119,7 +119,7 @@
 	struct str service;
 	struct str hall;
 	struct disp *disp;
-	int told_free, told_waiting; /* in the last summary */
+	struct disp_room told; /* in the last summary */
 	int64_t told_at;
 	bool home; /* we take ourselves for its home */
 };
--- a/regress/fleet.cpp
+++ b/regress/fleet.cpp
@@ -390,8 +390,10 @@
 	b.gate.argv = {root() + "/ferngate"};
 	b.agent_process.argv = {root() + "/fernagent"};
 	if (options.quiet) {
-		b.gate.argv.push_back("--quiet");
-		b.agent_process.argv.push_back("--quiet");
+		if (getenv("FERN_KEEP") == nullptr) {
+			b.gate.argv.push_back("--quiet");
+			b.agent_process.argv.push_back("--quiet");
+		}
 	}
 	b.gate.argv.push_back(gate);
 	b.agent_process.argv.push_back(agent);
--- a/regress/test_disp.cpp
+++ b/regress/test_disp.cpp
@@ -730,7 +730,8 @@
 		q.d.may_pass = true;
 	w.arrive(&r[1]);
 	EXPECT_TRUE(r[1].d.held); /* nothing is known of the other hall */
-	disp_remote(w.disp, STR_LIT("south"), 4, 0);
+	struct disp_room room = {6, 4, 0};
+	disp_remote(w.disp, STR_LIT("south"), &room);
 	EXPECT_TRUE(r[1].passed);
 	w.arrive(&r[2]);
 	w.arrive(&r[3]);
@@ -742,6 +743,33 @@
 	w.done(&r[0], DISP_GONE);
 }
 
+/* A hall whose backend servers all drain holds nothing and has no room. */
+TEST(Disp, NothingIsPassedToAHallThatCannotServeIt)
+{
+	World w;
+	std::vector<Req> r(12);
+	struct disp_room none = {0, 0, 0}, some = {6, 0, 0};
+
+	w.backends(1, 1);
+	w.warm(1);
+	disp_hall(w.disp, STR_LIT("south"), 6);
+	disp_remote(w.disp, STR_LIT("south"), &none);
+	for (auto &q : r) {
+		q.d.may_pass = true;
+		w.arrive(&q);
+		EXPECT_FALSE(q.passed);
+	}
+	disp_remote(w.disp, STR_LIT("south"), &some);
+	Req late;
+	late.d.may_pass = true;
+	w.arrive(&late);
+	EXPECT_TRUE(late.passed);
+	for (auto &q : r)
+		if (q.d.held)
+			disp_forget(w.disp, &q.d);
+	w.done(&r[0], DISP_GONE);
+}
+
 namespace
 {
 
