One configuration in a box, changes go out together, strong boxes watch first

Each change was written as text for each of some twenty receivers and for the own gate, which read, checked and hashed it again; both halves rebuilt their routes.

Change: gate and agent of fernbox share one configuration with two listeners; the changes of one turn of the loop are written once and go out in messages of up to 128 objects; boxes with at least half the power of the hall's strongest watch first, and large objects are pushed by these only; in an outage one feed asks for the other. Ruled out: less gathering, more watchers (more calls, and weak boxes are the slow ones).

--- a/agent_open.c
+++ b/agent_open.c
@@ -207,7 +207,10 @@
 	a->plat = plat_http_open(
 	    a->up, &a->tmr, a->clk, a->set.platform, a->form->codec);
 	a->cnt = agent_stat_open();
-	a->conf = conf_new(on_conf_changed, a);
+	a->shares_conf = a->conf != NULL;
+	if (!a->shares_conf)
+		a->conf = conf_new(NULL, NULL);
+	conf_listen(a->conf, on_conf_changed, a);
 	a->memb = memb_new(&self);
 	a->wire = wire_open(a->loop, a->set.inbox, agent_peer_take, a, err);
 	if (a->wire == NULL)
@@ -219,6 +222,7 @@
 			return false;
 	}
 	agent_lapse_open(a);
+	agent_push_open(a);
 	agent_probe_open(a);
 	agent_peer_open(a);
 	agent_watch_open(a);
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -62,6 +62,17 @@
 	return rnd_jitter(a->rnd, MIN(ns, a->set.retry_ms * NS_MS));
 }
 
+/* The feeds that were left to the first one's calls go on. */
+static void
+resume_feeds(struct agent *a)
+{
+	unsigned i;
+
+	for (i = 1; i < a->nfeeds; i++)
+		if (a->feeds[i].call == NULL && !a->feeds[i].timer.set)
+			watch_soon(&a->feeds[i], 0);
+}
+
 static void
 note_result(struct agent *a, enum plat_result result)
 {
@@ -79,14 +90,32 @@
 	if (up != a->platform_up)
 		agent_peer_blind(a, !up);
 	a->platform_up = up;
+	if (up)
+		resume_feeds(a);
+}
+
+/*
+ * While the platform is away, the first feed's calls find out when it is
+ * back; each call has its price, a refused one too.
+ */
+static bool
+waits_for_first(const struct agent_feed *f)
+{
+	const struct agent *a = f->agent;
+
+	return !a->platform_up && f != &a->feeds[0] &&
+	    a->feeds[0].listed_at == 0;
 }
 
-/* Is a box one of its hall's that watch the platform? */
+/*
+ * Is a box one of its hall's that watch the platform?  The strong ones come
+ * first: they read and hand on a list while a weak one still parses it.
+ */
 bool
 agent_watches(struct agent *a, const struct memb_info *box)
 {
-	return memb_ranks_first(
-	    a->memb, box, STR_LIT("watch"), box->hall, (int)a->set.watchers);
+	return memb_ranks_first(a->memb, box, STR_LIT("watch"), box->hall,
+	    (int)a->set.watchers, true);
 }
 
 bool
@@ -193,7 +222,7 @@
 	bool watcher = agent_is_watcher(a);
 
 	cnt_set(a->cnt, AC_WATCHING, watcher);
-	if (f->call != NULL || a->leaving)
+	if (f->call != NULL || a->leaving || waits_for_first(f))
 		return;
 	if (!watcher && conf_floor(a->conf) > 0) {
 		f->listed_at = 0;
--- a/conf.c
+++ b/conf.c
@@ -14,14 +14,19 @@
 #include "conf.h"
 #include "err.h"
 
+struct listener {
+	conf_changed_fn *changed;
+	void *ctx;
+};
+
 struct conf {
 	GHashTable *entries; /* char * key to struct conf_entry * */
 	uint64_t buckets[CONF_BUCKETS];
 	uint64_t digest;
 	uint64_t floor;
 	size_t live;
-	conf_changed_fn *changed;
-	void *ctx;
+	struct listener listeners[CONF_LISTENERS];
+	unsigned nlisteners;
 };
 
 static void entry_free(void *);
@@ -64,11 +69,18 @@
 
 	c->entries =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, entry_free);
-	c->changed = changed;
-	c->ctx = ctx;
+	if (changed != NULL)
+		conf_listen(c, changed, ctx);
 	return c;
 }
 
+void
+conf_listen(struct conf *c, conf_changed_fn *changed, void *ctx)
+{
+	g_assert(c->nlisteners < CONF_LISTENERS);
+	c->listeners[c->nlisteners++] = (struct listener){changed, ctx};
+}
+
 void
 conf_free(struct conf *c)
 {
@@ -170,6 +182,7 @@
     json_t *spec, struct obj *obj, struct str source)
 {
 	bool was = e->version > 0 && !e->deleted;
+	unsigned i;
 
 	json_decref(e->spec);
 	obj_free(e->obj);
@@ -183,8 +196,8 @@
 		clear_bad(e);
 	c->live += (size_t)!deleted - (size_t)was;
 	rehash(c, e);
-	if (c->changed != NULL)
-		c->changed(c->ctx, e);
+	for (i = 0; i < c->nlisteners; i++)
+		c->listeners[i].changed(c->listeners[i].ctx, e);
 }
 
 static enum conf_result
--- a/conf.h
+++ b/conf.h
@@ -32,7 +32,7 @@
  * No I/O is done here; changes go out through a callback.
  */
 
-enum { CONF_BUCKETS = 64 };
+enum { CONF_BUCKETS = 64, CONF_LISTENERS = 2 };
 
 struct conf_entry {
 	struct str key; /* "kind/name" */
@@ -57,7 +57,11 @@
 
 struct conf;
 
+/* The callback, if not NULL, is the first listener. */
 struct conf *conf_new(conf_changed_fn *, void *);
+
+/* Tell changes to one more listener, CONF_LISTENERS at most. */
+void conf_listen(struct conf *, conf_changed_fn *, void *);
 void conf_free(struct conf *);
 
 /*
--- a/fernbox.c
+++ b/fernbox.c
@@ -36,6 +36,8 @@
 {
 	struct box *b = ctx;
 
+	/* One configuration for both, which halves what a change costs. */
+	b->gate.conf = b->agent.conf = conf_new(NULL, NULL);
 	return gate_open(&b->gate, err) && agent_open(&b->agent, err);
 }
 
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -35,7 +35,9 @@
 gate_conf_open(struct gate *g, GError **err)
 {
 	(void)err;
-	g->conf = conf_new(on_changed, g);
+	if (g->conf == NULL)
+		g->conf = conf_new(NULL, NULL);
+	conf_listen(g->conf, on_changed, g);
 	g->sync.conf = g->conf;
 	g->sync.send = send_to;
 	g->sync.ctx = g;
@@ -119,7 +121,8 @@
 		return FALSE;
 	}
 	disp_backends(s->disp, NULL, 0);
-	return disp_inflight(s->disp) == 0 && disp_room_of(s->disp).waiting == 0;
+	return disp_inflight(s->disp) == 0 &&
+	    disp_room_of(s->disp).waiting == 0;
 }
 
 /* Where each box decides alone, its shard has the backends of all halls. */
--- a/libagent.h
+++ b/libagent.h
@@ -104,7 +104,8 @@
 	struct plat *plat;
 	const struct plat_form *form;
 	struct limit plat_budget;
-	struct conf *conf;
+	struct conf *conf; /* set before agent_open(): the gate's too */
+	bool shares_conf;
 	struct sync sync;
 	struct memb *memb;
 	struct probe *probe;
@@ -124,6 +125,9 @@
 	bool platform_up;
 	int64_t platform_back; /* it answered again after an outage; 0: never */
 	GHashTable *lapses; /* char * key to struct agent_lapse * */
+	/* agent_push.c */
+	struct tmr_item push_timer;
+	GHashTable *unsent; /* char * key to whether the platform told it */
 	/* agent_peer.c */
 	struct tmr_item hello_timer;
 	unsigned rounds;
@@ -179,6 +183,7 @@
 void agent_peer_blind(struct agent *, bool blind);
 
 /* agent_push.c: messages to many boxes. */
+void agent_push_open(struct agent *);
 void agent_push_all(struct agent *, struct msg *);
 void agent_push_hall(struct agent *, struct msg *);
 void agent_push_change(struct agent *, const struct conf_entry *);
--- a/libgate.h
+++ b/libgate.h
@@ -142,7 +142,7 @@
 	const struct plat_form *form;
 	const struct dial *dial;
 	struct plat_bounds bounds;
-	struct conf *conf;
+	struct conf *conf; /* set before gate_open(): the agent's too */
 	struct sync sync;
 	struct cnt *cnt;
 	struct chart *chart_backend, *chart_request, *chart_box;
--- a/memb.c
+++ b/memb.c
@@ -15,6 +15,8 @@
 
 /* One question in so many goes to a box that is dead or only listed. */
 enum { ASK_LOST_ONE_IN = 6 };
+/* A box with so small a part of the greatest power does not count as strong. */
+enum { POWER_RATIO = 2 };
 
 struct memb {
 	struct memb_info self;
@@ -323,7 +325,7 @@
 bool
 memb_is_first(const struct memb *mb, struct str key, struct str hall, int k)
 {
-	return memb_ranks_first(mb, &mb->self, key, hall, k);
+	return memb_ranks_first(mb, &mb->self, key, hall, k, false);
 }
 
 /* Those that come before a box in a ranking, and all that are in it. */
@@ -331,41 +333,75 @@
 	const struct memb_info *who;
 	struct str key, hall;
 	bool seeing; /* only those that the platform answers */
+	bool by_power; /* the powerful ones first */
+	uint64_t strong; /* so much power counts as powerful */
 	uint64_t own;
-	int before, all;
+	int before, all, nstrong;
 };
 
+typedef void rank_fn(struct ranking *, const struct memb_info *);
+
+static bool
+is_ranked(const struct ranking *rk, const struct memb_info *info)
+{
+	return !info->leaving && !(rk->seeing && info->blind) &&
+	    (rk->hall.n == 0 || str_eq(rk->hall, info->hall));
+}
+
+static void
+find_strong(struct ranking *rk, const struct memb_info *info)
+{
+	rk->strong = MAX(rk->strong, info->power / POWER_RATIO);
+}
+
+static bool
+comes_before(const struct ranking *rk, const struct memb_info *info)
+{
+	bool strong = info->power >= rk->strong;
+
+	if (rk->by_power && strong != (rk->who->power >= rk->strong))
+		return strong;
+	return memb_weight(rk->key, info->box) > rk->own;
+}
+
 static void
 rank(struct ranking *rk, const struct memb_info *info)
 {
-	if (info->leaving || (rk->seeing && info->blind) ||
-	    (rk->hall.n > 0 && !str_eq(rk->hall, info->hall)))
-		return;
 	rk->all++;
-	if (info != rk->who && memb_weight(rk->key, info->box) > rk->own)
-		rk->before++;
+	rk->nstrong += info->power >= rk->strong;
+	rk->before += info != rk->who && comes_before(rk, info);
 }
 
 static void
-rank_all(const struct memb *mb, struct ranking *rk)
+rank_each(const struct memb *mb, struct ranking *rk, rank_fn *fn)
 {
 	const struct memb_member *m;
 	guint i;
 
-	rk->own = memb_weight(rk->key, rk->who->box);
-	rank(rk, &mb->self);
+	if (is_ranked(rk, &mb->self))
+		fn(rk, &mb->self);
 	for (i = 0; i < mb->members->len; i++) {
 		m = g_ptr_array_index(mb->members, i);
-		if (memb_alive(m))
-			rank(rk, &m->info);
+		if (memb_alive(m) && is_ranked(rk, &m->info))
+			fn(rk, &m->info);
 	}
 }
 
+static void
+rank_all(const struct memb *mb, struct ranking *rk)
+{
+	rk->own = memb_weight(rk->key, rk->who->box);
+	if (rk->by_power)
+		rank_each(mb, rk, find_strong);
+	rank_each(mb, rk, rank);
+}
+
 bool
 memb_ranks_first(const struct memb *mb, const struct memb_info *who,
-    struct str key, struct str hall, int k)
+    struct str key, struct str hall, int k, bool by_power)
 {
-	struct ranking rk = {who, key, hall, false, 0, 0, 0};
+	struct ranking rk = {
+	    .who = who, .key = key, .hall = hall, .by_power = by_power};
 
 	if (who->leaving || (hall.n > 0 && !str_eq(hall, who->hall)))
 		return false;
@@ -375,11 +411,16 @@
 
 int
 memb_rank_seeing(const struct memb *mb, const struct memb_info *who,
-    struct str key, struct str hall)
+    struct str key, struct str hall, int *strong)
 {
-	struct ranking rk = {who, key, hall, true, 0, 0, 0};
+	struct ranking rk = {.who = who,
+	    .key = key,
+	    .hall = hall,
+	    .seeing = true,
+	    .by_power = true};
 
 	rank_all(mb, &rk);
+	*strong = rk.nstrong;
 	return rk.before;
 }
 
@@ -387,14 +428,15 @@
 memb_ranks_first_seeing(const struct memb *mb, const struct memb_info *who,
     struct str key, struct str hall, int k)
 {
-	struct ranking rk = {who, key, hall, true, 0, 0, 0};
+	struct ranking rk = {
+	    .who = who, .key = key, .hall = hall, .seeing = true};
 
 	if (who->leaving || (hall.n > 0 && !str_eq(hall, who->hall)))
 		return false;
 	rank_all(mb, &rk);
 	if (!who->blind && rk.before < k)
 		return true;
-	return rk.all < k && memb_ranks_first(mb, who, key, hall, k);
+	return rk.all < k && memb_ranks_first(mb, who, key, hall, k, false);
 }
 
 size_t
--- a/memb.h
+++ b/memb.h
@@ -105,13 +105,19 @@
  */
 bool memb_is_first(const struct memb *, struct str key, struct str hall, int k);
 
-/* The same of any box, ours or another one that is alive. */
+/*
+ * The same of any box, ours or another one that is alive; with by_power, the
+ * boxes with at least half the power of the hall's strongest come first.
+ */
 bool memb_ranks_first(const struct memb *, const struct memb_info *,
-    struct str key, struct str hall, int k);
+    struct str key, struct str hall, int k, bool by_power);
 
-/* How many boxes of a hall that the platform answers come before a box. */
+/*
+ * How many boxes of a hall that the platform answers come before a box, the
+ * strong ones first; and how many of these there are.
+ */
 int memb_rank_seeing(const struct memb *, const struct memb_info *,
-    struct str key, struct str hall);
+    struct str key, struct str hall, int *strong);
 
 /*
  * The same among those that the platform answers; where these are fewer than
--- a/sync.c
+++ b/sync.c
@@ -12,15 +12,10 @@
 #include "slog.h"
 #include "sync.h"
 
-enum {
-	OBJECTS_PER_MESSAGE = 128,
-	OBJECTS_PER_ENTRY = 2 /* the one in force and the rejected one */
-};
+enum { OBJECTS_PER_MESSAGE = 128 };
 
-/* Objects on their way out, a message at a time. */
-struct batch {
-	struct sync *sync;
-	struct str to;
+/* Objects on their way out.  Keys are the configuration's own. */
+struct sync_pack {
 	GArray *objects; /* struct msg_object */
 	GPtrArray *texts;
 };
@@ -38,10 +33,6 @@
 static void take_versions(struct sync *, const struct msg *);
 static void take_want(struct sync *, const struct msg *);
 static void take_objects(struct sync *, const struct msg *);
-static void batch_open(struct batch *, struct sync *, struct str);
-static void batch_add(struct batch *, const struct conf_entry *);
-static void batch_flush(struct batch *);
-static void batch_close(struct batch *);
 
 static void
 post(struct sync *s, struct str to, const struct msg *m)
@@ -115,63 +106,70 @@
 	g_array_free(g.versions, TRUE);
 }
 
-static void
-batch_open(struct batch *b, struct sync *s, struct str to)
+struct sync_pack *
+sync_pack_new(void)
+{
+	struct sync_pack *p = g_new0(struct sync_pack, 1);
+
+	p->objects = g_array_new(FALSE, FALSE, sizeof(struct msg_object));
+	p->texts = g_ptr_array_new_with_free_func(free);
+	return p;
+}
+
+void
+sync_pack_free(struct sync_pack *p)
 {
-	b->sync = s;
-	b->to = to;
-	b->objects = g_array_new(FALSE, FALSE, sizeof(struct msg_object));
-	b->texts = g_ptr_array_new_with_free_func(free);
+	g_array_free(p->objects, TRUE);
+	g_ptr_array_free(p->texts, TRUE);
+	g_free(p);
 }
 
 static void
-batch_put(struct batch *b, struct str key, uint64_t version, bool deleted,
+pack_put(struct sync_pack *p, struct str key, uint64_t version, bool deleted,
     const json_t *spec)
 {
 	char *text = spec == NULL ? NULL : json_dumps(spec, JSON_COMPACT);
 	struct msg_object o = {key, version, deleted, str_c(text)};
 
 	if (text != NULL)
-		g_ptr_array_add(b->texts, text);
-	g_array_append_val(b->objects, o);
+		g_ptr_array_add(p->texts, text);
+	g_array_append_val(p->objects, o);
 }
 
-static void
-batch_add(struct batch *b, const struct conf_entry *e)
+void
+sync_pack_add(struct sync_pack *p, const struct conf_entry *e)
 {
 	if (e->version > 0)
-		batch_put(b, e->key, e->version, e->deleted, e->spec);
+		pack_put(p, e->key, e->version, e->deleted, e->spec);
 	if (e->bad_version > 0)
-		batch_put(b, e->key, e->bad_version, false, e->bad_spec);
-	if (b->objects->len + OBJECTS_PER_ENTRY > OBJECTS_PER_MESSAGE)
-		batch_flush(b);
+		pack_put(p, e->key, e->bad_version, false, e->bad_spec);
 }
 
-static void
-batch_flush(struct batch *b)
+void
+sync_pack_send(struct sync *s, const struct sync_pack *p, struct str to)
 {
 	struct msg m = {.kind = MSG_OBJECTS};
-
-	if (b->objects->len == 0)
-		return;
-	m.u.objects.objects.items = b->objects->data;
-	m.u.objects.objects.n = b->objects->len;
-	post(b->sync, b->to, &m);
-	g_array_set_size(b->objects, 0);
-	g_ptr_array_set_size(b->texts, 0);
+	guint at;
+
+	for (at = 0; at < p->objects->len; at += OBJECTS_PER_MESSAGE) {
+		m.u.objects.objects.items =
+		    &g_array_index(p->objects, struct msg_object, at);
+		m.u.objects.objects.n =
+		    MIN(p->objects->len - at, OBJECTS_PER_MESSAGE);
+		post(s, to, &m);
+	}
 }
 
 static void
-batch_close(struct batch *b)
+send_and_free(struct sync *s, struct sync_pack *p, struct str to)
 {
-	batch_flush(b);
-	g_array_free(b->objects, TRUE);
-	g_ptr_array_free(b->texts, TRUE);
+	sync_pack_send(s, p, to);
+	sync_pack_free(p);
 }
 
 /* Offer the peer all of its buckets that it did not list. */
 struct missing {
-	struct batch *batch;
+	struct sync_pack *pack;
 	GHashTable *listed;
 	uint64_t buckets;
 };
@@ -183,19 +181,20 @@
 
 	if ((mi->buckets >> conf_bucket(e->key) & 1) &&
 	    !g_hash_table_contains(mi->listed, e->key.p))
-		batch_add(mi->batch, e);
+		sync_pack_add(mi->pack, e);
 }
 
 /* Compare one version of the peer's; true if its object is wanted. */
 static bool
-compare_version(struct sync *s, struct batch *b, const struct msg_version *v)
+compare_version(
+    struct sync *s, struct sync_pack *pack, const struct msg_version *v)
 {
 	const struct conf_entry *e = conf_get(s->conf, v->key);
 
 	if (e == NULL &&
 	    MAX(v->version, v->bad_version) <= conf_floor(s->conf)) {
 		if (v->hash != 0)
-			batch_put(b, v->key, conf_floor(s->conf), true, NULL);
+			pack_put(pack, v->key, conf_floor(s->conf), true, NULL);
 		return false;
 	}
 	if (e == NULL)
@@ -203,7 +202,7 @@
 	if (e->hash == v->hash && v->hash != 0)
 		return false;
 	if (e->version > v->version || e->bad_version > v->bad_version)
-		batch_add(b, e);
+		sync_pack_add(pack, e);
 	return v->version > e->version ||
 	    v->bad_version > MAX(e->bad_version, e->version) ||
 	    (v->version == e->version && v->version > 0);
@@ -216,12 +215,10 @@
 	const struct msg_version *v = list->items;
 	struct msg want = {.kind = MSG_WANT};
 	struct missing mi;
-	struct batch b;
 	GArray *keys = g_array_new(FALSE, FALSE, sizeof(struct msg_key));
 	size_t i;
 
-	batch_open(&b, s, m->from);
-	mi.batch = &b;
+	mi.pack = sync_pack_new();
 	mi.buckets = m->u.versions.buckets;
 	mi.listed =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -229,11 +226,11 @@
 		struct msg_key k = {v[i].key};
 
 		g_hash_table_add(mi.listed, g_strndup(k.key.p, k.key.n));
-		if (compare_version(s, &b, &v[i]))
+		if (compare_version(s, mi.pack, &v[i]))
 			g_array_append_val(keys, k);
 	}
 	conf_each(s->conf, add_missing, &mi);
-	batch_close(&b);
+	send_and_free(s, mi.pack, m->from);
 	want.u.want.keys.items = keys->data;
 	want.u.want.keys.n = keys->len;
 	if (keys->len > 0)
@@ -247,17 +244,16 @@
 {
 	const struct msg_list *list = &m->u.want.keys;
 	const struct msg_key *keys = list->items;
+	struct sync_pack *pack = sync_pack_new();
 	const struct conf_entry *e;
-	struct batch b;
 	size_t i;
 
-	batch_open(&b, s, m->from);
 	for (i = 0; i < list->n; i++) {
 		e = conf_get(s->conf, keys[i].key);
 		if (e != NULL)
-			batch_add(&b, e);
+			sync_pack_add(pack, e);
 	}
-	batch_close(&b);
+	send_and_free(s, pack, m->from);
 }
 
 static void
@@ -312,13 +308,3 @@
 		break;
 	}
 }
-
-void
-sync_push(struct sync *s, struct str to, const struct conf_entry *e)
-{
-	struct batch b;
-
-	batch_open(&b, s, to);
-	batch_add(&b, e);
-	batch_close(&b);
-}
--- a/sync.h
+++ b/sync.h
@@ -43,7 +43,13 @@
 /* Take one of MSG_BUCKETS, MSG_VERSIONS, MSG_WANT and MSG_OBJECTS. */
 void sync_take(struct sync *, const struct msg *);
 
-/* Send one object in the state that is known here. */
-void sync_push(struct sync *, struct str to, const struct conf_entry *);
+/* Objects written down once, to be sent to many peers. */
+struct sync_pack;
+struct sync_pack *sync_pack_new(void);
+void sync_pack_free(struct sync_pack *);
+
+/* Add an object in the state that is known here. */
+void sync_pack_add(struct sync_pack *, const struct conf_entry *);
+void sync_pack_send(struct sync *, const struct sync_pack *, struct str to);
 
 #endif
