A cheap first list, and one feed that asks while the platform is away

Cause: a start of all boxes cost 142 lists of 1 to 8 pages, each at full price, and while the store was away each watcher asked with two feeds, its list of boxes and its status. Change: a first list may be stale, and the watch goes on from its revision (of several pages, the oldest one's); in an outage only the first feed of a watcher asks, and the rest goes on when it is answered. Tests: Box.AStaleFirstListIsCaughtUp, Box.OneFeedAsksWhileThePlatformIsAway (19 calls where 16 are allowed, before statuses waited too).

--- a/agent_open.c
+++ b/agent_open.c
@@ -234,9 +234,11 @@
 {
 	struct agent *a = ctx;
 
-	slog(SLOG_CONF, e->deleted ? "object is deleted" : "object is known",
-	    "key=%.*s version=%llu from=%.*s", STR_ARG(e->key),
-	    (unsigned long long)e->version, STR_ARG(e->source));
+	if (!a->shares_conf)
+		slog(SLOG_CONF,
+		    e->deleted ? "object is deleted" : "object is known",
+		    "key=%.*s version=%llu from=%.*s", STR_ARG(e->key),
+		    (unsigned long long)e->version, STR_ARG(e->source));
 	cnt_add(a->cnt, AC_CHANGES, 1);
 	a->targets_dirty = true;
 	a->targets_at = 0;
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -29,7 +29,11 @@
 /* Statuses of all boxes together: at most so many writes a second. */
 #define STATUS_FLEET_RATE 150
 
-enum { LIST_TIMEOUT_MS = 5000, BACKOFF_SHIFT_MAX = 7 };
+enum {
+	LIST_TIMEOUT_MS = 5000,
+	BACKOFF_SHIFT_MAX = 7,
+	STATUS_PATIENCE = 4 /* a status may wait longer than a list */
+};
 
 static void watch_soon(struct agent_feed *, int64_t);
 static void on_watch_due(void *);
@@ -62,15 +66,20 @@
 	return rnd_jitter(a->rnd, MIN(ns, a->set.retry_ms * NS_MS));
 }
 
-/* The feeds that were left to the first one's calls go on. */
+/* What was left to the first feed's calls goes on. */
 static void
-resume_feeds(struct agent *a)
+resume_calls(struct agent *a)
 {
+	int64_t now = clk_ns(a->clk);
 	unsigned i;
 
 	for (i = 1; i < a->nfeeds; i++)
 		if (a->feeds[i].call == NULL && !a->feeds[i].timer.set)
 			watch_soon(&a->feeds[i], 0);
+	if (a->boxes_call == NULL && !a->boxes_timer.set)
+		tmr_set(&a->tmr, &a->boxes_timer, now, on_boxes_due, a);
+	if (a->status_call == NULL && !a->status_timer.set)
+		agent_status_soon(a);
 }
 
 static void
@@ -91,20 +100,18 @@
 		agent_peer_blind(a, !up);
 	a->platform_up = up;
 	if (up)
-		resume_feeds(a);
+		resume_calls(a);
 }
 
 /*
  * While the platform is away, the first feed's calls find out when it is
- * back; each call has its price, a refused one too.
+ * back, and all others wait; each call has its price, a refused one too.
  */
 static bool
-waits_for_first(const struct agent_feed *f)
+first_feed_asks(struct agent *a)
 {
-	const struct agent *a = f->agent;
-
-	return !a->platform_up && f != &a->feeds[0] &&
-	    a->feeds[0].listed_at == 0;
+	return !a->platform_up && a->feeds[0].listed_at == 0 &&
+	    (agent_is_watcher(a) || conf_floor(a->conf) == 0);
 }
 
 /*
@@ -183,11 +190,16 @@
 	tmr_set(&a->tmr, &f->timer, clk_ns(a->clk) + in, on_watch_due, f);
 }
 
+/*
+ * The first list may be a stale one: a watch goes on from its revision, or
+ * peers tell what is newer.
+ */
 static void
 start_list(struct agent_feed *f)
 {
 	struct plat_request rq = {.op = PLAT_LIST,
 	    .kind = str_c(f->kinds),
+	    .stale = f->complete == 0,
 	    .timeout_ms = LIST_TIMEOUT_MS};
 
 	f->call = call(f->agent, &rq, on_list, f);
@@ -222,7 +234,8 @@
 	bool watcher = agent_is_watcher(a);
 
 	cnt_set(a->cnt, AC_WATCHING, watcher);
-	if (f->call != NULL || a->leaving || waits_for_first(f))
+	if (f->call != NULL || a->leaving ||
+	    (f != &a->feeds[0] && first_feed_asks(a)))
 		return;
 	if (!watcher && conf_floor(a->conf) > 0) {
 		f->listed_at = 0;
@@ -398,6 +411,8 @@
 	struct agent *a = ctx;
 	struct plat_request rq = {.op = PLAT_BOXES};
 
+	if (first_feed_asks(a))
+		return;
 	a->boxes_call = call(a, &rq, on_boxes, a);
 	if (a->boxes_call == NULL)
 		tmr_set(&a->tmr, &a->boxes_timer,
@@ -515,12 +530,16 @@
 on_status_due(void *ctx)
 {
 	struct agent *a = ctx;
-	json_t *spec = status_spec(a), *value;
-	char *text = json_dumps(spec, JSON_COMPACT | JSON_SORT_KEYS);
 	struct plat_request rq = {.kind = STR_LIT("status"),
 	    .name = a->set.box,
 	    .version = a->status_version};
+	json_t *spec, *value;
+	char *text;
 
+	if (first_feed_asks(a))
+		return;
+	spec = status_spec(a);
+	text = json_dumps(spec, JSON_COMPACT | JSON_SORT_KEYS);
 	rq.op = a->status_version == 0 ? PLAT_CREATE : PLAT_UPDATE;
 	a->status_digest = XXH3_64bits(text, strlen(text));
 	free(text);
@@ -564,7 +583,7 @@
 			return;
 		}
 	} else {
-		in = backoff(a, a->status_fails++);
+		in = STATUS_PATIENCE * backoff(a, a->status_fails++);
 	}
 	tmr_set(
 	    &a->tmr, &a->status_timer, clk_ns(a->clk) + in, on_status_due, a);
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -62,8 +62,8 @@
 	struct gate *g = ctx;
 
 	slog(SLOG_CONF, e->deleted ? "deletion is in force" : "in force",
-	    "key=%.*s version=%llu", STR_ARG(e->key),
-	    (unsigned long long)e->version);
+	    "key=%.*s version=%llu from=%.*s", STR_ARG(e->key),
+	    (unsigned long long)e->version, STR_ARG(e->source));
 	if (e->kind != OBJ_BACKEND)
 		g->conf_version = MAX(g->conf_version, e->version);
 	if (!g->rebuild.set)
--- a/plat_http.c
+++ b/plat_http.c
@@ -219,15 +219,25 @@
 	take(ctx, up);
 }
 
-/* A later page adds its objects to those before it. */
+/*
+ * A later page adds its objects to those before it.  The list is complete at
+ * the oldest revision of its pages only: a stale page may be older than the
+ * one before it.
+ */
 static void
 add_page(struct plat_call *c, json_t *page)
 {
-	if (c->pages == NULL)
+	json_t *first = json_object_get(c->pages, "revision");
+	json_t *own = json_object_get(page, "revision");
+
+	if (c->pages == NULL) {
 		c->pages = json_incref(page);
-	else
-		json_array_extend(json_object_get(c->pages, "objects"),
-		    json_object_get(page, "objects"));
+		return;
+	}
+	json_array_extend(json_object_get(c->pages, "objects"),
+	    json_object_get(page, "objects"));
+	if (json_integer_value(own) < json_integer_value(first))
+		json_object_set(c->pages, "revision", own);
 }
 
 static void
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -274,8 +274,9 @@
 	std::string after = text_of(hsrv_query(req, "after"));
 	json_t *items = json_array();
 	bool more = false;
+	bool old = stale_rev > 0 && hsrv_query(req, "allowStale").n > 0;
 
-	for (auto &o : objects) {
+	for (auto &o : old ? stale : objects) {
 		if (o.first.compare(0, kind.size() + 1, kind + "/") != 0 ||
 		    o.first.substr(kind.size() + 1) <= after)
 			continue;
@@ -287,7 +288,20 @@
 	}
 	send(req, 200,
 	    json_pack("{s:o, s:b, s:I}", "items", items, "hasMore", more,
-		"currentRev", static_cast<json_int_t>(rev)));
+		"currentRev", static_cast<json_int_t>(old ? stale_rev : rev)));
+}
+
+void
+Objects::keep_stale()
+{
+	std::lock_guard<std::mutex> hold(lock);
+
+	for (auto &o : stale)
+		json_decref(o.second);
+	stale = objects;
+	for (auto &o : stale)
+		o.second = json_deep_copy(o.second);
+	stale_rev = rev;
 }
 
 void
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -61,6 +61,8 @@
 	void answer_all(int status);
 	/* Forget what changed so far: watches from before get 410. */
 	void compact();
+	/* From now on stale lists tell what there is now. */
+	void keep_stale();
 	size_t calls();
 
       private:
@@ -100,6 +102,8 @@
 	std::mutex lock;
 	std::vector<std::function<void()>> todo;
 	std::map<std::string, json_t *> objects; /* "kind/name" */
+	std::map<std::string, json_t *> stale; /* the same, as it was once */
+	uint64_t stale_rev = 0; /* 0: stale lists are fresh */
 	std::vector<Event> history;
 	std::set<Waiter *> waiters;
 	std::map<std::string, std::unique_ptr<Backend>> backends;
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -353,6 +353,58 @@
 	EXPECT_TRUE(until([&] { return w.logged("platform answers again"); }));
 }
 
+/* The first list is a cheap one; a watch goes on from what it told. */
+TEST(Box, AStaleFirstListIsCaughtUp)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.platform.keep_stale();
+	w.box.kill9();
+	w.configure("shelf");
+	w.enter(2, "draining");
+	w.box.start();
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	size_t before = w.ran(0, 1);
+	EXPECT_TRUE(until(
+	    [&] {
+		    w.ask("/look/1");
+		    return w.ran(3, 3) > 0;
+	    },
+	    2000));
+	before = w.ran(0, 2);
+	for (int i = 0; i < 10; i++)
+		EXPECT_EQ(200, w.ask("/look/1").status);
+	EXPECT_EQ(before, w.ran(0, 2));
+}
+
+/* Each call has its price, and one tells whether the platform is back. */
+TEST(Box, OneFeedAsksWhileThePlatformIsAway)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.platform.answer_all(503);
+	w.platform.compact();
+	ASSERT_TRUE(
+	    until([&] { return w.logged("platform does not answer"); }));
+	pump(1000);
+	size_t before = w.platform.calls();
+	pump(3000);
+	/* One each 300 ms, spread by a quarter, and few for other ends. */
+	EXPECT_LE(w.platform.calls() - before, 16u);
+	EXPECT_GE(w.platform.calls() - before, 6u);
+	w.configure("shelf");
+	w.enter(0, "draining");
+	w.platform.answer_all(0);
+	EXPECT_TRUE(until(
+	    [&] {
+		    return w.logged("key=bundle/main version=7") ||
+			w.logged("platform answers again");
+	    },
+	    2000));
+}
+
 TEST(Box, SettingsAreReadAnewOnSighup)
 {
 	World w;
--- a/regress/test_conf.cpp
+++ b/regress/test_conf.cpp
@@ -325,3 +325,56 @@
 	EXPECT_EQ("2000", state(net.peers["b"].conf, "service/s500"));
 	EXPECT_LE(net.sent, 4u);
 }
+
+namespace
+{
+
+void
+count_change(void *ctx, const struct conf_entry *)
+{
+	++*static_cast<int *>(ctx);
+}
+
+/* How many objects each message that went out has. */
+void
+note_objects(void *ctx, struct str, const struct msg *m)
+{
+	static_cast<std::vector<size_t> *>(ctx)->push_back(
+	    m->u.objects.objects.n);
+}
+
+} // namespace
+
+TEST(Conf, EachListenerHearsOfAChange)
+{
+	int first = 0, second = 0;
+	struct conf *c = conf_new(count_change, &first);
+
+	conf_listen(c, count_change, &second);
+	tell(c, {"service/s1", 1, 'g'});
+	tell(c, {"service/s1", 1, 'g'});
+	EXPECT_EQ(1, first);
+	EXPECT_EQ(1, second);
+	conf_free(c);
+}
+
+TEST(Sync, ManyObjectsGoOutInFewMessages)
+{
+	std::vector<size_t> sent;
+	struct conf *c = conf_new(nullptr, nullptr);
+	struct sync s = {c, note_objects, &sent, 0};
+	struct sync_pack *pack = sync_pack_new();
+
+	sync_pack_send(&s, pack, STR_LIT("p1"));
+	EXPECT_TRUE(sent.empty());
+	for (int i = 0; i < 300; i++) {
+		std::string key = "service/s" + std::to_string(i);
+
+		tell(c, {key, static_cast<uint64_t>(i + 1), 'g'});
+		sync_pack_add(pack, conf_get(c, view(key)));
+	}
+	sync_pack_send(&s, pack, STR_LIT("p1"));
+	EXPECT_EQ((std::vector<size_t>{128, 128, 44}), sent);
+	sync_pack_free(pack);
+	conf_free(c);
+}
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -282,6 +282,14 @@
 	    line(PLAT_LIST, "backend", nullptr, 0, "i-9"));
 	EXPECT_EQ("GET /api/objects/config?watch=12&waitMs=20000",
 	    line(PLAT_WATCH, "bundle", nullptr, 12));
+	struct plat_request stale = {};
+	struct plat_exchange first = {};
+	stale.op = PLAT_LIST;
+	stale.kind = STR_LIT("backend");
+	stale.stale = true;
+	pf_codec.encode(&stale, STR_LIT("i-9"), &first);
+	EXPECT_STREQ("/api/objects/servers?allowStale=1&after=i-9", first.path);
+	g_free(first.path);
 	EXPECT_EQ("GET /api/objects/boxes?allowStale=1",
 	    line(PLAT_BOXES, nullptr, nullptr, 0));
 	EXPECT_EQ(
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -446,6 +446,49 @@
 	memb_free(mb);
 }
 
+TEST(Memb, StrongBoxesWatchFirst)
+{
+	struct memb_info self = {};
+	std::vector<std::string> names;
+	int first = 0, strong;
+
+	self.box = STR_LIT("b0");
+	self.hall = STR_LIT("north");
+	self.power = 100;
+	struct memb *mb = memb_new(&self);
+	for (int i = 1; i < 12; i++)
+		names.push_back("b" + std::to_string(i));
+	for (size_t i = 0; i < names.size(); i++) {
+		struct memb_info m = {};
+
+		m.box = view(names[i]);
+		m.hall = STR_LIT("north");
+		m.boot = 1;
+		m.power = i == 4 ? 500 : i == 7 ? 300 : 100;
+		memb_heard(mb, &m, NS_S);
+	}
+	for (size_t i = 0; i < names.size(); i++) {
+		struct memb_info m = {};
+
+		m.box = view(names[i]);
+		m.hall = STR_LIT("north");
+		m.power = i == 4 ? 500 : i == 7 ? 300 : 100;
+		bool is = memb_ranks_first(
+		    mb, &m, STR_LIT("watch"), STR_LIT("north"), 2, true);
+		EXPECT_EQ(m.power > 100, is) << names[i];
+		first += memb_ranks_first(
+		    mb, &m, STR_LIT("watch"), STR_LIT("north"), 5, true);
+	}
+	first += memb_ranks_first(
+	    mb, memb_self(mb), STR_LIT("watch"), STR_LIT("north"), 5, true);
+	EXPECT_EQ(5, first);
+	EXPECT_GE(memb_rank_seeing(mb, memb_self(mb), STR_LIT("watch"),
+		      STR_LIT("north"), &strong),
+	    2);
+	EXPECT_EQ(2, strong);
+	memb_free(mb);
+}
+
 TEST(Memb, LaterBootAndBeatWinAndThenTheWorseWord)
 {
 	struct memb_info self = {}, b = {};
