After a stall what came in goes before timers; members go to the gate together

The loop had stalled for 290 ms under some 70 greetings, each of which wrote and read the whole list of members; then the time to connect ran out before the connection, which stood, was looked at. Ruled out: a full queue of connections (1024).

Change: timers that are more than 20 ms late let I/O go first, once; the list of members goes to the gate and to boxes that know few once in 40 ms.

Test: Tmr.AfterAStallWhatCameInGoesFirst, failed before.

--- a/agent_peer.c
+++ b/agent_peer.c
@@ -28,6 +28,8 @@
 };
 
 #define MEMBERS_AGAIN_NS (30 * NS_S)
+/* Between two lists of members, to our gate or to boxes that know few. */
+#define MEMBERS_GAP_NS (40 * NS_MS)
 /* A difference to another hall that lasts so long is healed from there. */
 #define AWAY_WAIT_NS (1500 * NS_MS)
 #define GATE_SILENT_NS (4 * NS_S)
@@ -200,8 +202,10 @@
 
 /* To the gate, when they have changed and now and then. */
 static void
-send_members(struct agent *a, int64_t now)
+on_members_due(void *ctx)
 {
+	struct agent *a = ctx;
+	int64_t now = clk_ns(a->clk);
 	struct gather g = gather(a);
 
 	if (g.hash != a->members_hash ||
@@ -213,6 +217,15 @@
 	g_array_free(g.infos, TRUE);
 }
 
+/* When all boxes start, news come by the dozen, and go on together. */
+static void
+send_members_soon(struct agent *a)
+{
+	if (!a->members_timer.set)
+		tmr_set(&a->tmr, &a->members_timer,
+		    clk_ns(a->clk) + MEMBERS_GAP_NS, on_members_due, a);
+}
+
 static void
 take_members(struct agent *a, const struct memb_info *infos, size_t n)
 {
@@ -271,12 +284,15 @@
 	take_members(a, h->others.items, h->others.n);
 	if (h->asks || news)
 		send_hello(a, m->from, h->self.box, false);
-	if (h->members * 2 < memb_count_alive(a->memb))
+	if (h->members * 2 < memb_count_alive(a->memb) &&
+	    now - a->all_members_sent >= MEMBERS_GAP_NS) {
+		a->all_members_sent = now;
 		send_all_members(a, m->from);
+	}
 	if (should_compare(a, h, now))
 		sync_compare(&a->sync, m->from, h->digest, h->floor);
 	agent_peer_tell_gate(a);
-	send_members(a, now);
+	send_members_soon(a);
 }
 
 static void
@@ -309,7 +325,7 @@
 	else if (fresh)
 		send_gate_hello(a);
 	sync_compare(&a->sync, m->from, gt->digest, gt->floor);
-	send_members(a, a->gate_heard);
+	send_members_soon(a);
 }
 
 void
@@ -328,7 +344,7 @@
 		slog(SLOG_AGENT, "the gate is silent", "for_ms=%lld",
 		    (long long)((now - a->gate_heard) / NS_MS));
 	}
-	send_members(a, now);
+	send_members_soon(a);
 }
 
 static void
--- a/libagent.h
+++ b/libagent.h
@@ -141,6 +141,8 @@
 	bool gate_ready;
 	uint64_t members_hash;
 	int64_t members_sent;
+	int64_t all_members_sent; /* to another box */
+	struct tmr_item members_timer;
 	/* agent_probe.c */
 	GHashTable *health; /* char * backend to struct agent_health * */
 	bool targets_dirty;
--- a/regress/test_up.cpp
+++ b/regress/test_up.cpp
@@ -357,3 +357,60 @@
 	EXPECT_EQ("connect", c.end);
 	EXPECT_FALSE(c.sent);
 }
+
+namespace
+{
+
+/* A timer, and a pipe that becomes readable while the loop stalls. */
+struct Stall {
+	uv_loop_t *loop = uv_default_loop();
+	struct tmr tmr = {};
+	struct tmr_item stall = {}, wait = {};
+	uv_poll_t poll = {};
+	int fds[2] = {-1, -1};
+	std::string order;
+
+	static void on_stall(void *ctx)
+	{
+		Stall *s = static_cast<Stall *>(ctx);
+
+		EXPECT_EQ(1, write(s->fds[1], "x", 1));
+		usleep(60000);
+	}
+
+	static void on_wait(void *ctx)
+	{
+		static_cast<Stall *>(ctx)->order += "timer ";
+	}
+
+	static void on_read(uv_poll_t *poll, int, int)
+	{
+		static_cast<Stall *>(poll->data)->order += "read ";
+		uv_poll_stop(poll);
+	}
+};
+
+} // namespace
+
+TEST(Tmr, AfterAStallWhatCameInGoesFirst)
+{
+	Stall s;
+
+	ASSERT_EQ(0, pipe(s.fds));
+	tmr_open(&s.tmr, s.loop, clk_system());
+	uv_poll_init(s.loop, &s.poll, s.fds[0]);
+	s.poll.data = &s;
+	uv_poll_start(&s.poll, UV_READABLE, Stall::on_read);
+	int64_t now = clk_ns(clk_system());
+	tmr_set(&s.tmr, &s.stall, now + 5 * NS_MS, Stall::on_stall, &s);
+	tmr_set(&s.tmr, &s.wait, now + 15 * NS_MS, Stall::on_wait, &s);
+	for (int i = 0; i < 100 && s.order.size() < 11; i++)
+		uv_run(s.loop, UV_RUN_ONCE);
+	EXPECT_EQ("read timer ", s.order);
+	tmr_close(&s.tmr);
+	uv_close(reinterpret_cast<uv_handle_t *>(&s.tmr.timer), nullptr);
+	uv_close(reinterpret_cast<uv_handle_t *>(&s.poll), nullptr);
+	uv_run(s.loop, UV_RUN_NOWAIT);
+	close(s.fds[0]);
+	close(s.fds[1]);
+}
--- a/tmr.c
+++ b/tmr.c
@@ -10,6 +10,12 @@
  */
 #include "tmr.h"
 
+/* A timer that fires so late tells that the loop has stalled. */
+#define LATE_NS (20 * NS_MS)
+
+/* The least that libuv does not run in the same round. */
+enum { DEFER_MS = 1 };
+
 static void on_timer(uv_timer_t *);
 static void arm(struct tmr *);
 
@@ -48,22 +54,43 @@
 	    &t->timer, on_timer, (uint64_t)((left + NS_MS - 1) / NS_MS), 0);
 }
 
+/*
+ * The loop has stalled, as a timer is late: what came in meanwhile may be
+ * just what it waits for, and libuv would run that after it.  So I/O goes
+ * first, once, and then all that is due.
+ */
+static bool
+defer(struct tmr *t, const struct queue_item *first, int64_t now)
+{
+	if (t->deferred || now - first->deadline < LATE_NS)
+		return false;
+	t->deferred = true;
+	uv_update_time(t->timer.loop);
+	uv_timer_start(&t->timer, on_timer, DEFER_MS, 0);
+	return true;
+}
+
 static void
 on_timer(uv_timer_t *timer)
 {
 	struct tmr *t = timer->data;
 	struct queue_item *first;
 	struct tmr_item *item;
+	int64_t now;
 
 	for (;;) {
 		first = queue_first(&t->queue);
-		if (first == NULL || first->deadline > clk_ns(t->clk))
+		now = clk_ns(t->clk);
+		if (first == NULL || first->deadline > now)
 			break;
+		if (defer(t, first, now))
+			return;
 		queue_pop(&t->queue);
 		item = first->data;
 		item->set = false;
 		item->fire(item->ctx);
 	}
+	t->deferred = false;
 	arm(t);
 }
 
--- a/tmr.h
+++ b/tmr.h
@@ -35,6 +35,7 @@
 	uv_timer_t timer;
 	struct queue queue;
 	const struct clk *clk;
+	bool deferred; /* timers that are late let I/O go first, once */
 };
 
 void tmr_open(struct tmr *, uv_loop_t *, const struct clk *);
