--- a/agent_watch.c
+++ b/agent_watch.c
@@ -349,6 +349,7 @@
 	struct agent *a = f->agent;
 	uint64_t revision = revision_of(body);
 	struct absent ab = {f, NULL, revision};
+	bool first = f->complete == 0;
 
 	f->call = NULL;
 	note_result(a, result);
@@ -373,7 +374,8 @@
 	slog(SLOG_WATCH, "listed", "kinds=%s revision=%llu in_force=%zu",
 	    f->kinds, (unsigned long long)revision, conf_count(a->conf));
 	agent_status_soon(a);
-	watch_soon(f, 0);
+	/* A box that starts hears first from others whether it must watch. */
+	watch_soon(f, first ? a->set.gather_ms * NS_MS : 0);
 }
 
 static void
