A box that starts asks strong boxes, and serves once it knows others

Change: the statuses in the store tell a box's power; from a list of more than 32 a box asks only the strong ones of its hall, eight at most, and strong ones ask those of other halls; a gate may serve once half of those asked have answered, or after 300 ms. Ruled out: taking listed boxes for alive (those that are gone stay listed).

--- a/agent_open.c
+++ b/agent_open.c
@@ -223,6 +223,7 @@
 	}
 	agent_lapse_open(a);
 	agent_push_open(a);
+	agent_greet_open(a);
 	agent_probe_open(a);
 	agent_peer_open(a);
 	agent_watch_open(a);
--- a/agent_peer.c
+++ b/agent_peer.c
@@ -20,7 +20,6 @@
  */
 
 enum {
-	GREET_ALL_MAX = 32,
 	GOSSIP_MEMBERS = 12,
 	AWAY_ROUNDS = 3, /* one question in so many may go to another hall */
 	SEEDS_PER_ROUND = 2,
@@ -66,8 +65,8 @@
 	return m;
 }
 
-static void
-send_hello(struct agent *a, struct str to, struct str box, bool asks)
+void
+agent_peer_hello(struct agent *a, struct str to, struct str box, bool asks)
 {
 	const struct memb_member *some[GOSSIP_MEMBERS];
 	struct memb_info infos[GOSSIP_MEMBERS];
@@ -86,13 +85,23 @@
 	wire_send(a->wire, to, &m);
 }
 
-/* To the gate: ready means that the configuration is safe to serve. */
+/*
+ * The configuration is whole, and so are the boxes as far as they answer: a
+ * gate that knows no other takes itself for home of everything.
+ */
+static bool
+may_serve(const struct agent *a)
+{
+	return conf_floor(a->conf) > 0 && a->greet.over;
+}
+
+/* To the gate: ready means that it may serve. */
 static void
 send_gate_hello(struct agent *a)
 {
 	struct msg m = hello_of(a);
 
-	m.u.hello.self.ready = m.u.hello.floor > 0;
+	m.u.hello.self.ready = may_serve(a);
 	wire_send(a->wire, a->set.gate_inbox, &m);
 }
 
@@ -100,7 +109,7 @@
 void
 agent_peer_tell_gate(struct agent *a)
 {
-	bool ready = conf_floor(a->conf) > 0;
+	bool ready = may_serve(a);
 
 	if (ready && !a->told_ready)
 		send_gate_hello(a);
@@ -113,7 +122,7 @@
 	const struct memb_member *m = memb_ask_next(a->memb, a->rnd, hall);
 
 	if (m != NULL)
-		send_hello(a, m->info.inbox, m->info.box, true);
+		agent_peer_hello(a, m->info.inbox, m->info.box, true);
 }
 
 /*
@@ -129,7 +138,7 @@
 	for (i = 0; i < MIN(n, SEEDS_PER_ROUND); i++) {
 		seed = json_array_get(a->set.seeds, rnd_below(a->rnd, n));
 		if (!str_eq(str_c(json_string_value(seed)), a->set.inbox))
-			send_hello(a, str_c(json_string_value(seed)),
+			agent_peer_hello(a, str_c(json_string_value(seed)),
 			    str_c(NULL), true);
 	}
 }
@@ -283,7 +292,7 @@
 	memb_answered(a->memb, h->self.box);
 	take_members(a, h->others.items, h->others.n);
 	if (h->asks || news)
-		send_hello(a, m->from, h->self.box, false);
+		agent_peer_hello(a, m->from, h->self.box, false);
 	if (h->members * 2 < memb_count_alive(a->memb) &&
 	    now - a->all_members_sent >= MEMBERS_GAP_NS) {
 		a->all_members_sent = now;
@@ -291,6 +300,7 @@
 	}
 	if (should_compare(a, h, now))
 		sync_compare(&a->sync, m->from, h->digest, h->floor);
+	agent_greet_answered(a);
 	agent_peer_tell_gate(a);
 	send_members_soon(a);
 }
@@ -347,42 +357,6 @@
 	send_members_soon(a);
 }
 
-static void
-greet(void *ctx, const struct memb_member *m)
-{
-	struct agent *a = ctx;
-
-	if (m->heard != 0 || m->info.inbox.n == 0 || m->info.leaving)
-		return;
-	if (a->greets_all || str_eq(m->info.hall, a->set.hall))
-		send_hello(a, m->info.inbox, m->info.box, true);
-}
-
-static void
-count_member(void *ctx, const struct memb_member *m)
-{
-	(void)m;
-	++*(unsigned *)ctx;
-}
-
-/*
- * Ask the boxes that the platform lists, once: after a fault that took all
- * of them, each would think for seconds that it is alone.  A large fleet
- * learns of other halls from the boxes of its own.
- */
-void
-agent_peer_greet(struct agent *a)
-{
-	unsigned n = 0;
-
-	if (a->greeted)
-		return;
-	a->greeted = true;
-	memb_each(a->memb, count_member, &n);
-	a->greets_all = n <= GREET_ALL_MAX;
-	memb_each(a->memb, greet, a);
-}
-
 /* Tell our hall that the platform does, or does not, answer us. */
 void
 agent_peer_blind(struct agent *a, bool blind)
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -422,6 +422,12 @@
 		    on_boxes_due, a);
 }
 
+static struct str
+text_of(const json_t *o, const char *key)
+{
+	return str_c(json_string_value(json_object_get(o, key)));
+}
+
 static void
 take_boxes(struct agent *a, json_t *body)
 {
@@ -430,16 +436,17 @@
 
 	memb_list_begin(a->memb);
 	json_array_foreach (boxes, i, box) {
-		struct str name =
-		    str_c(json_string_value(json_object_get(box, "name")));
-
-		if (name.n > 0)
-			memb_listed(a->memb, name,
-			    str_c(json_string_value(
-				json_object_get(box, "hall"))),
-			    str_c(json_string_value(
-				json_object_get(box, "inbox"))),
-			    json_is_true(json_object_get(box, "leaving")));
+		struct memb_info info = {
+		    .box = text_of(box, "name"),
+		    .hall = text_of(box, "hall"),
+		    .inbox = text_of(box, "inbox"),
+		    .power = (uint64_t)json_integer_value(
+			json_object_get(box, "power")),
+		    .leaving = json_is_true(json_object_get(box, "leaving")),
+		};
+
+		if (info.box.n > 0)
+			memb_listed(a->memb, &info);
 	}
 }
 
@@ -454,7 +461,7 @@
 	if (result == PLAT_OK) {
 		a->boxes_fails = 0;
 		take_boxes(a, body);
-		agent_peer_greet(a);
+		agent_greet_listed(a);
 		in = rnd_jitter(a->rnd,
 		    agent_is_watcher(a) ? a->set.boxes_ms * NS_MS
 					: BOXES_OTHER_NS);
@@ -519,13 +526,14 @@
 	snprintf(
 	    gate, sizeof(gate), "%016llx", (unsigned long long)a->gate_digest);
 	return json_pack(
-	    "{s:s%, s:s%, s:s%, s:I, s:I, s:s, s:s, s:b, s:b, s:i, s:o}", "box",
-	    a->set.box.p, a->set.box.n, "hall", a->set.hall.p, a->set.hall.n,
-	    "inbox", a->set.inbox.p, a->set.inbox.n, "newest",
-	    (json_int_t)newest, "floor", (json_int_t)conf_floor(a->conf),
-	    "digest", digest, "gate_digest", gate, "gate_ready",
-	    (int)a->gate_ready, "leaving", (int)a->leaving, "objects",
-	    (int)conf_count(a->conf), "rejected", rejected);
+	    "{s:s%, s:s%, s:s%, s:I, s:I, s:I, s:s, s:s, s:b, s:b, s:i, s:o}",
+	    "box", a->set.box.p, a->set.box.n, "hall", a->set.hall.p,
+	    a->set.hall.n, "inbox", a->set.inbox.p, a->set.inbox.n, "power",
+	    (json_int_t)memb_self(a->memb)->power, "newest", (json_int_t)newest,
+	    "floor", (json_int_t)conf_floor(a->conf), "digest", digest,
+	    "gate_digest", gate, "gate_ready", (int)a->gate_ready, "leaving",
+	    (int)a->leaving, "objects", (int)conf_count(a->conf), "rejected",
+	    rejected);
 }
 
 static void
--- a/libagent.h
+++ b/libagent.h
@@ -88,6 +88,14 @@
 	AC_MAX
 };
 
+/* The boxes that the platform listed at our start were asked who they are. */
+struct agent_greet {
+	struct tmr_item timer;
+	bool listed;
+	bool over; /* enough have answered, or there was time to */
+	unsigned asked;
+};
+
 struct agent {
 	struct agent_set set;
 	char *file; /* of the settings */
@@ -128,12 +136,11 @@
 	/* agent_push.c */
 	struct tmr_item push_timer;
 	GHashTable *unsent; /* char * key to whether the platform told it */
+	struct agent_greet greet;
 	/* agent_peer.c */
 	struct tmr_item hello_timer;
 	unsigned rounds;
 	bool told_ready; /* the gate knows that the configuration is whole */
-	bool greets_all;
-	bool greeted; /* the boxes that the platform lists */
 	int64_t
 	    differs_since; /* our digest from that of another hall; 0: not */
 	uint64_t gate_boot, gate_digest, gate_floor;
@@ -180,10 +187,16 @@
 void agent_peer_take(void *, const struct msg *);
 void agent_peer_tick(struct agent *, int64_t now);
 void agent_peer_leave(struct agent *);
-void agent_peer_greet(struct agent *);
+void
+agent_peer_hello(struct agent *, struct str inbox, struct str box, bool asks);
 void agent_peer_tell_gate(struct agent *);
 void agent_peer_blind(struct agent *, bool blind);
 
+/* agent_greet.c: the first words with other boxes, after a start. */
+void agent_greet_open(struct agent *);
+void agent_greet_listed(struct agent *);
+void agent_greet_answered(struct agent *);
+
 /* agent_push.c: messages to many boxes. */
 void agent_push_open(struct agent *);
 void agent_push_all(struct agent *, struct msg *);
--- a/memb.c
+++ b/memb.c
@@ -234,24 +234,24 @@
 }
 
 void
-memb_listed(struct memb *mb, struct str box, struct str hall, struct str inbox,
-    bool leaving)
+memb_listed(struct memb *mb, const struct memb_info *info)
 {
 	struct memb_member *m;
 
-	if (str_eq(box, mb->self.box))
+	if (str_eq(info->box, mb->self.box))
 		return;
-	m = find(mb, box);
+	m = find(mb, info->box);
 	if (m == NULL)
-		m = add(mb, box);
+		m = add(mb, info->box);
 	m->listed = true;
 	if (m->heard != 0)
 		return;
 	str_free(&m->info.hall);
 	str_free(&m->info.inbox);
-	m->info.hall = str_dup(hall);
-	m->info.inbox = str_dup(inbox);
-	m->info.leaving = leaving;
+	m->info.hall = str_dup(info->hall);
+	m->info.inbox = str_dup(info->inbox);
+	m->info.power = info->power;
+	m->info.leaving = info->leaving;
 }
 
 bool
--- a/memb.h
+++ b/memb.h
@@ -78,8 +78,7 @@
 
 /* The platform's list names a box; those not named since begin are unlisted. */
 void memb_list_begin(struct memb *);
-void memb_listed(struct memb *, struct str box, struct str hall,
-    struct str inbox, bool leaving);
+void memb_listed(struct memb *, const struct memb_info *);
 
 /*
  * Time passes: boxes that did not answer are dead, and those that are dead
