--- a/agent_greet.c
+++ b/agent_greet.c
@@ -125,10 +125,12 @@
 	a->greet.listed = true;
 	c.boxes = g_ptr_array_new();
 	memb_each(a->memb, gather, &c);
+	a->greet.strong =
+	    c.boxes->len > 0 && memb_self(a->memb)->power >= c.strong;
 	if (c.boxes->len <= GREET_ALL_MAX) {
 		c.strong = 0;
 		c.own = c.away = GREET_ALL_MAX;
-	} else if (memb_self(a->memb)->power >= c.strong) {
+	} else if (a->greet.strong) {
 		c.away = GREET_AWAY_MAX;
 	}
 	ask(&c);
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -23,6 +23,8 @@
 
 #define RECHECK_NS (1 * NS_S)
 #define BACKOFF_FIRST_NS (250 * NS_MS)
+/* Boxes that start know each other sooner than that. */
+#define FIRST_WATCH_NS (1 * NS_S)
 #define BOXES_OTHER_NS (60 * NS_S)
 #define STATUS_SOON_NS (300 * NS_MS)
 #define STATUS_AGAIN_NS (60 * NS_S)
@@ -374,8 +376,8 @@
 	slog(SLOG_WATCH, "listed", "kinds=%s revision=%llu in_force=%zu",
 	    f->kinds, (unsigned long long)revision, conf_count(a->conf));
 	agent_status_soon(a);
-	/* A box that starts hears first from others whether it must watch. */
-	watch_soon(f, first ? a->set.gather_ms * NS_MS : 0);
+	/* A weak box that starts hears first whether it must watch at all. */
+	watch_soon(f, first && !a->greet.strong ? FIRST_WATCH_NS : 0);
 }
 
 static void
--- a/libagent.h
+++ b/libagent.h
@@ -93,6 +93,7 @@
 	struct tmr_item timer;
 	bool listed;
 	bool over; /* enough have answered, or there was time to */
+	bool strong; /* we are, among those that were listed */
 	unsigned asked;
 };
 
