--- a/agent_push.c
+++ b/agent_push.c
@@ -133,13 +133,6 @@
 	p->of_large.own = rank % p->of_large.share;
 }
 
-static bool
-is_large(const struct conf_entry *e)
-{
-	return e->spec != NULL &&
-	    json_dumpb(e->spec, NULL, 0, JSON_COMPACT) > PUSH_SMALL_MAX;
-}
-
 static void
 gather_unsent(struct push *p)
 {
@@ -155,8 +148,9 @@
 			continue;
 		if (!GPOINTER_TO_INT(told))
 			sync_pack_add(p->heard, e);
-		else
-			sync_pack_add(is_large(e) ? p->large : p->small, e);
+		else if (sync_pack_add(p->small, e) > PUSH_SMALL_MAX &&
+		    e->bad_version == 0)
+			sync_pack_move_last(p->small, p->large);
 	}
 }
 
--- a/conf.c
+++ b/conf.c
@@ -29,6 +29,7 @@
 	unsigned nlisteners;
 };
 
+static uint64_t hash_spec(const json_t *);
 static void entry_free(void *);
 static struct conf_entry *entry_new(struct conf *, struct str, GError **);
 static void rehash(struct conf *, struct conf_entry *);
@@ -95,15 +96,62 @@
 }
 
 static uint64_t
-hash_spec(const json_t *spec)
+hash_number(const json_t *v)
 {
-	char *text = json_dumps(spec, JSON_COMPACT | JSON_SORT_KEYS);
-	uint64_t h = text == NULL ? 0 : XXH3_64bits(text, strlen(text));
+	json_int_t i = json_integer_value(v);
+	double d = json_real_value(v);
 
-	free(text);
+	return json_is_integer(v) ? XXH3_64bits(&i, sizeof(i))
+				  : XXH3_64bits(&d, sizeof(d));
+}
+
+/* The order of an object's members does not count. */
+static uint64_t
+hash_object(const json_t *v)
+{
+	const char *key;
+	json_t *member;
+	uint64_t h = 1;
+
+	json_object_foreach ((json_t *)v, key, member)
+		h += XXH3_64bits_withSeed(key, strlen(key), hash_spec(member));
 	return h;
 }
 
+static uint64_t
+hash_array(const json_t *v)
+{
+	uint64_t h = 2, one;
+	json_t *item;
+	size_t i;
+
+	json_array_foreach (v, i, item) {
+		one = hash_spec(item);
+		h = XXH3_64bits_withSeed(&one, sizeof(one), h);
+	}
+	return h;
+}
+
+/* Without writing it down as text, which takes as long as reading it. */
+static uint64_t
+hash_spec(const json_t *v)
+{
+	switch (v == NULL ? JSON_NULL : json_typeof(v)) {
+	case JSON_OBJECT:
+		return hash_object(v);
+	case JSON_ARRAY:
+		return hash_array(v);
+	case JSON_STRING:
+		return XXH3_64bits_withSeed(
+		    json_string_value(v), json_string_length(v), JSON_STRING);
+	case JSON_INTEGER:
+	case JSON_REAL:
+		return hash_number(v);
+	default:
+		return v == NULL ? 0 : (uint64_t)json_typeof(v);
+	}
+}
+
 /*
  * An entry's share of the digest.  Deletions have none: one box may have
  * forgotten a deletion that another still keeps.
--- a/msg.c
+++ b/msg.c
@@ -80,7 +80,8 @@
 static const struct shape key_shape = SHAPE(msg_key, key_fields);
 
 static const struct msg_field object_fields[] = {STR(msg_object, key),
-    U64(msg_object, version), BOOL(msg_object, deleted), STR(msg_object, spec)};
+    U64(msg_object, version), BOOL(msg_object, deleted), STR(msg_object, spec),
+    U64(msg_object, size), U64(msg_object, hash)};
 static const struct shape object_shape = SHAPE(msg_object, object_fields);
 
 static const struct msg_field state_fields[] = {STR(msg_state_of, backend),
--- a/msg.h
+++ b/msg.h
@@ -86,7 +86,9 @@
 	struct str key;
 	uint64_t version;
 	bool deleted;
-	struct str spec; /* JSON text */
+	struct str spec; /* JSON text, deflated if `size` is not 0 */
+	uint64_t size; /* of the text, where it is deflated */
+	uint64_t hash; /* of the contents, as conf_entry has it */
 };
 
 struct msg_objects {
--- a/regress/test_conf.cpp
+++ b/regress/test_conf.cpp
@@ -378,3 +378,36 @@
 	sync_pack_free(pack);
 	conf_free(c);
 }
+
+/* A large object crosses deflated, and is not read where it is known. */
+TEST(Sync, LargeTextsAreDeflatedAndReadBack)
+{
+	Net net;
+	json_t *labels = json_object();
+	json_t *spec = json_pack("{s:s, s:s, s:i, s:o}", "address",
+	    "127.0.0.1:80", "hall", "north", "slots", 3, "labels", labels);
+
+	for (int i = 0; i < 400; i++)
+		json_object_set_new(labels,
+		    ("label" + std::to_string(i)).c_str(), json_string("yes"));
+	for (auto n : {"p0", "p1"})
+		net.add(n);
+	Peer &from = net.peers["p0"], &to = net.peers["p1"];
+	EXPECT_EQ(CONF_NEWER,
+	    conf_offer(from.conf, STR_LIT("backend/b1"), 7, false, spec,
+		STR_LIT("platform"), nullptr));
+	json_decref(spec);
+	struct sync_pack *pack = sync_pack_new();
+	size_t text = json_dumpb(
+	    conf_get(from.conf, STR_LIT("backend/b1"))->spec, nullptr, 0, 0);
+	size_t bytes =
+	    sync_pack_add(pack, conf_get(from.conf, STR_LIT("backend/b1")));
+	EXPECT_LT(bytes, text / 3);
+	for (int i = 0; i < 2; i++) {
+		sync_pack_send(&from.sync, pack, STR_LIT("p1"));
+		net.deliver(false);
+		EXPECT_EQ(conf_digest(from.conf), conf_digest(to.conf));
+		EXPECT_EQ(1u, conf_count(to.conf));
+	}
+	sync_pack_free(pack);
+}
--- a/sync.c
+++ b/sync.c
@@ -9,10 +9,18 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include "err.h"
+#include <string.h>
+#include <zlib.h>
+
 #include "slog.h"
 #include "sync.h"
 
-enum { OBJECTS_PER_MESSAGE = 128 };
+enum {
+	OBJECTS_PER_MESSAGE = 128,
+	DEFLATE_MIN = 4096, /* bytes of text */
+	DEFLATE_LEVEL = 1, /* the fastest; routes shrink tenfold all the same */
+	TEXT_MAX = 64 << 20 /* of what a peer says its text has */
+};
 
 /* Objects on their way out.  Keys are the configuration's own. */
 struct sync_pack {
@@ -124,25 +132,70 @@
 	g_free(p);
 }
 
+/* Large texts are deflated: links of boxes may be slow. */
 static void
-pack_put(struct sync_pack *p, struct str key, uint64_t version, bool deleted,
-    const json_t *spec)
+write_spec(struct msg_object *o, const json_t *spec)
+{
+	char *text = json_dumps(spec, JSON_COMPACT);
+	size_t n = strlen(text);
+	uLongf len = compressBound(n);
+	Bytef *packed;
+
+	o->spec = str_n(text, n);
+	if (n < DEFLATE_MIN)
+		return;
+	packed = malloc(len);
+	if (packed == NULL ||
+	    compress2(packed, &len, (Bytef *)text, n, DEFLATE_LEVEL) != Z_OK) {
+		free(packed);
+		return;
+	}
+	free(text);
+	o->spec = str_n((char *)packed, len);
+	o->size = n;
+}
+
+/* Returns the bytes that the object's text takes. */
+static size_t
+pack_put(struct sync_pack *p, const struct msg_object *what, const json_t *spec)
 {
-	char *text = spec == NULL ? NULL : json_dumps(spec, JSON_COMPACT);
-	struct msg_object o = {key, version, deleted, str_c(text)};
+	struct msg_object o = *what;
 
-	if (text != NULL)
-		g_ptr_array_add(p->texts, text);
+	if (spec != NULL) {
+		write_spec(&o, spec);
+		g_ptr_array_add(p->texts, (void *)o.spec.p);
+	}
 	g_array_append_val(p->objects, o);
+	return o.spec.n;
 }
 
-void
+size_t
 sync_pack_add(struct sync_pack *p, const struct conf_entry *e)
 {
+	struct msg_object good = {.key = e->key,
+	    .version = e->version,
+	    .deleted = e->deleted,
+	    .hash = e->bad_version > 0 ? 0 : e->hash};
+	struct msg_object bad = {.key = e->key, .version = e->bad_version};
+	size_t n = 0;
+
 	if (e->version > 0)
-		pack_put(p, e->key, e->version, e->deleted, e->spec);
+		n += pack_put(p, &good, e->spec);
 	if (e->bad_version > 0)
-		pack_put(p, e->key, e->bad_version, false, e->bad_spec);
+		n += pack_put(p, &bad, e->bad_spec);
+	return n;
+}
+
+void
+sync_pack_move_last(struct sync_pack *from, struct sync_pack *to)
+{
+	guint at = from->objects->len - 1;
+
+	g_array_append_vals(to->objects,
+	    &g_array_index(from->objects, struct msg_object, at), 1);
+	g_array_set_size(from->objects, at);
+	g_ptr_array_add(to->texts,
+	    g_ptr_array_steal_index(from->texts, from->texts->len - 1));
 }
 
 void
@@ -190,11 +243,13 @@
     struct sync *s, struct sync_pack *pack, const struct msg_version *v)
 {
 	const struct conf_entry *e = conf_get(s->conf, v->key);
+	struct msg_object gone = {
+	    .key = v->key, .version = conf_floor(s->conf), .deleted = true};
 
 	if (e == NULL &&
 	    MAX(v->version, v->bad_version) <= conf_floor(s->conf)) {
 		if (v->hash != 0)
-			pack_put(pack, v->key, conf_floor(s->conf), true, NULL);
+			pack_put(pack, &gone, NULL);
 		return false;
 	}
 	if (e == NULL)
@@ -256,6 +311,39 @@
 	send_and_free(s, pack, m->from);
 }
 
+/* The same contents came before, so that they need not be read again. */
+static bool
+is_known(const struct sync *s, const struct msg_object *o)
+{
+	const struct conf_entry *e = conf_get(s->conf, o->key);
+
+	return e != NULL && o->hash != 0 && e->hash == o->hash &&
+	    e->version == o->version;
+}
+
+static json_t *
+read_spec(const struct msg_object *o)
+{
+	uLongf n = o->size;
+	json_t *spec;
+	char *text;
+
+	if (o->size == 0)
+		return json_loadb(o->spec.p, o->spec.n, 0, NULL);
+	if (o->size > TEXT_MAX)
+		return NULL;
+	text = malloc(n);
+	if (text == NULL ||
+	    uncompress((Bytef *)text, &n, (const Bytef *)o->spec.p,
+		o->spec.n) != Z_OK) {
+		free(text);
+		return NULL;
+	}
+	spec = json_loadb(text, n, 0, NULL);
+	free(text);
+	return spec;
+}
+
 static void
 take_objects(struct sync *s, const struct msg *m)
 {
@@ -267,11 +355,15 @@
 	size_t i;
 
 	for (i = 0; i < list->n; i++) {
-		spec = o[i].deleted
-		    ? NULL
-		    : json_loadb(o[i].spec.p, o[i].spec.n, 0, NULL);
-		if (!o[i].deleted && spec == NULL)
+		if (is_known(s, &o[i]))
+			continue;
+		spec = o[i].deleted ? NULL : read_spec(&o[i]);
+		if (!o[i].deleted && spec == NULL) {
+			slog(SLOG_CONF, "an object of a peer's cannot be read",
+			    "from=%.*s key=%.*s", STR_ARG(m->from),
+			    STR_ARG(o[i].key));
 			continue;
+		}
 		got = conf_offer(s->conf, o[i].key, o[i].version, o[i].deleted,
 		    spec, m->from, &err);
 		json_decref(spec);
--- a/sync.h
+++ b/sync.h
@@ -48,8 +48,11 @@
 struct sync_pack *sync_pack_new(void);
 void sync_pack_free(struct sync_pack *);
 
-/* Add an object in the state that is known here. */
-void sync_pack_add(struct sync_pack *, const struct conf_entry *);
+/* Add an object in the state that is known here; the bytes that it takes. */
+size_t sync_pack_add(struct sync_pack *, const struct conf_entry *);
+
+/* Move the object that was added last. */
+void sync_pack_move_last(struct sync_pack *from, struct sync_pack *to);
 void sync_pack_send(struct sync *, const struct sync_pack *, struct str to);
 
 #endif
