--- a/regress/test_conf.cpp
+++ b/regress/test_conf.cpp
@@ -392,7 +392,7 @@
 		    ("label" + std::to_string(i)).c_str(), json_string("yes"));
 	for (auto n : {"p0", "p1"})
 		net.add(n);
-	Peer &from = net.peers["p0"], &to = net.peers["p1"];
+	auto &from = net.peers["p0"], &to = net.peers["p1"];
 	EXPECT_EQ(CONF_NEWER,
 	    conf_offer(from.conf, STR_LIT("backend/b1"), 7, false, spec,
 		STR_LIT("platform"), nullptr));
