A soak of fernbox on the users' platform

make soak knew gates and agents only. regress/soak_box runs four fernbox processes against the store stand-in and eight backend servers behind fault proxies: kills, pauses, planned stops and reloads of boxes, cut, silent and lossy networks, a store that refuses, is cut off, forgets or is stale, configurations that change, drains; in series and overlapping, from a seed. It checks that unsafe requests run once, refused ones not at all, that answers are whole and one's own, that all requests end and that all boxes serve again.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	regress/test_box
 TESTS = $(UNIT_TESTS) $(FLEET_TESTS)
 BENCHES = regress/bench_pick regress/bench_gate regress/bench_tail \
-	regress/bench_capacity regress/soak regress/demo
+	regress/bench_capacity regress/soak regress/soak_box regress/demo
 
 COMMON = chart.o clk.o cnt.o conf.o daemon.o dial.o disp.o disp_hold.o \
 	disp_move.o disp_pace.o disp_pass.o disp_peek.o disp_set.o disp_stop.o \
@@ -98,6 +98,7 @@
 	FERN_ROOT=. ./regress/demo
 soak: build-all
 	FERN_ROOT=. ./regress/soak $(or $(MINUTES),1)
+	FERN_ROOT=. ./regress/soak_box $$(($(or $(MINUTES),1) * 60))
 prove: build-all
 	./regress/prove
 bench-pick bench-gate bench-tail bench-capacity: build-all
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -418,3 +418,15 @@
 	in_loop([&] { n = backends[id]->ran.size(); });
 	return n;
 }
+
+size_t
+Objects::ran_times(const std::string &id, const std::string &request)
+{
+	size_t n = 0;
+
+	in_loop([&] {
+		for (auto &r : backends[id]->ran)
+			n += r == request;
+	});
+	return n;
+}
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -52,6 +52,8 @@
 	    const std::string &address);
 	void set(const std::string &id, int pace, bool refuse, bool lose);
 	size_t ran(const std::string &id);
+	/* How often a backend server ran one request. */
+	size_t ran_times(const std::string &id, const std::string &request);
 
 	/* Write, or remove, an object of the store. */
 	void put(const std::string &kind, const std::string &name,
--- /dev/null
+++ b/regress/soak_box.cpp
@@ -0,0 +1,488 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+/*
+ * The users' platform under random faults, from a printed seed: boxes as
+ * separate processes, the store and backend servers behind fault proxies,
+ * signals, a store that refuses, forgets or is stale, configurations that
+ * change.  Faults come in series and overlap.  The promises are checked from
+ * what callers and backend servers see.
+ *
+ *	soak_box SECONDS [SEED]
+ */
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <fstream>
+#include <random>
+#include <unistd.h>
+
+#include "fleet.h"
+#include "objects.h"
+
+namespace
+{
+
+enum { BOXES = 4, BACKENDS = 8, DEADLINE_MS = 800 };
+
+/* What a caller saw of one request. */
+struct Seen {
+	std::string id;
+	bool unsafe = false;
+	Reply reply;
+	bool ended = false;
+	double took_ms = 0;
+};
+
+/* Something that is wrong now, and is put right at a time. */
+struct Trouble {
+	std::string what;
+	double until;
+	std::function<void()> mend;
+};
+
+struct Soak {
+	std::mt19937 rng;
+	std::string net, dir;
+	Objects store;
+	std::vector<Process> boxes{BOXES};
+	std::vector<std::unique_ptr<Proxy>> backend_proxies;
+	std::unique_ptr<Proxy> store_proxy;
+	std::vector<Trouble> troubles;
+	std::map<std::string, int> faults;
+	std::vector<std::unique_ptr<Seen>> seen;
+	int version = 1;
+
+	explicit Soak(unsigned seed)
+	    : rng(seed), net("127.78." + std::to_string(getpid() % 250) + "."),
+	      store(net + "1:9000")
+	{
+		char name[] = "/tmp/fernsoak.XXXXXX";
+
+		dir = mkdtemp(name);
+		store_proxy = proxy(net + "2:9000", net + "1:9000");
+		for (int i = 0; i < BACKENDS; i++) {
+			std::string own = net + std::to_string(100 + i);
+			std::string id = "i-" + std::to_string(i);
+
+			store.start_backend(id, service(i), own + ":9100");
+			backend_proxies.push_back(
+			    proxy(own + ":9101", own + ":9100"));
+			enter(i, "ready");
+		}
+		configure();
+		for (int i = 0; i < BOXES; i++) {
+			write_settings(i);
+			boxes[at(i)].argv = {root() + "/fernbox", file(i)};
+			boxes[at(i)].log = dir + "/log" + std::to_string(i);
+			boxes[at(i)].start();
+		}
+	}
+
+	~Soak()
+	{
+		for (auto &b : boxes)
+			b.kill9();
+		for (auto &p : backend_proxies)
+			p->process.kill9();
+		store_proxy->process.kill9();
+	}
+
+	static size_t at(int i)
+	{
+		return static_cast<size_t>(i);
+	}
+
+	int any(int n)
+	{
+		return static_cast<int>(rng() % static_cast<unsigned>(n));
+	}
+
+	static std::string root()
+	{
+		const char *r = getenv("FERN_ROOT");
+
+		return r != nullptr ? r : ".";
+	}
+
+	static std::string service(int i)
+	{
+		return i % 2 == 0 ? "till" : "shelf";
+	}
+
+	static std::string hall(int i)
+	{
+		return i / 2 % 2 == 0 ? "north" : "south";
+	}
+
+	std::string file(int box) const
+	{
+		return dir + "/box" + std::to_string(box) + ".toml";
+	}
+
+	std::string ip(int box) const
+	{
+		return net + std::to_string(10 + box);
+	}
+
+	std::unique_ptr<Proxy>
+	proxy(const std::string &listen, const std::string &target)
+	{
+		auto p = std::make_unique<Proxy>();
+
+		p->address = listen;
+		p->control = listen.substr(0, listen.rfind(':')) + ":7000";
+		p->process.argv = {root() + "/regress/standin_proxy", listen,
+		    target, p->control};
+		p->process.log = dir + "/proxy.log";
+		p->process.start();
+		until([&] {
+			return http("GET", p->control, "/", {}, "", 500)
+				   .status == 200;
+		});
+		return p;
+	}
+
+	void write_settings(int box)
+	{
+		std::ofstream out(file(box));
+		std::string own = "box = \"b" + std::to_string(box) +
+		    "\"\nhall = \"" + (box < 2 ? "north" : "south") +
+		    "\"\nplatform = \"" + store_proxy->address +
+		    "\"\nplatform_form = \"objects\"\n";
+
+		out << "[gate]\n"
+		    << own << "listen = \"" << ip(box) << ":8080\"\n"
+		    << "admin_listen = \"" << ip(box) << ":8280\"\n"
+		    << "pass_listen = \"" << ip(box) << ":8180\"\n"
+		    << "inbox = \"" << ip(box) << ":8380\"\n"
+		    << "agent = \"" << ip(box) << ":8480\"\n"
+		    << "policy = \"pace\"\ncharts = \"" << root()
+		    << "/charts\"\nearly_ms = 1000\nleave_wait_ms = 300\n"
+		    << "grace_ms = 2000\nbounds = "
+		    << "'{\"retryBudgetRatio\":0.2,\"retryBudgetSlack\":60}'\n"
+		    << "[agent]\n"
+		    << own << "inbox = \"" << ip(box) << ":8480\"\n"
+		    << "gate_inbox = \"" << ip(box) << ":8380\"\n"
+		    << "pass = \"" << ip(box) << ":8180\"\nseeds = [\"" << ip(0)
+		    << ":8480\", \"" << ip(3) << ":8480\"]\n"
+		    << "watchers = 2\nprobe_rate = 0\nplatform_rate = 50\n"
+		    << "first_ms = 10\nretry_ms = 300\n";
+	}
+
+	void enter(int i, const std::string &state)
+	{
+		store.put("servers", "i-" + std::to_string(i),
+		    "{\"service\":\"" + service(i) + "\",\"addr\":\"" +
+			backend_proxies[at(i)]->address + "\",\"zone\":\"" +
+			hall(i) + "\",\"slots\":3,\"state\":\"" + state +
+			"\"}");
+	}
+
+	/* The routes, with one more or less as versions go by. */
+	void configure()
+	{
+		std::string text = "{\"version\":\"r" +
+		    std::to_string(version++) + "\",\"resources\":[";
+
+		for (int i = 0; i < 2 + version % 2; i++)
+			text += R"({"resourceType":"routes","metadata":
+			    {"name":"r)" +
+			    std::to_string(i) +
+			    R"("},"spec":{"host":"shop.example","pathPrefix":)" +
+			    (i == 0	     ? "\"/look/\""
+				    : i == 1 ? "\"/buy/\""
+					     : "\"/more/\"") +
+			    R"(,"routeType":)" +
+			    (i == 1 ? "\"unsafe\"" : "\"safe\"") +
+			    R"(,"timeout":"900ms","targetLatency":"300ms",)"
+			    R"("priority":1,"maxAttempts":2,"service":")" +
+			    service(i) + "\"}},";
+		store.put("config", "main",
+		    text +
+			R"({"resourceType":"services","metadata":
+			    {"name":"till"},"spec":{"healthPath":"/health"}},
+			   {"resourceType":"services","metadata":
+			    {"name":"shelf"},"spec":{"healthPath":"/health"}}
+			   ]})");
+	}
+
+	bool ready(int box) const
+	{
+		return http("GET", ip(box) + ":8280", "/ready", {}, "", 500)
+			   .status == 200;
+	}
+
+	void ask()
+	{
+		auto own = std::make_unique<Seen>();
+		Seen *s = own.get();
+		double began = now_ms();
+		bool unsafe = any(3) == 0;
+
+		s->id = "s" + std::to_string(seen.size());
+		s->unsafe = unsafe;
+		seen.push_back(std::move(own));
+		http_start(unsafe ? "POST" : "GET", ip(any(BOXES)) + ":8080",
+		    unsafe ? "/buy/x" : "/look/x",
+		    {{"Host", "shop.example"},
+			{"fernjunction-request-id", s->id},
+			{"fernjunction-deadline-ms",
+			    std::to_string(DEADLINE_MS)}},
+		    unsafe ? "body" : "", 5000, [s, began](const Reply &r) {
+			    s->reply = r;
+			    s->ended = true;
+			    s->took_ms = now_ms() - began;
+		    });
+	}
+
+	/* Requests at a steady pace for some time, mending what is due. */
+	void traffic(double ms)
+	{
+		double end = now_ms() + ms;
+
+		while (now_ms() < end) {
+			ask();
+			pump(8);
+			for (size_t i = troubles.size(); i-- > 0;) {
+				if (now_ms() < troubles[i].until)
+					continue;
+				troubles[i].mend();
+				troubles.erase(troubles.begin() +
+				    static_cast<std::ptrdiff_t>(i));
+			}
+		}
+	}
+
+	/* One thing goes wrong, unless the same is wrong already. */
+	void trouble(const std::string &what, double ms,
+	    const std::function<void()> &cause, std::function<void()> mend)
+	{
+		for (auto &t : troubles)
+			if (t.what == what)
+				return;
+		faults[what.substr(0, what.find(' '))]++;
+		cause();
+		troubles.push_back({what, now_ms() + ms, std::move(mend)});
+	}
+
+	void box_fault(int i, double ms)
+	{
+		Process &p = boxes[at(i)];
+		std::string what = "box" + std::to_string(i);
+
+		switch (any(4)) {
+		case 0:
+			trouble(
+			    "kill " + what, ms, [&] { p.kill9(); },
+			    [&p] { p.start(); });
+			break;
+		case 1:
+			trouble(
+			    "pause " + what, ms, [&] { p.signal(SIGSTOP); },
+			    [&p] { p.signal(SIGCONT); });
+			break;
+		case 2:
+			trouble(
+			    "stop " + what, 3000, [&] { p.signal(SIGTERM); },
+			    [&p] {
+				    p.kill9();
+				    p.start();
+			    });
+			break;
+		default:
+			trouble(
+			    "reload " + what, ms, [&] { p.signal(SIGHUP); },
+			    [] {});
+		}
+	}
+
+	void backend_fault(int i, double ms)
+	{
+		static const char *const modes[] = {
+		    "cut", "blackhole", "freeze", "drop_answers"};
+		std::string id = "i-" + std::to_string(i);
+		Proxy *p = backend_proxies[at(i)].get();
+		std::string mode;
+
+		switch (any(4)) {
+		case 0:
+			mode = modes[any(4)];
+			trouble(
+			    "net-" + mode + " " + id, ms,
+			    [&] { p->set("mode=" + mode); },
+			    [p] { p->set("mode=pass"); });
+			break;
+		case 1:
+			trouble(
+			    "slow " + id, ms,
+			    [&] { store.set(id, 500, false, false); },
+			    [this, id] { store.set(id, 100, false, false); });
+			break;
+		case 2:
+			trouble(
+			    "lose " + id, ms,
+			    [&] { store.set(id, 100, false, true); },
+			    [this, id] { store.set(id, 100, false, false); });
+			break;
+		default:
+			trouble(
+			    "drain " + id, ms, [&] { enter(i, "draining"); },
+			    [this, i] { enter(i, "ready"); });
+		}
+	}
+
+	void store_fault(double ms)
+	{
+		static const char *const modes[] = {
+		    "cut", "blackhole", "drop_answers"};
+		std::string mode = modes[any(3)];
+
+		switch (any(5)) {
+		case 0:
+			trouble(
+			    "store-refuses", ms, [&] { store.answer_all(503); },
+			    [this] { store.answer_all(0); });
+			break;
+		case 1:
+			trouble(
+			    "store-" + mode, ms,
+			    [&] { store_proxy->set("mode=" + mode); },
+			    [this] { store_proxy->set("mode=pass"); });
+			break;
+		case 2:
+			trouble(
+			    "store-forgets", ms, [&] { store.compact(); },
+			    [] {});
+			break;
+		case 3:
+			trouble(
+			    "store-stale", ms, [&] { store.keep_stale(); },
+			    [] {});
+			break;
+		default:
+			trouble(
+			    "configure", ms, [&] { configure(); }, [] {});
+		}
+	}
+
+	void fault()
+	{
+		double ms = 100 + any(1500);
+
+		switch (any(3)) {
+		case 0:
+			box_fault(any(BOXES), ms);
+			break;
+		case 1:
+			backend_fault(any(BACKENDS), ms);
+			break;
+		default:
+			store_fault(ms);
+		}
+	}
+
+	/* All is mended; each box must serve again. */
+	bool heals()
+	{
+		for (auto &t : troubles)
+			t.mend();
+		troubles.clear();
+		return until(
+		    [&] {
+			    for (int i = 0; i < BOXES; i++)
+				    if (!ready(i))
+					    return false;
+			    return true;
+		    },
+		    8000);
+	}
+
+	size_t ran(const std::string &id)
+	{
+		size_t n = 0;
+
+		for (int i = 0; i < BACKENDS; i++)
+			n += store.ran_times("i-" + std::to_string(i), id);
+		return n;
+	}
+
+	/* What is wrong about a request; empty if nothing is. */
+	std::string violation(const Seen &s)
+	{
+		static const int promises[] = {408, 421, 429, 503};
+		int status = s.reply.status;
+		size_t n = ran(s.id);
+
+		if (!s.ended)
+			return "never ended";
+		if (s.unsafe && n > 1)
+			return "ran twice";
+		for (int p : promises)
+			if (status == p && n > 0 && s.unsafe)
+				return "was refused and ran";
+		if (status == 200 && s.reply.complete && n == 0)
+			return "was answered and never ran";
+		if (status == 200 && s.reply.complete &&
+		    (s.reply.body != "the answer" ||
+			s.reply.header("fernjunction-request-id") != s.id))
+			return "got another answer";
+		return "";
+	}
+};
+
+} // namespace
+
+int
+main(int argc, char **argv)
+{
+	double seconds = argc > 1 ? atof(argv[1]) : 20;
+	unsigned seed = argc > 2 ? static_cast<unsigned>(atol(argv[2]))
+				 : static_cast<unsigned>(time(nullptr));
+	size_t bad = 0, good = 0;
+	int faults = 0;
+
+	setvbuf(stdout, nullptr, _IOLBF, 0);
+	printf("seed %u, %.0f seconds\n", seed, seconds);
+	Soak soak(seed);
+	if (!soak.heals()) {
+		printf("the boxes never served\n");
+		return 1;
+	}
+	double end = now_ms() + seconds * 1000;
+	while (now_ms() < end) {
+		soak.fault();
+		soak.traffic(30 + soak.any(600));
+	}
+	bool healed = soak.heals();
+	soak.traffic(500);
+	pump(5500);
+	for (auto &s : soak.seen) {
+		std::string what = soak.violation(*s);
+
+		good += s->reply.status == 200;
+		bad += !what.empty();
+		if (!what.empty())
+			printf("VIOLATION %s (%s) %s, status %d, %.0f ms\n",
+			    s->id.c_str(), s->unsafe ? "unsafe" : "safe",
+			    what.c_str(), s->reply.status, s->took_ms);
+	}
+	for (auto &f : soak.faults) {
+		printf("fault %-18s %d\n", f.first.c_str(), f.second);
+		faults += f.second;
+	}
+	printf("seed %u: %zu requests, %zu answered, %d faults, %zu "
+	       "violations%s; logs in %s\n",
+	    seed, soak.seen.size(), good, faults, bad,
+	    healed ? "" : ", and some box did not serve again",
+	    soak.dir.c_str());
+	return bad > 0 || !healed;
+}
