A box that leaves closes its callers' idle connections

Cause: after leave_wait_ms the listener is closed, and connections are closed with their next answer, but one that rests stays open to the end; and the listener too waited until no gate passed anything. Change: after leave_wait_ms callers' listener is closed whatever gates do, and what has been idle for 100 ms is closed.

--- a/gate_box.c
+++ b/gate_box.c
@@ -18,7 +18,10 @@
  * configuration, then ready, and at a planned stop leaving, closing, gone.
  */
 
-enum { PASS_QUIET_MS = 500 }; /* no other gate has passed us anything */
+enum {
+	PASS_QUIET_MS = 500, /* no other gate has passed us anything */
+	IDLE_LEAVING_MS = 100 /* then a caller's connection is closed */
+};
 
 static const char *const state_names[] = {
     "empty", "ready", "leaving", "closing", "gone"};
@@ -108,6 +111,10 @@
 
 	if (!gate_box_leaving(g) || away < g->set.leave_wait_ms * NS_MS)
 		return;
+	/* Other gates may still pass us requests; callers have had their time.
+	 */
+	hsrv_stop(g->callers);
+	hsrv_close_idle(g->callers, IDLE_LEAVING_MS);
 	if (away > (g->set.leave_wait_ms + g->set.grace_ms) * NS_MS) {
 		enter(g, BOX_EV_ENDED, "the grace is over");
 		return;
--- a/hsrv.c
+++ b/hsrv.c
@@ -153,6 +153,15 @@
 	s->ctx.http1.req_timeout.timeout = idle_ms;
 }
 
+void
+hsrv_close_idle(struct hsrv *s, uint64_t idle_ms)
+{
+	h2o_timeout_t *idle = &s->ctx.http1.req_timeout;
+
+	idle->timeout = MIN(idle->timeout, idle_ms);
+	h2o_timeout_run(s->loop, idle, h2o_now(s->loop));
+}
+
 void
 hsrv_stop(struct hsrv *s)
 {
--- a/hsrv.h
+++ b/hsrv.h
@@ -34,6 +34,12 @@
 /* From now on: bytes of a body, and ms that a connection may be idle. */
 void hsrv_limits(struct hsrv *, size_t body_max, uint64_t idle_ms);
 
+/*
+ * Close the connections on which nothing has come for so long, in ms: after a
+ * planned stop a request on one of them could not be answered any more.
+ */
+void hsrv_close_idle(struct hsrv *, uint64_t idle_ms);
+
 /* Tell HTTP/2 callers to go elsewhere (GOAWAY). */
 void hsrv_shutdown(struct hsrv *);
 
--- a/regress/test_up.cpp
+++ b/regress/test_up.cpp
@@ -23,6 +23,7 @@
 #include <vector>
 
 extern "C" {
+#include "hsrv.h"
 #include "up.h"
 }
 
@@ -414,3 +415,86 @@
 	close(s.fds[0]);
 	close(s.fds[1]);
 }
+
+namespace
+{
+
+/* A server that answers at once, but for one request that it keeps. */
+struct Door {
+	h2o_req_t *kept = nullptr;
+
+	static void on_request(void *ctx, h2o_req_t *req)
+	{
+		if (str_eq(hsrv_path(req), STR_LIT("/wait")))
+			static_cast<Door *>(ctx)->kept = req;
+		else
+			hsrv_answer(req, 200, "text/plain", STR_LIT("yes"));
+	}
+};
+
+/* One request on a connection of its own, then its end. */
+struct Visit {
+	std::atomic<bool> answered{false}, closed{false};
+	std::thread thread;
+
+	Visit(uint16_t port, const std::string &path)
+	    : thread([this, port, path] { run(port, path); })
+	{
+	}
+
+	void run(uint16_t port, const std::string &path)
+	{
+		struct sockaddr_in sa = {};
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		char byte;
+
+		sa.sin_family = AF_INET;
+		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		sa.sin_port = htons(port);
+		EXPECT_EQ(0, connect(fd, (struct sockaddr *)&sa, sizeof(sa)));
+		say(fd, "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
+		answered = read_head(fd);
+		while (read(fd, &byte, 1) == 1)
+			;
+		closed = true;
+		close(fd);
+	}
+};
+
+} // namespace
+
+TEST(Hsrv, IdleConnectionsAreClosedAndBusyOnesAreNot)
+{
+	const uint16_t port = static_cast<uint16_t>(20000 + getpid() % 20000);
+	std::string address = "127.0.0.1:" + std::to_string(port);
+	uv_loop_t *loop = uv_default_loop();
+	GError *err = nullptr;
+	Door door;
+	struct hsrv *s = hsrv_open(loop, str_n(address.data(), address.size()),
+	    1024, Door::on_request, &door, &err);
+
+	ASSERT_NE(nullptr, s);
+	Visit idle(port, "/"), busy(port, "/wait");
+	auto turn = [&](int ms, const std::function<bool()> &done) {
+		for (int i = 0; i < ms && !done(); i++) {
+			uv_run(loop, UV_RUN_NOWAIT);
+			usleep(1000);
+		}
+		return done();
+	};
+	EXPECT_TRUE(
+	    turn(3000, [&] { return idle.answered && door.kept != nullptr; }));
+	turn(150, [] { return false; });
+	EXPECT_FALSE(idle.closed);
+	hsrv_close_idle(s, 100);
+	EXPECT_TRUE(turn(3000, [&] { return idle.closed.load(); }));
+	EXPECT_FALSE(busy.closed);
+	ASSERT_NE(nullptr, door.kept);
+	door.kept->http1_is_persistent = 0;
+	hsrv_answer(door.kept, 200, "text/plain", STR_LIT("yes"));
+	EXPECT_TRUE(turn(3000, [&] { return busy.answered && busy.closed; }));
+	hsrv_stop(s);
+	turn(10, [] { return false; });
+	idle.thread.join();
+	busy.thread.join();
+}
