A list that the platform swallowed is given up soon

A silent outage of the store from 11.9 to 16.4 s swallowed the list of the feed of bundles; the other feed was answered from 16.4 s on, but this one waited for its 5 s, until 20.8 s, and a version acknowledged at 17.1 s was in force at 21.3 s on all boxes. Nothing of the deployment's own: it may come anywhere. Ruled out: the feed that waits for the first one (both had calls of their own).

Change: a list waits 2 s for each page in place of 5 s for all; once any call is answered after an outage, calls of before it are made anew.

Test: Box.ACallThatIsNeverAnsweredIsGivenUpSoon, fails with 5 s.

--- a/agent_watch.c
+++ b/agent_watch.c
@@ -32,7 +32,7 @@
 #define STATUS_FLEET_RATE 150
 
 enum {
-	LIST_TIMEOUT_MS = 5000,
+	LIST_TIMEOUT_MS = 2000, /* a page; a slow store takes some 250 ms */
 	BACKOFF_SHIFT_MAX = 7,
 	STATUS_PATIENCE = 4 /* a status may wait longer than a list */
 };
@@ -73,11 +73,18 @@
 resume_calls(struct agent *a)
 {
 	int64_t now = clk_ns(a->clk);
+	struct agent_feed *f;
 	unsigned i;
 
-	for (i = 1; i < a->nfeeds; i++)
-		if (a->feeds[i].call == NULL && !a->feeds[i].timer.set)
-			watch_soon(&a->feeds[i], 0);
+	for (i = 0; i < a->nfeeds; i++) {
+		f = &a->feeds[i];
+		/* A call of before the outage may never be answered. */
+		if (f->call != NULL)
+			plat_cancel(a->plat, f->call);
+		if (f->call != NULL || (i > 0 && !f->timer.set))
+			watch_soon(f, 0);
+		f->call = NULL;
+	}
 	if (a->boxes_call == NULL && !a->boxes_timer.set)
 		tmr_set(&a->tmr, &a->boxes_timer, now, on_boxes_due, a);
 	if (a->status_call == NULL && !a->status_timer.set)
--- a/plat.h
+++ b/plat.h
@@ -50,7 +50,7 @@
 	uint64_t version; /* update, delete: condition; watch: since */
 	const json_t *value;
 	bool stale; /* list: may be some seconds old, and is far cheaper */
-	int64_t timeout_ms;
+	int64_t timeout_ms; /* for each page of a list */
 	int64_t wait_ms; /* watch: how long to wait for a change */
 };
 
--- a/plat_http.c
+++ b/plat_http.c
@@ -34,6 +34,7 @@
 	struct plat_exchange ex;
 	struct up_call *up;
 	struct tmr_item timer;
+	int64_t patience; /* ns for an answer, or one page of it */
 	plat_done_fn *done;
 	void *ctx;
 	bool sent, reads;
@@ -98,8 +99,7 @@
 	c->rq.kind = str_dup(rq->kind);
 	c->rq.name = str_dup(rq->name);
 	c->answer = g_string_new(NULL);
-	tmr_set(h->tmr, &c->timer, clk_ns(h->clk) + (ms + rq->wait_ms) * NS_MS,
-	    on_timeout, c);
+	c->patience = (ms + rq->wait_ms) * NS_MS;
 	exchange(c, str_c(NULL));
 	c->rq.value = NULL;
 	return c;
@@ -125,6 +125,7 @@
 
 	exchange_clear(c);
 	g_string_truncate(c->answer, 0);
+	tmr_set(h->tmr, &c->timer, clk_ns(h->clk) + c->patience, on_timeout, c);
 	h->codec->encode(&c->rq, after, &c->ex);
 	c->reads = strcmp(c->ex.method, "GET") == 0;
 	up.address = h->address;
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -291,6 +291,12 @@
 		"currentRev", static_cast<json_int_t>(old ? stale_rev : rev)));
 }
 
+void
+Objects::hang(bool on)
+{
+	in_loop([&] { hangs = on; });
+}
+
 void
 Objects::keep_stale()
 {
@@ -333,6 +339,8 @@
 	std::string key = key_of(req), kind = key.substr(0, key.find('/'));
 
 	o->ncalls++;
+	if (o->hangs)
+		return;
 	if (o->status != 0)
 		send(req, o->status, json_object());
 	else if (!h2o_memis(
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -63,6 +63,8 @@
 	void answer_all(int status);
 	/* Forget what changed so far: watches from before get 410. */
 	void compact();
+	/* Answer no call of the store at all, or again. */
+	void hang(bool);
 	/* From now on stale lists tell what there is now. */
 	void keep_stale();
 	size_t calls();
@@ -111,6 +113,7 @@
 	std::map<std::string, std::unique_ptr<Backend>> backends;
 	uint64_t rev = 1, kept = 0;
 	int status = 0;
+	bool hangs = false;
 	size_t ncalls = 0;
 	std::thread thread;
 };
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -378,6 +378,29 @@
 	EXPECT_EQ(before, w.ran(0, 2));
 }
 
+/* A list that the platform swallowed does not hold up the next for long. */
+TEST(Box, ACallThatIsNeverAnsweredIsGivenUpSoon)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.platform.answer_all(503);
+	w.platform.compact();
+	ASSERT_TRUE(
+	    until([&] { return w.logged("platform does not answer"); }));
+	w.platform.hang(true);
+	w.platform.answer_all(0);
+	pump(800);
+	w.platform.hang(false);
+	w.configure("shelf");
+	EXPECT_TRUE(until(
+	    [&] {
+		    w.ask("/look/1");
+		    return w.ran(2, 3) > 0;
+	    },
+	    3500));
+}
+
 /* Each call has its price, and one tells whether the platform is back. */
 TEST(Box, OneFeedAsksWhileThePlatformIsAway)
 {
