--- a/tmr.c
+++ b/tmr.c
@@ -13,6 +13,9 @@
 /* A timer that fires so late tells that the loop has stalled. */
 #define LATE_NS (20 * NS_MS)
 
+/* And one that fires so late, that the process was paused. */
+#define PAUSE_NS (1 * NS_S)
+
 /* The least that libuv does not run in the same round. */
 enum { DEFER_MS = 1 };
 
@@ -57,12 +60,15 @@
 /*
  * The loop has stalled, as a timer is late: what came in meanwhile may be
  * just what it waits for, and libuv would run that after it.  So I/O goes
- * first, once, and then all that is due.
+ * first, once, and then all that is due.  After a pause timers go first: what
+ * is overdue must end before anything is sent.
  */
 static bool
 defer(struct tmr *t, const struct queue_item *first, int64_t now)
 {
-	if (t->deferred || now - first->deadline < LATE_NS)
+	int64_t late = now - first->deadline;
+
+	if (t->deferred || late < LATE_NS || late >= PAUSE_NS)
 		return false;
 	t->deferred = true;
 	uv_update_time(t->timer.loop);
