One ratio of strong boxes, one unit of power, in memb.h

POWER_RATIO stood in memb.c, agent_greet.c and gate_home.c, and POWER_UNIT in agent_open.c and gate_home.c: all have to agree, as one box tells its power and another compares it. They are MEMB_STRONG_RATIO and MEMB_POWER_UNIT now. Comments say "strong", as the glossary does. Behaviour is unchanged.

--- a/agent_greet.c
+++ b/agent_greet.c
@@ -21,8 +21,7 @@
 enum {
 	GREET_ALL_MAX = 32, /* so few boxes are all asked */
 	GREET_HALL_MAX = 8, /* else so many strong ones of our hall */
-	GREET_AWAY_MAX = 24, /* and, by strong boxes, of all other halls */
-	POWER_RATIO = 2 /* strong: half the power of the strongest, or more */
+	GREET_AWAY_MAX = 24 /* and, by strong boxes, of all other halls */
 };
 
 /* Boxes that are there answer sooner; then the gate may serve anyway. */
@@ -70,7 +69,7 @@
 
 	if (m->info.inbox.n == 0 || m->info.leaving)
 		return;
-	c->strong = MAX(c->strong, m->info.power / POWER_RATIO);
+	c->strong = MAX(c->strong, m->info.power / MEMB_STRONG_RATIO);
 	g_ptr_array_add(c->boxes, (void *)m);
 }
 
--- a/agent_open.c
+++ b/agent_open.c
@@ -19,7 +19,7 @@
  * share.
  */
 
-enum { LEAVE_MS = 300, ADMIN_BODY_MAX = 4096, POWER_UNIT = 1000 };
+enum { LEAVE_MS = 300, ADMIN_BODY_MAX = 4096 };
 /* Between two looks, with probes to start or without. */
 #define TICK_NS (100 * NS_MS)
 #define TICK_IDLE_NS (500 * NS_MS)
@@ -198,7 +198,7 @@
 	    .pass = a->set.pass,
 	    .gate_inbox = a->set.gate_inbox,
 	    .boot = (uint64_t)clk_wall_ms(a->clk),
-	    .power = (uint64_t)(a->set.power * POWER_UNIT),
+	    .power = (uint64_t)(a->set.power * MEMB_POWER_UNIT),
 	};
 
 	a->loop = uv_default_loop();
--- a/gate_home.c
+++ b/gate_home.c
@@ -15,13 +15,11 @@
 
 /* Which gate is home for a shard, and what homes tell one another. */
 
-/* And left, for so long, if it does not answer a ping. */
+/* A home that does not answer a ping is left for so long. */
 #define SUSPECT_NS (2 * NS_S)
 /* What has not changed is told again after this time. */
 #define TELL_AGAIN_NS (500 * NS_MS)
 
-enum { POWER_RATIO = 2, POWER_UNIT = 1000 };
-
 static struct gate_peer *find(struct gate *, struct str);
 static bool usable(const struct gate_peer *, int64_t);
 static bool hall_serves(const struct gate *, struct str, int64_t);
@@ -61,7 +59,7 @@
 static uint64_t
 own_power(const struct gate *g)
 {
-	return (uint64_t)(g->set.power * POWER_UNIT);
+	return (uint64_t)(g->set.power * MEMB_POWER_UNIT);
 }
 
 /* Does any gate of a hall serve? */
@@ -102,8 +100,7 @@
 /*
  * The home of a shard is the gate with the highest weight for it among those
  * of the shard's hall that serve, or among all, where that hall has none.
- * Boxes with less than half the power of the most powerful one are left out:
- * all of a shard's requests go through its home.
+ * Only strong boxes are homes: all of a shard's requests go through its home.
  * No gate has to agree: one that is taken for home acts as home.
  */
 struct gate_peer *
@@ -115,7 +112,7 @@
 	char text[300];
 	struct str key = shard_key(text, sizeof(text), service, hall);
 	bool near = hall_serves(g, hall, now);
-	uint64_t least = most_power(g, hall, near, now) / POWER_RATIO;
+	uint64_t least = most_power(g, hall, near, now) / MEMB_STRONG_RATIO;
 	guint i;
 
 	if (!gate_box_leaving(g) && own_power(g) >= least &&
--- a/memb.c
+++ b/memb.c
@@ -15,8 +15,6 @@
 
 /* One question in so many goes to a box that is dead or only listed. */
 enum { ASK_LOST_ONE_IN = 6 };
-/* A box with so small a part of the greatest power does not count as strong. */
-enum { POWER_RATIO = 2 };
 
 struct memb {
 	struct memb_info self;
@@ -333,8 +331,8 @@
 	const struct memb_info *who;
 	struct str key, hall;
 	bool seeing; /* only those that the platform answers */
-	bool by_power; /* the powerful ones first */
-	uint64_t strong; /* so much power counts as powerful */
+	bool by_power; /* the strong ones first */
+	uint64_t strong; /* so much power counts as strong */
 	uint64_t own;
 	int before, all, nstrong;
 };
@@ -351,7 +349,7 @@
 static void
 find_strong(struct ranking *rk, const struct memb_info *info)
 {
-	rk->strong = MAX(rk->strong, info->power / POWER_RATIO);
+	rk->strong = MAX(rk->strong, info->power / MEMB_STRONG_RATIO);
 }
 
 static bool
--- a/memb.h
+++ b/memb.h
@@ -30,6 +30,11 @@
 #define MEMB_ANSWER_NS (3 * NS_S) /* time to answer before it is told dead */
 #define MEMB_FORGET_NS (120 * NS_S)
 
+enum {
+	MEMB_POWER_UNIT = 1000, /* the power of a whole processor */
+	MEMB_STRONG_RATIO = 2 /* strong: half the greatest power, or more */
+};
+
 /* What a box tells about itself. */
 struct memb_info {
 	struct str box;
@@ -106,7 +111,7 @@
 
 /*
  * The same of any box, ours or another one that is alive; with by_power, the
- * boxes with at least half the power of the hall's strongest come first.
+ * strong boxes of the hall come first.
  */
 bool memb_ranks_first(const struct memb *, const struct memb_info *,
     struct str key, struct str hall, int k, bool by_power);
