The list of boxes and the box's status have a file of their own

The list of boxes and the status by which a box tells of itself are in agent_box.c now; agent_watch.c keeps the lists and watches of objects, and what all calls to the platform share: budget, backoff, and the belief whether it answers. Those are named agent_call(), agent_backoff(), agent_call_ended() (was note_result()) and agent_first_feed_asks(), as both files use them; agent_status_soon() is agent_box_status_soon(). How a status is hashed stood twice and is status_digest() now; status_holds() compares it. The fields of struct agent stand under the files that own them.

--- /dev/null
+++ b/agent_box.c
@@ -0,0 +1,253 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#define XXH_INLINE_ALL
+#include <stdio.h>
+#include <xxhash.h>
+
+#include "libagent.h"
+
+/*
+ * Boxes on the platform: the list of those that are there, and the status by
+ * which each tells of itself.
+ */
+
+#define BOXES_OTHER_NS (60 * NS_S)
+#define STATUS_SOON_NS (300 * NS_MS)
+#define STATUS_AGAIN_NS (60 * NS_S)
+
+enum {
+	/* Statuses of all boxes together: at most so many writes a second. */
+	STATUS_FLEET_RATE = 150,
+	STATUS_PATIENCE = 4 /* a status may wait longer than a list */
+};
+
+static void on_boxes_due(void *);
+static void on_boxes(void *, enum plat_result, json_t *);
+static void on_status_due(void *);
+static void on_status(void *, enum plat_result, json_t *);
+
+void
+agent_box_open(struct agent *a)
+{
+	tmr_set(&a->tmr, &a->boxes_timer, clk_ns(a->clk), on_boxes_due, a);
+}
+
+/* What waited while the platform was away goes on. */
+void
+agent_box_resume_calls(struct agent *a)
+{
+	if (a->boxes_call == NULL && !a->boxes_timer.set)
+		agent_box_open(a);
+	if (a->status_call == NULL && !a->status_timer.set)
+		agent_box_status_soon(a);
+}
+
+static void
+on_boxes_due(void *ctx)
+{
+	struct agent *a = ctx;
+	struct plat_request rq = {.op = PLAT_BOXES};
+
+	if (agent_first_feed_asks(a))
+		return;
+	a->boxes_call = agent_call(a, &rq, on_boxes, a);
+	if (a->boxes_call == NULL)
+		tmr_set(&a->tmr, &a->boxes_timer,
+		    clk_ns(a->clk) + rnd_jitter(a->rnd, AGENT_RECHECK_NS),
+		    on_boxes_due, a);
+}
+
+static struct str
+text_of(const json_t *o, const char *key)
+{
+	return str_c(json_string_value(json_object_get(o, key)));
+}
+
+static void
+take_boxes(struct agent *a, json_t *body)
+{
+	json_t *boxes = json_object_get(body, "boxes"), *box;
+	size_t i;
+
+	memb_list_begin(a->memb);
+	json_array_foreach (boxes, i, box) {
+		struct memb_info info = {
+		    .box = text_of(box, "name"),
+		    .hall = text_of(box, "hall"),
+		    .inbox = text_of(box, "inbox"),
+		    .power = (uint64_t)json_integer_value(
+			json_object_get(box, "power")),
+		    .leaving = json_is_true(json_object_get(box, "leaving")),
+		};
+
+		if (info.box.n > 0)
+			memb_listed(a->memb, &info);
+	}
+}
+
+static void
+on_boxes(void *ctx, enum plat_result result, json_t *body)
+{
+	struct agent *a = ctx;
+	int64_t in;
+
+	a->boxes_call = NULL;
+	agent_call_ended(a, result);
+	if (result == PLAT_OK) {
+		a->boxes_fails = 0;
+		take_boxes(a, body);
+		agent_greet_listed(a);
+		in = rnd_jitter(a->rnd,
+		    agent_is_watcher(a) ? a->set.boxes_ms * NS_MS
+					: BOXES_OTHER_NS);
+	} else {
+		in = agent_backoff(a, a->boxes_fails++);
+	}
+	tmr_set(&a->tmr, &a->boxes_timer, clk_ns(a->clk) + in, on_boxes_due, a);
+}
+
+/*
+ * A status is written soon after a change, but so seldom that all boxes
+ * together stay within the platform's rate.
+ */
+void
+agent_box_status_soon(struct agent *a)
+{
+	int64_t now = clk_ns(a->clk);
+	int64_t spread =
+	    (int64_t)memb_count_alive(a->memb) * NS_S / STATUS_FLEET_RATE;
+	int64_t at = now + rnd_jitter(a->rnd, STATUS_SOON_NS + spread);
+
+	if (a->status_at != 0)
+		at = MAX(at, a->status_at + a->set.status_ms * NS_MS);
+	a->status_told = conf_digest(a->conf);
+	if (a->status_call != NULL ||
+	    (a->status_timer.set && a->status_timer.item.deadline <= at))
+		return;
+	tmr_set(&a->tmr, &a->status_timer, at, on_status_due, a);
+}
+
+static void
+add_rejected(void *ctx, const struct conf_entry *e)
+{
+	if (e->bad_version > 0)
+		json_array_append_new(ctx,
+		    json_pack("{s:s%, s:I, s:I, s:s}", "key", e->key.p,
+			e->key.n, "rejected", (json_int_t)e->bad_version,
+			"in_force", (json_int_t)e->version, "why", e->bad_why));
+}
+
+static void
+add_version(void *ctx, const struct conf_entry *e)
+{
+	uint64_t *newest = ctx;
+
+	*newest = MAX(*newest, e->version);
+}
+
+static json_t *
+status_spec(struct agent *a)
+{
+	json_t *rejected = json_array();
+	uint64_t newest = 0;
+	char digest[20], gate[20];
+
+	conf_each(a->conf, add_rejected, rejected);
+	conf_each(a->conf, add_version, &newest);
+	snprintf(digest, sizeof(digest), "%016llx",
+	    (unsigned long long)conf_digest(a->conf));
+	snprintf(
+	    gate, sizeof(gate), "%016llx", (unsigned long long)a->gate_digest);
+	return json_pack(
+	    "{s:s%, s:s%, s:s%, s:I, s:I, s:I, s:s, s:s, s:b, s:b, s:i, s:o}",
+	    "box", a->set.box.p, a->set.box.n, "hall", a->set.hall.p,
+	    a->set.hall.n, "inbox", a->set.inbox.p, a->set.inbox.n, "power",
+	    (json_int_t)memb_self(a->memb)->power, "newest", (json_int_t)newest,
+	    "floor", (json_int_t)conf_floor(a->conf), "digest", digest,
+	    "gate_digest", gate, "gate_ready", (int)a->gate_ready, "leaving",
+	    (int)a->leaving, "objects", (int)conf_count(a->conf), "rejected",
+	    rejected);
+}
+
+/* A number that is equal where two statuses tell the same. */
+static uint64_t
+status_digest(const json_t *spec)
+{
+	char *text = json_dumps(spec, JSON_COMPACT | JSON_SORT_KEYS);
+	uint64_t digest = XXH3_64bits(text, strlen(text));
+
+	free(text);
+	return digest;
+}
+
+/* Does the status that was written last still tell how it is? */
+static bool
+status_holds(struct agent *a)
+{
+	json_t *spec = status_spec(a);
+	bool holds = status_digest(spec) == a->status_digest;
+
+	json_decref(spec);
+	return holds;
+}
+
+static void
+on_status_due(void *ctx)
+{
+	struct agent *a = ctx;
+	struct plat_request rq = {.kind = STR_LIT("status"),
+	    .name = a->set.box,
+	    .version = a->status_version};
+	json_t *spec, *value;
+
+	if (agent_first_feed_asks(a))
+		return;
+	spec = status_spec(a);
+	rq.op = a->status_version == 0 ? PLAT_CREATE : PLAT_UPDATE;
+	a->status_digest = status_digest(spec);
+	value = json_pack("{s:o, s:s}", "spec", spec, "change", "status");
+	rq.value = value;
+	a->status_call = agent_call(a, &rq, on_status, a);
+	json_decref(value);
+	if (a->status_call == NULL)
+		agent_box_status_soon(a);
+}
+
+/* A lost race for our own status is against an earlier start of ours. */
+static void
+on_status(void *ctx, enum plat_result result, json_t *body)
+{
+	struct agent *a = ctx;
+	json_t *current = json_object_get(body, "current");
+	int64_t in =
+	    rnd_jitter(a->rnd, MAX(STATUS_AGAIN_NS, a->set.status_ms * NS_MS));
+
+	a->status_call = NULL;
+	agent_call_ended(a, result);
+	if (result == PLAT_OK)
+		a->status_version = (uint64_t)json_integer_value(
+		    json_object_get(body, "version"));
+	else if (result == PLAT_CONFLICT)
+		a->status_version = (uint64_t)json_integer_value(
+		    json_object_get(current, "version"));
+	if (result == PLAT_OK) {
+		a->status_fails = 0;
+		a->status_at = clk_ns(a->clk);
+		if (!status_holds(a)) {
+			agent_box_status_soon(a);
+			return;
+		}
+	} else {
+		in = STATUS_PATIENCE * agent_backoff(a, a->status_fails++);
+	}
+	tmr_set(
+	    &a->tmr, &a->status_timer, clk_ns(a->clk) + in, on_status_due, a);
+}
--- a/agent_open.c
+++ b/agent_open.c
@@ -226,6 +226,7 @@
 	agent_greet_open(a);
 	agent_probe_open(a);
 	agent_peer_open(a);
+	agent_box_open(a);
 	agent_watch_open(a);
 	return true;
 }
@@ -244,7 +245,7 @@
 	a->targets_dirty = true;
 	a->targets_at = 0;
 	agent_push_change(a, e);
-	agent_status_soon(a);
+	agent_box_status_soon(a);
 }
 
 static void
--- a/agent_peer.c
+++ b/agent_peer.c
@@ -315,7 +315,7 @@
 
 	a->gate_heard = clk_ns(a->clk);
 	if (gt->digest != a->gate_digest || gt->ready != a->gate_ready)
-		agent_status_soon(a);
+		agent_box_status_soon(a);
 	a->gate_boot = gt->boot;
 	a->gate_digest = gt->digest;
 	a->gate_floor = gt->floor;
@@ -347,7 +347,7 @@
 		slog(SLOG_PEER, "a box did not answer", "alive=%zu",
 		    memb_count_alive(a->memb));
 	if (conf_digest(a->conf) != a->status_told)
-		agent_status_soon(a);
+		agent_box_status_soon(a);
 	if (self->ready && now - a->gate_heard > GATE_SILENT_NS) {
 		self->ready = false;
 		self->beat++;
@@ -383,7 +383,7 @@
 	self->beat++;
 	m = hello_of(a);
 	agent_push_all(a, &m);
-	agent_status_soon(a);
+	agent_box_status_soon(a);
 }
 
 void
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -8,47 +8,30 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
-#define XXH_INLINE_ALL
-#include <stdio.h>
-#include <xxhash.h>
-
 #include "libagent.h"
 #include "slog.h"
 
 /*
  * Few boxes of each hall watch the platform; the others learn from them.  A
  * box lists by itself only if it is a watcher, or if no peer has given it a
- * complete configuration soon after its start.
+ * complete configuration soon after its start.  All calls to the platform
+ * share a budget, a backoff and the belief whether it answers.
  */
 
-#define RECHECK_NS (1 * NS_S)
 #define BACKOFF_FIRST_NS (250 * NS_MS)
 /* Boxes that start know each other sooner than that. */
 #define FIRST_WATCH_NS (1 * NS_S)
-#define BOXES_OTHER_NS (60 * NS_S)
-#define STATUS_SOON_NS (300 * NS_MS)
-#define STATUS_AGAIN_NS (60 * NS_S)
-/* Statuses of all boxes together: at most so many writes a second. */
-#define STATUS_FLEET_RATE 150
-
-enum {
-	LIST_TIMEOUT_MS = 5000,
-	BACKOFF_SHIFT_MAX = 7,
-	STATUS_PATIENCE = 4 /* a status may wait longer than a list */
-};
+
+enum { LIST_TIMEOUT_MS = 5000, BACKOFF_SHIFT_MAX = 7 };
 
 static void watch_soon(struct agent_feed *, int64_t);
 static void on_watch_due(void *);
 static void on_list(void *, enum plat_result, json_t *);
 static void on_watch(void *, enum plat_result, json_t *);
-static void on_boxes_due(void *);
-static void on_boxes(void *, enum plat_result, json_t *);
-static void on_status_due(void *);
-static void on_status(void *, enum plat_result, json_t *);
 
 /* Start a call if the budget has one; NULL if it must be put off. */
-static struct plat_call *
-call(struct agent *a, const struct plat_request *rq, plat_done_fn *done,
+struct plat_call *
+agent_call(struct agent *a, const struct plat_request *rq, plat_done_fn *done,
     void *ctx)
 {
 	if (!limit_take(&a->plat_budget, (double)a->set.platform_rate,
@@ -60,8 +43,9 @@
 	return plat_start(a->plat, rq, done, ctx);
 }
 
-static int64_t
-backoff(struct agent *a, int fails)
+/* How long to wait after so many failures in a row. */
+int64_t
+agent_backoff(struct agent *a, int fails)
 {
 	int64_t ns = BACKOFF_FIRST_NS << MIN(fails, BACKOFF_SHIFT_MAX);
 
@@ -72,20 +56,17 @@
 static void
 resume_calls(struct agent *a)
 {
-	int64_t now = clk_ns(a->clk);
 	unsigned i;
 
 	for (i = 1; i < a->nfeeds; i++)
 		if (a->feeds[i].call == NULL && !a->feeds[i].timer.set)
 			watch_soon(&a->feeds[i], 0);
-	if (a->boxes_call == NULL && !a->boxes_timer.set)
-		tmr_set(&a->tmr, &a->boxes_timer, now, on_boxes_due, a);
-	if (a->status_call == NULL && !a->status_timer.set)
-		agent_status_soon(a);
+	agent_box_resume_calls(a);
 }
 
-static void
-note_result(struct agent *a, enum plat_result result)
+/* A call's result tells whether the platform answers. */
+void
+agent_call_ended(struct agent *a, enum plat_result result)
 {
 	bool up = result != PLAT_DOWN && result != PLAT_UNSURE;
 
@@ -109,8 +90,8 @@
  * While the platform is away, the first feed's calls find out when it is
  * back, and all others wait; each call has its price, a refused one too.
  */
-static bool
-first_feed_asks(struct agent *a)
+bool
+agent_first_feed_asks(struct agent *a)
 {
 	return !a->platform_up && a->feeds[0].listed_at == 0 &&
 	    (agent_is_watcher(a) || conf_floor(a->conf) == 0);
@@ -156,7 +137,6 @@
 	unsigned i;
 
 	a->platform_up = true;
-	tmr_set(&a->tmr, &a->boxes_timer, clk_ns(a->clk), on_boxes_due, a);
 	for (i = 0; i < AGENT_FEEDS_MAX && a->form->feeds[i] != NULL; i++) {
 		f = &a->feeds[i];
 		f->agent = a;
@@ -204,9 +184,9 @@
 	    .stale = f->complete == 0,
 	    .timeout_ms = LIST_TIMEOUT_MS};
 
-	f->call = call(f->agent, &rq, on_list, f);
+	f->call = agent_call(f->agent, &rq, on_list, f);
 	if (f->call == NULL)
-		watch_soon(f, rnd_jitter(f->agent->rnd, RECHECK_NS));
+		watch_soon(f, rnd_jitter(f->agent->rnd, AGENT_RECHECK_NS));
 }
 
 static void
@@ -218,9 +198,9 @@
 	    .version = f->since,
 	    .wait_ms = MIN(a->set.watch_ms, a->set.list_ms)};
 
-	f->call = call(a, &rq, on_watch, f);
+	f->call = agent_call(a, &rq, on_watch, f);
 	if (f->call == NULL)
-		watch_soon(f, rnd_jitter(a->rnd, RECHECK_NS));
+		watch_soon(f, rnd_jitter(a->rnd, AGENT_RECHECK_NS));
 }
 
 /*
@@ -237,11 +217,11 @@
 
 	cnt_set(a->cnt, AC_WATCHING, watcher);
 	if (f->call != NULL || a->leaving ||
-	    (f != &a->feeds[0] && first_feed_asks(a)))
+	    (f != &a->feeds[0] && agent_first_feed_asks(a)))
 		return;
 	if (!watcher && conf_floor(a->conf) > 0) {
 		f->listed_at = 0;
-		watch_soon(f, rnd_jitter(a->rnd, RECHECK_NS));
+		watch_soon(f, rnd_jitter(a->rnd, AGENT_RECHECK_NS));
 		return;
 	}
 	if (f->listed_at == 0 || f->since == 0 ||
@@ -354,10 +334,10 @@
 	bool first = f->complete == 0;
 
 	f->call = NULL;
-	note_result(a, result);
+	agent_call_ended(a, result);
 	if (result != PLAT_OK ||
 	    !json_is_array(json_object_get(body, "objects"))) {
-		watch_soon(f, backoff(a, f->fails++));
+		watch_soon(f, agent_backoff(a, f->fails++));
 		return;
 	}
 	f->fails = 0;
@@ -375,7 +355,7 @@
 	raise_floor(a);
 	slog(SLOG_WATCH, "listed", "kinds=%s revision=%llu in_force=%zu",
 	    f->kinds, (unsigned long long)revision, conf_count(a->conf));
-	agent_status_soon(a);
+	agent_box_status_soon(a);
 	/* A weak box that starts hears first whether it must watch at all. */
 	watch_soon(f, first && !a->greet.strong ? FIRST_WATCH_NS : 0);
 }
@@ -387,7 +367,7 @@
 	struct agent *a = f->agent;
 
 	f->call = NULL;
-	note_result(a, result);
+	agent_call_ended(a, result);
 	if (result == PLAT_TOO_OLD) {
 		f->listed_at = 0;
 		watch_soon(f, 0);
@@ -396,7 +376,7 @@
 	if (result != PLAT_OK) {
 		/* What happened meanwhile is asked for whole. */
 		f->listed_at = 0;
-		watch_soon(f, backoff(a, f->fails++));
+		watch_soon(f, agent_backoff(a, f->fails++));
 		return;
 	}
 	f->fails = 0;
@@ -408,195 +388,3 @@
 	/* Changes come in rows; those of a moment are fetched together. */
 	watch_soon(f, a->set.gather_ms * NS_MS);
 }
-
-static void
-on_boxes_due(void *ctx)
-{
-	struct agent *a = ctx;
-	struct plat_request rq = {.op = PLAT_BOXES};
-
-	if (first_feed_asks(a))
-		return;
-	a->boxes_call = call(a, &rq, on_boxes, a);
-	if (a->boxes_call == NULL)
-		tmr_set(&a->tmr, &a->boxes_timer,
-		    clk_ns(a->clk) + rnd_jitter(a->rnd, RECHECK_NS),
-		    on_boxes_due, a);
-}
-
-static struct str
-text_of(const json_t *o, const char *key)
-{
-	return str_c(json_string_value(json_object_get(o, key)));
-}
-
-static void
-take_boxes(struct agent *a, json_t *body)
-{
-	json_t *boxes = json_object_get(body, "boxes"), *box;
-	size_t i;
-
-	memb_list_begin(a->memb);
-	json_array_foreach (boxes, i, box) {
-		struct memb_info info = {
-		    .box = text_of(box, "name"),
-		    .hall = text_of(box, "hall"),
-		    .inbox = text_of(box, "inbox"),
-		    .power = (uint64_t)json_integer_value(
-			json_object_get(box, "power")),
-		    .leaving = json_is_true(json_object_get(box, "leaving")),
-		};
-
-		if (info.box.n > 0)
-			memb_listed(a->memb, &info);
-	}
-}
-
-static void
-on_boxes(void *ctx, enum plat_result result, json_t *body)
-{
-	struct agent *a = ctx;
-	int64_t in;
-
-	a->boxes_call = NULL;
-	note_result(a, result);
-	if (result == PLAT_OK) {
-		a->boxes_fails = 0;
-		take_boxes(a, body);
-		agent_greet_listed(a);
-		in = rnd_jitter(a->rnd,
-		    agent_is_watcher(a) ? a->set.boxes_ms * NS_MS
-					: BOXES_OTHER_NS);
-	} else {
-		in = backoff(a, a->boxes_fails++);
-	}
-	tmr_set(&a->tmr, &a->boxes_timer, clk_ns(a->clk) + in, on_boxes_due, a);
-}
-
-/*
- * A status is written soon after a change, but so seldom that all boxes
- * together stay within the platform's rate.
- */
-void
-agent_status_soon(struct agent *a)
-{
-	int64_t now = clk_ns(a->clk);
-	int64_t spread =
-	    (int64_t)memb_count_alive(a->memb) * NS_S / STATUS_FLEET_RATE;
-
-	int64_t at = now + rnd_jitter(a->rnd, STATUS_SOON_NS + spread);
-
-	if (a->status_at != 0)
-		at = MAX(at, a->status_at + a->set.status_ms * NS_MS);
-
-	a->status_told = conf_digest(a->conf);
-	if (a->status_call != NULL ||
-	    (a->status_timer.set && a->status_timer.item.deadline <= at))
-		return;
-	tmr_set(&a->tmr, &a->status_timer, at, on_status_due, a);
-}
-
-static void
-add_rejected(void *ctx, const struct conf_entry *e)
-{
-	if (e->bad_version > 0)
-		json_array_append_new(ctx,
-		    json_pack("{s:s%, s:I, s:I, s:s}", "key", e->key.p,
-			e->key.n, "rejected", (json_int_t)e->bad_version,
-			"in_force", (json_int_t)e->version, "why", e->bad_why));
-}
-
-static void
-add_version(void *ctx, const struct conf_entry *e)
-{
-	uint64_t *newest = ctx;
-
-	*newest = MAX(*newest, e->version);
-}
-
-static json_t *
-status_spec(struct agent *a)
-{
-	json_t *rejected = json_array();
-	uint64_t newest = 0;
-	char digest[20], gate[20];
-
-	conf_each(a->conf, add_rejected, rejected);
-	conf_each(a->conf, add_version, &newest);
-	snprintf(digest, sizeof(digest), "%016llx",
-	    (unsigned long long)conf_digest(a->conf));
-	snprintf(
-	    gate, sizeof(gate), "%016llx", (unsigned long long)a->gate_digest);
-	return json_pack(
-	    "{s:s%, s:s%, s:s%, s:I, s:I, s:I, s:s, s:s, s:b, s:b, s:i, s:o}",
-	    "box", a->set.box.p, a->set.box.n, "hall", a->set.hall.p,
-	    a->set.hall.n, "inbox", a->set.inbox.p, a->set.inbox.n, "power",
-	    (json_int_t)memb_self(a->memb)->power, "newest", (json_int_t)newest,
-	    "floor", (json_int_t)conf_floor(a->conf), "digest", digest,
-	    "gate_digest", gate, "gate_ready", (int)a->gate_ready, "leaving",
-	    (int)a->leaving, "objects", (int)conf_count(a->conf), "rejected",
-	    rejected);
-}
-
-static void
-on_status_due(void *ctx)
-{
-	struct agent *a = ctx;
-	struct plat_request rq = {.kind = STR_LIT("status"),
-	    .name = a->set.box,
-	    .version = a->status_version};
-	json_t *spec, *value;
-	char *text;
-
-	if (first_feed_asks(a))
-		return;
-	spec = status_spec(a);
-	text = json_dumps(spec, JSON_COMPACT | JSON_SORT_KEYS);
-	rq.op = a->status_version == 0 ? PLAT_CREATE : PLAT_UPDATE;
-	a->status_digest = XXH3_64bits(text, strlen(text));
-	free(text);
-	value = json_pack("{s:o, s:s}", "spec", spec, "change", "status");
-	rq.value = value;
-	a->status_call = call(a, &rq, on_status, a);
-	json_decref(value);
-	if (a->status_call == NULL)
-		agent_status_soon(a);
-}
-
-/* A lost race for our own status is against an earlier start of ours. */
-static void
-on_status(void *ctx, enum plat_result result, json_t *body)
-{
-	struct agent *a = ctx;
-	json_t *spec, *current = json_object_get(body, "current");
-	int64_t in =
-	    rnd_jitter(a->rnd, MAX(STATUS_AGAIN_NS, a->set.status_ms * NS_MS));
-	uint64_t digest;
-	char *text;
-
-	a->status_call = NULL;
-	note_result(a, result);
-	if (result == PLAT_OK)
-		a->status_version = (uint64_t)json_integer_value(
-		    json_object_get(body, "version"));
-	else if (result == PLAT_CONFLICT)
-		a->status_version = (uint64_t)json_integer_value(
-		    json_object_get(current, "version"));
-	if (result == PLAT_OK) {
-		a->status_fails = 0;
-		a->status_at = clk_ns(a->clk);
-		spec = status_spec(a);
-		text = json_dumps(spec, JSON_COMPACT | JSON_SORT_KEYS);
-		digest = XXH3_64bits(text, strlen(text));
-		free(text);
-		json_decref(spec);
-		if (digest != a->status_digest) {
-			agent_status_soon(a);
-			return;
-		}
-	} else {
-		in = STATUS_PATIENCE * backoff(a, a->status_fails++);
-	}
-	tmr_set(
-	    &a->tmr, &a->status_timer, clk_ns(a->clk) + in, on_status_due, a);
-}
--- a/libagent.h
+++ b/libagent.h
@@ -68,6 +68,9 @@
 
 enum { AGENT_FEEDS_MAX = 4 };
 
+/* What had to wait, for the budget or for us to watch, looks again after it. */
+#define AGENT_RECHECK_NS (1 * NS_S)
+
 /* Counters, in the order of the table in agent_stat.c. */
 enum agent_cnt {
 	AC_PLATFORM_CALLS,
@@ -123,6 +126,10 @@
 	/* agent_watch.c */
 	struct agent_feed feeds[AGENT_FEEDS_MAX];
 	unsigned nfeeds;
+	bool from_platform; /* offers of now come from the platform */
+	bool platform_up;
+	int64_t platform_back; /* it answered again after an outage; 0: never */
+	/* agent_box.c */
 	struct tmr_item boxes_timer, status_timer;
 	struct plat_call *boxes_call, *status_call;
 	int boxes_fails, status_fails;
@@ -130,13 +137,12 @@
 	uint64_t status_version;
 	uint64_t status_digest; /* of what the last status told */
 	uint64_t status_told; /* the configuration it was asked for last */
-	bool from_platform; /* offers of now come from the platform */
-	bool platform_up;
-	int64_t platform_back; /* it answered again after an outage; 0: never */
+	/* agent_lapse.c */
 	GHashTable *lapses; /* char * key to struct agent_lapse * */
 	/* agent_push.c */
 	struct tmr_item push_timer;
 	GHashTable *unsent; /* char * key to whether the platform told it */
+	/* agent_greet.c */
 	struct agent_greet greet;
 	/* agent_peer.c */
 	struct tmr_item hello_timer;
@@ -156,7 +162,7 @@
 	bool targets_dirty;
 	struct route_table *routes;
 	int64_t targets_at, health_at;
-	/* agent_main.c */
+	/* agent_open.c */
 	int64_t last_tick;
 	bool leaving;
 };
@@ -172,12 +178,21 @@
 void agent_on_signals(struct agent *);
 void agent_reload(struct agent *);
 
-/* agent_watch.c: the platform's objects, list of boxes, and our status. */
+/* agent_watch.c: the platform's objects, and what all calls to it share. */
 void agent_watch_open(struct agent *);
 void agent_watch_resume(struct agent *);
-void agent_status_soon(struct agent *);
 bool agent_is_watcher(struct agent *);
 bool agent_watches(struct agent *, const struct memb_info *);
+struct plat_call *
+agent_call(struct agent *, const struct plat_request *, plat_done_fn *, void *);
+void agent_call_ended(struct agent *, enum plat_result);
+int64_t agent_backoff(struct agent *, int fails);
+bool agent_first_feed_asks(struct agent *);
+
+/* agent_box.c: the platform's list of boxes, and the status of ours. */
+void agent_box_open(struct agent *);
+void agent_box_resume_calls(struct agent *);
+void agent_box_status_soon(struct agent *);
 
 /* agent_lapse.c: backend servers whose entries have gone from the platform. */
 void agent_lapse_open(struct agent *);
