What goes between an agent and its gate has a file of its own

agent_peer.c told both other boxes and the gate. Its part for the gate is in agent_gate.c now: that the gate may serve, the members it gets, what it tells of itself, and that it is silent. agent_peer_tell_gate() is agent_gate_tell_ready(); the hello and the list of members, which both parts send, are agent_peer_hello_of() and agent_peer_send_members(). The hash of the members is summed by itself, so that no list is gathered where none is sent. Code was otherwise moved as it was; behaviour is unchanged.

--- /dev/null
+++ b/agent_gate.c
@@ -0,0 +1,141 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "libagent.h"
+#include "slog.h"
+
+/*
+ * What goes between this agent and its gate: that it may serve, which boxes
+ * there are, and how the gate does.
+ */
+
+#define MEMBERS_AGAIN_NS (30 * NS_S)
+/* Between two lists of members. */
+#define MEMBERS_GAP_NS (40 * NS_MS)
+#define GATE_SILENT_NS (4 * NS_S)
+
+/*
+ * The configuration is whole, and so are the boxes as far as they answer: a
+ * gate that knows no other takes itself for home of everything.
+ */
+static bool
+may_serve(const struct agent *a)
+{
+	return conf_floor(a->conf) > 0 && a->greet.over;
+}
+
+/* To the gate: ready means that it may serve. */
+void
+agent_gate_hello(struct agent *a)
+{
+	struct msg m = agent_peer_hello_of(a);
+
+	m.u.hello.self.ready = may_serve(a);
+	wire_send(a->wire, a->set.gate_inbox, &m);
+}
+
+/* The gate waits until it may serve: tell it so at once. */
+void
+agent_gate_tell_ready(struct agent *a)
+{
+	bool ready = may_serve(a);
+
+	if (ready && !a->told_ready)
+		agent_gate_hello(a);
+	a->told_ready = ready;
+}
+
+/* Sums what the gate has to know of the boxes that are alive. */
+static void
+add_hash(void *ctx, const struct memb_member *m)
+{
+	uint64_t *hash = ctx, seed = m->info.boot * 2 + m->info.ready;
+
+	if (memb_alive(m))
+		*hash +=
+		    XXH3_64bits_withSeed(m->info.box.p, m->info.box.n, seed);
+}
+
+/* To the gate, when they have changed and now and then. */
+static void
+on_members_due(void *ctx)
+{
+	struct agent *a = ctx;
+	int64_t now = clk_ns(a->clk);
+	uint64_t hash = 1;
+
+	memb_each(a->memb, add_hash, &hash);
+	if (hash == a->members_hash &&
+	    now - a->members_sent <= MEMBERS_AGAIN_NS)
+		return;
+	a->members_hash = hash;
+	a->members_sent = now;
+	agent_peer_send_members(a, a->set.gate_inbox);
+}
+
+/* When all boxes start, news come by the dozen, and go on together. */
+void
+agent_gate_members_soon(struct agent *a)
+{
+	if (!a->members_timer.set)
+		tmr_set(&a->tmr, &a->members_timer,
+		    clk_ns(a->clk) + MEMBERS_GAP_NS, on_members_due, a);
+}
+
+/* Our gate told of itself. */
+void
+agent_gate_take(struct agent *a, const struct msg *m)
+{
+	const struct msg_gate *gt = &m->u.gate;
+	struct memb_info *self = memb_self(a->memb);
+	bool was_leaving = self->leaving;
+	bool fresh = gt->boot != a->gate_boot;
+
+	a->gate_heard = clk_ns(a->clk);
+	if (gt->digest != a->gate_digest || gt->ready != a->gate_ready)
+		agent_box_status_soon(a);
+	a->gate_boot = gt->boot;
+	a->gate_digest = gt->digest;
+	a->gate_floor = gt->floor;
+	a->gate_ready = gt->ready;
+	if (fresh) {
+		/* A new gate: whoever knew the old one must look anew. */
+		self->boot = MAX(self->boot + 1, gt->boot);
+		self->leaving = false;
+		a->members_sent = 0;
+		agent_probe_tell_gate(a);
+	}
+	if (fresh || self->ready != gt->ready)
+		self->beat++;
+	self->ready = gt->ready;
+	if (gt->leaving && !was_leaving)
+		agent_peer_leave(a);
+	else if (fresh)
+		agent_gate_hello(a);
+	sync_compare(&a->sync, m->from, gt->digest, gt->floor);
+	agent_gate_members_soon(a);
+}
+
+void
+agent_gate_tick(struct agent *a, int64_t now)
+{
+	struct memb_info *self = memb_self(a->memb);
+
+	if (self->ready && now - a->gate_heard > GATE_SILENT_NS) {
+		self->ready = false;
+		self->beat++;
+		slog(SLOG_AGENT, "the gate is silent", "for_ms=%lld",
+		    (long long)((now - a->gate_heard) / NS_MS));
+	}
+	agent_gate_members_soon(a);
+}
--- a/agent_greet.c
+++ b/agent_greet.c
@@ -53,7 +53,7 @@
 	tmr_clear(&a->tmr, &a->greet.timer);
 	slog(SLOG_PEER, "knows the other boxes", "asked=%u alive=%zu",
 	    a->greet.asked, memb_count_alive(a->memb));
-	agent_peer_tell_gate(a);
+	agent_gate_tell_ready(a);
 }
 
 static void
--- a/agent_open.c
+++ b/agent_open.c
@@ -262,6 +262,7 @@
 	}
 	a->last_tick = now;
 	agent_peer_tick(a, now);
+	agent_gate_tick(a, now);
 	agent_probe_tick(a, now);
 	slog_flush();
 	tmr_set(&a->tmr, &a->tick,
--- a/agent_peer.c
+++ b/agent_peer.c
@@ -8,15 +8,12 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 #include "libagent.h"
 #include "slog.h"
 
 /*
- * What this box says to the others and to its gate, and what it makes of
- * theirs: greetings, members, configuration that differs.
+ * What this box says to the others, and what it makes of theirs: hellos,
+ * members, configuration that differs.
  */
 
 enum {
@@ -26,12 +23,10 @@
 	SEEDS_ONE_IN = 10
 };
 
-#define MEMBERS_AGAIN_NS (30 * NS_S)
-/* Between two lists of members, to our gate or to boxes that know few. */
+/* Between two lists of members for boxes that know few. */
 #define MEMBERS_GAP_NS (40 * NS_MS)
 /* A difference to another hall that lasts so long is healed from there. */
 #define AWAY_WAIT_NS (1500 * NS_MS)
-#define GATE_SILENT_NS (4 * NS_S)
 
 static void on_hello_due(void *);
 
@@ -53,9 +48,9 @@
 	on_hello_due(a);
 }
 
-/* Who we are and what configuration we have. */
-static struct msg
-hello_of(const struct agent *a)
+/* A hello: who we are and what configuration we have. */
+struct msg
+agent_peer_hello_of(const struct agent *a)
 {
 	struct msg m = {.kind = MSG_HELLO};
 
@@ -70,7 +65,7 @@
 {
 	const struct memb_member *some[GOSSIP_MEMBERS];
 	struct memb_info infos[GOSSIP_MEMBERS];
-	struct msg m = hello_of(a);
+	struct msg m = agent_peer_hello_of(a);
 	size_t i, n;
 
 	n = memb_news(a->memb, a->rnd, box, some, GOSSIP_MEMBERS);
@@ -85,37 +80,6 @@
 	wire_send(a->wire, to, &m);
 }
 
-/*
- * The configuration is whole, and so are the boxes as far as they answer: a
- * gate that knows no other takes itself for home of everything.
- */
-static bool
-may_serve(const struct agent *a)
-{
-	return conf_floor(a->conf) > 0 && a->greet.over;
-}
-
-/* To the gate: ready means that it may serve. */
-static void
-send_gate_hello(struct agent *a)
-{
-	struct msg m = hello_of(a);
-
-	m.u.hello.self.ready = may_serve(a);
-	wire_send(a->wire, a->set.gate_inbox, &m);
-}
-
-/* The gate waits for a whole configuration: tell it at once that it is. */
-void
-agent_peer_tell_gate(struct agent *a)
-{
-	bool ready = may_serve(a);
-
-	if (ready && !a->told_ready)
-		send_gate_hello(a);
-	a->told_ready = ready;
-}
-
 static void
 ask(struct agent *a, struct str hall)
 {
@@ -155,84 +119,32 @@
 		ask(a, str_c(NULL));
 	if (rnd_below(a->rnd, SEEDS_ONE_IN * (alive - 1)) == 0)
 		ask_seeds(a);
-	send_gate_hello(a);
+	agent_gate_hello(a);
 	tmr_set(&a->tmr, &a->hello_timer,
 	    now + rnd_jitter(a->rnd, a->set.hello_ms * NS_MS), on_hello_due, a);
 }
 
-/* The boxes that are alive. */
-struct gather {
-	GArray *infos; /* struct memb_info */
-	uint64_t hash;
-};
-
 static void
 gather_alive(void *ctx, const struct memb_member *m)
 {
-	struct gather *g = ctx;
-	uint64_t h;
-
-	if (!memb_alive(m))
-		return;
-	g_array_append_val(g->infos, m->info);
-	h = m->info.boot * 2 + m->info.ready;
-	g->hash += XXH3_64bits_withSeed(m->info.box.p, m->info.box.n, h);
-}
+	GArray *infos = ctx;
 
-static struct gather
-gather(struct agent *a)
-{
-	struct gather g = {NULL, 1};
-
-	g.infos = g_array_new(FALSE, FALSE, sizeof(struct memb_info));
-	memb_each(a->memb, gather_alive, &g);
-	return g;
+	if (memb_alive(m))
+		g_array_append_val(infos, m->info);
 }
 
-static void
-send_gathered(struct agent *a, struct str to, const struct gather *g)
+/* All boxes that are alive, for our gate or a box that knows few. */
+void
+agent_peer_send_members(struct agent *a, struct str to)
 {
+	GArray *infos = g_array_new(FALSE, FALSE, sizeof(struct memb_info));
 	struct msg m = {.kind = MSG_MEMBERS};
 
-	m.u.members.members.items = (struct memb_info *)g->infos->data;
-	m.u.members.members.n = g->infos->len;
+	memb_each(a->memb, gather_alive, infos);
+	m.u.members.members.items = (struct memb_info *)infos->data;
+	m.u.members.members.n = infos->len;
 	wire_send(a->wire, to, &m);
-}
-
-/* All we know of the boxes, for one that knows few. */
-static void
-send_all_members(struct agent *a, struct str to)
-{
-	struct gather g = gather(a);
-
-	send_gathered(a, to, &g);
-	g_array_free(g.infos, TRUE);
-}
-
-/* To the gate, when they have changed and now and then. */
-static void
-on_members_due(void *ctx)
-{
-	struct agent *a = ctx;
-	int64_t now = clk_ns(a->clk);
-	struct gather g = gather(a);
-
-	if (g.hash != a->members_hash ||
-	    now - a->members_sent > MEMBERS_AGAIN_NS) {
-		a->members_hash = g.hash;
-		a->members_sent = now;
-		send_gathered(a, a->set.gate_inbox, &g);
-	}
-	g_array_free(g.infos, TRUE);
-}
-
-/* When all boxes start, news come by the dozen, and go on together. */
-static void
-send_members_soon(struct agent *a)
-{
-	if (!a->members_timer.set)
-		tmr_set(&a->tmr, &a->members_timer,
-		    clk_ns(a->clk) + MEMBERS_GAP_NS, on_members_due, a);
+	g_array_free(infos, TRUE);
 }
 
 static void
@@ -296,65 +208,23 @@
 	if (h->members * 2 < memb_count_alive(a->memb) &&
 	    now - a->all_members_sent >= MEMBERS_GAP_NS) {
 		a->all_members_sent = now;
-		send_all_members(a, m->from);
+		agent_peer_send_members(a, m->from);
 	}
 	if (should_compare(a, h, now))
 		sync_compare(&a->sync, m->from, h->digest, h->floor);
 	agent_greet_answered(a);
-	agent_peer_tell_gate(a);
-	send_members_soon(a);
-}
-
-static void
-take_gate(struct agent *a, const struct msg *m)
-{
-	const struct msg_gate *gt = &m->u.gate;
-	struct memb_info *self = memb_self(a->memb);
-	bool was_leaving = self->leaving;
-	bool fresh = gt->boot != a->gate_boot;
-
-	a->gate_heard = clk_ns(a->clk);
-	if (gt->digest != a->gate_digest || gt->ready != a->gate_ready)
-		agent_box_status_soon(a);
-	a->gate_boot = gt->boot;
-	a->gate_digest = gt->digest;
-	a->gate_floor = gt->floor;
-	a->gate_ready = gt->ready;
-	if (fresh) {
-		/* A new gate: whoever knew the old one must look anew. */
-		self->boot = MAX(self->boot + 1, gt->boot);
-		self->leaving = false;
-		a->members_sent = 0;
-		agent_probe_tell_gate(a);
-	}
-	if (fresh || self->ready != gt->ready)
-		self->beat++;
-	self->ready = gt->ready;
-	if (gt->leaving && !was_leaving)
-		agent_peer_leave(a);
-	else if (fresh)
-		send_gate_hello(a);
-	sync_compare(&a->sync, m->from, gt->digest, gt->floor);
-	send_members_soon(a);
+	agent_gate_tell_ready(a);
+	agent_gate_members_soon(a);
 }
 
 void
 agent_peer_tick(struct agent *a, int64_t now)
 {
-	struct memb_info *self = memb_self(a->memb);
-
 	if (memb_tick(a->memb, now))
 		slog(SLOG_PEER, "a box did not answer", "alive=%zu",
 		    memb_count_alive(a->memb));
 	if (conf_digest(a->conf) != a->status_told)
 		agent_box_status_soon(a);
-	if (self->ready && now - a->gate_heard > GATE_SILENT_NS) {
-		self->ready = false;
-		self->beat++;
-		slog(SLOG_AGENT, "the gate is silent", "for_ms=%lld",
-		    (long long)((now - a->gate_heard) / NS_MS));
-	}
-	send_members_soon(a);
 }
 
 /* Tell our hall that the platform does, or does not, answer us. */
@@ -366,7 +236,7 @@
 
 	self->blind = blind;
 	self->beat++;
-	m = hello_of(a);
+	m = agent_peer_hello_of(a);
 	m.u.hello.members = memb_count_alive(a->memb);
 	agent_push_hall(a, &m);
 }
@@ -381,7 +251,7 @@
 	    "boxes=%zu", memb_count_alive(a->memb));
 	self->leaving = true;
 	self->beat++;
-	m = hello_of(a);
+	m = agent_peer_hello_of(a);
 	agent_push_all(a, &m);
 	agent_box_status_soon(a);
 }
@@ -396,7 +266,7 @@
 		take_hello(a, m);
 		break;
 	case MSG_GATE:
-		take_gate(a, m);
+		agent_gate_take(a, m);
 		break;
 	case MSG_MEMBERS:
 		take_members(
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -321,7 +321,7 @@
 	for (i = 0; i < a->nfeeds; i++)
 		floor = MIN(floor, a->feeds[i].complete);
 	conf_raise_floor(a->conf, floor);
-	agent_peer_tell_gate(a);
+	agent_gate_tell_ready(a);
 }
 
 static void
--- a/libagent.h
+++ b/libagent.h
@@ -147,15 +147,16 @@
 	/* agent_peer.c */
 	struct tmr_item hello_timer;
 	unsigned rounds;
-	bool told_ready; /* the gate knows that the configuration is whole */
-	int64_t
-	    differs_since; /* our digest from that of another hall; 0: not */
+	/* our digest differs from another hall's; 0: it does not */
+	int64_t differs_since;
+	int64_t all_members_sent; /* to another box */
+	/* agent_gate.c */
+	bool told_ready; /* the gate knows that it may serve */
 	uint64_t gate_boot, gate_digest, gate_floor;
 	int64_t gate_heard;
 	bool gate_ready;
-	uint64_t members_hash;
+	uint64_t members_hash; /* of what the gate was told last */
 	int64_t members_sent;
-	int64_t all_members_sent; /* to another box */
 	struct tmr_item members_timer;
 	/* agent_probe.c */
 	GHashTable *health; /* char * backend to struct agent_health * */
@@ -198,16 +199,24 @@
 void agent_lapse_open(struct agent *);
 bool agent_lapse_hold(struct agent *, const struct conf_entry *, uint64_t);
 
-/* agent_peer.c: what goes between boxes, and to our gate. */
+/* agent_peer.c: what goes between boxes. */
 void agent_peer_open(struct agent *);
 void agent_peer_take(void *, const struct msg *);
 void agent_peer_tick(struct agent *, int64_t now);
 void agent_peer_leave(struct agent *);
 void
 agent_peer_hello(struct agent *, struct str inbox, struct str box, bool asks);
-void agent_peer_tell_gate(struct agent *);
+struct msg agent_peer_hello_of(const struct agent *);
+void agent_peer_send_members(struct agent *, struct str to);
 void agent_peer_blind(struct agent *, bool blind);
 
+/* agent_gate.c: what goes between us and our gate. */
+void agent_gate_hello(struct agent *);
+void agent_gate_tell_ready(struct agent *);
+void agent_gate_members_soon(struct agent *);
+void agent_gate_take(struct agent *, const struct msg *);
+void agent_gate_tick(struct agent *, int64_t now);
+
 /* agent_greet.c: the first words with other boxes, after a start. */
 void agent_greet_open(struct agent *);
 void agent_greet_listed(struct agent *);
