Packs of objects have a file of their own

sync.c held the exchange between two processes and how objects are written down, deflated, sent and read. The pack of a deletion that the peer missed is built by sync_pack_add_gone(). sync_pack_move_last() says that the object needs a text, and what its keys are is said as it is. Behaviour is unchanged.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	pace.o pick.o pick_fern.o pick_naive.o pick_pace.o plat.o plat_fern.o plat_http.o \
 	platform/pf_config.o platform/pf_dial.o platform/pf_store.o \
 	probe.o queue.o reload.o route.o sel.o set.o slog.o str.o sync.o \
-	tmr.o up.o up_answer.o up_conn.o wire_zmq.o
+	sync_pack.o tmr.o up.o up_answer.o up_conn.o wire_zmq.o
 GATE = gate_admit.o gate_answer.o gate_box.o gate_claim.o gate_conf.o \
 	gate_early.o gate_flow.o gate_home.o gate_open.o gate_pass.o gate_peek.o \
 	gate_req.o gate_stat.o gate_try.o
--- /dev/null
+++ b/libsync.h
@@ -0,0 +1,25 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef LIBSYNC_H
+#define LIBSYNC_H
+
+#include "sync.h"
+
+/* For the files of sync only. */
+
+/* sync.c */
+void sync_post(struct sync *, struct str to, const struct msg *);
+
+/* sync_pack.c */
+void sync_pack_add_gone(struct sync_pack *, struct str key, uint64_t version);
+json_t *sync_read_spec(const struct msg_object *);
+
+#endif
--- a/sync.c
+++ b/sync.c
@@ -8,25 +8,8 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
-#include "err.h"
-#include <string.h>
-#include <zlib.h>
-
+#include "libsync.h"
 #include "slog.h"
-#include "sync.h"
-
-enum {
-	OBJECTS_PER_MESSAGE = 128,
-	DEFLATE_MIN = 4096, /* bytes of text */
-	DEFLATE_LEVEL = 1, /* the fastest; routes shrink tenfold all the same */
-	TEXT_MAX = 64 << 20 /* of what a peer says its text has */
-};
-
-/* Objects on their way out.  Keys are the configuration's own. */
-struct sync_pack {
-	GArray *objects; /* struct msg_object */
-	GPtrArray *texts;
-};
 
 /* What goes on while versions of some buckets are gathered. */
 struct gather {
@@ -42,8 +25,8 @@
 static void take_want(struct sync *, const struct msg *);
 static void take_objects(struct sync *, const struct msg *);
 
-static void
-post(struct sync *s, struct str to, const struct msg *m)
+void
+sync_post(struct sync *s, struct str to, const struct msg *m)
 {
 	s->messages++;
 	s->send(s->ctx, to, m);
@@ -69,7 +52,7 @@
 		digests[i].v = conf_bucket_digest(s->conf, i);
 	m.u.buckets.digests.items = digests;
 	m.u.buckets.digests.n = CONF_BUCKETS;
-	post(s, to, &m);
+	sync_post(s, to, &m);
 }
 
 static void
@@ -110,109 +93,10 @@
 	m.u.versions.buckets = buckets;
 	m.u.versions.versions.items = g.versions->data;
 	m.u.versions.versions.n = g.versions->len;
-	post(s, to, &m);
+	sync_post(s, to, &m);
 	g_array_free(g.versions, TRUE);
 }
 
-struct sync_pack *
-sync_pack_new(void)
-{
-	struct sync_pack *p = g_new0(struct sync_pack, 1);
-
-	p->objects = g_array_new(FALSE, FALSE, sizeof(struct msg_object));
-	p->texts = g_ptr_array_new_with_free_func(free);
-	return p;
-}
-
-void
-sync_pack_free(struct sync_pack *p)
-{
-	g_array_free(p->objects, TRUE);
-	g_ptr_array_free(p->texts, TRUE);
-	g_free(p);
-}
-
-/* Large texts are deflated: links of boxes may be slow. */
-static void
-write_spec(struct msg_object *o, const json_t *spec)
-{
-	char *text = json_dumps(spec, JSON_COMPACT);
-	size_t n = strlen(text);
-	uLongf len = compressBound(n);
-	Bytef *packed;
-
-	o->spec = str_n(text, n);
-	if (n < DEFLATE_MIN)
-		return;
-	packed = malloc(len);
-	if (packed == NULL ||
-	    compress2(packed, &len, (Bytef *)text, n, DEFLATE_LEVEL) != Z_OK) {
-		free(packed);
-		return;
-	}
-	free(text);
-	o->spec = str_n((char *)packed, len);
-	o->size = n;
-}
-
-/* Returns the bytes that the object's text takes. */
-static size_t
-pack_put(struct sync_pack *p, const struct msg_object *what, const json_t *spec)
-{
-	struct msg_object o = *what;
-
-	if (spec != NULL) {
-		write_spec(&o, spec);
-		g_ptr_array_add(p->texts, (void *)o.spec.p);
-	}
-	g_array_append_val(p->objects, o);
-	return o.spec.n;
-}
-
-size_t
-sync_pack_add(struct sync_pack *p, const struct conf_entry *e)
-{
-	struct msg_object good = {.key = e->key,
-	    .version = e->version,
-	    .deleted = e->deleted,
-	    .hash = e->bad_version > 0 ? 0 : e->hash};
-	struct msg_object bad = {.key = e->key, .version = e->bad_version};
-	size_t n = 0;
-
-	if (e->version > 0)
-		n += pack_put(p, &good, e->spec);
-	if (e->bad_version > 0)
-		n += pack_put(p, &bad, e->bad_spec);
-	return n;
-}
-
-void
-sync_pack_move_last(struct sync_pack *from, struct sync_pack *to)
-{
-	guint at = from->objects->len - 1;
-
-	g_array_append_vals(to->objects,
-	    &g_array_index(from->objects, struct msg_object, at), 1);
-	g_array_set_size(from->objects, at);
-	g_ptr_array_add(to->texts,
-	    g_ptr_array_steal_index(from->texts, from->texts->len - 1));
-}
-
-void
-sync_pack_send(struct sync *s, const struct sync_pack *p, struct str to)
-{
-	struct msg m = {.kind = MSG_OBJECTS};
-	guint at;
-
-	for (at = 0; at < p->objects->len; at += OBJECTS_PER_MESSAGE) {
-		m.u.objects.objects.items =
-		    &g_array_index(p->objects, struct msg_object, at);
-		m.u.objects.objects.n =
-		    MIN(p->objects->len - at, OBJECTS_PER_MESSAGE);
-		post(s, to, &m);
-	}
-}
-
 static void
 send_and_free(struct sync *s, struct sync_pack *p, struct str to)
 {
@@ -243,13 +127,11 @@
     struct sync *s, struct sync_pack *pack, const struct msg_version *v)
 {
 	const struct conf_entry *e = conf_get(s->conf, v->key);
-	struct msg_object gone = {
-	    .key = v->key, .version = conf_floor(s->conf), .deleted = true};
 
 	if (e == NULL &&
 	    MAX(v->version, v->bad_version) <= conf_floor(s->conf)) {
 		if (v->hash != 0)
-			pack_put(pack, &gone, NULL);
+			sync_pack_add_gone(pack, v->key, conf_floor(s->conf));
 		return false;
 	}
 	if (e == NULL)
@@ -289,7 +171,7 @@
 	want.u.want.keys.items = keys->data;
 	want.u.want.keys.n = keys->len;
 	if (keys->len > 0)
-		post(s, m->from, &want);
+		sync_post(s, m->from, &want);
 	g_hash_table_destroy(mi.listed);
 	g_array_free(keys, TRUE);
 }
@@ -321,29 +203,6 @@
 	    e->version == o->version;
 }
 
-static json_t *
-read_spec(const struct msg_object *o)
-{
-	uLongf n = o->size;
-	json_t *spec;
-	char *text;
-
-	if (o->size == 0)
-		return json_loadb(o->spec.p, o->spec.n, 0, NULL);
-	if (o->size > TEXT_MAX)
-		return NULL;
-	text = malloc(n);
-	if (text == NULL ||
-	    uncompress((Bytef *)text, &n, (const Bytef *)o->spec.p,
-		o->spec.n) != Z_OK) {
-		free(text);
-		return NULL;
-	}
-	spec = json_loadb(text, n, 0, NULL);
-	free(text);
-	return spec;
-}
-
 static void
 take_objects(struct sync *s, const struct msg *m)
 {
@@ -357,7 +216,7 @@
 	for (i = 0; i < list->n; i++) {
 		if (is_known(s, &o[i]))
 			continue;
-		spec = o[i].deleted ? NULL : read_spec(&o[i]);
+		spec = o[i].deleted ? NULL : sync_read_spec(&o[i]);
 		if (!o[i].deleted && spec == NULL) {
 			slog(SLOG_CONF, "an object of a peer's cannot be read",
 			    "from=%.*s key=%.*s", STR_ARG(m->from),
--- a/sync.h
+++ b/sync.h
@@ -51,8 +51,10 @@
 /* Add an object in the state that is known here; the bytes that it takes. */
 size_t sync_pack_add(struct sync_pack *, const struct conf_entry *);
 
-/* Move the object that was added last. */
+/* Move the object that was added last; it must have a text. */
 void sync_pack_move_last(struct sync_pack *from, struct sync_pack *to);
+
+/* Send what a pack holds, in as many messages as it takes. */
 void sync_pack_send(struct sync *, const struct sync_pack *, struct str to);
 
 #endif
--- /dev/null
+++ b/sync_pack.c
@@ -0,0 +1,162 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <string.h>
+#include <zlib.h>
+
+#include "libsync.h"
+
+/* Objects as they go between processes: written down, and read. */
+
+enum {
+	OBJECTS_PER_MESSAGE = 128,
+	DEFLATE_MIN = 4096, /* bytes of text */
+	DEFLATE_LEVEL = 1, /* the fastest; routes shrink tenfold all the same */
+	TEXT_MAX = 64 << 20 /* of what a peer says its text has */
+};
+
+/* Objects on their way out.  Keys are those of whoever added them. */
+struct sync_pack {
+	GArray *objects; /* struct msg_object */
+	GPtrArray *texts;
+};
+
+struct sync_pack *
+sync_pack_new(void)
+{
+	struct sync_pack *p = g_new0(struct sync_pack, 1);
+
+	p->objects = g_array_new(FALSE, FALSE, sizeof(struct msg_object));
+	p->texts = g_ptr_array_new_with_free_func(free);
+	return p;
+}
+
+void
+sync_pack_free(struct sync_pack *p)
+{
+	g_array_free(p->objects, TRUE);
+	g_ptr_array_free(p->texts, TRUE);
+	g_free(p);
+}
+
+/* Large texts are deflated: links of boxes may be slow. */
+static void
+write_spec(struct msg_object *o, const json_t *spec)
+{
+	char *text = json_dumps(spec, JSON_COMPACT);
+	size_t n = strlen(text);
+	uLongf len = compressBound(n);
+	Bytef *packed;
+
+	o->spec = str_n(text, n);
+	if (n < DEFLATE_MIN)
+		return;
+	packed = malloc(len);
+	if (packed == NULL ||
+	    compress2(packed, &len, (Bytef *)text, n, DEFLATE_LEVEL) != Z_OK) {
+		free(packed);
+		return;
+	}
+	free(text);
+	o->spec = str_n((char *)packed, len);
+	o->size = n;
+}
+
+/* Returns the bytes that the object's text takes. */
+static size_t
+pack_put(struct sync_pack *p, const struct msg_object *what, const json_t *spec)
+{
+	struct msg_object o = *what;
+
+	if (spec != NULL) {
+		write_spec(&o, spec);
+		g_ptr_array_add(p->texts, (void *)o.spec.p);
+	}
+	g_array_append_val(p->objects, o);
+	return o.spec.n;
+}
+
+/* Add one that is not known here, as it was deleted at or before a version. */
+void
+sync_pack_add_gone(struct sync_pack *p, struct str key, uint64_t version)
+{
+	struct msg_object gone = {
+	    .key = key, .version = version, .deleted = true};
+
+	pack_put(p, &gone, NULL);
+}
+
+size_t
+sync_pack_add(struct sync_pack *p, const struct conf_entry *e)
+{
+	struct msg_object good = {.key = e->key,
+	    .version = e->version,
+	    .deleted = e->deleted,
+	    .hash = e->bad_version > 0 ? 0 : e->hash};
+	struct msg_object bad = {.key = e->key, .version = e->bad_version};
+	size_t n = 0;
+
+	if (e->version > 0)
+		n += pack_put(p, &good, e->spec);
+	if (e->bad_version > 0)
+		n += pack_put(p, &bad, e->bad_spec);
+	return n;
+}
+
+void
+sync_pack_move_last(struct sync_pack *from, struct sync_pack *to)
+{
+	guint at = from->objects->len - 1;
+
+	g_array_append_vals(to->objects,
+	    &g_array_index(from->objects, struct msg_object, at), 1);
+	g_array_set_size(from->objects, at);
+	g_ptr_array_add(to->texts,
+	    g_ptr_array_steal_index(from->texts, from->texts->len - 1));
+}
+
+void
+sync_pack_send(struct sync *s, const struct sync_pack *p, struct str to)
+{
+	struct msg m = {.kind = MSG_OBJECTS};
+	guint at;
+
+	for (at = 0; at < p->objects->len; at += OBJECTS_PER_MESSAGE) {
+		m.u.objects.objects.items =
+		    &g_array_index(p->objects, struct msg_object, at);
+		m.u.objects.objects.n =
+		    MIN(p->objects->len - at, OBJECTS_PER_MESSAGE);
+		sync_post(s, to, &m);
+	}
+}
+
+/* The contents of an object that came; NULL if it cannot be read. */
+json_t *
+sync_read_spec(const struct msg_object *o)
+{
+	uLongf n = o->size;
+	json_t *spec;
+	char *text;
+
+	if (o->size == 0)
+		return json_loadb(o->spec.p, o->spec.n, 0, NULL);
+	if (o->size > TEXT_MAX)
+		return NULL;
+	text = malloc(n);
+	if (text == NULL ||
+	    uncompress((Bytef *)text, &n, (const Bytef *)o->spec.p,
+		o->spec.n) != Z_OK) {
+		free(text);
+		return NULL;
+	}
+	spec = json_loadb(text, n, 0, NULL);
+	free(text);
+	return spec;
+}
