Who may be home is said in one place

most_power() and gate_home() each had the same conditions on our gate and on other gates; they are self_may() and peer_may() now. Behaviour is unchanged.

--- a/gate_home.c
+++ b/gate_home.c
@@ -79,6 +79,20 @@
 	return false;
 }
 
+/* May our gate be home for shards of a hall?  near: its own gates only. */
+static bool
+self_may(const struct gate *g, struct str hall, bool near)
+{
+	return !gate_box_leaving(g) && (!near || str_eq(g->set.hall, hall));
+}
+
+/* The same of another gate. */
+static bool
+peer_may(const struct gate_peer *p, struct str hall, bool near, int64_t now)
+{
+	return usable(p, now) && (!near || str_eq(p->info.hall, hall));
+}
+
 /* The most powerful gate that may be home, in thousandths of a processor. */
 static uint64_t
 most_power(const struct gate *g, struct str hall, bool near, int64_t now)
@@ -87,11 +101,11 @@
 	uint64_t most = 0;
 	guint i;
 
-	if (!gate_box_leaving(g) && (!near || str_eq(g->set.hall, hall)))
+	if (self_may(g, hall, near))
 		most = own_power(g);
 	for (i = 0; i < g->peers->len; i++) {
 		p = g_ptr_array_index(g->peers, i);
-		if (usable(p, now) && (!near || str_eq(p->info.hall, hall)))
+		if (peer_may(p, hall, near, now))
 			most = MAX(most, p->info.power);
 	}
 	return most;
@@ -115,13 +129,11 @@
 	uint64_t least = most_power(g, hall, near, now) / MEMB_STRONG_RATIO;
 	guint i;
 
-	if (!gate_box_leaving(g) && own_power(g) >= least &&
-	    (!near || str_eq(g->set.hall, hall)))
+	if (self_may(g, hall, near) && own_power(g) >= least)
 		best_w = memb_weight(key, g->set.box);
 	for (i = 0; i < g->peers->len; i++) {
 		p = g_ptr_array_index(g->peers, i);
-		if (!usable(p, now) || p->info.power < least ||
-		    (near && !str_eq(p->info.hall, hall)))
+		if (!peer_may(p, hall, near, now) || p->info.power < least)
 			continue;
 		w = memb_weight(key, p->info.box);
 		if (w < best_w)
@@ -173,8 +185,7 @@
 			p = g_new0(struct gate_peer, 1);
 			g_ptr_array_add(g->peers, p);
 		} else {
-			/* A new start of a box clears what we held against it.
-			 */
+			/* A new start clears what we held against a box. */
 			if (p->info.boot != v[j].boot)
 				p->suspect_until = 0;
 			memb_info_clear(&p->info);
