A home's error is read once; the bound of passes has its name

home_declined() and serves_better_here() each read the error's name from the headers; home_error() does so for both. The bound 2 of passes stood thrice as a number in gate_try.c, and as HOPS_MAX in gate_req.c: it is HOPS_MAX in both. Behaviour is unchanged.

--- a/gate_try.c
+++ b/gate_try.c
@@ -167,17 +167,24 @@
 	return status >= 500 ? DISP_FAILED : DISP_OK;
 }
 
+/* Why a home answers by itself; ERR_NONE if a backend server has answered. */
+static enum err_kind
+home_error(const h2o_header_t *headers, size_t n)
+{
+	struct str name = dial_header(headers, n, STR_LIT("fern-error"));
+
+	return name.n > 0 ? err_by_name(name) : ERR_NONE;
+}
+
 /* A home that could not even decide leaves the request to us. */
 static bool
-home_declined(const h2o_header_t *headers, size_t n)
+home_declined(enum err_kind kind)
 {
 	static const enum err_kind kinds[] = {
 	    ERR_LEAVING, ERR_NOT_READY, ERR_NO_RULE, ERR_NO_SERVICE};
-	struct str name = dial_header(headers, n, STR_LIT("fern-error"));
-	enum err_kind kind = err_by_name(name);
 	size_t i;
 
-	for (i = 0; name.n > 0 && i < G_N_ELEMENTS(kinds); i++)
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++)
 		if (kind == kinds[i])
 			return true;
 	return false;
@@ -185,12 +192,9 @@
 
 /* Another hall has nothing that can be used, but this one has by now. */
 static bool
-serves_better_here(
-    const struct gate_req *r, const h2o_header_t *headers, size_t n)
+serves_better_here(const struct gate_req *r, enum err_kind kind)
 {
-	struct str name = dial_header(headers, n, STR_LIT("fern-error"));
-
-	return err_by_name(name) == ERR_NO_BACKEND && r->shard != NULL &&
+	return kind == ERR_NO_BACKEND && r->shard != NULL &&
 	    disp_usable(r->shard->disp) > 0;
 }
 
@@ -222,10 +226,10 @@
     struct gate_req *r, int status, const h2o_header_t *headers, size_t n)
 {
 	enum disp_outcome outcome = outcome_of(r, status, headers, n);
+	enum err_kind kind = home_error(headers, n);
 
-	if ((!home_declined(headers, n) &&
-		!serves_better_here(r, headers, n)) ||
-	    r->passes > 2) {
+	if ((!home_declined(kind) && !serves_better_here(r, kind)) ||
+	    r->passes > HOPS_MAX) {
 		r->maybe_ran = r->maybe_ran || outcome != DISP_REFUSED;
 		r->refused = !r->maybe_ran;
 		return false;
@@ -318,7 +322,8 @@
 		count_lost_try(r);
 	if (kind != ERR_CONNECT && !may_try_more(r))
 		gate_answer(r, kind, RAN_UNKNOWN, 0);
-	else if ((kind == ERR_CONNECT || r->d.repeatable) && r->passes <= 2)
+	else if ((kind == ERR_CONNECT || r->d.repeatable) &&
+	    r->passes <= HOPS_MAX)
 		retry_home(r);
 	else
 		gate_answer(r, kind, gate_req_ran(r), 0);
@@ -369,7 +374,7 @@
 static bool
 may_leave(const struct gate_req *r)
 {
-	if (!r->d.repeatable || r->started || r->passes > 2)
+	if (!r->d.repeatable || r->started || r->passes > HOPS_MAX)
 		return false;
 	return r->state != REQ_SENT || r->d.attempts == 0 ||
 	    r->d.tries + LOST_TRIES < r->d.attempts;
--- a/libreq.h
+++ b/libreq.h
@@ -52,7 +52,7 @@
 	uint64_t id;
 	enum req_state state;
 	int hops; /* gates it came through before us */
-	int passes; /* tries at homes */
+	int passes; /* tries at homes, HOPS_MAX + 1 at most */
 	struct str name; /* as its caller names it, for the log; a copy */
 	bool maybe_ran; /* an earlier try may have run */
 	bool refused; /* the answer on its way says that it did not run */
