--- a/agent_watch.c
+++ b/agent_watch.c
@@ -22,7 +22,10 @@
 /* Boxes that start know each other sooner than that. */
 #define FIRST_WATCH_NS (1 * NS_S)
 
-enum { LIST_TIMEOUT_MS = 5000, BACKOFF_SHIFT_MAX = 7 };
+enum {
+	LIST_TIMEOUT_MS = 2000, /* a page; a slow store takes some 250 ms */
+	BACKOFF_SHIFT_MAX = 7
+};
 
 static void watch_soon(struct agent_feed *, int64_t);
 static void on_watch_due(void *);
@@ -56,11 +59,18 @@
 static void
 resume_calls(struct agent *a)
 {
+	struct agent_feed *f;
 	unsigned i;
 
-	for (i = 1; i < a->nfeeds; i++)
-		if (a->feeds[i].call == NULL && !a->feeds[i].timer.set)
-			watch_soon(&a->feeds[i], 0);
+	for (i = 0; i < a->nfeeds; i++) {
+		f = &a->feeds[i];
+		/* A call of before the outage may never be answered. */
+		if (f->call != NULL)
+			plat_cancel(a->plat, f->call);
+		if (f->call != NULL || (i > 0 && !f->timer.set))
+			watch_soon(f, 0);
+		f->call = NULL;
+	}
 	agent_box_resume_calls(a);
 }
 
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -63,6 +63,10 @@
 	void answer_all(int status);
 	/* Forget what changed so far: watches from before get 410. */
 	void compact();
+	/* Answer no call of the store at all, or again. */
+	void hang(bool);
+	/* How many calls were left without an answer. */
+	size_t hung();
 	/* From now on stale lists tell what there is now. */
 	void keep_stale();
 	size_t calls();
@@ -111,6 +115,8 @@
 	std::map<std::string, std::unique_ptr<Backend>> backends;
 	uint64_t rev = 1, kept = 0;
 	int status = 0;
+	bool hangs = false;
+	size_t nhung = 0;
 	size_t ncalls = 0;
 	std::thread thread;
 };
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -378,6 +378,20 @@
 	EXPECT_EQ(before, w.ran(0, 2));
 }
 
+/* A list that the platform swallowed does not hold up the next for long. */
+TEST(Box, ACallThatIsNeverAnsweredIsGivenUpSoon)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.box.kill9();
+	w.platform.hang(true);
+	w.box.start();
+	ASSERT_TRUE(until([&] { return w.platform.hung() >= 2; }));
+	w.platform.hang(false);
+	EXPECT_TRUE(until([&] { return w.ready(); }, 3500));
+}
+
 /* Each call has its price, and one tells whether the platform is back. */
 TEST(Box, OneFeedAsksWhileThePlatformIsAway)
 {
