--- a/agent_open.c
+++ b/agent_open.c
@@ -19,7 +19,7 @@
  * share.
  */
 
-enum { LEAVE_MS = 300, ADMIN_BODY_MAX = 4096, POWER_UNIT = 1000 };
+enum { LEAVE_MS = 300, ADMIN_BODY_MAX = 4096 };
 /* Between two looks, with probes to start or without. */
 #define TICK_NS (100 * NS_MS)
 #define TICK_IDLE_NS (500 * NS_MS)
@@ -198,7 +198,7 @@
 	    .pass = a->set.pass,
 	    .gate_inbox = a->set.gate_inbox,
 	    .boot = (uint64_t)clk_wall_ms(a->clk),
-	    .power = (uint64_t)(a->set.power * POWER_UNIT),
+	    .power = (uint64_t)(a->set.power * MEMB_POWER_UNIT),
 	};
 
 	a->loop = uv_default_loop();
@@ -226,6 +226,7 @@
 	agent_greet_open(a);
 	agent_probe_open(a);
 	agent_peer_open(a);
+	agent_box_open(a);
 	agent_watch_open(a);
 	return true;
 }
@@ -244,7 +245,7 @@
 	a->targets_dirty = true;
 	a->targets_at = 0;
 	agent_push_change(a, e);
-	agent_status_soon(a);
+	agent_box_status_soon(a);
 }
 
 static void
@@ -261,6 +262,7 @@
 	}
 	a->last_tick = now;
 	agent_peer_tick(a, now);
+	agent_gate_tick(a, now);
 	agent_probe_tick(a, now);
 	slog_flush();
 	tmr_set(&a->tmr, &a->tick,
