How many requests at once a backend server gets is learned

Ruled out: the told pace, which does not say it; spells, as only freshly told ones were compared.

Change: what each kind of request takes by the share of slots in use when it began; the limit is where throughput over time is greatest (power), half of the slots until more is known, and a quarter of the backend servers in turn try what is not known or old. Work is learned by these times in place of one mean, and backend servers' factors no longer feed back into it.

--- /dev/null
+++ b/conc.c
@@ -0,0 +1,188 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <glib.h>
+#include <math.h>
+#include <stdbool.h>
+
+#include "clk.h"
+#include "conc.h"
+
+/*
+ * With k requests at once that each take slowdown(k) times as long, k /
+ * slowdown(k) are done in the time of one.  The limit is where this, over the
+ * time that each takes, is greatest (Kleinrock's power): a little throughput
+ * is not worth much time, as what waits at us can still be sent anywhere.
+ */
+
+/* After so long without a sample the past counts as one sample. */
+#define OLD_NS (3 * NS_S)
+
+enum {
+	KNOWN_SAMPLES = 4, /* the mean is within a sixth for a spread of 0.3 */
+	WEIGHT = 32 /* of the past against one sample, some seconds of load */
+};
+
+/* A lower limit must have so much more power, as the means are noisy. */
+static const double GAIN = 1.05;
+/* One sample counts for no more than this against what is known so far. */
+static const double SAMPLE_MAX = 2;
+
+/* The step that `running` requests on so many slots come to. */
+static int
+step_of(int running, int slots)
+{
+	int at = (running * CONC_STEPS + slots - 1) / slots - 1;
+
+	return CLAMP(at, 0, CONC_STEPS - 1);
+}
+
+static bool
+is_known(const struct conc_step *s)
+{
+	return s->samples >= KNOWN_SAMPLES;
+}
+
+void
+conc_learn(struct conc *c, int beside, int slots, double time, int64_t now)
+{
+	struct conc_step *s;
+
+	if (slots <= 0)
+		return;
+	s = &c->steps[step_of(beside + 1, slots)];
+	if (s->samples > 0)
+		time = CLAMP(time, s->time / SAMPLE_MAX, s->time * SAMPLE_MAX);
+	if (now - s->learned >= OLD_NS)
+		s->lately = MIN(s->samples, 1);
+	s->samples = MIN(s->samples + 1, WEIGHT);
+	s->lately = MIN(s->lately + 1, WEIGHT);
+	s->time += (time - s->time) / s->lately;
+	s->learned = now;
+}
+
+/* The mean of all samples, while no step is known well. */
+static double
+mean_time(const struct conc *c)
+{
+	double sum = 0;
+	unsigned n = 0;
+	int i;
+
+	for (i = 0; i < CONC_STEPS; i++) {
+		sum += c->steps[i].time * c->steps[i].samples;
+		n += c->steps[i].samples;
+	}
+	return n == 0 ? 0 : sum / n;
+}
+
+double
+conc_usual(const struct conc *c)
+{
+	double least = 0;
+	int i;
+
+	for (i = 0; i < CONC_STEPS; i++)
+		if (is_known(&c->steps[i]) &&
+		    (least == 0 || c->steps[i].time < least))
+			least = c->steps[i].time;
+	return least > 0 ? least : mean_time(c);
+}
+
+void
+conc_add(struct conc *c, const struct conc *other)
+{
+	double usual = conc_usual(other), weight;
+	const struct conc_step *o;
+	struct conc_step *s;
+	int i;
+
+	for (i = 0; i < CONC_STEPS; i++) {
+		o = &other->steps[i];
+		s = &c->steps[i];
+		if (o->samples == 0)
+			continue;
+		weight = (double)o->samples / (o->samples + s->samples);
+		s->time += (o->time / usual - s->time) * weight;
+		s->samples += o->samples;
+		s->lately += o->lately;
+		s->learned = MAX(s->learned, o->learned);
+	}
+}
+
+/* The time at a step or, where it is not known, at the nearest below. */
+static double
+time_at(const struct conc *c, int step)
+{
+	int i;
+
+	for (i = step; i >= 0; i--)
+		if (is_known(&c->steps[i]))
+			return c->steps[i].time;
+	return 0;
+}
+
+double
+conc_slowdown(const struct conc *c, int beside, int slots)
+{
+	double usual = conc_usual(c);
+
+	if (slots <= 0 || usual == 0)
+		return 1;
+	return MAX(time_at(c, step_of(beside + 1, slots)) / usual, 1);
+}
+
+/* Of what is not known yet, half of the slots are used. */
+int
+conc_limit(const struct conc *c, int slots)
+{
+	int k, best = 1, half = (slots + 1) / 2;
+	double slower, power, best_power = 0;
+
+	for (k = slots; k > 0; k--) {
+		if (k > half && !is_known(&c->steps[step_of(k, slots)]))
+			continue;
+		slower = conc_slowdown(c, k - 1, slots);
+		power = k / (slower * slower);
+		if (power <= best_power * GAIN)
+			continue;
+		best_power = power;
+		best = k;
+	}
+	return best;
+}
+
+/* Is what is known of a step what the backend servers do now? */
+static bool
+is_current(const struct conc_step *s, int64_t now)
+{
+	return s->lately > KNOWN_SAMPLES && now - s->learned < OLD_NS;
+}
+
+/*
+ * First whether all slots can be used, and what half of them do; then what
+ * shows whether the limit should move: its neighbours.
+ */
+int
+conc_to_try(const struct conc *c, int slots, int64_t now)
+{
+	int limit = conc_limit(c, slots), half = (slots + 1) / 2;
+
+	if (!is_known(&c->steps[step_of(slots, slots)]))
+		return slots;
+	if (!is_known(&c->steps[step_of(half, slots)]))
+		return half;
+	if (limit < slots &&
+	    !is_current(&c->steps[step_of(limit + 1, slots)], now))
+		return limit + 1;
+	if (limit > 1 && !is_current(&c->steps[step_of(limit - 1, slots)], now))
+		return limit - 1;
+	return 0;
+}
--- a/disp.c
+++ b/disp.c
@@ -18,6 +18,9 @@
 /* Of a slow spell, until one was told. */
 static const double SLOW_PACE_FIRST = 3;
 
+/* Limits of concurrency are set anew each so often. */
+#define LIMIT_NS (100 * NS_MS)
+
 enum { TRIES_MAX = 4 };
 
 /* What each outcome means. */
@@ -138,6 +141,7 @@
 	r->at = b;
 	r->sent = now;
 	r->tries++;
+	disp_conc_begin(d, r);
 	disp_work_begin(d, r);
 	d->ops.send(d->ops.ctx, r, b);
 	return true;
@@ -354,6 +358,8 @@
 	int64_t now = clk_ns(d->clk);
 	int i;
 
+	if (now - d->limited >= LIMIT_NS)
+		disp_conc_set(d, now);
 	disp_sort_late(d);
 	for (i = 0; i < QUEUES; i++)
 		disp_expire(d, i, now);
--- a/disp.h
+++ b/disp.h
@@ -60,6 +60,8 @@
 	/* The rest is the dispatcher's own. */
 	int64_t work; /* ns that it is thought to take at the usual speed */
 	double pace; /* that was expected when the try under way began */
+	int beside; /* others that ran there then */
+	double slowdown; /* that these are thought to cause */
 	bool told; /* and that rested on a fresh word */
 	bool asked; /* backend servers were asked for it once */
 	bool paid; /* its tries so far are within a retry budget */
--- a/disp_move.c
+++ b/disp_move.c
@@ -36,7 +36,7 @@
 end_here(const struct disp *d, const struct disp_req *r, int64_t now)
 {
 	double own = r->at->factor > 0 ? r->at->factor : 1;
-	double work = (double)r->work * own;
+	double work = (double)r->work * own * r->slowdown;
 	double expected = work * (r->told ? r->pace : 1);
 
 	if (is_silent(r->at))
--- a/disp_pace.c
+++ b/disp_pace.c
@@ -49,7 +49,7 @@
 	for (i = 0; i < d->backends->len; i++) {
 		b = g_ptr_array_index(d->backends, i);
 		if (pick_usable(b, now))
-			slots += b->slots;
+			slots += pick_slots(b);
 	}
 	if (slots == 0)
 		return 0;
--- a/disp_set.c
+++ b/disp_set.c
@@ -108,6 +108,7 @@
 	for (i = 0; i < n; i++)
 		update(d, &v[i]);
 	disp_sweep(d);
+	disp_conc_set(d, clk_ns(d->clk));
 	disp_serve(d);
 }
 
@@ -222,7 +223,7 @@
 		b = g_ptr_array_index(d->backends, i);
 		room.free += pick_free(b, now);
 		if (pick_usable(b, now))
-			room.slots += b->slots;
+			room.slots += pick_slots(b);
 	}
 	for (i = 0; i < QUEUES; i++)
 		room.waiting += (int)d->queues[i].n;
--- a/disp_work.c
+++ b/disp_work.c
@@ -17,8 +17,7 @@
  */
 
 enum {
-	UP_WEIGHT = 16, /* of the past against one request that took longer */
-	DOWN_WEIGHT = 6, /* and one that took less */
+	MEAN_WEIGHT = 16, /* of the past against one request */
 	FACTOR_WEIGHT = 8,
 	PACE_WEIGHT = 64,
 	PERCENT = 100,
@@ -50,7 +49,7 @@
 {
 	const struct disp_work *w = find(d, kind);
 
-	return w == NULL ? 0 : w->ns;
+	return w == NULL ? 0 : (int64_t)conc_usual(&w->ns);
 }
 
 void
@@ -80,36 +79,44 @@
 	b->factor = CLAMP(b->factor, FACTOR_MIN, FACTOR_MAX);
 }
 
-static void
-learn(int64_t *mean, double ns)
+static struct disp_work *
+find_or_add(struct disp *d, unsigned kind)
 {
-	double diff = ns - (double)*mean;
+	struct disp_work add = {.kind = kind}, *w = find(d, kind);
 
-	*mean += (int64_t)(diff / (diff > 0 ? UP_WEIGHT : DOWN_WEIGHT));
-	*mean = MAX(*mean, NS_US);
+	if (w != NULL)
+		return w;
+	g_array_append_val(d->works, add);
+	return find(d, kind);
+}
+
+static void
+learn_mean(int64_t *mean, double ns)
+{
+	if (*mean == 0)
+		*mean = (int64_t)ns;
+	*mean += (int64_t)((ns - (double)*mean) / MEAN_WEIGHT);
 }
 
-/* A request was answered: learn from it. */
+/*
+ * A request was answered: learn from it.  One that took far longer than its
+ * like, where no pace was told, met a spell and shows nothing of the work.
+ * What the backend servers have in common is learned without their factors:
+ * learned from each other, both would drift apart without end.
+ */
 void
 disp_work_done(struct disp *d, const struct disp_req *r, struct pick_backend *b,
     int64_t now)
 {
-	double own = b->factor > 0 ? b->factor : 1;
+	struct disp_work *w = find_or_add(d, r->kind);
+	double usual = conc_usual(&w->ns), own = b->factor > 0 ? b->factor : 1;
 	double ns = (double)(now - r->sent) / (r->told ? r->pace : 1);
-	struct disp_work add = {r->kind, (int64_t)ns};
-	struct disp_work *w = find(d, r->kind);
 
-	if (w == NULL) {
-		g_array_append_val(d->works, add);
-		return;
-	}
 	/* One that tells nothing is known by its answers alone. */
-	if (r->told || b->mute)
-		learn_factor(b, ns / (double)w->ns);
-	if (ns > ODD * own * (double)w->ns)
+	if (usual > 0 && (r->told || b->mute))
+		learn_factor(b, ns / (usual * r->slowdown));
+	if (usual > 0 && !r->told && ns > ODD * own * usual * r->slowdown)
 		return;
-	learn(&w->ns, ns / own);
-	if (d->mean_work == 0)
-		d->mean_work = w->ns;
-	learn(&d->mean_work, ns);
+	conc_learn(&w->ns, r->beside, b->slots, ns, now);
+	learn_mean(&d->mean_work, ns);
 }
--- a/libdisp.h
+++ b/libdisp.h
@@ -29,10 +29,10 @@
 	int64_t told; /* 0: never */
 };
 
-/* What requests of one kind take at the usual speed, as far as is known. */
+/* What requests of one kind take at the usual pace, as far as is known. */
 struct disp_work {
 	unsigned kind;
-	int64_t ns;
+	struct conc ns;
 };
 
 /* Where requests are held: those in time by class, and those that are late. */
@@ -49,6 +49,8 @@
 	double mean_pace; /* of the backend servers, over time */
 	double slow_pace; /* of those in slow spells, over time */
 	int64_t mean_work; /* of all requests, over time; 0: not known */
+	struct conc conc; /* how work slows beside other work, of all kinds */
+	int64_t limited; /* when limits were set last */
 	GArray *remotes; /* struct disp_remote_hall */
 	struct retry_budget budget;
 	struct limit limit;
@@ -93,6 +95,10 @@
 void disp_work_done(
     struct disp *, const struct disp_req *, struct pick_backend *, int64_t now);
 
+/* disp_conc.c: how many requests at once each backend server gets. */
+void disp_conc_begin(const struct disp *, struct disp_req *);
+void disp_conc_set(struct disp *, int64_t now);
+
 /* disp_peek.c: questions for the load of backend servers. */
 bool disp_peek_first(struct disp *, struct disp_req *, int64_t now);
 bool disp_peek_one(struct disp *, struct pick_backend *, int64_t now);
--- a/pace.c
+++ b/pace.c
@@ -22,8 +22,8 @@
 
 /* Up to so many percent of the usual time counts as usual. */
 enum { GOOD_PACE = 150, PERCENT = 100 };
-/* A full backend server may be slower; also spreads work over equals. */
-static const double FULL_SLOWER = 0.1;
+/* Spreads work over backend servers that look alike. */
+static const double SPREAD = 0.1;
 
 double
 pace_now(const struct pick_backend *b, double mean, int64_t now)
@@ -37,6 +37,14 @@
 	return mean + (told - mean) * left;
 }
 
+double
+pace_slowdown(const struct pick_backend *b)
+{
+	if (b->conc == NULL)
+		return 1;
+	return conc_slowdown(b->conc, b->inflight, b->slots);
+}
+
 int64_t
 pace_time(const struct pick_backend *b, int64_t work, double mean, int64_t now)
 {
@@ -44,7 +52,7 @@
 	double own = b->factor > 0 ? b->factor : 1;
 
 	return (int64_t)((double)work * own * pace_now(b, mean, now) *
-	    (1 + FULL_SLOWER * full));
+	    pace_slowdown(b) * (1 + SPREAD * full));
 }
 
 bool
--- a/pace.h
+++ b/pace.h
@@ -27,6 +27,9 @@
 /* The pace that is expected of a request that begins now. */
 double pace_now(const struct pick_backend *, double mean, int64_t now);
 
+/* How many times longer work takes there beside what is in flight. */
+double pace_slowdown(const struct pick_backend *);
+
 /* The time that `work`, in ns at the usual pace, takes if it begins now. */
 int64_t
 pace_time(const struct pick_backend *, int64_t work, double mean, int64_t now);
--- a/pick.c
+++ b/pick.c
@@ -70,11 +70,17 @@
 	    b->state != PICK_DRAINING;
 }
 
+int
+pick_slots(const struct pick_backend *b)
+{
+	return b->limit > 0 ? MIN(b->limit, b->slots) : b->slots;
+}
+
 /* A cold or tried one gets one request at a time. */
 int
 pick_free(const struct pick_backend *b, int64_t now)
 {
-	int slots = b->slots;
+	int slots = pick_slots(b);
 
 	if (!pick_usable(b, now) || now < b->full_until)
 		return 0;
--- a/pick.h
+++ b/pick.h
@@ -16,6 +16,7 @@
 
 #include "chart.h"
 #include "clk.h"
+#include "conc.h"
 #include "obj.h"
 #include "str.h"
 
@@ -52,6 +53,8 @@
 	struct str name;
 	struct str address;
 	int slots;
+	int limit; /* of requests at once, as learned; 0: all slots */
+	const struct conc *conc; /* how others slow it; NULL: not known */
 	int inflight; /* sent and not finished */
 	int inflight_bulk; /* of these, class bulk */
 	enum pick_state state;
@@ -119,6 +122,9 @@
 /* May anything new be sent there? */
 bool pick_usable(const struct pick_backend *, int64_t now);
 
+/* The slots that are worth using at once. */
+int pick_slots(const struct pick_backend *);
+
 /* Free slots of one backend server, 0 if nothing new may be sent. */
 int pick_free(const struct pick_backend *, int64_t now);
 
--- /dev/null
+++ b/regress/test_policy.cpp
@@ -0,0 +1,405 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+/*
+ * The policy "pace" in virtual time: arrivals, backend servers that slow when
+ * full or in spells, callers that come back.  What is looked at is how many
+ * requests are answered in time.
+ */
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <functional>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "disp.h"
+}
+
+namespace
+{
+
+struct Sim;
+
+/* One attempt of a caller. */
+struct Attempt {
+	struct disp_req d = {};
+	Sim *sim = nullptr;
+	int64_t first = 0, deadline = 0; /* of the caller, over all attempts */
+	int64_t work = 0;
+	int left = 0; /* times that it may come back */
+	uint64_t run = 0; /* the try whose end counts; 0: none */
+	int64_t came = 0, began = 0;
+};
+
+struct Server {
+	std::string name;
+	int running = 0, pace = 100;
+	std::vector<int> beside; /* of each request that began here */
+};
+
+struct Fleet {
+	int servers = 4, slots = 6;
+	bool tells = true;
+	double mean_ms = 200;
+	int64_t target_ms = 600, deadline_ms = 4000;
+	double spells = 0; /* share of time that a server is 5 times slower */
+};
+
+struct Count {
+	int arrived = 0, in_time = 0, late = 0, refused = 0;
+};
+
+/* What a home and its backend servers do, event by event. */
+struct Sim {
+	Fleet fleet;
+	int64_t now = NS_S;
+	uint64_t seed = 7, runs = 0;
+	struct clk clk;
+	struct rnd rnd;
+	struct disp *disp;
+	std::multimap<int64_t, std::function<void()>> events;
+	std::map<std::string, Server> servers;
+	std::vector<std::unique_ptr<Attempt>> attempts;
+	std::map<int64_t, Count> seconds; /* by the second of first attempts */
+	std::function<double(double)> slowdown; /* by the share in use */
+
+	static struct timespec mono(void *ctx)
+	{
+		int64_t t = static_cast<Sim *>(ctx)->now;
+
+		return {t / NS_S, t % NS_S};
+	}
+
+	static uint64_t next(void *ctx)
+	{
+		return rnd_split(&static_cast<Sim *>(ctx)->seed);
+	}
+
+	double uniform()
+	{
+		return static_cast<double>(rnd_split(&seed) >> 11) * 0x1p-53;
+	}
+
+	void in(int64_t ns, std::function<void()> fn)
+	{
+		events.emplace(now + ns, std::move(fn));
+	}
+
+	static Attempt *of(struct disp_req *d)
+	{
+		return reinterpret_cast<Attempt *>(d);
+	}
+
+	Server &server(const struct pick_backend *b)
+	{
+		return servers[std::string(b->name.p, b->name.n)];
+	}
+
+	static void send(void *ctx, struct disp_req *d, struct pick_backend *b)
+	{
+		Sim *s = static_cast<Sim *>(ctx);
+		Attempt *a = of(d);
+		Server &v = s->server(b);
+		double full;
+		uint64_t run = ++s->runs;
+
+		v.beside.push_back(v.running);
+		full = static_cast<double>(++v.running) / s->fleet.slots;
+		a->run = run;
+		s->in(static_cast<int64_t>(static_cast<double>(a->work) *
+			  s->slowdown(full) * v.pace / 100),
+		    [s, a, run, &v] {
+			    v.running--;
+			    if (a->run != run)
+				    return;
+			    a->run = 0;
+			    s->ended(a, v);
+		    });
+	}
+
+	void ended(Attempt *a, Server &v)
+	{
+		struct pick_backend *b = a->d.at;
+
+		if (fleet.tells)
+			disp_load_told(disp, b, v.running, 0, v.pace);
+		if (now - a->first <= fleet.target_ms * NS_MS)
+			seconds[a->first / NS_S].in_time++;
+		else if (now <= a->deadline)
+			seconds[a->first / NS_S].late++;
+		disp_done(disp, &a->d, DISP_OK);
+	}
+
+	static void pass(void *, struct disp_req *, struct str)
+	{
+	}
+
+	static void
+	give_up(void *ctx, struct disp_req *d, enum err_kind, int64_t after)
+	{
+		Sim *s = static_cast<Sim *>(ctx);
+		Attempt *a = of(d);
+
+		s->seconds[a->first / NS_S].refused++;
+		after = std::max(after, 10 * NS_MS);
+		if (a->left == 0 || s->now + after >= a->deadline)
+			return;
+		s->in(after, [s, a] { s->attempt(a, a->left - 1); });
+	}
+
+	static void stop(void *ctx, struct disp_req *d)
+	{
+		Sim *s = static_cast<Sim *>(ctx);
+
+		of(d)->run = 0;
+		EXPECT_TRUE(disp_done(s->disp, d, DISP_SLOW));
+	}
+
+	static void peek(void *ctx, struct pick_backend *b)
+	{
+		Sim *s = static_cast<Sim *>(ctx);
+		Server &v = s->server(b);
+
+		s->in(400 * NS_US, [s, &v] {
+			disp_peeked(s->disp, str_c(v.name.c_str()), true,
+			    v.running, 0, s->fleet.tells ? v.pace : 0);
+		});
+	}
+
+	static void release(void *, struct pick_backend *)
+	{
+	}
+
+	/* An attempt is a request of its own; the old one is left as it is. */
+	void attempt(const Attempt *old, int left)
+	{
+		Attempt *a = new Attempt;
+
+		attempts.emplace_back(a);
+		a->sim = this;
+		a->first = old->first;
+		a->deadline = old->deadline;
+		a->work = old->work;
+		a->left = left;
+		a->d.cls = CLASS_INTERACTIVE;
+		a->d.repeatable = true;
+		a->d.may_retry = true;
+		a->d.attempts = 3;
+		a->d.kind = 1;
+		a->d.target = now + fleet.target_ms * NS_MS;
+		a->d.deadline = a->deadline;
+		disp_arrive(disp, &a->d);
+	}
+
+	void arrive()
+	{
+		Attempt first;
+
+		first.first = now;
+		first.deadline = now + fleet.deadline_ms * NS_MS;
+		first.work = static_cast<int64_t>(
+		    fleet.mean_ms * (0.5 + uniform()) * NS_MS);
+		seconds[now / NS_S].arrived++;
+		attempt(&first, 2);
+	}
+
+	/* Arrivals until `end`, so many a second. */
+	void load(double per_s, int64_t end)
+	{
+		if (now >= end)
+			return;
+		in(static_cast<int64_t>(-std::log(1 - uniform()) / per_s *
+		       static_cast<double>(NS_S)),
+		    [this, per_s, end] {
+			    if (now < end)
+				    arrive();
+			    load(per_s, end);
+		    });
+	}
+
+	void tick()
+	{
+		disp_tick(disp);
+		in(10 * NS_MS, [this] { tick(); });
+	}
+
+	void spell()
+	{
+		for (auto &v : servers)
+			v.second.pace = uniform() < fleet.spells ? 500 : 100;
+		in(150 * NS_MS, [this] { spell(); });
+	}
+
+	void run_to(int64_t end)
+	{
+		while (!events.empty() && events.begin()->first <= end) {
+			auto ev = events.begin();
+			auto fn = std::move(ev->second);
+
+			now = ev->first;
+			events.erase(ev);
+			fn();
+		}
+		now = end;
+	}
+
+	explicit Sim(const Fleet &with)
+	    : fleet(with), clk{mono, mono, this}, rnd{next, this},
+	      slowdown([](double) { return 1; })
+	{
+		struct disp_ops ops = {
+		    send, pass, give_up, stop, peek, release, this};
+		struct disp_params p = {};
+		std::vector<struct disp_backend> v;
+		GError *err = nullptr;
+		const char *root = getenv("FERN_ROOT");
+		std::string file =
+		    std::string(root ? root : ".") + "/charts/backend.toml";
+		static struct chart *chart =
+		    chart_load(file.c_str(), &pick_chart_names, &err);
+
+		disp = disp_new(&ops, &clk, &rnd);
+		p.policy = pick_by_name(STR_LIT("pace"));
+		p.chart = chart;
+		p.queue_max = 1000;
+		p.bulk_percent = 40;
+		p.retry_percent = 20;
+		p.retry_max = 60;
+		disp_configure(disp, &p);
+		for (int i = 0; i < fleet.servers; i++) {
+			std::string name = "b" + std::to_string(i);
+
+			servers[name].name = name;
+		}
+		for (auto &s : servers)
+			v.push_back({str_c(s.second.name.c_str()),
+			    STR_LIT("127.0.0.1:1"), fleet.slots, false});
+		disp_backends(disp, v.data(), static_cast<unsigned>(v.size()));
+		tick();
+		spell();
+	}
+
+	/* All that waits is forgotten, what runs ends. */
+	~Sim()
+	{
+		for (auto &a : attempts)
+			if (a->d.held)
+				disp_forget(disp, &a->d);
+		for (auto &a : attempts)
+			if (a->d.at != nullptr)
+				disp_done(disp, &a->d, DISP_GONE);
+		disp_free(disp);
+	}
+
+	void forget_starts()
+	{
+		for (auto &v : servers)
+			v.second.beside.clear();
+	}
+
+	/* The share of requests that began beside `least` others or more. */
+	double began_beside(int least)
+	{
+		double n = 0, all = 0;
+
+		for (auto &v : servers)
+			for (int b : v.second.beside) {
+				all++;
+				n += b >= least;
+			}
+		return all == 0 ? 0 : n / all;
+	}
+
+	double share_in_time(int64_t from_s, int64_t to_s)
+	{
+		double n = 0, all = 0;
+
+		for (auto &s : seconds) {
+			if (s.first < from_s || s.first >= to_s)
+				continue;
+			n += s.second.in_time;
+			all += s.second.arrived;
+		}
+		return all == 0 ? 1 : n / all;
+	}
+};
+
+/* Beyond four fifths of the slots work takes 1.7 times as long. */
+double
+knee(double full)
+{
+	return full > 0.8 ? 1.7 : 1;
+}
+
+} // namespace
+
+TEST(Policy, ServersThatSlowWhenFullAreNotFilled)
+{
+	Sim sim((Fleet()));
+
+	sim.slowdown = knee;
+	sim.load(90, 12 * NS_S); /* of 80 that 4 of 6 slots can do */
+	sim.run_to(5 * NS_S);
+	sim.forget_starts();
+	sim.run_to(12 * NS_S);
+	EXPECT_LT(sim.began_beside(4), 0.15);
+	EXPECT_GT(sim.began_beside(3), 0.5);
+}
+
+TEST(Policy, ServersThatDoNotSlowAreFilled)
+{
+	for (int slots : {1, 2, 3, 6, 16}) {
+		Fleet fleet;
+
+		fleet.slots = slots;
+		Sim sim(fleet);
+
+		sim.load(22 * slots, 12 * NS_S); /* of 20 a slot */
+		sim.run_to(5 * NS_S);
+		sim.forget_starts();
+		sim.run_to(12 * NS_S);
+		EXPECT_GT(sim.began_beside(slots * 7 / 8 - 1), 0.6) << slots;
+	}
+}
+
+TEST(Policy, AChangeOfHowServersSlowIsFollowedWithinSeconds)
+{
+	Sim sim((Fleet()));
+
+	sim.load(110, 30 * NS_S);
+	sim.run_to(8 * NS_S);
+	sim.slowdown = knee;
+	sim.run_to(14 * NS_S);
+	sim.forget_starts();
+	sim.run_to(18 * NS_S);
+	EXPECT_LT(sim.began_beside(4), 0.2);
+	sim.slowdown = [](double) {
+		return 1;
+	};
+	sim.run_to(26 * NS_S);
+	sim.forget_starts();
+	sim.run_to(30 * NS_S);
+	EXPECT_GT(sim.began_beside(5), 0.5);
+}
+
+TEST(Policy, ALearnedLimitServesMoreInTime)
+{
+	Sim sim((Fleet()));
+
+	sim.slowdown = knee;
+	sim.load(76, 20 * NS_S);
+	sim.run_to(20 * NS_S);
+	EXPECT_GT(sim.share_in_time(4, 18), 0.9);
+}
