Requests of one connection run side by side, answers in order

Ruled out: waiting at homes, as these did not reach one before.

Change: connections of HTTP/1.1 are ours (http_parser; h2o's core keeps requests, answers, filters and HTTP/2). What may be repeated runs beside up to seven others, all else in its turn. A caller that goes away is seen as its connection ends; the look at each socket ten times a second is gone. The stand-in backend server counts what is cancelled by the same.

--- a/gate_admit.c
+++ b/gate_admit.c
@@ -37,9 +37,9 @@
 match(struct gate *g, const h2o_req_t *req)
 {
 	struct route_query q = {
-	    .host = str_n(req->authority.base, req->authority.len),
-	    .method = str_n(req->method.base, req->method.len),
-	    .path = str_n(req->path.base, req->path.len),
+	    .host = str_n(req->input.authority.base, req->input.authority.len),
+	    .method = str_n(req->input.method.base, req->input.method.len),
+	    .path = str_n(req->input.path.base, req->input.path.len),
 	    .header = query_header,
 	    .ctx = (void *)req,
 	};
@@ -234,6 +234,21 @@
 	gate_req_route(r);
 }
 
+/*
+ * A request may run beside others of its connection if it may be repeated:
+ * its caller sends it again where an answer before it ends the connection.
+ */
+bool
+gate_admit_beside(void *ctx, const h2o_req_t *req)
+{
+	struct str method =
+	    str_n(req->input.method.base, req->input.method.len);
+	const struct route_rule *rule = match(ctx, req);
+
+	return rule != NULL && hsrv_header(req, "idempotency-key").n == 0 &&
+	    route_repeatable(rule->obj, method, false);
+}
+
 /* The gate has a configuration: what its rule says is found out now. */
 void
 gate_admit(struct gate_req *r)
--- a/gate_open.c
+++ b/gate_open.c
@@ -22,8 +22,6 @@
 #define TICK_HELD_NS (10 * NS_MS)
 #define TICK_BUSY_NS (25 * NS_MS)
 #define TICK_IDLE_NS (250 * NS_MS)
-/* Between two looks whether callers are still there. */
-#define CALLERS_NS (100 * NS_MS)
 #define REPORT_NS (1 * NS_S)
 /* A tick that comes so late tells that the process was paused. */
 #define PAUSE_NS (1 * NS_S)
@@ -230,6 +228,7 @@
 	    hsrv_open(g->loop, g->set.listen, body, gate_req_caller, g, err);
 	if (g->callers == NULL)
 		return false;
+	hsrv_side_by_side(g->callers, gate_admit_beside);
 	g->pass = hsrv_open(
 	    g->loop, g->set.pass_listen, body, gate_req_passed, g, err);
 	if (g->pass == NULL)
@@ -294,10 +293,6 @@
 		disp_tick(s->disp);
 	}
 	gate_home_tick(g, now);
-	if (now - g->callers_checked >= CALLERS_NS) {
-		g->callers_checked = now;
-		gate_req_tick(g, now);
-	}
 	if (now - g->reported >= REPORT_NS) {
 		g->reported = now;
 		gate_conf_report(g);
--- a/gate_req.c
+++ b/gate_req.c
@@ -9,7 +9,6 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include <stdio.h>
-#include <sys/socket.h>
 
 #include "libreq.h"
 #include "slog.h"
@@ -19,9 +18,6 @@
  * ends with its answer, its deadline or its caller.
  */
 
-/* A request that has waited so long is checked for its caller. */
-#define CALLER_CHECK_NS (20 * NS_MS)
-
 static void on_dispose(void *);
 
 static const char *const state_names[] = {"new", "claiming", "held",
@@ -202,7 +198,7 @@
 	if (r->state != REQ_DONE) {
 		cnt_add(g->cnt, GC_GONE, 1);
 		slog_decision(SLOG_ROUTE, "its caller went away",
-		    "id=%.*s age_ms=%lld state=%s", STR_ARG(r->name),
+		    "id=%.*s why=gone age_ms=%lld state=%s", STR_ARG(r->name),
 		    (long long)((clk_ns(g->clk) - r->began) / NS_MS),
 		    state_names[r->state]);
 		gate_try_abandon(r, DISP_GONE);
@@ -217,39 +213,6 @@
 	g_free(r);
 }
 
-/* HTTP/1 is not read while a request is under way, so look for its end. */
-static bool
-caller_gone(const struct gate_req *r)
-{
-	h2o_socket_t *sock;
-	char byte;
-
-	if (r->req->version >= 0x200)
-		return false;
-	sock = r->req->conn->callbacks->get_socket(r->req->conn);
-	return sock != NULL &&
-	    recv(h2o_socket_get_fd(sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT) ==
-	    0;
-}
-
-void
-gate_req_tick(struct gate *g, int64_t now)
-{
-	struct gate_req *r;
-	GList *at, *next;
-
-	for (at = g->reqs.head; at != NULL; at = next) {
-		next = at->next;
-		r = at->data;
-		if (r->state == REQ_DONE || r->started || r->req == NULL ||
-		    now - r->began < CALLER_CHECK_NS || !caller_gone(r))
-			continue;
-		cnt_add(g->cnt, GC_GONE, 1);
-		gate_try_abandon(r, DISP_GONE);
-		gate_answer(r, ERR_GONE, gate_req_ran(r), 0);
-	}
-}
-
 unsigned
 gate_req_count(const struct gate *g)
 {
--- a/gate_try.c
+++ b/gate_try.c
@@ -49,7 +49,8 @@
 
 	(void)ctx;
 	slog_decision(SLOG_PICK, "sent",
-	    "id=%.*s service=%.*s backend=%.*s in_use=%d limit=%d slots=%d pace=%d "
+	    "id=%.*s service=%.*s backend=%.*s in_use=%d limit=%d slots=%d "
+	    "pace=%d "
 	    "pace_age_ms=%lld held_us=%lld tries=%d conf=%llu",
 	    STR_ARG(r->name), STR_ARG(r->service), STR_ARG(b->name),
 	    b->inflight - 1, pick_slots(b), b->slots, b->told_pace,
--- a/hsrv.c
+++ b/hsrv.c
@@ -11,31 +11,23 @@
 #include <arpa/inet.h>
 
 #include "field.h"
-#include "hsrv.h"
+#include "libhsrv.h"
 
 /*
- * The HTTP server, on h2o: requests to a function, its bounds, its own
- * refusals.
+ * The HTTP server, on h2o: connections, requests to a function, bounds, and
+ * refusals of its own.
  */
 
-enum { BACKLOG = 1024 };
+enum {
+	BACKLOG = 1024,
+	LINGER_MS = 500 /* for a caller to read our last answer */
+};
 
 struct handler {
 	h2o_handler_t super;
 	struct hsrv *srv;
 };
 
-struct hsrv {
-	uv_loop_t *loop;
-	h2o_globalconf_t conf;
-	h2o_context_t ctx;
-	h2o_accept_ctx_t accept;
-	uv_tcp_t listener;
-	bool listening;
-	hsrv_fn *fn;
-	void *fn_ctx;
-};
-
 static int on_request(h2o_handler_t *, h2o_req_t *);
 static void on_connection(uv_stream_t *, int);
 static bool listen_on(struct hsrv *, struct str, GError **);
@@ -84,6 +76,7 @@
 	filter = h2o_create_filter(&host->fallback_path, sizeof(*filter));
 	filter->on_setup_ostream = on_setup;
 	h2o_context_init(&s->ctx, loop, &s->conf);
+	h2o_timeout_init(loop, &s->linger, LINGER_MS);
 	s->accept.ctx = &s->ctx;
 	s->accept.hosts = s->conf.hosts;
 	if (listen_on(s, address, err))
@@ -132,8 +125,7 @@
 		return;
 	}
 	uv_tcp_nodelay(conn, 1);
-	h2o_accept(&s->accept,
-	    h2o_uv_socket_create((uv_stream_t *)conn, (uv_close_cb)free));
+	hsrv_conn_open(s, conn);
 }
 
 static int
@@ -145,6 +137,12 @@
 	return 0;
 }
 
+void
+hsrv_side_by_side(struct hsrv *s, hsrv_beside_fn *fn)
+{
+	s->beside = fn;
+}
+
 /* h2o has one time for idle connections and for slow heads of requests. */
 void
 hsrv_limits(struct hsrv *s, size_t body_max, uint64_t idle_ms)
--- a/hsrv.h
+++ b/hsrv.h
@@ -18,7 +18,10 @@
 #include "err.h"
 #include "str.h"
 
-/* An HTTP server by h2o on libuv: HTTP/1.1 and HTTP/2 without TLS. */
+/*
+ * An HTTP server on libuv: requests, their answers and HTTP/2 by h2o, the
+ * connections of HTTP/1.1 by us (hsrv_conn.c).  No TLS.
+ */
 struct hsrv;
 
 /* Answer a request with h2o; it may be kept and answered later. */
@@ -28,6 +31,14 @@
 struct hsrv *hsrv_open(uv_loop_t *, struct str address, size_t body_max,
     hsrv_fn *, void *, GError **);
 
+/*
+ * From now on requests that a caller sends before the last one was answered
+ * run side by side, where the function says that they may.  What a request
+ * says is in its `input`.
+ */
+typedef bool hsrv_beside_fn(void *, const h2o_req_t *);
+void hsrv_side_by_side(struct hsrv *, hsrv_beside_fn *);
+
 /* Stop taking connections; those that are open go on. */
 void hsrv_stop(struct hsrv *);
 
@@ -43,6 +54,12 @@
 /* Tell HTTP/2 callers to go elsewhere (GOAWAY). */
 void hsrv_shutdown(struct hsrv *);
 
+/*
+ * Break a connection of HTTP/1.1 off, whatever is under way on it: for
+ * stand-ins that behave badly.
+ */
+void hsrv_cut(const h2o_req_t *);
+
 /* Send a short answer: JSON or text. */
 void hsrv_answer(h2o_req_t *, int status, const char *type, struct str body);
 
--- /dev/null
+++ b/hsrv_parse.c
@@ -0,0 +1,233 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <string.h>
+
+#include "libhsrv.h"
+
+/* Bytes of a connection to requests, by http_parser. */
+
+static int on_begin(http_parser *);
+static int on_url(http_parser *, const char *, size_t);
+static int on_name(http_parser *, const char *, size_t);
+static int on_value(http_parser *, const char *, size_t);
+static int on_head(http_parser *);
+static int on_body(http_parser *, const char *, size_t);
+static int on_complete(http_parser *);
+
+static const http_parser_settings settings = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+static struct hsrv_req *
+reading(http_parser *p)
+{
+	return ((struct hsrv_conn *)p->data)->reading;
+}
+
+static int
+on_begin(http_parser *p)
+{
+	struct hsrv_conn *c = p->data;
+
+	c->reading = hsrv_req_new(c);
+	return 0;
+}
+
+static int
+on_url(http_parser *p, const char *at, size_t n)
+{
+	g_string_append_len(reading(p)->text, at, (gssize)n);
+	return 0;
+}
+
+/*
+ * A name or value may come in pieces.  The list of ends is odd while the last
+ * piece was of a name (the path counts as the first value).
+ */
+static void
+take_piece(struct hsrv_req *r, bool name, const char *at, size_t n)
+{
+	gsize end = r->text->len;
+
+	if ((r->ends->len % 2 == 0) == name)
+		g_array_append_val(r->ends, end);
+	g_string_append_len(r->text, at, (gssize)n);
+}
+
+static int
+on_name(http_parser *p, const char *at, size_t n)
+{
+	take_piece(reading(p), true, at, n);
+	return 0;
+}
+
+static int
+on_value(http_parser *p, const char *at, size_t n)
+{
+	take_piece(reading(p), false, at, n);
+	return 0;
+}
+
+/* Headers that h2o keeps elsewhere than in its list. */
+static void
+take_special(struct hsrv_req *r, const h2o_token_t *token, h2o_iovec_t value)
+{
+	if (token == H2O_TOKEN_HOST)
+		r->req.input.authority = value;
+	else if (token == H2O_TOKEN_EXPECT)
+		r->expects = h2o_lcstris(
+		    value.base, value.len, H2O_STRLIT("100-continue"));
+}
+
+static void
+take_header(struct hsrv_req *r, h2o_iovec_t name, h2o_iovec_t value)
+{
+	h2o_req_t *req = &r->req;
+	char *given = h2o_strdup(&req->pool, name.base, name.len).base;
+	const h2o_token_t *token;
+
+	h2o_strtolower(name.base, name.len);
+	token = h2o_lookup_token(name.base, name.len);
+	if (token == NULL)
+		h2o_add_header_by_str(&req->pool, &req->headers, name.base,
+		    name.len, 0, given, value.base, value.len);
+	else if (token->is_init_header_special)
+		take_special(r, token, value);
+	else
+		h2o_add_header(&req->pool, &req->headers, token, given,
+		    value.base, value.len);
+}
+
+/* Where the i-th name or value begins; behind the last, the text's end. */
+static char *
+begin_of(const struct hsrv_req *r, h2o_iovec_t text, guint i)
+{
+	if (i >= r->ends->len)
+		return text.base + text.len;
+	return text.base + g_array_index(r->ends, gsize, i);
+}
+
+static void
+take_headers(struct hsrv_req *r, h2o_iovec_t text)
+{
+	char *name, *value, *end;
+	guint i;
+
+	for (i = 0; i + 1 < r->ends->len; i += 2) {
+		name = begin_of(r, text, i);
+		value = begin_of(r, text, i + 1);
+		end = begin_of(r, text, i + 2);
+		take_header(r, h2o_iovec_init(name, (size_t)(value - name)),
+		    h2o_iovec_init(value, (size_t)(end - value)));
+	}
+}
+
+/* A path, or a whole URL; false for all else. */
+static bool
+take_target(struct hsrv_req *r, const char *target, size_t n)
+{
+	h2o_url_t url;
+
+	r->req.input.scheme = &H2O_URL_SCHEME_HTTP;
+	r->req.input.path = h2o_iovec_init(target, n);
+	if (n > 0 && target[0] == '/')
+		return true;
+	if (h2o_url_parse(target, n, &url) != 0)
+		return false;
+	r->req.input.authority = url.authority;
+	r->req.input.path = url.path;
+	return true;
+}
+
+static bool
+take_head(struct hsrv_req *r, const http_parser *p)
+{
+	const char *method = http_method_str((enum http_method)p->method);
+	h2o_iovec_t text;
+
+	text = h2o_strdup(&r->req.pool, r->text->str, r->text->len);
+	r->req.input.method = h2o_iovec_init(method, strlen(method));
+	r->req.version = p->http_major << 8 | p->http_minor;
+	r->req.http1_is_persistent = http_should_keep_alive(p) != 0;
+	take_headers(r, text);
+	return take_target(
+	    r, text.base, (size_t)(begin_of(r, text, 0) - text.base));
+}
+
+/* An offer to speak another protocol is passed over. */
+static int
+on_head(http_parser *p)
+{
+	struct hsrv_req *r = reading(p);
+
+	if (!take_head(r, p))
+		return -1;
+	p->upgrade = 0;
+	r->too_large = (p->flags & F_CONTENTLENGTH) != 0 &&
+	    p->content_length > r->conn->srv->conf.max_request_entity_size;
+	return r->too_large ? -1 : 0;
+}
+
+static int
+on_body(http_parser *p, const char *at, size_t n)
+{
+	struct hsrv_req *r = reading(p);
+
+	if (r->body == NULL)
+		r->body = g_byte_array_new();
+	r->too_large =
+	    r->body->len + n > r->conn->srv->conf.max_request_entity_size;
+	if (r->too_large)
+		return -1;
+	g_byte_array_append(r->body, (const guint8 *)at, (guint)n);
+	return 0;
+}
+
+/* One request at a time leaves the parser. */
+static int
+on_complete(http_parser *p)
+{
+	struct hsrv_req *r = reading(p);
+
+	r->complete = true;
+	r->expects = false;
+	((struct hsrv_conn *)p->data)->reading = NULL;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+void
+hsrv_parse_open(struct hsrv_conn *c)
+{
+	http_parser_init(&c->parser, HTTP_REQUEST);
+	c->parser.data = c;
+}
+
+bool
+hsrv_parse(struct hsrv_conn *c)
+{
+	size_t n;
+
+	n = http_parser_execute(
+	    &c->parser, &settings, (const char *)c->input->data, c->input->len);
+	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED)
+		http_parser_pause(&c->parser, 0);
+	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
+		return false;
+	g_byte_array_remove_range(c->input, 0, (guint)n);
+	return true;
+}
--- /dev/null
+++ b/hsrv_req.c
@@ -0,0 +1,123 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "libhsrv.h"
+
+/* One request on a connection, and its answer's way from h2o. */
+
+static void
+on_send(h2o_ostream_t *out, h2o_req_t *req, h2o_iovec_t *bufs, size_t n,
+    h2o_send_state_t state)
+{
+	struct hsrv_req *r =
+	    (struct hsrv_req *)((char *)out - offsetof(struct hsrv_req, out));
+	uv_buf_t buf;
+	size_t i;
+
+	(void)req;
+	for (i = 0; i < n; i++) {
+		buf = uv_buf_init(bufs[i].base, (unsigned)bufs[i].len);
+		if (buf.len > 0)
+			g_array_append_val(r->bufs, buf);
+	}
+	r->state = state;
+	r->ready = true;
+	hsrv_conn_flush(r->conn);
+}
+
+struct hsrv_req *
+hsrv_req_new(struct hsrv_conn *c)
+{
+	struct hsrv_req *r = g_new0(struct hsrv_req, 1);
+
+	h2o_init_request(&r->req, &c->super, NULL);
+	r->out.do_send = on_send;
+	r->req._ostr_top = &r->out;
+	r->conn = c;
+	r->text = g_string_new(NULL);
+	r->ends = g_array_new(FALSE, FALSE, sizeof(gsize));
+	r->bufs = g_array_new(FALSE, FALSE, sizeof(uv_buf_t));
+	r->link.data = r;
+	g_queue_push_tail_link(&c->reqs, &r->link);
+	return r;
+}
+
+void
+hsrv_req_free(struct hsrv_req *r)
+{
+	g_queue_unlink(&r->conn->reqs, &r->link);
+	if (r->conn->reading == r)
+		r->conn->reading = NULL;
+	h2o_dispose_request(&r->req);
+	g_string_free(r->text, TRUE);
+	g_array_free(r->ends, TRUE);
+	g_array_free(r->bufs, TRUE);
+	if (r->body != NULL)
+		g_byte_array_free(r->body, TRUE);
+	g_free(r);
+}
+
+void
+hsrv_req_handle(struct hsrv_req *r)
+{
+	r->handled = true;
+	if (r->body != NULL)
+		r->req.entity = h2o_iovec_init(r->body->data, r->body->len);
+	h2o_process_request(&r->req);
+}
+
+/* It cannot be read to its end. */
+void
+hsrv_req_refuse(struct hsrv_req *r)
+{
+	r->handled = true;
+	r->req.http1_is_persistent = 0;
+	if (r->req.input.method.base == NULL)
+		r->req.input.method = h2o_iovec_init(H2O_STRLIT("GET"));
+	if (r->req.input.path.base == NULL)
+		r->req.input.path = h2o_iovec_init(H2O_STRLIT("/"));
+	r->req.input.scheme = &H2O_URL_SCHEME_HTTP;
+	if (r->too_large)
+		h2o_send_error_generic(&r->req, 413, "Payload Too Large",
+		    "the body is too large\n", 0);
+	else
+		h2o_send_error_400(
+		    &r->req, "Bad Request", "the request cannot be read\n", 0);
+}
+
+static void
+append(GString *to, h2o_iovec_t v)
+{
+	g_string_append_len(to, v.base, (gssize)v.len);
+}
+
+void
+hsrv_req_head(const struct hsrv_req *r, GString *to)
+{
+	const h2o_res_t *res = &r->req.res;
+	const h2o_timestamp_t *at = &r->req.processed_at;
+	size_t i;
+
+	g_string_printf(to, "HTTP/1.1 %d %s\r\nconnection: %s\r\n", res->status,
+	    res->reason, r->closes ? "close" : "keep-alive");
+	append(to, h2o_iovec_init(H2O_STRLIT("server: fernjunction\r\n")));
+	if (at->str != NULL)
+		g_string_append_printf(to, "date: %s\r\n", at->str->rfc1123);
+	if (res->content_length != SIZE_MAX)
+		g_string_append_printf(
+		    to, "content-length: %zu\r\n", res->content_length);
+	for (i = 0; i < res->headers.size; i++) {
+		append(to, *res->headers.entries[i].name);
+		g_string_append(to, ": ");
+		append(to, res->headers.entries[i].value);
+		g_string_append(to, "\r\n");
+	}
+	g_string_append(to, "\r\n");
+}
--- a/libgate.h
+++ b/libgate.h
@@ -134,7 +134,7 @@
 	const struct rnd *rnd;
 	struct tmr tmr;
 	struct tmr_item tick;
-	int64_t callers_checked, reported; /* last, by the tick */
+	int64_t reported; /* last, by the tick */
 	uv_signal_t term, intr;
 	struct up *up;
 	struct wire *wire;
@@ -204,9 +204,11 @@
 bool gate_req_open(struct gate *, GError **);
 void gate_req_caller(void *, h2o_req_t *);
 void gate_req_passed(void *, h2o_req_t *);
-void gate_req_tick(struct gate *, int64_t now);
 void gate_req_home_lost(struct gate *, struct gate_peer *);
 unsigned gate_req_count(const struct gate *);
+
+/* gate_admit.c: may a request run beside others of its connection? */
+bool gate_admit_beside(void *, const h2o_req_t *);
 extern const struct disp_ops gate_req_disp_ops;
 
 /* gate_early.c: the first configuration is here. */
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -389,10 +389,7 @@
 	}
 	b->ran.push_back(id);
 	if (b->lose) {
-		h2o_socket_t *sock =
-		    req->conn->callbacks->get_socket(req->conn);
-
-		shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+		hsrv_cut(req);
 		return;
 	}
 	add_header(req, "fernjunction-response-signature", b->id + "-" + id);
--- a/regress/standin_backend.c
+++ b/regress/standin_backend.c
@@ -58,7 +58,7 @@
     "slow", "spell_every", "spell_ms", "fail", "refuse", "drain", "sick", "lie",
     "cut", "cold", "chunked"};
 
-enum { CHUNK = 65536, SPELL_SLOW = 10, COLD_SLOW = 5, SWEEP_MS = 5 };
+enum { CHUNK = 65536, SPELL_SLOW = 10, COLD_SLOW = 5 };
 
 /* One request, until h2o lets go of it. */
 struct work {
@@ -79,7 +79,6 @@
 	uint64_t v[K_MAX];
 	GQueue queue; /* struct work * */
 	GQueue works; /* all of them */
-	struct tmr_item sweep;
 	unsigned running, peak;
 	uint64_t ran, shed, probes, cancelled;
 	struct tmr_item spell;
@@ -107,12 +106,15 @@
 	start_next();
 }
 
+/* Ends unanswered where its caller has gone away. */
 static void
 on_dispose(void *p)
 {
 	struct work *w = *(struct work **)p;
 
 	tmr_clear(&st.tmr, &w->timer);
+	if (w->queued || (w->running && w->sent == 0))
+		st.cancelled++;
 	if (w->queued)
 		g_queue_remove(&st.queue, w);
 	w->req = NULL;
@@ -242,18 +244,6 @@
 		    on_served, w);
 }
 
-/* The caller of a queued request has closed its connection: cancelled. */
-static bool
-cancelled(const struct work *w)
-{
-	h2o_socket_t *sock = w->req->conn->callbacks->get_socket(w->req->conn);
-	char byte;
-
-	return sock != NULL &&
-	    recv(h2o_socket_get_fd(sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT) ==
-	    0;
-}
-
 static void
 start_next(void)
 {
@@ -264,12 +254,7 @@
 		if (w == NULL)
 			return;
 		w->queued = false;
-		if (!cancelled(w)) {
-			run(w);
-			continue;
-		}
-		st.cancelled++;
-		refuse(w, 503, true);
+		run(w);
 	}
 }
 
@@ -358,28 +343,6 @@
 		take(req);
 }
 
-/* Work whose caller has closed its connection is cancelled. */
-static void
-on_sweep(void *ctx)
-{
-	struct work *w;
-	GList *at, *next;
-
-	(void)ctx;
-	for (at = st.works.head; at != NULL; at = next) {
-		next = at->next;
-		w = at->data;
-		if (!w->running || w->sent > 0 || !cancelled(w))
-			continue;
-		st.cancelled++;
-		tmr_clear(&st.tmr, &w->timer);
-		finish(w);
-		refuse(w, 503, false);
-	}
-	tmr_set(&st.tmr, &st.sweep, clk_ns(clk_system()) + SWEEP_MS * NS_MS,
-	    on_sweep, NULL);
-}
-
 /* Slow spells come and go by themselves, at random; the first is not at once.
  */
 static void
@@ -449,6 +412,5 @@
 		return 1;
 	}
 	on_spell(NULL);
-	on_sweep(NULL);
 	return uv_run(st.loop, UV_RUN_DEFAULT);
 }
--- /dev/null
+++ b/regress/test_hsrv.cpp
@@ -0,0 +1,467 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+/*
+ * Connections of HTTP/1.1 as a caller sees them: requests sent before the
+ * last one was answered, bodies in pieces, heads that cannot be read, callers
+ * that vanish.
+ */
+#include <algorithm>
+#include <fcntl.h>
+#include <functional>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <set>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+extern "C" {
+#include "hsrv.h"
+}
+
+namespace
+{
+
+/* A server whose requests are answered when the test says so. */
+struct Server {
+	uv_loop_t loop;
+	uint16_t port;
+	struct hsrv *srv;
+	std::vector<h2o_req_t *> reqs; /* NULL: gone */
+	std::vector<std::string> seen; /* method, path and body */
+	int gone = 0;
+
+	struct Guard {
+		Server *server;
+		size_t at;
+	};
+
+	static void on_gone(void *p)
+	{
+		Guard *g = static_cast<Guard *>(p);
+
+		g->server->reqs[g->at] = nullptr;
+		g->server->gone++;
+	}
+
+	static void on_request(void *ctx, h2o_req_t *req)
+	{
+		Server *s = static_cast<Server *>(ctx);
+		Guard *g = static_cast<Guard *>(
+		    h2o_mem_alloc_shared(&req->pool, sizeof(Guard), on_gone));
+
+		*g = {s, s->reqs.size()};
+		s->reqs.push_back(req);
+		s->seen.push_back(
+		    std::string(req->method.base, req->method.len) + " " +
+		    std::string(req->path.base, req->path.len) + " " +
+		    std::string(req->entity.base ? req->entity.base : "",
+			req->entity.len));
+	}
+
+	/* GETs may run beside others. */
+	static bool beside(void *, const h2o_req_t *req)
+	{
+		return std::string(req->input.method.base,
+			   req->input.method.len) == "GET";
+	}
+
+	explicit Server(size_t body_max = 1000)
+	{
+		static int n;
+		std::string address;
+		GError *err = nullptr;
+
+		uv_loop_init(&loop);
+		port = static_cast<uint16_t>(21000 + getpid() % 20000 + ++n);
+		address = "127.0.0.1:" + std::to_string(port);
+		srv = hsrv_open(&loop, str_n(address.data(), address.size()),
+		    body_max, on_request, this, &err);
+		EXPECT_NE(nullptr, srv);
+		hsrv_side_by_side(srv, beside);
+	}
+
+	/* Turn the loop until a condition holds, for some seconds at most. */
+	bool until(const std::function<bool()> &done, int ms = 3000)
+	{
+		for (int i = 0; i < ms && !done(); i++) {
+			uv_run(&loop, UV_RUN_NOWAIT);
+			usleep(1000);
+		}
+		return done();
+	}
+
+	void turn(int ms = 30)
+	{
+		until([] { return false; }, ms);
+	}
+
+	void answer(size_t i, const std::string &body, bool keep = true)
+	{
+		ASSERT_LT(i, reqs.size());
+		ASSERT_NE(nullptr, reqs[i]);
+		if (!keep)
+			reqs[i]->http1_is_persistent = 0;
+		hsrv_answer(reqs[i], 200, "text/plain",
+		    str_n(body.data(), body.size()));
+	}
+};
+
+struct Caller {
+	int fd;
+	std::string got;
+	bool ended = false;
+
+	explicit Caller(const Server &s, int receive = 0)
+	{
+		struct sockaddr_in sa = {};
+
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		if (receive > 0)
+			setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive,
+			    sizeof(receive));
+		sa.sin_family = AF_INET;
+		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		sa.sin_port = htons(s.port);
+		EXPECT_EQ(0, connect(fd, (struct sockaddr *)&sa, sizeof(sa)));
+		fcntl(fd, F_SETFL, O_NONBLOCK);
+	}
+
+	~Caller()
+	{
+		if (fd >= 0)
+			close(fd);
+	}
+
+	void say(const std::string &text)
+	{
+		EXPECT_EQ(static_cast<ssize_t>(text.size()),
+		    write(fd, text.data(), text.size()));
+	}
+
+	bool read_on()
+	{
+		char buf[65536];
+		ssize_t n;
+
+		while ((n = read(fd, buf, sizeof(buf))) > 0)
+			got.append(buf, static_cast<size_t>(n));
+		ended = ended || n == 0;
+		return true;
+	}
+
+	int count(const std::string &what) const
+	{
+		int n = 0;
+
+		for (size_t at = got.find(what); at != std::string::npos;
+		     at = got.find(what, at + 1))
+			n++;
+		return n;
+	}
+};
+
+std::string
+get(const std::string &path, const std::string &more = "")
+{
+	return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + more + "\r\n";
+}
+
+std::string
+post(const std::string &path, const std::string &body)
+{
+	return "POST " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+	    std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST(Beside, RequestsRunSideBySideAndAnswersKeepTheirOrder)
+{
+	Server s;
+	Caller c(s);
+
+	c.say(get("/1") + get("/2") + get("/3"));
+	ASSERT_TRUE(s.until([&] { return s.reqs.size() == 3; }));
+	s.answer(2, "third.");
+	s.answer(1, "second.");
+	s.turn();
+	c.read_on();
+	EXPECT_EQ("", c.got);
+	s.answer(0, "first.");
+	ASSERT_TRUE(s.until([&] {
+		c.read_on();
+		return c.count("third.") == 1;
+	}));
+	EXPECT_LT(c.got.find("first."), c.got.find("second."));
+	EXPECT_LT(c.got.find("second."), c.got.find("third."));
+	EXPECT_EQ(3, c.count("connection: keep-alive"));
+	EXPECT_EQ(3, s.gone);
+	EXPECT_FALSE(c.ended);
+}
+
+TEST(Beside, WhatMustNotRepeatRunsAloneAndInItsTurn)
+{
+	Server s;
+	Caller c(s);
+
+	c.say(get("/1") + post("/2", "pay") + get("/3"));
+	s.turn();
+	ASSERT_EQ(1u, s.reqs.size());
+	s.answer(0, "first.");
+	ASSERT_TRUE(s.until([&] { return s.reqs.size() >= 2; }));
+	EXPECT_EQ("POST /2 pay", s.seen[1]);
+	/* What is behind it may run, as nothing is lost if it is sent again. */
+	ASSERT_TRUE(s.until([&] { return s.reqs.size() == 3; }));
+	s.answer(2, "third.");
+	s.answer(1, "second.");
+	EXPECT_TRUE(s.until([&] {
+		c.read_on();
+		return c.count("third.") == 1;
+	}));
+}
+
+TEST(Beside, BehindAnAnswerThatEndsTheConnectionNothingBegins)
+{
+	Server s;
+	Caller c(s);
+
+	c.say(get("/1") + post("/2", "pay"));
+	ASSERT_TRUE(s.until([&] { return s.reqs.size() == 1; }));
+	s.answer(0, "first.", false);
+	ASSERT_TRUE(s.until([&] {
+		c.read_on();
+		return c.ended;
+	}));
+	EXPECT_EQ(1u, s.reqs.size());
+	EXPECT_EQ(1, c.count("connection: close"));
+}
+
+/* What runs already is answered, as its answer is ready soon. */
+TEST(Beside, WhatRunsBehindALeavingAnswerIsAnsweredToo)
+{
+	Server s;
+	Caller c(s);
+
+	c.say(get("/1") + get("/2"));
+	ASSERT_TRUE(s.until([&] { return s.reqs.size() == 2; }));
+	s.answer(0, "first.", false);
+	s.turn();
+	c.say(get("/3"));
+	s.turn();
+	EXPECT_EQ(2u, s.reqs.size());
+	s.answer(1, "second.");
+	ASSERT_TRUE(s.until([&] {
+		c.read_on();
+		return c.ended;
+	}));
+	EXPECT_EQ(1, c.count("connection: keep-alive"));
+	EXPECT_EQ(1, c.count("connection: close"));
+	EXPECT_EQ(1, c.count("second."));
+}
+
+TEST(Beside, ACallerThatGoesAwayEndsAllItsRequestsAtOnce)
+{
+	Server s;
+	Caller c(s);
+
+	c.say(get("/1") + get("/2") + post("/3", "x"));
+	ASSERT_TRUE(s.until([&] { return s.reqs.size() == 2; }));
+	s.answer(1, "second.");
+	close(c.fd);
+	c.fd = -1;
+	EXPECT_TRUE(s.until([&] { return s.gone == 2; }, 200));
+	s.turn();
+	EXPECT_EQ(2u, s.reqs.size());
+}
+
+TEST(Beside, AHeadThatCannotBeReadIsRefusedBehindGoodOnes)
+{
+	Server s;
+	Caller c(s);
+
+	c.say(get("/1") + "GET nothing of HTTP\r\n\r\n" + get("/3"));
+	ASSERT_TRUE(s.until([&] { return s.reqs.size() == 1; }));
+	s.turn();
+	s.answer(0, "first.");
+	ASSERT_TRUE(s.until([&] {
+		c.read_on();
+		return c.ended;
+	}));
+	EXPECT_EQ(1u, s.reqs.size());
+	EXPECT_LT(c.got.find("first."), c.got.find("HTTP/1.1 400"));
+	EXPECT_EQ(1, c.count("fern-ran: no"));
+}
+
+TEST(Beside, OnlySoManyRunAtOnce)
+{
+	Server s;
+	Caller c(s);
+	std::string all;
+
+	for (int i = 0; i < 30; i++)
+		all += get("/" + std::to_string(i));
+	c.say(all);
+	s.turn();
+	EXPECT_GE(s.reqs.size(), 4u);
+	EXPECT_LE(s.reqs.size(), 8u);
+	for (size_t i = 0; i < 30; i++) {
+		ASSERT_TRUE(s.until([&] { return s.reqs.size() > i; }));
+		s.answer(i, "answer " + std::to_string(i) + ".");
+		s.turn(2);
+		EXPECT_LE(s.reqs.size(), i + 9);
+	}
+	EXPECT_TRUE(s.until([&] {
+		c.read_on();
+		return c.count("answer 29.") == 1;
+	}));
+}
+
+/* Bytes sent ahead are bounded too: the rest waits in the network. */
+TEST(Beside, ReadingAheadIsBounded)
+{
+	Server s(100 << 20);
+	Caller c(s);
+	std::string some(65536, 'x');
+	ssize_t n, sent = 0;
+
+	c.say(get("/1") +
+	    "POST /2 HTTP/1.1\r\nHost: a\r\n"
+	    "Content-Length: 10\r\n\r\n0123456789");
+	s.turn();
+	for (int i = 0; i < 2000; i++) {
+		n = write(c.fd, some.data(), some.size());
+		sent += std::max(n, static_cast<ssize_t>(0));
+		uv_run(&s.loop, UV_RUN_NOWAIT);
+	}
+	EXPECT_LT(sent, 16 << 20);
+	EXPECT_EQ(1u, s.reqs.size());
+}
+
+TEST(Conn, BodiesComeInPiecesAndChunks)
+{
+	Server s;
+	Caller c(s);
+	std::string text = "POST /a?b=c HTTP/1.1\r\nHost: a\r\nX-Empty:\r\n"
+			   "Transfer-Encoding: chunked\r\n\r\n"
+			   "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n" +
+	    post("/2", "body");
+
+	for (char byte : text) {
+		c.say(std::string(1, byte));
+		uv_run(&s.loop, UV_RUN_NOWAIT);
+	}
+	ASSERT_TRUE(s.until([&] { return s.reqs.size() == 1; }));
+	EXPECT_EQ("POST /a?b=c abcdefg", s.seen[0]);
+	s.answer(0, "first.");
+	ASSERT_TRUE(s.until([&] { return s.reqs.size() == 2; }));
+	EXPECT_EQ("POST /2 body", s.seen[1]);
+	s.answer(1, "second.");
+	EXPECT_TRUE(s.until([&] {
+		c.read_on();
+		return c.count("second.") == 1;
+	}));
+}
+
+TEST(Conn, ABodyIsAskedForWhereItsSenderWaits)
+{
+	Server s;
+	Caller c(s);
+
+	c.say(get("/1") +
+	    "POST /2 HTTP/1.1\r\nHost: a\r\n"
+	    "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+	ASSERT_TRUE(s.until([&] { return s.reqs.size() == 1; }));
+	s.turn();
+	c.read_on();
+	EXPECT_EQ("", c.got);
+	s.answer(0, "first.");
+	ASSERT_TRUE(s.until([&] {
+		c.read_on();
+		return c.count("100 Continue") == 1;
+	}));
+	EXPECT_LT(c.got.find("first."), c.got.find("100 Continue"));
+	c.say("ok");
+	ASSERT_TRUE(s.until([&] { return s.reqs.size() == 2; }));
+	EXPECT_EQ("POST /2 ok", s.seen[1]);
+}
+
+TEST(Conn, TooLargeBodiesAreRefused)
+{
+	for (bool chunked : {false, true}) {
+		Server s;
+		Caller c(s);
+		std::string body(2000, 'x');
+
+		c.say(chunked ? "POST / HTTP/1.1\r\nHost: a\r\nTransfer-"
+				"Encoding: chunked\r\n\r\n7d0\r\n" +
+			    body
+			      : post("/", body));
+		ASSERT_TRUE(s.until([&] {
+			c.read_on();
+			return c.ended;
+		}));
+		EXPECT_EQ(1, c.count("HTTP/1.1 413")) << chunked;
+		EXPECT_EQ(1, c.count("fern-ran: no"));
+		EXPECT_EQ(0u, s.reqs.size());
+	}
+}
+
+TEST(Conn, AnAnswerWithoutLengthInHttp10EndsWithTheConnection)
+{
+	Server s;
+	Caller c(s);
+
+	c.say("GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+	ASSERT_TRUE(s.until([&] { return s.reqs.size() == 1; }));
+	s.reqs[0]->res.status = 200;
+	s.reqs[0]->res.reason = "OK";
+	h2o_send_inline(s.reqs[0], H2O_STRLIT("all of it"));
+	ASSERT_TRUE(s.until([&] {
+		c.read_on();
+		return c.ended;
+	}));
+	EXPECT_EQ(1, c.count("connection: close"));
+	EXPECT_EQ(1, c.count("\r\n\r\nall of it"));
+}
+
+TEST(Conn, AWholeUrlNamesHostAndPath)
+{
+	Server s;
+	Caller c(s);
+
+	c.say("GET http://b.example/x/y HTTP/1.1\r\nHost: a\r\n\r\n");
+	ASSERT_TRUE(s.until([&] { return s.reqs.size() == 1; }));
+	EXPECT_EQ("GET /x/y ", s.seen[0]);
+	EXPECT_EQ("b.example",
+	    std::string(s.reqs[0]->authority.base, s.reqs[0]->authority.len));
+	s.answer(0, "first.");
+	s.turn();
+}
+
+TEST(Conn, ASlowHeadIsGivenUpThoughBytesKeepComing)
+{
+	Server s;
+	Caller c(s);
+	std::string head = "GET / HTTP/1.1\r\nHost: a\r\nX-Slow: ";
+
+	hsrv_limits(s.srv, 1000, 150);
+	c.say(head);
+	EXPECT_TRUE(s.until(
+	    [&] {
+		    send(c.fd, "x", 1, MSG_NOSIGNAL);
+		    c.read_on();
+		    return c.ended || send(c.fd, "x", 1, MSG_NOSIGNAL) < 0;
+	    },
+	    1500));
+	EXPECT_EQ(0u, s.reqs.size());
+}
