A box that ends answers all that came to it

Change: 200 ms before the end of its grace a box answers what has no answer, what is held first, so that nothing begins in the room that this makes.

Test: Box.NobodyIsLeftWithoutAnAnswerAtAPlannedStop, failing first.

--- a/gate_box.c
+++ b/gate_box.c
@@ -23,6 +23,12 @@
 	IDLE_LEAVING_MS = 100 /* then a caller's connection is closed */
 };
 
+/*
+ * What is not answered so long before the grace is over gets an answer of
+ * ours: a connection that just ends tells its caller nothing.
+ */
+#define LAST_WORD_NS (200 * NS_MS)
+
 static const char *const state_names[] = {
     "empty", "ready", "leaving", "closing", "gone"};
 static const char *const event_names[] = {
@@ -108,6 +114,7 @@
 gate_box_tick(struct gate *g, int64_t now)
 {
 	int64_t away = now - g->leaving_since;
+	int64_t end = (g->set.leave_wait_ms + g->set.grace_ms) * NS_MS;
 
 	if (!gate_box_leaving(g) || away < g->set.leave_wait_ms * NS_MS)
 		return;
@@ -115,7 +122,9 @@
 	 */
 	hsrv_stop(g->callers);
 	hsrv_close_idle(g->callers, IDLE_LEAVING_MS);
-	if (away > (g->set.leave_wait_ms + g->set.grace_ms) * NS_MS) {
+	if (away > end - LAST_WORD_NS)
+		gate_req_end_all(g);
+	if (away > end) {
 		enter(g, BOX_EV_ENDED, "the grace is over");
 		return;
 	}
--- a/gate_req.c
+++ b/gate_req.c
@@ -213,6 +213,43 @@
 	g_free(r);
 }
 
+/*
+ * A gate that passed us a request which may have run is not told that it did
+ * not: it sees its connection end, and knows what that means.
+ */
+static bool
+may_be_ended(const struct gate_req *r)
+{
+	return r->state != REQ_DONE && !r->started && r->req != NULL &&
+	    (!r->passed || gate_req_ran(r) == RAN_NO);
+}
+
+static void
+end_each(struct gate *g, bool held)
+{
+	struct gate_req *r;
+	GList *at, *next;
+	enum err_ran ran;
+
+	for (at = g->reqs.head; at != NULL; at = next) {
+		next = at->next;
+		r = at->data;
+		if (!may_be_ended(r) || r->d.held != held)
+			continue;
+		ran = gate_req_ran(r);
+		gate_try_abandon(r, DISP_GONE);
+		gate_answer(r, ERR_LEAVING, ran, 0);
+	}
+}
+
+/* Those held first, or they would begin where others make room. */
+void
+gate_req_end_all(struct gate *g)
+{
+	end_each(g, true);
+	end_each(g, false);
+}
+
 unsigned
 gate_req_count(const struct gate *g)
 {
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -156,8 +156,8 @@
 {
 	int fd;
 
-	if (uv_fileno((uv_handle_t *)((struct hsrv_conn *)req->conn)->tcp,
-		&fd) == 0)
+	if (uv_fileno(
+		(uv_handle_t *)((struct hsrv_conn *)req->conn)->tcp, &fd) == 0)
 		shutdown(fd, SHUT_RDWR);
 }
 
--- a/libgate.h
+++ b/libgate.h
@@ -206,6 +206,8 @@
 void gate_req_passed(void *, h2o_req_t *);
 void gate_req_home_lost(struct gate *, struct gate_peer *);
 unsigned gate_req_count(const struct gate *);
+/* The gate ends: answer what has no answer yet. */
+void gate_req_end_all(struct gate *);
 
 /* gate_admit.c: may a request run beside others of its connection? */
 bool gate_admit_beside(void *, const h2o_req_t *);
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -388,6 +388,8 @@
 		return;
 	}
 	b->ran.push_back(id);
+	if (b->hold)
+		return;
 	if (b->lose) {
 		hsrv_cut(req);
 		return;
@@ -426,6 +428,12 @@
 	});
 }
 
+void
+Objects::hold(const std::string &id)
+{
+	in_loop([&] { backends[id]->hold = true; });
+}
+
 size_t
 Objects::ran(const std::string &id)
 {
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -43,6 +43,7 @@
 		int pace = 100;
 		bool refuse = false; /* answer that nothing was run */
 		bool lose = false; /* run, and answer nothing */
+		bool hold = false; /* run, and take for ever */
 		std::vector<std::string> ran; /* request ids */
 		struct hsrv *srv = nullptr;
 		Objects *owner = nullptr;
@@ -51,6 +52,7 @@
 	void start_backend(const std::string &id, const std::string &service,
 	    const std::string &address);
 	void set(const std::string &id, int pace, bool refuse, bool lose);
+	void hold(const std::string &id);
 	size_t ran(const std::string &id);
 	/* How often a backend server ran one request. */
 	size_t ran_times(const std::string &id, const std::string &request);
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -73,10 +73,12 @@
 struct World {
 	std::string ip = own_ip();
 	std::string dir, file;
+	std::string of_gate; /* settings of the gate beside the usual ones */
 	Objects platform{ip + ":9000"};
 	Process box;
 
-	explicit World(bool configured = true)
+	explicit World(bool configured = true, const std::string &gate = "")
+	    : of_gate(gate)
 	{
 		char name[] = "/tmp/fernbox.XXXXXX";
 
@@ -113,6 +115,7 @@
 		    replaced(settings, "@root", root != nullptr ? root : ".");
 		std::ofstream out(file);
 
+		text = replaced(text, "[agent]", of_gate + "[agent]");
 		out << more << replaced(text, "@", ip);
 	}
 
@@ -458,3 +461,27 @@
 	EXPECT_EQ(0, w.box.wait_exit(5000));
 	EXPECT_TRUE(w.logged(" requests_cut=0\n"));
 }
+
+/* A planned stop answers all that came before it, if only with an error. */
+TEST(Box, NobodyIsLeftWithoutAnAnswerAtAPlannedStop)
+{
+	World w(true, "grace_ms = 500\n");
+	std::vector<Reply> replies;
+	const int SLOTS = 6, ALL = SLOTS + 2;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.platform.hold("i-0");
+	w.platform.hold("i-1");
+	for (int i = 0; i < ALL; i++)
+		http_start("GET", w.ip + ":8080", "/look/1",
+		    {{"Host", "shop.example"},
+			{"fernjunction-request-id", "h" + std::to_string(i)}},
+		    "", 5000, [&](const Reply &r) { replies.push_back(r); });
+	ASSERT_TRUE(until([&] { return w.ran(0, 1) > 0; }));
+	pump(100);
+	w.box.signal(SIGTERM);
+	EXPECT_EQ(0, w.box.wait_exit(5000));
+	ASSERT_TRUE(until([&] { return replies.size() == ALL; }, 2000));
+	for (const Reply &r : replies)
+		EXPECT_GE(r.status, 500);
+}
