--- a/wire_zmq.c
+++ b/wire_zmq.c
@@ -20,8 +20,14 @@
 	QUEUE_MAX = 1000, /* messages waiting for one peer */
 	INBOX_MAX = 10000,
 	MESSAGE_MAX = 4 << 20,
+	/*
+	 * Twice the longest way there and back.  A box without power says
+	 * nothing, and the network knocks again after a second only: for so
+	 * long boxes that are back would not know each other.
+	 */
+	CONNECT_MS = 250,
 	RECONNECT_MIN_MS = 50,
-	RECONNECT_MAX_MS = 2000,
+	RECONNECT_MAX_MS = 200, /* while another box is without power */
 	SWEEP_MS = 500, /* a look at the inbox even without an event */
 	IDLE_SWEEPS = 60, /* 30 s without a message closes a peer */
 	UNACKED_MS = 2000 /* then a connection is given up and made anew */
@@ -249,6 +255,7 @@
 		set_int(peer->sock, ZMQ_SNDHWM, QUEUE_MAX);
 		set_int(peer->sock, ZMQ_LINGER, 0);
 		set_int(peer->sock, ZMQ_TCP_MAXRT, UNACKED_MS);
+		set_int(peer->sock, ZMQ_CONNECT_TIMEOUT, CONNECT_MS);
 		set_int(peer->sock, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
 		set_int(peer->sock, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 		zmq_connect(peer->sock, url);
