What a caller's deadline lacks counts against its target

Cause: after an outage callers come again with what is left of their deadline, and were taken for new: with a fresh target they stood before those who could still be in time. Ruled out: nothing else tells; an attempt has an id of its own.

Change: a value that a tenth of a rule's callers send is that of first attempts; what is missing to the next such value above has passed already and is taken off the target. Where no value is common, nothing is known.

--- a/gate_admit.c
+++ b/gate_admit.c
@@ -62,6 +62,24 @@
 	return r->began + own * NS_MS;
 }
 
+/* How long the caller has waited before, as far as its deadline tells. */
+static int64_t
+waited(const struct gate_req *r, const struct route_rule *rule)
+{
+	GHashTable *all = r->gate->callers_of;
+	unsigned long long left;
+	struct callers *c;
+
+	if (!str_u64(hsrv_header(r->req, r->gate->dial->deadline.p), &left))
+		return 0;
+	c = g_hash_table_lookup(all, rule->name.p);
+	if (c == NULL) {
+		c = g_new0(struct callers, 1);
+		g_hash_table_insert(all, g_strdup(rule->name.p), c);
+	}
+	return callers_waited(c, (int64_t)left);
+}
+
 static int64_t
 deadline_of(const struct gate_req *r, const struct route_rule *rule,
     const struct route_service *svc)
@@ -218,7 +236,8 @@
 	r->d.rank = (int)rule->obj->rank;
 	r->d.kind = (unsigned)rule->obj->target_ms;
 	if (rule->obj->target_ms > 0)
-		r->d.target = r->began + rule->obj->target_ms * NS_MS;
+		r->d.target =
+		    r->began + (rule->obj->target_ms - waited(r, rule)) * NS_MS;
 	r->d.deadline = deadline_of(r, rule, svc);
 	gate_req_set_deadline(r);
 	if (over_limit(r, rule)) {
--- a/gate_req.c
+++ b/gate_req.c
@@ -262,6 +262,8 @@
 	(void)err;
 	g_queue_init(&g->reqs);
 	g->caller_limits = limit_table_new(10000);
+	g->callers_of =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->rule_limits =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return true;
--- a/libgate.h
+++ b/libgate.h
@@ -13,6 +13,7 @@
 
 #include <uv.h>
 
+#include "caller.h"
 #include "chart.h"
 #include "clk.h"
 #include "cnt.h"
@@ -152,6 +153,7 @@
 	GHashTable *shards; /* char * "service/hall" to struct gate_shard * */
 	GPtrArray *peers; /* struct gate_peer * */
 	struct limit_table *caller_limits;
+	GHashTable *callers_of; /* char * rule to struct callers * */
 	GHashTable *rule_limits; /* char * rule to struct limit * */
 	GQueue reqs; /* struct gate_req * that are live */
 	uint64_t boot, seq;
--- a/regress/test_policy.cpp
+++ b/regress/test_policy.cpp
@@ -24,6 +24,7 @@
 #include <vector>
 
 extern "C" {
+#include "caller.h"
 #include "disp.h"
 }
 
@@ -67,6 +68,7 @@
 	Fleet fleet;
 	int64_t now = NS_S;
 	uint64_t seed, runs = 0;
+	bool spelling = true; /* servers are in and out of spells */
 	struct clk clk;
 	struct rnd rnd;
 	struct disp *disp;
@@ -236,10 +238,18 @@
 		in(10 * NS_MS, [this] { tick(); });
 	}
 
+	void every(int64_t ns, std::function<void()> fn)
+	{
+		fn();
+		in(ns, [this, ns, fn] { every(ns, fn); });
+	}
+
 	void spell()
 	{
 		for (auto &v : servers)
-			v.second.pace = uniform() < fleet.spells ? 500 : 100;
+			if (spelling)
+				v.second.pace =
+				    uniform() < fleet.spells ? 500 : 100;
 		in(150 * NS_MS, [this] { spell(); });
 	}
 
@@ -471,3 +481,84 @@
 	EXPECT_EQ(1u, sim.servers["b1"].beside.size());
 	EXPECT_EQ(1u, sim.servers["b2"].beside.size());
 }
+
+/* One that is slow is free, and asked more often than those at work. */
+TEST(Policy, OneSlowServerDoesNotMakeAllLookSlow)
+{
+	Fleet fleet;
+	int refused = 0;
+
+	Sim sim(fleet);
+
+	sim.load(60, 10 * NS_S); /* of 90 that the others can do */
+	sim.every(10 * NS_MS, [&] { sim.servers["b0"].pace = 500; });
+	sim.run_to(10 * NS_S);
+	for (auto &s : sim.seconds)
+		refused += s.second.refused;
+	EXPECT_GT(sim.share_in_time(3, 9), 0.97);
+	EXPECT_LT(refused, 6);
+}
+
+/* A spell passes sooner than the work would be done in it. */
+TEST(Policy, ARequestWaitsForASpellToPassThoughItWillBeLate)
+{
+	Fleet fleet;
+
+	fleet.servers = 2;
+	fleet.target_ms = 300;
+	Sim sim(fleet);
+
+	sim.load(5, 3 * NS_S);
+	sim.run_to(4 * NS_S + 300 * NS_MS); /* the work is known */
+	for (auto &v : sim.servers)
+		v.second.pace = 500;
+	sim.in(149 * NS_MS, [&] {
+		for (auto &v : sim.servers)
+			v.second.pace = 100;
+	});
+	sim.spelling = false;
+	sim.arrive();
+	sim.forget_starts();
+	sim.run_to(sim.now + 700 * NS_MS);
+	EXPECT_EQ(1, sim.seconds[4].late + sim.seconds[4].in_time);
+}
+
+TEST(Caller, WhatIsMissingToACommonDeadlineHasPassed)
+{
+	struct callers c = {};
+
+	for (int i = 0; i < 100; i++) {
+		EXPECT_EQ(0, callers_waited(&c, 4000));
+		EXPECT_EQ(0, callers_waited(&c, 900));
+	}
+	EXPECT_EQ(1234, callers_waited(&c, 4000 - 1234));
+	/* The least that it can have been. */
+	EXPECT_EQ(200, callers_waited(&c, 700));
+	EXPECT_EQ(0, callers_waited(&c, 6000));
+	/* Many that come again do not hide the first attempts. */
+	for (int i = 0; i < 2000; i++)
+		callers_waited(&c, i % 3 == 0 ? 4000 : 100 + i);
+	EXPECT_EQ(0, callers_waited(&c, 4000));
+	EXPECT_EQ(500, callers_waited(&c, 3500));
+}
+
+TEST(Caller, WithoutACommonDeadlineNothingIsKnown)
+{
+	struct callers c = {};
+
+	for (int i = 0; i < 1000; i++)
+		EXPECT_EQ(0, callers_waited(&c, 1000 + (i * 37) % 997));
+}
+
+/* Callers that change their deadline are followed. */
+TEST(Caller, ANewCommonDeadlineTakesTheOldOnesPlace)
+{
+	struct callers c = {};
+
+	for (int i = 0; i < 1000; i++)
+		callers_waited(&c, 4000);
+	for (int i = 0; i < 3000; i++)
+		callers_waited(&c, 1000);
+	EXPECT_EQ(0, callers_waited(&c, 1000));
+	EXPECT_EQ(100, callers_waited(&c, 900));
+}
