The mean pace is that of backend servers, not of their words

Arrivals then looked late (220 ms of work by 3.8) and were refused at once, 300 to 400 a second. Ruled out: the work itself, which was learned right (200 ms).

Change: the mean is taken over backend servers by what each told last, ten times a second; a request's own time is reckoned by the pace at which requests began of late, as these are the good ones.

--- a/disp.c
+++ b/disp.c
@@ -53,7 +53,7 @@
 	d->backends = g_ptr_array_new();
 	d->remotes = g_array_new(FALSE, TRUE, sizeof(struct disp_remote_hall));
 	d->works = g_array_new(FALSE, TRUE, sizeof(struct disp_work));
-	d->mean_pace = 1;
+	d->mean_pace = d->begin_pace = 1;
 	d->slow_pace = SLOW_PACE_FIRST;
 	g_queue_init(&d->out);
 	for (i = 0; i < QUEUES; i++)
--- a/disp_conc.c
+++ b/disp_conc.c
@@ -46,6 +46,7 @@
 	int try;
 
 	d->limited = now;
+	disp_work_mean_pace(d);
 	memset(&d->conc, 0, sizeof(d->conc));
 	for (i = 0; i < d->works->len; i++)
 		conc_add(
--- a/disp_pace.c
+++ b/disp_pace.c
@@ -54,7 +54,7 @@
 	if (slots == 0)
 		return 0;
 	return (int64_t)((double)(d->queues[CLASS_INTERACTIVE].n + 1) *
-	    (double)work * d->mean_pace / slots);
+	    (double)work * d->begin_pace / slots);
 }
 
 /*
@@ -66,7 +66,7 @@
 disp_pace_may_wait(struct disp *d, struct disp_req *r)
 {
 	int64_t now = clk_ns(d->clk), wait = paced_wait(d);
-	int64_t end = now + wait + (int64_t)((double)r->work * d->mean_pace);
+	int64_t end = now + wait + (int64_t)((double)r->work * d->begin_pace);
 
 	r->judged = true;
 	if (disp_usable(d) == 0) {
--- a/disp_work.c
+++ b/disp_work.c
@@ -20,6 +20,7 @@
 	MEAN_WEIGHT = 16, /* of the past against one request */
 	FACTOR_WEIGHT = 8,
 	PACE_WEIGHT = 64,
+	MEAN_PACE_WEIGHT = 10, /* of the past against one look at all */
 	PERCENT = 100,
 	SLOW_PACE = 150 /* percent; above, it counts as a slow spell */
 };
@@ -58,6 +59,7 @@
 	r->work = disp_work_of(d, r->kind);
 	r->pace = pace_now(r->at, d->mean_pace, r->sent);
 	r->told = pace_is_fresh(r->at, r->sent);
+	d->begin_pace += (r->pace - d->begin_pace) / PACE_WEIGHT;
 }
 
 void
@@ -65,11 +67,33 @@
 {
 	double p = (double)pace / PERCENT;
 
-	d->mean_pace += (p - d->mean_pace) / PACE_WEIGHT;
 	if (pace > SLOW_PACE)
 		d->slow_pace += (p - d->slow_pace) / PACE_WEIGHT;
 }
 
+/*
+ * The mean pace is that of the backend servers, each with what it told last.
+ * By the words themselves it would be that of slow ones: these stay free, and
+ * are asked again and again.
+ */
+void
+disp_work_mean_pace(struct disp *d)
+{
+	const struct pick_backend *b;
+	double sum = 0;
+	guint i, n = 0;
+
+	for (i = 0; i < d->backends->len; i++) {
+		b = g_ptr_array_index(d->backends, i);
+		if (b->told_at == 0)
+			continue;
+		sum += (double)b->told_pace / PERCENT;
+		n++;
+	}
+	if (n > 0)
+		d->mean_pace += (sum / n - d->mean_pace) / MEAN_PACE_WEIGHT;
+}
+
 static void
 learn_factor(struct pick_backend *b, double ratio)
 {
--- a/libdisp.h
+++ b/libdisp.h
@@ -47,6 +47,7 @@
 	struct queue queues[QUEUES];
 	GArray *works; /* struct disp_work */
 	double mean_pace; /* of the backend servers, over time */
+	double begin_pace; /* at which requests began, over time */
 	double slow_pace; /* of those in slow spells, over time */
 	int64_t mean_work; /* of all requests, over time; 0: not known */
 	struct conc conc; /* how work slows beside other work, of all kinds */
@@ -92,6 +93,7 @@
 int64_t disp_work_of(const struct disp *, unsigned kind);
 void disp_work_begin(struct disp *, struct disp_req *);
 void disp_work_told(struct disp *, int pace);
+void disp_work_mean_pace(struct disp *);
 void disp_work_done(
     struct disp *, const struct disp_req *, struct pick_backend *, int64_t now);
 
