Requests tell their connection by a callback

hsrv_conn, hsrv_parse and hsrv_req called each other in a circle; what a request has ready goes up by a callback now, and each file knows only those below it. No behaviour changes; test_hsrv passes.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -38,6 +38,7 @@
 static void on_lingered(h2o_timeout_entry_t *);
 static void close_conn(struct hsrv_conn *);
 static void advance(struct hsrv_conn *);
+static void flush(struct hsrv_conn *);
 
 static socklen_t
 get_sockname(h2o_conn_t *conn, struct sockaddr *sa)
@@ -84,6 +85,7 @@
 	memset((char *)c + sizeof(c->super), 0, sizeof(*c) - sizeof(c->super));
 	c->srv = s;
 	c->tcp = tcp;
+	c->ready = flush;
 	c->fresh = true;
 	c->input = g_byte_array_new();
 	c->head = g_string_new(NULL);
@@ -225,8 +227,8 @@
 }
 
 /* Write what the first request's answer has ready. */
-void
-hsrv_conn_flush(struct hsrv_conn *c)
+static void
+flush(struct hsrv_conn *c)
 {
 	struct hsrv_req *r = g_queue_peek_head(&c->reqs);
 	uv_buf_t none = uv_buf_init(NULL, 0);
@@ -382,7 +384,7 @@
 		return;
 	ask_for_body(c);
 	watch_idle(c);
-	hsrv_conn_flush(c);
+	flush(c);
 	resume(c);
 }
 
--- a/hsrv_req.c
+++ b/hsrv_req.c
@@ -29,7 +29,7 @@
 	}
 	r->state = state;
 	r->ready = true;
-	hsrv_conn_flush(r->conn);
+	r->conn->ready(r->conn);
 }
 
 struct hsrv_req *
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -57,6 +57,7 @@
 	h2o_conn_t super;
 	struct hsrv *srv;
 	uv_tcp_t *tcp;
+	void (*ready)(struct hsrv_conn *); /* a request has a piece of answer */
 	http_parser parser;
 	GByteArray *input; /* not parsed yet */
 	GQueue reqs; /* struct hsrv_req, in the order of their answers */
@@ -76,7 +77,6 @@
 
 /* hsrv_conn.c: a connection's requests side by side, answers in order. */
 void hsrv_conn_open(struct hsrv *, uv_tcp_t *);
-void hsrv_conn_flush(struct hsrv_conn *);
 
 /* hsrv_parse.c: bytes to requests. */
 void hsrv_parse_open(struct hsrv_conn *);
