--- a/gate_flow.c
+++ b/gate_flow.c
@@ -291,6 +291,13 @@
 	h2o_start_response(req, &r->gen);
 }
 
+/* Without a target each answer is. */
+static bool
+is_in_time(const struct gate_req *r)
+{
+	return r->d.target == 0 || clk_ns(r->gate->clk) <= r->d.target;
+}
+
 /* Hand the caller what is there, and the end when it has been reached. */
 static void
 send_more(struct gate_req *r)
@@ -311,8 +318,10 @@
 		gate_req_settle(r, r->refused && !r->cut);
 		cnt_add(r->gate->cnt, r->cut ? GC_CUT : GC_ANSWERED, 1);
 		slog_decision(SLOG_ROUTE, "answered",
-		    "id=%.*s status=%d whole=%d ms=%lld tries=%d",
-		    STR_ARG(r->name), r->req->res.status, !r->cut,
+		    "id=%.*s service=%.*s status=%d whole=%d in_time=%d "
+		    "ms=%lld tries=%d",
+		    STR_ARG(r->name), STR_ARG(r->service), r->req->res.status,
+		    !r->cut, is_in_time(r),
 		    (long long)((clk_ns(r->gate->clk) - r->began) / NS_MS),
 		    r->d.tries);
 		tmr_clear(&r->gate->tmr, &r->timer);
