--- a/disp_conc.c
+++ b/disp_conc.c
@@ -49,8 +49,8 @@
 	disp_work_mean_pace(d);
 	memset(&d->conc, 0, sizeof(d->conc));
 	for (i = 0; i < d->works->len; i++)
-		conc_add(
-		    &d->conc, &g_array_index(d->works, struct disp_work, i).ns);
+		conc_add(&d->conc,
+		    &g_array_index(d->works, struct disp_work, i).times);
 	if (!d->params.policy->paced)
 		return;
 	for (i = 0; i < d->backends->len; i++) {
--- a/disp_work.c
+++ b/disp_work.c
@@ -50,7 +50,7 @@
 {
 	const struct disp_work *w = find(d, kind);
 
-	return w == NULL ? 0 : (int64_t)conc_usual(&w->ns);
+	return w == NULL ? 0 : (int64_t)conc_usual(&w->times);
 }
 
 void
@@ -133,7 +133,8 @@
     int64_t now)
 {
 	struct disp_work *w = find_or_add(d, r->kind);
-	double usual = conc_usual(&w->ns), own = b->factor > 0 ? b->factor : 1;
+	double usual = conc_usual(&w->times),
+	       own = b->factor > 0 ? b->factor : 1;
 	double ns = (double)(now - r->sent) / (r->told ? r->pace : 1);
 
 	/* One that tells nothing is known by its answers alone. */
@@ -141,6 +142,6 @@
 		learn_factor(b, ns / (usual * r->slowdown));
 	if (usual > 0 && !r->told && ns > ODD * own * usual * r->slowdown)
 		return;
-	conc_learn(&w->ns, r->beside, b->slots, ns, now);
+	conc_learn(&w->times, r->beside, b->slots, ns, now);
 	learn_mean(&d->mean_work, ns);
 }
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -25,10 +25,10 @@
  */
 
 enum {
-	BESIDE_MAX =
-	    8, /* requests of a connection, each with 256 KiB at most */
-	INPUT_MAX = 64 * 1024, /* read ahead beyond these */
-	HEAD_MAX = 4096 /* looked through for an upgrade to HTTP/2 */
+	/* Requests of a connection, each with 256 KiB of its answer at most. */
+	BESIDE_MAX = 8,
+	INPUT_MAX = 64 * 1024, /* bytes that are read ahead beyond these */
+	HEAD_MAX = 4096 /* bytes looked through for an upgrade to HTTP/2 */
 };
 
 static void on_alloc(uv_handle_t *, size_t, uv_buf_t *);
@@ -98,6 +98,7 @@
 	uv_read_start((uv_stream_t *)tcp, on_alloc, on_read);
 }
 
+/* All that the connection holds but for what its handle still needs. */
 static void
 drop_reqs(struct hsrv_conn *c)
 {
@@ -246,6 +247,7 @@
 	g_array_set_size(r->bufs, 0);
 	if (uv_write(&c->write, (uv_stream_t *)c->tcp, (uv_buf_t *)c->out->data,
 		c->out->len, on_written) != 0)
+		/* Its owner is in the midst of it: closed a little later. */
 		h2o_timeout_link(c->srv->loop, &c->srv->linger, &c->lingering);
 }
 
--- a/libdisp.h
+++ b/libdisp.h
@@ -32,7 +32,7 @@
 /* What requests of one kind take at the usual pace, as far as is known. */
 struct disp_work {
 	unsigned kind;
-	struct conc ns;
+	struct conc times; /* ns, by how many ran beside it */
 };
 
 /* Where requests are held: those in time by class, and those that are late. */
