A timer set that is opened begins with nothing deferred

Found by the undefined behaviour sanitizer in test_box, whose stand-in does not clear the struct first; the programs do.

--- a/tmr.c
+++ b/tmr.c
@@ -27,6 +27,7 @@
 {
 	uv_timer_init(loop, &t->timer);
 	t->timer.data = t;
+	t->deferred = false;
 	queue_init(&t->queue);
 	t->clk = clk;
 }
