--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PROGS = ferngate fernagent fernbox fernctl
 STANDINS = regress/standin_platform regress/standin_backend \
 	regress/standin_proxy
-UNIT_TESTS = regress/test_wire regress/test_hsrv regress/test_policy regress/test_units regress/test_conf regress/test_disp \
+UNIT_TESTS = regress/test_gossip regress/test_wire regress/test_hsrv regress/test_policy regress/test_units regress/test_conf regress/test_disp \
 	regress/test_platform regress/test_up
 FLEET_TESTS = regress/test_path regress/test_config regress/test_promises \
 	regress/test_box
@@ -20,7 +20,7 @@
 
 COMMON = caller.o chart.o clk.o cnt.o conc.o conf.o daemon.o dial.o disp.o disp_conc.o disp_hold.o \
 	disp_move.o disp_pace.o disp_pass.o disp_peek.o disp_set.o disp_stop.o \
-	disp_work.o doc_toml.o err.o field.o hsrv.o hsrv_conn.o hsrv_parse.o hsrv_req.o limit.o memb.o msg.o obj.o \
+	disp_work.o doc_toml.o err.o field.o gossip.o home.o hsrv.o hsrv_conn.o hsrv_parse.o hsrv_req.o limit.o memb.o msg.o obj.o \
 	pace.o pick.o pick_fern.o pick_naive.o pick_pace.o plat.o plat_fern.o plat_http.o \
 	platform/pf_config.o platform/pf_dial.o platform/pf_store.o \
 	probe.o queue.o reload.o route.o sel.o set.o slog.o str.o sync.o \
@@ -28,7 +28,7 @@
 GATE = gate_admit.o gate_answer.o gate_box.o gate_claim.o gate_conf.o \
 	gate_early.o gate_flow.o gate_home.o gate_open.o gate_pass.o gate_peek.o \
 	gate_req.o gate_stat.o gate_try.o
-AGENT = agent_box.o agent_gate.o agent_greet.o agent_lapse.o agent_open.o \
+AGENT = agent_box.o agent_gate.o agent_lapse.o agent_open.o \
 	agent_peer.o agent_probe.o agent_push.o agent_stat.o agent_watch.o
 CTL = ctl_call.o ctl_edit.o ctl_main.o ctl_show.o
 FLEET = regress/fleet.o regress/fleet_http.o regress/objects.o
--- a/agent_box.c
+++ b/agent_box.c
@@ -19,7 +19,6 @@
  * which each tells of itself.
  */
 
-#define BOXES_OTHER_NS (60 * NS_S)
 #define STATUS_SOON_NS (300 * NS_MS)
 #define STATUS_AGAIN_NS (60 * NS_S)
 
@@ -34,9 +33,11 @@
 static void on_status_due(void *);
 static void on_status(void *, enum plat_result, json_t *);
 
+/* Fetch the list of boxes, and again until it comes. */
 void
-agent_box_open(struct agent *a)
+agent_box_list(struct agent *a)
 {
+	a->boxes_wanted = true;
 	tmr_set(&a->tmr, &a->boxes_timer, clk_ns(a->clk), on_boxes_due, a);
 }
 
@@ -44,8 +45,8 @@
 void
 agent_box_resume_calls(struct agent *a)
 {
-	if (a->boxes_call == NULL && !a->boxes_timer.set)
-		agent_box_open(a);
+	if (a->boxes_wanted && a->boxes_call == NULL && !a->boxes_timer.set)
+		agent_box_list(a);
 	if (a->status_call == NULL && !a->status_timer.set)
 		agent_box_status_soon(a);
 }
@@ -56,7 +57,7 @@
 	struct agent *a = ctx;
 	struct plat_request rq = {.op = PLAT_BOXES};
 
-	if (agent_first_feed_asks(a))
+	if (a->boxes_call != NULL || agent_first_feed_asks(a))
 		return;
 	a->boxes_call = agent_call(a, &rq, on_boxes, a);
 	if (a->boxes_call == NULL)
@@ -71,6 +72,16 @@
 	return str_c(json_string_value(json_object_get(o, key)));
 }
 
+static bool
+is_own_entry(struct agent *a, const struct memb_info *info)
+{
+	const struct memb_info *self = memb_self(a->memb);
+
+	return str_eq(info->box, self->box) && str_eq(info->hall, self->hall) &&
+	    str_eq(info->inbox, self->inbox) && info->power == self->power &&
+	    !info->leaving;
+}
+
 static void
 take_boxes(struct agent *a, json_t *body)
 {
@@ -88,8 +99,10 @@
 		    .leaving = json_is_true(json_object_get(box, "leaving")),
 		};
 
-		if (info.box.n > 0)
-			memb_listed(a->memb, &info);
+		if (info.box.n == 0)
+			continue;
+		memb_listed(a->memb, &info);
+		a->is_listed = a->is_listed || is_own_entry(a, &info);
 	}
 }
 
@@ -97,21 +110,42 @@
 on_boxes(void *ctx, enum plat_result result, json_t *body)
 {
 	struct agent *a = ctx;
-	int64_t in;
 
 	a->boxes_call = NULL;
 	agent_call_ended(a, result);
-	if (result == PLAT_OK) {
-		a->boxes_fails = 0;
-		take_boxes(a, body);
-		agent_greet_listed(a);
-		in = rnd_jitter(a->rnd,
-		    agent_is_watcher(a) ? a->set.boxes_ms * NS_MS
-					: BOXES_OTHER_NS);
-	} else {
-		in = agent_backoff(a, a->boxes_fails++);
+	if (result != PLAT_OK) {
+		tmr_set(&a->tmr, &a->boxes_timer,
+		    clk_ns(a->clk) + agent_backoff(a, a->boxes_fails++),
+		    on_boxes_due, a);
+		return;
 	}
-	tmr_set(&a->tmr, &a->boxes_timer, clk_ns(a->clk) + in, on_boxes_due, a);
+	a->boxes_fails = 0;
+	a->boxes_wanted = false;
+	take_boxes(a, body);
+	agent_peer_listed(a);
+}
+
+/*
+ * Where only hubs tell of themselves they do so once: a leaf finds them by the
+ * list, and they get to know it by its question.  Each call to the platform
+ * has its price, and a start of all boxes is as many calls as there are hubs.
+ */
+static bool
+wants_status(struct agent *a)
+{
+	return a->set.status_by == STATUS_BY_ALL ||
+	    (!a->is_listed && gossip_is_hub(a->gossip));
+}
+
+/* Has anything to be told that was not when we last looked? */
+void
+agent_box_tick(struct agent *a)
+{
+	bool first = a->status_at == 0 && wants_status(a);
+
+	if (conf_digest(a->conf) != a->status_told ||
+	    (first && a->status_call == NULL && !a->status_timer.set))
+		agent_box_status_soon(a);
 }
 
 /*
@@ -208,7 +242,7 @@
 	    .version = a->status_version};
 	json_t *spec, *value;
 
-	if (agent_first_feed_asks(a))
+	if (!wants_status(a) || agent_first_feed_asks(a))
 		return;
 	spec = status_spec(a);
 	rq.op = a->status_version == 0 ? PLAT_CREATE : PLAT_UPDATE;
@@ -241,6 +275,7 @@
 	if (result == PLAT_OK) {
 		a->status_fails = 0;
 		a->status_at = clk_ns(a->clk);
+		a->is_listed = true;
 		if (!status_holds(a)) {
 			agent_box_status_soon(a);
 			return;
--- a/agent_gate.c
+++ b/agent_gate.c
@@ -8,9 +8,6 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 #include "libagent.h"
 #include "slog.h"
 
@@ -31,7 +28,7 @@
 static bool
 may_serve(const struct agent *a)
 {
-	return conf_floor(a->conf) > 0 && a->greet.over;
+	return conf_floor(a->conf) > 0 && a->settled;
 }
 
 /* To the gate: ready means that it may serve. */
@@ -55,15 +52,35 @@
 	a->told_ready = ready;
 }
 
-/* Sums what the gate has to know of the boxes that are alive. */
+/* The hubs of all halls, for our gate. */
+struct hub_list {
+	struct agent *agent;
+	GArray *infos; /* struct memb_info */
+};
+
 static void
-add_hash(void *ctx, const struct memb_member *m)
+gather_hub(void *ctx, const struct memb_member *m)
 {
-	uint64_t *hash = ctx, seed = m->info.boot * 2 + m->info.ready;
+	struct hub_list *l = ctx;
 
-	if (memb_alive(m))
-		*hash +=
-		    XXH3_64bits_withSeed(m->info.box.p, m->info.box.n, seed);
+	if (memb_is_hub(l->agent->memb, m->info.box))
+		g_array_append_val(l->infos, m->info);
+}
+
+static void
+send_hubs(struct agent *a)
+{
+	struct hub_list l = {
+	    a, g_array_new(FALSE, FALSE, sizeof(struct memb_info))};
+	struct msg m = {.kind = MSG_MEMBERS};
+
+	memb_each(a->memb, gather_hub, &l);
+	m.u.members.members.items = (struct memb_info *)l.infos->data;
+	m.u.members.members.n = l.infos->len;
+	m.u.members.fleet = memb_fleet(a->memb);
+	m.u.members.hub = memb_is_hub(a->memb, a->set.box);
+	wire_send(a->wire, a->set.gate_inbox, &m);
+	g_array_free(l.infos, TRUE);
 }
 
 /* To the gate, when they have changed and now and then. */
@@ -72,15 +89,14 @@
 {
 	struct agent *a = ctx;
 	int64_t now = clk_ns(a->clk);
-	uint64_t hash = 1;
+	uint64_t hash = memb_digest_hubs(a->memb) + memb_fleet(a->memb);
 
-	memb_each(a->memb, add_hash, &hash);
 	if (hash == a->members_hash &&
 	    now - a->members_sent <= MEMBERS_AGAIN_NS)
 		return;
 	a->members_hash = hash;
 	a->members_sent = now;
-	agent_peer_send_members(a, a->set.gate_inbox);
+	send_hubs(a);
 }
 
 /* When all boxes start, news come by the dozen, and go on together. */
@@ -115,11 +131,12 @@
 		a->members_sent = 0;
 		agent_probe_tell_gate(a);
 	}
-	if (fresh || self->ready != gt->ready)
-		self->beat++;
 	begins = gt->ready && !self->ready;
-	self->ready = gt->ready;
-	if (begins && a->greet.strong)
+	if (fresh || self->ready != gt->ready) {
+		self->ready = gt->ready;
+		memb_changed(a->memb);
+	}
+	if (begins && memb_is_hub(a->memb, self->box))
 		agent_peer_ready(a);
 	if (gt->leaving && !was_leaving)
 		agent_peer_leave(a);
@@ -136,9 +153,13 @@
 
 	if (self->ready && now - a->gate_heard > GATE_SILENT_NS) {
 		self->ready = false;
-		self->beat++;
+		memb_changed(a->memb);
 		slog(SLOG_AGENT, "the gate is silent", "for_ms=%lld",
 		    (long long)((now - a->gate_heard) / NS_MS));
 	}
+	if (now - a->gate_greeted >= a->set.hello_ms * NS_MS) {
+		a->gate_greeted = now;
+		agent_gate_hello(a);
+	}
 	agent_gate_members_soon(a);
 }
--- a/agent_open.c
+++ b/agent_open.c
@@ -33,6 +33,8 @@
 
 #define F(member) offsetof(struct agent_set, member)
 
+static const char *const words_status_by[] = {"all", "hubs", NULL};
+
 static const struct field fields[] = {
     {.name = "box", .type = FIELD_NAME, .offset = F(box), .required = true},
     {.name = "hall", .type = FIELD_NAME, .offset = F(hall), .required = true},
@@ -66,7 +68,7 @@
     {.name = "watchers",
 	.type = FIELD_INT,
 	.offset = F(watchers),
-	.dflt = 2,
+	.dflt = 4,
 	.min = 1,
 	.max = 16},
     {.name = "probe_rate",
@@ -129,6 +131,10 @@
 	.dflt = 0,
 	.min = 0,
 	.max = 86400000},
+    {.name = "status_by",
+	.type = FIELD_WORD,
+	.offset = F(status_by),
+	.words = words_status_by},
     {.name = "platform_form",
 	.type = FIELD_NAME,
 	.offset = F(form),
@@ -167,6 +173,7 @@
 	a->set.boxes_ms = set.boxes_ms;
 	a->set.retry_ms = set.retry_ms;
 	a->set.status_ms = set.status_ms;
+	agent_peer_configure(a);
 	field_free(fields, G_N_ELEMENTS(fields), &set);
 	slog(SLOG_AGENT, "settings are read anew", "file=%s", a->file);
 }
@@ -223,10 +230,8 @@
 	}
 	agent_lapse_open(a);
 	agent_push_open(a);
-	agent_greet_open(a);
 	agent_probe_open(a);
 	agent_peer_open(a);
-	agent_box_open(a);
 	agent_watch_open(a);
 	return true;
 }
--- a/agent_peer.c
+++ b/agent_peer.c
@@ -12,23 +12,16 @@
 #include "slog.h"
 
 /*
- * What this box says to the others, and what it makes of theirs: hellos,
- * members, configuration that differs.
+ * What this box says to the others, and what it makes of theirs: membership,
+ * which gossip.c decides on, and configuration that differs.
  */
 
-enum {
-	GOSSIP_MEMBERS = 12,
-	AWAY_ROUNDS = 3, /* one question in so many may go to another hall */
-	SEEDS_PER_ROUND = 2,
-	SEEDS_ONE_IN = 10
-};
-
-/* Between two lists of members for boxes that know few. */
-#define MEMBERS_GAP_NS (40 * NS_MS)
 /* A difference to another hall that lasts so long is healed from there. */
 #define AWAY_WAIT_NS (1500 * NS_MS)
+/* Hubs that do not watch list the boxes this seldom. */
+#define LIST_OTHER_NS (60 * NS_S)
 
-static void on_hello_due(void *);
+static void on_due(void *);
 
 static void
 send_to(void *ctx, struct str to, const struct msg *m)
@@ -39,122 +32,106 @@
 	wire_send(a->wire, to, &copy);
 }
 
-void
-agent_peer_open(struct agent *a)
+static void
+fill_hello(const struct agent *a, struct msg_hello *h)
 {
-	a->sync.conf = a->conf;
-	a->sync.send = send_to;
-	a->sync.ctx = a;
-	on_hello_due(a);
+	h->digest = conf_digest(a->conf);
+	h->floor = conf_floor(a->conf);
 }
 
-/* A hello: who we are and what configuration we have. */
+/* A hello to our own gate: who we are and what configuration we have. */
 struct msg
 agent_peer_hello_of(const struct agent *a)
 {
 	struct msg m = {.kind = MSG_HELLO};
 
 	m.u.hello.self = *memb_self(a->memb);
-	m.u.hello.digest = conf_digest(a->conf);
-	m.u.hello.floor = conf_floor(a->conf);
+	fill_hello(a, &m.u.hello);
 	return m;
 }
 
-void
-agent_peer_hello(struct agent *a, struct str to, struct str box, bool asks)
+static void
+op_hello(void *ctx, struct str to, struct msg_hello *h)
 {
-	const struct memb_member *some[GOSSIP_MEMBERS];
-	struct memb_info infos[GOSSIP_MEMBERS];
-	struct msg m = agent_peer_hello_of(a);
-	size_t i, n;
-
-	n = memb_news(a->memb, a->rnd, box, some, GOSSIP_MEMBERS);
-	for (i = 0; i < n; i++)
-		infos[i] = some[i]->info;
-	m.u.hello.members = memb_count_alive(a->memb);
-	m.u.hello.asks = asks;
-	m.u.hello.others.items = infos;
-	m.u.hello.others.n = n;
-	if (asks)
-		memb_asked(a->memb, box, clk_ns(a->clk));
+	struct msg m = {.kind = MSG_HELLO, .u.hello = *h};
+	struct agent *a = ctx;
+
+	fill_hello(a, &m.u.hello);
 	wire_send(a->wire, to, &m);
 }
 
 static void
-ask(struct agent *a, struct str hall)
+op_members(void *ctx, struct str to, struct msg_members *list)
 {
-	const struct memb_member *m = memb_ask_next(a->memb, a->rnd, hall);
+	struct msg m = {.kind = MSG_MEMBERS, .u.members = *list};
+	struct agent *a = ctx;
 
-	if (m != NULL)
-		agent_peer_hello(a, m->info.inbox, m->info.box, true);
+	wire_send(a->wire, to, &m);
 }
 
-/*
- * Seeds are asked while we know no other box, and then so seldom that they
- * get few questions from the whole fleet.
- */
 static void
-ask_seeds(struct agent *a)
+op_list(void *ctx)
 {
-	size_t n = json_array_size(a->set.seeds), i;
-	json_t *seed;
-
-	for (i = 0; i < MIN(n, SEEDS_PER_ROUND); i++) {
-		seed = json_array_get(a->set.seeds, rnd_below(a->rnd, n));
-		if (!str_eq(str_c(json_string_value(seed)), a->set.inbox))
-			agent_peer_hello(a, str_c(json_string_value(seed)),
-			    str_c(NULL), true);
-	}
+	agent_box_list(ctx);
 }
 
-static void
-on_hello_due(void *ctx)
+void
+agent_peer_configure(struct agent *a)
 {
-	struct agent *a = ctx;
-	int64_t now = clk_ns(a->clk);
-	size_t alive = memb_count_alive(a->memb);
-
-	ask(a, a->set.hall);
-	if (a->rounds++ % AWAY_ROUNDS == 0)
-		ask(a, str_c(NULL));
-	if (rnd_below(a->rnd, SEEDS_ONE_IN * (alive - 1)) == 0)
-		ask_seeds(a);
-	agent_gate_hello(a);
-	tmr_set(&a->tmr, &a->hello_timer,
-	    now + rnd_jitter(a->rnd, a->set.hello_ms * NS_MS), on_hello_due, a);
+	struct gossip_set set = {
+	    .hello_ns = a->set.hello_ms * NS_MS,
+	    .list_ns = a->set.boxes_ms * NS_MS,
+	    .list_other_ns = LIST_OTHER_NS,
+	    .watchers = (int)a->set.watchers,
+	    .seeds = a->set.seeds,
+	};
+
+	gossip_configure(a->gossip, &set);
 }
 
-static void
-gather_alive(void *ctx, const struct memb_member *m)
+void
+agent_peer_open(struct agent *a)
 {
-	GArray *infos = ctx;
+	const struct gossip_ops ops = {op_hello, op_members, op_list, a};
 
-	if (memb_alive(m))
-		g_array_append_val(infos, m->info);
+	a->sync.conf = a->conf;
+	a->sync.send = send_to;
+	a->sync.ctx = a;
+	a->gossip = gossip_new(&ops, a->memb, a->clk, a->rnd);
+	agent_peer_configure(a);
+	on_due(a);
 }
 
-/* All boxes that are alive, for our gate or a box that knows few. */
-void
-agent_peer_send_members(struct agent *a, struct str to)
+/* The boxes near are known: our gate may serve. */
+static void
+look_settled(struct agent *a)
 {
-	GArray *infos = g_array_new(FALSE, FALSE, sizeof(struct memb_info));
-	struct msg m = {.kind = MSG_MEMBERS};
-
-	memb_each(a->memb, gather_alive, infos);
-	m.u.members.members.items = (struct memb_info *)infos->data;
-	m.u.members.members.n = infos->len;
-	wire_send(a->wire, to, &m);
-	g_array_free(infos, TRUE);
+	if (a->settled || !gossip_settled(a->gossip))
+		return;
+	a->settled = true;
+	slog(SLOG_PEER, "knows the other boxes", "asked=%u alive=%zu hubs=%zu",
+	    gossip_asked(a->gossip), memb_count_alive(a->memb),
+	    memb_count_hubs(a->memb));
+	agent_gate_tell_ready(a);
 }
 
+/* Do what is due, and wake up for what is due next. */
 static void
-take_members(struct agent *a, const struct memb_info *infos, size_t n)
+on_due(void *ctx)
 {
-	int64_t now = clk_ns(a->clk);
-	size_t i;
+	struct agent *a = ctx;
+	int64_t next = gossip_run(a->gossip);
+
+	look_settled(a);
+	tmr_set(&a->tmr, &a->gossip_timer, next, on_due, a);
+}
 
-	for (i = 0; i < n; i++)
-		memb_heard(a->memb, &infos[i], now);
+/* The platform's list of boxes is here. */
+void
+agent_peer_listed(struct agent *a)
+{
+	gossip_listed(a->gossip);
+	on_due(a);
 }
 
 /* Does a box of our hall, or this one, hear from the platform? */
@@ -197,76 +174,62 @@
 take_hello(struct agent *a, const struct msg *m)
 {
 	const struct msg_hello *h = &m->u.hello;
-	int64_t now = clk_ns(a->clk);
-	bool news;
-
-	news = memb_heard(a->memb, &h->self, now);
-	memb_answered(a->memb, h->self.box);
-	take_members(a, h->others.items, h->others.n);
-	if (h->asks || news)
-		agent_peer_hello(a, m->from, h->self.box, false);
-	if (h->members * 2 < memb_count_alive(a->memb) &&
-	    now - a->all_members_sent >= MEMBERS_GAP_NS) {
-		a->all_members_sent = now;
-		agent_peer_send_members(a, m->from);
-	}
-	if (should_compare(a, h, now))
+
+	gossip_take_hello(a->gossip, m->from, h);
+	if (should_compare(a, h, clk_ns(a->clk)))
 		sync_compare(&a->sync, m->from, h->digest, h->floor);
-	agent_greet_answered(a);
 	agent_gate_tell_ready(a);
 	agent_gate_members_soon(a);
+	on_due(a);
+}
+
+static void
+take_members(struct agent *a, const struct msg_members *list)
+{
+	gossip_take_members(a->gossip, list);
+	agent_gate_members_soon(a);
+	on_due(a);
 }
 
 void
 agent_peer_tick(struct agent *a, int64_t now)
 {
 	if (memb_tick(a->memb, now))
-		slog(SLOG_PEER, "a box did not answer", "alive=%zu",
-		    memb_count_alive(a->memb));
-	if (conf_digest(a->conf) != a->status_told)
-		agent_box_status_soon(a);
+		slog(SLOG_PEER, "a box did not answer", "alive=%zu hubs=%zu",
+		    memb_count_alive(a->memb), memb_count_hubs(a->memb));
+	agent_box_tick(a);
 }
 
-/* Tell our hall that the platform does, or does not, answer us. */
+/* Tell the others that the platform does, or does not, answer us. */
 void
 agent_peer_blind(struct agent *a, bool blind)
 {
-	struct memb_info *self = memb_self(a->memb);
-	struct msg m;
-
-	self->blind = blind;
-	self->beat++;
-	m = agent_peer_hello_of(a);
-	m.u.hello.members = memb_count_alive(a->memb);
-	agent_push_hall(a, &m);
+	memb_self(a->memb)->blind = blind;
+	memb_changed(a->memb);
+	gossip_announce(a->gossip, false);
 }
 
 /*
- * Our gate serves now, and may be home: all are told at once.  Left to the
- * next hellos, each box takes itself for home of everything for a second
- * after a fault that took all of them, and they crowd the backend servers.
+ * Our gate serves now, and may be home: all whom it concerns are told at once.
+ * Left to the next hellos, each box takes itself for home of everything for a
+ * second after a fault that took all of them, and they crowd the backend
+ * servers.
  */
 void
 agent_peer_ready(struct agent *a)
 {
-	struct msg m = agent_peer_hello_of(a);
-
-	m.u.hello.members = memb_count_alive(a->memb);
-	agent_push_all(a, &m);
+	gossip_announce(a->gossip, false);
+	on_due(a);
 }
 
 void
 agent_peer_leave(struct agent *a)
 {
-	struct memb_info *self = memb_self(a->memb);
-	struct msg m;
-
 	slog(SLOG_PEER, "tells the other boxes that this one leaves",
 	    "boxes=%zu", memb_count_alive(a->memb));
-	self->leaving = true;
-	self->beat++;
-	m = agent_peer_hello_of(a);
-	agent_push_all(a, &m);
+	memb_self(a->memb)->leaving = true;
+	memb_changed(a->memb);
+	gossip_announce(a->gossip, true);
 	agent_box_status_soon(a);
 }
 
@@ -283,8 +246,7 @@
 		agent_gate_take(a, m);
 		break;
 	case MSG_MEMBERS:
-		take_members(
-		    a, m->u.members.members.items, m->u.members.members.n);
+		take_members(a, &m->u.members);
 		break;
 	case MSG_HEALTH:
 		agent_probe_take(a, &m->u.health);
--- a/agent_probe.c
+++ b/agent_probe.c
@@ -202,29 +202,17 @@
 	}
 }
 
-/* Does a box of this hall live?  If none does, any box may probe there. */
-struct hall_query {
-	struct str hall;
-	bool found;
-};
-
-static void
-find_in_hall(void *ctx, const struct memb_member *m)
-{
-	struct hall_query *q = ctx;
-
-	if (str_eq(m->info.hall, q->hall) && memb_alive(m))
-		q->found = true;
-}
-
+/*
+ * One hub of a hall probes each backend server there; where a hall has none,
+ * one of all hubs does.
+ */
 static bool
 is_prober(struct agent *a, struct str backend, struct str hall)
 {
-	struct hall_query q = {hall, str_eq(hall, a->set.hall)};
+	const struct memb_info *hubs[MEMB_HUBS];
+	bool served = memb_hubs(a->memb, hall, hubs) > 0;
 
-	if (!q.found)
-		memb_each(a->memb, find_in_hall, &q);
-	return memb_is_first(a->memb, backend, q.found ? hall : str_c(NULL), 1);
+	return memb_is_first(a->memb, backend, served ? hall : str_c(NULL), 1);
 }
 
 static void
--- a/agent_push.c
+++ b/agent_push.c
@@ -10,18 +10,21 @@
  */
 #include "libagent.h"
 
-/* Messages to many boxes: to all, to our hall, and changes to those in need. */
+/*
+ * Messages to many boxes.  A change goes from those that watch the platform to
+ * the hubs of all halls, and from hubs to the leaves of their hall, so that
+ * each box sends to its own hall and to hubs only.
+ */
 
 enum {
 	PUSH_SMALL_MAX = 8192, /* bytes of an object that several push */
-	SMALL_COPIES = 4, /* watchers that push it to one box */
-	LARGE_COPIES = 2 /* and a large one: it takes a weak link seconds */
-};
-
-/* A message to many boxes. */
-struct many {
-	struct agent *agent;
-	struct msg *msg;
+	SMALL_COPIES = 3, /* senders of it to one box, or a few more */
+	LARGE_COPIES = 2, /* and of a large one: it takes a weak link seconds */
+	/*
+	 * A hub that has heard of more changes at once was cut off, and its
+	 * leaves know them from other hubs.
+	 */
+	FORWARD_MAX = 128
 };
 
 /* Which of the boxes get something from us: one in `share`, the `own` one. */
@@ -30,12 +33,18 @@
 	unsigned own;
 };
 
+/* What one kind of receivers gets of us. */
+struct parts {
+	struct part small, large;
+};
+
 /* The changes that are on their way out. */
 struct push {
 	struct agent *agent;
 	struct sync_pack *small, *large; /* what the platform told us */
-	struct sync_pack *heard; /* what other boxes told us */
-	struct part of_small, of_large;
+	struct sync_pack *heard_small, *heard_large; /* what other boxes did */
+	unsigned nheard;
+	struct parts to_hubs, to_leaves;
 };
 
 static void on_push(void *);
@@ -47,6 +56,12 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
+/* A message to many boxes. */
+struct many {
+	struct agent *agent;
+	struct msg *msg;
+};
+
 static void
 send_one(void *ctx, const struct memb_member *m)
 {
@@ -64,73 +79,95 @@
 }
 
 static bool
-is_in_hall(const struct agent *a, const struct memb_member *m)
+is_ours(const struct part *p, struct str box)
 {
-	return memb_alive(m) && str_eq(m->info.hall, a->set.hall);
+	return p->share > 0 &&
+	    memb_weight(STR_LIT("push"), box) % p->share == p->own;
 }
 
 static void
-send_in_hall(void *ctx, const struct memb_member *m)
+send_pack(struct push *p, const struct parts *parts,
+    const struct sync_pack *small, const struct sync_pack *large,
+    const struct memb_info *to)
 {
-	struct many *many = ctx;
+	struct agent *a = p->agent;
 
-	if (is_in_hall(many->agent, m))
-		send_one(many, m);
+	if (is_ours(&parts->small, to->box))
+		sync_pack_send(&a->sync, small, to->inbox);
+	if (is_ours(&parts->large, to->box))
+		sync_pack_send(&a->sync, large, to->inbox);
 }
 
-void
-agent_push_hall(struct agent *a, struct msg *msg)
+/* A hub gets what the platform told us, and a leaf of our hall all. */
+static void
+push_one(void *ctx, const struct memb_member *m)
 {
-	struct many many = {a, msg};
+	struct push *p = ctx;
+	bool near = str_eq(m->info.hall, p->agent->set.hall);
 
-	memb_each(a->memb, send_in_hall, &many);
+	if (!memb_alive(m))
+		return;
+	if (m->rank >= 0) {
+		send_pack(p, &p->to_hubs, p->small, p->large, &m->info);
+	} else if (near) {
+		send_pack(p, &p->to_leaves, p->small, p->large, &m->info);
+		if (p->nheard <= FORWARD_MAX)
+			send_pack(p, &p->to_leaves, p->heard_small,
+			    p->heard_large, &m->info);
+	}
 }
 
-static bool
-is_ours(const struct part *p, struct str box)
+static void
+set_part(struct part *p, unsigned senders, unsigned copies, unsigned own)
 {
-	return p->share > 0 &&
-	    memb_weight(STR_LIT("push"), box) % p->share == p->own;
+	p->share = MAX(senders / copies, 1);
+	p->own = own % p->share;
 }
 
-/* A watcher hears it from the platform. */
 static void
-push_one(void *ctx, const struct memb_member *m)
+set_parts(struct parts *p, unsigned senders, unsigned own)
 {
-	struct push *p = ctx;
-	struct agent *a = p->agent;
+	set_part(&p->small, senders, SMALL_COPIES, own);
+	set_part(&p->large, senders, LARGE_COPIES, own);
+}
 
-	if (!is_in_hall(a, m) || agent_watches(a, &m->info))
-		return;
-	if (is_ours(&p->of_small, m->info.box))
-		sync_pack_send(&a->sync, p->small, m->info.inbox);
-	if (is_ours(&p->of_large, m->info.box))
-		sync_pack_send(&a->sync, p->large, m->info.inbox);
+/*
+ * A box that has just started reads what all know, and leaves only read.  Each
+ * box would else send a whole configuration to its hall after a loss of all.
+ */
+static bool
+tells_others(struct agent *a)
+{
+	return gossip_settled(a->gossip) && conf_floor(a->conf) > 0 &&
+	    memb_is_hub(a->memb, a->set.box);
 }
 
 /*
- * What is small reaches each box from several watchers, so that one that is
- * cut off is not missed.  What is large comes from strong ones, and from few:
- * weak boxes would be busy with it for seconds, as senders and as receivers.
- * Digests heal what is missed.
+ * Each change reaches a box from several others, so that one that is cut off
+ * is not missed; digests heal what is missed all the same.
  */
 static void
 divide(struct push *p)
 {
 	struct agent *a = p->agent;
-	unsigned watchers = (unsigned)a->set.watchers;
-	unsigned rank, strong;
-	int nstrong;
-
-	rank = (unsigned)memb_rank_seeing(a->memb, memb_self(a->memb),
-	    STR_LIT("watch"), a->set.hall, &nstrong);
-	strong = (unsigned)nstrong;
-	p->of_small.share = MAX(watchers / SMALL_COPIES, 1);
-	p->of_small.own = rank % p->of_small.share;
-	if (rank >= strong)
+	const struct memb_info *hubs[MEMB_HUBS];
+	size_t n = memb_hubs(a->memb, a->set.hall, hubs), i;
+
+	if (!tells_others(a))
 		return;
-	p->of_large.share = MAX(MIN(strong, watchers) / LARGE_COPIES, 1);
-	p->of_large.own = rank % p->of_large.share;
+	set_parts(&p->to_hubs, (unsigned)a->set.watchers,
+	    (unsigned)memb_watch_rank(a->memb));
+	for (i = 0; i < n; i++)
+		if (hubs[i] == memb_self(a->memb))
+			set_parts(&p->to_leaves, (unsigned)n, (unsigned)i);
+}
+
+static void
+add_change(const struct conf_entry *e, struct sync_pack *small,
+    struct sync_pack *large)
+{
+	if (sync_pack_add(small, e) > PUSH_SMALL_MAX && e->bad_version == 0)
+		sync_pack_move_last(small, large);
 }
 
 static void
@@ -146,19 +183,15 @@
 		e = conf_get(a->conf, str_c(key));
 		if (e == NULL)
 			continue;
-		if (!GPOINTER_TO_INT(told))
-			sync_pack_add(p->heard, e);
-		else if (sync_pack_add(p->small, e) > PUSH_SMALL_MAX &&
-		    e->bad_version == 0)
-			sync_pack_move_last(p->small, p->large);
+		if (GPOINTER_TO_INT(told))
+			add_change(e, p->small, p->large);
+		else
+			add_change(e, p->heard_small, p->heard_large);
+		p->nheard += !GPOINTER_TO_INT(told);
 	}
 }
 
-/*
- * What has changed goes out in few messages, written down once: to our gate,
- * and what the platform told us to the boxes of our hall that do not watch.
- * Other halls have watchers of their own.
- */
+/* What has changed goes out in few messages, written down once. */
 static void
 on_push(void *ctx)
 {
@@ -167,26 +200,29 @@
 
 	p.small = sync_pack_new();
 	p.large = sync_pack_new();
-	p.heard = sync_pack_new();
+	p.heard_small = sync_pack_new();
+	p.heard_large = sync_pack_new();
 	gather_unsent(&p);
 	g_hash_table_remove_all(a->unsent);
 	if (!a->shares_conf) {
 		sync_pack_send(&a->sync, p.small, a->set.gate_inbox);
 		sync_pack_send(&a->sync, p.large, a->set.gate_inbox);
-		sync_pack_send(&a->sync, p.heard, a->set.gate_inbox);
+		sync_pack_send(&a->sync, p.heard_small, a->set.gate_inbox);
+		sync_pack_send(&a->sync, p.heard_large, a->set.gate_inbox);
 	}
 	divide(&p);
 	memb_each(a->memb, push_one, &p);
 	sync_pack_free(p.small);
 	sync_pack_free(p.large);
-	sync_pack_free(p.heard);
+	sync_pack_free(p.heard_small);
+	sync_pack_free(p.heard_large);
 }
 
 /* A change is to be told; those of one turn of the loop go out together. */
 void
 agent_push_change(struct agent *a, const struct conf_entry *e)
 {
-	if (!a->from_platform && a->shares_conf)
+	if (a->shares_conf && !tells_others(a))
 		return;
 	g_hash_table_insert(
 	    a->unsent, g_strdup(e->key.p), GINT_TO_POINTER(a->from_platform));
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -12,13 +12,15 @@
 #include "slog.h"
 
 /*
- * Few boxes of each hall watch the platform; the others learn from them.  A
+ * Few boxes of the fleet watch the platform; the others learn from them.  A
  * box lists by itself only if it is a watcher, or if no peer has given it a
  * complete configuration soon after its start.  All calls to the platform
  * share a budget, a backoff and the belief whether it answers.
  */
 
 #define BACKOFF_FIRST_NS (250 * NS_MS)
+/* What a box that does not watch knows of the platform's outage holds on. */
+#define BLIND_NS (10 * NS_S)
 /* Boxes that start know each other sooner than that. */
 #define FIRST_WATCH_NS (1 * NS_S)
 
@@ -85,6 +87,8 @@
 		cnt_add(a->cnt, AC_PLATFORM_DOWN, 1);
 	if (back)
 		a->platform_back = clk_ns(a->clk);
+	if (!up)
+		a->platform_lost = clk_ns(a->clk);
 	if (up != a->platform_up)
 		slog(SLOG_WATCH,
 		    up ? "platform answers again" : "platform does not answer",
@@ -108,21 +112,12 @@
 	    (agent_is_watcher(a) || conf_floor(a->conf) == 0);
 }
 
-/*
- * Is a box one of its hall's that watch the platform?  The strong ones come
- * first: they read and hand on a list while a weak one still parses it.
- */
-bool
-agent_watches(struct agent *a, const struct memb_info *box)
-{
-	return memb_ranks_first(a->memb, box, STR_LIT("watch"), box->hall,
-	    (int)a->set.watchers, true);
-}
-
+/* Is our box one of the few that watch the platform for the fleet? */
 bool
 agent_is_watcher(struct agent *a)
 {
-	return agent_watches(a, memb_self(a->memb));
+	return gossip_is_hub(a->gossip) &&
+	    memb_watches(a->memb, a->set.box, (int)a->set.watchers);
 }
 
 /* The kinds that a feed's text names, as bits. */
@@ -214,6 +209,21 @@
 		watch_soon(f, rnd_jitter(a->rnd, AGENT_RECHECK_NS));
 }
 
+/*
+ * A box that does not watch does not find out when the platform answers again.
+ * After a while it counts as one that it answers, so that it watches where too
+ * few others can.
+ */
+static void
+forget_outage(struct agent *a)
+{
+	if (a->platform_up || clk_ns(a->clk) - a->platform_lost < BLIND_NS)
+		return;
+	a->platform_up = true;
+	agent_peer_blind(a, false);
+	agent_box_resume_calls(a);
+}
+
 /*
  * A watch may skip a change, so a watcher lists anew now and then; a list
  * names its revision, so that a stale one does no harm.
@@ -231,6 +241,7 @@
 	    (f != &a->feeds[0] && agent_first_feed_asks(a)))
 		return;
 	if (!watcher && conf_floor(a->conf) > 0) {
+		forget_outage(a);
 		f->listed_at = 0;
 		watch_soon(f, rnd_jitter(a->rnd, AGENT_RECHECK_NS));
 		return;
@@ -368,7 +379,7 @@
 	    f->kinds, (unsigned long long)revision, conf_count(a->conf));
 	agent_box_status_soon(a);
 	/* A weak box that starts hears first whether it must watch at all. */
-	watch_soon(f, first && !a->greet.strong ? FIRST_WATCH_NS : 0);
+	watch_soon(f, first && !gossip_is_hub(a->gossip) ? FIRST_WATCH_NS : 0);
 }
 
 static void
--- a/gate_box.c
+++ b/gate_box.c
@@ -30,10 +30,11 @@
 #define LAST_WORD_NS (200 * NS_MS)
 
 /*
- * Of the platform's grace so much is left for the way of the last answers:
- * two of the longest ways between boxes and a weak box's turn.
+ * A tenth of the platform's grace is left for the last answers and the end of
+ * the process, which take a weak box some hundreds of milliseconds; with 400 ms
+ * of ten seconds some of them did not end by themselves.
  */
-enum { GRACE_RESERVE_MS = 400 };
+enum { GRACE_RESERVE = 10 };
 
 static const char *const state_names[] = {
     "empty", "ready", "leaving", "closing", "gone"};
@@ -123,8 +124,9 @@
 	int64_t ms = g->set.leave_wait_ms + g->set.grace_ms;
 
 	if (g->bounds.grace_ms > 0)
-		ms = MAX(g->bounds.grace_ms - GRACE_RESERVE_MS,
-		    g->set.leave_wait_ms);
+		ms =
+		    MAX(g->bounds.grace_ms - g->bounds.grace_ms / GRACE_RESERVE,
+			g->set.leave_wait_ms);
 	return ms * NS_MS;
 }
 
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -249,6 +249,7 @@
 	GHashTableIter it;
 	gpointer value;
 
+	gate_home_deal(g);
 	g_hash_table_iter_init(&it, g->shards);
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		((struct gate_shard *)value)->home = false;
--- a/gate_home.c
+++ b/gate_home.c
@@ -8,8 +8,7 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
-#include <stdio.h>
-
+#include "home.h"
 #include "libgate.h"
 #include "slog.h"
 
@@ -20,12 +19,15 @@
 /* What has not changed is told again after this time. */
 #define TELL_AGAIN_NS (500 * NS_MS)
 
-static struct gate_peer *find(struct gate *, struct str);
-static bool usable(const struct gate_peer *, int64_t);
-static bool hall_serves(const struct gate *, struct str, int64_t);
-static struct str shard_key(char *, size_t, struct str, struct str);
+enum { KEY_MAX = 300 };
+
 static void tell_room(struct gate *, struct gate_shard *, int64_t);
 
+/* Where a service is at home in a hall; peer NULL: at our gate. */
+struct home {
+	struct gate_peer *peer;
+};
+
 static struct gate_peer *
 find(struct gate *g, struct str box)
 {
@@ -40,111 +42,190 @@
 	return NULL;
 }
 
-static bool
-usable(const struct gate_peer *p, int64_t now)
-{
-	return p->listed && p->info.ready && !p->info.leaving &&
-	    p->info.pass.n > 0 && now >= p->suspect_until;
-}
+/* Gates among which homes are chosen, from the best choice to the last. */
+enum tier {
+	TIER_READY, /* hubs of the hall that serve */
+	TIER_NEAR, /* hubs of the hall: they hold requests until they serve */
+	TIER_FAR, /* hubs of all halls that serve */
+	TIER_MAX
+};
 
-static struct str
-shard_key(char *text, size_t size, struct str service, struct str hall)
+static bool
+is_in_tier(const struct gate *g, const struct memb_info *info, struct str hall,
+    enum tier tier)
 {
-	int n =
-	    snprintf(text, size, "%.*s/%.*s", STR_ARG(service), STR_ARG(hall));
-
-	return str_n(text, (size_t)MIN(n, (int)size - 1));
+	if (info->leaving || info->pass.n == 0 ||
+	    (tier != TIER_FAR && !str_eq(info->hall, hall)))
+		return false;
+	return tier == TIER_NEAR ? g->set.early_ms > 0 : info->ready;
 }
 
-static uint64_t
-own_power(const struct gate *g)
+static bool
+self_may(const struct gate *g, struct str hall, enum tier tier)
 {
-	return (uint64_t)(g->set.power * MEMB_POWER_UNIT);
+	return g->hub && !gate_box_leaving(g) &&
+	    (tier == TIER_FAR || str_eq(g->set.hall, hall));
 }
 
-/* Does any gate of a hall serve? */
-static bool
-hall_serves(const struct gate *g, struct str hall, int64_t now)
+/* The gates of a tier as those that homes are dealt to; data NULL: ours. */
+static GArray *
+gates_of(struct gate *g, struct str hall, enum tier tier)
 {
-	const struct gate_peer *p;
+	GArray *gates = g_array_new(FALSE, TRUE, sizeof(struct home_gate));
+	struct home_gate gate = {.box = g->set.box};
+	struct gate_peer *p;
 	guint i;
 
-	if (str_eq(g->set.hall, hall) && !gate_box_leaving(g))
-		return true;
+	if (self_may(g, hall, tier))
+		g_array_append_val(gates, gate);
 	for (i = 0; i < g->peers->len; i++) {
 		p = g_ptr_array_index(g->peers, i);
-		if (usable(p, now) && str_eq(p->info.hall, hall))
-			return true;
+		if (!p->listed || !is_in_tier(g, &p->info, hall, tier))
+			continue;
+		gate = (struct home_gate){.box = p->info.box, .data = p};
+		g_array_append_val(gates, gate);
 	}
-	return false;
+	return gates;
 }
 
-/* May our gate be home for shards of a hall?  near: its own gates only. */
-static bool
-self_may(const struct gate *g, struct str hall, bool near)
+/* The first tier that has gates for a hall. */
+static GArray *
+best_gates(struct gate *g, struct str hall)
+{
+	GArray *gates = NULL;
+	enum tier tier;
+
+	for (tier = TIER_READY; tier < TIER_MAX; tier++) {
+		gates = gates_of(g, hall, tier);
+		if (gates->len > 0 || tier == TIER_FAR)
+			break;
+		g_array_free(gates, TRUE);
+	}
+	return gates;
+}
+
+static char *
+home_key(struct str service, struct str hall)
 {
-	return !gate_box_leaving(g) && (!near || str_eq(g->set.hall, hall));
+	return g_strdup_printf("%.*s/%.*s", STR_ARG(service), STR_ARG(hall));
 }
 
-/* The same of another gate. */
-static bool
-peer_may(const struct gate_peer *p, struct str hall, bool near, int64_t now)
+/* The services that have backend servers in a hall. */
+struct dealing {
+	struct str hall;
+	GArray *services; /* struct home_service */
+};
+
+static void
+gather_service(void *ctx, const struct route_service *svc)
 {
-	return usable(p, now) && (!near || str_eq(p->info.hall, hall));
+	struct dealing *d = ctx;
+	struct home_service s = {.name = svc->name};
+
+	if (route_hall(svc, d->hall) != NULL)
+		g_array_append_val(d->services, s);
 }
 
-/* The most powerful gate that may be home, in thousandths of a processor. */
-static uint64_t
-most_power(const struct gate *g, struct str hall, bool near, int64_t now)
+static void
+deal_hall(struct gate *g, struct str hall)
 {
-	const struct gate_peer *p;
-	uint64_t most = 0;
+	struct dealing d = {
+	    hall, g_array_new(FALSE, TRUE, sizeof(struct home_service))};
+	GArray *gates = best_gates(g, hall);
+	const struct home_service *s;
+	struct home *home;
 	guint i;
 
-	if (self_may(g, hall, near))
-		most = own_power(g);
-	for (i = 0; i < g->peers->len; i++) {
-		p = g_ptr_array_index(g->peers, i);
-		if (peer_may(p, hall, near, now))
-			most = MAX(most, p->info.power);
+	route_each(g->routes, gather_service, &d);
+	home_deal(hall, (struct home_service *)d.services->data,
+	    d.services->len, (struct home_gate *)gates->data, gates->len);
+	for (i = 0; i < d.services->len; i++) {
+		s = &g_array_index(d.services, struct home_service, i);
+		home = g_new0(struct home, 1);
+		home->peer = s->gate == NULL ? NULL : s->gate->data;
+		g_hash_table_insert(g->homes, home_key(s->name, hall), home);
 	}
-	return most;
+	g_array_free(gates, TRUE);
+	g_array_free(d.services, TRUE);
+}
+
+static void
+note_halls(void *ctx, const struct route_service *svc)
+{
+	GHashTable *halls = ctx;
+	unsigned i;
+
+	for (i = 0; i < svc->nhalls; i++)
+		g_hash_table_insert(halls,
+		    g_strndup(svc->halls[i].hall.p, svc->halls[i].hall.n),
+		    NULL);
+}
+
+/* Gates or services have changed: find out anew where services are at home. */
+void
+gate_home_deal(struct gate *g)
+{
+	GHashTable *halls =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_remove_all(g->homes);
+	route_each(g->routes, note_halls, halls);
+	g_hash_table_iter_init(&it, halls);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		deal_hall(g, str_c(key));
+	g_hash_table_destroy(halls);
 }
 
 /*
- * The home of a shard is the gate with the highest weight for it among those
- * of the shard's hall that serve, or among all, where that hall has none.
- * Only strong boxes are homes: all of a shard's requests go through its home.
- * No gate has to agree: one that is taken for home acts as home.
+ * The gate that a service was dealt to cannot be used now: the one with the
+ * highest weight among the others takes its place.
  */
-struct gate_peer *
-gate_home(struct gate *g, struct str service, struct str hall, bool *self)
+static struct gate_peer *
+stand_in(struct gate *g, struct str service, struct str hall, int64_t now)
 {
-	int64_t now = clk_ns(g->clk);
+	GArray *gates = best_gates(g, hall);
 	struct gate_peer *p, *best = NULL;
+	const struct home_gate *gate;
 	uint64_t w, best_w = 0;
-	char text[300];
-	struct str key = shard_key(text, sizeof(text), service, hall);
-	bool near = hall_serves(g, hall, now);
-	uint64_t least = most_power(g, hall, near, now) / MEMB_STRONG_RATIO;
 	guint i;
 
-	if (self_may(g, hall, near) && own_power(g) >= least)
-		best_w = memb_weight(key, g->set.box);
-	for (i = 0; i < g->peers->len; i++) {
-		p = g_ptr_array_index(g->peers, i);
-		if (!peer_may(p, hall, near, now) || p->info.power < least)
+	for (i = 0; i < gates->len; i++) {
+		gate = &g_array_index(gates, struct home_gate, i);
+		p = gate->data;
+		w = home_weight(service, hall, gate->box);
+		if ((p != NULL && now < p->suspect_until) || w < best_w)
 			continue;
-		w = memb_weight(key, p->info.box);
-		if (w < best_w)
-			continue;
-		best_w = w;
 		best = p;
+		best_w = w;
 	}
-	*self = best == NULL;
+	g_array_free(gates, TRUE);
 	return best;
 }
 
+/*
+ * The home of a service in a hall is one of the hall's hubs, or of all hubs
+ * where the hall has none: all requests for the service there go through it.
+ * No gate has to agree: one that is taken for home acts as home.
+ */
+struct gate_peer *
+gate_home(struct gate *g, struct str service, struct str hall, bool *self)
+{
+	int64_t now = clk_ns(g->clk);
+	char *key = home_key(service, hall);
+	const struct home *home = g_hash_table_lookup(g->homes, key);
+	struct gate_peer *p = home == NULL ? NULL : home->peer;
+	bool usable = p == NULL ? home != NULL && !gate_box_leaving(g)
+				: now >= p->suspect_until;
+
+	g_free(key);
+	if (!usable)
+		p = stand_in(g, service, hall, now);
+	*self = p == NULL;
+	return p;
+}
+
 /* The hall to send a request to: ours, if the service has slots here. */
 struct str
 gate_home_hall(struct gate *g, const struct route_service *svc)
@@ -176,7 +257,8 @@
 		p = g_ptr_array_index(g->peers, i);
 		p->listed = false;
 	}
-	g->boxes = 1;
+	g->hub = members->hub;
+	g->boxes = (unsigned)MAX(members->fleet, 1);
 	for (j = 0; j < members->members.n; j++) {
 		if (str_eq(v[j].box, g->set.box))
 			continue;
@@ -192,7 +274,6 @@
 		}
 		memb_info_copy(&p->info, &v[j]);
 		p->listed = true;
-		g->boxes += p->info.ready && !p->info.leaving;
 	}
 	for (i = g->peers->len; i-- > 0;) {
 		p = g_ptr_array_index(g->peers, i);
--- a/gate_open.c
+++ b/gate_open.c
@@ -219,6 +219,10 @@
 	    g->up, &g->tmr, g->clk, g->set.platform, g->form->codec);
 	g->cnt = gate_stat_open();
 	g->peers = g_ptr_array_new();
+	g->homes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	/* Until its agent tells of other boxes a gate is on its own. */
+	g->hub = true;
 	if (!gate_conf_open(g, err) || !gate_req_open(g, err))
 		return false;
 	g->wire = wire_open(g->loop, g->set.inbox, gate_conf_take, g, err);
--- /dev/null
+++ b/gossip.c
@@ -0,0 +1,643 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "gossip.h"
+
+enum {
+	GOSSIP_MEMBERS = 12, /* news in one hello */
+	SEEDS_ONE_IN = 10, /* of the fleet asks seeds in a round, at rest */
+	SEED_ROUNDS_MAX = 16, /* between questions to seeds that lead nowhere */
+	/*
+	 * Questions a second that a hub gets from leaves: with both ways some
+	 * 4 kB/s, of the 6 kB/s that a box may spend on control.
+	 */
+	HUB_ASKED_MAX = 8,
+	GREET_NEAR_MAX =
+	    8, /* listed boxes of our hall that are asked at once */
+	GREET_FAR_MAX = 4, /* and, by strong boxes, of each other hall */
+	DARK_HALLS_MAX = 8, /* halls without a hub that are asked in a round */
+	ANNOUNCE_BATCH = 32 /* boxes told at once, before I/O gets its turn */
+};
+
+/* Boxes that are there answer sooner than this. */
+#define ANSWERS_NS (300 * NS_MS)
+/* A platform that has not listed boxes by then may be away. */
+#define UNLISTED_NS (2 * NS_S)
+/* The first list after one that showed no hub of our hall; then doubled. */
+#define RELIST_NS (1 * NS_S)
+#define RELIST_MAX_NS (16 * NS_S)
+#define ANNOUNCE_GAP_NS (20 * NS_MS)
+/*
+ * Where the platform lists nobody a box cannot know whether it is a strong
+ * one.  It waits for stronger ones, the longer the weaker it is: a whole
+ * processor is one unit of patience.  Five seconds are more than stale lists
+ * are behind; with them, of 473 boxes of a tenth and a half of a processor
+ * that start together, only the strong ones write to the platform.
+ */
+#define PATIENCE_NS (400 * NS_MS)
+#define PATIENCE_MAX_NS (5 * NS_S)
+
+struct gossip {
+	struct gossip_ops ops;
+	struct gossip_set set;
+	struct memb *memb;
+	const struct clk *clk;
+	const struct rnd *rnd;
+	int64_t started;
+	int64_t round_at;
+	unsigned rounds;
+	unsigned seeds_at; /* the round in which seeds are asked next */
+	unsigned seeds_gap; /* rounds until the time after that */
+	/* The list of boxes. */
+	int64_t list_at; /* 0: is being fetched, or is not needed */
+	int64_t list_gap;
+	bool fetching;
+	bool listed; /* it has been read */
+	bool known; /* it named others of our hall */
+	/* The first questions. */
+	GHashTable *greeted; /* char * box: was asked */
+	int64_t greeted_at; /* 0: no answer is waited for */
+	int64_t settle_at; /* then we go on with whom we know */
+	bool settled;
+	/* Our word of this beat is for all whom it concerns. */
+	uint64_t announced;
+	int64_t announce_at; /* 0: all have been told */
+};
+
+struct gossip *
+gossip_new(const struct gossip_ops *ops, struct memb *mb, const struct clk *clk,
+    const struct rnd *rnd)
+{
+	struct gossip *g = g_new0(struct gossip, 1);
+
+	g->ops = *ops;
+	g->memb = mb;
+	g->clk = clk;
+	g->rnd = rnd;
+	g->started = g->round_at = g->list_at = clk_ns(clk);
+	g->settle_at = g->started + UNLISTED_NS;
+	g->list_gap = RELIST_NS;
+	g->seeds_gap = 1;
+	g->greeted =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return g;
+}
+
+void
+gossip_free(struct gossip *g)
+{
+	g_hash_table_destroy(g->greeted);
+	g_free(g);
+}
+
+void
+gossip_configure(struct gossip *g, const struct gossip_set *set)
+{
+	g->set = *set;
+}
+
+static bool
+is_own_hub(struct gossip *g)
+{
+	return memb_is_hub(g->memb, memb_self(g->memb)->box);
+}
+
+static struct str
+own_hall(struct gossip *g)
+{
+	return memb_self(g->memb)->hall;
+}
+
+/* Hubs of our hall beside ourselves. */
+static size_t
+count_near_hubs(struct gossip *g)
+{
+	const struct memb_info *hubs[MEMB_HUBS];
+
+	return memb_hubs(g->memb, own_hall(g), hubs) - is_own_hub(g);
+}
+
+/*
+ * Do we lack company: do we know no other hub of our hall, or only such as the
+ * platform does not list?  Where all boxes start at once, leaves that have
+ * heard of each other only would take each other for hubs.
+ */
+static bool
+is_lonely(struct gossip *g)
+{
+	return !g->known || count_near_hubs(g) == 0;
+}
+
+/* What is sent. */
+
+static void
+send_hello(struct gossip *g, struct str to, struct str box, bool asks)
+{
+	const struct memb_member *some[GOSSIP_MEMBERS];
+	struct memb_info infos[GOSSIP_MEMBERS];
+	struct msg_hello h = {.self = *memb_self(g->memb), .asks = asks};
+	size_t i, n;
+
+	n = memb_news(g->memb, g->rnd, box, some, GOSSIP_MEMBERS);
+	for (i = 0; i < n; i++)
+		infos[i] = some[i]->info;
+	h.hubs = memb_digest_hubs(g->memb);
+	h.near = memb_digest_hall(g->memb);
+	h.others.items = infos;
+	h.others.n = n;
+	if (asks)
+		memb_asked(g->memb, box, clk_ns(g->clk));
+	memb_told(g->memb, box);
+	g->ops.hello(g->ops.ctx, to, &h);
+}
+
+static bool
+ask(struct gossip *g, enum memb_who who)
+{
+	const struct memb_member *m = memb_ask_next(g->memb, g->rnd, who);
+
+	if (m != NULL)
+		send_hello(g, m->info.inbox, m->info.box, true);
+	return m != NULL;
+}
+
+/* Members that are alive and concern a box. */
+struct choice {
+	struct gossip *gossip;
+	const struct memb_member *to;
+	GArray *infos; /* struct memb_info */
+};
+
+static void
+choose(void *ctx, const struct memb_member *m)
+{
+	struct choice *c = ctx;
+
+	if (memb_alive(m) && m != c->to &&
+	    memb_concerns(c->gossip->memb, c->to, m))
+		g_array_append_val(c->infos, m->info);
+}
+
+static void
+send_members(struct gossip *g, struct str to, struct str box)
+{
+	struct choice c = {g, memb_find(g->memb, box),
+	    g_array_new(FALSE, FALSE, sizeof(struct memb_info))};
+	struct msg_members list = {0};
+
+	memb_each(g->memb, choose, &c);
+	list.members.items = (struct memb_info *)c.infos->data;
+	list.members.n = c.infos->len;
+	if (list.members.n > 0)
+		g->ops.members(g->ops.ctx, to, &list);
+	g_array_free(c.infos, TRUE);
+}
+
+/* Rounds of questions. */
+
+/*
+ * One of the seeds is asked while we lack company and the platform's list had
+ * time to come, each time later; and then so seldom that they get few
+ * questions from the whole fleet.
+ */
+static bool
+should_ask_seed(struct gossip *g)
+{
+	if (json_array_size(g->set.seeds) == 0 || g->rounds == 0)
+		return false;
+	if (!is_lonely(g)) {
+		g->seeds_gap = 1;
+		g->seeds_at = g->rounds;
+		return rnd_below(g->rnd, SEEDS_ONE_IN * memb_fleet(g->memb)) ==
+		    0;
+	}
+	if (g->rounds < g->seeds_at)
+		return false;
+	g->seeds_at = g->rounds + g->seeds_gap;
+	g->seeds_gap = MIN(g->seeds_gap * 2, SEED_ROUNDS_MAX);
+	return true;
+}
+
+static void
+ask_seed(struct gossip *g)
+{
+	size_t n = json_array_size(g->set.seeds);
+	struct str seed;
+
+	if (!should_ask_seed(g))
+		return;
+	seed = str_c(json_string_value(
+	    json_array_get(g->set.seeds, rnd_below(g->rnd, n))));
+	if (!str_eq(seed, memb_self(g->memb)->inbox))
+		send_hello(g, seed, str_c(NULL), true);
+}
+
+/*
+ * Halls of which no hub is alive for us may be cut off, or we are: each is
+ * asked in each round, so that they are known again a second after the cut.
+ */
+static void
+ask_dark_halls(struct gossip *g)
+{
+	const struct memb_member *some[DARK_HALLS_MAX];
+	size_t n = memb_ask_dark(g->memb, g->rnd, some, DARK_HALLS_MAX), i;
+
+	for (i = 0; i < n; i++)
+		send_hello(g, some[i]->info.inbox, some[i]->info.box, true);
+}
+
+/* How many gates serve in our hall is told when it has changed by a quarter. */
+static void
+tell_crowd(struct gossip *g)
+{
+	struct memb_info *self = memb_self(g->memb);
+	uint64_t crowd = memb_count_serving(g->memb);
+	uint64_t change =
+	    crowd > self->crowd ? crowd - self->crowd : self->crowd - crowd;
+
+	if (change * 4 <= self->crowd)
+		return;
+	self->crowd = crowd;
+	memb_changed(g->memb);
+}
+
+/*
+ * The leaves of a hall take turns, so that its hubs get no more questions than
+ * they can answer beside their work.
+ */
+static int64_t
+round_gap(struct gossip *g)
+{
+	const struct memb_info *hubs[MEMB_HUBS];
+	size_t n = memb_hubs(g->memb, own_hall(g), hubs), i;
+	uint64_t crowd = 0, may = (uint64_t)MAX(n, 1u) * HUB_ASKED_MAX;
+
+	for (i = 0; i < n; i++)
+		crowd = MAX(crowd, hubs[i]->crowd);
+	if (is_own_hub(g) || crowd <= may)
+		return g->set.hello_ns;
+	return (int64_t)((double)g->set.hello_ns * (double)crowd / (double)may);
+}
+
+static void
+round_due(struct gossip *g, int64_t now)
+{
+	bool hub = is_own_hub(g), near = ask(g, MEMB_NEAR_HUB);
+
+	if (hub)
+		ask(g, MEMB_NEAR_LEAF);
+	if (hub || !near)
+		ask(g, MEMB_FAR_HUB);
+	if (hub)
+		ask_dark_halls(g);
+	ask_seed(g);
+	if (hub)
+		tell_crowd(g);
+	if (g->list_at == 0 && !g->fetching && is_lonely(g))
+		g->list_at = now + rnd_jitter(g->rnd, g->list_gap);
+	g->rounds++;
+	g->round_at = now + rnd_jitter(g->rnd, round_gap(g));
+}
+
+/* The first questions, to those that the platform lists. */
+
+struct greeting {
+	struct gossip *gossip;
+	GPtrArray *boxes; /* const struct memb_member * */
+	bool near; /* some of them are in our hall */
+};
+
+static void
+gather(void *ctx, const struct memb_member *m)
+{
+	struct greeting *gr = ctx;
+	struct gossip *g = gr->gossip;
+
+	if (!m->listed || !m->strong || m->heard != 0 || m->info.leaving ||
+	    m->info.inbox.n == 0 ||
+	    g_hash_table_contains(g->greeted, m->info.box.p))
+		return;
+	gr->near = gr->near || str_eq(m->info.hall, own_hall(g));
+	g_ptr_array_add(gr->boxes, (void *)m);
+}
+
+static int
+by_weight(const void *pa, const void *pb)
+{
+	const struct memb_member *const *a = pa, *const *b = pb;
+
+	return (*a)->weight > (*b)->weight ? -1 : (*a)->weight < (*b)->weight;
+}
+
+/* Boxes that were asked in one hall. */
+struct quota {
+	struct str hall;
+	unsigned n;
+};
+
+static unsigned *
+quota_of(GArray *quotas, struct str hall)
+{
+	struct quota add = {hall, 0};
+	guint i;
+
+	for (i = 0; i < quotas->len; i++)
+		if (str_eq(g_array_index(quotas, struct quota, i).hall, hall))
+			return &g_array_index(quotas, struct quota, i).n;
+	g_array_append_val(quotas, add);
+	return &g_array_index(quotas, struct quota, quotas->len - 1).n;
+}
+
+/*
+ * May one more box of a hall be asked now?  Those that will be leaves ask
+ * others only where their hall has none that is listed.
+ */
+static bool
+takes(const struct greeting *gr, GArray *quotas, const struct memb_member *m)
+{
+	struct gossip *g = gr->gossip;
+	bool near = str_eq(m->info.hall, own_hall(g));
+	unsigned most = near ? GREET_NEAR_MAX : GREET_FAR_MAX;
+	unsigned *n = quota_of(quotas, m->info.hall);
+
+	if (*n >= most || (!near && gr->near && !is_own_hub(g)))
+		return false;
+	++*n;
+	return true;
+}
+
+static void
+greet(struct gossip *g)
+{
+	struct greeting gr = {g, g_ptr_array_new(), false};
+	GArray *quotas = g_array_new(FALSE, FALSE, sizeof(struct quota));
+	int64_t now = clk_ns(g->clk);
+	const struct memb_member *m;
+	guint i;
+
+	is_own_hub(g); /* finds out who is strong */
+	memb_each(g->memb, gather, &gr);
+	g_ptr_array_sort(gr.boxes, by_weight);
+	g->greeted_at = 0;
+	for (i = 0; i < gr.boxes->len; i++) {
+		m = g_ptr_array_index(gr.boxes, i);
+		if (!takes(&gr, quotas, m))
+			continue;
+		g_hash_table_add(
+		    g->greeted, g_strndup(m->info.box.p, m->info.box.n));
+		send_hello(g, m->info.inbox, m->info.box, true);
+		g->greeted_at = now;
+	}
+	g_array_free(quotas, TRUE);
+	g_ptr_array_free(gr.boxes, TRUE);
+}
+
+unsigned
+gossip_asked(const struct gossip *g)
+{
+	return g_hash_table_size(g->greeted);
+}
+
+static void
+count_heard(void *ctx, const struct memb_member *m)
+{
+	*(unsigned *)ctx += m->heard != 0;
+}
+
+/* Have half of those that were asked told of themselves, if any? */
+static void
+look_settled(struct gossip *g)
+{
+	unsigned heard = 0, asked = gossip_asked(g);
+
+	if (g->settled || !g->listed)
+		return;
+	memb_each(g->memb, count_heard, &heard);
+	g->settled = heard * 2 >= asked;
+}
+
+/* Where no hub of our hall has answered, others that are listed are asked. */
+static void
+answers_due(struct gossip *g)
+{
+	g->greeted_at = 0;
+	if (count_near_hubs(g) == 0)
+		greet(g);
+}
+
+static void
+name_near(void *ctx, const struct memb_member *m)
+{
+	struct gossip *g = ctx;
+
+	g->known = g->known || (m->listed && str_eq(m->info.hall, own_hall(g)));
+}
+
+/*
+ * Those that watch list anew now and then; the rest only while they lack
+ * company.
+ */
+static void
+plan_list(struct gossip *g)
+{
+	int64_t in;
+
+	g->list_at = 0;
+	if (is_lonely(g)) {
+		in = MIN(g->list_gap, g->set.list_ns);
+		g->list_gap = MIN(g->list_gap * 2, RELIST_MAX_NS);
+		g->list_at = clk_ns(g->clk) + rnd_jitter(g->rnd, in);
+		return;
+	}
+	g->list_gap = RELIST_NS;
+	if (!is_own_hub(g))
+		return;
+	in = memb_watches(g->memb, memb_self(g->memb)->box, g->set.watchers)
+	    ? g->set.list_ns
+	    : g->set.list_other_ns;
+	g->list_at = clk_ns(g->clk) + rnd_jitter(g->rnd, in);
+}
+
+void
+gossip_listed(struct gossip *g)
+{
+	g->fetching = false;
+	g->listed = true;
+	memb_each(g->memb, name_near, g);
+	if (!g->settled)
+		g->settle_at = clk_ns(g->clk) + ANSWERS_NS;
+	if (!g->settled || count_near_hubs(g) == 0)
+		greet(g);
+	look_settled(g);
+	plan_list(g);
+}
+
+bool
+gossip_settled(const struct gossip *g)
+{
+	return g->settled;
+}
+
+bool
+gossip_is_hub(struct gossip *g)
+{
+	double power = (double)memb_self(g->memb)->power / MEMB_POWER_UNIT;
+	double patience = power > 0 ? PATIENCE_NS / power : PATIENCE_MAX_NS;
+	int64_t until =
+	    g->started + (int64_t)MIN(patience, (double)PATIENCE_MAX_NS);
+
+	return is_own_hub(g) && (g->known || clk_ns(g->clk) >= until);
+}
+
+/* Announcements. */
+
+struct audience {
+	struct gossip *gossip;
+	GPtrArray *boxes; /* const struct memb_member * */
+	bool hub; /* we are one */
+};
+
+static void
+invite(void *ctx, const struct memb_member *m)
+{
+	struct audience *au = ctx;
+	struct gossip *g = au->gossip;
+	bool near = str_eq(m->info.hall, own_hall(g));
+	bool concerned = au->hub ? near || m->rank >= 0 : near && m->rank >= 0;
+
+	if (memb_alive(m) && concerned && m->told < g->announced)
+		g_ptr_array_add(au->boxes, (void *)m);
+}
+
+static void
+announce_due(struct gossip *g, int64_t now, guint most)
+{
+	struct audience au = {g, g_ptr_array_new(), is_own_hub(g)};
+	const struct memb_member *m;
+	guint i;
+
+	memb_each(g->memb, invite, &au);
+	for (i = 0; i < MIN(au.boxes->len, most); i++) {
+		m = g_ptr_array_index(au.boxes, i);
+		send_hello(g, m->info.inbox, m->info.box, false);
+	}
+	g->announce_at = au.boxes->len > most ? now + ANNOUNCE_GAP_NS : 0;
+	g_ptr_array_free(au.boxes, TRUE);
+}
+
+void
+gossip_announce(struct gossip *g, bool at_once)
+{
+	int64_t now = clk_ns(g->clk);
+
+	g->announced = memb_self(g->memb)->beat;
+	g->announce_at = now;
+	if (at_once)
+		announce_due(g, now, G_MAXUINT);
+}
+
+/* Boxes that are new to us have not heard what was announced before. */
+static void
+announce_to_new(struct gossip *g)
+{
+	if (g->announced > 0 && g->announce_at == 0)
+		g->announce_at = clk_ns(g->clk) + ANNOUNCE_GAP_NS;
+}
+
+/* What comes in. */
+
+static bool
+take_infos(struct gossip *g, const struct msg_list *list)
+{
+	const struct memb_info *infos = list->items;
+	int64_t now = clk_ns(g->clk);
+	bool news = false;
+	size_t i;
+
+	for (i = 0; i < list->n; i++)
+		news = memb_heard(g->memb, &infos[i], now) || news;
+	return news;
+}
+
+/* Does the sender of a hello know otherwise than we do what it should know? */
+static bool
+differs(struct gossip *g, const struct msg_hello *h)
+{
+	if (h->hubs != memb_digest_hubs(g->memb))
+		return true;
+	return is_own_hub(g) && str_eq(h->self.hall, own_hall(g)) &&
+	    memb_is_hub(g->memb, h->self.box) &&
+	    h->near != memb_digest_hall(g->memb);
+}
+
+void
+gossip_take_hello(struct gossip *g, struct str from, const struct msg_hello *h)
+{
+	int64_t now = clk_ns(g->clk);
+	const struct memb_member *m;
+	bool news;
+
+	memb_answered(g->memb, h->self.box, now);
+	news = memb_heard(g->memb, &h->self, now);
+	news = take_infos(g, &h->others) || news;
+	m = memb_find(g->memb, h->self.box);
+	if (h->asks || (m != NULL && m->told == 0))
+		send_hello(g, from, h->self.box, false);
+	if (differs(g, h))
+		send_members(g, from, h->self.box);
+	if (news)
+		announce_to_new(g);
+	look_settled(g);
+}
+
+void
+gossip_take_members(struct gossip *g, const struct msg_members *list)
+{
+	if (take_infos(g, &list->members))
+		announce_to_new(g);
+	look_settled(g);
+}
+
+static int64_t
+sooner(int64_t a, int64_t b)
+{
+	return b == 0 ? a : MIN(a, b);
+}
+
+/* Company may have come since the list was planned. */
+static void
+list_due(struct gossip *g)
+{
+	g->list_at = 0;
+	if (!is_lonely(g) && !is_own_hub(g))
+		return;
+	g->fetching = true;
+	g->ops.list(g->ops.ctx);
+}
+
+int64_t
+gossip_run(struct gossip *g)
+{
+	int64_t now = clk_ns(g->clk), next;
+
+	if (now >= g->round_at)
+		round_due(g, now);
+	if (g->greeted_at != 0 && now >= g->greeted_at + ANSWERS_NS)
+		answers_due(g);
+	g->settled = g->settled || now >= g->settle_at;
+	if (g->list_at != 0 && now >= g->list_at)
+		list_due(g);
+	if (g->announce_at != 0 && now >= g->announce_at)
+		announce_due(g, now, ANNOUNCE_BATCH);
+	next = sooner(sooner(g->round_at, g->list_at), g->announce_at);
+	if (g->greeted_at != 0)
+		next = MIN(next, g->greeted_at + ANSWERS_NS);
+	return g->settled ? next : MIN(next, g->settle_at);
+}
--- /dev/null
+++ b/gossip.h
@@ -0,0 +1,91 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef GOSSIP_H
+#define GOSSIP_H
+
+#include <jansson.h>
+
+#include "clk.h"
+#include "memb.h"
+#include "msg.h"
+
+/*
+ * How boxes come to know each other, and keep that up to date: who is asked
+ * and told what, and when.  Pure: messages, lists and time come in by calls,
+ * and what is to be sent goes out by callbacks.
+ *
+ * A box that starts reads the platform's list, which only hubs are on, and
+ * asks the hubs of its hall; seeds are asked where that leads to nobody.  From
+ * then on a leaf asks one hub of its hall at a time, and a hub asks hubs and,
+ * seldom, a leaf.  Each hello tells digests of what its sender knows, and a
+ * receiver that knows otherwise sends its list.
+ */
+
+struct gossip_ops {
+	/* Send a hello; the owner fills in which configuration it has. */
+	void (*hello)(void *, struct str to, struct msg_hello *);
+	/* Send a list of members. */
+	void (*members)(void *, struct str to, struct msg_members *);
+	/*
+	 * Have the platform list its boxes, tell memb of these, and call
+	 * gossip_listed(); whoever does it tries again where that fails.
+	 */
+	void (*list)(void *);
+	void *ctx;
+};
+
+/* What may change while a box runs. */
+struct gossip_set {
+	int64_t hello_ns; /* between two rounds of questions */
+	int64_t list_ns; /* between two lists, for those that watch */
+	int64_t list_other_ns; /* and for the other hubs */
+	int watchers; /* boxes that watch the platform, of the fleet */
+	const json_t *seeds; /* addresses of inboxes */
+};
+
+struct gossip;
+
+/* `memb` stays the owner's, and outlives it. */
+struct gossip *gossip_new(const struct gossip_ops *, struct memb *,
+    const struct clk *, const struct rnd *);
+void gossip_free(struct gossip *);
+void gossip_configure(struct gossip *, const struct gossip_set *);
+
+/* Do what is due; returns when something will be, in monotonic ns. */
+int64_t gossip_run(struct gossip *);
+
+/* The platform's list is in memb. */
+void gossip_listed(struct gossip *);
+
+/* Messages of another box. */
+void
+gossip_take_hello(struct gossip *, struct str from, const struct msg_hello *);
+void gossip_take_members(struct gossip *, const struct msg_members *);
+
+/*
+ * Our own word has changed in a way that the others have to hear at once: all
+ * whom it concerns are told.  Before an end nothing is put off.
+ */
+void gossip_announce(struct gossip *, bool at_once);
+
+/* Are the boxes near known, or was there time for them to answer? */
+bool gossip_settled(const struct gossip *);
+
+/*
+ * Is our box a hub for certain: does the platform list others of its hall, or
+ * has there been time for stronger ones to tell of themselves?
+ */
+bool gossip_is_hub(struct gossip *);
+
+/* Boxes that were asked at the start. */
+unsigned gossip_asked(const struct gossip *);
+
+#endif
--- a/libagent.h
+++ b/libagent.h
@@ -17,6 +17,7 @@
 #include "cnt.h"
 #include "conf.h"
 #include "dial.h"
+#include "gossip.h"
 #include "hsrv.h"
 #include "wire.h"
 #include "memb.h"
@@ -50,9 +51,13 @@
 	int64_t boxes_ms;
 	int64_t retry_ms;
 	int64_t status_ms;
+	int status_by; /* enum agent_status_by */
 	struct str form; /* the platform's form, by name */
 };
 
+/* Which boxes tell of themselves on the platform. */
+enum agent_status_by { STATUS_BY_ALL, STATUS_BY_HUBS };
+
 /* Kinds of configuration that are listed and watched together. */
 struct agent_feed {
 	struct agent *agent;
@@ -91,15 +96,6 @@
 	AC_MAX
 };
 
-/* The boxes that the platform listed at our start were asked who they are. */
-struct agent_greet {
-	struct tmr_item timer;
-	bool listed;
-	bool over; /* enough have answered, or there was time to */
-	bool strong; /* we are, among those that were listed */
-	unsigned asked;
-};
-
 struct agent {
 	struct agent_set set;
 	char *file; /* of the settings */
@@ -129,9 +125,12 @@
 	bool from_platform; /* offers of now come from the platform */
 	bool platform_up;
 	int64_t platform_back; /* it answered again after an outage; 0: never */
+	int64_t platform_lost; /* it did not answer, as far as we know */
 	/* agent_box.c */
 	struct tmr_item boxes_timer, status_timer;
 	struct plat_call *boxes_call, *status_call;
+	bool boxes_wanted; /* the list of boxes has not come yet */
+	bool is_listed; /* the platform lists our box as it is */
 	int boxes_fails, status_fails;
 	int64_t status_at; /* the last status was written; 0: never */
 	uint64_t status_version;
@@ -142,18 +141,17 @@
 	/* agent_push.c */
 	struct tmr_item push_timer;
 	GHashTable *unsent; /* char * key to whether the platform told it */
-	/* agent_greet.c */
-	struct agent_greet greet;
 	/* agent_peer.c */
-	struct tmr_item hello_timer;
-	unsigned rounds;
+	struct gossip *gossip;
+	struct tmr_item gossip_timer;
+	bool settled; /* it was told that the boxes near are known */
 	/* our digest differs from another hall's; 0: it does not */
 	int64_t differs_since;
-	int64_t all_members_sent; /* to another box */
 	/* agent_gate.c */
 	bool told_ready; /* the gate knows that it may serve */
 	uint64_t gate_boot, gate_digest, gate_floor;
 	int64_t gate_heard;
+	int64_t gate_greeted; /* it was told what we have */
 	bool gate_ready;
 	uint64_t members_hash; /* of what the gate was told last */
 	int64_t members_sent;
@@ -183,7 +181,6 @@
 void agent_watch_open(struct agent *);
 void agent_watch_resume(struct agent *);
 bool agent_is_watcher(struct agent *);
-bool agent_watches(struct agent *, const struct memb_info *);
 struct plat_call *
 agent_call(struct agent *, const struct plat_request *, plat_done_fn *, void *);
 void agent_call_ended(struct agent *, enum plat_result);
@@ -191,7 +188,8 @@
 bool agent_first_feed_asks(struct agent *);
 
 /* agent_box.c: the platform's list of boxes, and the status of ours. */
-void agent_box_open(struct agent *);
+void agent_box_list(struct agent *);
+void agent_box_tick(struct agent *);
 void agent_box_resume_calls(struct agent *);
 void agent_box_status_soon(struct agent *);
 
@@ -201,14 +199,13 @@
 
 /* agent_peer.c: what goes between boxes. */
 void agent_peer_open(struct agent *);
+void agent_peer_configure(struct agent *);
 void agent_peer_take(void *, const struct msg *);
 void agent_peer_tick(struct agent *, int64_t now);
+void agent_peer_listed(struct agent *);
 void agent_peer_ready(struct agent *);
 void agent_peer_leave(struct agent *);
-void
-agent_peer_hello(struct agent *, struct str inbox, struct str box, bool asks);
 struct msg agent_peer_hello_of(const struct agent *);
-void agent_peer_send_members(struct agent *, struct str to);
 void agent_peer_blind(struct agent *, bool blind);
 
 /* agent_gate.c: what goes between us and our gate. */
@@ -218,15 +215,9 @@
 void agent_gate_take(struct agent *, const struct msg *);
 void agent_gate_tick(struct agent *, int64_t now);
 
-/* agent_greet.c: the first words with other boxes, after a start. */
-void agent_greet_open(struct agent *);
-void agent_greet_listed(struct agent *);
-void agent_greet_answered(struct agent *);
-
 /* agent_push.c: messages to many boxes. */
 void agent_push_open(struct agent *);
 void agent_push_all(struct agent *, struct msg *);
-void agent_push_hall(struct agent *, struct msg *);
 void agent_push_change(struct agent *, const struct conf_entry *);
 
 /* agent_probe.c: probes of backend servers, and what others found. */
--- a/libgate.h
+++ b/libgate.h
@@ -151,7 +151,9 @@
 	struct route_table *routes;
 	struct tmr_item rebuild;
 	GHashTable *shards; /* char * "service/hall" to struct gate_shard * */
-	GPtrArray *peers; /* struct gate_peer * */
+	GPtrArray *peers; /* struct gate_peer *, hubs of all halls */
+	GHashTable *homes; /* char * "service/hall" to struct home * */
+	bool hub; /* our box is a hub of its hall, and may be home */
 	struct limit_table *caller_limits;
 	GHashTable *callers_of; /* char * rule to struct callers * */
 	GHashTable *rule_limits; /* char * rule to struct limit * */
@@ -192,6 +194,7 @@
 struct gate_peer *
 gate_home(struct gate *, struct str service, struct str hall, bool *self);
 void gate_home_members(struct gate *, const struct msg_members *);
+void gate_home_deal(struct gate *);
 void gate_home_suspect(struct gate *, struct gate_peer *, const char *why);
 void gate_home_heard(struct gate *, struct str inbox);
 void gate_home_tick(struct gate *, int64_t now);
--- a/memb.c
+++ b/memb.c
@@ -9,6 +9,7 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #define XXH_INLINE_ALL
+#include <string.h>
 #include <xxhash.h>
 
 #include "memb.h"
@@ -16,14 +17,27 @@
 /* One question in so many goes to a box that is dead or only listed. */
 enum { ASK_LOST_ONE_IN = 6 };
 
+/* A hall that some member is in. */
+struct hall {
+	struct str name;
+	uint64_t most; /* the greatest power there, of dead boxes too */
+	struct memb_member *hubs[MEMB_HUBS];
+	unsigned nhubs;
+};
+
 struct memb {
-	struct memb_info self;
+	struct memb_member own;
 	GPtrArray *members; /* struct memb_member *, ourselves not among them */
+	GHashTable *by_name; /* struct str * to struct memb_member * of these */
+	GPtrArray *halls; /* struct hall * */
+	int64_t contact; /* monotonic ns of the last word of any box */
+	bool dirty; /* who is a hub has to be found out anew */
 };
 
 static struct memb_member *find(const struct memb *, struct str);
 static struct memb_member *add(struct memb *, struct str);
 static void member_free(void *);
+static void refresh(struct memb *);
 
 void
 memb_info_copy(struct memb_info *to, const struct memb_info *from)
@@ -55,42 +69,84 @@
 	g_free(m);
 }
 
+static void
+hall_free(void *p)
+{
+	struct hall *h = p;
+
+	str_free(&h->name);
+	g_free(h);
+}
+
+static guint
+name_hash(gconstpointer p)
+{
+	const struct str *name = p;
+
+	return (guint)XXH3_64bits(name->p, name->n);
+}
+
+static gboolean
+name_equal(gconstpointer a, gconstpointer b)
+{
+	return str_eq(*(const struct str *)a, *(const struct str *)b);
+}
+
+static uint64_t
+hub_weight(struct str box)
+{
+	return memb_weight(STR_LIT("hub"), box);
+}
+
 struct memb *
 memb_new(const struct memb_info *self)
 {
 	struct memb *mb = g_new0(struct memb, 1);
 
-	memb_info_copy(&mb->self, self);
+	memb_info_copy(&mb->own.info, self);
+	/* Beat 0 stands for never: see memb_told(). */
+	mb->own.info.beat = MAX(self->beat, 1);
+	mb->own.weight = hub_weight(self->box);
 	mb->members = g_ptr_array_new_with_free_func(member_free);
+	mb->by_name = g_hash_table_new(name_hash, name_equal);
+	mb->halls = g_ptr_array_new_with_free_func(hall_free);
+	mb->dirty = true;
 	return mb;
 }
 
 void
 memb_free(struct memb *mb)
 {
-	memb_info_clear(&mb->self);
+	memb_info_clear(&mb->own.info);
+	g_hash_table_destroy(mb->by_name);
 	g_ptr_array_free(mb->members, TRUE);
+	g_ptr_array_free(mb->halls, TRUE);
 	g_free(mb);
 }
 
 struct memb_info *
 memb_self(struct memb *mb)
 {
-	return &mb->self;
+	return &mb->own.info;
+}
+
+void
+memb_changed(struct memb *mb)
+{
+	mb->own.info.beat++;
+	mb->dirty = true;
 }
 
 static struct memb_member *
 find(const struct memb *mb, struct str box)
 {
-	struct memb_member *m;
-	guint i;
+	return g_hash_table_lookup(mb->by_name, &box);
+}
 
-	for (i = 0; i < mb->members->len; i++) {
-		m = g_ptr_array_index(mb->members, i);
-		if (str_eq(m->info.box, box))
-			return m;
-	}
-	return NULL;
+const struct memb_member *
+memb_find(const struct memb *mb, struct str box)
+{
+	return find(mb, box);
 }
 
 static struct memb_member *
@@ -100,10 +156,178 @@
 	struct memb_info empty = {.box = box};
 
 	memb_info_copy(&m->info, &empty);
+	m->weight = hub_weight(box);
+	m->rank = -1;
 	g_ptr_array_add(mb->members, m);
+	g_hash_table_insert(mb->by_name, &m->info.box, m);
+	mb->dirty = true;
 	return m;
 }
 
+static void
+forget(struct memb *mb, guint at)
+{
+	struct memb_member *m = g_ptr_array_index(mb->members, at);
+
+	g_hash_table_remove(mb->by_name, &m->info.box);
+	g_ptr_array_remove_index_fast(mb->members, at);
+	mb->dirty = true;
+}
+
+/* Who is a hub. */
+
+static struct hall *
+hall_of(struct memb *mb, struct str name)
+{
+	struct hall *h;
+	guint i;
+
+	for (i = 0; i < mb->halls->len; i++) {
+		h = g_ptr_array_index(mb->halls, i);
+		if (str_eq(h->name, name))
+			return h;
+	}
+	h = g_new0(struct hall, 1);
+	h->name = str_dup(name);
+	g_ptr_array_add(mb->halls, h);
+	return h;
+}
+
+static bool
+is_alive(const struct memb *mb, const struct memb_member *m)
+{
+	return m == &mb->own ? !m->info.leaving : memb_alive(m);
+}
+
+/* Put a strong box in its place among the first of its hall. */
+static void
+enter_hub(struct hall *h, struct memb_member *m)
+{
+	unsigned at = h->nhubs;
+
+	while (at > 0 && h->hubs[at - 1]->weight < m->weight)
+		at--;
+	if (at == MEMB_HUBS)
+		return;
+	if (h->nhubs < MEMB_HUBS)
+		h->nhubs++;
+	memmove(&h->hubs[at + 1], &h->hubs[at],
+	    (h->nhubs - 1 - at) * sizeof(h->hubs[0]));
+	h->hubs[at] = m;
+}
+
+static void
+measure(struct memb *mb, const struct memb_member *m)
+{
+	struct hall *h = hall_of(mb, m->info.hall);
+
+	h->most = MAX(h->most, m->info.power);
+}
+
+static void
+judge(struct memb *mb, struct memb_member *m)
+{
+	struct hall *h = hall_of(mb, m->info.hall);
+
+	m->rank = -1;
+	m->strong = m->info.power * MEMB_STRONG_RATIO >= h->most;
+	if (!is_alive(mb, m))
+		return;
+	m->was_hub = false;
+	if (m->strong)
+		enter_hub(h, m);
+}
+
+static void
+number_hubs(struct hall *h)
+{
+	unsigned i;
+
+	for (i = 0; i < h->nhubs; i++) {
+		h->hubs[i]->rank = (int)i;
+		h->hubs[i]->was_hub = true;
+	}
+}
+
+/* Find out anew who is a hub, after members have changed. */
+static void
+refresh(struct memb *mb)
+{
+	struct hall *h;
+	guint i;
+
+	if (!mb->dirty)
+		return;
+	mb->dirty = false;
+	for (i = 0; i < mb->halls->len; i++) {
+		h = g_ptr_array_index(mb->halls, i);
+		h->most = h->nhubs = 0;
+	}
+	measure(mb, &mb->own);
+	for (i = 0; i < mb->members->len; i++)
+		measure(mb, g_ptr_array_index(mb->members, i));
+	judge(mb, &mb->own);
+	for (i = 0; i < mb->members->len; i++)
+		judge(mb, g_ptr_array_index(mb->members, i));
+	for (i = 0; i < mb->halls->len; i++)
+		number_hubs(g_ptr_array_index(mb->halls, i));
+}
+
+bool
+memb_is_hub(struct memb *mb, struct str box)
+{
+	const struct memb_member *m = find(mb, box);
+
+	refresh(mb);
+	if (str_eq(box, mb->own.info.box))
+		return mb->own.rank >= 0;
+	return m != NULL && m->rank >= 0;
+}
+
+size_t
+memb_count_hubs(struct memb *mb)
+{
+	size_t n = 0;
+	guint i;
+
+	refresh(mb);
+	for (i = 0; i < mb->halls->len; i++)
+		n += ((struct hall *)g_ptr_array_index(mb->halls, i))->nhubs;
+	return n;
+}
+
+size_t
+memb_hubs(
+    struct memb *mb, struct str hall, const struct memb_info *out[MEMB_HUBS])
+{
+	const struct hall *h;
+	unsigned i;
+
+	refresh(mb);
+	h = hall_of(mb, hall);
+	for (i = 0; i < h->nhubs; i++)
+		out[i] = &h->hubs[i]->info;
+	return h->nhubs;
+}
+
+static bool
+is_near(const struct memb *mb, const struct memb_member *m)
+{
+	return str_eq(m->info.hall, mb->own.info.hall);
+}
+
+bool
+memb_concerns(
+    struct memb *mb, const struct memb_member *to, const struct memb_member *m)
+{
+	refresh(mb);
+	if (m->rank >= 0 || m->was_hub || to == NULL)
+		return true;
+	return to->rank >= 0 && str_eq(to->info.hall, m->info.hall);
+}
+
+/* What is heard, and what is passed on. */
+
 /* Every news reaches all with near certainty after so many tellings. */
 static unsigned
 tellings(const struct memb *mb)
@@ -126,12 +350,15 @@
 static bool
 refute(struct memb *mb, const struct memb_info *info)
 {
-	if (info->boot > mb->self.boot)
-		mb->self.boot = info->boot + 1;
-	else if (info->boot < mb->self.boot || !info->dead ||
-	    info->beat < mb->self.beat)
+	struct memb_info *self = &mb->own.info;
+
+	if (info->boot > self->boot)
+		self->boot = info->boot + 1;
+	else if (info->boot < self->boot || !info->dead ||
+	    info->beat < self->beat)
 		return false;
-	mb->self.beat = MAX(mb->self.beat, info->beat) + 1;
+	self->beat = MAX(self->beat, info->beat);
+	memb_changed(mb);
 	return true;
 }
 
@@ -146,7 +373,7 @@
 
 	if (info->box.n == 0)
 		return false;
-	if (str_eq(info->box, mb->self.box))
+	if (str_eq(info->box, mb->own.info.box))
 		return refute(mb, info);
 	m = find(mb, info->box);
 	if (m == NULL && info->dead)
@@ -160,11 +387,16 @@
 			(info->beat == m->info.beat &&
 			    badness(info) <= badness(&m->info))))))
 		return false;
+	/* A new start has heard nothing of us. */
+	if (info->boot != m->info.boot)
+		m->told = 0;
 	memb_info_clear(&m->info);
 	memb_info_copy(&m->info, info);
+	m->by_us = m->in_doubt = false;
 	m->heard = now;
 	m->asked = 0;
 	m->untold = tellings(mb);
+	mb->dirty = true;
 	return true;
 }
 
@@ -177,48 +409,122 @@
 		m->asked = now;
 }
 
+static void
+revive(struct memb *mb, struct memb_member *m)
+{
+	m->info.dead = m->by_us = m->in_doubt = false;
+	mb->dirty = true;
+}
+
+/* The first word after a while in which nobody spoke to us. */
+static void
+end_isolation(struct memb *mb)
+{
+	struct memb_member *m;
+	guint i;
+
+	memb_paused(mb);
+	for (i = 0; i < mb->members->len; i++) {
+		m = g_ptr_array_index(mb->members, i);
+		if (m->in_doubt)
+			revive(mb, m);
+	}
+}
+
 void
-memb_answered(struct memb *mb, struct str box)
+memb_answered(struct memb *mb, struct str box, int64_t now)
+{
+	struct memb_member *m = find(mb, box);
+
+	if (now - mb->contact > MEMB_ANSWER_NS)
+		end_isolation(mb);
+	mb->contact = now;
+	if (m == NULL)
+		return;
+	m->asked = 0;
+	if (m->info.dead && m->by_us)
+		revive(mb, m);
+}
+
+void
+memb_told(struct memb *mb, struct str box)
 {
 	struct memb_member *m = find(mb, box);
 
 	if (m != NULL)
-		m->asked = 0;
+		m->told = mb->own.info.beat;
 }
 
 static bool
-may_ask(const struct memb_member *m, struct str hall, bool lost)
+may_ask(const struct memb *mb, const struct memb_member *m, enum memb_who who,
+    bool lost)
 {
-	if (m->info.inbox.n == 0 || m->info.leaving)
-		return false;
-	if (hall.n > 0 && !str_eq(hall, m->info.hall))
+	bool hub = lost ? m->strong : m->rank >= 0;
+
+	if (m->info.inbox.n == 0 || m->info.leaving ||
+	    lost != (m->info.dead || m->heard == 0))
 		return false;
-	return lost == (m->info.dead || m->heard == 0);
+	if (is_near(mb, m))
+		return hub ? who == MEMB_NEAR_HUB : who == MEMB_NEAR_LEAF;
+	return hub && who == MEMB_FAR_HUB;
 }
 
-const struct memb_member *
-memb_ask_next(const struct memb *mb, const struct rnd *rnd, struct str hall)
+static const struct memb_member *
+ask_any(
+    const struct memb *mb, const struct rnd *rnd, enum memb_who who, bool lost)
 {
 	const struct memb_member *m, *chosen = NULL;
-	bool lost = rnd_below(rnd, ASK_LOST_ONE_IN) == 0;
 	unsigned seen = 0;
 	guint i;
 
 	for (i = 0; i < mb->members->len; i++) {
 		m = g_ptr_array_index(mb->members, i);
-		if (may_ask(m, hall, lost) && rnd_below(rnd, ++seen) == 0)
-			chosen = m;
-	}
-	if (chosen != NULL || !lost)
-		return chosen;
-	for (i = 0; i < mb->members->len; i++) {
-		m = g_ptr_array_index(mb->members, i);
-		if (may_ask(m, hall, false) && rnd_below(rnd, ++seen) == 0)
+		if (may_ask(mb, m, who, lost) && rnd_below(rnd, ++seen) == 0)
 			chosen = m;
 	}
 	return chosen;
 }
 
+const struct memb_member *
+memb_ask_next(struct memb *mb, const struct rnd *rnd, enum memb_who who)
+{
+	bool lost = rnd_below(rnd, ASK_LOST_ONE_IN) == 0;
+	const struct memb_member *chosen;
+
+	refresh(mb);
+	chosen = ask_any(mb, rnd, who, lost);
+	if (chosen == NULL)
+		chosen = ask_any(mb, rnd, who, !lost);
+	return chosen;
+}
+
+size_t
+memb_ask_dark(struct memb *mb, const struct rnd *rnd,
+    const struct memb_member **out, size_t n)
+{
+	const struct memb_member *m;
+	const struct hall *h;
+	guint at, i, j, got = 0;
+
+	refresh(mb);
+	for (i = 0; i < mb->halls->len && got < n && mb->members->len > 0;
+	     i++) {
+		h = g_ptr_array_index(mb->halls, i);
+		at = (guint)rnd_below(rnd, mb->members->len);
+		for (j = 0; j < mb->members->len && h->nhubs == 0; j++) {
+			m = g_ptr_array_index(
+			    mb->members, (at + j) % mb->members->len);
+			if (!str_eq(m->info.hall, h->name) ||
+			    (!may_ask(mb, m, MEMB_NEAR_HUB, true) &&
+				!may_ask(mb, m, MEMB_FAR_HUB, true)))
+				continue;
+			out[got++] = m;
+			break;
+		}
+	}
+	return got;
+}
+
 void
 memb_list_begin(struct memb *mb)
 {
@@ -236,7 +542,7 @@
 {
 	struct memb_member *m;
 
-	if (str_eq(info->box, mb->self.box))
+	if (str_eq(info->box, mb->own.info.box))
 		return;
 	m = find(mb, info->box);
 	if (m == NULL)
@@ -250,6 +556,26 @@
 	m->info.inbox = str_dup(info->inbox);
 	m->info.power = info->power;
 	m->info.leaving = info->leaving;
+	mb->dirty = true;
+}
+
+static bool
+is_overdue(const struct memb_member *m, int64_t now)
+{
+	return m->asked != 0 && now - m->asked > MEMB_ANSWER_NS &&
+	    !m->info.dead;
+}
+
+static void
+find_dead(struct memb *mb, struct memb_member *m, int64_t now)
+{
+	m->by_us = true;
+	m->in_doubt = mb->contact <= m->asked;
+	m->info.dead = true;
+	m->asked = 0;
+	m->heard = now;
+	m->untold = is_near(mb, m) && !m->in_doubt ? tellings(mb) : 0;
+	mb->dirty = true;
 }
 
 bool
@@ -261,17 +587,13 @@
 
 	for (i = mb->members->len; i-- > 0;) {
 		m = g_ptr_array_index(mb->members, i);
-		if (m->asked != 0 && now - m->asked > MEMB_ANSWER_NS &&
-		    !m->info.dead) {
-			m->info.dead = true;
-			m->asked = 0;
-			m->heard = now;
-			m->untold = tellings(mb);
+		if (is_overdue(m, now)) {
+			find_dead(mb, m, now);
 			died = true;
 		}
 		if (!m->listed && (m->info.dead || m->info.leaving) &&
 		    now - m->heard > MEMB_FORGET_NS)
-			g_ptr_array_remove_index_fast(mb->members, i);
+			forget(mb, i);
 	}
 	return died;
 }
@@ -314,127 +636,187 @@
 	return n;
 }
 
-uint64_t
-memb_weight(struct str key, struct str box)
+size_t
+memb_count_hall(const struct memb *mb, struct str hall)
 {
-	return XXH3_64bits_withSeed(key.p, key.n, XXH3_64bits(box.p, box.n));
+	const struct memb_member *m;
+	size_t n = str_eq(hall, mb->own.info.hall);
+	guint i;
+
+	for (i = 0; i < mb->members->len; i++) {
+		m = g_ptr_array_index(mb->members, i);
+		n += memb_alive(m) && str_eq(m->info.hall, hall);
+	}
+	return n;
 }
 
-bool
-memb_is_first(const struct memb *mb, struct str key, struct str hall, int k)
+/* What of a member others have to know as well. */
+static uint64_t
+digest(const struct memb_member *m)
 {
-	return memb_ranks_first(mb, &mb->self, key, hall, k, false);
+	uint64_t state = m->info.boot * 2 + m->info.ready;
+
+	return XXH3_64bits_withSeed(&m->weight, sizeof(m->weight), state);
 }
 
-/* Those that come before a box in a ranking, and all that are in it. */
-struct ranking {
-	const struct memb_info *who;
-	struct str key, hall;
-	bool seeing; /* only those that the platform answers */
-	bool by_power; /* the strong ones first */
-	uint64_t strong; /* so much power counts as strong */
-	uint64_t own;
-	int before, all, nstrong;
-};
+uint64_t
+memb_digest_hubs(struct memb *mb)
+{
+	const struct hall *h;
+	uint64_t sum = 0;
+	guint i, j;
 
-typedef void rank_fn(struct ranking *, const struct memb_info *);
+	refresh(mb);
+	for (i = 0; i < mb->halls->len; i++) {
+		h = g_ptr_array_index(mb->halls, i);
+		for (j = 0; j < h->nhubs; j++)
+			sum += digest(h->hubs[j]);
+	}
+	return sum;
+}
 
-static bool
-is_ranked(const struct ranking *rk, const struct memb_info *info)
+uint64_t
+memb_digest_hall(const struct memb *mb)
 {
-	return !info->leaving && !(rk->seeing && info->blind) &&
-	    (rk->hall.n == 0 || str_eq(rk->hall, info->hall));
+	const struct memb_member *m;
+	uint64_t sum = digest(&mb->own);
+	guint i;
+
+	for (i = 0; i < mb->members->len; i++) {
+		m = g_ptr_array_index(mb->members, i);
+		if (memb_alive(m) && is_near(mb, m))
+			sum += digest(m);
+	}
+	return sum;
 }
 
-static void
-find_strong(struct ranking *rk, const struct memb_info *info)
+/* Gates known to serve in a hall. */
+static uint64_t
+count_serving(const struct memb *mb, struct str hall)
 {
-	rk->strong = MAX(rk->strong, info->power / MEMB_STRONG_RATIO);
+	const struct memb_member *m;
+	uint64_t n = mb->own.info.ready && str_eq(mb->own.info.hall, hall);
+	guint i;
+
+	for (i = 0; i < mb->members->len; i++) {
+		m = g_ptr_array_index(mb->members, i);
+		n += memb_alive(m) && m->info.ready &&
+		    str_eq(m->info.hall, hall);
+	}
+	return n;
 }
 
-static bool
-comes_before(const struct ranking *rk, const struct memb_info *info)
+uint64_t
+memb_count_serving(const struct memb *mb)
 {
-	bool strong = info->power >= rk->strong;
-
-	if (rk->by_power && strong != (rk->who->power >= rk->strong))
-		return strong;
-	return memb_weight(rk->key, info->box) > rk->own;
+	return count_serving(mb, mb->own.info.hall);
 }
 
-static void
-rank(struct ranking *rk, const struct memb_info *info)
+/* The same, or as its hubs tell. */
+static uint64_t
+serving(const struct memb *mb, const struct hall *h)
 {
-	rk->all++;
-	rk->nstrong += info->power >= rk->strong;
-	rk->before += info != rk->who && comes_before(rk, info);
+	uint64_t n = count_serving(mb, h->name);
+	unsigned i;
+
+	for (i = 0; i < h->nhubs; i++)
+		if (h->hubs[i] != &mb->own)
+			n = MAX(n, h->hubs[i]->info.crowd);
+	return n;
 }
 
-static void
-rank_each(const struct memb *mb, struct ranking *rk, rank_fn *fn)
+uint64_t
+memb_fleet(struct memb *mb)
 {
-	const struct memb_member *m;
+	uint64_t n = !mb->own.info.ready;
 	guint i;
 
-	if (is_ranked(rk, &mb->self))
-		fn(rk, &mb->self);
-	for (i = 0; i < mb->members->len; i++) {
-		m = g_ptr_array_index(mb->members, i);
-		if (memb_alive(m) && is_ranked(rk, &m->info))
-			fn(rk, &m->info);
-	}
+	refresh(mb);
+	for (i = 0; i < mb->halls->len; i++)
+		n += serving(mb, g_ptr_array_index(mb->halls, i));
+	return n;
 }
 
-static void
-rank_all(const struct memb *mb, struct ranking *rk)
+/* Rankings among hubs. */
+
+uint64_t
+memb_weight(struct str key, struct str box)
 {
-	rk->own = memb_weight(rk->key, rk->who->box);
-	if (rk->by_power)
-		rank_each(mb, rk, find_strong);
-	rank_each(mb, rk, rank);
+	return XXH3_64bits_withSeed(key.p, key.n, XXH3_64bits(box.p, box.n));
 }
 
 bool
-memb_ranks_first(const struct memb *mb, const struct memb_info *who,
-    struct str key, struct str hall, int k, bool by_power)
+memb_is_first(struct memb *mb, struct str key, struct str hall, int k)
 {
-	struct ranking rk = {
-	    .who = who, .key = key, .hall = hall, .by_power = by_power};
+	uint64_t own = memb_weight(key, mb->own.info.box);
+	const struct hall *h;
+	int before = 0;
+	unsigned i, j;
 
-	if (who->leaving || (hall.n > 0 && !str_eq(hall, who->hall)))
+	refresh(mb);
+	if (mb->own.rank < 0 ||
+	    (hall.n > 0 && !str_eq(hall, mb->own.info.hall)))
 		return false;
-	rank_all(mb, &rk);
-	return rk.before < k;
+	for (i = 0; i < mb->halls->len; i++) {
+		h = g_ptr_array_index(mb->halls, i);
+		if (hall.n > 0 && !str_eq(hall, h->name))
+			continue;
+		for (j = 0; j < h->nhubs; j++)
+			before += h->hubs[j] != &mb->own &&
+			    memb_weight(key, h->hubs[j]->info.box) > own;
+	}
+	return before < k;
 }
 
-int
-memb_rank_seeing(const struct memb *mb, const struct memb_info *who,
-    struct str key, struct str hall, int *strong)
+static bool
+watches_before(const struct memb_member *a, const struct memb_member *b)
 {
-	struct ranking rk = {.who = who,
-	    .key = key,
-	    .hall = hall,
-	    .seeing = true,
-	    .by_power = true};
+	return a->rank != b->rank ? a->rank < b->rank : a->weight > b->weight;
+}
 
-	rank_all(mb, &rk);
-	*strong = rk.nstrong;
-	return rk.before;
+/* Hubs that come before a box; of these, those that the platform answers. */
+static int
+count_before(struct memb *mb, const struct memb_member *m, int *seeing)
+{
+	const struct hall *h;
+	int before = 0;
+	unsigned i, j;
+
+	*seeing = 0;
+	for (i = 0; i < mb->halls->len; i++) {
+		h = g_ptr_array_index(mb->halls, i);
+		for (j = 0; j < h->nhubs; j++) {
+			if (!watches_before(h->hubs[j], m))
+				continue;
+			before++;
+			*seeing += !h->hubs[j]->info.blind;
+		}
+	}
+	return before;
 }
 
 bool
-memb_ranks_first_seeing(const struct memb *mb, const struct memb_info *who,
-    struct str key, struct str hall, int k)
+memb_watches(struct memb *mb, struct str box, int k)
 {
-	struct ranking rk = {
-	    .who = who, .key = key, .hall = hall, .seeing = true};
+	const struct memb_member *m = find(mb, box);
+	int before, seeing;
 
-	if (who->leaving || (hall.n > 0 && !str_eq(hall, who->hall)))
+	refresh(mb);
+	if (str_eq(box, mb->own.info.box))
+		m = &mb->own;
+	if (m == NULL || m->rank < 0)
 		return false;
-	rank_all(mb, &rk);
-	if (!who->blind && rk.before < k)
-		return true;
-	return rk.all < k && memb_ranks_first(mb, who, key, hall, k, false);
+	before = count_before(mb, m, &seeing);
+	return before < k || (!m->info.blind && seeing < MEMB_SEEING_MIN);
+}
+
+int
+memb_watch_rank(struct memb *mb)
+{
+	int seeing;
+
+	refresh(mb);
+	return mb->own.rank < 0 ? -1 : count_before(mb, &mb->own, &seeing);
 }
 
 size_t
@@ -452,13 +834,13 @@
 	at = (guint)rnd_below(rnd, len);
 	for (i = 0; i < len && got < n; i++) {
 		m = g_ptr_array_index(mb->members, (at + i) % len);
-		if (m->untold == 0 || m == own)
+		if (m->untold == 0 || m == own || !memb_concerns(mb, own, m))
 			continue;
 		m->untold--;
 		out[got++] = m;
 	}
 	m = g_ptr_array_index(mb->members, at);
-	if (got == 0 && m->heard != 0 && m != own)
+	if (got == 0 && m->heard != 0 && m != own && memb_concerns(mb, own, m))
 		out[got++] = m;
 	return got;
 }
--- a/memb.h
+++ b/memb.h
@@ -23,8 +23,13 @@
  * tell of each other.  A box counts as alive from its first word until it
  * says that it leaves, or until some box that asked it got no answer and
  * tells so.  A box that hears itself told as dead refutes that with a higher
- * beat.  At rest nothing is told but questions and answers, so that the cost
- * does not grow with the fleet.  No I/O is done here.
+ * beat.  No I/O is done here.
+ *
+ * The first few strong boxes of a hall are its hubs.  Hubs know all boxes of
+ * their hall and the hubs of all halls; the other boxes, the leaves, know hubs
+ * only.  So what a leaf holds and hears does not grow with the fleet, and what
+ * a hub does grows with its hall.  Which boxes are hubs follows from who is
+ * alive; boxes that see others may differ for a moment.
  */
 
 #define MEMB_ANSWER_NS (3 * NS_S) /* time to answer before it is told dead */
@@ -32,7 +37,14 @@
 
 enum {
 	MEMB_POWER_UNIT = 1000, /* the power of a whole processor */
-	MEMB_STRONG_RATIO = 2 /* strong: half the greatest power, or more */
+	MEMB_STRONG_RATIO = 2, /* strong: half the greatest power, or more */
+	/*
+	 * Hubs of a hall: so many that the loss of half of them leaves some
+	 * to share its services, and that all boxes of a small hall are hubs.
+	 */
+	MEMB_HUBS = 6,
+	/* So many of those that watch the platform should be answered by it. */
+	MEMB_SEEING_MIN = 2
 };
 
 /* What a box tells about itself. */
@@ -45,6 +57,7 @@
 	uint64_t boot; /* start of its agent, ms since 1970 */
 	uint64_t beat; /* counts up with each change of its word */
 	uint64_t power; /* its share of a processor, in thousandths */
+	uint64_t crowd; /* gates that serve in its hall, as far as it knows */
 	bool dead; /* told by a box that got no answer */
 	bool leaving;
 	bool ready; /* its gate serves */
@@ -57,29 +70,57 @@
 	int64_t asked; /* monotonic ns of a question without answer; 0: none */
 	unsigned untold; /* how often this news is still to be passed on */
 	bool listed; /* on the platform's list */
+	uint64_t told; /* the beat of ours that was sent to it last */
+	/* The rest is memb.c's own. */
+	uint64_t weight; /* the order among strong boxes */
+	bool strong; /* by the most powerful box of its hall */
+	bool was_hub; /* in its present state, or before it died or left */
+	bool by_us; /* it was we who found it dead */
+	bool in_doubt; /* and nobody spoke to us then */
+	int rank; /* hubs of its hall before it; -1: it is none */
 };
 
+/* Whom a box may ask. */
+enum memb_who { MEMB_NEAR_HUB, MEMB_NEAR_LEAF, MEMB_FAR_HUB };
+
 struct memb;
 
 struct memb *memb_new(const struct memb_info *self);
 void memb_free(struct memb *);
 
-/* The box's own entry, to be changed in place by its owner. */
+/*
+ * The box's own entry.  Whoever changes it calls memb_changed() then, so that
+ * the others take the new word.
+ */
 struct memb_info *memb_self(struct memb *);
+void memb_changed(struct memb *);
 
 /* A box was heard of.  True if this tells something new. */
 bool memb_heard(struct memb *, const struct memb_info *, int64_t now);
 
-/* A box was asked; it answered, or told something by itself. */
+/*
+ * A box was asked; it answered, or told something by itself, and lives if it
+ * was we who found it dead.
+ */
 void memb_asked(struct memb *, struct str box, int64_t now);
-void memb_answered(struct memb *, struct str box);
+void memb_answered(struct memb *, struct str box, int64_t now);
+
+/* A box was sent our own word. */
+void memb_told(struct memb *, struct str box);
 
 /*
- * Whom to ask next: any box (hall empty) or one of a hall, at random; now and
- * then one that is dead or only listed, as it may be back.  NULL if none.
+ * Whom to ask next, at random; now and then one that is dead or only listed,
+ * as it may be back.  NULL if none.
  */
 const struct memb_member *
-memb_ask_next(const struct memb *, const struct rnd *, struct str hall);
+memb_ask_next(struct memb *, const struct rnd *, enum memb_who);
+
+/*
+ * One box, dead or only listed, of each hall of which no hub is alive; n at
+ * most.  They may be back, or we are.
+ */
+size_t memb_ask_dark(
+    struct memb *, const struct rnd *, const struct memb_member **, size_t n);
 
 /* The platform's list names a box; those not named since begin are unlisted. */
 void memb_list_begin(struct memb *);
@@ -88,6 +129,12 @@
 /*
  * Time passes: boxes that did not answer are dead, and those that are dead
  * for long and not listed are forgotten.  True if somebody died.
+ *
+ * Where nobody has spoken to us since we asked, it may be we that are cut off:
+ * such deaths are not told, and forgotten with the next word of any box.  A
+ * death in another hall is kept to ourselves as well: the boxes of that hall
+ * know better, and a hall that was cut off would tell all others dead when it
+ * is back.
  */
 bool memb_tick(struct memb *, int64_t now);
 
@@ -102,40 +149,65 @@
 
 size_t memb_count_alive(const struct memb *);
 
+/* Boxes that are alive in a hall, ours among them; and how many serve. */
+size_t memb_count_hall(const struct memb *, struct str hall);
+
 /*
- * Is our box among the k that come first for a key, by highest random
- * weight over the boxes of `hall` that are alive (of all, if hall is empty)?
- * Needs no agreement: boxes that see other lists may both think so.
+ * Numbers that are equal where two boxes know the same hubs, or the same boxes
+ * of one hall, each in its present start and state.
  */
-bool memb_is_first(const struct memb *, struct str key, struct str hall, int k);
+uint64_t memb_digest_hubs(struct memb *);
+uint64_t memb_digest_hall(const struct memb *);
+
+/* Gates that serve in our hall, as far as we know ourselves. */
+uint64_t memb_count_serving(const struct memb *);
+
+/* Gates that serve in the fleet, ours counted, as far as hubs have told. */
+uint64_t memb_fleet(struct memb *);
+
+/* Is a box, ours or another one, a hub of its hall? */
+bool memb_is_hub(struct memb *, struct str box);
+
+/* Hubs alive in all halls, ours among them if it is one. */
+size_t memb_count_hubs(struct memb *);
+
+/* The hubs of a hall in their order; how many there are. */
+size_t
+memb_hubs(struct memb *, struct str hall, const struct memb_info *[MEMB_HUBS]);
 
 /*
- * The same of any box, ours or another one that is alive; with by_power, the
- * strong boxes of the hall come first.
+ * Must a box know of a member?  Hubs are everybody's concern; leaves are that
+ * of the hubs of their hall.
  */
-bool memb_ranks_first(const struct memb *, const struct memb_info *,
-    struct str key, struct str hall, int k, bool by_power);
+bool memb_concerns(
+    struct memb *, const struct memb_member *to, const struct memb_member *);
+
+const struct memb_member *memb_find(const struct memb *, struct str box);
 
 /*
- * How many boxes of a hall that the platform answers come before a box, the
- * strong ones first; and how many of these there are.
+ * Is our box among the k hubs that come first for a key, by highest random
+ * weight over the hubs of `hall` that are alive (of all, if hall is empty)?
+ * Needs no agreement: boxes that see other lists may both think so.
  */
-int memb_rank_seeing(const struct memb *, const struct memb_info *,
-    struct str key, struct str hall, int *strong);
+bool memb_is_first(struct memb *, struct str key, struct str hall, int k);
 
 /*
- * The same among those that the platform answers; where these are fewer than
- * k, a box that is first among all is first here too.
+ * Is a box one of the k that watch the platform for the fleet?  The first hub
+ * of each hall goes before the second of any.  Where the platform answers too
+ * few of these, the next hubs that it answers watch as well.
  */
-bool memb_ranks_first_seeing(const struct memb *, const struct memb_info *,
-    struct str key, struct str hall, int k);
+bool memb_watches(struct memb *, struct str box, int k);
+
+/* How many hubs come before ours in that order; -1 if ours is no hub. */
+int memb_watch_rank(struct memb *);
 
 /* The weight of a box for a key, as memb_is_first() ranks them. */
 uint64_t memb_weight(struct str key, struct str box);
 
 /*
  * Up to n members worth passing on to a box: what is held of that box itself
- * if that is not its own word, then news, then one at random.
+ * if that is not its own word, then news, then one at random; only such as
+ * concern it.
  */
 size_t memb_news(struct memb *, const struct rnd *, struct str to,
     const struct memb_member **, size_t n);
--- a/msg.c
+++ b/msg.c
@@ -64,8 +64,8 @@
 static const struct msg_field info_fields[] = {STR(memb_info, box),
     STR(memb_info, hall), STR(memb_info, inbox), STR(memb_info, pass),
     STR(memb_info, gate_inbox), U64(memb_info, boot), U64(memb_info, beat),
-    U64(memb_info, power), BOOL(memb_info, dead), BOOL(memb_info, leaving),
-    BOOL(memb_info, ready), BOOL(memb_info, blind)};
+    U64(memb_info, power), U64(memb_info, crowd), BOOL(memb_info, dead),
+    BOOL(memb_info, leaving), BOOL(memb_info, ready), BOOL(memb_info, blind)};
 static const struct shape info_shape = SHAPE(memb_info, info_fields);
 
 static const struct msg_field u64_fields[] = {U64(msg_u64, v)};
@@ -92,10 +92,11 @@
     STR(msg_hello, self.hall), STR(msg_hello, self.inbox),
     STR(msg_hello, self.pass), STR(msg_hello, self.gate_inbox),
     U64(msg_hello, self.boot), U64(msg_hello, self.beat),
-    U64(msg_hello, self.power), BOOL(msg_hello, self.dead),
-    BOOL(msg_hello, self.leaving), BOOL(msg_hello, self.ready),
-    BOOL(msg_hello, self.blind), U64(msg_hello, digest), U64(msg_hello, floor),
-    U64(msg_hello, members), BOOL(msg_hello, asks),
+    U64(msg_hello, self.power), U64(msg_hello, self.crowd),
+    BOOL(msg_hello, self.dead), BOOL(msg_hello, self.leaving),
+    BOOL(msg_hello, self.ready), BOOL(msg_hello, self.blind),
+    U64(msg_hello, digest), U64(msg_hello, floor), U64(msg_hello, hubs),
+    U64(msg_hello, near), BOOL(msg_hello, asks),
     LIST(msg_hello, others, info_shape)};
 static const struct msg_field buckets_fields[] = {
     LIST(msg_buckets, digests, u64_shape)};
@@ -105,7 +106,8 @@
 static const struct msg_field objects_fields[] = {
     LIST(msg_objects, objects, object_shape)};
 static const struct msg_field members_fields[] = {
-    LIST(msg_members, members, info_shape)};
+    LIST(msg_members, members, info_shape), U64(msg_members, fleet),
+    BOOL(msg_members, hub)};
 static const struct msg_field gate_fields[] = {STR(msg_gate, box),
     U64(msg_gate, boot), U64(msg_gate, digest), U64(msg_gate, floor),
     U64(msg_gate, objects), BOOL(msg_gate, leaving), BOOL(msg_gate, ready)};
--- a/msg.h
+++ b/msg.h
@@ -30,7 +30,7 @@
 	MSG_VERSIONS, /* versions of all objects in some buckets */
 	MSG_WANT, /* please send these objects */
 	MSG_OBJECTS, /* objects */
-	MSG_MEMBERS, /* agent to its gate: the boxes that are alive */
+	MSG_MEMBERS, /* boxes that are alive; to a gate: the hubs */
 	MSG_GATE, /* gate to its agent: what the gate has */
 	MSG_HEALTH, /* what probes found */
 	MSG_SUMMARY, /* home to home: room for a service in a hall */
@@ -49,7 +49,8 @@
 	struct memb_info self;
 	uint64_t digest;
 	uint64_t floor;
-	uint64_t members; /* how many the sender knows */
+	uint64_t hubs; /* memb_digest_hubs() of the sender */
+	uint64_t near; /* memb_digest_hall() */
 	bool asks; /* an answer is wanted */
 	struct msg_list others; /* struct memb_info */
 };
@@ -97,6 +98,8 @@
 
 struct msg_members {
 	struct msg_list members; /* struct memb_info */
+	uint64_t fleet; /* to a gate: gates that serve, of all halls */
+	bool hub; /* to a gate: its box is a hub */
 };
 
 struct msg_gate {
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -74,7 +74,8 @@
 	std::string ip = own_ip();
 	std::string dir, file;
 	std::string of_gate; /* settings of the gate beside the usual ones */
-	std::string of_bounds; /* bounds of the platform beside the usual ones */
+	std::string
+	    of_bounds; /* bounds of the platform beside the usual ones */
 	Objects platform{ip + ":9000"};
 	Process box;
 
@@ -175,6 +176,20 @@
 		return box.read_log().find(text) != std::string::npos;
 	}
 
+	/* How many versions of an object have come into force since a start. */
+	size_t in_force(const std::string &key)
+	{
+		std::string log = box.read_log();
+		std::string line = "msg=\"in force\" key=" + key + " ";
+		size_t at = log.rfind("part=gate msg=\"started\""), n = 0;
+
+		while ((at = log.find(line, at)) != std::string::npos) {
+			at += line.size();
+			n++;
+		}
+		return n;
+	}
+
 	size_t ran(int from, int to)
 	{
 		size_t n = 0;
@@ -371,14 +386,14 @@
 	w.enter(2, "draining");
 	w.box.start();
 	ASSERT_TRUE(until([&] { return w.ready(); }));
-	size_t before = w.ran(0, 1);
+	/* Rules and backend servers are caught up with each by itself. */
 	EXPECT_TRUE(until(
 	    [&] {
 		    w.ask("/look/1");
-		    return w.ran(3, 3) > 0;
+		    return w.ran(3, 3) > 0 && w.in_force("backend/i-2") > 1;
 	    },
 	    2000));
-	before = w.ran(0, 2);
+	size_t before = w.ran(0, 2);
 	for (int i = 0; i < 10; i++)
 		EXPECT_EQ(200, w.ask("/look/1").status);
 	EXPECT_EQ(before, w.ran(0, 2));
--- /dev/null
+++ b/regress/test_gossip.cpp
@@ -0,0 +1,700 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+/*
+ * How the boxes of a large fleet come to know each other, in virtual time: the
+ * real membership and choice of homes, over a network with delays, on boxes of
+ * which most have a tenth of a processor, with a store whose lists are stale.
+ * What is looked at is how soon all gates name the same homes, and what that
+ * costs each box.
+ */
+#include <algorithm>
+#include <functional>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "gossip.h"
+#include "home.h"
+#include "msg.h"
+}
+
+namespace
+{
+
+const std::vector<std::string> services = {"directory", "ledger", "events"};
+
+struct str
+view(const std::string &s)
+{
+	return str_n(s.data(), s.size());
+}
+
+struct Fleet;
+
+struct Box {
+	Fleet *fleet = nullptr;
+	std::string name, hall, inbox;
+	uint64_t power = 100;
+	bool strong = false;
+	bool up = false, cut = false, ready = false, listed = false;
+	uint64_t starts = 0;
+	int64_t busy = 0; /* its processor is, until then */
+	struct memb *memb = nullptr;
+	struct gossip *gossip = nullptr;
+	/* What it cost since the last look. */
+	uint64_t in = 0, out = 0, bytes = 0, away = 0;
+	std::set<std::string> peers;
+};
+
+struct Fleet {
+	int64_t now = 1000 * NS_S;
+	uint64_t seed;
+	struct clk clk;
+	struct rnd rnd;
+	std::multimap<int64_t, std::function<void()>> events;
+	std::vector<std::unique_ptr<Box>> boxes;
+	std::map<std::string, Box *> by_inbox;
+	std::vector<std::string> halls;
+	json_t *seeds = json_array();
+	/* The store: what was written when, and how far its lists are behind.
+	 */
+	std::vector<std::pair<int64_t, Box *>> entries;
+	int64_t stale = 3 * NS_S;
+	bool silent = false;
+	uint64_t lists = 0, writes = 0;
+
+	static struct timespec mono(void *ctx)
+	{
+		int64_t t = static_cast<Fleet *>(ctx)->now;
+
+		return {t / NS_S, t % NS_S};
+	}
+
+	static uint64_t next(void *ctx)
+	{
+		return rnd_split(&static_cast<Fleet *>(ctx)->seed);
+	}
+
+	/* In each of so many halls three boxes of half a processor. */
+	Fleet(int n, int nhalls, uint64_t s = 1) : seed(s)
+	{
+		clk = {mono, mono, this};
+		rnd = {next, this};
+		for (int i = 0; i < nhalls; i++)
+			halls.push_back("hall-" + std::to_string(i));
+		for (int i = 0; i < n; i++) {
+			auto b = std::make_unique<Box>();
+			int hall = i % nhalls;
+
+			b->fleet = this;
+			b->hall = halls[static_cast<size_t>(hall)];
+			b->name = b->hall + "-" + std::to_string(i / nhalls);
+			b->inbox = "10.0." + std::to_string(i / 200) + "." +
+			    std::to_string(i % 200) + ":7000";
+			b->strong = i / nhalls < 3;
+			b->power = b->strong ? 500 : 100;
+			by_inbox[b->inbox] = b.get();
+			boxes.push_back(std::move(b));
+		}
+		for (int i = 0; i < 3; i++)
+			json_array_append_new(seeds,
+			    json_string(
+				boxes[rnd_below(&rnd, static_cast<uint64_t>(n))]
+				    ->inbox.c_str()));
+	}
+
+	~Fleet()
+	{
+		for (auto &b : boxes)
+			stop(*b);
+		json_decref(seeds);
+	}
+
+	void in(int64_t ns, std::function<void()> fn)
+	{
+		events.emplace(now + ns, std::move(fn));
+	}
+
+	void run_for(int64_t ns)
+	{
+		int64_t end = now + ns;
+
+		while (!events.empty() && events.begin()->first <= end) {
+			auto it = events.begin();
+			auto fn = std::move(it->second);
+
+			now = std::max(now, it->first);
+			events.erase(it);
+			fn();
+		}
+		now = end;
+	}
+
+	/* A box does something that takes so long on a whole processor. */
+	void work(Box &b, int64_t ns, std::function<void()> fn)
+	{
+		uint64_t start = b.starts;
+
+		b.busy = std::max(b.busy, now) +
+		    ns * MEMB_POWER_UNIT / static_cast<int64_t>(b.power);
+		in(b.busy - now, [&b, start, fn] {
+			if (b.up && b.starts == start)
+				fn();
+		});
+	}
+
+	static int64_t delay(const Box &a, const Box &b)
+	{
+		return a.hall == b.hall ? 100 * NS_US : 1400 * NS_US;
+	}
+
+	/* As ZeroMQ does: it connects again and again, for some seconds. */
+	void deliver(
+	    Box &from, Box &to, std::shared_ptr<std::string> text, int tries)
+	{
+		if (!to.up || to.cut != from.cut) {
+			if (tries < 20)
+				in(100 * NS_MS,
+				    [this, &from, &to, text, tries] {
+					    if (from.up)
+						    deliver(from, to, text,
+							tries + 1);
+				    });
+			return;
+		}
+		to.in++;
+		work(to, 100 * NS_US, [&to, text] {
+			struct msg m;
+
+			ASSERT_TRUE(msg_decode(
+			    text->data(), text->size(), &m, nullptr));
+			if (m.kind == MSG_HELLO)
+				gossip_take_hello(
+				    to.gossip, m.from, &m.u.hello);
+			else
+				gossip_take_members(to.gossip, &m.u.members);
+			msg_done(&m);
+			to.fleet->look(to);
+		});
+	}
+
+	static void send(Box &b, struct str to, struct msg *m)
+	{
+		Fleet *f = b.fleet;
+		Box &peer = *f->by_inbox.at(std::string(to.p, to.n));
+		msgpack_sbuffer buf;
+
+		m->from = view(b.inbox);
+		msgpack_sbuffer_init(&buf);
+		msg_encode(m, &buf);
+		auto text = std::make_shared<std::string>(buf.data, buf.size);
+		msgpack_sbuffer_destroy(&buf);
+		b.out++;
+		b.bytes += text->size();
+		b.away += peer.hall == b.hall ? 0 : text->size();
+		b.peers.insert(peer.inbox);
+		f->in(delay(b, peer),
+		    [f, &b, &peer, text] { f->deliver(b, peer, text, 0); });
+	}
+
+	static void hello(void *ctx, struct str to, struct msg_hello *h)
+	{
+		struct msg m = {};
+
+		m.kind = MSG_HELLO;
+		m.u.hello = *h;
+		send(*static_cast<Box *>(ctx), to, &m);
+	}
+
+	static void members(void *ctx, struct str to, struct msg_members *list)
+	{
+		struct msg m = {};
+
+		m.kind = MSG_MEMBERS;
+		m.u.members = *list;
+		send(*static_cast<Box *>(ctx), to, &m);
+	}
+
+	static void list(void *ctx)
+	{
+		Box &b = *static_cast<Box *>(ctx);
+		Fleet *f = b.fleet;
+
+		if (f->silent)
+			return;
+		f->lists++;
+		f->in(4 * NS_MS, [f, &b] {
+			f->work(b, 3 * NS_MS, [f, &b] { f->take_list(b); });
+		});
+	}
+
+	void take_list(Box &b)
+	{
+		memb_list_begin(b.memb);
+		for (auto &e : entries) {
+			struct memb_info info = {};
+
+			if (e.first > now - stale)
+				continue;
+			b.listed = b.listed || e.second == &b;
+			info.box = view(e.second->name);
+			info.hall = view(e.second->hall);
+			info.inbox = view(e.second->inbox);
+			info.power = e.second->power;
+			memb_listed(b.memb, &info);
+		}
+		gossip_listed(b.gossip);
+		look(b);
+	}
+
+	/* What an agent does after each event. */
+	void look(Box &b)
+	{
+		int64_t next = gossip_run(b.gossip);
+		uint64_t start = b.starts;
+
+		if (!b.ready && gossip_settled(b.gossip)) {
+			b.ready = true;
+			memb_self(b.memb)->ready = true;
+			memb_changed(b.memb);
+			if (memb_is_hub(b.memb, view(b.name)))
+				gossip_announce(b.gossip, false);
+			next = now;
+		}
+		in(std::max(next - now, NS_MS), [this, &b, start] {
+			if (b.up && b.starts == start && due(b))
+				look(b);
+		});
+	}
+
+	/* One look is enough for all events that asked for it. */
+	std::map<Box *, int64_t> looked;
+	bool due(Box &b)
+	{
+		bool first = looked[&b] != now;
+
+		looked[&b] = now;
+		return first;
+	}
+
+	void tick(Box &b)
+	{
+		uint64_t start = b.starts;
+
+		memb_tick(b.memb, now);
+		if (gossip_is_hub(b.gossip) && !b.listed && !silent) {
+			writes++;
+			b.listed = true;
+			entries.emplace_back(now, &b);
+		}
+		look(b);
+		in(500 * NS_MS, [this, &b, start] {
+			if (b.up && b.starts == start)
+				tick(b);
+		});
+	}
+
+	void start(Box &b)
+	{
+		struct memb_info self = {};
+		const struct gossip_ops ops = {hello, members, list, &b};
+		const struct gossip_set set = {
+		    NS_S, 15 * NS_S, 60 * NS_S, 6, seeds};
+
+		self.box = view(b.name);
+		self.hall = view(b.hall);
+		self.inbox = self.pass = self.gate_inbox = view(b.inbox);
+		self.power = b.power;
+		self.boot = static_cast<uint64_t>(now / NS_MS);
+		b.up = true;
+		b.starts++;
+		b.ready = b.listed = false;
+		b.busy = now;
+		b.memb = memb_new(&self);
+		b.gossip = gossip_new(&ops, b.memb, &clk, &rnd);
+		gossip_configure(b.gossip, &set);
+		tick(b);
+	}
+
+	void stop(Box &b)
+	{
+		if (!b.up)
+			return;
+		b.up = false;
+		gossip_free(b.gossip);
+		memb_free(b.memb);
+	}
+
+	/* Boxes start within 0.3 s; loading takes 30 ms of a whole processor.
+	 */
+	void start_later(Box &b, int64_t after)
+	{
+		in(after + static_cast<int64_t>(rnd_below(&rnd, 300 * NS_MS)) +
+			30 * NS_MS * MEMB_POWER_UNIT /
+			    static_cast<int64_t>(b.power),
+		    [this, &b] { start(b); });
+	}
+
+	void start_all(int64_t after = 0)
+	{
+		for (auto &b : boxes)
+			if (!b->up)
+				start_later(*b, after);
+	}
+
+	void kill(int percent)
+	{
+		for (auto &b : boxes)
+			if (rnd_below(&rnd, 100) <
+			    static_cast<uint64_t>(percent))
+				stop(*b);
+	}
+
+	/* The homes of a hall's services among its hubs that serve. */
+	std::map<std::string, std::string>
+	deal(const std::string &hall, const std::vector<std::string> &hubs)
+	{
+		std::vector<struct home_service> s;
+		std::vector<struct home_gate> gates;
+		std::map<std::string, std::string> out;
+
+		for (auto &name : services)
+			s.push_back({view(name), nullptr});
+		for (auto &name : hubs)
+			gates.push_back({view(name), 0, nullptr});
+		home_deal(
+		    view(hall), s.data(), s.size(), gates.data(), gates.size());
+		for (auto &one : s)
+			out[std::string(one.name.p, one.name.n)] =
+			    one.gate == nullptr
+			    ? ""
+			    : std::string(one.gate->box.p, one.gate->box.n);
+		return out;
+	}
+
+	std::map<std::string, std::string>
+	homes_by(Box &b, const std::string &hall)
+	{
+		const struct memb_info *hubs[MEMB_HUBS];
+		std::vector<std::string> names;
+		size_t n = memb_hubs(b.memb, view(hall), hubs);
+
+		for (size_t i = 0; i < n; i++)
+			if (hubs[i]->ready)
+				names.emplace_back(
+				    hubs[i]->box.p, hubs[i]->box.n);
+		return deal(hall, names);
+	}
+
+	/*
+	 * The share of gates that serve and name the true home, each for the
+	 * services of its own hall, and hubs for those of all halls.
+	 */
+	double agreement()
+	{
+		std::map<std::string, std::map<std::string, std::string>> truth;
+		int right = 0, all = 0;
+
+		for (auto &hall : halls) {
+			std::vector<std::string> names;
+
+			for (auto &b : boxes)
+				if (b->hall == hall && b->strong && b->ready &&
+				    b->up)
+					names.push_back(b->name);
+			truth[hall] = deal(hall, names);
+		}
+		for (auto &b : boxes) {
+			if (!b->up || !b->ready)
+				continue;
+			for (auto &hall : halls) {
+				if (hall != b->hall && !b->strong)
+					continue;
+				auto own = homes_by(*b, hall);
+
+				for (auto &s : services) {
+					all++;
+					right += own[s] == truth[hall][s];
+				}
+			}
+		}
+		return all == 0 ? 0 : static_cast<double>(right) / all;
+	}
+
+	void forget_costs()
+	{
+		lists = writes = 0;
+		for (auto &b : boxes) {
+			b->in = b->out = b->bytes = b->away = 0;
+			b->peers.clear();
+		}
+	}
+
+	/* The most that any box of a kind has sent and received. */
+	uint64_t most_messages(bool strong)
+	{
+		uint64_t most = 0;
+
+		for (auto &b : boxes)
+			if (b->strong == strong)
+				most = std::max(most, b->in + b->out);
+		return most;
+	}
+
+	size_t most_peers(bool strong)
+	{
+		size_t most = 0;
+
+		for (auto &b : boxes)
+			if (b->strong == strong)
+				most = std::max(most, b->peers.size());
+		return most;
+	}
+
+	uint64_t bytes_away()
+	{
+		uint64_t n = 0;
+
+		for (auto &b : boxes)
+			n += b->away;
+		return n;
+	}
+
+	void print(const char *what)
+	{
+		printf("%s, %zu boxes: agreement %.4f, most messages: hub %llu "
+		       "leaf %llu, most peers: hub %zu leaf %zu, kB between "
+		       "halls %llu, lists %llu, writes %llu\n",
+		    what, boxes.size(), agreement(),
+		    static_cast<unsigned long long>(most_messages(true)),
+		    static_cast<unsigned long long>(most_messages(false)),
+		    most_peers(true), most_peers(false),
+		    static_cast<unsigned long long>(bytes_away() / 1000),
+		    static_cast<unsigned long long>(lists),
+		    static_cast<unsigned long long>(writes));
+	}
+};
+
+/* Started together, and left alone until all is quiet. */
+std::unique_ptr<Fleet>
+settled_fleet(int n, int halls = 6)
+{
+	auto f = std::make_unique<Fleet>(n, halls);
+
+	f->start_all();
+	f->run_for(20 * NS_S);
+	f->forget_costs();
+	return f;
+}
+
+} // namespace
+
+TEST(Gossip, AFleetThatStartsTogetherKnowsItsHomesBeforeTraffic)
+{
+	for (int n : {100, 473, 1000}) {
+		Fleet f(n, 6);
+
+		f.start_all();
+		for (int i = 0; i < 8; i++) {
+			f.run_for(NS_S);
+			f.print("cold start");
+		}
+		EXPECT_EQ(1.0, f.agreement()) << n;
+		/* Hubs alone tell of themselves on the platform. */
+		EXPECT_LE(f.writes, 6u * MEMB_HUBS) << n;
+		EXPECT_GE(f.writes, 18u) << n;
+	}
+}
+
+TEST(Gossip, AfterALossOfAllBoxesHomesAreKnownWithinASecond)
+{
+	for (int n : {100, 473, 1000}) {
+		auto f = settled_fleet(n);
+
+		f->kill(100);
+		f->run_for(NS_S);
+		f->start_all();
+		/* The last box has started after 0.6 s. */
+		f->run_for(600 * NS_MS);
+		f->print("all lost, 0.6 s");
+		f->run_for(NS_S);
+		f->print("all lost, 1.6 s");
+		EXPECT_LE(0.99, f->agreement()) << n;
+		f->run_for(2 * NS_S);
+		EXPECT_EQ(1.0, f->agreement()) << n;
+		EXPECT_EQ(0u, f->writes) << n;
+	}
+}
+
+TEST(Gossip, AfterALossOfHalfTheBoxesHomesAreKnownWithinASecond)
+{
+	for (int n : {100, 473, 1000}) {
+		auto f = settled_fleet(n);
+
+		f->kill(55);
+		f->start_all(2 * NS_S);
+		f->run_for(3600 * NS_MS);
+		f->print("half lost, back for 1 s");
+		EXPECT_LE(0.99, f->agreement()) << n;
+		f->run_for(2 * NS_S);
+		EXPECT_EQ(1.0, f->agreement()) << n;
+	}
+}
+
+TEST(Gossip, AHallThatWasCutOffIsKnownAgainWithinSeconds)
+{
+	for (int n : {100, 473}) {
+		auto f = settled_fleet(n);
+
+		for (auto &b : f->boxes)
+			b->cut = b->hall == "hall-0";
+		f->run_for(30 * NS_S);
+		for (auto &b : f->boxes)
+			b->cut = false;
+		f->run_for(4 * NS_S);
+		f->print("hall back for 4 s");
+		EXPECT_LE(0.99, f->agreement()) << n;
+		f->run_for(10 * NS_S);
+		EXPECT_EQ(1.0, f->agreement()) << n;
+	}
+}
+
+TEST(Gossip, WithoutThePlatformSeedsBringBoxesTogether)
+{
+	Fleet f(473, 6);
+
+	f.silent = true;
+	f.start_all();
+	f.run_for(10 * NS_S);
+	f.print("without the platform");
+	EXPECT_LE(0.99, f.agreement());
+}
+
+TEST(Gossip, WhatABoxHearsDoesNotGrowWithTheFleet)
+{
+	uint64_t leaf = 0, hub = 0;
+	size_t peers = 0;
+
+	for (int n : {100, 473, 1000}) {
+		auto f = settled_fleet(n);
+
+		f->run_for(20 * NS_S);
+		f->print("20 s at rest");
+		/* A question and its answer a second, and those of hubs. */
+		EXPECT_LE(f->most_messages(false), 100u) << n;
+		EXPECT_LE(f->most_peers(false), 18u) << n;
+		if (n == 100) {
+			leaf = f->most_messages(false);
+			hub = f->most_messages(true);
+			peers = f->most_peers(true);
+			continue;
+		}
+		EXPECT_LE(f->most_messages(false), leaf * 2) << n;
+		/* A hub's grows with its hall, not with the fleet's square. */
+		EXPECT_LE(
+		    f->most_messages(true), hub * static_cast<uint64_t>(n) / 50)
+		    << n;
+		EXPECT_LE(
+		    f->most_peers(true), peers * static_cast<size_t>(n) / 50)
+		    << n;
+	}
+}
+
+namespace
+{
+
+struct Deal {
+	std::vector<std::string> names, boxes;
+
+	Deal(int n, int gates)
+	{
+		for (int i = 0; i < n; i++)
+			names.push_back("service" + std::to_string(i));
+		for (int i = 0; i < gates; i++)
+			boxes.push_back("box" + std::to_string(i));
+	}
+
+	std::map<std::string, std::string> deal(const std::string &hall) const
+	{
+		std::vector<struct home_service> s;
+		std::vector<struct home_gate> g;
+		std::map<std::string, std::string> out;
+
+		for (auto &n : names)
+			s.push_back({view(n), nullptr});
+		for (auto &b : boxes)
+			g.push_back({view(b), 0, nullptr});
+		home_deal(view(hall), s.data(), s.size(), g.data(), g.size());
+		for (auto &one : s)
+			out[std::string(one.name.p, one.name.n)] =
+			    std::string(one.gate->box.p, one.gate->box.n);
+		return out;
+	}
+
+	static unsigned most(const std::map<std::string, std::string> &homes)
+	{
+		std::map<std::string, unsigned> n;
+		unsigned found = 0;
+
+		for (auto &h : homes)
+			found = std::max(found, ++n[h.second]);
+		return found;
+	}
+};
+
+} // namespace
+
+/* A service of half of all requests leaves no room for others beside it. */
+TEST(Home, NoGateHasMoreThanItsShareOfServices)
+{
+	for (int gates = 1; gates <= 6; gates++)
+		for (int n = 1; n <= 20; n++)
+			for (int h = 0; h < 20; h++) {
+				Deal d(n, gates);
+
+				EXPECT_EQ(static_cast<unsigned>(
+					      (n + gates - 1) / gates),
+				    Deal::most(
+					d.deal("hall" + std::to_string(h))));
+			}
+}
+
+/* In whatever order gates and services are known. */
+TEST(Home, EachBoxDealsAlike)
+{
+	Deal d(7, 3), other(7, 3);
+
+	std::reverse(other.names.begin(), other.names.end());
+	std::reverse(other.boxes.begin(), other.boxes.end());
+	EXPECT_EQ(d.deal("north"), other.deal("north"));
+}
+
+/* A gate that goes moves its own services, and few of the others'. */
+TEST(Home, WhatStaysKeepsMostOfItsServices)
+{
+	int moved = 0, kept = 0;
+
+	for (int h = 0; h < 50; h++) {
+		Deal before(30, 6), after(30, 6);
+		std::string hall = "hall" + std::to_string(h);
+
+		after.boxes.pop_back();
+		auto was = before.deal(hall), is = after.deal(hall);
+		for (auto &s : was)
+			if (s.second != before.boxes.back())
+				(is[s.first] == s.second ? kept : moved)++;
+	}
+	EXPECT_LT(moved * 4, kept);
+}
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -12,6 +12,7 @@
 #include <cstring>
 #include <gtest/gtest.h>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -399,94 +400,178 @@
 	EXPECT_LE(sum, 0.2 * requests + slack);
 }
 
-TEST(Memb, BlindBoxesDoNotWatch)
+namespace
 {
-	struct memb_info self = {};
-	std::vector<std::string> names;
-	int first = 0, seeing = 0;
 
-	self.box = STR_LIT("b0");
-	self.hall = STR_LIT("north");
-	self.blind = true;
-	struct memb *mb = memb_new(&self);
-	for (int i = 1; i < 10; i++)
-		names.push_back("b" + std::to_string(i));
+/* A box's view of a fleet: itself and what it has heard of. */
+struct View {
+	std::vector<std::string> names;
 	std::vector<struct memb_info> infos;
-	for (size_t i = 0; i < names.size(); i++) {
-		struct memb_info m = {};
-
-		m.box = view(names[i]);
-		m.hall = STR_LIT("north");
-		m.boot = 1;
-		m.blind = i % 2 == 0;
-		infos.push_back(m);
-		memb_heard(mb, &m, NS_S);
+	struct memb *mb;
+
+	/* Boxes of one power, so many in each hall; the first one is ours. */
+	View(const std::vector<std::string> &halls, int each,
+	    uint64_t power = 100)
+	{
+		for (size_t h = 0; h < halls.size(); h++)
+			for (int i = 0; i < each; i++)
+				names.push_back(halls[h] + std::to_string(i));
+		for (size_t i = 0; i < names.size(); i++) {
+			struct memb_info m = {};
+
+			m.box = view(names[i]);
+			m.hall = view(halls[i / static_cast<size_t>(each)]);
+			m.boot = m.beat = 1;
+			m.power = power;
+			infos.push_back(m);
+		}
+		mb = memb_new(&infos[0]);
+		hear();
+	}
+
+	~View()
+	{
+		memb_free(mb);
+	}
+
+	/* Hear anew what each box but ours tells now. */
+	void hear()
+	{
+		for (size_t i = 1; i < infos.size(); i++) {
+			infos[i].beat++;
+			memb_heard(mb, &infos[i], NS_S);
+		}
 	}
-	for (auto &m : infos) {
-		bool is = memb_ranks_first_seeing(
-		    mb, &m, STR_LIT("watch"), STR_LIT("north"), 3);
 
-		first += is;
-		seeing += is && !m.blind;
+	std::vector<struct memb_info *> watchers(int k)
+	{
+		std::vector<struct memb_info *> found;
+
+		for (auto &m : infos)
+			if (memb_watches(mb, m.box, k))
+				found.push_back(&m);
+		return found;
 	}
-	EXPECT_EQ(3, first);
-	EXPECT_EQ(3, seeing);
+};
+
+} // namespace
+
+TEST(Memb, FewBoxesOfTheFleetWatchAndOneOfEachHallFirst)
+{
+	static const std::vector<std::string> halls = {"a", "b", "c", "d"};
+	View v(halls, 20);
+	std::set<std::string> seen;
+
+	for (auto *m : v.watchers(4))
+		seen.insert(std::string(m->hall.p, m->hall.n));
+	EXPECT_EQ(4u, v.watchers(4).size());
+	EXPECT_EQ(4u, seen.size());
+	EXPECT_EQ(6u, v.watchers(6).size());
+	/* No more than there are hubs. */
+	EXPECT_EQ(4u * MEMB_HUBS, v.watchers(100).size());
+}
+
+TEST(Memb, WhereThePlatformAnswersTooFewOthersWatchAsWell)
+{
+	static const std::vector<std::string> halls = {"a", "b"};
+	View v(halls, 10);
+	int seeing = 0;
+
+	for (auto *m : v.watchers(3))
+		m->blind = m != &v.infos[0];
+	memb_self(v.mb)->blind = memb_watches(v.mb, v.infos[0].box, 3);
+	v.hear();
+	for (auto *m : v.watchers(3))
+		seeing += !m->blind && m != &v.infos[0];
+	EXPECT_EQ(3u + MEMB_SEEING_MIN, v.watchers(3).size());
+	EXPECT_EQ(MEMB_SEEING_MIN, seeing);
 	/* Where nobody sees, those that are first among all go on trying. */
-	for (auto &m : infos) {
+	for (auto &m : v.infos)
 		m.blind = true;
-		m.beat++;
-		memb_heard(mb, &m, NS_S);
-	}
-	first = memb_ranks_first_seeing(
-	    mb, memb_self(mb), STR_LIT("watch"), STR_LIT("north"), 3);
-	for (auto &m : infos)
-		first += memb_ranks_first_seeing(
-		    mb, &m, STR_LIT("watch"), STR_LIT("north"), 3);
-	EXPECT_EQ(3, first);
-	memb_free(mb);
+	memb_self(v.mb)->blind = true;
+	v.hear();
+	EXPECT_EQ(3u, v.watchers(3).size());
 }
 
-TEST(Memb, StrongBoxesWatchFirst)
+TEST(Memb, StrongBoxesAreHubsAndWatch)
 {
-	struct memb_info self = {};
-	std::vector<std::string> names;
-	int first = 0, strong;
+	static const std::vector<std::string> halls = {"north"};
+	View v(halls, 12);
 
-	self.box = STR_LIT("b0");
-	self.hall = STR_LIT("north");
-	self.power = 100;
-	struct memb *mb = memb_new(&self);
-	for (int i = 1; i < 12; i++)
-		names.push_back("b" + std::to_string(i));
-	for (size_t i = 0; i < names.size(); i++) {
-		struct memb_info m = {};
-
-		m.box = view(names[i]);
-		m.hall = STR_LIT("north");
-		m.boot = 1;
-		m.power = i == 4 ? 500 : i == 7 ? 300 : 100;
-		memb_heard(mb, &m, NS_S);
+	v.infos[4].power = 500;
+	v.infos[7].power = 300;
+	v.hear();
+	for (size_t i = 0; i < v.infos.size(); i++) {
+		bool strong = v.infos[i].power > 100;
+
+		EXPECT_EQ(strong, memb_is_hub(v.mb, v.infos[i].box)) << i;
+		EXPECT_EQ(strong, memb_watches(v.mb, v.infos[i].box, 5)) << i;
 	}
-	for (size_t i = 0; i < names.size(); i++) {
-		struct memb_info m = {};
-
-		m.box = view(names[i]);
-		m.hall = STR_LIT("north");
-		m.power = i == 4 ? 500 : i == 7 ? 300 : 100;
-		bool is = memb_ranks_first(
-		    mb, &m, STR_LIT("watch"), STR_LIT("north"), 2, true);
-		EXPECT_EQ(m.power > 100, is) << names[i];
-		first += memb_ranks_first(
-		    mb, &m, STR_LIT("watch"), STR_LIT("north"), 5, true);
+	EXPECT_EQ(2u, memb_count_hubs(v.mb));
+	/*
+	 * With these gone the rest does not take their place: a hall's
+	 * requests are more than weak boxes can carry, and other halls can.
+	 */
+	v.infos[4].dead = v.infos[7].dead = true;
+	v.hear();
+	EXPECT_EQ(0u, memb_count_hubs(v.mb));
+}
+
+TEST(Memb, OfEqualBoxesTheNextOnesTakeTheHubsPlace)
+{
+	static const std::vector<std::string> halls = {"north"};
+	View v(halls, 20);
+	unsigned changed = 0;
+
+	for (size_t i = 1; i < v.infos.size(); i++)
+		if (memb_is_hub(v.mb, v.infos[i].box) && changed < 3) {
+			v.infos[i].dead = true;
+			changed++;
+		}
+	v.hear();
+	EXPECT_EQ(3u, changed);
+	EXPECT_EQ(static_cast<size_t>(MEMB_HUBS), memb_count_hubs(v.mb));
+	for (auto &m : v.infos)
+		EXPECT_FALSE(m.dead && memb_is_hub(v.mb, m.box));
+}
+
+TEST(Memb, LeavesAreTheConcernOfTheirHallsHubsOnly)
+{
+	static const std::vector<std::string> halls = {"a", "b"};
+	View v(halls, 10);
+	const struct memb_member *hub = nullptr, *leaf = nullptr,
+				 *far = nullptr;
+
+	for (size_t i = 1; i < v.infos.size(); i++) {
+		const struct memb_member *m = memb_find(v.mb, v.infos[i].box);
+		bool near = str_eq(m->info.hall, STR_LIT("a"));
+
+		if (memb_is_hub(v.mb, m->info.box))
+			(near ? hub : far) = m;
+		else if (near)
+			leaf = m;
 	}
-	first += memb_ranks_first(
-	    mb, memb_self(mb), STR_LIT("watch"), STR_LIT("north"), 5, true);
-	EXPECT_EQ(5, first);
-	EXPECT_GE(memb_rank_seeing(mb, memb_self(mb), STR_LIT("watch"),
-		      STR_LIT("north"), &strong),
-	    2);
-	EXPECT_EQ(2, strong);
-	memb_free(mb);
+	EXPECT_TRUE(memb_concerns(v.mb, hub, leaf));
+	EXPECT_FALSE(memb_concerns(v.mb, far, leaf));
+	EXPECT_FALSE(memb_concerns(v.mb, leaf, leaf));
+	EXPECT_TRUE(memb_concerns(v.mb, leaf, far));
+	EXPECT_TRUE(memb_concerns(v.mb, far, hub));
+}
+
+TEST(Memb, TheFleetIsCountedByWhatHubsTell)
+{
+	static const std::vector<std::string> halls = {"a", "b"};
+	View v(halls, 3);
+
+	for (auto &m : v.infos)
+		m.ready = true;
+	memb_self(v.mb)->ready = true;
+	v.hear();
+	EXPECT_EQ(6u, memb_fleet(v.mb));
+	/* A hub of the other hall knows of more than we do. */
+	v.infos[4].crowd = 40;
+	v.hear();
+	EXPECT_EQ(43u, memb_fleet(v.mb));
 }
 
 TEST(Memb, LaterBootAndBeatWinAndThenTheWorseWord)
@@ -537,7 +622,7 @@
 	/* Silence alone says nothing; a question without answer does. */
 	EXPECT_FALSE(memb_tick(m, now += 60 * NS_S));
 	memb_asked(m, b.box, now);
-	memb_answered(m, b.box);
+	memb_answered(m, b.box, now);
 	EXPECT_FALSE(memb_tick(m, now += 10 * NS_S));
 	memb_asked(m, b.box, now);
 	/* It was we who were paused: ask anew. */
