--- a/agent_gate.c
+++ b/agent_gate.c
@@ -23,12 +23,15 @@
 
 /*
  * The configuration is whole, and so are the boxes as far as they answer: a
- * gate that knows no other takes itself for home of everything.
+ * gate that knows no other takes itself for home of everything.  One that holds
+ * no backend servers can do nothing without a home.
  */
 static bool
-may_serve(const struct agent *a)
+may_serve(struct agent *a)
 {
-	return conf_floor(a->conf) > 0 && a->settled;
+	if (a->scope == SCOPE_RULES && memb_count_hubs(a->memb) == 0)
+		return false;
+	return agent_is_complete(a) && a->settled;
 }
 
 /* To the gate: ready means that it may serve. */
@@ -41,17 +44,6 @@
 	wire_send(a->wire, a->set.gate_inbox, &m);
 }
 
-/* The gate waits until it may serve: tell it so at once. */
-void
-agent_gate_tell_ready(struct agent *a)
-{
-	bool ready = may_serve(a);
-
-	if (ready && !a->told_ready)
-		agent_gate_hello(a);
-	a->told_ready = ready;
-}
-
 /* The hubs of all halls, for our gate. */
 struct hub_list {
 	struct agent *agent;
@@ -83,6 +75,20 @@
 	g_array_free(l.infos, TRUE);
 }
 
+/* The gate waits until it may serve: tell it so at once. */
+void
+agent_gate_tell_ready(struct agent *a)
+{
+	bool ready = may_serve(a);
+
+	if (ready && !a->told_ready) {
+		/* It has to know homes before it serves. */
+		send_hubs(a);
+		agent_gate_hello(a);
+	}
+	a->told_ready = ready;
+}
+
 /* To the gate, when they have changed and now and then. */
 static void
 on_members_due(void *ctx)
@@ -118,11 +124,10 @@
 	bool fresh = gt->boot != a->gate_boot, begins;
 
 	a->gate_heard = clk_ns(a->clk);
-	if (gt->digest != a->gate_digest || gt->ready != a->gate_ready)
+	if (gt->holds.digest != a->gate_digest || gt->ready != a->gate_ready)
 		agent_box_status_soon(a);
 	a->gate_boot = gt->boot;
-	a->gate_digest = gt->digest;
-	a->gate_floor = gt->floor;
+	a->gate_digest = gt->holds.digest;
 	a->gate_ready = gt->ready;
 	if (fresh) {
 		/* A new gate: whoever knew the old one must look anew. */
@@ -142,7 +147,9 @@
 		agent_peer_leave(a);
 	else if (fresh)
 		agent_gate_hello(a);
-	sync_compare(&a->sync, m->from, gt->digest, gt->floor);
+	if (gt->doubted.n > 0)
+		agent_peer_doubt(a, gt->doubted);
+	sync_compare(&a->sync, m->from, &gt->holds);
 	agent_gate_members_soon(a);
 }
 
--- a/agent_peer.c
+++ b/agent_peer.c
@@ -32,13 +32,6 @@
 	wire_send(a->wire, to, &copy);
 }
 
-static void
-fill_hello(const struct agent *a, struct msg_hello *h)
-{
-	h->digest = conf_digest(a->conf);
-	h->floor = conf_floor(a->conf);
-}
-
 /* A hello to our own gate: who we are and what configuration we have. */
 struct msg
 agent_peer_hello_of(const struct agent *a)
@@ -46,22 +39,30 @@
 	struct msg m = {.kind = MSG_HELLO};
 
 	m.u.hello.self = *memb_self(a->memb);
-	fill_hello(a, &m.u.hello);
+	m.u.hello.holds = sync_holds(&a->sync);
 	return m;
 }
 
 static void
-op_hello(void *ctx, struct str to, struct msg_hello *h)
+op_hello(void *ctx, struct str to, const struct msg_hello *h)
 {
 	struct msg m = {.kind = MSG_HELLO, .u.hello = *h};
 	struct agent *a = ctx;
 
-	fill_hello(a, &m.u.hello);
 	wire_send(a->wire, to, &m);
 }
 
 static void
-op_members(void *ctx, struct str to, struct msg_members *list)
+op_beat(void *ctx, struct str to, const struct msg_beat *b)
+{
+	struct msg m = {.kind = MSG_BEAT, .u.beat = *b};
+	struct agent *a = ctx;
+
+	wire_send(a->wire, to, &m);
+}
+
+static void
+op_members(void *ctx, struct str to, const struct msg_members *list)
 {
 	struct msg m = {.kind = MSG_MEMBERS, .u.members = *list};
 	struct agent *a = ctx;
@@ -69,6 +70,14 @@
 	wire_send(a->wire, to, &m);
 }
 
+static struct msg_holds
+op_holds(void *ctx)
+{
+	struct agent *a = ctx;
+
+	return sync_holds(&a->sync);
+}
+
 static void
 op_list(void *ctx)
 {
@@ -92,7 +101,8 @@
 void
 agent_peer_open(struct agent *a)
 {
-	const struct gossip_ops ops = {op_hello, op_members, op_list, a};
+	const struct gossip_ops ops = {
+	    op_hello, op_beat, op_members, op_holds, op_list, a};
 
 	a->sync.conf = a->conf;
 	a->sync.send = send_to;
@@ -131,6 +141,7 @@
 agent_peer_listed(struct agent *a)
 {
 	gossip_listed(a->gossip);
+	agent_scope_look(a);
 	on_due(a);
 }
 
@@ -155,34 +166,57 @@
  * hears from the platform; bytes between halls are dear.
  */
 static bool
-should_compare(struct agent *a, const struct msg_hello *h, int64_t now)
+should_compare(struct agent *a, struct str hall, const struct msg_holds *holds,
+    int64_t now)
 {
 	struct sight s = {a, a->platform_up};
 
-	if (h->digest == conf_digest(a->conf))
+	if (sync_equal(&a->sync, holds))
 		a->differs_since = 0;
 	else if (a->differs_since == 0)
 		a->differs_since = now;
-	if (str_eq(h->self.hall, a->set.hall) || conf_floor(a->conf) == 0 ||
+	if (str_eq(hall, a->set.hall) || !agent_is_complete(a) ||
 	    a->differs_since == 0 || now - a->differs_since > AWAY_WAIT_NS)
 		return true;
 	memb_each(a->memb, look_for_sight, &s);
 	return !s.seeing;
 }
 
+/* A box has told which configuration it has. */
+static void
+take_holds(struct agent *a, struct str from, struct str hall,
+    const struct msg_holds *holds)
+{
+	if (should_compare(a, hall, holds, clk_ns(a->clk)))
+		sync_compare(&a->sync, from, holds);
+}
+
 static void
 take_hello(struct agent *a, const struct msg *m)
 {
 	const struct msg_hello *h = &m->u.hello;
 
 	gossip_take_hello(a->gossip, m->from, h);
-	if (should_compare(a, h, clk_ns(a->clk)))
-		sync_compare(&a->sync, m->from, h->digest, h->floor);
+	take_holds(a, m->from, h->self.hall, &h->holds);
 	agent_gate_tell_ready(a);
 	agent_gate_members_soon(a);
 	on_due(a);
 }
 
+static void
+take_beat(struct agent *a, const struct msg *m)
+{
+	const struct msg_beat *b = &m->u.beat;
+	const struct memb_member *member;
+
+	gossip_take_beat(a->gossip, m->from, b);
+	member = memb_find(a->memb, b->box);
+	if (member != NULL)
+		take_holds(a, m->from, member->info.hall, &b->holds);
+	agent_gate_tell_ready(a);
+	on_due(a);
+}
+
 static void
 take_members(struct agent *a, const struct msg_members *list)
 {
@@ -197,6 +231,7 @@
 	if (memb_tick(a->memb, now))
 		slog(SLOG_PEER, "a box did not answer", "alive=%zu hubs=%zu",
 		    memb_count_alive(a->memb), memb_count_hubs(a->memb));
+	agent_scope_look(a);
 	agent_box_tick(a);
 }
 
@@ -233,6 +268,14 @@
 	agent_box_status_soon(a);
 }
 
+/* Our gate got no answer of another one. */
+void
+agent_peer_doubt(struct agent *a, struct str box)
+{
+	gossip_doubt(a->gossip, box);
+	on_due(a);
+}
+
 void
 agent_peer_take(void *ctx, const struct msg *m)
 {
@@ -242,6 +285,9 @@
 	case MSG_HELLO:
 		take_hello(a, m);
 		break;
+	case MSG_BEAT:
+		take_beat(a, m);
+		break;
 	case MSG_GATE:
 		agent_gate_take(a, m);
 		break;
--- a/agent_push.c
+++ b/agent_push.c
@@ -38,11 +38,17 @@
 	struct part small, large;
 };
 
+/* Changes of one origin, written down once. */
+struct changes {
+	struct sync_pack *small, *large; /* rules */
+	struct sync_pack *backends;
+};
+
 /* The changes that are on their way out. */
 struct push {
 	struct agent *agent;
-	struct sync_pack *small, *large; /* what the platform told us */
-	struct sync_pack *heard_small, *heard_large; /* what other boxes did */
+	struct changes told; /* by the platform */
+	struct changes heard; /* of other boxes */
 	unsigned nheard;
 	struct parts to_hubs, to_leaves;
 };
@@ -86,16 +92,20 @@
 }
 
 static void
-send_pack(struct push *p, const struct parts *parts,
-    const struct sync_pack *small, const struct sync_pack *large,
-    const struct memb_info *to)
+send_changes(struct push *p, const struct parts *parts, const struct changes *c,
+    const struct memb_member *to)
 {
 	struct agent *a = p->agent;
+	const struct memb_info *info = &to->info;
 
-	if (is_ours(&parts->small, to->box))
-		sync_pack_send(&a->sync, small, to->inbox);
-	if (is_ours(&parts->large, to->box))
-		sync_pack_send(&a->sync, large, to->inbox);
+	if (is_ours(&parts->small, info->box))
+		sync_pack_send(&a->sync, c->small, info->inbox);
+	/* A weak box holds no backend servers: agent_scope.c. */
+	if (is_ours(&parts->small, info->box) &&
+	    (to->strong || !agent_scope_divides(a)))
+		sync_pack_send(&a->sync, c->backends, info->inbox);
+	if (is_ours(&parts->large, info->box))
+		sync_pack_send(&a->sync, c->large, info->inbox);
 }
 
 /* A hub gets what the platform told us, and a leaf of our hall all. */
@@ -108,12 +118,11 @@
 	if (!memb_alive(m))
 		return;
 	if (m->rank >= 0) {
-		send_pack(p, &p->to_hubs, p->small, p->large, &m->info);
+		send_changes(p, &p->to_hubs, &p->told, m);
 	} else if (near) {
-		send_pack(p, &p->to_leaves, p->small, p->large, &m->info);
+		send_changes(p, &p->to_leaves, &p->told, m);
 		if (p->nheard <= FORWARD_MAX)
-			send_pack(p, &p->to_leaves, p->heard_small,
-			    p->heard_large, &m->info);
+			send_changes(p, &p->to_leaves, &p->heard, m);
 	}
 }
 
@@ -138,7 +147,7 @@
 static bool
 tells_others(struct agent *a)
 {
-	return gossip_settled(a->gossip) && conf_floor(a->conf) > 0 &&
+	return gossip_settled(a->gossip) && agent_is_complete(a) &&
 	    memb_is_hub(a->memb, a->set.box);
 }
 
@@ -163,11 +172,29 @@
 }
 
 static void
-add_change(const struct conf_entry *e, struct sync_pack *small,
-    struct sync_pack *large)
+changes_open(struct changes *c)
+{
+	c->small = sync_pack_new();
+	c->large = sync_pack_new();
+	c->backends = sync_pack_new();
+}
+
+static void
+changes_free(struct changes *c)
+{
+	sync_pack_free(c->small);
+	sync_pack_free(c->large);
+	sync_pack_free(c->backends);
+}
+
+static void
+add_change(const struct conf_entry *e, struct changes *c)
 {
-	if (sync_pack_add(small, e) > PUSH_SMALL_MAX && e->bad_version == 0)
-		sync_pack_move_last(small, large);
+	if (e->kind == OBJ_BACKEND)
+		sync_pack_add(c->backends, e);
+	else if (sync_pack_add(c->small, e) > PUSH_SMALL_MAX &&
+	    e->bad_version == 0)
+		sync_pack_move_last(c->small, c->large);
 }
 
 static void
@@ -183,14 +210,19 @@
 		e = conf_get(a->conf, str_c(key));
 		if (e == NULL)
 			continue;
-		if (GPOINTER_TO_INT(told))
-			add_change(e, p->small, p->large);
-		else
-			add_change(e, p->heard_small, p->heard_large);
+		add_change(e, GPOINTER_TO_INT(told) ? &p->told : &p->heard);
 		p->nheard += !GPOINTER_TO_INT(told);
 	}
 }
 
+static void
+send_to_gate(struct agent *a, const struct changes *c)
+{
+	sync_pack_send(&a->sync, c->small, a->set.gate_inbox);
+	sync_pack_send(&a->sync, c->backends, a->set.gate_inbox);
+	sync_pack_send(&a->sync, c->large, a->set.gate_inbox);
+}
+
 /* What has changed goes out in few messages, written down once. */
 static void
 on_push(void *ctx)
@@ -198,24 +230,18 @@
 	struct agent *a = ctx;
 	struct push p = {.agent = a};
 
-	p.small = sync_pack_new();
-	p.large = sync_pack_new();
-	p.heard_small = sync_pack_new();
-	p.heard_large = sync_pack_new();
+	changes_open(&p.told);
+	changes_open(&p.heard);
 	gather_unsent(&p);
 	g_hash_table_remove_all(a->unsent);
 	if (!a->shares_conf) {
-		sync_pack_send(&a->sync, p.small, a->set.gate_inbox);
-		sync_pack_send(&a->sync, p.large, a->set.gate_inbox);
-		sync_pack_send(&a->sync, p.heard_small, a->set.gate_inbox);
-		sync_pack_send(&a->sync, p.heard_large, a->set.gate_inbox);
+		send_to_gate(a, &p.told);
+		send_to_gate(a, &p.heard);
 	}
 	divide(&p);
 	memb_each(a->memb, push_one, &p);
-	sync_pack_free(p.small);
-	sync_pack_free(p.large);
-	sync_pack_free(p.heard_small);
-	sync_pack_free(p.heard_large);
+	changes_free(&p.told);
+	changes_free(&p.heard);
 }
 
 /* A change is to be told; those of one turn of the loop go out together. */
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -109,7 +109,7 @@
 agent_first_feed_asks(struct agent *a)
 {
 	return !a->platform_up && a->feeds[0].listed_at == 0 &&
-	    (agent_is_watcher(a) || conf_floor(a->conf) == 0);
+	    (agent_is_watcher(a) || !agent_is_complete(a));
 }
 
 /* Is our box one of the few that watch the platform for the fleet? */
@@ -170,6 +170,12 @@
 	}
 }
 
+void
+agent_watch_now(struct agent_feed *f)
+{
+	watch_soon(f, 0);
+}
+
 static void
 watch_soon(struct agent_feed *f, int64_t in)
 {
@@ -237,10 +243,10 @@
 	bool watcher = agent_is_watcher(a);
 
 	cnt_set(a->cnt, AC_WATCHING, watcher);
-	if (f->call != NULL || a->leaving ||
+	if (f->call != NULL || a->leaving || !agent_scope_has(a, f) ||
 	    (f != &a->feeds[0] && agent_first_feed_asks(a)))
 		return;
-	if (!watcher && conf_floor(a->conf) > 0) {
+	if (!watcher && (f->complete > 0 || agent_is_complete(a))) {
 		forget_outage(a);
 		f->listed_at = 0;
 		watch_soon(f, rnd_jitter(a->rnd, AGENT_RECHECK_NS));
@@ -333,17 +339,40 @@
 		g_hash_table_add(ab->keys, g_strdup(e->key.p));
 }
 
-/* The floor is what the lists of all feeds have reached. */
+/* Has a feed kinds of a part of the configuration? */
+static bool
+has_part(const struct agent_feed *f, enum conf_part part)
+{
+	unsigned backends = 1u << OBJ_BACKEND;
+
+	return (f->mask & (part == CONF_BACKENDS ? backends : ~backends)) != 0;
+}
+
+/* A part's floor is what the lists of all feeds that have it have reached. */
 static void
-raise_floor(struct agent *a)
+raise_floor(struct agent *a, enum conf_part part)
 {
 	uint64_t floor = UINT64_MAX;
 	unsigned i;
 
 	for (i = 0; i < a->nfeeds; i++)
-		floor = MIN(floor, a->feeds[i].complete);
-	conf_raise_floor(a->conf, floor);
-	agent_gate_tell_ready(a);
+		if (has_part(&a->feeds[i], part))
+			floor = MIN(floor, a->feeds[i].complete);
+	conf_raise_floor(a->conf, part, floor);
+}
+
+/* Is a list at least as new as all complete ones of what is on it? */
+static bool
+is_newest(const struct agent_feed *f, uint64_t revision)
+{
+	int part;
+
+	for (part = 0; part < CONF_PARTS; part++)
+		if (has_part(f, (enum conf_part)part) &&
+		    revision <
+			conf_floor_of(f->agent->conf, (enum conf_part)part))
+			return false;
+	return true;
 }
 
 static void
@@ -367,14 +396,16 @@
 	offer_all(a, body, ab.keys);
 	conf_each(a->conf, hold_absent, &ab);
 	a->from_platform = true;
-	if (revision >= conf_floor(a->conf))
+	if (is_newest(f, revision))
 		conf_complete_kinds(a->conf, f->mask, revision, ab.keys);
 	a->from_platform = false;
 	g_hash_table_destroy(ab.keys);
 	f->listed_at = clk_ns(a->clk);
 	f->since = MAX(f->since, revision);
 	f->complete = MAX(f->complete, revision);
-	raise_floor(a);
+	raise_floor(a, CONF_RULES);
+	raise_floor(a, CONF_BACKENDS);
+	agent_gate_tell_ready(a);
 	slog(SLOG_WATCH, "listed", "kinds=%s revision=%llu in_force=%zu",
 	    f->kinds, (unsigned long long)revision, conf_count(a->conf));
 	agent_box_status_soon(a);
--- a/conf.c
+++ b/conf.c
@@ -14,6 +14,8 @@
 #include "conf.h"
 #include "err.h"
 
+enum { BUCKETS_OF_PART = CONF_BUCKETS / CONF_PARTS };
+
 struct listener {
 	conf_changed_fn *changed;
 	void *ctx;
@@ -22,8 +24,8 @@
 struct conf {
 	GHashTable *entries; /* char * key to struct conf_entry * */
 	uint64_t buckets[CONF_BUCKETS];
-	uint64_t digest;
-	uint64_t floor;
+	uint64_t digests[CONF_PARTS];
+	uint64_t floors[CONF_PARTS];
 	size_t live;
 	struct listener listeners[CONF_LISTENERS];
 	unsigned nlisteners;
@@ -89,10 +91,36 @@
 	g_free(c);
 }
 
+enum conf_part
+conf_part_of(enum obj_kind kind)
+{
+	return kind == OBJ_BACKEND ? CONF_BACKENDS : CONF_RULES;
+}
+
+static enum conf_part
+part_of_key(struct str key)
+{
+	struct str head = STR_LIT("backend/");
+
+	return key.n > head.n && memcmp(key.p, head.p, head.n) == 0
+	    ? CONF_BACKENDS
+	    : CONF_RULES;
+}
+
+/* Each part has as many buckets as the other. */
 unsigned
 conf_bucket(struct str key)
 {
-	return (unsigned)(XXH3_64bits(key.p, key.n) % CONF_BUCKETS);
+	unsigned of_part =
+	    (unsigned)(XXH3_64bits(key.p, key.n) % BUCKETS_OF_PART);
+
+	return (unsigned)part_of_key(key) * BUCKETS_OF_PART + of_part;
+}
+
+enum conf_part
+conf_part_of_bucket(unsigned bucket)
+{
+	return (enum conf_part)(bucket / BUCKETS_OF_PART);
 }
 
 static uint64_t
@@ -181,7 +209,7 @@
 	uint64_t h = hash_entry(e), diff = h ^ e->hash;
 
 	c->buckets[conf_bucket(e->key)] ^= diff;
-	c->digest ^= diff;
+	c->digests[conf_part_of(e->kind)] ^= diff;
 	e->hash = h;
 }
 
@@ -276,7 +304,8 @@
 
 	e = g_hash_table_lookup(c->entries, text);
 	g_free(text);
-	if (e == NULL && (version == 0 || version <= c->floor))
+	if (e == NULL &&
+	    (version == 0 || version <= c->floors[part_of_key(key)]))
 		return CONF_OLDER;
 	if (e != NULL && version == e->version && version > 0 &&
 	    deleted == e->deleted && (deleted || json_equal(spec, e->spec)))
@@ -307,25 +336,28 @@
 
 	(void)key;
 	return (e->deleted || e->version == 0) && e->bad_version == 0 &&
-	    e->version <= c->floor;
+	    e->version <= c->floors[conf_part_of(e->kind)];
 }
 
 void
-conf_raise_floor(struct conf *c, uint64_t revision)
+conf_raise_floor(struct conf *c, enum conf_part part, uint64_t revision)
 {
-	if (revision <= c->floor)
+	if (revision <= c->floors[part])
 		return;
-	c->floor = revision;
+	c->floors[part] = revision;
 	g_hash_table_foreach_remove(c->entries, is_buried, c);
 }
 
 void
 conf_complete(struct conf *c, uint64_t revision, GHashTable *keys)
 {
-	if (revision < c->floor)
+	int part;
+
+	if (revision < conf_floor(c))
 		return;
 	conf_complete_kinds(c, ~0u, revision, keys);
-	conf_raise_floor(c, revision);
+	for (part = 0; part < CONF_PARTS; part++)
+		conf_raise_floor(c, (enum conf_part)part, revision);
 }
 
 void
@@ -352,16 +384,28 @@
 	}
 }
 
+uint64_t
+conf_floor_of(const struct conf *c, enum conf_part part)
+{
+	return c->floors[part];
+}
+
 uint64_t
 conf_floor(const struct conf *c)
 {
-	return c->floor;
+	return MIN(c->floors[CONF_RULES], c->floors[CONF_BACKENDS]);
+}
+
+uint64_t
+conf_digest_of(const struct conf *c, enum conf_part part)
+{
+	return c->digests[part];
 }
 
 uint64_t
 conf_digest(const struct conf *c)
 {
-	return c->digest;
+	return c->digests[CONF_RULES] ^ c->digests[CONF_BACKENDS];
 }
 
 uint64_t
--- a/conf.h
+++ b/conf.h
@@ -26,14 +26,22 @@
  *
  *  - in force is the highest version that is valid or a deletion;
  *  - a higher version that is not valid is kept beside it as rejected;
- *  - `floor` is a revision up to which a complete list has been seen: an
- *    object not known here with a version at or below it has been deleted.
+ *  - `floor` is a revision up to which a complete list of a part has been
+ *    seen: an object of it not known here with a version at or below it has
+ *    been deleted.
  *
  * No I/O is done here; changes go out through a callback.
  */
 
 enum { CONF_BUCKETS = 64, CONF_LISTENERS = 2 };
 
+/*
+ * The two parts of a configuration: a box that only passes requests on to
+ * homes holds the rules, and no backend servers.  Each part has half of the
+ * buckets, a digest and a floor of its own.
+ */
+enum conf_part { CONF_RULES, CONF_BACKENDS, CONF_PARTS };
+
 struct conf_entry {
 	struct str key; /* "kind/name" */
 	enum obj_kind kind;
@@ -79,8 +87,9 @@
 void conf_complete(struct conf *, uint64_t revision, GHashTable *keys);
 
 /*
- * The same for some kinds only, a bit 1 << kind for each.  The floor stays:
- * its owner raises it once lists of all kinds are at or above it.
+ * The same for some kinds only, a bit 1 << kind for each.  The floors stay:
+ * their owner raises them once lists of all kinds of a part are at or above
+ * them.
  */
 void conf_complete_kinds(
     struct conf *, unsigned kinds, uint64_t revision, GHashTable *keys);
@@ -89,13 +98,19 @@
  * What is here is complete up to `revision`: by a list, or because a peer
  * with an equal digest says so of its own.  A watch may skip, and is no ground.
  */
-void conf_raise_floor(struct conf *, uint64_t revision);
+void conf_raise_floor(struct conf *, enum conf_part, uint64_t revision);
+uint64_t conf_floor_of(const struct conf *, enum conf_part);
+/* The lower one of both. */
 uint64_t conf_floor(const struct conf *);
 
+enum conf_part conf_part_of(enum obj_kind);
+
 /* Digest of all that is in force or rejected; equal sets, equal digests. */
 uint64_t conf_digest(const struct conf *);
+uint64_t conf_digest_of(const struct conf *, enum conf_part);
 uint64_t conf_bucket_digest(const struct conf *, unsigned bucket);
 unsigned conf_bucket(struct str key);
+enum conf_part conf_part_of_bucket(unsigned bucket);
 
 const struct conf_entry *conf_get(const struct conf *, struct str key);
 
--- a/gate_admit.c
+++ b/gate_admit.c
@@ -113,6 +113,7 @@
 	}
 	r->hops = (int)MIN(pass.hops, HOPS_MAX);
 	r->service = str_dup(svc->name);
+	r->hall = str_dup(pass.hall);
 	r->d.cls = pass.bulk ? CLASS_BULK : CLASS_INTERACTIVE;
 	r->d.repeatable = pass.repeatable;
 	r->d.may_retry = true;
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -259,16 +259,23 @@
 /* Tell the agent what is in force here, and whether we serve. */
 void
 gate_conf_report(struct gate *g)
+{
+	gate_conf_doubt(g, str_c(NULL));
+}
+
+/* The same, and that another box's gate does not answer. */
+void
+gate_conf_doubt(struct gate *g, struct str box)
 {
 	struct msg m = {.kind = MSG_GATE};
 
 	m.u.gate.box = g->set.box;
 	m.u.gate.boot = g->boot;
-	m.u.gate.digest = conf_digest(g->conf);
-	m.u.gate.floor = conf_floor(g->conf);
+	m.u.gate.holds = sync_holds(&g->sync);
 	m.u.gate.objects = conf_count(g->conf);
 	m.u.gate.leaving = gate_box_leaving(g);
 	m.u.gate.ready = g->state != BOX_EMPTY;
+	m.u.gate.doubted = box;
 	wire_send(g->wire, g->set.agent, &m);
 }
 
@@ -300,9 +307,9 @@
 
 	switch (m->kind) {
 	case MSG_HELLO:
-		sync_compare(
-		    &g->sync, m->from, m->u.hello.digest, m->u.hello.floor);
-		if (conf_digest(g->conf) == m->u.hello.digest &&
+		g->sync.partial = m->u.hello.holds.partial;
+		sync_compare(&g->sync, m->from, &m->u.hello.holds);
+		if (sync_equal(&g->sync, &m->u.hello.holds) &&
 		    m->u.hello.self.ready) {
 			rebuild_now(g);
 			/* Without a rule each request would get a 404. */
--- a/gate_home.c
+++ b/gate_home.c
@@ -110,55 +110,55 @@
 	return g_strdup_printf("%.*s/%.*s", STR_ARG(service), STR_ARG(hall));
 }
 
-/* The services that have backend servers in a hall. */
-struct dealing {
-	struct str hall;
-	GArray *services; /* struct home_service */
-};
-
 static void
 gather_service(void *ctx, const struct route_service *svc)
 {
-	struct dealing *d = ctx;
 	struct home_service s = {.name = svc->name};
+	GArray *services = ctx;
 
-	if (route_hall(svc, d->hall) != NULL)
-		g_array_append_val(d->services, s);
+	g_array_append_val(services, s);
 }
 
+/*
+ * All services are dealt, whether they have backend servers in the hall or
+ * not: leaves do not know, and must find the same homes as hubs.
+ */
 static void
 deal_hall(struct gate *g, struct str hall)
 {
-	struct dealing d = {
-	    hall, g_array_new(FALSE, TRUE, sizeof(struct home_service))};
+	GArray *services =
+	    g_array_new(FALSE, TRUE, sizeof(struct home_service));
 	GArray *gates = best_gates(g, hall);
 	const struct home_service *s;
 	struct home *home;
 	guint i;
 
-	route_each(g->routes, gather_service, &d);
-	home_deal(hall, (struct home_service *)d.services->data,
-	    d.services->len, (struct home_gate *)gates->data, gates->len);
-	for (i = 0; i < d.services->len; i++) {
-		s = &g_array_index(d.services, struct home_service, i);
+	route_each(g->routes, gather_service, services);
+	home_deal(hall, (struct home_service *)services->data, services->len,
+	    (struct home_gate *)gates->data, gates->len);
+	for (i = 0; i < services->len; i++) {
+		s = &g_array_index(services, struct home_service, i);
 		home = g_new0(struct home, 1);
 		home->peer = s->gate == NULL ? NULL : s->gate->data;
 		g_hash_table_insert(g->homes, home_key(s->name, hall), home);
 	}
 	g_array_free(gates, TRUE);
-	g_array_free(d.services, TRUE);
+	g_array_free(services, TRUE);
+}
+
+static void
+note_hall(GHashTable *halls, struct str hall)
+{
+	g_hash_table_insert(halls, g_strndup(hall.p, hall.n), NULL);
 }
 
 static void
 note_halls(void *ctx, const struct route_service *svc)
 {
-	GHashTable *halls = ctx;
 	unsigned i;
 
 	for (i = 0; i < svc->nhalls; i++)
-		g_hash_table_insert(halls,
-		    g_strndup(svc->halls[i].hall.p, svc->halls[i].hall.n),
-		    NULL);
+		note_hall(ctx, svc->halls[i].hall);
 }
 
 /* Gates or services have changed: find out anew where services are at home. */
@@ -167,10 +167,17 @@
 {
 	GHashTable *halls =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	const struct gate_peer *p;
 	GHashTableIter it;
 	gpointer key;
+	guint i;
 
 	g_hash_table_remove_all(g->homes);
+	note_hall(halls, g->set.hall);
+	for (i = 0; i < g->peers->len; i++) {
+		p = g_ptr_array_index(g->peers, i);
+		note_hall(halls, p->info.hall);
+	}
 	route_each(g->routes, note_halls, halls);
 	g_hash_table_iter_init(&it, halls);
 	while (g_hash_table_iter_next(&it, &key, NULL))
@@ -297,6 +304,7 @@
 	cnt_add(g->cnt, GC_SUSPECTS, 1);
 	slog(SLOG_ROUTE, "a home is left", "box=%.*s why=%s outstanding=%u",
 	    STR_ARG(p->info.box), slog_quote(why), p->outstanding);
+	gate_conf_doubt(g, p->info.box);
 	gate_req_home_lost(g, p);
 }
 
--- a/gate_pass.c
+++ b/gate_pass.c
@@ -14,15 +14,16 @@
 
 /* The header that a gate sends with a request that it passes on. */
 
-enum { FIELDS = 10, TEXT_MAX = 256 };
+enum { FIELDS = 10, TEXT_MAX = 384 };
 
-/* Numbers divided by blanks, and the service's name last. */
+/* Numbers divided by blanks, the hall's name, and the service's last. */
 bool
 gate_pass_read(struct str text, struct gate_pass *out)
 {
 	char copy[TEXT_MAX];
 	unsigned bulk, repeatable, retried, paid;
 	long long target;
+	const char *blank;
 	int at = 0, n;
 
 	if (text.n == 0 || text.n >= sizeof(copy))
@@ -39,17 +40,22 @@
 	out->retried = retried != 0;
 	out->paid = paid != 0;
 	out->target_ms = target;
-	out->service = str_n(text.p + at, text.n - (size_t)at);
-	return out->service.n > 0;
+	out->hall = str_n(text.p + at, text.n - (size_t)at);
+	blank = memchr(out->hall.p, ' ', out->hall.n);
+	if (blank == NULL)
+		return false;
+	out->hall.n = (size_t)(blank - out->hall.p);
+	out->service = str_n(blank + 1, (size_t)(text.p + text.n - blank - 1));
+	return out->hall.n > 0 && out->service.n > 0;
 }
 
 size_t
 gate_pass_write(const struct gate_pass *p, char *out, size_t size)
 {
-	int n = snprintf(out, size, "%u %u %u %u %u %u %u %u %u %lld %.*s",
+	int n = snprintf(out, size, "%u %u %u %u %u %u %u %u %u %lld %.*s %.*s",
 	    p->hops, p->bulk, p->repeatable, p->retried, p->paid, p->tries,
 	    p->attempts, p->rank, p->kind, (long long)p->target_ms,
-	    STR_ARG(p->service));
+	    STR_ARG(p->hall), STR_ARG(p->service));
 
 	return MIN((size_t)n, size - 1);
 }
--- a/gate_req.c
+++ b/gate_req.c
@@ -122,6 +122,31 @@
 	arrive(ctx, req, true);
 }
 
+/* Remember the hall whose slots the request is to use. */
+void
+gate_req_set_hall(struct gate_req *r, struct str hall)
+{
+	struct str copy = str_dup(hall);
+
+	str_free(&r->hall);
+	r->hall = copy;
+}
+
+/*
+ * Whose slots does it use?  What another gate passed to us says so, as we may
+ * be home for a hall that has no hubs.
+ */
+static struct str
+hall_for(struct gate_req *r, const struct route_service *svc)
+{
+	if (r->gate->set.route == ROUTE_ALONE)
+		return str_c(NULL);
+	if (r->hops > 0 && r->hall.n > 0)
+		return r->hall;
+	gate_req_set_hall(r, gate_home_hall(r->gate, svc));
+	return r->hall;
+}
+
 /* Bring the request to its service's home, which may be this gate. */
 void
 gate_req_route(struct gate_req *r)
@@ -136,8 +161,7 @@
 		gate_answer(r, ERR_NO_SERVICE, gate_req_ran(r), 0);
 		return;
 	}
-	hall =
-	    g->set.route == ROUTE_ALONE ? str_c(NULL) : gate_home_hall(g, svc);
+	hall = hall_for(r, svc);
 	if (r->hops > 0 || g->set.route == ROUTE_ALONE)
 		self = true;
 	else
@@ -209,6 +233,7 @@
 	gate_flow_dispose(r);
 	str_free(&r->rule);
 	str_free(&r->service);
+	str_free(&r->hall);
 	str_free(&r->name);
 	g_free(r);
 }
--- a/gate_try.c
+++ b/gate_try.c
@@ -71,13 +71,14 @@
 
 	(void)ctx;
 	r->d.may_pass = false;
+	gate_req_set_hall(r, hall);
 	r->peer = gate_home(r->gate, r->service, hall, &self);
 	if (!self) {
 		gate_try_home(r);
 		return;
 	}
 	r->shard = gate_conf_shard(
-	    r->gate, route_service(r->gate->routes, r->service), hall);
+	    r->gate, route_service(r->gate->routes, r->service), r->hall);
 	disp_arrive(r->shard->disp, &r->d);
 }
 
--- a/gossip.c
+++ b/gossip.c
@@ -15,14 +15,14 @@
 	SEEDS_ONE_IN = 10, /* of the fleet asks seeds in a round, at rest */
 	SEED_ROUNDS_MAX = 16, /* between questions to seeds that lead nowhere */
 	/*
-	 * Questions a second that a hub gets from leaves: with both ways some
-	 * 4 kB/s, of the 6 kB/s that a box may spend on control.
+	 * Questions a second that a hub gets from leaves: with their answers
+	 * some 5 kB/s, of the 6 kB/s that a box may spend on control.
 	 */
-	HUB_ASKED_MAX = 8,
+	HUB_ASKED_MAX = 24,
 	GREET_NEAR_MAX =
 	    8, /* listed boxes of our hall that are asked at once */
 	GREET_FAR_MAX = 4, /* and, by strong boxes, of each other hall */
-	DARK_HALLS_MAX = 8, /* halls without a hub that are asked in a round */
+	LOST_MAX = 8, /* hubs that are dead for us, asked in one round */
 	ANNOUNCE_BATCH = 32 /* boxes told at once, before I/O gets its turn */
 };
 
@@ -36,10 +36,11 @@
 #define ANNOUNCE_GAP_NS (20 * NS_MS)
 /*
  * Where the platform lists nobody a box cannot know whether it is a strong
- * one.  It waits for stronger ones, the longer the weaker it is: a whole
- * processor is one unit of patience.  Five seconds are more than stale lists
- * are behind; with them, of 473 boxes of a tenth and a half of a processor
- * that start together, only the strong ones write to the platform.
+ * one.  It waits for stronger ones, the longer the weaker it is, so much for
+ * each time that its power is missing to a whole processor.  A tenth then
+ * waits for 3.6 s, which is more than stale lists are behind; with it, of 473
+ * boxes of a tenth and a half of a processor that start together, only the
+ * strong ones write to the platform and list backend servers.
  */
 #define PATIENCE_NS (400 * NS_MS)
 #define PATIENCE_MAX_NS (5 * NS_S)
@@ -51,7 +52,8 @@
 	const struct clk *clk;
 	const struct rnd *rnd;
 	int64_t started;
-	int64_t round_at;
+	int64_t round_at; /* the next round, or a look whether it is due */
+	int64_t turn_at; /* our turn among the leaves of the hall */
 	unsigned rounds;
 	unsigned seeds_at; /* the round in which seeds are asked next */
 	unsigned seeds_gap; /* rounds until the time after that */
@@ -150,6 +152,7 @@
 		infos[i] = some[i]->info;
 	h.hubs = memb_digest_hubs(g->memb);
 	h.near = memb_digest_hall(g->memb);
+	h.holds = g->ops.holds(g->ops.ctx);
 	h.others.items = infos;
 	h.others.n = n;
 	if (asks)
@@ -158,13 +161,48 @@
 	g->ops.hello(g->ops.ctx, to, &h);
 }
 
+static void
+send_beat(struct gossip *g, struct str to, struct str box, bool asks)
+{
+	const struct memb_info *self = memb_self(g->memb);
+	struct msg_beat b = {
+	    .box = self->box,
+	    .boot = self->boot,
+	    .beat = self->beat,
+	    .hubs = memb_digest_hubs(g->memb),
+	    .near = memb_digest_hall(g->memb),
+	    .holds = g->ops.holds(g->ops.ctx),
+	    .asks = asks,
+	};
+
+	if (asks)
+		memb_asked(g->memb, box, clk_ns(g->clk));
+	g->ops.beat(g->ops.ctx, to, &b);
+}
+
+/* Does a box know our present word, and have we nothing else to tell it? */
+static bool
+beat_will_do(struct gossip *g, const struct memb_member *m)
+{
+	return memb_alive(m) && m->told == memb_self(g->memb)->beat;
+}
+
+static void
+ask_one(struct gossip *g, const struct memb_member *m)
+{
+	if (beat_will_do(g, m))
+		send_beat(g, m->info.inbox, m->info.box, true);
+	else
+		send_hello(g, m->info.inbox, m->info.box, true);
+}
+
 static bool
 ask(struct gossip *g, enum memb_who who)
 {
 	const struct memb_member *m = memb_ask_next(g->memb, g->rnd, who);
 
 	if (m != NULL)
-		send_hello(g, m->info.inbox, m->info.box, true);
+		ask_one(g, m);
 	return m != NULL;
 }
 
@@ -240,14 +278,15 @@
 }
 
 /*
- * Halls of which no hub is alive for us may be cut off, or we are: each is
- * asked in each round, so that they are known again a second after the cut.
+ * Hubs that are dead for us may be back, or it was we that were cut off: one of
+ * each hall is asked in each round, so that they are known again within some
+ * seconds of their return.
  */
 static void
-ask_dark_halls(struct gossip *g)
+ask_lost(struct gossip *g)
 {
-	const struct memb_member *some[DARK_HALLS_MAX];
-	size_t n = memb_ask_dark(g->memb, g->rnd, some, DARK_HALLS_MAX), i;
+	const struct memb_member *some[LOST_MAX];
+	size_t n = memb_ask_lost(g->memb, g->rnd, some, LOST_MAX), i;
 
 	for (i = 0; i < n; i++)
 		send_hello(g, some[i]->info.inbox, some[i]->info.box, true);
@@ -289,21 +328,30 @@
 static void
 round_due(struct gossip *g, int64_t now)
 {
-	bool hub = is_own_hub(g), near = ask(g, MEMB_NEAR_HUB);
+	bool hub, near;
 
+	g->round_at = now + rnd_jitter(g->rnd, g->set.hello_ns);
+	/* No turn is waited for while a hub of our hall is silent. */
+	if (now < g->turn_at && !memb_waits_near(g->memb)) {
+		g->round_at = g->turn_at;
+		return;
+	}
+	hub = is_own_hub(g);
+	near = ask(g, MEMB_NEAR_HUB);
 	if (hub)
 		ask(g, MEMB_NEAR_LEAF);
 	if (hub || !near)
 		ask(g, MEMB_FAR_HUB);
 	if (hub)
-		ask_dark_halls(g);
+		ask_lost(g);
 	ask_seed(g);
 	if (hub)
 		tell_crowd(g);
 	if (g->list_at == 0 && !g->fetching && is_lonely(g))
 		g->list_at = now + rnd_jitter(g->rnd, g->list_gap);
 	g->rounds++;
-	g->round_at = now + rnd_jitter(g->rnd, round_gap(g));
+	g->turn_at = now + rnd_jitter(g->rnd, round_gap(g));
+	g->round_at = MIN(g->round_at, g->turn_at);
 }
 
 /* The first questions, to those that the platform lists. */
@@ -486,14 +534,21 @@
 }
 
 bool
-gossip_is_hub(struct gossip *g)
+gossip_knows_power(const struct gossip *g)
 {
 	double power = (double)memb_self(g->memb)->power / MEMB_POWER_UNIT;
-	double patience = power > 0 ? PATIENCE_NS / power : PATIENCE_MAX_NS;
-	int64_t until =
-	    g->started + (int64_t)MIN(patience, (double)PATIENCE_MAX_NS);
+	double patience = (double)PATIENCE_MAX_NS;
 
-	return is_own_hub(g) && (g->known || clk_ns(g->clk) >= until);
+	if (power > 0)
+		patience = CLAMP((double)PATIENCE_NS * (1 / power - 1), 0,
+		    (double)PATIENCE_MAX_NS);
+	return g->known || clk_ns(g->clk) >= g->started + (int64_t)patience;
+}
+
+bool
+gossip_is_hub(struct gossip *g)
+{
+	return is_own_hub(g) && gossip_knows_power(g);
 }
 
 /* Announcements. */
@@ -566,15 +621,15 @@
 	return news;
 }
 
-/* Does the sender of a hello know otherwise than we do what it should know? */
+/* Does a box know otherwise than we do what it should know? */
 static bool
-differs(struct gossip *g, const struct msg_hello *h)
+differs(
+    struct gossip *g, const struct memb_info *box, uint64_t hubs, uint64_t near)
 {
-	if (h->hubs != memb_digest_hubs(g->memb))
+	if (hubs != memb_digest_hubs(g->memb))
 		return true;
-	return is_own_hub(g) && str_eq(h->self.hall, own_hall(g)) &&
-	    memb_is_hub(g->memb, h->self.box) &&
-	    h->near != memb_digest_hall(g->memb);
+	return is_own_hub(g) && str_eq(box->hall, own_hall(g)) &&
+	    memb_is_hub(g->memb, box->box) && near != memb_digest_hall(g->memb);
 }
 
 void
@@ -590,13 +645,32 @@
 	m = memb_find(g->memb, h->self.box);
 	if (h->asks || (m != NULL && m->told == 0))
 		send_hello(g, from, h->self.box, false);
-	if (differs(g, h))
+	if (differs(g, &h->self, h->hubs, h->near))
 		send_members(g, from, h->self.box);
 	if (news)
 		announce_to_new(g);
 	look_settled(g);
 }
 
+/*
+ * The sender is known, and nothing has changed there or here: another beat is
+ * answer enough.  Else hellos tell what has.
+ */
+void
+gossip_take_beat(struct gossip *g, struct str from, const struct msg_beat *b)
+{
+	const struct memb_member *m = memb_find(g->memb, b->box);
+
+	memb_answered(g->memb, b->box, clk_ns(g->clk));
+	if (m == NULL || !memb_alive(m) || m->info.boot != b->boot ||
+	    m->info.beat != b->beat || differs(g, &m->info, b->hubs, b->near))
+		send_hello(g, from, b->box, true);
+	else if (b->asks && beat_will_do(g, m))
+		send_beat(g, from, b->box, false);
+	else if (b->asks)
+		send_hello(g, from, b->box, false);
+}
+
 void
 gossip_take_members(struct gossip *g, const struct msg_members *list)
 {
@@ -622,6 +696,16 @@
 	g->ops.list(g->ops.ctx);
 }
 
+void
+gossip_doubt(struct gossip *g, struct str box)
+{
+	const struct memb_member *m = memb_find(g->memb, box);
+
+	if (m != NULL && memb_alive(m) && m->asked == 0)
+		send_hello(g, m->info.inbox, m->info.box, true);
+	g->round_at = MIN(g->round_at, clk_ns(g->clk) + g->set.hello_ns);
+}
+
 int64_t
 gossip_run(struct gossip *g)
 {
--- a/gossip.h
+++ b/gossip.h
@@ -26,14 +26,19 @@
  * asks the hubs of its hall; seeds are asked where that leads to nobody.  From
  * then on a leaf asks one hub of its hall at a time, and a hub asks hubs and,
  * seldom, a leaf.  Each hello tells digests of what its sender knows, and a
- * receiver that knows otherwise sends its list.
+ * receiver that knows otherwise sends its list.  Between boxes that know each
+ * other's present word a beat of some 90 bytes stands for a hello of 250 and
+ * more, so that a leaf can ask each second.
  */
 
 struct gossip_ops {
-	/* Send a hello; the owner fills in which configuration it has. */
-	void (*hello)(void *, struct str to, struct msg_hello *);
+	/* Send a hello, or what stands for one where nothing has changed. */
+	void (*hello)(void *, struct str to, const struct msg_hello *);
+	void (*beat)(void *, struct str to, const struct msg_beat *);
 	/* Send a list of members. */
-	void (*members)(void *, struct str to, struct msg_members *);
+	void (*members)(void *, struct str to, const struct msg_members *);
+	/* Which configuration we have. */
+	struct msg_holds (*holds)(void *);
 	/*
 	 * Have the platform list its boxes, tell memb of these, and call
 	 * gossip_listed(); whoever does it tries again where that fails.
@@ -68,6 +73,8 @@
 /* Messages of another box. */
 void
 gossip_take_hello(struct gossip *, struct str from, const struct msg_hello *);
+void
+gossip_take_beat(struct gossip *, struct str from, const struct msg_beat *);
 void gossip_take_members(struct gossip *, const struct msg_members *);
 
 /*
@@ -76,13 +83,20 @@
  */
 void gossip_announce(struct gossip *, bool at_once);
 
+/* Our gate got no answer of a box's: ask it now whether it lives. */
+void gossip_doubt(struct gossip *, struct str box);
+
 /* Are the boxes near known, or was there time for them to answer? */
 bool gossip_settled(const struct gossip *);
 
 /*
- * Is our box a hub for certain: does the platform list others of its hall, or
- * has there been time for stronger ones to tell of themselves?
+ * Do we know how strong our box is among its hall's: does the platform list
+ * others of them, or has there been time for stronger ones to tell of
+ * themselves?
  */
+bool gossip_knows_power(const struct gossip *);
+
+/* Is our box a hub, as far as that is known? */
 bool gossip_is_hub(struct gossip *);
 
 /* Boxes that were asked at the start. */
--- a/libagent.h
+++ b/libagent.h
@@ -55,6 +55,9 @@
 	struct str form; /* the platform's form, by name */
 };
 
+/* What a box holds of the configuration. */
+enum agent_scope { SCOPE_UNKNOWN, SCOPE_RULES, SCOPE_ALL };
+
 /* Which boxes tell of themselves on the platform. */
 enum agent_status_by { STATUS_BY_ALL, STATUS_BY_HUBS };
 
@@ -126,6 +129,7 @@
 	bool platform_up;
 	int64_t platform_back; /* it answered again after an outage; 0: never */
 	int64_t platform_lost; /* it did not answer, as far as we know */
+	enum agent_scope scope;
 	/* agent_box.c */
 	struct tmr_item boxes_timer, status_timer;
 	struct plat_call *boxes_call, *status_call;
@@ -149,7 +153,7 @@
 	int64_t differs_since;
 	/* agent_gate.c */
 	bool told_ready; /* the gate knows that it may serve */
-	uint64_t gate_boot, gate_digest, gate_floor;
+	uint64_t gate_boot, gate_digest;
 	int64_t gate_heard;
 	int64_t gate_greeted; /* it was told what we have */
 	bool gate_ready;
@@ -181,6 +185,7 @@
 void agent_watch_open(struct agent *);
 void agent_watch_resume(struct agent *);
 bool agent_is_watcher(struct agent *);
+void agent_watch_now(struct agent_feed *);
 struct plat_call *
 agent_call(struct agent *, const struct plat_request *, plat_done_fn *, void *);
 void agent_call_ended(struct agent *, enum plat_result);
@@ -205,6 +210,7 @@
 void agent_peer_listed(struct agent *);
 void agent_peer_ready(struct agent *);
 void agent_peer_leave(struct agent *);
+void agent_peer_doubt(struct agent *, struct str box);
 struct msg agent_peer_hello_of(const struct agent *);
 void agent_peer_blind(struct agent *, bool blind);
 
@@ -215,6 +221,12 @@
 void agent_gate_take(struct agent *, const struct msg *);
 void agent_gate_tick(struct agent *, int64_t now);
 
+/* agent_scope.c: what the box holds of the configuration. */
+void agent_scope_look(struct agent *);
+bool agent_scope_divides(struct agent *);
+bool agent_scope_has(struct agent *, const struct agent_feed *);
+bool agent_is_complete(const struct agent *);
+
 /* agent_push.c: messages to many boxes. */
 void agent_push_open(struct agent *);
 void agent_push_all(struct agent *, struct msg *);
--- a/libgate.h
+++ b/libgate.h
@@ -186,6 +186,7 @@
 bool gate_conf_open(struct gate *, GError **);
 void gate_conf_take(void *, const struct msg *);
 void gate_conf_report(struct gate *);
+void gate_conf_doubt(struct gate *, struct str box);
 void gate_conf_homes(struct gate *);
 struct gate_shard *
 gate_conf_shard(struct gate *, const struct route_service *, struct str hall);
--- a/libreq.h
+++ b/libreq.h
@@ -61,6 +61,8 @@
 	bool passed; /* by another gate */
 	int64_t began;
 	struct str rule, service; /* copies */
+	struct str
+	    hall; /* whose home it is with, or is on its way to; a copy */
 	bool allow_outage;
 	struct gate_claim *claim;
 	struct gate_shard *shard; /* where it is held or was sent from */
@@ -86,7 +88,9 @@
 	unsigned rank;
 	unsigned kind; /* requests of one kind take alike */
 	int64_t target_ms; /* left until its target; 0: unsaid */
-	struct str service; /* points into the header */
+	/* Whose slots it is to use; both point into the header. */
+	struct str hall;
+	struct str service;
 };
 
 #define GATE_PASS_HEADER "fern-pass"
@@ -98,6 +102,7 @@
 /* gate_req.c */
 void gate_req_event(struct gate_req *, enum req_event);
 void gate_req_route(struct gate_req *);
+void gate_req_set_hall(struct gate_req *, struct str);
 void gate_req_set_deadline(struct gate_req *);
 void gate_req_settle(struct gate_req *, bool not_run);
 enum err_ran gate_req_ran(const struct gate_req *);
--- a/memb.c
+++ b/memb.c
@@ -284,6 +284,13 @@
 	return m != NULL && m->rank >= 0;
 }
 
+bool
+memb_is_strong(struct memb *mb)
+{
+	refresh(mb);
+	return mb->own.strong;
+}
+
 size_t
 memb_count_hubs(struct memb *mb)
 {
@@ -446,6 +453,20 @@
 		revive(mb, m);
 }
 
+bool
+memb_waits_near(const struct memb *mb)
+{
+	const struct memb_member *m;
+	guint i;
+
+	for (i = 0; i < mb->members->len; i++) {
+		m = g_ptr_array_index(mb->members, i);
+		if (m->asked != 0 && is_near(mb, m))
+			return true;
+	}
+	return false;
+}
+
 void
 memb_told(struct memb *mb, struct str box)
 {
@@ -498,29 +519,37 @@
 	return chosen;
 }
 
+static const struct memb_member *
+lost_of(const struct memb *mb, const struct hall *h, guint from)
+{
+	const struct memb_member *m;
+	guint i;
+
+	for (i = 0; i < mb->members->len; i++) {
+		m = g_ptr_array_index(
+		    mb->members, (from + i) % mb->members->len);
+		if (str_eq(m->info.hall, h->name) &&
+		    (may_ask(mb, m, MEMB_NEAR_HUB, true) ||
+			may_ask(mb, m, MEMB_FAR_HUB, true)))
+			return m;
+	}
+	return NULL;
+}
+
 size_t
-memb_ask_dark(struct memb *mb, const struct rnd *rnd,
+memb_ask_lost(struct memb *mb, const struct rnd *rnd,
     const struct memb_member **out, size_t n)
 {
 	const struct memb_member *m;
-	const struct hall *h;
-	guint at, i, j, got = 0;
+	size_t got = 0;
+	guint i;
 
 	refresh(mb);
-	for (i = 0; i < mb->halls->len && got < n && mb->members->len > 0;
-	     i++) {
-		h = g_ptr_array_index(mb->halls, i);
-		at = (guint)rnd_below(rnd, mb->members->len);
-		for (j = 0; j < mb->members->len && h->nhubs == 0; j++) {
-			m = g_ptr_array_index(
-			    mb->members, (at + j) % mb->members->len);
-			if (!str_eq(m->info.hall, h->name) ||
-			    (!may_ask(mb, m, MEMB_NEAR_HUB, true) &&
-				!may_ask(mb, m, MEMB_FAR_HUB, true)))
-				continue;
+	for (i = 0; i < mb->halls->len && got < n; i++) {
+		m = lost_of(mb, g_ptr_array_index(mb->halls, i),
+		    (guint)rnd_below(rnd, MAX(mb->members->len, 1)));
+		if (m != NULL)
 			out[got++] = m;
-			break;
-		}
 	}
 	return got;
 }
--- a/memb.h
+++ b/memb.h
@@ -105,6 +105,9 @@
 void memb_asked(struct memb *, struct str box, int64_t now);
 void memb_answered(struct memb *, struct str box, int64_t now);
 
+/* Has a box of our hall a question of ours, and has not answered it yet? */
+bool memb_waits_near(const struct memb *);
+
 /* A box was sent our own word. */
 void memb_told(struct memb *, struct str box);
 
@@ -116,10 +119,10 @@
 memb_ask_next(struct memb *, const struct rnd *, enum memb_who);
 
 /*
- * One box, dead or only listed, of each hall of which no hub is alive; n at
- * most.  They may be back, or we are.
+ * One strong box, dead or only listed, of each hall that has any; n at most.
+ * They may be back, or we are.
  */
-size_t memb_ask_dark(
+size_t memb_ask_lost(
     struct memb *, const struct rnd *, const struct memb_member **, size_t n);
 
 /* The platform's list names a box; those not named since begin are unlisted. */
@@ -168,6 +171,9 @@
 /* Is a box, ours or another one, a hub of its hall? */
 bool memb_is_hub(struct memb *, struct str box);
 
+/* Has our box half the power of its hall's strongest, or more? */
+bool memb_is_strong(struct memb *);
+
 /* Hubs alive in all halls, ours among them if it is one. */
 size_t memb_count_hubs(struct memb *);
 
--- a/msg.c
+++ b/msg.c
@@ -95,11 +95,17 @@
     U64(msg_hello, self.power), U64(msg_hello, self.crowd),
     BOOL(msg_hello, self.dead), BOOL(msg_hello, self.leaving),
     BOOL(msg_hello, self.ready), BOOL(msg_hello, self.blind),
-    U64(msg_hello, digest), U64(msg_hello, floor), U64(msg_hello, hubs),
-    U64(msg_hello, near), BOOL(msg_hello, asks),
+    U64(msg_hello, holds.digest), U64(msg_hello, holds.rules),
+    U64(msg_hello, holds.floor), BOOL(msg_hello, holds.partial),
+    U64(msg_hello, hubs), U64(msg_hello, near), BOOL(msg_hello, asks),
     LIST(msg_hello, others, info_shape)};
+static const struct msg_field beat_fields[] = {STR(msg_beat, box),
+    U64(msg_beat, boot), U64(msg_beat, beat), U64(msg_beat, hubs),
+    U64(msg_beat, near), U64(msg_beat, holds.digest),
+    U64(msg_beat, holds.rules), U64(msg_beat, holds.floor),
+    BOOL(msg_beat, holds.partial), BOOL(msg_beat, asks)};
 static const struct msg_field buckets_fields[] = {
-    LIST(msg_buckets, digests, u64_shape)};
+    BOOL(msg_buckets, partial), LIST(msg_buckets, digests, u64_shape)};
 static const struct msg_field versions_fields[] = {
     U64(msg_versions, buckets), LIST(msg_versions, versions, version_shape)};
 static const struct msg_field want_fields[] = {LIST(msg_want, keys, key_shape)};
@@ -109,8 +115,10 @@
     LIST(msg_members, members, info_shape), U64(msg_members, fleet),
     BOOL(msg_members, hub)};
 static const struct msg_field gate_fields[] = {STR(msg_gate, box),
-    U64(msg_gate, boot), U64(msg_gate, digest), U64(msg_gate, floor),
-    U64(msg_gate, objects), BOOL(msg_gate, leaving), BOOL(msg_gate, ready)};
+    U64(msg_gate, boot), U64(msg_gate, holds.digest),
+    U64(msg_gate, holds.rules), U64(msg_gate, holds.floor),
+    BOOL(msg_gate, holds.partial), U64(msg_gate, objects),
+    BOOL(msg_gate, leaving), BOOL(msg_gate, ready), STR(msg_gate, doubted)};
 static const struct msg_field health_fields[] = {
     LIST(msg_health, states, state_shape)};
 static const struct msg_field summary_fields[] = {STR(msg_summary, service),
@@ -120,6 +128,7 @@
 
 static const struct shape shapes[MSG_KIND_MAX] = {
     [MSG_HELLO] = SHAPE(msg_hello, hello_fields),
+    [MSG_BEAT] = SHAPE(msg_beat, beat_fields),
     [MSG_BUCKETS] = SHAPE(msg_buckets, buckets_fields),
     [MSG_VERSIONS] = SHAPE(msg_versions, versions_fields),
     [MSG_WANT] = SHAPE(msg_want, want_fields),
--- a/msg.h
+++ b/msg.h
@@ -26,6 +26,7 @@
  */
 enum msg_kind {
 	MSG_HELLO, /* who I am, what I have, whom I know */
+	MSG_BEAT, /* the same where nothing has changed, in few bytes */
 	MSG_BUCKETS, /* digests of all buckets */
 	MSG_VERSIONS, /* versions of all objects in some buckets */
 	MSG_WANT, /* please send these objects */
@@ -45,21 +46,37 @@
 	size_t n;
 };
 
+/* Which configuration a process has. */
+struct msg_holds {
+	uint64_t digest; /* of all that it holds */
+	uint64_t rules; /* of its rules */
+	uint64_t floor; /* of all that it holds */
+	bool partial; /* it holds no backend servers */
+};
+
 struct msg_hello {
 	struct memb_info self;
-	uint64_t digest;
-	uint64_t floor;
+	struct msg_holds holds;
 	uint64_t hubs; /* memb_digest_hubs() of the sender */
 	uint64_t near; /* memb_digest_hall() */
 	bool asks; /* an answer is wanted */
 	struct msg_list others; /* struct memb_info */
 };
 
+struct msg_beat {
+	struct str box;
+	uint64_t boot, beat; /* of its last hello */
+	uint64_t hubs, near; /* as in a hello */
+	struct msg_holds holds;
+	bool asks; /* an answer is wanted */
+};
+
 struct msg_u64 {
 	uint64_t v;
 };
 
 struct msg_buckets {
+	bool partial; /* those of backend servers are not to be compared */
 	struct msg_list digests; /* struct msg_u64 */
 };
 
@@ -105,11 +122,11 @@
 struct msg_gate {
 	struct str box;
 	uint64_t boot;
-	uint64_t digest;
-	uint64_t floor;
+	struct msg_holds holds;
 	uint64_t objects;
 	bool leaving;
 	bool ready;
+	struct str doubted; /* a box whose gate does not answer, or empty */
 };
 
 /* What probes found of one backend server. */
@@ -143,6 +160,7 @@
 	struct str from; /* sender's inbox address */
 	union {
 		struct msg_hello hello;
+		struct msg_beat beat;
 		struct msg_buckets buckets;
 		struct msg_versions versions;
 		struct msg_want want;
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -76,12 +76,13 @@
 	std::string of_gate; /* settings of the gate beside the usual ones */
 	std::string
 	    of_bounds; /* bounds of the platform beside the usual ones */
+	std::string of_agent; /* the same of its agent */
 	Objects platform{ip + ":9000"};
 	Process box;
 
 	explicit World(bool configured = true, const std::string &gate = "",
-	    const std::string &bounds = "")
-	    : of_gate(gate), of_bounds(bounds)
+	    const std::string &bounds = "", const std::string &agent = "")
+	    : of_gate(gate), of_bounds(bounds), of_agent(agent)
 	{
 		char name[] = "/tmp/fernbox.XXXXXX";
 
@@ -120,6 +121,7 @@
 
 		text = replaced(text, "@bounds", of_bounds);
 		text = replaced(text, "[agent]", of_gate + "[agent]");
+		text += of_agent;
 		out << more << replaced(text, "@", ip);
 	}
 
@@ -171,6 +173,15 @@
 			   .status == 200;
 	}
 
+	/* Is an object in the store? */
+	bool has(const std::string &kind, const std::string &name)
+	{
+		return http("GET", ip + ":9000",
+			   "/api/objects/" + kind + "?allowStale=1", {}, "",
+			   500)
+			   .body.find("\"" + name + "\"") != std::string::npos;
+	}
+
 	bool logged(const std::string &text)
 	{
 		return box.read_log().find(text) != std::string::npos;
@@ -533,3 +544,114 @@
 	ASSERT_TRUE(until([&] { return answered; }, 2000));
 	EXPECT_FALSE(w.logged("why=leaving"));
 }
+
+namespace
+{
+
+/* A strong box, and a weak one beside it that callers ask. */
+struct Pair : World {
+	std::string weak_file;
+	Process weak;
+
+	Pair() : World(true, "power = 0.5\n", "", "power = 0.5\n")
+	{
+		const char *root = getenv("FERN_ROOT");
+		std::string text =
+		    replaced(settings, "@root", root != nullptr ? root : ".");
+
+		weak_file = dir + "/weak.toml";
+		text = replaced(text, "@bounds", "");
+		text = replaced(text, "\"@:8", "\"@:7");
+		text = replaced(text, "\"b1\"", "\"b2\"");
+		text = replaced(text, "[agent]", "power = 0.1\n[agent]");
+		text += "power = 0.1\n";
+		std::ofstream(weak_file) << replaced(text, "@", ip);
+		weak.argv = {
+		    std::string(root ? root : ".") + "/fernbox", weak_file};
+		weak.log = dir + "/weak.log";
+	}
+
+	~Pair()
+	{
+		weak.kill9();
+		unlink(weak.log.c_str());
+		unlink(weak_file.c_str());
+	}
+
+	bool weak_ready()
+	{
+		return http("GET", ip + ":7280", "/ready", {}, "", 500)
+			   .status == 200;
+	}
+
+	bool weak_logged(const std::string &text)
+	{
+		return weak.read_log().find(text) != std::string::npos;
+	}
+
+	Reply ask_weak(const std::string &path)
+	{
+		static int n;
+
+		return http("GET", ip + ":7080", path,
+		    {{"Host", "shop.example"},
+			{"fernjunction-request-id",
+			    "weak" + std::to_string(++n)},
+			{"fernjunction-deadline-ms", "800"}});
+	}
+};
+
+} // namespace
+
+/* It needs rules to pass requests to homes, and no backend servers. */
+TEST(Box, AWeakBoxHoldsRulesAndPassesRequestsOn)
+{
+	Pair p;
+
+	/* The strong one is on the platform's list, where others look. */
+	ASSERT_TRUE(until([&] { return p.ready() && p.has("boxes", "b1"); }));
+	p.weak.start();
+	/* Whoever asks first waits until it knows homes, and is served. */
+	Reply first;
+	ASSERT_TRUE(until([&] {
+		first = p.ask_weak("/look/1");
+		return first.status != 0;
+	}));
+	EXPECT_EQ(200, first.status);
+	EXPECT_TRUE(until(
+	    [&] { return p.weak_logged("knows what to hold\" backends=0"); }));
+	EXPECT_FALSE(p.weak_logged("key=backend/"));
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(200, p.ask_weak("/look/1").status);
+	EXPECT_EQ(21u, p.ran(0, 1));
+	EXPECT_FALSE(p.weak_logged("msg=\"sent\""));
+	/* A change of rules reaches it, one of backend servers does not. */
+	p.enter(1, "draining");
+	p.configure("shelf");
+	EXPECT_TRUE(until(
+	    [&] {
+		    p.ask_weak("/look/2");
+		    return p.ran(2, 3) > 0;
+	    },
+	    2500));
+	EXPECT_FALSE(p.weak_logged("key=backend/"));
+}
+
+/* With its home gone it says that nothing has run. */
+TEST(Box, AWeakBoxWhoseHomeIsGoneRefusesAsNotRun)
+{
+	Pair p;
+
+	ASSERT_TRUE(until([&] { return p.ready() && p.has("boxes", "b1"); }));
+	p.weak.start();
+	ASSERT_TRUE(until([&] { return p.weak_ready(); }));
+	ASSERT_EQ(200, p.ask_weak("/look/1").status);
+	p.box.kill9();
+	Reply r = p.ask_weak("/look/1");
+	EXPECT_EQ(503, r.status);
+	EXPECT_NE("", r.header("retry-after"));
+	/* It is back: served again, by a box that has just started. */
+	p.box.start();
+	EXPECT_TRUE(
+	    until([&] { return p.ask_weak("/look/1").status == 200; }, 4000));
+}
--- a/regress/test_conf.cpp
+++ b/regress/test_conf.cpp
@@ -46,6 +46,8 @@
 	std::string text = o.what == 'b' ? BAD : GOOD;
 
 	text.replace(text.find('%'), 1, std::to_string(o.version));
+	if (o.key.compare(0, 8, "backend/") == 0)
+		text = R"({"address":"127.0.0.1:9","hall":"n","slots":3})";
 	if (o.what == 'l') {
 		GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
 
@@ -196,7 +198,7 @@
 		p.net = this;
 		p.name = name;
 		p.conf = conf_new(nullptr, nullptr);
-		p.sync = {p.conf, on_send, &p, 0};
+		p.sync = {p.conf, on_send, &p, false, 0};
 	}
 
 	void deliver(bool faults)
@@ -219,8 +221,9 @@
 
 	void compare(const std::string &a, const std::string &b)
 	{
-		sync_compare(&peers[a].sync, view(b),
-		    conf_digest(peers[b].conf), conf_floor(peers[b].conf));
+		struct msg_holds holds = sync_holds(&peers[b].sync);
+
+		sync_compare(&peers[a].sync, view(b), &holds);
 	}
 
 	~Net()
@@ -308,6 +311,52 @@
 	EXPECT_EQ(9u, conf_floor(net.peers["old"].conf));
 }
 
+/*
+ * A box that holds rules only is equal to one that holds all as soon as the
+ * rules are, and what it has seen whole says nothing of backend servers.
+ */
+TEST(Sync, APeerThatHoldsRulesOnlyIsToldNoBackendServers)
+{
+	Net net;
+
+	net.add("all");
+	net.add("rules");
+	net.peers["rules"].sync.partial = true;
+	struct conf *all = net.peers["all"].conf;
+	struct conf *rules = net.peers["rules"].conf;
+	tell(all, {"service/s", 1, 'g'});
+	for (uint64_t i = 0; i < 40; i++)
+		tell(all, {"backend/b" + std::to_string(i), 2 + i, 'g'});
+	auto exchange = [&net] {
+		for (int i = 0; i < 4; i++) {
+			net.compare("all", "rules");
+			net.compare("rules", "all");
+			while (!net.wire.empty())
+				net.deliver(false);
+		}
+	};
+	exchange();
+	EXPECT_EQ("1", state(rules, "service/s"));
+	EXPECT_EQ(1u, conf_count(rules));
+	struct msg_holds holds = sync_holds(&net.peers["all"].sync);
+	EXPECT_TRUE(sync_equal(&net.peers["rules"].sync, &holds));
+	net.sent = 0;
+	exchange();
+	EXPECT_EQ(0u, net.sent);
+	/* It lists the rules at revision 100, before which a server came. */
+	conf_raise_floor(rules, CONF_RULES, 100);
+	exchange();
+	EXPECT_EQ(100u, conf_floor_of(all, CONF_RULES));
+	EXPECT_EQ(0u, conf_floor_of(all, CONF_BACKENDS));
+	tell(all, {"backend/late", 90, 'g'});
+	EXPECT_EQ("90", state(all, "backend/late"));
+	/* From now on it holds all, and what it missed is no deletion. */
+	net.peers["rules"].sync.partial = false;
+	exchange();
+	EXPECT_EQ(42u, conf_count(rules));
+	EXPECT_EQ(conf_digest(all), conf_digest(rules));
+}
+
 TEST(Sync, TheExchangeGrowsWithTheDifference)
 {
 	Net net;
@@ -362,7 +411,7 @@
 {
 	std::vector<size_t> sent;
 	struct conf *c = conf_new(nullptr, nullptr);
-	struct sync s = {c, note_objects, &sent, 0};
+	struct sync s = {c, note_objects, &sent, false, 0};
 	struct sync_pack *pack = sync_pack_new();
 
 	sync_pack_send(&s, pack, STR_LIT("p1"));
--- a/regress/test_gossip.cpp
+++ b/regress/test_gossip.cpp
@@ -183,6 +183,8 @@
 			if (m.kind == MSG_HELLO)
 				gossip_take_hello(
 				    to.gossip, m.from, &m.u.hello);
+			else if (m.kind == MSG_BEAT)
+				gossip_take_beat(to.gossip, m.from, &m.u.beat);
 			else
 				gossip_take_members(to.gossip, &m.u.members);
 			msg_done(&m);
@@ -209,7 +211,7 @@
 		    [f, &b, &peer, text] { f->deliver(b, peer, text, 0); });
 	}
 
-	static void hello(void *ctx, struct str to, struct msg_hello *h)
+	static void hello(void *ctx, struct str to, const struct msg_hello *h)
 	{
 		struct msg m = {};
 
@@ -218,7 +220,22 @@
 		send(*static_cast<Box *>(ctx), to, &m);
 	}
 
-	static void members(void *ctx, struct str to, struct msg_members *list)
+	static void beat(void *ctx, struct str to, const struct msg_beat *b)
+	{
+		struct msg m = {};
+
+		m.kind = MSG_BEAT;
+		m.u.beat = *b;
+		send(*static_cast<Box *>(ctx), to, &m);
+	}
+
+	static struct msg_holds holds(void *)
+	{
+		return {};
+	}
+
+	static void
+	members(void *ctx, struct str to, const struct msg_members *list)
 	{
 		struct msg m = {};
 
@@ -309,7 +326,8 @@
 	void start(Box &b)
 	{
 		struct memb_info self = {};
-		const struct gossip_ops ops = {hello, members, list, &b};
+		const struct gossip_ops ops = {
+		    hello, beat, members, holds, list, &b};
 		const struct gossip_set set = {
 		    NS_S, 15 * NS_S, 60 * NS_S, 6, seeds};
 
@@ -354,12 +372,32 @@
 				start_later(*b, after);
 	}
 
+	/* Gates that go on have requests, and find that a home is gone. */
 	void kill(int percent)
 	{
 		for (auto &b : boxes)
 			if (rnd_below(&rnd, 100) <
 			    static_cast<uint64_t>(percent))
 				stop(*b);
+		for (auto &b : boxes)
+			if (b->up)
+				doubt_homes(*b);
+	}
+
+	void doubt_homes(Box &b)
+	{
+		for (auto &home : homes_by(b, b.hall))
+			for (auto &other : boxes)
+				if (other->name == home.second && !other->up)
+					in(static_cast<int64_t>(
+					       rnd_below(&rnd, NS_S)),
+					    [this, &b, name = other->name] {
+						    if (!b.up)
+							    return;
+						    gossip_doubt(
+							b.gossip, view(name));
+						    look(b);
+					    });
 	}
 
 	/* The homes of a hall's services among its hubs that serve. */
@@ -529,6 +567,7 @@
 		/* The last box has started after 0.6 s. */
 		f->run_for(600 * NS_MS);
 		f->print("all lost, 0.6 s");
+		EXPECT_LE(0.98, f->agreement()) << n;
 		f->run_for(NS_S);
 		f->print("all lost, 1.6 s");
 		EXPECT_LE(0.99, f->agreement()) << n;
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -419,6 +419,7 @@
 	in.rank = 2;
 	in.kind = 250;
 	in.target_ms = 140;
+	in.hall = STR_LIT("north");
 	in.service = STR_LIT("till");
 	size_t n = gate_pass_write(&in, text, sizeof(text));
 	ASSERT_TRUE(gate_pass_read(str_n(text, n), &out));
@@ -432,9 +433,12 @@
 	EXPECT_EQ(2u, out.rank);
 	EXPECT_EQ(250u, out.kind);
 	EXPECT_EQ(140, out.target_ms);
+	EXPECT_TRUE(str_eq(STR_LIT("north"), out.hall));
 	EXPECT_TRUE(str_eq(STR_LIT("till"), out.service));
 	for (const char *bad : {"", "1", "1 0 1 0 1 1 3 2 250 140",
-		 "x 0 1 0 1 1 3 2 250 140 till"})
+		 "x 0 1 0 1 1 3 2 250 140 north till",
+		 "1 0 1 0 1 1 3 2 250 140 till",
+		 "1 0 1 0 1 1 3 2 250 140 north "})
 		EXPECT_FALSE(gate_pass_read(str_c(bad), &out)) << bad;
 }
 
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -792,7 +792,7 @@
 	m.kind = MSG_HELLO;
 	m.u.hello.self.box = STR_LIT("a");
 	m.u.hello.self.leaving = true;
-	m.u.hello.digest = 77;
+	m.u.hello.holds.digest = 77;
 	m.u.hello.others.items = &other;
 	m.u.hello.others.n = 1;
 	return encode(&m);
@@ -809,7 +809,7 @@
 	EXPECT_EQ(MSG_HELLO, m.kind);
 	EXPECT_TRUE(str_eq(m.u.hello.self.box, STR_LIT("a")));
 	EXPECT_TRUE(m.u.hello.self.leaving);
-	EXPECT_EQ(77u, m.u.hello.digest);
+	EXPECT_EQ(77u, m.u.hello.holds.digest);
 	ASSERT_EQ(1u, m.u.hello.others.n);
 	EXPECT_EQ(UINT64_MAX,
 	    static_cast<struct memb_info *>(m.u.hello.others.items)->beat);
--- a/sync.c
+++ b/sync.c
@@ -32,13 +32,41 @@
 	s->send(s->ctx, to, m);
 }
 
+struct msg_holds
+sync_holds(const struct sync *s)
+{
+	struct msg_holds h = {
+	    .digest = conf_digest(s->conf),
+	    .rules = conf_digest_of(s->conf, CONF_RULES),
+	    .floor = conf_floor(s->conf),
+	    .partial = s->partial,
+	};
+
+	if (!s->partial)
+		return h;
+	h.digest = h.rules;
+	h.floor = conf_floor_of(s->conf, CONF_RULES);
+	return h;
+}
+
+bool
+sync_equal(const struct sync *s, const struct msg_holds *h)
+{
+	if (s->partial || h->partial)
+		return h->rules == conf_digest_of(s->conf, CONF_RULES);
+	return h->digest == conf_digest(s->conf);
+}
+
 void
-sync_compare(struct sync *s, struct str from, uint64_t digest, uint64_t floor)
+sync_compare(struct sync *s, struct str from, const struct msg_holds *h)
 {
-	if (digest != conf_digest(s->conf))
+	if (!sync_equal(s, h)) {
 		send_buckets(s, from);
-	else if (floor > conf_floor(s->conf))
-		conf_raise_floor(s->conf, floor);
+		return;
+	}
+	conf_raise_floor(s->conf, CONF_RULES, h->floor);
+	if (!s->partial && !h->partial)
+		conf_raise_floor(s->conf, CONF_BACKENDS, h->floor);
 }
 
 static void
@@ -50,6 +78,7 @@
 
 	for (i = 0; i < CONF_BUCKETS; i++)
 		digests[i].v = conf_bucket_digest(s->conf, i);
+	m.u.buckets.partial = s->partial;
 	m.u.buckets.digests.items = digests;
 	m.u.buckets.digests.n = CONF_BUCKETS;
 	sync_post(s, to, &m);
@@ -60,13 +89,15 @@
 {
 	const struct msg_list *list = &m->u.buckets.digests;
 	const struct msg_u64 *digests = list->items;
+	bool partial = s->partial || m->u.buckets.partial;
 	uint64_t differ = 0;
 	unsigned i;
 
 	if (list->n != CONF_BUCKETS)
 		return;
 	for (i = 0; i < CONF_BUCKETS; i++)
-		if (digests[i].v != conf_bucket_digest(s->conf, i))
+		if (digests[i].v != conf_bucket_digest(s->conf, i) &&
+		    !(partial && conf_part_of_bucket(i) == CONF_BACKENDS))
 			differ |= UINT64_C(1) << i;
 	if (differ != 0)
 		send_versions(s, m->from, differ);
@@ -127,11 +158,12 @@
     struct sync *s, struct sync_pack *pack, const struct msg_version *v)
 {
 	const struct conf_entry *e = conf_get(s->conf, v->key);
+	uint64_t floor =
+	    conf_floor_of(s->conf, conf_part_of_bucket(conf_bucket(v->key)));
 
-	if (e == NULL &&
-	    MAX(v->version, v->bad_version) <= conf_floor(s->conf)) {
+	if (e == NULL && MAX(v->version, v->bad_version) <= floor) {
 		if (v->hash != 0)
-			sync_pack_add_gone(pack, v->key, conf_floor(s->conf));
+			sync_pack_add_gone(pack, v->key, floor);
 		return false;
 	}
 	if (e == NULL)
@@ -193,6 +225,14 @@
 	send_and_free(s, pack, m->from);
 }
 
+/* A backend server is no business of ours. */
+static bool
+is_beyond(const struct sync *s, struct str key)
+{
+	return s->partial &&
+	    conf_part_of_bucket(conf_bucket(key)) == CONF_BACKENDS;
+}
+
 /* The same contents came before, so that they need not be read again. */
 static bool
 is_known(const struct sync *s, const struct msg_object *o)
@@ -214,7 +254,7 @@
 	size_t i;
 
 	for (i = 0; i < list->n; i++) {
-		if (is_known(s, &o[i]))
+		if (is_beyond(s, o[i].key) || is_known(s, &o[i]))
 			continue;
 		spec = o[i].deleted ? NULL : sync_read_spec(&o[i]);
 		if (!o[i].deleted && spec == NULL) {
--- a/sync.h
+++ b/sync.h
@@ -30,15 +30,21 @@
 	struct conf *conf;
 	sync_send_fn *send;
 	void *ctx;
+	bool partial; /* we hold rules only, and no backend servers */
 	uint64_t messages; /* sent, for the counters */
 };
 
+/* What we hold, to be told to a peer. */
+struct msg_holds sync_holds(const struct sync *);
+
+/* Does a peer hold the same, as far as both hold it? */
+bool sync_equal(const struct sync *, const struct msg_holds *);
+
 /*
- * A peer has told its digest and floor.  Where they equal ours, its floor
- * is taken over; where not, the exchange begins.
+ * A peer has told what it holds.  Where that equals ours, its floor is taken
+ * over; where not, the exchange begins.
  */
-void
-sync_compare(struct sync *, struct str from, uint64_t digest, uint64_t floor);
+void sync_compare(struct sync *, struct str from, const struct msg_holds *);
 
 /* Take one of MSG_BUCKETS, MSG_VERSIONS, MSG_WANT and MSG_OBJECTS. */
 void sync_take(struct sync *, const struct msg *);
