Each watcher tells all hubs, a cut watch lists at once, a cut answer ends clean

A cut watch counted as an outage: half a second of backoff, and all boxes told of it. Then each watcher handed the change on to a third of the hubs, as six were thought to; with a third of the boxes cut off some hubs had it from nobody, and compare digests with other halls after 1.5 s only.

Ruled out: stale lists (those of boxes that started later), gossip in the hall (leaves had it 0.1 s after their hubs).

Change: all hubs are told by each box that the store told (spread.c, pure); a watch that breaks off lists at once.

Tests: Spread.*, Box.AWatchThatIsCutIsRenewedAtOnce, Conn.AnAnswerThatIsCutEndsWithoutAnythingElse (each fails without its mechanism, by regress/prove).

--- a/agent_push.c
+++ b/agent_push.c
@@ -9,17 +9,12 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include "libagent.h"
+#include "spread.h"
 
-/*
- * Messages to many boxes.  A change goes from those that watch the platform to
- * the hubs of all halls, and from hubs to the leaves of their hall, so that
- * each box sends to its own hall and to hubs only.
- */
+/* Messages to many boxes; spread.c has who hands a change on to whom. */
 
 enum {
 	PUSH_SMALL_MAX = 8192, /* bytes of an object that several push */
-	SMALL_COPIES = 3, /* senders of it to one box, or a few more */
-	LARGE_COPIES = 2, /* and of a large one: it takes a weak link seconds */
 	/*
 	 * A hub that has heard of more changes at once was cut off, and its
 	 * leaves know them from other hubs.
@@ -27,17 +22,6 @@
 	FORWARD_MAX = 128
 };
 
-/* Which of the boxes get something from us: one in `share`, the `own` one. */
-struct part {
-	unsigned share; /* 0: none */
-	unsigned own;
-};
-
-/* What one kind of receivers gets of us. */
-struct parts {
-	struct part small, large;
-};
-
 /* Changes of one origin, written down once. */
 struct changes {
 	struct sync_pack *small, *large; /* rules */
@@ -50,7 +34,6 @@
 	struct changes told; /* by the platform */
 	struct changes heard; /* of other boxes */
 	unsigned nheard;
-	struct parts to_hubs, to_leaves;
 };
 
 static void on_push(void *);
@@ -84,60 +67,31 @@
 	memb_each(a->memb, send_one, &many);
 }
 
-static bool
-is_ours(const struct part *p, struct str box)
-{
-	return p->share > 0 &&
-	    memb_weight(STR_LIT("push"), box) % p->share == p->own;
-}
-
 static void
-send_changes(struct push *p, const struct parts *parts, const struct changes *c,
+send_changes(struct push *p, const struct changes *c, enum spread_origin origin,
     const struct memb_member *to)
 {
 	struct agent *a = p->agent;
-	const struct memb_info *info = &to->info;
+	struct str inbox = to->info.inbox;
+	bool small = spread_to(a->memb, to, origin, false);
 
-	if (is_ours(&parts->small, info->box))
-		sync_pack_send(&a->sync, c->small, info->inbox);
+	if (small)
+		sync_pack_send(&a->sync, c->small, inbox);
 	/* A weak box holds no backend servers: agent_scope.c. */
-	if (is_ours(&parts->small, info->box) &&
-	    (to->strong || !agent_scope_divides(a)))
-		sync_pack_send(&a->sync, c->backends, info->inbox);
-	if (is_ours(&parts->large, info->box))
-		sync_pack_send(&a->sync, c->large, info->inbox);
+	if (small && (to->strong || !agent_scope_divides(a)))
+		sync_pack_send(&a->sync, c->backends, inbox);
+	if (spread_to(a->memb, to, origin, true))
+		sync_pack_send(&a->sync, c->large, inbox);
 }
 
-/* A hub gets what the platform told us, and a leaf of our hall all. */
 static void
 push_one(void *ctx, const struct memb_member *m)
 {
 	struct push *p = ctx;
-	bool near = str_eq(m->info.hall, p->agent->set.hall);
 
-	if (!memb_alive(m))
-		return;
-	if (m->rank >= 0) {
-		send_changes(p, &p->to_hubs, &p->told, m);
-	} else if (near) {
-		send_changes(p, &p->to_leaves, &p->told, m);
-		if (p->nheard <= FORWARD_MAX)
-			send_changes(p, &p->to_leaves, &p->heard, m);
-	}
-}
-
-static void
-set_part(struct part *p, unsigned senders, unsigned copies, unsigned own)
-{
-	p->share = MAX(senders / copies, 1);
-	p->own = own % p->share;
-}
-
-static void
-set_parts(struct parts *p, unsigned senders, unsigned own)
-{
-	set_part(&p->small, senders, SMALL_COPIES, own);
-	set_part(&p->large, senders, LARGE_COPIES, own);
+	send_changes(p, &p->told, SPREAD_TOLD, m);
+	if (p->nheard <= FORWARD_MAX)
+		send_changes(p, &p->heard, SPREAD_HEARD, m);
 }
 
 /*
@@ -151,26 +105,6 @@
 	    memb_is_hub(a->memb, a->set.box);
 }
 
-/*
- * Each change reaches a box from several others, so that one that is cut off
- * is not missed; digests heal what is missed all the same.
- */
-static void
-divide(struct push *p)
-{
-	struct agent *a = p->agent;
-	const struct memb_info *hubs[MEMB_HUBS];
-	size_t n = memb_hubs(a->memb, a->set.hall, hubs), i;
-
-	if (!tells_others(a))
-		return;
-	set_parts(&p->to_hubs, (unsigned)a->set.watchers,
-	    (unsigned)memb_watch_rank(a->memb));
-	for (i = 0; i < n; i++)
-		if (hubs[i] == memb_self(a->memb))
-			set_parts(&p->to_leaves, (unsigned)n, (unsigned)i);
-}
-
 static void
 changes_open(struct changes *c)
 {
@@ -238,8 +172,8 @@
 		send_to_gate(a, &p.told);
 		send_to_gate(a, &p.heard);
 	}
-	divide(&p);
-	memb_each(a->memb, push_one, &p);
+	if (tells_others(a))
+		memb_each(a->memb, push_one, &p);
 	changes_free(&p.told);
 	changes_free(&p.heard);
 }
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -19,6 +19,8 @@
  */
 
 #define BACKOFF_FIRST_NS (250 * NS_MS)
+/* Watches that were cut together are not renewed all at once. */
+#define CUT_NS (20 * NS_MS)
 /* What a box that does not watch knows of the platform's outage holds on. */
 #define BLIND_NS (10 * NS_S)
 /* Boxes that start know each other sooner than that. */
@@ -413,6 +415,13 @@
 	watch_soon(f, first && !gossip_is_hub(a->gossip) ? FIRST_WATCH_NS : 0);
 }
 
+/*
+ * A watch that breaks off says nothing of the platform yet, which may cut those
+ * that wait, as it does when it has forgotten its history.  So a list is asked
+ * for at once: with the backoff of an outage a change of that moment came half
+ * a second later to the whole fleet.  A new watch from where the old one was
+ * may wait for seconds before it says that this history is gone.
+ */
 static void
 on_watch(void *ctx, enum plat_result result, json_t *body)
 {
@@ -420,6 +429,12 @@
 	struct agent *a = f->agent;
 
 	f->call = NULL;
+	if (result == PLAT_DOWN && f->fails == 0) {
+		f->fails++;
+		f->listed_at = 0;
+		watch_soon(f, rnd_jitter(a->rnd, CUT_NS));
+		return;
+	}
 	agent_call_ended(a, result);
 	if (result == PLAT_TOO_OLD) {
 		f->listed_at = 0;
--- a/hsrv_req.c
+++ b/hsrv_req.c
@@ -12,6 +12,11 @@
 
 /* One request on a connection, and its answer's way from h2o. */
 
+/*
+ * An answer that is cut ends where it is.  h2o then writes a chunk of its own
+ * that cannot be read, with which the caller cannot tell what came before from
+ * what was never an answer.
+ */
 static void
 on_send(h2o_ostream_t *out, h2o_req_t *req, h2o_iovec_t *bufs, size_t n,
     h2o_send_state_t state)
@@ -22,6 +27,8 @@
 	size_t i;
 
 	(void)req;
+	if (state == H2O_SEND_STATE_ERROR)
+		n = 0;
 	for (i = 0; i < n; i++) {
 		buf = uv_buf_init(bufs[i].base, (unsigned)bufs[i].len);
 		if (buf.len > 0)
--- a/memb.c
+++ b/memb.c
@@ -839,15 +839,6 @@
 	return before < k || (!m->info.blind && seeing < MEMB_SEEING_MIN);
 }
 
-int
-memb_watch_rank(struct memb *mb)
-{
-	int seeing;
-
-	refresh(mb);
-	return mb->own.rank < 0 ? -1 : count_before(mb, &mb->own, &seeing);
-}
-
 size_t
 memb_news(struct memb *mb, const struct rnd *rnd, struct str to,
     const struct memb_member **out, size_t n)
--- a/memb.h
+++ b/memb.h
@@ -204,9 +204,6 @@
  */
 bool memb_watches(struct memb *, struct str box, int k);
 
-/* How many hubs come before ours in that order; -1 if ours is no hub. */
-int memb_watch_rank(struct memb *);
-
 /* The weight of a box for a key, as memb_is_first() ranks them. */
 uint64_t memb_weight(struct str key, struct str box);
 
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -171,6 +171,17 @@
 	in_loop([&] { status = with; });
 }
 
+void
+Objects::cut_watches()
+{
+	in_loop([&] {
+		auto cut = waiters;
+
+		for (Waiter *w : cut)
+			hsrv_cut(w->req);
+	});
+}
+
 void
 Objects::compact()
 {
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -65,6 +65,8 @@
 	void answer_all(int status);
 	/* Forget what changed so far: watches from before get 410. */
 	void compact();
+	/* Break off all watches that wait. */
+	void cut_watches();
 	/* Answer no call of the store at all, or again. */
 	void hang(bool);
 	/* How many calls were left without an answer. */
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -465,6 +465,33 @@
 	    2000));
 }
 
+/* It says nothing of the platform, and is no reason to wait. */
+TEST(Box, AWatchThatIsCutIsRenewedAtOnce)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	/* It watches by now. */
+	w.configure("shelf");
+	ASSERT_TRUE(until(
+	    [&] {
+		    w.ask("/look/1");
+		    return w.ran(2, 3) > 0;
+	    },
+	    3000));
+	pump(200);
+	w.platform.cut_watches();
+	w.configure("till");
+	size_t before = w.ran(0, 1);
+	EXPECT_TRUE(until(
+	    [&] {
+		    w.ask("/look/2");
+		    return w.ran(0, 1) > before;
+	    },
+	    2000));
+	EXPECT_FALSE(w.logged("platform does not answer"));
+}
+
 TEST(Box, SettingsAreReadAnewOnSighup)
 {
 	World w;
--- a/regress/test_gossip.cpp
+++ b/regress/test_gossip.cpp
@@ -28,6 +28,7 @@
 #include "gossip.h"
 #include "home.h"
 #include "msg.h"
+#include "spread.h"
 }
 
 namespace
@@ -737,3 +738,93 @@
 	}
 	EXPECT_LT(moved * 4, kept);
 }
+
+namespace
+{
+
+/* How many boxes hand a change on to each of the others. */
+std::map<std::string, int>
+senders(Fleet &f, enum spread_origin origin, bool large, Box *only)
+{
+	std::map<std::string, int> n;
+
+	for (auto &from : f.boxes) {
+		if (only != nullptr && from.get() != only)
+			continue;
+		for (auto &to : f.boxes) {
+			const struct memb_member *m =
+			    memb_find(from->memb, view(to->name));
+
+			if (m != nullptr &&
+			    spread_to(from->memb, m, origin, large))
+				n[to->name]++;
+		}
+	}
+	return n;
+}
+
+} // namespace
+
+/* A change that the platform tells to one hub only is at all hubs at once. */
+TEST(Spread, WhatOneHubIsToldReachesAllHubsAndItsHall)
+{
+	auto f = settled_fleet(120);
+
+	for (auto &from : f->boxes) {
+		auto small = senders(*f, SPREAD_TOLD, false, from.get());
+
+		if (!from->strong) {
+			EXPECT_EQ(0u, small.size());
+			continue;
+		}
+		for (auto &to : f->boxes) {
+			bool reached = to.get() != from.get() &&
+			    (to->strong || to->hall == from->hall);
+
+			EXPECT_EQ(reached, small.count(to->name) > 0)
+			    << from->name << " " << to->name;
+			if (to->strong && to.get() != from.get()) {
+				EXPECT_EQ(1u,
+				    senders(*f, SPREAD_TOLD, true, from.get())
+					.count(to->name));
+			}
+		}
+	}
+}
+
+/* What hubs have heard goes to the leaves of their hall, and is not missed. */
+TEST(Spread, EachLeafHasSeveralHubsThatHandOn)
+{
+	auto f = settled_fleet(120);
+
+	for (bool large : {false, true}) {
+		auto n = senders(*f, SPREAD_HEARD, large, nullptr);
+
+		for (auto &b : f->boxes) {
+			if (b->strong) {
+				EXPECT_EQ(0, n[b->name]);
+				continue;
+			}
+			EXPECT_LE(2, n[b->name]) << b->name;
+			EXPECT_GE(3, n[b->name]) << b->name;
+		}
+	}
+}
+
+/* Of a hall of equal boxes six are hubs, and not all send to each leaf. */
+TEST(Spread, WhatALeafIsSentDoesNotGrowWithItsHubs)
+{
+	Fleet f(60, 2);
+
+	for (auto &b : f.boxes) {
+		b->strong = true;
+		b->power = 500;
+	}
+	f.start_all();
+	f.run_for(20 * NS_S);
+	for (bool large : {false, true})
+		for (auto &n : senders(f, SPREAD_HEARD, large, nullptr)) {
+			EXPECT_LE(2, n.second) << n.first;
+			EXPECT_GE(large ? 2 : 3, n.second) << n.first;
+		}
+}
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -446,3 +446,56 @@
 	    1500));
 	EXPECT_EQ(0u, s.reqs.size());
 }
+
+namespace
+{
+
+void
+go_on(h2o_generator_t *, h2o_req_t *)
+{
+}
+
+} // namespace
+
+/*
+ * What has come of an answer that is cut can be read, and its end is missing:
+ * bytes that are no part of it would make the whole unreadable.
+ */
+TEST(Conn, AnAnswerThatIsCutEndsWithoutAnythingElse)
+{
+	/* Cut with its first bytes, behind them, or once they are out. */
+	for (int when : {0, 1, 2})
+		for (size_t more : {0, 1}) {
+			Server s;
+			Caller c(s);
+			h2o_generator_t gen = {go_on, nullptr};
+			h2o_iovec_t first = h2o_iovec_init(H2O_STRLIT("first"));
+			h2o_iovec_t last = h2o_iovec_init(H2O_STRLIT("last"));
+
+			c.say(get("/a"));
+			ASSERT_TRUE(
+			    s.until([&] { return s.reqs.size() == 1; }));
+			h2o_req_t *req = s.reqs[0];
+			req->res.status = 200;
+			req->res.reason = "OK";
+			req->res.content_length = SIZE_MAX;
+			h2o_start_response(req, &gen);
+			if (when > 0)
+				h2o_send(
+				    req, &first, 1, H2O_SEND_STATE_IN_PROGRESS);
+			if (when > 1) {
+				ASSERT_TRUE(c.gets(s, "first\r\n"));
+				s.turn();
+			}
+			h2o_send(req, &last, more, H2O_SEND_STATE_ERROR);
+			ASSERT_TRUE(c.ends(s));
+			size_t at = c.got.find("\r\n\r\n");
+			std::string body =
+			    at == std::string::npos ? "" : c.got.substr(at + 4);
+			std::string good = "5\r\nfirst\r\n4\r\nlast\r\n";
+			if (when == 0)
+				good = "4\r\nlast\r\n";
+			/* Some of it, or all, and nothing else. */
+			EXPECT_EQ(0u, good.find(body)) << when << more << body;
+		}
+}
--- /dev/null
+++ b/spread.c
@@ -0,0 +1,52 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "spread.h"
+
+/*
+ * Hubs of a hall that send the same to one of its leaves, or a few more: one
+ * that is cut off is then not missed.  What is large takes a weak link long.
+ */
+enum { SMALL_COPIES = 3, LARGE_COPIES = 2 };
+
+/* Of a leaf's hubs, one in `share` sends to it: the `own` one. */
+static bool
+is_our_leaf(struct memb *mb, const struct memb_member *to, bool large)
+{
+	const struct memb_info *hubs[MEMB_HUBS];
+	const struct memb_info *self = memb_self(mb);
+	unsigned n = (unsigned)memb_hubs(mb, self->hall, hubs), own;
+	unsigned share =
+	    MAX(n / (unsigned)(large ? LARGE_COPIES : SMALL_COPIES), 1);
+
+	for (own = 0; own < n; own++)
+		if (hubs[own] == self)
+			break;
+	return own < n &&
+	    memb_weight(STR_LIT("spread"), to->info.box) % share == own % share;
+}
+
+/*
+ * All hubs get a change from each box that the platform tells it.  With each
+ * such box sending to some of them, a change that only one box was told took
+ * two seconds to the hubs that this one left to others.
+ */
+bool
+spread_to(struct memb *mb, const struct memb_member *to,
+    enum spread_origin origin, bool large)
+{
+	const struct memb_info *self = memb_self(mb);
+
+	if (!memb_alive(to) || !memb_is_hub(mb, self->box))
+		return false;
+	if (memb_is_hub(mb, to->info.box))
+		return origin == SPREAD_TOLD;
+	return str_eq(to->info.hall, self->hall) && is_our_leaf(mb, to, large);
+}
--- /dev/null
+++ b/spread.h
@@ -0,0 +1,33 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef SPREAD_H
+#define SPREAD_H
+
+#include "memb.h"
+
+/*
+ * Who hands a change of the configuration on to whom.  Pure.
+ *
+ * What the platform tells a hub it hands on to all hubs; what it has from
+ * there or from another hub, to leaves of its hall.  So each box sends to its
+ * own hall and to hubs only, and a change is two steps from each box.
+ */
+
+enum spread_origin {
+	SPREAD_TOLD, /* by the platform */
+	SPREAD_HEARD /* of another box */
+};
+
+/* Does our box hand a change on to another one? */
+bool spread_to(struct memb *, const struct memb_member *to, enum spread_origin,
+    bool large);
+
+#endif
