All hear of a hub that leaves, and no backend servers before the scope is known

Their word of it came in beats, which carry no news, and lists for others named living boxes only. They passed into that hall at all as they had taken a few backend servers before they knew that they hold none, and so knew servers there and none in their own hall.

Ruled out: the end of the grace (the box used it up, 9 s), the home's own queue. Found beside it: a leaf that was taken for a hub while its hall started told hubs of all leaves, which they know, for minutes, at 1 kB a second.

Change: a box that has news for another tells it instead of a beat; lists name hubs that have left or died, unless the death is our own guess; of leaves hubs alone tell; a box takes no backend servers until it knows its scope.

--- a/agent_open.c
+++ b/agent_open.c
@@ -231,8 +231,9 @@
 	agent_lapse_open(a);
 	agent_push_open(a);
 	agent_probe_open(a);
-	agent_peer_open(a);
 	agent_watch_open(a);
+	agent_scope_open(a);
+	agent_peer_open(a);
 	return true;
 }
 
--- a/agent_scope.c
+++ b/agent_scope.c
@@ -48,13 +48,23 @@
 	return f != backends_feed(a) || a->scope == SCOPE_ALL;
 }
 
+/*
+ * Until it is known, a box takes no backend servers: the few that it would hear
+ * of meanwhile would stay, and lead its requests to the halls that they are in.
+ */
+void
+agent_scope_open(struct agent *a)
+{
+	a->sync.partial = agent_scope_divides(a);
+}
+
 static void
 enter(struct agent *a, enum agent_scope scope)
 {
 	if (a->scope == scope)
 		return;
 	a->scope = scope;
-	a->sync.partial = scope == SCOPE_RULES;
+	a->sync.partial = scope != SCOPE_ALL;
 	slog(SLOG_AGENT, "knows what to hold", "backends=%d",
 	    scope == SCOPE_ALL);
 	if (scope == SCOPE_ALL && backends_feed(a) != NULL)
--- a/gossip.c
+++ b/gossip.c
@@ -184,7 +184,8 @@
 static bool
 beat_will_do(struct gossip *g, const struct memb_member *m)
 {
-	return memb_alive(m) && m->told == memb_self(g->memb)->beat;
+	return memb_alive(m) && m->told == memb_self(g->memb)->beat &&
+	    !memb_has_news(g->memb, m);
 }
 
 static void
@@ -206,7 +207,7 @@
 	return m != NULL;
 }
 
-/* Members that are alive and concern a box. */
+/* Members that concern a box. */
 struct choice {
 	struct gossip *gossip;
 	const struct memb_member *to;
@@ -218,7 +219,7 @@
 {
 	struct choice *c = ctx;
 
-	if (memb_alive(m) && m != c->to &&
+	if (m != c->to && memb_is_worth_listing(c->gossip->memb, m) &&
 	    memb_concerns(c->gossip->memb, c->to, m))
 		g_array_append_val(c->infos, m->info);
 }
--- a/libagent.h
+++ b/libagent.h
@@ -222,6 +222,7 @@
 void agent_gate_tick(struct agent *, int64_t now);
 
 /* agent_scope.c: what the box holds of the configuration. */
+void agent_scope_open(struct agent *);
 void agent_scope_look(struct agent *);
 bool agent_scope_divides(struct agent *);
 bool agent_scope_has(struct agent *, const struct agent_feed *);
--- a/memb.c
+++ b/memb.c
@@ -323,16 +323,49 @@
 	return str_eq(m->info.hall, mb->own.info.hall);
 }
 
+static bool
+is_for_all(const struct memb_member *m)
+{
+	return m->rank >= 0 || m->was_hub;
+}
+
 bool
 memb_concerns(
     struct memb *mb, const struct memb_member *to, const struct memb_member *m)
 {
 	refresh(mb);
-	if (m->rank >= 0 || m->was_hub || to == NULL)
+	if (is_for_all(m) || to == NULL)
 		return true;
 	return to->rank >= 0 && str_eq(to->info.hall, m->info.hall);
 }
 
+/*
+ * Is it news that we pass on to a box?  Of leaves hubs alone tell: a leaf that
+ * was taken for a hub while its hall started knows the whole hall, and else
+ * tells hubs for minutes, at 1 kB a second, what they know.
+ */
+static bool
+is_news(
+    struct memb *mb, const struct memb_member *to, const struct memb_member *m)
+{
+	return m->untold > 0 && m != to && memb_concerns(mb, to, m) &&
+	    (mb->own.rank >= 0 || is_for_all(m));
+}
+
+/* A death that is kept to ourselves; see memb_tick(). */
+static bool
+is_private(const struct memb *mb, const struct memb_member *m)
+{
+	return m->info.dead && m->by_us && (m->in_doubt || !is_near(mb, m));
+}
+
+bool
+memb_is_worth_listing(const struct memb *mb, const struct memb_member *m)
+{
+	return memb_alive(m) ||
+	    (m->heard != 0 && m->was_hub && !is_private(mb, m));
+}
+
 /* What is heard, and what is passed on. */
 
 /* Every news reaches all with near certainty after so many tellings. */
@@ -603,7 +636,7 @@
 	m->info.dead = true;
 	m->asked = 0;
 	m->heard = now;
-	m->untold = is_near(mb, m) && !m->in_doubt ? tellings(mb) : 0;
+	m->untold = is_private(mb, m) ? 0 : tellings(mb);
 	mb->dirty = true;
 }
 
@@ -839,6 +872,20 @@
 	return before < k || (!m->info.blind && seeing < MEMB_SEEING_MIN);
 }
 
+bool
+memb_has_news(struct memb *mb, const struct memb_member *to)
+{
+	const struct memb_member *m;
+	guint i;
+
+	for (i = 0; i < mb->members->len; i++) {
+		m = g_ptr_array_index(mb->members, i);
+		if (is_news(mb, to, m))
+			return true;
+	}
+	return false;
+}
+
 size_t
 memb_news(struct memb *mb, const struct rnd *rnd, struct str to,
     const struct memb_member **out, size_t n)
@@ -854,7 +901,7 @@
 	at = (guint)rnd_below(rnd, len);
 	for (i = 0; i < len && got < n; i++) {
 		m = g_ptr_array_index(mb->members, (at + i) % len);
-		if (m->untold == 0 || m == own || !memb_concerns(mb, own, m))
+		if (!is_news(mb, own, m))
 			continue;
 		m->untold--;
 		out[got++] = m;
--- a/memb.h
+++ b/memb.h
@@ -188,6 +188,12 @@
 bool memb_concerns(
     struct memb *, const struct memb_member *to, const struct memb_member *);
 
+/*
+ * Is it one to put on a list for others: alive, or a hub that is not any more,
+ * as others have to hear of that too?
+ */
+bool memb_is_worth_listing(const struct memb *, const struct memb_member *);
+
 const struct memb_member *memb_find(const struct memb *, struct str box);
 
 /*
@@ -204,6 +210,9 @@
  */
 bool memb_watches(struct memb *, struct str box, int k);
 
+/* Is there news that a box, which may be NULL, has not been told? */
+bool memb_has_news(struct memb *, const struct memb_member *to);
+
 /* The weight of a box for a key, as memb_is_first() ranks them. */
 uint64_t memb_weight(struct str key, struct str box);
 
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -664,6 +664,32 @@
 	EXPECT_FALSE(p.weak_logged("key=backend/"));
 }
 
+/*
+ * Before it knows what it needs, others tell it of the configuration: of
+ * backend servers it takes none, as the few that it would hear of would stay
+ * with it.
+ */
+TEST(Box, AWeakBoxTakesNoBackendServersBeforeItKnowsItsScope)
+{
+	Pair p;
+	std::ifstream in(p.weak_file);
+	std::string text{std::istreambuf_iterator<char>(in), {}};
+
+	text = replaced(text, "seeds = []", "seeds = [\"" + p.ip + ":8480\"]");
+	std::ofstream(p.weak_file) << text;
+	ASSERT_TRUE(until([&] { return p.ready() && p.has("boxes", "b1"); }));
+	/* No list tells it that there is a stronger box. */
+	p.platform.hang(true);
+	p.weak.start();
+	ASSERT_TRUE(until(
+	    [&] { return p.weak_logged("knows what to hold\" backends=0"); },
+	    8000));
+	EXPECT_FALSE(p.weak_logged("key=backend/"));
+	p.enter(1, "draining");
+	EXPECT_EQ(200, p.ask_weak("/look/1").status);
+	p.platform.hang(false);
+}
+
 /* With its home gone it says that nothing has run. */
 TEST(Box, AWeakBoxWhoseHomeIsGoneRefusesAsNotRun)
 {
--- a/regress/test_gossip.cpp
+++ b/regress/test_gossip.cpp
@@ -611,6 +611,69 @@
 	}
 }
 
+/* Hubs that a box takes for alive and that are not, over all boxes. */
+static int
+wrong_hubs(Fleet &f)
+{
+	const struct memb_info *hubs[MEMB_HUBS];
+	int wrong = 0;
+
+	for (auto &b : f.boxes) {
+		if (!b->up)
+			continue;
+		for (auto &hall : f.halls) {
+			size_t n = memb_hubs(b->memb, view(hall), hubs);
+
+			for (size_t i = 0; i < n; i++)
+				wrong += !f.by_inbox
+					      .at(std::string(hubs[i]->inbox.p,
+						  hubs[i]->inbox.n))
+					      ->up;
+		}
+	}
+	return wrong;
+}
+
+/* It says so, and boxes of other halls have to hear of it too. */
+TEST(Gossip, AHubThatLeavesIsKnownToHaveLeftByAll)
+{
+	auto f = settled_fleet(473);
+	Box &hub = *f->boxes[0];
+
+	ASSERT_TRUE(hub.strong);
+	memb_self(hub.memb)->leaving = true;
+	memb_changed(hub.memb);
+	gossip_announce(hub.gossip, true);
+	f->run_for(NS_S);
+	f->stop(hub);
+	f->run_for(3 * NS_S);
+	EXPECT_EQ(0, wrong_hubs(*f));
+}
+
+/* And then all is quiet again. */
+TEST(Gossip, AHubThatDiesIsKnownToBeDeadInItsHall)
+{
+	auto f = settled_fleet(473);
+	Box &hub = *f->boxes[0];
+
+	f->stop(hub);
+	f->run_for(15 * NS_S);
+	for (auto &b : f->boxes) {
+		if (b->up && b->hall == hub.hall) {
+			EXPECT_FALSE(memb_is_hub(b->memb, view(hub.name)))
+			    << b->name;
+		}
+	}
+	f->run_for(45 * NS_S);
+	EXPECT_EQ(0, wrong_hubs(*f));
+	f->forget_costs();
+	f->run_for(10 * NS_S);
+	f->print("10 s, a minute after a hub died");
+	/* Beats, and no lists: 0.1 kB each way between two boxes. */
+	for (auto &b : f->boxes)
+		EXPECT_GT(200u * b->out + 1, b->bytes) << b->name;
+}
+
 TEST(Gossip, WithoutThePlatformSeedsBringBoxesTogether)
 {
 	Fleet f(473, 6);
