--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 UNIT_TESTS = regress/test_gossip regress/test_load regress/test_wire regress/test_hsrv regress/test_policy regress/test_units regress/test_conf regress/test_disp \
 	regress/test_platform regress/test_up
 FLEET_TESTS = regress/test_path regress/test_config regress/test_promises \
-	regress/test_box
+	regress/test_box regress/test_evacuation
 TESTS = $(UNIT_TESTS) $(FLEET_TESTS)
 BENCHES = regress/bench_load regress/bench_pick regress/bench_gate regress/bench_tail \
 	regress/bench_capacity regress/soak regress/soak_box regress/demo
--- a/ctl_edit.c
+++ b/ctl_edit.c
@@ -313,6 +313,27 @@
 	return edit_backend(c, unset_drain, NULL, err);
 }
 
+/* Evacuate a hall; saying it again changes nothing. */
+bool
+ctl_evacuate(struct ctl *c, GError **err)
+{
+	struct item it = {.kind = OBJ_EVACUATION};
+	struct obj *obj;
+	bool ok;
+
+	if (c->nargs < 1 || c->nargs > 2)
+		return err_set(err, ERR_USAGE, "a hall is wanted, and why");
+	it.name = str_c(c->args[0]);
+	it.spec = json_object();
+	if (c->nargs > 1)
+		json_object_set_new(it.spec, "why", json_string(c->args[1]));
+	obj = obj_read(it.kind, it.name, it.spec, NULL, err);
+	ok = obj != NULL && apply_item(c, &it, err);
+	obj_free(obj);
+	json_decref(it.spec);
+	return ok;
+}
+
 /* "field=number"; the check of the whole object follows. */
 static json_t *
 change_limits(json_t *spec, char **words)
@@ -347,31 +368,47 @@
 	return edit(c, kind, name, change_limits, c->args + 1, err);
 }
 
-bool
-ctl_delete(struct ctl *c, GError **err)
+static bool
+delete_object(struct ctl *c, enum obj_kind kind, struct str name, GError **err)
 {
+	struct str kind_name = str_c(obj_kind_name(kind));
 	GError *fail = NULL;
-	enum obj_kind kind;
-	struct str name;
 	uint64_t version = 0;
 	json_t *old;
 	bool ok;
 
-	if (c->nargs != 1)
-		return err_set(err, ERR_USAGE, "wanted is KIND/NAME");
-	if (!ctl_key(c->args[0], &kind, &name, err))
-		return false;
-	old = ctl_read(c, str_c(obj_kind_name(kind)), name, &fail);
+	old = ctl_read(c, kind_name, name, &fail);
 	if (fail != NULL) {
 		g_propagate_error(err, fail);
 		return false;
 	}
 	if (old == NULL)
-		return err_set(err, ERR_OBJECT, "%s is not there", c->args[0]);
-	ok = ctl_write(
-	    c, str_c(obj_kind_name(kind)), name, old, NULL, &version, err);
+		return err_set(err, ERR_OBJECT, "%s/%.*s is not there",
+		    kind_name.p, STR_ARG(name));
+	ok = ctl_write(c, kind_name, name, old, NULL, &version, err);
 	if (ok)
-		report(c, obj_kind_name(kind), name, "deleted", version);
+		report(c, kind_name.p, name, "deleted", version);
 	json_decref(old);
 	return ok;
 }
+
+bool
+ctl_delete(struct ctl *c, GError **err)
+{
+	enum obj_kind kind;
+	struct str name;
+
+	if (c->nargs != 1)
+		return err_set(err, ERR_USAGE, "wanted is KIND/NAME");
+	if (!ctl_key(c->args[0], &kind, &name, err))
+		return false;
+	return delete_object(c, kind, name, err);
+}
+
+bool
+ctl_return(struct ctl *c, GError **err)
+{
+	if (c->nargs != 1)
+		return err_set(err, ERR_USAGE, "a hall is wanted");
+	return delete_object(c, OBJ_EVACUATION, str_c(c->args[0]), err);
+}
--- a/ctl_show.c
+++ b/ctl_show.c
@@ -29,10 +29,12 @@
 	for (i = 0; i < svc->nhalls; i++) {
 		for (j = 0; j < svc->halls[i].n; j++) {
 			b = &svc->halls[i].backends[j];
-			printf("backend     %.*s in %.*s at %.*s, %d slots%s\n",
+			printf("backend     %.*s in %.*s at %.*s, %d "
+			       "slots%s%s\n",
 			    STR_ARG(b->name), STR_ARG(svc->halls[i].hall),
 			    STR_ARG(b->address), b->slots,
-			    b->drain ? ", draining" : "");
+			    b->drain ? ", draining" : "",
+			    b->evacuated ? ", evacuated" : "");
 		}
 	}
 }
@@ -60,7 +62,8 @@
 static void
 print_explain(struct ctl *, const struct route_rule *, const struct obj_rule *);
 
-static const struct str config_kinds = STR_LIT("backend,service,rule");
+static const struct str config_kinds =
+    STR_LIT("backend,service,rule,evacuation");
 
 static const char *
 text_of(const json_t *o, const char *key)
--- a/disp.h
+++ b/disp.h
@@ -119,6 +119,7 @@
 	struct str address;
 	int slots;
 	bool drain;
+	bool evacuated; /* its hall is to get nothing new */
 };
 
 struct disp;
--- a/disp_set.c
+++ b/disp_set.c
@@ -83,6 +83,7 @@
 		g_ptr_array_add(d->backends, b);
 	}
 	b->slots = conf->slots;
+	pick_evacuate(b, d->params.chart, conf->evacuated);
 	if (b->drain_told != conf->drain)
 		pick_drain(b, d->params.chart, conf->drain);
 	b->drain_told = conf->drain;
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -94,6 +94,7 @@
 	take_listener(g);
 	gate_conf_homes(g);
 	cnt_set(g->cnt, GC_OBJECTS, conf_count(g->conf));
+	cnt_set(g->cnt, GC_EVACUATED, route_evacuations(g->routes));
 	gate_conf_report(g);
 }
 
--- a/gate_stat.c
+++ b/gate_stat.c
@@ -61,6 +61,8 @@
 	"Questions for the load of a backend server.", CNT_COUNTER},
     [GC_PEEKS_LOST] = {"fern_peeks_lost_total",
 	"Questions for the load that were not answered.", CNT_COUNTER},
+    [GC_EVACUATED] = {"fern_halls_evacuated",
+	"Halls whose backend servers get nothing new.", CNT_GAUGE},
     [GC_LATENCY] = {"fern_answer_seconds",
 	"Time from a request's arrival to its answer's head.", CNT_HISTOGRAM},
     [GC_HELD] = {"fern_held_seconds",
--- a/libctl.h
+++ b/libctl.h
@@ -40,7 +40,7 @@
 typedef bool ctl_fn(struct ctl *, GError **);
 
 ctl_fn ctl_apply, ctl_diff, ctl_get, ctl_label, ctl_drain, ctl_undrain,
-    ctl_limits, ctl_delete, ctl_status, ctl_explain;
+    ctl_evacuate, ctl_return, ctl_limits, ctl_delete, ctl_status, ctl_explain;
 
 /* ctl_call.c: calls to the platform that wait for their answer. */
 
--- a/obj.c
+++ b/obj.c
@@ -41,6 +41,7 @@
 #define S(member) offsetof(struct obj, u.service.member)
 #define R(member) offsetof(struct obj, u.rule.member)
 #define L(member) offsetof(struct obj, u.listener.member)
+#define E(member) offsetof(struct obj, u.evacuation.member)
 
 static const struct field backend_fields[] = {
     {.name = "address",
@@ -188,6 +189,10 @@
 	.max = DEADLINE_MAX_MS},
 };
 
+static const struct field evacuation_fields[] = {
+    {.name = "why", .type = FIELD_STR, .offset = E(why), .text_dflt = ""},
+};
+
 static const struct {
 	const char *name;
 	const struct field *fields;
@@ -202,6 +207,8 @@
     [OBJ_LISTENER] = {"listener", listener_fields,
 	G_N_ELEMENTS(listener_fields), finish_any},
     [OBJ_BUNDLE] = {"bundle", NULL, 0, finish_any},
+    [OBJ_EVACUATION] = {"evacuation", evacuation_fields,
+	G_N_ELEMENTS(evacuation_fields), finish_any},
 };
 
 const char *
@@ -312,7 +319,8 @@
 
 	json_object_foreach ((json_t *)spec, key, specs) {
 		if (!obj_kind_by_name(str_c(key), &kind) ||
-		    kind == OBJ_BUNDLE || kind == OBJ_BACKEND)
+		    (kind != OBJ_SERVICE && kind != OBJ_RULE &&
+			kind != OBJ_LISTENER))
 			return err_set(err, ERR_OBJECT,
 			    "%s: %s: a bundle holds service, rule and listener",
 			    where, key);
--- a/obj.h
+++ b/obj.h
@@ -24,8 +24,9 @@
  * The objects that operators write, each versioned by itself: a backend
  * server, a service and a rule, bounds for callers, and a bundle, which is a
  * set of the latter three under one version: it comes into force whole or not
- * at all.  Specs are JSON on the platform and TOML in operators' files; both
- * are checked here, by the same tables.
+ * at all.  An evacuation has the name of a hall: while it is there, the hall's
+ * backend servers get nothing new.  Specs are JSON on the platform and TOML in
+ * operators' files; both are checked here, by the same tables.
  */
 enum obj_kind {
 	OBJ_BACKEND,
@@ -33,6 +34,7 @@
 	OBJ_RULE,
 	OBJ_LISTENER,
 	OBJ_BUNDLE,
+	OBJ_EVACUATION,
 	OBJ_KIND_MAX
 };
 
@@ -89,6 +91,11 @@
 	int64_t idle_ms; /* a kept connection without a request */
 };
 
+/* The hall that it is named after gets nothing new. */
+struct obj_evacuation {
+	struct str why; /* for operators; may be empty */
+};
+
 /* Services, rules and a listener that come into force together. */
 struct obj_bundle {
 	GPtrArray *objects; /* struct obj * */
@@ -108,10 +115,11 @@
 		struct obj_rule rule;
 		struct obj_listener listener;
 		struct obj_bundle bundle;
+		struct obj_evacuation evacuation;
 	} u;
 };
 
-/* Names of kinds: "backend", "service", "rule", "listener", "bundle". */
+/* Names of kinds, as operators write them: "backend" and so on. */
 const char *obj_kind_name(enum obj_kind);
 bool obj_kind_by_name(struct str, enum obj_kind *);
 
--- a/pick.c
+++ b/pick.c
@@ -66,8 +66,8 @@
 pick_usable(const struct pick_backend *b, int64_t now)
 {
 	(void)now;
-	return !b->gone && !b->probe_down && b->state != PICK_EJECTED &&
-	    b->state != PICK_DRAINING;
+	return !b->gone && !b->evacuated && !b->probe_down &&
+	    b->state != PICK_EJECTED && b->state != PICK_DRAINING;
 }
 
 int
@@ -166,6 +166,16 @@
 	}
 }
 
+void
+pick_evacuate(struct pick_backend *b, const struct chart *chart, bool evacuated)
+{
+	if (b->evacuated && !evacuated && b->state != PICK_DRAINING) {
+		b->state = (enum pick_state)chart_start(chart);
+		b->good_row = 0;
+	}
+	b->evacuated = evacuated;
+}
+
 void
 pick_drain(struct pick_backend *b, const struct chart *chart, bool drain)
 {
--- a/pick.h
+++ b/pick.h
@@ -59,6 +59,7 @@
 	int inflight_bulk; /* of these, class bulk */
 	enum pick_state state;
 	bool drain_told; /* by its object */
+	bool evacuated; /* its hall is to get nothing new */
 	bool probe_down; /* probes say that it does not work */
 	int64_t usual; /* ns an answer usually takes; 0: not known */
 	int64_t oldest; /* start of the oldest in flight; 0: none */
@@ -145,6 +146,12 @@
 /* Let ejections end whose time has come. */
 void pick_tick(const struct pick_set *, const struct chart *, int64_t now);
 
+/*
+ * Its hall is evacuated, or is not any more.  Then it begins as one that has
+ * just started: what it was before says nothing of it now.
+ */
+void pick_evacuate(struct pick_backend *, const struct chart *, bool evacuated);
+
 /* Drain begins or ends, in whichever way it was told. */
 void pick_drain(struct pick_backend *, const struct chart *, bool drain);
 
--- a/plat.c
+++ b/plat.c
@@ -20,7 +20,7 @@
     "ok", "conflict", "none", "too-old", "unsure", "down", "bad"};
 
 static const char *const fern_feeds[] = {
-    "backend,service,rule,listener,bundle", NULL};
+    "backend,service,rule,listener,bundle,evacuation", NULL};
 
 static const struct plat_form fern_form = {
     "fern", &plat_fern_codec, &dial_fern, fern_feeds, false, NULL};
--- a/regress/bench_pick.cpp
+++ b/regress/bench_pick.cpp
@@ -70,8 +70,8 @@
 	for (int i = 0; i < backends; i++)
 		names.push_back("b" + std::to_string(i));
 	for (auto &n : names)
-		list.push_back(
-		    {str_c(n.c_str()), STR_LIT("127.0.0.1:1"), 3, false});
+		list.push_back({str_c(n.c_str()), STR_LIT("127.0.0.1:1"), 3,
+		    false, false});
 	disp_backends(d, list.data(), static_cast<unsigned>(backends));
 	auto step = [&](struct disp_req &r) {
 		if (r.at != nullptr)
--- /dev/null
+++ b/regress/box.h
@@ -0,0 +1,219 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef BOX_H
+#define BOX_H
+
+#include <fstream>
+#include <unistd.h>
+
+#include "fleet.h"
+#include "objects.h"
+
+/* One fernbox on the users' platform, with two services of its own. */
+namespace box
+{
+
+inline const char *const settings = R"([gate]
+box = "b1"
+hall = "north"
+listen = "@:8080"
+admin_listen = "@:8280"
+pass_listen = "@:8180"
+inbox = "@:8380"
+agent = "@:8480"
+platform = "@:9000"
+platform_form = "objects"
+policy = "pace"
+charts = "@root/charts"
+early_ms = 1000
+leave_wait_ms = 100
+bounds = '{@bounds"retryBudgetRatio":0.2,"retryBudgetSlack":60}'
+[agent]
+box = "b1"
+hall = "north"
+inbox = "@:8480"
+gate_inbox = "@:8380"
+pass = "@:8180"
+platform = "@:9000"
+platform_form = "objects"
+seeds = []
+watchers = 8
+probe_rate = 0
+platform_rate = 50
+first_ms = 10
+retry_ms = 300
+)";
+
+inline std::string
+replaced(std::string text, const std::string &what, const std::string &with)
+{
+	for (size_t at = text.find(what); at != std::string::npos;
+	     at = text.find(what, at + with.size()))
+		text.replace(at, what.size(), with);
+	return text;
+}
+
+/* Each world has an address of its own: the stand-ins keep theirs. */
+inline std::string
+own_ip()
+{
+	static int n;
+
+	return "127.77." + std::to_string(getpid() % 250) + "." +
+	    std::to_string(++n);
+}
+
+/* A box, its platform, and two services of two backend servers each. */
+struct World {
+	std::string ip = own_ip();
+	std::string dir, file;
+	std::string of_gate; /* settings of the gate beside the usual ones */
+	std::string
+	    of_bounds; /* bounds of the platform beside the usual ones */
+	std::string of_agent; /* the same of its agent */
+	Objects platform{ip + ":9000"};
+	Process box;
+
+	explicit World(bool configured = true, const std::string &gate = "",
+	    const std::string &bounds = "", const std::string &agent = "")
+	    : of_gate(gate), of_bounds(bounds), of_agent(agent)
+	{
+		char name[] = "/tmp/fernbox.XXXXXX";
+
+		dir = mkdtemp(name);
+		file = dir + "/settings.toml";
+		write_settings("");
+		for (int i = 0; i < 4; i++) {
+			std::string id = "i-" + std::to_string(i);
+
+			platform.start_backend(id, i < 2 ? "till" : "shelf",
+			    ip + ":" + std::to_string(9100 + i));
+			enter(i, "ready");
+		}
+		if (configured)
+			configure("till");
+		const char *root = getenv("FERN_ROOT");
+		box.argv = {std::string(root ? root : ".") + "/fernbox", file};
+		box.log = dir + "/log";
+		box.start();
+	}
+
+	~World()
+	{
+		box.kill9();
+		unlink(box.log.c_str());
+		unlink(file.c_str());
+		rmdir(dir.c_str());
+	}
+
+	void write_settings(const std::string &more)
+	{
+		const char *root = getenv("FERN_ROOT");
+		std::string text =
+		    replaced(settings, "@root", root != nullptr ? root : ".");
+		std::ofstream out(file);
+
+		text = replaced(text, "@bounds", of_bounds);
+		text = replaced(text, "[agent]", of_gate + "[agent]");
+		text += of_agent;
+		out << more << replaced(text, "@", ip);
+	}
+
+	void enter(
+	    int i, const std::string &state, const std::string &hall = "north")
+	{
+		platform.put("servers", "i-" + std::to_string(i),
+		    "{\"service\":\"" + std::string(i < 2 ? "till" : "shelf") +
+			"\",\"addr\":\"" + ip + ":" + std::to_string(9100 + i) +
+			"\",\"zone\":\"" + hall +
+			"\",\"slots\":3,\"state\":\"" + state + "\"}");
+	}
+
+	/* One rule for each kind of request, both to one service. */
+	void configure(const std::string &service, const std::string &more = "")
+	{
+		std::string route = R"({"resourceType":"routes",
+		    "metadata":{"name":"NAME"},"spec":{"host":"shop.example",
+		    "pathPrefix":"/NAME/","routeType":"TYPE","timeout":"900ms",
+		    "targetLatency":"300ms","priority":1,"maxAttempts":2,
+		    "service":"SERVICE"}},)";
+		std::string safe =
+		    replaced(replaced(route, "NAME", "look"), "TYPE", "safe");
+		std::string unsafe =
+		    replaced(replaced(route, "NAME", "buy"), "TYPE", "unsafe");
+
+		platform.put("config", "main",
+		    "{\"version\":\"r1\",\"resources\":[" +
+			replaced(safe + unsafe, "SERVICE", service) + more +
+			R"({"resourceType":"services","metadata":{"name":"till"},
+			    "spec":{"healthPath":"/health"}},
+			   {"resourceType":"services","metadata":{"name":"shelf"},
+			    "spec":{"healthPath":"/health"}}]})");
+	}
+
+	Reply ask(const std::string &path, const std::string &method = "GET")
+	{
+		static int n;
+		std::string id = "req" + std::to_string(++n);
+
+		return http(method, ip + ":8080", path,
+		    {{"Host", "shop.example"}, {"fernjunction-request-id", id},
+			{"fernjunction-deadline-ms", "800"}},
+		    method == "POST" ? "body" : "");
+	}
+
+	bool ready()
+	{
+		return http("GET", ip + ":8280", "/ready", {}, "", 500)
+			   .status == 200;
+	}
+
+	/* Is an object in the store? */
+	bool has(const std::string &kind, const std::string &name)
+	{
+		return http("GET", ip + ":9000",
+			   "/api/objects/" + kind + "?allowStale=1", {}, "",
+			   500)
+			   .body.find("\"" + name + "\"") != std::string::npos;
+	}
+
+	bool logged(const std::string &text)
+	{
+		return box.read_log().find(text) != std::string::npos;
+	}
+
+	/* How many versions of an object have come into force since a start. */
+	size_t in_force(const std::string &key)
+	{
+		std::string log = box.read_log();
+		std::string line = "msg=\"in force\" key=" + key + " ";
+		size_t at = log.rfind("part=gate msg=\"started\""), n = 0;
+
+		while ((at = log.find(line, at)) != std::string::npos) {
+			at += line.size();
+			n++;
+		}
+		return n;
+	}
+
+	size_t ran(int from, int to)
+	{
+		size_t n = 0;
+
+		for (int i = from; i <= to; i++)
+			n += platform.ran("i-" + std::to_string(i));
+		return n;
+	}
+};
+
+} // namespace box
+
+#endif
--- a/regress/load.cpp
+++ b/regress/load.cpp
@@ -22,6 +22,8 @@
 
 constexpr int RETRIES = 2;
 constexpr double LATE_WORTH = 0.1;
+/* A backend server is cold for so long. */
+constexpr int64_t COLD_NS = 3 * NS_S;
 /* A caller that was given no time comes back after this, as would a refused. */
 constexpr int64_t NO_WORD_NS = 10 * NS_MS;
 
@@ -158,6 +160,15 @@
 		return false;
 	}
 
+	bool is_evacuated(int hall) const
+	{
+		for (auto &e : pat.events)
+			if (e.what == Event::EVACUATE && on(e, now) &&
+			    e.hall == hall)
+				return true;
+		return false;
+	}
+
 	double rate(int hall, int64_t t) const
 	{
 		double slots = set.servers * std::floor(2.0 * set.slots / 3);
@@ -303,6 +314,7 @@
 	std::vector<std::unique_ptr<Home>> homes;
 	std::vector<std::unique_ptr<Attempt>> attempts;
 	std::vector<std::string> hall_names;
+	int sent_evacuated = 0;
 	bool dark = false;
 
 	static struct timespec mono(void *ctx)
@@ -335,6 +347,7 @@
 		Server &v = p->server(b);
 
 		a->run = ++p->runs;
+		p->sent_evacuated += p->is_evacuated(v.hall);
 		if (p->is_down(v)) {
 			p->end_later(a, 2 * NS_MS, DISP_CONNECT, nullptr);
 			return;
@@ -555,7 +568,8 @@
 				disp_hall(h->disp,
 				    str_c(hall_names[static_cast<size_t>(o)]
 					      .c_str()),
-				    set.servers * set.slots);
+				    is_evacuated(o) ? 0
+						    : set.servers * set.slots);
 		list_servers(h);
 	}
 
@@ -568,7 +582,8 @@
 		for (auto &s : servers)
 			if (s->hall == h->hall && !s->gone)
 				v.push_back({str_c(s->name.c_str()),
-				    STR_LIT("127.0.0.1:1"), set.slots, false});
+				    STR_LIT("127.0.0.1:1"), set.slots, false,
+				    is_evacuated(h->hall)});
 		disp_backends(
 		    h->disp, v.data(), static_cast<unsigned>(v.size()));
 	}
@@ -647,7 +662,7 @@
 				v->gone = true;
 				if (with_new)
 					add_server(v->hall).cold_until =
-					    now + 3 * NS_S;
+					    now + COLD_NS;
 				for (auto &h : homes)
 					list_servers(h.get());
 			});
@@ -655,8 +670,34 @@
 		}
 	}
 
+	/* All homes hear of it; what returns is cold for a while. */
+	void tell_evacuation(const Event &e, bool begins)
+	{
+		const std::string &hall =
+		    hall_names[static_cast<size_t>(e.hall)];
+
+		for (auto &v : servers)
+			if (!begins && v->hall == e.hall && e.x > 1)
+				v->cold_until = now + COLD_NS;
+		for (auto &h : homes) {
+			if (h->disp == nullptr)
+				continue;
+			if (h->hall == e.hall)
+				list_servers(h.get());
+			else
+				disp_hall(h->disp, str_c(hall.c_str()),
+				    begins ? 0 : set.servers * set.slots);
+		}
+	}
+
 	void start(const Event &e)
 	{
+		if (e.what == Event::EVACUATE) {
+			tell_evacuation(e, true);
+			in((e.to_ms - e.from_ms) * NS_MS,
+			    [this, &e] { tell_evacuation(e, false); });
+			return;
+		}
 		if (e.what == Event::GONE || e.what == Event::COLD)
 			replace(e, e.what == Event::COLD);
 		if (e.what != Event::DARK)
@@ -734,7 +775,8 @@
 		Server *best = nullptr;
 
 		for (auto &v : servers) {
-			if (v->gone || is_down(*v) || v->running >= most)
+			if (v->gone || is_down(*v) || is_evacuated(v->hall) ||
+			    v->running >= most)
 				continue;
 			v->running++;
 			double t = hidden(*v) * pace(*v) / 100;
@@ -886,9 +928,12 @@
 run(const Setting &s, const Pattern &p)
 {
 	Product w(s, p);
+	Result r;
 
 	w.run_to(p.length_ms * NS_MS + AFTER_NS);
-	return w.result();
+	r = w.result();
+	r.sent_evacuated = w.sent_evacuated;
+	return r;
 }
 
 Result
@@ -955,6 +1000,12 @@
 		2.5},
 	    {"full ones break off, surge 1.7",
 		{{Event::SURGE, 4000, 7000, 1.7}}, 0.45, true, 1.7, false},
+	    {"a hall evacuated under load, back cold",
+		{{Event::SURGE, 3000, 10000, 1.3},
+		    {Event::EVACUATE, 4000, 8000, 2, 1, 0}}},
+	    {"two halls evacuated, one in the other's load",
+		{{Event::EVACUATE, 3000, 7000, 2, 1, 0},
+		    {Event::EVACUATE, 6000, 9000, 1, 1, 1}}},
 	};
 
 	return all;
--- a/regress/load.h
+++ b/regress/load.h
@@ -52,6 +52,7 @@
 		CRASH, /* a share is down, untold, for a while */
 		COLD, /* a share is replaced one by one, new ones slow at first
 		       */
+		EVACUATE, /* a hall gets nothing; x 2: it is cold at the end */
 		DARK, /* all homes are lost, and back at its end */
 		REPEAT, /* a share of the callers sends x times as much, at once
 			 */
@@ -96,6 +97,7 @@
 	std::map<int64_t, double> seconds; /* share in time, by second */
 	double worth = 0; /* earned of what was owed, late answers a tenth */
 	double in_time = 0; /* share of all */
+	int sent_evacuated = 0; /* tries begun in an evacuated hall */
 
 	/* Seconds after a moment until nine in ten are in time again. */
 	int recovers_after(int64_t ms) const;
--- a/regress/test_disp.cpp
+++ b/regress/test_disp.cpp
@@ -155,7 +155,8 @@
 		disp_free(disp);
 	}
 
-	void backends(int n, int slots, int drained = -1)
+	void
+	backends(int n, int slots, int drained = -1, bool evacuated = false)
 	{
 		std::vector<struct disp_backend> v;
 		static std::vector<std::string> names;
@@ -166,7 +167,8 @@
 		for (int i = 0; i < n; i++)
 			v.push_back(
 			    {str_c(names[static_cast<size_t>(i)].c_str()),
-				STR_LIT("127.0.0.1:1"), slots, i == drained});
+				STR_LIT("127.0.0.1:1"), slots, i == drained,
+				evacuated});
 		disp_backends(disp, v.data(), static_cast<unsigned>(n));
 	}
 
@@ -807,6 +809,44 @@
 	w.done(&r[0], DISP_GONE);
 }
 
+/* What runs is finished; what is held, or comes, goes to another hall. */
+TEST(Disp, AnEvacuatedHallFinishesWhatRunsAndGetsNothingNew)
+{
+	World w;
+	std::vector<Req> r(6);
+
+	w.backends(1, 2);
+	w.warm(1);
+	disp_hall(w.disp, STR_LIT("south"), 6);
+	for (size_t i = 0; i < 3; i++) {
+		r[i].d.may_pass = true;
+		w.arrive(&r[i]);
+	}
+	EXPECT_TRUE(r[2].d.held);
+	w.backends(1, 2, -1, true);
+	EXPECT_TRUE(r[2].passed); /* whatever the other hall said last */
+	EXPECT_EQ(0, disp_room_of(w.disp).slots);
+	/* One whose backend server fails it is not tried again here. */
+	r[0].d.may_pass = true;
+	EXPECT_TRUE(w.done(&r[0], DISP_REFUSED));
+	EXPECT_TRUE(r[0].passed);
+	/* One that was passed to us has nowhere to go. */
+	w.arrive(&r[3]);
+	EXPECT_TRUE(r[3].ended);
+	EXPECT_EQ(ERR_NO_BACKEND, r[3].kind);
+	w.done(&r[1], DISP_OK);
+	/* Back, it begins as if it had just started: one at a time. */
+	w.now += NS_S;
+	w.backends(1, 2);
+	r[4].d.may_pass = r[5].d.may_pass = false;
+	w.arrive(&r[4]);
+	w.arrive(&r[5]);
+	EXPECT_NE(nullptr, r[4].d.at);
+	EXPECT_TRUE(r[5].d.held);
+	w.done(&r[4], DISP_OK);
+	w.done(&r[5], DISP_OK);
+}
+
 /* A hall whose backend servers all drain holds nothing and has no room. */
 TEST(Disp, NothingIsPassedToAHallThatCannotServeIt)
 {
--- a/regress/test_load.cpp
+++ b/regress/test_load.cpp
@@ -24,6 +24,7 @@
 struct Sum {
 	std::map<std::string, load::Count> kinds;
 	load::Count all;
+	int sent_evacuated = 0;
 	double worth = 0, reference = 0;
 
 	double share(const std::string &kind, int load::Count::*what) const
@@ -56,6 +57,7 @@
 				sum.kinds[k.first].add(k.second);
 				sum.all.add(k.second);
 			}
+			sum.sent_evacuated += r.sent_evacuated;
 			sum.worth += r.worth / SEEDS;
 			sum.reference += load::reference(s, p).worth / SEEDS;
 		}
@@ -109,6 +111,30 @@
 	EXPECT_LT(0.88, one.worth);
 }
 
+/*
+ * From the moment at which the homes hear of it nothing begins there, neither
+ * what is new nor what is tried again or moved.  The others take the load over.
+ */
+TEST(Load, AnEvacuatedHallGetsNothingAndItsLoadIsServedElsewhere)
+{
+	struct {
+		const char *name;
+		double unserved;
+	} cases[] = {
+	    {"a hall evacuated under load, back cold", 0.01},
+	    /* For a second one hall of three has to do it all. */
+	    {"two halls evacuated, one in the other's load", 0.03},
+	};
+
+	for (auto &c : cases)
+		for (auto setting : {load::one_kind, load::three_kinds}) {
+			Sum s = replay(setting, c.name);
+
+			EXPECT_EQ(0, s.sent_evacuated) << c.name;
+			EXPECT_GT(c.unserved, s.unserved()) << c.name;
+		}
+}
+
 /* Within a tenth of what one that knows all can do, whatever happens. */
 TEST(Load, NoPatternFallsFarBehindTheReference)
 {
--- a/route.c
+++ b/route.c
@@ -18,6 +18,7 @@
 	GPtrArray *services; /* struct route_service * */
 	GPtrArray *rules; /* struct route_rule *, in order of matching */
 	GPtrArray *backends; /* struct obj *, sorted by name */
+	GPtrArray *evacuations; /* struct obj *, named after halls */
 	GPtrArray *objects; /* struct obj *: our references */
 	const struct obj_listener *listener;
 };
@@ -26,7 +27,8 @@
 static void collect_obj(struct route_table *, struct obj *);
 static void bind_parts(const struct route_table *, struct route_rule *);
 static void fill(struct route_table *, struct route_service *);
-static struct route_hall *hall_of(struct route_service *, struct str);
+static struct route_hall *
+hall_of(const struct route_table *, struct route_service *, struct str);
 static int by_specificity(const void *, const void *);
 static int by_name(const void *, const void *);
 static bool rule_takes(const struct obj_rule *, const struct route_query *);
@@ -94,6 +96,9 @@
 		r->obj = &o->u.rule;
 		g_ptr_array_add(t->rules, r);
 		break;
+	case OBJ_EVACUATION:
+		g_ptr_array_add(t->evacuations, o);
+		break;
 	case OBJ_LISTENER:
 		t->listener = &o->u.listener;
 		break;
@@ -128,8 +133,22 @@
 		r->weight += r->parts[i].weight;
 }
 
+static bool
+is_evacuated(const struct route_table *t, struct str hall)
+{
+	const struct obj *o;
+	guint i;
+
+	for (i = 0; i < t->evacuations->len; i++) {
+		o = g_ptr_array_index(t->evacuations, i);
+		if (str_eq(o->name, hall))
+			return true;
+	}
+	return false;
+}
+
 static struct route_hall *
-hall_of(struct route_service *s, struct str hall)
+hall_of(const struct route_table *t, struct route_service *s, struct str hall)
 {
 	struct route_hall *h;
 	unsigned i;
@@ -139,7 +158,8 @@
 			return &s->halls[i];
 	s->halls = g_renew(struct route_hall, s->halls, s->nhalls + 1);
 	h = &s->halls[s->nhalls++];
-	*h = (struct route_hall){.hall = hall};
+	*h = (struct route_hall){
+	    .hall = hall, .evacuated = is_evacuated(t, hall)};
 	return h;
 }
 
@@ -156,12 +176,15 @@
 		b = &o->u.backend;
 		if (!sel_match(s->obj->select, b->labels))
 			continue;
-		h = hall_of(s, b->hall);
+		h = hall_of(t, s, b->hall);
 		h->backends =
 		    g_renew(struct disp_backend, h->backends, h->n + 1);
-		h->backends[h->n++] = (struct disp_backend){
-		    o->name, b->address, (int)b->slots, b->drain};
-		if (b->drain)
+		h->backends[h->n++] = (struct disp_backend){.name = o->name,
+		    .address = b->address,
+		    .slots = (int)b->slots,
+		    .drain = b->drain,
+		    .evacuated = h->evacuated};
+		if (b->drain || h->evacuated)
 			continue;
 		h->slots += (int)b->slots;
 		s->slots += (int)b->slots;
@@ -202,6 +225,7 @@
 	t->services = g_ptr_array_new_with_free_func(service_free);
 	t->rules = g_ptr_array_new_with_free_func(rule_free);
 	t->backends = g_ptr_array_new();
+	t->evacuations = g_ptr_array_new();
 	t->objects = g_ptr_array_new_with_free_func((GDestroyNotify)obj_free);
 	conf_each(conf, collect, t);
 	g_ptr_array_sort(t->backends, by_name);
@@ -221,6 +245,7 @@
 	g_ptr_array_free(t->services, TRUE);
 	g_ptr_array_free(t->rules, TRUE);
 	g_ptr_array_free(t->backends, TRUE);
+	g_ptr_array_free(t->evacuations, TRUE);
 	g_ptr_array_free(t->objects, TRUE);
 	g_free(t);
 }
@@ -299,6 +324,12 @@
 	return t->rules->len;
 }
 
+unsigned
+route_evacuations(const struct route_table *t)
+{
+	return t->evacuations->len;
+}
+
 const struct obj_listener *
 route_listener(const struct route_table *t)
 {
--- a/route.h
+++ b/route.h
@@ -31,7 +31,8 @@
 	struct str hall;
 	struct disp_backend *backends;
 	unsigned n;
-	int slots; /* of those that do not drain */
+	int slots; /* of those that may get something new */
+	bool evacuated; /* none of them may */
 };
 
 struct route_service {
@@ -90,6 +91,9 @@
 /* How many rules there are. */
 unsigned route_rules(const struct route_table *);
 
+/* How many halls are evacuated. */
+unsigned route_evacuations(const struct route_table *);
+
 /* What callers may send; NULL where the configuration does not say. */
 const struct obj_listener *route_listener(const struct route_table *);
 
