A backend server that has just started gets no more than it bears

Coldness was known by an entry that joins only, as one request at a time, which a quick one answers any number of in a second; a hall that returns, a home that changes and health answers were not looked at.

Ruled out: one request at a time alone; a bucket without asking, which would hold back a fleet after a loss of all boxes; homes that tell each other their sends (docs/design/cold.md).

Change: a token bucket a backend server, empty at first; what may be cold is asked before anything goes there; health answers end the doubt. Requests wait unjudged for the answers that are due. Load patterns with cold servers, two evacuations and homes that move, with the bound and falls counted.

--- a/dial.c
+++ b/dial.c
@@ -19,6 +19,7 @@
 static bool refused(int, const h2o_header_t *, size_t);
 static bool moved(int, const h2o_header_t *, size_t);
 static bool drains(const h2o_header_t *, size_t);
+static int64_t cold(const h2o_header_t *, size_t);
 static bool load(const h2o_header_t *, size_t, struct dial_load *);
 
 const struct dial dial_fern = {
@@ -28,6 +29,7 @@
     .refused = refused,
     .moved = moved,
     .drains = drains,
+    .cold = cold,
     .load = load,
 };
 
@@ -88,6 +90,20 @@
 	return dial_header(headers, n, STR_LIT("fern-drain")).n > 0;
 }
 
+int64_t
+dial_ms(struct str text)
+{
+	unsigned long long ms;
+
+	return str_u64(text, &ms) ? (int64_t)MIN(ms, DIAL_MS_MAX) : 0;
+}
+
+static int64_t
+cold(const h2o_header_t *headers, size_t n)
+{
+	return dial_ms(dial_header(headers, n, STR_LIT("fern-cold-ms")));
+}
+
 static bool
 load(const h2o_header_t *headers, size_t n, struct dial_load *out)
 {
--- a/dial.h
+++ b/dial.h
@@ -48,6 +48,8 @@
 	bool (*moved)(int status, const h2o_header_t *, size_t);
 	/* It says that it drains. */
 	bool (*drains)(const h2o_header_t *, size_t);
+	/* How many ms it stays cold, as its health answer tells; 0: none. */
+	int64_t (*cold)(const h2o_header_t *, size_t);
 	/* It tells its load; false if it does not. */
 	bool (*load)(const h2o_header_t *, size_t, struct dial_load *);
 };
@@ -58,6 +60,10 @@
 /* The value of a header; an empty string if it is not there. */
 struct str dial_header(const h2o_header_t *, size_t, struct str name);
 
+/* A time in whole milliseconds; 0 where there is none, or it is malformed. */
+int64_t dial_ms(struct str);
+enum { DIAL_MS_MAX = 24 * 3600 * 1000 };
+
 /* Read "running,waiting,slots[,pace]"; false if it is malformed. */
 bool dial_read_load(struct str, struct dial_load *);
 
--- a/disp.c
+++ b/disp.c
@@ -143,6 +143,7 @@
 	r->at = b;
 	r->sent = now;
 	r->tries++;
+	cold_sent(&b->cold, &d->params.cold, now);
 	disp_conc_begin(d, r);
 	disp_work_begin(d, r);
 	d->ops.send(d->ops.ctx, r, b);
@@ -215,7 +216,8 @@
 	disp_unhold(d, r);
 	if (disp_start(d, r) || disp_pass(d, r))
 		return true;
-	if (d->params.policy->paced && !r->judged && !disp_pace_may_wait(d, r))
+	if (d->params.policy->paced && !r->judged &&
+	    !disp_cold_asks(d, clk_ns(d->clk)) && !disp_pace_may_wait(d, r))
 		return true;
 	disp_hold(d, r);
 	return false;
@@ -283,6 +285,8 @@
 		pick_slow(b, now - r->sent);
 	else if (outcome == DISP_MOVED)
 		pick_drain(b, d->params.chart, true);
+	if (outcome == DISP_CONNECT || outcome == DISP_CUT)
+		disp_cold_suspect(d, b, 0);
 }
 
 /*
@@ -362,6 +366,7 @@
 
 	if (now - d->limited >= LIMIT_NS)
 		disp_conc_set(d, now);
+	disp_cold_ask(d, now);
 	disp_sort_late(d);
 	for (i = 0; i < QUEUES; i++)
 		disp_expire(d, i, now);
--- a/disp.h
+++ b/disp.h
@@ -17,6 +17,7 @@
 
 #include "chart.h"
 #include "clk.h"
+#include "cold.h"
 #include "err.h"
 #include "limit.h"
 #include "obj.h"
@@ -110,6 +111,7 @@
 	int bulk_percent;
 	int64_t retry_percent;
 	double retry_max; /* tries that may be saved up; 0: the default */
+	struct cold_bound cold;
 	double rate; /* this shard's part of the service's rate; 0: none */
 };
 
@@ -120,6 +122,7 @@
 	int slots;
 	bool drain;
 	bool evacuated; /* its hall is to get nothing new */
+	int64_t warm_ns; /* it is cold for so long after its start */
 };
 
 struct disp;
@@ -170,6 +173,12 @@
 void disp_peeked(struct disp *, struct str backend, bool answered, int running,
     int waiting, int pace);
 
+/*
+ * With such an answer it tells for how many ns it stays cold; 0: it is warm.
+ * Called before disp_peeked().  True if that is news.
+ */
+bool disp_cold_told(struct disp *, struct str backend, int64_t ns);
+
 /* What probes say of a backend server. */
 void disp_health(struct disp *, struct str backend, bool down, bool drain);
 
--- a/disp_pace.c
+++ b/disp_pace.c
@@ -157,6 +157,6 @@
 		return;
 	if (disp_pass(d, r) || disp_pass_to_shorter(d, r, paced_wait(d, r)))
 		return;
-	if (disp_pace_may_wait(d, r))
+	if (disp_cold_asks(d, now) || disp_pace_may_wait(d, r))
 		disp_hold(d, r);
 }
--- a/disp_set.c
+++ b/disp_set.c
@@ -8,6 +8,8 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
+#include <math.h>
+
 #include "libdisp.h"
 
 /*
@@ -80,9 +82,13 @@
 		b->state = (enum pick_state)chart_start(d->params.chart);
 		if (known)
 			b->state = PICK_UP;
+		b->cold_bound = &d->params.cold;
+		disp_cold_suspect(d, b, conf->warm_ns);
 		g_ptr_array_add(d->backends, b);
 	}
 	b->slots = conf->slots;
+	if (b->evacuated && !conf->evacuated)
+		disp_cold_suspect(d, b, conf->warm_ns);
 	pick_evacuate(b, d->params.chart, conf->evacuated);
 	if (b->drain_told != conf->drain)
 		pick_drain(b, d->params.chart, conf->drain);
@@ -121,6 +127,7 @@
 		update(d, &v[i], first);
 	disp_sweep(d);
 	disp_conc_set(d, clk_ns(d->clk));
+	disp_cold_ask(d, clk_ns(d->clk));
 	disp_serve(d);
 }
 
@@ -211,12 +218,27 @@
 		disp_load_told(d, b, running, waiting, pace);
 	} else if (!answered) {
 		b->silent++;
+		disp_cold_suspect(d, b, 0);
 	}
 	if (d->params.policy->paced)
 		disp_move(d, clk_ns(d->clk));
 	disp_serve(d);
 }
 
+bool
+disp_cold_told(struct disp *d, struct str backend, int64_t ns)
+{
+	struct pick_backend *b = find(d, backend);
+	int64_t now = clk_ns(d->clk);
+	bool knew;
+
+	if (b == NULL || d->params.cold.rate <= 0)
+		return false;
+	knew = cold_is(&b->cold, now) && !cold_in_doubt(&b->cold, now);
+	cold_told(&b->cold, ns, now);
+	return cold_is(&b->cold, now) != knew;
+}
+
 void
 disp_drain_told(struct disp *d, struct pick_backend *b)
 {
@@ -228,15 +250,15 @@
 {
 	int64_t now = clk_ns(d->clk);
 	const struct pick_backend *b;
-	int slots = 0;
+	double slots = 0;
 	guint i;
 
 	for (i = 0; i < d->backends->len; i++) {
 		b = g_ptr_array_index(d->backends, i);
 		if (pick_usable(b, now))
-			slots += pick_slots(b);
+			slots += disp_cold_slots(d, b, now);
 	}
-	return slots;
+	return (int)ceil(slots);
 }
 
 struct disp_room
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -21,6 +21,8 @@
 enum { SHARD_KEY = 300 };
 /* Of what the platform allows for retries, this share is used. */
 static const double RETRY_USED = 0.75;
+/* Of what it allows a cold backend server at once, so that two homes fit. */
+static const double COLD_SLACK_USED = 0.5;
 
 static void on_changed(void *, const struct conf_entry *);
 static void on_rebuild(void *);
@@ -141,6 +143,26 @@
 	g_array_free(all, TRUE);
 }
 
+/*
+ * What a cold backend server gets: the rate that the platform allows, and half
+ * of what it allows beyond (cold.h).  Without the platform's word it is what
+ * the service says, with a second's worth of it at once.
+ */
+static struct cold_bound
+cold_bound_of(const struct gate *g, const struct obj_service *svc)
+{
+	struct cold_bound bound = {.rate = svc->cold_rate,
+	    .burst = svc->cold_rate,
+	    .lasts = svc->cold_ms * NS_MS};
+
+	if (g->bounds.cold_over > 0)
+		bound.rate *= g->bounds.cold_over;
+	if (g->bounds.cold_slack > 0)
+		bound.burst = g->bounds.cold_slack * COLD_SLACK_USED;
+	bound.burst = MAX(bound.burst, 1);
+	return bound;
+}
+
 static void
 shard_update(
     struct gate *g, struct gate_shard *s, const struct route_service *svc)
@@ -152,6 +174,7 @@
 	    .queue_max = svc->obj->queue,
 	    .bulk_percent = (int)svc->obj->bulk_percent,
 	    .retry_percent = svc->obj->retry_percent,
+	    .cold = cold_bound_of(g, svc->obj),
 	};
 	unsigned i;
 
--- a/gate_peek.c
+++ b/gate_peek.c
@@ -25,6 +25,7 @@
 	struct up_call *call;
 	struct tmr_item timer;
 	struct dial_load load; /* pace 0: not told */
+	int64_t cold_ms;
 };
 
 static void
@@ -67,6 +68,14 @@
 	tmr_clear(&g->tmr, &p->timer);
 	if (!answered)
 		cnt_add(g->cnt, GC_PEEKS_LOST, 1);
+	if (s != NULL && answered &&
+	    disp_cold_told(s->disp, p->backend, p->cold_ms * NS_MS))
+		slog_decision(SLOG_PICK,
+		    p->cold_ms > 0 ? "a backend server is cold"
+				   : "a backend server is warm",
+		    "backend=%.*s service=%.*s cold_ms=%lld",
+		    STR_ARG(p->backend), STR_ARG(p->service),
+		    (long long)p->cold_ms);
 	if (s != NULL)
 		disp_peeked(s->disp, p->backend, answered, p->load.running,
 		    p->load.waiting, p->load.pace);
@@ -86,6 +95,7 @@
 	(void)status;
 	if (!p->gate->dial->load(headers, n, &p->load))
 		p->load.pace = 0;
+	p->cold_ms = p->gate->dial->cold(headers, n);
 }
 
 static void
--- a/libdisp.h
+++ b/libdisp.h
@@ -56,6 +56,7 @@
 	struct retry_budget budget;
 	struct limit limit;
 	GQueue out; /* struct disp_req *, the longest out first */
+	bool in_doubt; /* some backend servers may be cold */
 	bool serving; /* serve() is under way */
 	bool again; /* and must look once more */
 };
@@ -105,6 +106,13 @@
 void disp_conc_begin(const struct disp *, struct disp_req *);
 void disp_conc_set(struct disp *, int64_t now);
 
+/* disp_cold.c: backend servers that have just started, or may have. */
+void disp_cold_suspect(struct disp *, struct pick_backend *, int64_t lasts);
+void disp_cold_ask(struct disp *, int64_t now);
+bool disp_cold_asks(const struct disp *, int64_t now);
+double
+disp_cold_slots(const struct disp *, const struct pick_backend *, int64_t);
+
 /* disp_peek.c: questions for the load of backend servers. */
 bool disp_peek_first(struct disp *, struct disp_req *, int64_t now);
 bool disp_peek_one(struct disp *, struct pick_backend *, int64_t now);
--- a/obj.c
+++ b/obj.c
@@ -114,6 +114,17 @@
 	.dflt = 10,
 	.min = 0,
 	.max = 100},
+    {.name = "cold_rate",
+	.type = FIELD_REAL,
+	.offset = S(cold_rate),
+	.min = 0,
+	.max = RATE_MAX},
+    {.name = "cold_ms",
+	.type = FIELD_INT,
+	.offset = S(cold_ms),
+	.dflt = 5000,
+	.min = 0,
+	.max = DEADLINE_MAX_MS},
 };
 
 static const struct field rule_fields[] = {
--- a/obj.h
+++ b/obj.h
@@ -64,6 +64,8 @@
 	int64_t probe_ms; /* interval between probes of one backend */
 	struct str probe_path;
 	int64_t retry_percent; /* retries, as a share of requests */
+	double cold_rate; /* requests a second that a cold one bears; 0: any */
+	int64_t cold_ms; /* so long after its start one is cold, at most */
 };
 
 struct obj_rule {
--- a/pick.c
+++ b/pick.c
@@ -82,7 +82,8 @@
 {
 	int slots = pick_slots(b);
 
-	if (!pick_usable(b, now) || now < b->full_until)
+	if (!pick_usable(b, now) || now < b->full_until ||
+	    (b->cold_bound != NULL && !cold_may(&b->cold, b->cold_bound, now)))
 		return 0;
 	if (b->state == PICK_COLD || b->state == PICK_TRIAL)
 		slots = 1;
--- a/pick.h
+++ b/pick.h
@@ -16,6 +16,7 @@
 
 #include "chart.h"
 #include "clk.h"
+#include "cold.h"
 #include "conc.h"
 #include "obj.h"
 #include "str.h"
@@ -55,6 +56,8 @@
 	int slots;
 	int limit; /* of requests at once, as learned; 0: all slots */
 	const struct conc *conc; /* how others slow it; NULL: not known */
+	struct cold cold;
+	const struct cold_bound *cold_bound; /* NULL: none */
 	int inflight; /* sent and not finished */
 	int inflight_bulk; /* of these, class bulk */
 	enum pick_state state;
--- a/plat.h
+++ b/plat.h
@@ -121,6 +121,11 @@
 struct plat_bounds {
 	double retry_ratio; /* tries beyond the first, as a share of requests */
 	int64_t retry_slack; /* and so many more in each window */
+	/*
+	 * A cold backend server may get so many times the rate that it bears,
+	 * and so many requests more, in a second.
+	 */
+	double cold_over, cold_slack;
 	int64_t grace_ms; /* between the signal to stop and the end */
 };
 
--- a/regress/box.h
+++ b/regress/box.h
@@ -137,6 +137,9 @@
 			"\",\"slots\":3,\"state\":\"" + state + "\"}");
 	}
 
+	/* What a cold backend server bears, if not any number. */
+	std::string of_service;
+
 	/* One rule for each kind of request, both to one service. */
 	void configure(const std::string &service, const std::string &more = "")
 	{
@@ -154,7 +157,8 @@
 		    "{\"version\":\"r1\",\"resources\":[" +
 			replaced(safe + unsafe, "SERVICE", service) + more +
 			R"({"resourceType":"services","metadata":{"name":"till"},
-			    "spec":{"healthPath":"/health"}},
+			    "spec":{"healthPath":"/health")" +
+			of_service + R"(}},
 			   {"resourceType":"services","metadata":{"name":"shelf"},
 			    "spec":{"healthPath":"/health"}}]})");
 	}
--- a/regress/load.cpp
+++ b/regress/load.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <deque>
 
 #include "load.h"
 
@@ -22,6 +23,13 @@
 
 constexpr int RETRIES = 2;
 constexpr double LATE_WORTH = 0.1;
+/* What one gets in a second, */
+constexpr double COLD_RATE = 3.75;
+/* and at once: both as the product's gate sets them. */
+constexpr double COLD_BURST = 4;
+/* Requests in a second that a cold backend server bears, and how long not. */
+constexpr size_t COLD_BEARS = 11;
+constexpr int64_t FALLEN_NS = 2 * NS_S;
 /* A backend server is cold for so long. */
 constexpr int64_t COLD_NS = 3 * NS_S;
 /* A caller that was given no time comes back after this, as would a refused. */
@@ -61,6 +69,9 @@
 	int running = 0, queued = 0;
 	bool gone = false;
 	int64_t cold_until = 0;
+	std::deque<int64_t> cold_got; /* requests of the last second */
+	int64_t down_until = 0; /* it fell over */
+	struct cold bucket = {}; /* the reference's */
 };
 
 /* What is common to both: the world around the dispatchers. */
@@ -74,6 +85,7 @@
 	std::map<std::string, Count> counts;
 	std::map<int64_t, std::pair<int, int>> seconds; /* in time, asked */
 	double owed = 0, earned = 0;
+	int worst_cold = 0, fell_over = 0;
 
 	World(const Setting &s, const Pattern &p) : set(s), pat(p)
 	{
@@ -112,6 +124,34 @@
 		now = end;
 	}
 
+	/* A cold one that gets far more than it bears is down for a while. */
+	void count_cold(Server *v)
+	{
+		auto &got = v->cold_got;
+
+		while (!got.empty() && got.front() <= now - NS_S)
+			got.pop_front();
+		if (now >= v->cold_until)
+			return;
+		got.push_back(now);
+		worst_cold = std::max(worst_cold, static_cast<int>(got.size()));
+		if (got.size() <= COLD_BEARS || pat.cold_rate == 0)
+			return;
+		v->down_until = now + FALLEN_NS;
+		fell_over++;
+	}
+
+	/* All that were down are back, and cold. */
+	void chill(const Event &e)
+	{
+		for (auto &v : servers)
+			if (hit(e, *v))
+				v->cold_until = now + COLD_NS;
+		for (auto &v : servers)
+			if (hit(e, *v))
+				v->bucket = {};
+	}
+
 	/* Of all servers, is this one in the share that an event hits? */
 	bool hit(const Event &e, const Server &v) const
 	{
@@ -154,8 +194,12 @@
 
 	bool is_down(const Server &v) const
 	{
+		if (now < v.down_until)
+			return true;
 		for (auto &e : pat.events)
-			if (e.what == Event::CRASH && on(e, now) && hit(e, v))
+			if ((e.what == Event::CRASH ||
+				e.what == Event::RETURN) &&
+			    on(e, now) && hit(e, v))
 				return true;
 		return false;
 	}
@@ -348,6 +392,7 @@
 
 		a->run = ++p->runs;
 		p->sent_evacuated += p->is_evacuated(v.hall);
+		p->count_cold(&v);
 		if (p->is_down(v)) {
 			p->end_later(a, 2 * NS_MS, DISP_CONNECT, nullptr);
 			return;
@@ -468,6 +513,10 @@
 		struct disp *d = h->disp;
 
 		p->in(400 * NS_US, [p, h, d, &v] {
+			if (h->disp == d && !p->is_down(v))
+				disp_cold_told(d, str_c(v.name.c_str()),
+				    std::max<int64_t>(
+					v.cold_until - p->now, 0));
 			if (h->disp == d)
 				disp_peeked(d, str_c(v.name.c_str()),
 				    !p->is_down(v), v.running, v.queued,
@@ -562,6 +611,7 @@
 		prm.bulk_percent = 40;
 		prm.retry_percent = 15;
 		prm.retry_max = 60;
+		prm.cold = {pat.cold_rate, COLD_BURST, COLD_NS};
 		disp_configure(h->disp, &prm);
 		for (int o = 0; o < set.halls; o++)
 			if (o != h->hall)
@@ -583,7 +633,7 @@
 			if (s->hall == h->hall && !s->gone)
 				v.push_back({str_c(s->name.c_str()),
 				    STR_LIT("127.0.0.1:1"), set.slots, false,
-				    is_evacuated(h->hall)});
+				    is_evacuated(h->hall), 0});
 		disp_backends(
 		    h->disp, v.data(), static_cast<unsigned>(v.size()));
 	}
@@ -676,9 +726,8 @@
 		const std::string &hall =
 		    hall_names[static_cast<size_t>(e.hall)];
 
-		for (auto &v : servers)
-			if (!begins && v->hall == e.hall && e.x > 1)
-				v->cold_until = now + COLD_NS;
+		if (!begins && e.x > 1)
+			chill(e);
 		for (auto &h : homes) {
 			if (h->disp == nullptr)
 				continue;
@@ -690,8 +739,23 @@
 		}
 	}
 
+	void move_homes()
+	{
+		for (auto &h : homes) {
+			if (h->disp == nullptr)
+				continue;
+			lose_home(h.get());
+			open_home(h.get());
+		}
+	}
+
 	void start(const Event &e)
 	{
+		if (e.what == Event::MOVE)
+			move_homes();
+		if (e.what == Event::RETURN)
+			in((e.to_ms - e.from_ms) * NS_MS,
+			    [this, &e] { chill(e); });
 		if (e.what == Event::EVACUATE) {
 			tell_evacuation(e, true);
 			in((e.to_ms - e.from_ms) * NS_MS,
@@ -767,6 +831,16 @@
 		    w->at + w->kind->target_ms * NS_MS;
 	}
 
+	/* A cold server gets no more than the product may send it. */
+	bool may_get(Server *v) const
+	{
+		struct cold_bound bound = {pat.cold_rate, COLD_BURST, COLD_NS};
+
+		cold_told(
+		    &v->bucket, std::max<int64_t>(v->cold_until - now, 0), now);
+		return cold_may(&v->bucket, &bound, now);
+	}
+
 	/* The free server that would do it soonest; NULL: none. */
 	Server *best_server(double *x)
 	{
@@ -776,7 +850,7 @@
 
 		for (auto &v : servers) {
 			if (v->gone || is_down(*v) || is_evacuated(v->hall) ||
-			    v->running >= most)
+			    v->running >= most || !may_get(v.get()))
 				continue;
 			v->running++;
 			double t = hidden(*v) * pace(*v) / 100;
@@ -843,9 +917,11 @@
 
 	void start(const Wish *w, Server *v, double x)
 	{
+		struct cold_bound bound = {pat.cold_rate, COLD_BURST, COLD_NS};
 		uint64_t run = ++runs;
 
 		v->running++;
+		cold_sent(&v->bucket, &bound, now);
 		out[w] = run;
 		in(static_cast<int64_t>(static_cast<double>(w->work) * x),
 		    [this, w, v, run] {
@@ -883,6 +959,9 @@
 				serve();
 			});
 		for (auto &e : pat.events) {
+			if (e.what == Event::RETURN ||
+			    (e.what == Event::EVACUATE && e.x > 1))
+				in(e.to_ms * NS_MS, [this, &e] { chill(e); });
 			if (e.what == Event::GONE)
 				in(e.from_ms * NS_MS, [this, &e] {
 					for (auto &v : servers)
@@ -933,6 +1012,8 @@
 	w.run_to(p.length_ms * NS_MS + AFTER_NS);
 	r = w.result();
 	r.sent_evacuated = w.sent_evacuated;
+	r.worst_cold = w.worst_cold;
+	r.fell_over = w.fell_over;
 	return r;
 }
 
@@ -1006,6 +1087,21 @@
 	    {"two halls evacuated, one in the other's load",
 		{{Event::EVACUATE, 3000, 7000, 2, 1, 0},
 		    {Event::EVACUATE, 6000, 9000, 1, 1, 1}}},
+	    {"evacuated, back cold in a surge, bounded",
+		{{Event::SURGE, 3000, 12000, 1.7},
+		    {Event::EVACUATE, 4000, 6000, 2, 1, 0}},
+		0.45, true, 1.7, true, 14000, COLD_RATE},
+	    {"a hall down and back cold, homes move",
+		{{Event::RETURN, 3000, 4500, 1, 1, 1},
+		    {Event::MOVE, 5000, 5001}, {Event::MOVE, 5300, 5301}},
+		0.45, true, 1.7, true, 14000, COLD_RATE},
+	    {"replaced by cold ones that break off, bounded",
+		{{Event::SURGE, 3000, 9000, 1.7},
+		    {Event::COLD, 4000, 8000, 1, 0.4}},
+		0.45, true, 1.7, false, 14000, COLD_RATE},
+	    {"all dark, servers too, back cold, bounded",
+		{{Event::DARK, 5000, 6300}, {Event::RETURN, 5000, 6300}}, 0.45,
+		true, 1.7, true, 14000, COLD_RATE, 0.15},
 	};
 
 	return all;
--- a/regress/load.h
+++ b/regress/load.h
@@ -53,6 +53,8 @@
 		COLD, /* a share is replaced one by one, new ones slow at first
 		       */
 		EVACUATE, /* a hall gets nothing; x 2: it is cold at the end */
+		RETURN, /* all servers are down, and cold at its end */
+		MOVE, /* the homes change, each new one knows nothing */
 		DARK, /* all homes are lost, and back at its end */
 		REPEAT, /* a share of the callers sends x times as much, at once
 			 */
@@ -71,6 +73,12 @@
 	double knee = 1.7; /* how much slower beyond four fifths of the slots */
 	bool queues = true; /* a full server queues; else it breaks off */
 	int64_t length_ms = 14000;
+	double cold_rate = 0; /* requests a second to a cold server; 0: any */
+	/*
+	 * How far the product may be from the reference.  Where the servers
+	 * cannot do all, the reference takes the short requests: it knows them.
+	 */
+	double far = 0.08;
 };
 
 struct Setting {
@@ -97,6 +105,8 @@
 	std::map<int64_t, double> seconds; /* share in time, by second */
 	double worth = 0; /* earned of what was owed, late answers a tenth */
 	double in_time = 0; /* share of all */
+	int worst_cold = 0; /* requests in a second that a cold server got */
+	int fell_over = 0; /* cold servers that got too many */
 	int sent_evacuated = 0; /* tries begun in an evacuated hall */
 
 	/* Seconds after a moment until nine in ten are in time again. */
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -385,6 +385,11 @@
 	add_header(req, "fernjunction-backend-load",
 	    "0,0,3," + std::to_string(b->pace));
 	if (text_of(hsrv_path(req)) == "/health") {
+		int64_t left = b->cold_until - clk_ns(clk_system());
+
+		if (left > 0)
+			add_header(req, "fernjunction-slow-start-ms",
+			    std::to_string(left / NS_MS));
 		hsrv_answer(req, 200, "text/plain", STR_LIT("well"));
 		return;
 	}
@@ -445,6 +450,15 @@
 	in_loop([&] { backends[id]->hold = true; });
 }
 
+void
+Objects::chill(const std::string &id, int64_t ms)
+{
+	in_loop([&] {
+		backends[id]->cold_until =
+		    ms == 0 ? 0 : clk_ns(clk_system()) + ms * NS_MS;
+	});
+}
+
 size_t
 Objects::ran(const std::string &id)
 {
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -41,6 +41,7 @@
 	struct Backend {
 		std::string id, service, address;
 		int pace = 100;
+		int64_t cold_until = 0; /* its health answers tell it */
 		bool refuse = false; /* answer that nothing was run */
 		bool lose = false; /* run, and answer nothing */
 		bool hold = false; /* run, and take for ever */
@@ -53,6 +54,8 @@
 	    const std::string &address);
 	void set(const std::string &id, int pace, bool refuse, bool lose);
 	void hold(const std::string &id);
+	/* It is cold for so long, and says so. */
+	void chill(const std::string &id, int64_t ms);
 	size_t ran(const std::string &id);
 	/* How often a backend server ran one request. */
 	size_t ran_times(const std::string &id, const std::string &request);
--- a/route.c
+++ b/route.c
@@ -183,7 +183,8 @@
 		    .address = b->address,
 		    .slots = (int)b->slots,
 		    .drain = b->drain,
-		    .evacuated = h->evacuated};
+		    .evacuated = h->evacuated,
+		    .warm_ns = b->warm_ms * NS_MS};
 		if (b->drain || h->evacuated)
 			continue;
 		h->slots += (int)b->slots;
