Requests are served in the regions that their rule names

Ruled out: a home that looks the rule up again (configurations differ for a moment), a service for each region (docs/design/regions.md).

Change: a rule's regions, a table of halls to regions in the settings; the choice of the hall, passes between homes and homes of halls without hubs keep to them; near halls go first.

Nothing changes where no rule names regions.

--- a/ctl_show.c
+++ b/ctl_show.c
@@ -228,6 +228,8 @@
 		: key ? "no: it carries an Idempotency-Key"
 		: obj->repeatable == REPEATABLE_NO ? "no: the rule says so"
 						   : "no: by its method");
+	if (obj->regions.n > 0)
+		printf("regions     %s\n", obj->regions.p);
 	printf("class       %s\n", obj_class_name((enum obj_class)obj->cls));
 	for (i = 0; i < rule->nparts; i++)
 		print_part(rule, &rule->parts[i]);
--- a/disp.c
+++ b/disp.c
@@ -64,16 +64,13 @@
 void
 disp_free(struct disp *d)
 {
-	guint i;
+	int i;
 
 	disp_set_free(d);
-	for (i = 0; i < d->remotes->len; i++)
-		str_free(&g_array_index(d->remotes, struct disp_remote_hall, i)
-			      .hall);
+	disp_pass_free(d);
 	for (i = 0; i < QUEUES; i++)
 		queue_clear(&d->queues[i]);
 	g_array_free(d->works, TRUE);
-	g_array_free(d->remotes, TRUE);
 	g_free(d);
 }
 
--- a/disp.h
+++ b/disp.h
@@ -58,6 +58,7 @@
 	int rank; /* the lower, the more urgent */
 	int64_t target; /* an answer is worth most before; 0: unsaid */
 	unsigned kind; /* requests of one kind take alike */
+	struct str regions; /* where it may be served: region.h */
 	/* The rest is the dispatcher's own. */
 	int64_t work; /* ns that it is thought to take at the usual speed */
 	double pace; /* that was expected when the try under way began */
@@ -185,6 +186,10 @@
 /* Another hall has so many slots for the service. */
 void disp_hall(struct disp *, struct str hall, int slots);
 
+/* The region of another hall, and whether that is ours. */
+void
+disp_hall_region(struct disp *, struct str hall, struct str region, bool near);
+
 /* Another hall's home tells its room. */
 void disp_remote(struct disp *, struct str hall, const struct disp_room *);
 
--- a/disp_pass.c
+++ b/disp_pass.c
@@ -9,6 +9,7 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include "libdisp.h"
+#include "region.h"
 
 /*
  * Other halls: what their homes told of their room, and what is passed to
@@ -45,20 +46,51 @@
 	    m->room.waiting == 0 && m->room.free > REMOTE_SPARE;
 }
 
+void
+disp_pass_free(struct disp *d)
+{
+	struct disp_remote_hall *m;
+	guint i;
+
+	for (i = 0; i < d->remotes->len; i++) {
+		m = &g_array_index(d->remotes, struct disp_remote_hall, i);
+		str_free(&m->hall);
+		str_free(&m->region);
+	}
+	g_array_free(d->remotes, TRUE);
+}
+
+/* May the request be served there, as far as its rule and the hall go? */
+static bool
+may_serve(const struct disp_remote_hall *m, const struct disp_req *r)
+{
+	return m->slots > 0 && region_allows(r->regions, m->region);
+}
+
 bool
-disp_has_room_elsewhere(const struct disp *d, int64_t now)
+disp_has_room_elsewhere(
+    const struct disp *d, const struct disp_req *r, int64_t now)
 {
 	const struct disp_remote_hall *m;
 	guint i;
 
 	for (i = 0; i < d->remotes->len; i++) {
 		m = &g_array_index(d->remotes, struct disp_remote_hall, i);
-		if (m->slots > 0 && has_room(m, now))
+		if (may_serve(m, r) && has_room(m, now))
 			return true;
 	}
 	return false;
 }
 
+/* Halls of our region go before others, and then the most free slots. */
+static bool
+is_better(const struct disp_remote_hall *m, const struct disp_remote_hall *best)
+{
+	if (best == NULL || m->far != best->far)
+		return best == NULL || best->far;
+	return m->room.free > best->room.free;
+}
+
 /*
  * Pass to another hall whose home has room.  If nothing here can be used, a
  * hall that has slots will do, whatever its home said last.
@@ -75,9 +107,9 @@
 		return false;
 	for (i = 0; i < d->remotes->len; i++) {
 		m = &g_array_index(d->remotes, struct disp_remote_hall, i);
-		if (m->slots == 0 || (!must && !has_room(m, now)))
+		if (!may_serve(m, r) || (!must && !has_room(m, now)))
 			continue;
-		if (best == NULL || m->room.free > best->room.free)
+		if (is_better(m, best))
 			best = m;
 	}
 	if (best == NULL)
@@ -88,8 +120,8 @@
 }
 
 /*
- * Where all halls hold requests, a new one goes to a hall that would take it
- * much sooner, so that a surge ends everywhere at the same time.
+ * Where all halls of a region hold requests, a new one goes to a hall that
+ * would take it much sooner, so that a surge ends everywhere at the same time.
  */
 bool
 disp_pass_to_shorter(struct disp *d, struct disp_req *r, int64_t wait)
@@ -103,8 +135,8 @@
 		return false;
 	for (i = 0; i < d->remotes->len; i++) {
 		m = &g_array_index(d->remotes, struct disp_remote_hall, i);
-		if (m->slots == 0 || m->told == 0 || m->room.slots == 0 ||
-		    now - m->told > REMOTE_FRESH_NS)
+		if (!may_serve(m, r) || m->far || m->told == 0 ||
+		    m->room.slots == 0 || now - m->told > REMOTE_FRESH_NS)
 			continue;
 		there = usual * (m->room.waiting + 1) / m->room.slots;
 		if (there >= best_wait)
@@ -125,6 +157,18 @@
 	remote_of(d, hall)->slots = slots;
 }
 
+void
+disp_hall_region(struct disp *d, struct str hall, struct str region, bool near)
+{
+	struct disp_remote_hall *m = remote_of(d, hall);
+
+	m->far = !near;
+	if (str_eq(m->region, region))
+		return;
+	str_free(&m->region);
+	m->region = str_dup(region);
+}
+
 void
 disp_remote(struct disp *d, struct str hall, const struct disp_room *room)
 {
--- a/disp_peek.c
+++ b/disp_peek.c
@@ -126,7 +126,7 @@
 		return false;
 	/* All that were asked here are slow: start() looks elsewhere. */
 	if (r->asked && !asked && r->may_pass &&
-	    disp_has_room_elsewhere(d, now))
+	    disp_has_room_elsewhere(d, r, now))
 		return false;
 	disp_peek_some(d, r->work, now);
 	r->asked = true;
--- a/gate_admit.c
+++ b/gate_admit.c
@@ -114,6 +114,7 @@
 	r->hops = (int)MIN(pass.hops, HOPS_MAX);
 	r->service = str_dup(svc->name);
 	r->hall = str_dup(pass.hall);
+	r->regions = r->d.regions = str_dup(pass.regions);
 	r->d.cls = pass.bulk ? CLASS_BULK : CLASS_INTERACTIVE;
 	r->d.repeatable = pass.repeatable;
 	r->d.may_retry = true;
@@ -227,6 +228,7 @@
 	}
 	r->rule = str_dup(rule->name);
 	r->service = str_dup(svc->name);
+	r->regions = r->d.regions = str_dup(rule->obj->regions);
 	r->keyed = key.n > 0;
 	r->allow_outage = rule->obj->on_outage == OUTAGE_ALLOW;
 	r->d.cls = (enum obj_class)rule->obj->cls;
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -176,6 +176,7 @@
 	    .retry_percent = svc->obj->retry_percent,
 	    .cold = cold_bound_of(g, svc->obj),
 	};
+	struct str other;
 	unsigned i;
 
 	if (g->bounds.retry_slack > 0) {
@@ -193,10 +194,15 @@
 		use_all_halls(s, svc);
 		return;
 	}
-	for (i = 0; i < svc->nhalls; i++)
-		if (!str_eq(svc->halls[i].hall, s->hall))
-			disp_hall(
-			    s->disp, svc->halls[i].hall, svc->halls[i].slots);
+	for (i = 0; i < svc->nhalls; i++) {
+		other = svc->halls[i].hall;
+		if (str_eq(other, s->hall))
+			continue;
+		disp_hall(s->disp, other, svc->halls[i].slots);
+		disp_hall_region(s->disp, other,
+		    region_of(g->set.regions, other),
+		    region_is_near(g->set.regions, s->hall, other));
+	}
 	disp_backends(s->disp, hall == NULL ? NULL : hall->backends,
 	    hall == NULL ? 0 : hall->n);
 }
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -96,6 +96,7 @@
 	    .rank = (unsigned)r->d.rank,
 	    .kind = r->d.kind,
 	    .hall = r->hall,
+	    .regions = r->regions,
 	    .service = r->service,
 	};
 
--- a/gate_home.c
+++ b/gate_home.c
@@ -46,16 +46,28 @@
 enum tier {
 	TIER_READY, /* hubs of the hall that serve */
 	TIER_NEAR, /* hubs of the hall: they hold requests until they serve */
+	TIER_REGION, /* hubs of the hall's region that serve */
 	TIER_FAR, /* hubs of all halls that serve */
 	TIER_MAX
 };
 
+/* Is a box of hall `at` close enough to a hall for a tier? */
+static bool
+is_within(const struct gate *g, struct str at, struct str hall, enum tier tier)
+{
+	if (tier == TIER_FAR)
+		return true;
+	if (tier == TIER_REGION)
+		return region_is_near(g->set.regions, at, hall);
+	return str_eq(at, hall);
+}
+
 static bool
 is_in_tier(const struct gate *g, const struct memb_info *info, struct str hall,
     enum tier tier)
 {
 	if (info->leaving || info->pass.n == 0 ||
-	    (tier != TIER_FAR && !str_eq(info->hall, hall)))
+	    !is_within(g, info->hall, hall, tier))
 		return false;
 	return tier == TIER_NEAR ? g->set.early_ms > 0 : info->ready;
 }
@@ -64,7 +76,7 @@
 self_may(const struct gate *g, struct str hall, enum tier tier)
 {
 	return g->hub && !gate_box_leaving(g) &&
-	    (tier == TIER_FAR || str_eq(g->set.hall, hall));
+	    is_within(g, g->set.hall, hall, tier);
 }
 
 /* The gates of a tier as those that homes are dealt to; data NULL: ours. */
@@ -233,23 +245,23 @@
 	return p;
 }
 
-/* The hall to send a request to: ours, if the service has slots here. */
-struct str
-gate_home_hall(struct gate *g, const struct route_service *svc)
+/*
+ * The same for a request that only some regions may serve.  Where the hall's
+ * home stands in a region that may not, as it may while the hall has no hubs,
+ * our own box acts as home: its caller chose it, and what it sends goes to the
+ * hall itself.
+ */
+struct gate_peer *
+gate_home_for(struct gate *g, struct str service, struct str hall,
+    struct str regions, bool *self)
 {
-	const struct route_hall *own = route_hall(svc, g->set.hall);
-	uint64_t at;
-	unsigned i;
+	struct gate_peer *p = gate_home(g, service, hall, self);
 
-	if (svc->slots == 0 || (own != NULL && own->slots > 0))
-		return g->set.hall;
-	at = rnd_below(g->rnd, (uint64_t)svc->slots);
-	for (i = 0; i < svc->nhalls; i++) {
-		if (at < (uint64_t)svc->halls[i].slots)
-			break;
-		at -= (uint64_t)svc->halls[i].slots;
-	}
-	return svc->halls[i].hall;
+	if (p == NULL || region_is_near(g->set.regions, p->info.hall, hall) ||
+	    region_allows(regions, region_of(g->set.regions, p->info.hall)))
+		return p;
+	*self = true;
+	return NULL;
 }
 
 void
--- a/gate_open.c
+++ b/gate_open.c
@@ -114,6 +114,7 @@
 	.dflt = 40,
 	.min = 5,
 	.max = 60000},
+    {.name = "regions", .type = FIELD_LABELS, .offset = F(regions)},
     {.name = "bounds", .type = FIELD_STR, .offset = F(bounds), .text_dflt = ""},
     {.name = "platform_form",
 	.type = FIELD_NAME,
--- a/gate_pass.c
+++ b/gate_pass.c
@@ -16,14 +16,32 @@
 
 enum { FIELDS = 10, TEXT_MAX = 384 };
 
-/* Numbers divided by blanks, the hall's name, and the service's last. */
+/* No region is named: a word in the place of their names. */
+static const char ANY_REGION[] = "-";
+
+/* Cut the text up to the next blank off the rest; false if there is none. */
+static bool
+next_word(struct str *rest, struct str *word)
+{
+	const char *blank = memchr(rest->p, ' ', rest->n);
+
+	if (blank == NULL)
+		return false;
+	*word = str_n(rest->p, (size_t)(blank - rest->p));
+	*rest = str_n(blank + 1, rest->n - word->n - 1);
+	return true;
+}
+
+/*
+ * Numbers divided by blanks, then the names of the hall, of regions, and of the
+ * service.
+ */
 bool
 gate_pass_read(struct str text, struct gate_pass *out)
 {
 	char copy[TEXT_MAX];
 	unsigned bulk, repeatable, retried, paid;
 	long long target;
-	const char *blank;
 	int at = 0, n;
 
 	if (text.n == 0 || text.n >= sizeof(copy))
@@ -40,22 +58,24 @@
 	out->retried = retried != 0;
 	out->paid = paid != 0;
 	out->target_ms = target;
-	out->hall = str_n(text.p + at, text.n - (size_t)at);
-	blank = memchr(out->hall.p, ' ', out->hall.n);
-	if (blank == NULL)
+	out->service = str_n(text.p + at, text.n - (size_t)at);
+	if (!next_word(&out->service, &out->hall) ||
+	    !next_word(&out->service, &out->regions))
 		return false;
-	out->hall.n = (size_t)(blank - out->hall.p);
-	out->service = str_n(blank + 1, (size_t)(text.p + text.n - blank - 1));
+	if (str_eq(out->regions, str_c(ANY_REGION)))
+		out->regions = str_c(NULL);
 	return out->hall.n > 0 && out->service.n > 0;
 }
 
 size_t
 gate_pass_write(const struct gate_pass *p, char *out, size_t size)
 {
-	int n = snprintf(out, size, "%u %u %u %u %u %u %u %u %u %lld %.*s %.*s",
-	    p->hops, p->bulk, p->repeatable, p->retried, p->paid, p->tries,
-	    p->attempts, p->rank, p->kind, (long long)p->target_ms,
-	    STR_ARG(p->hall), STR_ARG(p->service));
+	struct str regions = p->regions.n > 0 ? p->regions : str_c(ANY_REGION);
+	int n = snprintf(out, size,
+	    "%u %u %u %u %u %u %u %u %u %lld %.*s %.*s %.*s", p->hops, p->bulk,
+	    p->repeatable, p->retried, p->paid, p->tries, p->attempts, p->rank,
+	    p->kind, (long long)p->target_ms, STR_ARG(p->hall),
+	    STR_ARG(regions), STR_ARG(p->service));
 
 	return MIN((size_t)n, size - 1);
 }
--- a/gate_req.c
+++ b/gate_req.c
@@ -143,7 +143,9 @@
 		return str_c(NULL);
 	if (r->hops > 0 && r->hall.n > 0)
 		return r->hall;
-	gate_req_set_hall(r, gate_home_hall(r->gate, svc));
+	gate_req_set_hall(r,
+	    region_choose_hall(r->gate->set.regions, r->gate->set.hall, svc,
+		r->regions, r->gate->rnd));
 	return r->hall;
 }
 
@@ -162,10 +164,14 @@
 		return;
 	}
 	hall = hall_for(r, svc);
+	if (hall.n == 0 && g->set.route == ROUTE_HOME) {
+		gate_answer(r, ERR_NO_BACKEND, gate_req_ran(r), 0);
+		return;
+	}
 	if (r->hops > 0 || g->set.route == ROUTE_ALONE)
 		self = true;
 	else
-		r->peer = gate_home(g, svc->name, hall, &self);
+		r->peer = gate_home_for(g, svc->name, hall, r->regions, &self);
 	if (!self && r->passes < HOPS_MAX + 1) {
 		gate_try_home(r);
 		return;
@@ -234,6 +240,7 @@
 	str_free(&r->rule);
 	str_free(&r->service);
 	str_free(&r->hall);
+	str_free(&r->regions);
 	str_free(&r->name);
 	g_free(r);
 }
--- a/gate_try.c
+++ b/gate_try.c
@@ -72,7 +72,7 @@
 	(void)ctx;
 	r->d.may_pass = false;
 	gate_req_set_hall(r, hall);
-	r->peer = gate_home(r->gate, r->service, hall, &self);
+	r->peer = gate_home_for(r->gate, r->service, hall, r->regions, &self);
 	if (!self) {
 		gate_try_home(r);
 		return;
--- a/libdisp.h
+++ b/libdisp.h
@@ -24,6 +24,8 @@
 /* What another hall's home said last. */
 struct disp_remote_hall {
 	struct str hall;
+	struct str region;
+	bool far; /* in another region */
 	int slots; /* by configuration */
 	struct disp_room room;
 	int64_t told; /* 0: never */
@@ -122,8 +124,10 @@
 void disp_move(struct disp *, int64_t now);
 
 /* disp_pass.c: other halls.  True if the request was passed on. */
+void disp_pass_free(struct disp *);
 bool disp_pass(struct disp *, struct disp_req *);
-bool disp_has_room_elsewhere(const struct disp *, int64_t now);
+bool disp_has_room_elsewhere(
+    const struct disp *, const struct disp_req *, int64_t now);
 bool disp_pass_to_shorter(struct disp *, struct disp_req *, int64_t wait);
 
 #endif
--- a/libgate.h
+++ b/libgate.h
@@ -23,6 +23,7 @@
 #include "hsrv.h"
 #include "wire.h"
 #include "plat.h"
+#include "region.h"
 #include "reload.h"
 #include "route.h"
 #include "sync.h"
@@ -50,6 +51,7 @@
 	int64_t early_ms; /* a request may wait for the first configuration */
 	double power; /* share of a processor that the box has */
 	int64_t ping_wait_ms;
+	json_t *regions; /* of halls, by their names */
 	struct str bounds; /* the platform's, in its own words */
 	struct str form; /* the platform's form, by name */
 };
@@ -195,6 +197,8 @@
 /* gate_home.c: which gate is home for a shard. */
 struct gate_peer *
 gate_home(struct gate *, struct str service, struct str hall, bool *self);
+struct gate_peer *gate_home_for(struct gate *, struct str service,
+    struct str hall, struct str regions, bool *self);
 void gate_home_members(struct gate *, const struct msg_members *);
 void gate_home_deal(struct gate *);
 void gate_home_suspect(struct gate *, struct gate_peer *, const char *why);
@@ -204,7 +208,6 @@
 void gate_home_ping(struct gate *, const struct msg *);
 struct gate_shard *
 gate_conf_find_shard(struct gate *, struct str service, struct str hall);
-struct str gate_home_hall(struct gate *, const struct route_service *);
 
 /* gate_req.c: the life of a request. */
 struct gate_req;
--- a/libreq.h
+++ b/libreq.h
@@ -63,6 +63,7 @@
 	struct str rule, service; /* copies */
 	struct str
 	    hall; /* whose home it is with, or is on its way to; a copy */
+	struct str regions; /* where it may be served; a copy */
 	bool allow_outage;
 	struct gate_claim *claim;
 	struct gate_shard *shard; /* where it is held or was sent from */
@@ -88,8 +89,9 @@
 	unsigned rank;
 	unsigned kind; /* requests of one kind take alike */
 	int64_t target_ms; /* left until its target; 0: unsaid */
-	/* Whose slots it is to use; both point into the header. */
-	struct str hall;
+	/* Where it is to go; these point into the header. */
+	struct str hall; /* whose slots it is to use */
+	struct str regions; /* which may serve it; empty: any */
 	struct str service;
 };
 
--- a/obj.c
+++ b/obj.c
@@ -136,6 +136,10 @@
 	.type = FIELD_NAME,
 	.offset = R(service),
 	.text_dflt = ""},
+    {.name = "regions",
+	.type = FIELD_STR,
+	.offset = R(regions),
+	.text_dflt = ""},
     {.name = "split", .type = FIELD_WEIGHTS, .offset = R(split)},
     {.name = "target_ms",
 	.type = FIELD_INT,
@@ -276,11 +280,31 @@
 	return s->select != NULL;
 }
 
+static bool
+are_names(struct str list)
+{
+	char *text = g_strndup(list.p, list.n);
+	char **names = g_strsplit(text, ",", -1);
+	bool ok = true;
+	int i;
+
+	for (i = 0; names[i] != NULL; i++)
+		ok = ok && field_is_name(str_c(names[i]));
+	g_strfreev(names);
+	g_free(text);
+	return ok;
+}
+
 static bool
 finish_rule(struct obj *o, GError **err)
 {
 	struct obj_rule *r = &o->u.rule;
 
+	if (r->regions.n > 0 && !are_names(r->regions))
+		return err_set(err, ERR_OBJECT,
+		    "rule %s: regions: must be names joined by commas",
+		    o->name.p);
+
 	if (r->path.n == 0 || r->path.p[0] != '/')
 		return err_set(err, ERR_OBJECT,
 		    "rule %s: path: must begin with '/'", o->name.p);
--- a/obj.h
+++ b/obj.h
@@ -74,6 +74,7 @@
 	struct str method; /* exact, or empty for any */
 	struct str header; /* "name: value", or empty for any */
 	struct str service; /* empty where a split is given */
+	struct str regions; /* joined by commas; empty: any may serve it */
 	json_t *split; /* names of services to their weights */
 	int64_t target_ms; /* an answer is worth most within it; 0: unsaid */
 	int64_t attempts; /* backend servers one request may see; 0: unsaid */
--- a/regress/box.h
+++ b/regress/box.h
@@ -137,8 +137,8 @@
 			"\",\"slots\":3,\"state\":\"" + state + "\"}");
 	}
 
-	/* What a cold backend server bears, if not any number. */
-	std::string of_service;
+	/* More of each service's and of each route's spec. */
+	std::string of_service, of_route;
 
 	/* One rule for each kind of request, both to one service. */
 	void configure(const std::string &service, const std::string &more = "")
@@ -147,7 +147,7 @@
 		    "metadata":{"name":"NAME"},"spec":{"host":"shop.example",
 		    "pathPrefix":"/NAME/","routeType":"TYPE","timeout":"900ms",
 		    "targetLatency":"300ms","priority":1,"maxAttempts":2,
-		    "service":"SERVICE"}},)";
+		    "service":"SERVICE"MORE}},)";
 		std::string safe =
 		    replaced(replaced(route, "NAME", "look"), "TYPE", "safe");
 		std::string unsafe =
@@ -155,7 +155,9 @@
 
 		platform.put("config", "main",
 		    "{\"version\":\"r1\",\"resources\":[" +
-			replaced(safe + unsafe, "SERVICE", service) + more +
+			replaced(replaced(safe + unsafe, "SERVICE", service),
+			    "MORE", of_route) +
+			more +
 			R"({"resourceType":"services","metadata":{"name":"till"},
 			    "spec":{"healthPath":"/health")" +
 			of_service + R"(}},
--- a/regress/test_disp.cpp
+++ b/regress/test_disp.cpp
@@ -863,6 +863,40 @@
 	w.done(&r[0], DISP_GONE);
 }
 
+/* Its own region's halls first, and never one that its rule does not allow. */
+TEST(Disp, PassesStayInTheRegionsOfTheirRule)
+{
+	World w;
+	std::vector<Req> r(5);
+	struct disp_room some = {6, 3, 0}, more = {6, 6, 0};
+
+	w.backends(1, 1);
+	w.warm(1);
+	disp_hall(w.disp, STR_LIT("south"), 6);
+	disp_hall(w.disp, STR_LIT("overseas"), 6);
+	disp_hall_region(w.disp, STR_LIT("south"), STR_LIT("here"), true);
+	disp_hall_region(w.disp, STR_LIT("overseas"), STR_LIT("there"), false);
+	disp_remote(w.disp, STR_LIT("south"), &some);
+	disp_remote(w.disp, STR_LIT("overseas"), &more);
+	w.arrive(&r[0]);
+	for (auto &q : r)
+		q.d.may_pass = true;
+	w.arrive(&r[1]);
+	EXPECT_EQ("pass 0 south", w.trace.back());
+	r[2].d.regions = STR_LIT("there");
+	w.arrive(&r[2]);
+	EXPECT_EQ("pass 0 overseas", w.trace.back());
+	r[3].d.regions = STR_LIT("nowhere");
+	w.arrive(&r[3]);
+	EXPECT_TRUE(r[3].d.held);
+	/* Nor where nothing here may be used any more. */
+	w.backends(1, 1, -1, true);
+	disp_tick(w.disp);
+	EXPECT_FALSE(r[3].passed);
+	EXPECT_EQ(ERR_NO_BACKEND, r[3].kind);
+	w.done(&r[0], DISP_GONE);
+}
+
 /* What runs is finished; what is held, or comes, goes to another hall. */
 TEST(Disp, AnEvacuatedHallFinishesWhatRunsAndGetsNothingNew)
 {
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -420,6 +420,7 @@
 	in.kind = 250;
 	in.target_ms = 140;
 	in.hall = STR_LIT("north");
+	in.regions = STR_LIT("here,there");
 	in.service = STR_LIT("till");
 	size_t n = gate_pass_write(&in, text, sizeof(text));
 	ASSERT_TRUE(gate_pass_read(str_n(text, n), &out));
@@ -434,6 +435,7 @@
 	EXPECT_EQ(250u, out.kind);
 	EXPECT_EQ(140, out.target_ms);
 	EXPECT_TRUE(str_eq(STR_LIT("north"), out.hall));
+	EXPECT_TRUE(str_eq(STR_LIT("here,there"), out.regions));
 	EXPECT_TRUE(str_eq(STR_LIT("till"), out.service));
 	for (const char *bad : {"", "1", "1 0 1 0 1 1 3 2 250 140",
 		 "x 0 1 0 1 1 3 2 250 140 north till",
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -189,6 +189,8 @@
 	    {OBJ_RULE, R"({"service":"s","path":"x"})", "'/'"},
 	    {OBJ_RULE, R"({"service":"s","header":"x"})", "name: value"},
 	    {OBJ_RULE, R"([])", "is not a table"},
+	    {OBJ_RULE, R"({"service":"s","regions":"a,b"})", nullptr},
+	    {OBJ_RULE, R"({"service":"s","regions":"a,,b"})", "names joined"},
 	    {OBJ_EVACUATION, R"({})", nullptr},
 	    {OBJ_EVACUATION, R"({"why":"a cable"})", nullptr},
 	    {OBJ_EVACUATION, R"({"why":3})", "why"},
