Two families without a circle: pick and sync

Cause: pick.c named the policies that use it, and sync.c had the one function that sync_pack.c needed of it, so neither could be read without the rest. Ruled out: nothing. Behaviour is as before.

--- a/libsync.h
+++ b/libsync.h
@@ -15,10 +15,8 @@
 
 /* For the files of sync only. */
 
-/* sync.c */
+/* sync_pack.c, which knows nothing of sync.c */
 void sync_post(struct sync *, struct str to, const struct msg *);
-
-/* sync_pack.c */
 void sync_pack_add_gone(struct sync_pack *, struct str key, uint64_t version);
 json_t *sync_read_spec(const struct msg_object *);
 
--- a/pick.c
+++ b/pick.c
@@ -42,20 +42,6 @@
 static unsigned count_in_use(const struct pick_set *, int64_t);
 static void step(struct pick_backend *, const struct chart *, enum pick_event);
 
-static const struct pick_policy *const policies[] = {
-    &pick_fern, &pick_pace, &pick_naive};
-
-const struct pick_policy *
-pick_by_name(struct str name)
-{
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(policies); i++)
-		if (str_eq(str_c(policies[i]->name), name))
-			return policies[i];
-	return NULL;
-}
-
 static void
 step(struct pick_backend *b, const struct chart *chart, enum pick_event ev)
 {
--- a/sync.c
+++ b/sync.c
@@ -25,13 +25,6 @@
 static void take_want(struct sync *, const struct msg *);
 static void take_objects(struct sync *, const struct msg *);
 
-void
-sync_post(struct sync *s, struct str to, const struct msg *m)
-{
-	s->messages++;
-	s->send(s->ctx, to, m);
-}
-
 struct msg_holds
 sync_holds(const struct sync *s)
 {
--- a/sync_pack.c
+++ b/sync_pack.c
@@ -111,6 +111,13 @@
 	    g_ptr_array_steal_index(from->texts, from->texts->len - 1));
 }
 
+void
+sync_post(struct sync *s, struct str to, const struct msg *m)
+{
+	s->messages++;
+	s->send(s->ctx, to, m);
+}
+
 void
 sync_pack_send(struct sync *s, const struct sync_pack *p, struct str to)
 {
