Questions to backend servers are sent in one place

Cause: three places marked a question as out and sent it. Ruled out: one gap for all, as who is asked for what differs. Change: disp_peek_after(); a draining backend server that is silent is not asked any more.

--- a/disp_cold.c
+++ b/disp_cold.c
@@ -34,28 +34,14 @@
 	d->in_doubt = true;
 }
 
-/*
- * Health answers tell whether one is cold, at once and whether it tells a load
- * or not.
- */
-static void
-ask(struct disp *d, struct pick_backend *b, int64_t now)
-{
-	if (b->peeking || now - b->peeked_at < ASK_AGAIN_NS)
-		return;
-	b->peeking = true;
-	b->peeked_at = now;
-	d->ops.peek(d->ops.ctx, b);
-}
-
-/* Ask all of which it is not known. */
+/* Ask all of which it is not known; health answers tell it at once. */
 void
 disp_cold_ask(struct disp *d, int64_t now)
 {
 	struct pick_backend *b;
 	guint i;
 
-	if (!d->in_doubt || !d->params.policy->paced || d->ops.peek == NULL)
+	if (!d->in_doubt || !d->params.policy->paced)
 		return;
 	d->in_doubt = false;
 	for (i = 0; i < d->backends->len; i++) {
@@ -64,7 +50,7 @@
 			continue;
 		d->in_doubt = true;
 		if (pick_usable(b, now))
-			ask(d, b, now);
+			disp_peek_after(d, b, ASK_AGAIN_NS, now);
 	}
 }
 
--- a/disp_peek.c
+++ b/disp_peek.c
@@ -37,11 +37,15 @@
 	    now - b->peeked_at >= GAP_NS;
 }
 
-/* Ask one backend server; false if it was asked just now. */
+/*
+ * Ask one backend server, whether it tells a load or not; false if a question
+ * is out, or was asked less than `gap` ago.
+ */
 bool
-disp_peek_one(struct disp *d, struct pick_backend *b, int64_t now)
+disp_peek_after(
+    struct disp *d, struct pick_backend *b, int64_t gap, int64_t now)
 {
-	if (!may_ask(d, b, now))
+	if (d->ops.peek == NULL || b->peeking || now - b->peeked_at < gap)
 		return false;
 	b->peeking = true;
 	b->peeked_at = now;
@@ -49,6 +53,13 @@
 	return true;
 }
 
+/* Ask one for its load; false if it was asked just now, or tells none. */
+bool
+disp_peek_one(struct disp *d, struct pick_backend *b, int64_t now)
+{
+	return !b->mute && disp_peek_after(d, b, GAP_NS, now);
+}
+
 /* The free one that may be asked and looks best by now. */
 static struct pick_backend *
 best_to_ask(const struct disp *d, int64_t work, int64_t now)
@@ -102,16 +113,11 @@
 	struct pick_backend *b;
 	guint i;
 
-	if (d->ops.peek == NULL)
-		return;
 	for (i = 0; i < d->backends->len; i++) {
 		b = g_ptr_array_index(d->backends, i);
-		if (!pick_is_silent(b) || b->gone || b->evacuated ||
-		    b->peeking || now - b->peeked_at < SILENT_GAP_NS)
-			continue;
-		b->peeking = true;
-		b->peeked_at = now;
-		d->ops.peek(d->ops.ctx, b);
+		if (pick_is_silent(b) && !b->gone && !b->evacuated &&
+		    b->state != PICK_DRAINING)
+			disp_peek_after(d, b, SILENT_GAP_NS, now);
 	}
 }
 
--- a/libdisp.h
+++ b/libdisp.h
@@ -117,6 +117,8 @@
 
 /* disp_peek.c: questions for the load of backend servers. */
 bool disp_peek_first(struct disp *, struct disp_req *, int64_t now);
+bool
+disp_peek_after(struct disp *, struct pick_backend *, int64_t gap, int64_t now);
 bool disp_peek_one(struct disp *, struct pick_backend *, int64_t now);
 void disp_peek_some(struct disp *, int64_t work, int64_t now);
 void disp_peek_silent(struct disp *, int64_t now);
