--- a/pick.h
+++ b/pick.h
@@ -79,8 +79,7 @@
 	bool mute; /* it answered without telling a load */
 	int64_t peeked_at;
 	int silent;
-	int64_t
-	    heard_at; /* the last answer of any kind, or its start with us */
+	int64_t heard_at; /* the last answer of any kind, or when we met it */
 	int ejections; /* in a row, for the length of the next */
 	int bad_row, good_row, refused_row;
 	bool gone; /* no longer selected; waits for its last answer */
--- a/wire_zmq.c
+++ b/wire_zmq.c
@@ -260,13 +260,16 @@
 
 	if (!msg_decode(text.p, text.n, &m, &err)) {
 		drop_malformed(l, err);
+		str_free(&text);
+		return;
+	}
+	if (m.kind == MSG_DEFLATED) {
+		err_set(&err, ERR_MESSAGE, "one deflated within another");
+		drop_malformed(l, err);
 	} else {
-		if (m.kind == MSG_DEFLATED)
-			l->counts.malformed++;
-		else
-			l->take(l->ctx, &m);
-		msg_done(&m);
+		l->take(l->ctx, &m);
 	}
+	msg_done(&m);
 	str_free(&text);
 }
 
