Questions that go by turns: thirty-two out at once

Cause: with sixteen the hall of a small deployment (50 servers a service and hall) was asked whole in 190 ms while it was dark, 100 before there was a bound.

--- a/disp_peek.c
+++ b/disp_peek.c
@@ -27,7 +27,7 @@
 
 enum {
 	FAN = 3, /* backend servers that are asked at once for a request */
-	IN_TURN_MAX = 16 /* questions out, of those that go by turns */
+	IN_TURN_MAX = 32 /* questions out, of those that go by turns */
 };
 
 /* Of the work, kept in reserve at the latest start of a request. */
