Tests of the dispatcher: those by pace have a file of their own

Ruled out: nothing. Change: disp_world.h is the fixture of both, test_paced.cpp has the 13 tests of the policy that goes by pace; no test or check is changed.

--- /dev/null
+++ b/regress/disp_world.h
@@ -0,0 +1,215 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef DISP_WORLD_H
+#define DISP_WORLD_H
+
+#include <algorithm>
+#include <cstdlib>
+#include <functional>
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "disp.h"
+}
+
+/* The dispatcher in virtual time, and what it asked for. */
+namespace disp_world
+{
+
+struct World;
+
+struct Req {
+	struct disp_req d = {};
+	World *world = nullptr;
+	int id = 0;
+	int sends = 0, maybe_runs = 0;
+	bool ended = false, passed = false;
+	enum err_kind kind = ERR_NONE;
+	int64_t arrived = 0;
+};
+
+/* A dispatcher, its clock, and what it asked for. */
+struct World {
+	int64_t now = NS_S;
+	uint64_t seed = 1;
+	struct clk clk;
+	struct rnd rnd;
+	struct chart *chart;
+	struct disp *disp;
+	std::vector<std::string> trace;
+	std::vector<std::string> asked; /* for their load */
+	std::function<void(Req *, struct pick_backend *)> on_send;
+	std::function<void(Req *)> on_end, on_stop;
+
+	static Req *of(struct disp_req *d)
+	{
+		return reinterpret_cast<Req *>(d);
+	}
+
+	static struct timespec mono(void *ctx)
+	{
+		int64_t t = static_cast<World *>(ctx)->now;
+
+		return {t / NS_S, t % NS_S};
+	}
+
+	static uint64_t next(void *ctx)
+	{
+		return rnd_split(&static_cast<World *>(ctx)->seed);
+	}
+
+	static void send(void *ctx, struct disp_req *d, struct pick_backend *b)
+	{
+		World *w = static_cast<World *>(ctx);
+		Req *r = of(d);
+
+		r->sends++;
+		w->trace.push_back("send " + std::to_string(r->id) + " " +
+		    std::string(b->name.p, b->name.n));
+		if (w->on_send)
+			w->on_send(r, b);
+	}
+
+	static void pass(void *ctx, struct disp_req *d, struct str hall)
+	{
+		World *w = static_cast<World *>(ctx);
+
+		of(d)->passed = of(d)->ended = true;
+		w->trace.push_back("pass " + std::to_string(of(d)->id) + " " +
+		    std::string(hall.p, hall.n));
+	}
+
+	static void
+	give_up(void *ctx, struct disp_req *d, enum err_kind kind, int64_t)
+	{
+		World *w = static_cast<World *>(ctx);
+
+		EXPECT_FALSE(of(d)->ended);
+		of(d)->ended = true;
+		of(d)->kind = kind;
+		w->trace.push_back("give up " + std::to_string(of(d)->id) +
+		    " " + err_answer(kind)->name);
+		if (w->on_end)
+			w->on_end(of(d));
+	}
+
+	static void stop(void *ctx, struct disp_req *d)
+	{
+		World *w = static_cast<World *>(ctx);
+
+		EXPECT_TRUE(d->repeatable);
+		w->trace.push_back("stop " + std::to_string(of(d)->id));
+		if (w->on_stop)
+			w->on_stop(of(d));
+		EXPECT_TRUE(disp_done(w->disp, d, DISP_SLOW));
+	}
+
+	static void peek(void *ctx, struct pick_backend *b)
+	{
+		World *w = static_cast<World *>(ctx);
+
+		w->asked.push_back(std::string(b->name.p, b->name.n));
+	}
+
+	static void release(void *, struct pick_backend *)
+	{
+	}
+
+	explicit World(const char *policy = "fern", int64_t queue = 1000)
+	    : clk{mono, mono, this}, rnd{next, this}
+	{
+		struct disp_ops ops = {
+		    send, pass, give_up, stop, peek, release, this};
+		struct disp_params p = {};
+		GError *err = nullptr;
+		const char *root = getenv("FERN_ROOT");
+		std::string file =
+		    std::string(root ? root : ".") + "/charts/backend.toml";
+
+		static struct chart *loaded =
+		    chart_load(file.c_str(), &pick_chart_names, &err);
+
+		EXPECT_EQ(nullptr, err);
+		chart = loaded;
+		disp = disp_new(&ops, &clk, &rnd);
+		p.policy = pick_by_name(str_c(policy));
+		p.chart = chart;
+		p.queue_max = queue;
+		p.bulk_percent = 40;
+		p.retry_percent = 10;
+		disp_configure(disp, &p);
+	}
+
+	~World()
+	{
+		disp_free(disp);
+	}
+
+	void
+	backends(int n, int slots, int drained = -1, bool evacuated = false)
+	{
+		std::vector<struct disp_backend> v;
+		static std::vector<std::string> names;
+
+		if (names.empty())
+			for (int i = 0; i < 1000; i++)
+				names.push_back("b" + std::to_string(i));
+		for (int i = 0; i < n; i++)
+			v.push_back(
+			    {str_c(names[static_cast<size_t>(i)].c_str()),
+				STR_LIT("127.0.0.1:1"), slots, i == drained,
+				evacuated, 0});
+		disp_backends(disp, v.data(), static_cast<unsigned>(n));
+	}
+
+	Req *arrive(Req *r, int64_t deadline_ms = 1000,
+	    enum obj_class cls = CLASS_INTERACTIVE, bool repeatable = true)
+	{
+		r->world = this;
+		r->arrived = now;
+		r->d.cls = cls;
+		r->d.repeatable = repeatable;
+		r->d.may_retry = true;
+		r->d.deadline = now + deadline_ms * NS_MS;
+		disp_arrive(disp, &r->d);
+		return r;
+	}
+
+	bool done(Req *r, enum disp_outcome outcome)
+	{
+		if (outcome == DISP_CUT || outcome == DISP_FAILED)
+			r->maybe_runs++;
+		bool again = disp_done(disp, &r->d, outcome);
+
+		if (!again && !r->ended)
+			r->ended = true;
+		return again;
+	}
+
+	/* Bring all backend servers out of their cold state. */
+	void warm(int n)
+	{
+		for (int i = 0; i < n * 12; i++) {
+			Req r;
+
+			arrive(&r);
+			now += 5 * NS_MS;
+			if (r.d.at != nullptr)
+				done(&r, DISP_OK);
+		}
+	}
+};
+
+} // namespace disp_world
+
+#endif
--- /dev/null
+++ b/regress/test_paced.cpp
@@ -0,0 +1,448 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <set>
+
+#include "disp_world.h"
+
+using disp_world::Req;
+using disp_world::World;
+
+/* The dispatcher under the policy that goes by pace. */
+
+namespace
+{
+
+/* Requests with a target of 100 ms that are known to take 20 ms. */
+struct Paced : World {
+	explicit Paced(int n) : World("pace")
+	{
+		backends(n, 3);
+		for (int i = 0; i < 12 * n; i++) {
+			Req r;
+
+			answer(100);
+			aim(&r);
+			answer(100);
+			now += 20 * NS_MS;
+			if (r.d.at != nullptr)
+				done(&r, DISP_OK);
+			now += NS_S;
+		}
+		asked.clear();
+	}
+
+	Req *aim(Req *r, bool repeatable = true, int attempts = 2,
+	    int64_t target_ms = 100)
+	{
+		r->d.target = now + target_ms * NS_MS;
+		r->d.kind = 1;
+		r->d.attempts = attempts;
+		return arrive(r, 400, CLASS_INTERACTIVE, repeatable);
+	}
+
+	/* Answer all questions that are out. */
+	void answer(int pace)
+	{
+		std::vector<std::string> names;
+
+		names.swap(asked);
+		for (auto &b : names)
+			disp_peeked(
+			    disp, str_n(b.data(), b.size()), true, 0, 0, pace);
+	}
+};
+
+} // namespace
+
+TEST(Paced, ARequestWaitsForAGoodPlaceButNotTooLong)
+{
+	Paced w(3);
+	Req r;
+
+	w.aim(&r);
+	EXPECT_EQ(nullptr, r.d.at);
+	EXPECT_EQ(3u, w.asked.size());
+	w.answer(500);
+	EXPECT_EQ(nullptr, r.d.at);
+	w.now += 15 * NS_MS;
+	disp_tick(w.disp);
+	EXPECT_FALSE(w.asked.empty()); /* they are asked again */
+	w.answer(100);
+	ASSERT_NE(nullptr, r.d.at);
+	w.now += 20 * NS_MS;
+	w.done(&r, DISP_OK);
+
+	/* In a spell to the end it begins while it can still be in time. */
+	Req late;
+	int64_t began = w.now += NS_S;
+	w.aim(&late);
+	while (late.d.at == nullptr && w.now < began + NS_S) {
+		w.answer(500);
+		w.now += 5 * NS_MS;
+		disp_tick(w.disp);
+	}
+	ASSERT_NE(nullptr, late.d.at);
+	EXPECT_GT(w.now - began, 40 * NS_MS);
+	EXPECT_LT(w.now - began, 100 * NS_MS);
+	w.done(&late, DISP_OK);
+}
+
+TEST(Paced, ASlowTryIsMovedWhereThatIsInTimeAndMayBe)
+{
+	Paced w(3);
+	Req r, pay;
+	struct pick_backend *first;
+
+	/* Spells are five times as slow, as is told often enough: 100 ms. */
+	for (int i = 0; i < 500; i++)
+		disp_peeked(w.disp, STR_LIT("b0"), true, 0, 0, 500);
+	w.now += NS_S;
+	w.aim(&r, true, 2, 80);
+	w.answer(100);
+	w.aim(&pay, false, 2, 80);
+	w.answer(100);
+	ASSERT_NE(nullptr, r.d.at);
+	ASSERT_NE(nullptr, pay.d.at);
+	first = r.d.at;
+	w.now += 25 * NS_MS;
+	disp_tick(w.disp);
+	w.answer(100);
+	EXPECT_EQ(first, r.d.at); /* not overdue yet */
+	w.now += 16 * NS_MS;
+	disp_tick(w.disp);
+	w.answer(100);
+	EXPECT_NE(first, r.d.at);
+	EXPECT_EQ(2, r.sends);
+	EXPECT_EQ(1, pay.sends);
+	/* Two are all that its rule allows. */
+	w.now += 50 * NS_MS;
+	disp_tick(w.disp);
+	w.answer(100);
+	EXPECT_EQ(2, r.sends);
+	w.done(&r, DISP_OK);
+	w.done(&pay, DISP_OK);
+}
+
+TEST(Paced, NoMoreBackendServersThanItsRuleAllows)
+{
+	Paced w(4);
+	Req r;
+
+	w.aim(&r, true, 2);
+	w.answer(100);
+	EXPECT_TRUE(w.done(&r, DISP_REFUSED));
+	w.answer(100);
+	ASSERT_NE(nullptr, r.d.at);
+	EXPECT_FALSE(w.done(&r, DISP_REFUSED));
+	EXPECT_EQ(2, r.sends);
+}
+
+TEST(Paced, WhatWouldBeLateIsRefusedAtOnce)
+{
+	Paced w(1);
+	std::vector<Req> r(60);
+	int refused = 0;
+
+	for (auto &q : r) {
+		w.aim(&q);
+		w.answer(100);
+		refused += q.kind == ERR_BUSY;
+	}
+	/* Three slots serve about 15 of 20 ms each within 100 ms. */
+	EXPECT_GE(refused, 35);
+	EXPECT_LE(refused, 55);
+	for (auto &q : r)
+		if (q.d.held)
+			disp_forget(w.disp, &q.d);
+	for (auto &q : r)
+		if (q.d.at != nullptr)
+			w.done(&q, DISP_GONE);
+}
+
+/* Also where it came later and may be answered later. */
+TEST(Paced, TheMoreUrgentGoesFirst)
+{
+	Paced w(1);
+	std::vector<Req> full(3);
+	Req common, urgent;
+
+	for (auto &q : full) {
+		w.aim(&q);
+		w.answer(100);
+	}
+	common.d.rank = 2;
+	urgent.d.rank = 1;
+	w.aim(&common, true, 2, 90);
+	urgent.d.target = w.now + 100 * NS_MS;
+	urgent.d.kind = 1;
+	w.arrive(&urgent, 2000);
+	w.answer(100);
+	ASSERT_TRUE(common.d.held);
+	ASSERT_TRUE(urgent.d.held);
+	w.now += 20 * NS_MS;
+	for (auto &q : full)
+		if (q.d.at != nullptr && common.d.held && urgent.d.held) {
+			w.done(&q, DISP_OK);
+			w.answer(100);
+		}
+	EXPECT_NE(nullptr, urgent.d.at);
+	EXPECT_EQ(nullptr, common.d.at);
+	for (auto &q : {&full[0], &full[1], &full[2], &common, &urgent})
+		if (q->d.at != nullptr)
+			w.done(q, DISP_GONE);
+		else if (q->d.held)
+			disp_forget(w.disp, &q->d);
+}
+
+/* One that stands behind more urgent ones is not forgotten. */
+TEST(Paced, WhatExpiresBehindMoreUrgentOnesIsToldInTime)
+{
+	Paced w(1);
+	std::vector<Req> full(3), urgent(2);
+	Req common;
+
+	for (auto &q : full) {
+		w.aim(&q);
+		w.answer(100);
+	}
+	for (auto &q : urgent) {
+		q.d.rank = 1;
+		w.arrive(&q, 9000);
+	}
+	common.d.rank = 2;
+	w.arrive(&common, 400);
+	ASSERT_TRUE(common.d.held);
+	w.now += 400 * NS_MS;
+	disp_tick(w.disp);
+	EXPECT_EQ(ERR_DEADLINE, common.kind);
+	EXPECT_TRUE(urgent[0].d.held && urgent[1].d.held);
+	for (auto &q : urgent)
+		disp_forget(w.disp, &q.d);
+	for (auto &q : full)
+		if (q.d.at != nullptr)
+			w.done(&q, DISP_GONE);
+}
+
+TEST(Paced, NoSlotIsLeftIdleWhileALateRequestWaits)
+{
+	Paced w(2);
+	Req r;
+
+	r.d.target = w.now + 100 * NS_MS;
+	r.d.kind = 1;
+	w.now += 95 * NS_MS; /* it can no longer be in time */
+	w.arrive(&r, 300);
+	EXPECT_NE(nullptr, r.d.at);
+	w.done(&r, DISP_OK);
+}
+
+TEST(Paced, WhatALostHomeLeavesIsChargedOnce)
+{
+	Paced w(2);
+	int sent = 0;
+
+	/* New here, sent elsewhere before, and charged by nobody. */
+	for (int i = 0; i < 40; i++) {
+		Req r;
+
+		r.d.tries = 1;
+		w.aim(&r, true, 3);
+		w.answer(100);
+		sent += r.d.at != nullptr;
+		if (r.d.at != nullptr)
+			w.done(&r, DISP_GONE);
+	}
+	EXPECT_GT(sent, 0);
+	EXPECT_LT(sent, 30);
+	/* What another home moved here was charged there. */
+	Req paid;
+	paid.d.tries = 1;
+	paid.d.paid = true;
+	w.aim(&paid, true, 3);
+	w.answer(100);
+	EXPECT_NE(nullptr, paid.d.at);
+	w.done(&paid, DISP_GONE);
+}
+
+TEST(Paced, OneThatTellsNoLoadIsAskedOnce)
+{
+	World w("pace");
+	Req r, next;
+
+	w.backends(2, 3);
+	r.d.target = w.now + 100 * NS_MS;
+	w.arrive(&r, 400);
+	EXPECT_EQ(2u, w.asked.size());
+	for (auto &b : std::vector<std::string>(w.asked))
+		disp_peeked(w.disp, str_n(b.data(), b.size()), true, 0, 0, 0);
+	EXPECT_NE(nullptr, r.d.at);
+	w.asked.clear();
+	w.now += NS_S;
+	next.d.target = w.now + 100 * NS_MS;
+	w.arrive(&next, 400);
+	EXPECT_TRUE(w.asked.empty());
+	EXPECT_NE(nullptr, next.d.at);
+	w.done(&r, DISP_OK);
+	w.done(&next, DISP_OK);
+}
+
+TEST(Paced, OneThatTellsNoLoadIsKnownByItsAnswers)
+{
+	World w("pace");
+	int there = 0;
+
+	w.backends(2, 3);
+	for (int i = 0; i < 60; i++) {
+		Req r;
+
+		for (auto &b : std::vector<std::string>(w.asked))
+			disp_peeked(
+			    w.disp, str_n(b.data(), b.size()), true, 0, 0, 0);
+		w.asked.clear();
+		r.d.target = w.now + 300 * NS_MS;
+		r.d.kind = 1;
+		w.arrive(&r, 1000);
+		for (auto &b : std::vector<std::string>(w.asked))
+			disp_peeked(
+			    w.disp, str_n(b.data(), b.size()), true, 0, 0, 0);
+		ASSERT_NE(nullptr, r.d.at);
+		bool slow = str_eq(r.d.at->name, STR_LIT("b0"));
+
+		there += slow && i >= 20;
+		w.now += (slow ? 80 : 20) * NS_MS;
+		w.done(&r, DISP_OK);
+	}
+	EXPECT_LT(there, 8);
+}
+
+/*
+ * A request that has no time to ask would go to a backend server of which a new
+ * home does not know whether it is cold.
+ */
+TEST(Paced, ANewHomeSendsNothingBeforeItKnowsWhatIsCold)
+{
+	World w("pace");
+	struct disp_params p = {};
+	std::vector<Req> r(8);
+
+	p.policy = pick_by_name(STR_LIT("pace"));
+	p.chart = w.chart;
+	p.queue_max = 100;
+	p.bulk_percent = 40;
+	p.cold = {3.75, 4, 3 * NS_S};
+	disp_configure(w.disp, &p);
+	w.backends(2, 3);
+	EXPECT_EQ(2u, w.asked.size());
+	for (auto &q : r) {
+		q.d.target = w.now - NS_MS;
+		q.d.kind = 1;
+		w.arrive(&q, 400);
+		EXPECT_EQ(nullptr, q.d.at);
+	}
+	/* One is warm and gets them at once, the other bears a few a second. */
+	disp_cold_told(w.disp, STR_LIT("b0"), 0);
+	disp_peeked(w.disp, STR_LIT("b0"), true, 0, 0, 100);
+	disp_cold_told(w.disp, STR_LIT("b1"), 3 * NS_S);
+	disp_peeked(w.disp, STR_LIT("b1"), true, 0, 0, 100);
+	size_t sent = 0;
+	for (auto &q : r) {
+		sent += q.d.at != nullptr;
+		EXPECT_TRUE(
+		    q.d.at == nullptr || str_eq(q.d.at->name, STR_LIT("b0")));
+	}
+	EXPECT_LT(0u, sent);
+	/* One that cannot be reached may be back cold: it is asked again. */
+	w.asked.clear();
+	w.now += 60 * NS_MS;
+	for (auto &q : r)
+		if (q.d.at != nullptr) {
+			w.done(&q, DISP_CONNECT);
+			break;
+		}
+	disp_tick(w.disp);
+	EXPECT_EQ(std::vector<std::string>{"b0"}, w.asked);
+	for (auto &q : r)
+		if (q.d.held)
+			disp_forget(w.disp, &q.d);
+	for (auto &q : r)
+		if (q.d.at != nullptr)
+			w.done(&q, DISP_GONE);
+}
+
+/* A hall of hundreds that has gone dark must not drown its home in questions.
+ */
+TEST(Paced, FewQuestionsAreOutAtOnceAndAllGetTheirTurn)
+{
+	const int n = 200;
+	World w("pace");
+	struct disp_params p = {};
+	std::set<std::string> all;
+	size_t most = 0, asked = 0;
+
+	p.policy = pick_by_name(STR_LIT("pace"));
+	p.chart = w.chart;
+	p.cold = {3.75, 4, 3 * NS_S};
+	disp_configure(w.disp, &p);
+	w.backends(n, 2);
+	/* New: each answer makes room for the next question, without a tick. */
+	while (!w.asked.empty() && all.size() < n) {
+		most = std::max(most, w.asked.size());
+		std::string b = w.asked.front();
+		w.asked.erase(w.asked.begin());
+		all.insert(b);
+		disp_cold_told(w.disp, str_c(b.c_str()), 0);
+		disp_peeked(w.disp, str_c(b.c_str()), true, 0, 0, 100);
+	}
+	EXPECT_EQ(static_cast<size_t>(n), all.size());
+	EXPECT_GE(32u, most);
+	/* Dark: nothing answers any more, for ten seconds. */
+	all.clear();
+	w.asked.clear();
+	for (int i = 0; i < n; i++)
+		for (int k = 0; k < 2; k++)
+			disp_peeked(w.disp,
+			    str_c(("b" + std::to_string(i)).c_str()), false, 0,
+			    0, 0);
+	most = w.asked.size();
+	for (int t = 0; t < 1000; t++) {
+		w.now += 10 * NS_MS;
+		disp_tick(w.disp);
+		most = std::max(most, w.asked.size());
+		if (t % 6 != 5)
+			continue;
+		std::vector<std::string> out;
+		out.swap(w.asked);
+		asked += out.size();
+		for (auto &b : out) {
+			all.insert(b);
+			disp_peeked(w.disp, str_c(b.c_str()), false, 0, 0, 0);
+		}
+	}
+	EXPECT_EQ(static_cast<size_t>(n), all.size());
+	EXPECT_GE(32u, most);
+	EXPECT_GE(600u, asked / 10); /* a second */
+}
+
+TEST(Paced, OneThatDoesNotAnswerIsTakenLast)
+{
+	Paced w(2);
+	Req r;
+
+	w.aim(&r);
+	ASSERT_EQ(2u, w.asked.size());
+	std::string silent = w.asked[0], good = w.asked[1];
+	disp_peeked(
+	    w.disp, str_n(silent.data(), silent.size()), false, 0, 0, 0);
+	disp_peeked(w.disp, str_n(good.data(), good.size()), true, 0, 0, 100);
+	ASSERT_NE(nullptr, r.d.at);
+	EXPECT_EQ(good, std::string(r.d.at->name.p, r.d.at->name.n));
+	w.done(&r, DISP_OK);
+}
