Sight: fingerprints of requests, and tries that break off, in the log

Cause: the log did not say which requests were at a backend server when it ended, whether these were the same again, nor that a try broke off at all. Ruled out: the request's id for this, as it is new each time; the path in the log, which may be long and tells what callers look for. Change: the box where a request comes in takes a fingerprint of its caller, method, host, path and body, and hands it on with a pass.

--- /dev/null
+++ b/fprint.c
@@ -0,0 +1,53 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <xxhash.h>
+
+#include "fprint.h"
+
+/* The length goes first, so that no two lists of parts read alike. */
+static void
+add(XXH3_state_t *state, struct str part)
+{
+	uint64_t n = part.n;
+
+	XXH3_128bits_update(state, &n, sizeof(n));
+	if (part.n > 0)
+		XXH3_128bits_update(state, part.p, part.n);
+}
+
+struct fprint
+fprint_of(const struct fprint_parts *parts)
+{
+	XXH3_state_t *state = XXH3_createState();
+	XXH128_hash_t hash;
+
+	XXH3_128bits_reset(state);
+	add(state, parts->caller);
+	add(state, parts->method);
+	add(state, parts->host);
+	add(state, parts->path);
+	add(state, parts->body);
+	hash = XXH3_128bits_digest(state);
+	XXH3_freeState(state);
+	return (struct fprint){hash.high64, hash.low64};
+}
+
+bool
+fprint_is_none(struct fprint f)
+{
+	return f.hi == 0 && f.lo == 0;
+}
+
+bool
+fprint_eq(struct fprint a, struct fprint b)
+{
+	return a.hi == b.hi && a.lo == b.lo;
+}
--- a/gate_admit.c
+++ b/gate_admit.c
@@ -124,6 +124,7 @@
 	r->d.attempts = (int)pass.attempts;
 	r->d.rank = (int)pass.rank;
 	r->d.kind = pass.kind;
+	r->print = pass.print;
 	r->maybe_ran = pass.retried;
 	if (pass.target_ms > 0)
 		r->d.target = r->began + pass.target_ms * NS_MS;
@@ -168,6 +169,23 @@
 	return str_n((char *)&((struct sockaddr_in *)sa)->sin_addr, 4);
 }
 
+/* The same request again?  It is told by who calls, and what it asks for. */
+static struct fprint
+print_of(const struct gate_req *r, const struct route_rule *rule)
+{
+	const h2o_req_t *req = r->req;
+	struct sockaddr_storage sa;
+	struct fprint_parts parts = {
+	    .caller = caller_of(r, rule, &sa),
+	    .method = str_n(req->method.base, req->method.len),
+	    .host = str_n(req->authority.base, req->authority.len),
+	    .path = str_n(req->path.base, req->path.len),
+	    .body = str_n(req->entity.base, req->entity.len),
+	};
+
+	return fprint_of(&parts);
+}
+
 static bool
 caller_limited(struct gate_req *r, const struct route_rule *rule, double share)
 {
@@ -227,6 +245,7 @@
 		return;
 	}
 	r->rule = str_dup(rule->name);
+	r->print = print_of(r, rule);
 	r->service = str_dup(svc->name);
 	r->regions = r->d.regions = str_dup(rule->obj->regions);
 	r->keyed = key.n > 0;
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -70,7 +70,7 @@
 struct own_headers {
 	h2o_iovec_t names[OWN_HEADERS];
 	char deadline[24];
-	char pass[400];
+	char pass[420];
 };
 
 static h2o_header_t
@@ -95,6 +95,7 @@
 	    .attempts = (unsigned)r->d.attempts,
 	    .rank = (unsigned)r->d.rank,
 	    .kind = r->d.kind,
+	    .print = r->print,
 	    .hall = r->hall,
 	    .regions = r->regions,
 	    .service = r->service,
--- a/gate_pass.c
+++ b/gate_pass.c
@@ -14,7 +14,7 @@
 
 /* The header that a gate sends with a request that it passes on. */
 
-enum { FIELDS = 10, TEXT_MAX = 384 };
+enum { FIELDS = 12, TEXT_MAX = 420 };
 
 /* No region is named: a word in the place of their names. */
 static const char ANY_REGION[] = "-";
@@ -41,6 +41,7 @@
 {
 	char copy[TEXT_MAX];
 	unsigned bulk, repeatable, retried, paid;
+	unsigned long long hi, lo;
 	long long target;
 	int at = 0, n;
 
@@ -48,9 +49,9 @@
 		return false;
 	memcpy(copy, text.p, text.n);
 	copy[text.n] = '\0';
-	n = sscanf(copy, "%u %u %u %u %u %u %u %u %u %lld %n", &out->hops,
-	    &bulk, &repeatable, &retried, &paid, &out->tries, &out->attempts,
-	    &out->rank, &out->kind, &target, &at);
+	n = sscanf(copy, "%u %u %u %u %u %u %u %u %u %lld %llx %llx %n",
+	    &out->hops, &bulk, &repeatable, &retried, &paid, &out->tries,
+	    &out->attempts, &out->rank, &out->kind, &target, &hi, &lo, &at);
 	if (n != FIELDS || at == 0)
 		return false;
 	out->bulk = bulk != 0;
@@ -58,6 +59,7 @@
 	out->retried = retried != 0;
 	out->paid = paid != 0;
 	out->target_ms = target;
+	out->print = (struct fprint){hi, lo};
 	out->service = str_n(text.p + at, text.n - (size_t)at);
 	if (!next_word(&out->service, &out->hall) ||
 	    !next_word(&out->service, &out->regions))
@@ -72,10 +74,11 @@
 {
 	struct str regions = p->regions.n > 0 ? p->regions : str_c(ANY_REGION);
 	int n = snprintf(out, size,
-	    "%u %u %u %u %u %u %u %u %u %lld %.*s %.*s %.*s", p->hops, p->bulk,
-	    p->repeatable, p->retried, p->paid, p->tries, p->attempts, p->rank,
-	    p->kind, (long long)p->target_ms, STR_ARG(p->hall),
-	    STR_ARG(regions), STR_ARG(p->service));
+	    "%u %u %u %u %u %u %u %u %u %lld %llx %llx %.*s %.*s %.*s", p->hops,
+	    p->bulk, p->repeatable, p->retried, p->paid, p->tries, p->attempts,
+	    p->rank, p->kind, (long long)p->target_ms,
+	    (unsigned long long)p->print.hi, (unsigned long long)p->print.lo,
+	    STR_ARG(p->hall), STR_ARG(regions), STR_ARG(p->service));
 
 	return MIN((size_t)n, size - 1);
 }
--- a/gate_try.c
+++ b/gate_try.c
@@ -47,11 +47,13 @@
 
 	(void)ctx;
 	slog_decision(SLOG_PICK, "sent",
-	    "id=%.*s service=%.*s backend=%.*s in_use=%d limit=%d slots=%d "
+	    "id=%.*s print=" FPRINT_FMT
+	    " service=%.*s backend=%.*s in_use=%d limit=%d slots=%d "
 	    "pace=%d "
 	    "pace_age_ms=%lld held_us=%lld left_ms=%lld tries=%d conf=%llu",
-	    STR_ARG(r->name), STR_ARG(r->service), STR_ARG(b->name),
-	    b->inflight - 1, pick_slots(b), b->slots, b->told_pace,
+	    STR_ARG(r->name), FPRINT_ARG(r->print), STR_ARG(r->service),
+	    STR_ARG(b->name), b->inflight - 1, pick_slots(b), b->slots,
+	    b->told_pace,
 	    b->told_at == 0 ? -1LL
 			    : (long long)((d->sent - b->told_at) / NS_MS),
 	    (long long)((d->sent - r->began) / NS_US),
@@ -330,6 +332,25 @@
 		gate_answer(r, kind, gate_req_ran(r), 0);
 }
 
+/*
+ * A connection to a backend server broke.  Whether the server has ended, or
+ * only this connection, is told by the lines of the others that were there.
+ */
+static void
+note_broken(struct gate_req *r, enum err_kind kind)
+{
+	const struct pick_backend *b = r->d.at;
+
+	cnt_add(r->gate->cnt, GC_BROKEN, 1);
+	slog_decision(SLOG_PICK, "a try broke off",
+	    "id=%.*s print=" FPRINT_FMT " why=%s service=%.*s backend=%.*s "
+	    "out_ms=%lld beside=%d tries=%d",
+	    STR_ARG(r->name), FPRINT_ARG(r->print), err_answer(kind)->name,
+	    STR_ARG(r->service), STR_ARG(b->name),
+	    (long long)((clk_ns(r->gate->clk) - r->d.sent) / NS_MS),
+	    b->inflight - 1, r->d.tries);
+}
+
 void
 gate_try_failed(struct gate_req *r, enum err_kind kind)
 {
@@ -345,6 +366,7 @@
 		return;
 	if (kind != ERR_CONNECT)
 		r->maybe_ran = true;
+	note_broken(r, kind);
 	r->d.may_retry = !r->started;
 	if (!r->started)
 		gate_req_event(r, REQ_EV_RETRY);
--- a/libgate.h
+++ b/libgate.h
@@ -87,6 +87,7 @@
 	GC_REFUSED,
 	GC_RETRIES,
 	GC_STOPPED,
+	GC_BROKEN,
 	GC_CUT,
 	GC_GONE,
 	GC_CLAIMS,
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -419,6 +419,7 @@
 	in.rank = 2;
 	in.kind = 250;
 	in.target_ms = 140;
+	in.print = {0xfeed, 0xffffffffffffffff};
 	in.hall = STR_LIT("north");
 	in.regions = STR_LIT("here,there");
 	in.service = STR_LIT("till");
@@ -434,13 +435,17 @@
 	EXPECT_EQ(2u, out.rank);
 	EXPECT_EQ(250u, out.kind);
 	EXPECT_EQ(140, out.target_ms);
+	EXPECT_TRUE(fprint_eq(in.print, out.print));
 	EXPECT_TRUE(str_eq(STR_LIT("north"), out.hall));
 	EXPECT_TRUE(str_eq(STR_LIT("here,there"), out.regions));
 	EXPECT_TRUE(str_eq(STR_LIT("till"), out.service));
 	for (const char *bad : {"", "1", "1 0 1 0 1 1 3 2 250 140",
 		 "x 0 1 0 1 1 3 2 250 140 north till",
 		 "1 0 1 0 1 1 3 2 250 140 till",
-		 "1 0 1 0 1 1 3 2 250 140 north "})
+		 "1 0 1 0 1 1 3 2 250 140 north ",
+		 "1 0 1 0 1 1 3 2 250 140 beef north - till",
+		 "1 0 1 0 1 1 3 2 250 140 feed beef - till",
+		 "1 0 1 0 1 1 3 2 250 140 feed beef north - "})
 		EXPECT_FALSE(gate_pass_read(str_c(bad), &out)) << bad;
 }
 
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -17,6 +17,7 @@
 #include <vector>
 
 extern "C" {
+#include "fprint.h"
 #include "chart.h"
 #include "doc.h"
 #include "err.h"
@@ -865,3 +866,27 @@
 		    b.data(), b.size(), "f", &pick_chart_names, nullptr));
 	}
 }
+
+TEST(Fprint, IsThatOfTheSameCallerAskingForTheSame)
+{
+	struct fprint_parts a = {STR_LIT("10.0.0.1"), STR_LIT("GET"),
+	    STR_LIT("shop.example"), STR_LIT("/look/1"), STR_LIT("body")};
+	struct fprint_parts b = a;
+
+	EXPECT_TRUE(fprint_eq(fprint_of(&a), fprint_of(&b)));
+	EXPECT_FALSE(fprint_is_none(fprint_of(&a)));
+	EXPECT_TRUE(fprint_is_none({}));
+	/* Each part counts, and so does where one ends. */
+	struct str *parts[] = {&b.caller, &b.method, &b.host, &b.path, &b.body};
+	for (struct str *part : parts) {
+		b = a;
+		part->n--;
+		EXPECT_FALSE(fprint_eq(fprint_of(&a), fprint_of(&b)));
+	}
+	a.host = STR_LIT("ab");
+	a.path = STR_LIT("c");
+	b = a;
+	b.host = STR_LIT("a");
+	b.path = STR_LIT("bc");
+	EXPECT_FALSE(fprint_eq(fprint_of(&a), fprint_of(&b)));
+}
