A request that ends each backend server that runs it is refused

Cause: a crash was held against the backend server alone. Nothing remembered the request, so each arrival began anew, on any box, with all the attempts of its rule. Its class: an event is charged to the one who met it and not to the one who brings it about, as what brings it about has no name that outlives its attempt. Ruled out: counting who was there at each end, as two requests that are held together are sent together and end together; a hold on the caller, as others' requests come from it too. Change: what was at a backend server when it ended is a suspect and runs by itself from then on, one copy at a time and in one hall. Two such trials that end so prove it, and all hubs are told at once; then it is refused as not run for ten minutes. Any answer below 500 clears it. A new connection tells whether a backend server has ended; one that has gets nothing until it answers. 256 fingerprints are remembered, 32 told in a message; hubs tell one other hub each half second, and each one that starts.

--- a/disp.c
+++ b/disp.c
@@ -130,6 +130,15 @@
 		return false;
 	if (disp_pace_better_elsewhere(d, r, b, now) && disp_pass(d, r))
 		return true;
+	disp_begin(d, r, b);
+	return true;
+}
+
+void
+disp_begin(struct disp *d, struct disp_req *r, struct pick_backend *b)
+{
+	int64_t now = clk_ns(d->clk);
+
 	b->inflight++;
 	b->inflight_bulk += r->cls == CLASS_BULK;
 	b->turns++;
@@ -144,7 +153,6 @@
 	disp_conc_begin(d, r);
 	disp_work_begin(d, r);
 	d->ops.send(d->ops.ctx, r, b);
-	return true;
 }
 
 /* A request that was sent before, from another gate, counts as a retry. */
@@ -176,7 +184,7 @@
 {
 	int64_t now = clk_ns(d->clk), wait;
 
-	if (!may_arrive(d, r))
+	if (!may_arrive(d, r) || disp_trial_arrive(d, r))
 		return;
 	if (d->params.policy->paced) {
 		disp_pace_arrive(d, r);
@@ -208,6 +216,8 @@
 	if (item == NULL)
 		return false;
 	r = item->data;
+	if (disp_trial_takes(d, r))
+		return true;
 	if (disp_peek_first(d, r, clk_ns(d->clk)))
 		return false;
 	disp_unhold(d, r);
@@ -234,6 +244,7 @@
 	while (d->again) {
 		d->again = false;
 		disp_sort_late(d);
+		disp_trial_serve(d);
 		while (serve_queue(d, CLASS_INTERACTIVE))
 			;
 		if (d->queues[CLASS_INTERACTIVE].n > 0)
@@ -284,6 +295,8 @@
 		pick_drain(b, d->params.chart, true);
 	if (outcome == DISP_CONNECT || outcome == DISP_CUT)
 		disp_cold_suspect(d, b, 0);
+	if (outcome == DISP_CONNECT)
+		disp_trial_settle(d, b, true);
 }
 
 /*
@@ -340,6 +353,7 @@
 	if (b->oldest == r->sent || b->inflight == 0)
 		refresh_oldest(d, b);
 	judge(d, r, b, outcome);
+	disp_trial_ended(d, r, b, outcome);
 	again = retry(d, r, outcome);
 	disp_serve(d);
 	if (b->gone)
--- a/disp.h
+++ b/disp.h
@@ -22,6 +22,7 @@
 #include "limit.h"
 #include "obj.h"
 #include "pick.h"
+#include "poison.h"
 #include "queue.h"
 
 /*
@@ -59,6 +60,7 @@
 	int64_t target; /* an answer is worth most before; 0: unsaid */
 	unsigned kind; /* requests of one kind take alike */
 	struct str regions; /* where it may be served: region.h */
+	struct fprint print; /* is it the same again? */
 	/* The rest is the dispatcher's own. */
 	int64_t work; /* ns that it is thought to take at the usual speed */
 	double pace; /* that was expected when the try under way began */
@@ -71,7 +73,10 @@
 	int queue; /* where it is held */
 	struct pick_backend *at; /* where it is now; NULL: held or done */
 	struct pick_backend *avoid; /* where it failed last */
+	/* The connection broke there, and it may have ended. */
+	const struct pick_backend *doubted;
 	bool held;
+	bool trial; /* it runs by itself: poison.h */
 	bool stopped; /* a try of it was stopped as too slow */
 	bool retried; /* it is a retry already, by whoever sent it to us */
 	struct queue_item item;
@@ -93,6 +98,8 @@
 	void (*stop)(void *, struct disp_req *);
 	/* Ask a backend server how fast it is, and call disp_peeked(). */
 	void (*peek)(void *, struct pick_backend *);
+	/* A backend server ended with so many requests there. */
+	void (*ended)(void *, const struct pick_backend *, unsigned);
 	/* A backend server is no longer used and will be freed. */
 	void (*release)(void *, struct pick_backend *);
 	void *ctx;
@@ -113,6 +120,8 @@
 	int64_t retry_percent;
 	double retry_max; /* tries that may be saved up; 0: the default */
 	struct cold_bound cold;
+	struct poison *poison; /* what all shards know; NULL: not looked at */
+	struct str hall; /* the shard's; must outlive it */
 	double rate; /* this shard's part of the service's rate; 0: none */
 };
 
@@ -186,6 +195,12 @@
 void disp_peeked(struct disp *, struct str backend, bool answered, int running,
     int waiting, int pace);
 
+/*
+ * The connection for such a question stands, so something listens there.
+ * Called before disp_peeked().
+ */
+void disp_reached(struct disp *, struct str backend);
+
 /*
  * With such an answer it tells for how many ns it stays cold; 0: it is warm.
  * Called before disp_peeked().  True if that is news.
--- a/disp_hold.c
+++ b/disp_hold.c
@@ -35,6 +35,8 @@
 		r->item.deadline = r->target - r->work;
 	else if (r->target != 0)
 		r->queue = QUEUE_LATE;
+	if (disp_trial_holds(d, r))
+		r->queue = QUEUE_TRIAL;
 	queue_push(&d->queues[r->queue], &r->item);
 }
 
@@ -81,11 +83,12 @@
 	}
 }
 
-/* A late one cannot be answered before its deadline any more. */
+/* One that is late, or a suspect, cannot be answered in time any more. */
 static bool
 is_hopeless(const struct disp_req *r, int64_t now)
 {
-	return r->queue == QUEUE_LATE && now + r->work > r->deadline;
+	return (r->queue == QUEUE_LATE || r->queue == QUEUE_TRIAL) &&
+	    now + r->work > r->deadline;
 }
 
 static bool
--- a/disp_move.c
+++ b/disp_move.c
@@ -53,7 +53,7 @@
 {
 	int tries = r->attempts > 0 ? r->attempts : TRIES_MAX;
 
-	return r->target != 0 && r->work != 0 && r->repeatable &&
+	return r->target != 0 && r->work != 0 && r->repeatable && !r->trial &&
 	    r->tries < tries && disp_retryable(d, r, DISP_SLOW);
 }
 
--- a/disp_pass.c
+++ b/disp_pass.c
@@ -67,6 +67,15 @@
 	return m->slots > 0 && region_allows(r->regions, m->region);
 }
 
+/* Can a backend server there be tried, as far as its home has told lately? */
+bool
+disp_pass_may_try(
+    const struct disp_remote_hall *m, const struct disp_req *r, int64_t now)
+{
+	return may_serve(m, r) && m->told != 0 &&
+	    now - m->told <= REMOTE_FRESH_NS && m->room.slots > 0;
+}
+
 bool
 disp_has_room_elsewhere(
     const struct disp *d, const struct disp_req *r, int64_t now)
--- a/disp_peek.c
+++ b/disp_peek.c
@@ -52,6 +52,7 @@
 		return false;
 	b->peeking = true;
 	b->peeked_at = now;
+	b->reached = false;
 	d->ops.peek(d->ops.ctx, b);
 	return true;
 }
--- a/disp_set.c
+++ b/disp_set.c
@@ -32,6 +32,9 @@
 static void
 backend_free(struct disp *d, struct pick_backend *b)
 {
+	disp_trial_settle(d, b, false);
+	if (d->emptied == b)
+		d->emptied = NULL;
 	d->ops.release(d->ops.ctx, b);
 	str_free(&b->name);
 	str_free(&b->address);
@@ -222,12 +225,22 @@
 		b->silent++;
 		disp_cold_suspect(d, b, 0);
 	}
+	disp_trial_peeked(d, b, answered);
 	disp_cold_ask(d, clk_ns(d->clk));
 	if (d->params.policy->paced)
 		disp_move(d, clk_ns(d->clk));
 	disp_serve(d);
 }
 
+void
+disp_reached(struct disp *d, struct str backend)
+{
+	struct pick_backend *b = find(d, backend);
+
+	if (b != NULL)
+		b->reached = true;
+}
+
 bool
 disp_cold_told(struct disp *d, struct str backend, int64_t ns)
 {
--- a/disp_stop.c
+++ b/disp_stop.c
@@ -34,7 +34,7 @@
 	int64_t limit = MAX(disp_usual(d) * STOP_FACTOR, STOP_MIN_NS);
 	int at;
 
-	if (now - r->sent <= limit || r->stopped ||
+	if (now - r->sent <= limit || r->stopped || r->trial ||
 	    r->cls != CLASS_INTERACTIVE || !disp_retryable(d, r, DISP_SLOW))
 		return false;
 	at = d->params.policy->choose(&set, &want, now, d->rnd);
--- a/err.c
+++ b/err.c
@@ -33,6 +33,8 @@
     [ERR_LEAVING] = {"leaving", 503, 1, 1, "this box is leaving"},
     [ERR_NOT_READY] = {"not-ready", 503, 2, 1,
 	"this box has no configuration yet"},
+    [ERR_POISON] = {"poison", 503, 600, 1,
+	"backend servers ended each time that they ran this request"},
     [ERR_USAGE] = {"usage", 0, 0, 2, "wrong command line"},
     [ERR_SETTINGS] = {"settings", 0, 0, 3, "wrong settings"},
     [ERR_SELECTOR] = {"selector", 0, 0, 4, "wrong selector"},
--- a/gate_admit.c
+++ b/gate_admit.c
@@ -124,7 +124,9 @@
 	r->d.attempts = (int)pass.attempts;
 	r->d.rank = (int)pass.rank;
 	r->d.kind = pass.kind;
-	r->print = pass.print;
+	r->d.print = pass.print;
+	if (pass.suspect)
+		poison_accuse(g->poison, pass.print);
 	r->maybe_ran = pass.retried;
 	if (pass.target_ms > 0)
 		r->d.target = r->began + pass.target_ms * NS_MS;
@@ -245,7 +247,7 @@
 		return;
 	}
 	r->rule = str_dup(rule->name);
-	r->print = print_of(r, rule);
+	r->d.print = print_of(r, rule);
 	r->service = str_dup(svc->name);
 	r->regions = r->d.regions = str_dup(rule->obj->regions);
 	r->keyed = key.n > 0;
--- a/gate_answer.c
+++ b/gate_answer.c
@@ -65,9 +65,10 @@
 	    "id=%.*s print=" FPRINT_FMT
 	    " why=%s ran=%s status=%d age_ms=%lld tries=%d "
 	    "retry_after_ms=%lld rule=%.*s service=%.*s conf=%llu",
-	    STR_ARG(r->name), FPRINT_ARG(r->print), a->name, err_ran_name(ran),
-	    status, (long long)((clk_ns(r->gate->clk) - r->began) / NS_MS),
-	    r->d.tries, (long long)(retry_after / NS_MS), STR_ARG(r->rule),
+	    STR_ARG(r->name), FPRINT_ARG(r->d.print), a->name,
+	    err_ran_name(ran), status,
+	    (long long)((clk_ns(r->gate->clk) - r->began) / NS_MS), r->d.tries,
+	    (long long)(retry_after / NS_MS), STR_ARG(r->rule),
 	    STR_ARG(r->service), (unsigned long long)r->gate->conf_version);
 	if (req == NULL)
 		return;
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -175,6 +175,8 @@
 	    .bulk_percent = (int)svc->obj->bulk_percent,
 	    .retry_percent = svc->obj->retry_percent,
 	    .cold = cold_bound_of(g, svc->obj),
+	    .poison = g->poison,
+	    .hall = s->hall,
 	};
 	struct str other;
 	unsigned i;
@@ -360,6 +362,10 @@
 		gate_home_heard(g, m->from);
 		gate_home_summary(g, &m->u.summary);
 		break;
+	case MSG_SUSPECTS:
+		gate_home_heard(g, m->from);
+		gate_poison_take(g, &m->u.suspects);
+		break;
 	case MSG_PING:
 	case MSG_PONG:
 		gate_home_heard(g, m->from);
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -95,7 +95,9 @@
 	    .attempts = (unsigned)r->d.attempts,
 	    .rank = (unsigned)r->d.rank,
 	    .kind = r->d.kind,
-	    .print = r->print,
+	    .print = r->d.print,
+	    .suspect =
+		poison_look(r->gate->poison, r->d.print) == POISON_SUSPECT,
 	    .hall = r->hall,
 	    .regions = r->regions,
 	    .service = r->service,
--- a/gate_home.c
+++ b/gate_home.c
@@ -264,6 +264,43 @@
 	return NULL;
 }
 
+/* Take a gate of the agent's list; true if it has started since, or is new. */
+static bool
+take_member(struct gate *g, const struct memb_info *info)
+{
+	struct gate_peer *p = find(g, info->box);
+	bool started = p == NULL || p->info.boot != info->boot;
+
+	if (p == NULL) {
+		p = g_new0(struct gate_peer, 1);
+		g_ptr_array_add(g->peers, p);
+	} else {
+		memb_info_clear(&p->info);
+	}
+	/* A new start clears what we held against a box. */
+	if (started)
+		p->suspect_until = 0;
+	memb_info_copy(&p->info, info);
+	p->listed = true;
+	return started;
+}
+
+static void
+drop_unlisted(struct gate *g)
+{
+	struct gate_peer *p;
+	guint i;
+
+	for (i = g->peers->len; i-- > 0;) {
+		p = g_ptr_array_index(g->peers, i);
+		if (p->listed || p->outstanding > 0)
+			continue;
+		memb_info_clear(&p->info);
+		g_free(p);
+		g_ptr_array_remove_index_fast(g->peers, i);
+	}
+}
+
 void
 gate_home_members(struct gate *g, const struct msg_members *members)
 {
@@ -278,30 +315,10 @@
 	}
 	g->hub = members->hub;
 	g->boxes = (unsigned)MAX(members->fleet, 1);
-	for (j = 0; j < members->members.n; j++) {
-		if (str_eq(v[j].box, g->set.box))
-			continue;
-		p = find(g, v[j].box);
-		if (p == NULL) {
-			p = g_new0(struct gate_peer, 1);
-			g_ptr_array_add(g->peers, p);
-		} else {
-			/* A new start clears what we held against a box. */
-			if (p->info.boot != v[j].boot)
-				p->suspect_until = 0;
-			memb_info_clear(&p->info);
-		}
-		memb_info_copy(&p->info, &v[j]);
-		p->listed = true;
-	}
-	for (i = g->peers->len; i-- > 0;) {
-		p = g_ptr_array_index(g->peers, i);
-		if (p->listed || p->outstanding > 0)
-			continue;
-		memb_info_clear(&p->info);
-		g_free(p);
-		g_ptr_array_remove_index_fast(g->peers, i);
-	}
+	for (j = 0; j < members->members.n; j++)
+		if (!str_eq(v[j].box, g->set.box) && take_member(g, &v[j]))
+			gate_poison_greet(g, find(g, v[j].box));
+	drop_unlisted(g);
 }
 
 void
--- a/gate_open.c
+++ b/gate_open.c
@@ -224,6 +224,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	/* Until its agent tells of other boxes a gate is on its own. */
 	g->hub = true;
+	gate_poison_open(g);
 	if (!gate_conf_open(g, err) || !gate_req_open(g, err))
 		return false;
 	g->wire = wire_open(g->loop, g->set.inbox, gate_conf_take, g, err);
@@ -298,6 +299,7 @@
 		disp_tick(s->disp);
 	}
 	gate_home_tick(g, now);
+	gate_poison_tick(g, now);
 	if (now - g->reported >= REPORT_NS) {
 		g->reported = now;
 		gate_conf_report(g);
--- a/gate_pass.c
+++ b/gate_pass.c
@@ -14,7 +14,7 @@
 
 /* The header that a gate sends with a request that it passes on. */
 
-enum { FIELDS = 12, TEXT_MAX = 420 };
+enum { FIELDS = 13, TEXT_MAX = 420 };
 
 /* No region is named: a word in the place of their names. */
 static const char ANY_REGION[] = "-";
@@ -40,7 +40,7 @@
 gate_pass_read(struct str text, struct gate_pass *out)
 {
 	char copy[TEXT_MAX];
-	unsigned bulk, repeatable, retried, paid;
+	unsigned bulk, repeatable, retried, paid, suspect;
 	unsigned long long hi, lo;
 	long long target;
 	int at = 0, n;
@@ -49,15 +49,17 @@
 		return false;
 	memcpy(copy, text.p, text.n);
 	copy[text.n] = '\0';
-	n = sscanf(copy, "%u %u %u %u %u %u %u %u %u %lld %llx %llx %n",
+	n = sscanf(copy, "%u %u %u %u %u %u %u %u %u %lld %llx %llx %u %n",
 	    &out->hops, &bulk, &repeatable, &retried, &paid, &out->tries,
-	    &out->attempts, &out->rank, &out->kind, &target, &hi, &lo, &at);
+	    &out->attempts, &out->rank, &out->kind, &target, &hi, &lo, &suspect,
+	    &at);
 	if (n != FIELDS || at == 0)
 		return false;
 	out->bulk = bulk != 0;
 	out->repeatable = repeatable != 0;
 	out->retried = retried != 0;
 	out->paid = paid != 0;
+	out->suspect = suspect != 0;
 	out->target_ms = target;
 	out->print = (struct fprint){hi, lo};
 	out->service = str_n(text.p + at, text.n - (size_t)at);
@@ -74,11 +76,12 @@
 {
 	struct str regions = p->regions.n > 0 ? p->regions : str_c(ANY_REGION);
 	int n = snprintf(out, size,
-	    "%u %u %u %u %u %u %u %u %u %lld %llx %llx %.*s %.*s %.*s", p->hops,
-	    p->bulk, p->repeatable, p->retried, p->paid, p->tries, p->attempts,
-	    p->rank, p->kind, (long long)p->target_ms,
+	    "%u %u %u %u %u %u %u %u %u %lld %llx %llx %u %.*s %.*s %.*s",
+	    p->hops, p->bulk, p->repeatable, p->retried, p->paid, p->tries,
+	    p->attempts, p->rank, p->kind, (long long)p->target_ms,
 	    (unsigned long long)p->print.hi, (unsigned long long)p->print.lo,
-	    STR_ARG(p->hall), STR_ARG(regions), STR_ARG(p->service));
+	    p->suspect, STR_ARG(p->hall), STR_ARG(regions),
+	    STR_ARG(p->service));
 
 	return MIN((size_t)n, size - 1);
 }
--- a/gate_peek.c
+++ b/gate_peek.c
@@ -28,6 +28,7 @@
 	int64_t cold_ms;
 };
 
+static void on_connected(void *, struct up_call *);
 static void
 on_head(void *, struct up_call *, int, const h2o_header_t *, size_t);
 static void on_end(void *, struct up_call *);
@@ -35,8 +36,12 @@
 static void on_timeout(void *);
 
 static const struct up_ops peek_ops = {
-    up_ignore, on_head, up_skip_body, on_end, on_fail};
+    on_connected, on_head, up_skip_body, on_end, on_fail};
 
+/*
+ * Whether a backend server has ended is told by a new connection: a kept one
+ * may have broken with it, and not be known for it yet.
+ */
 void
 gate_peek_start(struct gate_shard *s, const struct pick_backend *b)
 {
@@ -47,6 +52,7 @@
 	    .method = STR_LIT("GET"),
 	    .path = svc == NULL ? STR_LIT("/health") : svc->obj->probe_path,
 	    .host = b->address,
+	    .fresh = b->doubts != NULL,
 	    .connect_ns = TIMEOUT_NS};
 
 	p->gate = g;
@@ -85,6 +91,18 @@
 	g_free(p);
 }
 
+static void
+on_connected(void *ctx, struct up_call *call)
+{
+	struct peek *p = ctx;
+	struct gate_shard *s =
+	    gate_conf_find_shard(p->gate, p->service, p->hall);
+
+	(void)call;
+	if (s != NULL)
+		disp_reached(s->disp, p->backend);
+}
+
 static void
 on_head(void *ctx, struct up_call *call, int status,
     const h2o_header_t *headers, size_t n)
--- /dev/null
+++ b/gate_poison.c
@@ -0,0 +1,135 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "libgate.h"
+#include "slog.h"
+
+/*
+ * Gates tell one another of requests that end backend servers.  A trial that
+ * ended so is told to all hubs at once, as any of them may be home and have
+ * the next copy.  All else goes by turns, a list to one hub of all at random:
+ * from n hubs each hears of it within a second or two, whoever restarts.
+ *
+ * A list has POISON_WORDS at most, 2 KB, so that a hub sends 4 KB a second at
+ * worst, and nothing where nobody is suspected.
+ */
+#define TURN_NS (500 * NS_MS)
+
+static int64_t
+ns_ago(int64_t now, uint64_t ms)
+{
+	return now - (int64_t)MIN(ms, (uint64_t)(now / NS_MS)) * NS_MS;
+}
+
+static uint64_t
+ms_ago(int64_t now, int64_t at)
+{
+	return at == 0 ? 0 : (uint64_t)((now - at) / NS_MS + 1);
+}
+
+static void
+write_suspect(struct msg_suspect *out, const struct poison_word *w, int64_t now)
+{
+	out->print_hi = w->print.hi;
+	out->print_lo = w->print.lo;
+	memcpy(out->trials, w->trials, sizeof(out->trials));
+	out->ended_ms = ms_ago(now, w->ended);
+	out->cleared_ms = ms_ago(now, w->cleared);
+}
+
+static void
+read_suspect(struct poison_word *out, const struct msg_suspect *in, int64_t now)
+{
+	*out = (struct poison_word){.print = {in->print_hi, in->print_lo},
+	    .ended = ns_ago(now, in->ended_ms)};
+	memcpy(out->trials, in->trials, sizeof(out->trials));
+	if (in->cleared_ms > 0)
+		out->cleared = ns_ago(now, in->cleared_ms);
+}
+
+/* Send what we know to one gate, or to all that are listed. */
+static void
+tell(struct gate *g, const struct gate_peer *to)
+{
+	struct poison_word words[POISON_WORDS];
+	struct msg_suspect items[POISON_WORDS];
+	struct msg m = {.kind = MSG_SUSPECTS};
+	unsigned i, n = poison_words(g->poison, words);
+	const struct gate_peer *p;
+
+	if (n == 0)
+		return;
+	for (i = 0; i < n; i++)
+		write_suspect(&items[i], &words[i], clk_ns(g->clk));
+	m.u.suspects.suspects = (struct msg_list){items, n};
+	for (i = 0; i < g->peers->len; i++) {
+		p = g_ptr_array_index(g->peers, i);
+		if (p->listed && (to == NULL || to == p))
+			wire_send(g->wire, p->info.gate_inbox, &m);
+	}
+}
+
+static void
+on_changed(void *ctx, struct fprint print, enum poison_verdict verdict)
+{
+	static const char *const msgs[] = {
+	    [POISON_NONE] = "a request is cleared, it was answered",
+	    [POISON_SUSPECT] = "a request is suspected, it runs by itself now",
+	    [POISON_PROVED] = "a request is refused now, it ends servers",
+	};
+
+	(void)ctx;
+	slog_decision(
+	    SLOG_PICK, msgs[verdict], "print=" FPRINT_FMT, FPRINT_ARG(print));
+}
+
+void
+gate_poison_open(struct gate *g)
+{
+	g->poison = poison_new(g->clk, g->rnd);
+	poison_listen(g->poison, on_changed, g);
+}
+
+void
+gate_poison_tick(struct gate *g, int64_t now)
+{
+	unsigned at;
+
+	if (poison_has_news(g->poison))
+		tell(g, NULL);
+	if (now - g->poison_told < TURN_NS)
+		return;
+	g->poison_told = now;
+	poison_tick(g->poison);
+	if (g->peers->len == 0)
+		return;
+	at = (unsigned)rnd_below(g->rnd, g->peers->len);
+	tell(g, g_ptr_array_index(g->peers, at));
+}
+
+void
+gate_poison_take(struct gate *g, const struct msg_suspects *m)
+{
+	const struct msg_suspect *v = m->suspects.items;
+	int64_t now = clk_ns(g->clk);
+	struct poison_word word;
+	size_t i;
+
+	for (i = 0; i < MIN(m->suspects.n, (size_t)POISON_WORDS); i++) {
+		read_suspect(&word, &v[i], now);
+		poison_take(g->poison, &word);
+	}
+}
+
+void
+gate_poison_greet(struct gate *g, const struct gate_peer *p)
+{
+	tell(g, p);
+}
--- a/gate_stat.c
+++ b/gate_stat.c
@@ -38,6 +38,11 @@
     [GC_BROKEN] = {"fern_tries_broken_total",
 	"Tries whose connection to a backend server broke or never stood.",
 	CNT_COUNTER},
+    [GC_ENDED] = {"fern_servers_ended_total",
+	"Backend servers that ended with requests there.", CNT_COUNTER},
+    [GC_POISON] = {"fern_poison",
+	"Requests refused because backend servers end when they run them.",
+	CNT_GAUGE},
     [GC_CUT] = {"fern_cut_total",
 	"Answers that broke off and were told as broken.", CNT_COUNTER},
     [GC_GONE] = {"fern_callers_gone_total", "Requests whose caller went away.",
@@ -94,6 +99,7 @@
 	GString *out = g_string_new(NULL);
 
 	cnt_set(g->cnt, GC_BOXES, g->boxes);
+	cnt_set(g->cnt, GC_POISON, poison_proved(g->poison));
 	cnt_set(g->cnt, GC_INFLIGHT, gate_req_count(g));
 	cnt_set(g->cnt, GC_LOG_DROPPED, slog_dropped());
 	cnt_set(g->cnt, GC_CONTROL_IN, wire_counts(g->wire)->bytes_in);
--- a/gate_try.c
+++ b/gate_try.c
@@ -25,13 +25,14 @@
 static void op_give_up(void *, struct disp_req *, enum err_kind, int64_t);
 static void op_stop(void *, struct disp_req *);
 static void op_peek(void *, struct pick_backend *);
+static void op_ended(void *, const struct pick_backend *, unsigned);
 static void op_release(void *, struct pick_backend *);
 static enum disp_outcome
 outcome_of(const struct gate_req *, int, const h2o_header_t *, size_t);
 static void leave_home(struct gate_req *);
 
 const struct disp_ops gate_req_disp_ops = {
-    op_send, op_pass, op_give_up, op_stop, op_peek, op_release, NULL};
+    op_send, op_pass, op_give_up, op_stop, op_peek, op_ended, op_release, NULL};
 
 static struct gate_req *
 req_of(struct disp_req *d)
@@ -51,7 +52,7 @@
 	    " service=%.*s backend=%.*s in_use=%d limit=%d slots=%d "
 	    "pace=%d "
 	    "pace_age_ms=%lld held_us=%lld left_ms=%lld tries=%d conf=%llu",
-	    STR_ARG(r->name), FPRINT_ARG(r->print), STR_ARG(r->service),
+	    STR_ARG(r->name), FPRINT_ARG(r->d.print), STR_ARG(r->service),
 	    STR_ARG(b->name), b->inflight - 1, pick_slots(b), b->slots,
 	    b->told_pace,
 	    b->told_at == 0 ? -1LL
@@ -117,6 +118,18 @@
 	gate_peek_start(ctx, b);
 }
 
+static void
+op_ended(void *ctx, const struct pick_backend *b, unsigned there)
+{
+	struct gate_shard *s = ctx;
+
+	cnt_add(s->gate->cnt, GC_ENDED, 1);
+	slog(SLOG_PICK, "a backend server ended with requests there",
+	    "service=%.*s backend=%.*s requests=%u", STR_ARG(s->service),
+	    STR_ARG(b->name), there);
+	gate_poison_tick(s->gate, clk_ns(s->gate->clk));
+}
+
 static void
 op_release(void *ctx, struct pick_backend *b)
 {
@@ -345,7 +358,7 @@
 	slog_decision(SLOG_PICK, "a try broke off",
 	    "id=%.*s print=" FPRINT_FMT " why=%s service=%.*s backend=%.*s "
 	    "out_ms=%lld beside=%d tries=%d",
-	    STR_ARG(r->name), FPRINT_ARG(r->print), err_answer(kind)->name,
+	    STR_ARG(r->name), FPRINT_ARG(r->d.print), err_answer(kind)->name,
 	    STR_ARG(r->service), STR_ARG(b->name),
 	    (long long)((clk_ns(r->gate->clk) - r->d.sent) / NS_MS),
 	    b->inflight - 1, r->d.tries);
--- a/libdisp.h
+++ b/libdisp.h
@@ -37,8 +37,17 @@
 	struct conc times; /* ns, by how many ran beside it */
 };
 
-/* Where requests are held: those in time by class, and those that are late. */
-enum { QUEUE_LATE = CLASS_MAX, QUEUES };
+/*
+ * Where requests are held: those in time by class, those that are late, and
+ * those that have to run by themselves.
+ */
+enum { QUEUE_LATE = CLASS_MAX, QUEUE_TRIAL, QUEUES };
+
+/* A request that was at a backend server when a connection broke. */
+struct disp_doubt {
+	struct fprint print;
+	bool trial;
+};
 
 struct disp {
 	struct disp_ops ops;
@@ -58,6 +67,7 @@
 	struct retry_budget budget;
 	struct limit limit;
 	GQueue out; /* struct disp_req *, the longest out first */
+	struct pick_backend *emptied; /* for a trial; NULL: none */
 	bool in_doubt; /* some backend servers may be cold */
 	guint ask_from; /* whose turn it is, of those that are asked in turn */
 	bool serving; /* serve() is under way */
@@ -67,6 +77,8 @@
 /* disp.c */
 /* Try to start a request now; false if it has to wait. */
 bool disp_start(struct disp *, struct disp_req *);
+/* Send a request to a backend server. */
+void disp_begin(struct disp *, struct disp_req *, struct pick_backend *);
 void disp_drop(struct disp *, struct disp_req *, enum err_kind, int64_t after);
 void disp_serve(struct disp *);
 
@@ -137,4 +149,17 @@
     const struct disp *, const struct disp_req *, int64_t now);
 bool disp_pass_to_shorter(struct disp *, struct disp_req *, int64_t wait);
 
+bool disp_pass_may_try(
+    const struct disp_remote_hall *, const struct disp_req *, int64_t now);
+
+/* disp_trial.c: requests under which a backend server ended. */
+bool disp_trial_arrive(struct disp *, struct disp_req *);
+bool disp_trial_holds(const struct disp *, const struct disp_req *);
+bool disp_trial_takes(struct disp *, struct disp_req *);
+void disp_trial_serve(struct disp *);
+void disp_trial_ended(
+    struct disp *, struct disp_req *, struct pick_backend *, enum disp_outcome);
+void disp_trial_peeked(struct disp *, struct pick_backend *, bool answered);
+void disp_trial_settle(struct disp *, struct pick_backend *, bool ended);
+
 #endif
--- a/libgate.h
+++ b/libgate.h
@@ -88,6 +88,8 @@
 	GC_RETRIES,
 	GC_STOPPED,
 	GC_BROKEN,
+	GC_ENDED,
+	GC_POISON,
 	GC_CUT,
 	GC_GONE,
 	GC_CLAIMS,
@@ -158,6 +160,8 @@
 	GPtrArray *peers; /* struct gate_peer *, hubs of all halls */
 	GHashTable *homes; /* char * "service/hall" to struct home * */
 	bool hub; /* our box is a hub of its hall, and may be home */
+	struct poison *poison; /* requests that end backend servers */
+	int64_t poison_told; /* to some hub, last */
 	struct limit_table *caller_limits;
 	GHashTable *callers_of; /* char * rule to struct callers * */
 	GHashTable *rule_limits; /* char * rule to struct limit * */
@@ -237,6 +241,13 @@
 /* The request ran or may have run: the claim stays.  Frees the claim. */
 void gate_claim_keep(struct gate_claim *);
 
+/* gate_poison.c: what gates tell one another of requests that end servers. */
+void gate_poison_open(struct gate *);
+void gate_poison_tick(struct gate *, int64_t now);
+void gate_poison_take(struct gate *, const struct msg_suspects *);
+/* A hub has started, or was not known before. */
+void gate_poison_greet(struct gate *, const struct gate_peer *);
+
 /* gate_peek.c: questions for the load of backend servers. */
 void gate_peek_start(struct gate_shard *, const struct pick_backend *);
 
--- a/libreq.h
+++ b/libreq.h
@@ -11,7 +11,6 @@
 #ifndef LIBREQ_H
 #define LIBREQ_H
 
-#include "fprint.h"
 #include "libgate.h"
 
 /* States and events of a request, as charts/request.toml has them. */
@@ -55,7 +54,6 @@
 	int hops; /* gates it came through before us */
 	int passes; /* tries at homes, HOPS_MAX + 1 at most */
 	struct str name; /* as its caller names it, for the log; a copy */
-	struct fprint print; /* is it the same request again? */
 	bool maybe_ran; /* an earlier try may have run */
 	bool refused; /* the answer on its way says that it did not run */
 	bool keyed;
@@ -92,6 +90,7 @@
 	unsigned kind; /* requests of one kind take alike */
 	int64_t target_ms; /* left until its target; 0: unsaid */
 	struct fprint print; /* none: unsaid */
+	bool suspect; /* a backend server ended under it: poison.h */
 	/* Where it is to go; these point into the header. */
 	struct str hall; /* whose slots it is to use */
 	struct str regions; /* which may serve it; empty: any */
--- a/msg.c
+++ b/msg.c
@@ -13,6 +13,9 @@
 
 enum { LIST_MAX = 65536 };
 
+/* The shape of a suspect names each of its trials. */
+G_STATIC_ASSERT(POISON_TRIALS == 2);
+
 enum field_kind { F_U64, F_STR, F_BOOL, F_LIST };
 
 struct shape;
@@ -124,6 +127,13 @@
 static const struct msg_field summary_fields[] = {STR(msg_summary, service),
     STR(msg_summary, hall), U64(msg_summary, slots), U64(msg_summary, free),
     U64(msg_summary, waiting)};
+static const struct msg_field suspect_fields[] = {U64(msg_suspect, print_hi),
+    U64(msg_suspect, print_lo), U64(msg_suspect, trials[0]),
+    U64(msg_suspect, trials[1]), U64(msg_suspect, ended_ms),
+    U64(msg_suspect, cleared_ms)};
+static const struct shape suspect_shape = SHAPE(msg_suspect, suspect_fields);
+static const struct msg_field suspects_fields[] = {
+    LIST(msg_suspects, suspects, suspect_shape)};
 static const struct msg_field ping_fields[] = {U64(msg_ping, nonce)};
 static const struct msg_field deflated_fields[] = {
     U64(msg_deflated, size), STR(msg_deflated, data)};
@@ -142,6 +152,7 @@
     [MSG_PING] = SHAPE(msg_ping, ping_fields),
     [MSG_PONG] = SHAPE(msg_ping, ping_fields),
     [MSG_DEFLATED] = SHAPE(msg_deflated, deflated_fields),
+    [MSG_SUSPECTS] = SHAPE(msg_suspects, suspects_fields),
 };
 
 const char *
--- a/msg.h
+++ b/msg.h
@@ -17,6 +17,7 @@
 #include <stdint.h>
 
 #include "memb.h"
+#include "poison.h"
 #include "str.h"
 
 /*
@@ -38,6 +39,7 @@
 	MSG_PING, /* gate to gate: are you there? */
 	MSG_PONG,
 	MSG_DEFLATED, /* another message, in fewer bytes */
+	MSG_SUSPECTS, /* gate to gate: requests that end backend servers */
 	MSG_KIND_MAX
 };
 
@@ -151,6 +153,18 @@
 	uint64_t waiting;
 };
 
+/* struct poison_word, with ages in place of times. */
+struct msg_suspect {
+	uint64_t print_hi, print_lo;
+	uint64_t trials[POISON_TRIALS];
+	uint64_t ended_ms; /* ago */
+	uint64_t cleared_ms; /* ago; 0: never */
+};
+
+struct msg_suspects {
+	struct msg_list suspects; /* struct msg_suspect */
+};
+
 struct msg_ping {
 	uint64_t nonce;
 };
@@ -176,6 +190,7 @@
 		struct msg_health health;
 		struct msg_summary summary;
 		struct msg_ping ping;
+		struct msg_suspects suspects;
 		struct msg_deflated deflated;
 	} u;
 	msgpack_unpacked raw; /* what the strings point into */
--- a/pick.c
+++ b/pick.c
@@ -67,6 +67,17 @@
 	return pick_is_silent(b) && now - b->heard_at >= LOST_NS;
 }
 
+/*
+ * Where nothing runs is where a trial goes, and nothing runs on one that has
+ * just ended: requests beside the first end were sent there, and lost.
+ */
+void
+pick_ended(struct pick_backend *b, int64_t now)
+{
+	b->silent = MAX(b->silent, SILENT_ROW);
+	b->heard_at = MIN(b->heard_at, now - LOST_NS);
+}
+
 bool
 pick_usable(const struct pick_backend *b, int64_t now)
 {
@@ -87,7 +98,7 @@
 {
 	int slots = pick_slots(b);
 
-	if (!pick_usable(b, now) || now < b->full_until ||
+	if (!pick_usable(b, now) || b->alone || now < b->full_until ||
 	    (b->cold_bound != NULL && !cold_may(&b->cold, b->cold_bound, now)))
 		return 0;
 	if (b->state == PICK_COLD || b->state == PICK_TRIAL)
--- a/pick.h
+++ b/pick.h
@@ -11,6 +11,7 @@
 #ifndef PICK_H
 #define PICK_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -83,6 +84,12 @@
 	int ejections; /* in a row, for the length of the next */
 	int bad_row, good_row, refused_row;
 	bool gone; /* no longer selected; waits for its last answer */
+	bool alone; /* nothing new: a request runs by itself, or will */
+	/* Requests that were there when connections broke: struct disp_doubt.
+	 */
+	GArray *doubts;
+	int64_t doubted_at; /* when the last one did */
+	bool reached; /* the last question got a connection */
 	uint64_t turns; /* requests sent, for round robin */
 	void *data; /* the owner's */
 };
@@ -151,6 +158,11 @@
 void pick_bad(struct pick_backend *, const struct pick_set *,
     const struct chart *, int64_t now, const struct rnd *);
 
+/*
+ * It has ended, as far as is known: it is lost until it answers a question.
+ */
+void pick_ended(struct pick_backend *, int64_t now);
+
 /* It refused without running: it is full, or does not want any. */
 void pick_refused(struct pick_backend *, int64_t now, const struct rnd *);
 
--- /dev/null
+++ b/poison.h
@@ -0,0 +1,110 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef POISON_H
+#define POISON_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "clk.h"
+#include "fprint.h"
+
+/*
+ * Requests that end the backend servers which run them, by their fingerprints.
+ *
+ * A request that was at a backend server when it ended is a suspect, as all
+ * are that ran beside it.  A suspect is sent again by itself only: such a try
+ * is a trial, and what ends in it was not ended by another request.  After
+ * POISON_TRIALS trials that ended so the request is proved to be poison and is
+ * refused.  An answer of any backend server clears it.
+ *
+ * What one box learns the others take as words; these may come in any order,
+ * and more than once.  No I/O is done here.
+ */
+
+enum {
+	/*
+	 * With the end that made it a suspect that makes three: one may be
+	 * chance, as backend servers end for reasons of their own too.
+	 */
+	POISON_TRIALS = 2,
+	/* Fingerprints that a box remembers: 64 bytes each, and a hash table's.
+	 */
+	POISON_MAX = 256,
+	/* Of these, how many a message carries: 60 bytes each. */
+	POISON_WORDS = 32
+};
+
+/* Nobody is a suspect for longer after the last end. */
+#define POISON_SUSPECT_NS (60 * NS_S)
+/*
+ * Poison is refused for so long; then one more trial decides, as the backend
+ * servers' software may have been mended.  So a caller that does not give up
+ * costs a backend server each ten minutes.
+ */
+#define POISON_HOLD_NS (600 * NS_S)
+
+enum poison_verdict { POISON_NONE, POISON_SUSPECT, POISON_PROVED };
+
+/* What is known of one request, as boxes tell each other. */
+struct poison_word {
+	struct fprint print;
+	/* Numbers of the trials that ended so; 0: none. */
+	uint64_t trials[POISON_TRIALS];
+	int64_t ended; /* the last end; monotonic ns of whoever holds this */
+	int64_t cleared; /* the last answer after one; 0: none */
+};
+
+/* What is thought of a request has changed. */
+typedef void poison_fn(void *, struct fprint, enum poison_verdict);
+
+struct poison;
+
+struct poison *poison_new(const struct clk *, const struct rnd *);
+void poison_free(struct poison *);
+
+/* Call this whenever a word or an event changes what is thought. */
+void poison_listen(struct poison *, poison_fn *, void *);
+
+/* What is thought of a request now. */
+enum poison_verdict poison_look(const struct poison *, struct fprint);
+
+/* When a request that is proved to be poison may be tried again; ns. */
+int64_t poison_until(const struct poison *, struct fprint);
+
+/* It was at a backend server when that ended; in a trial, or beside others. */
+void poison_ended(struct poison *, struct fprint, bool trial);
+
+/* A box that passed it on takes it for a suspect. */
+void poison_accuse(struct poison *, struct fprint);
+
+/* A backend server answered it. */
+void poison_served(struct poison *, struct fprint);
+
+/* Take another box's word, its times in ns of our own clock. */
+void poison_take(struct poison *, const struct poison_word *);
+
+/*
+ * The words worth telling, at most POISON_WORDS: those with trials first, then
+ * the newest.
+ */
+unsigned poison_words(const struct poison *, struct poison_word *);
+
+/* Has a trial ended, here, since this was asked last? */
+bool poison_has_news(struct poison *);
+
+/* Forget what is too old. */
+void poison_tick(struct poison *);
+
+/* Requests that are refused now. */
+unsigned poison_proved(const struct poison *);
+
+#endif
--- a/regress/bench_pick.cpp
+++ b/regress/bench_pick.cpp
@@ -55,7 +55,7 @@
 {
 	const int ROUNDS = 200000;
 	struct disp_ops ops = {ignore_send, ignore_pass, ignore_give_up,
-	    ignore_stop, nullptr, ignore_release, nullptr};
+	    ignore_stop, nullptr, nullptr, ignore_release, nullptr};
 	struct disp_params p = {};
 	struct disp *d = disp_new(&ops, clk_system(), rnd_system());
 	std::vector<std::string> names;
--- a/regress/disp_world.h
+++ b/regress/disp_world.h
@@ -121,6 +121,13 @@
 		w->asked.push_back(std::string(b->name.p, b->name.n));
 	}
 
+	static void ended(void *ctx, const struct pick_backend *b, unsigned n)
+	{
+		static_cast<World *>(ctx)->trace.push_back("ended " +
+		    std::string(b->name.p, b->name.n) + " " +
+		    std::to_string(n));
+	}
+
 	static void release(void *, struct pick_backend *)
 	{
 	}
@@ -129,7 +136,7 @@
 	    : clk{mono, mono, this}, rnd{next, this}
 	{
 		struct disp_ops ops = {
-		    send, pass, give_up, stop, peek, release, this};
+		    send, pass, give_up, stop, peek, ended, release, this};
 		struct disp_params p = {};
 		GError *err = nullptr;
 		const char *root = getenv("FERN_ROOT");
--- a/regress/load.cpp
+++ b/regress/load.cpp
@@ -623,7 +623,7 @@
 	void open_home(Home *h)
 	{
 		struct disp_ops ops = {
-		    send, pass, give_up, stop, peek, release, h};
+		    send, pass, give_up, stop, peek, nullptr, release, h};
 		struct disp_params prm = {};
 		GError *err = nullptr;
 		const char *root = getenv("FERN_ROOT");
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -420,6 +420,7 @@
 	in.kind = 250;
 	in.target_ms = 140;
 	in.print = {0xfeed, 0xffffffffffffffff};
+	in.suspect = true;
 	in.hall = STR_LIT("north");
 	in.regions = STR_LIT("here,there");
 	in.service = STR_LIT("till");
@@ -436,6 +437,7 @@
 	EXPECT_EQ(250u, out.kind);
 	EXPECT_EQ(140, out.target_ms);
 	EXPECT_TRUE(fprint_eq(in.print, out.print));
+	EXPECT_TRUE(out.suspect);
 	EXPECT_TRUE(str_eq(STR_LIT("north"), out.hall));
 	EXPECT_TRUE(str_eq(STR_LIT("here,there"), out.regions));
 	EXPECT_TRUE(str_eq(STR_LIT("till"), out.service));
@@ -445,7 +447,9 @@
 		 "1 0 1 0 1 1 3 2 250 140 north ",
 		 "1 0 1 0 1 1 3 2 250 140 beef north - till",
 		 "1 0 1 0 1 1 3 2 250 140 feed beef - till",
-		 "1 0 1 0 1 1 3 2 250 140 feed beef north - "})
+		 "1 0 1 0 1 1 3 2 250 140 feed beef north - ",
+		 "1 0 1 0 1 1 3 2 250 140 feed beef 1 - till",
+		 "1 0 1 0 1 1 3 2 250 140 feed beef 1 north - "})
 		EXPECT_FALSE(gate_pass_read(str_c(bad), &out)) << bad;
 }
 
--- a/regress/test_policy.cpp
+++ b/regress/test_policy.cpp
@@ -275,7 +275,7 @@
 	      slowdown([](double) { return 1; })
 	{
 		struct disp_ops ops = {
-		    send, pass, give_up, stop, peek, release, this};
+		    send, pass, give_up, stop, peek, nullptr, release, this};
 		struct disp_params p = {};
 		GError *err = nullptr;
 		const char *root = getenv("FERN_ROOT");
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -823,6 +823,21 @@
 	msg_done(&m);
 }
 
+TEST(Msg, SuspectsAreReadAsTheyWereWritten)
+{
+	struct msg_suspect v[2] = {{1, 2, {3, 4}, 5, 6}, {7, 8, {0, 9}, 10, 0}};
+	struct msg m = {}, out;
+
+	m.kind = MSG_SUSPECTS;
+	m.from = STR_LIT("here");
+	m.u.suspects.suspects = {v, 2};
+	std::string bytes = encode(&m);
+	ASSERT_TRUE(msg_decode(bytes.data(), bytes.size(), &out, nullptr));
+	ASSERT_EQ(2u, out.u.suspects.suspects.n);
+	EXPECT_EQ(0, memcmp(v, out.u.suspects.suspects.items, sizeof(v)));
+	msg_done(&out);
+}
+
 TEST(Fuzz, MessagesSelectorsDocumentsAndObjects)
 {
 	std::mt19937 rng(4);
