The same request of several callers is one request

Cause: the fingerprint named the address a request came from. Backend servers do not see it, so the request ends them whoever sends it, and each caller had ends of its own to begin with. Ruled out: leaving the address out altogether, as a caller who gets answers to the same would be refused for what others' requests do. Change: the address is a part by itself. All callers of a request that is a suspect run by themselves; trials of two callers prove it for all but those who were served since the last end; who is served is cleared. Words are a list instead of a table, which is looked through by request.

--- a/disp_trial.c
+++ b/disp_trial.c
@@ -105,7 +105,7 @@
 
 	for (i = 0; b->doubts != NULL && i < b->doubts->len; i++) {
 		doubt = &g_array_index(b->doubts, struct disp_doubt, i);
-		if (doubt->trial && fprint_eq(doubt->print, print))
+		if (doubt->trial && fprint_same(doubt->print, print))
 			return true;
 	}
 	return false;
@@ -121,7 +121,7 @@
 
 	for (at = d->out.head; at != NULL; at = at->next) {
 		other = at->data;
-		if (other->trial && fprint_eq(other->print, r->print))
+		if (other->trial && fprint_same(other->print, r->print))
 			return true;
 	}
 	for (i = 0; i < d->backends->len; i++)
--- a/fprint.c
+++ b/fprint.c
@@ -30,14 +30,15 @@
 	XXH128_hash_t hash;
 
 	XXH3_128bits_reset(state);
-	add(state, parts->caller);
+	add(state, parts->identity);
 	add(state, parts->method);
 	add(state, parts->host);
 	add(state, parts->path);
 	add(state, parts->body);
 	hash = XXH3_128bits_digest(state);
 	XXH3_freeState(state);
-	return (struct fprint){hash.high64, hash.low64};
+	return (struct fprint){hash.high64, hash.low64,
+	    XXH3_64bits(parts->address.p, parts->address.n)};
 }
 
 bool
@@ -47,7 +48,13 @@
 }
 
 bool
-fprint_eq(struct fprint a, struct fprint b)
+fprint_same(struct fprint a, struct fprint b)
 {
 	return a.hi == b.hi && a.lo == b.lo;
 }
+
+bool
+fprint_eq(struct fprint a, struct fprint b)
+{
+	return fprint_same(a, b) && a.caller == b.caller;
+}
--- a/fprint.h
+++ b/fprint.h
@@ -17,17 +17,20 @@
 #include "str.h"
 
 /*
- * A fingerprint tells whether a request is the same again: the same caller
- * sends the same method, host, path, query and body.  Its id and its deadline
- * are not part of it, as they are new each time it is sent.
+ * A fingerprint tells whether a request is the same again.  To backend servers
+ * it is that if method, host, path, query, body and the identity that it shows
+ * are the same.  From where it comes they do not see; that is a part by itself.
+ * Its id and its deadline are no part of it, as they are new each time.
  */
 struct fprint {
-	uint64_t hi, lo;
+	uint64_t hi, lo; /* of what backend servers see */
+	uint64_t caller; /* of the address that it comes from */
 };
 
 /* What makes up a request for this purpose. */
 struct fprint_parts {
-	struct str caller; /* as its rule tells callers apart */
+	struct str address; /* of the caller */
+	struct str identity; /* that the request shows; may be empty */
 	struct str method;
 	struct str host;
 	struct str path; /* with its query */
@@ -39,10 +42,14 @@
 /* No fingerprint: of a request of which it is not known. */
 bool fprint_is_none(struct fprint);
 
+/* The same request from the same caller. */
 bool fprint_eq(struct fprint, struct fprint);
 
+/* The same request, whoever sends it. */
+bool fprint_same(struct fprint, struct fprint);
+
 /* For the log: printf("print=" FPRINT_FMT, FPRINT_ARG(print)). */
-#define FPRINT_FMT "%016llx"
-#define FPRINT_ARG(f) (unsigned long long)(f).lo
+#define FPRINT_FMT "%016llx/%08x"
+#define FPRINT_ARG(f) (unsigned long long)(f).lo, (unsigned)(f).caller
 
 #endif
--- a/gate_admit.c
+++ b/gate_admit.c
@@ -151,17 +151,10 @@
 	return !limit_take(l, (double)rule->obj->rate * share, r->began);
 }
 
-/* Who calls: by the rule's header, else by address; valid until *sa goes. */
+/* The address that a request comes from; valid until *sa goes. */
 static struct str
-caller_of(const struct gate_req *r, const struct route_rule *rule,
-    struct sockaddr_storage *sa)
+address_of(const struct gate_req *r, struct sockaddr_storage *sa)
 {
-	struct str caller = {0};
-
-	if (rule->obj->caller_header.n > 0)
-		caller = hsrv_header(r->req, rule->obj->caller_header.p);
-	if (caller.n > 0)
-		return caller;
 	memset(sa, 0, sizeof(*sa));
 	r->req->conn->callbacks->get_peername(
 	    r->req->conn, (struct sockaddr *)sa);
@@ -171,14 +164,35 @@
 	return str_n((char *)&((struct sockaddr_in *)sa)->sin_addr, 4);
 }
 
-/* The same request again?  It is told by who calls, and what it asks for. */
+/* Who calls, by the rule's header; empty where that says nothing. */
+static struct str
+named_caller(const struct gate_req *r, const struct route_rule *rule)
+{
+	if (rule->obj->caller_header.n == 0)
+		return str_c(NULL);
+	return hsrv_header(r->req, rule->obj->caller_header.p);
+}
+
+/* Who calls: by the rule's header, else by address; valid until *sa goes. */
+static struct str
+caller_of(const struct gate_req *r, const struct route_rule *rule,
+    struct sockaddr_storage *sa)
+{
+	struct str caller = named_caller(r, rule);
+
+	return caller.n > 0 ? caller : address_of(r, sa);
+}
+
+/* Is it the same request again?  By what it asks for, and from where. */
 static struct fprint
 print_of(const struct gate_req *r, const struct route_rule *rule)
 {
 	const h2o_req_t *req = r->req;
+	struct str named = named_caller(r, rule);
 	struct sockaddr_storage sa;
 	struct fprint_parts parts = {
-	    .caller = caller_of(r, rule, &sa),
+	    .address = address_of(r, &sa),
+	    .identity = named.n > 0 ? named : hsrv_header(req, "authorization"),
 	    .method = str_n(req->method.base, req->method.len),
 	    .host = str_n(req->authority.base, req->authority.len),
 	    .path = str_n(req->path.base, req->path.len),
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -70,7 +70,7 @@
 struct own_headers {
 	h2o_iovec_t names[OWN_HEADERS];
 	char deadline[24];
-	char pass[420];
+	char pass[440];
 };
 
 static h2o_header_t
--- a/gate_pass.c
+++ b/gate_pass.c
@@ -14,7 +14,7 @@
 
 /* The header that a gate sends with a request that it passes on. */
 
-enum { FIELDS = 13, TEXT_MAX = 420 };
+enum { FIELDS = 14, TEXT_MAX = 440 };
 
 /* No region is named: a word in the place of their names. */
 static const char ANY_REGION[] = "-";
@@ -41,7 +41,7 @@
 {
 	char copy[TEXT_MAX];
 	unsigned bulk, repeatable, retried, paid, suspect;
-	unsigned long long hi, lo;
+	unsigned long long hi, lo, caller;
 	long long target;
 	int at = 0, n;
 
@@ -49,10 +49,10 @@
 		return false;
 	memcpy(copy, text.p, text.n);
 	copy[text.n] = '\0';
-	n = sscanf(copy, "%u %u %u %u %u %u %u %u %u %lld %llx %llx %u %n",
+	n = sscanf(copy, "%u %u %u %u %u %u %u %u %u %lld %llx %llx %llx %u %n",
 	    &out->hops, &bulk, &repeatable, &retried, &paid, &out->tries,
-	    &out->attempts, &out->rank, &out->kind, &target, &hi, &lo, &suspect,
-	    &at);
+	    &out->attempts, &out->rank, &out->kind, &target, &hi, &lo, &caller,
+	    &suspect, &at);
 	if (n != FIELDS || at == 0)
 		return false;
 	out->bulk = bulk != 0;
@@ -61,7 +61,7 @@
 	out->paid = paid != 0;
 	out->suspect = suspect != 0;
 	out->target_ms = target;
-	out->print = (struct fprint){hi, lo};
+	out->print = (struct fprint){hi, lo, caller};
 	out->service = str_n(text.p + at, text.n - (size_t)at);
 	if (!next_word(&out->service, &out->hall) ||
 	    !next_word(&out->service, &out->regions))
@@ -76,12 +76,12 @@
 {
 	struct str regions = p->regions.n > 0 ? p->regions : str_c(ANY_REGION);
 	int n = snprintf(out, size,
-	    "%u %u %u %u %u %u %u %u %u %lld %llx %llx %u %.*s %.*s %.*s",
+	    "%u %u %u %u %u %u %u %u %u %lld %llx %llx %llx %u %.*s %.*s %.*s",
 	    p->hops, p->bulk, p->repeatable, p->retried, p->paid, p->tries,
 	    p->attempts, p->rank, p->kind, (long long)p->target_ms,
 	    (unsigned long long)p->print.hi, (unsigned long long)p->print.lo,
-	    p->suspect, STR_ARG(p->hall), STR_ARG(regions),
-	    STR_ARG(p->service));
+	    (unsigned long long)p->print.caller, p->suspect, STR_ARG(p->hall),
+	    STR_ARG(regions), STR_ARG(p->service));
 
 	return MIN((size_t)n, size - 1);
 }
--- a/gate_poison.c
+++ b/gate_poison.c
@@ -22,10 +22,13 @@
  */
 #define TURN_NS (500 * NS_MS)
 
+/* Times go out as ages in ms; 0 stands for a time that there is not. */
 static int64_t
 ns_ago(int64_t now, uint64_t ms)
 {
-	return now - (int64_t)MIN(ms, (uint64_t)(now / NS_MS)) * NS_MS;
+	return ms == 0
+	    ? 0
+	    : now - (int64_t)MIN(ms, (uint64_t)(now / NS_MS)) * NS_MS;
 }
 
 static uint64_t
@@ -39,6 +42,7 @@
 {
 	out->print_hi = w->print.hi;
 	out->print_lo = w->print.lo;
+	out->print_caller = w->print.caller;
 	memcpy(out->trials, w->trials, sizeof(out->trials));
 	out->ended_ms = ms_ago(now, w->ended);
 	out->cleared_ms = ms_ago(now, w->cleared);
@@ -47,11 +51,11 @@
 static void
 read_suspect(struct poison_word *out, const struct msg_suspect *in, int64_t now)
 {
-	*out = (struct poison_word){.print = {in->print_hi, in->print_lo},
-	    .ended = ns_ago(now, in->ended_ms)};
+	*out = (struct poison_word){
+	    .print = {in->print_hi, in->print_lo, in->print_caller},
+	    .ended = ns_ago(now, in->ended_ms),
+	    .cleared = ns_ago(now, in->cleared_ms)};
 	memcpy(out->trials, in->trials, sizeof(out->trials));
-	if (in->cleared_ms > 0)
-		out->cleared = ns_ago(now, in->cleared_ms);
 }
 
 /* Send what we know to one gate, or to all that are listed. */
--- a/msg.c
+++ b/msg.c
@@ -128,9 +128,9 @@
     STR(msg_summary, hall), U64(msg_summary, slots), U64(msg_summary, free),
     U64(msg_summary, waiting)};
 static const struct msg_field suspect_fields[] = {U64(msg_suspect, print_hi),
-    U64(msg_suspect, print_lo), U64(msg_suspect, trials[0]),
-    U64(msg_suspect, trials[1]), U64(msg_suspect, ended_ms),
-    U64(msg_suspect, cleared_ms)};
+    U64(msg_suspect, print_lo), U64(msg_suspect, print_caller),
+    U64(msg_suspect, trials[0]), U64(msg_suspect, trials[1]),
+    U64(msg_suspect, ended_ms), U64(msg_suspect, cleared_ms)};
 static const struct shape suspect_shape = SHAPE(msg_suspect, suspect_fields);
 static const struct msg_field suspects_fields[] = {
     LIST(msg_suspects, suspects, suspect_shape)};
--- a/msg.h
+++ b/msg.h
@@ -155,9 +155,9 @@
 
 /* struct poison_word, with ages in place of times. */
 struct msg_suspect {
-	uint64_t print_hi, print_lo;
+	uint64_t print_hi, print_lo, print_caller;
 	uint64_t trials[POISON_TRIALS];
-	uint64_t ended_ms; /* ago */
+	uint64_t ended_ms; /* ago; 0: never */
 	uint64_t cleared_ms; /* ago; 0: never */
 };
 
--- a/poison.c
+++ b/poison.c
@@ -22,28 +22,12 @@
 struct poison {
 	const struct clk *clk;
 	const struct rnd *rnd;
-	GHashTable *words; /* struct fprint * to struct poison_word * */
+	GPtrArray *words; /* struct poison_word * */
 	bool news;
 	poison_fn *changed; /* NULL: nobody listens */
 	void *ctx;
 };
 
-static guint
-hash(gconstpointer p)
-{
-	const struct fprint *f = p;
-
-	return (guint)f->lo;
-}
-
-static gboolean
-equal(gconstpointer a, gconstpointer b)
-{
-	const struct fprint *fa = a, *fb = b;
-
-	return fprint_eq(*fa, *fb);
-}
-
 struct poison *
 poison_new(const struct clk *clk, const struct rnd *rnd)
 {
@@ -51,7 +35,7 @@
 
 	p->clk = clk;
 	p->rnd = rnd;
-	p->words = g_hash_table_new_full(hash, equal, NULL, g_free);
+	p->words = g_ptr_array_new_with_free_func(g_free);
 	return p;
 }
 
@@ -65,7 +49,7 @@
 void
 poison_free(struct poison *p)
 {
-	g_hash_table_destroy(p->words);
+	g_ptr_array_free(p->words, TRUE);
 	g_free(p);
 }
 
@@ -79,6 +63,7 @@
 	return n;
 }
 
+/* What a word says of its caller's request by itself. */
 static enum poison_verdict
 judge(const struct poison_word *w, int64_t now)
 {
@@ -86,28 +71,67 @@
 
 	if (w->cleared >= w->ended)
 		return POISON_NONE;
-	if (trials(w) == POISON_TRIALS && age < POISON_HOLD_NS)
-		return POISON_PROVED;
-	/* Proved once, it stays a suspect for a while after its time. */
-	if (trials(w) == POISON_TRIALS)
-		age -= POISON_HOLD_NS;
-	return age < POISON_SUSPECT_NS ? POISON_SUSPECT : POISON_NONE;
+	if (age < POISON_HOLD_NS)
+		return trials(w) == POISON_TRIALS ? POISON_PROVED
+						  : POISON_SUSPECT;
+	/* What was tried stays a suspect for the same time again. */
+	return trials(w) > 0 && age < 2 * POISON_HOLD_NS ? POISON_SUSPECT
+							 : POISON_NONE;
 }
 
 static struct poison_word *
 find(const struct poison *p, struct fprint print)
 {
-	if (g_hash_table_size(p->words) == 0)
-		return NULL;
-	return g_hash_table_lookup(p->words, &print);
+	struct poison_word *w;
+	guint i;
+
+	for (i = 0; i < p->words->len; i++) {
+		w = g_ptr_array_index(p->words, i);
+		if (fprint_eq(w->print, print))
+			return w;
+	}
+	return NULL;
+}
+
+/* What the words of all callers say of a request. */
+struct opinion {
+	const struct poison_word *own; /* the caller's; NULL: none */
+	unsigned tried; /* callers whose trials ended backend servers lately */
+	int64_t ended; /* the last end; 0: it is no suspect */
+};
+
+static struct opinion
+opinion_of(const struct poison *p, struct fprint print, int64_t now)
+{
+	struct opinion o = {0};
+	const struct poison_word *w;
+	guint i;
+
+	for (i = 0; i < p->words->len; i++) {
+		w = g_ptr_array_index(p->words, i);
+		if (!fprint_same(w->print, print))
+			continue;
+		if (fprint_eq(w->print, print))
+			o.own = w;
+		if (judge(w, now) == POISON_NONE)
+			continue;
+		o.ended = MAX(o.ended, w->ended);
+		o.tried += trials(w) > 0 && now - w->ended < POISON_HOLD_NS;
+	}
+	return o;
 }
 
 enum poison_verdict
 poison_look(const struct poison *p, struct fprint print)
 {
-	const struct poison_word *w = find(p, print);
+	int64_t now = clk_ns(p->clk);
+	struct opinion o = opinion_of(p, print, now);
 
-	return w == NULL ? POISON_NONE : judge(w, clk_ns(p->clk));
+	if (o.ended == 0 || (o.own != NULL && o.own->cleared >= o.ended))
+		return POISON_NONE;
+	if (o.own != NULL && judge(o.own, now) == POISON_PROVED)
+		return POISON_PROVED;
+	return o.tried >= POISON_CALLERS ? POISON_PROVED : POISON_SUSPECT;
 }
 
 /* Tell who listens, if something is thought now that was not before. */
@@ -123,9 +147,9 @@
 int64_t
 poison_until(const struct poison *p, struct fprint print)
 {
-	const struct poison_word *w = find(p, print);
+	struct opinion o = opinion_of(p, print, clk_ns(p->clk));
 
-	return w == NULL ? 0 : w->ended + POISON_HOLD_NS;
+	return o.ended == 0 ? 0 : o.ended + POISON_HOLD_NS;
 }
 
 /* Does one word matter more than another? */
@@ -134,24 +158,24 @@
 {
 	if (trials(a) != trials(b))
 		return trials(a) > trials(b);
-	return a->ended > b->ended;
+	return MAX(a->ended, a->cleared) > MAX(b->ended, b->cleared);
 }
 
 /* What matters least makes room for something new. */
 static void
 make_room(struct poison *p)
 {
-	struct poison_word *least = NULL;
-	GHashTableIter it;
-	gpointer value;
+	struct poison_word *least = NULL, *w;
+	guint i;
 
-	if (g_hash_table_size(p->words) < POISON_MAX)
+	if (p->words->len < POISON_MAX)
 		return;
-	g_hash_table_iter_init(&it, p->words);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		if (least == NULL || is_weightier(least, value))
-			least = value;
-	g_hash_table_remove(p->words, &least->print);
+	for (i = 0; i < p->words->len; i++) {
+		w = g_ptr_array_index(p->words, i);
+		if (least == NULL || is_weightier(least, w))
+			least = w;
+	}
+	g_ptr_array_remove_fast(p->words, least);
 }
 
 static struct poison_word *
@@ -164,7 +188,7 @@
 	make_room(p);
 	w = g_new0(struct poison_word, 1);
 	w->print = print;
-	g_hash_table_insert(p->words, &w->print, w);
+	g_ptr_array_add(p->words, w);
 	return w;
 }
 
@@ -220,10 +244,11 @@
 poison_served(struct poison *p, struct fprint print)
 {
 	enum poison_verdict before = poison_look(p, print);
-	struct poison_word *w = find(p, print);
+	struct poison_word *w;
 
-	if (w == NULL)
+	if (before == POISON_NONE)
 		return;
+	w = find_or_add(p, print);
 	w->cleared = MAX(clk_ns(p->clk), w->ended);
 	memset(w->trials, 0, sizeof(w->trials));
 	note(p, print, before);
@@ -270,21 +295,14 @@
 }
 
 unsigned
-poison_words(const struct poison *p, struct poison_word *out)
+poison_words(struct poison *p, struct poison_word *out)
 {
-	GPtrArray *all = g_ptr_array_new();
-	GHashTableIter it;
-	gpointer value;
-	unsigned i, n;
-
-	g_hash_table_iter_init(&it, p->words);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		g_ptr_array_add(all, value);
-	g_ptr_array_sort(all, by_weight);
-	n = MIN(all->len, POISON_WORDS);
+	unsigned i, n = MIN(p->words->len, (guint)POISON_WORDS);
+
+	g_ptr_array_sort(p->words, by_weight);
 	for (i = 0; i < n; i++)
-		out[i] = *(const struct poison_word *)g_ptr_array_index(all, i);
-	g_ptr_array_free(all, TRUE);
+		out[i] =
+		    *(const struct poison_word *)g_ptr_array_index(p->words, i);
 	return n;
 }
 
@@ -298,35 +316,34 @@
 }
 
 /* An answer is remembered as long as an end, so that no old word undoes it. */
-static gboolean
-is_over(gpointer key, gpointer value, gpointer ctx)
+static bool
+is_over(const struct poison_word *w, int64_t now)
 {
-	const struct poison_word *w = value;
-	const int64_t *now = ctx;
-
-	(void)key;
-	return judge(w, *now) == POISON_NONE &&
-	    *now - MAX(w->ended, w->cleared) >= POISON_SUSPECT_NS;
+	return judge(w, now) == POISON_NONE &&
+	    now - MAX(w->ended, w->cleared) >= POISON_HOLD_NS;
 }
 
 void
 poison_tick(struct poison *p)
 {
 	int64_t now = clk_ns(p->clk);
+	guint i;
 
-	g_hash_table_foreach_remove(p->words, is_over, &now);
+	for (i = p->words->len; i-- > 0;)
+		if (is_over(g_ptr_array_index(p->words, i), now))
+			g_ptr_array_remove_index_fast(p->words, i);
 }
 
 unsigned
 poison_proved(const struct poison *p)
 {
-	int64_t now = clk_ns(p->clk);
-	GHashTableIter it;
-	gpointer value;
+	const struct poison_word *w;
 	unsigned n = 0;
+	guint i;
 
-	g_hash_table_iter_init(&it, p->words);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		n += judge(value, now) == POISON_PROVED;
+	for (i = 0; i < p->words->len; i++) {
+		w = g_ptr_array_index(p->words, i);
+		n += poison_look(p, w->print) == POISON_PROVED;
+	}
 	return n;
 }
--- a/poison.h
+++ b/poison.h
@@ -21,10 +21,13 @@
  * Requests that end the backend servers which run them, by their fingerprints.
  *
  * A request that was at a backend server when it ended is a suspect, as all
- * are that ran beside it.  A suspect is sent again by itself only: such a try
- * is a trial, and what ends in it was not ended by another request.  After
- * POISON_TRIALS trials that ended so the request is proved to be poison and is
- * refused.  An answer of any backend server clears it.
+ * are that ran beside it, and so is the same request of other callers.  A
+ * suspect is sent again by itself only: such a try is a trial, and what ends
+ * in it was not ended by another request.  After POISON_TRIALS trials of one
+ * caller that ended so the request is proved to be poison for that caller, and
+ * after trials of POISON_CALLERS callers for all: backend servers do not see
+ * from where it comes.  An answer of a backend server clears it for the caller
+ * who got it, so that nobody is refused for what others' requests do.
  *
  * What one box learns the others take as words; these may come in any order,
  * and more than once.  No I/O is done here.
@@ -36,18 +39,17 @@
 	 * chance, as backend servers end for reasons of their own too.
 	 */
 	POISON_TRIALS = 2,
-	/* Fingerprints that a box remembers: 64 bytes each, and a hash table's.
-	 */
+	POISON_CALLERS = 2,
+	/* Words that a box remembers: 72 bytes each, looked through in turn. */
 	POISON_MAX = 256,
-	/* Of these, how many a message carries: 60 bytes each. */
+	/* Of these, how many a message carries: 70 bytes each. */
 	POISON_WORDS = 32
 };
 
-/* Nobody is a suspect for longer after the last end. */
-#define POISON_SUSPECT_NS (60 * NS_S)
 /*
- * Poison is refused for so long; then one more trial decides, as the backend
- * servers' software may have been mended.  So a caller that does not give up
+ * How long after the last end poison is refused, and a suspect is one.  After
+ * that one more trial of what was tried before decides, as the backend servers'
+ * software may have been mended.  So a request whose callers do not give up
  * costs a backend server each ten minutes.
  */
 #define POISON_HOLD_NS (600 * NS_S)
@@ -60,7 +62,7 @@
 	/* Numbers of the trials that ended so; 0: none. */
 	uint64_t trials[POISON_TRIALS];
 	int64_t ended; /* the last end; monotonic ns of whoever holds this */
-	int64_t cleared; /* the last answer after one; 0: none */
+	int64_t cleared; /* the last answer; 0: none */
 };
 
 /* What is thought of a request has changed. */
@@ -86,7 +88,7 @@
 /* A box that passed it on takes it for a suspect. */
 void poison_accuse(struct poison *, struct fprint);
 
-/* A backend server answered it. */
+/* A backend server answered it, below 500. */
 void poison_served(struct poison *, struct fprint);
 
 /* Take another box's word, its times in ns of our own clock. */
@@ -96,7 +98,7 @@
  * The words worth telling, at most POISON_WORDS: those with trials first, then
  * the newest.
  */
-unsigned poison_words(const struct poison *, struct poison_word *);
+unsigned poison_words(struct poison *, struct poison_word *);
 
 /* Has a trial ended, here, since this was asked last? */
 bool poison_has_news(struct poison *);
@@ -104,7 +106,7 @@
 /* Forget what is too old. */
 void poison_tick(struct poison *);
 
-/* Requests that are refused now. */
+/* Requests that are refused now, by caller. */
 unsigned poison_proved(const struct poison *);
 
 #endif
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -419,7 +419,7 @@
 	in.rank = 2;
 	in.kind = 250;
 	in.target_ms = 140;
-	in.print = {0xfeed, 0xffffffffffffffff};
+	in.print = {0xfeed, 0xffffffffffffffff, 0xcafe};
 	in.suspect = true;
 	in.hall = STR_LIT("north");
 	in.regions = STR_LIT("here,there");
@@ -449,6 +449,8 @@
 		 "1 0 1 0 1 1 3 2 250 140 feed beef - till",
 		 "1 0 1 0 1 1 3 2 250 140 feed beef north - ",
 		 "1 0 1 0 1 1 3 2 250 140 feed beef 1 - till",
+		 "1 0 1 0 1 1 3 2 250 140 feed beef cafe 1 - till",
+		 "1 0 1 0 1 1 3 2 250 140 feed beef cafe 1 north - ",
 		 "1 0 1 0 1 1 3 2 250 140 feed beef 1 north - "})
 		EXPECT_FALSE(gate_pass_read(str_c(bad), &out)) << bad;
 }
--- a/regress/test_poison.cpp
+++ b/regress/test_poison.cpp
@@ -68,7 +68,7 @@
 	}
 };
 
-constexpr struct fprint BAD = {1, 2}, OTHER = {3, 4};
+constexpr struct fprint BAD = {1, 2, 5}, OTHER = {3, 4, 5};
 
 /*
  * A dispatcher with backend servers that end under some requests, in virtual
@@ -307,21 +307,68 @@
 	poison_ended(m.p, OTHER, false);
 	poison_ended(m.p, BAD, true);
 	poison_ended(m.p, BAD, true);
-	now += POISON_SUSPECT_NS;
-	EXPECT_EQ(POISON_NONE, poison_look(m.p, OTHER));
+	now += POISON_HOLD_NS - 1;
+	EXPECT_EQ(POISON_SUSPECT, poison_look(m.p, OTHER));
 	EXPECT_EQ(POISON_PROVED, poison_look(m.p, BAD));
-	now += POISON_HOLD_NS - POISON_SUSPECT_NS;
+	now++;
 	poison_tick(m.p);
+	EXPECT_EQ(POISON_NONE, poison_look(m.p, OTHER));
 	EXPECT_EQ(POISON_SUSPECT, poison_look(m.p, BAD));
 	poison_ended(m.p, BAD, true);
 	EXPECT_EQ(POISON_PROVED, poison_look(m.p, BAD));
-	now += POISON_HOLD_NS + POISON_SUSPECT_NS;
+	now += 2 * POISON_HOLD_NS;
 	EXPECT_EQ(POISON_NONE, poison_look(m.p, BAD));
 	poison_tick(m.p);
 	struct poison_word words[POISON_WORDS];
 	EXPECT_EQ(0u, poison_words(m.p, words));
 }
 
+/* Backend servers do not see who sends it: two callers' trials will do. */
+TEST(Poison, TrialsOfTwoCallersProveItForAll)
+{
+	int64_t now = NS_S;
+	Memory m(&now, 1);
+	const struct fprint second = {1, 2, 6}, third = {1, 2, 7};
+
+	poison_ended(m.p, BAD, false);
+	EXPECT_EQ(POISON_SUSPECT, poison_look(m.p, second));
+	poison_ended(m.p, BAD, true);
+	poison_ended(m.p, BAD, true);
+	EXPECT_EQ(POISON_PROVED, poison_look(m.p, BAD));
+	EXPECT_EQ(POISON_SUSPECT, poison_look(m.p, second));
+	poison_ended(m.p, second, true);
+	EXPECT_EQ(POISON_PROVED, poison_look(m.p, second));
+	EXPECT_EQ(POISON_PROVED, poison_look(m.p, third));
+	EXPECT_EQ(now + POISON_HOLD_NS, poison_until(m.p, third));
+}
+
+/* What others' requests do is not held against who gets answers to the same. */
+TEST(Poison, WhoWasServedIsNotRefusedForOthers)
+{
+	int64_t now = NS_S;
+	Memory m(&now, 1), other(&now, 2);
+	const struct fprint served = {1, 2, 6};
+
+	poison_ended(m.p, BAD, true);
+	now += NS_S;
+	poison_served(m.p, served);
+	EXPECT_EQ(POISON_NONE, poison_look(m.p, served));
+	EXPECT_EQ(POISON_SUSPECT, poison_look(m.p, BAD));
+	now += NS_S;
+	poison_ended(m.p, BAD, true);
+	EXPECT_EQ(POISON_PROVED, poison_look(m.p, BAD));
+	/* After an end it has to run by itself once more, and is not refused.
+	 */
+	now += NS_S;
+	EXPECT_EQ(POISON_SUSPECT, poison_look(m.p, served));
+	poison_served(m.p, served);
+	EXPECT_EQ(POISON_NONE, poison_look(m.p, served));
+	/* Another box is told of both. */
+	m.tell(&other);
+	EXPECT_EQ(POISON_NONE, poison_look(other.p, served));
+	EXPECT_EQ(POISON_PROVED, poison_look(other.p, BAD));
+}
+
 /* Each order, and each word twice: the verdict is the same. */
 TEST(Poison, WordsMayComeInAnyOrder)
 {
@@ -374,7 +421,7 @@
 	Memory a(&now, 1), b(&now, 2);
 
 	poison_ended(a.p, BAD, false);
-	for (int i = 0; i < 150; i++) {
+	for (int i = 0; i < 1210; i++) {
 		a.tell(&b, 5 * NS_MS);
 		b.tell(&a, 5 * NS_MS);
 		now += 500 * NS_MS;
@@ -394,11 +441,11 @@
 	poison_ended(m.p, BAD, true);
 	for (uint64_t i = 10; i < 10000; i++) {
 		now += NS_MS;
-		poison_ended(m.p, {i, i}, false);
+		poison_ended(m.p, {i, i, 0}, false);
 	}
 	EXPECT_EQ(POISON_PROVED, poison_look(m.p, BAD));
-	EXPECT_EQ(POISON_SUSPECT, poison_look(m.p, {9999, 9999}));
-	EXPECT_EQ(POISON_NONE, poison_look(m.p, {10, 10}));
+	EXPECT_EQ(POISON_SUSPECT, poison_look(m.p, {9999, 9999, 0}));
+	EXPECT_EQ(POISON_NONE, poison_look(m.p, {10, 10, 0}));
 	EXPECT_EQ(
 	    static_cast<unsigned>(POISON_WORDS), poison_words(m.p, words));
 	EXPECT_TRUE(fprint_eq(BAD, words[0].print));
@@ -455,6 +502,20 @@
 	EXPECT_EQ(3, w.ends[BAD.lo]);
 }
 
+/* Each copy comes from another caller. */
+TEST(Trial, ThreeEndsAreEnoughWhoeverSendsIt)
+{
+	Servers w(7);
+
+	w.poison = {BAD.lo};
+	w.run(NS_S);
+	for (uint64_t caller = 1; caller <= 10; caller++) {
+		w.send({BAD.hi, BAD.lo, caller});
+		w.run(300 * NS_MS);
+	}
+	EXPECT_EQ(3, w.ends[BAD.lo]);
+}
+
 /* Copies that come at once do not end a backend server each. */
 TEST(Trial, OfManyCopiesOneIsTriedAtATime)
 {
@@ -487,10 +548,10 @@
 	for (int i = 0; i < 400; i++) {
 		if (i % 20 == 0) {
 			w.poison.insert(++next);
-			w.send({next, next});
+			w.send({next, next, 0});
 		}
 		w.send(OTHER);
-		w.send({7, static_cast<uint64_t>(10000 + i)});
+		w.send({7, static_cast<uint64_t>(10000 + i), 0});
 		w.run(25 * NS_MS);
 	}
 	w.run(2 * NS_S);
@@ -519,7 +580,7 @@
 
 	w.run(NS_S);
 	for (int i = 0; i < 18; i++)
-		w.send({1, static_cast<uint64_t>(1000 + i)});
+		w.send({1, static_cast<uint64_t>(1000 + i), 0});
 	w.run(20 * NS_MS);
 	for (int b = 0; b < 6; b++) {
 		std::string name = "b" + std::to_string(b);
@@ -531,7 +592,7 @@
 			w.finish(one, one->sends, name, DISP_CUT);
 	}
 	for (int i = 0; i < 40; i++) {
-		w.send({2, static_cast<uint64_t>(2000 + i)});
+		w.send({2, static_cast<uint64_t>(2000 + i), 0});
 		w.run(5 * NS_MS);
 	}
 	w.run(NS_S);
@@ -547,7 +608,7 @@
 	int passed = 0, tried = 0;
 
 	for (uint64_t i = 1; i <= 40; i++) {
-		struct fprint print = {i, i * 977};
+		struct fprint print = {i, i * 977, 0};
 		std::string to[2];
 		const char *halls[] = {"north", "south"};
 
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -825,7 +825,8 @@
 
 TEST(Msg, SuspectsAreReadAsTheyWereWritten)
 {
-	struct msg_suspect v[2] = {{1, 2, {3, 4}, 5, 6}, {7, 8, {0, 9}, 10, 0}};
+	struct msg_suspect v[2] = {
+	    {1, 2, 3, {4, 5}, 6, 7}, {8, 9, 10, {0, 11}, 12, 0}};
 	struct msg m = {}, out;
 
 	m.kind = MSG_SUSPECTS;
@@ -882,26 +883,33 @@
 	}
 }
 
-TEST(Fprint, IsThatOfTheSameCallerAskingForTheSame)
+TEST(Fprint, IsThatOfTheSameRequestAndTellsItsCallerApart)
 {
-	struct fprint_parts a = {STR_LIT("10.0.0.1"), STR_LIT("GET"),
-	    STR_LIT("shop.example"), STR_LIT("/look/1"), STR_LIT("body")};
+	struct fprint_parts a = {STR_LIT("10.0.0.1"), STR_LIT("me"),
+	    STR_LIT("GET"), STR_LIT("shop.example"), STR_LIT("/look/1"),
+	    STR_LIT("body")};
 	struct fprint_parts b = a;
 
 	EXPECT_TRUE(fprint_eq(fprint_of(&a), fprint_of(&b)));
 	EXPECT_FALSE(fprint_is_none(fprint_of(&a)));
 	EXPECT_TRUE(fprint_is_none({}));
 	/* Each part counts, and so does where one ends. */
-	struct str *parts[] = {&b.caller, &b.method, &b.host, &b.path, &b.body};
+	struct str *parts[] = {
+	    &b.identity, &b.method, &b.host, &b.path, &b.body};
 	for (struct str *part : parts) {
 		b = a;
 		part->n--;
-		EXPECT_FALSE(fprint_eq(fprint_of(&a), fprint_of(&b)));
+		EXPECT_FALSE(fprint_same(fprint_of(&a), fprint_of(&b)));
 	}
 	a.host = STR_LIT("ab");
 	a.path = STR_LIT("c");
 	b = a;
 	b.host = STR_LIT("a");
 	b.path = STR_LIT("bc");
+	EXPECT_FALSE(fprint_same(fprint_of(&a), fprint_of(&b)));
+	/* From elsewhere it is the same request, of another caller. */
+	b = a;
+	b.address = STR_LIT("10.0.0.2");
+	EXPECT_TRUE(fprint_same(fprint_of(&a), fprint_of(&b)));
 	EXPECT_FALSE(fprint_eq(fprint_of(&a), fprint_of(&b)));
 }
