Reproduced: boxes that all start at once know nothing of what ends servers

Cause: looking for the same cause elsewhere: what has to outlive a box is in boxes' memory. They tell one that starts, but nobody is there to tell when all of them lose power.

--- a/regress/test_crash.cpp
+++ b/regress/test_crash.cpp
@@ -269,3 +269,22 @@
 	EXPECT_GE(4u, w.platform.ends().size());
 	EXPECT_EQ(200, ask_from("127.0.0.1", w.ip, 8080, "/look/1"));
 }
+
+/* All boxes end at once, and none is left that could tell the new ones. */
+TEST(Crash, ItIsKnownWhenAllBoxesStartAnew)
+{
+	Ending w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	for (int i = 0; i < 4; i++)
+		w.ask("/look/ends");
+	EXPECT_EQ(3u, w.platform.ends().size());
+	pump(1000);
+	w.box.kill9();
+	w.box.start();
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	ASSERT_TRUE(until([&] { return w.ask("/look/1").status == 200; }));
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(503, w.ask("/look/ends").status);
+	EXPECT_EQ(3u, w.platform.ends().size());
+}
