What is proved to end servers is kept on the platform

Cause: it was in the boxes' memory only; after a loss of all boxes the request began anew. Ruled out: a kind of its own in the store, which each start would have to list (a call for each box), and a feed, which would have to be watched. Change: a box whose own trials prove something writes it into its status at once. All boxes read all statuses when they start anyway; the agent tells its gate before that serves. On platforms that keep the list of boxes themselves it is not kept.

--- a/agent_box.c
+++ b/agent_box.c
@@ -102,6 +102,7 @@
 		if (info.box.n == 0)
 			continue;
 		memb_listed(a->memb, &info);
+		agent_poison_listed(a, json_object_get(box, "poison"));
 		a->is_listed = a->is_listed || is_own_entry(a, &info);
 	}
 }
@@ -122,6 +123,7 @@
 	a->boxes_fails = 0;
 	a->boxes_wanted = false;
 	take_boxes(a, body);
+	agent_poison_tell(a);
 	agent_peer_listed(a);
 }
 
@@ -133,7 +135,7 @@
 static bool
 wants_status(struct agent *a)
 {
-	return a->set.status_by == STATUS_BY_ALL ||
+	return a->set.status_by == STATUS_BY_ALL || a->poison_unsaved ||
 	    (!a->is_listed && gossip_is_hub(a->gossip));
 }
 
@@ -160,7 +162,10 @@
 	    (int64_t)memb_count_alive(a->memb) * NS_S / STATUS_FLEET_RATE;
 	int64_t at = now + rnd_jitter(a->rnd, STATUS_SOON_NS + spread);
 
-	if (a->status_at != 0)
+	/* What ends backend servers is rare, and must outlive us. */
+	if (a->poison_unsaved)
+		at = now;
+	else if (a->status_at != 0)
 		at = MAX(at, a->status_at + a->set.status_ms * NS_MS);
 	a->status_told = conf_digest(a->conf);
 	if (a->status_call != NULL ||
@@ -201,14 +206,15 @@
 	snprintf(
 	    gate, sizeof(gate), "%016llx", (unsigned long long)a->gate_digest);
 	return json_pack(
-	    "{s:s%, s:s%, s:s%, s:I, s:I, s:I, s:s, s:s, s:b, s:b, s:i, s:o}",
+	    "{s:s%, s:s%, s:s%, s:I, s:I, s:I, s:s, s:s, s:b, s:b, "
+	    "s:i, s:o, s:o*}",
 	    "box", a->set.box.p, a->set.box.n, "hall", a->set.hall.p,
 	    a->set.hall.n, "inbox", a->set.inbox.p, a->set.inbox.n, "power",
 	    (json_int_t)memb_self(a->memb)->power, "newest", (json_int_t)newest,
 	    "floor", (json_int_t)conf_floor(a->conf), "digest", digest,
 	    "gate_digest", gate, "gate_ready", (int)a->gate_ready, "leaving",
 	    (int)a->leaving, "objects", (int)conf_count(a->conf), "rejected",
-	    rejected);
+	    rejected, "poison", agent_poison_spec(a));
 }
 
 /* A number that is equal where two statuses tell the same. */
@@ -253,6 +259,8 @@
 	json_decref(value);
 	if (a->status_call == NULL)
 		agent_box_status_soon(a);
+	else
+		a->poison_unsaved = false;
 }
 
 /* A lost race for our own status is against an earlier start of ours. */
@@ -281,6 +289,7 @@
 			return;
 		}
 	} else {
+		a->poison_unsaved = poison_proved(a->poison) > 0;
 		in = STATUS_PATIENCE * agent_backoff(a, a->status_fails++);
 	}
 	tmr_set(
--- a/agent_open.c
+++ b/agent_open.c
@@ -233,6 +233,7 @@
 	agent_probe_open(a);
 	agent_watch_open(a);
 	agent_scope_open(a);
+	agent_poison_open(a);
 	agent_peer_open(a);
 	return true;
 }
--- a/agent_peer.c
+++ b/agent_peer.c
@@ -286,6 +286,9 @@
 	case MSG_BEAT:
 		take_beat(a, m);
 		break;
+	case MSG_SUSPECTS:
+		agent_poison_take(a, &m->u.suspects);
+		break;
 	case MSG_GATE:
 		agent_gate_take(a, m);
 		break;
--- a/gate_poison.c
+++ b/gate_poison.c
@@ -9,75 +9,40 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include "libgate.h"
+#include "poison_msg.h"
 #include "slog.h"
 
 /*
  * Gates tell one another of requests that end backend servers.  A trial that
  * ended so is told to all hubs at once, as any of them may be home and have
- * the next copy.  All else goes by turns, a list to one hub of all at random:
- * from n hubs each hears of it within a second or two, whoever restarts.
+ * the next copy, and to our agent, which keeps what is proved.  All else goes
+ * by turns, a list to one hub of all at random: from n hubs each hears of it
+ * within a second or two, whoever restarts.
  *
  * A list has POISON_WORDS at most, 2 KB, so that a hub sends 4 KB a second at
  * worst, and nothing where nobody is suspected.
  */
 #define TURN_NS (500 * NS_MS)
 
-/* Times go out as ages in ms; 0 stands for a time that there is not. */
-static int64_t
-ns_ago(int64_t now, uint64_t ms)
-{
-	return ms == 0
-	    ? 0
-	    : now - (int64_t)MIN(ms, (uint64_t)(now / NS_MS)) * NS_MS;
-}
-
-static uint64_t
-ms_ago(int64_t now, int64_t at)
-{
-	return at == 0 ? 0 : (uint64_t)((now - at) / NS_MS + 1);
-}
-
-static void
-write_suspect(struct msg_suspect *out, const struct poison_word *w, int64_t now)
-{
-	out->print_hi = w->print.hi;
-	out->print_lo = w->print.lo;
-	out->print_caller = w->print.caller;
-	memcpy(out->trials, w->trials, sizeof(out->trials));
-	out->ended_ms = ms_ago(now, w->ended);
-	out->cleared_ms = ms_ago(now, w->cleared);
-}
-
-static void
-read_suspect(struct poison_word *out, const struct msg_suspect *in, int64_t now)
-{
-	*out = (struct poison_word){
-	    .print = {in->print_hi, in->print_lo, in->print_caller},
-	    .ended = ns_ago(now, in->ended_ms),
-	    .cleared = ns_ago(now, in->cleared_ms)};
-	memcpy(out->trials, in->trials, sizeof(out->trials));
-}
-
-/* Send what we know to one gate, or to all that are listed. */
+/* Send what we know to one gate, or to all that are listed and our agent. */
 static void
 tell(struct gate *g, const struct gate_peer *to)
 {
-	struct poison_word words[POISON_WORDS];
 	struct msg_suspect items[POISON_WORDS];
 	struct msg m = {.kind = MSG_SUSPECTS};
-	unsigned i, n = poison_words(g->poison, words);
+	unsigned i, n = poison_msg_write(g->poison, clk_ns(g->clk), items);
 	const struct gate_peer *p;
 
 	if (n == 0)
 		return;
-	for (i = 0; i < n; i++)
-		write_suspect(&items[i], &words[i], clk_ns(g->clk));
 	m.u.suspects.suspects = (struct msg_list){items, n};
 	for (i = 0; i < g->peers->len; i++) {
 		p = g_ptr_array_index(g->peers, i);
 		if (p->listed && (to == NULL || to == p))
 			wire_send(g->wire, p->info.gate_inbox, &m);
 	}
+	if (to == NULL)
+		wire_send(g->wire, g->set.agent, &m);
 }
 
 static void
@@ -121,15 +86,7 @@
 void
 gate_poison_take(struct gate *g, const struct msg_suspects *m)
 {
-	const struct msg_suspect *v = m->suspects.items;
-	int64_t now = clk_ns(g->clk);
-	struct poison_word word;
-	size_t i;
-
-	for (i = 0; i < MIN(m->suspects.n, (size_t)POISON_WORDS); i++) {
-		read_suspect(&word, &v[i], now);
-		poison_take(g->poison, &word);
-	}
+	poison_msg_take(g->poison, clk_ns(g->clk), m);
 }
 
 void
--- a/libagent.h
+++ b/libagent.h
@@ -140,6 +140,9 @@
 	uint64_t status_version;
 	uint64_t status_digest; /* of what the last status told */
 	uint64_t status_told; /* the configuration it was asked for last */
+	/* agent_poison.c */
+	struct poison *poison;
+	bool poison_unsaved; /* our status does not tell it all yet */
 	/* agent_lapse.c */
 	GHashTable *lapses; /* char * key to struct agent_lapse * */
 	/* agent_push.c */
@@ -192,6 +195,13 @@
 int64_t agent_backoff(struct agent *, int fails);
 bool agent_first_feed_asks(struct agent *);
 
+/* agent_poison.c: requests that end backend servers, kept on the platform. */
+void agent_poison_open(struct agent *);
+void agent_poison_take(struct agent *, const struct msg_suspects *);
+json_t *agent_poison_spec(struct agent *);
+void agent_poison_listed(struct agent *, const json_t *);
+void agent_poison_tell(struct agent *);
+
 /* agent_box.c: the platform's list of boxes, and the status of ours. */
 void agent_box_list(struct agent *);
 void agent_box_tick(struct agent *);
--- a/plat.h
+++ b/plat.h
@@ -100,7 +100,8 @@
  *	get		OBJECT
  *	create, update	{"version": N}
  *	conflict	{"current": OBJECT or null}
- *	boxes		{"boxes": [{"name", "hall", "inbox", "leaving"}, ...]}
+ *	boxes		{"boxes": [{"name", "hall", "inbox", "power", "leaving",
+ *			"poison"}, ...]}
  *
  * with OBJECT {"kind", "name", "version", "deleted", "spec", "change"}.
  */
