--- a/disp_trial.c
+++ b/disp_trial.c
@@ -338,17 +338,32 @@
 }
 
 /*
- * A try has ended, and the backend server may have ended with it: one whose
- * connection broke, or that answers nothing while the request was there.  A
- * question tells; requests that may be tried again wait for its answer, which
- * takes a millisecond.
+ * May the backend server have ended with a try?  Its connection broke, or no
+ * sign of life came while the request was there, as where a machine loses its
+ * power.
+ */
+static bool
+may_have_ended(const struct disp_req *r, const struct pick_backend *b,
+    enum disp_outcome outcome)
+{
+	if (outcome == DISP_CUT)
+		return true;
+	if (outcome == DISP_GONE)
+		return pick_is_silent(b);
+	return (outcome == DISP_LATE || outcome == DISP_SLOW) &&
+	    b->heard_at <= r->sent;
+}
+
+/*
+ * A try has ended.  Where the backend server may have ended with it, a question
+ * tells; a request that may be tried again waits for its answer, which takes a
+ * millisecond.
  */
 void
 disp_trial_ended(struct disp *d, struct disp_req *r, struct pick_backend *b,
     enum disp_outcome outcome)
 {
 	struct disp_doubt doubt = {r->print, r->trial};
-	bool cut = outcome == DISP_CUT;
 
 	if (r->trial)
 		b->alone = false;
@@ -357,11 +372,7 @@
 		return;
 	if (outcome == DISP_OK)
 		poison_served(d->params.poison, r->print);
-	cut = cut ||
-	    (pick_is_silent(b) &&
-		(outcome == DISP_LATE || outcome == DISP_SLOW ||
-		    outcome == DISP_GONE));
-	if (!cut || d->ops.peek == NULL)
+	if (!may_have_ended(r, b, outcome) || d->ops.peek == NULL)
 		return;
 	if (b->doubts == NULL)
 		b->doubts = g_array_new(FALSE, FALSE, sizeof(doubt));
--- a/regress/test_crash.cpp
+++ b/regress/test_crash.cpp
@@ -34,6 +34,9 @@
 {
 
 constexpr int SERVERS = 6;
+/* As on large fleets: a box tells of itself once, and when it has to. */
+const char *const statuses = "status_by = \"hubs\"\nstatus_ms = 3600000\n"
+			     "boxes_ms = 60000\n";
 /* Within it all boxes know what one of them has learned. */
 constexpr int64_t CONTACT_NS = 3 * NS_S;
 
@@ -46,7 +49,8 @@
 	size_t sent = 0;
 
 	/* Every other backend server stands in the hall `second`. */
-	explicit Ending(const std::string &second = "north") : World(false)
+	explicit Ending(const std::string &second = "north")
+	    : World(false, "", "", statuses)
 	{
 		for (int i = 4; i < SERVERS; i++)
 			platform.start_backend("i-" + std::to_string(i), "till",
@@ -124,6 +128,7 @@
 		text = box::replaced(text, "\"@:8", "\"@:" + digit);
 		text = box::replaced(text, "\"b1\"", "\"" + name + "\"");
 		text = box::replaced(text, "\"north\"", "\"" + hall + "\"");
+		text += statuses;
 		std::ofstream(file) << box::replaced(text, "@", w.ip);
 		box.argv = {std::string(root ? root : ".") + "/fernbox", file};
 		box.log = w.dir + "/" + name + ".log";
@@ -136,6 +141,17 @@
 		unlink(file.c_str());
 	}
 
+	/* Whom it asks where the platform does not answer. */
+	void seed(const std::string &inbox) const
+	{
+		std::ifstream in(file);
+		std::string text{std::istreambuf_iterator<char>(in), {}};
+
+		in.close();
+		std::ofstream(file) << box::replaced(
+		    text, "seeds = []", "seeds = [\"" + inbox + "\"]");
+	}
+
 	Reply ask(const std::string &path) const
 	{
 		static int n;
@@ -232,6 +248,10 @@
 	}
 	ASSERT_LE(3u, w.platform.ends().size());
 	EXPECT_GE(3u, w.late_ends());
+	/* Each box knows it, wherever the trials were. */
+	EXPECT_TRUE(w.logged("it ends servers"));
+	EXPECT_NE(
+	    std::string::npos, south.box.read_log().find("it ends servers"));
 	/* The first box is lost, and a new one takes its place. */
 	size_t before = w.platform.ends().size();
 	fresh.box.start();
@@ -275,7 +295,8 @@
 {
 	Ending w;
 
-	ASSERT_TRUE(until([&] { return w.ready(); }));
+	/* It has told of itself, and does not by itself for an hour. */
+	ASSERT_TRUE(until([&] { return w.ready() && w.has("boxes", "b1"); }));
 	for (int i = 0; i < 4; i++)
 		w.ask("/look/ends");
 	EXPECT_EQ(3u, w.platform.ends().size());
@@ -288,3 +309,25 @@
 		EXPECT_EQ(503, w.ask("/look/ends").status);
 	EXPECT_EQ(3u, w.platform.ends().size());
 }
+
+/* While the platform is away boxes tell one that starts what they know. */
+TEST(Crash, ABoxThatStartsInAnOutageIsToldByOthers)
+{
+	Ending w;
+	Further fresh(w, "b3", "north", "6");
+
+	fresh.seed(w.ip + ":8480");
+	ASSERT_TRUE(until([&] { return w.ready() && w.has("boxes", "b1"); }));
+	w.platform.answer_all(503);
+	for (int i = 0; i < 4; i++)
+		w.ask("/look/ends");
+	EXPECT_EQ(3u, w.platform.ends().size());
+	fresh.box.start();
+	ASSERT_TRUE(until([&] { return fresh.serves(); }));
+	pump(CONTACT_NS / NS_MS);
+	w.box.kill9();
+	EXPECT_TRUE(until([&] { return fresh.serves(); }, 3000));
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(503, fresh.ask("/look/ends").status);
+	EXPECT_EQ(3u, w.platform.ends().size());
+}
--- a/regress/test_poison.cpp
+++ b/regress/test_poison.cpp
@@ -86,6 +86,7 @@
 	size_t trials_beside = 0; /* requests at a server with a trial */
 	/* Connections break, the servers live, and answer questions or not. */
 	bool cuts_only = false, answers = true;
+	bool dark = false; /* they end without a word */
 
 	explicit Servers(int n) : World("pace")
 	{
@@ -159,7 +160,13 @@
 		if (!cuts_only)
 			dead_until[b] = now + back;
 		for (Req *one : cut)
-			finish(one, one->sends, b, DISP_CUT);
+			if (!dark)
+				finish(one, one->sends, b, DISP_CUT);
+			else
+				in(one->d.deadline - now,
+				    [=, sends = one->sends] {
+					    finish(one, sends, b, DISP_LATE);
+				    });
 	}
 
 	void answer_questions()
@@ -516,6 +523,22 @@
 	EXPECT_EQ(3, w.ends[BAD.lo]);
 }
 
+/* It ends machines with their power: nothing is reset, all is silent. */
+TEST(Trial, ASilentEndIsOneToo)
+{
+	Servers w(7);
+
+	w.poison = {BAD.lo};
+	w.dark = true;
+	w.run(NS_S);
+	for (int i = 0; i < 12; i++) {
+		w.send(BAD);
+		w.run(NS_S);
+	}
+	EXPECT_GE(3, w.ends[BAD.lo]);
+	EXPECT_LE(8u, w.ended_as(BAD, ERR_POISON));
+}
+
 /* Copies that come at once do not end a backend server each. */
 TEST(Trial, OfManyCopiesOneIsTriedAtATime)
 {
