--- a/disp.c
+++ b/disp.c
@@ -296,7 +296,7 @@
 	if (outcome == DISP_CONNECT || outcome == DISP_CUT)
 		disp_cold_suspect(d, b, 0);
 	if (outcome == DISP_CONNECT)
-		disp_trial_settle(d, b, true);
+		disp_doubt_settle(d, b, true);
 }
 
 /*
@@ -353,7 +353,7 @@
 	if (b->oldest == r->sent || b->inflight == 0)
 		refresh_oldest(d, b);
 	judge(d, r, b, outcome);
-	disp_trial_ended(d, r, b, outcome);
+	disp_trial_done(d, r, b, outcome);
 	again = retry(d, r, outcome);
 	disp_serve(d);
 	if (b->gone)
--- a/disp_set.c
+++ b/disp_set.c
@@ -32,7 +32,7 @@
 static void
 backend_free(struct disp *d, struct pick_backend *b)
 {
-	disp_trial_settle(d, b, false);
+	disp_doubt_settle(d, b, false);
 	if (d->emptied == b)
 		d->emptied = NULL;
 	d->ops.release(d->ops.ctx, b);
@@ -225,7 +225,7 @@
 		b->silent++;
 		disp_cold_suspect(d, b, 0);
 	}
-	disp_trial_peeked(d, b, answered);
+	disp_doubt_peeked(d, b, answered);
 	disp_cold_ask(d, clk_ns(d->clk));
 	if (d->params.policy->paced)
 		disp_move(d, clk_ns(d->clk));
--- a/libdisp.h
+++ b/libdisp.h
@@ -157,9 +157,14 @@
 bool disp_trial_holds(const struct disp *, const struct disp_req *);
 bool disp_trial_takes(struct disp *, struct disp_req *);
 void disp_trial_serve(struct disp *);
-void disp_trial_ended(
+void disp_trial_done(
     struct disp *, struct disp_req *, struct pick_backend *, enum disp_outcome);
-void disp_trial_peeked(struct disp *, struct pick_backend *, bool answered);
-void disp_trial_settle(struct disp *, struct pick_backend *, bool ended);
+
+/* disp_doubt.c: backend servers that may have ended with what was there. */
+void disp_doubt_done(
+    struct disp *, struct disp_req *, struct pick_backend *, enum disp_outcome);
+void disp_doubt_peeked(struct disp *, struct pick_backend *, bool answered);
+void disp_doubt_settle(struct disp *, struct pick_backend *, bool ended);
+bool disp_doubt_waits(const struct pick_backend *, struct fprint);
 
 #endif
--- a/poison.h
+++ b/poison.h
@@ -40,7 +40,7 @@
 	 */
 	POISON_TRIALS = 2,
 	POISON_CALLERS = 2,
-	/* Words that a box remembers: 72 bytes each, looked through in turn. */
+	/* Words that a box remembers: 56 bytes each, looked through in turn. */
 	POISON_MAX = 256,
 	/* Of these, how many a message carries: 70 bytes each. */
 	POISON_WORDS = 32
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -839,6 +839,19 @@
 	msg_done(&out);
 }
 
+/* Two of the largest a second are what a hub may send of them. */
+TEST(Msg, SuspectsAreFewBytes)
+{
+	struct msg_suspect v[POISON_WORDS];
+	struct msg m = {};
+
+	memset(v, 0xff, sizeof(v));
+	m.kind = MSG_SUSPECTS;
+	m.from = STR_LIT("10.128.100.100:7200");
+	m.u.suspects.suspects = {v, POISON_WORDS};
+	EXPECT_GE(2200u, encode(&m).size());
+}
+
 TEST(Fuzz, MessagesSelectorsDocumentsAndObjects)
 {
 	std::mt19937 rng(4);
