Reproduced: a suspended box takes the time for not passed

Cause: clk.c reads CLOCK_MONOTONIC, which does not count suspensions. What rests on age (words of backend servers, members, homes, deadlines) looks as fresh after one as before.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 STANDINS = regress/standin_platform regress/standin_backend \
 	regress/standin_proxy
 UNIT_TESTS = regress/test_gossip regress/test_load regress/test_wire regress/test_hsrv regress/test_policy regress/test_units regress/test_conf regress/test_disp regress/test_paced \
-	regress/test_platform regress/test_poison regress/test_up
+	regress/test_platform regress/test_poison regress/test_suspend regress/test_up
 FLEET_TESTS = regress/test_path regress/test_config regress/test_promises \
 	regress/test_box regress/test_cold regress/test_evacuation \
 	regress/test_region regress/test_crash
