Reproduced: entries of another writer are taken for backend servers

Cause: an entry with an unknown state, or without slots, is read as one that is ready with three; and a good entry that turns bad stays in force, as objects of operators do.

--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -138,6 +138,70 @@
 	EXPECT_EQ(1u, w.ran(0, 1));
 }
 
+namespace
+{
+
+/* An entry of i-2, which is no backend server of this service. */
+std::string
+foreign(const World &w, const std::string &what, const std::string &with)
+{
+	std::string entry = "{\"service\":\"till\",\"addr\":\"" + w.ip +
+	    ":9102\",\"zone\":\"north\",\"version\":\"v1\",\"slots\":3,"
+	    "\"state\":\"ready\",\"seq\":4}";
+
+	return replaced(entry, what, with);
+}
+
+} // namespace
+
+/*
+ * Others may write there too: fields are missing or of another type, or a
+ * state is none that is known.  Such an entry names no backend server, and all
+ * other entries hold, on pages after it as well.
+ */
+TEST(Box, AnEntryOfAnotherWriterNamesNoBackendServer)
+{
+	World w(false);
+	const std::string bad[] = {"{}", "[]", "7", "\"text\"", "null",
+	    foreign(w, "\"ready\"", "\"resting\""),
+	    foreign(w, "\"ready\"", "true"), foreign(w, "\"state\"", "\"s\""),
+	    foreign(w, "\"slots\":3", "\"slots\":\"3\""),
+	    foreign(w, "\"slots\":3", "\"slots\":-1"),
+	    foreign(w, "\"slots\":3,", ""), foreign(w, "\"addr\"", "\"a\""),
+	    foreign(w, w.ip + ":9102", "nowhere"),
+	    foreign(w, "\"zone\":\"north\"", "\"zone\":5"),
+	    foreign(w, "\"service\":\"till\"", "\"service\":[\"till\"]")};
+	int n = 0;
+
+	/* Before, between and after the good ones, by their names. */
+	for (const std::string &spec : bad)
+		for (const char *name : {"a-", "i-1x", "z-"})
+			w.platform.put(
+			    "servers", name + std::to_string(n++), spec);
+	w.configure("till");
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	for (int i = 0; i < 40; i++)
+		EXPECT_EQ(200, w.ask("/look/1").status);
+	EXPECT_EQ(40u, w.ran(0, 1));
+	EXPECT_LT(0u, w.ran(0, 0));
+	EXPECT_LT(0u, w.ran(1, 1));
+	/* One that was good ends like one that went; changes go on after it. */
+	w.platform.put(
+	    "servers", "i-0", foreign(w, "\"ready\"", "\"resting\""));
+	ASSERT_TRUE(until(
+	    [&] { return w.logged("deletion is in force\" key=backend/i-0"); },
+	    3000));
+	size_t before = w.ran(0, 0);
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(200, w.ask("/look/1").status);
+	EXPECT_EQ(before, w.ran(0, 0));
+	w.enter(0, "ready");
+	EXPECT_TRUE(until([&] {
+		w.ask("/look/1");
+		return w.ran(0, 0) > before;
+	}));
+}
+
 TEST(Box, AnAddressThatBelongsToAnotherIsLeft)
 {
 	World w;
