--- a/agent_watch.c
+++ b/agent_watch.c
@@ -292,7 +292,10 @@
 		got = conf_offer(a->conf, str_c(key), version, deleted, spec,
 		    STR_LIT("platform"), &err);
 	if (got == CONF_REJECTED)
-		slog(SLOG_CONF, "object is rejected, the last good one stays",
+		slog(SLOG_CONF,
+		    strcmp(kind, obj_kind_name(OBJ_BACKEND)) == 0
+			? "object is rejected, it ends"
+			: "object is rejected, the last good one stays",
 		    "key=%s version=%llu why=%s", key,
 		    (unsigned long long)version,
 		    slog_quote(why_rejected(a, key, err)));
--- a/conf.c
+++ b/conf.c
@@ -293,6 +293,19 @@
 	return newer ? CONF_REJECTED : CONF_OLDER;
 }
 
+/*
+ * An entry of a backend server that cannot be read says nothing of it any more:
+ * it ends like one that went, as requests would go to what was there before.
+ */
+static enum conf_result
+offer_end(struct conf *c, struct conf_entry *e, uint64_t version,
+    struct str source, GError *why, GError **err)
+{
+	enforce(c, e, version, true, NULL, NULL, source);
+	g_propagate_error(err, why);
+	return CONF_REJECTED;
+}
+
 enum conf_result
 conf_offer(struct conf *c, struct str key, uint64_t version, bool deleted,
     json_t *spec, struct str source, GError **err)
@@ -320,6 +333,8 @@
 		return CONF_REJECTED;
 	if (!deleted) {
 		obj = obj_read(e->kind, e->name, spec, NULL, &why);
+		if (obj == NULL && e->kind == OBJ_BACKEND)
+			return offer_end(c, e, version, source, why, err);
 		if (obj == NULL)
 			return offer_bad(c, e, version, spec, why);
 	}
--- a/plat.c
+++ b/plat.c
@@ -43,3 +43,17 @@
 			return forms[i];
 	return NULL;
 }
+
+json_t *
+plat_parse(struct str text)
+{
+	json_t *body = json_loadb(text.p, text.n, JSON_ALLOW_NUL, NULL);
+	char *valid;
+
+	if (body != NULL)
+		return body;
+	valid = g_utf8_make_valid(text.p, (gssize)text.n);
+	body = json_loadb(valid, strlen(valid), JSON_ALLOW_NUL, NULL);
+	g_free(valid);
+	return body;
+}
--- a/plat.h
+++ b/plat.h
@@ -118,6 +118,13 @@
 	    json_t *body, char **after);
 };
 
+/*
+ * Read an answer's body; NULL if it is no JSON.  Bytes that are no text are
+ * replaced by a sign for that: they stand in one object, and a list is read
+ * whole or not at all.  Strings may hold a NUL.
+ */
+json_t *plat_parse(struct str);
+
 /* What the platform bounds us by; zero where it does not say. */
 struct plat_bounds {
 	double retry_ratio; /* tries beyond the first, as a share of requests */
--- a/plat_http.c
+++ b/plat_http.c
@@ -252,7 +252,7 @@
 
 	take(c, up);
 	c->up = NULL;
-	body = json_loadb(c->answer->str, c->answer->len, 0, NULL);
+	body = plat_parse(str_n(c->answer->str, c->answer->len));
 	if (body != NULL)
 		page = codec->decode(&c->rq, result, body, &after);
 	json_decref(body);
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -149,7 +149,7 @@
 		store(kind, name,
 		    json_pack("{s:{s:s}, s:o}", "metadata", "name",
 			name.c_str(), "spec",
-			json_loads(spec.c_str(), 0, nullptr)),
+			json_loads(spec.c_str(), JSON_DECODE_ANY, nullptr)),
 		    false);
 	});
 }
