--- a/disp.h
+++ b/disp.h
@@ -133,6 +133,7 @@
 	bool drain;
 	bool evacuated; /* its hall is to get nothing new */
 	int64_t warm_ns; /* it is cold for so long after its start */
+	int64_t born_ms; /* its start, ms since 1970; 0: unsaid */
 };
 
 /*
--- a/regress/test_disp.cpp
+++ b/regress/test_disp.cpp
@@ -167,6 +167,39 @@
 			w.done(&q, DISP_GONE);
 }
 
+/* It holds and knows nothing of what was before, whatever that was. */
+TEST(Disp, ANewLifeUnderAnOldNameStartsAnew)
+{
+	World w;
+	struct disp_backend one = {
+	    STR_LIT("b0"), STR_LIT("127.0.0.1:1"), 3, false, false, 0, 1000};
+	Req first, second;
+
+	disp_backends(w.disp, &one, 1);
+	w.warm(1);
+	w.arrive(&first);
+	ASSERT_NE(nullptr, first.d.at);
+	EXPECT_EQ(2, disp_room_of(w.disp).free);
+	/* The same word again changes nothing, a later start all. */
+	disp_backends(w.disp, &one, 1);
+	EXPECT_EQ(2, disp_room_of(w.disp).free);
+	one.born_ms = 2000;
+	disp_backends(w.disp, &one, 1);
+	EXPECT_EQ(1, disp_room_of(w.disp).free); /* it is cold */
+	w.arrive(&second);
+	ASSERT_NE(nullptr, second.d.at);
+	EXPECT_NE(first.d.at, second.d.at);
+	EXPECT_EQ(1, second.d.at->inflight);
+	/* What ends in the earlier life speaks against that one only. */
+	w.done(&first, DISP_CUT);
+	EXPECT_EQ(0, second.d.at->bad_row);
+	w.done(&second, DISP_OK);
+	if (first.d.at != nullptr)
+		w.done(&first, DISP_OK);
+	else if (first.d.held)
+		disp_forget(w.disp, &first.d);
+}
+
 TEST(Disp, WhatMustNotRepeatIsNotSentTwice)
 {
 	for (enum disp_outcome o : {DISP_FAILED, DISP_CUT, DISP_LATE}) {
