A backend server that starts again under its name is a new one

Cause: name and address told backend servers apart, and both may stay when one starts again; slots in use, pace, limits, ejections and doubts of the earlier life went on. Ruled out: its counts, which start anew as well, but may have got as far again before anybody looks. Change: the time of its start, where it tells one; another time is another backend server, and what still runs in the earlier life is its own. Not done of that issue: the log does not say "started again", and no test by the real program; answers to questions are told apart by name only.

--- a/disp_set.c
+++ b/disp_set.c
@@ -66,15 +66,26 @@
 }
 
 /*
- * A backend server with another address is another backend server.  Known
- * ones have served before we learned of them, and are warm.
+ * Has it another address, or started anew under its name?  Then it holds
+ * nothing of what was there, and none of what we know of it holds.
+ */
+static bool
+is_another(const struct pick_backend *b, const struct disp_backend *conf)
+{
+	return !str_eq(b->address, conf->address) ||
+	    (b->born_ms != 0 && conf->born_ms != 0 &&
+		b->born_ms != conf->born_ms);
+}
+
+/*
+ * Known ones have served before we learned of them, and are warm.
  */
 static void
 update(struct disp *d, const struct disp_backend *conf, bool known)
 {
 	struct pick_backend *b = find(d, conf->name);
 
-	if (b != NULL && !str_eq(b->address, conf->address)) {
+	if (b != NULL && is_another(b, conf)) {
 		b->gone = true;
 		b = NULL;
 	}
@@ -91,6 +102,7 @@
 		g_ptr_array_add(d->backends, b);
 	}
 	b->slots = conf->slots;
+	b->born_ms = conf->born_ms;
 	if (b->evacuated && !conf->evacuated)
 		disp_cold_suspect(d, b, conf->warm_ns);
 	pick_evacuate(b, d->params.chart, conf->evacuated);
--- a/obj.c
+++ b/obj.c
@@ -67,6 +67,11 @@
 	.offset = B(warm_ms),
 	.min = 0,
 	.max = DEADLINE_MAX_MS},
+    {.name = "born_ms",
+	.type = FIELD_INT,
+	.offset = B(born_ms),
+	.min = 0,
+	.max = INT64_MAX},
     {.name = "labels", .type = FIELD_LABELS, .offset = B(labels)},
 };
 
--- a/obj.h
+++ b/obj.h
@@ -51,6 +51,7 @@
 	int64_t connections;
 	bool drain;
 	int64_t warm_ms; /* it is slow for so long after its start */
+	int64_t born_ms; /* its start, ms since 1970; 0: unsaid */
 	json_t *labels; /* with "hall" and "name" added */
 };
 
--- a/pick.h
+++ b/pick.h
@@ -55,6 +55,7 @@
 	struct str name;
 	struct str address;
 	int slots;
+	int64_t born_ms; /* its start, ms since 1970; 0: unsaid */
 	int limit; /* of requests at once, as learned; 0: all slots */
 	const struct conc *conc; /* how others slow it; NULL: not known */
 	struct cold cold;
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -254,12 +254,13 @@
 {
 	Json ready{std::string(R"({"service":"till","addr":"10.1.0.9:80",
 	    "zone":"north","version":"v2","slots":5,"state":"ready",
-	    "slowStart_time":"3s","seq":4})")};
+	    "slowStart_time":"3s","seq":4,"born":1700000000123})")};
 	Json leaving{std::string(R"({"service":"till","addr":"10.1.0.9:80",
 	    "zone":"north","slots":5,"state":"draining"})")};
 	Json a(pf_backend(ready.v)), b(pf_backend(leaving.v));
 
-	EXPECT_EQ(R"({"address":"10.1.0.9:80","drain":false,"hall":"north",)"
+	EXPECT_EQ(R"({"address":"10.1.0.9:80","born_ms":1700000000123,)"
+		  R"("drain":false,"hall":"north",)"
 		  R"("labels":{"service":"till","version":"v2"},"slots":5,)"
 		  R"("warm_ms":3000})",
 	    a.text());
--- a/route.c
+++ b/route.c
@@ -184,7 +184,8 @@
 		    .slots = (int)b->slots,
 		    .drain = b->drain,
 		    .evacuated = h->evacuated,
-		    .warm_ns = b->warm_ms * NS_MS};
+		    .warm_ns = b->warm_ms * NS_MS,
+		    .born_ms = b->born_ms};
 		if (b->drain || h->evacuated)
 			continue;
 		h->slots += (int)b->slots;
