What is proved waits for the next tick to be written

Cause: agent_poison.c called agent_box.c, which calls it. Change: it sets a flag, which the box's tick sees; no call goes back.

--- a/agent_box.c
+++ b/agent_box.c
@@ -145,7 +145,7 @@
 {
 	bool first = a->status_at == 0 && wants_status(a);
 
-	if (conf_digest(a->conf) != a->status_told ||
+	if (a->poison_unsaved || conf_digest(a->conf) != a->status_told ||
 	    (first && a->status_call == NULL && !a->status_timer.set))
 		agent_box_status_soon(a);
 }
--- a/agent_poison.c
+++ b/agent_poison.c
@@ -66,10 +66,7 @@
 {
 	poison_tick(a->poison);
 	poison_msg_take(a->poison, clk_ns(a->clk), m);
-	if (poison_proved(a->poison) == 0)
-		return;
-	a->poison_unsaved = true;
-	agent_box_status_soon(a);
+	a->poison_unsaved = a->poison_unsaved || poison_proved(a->poison) > 0;
 }
 
 static json_t *
