--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -410,8 +410,110 @@
 		hsrv_cut(req);
 		return;
 	}
-	add_header(req, "fernjunction-response-signature", b->id + "-" + id);
-	hsrv_answer(req, 200, "text/plain", STR_LIT("the answer"));
+	Objects *o = b->owner;
+	bool last = !o->ending.empty() &&
+	    text_of(hsrv_path(req)).find(o->ending) != std::string::npos;
+	work(b, req,
+	    last ? o->ends_after_ms
+		 : atoll(text_of(hsrv_query(req, "ms")).c_str()),
+	    last);
+}
+
+void
+Objects::on_work_gone(void *p)
+{
+	Work *w = *static_cast<Work **>(p);
+
+	tmr_clear(&w->backend->owner->tmr, &w->timer);
+	w->backend->works.erase(w);
+	delete w;
+}
+
+void
+Objects::work(Backend *b, h2o_req_t *req, int64_t ms, bool last)
+{
+	Work *w = new Work{req, b, last, {}};
+	Work **guard = static_cast<Work **>(
+	    h2o_mem_alloc_shared(&req->pool, sizeof(w), on_work_gone));
+
+	*guard = w;
+	b->works.insert(w);
+	if (ms <= 0)
+		on_worked(w);
+	else
+		tmr_set(&b->owner->tmr, &w->timer,
+		    clk_ns(clk_system()) + ms * NS_MS, on_worked, w);
+}
+
+void
+Objects::on_worked(void *ctx)
+{
+	Work *w = static_cast<Work *>(ctx);
+	Backend *b = w->backend;
+	std::string id =
+	    text_of(hsrv_header(w->req, "fernjunction-request-id"));
+
+	if (w->last) {
+		b->owner->end(b);
+		return;
+	}
+	add_header(w->req, "fernjunction-response-signature", b->id + "-" + id);
+	hsrv_answer(w->req, 200, "text/plain", STR_LIT("the answer"));
+}
+
+/* What runs there is cut, and so are the connections at rest. */
+void
+Objects::end(Backend *b)
+{
+	auto cut = b->works;
+
+	ended.push_back(clk_ns(clk_system()));
+	hsrv_stop(b->srv);
+	for (Work *w : cut) {
+		tmr_clear(&tmr, &w->timer);
+		hsrv_cut(w->req);
+	}
+	hsrv_close_idle(b->srv, 0);
+	tmr_set(&tmr, &b->back, clk_ns(clk_system()) + back_after_ms * NS_MS,
+	    on_back, b);
+}
+
+void
+Objects::on_back(void *ctx)
+{
+	Backend *b = static_cast<Backend *>(ctx);
+
+	b->owner->listen(b);
+}
+
+void
+Objects::ends_servers(const std::string &path, int after_ms, int back_ms)
+{
+	in_loop([&] {
+		ending = path;
+		ends_after_ms = after_ms;
+		back_after_ms = back_ms;
+	});
+}
+
+std::vector<int64_t>
+Objects::ends()
+{
+	std::vector<int64_t> all;
+
+	in_loop([&] { all = ended; });
+	return all;
+}
+
+void
+Objects::listen(Backend *b)
+{
+	GError *err = nullptr;
+
+	b->srv = hsrv_open(&loop, str_n(b->address.data(), b->address.size()),
+	    1 << 20, on_backend, b, &err);
+	if (b->srv == nullptr)
+		throw std::runtime_error(err->message);
 }
 
 void
@@ -420,16 +522,12 @@
 {
 	in_loop([&] {
 		auto b = std::make_unique<Backend>();
-		GError *err = nullptr;
 
 		b->id = id;
 		b->service = service;
 		b->address = address;
 		b->owner = this;
-		b->srv = hsrv_open(&loop, str_n(address.data(), address.size()),
-		    1 << 20, on_backend, b.get(), &err);
-		if (b->srv == nullptr)
-			throw std::runtime_error(err->message);
+		listen(b.get());
 		backends[id] = std::move(b);
 	});
 }
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -38,6 +38,7 @@
 	explicit Objects(const std::string &store);
 	~Objects();
 
+	struct Work;
 	struct Backend {
 		std::string id, service, address;
 		int pace = 100;
@@ -46,8 +47,18 @@
 		bool lose = false; /* run, and answer nothing */
 		bool hold = false; /* run, and take for ever */
 		std::vector<std::string> ran; /* request ids */
+		std::set<Work *> works; /* that it is at */
 		struct hsrv *srv = nullptr;
 		Objects *owner = nullptr;
+		struct tmr_item back = {};
+	};
+
+	/* A request that a backend server is at. */
+	struct Work {
+		h2o_req_t *req;
+		Backend *backend;
+		bool last; /* the backend server ends of it */
+		struct tmr_item timer;
 	};
 
 	void start_backend(const std::string &id, const std::string &service,
@@ -56,6 +67,14 @@
 	void hold(const std::string &id);
 	/* It is cold for so long, and says so. */
 	void chill(const std::string &id, int64_t ms);
+	/*
+	 * From now on a request with this in its path ends each backend server
+	 * that runs it, after a while: its connections break, with all that it
+	 * is at, and nothing listens until it is back.
+	 */
+	void ends_servers(const std::string &path, int after_ms, int back_ms);
+	/* When each backend server ended so far; monotonic ns. */
+	std::vector<int64_t> ends();
 	size_t ran(const std::string &id);
 	/* How often a backend server ran one request. */
 	size_t ran_times(const std::string &id, const std::string &request);
@@ -93,6 +112,13 @@
 		Objects *owner;
 	};
 
+	static void on_worked(void *);
+	static void on_work_gone(void *);
+	static void on_back(void *);
+	static void work(Backend *, h2o_req_t *, int64_t ms, bool last);
+	void listen(Backend *);
+	void end(Backend *);
+
 	static void on_store(void *, h2o_req_t *);
 	static void on_backend(void *, h2o_req_t *);
 	static void on_wake(uv_async_t *);
@@ -120,6 +146,9 @@
 	std::vector<Event> history;
 	std::set<Waiter *> waiters;
 	std::map<std::string, std::unique_ptr<Backend>> backends;
+	std::string ending; /* in the path of what ends backend servers */
+	int ends_after_ms = 0, back_after_ms = 0;
+	std::vector<int64_t> ended;
 	uint64_t rev = 1, kept = 0;
 	int status = 0;
 	bool hangs = false;
--- /dev/null
+++ b/regress/test_crash.cpp
@@ -0,0 +1,209 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <fstream>
+#include <gtest/gtest.h>
+
+#include "box.h"
+
+/*
+ * A request ended each backend server that ran it.  Its home saw a connection
+ * that broke, held that against the backend server alone and sent the request
+ * to the next one; its caller then sent it again, through any box, and each
+ * time it began anew.  So one caller took all backend servers of a service, and
+ * what ran beside the request broke off with it.  The same fingerprint in the
+ * lines of several backend servers showed it, and "connect" for all others
+ * that these had ended:
+ *
+ *	a try broke off print=3eac7d9839ae3376 why=cut backend=i-1 tries=1
+ *	a try broke off print=3eac7d9839ae3376 why=cut backend=i-2 tries=2
+ *	a try broke off print=3eac7d9839ae3376 why=cut backend=i-0 tries=1
+ *	a try broke off print=2bdae2a578f402e1 why=connect backend=i-0 tries=2
+ */
+
+namespace
+{
+
+constexpr int SERVERS = 6;
+/* Within it all boxes know what one of them has learned. */
+constexpr int64_t CONTACT_NS = 3 * NS_S;
+
+/*
+ * Six backend servers of one service, and requests that end each of them that
+ * runs such a one.  It is back after a second.
+ */
+struct Ending : box::World {
+	std::vector<Reply> others; /* answers to those that harm nothing */
+	size_t sent = 0;
+
+	/* Every other backend server stands in the hall `second`. */
+	explicit Ending(const std::string &second = "north") : World(false)
+	{
+		for (int i = 4; i < SERVERS; i++)
+			platform.start_backend("i-" + std::to_string(i), "till",
+			    ip + ":" + std::to_string(9100 + i));
+		for (int i = 0; i < SERVERS; i++)
+			place(i, i % 2 == 0 ? "north" : second);
+		configure("till");
+		platform.ends_servers("/ends", 30, 1000);
+	}
+
+	void place(int i, const std::string &hall)
+	{
+		platform.put("servers", "i-" + std::to_string(i),
+		    "{\"service\":\"till\",\"addr\":\"" + ip + ":" +
+			std::to_string(9100 + i) + "\",\"zone\":\"" + hall +
+			"\",\"slots\":3,\"state\":\"ready\"}");
+	}
+
+	/* Start some requests that harm nothing, each of its own. */
+	void start_others(int n)
+	{
+		static int id;
+
+		for (int i = 0; i < n; i++) {
+			std::string name = std::to_string(++id);
+
+			sent++;
+			http_start("GET", ip + ":8080",
+			    "/look/" + name + "?ms=60",
+			    {{"Host", "shop.example"},
+				{"fernjunction-request-id", "other" + name},
+				{"fernjunction-deadline-ms", "800"}},
+			    "", 2000,
+			    [this](const Reply &r) { others.push_back(r); });
+		}
+	}
+
+	/* How many answers are not what the backend server said. */
+	size_t unserved() const
+	{
+		size_t n = 0;
+
+		for (const Reply &r : others)
+			n += r.status != 200;
+		return n;
+	}
+
+	/* The ends that came later than all boxes could know. */
+	size_t late_ends()
+	{
+		std::vector<int64_t> ends = platform.ends();
+		size_t n = 0;
+
+		for (size_t i = 3; i < ends.size(); i++)
+			n += ends[i] > ends[2] + CONTACT_NS;
+		return n;
+	}
+};
+
+/* A further box on the same address; `digit` begins its ports. */
+struct Further {
+	std::string address, file;
+	Process box;
+
+	Further(const Ending &w, const std::string &name,
+	    const std::string &hall, const std::string &digit)
+	    : address(w.ip + ":" + digit + "080"),
+	      file(w.dir + "/" + name + ".toml")
+	{
+		const char *root = getenv("FERN_ROOT");
+		std::string text = box::replaced(
+		    box::settings, "@root", root != nullptr ? root : ".");
+
+		text = box::replaced(text, "@bounds", "");
+		text = box::replaced(text, "\"@:8", "\"@:" + digit);
+		text = box::replaced(text, "\"b1\"", "\"" + name + "\"");
+		text = box::replaced(text, "\"north\"", "\"" + hall + "\"");
+		std::ofstream(file) << box::replaced(text, "@", w.ip);
+		box.argv = {std::string(root ? root : ".") + "/fernbox", file};
+		box.log = w.dir + "/" + name + ".log";
+	}
+
+	~Further()
+	{
+		box.kill9();
+		unlink(box.log.c_str());
+		unlink(file.c_str());
+	}
+
+	Reply ask(const std::string &path) const
+	{
+		static int n;
+
+		return http("GET", address, path,
+		    {{"Host", "shop.example"},
+			{"fernjunction-request-id", "f" + std::to_string(++n)},
+			{"fernjunction-deadline-ms", "800"}},
+		    "", 2000);
+	}
+
+	bool serves() const
+	{
+		return ask("/look/1").status == 200;
+	}
+};
+
+} // namespace
+
+/*
+ * It comes again and again, among requests of others.  Three ends show that
+ * it is the request; those that ran beside it are all served.
+ */
+TEST(Crash, ARequestThatEndsServersIsRefusedAndWhoRanBesideItIsServed)
+{
+	Ending w;
+	Reply last;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	for (int i = 0; i < 12; i++) {
+		w.start_others(8);
+		last = w.ask("/look/ends");
+		EXPECT_NE(200, last.status);
+		pump(20);
+	}
+	EXPECT_TRUE(until([&] { return w.others.size() == w.sent; }, 3000));
+	EXPECT_EQ(0u, w.unserved());
+	EXPECT_GE(4u, w.platform.ends().size());
+	/* Refused as not run, at once, with the time to come back. */
+	EXPECT_EQ(503, last.status);
+	EXPECT_TRUE(last.not_run());
+	EXPECT_NE("", last.header("retry-after"));
+}
+
+/* It comes to any box, and each hall has a home of its own. */
+TEST(Crash, OtherHallsAndBoxesThatStartKnowItWithinContact)
+{
+	Ending w("south");
+	Further south(w, "b2", "south", "7"), fresh(w, "b3", "north", "6");
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	south.box.start();
+	ASSERT_TRUE(until([&] { return south.serves(); }));
+	for (int i = 0; i < 30; i++) {
+		w.ask("/look/ends");
+		south.ask("/look/ends");
+		pump(150);
+	}
+	ASSERT_LE(3u, w.platform.ends().size());
+	EXPECT_GE(3u, w.late_ends());
+	/* The first box is lost, and a new one takes its place. */
+	size_t before = w.platform.ends().size();
+	fresh.box.start();
+	ASSERT_TRUE(until([&] { return fresh.serves(); }));
+	pump(CONTACT_NS / NS_MS);
+	w.box.kill9();
+	for (int i = 0; i < 10; i++) {
+		EXPECT_EQ(503, fresh.ask("/look/ends").status);
+		pump(50);
+	}
+	EXPECT_EQ(before, w.platform.ends().size());
+	EXPECT_TRUE(until([&] { return fresh.serves(); }, 3000));
+}
