Sight: by which version a request was decided, and how old that is

Cause looked for: the log could not tell an older version that came back from one that was never replaced, as conf was the highest version ever told, nor when a box last heard that its rules hold, nor that a watch ended without an answer.

Change: conf is the version of the routes that decided; conf_age_ms is how long ago the platform said so, to this box or, told with digests, to one with equal rules. Lines for a watch without an answer, for rules that come after three seconds without confirmation, and for a version that goes back, which is a warning and a counter. Gauges for the age. No decision changes.

--- a/agent_open.c
+++ b/agent_open.c
@@ -20,6 +20,11 @@
  */
 
 enum { LEAVE_MS = 300, ADMIN_BODY_MAX = 4096 };
+/*
+ * Rules that were confirmed no later than this ago are not late: a word of the
+ * platform takes a second from box to box, and another one to the last.
+ */
+enum { LATE_MS = 3000 };
 /* Between two looks, with probes to start or without. */
 #define TICK_NS (100 * NS_MS)
 #define TICK_IDLE_NS (500 * NS_MS)
@@ -248,6 +253,11 @@
 		    e->deleted ? "object is deleted" : "object is known",
 		    "key=%.*s version=%llu from=%.*s", STR_ARG(e->key),
 		    (unsigned long long)e->version, STR_ARG(e->source));
+	if (e->kind != OBJ_BACKEND && sync_age_ms(&a->sync) > LATE_MS)
+		slog(SLOG_CONF, "our rules had not been confirmed for long",
+		    "key=%.*s version=%llu from=%.*s for_ms=%lld",
+		    STR_ARG(e->key), (unsigned long long)e->version,
+		    STR_ARG(e->source), (long long)sync_age_ms(&a->sync));
 	cnt_add(a->cnt, AC_CHANGES, 1);
 	a->targets_dirty = true;
 	a->targets_at = 0;
--- a/agent_peer.c
+++ b/agent_peer.c
@@ -105,6 +105,7 @@
 
 	a->sync.conf = a->conf;
 	a->sync.send = send_to;
+	a->sync.clk = a->clk;
 	a->sync.ctx = a;
 	a->gossip = gossip_new(&ops, a->memb, a->clk, a->rnd);
 	agent_peer_configure(a);
@@ -185,6 +186,7 @@
 take_holds(struct agent *a, struct str from, struct str hall,
     const struct msg_holds *holds)
 {
+	sync_hear(&a->sync, holds);
 	if (should_compare(a, hall, holds, clk_ns(a->clk)))
 		sync_compare(&a->sync, from, holds);
 }
--- a/agent_stat.c
+++ b/agent_stat.c
@@ -17,6 +17,10 @@
 	"Calls to the platform, a waiting watch as one.", CNT_COUNTER},
     [AC_PLATFORM_PUT_OFF] = {"fern_platform_put_off_total",
 	"Calls put off because the box's budget was spent.", CNT_COUNTER},
+    [AC_WATCHES_BROKEN] = {"fern_watches_broken_total",
+	"Watches that ended without an answer.", CNT_COUNTER},
+    [AC_CONF_AGE] = {"fern_conf_age_ms",
+	"Time since the rules here were confirmed by the platform.", CNT_GAUGE},
     [AC_PLATFORM_DOWN] = {"fern_platform_down_total",
 	"Calls that the platform did not answer.", CNT_COUNTER},
     [AC_WATCHING] = {"fern_watching", "1 if this box watches the platform.",
@@ -64,6 +68,7 @@
 	cnt_set(a->cnt, AC_CONTROL_OUT, lc->bytes_out);
 	cnt_set(a->cnt, AC_CONTROL_DROPPED, lc->dropped);
 	cnt_set(a->cnt, AC_MALFORMED, lc->malformed);
+	cnt_set(a->cnt, AC_CONF_AGE, (uint64_t)MAX(sync_age_ms(&a->sync), 0));
 }
 
 void
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -198,6 +198,7 @@
 	    .stale = f->complete == 0,
 	    .timeout_ms = LIST_TIMEOUT_MS};
 
+	f->asked_at = clk_ns(f->agent->clk);
 	f->call = agent_call(f->agent, &rq, on_list, f);
 	if (f->call == NULL)
 		watch_soon(f, rnd_jitter(f->agent->rnd, AGENT_RECHECK_NS));
@@ -212,6 +213,7 @@
 	    .version = f->since,
 	    .wait_ms = MIN(a->set.watch_ms, a->set.list_ms)};
 
+	f->asked_at = clk_ns(a->clk);
 	f->call = agent_call(a, &rq, on_watch, f);
 	if (f->call == NULL)
 		watch_soon(f, rnd_jitter(a->rnd, AGENT_RECHECK_NS));
@@ -380,6 +382,14 @@
 	return true;
 }
 
+/* The feed that is asked first has the rules; a first list may be stale. */
+static void
+confirm(struct agent_feed *f)
+{
+	if (f == &f->agent->feeds[0])
+		sync_confirm(&f->agent->sync);
+}
+
 static void
 on_list(void *ctx, enum plat_result result, json_t *body)
 {
@@ -405,6 +415,8 @@
 		conf_complete_kinds(a->conf, f->mask, revision, ab.keys);
 	a->from_platform = false;
 	g_hash_table_destroy(ab.keys);
+	if (!first)
+		confirm(f);
 	f->listed_at = clk_ns(a->clk);
 	f->since = MAX(f->since, revision);
 	f->complete = MAX(f->complete, revision);
@@ -418,6 +430,18 @@
 	watch_soon(f, first && !gossip_is_hub(a->gossip) ? FIRST_WATCH_NS : 0);
 }
 
+static void
+note_broken(struct agent_feed *f)
+{
+	struct agent *a = f->agent;
+
+	cnt_add(a->cnt, AC_WATCHES_BROKEN, 1);
+	slog(SLOG_WATCH, "a watch ended without an answer",
+	    "kinds=%s since=%llu waited_ms=%lld", f->kinds,
+	    (unsigned long long)f->since,
+	    (long long)((clk_ns(a->clk) - f->asked_at) / NS_MS));
+}
+
 /*
  * A watch that breaks off says nothing of the platform yet, which may cut those
  * that wait, as it does when it has forgotten its history.  So a list is asked
@@ -432,6 +456,8 @@
 	struct agent *a = f->agent;
 
 	f->call = NULL;
+	if (result == PLAT_DOWN)
+		note_broken(f);
 	if (result == PLAT_DOWN && f->fails == 0) {
 		f->fails++;
 		f->listed_at = 0;
@@ -455,6 +481,7 @@
 	    f->kinds, (unsigned long long)revision_of(body),
 	    json_array_size(json_object_get(body, "objects")));
 	offer_all(a, body, NULL);
+	confirm(f);
 	f->since = MAX(f->since, revision_of(body));
 	/* Changes come in rows; those of a moment are fetched together. */
 	watch_soon(f, a->set.gather_ms * NS_MS);
--- a/gate_admit.c
+++ b/gate_admit.c
@@ -312,6 +312,7 @@
 {
 	const struct route_rule *rule;
 
+	r->conf = route_version(r->gate->routes);
 	if (r->passed) {
 		admit_passed(r);
 		return;
--- a/gate_answer.c
+++ b/gate_answer.c
@@ -64,12 +64,14 @@
 	slog_decision(SLOG_ROUTE, "refused",
 	    "id=%.*s print=" FPRINT_FMT
 	    " why=%s ran=%s status=%d age_ms=%lld tries=%d "
-	    "retry_after_ms=%lld rule=%.*s service=%.*s conf=%llu",
+	    "retry_after_ms=%lld rule=%.*s service=%.*s conf=%llu "
+	    "conf_age_ms=%lld",
 	    STR_ARG(r->name), FPRINT_ARG(r->d.print), a->name,
 	    err_ran_name(ran), status,
 	    (long long)((clk_ns(r->gate->clk) - r->began) / NS_MS), r->d.tries,
 	    (long long)(retry_after / NS_MS), STR_ARG(r->rule),
-	    STR_ARG(r->service), (unsigned long long)r->gate->conf_version);
+	    STR_ARG(r->service), (unsigned long long)r->conf,
+	    (long long)sync_age_ms(&r->gate->sync));
 	if (req == NULL)
 		return;
 	add_header(req, "fern-error", a->name);
--- a/gate_box.c
+++ b/gate_box.c
@@ -70,7 +70,8 @@
 	switch (g->state) {
 	case BOX_READY:
 		slog(SLOG_GATE, "ready", "objects=%zu conf=%llu",
-		    conf_count(g->conf), (unsigned long long)g->conf_version);
+		    conf_count(g->conf),
+		    (unsigned long long)route_version(g->routes));
 		gate_early_admit(g);
 		break;
 	case BOX_LEAVING:
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -42,8 +42,11 @@
 	conf_listen(g->conf, on_changed, g);
 	g->sync.conf = g->conf;
 	g->sync.send = send_to;
+	g->sync.clk = g->clk;
 	g->sync.ctx = g;
 	g->routes = route_build(g->conf);
+	g->versions =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->shards =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, shard_free);
 	return true;
@@ -58,6 +61,26 @@
 	wire_send(g->wire, to, &copy);
 }
 
+/* A version that goes back breaks a promise: it is told, and counted. */
+static void
+look_for_revert(struct gate *g, const struct conf_entry *e)
+{
+	uint64_t *last = g_hash_table_lookup(g->versions, e->key.p);
+
+	if (last == NULL) {
+		last = g_new0(uint64_t, 1);
+		g_hash_table_insert(g->versions, g_strdup(e->key.p), last);
+	}
+	if (e->version < *last) {
+		cnt_add(g->cnt, GC_REVERTS, 1);
+		slog_warn(SLOG_CONF, "a version went back",
+		    "key=%.*s version=%llu before=%llu from=%.*s",
+		    STR_ARG(e->key), (unsigned long long)e->version,
+		    (unsigned long long)*last, STR_ARG(e->source));
+	}
+	*last = e->version;
+}
+
 static void
 on_changed(void *ctx, const struct conf_entry *e)
 {
@@ -67,7 +90,7 @@
 	    "key=%.*s version=%llu from=%.*s", STR_ARG(e->key),
 	    (unsigned long long)e->version, STR_ARG(e->source));
 	if (e->kind != OBJ_BACKEND)
-		g->conf_version = MAX(g->conf_version, e->version);
+		look_for_revert(g, e);
 	if (!g->rebuild.set)
 		tmr_set(&g->tmr, &g->rebuild, clk_ns(g->clk) + REBUILD_NS,
 		    on_rebuild, g);
@@ -340,6 +363,7 @@
 	switch (m->kind) {
 	case MSG_HELLO:
 		g->sync.partial = m->u.hello.holds.partial;
+		sync_hear(&g->sync, &m->u.hello.holds);
 		sync_compare(&g->sync, m->from, &m->u.hello.holds);
 		if (sync_equal(&g->sync, &m->u.hello.holds) &&
 		    m->u.hello.self.ready) {
--- a/gate_stat.c
+++ b/gate_stat.c
@@ -71,6 +71,10 @@
 	"Questions for the load that were not answered.", CNT_COUNTER},
     [GC_EVACUATED] = {"fern_halls_evacuated",
 	"Halls whose backend servers get nothing new.", CNT_GAUGE},
+    [GC_CONF_AGE] = {"fern_conf_age_ms",
+	"Time since the rules here were confirmed by the platform.", CNT_GAUGE},
+    [GC_REVERTS] = {"fern_conf_reverts_total",
+	"Rules that came into force in an older version.", CNT_COUNTER},
     [GC_LATENCY] = {"fern_answer_seconds",
 	"Time from a request's arrival to its answer's head.", CNT_HISTOGRAM},
     [GC_HELD] = {"fern_held_seconds",
@@ -101,6 +105,7 @@
 	cnt_set(g->cnt, GC_BOXES, g->boxes);
 	cnt_set(g->cnt, GC_POISON, poison_proved(g->poison));
 	cnt_set(g->cnt, GC_INFLIGHT, gate_req_count(g));
+	cnt_set(g->cnt, GC_CONF_AGE, (uint64_t)MAX(sync_age_ms(&g->sync), 0));
 	cnt_set(g->cnt, GC_LOG_DROPPED, slog_dropped());
 	cnt_set(g->cnt, GC_CONTROL_IN, wire_counts(g->wire)->bytes_in);
 	cnt_set(g->cnt, GC_CONTROL_OUT, wire_counts(g->wire)->bytes_out);
--- a/gate_try.c
+++ b/gate_try.c
@@ -51,7 +51,8 @@
 	    "id=%.*s print=" FPRINT_FMT
 	    " service=%.*s backend=%.*s in_use=%d limit=%d slots=%d "
 	    "pace=%d "
-	    "pace_age_ms=%lld held_us=%lld left_ms=%lld tries=%d conf=%llu",
+	    "pace_age_ms=%lld held_us=%lld left_ms=%lld tries=%d conf=%llu "
+	    "conf_age_ms=%lld",
 	    STR_ARG(r->name), FPRINT_ARG(r->d.print), STR_ARG(r->service),
 	    STR_ARG(b->name), b->inflight - 1, pick_slots(b), b->slots,
 	    b->told_pace,
@@ -59,7 +60,8 @@
 			    : (long long)((d->sent - b->told_at) / NS_MS),
 	    (long long)((d->sent - r->began) / NS_US),
 	    (long long)((d->deadline - d->sent) / NS_MS), d->tries,
-	    (unsigned long long)r->gate->conf_version);
+	    (unsigned long long)r->conf,
+	    (long long)sync_age_ms(&r->gate->sync));
 	cnt_sample(r->gate->cnt, GC_HELD, d->sent - r->began);
 	gate_flow_send(r, b->address, !d->repeatable);
 }
@@ -149,10 +151,11 @@
 	cnt_add(r->gate->cnt, GC_PASSED_OUT, 1);
 	slog_decision(SLOG_ROUTE, "passed to its home",
 	    "id=%.*s rule=%.*s service=%.*s box=%.*s hall=%.*s hops=%d "
-	    "tries=%d conf=%llu",
+	    "tries=%d conf=%llu conf_age_ms=%lld",
 	    STR_ARG(r->name), STR_ARG(r->rule), STR_ARG(r->service),
 	    STR_ARG(p->info.box), STR_ARG(p->info.hall), r->hops, r->d.tries,
-	    (unsigned long long)r->gate->conf_version);
+	    (unsigned long long)r->conf,
+	    (long long)sync_age_ms(&r->gate->sync));
 	gate_flow_send(r, p->info.pass, false);
 }
 
--- a/libagent.h
+++ b/libagent.h
@@ -71,6 +71,7 @@
 	uint64_t since; /* revision that the watch has reached */
 	uint64_t complete; /* revision of the last complete list */
 	int64_t listed_at; /* monotonic ns of it; 0: list anew */
+	int64_t asked_at; /* the call on its way; monotonic ns */
 	int fails; /* calls in a row without an answer */
 };
 
@@ -84,6 +85,8 @@
 	AC_PLATFORM_CALLS,
 	AC_PLATFORM_PUT_OFF,
 	AC_PLATFORM_DOWN,
+	AC_WATCHES_BROKEN,
+	AC_CONF_AGE,
 	AC_WATCHING,
 	AC_MEMBERS,
 	AC_OBJECTS,
--- a/libgate.h
+++ b/libgate.h
@@ -105,6 +105,8 @@
 	GC_PEEKS,
 	GC_PEEKS_LOST,
 	GC_EVACUATED,
+	GC_CONF_AGE,
+	GC_REVERTS,
 	GC_LATENCY,
 	GC_HELD,
 	GC_MAX
@@ -156,6 +158,7 @@
 	struct hsrv *callers, *pass, *admin;
 	struct route_table *routes;
 	struct tmr_item rebuild;
+	GHashTable *versions; /* char * key of a rule to uint64_t * last told */
 	GHashTable *shards; /* char * "service/hall" to struct gate_shard * */
 	GPtrArray *peers; /* struct gate_peer *, hubs of all halls */
 	GHashTable *homes; /* char * "service/hall" to struct home * */
@@ -167,7 +170,6 @@
 	GHashTable *rule_limits; /* char * rule to struct limit * */
 	GQueue reqs; /* struct gate_req * that are live */
 	uint64_t boot, seq;
-	uint64_t conf_version; /* the newest of what routes depend on */
 	int64_t last_tick, last_pass, leaving_since;
 	unsigned boxes; /* gates that are alive, ours among them */
 	enum box_state state;
--- a/libreq.h
+++ b/libreq.h
@@ -60,6 +60,7 @@
 	bool early; /* it waits for the first configuration */
 	bool passed; /* by another gate */
 	int64_t began;
+	uint64_t conf; /* version of the routes that decided it */
 	struct str rule, service; /* copies */
 	struct str
 	    hall; /* whose home it is with, or is on its way to; a copy */
--- a/msg.c
+++ b/msg.c
@@ -100,13 +100,14 @@
     BOOL(msg_hello, self.ready), BOOL(msg_hello, self.blind),
     U64(msg_hello, holds.digest), U64(msg_hello, holds.rules),
     U64(msg_hello, holds.floor), BOOL(msg_hello, holds.partial),
-    U64(msg_hello, hubs), U64(msg_hello, near), BOOL(msg_hello, asks),
-    LIST(msg_hello, others, info_shape)};
+    U64(msg_hello, holds.confirmed), U64(msg_hello, hubs), U64(msg_hello, near),
+    BOOL(msg_hello, asks), LIST(msg_hello, others, info_shape)};
 static const struct msg_field beat_fields[] = {STR(msg_beat, box),
     U64(msg_beat, boot), U64(msg_beat, beat), U64(msg_beat, hubs),
     U64(msg_beat, near), U64(msg_beat, holds.digest),
     U64(msg_beat, holds.rules), U64(msg_beat, holds.floor),
-    BOOL(msg_beat, holds.partial), BOOL(msg_beat, asks)};
+    BOOL(msg_beat, holds.partial), U64(msg_beat, holds.confirmed),
+    BOOL(msg_beat, asks)};
 static const struct msg_field buckets_fields[] = {
     BOOL(msg_buckets, partial), LIST(msg_buckets, digests, u64_shape)};
 static const struct msg_field versions_fields[] = {
@@ -120,8 +121,9 @@
 static const struct msg_field gate_fields[] = {STR(msg_gate, box),
     U64(msg_gate, boot), U64(msg_gate, holds.digest),
     U64(msg_gate, holds.rules), U64(msg_gate, holds.floor),
-    BOOL(msg_gate, holds.partial), U64(msg_gate, objects),
-    BOOL(msg_gate, leaving), BOOL(msg_gate, ready), STR(msg_gate, doubted)};
+    BOOL(msg_gate, holds.partial), U64(msg_gate, holds.confirmed),
+    U64(msg_gate, objects), BOOL(msg_gate, leaving), BOOL(msg_gate, ready),
+    STR(msg_gate, doubted)};
 static const struct msg_field health_fields[] = {
     LIST(msg_health, states, state_shape)};
 static const struct msg_field summary_fields[] = {STR(msg_summary, service),
--- a/msg.h
+++ b/msg.h
@@ -55,6 +55,8 @@
 	uint64_t rules; /* of its rules */
 	uint64_t floor; /* of all that it holds */
 	bool partial; /* it holds no backend servers */
+	/* ms since the platform said that its rules hold, plus 1; 0: never */
+	uint64_t confirmed;
 };
 
 struct msg_hello {
--- a/regress/test_conf.cpp
+++ b/regress/test_conf.cpp
@@ -198,7 +198,7 @@
 		p.net = this;
 		p.name = name;
 		p.conf = conf_new(nullptr, nullptr);
-		p.sync = {p.conf, on_send, &p, false, 0};
+		p.sync = {p.conf, on_send, &p, false, 0, nullptr, 0};
 	}
 
 	void deliver(bool faults)
@@ -411,7 +411,7 @@
 {
 	std::vector<size_t> sent;
 	struct conf *c = conf_new(nullptr, nullptr);
-	struct sync s = {c, note_objects, &sent, false, 0};
+	struct sync s = {c, note_objects, &sent, false, 0, nullptr, 0};
 	struct sync_pack *pack = sync_pack_new();
 
 	sync_pack_send(&s, pack, STR_LIT("p1"));
@@ -460,3 +460,52 @@
 	}
 	sync_pack_free(pack);
 }
+
+namespace
+{
+
+struct timespec
+time_of(void *ctx)
+{
+	return *static_cast<struct timespec *>(ctx);
+}
+
+} // namespace
+
+/* What one box was told of the rules goes for all that have the same ones. */
+TEST(Sync, TheAgeOfAConfirmationGoesWithEqualRules)
+{
+	struct timespec now = {1000, 0};
+	struct clk clk = {time_of, time_of, &now};
+	struct conf *a = conf_new(nullptr, nullptr);
+	struct conf *b = conf_new(nullptr, nullptr);
+	struct sync told = {a, nullptr, nullptr, false, 0, &clk, 0};
+	struct sync hears = {b, nullptr, nullptr, true, 0, &clk, 0};
+	struct msg_holds holds = sync_holds(&told);
+
+	tell(a, {"service/s1", 1, 'g'});
+	/* Nobody was told anything. */
+	sync_hear(&hears, &holds);
+	EXPECT_EQ(-1, sync_age_ms(&told));
+	EXPECT_EQ(-1, sync_age_ms(&hears));
+	sync_confirm(&told);
+	now.tv_sec += 2;
+	/* Other rules: what holds for those says nothing of ours. */
+	holds = sync_holds(&told);
+	sync_hear(&hears, &holds);
+	EXPECT_EQ(-1, sync_age_ms(&hears));
+	tell(b, {"service/s1", 1, 'g'});
+	tell(b, {"backend/b1", 2, 'g'});
+	sync_hear(&hears, &holds);
+	EXPECT_EQ(2000, sync_age_ms(&hears));
+	/* An older word does not undo a newer one. */
+	now.tv_sec += 1;
+	sync_confirm(&hears);
+	sync_hear(&hears, &holds);
+	EXPECT_EQ(0, sync_age_ms(&hears));
+	holds.confirmed = UINT64_MAX;
+	sync_hear(&hears, &holds);
+	EXPECT_EQ(0, sync_age_ms(&hears));
+	conf_free(a);
+	conf_free(b);
+}
--- a/route.c
+++ b/route.c
@@ -21,6 +21,7 @@
 	GPtrArray *evacuations; /* struct obj *, named after halls */
 	GPtrArray *objects; /* struct obj *: our references */
 	const struct obj_listener *listener;
+	uint64_t version; /* of all but backend servers */
 };
 
 static void collect(void *, const struct conf_entry *);
@@ -67,6 +68,8 @@
 {
 	struct route_table *t = ctx;
 
+	if (e->kind != OBJ_BACKEND)
+		t->version = MAX(t->version, e->version);
 	if (e->obj == NULL)
 		return;
 	g_ptr_array_add(t->objects, obj_ref(e->obj));
@@ -320,6 +323,12 @@
 	return r->parts[i].service;
 }
 
+uint64_t
+route_version(const struct route_table *t)
+{
+	return t->version;
+}
+
 unsigned
 route_rules(const struct route_table *t)
 {
--- a/route.h
+++ b/route.h
@@ -88,6 +88,9 @@
 const struct route_service *
 route_service(const struct route_table *, struct str name);
 
+/* The highest version of what routes are built from but backend servers. */
+uint64_t route_version(const struct route_table *);
+
 /* How many rules there are. */
 unsigned route_rules(const struct route_table *);
 
--- a/slog.c
+++ b/slog.c
@@ -186,6 +186,16 @@
 	va_end(ap);
 }
 
+void
+slog_warn(enum slog_part part, const char *msg, const char *fmt, ...)
+{
+	va_list ap;
+
+	va_start(ap, fmt);
+	emit(G_LOG_LEVEL_WARNING, part, msg, fmt, ap);
+	va_end(ap);
+}
+
 void
 slog_decision(enum slog_part part, const char *msg, const char *fmt, ...)
 {
--- a/slog.h
+++ b/slog.h
@@ -53,6 +53,10 @@
 void slog(enum slog_part, const char *msg, const char *fields, ...)
     G_GNUC_PRINTF(3, 4);
 
+/* The same for what must never be: level=warning. */
+void slog_warn(enum slog_part, const char *msg, const char *fields, ...)
+    G_GNUC_PRINTF(3, 4);
+
 /* The same for a decision on a request; these lines are bounded in number. */
 void slog_decision(enum slog_part, const char *msg, const char *fields, ...)
     G_GNUC_PRINTF(3, 4);
--- a/sync.c
+++ b/sync.c
@@ -11,6 +11,9 @@
 #include "libsync.h"
 #include "slog.h"
 
+/* An age that a peer tells is taken up to here: a year. */
+#define AGE_MAX_MS (UINT64_C(366) * 24 * 3600 * 1000)
+
 /* What goes on while versions of some buckets are gathered. */
 struct gather {
 	const struct sync *sync;
@@ -33,6 +36,7 @@
 	    .rules = conf_digest_of(s->conf, CONF_RULES),
 	    .floor = conf_floor(s->conf),
 	    .partial = s->partial,
+	    .confirmed = (uint64_t)(sync_age_ms(s) + 1),
 	};
 
 	if (!s->partial)
@@ -42,6 +46,31 @@
 	return h;
 }
 
+void
+sync_confirm(struct sync *s)
+{
+	s->confirmed = clk_ns(s->clk);
+}
+
+void
+sync_hear(struct sync *s, const struct msg_holds *h)
+{
+	int64_t ago = (int64_t)MIN(h->confirmed, AGE_MAX_MS) - 1;
+
+	if (h->confirmed == 0 ||
+	    h->rules != conf_digest_of(s->conf, CONF_RULES))
+		return;
+	s->confirmed = MAX(s->confirmed, clk_ns(s->clk) - ago * NS_MS);
+}
+
+int64_t
+sync_age_ms(const struct sync *s)
+{
+	if (s->confirmed == 0)
+		return -1;
+	return MAX(clk_ns(s->clk) - s->confirmed, 0) / NS_MS;
+}
+
 bool
 sync_equal(const struct sync *s, const struct msg_holds *h)
 {
--- a/sync.h
+++ b/sync.h
@@ -11,6 +11,7 @@
 #ifndef SYNC_H
 #define SYNC_H
 
+#include "clk.h"
 #include "conf.h"
 #include "msg.h"
 
@@ -32,11 +33,23 @@
 	void *ctx;
 	bool partial; /* we hold rules only, and no backend servers */
 	uint64_t messages; /* sent, for the counters */
+	const struct clk *clk; /* for `confirmed` */
+	int64_t confirmed; /* the platform last did, for our rules; 0: never */
 };
 
 /* What we hold, to be told to a peer. */
 struct msg_holds sync_holds(const struct sync *);
 
+/*
+ * The platform has said, now, that our rules are the ones that it has.  What a
+ * peer with the same rules was told counts as well: sync_hear().
+ */
+void sync_confirm(struct sync *);
+void sync_hear(struct sync *, const struct msg_holds *);
+
+/* How long ago that was, in ms; -1: it never was. */
+int64_t sync_age_ms(const struct sync *);
+
 /* Does a peer hold the same, as far as both hold it? */
 bool sync_equal(const struct sync *, const struct msg_holds *);
 
