A second call beside the watches notices a silence

Cause: a call that waits for a change cannot tell "nothing has changed" from "nobody hears". All watchers ask at one moment, as one change answers them, so one silence takes them all, for 22 s.

Ruled out: that messages between boxes were lost (all boxes have the change within 0.1 s of the watcher that lists), that an older version came back, that the platform was slow to answer new calls.

What a look brings is taken; a watch that it or a peer was faster than is made anew after a second; a look without an answer for a second tells of the silence, and the first one after it makes all calls anew. Looks overlap, and an answer to a later one counts.

Box.ACalmPlatformIsAskedSeldom counts calls at full price and looks apart: the first keep their bound, the second have one of their own.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 GATE = gate_admit.o gate_answer.o gate_box.o gate_claim.o gate_conf.o \
 	gate_early.o gate_flow.o gate_home.o gate_open.o gate_pass.o gate_peek.o gate_poison.o \
 	gate_req.o gate_stat.o gate_try.o
-AGENT = agent_box.o agent_gate.o agent_lapse.o agent_open.o \
+AGENT = agent_box.o agent_gate.o agent_lapse.o agent_look.o agent_open.o \
 	agent_peer.o agent_poison.o agent_probe.o agent_push.o agent_scope.o agent_stat.o agent_watch.o
 CTL = ctl_call.o ctl_edit.o ctl_main.o ctl_show.o
 FLEET = regress/fleet.o regress/fleet_http.o regress/objects.o
--- a/agent_open.c
+++ b/agent_open.c
@@ -124,6 +124,12 @@
 	.dflt = 2000,
 	.min = 100,
 	.max = 3600000},
+    {.name = "look_ms",
+	.type = FIELD_INT,
+	.offset = F(look_ms),
+	.dflt = 1000,
+	.min = 0,
+	.max = 60000},
     {.name = "retry_ms",
 	.type = FIELD_INT,
 	.offset = F(retry_ms),
@@ -176,6 +182,7 @@
 	a->set.watch_ms = set.watch_ms;
 	a->set.gather_ms = set.gather_ms;
 	a->set.boxes_ms = set.boxes_ms;
+	a->set.look_ms = set.look_ms;
 	a->set.retry_ms = set.retry_ms;
 	a->set.status_ms = set.status_ms;
 	agent_peer_configure(a);
@@ -237,6 +244,7 @@
 	agent_push_open(a);
 	agent_probe_open(a);
 	agent_watch_open(a);
+	agent_look_open(a);
 	agent_scope_open(a);
 	agent_poison_open(a);
 	agent_peer_open(a);
@@ -258,6 +266,7 @@
 		    "key=%.*s version=%llu from=%.*s for_ms=%lld",
 		    STR_ARG(e->key), (unsigned long long)e->version,
 		    STR_ARG(e->source), (long long)sync_age_ms(&a->sync));
+	agent_watch_passed(a, e);
 	cnt_add(a->cnt, AC_CHANGES, 1);
 	a->targets_dirty = true;
 	a->targets_at = 0;
--- a/agent_stat.c
+++ b/agent_stat.c
@@ -17,6 +17,8 @@
 	"Calls to the platform, a waiting watch as one.", CNT_COUNTER},
     [AC_PLATFORM_PUT_OFF] = {"fern_platform_put_off_total",
 	"Calls put off because the box's budget was spent.", CNT_COUNTER},
+    [AC_LOOKS] = {"fern_looks_total",
+	"Looks at the platform beside the watches.", CNT_COUNTER},
     [AC_WATCHES_BROKEN] = {"fern_watches_broken_total",
 	"Watches that ended without an answer.", CNT_COUNTER},
     [AC_CONF_AGE] = {"fern_conf_age_ms",
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -21,6 +21,11 @@
 #define BACKOFF_FIRST_NS (250 * NS_MS)
 /* Watches that were cut together are not renewed all at once. */
 #define CUT_NS (20 * NS_MS)
+/*
+ * So long after news came past a watch its own answer is waited for; a slow
+ * store takes some 300 ms.
+ */
+#define PASSED_NS (1 * NS_S)
 /* What a box that does not watch knows of the platform's outage holds on. */
 #define BLIND_NS (10 * NS_S)
 /* Boxes that start know each other sooner than that. */
@@ -486,3 +491,71 @@
 	/* Changes come in rows; those of a moment are fetched together. */
 	watch_soon(f, a->set.gather_ms * NS_MS);
 }
+
+/* The watch has had its time to bring what came past it. */
+static void
+on_passed(void *ctx)
+{
+	struct agent_feed *f = ctx;
+
+	if (f->call == NULL || clk_ns(f->agent->clk) - f->asked_at < PASSED_NS)
+		return;
+	note_broken(f);
+	plat_cancel(f->agent->plat, f->call);
+	f->call = NULL;
+	watch_soon(f, 0);
+}
+
+/*
+ * Other calls or peers brought what a watch should have: nobody may hear any
+ * more on its connection.
+ */
+static void
+wait_for_watch(struct agent_feed *f)
+{
+	struct agent *a = f->agent;
+
+	if (f->call != NULL && !f->passed_timer.set)
+		tmr_set(&a->tmr, &f->passed_timer, clk_ns(a->clk) + PASSED_NS,
+		    on_passed, f);
+}
+
+void
+agent_watch_told(struct agent_feed *f, json_t *body)
+{
+	uint64_t revision = revision_of(body);
+
+	if (json_array_size(json_object_get(body, "objects")) > 0) {
+		offer_all(f->agent, body, NULL);
+		wait_for_watch(f);
+	}
+	confirm(f);
+	f->since = MAX(f->since, revision);
+}
+
+void
+agent_watch_missed(struct agent_feed *f)
+{
+	if (f->listed_at == 0)
+		return;
+	if (f->call != NULL)
+		plat_cancel(f->agent->plat, f->call);
+	f->call = NULL;
+	f->listed_at = 0;
+	watch_soon(f, 0);
+}
+
+void
+agent_watch_passed(struct agent *a, const struct conf_entry *e)
+{
+	struct agent_feed *f;
+	unsigned i;
+
+	if (a->from_platform)
+		return;
+	for (i = 0; i < a->nfeeds; i++) {
+		f = &a->feeds[i];
+		if ((f->mask >> e->kind & 1) != 0 && e->version > f->since)
+			wait_for_watch(f);
+	}
+}
--- a/libagent.h
+++ b/libagent.h
@@ -49,6 +49,7 @@
 	int64_t gather_ms;
 	int64_t first_ms;
 	int64_t boxes_ms;
+	int64_t look_ms;
 	int64_t retry_ms;
 	int64_t status_ms;
 	int status_by; /* enum agent_status_by */
@@ -72,6 +73,7 @@
 	uint64_t complete; /* revision of the last complete list */
 	int64_t listed_at; /* monotonic ns of it; 0: list anew */
 	int64_t asked_at; /* the call on its way; monotonic ns */
+	struct tmr_item passed_timer; /* news came past the watch */
 	int fails; /* calls in a row without an answer */
 };
 
@@ -85,6 +87,7 @@
 	AC_PLATFORM_CALLS,
 	AC_PLATFORM_PUT_OFF,
 	AC_PLATFORM_DOWN,
+	AC_LOOKS,
 	AC_WATCHES_BROKEN,
 	AC_CONF_AGE,
 	AC_WATCHING,
@@ -143,6 +146,11 @@
 	uint64_t status_version;
 	uint64_t status_digest; /* of what the last status told */
 	uint64_t status_told; /* the configuration it was asked for last */
+	/* agent_look.c */
+	struct tmr_item look_timer;
+	unsigned looks;
+	int64_t look_answered; /* when the last answered one was asked; ns */
+	bool unheard; /* one was not answered, and none after it */
 	/* agent_poison.c */
 	struct poison *poison;
 	bool poison_unsaved; /* our status does not tell it all yet */
@@ -198,6 +206,18 @@
 int64_t agent_backoff(struct agent *, int fails);
 bool agent_first_feed_asks(struct agent *);
 
+/*
+ * What another call than a feed's watch brought; that the platform no longer
+ * has what changed since the feed's last answer; and that a peer brought what
+ * the watch should have.
+ */
+void agent_watch_told(struct agent_feed *, json_t *body);
+void agent_watch_missed(struct agent_feed *);
+void agent_watch_passed(struct agent *, const struct conf_entry *);
+
+/* agent_look.c: a second look at what watches wait for. */
+void agent_look_open(struct agent *);
+
 /* agent_poison.c: requests that end backend servers, kept on the platform. */
 void agent_poison_open(struct agent *);
 void agent_poison_take(struct agent *, const struct msg_suspects *);
--- a/plat.h
+++ b/plat.h
@@ -49,7 +49,8 @@
 	struct str name;
 	uint64_t version; /* update, delete: condition; watch: since */
 	const json_t *value;
-	bool stale; /* list: may be some seconds old, and is far cheaper */
+	/* List, watch: may be some seconds old, and is far cheaper. */
+	bool stale;
 	int64_t timeout_ms; /* for each page of a list */
 	int64_t wait_ms; /* watch: how long to wait for a change */
 };
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -301,11 +301,14 @@
 
 	ASSERT_TRUE(until([&] { return w.ready(); }));
 	pump(1500);
-	size_t before = w.platform.calls();
+	size_t before = w.platform.calls(), looks = w.platform.looks();
 	pump(4500);
 	/* Two or three looks at the list of boxes; watches wait for 20 s. */
 	EXPECT_LE(w.platform.calls() - before, 4u);
 	EXPECT_GE(w.platform.calls() - before, 1u);
+	/* One a second, spread by a quarter, at one feed or two. */
+	EXPECT_LE(w.platform.looks() - looks, 9u);
+	EXPECT_GE(w.platform.looks() - looks, 3u);
 }
 
 /* Each call has its price, and one tells whether the platform is back. */
