What the log says is in force is what requests go by

Cause of the evacuation test that failed once: "in force" was written when a change was known, up to 2 ms before routes were built of it, and the test asked at once. The line was untrue for that long.

Change: it is written once the routes are built.

A first try that told each object once for each build hid a version that Box.AStaleFirstListIsCaughtUp looks for, and was dropped.

--- a/gate_conf.c
+++ b/gate_conf.c
@@ -45,6 +45,7 @@
 	g->sync.clk = g->clk;
 	g->sync.ctx = g;
 	g->routes = route_build(g->conf);
+	g->unrouted = g_ptr_array_new_with_free_func(g_free);
 	g->versions =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->shards =
@@ -61,6 +62,27 @@
 	wire_send(g->wire, to, &copy);
 }
 
+/* What is to be said of a change once routes have been built of it. */
+struct news {
+	bool deleted;
+	char fields[];
+};
+
+static struct news *
+news_of(const struct conf_entry *e)
+{
+	char *text =
+	    g_strdup_printf("key=%.*s version=%llu from=%.*s", STR_ARG(e->key),
+		(unsigned long long)e->version, STR_ARG(e->source));
+	size_t n = strlen(text) + 1;
+	struct news *news = g_malloc(sizeof(*news) + n);
+
+	news->deleted = e->deleted;
+	memcpy(news->fields, text, n);
+	g_free(text);
+	return news;
+}
+
 /* A version that goes back breaks a promise: it is told, and counted. */
 static void
 look_for_revert(struct gate *g, const struct conf_entry *e)
@@ -86,11 +108,9 @@
 {
 	struct gate *g = ctx;
 
-	slog(SLOG_CONF, e->deleted ? "deletion is in force" : "in force",
-	    "key=%.*s version=%llu from=%.*s", STR_ARG(e->key),
-	    (unsigned long long)e->version, STR_ARG(e->source));
 	if (e->kind != OBJ_BACKEND)
 		look_for_revert(g, e);
+	g_ptr_array_add(g->unrouted, news_of(e));
 	if (!g->rebuild.set)
 		tmr_set(&g->tmr, &g->rebuild, clk_ns(g->clk) + REBUILD_NS,
 		    on_rebuild, g);
@@ -108,6 +128,22 @@
 		    (uint64_t)l->idle_ms);
 }
 
+/* Requests go by it from now on, and not before. */
+static void
+tell_in_force(struct gate *g)
+{
+	const struct news *news;
+	guint i;
+
+	for (i = 0; i < g->unrouted->len; i++) {
+		news = g_ptr_array_index(g->unrouted, i);
+		slog(SLOG_CONF,
+		    news->deleted ? "deletion is in force" : "in force", "%s",
+		    news->fields);
+	}
+	g_ptr_array_set_size(g->unrouted, 0);
+}
+
 static void
 on_rebuild(void *ctx)
 {
@@ -118,6 +154,7 @@
 	g_hash_table_foreach_remove(g->shards, refresh_shard, g);
 	take_listener(g);
 	gate_conf_homes(g);
+	tell_in_force(g);
 	cnt_set(g->cnt, GC_OBJECTS, conf_count(g->conf));
 	cnt_set(g->cnt, GC_EVACUATED, route_evacuations(g->routes));
 	gate_conf_report(g);
--- a/libgate.h
+++ b/libgate.h
@@ -158,6 +158,7 @@
 	struct hsrv *callers, *pass, *admin;
 	struct route_table *routes;
 	struct tmr_item rebuild;
+	GPtrArray *unrouted; /* struct news *, not in the routes yet */
 	GHashTable *versions; /* char * key of a rule to uint64_t * last told */
 	GHashTable *shards; /* char * "service/hall" to struct gate_shard * */
 	GPtrArray *peers; /* struct gate_peer *, hubs of all halls */
