--- a/regress/soak_box.cpp
+++ b/regress/soak_box.cpp
@@ -33,6 +33,14 @@
 
 enum { BOXES = 4, BACKENDS = 8, DEADLINE_MS = 800 };
 
+/*
+ * The operators' bounds, in ms: boxes are in touch once all has been calm for
+ * so long, and a change that was acknowledged holds there so long after.
+ */
+const double CONTACT = 3000, APPLY = 2000;
+/* Between two calm times; changes come this often in them. */
+const double ROUGH_MS = 4000, CHANGE_MS = 400;
+
 /* What a caller saw of one request. */
 struct Seen {
 	std::string id;
@@ -59,7 +67,9 @@
 	std::vector<Trouble> troubles;
 	std::map<std::string, int> faults;
 	std::vector<std::unique_ptr<Seen>> seen;
-	int version = 1;
+	int version = 0; /* the newest configuration; each marks itself */
+	int invalid = 0; /* how many were not valid */
+	std::vector<std::string> broken; /* promises of configuration */
 	bool tidy = false; /* nothing was wrong: no logs are kept */
 
 	explicit Soak(unsigned seed)
@@ -182,7 +192,10 @@
 		    << "pass = \"" << ip(box) << ":8180\"\nseeds = [\"" << ip(0)
 		    << ":8480\", \"" << ip(3) << ":8480\"]\n"
 		    << "watchers = 2\nprobe_rate = 0\nplatform_rate = 50\n"
-		    << "first_ms = 10\nretry_ms = 300\n";
+		    << "first_ms = 10\nretry_ms = 300\n"
+		    /* As deployed: as few calls as can be. */
+		    << "gather_ms = 600\nboxes_ms = 15000\n"
+		    << "status_ms = 3600000\nstatus_by = \"hubs\"\n";
 	}
 
 	void enter(int i, const std::string &state)
@@ -194,27 +207,33 @@
 			"\"}");
 	}
 
-	/* The routes, with one more or less as versions go by. */
-	void configure()
+	static std::string
+	route(const std::string &path, const char *type, const std::string &to)
 	{
-		std::string text = "{\"version\":\"r" +
-		    std::to_string(version++) + "\",\"resources\":[";
-
-		for (int i = 0; i < 2 + version % 2; i++)
-			text += R"({"resourceType":"routes","metadata":
-			    {"name":"r)" +
-			    std::to_string(i) +
-			    R"("},"spec":{"host":"shop.example","pathPrefix":)" +
-			    (i == 0	     ? "\"/look/\""
-				    : i == 1 ? "\"/buy/\""
-					     : "\"/more/\"") +
-			    R"(,"routeType":)" +
-			    (i == 1 ? "\"unsafe\"" : "\"safe\"") +
-			    R"(,"timeout":"900ms","targetLatency":"300ms",)"
-			    R"("priority":1,"maxAttempts":2,"service":")" +
-			    service(i) + "\"}},";
+		return R"({"resourceType":"routes","metadata":{"name":"r)" +
+		    path +
+		    R"("},"spec":{"host":"shop.example","pathPrefix":"/)" +
+		    path + R"(/","routeType":")" + type +
+		    R"(","timeout":"900ms","targetLatency":"300ms",)" +
+		    R"("priority":1,"maxAttempts":2)" + to + "}},";
+	}
+
+	/*
+	 * A configuration names itself by a route that no other one has.  One
+	 * that is not valid does so too, by a route that leads nowhere.
+	 */
+	void configure(bool valid = true)
+	{
+		int own = valid ? ++version : --invalid;
+		std::string till = R"(,"service":"till")";
+		std::string shelf = R"(,"service":"shelf")";
+
 		store.put("config", "main",
-		    text +
+		    "{\"version\":\"r" + std::to_string(version - invalid) +
+			"\",\"resources\":[" + route("look", "safe", till) +
+			route("buy", "unsafe", shelf) +
+			route("is" + std::to_string(own), "safe", till) +
+			(valid ? "" : route("nowhere", "safe", "")) +
 			R"({"resourceType":"services","metadata":
 			    {"name":"till"},"spec":{"healthPath":"/health"}},
 			   {"resourceType":"services","metadata":
@@ -222,6 +241,71 @@
 			   ]})");
 	}
 
+	/* Does a box go by a configuration?  One that is busy does not tell. */
+	int status_of(int box, int configuration)
+	{
+		return http("GET", ip(box) + ":8080",
+		    "/is" + std::to_string(configuration) + "/x",
+		    {{"Host", "shop.example"},
+			{"fernjunction-request-id", "probe"},
+			{"fernjunction-deadline-ms", "800"}},
+		    "", 2000)
+		    .status;
+	}
+
+	void expect(int box, int configuration, bool found, const char *what)
+	{
+		int status = status_of(box, configuration);
+
+		if (found ? status != 404 : status != 200)
+			return;
+		broken.push_back(std::string(what) + ": box " +
+		    std::to_string(box) + ", configuration " +
+		    std::to_string(configuration) + " of " +
+		    std::to_string(version) + ", status " +
+		    std::to_string(status));
+	}
+
+	/* All watch; then nobody hears, and what they are owed is lost. */
+	void last_silence()
+	{
+		configure();
+		traffic(100 + any(700));
+		store.silence(true);
+		faults["last-silence"]++;
+		traffic(300 + any(700));
+		configure();
+		traffic(100);
+		store.silence(false);
+	}
+
+	/*
+	 * All is mended, at times but for a last silence, and changes go on;
+	 * then each box goes by the newest one, and by no older one and none
+	 * that is not valid.
+	 */
+	void calm()
+	{
+		double until_touch;
+
+		if (!heals())
+			return;
+		if (any(2) == 0)
+			last_silence();
+		until_touch = now_ms() + CONTACT;
+		while (now_ms() < until_touch) {
+			configure();
+			traffic(CHANGE_MS);
+		}
+		traffic(APPLY);
+		for (int i = 0; i < BOXES; i++) {
+			expect(i, version, true, "late");
+			expect(i, version - 1, false, "back to an older one");
+			if (invalid < 0)
+				expect(i, invalid, false, "not valid");
+		}
+	}
+
 	bool ready(int box) const
 	{
 		return http("GET", ip(box) + ":8280", "/ready", {}, "", 500)
@@ -353,7 +437,7 @@
 		    "cut", "blackhole", "drop_answers"};
 		std::string mode = modes[any(3)];
 
-		switch (any(5)) {
+		switch (any(6)) {
 		case 0:
 			trouble(
 			    "store-refuses", ms, [&] { store.answer_all(503); },
@@ -375,9 +459,19 @@
 			    "store-stale", ms, [&] { store.keep_stale(); },
 			    [] {});
 			break;
+		case 4:
+			trouble(
+			    "store-silent", ms,
+			    [&] {
+				    store.silence(true);
+				    configure();
+			    },
+			    [this] { store.silence(false); });
+			break;
 		default:
 			trouble(
-			    "configure", ms, [&] { configure(); }, [] {});
+			    "configure", ms, [&] { configure(any(4) > 0); },
+			    [] {});
 		}
 	}
 
@@ -465,10 +559,16 @@
 		return 1;
 	}
 	double end = now_ms() + seconds * 1000;
+	double rough = now_ms() + ROUGH_MS;
 	while (now_ms() < end) {
 		soak.fault();
 		soak.traffic(30 + soak.any(600));
+		if (now_ms() < rough)
+			continue;
+		soak.calm();
+		rough = now_ms() + ROUGH_MS;
 	}
+	soak.calm();
 	bool healed = soak.heals();
 	soak.traffic(500);
 	pump(5500);
@@ -482,6 +582,9 @@
 			    s->id.c_str(), s->unsafe ? "unsafe" : "safe",
 			    what.c_str(), s->reply.status, s->took_ms);
 	}
+	for (auto &b : soak.broken)
+		printf("VIOLATION configuration %s\n", b.c_str());
+	bad += soak.broken.size();
 	for (auto &f : soak.faults) {
 		printf("fault %-18s %d\n", f.first.c_str(), f.second);
 		faults += f.second;
