The HTTP client without a circle between its files

Cause: what a call is by itself (its end, and what it does once it is drained) stood in the file that starts calls, so that answers and connections used that file, and it them: three files in one circle by their symbols.

Change: up_call.c has it; each file uses those before it, up_call, up_answer, up_conn, up. Code moved, none changed.

--- a/libup.h
+++ b/libup.h
@@ -15,7 +15,10 @@
 
 #include "up.h"
 
-/* Shared by the parts of the HTTP client: calls, connections, answers. */
+/*
+ * Shared by the parts of the HTTP client, each of which uses those before it:
+ * calls, answers, connections, and what starts and ends calls.
+ */
 
 enum {
 	UP_READ_MAX = 64 * 1024, /* bytes read at once */
@@ -70,7 +73,7 @@
 	bool fresh, paused, is_head;
 };
 
-/* up.c */
+/* up_call.c */
 extern const struct up_ops up_drain_ops; /* of a call that is drained */
 void up_call_free(struct up_call *);
 
--- a/up.c
+++ b/up.c
@@ -21,44 +21,6 @@
 /* Time to make a connection; one in a hall takes well below a millisecond. */
 #define CONNECT_NS (300 * NS_MS)
 
-void
-up_ignore(void *ctx, struct up_call *c)
-{
-	(void)ctx;
-	(void)c;
-}
-
-void
-up_skip_body(void *ctx, struct up_call *c)
-{
-	(void)ctx;
-	h2o_buffer_consume(&c->body, c->body->size);
-}
-
-/* What a drained call does: nothing, to the end. */
-
-static void
-ignore_head(void *ctx, struct up_call *c, int status,
-    const h2o_header_t *headers, size_t n)
-{
-	(void)ctx;
-	(void)c;
-	(void)status;
-	(void)headers;
-	(void)n;
-}
-
-static void
-ignore_fail(void *ctx, struct up_call *c, enum err_kind kind)
-{
-	(void)ctx;
-	(void)c;
-	(void)kind;
-}
-
-const struct up_ops up_drain_ops = {
-    up_ignore, ignore_head, up_ignore, up_ignore, ignore_fail};
-
 static void
 pool_free(void *p)
 {
@@ -176,15 +138,6 @@
 	return c;
 }
 
-void
-up_call_free(struct up_call *c)
-{
-	tmr_clear(c->up->tmr, &c->timer);
-	h2o_buffer_dispose(&c->body);
-	g_string_free(c->request, TRUE);
-	g_free(c);
-}
-
 void
 up_cancel(struct up_call *c)
 {
