Only a watch is made anew when news came past it; tests of frozen hubs share their end

Read as a newcomer: news of peers could cut off a list that takes longer than a second (a slow platform, many pages), again and again in a storm; only watches are meant. "A watch failed" in place of "ended without an answer", as a refusal is one.

--- a/agent_look.c
+++ b/agent_look.c
@@ -19,9 +19,9 @@
  * stale copy and cost a tenth; what they bring is as good as what the watch
  * would have brought, and one without an answer tells of the silence.
  *
- * Failure prevented: after three seconds of silence among changes rules came
- * into force 22 s later on 13 boxes; with it 0.4 s after the platform's return
- * (by the boxes' logs).
+ * Failure prevented: with a change each 0.3 s beside three seconds of silence,
+ * 71 requests were decided by rules that had been replaced more than two
+ * seconds before, and none with looks (13 boxes, one day in virtual time each).
  */
 
 enum {
--- a/agent_stat.c
+++ b/agent_stat.c
@@ -20,7 +20,7 @@
     [AC_LOOKS] = {"fern_looks_total",
 	"Looks at the platform beside the watches.", CNT_COUNTER},
     [AC_WATCHES_BROKEN] = {"fern_watches_broken_total",
-	"Watches that ended without an answer.", CNT_COUNTER},
+	"Watches that were cut or refused, or were silent.", CNT_COUNTER},
     [AC_CONF_AGE] = {"fern_conf_age_ms",
 	"Time since the rules here were confirmed by the platform.", CNT_GAUGE},
     [AC_PLATFORM_DOWN] = {"fern_platform_down_total",
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -204,6 +204,7 @@
 	    .timeout_ms = LIST_TIMEOUT_MS};
 
 	f->asked_at = clk_ns(f->agent->clk);
+	f->watches = false;
 	f->call = agent_call(f->agent, &rq, on_list, f);
 	if (f->call == NULL)
 		watch_soon(f, rnd_jitter(f->agent->rnd, AGENT_RECHECK_NS));
@@ -219,6 +220,7 @@
 	    .wait_ms = MIN(a->set.watch_ms, a->set.list_ms)};
 
 	f->asked_at = clk_ns(a->clk);
+	f->watches = true;
 	f->call = agent_call(a, &rq, on_watch, f);
 	if (f->call == NULL)
 		watch_soon(f, rnd_jitter(a->rnd, AGENT_RECHECK_NS));
@@ -441,9 +443,8 @@
 	struct agent *a = f->agent;
 
 	cnt_add(a->cnt, AC_WATCHES_BROKEN, 1);
-	slog(SLOG_WATCH, "a watch ended without an answer",
-	    "kinds=%s since=%llu waited_ms=%lld", f->kinds,
-	    (unsigned long long)f->since,
+	slog(SLOG_WATCH, "a watch failed", "kinds=%s since=%llu waited_ms=%lld",
+	    f->kinds, (unsigned long long)f->since,
 	    (long long)((clk_ns(a->clk) - f->asked_at) / NS_MS));
 }
 
@@ -498,7 +499,8 @@
 {
 	struct agent_feed *f = ctx;
 
-	if (f->call == NULL || clk_ns(f->agent->clk) - f->asked_at < PASSED_NS)
+	if (f->call == NULL || !f->watches ||
+	    clk_ns(f->agent->clk) - f->asked_at < PASSED_NS)
 		return;
 	note_broken(f);
 	plat_cancel(f->agent->plat, f->call);
@@ -515,7 +517,7 @@
 {
 	struct agent *a = f->agent;
 
-	if (f->call != NULL && !f->passed_timer.set)
+	if (f->call != NULL && f->watches && !f->passed_timer.set)
 		tmr_set(&a->tmr, &f->passed_timer, clk_ns(a->clk) + PASSED_NS,
 		    on_passed, f);
 }
--- a/libagent.h
+++ b/libagent.h
@@ -69,6 +69,7 @@
 	unsigned mask; /* a bit 1 << kind for each */
 	struct tmr_item timer;
 	struct plat_call *call;
+	bool watches; /* the call is a watch */
 	uint64_t since; /* revision that the watch has reached */
 	uint64_t complete; /* revision of the last complete list */
 	int64_t listed_at; /* monotonic ns of it; 0: list anew */
--- a/regress/test_gossip.cpp
+++ b/regress/test_gossip.cpp
@@ -550,6 +550,23 @@
 	return f;
 }
 
+/*
+ * All boxes but those of hall-0 have a change now: how many leaves of hall-0
+ * have not heard of it after so long?
+ */
+int
+late_leaves(Fleet &f, int64_t after)
+{
+	int late = 0;
+
+	for (auto &b : f.boxes)
+		b->version = b->hall != "hall-0";
+	f.run_for(after);
+	for (auto &b : f.boxes)
+		late += !b->strong && b->hall == "hall-0" && b->version == 0;
+	return late;
+}
+
 } // namespace
 
 TEST(Gossip, AFleetThatStartsTogetherKnowsItsHomesBeforeTraffic)
@@ -703,20 +720,10 @@
 	for (int n : {95, 300})
 		for (uint64_t seed = 1; seed <= 5; seed++) {
 			auto f = settled_fleet(n, 4, seed);
-			int late = 0, leaves = 0;
 
-			for (auto &b : f->boxes) {
+			for (auto &b : f->boxes)
 				b->cut = b->strong && b->hall == "hall-0";
-				b->version = b->hall != "hall-0";
-			}
-			f->run_for(2 * NS_S);
-			for (auto &b : f->boxes) {
-				if (b->strong || b->hall != "hall-0")
-					continue;
-				leaves++;
-				late += b->version == 0;
-			}
-			EXPECT_EQ(0, late) << "of " << leaves << ", " << seed;
+			EXPECT_EQ(0, late_leaves(*f, 2 * NS_S)) << seed;
 		}
 }
 
@@ -725,21 +732,12 @@
 {
 	for (uint64_t seed = 1; seed <= 5; seed++) {
 		auto f = settled_fleet(95, 4, seed);
-		int late = 0, leaves = 0, hubs = 0;
+		int hubs = 0;
 
-		for (auto &b : f->boxes) {
+		for (auto &b : f->boxes)
 			if (b->strong)
 				b->cut = b->hall == "hall-0" || ++hubs % 3 != 0;
-			b->version = b->hall != "hall-0";
-		}
-		f->run_for(2500 * NS_MS);
-		for (auto &b : f->boxes) {
-			if (b->strong || b->hall != "hall-0")
-				continue;
-			leaves++;
-			late += b->version == 0;
-		}
-		EXPECT_EQ(0, late) << "of " << leaves << ", " << seed;
+		EXPECT_EQ(0, late_leaves(*f, 2500 * NS_MS)) << seed;
 	}
 }
 
