Sight: what a backend server says it takes, and what went beyond

A box reads how many requests a second a backend server says it takes, tells in the log when that changes and with whose answer, writes it into each sent line with over=1 where the request went beyond, and counts these. Nothing is decided by it yet. What is said is decoded in one place (struct dial_word), load and coldness with it; the bucket of cold servers serves for both.

--- a/agent_probe.c
+++ b/agent_probe.c
@@ -105,10 +105,12 @@
     const h2o_header_t *headers, size_t n)
 {
 	struct flight *f = ctx;
+	struct dial_word word;
 
 	(void)call;
 	f->found = status < 400 ? PROBE_OK : PROBE_FAILED;
-	if (f->agent->form->dial->drains(headers, n))
+	f->agent->form->dial->word(status, headers, n, &word);
+	if (word.drains)
 		f->found = PROBE_DRAINING;
 }
 
--- a/cold.c
+++ b/cold.c
@@ -12,14 +12,12 @@
 
 #include "cold.h"
 
-static const double NS_A_SECOND = 1e9;
-
 /* What was sent before we knew of it counts as if all had been. */
 static void
 begin(struct cold *c, int64_t now)
 {
-	if (c->filled == 0)
-		c->filled = now;
+	if (c->bucket.filled == 0)
+		c->bucket.filled = now;
 }
 
 void
@@ -50,26 +48,16 @@
 	return cold_is(c, now) && !c->told;
 }
 
-/* What it may get at once by now. */
-static double
-saved(const struct cold *c, const struct cold_bound *bound, int64_t now)
-{
-	double since = (double)(now - c->filled) / NS_A_SECOND;
-
-	return MIN(c->saved + bound->rate * since, bound->burst);
-}
-
 bool
 cold_may(const struct cold *c, const struct cold_bound *bound, int64_t now)
 {
 	return bound->rate <= 0 || !cold_is(c, now) ||
-	    saved(c, bound, now) >= 1;
+	    bucket_holds(&c->bucket, bound->rate, bound->burst, now) >= 1;
 }
 
 /* A warm one may get any number; then nothing is saved when it turns cold. */
 void
 cold_sent(struct cold *c, const struct cold_bound *bound, int64_t now)
 {
-	c->saved = MAX(saved(c, bound, now) - 1, 0);
-	c->filled = now;
+	bucket_take(&c->bucket, bound->rate, bound->burst, now);
 }
--- a/cold.h
+++ b/cold.h
@@ -14,6 +14,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "limit.h"
+
 /*
  * A backend server that has just started is cold: it bears few requests a
  * second and falls over at many more.  Pure: a token bucket, with the times
@@ -38,8 +40,7 @@
 struct cold {
 	int64_t until; /* monotonic ns; it is cold before that, or may be */
 	bool told; /* by itself; otherwise it is suspected */
-	double saved; /* requests that it may get at once */
-	int64_t filled; /* when that was reckoned; 0: never */
+	struct bucket bucket; /* requests that it may get; filled 0: unused */
 };
 
 /* It has started, or may have: cold for so many ns unless it says better. */
--- a/dial.c
+++ b/dial.c
@@ -8,6 +8,7 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
+#include <glib.h>
 #include <stdio.h>
 
 #include "dial.h"
@@ -18,9 +19,7 @@
 
 static bool refused(int, const h2o_header_t *, size_t);
 static bool moved(int, const h2o_header_t *, size_t);
-static bool drains(const h2o_header_t *, size_t);
-static int64_t cold(const h2o_header_t *, size_t);
-static bool load(const h2o_header_t *, size_t, struct dial_load *);
+static void word(int, const h2o_header_t *, size_t, struct dial_word *);
 
 const struct dial dial_fern = {
     .name = "fern",
@@ -28,9 +27,14 @@
     .retried = {"fern-retried", 12},
     .refused = refused,
     .moved = moved,
-    .drains = drains,
-    .cold = cold,
-    .load = load,
+    .word = word,
+};
+
+static const struct dial_word_names word_names = {
+    .load = {"fern-load", 9},
+    .cold = {"fern-cold-ms", 12},
+    .drains = {"fern-drain", 10},
+    .limit = {"fern-limit", 10},
 };
 
 struct str
@@ -84,12 +88,6 @@
 	return false;
 }
 
-static bool
-drains(const h2o_header_t *headers, size_t n)
-{
-	return dial_header(headers, n, STR_LIT("fern-drain")).n > 0;
-}
-
 int64_t
 dial_ms(struct str text)
 {
@@ -98,15 +96,44 @@
 	return str_u64(text, &ms) ? (int64_t)MIN(ms, DIAL_MS_MAX) : 0;
 }
 
-static int64_t
-cold(const h2o_header_t *headers, size_t n)
+bool
+dial_read_rate(struct str text, double *out)
 {
-	return dial_ms(dial_header(headers, n, STR_LIT("fern-cold-ms")));
+	char copy[DIAL_RATE_DIGITS + 1];
+	size_t i, points = 0, digits = 0;
+
+	if (text.n >= sizeof(copy))
+		return false;
+	for (i = 0; i < text.n; i++) {
+		points += text.p[i] == '.';
+		digits += g_ascii_isdigit(text.p[i]);
+	}
+	if (digits == 0 || points > 1 || digits + points != text.n)
+		return false;
+	memcpy(copy, text.p, text.n);
+	copy[text.n] = '\0';
+	*out = MAX(g_ascii_strtod(copy, NULL), DIAL_RATE_MIN);
+	return true;
 }
 
-static bool
-load(const h2o_header_t *headers, size_t n, struct dial_load *out)
+void
+dial_read_word(const struct dial_word_names *names, const h2o_header_t *headers,
+    size_t n, struct dial_word *out)
 {
-	return dial_read_load(
-	    dial_header(headers, n, STR_LIT("fern-load")), out);
+	struct str load = dial_header(headers, n, names->load);
+	struct str limit = dial_header(headers, n, names->limit);
+
+	*out = (struct dial_word){
+	    .cold_ms = dial_ms(dial_header(headers, n, names->cold)),
+	    .drains = dial_header(headers, n, names->drains).n > 0,
+	};
+	out->tells_load = dial_read_load(load, &out->load);
+	out->malformed = limit.p != NULL && !dial_read_rate(limit, &out->limit);
+}
+
+static void
+word(int status, const h2o_header_t *headers, size_t n, struct dial_word *out)
+{
+	(void)status;
+	dial_read_word(&word_names, headers, n, out);
 }
--- a/dial.h
+++ b/dial.h
@@ -21,7 +21,7 @@
  * open.  The gate knows what is meant; the dialect knows the headers.
  */
 
-/* What a backend server tells of itself with an answer. */
+/* How busy a backend server is. */
 struct dial_load {
 	int running; /* requests that it works on */
 	int waiting; /* requests in its own queue */
@@ -29,6 +29,17 @@
 	int pace; /* percent of the usual time that work takes there now */
 };
 
+/* What a backend server says of itself with an answer. */
+struct dial_word {
+	bool tells_load;
+	struct dial_load load;
+	int64_t cold_ms; /* it stays cold for so long; 0: it does not say so */
+	bool drains; /* it leaves */
+	/* Requests a second that it takes from all boxes together; 0: any. */
+	double limit;
+	bool malformed; /* it says something that cannot be read */
+};
+
 struct dial {
 	const char *name;
 	/* Header names in lower case; an empty one is not used. */
@@ -46,12 +57,14 @@
 	bool (*refused)(int status, const h2o_header_t *, size_t);
 	/* It says that another backend server has its address now. */
 	bool (*moved)(int status, const h2o_header_t *, size_t);
-	/* It says that it drains. */
-	bool (*drains)(const h2o_header_t *, size_t);
-	/* How many ms it stays cold, as its health answer tells; 0: none. */
-	int64_t (*cold)(const h2o_header_t *, size_t);
-	/* It tells its load; false if it does not. */
-	bool (*load)(const h2o_header_t *, size_t, struct dial_load *);
+	/* What it says of itself. */
+	void (*word)(
+	    int status, const h2o_header_t *, size_t, struct dial_word *);
+};
+
+/* Where a dialect has what a backend server says of itself. */
+struct dial_word_names {
+	struct str load, cold, drains, limit;
 };
 
 /* Fernjunction's own dialect, as ferncaller(7) describes it. */
@@ -67,4 +80,17 @@
 /* Read "running,waiting,slots[,pace]"; false if it is malformed. */
 bool dial_read_load(struct str, struct dial_load *);
 
+/*
+ * Read requests a second, a plain decimal number; false if it is malformed or
+ * beyond what a number of DIAL_RATE_DIGITS bytes tells.  Less than
+ * DIAL_RATE_MIN is read as that much: an answer has to tell of the end.
+ */
+bool dial_read_rate(struct str, double *);
+#define DIAL_RATE_MIN 0.1
+enum { DIAL_RATE_DIGITS = 16 };
+
+/* Read all that the headers say. */
+void dial_read_word(const struct dial_word_names *, const h2o_header_t *,
+    size_t, struct dial_word *);
+
 #endif
--- a/disp.c
+++ b/disp.c
@@ -150,6 +150,8 @@
 	r->sent = now;
 	r->tries++;
 	cold_sent(&b->cold, &d->params.cold, now);
+	r->over = quota_free(&b->quota, now) == 0;
+	quota_sent(&b->quota, now);
 	disp_conc_begin(d, r);
 	disp_work_begin(d, r);
 	d->ops.send(d->ops.ctx, r, b);
--- a/disp.h
+++ b/disp.h
@@ -67,6 +67,7 @@
 	int beside; /* others that ran there then */
 	double slowdown; /* that these are thought to cause */
 	bool told; /* and that rested on a fresh word */
+	bool over; /* it went beyond what its backend server takes */
 	bool asked; /* backend servers were asked for it once */
 	bool paid; /* its tries so far are within a retry budget */
 	bool judged; /* it was decided that it may wait */
@@ -189,6 +190,19 @@
 void disp_load_told(
     struct disp *, struct pick_backend *, int running, int waiting, int pace);
 
+/*
+ * What it says with an answer to a request that it worked on: how many requests
+ * a second it takes from all boxes; 0: any.  True if that is news.
+ */
+bool disp_quota_told(
+    struct disp *, struct pick_backend *, double rate, const struct disp_req *);
+
+/*
+ * The same with the answer to a question, which may not say it where others do.
+ * Called before disp_peeked().
+ */
+bool disp_quota_peeked(struct disp *, struct str backend, double rate);
+
 /*
  * An answer to a question that peek() sent, or that none has come.  A pace of
  * 0 says that the backend server does not tell its load.
--- a/disp_set.c
+++ b/disp_set.c
@@ -267,6 +267,23 @@
 	return cold_is(&b->cold, now) != knew;
 }
 
+bool
+disp_quota_told(struct disp *d, struct pick_backend *b, double rate,
+    const struct disp_req *r)
+{
+	return quota_told(&b->quota, rate, r->sent, clk_ns(d->clk));
+}
+
+bool
+disp_quota_peeked(struct disp *d, struct str backend, double rate)
+{
+	struct pick_backend *b = find(d, backend);
+
+	if (b == NULL || rate <= 0)
+		return false;
+	return quota_told(&b->quota, rate, b->peeked_at, clk_ns(d->clk));
+}
+
 void
 disp_drain_told(struct disp *d, struct pick_backend *b)
 {
--- a/gate_peek.c
+++ b/gate_peek.c
@@ -24,8 +24,7 @@
 	struct str service, hall, backend;
 	struct up_call *call;
 	struct tmr_item timer;
-	struct dial_load load; /* pace 0: not told */
-	int64_t cold_ms;
+	struct dial_word word; /* pace 0: it tells no load */
 };
 
 static void on_connected(void *, struct up_call *);
@@ -74,17 +73,11 @@
 	tmr_clear(&g->tmr, &p->timer);
 	if (!answered)
 		cnt_add(g->cnt, GC_PEEKS_LOST, 1);
-	if (s != NULL && answered &&
-	    disp_cold_told(s->disp, p->backend, p->cold_ms * NS_MS))
-		slog_decision(SLOG_PICK,
-		    p->cold_ms > 0 ? "a backend server is cold"
-				   : "a backend server is warm",
-		    "backend=%.*s service=%.*s cold_ms=%lld",
-		    STR_ARG(p->backend), STR_ARG(p->service),
-		    (long long)p->cold_ms);
+	if (s != NULL && answered)
+		gate_word_peeked(s, p->backend, &p->word);
 	if (s != NULL)
-		disp_peeked(s->disp, p->backend, answered, p->load.running,
-		    p->load.waiting, p->load.pace);
+		disp_peeked(s->disp, p->backend, answered, p->word.load.running,
+		    p->word.load.waiting, p->word.load.pace);
 	str_free(&p->service);
 	str_free(&p->hall);
 	str_free(&p->backend);
@@ -110,10 +103,9 @@
 	struct peek *p = ctx;
 
 	(void)call;
-	(void)status;
-	if (!p->gate->dial->load(headers, n, &p->load))
-		p->load.pace = 0;
-	p->cold_ms = p->gate->dial->cold(headers, n);
+	p->gate->dial->word(status, headers, n, &p->word);
+	if (!p->word.tells_load)
+		p->word.load.pace = 0;
 }
 
 static void
--- a/gate_stat.c
+++ b/gate_stat.c
@@ -40,6 +40,12 @@
 	CNT_COUNTER},
     [GC_ENDED] = {"fern_servers_ended_total",
 	"Backend servers that ended with requests there.", CNT_COUNTER},
+    [GC_OVER_QUOTA] = {"fern_over_quota_total",
+	"Requests sent to a backend server beyond what it says it takes.",
+	CNT_COUNTER},
+    [GC_MALFORMED] = {"fern_malformed_words_total",
+	"Answers in which a backend server says what cannot be read.",
+	CNT_COUNTER},
     [GC_POISON] = {"fern_poison",
 	"Requests refused because backend servers end when they run them.",
 	CNT_GAUGE},
@@ -136,13 +142,14 @@
 	struct print *p = ctx;
 
 	json_array_append_new(p->list,
-	    json_pack("{s:s%, s:s%, s:s%, s:s, s:i, s:i, s:f, s:b}", "service",
-		p->shard->service.p, p->shard->service.n, "hall",
+	    json_pack("{s:s%, s:s%, s:s%, s:s, s:i, s:i, s:f, s:b, s:f}",
+		"service", p->shard->service.p, p->shard->service.n, "hall",
 		p->shard->hall.p, p->shard->hall.n, "backend", b->name.p,
 		b->name.n, "state",
 		chart_state_name(p->shard->gate->chart_backend, (int)b->state),
 		"inflight", b->inflight, "slots", b->slots, "usual_ms",
-		(double)b->usual / NS_MS, "probe_down", (int)b->probe_down));
+		(double)b->usual / NS_MS, "probe_down", (int)b->probe_down,
+		"takes_a_second", b->quota.rate));
 }
 
 static void
--- a/gate_try.c
+++ b/gate_try.c
@@ -52,7 +52,7 @@
 	    " service=%.*s backend=%.*s in_use=%d limit=%d slots=%d "
 	    "pace=%d "
 	    "pace_age_ms=%lld held_us=%lld left_ms=%lld tries=%d conf=%llu "
-	    "conf_age_ms=%lld",
+	    "conf_age_ms=%lld a_second=%.2f over=%d",
 	    STR_ARG(r->name), FPRINT_ARG(r->d.print), STR_ARG(r->service),
 	    STR_ARG(b->name), b->inflight - 1, pick_slots(b), b->slots,
 	    b->told_pace,
@@ -60,8 +60,9 @@
 			    : (long long)((d->sent - b->told_at) / NS_MS),
 	    (long long)((d->sent - r->began) / NS_US),
 	    (long long)((d->deadline - d->sent) / NS_MS), d->tries,
-	    (unsigned long long)r->conf,
-	    (long long)sync_age_ms(&r->gate->sync));
+	    (unsigned long long)r->conf, (long long)sync_age_ms(&r->gate->sync),
+	    b->quota.rate, d->over);
+	cnt_add(r->gate->cnt, GC_OVER_QUOTA, d->over);
 	cnt_sample(r->gate->cnt, GC_HELD, d->sent - r->began);
 	gate_flow_send(r, b->address, !d->repeatable);
 }
@@ -226,20 +227,6 @@
 	return true;
 }
 
-/* What a backend server tells of itself with an answer. */
-static void
-take_word(struct gate_req *r, const h2o_header_t *headers, size_t n)
-{
-	const struct dial *dial = r->gate->dial;
-	struct dial_load load;
-
-	if (dial->drains(headers, n))
-		disp_drain_told(r->shard->disp, r->d.at);
-	if (dial->load(headers, n, &load))
-		disp_load_told(r->shard->disp, r->d.at, load.running,
-		    load.waiting, load.pace);
-}
-
 static bool
 head_from_home(
     struct gate_req *r, int status, const h2o_header_t *headers, size_t n)
@@ -278,7 +265,7 @@
 
 	if (r->peer != NULL)
 		return head_from_home(r, status, headers, n);
-	take_word(r, headers, n);
+	gate_word_answer(r, status, headers, n);
 	outcome = outcome_of(r, status, headers, n);
 	if (outcome == DISP_OK)
 		return false;
--- /dev/null
+++ b/gate_word.c
@@ -0,0 +1,91 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "libreq.h"
+#include "slog.h"
+
+/*
+ * What backend servers say of themselves with their answers, to requests and
+ * to questions: brought to the shard, and told in the log.
+ */
+
+/* One that is told wrong each time gets one line. */
+static void
+note_malformed(struct gate *g, struct pick_backend *b, struct str id)
+{
+	cnt_add(g->cnt, GC_MALFORMED, 1);
+	if (!b->malformed)
+		slog_decision(SLOG_PICK,
+		    "a backend server says what cannot be read",
+		    "id=%.*s backend=%.*s", STR_ARG(id), STR_ARG(b->name));
+	b->malformed = true;
+}
+
+static void
+note_quota(
+    const struct gate_shard *s, struct str backend, struct str id, double rate)
+{
+	slog_decision(SLOG_PICK,
+	    rate > 0 ? "a backend server says how many requests it takes"
+		     : "a backend server takes any number again",
+	    "id=%.*s service=%.*s backend=%.*s a_second=%.2f", STR_ARG(id),
+	    STR_ARG(s->service), STR_ARG(backend), rate);
+}
+
+/*
+ * An answer that says nothing of a limit ends it; but a refusal may be written
+ * where the limit is not known.
+ */
+static bool
+tells_quota(const struct gate_req *r, int status, const h2o_header_t *headers,
+    size_t n, const struct dial_word *word)
+{
+	return word->limit > 0 ||
+	    (!word->malformed && !r->gate->dial->refused(status, headers, n));
+}
+
+void
+gate_word_answer(
+    struct gate_req *r, int status, const h2o_header_t *headers, size_t n)
+{
+	const struct dial *dial = r->gate->dial;
+	struct gate_shard *s = r->shard;
+	struct pick_backend *b = r->d.at;
+	struct dial_word word;
+
+	/* Another backend server has the address, and speaks of itself. */
+	if (dial->moved(status, headers, n))
+		return;
+	dial->word(status, headers, n, &word);
+	if (word.malformed)
+		note_malformed(r->gate, b, r->name);
+	if (word.drains)
+		disp_drain_told(s->disp, b);
+	if (word.tells_load)
+		disp_load_told(s->disp, b, word.load.running, word.load.waiting,
+		    word.load.pace);
+	if (tells_quota(r, status, headers, n, &word) &&
+	    disp_quota_told(s->disp, b, word.limit, &r->d))
+		note_quota(s, b->name, r->name, word.limit);
+}
+
+void
+gate_word_peeked(
+    struct gate_shard *s, struct str backend, const struct dial_word *word)
+{
+	if (disp_cold_told(s->disp, backend, word->cold_ms * NS_MS))
+		slog_decision(SLOG_PICK,
+		    word->cold_ms > 0 ? "a backend server is cold"
+				      : "a backend server is warm",
+		    "backend=%.*s service=%.*s cold_ms=%lld", STR_ARG(backend),
+		    STR_ARG(s->service), (long long)word->cold_ms);
+	if (disp_quota_peeked(s->disp, backend, word->limit))
+		note_quota(s, backend, str_c(NULL), word->limit);
+}
--- a/libgate.h
+++ b/libgate.h
@@ -89,6 +89,8 @@
 	GC_STOPPED,
 	GC_BROKEN,
 	GC_ENDED,
+	GC_OVER_QUOTA,
+	GC_MALFORMED,
 	GC_POISON,
 	GC_CUT,
 	GC_GONE,
@@ -254,6 +256,10 @@
 /* gate_peek.c: questions for the load of backend servers. */
 void gate_peek_start(struct gate_shard *, const struct pick_backend *);
 
+/* gate_word.c: what backend servers say of themselves. */
+void gate_word_peeked(
+    struct gate_shard *, struct str backend, const struct dial_word *);
+
 /* gate_stat.c: counters and the admin pages. */
 struct cnt *gate_stat_open(void);
 void gate_stat_page(void *, h2o_req_t *);
--- a/libreq.h
+++ b/libreq.h
@@ -137,4 +137,8 @@
 void gate_try_abandon(struct gate_req *, enum disp_outcome);
 void gate_try_home(struct gate_req *);
 
+/* gate_word.c: what the backend server says of itself with an answer. */
+void
+gate_word_answer(struct gate_req *, int status, const h2o_header_t *, size_t);
+
 #endif
--- a/limit.c
+++ b/limit.c
@@ -12,6 +12,7 @@
 
 #include "limit.h"
 
+static const double NS_A_SECOND = 1e9;
 /* What a quiet budget may save up, and what a new one begins with. */
 static const double BUDGET_MAX = 20.0;
 static const double BUDGET_START_SHARE = 0.25;
@@ -33,7 +34,7 @@
 bool
 limit_take(struct limit *l, double rate, int64_t now)
 {
-	double burst = rate * (double)LIMIT_BURST_NS / 1e9;
+	double burst = rate * (double)LIMIT_BURST_NS / NS_A_SECOND;
 
 	if (rate <= 0)
 		return true;
@@ -42,7 +43,7 @@
 	if (l->last == 0)
 		l->tokens = burst;
 	else
-		l->tokens += rate * (double)(now - l->last) / 1e9;
+		l->tokens += rate * (double)(now - l->last) / NS_A_SECOND;
 	l->last = now;
 	if (l->tokens > burst)
 		l->tokens = burst;
@@ -52,6 +53,21 @@
 	return true;
 }
 
+double
+bucket_holds(const struct bucket *b, double rate, double burst, int64_t now)
+{
+	double since = (double)(now - b->filled) / NS_A_SECOND;
+
+	return MIN(b->saved + rate * since, burst);
+}
+
+void
+bucket_take(struct bucket *b, double rate, double burst, int64_t now)
+{
+	b->saved = MAX(bucket_holds(b, rate, burst, now) - 1, 0);
+	b->filled = now;
+}
+
 static void
 slot_free(void *p)
 {
--- a/limit.h
+++ b/limit.h
@@ -33,6 +33,19 @@
 
 #define LIMIT_BURST_NS (INT64_C(200) * 1000 * 1000)
 
+/* A bucket of whole tokens whose rate and size its owner knows. */
+struct bucket {
+	double saved; /* tokens that it held */
+	int64_t filled; /* at this time; monotonic ns */
+};
+
+/* What it holds by now, at `rate` tokens a second and `burst` at most. */
+double
+bucket_holds(const struct bucket *, double rate, double burst, int64_t now);
+
+/* Take one token, or the part of one that is there. */
+void bucket_take(struct bucket *, double rate, double burst, int64_t now);
+
 /* Buckets for many callers; the least lately used goes when it is full. */
 struct limit_table;
 struct limit_table *limit_table_new(unsigned max);
--- a/pick.h
+++ b/pick.h
@@ -20,6 +20,7 @@
 #include "cold.h"
 #include "conc.h"
 #include "obj.h"
+#include "quota.h"
 #include "str.h"
 
 /*
@@ -60,6 +61,8 @@
 	const struct conc *conc; /* how others slow it; NULL: not known */
 	struct cold cold;
 	const struct cold_bound *cold_bound; /* NULL: none */
+	struct quota quota; /* what it takes in a second, by its own word */
+	bool malformed; /* it said something that cannot be read */
 	int inflight; /* sent and not finished */
 	int inflight_bulk; /* of these, class bulk */
 	enum pick_state state;
--- /dev/null
+++ b/quota.c
@@ -0,0 +1,56 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <glib.h>
+#include <limits.h>
+
+#include "quota.h"
+
+/* Held requests are looked at each 10 ms, and a look may come late. */
+static const double BURST_S = 0.02;
+
+static double
+burst(const struct quota *q)
+{
+	return MAX(q->rate * BURST_S, 1);
+}
+
+bool
+quota_told(struct quota *q, double rate, int64_t sent, int64_t now)
+{
+	bool less = rate > 0 && (q->rate == 0 || rate < q->rate);
+
+	if (rate == q->rate) {
+		q->told = now;
+		return false;
+	}
+	if (!less && sent < q->told)
+		return false;
+	if (q->rate == 0)
+		q->bucket = (struct bucket){0, now};
+	q->rate = rate;
+	q->told = now;
+	return true;
+}
+
+int
+quota_free(const struct quota *q, int64_t now)
+{
+	if (q->rate == 0)
+		return INT_MAX;
+	return (int)bucket_holds(&q->bucket, q->rate, burst(q), now);
+}
+
+void
+quota_sent(struct quota *q, int64_t now)
+{
+	if (q->rate > 0)
+		bucket_take(&q->bucket, q->rate, burst(q), now);
+}
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -400,7 +400,8 @@
 	h2o_iovec_t load = {
 	    const_cast<char *>("fernjunction-backend-load"), 25};
 	h2o_header_t h = {};
-	struct dial_load l = {};
+	struct dial_word w = {};
+	const struct dial_load &l = w.load;
 
 	h.name = &name;
 	h.value = h2o_iovec_init("1", 1);
@@ -411,20 +412,57 @@
 	EXPECT_FALSE(d->moved(503, &h, 1));
 	h.name = &load;
 	h.value = h2o_iovec_init("3,1,8,250", 9);
-	ASSERT_TRUE(d->load(&h, 1, &l));
+	d->word(200, &h, 1, &w);
+	ASSERT_TRUE(w.tells_load);
 	EXPECT_EQ(3, l.running);
 	EXPECT_EQ(1, l.waiting);
 	EXPECT_EQ(8, l.slots);
 	EXPECT_EQ(250, l.pace);
 	h.value = h2o_iovec_init("3,0,8", 5);
-	ASSERT_TRUE(d->load(&h, 1, &l));
+	d->word(200, &h, 1, &w);
+	ASSERT_TRUE(w.tells_load);
 	EXPECT_EQ(100, l.pace);
 	for (const char *bad : {"", "3,0", "3,0,0", "a,b,c", "3,0,8,0"}) {
 		h.value = h2o_iovec_init(bad, strlen(bad));
-		EXPECT_FALSE(d->load(&h, 1, &l)) << bad;
+		d->word(200, &h, 1, &w);
+		EXPECT_FALSE(w.tells_load) << bad;
 	}
 }
 
+/* How many requests a second a backend server takes, as it says it. */
+TEST(Platform, WhatABackendServerTakes)
+{
+	const struct dial *d = platform_form.dial;
+	h2o_iovec_t name = {const_cast<char *>("server-limit"), 12};
+	h2o_header_t h = {};
+	struct dial_word w = {};
+
+	h.name = &name;
+	struct {
+		const char *text;
+		double rate;
+	} good[] = {{"2.8", 2.8}, {"300", 300}, {".5", 0.5}, {"0.3", 0.3},
+	    {"7.", 7}, {"0", DIAL_RATE_MIN}, {"0.0001", DIAL_RATE_MIN}};
+	for (auto &g : good) {
+		h.value = h2o_iovec_init(g.text, strlen(g.text));
+		d->word(200, &h, 1, &w);
+		EXPECT_FALSE(w.malformed) << g.text;
+		EXPECT_DOUBLE_EQ(g.rate, w.limit) << g.text;
+	}
+	const std::string digits(100, '9');
+	for (const char *bad :
+	    {"", " ", "-1", "+1", "nan", "inf", "1e308", "0x10", "1,5", "1.2.3",
+		".", "5/s", "Thu, 01 Jan 2026", digits.c_str()}) {
+		h.value = h2o_iovec_init(bad, strlen(bad));
+		d->word(200, &h, 1, &w);
+		EXPECT_TRUE(w.malformed) << bad;
+		EXPECT_EQ(0, w.limit) << bad;
+	}
+	d->word(200, &h, 0, &w);
+	EXPECT_FALSE(w.malformed);
+	EXPECT_EQ(0, w.limit);
+}
+
 TEST(Platform, Bounds)
 {
 	struct plat_bounds b = {};
