Sight: servers that say that they leave, or ask for a rest

A box reads both from answers to requests and to questions, tells of them in the log with the request whose answer said so, and writes into each sent line what its backend server had said against it. fern_against_word_total counts these, with those beyond a limit, fern_rests_total the rests; the admin page of backend servers shows what each has said. Nothing is decided by it yet.

--- a/dial.c
+++ b/dial.c
@@ -15,7 +15,7 @@
 
 /* What callers and backend servers say by headers, in our own dialect. */
 
-enum { PACE_USUAL = 100 };
+enum { PACE_USUAL = 100, MS_A_SECOND = 1000 };
 
 static bool refused(int, const h2o_header_t *, size_t);
 static bool moved(int, const h2o_header_t *, size_t);
@@ -34,7 +34,9 @@
     .load = {"fern-load", 9},
     .cold = {"fern-cold-ms", 12},
     .drains = {"fern-drain", 10},
+    .leaves = {"fern-drain", 10},
     .limit = {"fern-limit", 10},
+    .rest = {"retry-after", 11},
 };
 
 struct str
@@ -96,10 +98,11 @@
 	return str_u64(text, &ms) ? (int64_t)MIN(ms, DIAL_MS_MAX) : 0;
 }
 
-bool
-dial_read_rate(struct str text, double *out)
+/* A plain decimal number, without sign or exponent. */
+static bool
+read_decimal(struct str text, double *out)
 {
-	char copy[DIAL_RATE_DIGITS + 1];
+	char copy[DIAL_DECIMAL_MAX + 1];
 	size_t i, points = 0, digits = 0;
 
 	if (text.n >= sizeof(copy))
@@ -112,28 +115,62 @@
 		return false;
 	memcpy(copy, text.p, text.n);
 	copy[text.n] = '\0';
-	*out = MAX(g_ascii_strtod(copy, NULL), DIAL_RATE_MIN);
+	*out = g_ascii_strtod(copy, NULL);
+	return true;
+}
+
+bool
+dial_read_rate(struct str text, double *out)
+{
+	double rate;
+
+	if (!read_decimal(text, &rate))
+		return false;
+	*out = MAX(rate, DIAL_RATE_MIN);
 	return true;
 }
 
+bool
+dial_read_seconds(struct str text, int64_t *ms)
+{
+	double seconds;
+
+	if (!read_decimal(text, &seconds))
+		return false;
+	*ms = (int64_t)MIN(seconds * MS_A_SECOND, DIAL_MS_MAX);
+	return true;
+}
+
+/* Only with these does Retry-After tell of the backend server itself. */
+static bool
+asks_for_rest(int status)
+{
+	return status == 429 || status == 503;
+}
+
 void
-dial_read_word(const struct dial_word_names *names, const h2o_header_t *headers,
-    size_t n, struct dial_word *out)
+dial_read_word(const struct dial_word_names *names, int status,
+    const h2o_header_t *headers, size_t n, struct dial_word *out)
 {
 	struct str load = dial_header(headers, n, names->load);
 	struct str limit = dial_header(headers, n, names->limit);
+	struct str rest = dial_header(headers, n, names->rest);
 
 	*out = (struct dial_word){
 	    .cold_ms = dial_ms(dial_header(headers, n, names->cold)),
 	    .drains = dial_header(headers, n, names->drains).n > 0,
+	    .leaves = dial_header(headers, n, names->leaves).n > 0,
 	};
 	out->tells_load = dial_read_load(load, &out->load);
-	out->malformed = limit.p != NULL && !dial_read_rate(limit, &out->limit);
+	if (limit.p != NULL && !dial_read_rate(limit, &out->limit))
+		out->malformed = true;
+	if (rest.p != NULL && asks_for_rest(status) &&
+	    !dial_read_seconds(rest, &out->rest_ms))
+		out->malformed = true;
 }
 
 static void
 word(int status, const h2o_header_t *headers, size_t n, struct dial_word *out)
 {
-	(void)status;
-	dial_read_word(&word_names, headers, n, out);
+	dial_read_word(&word_names, status, headers, n, out);
 }
--- a/dial.h
+++ b/dial.h
@@ -34,7 +34,12 @@
 	bool tells_load;
 	struct dial_load load;
 	int64_t cold_ms; /* it stays cold for so long; 0: it does not say so */
-	bool drains; /* it leaves */
+	bool drains; /* it leaves, and gets nothing more */
+	bool leaves; /* it leaves */
+	/* With a refusal: it wants nothing more from the asking box for so
+	 * long.
+	 */
+	int64_t rest_ms;
 	/* Requests a second that it takes from all boxes together; 0: any. */
 	double limit;
 	bool malformed; /* it says something that cannot be read */
@@ -64,7 +69,7 @@
 
 /* Where a dialect has what a backend server says of itself. */
 struct dial_word_names {
-	struct str load, cold, drains, limit;
+	struct str load, cold, drains, leaves, limit, rest;
 };
 
 /* Fernjunction's own dialect, as ferncaller(7) describes it. */
@@ -80,17 +85,25 @@
 /* Read "running,waiting,slots[,pace]"; false if it is malformed. */
 bool dial_read_load(struct str, struct dial_load *);
 
+/* Decimal numbers are no longer than this. */
+enum { DIAL_DECIMAL_MAX = 16 };
+
 /*
- * Read requests a second, a plain decimal number; false if it is malformed or
- * beyond what a number of DIAL_RATE_DIGITS bytes tells.  Less than
- * DIAL_RATE_MIN is read as that much: an answer has to tell of the end.
+ * Read requests a second, a plain decimal number; false if it is malformed.
+ * Less than DIAL_RATE_MIN is read as that much: an answer has to tell of the
+ * end.
  */
 bool dial_read_rate(struct str, double *);
 #define DIAL_RATE_MIN 0.1
-enum { DIAL_RATE_DIGITS = 16 };
 
-/* Read all that the headers say. */
-void dial_read_word(const struct dial_word_names *, const h2o_header_t *,
-    size_t, struct dial_word *);
+/*
+ * Read seconds, a plain decimal number, as ms, DIAL_MS_MAX at most; false if it
+ * is malformed.
+ */
+bool dial_read_seconds(struct str, int64_t *ms);
+
+/* Read all that the headers of an answer say. */
+void dial_read_word(const struct dial_word_names *, int status,
+    const h2o_header_t *, size_t, struct dial_word *);
 
 #endif
--- a/disp.c
+++ b/disp.c
@@ -137,6 +137,18 @@
 	return true;
 }
 
+/* Is something sent there now against what it says of itself? */
+static enum disp_against
+against(const struct pick_backend *b, int64_t now)
+{
+	if (b->leaves)
+		return AGAINST_LEAVING;
+	if (now < b->rest_until)
+		return AGAINST_REST;
+	return quota_free(&b->quota, now) == 0 ? AGAINST_QUOTA
+					       : AGAINST_NOTHING;
+}
+
 void
 disp_begin(struct disp *d, struct disp_req *r, struct pick_backend *b)
 {
@@ -153,7 +165,7 @@
 	r->sent = now;
 	r->tries++;
 	cold_sent(&b->cold, &d->params.cold, now);
-	r->over = quota_free(&b->quota, now) == 0;
+	r->against = against(b, now);
 	quota_sent(&b->quota, now);
 	disp_conc_begin(d, r);
 	disp_work_begin(d, r);
--- a/disp.h
+++ b/disp.h
@@ -46,6 +46,15 @@
 	DISP_OUTCOME_MAX
 };
 
+/* A request is sent against what its backend server said of itself. */
+enum disp_against {
+	AGAINST_NOTHING,
+	AGAINST_QUOTA, /* it takes fewer requests a second */
+	AGAINST_REST, /* it wants none from us for a while */
+	AGAINST_LEAVING, /* it leaves */
+	AGAINST_MAX
+};
+
 /* One request, embedded in its owner's. */
 struct disp_req {
 	enum obj_class cls;
@@ -67,7 +76,7 @@
 	int beside; /* others that ran there then */
 	double slowdown; /* that these are thought to cause */
 	bool told; /* and that rested on a fresh word */
-	bool over; /* it went beyond what its backend server takes */
+	enum disp_against against; /* what its backend server had said */
 	bool asked; /* backend servers were asked for it once */
 	bool paid; /* its tries so far are within a retry budget */
 	bool judged; /* it was decided that it may wait */
@@ -196,6 +205,16 @@
 void disp_load_told(
     struct disp *, struct pick_backend *, int running, int waiting, int pace);
 
+/* It says that it leaves.  True if that is news. */
+bool disp_leaves_told(struct disp *, struct pick_backend *);
+
+/* It asks for no more requests for so many ns.  True if that is news. */
+bool disp_rest_told(struct disp *, struct pick_backend *, int64_t ns);
+
+/* The same with the answer to a question; called before disp_peeked(). */
+bool disp_leaves_peeked(struct disp *, struct str backend);
+bool disp_rest_peeked(struct disp *, struct str backend, int64_t ns);
+
 /*
  * What it says with an answer to a request that it worked on: how many requests
  * a second it takes from all boxes; 0: any.  True if that is news.
--- a/disp_set.c
+++ b/disp_set.c
@@ -267,6 +267,42 @@
 	return cold_is(&b->cold, now) != knew;
 }
 
+bool
+disp_leaves_told(struct disp *d, struct pick_backend *b)
+{
+	bool news = !b->leaves;
+
+	(void)d;
+	b->leaves = true;
+	return news;
+}
+
+bool
+disp_rest_told(struct disp *d, struct pick_backend *b, int64_t ns)
+{
+	int64_t now = clk_ns(d->clk);
+	bool news = ns > 0 && b->rest_until <= now;
+
+	b->rest_until = MAX(b->rest_until, now + ns);
+	return news;
+}
+
+bool
+disp_leaves_peeked(struct disp *d, struct str backend)
+{
+	struct pick_backend *b = find(d, backend);
+
+	return b != NULL && disp_leaves_told(d, b);
+}
+
+bool
+disp_rest_peeked(struct disp *d, struct str backend, int64_t ns)
+{
+	struct pick_backend *b = find(d, backend);
+
+	return b != NULL && disp_rest_told(d, b, ns);
+}
+
 bool
 disp_quota_told(struct disp *d, struct pick_backend *b, double rate,
     const struct disp_req *r)
--- a/gate_stat.c
+++ b/gate_stat.c
@@ -40,9 +40,11 @@
 	CNT_COUNTER},
     [GC_ENDED] = {"fern_servers_ended_total",
 	"Backend servers that ended with requests there.", CNT_COUNTER},
-    [GC_OVER_QUOTA] = {"fern_over_quota_total",
-	"Requests sent to a backend server beyond what it says it takes.",
+    [GC_AGAINST] = {"fern_against_word_total",
+	"Requests sent to a backend server against what it says of itself.",
 	CNT_COUNTER},
+    [GC_RESTS] = {"fern_rests_total",
+	"Times that a backend server asked for a rest.", CNT_COUNTER},
     [GC_MALFORMED] = {"fern_malformed_words_total",
 	"Answers in which a backend server says what cannot be read.",
 	CNT_COUNTER},
@@ -136,20 +138,28 @@
 	const struct gate_shard *shard;
 };
 
+static int64_t
+rest_left(const struct gate_shard *s, const struct pick_backend *b)
+{
+	return MAX(b->rest_until - clk_ns(s->gate->clk), 0);
+}
+
 static void
 print_backend(void *ctx, const struct pick_backend *b)
 {
 	struct print *p = ctx;
 
 	json_array_append_new(p->list,
-	    json_pack("{s:s%, s:s%, s:s%, s:s, s:i, s:i, s:f, s:b, s:f}",
+	    json_pack(
+		"{s:s%, s:s%, s:s%, s:s, s:i, s:i, s:f, s:b, s:f, s:b, s:I}",
 		"service", p->shard->service.p, p->shard->service.n, "hall",
 		p->shard->hall.p, p->shard->hall.n, "backend", b->name.p,
 		b->name.n, "state",
 		chart_state_name(p->shard->gate->chart_backend, (int)b->state),
 		"inflight", b->inflight, "slots", b->slots, "usual_ms",
 		(double)b->usual / NS_MS, "probe_down", (int)b->probe_down,
-		"takes_a_second", b->quota.rate));
+		"takes_a_second", b->quota.rate, "leaves", (int)b->leaves,
+		"rest_ms", (json_int_t)(rest_left(p->shard, b) / NS_MS)));
 }
 
 static void
--- a/gate_try.c
+++ b/gate_try.c
@@ -34,6 +34,9 @@
 const struct disp_ops gate_req_disp_ops = {
     op_send, op_pass, op_give_up, op_stop, op_peek, op_ended, op_release, NULL};
 
+static const char *const against_names[AGAINST_MAX] = {
+    "none", "quota", "rest", "leaving"};
+
 static struct gate_req *
 req_of(struct disp_req *d)
 {
@@ -52,7 +55,7 @@
 	    " service=%.*s backend=%.*s in_use=%d limit=%d slots=%d "
 	    "pace=%d "
 	    "pace_age_ms=%lld held_us=%lld left_ms=%lld tries=%d conf=%llu "
-	    "conf_age_ms=%lld a_second=%.2f over=%d",
+	    "conf_age_ms=%lld a_second=%.2f against=%s",
 	    STR_ARG(r->name), FPRINT_ARG(r->d.print), STR_ARG(r->service),
 	    STR_ARG(b->name), b->inflight - 1, pick_slots(b), b->slots,
 	    b->told_pace,
@@ -61,8 +64,8 @@
 	    (long long)((d->sent - r->began) / NS_US),
 	    (long long)((d->deadline - d->sent) / NS_MS), d->tries,
 	    (unsigned long long)r->conf, (long long)sync_age_ms(&r->gate->sync),
-	    b->quota.rate, d->over);
-	cnt_add(r->gate->cnt, GC_OVER_QUOTA, d->over);
+	    b->quota.rate, against_names[d->against]);
+	cnt_add(r->gate->cnt, GC_AGAINST, d->against != AGAINST_NOTHING);
 	cnt_sample(r->gate->cnt, GC_HELD, d->sent - r->began);
 	gate_flow_send(r, b->address, !d->repeatable);
 }
--- a/gate_word.c
+++ b/gate_word.c
@@ -39,6 +39,24 @@
 	    STR_ARG(s->service), STR_ARG(backend), rate);
 }
 
+static void
+note_leaving(const struct gate_shard *s, struct str backend, struct str id)
+{
+	slog_decision(SLOG_PICK, "a backend server says that it leaves",
+	    "id=%.*s service=%.*s backend=%.*s", STR_ARG(id),
+	    STR_ARG(s->service), STR_ARG(backend));
+}
+
+static void
+note_rest(const struct gate_shard *s, struct str backend, struct str id,
+    int64_t rest_ms)
+{
+	cnt_add(s->gate->cnt, GC_RESTS, 1);
+	slog_decision(SLOG_PICK, "a backend server asks for a rest",
+	    "id=%.*s service=%.*s backend=%.*s rest_ms=%lld", STR_ARG(id),
+	    STR_ARG(s->service), STR_ARG(backend), (long long)rest_ms);
+}
+
 /*
  * An answer that says nothing of a limit ends it; but a refusal may be written
  * where the limit is not known.
@@ -68,6 +86,10 @@
 		note_malformed(r->gate, b, r->name);
 	if (word.drains)
 		disp_drain_told(s->disp, b);
+	if (word.leaves && disp_leaves_told(s->disp, b))
+		note_leaving(s, b->name, r->name);
+	if (disp_rest_told(s->disp, b, word.rest_ms * NS_MS))
+		note_rest(s, b->name, r->name, word.rest_ms);
 	if (word.tells_load)
 		disp_load_told(s->disp, b, word.load.running, word.load.waiting,
 		    word.load.pace);
@@ -86,6 +108,10 @@
 				      : "a backend server is warm",
 		    "backend=%.*s service=%.*s cold_ms=%lld", STR_ARG(backend),
 		    STR_ARG(s->service), (long long)word->cold_ms);
+	if (word->leaves && disp_leaves_peeked(s->disp, backend))
+		note_leaving(s, backend, str_c(NULL));
+	if (disp_rest_peeked(s->disp, backend, word->rest_ms * NS_MS))
+		note_rest(s, backend, str_c(NULL), word->rest_ms);
 	if (disp_quota_peeked(s->disp, backend, word->limit))
 		note_quota(s, backend, str_c(NULL), word->limit);
 }
--- a/pick.h
+++ b/pick.h
@@ -62,6 +62,8 @@
 	struct cold cold;
 	const struct cold_bound *cold_bound; /* NULL: none */
 	struct quota quota; /* what it takes in a second, by its own word */
+	bool leaves; /* it said so itself, in an answer */
+	int64_t rest_until; /* it asked us for nothing more before this */
 	bool malformed; /* it said something that cannot be read */
 	int inflight; /* sent and not finished */
 	int inflight_bulk; /* of these, class bulk */
--- a/regress/test_paced.cpp
+++ b/regress/test_paced.cpp
@@ -472,7 +472,7 @@
 	disp_tick(w.disp);
 	w.answer(100);
 	ASSERT_NE(nullptr, r[1].d.at);
-	EXPECT_FALSE(r[1].d.over);
+	EXPECT_EQ(AGAINST_NOTHING, r[1].d.against);
 	w.now += 20 * NS_MS;
 	w.done(&r[1], DISP_OK);
 	/* One that turns late behind others does not wait on for its end. */
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -463,6 +463,56 @@
 	EXPECT_EQ(0, w.limit);
 }
 
+/* For how long one that turns a request away wants nothing more. */
+TEST(Platform, WhatRestABackendServerAsksFor)
+{
+	const struct dial *d = platform_form.dial;
+	h2o_iovec_t name = {const_cast<char *>("retry-after"), 11};
+	h2o_header_t h = {};
+	struct dial_word w = {};
+
+	h.name = &name;
+	struct {
+		const char *text;
+		int64_t ms;
+	} good[] = {{"3", 3000}, {"0.25", 250}, {"0", 0}, {".5", 500},
+	    {"31536000", DIAL_MS_MAX}, {"9999999999999999", DIAL_MS_MAX}};
+	for (auto &g : good) {
+		h.value = h2o_iovec_init(g.text, strlen(g.text));
+		d->word(503, &h, 1, &w);
+		EXPECT_FALSE(w.malformed) << g.text;
+		EXPECT_EQ(g.ms, w.rest_ms) << g.text;
+	}
+	const std::string digits(100, '9');
+	for (const char *bad : {"", "-1", "nan", "inf", "1e308", "3s", "3,5",
+		 digits.c_str(), "Thu, 01 Jan 2026 00:00:00 GMT"}) {
+		h.value = h2o_iovec_init(bad, strlen(bad));
+		d->word(503, &h, 1, &w);
+		EXPECT_TRUE(w.malformed) << bad;
+		EXPECT_EQ(0, w.rest_ms) << bad;
+		/* Elsewhere it is none of our concern. */
+		d->word(200, &h, 1, &w);
+		EXPECT_FALSE(w.malformed) << bad;
+	}
+}
+
+TEST(Platform, WhetherABackendServerSaysThatItLeaves)
+{
+	const struct dial *d = platform_form.dial;
+	h2o_iovec_t name = {const_cast<char *>("server-leaving"), 14};
+	h2o_header_t h = {};
+	struct dial_word w = {};
+
+	h.name = &name;
+	h.value = h2o_iovec_init("1", 1);
+	for (int status : {200, 421, 500, 503}) {
+		d->word(status, &h, 1, &w);
+		EXPECT_TRUE(w.leaves) << status;
+		d->word(status, &h, 0, &w);
+		EXPECT_FALSE(w.leaves) << status;
+	}
+}
+
 TEST(Platform, Bounds)
 {
 	struct plat_bounds b = {};
--- a/regress/test_word.cpp
+++ b/regress/test_word.cpp
@@ -116,8 +116,8 @@
  * are taken:
  *
  *	a backend server says how many requests it takes a_second=3.00
- *	sent backend=i-0 in_use=1 limit=2 slots=3 a_second=3.00 over=1
- *	sent backend=i-0 in_use=0 limit=2 slots=3 a_second=3.00 over=1
+ *	sent backend=i-0 in_use=1 limit=2 a_second=3.00 against=quota
+ *	sent backend=i-0 in_use=0 limit=2 a_second=3.00 against=quota
  */
 TEST(Word, AServerThatNamesALimitGetsNoMore)
 {
