--- a/regress/test_word.cpp
+++ b/regress/test_word.cpp
@@ -257,3 +257,63 @@
 	EXPECT_EQ(0, quota_by(&q, 6 * NS_S, 6 * NS_S + 199 * NS_MS));
 	EXPECT_EQ(1, quota_by(&q, 6 * NS_S, 6 * NS_S + 201 * NS_MS));
 }
+
+/*
+ * A backend server that leaves says so in all its answers.
+ */
+TEST(Word, AServerThatSaysThatItLeavesGetsNothingMore)
+{
+	World w;
+	Callers c({w.ip + ":8080"});
+	int64_t told;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	/* The platform does not take its word, and tells that it is ready. */
+	w.platform.silence(true);
+	w.platform.say("i-0", "server-leaving", "1");
+	c.ask_for(500, 35);
+	told = clk_ns(clk_system());
+	c.ask_for(3000, 35);
+	EXPECT_EQ(0u, count_from(w.platform.came("i-0"), told));
+	w.platform.silence(false);
+	c.ask_for(3000, 35);
+	EXPECT_EQ(0u, count_from(w.platform.came("i-0"), told));
+	EXPECT_TRUE(c.finish());
+	EXPECT_EQ(c.asked, static_cast<size_t>(c.answers[200]));
+}
+
+/*
+ * A backend server that turns a request away may ask for a rest.
+ */
+TEST(Word, ARestIsKeptToItsEnd)
+{
+	World w;
+	Callers c({w.ip + ":8080"});
+	std::vector<int64_t> came;
+	int64_t now;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	c.ask_for(500, 35);
+	w.platform.say("i-0", "retry-after", "2");
+	w.platform.set("i-0", 100, true, false);
+	now = clk_ns(clk_system());
+	c.ask_for(3500, 35);
+	came = w.platform.came("i-0");
+	came.erase(came.begin(),
+	    std::find_if(came.begin(), came.end(),
+		[&](int64_t at) { return at > now; }));
+	ASSERT_FALSE(came.empty());
+	/* What was under way, the rest, and then it is asked again. */
+	EXPECT_EQ(0u,
+	    count_from(came, came[0] + 100 * NS_MS) -
+		count_from(came, came[0] + 2 * NS_S));
+	EXPECT_LT(0u, count_from(came, came[0] + 2 * NS_S));
+	/* It takes requests again, and gets them once the rest is over. */
+	w.platform.say("i-0", "retry-after", "");
+	w.platform.set("i-0", 100, false, false);
+	c.ask_for(3000, 35);
+	EXPECT_LT(10u,
+	    count_from(w.platform.came("i-0"), clk_ns(clk_system()) - NS_S));
+	EXPECT_TRUE(c.finish());
+	EXPECT_EQ(c.asked, static_cast<size_t>(c.answers[200]));
+}
