A backend server that says in its answers that it leaves gets nothing more

Backend servers that were leaving got new requests for as long as the platform was silent, and callers lost those that came as the server ended.

Cause: whether one leaves was taken from its entry on the platform alone; its own answers, which said so all the while and passed through the box that sent the requests, were handed on unread. Ruled out by the log: an older entry that brings the server back (nothing on it changed), and a box that was not told (the one that had heard it sent all of them, each told as against=leaving).

Change: one that has said so is not usable for the rest of its life, whatever its entry or a peer says; a new life or address begins anew. A probe that finds it well takes it back where it said so itself, as a probe's answer is its word, too. Both dialects go the same way now.

--- a/agent_probe.c
+++ b/agent_probe.c
@@ -110,7 +110,7 @@
 	(void)call;
 	f->found = status < 400 ? PROBE_OK : PROBE_FAILED;
 	f->agent->form->dial->word(status, headers, n, &word);
-	if (word.drains)
+	if (word.leaves)
 		f->found = PROBE_DRAINING;
 }
 
--- a/dial.c
+++ b/dial.c
@@ -33,7 +33,6 @@
 static const struct dial_word_names word_names = {
     .load = {"fern-load", 9},
     .cold = {"fern-cold-ms", 12},
-    .drains = {"fern-drain", 10},
     .leaves = {"fern-drain", 10},
     .limit = {"fern-limit", 10},
     .rest = {"retry-after", 11},
@@ -98,6 +97,12 @@
 	return str_u64(text, &ms) ? (int64_t)MIN(ms, DIAL_MS_MAX) : 0;
 }
 
+static bool
+says_yes(struct str text)
+{
+	return text.n > 0 && !str_eq(text, STR_LIT("0"));
+}
+
 /* A plain decimal number, without sign or exponent. */
 static bool
 read_decimal(struct str text, double *out)
@@ -158,8 +163,7 @@
 
 	*out = (struct dial_word){
 	    .cold_ms = dial_ms(dial_header(headers, n, names->cold)),
-	    .drains = dial_header(headers, n, names->drains).n > 0,
-	    .leaves = dial_header(headers, n, names->leaves).n > 0,
+	    .leaves = says_yes(dial_header(headers, n, names->leaves)),
 	};
 	out->tells_load = dial_read_load(load, &out->load);
 	if (limit.p != NULL && !dial_read_rate(limit, &out->limit))
--- a/dial.h
+++ b/dial.h
@@ -34,8 +34,7 @@
 	bool tells_load;
 	struct dial_load load;
 	int64_t cold_ms; /* it stays cold for so long; 0: it does not say so */
-	bool drains; /* it leaves, and gets nothing more */
-	bool leaves; /* it leaves */
+	bool leaves; /* it leaves, and wants nothing new */
 	/* With a refusal: it wants nothing more from the asking box for so
 	 * long.
 	 */
@@ -69,7 +68,7 @@
 
 /* Where a dialect has what a backend server says of itself. */
 struct dial_word_names {
-	struct str load, cold, drains, leaves, limit, rest;
+	struct str load, cold, leaves, limit, rest;
 };
 
 /* Fernjunction's own dialect, as ferncaller(7) describes it. */
--- a/disp.h
+++ b/disp.h
@@ -195,9 +195,6 @@
 /* Time passes: deadlines of held requests, ends of ejections. */
 void disp_tick(struct disp *);
 
-/* The backend server says itself that it drains. */
-void disp_drain_told(struct disp *, struct pick_backend *);
-
 /*
  * What a backend server says with an answer: requests that it works on, those
  * that wait there, and the time that work takes now in percent of the usual.
@@ -206,7 +203,7 @@
     struct disp *, struct pick_backend *, int running, int waiting, int pace);
 
 /* It says that it leaves.  True if that is news. */
-bool disp_leaves_told(struct disp *, struct pick_backend *);
+bool disp_leaves_told(struct pick_backend *);
 
 /* It asks for no more requests for so many ns.  True if that is news. */
 bool disp_rest_told(struct disp *, struct pick_backend *, int64_t ns);
--- a/disp_peek.c
+++ b/disp_peek.c
@@ -140,7 +140,7 @@
 may_be_back(const struct pick_backend *b, int64_t now)
 {
 	(void)now;
-	return pick_is_silent(b) && !b->gone && !b->evacuated &&
+	return pick_is_silent(b) && !b->gone && !b->evacuated && !b->leaves &&
 	    b->state != PICK_DRAINING;
 }
 
--- a/disp_set.c
+++ b/disp_set.c
@@ -189,7 +189,10 @@
 	return n == 0 ? USUAL_UNKNOWN_NS : sum / n;
 }
 
-/* A drain that its object tells is not undone by a probe. */
+/*
+ * A drain that its object tells is not undone by a probe; one that the backend
+ * server told itself is, as what it answers to a probe is its word, too.
+ */
 void
 disp_health(struct disp *d, struct str backend, bool down, bool drain)
 {
@@ -202,6 +205,8 @@
 		pick_drain(b, d->params.chart, true);
 	else if (!down && !b->drain_told && b->state == PICK_DRAINING)
 		pick_drain(b, d->params.chart, false);
+	if (!drain && !down)
+		b->leaves = false;
 	disp_serve(d);
 }
 
@@ -267,12 +272,15 @@
 	return cold_is(&b->cold, now) != knew;
 }
 
+/*
+ * Its own word goes before its entry, which may be of before or cannot be
+ * written: it holds for as long as it lives.
+ */
 bool
-disp_leaves_told(struct disp *d, struct pick_backend *b)
+disp_leaves_told(struct pick_backend *b)
 {
 	bool news = !b->leaves;
 
-	(void)d;
 	b->leaves = true;
 	return news;
 }
@@ -292,7 +300,7 @@
 {
 	struct pick_backend *b = find(d, backend);
 
-	return b != NULL && disp_leaves_told(d, b);
+	return b != NULL && disp_leaves_told(b);
 }
 
 bool
@@ -320,12 +328,6 @@
 	return quota_told(&b->quota, rate, b->peeked_at, clk_ns(d->clk));
 }
 
-void
-disp_drain_told(struct disp *d, struct pick_backend *b)
-{
-	pick_drain(b, d->params.chart, true);
-}
-
 double
 disp_slots(const struct disp *d)
 {
--- a/gate_word.c
+++ b/gate_word.c
@@ -84,9 +84,7 @@
 	dial->word(status, headers, n, &word);
 	if (word.malformed)
 		note_malformed(r->gate, b, r->name);
-	if (word.drains)
-		disp_drain_told(s->disp, b);
-	if (word.leaves && disp_leaves_told(s->disp, b))
+	if (word.leaves && disp_leaves_told(b))
 		note_leaving(s, b->name, r->name);
 	if (disp_rest_told(s->disp, b, word.rest_ms * NS_MS))
 		note_rest(s, b->name, r->name, word.rest_ms);
--- a/pick.c
+++ b/pick.c
@@ -82,7 +82,7 @@
 pick_usable(const struct pick_backend *b, int64_t now)
 {
 	return !pick_is_lost(b, now) && !b->gone && !b->evacuated &&
-	    !b->probe_down && b->state != PICK_EJECTED &&
+	    !b->leaves && !b->probe_down && b->state != PICK_EJECTED &&
 	    b->state != PICK_DRAINING;
 }
 
--- a/regress/test_word.cpp
+++ b/regress/test_word.cpp
@@ -259,7 +259,13 @@
 }
 
 /*
- * A backend server that leaves says so in all its answers.
+ * A backend server that leaves says so in its answers and to the platform.  Its
+ * home went by the platform's word alone, and while that was silent the server
+ * got requests for as long as its entry said that it is ready: 37 in thirteen
+ * seconds.  The answers had come to the very box that sent all of these:
+ *
+ *	a backend server says that it leaves backend=i-0
+ *	sent backend=i-0 in_use=0 limit=2 slots=3 against=leaving
  */
 TEST(Word, AServerThatSaysThatItLeavesGetsNothingMore)
 {
