A backend server that asks for a rest gets nothing before its end

Callers' requests went again and again to backend servers that turned them away and said for how long they would: each lost a try there, some were refused for it, and the servers had no rest.

Cause: a refusing server was closed for a time of ours, from 5 ms, doubled with each refusal in a row up to a third of a second; what the refusal said was not read. Ruled out by the log: something that opens the server again, and several boxes that send; the box that had heard it sent all, each told as against=rest.

Other boxes are not told: it asked this one, and another that comes to be home is told with its first request. Where all servers of a hall rest, or are limited, a request is held if it is served in time after that and else refused at once; who was refused by servers comes back when they will take it, and not after 10 ms.

Before, in a test with a rest of two seconds: 7 requests in it; now none.

--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,8 @@
 	regress/bench_capacity regress/soak regress/soak_box regress/demo
 
 COMMON = caller.o chart.o clk.o cnt.o cold.o conc.o conf.o daemon.o dial.o disp.o disp_cold.o disp_conc.o disp_doubt.o disp_hold.o \
-	disp_move.o disp_pace.o disp_pass.o disp_peek.o disp_quota.o disp_set.o disp_stop.o disp_trial.o \
-	disp_work.o doc_toml.o err.o field.o fprint.o gossip.o home.o hsrv.o hsrv_conn.o hsrv_parse.o hsrv_req.o limit.o memb.o msg.o obj.o \
+	disp_move.o disp_pace.o disp_pass.o disp_peek.o disp_set.o disp_stop.o disp_trial.o \
+	disp_word.o disp_work.o doc_toml.o err.o field.o fprint.o gossip.o home.o hsrv.o hsrv_conn.o hsrv_parse.o hsrv_req.o limit.o memb.o msg.o obj.o \
 	pace.o pick.o pick_fern.o pick_name.o pick_naive.o pick_pace.o plat.o plat_fern.o plat_http.o poison.o poison_msg.o \
 	platform/pf_config.o platform/pf_dial.o platform/pf_store.o \
 	probe.o queue.o quota.o region.o reload.o route.o sel.o set.o slog.o spread.o str.o sync.o \
--- a/disp.c
+++ b/disp.c
@@ -91,14 +91,17 @@
 	int64_t now = clk_ns(d->clk), usual, ahead;
 	const struct pick_backend *b;
 	double pace = 0, one;
+	int64_t wait;
 	guint i;
 
 	ahead = (int64_t)d->queues[CLASS_INTERACTIVE].n;
 	if (cls == CLASS_BULK)
 		ahead += (int64_t)d->queues[CLASS_BULK].n;
+	if (disp_word_wait(d, (size_t)ahead, &wait))
+		return wait;
 	for (i = 0; i < d->backends->len; i++) {
 		b = g_ptr_array_index(d->backends, i);
-		if (!pick_usable(b, now))
+		if (!pick_usable(b, now) || now < b->rest_until)
 			continue;
 		usual = b->usual == 0 ? USUAL_UNKNOWN_NS : b->usual;
 		one = (double)b->slots / (double)usual;
--- a/disp.h
+++ b/disp.h
@@ -189,6 +189,12 @@
  */
 bool disp_done(struct disp *, struct disp_req *, enum disp_outcome);
 
+/*
+ * When the caller of a request that was refused by backend servers may come
+ * back: as above, or when they will take it, if they say that.
+ */
+int64_t disp_refused_again(struct disp *, const struct disp_req *);
+
 /* A held request's caller went away. */
 void disp_forget(struct disp *, struct disp_req *);
 
--- a/disp_hold.c
+++ b/disp_hold.c
@@ -71,9 +71,8 @@
 }
 
 /*
- * What can no longer be in time makes way for what can.  Where backend servers
- * take so many and no more, new ones would go before it up to its deadline; so
- * it is refused, and its caller may come back.
+ * What can no longer be in time makes way for what can, and is not held where
+ * that would only end at its deadline.
  */
 void
 disp_sort_late(struct disp *d)
@@ -83,7 +82,7 @@
 
 	while ((r = find(d, CLASS_INTERACTIVE, is_late, now)) != NULL) {
 		disp_unhold(d, r);
-		if (disp_quota_limits(d))
+		if (disp_word_refuses_late(d, r))
 			disp_pace_refuse(d, r, 0);
 		else
 			disp_hold(d, r);
--- a/disp_pace.c
+++ b/disp_pace.c
@@ -91,7 +91,7 @@
 	double slots = disp_slots(d);
 	int64_t wait;
 
-	if (disp_quota_wait(d, ahead, &wait))
+	if (disp_word_wait(d, ahead, &wait))
 		return wait;
 	if (slots == 0)
 		return 0;
@@ -128,6 +128,16 @@
 	disp_drop(d, r, ERR_BUSY, come_back(d, r, wait));
 }
 
+int64_t
+disp_refused_again(struct disp *d, const struct disp_req *r)
+{
+	int64_t wait;
+
+	if (!disp_word_wait(d, 0, &wait) || wait <= DISP_REFUSED_AGAIN_NS)
+		return DISP_REFUSED_AGAIN_NS;
+	return come_back(d, r, wait);
+}
+
 /*
  * May the request wait for a slot?  What would be late is refused at once,
  * with the time when to come back, while coming back can still be worth
--- a/disp_set.c
+++ b/disp_set.c
@@ -333,7 +333,7 @@
 {
 	int64_t now = clk_ns(d->clk);
 	const struct pick_backend *b;
-	double slots = 0, limited = 0;
+	double slots = 0, bound = 0;
 	guint i;
 
 	for (i = 0; i < d->backends->len; i++) {
@@ -341,11 +341,11 @@
 		if (!pick_usable(b, now))
 			continue;
 		if (b->quota.rate > 0)
-			limited += disp_quota_slots(d, b);
+			bound += disp_word_slots(d, b);
 		else
-			slots += disp_cold_slots(d, b, now);
+			slots += disp_word_slots(d, b);
 	}
-	return ceil(slots) + limited;
+	return ceil(slots) + bound;
 }
 
 struct disp_room
--- a/gate_try.c
+++ b/gate_try.c
@@ -256,7 +256,8 @@
 {
 	gate_req_event(r, REQ_EV_RETRY);
 	disp_done(r->shard->disp, &r->d, outcome);
-	gate_answer(r, ERR_REFUSED, gate_req_ran(r), DISP_REFUSED_AGAIN_NS);
+	gate_answer(r, ERR_REFUSED, gate_req_ran(r),
+	    disp_refused_again(r->shard->disp, &r->d));
 	return true;
 }
 
--- a/libdisp.h
+++ b/libdisp.h
@@ -130,12 +130,16 @@
 double
 disp_cold_slots(const struct disp *, const struct pick_backend *, int64_t);
 
-/* disp_quota.c: backend servers that say how many requests they take. */
-double disp_quota_slots(const struct disp *, const struct pick_backend *);
-/* Do all that may be used say what they take? */
-bool disp_quota_limits(const struct disp *);
-/* If so, the time until one is sent that has so many ahead of it. */
-bool disp_quota_wait(const struct disp *, size_t ahead, int64_t *wait);
+/* disp_word.c: backend servers that say what they take, and when. */
+/* The slots worth counting when the wait for one is reckoned. */
+double disp_word_slots(const struct disp *, const struct pick_backend *);
+/*
+ * The time until a request is sent that has so many ahead of it, where all that
+ * may be used say what they take, or rest; false if one does neither.
+ */
+bool disp_word_wait(const struct disp *, size_t ahead, int64_t *wait);
+/* Is one that turns late refused, rather than held on? */
+bool disp_word_refuses_late(const struct disp *, const struct disp_req *);
 
 /* disp_peek.c: questions for the load of backend servers. */
 bool disp_peek_first(struct disp *, struct disp_req *, int64_t now);
--- a/pick.c
+++ b/pick.c
@@ -102,6 +102,7 @@
 	int slots = pick_slots(b);
 
 	if (!pick_usable(b, now) || b->alone || now < b->full_until ||
+	    now < b->rest_until ||
 	    (b->cold_bound != NULL && !cold_may(&b->cold, b->cold_bound, now)))
 		return 0;
 	if (b->state == PICK_COLD || b->state == PICK_TRIAL)
--- a/regress/test_paced.cpp
+++ b/regress/test_paced.cpp
@@ -484,3 +484,43 @@
 	EXPECT_TRUE(r[3].ended);
 	EXPECT_EQ(ERR_BUSY, r[3].kind);
 }
+
+/* In a rest of all of them a request is held if that ends in time. */
+TEST(Paced, WhatComesInARestIsHeldIfItIsServedInTime)
+{
+	Paced w(2);
+	Req r[4];
+
+	for (const char *b : {"b0", "b1"})
+		EXPECT_TRUE(disp_rest_peeked(w.disp, str_c(b), 50 * NS_MS));
+	w.aim(&r[0]);
+	EXPECT_TRUE(r[0].d.held);
+	w.now += 45 * NS_MS;
+	disp_tick(w.disp);
+	EXPECT_TRUE(r[0].d.held);
+	w.now += 10 * NS_MS;
+	disp_tick(w.disp);
+	w.answer(100);
+	ASSERT_NE(nullptr, r[0].d.at);
+	w.now += 20 * NS_MS;
+	w.done(&r[0], DISP_OK);
+	/* A shorter rest does not end one that was asked for before. */
+	for (const char *b : {"b0", "b1"}) {
+		EXPECT_TRUE(disp_rest_peeked(w.disp, str_c(b), 3 * NS_S));
+		EXPECT_FALSE(disp_rest_peeked(w.disp, str_c(b), 10 * NS_MS));
+	}
+	w.now += 20 * NS_MS;
+	w.aim(&r[1]);
+	EXPECT_TRUE(r[1].ended);
+	EXPECT_EQ(ERR_BUSY, r[1].kind);
+	/* Nobody is asked meanwhile, and one is enough to end the wait. */
+	EXPECT_TRUE(w.asked.empty());
+	w.now += 3 * NS_S;
+	EXPECT_TRUE(disp_rest_peeked(w.disp, STR_LIT("b0"), 3 * NS_S));
+	w.aim(&r[2]);
+	w.answer(100);
+	ASSERT_NE(nullptr, r[2].d.at);
+	EXPECT_TRUE(str_eq(r[2].d.at->name, STR_LIT("b1")));
+	w.now += 20 * NS_MS;
+	w.done(&r[2], DISP_OK);
+}
--- a/regress/test_word.cpp
+++ b/regress/test_word.cpp
@@ -289,7 +289,15 @@
 }
 
 /*
- * A backend server that turns a request away may ask for a rest.
+ * A backend server that turns a request away may ask for a rest, and got the
+ * next request milliseconds later.  Its home closed one that refuses for a time
+ * of its own, 5 ms and up to a third of a second, and read nothing of what the
+ * refusal said: one that had asked for two seconds got 7 requests in them, and
+ * each of these lost a try.
+ *
+ *	a backend server asks for a rest backend=i-0 rest_ms=2000
+ *	sent backend=i-0 in_use=0 limit=3 slots=3 against=rest
+ *	sent backend=i-0 in_use=0 limit=3 slots=3 against=rest
  */
 TEST(Word, ARestIsKeptToItsEnd)
 {
