Listeners of tests have addresses that nobody else has

The check failed by chance: test_hsrv and test_wire ended with a segmentation fault, 12 and 1 of 30 runs side by side. Their ports went by the process id and reached into those that the system gives to outgoing connections; the test went on with a listener that was not there. Box worlds, fleets and the soak took their addresses by process id % 250, so that two at once could meet.

Change: a process takes nets in 127/8 for itself, by a socket that it keeps bound in each, and gives out its addresses; outgoing connections hold ports of 127.0.0.1 only. A listener that cannot be opened ends its test with address and reason, and a gate, agent or box names the setting as well.

--- a/agent_open.c
+++ b/agent_open.c
@@ -233,12 +233,12 @@
 	a->memb = memb_new(&self);
 	a->wire = wire_open(a->loop, a->set.inbox, agent_peer_take, a, err);
 	if (a->wire == NULL)
-		return false;
+		return err_at(err, "inbox");
 	if (a->set.admin_listen.n > 0) {
 		a->admin = hsrv_open(a->loop, a->set.admin_listen,
 		    ADMIN_BODY_MAX, agent_stat_page, a, err);
 		if (a->admin == NULL)
-			return false;
+			return err_at(err, "admin_listen");
 	}
 	agent_lapse_open(a);
 	agent_push_open(a);
--- a/err.c
+++ b/err.c
@@ -101,3 +101,10 @@
 	va_end(ap);
 	return false;
 }
+
+bool
+err_at(GError **err, const char *setting)
+{
+	g_prefix_error(err, "%s: ", setting);
+	return false;
+}
--- a/err.h
+++ b/err.h
@@ -86,4 +86,7 @@
 /* Set a GError of ours and return false, for "return err_set(...)". */
 bool err_set(GError **, enum err_kind, const char *, ...) G_GNUC_PRINTF(3, 4);
 
+/* Put the setting that it is about in front of an error; false as well. */
+bool err_at(GError **, const char *setting);
+
 #endif
--- a/gate_open.c
+++ b/gate_open.c
@@ -206,11 +206,32 @@
 	return open_charts(g, err);
 }
 
-bool
-gate_open(struct gate *g, GError **err)
+/* Open all that the settings say to listen on. */
+static bool
+open_listeners(struct gate *g, GError **err)
 {
 	size_t body = (size_t)g->set.body_max;
 
+	g->wire = wire_open(g->loop, g->set.inbox, gate_conf_take, g, err);
+	if (g->wire == NULL)
+		return err_at(err, "inbox");
+	g->callers =
+	    hsrv_open(g->loop, g->set.listen, body, gate_req_caller, g, err);
+	if (g->callers == NULL)
+		return err_at(err, "listen");
+	hsrv_side_by_side(g->callers, gate_admit_beside);
+	g->pass = hsrv_open(
+	    g->loop, g->set.pass_listen, body, gate_req_passed, g, err);
+	if (g->pass == NULL)
+		return err_at(err, "pass_listen");
+	g->admin = hsrv_open(g->loop, g->set.admin_listen, ADMIN_BODY_MAX,
+	    gate_stat_page, g, err);
+	return g->admin != NULL || err_at(err, "admin_listen");
+}
+
+bool
+gate_open(struct gate *g, GError **err)
+{
 	g->loop = uv_default_loop();
 	g->boot = (uint64_t)clk_wall_ms(g->clk);
 	g->boxes = 1;
@@ -225,23 +246,8 @@
 	/* Until its agent tells of other boxes a gate is on its own. */
 	g->hub = true;
 	gate_poison_open(g);
-	if (!gate_conf_open(g, err) || !gate_req_open(g, err))
-		return false;
-	g->wire = wire_open(g->loop, g->set.inbox, gate_conf_take, g, err);
-	if (g->wire == NULL)
-		return false;
-	g->callers =
-	    hsrv_open(g->loop, g->set.listen, body, gate_req_caller, g, err);
-	if (g->callers == NULL)
-		return false;
-	hsrv_side_by_side(g->callers, gate_admit_beside);
-	g->pass = hsrv_open(
-	    g->loop, g->set.pass_listen, body, gate_req_passed, g, err);
-	if (g->pass == NULL)
-		return false;
-	g->admin = hsrv_open(g->loop, g->set.admin_listen, ADMIN_BODY_MAX,
-	    gate_stat_page, g, err);
-	return g->admin != NULL;
+	return gate_conf_open(g, err) && gate_req_open(g, err) &&
+	    open_listeners(g, err);
 }
 
 /* A pause tells nothing of the others. */
--- a/regress/box.h
+++ b/regress/box.h
@@ -15,6 +15,7 @@
 #include <unistd.h>
 
 #include "fleet.h"
+#include "net.h"
 #include "objects.h"
 
 /* One fernbox on the users' platform, with two services of its own. */
@@ -61,19 +62,33 @@
 	return text;
 }
 
-/* Each world has an address of its own: the stand-ins keep theirs. */
-inline std::string
-own_ip()
-{
-	static int n;
+/* An address on which something else listens. */
+struct Taken {
+	std::string ip;
+	int fd;
 
-	return "127.77." + std::to_string(getpid() % 250) + "." +
-	    std::to_string(++n);
-}
+	Taken(const std::string &own, const std::string &port) : ip(own)
+	{
+		struct sockaddr_in sin = {};
+
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		sin.sin_family = AF_INET;
+		sin.sin_port = htons(static_cast<uint16_t>(atoi(port.c_str())));
+		inet_pton(AF_INET, ip.c_str(), &sin.sin_addr);
+		(void)!bind(
+		    fd, reinterpret_cast<struct sockaddr *>(&sin), sizeof(sin));
+		listen(fd, 1);
+	}
+
+	~Taken()
+	{
+		close(fd);
+	}
+};
 
 /* A box, its platform, and two services of two backend servers each. */
 struct World {
-	std::string ip = own_ip();
+	std::string ip; /* of its own: the stand-ins keep theirs */
 	std::string dir, file;
 	std::string of_gate; /* settings of the gate beside the usual ones */
 	std::string
@@ -83,8 +98,9 @@
 	Process box;
 
 	explicit World(bool configured = true, const std::string &gate = "",
-	    const std::string &bounds = "", const std::string &agent = "")
-	    : of_gate(gate), of_bounds(bounds), of_agent(agent)
+	    const std::string &bounds = "", const std::string &agent = "",
+	    const std::string &at = net::own_ip())
+	    : ip(at), of_gate(gate), of_bounds(bounds), of_agent(agent)
 	{
 		char name[] = "/tmp/fernbox.XXXXXX";
 
--- a/regress/fleet.cpp
+++ b/regress/fleet.cpp
@@ -23,6 +23,7 @@
 #include <unistd.h>
 
 #include "fleet.h"
+#include "net.h"
 
 extern char **environ;
 
@@ -197,11 +198,9 @@
 {
 	static int serial;
 	char name[64];
-	unsigned n = static_cast<unsigned>(getpid()) * 7 +
-	    static_cast<unsigned>(serial++);
 
-	net_a = 16 + static_cast<int>(n / 250 % 200);
-	net_b = 1 + static_cast<int>(n % 250);
+	net = net::own();
+	serial++;
 	snprintf(
 	    name, sizeof(name), "/tmp/fern-regress-%d-%d", getpid(), serial);
 	dir = name;
@@ -246,8 +245,7 @@
 std::string
 Fleet::ip(int host) const
 {
-	return "127." + std::to_string(net_a) + "." + std::to_string(net_b) +
-	    "." + std::to_string(host);
+	return net + std::to_string(host);
 }
 
 std::unique_ptr<Proxy>
--- a/regress/fleet.h
+++ b/regress/fleet.h
@@ -169,7 +169,8 @@
 	std::string ip(int host) const;
 
       private:
-	int net_a, net_b, next_proxy = 200;
+	std::string net; /* "127.A.B." */
+	int next_proxy = 200;
 };
 
 /* What became of one request of a load. */
--- /dev/null
+++ b/regress/net.h
@@ -0,0 +1,92 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#ifndef NET_H
+#define NET_H
+
+#include <arpa/inet.h>
+#include <cstdlib>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * Addresses for the listeners of a test: no other test, run or program has
+ * them, whatever runs beside it.
+ *
+ * A process takes nets of 250 addresses each in 127/8 for itself, by a socket
+ * that it keeps bound in each.  Connections go out from 127.0.0.1, so that
+ * their ports take none from a listener there.
+ */
+namespace net
+{
+
+constexpr int HOSTS = 250; /* addresses of one net that are given out */
+/* Nets are 127.64.0 to 127.255.254; below these are addresses for all. */
+constexpr unsigned NETS = 192 * 255, FIRST = 64;
+constexpr uint16_t GUARD_PORT = 4007;
+
+inline std::string
+name(unsigned net)
+{
+	return "127." + std::to_string(FIRST + net / 255) + "." +
+	    std::to_string(net % 255) + ".";
+}
+
+/* Take a net if nobody has it. */
+inline bool
+take(unsigned net)
+{
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+	struct sockaddr_in sin = {};
+
+	sin.sin_family = AF_INET;
+	sin.sin_port = htons(GUARD_PORT);
+	inet_pton(AF_INET, (name(net) + "254").c_str(), &sin.sin_addr);
+	if (bind(fd, reinterpret_cast<struct sockaddr *>(&sin), sizeof(sin)) ==
+	    0)
+		return true;
+	close(fd);
+	return false;
+}
+
+/* A net of this process alone, "127.A.B.". */
+inline std::string
+own()
+{
+	static unsigned next = static_cast<unsigned>(getpid()) * 7 % NETS;
+
+	for (unsigned i = 0; i < NETS; i++) {
+		unsigned net = next;
+
+		next = (next + 1) % NETS;
+		if (take(net))
+			return name(net);
+	}
+	abort();
+}
+
+/* An address of this process alone, for one listener or a few. */
+inline std::string
+own_ip()
+{
+	static std::string net;
+	static int host = HOSTS;
+
+	if (host == HOSTS) {
+		net = own();
+		host = 0;
+	}
+	return net + std::to_string(++host);
+}
+
+} // namespace net
+
+#endif
--- a/regress/soak_box.cpp
+++ b/regress/soak_box.cpp
@@ -26,6 +26,7 @@
 #include <unistd.h>
 
 #include "fleet.h"
+#include "net.h"
 #include "objects.h"
 
 namespace
@@ -73,8 +74,7 @@
 	bool tidy = false; /* nothing was wrong: no logs are kept */
 
 	explicit Soak(unsigned seed)
-	    : rng(seed), net("127.78." + std::to_string(getpid() % 250) + "."),
-	      store(net + "1:9000")
+	    : rng(seed), net(net::own()), store(net + "1:9000")
 	{
 		char name[] = "/tmp/fernsoak.XXXXXX";
 
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -14,6 +14,10 @@
 
 #include "box.h"
 
+extern "C" {
+#include "err.h"
+}
+
 using box::replaced;
 using box::settings;
 using box::World;
@@ -41,6 +45,26 @@
 	    2000));
 }
 
+/* One that cannot listen ends, and says where and by which setting. */
+TEST(Box, AnAddressThatIsTakenIsNamedWithItsSetting)
+{
+	struct {
+		const char *port, *setting;
+	} cases[] = {{"8080", "listen"}, {"8180", "pass_listen"},
+	    {"8280", "admin_listen"}, {"8380", "inbox"}, {"8480", "inbox"}};
+
+	for (auto &c : cases) {
+		box::Taken taken(net::own_ip(), c.port);
+		World w(true, "", "", "", taken.ip);
+
+		EXPECT_EQ(err_answer(ERR_SYSTEM)->exit_code, w.box.wait_exit())
+		    << c.port;
+		EXPECT_TRUE(w.logged("fernbox: " + std::string(c.setting) +
+		    ": " + taken.ip + ":" + c.port))
+		    << w.box.read_log();
+	}
+}
+
 TEST(Box, WhatACallerMaySendIsBounded)
 {
 	World w;
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -19,11 +19,14 @@
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
 
+#include "net.h"
+
 extern "C" {
 #include "hsrv.h"
 }
@@ -31,10 +34,12 @@
 namespace
 {
 
+constexpr uint16_t PORT = 7000;
+
 /* A server whose requests are answered when the test says so. */
 struct Server {
 	uv_loop_t loop;
-	uint16_t port;
+	std::string ip = net::own_ip();
 	struct hsrv *srv;
 	std::vector<h2o_req_t *> reqs; /* NULL: gone */
 	std::vector<std::string> seen; /* method, path and body */
@@ -77,16 +82,14 @@
 
 	explicit Server(size_t body_max = 1000)
 	{
-		static int n;
-		std::string address;
+		std::string address = ip + ":" + std::to_string(PORT);
 		GError *err = nullptr;
 
 		uv_loop_init(&loop);
-		port = static_cast<uint16_t>(21000 + getpid() % 20000 + ++n);
-		address = "127.0.0.1:" + std::to_string(port);
 		srv = hsrv_open(&loop, str_n(address.data(), address.size()),
 		    body_max, on_request, this, &err);
-		EXPECT_NE(nullptr, srv);
+		if (srv == nullptr)
+			throw std::runtime_error(err->message);
 		hsrv_side_by_side(srv, beside);
 	}
 
@@ -130,8 +133,8 @@
 			setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive,
 			    sizeof(receive));
 		sa.sin_family = AF_INET;
-		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		sa.sin_port = htons(s.port);
+		inet_pton(AF_INET, s.ip.c_str(), &sa.sin_addr);
+		sa.sin_port = htons(PORT);
 		EXPECT_EQ(0, connect(fd, (struct sockaddr *)&sa, sizeof(sa)));
 		fcntl(fd, F_SETFL, O_NONBLOCK);
 	}
--- a/regress/test_up.cpp
+++ b/regress/test_up.cpp
@@ -22,6 +22,8 @@
 #include <unistd.h>
 #include <vector>
 
+#include "net.h"
+
 extern "C" {
 #include "hsrv.h"
 #include "up.h"
@@ -437,19 +439,19 @@
 	std::atomic<bool> answered{false}, closed{false};
 	std::thread thread;
 
-	Visit(uint16_t port, const std::string &path)
-	    : thread([this, port, path] { run(port, path); })
+	Visit(const std::string &ip, uint16_t port, const std::string &path)
+	    : thread([this, ip, port, path] { run(ip, port, path); })
 	{
 	}
 
-	void run(uint16_t port, const std::string &path)
+	void run(const std::string &ip, uint16_t port, const std::string &path)
 	{
 		struct sockaddr_in sa = {};
 		int fd = socket(AF_INET, SOCK_STREAM, 0);
 		char byte;
 
 		sa.sin_family = AF_INET;
-		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		inet_pton(AF_INET, ip.c_str(), &sa.sin_addr);
 		sa.sin_port = htons(port);
 		EXPECT_EQ(0, connect(fd, (struct sockaddr *)&sa, sizeof(sa)));
 		say(fd, "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -465,16 +467,17 @@
 
 TEST(Hsrv, IdleConnectionsAreClosedAndBusyOnesAreNot)
 {
-	const uint16_t port = static_cast<uint16_t>(20000 + getpid() % 20000);
-	std::string address = "127.0.0.1:" + std::to_string(port);
+	const uint16_t port = 7000;
+	std::string ip = net::own_ip();
+	std::string address = ip + ":" + std::to_string(port);
 	uv_loop_t *loop = uv_default_loop();
 	GError *err = nullptr;
 	Door door;
 	struct hsrv *s = hsrv_open(loop, str_n(address.data(), address.size()),
 	    1024, Door::on_request, &door, &err);
 
-	ASSERT_NE(nullptr, s);
-	Visit idle(port, "/"), busy(port, "/wait");
+	ASSERT_NE(nullptr, s) << err->message;
+	Visit idle(ip, port, "/"), busy(ip, port, "/wait");
 	auto turn = [&](int ms, const std::function<bool()> &done) {
 		for (int i = 0; i < ms && !done(); i++) {
 			uv_run(loop, UV_RUN_NOWAIT);
--- a/regress/test_wire.cpp
+++ b/regress/test_wire.cpp
@@ -13,11 +13,14 @@
 #include <functional>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <stdexcept>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
 
+#include "net.h"
+
 extern "C" {
 #include "wire.h"
 #include "zip.h"
@@ -50,7 +53,8 @@
 
 		wire = wire_open(uv_default_loop(),
 		    str_n(address.data(), address.size()), take, this, &err);
-		EXPECT_NE(nullptr, wire);
+		if (wire == nullptr)
+			throw std::runtime_error(err->message);
 	}
 
 	~Inbox()
@@ -72,6 +76,27 @@
 	return done();
 }
 
+constexpr uint16_t PORT = 7000;
+
+std::string
+address(const std::string &ip)
+{
+	return ip + ":" + std::to_string(PORT);
+}
+
+/* The same address, with its last two bytes written as one number. */
+std::string
+alias(const std::string &ip)
+{
+	struct in_addr in = {};
+
+	inet_pton(AF_INET, ip.c_str(), &in);
+	uint32_t host = ntohl(in.s_addr);
+	return std::to_string(host >> 24) + "." +
+	    std::to_string(host >> 16 & 0xff) + "." +
+	    std::to_string(host & 0xffff);
+}
+
 /*
  * A socket whose queue of connections is full: what knocks gets no word, as
  * at a machine without power.
@@ -115,15 +140,14 @@
  */
 TEST(Wire, APeerThatWasSilentIsFoundSoonAfterItIsBack)
 {
-	const uint16_t port = static_cast<uint16_t>(24000 + getpid() % 20000);
-	std::string at = "127.0.0.1:" + std::to_string(port);
+	std::string ip = net::own_ip(), at = address(ip);
 	struct sockaddr_in sa = {};
 	struct msg m = {};
-	Inbox own("127.0.0.1:" + std::to_string(port + 1));
+	Inbox own(address(net::own_ip()));
 
 	sa.sin_family = AF_INET;
-	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	sa.sin_port = htons(port);
+	inet_pton(AF_INET, ip.c_str(), &sa.sin_addr);
+	sa.sin_port = htons(PORT);
 	m.kind = MSG_PING;
 	{
 		Silent silent(sa);
@@ -142,13 +166,11 @@
  */
 TEST(Wire, ALargeMessageGoesOutDeflatedAndComesWhole)
 {
-	const int port = 24000 + getpid() % 20000 + 2;
-	std::string at = "127.0.0.1:" + std::to_string(port);
+	std::string ip = net::own_ip(), at = address(alias(ip));
 	std::vector<std::string> names;
 	std::vector<struct memb_info> infos;
 	/* By another name, or its messages would not leave the process. */
-	Inbox a("127.0.0.1:" + std::to_string(port + 1)),
-	    b("0.0.0.0:" + std::to_string(port));
+	Inbox a(address(net::own_ip())), b(address(ip));
 	size_t plain = 0;
 
 	for (int i = 0; i < 500; i++)
@@ -178,11 +200,9 @@
 /* One that is not what it says is dropped, and so is one within another. */
 TEST(Wire, ADeflatedMessageThatIsNotOneIsDropped)
 {
-	const int port = 24000 + getpid() % 20000 + 4;
-	std::string at = "127.0.0.1:" + std::to_string(port);
+	std::string ip = net::own_ip(), at = address(alias(ip));
 	/* By another name, or its messages would not leave the process. */
-	Inbox a("127.0.0.1:" + std::to_string(port + 1)),
-	    b("0.0.0.0:" + std::to_string(port));
+	Inbox a(address(net::own_ip())), b(address(ip));
 	struct msg ping = {}, inner = {}, m = {};
 	msgpack_sbuffer buf, nested;
 
--- a/wire_zmq.c
+++ b/wire_zmq.c
@@ -131,7 +131,7 @@
 	set_int(l->inbox, ZMQ_RCVHWM, INBOX_MAX);
 	set_int(l->inbox, ZMQ_LINGER, 0);
 	if (zmq_bind(l->inbox, url) != 0) {
-		err_set(err, ERR_SYSTEM, "inbox %.*s: %s", STR_ARG(inbox),
+		err_set(err, ERR_SYSTEM, "%.*s: %s", STR_ARG(inbox),
 		    zmq_strerror(zmq_errno()));
 		zmq_close(l->inbox);
 		shared_close();
