Reproduced: what servers said is lost with their home, or their entry

The home that heard it dies, and the next one sends one request to a server that leaves, and 2 or 3 to one that takes one each two seconds; an entry that lapses and is back takes its server's word along.

--- a/regress/test_word.cpp
+++ b/regress/test_word.cpp
@@ -331,3 +331,101 @@
 	EXPECT_TRUE(c.finish());
 	EXPECT_EQ(c.asked, static_cast<size_t>(c.answers[200]));
 }
+
+namespace
+{
+
+/* Two boxes of one hall, of which the one that is home can be told. */
+struct TwoBoxes : World {
+	box::Further other;
+	Callers callers;
+
+	TwoBoxes()
+	    : other(*this, "b2", "north", "7"),
+	      callers({ip + ":8080", other.address})
+	{
+	}
+
+	bool start()
+	{
+		bool up = until([this] { return ready(); });
+
+		other.box.start();
+		return up && until([this] { return other.serves(); });
+	}
+
+	Process &home()
+	{
+		return logged("part=pick msg=\"sent\"") ? box : other.box;
+	}
+
+	/* The home dies, and callers go to the other one. */
+	void lose_home()
+	{
+		bool first = &home() == &box;
+
+		home().kill9();
+		callers.boxes = {first ? other.address : ip + ":8080"};
+	}
+};
+
+} // namespace
+
+/* The box that takes a home's place handed on its answers, or did not. */
+TEST(Word, TheNextHomeKnowsWhoLeaves)
+{
+	TwoBoxes w;
+	int64_t told;
+
+	ASSERT_TRUE(w.start());
+	pump(1500);
+	w.callers.ask_for(500, 35);
+	w.platform.silence(true);
+	w.platform.say("i-0", "server-leaving", "1");
+	w.callers.ask_for(1500, 35);
+	told = clk_ns(clk_system());
+	w.lose_home();
+	w.callers.ask_for(2000, 35);
+	EXPECT_EQ(0u, count_from(w.platform.came("i-0"), told));
+	EXPECT_TRUE(w.callers.finish());
+	EXPECT_LT(0, w.callers.answers[200]);
+}
+
+TEST(Word, TheNextHomeKnowsALimit)
+{
+	TwoBoxes w;
+	int64_t told;
+
+	ASSERT_TRUE(w.start());
+	pump(1500);
+	w.callers.ask_for(500, 35);
+	w.platform.say("i-0", "server-limit", "0.5");
+	w.callers.ask_for(2500, 35);
+	told = clk_ns(clk_system());
+	w.lose_home();
+	for (int i = 0; i < 6; i++)
+		w.callers.ask("/look/1?ms=60");
+	w.callers.ask_for(1900, 35);
+	/* Its bucket begins empty: one each two seconds. */
+	EXPECT_GE(1u, count_from(w.platform.came("i-0"), told));
+}
+
+/* An entry lapses in an outage, and is back as it was. */
+TEST(Word, WhatAServerSaidOutlivesItsEntry)
+{
+	World w;
+	Callers c({w.ip + ":8080"});
+	int64_t told;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.platform.say("i-0", "server-leaving", "1");
+	c.ask_for(500, 35);
+	told = clk_ns(clk_system());
+	w.platform.remove("servers", "i-0");
+	ASSERT_TRUE(
+	    until([&] { return w.logged("deletion is in force"); }, 5000));
+	w.enter(0, "ready");
+	ASSERT_TRUE(until([&] { return w.in_force("backend/i-0") > 1; }));
+	c.ask_for(1000, 35);
+	EXPECT_EQ(0u, count_from(w.platform.came("i-0"), told));
+}
