What backend servers said is kept for their life and told to the next home

A home that heard a backend server's word took it along when it died, and an entry that lapsed and came back did so for its server: the next home sent one request to a server that leaves, and 2 or 3 at once to one that takes a request each two seconds, before an answer told it anew. For a server that leaves that is one too many. Found while looking for the same cause elsewhere: what one says was held where a request needed it, in the home's picture of the server.

Change: a box keeps words by name and life beside the configuration, at most 1024 and ten minutes long, and a server that appears is taken as it spoke. That one leaves is told to all hubs at once; limits go to the hubs of the hall each 250 ms while they change; once a second a list of 32 goes to one hub at random, and a hub that appears is told. Older words and earlier lives undo nothing. A rest is kept and not told: it was asked of one box. Where a server may take back that it leaves, probes go on telling that.

--- a/Makefile
+++ b/Makefile
@@ -26,10 +26,10 @@
 	pace.o pick.o pick_fern.o pick_name.o pick_naive.o pick_pace.o plat.o plat_fern.o plat_http.o poison.o poison_msg.o \
 	platform/pf_config.o platform/pf_dial.o platform/pf_store.o \
 	probe.o queue.o quota.o region.o reload.o route.o sel.o set.o slog.o spread.o str.o sync.o \
-	sync_pack.o tmr.o up.o up_answer.o up_call.o up_conn.o wire_zmq.o zip.o
+	sync_pack.o tmr.o up.o up_answer.o up_call.o up_conn.o wire_zmq.o word.o zip.o
 GATE = gate_admit.o gate_answer.o gate_box.o gate_claim.o gate_conf.o \
 	gate_early.o gate_flow.o gate_home.o gate_open.o gate_pass.o gate_peek.o gate_poison.o \
-	gate_req.o gate_stat.o gate_try.o gate_word.o
+	gate_req.o gate_stat.o gate_try.o gate_word.o gate_words.o
 AGENT = agent_box.o agent_gate.o agent_lapse.o agent_look.o agent_open.o \
 	agent_peer.o agent_poison.o agent_probe.o agent_push.o agent_scope.o agent_stat.o agent_watch.o
 CTL = ctl_call.o ctl_edit.o ctl_main.o ctl_show.o
--- a/dial.h
+++ b/dial.h
@@ -57,6 +57,8 @@
 	 * run, so that none of them may be used where it may have.
 	 */
 	bool status_promises;
+	/* One that says that it leaves does not take that back. */
+	bool leaves_for_life;
 	/* The backend server says that it did not run the request. */
 	bool (*refused)(int status, const h2o_header_t *, size_t);
 	/* It says that another backend server has its address now. */
--- a/disp.h
+++ b/disp.h
@@ -24,6 +24,7 @@
 #include "pick.h"
 #include "poison.h"
 #include "queue.h"
+#include "word.h"
 
 /*
  * The dispatcher of one shard: one service's backend servers in one hall.
@@ -137,6 +138,7 @@
 	double retry_max; /* tries that may be saved up; 0: the default */
 	struct cold_bound cold;
 	struct poison *poison; /* what all shards know; NULL: not looked at */
+	const struct words *words; /* the same of backend servers */
 	struct str hall; /* the shard's; must outlive it */
 	double rate; /* this shard's part of the service's rate; 0: none */
 };
@@ -208,28 +210,26 @@
 void disp_load_told(
     struct disp *, struct pick_backend *, int running, int waiting, int pace);
 
-/* It says that it leaves.  True if that is news. */
-bool disp_leaves_told(struct pick_backend *);
-
-/* It asks for no more requests for so many ns.  True if that is news. */
-bool disp_rest_told(struct disp *, struct pick_backend *, int64_t ns);
+/* Go by what other boxes tell that backend servers said. */
+void disp_words_told(struct disp *);
 
-/* The same with the answer to a question; called before disp_peeked(). */
-bool disp_leaves_peeked(struct disp *, struct str backend);
-bool disp_rest_peeked(struct disp *, struct str backend, int64_t ns);
+/* A backend server by its name; NULL if there is none. */
+struct pick_backend *disp_find(const struct disp *, struct str backend);
 
 /*
- * What it says with an answer to a request that it worked on: how many requests
- * a second it takes from all boxes; 0: any.  True if that is news.
+ * What it says of itself, with an answer to a request or to a question; for a
+ * question, called before disp_peeked().  True if that is news.
  */
-bool disp_quota_told(
-    struct disp *, struct pick_backend *, double rate, const struct disp_req *);
-
+/* It leaves. */
+bool disp_leaves_told(struct pick_backend *);
+/* It wants no requests from us for so many ns. */
+bool disp_rest_told(struct disp *, struct pick_backend *, int64_t ns);
 /*
- * The same with the answer to a question, which may not say it where others do.
- * Called before disp_peeked().
+ * It takes so many requests a second from all boxes; 0: any.  The time is that
+ * of the sending of what it answers.
  */
-bool disp_quota_peeked(struct disp *, struct str backend, double rate);
+bool disp_quota_told(
+    struct disp *, struct pick_backend *, double rate, int64_t sent);
 
 /*
  * An answer to a question that peek() sent, or that none has come.  A pace of
--- a/disp_set.c
+++ b/disp_set.c
@@ -51,8 +51,8 @@
 	g_ptr_array_free(d->backends, TRUE);
 }
 
-static struct pick_backend *
-find(const struct disp *d, struct str name)
+struct pick_backend *
+disp_find(const struct disp *d, struct str name)
 {
 	struct pick_backend *b;
 	guint i;
@@ -77,19 +77,46 @@
 		b->born_ms != conf->born_ms);
 }
 
+/* Go by what it said before, to this box or another. */
+static void
+recall(struct disp *d, struct pick_backend *b)
+{
+	const struct word *w = d->params.words == NULL
+	    ? NULL
+	    : words_find(d->params.words, b->name, b->born_ms);
+
+	if (w == NULL)
+		return;
+	b->leaves = b->leaves || w->leaves;
+	b->rest_until = MAX(b->rest_until, w->rest_until);
+	quota_told(&b->quota, w->rate, w->heard, clk_ns(d->clk));
+}
+
+void
+disp_words_told(struct disp *d)
+{
+	guint i;
+
+	for (i = 0; i < d->backends->len; i++)
+		recall(d, g_ptr_array_index(d->backends, i));
+	disp_serve(d);
+}
+
 /*
  * Known ones have served before we learned of them, and are warm.
  */
 static void
 update(struct disp *d, const struct disp_backend *conf, bool known)
 {
-	struct pick_backend *b = find(d, conf->name);
+	struct pick_backend *b = disp_find(d, conf->name);
+	bool fresh;
 
 	if (b != NULL && is_another(b, conf)) {
 		b->gone = true;
 		b = NULL;
 	}
-	if (b == NULL) {
+	fresh = b == NULL;
+	if (fresh) {
 		b = g_new0(struct pick_backend, 1);
 		b->name = str_dup(conf->name);
 		b->address = str_dup(conf->address);
@@ -103,6 +130,8 @@
 	}
 	b->slots = conf->slots;
 	b->born_ms = conf->born_ms;
+	if (fresh)
+		recall(d, b);
 	if (b->evacuated && !conf->evacuated)
 		disp_cold_suspect(d, b, conf->warm_ns);
 	pick_evacuate(b, d->params.chart, conf->evacuated);
@@ -196,7 +225,7 @@
 void
 disp_health(struct disp *d, struct str backend, bool down, bool drain)
 {
-	struct pick_backend *b = find(d, backend);
+	struct pick_backend *b = disp_find(d, backend);
 
 	if (b == NULL)
 		return;
@@ -226,7 +255,7 @@
 disp_peeked(struct disp *d, struct str backend, bool answered, int running,
     int waiting, int pace)
 {
-	struct pick_backend *b = find(d, backend);
+	struct pick_backend *b = disp_find(d, backend);
 
 	if (b == NULL)
 		return;
@@ -252,7 +281,7 @@
 void
 disp_reached(struct disp *d, struct str backend)
 {
-	struct pick_backend *b = find(d, backend);
+	struct pick_backend *b = disp_find(d, backend);
 
 	if (b != NULL)
 		b->reached = true;
@@ -261,7 +290,7 @@
 bool
 disp_cold_told(struct disp *d, struct str backend, int64_t ns)
 {
-	struct pick_backend *b = find(d, backend);
+	struct pick_backend *b = disp_find(d, backend);
 	int64_t now = clk_ns(d->clk);
 	bool knew;
 
@@ -296,36 +325,10 @@
 }
 
 bool
-disp_leaves_peeked(struct disp *d, struct str backend)
-{
-	struct pick_backend *b = find(d, backend);
-
-	return b != NULL && disp_leaves_told(b);
-}
-
-bool
-disp_rest_peeked(struct disp *d, struct str backend, int64_t ns)
+disp_quota_told(
+    struct disp *d, struct pick_backend *b, double rate, int64_t sent)
 {
-	struct pick_backend *b = find(d, backend);
-
-	return b != NULL && disp_rest_told(d, b, ns);
-}
-
-bool
-disp_quota_told(struct disp *d, struct pick_backend *b, double rate,
-    const struct disp_req *r)
-{
-	return quota_told(&b->quota, rate, r->sent, clk_ns(d->clk));
-}
-
-bool
-disp_quota_peeked(struct disp *d, struct str backend, double rate)
-{
-	struct pick_backend *b = find(d, backend);
-
-	if (b == NULL || rate <= 0)
-		return false;
-	return quota_told(&b->quota, rate, b->peeked_at, clk_ns(d->clk));
+	return quota_told(&b->quota, rate, sent, clk_ns(d->clk));
 }
 
 double
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -236,6 +236,7 @@
 	    .retry_percent = svc->obj->retry_percent,
 	    .cold = cold_bound_of(g, svc->obj),
 	    .poison = g->poison,
+	    .words = g->words,
 	    .hall = s->hall,
 	};
 	struct str other;
@@ -427,6 +428,10 @@
 		gate_home_heard(g, m->from);
 		gate_poison_take(g, &m->u.suspects);
 		break;
+	case MSG_WORDS:
+		gate_home_heard(g, m->from);
+		gate_words_take(g, &m->u.words);
+		break;
 	case MSG_PING:
 	case MSG_PONG:
 		gate_home_heard(g, m->from);
--- a/gate_home.c
+++ b/gate_home.c
@@ -303,6 +303,14 @@
 	}
 }
 
+/* One that starts, or was not known, is told what no configuration holds. */
+static void
+greet(struct gate *g, const struct gate_peer *p)
+{
+	gate_poison_greet(g, p);
+	gate_words_greet(g, p);
+}
+
 void
 gate_home_members(struct gate *g, const struct msg_members *members)
 {
@@ -319,7 +327,7 @@
 	g->boxes = (unsigned)MAX(members->fleet, 1);
 	for (j = 0; j < members->members.n; j++)
 		if (!str_eq(v[j].box, g->set.box) && take_member(g, &v[j]))
-			gate_poison_greet(g, find(g, v[j].box));
+			greet(g, find(g, v[j].box));
 	drop_unlisted(g);
 }
 
--- a/gate_open.c
+++ b/gate_open.c
@@ -246,6 +246,7 @@
 	/* Until its agent tells of other boxes a gate is on its own. */
 	g->hub = true;
 	gate_poison_open(g);
+	g->words = words_new();
 	return gate_conf_open(g, err) && gate_req_open(g, err) &&
 	    open_listeners(g, err);
 }
@@ -306,6 +307,7 @@
 	}
 	gate_home_tick(g, now);
 	gate_poison_tick(g, now);
+	gate_words_tick(g, now);
 	if (now - g->reported >= REPORT_NS) {
 		g->reported = now;
 		gate_conf_report(g);
--- a/gate_word.c
+++ b/gate_word.c
@@ -69,47 +69,77 @@
 	    (!word->malformed && !r->gate->dial->refused(status, headers, n));
 }
 
+/*
+ * What it has said by now is kept beside its entry, and told to others.  One
+ * that may take back that it leaves tells that to probes, and they tell it.
+ */
+static void
+keep(struct gate *g, const struct pick_backend *b)
+{
+	struct word w = {.backend = b->name,
+	    .born_ms = b->born_ms,
+	    .leaves = b->leaves && g->dial->leaves_for_life,
+	    .rate = b->quota.rate,
+	    .heard = clk_ns(g->clk),
+	    .rest_until = b->rest_until};
+
+	gate_words_hear(g, &w);
+}
+
+/* The answer is to what was sent at a time, a request's or a question's. */
+static void
+take(struct gate_shard *s, struct pick_backend *b, struct str id,
+    const struct dial_word *word, int64_t sent, bool quota)
+{
+	bool news = false;
+
+	if (word->malformed)
+		note_malformed(s->gate, b, id);
+	if (word->leaves && disp_leaves_told(b))
+		note_leaving(s, b->name, id);
+	if (disp_rest_told(s->disp, b, word->rest_ms * NS_MS))
+		note_rest(s, b->name, id, word->rest_ms);
+	if (quota && disp_quota_told(s->disp, b, word->limit, sent)) {
+		note_quota(s, b->name, id, word->limit);
+		news = true;
+	}
+	if (news || word->limit > 0 || word->leaves || word->rest_ms > 0)
+		keep(s->gate, b);
+}
+
 void
 gate_word_answer(
     struct gate_req *r, int status, const h2o_header_t *headers, size_t n)
 {
 	const struct dial *dial = r->gate->dial;
 	struct gate_shard *s = r->shard;
-	struct pick_backend *b = r->d.at;
 	struct dial_word word;
 
 	/* Another backend server has the address, and speaks of itself. */
 	if (dial->moved(status, headers, n))
 		return;
 	dial->word(status, headers, n, &word);
-	if (word.malformed)
-		note_malformed(r->gate, b, r->name);
-	if (word.leaves && disp_leaves_told(b))
-		note_leaving(s, b->name, r->name);
-	if (disp_rest_told(s->disp, b, word.rest_ms * NS_MS))
-		note_rest(s, b->name, r->name, word.rest_ms);
 	if (word.tells_load)
-		disp_load_told(s->disp, b, word.load.running, word.load.waiting,
-		    word.load.pace);
-	if (tells_quota(r, status, headers, n, &word) &&
-	    disp_quota_told(s->disp, b, word.limit, &r->d))
-		note_quota(s, b->name, r->name, word.limit);
+		disp_load_told(s->disp, r->d.at, word.load.running,
+		    word.load.waiting, word.load.pace);
+	take(s, r->d.at, r->name, &word, r->d.sent,
+	    tells_quota(r, status, headers, n, &word));
 }
 
+/* Where answers to requests name a limit, those to questions may not. */
 void
 gate_word_peeked(
     struct gate_shard *s, struct str backend, const struct dial_word *word)
 {
+	struct pick_backend *b = disp_find(s->disp, backend);
+
+	if (b == NULL)
+		return;
 	if (disp_cold_told(s->disp, backend, word->cold_ms * NS_MS))
 		slog_decision(SLOG_PICK,
 		    word->cold_ms > 0 ? "a backend server is cold"
 				      : "a backend server is warm",
 		    "backend=%.*s service=%.*s cold_ms=%lld", STR_ARG(backend),
 		    STR_ARG(s->service), (long long)word->cold_ms);
-	if (word->leaves && disp_leaves_peeked(s->disp, backend))
-		note_leaving(s, backend, str_c(NULL));
-	if (disp_rest_peeked(s->disp, backend, word->rest_ms * NS_MS))
-		note_rest(s, backend, str_c(NULL), word->rest_ms);
-	if (disp_quota_peeked(s->disp, backend, word->limit))
-		note_quota(s, backend, str_c(NULL), word->limit);
+	take(s, b, str_c(NULL), word, b->peeked_at, word->limit > 0);
 }
--- a/libgate.h
+++ b/libgate.h
@@ -169,6 +169,9 @@
 	bool hub; /* our box is a hub of its hall, and may be home */
 	struct poison *poison; /* requests that end backend servers */
 	int64_t poison_told; /* to some hub, last */
+	struct words *words; /* what backend servers said of themselves */
+	bool words_news; /* some of it is to be told */
+	int64_t words_told, words_turn; /* to hubs near, and to any one, last */
 	struct limit_table *caller_limits;
 	GHashTable *callers_of; /* char * rule to struct callers * */
 	GHashTable *rule_limits; /* char * rule to struct limit * */
@@ -261,6 +264,12 @@
 void gate_word_peeked(
     struct gate_shard *, struct str backend, const struct dial_word *);
 
+/* gate_words.c: what gates tell one another of that. */
+void gate_words_hear(struct gate *, const struct word *);
+void gate_words_tick(struct gate *, int64_t now);
+void gate_words_take(struct gate *, const struct msg_words *);
+void gate_words_greet(struct gate *, const struct gate_peer *);
+
 /* gate_stat.c: counters and the admin pages. */
 struct cnt *gate_stat_open(void);
 void gate_stat_page(void *, h2o_req_t *);
--- a/msg.c
+++ b/msg.c
@@ -136,6 +136,12 @@
 static const struct shape suspect_shape = SHAPE(msg_suspect, suspect_fields);
 static const struct msg_field suspects_fields[] = {
     LIST(msg_suspects, suspects, suspect_shape)};
+static const struct msg_field word_fields[] = {STR(msg_word, backend),
+    U64(msg_word, born_ms), BOOL(msg_word, leaves), U64(msg_word, rate_milli),
+    U64(msg_word, heard_ms)};
+static const struct shape word_shape = SHAPE(msg_word, word_fields);
+static const struct msg_field words_fields[] = {
+    LIST(msg_words, words, word_shape)};
 static const struct msg_field ping_fields[] = {U64(msg_ping, nonce)};
 static const struct msg_field deflated_fields[] = {
     U64(msg_deflated, size), STR(msg_deflated, data)};
@@ -155,6 +161,7 @@
     [MSG_PONG] = SHAPE(msg_ping, ping_fields),
     [MSG_DEFLATED] = SHAPE(msg_deflated, deflated_fields),
     [MSG_SUSPECTS] = SHAPE(msg_suspects, suspects_fields),
+    [MSG_WORDS] = SHAPE(msg_words, words_fields),
 };
 
 const char *
--- a/msg.h
+++ b/msg.h
@@ -40,6 +40,7 @@
 	MSG_PONG,
 	MSG_DEFLATED, /* another message, in fewer bytes */
 	MSG_SUSPECTS, /* gate to gate: requests that end backend servers */
+	MSG_WORDS, /* gate to gate: what backend servers said of themselves */
 	MSG_KIND_MAX
 };
 
@@ -167,6 +168,19 @@
 	struct msg_list suspects; /* struct msg_suspect */
 };
 
+/* struct word, with an age in place of a time. */
+struct msg_word {
+	struct str backend;
+	uint64_t born_ms;
+	bool leaves;
+	uint64_t rate_milli; /* requests in a thousand seconds */
+	uint64_t heard_ms; /* ago */
+};
+
+struct msg_words {
+	struct msg_list words; /* struct msg_word */
+};
+
 struct msg_ping {
 	uint64_t nonce;
 };
@@ -193,6 +207,7 @@
 		struct msg_summary summary;
 		struct msg_ping ping;
 		struct msg_suspects suspects;
+		struct msg_words words;
 		struct msg_deflated deflated;
 	} u;
 	msgpack_unpacked raw; /* what the strings point into */
--- a/regress/test_paced.cpp
+++ b/regress/test_paced.cpp
@@ -457,7 +457,7 @@
 	w.answer(100);
 	ASSERT_NE(nullptr, r[0].d.at);
 	/* The next is free in 50 ms, and the one after it in 100. */
-	EXPECT_TRUE(disp_quota_told(w.disp, r[0].d.at, 20, &r[0].d));
+	EXPECT_TRUE(disp_quota_told(w.disp, r[0].d.at, 20, r[0].d.sent));
 	w.now += 20 * NS_MS;
 	w.done(&r[0], DISP_OK);
 	w.aim(&r[1]);
@@ -478,7 +478,8 @@
 	/* One that turns late behind others does not wait on for its end. */
 	w.aim(&r[3]);
 	EXPECT_TRUE(r[3].d.held);
-	EXPECT_TRUE(disp_quota_peeked(w.disp, STR_LIT("b0"), 2));
+	EXPECT_TRUE(
+	    disp_quota_told(w.disp, disp_find(w.disp, STR_LIT("b0")), 2, 0));
 	w.now += 85 * NS_MS;
 	disp_tick(w.disp);
 	EXPECT_TRUE(r[3].ended);
@@ -492,7 +493,8 @@
 	Req r[4];
 
 	for (const char *b : {"b0", "b1"})
-		EXPECT_TRUE(disp_rest_peeked(w.disp, str_c(b), 50 * NS_MS));
+		EXPECT_TRUE(disp_rest_told(
+		    w.disp, disp_find(w.disp, str_c(b)), 50 * NS_MS));
 	w.aim(&r[0]);
 	EXPECT_TRUE(r[0].d.held);
 	w.now += 45 * NS_MS;
@@ -506,8 +508,10 @@
 	w.done(&r[0], DISP_OK);
 	/* A shorter rest does not end one that was asked for before. */
 	for (const char *b : {"b0", "b1"}) {
-		EXPECT_TRUE(disp_rest_peeked(w.disp, str_c(b), 3 * NS_S));
-		EXPECT_FALSE(disp_rest_peeked(w.disp, str_c(b), 10 * NS_MS));
+		EXPECT_TRUE(disp_rest_told(
+		    w.disp, disp_find(w.disp, str_c(b)), 3 * NS_S));
+		EXPECT_FALSE(disp_rest_told(
+		    w.disp, disp_find(w.disp, str_c(b)), 10 * NS_MS));
 	}
 	w.now += 20 * NS_MS;
 	w.aim(&r[1]);
@@ -516,7 +520,8 @@
 	/* Nobody is asked meanwhile, and one is enough to end the wait. */
 	EXPECT_TRUE(w.asked.empty());
 	w.now += 3 * NS_S;
-	EXPECT_TRUE(disp_rest_peeked(w.disp, STR_LIT("b0"), 3 * NS_S));
+	EXPECT_TRUE(
+	    disp_rest_told(w.disp, disp_find(w.disp, STR_LIT("b0")), 3 * NS_S));
 	w.aim(&r[2]);
 	w.answer(100);
 	ASSERT_NE(nullptr, r[2].d.at);
--- a/regress/test_word.cpp
+++ b/regress/test_word.cpp
@@ -13,11 +13,13 @@
 #include <cmath>
 #include <csignal>
 #include <gtest/gtest.h>
+#include <set>
 
 #include "box.h"
 
 extern "C" {
 #include "quota.h"
+#include "word.h"
 }
 
 /* What backend servers say of themselves in their answers. */
@@ -429,3 +431,85 @@
 	c.ask_for(1000, 35);
 	EXPECT_EQ(0u, count_from(w.platform.came("i-0"), told));
 }
+
+namespace
+{
+
+struct word
+said(const char *backend, int64_t born_ms, bool leaves, double rate, int64_t at)
+{
+	struct word w = {};
+
+	w.backend = str_c(backend);
+	w.born_ms = born_ms;
+	w.leaves = leaves;
+	w.rate = rate;
+	w.heard = at;
+	return w;
+}
+
+struct Words {
+	struct words *ws = words_new();
+
+	~Words()
+	{
+		words_free(ws);
+	}
+
+	bool take(const struct word &w)
+	{
+		return words_take(ws, &w);
+	}
+
+	const struct word *find(const char *backend, int64_t born_ms)
+	{
+		return words_find(ws, str_c(backend), born_ms);
+	}
+};
+
+} // namespace
+
+/* Whichever way they come, the last rate and the latest life hold. */
+TEST(Words, OlderWordsAndEarlierLivesUndoNothing)
+{
+	Words w;
+
+	EXPECT_TRUE(w.take(said("a", 5, false, 3, 10)));
+	EXPECT_FALSE(w.take(said("a", 5, false, 3, 20)));
+	EXPECT_FALSE(w.take(said("a", 5, false, 7, 15)));
+	EXPECT_DOUBLE_EQ(3, w.find("a", 5)->rate);
+	EXPECT_TRUE(w.take(said("a", 5, true, 3, 12)));
+	EXPECT_FALSE(w.take(said("a", 5, false, 3, 30)));
+	EXPECT_TRUE(w.find("a", 5)->leaves);
+	/* One whose start is unsaid may be this life. */
+	EXPECT_TRUE(w.find("a", 0)->leaves);
+	EXPECT_EQ(nullptr, w.find("a", 6));
+	EXPECT_TRUE(w.take(said("a", 6, false, 2, 31)));
+	EXPECT_FALSE(w.take(said("a", 5, true, 1, 40)));
+	EXPECT_EQ(nullptr, w.find("a", 5));
+	EXPECT_FALSE(w.find("a", 6)->leaves);
+	EXPECT_DOUBLE_EQ(2, w.find("a", 6)->rate);
+}
+
+TEST(Words, TheyAreBoundedAndAllAreToldInTurn)
+{
+	Words w;
+	struct word out[32];
+	std::set<std::string> told;
+
+	EXPECT_EQ(0u, words_list(w.ws, out, 32));
+	for (int i = 0; i < 2000; i++)
+		w.take(said(
+		    ("b" + std::to_string(i)).c_str(), 0, true, 0, NS_S + i));
+	EXPECT_EQ(nullptr, w.find("b975", 0));
+	EXPECT_NE(nullptr, w.find("b976", 0));
+	for (int i = 0; i < 32; i++)
+		for (unsigned j = words_list(w.ws, out, 32); j-- > 0;)
+			told.insert(
+			    std::string(out[j].backend.p, out[j].backend.n));
+	EXPECT_EQ(1024u, told.size());
+	words_tick(w.ws, 600 * NS_S);
+	EXPECT_NE(nullptr, w.find("b1999", 0));
+	words_tick(w.ws, 602 * NS_S);
+	EXPECT_EQ(nullptr, w.find("b1999", 0));
+}
