The soak holds what backend servers say of themselves

In each calm time one of them says that it leaves, names a limit or asks for a rest, and a box that may have heard it is killed or paused, or the platform falls silent; what the servers got is checked by the users' bounds.

--- a/regress/soak_box.cpp
+++ b/regress/soak_box.cpp
@@ -17,6 +17,7 @@
  *
  *	soak_box SECONDS [SEED]
  */
+#include <array>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -39,6 +40,8 @@
  * so long, and a change that was acknowledged holds there so long after.
  */
 const double CONTACT = 3000, APPLY = 2000;
+/* What a box has handed on binds it so long after, and limits such spans. */
+const double TOLD = 500, SPAN = 4000;
 /* Between two calm times; changes come this often in them. */
 const double ROUGH_MS = 4000, CHANGE_MS = 400;
 
@@ -68,6 +71,7 @@
 	std::vector<Trouble> troubles;
 	std::map<std::string, int> faults;
 	std::vector<std::unique_ptr<Seen>> seen;
+	std::array<int, BACKENDS> lives{};
 	int version = 0; /* the newest configuration; each marks itself */
 	int invalid = 0; /* how many were not valid */
 	std::vector<std::string> broken; /* promises of configuration */
@@ -198,13 +202,15 @@
 		    << "status_ms = 3600000\nstatus_by = \"hubs\"\n";
 	}
 
+	/* Each life of a backend server has its own start. */
 	void enter(int i, const std::string &state)
 	{
 		store.put("servers", "i-" + std::to_string(i),
 		    "{\"service\":\"" + service(i) + "\",\"addr\":\"" +
 			backend_proxies[at(i)]->address + "\",\"zone\":\"" +
 			hall(i) + "\",\"slots\":3,\"state\":\"" + state +
-			"\"}");
+			"\",\"born\":" + std::to_string(1000 + lives[at(i)]) +
+			"}");
 	}
 
 	static std::string
@@ -297,6 +303,7 @@
 			configure();
 			traffic(CHANGE_MS);
 		}
+		word();
 		traffic(APPLY);
 		for (int i = 0; i < BOXES; i++) {
 			expect(i, version, true, "late");
@@ -306,6 +313,116 @@
 		}
 	}
 
+	/* Requests that came to a backend server in a span. */
+	size_t came(const std::string &id, double from, double to)
+	{
+		size_t n = 0;
+
+		for (int64_t ns : store.came(id)) {
+			double ms = static_cast<double>(ns) / NS_MS;
+
+			n += ms >= from && ms < to;
+		}
+		return n;
+	}
+
+	/* Have traffic until one comes; false if its home prefers others. */
+	bool tell(const std::string &id)
+	{
+		double from = now_ms();
+
+		while (came(id, from, now_ms()) == 0) {
+			if (now_ms() > from + SPAN)
+				return false;
+			traffic(20);
+		}
+		return true;
+	}
+
+	/* What may happen to a box that has heard what one said. */
+	void lose_a_box()
+	{
+		int i = any(BOXES);
+
+		faults["word-box"]++;
+		switch (any(4)) {
+		case 0:
+			boxes[at(i)].kill9();
+			traffic(any(1500));
+			boxes[at(i)].start();
+			break;
+		case 1:
+			boxes[at(i)].signal(SIGSTOP);
+			traffic(any(1500));
+			boxes[at(i)].signal(SIGCONT);
+			break;
+		case 2:
+			store.silence(true);
+			traffic(any(1500));
+			store.silence(false);
+			break;
+		default:
+			traffic(any(1500));
+		}
+	}
+
+	void expect_came(const char *what, const std::string &id, double from,
+	    double to, size_t most)
+	{
+		size_t n = came(id, from, to);
+
+		if (n <= most)
+			return;
+		broken.push_back(std::string(what) + ": " + id + " got " +
+		    std::to_string(n) + " requests in " +
+		    std::to_string(static_cast<int>(to - from)) +
+		    " ms, allowed " + std::to_string(most));
+	}
+
+	/* Does it hold what one said, until now?  Boxes know since `told`. */
+	void check_word(int kind, const std::string &id, double told, int value)
+	{
+		double end = now_ms();
+
+		if (kind == 0)
+			expect_came("leaves", id, told, end, 0);
+		if (kind == 2)
+			expect_came("rest", id, told,
+			    std::min(told - TOLD + value * 1000.0, end), 2);
+		for (; kind == 1 && told + SPAN < end; told += 100)
+			expect_came("limit", id, told, told + SPAN,
+			    static_cast<size_t>(value * SPAN / 1000 * 1.5 + 5));
+	}
+
+	/*
+	 * One says something of itself, and it holds: what boxes heard half a
+	 * second before or earlier, over all boxes, whatever happens to one.
+	 */
+	void word()
+	{
+		static const char *const headers[] = {
+		    "server-leaving", "server-limit", "retry-after"};
+		int i = any(BACKENDS), kind = any(3), value = 1 + any(4);
+		std::string id = "i-" + std::to_string(i);
+
+		faults[headers[kind]]++;
+		store.set(id, 100, kind == 2, false);
+		store.say(id, headers[kind], std::to_string(value));
+		if (tell(id)) {
+			double told = now_ms() + TOLD;
+
+			traffic(TOLD / 2);
+			if (kind != 2)
+				lose_a_box();
+			traffic(kind == 1 ? SPAN + TOLD : 2 * TOLD);
+			check_word(kind, id, told, value);
+		}
+		store.set(id, 100, false, false);
+		store.say(id, headers[kind], "");
+		lives[at(i)]++;
+		enter(i, "ready");
+	}
+
 	bool ready(int box) const
 	{
 		return http("GET", ip(box) + ":8280", "/ready", {}, "", 500)
@@ -583,7 +700,7 @@
 			    what.c_str(), s->reply.status, s->took_ms);
 	}
 	for (auto &b : soak.broken)
-		printf("VIOLATION configuration %s\n", b.c_str());
+		printf("VIOLATION %s\n", b.c_str());
 	bad += soak.broken.size();
 	for (auto &f : soak.faults) {
 		printf("fault %-18s %d\n", f.first.c_str(), f.second);
--- a/regress/test_paced.cpp
+++ b/regress/test_paced.cpp
@@ -476,7 +476,7 @@
 	w.now += 20 * NS_MS;
 	w.done(&r[1], DISP_OK);
 	/* One that turns late behind others does not wait on for its end. */
-	w.aim(&r[3]);
+	w.aim(&r[3], true, 2, 60);
 	EXPECT_TRUE(r[3].d.held);
 	EXPECT_TRUE(
 	    disp_quota_told(w.disp, disp_find(w.disp, STR_LIT("b0")), 2, 0));
