--- a/dial.h
+++ b/dial.h
@@ -35,10 +35,7 @@
 	struct dial_load load;
 	int64_t cold_ms; /* it stays cold for so long; 0: it does not say so */
 	bool leaves; /* it leaves, and wants nothing new */
-	/* With a refusal: it wants nothing more from the asking box for so
-	 * long.
-	 */
-	int64_t rest_ms;
+	int64_t rest_ms; /* it wants nothing more from the box that asked */
 	/* Requests a second that it takes from all boxes together; 0: any. */
 	double limit;
 	bool malformed; /* it says something that cannot be read */
--- a/gate_peek.c
+++ b/gate_peek.c
@@ -21,7 +21,8 @@
 
 struct peek {
 	struct gate *gate;
-	struct str service, hall, backend;
+	struct str service, hall, backend, address;
+	int64_t born_ms; /* which life was asked */
 	struct up_call *call;
 	struct tmr_item timer;
 	struct dial_word word; /* pace 0: it tells no load */
@@ -58,11 +59,24 @@
 	p->service = str_dup(s->service);
 	p->hall = str_dup(s->hall);
 	p->backend = str_dup(b->name);
+	p->address = str_dup(b->address);
+	p->born_ms = b->born_ms;
 	cnt_add(g->cnt, GC_PEEKS, 1);
 	tmr_set(&g->tmr, &p->timer, clk_ns(g->clk) + TIMEOUT_NS, on_timeout, p);
 	p->call = up_start(g->up, &rq, &peek_ops, p);
 }
 
+/* What an earlier life says holds for no later one. */
+static void
+take_word(const struct peek *p, struct gate_shard *s)
+{
+	struct pick_backend *b = disp_find(s->disp, p->backend);
+
+	if (b != NULL && b->born_ms == p->born_ms &&
+	    str_eq(b->address, p->address))
+		gate_word_peeked(s, b, &p->word);
+}
+
 /* The shard and the backend server may be gone by now. */
 static void
 finish(struct peek *p, bool answered)
@@ -74,13 +88,14 @@
 	if (!answered)
 		cnt_add(g->cnt, GC_PEEKS_LOST, 1);
 	if (s != NULL && answered)
-		gate_word_peeked(s, p->backend, &p->word);
+		take_word(p, s);
 	if (s != NULL)
 		disp_peeked(s->disp, p->backend, answered, p->word.load.running,
 		    p->word.load.waiting, p->word.load.pace);
 	str_free(&p->service);
 	str_free(&p->hall);
 	str_free(&p->backend);
+	str_free(&p->address);
 	g_free(p);
 }
 
--- a/gate_word.c
+++ b/gate_word.c
@@ -129,17 +129,13 @@
 /* Where answers to requests name a limit, those to questions may not. */
 void
 gate_word_peeked(
-    struct gate_shard *s, struct str backend, const struct dial_word *word)
+    struct gate_shard *s, struct pick_backend *b, const struct dial_word *word)
 {
-	struct pick_backend *b = disp_find(s->disp, backend);
-
-	if (b == NULL)
-		return;
-	if (disp_cold_told(s->disp, backend, word->cold_ms * NS_MS))
+	if (disp_cold_told(s->disp, b->name, word->cold_ms * NS_MS))
 		slog_decision(SLOG_PICK,
 		    word->cold_ms > 0 ? "a backend server is cold"
 				      : "a backend server is warm",
-		    "backend=%.*s service=%.*s cold_ms=%lld", STR_ARG(backend),
+		    "backend=%.*s service=%.*s cold_ms=%lld", STR_ARG(b->name),
 		    STR_ARG(s->service), (long long)word->cold_ms);
 	take(s, b, str_c(NULL), word, b->peeked_at, word->limit > 0);
 }
--- a/libgate.h
+++ b/libgate.h
@@ -262,7 +262,7 @@
 
 /* gate_word.c: what backend servers say of themselves. */
 void gate_word_peeked(
-    struct gate_shard *, struct str backend, const struct dial_word *);
+    struct gate_shard *, struct pick_backend *, const struct dial_word *);
 
 /* gate_words.c: what gates tell one another of that. */
 void gate_words_hear(struct gate *, const struct word *);
