A limit of very many requests a second stays a number that can be counted

By reading: requests a second, or what a malformed message says, was beyond what counts of requests hold. It is kept as a million. The soak tells of each box that does not serve again whether its process lives.

--- a/quota.c
+++ b/quota.c
@@ -27,8 +27,10 @@
 bool
 quota_told(struct quota *q, double rate, int64_t sent, int64_t now)
 {
-	bool less = rate > 0 && (q->rate == 0 || rate < q->rate);
+	bool less;
 
+	rate = MIN(rate, QUOTA_RATE_MAX);
+	less = rate > 0 && (q->rate == 0 || rate < q->rate);
 	if (rate == q->rate) {
 		q->told = now;
 		return false;
--- a/quota.h
+++ b/quota.h
@@ -29,6 +29,9 @@
 	struct bucket bucket;
 };
 
+/* More than this is as good as any number. */
+#define QUOTA_RATE_MAX 1e6
+
 /*
  * An answer to a request of the time `sent` says so many a second; 0: it says
  * nothing of it.  Answers overtake each other: less holds at once, more only by
--- a/regress/soak_box.cpp
+++ b/regress/soak_box.cpp
@@ -24,6 +24,7 @@
 #include <ctime>
 #include <fstream>
 #include <random>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "fleet.h"
@@ -624,6 +625,24 @@
 		    8000);
 	}
 
+	/* Why a box does not serve: its process, or what it says. */
+	void tell_boxes()
+	{
+		for (int i = 0; i < BOXES; i++) {
+			Process &p = boxes[at(i)];
+			int status = 0;
+			bool gone = p.running() &&
+			    waitpid(p.pid, &status, WNOHANG) == p.pid;
+
+			printf("box %d: pid %d, %s %d, %s\n", i,
+			    static_cast<int>(p.pid),
+			    gone ? "ended with status" : "lives",
+			    gone ? status : 0, ready(i) ? "ready" : "not");
+			if (gone)
+				p.pid = 0;
+		}
+	}
+
 	size_t ran(const std::string &id)
 	{
 		size_t n = 0;
@@ -687,6 +706,8 @@
 	}
 	soak.calm();
 	bool healed = soak.heals();
+	if (!healed)
+		soak.tell_boxes();
 	soak.traffic(500);
 	pump(5500);
 	for (auto &s : soak.seen) {
--- a/regress/test_word.cpp
+++ b/regress/test_word.cpp
@@ -240,6 +240,17 @@
 	}
 }
 
+/* What no server takes in earnest is kept as a number that can be counted. */
+TEST(Quota, AHugeRateIsBounded)
+{
+	struct quota q = {};
+
+	EXPECT_TRUE(quota_told(&q, 9999999999999999.0, 0, NS_S));
+	EXPECT_DOUBLE_EQ(QUOTA_RATE_MAX, q.rate);
+	EXPECT_FALSE(quota_told(&q, 1e300, 0, NS_S));
+	EXPECT_EQ(QUOTA_RATE_MAX / 50, quota_free(&q, 1000 * NS_S));
+}
+
 TEST(Quota, LessHoldsAtOnceAndMoreOnlyByALaterAnswer)
 {
 	struct quota q = {};
