What has changed of backend servers' words is told by itself

News of a limit went out within a list of 32 of all words, in turn: with more words than that the next home heard of a change only seconds later, and each change sent up to 2 KB to each hub of the hall. Now those that changed are told, each once, within 250 ms; the lists go on by turns as before. By reading; the test of words was extended first.

--- a/gate_words.c
+++ b/gate_words.c
@@ -74,13 +74,23 @@
 }
 
 static void
-tell_list(struct gate *g, const struct gate_peer *to, bool near)
+tell_list(struct gate *g, const struct gate_peer *to)
 {
 	struct word words[LIST_MAX];
 	unsigned n = words_list(g->words, words, LIST_MAX);
 
 	if (n > 0)
-		tell(g, words, n, to, near);
+		tell(g, words, n, to, false);
+}
+
+static void
+tell_news(struct gate *g)
+{
+	struct word words[LIST_MAX];
+	unsigned n = words_untold(g->words, words, LIST_MAX);
+
+	if (n > 0)
+		tell(g, words, n, NULL, true);
 }
 
 void
@@ -95,7 +105,7 @@
 	if (w->leaves && !left)
 		tell(g, w, 1, NULL, false);
 	else
-		g->words_news = true;
+		words_mark(g->words, w->backend);
 }
 
 void
@@ -103,10 +113,9 @@
 {
 	unsigned at;
 
-	if (g->words_news && now - g->words_told >= NEWS_NS) {
-		g->words_news = false;
+	if (now - g->words_told >= NEWS_NS) {
 		g->words_told = now;
-		tell_list(g, NULL, true);
+		tell_news(g);
 	}
 	if (now - g->words_turn < TURN_NS)
 		return;
@@ -115,7 +124,7 @@
 	if (g->peers->len == 0)
 		return;
 	at = (unsigned)rnd_below(g->rnd, g->peers->len);
-	tell_list(g, g_ptr_array_index(g->peers, at), false);
+	tell_list(g, g_ptr_array_index(g->peers, at));
 }
 
 void
@@ -143,5 +152,5 @@
 void
 gate_words_greet(struct gate *g, const struct gate_peer *p)
 {
-	tell_list(g, p, false);
+	tell_list(g, p);
 }
--- a/libgate.h
+++ b/libgate.h
@@ -170,7 +170,6 @@
 	struct poison *poison; /* requests that end backend servers */
 	int64_t poison_told; /* to some hub, last */
 	struct words *words; /* what backend servers said of themselves */
-	bool words_news; /* some of it is to be told */
 	int64_t words_told, words_turn; /* to hubs near, and to any one, last */
 	struct limit_table *caller_limits;
 	GHashTable *callers_of; /* char * rule to struct callers * */
--- a/regress/test_word.cpp
+++ b/regress/test_word.cpp
@@ -502,6 +502,26 @@
 	EXPECT_DOUBLE_EQ(2, w.find("a", 6)->rate);
 }
 
+/* Among many that stand, what has changed is told once, and soon. */
+TEST(Words, WhatHasChangedIsToldByItself)
+{
+	Words w;
+	struct word out[4];
+
+	for (int i = 0; i < 100; i++)
+		w.take(
+		    said(("b" + std::to_string(i)).c_str(), 0, false, 1, NS_S));
+	EXPECT_EQ(0u, words_untold(w.ws, out, 4));
+	for (const char *name : {"b7", "b8", "b7"})
+		words_mark(w.ws, str_c(name));
+	EXPECT_EQ(2u, words_untold(w.ws, out, 4));
+	EXPECT_EQ(0u, words_untold(w.ws, out, 4));
+	words_mark(w.ws, STR_LIT("nobody"));
+	words_mark(w.ws, STR_LIT("b9"));
+	words_tick(w.ws, 1000 * NS_S);
+	EXPECT_EQ(0u, words_untold(w.ws, out, 4));
+}
+
 TEST(Words, TheyAreBoundedAndAllAreToldInTurn)
 {
 	Words w;
--- a/word.c
+++ b/word.c
@@ -22,6 +22,7 @@
 struct words {
 	GPtrArray *v; /* struct word * */
 	GHashTable *by_name; /* struct str * of a word to the word */
+	GPtrArray *untold; /* struct word *, of these */
 	guint turn; /* whose turn it is to be told */
 };
 
@@ -59,6 +60,7 @@
 
 	ws->v = g_ptr_array_new_with_free_func(word_free);
 	ws->by_name = g_hash_table_new(hash_name, same_name);
+	ws->untold = g_ptr_array_new();
 	return ws;
 }
 
@@ -66,6 +68,7 @@
 words_free(struct words *ws)
 {
 	g_hash_table_destroy(ws->by_name);
+	g_ptr_array_free(ws->untold, TRUE);
 	g_ptr_array_free(ws->v, TRUE);
 	g_free(ws);
 }
@@ -76,6 +79,7 @@
 	struct word *w = g_ptr_array_index(ws->v, at);
 
 	g_hash_table_remove(ws->by_name, &w->backend);
+	g_ptr_array_remove_fast(ws->untold, w);
 	g_ptr_array_remove_index_fast(ws->v, at);
 }
 
@@ -157,6 +161,32 @@
 	return w == NULL || is_another(w->born_ms, born_ms) ? NULL : w;
 }
 
+void
+words_mark(struct words *ws, struct str backend)
+{
+	struct word *w = g_hash_table_lookup(ws->by_name, &backend);
+
+	if (w == NULL)
+		return;
+	g_ptr_array_remove_fast(ws->untold, w);
+	g_ptr_array_add(ws->untold, w);
+}
+
+unsigned
+words_untold(struct words *ws, struct word *out, unsigned max)
+{
+	unsigned n = 0;
+	guint last;
+
+	while (n < max && ws->untold->len > 0) {
+		last = ws->untold->len - 1;
+		out[n] = *(struct word *)g_ptr_array_index(ws->untold, last);
+		g_ptr_array_remove_index_fast(ws->untold, last);
+		n++;
+	}
+	return n;
+}
+
 unsigned
 words_list(struct words *ws, struct word *out, unsigned max)
 {
--- a/word.h
+++ b/word.h
@@ -48,10 +48,13 @@
 const struct word *
 words_find(const struct words *, struct str backend, int64_t born_ms);
 
-/*
- * Some words that are worth telling, a different part of them each time; how
- * many.
- */
+/* One has changed, and is to be told. */
+void words_mark(struct words *, struct str backend);
+
+/* Some of those that are to be told, which they are then; how many. */
+unsigned words_untold(struct words *, struct word *out, unsigned max);
+
+/* Some of all words, others of them each time; how many. */
 unsigned words_list(struct words *, struct word *out, unsigned max);
 
 /* Forget what was heard too long ago. */
