--- a/regress/box.h
+++ b/regress/box.h
@@ -220,6 +220,66 @@
 	}
 };
 
+/* A further box on the same address; `digit` begins its ports. */
+struct Further {
+	std::string address, file;
+	Process box;
+
+	Further(const World &w, const std::string &name,
+	    const std::string &hall, const std::string &digit,
+	    const std::string &agent = "")
+	    : address(w.ip + ":" + digit + "080"),
+	      file(w.dir + "/" + name + ".toml")
+	{
+		const char *root = getenv("FERN_ROOT");
+		std::string text =
+		    replaced(settings, "@root", root != nullptr ? root : ".");
+
+		text = replaced(text, "@bounds", "");
+		text = replaced(text, "\"@:8", "\"@:" + digit);
+		text = replaced(text, "\"b1\"", "\"" + name + "\"");
+		text = replaced(text, "\"north\"", "\"" + hall + "\"");
+		text += agent;
+		std::ofstream(file) << replaced(text, "@", w.ip);
+		box.argv = {std::string(root ? root : ".") + "/fernbox", file};
+		box.log = w.dir + "/" + name + ".log";
+	}
+
+	~Further()
+	{
+		box.kill9();
+		unlink(box.log.c_str());
+		unlink(file.c_str());
+	}
+
+	/* Whom it asks where the platform does not answer. */
+	void seed(const std::string &inbox) const
+	{
+		std::ifstream in(file);
+		std::string text{std::istreambuf_iterator<char>(in), {}};
+
+		in.close();
+		std::ofstream(file) << replaced(
+		    text, "seeds = []", "seeds = [\"" + inbox + "\"]");
+	}
+
+	Reply ask(const std::string &path) const
+	{
+		static int n;
+
+		return http("GET", address, path,
+		    {{"Host", "shop.example"},
+			{"fernjunction-request-id", "f" + std::to_string(++n)},
+			{"fernjunction-deadline-ms", "800"}},
+		    "", 2000);
+	}
+
+	bool serves() const
+	{
+		return ask("/look/1").status == 200;
+	}
+};
+
 } // namespace box
 
 #endif
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -421,6 +421,9 @@
 		hsrv_answer(req, 421, "text/plain", STR_LIT("another"));
 		return;
 	}
+	b->came.push_back(clk_ns(clk_system()));
+	for (auto &s : b->says)
+		add_header(req, s.first.c_str(), s.second);
 	if (b->refuse) {
 		add_header(req, "fernjunction-not-executed", "1");
 		hsrv_answer(req, 503, "text/plain", STR_LIT("full"));
@@ -571,6 +574,27 @@
 	in_loop([&] { backends[id]->hold = true; });
 }
 
+void
+Objects::say(
+    const std::string &id, const std::string &header, const std::string &value)
+{
+	in_loop([&] {
+		if (value.empty())
+			backends[id]->says.erase(header);
+		else
+			backends[id]->says[header] = value;
+	});
+}
+
+std::vector<int64_t>
+Objects::came(const std::string &id)
+{
+	std::vector<int64_t> all;
+
+	in_loop([&] { all = backends[id]->came; });
+	return all;
+}
+
 void
 Objects::chill(const std::string &id, int64_t ms)
 {
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -46,6 +46,10 @@
 		bool refuse = false; /* answer that nothing was run */
 		bool lose = false; /* run, and answer nothing */
 		bool hold = false; /* run, and take for ever */
+		/* What its answers to requests say of it: header and value. */
+		std::map<std::string, std::string> says;
+		/* When requests that were meant for it came; monotonic ns. */
+		std::vector<int64_t> came;
 		std::vector<std::string> ran; /* request ids */
 		std::set<Work *> works; /* that it is at */
 		struct hsrv *srv = nullptr;
@@ -65,6 +69,11 @@
 	    const std::string &address);
 	void set(const std::string &id, int pace, bool refuse, bool lose);
 	void hold(const std::string &id);
+	/* Its answers to requests say this from now on; empty: no more. */
+	void say(const std::string &id, const std::string &header,
+	    const std::string &value);
+	/* When requests came to it, whether it ran them or not. */
+	std::vector<int64_t> came(const std::string &id);
 	/* It is cold for so long, and says so. */
 	void chill(const std::string &id, int64_t ms);
 	/*
