Roll-outs: a version is brought in by steps, and stays or goes by its answers

Change: an order is an object of its own (obj, platform/), in a feed that is watched only where the platform names such a contract; the same filter drops the feed of evacuations where there can be none. Each home decides by itself (roll.c, charts/rollout.toml): a small share, at half of the time a wider one, then all; the homes of a service tell each other age, state, counts and what is left at the old version (MSG_ROLL, homes squared, each 250 ms). Whether a version is bad says a cumulative sum for each kind of request against the old version's answers (verdict.c): fails or is slow, at once or late. The new version is chosen first while the share owes it a request (disp_roll.c): by its cost alone it got one request or all. The home of the first hall writes the state on condition (PLAT_STATUS); completed only once no home has a request at the old version. Without 30 answers by 85 in 100 of the time the old version stays.

--- a/agent_watch.c
+++ b/agent_watch.c
@@ -143,6 +143,14 @@
 	return mask;
 }
 
+/* Watching what cannot be there would cost calls all day. */
+static bool
+has_feed(const struct agent *a, const char *feed)
+{
+	return a->form->has_feed == NULL ||
+	    a->form->has_feed(a->set.contracts, feed);
+}
+
 void
 agent_watch_open(struct agent *a)
 {
@@ -150,14 +158,16 @@
 	unsigned i;
 
 	a->platform_up = true;
-	for (i = 0; i < AGENT_FEEDS_MAX && a->form->feeds[i] != NULL; i++) {
-		f = &a->feeds[i];
+	for (i = 0; a->form->feeds[i] != NULL; i++) {
+		if (!has_feed(a, a->form->feeds[i]))
+			continue;
+		g_assert(a->nfeeds < AGENT_FEEDS_MAX);
+		f = &a->feeds[a->nfeeds++];
 		f->agent = a;
 		f->kinds = a->form->feeds[i];
 		f->mask = mask_of(f->kinds);
 		watch_soon(f, rnd_jitter(a->rnd, a->set.first_ms * NS_MS));
 	}
-	a->nfeeds = i;
 }
 
 /* After a pause nothing that we held of the platform is taken for new. */
--- a/disp.c
+++ b/disp.c
@@ -79,6 +79,7 @@
 {
 	d->params = *params;
 	d->budget.max = params->retry_max;
+	disp_roll_mark(d);
 }
 
 /*
@@ -170,6 +171,7 @@
 	cold_sent(&b->cold, &d->params.cold, now);
 	r->against = against(b, now);
 	quota_sent(&b->quota, now);
+	disp_roll_sent(d, b);
 	disp_conc_begin(d, r);
 	disp_work_begin(d, r);
 	d->ops.send(d->ops.ctx, r, b);
@@ -206,6 +208,7 @@
 
 	if (!may_arrive(d, r) || disp_trial_arrive(d, r))
 		return;
+	disp_roll_look(d);
 	if (d->params.policy->paced) {
 		disp_pace_arrive(d, r);
 		return;
@@ -263,6 +266,7 @@
 	d->serving = true;
 	while (d->again) {
 		d->again = false;
+		disp_roll_look(d);
 		disp_sort_late(d);
 		disp_trial_serve(d);
 		while (serve_queue(d, CLASS_INTERACTIVE))
@@ -301,7 +305,9 @@
 	struct pick_set set = disp_set_of(d);
 	int64_t now = clk_ns(d->clk);
 
-	if (outcomes[outcome].good && d->params.policy->paced)
+	disp_roll_done(d, r, b, outcome);
+	if (outcomes[outcome].good && d->params.policy->paced &&
+	    !disp_roll_is_trial(d, b))
 		disp_work_done(d, r, b, now);
 	if (outcomes[outcome].good)
 		pick_good(b, d->params.chart, now, now - r->sent);
@@ -395,6 +401,7 @@
 	int64_t now = clk_ns(d->clk);
 	int i;
 
+	disp_roll_mark(d);
 	if (now - d->limited >= LIMIT_NS)
 		disp_conc_set(d, now);
 	disp_cold_ask(d, now);
--- a/disp.h
+++ b/disp.h
@@ -24,6 +24,7 @@
 #include "pick.h"
 #include "poison.h"
 #include "queue.h"
+#include "roll.h"
 #include "word.h"
 
 /*
@@ -140,6 +141,7 @@
 	struct poison *poison; /* what all shards know; NULL: not looked at */
 	const struct words *words; /* the same of backend servers */
 	struct str hall; /* the shard's; must outlive it */
+	struct roll *roll; /* of the service; NULL: none */
 	double rate; /* this shard's part of the service's rate; 0: none */
 };
 
@@ -152,6 +154,7 @@
 	bool evacuated; /* its hall is to get nothing new */
 	int64_t warm_ns; /* it is cold for so long after its start */
 	int64_t born_ms; /* its start, ms since 1970; 0: unsaid */
+	bool is_new; /* of the version that a roll-out brings in */
 };
 
 /*
@@ -268,6 +271,9 @@
 
 unsigned disp_inflight(const struct disp *);
 
+/* Those at servers of the version that a roll-out ends. */
+unsigned disp_old_inflight(const struct disp *);
+
 /* Backend servers to which something new may be sent. */
 unsigned disp_usable(const struct disp *);
 
--- a/disp_set.c
+++ b/disp_set.c
@@ -129,6 +129,7 @@
 		g_ptr_array_add(d->backends, b);
 	}
 	b->slots = conf->slots;
+	b->is_new = conf->is_new;
 	b->born_ms = conf->born_ms;
 	if (fresh)
 		recall(d, b);
@@ -170,6 +171,7 @@
 	}
 	for (i = 0; i < n; i++)
 		update(d, &v[i], first);
+	disp_roll_mark(d);
 	disp_sweep(d);
 	disp_conc_set(d, clk_ns(d->clk));
 	disp_cold_ask(d, clk_ns(d->clk));
@@ -341,7 +343,7 @@
 
 	for (i = 0; i < d->backends->len; i++) {
 		b = g_ptr_array_index(d->backends, i);
-		if (!pick_usable(b, now))
+		if (b->uncounted || !pick_usable(b, now))
 			continue;
 		if (b->quota.rate > 0)
 			bound += disp_word_slots(d, b);
@@ -362,7 +364,7 @@
 
 	for (i = 0; i < d->backends->len; i++) {
 		b = g_ptr_array_index(d->backends, i);
-		room.free += pick_free(b, now);
+		room.free += b->uncounted ? 0 : pick_free(b, now);
 	}
 	for (i = 0; i < QUEUES; i++)
 		room.waiting += (int)d->queues[i].n;
@@ -373,11 +375,14 @@
 disp_usable(const struct disp *d)
 {
 	int64_t now = clk_ns(d->clk);
+	const struct pick_backend *b;
 	unsigned n = 0;
 	guint i;
 
-	for (i = 0; i < d->backends->len; i++)
-		n += pick_usable(g_ptr_array_index(d->backends, i), now);
+	for (i = 0; i < d->backends->len; i++) {
+		b = g_ptr_array_index(d->backends, i);
+		n += !b->uncounted && pick_usable(b, now);
+	}
 	return n;
 }
 
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -242,6 +242,8 @@
 	struct str other;
 	unsigned i;
 
+	gate_roll_update(g, s, svc);
+	p.roll = s->roll;
 	if (g->bounds.retry_slack > 0) {
 		p.retry_percent =
 		    (int64_t)(g->bounds.retry_ratio * RETRY_USED * 100);
@@ -276,6 +278,7 @@
 	struct gate_shard *s = p;
 
 	disp_free(s->disp);
+	gate_roll_close(s);
 	str_free(&s->service);
 	str_free(&s->hall);
 	g_free(s);
@@ -432,6 +435,10 @@
 		gate_home_heard(g, m->from);
 		gate_words_take(g, &m->u.words);
 		break;
+	case MSG_ROLL:
+		gate_home_heard(g, m->from);
+		gate_roll_take(g, &m->u.roll);
+		break;
 	case MSG_PING:
 	case MSG_PONG:
 		gate_home_heard(g, m->from);
--- a/gate_open.c
+++ b/gate_open.c
@@ -148,6 +148,9 @@
 	g->chart_request = open_chart(g, &req_chart_names, err);
 	if (g->chart_request == NULL)
 		return false;
+	g->chart_roll = open_chart(g, &roll_chart_names, err);
+	if (g->chart_roll == NULL)
+		return false;
 	g->chart_box = open_chart(g, &gate_box_chart_names, err);
 	return g->chart_box != NULL;
 }
@@ -308,6 +311,7 @@
 	gate_home_tick(g, now);
 	gate_poison_tick(g, now);
 	gate_words_tick(g, now);
+	gate_roll_tick(g, now);
 	if (now - g->reported >= REPORT_NS) {
 		g->reported = now;
 		gate_conf_report(g);
--- a/libagent.h
+++ b/libagent.h
@@ -54,6 +54,7 @@
 	int64_t status_ms;
 	int status_by; /* enum agent_status_by */
 	struct str form; /* the platform's form, by name */
+	struct str contracts; /* what it has, in its own words; empty: all */
 };
 
 /* What a box holds of the configuration. */
--- a/libdisp.h
+++ b/libdisp.h
@@ -70,6 +70,8 @@
 	struct pick_backend *emptied; /* for a trial; NULL: none */
 	bool in_doubt; /* some backend servers may be cold */
 	guint ask_from; /* whose turn it is, of those that are asked in turn */
+	/* By the roll-out, as servers are marked. */
+	bool new_may, old_may, new_first;
 	bool serving; /* serve() is under way */
 	bool again; /* and must look once more */
 };
@@ -130,6 +132,15 @@
 double
 disp_cold_slots(const struct disp *, const struct pick_backend *, int64_t);
 
+/* disp_roll.c: two versions of a service, while one replaces the other. */
+void disp_roll_mark(struct disp *);
+void disp_roll_look(struct disp *);
+void disp_roll_sent(struct disp *, const struct pick_backend *);
+void disp_roll_done(struct disp *, const struct disp_req *,
+    const struct pick_backend *, enum disp_outcome);
+/* Is what the server does no measure of the service's work? */
+bool disp_roll_is_trial(const struct disp *, const struct pick_backend *);
+
 /* disp_word.c: backend servers that say what they take, and when. */
 /* The slots worth counting when the wait for one is reckoned. */
 double disp_word_slots(const struct disp *, const struct pick_backend *);
--- a/libgate.h
+++ b/libgate.h
@@ -134,6 +134,13 @@
 	struct disp_room told; /* in the last summary */
 	int64_t told_at;
 	bool home; /* we take ourselves for its home */
+	/* gate_roll.c */
+	struct roll *roll; /* the service's roll-out; NULL: none */
+	enum roll_state roll_seen; /* in the log */
+	int64_t roll_told, roll_written; /* to other homes; to the platform */
+	struct plat_call *roll_call; /* a write on its way */
+	uint64_t roll_version; /* of the order, by the last one's answer */
+	enum obj_rolled roll_state; /* that the last one told */
 };
 
 struct gate {
@@ -157,7 +164,7 @@
 	struct conf *conf; /* set before gate_open(): the agent's too */
 	struct sync sync;
 	struct cnt *cnt;
-	struct chart *chart_backend, *chart_request, *chart_box;
+	struct chart *chart_backend, *chart_request, *chart_box, *chart_roll;
 	struct hsrv *callers, *pass, *admin;
 	struct route_table *routes;
 	struct tmr_item rebuild;
@@ -269,6 +276,13 @@
 void gate_words_take(struct gate *, const struct msg_words *);
 void gate_words_greet(struct gate *, const struct gate_peer *);
 
+/* gate_roll.c: roll-outs, as homes tell one another and the platform. */
+void gate_roll_update(
+    struct gate *, struct gate_shard *, const struct route_service *);
+void gate_roll_close(struct gate_shard *);
+void gate_roll_tick(struct gate *, int64_t now);
+void gate_roll_take(struct gate *, const struct msg_roll *);
+
 /* gate_stat.c: counters and the admin pages. */
 struct cnt *gate_stat_open(void);
 void gate_stat_page(void *, h2o_req_t *);
--- a/msg.c
+++ b/msg.c
@@ -142,6 +142,10 @@
 static const struct shape word_shape = SHAPE(msg_word, word_fields);
 static const struct msg_field words_fields[] = {
     LIST(msg_words, words, word_shape)};
+static const struct msg_field roll_fields[] = {STR(msg_roll, service),
+    STR(msg_roll, hall), STR(msg_roll, box), STR(msg_roll, version),
+    U64(msg_roll, age_ms), U64(msg_roll, state), U64(msg_roll, answers),
+    U64(msg_roll, bad), U64(msg_roll, old_out)};
 static const struct msg_field ping_fields[] = {U64(msg_ping, nonce)};
 static const struct msg_field deflated_fields[] = {
     U64(msg_deflated, size), STR(msg_deflated, data)};
@@ -162,6 +166,7 @@
     [MSG_DEFLATED] = SHAPE(msg_deflated, deflated_fields),
     [MSG_SUSPECTS] = SHAPE(msg_suspects, suspects_fields),
     [MSG_WORDS] = SHAPE(msg_words, words_fields),
+    [MSG_ROLL] = SHAPE(msg_roll, roll_fields),
 };
 
 const char *
--- a/msg.h
+++ b/msg.h
@@ -41,6 +41,7 @@
 	MSG_DEFLATED, /* another message, in fewer bytes */
 	MSG_SUSPECTS, /* gate to gate: requests that end backend servers */
 	MSG_WORDS, /* gate to gate: what backend servers said of themselves */
+	MSG_ROLL, /* home to home: how far a roll-out is there */
 	MSG_KIND_MAX
 };
 
@@ -181,6 +182,18 @@
 	struct msg_list words; /* struct msg_word */
 };
 
+/* struct roll_word, of one home of a service. */
+struct msg_roll {
+	struct str service;
+	struct str hall;
+	struct str box;
+	struct str version; /* that the order brings in */
+	uint64_t age_ms; /* of the order */
+	uint64_t state; /* enum roll_state */
+	uint64_t answers, bad; /* of the new version */
+	uint64_t old_out; /* requests at servers of the old one */
+};
+
 struct msg_ping {
 	uint64_t nonce;
 };
@@ -208,6 +221,7 @@
 		struct msg_ping ping;
 		struct msg_suspects suspects;
 		struct msg_words words;
+		struct msg_roll roll;
 		struct msg_deflated deflated;
 	} u;
 	msgpack_unpacked raw; /* what the strings point into */
--- a/obj.c
+++ b/obj.c
@@ -23,12 +23,14 @@
 	PROBE_MAX_MS = 600000,
 	ATTEMPTS_MAX = 100,
 	RANK_MAX = 1000,
-	BODY_MAX = 1 << 28
+	BODY_MAX = 1 << 28,
+	ROLLOUT_MIN_MS = 1000
 };
 
 static bool finish_backend(struct obj *, GError **);
 static bool finish_service(struct obj *, GError **);
 static bool finish_rule(struct obj *, GError **);
+static bool finish_rollout(struct obj *, GError **);
 static bool finish_any(struct obj *, GError **);
 static struct obj *read_bundle(
     struct str, const json_t *, const struct doc *, const char *, GError **);
@@ -36,12 +38,15 @@
 static const char *const words_repeatable[] = {"by-method", "yes", "no", NULL};
 static const char *const words_class[] = {"interactive", "bulk", NULL};
 static const char *const words_outage[] = {"refuse", "allow", NULL};
+static const char *const words_rolled[] = {
+    "open", "running", "completed", "rolled-back", NULL};
 
 #define B(member) offsetof(struct obj, u.backend.member)
 #define S(member) offsetof(struct obj, u.service.member)
 #define R(member) offsetof(struct obj, u.rule.member)
 #define L(member) offsetof(struct obj, u.listener.member)
 #define E(member) offsetof(struct obj, u.evacuation.member)
+#define O(member) offsetof(struct obj, u.rollout.member)
 
 static const struct field backend_fields[] = {
     {.name = "address",
@@ -213,6 +218,23 @@
     {.name = "why", .type = FIELD_STR, .offset = E(why), .text_dflt = ""},
 };
 
+static const struct field rollout_fields[] = {
+    {.name = "version",
+	.type = FIELD_STR,
+	.offset = O(version),
+	.required = true},
+    {.name = "duration_ms",
+	.type = FIELD_INT,
+	.offset = O(duration_ms),
+	.min = ROLLOUT_MIN_MS,
+	.max = DEADLINE_MAX_MS,
+	.required = true},
+    {.name = "state",
+	.type = FIELD_WORD,
+	.offset = O(state),
+	.words = words_rolled},
+};
+
 static const struct {
 	const char *name;
 	const struct field *fields;
@@ -229,6 +251,8 @@
     [OBJ_BUNDLE] = {"bundle", NULL, 0, finish_any},
     [OBJ_EVACUATION] = {"evacuation", evacuation_fields,
 	G_N_ELEMENTS(evacuation_fields), finish_any},
+    [OBJ_ROLLOUT] = {"rollout", rollout_fields, G_N_ELEMENTS(rollout_fields),
+	finish_rollout},
 };
 
 const char *
@@ -251,6 +275,12 @@
 	return false;
 }
 
+const char *
+obj_rolled_name(enum obj_rolled state)
+{
+	return words_rolled[state];
+}
+
 const char *
 obj_class_name(enum obj_class cls)
 {
@@ -323,6 +353,15 @@
 	return true;
 }
 
+static bool
+finish_rollout(struct obj *o, GError **err)
+{
+	if (o->u.rollout.version.n > 0)
+		return true;
+	return err_set(err, ERR_OBJECT,
+	    "rollout %s: version: must not be empty", o->name.p);
+}
+
 static bool
 finish_any(struct obj *o, GError **err)
 {
--- a/obj.h
+++ b/obj.h
@@ -25,7 +25,8 @@
  * server, a service and a rule, bounds for callers, and a bundle, which is a
  * set of the latter three under one version: it comes into force whole or not
  * at all.  An evacuation has the name of a hall: while it is there, the hall's
- * backend servers get nothing new.  Specs are JSON on the platform and TOML in
+ * backend servers get nothing new.  A roll-out has the name of a service, and
+ * brings in a version of it.  Specs are JSON on the platform and TOML in
  * operators' files; both are checked here, by the same tables.
  */
 enum obj_kind {
@@ -35,6 +36,7 @@
 	OBJ_LISTENER,
 	OBJ_BUNDLE,
 	OBJ_EVACUATION,
+	OBJ_ROLLOUT,
 	OBJ_KIND_MAX
 };
 
@@ -100,6 +102,22 @@
 	struct str why; /* for operators; may be empty */
 };
 
+/* How far a roll-out is, as the platform has it. */
+enum obj_rolled {
+	ROLLED_OPEN, /* nothing is written yet */
+	ROLLED_RUNNING,
+	ROLLED_COMPLETED, /* servers of other versions may end at once */
+	ROLLED_BACK, /* servers of the new version will end */
+	ROLLED_MAX
+};
+
+/* Bring in a version of a service: servers with that label `version`. */
+struct obj_rollout {
+	struct str version;
+	int64_t duration_ms; /* it is to be decided within it */
+	int state; /* enum obj_rolled */
+};
+
 /* Services, rules and a listener that come into force together. */
 struct obj_bundle {
 	GPtrArray *objects; /* struct obj * */
@@ -120,6 +138,7 @@
 		struct obj_listener listener;
 		struct obj_bundle bundle;
 		struct obj_evacuation evacuation;
+		struct obj_rollout rollout;
 	} u;
 };
 
@@ -127,6 +146,9 @@
 const char *obj_kind_name(enum obj_kind);
 bool obj_kind_by_name(struct str, enum obj_kind *);
 
+/* Name of a roll-out's state: "running" and so on. */
+const char *obj_rolled_name(enum obj_rolled);
+
 /* Name of a class: "interactive", "bulk". */
 const char *obj_class_name(enum obj_class);
 
--- a/pick.c
+++ b/pick.c
@@ -82,8 +82,8 @@
 pick_usable(const struct pick_backend *b, int64_t now)
 {
 	return !pick_is_lost(b, now) && !b->gone && !b->evacuated &&
-	    !b->leaves && !b->probe_down && b->state != PICK_EJECTED &&
-	    b->state != PICK_DRAINING;
+	    !b->excluded && !b->leaves && !b->probe_down &&
+	    b->state != PICK_EJECTED && b->state != PICK_DRAINING;
 }
 
 int
@@ -101,8 +101,8 @@
 {
 	int slots = pick_slots(b);
 
-	if (!pick_usable(b, now) || b->alone || now < b->full_until ||
-	    now < b->rest_until ||
+	if (!pick_usable(b, now) || b->alone || b->passed_over ||
+	    now < b->full_until || now < b->rest_until ||
 	    (b->cold_bound != NULL && !cold_may(&b->cold, b->cold_bound, now)))
 		return 0;
 	if (b->state == PICK_COLD || b->state == PICK_TRIAL)
--- a/pick.h
+++ b/pick.h
@@ -70,6 +70,10 @@
 	enum pick_state state;
 	bool drain_told; /* by its object */
 	bool evacuated; /* its hall is to get nothing new */
+	bool is_new; /* of the version that a roll-out brings in */
+	bool excluded; /* its version gets nothing now */
+	bool passed_over; /* the next request is owed to the other version */
+	bool uncounted; /* nor is its room counted on */
 	bool probe_down; /* probes say that it does not work */
 	int64_t usual; /* ns an answer usually takes; 0: not known */
 	int64_t oldest; /* start of the oldest in flight; 0: none */
--- a/plat.c
+++ b/plat.c
@@ -20,10 +20,10 @@
     "ok", "conflict", "none", "too-old", "unsure", "down", "bad"};
 
 static const char *const fern_feeds[] = {
-    "backend,service,rule,listener,bundle,evacuation", NULL};
+    "backend,service,rule,listener,bundle,evacuation,rollout", NULL};
 
 static const struct plat_form fern_form = {
-    "fern", &plat_fern_codec, &dial_fern, fern_feeds, false, NULL};
+    "fern", &plat_fern_codec, &dial_fern, fern_feeds, false, NULL, NULL};
 
 static const struct plat_form *const forms[] = {&fern_form, &platform_form};
 
--- a/plat.h
+++ b/plat.h
@@ -28,6 +28,7 @@
 	PLAT_GET, /* one object */
 	PLAT_CREATE, /* only if it is not there */
 	PLAT_UPDATE, /* only if it has the version given */
+	PLAT_STATUS, /* the same, of what we may write of another's object */
 	PLAT_DELETE, /* only if it has the version given */
 	PLAT_WATCH, /* changes since a revision; waits for one */
 	PLAT_BOXES /* the list of boxes */
@@ -99,7 +100,7 @@
  *
  *	list, watch	{"revision": N, "objects": [OBJECT, ...]}
  *	get		OBJECT
- *	create, update	{"version": N}
+ *	create, update, status	{"version": N}
  *	conflict	{"current": OBJECT or null}
  *	boxes		{"boxes": [{"name", "hall", "inbox", "power", "leaving",
  *			"poison"}, ...]}
@@ -135,6 +136,8 @@
 	 * and so many requests more, in a second.
 	 */
 	double cold_over, cold_slack;
+	/* Share of the requests that an unproven version may get; 0: unsaid */
+	double expose_share;
 	int64_t grace_ms; /* between the signal to stop and the end */
 };
 
@@ -155,6 +158,11 @@
 	bool waits_for_rules;
 	/* Read the platform's bounds from a setting's text; NULL: none. */
 	void (*bounds)(struct str, struct plat_bounds *);
+	/*
+	 * Can there be anything in a feed, by what the settings say of the
+	 * platform?  NULL: in all of them.
+	 */
+	bool (*has_feed)(struct str contracts, const char *feed);
 };
 
 /* The forms are "fern", of fernplatform(7), and "objects".  NULL: unknown. */
--- a/plat_fern.c
+++ b/plat_fern.c
@@ -26,6 +26,7 @@
     [PLAT_GET] = "GET",
     [PLAT_CREATE] = "PUT",
     [PLAT_UPDATE] = "PUT",
+    [PLAT_STATUS] = "PUT",
     [PLAT_DELETE] = "DELETE",
     [PLAT_WATCH] = "GET",
     [PLAT_BOXES] = "GET"};
@@ -44,6 +45,9 @@
 		    (long long)rq->wait_ms);
 	case PLAT_BOXES:
 		return g_strdup("/v1/boxes");
+	case PLAT_STATUS:
+		return g_strdup_printf("/v1/objects/%.*s/%.*s/status",
+		    STR_ARG(rq->kind), STR_ARG(rq->name));
 	default:
 		return g_strdup_printf("/v1/objects/%.*s/%.*s",
 		    STR_ARG(rq->kind), STR_ARG(rq->name));
@@ -62,7 +66,8 @@
 	if (rq->op == PLAT_CREATE) {
 		out->header = "if-none-match";
 		out->value = g_strdup("*");
-	} else if (rq->op == PLAT_UPDATE || rq->op == PLAT_DELETE) {
+	} else if (rq->op == PLAT_UPDATE || rq->op == PLAT_STATUS ||
+	    rq->op == PLAT_DELETE) {
 		out->header = "if-match";
 		out->value =
 		    g_strdup_printf("%llu", (unsigned long long)rq->version);
--- a/regress/disp_world.h
+++ b/regress/disp_world.h
@@ -175,7 +175,7 @@
 			v.push_back(
 			    {str_c(names[static_cast<size_t>(i)].c_str()),
 				STR_LIT("127.0.0.1:1"), slots, i == drained,
-				evacuated, 0, 0});
+				evacuated, 0, 0, false});
 		disp_backends(disp, v.data(), static_cast<unsigned>(n));
 	}
 
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -349,6 +349,24 @@
 	stale_rev = rev;
 }
 
+/* The object that there is, with another status; takes the other over. */
+static json_t *
+with_status(const json_t *old, json_t *written)
+{
+	json_t *o = json_deep_copy(old);
+
+	json_object_set(o, "status", json_object_get(written, "status"));
+	json_decref(written);
+	return o;
+}
+
+static bool
+has_suffix(const std::string &text, const std::string &end)
+{
+	return text.size() >= end.size() &&
+	    text.compare(text.size() - end.size(), end.size(), end) == 0;
+}
+
 void
 Objects::write(h2o_req_t *req, const std::string &kind)
 {
@@ -362,11 +380,14 @@
 	bool creates =
 	    h2o_memis(req->method.base, req->method.len, H2O_STRLIT("POST"));
 
-	if (creates ? old != nullptr : want != have) {
-		send(req, 409, json_deep_copy(old));
+	if (creates ? old != nullptr : old == nullptr || want != have) {
+		send(req, 409,
+		    old != nullptr ? json_deep_copy(old) : json_object());
 		json_decref(o);
 		return;
 	}
+	if (has_suffix(key_of(req), "/status"))
+		o = with_status(old, o);
 	store(kind, name, o, false);
 	send(req, 200, json_deep_copy(o));
 }
@@ -430,6 +451,10 @@
 		return;
 	}
 	b->ran.push_back(id);
+	if (b->fail) {
+		hsrv_answer(req, 500, "text/plain", STR_LIT("failed"));
+		return;
+	}
 	if (b->hold)
 		return;
 	if (b->lose) {
@@ -568,6 +593,26 @@
 	});
 }
 
+void
+Objects::fail(const std::string &id)
+{
+	in_loop([&] { backends[id]->fail = true; });
+}
+
+std::string
+Objects::status_of(const std::string &kind, const std::string &name)
+{
+	std::string text;
+
+	in_loop([&] {
+		const char *state = json_string_value(json_object_get(
+		    json_object_get(object(kind, name), "status"), "state"));
+
+		text = state != nullptr ? state : "";
+	});
+	return text;
+}
+
 void
 Objects::hold(const std::string &id)
 {
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -46,6 +46,7 @@
 		bool refuse = false; /* answer that nothing was run */
 		bool lose = false; /* run, and answer nothing */
 		bool hold = false; /* run, and take for ever */
+		bool fail = false; /* run, and answer 500 */
 		/* What its answers to requests say of it: header and value. */
 		std::map<std::string, std::string> says;
 		/* When requests that were meant for it came; monotonic ns. */
@@ -69,6 +70,10 @@
 	    const std::string &address);
 	void set(const std::string &id, int pace, bool refuse, bool lose);
 	void hold(const std::string &id);
+	/* It answers all with 500 from now on. */
+	void fail(const std::string &id);
+	/* The state that was written to an object's status; empty: none. */
+	std::string status_of(const std::string &kind, const std::string &name);
 	/* Its answers to requests say this from now on; empty: no more. */
 	void say(const std::string &id, const std::string &header,
 	    const std::string &value);
--- /dev/null
+++ b/regress/test_roll.cpp
@@ -0,0 +1,360 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "disp_world.h"
+
+extern "C" {
+#include "roll.h"
+}
+
+/*
+ * Roll-outs, decided in virtual time: what an answer proves, what a new version
+ * may get, and when the platform is told which one stays.
+ */
+
+namespace
+{
+
+struct chart *
+roll_chart()
+{
+	static struct chart *loaded;
+	const char *root = getenv("FERN_ROOT");
+	std::string file =
+	    std::string(root ? root : ".") + "/charts/rollout.toml";
+
+	if (loaded == nullptr)
+		loaded = chart_load(file.c_str(), &roll_chart_names, nullptr);
+	return loaded;
+}
+
+double
+uniform(uint64_t *seed)
+{
+	return static_cast<double>(rnd_split(seed) >> 11) * 0x1p-53;
+}
+
+/* Bad answers of each version, as shares, and how many of each come. */
+struct Trial {
+	enum verdict_answer bad;
+	double old_share, new_share;
+	int answers;
+};
+
+/* Is the new version found bad?  Old answers come twenty times as often. */
+bool
+convicts(const Trial &t, uint64_t seed, int *after = nullptr)
+{
+	struct verdict v;
+	bool found = false;
+
+	verdict_open(&v);
+	for (int i = 0; i < 400; i++)
+		verdict_old(
+		    &v, 1, uniform(&seed) < t.old_share ? t.bad : VERDICT_GOOD);
+	for (int i = 0; i < t.answers && !found; i++) {
+		for (int j = 0; j < 20; j++)
+			verdict_old(&v, 1,
+			    uniform(&seed) < t.old_share ? t.bad
+							 : VERDICT_GOOD);
+		found =
+		    verdict_new(&v, 1,
+			uniform(&seed) < t.new_share ? t.bad : VERDICT_GOOD) !=
+		    nullptr;
+		if (after != nullptr)
+			*after = i + 1;
+	}
+	verdict_close(&v);
+	return found;
+}
+
+int
+count(const Trial &t, int seeds)
+{
+	int n = 0;
+
+	for (int i = 0; i < seeds; i++)
+		n += convicts(t, static_cast<uint64_t>(i) + 1);
+	return n;
+}
+
+struct obj_rollout
+order(const char *version, int64_t ms)
+{
+	struct obj_rollout o = {};
+
+	o.version = str_c(version);
+	o.duration_ms = ms;
+	return o;
+}
+
+struct RollFree {
+	void operator()(struct roll *r) const
+	{
+		roll_free(r);
+	}
+};
+using Roll = std::unique_ptr<struct roll, RollFree>;
+
+/* A roll-out that the first answers have proved, at a time of its order. */
+Roll
+proved(int64_t at, const struct obj_rollout &o)
+{
+	Roll r(roll_new(&o, roll_chart(), 0.05, 0));
+
+	roll_tick(r.get(), true, 1);
+	for (int i = 0; i < 40; i++)
+		roll_ended(r.get(), true, 1, VERDICT_GOOD);
+	roll_tick(r.get(), true, at);
+	return r;
+}
+
+/* Old and new servers of one shard, under a roll-out. */
+struct Shard : disp_world::World {
+	struct obj_rollout o = order("v2", 10000);
+	Roll roll{roll_new(&o, roll_chart(), 0.05, now)};
+	struct disp_params p = {};
+	int sent_new = 0, sent = 0;
+	std::function<enum disp_outcome(bool is_new)> outcome = [](bool) {
+		return DISP_OK;
+	};
+
+	Shard()
+	{
+		std::vector<struct disp_backend> v;
+		static const char *const names[] = {
+		    "o0", "o1", "o2", "o3", "n0", "n1", "n2", "n3"};
+
+		p.policy = pick_by_name(STR_LIT("fern"));
+		p.chart = World::chart;
+		p.queue_max = 1000;
+		p.retry_percent = 10;
+		p.roll = roll.get();
+		for (int i = 0; i < 8; i++) {
+			struct disp_backend b = {};
+
+			b.name = str_c(names[i]);
+			b.address = STR_LIT("127.0.0.1:1");
+			b.slots = 3;
+			b.is_new = i >= 4;
+			v.push_back(b);
+		}
+		disp_configure(disp, &p);
+		disp_backends(disp, v.data(), 8);
+		roll_tick(roll.get(), true, now);
+		on_send = [this](disp_world::Req *, struct pick_backend *b) {
+			sent++;
+			sent_new += b->is_new;
+		};
+	}
+
+	void ask(int n)
+	{
+		for (int i = 0; i < n; i++) {
+			disp_world::Req r;
+
+			arrive(&r);
+			now += 2 * NS_MS;
+			while (r.d.at != nullptr)
+				done(&r, outcome(r.d.at->is_new));
+			disp_tick(disp);
+		}
+	}
+};
+
+} // namespace
+
+/* Ten thousand seeds of each share that both versions may have. */
+TEST(Verdict, WhatHitsBothAlikeConvictsNobody)
+{
+	for (double share : {0.0, 0.01, 0.05, 0.2, 0.5}) {
+		EXPECT_LE(
+		    count({VERDICT_FAILED, share, share, 500}, 10000 / 5), 2)
+		    << share;
+		EXPECT_LE(
+		    count({VERDICT_SLOW, share, share, 500}, 10000 / 5), 2)
+		    << share;
+	}
+}
+
+TEST(Verdict, OneThatIsWorseIsFoundWithinFewAnswers)
+{
+	const struct {
+		Trial t;
+		int found; /* of a thousand seeds, at least */
+	} table[] = {
+	    {{VERDICT_FAILED, 0.005, 0.5, 40}, 990},
+	    {{VERDICT_FAILED, 0.005, 0.2, 150}, 990},
+	    {{VERDICT_FAILED, 0.005, 0.1, 600}, 990},
+	    {{VERDICT_FAILED, 0.05, 0.5, 60}, 990},
+	    {{VERDICT_SLOW, 0.02, 1.0, 10}, 990},
+	    {{VERDICT_SLOW, 0.02, 0.5, 60}, 990},
+	};
+
+	for (const auto &row : table)
+		EXPECT_GE(count(row.t, 1000), row.found)
+		    << row.t.old_share << " " << row.t.new_share;
+}
+
+/* Bad on one kind of request only, among many answers of another. */
+TEST(Verdict, AKindIsJudgedByItself)
+{
+	struct verdict v;
+	const char *why = nullptr;
+	int answers = 0;
+
+	verdict_open(&v);
+	for (int i = 0; i < 300; i++) {
+		verdict_old(&v, 1, VERDICT_GOOD);
+		verdict_old(&v, 2, VERDICT_GOOD);
+	}
+	for (; why == nullptr && answers < 200; answers++) {
+		for (int j = 0; j < 9 && why == nullptr; j++)
+			why = verdict_new(&v, 1, VERDICT_GOOD);
+		if (why == nullptr)
+			why = verdict_new(&v, 2, VERDICT_FAILED);
+	}
+	EXPECT_NE(nullptr, why);
+	EXPECT_LE(answers, 12);
+	verdict_close(&v);
+}
+
+TEST(Roll, StepsAreTakenInTheirTime)
+{
+	struct obj_rollout o = order("v2", 10000);
+
+	EXPECT_EQ(ROLL_SMALL, roll_state(proved(4 * NS_S, o).get()));
+	Roll r = proved(5 * NS_S, o);
+	EXPECT_EQ(ROLL_WIDER, roll_state(r.get()));
+	roll_tick(r.get(), true, 5 * NS_S + 500 * NS_MS);
+	EXPECT_EQ(ROLL_WIDER, roll_state(r.get()));
+	roll_tick(r.get(), true, 5 * NS_S + 700 * NS_MS);
+	EXPECT_EQ(ROLL_ALL, roll_state(r.get()));
+}
+
+/* The old version is known to work: it stays where nothing is proved. */
+TEST(Roll, WithoutAnswersItIsRolledBackInTime)
+{
+	struct obj_rollout o = order("v2", 10000);
+	Roll r(roll_new(&o, roll_chart(), 0.05, 0));
+
+	roll_tick(r.get(), false, 8 * NS_S);
+	EXPECT_EQ(ROLL_WAITING, roll_state(r.get()));
+	roll_tick(r.get(), false, 9 * NS_S);
+	EXPECT_EQ(ROLL_BACK, roll_state(r.get()));
+	EXPECT_EQ(ROLLED_BACK, roll_wants(r.get(), nullptr, 0, 0, 9 * NS_S));
+}
+
+/* A home that starts goes on where the others are. */
+TEST(Roll, TheAgeOfTheOrderAndABadVerdictComeFromOtherHomes)
+{
+	struct obj_rollout o = order("v2", 10000);
+	struct roll_word w = {4 * NS_S, ROLL_SMALL, 100, 0, 3};
+	Roll r(roll_new(&o, roll_chart(), 0.05, 10 * NS_S));
+
+	roll_told(r.get(), STR_LIT("b2"), STR_LIT("south"), &w, 10 * NS_S);
+	roll_tick(r.get(), true, 10 * NS_S);
+	roll_tick(r.get(), true, 11 * NS_S);
+	EXPECT_EQ(ROLL_WIDER, roll_state(r.get()));
+	w.state = ROLL_BACK;
+	roll_told(r.get(), STR_LIT("b2"), STR_LIT("south"), &w, 11 * NS_S);
+	EXPECT_EQ(ROLL_BACK, roll_state(r.get()));
+	EXPECT_FALSE(roll_may_send(r.get(), true));
+	EXPECT_TRUE(roll_may_send(r.get(), false));
+}
+
+/* Old servers end at once then: nobody may have a request there. */
+TEST(Roll, CompletedIsSaidOnceAllHomesHaveLeftTheOldVersion)
+{
+	struct obj_rollout o = order("v2", 10000);
+	struct str halls[] = {STR_LIT("south")};
+	struct roll_word left = {6 * NS_S, ROLL_ALL, 9, 0, 0};
+	struct roll_word busy = left, before = left;
+	Roll r = proved(5 * NS_S, o);
+	int64_t t = 6 * NS_S;
+
+	busy.old_out = 1;
+	before.state = ROLL_WIDER;
+	roll_tick(r.get(), true, t);
+	ASSERT_EQ(ROLL_ALL, roll_state(r.get()));
+	t += NS_S;
+	EXPECT_EQ(ROLLED_RUNNING, roll_wants(r.get(), halls, 1, 0, t));
+	roll_told(r.get(), STR_LIT("b2"), halls[0], &busy, t);
+	EXPECT_EQ(ROLLED_RUNNING, roll_wants(r.get(), halls, 1, 0, t));
+	roll_told(r.get(), STR_LIT("b2"), halls[0], &before, t);
+	EXPECT_EQ(ROLLED_RUNNING, roll_wants(r.get(), halls, 1, 0, t));
+	roll_told(r.get(), STR_LIT("b2"), halls[0], &left, t);
+	EXPECT_EQ(ROLLED_RUNNING, roll_wants(r.get(), halls, 1, 2, t));
+	EXPECT_EQ(ROLLED_COMPLETED, roll_wants(r.get(), halls, 1, 0, t));
+	/* A word of before is none. */
+	EXPECT_EQ(
+	    ROLLED_RUNNING, roll_wants(r.get(), halls, 1, 0, t + 2 * NS_S));
+}
+
+TEST(Roll, AnOrderIsNewWhereThePlatformHadEndedTheOther)
+{
+	struct obj_rollout o = order("v2", 10000), again = o;
+	Roll r(roll_new(&o, roll_chart(), 0.05, 0));
+
+	o.state = ROLLED_BACK;
+	EXPECT_TRUE(roll_is(r.get(), &o));
+	roll_settle(r.get(), ROLLED_BACK);
+	EXPECT_TRUE(roll_is(r.get(), &o));
+	EXPECT_FALSE(roll_is(r.get(), &again));
+}
+
+/* Its servers are empty and quick, and would draw most requests. */
+TEST(RollDisp, TheNewVersionGetsItsShareAndNoMore)
+{
+	Shard s;
+
+	s.ask(2000);
+	EXPECT_GE(s.sent_new, 60);
+	EXPECT_LE(s.sent_new, 2000 * 0.05 + 3);
+}
+
+TEST(RollDisp, OneThatFailsGetsNothingMore)
+{
+	Shard s;
+	int before;
+
+	s.ask(200);
+	s.outcome = [](bool is_new) {
+		return is_new ? DISP_FAILED : DISP_OK;
+	};
+	s.ask(400);
+	EXPECT_EQ(ROLL_BACK, roll_state(s.roll.get()));
+	before = s.sent_new;
+	EXPECT_LE(before, 200 * 0.05 + 3 + 10);
+	s.ask(400);
+	EXPECT_EQ(before, s.sent_new);
+}
+
+TEST(RollDisp, OnceItGetsAllTheOldOneGetsNothing)
+{
+	Shard s;
+
+	s.ask(2000);
+	s.now = NS_S + 5 * NS_S;
+	roll_tick(s.roll.get(), true, s.now);
+	s.now += NS_S;
+	roll_tick(s.roll.get(), true, s.now);
+	ASSERT_EQ(ROLL_ALL, roll_state(s.roll.get()));
+	disp_tick(s.disp);
+	s.sent = s.sent_new = 0;
+	s.ask(100);
+	EXPECT_EQ(100, s.sent);
+	EXPECT_EQ(100, s.sent_new);
+	EXPECT_EQ(0u, disp_old_inflight(s.disp));
+}
--- /dev/null
+++ b/regress/test_rollout.cpp
@@ -0,0 +1,143 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <gtest/gtest.h>
+
+#include "box.h"
+
+/* Roll-outs by the real program, against the stand-in for the platform. */
+
+namespace
+{
+
+/* A service of two old servers, and two of a version that is brought in. */
+struct Rollout : box::World {
+	explicit Rollout(bool fails)
+	    : box::World(true, "", "\"exposeShare\":0.4,\"exposeSlack\":5,")
+	{
+		EXPECT_TRUE(until([&] { return ready(); }));
+		for (int i : {5, 6}) {
+			std::string id = "n-" + std::to_string(i);
+			std::string at = ip + ":" + std::to_string(9100 + i);
+
+			platform.start_backend(id, "till", at);
+			if (fails)
+				platform.fail(id);
+			platform.put("servers", id,
+			    "{\"service\":\"till\",\"addr\":\"" + at +
+				"\",\"zone\":\"north\",\"slots\":3,"
+				"\"version\":\"v2\",\"state\":\"ready\"}");
+		}
+	}
+
+	void order(const std::string &duration)
+	{
+		platform.put("rollouts", "till",
+		    R"({"service":"till","targetVersion":"v2","duration":")" +
+			duration + "\"}");
+	}
+
+	std::string state()
+	{
+		return platform.status_of("rollouts", "till");
+	}
+
+	size_t ran_new()
+	{
+		return platform.ran("n-5") + platform.ran("n-6");
+	}
+
+	/* Requests come until the state is this; false: too late. */
+	bool reaches(const std::string &wanted)
+	{
+		return until(
+		    [&] {
+			    for (int i = 0; i < 5; i++)
+				    ask("/look/1");
+			    return state() == wanted;
+		    },
+		    6000);
+	}
+};
+
+} // namespace
+
+TEST(Rollout, AGoodVersionIsCompletedAndTheOldOneLeftBefore)
+{
+	Rollout r(false);
+
+	r.order("4s");
+	ASSERT_TRUE(r.reaches("running"));
+	ASSERT_TRUE(r.reaches("completed")) << r.state();
+	size_t old = r.ran(0, 1), all = r.ran_new();
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(200, r.ask("/look/1").status);
+	EXPECT_EQ(old, r.ran(0, 1));
+	EXPECT_EQ(all + 20, r.ran_new());
+}
+
+TEST(Rollout, ABadVersionIsRolledBackAfterFewRequests)
+{
+	Rollout r(true);
+
+	r.order("4s");
+	ASSERT_TRUE(r.reaches("rolled_back")) << r.state();
+	size_t got = r.ran_new();
+	EXPECT_LE(got, 30u);
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(200, r.ask("/look/1").status);
+	EXPECT_EQ(got, r.ran_new());
+}
+
+/* What was decided holds for one that starts, and while the store is away. */
+TEST(Rollout, ABoxThatStartsKeepsToWhatWasDecided)
+{
+	Rollout r(true);
+
+	r.order("4s");
+	ASSERT_TRUE(r.reaches("rolled_back")) << r.state();
+	r.box.kill9();
+	r.box.start();
+	ASSERT_TRUE(until([&] { return r.ready(); }));
+	size_t got = r.ran_new();
+	r.platform.answer_all(503);
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(200, r.ask("/look/1").status);
+	EXPECT_EQ(got, r.ran_new());
+	r.platform.answer_all(0);
+}
+
+/* The write is made again, on the condition that holds then. */
+TEST(Rollout, AStoreThatRefusesIsToldLater)
+{
+	Rollout r(true);
+
+	r.order("20s");
+	ASSERT_TRUE(r.reaches("running"));
+	r.platform.answer_all(503);
+	until([&] { return r.ask("/look/1").status != 200; }, 1500);
+	r.platform.answer_all(0);
+	EXPECT_TRUE(r.reaches("rolled_back")) << r.state();
+}
+
+/* Home of two halls at first, of one later: it tells no more of the other. */
+TEST(Rollout, ABoxThatIsHomeNoMoreDoesNotHoldItUp)
+{
+	Rollout r(false);
+	box::Further second(r, "b2", "south", "7");
+
+	r.enter(1, "ready", "south");
+	second.box.start();
+	ASSERT_TRUE(until([&] { return second.serves(); }, 10000));
+	pump(1000);
+	r.order("4s");
+	ASSERT_TRUE(r.reaches("completed"))
+	    << r.state() << r.box.read_log() << second.box.read_log();
+}
--- a/route.c
+++ b/route.c
@@ -19,6 +19,7 @@
 	GPtrArray *rules; /* struct route_rule *, in order of matching */
 	GPtrArray *backends; /* struct obj *, sorted by name */
 	GPtrArray *evacuations; /* struct obj *, named after halls */
+	GPtrArray *rollouts; /* struct obj *, named after services */
 	GPtrArray *objects; /* struct obj *: our references */
 	const struct obj_listener *listener;
 	uint64_t version; /* of all but backend servers */
@@ -102,6 +103,9 @@
 	case OBJ_EVACUATION:
 		g_ptr_array_add(t->evacuations, o);
 		break;
+	case OBJ_ROLLOUT:
+		g_ptr_array_add(t->rollouts, o);
+		break;
 	case OBJ_LISTENER:
 		t->listener = &o->u.listener;
 		break;
@@ -166,6 +170,31 @@
 	return h;
 }
 
+static const struct obj_rollout *
+rollout_of(const struct route_table *t, struct str service)
+{
+	const struct obj *o;
+	guint i;
+
+	for (i = 0; i < t->rollouts->len; i++) {
+		o = g_ptr_array_index(t->rollouts, i);
+		if (str_eq(o->name, service))
+			return &o->u.rollout;
+	}
+	return NULL;
+}
+
+/* Is a server of the version that is brought in? */
+static bool
+is_new(const struct route_service *s, const struct obj_backend *b)
+{
+	const char *version =
+	    json_string_value(json_object_get(b->labels, "version"));
+
+	return s->rollout != NULL && version != NULL &&
+	    str_eq(s->rollout->version, str_c(version));
+}
+
 static void
 fill(struct route_table *t, struct route_service *s)
 {
@@ -174,6 +203,7 @@
 	struct route_hall *h;
 	guint i;
 
+	s->rollout = rollout_of(t, s->name);
 	for (i = 0; i < t->backends->len; i++) {
 		o = g_ptr_array_index(t->backends, i);
 		b = &o->u.backend;
@@ -188,7 +218,9 @@
 		    .drain = b->drain,
 		    .evacuated = h->evacuated,
 		    .warm_ns = b->warm_ms * NS_MS,
-		    .born_ms = b->born_ms};
+		    .born_ms = b->born_ms,
+		    .is_new = is_new(s, b)};
+		s->has_new = s->has_new || is_new(s, b);
 		if (b->drain || h->evacuated)
 			continue;
 		h->slots += (int)b->slots;
@@ -231,6 +263,7 @@
 	t->rules = g_ptr_array_new_with_free_func(rule_free);
 	t->backends = g_ptr_array_new();
 	t->evacuations = g_ptr_array_new();
+	t->rollouts = g_ptr_array_new();
 	t->objects = g_ptr_array_new_with_free_func((GDestroyNotify)obj_free);
 	conf_each(conf, collect, t);
 	g_ptr_array_sort(t->backends, by_name);
@@ -251,6 +284,7 @@
 	g_ptr_array_free(t->rules, TRUE);
 	g_ptr_array_free(t->backends, TRUE);
 	g_ptr_array_free(t->evacuations, TRUE);
+	g_ptr_array_free(t->rollouts, TRUE);
 	g_ptr_array_free(t->objects, TRUE);
 	g_free(t);
 }
--- a/route.h
+++ b/route.h
@@ -41,6 +41,8 @@
 	struct route_hall *halls;
 	unsigned nhalls;
 	int slots; /* of all halls */
+	const struct obj_rollout *rollout; /* NULL: none */
+	bool has_new; /* servers of the version that it brings in */
 };
 
 /* One of the services that a rule's requests are divided among. */
