Customers: keys, the name that a server is told, and rates over the whole fleet

Cause: no file knew customers.

Change: customers come with the bundle and change with it as one; what is read of a key is its digest (platform/), so that no message, log or memory of ours has the key itself (customer.c). A request whose rule is not open and whose key is nobody's, or that of two, gets 401 at the box it came to, before anything else. The key's header and a caller's own word of a name go no further; homes hear the name with what is passed on, and servers are told it. A customer's rank goes before the rule's. A rate is a bucket at one gate, chosen among all hubs by hashing (gate_rate.c): the box at which a request comes in asks there first (MSG_ASK, 60 bytes, only for customers with a rate). A gate that becomes home begins with what has flowed in since the hubs last changed; a second one that is asked while the first is silent begins with nothing.

--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,12 @@
 FLEET_TESTS = regress/test_path regress/test_config regress/test_promises \
 	regress/test_box regress/test_cold regress/test_evacuation \
 	regress/test_region regress/test_crash regress/test_silent \
-	regress/test_word regress/test_rollout
+	regress/test_word regress/test_rollout regress/test_customer
 TESTS = $(UNIT_TESTS) $(FLEET_TESTS)
 BENCHES = regress/bench_load regress/bench_pick regress/bench_gate regress/bench_tail \
 	regress/bench_capacity regress/soak regress/soak_box regress/demo
 
-COMMON = caller.o chart.o clk.o cnt.o cold.o conc.o conf.o daemon.o dial.o disp.o disp_cold.o disp_conc.o disp_doubt.o disp_hold.o \
+COMMON = caller.o chart.o clk.o cnt.o cold.o conc.o conf.o customer.o daemon.o dial.o disp.o disp_cold.o disp_conc.o disp_doubt.o disp_hold.o \
 	disp_move.o disp_pace.o disp_pass.o disp_peek.o disp_roll.o disp_set.o disp_stop.o disp_trial.o \
 	disp_word.o disp_work.o doc_toml.o err.o field.o fprint.o gossip.o home.o hsrv.o hsrv_conn.o hsrv_parse.o hsrv_req.o limit.o memb.o msg.o obj.o \
 	pace.o pick.o pick_fern.o pick_name.o pick_naive.o pick_pace.o plat.o plat_fern.o plat_http.o poison.o poison_msg.o \
@@ -29,7 +29,7 @@
 	sync_pack.o tmr.o up.o up_answer.o up_call.o up_conn.o verdict.o wire_zmq.o word.o zip.o
 GATE = gate_admit.o gate_answer.o gate_box.o gate_claim.o gate_conf.o \
 	gate_early.o gate_flow.o gate_home.o gate_open.o gate_pass.o gate_peek.o gate_poison.o \
-	gate_req.o gate_roll.o gate_stat.o gate_try.o gate_word.o gate_words.o
+	gate_rate.o gate_req.o gate_roll.o gate_stat.o gate_try.o gate_word.o gate_words.o
 AGENT = agent_box.o agent_gate.o agent_lapse.o agent_look.o agent_open.o \
 	agent_peer.o agent_poison.o agent_probe.o agent_push.o agent_scope.o agent_stat.o agent_watch.o
 CTL = ctl_call.o ctl_edit.o ctl_main.o ctl_show.o
--- a/dial.h
+++ b/dial.h
@@ -47,6 +47,9 @@
 	struct str id; /* names a request; backend servers repeat it */
 	struct str deadline; /* milliseconds that are left */
 	struct str instance; /* the backend server that is meant */
+	struct str
+	    key; /* of the customer; goes no further than the first box */
+	struct str customer; /* by name; never a caller's own word */
 	struct str retried; /* "yes" on a request that was sent before */
 	bool fractions; /* Retry-After may be a fraction of a second */
 	/*
--- a/err.c
+++ b/err.c
@@ -35,6 +35,8 @@
 	"this box has no configuration yet"},
     [ERR_POISON] = {"poison", 503, 600, 1,
 	"backend servers ended each time that they ran this request"},
+    [ERR_NO_KEY] = {"no-key", 401, 0, 1,
+	"the request needs the key of a customer"},
     [ERR_USAGE] = {"usage", 0, 0, 2, "wrong command line"},
     [ERR_SETTINGS] = {"settings", 0, 0, 3, "wrong settings"},
     [ERR_SELECTOR] = {"selector", 0, 0, 4, "wrong selector"},
--- a/gate_admit.c
+++ b/gate_admit.c
@@ -115,6 +115,7 @@
 	r->service = str_dup(svc->name);
 	r->hall = str_dup(pass.hall);
 	r->regions = r->d.regions = str_dup(pass.regions);
+	r->customer = str_dup(pass.customer);
 	r->d.cls = pass.bulk ? CLASS_BULK : CLASS_INTERACTIVE;
 	r->d.repeatable = pass.repeatable;
 	r->d.may_retry = true;
@@ -244,18 +245,62 @@
 		    r, kind, kind == ERR_DUPLICATE ? RAN_UNKNOWN : RAN_NO, 0);
 }
 
+/* Customers' ranks go before those of rules. */
+enum { RULE_RANKS = 1000 };
+
+/*
+ * For whom is it?  Where there are customers, a rule that is not open asks for
+ * the key of one.  False if there is none, or nobody has it.
+ */
+static bool
+take_customer(struct gate_req *r, const struct route_rule *rule,
+    const struct customer **found)
+{
+	const struct customers *all = route_customers(r->gate->routes);
+	const struct dial *dial = r->gate->dial;
+
+	*found = NULL;
+	if (dial->key.n == 0 || customers_count(all) == 0)
+		return true;
+	*found = customers_find(all, hsrv_header(r->req, dial->key.p));
+	if (*found == NULL)
+		return rule->obj->open;
+	r->customer = str_dup((*found)->name);
+	return true;
+}
+
+void
+gate_admit_go(struct gate_req *r)
+{
+	struct str key = hsrv_header(r->req, "idempotency-key");
+
+	if (!r->keyed) {
+		gate_req_route(r);
+		return;
+	}
+	gate_req_event(r, REQ_EV_CLAIM);
+	r->claim = gate_claim_start(
+	    r->gate, r->rule, key, r->allow_outage, on_claimed, r);
+}
+
 /*
- * Limits and claims are for the gate where a request comes in; a home takes
- * both as done.
+ * Keys, limits and claims are for the gate where a request comes in; a home
+ * takes all as done.
  */
 static void
 admit(struct gate_req *r, const struct route_rule *rule)
 {
 	struct gate *g = r->gate;
+	const struct customer *customer;
 	struct str key = hsrv_header(r->req, "idempotency-key");
 	struct str method = str_n(r->req->method.base, r->req->method.len);
 	const struct route_service *svc = route_choose(rule, g->rnd);
 
+	if (!take_customer(r, rule, &customer)) {
+		cnt_add(g->cnt, GC_NO_KEY, 1);
+		gate_answer(r, ERR_NO_KEY, RAN_NO, 0);
+		return;
+	}
 	if (svc == NULL) {
 		gate_answer(r, ERR_NO_SERVICE, RAN_NO, 0);
 		return;
@@ -272,6 +317,8 @@
 	r->d.retried = hsrv_header(r->req, "fern-retried").n > 0;
 	r->d.attempts = (int)rule->obj->attempts;
 	r->d.rank = (int)rule->obj->rank;
+	if (customer != NULL)
+		r->d.rank += (int)customer->obj->rank * RULE_RANKS;
 	r->d.kind = (unsigned)rule->obj->target_ms;
 	if (rule->obj->target_ms > 0)
 		r->d.target =
@@ -282,13 +329,10 @@
 		gate_answer(r, ERR_OVER_LIMIT, RAN_NO, 0);
 		return;
 	}
-	if (r->keyed) {
-		gate_req_event(r, REQ_EV_CLAIM);
-		r->claim = gate_claim_start(
-		    g, r->rule, key, r->allow_outage, on_claimed, r);
-		return;
-	}
-	gate_req_route(r);
+	if (customer != NULL && customer->obj->rate > 0)
+		gate_rate_ask(r);
+	else
+		gate_admit_go(r);
 }
 
 /*
--- a/gate_answer.c
+++ b/gate_answer.c
@@ -57,6 +57,7 @@
 	gate_req_event(r, REQ_EV_END);
 	r->early = false;
 	tmr_clear(&r->gate->tmr, &r->timer);
+	gate_rate_forget(r);
 	gate_req_settle(r, ran == RAN_NO);
 	cnt_add(r->gate->cnt, GC_REFUSED, 1);
 	if (dial->status_promises)
@@ -64,13 +65,15 @@
 	slog_decision(SLOG_ROUTE, "refused",
 	    "id=%.*s print=" FPRINT_FMT
 	    " why=%s ran=%s status=%d age_ms=%lld tries=%d "
-	    "retry_after_ms=%lld rule=%.*s service=%.*s conf=%llu "
+	    "retry_after_ms=%lld rule=%.*s service=%.*s customer=%.*s "
+	    "conf=%llu "
 	    "conf_age_ms=%lld",
 	    STR_ARG(r->name), FPRINT_ARG(r->d.print), a->name,
 	    err_ran_name(ran), status,
 	    (long long)((clk_ns(r->gate->clk) - r->began) / NS_MS), r->d.tries,
 	    (long long)(retry_after / NS_MS), STR_ARG(r->rule),
-	    STR_ARG(r->service), (unsigned long long)r->conf,
+	    STR_ARG(r->service), STR_ARG(r->customer),
+	    (unsigned long long)r->conf,
 	    (long long)sync_age_ms(&r->gate->sync));
 	if (req == NULL)
 		return;
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -418,6 +418,7 @@
 		break;
 	case MSG_MEMBERS:
 		gate_home_members(g, &m->u.members);
+		gate_rate_members(g);
 		gate_conf_homes(g);
 		break;
 	case MSG_HEALTH:
@@ -439,6 +440,13 @@
 		gate_home_heard(g, m->from);
 		gate_roll_take(g, &m->u.roll);
 		break;
+	case MSG_ASK:
+		gate_rate_answer(g, m->from, &m->u.ask);
+		break;
+	case MSG_GRANT:
+		gate_home_heard(g, m->from);
+		gate_rate_granted(g, &m->u.grant);
+		break;
 	case MSG_PING:
 	case MSG_PONG:
 		gate_home_heard(g, m->from);
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -22,7 +22,7 @@
 enum {
 	BUFFER_MAX = 256 * 1024, /* of an answer, between both sides */
 	HEADERS_MAX = 128,
-	OWN_HEADERS = 4,
+	OWN_HEADERS = 5,
 	PASS_MARGIN_MS = 5
 };
 
@@ -63,14 +63,16 @@
 		if (is_header(name, str_c(names[i])))
 			return true;
 	return is_header(name, dial->deadline) ||
-	    (dial->instance.n > 0 && is_header(name, dial->instance));
+	    (dial->instance.n > 0 && is_header(name, dial->instance)) ||
+	    (dial->key.n > 0 && is_header(name, dial->key)) ||
+	    (dial->customer.n > 0 && is_header(name, dial->customer));
 }
 
 /* The headers that we write ourselves, and room for what they point to. */
 struct own_headers {
 	h2o_iovec_t names[OWN_HEADERS];
 	char deadline[24];
-	char pass[440];
+	char pass[GATE_PASS_MAX];
 };
 
 static h2o_header_t
@@ -100,6 +102,7 @@
 		poison_look(r->gate->poison, r->d.print) == POISON_SUSPECT,
 	    .hall = r->hall,
 	    .regions = r->regions,
+	    .customer = r->customer,
 	    .service = r->service,
 	};
 
@@ -146,6 +149,10 @@
 		out[n] = own_header(own, 3, dial->instance, r->d.at->name);
 		n++;
 	}
+	if (dial->customer.n > 0 && r->customer.n > 0) {
+		out[n] = own_header(own, 4, dial->customer, r->customer);
+		n++;
+	}
 	return n;
 }
 
--- a/gate_home.c
+++ b/gate_home.c
@@ -266,6 +266,67 @@
 	return NULL;
 }
 
+struct ranked {
+	struct gate_peer *peer; /* NULL: ours */
+	uint64_t weight;
+};
+
+static int
+by_weight(const void *pa, const void *pb)
+{
+	const struct ranked *a = pa, *b = pb;
+
+	return (a->weight < b->weight) - (a->weight > b->weight);
+}
+
+struct gate_peer *
+gate_home_by_name(struct gate *g, struct str name, unsigned nth, bool *self)
+{
+	GArray *gates = gates_of(g, g->set.hall, TIER_FAR);
+	GArray *order = g_array_new(FALSE, FALSE, sizeof(struct ranked));
+	int64_t now = clk_ns(g->clk);
+	const struct home_gate *gate;
+	struct ranked r = {NULL, 0};
+	guint i;
+
+	for (i = 0; i < gates->len; i++) {
+		gate = &g_array_index(gates, struct home_gate, i);
+		r.peer = gate->data;
+		r.weight = home_weight(name, str_c(""), gate->box);
+		if (r.peer == NULL || now >= r.peer->suspect_until)
+			g_array_append_val(order, r);
+	}
+	g_array_sort(order, by_weight);
+	r.peer = NULL;
+	if (order->len > 0)
+		r = g_array_index(
+		    order, struct ranked, MIN(nth, order->len - 1));
+	g_array_free(order, TRUE);
+	g_array_free(gates, TRUE);
+	*self = r.peer == NULL;
+	return r.peer;
+}
+
+/* A hash of the gates that may be homes, in any order. */
+uint64_t
+gate_home_hubs(struct gate *g)
+{
+	GArray *gates = gates_of(g, g->set.hall, TIER_FAR);
+	const struct home_gate *gate;
+	const struct gate_peer *p;
+	uint64_t sum = 0;
+	guint i;
+
+	for (i = 0; i < gates->len; i++) {
+		gate = &g_array_index(gates, struct home_gate, i);
+		p = gate->data;
+		sum += home_weight(gate->box, str_c(""), gate->box) *
+		    (p == NULL ? 1 : p->info.boot | 1);
+	}
+	g_array_free(gates, TRUE);
+	return sum;
+}
+
 /* Take a gate of the agent's list; true if it has started since, or is new. */
 static bool
 take_member(struct gate *g, const struct memb_info *info)
--- a/gate_open.c
+++ b/gate_open.c
@@ -250,6 +250,7 @@
 	g->hub = true;
 	gate_poison_open(g);
 	g->words = words_new();
+	gate_rate_open(g);
 	return gate_conf_open(g, err) && gate_req_open(g, err) &&
 	    open_listeners(g, err);
 }
--- a/gate_pass.c
+++ b/gate_pass.c
@@ -14,11 +14,14 @@
 
 /* The header that a gate sends with a request that it passes on. */
 
-enum { FIELDS = 14, TEXT_MAX = 440 };
+enum { FIELDS = 14 };
 
 /* No region is named: a word in the place of their names. */
 static const char ANY_REGION[] = "-";
 
+/* A customer's name stands behind this sign, as any word may be a name. */
+enum { CUSTOMER_SIGN = '=' };
+
 /* Cut the text up to the next blank off the rest; false if there is none. */
 static bool
 next_word(struct str *rest, struct str *word)
@@ -33,13 +36,13 @@
 }
 
 /*
- * Numbers divided by blanks, then the names of the hall, of regions, and of the
- * service.
+ * Numbers divided by blanks, then the names of the hall, of regions, of the
+ * customer, and of the service.
  */
 bool
 gate_pass_read(struct str text, struct gate_pass *out)
 {
-	char copy[TEXT_MAX];
+	char copy[GATE_PASS_MAX];
 	unsigned bulk, repeatable, retried, paid, suspect;
 	unsigned long long hi, lo, caller;
 	long long target;
@@ -64,8 +67,11 @@
 	out->print = (struct fprint){hi, lo, caller};
 	out->service = str_n(text.p + at, text.n - (size_t)at);
 	if (!next_word(&out->service, &out->hall) ||
-	    !next_word(&out->service, &out->regions))
+	    !next_word(&out->service, &out->regions) ||
+	    !next_word(&out->service, &out->customer) || out->customer.n == 0 ||
+	    out->customer.p[0] != CUSTOMER_SIGN)
 		return false;
+	out->customer = str_n(out->customer.p + 1, out->customer.n - 1);
 	if (str_eq(out->regions, str_c(ANY_REGION)))
 		out->regions = str_c(NULL);
 	return out->hall.n > 0 && out->service.n > 0;
@@ -76,12 +82,14 @@
 {
 	struct str regions = p->regions.n > 0 ? p->regions : str_c(ANY_REGION);
 	int n = snprintf(out, size,
-	    "%u %u %u %u %u %u %u %u %u %lld %llx %llx %llx %u %.*s %.*s %.*s",
+	    "%u %u %u %u %u %u %u %u %u %lld %llx %llx %llx %u %.*s %.*s "
+	    "%c%.*s %.*s",
 	    p->hops, p->bulk, p->repeatable, p->retried, p->paid, p->tries,
 	    p->attempts, p->rank, p->kind, (long long)p->target_ms,
 	    (unsigned long long)p->print.hi, (unsigned long long)p->print.lo,
 	    (unsigned long long)p->print.caller, p->suspect, STR_ARG(p->hall),
-	    STR_ARG(regions), STR_ARG(p->service));
+	    STR_ARG(regions), CUSTOMER_SIGN, STR_ARG(p->customer),
+	    STR_ARG(p->service));
 
 	return MIN((size_t)n, size - 1);
 }
--- /dev/null
+++ b/gate_rate.c
@@ -0,0 +1,204 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "libreq.h"
+#include "slog.h"
+
+/*
+ * Customers' rates over the whole fleet.  Each customer with a rate has its
+ * bucket at one gate, chosen among all hubs by hashing; the gate at which a
+ * request comes in asks there before it waits for anything else.
+ *
+ * A gate that becomes a customer's home does not know what the one before let
+ * in.  Its bucket begins with what has flowed in since the hubs last changed,
+ * so that both together keep to the rate.  A second gate that is asked as the
+ * first one does not answer begins with nothing.
+ */
+
+/* An answer is here within some milliseconds, unless the home is lost. */
+#define ANSWER_NS (120 * NS_MS)
+/*
+ * A request waits for room no longer than this; else it is refused.  All of a
+ * customer that asks for more than its rate wait so long.
+ */
+#define DELAY_NS (10 * NS_MS)
+/* When to come back where no home answered. */
+#define AGAIN_NS (300 * NS_MS)
+
+enum { HOMES_MAX = 2 }; /* that are asked for one request */
+
+static void on_silent(void *);
+static void on_room(void *);
+static void ask_home(struct gate_req *);
+
+void
+gate_rate_open(struct gate *g)
+{
+	g->rates =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
+	g->hubs_since = clk_ns(g->clk);
+}
+
+static gboolean
+is_anothers(gpointer key, gpointer value, gpointer ctx)
+{
+	bool self;
+
+	(void)value;
+	gate_home_by_name(ctx, str_c(key), 0, &self);
+	return !self;
+}
+
+/* Hubs may have come or gone: buckets of which we are not home any more end. */
+void
+gate_rate_members(struct gate *g)
+{
+	uint64_t hubs = gate_home_hubs(g);
+
+	if (hubs == g->hubs_seen)
+		return;
+	g->hubs_seen = hubs;
+	g->hubs_since = clk_ns(g->clk);
+	g_hash_table_foreach_remove(g->rates, is_anothers, g);
+}
+
+static struct bucket *
+bucket_of(struct gate *g, const struct customer *c, bool again)
+{
+	char *name = g_strndup(c->name.p, c->name.n);
+	struct bucket *b = g_hash_table_lookup(g->rates, name);
+
+	if (b != NULL) {
+		g_free(name);
+		return b;
+	}
+	b = g_new0(struct bucket, 1);
+	b->filled = again ? clk_ns(g->clk) : g->hubs_since;
+	g_hash_table_insert(g->rates, name, b);
+	return b;
+}
+
+/* May the customer make one more request?  *wait as bucket_lend() has it. */
+static bool
+take(struct gate *g, struct str name, bool again, int64_t *wait)
+{
+	const struct customer *c =
+	    customers_named(route_customers(g->routes), name);
+
+	*wait = AGAIN_NS;
+	if (c == NULL)
+		return false;
+	*wait = 0;
+	if (c->obj->rate <= 0)
+		return true;
+	return bucket_lend(bucket_of(g, c, again), c->obj->rate,
+	    MAX(c->obj->burst, 1), DELAY_NS, clk_ns(g->clk), wait);
+}
+
+void
+gate_rate_answer(struct gate *g, struct str from, const struct msg_ask *ask)
+{
+	struct msg m = {.kind = MSG_GRANT};
+	int64_t wait;
+
+	m.u.grant.seq = ask->seq;
+	m.u.grant.granted = take(g, ask->customer, ask->again, &wait);
+	m.u.grant.wait_us = (uint64_t)(wait / NS_US);
+	wire_send(g->wire, from, &m);
+}
+
+void
+gate_rate_forget(struct gate_req *r)
+{
+	tmr_clear(&r->gate->tmr, &r->ask_timer);
+	if (r->ask != 0)
+		g_hash_table_remove(r->gate->asks, &r->ask);
+	r->ask = 0;
+}
+
+static void
+on_room(void *ctx)
+{
+	gate_admit_go(ctx);
+}
+
+static void
+settle(struct gate_req *r, bool granted, int64_t wait)
+{
+	struct gate *g = r->gate;
+
+	gate_rate_forget(r);
+	if (!granted) {
+		cnt_add(g->cnt, GC_OVER_RATE, 1);
+		gate_answer(r, ERR_OVER_LIMIT, RAN_NO, wait);
+	} else if (wait > 0) {
+		tmr_set(
+		    &g->tmr, &r->ask_timer, clk_ns(g->clk) + wait, on_room, r);
+	} else {
+		gate_admit_go(r);
+	}
+}
+
+void
+gate_rate_granted(struct gate *g, const struct msg_grant *m)
+{
+	struct gate_req *r = g_hash_table_lookup(g->asks, &m->seq);
+	uint64_t most = (uint64_t)(G_MAXINT64 / NS_US);
+
+	if (r != NULL)
+		settle(r, m->granted, (int64_t)MIN(m->wait_us, most) * NS_US);
+}
+
+static void
+on_silent(void *ctx)
+{
+	struct gate_req *r = ctx;
+
+	cnt_add(r->gate->cnt, GC_ASKS_LOST, 1);
+	gate_rate_forget(r);
+	if (r->asks < HOMES_MAX)
+		ask_home(r);
+	else
+		gate_answer(r, ERR_BUSY, RAN_NO, AGAIN_NS);
+}
+
+static void
+ask_home(struct gate_req *r)
+{
+	struct gate *g = r->gate;
+	struct msg m = {.kind = MSG_ASK};
+	bool self, again = r->asks > 0, granted;
+	struct gate_peer *p =
+	    gate_home_by_name(g, r->customer, r->asks++, &self);
+	int64_t wait;
+
+	if (self) {
+		granted = take(g, r->customer, again, &wait);
+		settle(r, granted, wait);
+		return;
+	}
+	cnt_add(g->cnt, GC_ASKS, 1);
+	r->ask = ++g->seq;
+	g_hash_table_insert(g->asks, &r->ask, r);
+	m.u.ask.seq = r->ask;
+	m.u.ask.customer = r->customer;
+	m.u.ask.again = again;
+	wire_send(g->wire, p->info.gate_inbox, &m);
+	tmr_set(
+	    &g->tmr, &r->ask_timer, clk_ns(g->clk) + ANSWER_NS, on_silent, r);
+}
+
+void
+gate_rate_ask(struct gate_req *r)
+{
+	gate_req_event(r, REQ_EV_CLAIM);
+	ask_home(r);
+}
--- a/gate_req.c
+++ b/gate_req.c
@@ -225,6 +225,7 @@
 
 	r->req = NULL;
 	tmr_clear(&g->tmr, &r->timer);
+	gate_rate_forget(r);
 	if (r->state != REQ_DONE) {
 		cnt_add(g->cnt, GC_GONE, 1);
 		slog_decision(SLOG_ROUTE, "its caller went away",
@@ -241,6 +242,7 @@
 	str_free(&r->service);
 	str_free(&r->hall);
 	str_free(&r->regions);
+	str_free(&r->customer);
 	str_free(&r->name);
 	g_free(r);
 }
--- a/libgate.h
+++ b/libgate.h
@@ -93,6 +93,10 @@
 	GC_RESTS,
 	GC_MALFORMED,
 	GC_POISON,
+	GC_NO_KEY,
+	GC_OVER_RATE,
+	GC_ASKS,
+	GC_ASKS_LOST,
 	GC_CUT,
 	GC_GONE,
 	GC_CLAIMS,
@@ -181,6 +185,11 @@
 	struct limit_table *caller_limits;
 	GHashTable *callers_of; /* char * rule to struct callers * */
 	GHashTable *rule_limits; /* char * rule to struct limit * */
+	/* gate_rate.c */
+	GHashTable *rates; /* char * customer to struct bucket *: our own */
+	GHashTable *asks; /* uint64_t * in a request to struct gate_req * */
+	uint64_t hubs_seen; /* hash of the hubs that may be homes */
+	int64_t hubs_since; /* they have been these since then */
 	GQueue reqs; /* struct gate_req * that are live */
 	uint64_t boot, seq;
 	int64_t last_tick, last_pass, leaving_since;
@@ -217,6 +226,10 @@
 /* gate_home.c: which gate is home for a shard. */
 struct gate_peer *
 gate_home(struct gate *, struct str service, struct str hall, bool *self);
+/* The gate that has something by name, of all hubs; the n-th choice. */
+struct gate_peer *
+gate_home_by_name(struct gate *, struct str name, unsigned nth, bool *self);
+uint64_t gate_home_hubs(struct gate *);
 struct gate_peer *gate_home_for(struct gate *, struct str service,
     struct str hall, struct str regions, bool *self);
 void gate_home_members(struct gate *, const struct msg_members *);
@@ -283,6 +296,12 @@
 void gate_roll_tick(struct gate *, int64_t now);
 void gate_roll_take(struct gate *, const struct msg_roll *);
 
+/* gate_rate.c: what customers may have, counted at one gate for each. */
+void gate_rate_open(struct gate *);
+void gate_rate_members(struct gate *);
+void gate_rate_answer(struct gate *, struct str from, const struct msg_ask *);
+void gate_rate_granted(struct gate *, const struct msg_grant *);
+
 /* gate_stat.c: counters and the admin pages. */
 struct cnt *gate_stat_open(void);
 void gate_stat_page(void *, h2o_req_t *);
--- a/libreq.h
+++ b/libreq.h
@@ -65,6 +65,11 @@
 	struct str
 	    hall; /* whose home it is with, or is on its way to; a copy */
 	struct str regions; /* where it may be served; a copy */
+	struct str customer; /* for whom it is made; a copy */
+	/* gate_rate.c: what the customer's home is asked; 0: nothing */
+	uint64_t ask;
+	unsigned asks; /* homes that were asked */
+	struct tmr_item ask_timer; /* their answer, or the wait it tells */
 	bool allow_outage;
 	struct gate_claim *claim;
 	struct gate_shard *shard; /* where it is held or was sent from */
@@ -95,10 +100,13 @@
 	/* Where it is to go; these point into the header. */
 	struct str hall; /* whose slots it is to use */
 	struct str regions; /* which may serve it; empty: any */
+	struct str customer; /* for whom it is made; empty: unsaid */
 	struct str service;
 };
 
 #define GATE_PASS_HEADER "fern-pass"
+/* The longest such header, with its NUL. */
+enum { GATE_PASS_MAX = 600 };
 
 /* gate_pass.c */
 bool gate_pass_read(struct str, struct gate_pass *);
@@ -115,6 +123,16 @@
 /* gate_admit.c: what holds for a request, by its rule or the gate before. */
 void gate_admit(struct gate_req *);
 
+/*
+ * gate_rate.c: may the request's customer make it now?  Goes on with
+ * gate_admit_go() once it may, or answers it.
+ */
+void gate_rate_ask(struct gate_req *);
+void gate_rate_forget(struct gate_req *);
+
+/* gate_admit.c: what is left once the customer's rate is kept. */
+void gate_admit_go(struct gate_req *);
+
 /* gate_early.c: requests that wait for the first configuration. */
 void gate_early_wait(struct gate_req *);
 
--- a/limit.c
+++ b/limit.c
@@ -68,6 +68,22 @@
 	b->filled = now;
 }
 
+bool
+bucket_lend(struct bucket *b, double rate, double burst, int64_t most,
+    int64_t now, int64_t *wait)
+{
+	double holds = bucket_holds(b, rate, burst, now);
+
+	*wait = 0;
+	if (holds < 1)
+		*wait = (int64_t)((1 - holds) / rate * NS_A_SECOND);
+	if (*wait > most)
+		return false;
+	b->saved = holds - 1;
+	b->filled = now;
+	return true;
+}
+
 static void
 slot_free(void *p)
 {
--- a/limit.h
+++ b/limit.h
@@ -46,6 +46,13 @@
 /* Take one token, or the part of one that is there. */
 void bucket_take(struct bucket *, double rate, double burst, int64_t now);
 
+/*
+ * Take one token, which may be there only after a while; *wait is that time, in
+ * ns.  False if it would be more than `most`; nothing is taken then.
+ */
+bool bucket_lend(struct bucket *, double rate, double burst, int64_t most,
+    int64_t now, int64_t *wait);
+
 /* Buckets for many callers; the least lately used goes when it is full. */
 struct limit_table;
 struct limit_table *limit_table_new(unsigned max);
--- a/msg.c
+++ b/msg.c
@@ -146,6 +146,10 @@
     STR(msg_roll, hall), STR(msg_roll, box), STR(msg_roll, version),
     U64(msg_roll, age_ms), U64(msg_roll, state), U64(msg_roll, answers),
     U64(msg_roll, bad), U64(msg_roll, old_out)};
+static const struct msg_field ask_fields[] = {
+    U64(msg_ask, seq), STR(msg_ask, customer), BOOL(msg_ask, again)};
+static const struct msg_field grant_fields[] = {
+    U64(msg_grant, seq), BOOL(msg_grant, granted), U64(msg_grant, wait_us)};
 static const struct msg_field ping_fields[] = {U64(msg_ping, nonce)};
 static const struct msg_field deflated_fields[] = {
     U64(msg_deflated, size), STR(msg_deflated, data)};
@@ -167,6 +171,8 @@
     [MSG_SUSPECTS] = SHAPE(msg_suspects, suspects_fields),
     [MSG_WORDS] = SHAPE(msg_words, words_fields),
     [MSG_ROLL] = SHAPE(msg_roll, roll_fields),
+    [MSG_ASK] = SHAPE(msg_ask, ask_fields),
+    [MSG_GRANT] = SHAPE(msg_grant, grant_fields),
 };
 
 const char *
--- a/msg.h
+++ b/msg.h
@@ -42,6 +42,8 @@
 	MSG_SUSPECTS, /* gate to gate: requests that end backend servers */
 	MSG_WORDS, /* gate to gate: what backend servers said of themselves */
 	MSG_ROLL, /* home to home: how far a roll-out is there */
+	MSG_ASK, /* gate to gate: may a customer make a request? */
+	MSG_GRANT, /* the answer */
 	MSG_KIND_MAX
 };
 
@@ -194,6 +196,18 @@
 	uint64_t old_out; /* requests at servers of the old one */
 };
 
+struct msg_ask {
+	uint64_t seq;
+	struct str customer;
+	bool again; /* its usual home did not answer */
+};
+
+struct msg_grant {
+	uint64_t seq;
+	bool granted;
+	uint64_t wait_us; /* until it may begin, or there will be room */
+};
+
 struct msg_ping {
 	uint64_t nonce;
 };
@@ -222,6 +236,8 @@
 		struct msg_suspects suspects;
 		struct msg_words words;
 		struct msg_roll roll;
+		struct msg_ask ask;
+		struct msg_grant grant;
 		struct msg_deflated deflated;
 	} u;
 	msgpack_unpacked raw; /* what the strings point into */
--- a/obj.c
+++ b/obj.c
@@ -46,6 +46,7 @@
 #define R(member) offsetof(struct obj, u.rule.member)
 #define L(member) offsetof(struct obj, u.listener.member)
 #define E(member) offsetof(struct obj, u.evacuation.member)
+#define C(member) offsetof(struct obj, u.customer.member)
 #define O(member) offsetof(struct obj, u.rollout.member)
 
 static const struct field backend_fields[] = {
@@ -197,6 +198,7 @@
 	.offset = R(deadline_ms),
 	.min = 0,
 	.max = DEADLINE_MAX_MS},
+    {.name = "open", .type = FIELD_BOOL, .offset = R(open)},
 };
 
 static const struct field listener_fields[] = {
@@ -235,6 +237,25 @@
 	.words = words_rolled},
 };
 
+static const struct field customer_fields[] = {
+    {.name = "keys", .type = FIELD_STR, .offset = C(keys), .text_dflt = ""},
+    {.name = "rank",
+	.type = FIELD_INT,
+	.offset = C(rank),
+	.min = 0,
+	.max = RANK_MAX},
+    {.name = "rate",
+	.type = FIELD_REAL,
+	.offset = C(rate),
+	.min = 0,
+	.max = RATE_MAX},
+    {.name = "burst",
+	.type = FIELD_REAL,
+	.offset = C(burst),
+	.min = 0,
+	.max = RATE_MAX},
+};
+
 static const struct {
 	const char *name;
 	const struct field *fields;
@@ -253,6 +274,8 @@
 	G_N_ELEMENTS(evacuation_fields), finish_any},
     [OBJ_ROLLOUT] = {"rollout", rollout_fields, G_N_ELEMENTS(rollout_fields),
 	finish_rollout},
+    [OBJ_CUSTOMER] = {"customer", customer_fields,
+	G_N_ELEMENTS(customer_fields), finish_any},
 };
 
 const char *
@@ -399,9 +422,10 @@
 	json_object_foreach ((json_t *)spec, key, specs) {
 		if (!obj_kind_by_name(str_c(key), &kind) ||
 		    (kind != OBJ_SERVICE && kind != OBJ_RULE &&
-			kind != OBJ_LISTENER))
+			kind != OBJ_LISTENER && kind != OBJ_CUSTOMER))
 			return err_set(err, ERR_OBJECT,
-			    "%s: %s: a bundle holds service, rule and listener",
+			    "%s: %s: a bundle holds service, rule, listener "
+			    "and customer",
 			    where, key);
 		if (!json_is_object(specs))
 			return err_set(err, ERR_OBJECT,
--- a/obj.h
+++ b/obj.h
@@ -23,11 +23,11 @@
 /*
  * The objects that operators write, each versioned by itself: a backend
  * server, a service and a rule, bounds for callers, and a bundle, which is a
- * set of the latter three under one version: it comes into force whole or not
- * at all.  An evacuation has the name of a hall: while it is there, the hall's
- * backend servers get nothing new.  A roll-out has the name of a service, and
- * brings in a version of it.  Specs are JSON on the platform and TOML in
- * operators' files; both are checked here, by the same tables.
+ * set of the latter three and of customers under one version: it comes into
+ * force whole or not at all.  An evacuation has the name of a hall: while it is
+ * there, the hall's backend servers get nothing new.  A roll-out has the name
+ * of a service, and brings in a version of it.  Specs are JSON on the platform
+ * and TOML in operators' files; both are checked here, by the same tables.
  */
 enum obj_kind {
 	OBJ_BACKEND,
@@ -37,6 +37,7 @@
 	OBJ_BUNDLE,
 	OBJ_EVACUATION,
 	OBJ_ROLLOUT,
+	OBJ_CUSTOMER,
 	OBJ_KIND_MAX
 };
 
@@ -89,6 +90,7 @@
 	struct str caller_header; /* names the caller; empty: by address */
 	int on_outage; /* enum obj_outage */
 	int64_t deadline_ms; /* 0: the service's */
+	bool open; /* it asks for no customer's key */
 };
 
 /* What callers may send, and how long they may take or be idle. */
@@ -118,6 +120,14 @@
 	int state; /* enum obj_rolled */
 };
 
+/* One for whom requests are made, known by its keys. */
+struct obj_customer {
+	struct str keys; /* digests of its keys, joined by commas */
+	int64_t rank; /* the lower, the more urgent */
+	double rate; /* requests a second, fleet-wide; 0: no limit */
+	double burst; /* requests beyond, at once */
+};
+
 /* Services, rules and a listener that come into force together. */
 struct obj_bundle {
 	GPtrArray *objects; /* struct obj * */
@@ -139,6 +149,7 @@
 		struct obj_bundle bundle;
 		struct obj_evacuation evacuation;
 		struct obj_rollout rollout;
+		struct obj_customer customer;
 	} u;
 };
 
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -418,6 +418,20 @@
 		o->list(req, kind);
 }
 
+static std::string
+headers_text(const h2o_req_t *req)
+{
+	std::string text;
+
+	for (size_t i = 0; i < req->headers.size; i++) {
+		const h2o_header_t &h = req->headers.entries[i];
+
+		text += std::string(h.name->base, h.name->len) + ": " +
+		    std::string(h.value.base, h.value.len) + "\n";
+	}
+	return text;
+}
+
 void
 Objects::on_backend(void *ctx, h2o_req_t *req)
 {
@@ -451,6 +465,7 @@
 		return;
 	}
 	b->ran.push_back(id);
+	b->owner->heard[id] = headers_text(req);
 	if (b->fail) {
 		hsrv_answer(req, 500, "text/plain", STR_LIT("failed"));
 		return;
@@ -599,6 +614,15 @@
 	in_loop([&] { backends[id]->fail = true; });
 }
 
+std::string
+Objects::headers_of(const std::string &request)
+{
+	std::string text;
+
+	in_loop([&] { text = heard[request]; });
+	return text;
+}
+
 std::string
 Objects::status_of(const std::string &kind, const std::string &name)
 {
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -90,6 +90,8 @@
 	/* When each backend server ended so far; monotonic ns. */
 	std::vector<int64_t> ends();
 	size_t ran(const std::string &id);
+	/* The headers with which a request reached a backend server. */
+	std::string headers_of(const std::string &request);
 	/* How often a backend server ran one request. */
 	size_t ran_times(const std::string &id, const std::string &request);
 
@@ -167,6 +169,7 @@
 	std::vector<Event> history;
 	std::set<Waiter *> waiters;
 	std::map<std::string, std::unique_ptr<Backend>> backends;
+	std::map<std::string, std::string> heard; /* headers, by request */
 	std::string ending; /* in the path of what ends backend servers */
 	int ends_after_ms = 0, back_after_ms = 0;
 	std::vector<int64_t> ended;
--- /dev/null
+++ b/regress/test_customer.cpp
@@ -0,0 +1,270 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <atomic>
+#include <chrono>
+#include <gtest/gtest.h>
+#include <thread>
+
+#include "box.h"
+
+extern "C" {
+#include "customer.h"
+#include "limit.h"
+}
+
+/* Customers: their keys and rates, by the real program and by themselves. */
+
+namespace
+{
+
+std::string
+tenant(const std::string &name, const std::string &keys,
+    const std::string &more = "")
+{
+	return "{\"resourceType\":\"tenants\",\"metadata\":{\"name\":\"" +
+	    name + "\"},\"spec\":{\"apiKeys\":[" + keys + "]" + more + "}},";
+}
+
+/* A box whose rules ask for the key of a customer. */
+struct Customers : box::World {
+	int n = 0;
+
+	explicit Customers(const std::string &tenants) : box::World(false)
+	{
+		allow(tenants);
+		EXPECT_TRUE(until([&] { return ready(); }));
+		EXPECT_TRUE(until([&] { return by("key-a").status == 200; }));
+	}
+
+	void allow(const std::string &tenants)
+	{
+		configure("till", tenants);
+	}
+
+	/* A request with these headers besides; its id is "c" and n. */
+	Reply with(const std::vector<std::pair<std::string, std::string>> &more,
+	    const std::string &address = "")
+	{
+		std::vector<std::pair<std::string, std::string>> all = {
+		    {"Host", "shop.example"},
+		    {"fernjunction-request-id", "c" + std::to_string(++n)},
+		    {"fernjunction-deadline-ms", "800"}};
+
+		all.insert(all.end(), more.begin(), more.end());
+		return http("GET", address.empty() ? ip + ":8080" : address,
+		    "/look/1", all, "", 2000);
+	}
+
+	Reply by(const std::string &key, const std::string &address = "")
+	{
+		return with({{"Fernjunction-Credential", key}}, address);
+	}
+
+	std::string heard()
+	{
+		return platform.headers_of("c" + std::to_string(n));
+	}
+};
+
+/* One request on a connection of its own, from any thread; the answer. */
+std::string
+exchange(
+    const std::string &address, const std::string &id, const std::string &key)
+{
+	size_t colon = address.find(':');
+	std::string rq = "GET /look/1 HTTP/1.1\r\nhost: shop.example\r\n"
+			 "connection: close\r\nfernjunction-request-id: " +
+	    id + "\r\nfernjunction-deadline-ms: 800\r\n" +
+	    "fernjunction-credential: " + key + "\r\n\r\n";
+	std::string text;
+	struct sockaddr_in sin = {};
+	struct timeval tv = {2, 0};
+	char buf[4096];
+	ssize_t n;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	sin.sin_family = AF_INET;
+	sin.sin_port = htons(
+	    static_cast<uint16_t>(atoi(address.substr(colon + 1).c_str())));
+	inet_pton(AF_INET, address.substr(0, colon).c_str(), &sin.sin_addr);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
+	if (connect(fd, reinterpret_cast<struct sockaddr *>(&sin),
+		sizeof(sin)) == 0 &&
+	    send(fd, rq.data(), rq.size(), MSG_NOSIGNAL) > 0)
+		while ((n = recv(fd, buf, sizeof(buf), 0)) > 0)
+			text.append(buf, static_cast<size_t>(n));
+	close(fd);
+	return text;
+}
+
+size_t
+count(const std::string &text, const std::string &what)
+{
+	size_t n = 0;
+
+	for (size_t at = text.find(what); at != std::string::npos;
+	     at = text.find(what, at + 1))
+		n++;
+	return n;
+}
+
+struct obj_customer
+with_keys(const std::string &keys)
+{
+	struct obj_customer c = {};
+
+	c.keys = str_c(keys.c_str());
+	return c;
+}
+
+std::string
+digest(const std::string &key)
+{
+	char out[CUSTOMER_DIGEST_SIZE];
+
+	EXPECT_TRUE(customer_digest(str_n(key.data(), key.size()), out));
+	return out;
+}
+
+} // namespace
+
+TEST(Customer, AKeyThatTwoHaveIsNobodys)
+{
+	struct customers *all = customers_new();
+	std::string a = digest("a") + "," + digest("both"),
+		    b = digest("both") + "," + digest("b");
+	struct obj_customer ca = with_keys(a), cb = with_keys(b),
+			    none = with_keys("");
+
+	customers_add(all, STR_LIT("anna"), &ca);
+	customers_add(all, STR_LIT("bert"), &cb);
+	customers_add(all, STR_LIT("carl"), &none);
+	EXPECT_EQ(3u, customers_count(all));
+	EXPECT_STREQ("anna", customers_find(all, STR_LIT("a"))->name.p);
+	EXPECT_STREQ("bert", customers_find(all, STR_LIT("b"))->name.p);
+	EXPECT_EQ(nullptr, customers_find(all, STR_LIT("both")));
+	EXPECT_EQ(nullptr, customers_find(all, STR_LIT("")));
+	EXPECT_EQ(nullptr, customers_find(all, STR_LIT("c")));
+	EXPECT_EQ(
+	    nullptr, customers_find(all, str_c(std::string(600, 'a').c_str())));
+	customers_free(all);
+}
+
+/* Any window holds the rate and the burst, however the requests come. */
+TEST(Customer, ABucketThatLendsKeepsToItsRate)
+{
+	struct bucket b = {0, NS_S};
+	int64_t now = NS_S, wait;
+	std::vector<int64_t> begun;
+	uint64_t seed = 7;
+
+	for (int i = 0; i < 20000; i++) {
+		now += static_cast<int64_t>(rnd_split(&seed) % (5 * NS_MS));
+		if (bucket_lend(&b, 100, 50, 100 * NS_MS, now, &wait)) {
+			begun.push_back(now + wait);
+			continue;
+		}
+		EXPECT_GT(wait, 100 * NS_MS);
+	}
+	for (size_t i = 0, j = 0; i < begun.size(); i++) {
+		while (begun[i] - begun[j] > 5 * NS_S)
+			j++;
+		EXPECT_LE(i - j + 1, 5u * 100 + 50 + 1);
+	}
+	EXPECT_GE(begun.size(), 0.95 * 100 * (now - NS_S) / NS_S);
+}
+
+TEST(Customer, OnlyAKeyThatIsHeldLetsARequestIn)
+{
+	Customers w(tenant("anna", "\"key-a\",\"key-b\"") +
+	    tenant("bert", "\"key-c\""));
+
+	EXPECT_EQ(401, w.by("key-x").status);
+	EXPECT_EQ(401, w.by("").status);
+	EXPECT_EQ(401, w.with({}).status);
+	EXPECT_EQ(200, w.by("key-b").status);
+	/* One is taken away, one is new. */
+	w.allow(tenant("anna", "\"key-b\"") +
+	    tenant("bert", "\"key-c\",\"key-d\""));
+	EXPECT_TRUE(until([&] { return w.by("key-d").status == 200; }, 2000));
+	EXPECT_EQ(401, w.by("key-a").status);
+	EXPECT_FALSE(w.logged("key-"));
+}
+
+TEST(Customer, TheServerIsToldTheNameAndNeverTheKey)
+{
+	Customers w(tenant("anna", "\"key-a\"") + tenant("bert", "\"key-c\""));
+
+	ASSERT_EQ(200,
+	    w.with({{"fernjunction-credential", "key-c"},
+		       {"Fernjunction-Tenant-Id", "anna"},
+		       {"fernjunction-tenant-id", "carl"}})
+		.status);
+	EXPECT_EQ(1u, count(w.heard(), "fernjunction-tenant-id: "));
+	EXPECT_EQ(1u, count(w.heard(), "fernjunction-tenant-id: bert\n"));
+	EXPECT_EQ(0u, count(w.heard(), "key-c"));
+}
+
+TEST(Customer, AnOpenRouteNeedsNoKeyAndNamesNobody)
+{
+	Customers w(tenant("anna", "\"key-a\""));
+
+	w.of_route = ",\"noAuth\":true";
+	w.allow(tenant("anna", "\"key-a\""));
+	ASSERT_TRUE(until([&] { return w.with({}).status == 200; }, 2000));
+	ASSERT_EQ(200, w.with({{"Fernjunction-Tenant-Id", "anna"}}).status);
+	EXPECT_EQ(0u, count(w.heard(), "fernjunction-tenant-id"));
+	ASSERT_EQ(200, w.by("key-a").status);
+	EXPECT_EQ(1u, count(w.heard(), "fernjunction-tenant-id: anna\n"));
+}
+
+/* Both boxes are asked at once, for much more than the rate. */
+TEST(Customer, ARateHoldsOverAllBoxesAndIsUsed)
+{
+	std::string tenants =
+	    tenant("anna", "\"key-a\"", ",\"ratePerS\":20,\"burst\":5");
+	Customers w(tenants);
+	box::Further second(w, "b2", "north", "7");
+	std::atomic<int> let_in{0}, refused{0}, others{0};
+
+	second.box.start();
+	ASSERT_TRUE(until(
+	    [&] { return w.by("key-a", second.address).status == 200; }, 5000));
+	pump(1000);
+	std::vector<std::thread> callers;
+	for (int i = 0; i < 8; i++)
+		callers.emplace_back([&, i] {
+			int64_t from = clk_ns(clk_system());
+
+			for (int j = 0; clk_ns(clk_system()) - from < 3 * NS_S;
+			     j++) {
+				std::string id = std::to_string(i * 1000 + j);
+				std::string text = exchange(
+				    i % 2 ? w.ip + ":8080" : second.address, id,
+				    "key-a");
+				bool over = text.find(" 429 ") == 8;
+
+				let_in += text.find(" 200 ") == 8;
+				refused += over &&
+				    text.find("retry-after") !=
+					std::string::npos;
+				others += text.find(" 200 ") != 8 && !over;
+				std::this_thread::sleep_for(
+				    std::chrono::milliseconds(20));
+			}
+		});
+	for (std::thread &t : callers)
+		t.join();
+	EXPECT_EQ(0, others);
+	EXPECT_GT(refused, 0);
+	EXPECT_LE(let_in, 3 * 20 + 5 + 4);
+	EXPECT_GE(let_in, 0.95 * 3 * 20);
+}
--- a/regress/test_disp.cpp
+++ b/regress/test_disp.cpp
@@ -171,8 +171,8 @@
 TEST(Disp, ANewLifeUnderAnOldNameStartsAnew)
 {
 	World w;
-	struct disp_backend one = {
-	    STR_LIT("b0"), STR_LIT("127.0.0.1:1"), 3, false, false, 0, 1000, false};
+	struct disp_backend one = {STR_LIT("b0"), STR_LIT("127.0.0.1:1"), 3,
+	    false, false, 0, 1000, false};
 	Req first, second;
 
 	disp_backends(w.disp, &one, 1);
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -545,6 +545,7 @@
 	in.suspect = true;
 	in.hall = STR_LIT("north");
 	in.regions = STR_LIT("here,there");
+	in.customer = STR_LIT("-anna");
 	in.service = STR_LIT("till");
 	size_t n = gate_pass_write(&in, text, sizeof(text));
 	ASSERT_TRUE(gate_pass_read(str_n(text, n), &out));
@@ -563,6 +564,11 @@
 	EXPECT_TRUE(str_eq(STR_LIT("north"), out.hall));
 	EXPECT_TRUE(str_eq(STR_LIT("here,there"), out.regions));
 	EXPECT_TRUE(str_eq(STR_LIT("till"), out.service));
+	EXPECT_TRUE(str_eq(STR_LIT("-anna"), out.customer));
+	in.customer = str_c(nullptr);
+	n = gate_pass_write(&in, text, sizeof(text));
+	ASSERT_TRUE(gate_pass_read(str_n(text, n), &out));
+	EXPECT_EQ(0u, out.customer.n);
 	for (const char *bad : {"", "1", "1 0 1 0 1 1 3 2 250 140",
 		 "x 0 1 0 1 1 3 2 250 140 north till",
 		 "1 0 1 0 1 1 3 2 250 140 till",
@@ -573,7 +579,9 @@
 		 "1 0 1 0 1 1 3 2 250 140 feed beef 1 - till",
 		 "1 0 1 0 1 1 3 2 250 140 feed beef cafe 1 - till",
 		 "1 0 1 0 1 1 3 2 250 140 feed beef cafe 1 north - ",
-		 "1 0 1 0 1 1 3 2 250 140 feed beef 1 north - "})
+		 "1 0 1 0 1 1 3 2 250 140 feed beef 1 north - ",
+		 "1 0 1 0 1 1 3 2 250 140 fe be ca 1 north - till",
+		 "1 0 1 0 1 1 3 2 250 140 fe be ca 1 north - anna till"})
 		EXPECT_FALSE(gate_pass_read(str_c(bad), &out)) << bad;
 }
 
--- a/route.c
+++ b/route.c
@@ -21,6 +21,7 @@
 	GPtrArray *evacuations; /* struct obj *, named after halls */
 	GPtrArray *rollouts; /* struct obj *, named after services */
 	GPtrArray *objects; /* struct obj *: our references */
+	struct customers *customers;
 	const struct obj_listener *listener;
 	uint64_t version; /* of all but backend servers */
 };
@@ -103,6 +104,9 @@
 	case OBJ_EVACUATION:
 		g_ptr_array_add(t->evacuations, o);
 		break;
+	case OBJ_CUSTOMER:
+		customers_add(t->customers, o->name, &o->u.customer);
+		break;
 	case OBJ_ROLLOUT:
 		g_ptr_array_add(t->rollouts, o);
 		break;
@@ -264,6 +268,7 @@
 	t->backends = g_ptr_array_new();
 	t->evacuations = g_ptr_array_new();
 	t->rollouts = g_ptr_array_new();
+	t->customers = customers_new();
 	t->objects = g_ptr_array_new_with_free_func((GDestroyNotify)obj_free);
 	conf_each(conf, collect, t);
 	g_ptr_array_sort(t->backends, by_name);
@@ -285,6 +290,7 @@
 	g_ptr_array_free(t->backends, TRUE);
 	g_ptr_array_free(t->evacuations, TRUE);
 	g_ptr_array_free(t->rollouts, TRUE);
+	customers_free(t->customers);
 	g_ptr_array_free(t->objects, TRUE);
 	g_free(t);
 }
@@ -381,6 +387,12 @@
 	return t->listener;
 }
 
+const struct customers *
+route_customers(const struct route_table *t)
+{
+	return t->customers;
+}
+
 const struct route_service *
 route_service(const struct route_table *t, struct str name)
 {
--- a/route.h
+++ b/route.h
@@ -16,6 +16,7 @@
 
 #include "clk.h"
 #include "conf.h"
+#include "customer.h"
 #include "disp.h"
 #include "obj.h"
 #include "str.h"
@@ -99,6 +100,9 @@
 /* How many halls are evacuated. */
 unsigned route_evacuations(const struct route_table *);
 
+/* Who may call, by their keys. */
+const struct customers *route_customers(const struct route_table *);
+
 /* What callers may send; NULL where the configuration does not say. */
 const struct obj_listener *route_listener(const struct route_table *);
 
