Second tries go to callers who came back, and homes know who did

Who came back was not known: a box of this fleet takes a dozen requests of a kind a minute and needs twenty to know what first attempts say of their deadline (it holds only while the fleet is small); and second attempts say a third of what is left, so that one that had waited 60 ms was taken for one of two seconds, late, and stood behind all others.

Change: half of what a retry budget may save up is kept for those who came back, while any do (disp.c, limit.c). A home keeps the fingerprints of what it refused, and when they were sent first (returns.c, 4,096 for five seconds); a return that another home refused has waited no longer than others did. What deadlines tell is counted at the home. The time waited goes along with what is passed on, and stands in the line of each sending.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	disp_word.o disp_work.o doc_toml.o err.o field.o fprint.o gossip.o home.o hsrv.o hsrv_conn.o hsrv_parse.o hsrv_req.o limit.o memb.o msg.o obj.o \
 	pace.o pick.o pick_fern.o pick_name.o pick_naive.o pick_pace.o plat.o plat_fern.o plat_http.o poison.o poison_msg.o \
 	platform/pf_config.o platform/pf_dial.o platform/pf_store.o \
-	probe.o queue.o quota.o region.o reload.o roll.o route.o sel.o set.o slog.o spread.o str.o sync.o \
+	probe.o queue.o quota.o region.o reload.o returns.o roll.o route.o sel.o set.o slog.o spread.o str.o sync.o \
 	sync_pack.o tmr.o up.o up_answer.o up_call.o up_conn.o verdict.o wire_zmq.o word.o zip.o
 GATE = gate_admit.o gate_answer.o gate_box.o gate_claim.o gate_conf.o \
 	gate_early.o gate_flow.o gate_home.o gate_open.o gate_pass.o gate_peek.o gate_poison.o \
--- a/disp.c
+++ b/disp.c
@@ -20,6 +20,8 @@
 
 /* Limits of concurrency are set anew each so often. */
 #define LIMIT_NS (100 * NS_MS)
+/* Callers come back as long as one has within this time. */
+#define RETURNS_NS (1 * NS_S)
 
 enum { TRIES_MAX = 4 };
 
@@ -206,6 +208,8 @@
 {
 	int64_t now = clk_ns(d->clk), wait;
 
+	if (r->came_back)
+		d->came_back = now;
 	if (!may_arrive(d, r) || disp_trial_arrive(d, r))
 		return;
 	disp_roll_look(d);
@@ -325,6 +329,26 @@
 		disp_doubt_settle(d, b, true);
 }
 
+/*
+ * May the budget pay for another try of one that was refused?
+ *
+ * Load pattern: servers that have room turn more than half of the requests away
+ * at random, and the budget pays for less than each of them needs.  Callers who
+ * are turned away for the first time come back at once, and that costs no
+ * budget; those who have come back are refused for good.  So while callers do
+ * come back, half of what may be saved up is kept for them.
+ */
+static bool
+has_budget(struct disp *d, const struct disp_req *r)
+{
+	bool return_they =
+	    d->came_back != 0 && clk_ns(d->clk) - d->came_back < RETURNS_NS;
+
+	if (r->came_back || !return_they)
+		return retry_budget_has(&d->budget);
+	return retry_budget_has_spare(&d->budget);
+}
+
 /*
  * Where calls nest, retries must not multiply down the chain: a request that
  * is a retry already is not tried again once it may have run.
@@ -344,7 +368,7 @@
 	if (r->attempts > 0 && r->tries >= r->attempts)
 		return false;
 	if (outcome == DISP_REFUSED)
-		return r->attempts == 0 || retry_budget_has(&d->budget);
+		return r->attempts == 0 || has_budget(d, r);
 	if (!outcomes[outcome].not_run && !r->repeatable)
 		return false;
 	if (!outcomes[outcome].not_run && r->retried)
--- a/disp.h
+++ b/disp.h
@@ -91,6 +91,7 @@
 	bool trial; /* it runs by itself: poison.h */
 	bool stopped; /* a try of it was stopped as too slow */
 	bool retried; /* it is a retry already, by whoever sent it to us */
+	bool came_back; /* its caller was turned away before */
 	struct queue_item item;
 	GList link; /* among the requests that are out, by their start */
 };
--- a/gate_admit.c
+++ b/gate_admit.c
@@ -62,24 +62,6 @@
 	return r->began + own * NS_MS;
 }
 
-/* How long the caller has waited before, as far as its deadline tells. */
-static int64_t
-waited(const struct gate_req *r, const struct route_rule *rule)
-{
-	GHashTable *all = r->gate->callers_of;
-	unsigned long long left;
-	struct callers *c;
-
-	if (!str_u64(hsrv_header(r->req, r->gate->dial->deadline.p), &left))
-		return 0;
-	c = g_hash_table_lookup(all, rule->name.p);
-	if (c == NULL) {
-		c = g_new0(struct callers, 1);
-		g_hash_table_insert(all, g_strdup(rule->name.p), c);
-	}
-	return callers_waited(c, (int64_t)left);
-}
-
 static int64_t
 deadline_of(const struct gate_req *r, const struct route_rule *rule,
     const struct route_service *svc)
@@ -122,6 +104,8 @@
 	r->d.retried = pass.retried;
 	r->d.tries = (int)pass.tries;
 	r->d.paid = pass.paid;
+	r->left_ms = pass.left_ms;
+	r->waited_ms = pass.waited_ms;
 	r->d.attempts = (int)pass.attempts;
 	r->d.rank = (int)pass.rank;
 	r->d.kind = pass.kind;
@@ -295,6 +279,7 @@
 	struct str key = hsrv_header(r->req, "idempotency-key");
 	struct str method = str_n(r->req->method.base, r->req->method.len);
 	const struct route_service *svc = route_choose(rule, g->rnd);
+	unsigned long long left = 0;
 
 	if (!take_customer(r, rule, &customer)) {
 		cnt_add(g->cnt, GC_NO_KEY, 1);
@@ -305,6 +290,7 @@
 		gate_answer(r, ERR_NO_SERVICE, RAN_NO, 0);
 		return;
 	}
+	(void)str_u64(hsrv_header(r->req, g->dial->deadline.p), &left);
 	r->rule = str_dup(rule->name);
 	r->d.print = print_of(r, rule);
 	r->service = str_dup(svc->name);
@@ -320,9 +306,9 @@
 	if (customer != NULL)
 		r->d.rank += (int)customer->obj->rank * RULE_RANKS;
 	r->d.kind = (unsigned)rule->obj->target_ms;
+	r->left_ms = (int64_t)left;
 	if (rule->obj->target_ms > 0)
-		r->d.target =
-		    r->began + (rule->obj->target_ms - waited(r, rule)) * NS_MS;
+		r->d.target = r->began + rule->obj->target_ms * NS_MS;
 	r->d.deadline = deadline_of(r, rule, svc);
 	gate_req_set_deadline(r);
 	if (over_limit(r, rule)) {
@@ -335,6 +321,57 @@
 		gate_admit_go(r);
 }
 
+static struct callers *
+callers_of(struct gate_req *r)
+{
+	char *key = g_strdup_printf("%.*s/%u", STR_ARG(r->service), r->d.kind);
+	struct callers *c = g_hash_table_lookup(r->gate->callers_of, key);
+
+	if (c != NULL) {
+		g_free(key);
+		return c;
+	}
+	c = g_new0(struct callers, 1);
+	g_hash_table_insert(r->gate->callers_of, key, c);
+	return c;
+}
+
+/*
+ * How long has its caller waited?  We know it if we refused it.  If not, it may
+ * show by its deadline, for which first attempts have a common value; that is
+ * known where many requests of a kind meet, as in a large fleet a box may take
+ * a dozen of them a minute.  Some callers give a second attempt less time than
+ * they have, so it is thought to have waited no longer than others did.
+ */
+static int64_t
+waited_of(struct gate_req *r)
+{
+	struct returns *back = r->gate->returns;
+	int64_t first = returns_take(back, r->d.print, r->began);
+	int64_t usual = returns_usual(back, r->began) / NS_MS, waited = 0;
+
+	if (r->left_ms > 0)
+		waited = callers_waited(callers_of(r), r->left_ms);
+	if (first > 0)
+		return MAX((r->began - first) / NS_MS, 1);
+	return usual > 0 ? MIN(waited, usual) : waited;
+}
+
+/*
+ * What its caller has waited counts against the target, and one that was turned
+ * away before has fewer chances left.  Another home may have found it already.
+ */
+void
+gate_admit_waited(struct gate_req *r)
+{
+	if (r->waited_ms == 0) {
+		r->waited_ms = waited_of(r);
+		if (r->d.target > 0)
+			r->d.target -= r->waited_ms * NS_MS;
+	}
+	r->d.came_back = r->waited_ms > 0;
+}
+
 /*
  * A request may run beside others of its connection if it may be repeated:
  * its caller sends it again where an answer before it ends the connection.
--- a/gate_answer.c
+++ b/gate_answer.c
@@ -58,6 +58,9 @@
 	r->early = false;
 	tmr_clear(&r->gate->tmr, &r->timer);
 	gate_rate_forget(r);
+	if (ran == RAN_NO && r->shard != NULL)
+		returns_refused(r->gate->returns, r->d.print,
+		    r->began - r->waited_ms * NS_MS, clk_ns(r->gate->clk));
 	gate_req_settle(r, ran == RAN_NO);
 	cnt_add(r->gate->cnt, GC_REFUSED, 1);
 	if (dial->status_promises)
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -93,6 +93,8 @@
 	    .repeatable = r->d.repeatable,
 	    .retried = r->maybe_ran || r->d.retried,
 	    .paid = r->d.paid,
+	    .left_ms = r->left_ms,
+	    .waited_ms = r->waited_ms,
 	    .tries = (unsigned)r->d.tries,
 	    .attempts = (unsigned)r->d.attempts,
 	    .rank = (unsigned)r->d.rank,
--- a/gate_pass.c
+++ b/gate_pass.c
@@ -14,7 +14,7 @@
 
 /* The header that a gate sends with a request that it passes on. */
 
-enum { FIELDS = 14 };
+enum { FIELDS = 16 };
 
 /* No region is named: a word in the place of their names. */
 static const char ANY_REGION[] = "-";
@@ -45,17 +45,18 @@
 	char copy[GATE_PASS_MAX];
 	unsigned bulk, repeatable, retried, paid, suspect;
 	unsigned long long hi, lo, caller;
-	long long target;
+	long long target, left, waited;
 	int at = 0, n;
 
 	if (text.n == 0 || text.n >= sizeof(copy))
 		return false;
 	memcpy(copy, text.p, text.n);
 	copy[text.n] = '\0';
-	n = sscanf(copy, "%u %u %u %u %u %u %u %u %u %lld %llx %llx %llx %u %n",
+	n = sscanf(copy,
+	    "%u %u %u %u %u %u %u %u %u %lld %lld %lld %llx %llx %llx %u %n",
 	    &out->hops, &bulk, &repeatable, &retried, &paid, &out->tries,
-	    &out->attempts, &out->rank, &out->kind, &target, &hi, &lo, &caller,
-	    &suspect, &at);
+	    &out->attempts, &out->rank, &out->kind, &target, &left, &waited,
+	    &hi, &lo, &caller, &suspect, &at);
 	if (n != FIELDS || at == 0)
 		return false;
 	out->bulk = bulk != 0;
@@ -64,6 +65,8 @@
 	out->paid = paid != 0;
 	out->suspect = suspect != 0;
 	out->target_ms = target;
+	out->left_ms = left;
+	out->waited_ms = waited;
 	out->print = (struct fprint){hi, lo, caller};
 	out->service = str_n(text.p + at, text.n - (size_t)at);
 	if (!next_word(&out->service, &out->hall) ||
@@ -82,10 +85,11 @@
 {
 	struct str regions = p->regions.n > 0 ? p->regions : str_c(ANY_REGION);
 	int n = snprintf(out, size,
-	    "%u %u %u %u %u %u %u %u %u %lld %llx %llx %llx %u %.*s %.*s "
-	    "%c%.*s %.*s",
+	    "%u %u %u %u %u %u %u %u %u %lld %lld %lld %llx %llx %llx %u "
+	    "%.*s %.*s %c%.*s %.*s",
 	    p->hops, p->bulk, p->repeatable, p->retried, p->paid, p->tries,
 	    p->attempts, p->rank, p->kind, (long long)p->target_ms,
+	    (long long)p->left_ms, (long long)p->waited_ms,
 	    (unsigned long long)p->print.hi, (unsigned long long)p->print.lo,
 	    (unsigned long long)p->print.caller, p->suspect, STR_ARG(p->hall),
 	    STR_ARG(regions), CUSTOMER_SIGN, STR_ARG(p->customer),
--- a/gate_req.c
+++ b/gate_req.c
@@ -18,6 +18,9 @@
  * ends with its answer, its deadline or its caller.
  */
 
+/* Refused requests that are known again when they come back. */
+enum { RETURNS_MAX = 4096 };
+
 static void on_dispose(void *);
 
 static const char *const state_names[] = {"new", "claiming", "held",
@@ -179,6 +182,7 @@
 	r->peer = NULL;
 	r->shard = gate_conf_shard(g, svc, hall);
 	r->d.may_pass = r->hops < HOPS_MAX && g->set.route == ROUTE_HOME;
+	gate_admit_waited(r);
 	disp_arrive(r->shard->disp, &r->d);
 }
 
@@ -296,6 +300,7 @@
 	(void)err;
 	g_queue_init(&g->reqs);
 	g->caller_limits = limit_table_new(10000);
+	g->returns = returns_new(RETURNS_MAX);
 	g->callers_of =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->rule_limits =
--- a/gate_try.c
+++ b/gate_try.c
@@ -54,7 +54,8 @@
 	    "id=%.*s print=" FPRINT_FMT
 	    " service=%.*s backend=%.*s in_use=%d limit=%d slots=%d "
 	    "pace=%d "
-	    "pace_age_ms=%lld held_us=%lld left_ms=%lld tries=%d conf=%llu "
+	    "pace_age_ms=%lld held_us=%lld left_ms=%lld waited_ms=%lld "
+	    "tries=%d conf=%llu "
 	    "conf_age_ms=%lld a_second=%.2f against=%s",
 	    STR_ARG(r->name), FPRINT_ARG(r->d.print), STR_ARG(r->service),
 	    STR_ARG(b->name), b->inflight - 1, pick_slots(b), b->slots,
@@ -62,9 +63,10 @@
 	    b->told_at == 0 ? -1LL
 			    : (long long)((d->sent - b->told_at) / NS_MS),
 	    (long long)((d->sent - r->began) / NS_US),
-	    (long long)((d->deadline - d->sent) / NS_MS), d->tries,
-	    (unsigned long long)r->conf, (long long)sync_age_ms(&r->gate->sync),
-	    b->quota.rate, against_names[d->against]);
+	    (long long)((d->deadline - d->sent) / NS_MS),
+	    (long long)r->waited_ms, d->tries, (unsigned long long)r->conf,
+	    (long long)sync_age_ms(&r->gate->sync), b->quota.rate,
+	    against_names[d->against]);
 	cnt_add(r->gate->cnt, GC_AGAINST, d->against != AGAINST_NOTHING);
 	cnt_sample(r->gate->cnt, GC_HELD, d->sent - r->began);
 	gate_flow_send(r, b->address, !d->repeatable);
--- a/libdisp.h
+++ b/libdisp.h
@@ -66,6 +66,7 @@
 	GArray *remotes; /* struct disp_remote_hall */
 	struct retry_budget budget;
 	struct limit limit;
+	int64_t came_back; /* the last request of one turned away before */
 	GQueue out; /* struct disp_req *, the longest out first */
 	struct pick_backend *emptied; /* for a trial; NULL: none */
 	bool in_doubt; /* some backend servers may be cold */
--- a/libgate.h
+++ b/libgate.h
@@ -25,6 +25,7 @@
 #include "plat.h"
 #include "region.h"
 #include "reload.h"
+#include "returns.h"
 #include "route.h"
 #include "sync.h"
 #include "tmr.h"
@@ -183,7 +184,8 @@
 	struct words *words; /* what backend servers said of themselves */
 	int64_t words_told, words_turn; /* to hubs near, and to any one, last */
 	struct limit_table *caller_limits;
-	GHashTable *callers_of; /* char * rule to struct callers * */
+	struct returns *returns; /* requests that we refused as their home */
+	GHashTable *callers_of; /* char * service/kind to struct callers * */
 	GHashTable *rule_limits; /* char * rule to struct limit * */
 	/* gate_rate.c */
 	GHashTable *rates; /* char * customer to struct bucket *: our own */
--- a/libreq.h
+++ b/libreq.h
@@ -60,6 +60,8 @@
 	bool early; /* it waits for the first configuration */
 	bool passed; /* by another gate */
 	int64_t began;
+	int64_t left_ms; /* until its deadline, as its caller said; 0: unsaid */
+	int64_t waited_ms; /* before it came to us, as far as is known */
 	uint64_t conf; /* version of the routes that decided it */
 	struct str rule, service; /* copies */
 	struct str
@@ -95,6 +97,8 @@
 	unsigned rank;
 	unsigned kind; /* requests of one kind take alike */
 	int64_t target_ms; /* left until its target; 0: unsaid */
+	int64_t left_ms; /* until its deadline, as its caller said; 0: unsaid */
+	int64_t waited_ms; /* before, of what the target leaves out already */
 	struct fprint print; /* none: unsaid */
 	bool suspect; /* a backend server ended under it: poison.h */
 	/* Where it is to go; these point into the header. */
@@ -122,6 +126,8 @@
 
 /* gate_admit.c: what holds for a request, by its rule or the gate before. */
 void gate_admit(struct gate_req *);
+/* At its home: how long has its caller waited before? */
+void gate_admit_waited(struct gate_req *);
 
 /*
  * gate_rate.c: may the request's customer make it now?  Goes on with
--- a/limit.c
+++ b/limit.c
@@ -16,6 +16,8 @@
 /* What a quiet budget may save up, and what a new one begins with. */
 static const double BUDGET_MAX = 20.0;
 static const double BUDGET_START_SHARE = 0.25;
+/* What is kept for those who have no other chance. */
+static const double BUDGET_KEPT_SHARE = 0.5;
 
 struct slot {
 	struct limit limit;
@@ -170,6 +172,13 @@
 	return b->saved >= 1;
 }
 
+bool
+retry_budget_has_spare(struct retry_budget *b)
+{
+	budget_begin(b);
+	return b->saved >= budget_max(b) * BUDGET_KEPT_SHARE;
+}
+
 void
 retry_budget_take(struct retry_budget *b)
 {
--- a/limit.h
+++ b/limit.h
@@ -71,6 +71,8 @@
 };
 void retry_budget_pay(struct retry_budget *, int64_t percent);
 bool retry_budget_has(struct retry_budget *);
+/* The same for one who has other chances: a half is left to those without. */
+bool retry_budget_has_spare(struct retry_budget *);
 void retry_budget_take(struct retry_budget *);
 
 #endif
--- a/regress/box.h
+++ b/regress/box.h
@@ -198,6 +198,14 @@
 			   .status == 200;
 	}
 
+	/* Does it know of so many boxes that serve?  Homes have moved then. */
+	bool knows(int boxes)
+	{
+		return http("GET", ip + ":8280", "/metrics", {}, "", 500)
+			   .body.find("\nfern_boxes " + std::to_string(boxes) +
+			       "\n") != std::string::npos;
+	}
+
 	/* Is an object in the store? */
 	bool has(const std::string &kind, const std::string &name)
 	{
--- a/regress/load.cpp
+++ b/regress/load.cpp
@@ -597,6 +597,7 @@
 		a->d.repeatable = w->kind->repeatable;
 		a->d.may_retry = a->d.may_pass = true;
 		a->d.attempts = 2;
+		a->d.came_back = !copy && left < RETRIES;
 		a->d.rank = w->kind->rank;
 		a->d.kind = static_cast<unsigned>(w->kind->target_ms);
 		a->d.target = NS_S + w->at + w->kind->target_ms * NS_MS;
@@ -1110,6 +1111,8 @@
 		    {Event::COLD, 4000, 8000, 1, 0.4}}},
 	    {"a tenth down", {{Event::CRASH, 4000, 8000, 1, 0.1}}},
 	    {"half turned away at random", {{Event::REFUSE, 4000, 9000, 0.5}}},
+	    {"most turned away at random, with room",
+		{{Event::REFUSE, 4000, 12500, 0.55}}, 0.15},
 	    {"a hall's servers silent under load",
 		{{Event::SURGE, 3000, 9000, 1.4},
 		    {Event::SILENT, 4000, 8000, 1, 1, 0}}},
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -605,3 +605,63 @@
 	EXPECT_TRUE(
 	    until([&] { return p.ask_weak("/look/1").status == 200; }, 4000));
 }
+
+/*
+ * In a large fleet a box sees a dozen requests of a kind a minute.  Who was
+ * turned away before is known all the same, where all of them meet.
+ */
+TEST(Box, WhoCameBackIsKnownToTheHomeOfManyBoxes)
+{
+	box::World w;
+	box::Further second(w, "b2", "north", "7");
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	second.box.start();
+	ASSERT_TRUE(until([&] { return second.serves(); }, 10000));
+	ASSERT_TRUE(until([&] { return w.knows(2); }, 5000));
+	for (int i = 0; i < 30; i++)
+		ASSERT_EQ(200, w.ask("/look/1").status);
+	ASSERT_EQ(200,
+	    http("GET", second.address, "/look/1",
+		{{"Host", "shop.example"}, {"fernjunction-request-id", "back"},
+		    {"fernjunction-deadline-ms", "700"}},
+		"", 2000)
+		.status);
+	EXPECT_TRUE(until(
+	    [&] {
+		    return (w.box.read_log() + second.box.read_log())
+			       .find("waited_ms=100 ") != std::string::npos;
+	    },
+	    2000))
+	    << w.box.read_log() << second.box.read_log();
+}
+
+/* Its second attempt says that it waits a third of the time only. */
+TEST(Box, WhoWasRefusedIsKnownAgainWhateverItsDeadline)
+{
+	box::World w;
+	auto ask = [&](const char *id, const char *left) {
+		return http("GET", w.ip + ":8080", "/look/7",
+		    {{"Host", "shop.example"}, {"fernjunction-request-id", id},
+			{"fernjunction-deadline-ms", left}},
+		    "", 2000)
+		    .status;
+	};
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	for (int i = 0; i < 30; i++)
+		ASSERT_EQ(200, w.ask("/look/1").status);
+	for (int i : {0, 1})
+		w.platform.set("i-" + std::to_string(i), 100, true, false);
+	ASSERT_EQ(503, ask("first", "800"));
+	for (int i : {0, 1})
+		w.platform.set("i-" + std::to_string(i), 100, false, false);
+	ASSERT_EQ(200, ask("second", "260"));
+	ASSERT_TRUE(
+	    until([&] { return w.logged("msg=\"sent\" id=second"); }, 2000));
+	std::string log = w.box.read_log();
+	size_t at = log.find("msg=\"sent\" id=second");
+	long waited = atol(log.c_str() + log.find("waited_ms=", at) + 10);
+	EXPECT_LE(1, waited);
+	EXPECT_GT(300, waited);
+}
--- a/regress/test_customer.cpp
+++ b/regress/test_customer.cpp
@@ -278,13 +278,7 @@
 	ASSERT_TRUE(until(
 	    [&] { return w.by("key-a", second.address).status == 200; }, 5000));
 	/* Homes move when a box comes; here they have moved. */
-	ASSERT_TRUE(until(
-	    [&] {
-		    return http("GET", w.ip + ":8280", "/metrics", {}, "", 500)
-			       .body.find("\nfern_boxes 2\n") !=
-			std::string::npos;
-	    },
-	    5000));
+	ASSERT_TRUE(until([&] { return w.knows(2); }, 5000));
 	pump(500);
 	Rush rush({w.ip + ":8080", second.address}, 3 * NS_S);
 
--- a/regress/test_load.cpp
+++ b/regress/test_load.cpp
@@ -14,6 +14,7 @@
  * prints the whole table.
  */
 #include <algorithm>
+#include <cmath>
 #include <gtest/gtest.h>
 
 #include "load.h"
@@ -149,6 +150,22 @@
 	EXPECT_GT(0.022, static_cast<double>(s.all.late) / s.all.asked);
 }
 
+/*
+ * The budget pays for less than a second try each.  Where it goes to those who
+ * have no other chance, no more are refused for good than four refusals in a
+ * row make, which takes three calls and one second try.
+ */
+TEST(Load, WhoCameBackGoesFirstWhereTriesAreShort)
+{
+	const char *name = "most turned away at random, with room";
+
+	for (auto setting : {load::three_kinds, load::one_kind}) {
+		Sum s = replay(setting, name);
+
+		EXPECT_GT(std::pow(0.55, 4) * 8500 / 14000, s.unserved());
+	}
+}
+
 /*
  * Where nothing of a hall answers any more, what comes there goes to others at
  * once: held until its deadline, it was refused two seconds late.
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -536,6 +536,8 @@
 	in.hops = 1;
 	in.repeatable = true;
 	in.paid = true;
+	in.left_ms = 780;
+	in.waited_ms = 20;
 	in.tries = 1;
 	in.attempts = 3;
 	in.rank = 2;
@@ -554,6 +556,8 @@
 	EXPECT_FALSE(out.bulk);
 	EXPECT_FALSE(out.retried);
 	EXPECT_TRUE(out.paid);
+	EXPECT_EQ(780, out.left_ms);
+	EXPECT_EQ(20, out.waited_ms);
 	EXPECT_EQ(1u, out.tries);
 	EXPECT_EQ(3u, out.attempts);
 	EXPECT_EQ(2u, out.rank);
@@ -569,19 +573,19 @@
 	n = gate_pass_write(&in, text, sizeof(text));
 	ASSERT_TRUE(gate_pass_read(str_n(text, n), &out));
 	EXPECT_EQ(0u, out.customer.n);
-	for (const char *bad : {"", "1", "1 0 1 0 1 1 3 2 250 140",
-		 "x 0 1 0 1 1 3 2 250 140 north till",
-		 "1 0 1 0 1 1 3 2 250 140 till",
-		 "1 0 1 0 1 1 3 2 250 140 north ",
-		 "1 0 1 0 1 1 3 2 250 140 beef north - till",
-		 "1 0 1 0 1 1 3 2 250 140 feed beef - till",
-		 "1 0 1 0 1 1 3 2 250 140 feed beef north - ",
-		 "1 0 1 0 1 1 3 2 250 140 feed beef 1 - till",
-		 "1 0 1 0 1 1 3 2 250 140 feed beef cafe 1 - till",
-		 "1 0 1 0 1 1 3 2 250 140 feed beef cafe 1 north - ",
-		 "1 0 1 0 1 1 3 2 250 140 feed beef 1 north - ",
-		 "1 0 1 0 1 1 3 2 250 140 fe be ca 1 north - till",
-		 "1 0 1 0 1 1 3 2 250 140 fe be ca 1 north - anna till"})
+	for (const char *bad : {"", "1", "1 0 1 0 1 1 3 2 250 140 780 20",
+		 "x 0 1 0 1 1 3 2 250 140 780 20 north till",
+		 "1 0 1 0 1 1 3 2 250 140 780 20 till",
+		 "1 0 1 0 1 1 3 2 250 140 780 20 north ",
+		 "1 0 1 0 1 1 3 2 250 140 780 20 beef north - till",
+		 "1 0 1 0 1 1 3 2 250 140 780 20 feed beef - till",
+		 "1 0 1 0 1 1 3 2 250 140 780 20 feed beef north - ",
+		 "1 0 1 0 1 1 3 2 250 140 780 20 feed beef 1 - till",
+		 "1 0 1 0 1 1 3 2 250 140 780 20 feed beef cafe 1 - till",
+		 "1 0 1 0 1 1 3 2 250 140 780 20 feed beef cafe 1 north - ",
+		 "1 0 1 0 1 1 3 2 250 140 780 20 feed beef 1 north - ",
+		 "1 0 1 0 1 1 3 2 250 140 780 20 fe be ca 1 north - till",
+		 "1 0 1 0 1 1 3 2 250 140 780 20 fe be ca 1 north - anna till"})
 		EXPECT_FALSE(gate_pass_read(str_c(bad), &out)) << bad;
 }
 
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -17,6 +17,7 @@
 #include <vector>
 
 extern "C" {
+#include "returns.h"
 #include "fprint.h"
 #include "chart.h"
 #include "doc.h"
@@ -926,3 +927,41 @@
 	EXPECT_TRUE(fprint_same(fprint_of(&a), fprint_of(&b)));
 	EXPECT_FALSE(fprint_eq(fprint_of(&a), fprint_of(&b)));
 }
+
+/* Refused and back: the first time counts, and each refusal is kept once. */
+TEST(Returns, WhoComesBackIsKnownUntilItIsForgotten)
+{
+	struct returns *r = returns_new(3);
+	struct fprint a = {1, 2, 3}, other_caller = {1, 2, 4};
+	int64_t t = 100 * NS_S;
+
+	EXPECT_EQ(0, returns_take(r, a, t));
+	returns_refused(r, a, t, t + NS_MS);
+	EXPECT_EQ(0, returns_take(r, other_caller, t + 2 * NS_MS));
+	EXPECT_EQ(t, returns_take(r, a, t + 60 * NS_MS));
+	EXPECT_EQ(0, returns_take(r, a, t + 60 * NS_MS));
+	EXPECT_EQ(60 * NS_MS, returns_usual(r, t + 60 * NS_MS));
+	/* Refused again, it has waited since its first time. */
+	returns_refused(r, a, t, t + 61 * NS_MS);
+	EXPECT_EQ(t, returns_take(r, a, t + 120 * NS_MS));
+	EXPECT_GT(returns_usual(r, t + 120 * NS_MS), 60 * NS_MS);
+	returns_refused(r, a, t, t + 121 * NS_MS);
+	EXPECT_EQ(0, returns_take(r, a, t + 121 * NS_MS + RETURNS_KEPT_NS + 1));
+	EXPECT_EQ(0, returns_usual(r, t + 60 * NS_S));
+	returns_free(r);
+}
+
+TEST(Returns, NoMoreAreKeptThanItIsAskedFor)
+{
+	struct returns *r = returns_new(3);
+	struct fprint none = {};
+
+	for (uint64_t i = 1; i <= 10; i++)
+		returns_refused(r, {i, i, i}, NS_S, NS_S);
+	returns_refused(r, none, NS_S, NS_S);
+	for (uint64_t i = 1; i <= 10; i++)
+		EXPECT_EQ(
+		    i > 7 ? NS_S : 0, returns_take(r, {i, i, i}, 2 * NS_S))
+		    << i;
+	returns_free(r);
+}
