--- a/disp.c
+++ b/disp.c
@@ -341,10 +341,10 @@
 static bool
 has_budget(struct disp *d, const struct disp_req *r)
 {
-	bool return_they =
+	bool others_return =
 	    d->came_back != 0 && clk_ns(d->clk) - d->came_back < RETURNS_NS;
 
-	if (r->came_back || !return_they)
+	if (r->came_back || !others_return)
 		return retry_budget_has(&d->budget);
 	return retry_budget_has_spare(&d->budget);
 }
--- a/gate_home.c
+++ b/gate_home.c
@@ -434,16 +434,33 @@
 	wire_send(g->wire, m->from, &pong);
 }
 
+/* Send a message to the homes of the service's other halls, ours among them. */
+void
+gate_home_tell(struct gate *g, const struct gate_shard *s,
+    const struct route_service *svc, struct msg *m)
+{
+	struct gate_peer *p;
+	unsigned i;
+	bool self;
+
+	for (i = 0; i < svc->nhalls; i++) {
+		if (str_eq(svc->halls[i].hall, s->hall))
+			continue;
+		p = gate_home(g, s->service, svc->halls[i].hall, &self);
+		if (self)
+			gate_conf_take(g, m);
+		else
+			wire_send(g->wire, p->info.gate_inbox, m);
+	}
+}
+
 /* Tell the homes of the service's other halls what room there is. */
 static void
 tell_room(struct gate *g, struct gate_shard *s, int64_t now)
 {
 	const struct route_service *svc = route_service(g->routes, s->service);
 	struct msg m = {.kind = MSG_SUMMARY};
-	struct gate_peer *p;
 	struct disp_room room;
-	unsigned i;
-	bool self;
 
 	if (svc == NULL || svc->nhalls < 2 || !s->home ||
 	    now - s->told_at < g->set.summary_ms * NS_MS)
@@ -459,15 +476,7 @@
 	m.u.summary.slot_tenths = (uint64_t)lround(room.slots * SLOT_TENTHS);
 	m.u.summary.free = (uint64_t)room.free;
 	m.u.summary.waiting = (uint64_t)room.waiting;
-	for (i = 0; i < svc->nhalls; i++) {
-		if (str_eq(svc->halls[i].hall, s->hall))
-			continue;
-		p = gate_home(g, s->service, svc->halls[i].hall, &self);
-		if (self)
-			gate_home_summary(g, &m.u.summary);
-		else
-			wire_send(g->wire, p->info.gate_inbox, &m);
-	}
+	gate_home_tell(g, s, svc, &m);
 }
 
 void
--- a/gate_rate.c
+++ b/gate_rate.c
@@ -47,13 +47,15 @@
 }
 
 static gboolean
-is_anothers(gpointer key, gpointer value, gpointer ctx)
+is_not_ours(gpointer key, gpointer value, gpointer ctx)
 {
+	struct gate *g = ctx;
 	bool self;
 
 	(void)value;
-	gate_home_by_name(ctx, str_c(key), 0, &self);
-	return !self;
+	gate_home_by_name(g, str_c(key), 0, &self);
+	return !self ||
+	    customers_named(route_customers(g->routes), str_c(key)) == NULL;
 }
 
 static struct bucket *
@@ -96,7 +98,7 @@
 	if (seen == g->rates_seen)
 		return;
 	g->rates_seen = seen;
-	g_hash_table_foreach_remove(g->rates, is_anothers, g);
+	g_hash_table_foreach_remove(g->rates, is_not_ours, g);
 	customers_each(route_customers(g->routes), begin, g);
 }
 
--- a/gate_roll.c
+++ b/gate_roll.c
@@ -97,9 +97,6 @@
 	struct roll_word w =
 	    roll_word_of(s->roll, disp_old_inflight(s->disp), now);
 	struct msg m = {.kind = MSG_ROLL};
-	struct gate_peer *p;
-	unsigned i;
-	bool self;
 
 	s->roll_told = now;
 	m.u.roll = (struct msg_roll){.service = s->service,
@@ -111,15 +108,7 @@
 	    .answers = w.answers,
 	    .bad = w.bad,
 	    .old_out = w.old_out};
-	for (i = 0; i < svc->nhalls; i++) {
-		if (str_eq(svc->halls[i].hall, s->hall))
-			continue;
-		p = gate_home(g, s->service, svc->halls[i].hall, &self);
-		if (self)
-			gate_roll_take(g, &m.u.roll);
-		else
-			wire_send(g->wire, p->info.gate_inbox, &m);
-	}
+	gate_home_tell(g, s, svc, &m);
 }
 
 /* What a home told reaches our shards of the service's other halls. */
--- a/libgate.h
+++ b/libgate.h
@@ -237,6 +237,8 @@
 void gate_home_deal(struct gate *);
 void gate_home_suspect(struct gate *, struct gate_peer *, const char *why);
 void gate_home_heard(struct gate *, struct str inbox);
+void gate_home_tell(struct gate *, const struct gate_shard *,
+    const struct route_service *, struct msg *);
 void gate_home_tick(struct gate *, int64_t now);
 void gate_home_summary(struct gate *, const struct msg_summary *);
 void gate_home_ping(struct gate *, const struct msg *);
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -528,6 +528,48 @@
 	EXPECT_EQ(0, none.retry_slack);
 }
 
+/* An order, with what was written of it; of an earlier one that is nothing. */
+TEST(Platform, AnOrderOfARollOutAndItsState)
+{
+	Json order(R"({"service":"till","targetVersion":"v2",
+	    "duration":"12s"})");
+	Json done(R"({"state":"rolled_back","targetVersion":"v2"})");
+	Json other(R"({"state":"completed","targetVersion":"v1"})");
+	Json a(pf_rollout(order.v, nullptr)), b(pf_rollout(order.v, done.v));
+	Json c(pf_rollout(order.v, other.v));
+
+	EXPECT_EQ(
+	    R"({"duration_ms":12000,"state":"open","version":"v2"})", a.text());
+	EXPECT_EQ(
+	    R"({"duration_ms":12000,"state":"rolled-back","version":"v2"})",
+	    b.text());
+	EXPECT_EQ(a.text(), c.text());
+	Json ours(R"({"state":"completed","version":"v2"})");
+	struct plat_exchange ex =
+	    encode(PLAT_STATUS, "rollout", "till", 7, ours.v);
+	EXPECT_STREQ("PUT", ex.method);
+	EXPECT_STREQ("/api/objects/rollouts/till/status", ex.path);
+	Json body(ex.body);
+	EXPECT_EQ(R"({"metadata":{"name":"till","rev":7},)"
+		  R"("status":{"state":"completed","targetVersion":"v2"}})",
+	    body.text());
+	g_free(ex.path);
+	g_free(ex.value);
+	free(ex.body);
+}
+
+TEST(Platform, WhatItHasNotIsNotWatched)
+{
+	const struct plat_form *f = &platform_form;
+
+	EXPECT_TRUE(f->has_feed(STR_LIT("base,rollout"), "rollout"));
+	EXPECT_FALSE(f->has_feed(STR_LIT("base,rollouts"), "rollout"));
+	EXPECT_FALSE(f->has_feed(STR_LIT("base,rollout"), "evacuation"));
+	EXPECT_TRUE(f->has_feed(STR_LIT("base,places"), "evacuation"));
+	EXPECT_TRUE(f->has_feed(STR_LIT("base"), "backend"));
+	EXPECT_TRUE(f->has_feed(str_c(nullptr), "rollout"));
+}
+
 TEST(Pass, WhatIsWrittenIsRead)
 {
 	struct gate_pass in = {}, out = {};
--- a/returns.h
+++ b/returns.h
@@ -13,6 +13,7 @@
 
 #include <stdint.h>
 
+#include "clk.h"
 #include "fprint.h"
 
 /*
