A test waits until a deletion is in force before it counts on it

Trace: the log at that moment ends with the agent's line that the entry is gone; the gate builds its routes of it 2 ms later, and says so. A request of these 2 ms may go there, as the entry was good until then.

--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -137,6 +137,8 @@
 	w.platform.remove("servers", "i-1");
 	EXPECT_TRUE(
 	    until([&] { return w.logged("lapsed entry is gone"); }, 3000));
+	/* Requests go by it once the gate has built its routes of it. */
+	EXPECT_TRUE(until([&] { return w.logged("deletion is in force"); }));
 	size_t before = w.ran(1, 1);
 	for (int i = 0; i < 20; i++)
 		EXPECT_EQ(200, w.ask("/look/1").status);
