A new version of few servers that fail is found out, and a good one not for new connections

Trace: with two servers of the new version, both failing, six requests reached them; then they were left out as failing, the rule that the new version goes first wants three free servers, and the seventh answer that would convict it never came: it stayed running until 85 hundredths of its time. Ruled out: the conditional write (no write was tried).

Change: where the version has fewer than three usable servers, these must do. With that a good version was found slow within 0.2 s, as its first connections took 1 ms in place of 0.2: slow is also 10 ms more than expected.

RollDisp.FewServersThatFailAreFoundOut holds it in virtual time (it passed before as well: that policy does not leave failing servers out by cost).

--- a/disp_roll.c
+++ b/disp_roll.c
@@ -21,7 +21,10 @@
  */
 
 enum {
-	/* Of so many there is a good one at each moment, for nearly all. */
+	/*
+	 * Of so many there is a good one at each moment, for nearly all; where
+	 * there are fewer in all, these must do, or nothing would be learned.
+	 */
 	FIRST_FREE_MIN = 3,
 	/* No more requests wait for a server of the new version. */
 	FIRST_HELD_MAX = 3
@@ -29,6 +32,8 @@
 
 /* An answer that took so many times what was expected is slow. */
 static const double SLOW_FACTOR = 3;
+/* And so much more: servers that are new cost a connection each at first. */
+#define SLOW_LEAST_NS (10 * NS_MS)
 
 static void
 mark(struct pick_backend *b, const struct disp *d)
@@ -46,16 +51,17 @@
 {
 	int64_t now = clk_ns(d->clk);
 	const struct pick_backend *b;
-	unsigned n = 0;
+	unsigned all = 0, n = 0;
 	guint i;
 
 	if (d->queues[CLASS_INTERACTIVE].n > FIRST_HELD_MAX)
 		return false;
 	for (i = 0; i < d->backends->len; i++) {
 		b = g_ptr_array_index(d->backends, i);
+		all += b->is_new && pick_usable(b, now);
 		n += b->is_new && pick_free(b, now) > 0;
 	}
-	return n >= FIRST_FREE_MIN;
+	return n > 0 && n >= MIN(all, FIRST_FREE_MIN);
 }
 
 void
@@ -113,7 +119,7 @@
 		return false;
 	if (r->told)
 		expected *= r->pace;
-	return took > SLOW_FACTOR * expected;
+	return took > SLOW_FACTOR * expected && took - expected > SLOW_LEAST_NS;
 }
 
 static enum verdict_answer
