--- a/agent_peer.c
+++ b/agent_peer.c
@@ -125,6 +125,24 @@
 	agent_gate_tell_ready(a);
 }
 
+/* Does anybody who hears from the platform still tell us of changes? */
+static void
+look_unattended(struct agent *a)
+{
+	bool unattended = gossip_is_unattended(a->gossip);
+
+	if (unattended == a->unattended)
+		return;
+	a->unattended = unattended;
+	cnt_set(a->cnt, AC_UNATTENDED, unattended);
+	slog(SLOG_PEER,
+	    unattended ? "no box that hears from the platform answers"
+		       : "a box that hears from the platform answers again",
+	    "hubs=%zu alive=%zu watching=%d conf_age_ms=%lld",
+	    memb_count_hubs(a->memb), memb_count_alive(a->memb),
+	    agent_is_watcher(a), (long long)sync_age_ms(&a->sync));
+}
+
 /* Do what is due, and wake up for what is due next. */
 static void
 on_due(void *ctx)
@@ -133,6 +151,7 @@
 	int64_t next = gossip_run(a->gossip);
 
 	look_settled(a);
+	look_unattended(a);
 	tmr_set(&a->tmr, &a->gossip_timer, next, on_due, a);
 }
 
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -309,7 +309,9 @@
 	if (!deleted ||
 	    !agent_lapse_hold(a, conf_get(a->conf, str_c(key)), version))
 		got = conf_offer(a->conf, str_c(key), version, deleted, spec,
-		    STR_LIT("platform"), &err);
+		    a->from_copy ? STR_LIT("platform-copy")
+				 : STR_LIT("platform"),
+		    &err);
 	if (got == CONF_REJECTED)
 		slog(SLOG_CONF,
 		    strcmp(kind, obj_kind_name(OBJ_BACKEND)) == 0
@@ -325,16 +327,18 @@
 		g_free(key);
 }
 
+/* `copy`: the answer may be stale. */
 static void
-offer_all(struct agent *a, json_t *body, GHashTable *keys)
+offer_all(struct agent *a, json_t *body, GHashTable *keys, bool copy)
 {
 	json_t *objects = json_object_get(body, "objects"), *o;
 	size_t i;
 
 	a->from_platform = true;
+	a->from_copy = copy;
 	json_array_foreach (objects, i, o)
 		offer(a, o, keys);
-	a->from_platform = false;
+	a->from_platform = a->from_copy = false;
 }
 
 static uint64_t
@@ -425,7 +429,7 @@
 	}
 	f->fails = 0;
 	ab.keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	offer_all(a, body, ab.keys);
+	offer_all(a, body, ab.keys, first);
 	conf_each(a->conf, hold_absent, &ab);
 	a->from_platform = true;
 	if (is_newest(f, revision))
@@ -440,8 +444,9 @@
 	raise_floor(a, CONF_RULES);
 	raise_floor(a, CONF_BACKENDS);
 	agent_gate_tell_ready(a);
-	slog(SLOG_WATCH, "listed", "kinds=%s revision=%llu in_force=%zu",
-	    f->kinds, (unsigned long long)revision, conf_count(a->conf));
+	slog(SLOG_WATCH, "listed",
+	    "kinds=%s revision=%llu in_force=%zu copy=%d", f->kinds,
+	    (unsigned long long)revision, conf_count(a->conf), first);
 	agent_box_status_soon(a);
 	/* A weak box that starts hears first whether it must watch at all. */
 	watch_soon(f, first && !gossip_is_hub(a->gossip) ? FIRST_WATCH_NS : 0);
@@ -496,7 +501,7 @@
 	slog(SLOG_WATCH, "watched", "kinds=%s revision=%llu changes=%zu",
 	    f->kinds, (unsigned long long)revision_of(body),
 	    json_array_size(json_object_get(body, "objects")));
-	offer_all(a, body, NULL);
+	offer_all(a, body, NULL, false);
 	confirm(f);
 	f->since = MAX(f->since, revision_of(body));
 	/* Changes come in rows; those of a moment are fetched together. */
@@ -538,7 +543,7 @@
 	uint64_t revision = revision_of(body);
 
 	if (json_array_size(json_object_get(body, "objects")) > 0) {
-		offer_all(f->agent, body, NULL);
+		offer_all(f->agent, body, NULL, true);
 		wait_for_watch(f);
 	}
 	confirm(f);
--- a/gate_answer.c
+++ b/gate_answer.c
@@ -70,14 +70,14 @@
 	    " why=%s ran=%s status=%d age_ms=%lld tries=%d "
 	    "retry_after_ms=%lld rule=%.*s service=%.*s customer=%.*s "
 	    "conf=%llu "
-	    "conf_age_ms=%lld",
+	    "conf_age_ms=%lld conf_held_ms=%lld conf_from=%.*s",
 	    STR_ARG(r->name), FPRINT_ARG(r->d.print), a->name,
 	    err_ran_name(ran), status,
 	    (long long)((clk_ns(r->gate->clk) - r->began) / NS_MS), r->d.tries,
 	    (long long)(retry_after / NS_MS), STR_ARG(r->rule),
 	    STR_ARG(r->service), STR_ARG(r->customer),
-	    (unsigned long long)r->conf,
-	    (long long)sync_age_ms(&r->gate->sync));
+	    (unsigned long long)r->conf, (long long)sync_age_ms(&r->gate->sync),
+	    gate_conf_held_ms(r->gate), STR_ARG(r->gate->rules_from));
 	if (req == NULL)
 		return;
 	add_header(req, "fern-error", a->name);
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -27,6 +27,7 @@
 static void on_changed(void *, const struct conf_entry *);
 static void on_rebuild(void *);
 static void send_to(void *, struct str, const struct msg *);
+static void news_free(void *);
 static void shard_free(void *);
 static void
 shard_update(struct gate *, struct gate_shard *, const struct route_service *);
@@ -45,7 +46,7 @@
 	g->sync.clk = g->clk;
 	g->sync.ctx = g;
 	g->routes = route_build(g->conf);
-	g->unrouted = g_ptr_array_new_with_free_func(g_free);
+	g->unrouted = g_ptr_array_new_with_free_func(news_free);
 	g->versions =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->shards =
@@ -65,6 +66,7 @@
 /* What is to be said of a change once routes have been built of it. */
 struct news {
 	bool deleted;
+	struct str from; /* who gave it, if it is a rule; else empty */
 	char fields[];
 };
 
@@ -78,11 +80,21 @@
 	struct news *news = g_malloc(sizeof(*news) + n);
 
 	news->deleted = e->deleted;
+	news->from = e->kind == OBJ_BACKEND ? str_c(NULL) : str_dup(e->source);
 	memcpy(news->fields, text, n);
 	g_free(text);
 	return news;
 }
 
+static void
+news_free(void *p)
+{
+	struct news *news = p;
+
+	str_free(&news->from);
+	g_free(news);
+}
+
 /* A version that goes back breaks a promise: it is told, and counted. */
 static void
 look_for_revert(struct gate *g, const struct conf_entry *e)
@@ -128,6 +140,24 @@
 		    (uint64_t)l->idle_ms);
 }
 
+/* The routes have the rules of a box, or of the platform, from now on. */
+static void
+note_rules(struct gate *g, struct str from)
+{
+	str_free(&g->rules_from);
+	g->rules_from = str_dup(from);
+	g->rules_since = clk_ns(g->clk);
+}
+
+/* Since when the routes have had their rules, in ms; -1: they have none. */
+long long
+gate_conf_held_ms(const struct gate *g)
+{
+	if (g->rules_since == 0)
+		return -1;
+	return (long long)((clk_ns(g->clk) - g->rules_since) / NS_MS);
+}
+
 /* Requests go by it from now on, and not before. */
 static void
 tell_in_force(struct gate *g)
@@ -140,6 +170,8 @@
 		slog(SLOG_CONF,
 		    news->deleted ? "deletion is in force" : "in force", "%s",
 		    news->fields);
+		if (news->from.n > 0)
+			note_rules(g, news->from);
 	}
 	g_ptr_array_set_size(g->unrouted, 0);
 }
--- a/gossip.c
+++ b/gossip.c
@@ -29,6 +29,8 @@
 
 /* Boxes that are there answer sooner than this. */
 #define ANSWERS_NS (300 * NS_MS)
+/* Those of our hall, and then two of others, had their time to answer. */
+#define UNATTENDED_NS (2 * ANSWERS_NS)
 /* A platform that has not listed boxes by then may be away. */
 #define UNLISTED_NS (2 * NS_S)
 /* The first list after one that showed no hub of our hall; then doubled. */
@@ -56,6 +58,8 @@
 	int64_t round_at; /* the next round, or a look whether it is due */
 	int64_t turn_at; /* our turn among the leaves of the hall */
 	int64_t answer_at; /* then a leaf asks elsewhere; 0: it need not */
+	int64_t
+	    waits_since; /* asked, and no seeing hub has spoken; 0: none is */
 	unsigned rounds;
 	unsigned seeds_at; /* the round in which seeds are asked next */
 	unsigned seeds_gap; /* rounds until the time after that */
@@ -141,6 +145,16 @@
 
 /* What is sent. */
 
+/* A question to a leaf does not lead to a word of the platform. */
+static void
+note_question(struct gossip *g, struct str box)
+{
+	const struct memb_member *m = memb_find(g->memb, box);
+
+	if (g->waits_since == 0 && (m == NULL || m->strong))
+		g->waits_since = clk_ns(g->clk);
+}
+
 static void
 send_hello(struct gossip *g, struct str to, struct str box, bool asks)
 {
@@ -157,8 +171,10 @@
 	h.holds = g->ops.holds(g->ops.ctx);
 	h.others.items = infos;
 	h.others.n = n;
-	if (asks)
+	if (asks) {
 		memb_asked(g->memb, box, clk_ns(g->clk));
+		note_question(g, box);
+	}
 	memb_told(g->memb, box);
 	g->ops.hello(g->ops.ctx, to, &h);
 }
@@ -177,8 +193,10 @@
 	    .asks = asks,
 	};
 
-	if (asks)
+	if (asks) {
 		memb_asked(g->memb, box, clk_ns(g->clk));
+		note_question(g, box);
+	}
 	g->ops.beat(g->ops.ctx, to, &b);
 }
 
@@ -367,6 +385,13 @@
 	return since != 0 && clk_ns(g->clk) - since >= ANSWERS_NS;
 }
 
+bool
+gossip_is_unattended(const struct gossip *g)
+{
+	return g->waits_since != 0 &&
+	    clk_ns(g->clk) - g->waits_since >= UNATTENDED_NS;
+}
+
 /*
  * Hubs that stand still hand nothing on, and count as dead after three seconds
  * only: until then a leaf whose hub does not answer asks those of other halls,
@@ -657,6 +682,14 @@
 
 /* What comes in. */
 
+/* A hub that the platform answers knows what there is. */
+static void
+note_word(struct gossip *g, const struct memb_info *box)
+{
+	if (!box->blind && memb_is_hub(g->memb, box->box))
+		g->waits_since = 0;
+}
+
 static bool
 take_infos(struct gossip *g, const struct msg_list *list)
 {
@@ -692,6 +725,7 @@
 	note_answer(g, h->self.box);
 	news = memb_heard(g->memb, &h->self, now);
 	news = take_infos(g, &h->others) || news;
+	note_word(g, &h->self);
 	m = memb_find(g->memb, h->self.box);
 	if (h->asks || (m != NULL && m->told == 0))
 		send_hello(g, from, h->self.box, false);
@@ -713,6 +747,8 @@
 
 	memb_answered(g->memb, b->box, clk_ns(g->clk));
 	note_answer(g, b->box);
+	if (m != NULL && memb_alive(m))
+		note_word(g, &m->info);
 	if (m == NULL || !memb_alive(m) || m->info.boot != b->boot ||
 	    m->info.beat != b->beat || differs(g, &m->info, b->hubs, b->near))
 		send_hello(g, from, b->box, true);
@@ -777,5 +813,7 @@
 	next = sooner(next, g->answer_at);
 	if (g->greeted_at != 0)
 		next = MIN(next, g->greeted_at + ANSWERS_NS);
+	if (g->waits_since != 0 && !gossip_is_unattended(g))
+		next = MIN(next, g->waits_since + UNATTENDED_NS);
 	return g->settled ? next : MIN(next, g->settle_at);
 }
--- a/gossip.h
+++ b/gossip.h
@@ -102,6 +102,12 @@
 /* Does a box of our hall leave a question of ours without an answer? */
 bool gossip_is_left_alone(const struct gossip *);
 
+/*
+ * Has no hub that hears from the platform said anything for a while, though
+ * some box was asked?  Then nobody tells us of changes.
+ */
+bool gossip_is_unattended(const struct gossip *);
+
 /* Boxes that were asked at the start. */
 unsigned gossip_asked(const struct gossip *);
 
--- a/libagent.h
+++ b/libagent.h
@@ -92,6 +92,7 @@
 	AC_LOOKS,
 	AC_WATCHES_BROKEN,
 	AC_CONF_AGE,
+	AC_UNATTENDED,
 	AC_WATCHING,
 	AC_MEMBERS,
 	AC_OBJECTS,
@@ -134,6 +135,7 @@
 	struct agent_feed feeds[AGENT_FEEDS_MAX];
 	unsigned nfeeds;
 	bool from_platform; /* offers of now come from the platform */
+	bool from_copy; /* by an answer that may be stale */
 	bool platform_up;
 	int64_t platform_back; /* it answered again after an outage; 0: never */
 	int64_t platform_lost; /* it did not answer, as far as we know */
@@ -165,6 +167,7 @@
 	struct gossip *gossip;
 	struct tmr_item gossip_timer;
 	bool settled; /* it was told that the boxes near are known */
+	bool unattended; /* nobody who hears from the platform answers */
 	/* our digest differs from another hall's; 0: it does not */
 	int64_t differs_since;
 	/* agent_gate.c */
--- a/libgate.h
+++ b/libgate.h
@@ -174,6 +174,8 @@
 	struct route_table *routes;
 	struct tmr_item rebuild;
 	GPtrArray *unrouted; /* struct news *, not in the routes yet */
+	struct str rules_from; /* who gave the rules that the routes have */
+	int64_t rules_since; /* monotonic ns; 0: there are none yet */
 	GHashTable *versions; /* char * key of a rule to uint64_t * last told */
 	GHashTable *shards; /* char * "service/hall" to struct gate_shard * */
 	GPtrArray *peers; /* struct gate_peer *, hubs of all halls */
@@ -219,6 +221,7 @@
 bool gate_conf_open(struct gate *, GError **);
 void gate_conf_take(void *, const struct msg *);
 void gate_conf_report(struct gate *);
+long long gate_conf_held_ms(const struct gate *);
 void gate_conf_doubt(struct gate *, struct str box);
 void gate_conf_homes(struct gate *);
 struct gate_shard *
