Reproduced: nobody tells weak boxes of changes where no strong one can, and old looks bring none

A watch whose answer was swallowed by a silence of 0.1 s was not replaced while the answers to looks were three seconds old.

Three tests of a hall of a strong and a weak box fail, and two of a single box with a platform whose stale answers are old: the stand-in's stale lists and watches can lag now. A fourth one in the hall passes: a weak box that starts while no strong one lives refuses as not ready, and goes by no stale list.

--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -133,7 +133,9 @@
 
 	json_object_set_new(
 	    meta, "rev", json_integer(static_cast<json_int_t>(++rev)));
-	history.push_back({rev, kind, tombstone, json_deep_copy(o)});
+	history.push_back({rev, kind, tombstone, json_deep_copy(o), key,
+	    clk_ns(clk_system())});
+	log.push_back(history.back());
 	if (tombstone)
 		objects.erase(key);
 	else
@@ -211,25 +213,59 @@
 }
 
 json_t *
-Objects::events(const std::string &kind, uint64_t since)
+Objects::events(const std::string &kind, uint64_t since, uint64_t upto)
 {
 	json_t *list = json_array();
 
 	for (auto &e : history)
-		if (e.rev > since && e.kind == kind)
+		if (e.rev > since && e.rev <= upto && e.kind == kind)
 			json_array_append_new(list,
 			    json_pack("{s:b, s:O}", "tombstone", e.tombstone,
 				"object", e.object));
 	return list;
 }
 
+/* The newest revision that a stale answer knows of. */
+uint64_t
+Objects::rev_of_copy() const
+{
+	int64_t then = clk_ns(clk_system()) - lag_ms * NS_MS;
+	uint64_t known = 1;
+
+	if (lag_ms == 0)
+		return rev;
+	for (auto &e : log)
+		if (e.at <= then)
+			known = e.rev;
+	return known;
+}
+
+/* What a stale list tells. */
+std::map<std::string, json_t *>
+Objects::copy() const
+{
+	std::map<std::string, json_t *> all;
+	uint64_t upto = rev_of_copy();
+
+	for (auto &e : log) {
+		if (e.rev > upto)
+			break;
+		if (e.tombstone)
+			all.erase(e.key);
+		else
+			all[e.key] = e.object;
+	}
+	return all;
+}
+
 void
 Objects::answer_watches()
 {
 	std::vector<Waiter *> ready;
 
 	for (Waiter *w : waiters) {
-		json_t *list = events(w->kind, w->since);
+		json_t *list =
+		    events(w->kind, w->since, w->copy ? rev_of_copy() : rev);
 
 		if (json_array_size(list) > 0 || w->since < kept)
 			ready.push_back(w);
@@ -255,13 +291,14 @@
 		o->nhung++;
 		return;
 	}
+	uint64_t upto = w->copy ? o->rev_of_copy() : o->rev;
 	if (w->since < o->kept)
 		send(req, 410, json_object());
 	else
 		send(req, 200,
 		    json_pack("{s:o, s:I}", "events",
-			o->events(w->kind, w->since), "currentRev",
-			static_cast<json_int_t>(o->rev)));
+			o->events(w->kind, w->since, upto), "currentRev",
+			static_cast<json_int_t>(upto)));
 }
 
 void
@@ -280,7 +317,7 @@
 	int64_t wait = atoll(text_of(hsrv_query(req, "waitMs")).c_str());
 	Waiter *w = new Waiter{req, kind,
 	    strtoull(text_of(hsrv_query(req, "watch")).c_str(), nullptr, 10),
-	    {}, this};
+	    {}, this, hsrv_query(req, "allowStale").n > 0};
 	Waiter **guard = static_cast<Waiter **>(
 	    h2o_mem_alloc_shared(&req->pool, sizeof(w), on_gone));
 
@@ -298,9 +335,12 @@
 	std::string after = text_of(hsrv_query(req, "after"));
 	json_t *items = json_array();
 	bool more = false;
-	bool old = stale_rev > 0 && hsrv_query(req, "allowStale").n > 0;
+	bool may_be_old = hsrv_query(req, "allowStale").n > 0;
+	bool old = stale_rev > 0 && may_be_old;
+	bool lags = lag_ms > 0 && may_be_old;
+	uint64_t at = old ? stale_rev : lags ? rev_of_copy() : rev;
 
-	for (auto &o : old ? stale : objects) {
+	for (auto &o : old ? stale : lags ? copy() : objects) {
 		if (o.first.compare(0, kind.size() + 1, kind + "/") != 0 ||
 		    o.first.substr(kind.size() + 1) <= after)
 			continue;
@@ -312,7 +352,13 @@
 	}
 	send(req, 200,
 	    json_pack("{s:o, s:b, s:I}", "items", items, "hasMore", more,
-		"currentRev", static_cast<json_int_t>(old ? stale_rev : rev)));
+		"currentRev", static_cast<json_int_t>(at)));
+}
+
+void
+Objects::lag(int ms)
+{
+	in_loop([&] { lag_ms = ms; });
 }
 
 void
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -116,6 +116,8 @@
 	size_t hung();
 	/* From now on stale lists tell what there is now. */
 	void keep_stale();
+	/* Answers that may be stale tell what there was so long ago. */
+	void lag(int ms);
 	/* Calls of the store, and looks that do not wait: a tenth each. */
 	size_t calls();
 	size_t looks();
@@ -126,6 +128,8 @@
 		std::string kind;
 		bool tombstone;
 		json_t *object;
+		std::string key;
+		int64_t at; /* monotonic ns */
 	};
 	struct Waiter {
 		h2o_req_t *req;
@@ -133,6 +137,7 @@
 		uint64_t since;
 		struct tmr_item timer;
 		Objects *owner;
+		bool copy; /* a stale answer will do */
 	};
 
 	static void on_worked(void *);
@@ -152,7 +157,9 @@
 	void list(h2o_req_t *, const std::string &kind);
 	void watch(h2o_req_t *, const std::string &kind);
 	void write(h2o_req_t *, const std::string &kind);
-	json_t *events(const std::string &kind, uint64_t since);
+	uint64_t rev_of_copy() const;
+	std::map<std::string, json_t *> copy() const;
+	json_t *events(const std::string &kind, uint64_t since, uint64_t upto);
 	void answer_watches();
 	json_t *object(const std::string &kind, const std::string &name);
 	void store(const std::string &kind, const std::string &name,
@@ -166,7 +173,8 @@
 	std::map<std::string, json_t *> objects; /* "kind/name" */
 	std::map<std::string, json_t *> stale; /* the same, as it was once */
 	uint64_t stale_rev = 0; /* 0: stale lists are fresh */
-	std::vector<Event> history;
+	std::vector<Event> history, log; /* since it was compacted, and all */
+	int lag_ms = 0;
 	std::set<Waiter *> waiters;
 	std::map<std::string, std::unique_ptr<Backend>> backends;
 	std::map<std::string, std::string> heard; /* headers, by request */
--- a/regress/test_silent.cpp
+++ b/regress/test_silent.cpp
@@ -35,6 +35,8 @@
 const double apply_ms = 2000;
 /* So long after a silence the platform counts as calm again, in ms. */
 const int calm_ms = 3000;
+/* Answers that may be stale are so old, in ms. */
+const int lag_ms = 3000;
 
 struct Silent : box::World {
 	/* As where they are deployed: lists are seldom, changes gathered. */
@@ -138,3 +140,30 @@
 	EXPECT_TRUE(
 	    until([&] { return w.ask("/look/1").status == 503; }, apply_ms));
 }
+
+/* A look whose answer is old tells neither of a change nor that there is none.
+ */
+TEST(Silent, ARuleThatChangedInASilenceIsInForceSoonThoughCopiesAreOld)
+{
+	Silent w;
+
+	w.platform.lag(lag_ms);
+	w.change_in_silence([&] { w.configure("shelf"); }, 100);
+	EXPECT_TRUE(until([&] { return w.leads_to_shelf(); }, apply_ms));
+}
+
+TEST(Silent, ADrainAfterASilenceIsKeptThoughCopiesAreOld)
+{
+	Silent w;
+
+	w.platform.lag(lag_ms);
+	w.change_in_silence([&] { w.enter(2, "draining"); }, 100);
+	pump(calm_ms);
+	w.enter(0, "draining");
+	ASSERT_TRUE(
+	    until([&] { return w.in_force("backend/i-0") > 1; }, apply_ms));
+	size_t before = w.ran(0, 0);
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(200, w.ask("/look/1").status);
+	EXPECT_EQ(before, w.ran(0, 0));
+}
--- /dev/null
+++ b/regress/test_unattended.cpp
@@ -0,0 +1,173 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <gtest/gtest.h>
+
+#include "box.h"
+
+/* Rules on weak boxes while no strong box tells them of changes. */
+
+namespace
+{
+
+/* The operators' bound for a change, from its acknowledgement on, in ms. */
+const double apply_ms = 2000;
+/* A box that starts is bound by it once it has run for so long, in ms. */
+const double contact_ms = 3000;
+/* Stale answers are so old, in ms. */
+const int lag_ms = 3000;
+
+const char *const as_deployed =
+    "boxes_ms = 15000\ngather_ms = 600\nlook_ms = 1250\nlist_ms = 3600000\n"
+    "status_ms = 3600000\nstatus_by = \"hubs\"\n";
+
+/* A strong box, behind a proxy to the platform, and a weak one of its hall. */
+struct Hall : box::World {
+	Proxy platform_proxy;
+	std::unique_ptr<box::Further> weak;
+
+	Hall() : World(true, "", "", as_deployed)
+	{
+		const char *root = getenv("FERN_ROOT");
+
+		platform_proxy.address = ip + ":9001";
+		platform_proxy.control = ip + ":9002";
+		platform_proxy.process.argv = {
+		    std::string(root ? root : ".") + "/regress/standin_proxy",
+		    platform_proxy.address, ip + ":9000",
+		    platform_proxy.control};
+		platform_proxy.process.log = dir + "/proxy.log";
+		platform_proxy.process.start();
+		std::string weak_set =
+		    std::string(as_deployed) + "power = 0.1\n";
+
+		EXPECT_TRUE(until([&] { return ready(); }));
+		EXPECT_TRUE(until([&] { return has("boxes", "b1"); }));
+		weak = std::make_unique<box::Further>(
+		    *this, "w1", "north", "7", weak_set);
+		weak->box.start();
+		EXPECT_TRUE(until([&] { return weak->serves(); }));
+	}
+
+	/* The platform resets all connections of the strong box. */
+	void turn_strong_away()
+	{
+		std::string text = read(file);
+		size_t before;
+
+		box.kill9();
+		std::ofstream(file)
+		    << box::replaced(text, "platform = \"" + ip + ":9000\"",
+			   "platform = \"" + platform_proxy.address + "\"");
+		before = ran(0, 3);
+		box.start();
+		ASSERT_TRUE(until([&] {
+			weak->serves();
+			return ran(0, 3) > before;
+		}));
+		pump(contact_ms);
+		platform_proxy.set("mode=cut");
+	}
+
+	/* One more route, by which a test tells that a version is in force. */
+	void add_route(const std::string &name)
+	{
+		configure("till",
+		    R"({"resourceType":"routes","metadata":
+		    {"name":")" +
+			name +
+			R"("},"spec":{"host":"shop.example","pathPrefix":"/)" +
+			name + R"(/","routeType":"safe","timeout":"900ms",
+		    "targetLatency":"300ms","priority":1,"maxAttempts":2,
+		    "service":"till"}},)");
+	}
+
+	~Hall()
+	{
+		platform_proxy.process.kill9();
+		unlink((dir + "/proxy.log").c_str());
+	}
+
+	static std::string read(const std::string &path)
+	{
+		std::ifstream in(path);
+
+		return {std::istreambuf_iterator<char>(in), {}};
+	}
+
+	bool weak_has_route(const std::string &name) const
+	{
+		int status = weak->ask("/" + name + "/1").status;
+
+		return status != 404 && status > 0;
+	}
+
+	void expect_in_time(const std::string &name, double ms = apply_ms)
+	{
+		add_route(name);
+		EXPECT_TRUE(until([&] { return weak_has_route(name); }, ms));
+	}
+};
+
+} // namespace
+
+TEST(Unattended, ARuleThatChangesWhileNoStrongBoxLivesIsInForceInTime)
+{
+	Hall w;
+
+	w.box.kill9();
+	w.expect_in_time("first");
+	w.expect_in_time("second");
+}
+
+TEST(Unattended, ARuleThatChangesWhileStrongBoxesAreFrozenIsInForceInTime)
+{
+	Hall w;
+
+	w.box.signal(SIGSTOP);
+	w.expect_in_time("first");
+	w.expect_in_time("second");
+	w.box.signal(SIGCONT);
+	w.expect_in_time("third");
+}
+
+/* It is refused, and the weak box would not be. */
+TEST(Unattended, ARuleThatChangesWhileStrongBoxesAreTurnedAwayIsInForceInTime)
+{
+	Hall w;
+
+	w.turn_strong_away();
+	w.expect_in_time("first");
+	w.expect_in_time("second");
+}
+
+/* Its first list is stale, and nobody is there who knows better. */
+TEST(Unattended, AWeakBoxThatStartsWhileNoStrongBoxLivesGoesByNoStaleRules)
+{
+	Hall w;
+	size_t answered = 0, refused = 0;
+
+	w.platform.lag(lag_ms);
+	pump(lag_ms);
+	w.add_route("first");
+	w.box.kill9();
+	w.weak->box.kill9();
+	w.weak->box.start();
+	double end = now_ms() + contact_ms;
+	while (now_ms() < end) {
+		int status = w.weak->ask("/first/1").status;
+
+		answered += status > 0;
+		refused += status == 404;
+		pump(50);
+	}
+	EXPECT_GT(answered, 0u);
+	EXPECT_EQ(0u, refused);
+}
