Where hubs are blind, how many of a hall begin to ask goes by the hall's size

A leaf spread its first call over as many boxes as it counted itself, and leaves count none: in an outage of the platform all boxes of a hall would have asked within a quarter of a second, not four a second. Hubs tell the size of their hall; the leaf takes theirs. Found by reading; Gossip.ALeafKnowsHowCrowdedItsHallIs has a leaf of 100 boxes know 75 or more.

--- a/agent_watch.c
+++ b/agent_watch.c
@@ -222,7 +222,7 @@
 void
 agent_watch_unattended(struct agent *a)
 {
-	uint64_t crowd = MAX(memb_self(a->memb)->crowd, 1), in = 0;
+	uint64_t crowd = MAX(gossip_crowd(a->gossip), 1), in = 0;
 	unsigned i;
 
 	if (agent_is_watcher(a))
--- a/gossip.c
+++ b/gossip.c
@@ -328,6 +328,18 @@
 	memb_changed(g->memb);
 }
 
+uint64_t
+gossip_crowd(struct gossip *g)
+{
+	const struct memb_info *hubs[MEMB_HUBS];
+	size_t n = memb_hubs(g->memb, own_hall(g), hubs), i;
+	uint64_t crowd = 0;
+
+	for (i = 0; i < n; i++)
+		crowd = MAX(crowd, hubs[i]->crowd);
+	return crowd;
+}
+
 /*
  * The leaves of a hall take turns, so that its hubs get no more questions than
  * they can answer beside their work.
@@ -335,12 +347,10 @@
 static int64_t
 round_gap(struct gossip *g)
 {
-	const struct memb_info *hubs[MEMB_HUBS];
-	size_t n = memb_hubs(g->memb, own_hall(g), hubs), i;
-	uint64_t crowd = 0, may = (uint64_t)MAX(n, 1u) * HUB_ASKED_MAX;
+	size_t n = count_near_hubs(g) + is_own_hub(g);
+	uint64_t crowd = gossip_crowd(g);
+	uint64_t may = (uint64_t)MAX(n, 1u) * HUB_ASKED_MAX;
 
-	for (i = 0; i < n; i++)
-		crowd = MAX(crowd, hubs[i]->crowd);
 	if (is_own_hub(g) || crowd <= may)
 		return g->set.hello_ns;
 	return (int64_t)((double)g->set.hello_ns * (double)crowd / (double)may);
--- a/gossip.h
+++ b/gossip.h
@@ -111,6 +111,9 @@
 /* Have hubs said, though, that the platform does not answer them? */
 bool gossip_hubs_are_blind(const struct gossip *);
 
+/* Gates that serve in our hall, as its hubs say. */
+uint64_t gossip_crowd(struct gossip *);
+
 /* We know what our hubs may not: the next round is now. */
 void gossip_hurry(struct gossip *);
 
--- a/regress/test_gossip.cpp
+++ b/regress/test_gossip.cpp
@@ -771,6 +771,15 @@
 	}
 }
 
+/* Told again when it has changed by a quarter. */
+TEST(Gossip, ALeafKnowsHowCrowdedItsHallIs)
+{
+	auto f = settled_fleet(400, 4);
+
+	for (auto &b : f->boxes)
+		EXPECT_LE(75u, gossip_crowd(b->gossip)) << b->name;
+}
+
 TEST(Gossip, AtRestNoLeafTakesItselfForUnattended)
 {
 	for (int n : {95, 300, 1000}) {
