The soak has strong and weak boxes, and loses all strong ones among changes

soak_box had four boxes of one strength, and asked which version is in force after a calm time only. So it could not see that weak boxes depend on strong ones, nor that a box in touch is late while others are down.

With a number of boxes they are as deployed: two of each hall have half a processor, the rest a tenth; stale answers lag by up to five seconds, watches are cut, a change comes each 250 ms amid faults too, all boxes die 5 to 400 ms after one, all strong boxes die or freeze while the rest is calm; and boxes that are in touch are asked all the while for the newest version that must be in force.

--- a/regress/soak_box.cpp
+++ b/regress/soak_box.cpp
@@ -15,7 +15,12 @@
  * change.  Faults come in series and overlap.  The promises are checked from
  * what callers and backend servers see.
  *
- *	soak_box SECONDS [SEED]
+ *	soak_box SECONDS [SEED [BOXES]]
+ *
+ * With a number of boxes these are as deployed: two of each hall are strong,
+ *the rest are weak; the store's stale answers lag, a change comes each quarter
+ *of a second also amid faults, all strong boxes or all boxes are lost at once,
+ *and boxes that are in touch are asked all the while which version is in force.
  */
 #include <array>
 #include <csignal>
@@ -34,7 +39,10 @@
 namespace
 {
 
-enum { BOXES = 4, BACKENDS = 8, SLOTS = 3, DEADLINE_MS = 800 };
+enum { FEW = 4, BACKENDS = 8, SLOTS = 3, DEADLINE_MS = 800 };
+/* Strong boxes of a hall, and configurations whose route stays in later ones.
+ */
+enum { STRONG = 2, KEPT = 60 };
 
 /*
  * The operators' bounds, in ms: boxes are in touch once all has been calm for
@@ -45,6 +53,10 @@
 const double TOLD = 500, SPAN = 4000;
 /* Between two calm times; changes come this often in them. */
 const double ROUGH_MS = 4000, CHANGE_MS = 400;
+/* The same with many boxes, and the operators' bound for these. */
+const double STORM_MS = 250, APPLY_MANY = 2500, TEST_MS = 60;
+/* All are lost so long after a change; stale answers are up to so old. */
+const int LOST_AFTER_MS[] = {5, 400}, LAG_MAX_MS = 5000;
 
 /* What a caller saw of one request. */
 struct Seen {
@@ -66,7 +78,9 @@
 	std::mt19937 rng;
 	std::string net, dir;
 	Objects store;
-	std::vector<Process> boxes{BOXES};
+	int nboxes;
+	bool many; /* as deployed */
+	std::vector<Process> boxes;
 	std::vector<std::unique_ptr<Proxy>> backend_proxies;
 	std::unique_ptr<Proxy> store_proxy;
 	std::vector<Trouble> troubles;
@@ -78,8 +92,17 @@
 	std::vector<std::string> broken; /* promises of configuration */
 	bool tidy = false; /* nothing was wrong: no logs are kept */
 
-	explicit Soak(unsigned seed)
-	    : rng(seed), net(net::own()), store(net + "1:9000")
+	/* Where there are many boxes. */
+	std::mt19937 draw;
+	std::vector<double> changed; /* when each version was acknowledged */
+	std::vector<double> hit; /* when each box was harmed last */
+	double store_hit = 0, next_change = 0, next_test = 0;
+	int late = 0; /* the newest version that some box was late with */
+
+	Soak(unsigned seed, int n)
+	    : rng(seed), net(net::own()), store(net + "1:9000"),
+	      nboxes(n > 0 ? n : FEW), many(n > 0), boxes(at(nboxes)),
+	      draw(seed), hit(at(nboxes), now_ms())
 	{
 		char name[] = "/tmp/fernsoak.XXXXXX";
 
@@ -95,7 +118,7 @@
 			enter(i, "ready");
 		}
 		configure();
-		for (int i = 0; i < BOXES; i++) {
+		for (int i = 0; i < nboxes; i++) {
 			write_settings(i);
 			boxes[at(i)].argv = {root() + "/fernbox", file(i)};
 			boxes[at(i)].log = dir + "/log" + std::to_string(i);
@@ -110,7 +133,7 @@
 		for (auto &p : backend_proxies)
 			p->process.kill9();
 		store_proxy->process.kill9();
-		for (int i = 0; i < BOXES && tidy; i++) {
+		for (int i = 0; i < nboxes && tidy; i++) {
 			unlink(file(i).c_str());
 			unlink(boxes[at(i)].log.c_str());
 		}
@@ -123,6 +146,25 @@
 		return static_cast<size_t>(i);
 	}
 
+	/* In another order than any(), which seeds that are kept go by. */
+	int drawn(int from, int to)
+	{
+		return from +
+		    static_cast<int>(
+			draw() % static_cast<unsigned>(to - from + 1));
+	}
+
+	static void start_again(Process &p)
+	{
+		if (!p.running())
+			p.start();
+	}
+
+	bool is_strong(int box) const
+	{
+		return box % (nboxes / 2) < STRONG;
+	}
+
 	int any(int n)
 	{
 		return static_cast<int>(rng() % static_cast<unsigned>(n));
@@ -177,7 +219,7 @@
 	{
 		std::ofstream out(file(box));
 		std::string own = "box = \"b" + std::to_string(box) +
-		    "\"\nhall = \"" + (box < 2 ? "north" : "south") +
+		    "\"\nhall = \"" + (box < nboxes / 2 ? "north" : "south") +
 		    "\"\nplatform = \"" + store_proxy->address +
 		    "\"\nplatform_form = \"objects\"\n";
 
@@ -196,8 +238,13 @@
 		    << "gate_inbox = \"" << ip(box) << ":8380\"\n"
 		    << "pass = \"" << ip(box) << ":8180\"\nseeds = [\"" << ip(0)
 		    << ":8480\", \"" << ip(3) << ":8480\"]\n"
-		    << "watchers = 2\nprobe_rate = 0\nplatform_rate = 50\n"
-		    << "first_ms = 10\nretry_ms = 300\n"
+		    << "probe_rate = 0\nplatform_rate = 50\n"
+		    << "first_ms = 10\nretry_ms = 300\nwatchers = "
+		    << (many ? "6\nlook_ms = 1250\nlist_ms = 3600000\npower "
+			       "= " +
+				   std::string(is_strong(box) ? "0.5" : "0.1")
+			     : "2")
+		    << "\n"
 		    /* As deployed: as few calls as can be. */
 		    << "gather_ms = 600\nboxes_ms = 15000\n"
 		    << "status_ms = 3600000\nstatus_by = \"hubs\"\n";
@@ -225,9 +272,21 @@
 		    R"("priority":1,"maxAttempts":2)" + to + "}},";
 	}
 
+	/* The routes by which earlier ones named themselves. */
+	std::string kept(int own) const
+	{
+		std::string text;
+
+		for (int v = std::max(own - KEPT, 1); many && v < own; v++)
+			text += route("is" + std::to_string(v), "safe",
+			    R"(,"service":"till")");
+		return text;
+	}
+
 	/*
-	 * A configuration names itself by a route that no other one has.  One
-	 * that is not valid does so too, by a route that leads nowhere.
+	 * A configuration names itself by a route that no other one has, but
+	 * for later ones where there are many boxes.  One that is not valid
+	 * does so too, by a route that leads nowhere.
 	 */
 	void configure(bool valid = true)
 	{
@@ -240,12 +299,15 @@
 			"\",\"resources\":[" + route("look", "safe", till) +
 			route("buy", "unsafe", shelf) +
 			route("is" + std::to_string(own), "safe", till) +
+			kept(own) +
 			(valid ? "" : route("nowhere", "safe", "")) +
 			R"({"resourceType":"services","metadata":
 			    {"name":"till"},"spec":{"healthPath":"/health"}},
 			   {"resourceType":"services","metadata":
 			    {"name":"shelf"},"spec":{"healthPath":"/health"}}
 			   ]})");
+		if (valid)
+			changed.push_back(now_ms());
 	}
 
 	/* Does a box go by a configuration?  One that is busy does not tell. */
@@ -273,6 +335,109 @@
 		    std::to_string(status));
 	}
 
+	/* The newest version that must be in force by now; 0: none. */
+	int due() const
+	{
+		int v = version;
+
+		while (v > 0 && changed[at(v - 1)] > now_ms() - APPLY_MANY)
+			v--;
+		return v;
+	}
+
+	bool in_touch(int box) const
+	{
+		double since = std::max(hit[at(box)], store_hit);
+
+		return boxes[at(box)].running() && now_ms() - since >= CONTACT;
+	}
+
+	/* Changes go on, and some box that is in touch is asked for them. */
+	void storm()
+	{
+		int box = drawn(0, nboxes - 1), v;
+
+		if (now_ms() >= next_change) {
+			configure();
+			next_change = now_ms() + STORM_MS;
+		}
+		if (now_ms() < next_test || !in_touch(box))
+			return;
+		next_test = now_ms() + TEST_MS;
+		v = due();
+		/* One case for each version. */
+		if (v <= late || v <= version - KEPT)
+			return;
+		size_t before = broken.size();
+		expect(box, v, true, "late, in touch");
+		if (broken.size() > before)
+			late = v;
+	}
+
+	/* Harm some boxes at once; `how` does it, and `mend` ends it. */
+	void harm(const std::string &what, double ms, bool strong_only,
+	    const std::function<void(Process &)> &how,
+	    const std::function<void(Process &)> &mend)
+	{
+		auto each = [this, strong_only](
+				const std::function<void(Process &)> &fn,
+				double until) {
+			for (int i = 0; i < nboxes; i++) {
+				if (strong_only && !is_strong(i))
+					continue;
+				hit[at(i)] = std::max(hit[at(i)], until);
+				fn(boxes[at(i)]);
+			}
+		};
+
+		for (auto &t : troubles)
+			if (t.what.find("box") != std::string::npos)
+				return;
+		trouble(
+		    what, ms, [&] { each(how, now_ms() + ms); },
+		    [each, mend] { each(mend, now_ms()); });
+	}
+
+	/* All strong boxes are gone for a while. */
+	void lose_strong(double ms)
+	{
+		if (drawn(0, 1) == 0)
+			harm(
+			    "strong-boxes-die", ms, true,
+			    [](Process &p) { p.kill9(); }, start_again);
+		else
+			harm(
+			    "strong-boxes-freeze", ms, true,
+			    [](Process &p) { p.signal(SIGSTOP); },
+			    [](Process &p) { p.signal(SIGCONT); });
+	}
+
+	void many_fault()
+	{
+		double ms = drawn(100, 5000);
+
+		switch (drawn(0, 4)) {
+		case 0:
+		case 1:
+			lose_strong(ms);
+			break;
+		case 2:
+			configure();
+			pump(drawn(LOST_AFTER_MS[0], LOST_AFTER_MS[1]));
+			harm(
+			    "all-boxes-die", ms / 4, false,
+			    [](Process &p) { p.kill9(); }, start_again);
+			break;
+		case 3:
+			store.lag(drawn(0, LAG_MAX_MS));
+			faults["store-lags"]++;
+			break;
+		default:
+			store.cut_watches();
+			faults["store-cuts-watches"]++;
+		}
+	}
+
 	/* All watch; then nobody hears, and what they are owed is lost. */
 	void last_silence()
 	{
@@ -280,10 +445,12 @@
 		traffic(100 + any(700));
 		store.silence(true);
 		faults["last-silence"]++;
+		note_hit("store-silence", now_ms());
 		traffic(300 + any(700));
 		configure();
 		traffic(100);
 		store.silence(false);
+		note_hit("store-silence", now_ms());
 	}
 
 	/*
@@ -304,11 +471,17 @@
 			configure();
 			traffic(CHANGE_MS);
 		}
-		word();
-		traffic(APPLY);
-		for (int i = 0; i < BOXES; i++) {
+		if (many) {
+			lose_strong(2 * CONTACT);
+			traffic(3 * CONTACT);
+		} else
+			word();
+		next_change = now_ms() + 2 * APPLY_MANY;
+		traffic(many ? APPLY_MANY : APPLY);
+		for (int i = 0; i < nboxes; i++) {
 			expect(i, version, true, "late");
-			expect(i, version - 1, false, "back to an older one");
+			expect(i, many ? version - KEPT - 1 : version - 1,
+			    false, "back to an older one");
 			if (invalid < 0)
 				expect(i, invalid, false, "not valid");
 		}
@@ -347,7 +520,7 @@
 	 */
 	bool lose_a_box()
 	{
-		int i = any(BOXES);
+		int i = any(nboxes);
 
 		faults["word-box"]++;
 		switch (any(4)) {
@@ -448,7 +621,7 @@
 		s->id = "s" + std::to_string(seen.size());
 		s->unsafe = unsafe;
 		seen.push_back(std::move(own));
-		http_start(unsafe ? "POST" : "GET", ip(any(BOXES)) + ":8080",
+		http_start(unsafe ? "POST" : "GET", ip(any(nboxes)) + ":8080",
 		    unsafe ? "/buy/x" : "/look/x",
 		    {{"Host", "shop.example"},
 			{"fernjunction-request-id", s->id},
@@ -469,9 +642,12 @@
 		while (now_ms() < end) {
 			ask();
 			pump(8);
+			if (many)
+				storm();
 			for (size_t i = troubles.size(); i-- > 0;) {
 				if (now_ms() < troubles[i].until)
 					continue;
+				note_hit(troubles[i].what, now_ms());
 				troubles[i].mend();
 				troubles.erase(troubles.begin() +
 				    static_cast<std::ptrdiff_t>(i));
@@ -479,6 +655,20 @@
 		}
 	}
 
+	/* Whom something takes out of touch, until it is over. */
+	void note_hit(const std::string &what, double until)
+	{
+		size_t box = what.find(" box");
+
+		if (what.compare(0, 6, "store-") == 0)
+			store_hit = std::max(store_hit, until);
+		if (box != std::string::npos) {
+			double &h = hit[at(atoi(what.c_str() + box + 4))];
+
+			h = std::max(h, until);
+		}
+	}
+
 	/* One thing goes wrong, unless the same is wrong already. */
 	void trouble(const std::string &what, double ms,
 	    const std::function<void()> &cause, std::function<void()> mend)
@@ -487,6 +677,7 @@
 			if (t.what == what)
 				return;
 		faults[what.substr(0, what.find(' '))]++;
+		note_hit(what, now_ms() + ms);
 		cause();
 		troubles.push_back({what, now_ms() + ms, std::move(mend)});
 	}
@@ -500,7 +691,7 @@
 		case 0:
 			trouble(
 			    "kill " + what, ms, [&] { p.kill9(); },
-			    [&p] { p.start(); });
+			    [&p] { start_again(p); });
 			break;
 		case 1:
 			trouble(
@@ -512,7 +703,7 @@
 			    "stop " + what, 3000, [&] { p.signal(SIGTERM); },
 			    [&p] {
 				    p.kill9();
-				    p.start();
+				    start_again(p);
 			    });
 			break;
 		default:
@@ -605,9 +796,13 @@
 	{
 		double ms = 100 + any(1500);
 
+		if (many && drawn(0, 2) == 0) {
+			many_fault();
+			return;
+		}
 		switch (any(3)) {
 		case 0:
-			box_fault(any(BOXES), ms);
+			box_fault(any(nboxes), ms);
 			break;
 		case 1:
 			backend_fault(any(BACKENDS), ms);
@@ -620,12 +815,14 @@
 	/* All is mended; each box must serve again. */
 	bool heals()
 	{
-		for (auto &t : troubles)
+		for (auto &t : troubles) {
+			note_hit(t.what, now_ms());
 			t.mend();
+		}
 		troubles.clear();
 		return until(
 		    [&] {
-			    for (int i = 0; i < BOXES; i++)
+			    for (int i = 0; i < nboxes; i++)
 				    if (!ready(i))
 					    return false;
 			    return true;
@@ -636,7 +833,7 @@
 	/* Why a box does not serve: its process, or what it says. */
 	void tell_boxes()
 	{
-		for (int i = 0; i < BOXES; i++) {
+		for (int i = 0; i < nboxes; i++) {
 			Process &p = boxes[at(i)];
 			int status = 0;
 			bool gone = p.running() &&
@@ -692,12 +889,19 @@
 	double seconds = argc > 1 ? atof(argv[1]) : 20;
 	unsigned seed = argc > 2 ? static_cast<unsigned>(atol(argv[2]))
 				 : static_cast<unsigned>(time(nullptr));
+	int n = argc > 3 ? atoi(argv[3]) : 0;
 	size_t bad = 0, good = 0;
 	int faults = 0;
 
 	setvbuf(stdout, nullptr, _IOLBF, 0);
-	printf("seed %u, %.0f seconds\n", seed, seconds);
-	Soak soak(seed);
+	printf("seed %u, %.0f seconds, %d boxes\n", seed, seconds,
+	    n > 0 ? n : FEW);
+	if (n != 0 && n < 2 * (STRONG + 1)) {
+		fprintf(stderr, "soak_box: %d boxes are too few, %d at least\n",
+		    n, 2 * (STRONG + 1));
+		return 1;
+	}
+	Soak soak(seed, n);
 	if (!soak.heals()) {
 		printf("the boxes never served\n");
 		return 1;
