The stand-in and the soak take more of what the platform's store may do

The stand-in woke each watch at once, raised a revision for each write, and its soak never had it slow or late.

--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -143,16 +143,29 @@
 	answer_watches();
 }
 
+/* A write that changes nothing raises no revision. */
+bool
+Objects::is_same(const std::string &kind, const std::string &name, json_t *spec)
+{
+	json_t *old = object(kind, name);
+
+	return old != nullptr && json_equal(json_object_get(old, "spec"), spec);
+}
+
 void
 Objects::put(
     const std::string &kind, const std::string &name, const std::string &spec)
 {
 	in_loop([&] {
-		store(kind, name,
-		    json_pack("{s:{s:s}, s:o}", "metadata", "name",
-			name.c_str(), "spec",
-			json_loads(spec.c_str(), JSON_DECODE_ANY, nullptr)),
-		    false);
+		json_t *own =
+		    json_loads(spec.c_str(), JSON_DECODE_ANY, nullptr);
+
+		if (!is_same(kind, name, own))
+			store(kind, name,
+			    json_pack("{s:{s:s}, s:O}", "metadata", "name",
+				name.c_str(), "spec", own),
+			    false);
+		json_decref(own);
 	});
 }
 
@@ -173,27 +186,49 @@
 	in_loop([&] { status = with; });
 }
 
+void
+Objects::cut_waiters()
+{
+	auto cut = waiters;
+
+	for (Waiter *w : cut)
+		hsrv_cut(w->req);
+}
+
 void
 Objects::cut_watches()
 {
-	in_loop([&] {
-		auto cut = waiters;
+	in_loop([&] { cut_waiters(); });
+}
 
-		for (Waiter *w : cut)
-			hsrv_cut(w->req);
-	});
+void
+Objects::forget()
+{
+	kept = rev;
+	history.clear();
 }
 
 void
 Objects::compact()
 {
 	in_loop([&] {
-		kept = rev;
-		history.clear();
+		forget();
 		answer_watches();
 	});
 }
 
+void
+Objects::deafen(bool on)
+{
+	in_loop([&] {
+		deaf = on;
+		if (on)
+			return;
+		forget();
+		cut_waiters();
+	});
+}
+
 size_t
 Objects::calls()
 {
@@ -263,6 +298,8 @@
 {
 	std::vector<Waiter *> ready;
 
+	if (deaf)
+		return;
 	for (Waiter *w : waiters) {
 		json_t *list =
 		    events(w->kind, w->since, w->copy ? rev_of_copy() : rev);
@@ -434,6 +471,11 @@
 	}
 	if (has_suffix(key_of(req), "/status"))
 		o = with_status(old, o);
+	else if (is_same(kind, name, json_object_get(o, "spec"))) {
+		send(req, 200, json_deep_copy(old));
+		json_decref(o);
+		return;
+	}
 	store(kind, name, o, false);
 	send(req, 200, json_deep_copy(o));
 }
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -103,6 +103,11 @@
 	void answer_all(int status);
 	/* Forget what changed so far: watches from before get 410. */
 	void compact();
+	/*
+	 * Watches that wait hear of nothing; when that ends the history is
+	 * gone, and they are broken off.
+	 */
+	void deafen(bool);
 	/* Break off all watches that wait. */
 	void cut_watches();
 	/* Answer no call of the store at all, or again. */
@@ -161,6 +166,10 @@
 	std::map<std::string, json_t *> copy() const;
 	json_t *events(const std::string &kind, uint64_t since, uint64_t upto);
 	void answer_watches();
+	void cut_waiters();
+	void forget();
+	bool
+	is_same(const std::string &kind, const std::string &name, json_t *spec);
 	json_t *object(const std::string &kind, const std::string &name);
 	void store(const std::string &kind, const std::string &name,
 	    json_t *object, bool tombstone);
@@ -183,7 +192,7 @@
 	std::vector<int64_t> ended;
 	uint64_t rev = 1, kept = 0;
 	int status = 0;
-	bool hangs = false, swallows = false;
+	bool hangs = false, swallows = false, deaf = false;
 	size_t nhung = 0;
 	size_t ncalls = 0, nlooks = 0;
 	std::thread thread;
--- a/regress/soak_box.cpp
+++ b/regress/soak_box.cpp
@@ -416,11 +416,28 @@
 	{
 		double ms = drawn(100, 5000);
 
-		switch (drawn(0, 4)) {
+		switch (drawn(0, 7)) {
 		case 0:
 		case 1:
 			lose_strong(ms);
 			break;
+		case 5:
+			trouble(
+			    "store-slow", ms,
+			    [&] { store_proxy->set("delay_ms=300"); },
+			    [this] { store_proxy->set("delay_ms=0"); });
+			break;
+		case 6:
+			trouble(
+			    "store-late", ms / 2,
+			    [&] { store_proxy->set("mode=freeze"); },
+			    [this] { store_proxy->set("mode=pass"); });
+			break;
+		case 7:
+			trouble(
+			    "store-deaf", 1000, [&] { store.deafen(true); },
+			    [this] { store.deafen(false); });
+			break;
 		case 2:
 			configure();
 			pump(drawn(LOST_AFTER_MS[0], LOST_AFTER_MS[1]));
