--- a/regress/soak_box.cpp
+++ b/regress/soak_box.cpp
@@ -42,7 +42,7 @@
 enum { FEW = 4, BACKENDS = 8, SLOTS = 3, DEADLINE_MS = 800 };
 /* Strong boxes of a hall, and configurations whose route stays in later ones.
  */
-enum { STRONG = 2, KEPT = 60 };
+enum { STRONG = 2, KEPT = 60, THIRD = 3 };
 
 /*
  * The operators' bounds, in ms: boxes are in touch once all has been calm for
@@ -83,6 +83,7 @@
 	std::vector<Process> boxes;
 	std::vector<std::unique_ptr<Proxy>> backend_proxies;
 	std::unique_ptr<Proxy> store_proxy;
+	std::unique_ptr<Proxy> some_proxy; /* for one box in THIRD */
 	std::vector<Trouble> troubles;
 	std::map<std::string, int> faults;
 	std::vector<std::unique_ptr<Seen>> seen;
@@ -108,6 +109,8 @@
 
 		dir = mkdtemp(name);
 		store_proxy = proxy(net + "2:9000", net + "1:9000");
+		if (many)
+			some_proxy = proxy(net + "3:9000", net + "1:9000");
 		for (int i = 0; i < BACKENDS; i++) {
 			std::string own = net + std::to_string(100 + i);
 			std::string id = "i-" + std::to_string(i);
@@ -133,6 +136,8 @@
 		for (auto &p : backend_proxies)
 			p->process.kill9();
 		store_proxy->process.kill9();
+		if (many)
+			some_proxy->process.kill9();
 		for (int i = 0; i < nboxes && tidy; i++) {
 			unlink(file(i).c_str());
 			unlink(boxes[at(i)].log.c_str());
@@ -160,6 +165,12 @@
 			p.start();
 	}
 
+	/* The platform may turn these away and serve the rest. */
+	bool is_some(int box) const
+	{
+		return many && box % THIRD == 0;
+	}
+
 	bool is_strong(int box) const
 	{
 		return box % (nboxes / 2) < STRONG;
@@ -220,7 +231,8 @@
 		std::ofstream out(file(box));
 		std::string own = "box = \"b" + std::to_string(box) +
 		    "\"\nhall = \"" + (box < nboxes / 2 ? "north" : "south") +
-		    "\"\nplatform = \"" + store_proxy->address +
+		    "\"\nplatform = \"" +
+		    (is_some(box) ? some_proxy : store_proxy)->address +
 		    "\"\nplatform_form = \"objects\"\n";
 
 		out << "[gate]\n"
@@ -412,11 +424,29 @@
 			    [](Process &p) { p.signal(SIGCONT); });
 	}
 
+	void turn_some_away(double ms)
+	{
+		static const char *const modes[] = {"cut", "blackhole"};
+		std::string mode = modes[drawn(0, 1)];
+		auto set = [this](const std::string &to, double until) {
+			for (int i = 0; i < nboxes; i += THIRD)
+				hit[at(i)] = std::max(hit[at(i)], until);
+			some_proxy->set("mode=" + to);
+		};
+
+		trouble(
+		    "some-" + mode, ms, [&] { set(mode, now_ms() + ms); },
+		    [set] { set("pass", now_ms()); });
+	}
+
 	void many_fault()
 	{
 		double ms = drawn(100, 5000);
 
-		switch (drawn(0, 7)) {
+		switch (drawn(0, 8)) {
+		case 8:
+			turn_some_away(ms);
+			break;
 		case 0:
 		case 1:
 			lose_strong(ms);
