A box that watches is not called unattended

fern_unattended was 1, and the log said so, on the last hub that the platform answers, which needs nobody to tell it: its questions to dead hubs have no answer. Found by reading.

--- a/agent_peer.c
+++ b/agent_peer.c
@@ -125,11 +125,12 @@
 	agent_gate_tell_ready(a);
 }
 
-/* Does anybody who hears from the platform still tell us of changes? */
+/* Who watches needs nobody to tell it of changes. */
 static void
 look_unattended(struct agent *a)
 {
-	bool unattended = gossip_is_unattended(a->gossip);
+	bool unattended =
+	    !agent_is_watcher(a) && gossip_is_unattended(a->gossip);
 
 	if (unattended == a->unattended)
 		return;
@@ -138,9 +139,8 @@
 	slog(SLOG_PEER,
 	    unattended ? "no box that hears from the platform answers"
 		       : "a box that hears from the platform answers again",
-	    "hubs=%zu alive=%zu watching=%d conf_age_ms=%lld",
-	    memb_count_hubs(a->memb), memb_count_alive(a->memb),
-	    agent_is_watcher(a), (long long)sync_age_ms(&a->sync));
+	    "hubs=%zu alive=%zu conf_age_ms=%lld", memb_count_hubs(a->memb),
+	    memb_count_alive(a->memb), (long long)sync_age_ms(&a->sync));
 	if (unattended)
 		agent_watch_unattended(a);
 }
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -153,7 +153,7 @@
 	struct agent *a = f->agent;
 	int fails = f->fails++;
 
-	if (!agent_is_watcher(a) && a->unattended)
+	if (a->unattended)
 		return rnd_jitter(a->rnd, UNATTENDED_RETRY_NS);
 	return agent_backoff(a, fails);
 }
@@ -225,8 +225,6 @@
 	uint64_t crowd = MAX(gossip_crowd(a->gossip), 1), in = 0;
 	unsigned i;
 
-	if (agent_is_watcher(a))
-		return;
 	if (gossip_hubs_are_blind(a->gossip))
 		in = rnd_below(a->rnd, crowd * NS_S / UNATTENDED_RATE);
 	for (i = 0; i < a->nfeeds; i++) {
