The soak's header and faults in an order that can be read

The formatter had broken the header's new lines, and the faults for many boxes stood in the order in which they were added. The whole check was not run on it.

--- a/regress/soak_box.cpp
+++ b/regress/soak_box.cpp
@@ -17,10 +17,10 @@
  *
  *	soak_box SECONDS [SEED [BOXES]]
  *
- * With a number of boxes these are as deployed: two of each hall are strong,
- *the rest are weak; the store's stale answers lag, a change comes each quarter
- *of a second also amid faults, all strong boxes or all boxes are lost at once,
- *and boxes that are in touch are asked all the while which version is in force.
+ * With a number of boxes these are as deployed: two of each hall are strong.
+ * Stale answers lag, a change comes each quarter of a second also amid faults,
+ * and all strong boxes, or all boxes, are lost at once.  Boxes in touch are
+ * asked all the while which version is in force.
  */
 #include <array>
 #include <csignal>
@@ -40,8 +40,7 @@
 {
 
 enum { FEW = 4, BACKENDS = 8, SLOTS = 3, DEADLINE_MS = 800 };
-/* Strong boxes of a hall, and configurations whose route stays in later ones.
- */
+/* Strong boxes of a hall; configurations whose routes stay in later ones. */
 enum { STRONG = 2, KEPT = 60, THIRD = 3 };
 
 /*
@@ -444,13 +443,21 @@
 		double ms = drawn(100, 5000);
 
 		switch (drawn(0, 8)) {
-		case 8:
-			turn_some_away(ms);
-			break;
 		case 0:
 		case 1:
 			lose_strong(ms);
 			break;
+		case 2:
+			configure();
+			pump(drawn(LOST_AFTER_MS[0], LOST_AFTER_MS[1]));
+			harm(
+			    "all-boxes-die", ms / 4, false,
+			    [](Process &p) { p.kill9(); }, start_again);
+			break;
+		case 3:
+			store.lag(drawn(0, LAG_MAX_MS));
+			faults["store-lags"]++;
+			break;
 		case 5:
 			trouble(
 			    "store-slow", ms,
@@ -468,16 +475,8 @@
 			    "store-deaf", 1000, [&] { store.deafen(true); },
 			    [this] { store.deafen(false); });
 			break;
-		case 2:
-			configure();
-			pump(drawn(LOST_AFTER_MS[0], LOST_AFTER_MS[1]));
-			harm(
-			    "all-boxes-die", ms / 4, false,
-			    [](Process &p) { p.kill9(); }, start_again);
-			break;
-		case 3:
-			store.lag(drawn(0, LAG_MAX_MS));
-			faults["store-lags"]++;
+		case 8:
+			turn_some_away(ms);
 			break;
 		default:
 			store.cut_watches();
