--- a/agent_open.c
+++ b/agent_open.c
@@ -268,7 +268,7 @@
 		    "key=%.*s version=%llu from=%.*s", STR_ARG(e->key),
 		    (unsigned long long)e->version, STR_ARG(e->source));
 	if (e->kind != OBJ_BACKEND && sync_age_ms(&a->sync) > RULES_LATE_MS)
-		slog(SLOG_CONF, "our rules had not been confirmed for long",
+		slog(SLOG_CONF, "rules were unconfirmed for long",
 		    "key=%.*s version=%llu from=%.*s for_ms=%lld",
 		    STR_ARG(e->key), (unsigned long long)e->version,
 		    STR_ARG(e->source), (long long)sync_age_ms(&a->sync));
--- a/agent_scope.c
+++ b/agent_scope.c
@@ -66,7 +66,7 @@
 		return;
 	a->scope = scope;
 	a->sync.rules_only = scope != SCOPE_ALL;
-	slog(SLOG_AGENT, "knows what to hold", "backends=%d",
+	slog(SLOG_AGENT, "configuration scope is set", "backends=%d",
 	    scope == SCOPE_ALL);
 	if (scope == SCOPE_ALL && find_backends_feed(a) != NULL)
 		agent_watch_now(find_backends_feed(a));
--- a/home.c
+++ b/assign.c
@@ -11,13 +11,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "home.h"
+#include "assign.h"
 #include "memb.h"
 
 enum { KEY_MAX = 300 };
 
 uint64_t
-home_weight(struct str service, struct str hall, struct str box)
+assign_weight(struct str service, struct str hall, struct str box)
 {
 	char key[KEY_MAX];
 	int n = snprintf(
@@ -30,25 +30,25 @@
 static int
 by_hash(const void *pa, const void *pb)
 {
-	const struct home_service *a = pa, *b = pb;
+	const struct assign_service *a = pa, *b = pb;
 	uint64_t wa = memb_weight(STR_LIT("deal"), a->name);
 	uint64_t wb = memb_weight(STR_LIT("deal"), b->name);
 
 	return wa < wb ? -1 : wa > wb;
 }
 
-static struct home_gate *
-best_gate(struct str hall, struct str service, struct home_gate *gates,
+static struct assign_gate *
+best_gate(struct str hall, struct str service, struct assign_gate *gates,
     size_t n, unsigned max_services)
 {
-	struct home_gate *best = NULL;
+	struct assign_gate *best = NULL;
 	uint64_t w, best_w = 0;
 	size_t i;
 
 	for (i = 0; i < n; i++) {
 		if (gates[i].nservices >= max_services)
 			continue;
-		w = home_weight(service, hall, gates[i].box);
+		w = assign_weight(service, hall, gates[i].box);
 		if (best != NULL && w < best_w)
 			continue;
 		best = &gates[i];
@@ -58,8 +58,8 @@
 }
 
 void
-home_assign(struct str hall, struct home_service *services, size_t nservices,
-    struct home_gate *gates, size_t ngates)
+assign_owners(struct str hall, struct assign_service *services,
+    size_t nservices, struct assign_gate *gates, size_t ngates)
 {
 	unsigned max_services;
 	size_t i;
@@ -69,7 +69,7 @@
 	max_services = (unsigned)((nservices + ngates - 1) / ngates);
 	qsort(services, nservices, sizeof(*services), by_hash);
 	for (i = 0; i < nservices; i++) {
-		struct home_gate *gate = best_gate(
+		struct assign_gate *gate = best_gate(
 		    hall, services[i].name, gates, ngates, max_services);
 
 		gate->nservices++;
--- a/home.h
+++ b/assign.h
@@ -8,8 +8,8 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
-#ifndef HOME_H
-#define HOME_H
+#ifndef ASSIGN_H
+#define ASSIGN_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -31,16 +31,16 @@
  */
 
 /* A gate that services may be assigned to. */
-struct home_gate {
+struct assign_gate {
 	struct str box;
 	unsigned nservices; /* assigned so far */
 	void *data; /* for the caller */
 };
 
 /* A service and the gate that it is assigned to. */
-struct home_service {
+struct assign_service {
 	struct str name;
-	const struct home_gate *gate; /* NULL: none */
+	const struct assign_gate *gate; /* NULL: none */
 };
 
 /*
@@ -48,13 +48,13 @@
  * services in each gate, and reorders the services.  Gates start with a count
  * of 0.
  */
-void home_assign(struct str hall, struct home_service *, size_t nservices,
-    struct home_gate *, size_t ngates);
+void assign_owners(struct str hall, struct assign_service *, size_t nservices,
+    struct assign_gate *, size_t ngates);
 
 /*
  * Returns the weight of a box for a service in a hall; the box with the highest
  * weight is preferred.
  */
-uint64_t home_weight(struct str service, struct str hall, struct str box);
+uint64_t assign_weight(struct str service, struct str hall, struct str box);
 
 #endif
--- a/disp.h
+++ b/disp.h
@@ -25,7 +25,7 @@
 #include "poison.h"
 #include "queue.h"
 #include "roll.h"
-#include "word.h"
+#include "report.h"
 
 /*
  * The dispatcher of one shard: the backend servers of one service in one hall,
--- a/disp_stop.c
+++ b/disp_stop.c
@@ -12,7 +12,7 @@
 
 /*
  * Attempts that are far too slow, under policies that queue requests but are
- * not latency-aware; disp_move.c handles those of the latency-aware
+ * not latency-aware; disp_reassign.c handles those of the latency-aware
  * policy.
  */
 
--- a/gate_admit.c
+++ b/gate_admit.c
@@ -381,10 +381,10 @@
 static int64_t
 time_waited(struct gate_req *r)
 {
-	struct returns *returns = r->gate->returns;
+	struct refusals *refusals = r->gate->refusals;
 	int64_t first_sent =
-	    returns_consume(returns, r->disp.fingerprint, r->arrived_at);
-	int64_t mean_ms = returns_mean_wait(returns, r->arrived_at) / NS_MS,
+	    refusals_consume(refusals, r->disp.fingerprint, r->arrived_at);
+	int64_t mean_ms = refusals_mean_wait(refusals, r->arrived_at) / NS_MS,
 		waited = 0;
 
 	if (r->caller_deadline_ms > 0)
--- a/gate_answer.c
+++ b/gate_answer.c
@@ -68,7 +68,7 @@
 	tmr_clear(&r->gate->tmr, &r->timer);
 	gate_rate_cancel(r);
 	if (ran == RAN_NO && r->shard != NULL)
-		returns_record_refusal(r->gate->returns, r->disp.fingerprint,
+		refusals_record_refusal(r->gate->refusals, r->disp.fingerprint,
 		    r->arrived_at - r->waited_ms * NS_MS, clk_ns(r->gate->clk));
 	gate_req_settle_claim(r, ran == RAN_NO);
 	cnt_add(r->gate->cnt, GC_REFUSED, 1);
--- a/gate_home.c
+++ b/gate_owner.c
@@ -10,7 +10,7 @@
  */
 #include <math.h>
 
-#include "home.h"
+#include "assign.h"
 #include "libgate.h"
 #include "slog.h"
 
@@ -92,14 +92,14 @@
 }
 
 /*
- * Returns the gates of a tier as an array of struct home_gate that the caller
+ * Returns the gates of a tier as an array of struct assign_gate that the caller
  * frees.  data is NULL for this gate.
  */
 static GArray *
 gates_in_tier(struct gate *g, struct str hall, enum tier tier)
 {
-	GArray *gates = g_array_new(FALSE, TRUE, sizeof(struct home_gate));
-	struct home_gate gate = {.box = g->settings.box};
+	GArray *gates = g_array_new(FALSE, TRUE, sizeof(struct assign_gate));
+	struct assign_gate gate = {.box = g->settings.box};
 	struct gate_peer *p;
 	guint i;
 
@@ -109,7 +109,7 @@
 		p = g_ptr_array_index(g->peers, i);
 		if (!p->listed || !is_in_tier(g, &p->info, hall, tier))
 			continue;
-		gate = (struct home_gate){.box = p->info.box, .data = p};
+		gate = (struct assign_gate){.box = p->info.box, .data = p};
 		g_array_append_val(gates, gate);
 	}
 	return gates;
@@ -143,7 +143,7 @@
 static void
 add_service(void *ctx, const struct route_service *svc)
 {
-	struct home_service s = {.name = svc->name};
+	struct assign_service s = {.name = svc->name};
 	GArray *services = ctx;
 
 	g_array_append_val(services, s);
@@ -158,17 +158,17 @@
 assign_hall(struct gate *g, struct str hall)
 {
 	GArray *services =
-	    g_array_new(FALSE, TRUE, sizeof(struct home_service));
+	    g_array_new(FALSE, TRUE, sizeof(struct assign_service));
 	GArray *gates = best_gates(g, hall);
-	const struct home_service *s;
+	const struct assign_service *s;
 	struct shard_owner *owner;
 	guint i;
 
 	route_each(g->routes, add_service, services);
-	home_assign(hall, (struct home_service *)services->data, services->len,
-	    (struct home_gate *)gates->data, gates->len);
+	assign_owners(hall, (struct assign_service *)services->data,
+	    services->len, (struct assign_gate *)gates->data, gates->len);
 	for (i = 0; i < services->len; i++) {
-		s = &g_array_index(services, struct home_service, i);
+		s = &g_array_index(services, struct assign_service, i);
 		owner = g_new0(struct shard_owner, 1);
 		owner->peer = s->gate == NULL ? NULL : s->gate->data;
 		g_hash_table_insert(g->owners, shard_key(s->name, hall), owner);
@@ -225,14 +225,14 @@
 {
 	GArray *gates = best_gates(g, hall);
 	struct gate_peer *p, *best = NULL;
-	const struct home_gate *gate;
+	const struct assign_gate *gate;
 	uint64_t weight, best_weight = 0;
 	guint i;
 
 	for (i = 0; i < gates->len; i++) {
-		gate = &g_array_index(gates, struct home_gate, i);
+		gate = &g_array_index(gates, struct assign_gate, i);
 		p = gate->data;
-		weight = home_weight(service, hall, gate->box);
+		weight = assign_weight(service, hall, gate->box);
 		if ((p != NULL && now < p->suspect_until) ||
 		    weight < best_weight)
 			continue;
@@ -306,14 +306,14 @@
 	GArray *gates = gates_in_tier(g, g->settings.hall, TIER_ANY);
 	GArray *order = g_array_new(FALSE, FALSE, sizeof(struct ranked));
 	int64_t now = clk_ns(g->clk);
-	const struct home_gate *gate;
+	const struct assign_gate *gate;
 	struct ranked r = {NULL, 0};
 	guint i;
 
 	for (i = 0; i < gates->len; i++) {
-		gate = &g_array_index(gates, struct home_gate, i);
+		gate = &g_array_index(gates, struct assign_gate, i);
 		r.peer = gate->data;
-		r.weight = home_weight(name, str_c(""), gate->box);
+		r.weight = assign_weight(name, str_c(""), gate->box);
 		if (r.peer == NULL || now >= r.peer->suspect_until)
 			g_array_append_val(order, r);
 	}
@@ -335,15 +335,15 @@
 gate_owner_hash_hubs(struct gate *g)
 {
 	GArray *gates = gates_in_tier(g, g->settings.hall, TIER_ANY);
-	const struct home_gate *gate;
+	const struct assign_gate *gate;
 	const struct gate_peer *p;
 	uint64_t sum = 0;
 	guint i;
 
 	for (i = 0; i < gates->len; i++) {
-		gate = &g_array_index(gates, struct home_gate, i);
+		gate = &g_array_index(gates, struct assign_gate, i);
 		p = gate->data;
-		sum += home_weight(gate->box, str_c(""), gate->box) *
+		sum += assign_weight(gate->box, str_c(""), gate->box) *
 		    (p == NULL ? 1 : p->info.started_ms | 1);
 	}
 	g_array_free(gates, TRUE);
@@ -432,7 +432,7 @@
 		return;
 	p->suspect_until = now + rnd_jitter(g->rnd, SUSPECT_NS);
 	cnt_add(g->cnt, GC_OWNERS_SUSPECTED, 1);
-	slog(SLOG_ROUTE, "a home is left", "box=%.*s why=%s outstanding=%u",
+	slog(SLOG_ROUTE, "owner is suspected", "box=%.*s why=%s outstanding=%u",
 	    STR_ARG(p->info.box), slog_quote(reason), p->outstanding);
 	gate_conf_report_suspect(g, p->info.box);
 	gate_req_owner_lost(g, p);
--- a/gate_req.c
+++ b/gate_req.c
@@ -325,7 +325,7 @@
 	(void)err;
 	g_queue_init(&g->reqs);
 	g->caller_limits = limit_table_new(10000);
-	g->returns = returns_new(RETURNS_MAX);
+	g->refusals = refusals_new(RETURNS_MAX);
 	g->callers_by_kind =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->rule_limits =
--- a/gate_try.c
+++ b/gate_try.c
@@ -115,7 +115,7 @@
 	struct gate_req *r = req_of(d);
 	struct gate_shard *s = ctx;
 
-	slog_decision(SLOG_PICK, "moved, it is too slow there",
+	slog_decision(SLOG_PICK, "attempt stopped as too slow",
 	    "id=%.*s backend=%.*s out_ms=%lld work_ms=%lld",
 	    STR_ARG(r->request_id), STR_ARG(d->backend->name),
 	    (long long)((clk_ns(r->gate->clk) - d->sent_at) / NS_MS),
@@ -163,7 +163,7 @@
 	if (p->outstanding++ == 0)
 		p->last_seen = clk_ns(r->gate->clk);
 	cnt_add(r->gate->cnt, GC_FORWARDED_OUT, 1);
-	slog_decision(SLOG_ROUTE, "passed to its home",
+	slog_decision(SLOG_ROUTE, "forwarded to its owner",
 	    "id=%.*s rule=%.*s service=%.*s box=%.*s hall=%.*s hops=%d "
 	    "tries=%d conf=%llu conf_age_ms=%lld",
 	    STR_ARG(r->request_id), STR_ARG(r->rule), STR_ARG(r->service),
@@ -375,7 +375,7 @@
 	const struct pick_backend *b = r->disp.backend;
 
 	cnt_add(r->gate->cnt, GC_ATTEMPTS_BROKEN, 1);
-	slog_decision(SLOG_PICK, "a try broke off",
+	slog_decision(SLOG_PICK, "connection lost",
 	    "id=%.*s print=" FPRINT_FMT " why=%s service=%.*s backend=%.*s "
 	    "out_ms=%lld beside=%d tries=%d",
 	    STR_ARG(r->request_id), FPRINT_ARG(r->disp.fingerprint),
--- a/libdisp.h
+++ b/libdisp.h
@@ -95,7 +95,7 @@
 /* Sends as many queued requests as possible. */
 void disp_serve_queues(struct disp *);
 
-/* disp_hold.c: queued requests. */
+/* disp_queue.c: queued requests. */
 /* Returns whether the target can be met if the request starts now. */
 bool disp_can_meet_target(const struct disp_req *, int64_t now);
 void disp_enqueue(struct disp *, struct disp_req *);
@@ -167,7 +167,7 @@
  */
 bool disp_roll_is_canary(const struct disp *, const struct pick_backend *);
 
-/* disp_word.c: limits that backend servers reported. */
+/* disp_report.c: limits that backend servers reported. */
 /* Returns how many slots of one count in estimates of the queueing time. */
 double disp_report_slots(const struct disp *, const struct pick_backend *);
 /*
@@ -179,7 +179,7 @@
 /* Returns whether a request that became late is refused, not kept queued. */
 bool disp_report_refuses_late(const struct disp *, const struct disp_req *);
 
-/* disp_peek.c: queries for the load of backend servers. */
+/* disp_query.c: queries for the load of backend servers. */
 bool disp_query_before_send(struct disp *, struct disp_req *, int64_t now);
 bool disp_query_after_gap(
     struct disp *, struct pick_backend *, int64_t gap, int64_t now);
@@ -190,11 +190,12 @@
     int64_t now);
 void disp_query_unresponsive(struct disp *, int64_t now);
 
-/* disp_move.c: slow attempts that are repeated at another backend server. */
+/* disp_reassign.c: slow attempts that are repeated at another backend server.
+ */
 void disp_reassign_slow(struct disp *, int64_t now);
 
 /*
- * disp_pass.c: forwarding to other halls.  disp_forward() and
+ * disp_forward.c: forwarding to other halls.  disp_forward() and
  * disp_forward_to_shorter() return whether they forwarded the request.
  */
 void disp_forward_free(struct disp *);
@@ -214,7 +215,7 @@
 void disp_trial_attempt_done(
     struct disp *, struct disp_req *, struct pick_backend *, enum disp_outcome);
 
-/* disp_doubt.c: detection of crashed backend servers. */
+/* disp_crash.c: detection of crashed backend servers. */
 void disp_crash_attempt_done(
     struct disp *, struct disp_req *, struct pick_backend *, enum disp_outcome);
 void disp_crash_query_done(struct disp *, struct pick_backend *, bool answered);
--- a/libgate.h
+++ b/libgate.h
@@ -25,7 +25,7 @@
 #include "plat.h"
 #include "region.h"
 #include "reload.h"
-#include "returns.h"
+#include "refusal.h"
 #include "route.h"
 #include "sync.h"
 #include "tmr.h"
@@ -218,7 +218,7 @@
 	int64_t reports_sent_at, reports_gossiped_at;
 	struct limit_table *caller_limits;
 	/* Requests that this gate refused as owner of their shards. */
-	struct returns *returns;
+	struct refusals *refusals;
 	/* char * "service/kind" to struct callers *. */
 	GHashTable *callers_by_kind;
 	GHashTable *rule_limits; /* char * name of a rule to struct limit * */
@@ -284,7 +284,7 @@
 gate_conf_shard(struct gate *, const struct route_service *, struct str hall);
 
 /*
- * gate_home.c: which gate owns a shard.  Functions that return an owner return
+ * gate_owner.c: which gate owns a shard.  Functions that return an owner return
  * NULL and set *self if it is this gate.
  */
 struct gate_peer *
@@ -375,14 +375,14 @@
 /* Sends what is known to a hub that is new or has restarted. */
 void gate_poison_send_to(struct gate *, const struct gate_peer *);
 
-/* gate_peek.c: load queries to backend servers. */
+/* gate_query.c: load queries to backend servers. */
 void gate_load_query_start(struct gate_shard *, const struct pick_backend *);
 
-/* gate_word.c: what backend servers report about themselves. */
+/* gate_report.c: what backend servers report about themselves. */
 void gate_report_from_query(
     struct gate_shard *, struct pick_backend *, const struct dial_report *);
 
-/* gate_words.c: exchanges these reports with other gates. */
+/* gate_report_sync.c: exchanges these reports with other gates. */
 /* Stores a report that this gate received, and sends it to others. */
 void gate_reports_add(struct gate *, const struct backend_report *);
 void gate_reports_tick(struct gate *, int64_t now);
--- a/libreq.h
+++ b/libreq.h
@@ -134,7 +134,7 @@
 enum { GATE_FORWARD_MAX = 600 };
 
 /*
- * gate_pass.c: reads and writes the header of a forwarded request.  Reading
+ * gate_forward.c: reads and writes the header of a forwarded request.  Reading
  * returns false if it is malformed; writing returns its length.
  */
 bool gate_forward_read(struct str, struct gate_forward *);
@@ -206,7 +206,7 @@
 /* Forwards the request to its owner. */
 void gate_attempt_forward(struct gate_req *);
 
-/* gate_word.c: what the backend server reports about itself in a response. */
+/* gate_report.c: what the backend server reports about itself in a response. */
 void gate_report_from_response(
     struct gate_req *, int status, const h2o_header_t *, size_t);
 
--- a/returns.c
+++ b/refusal.c
@@ -11,18 +11,18 @@
 #include <glib.h>
 
 #include "clk.h"
-#include "returns.h"
+#include "refusal.h"
 
 /* A refused request. */
 struct refusal {
 	struct fprint fingerprint;
 	int64_t first_sent, refused_at; /* monotonic ns */
-	GList *link; /* in returns.order */
+	GList *link; /* in refusals.order */
 };
 
 enum { MEAN_WEIGHT = 8 }; /* of the past against one sample */
 
-struct returns {
+struct refusals {
 	int64_t mean_wait; /* moving average, ns; 0: none yet */
 	int64_t last_return; /* monotonic ns */
 	GHashTable *refusals; /* by &refusal.fingerprint */
@@ -46,10 +46,10 @@
 	return fprint_eq(*fa, *fb);
 }
 
-struct returns *
-returns_new(unsigned max)
+struct refusals *
+refusals_new(unsigned max)
 {
-	struct returns *r = g_new0(struct returns, 1);
+	struct refusals *r = g_new0(struct refusals, 1);
 
 	r->refusals = g_hash_table_new_full(hash, equal, NULL, g_free);
 	g_queue_init(&r->order);
@@ -58,7 +58,7 @@
 }
 
 void
-returns_free(struct returns *r)
+refusals_free(struct refusals *r)
 {
 	g_hash_table_destroy(r->refusals);
 	g_queue_clear(&r->order);
@@ -66,14 +66,14 @@
 }
 
 static void
-remove_refusal(struct returns *r, struct refusal *e)
+remove_refusal(struct refusals *r, struct refusal *e)
 {
 	g_queue_delete_link(&r->order, e->link);
 	g_hash_table_remove(r->refusals, &e->fingerprint);
 }
 
 void
-returns_record_refusal(struct returns *r, struct fprint fingerprint,
+refusals_record_refusal(struct refusals *r, struct fprint fingerprint,
     int64_t first_sent, int64_t now)
 {
 	struct refusal *e = g_hash_table_lookup(r->refusals, &fingerprint);
@@ -94,23 +94,23 @@
 }
 
 static void
-update_mean(struct returns *r, int64_t waited, int64_t now)
+update_mean(struct refusals *r, int64_t waited, int64_t now)
 {
-	if (r->mean_wait == 0 || now - r->last_return > RETURNS_TTL_NS)
+	if (r->mean_wait == 0 || now - r->last_return > REFUSALS_TTL_NS)
 		r->mean_wait = waited;
 	r->mean_wait += (waited - r->mean_wait) / MEAN_WEIGHT;
 	r->last_return = now;
 }
 
 int64_t
-returns_consume(struct returns *r, struct fprint fingerprint, int64_t now)
+refusals_consume(struct refusals *r, struct fprint fingerprint, int64_t now)
 {
 	struct refusal *e = g_hash_table_lookup(r->refusals, &fingerprint);
 	int64_t first_sent;
 
 	if (e == NULL)
 		return 0;
-	first_sent = now - e->refused_at <= RETURNS_TTL_NS ? e->first_sent : 0;
+	first_sent = now - e->refused_at <= REFUSALS_TTL_NS ? e->first_sent : 0;
 	remove_refusal(r, e);
 	if (first_sent > 0)
 		update_mean(r, now - first_sent, now);
@@ -118,7 +118,7 @@
 }
 
 int64_t
-returns_mean_wait(const struct returns *r, int64_t now)
+refusals_mean_wait(const struct refusals *r, int64_t now)
 {
-	return now - r->last_return <= RETURNS_TTL_NS ? r->mean_wait : 0;
+	return now - r->last_return <= REFUSALS_TTL_NS ? r->mean_wait : 0;
 }
--- a/returns.h
+++ b/refusal.h
@@ -8,8 +8,8 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
-#ifndef RETURNS_H
-#define RETURNS_H
+#ifndef REFUSAL_H
+#define REFUSAL_H
 
 #include <stdint.h>
 
@@ -28,33 +28,33 @@
  * fingerprint shows that it is the same request of the same caller.  In a large
  * fleet a retry usually reaches another box, but the same owner of the shard.
  */
-struct returns;
+struct refusals;
 
 /*
  * Keeps up to `max` requests, the ones refused last.  The caller frees the
- * structure with returns_free().
+ * structure with refusals_free().
  */
-struct returns *returns_new(unsigned max);
-void returns_free(struct returns *);
+struct refusals *refusals_new(unsigned max);
+void refusals_free(struct refusals *);
 
 /* Records a refused request that its caller sent at `first_sent`. */
-void returns_record_refusal(
-    struct returns *, struct fprint, int64_t first_sent, int64_t now);
+void refusals_record_refusal(
+    struct refusals *, struct fprint, int64_t first_sent, int64_t now);
 
 /*
  * Looks up a request that arrives, and removes it.  Returns the time at which
  * it was first sent, monotonic ns, or 0 if it was not refused within
- * RETURNS_TTL_NS.  If it is refused again, it must be recorded again.
+ * REFUSALS_TTL_NS.  If it is refused again, it must be recorded again.
  */
-int64_t returns_consume(struct returns *, struct fprint, int64_t now);
+int64_t refusals_consume(struct refusals *, struct fprint, int64_t now);
 
 /*
  * Returns the mean time in ns that recently retried requests had waited; 0: no
  * recent retry.  It is an estimate for requests that another owner refused.
  */
-int64_t returns_mean_wait(const struct returns *, int64_t now);
+int64_t refusals_mean_wait(const struct refusals *, int64_t now);
 
 /* Callers are expected to retry within this time, if at all. */
-#define RETURNS_TTL_NS (5 * NS_S)
+#define REFUSALS_TTL_NS (5 * NS_S)
 
 #endif
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -588,8 +588,9 @@
 		return first.status != 0;
 	}));
 	EXPECT_EQ(200, first.status);
-	EXPECT_TRUE(until(
-	    [&] { return p.weak_logged("knows what to hold\" backends=0"); }));
+	EXPECT_TRUE(until([&] {
+		return p.weak_logged("configuration scope is set\" backends=0");
+	}));
 	EXPECT_FALSE(p.weak_logged("key=backend/"));
 	for (int i = 0; i < 20; i++)
 		EXPECT_EQ(200, p.ask_weak("/look/1").status);
@@ -631,7 +632,10 @@
 	p.platform.hang(true);
 	p.weak.start();
 	ASSERT_TRUE(until(
-	    [&] { return p.weak_logged("knows what to hold\" backends=0"); },
+	    [&] {
+		    return p.weak_logged(
+			"configuration scope is set\" backends=0");
+	    },
 	    8000));
 	EXPECT_FALSE(p.weak_logged("key=backend/"));
 	p.enter(1, "draining");
--- a/regress/test_crash.cpp
+++ b/regress/test_crash.cpp
@@ -25,10 +25,10 @@
  * backend servers, and "connect" for other requests to the servers that
  * crashed:
  *
- *	a try broke off print=3eac7d9839ae3376 why=cut backend=i-1 tries=1
- *	a try broke off print=3eac7d9839ae3376 why=cut backend=i-2 tries=2
- *	a try broke off print=3eac7d9839ae3376 why=cut backend=i-0 tries=1
- *	a try broke off print=2bdae2a578f402e1 why=connect backend=i-0 tries=2
+ *	connection lost print=3eac7d9839ae3376 why=cut backend=i-1 tries=1
+ *	connection lost print=3eac7d9839ae3376 why=cut backend=i-2 tries=2
+ *	connection lost print=3eac7d9839ae3376 why=cut backend=i-0 tries=1
+ *	connection lost print=2bdae2a578f402e1 why=connect backend=i-0 tries=2
  */
 
 namespace
@@ -220,10 +220,10 @@
  * so it must not be part of the fingerprint. Otherwise each client starts with
  * a new fingerprint:
  *
- *	a try broke off print=a7c9076e4879d549 why=cut backend=i-2 tries=1
- *	a try broke off print=a7c9076e4879d549 why=cut backend=i-3 tries=2
- *	a try broke off print=93917993291e6218 why=cut backend=i-5 tries=1
- *	a try broke off print=93917993291e6218 why=cut backend=i-0 tries=2
+ *	connection lost print=a7c9076e4879d549 why=cut backend=i-2 tries=1
+ *	connection lost print=a7c9076e4879d549 why=cut backend=i-3 tries=2
+ *	connection lost print=93917993291e6218 why=cut backend=i-5 tries=1
+ *	connection lost print=93917993291e6218 why=cut backend=i-0 tries=2
  */
 TEST(Crash, ItMayComeFromSeveralCallers)
 {
--- a/regress/test_gossip.cpp
+++ b/regress/test_gossip.cpp
@@ -26,7 +26,7 @@
 
 extern "C" {
 #include "gossip.h"
-#include "home.h"
+#include "assign.h"
 #include "msg.h"
 #include "spread.h"
 }
@@ -431,15 +431,15 @@
 	std::map<std::string, std::string> assign_owners(
 	    const std::string &hall, const std::vector<std::string> &hubs)
 	{
-		std::vector<struct home_service> s;
-		std::vector<struct home_gate> gates;
+		std::vector<struct assign_service> s;
+		std::vector<struct assign_gate> gates;
 		std::map<std::string, std::string> out;
 
 		for (auto &name : services)
 			s.push_back({view(name), nullptr});
 		for (auto &name : hubs)
 			gates.push_back({view(name), 0, nullptr});
-		home_assign(
+		::assign_owners(
 		    view(hall), s.data(), s.size(), gates.data(), gates.size());
 		for (auto &one : s)
 			out[std::string(one.name.p, one.name.n)] =
@@ -861,7 +861,7 @@
 namespace
 {
 
-/* Services and gates of a hall, for the tests of home_assign(). */
+/* Services and gates of a hall, for the tests of assign_owners(). */
 struct Assignment {
 	std::vector<std::string> names, boxes;
 
@@ -876,15 +876,16 @@
 	std::map<std::string, std::string>
 	assign_owners(const std::string &hall) const
 	{
-		std::vector<struct home_service> s;
-		std::vector<struct home_gate> g;
+		std::vector<struct assign_service> s;
+		std::vector<struct assign_gate> g;
 		std::map<std::string, std::string> out;
 
 		for (auto &n : names)
 			s.push_back({view(n), nullptr});
 		for (auto &b : boxes)
 			g.push_back({view(b), 0, nullptr});
-		home_assign(view(hall), s.data(), s.size(), g.data(), g.size());
+		::assign_owners(
+		    view(hall), s.data(), s.size(), g.data(), g.size());
 		for (auto &one : s)
 			out[std::string(one.name.p, one.name.n)] =
 			    std::string(one.gate->box.p, one.gate->box.n);
--- a/regress/test_word.cpp
+++ b/regress/test_report.cpp
@@ -19,7 +19,7 @@
 
 extern "C" {
 #include "quota.h"
-#include "word.h"
+#include "report.h"
 }
 
 /*
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -20,7 +20,7 @@
 #include <vector>
 
 extern "C" {
-#include "returns.h"
+#include "refusal.h"
 #include "fprint.h"
 #include "chart.h"
 #include "doc.h"
@@ -971,38 +971,38 @@
  */
 TEST(Returns, ARefusedRequestIsRecognisedUntilItExpires)
 {
-	struct returns *r = returns_new(3);
+	struct refusals *r = refusals_new(3);
 	struct fprint a = {1, 2, 3}, other_caller = {1, 2, 4};
 	int64_t t = 100 * NS_S;
 
-	EXPECT_EQ(0, returns_consume(r, a, t));
-	returns_record_refusal(r, a, t, t + NS_MS);
-	EXPECT_EQ(0, returns_consume(r, other_caller, t + 2 * NS_MS));
-	EXPECT_EQ(t, returns_consume(r, a, t + 60 * NS_MS));
-	EXPECT_EQ(0, returns_consume(r, a, t + 60 * NS_MS));
-	EXPECT_EQ(60 * NS_MS, returns_mean_wait(r, t + 60 * NS_MS));
+	EXPECT_EQ(0, refusals_consume(r, a, t));
+	refusals_record_refusal(r, a, t, t + NS_MS);
+	EXPECT_EQ(0, refusals_consume(r, other_caller, t + 2 * NS_MS));
+	EXPECT_EQ(t, refusals_consume(r, a, t + 60 * NS_MS));
+	EXPECT_EQ(0, refusals_consume(r, a, t + 60 * NS_MS));
+	EXPECT_EQ(60 * NS_MS, refusals_mean_wait(r, t + 60 * NS_MS));
 	/* After a second refusal the wait counts from the first arrival. */
-	returns_record_refusal(r, a, t, t + 61 * NS_MS);
-	EXPECT_EQ(t, returns_consume(r, a, t + 120 * NS_MS));
-	EXPECT_GT(returns_mean_wait(r, t + 120 * NS_MS), 60 * NS_MS);
-	returns_record_refusal(r, a, t, t + 121 * NS_MS);
+	refusals_record_refusal(r, a, t, t + 61 * NS_MS);
+	EXPECT_EQ(t, refusals_consume(r, a, t + 120 * NS_MS));
+	EXPECT_GT(refusals_mean_wait(r, t + 120 * NS_MS), 60 * NS_MS);
+	refusals_record_refusal(r, a, t, t + 121 * NS_MS);
 	EXPECT_EQ(
-	    0, returns_consume(r, a, t + 121 * NS_MS + RETURNS_TTL_NS + 1));
-	EXPECT_EQ(0, returns_mean_wait(r, t + 60 * NS_S));
-	returns_free(r);
+	    0, refusals_consume(r, a, t + 121 * NS_MS + REFUSALS_TTL_NS + 1));
+	EXPECT_EQ(0, refusals_mean_wait(r, t + 60 * NS_S));
+	refusals_free(r);
 }
 
 TEST(Returns, NoMoreAreKeptThanTheCapacity)
 {
-	struct returns *r = returns_new(3);
+	struct refusals *r = refusals_new(3);
 	struct fprint none = {};
 
 	for (uint64_t i = 1; i <= 10; i++)
-		returns_record_refusal(r, {i, i, i}, NS_S, NS_S);
-	returns_record_refusal(r, none, NS_S, NS_S);
+		refusals_record_refusal(r, {i, i, i}, NS_S, NS_S);
+	refusals_record_refusal(r, none, NS_S, NS_S);
 	for (uint64_t i = 1; i <= 10; i++)
 		EXPECT_EQ(
-		    i > 7 ? NS_S : 0, returns_consume(r, {i, i, i}, 2 * NS_S))
+		    i > 7 ? NS_S : 0, refusals_consume(r, {i, i, i}, 2 * NS_S))
 		    << i;
-	returns_free(r);
+	refusals_free(r);
 }
--- a/word.c
+++ b/report.c
@@ -11,7 +11,7 @@
 #include <glib.h>
 
 #include "clk.h"
-#include "word.h"
+#include "report.h"
 
 /*
  * Time that a report is kept after its rate was received.  By then a leaving
--- a/word.h
+++ b/report.h
@@ -8,8 +8,8 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
-#ifndef WORD_H
-#define WORD_H
+#ifndef REPORT_H
+#define REPORT_H
 
 #include <stdbool.h>
 #include <stdint.h>
