--- a/conf.c
+++ b/conf.c
@@ -13,6 +13,7 @@
 
 #include "conf.h"
 #include "err.h"
+#include "takeover.h"
 
 enum { BUCKETS_PER_PART = CONF_BUCKETS / CONF_PARTS };
 
@@ -268,6 +269,8 @@
 	e->obj = obj;
 	e->version = version;
 	e->deleted = deleted;
+	e->existed =
+	    takeover_existed(c->floors[conf_part_of(e->kind)], deleted);
 	e->source = str_dup(source);
 	if (e->rejected_version <= version)
 		clear_rejected(e);
--- a/conf.h
+++ b/conf.h
@@ -48,6 +48,8 @@
 	struct str name; /* points into `key` */
 	uint64_t version; /* in force; 0: none yet */
 	bool deleted;
+	/* Came into force before a complete list of its part was known. */
+	bool existed;
 	json_t *spec; /* of the version in force; NULL if deleted */
 	struct obj *obj; /* parsed `spec`; NULL if deleted */
 	uint64_t rejected_version; /* rejected version; 0: none */
--- a/disp.h
+++ b/disp.h
@@ -154,6 +154,8 @@
 	struct str hall; /* of the shard; must outlive the dispatcher */
 	struct roll *rollout; /* of the service; NULL: none */
 	double rate; /* limit of the shard, requests per second; 0: none */
+	/* Wall time of the gate's first complete configuration; 0: unknown. */
+	int64_t configured_ms;
 };
 
 /* A backend server as the configuration describes it. */
@@ -166,6 +168,7 @@
 	int64_t slow_start_ns; /* duration of its slow start */
 	int64_t started_ms; /* start time, ms since 1970; 0: unknown */
 	bool is_new_version; /* of the new version of a roll-out */
+	bool existed; /* before the gate's first complete configuration */
 };
 
 /*
--- a/disp_set.c
+++ b/disp_set.c
@@ -11,6 +11,7 @@
 #include <math.h>
 
 #include "libdisp.h"
+#include "takeover.h"
 
 /*
  * The backend servers of the shard, with what the configuration, health probes
@@ -106,16 +107,21 @@
 }
 
 /*
- * Adds or updates a backend server.  `assume_up` is set for servers that
- * probably served requests before this dispatcher learned of them.
+ * Adds or updates a backend server.  `first_list` is set if the dispatcher had
+ * none before.
  */
 static void
-update(struct disp *d, const struct disp_backend_conf *conf, bool assume_up)
+update(struct disp *d, const struct disp_backend_conf *conf, bool first_list)
 {
 	struct pick_backend *b = disp_find_backend(d, conf->name);
+	struct takeover_facts facts = {d->params.policy->latency_aware,
+	    conf->existed ||
+		takeover_started_before(
+		    conf->started_ms, d->params.configured_ms),
+	    first_list, b != NULL && is_new_instance(b, conf)};
 	bool added;
 
-	if (b != NULL && is_new_instance(b, conf)) {
+	if (facts.restarted) {
 		b->removed = true;
 		b = NULL;
 	}
@@ -125,7 +131,7 @@
 		b->name = str_dup(conf->name);
 		b->address = str_dup(conf->address);
 		b->state = (enum pick_state)chart_start(d->params.chart);
-		if (assume_up)
+		if (takeover_presumes_up(&facts))
 			b->state = PICK_UP;
 		b->last_response_at = clk_ns(d->clk);
 		b->cold_limit = &d->params.cold;
@@ -156,16 +162,10 @@
 	return false;
 }
 
-/*
- * The first list of a gate that has just become the shard's owner does not show
- * when its backend servers started.  If they started in the chart's state for
- * cold servers, each would get one request at a time while all requests that
- * arrived during an outage wait.
- */
 void
 disp_set_backends(struct disp *d, const struct disp_backend_conf *v, unsigned n)
 {
-	bool first = d->backends->len == 0 && d->params.policy->latency_aware;
+	bool first_list = d->backends->len == 0;
 	struct pick_backend *b;
 	unsigned i;
 
@@ -175,7 +175,7 @@
 			b->removed = true;
 	}
 	for (i = 0; i < n; i++)
-		update(d, &v[i], first);
+		update(d, &v[i], first_list);
 	disp_roll_update(d);
 	disp_free_removed(d);
 	disp_conc_update_limits(d, clk_ns(d->clk));
--- a/gate_box.c
+++ b/gate_box.c
@@ -75,6 +75,7 @@
 		slog(SLOG_GATE, "ready", "objects=%zu conf=%llu",
 		    conf_count(g->conf),
 		    (unsigned long long)route_version(g->routes));
+		g->configured_ms = clk_wall_ms(g->clk);
 		gate_early_admit(g);
 		break;
 	case BOX_LEAVING:
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -296,6 +296,7 @@
 	    .poison = g->poison,
 	    .reports = g->reports,
 	    .hall = s->hall,
+	    .configured_ms = g->configured_ms,
 	};
 	struct str other_hall;
 	unsigned i;
--- a/libgate.h
+++ b/libgate.h
@@ -237,6 +237,8 @@
 	uint64_t rate_owners_hash;
 	GQueue reqs; /* struct gate_req *, all that are not disposed of */
 	uint64_t started_ms, last_seq;
+	/* Wall time of the first complete configuration; 0: none yet. */
+	int64_t configured_ms;
 	int64_t last_tick, last_forwarded_in, leaving_since;
 	unsigned live_boxes; /* gates that are alive, including this one */
 	enum box_state state;
--- a/route.c
+++ b/route.c
@@ -18,6 +18,7 @@
 	GPtrArray *services; /* struct route_service * */
 	GPtrArray *rules; /* struct route_rule *, in order of matching */
 	GPtrArray *backends; /* struct obj *, sorted by name */
+	GHashTable *existed; /* struct obj *: takeover.h */
 	GPtrArray *evacuations; /* struct obj *, named after halls */
 	GPtrArray *rollouts; /* struct obj *, named after services */
 	GPtrArray *objects; /* struct obj *, references held by the table */
@@ -75,6 +76,8 @@
 	if (e->obj == NULL)
 		return;
 	g_ptr_array_add(t->objects, obj_ref(e->obj));
+	if (e->existed)
+		g_hash_table_add(t->existed, e->obj);
 	collect_obj(t, e->obj);
 }
 
@@ -224,7 +227,8 @@
 			.evacuated = h->evacuated,
 			.slow_start_ns = b->slow_start_ms * NS_MS,
 			.started_ms = b->started_ms,
-			.is_new_version = has_new_version(s, b)};
+			.is_new_version = has_new_version(s, b),
+			.existed = g_hash_table_contains(t->existed, o)};
 		s->has_new_version =
 		    s->has_new_version || has_new_version(s, b);
 		if (b->drain || h->evacuated)
@@ -268,6 +272,7 @@
 	t->services = g_ptr_array_new_with_free_func(service_free);
 	t->rules = g_ptr_array_new_with_free_func(rule_free);
 	t->backends = g_ptr_array_new();
+	t->existed = g_hash_table_new(NULL, NULL);
 	t->evacuations = g_ptr_array_new();
 	t->rollouts = g_ptr_array_new();
 	t->customers = customers_new();
@@ -290,6 +295,7 @@
 	g_ptr_array_free(t->services, TRUE);
 	g_ptr_array_free(t->rules, TRUE);
 	g_ptr_array_free(t->backends, TRUE);
+	g_hash_table_destroy(t->existed);
 	g_ptr_array_free(t->evacuations, TRUE);
 	g_ptr_array_free(t->rollouts, TRUE);
 	customers_free(t->customers);
