--- a/conc.c
+++ b/conc.c
@@ -84,6 +84,15 @@
 	s->updated_at = now;
 }
 
+void
+conc_set_step(
+    struct conc *c, unsigned step, double mean, unsigned samples, int64_t now)
+{
+	samples = MIN(samples, MAX_WEIGHT);
+	c->steps[step % CONC_STEPS] =
+	    (struct conc_step){mean, samples, samples, now};
+}
+
 /* Returns the mean of all samples up to a step; 0: none. */
 static double
 mean_time(const struct conc *c, int last)
--- a/conc.h
+++ b/conc.h
@@ -42,6 +42,10 @@
 void conc_add_sample(
     struct conc *, int concurrent, int slots, double time, int64_t now);
 
+/* Sets the samples of one step that another owner measured until now. */
+void conc_set_step(
+    struct conc *, unsigned step, double mean, unsigned samples, int64_t now);
+
 /* Returns the service time without slowdown by other requests; 0: unknown. */
 double conc_base_time(const struct conc *);
 
--- a/disp.c
+++ b/disp.c
@@ -162,6 +162,8 @@
 {
 	int64_t now = clk_ns(d->clk);
 
+	if (d->sending_since == 0)
+		d->sending_since = now;
 	b->inflight++;
 	b->inflight_bulk += r->cls == CLASS_BULK;
 	b->sent_count++;
@@ -216,6 +218,8 @@
 
 	if (r->previously_refused)
 		d->last_return_at = now;
+	if (disp_state_pass_on(d, r))
+		return;
 	if (!admit(d, r) || disp_trial_submit(d, r))
 		return;
 	disp_roll_update_if_changed(d);
@@ -250,7 +254,7 @@
 	if (item == NULL)
 		return false;
 	r = item->data;
-	if (disp_trial_intercept(d, r))
+	if (disp_state_pass_on(d, r) || disp_trial_intercept(d, r))
 		return true;
 	if (disp_query_before_send(d, r, clk_ns(d->clk)))
 		return false;
@@ -448,6 +452,7 @@
 		disp_conc_update_limits(d, now);
 	disp_cold_query(d, now);
 	disp_query_unresponsive(d, now);
+	disp_state_tick(d, now);
 	disp_separate_late(d);
 	for (i = 0; i < QUEUE_COUNT; i++)
 		disp_expire(d, i, now);
--- a/disp_conc.c
+++ b/disp_conc.c
@@ -29,7 +29,7 @@
 void
 disp_conc_attempt_sent(const struct disp *d, struct disp_req *r)
 {
-	r->concurrent = r->backend->inflight - 1;
+	r->concurrent = r->backend->inflight + r->backend->inherited - 1;
 	r->slowdown = conc_slowdown(&d->conc, r->concurrent, r->backend->slots);
 }
 
--- a/disp_set.c
+++ b/disp_set.c
@@ -257,6 +257,7 @@
 	b->reported_waiting = waiting;
 	b->reported_latency_percent = percent;
 	b->reported_at = clk_ns(d->clk);
+	disp_state_load_reported(d, b, 1);
 }
 
 void
@@ -275,12 +276,14 @@
 	}
 	if (answered && !b->reports_no_load) {
 		disp_load_reported(d, b, running, waiting, percent);
+		disp_state_load_reported(d, b, 0);
 	} else if (!answered) {
 		b->unanswered_queries++;
 		disp_cold_suspect(d, b, 0);
 	}
 	disp_crash_query_done(d, b, answered);
 	disp_cold_query(d, clk_ns(d->clk));
+	disp_state_tick(d, clk_ns(d->clk));
 	if (d->params.policy->latency_aware)
 		disp_reassign_slow(d, clk_ns(d->clk));
 	disp_serve_queues(d);
--- a/disp_trial.c
+++ b/disp_trial.c
@@ -178,11 +178,12 @@
 	guint i;
 	int chosen;
 
-	if (d->trial_reserved != NULL && d->trial_reserved->inflight == 0)
+	if (d->trial_reserved != NULL && d->trial_reserved->inflight == 0 &&
+	    d->trial_reserved->inherited == 0)
 		release_reserved(d);
 	for (i = 0; i < d->backends->len; i++) {
 		b = g_ptr_array_index(d->backends, i);
-		if (b->inflight == 0)
+		if (b->inflight == 0 && b->inherited == 0)
 			g_ptr_array_add(idle, b);
 	}
 	set.v = (struct pick_backend **)idle->pdata;
--- a/disp_work.c
+++ b/disp_work.c
@@ -9,6 +9,7 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include "libdisp.h"
+#include "disp_state.h"
 #include "pace.h"
 
 /*
@@ -158,3 +159,44 @@
 	conc_add_sample(&stats->times, r->concurrent, b->slots, ns, now);
 	learn_mean(&d->mean_service_time, ns);
 }
+
+void
+disp_work_import_ratio(struct pick_backend *b, double ratio)
+{
+	if (b->service_time_ratio == 0 && ratio > 0)
+		b->service_time_ratio = CLAMP(ratio, RATIO_MIN, RATIO_MAX);
+}
+
+/* Returns whether the service time of a kind is unknown here. */
+static bool
+is_unknown(const struct disp *d, unsigned kind)
+{
+	return disp_work_estimate(d, kind) == 0;
+}
+
+/*
+ * Kinds that this owner has measured itself are kept: its own samples are
+ * newer.
+ */
+void
+disp_work_import(struct disp *d, const struct disp_state *in, int64_t now)
+{
+	GArray *unknown = g_array_new(FALSE, FALSE, sizeof(bool));
+	const struct disp_work_state *w;
+	bool add;
+	unsigned i;
+
+	for (i = 0; i < in->nwork; i++) {
+		add = is_unknown(d, in->work[i].kind);
+		g_array_append_val(unknown, add);
+	}
+	for (i = 0; i < in->nwork; i++) {
+		w = &in->work[i];
+		if (g_array_index(unknown, bool, i) && w->step < CONC_STEPS)
+			conc_set_step(&find_or_add(d, w->kind)->times, w->step,
+			    w->mean_time, w->samples, now);
+	}
+	g_array_free(unknown, TRUE);
+	if (d->mean_service_time == 0)
+		d->mean_service_time = in->mean_service_time;
+}
--- a/gate_box.c
+++ b/gate_box.c
@@ -81,6 +81,8 @@
 	case BOX_LEAVING:
 		slog(SLOG_GATE, "leaves", "requests=%u", gate_req_count(g));
 		g->leaving_since = clk_ns(g->clk);
+		/* This gate does not own any shard from now on. */
+		gate_conf_update_owners(g);
 		hsrv_shutdown(g->caller_server);
 		break;
 	case BOX_CLOSING:
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -403,14 +403,19 @@
 void
 gate_conf_update_owners(struct gate *g)
 {
+	struct gate_shard *s;
 	GHashTableIter it;
 	gpointer value;
 
 	gate_owner_assign(g);
 	g_hash_table_iter_init(&it, g->shards);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		((struct gate_shard *)value)->is_owner = false;
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		s = value;
+		s->was_owner = s->is_owner;
+		s->is_owner = false;
+	}
 	route_each(g->routes, open_owned_shards, g);
+	gate_handover_update(g);
 	gate_rate_update_owned(g);
 }
 
@@ -516,6 +521,10 @@
 		gate_owner_mark_alive(g, m->from);
 		gate_rate_on_grant(g, &m->u.rate_grant);
 		break;
+	case MSG_SHARD_STATE:
+		gate_owner_mark_alive(g, m->from);
+		gate_handover_receive(g, m->from, &m->u.shard_state);
+		break;
 	case MSG_PING:
 	case MSG_PONG:
 		gate_owner_mark_alive(g, m->from);
--- a/gate_req.c
+++ b/gate_req.c
@@ -194,8 +194,8 @@
 	}
 	r->owner = NULL;
 	r->shard = gate_conf_shard(g, svc, hall);
-	r->disp.can_forward =
-	    r->hops < HOPS_MAX && g->settings.route == ROUTE_HOME;
+	r->disp.can_forward = r->hops < HOPS_MAX && r->forwards <= HOPS_MAX &&
+	    g->settings.route == ROUTE_HOME;
 	gate_admit_set_waited(r);
 	disp_submit(r->shard->disp, &r->disp);
 }
--- a/libdisp.h
+++ b/libdisp.h
@@ -78,6 +78,10 @@
 	guint query_next; /* index of the next one for round-robin queries */
 	/* What the roll-out allows, as the backend servers are marked. */
 	bool new_allowed, old_allowed, prefer_new;
+	/* Members of disp_state.c. */
+	bool handed_over; /* another gate owns the shard now */
+	int64_t inherited_until; /* latest use of `inherited`; 0: none */
+	int64_t sending_since; /* first request sent as owner; 0: none */
 	bool serving; /* disp_serve_queues() is running */
 	bool serve_again; /* and has to repeat its loop */
 };
@@ -144,6 +148,23 @@
 void disp_work_learn(
     struct disp *, const struct disp_req *, struct pick_backend *, int64_t now);
 
+struct disp_state;
+/* Applies the service times that a former owner measured, unless known. */
+void disp_work_import(struct disp *, const struct disp_state *, int64_t now);
+void disp_work_import_ratio(struct pick_backend *, double ratio);
+
+/* disp_state.c: state that one owner hands over to the next. */
+/* Queries servers that run requests of the former owner, or forgets these. */
+void disp_state_tick(struct disp *, int64_t now);
+/*
+ * Updates the number of such requests from a load report, which came with the
+ * response to a request that is still counted in flight (`ended` 1), or to a
+ * load query (0).
+ */
+void disp_state_load_reported(struct disp *, struct pick_backend *, int ended);
+/* Forwards the request if the shard was handed over and that is possible. */
+bool disp_state_pass_on(struct disp *, struct disp_req *);
+
 /* disp_conc.c: concurrency limits of the backend servers. */
 void disp_conc_attempt_sent(const struct disp *, struct disp_req *);
 void disp_conc_update_limits(struct disp *, int64_t now);
--- a/libgate.h
+++ b/libgate.h
@@ -107,6 +107,9 @@
 	GC_CLAIMS,
 	GC_CLAIM_CALLS,
 	GC_DUPLICATES,
+	GC_STATES_SENT,
+	GC_STATES_RECEIVED,
+	GC_STATES_IGNORED,
 	GC_OWNERS_SUSPECTED,
 	GC_BOXES,
 	GC_INFLIGHT,
@@ -134,6 +137,8 @@
 	int64_t ping_sent;
 	unsigned outstanding; /* requests forwarded to it and not finished */
 	bool listed; /* it is in the agent's latest member list */
+	/* Start and number of the last state of a shard that it sent. */
+	uint64_t state_started_ms, state_seq;
 };
 
 /*
@@ -150,6 +155,9 @@
 	struct disp_capacity sent_capacity;
 	int64_t capacity_sent_at;
 	bool is_owner; /* this gate considers itself the owner */
+	bool was_owner; /* before the last assignment of owners */
+	/* When the state of the former owner came, monotonic ns; 0: never. */
+	int64_t state_received_at;
 	/* The members below are used only by gate_roll.c. */
 	struct roll *rollout; /* roll-out of the service; NULL: none */
 	enum roll_state roll_logged_state; /* state that was logged last */
@@ -237,6 +245,7 @@
 	uint64_t rate_owners_hash;
 	GQueue reqs; /* struct gate_req *, all that are not disposed of */
 	uint64_t started_ms, last_seq;
+	uint64_t states_sent; /* number of the last MSG_SHARD_STATE */
 	/* Wall time of the first complete configuration; 0: none yet. */
 	int64_t configured_ms;
 	int64_t last_tick, last_forwarded_in, leaving_since;
@@ -405,6 +414,16 @@
 /* Applies the report of another owner. */
 void gate_roll_merge(struct gate *, const struct msg_rollout *);
 
+/* gate_handover.c: the state of a shard, from one owner to the next. */
+/*
+ * Owners have been assigned anew: hands over the shards that this gate owned
+ * before, and starts those that it owns now.
+ */
+void gate_handover_update(struct gate *);
+/* Applies the state that the former owner of a shard sent. */
+void gate_handover_receive(
+    struct gate *, struct str from, const struct msg_shard_state *);
+
 /* gate_rate.c: rate limits of customers, each counted at one gate. */
 void gate_rate_open(struct gate *);
 /* Hubs or customers may have changed. */
--- a/limit.c
+++ b/limit.c
@@ -185,3 +185,28 @@
 {
 	b->tokens -= 1;
 }
+
+double
+retry_budget_split(struct retry_budget *b)
+{
+	double half;
+
+	budget_init(b);
+	half = MAX(b->tokens, 0) / 2;
+	b->tokens -= half;
+	return half;
+}
+
+void
+retry_budget_set(struct retry_budget *b, double tokens)
+{
+	b->initialized = true;
+	b->tokens = CLAMP(tokens, 0, budget_max(b));
+}
+
+void
+retry_budget_halve_initial(struct retry_budget *b)
+{
+	budget_init(b);
+	b->tokens = MIN(b->tokens, budget_max(b) * BUDGET_INITIAL_SHARE / 2);
+}
--- a/limit.h
+++ b/limit.h
@@ -85,5 +85,11 @@
  */
 bool retry_budget_above_reserve(struct retry_budget *);
 void retry_budget_withdraw(struct retry_budget *);
+/* Takes half of the tokens out of the budget, and returns their number. */
+double retry_budget_split(struct retry_budget *);
+/* Sets the number of tokens, within the size of the budget. */
+void retry_budget_set(struct retry_budget *, double tokens);
+/* Reduces the tokens to half of the number that a new budget has. */
+void retry_budget_halve_initial(struct retry_budget *);
 
 #endif
--- a/msg.c
+++ b/msg.c
@@ -171,6 +171,25 @@
     BOOL(msg_rate_query, is_retry)};
 static const struct msg_field rate_grant_fields[] = {U64(msg_rate_grant, seq),
     BOOL(msg_rate_grant, granted), U64(msg_rate_grant, wait_us)};
+static const struct msg_field server_state_fields[] = {
+    STR(msg_server_state, name), U64(msg_server_state, started_ms),
+    U64(msg_server_state, inflight), U64(msg_server_state, state),
+    U64(msg_server_state, eject_ms), U64(msg_server_state, cold_ms),
+    U64(msg_server_state, pause_ms), BOOL(msg_server_state, cold_reported),
+    U64(msg_server_state, ratio_milli)};
+static const struct layout server_state_layout =
+    LAYOUT(msg_server_state, server_state_fields);
+static const struct msg_field work_state_fields[] = {U64(msg_work_state, kind),
+    U64(msg_work_state, step), U64(msg_work_state, mean_us),
+    U64(msg_work_state, samples)};
+static const struct layout work_state_layout =
+    LAYOUT(msg_work_state, work_state_fields);
+static const struct msg_field shard_state_fields[] = {
+    STR(msg_shard_state, service), STR(msg_shard_state, hall),
+    U64(msg_shard_state, started_ms), U64(msg_shard_state, seq),
+    U64(msg_shard_state, retry_milli), U64(msg_shard_state, mean_us),
+    LIST(msg_shard_state, servers, server_state_layout),
+    LIST(msg_shard_state, work, work_state_layout)};
 static const struct msg_field ping_fields[] = {U64(msg_ping, nonce)};
 static const struct msg_field deflated_fields[] = {
     U64(msg_deflated, size), STR(msg_deflated, data)};
@@ -194,6 +213,7 @@
     [MSG_ROLLOUT] = LAYOUT(msg_rollout, rollout_fields),
     [MSG_RATE_QUERY] = LAYOUT(msg_rate_query, rate_query_fields),
     [MSG_RATE_GRANT] = LAYOUT(msg_rate_grant, rate_grant_fields),
+    [MSG_SHARD_STATE] = LAYOUT(msg_shard_state, shard_state_fields),
 };
 
 const char *
--- a/msg.h
+++ b/msg.h
@@ -45,6 +45,7 @@
 	MSG_ROLLOUT, /* owner to owner of a service: state of a roll-out */
 	MSG_RATE_QUERY, /* gate to gate: does a rate limit allow a request? */
 	MSG_RATE_GRANT, /* its reply */
+	MSG_SHARD_STATE, /* owner of a shard to the next one: its state */
 	MSG_KIND_MAX
 };
 
@@ -216,6 +217,34 @@
 	uint64_t wait_us; /* delay of the request, or until the next query */
 };
 
+/* struct disp_server_state, in ms and thousandths. */
+struct msg_server_state {
+	struct str name;
+	uint64_t started_ms; /* its start, ms since 1970; 0: unknown */
+	uint64_t inflight;
+	uint64_t state; /* enum pick_state */
+	uint64_t eject_ms, cold_ms, pause_ms; /* remaining; 0: none */
+	bool cold_reported;
+	uint64_t ratio_milli;
+};
+
+/* struct disp_work_state. */
+struct msg_work_state {
+	uint64_t kind, step, mean_us, samples;
+};
+
+/* The state of a shard for its next owner; sent once for each move. */
+struct msg_shard_state {
+	struct str service;
+	struct str hall;
+	uint64_t started_ms; /* start of the sending gate */
+	uint64_t seq; /* of its messages of this kind, from 1 */
+	uint64_t retry_milli; /* tokens of the retry budget, thousandths */
+	uint64_t mean_us; /* mean service time; 0: unknown */
+	struct msg_list servers; /* struct msg_server_state */
+	struct msg_list work; /* struct msg_work_state */
+};
+
 struct msg_ping {
 	uint64_t nonce;
 };
@@ -246,6 +275,7 @@
 		struct msg_rollout rollout;
 		struct msg_rate_query rate_query;
 		struct msg_rate_grant rate_grant;
+		struct msg_shard_state shard_state;
 		struct msg_deflated deflated;
 	} u;
 	msgpack_unpacked raw; /* owns the decoded objects */
--- a/pick.c
+++ b/pick.c
@@ -115,8 +115,8 @@
 		return 0;
 	if (b->state == PICK_COLD || b->state == PICK_TRIAL)
 		slots = 1;
-	return MIN(
-	    MAX(slots - b->inflight, 0), quota_available(&b->quota, now));
+	return MIN(MAX(slots - b->inflight - b->inherited, 0),
+	    quota_available(&b->quota, now));
 }
 
 void
--- a/pick.h
+++ b/pick.h
@@ -70,6 +70,8 @@
 	bool malformed_report; /* it sent a report that could not be parsed */
 	int inflight; /* sent and not finished */
 	int inflight_bulk; /* of these, class bulk */
+	/* In flight, sent by the former owner of the shard: disp_state.h. */
+	int inherited;
 	enum pick_state state;
 	bool drain_configured; /* its object says that it drains */
 	bool evacuated; /* its hall must get no new requests */
--- a/takeover.c
+++ b/takeover.c
@@ -8,8 +8,16 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
+#include "clk.h"
 #include "takeover.h"
 
+/*
+ * An owner that has sent requests for so long has observed more itself than the
+ * state of its predecessor can tell, of which the requests in flight would not
+ * be used for longer than this either.
+ */
+#define STATE_USEFUL_NS (1 * NS_S)
+
 /*
  * A gate builds its shards from what it has received so far.  The list of
  * servers may arrive in parts: it is relayed by other boxes in messages of at
@@ -50,3 +58,17 @@
 	return facts->latency_aware && !facts->restarted &&
 	    (facts->existed || facts->first_list);
 }
+
+enum takeover_refusal
+takeover_check_state(const struct takeover_state_facts *facts)
+{
+	if (!facts->known_sender)
+		return TAKEOVER_UNKNOWN_SENDER;
+	if (facts->started_ms < facts->last_started_ms ||
+	    (facts->started_ms == facts->last_started_ms &&
+		facts->seq <= facts->last_seq))
+		return TAKEOVER_REPEATED;
+	if (facts->is_owner && facts->sending_ns > STATE_USEFUL_NS)
+		return TAKEOVER_TOO_LATE;
+	return TAKEOVER_USED;
+}
--- a/takeover.h
+++ b/takeover.h
@@ -54,4 +54,25 @@
  */
 bool takeover_presumes_up(const struct takeover_facts *);
 
+/* What is known of a message with the state of a shard. */
+struct takeover_state_facts {
+	bool known_sender; /* it is the gate of a box in the member list */
+	/* Start and number of the message, and of the last one of this box. */
+	uint64_t started_ms, seq, last_started_ms, last_seq;
+	bool is_owner; /* by the member list; it may not be up to date */
+	/* Time since the first request sent as owner, ns; -1: none was sent. */
+	int64_t sending_ns;
+};
+
+/* Why a message with the state of a shard is not used. */
+enum takeover_refusal {
+	TAKEOVER_USED,
+	TAKEOVER_UNKNOWN_SENDER,
+	TAKEOVER_REPEATED,
+	TAKEOVER_TOO_LATE,
+	TAKEOVER_REFUSAL_MAX
+};
+
+enum takeover_refusal takeover_check_state(const struct takeover_state_facts *);
+
 #endif
