--- a/pick.c
+++ b/pick.c
@@ -98,9 +98,21 @@
 }
 
 /*
- * A server that warms up or is in trial after an ejection gets one request at a
- * time.  One that reported a rate limit gets no more than that, even if it
- * answers all requests, as it may still fall behind.
+ * Returns how many requests a server that warms up may have.  The number
+ * doubles with each success in the first warm-up: with one at a time, a third
+ * of the servers that are replaced in a surge would take several seconds to
+ * serve with all slots.
+ */
+static int
+warm_up_slots(const struct pick_backend *b, int slots)
+{
+	return b->warm_at == 0 ? 1 : MIN(slots, 1 << b->consecutive_good);
+}
+
+/*
+ * A server in trial after an ejection gets one request at a time, and one that
+ * warms up only a few.  One that reported a rate limit gets no more than that,
+ * even if it answers all requests, as it may still fall behind.
  */
 int
 pick_free_slots(const struct pick_backend *b, int64_t now)
@@ -113,8 +125,10 @@
 	    (b->cold_limit != NULL &&
 		!cold_can_send(&b->cold, b->cold_limit, now)))
 		return 0;
-	if (b->state == PICK_COLD || b->state == PICK_TRIAL)
+	if (b->state == PICK_TRIAL)
 		slots = 1;
+	else if (b->state == PICK_COLD)
+		slots = warm_up_slots(b, slots);
 	return MIN(MAX(slots - b->inflight - b->inherited, 0),
 	    quota_available(&b->quota, now));
 }
@@ -173,6 +187,7 @@
 	int64_t wait;
 
 	b->consecutive_good = 0;
+	b->warm_at = 0;
 	b->failure_rate += (1 - b->failure_rate) / FAILURE_WEIGHT;
 	b->consecutive_bad++;
 	if (b->consecutive_bad < EJECT_FAILURES && b->state != PICK_TRIAL)
@@ -196,6 +211,9 @@
 		b = set->v[i];
 		if (b->state == PICK_EJECTED && now >= b->eject_until)
 			step(b, chart, PICK_EV_TIMER);
+		else if (b->state == PICK_COLD && b->warm_at != 0 &&
+		    now >= b->warm_at)
+			step(b, chart, PICK_EV_WARM);
 	}
 }
 
@@ -206,6 +224,7 @@
 	if (b->evacuated && !evacuated && b->state != PICK_DRAINING) {
 		b->state = (enum pick_state)chart_start(chart);
 		b->consecutive_good = 0;
+		b->warm_at = 0;
 	}
 	b->evacuated = evacuated;
 }
--- a/pick.h
+++ b/pick.h
@@ -73,6 +73,8 @@
 	/* In flight, sent by the former owner of the shard: disp_state.h. */
 	int inherited;
 	enum pick_state state;
+	/* End of its first warm-up, unless it failed; 0: by successes only. */
+	int64_t warm_at;
 	bool drain_configured; /* its object says that it drains */
 	bool evacuated; /* its hall must get no new requests */
 	bool is_new_version; /* of the new version of a roll-out */
--- a/regress/test_takeover.cpp
+++ b/regress/test_takeover.cpp
@@ -60,7 +60,8 @@
 	int64_t cold_until = 0;
 	int peak = 0, sum_inflight = 0;
 
-	explicit Owner(double cold_rate = 0) : World("pace")
+	explicit Owner(double cold_rate = 0, int64_t slow_start = 0)
+	    : World("pace")
 	{
 		struct disp_params p = {};
 
@@ -69,7 +70,7 @@
 		p.queue_max = 10000;
 		p.bulk_percent = 40;
 		p.retry_percent = 10;
-		p.cold = {cold_rate, 4, 3 * NS_S};
+		p.cold = {cold_rate, 4, cold_rate > 0 ? 3 * NS_S : slow_start};
 		p.configured_ms = CONFIGURED_MS;
 		disp_configure(disp, &p);
 		offer("service/s", 1, R"({"select":"app=a"})");
@@ -391,3 +392,67 @@
 		}
 	}
 }
+
+/*
+ * A fleet and its servers start together, so that all servers join
+ * after the first complete list, and nothing is sent for some seconds.
+ * The requests that then arrive find all slots, not one at each server.
+ */
+TEST(Takeover, AnIdleServerIsWarmAfterItsSlowStart)
+{
+	Owner w(0, 3 * NS_S);
+
+	w.complete();
+	w.offer_servers(0, 1);
+	w.rebuild();
+	w.offer_servers(1, SERVERS);
+	w.rebuild();
+	EXPECT_EQ(PICK_COLD, w.server(1)->state);
+	w.now += 3 * NS_S;
+	disp_tick(w.disp);
+	EXPECT_EQ(PICK_UP, w.server(1)->state);
+	w.run(240 * NS_MS);
+	EXPECT_LE(0.9, w.usable());
+}
+
+/*
+ * A third of the servers is replaced during a surge: each success of a
+ * new one doubles the requests that it gets, and a failure ends that.
+ */
+TEST(Takeover, AWarmUpDoublesWithEachSuccess)
+{
+	Owner w(0, 3 * NS_S);
+	struct pick_backend *b;
+	struct pick_set set;
+
+	w.complete();
+	w.offer_servers(0, 1);
+	w.rebuild();
+	w.offer_servers(1, 4);
+	w.rebuild();
+	b = w.server(1);
+	b->max_inflight = SLOTS;
+	set = {&b, 1, 0, 1};
+	EXPECT_EQ(1, pick_free_slots(b, w.now));
+	pick_record_success(b, w.chart, w.now, WORK);
+	EXPECT_EQ(2, pick_free_slots(b, w.now));
+	pick_record_success(b, w.chart, w.now, WORK);
+	EXPECT_EQ(4, pick_free_slots(b, w.now));
+	pick_record_failure(b, &set, w.chart, w.now, &w.rnd);
+	EXPECT_EQ(1, pick_free_slots(b, w.now));
+	pick_record_success(b, w.chart, w.now, WORK);
+	EXPECT_EQ(1, pick_free_slots(b, w.now));
+}
+
+/* A rate for cold servers, or no slow start: only successes end a warm-up. */
+ * warm-up. */
+TEST(Takeover, WithARateForColdServersOnlySuccessesEndAWarmUp)
+{
+	struct cold_limit rate = {2.5, 4, 3 * NS_S}, none = {0, 0, 0},
+			  slow = {0, 0, 3 * NS_S};
+
+	EXPECT_EQ(0, takeover_warm_at(&rate, 3 * NS_S, NS_S));
+	EXPECT_EQ(0, takeover_warm_at(&none, 0, NS_S));
+	EXPECT_EQ(4 * NS_S, takeover_warm_at(&slow, 0, NS_S));
+	EXPECT_EQ(6 * NS_S, takeover_warm_at(&slow, 5 * NS_S, NS_S));
+}
--- a/takeover.c
+++ b/takeover.c
@@ -9,6 +9,8 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include "clk.h"
+#include <glib.h>
+
 #include "takeover.h"
 
 /*
@@ -72,3 +74,17 @@
 		return TAKEOVER_TOO_LATE;
 	return TAKEOVER_USED;
 }
+
+/*
+ * A server that gets no requests cannot show by successes that it is warm: the
+ * first requests of an idle service would find one slot of each server.  Where
+ * cold servers have a rate limit, their load reports show when they are warm.
+ */
+int64_t
+takeover_warm_at(
+    const struct cold_limit *limit, int64_t slow_start, int64_t joined_at)
+{
+	int64_t duration = MAX(limit->duration, slow_start);
+
+	return limit->rate > 0 || duration <= 0 ? 0 : joined_at + duration;
+}
--- a/takeover.h
+++ b/takeover.h
@@ -14,6 +14,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "cold.h"
+
 /*
  * The state in which the owner of a shard starts with a backend server.  An
  * owner that is new, as its gate has just started or the shard has moved to it,
@@ -54,6 +56,15 @@
  */
 bool takeover_presumes_up(const struct takeover_facts *);
 
+/*
+ * Returns when a server that joined cold at `joined_at` is warm without any
+ * success: after the slow start that its service or its entry states, whichever
+ * is longer, in ns.  Returns 0 if neither does, or if the service limits the
+ * rate of cold servers.
+ */
+int64_t takeover_warm_at(
+    const struct cold_limit *, int64_t slow_start, int64_t joined_at);
+
 /* What is known of a message with the state of a shard. */
 struct takeover_state_facts {
 	bool known_sender; /* it is the gate of a box in the member list */
