--- a/disp.c
+++ b/disp.c
@@ -254,6 +254,8 @@
 	if (item == NULL)
 		return false;
 	r = item->data;
+	if (disp_state_holds(d, r))
+		return false;
 	if (disp_state_pass_on(d, r) || disp_trial_intercept(d, r))
 		return true;
 	if (disp_query_before_send(d, r, clk_ns(d->clk)))
--- a/disp_state.c
+++ b/disp_state.c
@@ -231,11 +231,22 @@
 	}
 }
 
+bool
+disp_state_holds(const struct disp *d, const struct disp_req *r)
+{
+	return d->handover == DISP_HOLDING && r->can_forward;
+}
+
 bool
 disp_state_pass_on(struct disp *d, struct disp_req *r)
 {
-	if (!d->handed_over || !r->can_forward)
+	if (d->handover == DISP_OWNED || !r->can_forward)
 		return false;
+	if (d->handover == DISP_HOLDING) {
+		if (!r->queued)
+			disp_enqueue(d, r);
+		return true;
+	}
 	if (r->queued)
 		disp_dequeue(d, r);
 	d->ops.forward(d->ops.ctx, r, d->params.hall);
@@ -243,11 +254,11 @@
 }
 
 void
-disp_set_handed_over(struct disp *d, bool handed_over)
+disp_set_handover(struct disp *d, enum disp_handover handover)
 {
-	d->handed_over = handed_over;
+	d->handover = handover;
 	d->sending_since = 0;
-	if (handed_over)
+	if (handover == DISP_HANDED_OVER)
 		disp_serve_queues(d);
 }
 
--- a/disp_state.h
+++ b/disp_state.h
@@ -71,12 +71,23 @@
  */
 unsigned disp_import_state(struct disp *, const struct disp_state *);
 
-/*
- * Sets whether the shard has been handed over to another gate.  If so, requests
- * that can be forwarded are passed to op forward with the shard's own hall,
- * those that are queued now, arrive later or are to be retried.
- */
-void disp_set_handed_over(struct disp *, bool);
+/* Whether the shard is handed over to another gate. */
+enum disp_handover {
+	DISP_OWNED,
+	/*
+	 * Requests that can be forwarded wait in the queues, until the next
+	 * owner has the state.
+	 */
+	DISP_HOLDING,
+	/*
+	 * Requests that can be forwarded are passed to op forward with the
+	 * shard's own hall, whether they are queued now, arrive later or are
+	 * to be retried.
+	 */
+	DISP_HANDED_OVER
+};
+
+void disp_set_handover(struct disp *, enum disp_handover);
 
 /*
  * The gate has become the owner after another one.  Unless state is imported,
--- a/gate_box.c
+++ b/gate_box.c
@@ -82,7 +82,7 @@
 		slog(SLOG_GATE, "leaves", "requests=%u", gate_req_count(g));
 		g->leaving_since = clk_ns(g->clk);
 		/* This gate does not own any shard from now on. */
-		gate_conf_update_owners(g);
+		gate_conf_update_shard_owners(g);
 		hsrv_shutdown(g->caller_server);
 		break;
 	case BOX_CLOSING:
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -397,11 +397,8 @@
 	}
 }
 
-/*
- * Boxes or services have changed: determines anew which shards this gate owns.
- */
 void
-gate_conf_update_owners(struct gate *g)
+gate_conf_update_shard_owners(struct gate *g)
 {
 	struct gate_shard *s;
 	GHashTableIter it;
@@ -416,6 +413,15 @@
 	}
 	route_each(g->routes, open_owned_shards, g);
 	gate_handover_update(g);
+}
+
+/*
+ * Boxes or services have changed: determines anew which shards this gate owns.
+ */
+void
+gate_conf_update_owners(struct gate *g)
+{
+	gate_conf_update_shard_owners(g);
 	gate_rate_update_owned(g);
 }
 
@@ -529,6 +535,8 @@
 	case MSG_PONG:
 		gate_owner_mark_alive(g, m->from);
 		gate_owner_on_ping(g, m);
+		if (m->kind == MSG_PONG)
+			gate_handover_on_pong(g, m->u.ping.nonce);
 		break;
 	default:
 		sync_on_message(&g->sync, m);
--- a/gate_handover.c
+++ b/gate_handover.c
@@ -60,6 +60,22 @@
 	disp_state_clear(&state);
 }
 
+/*
+ * Messages to one gate arrive in order, so the answer to a ping shows that it
+ * has the state.  Without that, the first forwarded requests were faster than
+ * the state, and went to servers that had no free slot.
+ */
+static void
+send_ping(struct gate *g, struct gate_shard *s, const struct gate_peer *to)
+{
+	struct msg m = {.kind = MSG_PING};
+
+	s->handover_at = clk_ns(g->clk);
+	s->handover_ping = m.u.ping.nonce =
+	    (uint64_t)s->handover_at + g->states_sent;
+	wire_send(g->wire, to->info.gate_inbox, &m);
+}
+
 static void
 hand_over(struct gate *g, struct gate_shard *s)
 {
@@ -70,9 +86,53 @@
 	if (self)
 		return;
 	/* A shard that has sent no request here has no state. */
-	if (disp_sending_for(s->disp) >= 0)
-		send_state(g, s, next);
-	disp_set_handed_over(s->disp, true);
+	if (disp_sending_for(s->disp) < 0) {
+		disp_set_handover(s->disp, DISP_HANDED_OVER);
+		return;
+	}
+	send_state(g, s, next);
+	send_ping(g, s, next);
+	disp_set_handover(s->disp, DISP_HOLDING);
+}
+
+static void
+end_holding(struct gate_shard *s)
+{
+	s->handover_ping = 0;
+	disp_set_handover(s->disp, DISP_HANDED_OVER);
+}
+
+void
+gate_handover_on_pong(struct gate *g, uint64_t nonce)
+{
+	GList *shards = g_hash_table_get_values(g->shards), *link;
+	struct gate_shard *s;
+
+	for (link = shards; link != NULL; link = link->next) {
+		s = link->data;
+		if (s->handover_ping != 0 && s->handover_ping == nonce)
+			end_holding(s);
+	}
+	g_list_free(shards);
+}
+
+/*
+ * The answer may be lost.  A gate that takes longer for it than ping_wait_ms is
+ * suspected anyway, so requests are not held any longer for that.
+ */
+void
+gate_handover_tick(struct gate *g, int64_t now)
+{
+	GList *shards = g_hash_table_get_values(g->shards), *link;
+	struct gate_shard *s;
+
+	for (link = shards; link != NULL; link = link->next) {
+		s = link->data;
+		if (s->handover_ping != 0 &&
+		    now - s->handover_at > g->settings.ping_wait_ms * NS_MS)
+			end_holding(s);
+	}
+	g_list_free(shards);
 }
 
 /*
@@ -84,7 +144,8 @@
 	bool received = s->state_received_at != 0 &&
 	    clk_ns(g->clk) - s->state_received_at < NS_S;
 
-	disp_set_handed_over(s->disp, false);
+	s->handover_ping = 0;
+	disp_set_handover(s->disp, DISP_OWNED);
 	if (g->configured_ms > 0 && !received)
 		disp_start_as_successor(s->disp);
 }
--- a/gate_open.c
+++ b/gate_open.c
@@ -319,6 +319,7 @@
 		disp_tick(s->disp);
 	}
 	gate_owner_tick(g, now);
+	gate_handover_tick(g, now);
 	gate_poison_tick(g, now);
 	gate_reports_tick(g, now);
 	gate_roll_tick(g, now);
--- a/libdisp.h
+++ b/libdisp.h
@@ -79,7 +79,7 @@
 	/* What the roll-out allows, as the backend servers are marked. */
 	bool new_allowed, old_allowed, prefer_new;
 	/* Members of disp_state.c. */
-	bool handed_over; /* another gate owns the shard now */
+	int handover; /* enum disp_handover */
 	int64_t inherited_until; /* latest use of `inherited`; 0: none */
 	int64_t sending_since; /* first request sent as owner; 0: none */
 	bool serving; /* disp_serve_queues() is running */
@@ -162,8 +162,13 @@
  * load query (0).
  */
 void disp_state_load_reported(struct disp *, struct pick_backend *, int ended);
-/* Forwards the request if the shard was handed over and that is possible. */
+/*
+ * If the shard is handed over, forwards the request or leaves it in its queue.
+ * Returns false if it is to be sent by this gate.
+ */
 bool disp_state_pass_on(struct disp *, struct disp_req *);
+/* Returns whether the request has to wait for the handover. */
+bool disp_state_holds(const struct disp *, const struct disp_req *);
 
 /* disp_conc.c: concurrency limits of the backend servers. */
 void disp_conc_attempt_sent(const struct disp *, struct disp_req *);
--- a/libgate.h
+++ b/libgate.h
@@ -158,6 +158,12 @@
 	bool was_owner; /* before the last assignment of owners */
 	/* When the state of the former owner came, monotonic ns; 0: never. */
 	int64_t state_received_at;
+	/*
+	 * The ping that followed the state sent to the next owner: its number,
+	 * 0 if none is unanswered, and the time, monotonic ns.
+	 */
+	uint64_t handover_ping;
+	int64_t handover_at;
 	/* The members below are used only by gate_roll.c. */
 	struct roll *rollout; /* roll-out of the service; NULL: none */
 	enum roll_state roll_logged_state; /* state that was logged last */
@@ -288,8 +294,10 @@
 long long gate_conf_in_force_ms(const struct gate *);
 /* The same as gate_conf_report(), and that a box's gate does not answer. */
 void gate_conf_report_suspect(struct gate *, struct str box);
-/* Determines anew which shards this gate owns. */
+/* Determines anew which shards and rate limits this gate owns. */
 void gate_conf_update_owners(struct gate *);
+/* The same for shards only. */
+void gate_conf_update_shard_owners(struct gate *);
 /* Returns a shard of this gate, which is created if there is none. */
 struct gate_shard *
 gate_conf_shard(struct gate *, const struct route_service *, struct str hall);
@@ -424,6 +432,10 @@
 void gate_handover_receive(
     struct gate *, struct str from, const struct msg_shard_state *);
 
+/* A ping was answered. */
+void gate_handover_on_pong(struct gate *, uint64_t nonce);
+void gate_handover_tick(struct gate *, int64_t now);
+
 /* gate_rate.c: rate limits of customers, each counted at one gate. */
 void gate_rate_open(struct gate *);
 /* Hubs or customers may have changed. */
--- a/regress/test_handover.cpp
+++ b/regress/test_handover.cpp
@@ -101,26 +101,39 @@
 	return bytes;
 }
 
-/* Exports the state of one dispatcher and imports it in another. */
+std::string
+export_of(struct disp *d)
+{
+	struct disp_state state;
+
+	disp_export_state(d, &state);
+	std::string bytes = message_of(&state);
+	disp_state_clear(&state);
+	return bytes;
+}
+
 unsigned
-transfer(struct disp *from, struct disp *to)
+import(struct disp *d, const std::string &bytes)
 {
-	struct disp_state out, in;
+	struct disp_state state;
 	struct msg m;
 	unsigned n;
 
-	disp_export_state(from, &out);
-	std::string bytes = message_of(&out);
-	disp_state_clear(&out);
 	EXPECT_TRUE(msg_decode(bytes.data(), bytes.size(), &m, nullptr));
 	EXPECT_EQ(MSG_SHARD_STATE, m.kind);
-	EXPECT_TRUE(state_msg_read(&m.u.shard_state, &in));
-	n = disp_import_state(to, &in);
-	disp_state_clear(&in);
+	EXPECT_TRUE(state_msg_read(&m.u.shard_state, &state));
+	n = disp_import_state(d, &state);
+	disp_state_clear(&state);
 	msg_release(&m);
 	return n;
 }
 
+unsigned
+transfer(struct disp *from, struct disp *to)
+{
+	return import(to, export_of(from));
+}
+
 struct pick_backend *
 find(World &w, int i)
 {
@@ -143,7 +156,8 @@
 	int most = 0, served = 0, failed = 0;
 	uint64_t seed = 3;
 
-	explicit Move(bool reports_load = true) : reports(reports_load)
+	explicit Move(double load_share = 1.3, bool reports_load = true)
+	    : load(load_share), reports(reports_load)
 	{
 		for (World *w : {&a, &b}) {
 			struct disp_params p = params_of(*w);
@@ -172,6 +186,7 @@
 		}
 	}
 
+	double load; /* share of the true capacity */
 	bool reports;
 
 	void in(int64_t ns, std::function<void()> fn)
@@ -271,30 +286,38 @@
 		}
 	}
 
-	/* Keeps 1.3 times as many requests open as all servers can take. */
+	/* Keeps so many requests open that the load is as wanted. */
 	void refill()
 	{
 		int open = 0;
 
 		for (auto &r : reqs)
 			open += !r->ended;
-		for (; open < SERVERS * SLOTS * 13 / 10; open++) {
+		for (; open < SERVERS * GOOD_SLOTS * load; open++) {
 			reqs.push_back(std::make_unique<Req>());
 			submit(owner, reqs.back().get());
 		}
 	}
 
-	/* The shard moves; the message may be lost. */
+	/*
+	 * The shard moves.  The message may be lost; if not, the former owner
+	 * learns a round trip later that it has arrived.  Callers' boxes learn
+	 * of the move a little later still.
+	 */
 	void move(bool lost)
 	{
 		list_servers(b, SERVERS);
-		owner = &b;
 		most = 0;
-		if (!lost) {
-			EXPECT_EQ(static_cast<unsigned>(SERVERS),
-			    transfer(a.disp, b.disp));
-		}
-		disp_set_handed_over(a.disp, true);
+		std::string state = export_of(a.disp);
+		disp_set_handover(a.disp, DISP_HOLDING);
+		if (!lost)
+			in(ONE_WAY, [this, state] {
+				EXPECT_EQ(static_cast<unsigned>(SERVERS),
+				    import(b.disp, state));
+			});
+		in(lost ? 40 * NS_MS : 2 * ONE_WAY,
+		    [this] { disp_set_handover(a.disp, DISP_HANDED_OVER); });
+		in(5 * NS_MS, [this] { owner = &b; });
 	}
 
 	double usable()
@@ -336,9 +359,7 @@
 	m.run(3 * NS_S);
 	EXPECT_GE(SLOTS, m.most);
 	m.move(false);
-	m.run(250 * NS_MS);
-	EXPECT_LE(0.9, m.usable());
-	m.run(2 * NS_S);
+	m.run(2500 * NS_MS);
 	EXPECT_GE(SLOTS, m.most);
 	/* The former owner has no request left, and none was lost. */
 	EXPECT_EQ(0u, disp_inflight(m.a.disp));
@@ -346,10 +367,26 @@
 	EXPECT_EQ(0, m.failed);
 }
 
+/* The slots that the former owner frees are used by the next one. */
+TEST(Handover, APlannedMoveKeepsTheCapacity)
+{
+	Move m(0.8);
+
+	m.run(3 * NS_S);
+	m.move(false);
+	m.run(100 * NS_MS);
+	for (int i = 0; i < 20; i++) {
+		m.run(50 * NS_MS);
+		EXPECT_LE(0.9, m.usable()) << i;
+	}
+	EXPECT_GE(SLOTS, m.most);
+	EXPECT_EQ(0, m.failed);
+}
+
 /* Reports may never come; the slots are then free after a second. */
 TEST(Handover, WithoutLoadReportsTheSlotsAreFreeAfterASecond)
 {
-	Move m(false);
+	Move m(1.3, false);
 
 	m.run(3 * NS_S);
 	m.move(false);
@@ -429,6 +466,24 @@
 	disp_state_clear(&state);
 }
 
+/*
+ * The retries of two owners after each other must fit into one budget, so an
+ * owner that was told nothing starts with half.
+ */
+TEST(Handover, WithoutAStateTheRetryBudgetStartsWithHalf)
+{
+	World fresh("pace"), successor("pace");
+	struct disp_state of_fresh, of_successor;
+
+	disp_start_as_successor(successor.disp);
+	disp_export_state(fresh.disp, &of_fresh);
+	disp_export_state(successor.disp, &of_successor);
+	EXPECT_LT(0, of_successor.retry_tokens);
+	EXPECT_DOUBLE_EQ(of_fresh.retry_tokens / 2, of_successor.retry_tokens);
+	disp_state_clear(&of_fresh);
+	disp_state_clear(&of_successor);
+}
+
 /* Another start of a server has none of the state of the earlier one. */
 TEST(Handover, TheStateOfAnotherStartOfAServerChangesNothing)
 {
--- a/regress/test_promises.cpp
+++ b/regress/test_promises.cpp
@@ -428,6 +428,55 @@
 	EXPECT_EQ(0, f.boxes[home].gate.wait_exit());
 }
 
+/*
+ * The next owner of a shard is told which requests the leaving one has in
+ * flight.  Without that it would send each server as many requests again as the
+ * server has slots.
+ */
+TEST(Promise, AfterAPlannedMoveNoServerGetsMoreThanItsSlots)
+{
+	FleetOptions o = small_fleet(2, 4, "ms=400");
+
+	o.halls = {"north"};
+	for (auto &b : o.backends)
+		b.hall = "north";
+	/*
+	 * With the usual 40 ms a busy machine makes the boxes suspect each
+	 * other before the move, and both then send to the servers.
+	 */
+	o.gate_settings = "leave_wait_ms = 2000\nping_wait_ms = 5000\n";
+	Fleet f(o);
+	ASSERT_TRUE(up(f));
+	/* The servers would run more than they are configured for. */
+	for (auto &b : f.backends)
+		b->set("slots=20");
+	for (auto &b : f.boxes)
+		http("GET", b.listen, "/dir/x");
+	size_t home = f.metric(0, "fern_passed_out_total") > 0 ? 1 : 0;
+	Stream s;
+	s.rate = 40; /* 12 slots can serve 30 a second */
+	Load load({f.boxes[1 - home].listen}, {s}, 16);
+	load.start();
+	pump(2500);
+	f.boxes[home].gate.signal(SIGTERM);
+	pump(1500);
+	settle(f, load);
+	EXPECT_EQ(0, f.boxes[home].gate.wait_exit());
+	EXPECT_EQ(0, f.metric(1 - home, "fern_homes_left_total"));
+	for (auto &b : f.backends) {
+		EXPECT_LE(2, b->count("peak"));
+		EXPECT_GE(b->options.slots, b->count("peak"));
+	}
+	EXPECT_NE(std::string::npos,
+	    f.boxes[1 - home].gate.read_log().find(
+		"msg=\"shard state received\" service=dir"));
+	EXPECT_EQ(1, f.metric(1 - home, "fern_shard_states_received_total"));
+	for (auto &out : load.outcomes)
+		EXPECT_TRUE(
+		    out.right || out.not_repeatable || out.status == 503)
+		    << out.id << " " << out.status << " " << out.kind;
+}
+
 TEST(Promise, ARollingRestartOfAllBoxesCutsOffNothing)
 {
 	Fleet f(small_fleet(3, 4, "ms=8 spread=1"));
