--- a/regress/test_takeover.cpp
+++ b/regress/test_takeover.cpp
@@ -402,10 +402,11 @@
 {
 	Owner w(0, 3 * NS_S);
 
-	w.complete();
 	w.offer_servers(0, 1);
+	w.complete();
 	w.rebuild();
-	w.offer_servers(1, SERVERS);
+	for (int i = 1; i < SERVERS; i++)
+		w.offer_server(i, LIST_REVISION + static_cast<uint64_t>(i));
 	w.rebuild();
 	EXPECT_EQ(PICK_COLD, w.server(1)->state);
 	w.now += 3 * NS_S;
@@ -425,10 +426,10 @@
 	struct pick_backend *b;
 	struct pick_set set;
 
-	w.complete();
 	w.offer_servers(0, 1);
+	w.complete();
 	w.rebuild();
-	w.offer_servers(1, 4);
+	w.offer_server(1, LIST_REVISION + 1);
 	w.rebuild();
 	b = w.server(1);
 	b->max_inflight = SLOTS;
@@ -445,7 +446,6 @@
 }
 
 /* A rate for cold servers, or no slow start: only successes end a warm-up. */
- * warm-up. */
 TEST(Takeover, WithARateForColdServersOnlySuccessesEndAWarmUp)
 {
 	struct cold_limit rate = {2.5, 4, 3 * NS_S}, none = {0, 0, 0},
