--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PROGS = ferngate fernagent fernbox fernctl
 STANDINS = regress/standin_platform regress/standin_backend \
 	regress/standin_proxy
-UNIT_TESTS = regress/test_gossip regress/test_load regress/test_wire regress/test_hsrv regress/test_policy regress/test_units regress/test_conf regress/test_disp regress/test_paced \
+UNIT_TESTS = regress/test_allowance regress/test_gossip regress/test_load regress/test_wire regress/test_hsrv regress/test_policy regress/test_units regress/test_conf regress/test_disp regress/test_paced \
 	regress/test_platform regress/test_poison regress/test_roll regress/test_suspend regress/test_up
 FLEET_TESTS = regress/test_path regress/test_config regress/test_promises \
 	regress/test_box regress/test_cold regress/test_evacuation \
@@ -21,7 +21,7 @@
 BENCHES = regress/bench_load regress/bench_pick regress/bench_gate regress/bench_tail \
 	regress/bench_capacity regress/soak regress/soak_box regress/demo
 
-COMMON = caller.o chart.o clk.o cnt.o cold.o conc.o conf.o customer.o daemon.o dial.o disp.o disp_cold.o disp_conc.o disp_crash.o disp_queue.o \
+COMMON = allowance.o granter.o caller.o chart.o clk.o cnt.o cold.o conc.o conf.o customer.o daemon.o dial.o disp.o disp_cold.o disp_conc.o disp_crash.o disp_queue.o \
 	disp_reassign.o disp_pace.o disp_forward.o disp_query.o disp_roll.o disp_set.o disp_stop.o disp_trial.o \
 	disp_report.o disp_work.o doc_toml.o err.o field.o fprint.o gossip.o assign.o hsrv.o hsrv_conn.o hsrv_parse.o hsrv_req.o limit.o memb.o msg.o obj.o \
 	pace.o pick.o pick_fern.o pick_name.o pick_naive.o pick_pace.o plat.o plat_fern.o plat_http.o poison.o poison_msg.o \
--- a/gate_box.c
+++ b/gate_box.c
@@ -80,6 +80,8 @@
 	case BOX_LEAVING:
 		slog(SLOG_GATE, "leaves", "requests=%u", gate_req_count(g));
 		g->leaving_since = clk_ns(g->clk);
+		/* This gate owns no customers any more. */
+		gate_rate_update_owned(g);
 		hsrv_shutdown(g->caller_server);
 		break;
 	case BOX_CLOSING:
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -513,7 +513,11 @@
 		break;
 	case MSG_RATE_GRANT:
 		gate_owner_mark_alive(g, m->from);
-		gate_rate_on_grant(g, &m->u.rate_grant);
+		gate_rate_on_grant(g, m->from, &m->u.rate_grant);
+		break;
+	case MSG_RATE_USAGE:
+		gate_owner_mark_alive(g, m->from);
+		gate_rate_on_usage(g, m->from, &m->u.rate_usage);
 		break;
 	case MSG_PING:
 	case MSG_PONG:
--- a/gate_owner.c
+++ b/gate_owner.c
@@ -300,32 +300,30 @@
 	return (a->weight < b->weight) - (a->weight > b->weight);
 }
 
-struct gate_peer *
-gate_owner_by_name(struct gate *g, struct str name, unsigned nth, bool *self)
+unsigned
+gate_owner_rank(
+    struct gate *g, struct str name, struct gate_peer **out, unsigned max)
 {
 	GArray *gates = gates_in_tier(g, g->settings.hall, TIER_ANY);
 	GArray *order = g_array_new(FALSE, FALSE, sizeof(struct ranked));
-	int64_t now = clk_ns(g->clk);
 	const struct assign_gate *gate;
-	struct ranked r = {NULL, 0};
+	struct ranked r;
+	unsigned n;
 	guint i;
 
 	for (i = 0; i < gates->len; i++) {
 		gate = &g_array_index(gates, struct assign_gate, i);
 		r.peer = gate->data;
 		r.weight = assign_weight(name, str_c(""), gate->box);
-		if (r.peer == NULL || now >= r.peer->suspect_until)
-			g_array_append_val(order, r);
+		g_array_append_val(order, r);
 	}
 	g_array_sort(order, by_weight);
-	r.peer = NULL;
-	if (order->len > 0)
-		r = g_array_index(
-		    order, struct ranked, MIN(nth, order->len - 1));
+	n = MIN(order->len, max);
+	for (i = 0; i < n; i++)
+		out[i] = g_array_index(order, struct ranked, i).peer;
 	g_array_free(order, TRUE);
 	g_array_free(gates, TRUE);
-	*self = r.peer == NULL;
-	return r.peer;
+	return n;
 }
 
 /*
@@ -451,6 +449,7 @@
 		p->last_seen = clk_ns(g->clk);
 		p->ping_sent = 0;
 	}
+	gate_rate_heard(g, inbox);
 }
 
 void
--- a/gate_req.c
+++ b/gate_req.c
@@ -202,13 +202,16 @@
 
 /*
  * Releases or keeps the claim of a request, if it has one, once it is known
- * whether the request ran.
+ * whether the request ran.  If it did not, its customer's grant is given back.
  */
 void
 gate_req_settle_claim(struct gate_req *r, bool not_run)
 {
 	struct gate_claim *claim = r->claim;
 
+	if (not_run)
+		gate_rate_give_back(r);
+	r->rate_granted = false;
 	r->claim = NULL;
 	if (claim == NULL)
 		return;
@@ -267,6 +270,7 @@
 	str_free(&r->service);
 	str_free(&r->hall);
 	str_free(&r->regions);
+	gate_rate_dispose(r);
 	str_free(&r->customer);
 	str_free(&r->request_id);
 	g_free(r);
--- a/libgate.h
+++ b/libgate.h
@@ -102,6 +102,10 @@
 	GC_OVER_RATE,
 	GC_RATE_QUERIES,
 	GC_RATE_QUERIES_LOST,
+	GC_RATE_TAKEOVERS,
+	GC_RATE_TAKEOVERS_UNKNOWN,
+	GC_RATE_RECORDS,
+	GC_RATE_RETURNED,
 	GC_RESPONSES_CUT,
 	GC_CALLERS_GONE,
 	GC_CLAIMS,
@@ -222,17 +226,15 @@
 	/* char * "service/kind" to struct callers *. */
 	GHashTable *callers_by_kind;
 	GHashTable *rule_limits; /* char * name of a rule to struct limit * */
-	/* The next three members are used only by gate_rate.c. */
-	/*
-	 * Maps char * customer to struct bucket *, for customers that this gate
-	 * owns.
-	 */
-	GHashTable *customer_buckets;
+	/* The next five members are used only by gate_rate.c. */
+	struct granter *granter;
+	struct tmr_item granter_timer;
 	/*
 	 * Maps the number of a query to its struct gate_req *.  The key, a
 	 * uint64_t, is part of the request.
 	 */
 	GHashTable *rate_queries;
+	GQueue rate_lost; /* struct lost_query *, oldest first */
 	/* Hash of the hubs and the routes by which customers were assigned. */
 	uint64_t rate_owners_hash;
 	GQueue reqs; /* struct gate_req *, all that are not disposed of */
@@ -290,11 +292,11 @@
 struct gate_peer *
 gate_owner(struct gate *, struct str service, struct str hall, bool *self);
 /*
- * The owner of a name, chosen among the hubs of all halls.  nth is 0 for the
- * first choice, 1 for the next one.
+ * Ranks the hubs of all halls for a name, whether they answer or not, and
+ * returns how many of the first `max` there are.  NULL stands for this gate.
  */
-struct gate_peer *
-gate_owner_by_name(struct gate *, struct str name, unsigned nth, bool *self);
+unsigned gate_owner_rank(
+    struct gate *, struct str name, struct gate_peer **, unsigned max);
 /* Returns a hash of the gates that may be owners. */
 uint64_t gate_owner_hash_hubs(struct gate *);
 /* The owner for a request that only some regions may serve. */
@@ -411,7 +413,13 @@
 void
 gate_rate_reply(struct gate *, struct str from, const struct msg_rate_query *);
 /* The reply to a rate query of this gate has arrived. */
-void gate_rate_on_grant(struct gate *, const struct msg_rate_grant *);
+void gate_rate_on_grant(
+    struct gate *, struct str from, const struct msg_rate_grant *);
+/* What another gate granted, or requests of it. */
+void gate_rate_on_usage(
+    struct gate *, struct str from, const struct msg_rate_usage *);
+/* A message from this gate has arrived. */
+void gate_rate_heard(struct gate *, struct str from);
 
 /* gate_stat.c: metrics and the admin pages. */
 /* Returns the counters of the gate. */
--- a/libreq.h
+++ b/libreq.h
@@ -81,6 +81,10 @@
 	/* gate_rate.c: number of the rate query in flight; 0: none */
 	uint64_t rate_query;
 	unsigned rate_owners_tried; /* owners that were queried */
+	struct str rate_owner; /* inbox of the one queried last; a copy */
+	int64_t rate_queried_at; /* monotonic ns */
+	/* A grant was received, and was not given back. */
+	bool rate_granted;
 	/* Timeout of the query, or the wait that was granted. */
 	struct tmr_item rate_timer;
 	bool allow_outage;
@@ -147,7 +151,7 @@
 void gate_req_route(struct gate_req *);
 void gate_req_set_hall(struct gate_req *, struct str);
 void gate_req_set_deadline(struct gate_req *);
-/* Ends the claim of the request, if it has one. */
+/* Ends the claim and the customer's grant of the request, if it has one. */
 void gate_req_settle_claim(struct gate_req *, bool not_run);
 /* Returns whether the request may have run, for an error response. */
 enum err_ran gate_req_ran(const struct gate_req *);
@@ -168,6 +172,9 @@
 void gate_rate_query(struct gate_req *);
 /* Cancels the rate query in flight, if there is one. */
 void gate_rate_cancel(struct gate_req *);
+/* The request did not and will not run: gives its grant back. */
+void gate_rate_give_back(struct gate_req *);
+void gate_rate_dispose(struct gate_req *);
 
 /* gate_admit.c: the steps after the customer's rate limit. */
 void gate_admit_continue(struct gate_req *);
--- a/msg.c
+++ b/msg.c
@@ -171,6 +171,17 @@
     BOOL(msg_rate_query, is_retry)};
 static const struct msg_field rate_grant_fields[] = {U64(msg_rate_grant, seq),
     BOOL(msg_rate_grant, granted), U64(msg_rate_grant, wait_us)};
+static const struct msg_field rate_record_fields[] = {
+    STR(msg_rate_record, customer), STR(msg_rate_record, granter),
+    U64(msg_rate_record, started_ms), U64(msg_rate_record, granted),
+    U64(msg_rate_record, returned), U64(msg_rate_record, age_us),
+    STR(msg_rate_record, counts)};
+static const struct layout rate_record_layout =
+    LAYOUT(msg_rate_record, rate_record_fields);
+static const struct msg_field rate_usage_fields[] = {U64(msg_rate_usage, kind),
+    U64(msg_rate_usage, started_ms), BOOL(msg_rate_usage, is_listed),
+    BOOL(msg_rate_usage, is_informed),
+    LIST(msg_rate_usage, records, rate_record_layout)};
 static const struct msg_field ping_fields[] = {U64(msg_ping, nonce)};
 static const struct msg_field deflated_fields[] = {
     U64(msg_deflated, size), STR(msg_deflated, data)};
@@ -194,6 +205,7 @@
     [MSG_ROLLOUT] = LAYOUT(msg_rollout, rollout_fields),
     [MSG_RATE_QUERY] = LAYOUT(msg_rate_query, rate_query_fields),
     [MSG_RATE_GRANT] = LAYOUT(msg_rate_grant, rate_grant_fields),
+    [MSG_RATE_USAGE] = LAYOUT(msg_rate_usage, rate_usage_fields),
 };
 
 const char *
--- a/msg.h
+++ b/msg.h
@@ -45,6 +45,7 @@
 	MSG_ROLLOUT, /* owner to owner of a service: state of a roll-out */
 	MSG_RATE_QUERY, /* gate to gate: does a rate limit allow a request? */
 	MSG_RATE_GRANT, /* its reply */
+	MSG_RATE_USAGE, /* gate to gate: what customers were granted */
 	MSG_KIND_MAX
 };
 
@@ -216,6 +217,40 @@
 	uint64_t wait_us; /* delay of the request, or until the next query */
 };
 
+/* What a struct msg_rate_usage is for. */
+enum msg_rate_usage_kind {
+	RATE_USAGE_REPORT, /* what the sender granted to customers */
+	RATE_USAGE_REQUEST, /* requests such reports, and a reply */
+	RATE_USAGE_REPLY, /* the reply; the reports went before it */
+	RATE_USAGE_RETURN /* grants of the receiver that were not used */
+};
+
+/*
+ * A gate's grants to a customer.  In a return, `returned` is the number of
+ * grants that were not used, and only the customer and the age are set besides.
+ */
+struct msg_rate_record {
+	struct str customer;
+	struct str granter; /* inbox of the gate; empty: the sender */
+	uint64_t started_ms; /* its start; 0 if it is the sender */
+	/* Requests granted by it, and returned to it, since its start. */
+	uint64_t granted, returned;
+	uint64_t age_us; /* of a return: since the grant was requested */
+	/*
+	 * Those that count, as allowance_pack() encodes them; empty if the
+	 * receiver was told them before.
+	 */
+	struct str counts;
+};
+
+struct msg_rate_usage {
+	uint64_t kind; /* enum msg_rate_usage_kind */
+	uint64_t started_ms; /* start of the sender */
+	bool is_listed; /* of a reply: the sender knows the receiver as a hub */
+	bool is_informed; /* of a reply: the reports are all there is to know */
+	struct msg_list records; /* struct msg_rate_record */
+};
+
 struct msg_ping {
 	uint64_t nonce;
 };
@@ -246,6 +281,7 @@
 		struct msg_rollout rollout;
 		struct msg_rate_query rate_query;
 		struct msg_rate_grant rate_grant;
+		struct msg_rate_usage rate_usage;
 		struct msg_deflated deflated;
 	} u;
 	msgpack_unpacked raw; /* owns the decoded objects */
--- a/plat.h
+++ b/plat.h
@@ -147,6 +147,11 @@
 	 * the rate that it can serve, and a number of requests in addition.
 	 */
 	double cold_rate_factor, cold_rate_slack;
+	/*
+	 * Window in which a customer may make as many requests as its rate
+	 * gives in that time, and its burst; 0: token buckets are used.
+	 */
+	int64_t quota_window_ms;
 	/* Share of the requests that an unproven version may get. */
 	double unproven_share;
 	int64_t stop_grace_ms; /* from the stop signal until the process is
