--- a/regress/box.h
+++ b/regress/box.h
@@ -257,7 +257,7 @@
 
 	Further(const World &w, const std::string &name,
 	    const std::string &hall, const std::string &digit,
-	    const std::string &agent = "")
+	    const std::string &agent = "", const std::string &bounds = "")
 	    : address(w.ip + ":" + digit + "080"),
 	      file(w.dir + "/" + name + ".toml")
 	{
@@ -265,7 +265,7 @@
 		std::string text =
 		    replaced(settings, "@root", root != nullptr ? root : ".");
 
-		text = replaced(text, "@bounds", "");
+		text = replaced(text, "@bounds", bounds);
 		text = replaced(text, "\"@:8", "\"@:" + digit);
 		text = replaced(text, "\"b1\"", "\"" + name + "\"");
 		text = replaced(text, "\"north\"", "\"" + hall + "\"");
--- a/regress/test_customer.cpp
+++ b/regress/test_customer.cpp
@@ -8,9 +8,11 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <gtest/gtest.h>
+#include <mutex>
 #include <thread>
 
 #include "box.h"
@@ -40,7 +42,9 @@
 struct Customers : box::World {
 	int n = 0;
 
-	explicit Customers(const std::string &tenants) : box::World(false)
+	explicit Customers(
+	    const std::string &tenants, const std::string &bounds = "")
+	    : box::World(false, "", bounds)
 	{
 		allow(tenants);
 		EXPECT_TRUE(until([&] { return ready(); }));
@@ -117,12 +121,14 @@
  */
 struct Rush {
 	std::atomic<int> let_in{0}, refused{0}, others{0};
+	std::mutex lock;
+	std::vector<int64_t> times; /* of those that were let in */
 	std::vector<std::thread> callers;
 	int64_t from = clk_ns(clk_system());
 
-	Rush(std::vector<std::string> boxes, int64_t ns)
+	Rush(std::vector<std::string> boxes, int64_t ns, int n = 8)
 	{
-		for (int i = 0; i < 8; i++)
+		for (int i = 0; i < n; i++)
 			callers.emplace_back([this, boxes, ns, i] {
 				call(boxes[static_cast<size_t>(i) %
 					 boxes.size()],
@@ -137,7 +143,12 @@
 			    box, std::to_string(caller * 1000 + j), "key-a");
 			bool over = text.find(" 429 ") == 8;
 
-			let_in += text.find(" 200 ") == 8;
+			if (text.find(" 200 ") == 8) {
+				std::lock_guard<std::mutex> guard(lock);
+
+				times.push_back(clk_ns(clk_system()));
+				let_in++;
+			}
 			refused += over &&
 			    text.find("retry-after") != std::string::npos;
 			others += text.find(" 200 ") != 8 && !over;
@@ -146,6 +157,20 @@
 		}
 	}
 
+	/* Returns the most requests that were let in during a window. */
+	size_t most_in(int64_t window)
+	{
+		size_t most = 0;
+
+		std::sort(times.begin(), times.end());
+		for (size_t i = 0, j = 0; i < times.size(); i++) {
+			while (times[i] - times[j] >= window)
+				j++;
+			most = std::max(most, i - j + 1);
+		}
+		return most;
+	}
+
 	/* Waits for all clients and returns the elapsed time in seconds. */
 	double wait()
 	{
@@ -323,3 +348,67 @@
 	/* Each move of the owner starts a bucket with one token. */
 	EXPECT_LE(rush.let_in, s * 20 + 5 + 4 + 1) << s;
 }
+
+/* Returns how many rate queries the box has sent; the owner sends none. */
+int
+rate_queries(const std::string &admin)
+{
+	std::string text = http("GET", admin, "/metrics", {}, "", 500).body;
+	size_t at = text.find("\nfern_rate_asks_total ");
+
+	return at == std::string::npos ? 0 : atoi(text.c_str() + at + 22);
+}
+
+/*
+ * The owner of a customer is stopped for 500 ms several times, and then killed
+ * and restarted.  A second choice that counts by itself while the owner is only
+ * slow, or an owner that does not know what was granted meanwhile, lets more
+ * requests in than a window may have.
+ */
+TEST(Customer, ARateHoldsInEachWindowWhileTheOwnerIsSlowAndKilled)
+{
+	const std::string bounds = "\"quotaWindow\":\"5s\",";
+	std::string tenants =
+	    tenant("anna", "\"key-a\"", ",\"ratePerS\":30,\"burst\":30");
+	const size_t limit = 30 * 5 + 30;
+	Customers w(tenants, bounds);
+	box::Further second(w, "b2", "north", "7", "", bounds),
+	    third(w, "b3", "north", "6", "", bounds);
+	std::vector<Process *> boxes = {&w.box, &second.box, &third.box};
+	std::vector<std::string> listen = {w.ip + ":8080", second.address,
+				     third.address},
+				 admin = {w.ip + ":8280", w.ip + ":7280",
+				     w.ip + ":6280"};
+	size_t owner = 0;
+
+	second.box.start();
+	third.box.start();
+	ASSERT_TRUE(until([&] { return w.knows(3); }, 10000));
+	ASSERT_TRUE(until([&] { return second.box.running(); }));
+	pump(6000);
+	for (int i = 0; i < 30; i++)
+		w.by("key-a", listen[static_cast<size_t>(i) % 3]);
+	for (size_t i = 1; i < 3; i++)
+		if (rate_queries(admin[i]) < rate_queries(admin[owner]))
+			owner = i;
+	Rush rush(listen, 14 * NS_S, 24);
+	for (int i = 0; i < 8; i++) {
+		boxes[owner]->signal(SIGSTOP);
+		pump(500);
+		boxes[owner]->signal(SIGCONT);
+		pump(500);
+	}
+	for (int i = 0; i < 3; i++) {
+		boxes[owner]->kill9();
+		pump(500);
+		boxes[owner]->start();
+		pump(1000);
+	}
+	rush.wait();
+	size_t most = rush.most_in(5 * NS_S);
+	std::printf("limit %zu, most in 5 s %zu, in all %d\n", limit, most,
+	    rush.let_in.load());
+	EXPECT_LE(most, limit * 11 / 10 + 20);
+	/* Of the 14 s two windows' worth at least is used. */
+	EXPECT_GE(rush.let_in, 2 * static_cast<int>(limit));
+}
