--- a/granter.c
+++ b/granter.c
@@ -757,21 +757,21 @@
 }
 
 /*
- * Returns whether this gate, the first in the ranking, knows what others
- * granted, or cannot learn it.  If not, *better is set to a gate that does not
- * know this one as a hub yet, and so grants the requests itself; NULL if
- * there is none.
+ * Returns whether this gate knows what others granted, or cannot learn it.  If
+ * not, *better is set to a gate that does not know this one as a hub yet, and
+ * so may grant requests itself; NULL if there is none.
  */
 static bool
 is_synced(
     struct granter *g, struct account *a, struct peer **better, int64_t now)
 {
-	struct peer *p;
+	bool informed = a->is_informed || now - a->entered_at >= INFORMED_NS;
 	bool synced = true;
+	struct peer *p;
 	size_t i;
 
 	*better = NULL;
-	if (g->window == 0 || a->is_informed)
+	if (g->window == 0)
 		return true;
 	for (i = 0; i < G_N_ELEMENTS(a->links); i++) {
 		p = a->links[i].peer;
@@ -784,7 +784,7 @@
 		if (p->sync == SYNC_UNLISTED && *better == NULL)
 			*better = p;
 		if (p->sync == SYNC_UNLISTED ||
-		    now - p->requested_at < REPLY_WAIT_NS)
+		    (!informed && now - p->requested_at < REPLY_WAIT_NS))
 			synced = false;
 	}
 	return synced;
@@ -1065,12 +1065,11 @@
 		ping(g, a->ahead[i], now);
 	if (ahead != NULL) {
 		leave_to(g, from, q, str_c(ahead->inbox), since, now);
-	} else if (a->grants || a->n_ahead > 0 ||
-	    is_synced(g, a, &better, now)) {
+	} else if (a->grants || is_synced(g, a, &better, now)) {
 		grant(g, a, from, q, now);
-	} else if (better != NULL && q->requester.n == 0) {
+	} else if (better != NULL && !(q->is_retry && q->requester.n > 0)) {
 		ping(g, better, now);
-		forward(g, from, q, str_c(better->inbox), true);
+		forward(g, from, q, str_c(better->inbox), q->requester.n > 0);
 	} else {
 		hold(g, from, q, since, now);
 	}
