--- a/granter.c
+++ b/granter.c
@@ -434,6 +434,7 @@
 	struct account *a = find(g->accounts, name);
 	struct str ranks[GRANTER_RANKS];
 	unsigned i, n = g->ops->rank(g->ctx, name, ranks);
+	bool is_new;
 
 	for (i = 0; i < n && !is_self(g, ranks[i]); i++)
 		;
@@ -447,11 +448,15 @@
 		entry_of(g, a, g->inbox, g->started_ms, now);
 		g_hash_table_insert(g->accounts, a->name, a);
 	}
+	is_new = a->entered_at == now;
 	a->is_current = true;
 	a->n_ahead = i;
 	while (i-- > 0)
 		a->ahead[i] = peer_of(g, ranks[i]);
 	set_links(g, a, ranks, n);
+	for (i = 0; is_new && i < G_N_ELEMENTS(a->links); i++)
+		if (a->links[i].peer != NULL)
+			a->links[i].peer->sync = SYNC_NONE;
 	/* Gates that are new in the ranking are to be told. */
 	if (g->window > 0 && a->grants)
 		mark_changed(g, a, now);
@@ -841,7 +846,10 @@
 		g->ops->wake(g->ctx, now + HOLD_POLL_NS);
 }
 
-/* A new hub may know what customers were granted. */
+/*
+ * Requests usage from hubs that are new, and from those of the customers in
+ * whose ranking this gate is new.
+ */
 static void
 request_from_new(struct granter *g, int64_t now)
 {
