--- a/granter.c
+++ b/granter.c
@@ -59,6 +59,11 @@
 #define HOLD_MAX_NS (110 * NS_MS)
 #define HOLD_POLL_NS (10 * NS_MS)
 enum { HELD_MAX = 1024 };
+/*
+ * Gates, by their starts, whose grants are kept for a customer.  Few can grant
+ * in one window, as only an owner that fails is replaced.
+ */
+enum { ENTRIES_MAX = 32 };
 /*
  * Where nothing is known of the usage, this part of the limit and this number
  * of requests are taken to be unused.  They are within the tolerance of the
@@ -1164,27 +1169,49 @@
 	return true;
 }
 
+/*
+ * Reports usage over half of the limit to a gate that requested it.  While the
+ * gate is not listed, its place in the rankings is not known, and it gets all
+ * there is.
+ */
 static void
-on_request(struct granter *g, struct peer *p, int64_t now)
+report_requested(struct granter *g, struct peer *p, bool is_listed, int64_t now)
 {
-	struct msg_rate_usage m = {
-	    .kind = RATE_USAGE_REPLY, .started_ms = g->started_ms};
-	GHashTable *unfinished = g_hash_table_new(NULL, NULL);
-	GPtrArray *all = g_ptr_array_new();
+	GArray *records = records_new();
+	struct account *a;
+	struct link *link;
 	GHashTableIter it;
 	gpointer value;
 
+	g_hash_table_iter_init(&it, g->accounts);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		a = value;
+		link = link_to(a, p);
+		if ((link == NULL && is_listed) ||
+		    used_of(a, now) <= limit_of(g, str_c(a->name)) / 2)
+			continue;
+		add_windows(a, records, now);
+		if (link != NULL)
+			mark_told(a, link, now);
+		if (records->len >= RECORDS_MAX)
+			send_records(g, str_c(p->inbox), records);
+	}
+	send_records(g, str_c(p->inbox), records);
+	g_array_free(records, TRUE);
+}
+
+static void
+on_request(struct granter *g, struct peer *p, int64_t now)
+{
+	struct msg_rate_usage m = {.kind = RATE_USAGE_REPLY,
+	    .started_ms = g->started_ms,
+	    .is_listed = g->ops->is_listed(g->ctx, str_c(p->inbox))};
+
 	p->declined_until = 0;
 	forget_told(g, p);
-	g_hash_table_iter_init(&it, g->accounts);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		g_ptr_array_add(all, value);
-	report_to(g, p, all, unfinished, now);
-	m.is_listed = g->ops->is_listed(g->ctx, str_c(p->inbox));
+	report_requested(g, p, m.is_listed, now);
 	m.is_informed = all_informed(g, p, now);
 	g->ops->send_usage(g->ctx, str_c(p->inbox), &m);
-	g_ptr_array_free(all, TRUE);
-	g_hash_table_destroy(unfinished);
 	settle_all(g, now);
 }
 
@@ -1268,7 +1295,7 @@
 	struct account *a = find(g->accounts, r->customer);
 	struct entry *e;
 
-	if (a == NULL)
+	if (a == NULL || a->entries->len >= ENTRIES_MAX)
 		return;
 	if (r->counts.n > 0) {
 		drop_presumed(g, a, p, r->granter, now);
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -527,14 +527,16 @@
 
 	pf_parse_bounds(
 	    STR_LIT(R"({"retryBudgetRatio":0.2,"retryBudgetSlack":56,)"
-		    R"("grace":"6s","later":"1ms"})"),
+		    R"("grace":"6s","quotaWindow":"5s","later":"1ms"})"),
 	    &b);
 	EXPECT_DOUBLE_EQ(0.2, b.retry_ratio);
 	EXPECT_EQ(56, b.retry_slack);
 	EXPECT_EQ(6000, b.stop_grace_ms);
+	EXPECT_EQ(5000, b.quota_window_ms);
 	struct plat_bounds none = {};
 	pf_parse_bounds(STR_LIT("not a table"), &none);
 	EXPECT_EQ(0, none.retry_slack);
+	EXPECT_EQ(0, none.quota_window_ms);
 }
 
 /*
