--- a/gate_box.c
+++ b/gate_box.c
@@ -83,6 +83,8 @@
 		g->leaving_since = clk_ns(g->clk);
 		/* This gate does not own any shard from now on. */
 		gate_conf_update_shard_owners(g);
+		/* This gate owns no customers any more. */
+		gate_rate_update_owned(g);
 		hsrv_shutdown(g->caller_server);
 		break;
 	case BOX_CLOSING:
--- a/msg.c
+++ b/msg.c
@@ -190,6 +190,17 @@
     U64(msg_shard_state, retry_milli), U64(msg_shard_state, mean_us),
     LIST(msg_shard_state, servers, server_state_layout),
     LIST(msg_shard_state, work, work_state_layout)};
+static const struct msg_field rate_record_fields[] = {
+    STR(msg_rate_record, customer), STR(msg_rate_record, granter),
+    U64(msg_rate_record, started_ms), U64(msg_rate_record, granted),
+    U64(msg_rate_record, returned), U64(msg_rate_record, age_us),
+    STR(msg_rate_record, counts)};
+static const struct layout rate_record_layout =
+    LAYOUT(msg_rate_record, rate_record_fields);
+static const struct msg_field rate_usage_fields[] = {U64(msg_rate_usage, kind),
+    U64(msg_rate_usage, started_ms), BOOL(msg_rate_usage, is_listed),
+    BOOL(msg_rate_usage, is_informed),
+    LIST(msg_rate_usage, records, rate_record_layout)};
 static const struct msg_field ping_fields[] = {U64(msg_ping, nonce)};
 static const struct msg_field deflated_fields[] = {
     U64(msg_deflated, size), STR(msg_deflated, data)};
@@ -214,6 +225,7 @@
     [MSG_RATE_QUERY] = LAYOUT(msg_rate_query, rate_query_fields),
     [MSG_RATE_GRANT] = LAYOUT(msg_rate_grant, rate_grant_fields),
     [MSG_SHARD_STATE] = LAYOUT(msg_shard_state, shard_state_fields),
+    [MSG_RATE_USAGE] = LAYOUT(msg_rate_usage, rate_usage_fields),
 };
 
 const char *
