--- a/disp.c
+++ b/disp.c
@@ -121,6 +121,7 @@
 void
 disp_fail(struct disp *d, struct disp_req *r, enum err_kind kind, int64_t after)
 {
+	d->refused[kind]++;
 	d->ops.fail(d->ops.ctx, r, kind, after);
 }
 
--- a/disp.h
+++ b/disp.h
@@ -26,6 +26,7 @@
 #include "queue.h"
 #include "roll.h"
 #include "report.h"
+#include "tally.h"
 
 /*
  * The dispatcher of one shard: the backend servers of one service in one hall,
@@ -299,6 +300,12 @@
 /* Returns the capacity of this shard, for the owners in other halls. */
 struct disp_capacity disp_capacity_of(const struct disp *);
 
+/* Fills in the slots, usable or left out, the queues and the refusals. */
+void disp_tally(const struct disp *, struct tally *);
+
+/* Returns whether requests are queued. */
+bool disp_has_waiting(const struct disp *);
+
 /* Returns the number of requests in flight. */
 unsigned disp_inflight(const struct disp *);
 
--- a/libdisp.h
+++ b/libdisp.h
@@ -75,6 +75,7 @@
 	/* Gets no requests, so that it becomes idle for a trial; or NULL. */
 	struct pick_backend *trial_reserved;
 	bool cold_unconfirmed; /* some backend servers are presumed cold */
+	uint64_t refused[ERR_MAX]; /* requests failed by disp_fail() */
 	guint query_next; /* index of the next one for round-robin queries */
 	/* What the roll-out allows, as the backend servers are marked. */
 	bool new_allowed, old_allowed, prefer_new;
