--- a/gate_answer.c
+++ b/gate_answer.c
@@ -72,6 +72,7 @@
 		    r->arrived_at - r->waited_ms * NS_MS, clk_ns(r->gate->clk));
 	gate_req_settle_claim(r, ran == RAN_NO);
 	cnt_add(r->gate->cnt, GC_REFUSED, 1);
+	gate_stat_refused(r, kind, ran);
 	if (dialect->status_means_not_run)
 		status = err_status_for_ran(kind, ran);
 	slog_decision(SLOG_ROUTE, "refused",
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -353,6 +353,7 @@
 		gate_req_settle_claim(r, r->response_not_run && !r->body_cut);
 		cnt_add(r->gate->cnt,
 		    r->body_cut ? GC_RESPONSES_CUT : GC_RESPONSES_COMPLETE, 1);
+		gate_stat_answered(r, meets_target(r));
 		slog_decision(SLOG_ROUTE, "answered",
 		    "id=%.*s service=%.*s status=%d whole=%d in_time=%d "
 		    "ms=%lld tries=%d",
--- a/gate_open.c
+++ b/gate_open.c
@@ -322,6 +322,7 @@
 	gate_poison_tick(g, now);
 	gate_reports_tick(g, now);
 	gate_roll_tick(g, now);
+	gate_stat_shards_tick(g, now);
 	if (now - g->last_report >= REPORT_INTERVAL_NS) {
 		g->last_report = now;
 		gate_conf_report(g);
--- a/gate_req.c
+++ b/gate_req.c
@@ -252,6 +252,7 @@
 	gate_rate_cancel(r);
 	if (r->state != REQ_DONE) {
 		cnt_add(g->cnt, GC_CALLERS_GONE, 1);
+		gate_stat_abandoned(r);
 		slog_decision(SLOG_ROUTE, "its caller went away",
 		    "id=%.*s why=gone age_ms=%lld state=%s",
 		    STR_ARG(r->request_id),
--- a/gate_stat.c
+++ b/gate_stat.c
@@ -105,6 +105,8 @@
     {"/ready", page_ready},
     {"/backends", page_backends},
     {"/homes", page_owners},
+    {"/shards", gate_stat_page_shards},
+    {"/customers", gate_stat_page_customers},
 };
 
 struct cnt *
@@ -174,8 +176,8 @@
 		(json_int_t)(pause_left(p->shard, b) / NS_MS)));
 }
 
-static void
-respond_json(h2o_req_t *req, json_t *value)
+void
+gate_stat_respond_json(h2o_req_t *req, json_t *value)
 {
 	char *text = json_dumps(value, JSON_COMPACT);
 
@@ -196,7 +198,7 @@
 		p.shard = value;
 		disp_foreach_backend(p.shard->disp, print_backend, &p);
 	}
-	respond_json(req, p.list);
+	gate_stat_respond_json(req, p.list);
 }
 
 struct owner_list {
@@ -231,7 +233,7 @@
 	struct owner_list owners = {g, json_array()};
 
 	route_each(g->routes, print_service, &owners);
-	respond_json(req, owners.list);
+	gate_stat_respond_json(req, owners.list);
 }
 
 void
@@ -247,5 +249,6 @@
 		return;
 	}
 	hsrv_send_response(req, 404, "text/plain",
-	    str_c("pages: /metrics /ready /backends /homes\n"));
+	    str_c("pages: /metrics /ready /backends /homes /shards "
+		  "/customers\n"));
 }
--- a/libgate.h
+++ b/libgate.h
@@ -30,6 +30,7 @@
 #include "sync.h"
 #include "tmr.h"
 #include "up.h"
+#include "usage.h"
 
 /* Contents of ferngate's settings file; ferngate(8) describes each key. */
 struct gate_settings {
@@ -150,6 +151,7 @@
 	struct disp_capacity sent_capacity;
 	int64_t capacity_sent_at;
 	bool is_owner; /* this gate considers itself the owner */
+	struct tally_alarm alarm; /* used only by gate_stat_shards.c */
 	/* The members below are used only by gate_roll.c. */
 	struct roll *rollout; /* roll-out of the service; NULL: none */
 	enum roll_state roll_logged_state; /* state that was logged last */
@@ -235,6 +237,8 @@
 	GHashTable *rate_queries;
 	/* Hash of the hubs and the routes by which customers were assigned. */
 	uint64_t rate_owners_hash;
+	/* The largest customers; NULL until one of them sends a request. */
+	struct usage *usage;
 	GQueue reqs; /* struct gate_req *, all that are not disposed of */
 	uint64_t started_ms, last_seq;
 	int64_t last_tick, last_forwarded_in, leaving_since;
@@ -417,5 +421,13 @@
 /* Returns the counters of the gate. */
 struct cnt *gate_stat_open(void);
 void gate_stat_page(void *, h2o_req_t *);
+/* Responds with a JSON value, which it frees. */
+void gate_stat_respond_json(h2o_req_t *, json_t *);
+
+/* gate_stat_shards.c: the state of shards, and the largest customers. */
+void gate_stat_page_shards(struct gate *, h2o_req_t *);
+void gate_stat_page_customers(struct gate *, h2o_req_t *);
+/* Logs when the capacity of a shard is reduced, and when that ends. */
+void gate_stat_shards_tick(struct gate *, int64_t now);
 
 #endif
--- a/libreq.h
+++ b/libreq.h
@@ -182,6 +182,15 @@
 void gate_respond(
     struct gate_req *, enum err_kind, enum err_ran, int64_t retry_after);
 
+/*
+ * gate_stat_shards.c: counts a request of a customer that ends here, with an
+ * error response of this gate, with the response of a backend server or another
+ * gate, or without a response.
+ */
+void gate_stat_refused(const struct gate_req *, enum err_kind, enum err_ran);
+void gate_stat_answered(const struct gate_req *, bool in_time);
+void gate_stat_abandoned(const struct gate_req *);
+
 /* gate_flow.c: sends the request upstream, and its response to the caller. */
 void gate_flow_send(struct gate_req *, struct str address, bool new_connection);
 /* Cancels the attempt under way. */
