--- a/ctl_main.c
+++ b/ctl_main.c
@@ -37,12 +37,14 @@
     {"limits", ctl_limits, "KIND/NAME FIELD=NUMBER ...", "change limits"},
     {"status", ctl_status, "", "what is in force on which box"},
     {"explain", ctl_explain, "PATH", "what a request would meet, and why"},
+    {"shards", ctl_shards, "", "capacity of the shards of boxes"},
+    {"customers", ctl_customers, "", "the largest customers at boxes"},
 };
 
 /* The command line, as argtable2 parses it. */
 struct command_line {
 	struct arg_lit *help, *version, *json;
-	struct arg_str *platform, *method, *host, *header, *args;
+	struct arg_str *platform, *admin, *method, *host, *header, *args;
 	struct arg_end *end;
 };
 
@@ -59,7 +61,7 @@
 	arg_print_glossary(stdout, table, "  %-28s %s\n");
 	printf("Commands:\n");
 	for (i = 0; i < G_N_ELEMENTS(commands); i++)
-		printf("  %-8s %-31s %s\n", commands[i].name, commands[i].args,
+		printf("  %-9s %-31s %s\n", commands[i].name, commands[i].args,
 		    commands[i].summary);
 }
 
@@ -75,6 +77,13 @@
 	return NULL;
 }
 
+/* Returns whether a command reads the pages of boxes, and not the platform. */
+static bool
+reads_boxes(ctl_fn *fn)
+{
+	return fn == ctl_shards || fn == ctl_customers;
+}
+
 /* Returns the known command whose name is most similar. */
 static const char *
 nearest_command(const char *name)
@@ -103,6 +112,16 @@
 				      : "";
 }
 
+static void
+open_client(struct ctl *c)
+{
+	c->loop = uv_default_loop();
+	c->clk = clk_system();
+	c->rnd = rnd_system();
+	tmr_open(&c->tmr, c->loop, c->clk);
+	c->up = up_open(c->loop, &c->tmr, c->clk);
+}
+
 static bool
 open_platform(struct ctl *c, const struct command_line *l, GError **err)
 {
@@ -115,11 +134,6 @@
 		    "expected the platform's address in --platform or "
 		    "FERN_PLATFORM, found \"%s\"",
 		    address.p);
-	c->loop = uv_default_loop();
-	c->clk = clk_system();
-	c->rnd = rnd_system();
-	tmr_open(&c->tmr, c->loop, c->clk);
-	c->up = up_open(c->loop, &c->tmr, c->clk);
 	c->plat = plat_http_open(c->up, &c->tmr, c->clk, address,
 	    plat_adapter_by_name(STR_LIT("fern"))->codec);
 	return true;
@@ -133,13 +147,14 @@
 	ctl_fn *fn;
 	int status;
 
+	open_client(c);
 	if (l->args->count == 0)
 		err_set(&err, ERR_USAGE, "expected a command; try --help");
 	else if ((fn = find_command(l->args->sval[0])) == NULL)
 		err_set(&err, ERR_USAGE,
 		    "%s: no such command; the nearest is %s", l->args->sval[0],
 		    nearest_command(l->args->sval[0]));
-	else if (open_platform(c, l, &err)) {
+	else if (reads_boxes(fn) || open_platform(c, l, &err)) {
 		c->json = l->json->count > 0;
 		c->nargs = l->args->count - 1;
 		c->args = g_new0(char *, c->nargs + 1);
@@ -150,6 +165,8 @@
 		c->host = (char *)(l->host->count > 0 ? l->host->sval[0] : "");
 		c->header =
 		    (char *)(l->header->count > 0 ? l->header->sval[0] : NULL);
+		c->admin = l->admin->sval;
+		c->nadmin = l->admin->count;
 		fn(c, &err);
 	}
 	fflush(stdout);
@@ -171,14 +188,16 @@
 	    arg_lit0("V", "version", "print the version"),
 	    arg_lit0("j", "json", "print JSON"),
 	    arg_str0("p", "platform", "ADDRESS", "the platform's address"),
+	    arg_strn("a", "admin", "ADDRESS", 0, MAX_ARGS,
+		"shards, customers: the admin address of a box"),
 	    arg_str0(NULL, "method", "METHOD", "explain: the method"),
 	    arg_str0(NULL, "host", "HOST", "explain: the host"),
 	    arg_str0(NULL, "header", "HEADER", "explain: \"name: value\""),
 	    arg_strn(NULL, NULL, "WORD", 0, MAX_ARGS, "command and its words"),
 	    arg_end(MAX_PARSE_ERRORS),
 	};
-	void *table[] = {l.help, l.version, l.json, l.platform, l.method,
-	    l.host, l.header, l.args, l.end};
+	void *table[] = {l.help, l.version, l.json, l.platform, l.admin,
+	    l.method, l.host, l.header, l.args, l.end};
 	int errors = arg_parse(argc, argv, table), status = 0;
 
 	signal(SIGPIPE, SIG_IGN);
--- a/libctl.h
+++ b/libctl.h
@@ -34,13 +34,16 @@
 	char **args; /* the arguments after the command; NULL-terminated */
 	int nargs;
 	char *method, *host, *header; /* for explain; header may be NULL */
+	const char **admin; /* admin addresses of boxes */
+	int nadmin;
 };
 
 /* A command; returns true, or false with an error set. */
 typedef bool ctl_fn(struct ctl *, GError **);
 
 ctl_fn ctl_apply, ctl_diff, ctl_get, ctl_label, ctl_drain, ctl_undrain,
-    ctl_evacuate, ctl_return, ctl_limits, ctl_delete, ctl_status, ctl_explain;
+    ctl_evacuate, ctl_return, ctl_limits, ctl_delete, ctl_status, ctl_explain,
+    ctl_shards, ctl_customers;
 
 /* ctl_call.c: synchronous calls to the platform. */
 
