--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -553,6 +553,7 @@
 		return;
 	}
 	b->ran.push_back(id);
+	b->ran_at.push_back(clk_ns(clk_system()));
 	b->owner->heard[id] = headers_text(req);
 	if (b->fail) {
 		hsrv_send_response(req, 500, "text/plain", STR_LIT("failed"));
@@ -770,6 +771,30 @@
 	return n;
 }
 
+std::vector<int64_t>
+Objects::first_runs(const std::string &prefix)
+{
+	std::map<std::string, int64_t> first;
+	std::vector<int64_t> sorted;
+
+	in_loop([&] {
+		for (auto &b : backends)
+			for (size_t i = 0; i < b.second->ran.size(); i++) {
+				const std::string &id = b.second->ran[i];
+				int64_t at = b.second->ran_at[i];
+
+				if (id.compare(0, prefix.size(), prefix) != 0)
+					continue;
+				auto it = first.emplace(id, at).first;
+				it->second = std::min(it->second, at);
+			}
+	});
+	for (auto &f : first)
+		sorted.push_back(f.second);
+	std::sort(sorted.begin(), sorted.end());
+	return sorted;
+}
+
 size_t
 Objects::ran_times(const std::string &id, const std::string &request)
 {
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -52,6 +52,7 @@
 		/* When requests addressed to it arrived; monotonic ns. */
 		std::vector<int64_t> came;
 		std::vector<std::string> ran; /* request ids */
+		std::vector<int64_t> ran_at; /* of each; monotonic ns */
 		std::set<Work *> works; /* in flight */
 		struct hsrv *srv = nullptr;
 		Objects *owner = nullptr;
@@ -90,6 +91,11 @@
 	/* When backend servers have crashed so far; monotonic ns. */
 	std::vector<int64_t> ends();
 	size_t ran(const std::string &id);
+	/*
+	 * When requests whose ids start with `prefix` were executed for the
+	 * first time, sorted; monotonic ns.
+	 */
+	std::vector<int64_t> first_runs(const std::string &prefix);
 	/* The headers with which a request reached a backend server. */
 	std::string headers_of(const std::string &request);
 	/* How often a backend server executed one request. */
--- a/regress/soak_box.cpp
+++ b/regress/soak_box.cpp
@@ -14,7 +14,8 @@
  * proxies that inject faults.  Further faults are signals and a store that
  * refuses calls, drops its history or is stale.  Configurations change
  * meanwhile.  Faults come in series and overlap.  The guarantees are checked
- * from what callers and backend servers observe.
+ * from what callers and backend servers observe.  Two customers have rates; now
+ * and then one of them sends many times its rate while boxes are killed.
  *
  *	soak_box SECONDS [SEED [BOXES]]
  *
@@ -71,6 +72,25 @@
  */
 const int LOST_AFTER_MS[] = {5, 400}, LAG_MAX_MS = 5000;
 
+/*
+ * Customers, with the requests that they may have run per second and the burst,
+ * and the window in which that is checked.
+ */
+struct Customer {
+	const char *name;
+	int rate, burst;
+};
+const Customer CUSTOMERS[] = {{"calm", 20, 20}, {"loud", 20, 20}};
+const int64_t WINDOW_NS = 5 * NS_S;
+/*
+ * One in so many steps of the traffic sends a request of each customer, about
+ * half of its rate.  In a rush of RUSH_MS, which begins with so long a pause
+ * after the last, the loud one sends RUSH_FACTOR in each step, about ten times
+ * its rate.
+ */
+enum { CUSTOMER_STEPS = 12, RUSH_FACTOR = 2 };
+const double RUSH_MS = 4000, RUSH_PAUSE_MS = 6000;
+
 /* One request as its caller observed it. */
 struct Seen {
 	std::string id;
@@ -113,10 +133,14 @@
 	double store_hit = 0, next_change = 0, next_test = 0;
 	int late = 0; /* newest version that a box applied too late */
 
+	std::mt19937 who; /* for requests of customers */
+	double rush_until = 0;
+	int steps = 0; /* of the traffic */
+
 	Soak(unsigned seed, int n)
 	    : rng(seed), net(net::own()), store(net + "1:9000"),
 	      nboxes(n > 0 ? n : FEW), many(n > 0), boxes(at(nboxes)),
-	      draw(seed), hit(at(nboxes), now_ms())
+	      draw(seed), hit(at(nboxes), now_ms()), who(seed)
 	{
 		char name[] = "/tmp/fernsoak.XXXXXX";
 
@@ -294,7 +318,22 @@
 		    R"("},"spec":{"host":"shop.example","pathPrefix":"/)" +
 		    path + R"(/","routeType":")" + type +
 		    R"(","timeout":"900ms","targetLatency":"300ms",)" +
-		    R"("priority":1,"maxAttempts":2)" + to + "}},";
+		    R"("priority":1,"maxAttempts":2,"noAuth":true)" + to +
+		    "}},";
+	}
+
+	static std::string tenants()
+	{
+		std::string text;
+
+		for (const Customer &c : CUSTOMERS)
+			text += R"({"resourceType":"tenants","metadata":
+			    {"name":")" +
+			    std::string(c.name) +
+			    R"("},"spec":{"apiKeys":["key-)" + c.name +
+			    R"("],"ratePerS":)" + std::to_string(c.rate) +
+			    ",\"burst\":" + std::to_string(c.burst) + "}},";
+		return text;
 	}
 
 	/* Returns the routes that identify earlier configurations. */
@@ -324,7 +363,7 @@
 			"\",\"resources\":[" + route("look", "safe", till) +
 			route("buy", "unsafe", shelf) +
 			route("is" + std::to_string(own), "safe", till) +
-			kept(own) +
+			kept(own) + tenants() +
 			(valid ? "" : route("nowhere", "safe", "")) +
 			R"({"resourceType":"services","metadata":
 			    {"name":"till"},"spec":{"healthPath":"/health"}},
@@ -685,20 +724,27 @@
 			   .status == 200;
 	}
 
-	void ask()
+	/* Sends a request, of a customer unless the name is empty. */
+	void ask(const std::string &customer = "")
 	{
 		auto own = std::make_unique<Seen>();
 		Seen *s = own.get();
 		double began = now_ms();
-		bool unsafe = any(3) == 0;
+		auto random = [&](int n) {
+			return customer.empty() ? any(n)
+						: static_cast<int>(who() %
+						      static_cast<unsigned>(n));
+		};
+		bool unsafe = random(3) == 0;
 
-		s->id = "s" + std::to_string(seen.size());
+		s->id = customer + "s" + std::to_string(seen.size());
 		s->unsafe = unsafe;
 		seen.push_back(std::move(own));
-		http_start(unsafe ? "POST" : "GET", ip(any(nboxes)) + ":8080",
-		    unsafe ? "/buy/x" : "/look/x",
+		http_start(unsafe ? "POST" : "GET",
+		    ip(random(nboxes)) + ":8080", unsafe ? "/buy/x" : "/look/x",
 		    {{"Host", "shop.example"},
 			{"fernjunction-request-id", s->id},
+			{"fernjunction-credential", "key-" + customer},
 			{"fernjunction-deadline-ms",
 			    std::to_string(DEADLINE_MS)}},
 		    unsafe ? "body" : "", 5000, [s, began](const Reply &r) {
@@ -708,6 +754,62 @@
 		    });
 	}
 
+	/* Sends the requests of customers that are due in a step. */
+	void ask_as_customers()
+	{
+		if (++steps % CUSTOMER_STEPS == 0)
+			for (const Customer &c : CUSTOMERS)
+				ask(c.name);
+		for (int i = 0; i < RUSH_FACTOR && now_ms() < rush_until; i++)
+			ask("loud");
+	}
+
+	/*
+	 * Begins a rush of a customer if the last is over for long enough, and
+	 * kills a box twice in it: its owner may be there.
+	 */
+	void rush()
+	{
+		int box = static_cast<int>(who() % at(nboxes));
+
+		if (now_ms() < rush_until)
+			trouble(
+			    "kill box" + std::to_string(box), 700,
+			    [&] { boxes[at(box)].kill9(); },
+			    [this, box] { start_again(boxes[at(box)]); });
+		if (now_ms() < rush_until + RUSH_PAUSE_MS)
+			return;
+		faults["rush"]++;
+		rush_until = now_ms() + RUSH_MS;
+	}
+
+	/*
+	 * Checks that no window has more requests of a customer executed than
+	 * its rate and burst allow, with the operators' tolerance.
+	 */
+	void check_rates()
+	{
+		for (const Customer &c : CUSTOMERS) {
+			std::vector<int64_t> at_ns =
+			    store.first_runs(std::string(c.name) + "s");
+			double most = 1.1 * (c.rate * 5 + c.burst) + 20;
+			size_t worst = 0;
+
+			for (size_t i = 0, j = 0; i < at_ns.size(); i++) {
+				while (at_ns[i] - at_ns[j] >= WINDOW_NS)
+					j++;
+				worst = std::max(worst, i - j + 1);
+			}
+			printf("customer %s: %zu requests ran, %zu at most in "
+			       "5 s, %.0f allowed\n",
+			    c.name, at_ns.size(), worst, most);
+			if (static_cast<double>(worst) > most)
+				broken.push_back(std::string("rate of ") +
+				    c.name + ": " + std::to_string(worst) +
+				    " ran in 5 s");
+		}
+	}
+
 	/* Sends requests at a steady rate for `ms` and ends expired faults. */
 	void traffic(double ms)
 	{
@@ -715,6 +817,7 @@
 
 		while (now_ms() < end) {
 			ask();
+			ask_as_customers();
 			pump(8);
 			if (many)
 				storm();
@@ -985,6 +1088,7 @@
 	double rough = now_ms() + ROUGH_MS;
 	while (now_ms() < end) {
 		soak.fault();
+		soak.rush();
 		soak.traffic(30 + soak.any(600));
 		if (now_ms() < rough)
 			continue;
@@ -997,6 +1101,7 @@
 		soak.tell_boxes();
 	soak.traffic(500);
 	pump(5500);
+	soak.check_rates();
 	for (auto &s : soak.seen) {
 		std::string what = soak.violation(*s);
 
