--- a/regress/test_tally.cpp
+++ b/regress/test_tally.cpp
@@ -10,6 +10,7 @@
  */
 #include <cstring>
 #include <map>
+#include <memory>
 
 #include "disp_world.h"
 
@@ -486,6 +487,82 @@
 	EXPECT_EQ(4950 * NS_MS, a.lasted);
 }
 
+/*
+ * A load of 0.8 of the slots in virtual time; for 1.5 s half of the servers
+ * leave.  Guards against a report that does not come, comes twice, or names
+ * another reason or duration.
+ */
+TEST(Tally, ALoadThatLosesHalfOfItsServersIsReportedOnceWithItsEnd)
+{
+	const int64_t began = 1000, ended = 2500; /* ms */
+	std::vector<std::unique_ptr<Req>> requests;
+	std::multimap<int64_t, Req *> ends;
+	std::vector<std::pair<int64_t, enum tally_change>> reports;
+	struct tally_alarm alarm = {};
+	int64_t lasted = 0, ms;
+	uint64_t seed = 17;
+	World w;
+
+	auto each_of_half = [&](const std::function<void(struct str)> &fn) {
+		for (int i = 0; i < 10; i++) {
+			std::string name = "b" + std::to_string(i);
+
+			fn(str_c(name.c_str()));
+		}
+	};
+	w.set_backends(20, 2);
+	w.warm_up(20);
+	w.on_send = [&](Req *r, struct pick_backend *) {
+		ends.insert({w.now + 100 * NS_MS, r});
+	};
+	/* The attempt is sent elsewhere, and ends there. */
+	w.on_stop = [&](Req *r) {
+		for (auto it = ends.begin(); it != ends.end();)
+			it = it->second == r ? ends.erase(it) : std::next(it);
+	};
+	for (ms = 0; ms < 5000 || !ends.empty(); ms++, w.now += NS_MS) {
+		if (ms < 4000 && rnd_splitmix64(&seed) % 100 < 32) {
+			requests.push_back(std::make_unique<Req>());
+			w.arrive(requests.back().get());
+		}
+		while (!ends.empty() && ends.begin()->first <= w.now) {
+			Req *r = ends.begin()->second;
+
+			ends.erase(ends.begin());
+			w.end_attempt(r, DISP_OK);
+		}
+		if (ms == began)
+			each_of_half([&](struct str name) {
+				disp_leaving_reported(
+				    disp_find_backend(w.disp, name));
+			});
+		if (ms == ended)
+			each_of_half([&](struct str name) {
+				disp_probe_result(w.disp, name, false, false);
+			});
+		if (ms % 10 != 0)
+			continue;
+		disp_tick(w.disp);
+		struct tally t = tally_of(w);
+		enum tally_change change =
+		    tally_alarm_update(&alarm, &t, w.now, &lasted);
+		if (change == TALLY_UNCHANGED)
+			continue;
+		reports.push_back({ms, change});
+		EXPECT_EQ(
+		    change == TALLY_REDUCED ? "draining=20" : "", left_out(w));
+	}
+	ASSERT_EQ(2u, reports.size());
+	EXPECT_EQ(TALLY_REDUCED, reports[0].second);
+	EXPECT_GE(reports[0].first, began + 100);
+	EXPECT_LE(reports[0].first, began + 250);
+	EXPECT_EQ(TALLY_RESTORED, reports[1].second);
+	EXPECT_GE(reports[1].first, ended + 100);
+	EXPECT_LE(reports[1].first, ended + 200);
+	EXPECT_GE(lasted, 1350 * NS_MS);
+	EXPECT_LE(lasted, 1500 * NS_MS);
+}
+
 TEST(Tally, TheTextOfAllReasonsFits)
 {
 	struct tally t = {};
