--- a/libgate.h
+++ b/libgate.h
@@ -30,6 +30,7 @@
 #include "sync.h"
 #include "tmr.h"
 #include "up.h"
+#include "usage.h"
 
 /* Contents of ferngate's settings file; ferngate(8) describes each key. */
 struct gate_settings {
@@ -168,6 +169,7 @@
 	 */
 	uint64_t handover_ping;
 	int64_t handover_at;
+	struct tally_alarm alarm; /* used only by gate_stat_shards.c */
 	/* The members below are used only by gate_roll.c. */
 	struct roll *rollout; /* roll-out of the service; NULL: none */
 	enum roll_state roll_logged_state; /* state that was logged last */
@@ -251,6 +253,8 @@
 	GQueue rate_lost; /* struct lost_query *, oldest first */
 	/* Hash of the hubs and the routes by which customers were assigned. */
 	uint64_t rate_owners_hash;
+	/* The largest customers; NULL until one of them sends a request. */
+	struct usage *usage;
 	GQueue reqs; /* struct gate_req *, all that are not disposed of */
 	uint64_t started_ms, last_seq;
 	uint64_t states_sent; /* number of the last MSG_SHARD_STATE */
@@ -458,5 +462,13 @@
 /* Returns the counters of the gate. */
 struct cnt *gate_stat_open(void);
 void gate_stat_page(void *, h2o_req_t *);
+/* Responds with a JSON value, which it frees. */
+void gate_stat_respond_json(h2o_req_t *, json_t *);
+
+/* gate_stat_shards.c: the state of shards, and the largest customers. */
+void gate_stat_page_shards(struct gate *, h2o_req_t *);
+void gate_stat_page_customers(struct gate *, h2o_req_t *);
+/* Logs when the capacity of a shard is reduced, and when that ends. */
+void gate_stat_shards_tick(struct gate *, int64_t now);
 
 #endif
