--- a/disp_state.c
+++ b/disp_state.c
@@ -231,16 +231,28 @@
 	}
 }
 
+/*
+ * Where the shard has no usable server, its requests go to another hall.  They
+ * are forwarded there from here: the next owner could not forward a request
+ * that two gates have forwarded already.
+ */
+static bool
+goes_to_next_owner(const struct disp *d, const struct disp_req *r)
+{
+	return d->handover != DISP_OWNED && r->can_forward &&
+	    disp_usable_backends(d) > 0;
+}
+
 bool
 disp_state_holds(const struct disp *d, const struct disp_req *r)
 {
-	return d->handover == DISP_HOLDING && r->can_forward;
+	return d->handover == DISP_HOLDING && goes_to_next_owner(d, r);
 }
 
 bool
 disp_state_pass_on(struct disp *d, struct disp_req *r)
 {
-	if (d->handover == DISP_OWNED || !r->can_forward)
+	if (!goes_to_next_owner(d, r))
 		return false;
 	if (d->handover == DISP_HOLDING) {
 		if (!r->queued)
--- a/gate_handover.c
+++ b/gate_handover.c
@@ -168,6 +168,14 @@
 	g_list_free(shards);
 }
 
+bool
+gate_handover_is_holding(struct gate *g, struct str service, struct str hall)
+{
+	const struct gate_shard *s = gate_conf_find_shard(g, service, hall);
+
+	return s != NULL && s->handover_ping != 0;
+}
+
 /* Returns the shard that a message is about; NULL if it does not exist. */
 static struct gate_shard *
 shard_of(struct gate *g, const struct msg_shard_state *m)
--- a/gate_req.c
+++ b/gate_req.c
@@ -188,7 +188,8 @@
 	else
 		r->owner = gate_owner_in_regions(
 		    g, svc->name, hall, r->regions, &self);
-	if (!self && r->forwards < HOPS_MAX + 1) {
+	if (!self && r->forwards < HOPS_MAX + 1 &&
+	    !gate_handover_is_holding(g, svc->name, hall)) {
 		gate_attempt_forward(r);
 		return;
 	}
--- a/libgate.h
+++ b/libgate.h
@@ -435,6 +435,12 @@
 /* A ping was answered. */
 void gate_handover_on_pong(struct gate *, uint64_t nonce);
 void gate_handover_tick(struct gate *, int64_t now);
+/*
+ * Returns whether requests for a shard wait here until its next owner has its
+ * state.
+ */
+bool
+gate_handover_is_holding(struct gate *, struct str service, struct str hall);
 
 /* gate_rate.c: rate limits of customers, each counted at one gate. */
 void gate_rate_open(struct gate *);
--- a/regress/test_handover.cpp
+++ b/regress/test_handover.cpp
@@ -466,6 +466,29 @@
 	disp_state_clear(&state);
 }
 
+/*
+ * A request that its box, the former and the next owner have forwarded could
+ * not go to another hall any more.
+ */
+TEST(Handover, WithoutUsableServersRequestsGoToAnotherHallFromHere)
+{
+	for (bool usable : {true, false}) {
+		World w("pace");
+		struct disp_params p = params_of(w);
+		Req r;
+
+		disp_configure(w.disp, &p);
+		disp_set_hall_slots(w.disp, STR_LIT("other"), 6);
+		w.set_backends(1, 3, usable ? -1 : 0);
+		disp_set_handover(w.disp, DISP_HANDED_OVER);
+		r.d.can_forward = true;
+		w.arrive(&r);
+		EXPECT_TRUE(r.forwarded);
+		EXPECT_EQ(
+		    usable ? "forward 0 n" : "forward 0 other", w.trace.back());
+	}
+}
+
 /*
  * The retries of two owners after each other must fit into one budget, so an
  * owner that was told nothing starts with half.
--- a/regress/test_promises.cpp
+++ b/regress/test_promises.cpp
@@ -477,6 +477,48 @@
 		    << out.id << " " << out.status << " " << out.kind;
 }
 
+/* The same holds when the box comes back and owns the shard again. */
+TEST(Promise, AfterAShardGoesBackNoServerGetsMoreThanItsSlots)
+{
+	FleetOptions o = small_fleet(2, 4, "ms=400");
+
+	o.halls = {"north"};
+	for (auto &b : o.backends)
+		b.hall = "north";
+	o.gate_settings = "ping_wait_ms = 5000\n"; /* as above */
+	Fleet f(o);
+	ASSERT_TRUE(up(f));
+	for (auto &b : f.backends)
+		b->set("slots=20");
+	for (auto &b : f.boxes)
+		http("GET", b.listen, "/dir/x");
+	size_t home = f.metric(0, "fern_passed_out_total") > 0 ? 1 : 0;
+	f.boxes[home].gate.signal(SIGTERM);
+	EXPECT_EQ(0, f.boxes[home].gate.wait_exit());
+	Stream s;
+	s.rate = 40;
+	Load load({f.boxes[1 - home].listen}, {s}, 17);
+	load.start();
+	pump(1500);
+	f.start_box(home);
+	EXPECT_TRUE(until(
+	    [&] {
+		    return f.ready(home) &&
+			f.metric(home, "fern_shard_states_received_total") == 1;
+	    },
+	    10000));
+	pump(1500);
+	settle(f, load);
+	EXPECT_EQ(0, f.metric(1 - home, "fern_homes_left_total"));
+	for (auto &b : f.backends) {
+		EXPECT_LE(2, b->count("peak"));
+		EXPECT_GE(b->options.slots, b->count("peak"));
+	}
+	for (auto &out : load.outcomes)
+		EXPECT_TRUE(out.right || out.status == 503)
+		    << out.id << " " << out.status << " " << out.kind;
+}
+
 TEST(Promise, ARollingRestartOfAllBoxesCutsOffNothing)
 {
 	Fleet f(small_fleet(3, 4, "ms=8 spread=1"));
