--- a/regress/test_allowance.cpp
+++ b/regress/test_allowance.cpp
@@ -825,3 +825,65 @@
 	printf("asked %d, refused or lost %d\n", asked, denied);
 	EXPECT_LE(denied, asked / 200);
 }
+
+/*
+ * One gate does not reach the owner, but the second choice does: it forwards
+ * the queries and does not grant beside the owner.
+ */
+TEST(Granter, TheSecondChoiceForwardsAsLongAsTheOwnerAnswersIt)
+{
+	Fleet f(1);
+	int64_t from = f.now;
+	int takeovers = f.takeovers;
+
+	f.cut.insert({"leaf1", "h1"});
+	f.load(60, from + 10 * NS_S);
+	f.run(from + 11 * NS_S);
+	EXPECT_EQ(takeovers, f.takeovers);
+	EXPECT_EQ(0, f.refused + f.lost);
+	EXPECT_EQ(static_cast<size_t>(f.asked), f.ran.size());
+}
+
+/*
+ * Hubs of the ranking restart every second while others do not list them yet:
+ * gates that do not know what was granted must not grant.  The bound holds as
+ * long as one of the three that was told what was granted is left.
+ */
+TEST(Granter, TheRateHoldsWhileTheRankingRestartsAllTheTime)
+{
+	for (uint64_t seed : {1, 2, 3, 5, 8, 13, 21, 28, 59, 60}) {
+		Fleet f(seed);
+		int64_t from = f.now;
+
+		f.load(800, from + 40 * NS_S);
+		for (int64_t t = 0; t < 40 * NS_S; t += NS_S)
+			f.at(from + t + f.random(800 * MS), [&f] {
+				int64_t n = f.random(3);
+
+				f.restart("h" + std::to_string(n + 1),
+				    300 * MS + f.random(2200 * MS));
+			});
+		f.run(from + 40 * NS_S);
+		EXPECT_LE(f.most_in_a_window(), f.bound()) << seed;
+		EXPECT_GE(f.ran.size(), 6 * f.limit()) << seed;
+	}
+}
+
+/*
+ * The owner ends while a customer is granted requests far faster than its rate:
+ * few of them are unknown to the one that takes over.
+ */
+TEST(Granter, AnOwnerThatEndsHasReportedAllButFewGrants)
+{
+	for (int64_t after = 100 * MS; after < 400 * MS; after += 20 * MS) {
+		Fleet f(static_cast<uint64_t>(after));
+		int64_t from = f.now;
+
+		f.load(4000, from + 3 * NS_S);
+		f.at(from + after, [&f] { f.kill("h1"); });
+		f.run(from + 3 * NS_S);
+		EXPECT_LE(
+		    f.most_in_a_window(), f.limit() + f.limit() / 25 + 4 + 2)
+		    << after;
+	}
+}
