--- a/granter.c
+++ b/granter.c
@@ -29,7 +29,12 @@
 /* Records in one message; more of them go into further messages. */
 enum { RECORDS_MAX = 256 };
 /* Usage is reported in steps of this part of the limit. */
-enum { REPORT_STEP = 50 };
+enum { REPORT_STEP = 32 };
+/*
+ * Usage of customers with such a limit is not reported, as three gates that
+ * grant all of it are within the tolerance of 20 requests.
+ */
+enum { SMALL_LIMIT = 10 };
 /*
  * A gate that does not answer a ping in this time does not answer.  The query
  * that waits for it must have its reply within the requester's timeout of
@@ -556,6 +561,8 @@
 	const struct entry *own = own_entry(a);
 	uint64_t untold;
 
+	if (limit <= SMALL_LIMIT)
+		return false;
 	if (link->told && used < limit / 5 * 2)
 		link->told = false;
 	if (!link->told && used <= limit / 2)
@@ -736,7 +743,7 @@
 				   : limit / UNKNOWN_PART + UNKNOWN_MIN;
 	struct entry *e;
 
-	if (unused >= limit || used >= limit - unused)
+	if (limit <= SMALL_LIMIT || unused >= limit || used >= limit - unused)
 		return used;
 	missing = limit - unused - used;
 	e = entry_of(g, a, PRESUMED, 0, now);
@@ -950,7 +957,7 @@
 	own->granted++;
 	allowance_add(&own->allowance, 1, now);
 	/* Where there was no report, others presume that half is used. */
-	if (used >= limit / 2)
+	if (limit > SMALL_LIMIT && used >= limit / 2)
 		a->unreported++;
 	return true;
 }
--- a/regress/test_allowance.cpp
+++ b/regress/test_allowance.cpp
@@ -69,10 +69,17 @@
 
 	size_t bytes() const
 	{
-		size_t n = 40;
-
-		for (const struct msg_rate_record &r : records)
-			n += r.customer.n + r.granter.n + r.counts.n + 14;
+		struct msg encoded = {};
+		msgpack_sbuffer out;
+		size_t n;
+
+		encoded.kind = MSG_RATE_USAGE;
+		encoded.from = STR_LIT("127.100.100.100:8380");
+		encoded.u.rate_usage = m;
+		msgpack_sbuffer_init(&out);
+		msg_encode(&encoded, &out);
+		n = out.size;
+		msgpack_sbuffer_destroy(&out);
 		return n;
 	}
 };
@@ -869,6 +876,25 @@
 	}
 }
 
+/* The first two of the ranking restart together, the owner sooner or later. */
+TEST(Granter, TheRateHoldsWhileTwoRestartTogether)
+{
+	for (uint64_t seed = 1; seed <= 12; seed++) {
+		Fleet f(seed);
+		int64_t from = f.now;
+
+		f.load(800, from + 40 * NS_S);
+		for (int64_t t = 0; t < 40 * NS_S; t += 4 * NS_S)
+			f.at(from + t + f.random(800 * MS), [&f] {
+				f.restart("h1", 500 * MS + f.random(4 * NS_S));
+				f.restart("h2", 500 * MS + f.random(4 * NS_S));
+			});
+		f.run(from + 40 * NS_S);
+		EXPECT_LE(f.most_in_a_window(), f.bound()) << seed;
+		EXPECT_GE(f.ran.size(), 6 * f.limit()) << seed;
+	}
+}
+
 /*
  * The owner ends while a customer is granted requests far faster than its rate:
  * few of them are unknown to the one that takes over.
@@ -887,3 +913,23 @@
 		    << after;
 	}
 }
+
+/*
+ * What reports cost: nothing below half of the limit, and else less than the
+ * queries and replies.
+ */
+TEST(Granter, ReportsAreFewAndOnlyAboveHalf)
+{
+	for (double load : {45.0, 90.0, 800.0}) {
+		Fleet f(1);
+		int64_t from = f.now;
+
+		f.load(load, from + 30 * NS_S);
+		f.run(from + 6 * NS_S);
+		f.usage_bytes = 0;
+		f.run(from + 30 * NS_S);
+		printf("%3.0f requests/s at a rate of 100: %.0f bytes/s\n",
+		    load, static_cast<double>(f.usage_bytes) / 24);
+		EXPECT_LE(f.usage_bytes, load < 50 ? 0u : 24u * 1200);
+	}
+}
