--- a/granter.c
+++ b/granter.c
@@ -239,10 +239,17 @@
 	g_hash_table_remove_all(g->accounts);
 }
 
+/* Returns a copy; an empty string may have no bytes at all. */
+static char *
+copy_of(struct str s)
+{
+	return s.n == 0 ? g_strdup("") : g_strndup(s.p, s.n);
+}
+
 static void *
 find(GHashTable *table, struct str key)
 {
-	char *text = g_strndup(key.p, key.n);
+	char *text = copy_of(key);
 	void *found = g_hash_table_lookup(table, text);
 
 	g_free(text);
@@ -256,7 +263,7 @@
 
 	if (p == NULL) {
 		p = g_new0(struct peer, 1);
-		p->inbox = g_strndup(inbox.p, inbox.n);
+		p->inbox = copy_of(inbox);
 		g_hash_table_insert(g->peers, p->inbox, p);
 	}
 	return p;
@@ -305,7 +312,7 @@
 			return e;
 	}
 	e = g_new0(struct entry, 1);
-	e->inbox = g_strndup(inbox.p, inbox.n);
+	e->inbox = copy_of(inbox);
 	e->started_ms = started_ms;
 	allowance_init(&e->allowance, g->window, now);
 	g_ptr_array_add(a->entries, e);
@@ -452,7 +459,7 @@
 		return;
 	if (a == NULL) {
 		a = g_new0(struct account, 1);
-		a->name = g_strndup(name.p, name.n);
+		a->name = copy_of(name);
 		a->entered_at = now;
 		a->entries = g_ptr_array_new_with_free_func(entry_free);
 		entry_of(g, a, g->inbox, g->started_ms, now);
--- a/regress/test_allowance.cpp
+++ b/regress/test_allowance.cpp
@@ -151,6 +151,7 @@
 	std::set<std::pair<std::string, std::string>> cut;
 	int asked = 0, refused = 0, lost = 0, takeovers = 0, unknown = 0;
 	size_t usage_bytes = 0;
+	int64_t refused_in_10 = 0; /* grants whose request is refused later */
 
 	explicit Sim(uint64_t s) : seed(s)
 	{
@@ -376,7 +377,15 @@
 		}
 		if (g->requests.erase(m->seq) == 0)
 			return;
-		if (m->granted)
+		if (m->granted && random(10) < refused_in_10)
+			at(now + random(500 * NS_MS),
+			    [this, g, from, since = now, s = g->start] {
+				    at_gate(g->name, s,
+					[this, from, since](Gate *gate) {
+						give_back(gate, from, since);
+					});
+			    });
+		else if (m->granted)
 			ran.push_back(now);
 		else
 			refused++;
@@ -933,3 +942,59 @@
 		EXPECT_LE(f.usage_bytes, load < 50 ? 0u : 24u * 1200);
 	}
 }
+
+/*
+ * Messages that a gate delivers to itself have no sender, and a message may
+ * name customers and gates that are unknown or empty.
+ */
+TEST(Granter, MessagesWithoutASenderOrWithEmptyNamesChangeNothing)
+{
+	Fleet f(1);
+	Gate *g = f.gates.at("h1").get();
+	struct msg_rate_record r[2] = {};
+	struct msg_rate_usage m = {};
+	struct msg_rate_query q = {};
+
+	r[1].customer = STR_LIT("anna");
+	r[1].counts = STR_LIT("\xff");
+	m.records.items = r;
+	m.records.n = 2;
+	granter_heard(g->granter, str_c(nullptr), f.now);
+	for (m.kind = 0; m.kind < 6; m.kind++)
+		granter_usage(g->granter, str_c(nullptr), &m, f.now);
+	granter_query(g->granter, str_c(nullptr), &q, f.now);
+	f.load(800, f.now + 10 * NS_S);
+	f.run(f.now + 10 * NS_S);
+	EXPECT_LE(f.most_in_a_window(), f.limit());
+	EXPECT_GE(f.ran.size(), f.limit() * 3 / 2);
+}
+
+/*
+ * Half of the requests are refused after their grant: these grants are given
+ * back and granted to others, also while the owner restarts, and never twice.
+ */
+TEST(Granter, GrantsThatWereNotUsedAreGrantedAgainOnce)
+{
+	for (bool restarts : {false, true})
+		for (uint64_t seed = 1; seed <= 10; seed++) {
+			Fleet f(seed);
+			int64_t from = f.now;
+
+			f.refused_in_10 = 5;
+			f.load(800, from + 30 * NS_S);
+			for (int64_t t = 0; restarts && t < 30 * NS_S;
+			     t += 3 * NS_S)
+				f.at(from + t + f.random(1 * NS_S), [&f] {
+					f.restart("h1",
+					    500 * MS + f.random(1500 * MS));
+				});
+			f.run(from + 30 * NS_S);
+			EXPECT_LE(f.most_in_a_window(),
+			    restarts ? f.bound() : f.limit())
+			    << seed;
+			/* What an owner that ended had granted stays counted.
+			 */
+			EXPECT_GE(f.ran.size(), f.limit() * (restarts ? 3 : 5))
+			    << seed;
+		}
+}
