--- a/granter.c
+++ b/granter.c
@@ -591,6 +591,25 @@
 	return false;
 }
 
+/* Returns whether a gate is one of those that are told of each grant. */
+static bool
+is_told_first(const struct account *a, const struct link *link)
+{
+	unsigned answering = 0;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(a->links) && answering < GRANTER_TOLD;
+	     i++) {
+		if (&a->links[i] == link)
+			return true;
+		answering +=
+		    a->links[i].peer != NULL && !a->links[i].peer->is_silent;
+	}
+	return false;
+}
+
+static void ping(struct granter *, struct peer *, int64_t);
+
 static void
 report_to(struct granter *g, struct peer *p, GPtrArray *accounts,
     GHashTable *unfinished, int64_t now)
@@ -603,7 +622,11 @@
 	for (i = 0; i < accounts->len; i++) {
 		a = g_ptr_array_index(accounts, i);
 		link = link_to(a, p);
-		if (link != NULL && report(g, a, link, records, now))
+		if (link == NULL || !is_told_first(a, link))
+			continue;
+		if (now - p->heard_at >= REPORT_MAX_NS)
+			ping(g, p, now);
+		if (report(g, a, link, records, now))
 			g_hash_table_add(unfinished, a);
 		if (records->len >= RECORDS_MAX)
 			send_records(g, str_c(p->inbox), records);
@@ -766,7 +789,7 @@
 {
 	uint32_t limit = limit_of(g, str_c(a->name)), used = 0;
 	bool informed = a->is_informed || has_informed_peer(a) ||
-	    now - a->entered_at >= INFORMED_NS;
+	    (a->n_ahead <= GRANTER_TOLD && now - a->entered_at >= INFORMED_NS);
 
 	a->grants = true;
 	a->is_informed = true;
@@ -782,36 +805,36 @@
 
 /*
  * Returns whether this gate knows what others granted, or cannot learn it.  If
- * not, *better is set to a gate that does not know this one as a hub yet, and
- * so may grant requests itself; NULL if there is none.
+ * not, *better is set to the next gate in the ranking if that does not list
+ * this one as a hub yet, and so grants requests itself; NULL if it does.
  */
 static bool
 is_synced(
     struct granter *g, struct account *a, struct peer **better, int64_t now)
 {
-	bool informed = a->is_informed || now - a->entered_at >= INFORMED_NS;
-	bool synced = true;
+	bool synced = true, is_next = true;
 	struct peer *p;
 	size_t i;
 
 	*better = NULL;
-	if (g->window == 0)
+	if (g->window == 0 || now - a->entered_at >= INFORMED_NS)
 		return true;
 	for (i = 0; i < G_N_ELEMENTS(a->links); i++) {
 		p = a->links[i].peer;
-		if (p == NULL || p->is_silent || p->sync == SYNC_DONE)
+		if (p == NULL || p->is_silent)
 			continue;
 		if (p->sync == SYNC_NONE ||
 		    (p->sync == SYNC_UNLISTED &&
 			now - p->requested_at >= REQUEST_AGAIN_NS))
 			request_usage(g, p, now);
-		if (p->sync == SYNC_UNLISTED && *better == NULL)
+		if (p->sync == SYNC_UNLISTED && is_next)
 			*better = p;
-		if (p->sync == SYNC_UNLISTED ||
-		    (!informed && now - p->requested_at < REPLY_WAIT_NS))
+		if (p->sync == SYNC_REQUESTED &&
+		    now - p->requested_at < REPLY_WAIT_NS)
 			synced = false;
+		is_next = false;
 	}
-	return synced;
+	return synced && *better == NULL;
 }
 
 /*
@@ -1102,6 +1125,10 @@
 	}
 }
 
+/*
+ * A gate that forwards a query does not grant it itself, and knows this gate as
+ * a hub by now.
+ */
 static void
 note_declined(struct granter *g, struct str from,
     const struct msg_rate_query *q, int64_t now)
@@ -1110,6 +1137,8 @@
 	struct peer *p = find(g->peers, from);
 	unsigned i;
 
+	if (p != NULL && q->requester.n > 0 && p->sync == SYNC_UNLISTED)
+		p->sync = SYNC_NONE;
 	if (a == NULL || q->requester.n == 0)
 		return;
 	for (i = 0; i < a->n_ahead; i++)
--- a/granter.h
+++ b/granter.h
@@ -23,11 +23,11 @@
  *
  * Gates are identified by their inboxes.  The hubs are ranked for each
  * customer.  The first one in the ranking, the owner, grants the customer's
- * requests.  The second one grants only while the first does not answer its
- * pings, and the third only while neither does.  Whoever grants reports what it
- * has granted to the other two, so that each of them can continue.
+ * requests.  Each other one grants only while none of those before it answers
+ * its pings.  Whoever grants reports what it has granted to the first two
+ * others that answer, so that each of them can continue.
  */
-enum { GRANTER_RANKS = 3 };
+enum { GRANTER_RANKS = 5, GRANTER_TOLD = 2 };
 
 /* What is known of a customer's usage when a gate begins to grant. */
 enum granter_basis {
