--- a/granter.c
+++ b/granter.c
@@ -29,7 +29,12 @@
 /* Records in one message; more of them go into further messages. */
 enum { RECORDS_MAX = 256 };
 /* Usage is reported in steps of this part of the limit. */
-enum { REPORT_STEP = 50 };
+enum { REPORT_STEP = 32 };
+/*
+ * Usage of customers with such a limit is not reported, as three gates that
+ * grant all of it are within the tolerance of 20 requests.
+ */
+enum { SMALL_LIMIT = 10 };
 /*
  * A gate that does not answer a ping in this time does not answer.  The query
  * that waits for it must have its reply within the requester's timeout of
@@ -234,10 +239,17 @@
 	g_hash_table_remove_all(g->accounts);
 }
 
+/* Returns a copy; an empty string may have no bytes at all. */
+static char *
+copy_of(struct str s)
+{
+	return s.n == 0 ? g_strdup("") : g_strndup(s.p, s.n);
+}
+
 static void *
 find(GHashTable *table, struct str key)
 {
-	char *text = g_strndup(key.p, key.n);
+	char *text = copy_of(key);
 	void *found = g_hash_table_lookup(table, text);
 
 	g_free(text);
@@ -251,7 +263,7 @@
 
 	if (p == NULL) {
 		p = g_new0(struct peer, 1);
-		p->inbox = g_strndup(inbox.p, inbox.n);
+		p->inbox = copy_of(inbox);
 		g_hash_table_insert(g->peers, p->inbox, p);
 	}
 	return p;
@@ -300,7 +312,7 @@
 			return e;
 	}
 	e = g_new0(struct entry, 1);
-	e->inbox = g_strndup(inbox.p, inbox.n);
+	e->inbox = copy_of(inbox);
 	e->started_ms = started_ms;
 	allowance_init(&e->allowance, g->window, now);
 	g_ptr_array_add(a->entries, e);
@@ -447,7 +459,7 @@
 		return;
 	if (a == NULL) {
 		a = g_new0(struct account, 1);
-		a->name = g_strndup(name.p, name.n);
+		a->name = copy_of(name);
 		a->entered_at = now;
 		a->entries = g_ptr_array_new_with_free_func(entry_free);
 		entry_of(g, a, g->inbox, g->started_ms, now);
@@ -556,6 +568,8 @@
 	const struct entry *own = own_entry(a);
 	uint64_t untold;
 
+	if (limit <= SMALL_LIMIT)
+		return false;
 	if (link->told && used < limit / 5 * 2)
 		link->told = false;
 	if (!link->told && used <= limit / 2)
@@ -577,6 +591,25 @@
 	return false;
 }
 
+/* Returns whether a gate is one of those that are told of each grant. */
+static bool
+is_told_first(const struct account *a, const struct link *link)
+{
+	unsigned answering = 0;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(a->links) && answering < GRANTER_TOLD;
+	     i++) {
+		if (&a->links[i] == link)
+			return true;
+		answering +=
+		    a->links[i].peer != NULL && !a->links[i].peer->is_silent;
+	}
+	return false;
+}
+
+static void ping(struct granter *, struct peer *, int64_t);
+
 static void
 report_to(struct granter *g, struct peer *p, GPtrArray *accounts,
     GHashTable *unfinished, int64_t now)
@@ -589,7 +622,11 @@
 	for (i = 0; i < accounts->len; i++) {
 		a = g_ptr_array_index(accounts, i);
 		link = link_to(a, p);
-		if (link != NULL && report(g, a, link, records, now))
+		if (link == NULL || !is_told_first(a, link))
+			continue;
+		if (now - p->heard_at >= REPORT_MAX_NS)
+			ping(g, p, now);
+		if (report(g, a, link, records, now))
 			g_hash_table_add(unfinished, a);
 		if (records->len >= RECORDS_MAX)
 			send_records(g, str_c(p->inbox), records);
@@ -736,7 +773,7 @@
 				   : limit / UNKNOWN_PART + UNKNOWN_MIN;
 	struct entry *e;
 
-	if (unused >= limit || used >= limit - unused)
+	if (limit <= SMALL_LIMIT || unused >= limit || used >= limit - unused)
 		return used;
 	missing = limit - unused - used;
 	e = entry_of(g, a, PRESUMED, 0, now);
@@ -752,7 +789,7 @@
 {
 	uint32_t limit = limit_of(g, str_c(a->name)), used = 0;
 	bool informed = a->is_informed || has_informed_peer(a) ||
-	    now - a->entered_at >= INFORMED_NS;
+	    (a->n_ahead <= GRANTER_TOLD && now - a->entered_at >= INFORMED_NS);
 
 	a->grants = true;
 	a->is_informed = true;
@@ -768,36 +805,36 @@
 
 /*
  * Returns whether this gate knows what others granted, or cannot learn it.  If
- * not, *better is set to a gate that does not know this one as a hub yet, and
- * so may grant requests itself; NULL if there is none.
+ * not, *better is set to the next gate in the ranking if that does not list
+ * this one as a hub yet, and so grants requests itself; NULL if it does.
  */
 static bool
 is_synced(
     struct granter *g, struct account *a, struct peer **better, int64_t now)
 {
-	bool informed = a->is_informed || now - a->entered_at >= INFORMED_NS;
-	bool synced = true;
+	bool synced = true, is_next = true;
 	struct peer *p;
 	size_t i;
 
 	*better = NULL;
-	if (g->window == 0)
+	if (g->window == 0 || now - a->entered_at >= INFORMED_NS)
 		return true;
 	for (i = 0; i < G_N_ELEMENTS(a->links); i++) {
 		p = a->links[i].peer;
-		if (p == NULL || p->is_silent || p->sync == SYNC_DONE)
+		if (p == NULL || p->is_silent)
 			continue;
 		if (p->sync == SYNC_NONE ||
 		    (p->sync == SYNC_UNLISTED &&
 			now - p->requested_at >= REQUEST_AGAIN_NS))
 			request_usage(g, p, now);
-		if (p->sync == SYNC_UNLISTED && *better == NULL)
+		if (p->sync == SYNC_UNLISTED && is_next)
 			*better = p;
-		if (p->sync == SYNC_UNLISTED ||
-		    (!informed && now - p->requested_at < REPLY_WAIT_NS))
+		if (p->sync == SYNC_REQUESTED &&
+		    now - p->requested_at < REPLY_WAIT_NS)
 			synced = false;
+		is_next = false;
 	}
-	return synced;
+	return synced && *better == NULL;
 }
 
 /*
@@ -950,7 +987,7 @@
 	own->granted++;
 	allowance_add(&own->allowance, 1, now);
 	/* Where there was no report, others presume that half is used. */
-	if (used >= limit / 2)
+	if (limit > SMALL_LIMIT && used >= limit / 2)
 		a->unreported++;
 	return true;
 }
@@ -1088,6 +1125,10 @@
 	}
 }
 
+/*
+ * A gate that forwards a query does not grant it itself, and knows this gate as
+ * a hub by now.
+ */
 static void
 note_declined(struct granter *g, struct str from,
     const struct msg_rate_query *q, int64_t now)
@@ -1096,6 +1137,8 @@
 	struct peer *p = find(g->peers, from);
 	unsigned i;
 
+	if (p != NULL && q->requester.n > 0 && p->sync == SYNC_UNLISTED)
+		p->sync = SYNC_NONE;
 	if (a == NULL || q->requester.n == 0)
 		return;
 	for (i = 0; i < a->n_ahead; i++)
--- a/regress/test_allowance.cpp
+++ b/regress/test_allowance.cpp
@@ -69,10 +69,17 @@
 
 	size_t bytes() const
 	{
-		size_t n = 40;
-
-		for (const struct msg_rate_record &r : records)
-			n += r.customer.n + r.granter.n + r.counts.n + 14;
+		struct msg encoded = {};
+		msgpack_sbuffer out;
+		size_t n;
+
+		encoded.kind = MSG_RATE_USAGE;
+		encoded.from = STR_LIT("127.100.100.100:8380");
+		encoded.u.rate_usage = m;
+		msgpack_sbuffer_init(&out);
+		msg_encode(&encoded, &out);
+		n = out.size;
+		msgpack_sbuffer_destroy(&out);
 		return n;
 	}
 };
@@ -144,6 +151,7 @@
 	std::set<std::pair<std::string, std::string>> cut;
 	int asked = 0, refused = 0, lost = 0, takeovers = 0, unknown = 0;
 	size_t usage_bytes = 0;
+	int64_t refused_in_10 = 0; /* grants whose request is refused later */
 
 	explicit Sim(uint64_t s) : seed(s)
 	{
@@ -369,7 +377,15 @@
 		}
 		if (g->requests.erase(m->seq) == 0)
 			return;
-		if (m->granted)
+		if (m->granted && random(10) < refused_in_10)
+			at(now + random(500 * NS_MS),
+			    [this, g, from, since = now, s = g->start] {
+				    at_gate(g->name, s,
+					[this, from, since](Gate *gate) {
+						give_back(gate, from, since);
+					});
+			    });
+		else if (m->granted)
 			ran.push_back(now);
 		else
 			refused++;
@@ -825,3 +841,159 @@
 	printf("asked %d, refused or lost %d\n", asked, denied);
 	EXPECT_LE(denied, asked / 200);
 }
+
+/*
+ * One gate does not reach the owner, but the second choice does: it forwards
+ * the queries and does not grant beside the owner.
+ */
+TEST(Granter, TheSecondChoiceForwardsAsLongAsTheOwnerAnswersIt)
+{
+	Fleet f(1);
+	int64_t from = f.now;
+	int takeovers = f.takeovers;
+
+	f.cut.insert({"leaf1", "h1"});
+	f.load(60, from + 10 * NS_S);
+	f.run(from + 11 * NS_S);
+	EXPECT_EQ(takeovers, f.takeovers);
+	EXPECT_EQ(0, f.refused + f.lost);
+	EXPECT_EQ(static_cast<size_t>(f.asked), f.ran.size());
+}
+
+/*
+ * Hubs of the ranking restart every second while others do not list them yet:
+ * gates that do not know what was granted must not grant.  The bound holds as
+ * long as one of the three that was told what was granted is left.
+ */
+TEST(Granter, TheRateHoldsWhileTheRankingRestartsAllTheTime)
+{
+	for (uint64_t seed : {1, 2, 3, 5, 8, 13, 21, 28, 59, 60}) {
+		Fleet f(seed);
+		int64_t from = f.now;
+
+		f.load(800, from + 40 * NS_S);
+		for (int64_t t = 0; t < 40 * NS_S; t += NS_S)
+			f.at(from + t + f.random(800 * MS), [&f] {
+				int64_t n = f.random(3);
+
+				f.restart("h" + std::to_string(n + 1),
+				    300 * MS + f.random(2200 * MS));
+			});
+		f.run(from + 40 * NS_S);
+		EXPECT_LE(f.most_in_a_window(), f.bound()) << seed;
+		EXPECT_GE(f.ran.size(), 6 * f.limit()) << seed;
+	}
+}
+
+/* The first two of the ranking restart together, the owner sooner or later. */
+TEST(Granter, TheRateHoldsWhileTwoRestartTogether)
+{
+	for (uint64_t seed = 1; seed <= 12; seed++) {
+		Fleet f(seed);
+		int64_t from = f.now;
+
+		f.load(800, from + 40 * NS_S);
+		for (int64_t t = 0; t < 40 * NS_S; t += 4 * NS_S)
+			f.at(from + t + f.random(800 * MS), [&f] {
+				f.restart("h1", 500 * MS + f.random(4 * NS_S));
+				f.restart("h2", 500 * MS + f.random(4 * NS_S));
+			});
+		f.run(from + 40 * NS_S);
+		EXPECT_LE(f.most_in_a_window(), f.bound()) << seed;
+		EXPECT_GE(f.ran.size(), 6 * f.limit()) << seed;
+	}
+}
+
+/*
+ * The owner ends while a customer is granted requests far faster than its rate:
+ * few of them are unknown to the one that takes over.
+ */
+TEST(Granter, AnOwnerThatEndsHasReportedAllButFewGrants)
+{
+	for (int64_t after = 100 * MS; after < 400 * MS; after += 20 * MS) {
+		Fleet f(static_cast<uint64_t>(after));
+		int64_t from = f.now;
+
+		f.load(4000, from + 3 * NS_S);
+		f.at(from + after, [&f] { f.kill("h1"); });
+		f.run(from + 3 * NS_S);
+		EXPECT_LE(
+		    f.most_in_a_window(), f.limit() + f.limit() / 25 + 4 + 2)
+		    << after;
+	}
+}
+
+/*
+ * What reports cost: nothing below half of the limit, and else less than the
+ * queries and replies.
+ */
+TEST(Granter, ReportsAreFewAndOnlyAboveHalf)
+{
+	for (double load : {45.0, 90.0, 800.0}) {
+		Fleet f(1);
+		int64_t from = f.now;
+
+		f.load(load, from + 30 * NS_S);
+		f.run(from + 6 * NS_S);
+		f.usage_bytes = 0;
+		f.run(from + 30 * NS_S);
+		printf("%3.0f requests/s at a rate of 100: %.0f bytes/s\n",
+		    load, static_cast<double>(f.usage_bytes) / 24);
+		EXPECT_LE(f.usage_bytes, load < 50 ? 0u : 24u * 1200);
+	}
+}
+
+/*
+ * Messages that a gate delivers to itself have no sender, and a message may
+ * name customers and gates that are unknown or empty.
+ */
+TEST(Granter, MessagesWithoutASenderOrWithEmptyNamesChangeNothing)
+{
+	Fleet f(1);
+	Gate *g = f.gates.at("h1").get();
+	struct msg_rate_record r[2] = {};
+	struct msg_rate_usage m = {};
+	struct msg_rate_query q = {};
+
+	r[1].customer = STR_LIT("anna");
+	r[1].counts = STR_LIT("\xff");
+	m.records.items = r;
+	m.records.n = 2;
+	granter_heard(g->granter, str_c(nullptr), f.now);
+	for (m.kind = 0; m.kind < 6; m.kind++)
+		granter_usage(g->granter, str_c(nullptr), &m, f.now);
+	granter_query(g->granter, str_c(nullptr), &q, f.now);
+	f.load(800, f.now + 10 * NS_S);
+	f.run(f.now + 10 * NS_S);
+	EXPECT_LE(f.most_in_a_window(), f.limit());
+	EXPECT_GE(f.ran.size(), f.limit() * 3 / 2);
+}
+
+/*
+ * Half of the requests are refused after their grant: these grants are given
+ * back and granted to others, also while the owner restarts, and never twice.
+ */
+TEST(Granter, GrantsThatWereNotUsedAreGrantedAgainOnce)
+{
+	for (bool restarts : {false, true})
+		for (uint64_t seed = 1; seed <= 10; seed++) {
+			Fleet f(seed);
+			int64_t from = f.now;
+
+			f.refused_in_10 = 5;
+			f.load(800, from + 30 * NS_S);
+			for (int64_t t = 0; restarts && t < 30 * NS_S;
+			     t += 3 * NS_S)
+				f.at(from + t + f.random(1 * NS_S), [&f] {
+					f.restart("h1",
+					    500 * MS + f.random(1500 * MS));
+				});
+			f.run(from + 30 * NS_S);
+			EXPECT_LE(f.most_in_a_window(),
+			    restarts ? f.bound() : f.limit())
+			    << seed;
+			/* What an owner that ended had granted stays counted.
+			 */
+			EXPECT_GE(f.ran.size(), f.limit() * 35 / 10) << seed;
+		}
+}
