--- a/disp_tally.c
+++ b/disp_tally.c
@@ -100,11 +100,11 @@
 		t->left_out[reason] += b->slots;
 		return;
 	}
+	if (b->state == PICK_TRIAL)
+		reduce(t, LEFT_EJECTED, b, 1, &usable);
 	reason = blocked_reason(b, now);
 	if (reason != LEFT_MAX)
 		reduce(t, reason, b, 0, &usable);
-	if (b->state == PICK_TRIAL)
-		reduce(t, LEFT_EJECTED, b, 1, &usable);
 	if (b->state == PICK_COLD)
 		reduce(t, LEFT_COLD, b, 1, &usable);
 	/* Without a limit INT_MAX requests are available. */
--- a/regress/test_tally.cpp
+++ b/regress/test_tally.cpp
@@ -186,6 +186,10 @@
 	disp_tick(w.disp);
 	ASSERT_EQ(PICK_TRIAL, b->state);
 	EXPECT_EQ(2, tally_of(w).left_out[LEFT_EJECTED]);
+	/* The ejection comes before a pause, which takes what it leaves. */
+	b->pause_until = w.now + NS_S;
+	EXPECT_EQ(2, tally_of(w).left_out[LEFT_EJECTED]);
+	EXPECT_EQ(1, tally_of(w).left_out[LEFT_PAUSE]);
 }
 
 TEST(Tally, ALearnedLimitLeavesOutTheSlotsAboveIt)
