--- a/disp.h
+++ b/disp.h
@@ -77,6 +77,7 @@
 	unsigned kind; /* requests of one kind have similar service times */
 	struct str allowed_regions; /* where it may be served: region.h */
 	struct fprint fingerprint; /* identifies retries of the same request */
+	struct str customer; /* that it is made for; empty: none */
 	/* The members below are private to the dispatcher. */
 	int64_t service_time; /* estimate for the usual speed, ns */
 	/* Estimates at the start of the current attempt. */
--- a/gate_admit.c
+++ b/gate_admit.c
@@ -106,7 +106,7 @@
 	r->service = str_dup(service->name);
 	r->hall = str_dup(forward.target_hall);
 	r->regions = r->disp.allowed_regions = str_dup(forward.regions);
-	r->customer = str_dup(forward.customer);
+	r->customer = r->disp.customer = str_dup(forward.customer);
 	r->disp.cls = forward.bulk ? CLASS_BULK : CLASS_INTERACTIVE;
 	r->disp.repeatable = forward.repeatable;
 	r->disp.can_retry = true;
@@ -277,7 +277,7 @@
 	    customers, hsrv_header(r->req, dialect->customer_key.p));
 	if (*found == NULL)
 		return rule->obj->is_public;
-	r->customer = str_dup((*found)->name);
+	r->customer = r->disp.customer = str_dup((*found)->name);
 	return true;
 }
 
--- a/regress/load.cpp
+++ b/regress/load.cpp
@@ -21,7 +21,6 @@
 namespace
 {
 
-constexpr int RETRIES = 2;
 constexpr double LATE_WORTH = 0.1;
 /* Requests per second to a cold backend server, */
 constexpr double COLD_RATE = 3.75;
@@ -61,6 +60,7 @@
 	int hall;
 	const Kind *kind;
 	int64_t work;
+	int customer = -1;
 	int64_t leaves = INT64_MAX; /* when its caller leaves */
 	bool insists = false; /* the caller retries at once */
 	int copies = 0; /* duplicates sent at once, worth nothing */
@@ -86,6 +86,8 @@
 	std::vector<Wish> wishes;
 	std::vector<std::unique_ptr<Server>> servers;
 	std::map<std::string, Count> counts;
+	std::map<int, Count> by_customer;
+	std::vector<std::string> customer_names;
 	std::map<int64_t, std::pair<int, int>> seconds; /* in time, asked */
 	double owed = 0, earned = 0;
 	int worst_cold = 0, fell_over = 0;
@@ -269,8 +271,59 @@
 		}
 	}
 
+	/* Returns a customer that depends only on the request's number. */
+	int draw_customer(uint64_t number) const
+	{
+		double u = noise(set.seed, 991, number);
+		int c = 0;
+
+		while (c + 1 < static_cast<int>(set.customers.size()) &&
+		    u >= set.customers[static_cast<size_t>(c)])
+			u -= set.customers[static_cast<size_t>(c++)];
+		return set.customers.empty() ? -1 : c;
+	}
+
+	/*
+	 * Adds the requests of a customer beyond its usual ones.  All others
+	 * stay the same, so that a run can be compared to one without them.
+	 */
+	void make_excess(const Event &e, int hall)
+	{
+		uint64_t seed = set.seed * 104729 +
+		    static_cast<uint64_t>(e.customer * set.halls + hall);
+		double t = static_cast<double>(e.from_ms) / 1000, more;
+
+		while (e.x > 1) {
+			more = (e.x - 1) *
+			    set.customers[static_cast<size_t>(e.customer)];
+			t += -std::log(1 - unit(&seed)) /
+			    (more * rate(hall, static_cast<int64_t>(t * NS_S)));
+			if (t * 1000 >= static_cast<double>(e.to_ms))
+				return;
+			Wish w = {};
+			w.at = static_cast<int64_t>(t * NS_S);
+			w.hall = hall;
+			w.kind = draw_kind(unit(&seed));
+			w.work = static_cast<int64_t>(
+			    w.kind->work_ms * (0.5 + unit(&seed)) * NS_MS);
+			w.customer = e.customer;
+			w.leaves = INT64_MAX;
+			wishes.push_back(w);
+		}
+	}
+
+	bool in_excess(int64_t t) const
+	{
+		for (auto &e : pat.events)
+			if (e.what == Event::EXCESS && on(e, t))
+				return true;
+		return false;
+	}
+
 	void make_wishes()
 	{
+		for (size_t i = 0; i < set.customers.size(); i++)
+			customer_names.push_back("c" + std::to_string(i));
 		uint64_t seed = set.seed * 7919 + 13;
 
 		for (int h = 0; h < set.halls; h++) {
@@ -290,10 +343,15 @@
 				w.work = static_cast<int64_t>(w.kind->work_ms *
 				    (0.5 + unit(&seed)) * NS_MS);
 				w.leaves = INT64_MAX;
+				w.customer = draw_customer(wishes.size());
 				behave(&w, &seed);
 				wishes.push_back(w);
 			}
 		}
+		for (auto &e : pat.events)
+			for (int h = 0;
+			     e.what == Event::EXCESS && h < set.halls; h++)
+				make_excess(e, h);
 		std::sort(wishes.begin(), wishes.end(),
 		    [](const Wish &a, const Wish &b) { return a.at < b.at; });
 	}
@@ -308,6 +366,10 @@
 
 		if (!served && now >= w.leaves)
 			return;
+		if (in_excess(w.at)) {
+			by_customer[w.customer].asked++;
+			by_customer[w.customer].in_time += in_time;
+		}
 		c.asked++;
 		c.in_time += in_time;
 		c.late += served && !in_time;
@@ -328,6 +390,7 @@
 		int all = 0, good = 0;
 
 		r.kinds = counts;
+		r.customers = by_customer;
 		for (auto &s : seconds)
 			r.seconds[s.first] =
 			    static_cast<double>(s.second.first) /
@@ -372,6 +435,7 @@
 	std::vector<std::unique_ptr<Home>> homes;
 	std::vector<std::unique_ptr<Attempt>> attempts;
 	std::vector<std::string> hall_names;
+	uint64_t trace = 0;
 	int sent_evacuated = 0;
 	bool dark = false;
 
@@ -398,12 +462,22 @@
 		    atoi(std::string(b->name.p + 1, b->name.n - 1).c_str()))];
 	}
 
+	/* Adds a decision to the hash of all decisions. */
+	void record(const Attempt *a, uint64_t what)
+	{
+		trace ^= what + (static_cast<uint64_t>(now) << 8) +
+		    static_cast<uint64_t>(a->wish - wishes.data());
+		rnd_splitmix64(&trace);
+		trace = trace * 0x9e3779b97f4a7c15u + (trace >> 29);
+	}
+
 	static void send(void *ctx, struct disp_req *d, struct pick_backend *b)
 	{
 		Product *p = static_cast<Home *>(ctx)->p;
 		Attempt *a = of(d);
 		Server &v = p->server(b);
 
+		p->record(a, 1000 + static_cast<uint64_t>(v.index));
 		a->run = ++p->runs;
 		p->sent_evacuated += p->is_evacuated(v.hall);
 		p->count_cold(&v);
@@ -508,6 +582,7 @@
 		Attempt *a = of(d);
 		Count &c = p->counts[a->wish->kind->name];
 
+		p->record(a, static_cast<uint64_t>(after) + 1);
 		c.refused++;
 		c.refused_ms += static_cast<double>(p->now - a->came) / NS_MS;
 		p->come_back(a, after);
@@ -518,6 +593,7 @@
 		Product *p = static_cast<Home *>(ctx)->p;
 		Attempt *a = of(d);
 
+		p->record(a, 2);
 		d->can_forward = false;
 		a->home = atoi(std::string(hall.p + 1, hall.n - 1).c_str());
 		p->in(1400 * NS_US, [p, a] {
@@ -603,9 +679,13 @@
 		a->d.repeatable = w->kind->repeatable;
 		a->d.can_retry = a->d.can_forward = true;
 		a->d.max_attempts = 2;
-		a->d.previously_refused = !copy && left < RETRIES;
+		a->d.previously_refused = !copy && left < set.retries;
 		a->d.rank = w->kind->rank;
 		a->d.kind = static_cast<unsigned>(w->kind->target_ms);
+		if (w->customer >= 0)
+			a->d.customer = str_c(
+			    customer_names[static_cast<size_t>(w->customer)]
+				.c_str());
 		a->d.target = NS_S + w->at + w->kind->target_ms * NS_MS;
 		a->d.deadline = NS_S + w->at + w->kind->deadline_ms * NS_MS;
 		if (w->leaves != INT64_MAX)
@@ -829,7 +909,7 @@
 			open_home(h.get());
 		for (auto &w : wishes)
 			in(w.at, [this, &w] {
-				attempt(&w, RETRIES, false);
+				attempt(&w, set.retries, false);
 				for (int i = 0; i < w.copies; i++)
 					attempt(&w, 0, true);
 			});
@@ -1052,6 +1132,7 @@
 	w.run_to(p.length_ms * NS_MS + AFTER_NS);
 	r = w.result();
 	r.sent_evacuated = w.sent_evacuated;
+	r.trace = w.trace;
 	r.worst_cold = w.worst_cold;
 	r.fell_over = w.fell_over;
 	return r;
--- a/regress/load.h
+++ b/regress/load.h
@@ -59,11 +59,13 @@
 		MOVE, /* owners change, new ones start without state */
 		DARK, /* all owners are lost, and back at the end */
 		REPEAT, /* a share of the callers sends x copies at once */
-		LEAVE /* a share of the callers leaves after half the target */
+		LEAVE, /* a share of the callers leaves after half the target */
+		EXCESS /* a customer sends x times its usual requests */
 	} what;
 	int64_t from_ms, to_ms;
 	double x = 1, share = 1;
 	int hall = -1;
+	int customer = 0; /* of EXCESS: index in Setting::customers */
 };
 
 struct Pattern {
@@ -90,6 +92,8 @@
 	int64_t spell_ms = 150; /* length of a slow period */
 	std::vector<Kind> kinds;
 	uint64_t seed = 1;
+	std::vector<double> customers; /* shares of the requests; may be none */
+	int retries = 2; /* by a caller */
 };
 
 /* Outcomes of the requests of one kind, counted by first attempts. */
@@ -110,6 +114,9 @@
 	int worst_cold = 0; /* most requests in one second at a cold server */
 	int fell_over = 0; /* cold servers that failed from overload */
 	int sent_evacuated = 0; /* attempts started in an evacuated hall */
+	/* By customer, of the requests that arrived during an EXCESS. */
+	std::map<int, Count> customers;
+	uint64_t trace = 0; /* hash of all decisions and their times */
 
 	/* Seconds after `ms` until nine in ten requests are in time again. */
 	int recovers_after(int64_t ms) const;
