--- a/conc.c
+++ b/conc.c
@@ -152,6 +152,14 @@
 	return step <= HALF_STEP ? 1 : MAX(time_at(c, step) / usual, 1);
 }
 
+bool
+conc_is_known(const struct conc *c, int concurrent, int slots)
+{
+	int step = step_of(concurrent + 1, slots);
+
+	return step <= HALF_STEP || is_known(&c->steps[step]);
+}
+
 /*
  * Until more is known, two thirds of the slots are used: with a limit that is
  * too high, many requests would be slow until that is learned.
--- a/conc.h
+++ b/conc.h
@@ -11,6 +11,7 @@
 #ifndef CONC_H
 #define CONC_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
@@ -54,6 +55,12 @@
 /* Returns the slowdown, >= 1, of a request beside so many other requests. */
 double conc_slowdown(const struct conc *, int concurrent, int slots);
 
+/*
+ * Returns whether that slowdown is known: up to half of the slots it is
+ * presumed to be 1, and beyond, it takes some samples.
+ */
+bool conc_is_known(const struct conc *, int concurrent, int slots);
+
 /* Returns the best concurrency limit, from half of the slots to all of them. */
 int conc_limit(const struct conc *, int slots);
 
--- a/disp.c
+++ b/disp.c
@@ -75,6 +75,7 @@
 	for (i = 0; i < QUEUE_COUNT; i++)
 		queue_clear(&d->queues[i]);
 	g_array_free(d->service_times, TRUE);
+	share_free(d->share);
 	g_free(d);
 }
 
@@ -128,7 +129,8 @@
 disp_try_send(struct disp *d, struct disp_req *r)
 {
 	struct pick_set set = disp_pick_set(d);
-	struct pick_criteria criteria = {r->cls, r->avoid, r->service_time};
+	struct pick_criteria criteria = {
+	    r->cls, r->avoid, r->service_time, r->over_share};
 	int64_t now = clk_ns(d->clk);
 	struct pick_backend *b;
 	int chosen;
@@ -265,6 +267,14 @@
 	return false;
 }
 
+/* Handles the next interactive request; returns false if it has to wait. */
+static bool
+serve_interactive(struct disp *d)
+{
+	return (disp_share_is_next(d) && serve_first(d, QUEUE_OVER)) ||
+	    serve_first(d, CLASS_INTERACTIVE);
+}
+
 /*
  * Serves the queues, interactive requests first.  A callback may end a request
  * and so call this function recursively; the inner call then only makes the
@@ -282,7 +292,7 @@
 		disp_roll_update_if_changed(d);
 		disp_separate_late(d);
 		disp_trial_serve_queue(d);
-		while (serve_first(d, CLASS_INTERACTIVE))
+		while (serve_interactive(d))
 			;
 		if (d->queues[CLASS_INTERACTIVE].n > 0)
 			continue;
--- a/disp.h
+++ b/disp.h
@@ -88,6 +88,8 @@
 	enum disp_violation violation; /* of the current attempt */
 	bool queried; /* load queries were sent for it */
 	bool budget_charged; /* a retry budget allowed its attempts so far */
+	bool over_share; /* it is beyond its customer's share */
+	bool in_excess; /* its customer was lately beyond its share */
 	bool wait_decided; /* it was decided whether it may wait */
 	int queue; /* index of the queue that it waits in */
 	struct pick_backend *backend; /* current one; NULL: queued or done */
--- a/disp_forward.c
+++ b/disp_forward.c
@@ -121,7 +121,8 @@
 	for (i = 0; i < d->remote_halls->len; i++) {
 		h = &g_array_index(d->remote_halls, struct disp_remote_hall, i);
 		if (!is_allowed(h, r) ||
-		    (!none_usable && !has_free_slots(h, now)))
+		    (!none_usable && !has_free_slots(h, now)) ||
+		    (r->over_share && !disp_share_hall_has_spare(d, h)))
 			continue;
 		if (is_better(h, best))
 			best = h;
--- a/disp_pace.c
+++ b/disp_pace.c
@@ -172,6 +172,8 @@
 	if (r->service_time == 0 && r->target != 0)
 		r->service_time =
 		    MAX((r->target - now) / SERVICE_TIME_DIVISOR, 0);
+	if (disp_share_submit(d, r))
+		return;
 	if (disp_query_before_send(d, r, now)) {
 		disp_enqueue(d, r);
 		return;
--- a/disp_queue.c
+++ b/disp_queue.c
@@ -21,7 +21,9 @@
 /*
  * Queues a request.  Within a rank, requests that can meet their targets are
  * ordered by the latest time to start them; late ones wait in a queue of their
- * own, which is served after these, ordered by deadline.
+ * own, which is served after these, ordered by deadline.  Requests beyond their
+ * customers' shares come after the others of their rank.  They have a queue of
+ * their own, as they may not take each slot, and must not block the others.
  */
 void
 disp_enqueue(struct disp *d, struct disp_req *r)
@@ -35,6 +37,10 @@
 		r->item.deadline = r->target - r->service_time;
 	else if (r->target != 0)
 		r->queue = QUEUE_LATE;
+	if (r->over_share) {
+		r->queue = QUEUE_OVER;
+		r->item.rank = disp_share_rank(r);
+	}
 	if (disp_trial_required(d, r))
 		r->queue = QUEUE_TRIAL;
 	queue_push(&d->queues[r->queue], &r->item);
@@ -73,7 +79,8 @@
 
 /*
  * Moves requests that can no longer meet their targets to the queue of late
- * ones, or refuses them where they would only wait until their deadlines.
+ * ones, or refuses them where they would only wait until their deadlines.  Late
+ * requests beyond their customers' shares are refused.
  */
 void
 disp_separate_late(struct disp *d)
@@ -88,16 +95,21 @@
 		else
 			disp_enqueue(d, r);
 	}
+	while ((r = find(d, QUEUE_OVER, is_late, now)) != NULL) {
+		disp_dequeue(d, r);
+		disp_latency_refuse(d, r, 0);
+	}
 }
 
 /*
- * Returns whether a late request, or one that waits for an isolated run, can no
- * longer be answered before its deadline.
+ * Returns whether a late request, or one that waits for an isolated run or for
+ * what others leave, can no longer be answered before its deadline.
  */
 static bool
 misses_deadline(const struct disp_req *r, int64_t now)
 {
-	return (r->queue == QUEUE_LATE || r->queue == QUEUE_TRIAL) &&
+	return (r->queue == QUEUE_LATE || r->queue == QUEUE_TRIAL ||
+		   r->queue == QUEUE_OVER) &&
 	    now + r->service_time > r->deadline;
 }
 
--- a/disp_reassign.c
+++ b/disp_reassign.c
@@ -73,7 +73,8 @@
 should_move(struct disp *d, const struct disp_req *r, int64_t now)
 {
 	struct pick_set set = disp_pick_set(d);
-	struct pick_criteria criteria = {r->cls, r->backend, r->service_time};
+	struct pick_criteria criteria = {
+	    r->cls, r->backend, r->service_time, r->over_share};
 	int64_t current_end = estimate_end(d, r, now);
 	int64_t new_end =
 	    now + (int64_t)((double)r->service_time * NEW_ATTEMPT_MARGIN);
--- a/disp_set.c
+++ b/disp_set.c
@@ -253,6 +253,7 @@
     int waiting, int percent)
 {
 	disp_work_load_reported(d, percent);
+	disp_share_load_reported(d, b, percent, clk_ns(d->clk));
 	b->reported_running = running;
 	b->reported_waiting = waiting;
 	b->reported_latency_percent = percent;
@@ -375,7 +376,7 @@
 		    b->capacity_uncounted ? 0 : pick_free_slots(b, now);
 	}
 	for (i = 0; i < QUEUE_COUNT; i++)
-		capacity.queued += (int)d->queues[i].n;
+		capacity.queued += i == QUEUE_OVER ? 0 : (int)d->queues[i].n;
 	return capacity;
 }
 
--- /dev/null
+++ b/disp_share.c
@@ -0,0 +1,283 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <math.h>
+
+#include "libdisp.h"
+#include "pace.h"
+
+/*
+ * Fair shares of customers under the latency-aware policy: what the usable
+ * servers can do without slowing each other is shared by share.h.  Requests
+ * beyond their customers' shares come after the others of their rank, get only
+ * slots where they slow nobody and that the others do not need, and are refused
+ * if they would wait too long for these.  A request without a customer is never
+ * beyond a share.
+ */
+
+/* Interval of updates of the capacity: that of the dispatcher's timers. */
+#define CAPACITY_UPDATE_NS (10 * NS_MS)
+
+/* Reports of one server so far apart are unrelated. */
+#define UNRELATED_NS (3 * PACE_DECAY_NS)
+
+/* Slots up to this slowdown count as unslowed, as the means are noisy. */
+static const double UNSLOWED_MAX = 1.15;
+/*
+ * Requests arrive at random, so that a demand of n slots needs n and three
+ * standard deviations, 3 sqrt(n), in all but one of 700 moments.
+ */
+static const double DEVIATIONS = 3;
+
+enum {
+	PERCENT = 100,
+	SPEED_SAMPLES_MAX = 64, /* weight of the past, some seconds */
+	BULK_RANK = 1 << 24 /* beyond all ranks of interactive requests */
+};
+
+/*
+ * Returns how many requests can run at a server without slowing each other.  As
+ * long as the slowdown is not known, that is presumed of half of the slots.
+ */
+static int
+count_unslowed(const struct disp *d, const struct pick_backend *b)
+{
+	int n = 1;
+
+	while (n < pick_slot_limit(b) && conc_is_known(&d->conc, n, b->slots) &&
+	    conc_slowdown(&d->conc, n, b->slots) <= UNSLOWED_MAX)
+		n++;
+	return n;
+}
+
+/*
+ * Updates the mean speed of the servers, 1 being the usual one.  A server in a
+ * slow period keeps free slots and is queried more often, while its last report
+ * stands until it is queried again, so neither a mean over all reports nor one
+ * over the last reports is right: where 0.3 of the servers were slow, the last
+ * reports of 0.6 were.  A report counts if the one before is too old to be
+ * related to it, as the server was then chosen whatever its speed is.
+ */
+void
+disp_share_load_reported(
+    struct disp *d, const struct pick_backend *b, int percent, int64_t now)
+{
+	double speed = MIN(PERCENT / (double)MAX(percent, 1), 1);
+
+	if (b->reported_at != 0 && now - b->reported_at < UNRELATED_NS)
+		return;
+	d->speed_samples = MIN(d->speed_samples + 1, SPEED_SAMPLES_MAX);
+	d->slowness += (1 - speed - d->slowness) / d->speed_samples;
+}
+
+/* Returns the expected speed of a server, 1 being the usual one. */
+static double
+speed_of(const struct disp *d, const struct pick_backend *b, int64_t now)
+{
+	double mean = 1 - d->slowness, weight = 0, speed = mean;
+
+	if (b->reported_at != 0) {
+		weight = exp(-(double)(now - b->reported_at) / PACE_DECAY_NS);
+		speed = PERCENT / (double)MAX(b->reported_latency_percent, 1);
+	}
+	speed = weight * speed + (1 - weight) * mean;
+	return b->service_time_ratio > 0 ? speed / b->service_time_ratio
+					 : speed;
+}
+
+/* Returns the slots that a demand of n needs at times. */
+static double
+with_deviations(double n)
+{
+	return n + DEVIATIONS * sqrt(n);
+}
+
+static void
+update_capacity(struct disp *d, int64_t now)
+{
+	struct pick_backend *b;
+	double slots, all = 0, sum = 0;
+	guint i;
+
+	if (d->share_updated_at != 0 &&
+	    now - d->share_updated_at < CAPACITY_UPDATE_NS)
+		return;
+	d->share_updated_at = now;
+	for (i = 0; i < d->backends->len; i++) {
+		b = g_ptr_array_index(d->backends, i);
+		b->unslowed_slots = count_unslowed(d, b);
+		if (b->capacity_uncounted || !pick_is_usable(b, now))
+			continue;
+		slots = MIN(disp_report_slots(d, b), b->unslowed_slots);
+		all += slots;
+		sum += slots /
+		    (b->service_time_ratio > 0 ? b->service_time_ratio : 1);
+	}
+	/* Ratios are relative to all servers, and at first all may be low. */
+	d->unslowed_capacity = MIN(sum, all) * (1 - d->slowness);
+	share_set_capacity(d->share, d->unslowed_capacity, now);
+}
+
+/* Returns the part of the unslowed capacity that is free. */
+static double
+free_capacity(const struct disp *d, int64_t now)
+{
+	const struct pick_backend *b;
+	double sum = 0;
+	guint i;
+
+	for (i = 0; i < d->backends->len; i++) {
+		b = g_ptr_array_index(d->backends, i);
+		if (b->inflight < b->unslowed_slots)
+			sum += MIN(pick_free_slots(b, now),
+				   b->unslowed_slots - b->inflight) *
+			    speed_of(d, b, now);
+	}
+	return sum;
+}
+
+/* Returns the part of the capacity that requests of others use. */
+static double
+others_use(const struct disp *d)
+{
+	const struct disp_req *r;
+	const GList *node;
+	double sum = 0;
+
+	for (node = d->inflight.head; node != NULL; node = node->next) {
+		r = node->data;
+		if (!r->over_share && !r->in_excess)
+			sum += 1 / MAX(r->latency_factor, 1);
+	}
+	return sum;
+}
+
+/*
+ * Returns whether there is a slot for a request beyond a share: one that is not
+ * slowed, and that the others' demand does not need.
+ */
+static bool
+has_spare(struct disp *d, int64_t now)
+{
+	double needed = with_deviations(share_others_demand(d->share, now));
+
+	return free_capacity(d, now) - 1 >= MAX(needed - others_use(d), 0);
+}
+
+int
+disp_share_rank(const struct disp_req *r)
+{
+	return r->rank + (r->cls == CLASS_BULK ? BULK_RANK : 0);
+}
+
+/* Returns whether a request that waits is served before one of this rank. */
+static bool
+is_behind_others(const struct disp *d, int rank)
+{
+	const struct queue_item *first =
+	    queue_first(&d->queues[CLASS_INTERACTIVE]);
+
+	return first != NULL && first->rank <= rank;
+}
+
+bool
+disp_share_is_next(struct disp *d)
+{
+	const struct queue_item *first = queue_first(&d->queues[QUEUE_OVER]);
+	int64_t now = clk_ns(d->clk);
+
+	if (first == NULL)
+		return false;
+	update_capacity(d, now);
+	return !is_behind_others(d, first->rank) && has_spare(d, now);
+}
+
+bool
+disp_share_hall_has_spare(
+    const struct disp *d, const struct disp_remote_hall *h)
+{
+	double slots = disp_usable_slots(d), used;
+
+	if (slots == 0)
+		return true;
+	used = h->capacity.slots - h->capacity.free_slots;
+	return with_deviations(used) + 1 <=
+	    h->capacity.slots * d->unslowed_capacity / slots;
+}
+
+/* Returns whether the request is beyond its customer's share. */
+static bool
+is_over_share(struct disp *d, struct disp_req *r, int64_t now)
+{
+	if (d->share == NULL && r->customer.n == 0)
+		return false;
+	if (d->share == NULL)
+		d->share = share_new();
+	update_capacity(d, now);
+	if (r->customer.n == 0) {
+		share_admit_unlimited(d->share, r->service_time, now);
+		return false;
+	}
+	r->over_share = d->unslowed_capacity > 0 &&
+	    !share_admit(d->share, r->customer, r->service_time, now);
+	r->in_excess = share_in_excess(d->share, r->customer, now);
+	return r->over_share;
+}
+
+/* Estimates the time in ns until the others leave a slot for the request. */
+static int64_t
+expected_wait(struct disp *d, int64_t now)
+{
+	double left = d->unslowed_capacity - share_demand(d->share, now);
+	double ahead = (double)(d->queues[CLASS_INTERACTIVE].n +
+	    d->queues[QUEUE_OVER].n + 1);
+
+	if (left < 1)
+		left = 1;
+	return (int64_t)(ahead * (double)d->mean_service_time / left);
+}
+
+/* Queues a request that cannot be sent yet, or refuses it. */
+static void
+wait_or_refuse(struct disp *d, struct disp_req *r, int64_t now)
+{
+	int64_t wait = expected_wait(d, now);
+
+	r->wait_decided = true;
+	if (disp_usable_backends(d) == 0)
+		disp_fail(d, r, ERR_NO_BACKEND, RETRY_AFTER_MAX_NS);
+	else if (now + wait + r->service_time > r->deadline ||
+	    !disp_can_meet_target(r, now + wait))
+		disp_latency_refuse(d, r, wait);
+	else
+		disp_enqueue(d, r);
+}
+
+bool
+disp_share_submit(struct disp *d, struct disp_req *r)
+{
+	int64_t now = clk_ns(d->clk);
+
+	if (!is_over_share(d, r, now))
+		return false;
+	if (!is_behind_others(d, disp_share_rank(r)) &&
+	    d->queues[QUEUE_OVER].n == 0 && has_spare(d, now)) {
+		if (disp_query_before_send(d, r, now)) {
+			r->wait_decided = true;
+			disp_enqueue(d, r);
+			return true;
+		}
+		if (disp_try_send(d, r))
+			return true;
+	}
+	if (!disp_forward(d, r))
+		wait_or_refuse(d, r, now);
+	return true;
+}
--- a/disp_stop.c
+++ b/disp_stop.c
@@ -32,7 +32,7 @@
 {
 	const struct pick_backend *b = r->backend;
 	struct pick_set set = disp_pick_set(d);
-	struct pick_criteria criteria = {r->cls, b, r->service_time};
+	struct pick_criteria criteria = {r->cls, b, r->service_time, false};
 	int64_t limit = MAX(disp_usual_latency(d) * STOP_FACTOR, STOP_MIN_NS);
 	int chosen;
 
--- a/disp_trial.c
+++ b/disp_trial.c
@@ -173,7 +173,8 @@
 {
 	GPtrArray *idle = g_ptr_array_new();
 	struct pick_set set = disp_pick_set(d);
-	struct pick_criteria criteria = {r->cls, r->avoid, r->service_time};
+	struct pick_criteria criteria = {
+	    r->cls, r->avoid, r->service_time, r->over_share};
 	struct pick_backend *b = NULL;
 	guint i;
 	int chosen;
--- a/libdisp.h
+++ b/libdisp.h
@@ -12,6 +12,7 @@
 #define LIBDISP_H
 
 #include "disp.h"
+#include "share.h"
 
 /* The capacity that another hall reported is not used after this time. */
 #define HALL_CAPACITY_TTL_NS (1200 * NS_MS)
@@ -39,9 +40,10 @@
 
 /*
  * The queues: one for each class for requests that can meet their targets, one
- * for requests that cannot, and one for requests that must run isolated.
+ * for requests that cannot, one for requests that must run isolated, and one
+ * for requests beyond their customers' shares.
  */
-enum { QUEUE_LATE = CLASS_MAX, QUEUE_TRIAL, QUEUE_COUNT };
+enum { QUEUE_LATE = CLASS_MAX, QUEUE_TRIAL, QUEUE_OVER, QUEUE_COUNT };
 
 /*
  * A request that was in flight at a backend server when the connection broke,
@@ -68,6 +70,12 @@
 	struct conc conc; /* slowdown by concurrency, over all kinds */
 	int64_t limits_set_at; /* last update of concurrency limits */
 	GArray *remote_halls; /* struct disp_remote_hall */
+	struct share *share; /* of customers; NULL: no request had one */
+	int64_t share_updated_at; /* last update of its capacity */
+	/* Mean of 1 - speed of the servers, and its number of samples. */
+	double slowness;
+	int speed_samples;
+	double unslowed_capacity; /* of all usable servers, see disp_share.c */
 	struct retry_budget retry_budget;
 	struct limit rate_limit;
 	int64_t last_return_at; /* last arrival of a request refused before */
@@ -118,6 +126,20 @@
 bool disp_latency_remote_better(const struct disp *, const struct disp_req *,
     const struct pick_backend *, int64_t now);
 
+/* disp_share.c: fair shares of customers. */
+/* Returns true if the request is beyond its customer's share and handled. */
+bool disp_share_submit(struct disp *, struct disp_req *);
+/* Learns the mean speed of the servers from a load report that follows. */
+void disp_share_load_reported(
+    struct disp *, const struct pick_backend *, int percent, int64_t now);
+/* Returns the rank in the queue of requests beyond shares. */
+int disp_share_rank(const struct disp_req *);
+/* Returns whether the first request beyond a share is served next. */
+bool disp_share_is_next(struct disp *);
+/* Returns whether a hall has capacity for requests beyond shares. */
+bool
+disp_share_hall_has_spare(const struct disp *, const struct disp_remote_hall *);
+
 /* disp_stop.c: slow attempts under policies that are not latency-aware. */
 void disp_stop_slow(struct disp *, int64_t now);
 
--- a/pick.h
+++ b/pick.h
@@ -60,6 +60,7 @@
 	struct str address;
 	int slots; /* concurrent requests that it is configured for */
 	int64_t started_ms; /* start time, ms since 1970; 0: unknown */
+	int unslowed_slots; /* in use at once without a slowdown */
 	int max_inflight; /* learned concurrency limit; 0: all slots */
 	const struct conc *conc; /* slowdown by concurrency; NULL: unknown */
 	struct cold cold;
@@ -120,6 +121,7 @@
 	enum obj_class cls;
 	const struct pick_backend *avoid; /* last resort; or NULL */
 	int64_t service_time; /* at the usual speed, ns; 0: unknown */
+	bool unslowed_only; /* a slot is not taken if that slows others */
 };
 
 /* A policy chooses an index, or PICK_NONE if the request has to wait. */
--- a/pick_pace.c
+++ b/pick_pace.c
@@ -55,7 +55,10 @@
 	start = (unsigned)rnd_below(rnd, set->n);
 	for (i = 0; i < set->n; i++) {
 		index = (start + i) % set->n;
-		if (pick_free_slots(set->v[index], now) == 0)
+		if (pick_free_slots(set->v[index], now) == 0 ||
+		    (criteria->unslowed_only &&
+			set->v[index]->inflight >=
+			    set->v[index]->unslowed_slots))
 			continue;
 		c = cost(set, set->v[index], service_time, now);
 		if (set->v[index] == criteria->avoid)
