--- a/gate_answer.c
+++ b/gate_answer.c
@@ -72,12 +72,14 @@
 		    r->arrived_at - r->waited_ms * NS_MS, clk_ns(r->gate->clk));
 	gate_req_settle_claim(r, ran == RAN_NO);
 	cnt_add(r->gate->cnt, GC_REFUSED, 1);
+	cnt_add(r->gate->cnt, GC_OVER_SHARE_REFUSED, r->disp.over_share);
 	if (dialect->status_means_not_run)
 		status = err_status_for_ran(kind, ran);
 	slog_decision(SLOG_ROUTE, "refused",
 	    "id=%.*s print=" FPRINT_FMT
 	    " why=%s ran=%s status=%d age_ms=%lld tries=%d "
 	    "retry_after_ms=%lld rule=%.*s service=%.*s customer=%.*s "
+	    "over_share=%d "
 	    "conf=%llu "
 	    "conf_age_ms=%lld conf_held_ms=%lld conf_from=%.*s",
 	    STR_ARG(r->request_id), FPRINT_ARG(r->disp.fingerprint), row->name,
@@ -85,7 +87,7 @@
 	    (long long)((clk_ns(r->gate->clk) - r->arrived_at) / NS_MS),
 	    r->disp.attempt_count, (long long)(retry_after / NS_MS),
 	    STR_ARG(r->rule), STR_ARG(r->service), STR_ARG(r->customer),
-	    (unsigned long long)r->conf_version,
+	    r->disp.over_share, (unsigned long long)r->conf_version,
 	    (long long)sync_age_ms(&r->gate->sync),
 	    gate_conf_in_force_ms(r->gate), STR_ARG(r->gate->rules_source));
 	if (req == NULL)
--- a/gate_try.c
+++ b/gate_try.c
@@ -57,7 +57,7 @@
 	    "pace=%d "
 	    "pace_age_ms=%lld held_us=%lld left_ms=%lld waited_ms=%lld "
 	    "tries=%d conf=%llu "
-	    "conf_age_ms=%lld a_second=%.2f against=%s",
+	    "conf_age_ms=%lld a_second=%.2f against=%s over_share=%d",
 	    STR_ARG(r->request_id), FPRINT_ARG(r->disp.fingerprint),
 	    STR_ARG(r->service), STR_ARG(b->name), b->inflight - 1,
 	    pick_slot_limit(b), b->slots, b->reported_latency_percent,
@@ -69,9 +69,10 @@
 	    (long long)r->waited_ms, d->attempt_count,
 	    (unsigned long long)r->conf_version,
 	    (long long)sync_age_ms(&r->gate->sync), b->quota.rate,
-	    violation_names[d->violation]);
+	    violation_names[d->violation], d->over_share);
 	cnt_add(
 	    r->gate->cnt, GC_REPORT_OVERRIDDEN, d->violation != VIOLATION_NONE);
+	cnt_add(r->gate->cnt, GC_OVER_SHARE_SENT, d->over_share);
 	cnt_sample(r->gate->cnt, GC_QUEUE_TIME, d->sent_at - r->arrived_at);
 	gate_flow_send(r, b->address, !d->repeatable);
 }
--- a/regress/test_share.cpp
+++ b/regress/test_share.cpp
@@ -151,6 +151,21 @@
 	EXPECT_FALSE(share_in_excess(m.share, STR_LIT("burst"), 2 * NS_S));
 }
 
+/* A few long requests at once are no excess on a single server either. */
+TEST(Share, AFewRequestsAreNoExcessAtASmallCapacity)
+{
+	Meter m(1, 1);
+
+	for (int i = 0; i < 4; i++)
+		EXPECT_TRUE(share_admit(
+		    m.share, STR_LIT("a"), 640 * NS_MS, 2 * NS_S + i));
+	for (int i = 0; i < 8; i++)
+		share_admit(m.share, STR_LIT("a"), 640 * NS_MS, 2 * NS_S + i);
+	EXPECT_TRUE(share_in_excess(m.share, STR_LIT("a"), 2 * NS_S + 8));
+	EXPECT_TRUE(
+	    share_admit(m.share, STR_LIT("b"), 640 * NS_MS, 2 * NS_S + 9));
+}
+
 /* What was refused does not count against a customer later. */
 TEST(Share, AnExcessIsForgottenOnceItEnds)
 {
--- a/share.c
+++ b/share.c
@@ -40,8 +40,13 @@
  * time of 160 ms.
  */
 #define BURST_NS (240 * NS_MS)
-/* Longest backlog of requests without a customer, as nothing limits these. */
-#define UNLIMITED_NS (1 * NS_S)
+/*
+ * Customers that are not in excess never have a longer backlog in all, as
+ * requests that would wait so long are refused.  Otherwise a moment in which
+ * all want more than there is, such as after a loss of the owner, would count
+ * against the larger ones for seconds.
+ */
+#define BACKLOG_MAX_NS (480 * NS_MS)
 /* A customer without requests for this time is forgotten. */
 #define IDLE_NS (10 * NS_S)
 /* A customer is in excess for so long after a request beyond its share. */
@@ -52,10 +57,14 @@
 enum {
 	CUSTOMERS_MAX = 10000,
 	/*
-	 * Longest backlog of a customer that is a burst, in requests.  Poisson
-	 * arrivals at 0.8 of the share find more in 1 of 900 cases.
+	 * Bounds of the longest backlog of a customer that is a burst, in
+	 * requests.  Poisson arrivals at 0.8 of the share find more than 16 in
+	 * 1 of 900 cases.  A few at once are a burst also where the capacity is
+	 * that of one server.
 	 */
-	BURST_REQUESTS = 16
+	BURST_REQUESTS_MIN = 4,
+	BURST_REQUESTS_MAX = 16,
+	COST_WEIGHT = 64 /* of the past in the mean cost of requests */
 };
 
 struct customer_share {
@@ -63,16 +72,20 @@
 	struct queue_item tag; /* its deadline is the finish tag */
 	bool backlogged; /* the tag is in the heap */
 	int64_t seen_at; /* last request */
-	int64_t over_at; /* last request beyond the share; 0: none */
+	int64_t over_at; /* last request beyond the share */
+	bool in_excess; /* that was lately */
 	GList link; /* in share.recent */
+	GList excess_link; /* in share.excess */
 };
 
 struct share {
 	GHashTable *customers; /* struct customer_share by name */
 	GQueue recent; /* the same; the last one seen is the first */
+	GQueue excess; /* those in excess; the last one over is the first */
 	struct queue tags; /* of customers with a backlog */
 	double tag_sum; /* of these */
 	double capacity; /* service time per time */
+	double mean_cost; /* of a request, ns; 0: none yet */
 	double virtual_time; /* ns */
 	int64_t advanced_at; /* time up to which the server is simulated */
 	double unlimited; /* backlog of requests without a customer, ns */
@@ -98,6 +111,7 @@
 	s->customers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, customer_free);
 	g_queue_init(&s->recent);
+	g_queue_init(&s->excess);
 	queue_init(&s->tags);
 	return s;
 }
@@ -173,10 +187,42 @@
 	s->capacity = capacity;
 }
 
+static void
+end_excess(struct share *s, struct customer_share *c)
+{
+	if (!c->in_excess)
+		return;
+	c->in_excess = false;
+	g_queue_unlink(&s->excess, &c->excess_link);
+}
+
+static void
+start_excess(struct share *s, struct customer_share *c, int64_t now)
+{
+	end_excess(s, c);
+	c->in_excess = true;
+	c->over_at = now;
+	g_queue_push_head_link(&s->excess, &c->excess_link);
+}
+
+static void
+end_old_excesses(struct share *s, int64_t now)
+{
+	struct customer_share *c;
+
+	while (s->excess.tail != NULL) {
+		c = s->excess.tail->data;
+		if (now - c->over_at < EXCESS_NS)
+			return;
+		end_excess(s, c);
+	}
+}
+
 static void
 forget(struct share *s, struct customer_share *c)
 {
 	remove_tag(s, c);
+	end_excess(s, c);
 	g_queue_unlink(&s->recent, &c->link);
 	g_hash_table_remove(s->customers, c->name);
 }
@@ -206,6 +252,7 @@
 		c->name = key;
 		c->tag.data = c;
 		c->link.data = c;
+		c->excess_link.data = c;
 		g_hash_table_insert(s->customers, c->name, c);
 	} else {
 		g_free(key);
@@ -216,6 +263,21 @@
 	return c;
 }
 
+/* Returns the backlog of all customers, in ns. */
+static double
+backlog_of_all(const struct share *s)
+{
+	return s->tag_sum - (double)s->tags.n * s->virtual_time;
+}
+
+/* Returns the longest backlog of one customer, in ns, that is a burst. */
+static double
+longest_burst(const struct share *s)
+{
+	return CLAMP(BURST_NS * s->capacity, BURST_REQUESTS_MIN * s->mean_cost,
+	    BURST_REQUESTS_MAX * s->mean_cost);
+}
+
 /*
  * Returns whether a backlog of its customer, in ns, makes a request an excess.
  * As long as the server's whole backlog is that of a burst, the demand does not
@@ -224,11 +286,23 @@
 static bool
 is_excess(const struct share *s, double backlog, int64_t cost)
 {
-	double all = s->tag_sum - (double)s->tags.n * s->virtual_time;
-	double burst = BURST_NS * s->capacity;
+	return backlog_of_all(s) + (double)cost > BURST_NS * s->capacity &&
+	    backlog > longest_burst(s);
+}
 
-	return all + (double)cost > burst &&
-	    backlog > MIN(burst, (double)(BURST_REQUESTS * cost));
+/*
+ * Drops what is beyond the longest backlog, the same of each customer's.  The
+ * customers in excess, and one that will be, keep theirs.
+ */
+static void
+limit_backlog(struct share *s)
+{
+	double max = BACKLOG_MAX_NS * s->capacity +
+	    (s->excess.length + 1) * longest_burst(s);
+	double beyond = backlog_of_all(s) - max;
+
+	if (beyond > 0)
+		serve(s, beyond);
 }
 
 static void
@@ -251,28 +325,27 @@
 	s->others_demand += in_excess ? 0 : (double)cost;
 }
 
-static bool
-is_in_excess(const struct customer_share *c, int64_t now)
-{
-	return c->over_at != 0 && now - c->over_at < EXCESS_NS;
-}
-
 bool
 share_admit(struct share *s, struct str name, int64_t cost, int64_t now)
 {
 	struct customer_share *c = find_or_add(s, name, now);
 	double start;
 
+	if (s->mean_cost == 0)
+		s->mean_cost = (double)cost;
+	s->mean_cost += ((double)cost - s->mean_cost) / COST_WEIGHT;
 	forget_idle(s, now);
+	end_old_excesses(s, now);
 	advance(s, now);
 	start = c->backlogged ? (double)c->tag.deadline : s->virtual_time;
 	if (is_excess(s, start + (double)cost - s->virtual_time, cost)) {
-		c->over_at = now;
+		start_excess(s, c, now);
 		return false;
 	}
-	add_demand(s, cost, is_in_excess(c, now), now);
+	add_demand(s, cost, c->in_excess, now);
 	remove_tag(s, c);
 	add_tag(s, c, (int64_t)start + cost);
+	limit_backlog(s);
 	return true;
 }
 
@@ -281,7 +354,7 @@
 {
 	advance(s, now);
 	s->unlimited =
-	    MIN(s->unlimited + (double)cost, UNLIMITED_NS * s->capacity);
+	    MIN(s->unlimited + (double)cost, BACKLOG_MAX_NS * s->capacity);
 	add_demand(s, cost, false, now);
 }
 
@@ -292,7 +365,7 @@
 	const struct customer_share *c = g_hash_table_lookup(s->customers, key);
 
 	g_free(key);
-	return c != NULL && is_in_excess(c, now);
+	return c != NULL && c->in_excess && now - c->over_at < EXCESS_NS;
 }
 
 double
