--- a/disp_share.c
+++ b/disp_share.c
@@ -31,13 +31,14 @@
 /* Slots up to this slowdown count as unslowed, as the means are noisy. */
 static const double UNSLOWED_MAX = 1.15;
 /*
- * Requests arrive at random, so that a demand of n slots needs n and three
- * standard deviations, 3 sqrt(n), in all but one of 700 moments.
+ * Requests arrive at random, so that a mean use of n slots becomes n and two
+ * standard deviations, 2 sqrt(n), in all but one of 40 moments.
  */
-static const double DEVIATIONS = 3;
+static const double DEVIATIONS = 2;
 
 enum {
 	PERCENT = 100,
+	USE_WEIGHT = 50, /* of the past, 500 ms, in the mean of others' use */
 	SPEED_SAMPLES_MAX = 64, /* weight of the past, some seconds */
 	BULK_RANK = 1 << 24 /* beyond all ranks of interactive requests */
 };
@@ -92,13 +93,29 @@
 					 : speed;
 }
 
-/* Returns the slots that a demand of n needs at times. */
+/* Returns the slots that a mean use of n needs at times. */
 static double
 with_deviations(double n)
 {
 	return n + DEVIATIONS * sqrt(n);
 }
 
+/* Returns the part of the capacity that requests of others use. */
+static double
+others_use(const struct disp *d)
+{
+	const struct disp_req *r;
+	const GList *node;
+	double sum = 0;
+
+	for (node = d->inflight.head; node != NULL; node = node->next) {
+		r = node->data;
+		if (!r->over_share && !r->in_excess)
+			sum += 1 / MAX(r->latency_factor, 1);
+	}
+	return sum;
+}
+
 static void
 update_capacity(struct disp *d, int64_t now)
 {
@@ -123,6 +140,7 @@
 	/* Ratios are relative to all servers, and at first all may be low. */
 	d->unslowed_capacity = MIN(sum, all) * (1 - d->slowness);
 	share_set_capacity(d->share, d->unslowed_capacity, now);
+	d->mean_others_use += (others_use(d) - d->mean_others_use) / USE_WEIGHT;
 }
 
 /* Returns the part of the unslowed capacity that is free. */
@@ -143,30 +161,16 @@
 	return sum;
 }
 
-/* Returns the part of the capacity that requests of others use. */
-static double
-others_use(const struct disp *d)
-{
-	const struct disp_req *r;
-	const GList *node;
-	double sum = 0;
-
-	for (node = d->inflight.head; node != NULL; node = node->next) {
-		r = node->data;
-		if (!r->over_share && !r->in_excess)
-			sum += 1 / MAX(r->latency_factor, 1);
-	}
-	return sum;
-}
-
 /*
  * Returns whether there is a slot for a request beyond a share: one that is not
- * slowed, and that the others' demand does not need.
+ * slowed, and that the others' demand does not need.  They use more than their
+ * demand at the usual speed while they slow each other.
  */
 static bool
 has_spare(struct disp *d, int64_t now)
 {
-	double needed = with_deviations(share_others_demand(d->share, now));
+	double needed = with_deviations(
+	    MAX(share_others_demand(d->share, now), d->mean_others_use));
 
 	return free_capacity(d, now) - 1 >= MAX(needed - others_use(d), 0);
 }
--- a/libdisp.h
+++ b/libdisp.h
@@ -75,6 +75,7 @@
 	/* Mean of 1 - speed of the servers, and its number of samples. */
 	double slowness;
 	int speed_samples;
+	double mean_others_use; /* of the capacity: disp_share.c */
 	double unslowed_capacity; /* of all usable servers, see disp_share.c */
 	struct retry_budget retry_budget;
 	struct limit rate_limit;
--- a/regress/test_share.cpp
+++ b/regress/test_share.cpp
@@ -316,7 +316,7 @@
 namespace
 {
 
-constexpr int SEEDS = 30;
+constexpr int SEEDS = 60;
 constexpr int64_t FROM_MS = 3000, TO_MS = 9000;
 /* Indices of customers: one with a fifth of all requests, one with 0.08. */
 constexpr int LARGEST = 0, LARGE = 1;
@@ -341,6 +341,19 @@
 	return s;
 }
 
+/* The same with the four kinds of requests of that load. */
+load::Setting
+four_kinds(uint64_t seed)
+{
+	load::Setting s = uneven(seed);
+
+	s.kinds = {{"view", 0.6, 160, 400, 2000, 0, 1.4, true},
+	    {"order", 0.25, 210, 500, 2500, 1, 1.4, false},
+	    {"download", 0.07, 130, 1500, 4000, 1, 0.72, true},
+	    {"browsing", 0.08, 640, 3000, 6000, 2, 0.36, true}};
+	return s;
+}
+
 load::Event
 excess(int customer, double x)
 {
@@ -362,7 +375,8 @@
 };
 
 Shares
-replay(const std::vector<load::Event> &events, double load = 0.45)
+replay(const std::vector<load::Event> &events, double load = 0.45,
+    load::Setting (*setting)(uint64_t) = uneven)
 {
 	load::Pattern p;
 	Shares sum;
@@ -372,7 +386,7 @@
 	p.queues = false;
 	p.length_ms = TO_MS + 1000;
 	for (uint64_t seed = 1; seed <= SEEDS; seed++)
-		for (auto &c : load::run(uneven(seed), p).customers)
+		for (auto &c : load::run(setting(seed), p).customers)
 			sum.customers[c.first].add(c.second);
 	return sum;
 }
@@ -449,6 +463,13 @@
 	    usual(), 6);
 }
 
+/* Kinds of different ranks and service times share the same servers. */
+TEST(ShareLoad, AnExcessInAllKindsDoesNotHarmTheOthers)
+{
+	expect_unharmed(replay({excess(LARGE, 20)}, 0.45, four_kinds),
+	    replay({excess(LARGE, 1)}, 0.45, four_kinds), 1);
+}
+
 /* With enough capacity, what a customer sends beyond its usual is served. */
 TEST(ShareLoad, AnExcessIsServedWhereThereIsCapacity)
 {
