--- a/regress/test_customer.cpp
+++ b/regress/test_customer.cpp
@@ -82,12 +82,13 @@
  * from any thread.
  */
 std::string
-exchange(
-    const std::string &address, const std::string &id, const std::string &key)
+exchange(const std::string &address, const std::string &id,
+    const std::string &key, const std::string &path = "/look/1")
 {
 	size_t colon = address.find(':');
-	std::string rq = "GET /look/1 HTTP/1.1\r\nhost: shop.example\r\n"
-			 "connection: close\r\nfernjunction-request-id: " +
+	std::string rq = "GET " + path +
+	    " HTTP/1.1\r\nhost: shop.example\r\n"
+	    "connection: close\r\nfernjunction-request-id: " +
 	    id + "\r\nfernjunction-deadline-ms: 800\r\n" +
 	    "fernjunction-credential: " + key + "\r\n\r\n";
 	std::string text;
@@ -323,3 +324,33 @@
 	/* Each move of the owner starts a bucket with one token. */
 	EXPECT_LE(rush.let_in, s * 20 + 5 + 4 + 1) << s;
 }
+
+/* The owner knows whose a request is, and the log says what is beyond a share.
+ */
+TEST(Customer, ARequestBeyondAShareIsLoggedAndCounted)
+{
+	Customers w(tenant("anna", "\"key-a\"") + tenant("bert", "\"key-c\""));
+	std::vector<std::thread> callers;
+
+	/* The box learns how long the requests take. */
+	for (int i = 0; i < 50; i++)
+		exchange(w.ip + ":8080", "w" + std::to_string(i), "key-c",
+		    "/look/1?ms=40");
+	for (int i = 0; i < 100; i++)
+		callers.emplace_back([&w, i] {
+			exchange(w.ip + ":8080", "x" + std::to_string(i),
+			    "key-a", "/look/1?ms=40");
+		});
+	for (std::thread &t : callers)
+		t.join();
+	EXPECT_EQ(200, w.by("key-c").status);
+	EXPECT_TRUE(w.logged("customer=anna over_share=1"));
+	EXPECT_FALSE(w.logged("customer=bert over_share=1"));
+	std::string metrics =
+	    http("GET", w.ip + ":8280", "/metrics", {}, "", 500).body;
+
+	EXPECT_EQ(std::string::npos,
+	    metrics.find("\nfern_over_share_refused_total 0\n"));
+	EXPECT_NE(std::string::npos,
+	    metrics.find("\nfern_over_share_refused_total "));
+}
