--- a/disp.c
+++ b/disp.c
@@ -122,6 +122,7 @@
 void
 disp_fail(struct disp *d, struct disp_req *r, enum err_kind kind, int64_t after)
 {
+	disp_share_refused(d, r);
 	d->ops.fail(d->ops.ctx, r, kind, after);
 }
 
--- a/disp.h
+++ b/disp.h
@@ -88,6 +88,7 @@
 	enum disp_violation violation; /* of the current attempt */
 	bool queried; /* load queries were sent for it */
 	bool budget_charged; /* a retry budget allowed its attempts so far */
+	int64_t share_cost; /* ns that count against its customer's share */
 	bool over_share; /* it is beyond its customer's share */
 	bool in_excess; /* its customer was lately beyond its share */
 	bool wait_decided; /* it was decided whether it may wait */
--- a/disp_share.c
+++ b/disp_share.c
@@ -231,10 +231,20 @@
 	}
 	r->over_share = d->unslowed_capacity > 0 &&
 	    !share_admit(d->share, r->customer, r->service_time, now);
+	r->share_cost = r->over_share ? 0 : r->service_time;
 	r->in_excess = share_in_excess(d->share, r->customer, now);
 	return r->over_share;
 }
 
+void
+disp_share_refused(struct disp *d, struct disp_req *r)
+{
+	if (d->share != NULL && r->share_cost > 0 && r->attempt_count == 0)
+		share_give_back(
+		    d->share, r->customer, r->share_cost, clk_ns(d->clk));
+	r->share_cost = 0;
+}
+
 /* Estimates the time in ns until the others leave a slot for the request. */
 static int64_t
 expected_wait(struct disp *d, int64_t now)
--- a/libdisp.h
+++ b/libdisp.h
@@ -135,6 +135,8 @@
     struct disp *, const struct pick_backend *, int percent, int64_t now);
 /* Returns the rank in the queue of requests beyond shares. */
 int disp_share_rank(const struct disp_req *);
+/* A request is refused: it no longer counts against its customer's share. */
+void disp_share_refused(struct disp *, struct disp_req *);
 /* Returns whether the first request beyond a share is served next. */
 bool disp_share_is_next(struct disp *);
 /* Returns whether a hall has capacity for requests beyond shares. */
--- a/regress/test_share.cpp
+++ b/regress/test_share.cpp
@@ -166,6 +166,33 @@
 	    share_admit(m.share, STR_LIT("b"), 640 * NS_MS, 2 * NS_S + 9));
 }
 
+/* Many customers that want a little more than their share are limited too. */
+TEST(Share, AnExcessOfManyIsNoticed)
+{
+	Meter m(30, 1);
+
+	m.flows.assign(50, {0.1 / 0.16});
+	m.flows.resize(100, {1 / 0.16});
+	m.run(3);
+	m.run(60);
+	for (size_t i = 0; i < 50; i++)
+		EXPECT_EQ(m.flows[i].asked, m.flows[i].admitted) << i;
+	for (size_t i = 50; i < 100; i++)
+		EXPECT_NEAR(0.5, m.use(i, 60), 0.05) << i;
+}
+
+/* What is given back is as if it had never been counted. */
+TEST(Share, RefusedRequestsAreGivenBack)
+{
+	Meter m(10, 1);
+
+	for (int i = 0; i < 1000; i++) {
+		EXPECT_TRUE(
+		    share_admit(m.share, STR_LIT("a"), COST, 2 * NS_S + i));
+		share_give_back(m.share, STR_LIT("a"), COST, 2 * NS_S + i);
+	}
+}
+
 /* What was refused does not count against a customer later. */
 TEST(Share, AnExcessIsForgottenOnceItEnds)
 {
--- a/share.c
+++ b/share.c
@@ -41,12 +41,12 @@
  */
 #define BURST_NS (240 * NS_MS)
 /*
- * Customers that are not in excess never have a longer backlog in all, as
- * requests that would wait so long are refused.  Otherwise a moment in which
- * all want more than there is, such as after a loss of the owner, would count
- * against the larger ones for seconds.
+ * Longest time that the server may need for the bursts of all customers that
+ * have a backlog; an excess of many is noticed within about this time.
  */
-#define BACKLOG_MAX_NS (480 * NS_MS)
+#define BURSTS_NS (1 * NS_S)
+/* Longest backlog of requests without a customer, as nothing limits these. */
+#define UNLIMITED_NS (480 * NS_MS)
 /* A customer without requests for this time is forgotten. */
 #define IDLE_NS (10 * NS_S)
 /* A customer is in excess for so long after a request beyond its share. */
@@ -72,16 +72,13 @@
 	struct queue_item tag; /* its deadline is the finish tag */
 	bool backlogged; /* the tag is in the heap */
 	int64_t seen_at; /* last request */
-	int64_t over_at; /* last request beyond the share */
-	bool in_excess; /* that was lately */
+	int64_t over_at; /* last request beyond the share; 0: none */
 	GList link; /* in share.recent */
-	GList excess_link; /* in share.excess */
 };
 
 struct share {
 	GHashTable *customers; /* struct customer_share by name */
 	GQueue recent; /* the same; the last one seen is the first */
-	GQueue excess; /* those in excess; the last one over is the first */
 	struct queue tags; /* of customers with a backlog */
 	double tag_sum; /* of these */
 	double capacity; /* service time per time */
@@ -111,7 +108,6 @@
 	s->customers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, customer_free);
 	g_queue_init(&s->recent);
-	g_queue_init(&s->excess);
 	queue_init(&s->tags);
 	return s;
 }
@@ -187,42 +183,10 @@
 	s->capacity = capacity;
 }
 
-static void
-end_excess(struct share *s, struct customer_share *c)
-{
-	if (!c->in_excess)
-		return;
-	c->in_excess = false;
-	g_queue_unlink(&s->excess, &c->excess_link);
-}
-
-static void
-start_excess(struct share *s, struct customer_share *c, int64_t now)
-{
-	end_excess(s, c);
-	c->in_excess = true;
-	c->over_at = now;
-	g_queue_push_head_link(&s->excess, &c->excess_link);
-}
-
-static void
-end_old_excesses(struct share *s, int64_t now)
-{
-	struct customer_share *c;
-
-	while (s->excess.tail != NULL) {
-		c = s->excess.tail->data;
-		if (now - c->over_at < EXCESS_NS)
-			return;
-		end_excess(s, c);
-	}
-}
-
 static void
 forget(struct share *s, struct customer_share *c)
 {
 	remove_tag(s, c);
-	end_excess(s, c);
 	g_queue_unlink(&s->recent, &c->link);
 	g_hash_table_remove(s->customers, c->name);
 }
@@ -252,7 +216,6 @@
 		c->name = key;
 		c->tag.data = c;
 		c->link.data = c;
-		c->excess_link.data = c;
 		g_hash_table_insert(s->customers, c->name, c);
 	} else {
 		g_free(key);
@@ -274,7 +237,10 @@
 static double
 longest_burst(const struct share *s)
 {
-	return CLAMP(BURST_NS * s->capacity, BURST_REQUESTS_MIN * s->mean_cost,
+	double burst =
+	    MIN((double)BURST_NS, BURSTS_NS / MAX((double)s->tags.n, 1));
+
+	return CLAMP(burst * s->capacity, BURST_REQUESTS_MIN * s->mean_cost,
 	    BURST_REQUESTS_MAX * s->mean_cost);
 }
 
@@ -290,21 +256,6 @@
 	    backlog > longest_burst(s);
 }
 
-/*
- * Drops what is beyond the longest backlog, the same of each customer's.  The
- * customers in excess, and one that will be, keep theirs.
- */
-static void
-limit_backlog(struct share *s)
-{
-	double max = BACKLOG_MAX_NS * s->capacity +
-	    (s->excess.length + 1) * longest_burst(s);
-	double beyond = backlog_of_all(s) - max;
-
-	if (beyond > 0)
-		serve(s, beyond);
-}
-
 static void
 decay_demand(struct share *s, int64_t now)
 {
@@ -325,6 +276,12 @@
 	s->others_demand += in_excess ? 0 : (double)cost;
 }
 
+static bool
+is_in_excess(const struct customer_share *c, int64_t now)
+{
+	return c->over_at != 0 && now - c->over_at < EXCESS_NS;
+}
+
 bool
 share_admit(struct share *s, struct str name, int64_t cost, int64_t now)
 {
@@ -335,26 +292,41 @@
 		s->mean_cost = (double)cost;
 	s->mean_cost += ((double)cost - s->mean_cost) / COST_WEIGHT;
 	forget_idle(s, now);
-	end_old_excesses(s, now);
 	advance(s, now);
 	start = c->backlogged ? (double)c->tag.deadline : s->virtual_time;
 	if (is_excess(s, start + (double)cost - s->virtual_time, cost)) {
-		start_excess(s, c, now);
+		c->over_at = now;
 		return false;
 	}
-	add_demand(s, cost, c->in_excess, now);
+	add_demand(s, cost, is_in_excess(c, now), now);
 	remove_tag(s, c);
 	add_tag(s, c, (int64_t)start + cost);
-	limit_backlog(s);
 	return true;
 }
 
+void
+share_give_back(struct share *s, struct str name, int64_t cost, int64_t now)
+{
+	char *key = g_strndup(name.p, name.n);
+	struct customer_share *c = g_hash_table_lookup(s->customers, key);
+	int64_t tag;
+
+	g_free(key);
+	advance(s, now);
+	if (c == NULL || !c->backlogged)
+		return;
+	tag = c->tag.deadline - cost;
+	remove_tag(s, c);
+	if ((double)tag > s->virtual_time)
+		add_tag(s, c, tag);
+}
+
 void
 share_admit_unlimited(struct share *s, int64_t cost, int64_t now)
 {
 	advance(s, now);
 	s->unlimited =
-	    MIN(s->unlimited + (double)cost, BACKLOG_MAX_NS * s->capacity);
+	    MIN(s->unlimited + (double)cost, UNLIMITED_NS * s->capacity);
 	add_demand(s, cost, false, now);
 }
 
@@ -365,7 +337,7 @@
 	const struct customer_share *c = g_hash_table_lookup(s->customers, key);
 
 	g_free(key);
-	return c != NULL && c->in_excess && now - c->over_at < EXCESS_NS;
+	return c != NULL && is_in_excess(c, now);
 }
 
 double
--- a/share.h
+++ b/share.h
@@ -43,6 +43,14 @@
 bool
 share_admit(struct share *, struct str customer, int64_t cost, int64_t now);
 
+/*
+ * Gives back the cost of a counted request that was refused.  Otherwise a
+ * moment in which all customers want more than there is, such as after a loss
+ * of the owner, would count against them for seconds.
+ */
+void
+share_give_back(struct share *, struct str customer, int64_t cost, int64_t now);
+
 /* Counts a request that has no customer; it takes precedence over all shares.
  */
 void share_admit_unlimited(struct share *, int64_t cost, int64_t now);
