--- a/disp_share.c
+++ b/disp_share.c
@@ -120,7 +120,7 @@
 update_capacity(struct disp *d, int64_t now)
 {
 	struct pick_backend *b;
-	double slots, all = 0, sum = 0;
+	double all = 0;
 	guint i;
 
 	if (d->share_updated_at != 0 &&
@@ -132,13 +132,14 @@
 		b->unslowed_slots = count_unslowed(d, b);
 		if (b->capacity_uncounted || !pick_is_usable(b, now))
 			continue;
-		slots = MIN(disp_report_slots(d, b), b->unslowed_slots);
-		all += slots;
-		sum += slots /
-		    (b->service_time_ratio > 0 ? b->service_time_ratio : 1);
+		all += MIN(disp_report_slots(d, b), b->unslowed_slots);
 	}
-	/* Ratios are relative to all servers, and at first all may be low. */
-	d->unslowed_capacity = MIN(sum, all) * (1 - d->slowness);
+	/*
+	 * The service time ratios of servers are left out: the service times of
+	 * requests, in which the demand is measured, are means over all
+	 * servers.
+	 */
+	d->unslowed_capacity = all * (1 - d->slowness);
 	share_set_capacity(d->share, d->unslowed_capacity, now);
 	d->mean_others_use += (others_use(d) - d->mean_others_use) / USE_WEIGHT;
 }
--- a/regress/box.h
+++ b/regress/box.h
@@ -154,6 +154,7 @@
 
 	/* Additional members of each service's and each route's spec. */
 	std::string of_service, of_route;
+	std::string target = "300ms"; /* of each route */
 
 	/* Writes one route for safe and one for unsafe requests to a service.
 	 */
@@ -162,8 +163,9 @@
 		std::string route = R"({"resourceType":"routes",
 		    "metadata":{"name":"NAME"},"spec":{"host":"shop.example",
 		    "pathPrefix":"/NAME/","routeType":"TYPE","timeout":"900ms",
-		    "targetLatency":"300ms","priority":1,"maxAttempts":2,
+		    "targetLatency":"TARGET","priority":1,"maxAttempts":2,
 		    "service":"SERVICE"MORE}},)";
+		route = replaced(route, "TARGET", target);
 		std::string safe =
 		    replaced(replaced(route, "NAME", "look"), "TYPE", "safe");
 		std::string unsafe =
--- a/regress/test_customer.cpp
+++ b/regress/test_customer.cpp
@@ -332,6 +332,11 @@
 	Customers w(tenant("anna", "\"key-a\"") + tenant("bert", "\"key-c\""));
 	std::vector<std::thread> callers;
 
+	/* Longer than a burst may wait, which would be refused first. */
+	w.target = "700ms";
+	w.allow(tenant("anna", "\"key-a\"") + tenant("bert", "\"key-c\""));
+	ASSERT_TRUE(
+	    until([&] { return w.in_force("bundle/main") == 2; }, 2000));
 	/* The box learns how long the requests take. */
 	for (int i = 0; i < 50; i++)
 		exchange(w.ip + ":8080", "w" + std::to_string(i), "key-c",
--- a/share.c
+++ b/share.c
@@ -35,11 +35,12 @@
  */
 
 /*
- * The demand exceeds the capacity if the fluid server is behind by so much.  A
- * request that waits so long can still meet a target of 400 ms with a service
- * time of 160 ms.
+ * The demand exceeds the capacity if the fluid server is behind by so much:
+ * half of the time that a request with a target of 400 ms and a service time of
+ * 160 ms can wait.  With a longer time, requests of others would be refused for
+ * lack of time before those of the customer in excess count as such.
  */
-#define BURST_NS (240 * NS_MS)
+#define BURST_NS (120 * NS_MS)
 /*
  * Longest time that the server may need for the bursts of all customers that
  * have a backlog; an excess of many is noticed within about this time.
