--- a/disp.h
+++ b/disp.h
@@ -78,6 +78,7 @@
 	unsigned kind; /* requests of one kind have similar service times */
 	struct str allowed_regions; /* where it may be served: region.h */
 	struct fprint fingerprint; /* identifies retries of the same request */
+	struct str customer; /* that it is made for; empty: none */
 	/* The members below are private to the dispatcher. */
 	int64_t service_time; /* estimate for the usual speed, ns */
 	/* Estimates at the start of the current attempt. */
@@ -88,6 +89,9 @@
 	enum disp_violation violation; /* of the current attempt */
 	bool queried; /* load queries were sent for it */
 	bool budget_charged; /* a retry budget allowed its attempts so far */
+	int64_t share_cost; /* ns that count against its customer's share */
+	bool over_share; /* it is beyond its customer's share */
+	bool in_excess; /* its customer was lately beyond its share */
 	bool wait_decided; /* it was decided whether it may wait */
 	int queue; /* index of the queue that it waits in */
 	struct pick_backend *backend; /* current one; NULL: queued or done */
--- a/disp_tally.c
+++ b/disp_tally.c
@@ -18,6 +18,7 @@
 G_STATIC_ASSERT((int)WAITING_BULK == (int)CLASS_BULK);
 G_STATIC_ASSERT((int)WAITING_LATE == (int)QUEUE_LATE);
 G_STATIC_ASSERT((int)WAITING_TRIAL == (int)QUEUE_TRIAL);
+G_STATIC_ASSERT((int)WAITING_OVER_SHARE == (int)QUEUE_OVER);
 
 /*
  * Returns why a backend server gets no requests at all; LEFT_MAX if it is
--- a/regress/test_customer.cpp
+++ b/regress/test_customer.cpp
@@ -86,12 +86,13 @@
  * from any thread.
  */
 std::string
-exchange(
-    const std::string &address, const std::string &id, const std::string &key)
+exchange(const std::string &address, const std::string &id,
+    const std::string &key, const std::string &path = "/look/1")
 {
 	size_t colon = address.find(':');
-	std::string rq = "GET /look/1 HTTP/1.1\r\nhost: shop.example\r\n"
-			 "connection: close\r\nfernjunction-request-id: " +
+	std::string rq = "GET " + path +
+	    " HTTP/1.1\r\nhost: shop.example\r\n"
+	    "connection: close\r\nfernjunction-request-id: " +
 	    id + "\r\nfernjunction-deadline-ms: 800\r\n" +
 	    "fernjunction-credential: " + key + "\r\n\r\n";
 	std::string text;
@@ -412,3 +413,38 @@
 	/* Of the 14 s two windows' worth at least is used. */
 	EXPECT_GE(rush.let_in, 2 * static_cast<int>(limit));
 }
+
+/* The owner knows whose a request is, and the log says what is beyond a share.
+ */
+TEST(Customer, ARequestBeyondAShareIsLoggedAndCounted)
+{
+	Customers w(tenant("anna", "\"key-a\"") + tenant("bert", "\"key-c\""));
+	std::vector<std::thread> callers;
+
+	/* Longer than a burst may wait, which would be refused first. */
+	w.target = "700ms";
+	w.allow(tenant("anna", "\"key-a\"") + tenant("bert", "\"key-c\""));
+	ASSERT_TRUE(
+	    until([&] { return w.in_force("bundle/main") == 2; }, 2000));
+	/* The box learns how long the requests take. */
+	for (int i = 0; i < 50; i++)
+		exchange(w.ip + ":8080", "w" + std::to_string(i), "key-c",
+		    "/look/1?ms=40");
+	for (int i = 0; i < 100; i++)
+		callers.emplace_back([&w, i] {
+			exchange(w.ip + ":8080", "x" + std::to_string(i),
+			    "key-a", "/look/1?ms=40");
+		});
+	for (std::thread &t : callers)
+		t.join();
+	EXPECT_EQ(200, w.by("key-c").status);
+	EXPECT_TRUE(w.logged("customer=anna over_share=1"));
+	EXPECT_FALSE(w.logged("customer=bert over_share=1"));
+	std::string metrics =
+	    http("GET", w.ip + ":8280", "/metrics", {}, "", 500).body;
+
+	EXPECT_EQ(std::string::npos,
+	    metrics.find("\nfern_over_share_refused_total 0\n"));
+	EXPECT_NE(std::string::npos,
+	    metrics.find("\nfern_over_share_refused_total "));
+}
--- a/tally.c
+++ b/tally.c
@@ -35,6 +35,7 @@
     [WAITING_BULK] = "bulk",
     [WAITING_LATE] = "late",
     [WAITING_TRIAL] = "trial",
+    [WAITING_OVER_SHARE] = "over_share",
 };
 
 const char *
--- a/tally.h
+++ b/tally.h
@@ -50,6 +50,7 @@
 	WAITING_BULK,
 	WAITING_LATE, /* cannot meet their targets */
 	WAITING_TRIAL, /* must run isolated */
+	WAITING_OVER_SHARE, /* beyond the share of their customer */
 	WAITING_MAX
 };
 
