--- a/disp_share.c
+++ b/disp_share.c
@@ -34,7 +34,7 @@
  * Requests arrive at random, so that a mean use of n slots becomes n and two
  * standard deviations, 2 sqrt(n), in all but one of 40 moments.
  */
-static const double DEVIATIONS = 2;
+static const double DEVIATIONS = 3;
 
 enum {
 	PERCENT = 100,
@@ -78,21 +78,6 @@
 	d->slowness += (1 - speed - d->slowness) / d->speed_samples;
 }
 
-/* Returns the expected speed of a server, 1 being the usual one. */
-static double
-speed_of(const struct disp *d, const struct pick_backend *b, int64_t now)
-{
-	double mean = 1 - d->slowness, weight = 0, speed = mean;
-
-	if (b->reported_at != 0) {
-		weight = exp(-(double)(now - b->reported_at) / PACE_DECAY_NS);
-		speed = PERCENT / (double)MAX(b->reported_latency_percent, 1);
-	}
-	speed = weight * speed + (1 - weight) * mean;
-	return b->service_time_ratio > 0 ? speed / b->service_time_ratio
-					 : speed;
-}
-
 /* Returns the slots that a mean use of n needs at times. */
 static double
 with_deviations(double n)
@@ -144,9 +129,9 @@
 	d->mean_others_use += (others_use(d) - d->mean_others_use) / USE_WEIGHT;
 }
 
-/* Returns the part of the unslowed capacity that is free. */
+/* Returns the slots that are free. */
 static double
-free_capacity(const struct disp *d, int64_t now)
+free_slots(const struct disp *d, int64_t now)
 {
 	const struct pick_backend *b;
 	double sum = 0;
@@ -154,26 +139,17 @@
 
 	for (i = 0; i < d->backends->len; i++) {
 		b = g_ptr_array_index(d->backends, i);
-		if (b->inflight < b->unslowed_slots)
-			sum += MIN(pick_free_slots(b, now),
-				   b->unslowed_slots - b->inflight) *
-			    speed_of(d, b, now);
+		if (!b->capacity_uncounted)
+			sum += pick_free_slots(b, now);
 	}
 	return sum;
 }
 
-/*
- * Returns whether there is a slot for a request beyond a share: one that is not
- * slowed, and that the others' demand does not need.  They use more than their
- * demand at the usual speed while they slow each other.
- */
 static bool
 has_spare(struct disp *d, int64_t now)
 {
-	double needed = with_deviations(
-	    MAX(share_others_demand(d->share, now), d->mean_others_use));
-
-	return free_capacity(d, now) - 1 >= MAX(needed - others_use(d), 0);
+	(void)now;
+	return free_slots(d, now) - 1 >= DEVIATIONS * sqrt(d->mean_others_use);
 }
 
 int
@@ -213,8 +189,7 @@
 	if (slots == 0)
 		return true;
 	used = h->capacity.slots - h->capacity.free_slots;
-	return with_deviations(used) + 1 <=
-	    h->capacity.slots * d->unslowed_capacity / slots;
+	return with_deviations(used) + 1 <= h->capacity.slots;
 }
 
 /* Returns whether the request is beyond its customer's share. */
@@ -250,7 +225,8 @@
 static int64_t
 expected_wait(struct disp *d, int64_t now)
 {
-	double left = d->unslowed_capacity - share_demand(d->share, now);
+	(void)now;
+	double left = disp_usable_slots(d) - with_deviations(d->mean_others_use);
 	double ahead = (double)(d->queues[CLASS_INTERACTIVE].n +
 	    d->queues[QUEUE_OVER].n + 1);
 
