--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 STANDINS = regress/standin_platform regress/standin_backend \
 	regress/standin_proxy
 UNIT_TESTS = regress/test_gossip regress/test_load regress/test_wire regress/test_hsrv regress/test_policy regress/test_units regress/test_conf regress/test_disp regress/test_paced \
-	regress/test_platform regress/test_poison regress/test_roll regress/test_suspend regress/test_up
+	regress/test_platform regress/test_poison regress/test_roll regress/test_suspend regress/test_up regress/test_waits
 FLEET_TESTS = regress/test_path regress/test_config regress/test_promises \
 	regress/test_box regress/test_cold regress/test_evacuation \
 	regress/test_region regress/test_crash regress/test_silent \
@@ -22,12 +22,12 @@
 	regress/bench_capacity regress/soak regress/soak_box regress/demo
 
 COMMON = caller.o chart.o clk.o cnt.o cold.o conc.o conf.o customer.o daemon.o dial.o disp.o disp_cold.o disp_conc.o disp_crash.o disp_queue.o \
-	disp_reassign.o disp_pace.o disp_forward.o disp_query.o disp_roll.o disp_set.o disp_stop.o disp_trial.o \
+	disp_reassign.o disp_pace.o disp_forward.o disp_query.o disp_roll.o disp_set.o disp_stop.o disp_trial.o disp_wait.o \
 	disp_report.o disp_work.o doc_toml.o err.o field.o fprint.o gossip.o assign.o hsrv.o hsrv_conn.o hsrv_parse.o hsrv_req.o limit.o memb.o msg.o obj.o \
 	pace.o pick.o pick_fern.o pick_name.o pick_naive.o pick_pace.o plat.o plat_fern.o plat_http.o poison.o poison_msg.o \
 	platform/pf_config.o platform/pf_dial.o platform/pf_store.o \
 	probe.o queue.o quota.o region.o reload.o refusal.o roll.o route.o sel.o set.o slog.o spread.o str.o sync.o \
-	sync_pack.o tmr.o up.o up_answer.o up_call.o up_conn.o verdict.o wire_zmq.o report.o zip.o
+	sync_pack.o tmr.o up.o up_answer.o up_call.o up_conn.o verdict.o wait.o wire_zmq.o report.o zip.o
 GATE = gate_admit.o gate_answer.o gate_box.o gate_claim.o gate_conf.o \
 	gate_early.o gate_flow.o gate_owner.o gate_open.o gate_forward.o gate_query.o gate_poison.o \
 	gate_rate.o gate_req.o gate_roll.o gate_stat.o gate_try.o gate_report.o gate_report_sync.o
--- a/disp.c
+++ b/disp.c
@@ -173,6 +173,7 @@
 	r->sent_at = now;
 	r->attempt_count++;
 	cold_record_send(&b->cold, &d->params.cold, now);
+	disp_wait_end(d, r, true);
 	r->violation = violated_limit(b, now);
 	quota_consume(&b->quota, now);
 	disp_roll_attempt_sent(d, b);
@@ -449,6 +450,7 @@
 	disp_cold_query(d, now);
 	disp_query_unresponsive(d, now);
 	disp_separate_late(d);
+	disp_wait_review(d, now);
 	for (i = 0; i < QUEUE_COUNT; i++)
 		disp_expire(d, i, now);
 	pick_tick(&set, d->params.chart, now);
--- a/disp.h
+++ b/disp.h
@@ -77,17 +77,22 @@
 	unsigned kind; /* requests of one kind have similar service times */
 	struct str allowed_regions; /* where it may be served: region.h */
 	struct fprint fingerprint; /* identifies retries of the same request */
+	int64_t expected_wait; /* at admission, ns; 0: it did not wait */
 	/* The members below are private to the dispatcher. */
 	int64_t service_time; /* estimate for the usual speed, ns */
 	/* Estimates at the start of the current attempt. */
 	double latency_factor; /* pace.h */
 	int concurrent; /* other requests in flight at the backend server */
 	double slowdown; /* expected from these; factor >= 1 */
+	bool was_cold; /* the backend server was in its slow start */
 	bool load_report_fresh; /* the latency factor is a recent report */
 	enum disp_violation violation; /* of the current attempt */
 	bool queried; /* load queries were sent for it */
 	bool budget_charged; /* a retry budget allowed its attempts so far */
 	bool wait_decided; /* it was decided whether it may wait */
+	bool hopeless; /* will not be answered before its deadline */
+	int64_t wait_estimate; /* by the length of the queue, ns */
+	int64_t wait_started_at; /* monotonic ns; 0: not waiting */
 	int queue; /* index of the queue that it waits in */
 	struct pick_backend *backend; /* current one; NULL: queued or done */
 	struct pick_backend *avoid; /* the one of the last attempt */
@@ -98,6 +103,8 @@
 	bool stopped; /* an attempt was stopped as too slow */
 	bool is_retry; /* its sender marked it as a retry */
 	bool previously_refused; /* its caller retries it after a refusal */
+	bool returned_on_time; /* and not earlier than it was told */
+	int64_t place_at; /* its place in the queue, monotonic ns; 0: none */
 	struct queue_item item;
 	GList inflight_link; /* in disp.inflight, by start time */
 };
--- a/disp_queue.c
+++ b/disp_queue.c
@@ -18,6 +18,14 @@
 	return r->target == 0 || now + r->service_time <= r->target;
 }
 
+int64_t
+disp_queue_key(const struct disp_req *r)
+{
+	if (r->place_at != 0)
+		return r->place_at;
+	return r->target != 0 ? r->target - r->service_time : r->deadline;
+}
+
 /*
  * Queues a request.  Within a rank, requests that can meet their targets are
  * ordered by the latest time to start them; late ones wait in a queue of their
@@ -31,10 +39,10 @@
 	r->item.rank = r->rank;
 	r->item.deadline = r->deadline;
 	r->item.data = r;
-	if (r->target != 0 && disp_can_meet_target(r, clk_ns(d->clk)))
-		r->item.deadline = r->target - r->service_time;
-	else if (r->target != 0)
+	if (!disp_can_meet_target(r, clk_ns(d->clk)))
 		r->queue = QUEUE_LATE;
+	else
+		r->item.deadline = disp_queue_key(r);
 	if (disp_trial_required(d, r))
 		r->queue = QUEUE_TRIAL;
 	queue_push(&d->queues[r->queue], &r->item);
@@ -83,6 +91,7 @@
 
 	while ((r = find(d, CLASS_INTERACTIVE, is_late, now)) != NULL) {
 		disp_dequeue(d, r);
+		disp_wait_end(d, r, false);
 		if (disp_report_refuses_late(d, r))
 			disp_latency_refuse(d, r, 0);
 		else
@@ -91,13 +100,14 @@
 }
 
 /*
- * Returns whether a late request, or one that waits for an isolated run, can no
- * longer be answered before its deadline.
+ * Returns whether the request can no longer be answered before its deadline, as
+ * far as its service time is known.
  */
 static bool
 misses_deadline(const struct disp_req *r, int64_t now)
 {
-	return (r->queue == QUEUE_LATE || r->queue == QUEUE_TRIAL) &&
+	return (r->service_time > 0 || r->queue == QUEUE_LATE ||
+		   r->queue == QUEUE_TRIAL) &&
 	    now + r->service_time > r->deadline;
 }
 
--- /dev/null
+++ b/disp_wait.c
@@ -0,0 +1,193 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "libdisp.h"
+
+/*
+ * Estimates of queueing times under the latency-aware policy, and their
+ * comparison with the real ones: wait.h.
+ */
+
+/* Returns whether a queued request is served before this one. */
+static bool
+is_ahead(const struct disp_req *other, const struct disp_req *r, int64_t key)
+{
+	if (other == r)
+		return false;
+	if (other->rank != r->rank)
+		return other->rank < r->rank;
+	return other->item.deadline <= key;
+}
+
+/*
+ * Counts the requests in a queue that are served before this one, which is
+ * ordered by `key` in its rank.  Less urgent ones do not count, or an overload
+ * by them would get urgent requests refused.
+ */
+static size_t
+count_ahead(
+    const struct disp *d, int queue, const struct disp_req *r, int64_t key)
+{
+	const struct queue *q = &d->queues[queue];
+	size_t i, n = 0;
+
+	for (i = 0; i < q->n; i++)
+		n += is_ahead(q->heap[i]->data, r, key);
+	return n;
+}
+
+/* Estimates how many requests per second start; 0: unknown. */
+static double
+start_rate(const struct disp *d)
+{
+	double time = (double)disp_work_mean(d) * d->start_latency_factor;
+
+	return time == 0 ? 0 : disp_usable_slots(d) * NS_S / time;
+}
+
+/* Estimates the wait of a request that has so many before it. */
+static int64_t
+estimate(const struct disp *d, size_t ahead)
+{
+	double rate = start_rate(d);
+
+	return rate == 0 ? 0 : (int64_t)((double)(ahead + 1) * NS_S / rate);
+}
+
+/* The same for one that is late: it gets what those in time leave. */
+static int64_t
+estimate_late(const struct disp *d, size_t ahead)
+{
+	double rate = wait_rate_get(&d->late_rate, start_rate(d));
+
+	return rate == 0 ? 0 : (int64_t)((double)(ahead + 1) * NS_S / rate);
+}
+
+void
+disp_wait_estimate(const struct disp *d, struct disp_req *r, int64_t *bound)
+{
+	const struct wait_ratio *w = disp_work_waits(d, r->kind);
+	int64_t now = clk_ns(d->clk);
+	size_t ahead;
+
+	if (!disp_can_meet_target(r, now)) {
+		r->wait_estimate = 0;
+		r->expected_wait = *bound = estimate_late(
+		    d, count_ahead(d, QUEUE_LATE, r, r->deadline));
+		return;
+	}
+	ahead = count_ahead(d, CLASS_INTERACTIVE, r, disp_queue_key(r));
+	if (disp_report_wait(d, ahead, &r->expected_wait)) {
+		r->wait_estimate = 0;
+		*bound = r->expected_wait;
+		return;
+	}
+	r->wait_estimate = estimate(d, ahead);
+	r->expected_wait = wait_expected(w, r->wait_estimate, now);
+	*bound = wait_bound(w, r->wait_estimate, now);
+}
+
+void
+disp_wait_begin(struct disp *d, struct disp_req *r)
+{
+	r->wait_started_at = clk_ns(d->clk);
+}
+
+void
+disp_wait_end(struct disp *d, struct disp_req *r, bool started)
+{
+	int64_t now = clk_ns(d->clk);
+
+	if (started && r->queue == QUEUE_LATE)
+		wait_rate_start(&d->late_rate);
+	if (r->wait_started_at != 0 && r->wait_estimate > 0)
+		wait_learn(disp_work_waits_to_learn(d, r->kind),
+		    r->wait_estimate, now - r->wait_started_at, !started, now);
+	r->wait_started_at = 0;
+}
+
+static int
+compare(const void *a, const void *b)
+{
+	const struct disp_req *const *ra = a, *const *rb = b;
+
+	if ((*ra)->rank != (*rb)->rank)
+		return (*ra)->rank < (*rb)->rank ? -1 : 1;
+	if ((*ra)->deadline != (*rb)->deadline)
+		return (*ra)->deadline < (*rb)->deadline ? -1 : 1;
+	return 0;
+}
+
+/* Returns the requests of a queue in the order in which they are served. */
+static GPtrArray *
+in_order(const struct queue *q)
+{
+	GPtrArray *all = g_ptr_array_sized_new((guint)q->n);
+	size_t i;
+
+	for (i = 0; i < q->n; i++)
+		g_ptr_array_add(all, q->heap[i]->data);
+	g_ptr_array_sort(all, compare);
+	return all;
+}
+
+/* Marks the late requests that will not be answered before their deadlines. */
+static void
+mark_hopeless(const struct disp *d, int64_t now)
+{
+	GPtrArray *all = in_order(&d->queues[QUEUE_LATE]);
+	struct disp_req *r;
+	size_t ahead = 0;
+	guint i;
+
+	for (i = 0; i < all->len; i++) {
+		r = g_ptr_array_index(all, i);
+		r->hopeless = now + estimate_late(d, ahead) + r->service_time >
+		    r->deadline;
+		ahead += !r->hopeless;
+	}
+	g_ptr_array_free(all, TRUE);
+}
+
+static struct disp_req *
+find_hopeless(const struct queue *q)
+{
+	struct disp_req *r;
+	size_t i;
+
+	for (i = 0; i < q->n; i++) {
+		r = q->heap[i]->data;
+		if (r->hopeless)
+			return r;
+	}
+	return NULL;
+}
+
+/*
+ * Without this a request that is late would be held until shortly before its
+ * deadline although those in time leave it no slot.  A callback may change the
+ * queue, so the search starts again after it.
+ */
+void
+disp_wait_review(struct disp *d, int64_t now)
+{
+	const struct queue *q = &d->queues[QUEUE_LATE];
+	struct disp_req *r;
+
+	wait_rate_update(&d->late_rate, q->n > 0, now);
+	if (q->n == 0 || !d->params.policy->latency_aware)
+		return;
+	mark_hopeless(d, now);
+	while ((r = find_hopeless(q)) != NULL) {
+		disp_dequeue(d, r);
+		r->hopeless = false;
+		disp_latency_refuse(d, r, 0);
+	}
+}
--- a/regress/load.h
+++ b/regress/load.h
@@ -102,6 +102,28 @@
 	void add(const Count &);
 };
 
+/*
+ * How well the dispatchers decide which requests wait for a slot, over all
+ * requests with a target.  Whether a request can be in time is judged with the
+ * mean work of its kind at the usual speed.
+ */
+struct Waits {
+	/* Stays of over 1 ms in a queue that began in time, */
+	int let_wait = 0;
+	/*
+	 * and of these, the ones that started too late or were refused after a
+	 * quarter of the target.
+	 */
+	int too_late = 0;
+	int refused = 0; /* for lack of time, with time left for a start */
+	/* Of these, ones for which a slot that was free in time was left. */
+	int avoidable = 0;
+	int at_deadline = 0; /* held in a queue until the deadline */
+	int lowest_limit = 0; /* lowest learned limit of a server; 0: none */
+
+	void add(const Waits &);
+};
+
 struct Result {
 	std::map<std::string, Count> kinds;
 	std::map<int64_t, double> seconds; /* share served in time, by second */
@@ -110,6 +132,7 @@
 	int worst_cold = 0; /* most requests in one second at a cold server */
 	int fell_over = 0; /* cold servers that failed from overload */
 	int sent_evacuated = 0; /* attempts started in an evacuated hall */
+	Waits waits;
 
 	/* Seconds after `ms` until nine in ten requests are in time again. */
 	int recovers_after(int64_t ms) const;
