--- a/disp.c
+++ b/disp.c
@@ -215,6 +215,9 @@
 {
 	int64_t now = clk_ns(d->clk), wait;
 
+	/* It may come from another hall, where it has waited. */
+	r->wait_decided = false;
+	r->expected_wait = r->wait_started_at = 0;
 	if (r->previously_refused)
 		d->last_return_at = now;
 	if (!admit(d, r) || disp_trial_submit(d, r))
--- a/disp_cold.c
+++ b/disp_cold.c
@@ -99,7 +99,8 @@
 disp_cold_slots(const struct disp *d, const struct pick_backend *b, int64_t now)
 {
 	int64_t mean = disp_work_mean(d);
-	double occupied = d->params.cold.rate * (double)mean / NS_S;
+	double occupied =
+	    d->params.cold.rate * (double)mean * d->start_latency_factor / NS_S;
 	double slots = pick_slot_limit(b);
 
 	if (d->params.cold.rate <= 0 || !cold_is_cold(&b->cold, now) ||
--- a/disp_wait.c
+++ b/disp_wait.c
@@ -15,6 +15,12 @@
  * comparison with the real ones: wait.h.
  */
 
+/*
+ * A refusal within this part of the time to the target leaves the caller time
+ * for another attempt.
+ */
+enum { EARLY_DIVISOR = 4 };
+
 /* Returns whether a queued request is served before this one. */
 static bool
 is_ahead(const struct disp_req *other, const struct disp_req *r, int64_t key)
@@ -116,13 +122,16 @@
 static int
 compare(const void *a, const void *b)
 {
-	const struct disp_req *const *ra = a, *const *rb = b;
-
-	if ((*ra)->rank != (*rb)->rank)
-		return (*ra)->rank < (*rb)->rank ? -1 : 1;
-	if ((*ra)->deadline != (*rb)->deadline)
-		return (*ra)->deadline < (*rb)->deadline ? -1 : 1;
-	return 0;
+	const struct queue_item *x =
+				    &(*(const struct disp_req *const *)a)->item,
+				*y =
+				    &(*(const struct disp_req *const *)b)->item;
+
+	if (x->rank != y->rank)
+		return x->rank < y->rank ? -1 : 1;
+	if (x->deadline != y->deadline)
+		return x->deadline < y->deadline ? -1 : 1;
+	return x->seq < y->seq ? -1 : x->seq > y->seq;
 }
 
 /* Returns the requests of a queue in the order in which they are served. */
@@ -138,19 +147,49 @@
 	return all;
 }
 
-/* Marks the late requests that will not be answered before their deadlines. */
+/* Returns whether a late request will not be answered before its deadline. */
+static bool
+misses_deadline(
+    const struct disp *d, const struct disp_req *r, size_t ahead, int64_t now)
+{
+	return now + estimate_late(d, ahead) + r->service_time > r->deadline;
+}
+
+/*
+ * Returns whether a request that was let wait just before will start too late,
+ * as more urgent ones came since.  The first of the queue may also wait for
+ * the end of a slow period, which the length of the queue does not tell.
+ */
+static bool
+misses_target(
+    const struct disp *d, const struct disp_req *r, size_t ahead, int64_t now)
+{
+	int64_t wait;
+
+	if (ahead == 0 || r->target == 0 || r->wait_estimate == 0 ||
+	    r->wait_started_at == 0 ||
+	    now - r->wait_started_at >
+		(r->target - r->wait_started_at) / EARLY_DIVISOR)
+		return false;
+	wait =
+	    wait_expected(disp_work_waits(d, r->kind), estimate(d, ahead), now);
+	return !disp_can_meet_target(r, now + wait);
+}
+
+/* Marks the queued requests that are better refused now. */
 static void
-mark_hopeless(const struct disp *d, int64_t now)
+mark_hopeless(const struct disp *d, int queue, int64_t now)
 {
-	GPtrArray *all = in_order(&d->queues[QUEUE_LATE]);
+	GPtrArray *all = in_order(&d->queues[queue]);
 	struct disp_req *r;
 	size_t ahead = 0;
 	guint i;
 
 	for (i = 0; i < all->len; i++) {
 		r = g_ptr_array_index(all, i);
-		r->hopeless = now + estimate_late(d, ahead) + r->service_time >
-		    r->deadline;
+		r->hopeless = queue == QUEUE_LATE
+		    ? misses_deadline(d, r, ahead, now)
+		    : misses_target(d, r, ahead, now);
 		ahead += !r->hopeless;
 	}
 	g_ptr_array_free(all, TRUE);
@@ -170,24 +209,33 @@
 	return NULL;
 }
 
-/*
- * Without this a request that is late would be held until shortly before its
- * deadline although those in time leave it no slot.  A callback may change the
- * queue, so the search starts again after it.
- */
-void
-disp_wait_review(struct disp *d, int64_t now)
+static void
+refuse_hopeless(struct disp *d, int queue, int64_t now)
 {
-	const struct queue *q = &d->queues[QUEUE_LATE];
 	struct disp_req *r;
 
-	wait_rate_update(&d->late_rate, q->n > 0, now);
-	if (q->n == 0 || !d->params.policy->latency_aware)
+	if (d->queues[queue].n == 0)
 		return;
-	mark_hopeless(d, now);
-	while ((r = find_hopeless(q)) != NULL) {
+	mark_hopeless(d, queue, now);
+	while ((r = find_hopeless(&d->queues[queue])) != NULL) {
 		disp_dequeue(d, r);
+		disp_wait_end(d, r, false);
 		r->hopeless = false;
 		disp_latency_refuse(d, r, 0);
 	}
 }
+
+/*
+ * Without this a request that is late would be held until shortly before its
+ * deadline although those in time leave it no slot.  A callback may change the
+ * queue, so each search starts again after it.
+ */
+void
+disp_wait_review(struct disp *d, int64_t now)
+{
+	wait_rate_update(&d->late_rate, d->queues[QUEUE_LATE].n > 0, now);
+	if (!d->params.policy->latency_aware)
+		return;
+	refuse_hopeless(d, CLASS_INTERACTIVE, now);
+	refuse_hopeless(d, QUEUE_LATE, now);
+}
--- a/wait.c
+++ b/wait.c
@@ -20,7 +20,7 @@
  */
 #define FLOOR_NS (10 * NS_MS)
 /* What was learned loses weight with this time constant without samples. */
-#define DECAY_NS (1 * NS_S)
+#define DECAY_NS (2 * NS_S)
 /* The same for rates. */
 #define RATE_DECAY_NS (1 * NS_S)
 
