--- a/disp.c
+++ b/disp.c
@@ -25,6 +25,10 @@
 
 enum { DEFAULT_MAX_ATTEMPTS = 4 };
 
+/* Shares of the retry budget that are reserved for refused requests */
+static const double RETURNED_RESERVE = 0.5; /* that were refused before, */
+static const double IN_TIME_RESERVE = 0.25; /* that can still be in time. */
+
 /* What each outcome shows of the request and of the backend server. */
 static const struct {
 	bool not_run; /* the request certainly did not run */
@@ -217,7 +221,7 @@
 
 	/* It may come from another hall, where it has waited. */
 	r->wait_decided = false;
-	r->expected_wait = r->wait_started_at = 0;
+	r->expected_wait = r->real_wait = r->wait_started_at = 0;
 	if (r->previously_refused)
 		d->last_return_at = now;
 	if (!admit(d, r) || disp_trial_submit(d, r))
@@ -341,6 +345,9 @@
 		pick_record_slow(b, now - r->sent_at);
 	else if (outcome == DISP_WRONG_INSTANCE)
 		pick_set_drain(b, d->params.chart, true);
+	if (outcome == DISP_REFUSED && r->target != 0 &&
+	    disp_can_meet_target(r, now))
+		d->in_time_refused_at = now;
 	if (outcome == DISP_CONNECT_FAILED || outcome == DISP_CONN_BROKEN)
 		disp_cold_suspect(d, b, 0);
 	if (outcome == DISP_CONNECT_FAILED)
@@ -354,17 +361,24 @@
  * too small for all retries.  Callers who get a refusal for the first time
  * retry at once themselves, without cost for the budget, while those who have
  * already done so get no further chance.  As long as callers retry, half of the
- * budget is therefore reserved for requests that were refused before.
+ * budget is therefore reserved for requests that were refused before.  Under
+ * the latency-aware policy, a part of it is also reserved for requests that can
+ * still be in time, as long as there are some: a late one is worth less.
  */
 static bool
 refusal_budget_allows(struct disp *d, const struct disp_req *r)
 {
-	bool callers_retry = d->last_return_at != 0 &&
-	    clk_ns(d->clk) - d->last_return_at < RETURN_SEEN_NS;
-
-	if (r->previously_refused || !callers_retry)
-		return retry_budget_available(&d->retry_budget);
-	return retry_budget_above_reserve(&d->retry_budget);
+	int64_t now = clk_ns(d->clk);
+	bool callers_retry =
+	    d->last_return_at != 0 && now - d->last_return_at < RETURN_SEEN_NS;
+	double reserved =
+	    r->previously_refused || !callers_retry ? 0 : RETURNED_RESERVE;
+
+	if (d->params.policy->latency_aware && !disp_can_meet_target(r, now) &&
+	    d->in_time_refused_at != 0 &&
+	    now - d->in_time_refused_at < RETURN_SEEN_NS)
+		reserved += IN_TIME_RESERVE;
+	return retry_budget_above(&d->retry_budget, reserved);
 }
 
 /*
--- a/disp.h
+++ b/disp.h
@@ -77,7 +77,8 @@
 	unsigned kind; /* requests of one kind have similar service times */
 	struct str allowed_regions; /* where it may be served: region.h */
 	struct fprint fingerprint; /* identifies retries of the same request */
-	int64_t expected_wait; /* at admission, ns; 0: it did not wait */
+	int64_t expected_wait; /* for a slot, at admission, ns; 0: none */
+	int64_t real_wait; /* for a slot, when it ended, ns; 0: none */
 	/* The members below are private to the dispatcher. */
 	int64_t service_time; /* estimate for the usual speed, ns */
 	/* Estimates at the start of the current attempt. */
--- a/disp_queue.c
+++ b/disp_queue.c
@@ -130,6 +130,7 @@
 	while ((r = find(d, queue, is_expired, now)) != NULL) {
 		missed = misses_deadline(r, now);
 		disp_dequeue(d, r);
+		disp_wait_end(d, r, false);
 		if (missed)
 			disp_fail(d, r, ERR_BUSY, RETRY_AFTER_MIN_NS);
 		else
--- a/disp_wait.c
+++ b/disp_wait.c
@@ -111,6 +111,8 @@
 {
 	int64_t now = clk_ns(d->clk);
 
+	if (r->wait_started_at != 0)
+		r->real_wait = now - r->wait_started_at;
 	if (started && r->queue == QUEUE_LATE)
 		wait_rate_start(&d->late_rate);
 	if (r->wait_started_at != 0 && r->wait_estimate > 0)
--- a/libdisp.h
+++ b/libdisp.h
@@ -75,6 +75,8 @@
 	GArray *remote_halls; /* struct disp_remote_hall */
 	struct retry_budget retry_budget;
 	struct limit rate_limit;
+	int64_t
+	    in_time_refused_at; /* last refusal of one that can be in time */
 	int64_t last_return_at; /* last arrival of a request refused before */
 	GQueue inflight; /* struct disp_req *, oldest first */
 	/* Gets no requests, so that it becomes idle for a trial; or NULL. */
