--- a/disp.c
+++ b/disp.c
@@ -294,7 +294,7 @@
 			;
 		if (d->queues[CLASS_INTERACTIVE].n > 0)
 			continue;
-		while (serve_first(d, QUEUE_LATE))
+		while (!disp_wait_late_held(d) && serve_first(d, QUEUE_LATE))
 			;
 		while (serve_first(d, CLASS_BULK))
 			;
--- a/disp_pace.c
+++ b/disp_pace.c
@@ -91,6 +91,10 @@
 void
 disp_latency_refuse(struct disp *d, struct disp_req *r, int64_t wait)
 {
+	int64_t now = clk_ns(d->clk);
+
+	if (r->target != 0 && disp_can_meet_target(r, now))
+		d->lack_at = now;
 	disp_fail(d, r, ERR_BUSY, retry_after(d, r, wait));
 }
 
@@ -160,7 +164,9 @@
 			disp_enqueue(d, r);
 		return;
 	}
-	if (d->queues[r->cls].n == 0 && disp_try_send(d, r))
+	if (d->queues[r->cls].n == 0 &&
+	    (disp_can_meet_target(r, now) || !disp_wait_late_held(d)) &&
+	    disp_try_send(d, r))
 		return;
 	if (disp_forward(d, r))
 		return;
--- a/disp_wait.c
+++ b/disp_wait.c
@@ -20,6 +20,11 @@
  * for another attempt.
  */
 enum { EARLY_DIVISOR = 4 };
+/*
+ * While requests that could be in time are refused, the next slot is left to
+ * one of these for so long.
+ */
+#define LATE_HOLD_NS (200 * NS_MS)
 
 /* Returns whether a queued request is served before this one. */
 static bool
@@ -121,6 +126,12 @@
 	r->wait_started_at = 0;
 }
 
+bool
+disp_wait_late_held(const struct disp *d)
+{
+	return d->lack_at != 0 && clk_ns(d->clk) - d->lack_at < LATE_HOLD_NS;
+}
+
 static int
 compare(const void *a, const void *b)
 {
--- a/libdisp.h
+++ b/libdisp.h
@@ -69,6 +69,7 @@
 	double slow_latency_factor; /* over reports from slow periods */
 	int64_t assumed_service_time; /* of the last request, as a default */
 	int64_t mean_service_time; /* moving average, ns; 0: unknown */
+	int64_t lack_at; /* last refusal of one that could be in time */
 	struct wait_rate late_rate; /* of requests that are late */
 	struct conc conc; /* slowdown by concurrency, over all kinds */
 	int64_t limits_set_at; /* last update of concurrency limits */
@@ -137,6 +138,11 @@
 void disp_wait_begin(struct disp *, struct disp_req *);
 /* Records the end of the wait: the request starts, or waits no longer. */
 void disp_wait_end(struct disp *, struct disp_req *, bool started);
+/*
+ * Returns whether late requests get no slot now, as requests that could be in
+ * time were refused just before.
+ */
+bool disp_wait_late_held(const struct disp *);
 /* Refuses late requests that will not be answered before their deadlines. */
 void disp_wait_review(struct disp *, int64_t now);
 
