--- a/limit.c
+++ b/limit.c
@@ -175,7 +175,7 @@
 retry_budget_above(struct retry_budget *b, double share)
 {
 	budget_init(b);
-	return b->tokens >= MAX(budget_max(b) * share, 1);
+	return b->tokens >= (share > 0 ? budget_max(b) * share : 1);
 }
 
 void
