--- a/disp_pace.c
+++ b/disp_pace.c
@@ -93,7 +93,9 @@
 {
 	int64_t now = clk_ns(d->clk);
 
-	if (r->target != 0 && disp_can_meet_target(r, now))
+	/* A rate limit that is not used up by late requests would be lost. */
+	if (r->target != 0 && r->wait_estimate > 0 &&
+	    disp_can_meet_target(r, now))
 		d->lack_at = now;
 	disp_fail(d, r, ERR_BUSY, retry_after(d, r, wait));
 }
