--- a/disp_share.c
+++ b/disp_share.c
@@ -34,7 +34,7 @@
  * Requests arrive at random, so that a mean use of n slots becomes n and two
  * standard deviations, 2 sqrt(n), in all but one of 40 moments.
  */
-static const double DEVIATIONS = 3;
+static const double DEVIATIONS = 2;
 
 enum {
 	PERCENT = 100,
@@ -145,11 +145,19 @@
 	return sum;
 }
 
+/*
+ * Returns whether a request beyond a share may take a slot: as many stay free
+ * as the demand of the others needs at times.  The request may slow others
+ * down. It was served before only where it slowed nobody, which refused two
+ * thirds of an excess that the servers could have answered in time.
+ */
 static bool
 has_spare(struct disp *d, int64_t now)
 {
-	(void)now;
-	return free_slots(d, now) - 1 >= DEVIATIONS * sqrt(d->mean_others_use);
+	double others =
+	    MAX(share_others_demand(d->share, now), d->mean_others_use);
+
+	return free_slots(d, now) - 1 >= DEVIATIONS * sqrt(others);
 }
 
 int
@@ -223,10 +231,10 @@
 
 /* Estimates the time in ns until the others leave a slot for the request. */
 static int64_t
-expected_wait(struct disp *d, int64_t now)
+expected_wait(const struct disp *d)
 {
-	(void)now;
-	double left = disp_usable_slots(d) - with_deviations(d->mean_others_use);
+	double left =
+	    disp_usable_slots(d) - with_deviations(d->mean_others_use);
 	double ahead = (double)(d->queues[CLASS_INTERACTIVE].n +
 	    d->queues[QUEUE_OVER].n + 1);
 
@@ -239,7 +247,7 @@
 static void
 wait_or_refuse(struct disp *d, struct disp_req *r, int64_t now)
 {
-	int64_t wait = expected_wait(d, now);
+	int64_t wait = expected_wait(d);
 
 	r->wait_decided = true;
 	if (disp_usable_backends(d) == 0)
