--- a/disp_share.c
+++ b/disp_share.c
@@ -17,9 +17,9 @@
  * Fair shares of customers under the latency-aware policy: what the usable
  * servers can do without slowing each other is shared by share.h.  Requests
  * beyond their customers' shares come after the others of their rank, get only
- * slots where they slow nobody and that the others do not need, and are refused
- * if they would wait too long for these.  A request without a customer is never
- * beyond a share.
+ * slots where they slow nobody, as long as enough slots stay free for the
+ * others, and are refused if they would wait too long for these.  A request
+ * without a customer is never beyond a share.
  */
 
 /* Interval of updates of the capacity: that of the dispatcher's timers. */
@@ -147,9 +147,9 @@
 
 /*
  * Returns whether a request beyond a share may take a slot: as many stay free
- * as the demand of the others needs at times.  The request may slow others
- * down. It was served before only where it slowed nobody, which refused two
- * thirds of an excess that the servers could have answered in time.
+ * as the demand of the others needs at times.  Slots on which requests slow
+ * each other count too.  Without them two thirds of an excess were refused that
+ * could have been answered in time.
  */
 static bool
 has_spare(struct disp *d, int64_t now)
