--- a/disp.c
+++ b/disp.c
@@ -228,6 +228,8 @@
 	/* It may come from another hall, where it has waited. */
 	r->wait_decided = false;
 	r->expected_wait = r->real_wait = r->wait_started_at = 0;
+	r->over_share = r->in_excess = r->hopeless = false;
+	r->share_cost = r->wait_estimate = 0;
 	if (r->previously_refused)
 		d->last_return_at = now;
 	if (disp_state_pass_on(d, r))
--- a/disp_set.c
+++ b/disp_set.c
@@ -134,8 +134,9 @@
 		if (takeover_presumes_up(&facts))
 			b->state = PICK_UP;
 		b->last_response_at = clk_ns(d->clk);
-		b->warm_at = takeover_warm_at(
-		    &d->params.cold, conf->slow_start_ns, b->last_response_at);
+		if (d->params.policy->latency_aware)
+			b->warm_at = takeover_warm_at(&d->params.cold,
+			    conf->slow_start_ns, b->last_response_at);
 		b->cold_limit = &d->params.cold;
 		disp_cold_suspect(d, b, conf->slow_start_ns);
 		g_ptr_array_add(d->backends, b);
--- a/disp_share.c
+++ b/disp_share.c
@@ -184,6 +184,8 @@
 
 	if (first == NULL)
 		return false;
+	if (d->share == NULL)
+		return true;
 	update_capacity(d, now);
 	return !is_behind_others(d, first->rank) && has_spare(d, now);
 }
--- a/disp_state.c
+++ b/disp_state.c
@@ -113,8 +113,10 @@
 {
 	if (b->state != PICK_COLD && b->state != PICK_UP)
 		return;
-	if (in->state != PICK_DRAINING)
+	if (in->state != PICK_DRAINING && in->state != b->state) {
 		b->state = in->state;
+		b->warm_at = 0;
+	}
 	if (in->state == PICK_EJECTED)
 		b->eject_until =
 		    now + MIN(in->eject_ns, DISP_STATE_TIME_MAX_NS);
--- a/gate_answer.c
+++ b/gate_answer.c
@@ -79,7 +79,8 @@
 	gate_req_settle_claim(r, ran == RAN_NO);
 	cnt_add(r->gate->cnt, GC_REFUSED, 1);
 	gate_stat_refused(r, kind, ran);
-	cnt_add(r->gate->cnt, GC_OVER_SHARE_REFUSED, r->disp.over_share);
+	cnt_add(r->gate->cnt, GC_OVER_SHARE_REFUSED,
+	    r->disp.over_share && ran == RAN_NO);
 	if (dialect->status_means_not_run)
 		status = err_status_for_ran(kind, ran);
 	slog_decision(SLOG_ROUTE, "refused",
--- a/granter.c
+++ b/granter.c
@@ -975,15 +975,18 @@
 	struct entry *own = own_entry(a);
 
 	mark_changed(g, a, now);
-	if (is_ahead_of_reports(a, limit)) {
-		*wait = MAX(g->reported_at + REPORT_NS - now, NS_MS);
-		return false;
-	}
 	used = used_of(a, now);
 	if (used >= limit) {
 		*wait = wait_of(a, now);
 		return false;
 	}
+	/* Others presume as much, so nothing is reported and nothing is due. */
+	if (used <= limit / 2 || limit <= SMALL_LIMIT)
+		a->unreported = 0;
+	if (is_ahead_of_reports(a, limit)) {
+		*wait = MAX(g->reported_at + REPORT_NS - now, NS_MS);
+		return false;
+	}
 	own->granted++;
 	allowance_add(&own->allowance, 1, now);
 	/* Where there was no report, others presume that half is used. */
@@ -1000,8 +1003,15 @@
 	int64_t wait = 0;
 	bool granted;
 
-	if (!g->ops->terms(g->ctx, q->customer, &rate, &burst))
+	/* The configuration may have changed while the query was held. */
+	if (!g->ops->terms(g->ctx, q->customer, &rate, &burst)) {
+		reply(g, from, q, false, GRANTER_RETRY_AFTER_NS);
 		return;
+	}
+	if (rate <= 0) {
+		reply(g, from, q, true, 0);
+		return;
+	}
 	if (!a->grants)
 		take_over(g, a, now);
 	if (g->window > 0)
@@ -1338,7 +1348,12 @@
 	struct account *a = find(g->accounts, r->customer);
 	struct entry *e;
 
-	if (a == NULL || a->entries->len >= ENTRIES_MAX)
+	if (a == NULL)
+		return;
+	/* Entries of gates that have restarted since are dropped here. */
+	if (a->entries->len >= ENTRIES_MAX)
+		used_of(a, now);
+	if (a->entries->len >= ENTRIES_MAX)
 		return;
 	if (r->counts.n > 0) {
 		drop_presumed(g, a, p, r->granter, now);
--- a/pick.c
+++ b/pick.c
@@ -56,6 +56,8 @@
 step(struct pick_backend *b, const struct chart *chart, enum pick_event ev)
 {
 	b->state = (enum pick_state)chart_step(chart, b->state, ev);
+	if (b->state != PICK_COLD)
+		b->warm_at = 0;
 }
 
 bool
@@ -106,7 +108,9 @@
 static int
 warm_up_slots(const struct pick_backend *b, int slots)
 {
-	return b->warm_at == 0 ? 1 : MIN(slots, 1 << b->consecutive_good);
+	return b->warm_at == 0
+	    ? 1
+	    : MIN(slots, 1 << MIN(b->consecutive_good, WARM_SUCCESSES));
 }
 
 /*
--- a/share.c
+++ b/share.c
@@ -10,7 +10,6 @@
  */
 #include <glib.h>
 #include <math.h>
-#include <glib.h>
 #include <string.h>
 
 #include "clk.h"
@@ -87,9 +86,9 @@
 	double virtual_time; /* ns */
 	int64_t advanced_at; /* time up to which the server is simulated */
 	double unlimited; /* backlog of requests without a customer, ns */
-	/* Recent work that was counted, ns, and that of others: share.h. */
-	double demand, others_demand;
-	int64_t demand_at; /* time up to which these have decayed */
+	/* Recent work that was counted, ns, of others: share.h. */
+	double others_demand;
+	int64_t demand_at; /* time up to which it has decayed */
 };
 
 static void
@@ -265,7 +264,6 @@
 	if (passed <= 0)
 		return;
 	s->others_demand *= exp(-passed / DEMAND_NS);
-	s->demand *= exp(-passed / DEMAND_NS);
 	s->demand_at = now;
 }
 
@@ -273,7 +271,6 @@
 add_demand(struct share *s, int64_t cost, bool in_excess, int64_t now)
 {
 	decay_demand(s, now);
-	s->demand += (double)cost;
 	s->others_demand += in_excess ? 0 : (double)cost;
 }
 
@@ -341,13 +338,6 @@
 	return c != NULL && is_in_excess(c, now);
 }
 
-double
-share_demand(struct share *s, int64_t now)
-{
-	decay_demand(s, now);
-	return s->demand / DEMAND_NS;
-}
-
 double
 share_others_demand(struct share *s, int64_t now)
 {
--- a/share.h
+++ b/share.h
@@ -58,12 +58,9 @@
 /* Returns whether the customer had a request beyond its share lately. */
 bool share_in_excess(const struct share *, struct str customer, int64_t now);
 
-/* Returns the recent demand of counted requests: service time per time. */
-double share_demand(struct share *, int64_t now);
-
 /*
- * The same without the requests of customers that are in excess: the demand of
- * the others, which goes first.
+ * Returns the recent demand of counted requests without those of customers that
+ * are in excess, which go last: service time per time.
  */
 double share_others_demand(struct share *, int64_t now);
 
--- a/wait.c
+++ b/wait.c
@@ -98,6 +98,17 @@
 	return exp(-(double)(now - m->updated_at) / MIX_DECAY_NS);
 }
 
+/* Returns the group of a rank; more urgent groups come first. */
+static int
+group_of(int rank)
+{
+	enum { CUSTOMER_RANK_WEIGHT = 1000, SIDE = 4 };
+	int customer = MIN(MAX(rank, 0) / CUSTOMER_RANK_WEIGHT, SIDE - 1),
+	    rule = MIN(MAX(rank, 0) % CUSTOMER_RANK_WEIGHT, SIDE - 1);
+
+	return customer * SIDE + rule;
+}
+
 void
 wait_mix_start(struct wait_mix *m, int rank, int64_t now)
 {
@@ -106,7 +117,7 @@
 
 	for (i = 0; i < WAIT_RANKS; i++)
 		m->starts[i] *= weight;
-	m->starts[CLAMP(rank, 0, WAIT_RANKS - 1)]++;
+	m->starts[group_of(rank)]++;
 	m->updated_at = now;
 }
 
@@ -116,7 +127,7 @@
 	double n = 0;
 	int i;
 
-	for (i = 0; i < MIN(rank, WAIT_RANKS - 1); i++)
+	for (i = 0; i < group_of(rank); i++)
 		n += m->starts[i];
 	return n * mix_weight(m, now) * NS_S / MIX_DECAY_NS;
 }
--- a/wait.h
+++ b/wait.h
@@ -19,7 +19,8 @@
  * caller computes an estimate from the length of the queue; the real time is
  * usually a multiple of it, as more urgent requests arrive later and pass, as
  * servers are in slow periods, and as learned limits change.  That multiple is
- * learned for each rank.  These functions do no I/O; the time is passed in.
+ * learned for each kind of request.  These functions do no I/O; the time is
+ * passed in.
  */
 
 /* What was learned; all 0: nothing yet. */
@@ -43,7 +44,11 @@
 void wait_learn(struct wait_ratio *, int64_t estimate, int64_t real,
     bool waiting, int64_t now);
 
-/* Ranks that are counted apart; less urgent ones count as the last of them. */
+/*
+ * Groups of ranks that are counted apart.  A rank is that of the customer, from
+ * 0, times 1000, and that of the rule; less urgent ones count as the last of
+ * four.
+ */
 enum { WAIT_RANKS = 16 };
 
 /* The recent rates at which requests of each rank start.  All 0: none yet. */
