--- a/disp_wait.c
+++ b/disp_wait.c
@@ -66,12 +66,15 @@
 	return time == 0 ? 0 : disp_usable_slots(d) * NS_S / time;
 }
 
+/*
+ * The next three functions get the rate of start_rate(), which goes through all
+ * servers and is therefore computed once for all requests of a queue.
+ */
+
 /* Returns the share of starts that more urgent requests take. */
 static double
-urgent_share(const struct disp *d, int rank)
+urgent_share(const struct disp *d, double rate, int rank)
 {
-	double rate = start_rate(d);
-
 	if (rate == 0)
 		return 0;
 	return MIN(wait_mix_urgent(&d->mix, rank, clk_ns(d->clk)) / rate,
@@ -80,19 +83,17 @@
 
 /* Estimates the wait of a request that has so many before it. */
 static int64_t
-estimate(const struct disp *d, int rank, size_t ahead)
+estimate(const struct disp *d, double rate, int rank, size_t ahead)
 {
-	double rate = start_rate(d) * (1 - urgent_share(d, rank));
-
+	rate *= 1 - urgent_share(d, rate, rank);
 	return rate == 0 ? 0 : (int64_t)((double)(ahead + 1) * NS_S / rate);
 }
 
 /* The same for one that is late: it gets what those in time leave. */
 static int64_t
-estimate_late(const struct disp *d, size_t ahead)
+estimate_late(const struct disp *d, double rate, size_t ahead)
 {
-	double rate = wait_rate_get(&d->late_rate, start_rate(d));
-
+	rate = wait_rate_get(&d->late_rate, rate);
 	return rate == 0 ? 0 : (int64_t)((double)(ahead + 1) * NS_S / rate);
 }
 
@@ -101,12 +102,13 @@
 {
 	const struct wait_ratio *w = disp_work_waits(d, r->kind);
 	int64_t now = clk_ns(d->clk);
+	double rate = start_rate(d);
 	size_t ahead;
 
 	if (!disp_can_meet_target(r, now)) {
 		r->wait_estimate = 0;
 		r->expected_wait = *bound = estimate_late(
-		    d, count_ahead(d, QUEUE_LATE, r, r->deadline));
+		    d, rate, count_ahead(d, QUEUE_LATE, r, r->deadline));
 		return;
 	}
 	ahead = count_ahead(d, CLASS_INTERACTIVE, r, disp_queue_key(r));
@@ -115,7 +117,7 @@
 		*bound = r->expected_wait;
 		return;
 	}
-	r->wait_estimate = estimate(d, r->rank, ahead);
+	r->wait_estimate = estimate(d, rate, r->rank, ahead);
 	r->expected_wait = wait_expected(w, r->wait_estimate, now);
 	*bound = wait_bound(w, r->wait_estimate, now);
 }
@@ -179,10 +181,11 @@
 
 /* Returns whether a late request will not be answered before its deadline. */
 static bool
-misses_deadline(
-    const struct disp *d, const struct disp_req *r, size_t ahead, int64_t now)
+misses_deadline(const struct disp *d, double rate, const struct disp_req *r,
+    size_t ahead, int64_t now)
 {
-	return now + estimate_late(d, ahead) + r->service_time > r->deadline;
+	return now + estimate_late(d, rate, ahead) + r->service_time >
+	    r->deadline;
 }
 
 /*
@@ -191,8 +194,8 @@
  * the end of a slow period, which the length of the queue does not tell.
  */
 static bool
-misses_target(
-    const struct disp *d, const struct disp_req *r, size_t ahead, int64_t now)
+misses_target(const struct disp *d, double rate, const struct disp_req *r,
+    size_t ahead, int64_t now)
 {
 	int64_t wait;
 
@@ -201,8 +204,8 @@
 	    now - r->wait_started_at >
 		(r->target - r->wait_started_at) / EARLY_DIVISOR)
 		return false;
-	wait = wait_expected(
-	    disp_work_waits(d, r->kind), estimate(d, r->rank, ahead), now);
+	wait = wait_expected(disp_work_waits(d, r->kind),
+	    estimate(d, rate, r->rank, ahead), now);
 	return !disp_can_meet_target(r, now + wait);
 }
 
@@ -211,12 +214,13 @@
  * queued without a decision, if others are before it now.
  */
 static void
-decide(const struct disp *d, struct disp_req *r, size_t ahead, int64_t now)
+decide(const struct disp *d, double rate, struct disp_req *r, size_t ahead,
+    int64_t now)
 {
 	if (r->wait_decided || ahead == 0 || disp_cold_query_pending(d, now))
 		return;
 	r->wait_decided = true;
-	r->wait_estimate = estimate(d, r->rank, ahead);
+	r->wait_estimate = estimate(d, rate, r->rank, ahead);
 	r->expected_wait =
 	    wait_expected(disp_work_waits(d, r->kind), r->wait_estimate, now);
 	r->wait_started_at = now;
@@ -227,6 +231,7 @@
 mark_hopeless(const struct disp *d, int queue, int64_t now)
 {
 	GPtrArray *all = in_order(&d->queues[queue]);
+	double rate = start_rate(d);
 	struct disp_req *r;
 	size_t ahead = 0;
 	guint i;
@@ -234,10 +239,10 @@
 	for (i = 0; i < all->len; i++) {
 		r = g_ptr_array_index(all, i);
 		if (queue == CLASS_INTERACTIVE)
-			decide(d, r, ahead, now);
+			decide(d, rate, r, ahead, now);
 		r->hopeless = queue == QUEUE_LATE
-		    ? misses_deadline(d, r, ahead, now)
-		    : misses_target(d, r, ahead, now);
+		    ? misses_deadline(d, rate, r, ahead, now)
+		    : misses_target(d, rate, r, ahead, now);
 		ahead += !r->hopeless;
 	}
 	g_ptr_array_free(all, TRUE);
