--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 STANDINS = regress/standin_platform regress/standin_backend \
 	regress/standin_proxy
 UNIT_TESTS = regress/test_gossip regress/test_handover regress/test_load regress/test_wire regress/test_hsrv regress/test_policy regress/test_units regress/test_conf regress/test_disp regress/test_paced \
-	regress/test_platform regress/test_poison regress/test_roll regress/test_suspend regress/test_takeover regress/test_up regress/test_allowance regress/test_tally regress/test_share regress/test_waits
+	regress/test_platform regress/test_poison regress/test_roll regress/test_suspend regress/test_takeover regress/test_up regress/test_allowance regress/test_tally regress/test_share
 FLEET_TESTS = regress/test_path regress/test_config regress/test_promises \
 	regress/test_box regress/test_cold regress/test_evacuation \
 	regress/test_region regress/test_crash regress/test_silent \
@@ -29,7 +29,7 @@
 	platform/pf_config.o platform/pf_dial.o platform/pf_store.o \
 	probe.o queue.o quota.o region.o reload.o refusal.o roll.o route.o sel.o set.o slog.o spread.o state_msg.o str.o sync.o takeover.o \
 	disp_share.o share.o \
-	sync_pack.o tmr.o up.o up_answer.o up_call.o up_conn.o verdict.o wire_zmq.o report.o zip.o disp_wait.o wait.o
+	sync_pack.o tmr.o up.o up_answer.o up_call.o up_conn.o verdict.o wire_zmq.o report.o zip.o
 GATE = gate_admit.o gate_answer.o gate_box.o gate_claim.o gate_conf.o \
 	gate_early.o gate_flow.o gate_handover.o gate_owner.o gate_open.o gate_forward.o gate_query.o gate_poison.o \
 	gate_rate.o gate_req.o gate_roll.o gate_stat.o gate_try.o gate_report.o gate_report_sync.o gate_stat_shards.o
--- a/conc.c
+++ b/conc.c
@@ -32,11 +32,6 @@
 enum {
 	/* Samples for a usable mean: error 1/6 at a deviation of 0.3. */
 	MIN_SAMPLES = 4,
-	/*
-	 * Samples that lower the limit from its initial value: with 4, a limit
-	 * of 4 of 6 slots fell to 3 though these cost nothing.
-	 */
-	LOWER_SAMPLES = 16,
 	MAX_WEIGHT = 32, /* of the past against one sample; some seconds */
 	HALF_STEP = CONC_STEPS / 2 - 1
 };
@@ -184,16 +179,6 @@
 	return (2 * slots + 2) / 3;
 }
 
-/* Returns the slowdown with k requests, as far as the limit depends on it. */
-static double
-limit_slowdown(const struct conc *c, int k, int slots)
-{
-	if (k <= initial_limit(slots) &&
-	    c->steps[step_of(k, slots)].samples < LOWER_SAMPLES)
-		return 1;
-	return conc_slowdown(c, k - 1, slots);
-}
-
 int
 conc_limit(const struct conc *c, int slots)
 {
@@ -204,7 +189,8 @@
 		if (k > initial_limit(slots) &&
 		    !is_known(&c->steps[step_of(k, slots)]))
 			continue;
-		power = k / pow(limit_slowdown(c, k, slots), SLOWDOWN_WEIGHT);
+		power =
+		    k / pow(conc_slowdown(c, k - 1, slots), SLOWDOWN_WEIGHT);
 		if (power <= best_power * MIN_GAIN)
 			continue;
 		best_power = power;
--- a/disp.c
+++ b/disp.c
@@ -25,10 +25,6 @@
 
 enum { DEFAULT_MAX_ATTEMPTS = 4 };
 
-/* Shares of the retry budget that are reserved for refused requests */
-static const double RETURNED_RESERVE = 0.5; /* that were refused before, */
-static const double IN_TIME_RESERVE = 0.25; /* that can still be in time. */
-
 /* What each outcome shows of the request and of the backend server. */
 static const struct {
 	bool not_run; /* the request certainly did not run */
@@ -183,7 +179,6 @@
 	r->sent_at = now;
 	r->attempt_count++;
 	cold_record_send(&b->cold, &d->params.cold, now);
-	disp_wait_end(d, r, true);
 	r->violation = violated_limit(b, now);
 	quota_consume(&b->quota, now);
 	disp_roll_attempt_sent(d, b);
@@ -225,11 +220,8 @@
 {
 	int64_t now = clk_ns(d->clk), wait;
 
-	/* It may come from another hall, where it has waited. */
-	r->wait_decided = false;
-	r->expected_wait = r->real_wait = r->wait_started_at = 0;
-	r->over_share = r->in_excess = r->hopeless = false;
-	r->share_cost = r->wait_estimate = 0;
+	r->over_share = r->in_excess = false;
+	r->share_cost = 0;
 	if (r->previously_refused)
 		d->last_return_at = now;
 	if (disp_state_pass_on(d, r))
@@ -314,7 +306,7 @@
 			;
 		if (d->queues[CLASS_INTERACTIVE].n > 0)
 			continue;
-		while (!disp_wait_late_held(d) && serve_first(d, QUEUE_LATE))
+		while (serve_first(d, QUEUE_LATE))
 			;
 		while (serve_first(d, CLASS_BULK))
 			;
@@ -365,9 +357,6 @@
 		pick_record_slow(b, now - r->sent_at);
 	else if (outcome == DISP_WRONG_INSTANCE)
 		pick_set_drain(b, d->params.chart, true);
-	if (outcome == DISP_REFUSED && r->target != 0 &&
-	    disp_can_meet_target(r, now))
-		d->in_time_refused_at = now;
 	if (outcome == DISP_CONNECT_FAILED || outcome == DISP_CONN_BROKEN)
 		disp_cold_suspect(d, b, 0);
 	if (outcome == DISP_CONNECT_FAILED)
@@ -381,24 +370,17 @@
  * too small for all retries.  Callers who get a refusal for the first time
  * retry at once themselves, without cost for the budget, while those who have
  * already done so get no further chance.  As long as callers retry, half of the
- * budget is therefore reserved for requests that were refused before.  Under
- * the latency-aware policy, a part of it is also reserved for requests that can
- * still be in time, as long as there are some: a late one is worth less.
+ * budget is therefore reserved for requests that were refused before.
  */
 static bool
 refusal_budget_allows(struct disp *d, const struct disp_req *r)
 {
-	int64_t now = clk_ns(d->clk);
-	bool callers_retry =
-	    d->last_return_at != 0 && now - d->last_return_at < RETURN_SEEN_NS;
-	double reserved =
-	    r->previously_refused || !callers_retry ? 0 : RETURNED_RESERVE;
-
-	if (d->params.policy->latency_aware && !disp_can_meet_target(r, now) &&
-	    d->in_time_refused_at != 0 &&
-	    now - d->in_time_refused_at < RETURN_SEEN_NS)
-		reserved += IN_TIME_RESERVE;
-	return retry_budget_above(&d->retry_budget, reserved);
+	bool callers_retry = d->last_return_at != 0 &&
+	    clk_ns(d->clk) - d->last_return_at < RETURN_SEEN_NS;
+
+	if (r->previously_refused || !callers_retry)
+		return retry_budget_available(&d->retry_budget);
+	return retry_budget_above_reserve(&d->retry_budget);
 }
 
 /*
@@ -488,7 +470,6 @@
 	disp_query_unresponsive(d, now);
 	disp_state_tick(d, now);
 	disp_separate_late(d);
-	disp_wait_review(d, now);
 	for (i = 0; i < QUEUE_COUNT; i++)
 		disp_expire(d, i, now);
 	pick_tick(&set, d->params.chart, now);
--- a/disp.h
+++ b/disp.h
@@ -79,15 +79,12 @@
 	struct str allowed_regions; /* where it may be served: region.h */
 	struct fprint fingerprint; /* identifies retries of the same request */
 	struct str customer; /* that it is made for; empty: none */
-	int64_t expected_wait; /* for a slot, at admission, ns; 0: none */
-	int64_t real_wait; /* for a slot, when it ended, ns; 0: none */
 	/* The members below are private to the dispatcher. */
 	int64_t service_time; /* estimate for the usual speed, ns */
 	/* Estimates at the start of the current attempt. */
 	double latency_factor; /* pace.h */
 	int concurrent; /* other requests in flight at the backend server */
 	double slowdown; /* expected from these; factor >= 1 */
-	bool was_cold; /* the backend server was in its slow start */
 	bool load_report_fresh; /* the latency factor is a recent report */
 	enum disp_violation violation; /* of the current attempt */
 	bool queried; /* load queries were sent for it */
@@ -96,9 +93,6 @@
 	bool over_share; /* it is beyond its customer's share */
 	bool in_excess; /* its customer was lately beyond its share */
 	bool wait_decided; /* it was decided whether it may wait */
-	bool hopeless; /* will not be answered before its deadline */
-	int64_t wait_estimate; /* by the length of the queue, ns */
-	int64_t wait_started_at; /* monotonic ns; 0: not waiting */
 	int queue; /* index of the queue that it waits in */
 	struct pick_backend *backend; /* current one; NULL: queued or done */
 	struct pick_backend *avoid; /* the one of the last attempt */
@@ -109,8 +103,6 @@
 	bool stopped; /* an attempt was stopped as too slow */
 	bool is_retry; /* its sender marked it as a retry */
 	bool previously_refused; /* its caller retries it after a refusal */
-	bool returned_on_time; /* and not earlier than it was told */
-	int64_t place_at; /* its place in the queue, monotonic ns; 0: none */
 	struct queue_item item;
 	GList inflight_link; /* in disp.inflight, by start time */
 };
--- a/disp_cold.c
+++ b/disp_cold.c
@@ -98,13 +98,12 @@
 double
 disp_cold_slots(const struct disp *d, const struct pick_backend *b, int64_t now)
 {
-	int64_t mean = disp_work_mean(d);
 	double occupied =
-	    d->params.cold.rate * (double)mean * d->start_latency_factor / NS_S;
+	    d->params.cold.rate * (double)d->mean_service_time / NS_S;
 	double slots = pick_slot_limit(b);
 
 	if (d->params.cold.rate <= 0 || !cold_is_cold(&b->cold, now) ||
-	    mean == 0)
+	    d->mean_service_time == 0)
 		return slots;
 	return MIN(occupied, slots);
 }
--- a/disp_pace.c
+++ b/disp_pace.c
@@ -66,6 +66,41 @@
 	return true;
 }
 
+/*
+ * Counts the queued requests that are served before this one: those of its rank
+ * and of more urgent ranks.  Less urgent ones do not count, or an overload by
+ * them would get urgent requests refused.
+ */
+static size_t
+count_ahead(const struct disp *d, const struct disp_req *r)
+{
+	const struct queue *q = &d->queues[CLASS_INTERACTIVE];
+	const struct disp_req *other;
+	size_t i, n = 0;
+
+	for (i = 0; i < q->n; i++) {
+		other = q->heap[i]->data;
+		n += other->rank <= r->rank;
+	}
+	return n;
+}
+
+/* Estimates the time in ns until a slot is free for the request. */
+static int64_t
+queue_wait(const struct disp *d, const struct disp_req *r)
+{
+	size_t ahead = count_ahead(d, r);
+	double slots = disp_usable_slots(d);
+	int64_t wait;
+
+	if (disp_report_wait(d, ahead, &wait))
+		return wait;
+	if (slots == 0)
+		return 0;
+	return (int64_t)((double)(ahead + 1) * (double)d->mean_service_time *
+	    d->start_latency_factor / slots);
+}
+
 /*
  * Returns the Retry-After in ns of a request that is refused for lack of time:
  * a random time between a quarter and a third of the time that its caller has
@@ -91,12 +126,6 @@
 void
 disp_latency_refuse(struct disp *d, struct disp_req *r, int64_t wait)
 {
-	int64_t now = clk_ns(d->clk);
-
-	/* A rate limit that is not used up by late requests would be lost. */
-	if (r->target != 0 && r->wait_estimate > 0 &&
-	    disp_can_meet_target(r, now))
-		d->lack_at = now;
 	disp_fail(d, r, ERR_BUSY, retry_after(d, r, wait));
 }
 
@@ -110,16 +139,6 @@
 	return retry_after(d, r, wait);
 }
 
-/*
- * Returns whether the request may wait although it will be late: it was late
- * when it came, as its caller had to wait until the time it was told.
- */
-static bool
-may_be_late(const struct disp_req *r, int64_t now)
-{
-	return r->returned_on_time && !disp_can_meet_target(r, now);
-}
-
 /*
  * Decides whether the request may wait for a slot.  One that would be late is
  * refused at once with a Retry-After, while a retry can still be useful: that
@@ -128,54 +147,41 @@
 bool
 disp_latency_admit(struct disp *d, struct disp_req *r)
 {
-	int64_t now = clk_ns(d->clk), wait, end, limit;
+	int64_t now = clk_ns(d->clk), wait = queue_wait(d, r);
+	int64_t end = now + wait +
+	    (int64_t)((double)r->service_time * d->start_latency_factor);
 
-	disp_wait_estimate(d, r, &wait);
-	end = now + wait + r->service_time;
-	limit = r->deadline;
-	if (r->target != 0 && !may_be_late(r, now))
-		limit = MIN(limit, r->target);
 	r->wait_decided = true;
 	if (disp_usable_backends(d) == 0) {
 		disp_fail(d, r, ERR_NO_BACKEND, RETRY_AFTER_MAX_NS);
 		return false;
 	}
-	if (end > limit) {
-		disp_latency_refuse(d, r, r->expected_wait);
+	if (end > r->deadline || (r->target != 0 && end > r->target)) {
+		disp_latency_refuse(d, r, wait);
 		return false;
 	}
-	disp_wait_begin(d, r);
 	return true;
 }
 
 void
 disp_latency_submit(struct disp *d, struct disp_req *r)
 {
-	int64_t now = clk_ns(d->clk), bound;
+	int64_t now = clk_ns(d->clk);
 
 	r->service_time = disp_work_estimate(d, r->kind);
 	if (r->service_time == 0 && r->target != 0)
 		r->service_time =
 		    MAX((r->target - now) / SERVICE_TIME_DIVISOR, 0);
-	if (r->service_time > 0)
-		d->assumed_service_time = r->service_time;
-	r->place_at =
-	    r->returned_on_time && disp_can_meet_target(r, now) ? now : 0;
 	if (disp_share_submit(d, r))
 		return;
 	if (disp_query_before_send(d, r, now)) {
-		if (d->queues[r->cls].n == 0 || disp_latency_admit(d, r))
-			disp_enqueue(d, r);
+		disp_enqueue(d, r);
 		return;
 	}
-	if (d->queues[r->cls].n == 0 &&
-	    (disp_can_meet_target(r, now) || !disp_wait_late_held(d)) &&
-	    disp_try_send(d, r))
-		return;
-	if (disp_forward(d, r))
+	if (d->queues[r->cls].n == 0 && disp_try_send(d, r))
 		return;
-	disp_wait_estimate(d, r, &bound);
-	if (disp_forward_to_shorter(d, r, r->expected_wait))
+	if (disp_forward(d, r) ||
+	    disp_forward_to_shorter(d, r, queue_wait(d, r)))
 		return;
 	if (disp_cold_query_pending(d, now) || disp_latency_admit(d, r))
 		disp_enqueue(d, r);
--- a/disp_queue.c
+++ b/disp_queue.c
@@ -18,14 +18,6 @@
 	return r->target == 0 || now + r->service_time <= r->target;
 }
 
-int64_t
-disp_queue_key(const struct disp_req *r)
-{
-	if (r->place_at != 0)
-		return r->place_at;
-	return r->target != 0 ? r->target - r->service_time : r->deadline;
-}
-
 /*
  * Queues a request.  Within a rank, requests that can meet their targets are
  * ordered by the latest time to start them; late ones wait in a queue of their
@@ -41,10 +33,10 @@
 	r->item.rank = r->rank;
 	r->item.deadline = r->deadline;
 	r->item.data = r;
-	if (!disp_can_meet_target(r, clk_ns(d->clk)))
+	if (r->target != 0 && disp_can_meet_target(r, clk_ns(d->clk)))
+		r->item.deadline = r->target - r->service_time;
+	else if (r->target != 0)
 		r->queue = QUEUE_LATE;
-	else
-		r->item.deadline = disp_queue_key(r);
 	if (r->over_share) {
 		r->queue = QUEUE_OVER;
 		r->item.rank = disp_share_rank(r);
@@ -98,7 +90,6 @@
 
 	while ((r = find(d, CLASS_INTERACTIVE, is_late, now)) != NULL) {
 		disp_dequeue(d, r);
-		disp_wait_end(d, r, false);
 		if (disp_report_refuses_late(d, r))
 			disp_latency_refuse(d, r, 0);
 		else
@@ -111,14 +102,14 @@
 }
 
 /*
- * Returns whether the request can no longer be answered before its deadline, as
- * far as its service time is known.
+ * Returns whether a late request, or one that waits for an isolated run or for
+ * what others leave, can no longer be answered before its deadline.
  */
 static bool
 misses_deadline(const struct disp_req *r, int64_t now)
 {
-	return (r->service_time > 0 || r->queue == QUEUE_LATE ||
-		   r->queue == QUEUE_TRIAL || r->queue == QUEUE_OVER) &&
+	return (r->queue == QUEUE_LATE || r->queue == QUEUE_TRIAL ||
+		   r->queue == QUEUE_OVER) &&
 	    now + r->service_time > r->deadline;
 }
 
@@ -141,7 +132,6 @@
 	while ((r = find(d, queue, is_expired, now)) != NULL) {
 		missed = misses_deadline(r, now);
 		disp_dequeue(d, r);
-		disp_wait_end(d, r, false);
 		if (missed)
 			disp_fail(d, r, ERR_BUSY, RETRY_AFTER_MIN_NS);
 		else
--- a/disp_work.c
+++ b/disp_work.c
@@ -59,21 +59,12 @@
 	return stats == NULL ? 0 : (int64_t)conc_base_time(&stats->times);
 }
 
-int64_t
-disp_work_mean(const struct disp *d)
-{
-	return d->mean_service_time > 0 ? d->mean_service_time
-					: d->assumed_service_time;
-}
-
 void
 disp_work_attempt_sent(struct disp *d, struct disp_req *r)
 {
 	r->service_time = disp_work_estimate(d, r->kind);
 	r->latency_factor =
 	    pace_latency_factor(r->backend, d->mean_latency_factor, r->sent_at);
-	r->was_cold = r->backend->state == PICK_COLD ||
-	    cold_is_cold(&r->backend->cold, r->sent_at);
 	r->load_report_fresh = pace_report_is_fresh(r->backend, r->sent_at);
 	d->start_latency_factor +=
 	    (r->latency_factor - d->start_latency_factor) / FACTOR_WEIGHT;
@@ -134,21 +125,6 @@
 	return find(d, kind);
 }
 
-const struct wait_ratio *
-disp_work_waits(const struct disp *d, unsigned kind)
-{
-	static const struct wait_ratio unknown = {0};
-	const struct disp_service_times *stats = find(d, kind);
-
-	return stats == NULL ? &unknown : &stats->waits;
-}
-
-struct wait_ratio *
-disp_work_waits_to_learn(struct disp *d, unsigned kind)
-{
-	return &find_or_add(d, kind)->waits;
-}
-
 static void
 learn_mean(int64_t *mean, double ns)
 {
@@ -169,7 +145,6 @@
     struct pick_backend *b, int64_t now)
 {
 	struct disp_service_times *stats = find_or_add(d, r->kind);
-	bool cold = r->was_cold;
 	double usual = conc_base_time(&stats->times),
 	       ratio = b->service_time_ratio > 0 ? b->service_time_ratio : 1;
 	double ns = (double)(now - r->sent_at) /
@@ -178,14 +153,8 @@
 	/* Without load reports only the durations show how fast it is. */
 	if (usual > 0 && (r->load_report_fresh || b->reports_no_load))
 		learn_ratio(b, ns / (usual * r->slowdown));
-	if (cold && usual > 0 && !stats->only_cold)
-		return;
-	if (usual > 0 && stats->only_cold && !cold) {
-		memset(&stats->times, 0, sizeof(stats->times));
-		usual = 0;
-	}
-	stats->only_cold = cold;
-	if (usual > 0 && ns > OUTLIER_FACTOR * ratio * usual * r->slowdown)
+	if (usual > 0 && !r->load_report_fresh &&
+	    ns > OUTLIER_FACTOR * ratio * usual * r->slowdown)
 		return;
 	conc_add_sample(&stats->times, r->concurrent, b->slots, ns, now);
 	learn_mean(&d->mean_service_time, ns);
--- a/gate_admit.c
+++ b/gate_admit.c
@@ -382,14 +382,11 @@
 time_waited(struct gate_req *r)
 {
 	struct refusals *refusals = r->gate->refusals;
-	bool on_time =
-	    refusals_is_on_time(refusals, r->disp.fingerprint, r->arrived_at);
 	int64_t first_sent =
 	    refusals_consume(refusals, r->disp.fingerprint, r->arrived_at);
 	int64_t mean_ms = refusals_mean_wait(refusals, r->arrived_at) / NS_MS,
 		waited = 0;
 
-	r->disp.returned_on_time = on_time;
 	if (r->caller_deadline_ms > 0)
 		waited = callers_elapsed_ms(
 		    callers_of_kind(r), r->caller_deadline_ms);
--- a/gate_answer.c
+++ b/gate_answer.c
@@ -57,9 +57,6 @@
 	const struct err_info *row = err_lookup(kind);
 	const struct dialect *dialect = r->gate->dialect;
 	h2o_req_t *req = r->req;
-	int64_t now = clk_ns(r->gate->clk),
-		after =
-		    retry_after > 0 ? retry_after : row->retry_after_s * NS_S;
 	int status = row->status;
 	char body[160];
 	int n;
@@ -72,10 +69,7 @@
 	gate_rate_cancel(r);
 	if (ran == RAN_NO && r->shard != NULL)
 		refusals_record_refusal(r->gate->refusals, r->disp.fingerprint,
-		    r->arrived_at - r->waited_ms * NS_MS, now);
-	if (ran == RAN_NO && r->shard != NULL && after > 0)
-		refusals_set_retry_at(
-		    r->gate->refusals, r->disp.fingerprint, now + after);
+		    r->arrived_at - r->waited_ms * NS_MS, clk_ns(r->gate->clk));
 	gate_req_settle_claim(r, ran == RAN_NO);
 	cnt_add(r->gate->cnt, GC_REFUSED, 1);
 	gate_stat_refused(r, kind, ran);
@@ -86,24 +80,24 @@
 	slog_decision(SLOG_ROUTE, "refused",
 	    "id=%.*s print=" FPRINT_FMT
 	    " why=%s ran=%s status=%d age_ms=%lld tries=%d "
-	    "retry_after_ms=%lld expected_us=%lld rule=%.*s service=%.*s "
-	    "customer=%.*s over_share=%d "
+	    "retry_after_ms=%lld rule=%.*s service=%.*s customer=%.*s "
+	    "over_share=%d "
 	    "conf=%llu "
 	    "conf_age_ms=%lld conf_held_ms=%lld conf_from=%.*s",
 	    STR_ARG(r->request_id), FPRINT_ARG(r->disp.fingerprint), row->name,
 	    err_ran_name(ran), status,
-	    (long long)((now - r->arrived_at) / NS_MS), r->disp.attempt_count,
-	    (long long)(retry_after / NS_MS),
-	    (long long)(r->disp.expected_wait / NS_US), STR_ARG(r->rule),
-	    STR_ARG(r->service), STR_ARG(r->customer), r->disp.over_share,
-	    (unsigned long long)r->conf_version,
+	    (long long)((clk_ns(r->gate->clk) - r->arrived_at) / NS_MS),
+	    r->disp.attempt_count, (long long)(retry_after / NS_MS),
+	    STR_ARG(r->rule), STR_ARG(r->service), STR_ARG(r->customer),
+	    r->disp.over_share, (unsigned long long)r->conf_version,
 	    (long long)sync_age_ms(&r->gate->sync),
 	    gate_conf_in_force_ms(r->gate), STR_ARG(r->gate->rules_source));
 	if (req == NULL)
 		return;
 	add_header(req, "fern-error", row->name);
 	add_header(req, "fern-ran", err_ran_name(ran));
-	add_retry_after(r, after);
+	add_retry_after(
+	    r, retry_after > 0 ? retry_after : row->retry_after_s * NS_S);
 	n = snprintf(body, sizeof(body),
 	    "{\"error\":\"%s\",\"ran\":\"%s\",\"text\":\"%s\"}\n", row->name,
 	    err_ran_name(ran), row->sentence);
--- a/gate_stat.c
+++ b/gate_stat.c
@@ -118,11 +118,6 @@
 	"Time from a request's arrival to its answer's head.", CNT_HISTOGRAM},
     [GC_QUEUE_TIME] = {"fern_held_seconds",
 	"Time from a request's arrival to its sending.", CNT_HISTOGRAM},
-    [GC_WAIT_EXPECTED] = {"fern_wait_expected_seconds",
-	"Expected time in the queue of requests that waited for a slot.",
-	CNT_HISTOGRAM},
-    [GC_WAIT_REAL] = {"fern_wait_real_seconds",
-	"Real time in the queue of the same requests.", CNT_HISTOGRAM},
 };
 
 static const struct {
--- a/gate_try.c
+++ b/gate_try.c
@@ -44,17 +44,6 @@
 	return (struct gate_req *)((char *)d - offsetof(struct gate_req, disp));
 }
 
-/* Counts the end of a wait in the queue, by a start or a refusal. */
-static void
-count_wait(struct gate_req *r)
-{
-	if (r->disp.real_wait == 0)
-		return;
-	cnt_sample(r->gate->cnt, GC_WAIT_EXPECTED, r->disp.expected_wait);
-	cnt_sample(r->gate->cnt, GC_WAIT_REAL, r->disp.real_wait);
-	r->disp.real_wait = 0;
-}
-
 /* A request that must not be repeated is sent on a new connection. */
 static void
 op_send(void *ctx, struct disp_req *d, struct pick_backend *b)
@@ -67,7 +56,7 @@
 	    " service=%.*s backend=%.*s in_use=%d limit=%d slots=%d "
 	    "pace=%d "
 	    "pace_age_ms=%lld held_us=%lld left_ms=%lld waited_ms=%lld "
-	    "expected_us=%lld tries=%d conf=%llu "
+	    "tries=%d conf=%llu "
 	    "conf_age_ms=%lld a_second=%.2f against=%s over_share=%d",
 	    STR_ARG(r->request_id), FPRINT_ARG(r->disp.fingerprint),
 	    STR_ARG(r->service), STR_ARG(b->name), b->inflight - 1,
@@ -77,15 +66,14 @@
 		: (long long)((d->sent_at - b->reported_at) / NS_MS),
 	    (long long)((d->sent_at - r->arrived_at) / NS_US),
 	    (long long)((d->deadline - d->sent_at) / NS_MS),
-	    (long long)r->waited_ms, (long long)(d->expected_wait / NS_US),
-	    d->attempt_count, (unsigned long long)r->conf_version,
+	    (long long)r->waited_ms, d->attempt_count,
+	    (unsigned long long)r->conf_version,
 	    (long long)sync_age_ms(&r->gate->sync), b->quota.rate,
 	    violation_names[d->violation], d->over_share);
 	cnt_add(
 	    r->gate->cnt, GC_REPORT_OVERRIDDEN, d->violation != VIOLATION_NONE);
 	cnt_add(r->gate->cnt, GC_OVER_SHARE_SENT, d->over_share);
 	cnt_sample(r->gate->cnt, GC_QUEUE_TIME, d->sent_at - r->arrived_at);
-	count_wait(r);
 	gate_flow_send(r, b->address, !d->repeatable);
 }
 
@@ -115,7 +103,6 @@
 	struct gate_req *r = req_of(d);
 
 	(void)ctx;
-	count_wait(r);
 	gate_respond(r, kind, gate_req_ran(r), retry_after);
 }
 
--- a/libdisp.h
+++ b/libdisp.h
@@ -13,7 +13,6 @@
 
 #include "disp.h"
 #include "share.h"
-#include "wait.h"
 
 /* The capacity that another hall reported is not used after this time. */
 #define HALL_CAPACITY_TTL_NS (1200 * NS_MS)
@@ -36,8 +35,6 @@
 /* The measured service times of one kind of request at the usual speed. */
 struct disp_service_times {
 	unsigned kind;
-	bool only_cold; /* all samples are of servers in slow start */
-	struct wait_ratio waits; /* of its queueing times */
 	struct conc times; /* ns, by the number of other requests in flight */
 };
 
@@ -69,11 +66,7 @@
 	double mean_latency_factor; /* over all backend servers */
 	double start_latency_factor; /* expected at the start of attempts */
 	double slow_latency_factor; /* over reports from slow periods */
-	int64_t assumed_service_time; /* of the last request, as a default */
 	int64_t mean_service_time; /* moving average, ns; 0: unknown */
-	struct wait_mix mix; /* of starts, by rank */
-	int64_t lack_at; /* last refusal of one that could be in time */
-	struct wait_rate late_rate; /* of requests that are late */
 	struct conc conc; /* slowdown by concurrency, over all kinds */
 	int64_t limits_set_at; /* last update of concurrency limits */
 	GArray *remote_halls; /* struct disp_remote_hall */
@@ -86,8 +79,6 @@
 	double unslowed_capacity; /* of all usable servers, see disp_share.c */
 	struct retry_budget retry_budget;
 	struct limit rate_limit;
-	int64_t
-	    in_time_refused_at; /* last refusal of one that can be in time */
 	int64_t last_return_at; /* last arrival of a request refused before */
 	GQueue inflight; /* struct disp_req *, oldest first */
 	/* Gets no requests, so that it becomes idle for a trial; or NULL. */
@@ -121,8 +112,6 @@
 /* disp_queue.c: queued requests. */
 /* Returns whether the target can be met if the request starts now. */
 bool disp_can_meet_target(const struct disp_req *, int64_t now);
-/* Returns the latest time to start it, by which it is ordered in its rank. */
-int64_t disp_queue_key(const struct disp_req *);
 void disp_enqueue(struct disp *, struct disp_req *);
 void disp_dequeue(struct disp *, struct disp_req *);
 /* Takes requests that cannot meet their targets out of their queue. */
@@ -159,24 +148,6 @@
 bool
 disp_share_hall_has_spare(const struct disp *, const struct disp_remote_hall *);
 
-/* disp_wait.c: expected and real queueing times. */
-/*
- * Estimates the wait of a request that is not queued, in its members; *bound is
- * set to a wait in ns that it will rarely exceed.
- */
-void disp_wait_estimate(const struct disp *, struct disp_req *, int64_t *bound);
-/* Records that it was decided that the request waits. */
-void disp_wait_begin(struct disp *, struct disp_req *);
-/* Records the end of the wait: the request starts, or waits no longer. */
-void disp_wait_end(struct disp *, struct disp_req *, bool started);
-/*
- * Returns whether late requests get no slot now, as requests that could be in
- * time were refused just before.
- */
-bool disp_wait_late_held(const struct disp *);
-/* Refuses late requests that will not be answered before their deadlines. */
-void disp_wait_review(struct disp *, int64_t now);
-
 /* disp_stop.c: slow attempts under policies that are not latency-aware. */
 void disp_stop_slow(struct disp *, int64_t now);
 
@@ -193,14 +164,6 @@
 /* disp_work.c: estimates of service times. */
 /* Returns the estimate for a kind in ns; 0: unknown. */
 int64_t disp_work_estimate(const struct disp *, unsigned kind);
-/*
- * Returns the mean service time of all requests, in ns; before anything was
- * learned that assumed for the last request, and 0 if there was none.
- */
-int64_t disp_work_mean(const struct disp *);
-/* Returns what was learned of the queueing times of a kind. */
-const struct wait_ratio *disp_work_waits(const struct disp *, unsigned kind);
-struct wait_ratio *disp_work_waits_to_learn(struct disp *, unsigned kind);
 /* Fills in the estimates of an attempt that is about to be sent. */
 void disp_work_attempt_sent(struct disp *, struct disp_req *);
 /* Updates the average of slow periods from a reported latency factor. */
--- a/limit.c
+++ b/limit.c
@@ -16,6 +16,8 @@
 /* Default size of a retry budget in tokens, and the share it starts with. */
 static const double BUDGET_MAX = 20.0;
 static const double BUDGET_INITIAL_SHARE = 0.25;
+/* Share reserved by retry_budget_above_reserve(). */
+static const double BUDGET_RESERVED_SHARE = 0.5;
 
 struct entry {
 	struct limit limit;
@@ -172,10 +174,10 @@
 }
 
 bool
-retry_budget_above(struct retry_budget *b, double share)
+retry_budget_above_reserve(struct retry_budget *b)
 {
 	budget_init(b);
-	return b->tokens >= (share > 0 ? budget_max(b) * share : 1);
+	return b->tokens >= budget_max(b) * BUDGET_RESERVED_SHARE;
 }
 
 void
--- a/limit.h
+++ b/limit.h
@@ -80,10 +80,10 @@
 /* Returns whether there is a token for a retry. */
 bool retry_budget_available(struct retry_budget *);
 /*
- * The same for a request that others come before: this share of the budget, 0
- * to 1, is reserved for those.
+ * The same for a request that has other chances: half of the budget is reserved
+ * for requests that have none.
  */
-bool retry_budget_above(struct retry_budget *, double share);
+bool retry_budget_above_reserve(struct retry_budget *);
 void retry_budget_withdraw(struct retry_budget *);
 /* Takes half of the tokens out of the budget, and returns their number. */
 double retry_budget_split(struct retry_budget *);
--- a/refusal.c
+++ b/refusal.c
@@ -17,7 +17,6 @@
 struct refusal {
 	struct fprint fingerprint;
 	int64_t first_sent, refused_at; /* monotonic ns */
-	int64_t retry_at; /* when it was told to retry; 0: not told */
 	GList *link; /* in refusals.order */
 };
 
@@ -118,26 +117,6 @@
 	return first_sent;
 }
 
-void
-refusals_set_retry_at(struct refusals *r, struct fprint fingerprint, int64_t at)
-{
-	struct refusal *e = g_hash_table_lookup(r->refusals, &fingerprint);
-
-	if (e != NULL)
-		e->retry_at = at;
-}
-
-bool
-refusals_is_on_time(
-    const struct refusals *r, struct fprint fingerprint, int64_t now)
-{
-	const struct refusal *e =
-	    g_hash_table_lookup(r->refusals, &fingerprint);
-
-	return e != NULL && e->retry_at != 0 && now >= e->retry_at &&
-	    now - e->refused_at <= REFUSALS_TTL_NS;
-}
-
 int64_t
 refusals_mean_wait(const struct refusals *r, int64_t now)
 {
--- a/refusal.h
+++ b/refusal.h
@@ -11,7 +11,6 @@
 #ifndef REFUSAL_H
 #define REFUSAL_H
 
-#include <stdbool.h>
 #include <stdint.h>
 
 #include "clk.h"
@@ -49,19 +48,6 @@
  */
 int64_t refusals_consume(struct refusals *, struct fprint, int64_t now);
 
-/*
- * Sets the time before which the caller of a recorded request was told not to
- * retry it (Retry-After), monotonic ns.
- */
-void refusals_set_retry_at(struct refusals *, struct fprint, int64_t at);
-
-/*
- * Returns whether a request that arrives was refused within REFUSALS_TTL_NS,
- * and not before the time that its caller was told.  Must be called before
- * refusals_consume().
- */
-bool refusals_is_on_time(const struct refusals *, struct fprint, int64_t now);
-
 /*
  * Returns the mean time in ns that recently retried requests had waited; 0: no
  * recent retry.  It is an estimate for requests that another owner refused.
--- a/regress/load.cpp
+++ b/regress/load.cpp
@@ -9,7 +9,6 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include <algorithm>
-#include <climits>
 #include <cmath>
 #include <cstdlib>
 #include <deque>
@@ -418,98 +417,11 @@
 	int left = 0; /* remaining retries */
 	bool copy = false; /* a duplicate whose outcome is not counted */
 	int64_t came = 0;
-	int64_t queued_at = 0; /* start of the stay in the queue */
 	uint64_t run = 0; /* current run, whose end counts; 0: none */
 	bool over = false;
 };
 
-/* The mean work of requests of the kind, as dispatchers may know it. */
-int64_t
-mean_work(const Wish &w)
-{
-	return static_cast<int64_t>(w.kind->work_ms * NS_MS);
-}
-
-int64_t
-target_of(const Wish &w)
-{
-	return w.at + w.kind->target_ms * NS_MS;
-}
-
-bool
-may_be_in_time(const Wish &w, int64_t start)
-{
-	return start + mean_work(w) <= target_of(w);
-}
-
-/*
- * Judges afterwards which refusals for lack of time could have been avoided: a
- * refused request is matched with a slot of its hall that was, before its
- * latest start, left idle or given to a request that is less urgent or too
- * late.  Each slot is matched once, with the request that had the least time.
- */
-struct Judge {
-	struct Slot {
-		int64_t at;
-		double slowdown;
-		int rank; /* of the request that got it; INT_MAX: idle or late
-			   */
-	};
-	struct Refusal {
-		int64_t at;
-		const Wish *wish;
-	};
-	std::vector<Slot> slots;
-	std::vector<Refusal> refusals;
-	double idle = 0; /* idle slot time, in mean requests */
-
-	static bool fits(const Refusal &r, const Slot &s)
-	{
-		auto ns = static_cast<int64_t>(
-		    static_cast<double>(mean_work(*r.wish)) * s.slowdown);
-
-		return s.rank > r.wish->kind->rank &&
-		    s.at + ns <= target_of(*r.wish);
-	}
-
-	static int64_t latest(const Refusal &r)
-	{
-		return target_of(*r.wish) - mean_work(*r.wish);
-	}
-
-	int avoidable() const
-	{
-		std::vector<const Refusal *> open;
-		size_t next = 0;
-		int n = 0;
-
-		for (auto &s : slots) {
-			for (; next < refusals.size() &&
-			     refusals[next].at <= s.at;
-			     next++)
-				open.push_back(&refusals[next]);
-			open.erase(std::remove_if(open.begin(), open.end(),
-				       [&s](const Refusal *r) {
-					       return latest(*r) < s.at;
-				       }),
-			    open.end());
-			auto best = open.end();
-			for (auto it = open.begin(); it != open.end(); ++it)
-				if (fits(**it, s) &&
-				    (best == open.end() ||
-					latest(**it) < latest(**best)))
-					best = it;
-			if (best == open.end())
-				continue;
-			open.erase(best);
-			n++;
-		}
-		return n;
-	}
-};
-
 struct Home {
-	Judge judge;
 	Product *p = nullptr;
 	int hall = 0;
 	struct disp *disp = nullptr;
@@ -525,7 +437,6 @@
 	std::vector<std::string> hall_names;
 	uint64_t trace = 0;
 	int sent_evacuated = 0;
-	Waits waits;
 	bool dark = false;
 
 	static struct timespec mono(void *ctx)
@@ -567,7 +478,6 @@
 		Server &v = p->server(b);
 
 		p->record(a, 1000 + static_cast<uint64_t>(v.index));
-		p->judge_start(a, v);
 		a->run = ++p->runs;
 		p->sent_evacuated += p->is_evacuated(v.hall);
 		p->count_cold(&v);
@@ -587,100 +497,6 @@
 		p->begin(a, v);
 	}
 
-	/* Returns the slowdown of one more request that starts there. */
-	double next_slowdown(Server &v)
-	{
-		v.running++;
-		double x = hidden(v) * pace(v) / 100;
-		v.running--;
-		return x;
-	}
-
-	void judge_start(const Attempt *a, Server &v)
-	{
-		bool late = !may_be_in_time(*a->wish, now);
-
-		homes[static_cast<size_t>(a->home)]->judge.slots.push_back({now,
-		    next_slowdown(v), late ? INT_MAX : a->wish->kind->rank});
-		judge_wait(a, late);
-	}
-
-	/* Records the end of a stay in a queue. */
-	void judge_wait(const Attempt *a, bool late)
-	{
-		if (now - a->queued_at <= NS_MS ||
-		    !may_be_in_time(*a->wish, a->queued_at))
-			return;
-		waits.let_wait++;
-		waits.too_late += late;
-	}
-
-	void judge_refusal(const Attempt *a, enum err_kind kind)
-	{
-		const Wish &w = *a->wish;
-
-		if (kind == ERR_DEADLINE)
-			waits.at_deadline++;
-		if (now - a->came > w.kind->target_ms * NS_MS / 4)
-			judge_wait(a, true);
-		if (kind != ERR_BUSY || !may_be_in_time(w, now))
-			return;
-		waits.refused++;
-		homes[static_cast<size_t>(a->home)]->judge.refusals.push_back(
-		    {now, &w});
-	}
-
-	/* Records slots that are idle without a cost in speed. */
-	void judge_idle(int64_t ns)
-	{
-		int most =
-		    std::max(1, static_cast<int>(std::floor(0.8 * set.slots)));
-		double work = 0;
-
-		for (auto &k : set.kinds)
-			work += k.share * k.work_ms * NS_MS;
-		for (auto &v : servers) {
-			Home *h = homes[static_cast<size_t>(v->hall)].get();
-
-			if (h->disp == nullptr || v->gone || is_down(*v) ||
-			    is_evacuated(v->hall) || v->running >= most ||
-			    (pat.cold_rate > 0 && now < v->cold_until))
-				continue;
-			double x = next_slowdown(*v);
-
-			h->judge.idle += (most - v->running) *
-			    static_cast<double>(ns) / (work * x);
-			for (; h->judge.idle >= 1; h->judge.idle--)
-				h->judge.slots.push_back({now, x, INT_MAX});
-		}
-	}
-
-	static void add_limit(void *ctx, const struct pick_backend *b)
-	{
-		static_cast<std::vector<int> *>(ctx)->push_back(
-		    b->max_inflight);
-	}
-
-	/*
-	 * Most servers have the learned limit, while a quarter of them explore
-	 * another one: so it is the median.
-	 */
-	void note_limit(const Home &h)
-	{
-		std::vector<int> all;
-
-		disp_foreach_backend(h.disp, add_limit, &all);
-		if (all.empty())
-			return;
-		std::nth_element(
-		    all.begin(), all.begin() + all.size() / 2, all.end());
-		int limit = all[all.size() / 2];
-
-		if (limit > 0 &&
-		    (waits.lowest_limit == 0 || limit < waits.lowest_limit))
-			waits.lowest_limit = limit;
-	}
-
 	bool refuses(const Server &v)
 	{
 		for (auto &e : pat.events)
@@ -724,7 +540,6 @@
 			    d, a->d.backend, v->running, 0, pace(*v));
 		if (how == DISP_OK)
 			finish(a, true);
-		a->queued_at = now;
 		if (!disp_attempt_done(d, &a->d, how) && how != DISP_OK)
 			come_back(
 			    a, how == DISP_REFUSED ? DISP_REFUSED_RETRY_NS : 0);
@@ -746,12 +561,9 @@
 
 		if (a->over)
 			return;
-		int64_t told = after;
-
 		if (a->wish->insists)
 			after = 0;
 		after = std::max(std::min(after, (end - now) / 3), NO_WORD_NS);
-		bool on_time = told > 0 && after >= told;
 		if (a->copy || a->left == 0 || now + after >= end ||
 		    now + after >= a->wish->leaves) {
 			finish(a, false);
@@ -760,20 +572,17 @@
 		a->over = true;
 		const Wish *w = a->wish;
 		int left = a->left - 1;
-		in(after, [this, w, left, on_time] {
-			attempt(w, left, false, on_time);
-		});
+		in(after, [this, w, left] { attempt(w, left, false); });
 	}
 
-	static void give_up(
-	    void *ctx, struct disp_req *d, enum err_kind kind, int64_t after)
+	static void
+	give_up(void *ctx, struct disp_req *d, enum err_kind, int64_t after)
 	{
 		Product *p = static_cast<Home *>(ctx)->p;
 		Attempt *a = of(d);
 		Count &c = p->counts[a->wish->kind->name];
 
 		p->record(a, static_cast<uint64_t>(after) + 1);
-		p->judge_refusal(a, kind);
 		c.refused++;
 		c.refused_ms += static_cast<double>(p->now - a->came) / NS_MS;
 		p->come_back(a, after);
@@ -836,7 +645,6 @@
 			lost(a->wish, a->left, a->copy);
 			return;
 		}
-		a->queued_at = now;
 		disp_submit(homes[static_cast<size_t>(a->home)]->disp, &a->d);
 	}
 
@@ -852,7 +660,7 @@
 		in(500 * NS_MS, [this, w, left] { attempt(w, left, false); });
 	}
 
-	void attempt(const Wish *w, int left, bool copy, bool on_time = false)
+	void attempt(const Wish *w, int left, bool copy)
 	{
 		if (dark) {
 			lost(w, left, copy);
@@ -872,7 +680,6 @@
 		a->d.can_retry = a->d.can_forward = true;
 		a->d.max_attempts = 2;
 		a->d.previously_refused = !copy && left < set.retries;
-		a->d.returned_on_time = on_time;
 		a->d.rank = w->kind->rank;
 		a->d.kind = static_cast<unsigned>(w->kind->target_ms);
 		if (w->customer >= 0)
@@ -1001,10 +808,6 @@
 		for (auto &h : homes)
 			if (h->disp != nullptr)
 				disp_tick(h->disp);
-		for (auto &h : homes)
-			if (h->disp != nullptr)
-				note_limit(*h);
-		judge_idle(10 * NS_MS);
 		in(10 * NS_MS, [this] { tick(); });
 	}
 
@@ -1309,19 +1112,6 @@
 	waited_ms = std::max(waited_ms, o.waited_ms);
 }
 
-void
-Waits::add(const Waits &o)
-{
-	let_wait += o.let_wait;
-	too_late += o.too_late;
-	refused += o.refused;
-	avoidable += o.avoidable;
-	at_deadline += o.at_deadline;
-	if (lowest_limit == 0 ||
-	    (o.lowest_limit > 0 && o.lowest_limit < lowest_limit))
-		lowest_limit = o.lowest_limit;
-}
-
 int
 Result::recovers_after(int64_t ms) const
 {
@@ -1343,9 +1133,6 @@
 	r = w.result();
 	r.sent_evacuated = w.sent_evacuated;
 	r.trace = w.trace;
-	r.waits = w.waits;
-	for (auto &h : w.homes)
-		r.waits.avoidable += h->judge.avoidable();
 	r.worst_cold = w.worst_cold;
 	r.fell_over = w.fell_over;
 	return r;
@@ -1396,20 +1183,6 @@
 	return s;
 }
 
-Setting
-six_slots(uint64_t seed)
-{
-	Setting s;
-
-	s.slots = 6;
-	s.spells = 0.3;
-	s.seed = seed;
-	s.kinds = {{"order", 0.25, 450, 1200, 12000, 1, 2, false},
-	    {"read", 0.67, 340, 1000, 10000, 2, 1, true},
-	    {"load", 0.08, 270, 1500, 8000, 2, 1, true}};
-	return s;
-}
-
 const std::vector<Pattern> &
 patterns()
 {
--- a/regress/load.h
+++ b/regress/load.h
@@ -106,28 +106,6 @@
 	void add(const Count &);
 };
 
-/*
- * How well the dispatchers decide which requests wait for a slot, over all
- * requests with a target.  Whether a request can be in time is judged with the
- * mean work of its kind at the usual speed.
- */
-struct Waits {
-	/* Stays of over 1 ms in a queue that began in time, */
-	int let_wait = 0;
-	/*
-	 * and of these, the ones that started too late or were refused after a
-	 * quarter of the target.
-	 */
-	int too_late = 0;
-	int refused = 0; /* for lack of time, with time left for a start */
-	/* Of these, ones for which a slot that was free in time was left. */
-	int avoidable = 0;
-	int at_deadline = 0; /* held in a queue until the deadline */
-	int lowest_limit = 0; /* lowest learned concurrency limit; 0: none */
-
-	void add(const Waits &);
-};
-
 struct Result {
 	std::map<std::string, Count> kinds;
 	std::map<int64_t, double> seconds; /* share served in time, by second */
@@ -139,7 +117,6 @@
 	/* By customer, of the requests that arrived during an EXCESS. */
 	std::map<int, Count> customers;
 	uint64_t trace = 0; /* hash of all decisions and their times */
-	Waits waits;
 
 	/* Seconds after `ms` until nine in ten requests are in time again. */
 	int recovers_after(int64_t ms) const;
@@ -160,9 +137,6 @@
  */
 Setting two_slots(uint64_t seed);
 
-/* Six slots per server, long requests and a slowdown above four fifths. */
-Setting six_slots(uint64_t seed);
-
 /* All load patterns. */
 const std::vector<Pattern> &patterns();
 
