Log line of a forwarded request tells the time it has left

Callers saw 504 for forwarded requests a second before their rule's time was over. The owner's line tells what was left there (left_ms); without the same figure in the line of the box that forwards, the two could not be compared. No decision changes.

--- a/gate_try.c
+++ b/gate_try.c
@@ -166,10 +166,12 @@
 	cnt_add(r->gate->cnt, GC_FORWARDED_OUT, 1);
 	slog_decision(SLOG_ROUTE, "forwarded to its owner",
 	    "id=%.*s rule=%.*s service=%.*s box=%.*s hall=%.*s hops=%d "
-	    "tries=%d conf=%llu conf_age_ms=%lld",
+	    "tries=%d left_ms=%lld conf=%llu conf_age_ms=%lld",
 	    STR_ARG(r->request_id), STR_ARG(r->rule), STR_ARG(r->service),
 	    STR_ARG(p->info.box), STR_ARG(p->info.hall), r->hops,
-	    r->disp.attempt_count, (unsigned long long)r->conf_version,
+	    r->disp.attempt_count,
+	    (long long)((r->disp.deadline - clk_ns(r->gate->clk)) / NS_MS),
+	    (unsigned long long)r->conf_version,
 	    (long long)sync_age_ms(&r->gate->sync));
 	gate_flow_send(r, p->info.forward_address, false);
 }
