--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	regress/standin_proxy
 UNIT_TESTS = regress/test_gossip regress/test_handover regress/test_load regress/test_wire regress/test_hsrv regress/test_policy regress/test_units regress/test_conf regress/test_disp regress/test_paced \
 	regress/test_platform regress/test_poison regress/test_roll regress/test_suspend regress/test_takeover regress/test_up regress/test_allowance regress/test_tally regress/test_share
-FLEET_TESTS = regress/test_path regress/test_config regress/test_promises \
+FLEET_TESTS = regress/test_path regress/test_deadline regress/test_config regress/test_promises \
 	regress/test_box regress/test_cold regress/test_evacuation \
 	regress/test_region regress/test_crash regress/test_silent \
 	regress/test_report regress/test_rollout regress/test_customer \
