A forwarded request keeps the deadline that its rule gave it

Callers got 504 after 5.0 s for requests whose rule allows 6 s, while the backend server was at work; after SIGTERM to the box that received the request this is a broken promise, without SIGTERM it was the same and unnoticed.

Cause: admit_forwarded() took the lower of the deadline that came with the request and the service's default of the owner's own configuration, 5 s. The gate that received the request had applied the rule, which replaces that default.

The owner now takes the deadline as it came; its default counts only if there is none. An owner of an older build still applies its default; a box of an older build is served as before.

Deadline.*: 504 before, 200 now, with and without SIGTERM.

--- a/gate_admit.c
+++ b/gate_admit.c
@@ -81,6 +81,23 @@
 	return deadline_from_limit(r, limit_ms);
 }
 
+/*
+ * Returns the deadline of a request that another gate forwarded.  That gate has
+ * applied the rule, which may allow more time than the service's default here.
+ */
+static int64_t
+forwarded_deadline(
+    const struct gate_req *r, const struct route_service *service)
+{
+	unsigned long long left_ms;
+
+	if (!str_u64(
+		hsrv_header(r->req, r->gate->dialect->deadline.p), &left_ms) ||
+	    left_ms > OBJ_DEADLINE_MAX_MS)
+		left_ms = (unsigned long long)service->obj->deadline_ms;
+	return r->arrived_at + MAX((int64_t)left_ms, DEADLINE_MIN_MS) * NS_MS;
+}
+
 /*
  * Admits a request that another gate forwarded.  That gate has applied the
  * rule, so that both gates agree even while their configurations differ.
@@ -124,7 +141,7 @@
 	r->maybe_ran = forward.is_retry;
 	if (forward.target_ms > 0)
 		r->disp.target = r->arrived_at + forward.target_ms * NS_MS;
-	r->disp.deadline = deadline_from_limit(r, service->obj->deadline_ms);
+	r->disp.deadline = forwarded_deadline(r, service);
 	gate_req_set_deadline(r);
 	gate_req_route(r);
 }
--- a/obj.c
+++ b/obj.c
@@ -16,7 +16,6 @@
 enum {
 	SLOTS_MAX = 4096,
 	CONNECTIONS_MAX = 65536,
-	DEADLINE_MAX_MS = 24 * 3600 * 1000,
 	QUEUE_MAX = 100000,
 	RATE_MAX = 10000000,
 	PROBE_MIN_MS = 100,
@@ -72,7 +71,7 @@
 	.type = FIELD_INT,
 	.offset = B(slow_start_ms),
 	.min = 0,
-	.max = DEADLINE_MAX_MS},
+	.max = OBJ_DEADLINE_MAX_MS},
     {.name = "born_ms",
 	.type = FIELD_INT,
 	.offset = B(started_ms),
@@ -91,7 +90,7 @@
 	.offset = S(deadline_ms),
 	.dflt = 5000,
 	.min = 1,
-	.max = DEADLINE_MAX_MS},
+	.max = OBJ_DEADLINE_MAX_MS},
     {.name = "queue",
 	.type = FIELD_INT,
 	.offset = S(queue_max),
@@ -135,7 +134,7 @@
 	.offset = S(cold_ms),
 	.dflt = 5000,
 	.min = 0,
-	.max = DEADLINE_MAX_MS},
+	.max = OBJ_DEADLINE_MAX_MS},
 };
 
 static const struct field rule_fields[] = {
@@ -156,7 +155,7 @@
 	.type = FIELD_INT,
 	.offset = R(target_ms),
 	.min = 0,
-	.max = DEADLINE_MAX_MS},
+	.max = OBJ_DEADLINE_MAX_MS},
     {.name = "attempts",
 	.type = FIELD_INT,
 	.offset = R(attempts),
@@ -197,7 +196,7 @@
 	.type = FIELD_INT,
 	.offset = R(deadline_ms),
 	.min = 0,
-	.max = DEADLINE_MAX_MS},
+	.max = OBJ_DEADLINE_MAX_MS},
     {.name = "open", .type = FIELD_BOOL, .offset = R(is_public)},
 };
 
@@ -213,7 +212,7 @@
 	.offset = L(idle_ms),
 	.dflt = 10000,
 	.min = 1000,
-	.max = DEADLINE_MAX_MS},
+	.max = OBJ_DEADLINE_MAX_MS},
 };
 
 static const struct field evacuation_fields[] = {
@@ -229,7 +228,7 @@
 	.type = FIELD_INT,
 	.offset = O(duration_ms),
 	.min = ROLLOUT_MIN_MS,
-	.max = DEADLINE_MAX_MS,
+	.max = OBJ_DEADLINE_MAX_MS,
 	.required = true},
     {.name = "state",
 	.type = FIELD_CHOICE,
--- a/obj.h
+++ b/obj.h
@@ -37,6 +37,9 @@
 	OBJ_KIND_MAX
 };
 
+/* Longest deadline that may be configured, in ms: a day. */
+enum { OBJ_DEADLINE_MAX_MS = 24 * 3600 * 1000 };
+
 /* The class of a request. */
 enum obj_class { CLASS_INTERACTIVE, CLASS_BULK, CLASS_MAX };
 
