Versions hold the epoch of the platform; what a restore lost is kept

Callers were served by configuration r60 two seconds and more after r64 had been acknowledged, by all boxes alike, until r68. Watchers listed the store twice each 25 ms meanwhile.

Cause: revisions were taken as ever growing. The store came back from a copy and gave revisions out again: r64 at 75, r66 at 76, while 76 (r60) was held. A watch from 76 was answered 410, and the list after it changed nothing.

The epoch, a counter of restores that the platform sends with each answer, is now part of every version and revision (version.h): a later epoch is newer. As the copy also has older contents under the later epoch, - an operator's own number of a configuration, its serial, decides before the version: a lower one never replaces a higher one; - for all else revisions decide across epochs for three seconds, but for drains, which are always taken; objects that a list lacks stay as long. Then the boxes that watch list the platform again, and its state is final; - the last deletions are kept below the floor, to recognize their objects. A watch or a page of a list of another epoch is read anew, an update or deletion under a condition of an earlier one is not sent, and a write that succeeded in an epoch that has ended counts as unknown.

Between boxes, versions go as revision and, behind all other elements, epoch and serial. A box of an older build ignores these, and what it sends counts as of the first epoch that the receiver knew.

--- a/agent_lapse.c
+++ b/agent_lapse.c
@@ -54,6 +54,8 @@
 	struct held_deletion *held = ctx;
 	struct agent *a = held->agent;
 	const struct conf_entry *e = conf_get(a->conf, held->key);
+	struct conf_object deletion = {
+	    .key = held->key, .version = held->version, .deleted = true};
 	bool still_missing =
 	    e != NULL && !e->deleted && e->version <= held->version;
 
@@ -62,8 +64,7 @@
 	    "key=%.*s version=%llu", STR_ARG(held->key),
 	    (unsigned long long)held->version);
 	a->offer_from_platform = true;
-	conf_offer(a->conf, held->key, held->version, true, NULL,
-	    STR_LIT("platform"), NULL);
+	conf_offer(a->conf, &deletion, STR_LIT("platform"), NULL);
 	a->offer_from_platform = false;
 	g_hash_table_remove(a->held_deletions, held->key.p);
 }
@@ -90,6 +91,8 @@
 	if (a->platform_up_at != 0)
 		apply_at =
 		    MAX(apply_at, a->platform_up_at + HOLD_AFTER_OUTAGE_NS);
+	if (a->restored_at != 0)
+		apply_at = MAX(apply_at, a->restored_at + AGENT_RESTORE_NS);
 	held = g_new0(struct held_deletion, 1);
 	held->agent = a;
 	held->key = str_dup(e->key);
--- a/agent_open.c
+++ b/agent_open.c
@@ -246,6 +246,7 @@
 		if (a->admin == NULL)
 			return err_prefix_setting(err, "admin_listen");
 	}
+	agent_restore_open(a);
 	agent_deletion_open(a);
 	agent_push_open(a);
 	agent_probe_open(a);
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -231,6 +231,25 @@
 	}
 }
 
+/* Lists everything again that this box reads from the platform. */
+void
+agent_watch_relist(struct agent *a)
+{
+	struct agent_feed *f;
+	unsigned i;
+
+	for (i = 0; i < a->nfeeds; i++) {
+		f = &a->feeds[i];
+		if (f->listed_at == 0)
+			continue;
+		if (f->call != NULL)
+			plat_cancel(a->plat, f->call);
+		f->call = NULL;
+		f->listed_at = 0;
+		schedule_call(f, 0);
+	}
+}
+
 /*
  * Starts lists because the box has become unattended.  If the hubs report that
  * the platform does not answer them, the boxes of the hall start at random
@@ -362,35 +381,44 @@
 }
 
 static void
-offer_object(struct agent *a, json_t *o, GHashTable *keys)
-{
-	const char *kind = json_string_value(json_object_get(o, "kind"));
-	const char *name = json_string_value(json_object_get(o, "name"));
-	uint64_t version =
-	    (uint64_t)json_integer_value(json_object_get(o, "version"));
-	bool deleted = json_is_true(json_object_get(o, "deleted"));
-	json_t *spec = json_object_get(o, "spec");
+log_rejection(struct agent *a, const struct conf_object *o, const char *key,
+    const GError *err)
+{
+	slog(SLOG_CONF,
+	    str_has_prefix(o->key, STR_LIT("backend/"))
+		? "object is rejected, its last version is withdrawn"
+		: "object is rejected, its last valid version stays",
+	    "key=%s version=%llu why=%s", key, (unsigned long long)o->version,
+	    slog_quote(rejection_reason(a, key, err)));
+}
+
+static void
+offer_object(struct agent *a, json_t *json, GHashTable *keys)
+{
+	const char *kind = json_string_value(json_object_get(json, "kind"));
+	const char *name = json_string_value(json_object_get(json, "name"));
+	struct conf_object o = {.version = (uint64_t)json_integer_value(
+				    json_object_get(json, "version")),
+	    .serial =
+		(uint64_t)json_integer_value(json_object_get(json, "serial")),
+	    .deleted = json_is_true(json_object_get(json, "deleted")),
+	    .spec = json_object_get(json, "spec")};
 	enum conf_result result = CONF_DUPLICATE;
 	GError *err = NULL;
 	char *key;
 
-	if (kind == NULL || name == NULL || version == 0)
+	if (kind == NULL || name == NULL || o.version == 0)
 		return;
 	key = g_strdup_printf("%s/%s", kind, name);
-	if (!deleted ||
-	    !agent_deletion_hold(a, conf_get(a->conf, str_c(key)), version))
-		result = conf_offer(a->conf, str_c(key), version, deleted, spec,
+	o.key = str_c(key);
+	if (!o.deleted ||
+	    !agent_deletion_hold(a, conf_get(a->conf, o.key), o.version))
+		result = conf_offer(a->conf, &o,
 		    a->offer_may_be_stale ? STR_LIT("platform-copy")
 					  : STR_LIT("platform"),
 		    &err);
 	if (result == CONF_REJECTED)
-		slog(SLOG_CONF,
-		    strcmp(kind, obj_kind_name(OBJ_BACKEND)) == 0
-			? "object is rejected, its last version is withdrawn"
-			: "object is rejected, its last valid version stays",
-		    "key=%s version=%llu why=%s", key,
-		    (unsigned long long)version,
-		    slog_quote(rejection_reason(a, key, err)));
+		log_rejection(a, &o, key, err);
 	g_clear_error(&err);
 	if (keys != NULL)
 		g_hash_table_add(keys, key);
--- a/conf.c
+++ b/conf.c
@@ -14,8 +14,26 @@
 #include "conf.h"
 #include "err.h"
 #include "takeover.h"
+#include "version.h"
 
-enum { BUCKETS_PER_PART = CONF_BUCKETS / CONF_PARTS };
+/*
+ * A platform that was restored from a copy has older versions of the objects
+ * that were written last.  They have versions of a later epoch, but are not
+ * newer.  Two things tell them apart.  The serial of an object, where its
+ * operator gives one, decides before the version.  For all others the revisions
+ * are compared for some seconds, as the copy has the same history as the epoch
+ * before it up to its revision; by the end of that time whoever wrote an object
+ * has written it again.
+ */
+
+enum {
+	BUCKETS_PER_PART = CONF_BUCKETS / CONF_PARTS,
+	/*
+	 * The last deletions are kept below the floor too, to recognize the
+	 * objects in an older copy of the platform.
+	 */
+	DELETIONS_KEPT = 1024
+};
 
 struct listener {
 	conf_changed_fn *changed;
@@ -30,6 +48,11 @@
 	size_t live_count;
 	struct listener listeners[CONF_LISTENERS_MAX];
 	unsigned nlisteners;
+	uint64_t deletions; /* number of deletions so far */
+	uint64_t epoch, first_epoch; /* latest and first known; 0: none */
+	bool is_restoring; /* entries of earlier epochs may be kept */
+	conf_epoch_fn *on_restore; /* NULL: none are kept */
+	void *restore_ctx;
 };
 
 static uint64_t hash_spec(const json_t *);
@@ -38,10 +61,9 @@
 static void rehash(struct conf *, struct conf_entry *);
 static enum conf_result
 reject_spec(struct conf *, struct conf_entry *, uint64_t, json_t *, GError *);
-static void put_in_force(struct conf *, struct conf_entry *, uint64_t, bool,
-    json_t *, struct obj *, struct str);
-static bool
-supersedes(const struct conf_entry *, uint64_t, bool, const json_t *);
+static void put_in_force(struct conf *, struct conf_entry *,
+    const struct conf_object *, struct obj *, struct str);
+static bool supersedes(const struct conf_entry *, const struct conf_object *);
 static gboolean is_redundant(gpointer, gpointer, gpointer);
 
 static void
@@ -184,7 +206,8 @@
 
 /*
  * Returns the contribution of an entry to the digests.  Deletions have none,
- * as one box may have dropped a deletion that another one still keeps.
+ * as one box may have dropped a deletion that another one still keeps.  The
+ * epoch does not count, so that a restore does not change what stays as it was.
  */
 static uint64_t
 hash_entry(const struct conf_entry *e)
@@ -192,11 +215,11 @@
 	uint64_t parts[4] = {0};
 
 	if (!e->deleted && e->version > 0) {
-		parts[0] = e->version;
+		parts[0] = version_revision(e->version);
 		parts[1] = hash_spec(e->spec);
 	}
 	if (e->rejected_version > 0) {
-		parts[2] = e->rejected_version;
+		parts[2] = version_revision(e->rejected_version);
 		parts[3] = hash_spec(e->rejected_spec);
 	}
 	if (parts[0] == 0 && parts[2] == 0)
@@ -238,6 +261,12 @@
 	return e;
 }
 
+static bool
+has_serials(const struct conf_entry *e, const struct conf_object *o)
+{
+	return e->serial > 0 && o->serial > 0;
+}
+
 /*
  * Returns whether an offer supersedes the version in force.  The platform does
  * not assign a version twice.  If two contents have the same version anyway,
@@ -245,19 +274,20 @@
  * same choice: a deletion wins, then the greater hash.
  */
 static bool
-supersedes(const struct conf_entry *e, uint64_t version, bool deleted,
-    const json_t *spec)
+supersedes(const struct conf_entry *e, const struct conf_object *o)
 {
-	if (version != e->version)
-		return version > e->version;
-	if (e->deleted || deleted)
+	if (has_serials(e, o) && o->serial != e->serial)
+		return o->serial > e->serial;
+	if (o->version != e->version)
+		return o->version > e->version;
+	if (e->deleted || o->deleted)
 		return !e->deleted;
-	return hash_spec(spec) > hash_spec(e->spec);
+	return hash_spec(o->spec) > hash_spec(e->spec);
 }
 
 static void
-put_in_force(struct conf *c, struct conf_entry *e, uint64_t version,
-    bool deleted, json_t *spec, struct obj *obj, struct str source)
+put_in_force(struct conf *c, struct conf_entry *e, const struct conf_object *o,
+    struct obj *obj, struct str source)
 {
 	bool was_live = e->version > 0 && !e->deleted;
 	unsigned i;
@@ -265,21 +295,35 @@
 	json_decref(e->spec);
 	obj_free(e->obj);
 	str_free(&e->source);
-	e->spec = deleted ? NULL : json_incref(spec);
+	e->spec = o->deleted ? NULL : json_incref(o->spec);
 	e->obj = obj;
-	e->version = version;
-	e->deleted = deleted;
+	/* A higher serial may come with a version of an earlier epoch. */
+	e->version = MAX(e->version, o->version);
+	e->serial = o->serial;
+	e->deleted = o->deleted;
+	if (o->deleted)
+		e->deletion_number = c->deletions++;
 	e->existed =
-	    takeover_existed(c->floors[conf_part_of(e->kind)], deleted);
+	    takeover_existed(c->floors[conf_part_of(e->kind)], o->deleted);
 	e->source = str_dup(source);
-	if (e->rejected_version <= version)
+	if (e->rejected_version <= e->version)
 		clear_rejected(e);
-	c->live_count += (size_t)!deleted - (size_t)was_live;
+	c->live_count += (size_t)!o->deleted - (size_t)was_live;
 	rehash(c, e);
 	for (i = 0; i < c->nlisteners; i++)
 		c->listeners[i].changed(c->listeners[i].ctx, e);
 }
 
+/* Deletes an object as of a version. */
+static void
+delete_entry(
+    struct conf *c, struct conf_entry *e, uint64_t version, struct str source)
+{
+	struct conf_object deletion = {.version = version, .deleted = true};
+
+	put_in_force(c, e, &deletion, NULL, source);
+}
+
 static enum conf_result
 reject_spec(struct conf *c, struct conf_entry *e, uint64_t version,
     json_t *spec, GError *reason)
@@ -305,51 +349,124 @@
 reject_backend(struct conf *c, struct conf_entry *e, uint64_t version,
     struct str source, GError *reason, GError **err)
 {
-	put_in_force(c, e, version, true, NULL, NULL, source);
+	delete_entry(c, e, version, source);
 	g_propagate_error(err, reason);
 	return CONF_REJECTED;
 }
 
+/*
+ * Returns whether the contents and revision are those in force.  The epoch may
+ * be another one: a copy of the platform has them unchanged.
+ */
+static bool
+is_in_force(const struct conf_entry *e, const struct conf_object *o)
+{
+	return e->version > 0 &&
+	    version_revision(o->version) == version_revision(e->version) &&
+	    o->deleted == e->deleted &&
+	    (o->deleted || json_equal(o->spec, e->spec));
+}
+
+static bool
+is_drain(const struct conf_entry *e, const struct conf_object *o)
+{
+	return e->kind == OBJ_BACKEND &&
+	    json_is_true(json_object_get(o->spec, "drain"));
+}
+
+/*
+ * Returns whether a version of a later epoch may be one that was replaced
+ * before the platform was restored.  A drain is never held back.
+ */
+static bool
+is_held_back(const struct conf *c, const struct conf_entry *e,
+    const struct conf_object *o)
+{
+	return c->is_restoring &&
+	    version_epoch(o->version) > version_epoch(e->version) &&
+	    version_revision(o->version) < version_revision(e->version) &&
+	    !has_serials(e, o) && !is_drain(e, o);
+}
+
+/*
+ * The contents stay, as their serial is higher.  They get the higher version,
+ * so that all boxes take them for newer than the offered ones.
+ */
+static void
+raise_version(struct conf *c, struct conf_entry *e, uint64_t version)
+{
+	if (version <= e->version)
+		return;
+	e->version = version;
+	rehash(c, e);
+}
+
+/* Returns what becomes of an offer, if that does not depend on its spec. */
+static bool
+is_decided(struct conf *c, struct conf_entry *e, const struct conf_object *o,
+    enum conf_result *result)
+{
+	*result = CONF_STALE;
+	if ((e == NULL || e->deleted) &&
+	    (o->version == 0 || o->version <= c->floors[part_of_key(o->key)]))
+		return true;
+	if (e == NULL)
+		return false;
+	if (is_in_force(e, o) ||
+	    (o->version == e->rejected_version && o->version > 0)) {
+		*result = CONF_DUPLICATE;
+		return true;
+	}
+	if (is_held_back(c, e, o))
+		return true;
+	if (has_serials(e, o) && o->serial < e->serial) {
+		raise_version(c, e, o->version);
+		return true;
+	}
+	return !supersedes(e, o);
+}
+
+static struct conf_entry *
+find(const struct conf *c, struct str key)
+{
+	char *text = g_strndup(key.p, key.n);
+	struct conf_entry *e = g_hash_table_lookup(c->entries, text);
+
+	g_free(text);
+	return e;
+}
+
 enum conf_result
-conf_offer(struct conf *c, struct str key, uint64_t version, bool deleted,
-    json_t *spec, struct str source, GError **err)
+conf_offer(struct conf *c, const struct conf_object *o, struct str source,
+    GError **err)
 {
-	struct conf_entry *e;
+	struct conf_entry *e = find(c, o->key);
+	enum conf_result result;
 	struct obj *obj = NULL;
 	GError *reason = NULL;
-	char *text = g_strndup(key.p, key.n);
 
-	e = g_hash_table_lookup(c->entries, text);
-	g_free(text);
-	if (e == NULL &&
-	    (version == 0 || version <= c->floors[part_of_key(key)]))
-		return CONF_STALE;
-	if (e != NULL && version == e->version && version > 0 &&
-	    deleted == e->deleted && (deleted || json_equal(spec, e->spec)))
-		return CONF_DUPLICATE;
-	if (e != NULL && version == e->rejected_version)
-		return CONF_DUPLICATE;
-	if (e != NULL && !supersedes(e, version, deleted, spec))
-		return CONF_STALE;
+	conf_note_epoch(c, version_epoch(o->version));
+	if (is_decided(c, e, o, &result))
+		return result;
 	if (e == NULL)
-		e = entry_new(c, key, err);
+		e = entry_new(c, o->key, err);
 	if (e == NULL)
 		return CONF_REJECTED;
-	if (!deleted) {
-		obj = obj_read(e->kind, e->name, spec, NULL, &reason);
+	if (!o->deleted) {
+		obj = obj_read(e->kind, e->name, o->spec, NULL, &reason);
 		if (obj == NULL && e->kind == OBJ_BACKEND)
 			return reject_backend(
-			    c, e, version, source, reason, err);
+			    c, e, o->version, source, reason, err);
 		if (obj == NULL)
-			return reject_spec(c, e, version, spec, reason);
+			return reject_spec(c, e, o->version, o->spec, reason);
 	}
-	put_in_force(c, e, version, deleted, spec, obj, source);
+	put_in_force(c, e, o, obj, source);
 	return CONF_APPLIED;
 }
 
 /*
  * Returns whether an entry can be dropped: a deletion at or below the floor
- * follows from the floor.
+ * follows from the floor, unless it is one of the last.
  */
 static gboolean
 is_redundant(gpointer key, gpointer value, gpointer ctx)
@@ -358,6 +475,8 @@
 	const struct conf *c = ctx;
 
 	(void)key;
+	if (e->deleted && c->deletions - e->deletion_number <= DELETIONS_KEPT)
+		return FALSE;
 	return (e->deleted || e->version == 0) && e->rejected_version == 0 &&
 	    e->version <= c->floors[conf_part_of(e->kind)];
 }
@@ -365,6 +484,7 @@
 void
 conf_raise_floor(struct conf *c, enum conf_part part, uint64_t revision)
 {
+	conf_note_epoch(c, version_epoch(revision));
 	if (revision <= c->floors[part])
 		return;
 	c->floors[part] = revision;
@@ -383,6 +503,18 @@
 		conf_raise_floor(c, (enum conf_part)part, revision);
 }
 
+/*
+ * Returns whether an object that a list of a later epoch lacks may be one that
+ * the platform lost.
+ */
+static bool
+may_be_lost(const struct conf *c, const struct conf_entry *e, uint64_t revision)
+{
+	return c->is_restoring &&
+	    version_epoch(revision) > version_epoch(e->version) &&
+	    version_revision(revision) < version_revision(e->version);
+}
+
 void
 conf_apply_list_of_kinds(
     struct conf *c, unsigned kinds, uint64_t revision, GHashTable *keys)
@@ -391,6 +523,7 @@
 	GHashTableIter it;
 	gpointer key, value;
 
+	conf_note_epoch(c, version_epoch(revision));
 	g_hash_table_iter_init(&it, c->entries);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		e = value;
@@ -402,9 +535,9 @@
 			clear_rejected(e);
 			rehash(c, e);
 		}
-		if (!e->deleted && e->version > 0 && e->version <= revision)
-			put_in_force(c, e, revision, true, NULL, NULL,
-			    STR_LIT("platform"));
+		if (!e->deleted && e->version > 0 && e->version <= revision &&
+		    !may_be_lost(c, e, revision))
+			delete_entry(c, e, revision, STR_LIT("platform"));
 	}
 }
 
@@ -441,11 +574,48 @@
 const struct conf_entry *
 conf_get(const struct conf *c, struct str key)
 {
-	char *text = g_strndup(key.p, key.n);
-	const struct conf_entry *e = g_hash_table_lookup(c->entries, text);
+	return find(c, key);
+}
 
-	g_free(text);
-	return e;
+void
+conf_on_restore(struct conf *c, conf_epoch_fn *fn, void *ctx)
+{
+	c->on_restore = fn;
+	c->restore_ctx = ctx;
+}
+
+void
+conf_end_restore(struct conf *c)
+{
+	c->is_restoring = false;
+}
+
+void
+conf_note_epoch(struct conf *c, uint64_t epoch)
+{
+	bool is_first = c->epoch == 0;
+
+	if (epoch <= c->epoch)
+		return;
+	c->epoch = epoch;
+	if (is_first)
+		c->first_epoch = epoch;
+	if (is_first || c->on_restore == NULL)
+		return;
+	c->is_restoring = true;
+	c->on_restore(c->restore_ctx, epoch);
+}
+
+uint64_t
+conf_epoch(const struct conf *c)
+{
+	return c->epoch;
+}
+
+uint64_t
+conf_first_epoch(const struct conf *c)
+{
+	return c->first_epoch;
 }
 
 void
--- a/conf.h
+++ b/conf.h
@@ -46,8 +46,10 @@
 	struct str key; /* "kind/name" */
 	enum obj_kind kind;
 	struct str name; /* points into `key` */
-	uint64_t version; /* in force; 0: none yet */
+	uint64_t version; /* in force, see version.h; 0: none yet */
+	uint64_t serial; /* of the version in force, see conf_object */
 	bool deleted;
+	uint64_t deletion_number; /* counts the deletions before it */
 	/* Came into force before a complete list of its part was known. */
 	bool existed;
 	json_t *spec; /* of the version in force; NULL if deleted */
@@ -62,6 +64,19 @@
 /* Called when another version of an object comes into force. */
 typedef void conf_changed_fn(void *, const struct conf_entry *);
 
+/* A version of an object. */
+struct conf_object {
+	struct str key;
+	uint64_t version; /* see version.h */
+	/*
+	 * A number that its operator raises with each change; 0: there is none.
+	 * Contents with a lower serial never replace those with a higher one.
+	 */
+	uint64_t serial;
+	bool deleted;
+	json_t *spec; /* NULL if deleted */
+};
+
 /* Result of conf_offer(). */
 enum conf_result {
 	CONF_APPLIED, /* the version came into force */
@@ -86,8 +101,8 @@
  * with ERR_OBJECT if the key is not valid, and with the error of the spec if it
  * is that of a backend server; else no error is set.
  */
-enum conf_result conf_offer(struct conf *, struct str key, uint64_t version,
-    bool deleted, json_t *spec, struct str source, GError **);
+enum conf_result conf_offer(
+    struct conf *, const struct conf_object *, struct str source, GError **);
 
 /*
  * Completes the offers of a list of all objects at `revision`; `keys` is the
@@ -117,6 +132,25 @@
 
 enum conf_part conf_part_of(enum obj_kind);
 
+/* Called when the platform has a later epoch, but for the first one. */
+typedef void conf_epoch_fn(void *, uint64_t epoch);
+
+/*
+ * Sets the callback for restores of the platform, for a process that reads the
+ * platform itself.  From the callback until conf_end_restore(), entries are
+ * kept that the platform may have lost, see conf.c; the platform's own state is
+ * to be listed again after that.
+ */
+void conf_on_restore(struct conf *, conf_epoch_fn *, void *);
+void conf_end_restore(struct conf *);
+
+/* Records an epoch that the platform has. */
+void conf_note_epoch(struct conf *, uint64_t epoch);
+
+/* Return the latest and the first epoch known; 0: none. */
+uint64_t conf_epoch(const struct conf *);
+uint64_t conf_first_epoch(const struct conf *);
+
 /*
  * Digests of all versions in force or rejected, except deletions.  Equal sets
  * have equal digests.
--- a/ctl_show.c
+++ b/ctl_show.c
@@ -188,6 +188,7 @@
 load_conf(struct ctl *c, json_t *objects)
 {
 	struct conf *conf = conf_new(NULL, NULL);
+	struct conf_object object;
 	json_t *o;
 	char *key;
 	size_t i;
@@ -195,9 +196,10 @@
 	json_array_foreach (objects, i, o) {
 		key = g_strdup_printf("%s/%s", string_member(o, "kind"),
 		    string_member(o, "name"));
-		conf_offer(conf, str_c(key),
-		    (uint64_t)integer_member(o, "version"), false,
-		    json_object_get(o, "spec"), STR_LIT("platform"), NULL);
+		object = (struct conf_object){.key = str_c(key),
+		    .version = (uint64_t)integer_member(o, "version"),
+		    .spec = json_object_get(o, "spec")};
+		conf_offer(conf, &object, STR_LIT("platform"), NULL);
 		g_free(key);
 	}
 	(void)c;
--- a/libagent.h
+++ b/libagent.h
@@ -89,6 +89,12 @@
  */
 #define AGENT_RECHECK_NS (1 * NS_S)
 
+/*
+ * After a restore of the platform, what it lost is kept for so long.  Backend
+ * servers write their entries at intervals of 1.5 s.
+ */
+#define AGENT_RESTORE_NS (3 * NS_S)
+
 /* Counters and gauges; agent_stat.c describes each. */
 enum agent_cnt {
 	AC_PLATFORM_CALLS,
@@ -164,6 +170,9 @@
 	/* Start of the latest poll that was answered, monotonic ns. */
 	int64_t poll_answered_at;
 	bool platform_silent; /* a poll timed out, none since was answered */
+	/* agent_restore.c */
+	struct tmr_item restore_timer;
+	int64_t restored_at; /* last restore noticed, monotonic ns; 0: none */
 	/* agent_poison.c */
 	struct poison *poison;
 	bool poison_unsaved; /* the written status lacks a new record */
@@ -223,6 +232,8 @@
  */
 void agent_watch_open(struct agent *);
 void agent_watch_restart(struct agent *);
+/* Lists again what this box reads from the platform. */
+void agent_watch_relist(struct agent *);
 bool agent_is_watcher(struct agent *);
 bool agent_watches_platform(struct agent *);
 void agent_watch_start_unattended(struct agent *);
@@ -245,6 +256,9 @@
 /* agent_look.c: short polls that detect silent watches. */
 void agent_poll_open(struct agent *);
 
+/* agent_restore.c: keeps what the platform lost when it was restored. */
+void agent_restore_open(struct agent *);
+
 /*
  * agent_poison.c: requests that crash backend servers, stored in the box's
  * status on the platform.
--- a/msg.c
+++ b/msg.c
@@ -33,6 +33,7 @@
 	size_t size; /* of the struct */
 	const struct msg_field *fields;
 	size_t n;
+	size_t noptional; /* of the last ones, which older peers leave out */
 };
 
 static void pack_record(msgpack_packer *, const struct layout *, const void *);
@@ -59,10 +60,11 @@
 	{                                                                      \
 		F_LIST, offsetof(struct type, m), &(s)                         \
 	}
-#define LAYOUT(type, f)                                                        \
+#define LAYOUT_WITH_OPTIONAL(type, f, noptional)                               \
 	{                                                                      \
-#type, sizeof(struct type), f, G_N_ELEMENTS(f)                 \
+#type, sizeof(struct type), f, G_N_ELEMENTS(f), noptional      \
 	}
+#define LAYOUT(type, f) LAYOUT_WITH_OPTIONAL(type, f, 0)
 
 static const struct msg_field info_fields[] = {STR(memb_info, box),
     STR(memb_info, hall), STR(memb_info, inbox),
@@ -78,16 +80,20 @@
 
 static const struct msg_field version_fields[] = {STR(msg_version, key),
     U64(msg_version, version), U64(msg_version, rejected_version),
-    U64(msg_version, hash)};
-static const struct layout version_layout = LAYOUT(msg_version, version_fields);
+    U64(msg_version, hash), U64(msg_version, epoch),
+    U64(msg_version, rejected_epoch)};
+static const struct layout version_layout =
+    LAYOUT_WITH_OPTIONAL(msg_version, version_fields, 2);
 
 static const struct msg_field key_fields[] = {STR(msg_key, key)};
 static const struct layout key_layout = LAYOUT(msg_key, key_fields);
 
 static const struct msg_field object_fields[] = {STR(msg_object, key),
     U64(msg_object, version), BOOL(msg_object, deleted), STR(msg_object, spec),
-    U64(msg_object, size), U64(msg_object, hash)};
-static const struct layout object_layout = LAYOUT(msg_object, object_fields);
+    U64(msg_object, size), U64(msg_object, hash), U64(msg_object, epoch),
+    U64(msg_object, serial)};
+static const struct layout object_layout =
+    LAYOUT_WITH_OPTIONAL(msg_object, object_fields, 2);
 
 static const struct msg_field backend_health_fields[] = {
     STR(msg_backend_health, backend), U64(msg_backend_health, state),
@@ -113,7 +119,8 @@
     U64(msg_announcement, conf_summary.confirmed_age),
     U64(msg_announcement, hubs_digest), U64(msg_announcement, hall_digest),
     BOOL(msg_announcement, expects_reply),
-    LIST(msg_announcement, updates, info_layout)};
+    LIST(msg_announcement, updates, info_layout),
+    U64(msg_announcement, conf_summary.epoch)};
 static const struct msg_field heartbeat_fields[] = {STR(msg_heartbeat, box),
     U64(msg_heartbeat, started_ms), U64(msg_heartbeat, incarnation),
     U64(msg_heartbeat, hubs_digest), U64(msg_heartbeat, hall_digest),
@@ -122,7 +129,7 @@
     U64(msg_heartbeat, conf_summary.floor),
     BOOL(msg_heartbeat, conf_summary.rules_only),
     U64(msg_heartbeat, conf_summary.confirmed_age),
-    BOOL(msg_heartbeat, expects_reply)};
+    BOOL(msg_heartbeat, expects_reply), U64(msg_heartbeat, conf_summary.epoch)};
 static const struct msg_field buckets_fields[] = {
     BOOL(msg_buckets, rules_only), LIST(msg_buckets, digests, u64_layout)};
 static const struct msg_field versions_fields[] = {
@@ -141,7 +148,8 @@
     BOOL(msg_gate_status, conf_summary.rules_only),
     U64(msg_gate_status, conf_summary.confirmed_age),
     U64(msg_gate_status, object_count), BOOL(msg_gate_status, leaving),
-    BOOL(msg_gate_status, ready), STR(msg_gate_status, suspect_box)};
+    BOOL(msg_gate_status, ready), STR(msg_gate_status, suspect_box),
+    U64(msg_gate_status, conf_summary.epoch)};
 static const struct msg_field health_fields[] = {
     LIST(msg_health, states, backend_health_layout)};
 static const struct msg_field capacity_fields[] = {STR(msg_capacity, service),
@@ -206,14 +214,16 @@
     U64(msg_deflated, size), STR(msg_deflated, data)};
 
 static const struct layout layouts[MSG_KIND_MAX] = {
-    [MSG_ANNOUNCEMENT] = LAYOUT(msg_announcement, announcement_fields),
-    [MSG_HEARTBEAT] = LAYOUT(msg_heartbeat, heartbeat_fields),
+    [MSG_ANNOUNCEMENT] =
+	LAYOUT_WITH_OPTIONAL(msg_announcement, announcement_fields, 1),
+    [MSG_HEARTBEAT] = LAYOUT_WITH_OPTIONAL(msg_heartbeat, heartbeat_fields, 1),
     [MSG_BUCKETS] = LAYOUT(msg_buckets, buckets_fields),
     [MSG_VERSIONS] = LAYOUT(msg_versions, versions_fields),
     [MSG_OBJECT_REQUEST] = LAYOUT(msg_object_request, object_request_fields),
     [MSG_OBJECTS] = LAYOUT(msg_objects, objects_fields),
     [MSG_MEMBERS] = LAYOUT(msg_members, members_fields),
-    [MSG_GATE_STATUS] = LAYOUT(msg_gate_status, gate_status_fields),
+    [MSG_GATE_STATUS] =
+	LAYOUT_WITH_OPTIONAL(msg_gate_status, gate_status_fields, 1),
     [MSG_HEALTH] = LAYOUT(msg_health, health_fields),
     [MSG_CAPACITY] = LAYOUT(msg_capacity, capacity_fields),
     [MSG_PING] = LAYOUT(msg_ping, ping_fields),
@@ -341,16 +351,19 @@
 	return false;
 }
 
-/* Ignores further elements after the known ones: a newer peer may add some. */
+/*
+ * Ignores further elements after the known ones: a newer peer may add some.
+ * Optional elements that are not there stay zero.
+ */
 static bool
 unpack_record(struct msg *m, const struct layout *layout,
     const msgpack_object *elements, size_t n, void *record)
 {
 	size_t i;
 
-	if (n < layout->n)
+	if (n < layout->n - layout->noptional)
 		return false;
-	for (i = 0; i < layout->n; i++)
+	for (i = 0; i < MIN(n, layout->n); i++)
 		if (!unpack_field(m, &layout->fields[i], &elements[i],
 			(char *)record + layout->fields[i].offset))
 			return false;
--- a/msg.h
+++ b/msg.h
@@ -64,6 +64,7 @@
 	bool rules_only; /* it holds rules only, no backend servers */
 	/* 1 + ms since the platform confirmed its rules; 0: never */
 	uint64_t confirmed_age;
+	uint64_t epoch; /* of the floor; 0: not told */
 };
 
 struct msg_announcement {
@@ -92,11 +93,17 @@
 	struct msg_list digests; /* struct msg_u64, CONF_BUCKETS of them */
 };
 
+/*
+ * Versions are sent as their revision and, behind all other elements, their
+ * epoch, which boxes of older builds do not have.
+ */
 struct msg_version {
 	struct str key;
 	uint64_t version; /* in force */
 	uint64_t rejected_version; /* rejected; 0: none */
 	uint64_t hash; /* `hash` of struct conf_entry; 0 for a deletion */
+	/* Epochs of the versions; 0: not told. */
+	uint64_t epoch, rejected_epoch;
 };
 
 struct msg_versions {
@@ -119,6 +126,8 @@
 	struct str spec; /* JSON text, compressed if `size` is not 0 */
 	uint64_t size; /* bytes of the text if it is compressed */
 	uint64_t hash; /* `hash` of struct conf_entry */
+	uint64_t epoch; /* of the version; 0: not told */
+	uint64_t serial; /* of struct conf_object */
 };
 
 struct msg_objects {
--- a/plat.h
+++ b/plat.h
@@ -22,7 +22,8 @@
  * The interface to the platform's object API.  An adapter implements it for the
  * API of one platform.  Objects have a kind, a name, a version that increases
  * with every write, and a JSON value.  A revision orders the writes to all
- * objects.
+ * objects.  Versions and revisions in requests and results include the epoch
+ * of the platform, see version.h.
  */
 enum plat_op {
 	PLAT_LIST, /* all objects of the kinds, complete at a revision */
@@ -50,7 +51,11 @@
 	enum plat_op op;
 	struct str kind; /* list, watch: may be several, joined by commas */
 	struct str name;
-	/* update, status, delete: the condition; watch: the revision */
+	/*
+	 * update, status, delete: the condition; watch: the revision.  If it is
+	 * of an earlier epoch, an update or deletion ends as PLAT_CONFLICT and
+	 * a watch as PLAT_TOO_OLD.
+	 */
 	uint64_t version;
 	const json_t *value;
 	/*
@@ -67,12 +72,18 @@
 
 struct plat_call;
 
+/* Called when a response shows that the platform has a later epoch. */
+typedef void plat_epoch_fn(void *, uint64_t epoch);
+
 struct plat {
 	struct plat_call *(*start)(
 	    void *, const struct plat_request *, plat_done_fn *, void *);
 	void (*cancel)(void *, struct plat_call *);
 	void *ctx;
 	uint64_t calls_started; /* number of calls started */
+	uint64_t epoch; /* the latest that a response told; see version.h */
+	plat_epoch_fn *on_epoch; /* may be NULL */
+	void *epoch_ctx;
 };
 
 static inline struct plat_call *
@@ -113,9 +124,12 @@
  *	boxes		{"boxes": [{"name", "hall", "inbox", "power", "leaving",
  *			"poison"}, ...]}
  *
- * with OBJECT {"kind", "name", "version", "deleted", "spec", "change"}.
+ * with OBJECT {"kind", "name", "version", "serial", "deleted", "spec",
+ * "change"}; serial as in struct conf_object, 0 or missing if there is none.
  */
 struct plat_codec {
+	/* Name of the header that tells the epoch, in lower case. */
+	struct str epoch_header;
 	/* `after` was set by decode() for the previous page, else empty. */
 	void (*encode)(const struct plat_request *, struct str after,
 	    struct plat_exchange *);
--- a/plat_http.c
+++ b/plat_http.c
@@ -10,9 +10,11 @@
  */
 #include <string.h>
 
+#include "dial.h"
 #include "plat.h"
 #include "tmr.h"
 #include "up.h"
+#include "version.h"
 
 /* The platform client: sends calls over HTTP and joins the pages of lists. */
 
@@ -42,6 +44,8 @@
 	void *ctx;
 	bool sent, read_only;
 	int status;
+	uint64_t epoch; /* of the last response */
+	bool epoch_changed; /* between two pages */
 	GString *response;
 	json_t *pages; /* the decoded pages so far, joined */
 };
@@ -57,6 +61,7 @@
 static void on_end(void *, struct up_call *);
 static void on_fail(void *, struct up_call *, enum err_kind);
 static void on_timeout(void *);
+static void on_earlier_epoch(void *);
 static void finish(struct plat_call *, enum plat_result, json_t *);
 
 static const struct up_ops ops = {
@@ -88,6 +93,17 @@
 	g_free(h);
 }
 
+/*
+ * Returns whether a write has a condition of an earlier epoch.  The platform
+ * compares revisions only, and may have given this one to another version.
+ */
+static bool
+has_stale_condition(const struct plat_call *c)
+{
+	return (c->rq.op == PLAT_UPDATE || c->rq.op == PLAT_DELETE) &&
+	    version_epoch(c->rq.version) < c->http->plat.epoch;
+}
+
 static struct plat_call *
 start(void *ctx, const struct plat_request *rq, plat_done_fn *done, void *arg)
 {
@@ -103,7 +119,10 @@
 	c->rq.name = str_dup(rq->name);
 	c->response = g_string_new(NULL);
 	c->timeout_ns = (ms + rq->wait_ms) * NS_MS;
-	send_request(c, str_c(NULL));
+	if (has_stale_condition(c))
+		tmr_set(h->tmr, &c->timer, clk_ns(h->clk), on_earlier_epoch, c);
+	else
+		send_request(c, str_c(NULL));
 	c->rq.value = NULL;
 	return c;
 }
@@ -122,6 +141,7 @@
 send_request(struct plat_call *c, struct str after)
 {
 	struct plat_http *h = c->http;
+	struct plat_request rq = c->rq;
 	struct up_request up = {0};
 	h2o_header_t header;
 	h2o_iovec_t name;
@@ -130,7 +150,8 @@
 	g_string_truncate(c->response, 0);
 	tmr_set(
 	    h->tmr, &c->timer, clk_ns(h->clk) + c->timeout_ns, on_timeout, c);
-	h->codec->encode(&c->rq, after, &c->ex);
+	rq.version = version_revision(rq.version);
+	h->codec->encode(&rq, after, &c->ex);
 	c->read_only = strcmp(c->ex.method, "GET") == 0;
 	up.address = h->address;
 	up.host = h->address;
@@ -189,6 +210,12 @@
 	    NULL);
 }
 
+static void
+on_earlier_epoch(void *ctx)
+{
+	finish(ctx, PLAT_CONFLICT, NULL);
+}
+
 static void
 on_connected(void *ctx, struct up_call *up)
 {
@@ -203,11 +230,21 @@
     size_t n)
 {
 	struct plat_call *c = ctx;
+	struct plat *p = &c->http->plat;
+	unsigned long long epoch = 0;
 
 	(void)up;
-	(void)headers;
-	(void)n;
+	str_u64(
+	    dial_find_header(headers, n, c->http->codec->epoch_header), &epoch);
 	c->status = status;
+	/* The pages of a list must all be of the same epoch. */
+	c->epoch_changed = c->pages != NULL && epoch != c->epoch;
+	c->epoch = epoch;
+	if (epoch <= p->epoch)
+		return;
+	p->epoch = epoch;
+	if (p->on_epoch != NULL)
+		p->on_epoch(p->epoch_ctx, epoch);
 }
 
 /* Appends received bytes, or discards them if RESPONSE_MAX is exceeded. */
@@ -228,6 +265,53 @@
 	append_body(ctx, up);
 }
 
+/* Adds the epoch to a version or revision of a response. */
+static void
+add_epoch(json_t *o, const char *key, uint64_t epoch)
+{
+	json_int_t revision = json_integer_value(json_object_get(o, key));
+
+	if (revision > 0)
+		json_object_set_new(o, key,
+		    json_integer(
+			(json_int_t)version_make(epoch, (uint64_t)revision)));
+}
+
+/* Adds the epoch to all versions and revisions of a decoded page. */
+static void
+add_epoch_to_page(json_t *page, uint64_t epoch)
+{
+	json_t *o;
+	size_t i;
+
+	if (epoch == 0)
+		return;
+	add_epoch(page, "revision", epoch);
+	add_epoch(page, "version", epoch);
+	add_epoch(json_object_get(page, "current"), "version", epoch);
+	json_array_foreach (json_object_get(page, "objects"), i, o)
+		add_epoch(o, "version", epoch);
+}
+
+/*
+ * Returns the result of a response by its epoch too.  A watch compares with a
+ * revision, which is another one in another epoch.  A write that succeeded in
+ * an epoch that has ended may be lost.
+ */
+static enum plat_result
+result_by_epoch(const struct plat_call *c, enum plat_result result)
+{
+	if (result != PLAT_OK)
+		return result;
+	if (c->rq.op == PLAT_WATCH && c->epoch != version_epoch(c->rq.version))
+		return PLAT_TOO_OLD;
+	if (c->epoch_changed)
+		return PLAT_TOO_OLD;
+	if (!c->read_only && c->epoch < c->http->plat.epoch)
+		return PLAT_UNKNOWN;
+	return PLAT_OK;
+}
+
 /*
  * Appends the objects of a page to those of earlier pages.  The list is only
  * complete at the oldest revision of its pages, and a stale page may be older
@@ -266,6 +350,8 @@
 	json_decref(body);
 	if (page == NULL && result == PLAT_OK && c->rq.op != PLAT_DELETE)
 		result = c->read_only ? PLAT_UNAVAILABLE : PLAT_UNKNOWN;
+	result = result_by_epoch(c, result);
+	add_epoch_to_page(page, c->epoch);
 	if (page != NULL)
 		add_page(c, page);
 	json_decref(page);
--- a/regress/test_conf.cpp
+++ b/regress/test_conf.cpp
@@ -61,8 +61,10 @@
 	json_t *spec =
 	    o.type == 'd' ? nullptr : json_loads(text.c_str(), 0, nullptr);
 
-	conf_offer(c, view(o.key), o.version, o.type == 'd', spec, STR_LIT("t"),
-	    nullptr);
+	struct conf_object object = {
+	    view(o.key), o.version, 0, o.type == 'd', spec};
+
+	conf_offer(c, &object, STR_LIT("t"), nullptr);
 	json_decref(spec);
 }
 
@@ -454,9 +456,9 @@
 	for (auto n : {"p0", "p1"})
 		net.add(n);
 	auto &from = net.peers["p0"], &to = net.peers["p1"];
+	struct conf_object object = {STR_LIT("backend/b1"), 7, 0, false, spec};
 	EXPECT_EQ(CONF_APPLIED,
-	    conf_offer(from.conf, STR_LIT("backend/b1"), 7, false, spec,
-		STR_LIT("platform"), nullptr));
+	    conf_offer(from.conf, &object, STR_LIT("platform"), nullptr));
 	json_decref(spec);
 	struct sync_pack *pack = sync_pack_new();
 	size_t text = json_dumpb(
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -85,8 +85,9 @@
 
 	enum conf_result offer(const char *key, uint64_t version, json_t *spec)
 	{
-		return conf_offer(conf, str_c(key), version, false, spec,
-		    STR_LIT("test"), nullptr);
+		struct conf_object o = {str_c(key), version, 0, false, spec};
+
+		return conf_offer(conf, &o, STR_LIT("test"), nullptr);
 	}
 	void build()
 	{
--- a/regress/test_takeover.cpp
+++ b/regress/test_takeover.cpp
@@ -103,9 +103,11 @@
 	{
 		json_t *json = json_loads(spec.c_str(), 0, nullptr);
 
+		struct conf_object o = {
+		    str_c(key.c_str()), version, 0, false, json};
+
 		EXPECT_EQ(CONF_APPLIED,
-		    conf_offer(conf, str_c(key.c_str()), version, false, json,
-			STR_LIT("platform"), nullptr));
+		    conf_offer(conf, &o, STR_LIT("platform"), nullptr));
 		json_decref(json);
 	}
 
@@ -340,9 +342,10 @@
 	EXPECT_EQ(PICK_COLD, w.server(SERVERS - 2)->state);
 	EXPECT_EQ(PICK_COLD, w.server(SERVERS - 1)->state);
 	/* An entry that was deleted and returns is that of a new server. */
+	struct conf_object deletion = {
+	    STR_LIT("backend/b3"), 400, 0, true, nullptr};
 	EXPECT_EQ(CONF_APPLIED,
-	    conf_offer(w.conf, STR_LIT("backend/b3"), 400, true, nullptr,
-		STR_LIT("platform"), nullptr));
+	    conf_offer(w.conf, &deletion, STR_LIT("platform"), nullptr));
 	w.rebuild();
 	EXPECT_EQ(nullptr, w.server(3));
 	w.offer_server(3, 401);
--- a/sync.c
+++ b/sync.c
@@ -10,6 +10,7 @@
  */
 #include "libsync.h"
 #include "slog.h"
+#include "version.h"
 
 /* A longer age that a peer reports is reduced to this one, a year. */
 #define AGE_MAX_MS (UINT64_C(366) * 24 * 3600 * 1000)
@@ -31,21 +32,36 @@
 struct msg_conf_summary
 sync_conf_summary(const struct sync *s)
 {
+	uint64_t floor = s->rules_only ? conf_floor_of(s->conf, CONF_RULES)
+				       : conf_floor(s->conf);
 	struct msg_conf_summary summary = {
 	    .digest = conf_digest(s->conf),
 	    .rules_digest = conf_digest_of(s->conf, CONF_RULES),
-	    .floor = conf_floor(s->conf),
+	    .floor = version_revision(floor),
+	    .epoch = version_epoch(floor),
 	    .rules_only = s->rules_only,
 	    .confirmed_age = (uint64_t)(sync_age_ms(s) + 1),
 	};
 
-	if (!s->rules_only)
-		return summary;
-	summary.digest = summary.rules_digest;
-	summary.floor = conf_floor_of(s->conf, CONF_RULES);
+	if (s->rules_only)
+		summary.digest = summary.rules_digest;
 	return summary;
 }
 
+/*
+ * Returns the version that a peer sent as a revision and an epoch.  A peer of
+ * an older build sends no epoch, and goes on as if the platform had not been
+ * restored.
+ */
+static uint64_t
+version_of_peer(const struct sync *s, uint64_t revision, uint64_t epoch)
+{
+	if (revision == 0)
+		return 0;
+	return version_make(
+	    epoch > 0 ? epoch : conf_first_epoch(s->conf), revision);
+}
+
 void
 sync_confirm(struct sync *s)
 {
@@ -84,13 +100,16 @@
 sync_compare(
     struct sync *s, struct str from, const struct msg_conf_summary *summary)
 {
+	uint64_t floor;
+
 	if (!sync_is_equal(s, summary)) {
 		send_buckets(s, from);
 		return;
 	}
-	conf_raise_floor(s->conf, CONF_RULES, summary->floor);
+	floor = version_of_peer(s, summary->floor, summary->epoch);
+	conf_raise_floor(s->conf, CONF_RULES, floor);
 	if (!s->rules_only && !summary->rules_only)
-		conf_raise_floor(s->conf, CONF_BACKENDS, summary->floor);
+		conf_raise_floor(s->conf, CONF_BACKENDS, floor);
 }
 
 static void
@@ -131,8 +150,12 @@
 add_version(void *ctx, const struct conf_entry *e)
 {
 	struct version_list *list = ctx;
-	struct msg_version v = {
-	    e->key, e->version, e->rejected_version, e->hash};
+	struct msg_version v = {.key = e->key,
+	    .version = version_revision(e->version),
+	    .epoch = version_epoch(e->version),
+	    .rejected_version = version_revision(e->rejected_version),
+	    .rejected_epoch = version_epoch(e->rejected_version),
+	    .hash = e->hash};
 
 	if (list->buckets >> conf_bucket(e->key) & 1)
 		g_array_append_val(list->versions, v);
@@ -188,8 +211,11 @@
 	const struct conf_entry *e = conf_get(s->conf, v->key);
 	uint64_t floor =
 	    conf_floor_of(s->conf, conf_part_of_bucket(conf_bucket(v->key)));
+	uint64_t version = version_of_peer(s, v->version, v->epoch);
+	uint64_t rejected =
+	    version_of_peer(s, v->rejected_version, v->rejected_epoch);
 
-	if (e == NULL && MAX(v->version, v->rejected_version) <= floor) {
+	if (e == NULL && MAX(version, rejected) <= floor) {
 		if (v->hash != 0)
 			sync_pack_add_deleted(pack, v->key, floor);
 		return false;
@@ -198,12 +224,11 @@
 		return true;
 	if (e->hash == v->hash && v->hash != 0)
 		return false;
-	if (e->version > v->version ||
-	    e->rejected_version > v->rejected_version)
+	if (e->version > version || e->rejected_version > rejected)
 		sync_pack_add(pack, e);
-	return v->version > e->version ||
-	    v->rejected_version > MAX(e->rejected_version, e->version) ||
-	    (v->version == e->version && v->version > 0);
+	return version > e->version ||
+	    rejected > MAX(e->rejected_version, e->version) ||
+	    (version == e->version && version > 0);
 }
 
 static void
@@ -269,7 +294,31 @@
 	const struct conf_entry *e = conf_get(s->conf, o->key);
 
 	return e != NULL && o->hash != 0 && e->hash == o->hash &&
-	    e->version == o->version;
+	    version_revision(e->version) == o->version;
+}
+
+/* Offers an object of a peer to the configuration. */
+static void
+offer_object(
+    struct sync *s, const struct msg_object *o, json_t *spec, struct str from)
+{
+	struct conf_object object = {.key = o->key,
+	    .version = version_of_peer(s, o->version, o->epoch),
+	    .serial = o->serial,
+	    .deleted = o->deleted,
+	    .spec = spec};
+	GError *err = NULL;
+	enum conf_result result = conf_offer(s->conf, &object, from, &err);
+
+	if (err != NULL)
+		slog(SLOG_CONF, "object from a peer is invalid",
+		    "from=%.*s why=%s", STR_ARG(from),
+		    slog_quote(err->message));
+	else if (result == CONF_REJECTED)
+		slog(SLOG_CONF, "object from a peer is rejected",
+		    "from=%.*s key=%.*s version=%llu", STR_ARG(from),
+		    STR_ARG(o->key), (unsigned long long)object.version);
+	g_clear_error(&err);
 }
 
 static void
@@ -277,8 +326,6 @@
 {
 	const struct msg_list *list = &m->u.objects.objects;
 	const struct msg_object *o = list->items;
-	enum conf_result result;
-	GError *err = NULL;
 	json_t *spec;
 	size_t i;
 
@@ -292,19 +339,8 @@
 			    STR_ARG(o[i].key));
 			continue;
 		}
-		result = conf_offer(s->conf, o[i].key, o[i].version,
-		    o[i].deleted, spec, m->from, &err);
+		offer_object(s, &o[i], spec, m->from);
 		json_decref(spec);
-		if (err != NULL)
-			slog(SLOG_CONF, "object from a peer is invalid",
-			    "from=%.*s why=%s", STR_ARG(m->from),
-			    slog_quote(err->message));
-		else if (result == CONF_REJECTED)
-			slog(SLOG_CONF, "object from a peer is rejected",
-			    "from=%.*s key=%.*s version=%llu", STR_ARG(m->from),
-			    STR_ARG(o[i].key),
-			    (unsigned long long)o[i].version);
-		g_clear_error(&err);
 	}
 }
 
--- a/sync_pack.c
+++ b/sync_pack.c
@@ -10,6 +10,7 @@
  */
 #include <string.h>
 #include "libsync.h"
+#include "version.h"
 #include "zip.h"
 
 /* Encodes and decodes the objects in messages between processes. */
@@ -76,8 +77,10 @@
 void
 sync_pack_add_deleted(struct sync_pack *p, struct str key, uint64_t version)
 {
-	struct msg_object deletion = {
-	    .key = key, .version = version, .deleted = true};
+	struct msg_object deletion = {.key = key,
+	    .version = version_revision(version),
+	    .epoch = version_epoch(version),
+	    .deleted = true};
 
 	pack_append(p, &deletion, NULL);
 }
@@ -86,11 +89,14 @@
 sync_pack_add(struct sync_pack *p, const struct conf_entry *e)
 {
 	struct msg_object valid = {.key = e->key,
-	    .version = e->version,
+	    .version = version_revision(e->version),
+	    .epoch = version_epoch(e->version),
+	    .serial = e->serial,
 	    .deleted = e->deleted,
 	    .hash = e->rejected_version > 0 ? 0 : e->hash};
-	struct msg_object rejected = {
-	    .key = e->key, .version = e->rejected_version};
+	struct msg_object rejected = {.key = e->key,
+	    .version = version_revision(e->rejected_version),
+	    .epoch = version_epoch(e->rejected_version)};
 	size_t size = 0;
 
 	if (e->version > 0)
