--- a/regress/box.h
+++ b/regress/box.h
@@ -17,6 +17,7 @@
 #include "fleet.h"
 #include "net.h"
 #include "objects.h"
+#include "version.h"
 
 /* Test fixture: one fernbox on the stand-in platform, with two services. */
 namespace box
@@ -62,6 +63,16 @@
 	return text;
 }
 
+/*
+ * Returns the version of a revision of the stand-in as the log tells it; the
+ * stand-in starts with era 1.
+ */
+inline std::string
+version_at(uint64_t revision)
+{
+	return "version=" + std::to_string(version_make(1, revision));
+}
+
 /* Occupies a port of an address with another listener. */
 struct Taken {
 	std::string ip;
