A serial that came later is kept

A box whose configuration came from a box of an older build has it without its serial; the same version from the platform was a duplicate and did not tell it. After a restore, an older configuration could then come back. The serial of an equal offer is taken now. Found in review; no test with an older build was run.

--- a/conf.c
+++ b/conf.c
@@ -412,11 +412,15 @@
 		return true;
 	if (e == NULL)
 		return false;
-	if (is_in_force(e, o) ||
-	    (o->version == e->rejected_version && o->version > 0)) {
-		*result = CONF_DUPLICATE;
+	*result = CONF_DUPLICATE;
+	if (is_in_force(e, o)) {
+		/* A peer of an older build may have sent it without one. */
+		e->serial = MAX(e->serial, o->serial);
 		return true;
 	}
+	if (o->version == e->rejected_version && o->version > 0)
+		return true;
+	*result = CONF_STALE;
 	if (is_held_back(c, e, o))
 		return true;
 	if (has_serials(e, o) && o->serial < e->serial) {
