What a restore lost is not deleted while it is kept

Backend servers whose entries were lost in a restore got no requests until they had written them again: a box whose list lacked an entry told its peers a deletion at its own floor, and that floor passes the entry's revision as soon as anything is written. Deletions were held back only below the entry's revision.

While entries are kept after a restore, no deletion of a later epoch takes effect; the list at the end of that time decides.

--- a/conf.c
+++ b/conf.c
@@ -376,7 +376,8 @@
 
 /*
  * Returns whether a version of a later epoch may be one that was replaced
- * before the platform was restored.  A drain is never held back.
+ * before the platform was restored, or a deletion may only be a loss.  A drain
+ * is never held back.
  */
 static bool
 is_held_back(const struct conf *c, const struct conf_entry *e,
@@ -384,7 +385,8 @@
 {
 	return c->is_restoring &&
 	    version_epoch(o->version) > version_epoch(e->version) &&
-	    version_revision(o->version) < version_revision(e->version) &&
+	    (o->deleted ||
+		version_revision(o->version) < version_revision(e->version)) &&
 	    !has_serials(e, o) && !is_drain(e, o);
 }
 
@@ -515,8 +517,7 @@
 may_be_lost(const struct conf *c, const struct conf_entry *e, uint64_t revision)
 {
 	return c->is_restoring &&
-	    version_epoch(revision) > version_epoch(e->version) &&
-	    version_revision(revision) < version_revision(e->version);
+	    version_epoch(revision) > version_epoch(e->version);
 }
 
 void
--- a/regress/test_conf.cpp
+++ b/regress/test_conf.cpp
@@ -22,6 +22,7 @@
 extern "C" {
 #include "conf.h"
 #include "sync.h"
+#include "version.h"
 }
 
 namespace
@@ -167,6 +168,33 @@
 	conf_free(c);
 }
 
+/*
+ * An object that the platform lost when it was restored stays until the end of
+ * the restore, however high the revision is that a list or a peer tells.
+ */
+TEST(Conf, WhatARestoreMayHaveLostIsNotDeletedBeforeItsEnd)
+{
+	struct conf *c = conf_new(nullptr, nullptr);
+	const uint64_t first = version_make(1, 0), second = version_make(2, 0);
+	uint64_t told = 0;
+
+	conf_on_restore(
+	    c,
+	    [](void *ctx, uint64_t epoch) {
+		    *static_cast<uint64_t *>(ctx) = epoch;
+	    },
+	    &told);
+	offer(c, {"service/a", first + 75, 'g'});
+	offer(c, {"", second + 80, 'l'});
+	EXPECT_EQ(2u, told);
+	offer(c, {"service/a", second + 81, 'd'});
+	EXPECT_EQ(std::to_string(first + 75), state(c, "service/a"));
+	conf_end_restore(c);
+	offer(c, {"", second + 82, 'l'});
+	EXPECT_EQ("none", state(c, "service/a"));
+	conf_free(c);
+}
+
 namespace
 {
 
