Failing tests: what a restore lost is deleted, replaced or compared for ever

The version is held back although its contents are those in force, and the deletion held since the first list is applied when the hold ends: the server is withdrawn until the next list. - Equal contents of a later epoch are a duplicate and leave the earlier version, so that an older write of the later epoch replaces them. - As soon as the restored platform's revision is above that of a lost object, a list or the floor of a starting box deletes it during the hold. - raise_version() leaves a rejected version that is lower.

--- a/regress/test_conf.cpp
+++ b/regress/test_conf.cpp
@@ -554,3 +554,194 @@
 	conf_free(a);
 	conf_free(b);
 }
+
+namespace
+{
+
+/* Offers a service with a label, at a revision of an epoch. */
+void
+offer_label(struct conf *c, uint64_t epoch, uint64_t revision, uint64_t serial,
+    const char *spec)
+{
+	json_t *json = json_loads(spec, 0, nullptr);
+	struct conf_object o = {STR_LIT("service/a"),
+	    version_make(epoch, revision), serial, json == nullptr, json};
+
+	conf_offer(c, &o, STR_LIT("t"), nullptr);
+	json_decref(json);
+}
+
+void
+ignore_restore(void *, uint64_t)
+{
+}
+
+/* A configuration that keeps what a restore may have lost. */
+struct conf *
+conf_that_restores()
+{
+	struct conf *c = conf_new(nullptr, nullptr);
+
+	conf_on_restore(c, ignore_restore, nullptr);
+	return c;
+}
+
+const char *const OLD = R"({"select":"app=old"})";
+const char *const NEW = R"({"select":"app=new"})";
+
+} // namespace
+
+/* A version that equals the one in force is as new as its own epoch. */
+TEST(ConfRestore, ContentsWrittenAgainAreNotReplacedByOlderOnesOfTheEpoch)
+{
+	struct conf *c = conf_that_restores();
+	const struct conf_entry *e;
+
+	offer_label(c, 1, 76, 0, NEW);
+	offer_label(c, 2, 74, 0, OLD); /* held back */
+	offer_label(c, 2, 76, 0, NEW); /* written again at the same revision */
+	conf_end_restore(c);
+	offer_label(c, 2, 74, 0, OLD); /* from a peer that is behind */
+	e = conf_get(c, STR_LIT("service/a"));
+	EXPECT_STREQ(
+	    "app=new", json_string_value(json_object_get(e->spec, "select")));
+	conf_free(c);
+}
+
+/* A lost object that was written again is not deleted by the earlier list. */
+TEST(ConfRestore, AnObjectThatWasWrittenAgainIsNotDeletedAsOfAnEarlierList)
+{
+	struct conf *c = conf_that_restores();
+
+	offer_label(c, 1, 76, 0, NEW);
+	offer_label(c, 2, 74, 0, NEW); /* written again after a list at 73 */
+	conf_end_restore(c);
+	offer_label(c, 2, 73, 0, ""); /* the held deletion of that list */
+	EXPECT_FALSE(conf_get(c, STR_LIT("service/a"))->deleted);
+	conf_free(c);
+}
+
+/*
+ * Other objects have been written since the restore, so that the revision is
+ * above that of the lost one.
+ */
+TEST(ConfRestore, AnObjectThatAListLacksIsKeptWhateverTheRevisionOfTheList)
+{
+	struct conf *c = conf_that_restores();
+	GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+
+	offer_label(c, 1, 75, 0, NEW);
+	conf_apply_list_of_kinds(c, ~0u, version_make(2, 77), keys);
+	EXPECT_FALSE(conf_get(c, STR_LIT("service/a"))->deleted);
+	g_hash_table_destroy(keys);
+	conf_free(c);
+}
+
+/* A box that has just started knows the restored platform only. */
+TEST(ConfRestore, AStartingPeerDoesNotDeleteWhatIsKept)
+{
+	for (uint64_t revision : {73, 77}) {
+		Net net;
+		GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+
+		net.add("old");
+		net.add("fresh");
+		conf_on_restore(net.peers["old"].conf, ignore_restore, nullptr);
+		offer_label(net.peers["old"].conf, 1, 75, 0, NEW);
+		conf_apply_list(
+		    net.peers["fresh"].conf, version_make(2, revision), keys);
+		for (int k = 0; k < 4; k++) {
+			net.compare("old", "fresh");
+			net.compare("fresh", "old");
+			while (!net.in_transit.empty())
+				net.deliver(false);
+		}
+		EXPECT_FALSE(
+		    conf_get(net.peers["old"].conf, STR_LIT("service/a"))
+			->deleted)
+		    << revision;
+		g_hash_table_destroy(keys);
+	}
+}
+
+/*
+ * One box gets the older contents from the platform, the other gets the entry
+ * from this box; both had rejected a later version.
+ */
+TEST(ConfRestore, PeersWithARejectedVersionAreEqualAfterARestore)
+{
+	Net net;
+
+	for (auto n : {"p0", "p1"}) {
+		net.add(n);
+		offer_label(net.peers[n].conf, 1, 76, 60, NEW);
+		offer_label(net.peers[n].conf, 1, 78, 62, INVALID);
+	}
+	offer_label(net.peers["p0"].conf, 2, 73, 58, OLD);
+	for (int k = 0; k < 10; k++) {
+		net.compare("p0", "p1");
+		net.compare("p1", "p0");
+		while (!net.in_transit.empty())
+			net.deliver(false);
+	}
+	EXPECT_EQ(conf_digest(net.peers["p0"].conf),
+	    conf_digest(net.peers["p1"].conf));
+	net.sent = 0;
+	net.compare("p0", "p1");
+	while (!net.in_transit.empty())
+		net.deliver(false);
+	EXPECT_EQ(0u, net.sent);
+}
+
+namespace
+{
+
+/*
+ * Two peers deleted the same servers below their floors, and live ones differ.
+ * Returns the bytes that a comparison takes.
+ */
+size_t
+bytes_compared(uint64_t ndeleted, bool is_new, int nlive)
+{
+	Net net;
+	size_t bytes = 0;
+
+	for (auto n : {"a", "b"}) {
+		net.add(n);
+		if (is_new && strcmp(n, "b") == 0)
+			continue;
+		for (uint64_t v = 1; v <= ndeleted; v++)
+			offer(net.peers[n].conf,
+			    {"backend/b" + std::to_string(v), v, 'g'});
+		for (uint64_t v = 1; v <= ndeleted; v++)
+			offer(net.peers[n].conf,
+			    {"backend/b" + std::to_string(v), 1000 + v, 'd'});
+		for (int part = 0; part < CONF_PARTS; part++)
+			conf_raise_floor(net.peers[n].conf,
+			    static_cast<enum conf_part>(part), 2000);
+	}
+	for (int i = 0; i < nlive; i++)
+		offer(net.peers["a"].conf,
+		    {"backend/n" + std::to_string(i),
+			static_cast<uint64_t>(2001 + i), 'g'});
+	net.compare("b", "a");
+	while (!net.in_transit.empty()) {
+		bytes += net.in_transit.front().second.size();
+		net.deliver(false);
+	}
+	EXPECT_EQ(
+	    conf_digest(net.peers["a"].conf), conf_digest(net.peers["b"].conf));
+	return bytes;
+}
+
+} // namespace
+
+/* Deletions at or below the floor follow from it, and are not exchanged. */
+TEST(Sync, DeletionsBelowTheFloorAreNotExchanged)
+{
+	EXPECT_EQ(bytes_compared(0, false, 1), bytes_compared(1000, false, 1));
+	EXPECT_EQ(
+	    bytes_compared(0, false, 100), bytes_compared(1000, false, 100));
+	EXPECT_EQ(
+	    bytes_compared(0, true, 100), bytes_compared(1000, true, 100));
+}
--- a/regress/test_restore.cpp
+++ b/regress/test_restore.cpp
@@ -129,3 +129,27 @@
 	}
 	EXPECT_EQ(before, w.platform.ran("i-0"));
 }
+
+/*
+ * A backend server that started after the copy writes its entry again, with the
+ * revision below that of the lost one.
+ */
+TEST(Restore, AServerThatWroteItsEntryAgainIsNotWithdrawn)
+{
+	World w;
+
+	ASSERT_TRUE(is_ready(w));
+	w.platform.keep_copy();
+	raise_revision(w);
+	std::string entry = "{\"service\":\"till\",\"addr\":\"" + w.ip +
+	    ":9109\",\"zone\":\"north\",\"slots\":3,\"state\":\"ready\"}";
+	w.platform.start_backend("i-9", "till", w.ip + ":9109");
+	w.platform.put("servers", "i-9", entry);
+	ASSERT_TRUE(until([&] { return w.in_force("backend/i-9") > 0; }));
+	w.platform.restore();
+	ASSERT_TRUE(until([&] { return w.logged("restored from a copy"); }));
+	pump(1200);
+	w.platform.put("servers", "i-9", entry);
+	pump(4000);
+	EXPECT_FALSE(w.logged("deletion is in force\" key=backend/i-9"));
+}
