What is written again after a restore is as new as its epoch

A server that wrote its lost entry again, at a revision below the lost one, was withdrawn three seconds after the restore: the entry kept its earlier version, and the deletion as of the first list was newer. For the same reason late older contents of the epoch could replace contents that had been confirmed, and two boxes of which one had rejected a version before exchanged it at each comparison for good.

An offer with equal contents of a later epoch now raises the version in force, and a rejected version at or below it is dropped.

--- a/conf.c
+++ b/conf.c
@@ -269,9 +269,9 @@
 
 /*
  * Returns whether an offer supersedes the version in force.  The platform does
- * not assign a version twice.  If two contents have the same version anyway,
- * as after a restore of the platform's data from a backup, all boxes make the
- * same choice: a deletion wins, then the greater hash.
+ * not assign a version twice in an epoch.  If two contents have the same
+ * version anyway, as on a platform that does not tell its epoch, all boxes make
+ * the same choice: a deletion wins, then the greater hash.
  */
 static bool
 supersedes(const struct conf_entry *e, const struct conf_object *o)
@@ -355,16 +355,18 @@
 }
 
 /*
- * Returns whether the contents and revision are those in force.  The epoch may
- * be another one: a copy of the platform has them unchanged.
+ * Returns whether an offer only confirms what is in force: it has the same
+ * contents, and the same revision or a later epoch.  A copy of the platform has
+ * most objects unchanged, and its lost ones are written again.
  */
 static bool
-is_in_force(const struct conf_entry *e, const struct conf_object *o)
+is_confirmed(const struct conf_entry *e, const struct conf_object *o)
 {
-	return e->version > 0 &&
-	    version_revision(o->version) == version_revision(e->version) &&
-	    o->deleted == e->deleted &&
-	    (o->deleted || json_equal(o->spec, e->spec));
+	if (e->version == 0 || o->deleted != e->deleted ||
+	    (version_revision(o->version) != version_revision(e->version) &&
+		version_epoch(o->version) <= version_epoch(e->version)))
+		return false;
+	return o->deleted || json_equal(o->spec, e->spec);
 }
 
 static bool
@@ -391,8 +393,8 @@
 }
 
 /*
- * The contents stay, as their serial is higher.  They get the higher version,
- * so that all boxes take them for newer than the offered ones.
+ * The contents stay, with the higher version, so that no version in between
+ * replaces them.
  */
 static void
 raise_version(struct conf *c, struct conf_entry *e, uint64_t version)
@@ -400,12 +402,17 @@
 	if (version <= e->version)
 		return;
 	e->version = version;
+	if (e->rejected_version <= version)
+		clear_rejected(e);
 	rehash(c, e);
 }
 
-/* Returns what becomes of an offer, if that does not depend on its spec. */
+/*
+ * Settles an offer that does not come into force.  Returns false if it may, and
+ * its spec has to be read.
+ */
 static bool
-is_decided(struct conf *c, struct conf_entry *e, const struct conf_object *o,
+settle_offer(struct conf *c, struct conf_entry *e, const struct conf_object *o,
     enum conf_result *result)
 {
 	*result = CONF_STALE;
@@ -415,9 +422,10 @@
 	if (e == NULL)
 		return false;
 	*result = CONF_DUPLICATE;
-	if (is_in_force(e, o)) {
+	if (is_confirmed(e, o)) {
 		/* A peer of an older build may have sent it without one. */
 		e->serial = MAX(e->serial, o->serial);
+		raise_version(c, e, o->version);
 		return true;
 	}
 	if (o->version == e->rejected_version && o->version > 0)
@@ -452,7 +460,7 @@
 	GError *reason = NULL;
 
 	conf_note_epoch(c, version_epoch(o->version));
-	if (is_decided(c, e, o, &result))
+	if (settle_offer(c, e, o, &result))
 		return result;
 	if (e == NULL)
 		e = entry_new(c, o->key, err);
