Deletions that follow from the floor are not exchanged

Those at or below the floor are left out now, as they were when they were dropped at once; and an object whose serial is not known is read again.

--- a/conf.c
+++ b/conf.c
@@ -478,10 +478,14 @@
 	return CONF_APPLIED;
 }
 
-/*
- * Returns whether an entry can be dropped: a deletion at or below the floor
- * follows from the floor, unless it is one of the last.
- */
+bool
+conf_is_implied(const struct conf *c, const struct conf_entry *e)
+{
+	return (e->deleted || e->version == 0) && e->rejected_version == 0 &&
+	    e->version <= c->floors[conf_part_of(e->kind)];
+}
+
+/* Returns whether an entry can be dropped; the last deletions are kept. */
 static gboolean
 is_redundant(gpointer key, gpointer value, gpointer ctx)
 {
@@ -489,10 +493,8 @@
 	const struct conf *c = ctx;
 
 	(void)key;
-	if (e->deleted && c->deletions - e->deletion_number <= DELETIONS_KEPT)
-		return FALSE;
-	return (e->deleted || e->version == 0) && e->rejected_version == 0 &&
-	    e->version <= c->floors[conf_part_of(e->kind)];
+	return conf_is_implied(c, e) &&
+	    (!e->deleted || c->deletions - e->deletion_number > DELETIONS_KEPT);
 }
 
 void
--- a/conf.h
+++ b/conf.h
@@ -22,9 +22,9 @@
  * The configuration: a replicated set of versioned objects.  The platform, the
  * external service that stores them, assigns the versions.  For each object the
  * highest version wins, in whatever order, however often and however late
- * versions are offered; an object with a serial goes by that first.  But for the
- * time that entries are kept after a restore of the platform, the state depends
- * only on the set of offers:
+ * versions are offered; an object with a serial goes by that first.  But for
+ * the time that entries are kept after a restore of the platform, the state
+ * depends only on the set of offers:
  *
  *  - The version in force is the highest one that is valid or a deletion.
  *  - A higher version that is not valid is kept beside it as rejected.
@@ -134,6 +134,9 @@
 
 enum conf_part conf_part_of(enum obj_kind);
 
+/* Returns whether an entry is a deletion that follows from the floor. */
+bool conf_is_implied(const struct conf *, const struct conf_entry *);
+
 /* Called when the platform has a later epoch, but for the first one. */
 typedef void conf_epoch_fn(void *, uint64_t epoch);
 
--- a/sync.c
+++ b/sync.c
@@ -157,7 +157,8 @@
 	    .rejected_epoch = version_epoch(e->rejected_version),
 	    .hash = e->hash};
 
-	if (list->buckets >> conf_bucket(e->key) & 1)
+	if ((list->buckets >> conf_bucket(e->key) & 1) &&
+	    !conf_is_implied(list->sync->conf, e))
 		g_array_append_val(list->versions, v);
 }
 
@@ -185,6 +186,7 @@
 
 /* Finds our objects in some buckets that the peer did not list. */
 struct missing {
+	const struct conf *conf;
 	struct sync_pack *pack;
 	GHashTable *listed;
 	uint64_t buckets;
@@ -196,6 +198,7 @@
 	struct missing *missing = ctx;
 
 	if ((missing->buckets >> conf_bucket(e->key) & 1) &&
+	    !conf_is_implied(missing->conf, e) &&
 	    !g_hash_table_contains(missing->listed, e->key.p))
 		sync_pack_add(missing->pack, e);
 }
@@ -215,6 +218,8 @@
 	uint64_t rejected =
 	    version_of_peer(s, v->rejected_version, v->rejected_epoch);
 
+	if (e != NULL && conf_is_implied(s->conf, e))
+		e = NULL;
 	if (e == NULL && MAX(version, rejected) <= floor) {
 		if (v->hash != 0)
 			sync_pack_add_deleted(pack, v->key, floor);
@@ -241,6 +246,7 @@
 	GArray *keys = g_array_new(FALSE, FALSE, sizeof(struct msg_key));
 	size_t i;
 
+	missing.conf = s->conf;
 	missing.pack = sync_pack_new();
 	missing.buckets = m->u.versions.buckets;
 	missing.listed =
@@ -294,7 +300,8 @@
 	const struct conf_entry *e = conf_get(s->conf, o->key);
 
 	return e != NULL && o->hash != 0 && e->hash == o->hash &&
-	    version_revision(e->version) == o->version;
+	    version_revision(e->version) == o->version &&
+	    (e->serial == o->serial || o->serial == 0);
 }
 
 /* Offers an object of a peer to the configuration. */
