After a restore the platform's list is final for deleted objects too

A server whose entry was deleted in the seconds that a restore took back, and that the platform lists again, got no more requests: its entry was held back for three seconds, but the floor had been raised to the list's revision meanwhile, and below the floor an unknown object counts as deleted. The floor is raised by lists from which nothing was held back only.

Restore.AServerThatTheCopyHasAgainIsUsedOnceItIsKnownToBeListed failed before, passes now; test_conf 18, test_restore 5 passed.

--- a/agent_restore.c
+++ b/agent_restore.c
@@ -30,7 +30,8 @@
 	struct agent *a = ctx;
 
 	conf_end_restore(a->conf);
-	agent_watch_relist(a);
+	if (agent_watches_platform(a))
+		agent_watch_restart(a);
 }
 
 static void
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -10,6 +10,7 @@
  */
 #include "libagent.h"
 #include "slog.h"
+#include "version.h"
 
 /*
  * Lists and watches of the platform's objects.  Few boxes of the fleet, the
@@ -231,25 +232,6 @@
 	}
 }
 
-/* Lists everything again that this box reads from the platform. */
-void
-agent_watch_relist(struct agent *a)
-{
-	struct agent_feed *f;
-	unsigned i;
-
-	for (i = 0; i < a->nfeeds; i++) {
-		f = &a->feeds[i];
-		if (f->listed_at == 0)
-			continue;
-		if (f->call != NULL)
-			plat_cancel(a->plat, f->call);
-		f->call = NULL;
-		f->listed_at = 0;
-		schedule_call(f, 0);
-	}
-}
-
 /*
  * Starts lists because the box has become unattended.  If the hubs report that
  * the platform does not answer them, the boxes of the hall start at random
@@ -490,7 +472,7 @@
 
 	for (i = 0; i < a->nfeeds; i++)
 		if (has_part(&a->feeds[i], part))
-			floor = MIN(floor, a->feeds[i].listed_revision);
+			floor = MIN(floor, a->feeds[i].applied_revision);
 	conf_raise_floor(a->conf, part, floor);
 }
 
@@ -546,11 +528,13 @@
 		    a->conf, f->kind_mask, revision, missing.keys);
 	a->offer_from_platform = false;
 	g_hash_table_destroy(missing.keys);
-	if (!f->may_be_stale)
+	if (!f->may_be_stale && version_epoch(revision) == conf_epoch(a->conf))
 		confirm_rules(f);
 	f->listed_at = clk_ns(a->clk);
 	f->reached_revision = MAX(f->reached_revision, revision);
 	f->listed_revision = MAX(f->listed_revision, revision);
+	if (!conf_is_restoring(a->conf))
+		f->applied_revision = f->listed_revision;
 	raise_floor(a, CONF_RULES);
 	raise_floor(a, CONF_BACKENDS);
 	agent_gate_send_ready(a);
--- a/conf.c
+++ b/conf.c
@@ -605,6 +605,12 @@
 	c->is_restoring = false;
 }
 
+bool
+conf_is_restoring(const struct conf *c)
+{
+	return c->is_restoring;
+}
+
 void
 conf_note_epoch(struct conf *c, uint64_t epoch)
 {
--- a/conf.h
+++ b/conf.h
@@ -149,6 +149,9 @@
 void conf_on_restore(struct conf *, conf_epoch_fn *, void *);
 void conf_end_restore(struct conf *);
 
+/* Returns whether entries are kept that the platform may have lost. */
+bool conf_is_restoring(const struct conf *);
+
 /* Records an epoch that the platform has. */
 void conf_note_epoch(struct conf *, uint64_t epoch);
 
--- a/plat_http.c
+++ b/plat_http.c
@@ -236,6 +236,7 @@
 	(void)up;
 	str_u64(
 	    dial_find_header(headers, n, c->http->codec->epoch_header), &epoch);
+	epoch = MIN(epoch, VERSION_EPOCH_MAX);
 	c->status = status;
 	/* The pages of a list must all be of the same epoch. */
 	c->epoch_changed = c->pages != NULL && epoch != c->epoch;
--- a/regress/test_restore.cpp
+++ b/regress/test_restore.cpp
@@ -153,3 +153,33 @@
 	pump(4000);
 	EXPECT_FALSE(w.logged("deletion is in force\" key=backend/i-9"));
 }
+
+/*
+ * The copy has the entry of a server that was deleted since.  The server gets
+ * nothing while its entry may be out of date, and is used if it stays listed.
+ */
+TEST(Restore, AServerThatTheCopyHasAgainIsUsedOnceItIsKnownToBeListed)
+{
+	World w;
+	size_t before;
+
+	ASSERT_TRUE(is_ready(w));
+	w.platform.keep_copy();
+	w.platform.remove("servers", "i-0");
+	ASSERT_TRUE(until([&] {
+		return w.logged("\"deletion is in force\" key=backend/i-0");
+	}));
+	before = w.platform.ran("i-0");
+	w.platform.restore();
+	for (int i = 0; i < 20; i++) {
+		EXPECT_EQ(200, w.ask("/look/1").status);
+		pump(100);
+	}
+	EXPECT_EQ(before, w.platform.ran("i-0"));
+	EXPECT_TRUE(until(
+	    [&] {
+		    w.ask("/look/1");
+		    return w.platform.ran("i-0") > before;
+	    },
+	    5000));
+}
--- a/version.h
+++ b/version.h
@@ -22,6 +22,9 @@
  */
 #define VERSION_EPOCH_STEP UINT64_C(1000000000000)
 
+/* So that a version fits into a signed number. */
+#define VERSION_EPOCH_MAX (INT64_MAX / VERSION_EPOCH_STEP - 1)
+
 static inline uint64_t
 version_make(uint64_t epoch, uint64_t revision)
 {
