--- a/regress/test_conf.cpp
+++ b/regress/test_conf.cpp
@@ -22,6 +22,7 @@
 extern "C" {
 #include "conf.h"
 #include "sync.h"
+#include "version.h"
 }
 
 namespace
@@ -41,6 +42,9 @@
 	std::string key;
 	uint64_t version;
 	char type; /* 'g'ood, 'b'ad, 'd'eletion, 'l'ist without the key */
+	uint64_t serial = 0;
+	bool drain = false; /* of a backend server */
+	uint64_t contents = 0; /* 0: those of the revision */
 };
 
 void
@@ -48,9 +52,13 @@
 {
 	std::string text = o.type == 'b' ? INVALID : VALID;
 
-	text.replace(text.find('%'), 1, std::to_string(o.version));
+	text.replace(text.find('%'), 1,
+	    std::to_string(
+		o.contents > 0 ? o.contents : version_revision(o.version)));
 	if (o.key.compare(0, 8, "backend/") == 0)
-		text = R"({"address":"127.0.0.1:9","hall":"n","slots":3})";
+		text = R"({"address":"127.0.0.1:9","hall":"n","slots":3,)"
+		       R"("drain":)" +
+		    std::string(o.drain ? "true}" : "false}");
 	if (o.type == 'l') {
 		GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
 
@@ -62,7 +70,7 @@
 	    o.type == 'd' ? nullptr : json_loads(text.c_str(), 0, nullptr);
 
 	struct conf_object object = {
-	    view(o.key), o.version, 0, o.type == 'd', spec};
+	    view(o.key), o.version, o.serial, o.type == 'd', spec};
 
 	conf_offer(c, &object, STR_LIT("t"), nullptr);
 	json_decref(spec);
@@ -130,6 +138,349 @@
 	}
 }
 
+namespace
+{
+
+/* A version of the first or second epoch. */
+uint64_t
+first(uint64_t revision)
+{
+	return version_make(1, revision);
+}
+
+uint64_t
+second(uint64_t revision)
+{
+	return version_make(2, revision);
+}
+
+/* Returns whether the contents of a revision are in force for a key. */
+bool
+holds(const struct conf *c, const std::string &key, uint64_t revision)
+{
+	const struct conf_entry *e = conf_get(c, view(key));
+	std::string select = "app=" + std::to_string(revision);
+	const char *text = e == nullptr
+	    ? nullptr
+	    : json_string_value(json_object_get(e->spec, "select"));
+
+	return text != nullptr && select == text;
+}
+
+bool
+drains(const struct conf *c, const std::string &key)
+{
+	const struct conf_entry *e = conf_get(c, view(key));
+
+	return e != nullptr && json_is_true(json_object_get(e->spec, "drain"));
+}
+
+void
+count_restores(void *ctx, uint64_t epoch)
+{
+	(void)epoch;
+	++*static_cast<int *>(ctx);
+}
+
+/* A configuration in a process that reads the platform, in the first epoch. */
+struct Restored {
+	struct conf *c = conf_new(nullptr, nullptr);
+	int restores = 0;
+
+	Restored()
+	{
+		conf_on_restore(c, count_restores, &restores);
+		conf_note_epoch(c, 1);
+	}
+
+	~Restored()
+	{
+		conf_free(c);
+	}
+};
+
+/*
+ * Sets of offers of two epochs, with the version, the revision whose contents
+ * are in force (0: none), and the serial that each leads to.
+ */
+struct Epochs {
+	std::vector<Offer> offers;
+	uint64_t version, contents, serial;
+};
+
+} // namespace
+
+TEST(Conf, OffersOfTwoEpochsInAnyOrderLeadToTheSameState)
+{
+	const std::string a = "service/a";
+	const std::vector<Epochs> sets = {
+	    /* The copy has an older serial. */
+	    {{{a, first(70), 'g', 58}, {a, first(76), 'g', 60},
+		 {a, second(70), 'g', 58}},
+		second(70), 76, 60},
+	    /* Revisions are used again. */
+	    {{{a, first(76), 'g', 60}, {a, second(70), 'g', 58},
+		 {a, second(75), 'g', 64}, {a, second(76), 'g', 66}},
+		second(76), 76, 66},
+	    {{{a, first(76), 'g', 60}, {a, second(76), 'g', 60},
+		 {a, second(70), 'g', 58}},
+		second(76), 76, 60},
+	    /* The same contents and revision have another serial. */
+	    {{{a, first(76), 'g', 60}, {a, second(76), 'g', 66},
+		 {a, second(75), 'g', 64}},
+		second(76), 76, 66},
+	    /* Without serials the later epoch decides. */
+	    {{{a, first(70), 'g'}, {a, first(76), 'g'}, {a, second(70), 'g'}},
+		second(70), 70, 0},
+	    {{{a, first(70), 'g'}, {a, first(75), 'd'}, {a, second(70), 'g'}},
+		second(70), 70, 0},
+	    {{{a, first(70), 'g'}, {a, first(76), 'g'}, {a, second(71), 'd'}},
+		0, 0, 0},
+	    {{{a, first(70), 'g'}, {a, first(76), 'b'}, {a, second(70), 'g'},
+		 {a, second(75), 'g'}},
+		second(75), 75, 0},
+	    /* A list of the later epoch lacks the object. */
+	    {{{a, first(70), 'g'}, {"", second(65), 'l'}, {a, first(76), 'g'}},
+		0, 0, 0},
+	    {{{a, first(70), 'g'}, {"", second(65), 'l'}, {a, second(66), 'g'},
+		 {a, first(76), 'd'}},
+		second(66), 66, 0},
+	};
+
+	for (const Epochs &set : sets) {
+		std::vector<size_t> order(set.offers.size());
+
+		for (size_t i = 0; i < order.size(); i++)
+			order[i] = i;
+		do {
+			struct conf *c = conf_new(nullptr, nullptr);
+			const struct conf_entry *e;
+			std::string text;
+
+			for (size_t i : order) {
+				offer(c, set.offers[i]);
+				text += " " + std::to_string(i);
+			}
+			e = conf_get(c, view(a));
+			if (set.version == 0) {
+				EXPECT_EQ("none", state(c, a)) << text;
+			} else {
+				ASSERT_NE(nullptr, e);
+				EXPECT_EQ(set.version, e->version) << text;
+				EXPECT_EQ(set.serial, e->serial) << text;
+				EXPECT_EQ(0u, e->rejected_version) << text;
+				EXPECT_TRUE(holds(c, a, set.contents)) << text;
+			}
+			conf_free(c);
+		} while (std::next_permutation(order.begin(), order.end()));
+	}
+}
+
+TEST(Conf, AnEarlierEpochNeverWins)
+{
+	struct conf *c = conf_new(nullptr, nullptr);
+
+	offer(c, {"service/a", second(5), 'g'});
+	offer(c, {"service/b", second(6), 'd'});
+	offer(c, {"service/a", first(1000), 'g'});
+	offer(c, {"service/a", first(1001), 'd'});
+	offer(c, {"service/a", first(1002), 'b'});
+	offer(c, {"service/b", first(1003), 'g'});
+	offer(c, {"", first(2000), 'l'});
+	EXPECT_EQ(std::to_string(second(5)), state(c, "service/a"));
+	EXPECT_EQ("none", state(c, "service/b"));
+	conf_free(c);
+}
+
+TEST(Conf, ALowerSerialNeverReplacesAHigherOne)
+{
+	struct conf *c = conf_new(nullptr, nullptr);
+
+	offer(c, {"service/a", first(76), 'g', 60});
+	for (uint64_t epoch = 1; epoch < 4; epoch++)
+		for (uint64_t revision = 70; revision < 90; revision++) {
+			offer(c,
+			    {"service/a", version_make(epoch, revision), 'g',
+				59});
+			ASSERT_TRUE(holds(c, "service/a", 76));
+		}
+	offer(c, {"service/a", version_make(4, 72), 'g', 61});
+	EXPECT_TRUE(holds(c, "service/a", 72));
+	conf_free(c);
+}
+
+/* A change from an operator without serials. */
+TEST(Conf, AnOlderVersionIsHeldBackUntilTheEndOfTheRestore)
+{
+	Restored r;
+
+	offer(r.c, {"service/a", first(70), 'g'});
+	offer(r.c, {"service/a", first(76), 'g'});
+	offer(r.c, {"service/a", second(70), 'g'});
+	EXPECT_EQ(1, r.restores);
+	EXPECT_TRUE(holds(r.c, "service/a", 76));
+	conf_end_restore(r.c);
+	offer(r.c, {"service/a", second(70), 'g'});
+	EXPECT_TRUE(holds(r.c, "service/a", 70));
+}
+
+TEST(Conf, AVersionWrittenAfterTheRestoreIsNotHeldBack)
+{
+	Restored r;
+
+	offer(r.c, {"service/a", first(95), 'g'});
+	offer(r.c, {"service/b", first(96), 'g'});
+	conf_raise_floor(r.c, CONF_RULES, second(80));
+	offer(r.c, {"service/a", second(81), 'g'});
+	offer(r.c, {"service/b", second(80), 'g'});
+	EXPECT_TRUE(holds(r.c, "service/a", 81));
+	EXPECT_TRUE(holds(r.c, "service/b", 96));
+	/* A revision of the epoch before says nothing about the copy. */
+	offer(r.c, {"service/c", second(90), 'g'});
+	conf_note_epoch(r.c, 3);
+	conf_raise_floor(r.c, CONF_RULES, second(81));
+	offer(r.c, {"service/c", version_make(3, 85), 'g'});
+	EXPECT_TRUE(holds(r.c, "service/c", 90));
+	EXPECT_EQ(2, r.restores);
+}
+
+TEST(Conf, ADrainOfTheCopyIsNotHeldBack)
+{
+	Restored r;
+
+	offer(r.c, {"backend/a", first(70), 'g', 0, true});
+	offer(r.c, {"backend/a", first(75), 'g', 0, false});
+	offer(r.c, {"backend/a", second(70), 'g', 0, true});
+	EXPECT_TRUE(drains(r.c, "backend/a"));
+}
+
+TEST(Conf, ADrainThatTheCopyLacksIsKept)
+{
+	Restored r;
+
+	offer(r.c, {"backend/a", first(70), 'g', 0, false});
+	offer(r.c, {"backend/a", first(75), 'g', 0, true});
+	offer(r.c, {"backend/a", second(70), 'g', 0, false});
+	EXPECT_TRUE(drains(r.c, "backend/a"));
+	offer(r.c, {"backend/a", second(75), 'g', 0, true});
+	conf_end_restore(r.c);
+	offer(r.c, {"backend/a", second(70), 'g', 0, false});
+	EXPECT_TRUE(drains(r.c, "backend/a"));
+}
+
+/*
+ * Whatever the revision of the list, as others have written since the restore.
+ */
+TEST(Conf, ObjectsThatAListLacksAreKeptUntilTheEndOfTheRestore)
+{
+	for (uint64_t listed : {73, 90}) {
+		Restored r;
+
+		offer(r.c, {"service/a", first(75), 'g'});
+		offer(r.c, {"", second(listed), 'l'});
+		EXPECT_TRUE(holds(r.c, "service/a", 75)) << listed;
+		conf_end_restore(r.c);
+		offer(r.c, {"", second(listed + 1), 'l'});
+		EXPECT_EQ("none", state(r.c, "service/a")) << listed;
+	}
+}
+
+/*
+ * Lists during the restore leave the floor below the versions that were held
+ * back.
+ */
+TEST(Conf, ADeletedObjectThatThePlatformHasAgainComesBack)
+{
+	Restored r;
+	GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+
+	g_hash_table_add(keys, const_cast<char *>("service/a"));
+	offer(r.c, {"service/a", first(70), 'g'});
+	offer(r.c, {"service/a", first(75), 'd'});
+	conf_apply_list(r.c, first(76), keys);
+	offer(r.c, {"service/a", second(70), 'g'});
+	conf_apply_list(r.c, second(73), keys);
+	EXPECT_EQ("none", state(r.c, "service/a"));
+	conf_end_restore(r.c);
+	offer(r.c, {"service/a", second(70), 'g'});
+	conf_apply_list(r.c, second(73), keys);
+	EXPECT_TRUE(holds(r.c, "service/a", 70));
+	EXPECT_EQ(second(73), conf_floor(r.c));
+	g_hash_table_destroy(keys);
+}
+
+/* A box that starts is complete, though a restore is going on. */
+TEST(Conf, TheFirstListDuringARestoreIsComplete)
+{
+	Restored r;
+
+	offer(r.c, {"service/a", second(70), 'g'});
+	offer(r.c, {"", second(73), 'l'});
+	EXPECT_GT(conf_floor(r.c), first(1000));
+}
+
+/* The copy had the object; only a deletion explains that a list lacks it. */
+TEST(Conf, AnObjectOfTheCopyIsDeletedDuringTheRestore)
+{
+	Restored r;
+
+	offer(r.c, {"service/a", first(70), 'g'});
+	offer(r.c, {"service/a", second(70), 'g'});
+	EXPECT_TRUE(holds(r.c, "service/a", 70));
+	offer(r.c, {"", second(80), 'l'});
+	EXPECT_EQ("none", state(r.c, "service/a"));
+}
+
+/* Also below the floor, where other deletions are dropped. */
+TEST(Conf, ADeletedObjectOfTheCopyIsRecognized)
+{
+	Restored r;
+
+	offer(r.c, {"service/a", first(70), 'g'});
+	offer(r.c, {"service/a", first(75), 'd'});
+	offer(r.c, {"", first(76), 'l'});
+	offer(r.c, {"service/a", second(70), 'g'});
+	EXPECT_EQ("none", state(r.c, "service/a"));
+	conf_end_restore(r.c);
+	offer(r.c, {"service/a", second(70), 'g'});
+	EXPECT_TRUE(holds(r.c, "service/a", 70));
+}
+
+TEST(Conf, TheFirstEpochIsNoRestore)
+{
+	struct conf *c = conf_new(nullptr, nullptr);
+	int restores = 0;
+
+	conf_on_restore(c, count_restores, &restores);
+	offer(c, {"service/a", version_make(7, 70), 'g'});
+	EXPECT_EQ(0, restores);
+	EXPECT_EQ(7u, conf_first_epoch(c));
+	offer(c, {"service/a", version_make(6, 90), 'g'});
+	EXPECT_EQ(0, restores);
+	offer(c, {"service/b", version_make(8, 60), 'g'});
+	EXPECT_EQ(1, restores);
+	EXPECT_EQ(8u, conf_epoch(c));
+	conf_free(c);
+}
+
+TEST(Conf, DigestsDoNotDependOnTheEpoch)
+{
+	struct conf *one = conf_new(nullptr, nullptr);
+	struct conf *two = conf_new(nullptr, nullptr);
+
+	offer(one, {"service/a", first(70), 'g'});
+	offer(one, {"service/b", first(71), 'b'});
+	offer(two, {"service/a", second(70), 'g'});
+	offer(two, {"service/b", second(71), 'b'});
+	EXPECT_EQ(conf_digest(one), conf_digest(two));
+	offer(one, {"service/a", second(70), 'g'});
+	EXPECT_EQ(conf_digest(one), conf_digest(two));
+	offer(one, {"service/a", second(72), 'g'});
+	EXPECT_NE(conf_digest(one), conf_digest(two));
+	conf_free(one);
+	conf_free(two);
+}
+
 TEST(Conf, RepeatedAndOldOffersChangeNothing)
 {
 	struct conf *c = conf_new(nullptr, nullptr);
@@ -320,6 +671,392 @@
 	EXPECT_EQ(9u, conf_floor(net.peers["old"].conf));
 }
 
+namespace
+{
+
+/* A platform that can be restored from a copy, and what it stores. */
+struct Store {
+	struct Object {
+		uint64_t revision, contents, serial;
+	};
+	using Objects = std::map<std::string, Object>;
+
+	uint64_t epoch = 1, revision = 0, writes = 0;
+	Objects objects;
+	std::vector<Objects> copies{{}}; /* of each revision */
+
+	uint64_t version() const
+	{
+		return version_make(epoch, revision);
+	}
+
+	/* Returns the change as it is offered to a peer that watches. */
+	Offer write(const std::string &key, bool deleted, bool has_serial)
+	{
+		Offer o = {key, 0, deleted ? 'd' : 'g'};
+
+		revision++;
+		o.version = version();
+		o.contents = ++writes;
+		o.serial = has_serial && !deleted ? writes : 0;
+		if (deleted)
+			objects.erase(key);
+		else
+			objects[key] = {revision, o.contents, o.serial};
+		copies.push_back(objects);
+		return o;
+	}
+
+	void restore(uint64_t lost)
+	{
+		revision -= std::min(lost, revision - 1);
+		copies.resize(revision + 1);
+		objects = copies.back();
+		epoch++;
+	}
+
+	/* Lists all objects for a peer. */
+	void list(struct conf *c) const
+	{
+		GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+
+		for (auto &o : objects) {
+			offer(c,
+			    {o.first, version_make(epoch, o.second.revision),
+				'g', o.second.serial, false,
+				o.second.contents});
+			g_hash_table_add(
+			    keys, const_cast<char *>(o.first.c_str()));
+		}
+		conf_apply_list(c, version(), keys);
+		g_hash_table_destroy(keys);
+	}
+};
+
+const char *const peer_names[] = {"p0", "p1", "p2", "p3"};
+
+/* Exchanges all that differs between all peers. */
+void
+settle(Net &net)
+{
+	for (int k = 0; k < 10; k++)
+		for (auto a : peer_names)
+			for (auto b : peer_names) {
+				if (a == b)
+					continue;
+				net.compare(a, b);
+				while (!net.in_transit.empty())
+					net.deliver(false);
+			}
+}
+
+/* Checks that a peer has what the platform stores, and nothing else. */
+void
+expect_stored(const Store &store, const struct conf *c, unsigned seed)
+{
+	EXPECT_EQ(store.objects.size(), conf_count(c)) << seed;
+	for (auto &o : store.objects)
+		EXPECT_TRUE(holds(c, o.first, o.second.contents))
+		    << seed << " " << o.first;
+}
+
+} // namespace
+
+/*
+ * The platform is restored now and then.  Peers notice it at different times,
+ * and end the restore at different times.  The last list is complete.  The
+ * object service/s0 has serials.
+ */
+TEST(Sync, PeersInTwoEpochsConvergeOverABadNetwork)
+{
+	for (unsigned seed = 0; seed < 60; seed++) {
+		Net net;
+		Store store;
+		std::map<std::string, uint64_t> serials;
+		int restores = 0;
+
+		net.rng.seed(seed);
+		store.write("service/s0", false, true);
+		for (auto n : peer_names) {
+			net.add(n);
+			conf_on_restore(
+			    net.peers[n].conf, count_restores, &restores);
+		}
+		for (int step = 0; step < 400; step++) {
+			auto &p = net.peers[peer_names[net.rng() % 4]];
+			unsigned key = static_cast<unsigned>(net.rng() % 8);
+
+			if (net.rng() % 3 == 0)
+				offer(p.conf,
+				    store.write(
+					"service/s" + std::to_string(key),
+					key > 0 && net.rng() % 4 == 0,
+					key == 0));
+			if (net.rng() % 40 == 0)
+				store.restore(net.rng() % 12);
+			if (net.rng() % 10 == 0)
+				store.list(p.conf);
+			if (net.rng() % 10 == 0)
+				conf_end_restore(p.conf);
+			net.compare(peer_names[net.rng() % 4],
+			    peer_names[net.rng() % 4]);
+			for (int k = 0; k < 3 && !net.in_transit.empty(); k++)
+				net.deliver(true);
+			for (auto &q : net.peers) {
+				auto *e = conf_get(
+				    q.second.conf, STR_LIT("service/s0"));
+
+				if (e == nullptr)
+					continue;
+				ASSERT_GE(e->serial, serials[q.first]) << seed;
+				serials[q.first] = e->serial;
+			}
+		}
+		net.in_transit.clear();
+		store.write("service/s0", false, true);
+		for (auto n : peer_names)
+			conf_end_restore(net.peers[n].conf);
+		store.list(net.peers["p0"].conf);
+		settle(net);
+		for (auto n : peer_names)
+			conf_end_restore(net.peers[n].conf);
+		store.list(net.peers["p0"].conf);
+		settle(net);
+		EXPECT_GT(restores, 0) << seed;
+		for (auto n : peer_names) {
+			EXPECT_EQ(conf_digest(net.peers["p0"].conf),
+			    conf_digest(net.peers[n].conf))
+			    << seed;
+			expect_stored(store, net.peers[n].conf, seed);
+		}
+	}
+}
+
+/*
+ * A box that starts lists the platform only and does not know what that lost.
+ * The others keep it until the end of the restore.
+ */
+TEST(Sync, AStartingPeerDoesNotDeleteWhatThePlatformLost)
+{
+	Net net;
+	int restores = 0;
+	GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+
+	net.add("old");
+	net.add("new");
+	conf_on_restore(net.peers["old"].conf, count_restores, &restores);
+	offer(net.peers["old"].conf, {"service/a", first(75), 'g'});
+	conf_apply_list(net.peers["new"].conf, second(90), keys);
+	g_hash_table_destroy(keys);
+	for (bool ended : {false, true}) {
+		if (ended)
+			conf_end_restore(net.peers["old"].conf);
+		for (int i = 0; i < 3; i++) {
+			net.compare("old", "new");
+			net.compare("new", "old");
+			while (!net.in_transit.empty())
+				net.deliver(false);
+		}
+		EXPECT_EQ(ended ? "none" : std::to_string(first(75)),
+		    state(net.peers["old"].conf, "service/a"));
+		EXPECT_EQ("none", state(net.peers["new"].conf, "service/a"));
+	}
+	EXPECT_EQ(1, restores);
+}
+
+/* The deletion that is kept is older than the object of the peer. */
+TEST(Sync, AKeptDeletionDoesNotHideThatAnObjectIsGone)
+{
+	Net net;
+
+	net.add("fresh");
+	net.add("old");
+	offer(net.peers["fresh"].conf, {"service/a", 5, 'd'});
+	offer(net.peers["fresh"].conf, {"", 9, 'l'});
+	offer(net.peers["old"].conf, {"service/a", 7, 'g'});
+	net.compare("fresh", "old");
+	net.compare("old", "fresh");
+	while (!net.in_transit.empty())
+		net.deliver(false);
+	EXPECT_EQ("none", state(net.peers["old"].conf, "service/a"));
+}
+
+/* A box that starts lists a configuration that has been replaced. */
+TEST(Sync, AStartingPeerGetsTheHigherSerial)
+{
+	Net net;
+
+	net.add("old");
+	net.add("new");
+	offer(net.peers["old"].conf, {"service/a", first(76), 'g', 60});
+	offer(net.peers["new"].conf, {"service/a", second(70), 'g', 58});
+	for (int i = 0; i < 2; i++) {
+		net.compare("new", "old");
+		while (!net.in_transit.empty())
+			net.deliver(false);
+	}
+	EXPECT_TRUE(holds(net.peers["old"].conf, "service/a", 76));
+	EXPECT_TRUE(holds(net.peers["new"].conf, "service/a", 76));
+	EXPECT_EQ(conf_digest(net.peers["old"].conf),
+	    conf_digest(net.peers["new"].conf));
+}
+
+namespace
+{
+
+/*
+ * Encodes a message like a build that has no epochs: `at` is the position of a
+ * list of records that lack their last two elements; 0: the message itself
+ * lacks its last element.
+ */
+std::string
+encode_without_epochs(const struct msg &m, size_t at)
+{
+	msgpack_sbuffer in, out;
+	msgpack_unpacked unpacked;
+	msgpack_packer pk;
+	size_t off = 0;
+
+	msgpack_sbuffer_init(&in);
+	msgpack_sbuffer_init(&out);
+	msgpack_unpacked_init(&unpacked);
+	msg_encode(&m, &in);
+	EXPECT_EQ(MSGPACK_UNPACK_SUCCESS,
+	    msgpack_unpack_next(&unpacked, in.data, in.size, &off));
+	auto &root = unpacked.data.via.array;
+	if (at == 0)
+		root.size--;
+	for (size_t i = 0; at > 0 && i < root.ptr[at].via.array.size; i++)
+		root.ptr[at].via.array.ptr[i].via.array.size -= 2;
+	msgpack_packer_init(&pk, &out, msgpack_sbuffer_write);
+	msgpack_pack_object(&pk, unpacked.data);
+	std::string text(out.data, out.size);
+	msgpack_unpacked_destroy(&unpacked);
+	msgpack_sbuffer_destroy(&in);
+	msgpack_sbuffer_destroy(&out);
+	return text;
+}
+
+/* Delivers an object as a peer of an older build sends it. */
+void
+send_old_object(Net &net, const std::string &to, uint64_t revision)
+{
+	std::string spec =
+	    R"({"select":"app=)" + std::to_string(revision) + R"("})";
+	struct msg_object object = {};
+	struct msg m = {};
+
+	object.key = STR_LIT("service/a");
+	object.version = revision;
+	object.spec = view(spec);
+	object.epoch = 9; /* both are cut off */
+	object.serial = 99;
+	m.kind = MSG_OBJECTS;
+	m.from = STR_LIT("older");
+	m.u.objects.objects.items = &object;
+	m.u.objects.objects.n = 1;
+	net.in_transit.push_back({to, encode_without_epochs(m, 2)});
+	net.deliver(false);
+}
+
+} // namespace
+
+TEST(Sync, AnObjectOfAnOlderBuildIsOfTheFirstEpoch)
+{
+	Net net;
+	struct conf *c;
+
+	net.add("p");
+	c = net.peers["p"].conf;
+	offer(c, {"service/a", first(70), 'g', 58});
+	send_old_object(net, "p", 76);
+	EXPECT_TRUE(holds(c, "service/a", 76));
+	EXPECT_EQ(std::to_string(first(76)), state(c, "service/a"));
+	send_old_object(net, "p", 75);
+	EXPECT_TRUE(holds(c, "service/a", 76));
+	offer(c, {"service/a", second(75), 'g', 64});
+	send_old_object(net, "p", 77);
+	EXPECT_TRUE(holds(c, "service/a", 75));
+	EXPECT_EQ(std::to_string(second(75)), state(c, "service/a"));
+}
+
+/* Its object is not requested if ours is of a later epoch, which is sent. */
+TEST(Sync, VersionsOfAnOlderBuildAreOfTheFirstEpoch)
+{
+	for (uint64_t epoch : {1, 2}) {
+		Net net;
+		struct msg_version v = {};
+		struct msg m = {}, reply;
+		struct conf *c;
+
+		net.add("p");
+		c = net.peers["p"].conf;
+		conf_note_epoch(c, 1);
+		offer(c, {"service/a", version_make(epoch, 75), 'g'});
+		v.key = STR_LIT("service/a");
+		v.version = 76;
+		v.hash = 1;
+		v.epoch = 9;
+		m.kind = MSG_VERSIONS;
+		m.from = STR_LIT("older");
+		m.u.versions.buckets = UINT64_MAX;
+		m.u.versions.versions.items = &v;
+		m.u.versions.versions.n = 1;
+		net.in_transit.push_back({"p", encode_without_epochs(m, 3)});
+		net.deliver(false);
+		ASSERT_EQ(1u, net.in_transit.size());
+		auto &text = net.in_transit.front().second;
+		ASSERT_TRUE(
+		    msg_decode(text.data(), text.size(), &reply, nullptr));
+		EXPECT_EQ(
+		    epoch == 1 ? MSG_OBJECT_REQUEST : MSG_OBJECTS, reply.kind);
+		msg_release(&reply);
+	}
+}
+
+/* Its floor deletes nothing that is of a later epoch. */
+TEST(Sync, SummariesOfAnOlderBuildAreOfTheFirstEpoch)
+{
+	const enum msg_kind kinds[] = {
+	    MSG_ANNOUNCEMENT, MSG_HEARTBEAT, MSG_GATE_STATUS};
+
+	for (auto kind : kinds) {
+		struct msg m = {}, decoded;
+		struct msg_conf_summary *sent = kind == MSG_ANNOUNCEMENT
+		    ? &m.u.announcement.conf_summary
+		    : kind == MSG_HEARTBEAT ? &m.u.heartbeat.conf_summary
+					    : &m.u.gate_status.conf_summary;
+		const struct msg_conf_summary *got = kind == MSG_ANNOUNCEMENT
+		    ? &decoded.u.announcement.conf_summary
+		    : kind == MSG_HEARTBEAT
+		    ? &decoded.u.heartbeat.conf_summary
+		    : &decoded.u.gate_status.conf_summary;
+		std::string text;
+		Net net;
+
+		m.kind = kind;
+		m.from = STR_LIT("older");
+		sent->floor = 76;
+		sent->epoch = 9;
+		text = encode_without_epochs(m, 0);
+		ASSERT_TRUE(
+		    msg_decode(text.data(), text.size(), &decoded, nullptr));
+		EXPECT_EQ(76u, got->floor);
+		EXPECT_EQ(0u, got->epoch);
+		net.add("p");
+		struct conf *c = net.peers["p"].conf;
+		struct msg_conf_summary summary = *got;
+		conf_note_epoch(c, 1);
+		offer(c, {"service/a", second(75), 'g'});
+		summary.digest = conf_digest(c);
+		summary.rules_digest = conf_digest_of(c, CONF_RULES);
+		sync_compare(&net.peers["p"].sync, STR_LIT("older"), &summary);
+		EXPECT_EQ(first(76), conf_floor(c));
+		EXPECT_EQ(std::to_string(second(75)), state(c, "service/a"));
+		msg_release(&decoded);
+	}
+}
+
 /*
  * A box that stores rules only counts as equal to one that stores all objects
  * once their rules are equal.  The revision up to which its rules are complete
