A kept deletion does not hide that an object is gone

An object that a complete list lacks stayed at a peer, and the two boxes asked each other for it without end, if the box with the list kept an older deletion of the same object. Such deletions used to be dropped, and are kept now to recognize the objects of a copy. A deletion that is not newer than the peer's version is now as good as no entry.

Sync.AKeptDeletionDoesNotHideThatAnObjectIsGone: failed before, passes.

--- a/sync.c
+++ b/sync.c
@@ -200,6 +200,13 @@
 		sync_pack_add(missing->pack, e);
 }
 
+/* A deletion may be kept that is older than the version of the peer. */
+static bool
+is_absent(const struct conf_entry *e, uint64_t version)
+{
+	return e == NULL || (e->deleted && e->version <= version);
+}
+
 /*
  * Compares one version of the peer.  Adds our object to the pack if it is
  * newer; returns true if the peer's object is needed.
@@ -215,7 +222,7 @@
 	uint64_t rejected =
 	    version_of_peer(s, v->rejected_version, v->rejected_epoch);
 
-	if (e == NULL && MAX(version, rejected) <= floor) {
+	if (is_absent(e, version) && MAX(version, rejected) <= floor) {
 		if (v->hash != 0)
 			sync_pack_add_deleted(pack, v->key, floor);
 		return false;
