The state does not depend on the order of the epochs

Contents that a later epoch has unchanged kept the version of the earlier epoch, so that other contents of the copy, offered late, replaced them: a drain that its server had written again could be lost. A configuration with the same contents and revision but another serial kept the old serial. Unchanged contents now get the version of the later epoch, and contents with another serial are new ones.

Conf.OffersOfTwoEpochsInAnyOrderLeadToTheSameState and Conf.ADrainThatTheCopyLacksIsKept: failed before, pass.

--- a/conf.c
+++ b/conf.c
@@ -361,6 +361,8 @@
 static bool
 is_in_force(const struct conf_entry *e, const struct conf_object *o)
 {
+	if (has_serials(e, o) && o->serial != e->serial)
+		return false;
 	return e->version > 0 &&
 	    version_revision(o->version) == version_revision(e->version) &&
 	    o->deleted == e->deleted &&
@@ -389,8 +391,8 @@
 }
 
 /*
- * The contents stay, as their serial is higher.  They get the higher version,
- * so that all boxes take them for newer than the offered ones.
+ * The contents stay: they are the same, or their serial is higher.  They get
+ * the higher version, so that all boxes take them for newer than others.
  */
 static void
 raise_version(struct conf *c, struct conf_entry *e, uint64_t version)
@@ -398,6 +400,8 @@
 	if (version <= e->version)
 		return;
 	e->version = version;
+	if (e->rejected_version <= version)
+		clear_rejected(e);
 	rehash(c, e);
 }
 
@@ -412,8 +416,12 @@
 		return true;
 	if (e == NULL)
 		return false;
-	if (is_in_force(e, o) ||
-	    (o->version == e->rejected_version && o->version > 0)) {
+	if (is_in_force(e, o)) {
+		raise_version(c, e, o->version);
+		*result = CONF_DUPLICATE;
+		return true;
+	}
+	if (o->version == e->rejected_version && o->version > 0) {
 		*result = CONF_DUPLICATE;
 		return true;
 	}
