What a restore lost is kept whatever the revision of the list

An object that the platform had lost was deleted at once if the first list after the restore had a revision above the object's: other writes had raised it. Any object of the earlier epoch that the list lacks is now kept until the end of the restore. One that the copy has unchanged is of the later epoch by then, and is deleted.

Conf.ObjectsThatAListLacksAreKeptUntilTheEndOfTheRestore: failed before, passes.

--- a/conf.c
+++ b/conf.c
@@ -513,14 +513,14 @@
 
 /*
  * Returns whether an object that a list of a later epoch lacks may be one that
- * the platform lost.
+ * the platform lost.  The revision of the list does not tell, as it has risen
+ * with each write since the restore.
  */
 static bool
 may_be_lost(const struct conf *c, const struct conf_entry *e, uint64_t revision)
 {
 	return c->is_restoring &&
-	    version_epoch(revision) > version_epoch(e->version) &&
-	    version_revision(revision) < version_revision(e->version);
+	    version_epoch(revision) > version_epoch(e->version);
 }
 
 void
