The floor stays low until the end of a restore

A backend server whose entry had been removed just before the restore, and which the copy has again, never got a request: its entry was held back for the time of the restore, and later ignored, as the lists meanwhile had raised the floor above it. The server does not help that, as writing an unchanged entry raises no revision. During a restore the floor rises to the start of the epoch only.

Conf.ADeletedObjectThatThePlatformHasAgainComesBack and Sync.PeersInTwoEpochsConvergeOverABadNetwork: failed before, pass.

--- a/conf.c
+++ b/conf.c
@@ -493,6 +493,9 @@
 conf_raise_floor(struct conf *c, enum conf_part part, uint64_t revision)
 {
 	conf_note_epoch(c, version_epoch(revision));
+	/* A version of the copy that is held back now may be taken later. */
+	if (c->is_restoring)
+		revision = MIN(revision, version_make(c->epoch, 0));
 	if (revision <= c->floors[part])
 		return;
 	c->floors[part] = revision;
