A change that is written after a restore is not held back

An object that was changed before and again after a restore was held back for three seconds, if the revision of the new change was lower than that of the lost one. The copy cannot have revisions above the lowest one that a list of the later epoch had, or that a peer tells as its floor: these are new.

Conf.AVersionWrittenAfterTheRestoreIsNotHeldBack: failed before, passes.

--- a/conf.c
+++ b/conf.c
@@ -51,6 +51,8 @@
 	uint64_t deletions; /* number of deletions so far */
 	uint64_t epoch, first_epoch; /* latest and first known; 0: none */
 	bool is_restoring; /* entries of earlier epochs may be kept */
+	/* The copy that was restored is at or below this revision. */
+	uint64_t copy_revision_max;
 	conf_epoch_fn *on_restore; /* NULL: none are kept */
 	void *restore_ctx;
 };
@@ -377,7 +379,7 @@
 }
 
 /*
- * Returns whether a version of a later epoch may be one that was replaced
+ * Returns whether a version of a later epoch may be one of the copy, replaced
  * before the platform was restored.  A drain is never held back.
  */
 static bool
@@ -387,6 +389,7 @@
 	return c->is_restoring &&
 	    version_epoch(o->version) > version_epoch(e->version) &&
 	    version_revision(o->version) < version_revision(e->version) &&
+	    version_revision(o->version) <= c->copy_revision_max &&
 	    !has_serials(e, o) && !is_drain(e, o);
 }
 
@@ -492,7 +495,7 @@
 void
 conf_raise_floor(struct conf *c, enum conf_part part, uint64_t revision)
 {
-	conf_note_epoch(c, version_epoch(revision));
+	conf_note_revision(c, revision);
 	/* A version of the copy that is held back now may be taken later. */
 	if (c->is_restoring)
 		revision = MIN(revision, version_make(c->epoch, 0));
@@ -534,7 +537,7 @@
 	GHashTableIter it;
 	gpointer key, value;
 
-	conf_note_epoch(c, version_epoch(revision));
+	conf_note_revision(c, revision);
 	g_hash_table_iter_init(&it, c->entries);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		e = value;
@@ -614,9 +617,19 @@
 	if (is_first || c->on_restore == NULL)
 		return;
 	c->is_restoring = true;
+	c->copy_revision_max = UINT64_MAX;
 	c->on_restore(c->restore_ctx, epoch);
 }
 
+void
+conf_note_revision(struct conf *c, uint64_t revision)
+{
+	conf_note_epoch(c, version_epoch(revision));
+	if (revision > 0 && version_epoch(revision) == c->epoch)
+		c->copy_revision_max =
+		    MIN(c->copy_revision_max, version_revision(revision));
+}
+
 uint64_t
 conf_epoch(const struct conf *c)
 {
--- a/conf.h
+++ b/conf.h
@@ -147,6 +147,12 @@
 /* Records an epoch that the platform has. */
 void conf_note_epoch(struct conf *, uint64_t epoch);
 
+/*
+ * Records a revision that the platform has reached.  If it is of the latest
+ * epoch, all that has a higher one there was written after the restore.
+ */
+void conf_note_revision(struct conf *, uint64_t revision);
+
 /* Return the latest and the first epoch known; 0: none. */
 uint64_t conf_epoch(const struct conf *);
 uint64_t conf_first_epoch(const struct conf *);
--- a/sync.c
+++ b/sync.c
@@ -100,13 +100,13 @@
 sync_compare(
     struct sync *s, struct str from, const struct msg_conf_summary *summary)
 {
-	uint64_t floor;
+	uint64_t floor = version_of_peer(s, summary->floor, summary->epoch);
 
+	conf_note_revision(s->conf, floor);
 	if (!sync_is_equal(s, summary)) {
 		send_buckets(s, from);
 		return;
 	}
-	floor = version_of_peer(s, summary->floor, summary->epoch);
 	conf_raise_floor(s->conf, CONF_RULES, floor);
 	if (!s->rules_only && !summary->rules_only)
 		conf_raise_floor(s->conf, CONF_BACKENDS, floor);
