A box that starts does not delete what a restore lost

A box that listed the platform only after a restore told the others that an object which the platform had lost was deleted, at the revision of its list; they dropped it at once. The deletion of an object of an earlier epoch now has the lowest version of the later one, which a box holds back until the end of the restore.

Sync.AStartingPeerDoesNotDeleteWhatThePlatformLost: failed before, passes. test_conf: 32 passed.

--- a/sync.c
+++ b/sync.c
@@ -200,6 +200,20 @@
 		sync_pack_add(missing->pack, e);
 }
 
+/*
+ * Returns the version of the deletion of an object that is absent here and has
+ * a version at or below the floor.  In an earlier epoch it may be one that the
+ * platform lost, and that the peer still keeps: the lowest version leaves that
+ * to the peer.
+ */
+static uint64_t
+deletion_version(uint64_t floor, uint64_t version)
+{
+	return version_epoch(version) < version_epoch(floor)
+	    ? version_make(version_epoch(floor), 1)
+	    : floor;
+}
+
 /* A deletion may be kept that is older than the version of the peer. */
 static bool
 is_absent(const struct conf_entry *e, uint64_t version)
@@ -224,7 +238,8 @@
 
 	if (is_absent(e, version) && MAX(version, rejected) <= floor) {
 		if (v->hash != 0)
-			sync_pack_add_deleted(pack, v->key, floor);
+			sync_pack_add_deleted(pack, v->key,
+			    deletion_version(floor, MAX(version, rejected)));
 		return false;
 	}
 	if (e == NULL)
