Tests: the platform client on a platform that was restored

Pages of two epochs, a watch and a condition of an earlier one, and a late response to a write; the serial of a configuration and the epoch headers. All pass on the code as it is.

--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -381,6 +381,44 @@
 		     "leaving":false}}}],"hasMore":false})"));
 }
 
+/* Only a configuration has a serial, the operator's number. */
+TEST(Platform, SerialOfAConfiguration)
+{
+	const struct {
+		const char *version;
+		json_int_t serial;
+	} cases[] = {{R"("r12")", 12}, {R"("r0")", 0}, {R"("r")", 0},
+	    {R"("12")", 0}, {R"("r12x")", 0}, {R"("r-1")", 0}, {R"(" r12")", 0},
+	    {R"("R12")", 0}, {"12", 0}, {"null", 0}, {"{}", 0}};
+
+	for (auto &c : cases) {
+		std::string config =
+		    R"({"version":)" + std::string(c.version) + "}";
+		Json spec{config};
+		std::string text = decode(PLAT_GET, "bundle", PLAT_OK,
+		    R"({"metadata":{"name":"main","rev":5},"spec":)" + config +
+			"}");
+
+		EXPECT_EQ(c.serial, pf_bundle_serial(spec.v)) << c.version;
+		EXPECT_NE(std::string::npos,
+		    text.find("\"serial\":" + std::to_string(c.serial) + ","))
+		    << text;
+	}
+	EXPECT_EQ(std::string::npos,
+	    decode(PLAT_GET, "backend", PLAT_OK,
+		R"({"metadata":{"name":"i-1","rev":5},
+		    "spec":{"version":"r12"}})")
+		.find("serial"));
+}
+
+TEST(Platform, EachCodecHasAnEpochHeader)
+{
+	EXPECT_TRUE(str_eq(pf_codec.epoch_header, STR_LIT("store-era")));
+	EXPECT_TRUE(
+	    str_eq(plat_adapter_by_name(STR_LIT("fern"))->codec->epoch_header,
+		STR_LIT("fern-epoch")));
+}
+
 TEST(Platform, ResultsFromStatusesOfTheStore)
 {
 	struct plat_request read = {}, write = {};
--- a/regress/test_up.cpp
+++ b/regress/test_up.cpp
@@ -9,13 +9,15 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 /*
- * Unit tests of the HTTP client, and of timers and idle connections.  The peer
+ * Unit tests of the HTTP client, of the platform client that uses it, and of
+ * timers and idle connections.  The peer
  * is a plain socket, so that the tests control each byte and each close.
  */
 #include <arpa/inet.h>
 #include <atomic>
 #include <functional>
 #include <gtest/gtest.h>
+#include <memory>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -26,7 +28,9 @@
 
 extern "C" {
 #include "hsrv.h"
+#include "plat.h"
 #include "up.h"
+#include "version.h"
 }
 
 namespace
@@ -373,6 +377,230 @@
 namespace
 {
 
+/* Reads a request with its body and returns its first line. */
+std::string
+read_request(int fd)
+{
+	std::string in;
+	size_t end, at;
+	char byte;
+
+	while ((end = in.find("\r\n\r\n")) == std::string::npos) {
+		if (read(fd, &byte, 1) != 1)
+			return "";
+		in += byte;
+	}
+	at = in.find("content-length: ");
+	end += 4;
+	if (at != std::string::npos)
+		end += static_cast<size_t>(atoi(in.c_str() + at + 16));
+	while (in.size() < end && read(fd, &byte, 1) == 1)
+		in += byte;
+	return in.substr(0, in.find("\r\n"));
+}
+
+/* A response of the platform in an epoch; 0: it does not tell one. */
+std::string
+response(int epoch, int status, const std::string &body)
+{
+	std::string era = "store-era: " + std::to_string(epoch) + "\r\n";
+
+	return "HTTP/1.1 " + std::to_string(status) +
+	    " x\r\nconnection: close\r\n" + (epoch > 0 ? era : "") +
+	    "content-length: " + std::to_string(body.size()) + "\r\n\r\n" +
+	    body;
+}
+
+/* A platform that sends these responses in turn, and its client. */
+struct Platform {
+	std::vector<std::string> responses, lines;
+	std::unique_ptr<Peer> peer;
+	Client client;
+	struct plat *plat;
+	std::vector<uint64_t> epochs; /* that the client reported */
+	enum plat_result result = PLAT_OK;
+	std::string body; /* of the last result */
+	bool ended = false;
+
+	explicit Platform(std::vector<std::string> all)
+	    : responses(std::move(all)), lines(responses.size())
+	{
+		peer = std::make_unique<Peer>([this](int fd, int n) {
+			auto i = static_cast<size_t>(n) - 1;
+
+			if (i >= responses.size())
+				return;
+			lines[i] = read_request(fd);
+			send_text(fd, responses[i]);
+		});
+		plat = plat_http_open(client.up, &client.tmr, clk_system(),
+		    str_n(peer->address.data(), peer->address.size()),
+		    plat_adapter_by_name(STR_LIT("objects"))->codec);
+		plat->on_epoch = [](void *ctx, uint64_t epoch) {
+			static_cast<Platform *>(ctx)->epochs.push_back(epoch);
+		};
+		plat->epoch_ctx = this;
+	}
+
+	~Platform()
+	{
+		plat_http_close(plat);
+	}
+
+	static void on_done(void *ctx, enum plat_result result, json_t *body)
+	{
+		Platform *p = static_cast<Platform *>(ctx);
+		char *text = json_dumps(body, JSON_COMPACT | JSON_SORT_KEYS);
+
+		p->result = result;
+		p->body = text == nullptr ? "" : text;
+		p->ended = true;
+		free(text);
+	}
+
+	struct plat_call *start(enum plat_op op, uint64_t version = 0)
+	{
+		struct plat_request rq = {};
+		json_t *value = json_pack("{s:{}}", "spec");
+
+		rq.op = op;
+		rq.kind = STR_LIT("status");
+		rq.name = STR_LIT("b1");
+		rq.version = version;
+		if (op == PLAT_CREATE || op == PLAT_UPDATE)
+			rq.value = value;
+		ended = false;
+		struct plat_call *c = plat_start(plat, &rq, on_done, this);
+		json_decref(value);
+		return c;
+	}
+
+	enum plat_result wait()
+	{
+		int64_t until = clk_ns(clk_system()) + 5 * NS_S;
+
+		while (!ended && clk_ns(clk_system()) < until)
+			uv_run(&client.loop, UV_RUN_ONCE);
+		EXPECT_TRUE(ended);
+		return result;
+	}
+
+	enum plat_result call(enum plat_op op, uint64_t version = 0)
+	{
+		start(op, version);
+		return wait();
+	}
+};
+
+const char *const LIST =
+    R"({"items":[{"metadata":{"name":"b1","rev":5},"spec":{}}],)"
+    R"("currentRev":9})";
+const char *const PAGE =
+    R"({"items":[{"metadata":{"name":"b0","rev":6},"spec":{}}],)"
+    R"("hasMore":true,"currentRev":9})";
+const char *const OBJECT = R"({"metadata":{"name":"b1","rev":7},"spec":{}})";
+const char *const EVENTS = R"({"events":[{"object":)"
+			   R"({"metadata":{"name":"b1","rev":7},"spec":{}}}],)"
+			   R"("currentRev":9})";
+
+} // namespace
+
+TEST(Plat, VersionsHoldTheEpochOfTheirResponse)
+{
+	Platform p({response(3, 200, LIST), response(3, 200, EVENTS),
+	    response(3, 409, OBJECT), response(4, 200, OBJECT)});
+
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_LIST));
+	EXPECT_EQ(R"({"objects":[{"deleted":false,"kind":"status",)"
+		  R"("name":"b1","version":3000000000005}],)"
+		  R"("revision":3000000000009})",
+	    p.body);
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_WATCH, version_make(3, 5)));
+	EXPECT_EQ(R"({"objects":[{"deleted":false,"kind":"status",)"
+		  R"("name":"b1","version":3000000000007}],)"
+		  R"("revision":3000000000009})",
+	    p.body);
+	EXPECT_EQ(PLAT_CONFLICT, p.call(PLAT_CREATE));
+	EXPECT_EQ(R"({"current":{"deleted":false,"kind":"status",)"
+		  R"("name":"b1","version":3000000000007}})",
+	    p.body);
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_UPDATE, version_make(3, 7)));
+	EXPECT_EQ(R"({"deleted":false,"kind":"status","name":"b1",)"
+		  R"("version":4000000000007})",
+	    p.body);
+	EXPECT_EQ((std::vector<uint64_t>{3, 4}), p.epochs);
+	EXPECT_NE(std::string::npos, p.lines[1].find("watch=5&"));
+}
+
+TEST(Plat, WithoutAnEpochVersionsAreRevisions)
+{
+	Platform p({response(0, 200, LIST), response(0, 200, EVENTS)});
+
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_LIST));
+	EXPECT_NE(std::string::npos, p.body.find("\"revision\":9}"));
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_WATCH, 5));
+	EXPECT_TRUE(p.epochs.empty());
+}
+
+/* Its pages may not belong together. */
+TEST(Plat, AListWithPagesOfTwoEpochsIsNotUsed)
+{
+	Platform p({response(1, 200, PAGE), response(2, 200, LIST),
+	    response(2, 200, PAGE), response(2, 200, LIST)});
+
+	EXPECT_EQ(PLAT_TOO_OLD, p.call(PLAT_LIST));
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_LIST));
+	EXPECT_NE(std::string::npos, p.body.find("\"b0\""));
+	EXPECT_NE(std::string::npos, p.body.find("\"b1\""));
+}
+
+TEST(Plat, AWatchFromAnEarlierEpochIsTooOld)
+{
+	Platform p({response(2, 200, EVENTS), response(2, 200, EVENTS)});
+
+	EXPECT_EQ(PLAT_TOO_OLD, p.call(PLAT_WATCH, version_make(1, 5)));
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_WATCH, version_make(2, 5)));
+	EXPECT_EQ((std::vector<uint64_t>{2}), p.epochs);
+}
+
+TEST(Plat, AWriteWithAConditionOfAnEarlierEpochIsNotSent)
+{
+	Platform p({response(1, 200, OBJECT), response(2, 200, LIST),
+	    response(2, 200, OBJECT)});
+
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_UPDATE, version_make(1, 5)));
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_LIST));
+	EXPECT_EQ(PLAT_CONFLICT, p.call(PLAT_UPDATE, version_make(1, 7)));
+	EXPECT_EQ(PLAT_CONFLICT, p.call(PLAT_DELETE, version_make(1, 7)));
+	plat_cancel(p.plat, p.start(PLAT_DELETE, version_make(1, 7)));
+	EXPECT_EQ(2, p.peer->connections);
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_UPDATE, version_make(2, 7)));
+	EXPECT_EQ(3, p.peer->connections);
+}
+
+/* What it wrote may be lost. */
+TEST(Plat, ALateResponseToAWriteInAnEarlierEpochIsUnknown)
+{
+	Platform p({response(1, 200, LIST), response(1, 200, OBJECT),
+	    response(1, 200, OBJECT), response(1, 409, OBJECT),
+	    response(1, 200, LIST)});
+
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_LIST));
+	for (auto op : {PLAT_CREATE, PLAT_UPDATE}) {
+		p.plat->epoch = 1;
+		p.start(op, version_make(1, 7));
+		p.plat->epoch = 2; /* told by another response */
+		EXPECT_EQ(PLAT_UNKNOWN, p.wait());
+	}
+	p.start(PLAT_CREATE);
+	EXPECT_EQ(PLAT_CONFLICT, p.wait());
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_LIST));
+	EXPECT_NE(std::string::npos, p.body.find("1000000000009"));
+}
+
+namespace
+{
+
 /* Two timers, and a pipe that is readable after the loop stalled. */
 struct Stall {
 	uv_loop_t *loop = uv_default_loop();
