Join the merge of two epochs: revisions written after the restore are new

Conf.WhatARestoreMayHaveLostIsNotDeletedBeforeItsEnd expected that a deletion above the list's revision is held back too.

--- a/conf.c
+++ b/conf.c
@@ -51,6 +51,8 @@
 	uint64_t deletions; /* number of deletions so far */
 	uint64_t epoch, first_epoch; /* latest and first known; 0: none */
 	bool is_restoring; /* entries of earlier epochs may be kept */
+	/* The copy that was restored is at or below this revision. */
+	uint64_t copy_revision_max;
 	conf_epoch_fn *on_restore; /* NULL: none are kept */
 	void *restore_ctx;
 };
@@ -362,6 +364,8 @@
 static bool
 is_confirmed(const struct conf_entry *e, const struct conf_object *o)
 {
+	if (has_serials(e, o) && o->serial != e->serial)
+		return false;
 	if (e->version == 0 || o->deleted != e->deleted ||
 	    (version_revision(o->version) != version_revision(e->version) &&
 		version_epoch(o->version) <= version_epoch(e->version)))
@@ -377,9 +381,8 @@
 }
 
 /*
- * Returns whether a version of a later epoch may be one that was replaced
- * before the platform was restored, or a deletion may only be a loss.  A drain
- * is never held back.
+ * Returns whether a version of a later epoch may be one of the copy, replaced
+ * before the platform was restored.  A drain is never held back.
  */
 static bool
 is_held_back(const struct conf *c, const struct conf_entry *e,
@@ -387,14 +390,15 @@
 {
 	return c->is_restoring &&
 	    version_epoch(o->version) > version_epoch(e->version) &&
+	    version_revision(o->version) <= c->copy_revision_max &&
 	    (o->deleted ||
 		version_revision(o->version) < version_revision(e->version)) &&
 	    !has_serials(e, o) && !is_drain(e, o);
 }
 
 /*
- * The contents stay, with the higher version, so that no version in between
- * replaces them.
+ * The contents stay: they are the same, or their serial is higher.  They get
+ * the higher version, so that no version in between replaces them.
  */
 static void
 raise_version(struct conf *c, struct conf_entry *e, uint64_t version)
@@ -500,7 +504,10 @@
 void
 conf_raise_floor(struct conf *c, enum conf_part part, uint64_t revision)
 {
-	conf_note_epoch(c, version_epoch(revision));
+	conf_note_revision(c, revision);
+	/* A version of the copy that is held back now may be taken later. */
+	if (c->is_restoring)
+		revision = MIN(revision, version_make(c->epoch, 0));
 	if (revision <= c->floors[part])
 		return;
 	c->floors[part] = revision;
@@ -521,7 +528,8 @@
 
 /*
  * Returns whether an object that a list of a later epoch lacks may be one that
- * the platform lost.
+ * the platform lost.  The revision of the list does not tell, as it has risen
+ * with each write since the restore.
  */
 static bool
 may_be_lost(const struct conf *c, const struct conf_entry *e, uint64_t revision)
@@ -538,7 +546,7 @@
 	GHashTableIter it;
 	gpointer key, value;
 
-	conf_note_epoch(c, version_epoch(revision));
+	conf_note_revision(c, revision);
 	g_hash_table_iter_init(&it, c->entries);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		e = value;
@@ -624,9 +632,19 @@
 	if (is_first || c->on_restore == NULL)
 		return;
 	c->is_restoring = true;
+	c->copy_revision_max = UINT64_MAX;
 	c->on_restore(c->restore_ctx, epoch);
 }
 
+void
+conf_note_revision(struct conf *c, uint64_t revision)
+{
+	conf_note_epoch(c, version_epoch(revision));
+	if (revision > 0 && version_epoch(revision) == c->epoch)
+		c->copy_revision_max =
+		    MIN(c->copy_revision_max, version_revision(revision));
+}
+
 uint64_t
 conf_epoch(const struct conf *c)
 {
--- a/sync.c
+++ b/sync.c
@@ -100,13 +100,13 @@
 sync_compare(
     struct sync *s, struct str from, const struct msg_conf_summary *summary)
 {
-	uint64_t floor;
+	uint64_t floor = version_of_peer(s, summary->floor, summary->epoch);
 
+	conf_note_revision(s->conf, floor);
 	if (!sync_is_equal(s, summary)) {
 		send_buckets(s, from);
 		return;
 	}
-	floor = version_of_peer(s, summary->floor, summary->epoch);
 	conf_raise_floor(s->conf, CONF_RULES, floor);
 	if (!s->rules_only && !summary->rules_only)
 		conf_raise_floor(s->conf, CONF_BACKENDS, floor);
@@ -203,6 +203,28 @@
 		sync_pack_add(missing->pack, e);
 }
 
+/*
+ * Returns the version of the deletion of an object that is absent here and has
+ * a version at or below the floor.  In an earlier epoch it may be one that the
+ * platform lost, and that the peer still keeps: the lowest version leaves that
+ * to the peer.
+ */
+static uint64_t
+deletion_version(uint64_t floor, uint64_t version)
+{
+	return version_epoch(version) < version_epoch(floor)
+	    ? version_make(version_epoch(floor), 1)
+	    : floor;
+}
+
+/* Returns whether an object is absent, though its deletion may be kept. */
+static bool
+is_absent(const struct sync *s, const struct conf_entry *e, uint64_t version)
+{
+	return e == NULL || conf_is_implied(s->conf, e) ||
+	    (e->deleted && e->version <= version);
+}
+
 /*
  * Compares one version of the peer.  Adds our object to the pack if it is
  * newer; returns true if the peer's object is needed.
@@ -218,11 +240,10 @@
 	uint64_t rejected =
 	    version_of_peer(s, v->rejected_version, v->rejected_epoch);
 
-	if (e != NULL && conf_is_implied(s->conf, e))
-		e = NULL;
-	if (e == NULL && MAX(version, rejected) <= floor) {
+	if (is_absent(s, e, version) && MAX(version, rejected) <= floor) {
 		if (v->hash != 0)
-			sync_pack_add_deleted(pack, v->key, floor);
+			sync_pack_add_deleted(pack, v->key,
+			    deletion_version(floor, MAX(version, rejected)));
 		return false;
 	}
 	if (e == NULL)
