Tests of stops and changes while a backend server works

A request that was forwarded to its owner is answered by the backend server in each order in which its box and the owner stop, with and without a change of its rule between; so is one that waits at an owner that stops, and one that is at work when its rule's deadline is lowered or raised, its rule goes to another service, or its rule or service is removed. Each runs once.

At the end of the grace of an owner that is still at work its forwarded requests get no answer from it. The box that forwarded them answers 502 at once, not known to have run, and sends those that may be repeated to the next owner if they have more than two attempts.

--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -17,33 +17,95 @@
 namespace
 {
 
+FleetOptions
+options_of(const std::string &settings = "leave_wait_ms = 200\n")
+{
+	FleetOptions o;
+
+	o.boxes = 2;
+	o.backends = {BackendOptions()};
+	o.gate_settings = settings;
+	return o;
+}
+
 /*
  * Two boxes of one hall, one of which owns the shard.  The service allows less
- * time by default than the rule.
+ * time by default than the rules.
  */
 struct World : Fleet {
-	static FleetOptions options_of()
+	explicit World(const FleetOptions &o = options_of()) : Fleet(o)
 	{
-		FleetOptions o;
-
-		o.boxes = 2;
-		o.backends = {BackendOptions()};
-		o.gate_settings = "leave_wait_ms = 200\n";
-		return o;
 	}
 
-	World() : Fleet(options_of())
+	/* `ms`: the time that the rules allow. */
+	void put_rules(const std::string &service, int ms)
 	{
+		std::string rest = R"(","service":")" + service +
+		    R"(","deadline_ms":)" + std::to_string(ms);
+
+		put("rule/dir",
+		    R"({"path":"/dir)" + rest + R"(,"repeatable":"no"})");
+		put("rule/twice",
+		    R"({"path":"/twice)" + rest +
+			R"(,"repeatable":"yes","attempts":3})");
 	}
 
 	bool open()
 	{
+		for (size_t i = 0; i < options.backends.size(); i++)
+			options.backends[i].name = "b" + std::to_string(i);
 		start();
 		put("service/dir", R"({"select":"app=dir","deadline_ms":300})");
-		put("rule/dir",
-		    R"({"path":"/dir","service":"dir","deadline_ms":3000,
-			"repeatable":"no"})");
-		return wait_ready() && until([&] { return in_force(3); });
+		put_rules("dir", 3000);
+		return wait_ready() &&
+		    until([&] { return in_force(3 + backends.size()); });
+	}
+
+	/* The box to which others forward; the one asked last is not it. */
+	size_t owner()
+	{
+		for (size_t i = 0; i < boxes.size(); i++)
+			http("POST", boxes[i].listen, "/dir/x", {}, "body");
+		for (size_t i = 0; i < boxes.size(); i++)
+			if (metric(i, "fern_passed_in_total") > 0)
+				return i;
+		return 0;
+	}
+};
+
+/* Requests in flight, of the kind that may be repeated and of the other. */
+struct Pending {
+	std::vector<std::pair<std::string, Reply>> replies;
+	size_t sent = 0;
+
+	void send(const Box &box, int ms, const std::string &body = "body")
+	{
+		for (std::string path : {"/dir/x", "/twice/x"}) {
+			std::string what = path + " at " + box.name;
+
+			sent++;
+			http_start("POST", box.listen,
+			    path + "?ms=" + std::to_string(ms),
+			    {{"x-request-id", "r" + std::to_string(sent)}},
+			    body, 10000, [this, what](const Reply &r) {
+				    replies.emplace_back(what, r);
+			    });
+		}
+	}
+
+	bool done() const
+	{
+		return replies.size() == sent;
+	}
+
+	void expect(int status, const std::string &when) const
+	{
+		EXPECT_TRUE(done()) << when;
+		for (auto &r : replies) {
+			EXPECT_EQ(status, r.second.status)
+			    << when << ": " << r.first << " " << r.second.body;
+			EXPECT_TRUE(r.second.complete) << when;
+		}
 	}
 };
 
@@ -83,3 +145,141 @@
 		EXPECT_EQ(200, reply.status) << stops << " " << reply.body;
 	}
 }
+
+/*
+ * Boxes stop one after the other, with a change between, while a backend server
+ * works on a forwarded request.
+ */
+TEST(Deadline, AForwardedRequestIsFinishedInEachOrderOfStops)
+{
+	for (bool owner_first : {true, false})
+		for (bool changed : {false, true}) {
+			FleetOptions o = options_of();
+			Pending pending;
+
+			o.boxes = 3;
+			World w(o);
+			ASSERT_TRUE(w.open());
+			size_t owner = w.owner(), other = (owner + 1) % 3;
+
+			pending.send(w.boxes[other], 1500);
+			pump(200);
+			w.boxes[owner_first ? owner : other].gate.signal(
+			    SIGTERM);
+			pump(150);
+			if (changed)
+				w.put_rules("none", 100);
+			pump(150);
+			w.boxes[owner_first ? other : owner].gate.signal(
+			    SIGTERM);
+			until([&] { return pending.done(); });
+			pending.expect(200,
+			    std::string(owner_first ? "owner" : "receiver") +
+				" first" + (changed ? ", changed" : ""));
+			for (auto &run : w.runs())
+				EXPECT_TRUE(run.first == "" || run.second == 1)
+				    << run.first << " " << run.second;
+		}
+}
+
+/* The owner stops while requests wait there: the next owner runs them. */
+TEST(Deadline, AQueuedRequestKeepsItsTimeWhenItsShardMoves)
+{
+	FleetOptions o = options_of();
+	Pending first, second;
+
+	o.backends[0].slots = 1;
+	World w(o);
+	ASSERT_TRUE(w.open());
+	size_t owner = w.owner();
+
+	w.put_rules("dir", 6000);
+	pump(1000);
+
+	first.send(w.boxes[1 - owner], 700);
+	pump(100);
+	second.send(w.boxes[1 - owner], 700);
+	pump(100);
+	w.boxes[owner].gate.signal(SIGTERM);
+	until([&] { return first.done() && second.done(); });
+	first.expect(200, "sent first");
+	second.expect(200, "sent later");
+}
+
+/* A change of configuration does not reach a request that is at work. */
+TEST(Deadline, ARunningRequestIsFinishedAfterEachChange)
+{
+	FleetOptions o = options_of();
+
+	/* A server that is new gets one request at a time. */
+	o.backends.resize(4);
+	World w(o);
+	const std::vector<std::pair<std::string, std::function<void()>>>
+	    changes = {{"lowered",
+			   [&] {
+				   w.put_rules("dir", 100);
+			   }},
+		{"raised",
+		    [&] {
+			    w.put_rules("dir", 6000);
+		    }},
+		{"another service",
+		    [&] {
+			    w.put_rules("none", 3000);
+		    }},
+		{"rule removed",
+		    [&] {
+			    w.remove("rule/dir");
+		    }},
+		{"service removed", [&] {
+			 w.remove("service/dir");
+		 }}};
+
+	ASSERT_TRUE(w.open());
+	for (auto &change : changes) {
+		Pending running;
+
+		w.put_rules("dir", 3000);
+		ASSERT_TRUE(until([&] {
+			return http("POST", w.boxes[0].listen, "/dir/x?ms=400",
+				   {}, "body")
+				   .status == 200 &&
+			    http("POST", w.boxes[1].listen, "/dir/x?ms=400", {},
+				"body")
+				.status == 200;
+		}));
+		for (auto &b : w.boxes)
+			running.send(b, 1000);
+		pump(200);
+		change.second();
+		until([&] { return running.done(); });
+		running.expect(200, change.first);
+	}
+}
+
+/*
+ * An owner that stops ends before its backend server has answered.  The box
+ * that forwarded the request says at once what it knows, and sends again only
+ * what may be repeated.
+ */
+TEST(Deadline, ARequestAtAnOwnerWhoseGraceEndsIsAnsweredAtOnce)
+{
+	World w(options_of("leave_wait_ms = 200\ngrace_ms = 600\n"));
+	Pending pending;
+	double started;
+
+	ASSERT_TRUE(w.open());
+	size_t owner = w.owner();
+
+	pending.send(w.boxes[1 - owner], 1500);
+	pump(100);
+	started = now_ms();
+	w.boxes[owner].gate.signal(SIGTERM);
+	ASSERT_TRUE(until([&] { return pending.replies.size() == 1; }));
+	EXPECT_EQ(502, pending.replies[0].second.status);
+	EXPECT_EQ("unknown", pending.replies[0].second.header("fern-ran"));
+	EXPECT_LT(now_ms() - started, 1200);
+	ASSERT_TRUE(until([&] { return pending.done(); }));
+	EXPECT_EQ(200, pending.replies[1].second.status);
+	EXPECT_EQ(1, w.runs()["r1"]);
+}
