A forwarded body is bounded only by the gate that received it

Callers got 413 for a body that the box they sent it to accepts, while the owner's setting body_max was smaller, as it is for a while when the setting is raised box after box.

Cause: the listener for forwarded requests had the limit of its own gate's settings. It now accepts what any setting may allow; the gate that receives a request from its caller has applied its limit.

Deadline.AForwardedBodyIsBoundedWhereItWasReceived: 413 before, 200 now; the owner still answers 413 to its own callers.

--- a/gate_open.c
+++ b/gate_open.c
@@ -18,6 +18,9 @@
 
 enum { ADMIN_BODY_MAX = 4096 };
 
+/* Largest limit of a request's body that may be set, in bytes. */
+enum { BODY_MAX = 1 << 28 };
+
 /*
  * Intervals of the tick: with requests queued, with requests in flight, and
  * with none.
@@ -80,7 +83,7 @@
 	.offset = F(body_max),
 	.dflt = 1 << 20,
 	.min = 0,
-	.max = 1 << 28},
+	.max = BODY_MAX},
     {.name = "leave_wait_ms",
 	.type = FIELD_INT,
 	.offset = F(leave_wait_ms),
@@ -228,8 +231,9 @@
 	if (g->caller_server == NULL)
 		return err_prefix_setting(err, "listen");
 	hsrv_allow_concurrent(g->caller_server, gate_admit_pipelined);
-	g->forward_server = hsrv_open(
-	    g->loop, g->settings.pass_listen, body, gate_req_from_gate, g, err);
+	/* The gate that forwards a request has applied its own limit. */
+	g->forward_server = hsrv_open(g->loop, g->settings.pass_listen,
+	    BODY_MAX, gate_req_from_gate, g, err);
 	if (g->forward_server == NULL)
 		return err_prefix_setting(err, "pass_listen");
 	g->admin_server = hsrv_open(g->loop, g->settings.admin_listen,
--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -283,3 +283,23 @@
 	EXPECT_EQ(200, pending.replies[1].second.status);
 	EXPECT_EQ(1, w.runs()["r1"]);
 }
+
+/* The limit of the box that received the request holds, not the owner's. */
+TEST(Deadline, AForwardedBodyIsBoundedWhereItWasReceived)
+{
+	World w(options_of("body_max = 4000000\n"));
+	std::string body(2000000, 'x');
+
+	ASSERT_TRUE(w.open());
+	size_t owner = w.owner();
+
+	w.stop_box_hard(owner);
+	w.options.gate_settings = "body_max = 100000\n";
+	w.start_box(owner);
+	ASSERT_TRUE(w.wait_ready());
+	ASSERT_TRUE(until([&] { return w.owner() == owner; }));
+	Reply r = http("POST", w.boxes[1 - owner].listen, "/dir/x", {}, body);
+	EXPECT_EQ(200, r.status) << r.body;
+	r = http("POST", w.boxes[owner].listen, "/dir/x", {}, body);
+	EXPECT_EQ(413, r.status) << r.body;
+}
