A box that stops before its first configuration refuses requests

Callers got 404 from a box that got SIGTERM before it had any configuration; those who had come before the signal waited until early_ms was over, and then got 503.

Cause: only the state "empty" stood for a gate without a configuration. A gate that leaves from there looked for rules in an empty table, and no longer admits the requests that wait, as it never becomes ready.

A gate that was never configured now answers 503 to whatever comes after the signal, and at once to what has waited.

Deadline.ABoxThatStopsBeforeItsFirstConfigurationRefuses: 404 after the signal, and 503 after 3.8 s for the others, before; 503 at once for all now.

--- a/gate_box.c
+++ b/gate_box.c
@@ -86,6 +86,7 @@
 		/* This gate owns no customers any more. */
 		gate_rate_update_owned(g);
 		hsrv_shutdown(g->caller_server);
+		gate_early_refuse(g);
 		break;
 	case BOX_CLOSING:
 		hsrv_stop_accepting(g->caller_server);
--- a/gate_early.c
+++ b/gate_early.c
@@ -19,19 +19,28 @@
 #define EARLY_RETRY_AFTER_NS (200 * NS_MS)
 
 static void
-on_wait_timeout(void *ctx)
+refuse(struct gate_req *r)
 {
-	struct gate_req *r = ctx;
-
 	r->waits_for_conf = false;
 	gate_respond(r, ERR_NOT_READY, RAN_NO, EARLY_RETRY_AFTER_NS);
 }
 
+static void
+on_wait_timeout(void *ctx)
+{
+	refuse(ctx);
+}
+
+/* A gate that is leaving waits for no configuration any more. */
 void
 gate_early_wait(struct gate_req *r)
 {
 	struct gate *g = r->gate;
 
+	if (gate_box_leaving(g)) {
+		refuse(r);
+		return;
+	}
 	if (g->settings.early_ms == 0) {
 		gate_respond(r, ERR_NOT_READY, RAN_NO, 0);
 		return;
@@ -41,9 +50,8 @@
 	    r->arrived_at + g->settings.early_ms * NS_MS, on_wait_timeout, r);
 }
 
-/* Admits the queued requests once the first configuration is in force. */
-void
-gate_early_admit(struct gate *g)
+static void
+end_waits(struct gate *g, void (*fn)(struct gate_req *))
 {
 	GPtrArray *early = g_ptr_array_new();
 	struct gate_req *r;
@@ -58,7 +66,20 @@
 	for (i = 0; i < early->len; i++) {
 		r = g_ptr_array_index(early, i);
 		r->waits_for_conf = false;
-		gate_admit(r);
+		fn(r);
 	}
 	g_ptr_array_free(early, TRUE);
 }
+
+/* Admits the queued requests once the first configuration is in force. */
+void
+gate_early_admit(struct gate *g)
+{
+	end_waits(g, gate_admit);
+}
+
+void
+gate_early_refuse(struct gate *g)
+{
+	end_waits(g, refuse);
+}
--- a/libgate.h
+++ b/libgate.h
@@ -371,9 +371,11 @@
 extern const struct disp_ops gate_req_disp_ops;
 
 /*
- * gate_early.c: admits the requests that came before the first configuration.
+ * gate_early.c: admits or refuses the requests that wait for the first
+ * configuration.
  */
 void gate_early_admit(struct gate *);
+void gate_early_refuse(struct gate *);
 
 /*
  * gate_claim.c: requests with an idempotency key, which are claimed in the
--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -303,3 +303,30 @@
 	r = http("POST", w.boxes[owner].listen, "/dir/x", {}, body);
 	EXPECT_EQ(413, r.status) << r.body;
 }
+
+/* Without a configuration it is not known whether a rule exists. */
+TEST(Deadline, ABoxThatStopsBeforeItsFirstConfigurationRefuses)
+{
+	FleetOptions o = options_of("leave_wait_ms = 2000\nearly_ms = 4000\n");
+	Pending early, late;
+	double started;
+
+	o.boxes = 1;
+	World w(o);
+	ASSERT_TRUE(w.open());
+	w.stop_box_hard(0);
+	w.set_platform("mode=down");
+	w.start_box(0);
+	ASSERT_TRUE(until([&] { return w.metrics(0) != ""; }));
+	early.send(w.boxes[0], 100);
+	pump(200);
+	ASSERT_TRUE(early.replies.empty());
+	started = now_ms();
+	w.boxes[0].gate.signal(SIGTERM);
+	pump(100);
+	late.send(w.boxes[0], 100);
+	until([&] { return early.done() && late.done(); });
+	EXPECT_LT(now_ms() - started, 1000);
+	early.expect(503, "before the signal");
+	late.expect(503, "after it");
+}
