A gate outlives the removal of a service whose requests are queued

Callers of all services lost their connections: the gate crashed when a service was removed while requests for it were queued at the owner of its shards in two halls.

Cause: the shard loses its backend servers at the change, and offers what is queued to the other hall, whose slots it still knows. Where this gate is the owner there too, op_forward() opened the shard of a service that the routes no longer have.

Such requests are now refused as not run, as they are by any other owner.

Deadline.ABoxThatOwnsAllHallsOutlivesTheRemovalOfAService: the gate ended by SIGSEGV before; now what is at work is answered with 200 and the rest with 503.

--- a/gate_try.c
+++ b/gate_try.c
@@ -81,6 +81,7 @@
 op_forward(void *ctx, struct disp_req *d, struct str hall)
 {
 	struct gate_req *r = req_of(d);
+	const struct route_service *service;
 	bool self;
 
 	(void)ctx;
@@ -92,8 +93,12 @@
 		gate_attempt_forward(r);
 		return;
 	}
-	r->shard = gate_conf_shard(
-	    r->gate, route_service(r->gate->routes, r->service), r->hall);
+	service = route_service(r->gate->routes, r->service);
+	if (service == NULL) {
+		gate_respond(r, ERR_NO_SERVICE, gate_req_ran(r), 0);
+		return;
+	}
+	r->shard = gate_conf_shard(r->gate, service, r->hall);
 	disp_submit(r->shard->disp, &r->disp);
 }
 
--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -78,19 +78,23 @@
 	std::vector<std::pair<std::string, Reply>> replies;
 	size_t sent = 0;
 
-	void send(const Box &box, int ms, const std::string &body = "body")
+	void send_one(const Box &box, const std::string &path, int ms)
 	{
-		for (std::string path : {"/dir/x", "/twice/x"}) {
-			std::string what = path + " at " + box.name;
-
-			sent++;
-			http_start("POST", box.listen,
-			    path + "?ms=" + std::to_string(ms),
-			    {{"x-request-id", "r" + std::to_string(sent)}},
-			    body, 10000, [this, what](const Reply &r) {
-				    replies.emplace_back(what, r);
-			    });
-		}
+		std::string what = path + " at " + box.name;
+
+		sent++;
+		http_start("POST", box.listen,
+		    path + "?ms=" + std::to_string(ms),
+		    {{"x-request-id", "r" + std::to_string(sent)}}, "body",
+		    10000, [this, what](const Reply &r) {
+			    replies.emplace_back(what, r);
+		    });
+	}
+
+	void send(const Box &box, int ms)
+	{
+		send_one(box, "/dir/x", ms);
+		send_one(box, "/twice/x", ms);
 	}
 
 	bool done() const
@@ -330,3 +334,30 @@
 	early.expect(503, "before the signal");
 	late.expect(503, "after it");
 }
+
+/*
+ * The service of queued requests is removed.  The box is the owner in both
+ * halls and would forward them to the other one.
+ */
+TEST(Deadline, ABoxThatOwnsAllHallsOutlivesTheRemovalOfAService)
+{
+	FleetOptions o = options_of();
+	Pending running, queued;
+
+	o.boxes = 1;
+	o.backends.resize(2);
+	o.backends[1].hall = "south";
+	for (auto &b : o.backends)
+		b.slots = 1;
+	World w(o);
+	ASSERT_TRUE(w.open());
+	running.send_one(w.boxes[0], "/dir/x", 1000);
+	pump(100);
+	queued.send(w.boxes[0], 1000);
+	pump(100);
+	w.remove("service/dir");
+	until([&] { return running.done() && queued.done(); });
+	running.expect(200, "at work");
+	queued.expect(503, "queued");
+	EXPECT_TRUE(w.ready(0));
+}
