A shard stays while requests that were queued there are elsewhere

Callers of all services lost their connections: a gate crashed some milliseconds after a service was removed, when a request that it had forwarded to another hall came back refused.

Cause: the shard was freed once nothing was queued or in flight there. A request that an owner forwarded to another hall is neither, but its answer is judged by the shard's servers, and may send it there again.

The shard is now freed only when no request refers to it.

Deadline.ARequestThatComesBackOutlivesTheRemovalOfItsService: the gate of the first owner ended by SIGSEGV before; 503 for all, and all gates ready, now.

--- a/gate_conf.c
+++ b/gate_conf.c
@@ -222,7 +222,8 @@
 
 /*
  * Updates a shard.  Returns TRUE, which removes it, if its service is gone and
- * it has no requests left.
+ * it has no requests left.  One that was forwarded to another hall may come
+ * back.
  */
 static gboolean
 refresh_shard(gpointer key, gpointer value, gpointer ctx)
@@ -237,8 +238,7 @@
 		return FALSE;
 	}
 	disp_set_backends(s->disp, NULL, 0);
-	return disp_inflight(s->disp) == 0 &&
-	    disp_capacity_of(s->disp).queued == 0;
+	return !gate_req_uses_shard(g, s);
 }
 
 /*
--- a/gate_req.c
+++ b/gate_req.c
@@ -319,6 +319,20 @@
 	end_each(g, false);
 }
 
+bool
+gate_req_uses_shard(const struct gate *g, const struct gate_shard *s)
+{
+	const struct gate_req *r;
+	const GList *link;
+
+	for (link = g->reqs.head; link != NULL; link = link->next) {
+		r = link->data;
+		if (r->shard == s)
+			return true;
+	}
+	return false;
+}
+
 unsigned
 gate_req_count(const struct gate *g)
 {
--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -361,3 +361,37 @@
 	queued.expect(503, "queued");
 	EXPECT_TRUE(w.ready(0));
 }
+
+/*
+ * The same where the other hall has another owner, and the request comes back
+ * to one that has nothing left of the service.
+ */
+TEST(Deadline, ARequestThatComesBackOutlivesTheRemovalOfItsService)
+{
+	FleetOptions o = options_of();
+	Pending running, queued;
+
+	o.boxes = 3;
+	o.halls = {"north", "south", "north"};
+	o.backends.resize(2);
+	o.backends[1].hall = "south";
+	o.backends[1].slots = 1;
+	World w(o);
+	ASSERT_TRUE(w.open());
+	w.backends[0]->process.kill9();
+	ASSERT_TRUE(until([&] {
+		http("POST", w.boxes[0].listen, "/dir/x", {}, "body");
+		http("POST", w.boxes[2].listen, "/dir/x", {}, "body");
+		return w.metric(1, "fern_passed_in_total") > 20;
+	}));
+	running.send(w.boxes[1], 1000);
+	pump(100);
+	queued.send(w.boxes[0], 1000);
+	queued.send(w.boxes[2], 1000);
+	pump(100);
+	w.remove("service/dir");
+	until([&] { return running.done() && queued.done(); });
+	queued.expect(503, "queued");
+	for (size_t i = 0; i < w.boxes.size(); i++)
+		EXPECT_TRUE(w.ready(i)) << i;
+}
