Keys that were claimed before a restore do not run again

A request with an Idempotency-Key could run twice: its claim was acknowledged, then lost as the platform was restored from an older copy, and the same key ran again through any box. A key that was given back in that time stayed claimed for good, and its caller got 409 for a request that had never run.

Cause: a claim is written once, and whatever was acknowledged counted as kept.

Gates now remember the claims that they made or gave back in the last 20 s, 4096 at most. When a gate learns of a later epoch, from its own calls or from other boxes, it writes them again, the newest first, four at a time; a claim of another request with the key is replaced on condition of its version, so that it cannot be deleted by that request. What was given back is read, and deleted if it is back. For three seconds from then on keys are refused as not run, with Retry-After for the rest of that time; a claim that itself tells the gate of the epoch is given back. A gate that starts on a platform that was restored before refuses as long. Rules with on_outage = "allow" go on as before. A claim is deleted under its new version if it was renewed meanwhile.

The stand-in of the store now answers reads and conditional deletions of single objects.

Not covered: a gate that ends, or is frozen through these three seconds, within 20 s of a claim.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	regress/test_region regress/test_crash regress/test_silent \
 	regress/test_report regress/test_rollout regress/test_customer \
 	regress/test_unattended regress/test_observe \
-	regress/test_restore
+	regress/test_restore regress/test_restore_own
 TESTS = $(UNIT_TESTS) $(FLEET_TESTS)
 BENCHES = regress/bench_load regress/bench_pick regress/bench_gate regress/bench_tail \
 	regress/bench_capacity regress/soak regress/soak_box regress/demo
@@ -33,7 +33,7 @@
 	sync_pack.o tmr.o up.o up_answer.o up_call.o up_conn.o verdict.o wire_zmq.o report.o zip.o
 GATE = gate_admit.o gate_answer.o gate_box.o gate_claim.o gate_conf.o \
 	gate_early.o gate_flow.o gate_handover.o gate_owner.o gate_open.o gate_forward.o gate_query.o gate_poison.o \
-	gate_rate.o gate_req.o gate_roll.o gate_stat.o gate_try.o gate_report.o gate_report_sync.o gate_stat_shards.o
+	gate_rate.o gate_renew.o gate_req.o gate_roll.o gate_stat.o gate_try.o gate_report.o gate_report_sync.o gate_stat_shards.o
 AGENT = agent_box.o agent_gate.o agent_lapse.o agent_look.o agent_open.o \
 	agent_peer.o agent_poison.o agent_probe.o agent_push.o agent_restore.o agent_scope.o agent_stat.o agent_watch.o
 CTL = ctl_box.o ctl_call.o ctl_edit.o ctl_main.o ctl_show.o
--- a/gate_admit.c
+++ b/gate_admit.c
@@ -266,9 +266,10 @@
 		r->claim = NULL;
 	if (kind == ERR_NONE)
 		gate_req_route(r);
+	else if (kind == ERR_DUPLICATE)
+		gate_respond(r, kind, RAN_UNKNOWN, 0);
 	else
-		gate_respond(
-		    r, kind, kind == ERR_DUPLICATE ? RAN_UNKNOWN : RAN_NO, 0);
+		gate_respond(r, kind, RAN_NO, gate_renew_hold_left(r->gate));
 }
 
 /* Weight of a customer's rank: it takes precedence over the ranks of rules. */
--- a/gate_claim.c
+++ b/gate_claim.c
@@ -43,12 +43,15 @@
 	bool allow_outage;
 	/* A create of unknown outcome may have taken effect. */
 	bool maybe_there;
+	bool called; /* the platform was called for it */
+	struct claim_record *record; /* see gate_renew.c; NULL: none */
 	gate_claim_fn *done;
 	void *ctx;
 	struct plat_call *call;
 	struct tmr_item timer;
 };
 
+static void refuse(void *);
 static void create_or_read(struct gate_claim *);
 static void on_create(void *, enum plat_result, json_t *);
 static void on_read(void *, enum plat_result, json_t *);
@@ -58,6 +61,16 @@
 
 static const struct str claim_kind = STR_LIT("claim");
 
+/*
+ * After a restore of the platform, claims may be missing until all gates have
+ * written theirs again.
+ */
+static bool
+is_refused_now(struct gate_claim *c)
+{
+	return !c->allow_outage && gate_renew_hold_left(c->gate) > 0;
+}
+
 struct gate_claim *
 gate_claim_start(struct gate *g, struct str rule, struct str key,
     bool allow_outage, gate_claim_fn *done, void *ctx)
@@ -77,10 +90,20 @@
 	c->done = done;
 	c->ctx = ctx;
 	cnt_add(g->cnt, GC_CLAIMS, 1);
-	create_or_read(c);
+	if (is_refused_now(c))
+		tmr_set(&g->tmr, &c->timer, clk_ns(g->clk), refuse, c);
+	else
+		create_or_read(c);
 	return c;
 }
 
+json_t *
+gate_claim_value(const struct gate *g, const char *id)
+{
+	return json_pack("{s:{s:s, s:I}, s:s}", "spec", "box", id, "at",
+	    (json_int_t)clk_wall_ms(g->clk), "change", id);
+}
+
 static void
 start_call(
     struct gate_claim *c, enum plat_op op, json_t *value, plat_done_fn *done)
@@ -95,6 +118,7 @@
 	};
 
 	cnt_add(c->gate->cnt, GC_CLAIM_CALLS, 1);
+	c->called = true;
 	c->call = plat_start(c->gate->plat, &rq, done, c);
 }
 
@@ -107,8 +131,7 @@
 		start_call(c, PLAT_GET, NULL, on_read);
 		return;
 	}
-	value = json_pack("{s:{s:s, s:I}, s:s}", "spec", "box", c->id, "at",
-	    (json_int_t)clk_wall_ms(c->gate->clk), "change", c->id);
+	value = gate_claim_value(c->gate, c->id);
 	start_call(c, PLAT_CREATE, value, on_create);
 	json_decref(value);
 }
@@ -143,6 +166,35 @@
 	finish(c, c->allow_outage ? ERR_NONE : ERR_CLAIM);
 }
 
+static void
+refuse(void *ctx)
+{
+	finish(ctx, ERR_CLAIM);
+}
+
+/*
+ * The claim in the store is this request's.  If the platform was restored while
+ * it was made, that of another request with the same key may be missing.
+ */
+static void
+finish_claimed(struct gate_claim *c)
+{
+	if (is_refused_now(c)) {
+		c->maybe_there = true;
+		refuse(c);
+		return;
+	}
+	gate_renew_add(c->gate, c->name, c->id, &c->record);
+	finish(c, ERR_NONE);
+}
+
+/* The claim in the store is another request's, which may have ended since. */
+static void
+finish_duplicate(struct gate_claim *c)
+{
+	finish(c, is_refused_now(c) ? ERR_CLAIM : ERR_DUPLICATE);
+}
+
 /*
  * Returns whether a claim in the store is the one of this request; if so, its
  * version is noted.
@@ -169,13 +221,13 @@
 	switch (result) {
 	case PLAT_OK:
 		is_own_claim(c, body);
-		finish(c, ERR_NONE);
+		finish_claimed(c);
 		break;
 	case PLAT_CONFLICT:
-		finish(c,
-		    is_own_claim(c, json_object_get(body, "current"))
-			? ERR_NONE
-			: ERR_DUPLICATE);
+		if (is_own_claim(c, json_object_get(body, "current")))
+			finish_claimed(c);
+		else
+			finish_duplicate(c);
 		break;
 	case PLAT_UNKNOWN:
 		c->maybe_there = true;
@@ -195,8 +247,10 @@
 
 	c->call = NULL;
 	c->calls++;
-	if (result == PLAT_OK) {
-		finish(c, is_own_claim(c, body) ? ERR_NONE : ERR_DUPLICATE);
+	if (result == PLAT_OK && is_own_claim(c, body)) {
+		finish_claimed(c);
+	} else if (result == PLAT_OK) {
+		finish_duplicate(c);
 	} else if (result == PLAT_NOT_FOUND && c->calls < CALLS_MAX) {
 		c->phase = PHASE_CREATE;
 		create_or_read(c);
@@ -211,6 +265,7 @@
 	if (c->call != NULL)
 		plat_cancel(c->gate->plat, c->call);
 	tmr_clear(&c->gate->tmr, &c->timer);
+	gate_renew_forget_holder(c->record);
 	g_free(c);
 }
 
@@ -243,7 +298,11 @@
 	c->call = NULL;
 	c->phase = PHASE_RELEASE;
 	c->calls = 0;
-	delete_claim(c);
+	gate_renew_released(c->record);
+	if (c->called)
+		delete_claim(c);
+	else
+		claim_free(c);
 }
 
 static void
@@ -265,7 +324,8 @@
 
 /*
  * A claim is only deleted if it has this request's id, and only in that
- * version.
+ * version.  It has another version if it was renewed after a restore of the
+ * platform.
  */
 static void
 on_release(void *ctx, enum plat_result result, json_t *body)
@@ -277,6 +337,12 @@
 		delete_claim(c);
 		return;
 	}
+	if (c->version > 0 && result == PLAT_CONFLICT &&
+	    ++c->calls < RELEASES_MAX) {
+		c->version = 0;
+		delete_claim(c);
+		return;
+	}
 	if (result == PLAT_UNAVAILABLE || result == PLAT_UNKNOWN)
 		retry_release(c);
 	else
--- a/gate_open.c
+++ b/gate_open.c
@@ -259,6 +259,7 @@
 	/* Until the agent sends a member list, this gate owns all shards. */
 	g->is_hub = true;
 	gate_poison_open(g);
+	gate_renew_open(g);
 	g->reports = reports_new();
 	gate_rate_open(g);
 	return gate_conf_open(g, err) && gate_req_open(g, err) &&
@@ -325,6 +326,7 @@
 	gate_owner_tick(g, now);
 	gate_handover_tick(g, now);
 	gate_poison_tick(g, now);
+	gate_renew_tick(g, now);
 	gate_reports_tick(g, now);
 	gate_roll_tick(g, now);
 	gate_stat_shards_tick(g, now);
--- a/libgate.h
+++ b/libgate.h
@@ -244,6 +244,7 @@
 	/* char * "service/kind" to struct callers *. */
 	GHashTable *callers_by_kind;
 	GHashTable *rule_limits; /* char * name of a rule to struct limit * */
+	struct claim_records *claim_records; /* used only by gate_renew.c */
 	/* The next five members are used only by gate_rate.c. */
 	struct granter *granter;
 	struct tmr_item granter_timer;
@@ -395,6 +396,28 @@
  * The request ran or may have run: leaves the claim in the store, and frees it.
  */
 void gate_claim_keep(struct gate_claim *);
+/* Returns the value of a claim with this id, which the caller owns. */
+json_t *gate_claim_value(const struct gate *, const char *id);
+
+/*
+ * gate_renew.c: writes claims again that a restore of the platform may have
+ * lost.
+ */
+struct claim_record;
+struct claim_records;
+void gate_renew_open(struct gate *);
+void gate_renew_tick(struct gate *, int64_t now);
+/*
+ * Records a claim in the store.  *holder points to the record until it is freed
+ * or gate_renew_forget_holder() is called.
+ */
+void gate_renew_add(struct gate *, const char *name, const char *id,
+    struct claim_record **holder);
+void gate_renew_forget_holder(struct claim_record *);
+/* The claim is being deleted; the record may be NULL. */
+void gate_renew_released(struct claim_record *);
+/* Returns for how long no key can be claimed yet, in ns; 0: it can. */
+int64_t gate_renew_hold_left(struct gate *);
 
 /*
  * gate_poison.c: exchanges with other gates which requests crash backend
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -495,6 +495,37 @@
 	    text.compare(text.size() - end.size(), end.size(), end) == 0;
 }
 
+/* Answers with one object; "KIND/NAME" is its key. */
+void
+Objects::get(h2o_req_t *req, const std::string &key)
+{
+	auto it = objects.find(key);
+
+	if (it == objects.end())
+		send(req, 404, json_object());
+	else
+		send(req, 200, json_deep_copy(it->second));
+}
+
+/* Deletes an object that still has the revision in the query. */
+void
+Objects::erase(h2o_req_t *req, const std::string &kind, const std::string &name)
+{
+	json_t *old = object(kind, name);
+	json_int_t have = json_integer_value(
+	    json_object_get(json_object_get(old, "metadata"), "rev"));
+	std::string want = text_of(hsrv_query(req, "rev"));
+
+	if (old == nullptr) {
+		send(req, 404, json_object());
+	} else if (want != std::to_string(have)) {
+		send(req, 409, json_deep_copy(old));
+	} else {
+		store(kind, name, json_deep_copy(old), true);
+		send(req, 200, json_object());
+	}
+}
+
 void
 Objects::write(h2o_req_t *req, const std::string &kind)
 {
@@ -530,6 +561,7 @@
 {
 	Objects *o = static_cast<Objects *>(ctx);
 	std::string key = key_of(req), kind = key.substr(0, key.find('/'));
+	bool has_name = key.size() > kind.size();
 
 	if (hsrv_query(req, "watch").n > 0 &&
 	    str_eq(hsrv_query(req, "waitMs"), STR_LIT("0")))
@@ -543,11 +575,16 @@
 	}
 	if (o->status != 0)
 		send(req, o->status, json_object());
+	else if (h2o_memis(
+		     req->method.base, req->method.len, H2O_STRLIT("DELETE")))
+		o->erase(req, kind, key.substr(kind.size() + 1));
 	else if (!h2o_memis(
 		     req->method.base, req->method.len, H2O_STRLIT("GET")))
 		o->write(req, kind);
 	else if (hsrv_query(req, "watch").n > 0)
 		o->watch(req, kind);
+	else if (has_name)
+		o->get(req, key);
 	else
 		o->list(req, kind);
 }
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -177,6 +177,9 @@
 	void in_loop(const std::function<void()> &);
 	void list(h2o_req_t *, const std::string &kind);
 	void watch(h2o_req_t *, const std::string &kind);
+	void get(h2o_req_t *, const std::string &key);
+	void
+	erase(h2o_req_t *, const std::string &kind, const std::string &name);
 	void write(h2o_req_t *, const std::string &kind);
 	uint64_t rev_of_copy() const;
 	std::map<std::string, json_t *> copy() const;
