A status that a restore lost is written again

A box that started after a restore of the platform did not find a hub whose status had been written in the lost seconds, and requests that crash backend servers, whose proof stood in such a status only, crashed servers again once all boxes had started anew.

Cause: a hub writes its status once, and counts as listed from then on.

At a restore, a box whose status was acknowledged in the last 20 s, or was found in a list then, writes it again, spread as at a start so that all boxes together keep to their rate; proved requests are written at once. An older status is in any copy and costs no call: only the version that conditions its next write is that of the new epoch. An acknowledgement of an earlier epoch that arrives later counts as unknown.

RestoreOwn.ABoxThatWasListedIsListedAgain: before, not listed within 4 s. Crash.ItIsKnownWhenAllBoxesStartAnewAfterARestore: before, 6 crashes instead of 3. Both pass now.

--- a/agent_box.c
+++ b/agent_box.c
@@ -13,6 +13,7 @@
 #include <xxhash.h>
 
 #include "libagent.h"
+#include "version.h"
 
 /*
  * Boxes on the platform: fetches the list of boxes and writes the status of
@@ -84,6 +85,13 @@
 	    !info->leaving;
 }
 
+static void
+set_listed(struct agent *a)
+{
+	a->is_listed = true;
+	a->listed_at = clk_ns(a->clk);
+}
+
 static void
 apply_boxes(struct agent *a, json_t *body)
 {
@@ -105,7 +113,8 @@
 			continue;
 		memb_list_add(a->memb, &info);
 		agent_poison_merge_listed(a, json_object_get(box, "poison"));
-		a->is_listed = a->is_listed || is_own_entry(a, &info);
+		if (!a->is_listed && is_own_entry(a, &info))
+			set_listed(a);
 	}
 }
 
@@ -272,6 +281,18 @@
 		a->poison_unsaved = false;
 }
 
+/* A status that was written before a restore of the platform may be lost. */
+static enum plat_result
+result_in_epoch(struct agent *a, enum plat_result result, const json_t *body)
+{
+	uint64_t version =
+	    (uint64_t)json_integer_value(json_object_get(body, "version"));
+
+	if (result == PLAT_OK && version_epoch(version) < conf_epoch(a->conf))
+		return PLAT_UNKNOWN;
+	return result;
+}
+
 /*
  * A conflict means that an earlier process of this box wrote the status; the
  * next write uses the version that it left.
@@ -286,6 +307,7 @@
 
 	a->status_call = NULL;
 	agent_platform_call_ended(a, result);
+	result = result_in_epoch(a, result, body);
 	if (result == PLAT_OK)
 		a->status_version = (uint64_t)json_integer_value(
 		    json_object_get(body, "version"));
@@ -295,7 +317,7 @@
 	if (result == PLAT_OK) {
 		a->status_failures = 0;
 		a->status_written_at = clk_ns(a->clk);
-		a->is_listed = true;
+		set_listed(a);
 		if (!is_status_current(a)) {
 			agent_box_schedule_status(a);
 			return;
@@ -308,3 +330,28 @@
 	tmr_set(
 	    &a->tmr, &a->status_timer, clk_ns(a->clk) + delay, write_status, a);
 }
+
+/*
+ * A status that is older than any copy is not lost.  A call in flight is not
+ * repeated here: on_status() does so unless the call succeeds in the new epoch.
+ */
+void
+agent_box_on_restore(struct agent *a)
+{
+	int64_t age = clk_ns(a->clk) - a->listed_at;
+	uint64_t revision = version_revision(a->status_version);
+
+	a->status_version = 0;
+	if (!a->is_listed || age > AGENT_COPY_AGE_NS) {
+		if (revision > 0)
+			a->status_version =
+			    version_make(conf_epoch(a->conf), revision);
+		return;
+	}
+	a->is_listed = false;
+	a->status_written_at = 0;
+	a->poison_unsaved =
+	    a->poison_unsaved || poison_count_proved(a->poison) > 0;
+	tmr_clear(&a->tmr, &a->status_timer);
+	agent_box_schedule_status(a);
+}
--- a/agent_restore.c
+++ b/agent_restore.c
@@ -13,7 +13,8 @@
 
 /*
  * The platform was restored from a copy some seconds old.  Operators and
- * backend servers write again what it lost; until then, conf.c keeps it.
+ * backend servers write again what it lost; until then, conf.c keeps it.  The
+ * status of this box is written again by the box itself.
  */
 
 static void
@@ -45,6 +46,7 @@
 	a->restored_at = clk_ns(a->clk);
 	tmr_set(&a->tmr, &a->restore_timer, a->restored_at + AGENT_RESTORE_NS,
 	    on_restore_end, a);
+	agent_box_on_restore(a);
 }
 
 void
--- a/libagent.h
+++ b/libagent.h
@@ -96,6 +96,8 @@
  * servers write their entries at intervals of 1.5 s.
  */
 #define AGENT_RESTORE_NS (3 * NS_S)
+/* The age that a copy may have from which the platform is restored. */
+#define AGENT_COPY_AGE_NS (20 * NS_S)
 
 /* Counters and gauges; agent_stat.c describes each. */
 enum agent_cnt {
@@ -160,6 +162,7 @@
 	struct plat_call *boxes_call, *status_call;
 	bool boxes_pending; /* the list of boxes has yet to be fetched */
 	bool is_listed; /* the platform lists this box as it is now */
+	int64_t listed_at; /* when that became known, monotonic ns */
 	int boxes_failures, status_failures; /* consecutive failed calls */
 	int64_t status_written_at; /* last write, monotonic ns; 0: never */
 	uint64_t status_version; /* on the platform; 0: none is known */
@@ -274,6 +277,8 @@
 void agent_box_tick(struct agent *);
 void agent_box_resume_calls(struct agent *);
 void agent_box_schedule_status(struct agent *);
+/* The platform was restored: writes the status again if it may be lost. */
+void agent_box_on_restore(struct agent *);
 
 /* agent_lapse.c: delayed deletions of backend servers' entries. */
 void agent_deletion_open(struct agent *);
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -427,6 +427,15 @@
 	return n;
 }
 
+uint64_t
+Objects::revision()
+{
+	uint64_t last = 0;
+
+	in_loop([&] { last = rev; });
+	return last;
+}
+
 void
 Objects::keep_copy()
 {
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -125,6 +125,8 @@
 	void silence(bool);
 	/* How many calls got no response. */
 	size_t hung();
+	/* The revision of the last write. */
+	uint64_t revision();
 	/* Keeps a copy of the store for restore(). */
 	void keep_copy();
 	/*
--- a/regress/test_crash.cpp
+++ b/regress/test_crash.cpp
@@ -261,6 +261,31 @@
 	EXPECT_EQ(3u, w.platform.ends().size());
 }
 
+/*
+ * The platform was restored from a copy that lacks what the box had written of
+ * the request, before all boxes stopped at once.
+ */
+TEST(Crash, ItIsKnownWhenAllBoxesStartAnewAfterARestore)
+{
+	Ending w;
+
+	ASSERT_TRUE(until([&] { return w.ready() && w.has("boxes", "b1"); }));
+	w.platform.keep_copy();
+	for (int i = 0; i < 4; i++)
+		w.ask("/look/ends");
+	EXPECT_EQ(3u, w.platform.ends().size());
+	pump(1000);
+	w.platform.restore();
+	pump(3000);
+	w.box.kill9();
+	w.box.start();
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	ASSERT_TRUE(until([&] { return w.ask("/look/1").status == 200; }));
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(503, w.ask("/look/ends").status);
+	EXPECT_EQ(3u, w.platform.ends().size());
+}
+
 /*
  * While the platform is unreachable, a box that starts learns of crashing
  * requests from the other boxes.
--- a/regress/test_restore_own.cpp
+++ b/regress/test_restore_own.cpp
@@ -160,3 +160,26 @@
 	EXPECT_TRUE(until(
 	    [&] { return buy(w.ip + ":8080", "two").status == 200; }, 1000));
 }
+
+/*
+ * A hub writes its status once.  If that is lost, boxes that start do not find
+ * the hub.  It is written again once, as calls to the store are expensive.
+ */
+TEST(RestoreOwn, ABoxThatWasListedIsListedAgain)
+{
+	const char *hubs = "status_by = \"hubs\"\nstatus_ms = 3600000\n";
+	World w(true, "", "", hubs);
+	Further second(w, "b2", "north", "7", hubs);
+
+	ASSERT_TRUE(is_ready(w));
+	ASSERT_TRUE(until([&] { return w.has("boxes", "b1"); }));
+	w.platform.keep_copy();
+	second.box.start();
+	ASSERT_TRUE(until([&] { return w.has("boxes", "b2"); }, 10000));
+	w.platform.restore();
+	EXPECT_FALSE(w.has("boxes", "b2"));
+	uint64_t revision = w.platform.revision();
+	EXPECT_TRUE(until([&] { return w.has("boxes", "b2"); }, 4000));
+	pump(1500);
+	EXPECT_EQ(revision + 1, w.platform.revision());
+}
