The outcome of a roll-out outlives a restore

Cause: an object without the outcome that the gate had seen counts as a new start of the roll-out. Also, status writes were sent under a revision of an earlier epoch, which the platform may have given to another version.

An object of a later epoch than that of the outcome no longer starts the roll-out anew: the outcome is written again. Until the configuration has the object in the new epoch, the owner reads the object once for the condition, if the outcome was seen in the last 20 s or is new, and leaves an object with another target alone. A status under a condition of an earlier epoch is not sent.

--- a/gate_roll.c
+++ b/gate_roll.c
@@ -10,12 +10,14 @@
  */
 #include "libgate.h"
 #include "slog.h"
+#include "version.h"
 
 /*
  * Roll-outs: the owners of a service's shards report their state to each other
  * and to the platform.  The owner of the first hall writes to the platform, on
  * condition that the roll-out object has not changed; if two gates consider
- * themselves that owner, the platform accepts only one write.
+ * themselves that owner, the platform accepts only one write.  After a restore
+ * of the platform the outcome may be lost; it is then written again.
  */
 #define REPORT_INTERVAL_NS (250 * NS_MS)
 /*
@@ -24,6 +26,9 @@
  */
 #define WRITE_INTERVAL_NS (1500 * NS_MS)
 
+/* The age that a copy may have from which the platform is restored. */
+#define COPY_AGE_MAX_NS (20 * NS_S)
+
 enum { CALL_TIMEOUT_MS = 1000 };
 
 /* Part of the platform's allowed share for an unproven version that is used. */
@@ -49,6 +54,41 @@
 	s->roll_call = NULL;
 	roll_free(s->rollout);
 	s->rollout = NULL;
+	s->roll_outcome_at = 0;
+}
+
+static const struct conf_entry *
+find_entry(struct gate *g, const struct gate_shard *s)
+{
+	char *key = g_strdup_printf("rollout/%.*s", STR_ARG(s->service));
+	const struct conf_entry *e = conf_get(g->conf, str_c(key));
+
+	g_free(key);
+	return e;
+}
+
+static bool
+is_outcome(enum obj_rollout_state state)
+{
+	return state == ROLLOUT_COMPLETED || state == ROLLOUT_ROLLED_BACK;
+}
+
+/* Records that the platform has the outcome in this version of the object. */
+static void
+confirm_outcome(struct gate_shard *s, uint64_t version)
+{
+	s->roll_confirmed_epoch =
+	    MAX(s->roll_confirmed_epoch, version_epoch(version));
+}
+
+/* Records that the configuration has the outcome. */
+static void
+note_outcome(struct gate_shard *s, uint64_t version)
+{
+	confirm_outcome(s, version);
+	s->roll_outcome_epoch = version_epoch(version);
+	if (s->roll_outcome_at == 0)
+		s->roll_outcome_at = clk_ns(s->gate->clk);
 }
 
 /* Updates the roll-out of a shard from the service's roll-out object. */
@@ -57,7 +97,12 @@
     struct gate *g, struct gate_shard *s, const struct route_service *svc)
 {
 	const struct obj_rollout *spec = svc->rollout;
+	const struct conf_entry *e = find_entry(g, s);
+	uint64_t version = e == NULL ? 0 : e->version;
 
+	if (s->rollout != NULL &&
+	    version_epoch(version) > s->roll_outcome_epoch)
+		roll_forget_stored_outcome(s->rollout);
 	if (s->rollout != NULL &&
 	    (spec == NULL || !roll_matches(s->rollout, spec)))
 		gate_roll_close(s);
@@ -70,6 +115,8 @@
 	}
 	roll_set_platform_state(
 	    s->rollout, (enum obj_rollout_state)spec->state);
+	if (is_outcome((enum obj_rollout_state)spec->state))
+		note_outcome(s, version);
 }
 
 static void
@@ -166,32 +213,97 @@
 	s->roll_call = NULL;
 	s->roll_version =
 	    (uint64_t)json_integer_value(json_object_get(object, "version"));
+	if (result == PLAT_OK && is_outcome(s->roll_written_state))
+		confirm_outcome(s, s->roll_version);
 	slog(SLOG_PICK, "roll-out state was written", "service=%.*s result=%s",
 	    STR_ARG(s->service), plat_result_name(result));
 }
 
 static void
-write_state(struct gate *g, struct gate_shard *s,
-    const struct route_service *svc, enum obj_rollout_state state, int64_t now)
+write_state(struct gate_shard *s, struct str target, uint64_t version)
 {
-	char *key = g_strdup_printf("rollout/%.*s", STR_ARG(s->service));
-	const struct conf_entry *e = conf_get(g->conf, str_c(key));
+	struct gate *g = s->gate;
 	struct plat_request rq = {.op = PLAT_UPDATE_STATUS,
 	    .kind = rollout_kind,
 	    .name = s->service,
-	    .version = MAX(e == NULL ? 0 : e->version, s->roll_version),
+	    .version = version,
 	    .timeout_ms = CALL_TIMEOUT_MS};
-	json_t *value;
+	json_t *value = json_pack("{s:s, s:s%}", "state",
+	    obj_rollout_state_name(s->roll_written_state), "version", target.p,
+	    target.n);
 
-	g_free(key);
-	value = json_pack("{s:s, s:s%}", "state", obj_rollout_state_name(state),
-	    "version", svc->rollout->version.p, svc->rollout->version.n);
 	rq.value = value;
-	s->roll_written_at = now;
 	s->roll_call = plat_start(g->plat, &rq, on_written, s);
 	json_decref(value);
 }
 
+/* Returns whether a text member of an object equals a string. */
+static bool
+has_text(const json_t *o, const char *key, struct str text)
+{
+	return str_eq(str_c(json_string_value(json_object_get(o, key))), text);
+}
+
+/*
+ * Writes the state to the object that the platform has since its restore,
+ * unless it has the state, or another target.
+ */
+static void
+on_read(void *ctx, enum plat_result result, json_t *body)
+{
+	struct gate_shard *s = ctx;
+	const struct route_service *svc =
+	    route_service(s->gate->routes, s->service);
+	const json_t *spec = json_object_get(body, "spec");
+	struct str state = str_c(obj_rollout_state_name(s->roll_written_state));
+
+	s->roll_call = NULL;
+	if (result != PLAT_OK || svc == NULL || svc->rollout == NULL ||
+	    !has_text(spec, "version", svc->rollout->version))
+		return;
+	s->roll_version =
+	    (uint64_t)json_integer_value(json_object_get(body, "version"));
+	if (!has_text(spec, "state", state))
+		write_state(s, svc->rollout->version, s->roll_version);
+	else if (is_outcome(s->roll_written_state))
+		confirm_outcome(s, s->roll_version);
+}
+
+static void
+read_object(struct gate_shard *s)
+{
+	struct plat_request rq = {.op = PLAT_GET,
+	    .kind = rollout_kind,
+	    .name = s->service,
+	    .timeout_ms = CALL_TIMEOUT_MS};
+
+	s->roll_call = plat_start(s->gate->plat, &rq, on_read, s);
+}
+
+/* A version of an earlier epoch is no condition for a write. */
+static void
+read_or_write_state(struct gate *g, struct gate_shard *s,
+    const struct route_service *svc, int64_t now)
+{
+	const struct conf_entry *e = find_entry(g, s);
+	uint64_t version = MAX(e == NULL ? 0 : e->version, s->roll_version);
+
+	s->roll_written_at = now;
+	if (version_epoch(version) < conf_epoch(g->conf))
+		read_object(s);
+	else
+		write_state(s, svc->rollout->version, version);
+}
+
+/* Returns whether a restore of the platform may have lost the outcome. */
+static bool
+may_be_lost(const struct gate *g, const struct gate_shard *s, int64_t now)
+{
+	return s->roll_outcome_at != 0 &&
+	    s->roll_confirmed_epoch < conf_epoch(g->conf) &&
+	    now - s->roll_outcome_at < COPY_AGE_MAX_NS;
+}
+
 /*
  * Returns the hall whose owner writes to the platform: the first one by name.
  */
@@ -221,12 +333,13 @@
 	state = roll_state_to_write(
 	    s->rollout, halls, n, disp_old_version_inflight(s->disp), now);
 	g_free(halls);
-	if ((int)state == svc->rollout->state || s->roll_call != NULL ||
+	if (((int)state == svc->rollout->state && !may_be_lost(g, s, now)) ||
+	    s->roll_call != NULL ||
 	    (state == s->roll_written_state &&
 		now - s->roll_written_at < WRITE_INTERVAL_NS))
 		return;
 	s->roll_written_state = state;
-	write_state(g, s, svc, state, now);
+	read_or_write_state(g, s, svc, now);
 }
 
 /*
--- a/libgate.h
+++ b/libgate.h
@@ -182,8 +182,16 @@
 	int64_t roll_sent_at, roll_written_at;
 	/* Write to the platform in flight; NULL: none. */
 	struct plat_call *roll_call;
-	/* Version of the roll-out object in the response to the last write. */
+	/* Version of the roll-out object in the response to the last call. */
 	uint64_t roll_version;
+	/*
+	 * The latest epoch of a configuration with the outcome, and when the
+	 * first one came, monotonic ns; 0: never.
+	 */
+	uint64_t roll_outcome_epoch;
+	int64_t roll_outcome_at;
+	/* The latest epoch in which the platform is known to have it. */
+	uint64_t roll_confirmed_epoch;
 	enum obj_rollout_state roll_written_state; /* state in the last write */
 };
 
--- a/plat_http.c
+++ b/plat_http.c
@@ -100,7 +100,8 @@
 static bool
 has_stale_condition(const struct plat_call *c)
 {
-	return (c->rq.op == PLAT_UPDATE || c->rq.op == PLAT_DELETE) &&
+	return (c->rq.op == PLAT_UPDATE || c->rq.op == PLAT_UPDATE_STATUS ||
+		   c->rq.op == PLAT_DELETE) &&
 	    version_epoch(c->rq.version) < c->http->plat.epoch;
 }
 
--- a/regress/test_rollout.cpp
+++ b/regress/test_rollout.cpp
@@ -153,3 +153,68 @@
 	ASSERT_TRUE(r.reaches("completed"))
 	    << r.state() << r.box.read_log() << second.box.read_log();
 }
+
+/*
+ * The platform was restored from a copy in which the roll-out is undecided. It
+ * must not start again, and the decision is written again.
+ */
+TEST(Rollout, ADecisionThatARestoreLostIsKept)
+{
+	Rollout r(false);
+
+	r.order("8s");
+	ASSERT_TRUE(r.reaches("running"));
+	r.platform.keep_copy();
+	r.platform.fail("n-5");
+	r.platform.fail("n-6");
+	ASSERT_TRUE(r.reaches("rolled_back")) << r.state();
+	size_t got = r.ran_new();
+	pump(1000);
+	r.platform.restore();
+	EXPECT_TRUE(r.reaches("rolled_back")) << r.state();
+	for (int i = 0; i < 50; i++) {
+		EXPECT_EQ(200, r.ask("/look/1").status);
+		pump(100);
+	}
+	EXPECT_EQ(got, r.ran_new());
+	EXPECT_EQ("rolled_back", r.state());
+}
+
+/* The same if the order itself was lost, which the operator writes again. */
+TEST(Rollout, ADecisionIsKeptIfItsOrderIsWrittenAgain)
+{
+	Rollout r(true);
+
+	pump(500);
+	r.platform.keep_copy();
+	r.order("8s");
+	ASSERT_TRUE(r.reaches("rolled_back")) << r.state();
+	size_t got = r.ran_new();
+	pump(1000);
+	r.platform.restore();
+	pump(500);
+	r.order("8s");
+	EXPECT_TRUE(r.reaches("rolled_back")) << r.state();
+	for (int i = 0; i < 50; i++) {
+		EXPECT_EQ(200, r.ask("/look/1").status);
+		pump(100);
+	}
+	EXPECT_EQ(got, r.ran_new());
+	EXPECT_EQ("rolled_back", r.state());
+}
+
+/*
+ * The copy has the order as it is, at a version of an earlier epoch. A decision
+ * after the restore is written soon.
+ */
+TEST(Rollout, ADecisionAfterARestoreIsWritten)
+{
+	Rollout r(false);
+
+	r.order("5s");
+	ASSERT_TRUE(r.reaches("running"));
+	r.platform.keep_copy();
+	r.platform.restore();
+	pump(1000);
+	EXPECT_TRUE(r.reaches("completed")) << r.state() << r.box.read_log();
+}
--- a/roll.c
+++ b/roll.c
@@ -116,6 +116,12 @@
 	    (!r->outcome_stored || decided);
 }
 
+void
+roll_forget_stored_outcome(struct roll *r)
+{
+	r->outcome_stored = false;
+}
+
 static void
 step(struct roll *r, enum roll_event ev, int64_t now)
 {
--- a/roll.h
+++ b/roll.h
@@ -75,6 +75,12 @@
  */
 bool roll_matches(const struct roll *, const struct obj_rollout *);
 
+/*
+ * The platform may have lost the outcome that it had stored: the roll-out goes
+ * on as it is if an object without outcome follows.
+ */
+void roll_forget_stored_outcome(struct roll *);
+
 /* Takes over the state that the platform has stored. */
 void roll_set_platform_state(struct roll *, enum obj_rollout_state);
 
