--- a/regress/box.h
+++ b/regress/box.h
@@ -166,6 +166,7 @@
 	/* Additional members of each service's and each route's spec. */
 	std::string of_service, of_route;
 	std::string target = "300ms"; /* of each route */
+	std::string timeout = "900ms"; /* of each route */
 	int number = 1; /* the operator's number of the configuration */
 
 	/* Writes one route for safe and one for unsafe requests to a service.
@@ -174,10 +175,11 @@
 	{
 		std::string route = R"({"resourceType":"routes",
 		    "metadata":{"name":"NAME"},"spec":{"host":"shop.example",
-		    "pathPrefix":"/NAME/","routeType":"TYPE","timeout":"900ms",
+		    "pathPrefix":"/NAME/","routeType":"TYPE","timeout":"TIMEOUT",
 		    "targetLatency":"TARGET","priority":1,"maxAttempts":2,
 		    "service":"SERVICE"MORE}},)";
 		route = replaced(route, "TARGET", target);
+		route = replaced(route, "TIMEOUT", timeout);
 		std::string safe =
 		    replaced(replaced(route, "NAME", "look"), "TYPE", "safe");
 		std::string unsafe =
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -514,7 +514,8 @@
 	std::string weak_file;
 	Process weak;
 
-	Pair() : World(true, "power = 0.5\n", "", "power = 0.5\n")
+	explicit Pair(const std::string &bounds = "")
+	    : World(true, "power = 0.5\n", bounds, "power = 0.5\n")
 	{
 		const char *root = getenv("FERN_ROOT");
 		std::string text =
@@ -564,6 +565,35 @@
 
 } // namespace
 
+/*
+ * A box that forwarded a request waits for its answer, and needs no last word
+ * of the owner: this exits as late as the platform allows.
+ */
+TEST(Box, AForwardedRequestIsFinishedUntilTheEndOfItsOwnersGrace)
+{
+	Pair w("\"grace\":\"6s\",");
+	Reply got;
+	bool answered = false;
+
+	w.timeout = "8s";
+	w.configure("till");
+	w.weak.start();
+	ASSERT_TRUE(until([&] { return w.ready() && w.weak_ready(); }));
+	ASSERT_TRUE(until([&] { return w.ask_weak("/look/1").status == 200; }));
+	/* Ends 5.65 s after the signal; nine tenths of the grace are 5.4 s. */
+	http_start("POST", w.ip + ":7080", "/buy/1?ms=5750",
+	    {{"Host", "shop.example"}, {"fernjunction-request-id", "long"},
+		{"fernjunction-deadline-ms", "8000"}},
+	    "body", 10000, [&](const Reply &r) {
+		    got = r;
+		    answered = true;
+	    });
+	pump(100);
+	w.box.signal(SIGTERM);
+	ASSERT_TRUE(until([&] { return answered; }));
+	EXPECT_EQ(200, got.status) << got.body;
+}
+
 /*
  * A weak box needs the rules to forward requests to owners, but no backend
  * servers.
--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -402,3 +402,36 @@
 	for (size_t i = 0; i < w.boxes.size(); i++)
 		EXPECT_TRUE(w.ready(i)) << i;
 }
+
+/*
+ * A box that has not heard that the owner leaves forwards to it for as long as
+ * it runs; what is still at work there when it exits was cut.
+ */
+TEST(Deadline, AnOwnerThatLeavesTakesNoForwardedRequestsForLong)
+{
+	World w(options_of("leave_wait_ms = 200\ngrace_ms = 2500\n"));
+	Reply own, late;
+	int done = 0;
+
+	ASSERT_TRUE(w.open());
+	size_t owner = w.owner(), other = 1 - owner;
+	/* Keeps the owner from exiting early. */
+	http_start("POST", w.boxes[owner].listen, "/dir/x?ms=2400", {}, "body",
+	    10000, [&](const Reply &r) {
+		    own = r;
+		    done++;
+	    });
+	pump(100);
+	w.boxes[other].agent_process.signal(SIGSTOP);
+	w.boxes[owner].gate.signal(SIGTERM);
+	pump(900);
+	http_start("POST", w.boxes[other].listen, "/dir/x?ms=2400", {}, "body",
+	    10000, [&](const Reply &r) {
+		    late = r;
+		    done++;
+	    });
+	EXPECT_TRUE(until([&] { return done == 2; }));
+	w.boxes[other].agent_process.signal(SIGCONT);
+	EXPECT_EQ(200, own.status) << own.body;
+	EXPECT_EQ(200, late.status) << late.body;
+}
