A gate that leaves declines forwarded requests after half a second

The owner now declines what comes later than 500 ms after its SIGTERM, as not run; the box that forwarded it avoids the owner for a while and routes it again.

--- a/gate_admit.c
+++ b/gate_admit.c
@@ -109,6 +109,10 @@
 	struct gate_forward forward;
 	const struct route_service *service;
 
+	if (gate_box_declines(g)) {
+		gate_respond(r, ERR_LEAVING, RAN_NO, 0);
+		return;
+	}
 	if (!gate_forward_read(
 		hsrv_header(r->req, GATE_FORWARD_HEADER), &forward)) {
 		gate_respond(r, ERR_BAD_REQUEST, RAN_NO, 0);
--- a/gate_owner.c
+++ b/gate_owner.c
@@ -420,6 +420,12 @@
 	remove_unlisted(g);
 }
 
+void
+gate_owner_avoid(struct gate *g, struct gate_peer *p)
+{
+	p->suspect_until = clk_ns(g->clk) + rnd_jitter(g->rnd, SUSPECT_NS);
+}
+
 void
 gate_owner_suspect(struct gate *g, struct gate_peer *p, const char *reason)
 {
--- a/gate_try.c
+++ b/gate_try.c
@@ -272,6 +272,8 @@
 		r->response_not_run = !r->maybe_ran;
 		return false;
 	}
+	if (kind == ERR_LEAVING)
+		gate_owner_avoid(r->gate, r->owner);
 	leave_owner(r);
 	return route_again(r);
 }
--- a/libgate.h
+++ b/libgate.h
@@ -297,6 +297,8 @@
 void gate_box_tick(struct gate *, int64_t now);
 /* Returns whether a planned shutdown has begun. */
 bool gate_box_leaving(const struct gate *);
+/* Returns whether other gates must have heard that this one is leaving. */
+bool gate_box_declines(const struct gate *);
 
 /*
  * gate_conf.c: configuration from the agent, and the routes, shards and limits
@@ -345,6 +347,8 @@
  * again where that is possible, and the agent is informed.
  */
 void gate_owner_suspect(struct gate *, struct gate_peer *, const char *reason);
+/* A gate is leaving: no new request is forwarded to it for a while. */
+void gate_owner_avoid(struct gate *, struct gate_peer *);
 /* A message from the gate with this inbox has arrived. */
 void gate_owner_mark_alive(struct gate *, struct str inbox);
 /* Sends a message to the owners of the service's shards in other halls. */
