A backend server's own answer at the deadline reaches the caller

At the deadline callers got the backend server's 504, a 504 of ours or, where the request may be repeated, an answer of a second server that had a millisecond for it, by turns. The server's answer is meant: it is true, it needs no cut connection, and a second server's work would be for nothing.

Cause: a backend server was given all the time that the gate had, so its answer and the gate's timer raced. An answer that won counted as an error of the server, which is retried whatever time is left.

The server now gets a deadline 5 ms before the gate's, as the next gate does. An error response with less than 10 ms left counts as a timeout, as our own cut does: it is passed on and not retried, and speaks against no version in a roll-out.

--- a/gate_flow.c
+++ b/gate_flow.c
@@ -24,7 +24,7 @@
 	BODY_BUFFER_MAX = 256 * 1024,
 	HEADERS_MAX = 128, /* of a request that is sent */
 	ADDED_HEADERS_MAX = 5,
-	FORWARD_MARGIN_MS = 5 /* see request_headers() */
+	DEADLINE_MARGIN_MS = 5 /* see request_headers() */
 };
 
 /* Longest silence of the other side in the middle of a response. */
@@ -121,9 +121,9 @@
 }
 
 /*
- * Writes the headers of a request and returns their number.  A gate that the
- * request is forwarded to gets a deadline that is a little earlier, so that its
- * response arrives before this gate's deadline.
+ * Writes the headers of a request and returns their number.  The gate or
+ * backend server that it is sent to gets a deadline that is a little earlier,
+ * so that its response arrives before this gate's deadline.
  */
 static size_t
 request_headers(
@@ -132,15 +132,13 @@
 	const struct dialect *dialect = r->gate->dialect;
 	const h2o_headers_t *in = &r->req->headers;
 	int64_t now = clk_ns(r->gate->clk);
-	int64_t left_ms = (r->disp.deadline - now) / NS_MS;
+	int64_t left_ms = (r->disp.deadline - now) / NS_MS - DEADLINE_MARGIN_MS;
 	struct str forward;
 	size_t i, n = 0;
 
 	for (i = 0; i < in->size && n < HEADERS_MAX - ADDED_HEADERS_MAX; i++)
 		if (!is_hop_by_hop_header(in->entries[i].name, dialect))
 			out[n++] = in->entries[i];
-	if (r->owner != NULL)
-		left_ms -= FORWARD_MARGIN_MS;
 	snprintf(added->deadline, sizeof(added->deadline), "%lld",
 	    (long long)MAX(left_ms, 1));
 	out[n] =
--- a/gate_try.c
+++ b/gate_try.c
@@ -21,6 +21,12 @@
 
 enum { LOST_ATTEMPTS = 2 };
 
+/*
+ * An error response of a backend server with less time left than this means
+ * that the server has reached the deadline.
+ */
+#define AT_DEADLINE_NS (10 * NS_MS)
+
 static void op_send(void *, struct disp_req *, struct pick_backend *);
 static void op_forward(void *, struct disp_req *, struct str);
 static void op_fail(void *, struct disp_req *, enum err_kind, int64_t);
@@ -207,7 +213,11 @@
 		return DISP_WRONG_INSTANCE;
 	if (dialect->not_executed(status, headers, n))
 		return DISP_REFUSED;
-	return status >= 500 ? DISP_SERVER_ERROR : DISP_OK;
+	if (status < 500)
+		return DISP_OK;
+	return r->disp.deadline - clk_ns(r->gate->clk) < AT_DEADLINE_NS
+	    ? DISP_TIMED_OUT
+	    : DISP_SERVER_ERROR;
 }
 
 /*
@@ -297,6 +307,7 @@
     struct gate_req *r, int status, const h2o_header_t *headers, size_t n)
 {
 	enum disp_outcome outcome;
+	bool is_error;
 
 	if (r->owner != NULL)
 		return head_from_owner(r, status, headers, n);
@@ -304,11 +315,11 @@
 	outcome = outcome_of(r, status, headers, n);
 	if (outcome == DISP_OK)
 		return false;
-	r->maybe_ran = r->maybe_ran || outcome == DISP_SERVER_ERROR;
+	is_error = outcome == DISP_SERVER_ERROR || outcome == DISP_TIMED_OUT;
+	r->maybe_ran = r->maybe_ran || is_error;
 	r->response_not_run = outcome == DISP_REFUSED && !r->maybe_ran;
 	if (!disp_can_retry(r->shard->disp, &r->disp, outcome)) {
-		if (outcome != DISP_SERVER_ERROR &&
-		    r->gate->dialect->status_means_not_run)
+		if (!is_error && r->gate->dialect->status_means_not_run)
 			return end_refused(r, outcome);
 		disp_attempt_done(r->shard->disp, &r->disp, outcome);
 		return false;
--- a/regress/standin_backend.c
+++ b/regress/standin_backend.c
@@ -23,7 +23,7 @@
  * 503 with Fern-Ran: no), drain (0|1), sick (0|1: health checks fail), lie
  * (0|1: health checks always pass), cut (bytes after which a response is cut
  * off), cold (number of first requests that take five times as long), chunked
- * (0|1: no Content-Length).
+ * (0|1: no Content-Length), deadline (0|1: 504 at the deadline of a request).
  */
 #include <fcntl.h>
 #include <math.h>
@@ -52,12 +52,13 @@
 	K_CUT,
 	K_COLD,
 	K_CHUNKED,
+	K_DEADLINE,
 	K_MAX
 };
 
 static const char *const key_names[K_MAX] = {"slots", "shed", "ms", "spread",
     "slow", "spell_every", "spell_ms", "fail", "refuse", "drain", "sick", "lie",
-    "cut", "cold", "chunked"};
+    "cut", "cold", "chunked", "deadline"};
 
 enum { CHUNK = 65536, SPELL_SLOW = 10, COLD_SLOW = 5 };
 
@@ -67,7 +68,7 @@
 	h2o_generator_t gen;
 	struct tmr_item timer;
 	bool queued, running;
-	uint64_t size, sent, ms;
+	uint64_t size, sent, ms, deadline_ms;
 	char *chunk; /* the bytes being sent */
 	GList link;
 	char id[64];
@@ -218,10 +219,20 @@
 	on_proceed(&w->gen, req);
 }
 
+static void
+on_deadline(void *ctx)
+{
+	struct work *w = ctx;
+
+	finish(w);
+	refuse(w, 504, false);
+}
+
 static void
 run(struct work *w)
 {
 	double ms = (double)(w->ms > 0 ? w->ms : st.v[K_MS]);
+	bool late;
 
 	w->running = true;
 	st.running++;
@@ -237,12 +248,15 @@
 		st.v[K_COLD]--;
 		ms *= COLD_SLOW;
 	}
+	late = st.v[K_DEADLINE] && (double)w->deadline_ms < ms;
+	if (late)
+		ms = (double)w->deadline_ms;
 	if (ms <= 0)
 		on_served(w);
 	else
 		tmr_set(&st.tmr, &w->timer,
 		    clk_ns(clk_system()) + (int64_t)(ms * (double)NS_MS),
-		    on_served, w);
+		    late ? on_deadline : on_served, w);
 }
 
 static void
@@ -264,7 +278,7 @@
 {
 	struct work *w = g_new0(struct work, 1), **guard;
 	struct str id = hsrv_header(req, "x-request-id");
-	unsigned long long size = 0, ms = 0;
+	unsigned long long size = 0, ms = 0, deadline_ms = 0;
 
 	guard = h2o_mem_alloc_shared(&req->pool, sizeof(*guard), on_dispose);
 	*guard = w;
@@ -275,6 +289,10 @@
 	w->size =
 	    str_u64(hsrv_query(req, "size"), &size) && size > 0 ? size : 1024;
 	w->ms = str_u64(hsrv_query(req, "ms"), &ms) ? ms : 0;
+	w->deadline_ms =
+	    str_u64(hsrv_header(req, "fern-deadline-ms"), &deadline_ms)
+	    ? deadline_ms
+	    : UINT64_MAX;
 	if (st.v[K_REFUSE]) {
 		refuse(w, 503, true);
 	} else if (st.v[K_FAIL]) {
--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -435,3 +435,35 @@
 	EXPECT_EQ(200, own.status) << own.body;
 	EXPECT_EQ(200, late.status) << late.body;
 }
+
+/*
+ * A backend server ends its work at the deadline that it was given, and says
+ * so.  Its caller gets that answer rather than one of the gate's, and no other
+ * server gets the request when there is no time left for it.
+ */
+TEST(Deadline, TheServersAnswerAtItsDeadlineIsPassedOn)
+{
+	FleetOptions o = options_of("leave_wait_ms = 200\npolicy = \"pace\"\n");
+	const int ROUNDS = 5;
+
+	o.backends.resize(2);
+	for (auto &b : o.backends)
+		b.keys = "ms=5 deadline=1";
+	World w(o);
+	ASSERT_TRUE(w.open());
+	w.put_rules("dir", 200);
+	pump(1000);
+	for (int i = 0; i < ROUNDS; i++)
+		for (auto &b : w.boxes) {
+			Pending pending;
+
+			pending.send(b, 1000);
+			ASSERT_TRUE(until([&] { return pending.done(); }));
+			pending.expect(504, "late");
+			for (auto &r : pending.replies)
+				EXPECT_EQ("refused\n", r.second.body)
+				    << r.first;
+		}
+	EXPECT_EQ(2 * 2 * ROUNDS,
+	    w.backends[0]->count("ran") + w.backends[1]->count("ran"));
+}
