Long names of a forwarded request are not cut short

A request whose hall, customer, service and list of regions have long names together could not be served through another box than the owner: 400, or 503 for a service that is unknown, or the service whose name the rest happens to be.

Cause: the header of a forwarded request had 600 bytes, cut without notice, while a name may have 128 and a rule may list any number of regions. It now has 2,048. An owner of an older build answers 400 to a header beyond 600, as before.

Forward.LongNamesAreForwardedWhole: the header could not be read before.

--- a/libreq.h
+++ b/libreq.h
@@ -134,8 +134,11 @@
 };
 
 #define GATE_FORWARD_HEADER "fern-pass"
-/* Longest such header in bytes, with its NUL. */
-enum { GATE_FORWARD_MAX = 600 };
+/*
+ * Longest such header in bytes, with its NUL: the numbers, three names of the
+ * greatest length, and a list of ten such regions.
+ */
+enum { GATE_FORWARD_MAX = 2048 };
 
 /*
  * gate_forward.c: reads and writes the header of a forwarded request.  Reading
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -685,6 +685,30 @@
 		EXPECT_FALSE(gate_forward_read(str_c(bad), &out)) << bad;
 }
 
+/*
+ * The longest names that a configuration may have.  Cut short, a service's name
+ * may be that of another one.
+ */
+TEST(Forward, LongNamesAreForwardedWhole)
+{
+	struct gate_forward in = {}, out = {};
+	std::string name(128, 'n'), regions = name;
+	char text[GATE_FORWARD_MAX];
+
+	for (int i = 0; i < 5; i++)
+		regions += "," + name;
+	in.rank = in.kind = in.attempts = in.max_attempts = UINT_MAX;
+	in.target_ms = in.caller_deadline_ms = in.waited_ms = INT64_MAX;
+	in.fingerprint = {UINT64_MAX, UINT64_MAX, UINT64_MAX};
+	in.target_hall = in.customer = in.service = str_c(name.c_str());
+	in.regions = str_c(regions.c_str());
+	size_t n = gate_forward_write(&in, text, sizeof(text));
+	ASSERT_TRUE(gate_forward_read(str_n(text, n), &out));
+	EXPECT_TRUE(str_eq(in.service, out.service));
+	EXPECT_TRUE(str_eq(in.regions, out.regions));
+	EXPECT_TRUE(str_eq(in.customer, out.customer));
+}
+
 TEST(Err, AStatusThatMeansNotExecutedIsTrue)
 {
 	for (int k = ERR_NO_BACKEND; k <= ERR_RESPONSE_LAST; k++) {
