An owner that leaves finishes forwarded requests to the end of its grace

Callers got 502 for requests at which a backend server was at work, when the owner exited at nine tenths of its grace. The last tenth is for the last responses of the gate and its exit; a forwarded request gets no last response, as the box that forwarded it waits for the server's.

With such requests only the exit, 100 ms, has to fit into the rest of the grace. Killed or exited, those that take longer still are cut; a request that came to the owner 5.9 s before the end of a grace of 6 s, or more, is not among them.

--- a/gate_box.c
+++ b/gate_box.c
@@ -44,6 +44,9 @@
  */
 enum { GRACE_RESERVE_DIVISOR = 10 };
 
+/* The same if no last responses are left: the exit alone is fast. */
+#define EXIT_NS (100 * NS_MS)
+
 static const char *const state_names[] = {
     "empty", "ready", "leaving", "closing", "gone"};
 static const char *const event_names[] = {
@@ -153,6 +156,17 @@
 	return ms * NS_MS;
 }
 
+/*
+ * Returns the same for requests that other gates forwarded.  They get no last
+ * response, so that only the exit has to fit into the platform's grace period.
+ */
+static int64_t
+forwarded_limit(const struct gate *g)
+{
+	return MAX(
+	    shutdown_limit(g), g->bounds.stop_grace_ms * NS_MS - EXIT_NS);
+}
+
 /*
  * Drives a planned shutdown.  Callers and other gates learn that the gate is
  * leaving and get time to go elsewhere; then the listeners close, and the last
@@ -174,7 +188,8 @@
 	hsrv_close_idle(g->caller_server, IDLE_LEAVING_MS);
 	if (elapsed > limit - FINAL_RESPONSE_NS)
 		gate_req_end_all(g);
-	if (elapsed > limit) {
+	if (elapsed >
+	    (gate_req_has_forwarded(g) ? forwarded_limit(g) : limit)) {
 		step(g, BOX_EV_ENDED, "grace period expired");
 		return;
 	}
--- a/gate_req.c
+++ b/gate_req.c
@@ -333,6 +333,20 @@
 	return false;
 }
 
+bool
+gate_req_has_forwarded(const struct gate *g)
+{
+	const struct gate_req *r;
+	const GList *link;
+
+	for (link = g->reqs.head; link != NULL; link = link->next) {
+		r = link->data;
+		if (r->forwarded && r->state != REQ_DONE)
+			return true;
+	}
+	return false;
+}
+
 unsigned
 gate_req_count(const struct gate *g)
 {
--- a/libgate.h
+++ b/libgate.h
@@ -373,6 +373,8 @@
 void gate_req_owner_lost(struct gate *, struct gate_peer *);
 /* Returns whether a request was queued at a shard or was sent from there. */
 bool gate_req_uses_shard(const struct gate *, const struct gate_shard *);
+/* Returns whether requests that other gates forwarded have no response yet. */
+bool gate_req_has_forwarded(const struct gate *);
 /* Number of requests that are not disposed of. */
 unsigned gate_req_count(const struct gate *);
 /* Before the gate exits: answers the requests that have no response yet. */
