Lists read during a restore do not raise the floor after it

A backend server whose entry had been removed just before the restore still got no request: the list of another kind, the first after the end of the restore, raised the floor to the revision that the list of backend servers had reached during it. A list that is read during a restore now counts as complete up to the start of the epoch only.

Restore.AServerThatIsThereAgainServes: failed before, passes. Nine further tests with real boxes pass before and after: removed servers, lost entries, evacuations, boxes that start or wake, restores in series, silent watches, number of calls.

--- a/agent_watch.c
+++ b/agent_watch.c
@@ -472,7 +472,7 @@
 
 	for (i = 0; i < a->nfeeds; i++)
 		if (has_part(&a->feeds[i], part))
-			floor = MIN(floor, a->feeds[i].applied_revision);
+			floor = MIN(floor, a->feeds[i].listed_revision);
 	conf_raise_floor(a->conf, part, floor);
 }
 
@@ -532,9 +532,8 @@
 		confirm_rules(f);
 	f->listed_at = clk_ns(a->clk);
 	f->reached_revision = MAX(f->reached_revision, revision);
-	f->listed_revision = MAX(f->listed_revision, revision);
-	if (!conf_is_restoring(a->conf))
-		f->applied_revision = f->listed_revision;
+	f->listed_revision =
+	    MAX(f->listed_revision, conf_applied_revision(a->conf, revision));
 	raise_floor(a, CONF_RULES);
 	raise_floor(a, CONF_BACKENDS);
 	agent_gate_send_ready(a);
--- a/conf.c
+++ b/conf.c
@@ -501,13 +501,19 @@
 	    (!e->deleted || c->deletions - e->deletion_number > DELETIONS_KEPT);
 }
 
+/* A version of the copy that is held back now may be taken later. */
+uint64_t
+conf_applied_revision(const struct conf *c, uint64_t listed)
+{
+	return c->is_restoring ? MIN(listed, version_make(c->epoch, 0))
+			       : listed;
+}
+
 void
 conf_raise_floor(struct conf *c, enum conf_part part, uint64_t revision)
 {
 	conf_note_revision(c, revision);
-	/* A version of the copy that is held back now may be taken later. */
-	if (c->is_restoring)
-		revision = MIN(revision, version_make(c->epoch, 0));
+	revision = conf_applied_revision(c, revision);
 	if (revision <= c->floors[part])
 		return;
 	c->floors[part] = revision;
--- a/conf.h
+++ b/conf.h
@@ -132,6 +132,12 @@
 /* Returns the lower of the two floors. */
 uint64_t conf_floor(const struct conf *);
 
+/*
+ * Returns the revision up to which a list is applied that was complete at the
+ * revision `listed`.  It is lower during a restore of the platform.
+ */
+uint64_t conf_applied_revision(const struct conf *, uint64_t listed);
+
 enum conf_part conf_part_of(enum obj_kind);
 
 /* Returns whether an entry is a deletion that follows from the floor. */
--- a/libagent.h
+++ b/libagent.h
@@ -74,8 +74,6 @@
 	bool may_be_stale; /* the list in flight may be stale */
 	uint64_t reached_revision; /* revision up to which changes are known */
 	uint64_t listed_revision; /* revision of the last complete list */
-	/* The same, of one from which nothing was held back after a restore. */
-	uint64_t applied_revision;
 	int64_t listed_at; /* its monotonic time, ns; 0: a list is needed */
 	int64_t call_started_at; /* start of the last call, monotonic ns */
 	/* Runs after a change arrived by another way than the watch. */
