Tests: agents and gates after a restore of fernplatform

The stand-in of fernplatform(7) sends fern-epoch in all answers, keeps a copy and restores it (keep=1, restore=1), and answers 410 to a watch from a revision that it does not have. A test of test_config matches a version in a log line, which holds the epoch now; it expects exactly that.

--- a/regress/standin_platform.c
+++ b/regress/standin_platform.c
@@ -13,6 +13,8 @@
  * with faults that can be switched on and off at run time:
  *
  *	POST /standin/set?mode=up|down|lost|hang&slow_ms=N&skip=0|1&repeat=0|1
+ *	POST /standin/set?keep=1	keep a copy of all objects
+ *	POST /standin/set?restore=1	restore the copy, with the next epoch
  *	POST /standin/boxes	set the JSON document for GET /v1/boxes
  *	GET /standin/counts	counts of calls by kind since the start
  */
@@ -42,7 +44,9 @@
 	uv_loop_t *loop;
 	struct tmr tmr;
 	GHashTable *objects; /* char * "kind/name" to json_t * */
-	uint64_t revision;
+	uint64_t revision, epoch;
+	GHashTable *copy; /* of `objects`; NULL: none is kept */
+	uint64_t copy_revision;
 	enum mode mode;
 	int64_t slow_ms;
 	bool skip, repeat;
@@ -52,6 +56,13 @@
 	uint64_t reads, writes, waits;
 } st;
 
+static GHashTable *
+objects_new(void)
+{
+	return g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_decref);
+}
+
 static void on_request(void *, h2o_req_t *);
 static void answer(h2o_req_t *, int, json_t *);
 
@@ -79,11 +90,24 @@
 	return w;
 }
 
+static void
+add_epoch(h2o_req_t *req)
+{
+	char text[24];
+	int n =
+	    snprintf(text, sizeof(text), "%llu", (unsigned long long)st.epoch);
+	h2o_iovec_t value = h2o_strdup(&req->pool, text, (size_t)n);
+
+	h2o_add_header_by_str(&req->pool, &req->res.headers,
+	    H2O_STRLIT("fern-epoch"), 0, NULL, value.base, value.len);
+}
+
 static void
 send_json(h2o_req_t *req, int status, json_t *body)
 {
 	char *text = json_dumps(body, JSON_COMPACT);
 
+	add_epoch(req);
 	hsrv_send_response(req, status, "application/json", str_c(text));
 	free(text);
 	json_decref(body);
@@ -177,11 +201,17 @@
 watch(h2o_req_t *req)
 {
 	uint64_t since = MAX(query_u64(req, "since"), st.skipped);
-	char **kinds = kinds_of(req);
-	json_t *now = changes(kinds, st.repeat ? st.skipped : since, true);
+	char **kinds;
+	json_t *now;
 	struct waiter *w;
 
 	st.waits++;
+	if (query_u64(req, "since") > st.revision) {
+		answer(req, 410, json_object());
+		return;
+	}
+	kinds = kinds_of(req);
+	now = changes(kinds, st.repeat ? st.skipped : since, true);
 	if (json_array_size(json_object_get(now, "objects")) > 0 &&
 	    (st.revision > since)) {
 		answer(req, 200, now);
@@ -323,6 +353,47 @@
 	g_strfreev(kinds);
 }
 
+static void
+keep_copy(void)
+{
+	GHashTableIter it;
+	gpointer key, value;
+
+	if (st.copy != NULL)
+		g_hash_table_destroy(st.copy);
+	st.copy = objects_new();
+	g_hash_table_iter_init(&it, st.objects);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		g_hash_table_insert(st.copy, g_strdup(key), json_incref(value));
+	st.copy_revision = st.revision;
+}
+
+/* Watches from revisions that the copy does not have are answered 410. */
+static void
+restore_copy(void)
+{
+	struct waiter *w;
+	guint i;
+
+	if (st.copy == NULL)
+		return;
+	g_hash_table_destroy(st.objects);
+	st.objects = st.copy;
+	st.copy = NULL;
+	st.revision = st.copy_revision;
+	st.skipped = MIN(st.skipped, st.revision);
+	st.epoch++;
+	keep_copy();
+	for (i = st.watches->len; i-- > 0;) {
+		w = g_ptr_array_index(st.watches, i);
+		if (w->since <= st.revision)
+			continue;
+		tmr_clear(&st.tmr, &w->timer);
+		g_ptr_array_remove_fast(st.watches, w);
+		send_json(w->req, 410, json_object());
+	}
+}
+
 static void
 control(h2o_req_t *req)
 {
@@ -351,6 +422,10 @@
 		st.skip = query_u64(req, "skip") != 0;
 	if (hsrv_query(req, "repeat").n > 0)
 		st.repeat = query_u64(req, "repeat") != 0;
+	if (query_u64(req, "keep") != 0)
+		keep_copy();
+	if (query_u64(req, "restore") != 0)
+		restore_copy();
 	send_json(req, 200, json_object());
 }
 
@@ -393,8 +468,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	st.loop = uv_default_loop();
 	tmr_open(&st.tmr, st.loop, clk_system());
-	st.objects = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_decref);
+	st.objects = objects_new();
+	st.epoch = 1;
 	st.watches = g_ptr_array_new();
 	st.boxes = json_pack("{s:[]}", "boxes");
 	if (hsrv_open(st.loop, str_c(argv[1]), 1 << 20, on_request, NULL,
--- a/regress/test_config.cpp
+++ b/regress/test_config.cpp
@@ -89,6 +89,57 @@
 	EXPECT_TRUE(all_serve(f, "/new"));
 }
 
+/* Its watchers and their gates are processes of their own. */
+TEST(Config, AChangeIsInForceAfterARestoreOfThePlatform)
+{
+	Fleet f(fleet(4));
+	double began;
+
+	ASSERT_TRUE(up(f));
+	f.set_platform("keep=1");
+	f.put("rule/lost", R"({"path":"/lost","service":"dir"})");
+	f.put("rule/dir", R"({"path":"/dir","service":"dir","rank":2})");
+	ASSERT_TRUE(until([&] { return all_serve(f, "/lost"); }));
+	f.set_platform("restore=1");
+	/* Its revision was that of rule/lost. */
+	f.put("rule/new", R"({"path":"/new","service":"dir"})");
+	began = now_ms();
+	EXPECT_TRUE(until([&] { return all_serve(f, "/new"); }, 2000));
+	/* What was lost is kept for a time, to be written again. */
+	while (now_ms() < began + 1500) {
+		EXPECT_TRUE(all_serve(f, "/lost"));
+		pump(100);
+	}
+	f.put("rule/lost", R"({"path":"/lost","service":"dir"})");
+	while (now_ms() < began + 6000) {
+		EXPECT_TRUE(all_serve(f, "/lost"));
+		EXPECT_TRUE(all_serve(f, "/new"));
+		pump(100);
+	}
+	f.remove("rule/new");
+	EXPECT_TRUE(until([&] { return all_serve(f, "/new", false); }, 2000));
+	EXPECT_TRUE(all_serve(f, "/lost"));
+}
+
+/* Nobody writes it again: what the platform stores is final. */
+TEST(Config, WhatTheRestoredPlatformLostIsDroppedInTheEnd)
+{
+	Fleet f(fleet(3));
+
+	ASSERT_TRUE(up(f));
+	f.set_platform("keep=1");
+	f.put("rule/lost", R"({"path":"/lost","service":"dir"})");
+	f.remove("rule/dir");
+	ASSERT_TRUE(until([&] { return all_serve(f, "/lost"); }));
+	ASSERT_TRUE(until([&] { return all_serve(f, "/dir", false); }));
+	f.set_platform("restore=1");
+	pump(1000);
+	EXPECT_TRUE(all_serve(f, "/lost"));
+	EXPECT_TRUE(all_serve(f, "/dir", false));
+	EXPECT_TRUE(until([&] { return all_serve(f, "/lost", false); }, 9000));
+	EXPECT_TRUE(until([&] { return all_serve(f, "/dir"); }, 9000));
+}
+
 TEST(Config, ABoxStartsEmptyWhileThePlatformIsDown)
 {
 	Fleet f(fleet(3));
@@ -102,11 +153,11 @@
 	/* The box logs where it received the configuration from. */
 	EXPECT_TRUE(until([&] {
 		return f.boxes[1].agent_process.read_log().find(
-			   "key=service/dir version=3 from=" + f.ip(10)) !=
-		    std::string::npos ||
+			   "key=service/dir version=1000000000003 from=" +
+			   f.ip(10)) != std::string::npos ||
 		    f.boxes[1].agent_process.read_log().find(
-			"key=service/dir version=3 from=" + f.ip(12)) !=
-		    std::string::npos;
+			"key=service/dir version=1000000000003 from=" +
+			f.ip(12)) != std::string::npos;
 	}));
 }
 
