The start of an epoch is no revision of the platform

During a restore the floor rises to the start of the epoch, and the watchers of a box passed that on as a revision that the platform had reached: nothing was held back after the first list, and an undrained server came back.

Conf.AFloorAtTheStartOfAnEpochEndsNoHold: failed before, passes.

--- a/conf.c
+++ b/conf.c
@@ -646,7 +646,8 @@
 conf_note_revision(struct conf *c, uint64_t revision)
 {
 	conf_note_epoch(c, version_epoch(revision));
-	if (revision > 0 && version_epoch(revision) == c->epoch)
+	if (version_revision(revision) > 0 &&
+	    version_epoch(revision) == c->epoch)
 		c->copy_revision_max =
 		    MIN(c->copy_revision_max, version_revision(revision));
 }
--- a/regress/test_conf.cpp
+++ b/regress/test_conf.cpp
@@ -409,6 +409,19 @@
 	g_hash_table_destroy(keys);
 }
 
+/* A list that is applied up to there says nothing about the copy. */
+TEST(Conf, AFloorAtTheStartOfAnEpochEndsNoHold)
+{
+	Restored r;
+
+	offer(r.c, {"service/a", first(76), 'g'});
+	conf_note_epoch(r.c, 2);
+	conf_raise_floor(
+	    r.c, CONF_RULES, conf_applied_revision(r.c, second(80)));
+	offer(r.c, {"service/a", second(70), 'g'});
+	EXPECT_TRUE(holds(r.c, "service/a", 76));
+}
+
 /* A box that starts is complete, though a restore is going on. */
 TEST(Conf, TheFirstListDuringARestoreIsComplete)
 {
