Responses without an epoch are of the latest one

A platform that stops to tell its epoch, as after a return to an older release, had all its answers taken for those of an earlier epoch: lists and watches changed nothing, and each write counted as unknown, as in an outage.

Plat.AResponseWithoutAnEpochIsOfTheLatest: failed before, passes.

--- a/plat_http.c
+++ b/plat_http.c
@@ -232,11 +232,13 @@
 {
 	struct plat_call *c = ctx;
 	struct plat *p = &c->http->plat;
-	unsigned long long epoch = 0;
+	unsigned long long epoch;
 
 	(void)up;
-	str_u64(
-	    dial_find_header(headers, n, c->http->codec->epoch_header), &epoch);
+	/* Without the header, the platform is taken to be as it was. */
+	if (!str_u64(dial_find_header(headers, n, c->http->codec->epoch_header),
+		&epoch))
+		epoch = p->epoch;
 	epoch = MIN(epoch, VERSION_EPOCH_MAX);
 	c->status = status;
 	/* The pages of a list must all be of the same epoch. */
--- a/regress/test_up.cpp
+++ b/regress/test_up.cpp
@@ -542,6 +542,20 @@
 	EXPECT_TRUE(p.epochs.empty());
 }
 
+/* As after a return to a platform that does not know epochs yet. */
+TEST(Plat, AResponseWithoutAnEpochIsOfTheLatest)
+{
+	Platform p({response(2, 200, LIST), response(0, 200, LIST),
+	    response(0, 200, EVENTS), response(0, 200, OBJECT)});
+
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_LIST));
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_LIST));
+	EXPECT_NE(std::string::npos, p.body.find("2000000000009"));
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_WATCH, version_make(2, 9)));
+	EXPECT_EQ(PLAT_OK, p.call(PLAT_UPDATE, version_make(2, 5)));
+	EXPECT_EQ((std::vector<uint64_t>{2}), p.epochs);
+}
+
 /* Its pages may not belong together. */
 TEST(Plat, AListWithPagesOfTwoEpochsIsNotUsed)
 {
