A list that is older than what was reached is followed by a pause

A platform that comes back older and does not tell its epoch answers each watch that its revision is too old, and each list with a lower one. Lists and watches followed each other at once, as many as the budget of calls allowed, and left none for others. Before the next watch a watcher now waits as after a failed call.

Restore.CallsDoNotLoopIfTheEpochIsNotTold: failed before (22 of 28 lists within 5 ms of the one before), passes.

--- a/agent_watch.c
+++ b/agent_watch.c
@@ -517,7 +517,6 @@
 		schedule_call(f, watch_backoff(f));
 		return;
 	}
-	f->failures = 0;
 	missing.keys =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	offer_all(a, body, missing.keys, f->may_be_stale);
@@ -541,6 +540,12 @@
 	    "kinds=%s revision=%llu in_force=%zu copy=%d", f->kinds,
 	    (unsigned long long)revision, conf_count(a->conf), f->may_be_stale);
 	agent_box_schedule_status(a);
+	/* The next watch would be answered that its revision is too old. */
+	if (revision < f->reached_revision) {
+		schedule_call(f, watch_backoff(f));
+		return;
+	}
+	f->failures = 0;
 	/* A starting box waits until it is known whether it has to watch. */
 	schedule_call(
 	    f, first && !agent_watches_platform(a) ? FIRST_WATCH_DELAY_NS : 0);
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -461,6 +461,8 @@
 			objects[e.key] = json_deep_copy(e.object);
 	rev = copy_rev;
 	kept = std::min(kept, rev);
+	if (stale_rev > rev)
+		stale_rev = 0;
 }
 
 void
@@ -473,6 +475,12 @@
 	});
 }
 
+void
+Objects::hide_era()
+{
+	in_loop([&] { hides_era = true; });
+}
+
 void
 Objects::keep_stale()
 {
@@ -577,7 +585,8 @@
 		o->nlooks++;
 	else
 		o->ncalls++;
-	add_header(req, "store-era", std::to_string(o->era));
+	if (!o->hides_era)
+		add_header(req, "store-era", std::to_string(o->era));
 	if (o->hangs) {
 		o->nhung++;
 		return;
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -134,6 +134,8 @@
 	 * its revisions are used again, and its era rises by one.
 	 */
 	void restore();
+	/* From now on responses do not tell the era. */
+	void hide_era();
 	/* Freezes the state that stale lists return at the current one. */
 	void keep_stale();
 	/* Responses that may be stale return the state of `ms` ago. */
@@ -217,7 +219,7 @@
 	uint64_t copy_rev = 1; /* of the copy that restore() uses */
 	uint64_t era = 1; /* rises with each restore() */
 	int status = 0;
-	bool hangs = false, swallows = false, deaf = false;
+	bool hangs = false, swallows = false, deaf = false, hides_era = false;
 	size_t nhung = 0;
 	size_t ncalls = 0, nlooks = 0;
 	std::thread thread;
--- a/regress/test_restore.cpp
+++ b/regress/test_restore.cpp
@@ -15,6 +15,7 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <cstring>
 
 #include "box.h"
 
@@ -383,3 +384,47 @@
 	pump(2000);
 	EXPECT_GE(10u, w.platform.calls() - before);
 }
+
+/* Returns the times at which the box logged a text, in ms. */
+std::vector<double>
+times_of(World &w, const std::string &text)
+{
+	std::string log = w.box.read_log();
+	std::vector<double> times;
+	size_t at = 0, line;
+
+	while ((at = log.find(text, at)) != std::string::npos) {
+		line = log.rfind('\n', at) + 1; /* npos + 1 is 0 */
+		times.push_back(
+		    1000 * atof(log.c_str() + line + strlen("time=")));
+		at += text.size();
+	}
+	return times;
+}
+
+/*
+ * Each list is then older than what was reached, and each watch too old.  The
+ * calls came in bursts, as many as the budget allows.
+ */
+TEST(Restore, CallsDoNotLoopIfTheEpochIsNotTold)
+{
+	World w;
+	size_t shorts = 0;
+
+	ASSERT_TRUE(is_ready(w));
+	w.platform.hide_era();
+	w.platform.keep_copy();
+	raise_revision(w);
+	w.platform.restore();
+	pump(5000);
+	std::vector<double> times = times_of(w, "msg=\"listed\" kinds=bundle ");
+	EXPECT_LT(5u, times.size());
+	/* A poll may have the feed listed again at any time. */
+	for (size_t i = 1; i < times.size(); i++)
+		if (times[i] - times[i - 1] < 5)
+			shorts++;
+	EXPECT_GE(times.size(), 5 * shorts);
+	for (int i = 0; i < 6; i++)
+		configure(w, "shelf");
+	EXPECT_TRUE(until([&] { return serves_shelf(w); }, apply_ms));
+}
