--- a/regress/test_restore.cpp
+++ b/regress/test_restore.cpp
@@ -428,3 +428,57 @@
 		configure(w, "shelf");
 	EXPECT_TRUE(until([&] { return serves_shelf(w); }, apply_ms));
 }
+
+/*
+ * A backend server that started after the copy writes its entry again, with the
+ * revision below that of the lost one.
+ */
+TEST(Restore, AServerThatWroteItsEntryAgainIsNotWithdrawn)
+{
+	World w;
+
+	ASSERT_TRUE(is_ready(w));
+	w.platform.keep_copy();
+	raise_revision(w);
+	std::string entry = "{\"service\":\"till\",\"addr\":\"" + w.ip +
+	    ":9109\",\"zone\":\"north\",\"slots\":3,\"state\":\"ready\"}";
+	w.platform.start_backend("i-9", "till", w.ip + ":9109");
+	w.platform.put("servers", "i-9", entry);
+	ASSERT_TRUE(until([&] { return w.in_force("backend/i-9") > 0; }));
+	w.platform.restore();
+	ASSERT_TRUE(until([&] { return w.logged("restored from a copy"); }));
+	pump(1200);
+	w.platform.put("servers", "i-9", entry);
+	pump(4000);
+	EXPECT_FALSE(w.logged("deletion is in force\" key=backend/i-9"));
+}
+
+/*
+ * The copy has the entry of a server that was deleted since.  The server gets
+ * nothing while its entry may be out of date, and is used if it stays listed.
+ */
+TEST(Restore, AServerThatTheCopyHasAgainIsUsedOnceItIsKnownToBeListed)
+{
+	World w;
+	size_t before;
+
+	ASSERT_TRUE(is_ready(w));
+	w.platform.keep_copy();
+	w.platform.remove("servers", "i-0");
+	ASSERT_TRUE(until([&] {
+		return w.logged("\"deletion is in force\" key=backend/i-0");
+	}));
+	before = w.platform.ran("i-0");
+	w.platform.restore();
+	for (int i = 0; i < 20; i++) {
+		EXPECT_EQ(200, w.ask("/look/1").status);
+		pump(100);
+	}
+	EXPECT_EQ(before, w.platform.ran("i-0"));
+	EXPECT_TRUE(until(
+	    [&] {
+		    w.ask("/look/1");
+		    return w.platform.ran("i-0") > before;
+	    },
+	    5000));
+}
