fernctl: an edit goes on after a restore

An operator whose edit met a restore of the platform was told that another change came first, and shown the object as it was before: the version that had been read is of an earlier epoch.

Cause: to find out what became of a write, the versions of the object before and after it were compared with their epochs.

An object with the same revision and spec counts as unchanged, and the write is repeated on condition of its version in the new epoch. The columns for versions have room for those of a later epoch.

Config.AnEditGoesOnAfterARestore: before, exit status 6, "another change came first", passes now. The stand-in can tell an epoch and refuse a write in a new one.

--- a/ctl_call.c
+++ b/ctl_call.c
@@ -11,6 +11,7 @@
 #include <stdio.h>
 
 #include "libctl.h"
+#include "version.h"
 
 enum { MAX_ATTEMPTS = 8, TIMEOUT_MS = 3000, RETRY_DELAY_MS = 200 };
 
@@ -138,6 +139,21 @@
 	WRITE_UNKNOWN
 };
 
+/*
+ * Returns whether an object is as it was read.  After a restore of the platform
+ * it has a version of a later epoch.
+ */
+static bool
+is_unchanged(const json_t *old, const json_t *current)
+{
+	uint64_t before = (uint64_t)version_of(old);
+	uint64_t now = (uint64_t)version_of(current);
+
+	return version_revision(before) == version_revision(now) &&
+	    json_equal(
+		json_object_get(old, "spec"), json_object_get(current, "spec"));
+}
+
 /* Determines the outcome of a write whose reply was lost. */
 static enum write_outcome
 read_back(struct ctl *c, struct str kind, struct str name, json_t *old,
@@ -158,8 +174,7 @@
 	change = json_string_value(json_object_get(*current, "change"));
 	if (change != NULL && strcmp(change, id) == 0)
 		return WRITE_DONE;
-	return version_of(*current) == version_of(old) ? WRITE_NOT_DONE
-						       : WRITE_CONFLICT;
+	return is_unchanged(old, *current) ? WRITE_NOT_DONE : WRITE_CONFLICT;
 }
 
 bool
@@ -195,9 +210,13 @@
 		    : WRITE_NOT_DONE;
 		/* A conflict may be with an earlier attempt of this write. */
 		if (result == PLAT_UNKNOWN ||
-		    (outcome == WRITE_CONFLICT && i > 0))
+		    (outcome == WRITE_CONFLICT && i > 0)) {
+			json_decref(current);
 			outcome = read_back(
 			    c, kind, name, old, id, spec == NULL, &current);
+		}
+		if (outcome == WRITE_NOT_DONE && current != NULL)
+			rq.version = (uint64_t)version_of(current);
 		if (outcome == WRITE_DONE)
 			*version = (uint64_t)version_of(current);
 		if (outcome == WRITE_CONFLICT)
--- a/ctl_show.c
+++ b/ctl_show.c
@@ -118,11 +118,11 @@
 		print_json(objects);
 	} else {
 		printf(
-		    "%-9s %-24s %-8s %s\n", "KIND", "NAME", "VERSION", "SPEC");
+		    "%-9s %-24s %-14s %s\n", "KIND", "NAME", "VERSION", "SPEC");
 		json_array_foreach (objects, i, o) {
 			spec = json_dumps(json_object_get(o, "spec"),
 			    JSON_COMPACT | JSON_SORT_KEYS);
-			printf("%-9s %-24s %-8lld %s\n",
+			printf("%-9s %-24s %-14lld %s\n",
 			    string_member(o, "kind"), string_member(o, "name"),
 			    integer_member(o, "version"),
 			    spec == NULL ? "" : spec);
@@ -142,11 +142,11 @@
 	json_t *o, *spec, *rejected, *r;
 	size_t i, j;
 
-	printf("%-12s %-10s %-8s %-17s %-17s %-6s %s\n", "BOX", "HALL",
+	printf("%-12s %-10s %-14s %-17s %-17s %-6s %s\n", "BOX", "HALL",
 	    "NEWEST", "AGENT HAS", "GATE HAS", "READY", "OBJECTS");
 	json_array_foreach (objects, i, o) {
 		spec = json_object_get(o, "spec");
-		printf("%-12s %-10s %-8lld %-17s %-17s %-6s %lld\n",
+		printf("%-12s %-10s %-14lld %-17s %-17s %-6s %lld\n",
 		    string_member(spec, "box"), string_member(spec, "hall"),
 		    integer_member(spec, "newest"),
 		    string_member(spec, "digest"),
--- a/regress/standin_platform.c
+++ b/regress/standin_platform.c
@@ -15,7 +15,8 @@
  *	POST /standin/set?mode=up|down|lost|hang&slow_ms=N&skip=0|1&repeat=0|1
  *	POST /standin/set?keep=1	keep a copy of all objects
  *	POST /standin/set?restore=1	restore the copy, with the next epoch
- *	POST /standin/boxes	set the JSON document for GET /v1/boxes
+ *	POST /standin/set?restore_at_write=1	the same at the next write,
+ *which is refused POST /standin/boxes	set the JSON document for GET /v1/boxes
  *	GET /standin/counts	counts of calls by kind since the start
  */
 #include <jansson.h>
@@ -49,7 +50,7 @@
 	uint64_t copy_revision;
 	enum mode mode;
 	int64_t slow_ms;
-	bool skip, repeat;
+	bool skip, repeat, restores;
 	uint64_t skipped; /* watches omit changes up to this revision */
 	GPtrArray *watches; /* struct waiter * */
 	json_t *boxes;
@@ -426,17 +427,40 @@
 		keep_copy();
 	if (query_u64(req, "restore") != 0)
 		restore_copy();
+	if (query_u64(req, "restore_at_write") != 0)
+		st.restores = true;
 	send_json(req, 200, json_object());
 }
 
+static bool
+is_write(const h2o_req_t *req)
+{
+	return !h2o_memis(req->method.base, req->method.len, H2O_STRLIT("GET"));
+}
+
+/* Returns whether this request is refused because of a restore. */
+static bool
+restores_now(const h2o_req_t *req)
+{
+	if (!st.restores || !is_write(req))
+		return false;
+	st.restores = false;
+	restore_copy();
+	return true;
+}
+
 static void
 on_request(void *ctx, h2o_req_t *req)
 {
 	struct str path = hsrv_path(req);
+	bool is_control = str_has_prefix(path, STR_LIT("/standin/"));
+	bool restores = !is_control && restores_now(req);
 
 	(void)ctx;
-	if (str_has_prefix(path, STR_LIT("/standin/"))) {
+	if (is_control) {
 		control(req);
+	} else if (restores) {
+		send_json(req, 503, json_object());
 	} else if (st.mode == MODE_HANG) {
 		waiter_new(req);
 	} else if (st.mode == MODE_DOWN) {
--- a/regress/test_config.cpp
+++ b/regress/test_config.cpp
@@ -249,6 +249,23 @@
 	EXPECT_NE(std::string::npos, out.find("seen"));
 }
 
+/*
+ * The platform is restored between the read and the write of an edit.  The
+ * version that was read is of an earlier epoch, but the object is the same.
+ */
+TEST(Config, AnEditGoesOnAfterARestore)
+{
+	Fleet f(fleet(1));
+	std::string out;
+
+	ASSERT_TRUE(up(f));
+	f.set_platform("keep=1");
+	f.set_platform("restore_at_write=1");
+	EXPECT_EQ(0, f.ctl({"label", "b0", "seen=yes"}, &out)) << out;
+	EXPECT_EQ(0, f.ctl({"get", "backend/b0"}, &out));
+	EXPECT_NE(std::string::npos, out.find("seen"));
+}
+
 TEST(Config, ADeletionThatRacesAnUpdateEndsTheSameEverywhere)
 {
 	Fleet f(fleet(3));
