A stale list tells nothing about the copy that was restored

The first list of a box may be some seconds old, so that its revision, which peers learn as the floor, may be lower than that of the copy. It was taken for an upper bound of the copy, and objects of the copy between the two were not held back. Only a list that is not stale is one now, and only for the box that reads it.

Conf.AFloorEndsNoHold: failed before, passes. The test of changes after a restore records a current revision now where it raised a floor, and expects the same.

--- a/agent_watch.c
+++ b/agent_watch.c
@@ -527,8 +527,11 @@
 		    a->conf, f->kind_mask, revision, missing.keys);
 	a->offer_from_platform = false;
 	g_hash_table_destroy(missing.keys);
-	if (!f->may_be_stale && version_epoch(revision) == conf_epoch(a->conf))
-		confirm_rules(f);
+	if (!f->may_be_stale) {
+		conf_note_revision(a->conf, revision);
+		if (version_epoch(revision) == conf_epoch(a->conf))
+			confirm_rules(f);
+	}
 	f->listed_at = clk_ns(a->clk);
 	f->reached_revision = MAX(f->reached_revision, revision);
 	f->listed_revision =
--- a/conf.c
+++ b/conf.c
@@ -512,7 +512,7 @@
 void
 conf_raise_floor(struct conf *c, enum conf_part part, uint64_t revision)
 {
-	conf_note_revision(c, revision);
+	conf_note_epoch(c, version_epoch(revision));
 	revision = conf_applied_revision(c, revision);
 	if (revision <= c->floors[part])
 		return;
@@ -552,7 +552,7 @@
 	GHashTableIter it;
 	gpointer key, value;
 
-	conf_note_revision(c, revision);
+	conf_note_epoch(c, version_epoch(revision));
 	g_hash_table_iter_init(&it, c->entries);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		e = value;
--- a/conf.h
+++ b/conf.h
@@ -162,8 +162,9 @@
 void conf_note_epoch(struct conf *, uint64_t epoch);
 
 /*
- * Records a revision that the platform has reached.  If it is of the latest
- * epoch, all that has a higher one there was written after the restore.
+ * Records a current revision of the platform; that of a stale list may be older
+ * than the copy that was restored.  If it is of the latest epoch, all that has
+ * a higher one there was written after the restore.
  */
 void conf_note_revision(struct conf *, uint64_t revision);
 
--- a/regress/test_conf.cpp
+++ b/regress/test_conf.cpp
@@ -330,7 +330,7 @@
 
 	offer(r.c, {"service/a", first(95), 'g'});
 	offer(r.c, {"service/b", first(96), 'g'});
-	conf_raise_floor(r.c, CONF_RULES, second(80));
+	conf_note_revision(r.c, second(80));
 	offer(r.c, {"service/a", second(81), 'g'});
 	offer(r.c, {"service/b", second(80), 'g'});
 	EXPECT_TRUE(holds(r.c, "service/a", 81));
@@ -338,7 +338,7 @@
 	/* A revision of the epoch before says nothing about the copy. */
 	offer(r.c, {"service/c", second(90), 'g'});
 	conf_note_epoch(r.c, 3);
-	conf_raise_floor(r.c, CONF_RULES, second(81));
+	conf_note_revision(r.c, second(81));
 	offer(r.c, {"service/c", version_make(3, 85), 'g'});
 	EXPECT_TRUE(holds(r.c, "service/c", 90));
 	EXPECT_EQ(2, r.restores);
@@ -418,6 +418,19 @@
 	conf_note_epoch(r.c, 2);
 	conf_raise_floor(
 	    r.c, CONF_RULES, conf_applied_revision(r.c, second(80)));
+	conf_note_revision(r.c, conf_applied_revision(r.c, second(80)));
+	offer(r.c, {"service/a", second(70), 'g'});
+	EXPECT_TRUE(holds(r.c, "service/a", 76));
+}
+
+/* A stale list may be older than the copy, and a floor come from one. */
+TEST(Conf, AFloorEndsNoHold)
+{
+	Restored r;
+
+	offer(r.c, {"service/a", first(76), 'g'});
+	offer(r.c, {"", second(60), 'l'});
+	conf_raise_floor(r.c, CONF_RULES, second(61));
 	offer(r.c, {"service/a", second(70), 'g'});
 	EXPECT_TRUE(holds(r.c, "service/a", 76));
 }
--- a/sync.c
+++ b/sync.c
@@ -102,7 +102,7 @@
 {
 	uint64_t floor = version_of_peer(s, summary->floor, summary->epoch);
 
-	conf_note_revision(s->conf, floor);
+	conf_note_epoch(s->conf, version_epoch(floor));
 	if (!sync_is_equal(s, summary)) {
 		send_buckets(s, from);
 		return;
