Soak: the store is restored from a copy

Now and then the store is restored from a copy that is up to 4 s old; the operator and each server write again what they wrote, within a second. In half of the calm phases the copy lacks a drain and the newest configuration, which must both stay in force on all boxes. All other promises keep their bounds. Restores have a random sequence of their own, so that kept seeds give the same faults.

--- a/regress/soak_box.cpp
+++ b/regress/soak_box.cpp
@@ -12,10 +12,11 @@
  * Tests boxes on the users' platform under random faults, from a printed seed.
  * Boxes are separate processes; the store and the backend servers are behind
  * proxies that inject faults.  Further faults are signals and a store that
- * refuses calls, drops its history or is stale.  Configurations change
- * meanwhile.  Faults come in series and overlap.  The guarantees are checked
- * from what callers and backend servers observe.  Two customers have rates; now
- * and then one of them sends many times its rate while boxes are killed.
+ * refuses calls, drops its history, is stale, or is restored from a copy, after
+ * which everyone writes again what it lost.  Configurations change meanwhile.
+ *Faults come in series and overlap.  The guarantees are checked from what
+ *callers and backend servers observe.  Two customers have rates; now and then
+ *one of them sends many times its rate while boxes are killed.
  *
  *	soak_box SECONDS [SEED [BOXES]]
  *
@@ -91,6 +92,14 @@
 enum { CUSTOMER_STEPS = 12, RUSH_FACTOR = 2 };
 const double RUSH_MS = 4000, RUSH_PAUSE_MS = 6000;
 
+/*
+ * In ms: greatest age of the copy that the store is restored from, time within
+ * which what it lost is written again, and time after a restore in calm in
+ * which nothing older may be in force.
+ */
+const int COPY_MAX_MS = 4000, REWRITE_MS = 1000;
+const double RESTORED_MS = 5000;
+
 /* One request as its caller observed it. */
 struct Seen {
 	std::string id;
@@ -137,10 +146,16 @@
 	double rush_until = 0;
 	int steps = 0; /* of the traffic */
 
+	std::mt19937 copies; /* for restores of the store */
+	std::string config; /* as written last */
+	std::array<std::string, BACKENDS> states; /* the same, of servers */
+	/* When lost objects are written again, and how. */
+	std::vector<std::pair<double, std::function<void()>>> rewrites;
+
 	Soak(unsigned seed, int n)
 	    : rng(seed), net(net::own()), store(net + "1:9000"),
 	      nboxes(n > 0 ? n : FEW), many(n > 0), boxes(at(nboxes)),
-	      draw(seed), hit(at(nboxes), now_ms()), who(seed)
+	      draw(seed), hit(at(nboxes), now_ms()), who(seed), copies(seed)
 	{
 		char name[] = "/tmp/fernsoak.XXXXXX";
 
@@ -302,6 +317,7 @@
 	/* Each incarnation of a backend server has its own start time. */
 	void enter(int i, const std::string &state)
 	{
+		states[at(i)] = state;
 		store.put("servers", "i-" + std::to_string(i),
 		    "{\"service\":\"" + service(i) + "\",\"addr\":\"" +
 			backend_proxies[at(i)]->address + "\",\"zone\":\"" +
@@ -358,18 +374,19 @@
 		std::string till = R"(,"service":"till")";
 		std::string shelf = R"(,"service":"shelf")";
 
-		store.put("config", "main",
-		    "{\"version\":\"r" + std::to_string(version - invalid) +
-			"\",\"resources\":[" + route("look", "safe", till) +
-			route("buy", "unsafe", shelf) +
-			route("is" + std::to_string(own), "safe", till) +
-			kept(own) + tenants() +
-			(valid ? "" : route("nowhere", "safe", "")) +
-			R"({"resourceType":"services","metadata":
+		config = "{\"version\":\"r" +
+		    std::to_string(version - invalid) + "\",\"resources\":[" +
+		    route("look", "safe", till) +
+		    route("buy", "unsafe", shelf) +
+		    route("is" + std::to_string(own), "safe", till) +
+		    kept(own) + tenants() +
+		    (valid ? "" : route("nowhere", "safe", "")) +
+		    R"({"resourceType":"services","metadata":
 			    {"name":"till"},"spec":{"healthPath":"/health"}},
 			   {"resourceType":"services","metadata":
 			    {"name":"shelf"},"spec":{"healthPath":"/health"}}
-			   ]})");
+			   ]})";
+		store.put("config", "main", config);
 		if (valid)
 			changed.push_back(now_ms());
 	}
@@ -577,6 +594,8 @@
 			configure();
 			traffic(CHANGE_MS);
 		}
+		if (!many && copied(2) == 0)
+			restore_in_calm();
 		if (many) {
 			lose_strong(2 * CONTACT);
 			traffic(3 * CONTACT);
@@ -810,6 +829,74 @@
 		}
 	}
 
+	int copied(int n)
+	{
+		return static_cast<int>(copies() % static_cast<unsigned>(n));
+	}
+
+	/* Restores the store; the operator and all servers write again. */
+	void restore()
+	{
+		auto later = [this](std::function<void()> write) {
+			rewrites.emplace_back(
+			    now_ms() + copied(REWRITE_MS), std::move(write));
+		};
+
+		store.restore();
+		later([this] { store.put("config", "main", config); });
+		for (int i = 0; i < BACKENDS; i++)
+			later([this, i] { enter(i, states[at(i)]); });
+	}
+
+	/* Now and then restores the store from a copy as it is now. */
+	void copy()
+	{
+		if (copied(5) == 0)
+			trouble(
+			    "store-restored", copied(COPY_MAX_MS),
+			    [&] { store.keep_copy(); }, [this] { restore(); });
+	}
+
+	/*
+	 * Restores the store from a copy that lacks a drain and the newest
+	 * configuration, both in force on all boxes.  They must stay so.
+	 */
+	void restore_in_calm()
+	{
+		int i = copied(BACKENDS);
+		double from, end;
+
+		store.keep_copy();
+		enter(i, "draining");
+		configure();
+		traffic(APPLY);
+		faults["calm-restore"]++;
+		from = now_ms();
+		end = from + RESTORED_MS;
+		restore();
+		while (now_ms() < end) {
+			traffic(100);
+			int box = copied(nboxes);
+			expect(box, version, true, "lost by a restore");
+			expect(box, version - 1, false, "older by a restore");
+		}
+		expect_came("drained", "i-" + std::to_string(i), from, end, 0);
+		lives[at(i)]++;
+		enter(i, "ready");
+	}
+
+	/* Writes again what is due. */
+	void rewrite()
+	{
+		for (size_t i = rewrites.size(); i-- > 0;) {
+			if (now_ms() < rewrites[i].first)
+				continue;
+			rewrites[i].second();
+			rewrites.erase(
+			    rewrites.begin() + static_cast<std::ptrdiff_t>(i));
+		}
+	}
+
 	/* Sends requests at a steady rate for `ms` and ends expired faults. */
 	void traffic(double ms)
 	{
@@ -819,6 +906,7 @@
 			ask();
 			ask_as_customers();
 			pump(8);
+			rewrite();
 			if (many)
 				storm();
 			for (size_t i = troubles.size(); i-- > 0;) {
@@ -1089,6 +1177,7 @@
 	while (now_ms() < end) {
 		soak.fault();
 		soak.rush();
+		soak.copy();
 		soak.traffic(30 + soak.any(600));
 		if (now_ms() < rough)
 			continue;
