An owner that reaches no backend server lets a deputy dispatch

What callers saw: with some boxes cut off from the backend servers of a service, requests of a whole hall were refused (503, why=no-backend), or went to other halls and filled them until these refused too (why=busy), although the servers were idle and other boxes of the hall reached them.

Cause: all requests for a shard go through its owner. An owner whose queries none of the servers answers stayed the owner, and took its servers for down.

Change: such an owner sends one request to the next hub of its hall, or else of its region. No message is added; a request to a deputy carries the highest number of hops, by which it is dispatched there, also by older builds.

standin_proxy can apply its mode to the connections of one process, so that a test cuts one box off and not the other.

--- a/Makefile
+++ b/Makefile
@@ -17,12 +17,12 @@
 	regress/test_region regress/test_crash regress/test_silent \
 	regress/test_report regress/test_rollout regress/test_customer \
 	regress/test_unattended regress/test_observe \
-	regress/test_restore regress/test_restore_own
+	regress/test_restore regress/test_restore_own regress/test_cutoff
 TESTS = $(UNIT_TESTS) $(FLEET_TESTS)
 BENCHES = regress/bench_load regress/bench_pick regress/bench_gate regress/bench_tail \
 	regress/bench_capacity regress/soak regress/soak_box regress/demo
 
-COMMON = caller.o chart.o clk.o cnt.o cold.o conc.o conf.o customer.o daemon.o dial.o disp.o disp_cold.o disp_conc.o disp_crash.o disp_queue.o \
+COMMON = caller.o chart.o clk.o cnt.o cold.o conc.o conf.o customer.o daemon.o deputy.o dial.o disp.o disp_cold.o disp_conc.o disp_crash.o disp_queue.o \
 	disp_reassign.o disp_pace.o disp_forward.o disp_query.o disp_roll.o disp_set.o disp_state.o disp_stop.o disp_trial.o \
 	allowance.o granter.o disp_tally.o tally.o usage.o \
 	disp_report.o disp_work.o doc_toml.o err.o field.o fprint.o gossip.o assign.o hsrv.o hsrv_conn.o hsrv_parse.o hsrv_req.o limit.o memb.o msg.o obj.o \
@@ -31,7 +31,7 @@
 	probe.o queue.o quota.o region.o reload.o refusal.o roll.o route.o sel.o set.o slog.o spread.o state_msg.o str.o sync.o takeover.o \
 	disp_share.o share.o \
 	sync_pack.o tmr.o up.o up_answer.o up_call.o up_conn.o verdict.o wire_zmq.o report.o zip.o
-GATE = gate_admit.o gate_answer.o gate_box.o gate_claim.o gate_conf.o \
+GATE = gate_admit.o gate_answer.o gate_box.o gate_claim.o gate_conf.o gate_deputy.o \
 	gate_early.o gate_flow.o gate_handover.o gate_owner.o gate_open.o gate_forward.o gate_query.o gate_poison.o \
 	gate_rate.o gate_renew.o gate_req.o gate_roll.o gate_stat.o gate_try.o gate_report.o gate_report_sync.o gate_stat_shards.o
 AGENT = agent_box.o agent_gate.o agent_lapse.o agent_look.o agent_open.o \
--- a/disp.h
+++ b/disp.h
@@ -322,6 +322,12 @@
 /* Returns the number of backend servers that may get new requests. */
 unsigned disp_usable_backends(const struct disp *);
 
+/*
+ * Returns whether none of the backend servers that are to get requests has
+ * responded lately.
+ */
+bool disp_none_responds(const struct disp *);
+
 /* Calls a function for each backend server. */
 typedef void disp_backend_fn(void *, const struct pick_backend *);
 void disp_foreach_backend(const struct disp *, disp_backend_fn *, void *);
--- a/disp_set.c
+++ b/disp_set.c
@@ -401,6 +401,32 @@
 	return n;
 }
 
+static bool
+is_wanted(const struct pick_backend *b)
+{
+	return !b->removed && !b->evacuated && !b->version_excluded &&
+	    !b->leaving && b->state != PICK_DRAINING;
+}
+
+bool
+disp_none_responds(const struct disp *d)
+{
+	int64_t now = clk_ns(d->clk);
+	const struct pick_backend *b;
+	bool any = false;
+	guint i;
+
+	for (i = 0; i < d->backends->len; i++) {
+		b = g_ptr_array_index(d->backends, i);
+		if (!is_wanted(b))
+			continue;
+		any = true;
+		if (!pick_is_presumed_down(b, now))
+			return false;
+	}
+	return any;
+}
+
 void
 disp_foreach_backend(const struct disp *d, disp_backend_fn *fn, void *ctx)
 {
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -338,6 +338,7 @@
 
 	disp_free(s->disp);
 	gate_roll_close(s);
+	deputy_clear(&s->deputy);
 	str_free(&s->service);
 	str_free(&s->hall);
 	g_free(s);
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -93,7 +93,11 @@
 forward_text(const struct gate_req *r, struct added_headers *added, int64_t now)
 {
 	struct gate_forward forward = {
-	    .hops = (unsigned)r->hops + 1,
+	    /*
+	     * A deputy dispatches the request itself: it must not forward it
+	     * to the owner, nor to a deputy of its own.
+	     */
+	    .hops = r->at_deputy ? HOPS_MAX : (unsigned)r->hops + 1,
 	    .bulk = r->disp.cls == CLASS_BULK,
 	    .repeatable = r->disp.repeatable,
 	    .is_retry = r->maybe_ran || r->disp.is_retry,
--- a/gate_open.c
+++ b/gate_open.c
@@ -325,6 +325,7 @@
 	}
 	gate_owner_tick(g, now);
 	gate_handover_tick(g, now);
+	gate_deputy_tick(g, now);
 	gate_poison_tick(g, now);
 	gate_renew_tick(g, now);
 	gate_reports_tick(g, now);
--- a/gate_owner.c
+++ b/gate_owner.c
@@ -34,8 +34,8 @@
 	struct gate_peer *peer;
 };
 
-static struct gate_peer *
-find_peer(struct gate *g, struct str box)
+struct gate_peer *
+gate_owner_find_peer(struct gate *g, struct str box)
 {
 	struct gate_peer *p;
 	guint i;
@@ -243,6 +243,51 @@
 	return best;
 }
 
+bool
+gate_owner_peer_is_usable(const struct gate_peer *p, int64_t now)
+{
+	return p->listed && !p->info.leaving && p->info.ready &&
+	    p->info.forward_address.n > 0 && now >= p->suspect_until;
+}
+
+/* Returns the accepted gate of a tier with the highest weight for a shard. */
+static struct gate_peer *
+heaviest_in_tier(struct gate *g, struct str service, struct str hall,
+    enum tier tier, gate_owner_filter_fn *accepts, void *ctx)
+{
+	GArray *gates = gates_in_tier(g, hall, tier);
+	struct gate_peer *p, *best = NULL;
+	int64_t now = clk_ns(g->clk);
+	uint64_t weight, best_weight = 0;
+	guint i;
+
+	for (i = 0; i < gates->len; i++) {
+		p = g_array_index(gates, struct assign_gate, i).data;
+		if (p == NULL || !gate_owner_peer_is_usable(p, now) ||
+		    !accepts(ctx, p))
+			continue;
+		weight = assign_weight(service, hall, p->info.box);
+		if (best != NULL && weight < best_weight)
+			continue;
+		best = p;
+		best_weight = weight;
+	}
+	g_array_free(gates, TRUE);
+	return best;
+}
+
+struct gate_peer *
+gate_owner_other(struct gate *g, struct str service, struct str hall,
+    gate_owner_filter_fn *accepts, void *ctx)
+{
+	struct gate_peer *p =
+	    heaviest_in_tier(g, service, hall, TIER_READY, accepts, ctx);
+
+	if (p != NULL)
+		return p;
+	return heaviest_in_tier(g, service, hall, TIER_REGION, accepts, ctx);
+}
+
 /*
  * The owner of a shard is one of the hubs of its hall, or of all hubs where the
  * hall has none.  All requests for the service in that hall go through it.
@@ -355,7 +400,7 @@
 static bool
 update_member(struct gate *g, const struct memb_info *info)
 {
-	struct gate_peer *p = find_peer(g, info->box);
+	struct gate_peer *p = gate_owner_find_peer(g, info->box);
 	bool started = p == NULL || p->info.started_ms != info->started_ms;
 
 	if (p == NULL) {
@@ -416,7 +461,7 @@
 	for (j = 0; j < msg->members.n; j++)
 		if (!str_eq(v[j].box, g->settings.box) &&
 		    update_member(g, &v[j]))
-			send_state_to(g, find_peer(g, v[j].box));
+			send_state_to(g, gate_owner_find_peer(g, v[j].box));
 	remove_unlisted(g);
 }
 
--- a/gate_req.c
+++ b/gate_req.c
@@ -198,6 +198,13 @@
 	r->disp.can_forward = r->hops < HOPS_MAX && r->forwards <= HOPS_MAX &&
 	    g->settings.route == ROUTE_HOME;
 	gate_admit_set_waited(r);
+	if (r->disp.can_forward)
+		r->owner = gate_deputy_choose(g, r->shard);
+	r->at_deputy = r->owner != NULL;
+	if (r->at_deputy) {
+		gate_attempt_forward(r);
+		return;
+	}
 	disp_submit(r->shard->disp, &r->disp);
 }
 
--- a/gate_try.c
+++ b/gate_try.c
@@ -195,6 +195,7 @@
 	r->owner->outstanding--;
 	r->owner->last_seen = clk_ns(r->gate->clk);
 	r->owner = NULL;
+	r->at_deputy = false;
 }
 
 /*
@@ -260,6 +261,18 @@
 	    disp_usable_backends(r->shard->disp) > 0;
 }
 
+/*
+ * Returns whether the deputy of this gate's shard refused the request because
+ * it reaches no backend server either.
+ */
+static bool
+deputy_failed(
+    const struct gate_req *r, enum err_kind kind, enum disp_outcome outcome)
+{
+	return kind == ERR_NO_BACKEND && outcome == DISP_REFUSED &&
+	    r->at_deputy;
+}
+
 static bool
 route_again(struct gate_req *r)
 {
@@ -276,7 +289,9 @@
 	enum disp_outcome outcome = outcome_of(r, status, headers, n);
 	enum err_kind kind = owner_error(headers, n);
 
-	if ((!owner_declined(kind) && !is_usable_here_only(r, kind)) ||
+	gate_deputy_responded(r, kind);
+	if ((!owner_declined(kind) && !is_usable_here_only(r, kind) &&
+		!deputy_failed(r, kind, outcome)) ||
 	    r->forwards > HOPS_MAX) {
 		r->maybe_ran = r->maybe_ran || outcome != DISP_REFUSED;
 		r->response_not_run = !r->maybe_ran;
@@ -369,6 +384,7 @@
 {
 	struct gate_peer *p = r->owner;
 
+	gate_deputy_responded(r, kind);
 	leave_owner(r);
 	gate_owner_suspect(r->gate, p,
 	    kind == ERR_CONNECT ? "no connection" : "the connection broke");
--- a/libgate.h
+++ b/libgate.h
@@ -18,6 +18,7 @@
 #include "clk.h"
 #include "cnt.h"
 #include "conf.h"
+#include "deputy.h"
 #include "dial.h"
 #include "disp.h"
 #include "hsrv.h"
@@ -172,6 +173,7 @@
 	uint64_t handover_ping;
 	int64_t handover_at;
 	struct tally_alarm alarm; /* used only by gate_stat_shards.c */
+	struct deputy deputy; /* used only by gate_deputy.c */
 	/* The members below are used only by gate_roll.c. */
 	struct roll *rollout; /* roll-out of the service; NULL: none */
 	enum roll_state roll_logged_state; /* state that was logged last */
@@ -338,6 +340,18 @@
 /* The owner for a request that only some regions may serve. */
 struct gate_peer *gate_owner_in_regions(struct gate *, struct str service,
     struct str hall, struct str regions, bool *self);
+/* Returns the gate of a box; NULL if it is not known. */
+struct gate_peer *gate_owner_find_peer(struct gate *, struct str box);
+/* Returns whether requests may be forwarded to a gate now. */
+bool gate_owner_peer_is_usable(const struct gate_peer *, int64_t now);
+/*
+ * Returns the gate that a shard would go to next among the other hubs of its
+ * hall, or else of its region, that serve, are usable, and that a function
+ * accepts; NULL if there is none.
+ */
+typedef bool gate_owner_filter_fn(void *, const struct gate_peer *);
+struct gate_peer *gate_owner_other(struct gate *, struct str service,
+    struct str hall, gate_owner_filter_fn *, void *);
 /* Applies the agent's member list. */
 void gate_owner_set_members(struct gate *, const struct msg_members *);
 /* Assigns the owners of all shards anew. */
@@ -363,6 +377,17 @@
 struct gate_shard *
 gate_conf_find_shard(struct gate *, struct str service, struct str hall);
 
+/*
+ * gate_deputy.c: gates that dispatch for this one while none of a shard's
+ * backend servers responds to it.
+ */
+/*
+ * Returns the gate that a new request for the shard is to be forwarded to; NULL
+ * if this gate is to dispatch it.
+ */
+struct gate_peer *gate_deputy_choose(struct gate *, struct gate_shard *);
+void gate_deputy_tick(struct gate *, int64_t now);
+
 /* gate_req.c: the life cycle of a request. */
 struct gate_req;
 bool gate_req_open(struct gate *, GError **);
--- a/libreq.h
+++ b/libreq.h
@@ -92,6 +92,7 @@
 	struct gate_shard *shard; /* where it is queued or was sent from */
 	/* Owner that it was forwarded to; NULL: none. */
 	struct gate_peer *owner;
+	bool at_deputy; /* `owner` is the deputy of `shard`, see deputy.h */
 	struct up_call *call;
 	/* The deadline; once the response has begun, the silence timeout. */
 	struct tmr_item timer;
@@ -225,6 +226,13 @@
 /* Forwards the request to its owner. */
 void gate_attempt_forward(struct gate_req *);
 
+/*
+ * gate_deputy.c: a response to a request that this gate has forwarded to a
+ * deputy: its error, or ERR_NONE if it is that of a backend server.  Has no
+ * effect on other requests.
+ */
+void gate_deputy_responded(const struct gate_req *, enum err_kind);
+
 /* gate_report.c: what the backend server reports about itself in a response. */
 void gate_report_from_response(
     struct gate_req *, int status, const h2o_header_t *, size_t);
--- a/regress/standin_proxy.c
+++ b/regress/standin_proxy.c
@@ -12,18 +12,23 @@
  * A TCP proxy that injects faults.
  *
  *	standin_proxy LISTEN TARGET CONTROL
- *	POST /standin/set?mode=M&delay_ms=N&bytes=N	on the control address
+ *	POST /standin/set?mode=M&delay_ms=N&bytes=N&process=N
+ *						on the control address
  *
  * Modes: pass; cut (all connections are reset, new ones too); blackhole
  * (connections stay open, but all data is dropped); freeze (as blackhole, but
  * data is held and delivered later); truncate (connections are reset after
  * `bytes` bytes from the target); drop_answers (data from callers is forwarded,
- * and the connection is reset instead of delivering the first response).
+ * and the connection is reset instead of delivering the first response).  If
+ * `process` is set, the mode applies only to the connections of the process
+ *with this id; 0: to all.
  */
 #include <arpa/inet.h>
+#include <dirent.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include "field.h"
 #include "hsrv.h"
@@ -57,6 +62,7 @@
 	int open; /* handles not closed yet */
 	int parcels; /* parcels not delivered yet */
 	bool closing;
+	bool exempt; /* the mode does not apply to it */
 	GList link;
 };
 
@@ -78,12 +84,91 @@
 	enum mode mode;
 	int64_t delay_ms;
 	uint64_t bytes, connections;
+	unsigned long long process; /* whose connections fail; 0: all */
 	GQueue conns, frozen; /* struct conn *, struct parcel * */
 } st;
 
 static void conn_close(struct conn *, bool);
 static void deliver(void *);
 
+/* Returns the mode that applies to a connection. */
+static enum mode
+mode_of(const struct conn *c)
+{
+	return c->exempt ? M_PASS : st.mode;
+}
+
+/* Returns the inode of a socket of this host by its address; 0: unknown. */
+static unsigned long
+inode_of(const struct sockaddr_in *sin)
+{
+	unsigned long inode, found = 0;
+	unsigned ip, port;
+	char line[256];
+	FILE *f = fopen("/proc/net/tcp", "r");
+
+	if (f == NULL)
+		return 0;
+	while (found == 0 && fgets(line, sizeof(line), f) != NULL)
+		if (sscanf(line,
+			"%*u: %x:%x %*x:%*x %*x %*x:%*x %*x:%*x %*x %*u %*u "
+			"%lu",
+			&ip, &port, &inode) == 3 &&
+		    ip == sin->sin_addr.s_addr && port == ntohs(sin->sin_port))
+			found = inode;
+	fclose(f);
+	return found;
+}
+
+static bool
+process_has_socket(unsigned long long pid, unsigned long inode)
+{
+	char path[64], want[64], link[64];
+	const struct dirent *entry;
+	bool found = false;
+	ssize_t n;
+	DIR *dir;
+
+	snprintf(path, sizeof(path), "/proc/%llu/fd", pid);
+	snprintf(want, sizeof(want), "socket:[%lu]", inode);
+	dir = opendir(path);
+	if (dir == NULL)
+		return false;
+	while (!found && (entry = readdir(dir)) != NULL) {
+		n = readlinkat(
+		    dirfd(dir), entry->d_name, link, sizeof(link) - 1);
+		if (n <= 0)
+			continue;
+		link[n] = '\0';
+		found = strcmp(link, want) == 0;
+	}
+	closedir(dir);
+	return found;
+}
+
+/* Determines whether the mode applies to a connection. */
+static void
+set_exempt(struct conn *c)
+{
+	struct sockaddr_in sin;
+	int len = sizeof(sin);
+
+	c->exempt = st.process != 0 &&
+	    (uv_tcp_getpeername(
+		 &c->ends[0].tcp, (struct sockaddr *)&sin, &len) != 0 ||
+		!process_has_socket(st.process, inode_of(&sin)));
+}
+
+static void
+set_process(unsigned long long process)
+{
+	GList *at;
+
+	st.process = process;
+	for (at = st.conns.head; at != NULL; at = at->next)
+		set_exempt(at->data);
+}
+
 static void
 conn_free_if_done(struct conn *c)
 {
@@ -141,11 +226,11 @@
 	struct parcel *p = ctx;
 	uv_buf_t buf = uv_buf_init(p->bytes, (unsigned)p->n);
 
-	if (st.mode == M_FREEZE) {
+	if (mode_of(p->to->conn) == M_FREEZE) {
 		g_queue_push_tail(&st.frozen, p);
 		return;
 	}
-	if (p->to->conn->closing || st.mode == M_BLACKHOLE) {
+	if (p->to->conn->closing || mode_of(p->to->conn) == M_BLACKHOLE) {
 		parcel_free(p);
 		return;
 	}
@@ -196,9 +281,9 @@
 	if (n < 0) {
 		uv_read_stop(stream);
 		ship(e->other, NULL, 0, true);
-	} else if (n > 0 && e->target && st.mode == M_DROP_ANSWERS) {
+	} else if (n > 0 && e->target && mode_of(c) == M_DROP_ANSWERS) {
 		conn_close(c, true);
-	} else if (n > 0 && e->target && st.mode == M_TRUNCATE &&
+	} else if (n > 0 && e->target && mode_of(c) == M_TRUNCATE &&
 	    c->answered + len >= st.bytes) {
 		conn_close(c, true);
 	} else if (n > 0) {
@@ -241,8 +326,12 @@
 	c->open = 2;
 	c->link.data = c;
 	g_queue_push_tail_link(&st.conns, &c->link);
-	if (uv_accept(listener, (uv_stream_t *)&c->ends[0].tcp) != 0 ||
-	    st.mode == M_CUT) {
+	if (uv_accept(listener, (uv_stream_t *)&c->ends[0].tcp) != 0) {
+		conn_close(c, true);
+		return;
+	}
+	set_exempt(c);
+	if (mode_of(c) == M_CUT) {
 		conn_close(c, true);
 		return;
 	}
@@ -261,7 +350,8 @@
 	if (mode == M_CUT) {
 		for (at = st.conns.head; at != NULL; at = next) {
 			next = at->next;
-			conn_close(at->data, true);
+			if (mode_of(at->data) == M_CUT)
+				conn_close(at->data, true);
 		}
 	}
 	while (mode != M_FREEZE && (p = g_queue_pop_head(&st.frozen)) != NULL)
@@ -281,6 +371,8 @@
 		st.delay_ms = (int64_t)v;
 	if (str_u64(hsrv_query(req, "bytes"), &v))
 		st.bytes = v;
+	if (str_u64(hsrv_query(req, "process"), &v))
+		set_process(v);
 	for (i = 0; i < M_MAX; i++)
 		if (str_eq(mode, str_c(mode_names[i])))
 			set_mode((enum mode)i);
