A backend server that refuses new connections counts as down

What callers saw: where connections to backend servers live on while new ones are refused, all requests that must not repeat got 503 (why=connect), although another hall or box could have served them.

Cause: such requests are sent on new connections. Requests and load queries on kept connections went on to succeed, and each success cleared the count of failures, so that the server was never ejected nor presumed down.

Change: three connects that fail in a row, without a request on a new connection between them, count like a crash; a server that is unresponsive is queried on new connections, and so stays down until one succeeds.

standin_proxy refuses new connections by not listening.

--- a/disp.c
+++ b/disp.c
@@ -361,6 +361,9 @@
 		disp_cold_suspect(d, b, 0);
 	if (outcome == DISP_CONNECT_FAILED)
 		disp_crash_resolve(d, b, true);
+	/* Only those that must not repeat are always sent on a new one. */
+	if (outcome == DISP_CONNECT_FAILED || !r->repeatable)
+		pick_record_connect(b, outcome != DISP_CONNECT_FAILED, now);
 }
 
 /*
--- a/gate_query.c
+++ b/gate_query.c
@@ -42,10 +42,18 @@
     on_connected, on_head, up_skip_body, on_end, on_fail};
 
 /*
- * Sends a load query.  While a backend server may have crashed, a new
- * connection is used to find out: a kept-alive connection may be broken without
- * having been noticed.
+ * Returns whether a query needs a new connection.  While a backend server may
+ * have crashed, a kept-alive connection may be broken without having been
+ * noticed.  While it counts as unresponsive, such a connection may still work
+ * although new ones fail, on which requests that must not repeat are sent.
  */
+static bool
+needs_new_connection(const struct pick_backend *b)
+{
+	return b->crash_suspects != NULL || pick_is_unresponsive(b);
+}
+
+/* Sends a load query. */
 void
 gate_load_query_start(struct gate_shard *s, const struct pick_backend *b)
 {
@@ -56,7 +64,7 @@
 	    .method = STR_LIT("GET"),
 	    .path = svc == NULL ? STR_LIT("/health") : svc->obj->probe_path,
 	    .host = b->address,
-	    .new_connection = b->crash_suspects != NULL,
+	    .new_connection = needs_new_connection(b),
 	    .connect_timeout_ns = TIMEOUT_NS};
 
 	q->gate = g;
--- a/pick.c
+++ b/pick.c
@@ -38,6 +38,8 @@
 	/* Limits of the doubling of ejections and refusal backoffs. */
 	EJECTIONS_MAX = 6,
 	REFUSALS_MAX = 6,
+	/* Consecutive failures to connect, then it is presumed down. */
+	CONNECT_FAILURES = 3,
 	UNRESPONSIVE_QUERIES = 2 /* consecutive unanswered queries */
 };
 
@@ -85,6 +87,20 @@
 	b->last_response_at = MIN(b->last_response_at, now - PRESUMED_DOWN_NS);
 }
 
+/*
+ * Kept connections may go on while new ones fail.  Requests that must not
+ * repeat need new ones, and successes on the kept ones prevent an ejection.
+ */
+void
+pick_record_connect(struct pick_backend *b, bool connected, int64_t now)
+{
+	b->connect_failures = connected ? 0 : b->connect_failures + 1;
+	if (b->connect_failures < CONNECT_FAILURES)
+		return;
+	b->connect_failures = 0;
+	pick_mark_crashed(b, now);
+}
+
 bool
 pick_is_usable(const struct pick_backend *b, int64_t now)
 {
--- a/pick.h
+++ b/pick.h
@@ -98,6 +98,8 @@
 	bool reports_no_load; /* its last load query returned no load */
 	int64_t queried_at; /* time of the last load query */
 	int unanswered_queries; /* consecutive ones */
+	/* Failures to connect since a new connection was last of use. */
+	int connect_failures;
 	int64_t last_response_at; /* initially the time of its adding */
 	int ejections; /* consecutive; sets the length of the next one */
 	/* Numbers of consecutive results of attempts. */
@@ -182,6 +184,12 @@
 /* Records a crash: it is presumed down until it answers a load query. */
 void pick_mark_crashed(struct pick_backend *, int64_t now);
 
+/*
+ * Records whether a new connection to it was made.  After several failures in a
+ * row it is presumed down as after a crash.
+ */
+void pick_record_connect(struct pick_backend *, bool connected, int64_t now);
+
 /*
  * Records that it refused a request without running it.  It gets no requests
  * for a random time that grows with each consecutive refusal.
--- a/regress/standin_proxy.c
+++ b/regress/standin_proxy.c
@@ -19,12 +19,16 @@
  * (connections stay open, but all data is dropped); freeze (as blackhole, but
  * data is held and delivered later); truncate (connections are reset after
  * `bytes` bytes from the target); drop_answers (data from callers is forwarded,
- * and the connection is reset instead of delivering the first response).  If
- * `process` is set, the mode applies only to the connections of the process
- *with this id; 0: to all.
+ * and the connection is reset instead of delivering the first response);
+ * refuse_new (nothing listens, and open connections go on).  If `process` is
+ * set, the modes but refuse_new apply only to the connections of the process
+ * with this id; 0: to all.
  */
 #include <arpa/inet.h>
 #include <dirent.h>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -41,11 +45,12 @@
 	M_FREEZE,
 	M_TRUNCATE,
 	M_DROP_ANSWERS,
+	M_REFUSE_NEW,
 	M_MAX
 };
 
-static const char *const mode_names[M_MAX] = {
-    "pass", "cut", "blackhole", "freeze", "truncate", "drop_answers"};
+static const char *const mode_names[M_MAX] = {"pass", "cut", "blackhole",
+    "freeze", "truncate", "drop_answers", "refuse_new"};
 
 /* One side of a proxied connection. */
 struct end {
@@ -80,7 +85,8 @@
 	uv_loop_t *loop;
 	struct tmr tmr;
 	uv_tcp_t listener;
-	struct sockaddr_storage target;
+	struct sockaddr_storage listen, target;
+	bool listening, closing; /* the state of the listener */
 	enum mode mode;
 	int64_t delay_ms;
 	uint64_t bytes, connections;
@@ -98,26 +104,47 @@
 	return c->exempt ? M_PASS : st.mode;
 }
 
-/* Returns the inode of a socket of this host by its address; 0: unknown. */
+/*
+ * Returns the inode of the socket of this host that is connected from one
+ * address to another; 0: unknown.  /proc/net/tcp lists all sockets of the
+ * host, which takes too long for each connection.
+ */
 static unsigned long
-inode_of(const struct sockaddr_in *sin)
+inode_of(const struct sockaddr_in *from, const struct sockaddr_in *to)
 {
-	unsigned long inode, found = 0;
-	unsigned ip, port;
-	char line[256];
-	FILE *f = fopen("/proc/net/tcp", "r");
-
-	if (f == NULL)
+	struct {
+		struct nlmsghdr head;
+		struct inet_diag_req_v2 diag;
+	} req = {
+	    .head = {.nlmsg_len = sizeof(req),
+		.nlmsg_type = SOCK_DIAG_BY_FAMILY,
+		.nlmsg_flags = NLM_F_REQUEST},
+	    .diag = {.sdiag_family = AF_INET,
+		.sdiag_protocol = IPPROTO_TCP,
+		.idiag_states = ~0U,
+		.id = {.idiag_sport = from->sin_port,
+		    .idiag_dport = to->sin_port,
+		    .idiag_src = {from->sin_addr.s_addr},
+		    .idiag_dst = {to->sin_addr.s_addr},
+		    .idiag_cookie = {INET_DIAG_NOCOOKIE, INET_DIAG_NOCOOKIE}}},
+	};
+	struct {
+		struct nlmsghdr head;
+		struct inet_diag_msg diag;
+		char rest[4096];
+	} reply;
+	int fd =
+	    socket(AF_NETLINK, SOCK_DGRAM | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+	unsigned long inode = 0;
+
+	if (fd < 0)
 		return 0;
-	while (found == 0 && fgets(line, sizeof(line), f) != NULL)
-		if (sscanf(line,
-			"%*u: %x:%x %*x:%*x %*x %*x:%*x %*x:%*x %*x %*u %*u "
-			"%lu",
-			&ip, &port, &inode) == 3 &&
-		    ip == sin->sin_addr.s_addr && port == ntohs(sin->sin_port))
-			found = inode;
-	fclose(f);
-	return found;
+	if (send(fd, &req, sizeof(req), 0) == (ssize_t)sizeof(req) &&
+	    recv(fd, &reply, sizeof(reply), 0) > 0 &&
+	    reply.head.nlmsg_type == SOCK_DIAG_BY_FAMILY)
+		inode = reply.diag.idiag_inode;
+	close(fd);
+	return inode;
 }
 
 static bool
@@ -150,13 +177,15 @@
 static void
 set_exempt(struct conn *c)
 {
-	struct sockaddr_in sin;
-	int len = sizeof(sin);
+	struct sockaddr_in from, to;
+	int from_len = sizeof(from), to_len = sizeof(to);
+	uv_tcp_t *tcp = &c->ends[0].tcp;
 
 	c->exempt = st.process != 0 &&
-	    (uv_tcp_getpeername(
-		 &c->ends[0].tcp, (struct sockaddr *)&sin, &len) != 0 ||
-		!process_has_socket(st.process, inode_of(&sin)));
+	    (uv_tcp_getpeername(tcp, (struct sockaddr *)&from, &from_len) !=
+		    0 ||
+		uv_tcp_getsockname(tcp, (struct sockaddr *)&to, &to_len) != 0 ||
+		!process_has_socket(st.process, inode_of(&from, &to)));
 }
 
 static void
@@ -340,6 +369,26 @@
 	    (struct sockaddr *)&st.target, on_connected);
 }
 
+/* Starts to listen; returns false on an error. */
+static bool
+start_listening(void)
+{
+	uv_tcp_init(st.loop, &st.listener);
+	st.listening = true;
+	return uv_tcp_bind(&st.listener, (struct sockaddr *)&st.listen, 0) ==
+	    0 &&
+	    uv_listen((uv_stream_t *)&st.listener, 1024, on_connection) == 0;
+}
+
+static void
+on_listener_closed(uv_handle_t *h)
+{
+	(void)h;
+	st.closing = false;
+	if (st.mode != M_REFUSE_NEW && !start_listening())
+		exit(1);
+}
+
 static void
 set_mode(enum mode mode)
 {
@@ -347,6 +396,14 @@
 	struct parcel *p;
 
 	st.mode = mode;
+	if (mode == M_REFUSE_NEW && st.listening) {
+		st.listening = false;
+		st.closing = true;
+		uv_close((uv_handle_t *)&st.listener, on_listener_closed);
+	} else if (mode != M_REFUSE_NEW && !st.listening && !st.closing &&
+	    !start_listening()) {
+		exit(1);
+	}
 	if (mode == M_CUT) {
 		for (at = st.conns.head; at != NULL; at = next) {
 			next = at->next;
@@ -395,10 +452,9 @@
 int
 main(int argc, char **argv)
 {
-	struct sockaddr_storage sa;
 	GError *err = NULL;
 
-	if (argc != 4 || !to_sockaddr(argv[1], &sa) ||
+	if (argc != 4 || !to_sockaddr(argv[1], &st.listen) ||
 	    !to_sockaddr(argv[2], &st.target)) {
 		fprintf(stderr, "usage: standin_proxy LISTEN TARGET CONTROL\n");
 		return 2;
@@ -406,9 +462,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	st.loop = uv_default_loop();
 	tmr_open(&st.tmr, st.loop, clk_system());
-	uv_tcp_init(st.loop, &st.listener);
-	if (uv_tcp_bind(&st.listener, (struct sockaddr *)&sa, 0) != 0 ||
-	    uv_listen((uv_stream_t *)&st.listener, 1024, on_connection) != 0 ||
+	if (!start_listening() ||
 	    hsrv_open(st.loop, str_c(argv[3]), 4096, on_control, NULL, &err) ==
 		NULL) {
 		fprintf(stderr, "standin_proxy: cannot listen\n");
--- a/regress/test_cutoff.cpp
+++ b/regress/test_cutoff.cpp
@@ -66,18 +66,25 @@
 		return ip + ":" + std::to_string(port);
 	}
 
+	/* Controls the proxy of one server. */
+	void set(int server, const std::string &query) const
+	{
+		std::string control =
+		    address(FIRST_PORT + CONTROL_OFFSET + server);
+
+		EXPECT_TRUE(until(
+		    [&] {
+			    return http("POST", control,
+				       "/standin/set?" + query, {}, "", 500)
+				       .status == 200;
+		    },
+		    5000));
+	}
+
 	void set(const std::string &query) const
 	{
-		for (int port = FIRST_PORT; port < FIRST_PORT + SERVERS; port++)
-			EXPECT_TRUE(until(
-			    [&] {
-				    return http("POST",
-					       address(port + CONTROL_OFFSET),
-					       "/standin/set?" + query, {}, "",
-					       500)
-					       .status == 200;
-			    },
-			    5000));
+		for (int i = 0; i < SERVERS; i++)
+			set(i, query);
 	}
 
 	/* Sets the mode of the connections of one box. */
@@ -101,7 +108,7 @@
 	    : paths(ip, dir), further(*this, "b2", hall, "7")
 	{
 		for (int i = 0; i < SERVERS; i++)
-			enter_proxy(i);
+			enter_proxy(i, "north");
 		target = "700ms";
 		configure("till");
 		further.box.start();
@@ -117,13 +124,14 @@
 		send(20, here, there);
 	}
 
-	void enter_proxy(int i)
+	void enter_proxy(int i, const std::string &zone)
 	{
 		platform.put("servers", "i-" + std::to_string(i),
 		    "{\"service\":\"" + std::string(i < 2 ? "till" : "shelf") +
 			"\",\"addr\":\"" +
 			paths.address(FIRST_PORT + PROXY_OFFSET + i) +
-			"\",\"zone\":\"north\",\"slots\":3,"
+			"\",\"zone\":\"" + zone +
+			"\",\"slots\":3,"
 			"\"state\":\"ready\"}");
 	}
 
@@ -356,3 +364,34 @@
 	EXPECT_LT(here.slowest_ms, 400);
 	EXPECT_LT(there.slowest_ms, 400);
 }
+
+/*
+ * Connections to the backend servers of a hall that were kept go on, and new
+ * ones are refused.  Requests that must not repeat are sent on new ones, so
+ * they are not served there, although load queries would be answered on kept
+ * ones.
+ */
+TEST(Cutoff, WhereNewConnectionsAreRefusedAnotherHallServes)
+{
+	Pair p("south");
+	int served = 0;
+
+	p.configure("till");
+	p.enter_proxy(1, "south");
+	ASSERT_TRUE(until([&] {
+		p.ask("/look/1");
+		p.further.serves();
+		return p.ran(0, 0) > 0 && p.ran(1, 1) > 0;
+	}));
+	p.paths.set(0, "mode=refuse_new");
+	for (double end = now_ms() + CONTACT_MS; now_ms() < end; pump(5)) {
+		p.ask("/look/1");
+		p.ask("/buy/1", "POST");
+	}
+	for (int i = 0; i < 100; i++) {
+		p.ask("/look/1");
+		served += p.ask("/buy/1", "POST").status == 200;
+		pump(5);
+	}
+	EXPECT_GE(served, 98);
+}
