A request that a server refuses at its deadline is not sent again

A request that had waited in a server's queue until its deadline, and had not run, was sent to another server for the last milliseconds. There it began to run, so that its caller could no longer be told that it had not, or it waited for our own cut and lost the server's refusal.

Cause: a refusal was retried whatever time was left. With less than 10 ms left it now goes to the caller, as an error does.

--- a/gate_try.c
+++ b/gate_try.c
@@ -22,8 +22,8 @@
 enum { LOST_ATTEMPTS = 2 };
 
 /*
- * An error response of a backend server with less time left than this means
- * that the server has reached the deadline.
+ * An error response or refusal of a backend server with less time left than
+ * this means that the server has reached the deadline.
  */
 #define AT_DEADLINE_NS (10 * NS_MS)
 
@@ -198,6 +198,12 @@
 	r->at_deputy = false;
 }
 
+static bool
+is_at_deadline(const struct gate_req *r)
+{
+	return r->disp.deadline - clk_ns(r->gate->clk) < AT_DEADLINE_NS;
+}
+
 /*
  * A request with a 5xx response may have run, unless the backend server states
  * that it refused the request before running it.  Another gate states that in
@@ -216,9 +222,7 @@
 		return DISP_REFUSED;
 	if (status < 500)
 		return DISP_OK;
-	return r->disp.deadline - clk_ns(r->gate->clk) < AT_DEADLINE_NS
-	    ? DISP_TIMED_OUT
-	    : DISP_SERVER_ERROR;
+	return is_at_deadline(r) ? DISP_TIMED_OUT : DISP_SERVER_ERROR;
 }
 
 /*
@@ -330,6 +334,9 @@
 	outcome = outcome_of(r, status, headers, n);
 	if (outcome == DISP_OK)
 		return false;
+	/* Another server could not finish it, but could begin to run it. */
+	if (is_at_deadline(r))
+		r->disp.can_retry = false;
 	is_error = outcome == DISP_SERVER_ERROR || outcome == DISP_TIMED_OUT;
 	r->maybe_ran = r->maybe_ran || is_error;
 	r->response_not_run = outcome == DISP_REFUSED && !r->maybe_ran;
--- a/regress/standin_backend.c
+++ b/regress/standin_backend.c
@@ -23,7 +23,8 @@
  * 503 with Fern-Ran: no), drain (0|1), sick (0|1: health checks fail), lie
  * (0|1: health checks always pass), cut (bytes after which a response is cut
  * off), cold (number of first requests that take five times as long), chunked
- * (0|1: no Content-Length), deadline (0|1: 504 at the deadline of a request).
+ * (0|1: no Content-Length), deadline (0|1: 504 at the deadline of a request,
+ *503 with Fern-Ran: no if it is still queued).
  */
 #include <fcntl.h>
 #include <math.h>
@@ -68,7 +69,8 @@
 	h2o_generator_t gen;
 	struct tmr_item timer;
 	bool queued, running;
-	uint64_t size, sent, ms, deadline_ms;
+	uint64_t size, sent, ms;
+	int64_t deadline; /* INT64_MAX: none */
 	char *chunk; /* the bytes being sent */
 	GList link;
 	char id[64];
@@ -232,7 +234,7 @@
 run(struct work *w)
 {
 	double ms = (double)(w->ms > 0 ? w->ms : st.v[K_MS]);
-	bool late;
+	int64_t end;
 
 	w->running = true;
 	st.running++;
@@ -248,15 +250,33 @@
 		st.v[K_COLD]--;
 		ms *= COLD_SLOW;
 	}
-	late = st.v[K_DEADLINE] && (double)w->deadline_ms < ms;
-	if (late)
-		ms = (double)w->deadline_ms;
+	end = clk_ns(clk_system()) + (int64_t)(ms * (double)NS_MS);
 	if (ms <= 0)
 		on_served(w);
+	else if (w->deadline < end)
+		tmr_set(&st.tmr, &w->timer, w->deadline, on_deadline, w);
 	else
-		tmr_set(&st.tmr, &w->timer,
-		    clk_ns(clk_system()) + (int64_t)(ms * (double)NS_MS),
-		    late ? on_deadline : on_served, w);
+		tmr_set(&st.tmr, &w->timer, end, on_served, w);
+}
+
+static void
+on_queue_deadline(void *ctx)
+{
+	struct work *w = ctx;
+
+	w->queued = false;
+	g_queue_remove(&st.queue, w);
+	st.shed++;
+	refuse(w, 503, true);
+}
+
+static void
+enqueue(struct work *w)
+{
+	w->queued = true;
+	g_queue_push_tail(&st.queue, w);
+	if (w->deadline != INT64_MAX)
+		tmr_set(&st.tmr, &w->timer, w->deadline, on_queue_deadline, w);
 }
 
 static void
@@ -269,7 +289,13 @@
 		if (w == NULL)
 			return;
 		w->queued = false;
-		run(w);
+		tmr_clear(&st.tmr, &w->timer);
+		if (clk_ns(clk_system()) < w->deadline) {
+			run(w);
+			continue;
+		}
+		st.shed++;
+		refuse(w, 503, true);
 	}
 }
 
@@ -289,10 +315,11 @@
 	w->size =
 	    str_u64(hsrv_query(req, "size"), &size) && size > 0 ? size : 1024;
 	w->ms = str_u64(hsrv_query(req, "ms"), &ms) ? ms : 0;
-	w->deadline_ms =
-	    str_u64(hsrv_header(req, "fern-deadline-ms"), &deadline_ms)
-	    ? deadline_ms
-	    : UINT64_MAX;
+	w->deadline = INT64_MAX;
+	if (st.v[K_DEADLINE] &&
+	    str_u64(hsrv_header(req, "fern-deadline-ms"), &deadline_ms))
+		w->deadline =
+		    clk_ns(clk_system()) + (int64_t)deadline_ms * NS_MS;
 	if (st.v[K_REFUSE]) {
 		refuse(w, 503, true);
 	} else if (st.v[K_FAIL]) {
@@ -304,8 +331,7 @@
 		st.shed++;
 		refuse(w, 503, true);
 	} else {
-		w->queued = true;
-		g_queue_push_tail(&st.queue, w);
+		enqueue(w);
 	}
 }
 
--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -113,6 +113,17 @@
 	}
 };
 
+/* Sum of a counter of the backend servers. */
+long
+count(const Fleet &f, const std::string &key)
+{
+	long n = 0;
+
+	for (auto &b : f.backends)
+		n += b->count(key);
+	return n;
+}
+
 } // namespace
 
 /* The owner cut forwarded requests at the default of the service. */
@@ -468,6 +479,43 @@
 				EXPECT_EQ("refused\n", r.second.body)
 				    << r.first;
 		}
-	EXPECT_EQ(2 * 2 * ROUNDS,
-	    w.backends[0]->count("ran") + w.backends[1]->count("ran"));
+	EXPECT_EQ(2 * 2 * ROUNDS, count(w, "ran"));
+}
+
+/*
+ * A request that was in a server's queue until its deadline has not run.  No
+ * other server gets it for the last milliseconds, so this remains true.
+ */
+TEST(Deadline, ARequestRefusedAtItsDeadlineIsNotSentAgain)
+{
+	FleetOptions o = options_of("leave_wait_ms = 200\npolicy = \"pace\"\n");
+	const int ROUNDS = 5;
+	int refused = 0;
+
+	o.backends.resize(2);
+	for (auto &b : o.backends)
+		b.keys = "ms=5 deadline=1";
+	World w(o);
+	ASSERT_TRUE(w.open());
+	for (int i = 0; i < 20; i++)
+		http("POST", w.boxes[0].listen, "/dir/x", {}, "body");
+	w.put_rules("dir", 200);
+	pump(1000);
+	for (auto &b : w.backends)
+		b->set("slots=1");
+	for (int i = 0; i < ROUNDS; i++) {
+		long before = count(w, "ran");
+		Pending pending;
+
+		pending.send(w.boxes[0], 1000);
+		pending.send_one(w.boxes[0], "/dir/x", 1000);
+		ASSERT_TRUE(until([&] { return pending.done(); }));
+		for (auto &r : pending.replies) {
+			refused += r.second.status == 503;
+			before += !r.second.not_run();
+		}
+		EXPECT_EQ(before, count(w, "ran"));
+	}
+	EXPECT_GT(refused, 0);
+	EXPECT_EQ(refused, count(w, "shed"));
 }
