--- a/regress/standin_backend.c
+++ b/regress/standin_backend.c
@@ -24,7 +24,7 @@
  * (0|1: health checks always pass), cut (bytes after which a response is cut
  * off), cold (number of first requests that take five times as long), chunked
  * (0|1: no Content-Length), deadline (0|1: 504 at the deadline of a request,
- *503 with Fern-Ran: no if it is still queued).
+ * 503 with Fern-Ran: no if it is still queued).
  */
 #include <fcntl.h>
 #include <math.h>
