A gate that has handed its shard over declines forwarded requests at once

A gate that is leaving now declines a forwarded request as soon as another gate owns the shard and has its state; while it holds requests for the state, or if it knows no other owner, it takes them as before.

--- a/gate_admit.c
+++ b/gate_admit.c
@@ -98,6 +98,22 @@
 	return r->arrived_at + MAX((int64_t)left_ms, DEADLINE_MIN_MS) * NS_MS;
 }
 
+/*
+ * Returns whether this gate is leaving and another one owns the shard by now.
+ * What is sent on from here would be cut when this gate exits, so that the gate
+ * that forwarded it is to route it itself.
+ */
+static bool
+has_handed_over(struct gate *g, struct str service, struct str hall)
+{
+	bool self;
+
+	if (!gate_box_leaving(g) || gate_handover_is_holding(g, service, hall))
+		return false;
+	gate_owner(g, service, hall, &self);
+	return !self;
+}
+
 /*
  * Admits a request that another gate forwarded.  That gate has applied the
  * rule, so that both gates agree even while their configurations differ.
@@ -109,10 +125,6 @@
 	struct gate_forward forward;
 	const struct route_service *service;
 
-	if (gate_box_declines(g)) {
-		gate_respond(r, ERR_LEAVING, RAN_NO, 0);
-		return;
-	}
 	if (!gate_forward_read(
 		hsrv_header(r->req, GATE_FORWARD_HEADER), &forward)) {
 		gate_respond(r, ERR_BAD_REQUEST, RAN_NO, 0);
@@ -123,6 +135,10 @@
 		gate_respond(r, ERR_NO_SERVICE, RAN_NO, 0);
 		return;
 	}
+	if (has_handed_over(g, service->name, forward.target_hall)) {
+		gate_respond(r, ERR_LEAVING, RAN_NO, 0);
+		return;
+	}
 	r->hops = (int)MIN(forward.hops, HOPS_MAX);
 	r->service = str_dup(service->name);
 	r->hall = str_dup(forward.target_hall);
--- a/gate_box.c
+++ b/gate_box.c
@@ -24,12 +24,6 @@
 	IDLE_LEAVING_MS = 100 /* an idle connection is closed after this */
 };
 
-/*
- * Other gates learn within this time that a gate leaves.  What one forwards
- * later would be cut at the exit if it takes long.
- */
-#define DECLINE_AFTER_NS (500 * NS_MS)
-
 /*
  * Requests without a response so long before the end of the grace period get an
  * error response, as a connection that just closes does not tell the caller
@@ -125,13 +119,6 @@
 	return g->state >= BOX_LEAVING;
 }
 
-bool
-gate_box_declines(const struct gate *g)
-{
-	return gate_box_leaving(g) &&
-	    clk_ns(g->clk) - g->leaving_since > DECLINE_AFTER_NS;
-}
-
 static void
 on_signal(uv_signal_t *sig, int signum)
 {
--- a/libgate.h
+++ b/libgate.h
@@ -299,8 +299,6 @@
 void gate_box_tick(struct gate *, int64_t now);
 /* Returns whether a planned shutdown has begun. */
 bool gate_box_leaving(const struct gate *);
-/* Returns whether other gates must have heard that this one is leaving. */
-bool gate_box_declines(const struct gate *);
 
 /*
  * gate_conf.c: configuration from the agent, and the routes, shards and limits
