The first epoch is 1, whether the platform tells it or not

A box that held entries of a platform that tells no epoch did not take its first epoch for a restore: a server whose drain the restore had lost got requests again.

Versions of a platform that tells no epoch are of epoch 1 now, and the store's era 0 is that epoch; 0 is left for boxes of builds that know no epochs. So an epoch that appears with the first restore is the second one.

--- a/plat.h
+++ b/plat.h
@@ -130,6 +130,8 @@
 struct plat_codec {
 	/* Name of the header that tells the epoch, in lower case. */
 	struct str epoch_header;
+	/* Added to it, as epochs count from 1. */
+	uint64_t epoch_offset;
 	/* `after` was set by decode() for the previous page, else empty. */
 	void (*encode)(const struct plat_request *, struct str after,
 	    struct plat_exchange *);
--- a/plat_fern.c
+++ b/plat_fern.c
@@ -21,7 +21,7 @@
 decode(const struct plat_request *, enum plat_result, json_t *, char **);
 
 const struct plat_codec plat_fern_codec = {
-    STR_LIT("fern-epoch"), encode, result_from_status, decode};
+    STR_LIT("fern-epoch"), 0, encode, result_from_status, decode};
 
 static const char *const methods[] = {[PLAT_LIST] = "GET",
     [PLAT_GET] = "GET",
--- a/plat_http.c
+++ b/plat_http.c
@@ -232,14 +232,18 @@
 {
 	struct plat_call *c = ctx;
 	struct plat *p = &c->http->plat;
+	const struct plat_codec *codec = c->http->codec;
 	unsigned long long epoch;
 
 	(void)up;
-	/* Without the header, the platform is taken to be as it was. */
-	if (!str_u64(dial_find_header(headers, n, c->http->codec->epoch_header),
-		&epoch))
-		epoch = p->epoch;
-	epoch = MIN(epoch, VERSION_EPOCH_MAX);
+	/*
+	 * Without the header, the platform is taken to be as it was: some tell
+	 * their epoch only once they have been restored.
+	 */
+	if (str_u64(dial_find_header(headers, n, codec->epoch_header), &epoch))
+		epoch = MIN(epoch + codec->epoch_offset, VERSION_EPOCH_MAX);
+	else
+		epoch = MAX(p->epoch, VERSION_EPOCH_FIRST);
 	c->status = status;
 	/* The pages of a list must all be of the same epoch. */
 	c->epoch_changed = c->pages != NULL && epoch != c->epoch;
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -217,7 +217,7 @@
 	std::vector<int64_t> ended;
 	uint64_t rev = 1, kept = 0;
 	uint64_t copy_rev = 1; /* of the copy that restore() uses */
-	uint64_t era = 1; /* rises with each restore() */
+	uint64_t era = 0; /* rises with each restore() */
 	int status = 0;
 	bool hangs = false, swallows = false, deaf = false, hides_era = false;
 	size_t nhung = 0;
--- a/version.h
+++ b/version.h
@@ -18,10 +18,13 @@
  * restored from a copy loses its last writes and uses their revisions again.
  * It then has a new epoch, a counter of restores.  A version holds both, the
  * epoch in its higher decimal digits, so that any version of a later epoch is
- * higher.  The epoch is 0 on a platform that does not tell it.
+ * higher.  Epochs count from 1, also on a platform that does not tell them; 0
+ * stands in versions from boxes of builds that know no epochs.
  */
 #define VERSION_EPOCH_STEP UINT64_C(1000000000000)
 
+#define VERSION_EPOCH_FIRST UINT64_C(1)
+
 /* So that a version fits into a signed number. */
 #define VERSION_EPOCH_MAX (INT64_MAX / VERSION_EPOCH_STEP - 1)
 
