--- a/regress/test_restore.cpp
+++ b/regress/test_restore.cpp
@@ -127,6 +127,27 @@
 	EXPECT_TRUE(until([&] { return serves_till(w); }, apply_ms));
 }
 
+/* The same of an object that has no number of its own. */
+TEST(Restore, ADrainAtARevisionThatWasUsedBeforeIsInForceInTime)
+{
+	World w;
+	size_t before;
+
+	ASSERT_TRUE(is_ready(w));
+	w.platform.keep_copy();
+	for (int i = 0; i < 3; i++) {
+		w.enter(0, "ready", "south");
+		w.enter(0, "ready", "north");
+	}
+	pump(500);
+	w.platform.restore();
+	w.enter(0, "draining");
+	pump(apply_ms);
+	before = w.platform.ran("i-0");
+	ask_for(w, 3000);
+	EXPECT_EQ(before, w.platform.ran("i-0"));
+}
+
 /* The copy has an older configuration, which the operator has replaced. */
 TEST(Restore, AnOlderConfigurationDoesNotComeBack)
 {
@@ -338,6 +359,10 @@
 		pump(400);
 		EXPECT_TRUE(serves_shelf(w));
 	}
+	for (int i = 0; i < 40; i++) {
+		EXPECT_TRUE(serves_shelf(w)) << i;
+		pump(100);
+	}
 	configure(w, "till");
 	EXPECT_TRUE(until([&] { return serves_till(w); }, apply_ms));
 	w.platform.restore();
