Busy servers that are silent are queried

Cause: a server counts as down after two unanswered load queries. Queries go to servers with free slots, before a request; servers whose slots were all taken by requests that hung got none until these ended at their deadlines.

Change: a server without a free slot that reports its load is queried after 0.3 s without a response. Not so where a suspect request is on trial: with that, Trial.ACrashWithoutAResetCountsToo failed, as the answer of a server that had crashed and restarted before the deadline hid the crash.

Measured: Paced.AServerWhoseSlotsAreInUseIsQueriedWhenItIsSilent failed before (the server still counted as up after 1 s) and passes.

--- a/disp_query.c
+++ b/disp_query.c
@@ -22,6 +22,8 @@
 #define QUERY_GAP_NS (10 * NS_MS)
 /* The same for one that left the last queries unanswered. */
 #define UNRESPONSIVE_GAP_NS (100 * NS_MS)
+/* A server with no free slot is queried after so long without a response. */
+#define SILENCE_NS (300 * NS_MS)
 /* Longest wait for query results of a request without a target. */
 #define QUERY_WAIT_NS (12 * NS_MS)
 
@@ -149,25 +151,40 @@
 	d->query_next = n == 0 ? 0 : (d->query_next + i) % n;
 }
 
+/*
+ * Returns whether a server has no free slot and has been silent: the requests
+ * there may take long, or its connections hang.  Only servers that report their
+ * load answer a query while they are busy.  One that is reserved for a trial is
+ * left alone: if it crashes there and restarts before the request's deadline,
+ * its answer would hide the crash.
+ */
+static bool
+is_busy_and_silent(const struct pick_backend *b, int64_t now)
+{
+	return b->inflight > 0 && !b->reserved_for_trial &&
+	    b->reported_at != 0 && !b->reports_no_load &&
+	    now - b->last_response_at >= SILENCE_NS &&
+	    pick_free_slots(b, now) == 0;
+}
+
 static bool
-needs_recovery_query(const struct pick_backend *b, int64_t now)
+needs_query(const struct pick_backend *b, int64_t now)
 {
-	(void)now;
-	return pick_is_unresponsive(b) && !b->removed && !b->evacuated &&
-	    !b->leaving && b->state != PICK_DRAINING;
+	return (pick_is_unresponsive(b) || is_busy_and_silent(b, now)) &&
+	    !b->removed && !b->evacuated && !b->leaving &&
+	    b->state != PICK_DRAINING;
 }
 
 /*
- * Queries servers that left queries unanswered.  They get no requests, so only
- * a query can show that they work again.  If servers that are unreachable
- * counted as usable, the shard's owner would queue requests for them until
- * their deadlines and refuse them only then.
+ * Queries servers that left queries unanswered, or may do so.  They get no
+ * requests, so only a query can show that they work again.  If servers that are
+ * unreachable counted as usable, the shard's owner would queue requests for
+ * them until their deadlines and refuse them only then.
  */
 void
 disp_query_unresponsive(struct disp *d, int64_t now)
 {
-	disp_query_round_robin(
-	    d, needs_recovery_query, UNRESPONSIVE_GAP_NS, now);
+	disp_query_round_robin(d, needs_query, UNRESPONSIVE_GAP_NS, now);
 }
 
 /*
--- a/regress/test_paced.cpp
+++ b/regress/test_paced.cpp
@@ -8,6 +8,7 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
+#include <memory>
 #include <set>
 
 #include "disp_world.h"
@@ -562,3 +563,48 @@
 	w.now += 20 * NS_MS;
 	w.end_attempt(&r[2], DISP_OK);
 }
+
+/*
+ * Servers whose slots are all in use get no requests, and so no queries before
+ * requests either.  If their connections hang, only a query shows it before the
+ * deadlines of the requests there, until which others would wait for them.
+ */
+TEST(Paced, AServerWhoseSlotsAreInUseIsQueriedWhenItIsSilent)
+{
+	for (bool answers : {false, true}) {
+		Paced w(1);
+		std::vector<std::unique_ptr<Req>> sent;
+		int64_t began = w.now;
+
+		while (sent.size() < 3) {
+			sent.push_back(std::make_unique<Req>());
+			w.submit(sent.back().get(), false, 1, 9000);
+			w.answer_load_queries(100);
+		}
+		size_t queries = 0;
+		for (int i = 0; i < 50; i++) {
+			w.now += 20 * NS_MS;
+			disp_tick(w.disp);
+			queries += w.load_queries.size();
+			if (answers) {
+				w.answer_load_queries(100);
+				continue;
+			}
+			for (auto &b : w.load_queries)
+				disp_load_query_done(
+				    w.disp, str_c(b.c_str()), false, 0, 0, 0);
+			w.load_queries.clear();
+			if (disp_none_responds(w.disp))
+				break;
+		}
+		EXPECT_EQ(!answers, disp_none_responds(w.disp));
+		EXPECT_LT(w.now - began, answers ? 2 * NS_S : 800 * NS_MS);
+		/* Requests may just take long. */
+		EXPECT_LE(queries, 5u);
+		for (auto &r : sent)
+			if (r->d.backend != nullptr)
+				w.end_attempt(r.get(), DISP_CANCELED);
+			else if (r->d.queued)
+				disp_cancel(w.disp, &r->d);
+	}
+}
