Trials of deputies are shorter, and a late request does not end a deputy

The next gate is tried after 0.25 s now; a late answer of the first one still counts. A request that reaches its deadline at a deputy ended it (front-hall-d-2 at 10.5 s); only a gate without usable servers, or one that is lost, is left now.

--- a/deputy.h
+++ b/deputy.h
@@ -32,8 +32,11 @@
 
 /* A gate whose trial failed gets no other one for this time. */
 #define DEPUTY_RETRY_NS (3 * NS_S)
-/* A trial without any response ends after this time. */
-#define DEPUTY_TRIAL_NS (1 * NS_S)
+/*
+ * The next gate gets a trial after this time without a response.  Gates that
+ * are cut off as well answer only after several connects have timed out.
+ */
+#define DEPUTY_TRIAL_NS (250 * NS_MS)
 /* The owner dispatches again when servers have responded for this time. */
 #define DEPUTY_RETURN_NS (300 * NS_MS)
 
--- a/gate_deputy.c
+++ b/gate_deputy.c
@@ -80,6 +80,17 @@
 	return p;
 }
 
+/*
+ * Returns whether an error of a gate says nothing of its connections: it lacks
+ * time for the request, or one of many requests there took too long.
+ */
+static bool
+is_undecided(const struct deputy *d, enum err_kind kind)
+{
+	return kind == ERR_BUSY ||
+	    (kind == ERR_DEADLINE && d->state == DEPUTY_SERVING);
+}
+
 void
 gate_deputy_responded(const struct gate_req *r, enum err_kind kind)
 {
@@ -89,7 +100,7 @@
 		return;
 	if (kind == ERR_NONE)
 		result = DEPUTY_REACHES;
-	else if (kind == ERR_BUSY)
+	else if (is_undecided(&r->shard->deputy, kind))
 		result = DEPUTY_UNDECIDED;
 	record(r->shard, r->owner->info.box, result);
 }
