up: TCP_USER_TIMEOUT decides when keepalive gives up, not the number of probes

The comment promised 3 s by two probes. On Linux a set TCP_USER_TIMEOUT takes the place of the number: the connection is closed by the first probe that is due 2 s or more after the last data, so after 2 to 3 s. TCP_KEEPCNT had no effect and goes. By reading, no behaviour changes: packets to a kept connection cannot be dropped in a test without rights on the host's network.

--- a/up_conn.c
+++ b/up_conn.c
@@ -20,12 +20,14 @@
 enum {
 	IDLE_PER_ADDRESS_MAX = 64,
 	/*
-	 * TCP keepalive: a server that is dead or unreachable is detected after
-	 * about 3 s.
+	 * TCP keepalive.  On Linux, TCP_USER_TIMEOUT decides when probes give
+	 * up, whatever their number: with the first probe that is due
+	 * UNACKED_MS or later after the last data received, while another one
+	 * is unanswered.  An idle connection to a server that is dead or
+	 * unreachable is thus closed 2 to 3 s after it.
 	 */
 	KEEPALIVE_IDLE_S = 1,
 	KEEPALIVE_INTERVAL_S = 1,
-	KEEPALIVE_PROBES = 2,
 	/* A connection with data unacknowledged for so long is closed. */
 	UNACKED_MS = 2000
 };
@@ -221,7 +223,6 @@
 	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
 	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
 	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
 	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_MS);
 }
 
