--- a/regress/soak_box.cpp
+++ b/regress/soak_box.cpp
@@ -14,9 +14,9 @@
  * proxies that inject faults.  Further faults are signals and a store that
  * refuses calls, drops its history, is stale, or is restored from a copy, after
  * which everyone writes again what it lost.  Configurations change meanwhile.
- *Faults come in series and overlap.  The guarantees are checked from what
- *callers and backend servers observe.  Two customers have rates; now and then
- *one of them sends many times its rate while boxes are killed.
+ * Faults come in series and overlap.  The guarantees are checked from what
+ * callers and backend servers observe.  Two customers have rates; now and then
+ * one of them sends many times its rate while boxes are killed.
  *
  *	soak_box SECONDS [SEED [BOXES]]
  *
