One constant for the age of a copy, and the first epoch's own name

The greatest age of a copy from which the platform is restored, 20 s, stood in three files, and gate_renew.c named the first epoch a second time. Both are in version.h now.

--- a/agent_box.c
+++ b/agent_box.c
@@ -342,7 +342,7 @@
 	uint64_t revision = version_revision(a->status_version);
 
 	a->status_version = 0;
-	if (!a->is_listed || age > AGENT_COPY_AGE_NS) {
+	if (!a->is_listed || age > VERSION_COPY_AGE_MAX_MS * NS_MS) {
 		if (revision > 0)
 			a->status_version =
 			    version_make(conf_epoch(a->conf), revision);
--- a/gate_renew.c
+++ b/gate_renew.c
@@ -19,8 +19,6 @@
  * claimed: another gate's claim of the same key may be missing.
  */
 
-/* The age that a copy may have from which the platform is restored. */
-#define COPY_AGE_MAX_NS (20 * NS_S)
 /*
  * Time for all gates to learn of an epoch, which heartbeats tell within a
  * second, and to write their claims again.
@@ -33,8 +31,7 @@
 	RECORDS_MAX = 4096,
 	CALLS_MAX = 4, /* renewals in flight */
 	CALL_TIMEOUT_MS = 500,
-	BACKOFF_SHIFT_MAX = 6,
-	FIRST_EPOCH = 1 /* of a platform that was never restored */
+	BACKOFF_SHIFT_MAX = 6
 };
 
 /* Steps of a renewal. */
@@ -104,7 +101,7 @@
 	struct claim_record *rec = g_queue_peek_head(&records->all);
 
 	while (rec != NULL && !rec->is_pending &&
-	    (now - rec->written_at > COPY_AGE_MAX_NS ||
+	    (now - rec->written_at > VERSION_COPY_AGE_MAX_MS * NS_MS ||
 		records->all.length > RECORDS_MAX)) {
 		g_queue_unlink(&records->all, &rec->link);
 		record_free(rec);
@@ -166,8 +163,8 @@
 }
 
 /*
- * A first epoch above FIRST_EPOCH may have begun just before this gate started,
- * so that the other gates still renew their claims.
+ * A first epoch above VERSION_EPOCH_FIRST may have begun just before this gate
+ * started, so that the other gates still renew their claims.
  */
 static void
 note_epoch(struct gate *g)
@@ -180,7 +177,7 @@
 	if (epoch <= records->epoch)
 		return;
 	records->epoch = epoch;
-	if (is_first && epoch <= FIRST_EPOCH)
+	if (is_first && epoch <= VERSION_EPOCH_FIRST)
 		return;
 	records->held_until = now + HOLD_NS;
 	expire(records, now);
--- a/gate_roll.c
+++ b/gate_roll.c
@@ -26,9 +26,6 @@
  */
 #define WRITE_INTERVAL_NS (1500 * NS_MS)
 
-/* The age that a copy may have from which the platform is restored. */
-#define COPY_AGE_MAX_NS (20 * NS_S)
-
 enum { CALL_TIMEOUT_MS = 1000 };
 
 /* Part of the platform's allowed share for an unproven version that is used. */
@@ -301,7 +298,7 @@
 {
 	return s->roll_outcome_at != 0 &&
 	    s->roll_confirmed_epoch < conf_epoch(g->conf) &&
-	    now - s->roll_outcome_at < COPY_AGE_MAX_NS;
+	    now - s->roll_outcome_at < VERSION_COPY_AGE_MAX_MS * NS_MS;
 }
 
 /*
--- a/libagent.h
+++ b/libagent.h
@@ -94,8 +94,6 @@
  * servers write their entries at intervals of 1.5 s.
  */
 #define AGENT_RESTORE_NS (3 * NS_S)
-/* The age that a copy may have from which the platform is restored. */
-#define AGENT_COPY_AGE_NS (20 * NS_S)
 
 /* Counters and gauges; agent_stat.c describes each. */
 enum agent_cnt {
--- a/version.h
+++ b/version.h
@@ -28,6 +28,9 @@
 /* So that a version fits into a signed number. */
 #define VERSION_EPOCH_MAX (INT64_MAX / VERSION_EPOCH_STEP - 1)
 
+/* Greatest age of a copy from which the platform is restored, in ms. */
+#define VERSION_COPY_AGE_MAX_MS (20 * 1000)
+
 static inline uint64_t
 version_make(uint64_t epoch, uint64_t revision)
 {
