A difference to another hall lasts whatever our own hall has

Cause: should_compare() kept one time for all boxes since when another configuration differs, and each summary that equals ours reset it. The other box of the hall lacked the same, so that its heartbeats reset the time for the other hall, which never lasted the 1.5 s after which halls compare.

Change: one time for each hall (spread_halls_record()), reset by boxes of that hall only.

Evidence: LastValid.AHallThatStartsGetsItFromAnotherHall, four real boxes in two halls, the newest configuration not valid, both boxes of a hall started anew three times: before, none of the six starts served within 6 s; after, all six. Spread.ADifferenceToAHallLastsWhateverOtherHallsHave has the decision itself.

--- a/agent_peer.c
+++ b/agent_peer.c
@@ -111,6 +111,7 @@
 	a->sync.clk = a->clk;
 	a->sync.ctx = a;
 	a->gossip = gossip_new(&ops, a->memb, a->clk, a->rnd);
+	a->halls = spread_halls_new();
 	agent_peer_configure(a);
 	run_gossip(a);
 }
@@ -196,14 +197,10 @@
 	struct spread_difference difference = {
 	    .same_hall = str_eq(hall, a->settings.hall),
 	    .lists_complete = agent_conf_is_complete(a),
-	    .hall_box_silent = gossip_has_unresponsive_peer(a->gossip)};
-
-	if (sync_is_equal(&a->sync, summary))
-		a->differs_since = 0;
-	else if (a->differs_since == 0)
-		a->differs_since = now;
-	if (a->differs_since != 0)
-		difference.duration_ns = MAX(now - a->differs_since, 1);
+	    .hall_box_silent = gossip_has_unresponsive_peer(a->gossip),
+	    .duration_ns = spread_halls_record(
+		a->halls, hall, !sync_is_equal(&a->sync, summary), now)};
+
 	if (!contact.platform_reachable)
 		memb_each(a->memb, find_hall_contact, &contact);
 	difference.hall_has_platform = contact.platform_reachable;
--- a/libagent.h
+++ b/libagent.h
@@ -189,11 +189,7 @@
 	bool peers_known; /* the boxes of the hall are known */
 	/* No box that has contact with the platform answers this one. */
 	bool unattended;
-	/*
-	 * Since when the configuration of another box differs from ours, in
-	 * monotonic ns; 0: the last one received was equal.
-	 */
-	int64_t differs_since;
+	struct spread_halls *halls; /* whose configuration differs from ours */
 	/* agent_gate.c */
 	bool ready_sent; /* the gate was notified that it may serve */
 	uint64_t gate_started_ms; /* start time that the gate reported */
--- a/regress/test_gossip.cpp
+++ b/regress/test_gossip.cpp
@@ -1084,3 +1084,26 @@
 	d.lists_complete = false;
 	EXPECT_TRUE(spread_should_compare(&d));
 }
+
+/*
+ * One time for all halls was reset by the boxes of the own hall, which lacked
+ * the same, so that the other hall was never compared with.
+ */
+TEST(Spread, ADifferenceToAHallLastsWhateverOtherHallsHave)
+{
+	struct spread_halls *h = spread_halls_new();
+	struct str a = STR_LIT("a"), b = STR_LIT("b"), c = STR_LIT("c");
+	int64_t t = 100 * NS_S, beat = 300 * NS_MS;
+
+	EXPECT_EQ(1, spread_halls_record(h, b, true, t));
+	for (int i = 1; i <= 10; i++) {
+		EXPECT_EQ(0, spread_halls_record(h, a, false, t + i * beat));
+		EXPECT_EQ(0, spread_halls_record(h, c, false, t + i * beat));
+		EXPECT_EQ(
+		    i * beat, spread_halls_record(h, b, true, t + i * beat));
+	}
+	/* A box of the hall that has the same ends the difference. */
+	EXPECT_EQ(0, spread_halls_record(h, b, false, t + 4 * NS_S));
+	EXPECT_EQ(1, spread_halls_record(h, b, true, t + 5 * NS_S));
+	spread_halls_free(h);
+}
--- /dev/null
+++ b/regress/test_lastvalid.cpp
@@ -0,0 +1,89 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <gtest/gtest.h>
+
+#include "box.h"
+
+/*
+ * Boxes that start while the newest configuration on the platform is not valid.
+ * The last valid one is known to other boxes only, or to none.
+ */
+
+namespace
+{
+
+const char *const as_deployed = "boxes_ms = 15000\ngather_ms = 600\n"
+				"status_ms = 3600000\nstatus_by = \"hubs\"\n";
+
+/* The time within which a box that starts has to serve, in ms. */
+const int start_ms = 6000;
+
+struct Boxes : box::World {
+	Boxes() : World(true, "", "", as_deployed)
+	{
+	}
+
+	void put_invalid()
+	{
+		platform.put("config", "main",
+		    "{\"version\":\"r" + std::to_string(++number) +
+			R"(","resources":[{"resourceType":"routes",
+			"metadata":{"name":"bad"},"spec":{"host":"h",
+			"pathPrefix":"/"}}]})");
+	}
+};
+
+/* The boxes b1 and b2 in one hall, s1 and s2 in the other. */
+struct Halls : Boxes {
+	std::vector<std::unique_ptr<box::Further>> more;
+
+	Halls()
+	{
+		add("b2", "north", "5");
+		add("s1", "south", "6");
+		add("s2", "south", "7");
+		EXPECT_TRUE(until([&] { return ready() && knows(4); }, 8000));
+	}
+
+	void add(const std::string &name, const std::string &hall,
+	    const std::string &digit)
+	{
+		more.push_back(std::make_unique<box::Further>(
+		    *this, name, hall, digit, as_deployed));
+		more.back()->box.start();
+	}
+};
+
+} // namespace
+
+/*
+ * Each message of the other box of the hall, which lacks the same, reset the
+ * time for which the other hall differed, and that hall was never asked.
+ */
+TEST(LastValid, AHallThatStartsGetsItFromAnotherHall)
+{
+	Halls w;
+
+	w.put_invalid();
+	ASSERT_TRUE(until([&] { return w.logged("object is rejected"); }));
+	for (int round = 0; round < 3; round++) {
+		w.more[1]->box.kill9();
+		w.more[2]->box.kill9();
+		w.more[1]->box.start();
+		w.more[2]->box.start();
+		EXPECT_TRUE(
+		    until([&] { return w.more[1]->serves(); }, start_ms))
+		    << round;
+		EXPECT_TRUE(
+		    until([&] { return w.more[2]->serves(); }, start_ms))
+		    << round;
+	}
+}
--- a/spread.c
+++ b/spread.c
@@ -81,3 +81,50 @@
 	return d->same_hall || d->hall_box_silent || !d->hall_has_platform ||
 	    d->duration_ns == 0 || d->duration_ns > delay;
 }
+
+struct spread_halls {
+	/*
+	 * char * hall to int64_t *, the monotonic time in ns since when it
+	 * differs.
+	 */
+	GHashTable *since;
+};
+
+struct spread_halls *
+spread_halls_new(void)
+{
+	struct spread_halls *h = g_new0(struct spread_halls, 1);
+
+	h->since =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return h;
+}
+
+void
+spread_halls_free(struct spread_halls *h)
+{
+	g_hash_table_destroy(h->since);
+	g_free(h);
+}
+
+int64_t
+spread_halls_record(
+    struct spread_halls *h, struct str hall, bool differs, int64_t now)
+{
+	char *name = g_strndup(hall.p, hall.n);
+	int64_t *since = g_hash_table_lookup(h->since, name);
+
+	if (!differs) {
+		g_hash_table_remove(h->since, name);
+		g_free(name);
+		return 0;
+	}
+	if (since == NULL) {
+		since = g_new(int64_t, 1);
+		*since = now;
+		g_hash_table_insert(h->since, name, since);
+	} else {
+		g_free(name);
+	}
+	return MAX(now - *since, 1);
+}
--- a/spread.h
+++ b/spread.h
@@ -47,4 +47,17 @@
 /* Returns whether to compare configurations with that box now. */
 bool spread_should_compare(const struct spread_difference *);
 
+/* For how long the configuration of each hall has differed from ours. */
+struct spread_halls;
+
+struct spread_halls *spread_halls_new(void);
+void spread_halls_free(struct spread_halls *);
+
+/*
+ * Records whether the configuration of a box differs from ours.  Returns for
+ * how long, in ns, no box of its hall had an equal one; 0: this box has.
+ */
+int64_t spread_halls_record(
+    struct spread_halls *, struct str hall, bool differs, int64_t now);
+
 #endif
