The last valid version of a rejected object is kept on the platform

Cause: the platform has the newest version only. The valid one before it was in the memory of boxes, which pass it to those that start; once nobody was left who knew it, each box that started had a version that is not valid and no other.

Change: boxes that watch write a copy of the valid version when they reject one that the platform sent (agent_lastvalid.c), under a condition, as an object of the kind lastvalid; a newer valid version or a deletion deletes it. A box that knows no valid version reads it. It is offered with its own version and number, so that anything newer replaces it. No call is made as long as versions are valid.

Evidence: LastValid.IsThereAfterALossOfAllBoxes and the two tests behind it; without agent_lastvalid_check() the first waits for its copy in vain. Left: all boxes ending before the copy is written.

--- /dev/null
+++ b/agent_lastvalid.c
@@ -0,0 +1,285 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include "libagent.h"
+#include "slog.h"
+
+/*
+ * Copies of last valid versions on the platform.  While the newest version of
+ * an object is not valid, the platform has only that one, and the valid one
+ * before it is known to the boxes alone.  It would be lost if all boxes ended
+ * at once, and no request could be served until an operator corrects the
+ * object.  So the boxes that watch the platform write a copy of the valid
+ * version there, as an object of the kind "lastvalid", and delete it once a
+ * newer valid version or a deletion is in force.  A box that knows no valid
+ * version reads the copy.
+ */
+
+#define KIND "lastvalid"
+/* Delay before a copy that does not exist is read again. */
+#define MISSING_RETRY_NS (2 * NS_S)
+
+enum copy_op { COPY_NONE, COPY_WRITE, COPY_READ, COPY_DELETE };
+
+struct copy {
+	struct agent *agent;
+	struct str key; /* of the object */
+	char *name; /* of the copy */
+	struct tmr_item timer;
+	struct plat_call *call;
+	enum copy_op op; /* of the call */
+	uint64_t sent; /* version of the object that the call writes */
+	uint64_t version; /* of the copy on the platform; 0: none is known */
+	uint64_t of; /* version of the object that it has */
+	int failures; /* consecutive calls that failed */
+	bool refused; /* the platform does not accept the copy of `sent` */
+};
+
+static void run(void *);
+static void on_done(void *, enum plat_result, json_t *);
+
+static void
+copy_free(void *p)
+{
+	struct copy *c = p;
+
+	tmr_clear(&c->agent->tmr, &c->timer);
+	if (c->call != NULL)
+		plat_cancel(c->agent->plat, c->call);
+	str_free(&c->key);
+	g_free(c->name);
+	g_free(c);
+}
+
+void
+agent_lastvalid_open(struct agent *a)
+{
+	a->copies =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, copy_free);
+}
+
+static struct copy *
+find_or_add(struct agent *a, struct str key)
+{
+	struct copy *c = g_hash_table_lookup(a->copies, key.p);
+
+	if (c != NULL)
+		return c;
+	c = g_new0(struct copy, 1);
+	c->agent = a;
+	c->key = str_dup(key);
+	c->name = g_strdelimit(g_strndup(key.p, key.n), "/", '-');
+	g_hash_table_insert(a->copies, (char *)c->key.p, c);
+	return c;
+}
+
+/* Returns the call that the copy of an object needs now. */
+static enum copy_op
+next_op(const struct copy *c)
+{
+	struct agent *a = c->agent;
+	const struct conf_entry *e = conf_get(a->conf, c->key);
+
+	if (e == NULL)
+		return COPY_NONE;
+	if (e->rejected_version > 0 && e->version == 0)
+		return COPY_READ;
+	if (!agent_watches_platform(a))
+		return COPY_NONE;
+	if (e->rejected_version > 0 && !e->deleted)
+		return c->of >= e->version ||
+			(c->refused && c->sent == e->version)
+		    ? COPY_NONE
+		    : COPY_WRITE;
+	return c->version != 0 && e->version > c->of ? COPY_DELETE : COPY_NONE;
+}
+
+static json_t *
+make_value(struct copy *c)
+{
+	const struct conf_entry *e = conf_get(c->agent->conf, c->key);
+
+	c->sent = e->version;
+	c->refused = false;
+	return json_pack("{s:{s:s%, s:I, s:I, s:O}, s:s}", "spec", "key",
+	    e->key.p, e->key.n, "version", (json_int_t)e->version, "serial",
+	    (json_int_t)e->serial, "spec", e->spec, "change", KIND);
+}
+
+static void
+run_after(struct copy *c, int64_t delay)
+{
+	struct agent *a = c->agent;
+
+	tmr_set(&a->tmr, &c->timer, clk_ns(a->clk) + delay, run, c);
+}
+
+static void
+run(void *ctx)
+{
+	struct copy *c = ctx;
+	struct agent *a = c->agent;
+	struct plat_request rq = {.kind = STR_LIT(KIND),
+	    .name = str_c(c->name),
+	    .version = c->version};
+	json_t *value = NULL;
+
+	if (c->call != NULL || a->leaving)
+		return;
+	c->op = next_op(c);
+	if (c->op == COPY_NONE)
+		return;
+	if (c->op == COPY_WRITE) {
+		value = make_value(c);
+		rq.op = c->version == 0 ? PLAT_CREATE : PLAT_UPDATE;
+		rq.value = value;
+	} else {
+		rq.op = c->op == COPY_READ ? PLAT_GET : PLAT_DELETE;
+	}
+	c->call = agent_platform_call(a, &rq, on_done, c);
+	json_decref(value);
+	if (c->call == NULL)
+		run_after(c, rnd_jitter(a->rnd, AGENT_RECHECK_NS));
+}
+
+/* Records what the platform has: an object in the common format, or NULL. */
+static void
+set_present(struct copy *c, const json_t *object)
+{
+	const json_t *spec = json_object_get(object, "spec");
+
+	c->version =
+	    (uint64_t)json_integer_value(json_object_get(object, "version"));
+	c->of = (uint64_t)json_integer_value(json_object_get(spec, "version"));
+}
+
+/* Puts the copy in force unless a valid version has arrived meanwhile. */
+static void
+take(struct copy *c, const json_t *object)
+{
+	struct agent *a = c->agent;
+	json_t *spec = json_object_get(object, "spec");
+	struct conf_object o = {.key = c->key,
+	    .serial =
+		(uint64_t)json_integer_value(json_object_get(spec, "serial")),
+	    .spec = json_object_get(spec, "spec")};
+	enum conf_result result;
+	GError *err = NULL;
+
+	set_present(c, object);
+	o.version = c->of;
+	if (next_op(c) != COPY_READ || o.version == 0)
+		return;
+	result = conf_offer(a->conf, &o, STR_LIT("platform-" KIND), &err);
+	slog(SLOG_CONF,
+	    result == CONF_APPLIED
+		? "last valid version is restored from its copy"
+		: "copy of the last valid version cannot be used",
+	    "key=%.*s version=%llu", STR_ARG(c->key),
+	    (unsigned long long)o.version);
+	g_clear_error(&err);
+	agent_gate_send_ready(a);
+}
+
+/* Returns the delay until the next call; 0: there is none to be repeated. */
+static int64_t
+finish(struct copy *c, enum plat_result result, const json_t *body)
+{
+	struct agent *a = c->agent;
+
+	switch (result) {
+	case PLAT_OK:
+		c->failures = 0;
+		if (c->op == COPY_READ) {
+			take(c, body);
+			return next_op(c) == COPY_READ ? MISSING_RETRY_NS : 0;
+		}
+		set_present(c, NULL);
+		if (c->op == COPY_WRITE) {
+			c->version = (uint64_t)json_integer_value(
+			    json_object_get(body, "version"));
+			c->of = c->sent;
+		}
+		return 0;
+	case PLAT_NOT_FOUND:
+		set_present(c, NULL);
+		return c->op == COPY_READ ? MISSING_RETRY_NS : 0;
+	case PLAT_CONFLICT:
+		set_present(c, json_object_get(body, "current"));
+		return 0;
+	case PLAT_BAD_REQUEST:
+		c->refused = c->op == COPY_WRITE;
+		return c->op == COPY_READ ? MISSING_RETRY_NS : 0;
+	default:
+		return agent_backoff(a, c->failures++);
+	}
+}
+
+static const char *const op_names[] = {[COPY_NONE] = "none",
+    [COPY_WRITE] = "write",
+    [COPY_READ] = "read",
+    [COPY_DELETE] = "delete"};
+
+static void
+on_done(void *ctx, enum plat_result result, json_t *body)
+{
+	struct copy *c = ctx;
+	struct agent *a = c->agent;
+	int64_t delay;
+
+	c->call = NULL;
+	agent_platform_call_ended(a, result);
+	slog(SLOG_CONF, "copy of the last valid version",
+	    "key=%.*s op=%s result=%s", STR_ARG(c->key), op_names[c->op],
+	    plat_result_name(result));
+	delay = finish(c, result, body);
+	if (delay > 0 || next_op(c) != COPY_NONE)
+		run_after(c, delay);
+}
+
+void
+agent_lastvalid_check(struct agent *a, struct str key)
+{
+	const struct conf_entry *e;
+
+	/* Backend servers are many, and no version of theirs stays. */
+	if (str_has_prefix(key, STR_LIT("backend/")))
+		return;
+	e = conf_get(a->conf, key);
+	if (e == NULL)
+		return;
+	if (e->rejected_version > 0 ||
+	    g_hash_table_contains(a->copies, e->key.p))
+		run(find_or_add(a, e->key));
+}
+
+void
+agent_lastvalid_check_all(struct agent *a)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, a->copies);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		run(value);
+}
+
+/* A copy that was written lately may be lost. */
+void
+agent_lastvalid_on_restore(struct agent *a)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, a->copies);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		set_present(value, NULL);
+	agent_lastvalid_check_all(a);
+}
--- a/agent_open.c
+++ b/agent_open.c
@@ -248,6 +248,7 @@
 	}
 	agent_restore_open(a);
 	agent_deletion_open(a);
+	agent_lastvalid_open(a);
 	agent_push_open(a);
 	agent_probe_open(a);
 	agent_watch_open(a);
--- a/agent_restore.c
+++ b/agent_restore.c
@@ -47,6 +47,7 @@
 	tmr_set(&a->tmr, &a->restore_timer, a->restored_at + AGENT_RESTORE_NS,
 	    on_restore_end, a);
 	agent_box_on_restore(a);
+	agent_lastvalid_on_restore(a);
 }
 
 void
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -402,6 +402,7 @@
 	if (result == CONF_REJECTED)
 		log_rejection(a, &o, key, err);
 	g_clear_error(&err);
+	agent_lastvalid_check(a, o.key);
 	if (keys != NULL)
 		g_hash_table_add(keys, key);
 	else
@@ -526,6 +527,7 @@
 		conf_apply_list_of_kinds(
 		    a->conf, f->kind_mask, revision, missing.keys);
 	a->offer_from_platform = false;
+	agent_lastvalid_check_all(a);
 	g_hash_table_destroy(missing.keys);
 	if (!f->may_be_stale) {
 		conf_note_revision(a->conf, revision);
--- a/libagent.h
+++ b/libagent.h
@@ -179,6 +179,8 @@
 	bool poison_unsaved; /* the written status lacks a new record */
 	/* agent_lapse.c */
 	GHashTable *held_deletions; /* char * key to struct held_deletion * */
+	/* agent_lastvalid.c */
+	GHashTable *copies; /* char * key to struct copy * */
 	/* agent_push.c */
 	struct tmr_item push_timer;
 	/* char * key to a bool: whether the platform sent the change */
@@ -277,6 +279,17 @@
 bool agent_deletion_hold(
     struct agent *, const struct conf_entry *, uint64_t version);
 
+/*
+ * agent_lastvalid.c: copies on the platform of the last valid versions of
+ * objects whose newest version is not valid.
+ */
+void agent_lastvalid_open(struct agent *);
+/* The platform sent a version of an object, which has been offered. */
+void agent_lastvalid_check(struct agent *, struct str key);
+/* A list has been applied, which may have deleted objects. */
+void agent_lastvalid_check_all(struct agent *);
+void agent_lastvalid_on_restore(struct agent *);
+
 /* agent_peer.c: messages between boxes. */
 void agent_peer_open(struct agent *);
 void agent_peer_configure(struct agent *);
--- a/regress/test_lastvalid.cpp
+++ b/regress/test_lastvalid.cpp
@@ -39,6 +39,29 @@
 			"metadata":{"name":"bad"},"spec":{"host":"h",
 			"pathPrefix":"/"}}]})");
 	}
+
+	/* Writes a valid configuration and waits until it is in force. */
+	void put_valid(const std::string &service)
+	{
+		size_t before = in_force("bundle/main");
+
+		number++;
+		configure(service);
+		EXPECT_TRUE(
+		    until([&] { return in_force("bundle/main") > before; }));
+	}
+
+	/* Starts the box again, without anything that it knew. */
+	void restart()
+	{
+		box.kill9();
+		box.start();
+	}
+
+	bool has_copy()
+	{
+		return has("lastvalid", "bundle-main");
+	}
 };
 
 /* The boxes b1 and b2 in one hall, s1 and s2 in the other. */
@@ -74,6 +97,8 @@
 
 	w.put_invalid();
 	ASSERT_TRUE(until([&] { return w.logged("object is rejected"); }));
+	ASSERT_TRUE(until([&] { return w.has_copy(); }));
+	w.platform.remove("lastvalid", "bundle-main");
 	for (int round = 0; round < 3; round++) {
 		w.more[1]->box.kill9();
 		w.more[2]->box.kill9();
@@ -87,3 +112,60 @@
 		    << round;
 	}
 }
+
+/* The platform had the version that is not valid, and no box another one. */
+TEST(LastValid, IsThereAfterALossOfAllBoxes)
+{
+	Boxes w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.put_invalid();
+	ASSERT_TRUE(until([&] { return w.has_copy(); }));
+	w.restart();
+	EXPECT_TRUE(until([&] { return w.ready(); }, start_ms));
+	EXPECT_EQ(200, w.ask("/look/1").status);
+	/* It is again as at the first start. */
+	w.restart();
+	EXPECT_TRUE(until([&] { return w.ready(); }, start_ms));
+	EXPECT_EQ(200, w.ask("/look/2").status);
+}
+
+/* A copy that stayed could bring back what was changed or deleted since. */
+TEST(LastValid, ItsCopyGoesWithTheNextValidVersion)
+{
+	Boxes w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.put_invalid();
+	ASSERT_TRUE(until([&] { return w.has_copy(); }));
+	w.put_valid("shelf");
+	EXPECT_TRUE(until([&] { return !w.has_copy(); }));
+	/* The next one that is not valid is preceded by the newer version. */
+	w.put_invalid();
+	ASSERT_TRUE(until([&] { return w.has_copy(); }));
+	w.restart();
+	EXPECT_TRUE(until([&] { return w.ready(); }, start_ms));
+	EXPECT_EQ(200, w.ask("/look/2").status);
+	EXPECT_EQ(0U, w.ran(0, 1));
+}
+
+/* The platform refuses calls when the copy is due, and loses it later. */
+TEST(LastValid, IsWrittenAfterAnOutageAndAfterARestore)
+{
+	Boxes w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.platform.keep_copy();
+	w.put_invalid();
+	ASSERT_TRUE(until([&] { return w.has_copy(); }));
+	w.platform.restore();
+	w.put_invalid();
+	EXPECT_TRUE(until([&] { return w.has_copy(); }));
+	w.put_valid("shelf");
+	EXPECT_TRUE(until([&] { return !w.has_copy(); }));
+	w.put_invalid();
+	w.platform.answer_all(503);
+	pump(700);
+	w.platform.answer_all(0);
+	EXPECT_TRUE(until([&] { return w.has_copy(); }));
+}
