Roll-outs: evidence of all owners, and no larger share while in doubt

Cause, by the log of each judged answer: the slow answers are seen (9 in 100, 5 in 1,000 of the old version), but a version counted as slower only if its share of slow answers was larger by 0.3, so that each answer of this one spoke for it; each owner judged by its own answers; and a step ended with thirty answers, whatever they were.

Change: a second sum for an excess of 0.08, as for failures; owners report their sums, and the total decides; a step and the completion wait while the total is in doubt, and a version that is still in doubt late is rolled back; 0.8 of the share that the platform allows is used, 0.5 before; the old version is kept for a short time after the last step.

An old box ignores the sums and reports none.

--- a/gate_roll.c
+++ b/gate_roll.c
@@ -28,8 +28,11 @@
 
 enum { CALL_TIMEOUT_MS = 1000 };
 
+/* A higher sum of another owner, in 1/1000, is reduced to this one. */
+#define SUM_MILLI_MAX UINT64_C(1000000)
+
 /* Part of the platform's allowed share for an unproven version that is used. */
-static const double EXPOSED_PART = 0.5;
+static const double EXPOSED_PART = 0.8;
 /* Share of the requests if the platform sets none. */
 static const double DEFAULT_SHARE = 0.05;
 
@@ -131,14 +134,28 @@
 	reason = roll_reason(s->rollout);
 	slog(SLOG_PICK, "a roll-out goes on",
 	    "service=%.*s hall=%.*s state=%s age_ms=%lld answers=%llu "
-	    "bad=%llu old_out=%u why=%s",
+	    "bad=%llu failed_sum=%.1f slow_sum=%.1f old_out=%u why=%s",
 	    STR_ARG(s->service), STR_ARG(s->hall),
 	    roll_chart_names.states[state], (long long)(report.age / NS_MS),
 	    (unsigned long long)report.responses,
-	    (unsigned long long)report.failures, report.old_in_flight,
+	    (unsigned long long)report.failures,
+	    report.sums.of[VERDICT_FAILS_MORE],
+	    report.sums.of[VERDICT_SLOW_MORE], report.old_in_flight,
 	    slog_quote(reason != NULL ? reason : ""));
 }
 
+static uint64_t
+to_milli(double sum)
+{
+	return (uint64_t)(sum * 1000);
+}
+
+static double
+from_milli(uint64_t milli)
+{
+	return (double)MIN(milli, SUM_MILLI_MAX) / 1000;
+}
+
 /*
  * Sends a report to the owners of the service's shards in other halls, which
  * may include this gate.
@@ -160,7 +177,10 @@
 	    .state = (uint64_t)report.state,
 	    .responses = report.responses,
 	    .failures = report.failures,
-	    .old_in_flight = report.old_in_flight};
+	    .old_in_flight = report.old_in_flight,
+	    .fails_more_milli = to_milli(report.sums.of[VERDICT_FAILS_MORE]),
+	    .slow_more_milli = to_milli(report.sums.of[VERDICT_SLOW_MORE]),
+	    .slow_often_milli = to_milli(report.sums.of[VERDICT_SLOW_OFTEN])};
 	gate_owner_send_others(g, s, svc, &m);
 }
 
@@ -178,7 +198,10 @@
 	    .state = (enum roll_state)MIN(m->state, ROLL_ROLLED_BACK),
 	    .responses = m->responses,
 	    .failures = m->failures,
-	    .old_in_flight = (unsigned)MIN(m->old_in_flight, G_MAXUINT)};
+	    .old_in_flight = (unsigned)MIN(m->old_in_flight, G_MAXUINT),
+	    .sums = {{[VERDICT_FAILS_MORE] = from_milli(m->fails_more_milli),
+		[VERDICT_SLOW_MORE] = from_milli(m->slow_more_milli),
+		[VERDICT_SLOW_OFTEN] = from_milli(m->slow_often_milli)}}};
 	struct gate_shard *s;
 	GHashTableIter it;
 	gpointer value;
--- a/msg.c
+++ b/msg.c
@@ -173,7 +173,8 @@
     STR(msg_rollout, hall), STR(msg_rollout, box), STR(msg_rollout, version),
     U64(msg_rollout, age_ms), U64(msg_rollout, state),
     U64(msg_rollout, responses), U64(msg_rollout, failures),
-    U64(msg_rollout, old_in_flight)};
+    U64(msg_rollout, old_in_flight), U64(msg_rollout, fails_more_milli),
+    U64(msg_rollout, slow_more_milli), U64(msg_rollout, slow_often_milli)};
 static const struct msg_field rate_query_fields[] = {U64(msg_rate_query, seq),
     STR(msg_rate_query, customer), STR(msg_rate_query, requester),
     BOOL(msg_rate_query, is_retry)};
@@ -231,7 +232,7 @@
     [MSG_DEFLATED] = LAYOUT(msg_deflated, deflated_fields),
     [MSG_SUSPECTS] = LAYOUT(msg_suspects, suspects_fields),
     [MSG_REPORTS] = LAYOUT(msg_reports, reports_fields),
-    [MSG_ROLLOUT] = LAYOUT(msg_rollout, rollout_fields),
+    [MSG_ROLLOUT] = LAYOUT_WITH_OPTIONAL(msg_rollout, rollout_fields, 3),
     [MSG_RATE_QUERY] = LAYOUT(msg_rate_query, rate_query_fields),
     [MSG_RATE_GRANT] = LAYOUT(msg_rate_grant, rate_grant_fields),
     [MSG_SHARD_STATE] = LAYOUT(msg_shard_state, shard_state_fields),
--- a/msg.h
+++ b/msg.h
@@ -211,6 +211,8 @@
 	uint64_t state; /* enum roll_state */
 	uint64_t responses, failures;
 	uint64_t old_in_flight;
+	/* Sums of verdict.h, in 1/1000; 0 in those of older builds. */
+	uint64_t fails_more_milli, slow_more_milli, slow_often_milli;
 };
 
 /* Asks the gate that owns a customer's rate limit to allow one request. */
--- a/regress/test_roll.cpp
+++ b/regress/test_roll.cpp
@@ -183,6 +183,104 @@
 	}
 };
 
+/*
+ * The owners of three halls bring in a version of a service.  They get
+ * `per_second` requests together and report to each other four times a second.
+ */
+struct Owners {
+	static constexpr int HALLS = 3, STEP_MS = 5, REPORT_STEPS = 50;
+	struct obj_rollout o = make_rollout("v2", 10000);
+	std::vector<Roll> rolls;
+	uint64_t seed;
+	int sent = 0, sent_new = 0; /* between the order and its deadline */
+
+	explicit Owners(uint64_t own, double share) : seed(own)
+	{
+		for (int i = 0; i < HALLS; i++)
+			rolls.emplace_back(
+			    roll_new(&o, roll_chart(), share, NS_S));
+	}
+
+	static struct str hall(int i)
+	{
+		static const char *const names[HALLS] = {"a", "b", "c"};
+
+		return str_c(names[i]);
+	}
+
+	void report(int64_t now)
+	{
+		for (int i = 0; i < HALLS; i++) {
+			struct roll_report r = roll_make_report(
+			    rolls[static_cast<size_t>(i)].get(), 0, now);
+
+			for (int j = 0; j < HALLS; j++)
+				if (j != i)
+					roll_merge_report(
+					    rolls[static_cast<size_t>(j)].get(),
+					    hall(i), hall(i), &r, now);
+		}
+	}
+
+	void request(struct roll *r, double old_share, double new_share)
+	{
+		bool to_new = roll_allows(r, true);
+		bool slow = uniform(&seed) < (to_new ? new_share : old_share);
+
+		sent++;
+		sent_new += to_new;
+		roll_request_sent(r, to_new);
+		roll_request_ended(
+		    r, to_new, 1, slow ? VERDICT_SLOW : VERDICT_GOOD);
+	}
+
+	/* Returns the state at the deadline; the shares are of slow answers. */
+	enum obj_rollout_state
+	play(int per_second, double old_share, double new_share)
+	{
+		struct str others[] = {hall(1), hall(2)};
+		enum obj_rollout_state state = ROLLOUT_RUNNING;
+		int64_t end = NS_S + o.duration_ms * NS_MS;
+		double due = 0;
+		int step = 0;
+
+		for (int64_t t = NS_S; t < end; t += STEP_MS * NS_MS, step++) {
+			for (auto &r : rolls)
+				roll_tick(r.get(), true, t);
+			due += per_second * STEP_MS / 1000.0;
+			for (; due >= 1; due--)
+				request(rolls[static_cast<size_t>(
+						  uniform(&seed) * HALLS)]
+					    .get(),
+				    old_share, new_share);
+			if (step % REPORT_STEPS == 0)
+				report(t);
+			state = roll_state_to_write(
+			    rolls[0].get(), others, 2, 0, t);
+			for (auto &r : rolls)
+				roll_set_platform_state(r.get(), state);
+		}
+		return state;
+	}
+};
+
+/* How many of some roll-outs, by seeds, end as `state`. */
+int
+count_ended(enum obj_rollout_state state, double old_share, double new_share,
+    int seeds, int *exposed = nullptr)
+{
+	int n = 0;
+
+	for (int i = 0; i < seeds; i++) {
+		Owners w(static_cast<uint64_t>(i) + 1, 0.08);
+
+		n += w.play(200, old_share, new_share) == state;
+		if (exposed != nullptr)
+			*exposed += w.sent_new > 0.1 * w.sent + 50;
+	}
+	return n;
+}
+
 } // namespace
 
 /*
@@ -277,7 +375,7 @@
 TEST(Roll, AgeAndABadVerdictAreTakenFromOtherOwners)
 {
 	struct obj_rollout o = make_rollout("v2", 10000);
-	struct roll_report report = {4 * NS_S, ROLL_SMALL, 100, 0, 3};
+	struct roll_report report = {4 * NS_S, ROLL_SMALL, 100, 0, 3, {}};
 	Roll r(roll_new(&o, roll_chart(), 0.05, 10 * NS_S));
 
 	roll_merge_report(
@@ -301,7 +399,7 @@
 {
 	struct obj_rollout o = make_rollout("v2", 10000);
 	struct str halls[] = {STR_LIT("south")};
-	struct roll_report finished = {6 * NS_S, ROLL_ALL, 9, 0, 0};
+	struct roll_report finished = {6 * NS_S, ROLL_ALL, 9, 0, 0, {}};
 	struct roll_report busy = finished, before = finished;
 	Roll r = proved_rollout(5 * NS_S, o);
 	int64_t t = 6 * NS_S;
@@ -329,6 +427,47 @@
 	    roll_state_to_write(r.get(), halls, 1, 0, t + 2 * NS_S));
 }
 
+/*
+ * Each owner sees few of the responses.  What they see together decides, and a
+ * version in doubt gets no larger share.
+ */
+TEST(Roll, AVersionOfWhichATenthIsSlowGetsFewRequests)
+{
+	int exposed = 0;
+
+	EXPECT_GE(
+	    count_ended(ROLLOUT_ROLLED_BACK, 0.005, 0.1, 300, &exposed), 297);
+	EXPECT_LE(exposed, 3);
+	EXPECT_GE(count_ended(ROLLOUT_ROLLED_BACK, 0.005, 0.5, 300), 300);
+}
+
+TEST(Roll, AVersionAsGoodAsTheOldOneIsCompletedInTime)
+{
+	for (double share : {0.0, 0.005, 0.02})
+		EXPECT_GE(
+		    count_ended(ROLLOUT_COMPLETED, share, share, 300), 297)
+		    << share;
+}
+
+/* Sums of two owners that each would not decide by itself. */
+TEST(Roll, ResponsesToAllOwnersAreJudgedTogether)
+{
+	struct obj_rollout o = make_rollout("v2", 10000);
+	struct roll_report report = {NS_S, ROLL_SMALL, 40, 4, 0, {}};
+	Roll r(roll_new(&o, roll_chart(), 0.05, 0));
+
+	roll_tick(r.get(), true, 1);
+	report.sums.of[VERDICT_SLOW_MORE] = 7;
+	roll_merge_report(
+	    r.get(), STR_LIT("b2"), STR_LIT("south"), &report, NS_S);
+	EXPECT_EQ(ROLL_SMALL, roll_state(r.get()));
+	roll_tick(r.get(), true, 6 * NS_S);
+	EXPECT_EQ(ROLL_SMALL, roll_state(r.get()));
+	roll_merge_report(
+	    r.get(), STR_LIT("b3"), STR_LIT("east"), &report, 7 * NS_S);
+	EXPECT_EQ(ROLL_ROLLED_BACK, roll_state(r.get()));
+}
+
 TEST(Roll, ARolloutIsNewIfThePlatformHadEndedTheOther)
 {
 	struct obj_rollout o = make_rollout("v2", 10000), again = o;
--- a/roll.c
+++ b/roll.c
@@ -18,8 +18,14 @@
 /* How long the wider step lasts, as such a fraction. */
 static const double WIDER_DURATION = 0.06;
 /*
- * When a roll-out without enough responses is rolled back, as such a fraction.
- * The old version stays, as it is known to work.
+ * How long the old version is kept, as such a fraction, while the new one gets
+ * all requests and may still be found bad.
+ */
+static const double ALL_DURATION = 0.06;
+/*
+ * When a roll-out is rolled back that has not enough responses, or some that
+ * raise doubts, as such a fraction.  The old version stays, as it is known to
+ * work.
  */
 static const double TOO_LATE_AT = 0.85;
 
@@ -211,21 +217,43 @@
 	step(r, ROLL_EV_BAD, r->state_since);
 }
 
+/* Returns what speaks against the new version by the responses to all owners.
+ */
+static struct verdict_sums
+all_sums(const struct roll *r)
+{
+	struct verdict_sums sums = verdict_get_sums(&r->verdict);
+	guint i;
+
+	for (i = 0; i < r->owners->len; i++)
+		verdict_sums_add(&sums,
+		    &g_array_index(r->owners, struct owner, i).report.sums);
+	return sums;
+}
+
+/* Rolls back if the new version is worse by the responses to all owners. */
+static void
+judge(struct roll *r)
+{
+	struct verdict_sums sums = all_sums(r);
+	const char *reason = verdict_by_sums(&sums);
+
+	if (reason != NULL && roll_is_undecided(r))
+		roll_back(r, reason);
+}
+
 void
 roll_request_ended(
     struct roll *r, bool at_new, unsigned kind, enum verdict_outcome answer)
 {
-	const char *reason;
-
 	if (!roll_is_undecided(r))
 		return;
 	if (!at_new) {
 		verdict_add_old(&r->verdict, kind, answer);
 		return;
 	}
-	reason = verdict_add_new(&r->verdict, kind, answer);
-	if (reason != NULL)
-		roll_back(r, reason);
+	verdict_add_new(&r->verdict, kind, answer);
+	judge(r);
 }
 
 /* Counts the responses of the new version to all owners. */
@@ -240,12 +268,18 @@
 	return n;
 }
 
-/* Returns whether the time for the present step is over. */
+/*
+ * Returns whether the present step is over: its time is, and the responses
+ * raise no doubt.
+ */
 static bool
 is_step_over(const struct roll *r, int64_t now)
 {
 	double age = (double)(now - r->started);
+	struct verdict_sums sums = all_sums(r);
 
+	if (!verdict_is_clear(&sums))
+		return false;
 	if (r->state == ROLL_WIDER)
 		return (double)(now - r->state_since) >=
 		    WIDER_DURATION * (double)r->duration;
@@ -256,14 +290,19 @@
 roll_tick(struct roll *r, bool has_new, int64_t now)
 {
 	bool proven = count_responses(r) >= RESPONSES_MIN;
+	struct verdict_sums sums = all_sums(r);
 
 	if (has_new)
 		step(r, ROLL_EV_SERVERS, now);
 	if (proven && r->state != ROLL_WAITING && is_step_over(r, now))
 		step(r, ROLL_EV_PROVEN, now);
-	if (!proven && roll_is_undecided(r) &&
-	    (double)(now - r->started) >= TOO_LATE_AT * (double)r->duration)
+	if (!roll_is_undecided(r) ||
+	    (double)(now - r->started) < TOO_LATE_AT * (double)r->duration)
+		return;
+	if (!proven)
 		roll_back(r, "too few responses to decide in time");
+	else if (!verdict_is_clear(&sums))
+		roll_back(r, "too many bad responses to decide in time");
 }
 
 struct roll_report
@@ -273,7 +312,8 @@
 	    .state = r->state,
 	    .responses = r->verdict.responses,
 	    .failures = r->verdict.bad,
-	    .old_in_flight = old_in_flight};
+	    .old_in_flight = old_in_flight,
+	    .sums = verdict_get_sums(&r->verdict)};
 }
 
 static struct owner *
@@ -304,6 +344,7 @@
 	r->started = MIN(r->started, now - report->age);
 	if (report->state == ROLL_ROLLED_BACK && roll_is_undecided(r))
 		roll_back(r, "rolled back by another owner");
+	judge(r);
 }
 
 /* Returns whether a hall's owner recently reported leaving the old version. */
@@ -343,6 +384,9 @@
 roll_state_to_write(const struct roll *r, const struct str *halls, unsigned n,
     unsigned old_in_flight, int64_t now)
 {
+	int64_t all_min =
+	    MAX(OLD_IDLE_NS, (int64_t)(ALL_DURATION * (double)r->duration));
+	struct verdict_sums sums = all_sums(r);
 	unsigned i;
 
 	if (r->state == ROLL_ROLLED_BACK)
@@ -350,7 +394,8 @@
 	if (r->state == ROLL_COMPLETED)
 		return ROLLOUT_COMPLETED;
 	if (r->state != ROLL_ALL || old_in_flight > 0 ||
-	    now - r->state_since < OLD_IDLE_NS || is_used_by_other(r, now))
+	    now - r->state_since < all_min || !verdict_is_clear(&sums) ||
+	    is_used_by_other(r, now))
 		return ROLLOUT_RUNNING;
 	for (i = 0; i < n; i++)
 		if (!has_left(r, halls[i], now))
--- a/roll.h
+++ b/roll.h
@@ -28,8 +28,9 @@
  * An owner is the gate that dispatches the requests for the service to one
  * hall. All owners reach the same decisions without a coordinator: they
  * exchange reports, use the highest age of the roll-out that any of them
- * reports, and roll back if any of them does.  So nothing is lost when an owner
- * fails or another gate becomes the owner.
+ * reports, judge the new version by the responses to all of them, and roll back
+ * if any of them does.  So nothing is lost when an owner fails or another gate
+ * becomes the owner.
  */
 
 /* States and events of charts/rollout.toml. */
@@ -60,6 +61,7 @@
 	uint64_t responses; /* of the new version */
 	uint64_t failures; /* of these, failed or slow ones */
 	unsigned old_in_flight; /* requests in flight at the old version */
+	struct verdict_sums sums; /* what speaks against the new version */
 };
 
 struct roll;
--- a/verdict.c
+++ b/verdict.c
@@ -28,6 +28,12 @@
  * one reaches it by chance about once in a million responses.
  */
 static const double SUM_THRESHOLD = 13.8;
+/*
+ * With a lower sum the new version is not in doubt.  A bad response raises a
+ * sum by about 2 and a good one lowers it by a tenth, so that two bad responses
+ * raise no doubt, and three do until some good ones have followed.
+ */
+static const double SUM_CLEAR = 6;
 
 /*
  * The outcomes that are counted, and how much larger a share of them makes a
@@ -40,18 +46,21 @@
 	double share_min;
 	/* Excess of a bad version's share over the old one's. */
 	double share_excess;
-} measures[] = {
-    {"it fails more often", VERDICT_FAILED, 0.01, 0.08},
-    {"it is several times slower", VERDICT_SLOW, 0.02, 0.3},
+} measures[VERDICT_MEASURES] = {
+    [VERDICT_FAILS_MORE] = {"it fails more often", VERDICT_FAILED, 0.01, 0.08},
+    [VERDICT_SLOW_MORE] = {"it is several times slower more often",
+	VERDICT_SLOW, 0.01, 0.08},
+    /* Reaches the threshold sooner if most responses are slow. */
+    [VERDICT_SLOW_OFTEN] = {"it is several times slower", VERDICT_SLOW, 0.02,
+	0.3},
 };
-enum { MEASURES = G_N_ELEMENTS(measures) };
 static const double SHARE_MAX = 0.6;
 
 struct verdict_kind {
 	unsigned kind;
 	unsigned n; /* responses of the old version, up to WINDOW */
-	double share[MEASURES]; /* of the old version's responses */
-	double sum[MEASURES]; /* cumulative sums of the new version */
+	double share[VERDICT_MEASURES]; /* of the old version's responses */
+	double sum[VERDICT_MEASURES]; /* cumulative sums of the new version */
 };
 
 void
@@ -79,7 +88,7 @@
 		if (k->kind == kind)
 			return k;
 	}
-	for (i = 0; i < MEASURES; i++)
+	for (i = 0; i < VERDICT_MEASURES; i++)
 		new_kind.share[i] = PRIOR_SHARE;
 	g_array_append_val(v->kinds, new_kind);
 	return &g_array_index(v->kinds, struct verdict_kind, v->kinds->len - 1);
@@ -94,7 +103,7 @@
 	if (outcome == VERDICT_IGNORED)
 		return;
 	k->n = MIN(k->n + 1, WINDOW);
-	for (i = 0; i < MEASURES; i++)
+	for (i = 0; i < VERDICT_MEASURES; i++)
 		k->share[i] +=
 		    ((outcome == measures[i].outcome) - k->share[i]) / k->n;
 }
@@ -124,7 +133,7 @@
 		return NULL;
 	v->responses++;
 	v->bad += outcome != VERDICT_GOOD;
-	for (i = 0; i < MEASURES; i++) {
+	for (i = 0; i < VERDICT_MEASURES; i++) {
 		m = &measures[i];
 		k->sum[i] +=
 		    log_likelihood_ratio(m, k->share[i], outcome == m->outcome);
@@ -134,3 +143,50 @@
 	}
 	return NULL;
 }
+
+struct verdict_sums
+verdict_get_sums(const struct verdict *v)
+{
+	struct verdict_sums sums = {{0}};
+	const struct verdict_kind *k;
+	guint i;
+	int j;
+
+	for (i = 0; i < v->kinds->len; i++) {
+		k = &g_array_index(v->kinds, struct verdict_kind, i);
+		for (j = 0; j < VERDICT_MEASURES; j++)
+			sums.of[j] = MAX(sums.of[j], k->sum[j]);
+	}
+	return sums;
+}
+
+void
+verdict_sums_add(struct verdict_sums *sums, const struct verdict_sums *add)
+{
+	int i;
+
+	for (i = 0; i < VERDICT_MEASURES; i++)
+		sums->of[i] += add->of[i];
+}
+
+const char *
+verdict_by_sums(const struct verdict_sums *sums)
+{
+	int i;
+
+	for (i = 0; i < VERDICT_MEASURES; i++)
+		if (sums->of[i] >= SUM_THRESHOLD)
+			return measures[i].why;
+	return NULL;
+}
+
+bool
+verdict_is_clear(const struct verdict_sums *sums)
+{
+	int i;
+
+	for (i = 0; i < VERDICT_MEASURES; i++)
+		if (sums->of[i] >= SUM_CLEAR)
+			return false;
+	return true;
+}
--- a/verdict.h
+++ b/verdict.h
@@ -34,6 +34,25 @@
 	VERDICT_IGNORED /* says nothing about the version */
 };
 
+/*
+ * What is measured, each with a sum of its own: how much more often the new
+ * version fails or is slow.
+ */
+enum verdict_measure {
+	VERDICT_FAILS_MORE,
+	VERDICT_SLOW_MORE,
+	VERDICT_SLOW_OFTEN,
+	VERDICT_MEASURES
+};
+
+/*
+ * The sums by measure, of the kind of request that has the highest.  Those of
+ * several owners, which see different responses, can be added.
+ */
+struct verdict_sums {
+	double of[VERDICT_MEASURES];
+};
+
 struct verdict {
 	GArray *kinds; /* struct verdict_kind */
 	uint64_t responses; /* responses of the new version that count */
@@ -53,4 +72,13 @@
 const char *
 verdict_add_new(struct verdict *, unsigned kind, enum verdict_outcome);
 
+struct verdict_sums verdict_get_sums(const struct verdict *);
+void verdict_sums_add(struct verdict_sums *, const struct verdict_sums *);
+
+/* The same as verdict_add_new() returns, by sums of several owners. */
+const char *verdict_by_sums(const struct verdict_sums *);
+
+/* Returns whether the last responses raise no doubt about the new version. */
+bool verdict_is_clear(const struct verdict_sums *);
+
 #endif
