Boxes that the platform does not list yet find each other by a seed first

A box with an empty list counted as settled, was ready 12 ms after its start, and granted the whole rate by itself until the next list a second later; all four boxes did.

Change: a box whose first list has no other box contacts a seed at once and is ready once any box has answered, or after 300 ms as before. One message and its reply for each such start; a box without other seeds is ready as before.

--- a/gossip.c
+++ b/gossip.c
@@ -77,6 +77,7 @@
 	/* Last message of a hub that cannot reach the platform; 0: none. */
 	int64_t platform_down_reported;
 	unsigned rounds;
+	bool seed_contacted; /* as the first list had no other box */
 	unsigned seed_round; /* in which a seed is contacted next */
 	unsigned seed_round_gap; /* rounds from then to the next time */
 	/* The platform's list of boxes. */
@@ -310,18 +311,30 @@
 	return true;
 }
 
-static void
-contact_seed(struct gossip *g)
+/* Returns whether a seed other than this box was contacted. */
+static bool
+contact_random_seed(struct gossip *g)
 {
-	size_t n = json_array_size(g->settings.seeds);
+	size_t n = json_array_size(g->settings.seeds), i, first;
 	struct str seed;
 
-	if (!should_contact_seed(g))
-		return;
-	seed = str_c(json_string_value(
-	    json_array_get(g->settings.seeds, rnd_below(g->rnd, n))));
-	if (!str_eq(seed, memb_self(g->memb)->inbox))
+	first = n == 0 ? 0 : rnd_below(g->rnd, n);
+	for (i = 0; i < n; i++) {
+		seed = str_c(json_string_value(
+		    json_array_get(g->settings.seeds, (first + i) % n)));
+		if (str_eq(seed, memb_self(g->memb)->inbox))
+			continue;
 		send_announcement(g, seed, str_c(NULL), true);
+		return true;
+	}
+	return false;
+}
+
+static void
+contact_seed(struct gossip *g)
+{
+	if (should_contact_seed(g))
+		contact_random_seed(g);
 }
 
 /*
@@ -597,7 +610,8 @@
 static void
 check_settled(struct gossip *g)
 {
-	unsigned known = 0, requests = gossip_initial_requests(g);
+	unsigned known = 0,
+		 requests = gossip_initial_requests(g) + g->seed_contacted;
 
 	if (g->settled || !g->list_received)
 		return;
@@ -605,6 +619,21 @@
 	g->settled = known * 2 >= requests;
 }
 
+/*
+ * If all boxes start at once, or the platform lost their statuses, the first
+ * list has no other box.  Without a seed, each of them would serve as if it was
+ * the only one until the next list.
+ */
+static void
+contact_first_seed(struct gossip *g)
+{
+	unsigned known = 0;
+
+	memb_each(g->memb, count_known, &known);
+	if (known == 0 && gossip_initial_requests(g) == 0 && !g->seed_contacted)
+		g->seed_contacted = contact_random_seed(g);
+}
+
 /* Contacts further listed boxes if no hub of our hall has replied. */
 static void
 contact_more(struct gossip *g)
@@ -659,6 +688,8 @@
 		g->settle_at = clk_ns(g->clk) + REPLY_WAIT_NS;
 	if (!g->settled || count_other_hubs(g) == 0)
 		contact_listed(g);
+	if (!g->settled)
+		contact_first_seed(g);
 	check_settled(g);
 	schedule_list(g);
 }
--- a/regress/test_gossip.cpp
+++ b/regress/test_gossip.cpp
@@ -398,6 +398,15 @@
 				start_later(*b, after);
 	}
 
+	size_t ready_count() const
+	{
+		size_t n = 0;
+
+		for (auto &b : boxes)
+			n += b->running && b->ready;
+		return n;
+	}
+
 	/* Stops boxes at random; gates that run soon suspect lost owners. */
 	void stop_some(int percent)
 	{
@@ -828,6 +837,30 @@
 	EXPECT_LE(0.99, f.agreement());
 }
 
+/*
+ * The first list of each box has no other one, and each served as if it was the
+ * only one until the next list: together they granted a customer's rate several
+ * times.
+ */
+TEST(Gossip, BoxesThatAreNotListedKnowEachOtherBeforeTheyServe)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		Fleet f(6, 2, seed);
+
+		f.start_all();
+		for (int i = 0; i < 6; i++) {
+			f.run_for(100 * NS_MS);
+			for (auto &b : f.boxes)
+				EXPECT_TRUE(!b->ready || f.ready_count() < 2 ||
+				    memb_count_alive(b->memb) > 1)
+				    << seed << " " << b->name;
+		}
+		f.run_for(200 * NS_MS);
+		for (auto &b : f.boxes)
+			EXPECT_EQ(6u, memb_count_alive(b->memb)) << seed;
+	}
+}
+
 TEST(Gossip, MessagesOfALeafDoNotGrowWithTheFleet)
 {
 	uint64_t leaf = 0, hub = 0;
