A last valid version without a copy is searched among the changes

Cause, by its log: the platform refused calls from when the version that is not valid was written until the last box that knew the valid one was killed, 2.4 s later, so that no copy could be written.

Change: a box that finds no copy reads the changes that the platform still has, from as early as it has them, and offers the versions of the object in their order, deletions included. Once for each rejected version.

Evidence: LastValid.IsFoundAmongTheChangesWithoutACopy and .IsFoundAmongFewChanges; without start_search() neither box is ready. Left: a platform that has lost these changes as well.

--- a/agent_lastvalid.c
+++ b/agent_lastvalid.c
@@ -8,8 +8,11 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
+#include <string.h>
+
 #include "libagent.h"
 #include "slog.h"
+#include "version.h"
 
 /*
  * Copies of last valid versions on the platform.  While the newest version of
@@ -19,14 +22,27 @@
  * object.  So the boxes that watch the platform write a copy of the valid
  * version there, as an object of the kind "lastvalid", and delete it once a
  * newer valid version or a deletion is in force.  A box that knows no valid
- * version reads the copy.
+ * version reads the copy.  If there is none, as the platform refused calls
+ * until the last box ended, it searches the changes that the platform still
+ * has.
  */
 
 #define KIND "lastvalid"
 /* Delay before a copy that does not exist is read again. */
 #define MISSING_RETRY_NS (2 * NS_S)
 
-enum copy_op { COPY_NONE, COPY_WRITE, COPY_READ, COPY_DELETE };
+enum {
+	/*
+	 * Number of revisions before the rejected one from which the changes
+	 * are searched first; divided as long as the platform no longer has
+	 * them.
+	 */
+	SEARCH_SPAN_MAX = 16384,
+	SEARCH_DIVISOR = 4,
+	SEARCH_TIMEOUT_MS = 1000
+};
+
+enum copy_op { COPY_NONE, COPY_WRITE, COPY_READ, COPY_SEARCH, COPY_DELETE };
 
 struct copy {
 	struct agent *agent;
@@ -40,6 +56,8 @@
 	uint64_t of; /* version of the object that it has */
 	int failures; /* consecutive calls that failed */
 	bool refused; /* the platform does not accept the copy of `sent` */
+	uint64_t span; /* revisions to search; 0: the copy is to be read */
+	uint64_t searched; /* rejected version before which all was searched */
 };
 
 static void run(void *);
@@ -90,7 +108,7 @@
 	if (e == NULL)
 		return COPY_NONE;
 	if (e->rejected_version > 0 && e->version == 0)
-		return COPY_READ;
+		return c->span > 0 ? COPY_SEARCH : COPY_READ;
 	if (!agent_watches_platform(a))
 		return COPY_NONE;
 	if (e->rejected_version > 0 && !e->deleted)
@@ -121,6 +139,28 @@
 	tmr_set(&a->tmr, &c->timer, clk_ns(a->clk) + delay, run, c);
 }
 
+/* Returns the kind of the object, the part of its key before the slash. */
+static struct str
+kind_of(const struct copy *c)
+{
+	return str_n(c->key.p, strcspn(c->key.p, "/"));
+}
+
+/* Makes a request for the changes of the last `span` revisions. */
+static void
+make_search(const struct copy *c, struct plat_request *rq)
+{
+	const struct conf *conf = c->agent->conf;
+	uint64_t revision =
+	    version_revision(conf_get(conf, c->key)->rejected_version);
+
+	rq->op = PLAT_WATCH;
+	rq->kind = kind_of(c);
+	rq->version =
+	    version_make(conf_epoch(conf), revision - MIN(revision, c->span));
+	rq->timeout_ms = SEARCH_TIMEOUT_MS;
+}
+
 static void
 run(void *ctx)
 {
@@ -140,6 +180,8 @@
 		value = make_value(c);
 		rq.op = c->version == 0 ? PLAT_CREATE : PLAT_UPDATE;
 		rq.value = value;
+	} else if (c->op == COPY_SEARCH) {
+		make_search(c, &rq);
 	} else {
 		rq.op = c->op == COPY_READ ? PLAT_GET : PLAT_DELETE;
 	}
@@ -160,71 +202,117 @@
 	c->of = (uint64_t)json_integer_value(json_object_get(spec, "version"));
 }
 
-/* Puts the copy in force unless a valid version has arrived meanwhile. */
 static void
-take(struct copy *c, const json_t *object)
+offer(struct copy *c, struct conf_object *o, struct str source)
 {
 	struct agent *a = c->agent;
-	json_t *spec = json_object_get(object, "spec");
-	struct conf_object o = {.key = c->key,
-	    .serial =
-		(uint64_t)json_integer_value(json_object_get(spec, "serial")),
-	    .spec = json_object_get(spec, "spec")};
 	enum conf_result result;
 	GError *err = NULL;
 
-	set_present(c, object);
-	o.version = c->of;
-	if (next_op(c) != COPY_READ || o.version == 0)
-		return;
-	result = conf_offer(a->conf, &o, STR_LIT("platform-" KIND), &err);
-	slog(SLOG_CONF,
-	    result == CONF_APPLIED
-		? "last valid version is restored from its copy"
-		: "copy of the last valid version cannot be used",
-	    "key=%.*s version=%llu", STR_ARG(c->key),
-	    (unsigned long long)o.version);
+	o->key = c->key;
+	result = conf_offer(a->conf, o, source, &err);
+	if (result == CONF_APPLIED)
+		slog(SLOG_CONF, "last valid version is restored",
+		    "key=%.*s version=%llu from=%.*s", STR_ARG(c->key),
+		    (unsigned long long)o->version, STR_ARG(source));
 	g_clear_error(&err);
 	agent_gate_send_ready(a);
 }
 
-/* Returns the delay until the next call; 0: there is none to be repeated. */
+/* Puts the copy in force unless a valid version has arrived meanwhile. */
+static void
+take_copy(struct copy *c, const json_t *object)
+{
+	json_t *spec = json_object_get(object, "spec");
+	struct conf_object o = {.serial = (uint64_t)json_integer_value(
+				    json_object_get(spec, "serial")),
+	    .spec = json_object_get(spec, "spec")};
+
+	set_present(c, object);
+	o.version = c->of;
+	if (next_op(c) == COPY_READ && o.version > 0)
+		offer(c, &o, STR_LIT("platform-" KIND));
+}
+
+/* Offers all versions of the object among the changes, oldest first. */
+static void
+take_changes(struct copy *c, json_t *body)
+{
+	json_t *object;
+	size_t i;
+
+	json_array_foreach (json_object_get(body, "objects"), i, object) {
+		struct conf_object o = {.version = (uint64_t)json_integer_value(
+					    json_object_get(object, "version")),
+		    .serial = (uint64_t)json_integer_value(
+			json_object_get(object, "serial")),
+		    .deleted = json_is_true(json_object_get(object, "deleted")),
+		    .spec = json_object_get(object, "spec")};
+		struct str name =
+		    str_c(json_string_value(json_object_get(object, "name")));
+
+		if (str_eq(name,
+			str_n(c->key.p + kind_of(c).n + 1,
+			    c->key.n - kind_of(c).n - 1)))
+			offer(c, &o, STR_LIT("platform-history"));
+	}
+}
+
+/* The copy does not exist: searches the changes, once for each version. */
 static int64_t
-finish(struct copy *c, enum plat_result result, const json_t *body)
+start_search(struct copy *c)
 {
-	struct agent *a = c->agent;
+	const struct conf_entry *e = conf_get(c->agent->conf, c->key);
 
-	switch (result) {
-	case PLAT_OK:
-		c->failures = 0;
-		if (c->op == COPY_READ) {
-			take(c, body);
-			return next_op(c) == COPY_READ ? MISSING_RETRY_NS : 0;
-		}
-		set_present(c, NULL);
-		if (c->op == COPY_WRITE) {
-			c->version = (uint64_t)json_integer_value(
-			    json_object_get(body, "version"));
-			c->of = c->sent;
-		}
-		return 0;
-	case PLAT_NOT_FOUND:
-		set_present(c, NULL);
-		return c->op == COPY_READ ? MISSING_RETRY_NS : 0;
-	case PLAT_CONFLICT:
-		set_present(c, json_object_get(body, "current"));
-		return 0;
-	case PLAT_BAD_REQUEST:
-		c->refused = c->op == COPY_WRITE;
-		return c->op == COPY_READ ? MISSING_RETRY_NS : 0;
-	default:
-		return agent_backoff(a, c->failures++);
+	if (e == NULL || e->rejected_version == c->searched)
+		return MISSING_RETRY_NS;
+	c->span = MIN(version_revision(e->rejected_version), SEARCH_SPAN_MAX);
+	c->searched = e->rejected_version;
+	return 0;
+}
+
+/* Handles the result of a search; the platform may lack the first changes. */
+static int64_t
+finish_search(struct copy *c, enum plat_result result, json_t *body)
+{
+	c->span = result == PLAT_TOO_OLD ? c->span / SEARCH_DIVISOR : 0;
+	if (result == PLAT_OK)
+		take_changes(c, body);
+	return c->span > 0 ? 0 : MISSING_RETRY_NS;
+}
+
+/*
+ * Handles the result of a call.  Returns the delay before the next one, if one
+ * is needed.
+ */
+static int64_t
+finish(struct copy *c, enum plat_result result, json_t *body)
+{
+	if (result == PLAT_UNAVAILABLE || result == PLAT_UNKNOWN)
+		return agent_backoff(c->agent, c->failures++);
+	c->failures = 0;
+	if (c->op == COPY_SEARCH)
+		return finish_search(c, result, body);
+	if (c->op == COPY_READ && result == PLAT_OK) {
+		take_copy(c, body);
+		return MISSING_RETRY_NS;
+	}
+	if (c->op == COPY_READ)
+		return start_search(c);
+	set_present(c, json_object_get(body, "current"));
+	if (c->op == COPY_WRITE && result == PLAT_OK) {
+		c->version = (uint64_t)json_integer_value(
+		    json_object_get(body, "version"));
+		c->of = c->sent;
 	}
+	c->refused = c->op == COPY_WRITE && result == PLAT_BAD_REQUEST;
+	return 0;
 }
 
 static const char *const op_names[] = {[COPY_NONE] = "none",
     [COPY_WRITE] = "write",
     [COPY_READ] = "read",
+    [COPY_SEARCH] = "search",
     [COPY_DELETE] = "delete"};
 
 static void
@@ -240,7 +328,7 @@
 	    "key=%.*s op=%s result=%s", STR_ARG(c->key), op_names[c->op],
 	    plat_result_name(result));
 	delay = finish(c, result, body);
-	if (delay > 0 || next_op(c) != COPY_NONE)
+	if (next_op(c) != COPY_NONE)
 		run_after(c, delay);
 }
 
--- a/regress/test_lastvalid.cpp
+++ b/regress/test_lastvalid.cpp
@@ -130,6 +130,48 @@
 	EXPECT_EQ(200, w.ask("/look/2").status);
 }
 
+/*
+ * The platform refuses calls from when it has the version that is not valid
+ * until the last box has ended, so that there is no copy.
+ */
+TEST(LastValid, IsFoundAmongTheChangesWithoutACopy)
+{
+	Boxes w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.put_valid("shelf");
+	w.box.kill9();
+	for (int i = 0; i < 5; i++)
+		w.enter(3, "ready", i % 2 == 0 ? "south" : "north");
+	w.put_invalid();
+	w.box.start();
+	EXPECT_TRUE(until([&] { return w.ready(); }, start_ms));
+	EXPECT_EQ(200, w.ask("/look/1").status);
+	EXPECT_EQ(0U, w.ran(0, 1));
+	/* The platform has lost its changes, but has the copy by now. */
+	ASSERT_TRUE(until([&] { return w.has_copy(); }));
+	w.platform.compact();
+	w.restart();
+	EXPECT_TRUE(until([&] { return w.ready(); }, start_ms));
+}
+
+/* Changes of which the platform has lost the first ones are searched, too. */
+TEST(LastValid, IsFoundAmongFewChanges)
+{
+	Boxes w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	w.box.kill9();
+	w.platform.compact();
+	w.number++;
+	w.configure("shelf");
+	w.put_invalid();
+	w.box.start();
+	EXPECT_TRUE(until([&] { return w.ready(); }, start_ms));
+	EXPECT_EQ(200, w.ask("/look/1").status);
+	EXPECT_EQ(0U, w.ran(0, 1));
+}
+
 /* A copy that stayed could bring back what was changed or deleted since. */
 TEST(LastValid, ItsCopyGoesWithTheNextValidVersion)
 {
