Logs of a test program that fails are kept, and of a process that crashes

Half of the known failures could not be traced, as no log was left of the run that failed.

A fatal signal writes out the lines that are still in the buffer and one that names the signal: a process that crashed within its first turn of the loop left nothing, as if it had not been started. It never waits for a reader.

Box.AFatalSignalEndsTheLogWithItsName: the lines were missing before.

--- a/daemon.c
+++ b/daemon.c
@@ -111,6 +111,7 @@
 		return status;
 	signal(SIGPIPE, SIG_IGN);
 	slog_open(clk_system(), args.quiet);
+	slog_on_fatal_signals();
 	if (ops->load(ops->ctx, args.settings, &err)) {
 		if (args.check)
 			printf("%s: the settings are valid\n", args.settings);
--- a/regress/box.h
+++ b/regress/box.h
@@ -112,9 +112,9 @@
 	    const std::string &at = net::own_ip())
 	    : ip(at), of_gate(gate), of_bounds(bounds), of_agent(agent)
 	{
-		char name[] = "/tmp/fernbox.XXXXXX";
+		std::string name = test_dir() + "/fernbox.XXXXXX";
 
-		dir = mkdtemp(name);
+		dir = mkdtemp(name.data());
 		file = dir + "/settings.toml";
 		write_settings("");
 		for (int i = 0; i < 4; i++) {
@@ -135,6 +135,8 @@
 	~World()
 	{
 		box.kill9();
+		if (keeps_files())
+			return;
 		unlink(box.log.c_str());
 		unlink(file.c_str());
 		rmdir(dir.c_str());
@@ -295,6 +297,8 @@
 	~Further()
 	{
 		box.kill9();
+		if (keeps_files())
+			return;
 		unlink(box.log.c_str());
 		unlink(file.c_str());
 	}
--- a/regress/fleet.cpp
+++ b/regress/fleet.cpp
@@ -92,6 +92,18 @@
 
 } // namespace
 
+std::string
+test_dir()
+{
+	return keeps_files() ? getenv("FERN_KEEP") : "/tmp";
+}
+
+bool
+keeps_files()
+{
+	return getenv("FERN_KEEP") != nullptr;
+}
+
 void
 Process::start()
 {
@@ -197,13 +209,10 @@
 Fleet::Fleet(const FleetOptions &o) : options(o)
 {
 	static int serial;
-	char name[64];
 
 	net = net::own();
-	serial++;
-	snprintf(
-	    name, sizeof(name), "/tmp/fern-regress-%d-%d", getpid(), serial);
-	dir = name;
+	dir = test_dir() + "/fern-regress-" + std::to_string(getpid()) + "-" +
+	    std::to_string(++serial);
 	mkdir(dir.c_str(), 0755);
 }
 
@@ -223,7 +232,7 @@
 	platform.kill9();
 	if (platform_proxy)
 		platform_proxy->process.kill9();
-	if (getenv("FERN_KEEP") == nullptr) {
+	if (!keeps_files()) {
 		std::string rm = dir;
 
 		for (auto &b : boxes)
@@ -388,7 +397,7 @@
 	b.gate.argv = {root() + "/ferngate"};
 	b.agent_process.argv = {root() + "/fernagent"};
 	if (options.quiet) {
-		if (getenv("FERN_KEEP") == nullptr) {
+		if (!keeps_files()) {
 			b.gate.argv.push_back("--quiet");
 			b.agent_process.argv.push_back("--quiet");
 		}
--- a/regress/fleet.h
+++ b/regress/fleet.h
@@ -62,6 +62,13 @@
 bool until(const std::function<bool()> &, int timeout_ms = 30000);
 double now_ms();
 
+/*
+ * The directory for files of tests: FERN_KEEP, where they are kept, or /tmp,
+ * where each test removes its own.
+ */
+std::string test_dir();
+bool keeps_files();
+
 /* A child process, restartable with the same arguments. */
 struct Process {
 	pid_t pid = 0; /* 0: not running */
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -9,6 +9,8 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include <fstream>
+#include <csignal>
+
 #include <gtest/gtest.h>
 #include <unistd.h>
 
@@ -65,6 +67,20 @@
 	}
 }
 
+/* What led to the end of a process was lost with its buffer. */
+TEST(Box, AFatalSignalEndsTheLogWithItsName)
+{
+	World w;
+
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	EXPECT_EQ(200, w.ask("/look/last").status);
+	w.box.signal(SIGSEGV);
+	EXPECT_EQ(128 + SIGSEGV, w.box.wait_exit());
+	EXPECT_TRUE(
+	    w.logged("path=/look/last") || w.logged("msg=\"answered\""));
+	EXPECT_TRUE(w.logged("ended by a fatal signal"));
+}
+
 TEST(Box, WhatACallerMaySendIsBounded)
 {
 	World w;
--- a/slog.c
+++ b/slog.c
@@ -9,6 +9,7 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include <poll.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -218,6 +219,52 @@
 	va_end(ap);
 }
 
+/* Writes as much as is possible without blocking; for a signal handler. */
+static void
+write_now(const char *p, size_t n)
+{
+	struct pollfd pfd = {STDOUT_FILENO, POLLOUT, 0};
+	ssize_t written;
+
+	while (n > 0 && poll(&pfd, 1, 0) == 1 && (pfd.revents & POLLOUT)) {
+		written = write(STDOUT_FILENO, p, MIN(n, (size_t)CHUNK_SIZE));
+		if (written <= 0)
+			return;
+		p += written;
+		n -= (size_t)written;
+	}
+}
+
+/*
+ * Writes the buffered lines, which say what led to the signal, and ends the
+ * process by it.  The handler is reset by then.
+ */
+static void
+on_fatal_signal(int signum)
+{
+	static const char text[] =
+	    "part=gate msg=\"ended by a fatal signal\"\n";
+	size_t first = MIN(ring.used, RING_SIZE - ring.head);
+
+	write_now(ring.bytes + ring.head, first);
+	write_now(ring.bytes, ring.used - first);
+	write_now(text, sizeof(text) - 1);
+	raise(signum);
+}
+
+void
+slog_on_fatal_signals(void)
+{
+	static const int signals[] = {SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT};
+	struct sigaction action = {.sa_handler = on_fatal_signal,
+	    .sa_flags = (int)(SA_RESETHAND | SA_NODEFER)};
+	size_t i;
+
+	sigemptyset(&action.sa_mask);
+	for (i = 0; i < G_N_ELEMENTS(signals); i++)
+		sigaction(signals[i], &action, NULL);
+}
+
 void
 slog_flush(void)
 {
--- a/slog.h
+++ b/slog.h
@@ -79,6 +79,12 @@
  */
 void slog_close(void);
 
+/*
+ * From now on a fatal signal, as of an assertion or an invalid access, writes
+ * out the buffer and a line that names it before it ends the process.
+ */
+void slog_on_fatal_signals(void);
+
 /* Returns the number of lines dropped since the process started. */
 uint64_t slog_dropped(void);
 
