Shards are walked over a list that does not change meanwhile

Seen: a drained server of another service got all requests (12 of 12 in the test) until the next change of the configuration.

Cause: a change that moves servers to another hall sends the queued requests there on, which adds a shard for that hall to the table that is walked; GLib then ends the walk with an assertion in the log, and the shards behind it keep their old servers. Which these are depends on the names of services.

Walks that only read are as they were.

Evidence: Box.ARequestThatMovesToANewHallDelaysNoOtherShard fails without it for one of the two orders of services, with that assertion in its log.

--- a/gate_conf.c
+++ b/gate_conf.c
@@ -38,7 +38,8 @@
 static void
 shard_update(struct gate *, struct gate_shard *, const struct route_service *);
 static void apply_health(struct gate *, const struct msg_health *);
-static gboolean refresh_shard(gpointer, gpointer, gpointer);
+static void refresh_shard(void *, struct gate_shard *);
+static void shard_key(char *, struct str, struct str);
 
 bool
 gate_conf_open(struct gate *g, GError **err)
@@ -201,7 +202,7 @@
 
 	route_free(g->routes);
 	g->routes = route_build(g->conf);
-	g_hash_table_foreach_remove(g->shards, refresh_shard, g);
+	gate_conf_each_shard(g, refresh_shard, g);
 	apply_listener(g);
 	gate_conf_update_owners(g);
 	log_in_force(g);
@@ -220,25 +221,36 @@
 	on_rebuild(g);
 }
 
+void
+gate_conf_each_shard(struct gate *g, gate_shard_fn *fn, void *ctx)
+{
+	GList *shards = g_hash_table_get_values(g->shards), *link;
+
+	for (link = shards; link != NULL; link = link->next)
+		fn(ctx, link->data);
+	g_list_free(shards);
+}
+
 /*
- * Updates a shard.  Returns TRUE, which removes it, if its service is gone and
- * it has no requests left.  One that was forwarded to another hall may come
- * back.
+ * Updates a shard, or removes it if its service is gone and it has no requests
+ * left.  One that was forwarded to another hall may come back.
  */
-static gboolean
-refresh_shard(gpointer key, gpointer value, gpointer ctx)
+static void
+refresh_shard(void *ctx, struct gate_shard *s)
 {
 	struct gate *g = ctx;
-	struct gate_shard *s = value;
 	const struct route_service *svc = route_service(g->routes, s->service);
+	char key[SHARD_KEY_SIZE];
 
-	(void)key;
 	if (svc != NULL) {
 		shard_update(g, s, svc);
-		return FALSE;
+		return;
 	}
 	disp_set_backends(s->disp, NULL, 0);
-	return !gate_req_uses_shard(g, s);
+	if (gate_req_uses_shard(g, s))
+		return;
+	shard_key(key, s->service, s->hall);
+	g_hash_table_remove(g->shards, key);
 }
 
 /*
@@ -455,24 +467,23 @@
 	wire_send(g->wire, g->settings.agent, &m);
 }
 
+static void
+apply_health_to_shard(void *ctx, struct gate_shard *s)
+{
+	const struct msg_backend_health *health = ctx;
+
+	disp_probe_result(s->disp, health->backend,
+	    health->state == HEALTH_DOWN, health->state == HEALTH_DRAINING);
+}
+
 static void
 apply_health(struct gate *g, const struct msg_health *health)
 {
-	const struct msg_backend_health *st = health->states.items;
-	struct gate_shard *s;
-	GHashTableIter it;
-	gpointer value;
+	struct msg_backend_health *states = health->states.items;
 	size_t i;
 
-	for (i = 0; i < health->states.n; i++) {
-		g_hash_table_iter_init(&it, g->shards);
-		while (g_hash_table_iter_next(&it, NULL, &value)) {
-			s = value;
-			disp_probe_result(s->disp, st[i].backend,
-			    st[i].state == HEALTH_DOWN,
-			    st[i].state == HEALTH_DRAINING);
-		}
-	}
+	for (i = 0; i < health->states.n; i++)
+		gate_conf_each_shard(g, apply_health_to_shard, &states[i]);
 }
 
 /* Handles a message from the agent or from another gate. */
--- a/gate_owner.c
+++ b/gate_owner.c
@@ -566,24 +566,25 @@
 	gate_owner_send_others(g, s, svc, &m);
 }
 
-void
-gate_owner_on_summary(struct gate *g, const struct msg_capacity *summary)
+static void
+apply_summary(void *ctx, struct gate_shard *s)
 {
+	const struct msg_capacity *summary = ctx;
 	struct disp_capacity capacity = {
 	    (double)summary->slot_tenths / SLOT_TENTHS,
 	    (int)summary->free_slots, (int)summary->queued};
-	struct gate_shard *s;
-	GHashTableIter it;
-	gpointer value;
 
-	g_hash_table_iter_init(&it, g->shards);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		s = value;
-		if (str_eq(s->service, summary->service) &&
-		    !str_eq(s->hall, summary->hall))
-			disp_set_hall_capacity(
-			    s->disp, summary->hall, &capacity);
-	}
+	if (str_eq(s->service, summary->service) &&
+	    !str_eq(s->hall, summary->hall))
+		disp_set_hall_capacity(s->disp, summary->hall, &capacity);
+}
+
+void
+gate_owner_on_summary(struct gate *g, const struct msg_capacity *summary)
+{
+	struct msg_capacity copy = *summary;
+
+	gate_conf_each_shard(g, apply_summary, &copy);
 }
 
 static void
--- a/libgate.h
+++ b/libgate.h
@@ -313,6 +313,12 @@
 long long gate_conf_in_force_ms(const struct gate *);
 /* The same as gate_conf_report(), and that a box's gate does not answer. */
 void gate_conf_report_suspect(struct gate *, struct str box);
+/*
+ * Calls a function for each shard that there is now.  The function, or requests
+ * that go on because of it, may add shards.
+ */
+typedef void gate_shard_fn(void *, struct gate_shard *);
+void gate_conf_each_shard(struct gate *, gate_shard_fn *, void *);
 /* Determines anew which shards and rate limits this gate owns. */
 void gate_conf_update_owners(struct gate *);
 /* The same for shards only. */
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -146,6 +146,55 @@
 	EXPECT_EQ(before, w.ran(0, 0));
 }
 
+/*
+ * A queued request that moved to a hall without a shard added one while the
+ * shards were walked, and those behind it kept their servers until the next
+ * change.  Which shard comes first depends on the names of services.
+ */
+TEST(Box, ARequestThatMovesToANewHallDelaysNoOtherShard)
+{
+	for (int moved : {0, 2}) {
+		World w;
+		int drained = 2 - moved, answered = 0;
+		std::string service = moved == 0 ? "till" : "shelf";
+		std::string other = moved == 0 ? "shelf" : "till";
+
+		w.target = "3000ms";
+		w.timeout = "4000ms";
+		w.configure(service,
+		    R"({"resourceType":"routes","metadata":{"name":"other"},
+			"spec":{"host":"shop.example","pathPrefix":"/other/",
+			"routeType":"safe","timeout":"900ms",
+			"targetLatency":"300ms","priority":1,"maxAttempts":2,
+			"service":")" +
+			other + "\"}},");
+		ASSERT_TRUE(until([&] {
+			return w.ask("/other/1").status == 200 &&
+			    w.ask("/look/1").status == 200;
+		}));
+		for (int i = 0; i < 9; i++)
+			http_start("GET", w.ip + ":8080", "/look/x?ms=600",
+			    {{"Host", "shop.example"},
+				{"fernjunction-request-id",
+				    "q" + std::to_string(i)},
+				{"fernjunction-deadline-ms", "4000"}},
+			    "", 5000, [&answered](const Reply &r) {
+				    answered += r.status == 200;
+			    });
+		pump(150);
+		w.enter(moved, "ready", "south");
+		w.enter(moved + 1, "ready", "south");
+		w.enter(drained, "draining");
+		pump(400);
+		size_t before = w.ran(drained, drained);
+		for (int i = 0; i < 12; i++)
+			EXPECT_EQ(200, w.ask("/other/2").status);
+		EXPECT_EQ(before, w.ran(drained, drained)) << service;
+		EXPECT_TRUE(until([&] { return answered == 9; }, 5000))
+		    << answered;
+	}
+}
+
 /* The deletion of an entry is held for a second, in case it comes back. */
 TEST(Box, ALapsedEntryThatComesBackIsNotMissed)
 {
