A caller's own retry has not run by what its owner knows, either

Seen: a request that its caller marks as a retry was refused with "it may have run" (502, 504) when another box owns its shard, and as not run when it came to the owner itself. A caller that may repeat only what has not run gave up.

Cause: forwarding told one bit for "the caller sent it before" and "an attempt of ours may have run", and the owner took it for the second.

Change: three values. An old box takes the new one for the safe side, as before; what an old box sends is read as before.

--- a/gate_admit.c
+++ b/gate_admit.c
@@ -158,7 +158,7 @@
 	r->disp.fingerprint = forward.fingerprint;
 	if (forward.suspect)
 		poison_mark_suspect(g->poison, forward.fingerprint);
-	r->maybe_ran = forward.is_retry;
+	r->maybe_ran = forward.maybe_ran;
 	if (forward.target_ms > 0)
 		r->disp.target = r->arrived_at + forward.target_ms * NS_MS;
 	r->disp.deadline = forwarded_deadline(r, service);
--- a/gate_forward.c
+++ b/gate_forward.c
@@ -19,6 +19,13 @@
 /* Placeholder where no regions are named. */
 static const char ANY_REGION[] = "-";
 
+/*
+ * Whether the request is a retry.  A caller's own retry has not run by what we
+ * know; builds without RETRY_NOT_RUN take any number but 0 for one that may
+ * have.
+ */
+enum { RETRY_NONE, RETRY_MAYBE_RAN, RETRY_NOT_RUN };
+
 /* Prefix of the customer's name, which may be empty or any text. */
 enum { CUSTOMER_PREFIX = '=' };
 
@@ -65,6 +72,7 @@
 	out->bulk = bulk != 0;
 	out->repeatable = repeatable != 0;
 	out->is_retry = retried != 0;
+	out->maybe_ran = retried == RETRY_MAYBE_RAN;
 	out->within_retry_budget = paid != 0;
 	out->suspect = suspect != 0;
 	out->target_ms = target;
@@ -83,6 +91,14 @@
 	return out->target_hall.n > 0 && out->service.n > 0;
 }
 
+static unsigned
+retry_number(const struct gate_forward *forward)
+{
+	if (forward->maybe_ran)
+		return RETRY_MAYBE_RAN;
+	return forward->is_retry ? RETRY_NOT_RUN : RETRY_NONE;
+}
+
 size_t
 gate_forward_write(const struct gate_forward *forward, char *out, size_t size)
 {
@@ -92,9 +108,9 @@
 	    "%u %u %u %u %u %u %u %u %u %lld %lld %lld %llx %llx %llx %u "
 	    "%.*s %.*s %c%.*s %.*s",
 	    forward->hops, forward->bulk, forward->repeatable,
-	    forward->is_retry, forward->within_retry_budget, forward->attempts,
-	    forward->max_attempts, forward->rank, forward->kind,
-	    (long long)forward->target_ms,
+	    retry_number(forward), forward->within_retry_budget,
+	    forward->attempts, forward->max_attempts, forward->rank,
+	    forward->kind, (long long)forward->target_ms,
 	    (long long)forward->caller_deadline_ms,
 	    (long long)forward->waited_ms,
 	    (unsigned long long)forward->fingerprint.hi,
--- a/libreq.h
+++ b/libreq.h
@@ -110,7 +110,9 @@
  */
 struct gate_forward {
 	unsigned hops; /* gates that have forwarded it, the sender included */
-	bool bulk, repeatable, is_retry;
+	bool bulk, repeatable;
+	bool is_retry; /* the caller or a gate has sent it before */
+	bool maybe_ran; /* an earlier attempt of a gate may have run */
 	/* Its attempts so far are within a retry budget. */
 	bool within_retry_budget;
 	unsigned attempts; /* backend servers that it was sent to */
--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -224,6 +224,37 @@
 	second.expect(200, "sent later");
 }
 
+/*
+ * A caller's retry that has not run here is refused with that promise by its
+ * owner too, as by the box that received it.
+ */
+TEST(Deadline, ACallersRetryThatExpiresAtItsOwnerHasNotRun)
+{
+	FleetOptions o = options_of();
+	Pending busy;
+
+	o.backends[0].slots = 1;
+	World w(o);
+	ASSERT_TRUE(w.open());
+	size_t owner = w.owner();
+
+	busy.send_one(w.boxes[owner], "/dir/x", 2500);
+	pump(100);
+	w.put_rules("dir", 400);
+	pump(500);
+	for (const Box *b : {&w.boxes[owner], &w.boxes[1 - owner]}) {
+		Reply r = http("POST", b->listen, "/dir/x",
+		    {{"x-request-id", "again"}, {"fern-retried", "yes"}},
+		    "body");
+
+		EXPECT_EQ(504, r.status) << b->name;
+		EXPECT_NE(std::string::npos, r.body.find("\"ran\":\"no\""))
+		    << b->name << " " << r.body;
+	}
+	until([&] { return busy.done(); });
+	busy.expect(200, "at work");
+}
+
 /* A change of configuration does not reach a request that is at work. */
 TEST(Deadline, ARunningRequestIsFinishedAfterEachChange)
 {
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -685,6 +685,31 @@
 		EXPECT_FALSE(gate_forward_read(str_c(bad), &out)) << bad;
 }
 
+/*
+ * A caller's own retry was taken for one that may have run here, and refused
+ * without the promise that it did not.
+ */
+TEST(Forward, ACallersRetryIsNotOneThatMayHaveRun)
+{
+	const struct {
+		bool is_retry, maybe_ran, read_as_retry;
+	} cases[] = {{false, false, false}, {true, false, true},
+	    {true, true, true}, {false, true, true}};
+
+	for (auto &c : cases) {
+		struct gate_forward in = {}, out = {};
+		char text[GATE_FORWARD_MAX];
+
+		in.target_hall = in.service = STR_LIT("n");
+		in.is_retry = c.is_retry;
+		in.maybe_ran = c.maybe_ran;
+		size_t n = gate_forward_write(&in, text, sizeof(text));
+		ASSERT_TRUE(gate_forward_read(str_n(text, n), &out));
+		EXPECT_EQ(c.read_as_retry, out.is_retry);
+		EXPECT_EQ(c.maybe_ran, out.maybe_ran);
+	}
+}
+
 /*
  * The longest names that a configuration may have.  Cut short, a service's name
  * may be that of another one.
