Test of boxes that are killed within their start

The log is written from the first turn of the loop on, so that a crash, or a wait, before that left no line. This test kills three boxes 60 times at random moments of their starts, while the others send them what they know, and looks after each that no process has ended.

--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -10,6 +10,7 @@
  */
 #include <fstream>
 #include <csignal>
+#include <sys/wait.h>
 
 #include <gtest/gtest.h>
 #include <unistd.h>
@@ -67,6 +68,40 @@
 	}
 }
 
+/*
+ * A box that was killed within its start, while others send it what they know,
+ * was not back in one run of a soak.
+ */
+TEST(Box, ABoxThatIsKilledAtAnyMomentStartsAgain)
+{
+	const std::string set = "boxes_ms = 15000\nstatus_by = \"hubs\"\n";
+	World w(true, "", "", set);
+	box::Further second(w, "b2", "north", "7", set),
+	    third(w, "b3", "south", "6", set);
+	std::vector<Process *> boxes = {&w.box, &second.box, &third.box};
+	uint64_t seed = 126;
+
+	second.box.start();
+	third.box.start();
+	ASSERT_TRUE(until([&] { return w.knows(3); }, 10000));
+	for (int i = 0; i < 60; i++) {
+		Process &p = *boxes[rnd_splitmix64(&seed) % 3];
+		int signo = rnd_splitmix64(&seed) % 3 == 0 ? SIGTERM : SIGKILL;
+
+		p.signal(signo);
+		pump(static_cast<int>(rnd_splitmix64(&seed) % 60));
+		p.kill9();
+		p.start();
+		pump(static_cast<int>(rnd_splitmix64(&seed) % 60));
+		for (Process *b : boxes)
+			ASSERT_EQ(0, waitpid(b->pid, nullptr, WNOHANG))
+			    << i << b->read_log();
+	}
+	EXPECT_TRUE(until([&] { return w.ready() && w.knows(3); }, 10000));
+	EXPECT_TRUE(
+	    until([&] { return second.serves() && third.serves(); }, 10000));
+}
+
 /* What led to the end of a process was lost with its buffer. */
 TEST(Box, AFatalSignalEndsTheLogWithItsName)
 {
