The newest valid version among the changes is taken, unless it was deleted

Versions were offered oldest first. A deletion between two valid versions came into force, and the one after it was below the floor of the list, so that a box with a later version that is not valid had none; LastValid.IsFoundAmongFewChanges has that order now. A conflict that does not tell the copy waits before the next call.

--- a/agent_lastvalid.c
+++ b/agent_lastvalid.c
@@ -202,7 +202,8 @@
 	c->of = (uint64_t)json_integer_value(json_object_get(spec, "version"));
 }
 
-static void
+/* Returns whether the object has come into force. */
+static bool
 offer(struct copy *c, struct conf_object *o, struct str source)
 {
 	struct agent *a = c->agent;
@@ -211,12 +212,14 @@
 
 	o->key = c->key;
 	result = conf_offer(a->conf, o, source, &err);
-	if (result == CONF_APPLIED)
-		slog(SLOG_CONF, "last valid version is restored",
-		    "key=%.*s version=%llu from=%.*s", STR_ARG(c->key),
-		    (unsigned long long)o->version, STR_ARG(source));
 	g_clear_error(&err);
+	if (result != CONF_APPLIED)
+		return false;
+	slog(SLOG_CONF, "last valid version is restored",
+	    "key=%.*s version=%llu from=%.*s", STR_ARG(c->key),
+	    (unsigned long long)o->version, STR_ARG(source));
 	agent_gate_send_ready(a);
+	return true;
 }
 
 /* Puts the copy in force unless a valid version has arrived meanwhile. */
@@ -234,27 +237,39 @@
 		offer(c, &o, STR_LIT("platform-" KIND));
 }
 
-/* Offers all versions of the object among the changes, oldest first. */
+static bool
+is_version_of(const struct copy *c, const json_t *object)
+{
+	struct str name =
+	    str_c(json_string_value(json_object_get(object, "name")));
+	size_t kind_len = kind_of(c).n + 1;
+
+	return str_eq(name, str_n(c->key.p + kind_len, c->key.n - kind_len));
+}
+
+/*
+ * Puts the newest valid version among the changes in force, unless a deletion
+ * comes after it.
+ */
 static void
-take_changes(struct copy *c, json_t *body)
+take_changes(struct copy *c, const json_t *body)
 {
-	json_t *object;
-	size_t i;
+	const json_t *objects = json_object_get(body, "objects"), *object;
+	size_t i = json_array_size(objects);
 
-	json_array_foreach (json_object_get(body, "objects"), i, object) {
+	while (i-- > 0) {
+		object = json_array_get(objects, i);
+		if (!is_version_of(c, object))
+			continue;
 		struct conf_object o = {.version = (uint64_t)json_integer_value(
 					    json_object_get(object, "version")),
 		    .serial = (uint64_t)json_integer_value(
 			json_object_get(object, "serial")),
-		    .deleted = json_is_true(json_object_get(object, "deleted")),
 		    .spec = json_object_get(object, "spec")};
-		struct str name =
-		    str_c(json_string_value(json_object_get(object, "name")));
 
-		if (str_eq(name,
-			str_n(c->key.p + kind_of(c).n + 1,
-			    c->key.n - kind_of(c).n - 1)))
-			offer(c, &o, STR_LIT("platform-history"));
+		if (json_is_true(json_object_get(object, "deleted")) ||
+		    offer(c, &o, STR_LIT("platform-history")))
+			return;
 	}
 }
 
@@ -306,6 +321,9 @@
 		c->of = c->sent;
 	}
 	c->refused = c->op == COPY_WRITE && result == PLAT_BAD_REQUEST;
+	/* The platform did not tell what it has. */
+	if (result == PLAT_CONFLICT && c->version == 0)
+		return agent_backoff(c->agent, c->failures++);
 	return 0;
 }
 
--- a/regress/test_lastvalid.cpp
+++ b/regress/test_lastvalid.cpp
@@ -164,6 +164,9 @@
 	w.box.kill9();
 	w.platform.compact();
 	w.number++;
+	w.configure("till");
+	w.platform.remove("config", "main");
+	w.number++;
 	w.configure("shelf");
 	w.put_invalid();
 	w.box.start();
