A gate takes usage for low only if it would have been told of it

Change: is_told(): it grants, was told within the last second, has been one of the two for a second, or was when those before it went. A reply says "informed" only by that.

Open: nearly all of the limit is presumed to be used evenly over the window, while a customer in excess uses it in bursts, so that after a loss of all hubs up to half of the limit is granted once more.

--- a/granter.c
+++ b/granter.c
@@ -125,10 +125,17 @@
 	GPtrArray *entries;
 	struct bucket bucket;
 	bool grants; /* this gate grants the customer's requests */
-	bool is_informed;
+	int64_t
+	    informed_at; /* when usage was last reported or known; 0: never */
 	bool is_current; /* seen in the update under way */
 	bool is_changed; /* in `changed` of the granter */
 	int64_t entered_at; /* since when this gate is in the ranking */
+	/*
+	 * Since when this gate is one of those that the owner tells of usage,
+	 * or was until those before it were gone; 0: it is not.
+	 */
+	int64_t told_since;
+	bool was_told; /* it was for long enough when those before it went */
 	/* Grants above half of the limit that were not reported yet. */
 	uint32_t unreported;
 	/* The gates before this one in the ranking. */
@@ -445,6 +452,36 @@
 	}
 }
 
+/*
+ * Returns whether this gate knows of usage over half of the limit, if there was
+ * any: it grants, was told lately, or is one of those that the owner tells, or
+ * was until all before it were gone.
+ */
+static bool
+is_told(const struct account *a, int64_t now)
+{
+	if (a->grants ||
+	    (a->informed_at != 0 && now - a->informed_at < INFORMED_NS))
+		return true;
+	if (a->n_ahead == 0)
+		return a->was_told;
+	return a->told_since != 0 && now - a->told_since >= INFORMED_NS;
+}
+
+/* The number of gates before this one in the ranking changes. */
+static void
+update_told(struct account *a, unsigned n_ahead, int64_t now)
+{
+	bool is_one = n_ahead > 0 && n_ahead <= GRANTER_TOLD;
+
+	if (n_ahead == 0 && a->n_ahead > 0)
+		a->was_told = is_told(a, now);
+	if (!is_one)
+		a->told_since = 0;
+	else if (a->told_since == 0)
+		a->told_since = now;
+}
+
 void
 granter_update_customer(struct granter *g, struct str name, int64_t now)
 {
@@ -467,6 +504,7 @@
 	}
 	is_new = a->entered_at == now;
 	a->is_current = true;
+	update_told(a, i, now);
 	a->n_ahead = i;
 	while (i-- > 0)
 		a->ahead[i] = peer_of(g, ranks[i]);
@@ -691,11 +729,12 @@
 }
 
 static void
-give_up(struct granter *g, struct account *a, struct str to)
+give_up(struct granter *g, struct account *a, struct str to, int64_t now)
 {
 	if (!a->grants)
 		return;
 	a->grants = false;
+	a->informed_at = now;
 	g->ops->given_up(g->ctx, str_c(a->name), to);
 }
 
@@ -715,7 +754,7 @@
 		if (g->window > 0 && a->grants)
 			report_last(g, a, now);
 		if (g->ops->rank(g->ctx, str_c(a->name), ranks) > 0)
-			give_up(g, a, ranks[0]);
+			give_up(g, a, ranks[0], now);
 		g_ptr_array_remove(g->changed, a);
 		g_hash_table_iter_remove(&it);
 	}
@@ -788,11 +827,9 @@
 take_over(struct granter *g, struct account *a, int64_t now)
 {
 	uint32_t limit = limit_of(g, str_c(a->name)), used = 0;
-	bool informed = a->is_informed || has_informed_peer(a) ||
-	    (a->n_ahead <= GRANTER_TOLD && now - a->entered_at >= INFORMED_NS);
+	bool informed = is_told(a, now) || has_informed_peer(a);
 
 	a->grants = true;
-	a->is_informed = true;
 	if (g->window == 0) {
 		a->bucket = (struct bucket){1, now};
 	} else {
@@ -864,7 +901,7 @@
 	struct peer *better, *ahead = peer_ahead(a, now);
 
 	if (ahead != NULL)
-		give_up(g, a, str_c(ahead->inbox));
+		give_up(g, a, str_c(ahead->inbox), now);
 	if (a->n_ahead > 0 || a->grants)
 		return false;
 	if (!is_synced(g, a, &better, now))
@@ -1084,7 +1121,7 @@
 		return;
 	}
 	if (a != NULL)
-		give_up(g, a, to);
+		give_up(g, a, to, now);
 	ping(g, p, now);
 	if (q->is_retry && now - p->heard_at >= HEARD_NS)
 		hold(g, from, q, since, now);
@@ -1204,22 +1241,28 @@
 	decide_held(g, now);
 }
 
-/* Returns whether reports would have come for all customers. */
+/*
+ * Returns whether this gate was told of the usage of all customers in whose
+ * rankings the other gate is, of which it knows one at least.
+ */
 static bool
 all_informed(struct granter *g, const struct peer *p, int64_t now)
 {
 	struct account *a;
 	GHashTableIter it;
 	gpointer value;
+	bool is_any = false;
 
 	g_hash_table_iter_init(&it, g->accounts);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		a = value;
-		if (link_to(a, p) != NULL && !a->is_informed &&
-		    now - a->entered_at < INFORMED_NS)
+		if (link_to(a, p) == NULL)
+			continue;
+		if (!is_told(a, now))
 			return false;
+		is_any = true;
 	}
-	return true;
+	return is_any;
 }
 
 /*
@@ -1361,7 +1404,7 @@
 			merge_presumed(g, a, r->counts, now);
 		else
 			merge_window(g, a, r, now);
-		a->is_informed = true;
+		a->informed_at = now;
 		return;
 	}
 	e = entry_of(g, a, str_c(p->inbox), started_ms, now);
--- a/regress/test_allowance.cpp
+++ b/regress/test_allowance.cpp
@@ -816,6 +816,35 @@
 	}
 }
 
+/*
+ * The owner and both that it tells end at once.  The next one was not told of
+ * the usage and took it for low: it had been in the ranking for long, or a gate
+ * outside of the ranking had said that it is informed, and half of the limit
+ * was granted once more.
+ */
+TEST(Granter, WhoWasNotToldDoesNotTakeTheUsageForLow)
+{
+	for (uint64_t seed = 1; seed <= 40; seed++) {
+		Fleet f(seed);
+		int64_t from = f.now,
+			end = from + 3 * NS_S + f.random(5 * NS_S);
+		int takeovers = 0, unknown = 0;
+
+		f.load(800, from + 20 * NS_S);
+		f.at(end, [&] {
+			takeovers = f.takeovers;
+			unknown = f.unknown;
+			for (const char *hub : {"h1", "h2", "h3"})
+				f.kill(hub);
+			if (f.random(2) == 0)
+				f.kill("h5");
+		});
+		f.run(end + 3 * NS_S);
+		EXPECT_LE(1, f.takeovers - takeovers) << seed;
+		EXPECT_EQ(f.takeovers - takeovers, f.unknown - unknown) << seed;
+	}
+}
+
 /*
  * A customer within its rate is refused as rarely as possible while owners
  * move.
