--- a/regress/test_allowance.cpp
+++ b/regress/test_allowance.cpp
@@ -845,6 +845,27 @@
 	}
 }
 
+/*
+ * Nobody is left who knows the usage.  It is presumed to be spread evenly,
+ * while a customer in excess uses its limit in bursts.
+ */
+TEST(Granter, TheRateHoldsAfterALossOfAllHubs)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		Fleet f(seed);
+		int64_t from = f.now;
+
+		f.load(800, from + 20 * NS_S);
+		f.at(from + 3 * NS_S + f.random(5 * NS_S), [&f] {
+			for (int i = 1; i <= 6; i++)
+				f.restart("h" + std::to_string(i),
+				    300 * MS + f.random(300 * MS));
+		});
+		f.run(from + 20 * NS_S);
+		EXPECT_LE(f.most_in_a_window(), f.bound()) << seed;
+	}
+}
+
 /*
  * A customer within its rate is refused as rarely as possible while owners
  * move.
--- a/regress/test_lastvalid.cpp
+++ b/regress/test_lastvalid.cpp
@@ -98,7 +98,9 @@
 	w.put_invalid();
 	ASSERT_TRUE(until([&] { return w.logged("object is rejected"); }));
 	ASSERT_TRUE(until([&] { return w.has_copy(); }));
+	/* Neither a copy nor the changes on the platform have it. */
 	w.platform.remove("lastvalid", "bundle-main");
+	w.platform.compact();
 	for (int round = 0; round < 3; round++) {
 		w.more[1]->box.kill9();
 		w.more[2]->box.kill9();
