The last line of a log names the fatal signal

The line said only that there was one. A name in the granter that read as a number. Box.AFatalSignalEndsTheLogWithItsName expects the signal.

--- a/granter.c
+++ b/granter.c
@@ -125,8 +125,7 @@
 	GPtrArray *entries;
 	struct bucket bucket;
 	bool grants; /* this gate grants the customer's requests */
-	int64_t
-	    informed_at; /* when usage was last reported or known; 0: never */
+	int64_t informed_at; /* last time that usage was known; 0: never */
 	bool is_current; /* seen in the update under way */
 	bool is_changed; /* in `changed` of the granter */
 	int64_t entered_at; /* since when this gate is in the ranking */
@@ -472,11 +471,11 @@
 static void
 update_told(struct account *a, unsigned n_ahead, int64_t now)
 {
-	bool is_one = n_ahead > 0 && n_ahead <= GRANTER_TOLD;
+	bool is_told_by_owner = n_ahead > 0 && n_ahead <= GRANTER_TOLD;
 
 	if (n_ahead == 0 && a->n_ahead > 0)
 		a->was_told = is_told(a, now);
-	if (!is_one)
+	if (!is_told_by_owner)
 		a->told_since = 0;
 	else if (a->told_since == 0)
 		a->told_since = now;
--- a/regress/test_box.cpp
+++ b/regress/test_box.cpp
@@ -113,7 +113,7 @@
 	EXPECT_EQ(128 + SIGSEGV, w.box.wait_exit());
 	EXPECT_TRUE(
 	    w.logged("path=/look/last") || w.logged("msg=\"answered\""));
-	EXPECT_TRUE(w.logged("ended by a fatal signal"));
+	EXPECT_TRUE(w.logged("ended by a fatal signal\" signal=11"));
 }
 
 TEST(Box, WhatACallerMaySendIsBounded)
--- a/slog.c
+++ b/slog.c
@@ -242,10 +242,12 @@
 static void
 on_fatal_signal(int signum)
 {
-	static const char text[] =
-	    "part=gate msg=\"ended by a fatal signal\"\n";
+	char text[] = "part=gate msg=\"ended by a fatal signal\" signal=00\n";
+	char *units = text + sizeof(text) - 3;
 	size_t first = MIN(ring.used, RING_SIZE - ring.head);
 
+	units[-1] = (char)('0' + signum / 10);
+	units[0] = (char)('0' + signum % 10);
 	write_now(ring.bytes + ring.head, first);
 	write_now(ring.bytes, ring.used - first);
 	write_now(text, sizeof(text) - 1);
