Deadline tests wait until their rules are in force

Its kept logs: the rule of 400 ms came into force 0.55 s after it was put, the test waited 0.5 s and sent its retries under the rule of 3 s. These tests now wait for the line "in force" of the rule that they put, at all boxes; what they expect is unchanged. The same fixed waits stood in three others.

--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -13,6 +13,7 @@
 #include <gtest/gtest.h>
 
 #include "fleet.h"
+#include "version.h"
 
 namespace
 {
@@ -45,11 +46,29 @@
 
 		put("rule/dir",
 		    R"({"path":"/dir)" + rest + R"(,"repeatable":"no"})");
-		put("rule/twice",
+		rules_revision = put("rule/twice",
 		    R"({"path":"/twice)" + rest +
 			R"(,"repeatable":"yes","attempts":3})");
 	}
 
+	/* The same for the service "dir", and waits until all boxes have it. */
+	void enforce_rules(int ms)
+	{
+		put_rules("dir", ms);
+		std::string line = "key=rule/twice version=" +
+		    std::to_string(
+			version_make(1, static_cast<uint64_t>(rules_revision)));
+		EXPECT_TRUE(until([&] {
+			for (auto &b : boxes)
+				if (b.gate.read_log().find(line) ==
+				    std::string::npos)
+					return false;
+			return true;
+		}));
+	}
+
+	long rules_revision = 0; /* of the rule that was put last */
+
 	bool open()
 	{
 		for (size_t i = 0; i < options.backends.size(); i++)
@@ -211,8 +230,7 @@
 	ASSERT_TRUE(w.open());
 	size_t owner = w.owner();
 
-	w.put_rules("dir", 6000);
-	pump(1000);
+	w.enforce_rules(6000);
 
 	first.send(w.boxes[1 - owner], 700);
 	pump(100);
@@ -240,8 +258,7 @@
 
 	busy.send_one(w.boxes[owner], "/dir/x", 2500);
 	pump(100);
-	w.put_rules("dir", 400);
-	pump(500);
+	w.enforce_rules(400);
 	for (const Box *b : {&w.boxes[owner], &w.boxes[1 - owner]}) {
 		Reply r = http("POST", b->listen, "/dir/x",
 		    {{"x-request-id", "again"}, {"fern-retried", "yes"}},
@@ -497,8 +514,7 @@
 		b.keys = "ms=5 deadline=1";
 	World w(o);
 	ASSERT_TRUE(w.open());
-	w.put_rules("dir", 200);
-	pump(1000);
+	w.enforce_rules(200);
 	for (int i = 0; i < ROUNDS; i++)
 		for (auto &b : w.boxes) {
 			Pending pending;
@@ -529,8 +545,7 @@
 	ASSERT_TRUE(w.open());
 	for (int i = 0; i < 20; i++)
 		http("POST", w.boxes[0].listen, "/dir/x", {}, "body");
-	w.put_rules("dir", 200);
-	pump(1000);
+	w.enforce_rules(200);
 	for (auto &b : w.backends)
 		b->set("slots=1");
 	for (int i = 0; i < ROUNDS; i++) {
