An owner is not suspected for a response that it breaks off

What callers saw: while one backend server breaks off its responses, boxes leave the owner of its shard for two seconds each time, move the other requests there and run some of them twice over.

Cause: once the head of a response has come, the end of its connection says nothing of the owner: the owner closes it where its backend server breaks off. owner_failed() took it for a broken connection all the same. An owner that is gone is still noticed, by requests whose response has not begun, by the next connection and by pings.

Deadline.AnOwnerIsNotSuspectedForAResponseThatItEnds: suspected once (cut=300) before, never now.

--- a/gate_try.c
+++ b/gate_try.c
@@ -391,12 +391,18 @@
 {
 	struct gate_peer *p = r->owner;
 
+	/*
+	 * An owner closes the connection of a response that its backend server
+	 * breaks off or has not completed at the deadline.
+	 */
+	if (r->response_started) {
+		leave_owner(r);
+		return;
+	}
 	gate_deputy_responded(r, kind);
 	leave_owner(r);
 	gate_owner_suspect(r->gate, p,
 	    kind == ERR_CONNECT ? "no connection" : "the connection broke");
-	if (r->response_started)
-		return;
 	if (kind != ERR_CONNECT)
 		count_lost_attempts(r);
 	if (kind != ERR_CONNECT && !has_attempts_left(r))
--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -564,3 +564,25 @@
 	EXPECT_GT(refused, 0);
 	EXPECT_EQ(refused, count(w, "shed"));
 }
+
+/* A box was suspected, and its requests moved, for a response that it cut. */
+TEST(Deadline, AnOwnerIsNotSuspectedForAResponseThatItEnds)
+{
+	for (const char *keys : {"cut=300"}) {
+		World w;
+
+		ASSERT_TRUE(w.open());
+		size_t other = 1 - w.owner();
+
+		w.enforce_rules(500);
+		w.backends[0]->set(keys);
+		for (int i = 0; i < 3; i++) {
+			Reply r = http("POST", w.boxes[other].listen, "/dir/x",
+			    {}, "body");
+
+			EXPECT_EQ(200, r.status) << keys;
+			EXPECT_FALSE(r.complete) << keys;
+		}
+		EXPECT_EQ(0, w.metric(other, "fern_homes_left_total")) << keys;
+	}
+}
