A response that has begun ends at its request's deadline

A caller that did not read held a slot of a backend server without any limit.

Cause: one timer of a request was its deadline and, from the head on, a limit of 30 s for silence, which began anew with each part, and which was cleared while the caller did not read. So nothing ended a response at the deadline.

Evidence: the line "its caller went away" now tells left_ms, silent_ms and unsent.

The timer is the deadline only. It ends a response that is not whole at this box: with bytes on their way to a caller who does not read, by closing the connection at once (hsrv_cut()). A response that is whole here is delivered however late. The limit for silence is gone, as the deadline bounds it: a stream that may be silent for longer than 30 s is not cut any more. What a slow caller held up counts for nothing against the backend server.

--- a/gate_flow.c
+++ b/gate_flow.c
@@ -27,16 +27,12 @@
 	DEADLINE_MARGIN_MS = 5 /* see request_headers() */
 };
 
-/* Longest silence of the other side in the middle of a response. */
-#define SILENCE_TIMEOUT_NS (30 * NS_S)
-
 static void on_connected(void *, struct up_call *);
 static void
 on_head(void *, struct up_call *, int, const h2o_header_t *, size_t);
 static void on_body(void *, struct up_call *);
 static void on_end(void *, struct up_call *);
 static void on_fail(void *, struct up_call *, enum err_kind);
-static void on_silence_timeout(void *);
 static void on_stop(h2o_generator_t *, h2o_req_t *);
 static void send_more(struct gate_req *);
 
@@ -212,31 +208,28 @@
 	h2o_buffer_dispose(&r->unsent_body);
 }
 
-static void
-on_connected(void *ctx, struct up_call *call)
-{
-	(void)call;
-	gate_req_event(ctx, REQ_EV_CONNECTED);
-}
-
-static void
-on_silence_timeout(void *ctx)
+struct gate_flow_wait
+gate_flow_wait(const struct gate_req *r)
 {
-	struct gate_req *r = ctx;
-
-	if (r->call == NULL)
-		return;
-	gate_flow_stop(r);
-	on_fail(r, NULL, ERR_CUT);
+	int64_t now = clk_ns(r->gate->clk);
+	struct gate_flow_wait wait;
+	size_t unsent = r->send_buffer.bytes_inflight +
+	    (r->call == NULL ? r->unsent_body : *up_body(r->call))->size;
+
+	snprintf(wait.text, sizeof(wait.text),
+	    "left_ms=%lld silent_ms=%lld unsent=%zu",
+	    (long long)((r->disp.deadline - now) / NS_MS),
+	    r->response_started ? (long long)((now - r->last_part_at) / NS_MS)
+				: -1LL,
+	    unsent);
+	return wait;
 }
 
 static void
-restart_silence_timer(struct gate_req *r)
+on_connected(void *ctx, struct up_call *call)
 {
-	struct gate *g = r->gate;
-
-	tmr_set(&g->tmr, &r->timer, clk_ns(g->clk) + SILENCE_TIMEOUT_NS,
-	    on_silence_timeout, r);
+	(void)call;
+	gate_req_event(ctx, REQ_EV_CONNECTED);
 }
 
 static void
@@ -308,7 +301,6 @@
 	}
 	r->call = call;
 	gate_req_event(r, REQ_EV_HEAD);
-	restart_silence_timer(r);
 	cnt_sample(g->cnt, GC_LATENCY, clk_ns(g->clk) - r->arrived_at);
 	req->res.status = status;
 	req->res.reason = status < 400 ? "OK" : "Error";
@@ -318,6 +310,7 @@
 	r->generator.proceed = gate_flow_proceed;
 	r->generator.stop = on_stop;
 	r->response_started = true;
+	r->last_part_at = clk_ns(g->clk);
 	r->disp.can_retry = false;
 	h2o_start_response(req, &r->generator);
 }
@@ -329,6 +322,26 @@
 	return r->disp.target == 0 || clk_ns(r->gate->clk) <= r->disp.target;
 }
 
+/* The end of the response is being sent, be it whole or cut. */
+static void
+end_response(struct gate_req *r)
+{
+	r->final_sent = true;
+	gate_req_event(r, REQ_EV_END);
+	gate_req_settle_claim(r, r->response_not_run && !r->body_cut);
+	cnt_add(r->gate->cnt,
+	    r->body_cut ? GC_RESPONSES_CUT : GC_RESPONSES_COMPLETE, 1);
+	gate_stat_answered(r, meets_target(r));
+	slog_decision(SLOG_ROUTE, "answered",
+	    "id=%.*s service=%.*s status=%d whole=%d in_time=%d "
+	    "ms=%lld tries=%d",
+	    STR_ARG(r->request_id), STR_ARG(r->service), r->req->res.status,
+	    !r->body_cut, meets_target(r),
+	    (long long)((clk_ns(r->gate->clk) - r->arrived_at) / NS_MS),
+	    r->disp.attempt_count);
+	tmr_clear(&r->gate->tmr, &r->timer);
+}
+
 /*
  * Sends the caller the body received so far, and the end of the response once
  * that is reached.
@@ -351,20 +364,7 @@
 	    (*src)->size == 0) {
 		state =
 		    r->body_cut ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
-		r->final_sent = true;
-		gate_req_event(r, REQ_EV_END);
-		gate_req_settle_claim(r, r->response_not_run && !r->body_cut);
-		cnt_add(r->gate->cnt,
-		    r->body_cut ? GC_RESPONSES_CUT : GC_RESPONSES_COMPLETE, 1);
-		gate_stat_answered(r, meets_target(r));
-		slog_decision(SLOG_ROUTE, "answered",
-		    "id=%.*s service=%.*s status=%d whole=%d in_time=%d "
-		    "ms=%lld tries=%d",
-		    STR_ARG(r->request_id), STR_ARG(r->service),
-		    r->req->res.status, !r->body_cut, meets_target(r),
-		    (long long)((clk_ns(r->gate->clk) - r->arrived_at) / NS_MS),
-		    r->disp.attempt_count);
-		tmr_clear(&r->gate->tmr, &r->timer);
+		end_response(r);
 	}
 	if (vec.len > 0 || r->final_sent)
 		h2o_send(r->req, &vec, vec.len > 0, state);
@@ -379,11 +379,8 @@
 	(void)req;
 	if (r->send_buffer.bytes_inflight > 0)
 		h2o_doublebuffer_consume(&r->send_buffer);
-	if (r->call != NULL &&
-	    (*up_body(r->call))->size < BODY_BUFFER_MAX / 2) {
+	if (r->call != NULL && (*up_body(r->call))->size < BODY_BUFFER_MAX / 2)
 		up_resume(r->call);
-		restart_silence_timer(r);
-	}
 	send_more(r);
 }
 
@@ -403,10 +400,10 @@
 {
 	struct gate_req *r = ctx;
 
-	restart_silence_timer(r);
+	r->last_part_at = clk_ns(r->gate->clk);
 	send_more(r);
 	if (r->call == call && (*up_body(call))->size >= BODY_BUFFER_MAX) {
-		tmr_clear(&r->gate->tmr, &r->timer);
+		r->caller_is_slow = true;
 		up_pause(call);
 	}
 }
@@ -422,16 +419,31 @@
 	r->body_ended = true;
 }
 
+/*
+ * The response is whole.  The deadline does not end it any more: what the
+ * caller has not read of it yet is delivered, even if late.
+ */
 static void
 on_end(void *ctx, struct up_call *call)
 {
 	struct gate_req *r = ctx;
 
+	tmr_clear(&r->gate->tmr, &r->timer);
 	detach_body(r, call);
 	gate_attempt_done(r);
 	send_more(r);
 }
 
+static void
+cut(struct gate_req *r, enum err_kind kind)
+{
+	slog_decision(SLOG_GATE, "answer was cut", "id=%.*s why=%s %s",
+	    STR_ARG(r->request_id), err_lookup(kind)->name,
+	    gate_flow_wait(r).text);
+	r->body_ended = true;
+	r->body_cut = true;
+}
+
 static void
 on_fail(void *ctx, struct up_call *call, enum err_kind kind)
 {
@@ -444,10 +456,22 @@
 	}
 	if (call != NULL)
 		detach_body(r, call);
-	r->body_ended = true;
-	r->body_cut = true;
-	slog_decision(SLOG_GATE, "answer was cut", "id=%.*s why=%s",
-	    STR_ARG(r->request_id), err_lookup(kind)->name);
+	cut(r, kind);
 	gate_attempt_failed(r, kind);
 	send_more(r);
 }
+
+void
+gate_flow_expire(struct gate_req *r)
+{
+	if (!r->body_cut)
+		cut(r, ERR_DEADLINE);
+	/* What its caller held up speaks against no backend server. */
+	gate_attempt_abandon(
+	    r, r->caller_is_slow ? DISP_CANCELED : DISP_TIMED_OUT);
+	/* A caller that does not read would keep back the end. */
+	if (r->send_buffer.bytes_inflight > 0 && hsrv_cut(r->req))
+		end_response(r);
+	else
+		send_more(r);
+}
--- a/gate_req.c
+++ b/gate_req.c
@@ -235,13 +235,17 @@
 	struct gate_req *r = ctx;
 	enum err_ran ran = gate_req_ran(r);
 
+	if (r->response_started) {
+		gate_flow_expire(r);
+		return;
+	}
 	gate_attempt_abandon(r, DISP_TIMED_OUT);
 	gate_respond(r, ERR_DEADLINE, ran, 0);
 }
 
 /*
- * Sets the timer that answers the request at its deadline, whatever its state
- * is then.
+ * Sets the timer that ends the request at its deadline, whatever its state is
+ * then, unless its response is complete here.
  */
 void
 gate_req_set_deadline(struct gate_req *r)
@@ -265,10 +269,10 @@
 		cnt_add(g->cnt, GC_CALLERS_GONE, 1);
 		gate_stat_abandoned(r);
 		slog_decision(SLOG_ROUTE, "its caller went away",
-		    "id=%.*s why=gone age_ms=%lld state=%s",
+		    "id=%.*s why=gone age_ms=%lld state=%s %s",
 		    STR_ARG(r->request_id),
 		    (long long)((clk_ns(g->clk) - r->arrived_at) / NS_MS),
-		    state_names[r->state]);
+		    state_names[r->state], gate_flow_wait(r).text);
 		gate_attempt_abandon(r, DISP_CANCELED);
 		gate_req_event(r, REQ_EV_END);
 	}
--- a/hsrv.h
+++ b/hsrv.h
@@ -75,6 +75,14 @@
  */
 void hsrv_abort(const h2o_req_t *);
 
+/*
+ * Cuts a response whose last part has not been written yet: nothing more of it
+ * is sent, and its HTTP/1.1 connection is closed when the responses before it
+ * are written.  The request is freed later.  Returns false on HTTP/2, where the
+ * response can only be ended once that part has been written.
+ */
+bool hsrv_cut(h2o_req_t *);
+
 /* Sends a complete response.  `type` is its content type. */
 void
 hsrv_send_response(h2o_req_t *, int status, const char *type, struct str body);
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -171,6 +171,31 @@
 		shutdown(fd, SHUT_RDWR);
 }
 
+/* Closes the connection once the caller of this function has returned. */
+static void
+close_soon(struct hsrv_conn *c)
+{
+	if (!h2o_timeout_is_linked(&c->linger_timeout))
+		h2o_timeout_link(c->srv->loop, &c->srv->ctx.zero_timeout,
+		    &c->linger_timeout);
+}
+
+bool
+hsrv_cut(h2o_req_t *req)
+{
+	struct hsrv_req *r = (struct hsrv_req *)req;
+	struct hsrv_conn *c;
+
+	if (req->conn->callbacks != &callbacks)
+		return false;
+	c = r->conn;
+	r->send_state = H2O_SEND_STATE_ERROR;
+	r->output_ready = true;
+	if (g_queue_peek_head(&c->reqs) == r)
+		close_soon(c);
+	return true;
+}
+
 /*
  * Shuts down the write side after the last response and waits for the peer to
  * close.  Closing at once, with received bytes unread, would reset the
--- a/libreq.h
+++ b/libreq.h
@@ -94,13 +94,16 @@
 	struct gate_peer *owner;
 	bool at_deputy; /* `owner` is the deputy of `shard`, see deputy.h */
 	struct up_call *call;
-	/* The deadline; once the response has begun, the silence timeout. */
+	/* The deadline; cleared once the response is complete here. */
 	struct tmr_item timer;
 	/* The response being sent to the caller. */
 	h2o_doublebuffer_t send_buffer;
 	/* Body left to send after the upstream call has ended. */
 	h2o_buffer_t *unsent_body;
 	bool response_started, body_ended, body_cut, final_sent;
+	/* Reading was paused once, as the caller had not taken enough of it. */
+	bool caller_is_slow;
+	int64_t last_part_at; /* when a part of it arrived, monotonic ns */
 };
 
 /*
@@ -208,8 +211,22 @@
 void gate_flow_send(struct gate_req *, struct str address, bool new_connection);
 /* Cancels the attempt under way. */
 void gate_flow_stop(struct gate_req *);
+/*
+ * Ends a response that has begun and is not complete at the deadline, by
+ * closing the caller's connection.
+ */
+void gate_flow_expire(struct gate_req *);
 /* Frees what the flow of a request holds. */
 void gate_flow_dispose(struct gate_req *);
+/*
+ * Describes for the log what a request waits for: the time left, how long the
+ * other side has sent nothing of its response (-1: it has not begun), and how
+ * many bytes of it the caller has not taken.
+ */
+struct gate_flow_wait {
+	char text[96];
+};
+struct gate_flow_wait gate_flow_wait(const struct gate_req *);
 /* h2o has sent the last part of the response. */
 void gate_flow_proceed(h2o_generator_t *, h2o_req_t *);
 
--- a/regress/standin_backend.c
+++ b/regress/standin_backend.c
@@ -24,7 +24,9 @@
  * (0|1: health checks always pass), cut (bytes after which a response is cut
  * off), cold (number of first requests that take five times as long), chunked
  * (0|1: no Content-Length), deadline (0|1: 504 at the deadline of a request,
- * 503 with Fern-Ran: no if it is still queued).
+ * 503 with Fern-Ran: no if it is still queued), part (bytes of a response that
+ * are sent at once; 0: all), pause (ms between the parts; 0: nothing follows
+ * the first one).
  */
 #include <fcntl.h>
 #include <math.h>
@@ -54,12 +56,14 @@
 	K_COLD,
 	K_CHUNKED,
 	K_DEADLINE,
+	K_PART,
+	K_PAUSE,
 	K_MAX
 };
 
 static const char *const key_names[K_MAX] = {"slots", "shed", "ms", "spread",
     "slow", "spell_every", "spell_ms", "fail", "refuse", "drain", "sick", "lie",
-    "cut", "cold", "chunked", "deadline"};
+    "cut", "cold", "chunked", "deadline", "part", "pause"};
 
 enum { CHUNK = 65536, SPELL_SLOW = 10, COLD_SLOW = 5 };
 
@@ -91,7 +95,6 @@
 } st;
 
 static void start_next(void);
-static void on_proceed(h2o_generator_t *, h2o_req_t *);
 
 static double
 random_unit(void)
@@ -161,10 +164,10 @@
 
 /* Bodies repeat the request's id, so that mixed-up responses are detected. */
 static void
-on_proceed(h2o_generator_t *gen, h2o_req_t *req)
+send_part(void *ctx)
 {
-	struct work *w =
-	    (struct work *)((char *)gen - offsetof(struct work, gen));
+	struct work *w = ctx;
+	h2o_req_t *req = w->req;
 	uint64_t left = w->size - w->sent, n = MIN(left, CHUNK);
 	bool cut = st.v[K_CUT] > 0 && w->sent >= st.v[K_CUT];
 	h2o_iovec_t vec = h2o_iovec_init(st.chunk, n);
@@ -184,6 +187,8 @@
 	}
 	if (st.v[K_CUT] > 0)
 		vec.len = n = MIN(n, st.v[K_CUT]);
+	if (st.v[K_PART] > 0)
+		vec.len = n = MIN(n, st.v[K_PART]);
 	w->sent += n;
 	if (w->sent == w->size)
 		finish(w);
@@ -192,6 +197,21 @@
 			       : H2O_SEND_STATE_IN_PROGRESS);
 }
 
+static void
+on_proceed(h2o_generator_t *gen, h2o_req_t *req)
+{
+	struct work *w =
+	    (struct work *)((char *)gen - offsetof(struct work, gen));
+
+	(void)req;
+	if (st.v[K_PART] == 0)
+		send_part(w);
+	else if (st.v[K_PAUSE] > 0)
+		tmr_set(&st.tmr, &w->timer,
+		    clk_ns(clk_system()) + (int64_t)st.v[K_PAUSE] * NS_MS,
+		    send_part, w);
+}
+
 static void
 on_stop(h2o_generator_t *gen, h2o_req_t *req)
 {
@@ -218,7 +238,7 @@
 	w->gen.proceed = on_proceed;
 	w->gen.stop = on_stop;
 	h2o_start_response(req, &w->gen);
-	on_proceed(&w->gen, req);
+	send_part(w);
 }
 
 static void
--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -9,8 +9,13 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 /* Which clock ends a request whose backend server is at work. */
+#include <arpa/inet.h>
 #include <csignal>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "fleet.h"
 #include "version.h"
@@ -135,6 +140,57 @@
 	}
 };
 
+/* A caller that reads its response only when the test does. */
+struct SlowCaller {
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	/* Small segments and buffers leave most of a response at the box. */
+	SlowCaller(const std::string &address, const std::string &path)
+	{
+		size_t colon = address.find(':');
+		struct sockaddr_in sin = {};
+		int segment = 536, receive = 4096;
+		std::string request = "POST " + path +
+		    " HTTP/1.1\r\nhost: x\r\nx-request-id: slow\r\n"
+		    "content-length: 0\r\nconnection: close\r\n\r\n";
+
+		setsockopt(
+		    fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+		setsockopt(
+		    fd, SOL_SOCKET, SO_RCVBUF, &receive, sizeof(receive));
+		sin.sin_family = AF_INET;
+		sin.sin_port = htons(
+		    static_cast<uint16_t>(atoi(address.c_str() + colon + 1)));
+		inet_pton(
+		    AF_INET, address.substr(0, colon).c_str(), &sin.sin_addr);
+		EXPECT_EQ(0,
+		    connect(fd, reinterpret_cast<struct sockaddr *>(&sin),
+			sizeof(sin)));
+		EXPECT_EQ(static_cast<ssize_t>(request.size()),
+		    write(fd, request.data(), request.size()));
+	}
+
+	~SlowCaller()
+	{
+		close(fd);
+	}
+
+	/* Reads to the end of the connection; returns the size of the body. */
+	size_t read_body()
+	{
+		struct timeval limit = {5, 0};
+		std::string in;
+		char buf[4096];
+		ssize_t n;
+
+		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+		while ((n = read(fd, buf, sizeof(buf))) > 0)
+			in.append(buf, static_cast<size_t>(n));
+		EXPECT_FALSE(n < 0 && errno == EAGAIN) << "not closed";
+		return in.size() - in.find("\r\n\r\n") - 4;
+	}
+};
+
 /* Sum of a counter of the backend servers. */
 long
 count(const Fleet &f, const std::string &key)
@@ -565,10 +621,105 @@
 	EXPECT_EQ(refused, count(w, "shed"));
 }
 
+/* The head of a response replaced the deadline by a limit for silence. */
+TEST(Deadline, AResponseThatHasBegunEndsAtTheDeadline)
+{
+	/* The backend server falls silent, or sends a little now and then. */
+	for (const char *keys : {"part=300", "part=10&pause=50"}) {
+		World w;
+
+		ASSERT_TRUE(w.open());
+		w.enforce_rules(800);
+		for (auto &b : w.boxes)
+			for (const char *path : {"/dir/x", "/twice/x"}) {
+				std::string what = b.name + path + keys;
+
+				w.backends[0]->set(keys);
+				double started = now_ms();
+				Reply r =
+				    http("POST", b.listen, path, {}, "body");
+				EXPECT_LT(now_ms() - started, 1050) << what;
+				EXPECT_GT(now_ms() - started, 700) << what;
+				EXPECT_EQ(200, r.status) << what;
+				EXPECT_FALSE(r.complete) << what;
+				/* A server that fails each time gets less. */
+				w.backends[0]->set("part=0");
+				r = http("POST", b.listen, path, {}, "body");
+				EXPECT_TRUE(r.complete) << what;
+			}
+		EXPECT_EQ(8, count(w, "ran"));
+		EXPECT_TRUE(
+		    until([&] { return count(w, "running") == 0; }, 500));
+	}
+}
+
+/* A response of an owner that stands still had no end until it went on. */
+TEST(Deadline, AResponseOfAnOwnerThatStandsStillEndsAtTheDeadline)
+{
+	World w;
+	Pending pending;
+
+	ASSERT_TRUE(w.open());
+	size_t owner = w.owner();
+
+	w.enforce_rules(800);
+	w.backends[0]->set("part=300&pause=200");
+	double started = now_ms();
+
+	pending.send_one(w.boxes[1 - owner], "/dir/x", 0);
+	pump(100);
+	w.boxes[owner].gate.signal(SIGSTOP);
+	until([&] { return pending.done(); });
+	EXPECT_LT(now_ms() - started, 1050);
+	w.boxes[owner].gate.signal(SIGCONT);
+	for (auto &r : pending.replies) {
+		EXPECT_EQ(200, r.reply.status) << r.what;
+		EXPECT_FALSE(r.reply.complete) << r.what;
+	}
+}
+
+/* A caller that did not read held a slot of a server for ever. */
+TEST(Deadline, AResponseThatIsNotReadEndsAtTheDeadline)
+{
+	World w;
+
+	ASSERT_TRUE(w.open());
+	w.enforce_rules(800);
+	for (int i = 0; i < 4; i++) {
+		const Box &b = w.boxes[static_cast<size_t>(i) % 2];
+		SlowCaller caller(b.listen, "/dir/x?size=64000000");
+
+		pump(500);
+		EXPECT_EQ(1, count(w, "running")) << b.name;
+		pump(700);
+		EXPECT_EQ(0, count(w, "running")) << b.name;
+		EXPECT_LT(caller.read_body(), 64000000u) << b.name;
+	}
+	/* None of this speaks against the backend server. */
+	for (auto &b : w.boxes)
+		EXPECT_EQ(
+		    200, http("POST", b.listen, "/dir/x", {}, "body").status);
+}
+
+/* Guards against ending responses that only their caller has yet to read. */
+TEST(Deadline, AWholeResponseIsDeliveredAfterTheDeadline)
+{
+	World w;
+
+	ASSERT_TRUE(w.open());
+	w.enforce_rules(800);
+	for (auto &b : w.boxes) {
+		SlowCaller caller(b.listen, "/dir/x?size=200000");
+
+		pump(1600);
+		EXPECT_EQ(200000u, caller.read_body()) << b.name;
+	}
+}
+
 /* A box was suspected, and its requests moved, for a response that it cut. */
 TEST(Deadline, AnOwnerIsNotSuspectedForAResponseThatItEnds)
 {
-	for (const char *keys : {"cut=300"}) {
+	for (const char *keys : {"part=300", "cut=300"}) {
 		World w;
 
 		ASSERT_TRUE(w.open());
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -512,3 +512,61 @@
 			    << when << extra << body;
 		}
 }
+
+namespace
+{
+
+/* A response that is sent as one part, which is not the last one. */
+struct Part {
+	std::string body;
+	h2o_generator_t gen = {proceed, nullptr};
+	h2o_iovec_t vec;
+
+	Part(h2o_req_t *req, size_t size)
+	    : body(size, 'x'), vec(h2o_iovec_init(body.data(), size))
+	{
+		req->res.status = 200;
+		req->res.reason = "OK";
+		req->res.content_length = 2 * size;
+		h2o_start_response(req, &gen);
+		h2o_send(req, &vec, 1, H2O_SEND_STATE_IN_PROGRESS);
+	}
+};
+
+constexpr size_t MORE_THAN_BUFFERS = 32 << 20;
+
+} // namespace
+
+/* A response whose caller did not read could not be ended. */
+TEST(Conn, AResponseThatIsCutWhileItIsWrittenEndsAtOnce)
+{
+	Server s;
+	Caller c(s, 4096);
+
+	c.send_text(get("/a"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	Part part(s.reqs[0], MORE_THAN_BUFFERS);
+	s.run_for();
+	EXPECT_TRUE(hsrv_cut(s.reqs[0]));
+	EXPECT_EQ(0, s.freed);
+	EXPECT_TRUE(s.run_until([&] { return s.freed == 1; }, 100));
+	EXPECT_TRUE(c.is_closed(s) || errno == ECONNRESET);
+	EXPECT_LT(c.received.size(), MORE_THAN_BUFFERS);
+}
+
+/* Guards against losing the response before one that is cut. */
+TEST(Pipeline, AResponseThatIsCutLeavesTheOneBeforeItWhole)
+{
+	Server s;
+	Caller c(s);
+
+	c.send_text(get("/1") + get("/2"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 2; }));
+	Part part(s.reqs[1], 10);
+	EXPECT_TRUE(hsrv_cut(s.reqs[1]));
+	s.run_for();
+	s.respond(0, "first.");
+	EXPECT_TRUE(c.is_closed(s));
+	EXPECT_EQ(1, c.count("first."));
+	EXPECT_EQ(2, s.freed);
+}
