A caller that takes nothing of its response is left after 15 to 30 s

What operators saw: a response that is whole at the box may outlast its deadline, and nothing ended it if its caller stopped reading: connection and memory were kept for as long as the caller kept the connection, and a planned stop lasted to the end of its grace.

The connection is closed once two checks in a row, 15 s apart, find that the caller has acknowledged nothing, counting what the socket still holds: a caller that reads slowly frees the socket's buffer in jumps only.

HTTP/2 is not covered.

--- a/hsrv.c
+++ b/hsrv.c
@@ -17,7 +17,8 @@
 
 enum {
 	BACKLOG = 1024,
-	LINGER_MS = 500 /* time for a caller to read the last response */
+	LINGER_MS = 500, /* time for a caller to read the last response */
+	STALL_MS = 15000
 };
 
 struct request_handler {
@@ -76,6 +77,7 @@
 	filter->on_setup_ostream = add_error_headers;
 	h2o_context_init(&s->ctx, loop, &s->conf);
 	h2o_timeout_init(loop, &s->linger_timeout, LINGER_MS);
+	h2o_timeout_init(loop, &s->stall_timeout, STALL_MS);
 	s->accept.ctx = &s->ctx;
 	s->accept.hosts = s->conf.hosts;
 	if (listen_on(s, address, err))
@@ -150,6 +152,12 @@
 	s->ctx.http1.req_timeout.timeout = idle_ms;
 }
 
+void
+hsrv_set_stall_limit(struct hsrv *s, uint64_t ms)
+{
+	s->stall_timeout.timeout = ms;
+}
+
 void
 hsrv_close_idle(struct hsrv *s, uint64_t idle_ms)
 {
--- a/hsrv.h
+++ b/hsrv.h
@@ -56,6 +56,13 @@
  */
 void hsrv_set_limits(struct hsrv *, size_t body_max, uint64_t idle_ms);
 
+/*
+ * Sets after how long, in ms, an HTTP/1.1 connection is closed whose caller
+ * takes nothing of the response being written; it may be twice as long.  The
+ * default is 15 s.
+ */
+void hsrv_set_stall_limit(struct hsrv *, uint64_t ms);
+
 /*
  * Closes the HTTP/1.1 connections that have been idle for at least `idle_ms`.
  * This is for a planned shutdown, after which a request on one of them could
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -8,7 +8,9 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
+#include <linux/sockios.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 
@@ -40,6 +42,7 @@
 static void on_written(uv_write_t *, int);
 static void on_idle(h2o_timeout_entry_t *);
 static void on_linger_timeout(h2o_timeout_entry_t *);
+static void on_stall_timeout(h2o_timeout_entry_t *);
 static void close_conn(struct hsrv_conn *);
 static void process_input(struct hsrv_conn *);
 static void write_response(struct hsrv_conn *);
@@ -96,6 +99,7 @@
 	c->out_bufs = g_array_new(FALSE, FALSE, sizeof(uv_buf_t));
 	c->idle_timeout.cb = on_idle;
 	c->linger_timeout.cb = on_linger_timeout;
+	c->stall_timeout.cb = on_stall_timeout;
 	tcp->data = c;
 	hsrv_parser_init(c);
 	h2o_timeout_link(s->loop, &s->ctx.http1.req_timeout, &c->idle_timeout);
@@ -113,6 +117,7 @@
 
 	h2o_timeout_unlink(&c->idle_timeout);
 	h2o_timeout_unlink(&c->linger_timeout);
+	h2o_timeout_unlink(&c->stall_timeout);
 	while ((r = g_queue_peek_head(&c->reqs)) != NULL)
 		hsrv_req_free(r);
 }
@@ -154,6 +159,49 @@
 	    offsetof(struct hsrv_conn, linger_timeout)));
 }
 
+/*
+ * Returns how many bytes the peer has not acknowledged, in this process and in
+ * the socket.
+ */
+static size_t
+unacked_bytes(struct hsrv_conn *c)
+{
+	int fd, in_socket = 0;
+
+	if (uv_fileno((uv_handle_t *)c->tcp, &fd) != 0 ||
+	    ioctl(fd, SIOCOUTQ, &in_socket) != 0)
+		in_socket = 0;
+	return uv_stream_get_write_queue_size((uv_stream_t *)c->tcp) +
+	    (size_t)in_socket;
+}
+
+/* Begins to check that the peer takes what is being written. */
+static void
+watch_write(struct hsrv_conn *c)
+{
+	if (uv_stream_get_write_queue_size((uv_stream_t *)c->tcp) == 0)
+		return;
+	c->unacked = SIZE_MAX;
+	h2o_timeout_link(
+	    c->srv->loop, &c->srv->stall_timeout, &c->stall_timeout);
+}
+
+static void
+on_stall_timeout(h2o_timeout_entry_t *e)
+{
+	struct hsrv_conn *c = (struct hsrv_conn *)((char *)e -
+	    offsetof(struct hsrv_conn, stall_timeout));
+	size_t unacked = unacked_bytes(c);
+
+	if (unacked >= c->unacked) {
+		close_conn(c);
+		return;
+	}
+	c->unacked = unacked;
+	h2o_timeout_link(
+	    c->srv->loop, &c->srv->stall_timeout, &c->stall_timeout);
+}
+
 static void
 on_shutdown(uv_shutdown_t *req, int status)
 {
@@ -291,6 +339,8 @@
 		 */
 		h2o_timeout_link(
 		    c->srv->loop, &c->srv->linger_timeout, &c->linger_timeout);
+	else
+		watch_write(c);
 }
 
 /*
@@ -323,6 +373,7 @@
 	c->writing = false;
 	if (c->closed)
 		return;
+	h2o_timeout_unlink(&c->stall_timeout);
 	if (status != 0) {
 		close_conn(c);
 		return;
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -23,6 +23,7 @@
 	h2o_accept_ctx_t accept;
 	/* Time limit for the peer to close after the write side was shut. */
 	h2o_timeout_t linger_timeout;
+	h2o_timeout_t stall_timeout; /* see hsrv_set_stall_limit() */
 	uv_tcp_t listener;
 	bool listening;
 	hsrv_handler_fn *handler;
@@ -68,7 +69,9 @@
 	uv_shutdown_t shutdown;
 	GString *head; /* of the response that is being written */
 	GArray *out_bufs; /* uv_buf_t; buffers that are being written */
-	h2o_timeout_entry_t idle_timeout, linger_timeout;
+	h2o_timeout_entry_t idle_timeout, linger_timeout, stall_timeout;
+	/* Bytes that the peer had not acknowledged at the last check. */
+	size_t unacked;
 	bool protocol_unknown; /* the first bytes have not been inspected */
 	bool reading_paused; /* too many bytes wait to be parsed */
 	bool writing;
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -570,3 +570,24 @@
 	EXPECT_EQ(1, c.count("first."));
 	EXPECT_EQ(2, s.freed);
 }
+
+/* Nothing ended the connection of a caller that stopped reading. */
+TEST(Conn, ACallerThatTakesNothingIsLeft)
+{
+	Server s;
+	Caller idle(s, 4096), slow(s, 4096);
+	char buf[4096];
+
+	hsrv_set_stall_limit(s.srv, 150);
+	for (Caller *c : {&idle, &slow})
+		c->send_text(get("/a"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 2; }));
+	Part first(s.reqs[0], MORE_THAN_BUFFERS);
+	Part second(s.reqs[1], MORE_THAN_BUFFERS);
+	for (int i = 0; i < 20; i++) {
+		EXPECT_GT(read(slow.fd, buf, sizeof(buf)), 0);
+		s.run_for(40);
+	}
+	EXPECT_EQ(1, s.freed);
+	EXPECT_EQ(nullptr, s.reqs[0]);
+}
