A response of which the caller got nothing yet becomes an error response

What callers saw: where the head of a response has come and the backend server breaks off, or the deadline passes, before a byte of its body, the caller got that head and the end of its connection, though an answer could still be given.

The head is now passed to h2o together with the first bytes of the body or the end, as it was written until now too. Until then the request can still end with 502 or 504, without any header of the backend server.

--- a/gate_flow.c
+++ b/gate_flow.c
@@ -312,7 +312,6 @@
 	r->response_started = true;
 	r->last_part_at = clk_ns(g->clk);
 	r->disp.can_retry = false;
-	h2o_start_response(req, &r->generator);
 }
 
 /* Returns whether the target is met; without a target it always is. */
@@ -366,8 +365,12 @@
 		    r->body_cut ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
 		end_response(r);
 	}
-	if (vec.len > 0 || r->final_sent)
-		h2o_send(r->req, &vec, vec.len > 0, state);
+	if (vec.len == 0 && !r->final_sent)
+		return;
+	if (!r->head_sent)
+		h2o_start_response(r->req, &r->generator);
+	r->head_sent = true;
+	h2o_send(r->req, &vec, vec.len > 0, state);
 }
 
 void
@@ -434,6 +437,22 @@
 	send_more(r);
 }
 
+/*
+ * Ends a response of which the caller has received nothing with an error
+ * response, and returns true; returns false for others.
+ */
+static bool
+respond_instead(struct gate_req *r, enum err_kind kind)
+{
+	h2o_req_t *req = r->req;
+
+	if (r->head_sent || r->unsent_body->size > 0)
+		return false;
+	req->res.headers = (h2o_headers_t){0};
+	gate_respond(r, kind, RAN_UNKNOWN, 0);
+	return true;
+}
+
 static void
 cut(struct gate_req *r, enum err_kind kind)
 {
@@ -458,7 +477,8 @@
 		detach_body(r, call);
 	cut(r, kind);
 	gate_attempt_failed(r, kind);
-	send_more(r);
+	if (!respond_instead(r, kind))
+		send_more(r);
 }
 
 void
@@ -469,6 +489,8 @@
 	/* What its caller held up speaks against no backend server. */
 	gate_attempt_abandon(
 	    r, r->caller_is_slow ? DISP_CANCELED : DISP_TIMED_OUT);
+	if (respond_instead(r, ERR_DEADLINE))
+		return;
 	/* A caller that does not read would keep back the end. */
 	if (r->send_buffer.bytes_inflight > 0 && hsrv_cut(r->req))
 		end_response(r);
--- a/libreq.h
+++ b/libreq.h
@@ -100,7 +100,9 @@
 	h2o_doublebuffer_t send_buffer;
 	/* Body left to send after the upstream call has ended. */
 	h2o_buffer_t *unsent_body;
-	bool response_started, body_ended, body_cut, final_sent;
+	/* The head of a response was received, and was sent. */
+	bool response_started, head_sent;
+	bool body_ended, body_cut, final_sent;
 	/* Reading was paused once, as the caller had not taken enough of it. */
 	bool caller_is_slow;
 	int64_t last_part_at; /* when a part of it arrived, monotonic ns */
--- a/regress/standin_backend.c
+++ b/regress/standin_backend.c
@@ -26,7 +26,7 @@
  * (0|1: no Content-Length), deadline (0|1: 504 at the deadline of a request,
  * 503 with Fern-Ran: no if it is still queued), part (bytes of a response that
  * are sent at once; 0: all), pause (ms between the parts; 0: nothing follows
- * the first one).
+ * the first one), bare (0|1: the first part is the head alone).
  */
 #include <fcntl.h>
 #include <math.h>
@@ -58,12 +58,13 @@
 	K_DEADLINE,
 	K_PART,
 	K_PAUSE,
+	K_BARE,
 	K_MAX
 };
 
 static const char *const key_names[K_MAX] = {"slots", "shed", "ms", "spread",
     "slow", "spell_every", "spell_ms", "fail", "refuse", "drain", "sick", "lie",
-    "cut", "cold", "chunked", "deadline", "part", "pause"};
+    "cut", "cold", "chunked", "deadline", "part", "pause", "bare"};
 
 enum { CHUNK = 65536, SPELL_SLOW = 10, COLD_SLOW = 5 };
 
@@ -72,7 +73,7 @@
 	h2o_req_t *req;
 	h2o_generator_t gen;
 	struct tmr_item timer;
-	bool queued, running;
+	bool queued, running, head_sent;
 	uint64_t size, sent, ms;
 	int64_t deadline; /* INT64_MAX: none */
 	char *chunk; /* the bytes being sent */
@@ -189,6 +190,9 @@
 		vec.len = n = MIN(n, st.v[K_CUT]);
 	if (st.v[K_PART] > 0)
 		vec.len = n = MIN(n, st.v[K_PART]);
+	if (st.v[K_BARE] && !w->head_sent)
+		vec.len = n = 0;
+	w->head_sent = true;
 	w->sent += n;
 	if (w->sent == w->size)
 		finish(w);
--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -737,3 +737,29 @@
 		EXPECT_EQ(0, w.metric(other, "fern_homes_left_total")) << keys;
 	}
 }
+
+/* A connection was closed without a byte after the head of a response. */
+TEST(Deadline, AResponseOfWhichNothingWasSentBecomesAnError)
+{
+	World w;
+	Pending pending;
+
+	ASSERT_TRUE(w.open());
+	size_t owner = w.owner();
+
+	w.enforce_rules(800);
+	w.backends[0]->set("bare=1&part=300");
+	for (auto &b : w.boxes) {
+		Reply r = http("POST", b.listen, "/dir/x", {}, "body");
+
+		EXPECT_EQ(504, r.status) << b.name;
+		EXPECT_EQ("unknown", r.header("fern-ran")) << b.name;
+		EXPECT_EQ("", r.header("x-request-id")) << b.name;
+	}
+	w.enforce_rules(5000);
+	pending.send_one(w.boxes[1 - owner], "/dir/x", 0);
+	pump(200);
+	w.backends[0]->process.kill9();
+	until([&] { return pending.done(); }, 1000);
+	pending.expect(502, "killed");
+}
