A call that is left while its request is written closes its connection

Cause: up_drain() left the call of a refusal to end by itself, while the write in progress points into the body of the request. The request, sent elsewhere, is answered and freed before that write is done. Nothing ended such a call either: a server that never ends its response kept connection and memory.

The line "answered before all of the request was sent" now tells such answers.

up_drain() closes the connection if the request is still being written; else it discards the response for 0.5 s at most. Closing costs one connection per refusal of an upload that is under way, which could not be reused before either unless the whole upload was sent in vain; keeping it would need a bound on memory and time. Calls that are cancelled or end close it as before; the test covers the three.

--- a/gate_flow.c
+++ b/gate_flow.c
@@ -277,6 +277,20 @@
 	return str_eq(id, r->request_id);
 }
 
+static void
+log_early_response(
+    const struct gate_req *r, const struct up_call *call, int status)
+{
+	struct str to =
+	    r->owner != NULL ? r->owner->info.box : r->disp.backend->name;
+
+	if (up_unsent(call) == 0)
+		return;
+	slog_decision(SLOG_GATE, "answered before all of the request was sent",
+	    "id=%.*s to=%.*s status=%d unsent=%zu", STR_ARG(r->request_id),
+	    STR_ARG(to), status, up_unsent(call));
+}
+
 static void
 on_head(void *ctx, struct up_call *call, int status,
     const h2o_header_t *headers, size_t n)
@@ -290,6 +304,7 @@
 		on_fail(r, NULL, ERR_CUT);
 		return;
 	}
+	log_early_response(r, call, status);
 	/*
 	 * The call is cleared before gate_attempt_head(), as that may send the
 	 * request again at once.
--- a/regress/test_up.cpp
+++ b/regress/test_up.cpp
@@ -13,11 +13,13 @@
  * timers and idle connections.  The peer
  * is a plain socket, so that the tests control each byte and each close.
  */
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <functional>
 #include <gtest/gtest.h>
 #include <memory>
+#include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -42,12 +44,20 @@
       public:
 	using Serve = std::function<void(int fd, int connection_number)>;
 
-	explicit Peer(Serve fn) : serve(fn)
+	/* `receive`: size of small buffers, in bytes; 0: those of the system */
+	explicit Peer(Serve fn, int receive = 0) : serve(fn)
 	{
 		struct sockaddr_in sa = {};
 		socklen_t n = sizeof(sa);
+		int segment = 1400;
 
 		fd = socket(AF_INET, SOCK_STREAM, 0);
+		if (receive > 0) {
+			setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment,
+			    sizeof(segment));
+			setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive,
+			    sizeof(receive));
+		}
 		sa.sin_family = AF_INET;
 		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 		EXPECT_EQ(0, bind(fd, (struct sockaddr *)&sa, sizeof(sa)));
@@ -308,6 +318,149 @@
 	EXPECT_EQ(2, peer.connections);
 }
 
+namespace
+{
+
+enum Leaving { DRAINED, CANCELED, ENDED };
+
+/*
+ * A call whose request is no longer kept once the call is left, at the head of
+ * its response or at its end.
+ */
+struct Left {
+	std::string body; /* of the request; overwritten from then on */
+	Leaving how;
+	bool left = false;
+
+	void leave()
+	{
+		left = true;
+		std::fill(body.begin(), body.end(), 'b');
+	}
+	static void
+	head(void *ctx, struct up_call *call, int, const h2o_header_t *, size_t)
+	{
+		Left *l = static_cast<Left *>(ctx);
+
+		if (l->how == ENDED)
+			return;
+		if (l->how == DRAINED)
+			up_drain(call);
+		else
+			up_cancel(call);
+		l->leave();
+	}
+	static void end(void *ctx, struct up_call *)
+	{
+		static_cast<Left *>(ctx)->leave();
+	}
+	static void fail(void *, struct up_call *, enum err_kind)
+	{
+	}
+
+	Left(Client &client, const std::string &address, size_t size,
+	    Leaving leaving = DRAINED)
+	    : body(size, 'a'), how(leaving)
+	{
+		static const struct up_ops left_ops = {
+		    up_ignore, head, up_ignore, end, fail};
+		struct up_request rq = {};
+
+		rq.address = rq.host = str_n(address.data(), address.size());
+		rq.method = STR_LIT("POST");
+		rq.path = STR_LIT("/");
+		rq.body = str_n(body.data(), body.size());
+		up_start(client.up, &rq, &left_ops, this);
+		for (int i = 0; i < 2000 && !left; i++)
+			client.run_for(1);
+		EXPECT_TRUE(left);
+	}
+};
+
+const char *const REFUSAL = "HTTP/1.1 503 No\r\ncontent-length: 2\r\n\r\n";
+
+/* Reads to the end of a connection, or to a silence; returns what came. */
+std::string
+read_rest(int fd)
+{
+	struct timeval limit = {3, 0};
+	std::string in;
+	char buf[65536];
+	ssize_t n;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	while ((n = read(fd, buf, sizeof(buf))) > 0)
+		in.append(buf, static_cast<size_t>(n));
+	return in;
+}
+
+} // namespace
+
+/* The rest of a refused upload was sent out of memory that had been freed. */
+TEST(Up, ACallThatIsLeftSendsNoOtherBytesForItsRequest)
+{
+	for (Leaving how : {DRAINED, CANCELED, ENDED}) {
+		std::string rest;
+		Peer peer(
+		    [&](int fd, int) {
+			    read_head(fd);
+			    send_text(fd, REFUSAL);
+			    if (how == ENDED)
+				    send_text(fd, "no");
+			    usleep(50000);
+			    rest = read_rest(fd);
+		    },
+		    32768);
+		{
+			Client client;
+			Left call(client, peer.address, 4000000, how);
+
+			client.run_for(300);
+		}
+		EXPECT_EQ(std::string::npos, rest.find('b')) << how;
+		EXPECT_LT(rest.size(), 4000000u) << how;
+	}
+}
+
+/* Nothing ended a drained call whose server does not end its response. */
+TEST(Up, ADrainedResponseThatDoesNotEndIsLeft)
+{
+	std::atomic<bool> closed{false};
+	Peer peer([&](int fd, int) {
+		read_head(fd);
+		send_text(fd, REFUSAL);
+		read_rest(fd);
+		closed = true;
+	});
+	Client client;
+	Left call(client, peer.address, 10);
+
+	client.run_for(100);
+	EXPECT_FALSE(closed);
+	client.run_for(1500);
+	EXPECT_TRUE(closed);
+}
+
+/* Guards against a new connection after each refusal. */
+TEST(Up, AConnectionIsKeptAfterADrainedResponse)
+{
+	Peer peer([](int fd, int) {
+		while (read_head(fd)) {
+			send_text(fd, REFUSAL);
+			usleep(20000);
+			send_text(fd, "no");
+		}
+	});
+	Client client;
+
+	for (int i = 0; i < 3; i++) {
+		Left call(client, peer.address, 0);
+
+		client.run_for(100);
+	}
+	EXPECT_EQ(1, peer.connections);
+}
+
 TEST(Up, AConnectionIsReusedWithinItsTimeoutOnly)
 {
 	Peer peer([](int fd, int) {
--- a/up.c
+++ b/up.c
@@ -21,6 +21,9 @@
  */
 #define CONNECT_TIMEOUT_NS (300 * NS_MS)
 
+/* A response that is discarded may take so long to its end. */
+#define DRAIN_TIMEOUT_NS (500 * NS_MS)
+
 static void
 pool_free(void *p)
 {
@@ -149,13 +152,34 @@
 	up_call_free(c);
 }
 
+static void
+on_drain_timeout(void *ctx)
+{
+	up_cancel(ctx);
+}
+
 void
 up_drain(struct up_call *c)
 {
+	if (c->conn == NULL || c->conn->writing) {
+		up_cancel(c);
+		return;
+	}
 	c->ops = &up_drain_ops;
+	h2o_buffer_consume(&c->body, c->body->size);
+	tmr_set(c->up->tmr, &c->timer, clk_ns(c->up->clk) + DRAIN_TIMEOUT_NS,
+	    on_drain_timeout, c);
 	up_resume(c);
 }
 
+size_t
+up_unsent(const struct up_call *c)
+{
+	if (c->conn == NULL)
+		return 0;
+	return uv_stream_get_write_queue_size((uv_stream_t *)&c->conn->tcp);
+}
+
 h2o_buffer_t **
 up_body(struct up_call *c)
 {
--- a/up.h
+++ b/up.h
@@ -35,7 +35,8 @@
 	struct str host; /* Host header */
 	const h2o_header_t *headers; /* without Host and Content-Length */
 	size_t nheaders;
-	struct str body; /* must outlive the call */
+	/* Must outlive the call, up to its end or up_drain(). */
+	struct str body;
 	bool new_connection; /* use a new connection and close it afterwards */
 	int64_t connect_timeout_ns; /* 0: the default */
 };
@@ -71,11 +72,16 @@
 void up_cancel(struct up_call *);
 
 /*
- * Discards the rest of the response, so that the connection can be reused.
- * No further callback of the owner is called, and the call frees itself.
+ * Discards the rest of the response, so that the connection can be reused if
+ * that comes soon.  While the request is still being written, the connection is
+ * closed instead, as its body need not outlive this function.  No further
+ * callback of the owner is called, and the call frees itself.
  */
 void up_drain(struct up_call *);
 
+/* Returns how many bytes of the request wait to be written. */
+size_t up_unsent(const struct up_call *);
+
 /*
  * Returns the bytes of the response body that are not consumed yet.  They are
  * valid during the callbacks body() and end().
