assign_owners() does not sort an array without members

qsort() must not get a null pointer, even for no members; builds with the sanitizers ended there at each start (assign.c:70), so that nothing with real boxes could run under them.

--- a/assign.c
+++ b/assign.c
@@ -64,7 +64,7 @@
 	unsigned max_services;
 	size_t i;
 
-	if (ngates == 0)
+	if (ngates == 0 || nservices == 0)
 		return;
 	max_services = (unsigned)((nservices + ngates - 1) / ngates);
 	qsort(services, nservices, sizeof(*services), by_hash);
