--- a/Makefile
+++ b/Makefile
@@ -136,6 +136,7 @@
 	rm -f $(PROGS) $(STANDINS) $(TESTS) $(BENCHES)
 clean: clean-objects
 	rm -f config.mk .flavour
+	rm -rf san
 
 .PHONY: all flavour clean-objects build-all check demo soak prove format install clean \
 	bench-load bench-pick bench-gate bench-tail bench-capacity
