A response without a body ends with its head, whatever length it states

What callers saw: a conditional GET whose backend server answers 304 with a Content-Length was not answered, or got a 504 at the deadline through another box; the same with 204, and with an interim response that states a length.

Cause: http_parser waits for a body of that length unless its caller says that none follows; on_headers_complete() said so for HEAD only. A 304 states the length of the body that an unconditional request would get.

The length of a 304 is passed on; that of a 204 is not, as a 204 must not have one and callers may wait for it.

--- a/gate_flow.c
+++ b/gate_flow.c
@@ -244,7 +244,9 @@
 	for (i = 0; i < n; i++) {
 		name = *headers[i].name;
 		value = headers[i].value;
-		if (h2o_lcstris(
+		/* A 204 must not state a length, as no body is ever meant. */
+		if (req->res.status != 204 &&
+		    h2o_lcstris(
 			name.base, name.len, H2O_STRLIT("content-length")) &&
 		    str_u64(str_n(value.base, value.len), &len))
 			req->res.content_length = (size_t)len;
--- a/regress/standin_backend.c
+++ b/regress/standin_backend.c
@@ -26,7 +26,9 @@
  * (0|1: no Content-Length), deadline (0|1: 504 at the deadline of a request,
  * 503 with Fern-Ran: no if it is still queued), part (bytes of a response that
  * are sent at once; 0: all), pause (ms between the parts; 0: nothing follows
- * the first one), bare (0|1: the first part is the head alone).
+ * the first one), bare (0|1: the first part is the head alone), bodyless (0:
+ * no; else the status of all responses, which have a Content-Length and no
+ * body).
  */
 #include <fcntl.h>
 #include <math.h>
@@ -59,12 +61,13 @@
 	K_PART,
 	K_PAUSE,
 	K_BARE,
+	K_BODYLESS,
 	K_MAX
 };
 
 static const char *const key_names[K_MAX] = {"slots", "shed", "ms", "spread",
     "slow", "spell_every", "spell_ms", "fail", "refuse", "drain", "sick", "lie",
-    "cut", "cold", "chunked", "deadline", "part", "pause", "bare"};
+    "cut", "cold", "chunked", "deadline", "part", "pause", "bare", "bodyless"};
 
 enum { CHUNK = 65536, SPELL_SLOW = 10, COLD_SLOW = 5 };
 
@@ -241,6 +244,10 @@
 		req->res.content_length = w->size;
 	w->gen.proceed = on_proceed;
 	w->gen.stop = on_stop;
+	if (st.v[K_BODYLESS] > 0) {
+		req->res.status = (int)st.v[K_BODYLESS];
+		w->size = 0;
+	}
 	h2o_start_response(req, &w->gen);
 	send_part(w);
 }
--- a/regress/test_path.cpp
+++ b/regress/test_path.cpp
@@ -68,6 +68,31 @@
 	}
 }
 
+/* A 304 with a Content-Length was only answered at the deadline, or never. */
+TEST(Path, AResponseWithoutABodyIsPassedOnAtOnce)
+{
+	Fleet f(two_halls(3, 2));
+
+	f.start();
+	add_rules(f);
+	ASSERT_TRUE(wait_force(f, 4));
+	for (int status : {304, 204}) {
+		for (auto &b : f.backends)
+			b->set("bodyless=" + std::to_string(status));
+		for (auto &b : f.boxes) {
+			double started = now_ms();
+			Reply r = http("GET", b.listen, "/dir/x");
+
+			EXPECT_EQ(status, r.status) << b.name;
+			EXPECT_TRUE(r.complete) << b.name;
+			EXPECT_LT(now_ms() - started, 1000) << b.name;
+			EXPECT_EQ(status == 304 ? "1024" : "",
+			    r.header("content-length"))
+			    << b.name;
+		}
+	}
+}
+
 TEST(Path, OwnAnswersCarryKindAndWhetherItRan)
 {
 	FleetOptions o = two_halls(1, 1);
--- a/regress/test_up.cpp
+++ b/regress/test_up.cpp
@@ -283,6 +283,35 @@
 	}
 }
 
+/*
+ * The client waited for a body of the length that a 304 states, which is that
+ * of the response to an unconditional request.
+ */
+TEST(Up, AResponseThatHasNoBodyEndsWithItsHead)
+{
+	for (const char *status : {"204 No Content", "304 Not Modified"}) {
+		Peer peer([status](int fd, int) {
+			struct timeval limit = {2, 0};
+
+			setsockopt(
+			    fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+			while (read_head(fd))
+				send_text(fd,
+				    std::string("HTTP/1.1 ") + status +
+					"\r\ncontent-length: 20\r\n\r\n");
+		});
+		Client client;
+
+		for (int i = 0; i < 2; i++) {
+			Call c = client.get(peer.address);
+
+			EXPECT_EQ("whole", c.outcome) << status;
+			EXPECT_EQ("", c.body) << status;
+		}
+		EXPECT_EQ(1, peer.connections) << status;
+	}
+}
+
 TEST(Up, BytesBehindAResponseBelongToNoRequest)
 {
 	Peer peer([](int fd, int connection_number) {
--- a/up_answer.c
+++ b/up_answer.c
@@ -112,6 +112,18 @@
 	    IDLE_USED_PERCENT;
 }
 
+/*
+ * Returns whether a response has no body, whatever length it states: that is
+ * the length of the body that another request would get.
+ */
+static bool
+has_no_body(const struct up_call *c, unsigned status)
+{
+	return c->is_head_request || status < 200 || status == 204 ||
+	    status == 304;
+}
+
+/* Returns 1 if no body follows, which http_parser does not conclude itself. */
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -138,13 +150,13 @@
 	}
 	/* An interim response (1xx) precedes the final one. */
 	if (parser->status_code < 200)
-		return 0;
+		return 1;
 	conn->idle_timeout_ns = idle_ns;
 	c->ops->head(
 	    c->ctx, c, parser->status_code, headers, conn->header_spans->len);
 	if (conn->closing)
 		return -1;
-	return c->is_head_request ? 1 : 0;
+	return has_no_body(c, parser->status_code) ? 1 : 0;
 }
 
 static int
