Configurations are not rejected for values out of ranges of our own

What callers saw: a version with an idleTimeout under 1 s, a weight that is no whole number, a maxBodyBytes of 512 MB or a priority of 2,000 was rejected whole by all boxes; its moved routes went on to the old services.

Cause: ranges that only our own tables set. They bound what a box does with a value, which is a matter of the place that uses it: a body is bounded by the gate's own setting too, ranks of 999 and more are equal, and customers' ranks still go before those of rules. Weights are numbers; a request is drawn by their sum, also where that is below one. Values that make no sense (negative ones, wrong types) are rejected as before.

Measured: Platform.ValuesThatAnOperatorMayChooseAreAccepted (seven values) and Platform.SplitsAreDrawnByWeightsThatAreFractions fail before and pass now.

--- a/clk.c
+++ b/clk.c
@@ -91,6 +91,12 @@
 	return n == 0 ? 0 : rnd->next(rnd->ctx) % n;
 }
 
+double
+rnd_unit(const struct rnd *rnd)
+{
+	return (double)(rnd->next(rnd->ctx) >> 11) * 0x1p-53;
+}
+
 int64_t
 rnd_jitter(const struct rnd *rnd, int64_t ns)
 {
--- a/clk.h
+++ b/clk.h
@@ -52,6 +52,9 @@
 /* Returns a random number in [0, n), or 0 if n is 0. */
 uint64_t rnd_below(const struct rnd *, uint64_t n);
 
+/* Returns a random number of at least 0 and less than 1. */
+double rnd_unit(const struct rnd *);
+
 /*
  * Returns a random interval within +-25 % of ns, evenly distributed, so that
  * processes with the same interval do not stay synchronised.
--- a/ctl_show.c
+++ b/ctl_show.c
@@ -54,8 +54,7 @@
 	printf("service     %.*s: %s", STR_ARG(svc->name),
 	    svc->obj->select_text.p);
 	if (rule->ntargets > 1)
-		printf(", %llu of %llu", (unsigned long long)target->weight,
-		    (unsigned long long)rule->total_weight);
+		printf(", %g of %g", target->weight, rule->total_weight);
 	printf("\n");
 	print_backends(svc);
 }
--- a/field.c
+++ b/field.c
@@ -220,9 +220,9 @@
 		return set_value_error(
 		    r, f, value, "a table of names to weights");
 	json_object_foreach (value, key, item) {
-		if (!field_is_name(str_c(key)) || !json_is_integer(item) ||
-		    json_integer_value(item) < 0 ||
-		    json_integer_value(item) > WEIGHT_MAX)
+		if (!field_is_name(str_c(key)) || !json_is_number(item) ||
+		    json_number_value(item) < 0 ||
+		    json_number_value(item) > WEIGHT_MAX)
 			return set_value_error(
 			    r, f, value, "a table of names to weights");
 	}
--- a/field.h
+++ b/field.h
@@ -32,7 +32,7 @@
 	FIELD_CHOICE, /* int: an index into choices */
 	FIELD_LABELS, /* json_t *, referenced: an object of strings */
 	FIELD_ADDRESSES, /* json_t *, referenced: an array of addresses */
-	FIELD_WEIGHTS, /* json_t *, referenced: an object of integers >= 0 */
+	FIELD_WEIGHTS, /* json_t *, referenced: an object of numbers >= 0 */
 };
 
 /* One settings key or object field, and the member that holds its value. */
--- a/gate_admit.c
+++ b/gate_admit.c
@@ -292,8 +292,23 @@
 		gate_respond(r, kind, RAN_NO, gate_renew_hold_left(r->gate));
 }
 
-/* Weight of a customer's rank: it takes precedence over the ranks of rules. */
-enum { CUSTOMER_RANK_WEIGHT = 1000 };
+enum {
+	/* A customer's rank takes precedence over the ranks of rules. */
+	CUSTOMER_RANK_WEIGHT = 1000,
+	CUSTOMER_RANK_MAX = 1000 /* greater ranks count as this one */
+};
+
+/* Greater ranks of rules count as the greatest that has an order. */
+static int
+combined_rank(const struct obj_rule *rule, const struct obj_customer *customer)
+{
+	int64_t rank = MIN(rule->rank, CUSTOMER_RANK_WEIGHT - 1);
+
+	if (customer != NULL)
+		rank += MIN(customer->rank, CUSTOMER_RANK_MAX) *
+		    CUSTOMER_RANK_WEIGHT;
+	return (int)rank;
+}
 
 /*
  * Finds the customer of a request by its key.  If any customers are configured,
@@ -372,9 +387,8 @@
 	r->disp.can_retry = true;
 	r->disp.is_retry = hsrv_header(r->req, "fern-retried").n > 0;
 	r->disp.max_attempts = (int)rule->obj->attempts;
-	r->disp.rank = (int)rule->obj->rank;
-	if (customer != NULL)
-		r->disp.rank += (int)customer->obj->rank * CUSTOMER_RANK_WEIGHT;
+	r->disp.rank =
+	    combined_rank(rule->obj, customer == NULL ? NULL : customer->obj);
 	r->disp.kind = (unsigned)rule->obj->target_ms;
 	r->caller_deadline_ms = (int64_t)caller_limit_ms;
 	if (rule->obj->target_ms > 0)
--- a/obj.c
+++ b/obj.c
@@ -20,9 +20,8 @@
 	RATE_MAX = 10000000,
 	PROBE_MIN_MS = 100,
 	PROBE_MAX_MS = 600000,
-	ATTEMPTS_MAX = 100,
-	RANK_MAX = 1000,
-	BODY_MAX = 1 << 28,
+	ATTEMPTS_MAX = 1000000,
+	RANK_MAX = 1000000,
 	ROLLOUT_MIN_MS = 1000
 };
 
@@ -206,12 +205,12 @@
 	.offset = L(body_max),
 	.dflt = 1 << 20,
 	.min = 0,
-	.max = BODY_MAX},
+	.max = INT64_MAX},
     {.name = "idle_ms",
 	.type = FIELD_INT,
 	.offset = L(idle_ms),
 	.dflt = 10000,
-	.min = 1000,
+	.min = 1,
 	.max = OBJ_DEADLINE_MAX_MS},
 };
 
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -215,6 +215,75 @@
 	EXPECT_NEAR(9000, old, 200);
 }
 
+/* A version with one value out of our own ranges was rejected whole. */
+TEST(Platform, ValuesThatAnOperatorMayChooseAreAccepted)
+{
+	const std::pair<const char *, const char *> changes[] = {
+	    {"\"15s\"", "\"800ms\""}, {"\"15s\"", "\"0.5s\""},
+	    {"\"weight\": 90", "\"weight\": 0.9"},
+	    {"\"weight\": 10", "\"weight\": 62.5"},
+	    {"\"maxBodyBytes\": 1000", "\"maxBodyBytes\": 536870912"},
+	    {"\"priority\": 1", "\"priority\": 2000"},
+	    {"\"maxAttempts\": 2", "\"maxAttempts\": 1000"}};
+
+	for (auto &change : changes) {
+		std::string text = config;
+		size_t at = text.find(change.first);
+
+		ASSERT_NE(std::string::npos, at) << change.first;
+		text.replace(at, strlen(change.first), change.second);
+		Json in{text};
+		Json spec(pf_bundle_spec(in.v));
+		Table t;
+
+		EXPECT_EQ(CONF_APPLIED, t.offer("bundle/main", 7, spec.v))
+		    << change.second;
+	}
+}
+
+TEST(Platform, SplitsAreDrawnByWeightsThatAreFractions)
+{
+	for (const char *weights : {"0.9 0.1", "1.5 1.5", "62.5 37.5",
+		 "0.0000009 0.0000001", "0 0.25", "0 0"}) {
+		struct route_query q = {};
+		double first, second;
+		int old = 0;
+		Table t;
+
+		ASSERT_EQ(2, sscanf(weights, "%lf %lf", &first, &second));
+		Json in(
+		    std::string(R"({"resources":[)"
+				R"({"resourceType":"services",)"
+				R"("metadata":{"name":"old"},"spec":{}},)"
+				R"({"resourceType":"services",)"
+				R"("metadata":{"name":"new"},"spec":{}}]})"));
+		Json part(json_pack("{s:s, s:{s:s}, s:{s:s, s:s, s:["
+				    "{s:s, s:f}, {s:s, s:f}]}}",
+		    "resourceType", "routes", "metadata", "name", "r", "spec",
+		    "host", "a.example", "pathPrefix", "/", "trafficSplit",
+		    "service", "old", "weight", first, "service", "new",
+		    "weight", second));
+		json_array_append(json_object_get(in.v, "resources"), part.v);
+		Json spec(pf_bundle_spec(in.v));
+		ASSERT_EQ(CONF_APPLIED, t.offer("bundle/main", 7, spec.v))
+		    << weights;
+		t.build();
+		q.host = STR_LIT("a.example");
+		q.method = STR_LIT("GET");
+		q.path = STR_LIT("/");
+		const struct route_rule *r = route_match(t.routes, &q);
+		ASSERT_NE(nullptr, r) << weights;
+		for (int i = 0; i < 10000; i++)
+			old +=
+			    str_eq(route_choose_service(r, rnd_system())->name,
+				STR_LIT("old"));
+		/* With no weight at all the last part gets everything. */
+		double share =
+		    first + second > 0 ? first / (first + second) : 0;
+		EXPECT_NEAR(10000 * share, old, 200) << weights;
+	}
+}
+
 TEST(Platform, ABundleIsAppliedWholeOrNotAtAll)
 {
 	Json in{std::string(config)};
--- a/route.c
+++ b/route.c
@@ -142,7 +142,7 @@
 	    1};
 	json_object_foreach (r->obj->split, name, weight) {
 		r->targets[i].service = route_service(t, str_c(name));
-		r->targets[i++].weight = (uint64_t)json_integer_value(weight);
+		r->targets[i++].weight = json_number_value(weight);
 	}
 	for (i = 0; i < r->ntargets; i++)
 		r->total_weight += r->targets[i].weight;
@@ -362,7 +362,7 @@
 const struct route_service *
 route_choose_service(const struct route_rule *r, const struct rnd *rnd)
 {
-	uint64_t offset = rnd_below(rnd, r->total_weight);
+	double offset = rnd_unit(rnd) * r->total_weight;
 	unsigned i;
 
 	for (i = 0; i + 1 < r->ntargets; i++) {
--- a/route.h
+++ b/route.h
@@ -49,7 +49,7 @@
 /* One of the services that the requests of a rule are distributed to. */
 struct route_target {
 	const struct route_service *service; /* NULL: does not exist */
-	uint64_t weight;
+	double weight;
 };
 
 struct route_rule {
@@ -57,7 +57,7 @@
 	const struct obj_rule *obj;
 	struct route_target *targets;
 	unsigned ntargets; /* at least one */
-	uint64_t total_weight; /* of all targets */
+	double total_weight; /* of all targets */
 };
 
 /* The properties of a request that rules match. */
