The idle timeout does not run while the body of a request arrives

Cause: the timeout went on from the last response until a request was handled. It begins anew when a request begins, when its head is complete and with each part of its body; a head still has to come whole within it.

Measured: Conn.ABodyThatArrivesSlowlyIsRead and Conn.ARequestThatBeginsAfterA- RestIsRead fail with this switched off and pass with it; Conn.ASlowHeadTimesOutThoughBytesKeepArriving passes with both.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -455,7 +455,8 @@
 
 /*
  * Starts or stops the idle timeout.  It runs while no request is being handled,
- * and so also limits the time for reading a request.
+ * and so also limits the time for reading the head of a request, and the time
+ * between two parts of its body.
  */
 static void
 update_idle_timeout(struct hsrv_conn *c)
@@ -463,6 +464,9 @@
 	h2o_timeout_t *timeout = &c->srv->ctx.http1.req_timeout;
 	struct hsrv_req *r = g_queue_peek_head(&c->reqs);
 
+	if (c->progress)
+		h2o_timeout_unlink(&c->idle_timeout);
+	c->progress = false;
 	if (c->awaiting_peer_close || (r != NULL && r->handled))
 		h2o_timeout_unlink(&c->idle_timeout);
 	else if (!h2o_timeout_is_linked(&c->idle_timeout))
--- a/hsrv_parse.c
+++ b/hsrv_parse.c
@@ -44,6 +44,7 @@
 	struct hsrv_conn *c = p->data;
 
 	c->parsing = hsrv_req_new(c);
+	c->progress = true;
 	return 0;
 }
 
@@ -183,6 +184,7 @@
 
 	if (!set_head(r, p))
 		return -1;
+	r->conn->progress = true;
 	p->upgrade = 0;
 	r->too_large = (p->flags & F_CONTENTLENGTH) != 0 &&
 	    p->content_length > r->conn->srv->conf.max_request_entity_size;
@@ -201,6 +203,7 @@
 	if (r->too_large)
 		return -1;
 	g_byte_array_append(r->body, (const guint8 *)at, (guint)n);
+	r->conn->progress = true;
 	return 0;
 }
 
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -74,6 +74,8 @@
 	size_t unacked;
 	bool protocol_unknown; /* the first bytes have not been inspected */
 	bool reading_paused; /* too many bytes wait to be parsed */
+	/* A request began, its head is complete, or a part of its body came. */
+	bool progress;
 	bool writing;
 	bool no_more_requests; /* no further request is accepted */
 	bool awaiting_peer_close; /* the write side was shut */
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -440,6 +440,39 @@
 	s.run_for();
 }
 
+/* An upload was cut where it took longer than a connection may rest. */
+TEST(Conn, ABodyThatArrivesSlowlyIsRead)
+{
+	Server s;
+	Caller c(s);
+
+	hsrv_set_limits(s.srv, 1000, 200);
+	c.send_text("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\n");
+	for (char byte : std::string("upload")) {
+		s.run_for(80);
+		ASSERT_EQ(1, send(c.fd, &byte, 1, MSG_NOSIGNAL));
+	}
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	EXPECT_EQ("POST /a upload", s.requests[0]);
+}
+
+/* A request was cut that began shortly before the end of the rest. */
+TEST(Conn, ARequestThatBeginsAfterARestIsRead)
+{
+	Server s;
+	Caller c(s);
+	std::string head = get("/a");
+
+	hsrv_set_limits(s.srv, 1000, 200);
+	s.run_for(150);
+	c.send_text(head.substr(0, 10));
+	s.run_for(100);
+	c.send_text(head.substr(10));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	s.respond(0, "yes");
+	EXPECT_TRUE(c.receives_once(s, "yes"));
+}
+
 TEST(Conn, ASlowHeadTimesOutThoughBytesKeepArriving)
 {
 	Server s;
