A box holds the bodies of its requests within one bound

Each body was bounded by itself only.

All bodies of a gate, those of callers and of other gates, now share one bound (bodies_max, 128 MB by default). A request for whose body there is no room is refused at its head, or at the part of a chunked body that exceeds it, with 503 no-room, not run, Retry-After: 1; a body that could never fit gets 413. The metric fern_body_bytes and the line "no room for a body" tell it. A box whose owner refuses so, while an earlier attempt may have run, does not pass the promise on. HTTP/2 is not covered.

--- a/err.c
+++ b/err.c
@@ -37,6 +37,8 @@
 	"backend servers ended each time that they ran this request"},
     [ERR_NO_KEY] = {"no-key", 401, 0, 1,
 	"the request needs the key of a customer"},
+    [ERR_NO_ROOM] = {"no-room", 503, 1, 1,
+	"the box has no memory for its body now"},
     [ERR_USAGE] = {"usage", 0, 0, 2, "wrong command line"},
     [ERR_SETTINGS] = {"settings", 0, 0, 3, "wrong settings"},
     [ERR_SELECTOR] = {"selector", 0, 0, 4, "wrong selector"},
--- a/gate_open.c
+++ b/gate_open.c
@@ -84,6 +84,12 @@
 	.dflt = 1 << 20,
 	.min = 0,
 	.max = BODY_MAX},
+    {.name = "bodies_max",
+	.type = FIELD_INT,
+	.offset = F(bodies_max),
+	.dflt = 1 << 27,
+	.min = 1,
+	.max = INT64_MAX},
     {.name = "leave_wait_ms",
 	.type = FIELD_INT,
 	.offset = F(leave_wait_ms),
@@ -236,6 +242,9 @@
 	    BODY_MAX, gate_req_from_gate, g, err);
 	if (g->forward_server == NULL)
 		return err_prefix_setting(err, "pass_listen");
+	g->room.max = (size_t)g->settings.bodies_max;
+	hsrv_limit_room(g->caller_server, &g->room);
+	hsrv_limit_room(g->forward_server, &g->room);
 	g->admin_server = hsrv_open(g->loop, g->settings.admin_listen,
 	    ADMIN_BODY_MAX, gate_stat_page, g, err);
 	return g->admin_server != NULL ||
--- a/gate_stat.c
+++ b/gate_stat.c
@@ -98,6 +98,8 @@
     [GC_INFLIGHT] = {"fern_requests_inflight", "Requests being worked on.",
 	CNT_GAUGE},
     [GC_OBJECTS] = {"fern_objects", "Objects in force.", CNT_GAUGE},
+    [GC_BODY_BYTES] = {"fern_body_bytes",
+	"Bytes of request bodies that are held or announced.", CNT_GAUGE},
     [GC_LOG_DROPPED] = {"fern_log_dropped_total",
 	"Log lines dropped under pressure.", CNT_COUNTER},
     [GC_CONTROL_IN] = {"fern_control_in_bytes_total",
@@ -144,6 +146,7 @@
 	GString *out = g_string_new(NULL);
 
 	cnt_set(g->cnt, GC_BOXES, g->live_boxes);
+	cnt_set(g->cnt, GC_BODY_BYTES, g->room.held);
 	cnt_set(g->cnt, GC_POISON, poison_count_proved(g->poison));
 	cnt_set(g->cnt, GC_INFLIGHT, gate_req_count(g));
 	cnt_set(g->cnt, GC_CONF_AGE, (uint64_t)MAX(sync_age_ms(&g->sync), 0));
--- a/gate_try.c
+++ b/gate_try.c
@@ -294,6 +294,12 @@
 	enum err_kind kind = owner_error(headers, n);
 
 	gate_deputy_responded(r, kind);
+	/* Such a refusal does not know of earlier attempts. */
+	if (kind == ERR_NO_ROOM && r->maybe_ran) {
+		leave_owner(r);
+		gate_respond(r, kind, RAN_UNKNOWN, 0);
+		return true;
+	}
 	if ((!owner_declined(kind) && !is_usable_here_only(r, kind) &&
 		!deputy_failed(r, kind, outcome)) ||
 	    r->forwards > HOPS_MAX) {
--- a/hsrv.c
+++ b/hsrv.c
@@ -38,10 +38,16 @@
 static void
 add_error_headers(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **next)
 {
-	enum err_kind kind =
-	    req->res.status == 413 ? ERR_TOO_LARGE : ERR_BAD_REQUEST;
+	enum err_kind kind = ERR_BAD_REQUEST;
 
 	(void)self;
+	if (req->res.status == 413)
+		kind = ERR_TOO_LARGE;
+	if (req->res.status == 503)
+		kind = ERR_NO_ROOM;
+	if (kind == ERR_NO_ROOM)
+		h2o_add_header_by_str(&req->pool, &req->res.headers,
+		    H2O_STRLIT("retry-after"), 0, NULL, H2O_STRLIT("1"));
 	h2o_add_header_by_str(&req->pool, &req->res.headers,
 	    H2O_STRLIT("fern-error"), 0, NULL, err_lookup(kind)->name,
 	    strlen(err_lookup(kind)->name));
@@ -152,6 +158,12 @@
 	s->ctx.http1.req_timeout.timeout = idle_ms;
 }
 
+void
+hsrv_limit_room(struct hsrv *s, struct hsrv_room *room)
+{
+	s->room = room;
+}
+
 void
 hsrv_set_stall_limit(struct hsrv *s, uint64_t ms)
 {
--- a/hsrv.h
+++ b/hsrv.h
@@ -56,6 +56,18 @@
  */
 void hsrv_set_limits(struct hsrv *, size_t body_max, uint64_t idle_ms);
 
+/* Bytes of request bodies, which several servers may hold together. */
+struct hsrv_room {
+	size_t max, held;
+};
+
+/*
+ * From now on a body takes its room, which another server may share, until its
+ * request is freed.  A request for whose body there is none is refused with
+ * ERR_NO_ROOM, as not run.  Only for HTTP/1.1.
+ */
+void hsrv_limit_room(struct hsrv *, struct hsrv_room *);
+
 /*
  * Sets after how long, in ms, an HTTP/1.1 connection is closed whose caller
  * takes nothing of the response being written; it may be twice as long.  The
--- a/hsrv_parse.c
+++ b/hsrv_parse.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "libhsrv.h"
+#include "slog.h"
 
 /* Parses the input of a connection into requests with http_parser. */
 
@@ -176,6 +177,32 @@
 	    r, text.base, (size_t)(start_of(r, text, 0) - text.base));
 }
 
+/*
+ * Takes room for bytes of a body; returns false if there is none now, or never
+ * for so many.
+ */
+static bool
+reserve(struct hsrv_req *r, uint64_t n)
+{
+	struct hsrv_room *room = r->conn->srv->room;
+
+	if (room == NULL)
+		return true;
+	r->too_large = n > room->max - r->reserved;
+	if (r->too_large)
+		return false;
+	r->no_room = n > room->max - MIN(room->held, room->max);
+	if (r->no_room) {
+		slog_decision(SLOG_GATE, "no room for a body",
+		    "bytes=%llu held=%zu max=%zu", (unsigned long long)n,
+		    room->held, room->max);
+		return false;
+	}
+	room->held += n;
+	r->reserved += n;
+	return true;
+}
+
 /* A request to upgrade to another protocol is ignored. */
 static int
 on_headers_complete(http_parser *p)
@@ -188,7 +215,11 @@
 	p->upgrade = 0;
 	r->too_large = (p->flags & F_CONTENTLENGTH) != 0 &&
 	    p->content_length > r->conn->srv->conf.max_request_entity_size;
-	return r->too_large ? -1 : 0;
+	if (r->too_large)
+		return -1;
+	if ((p->flags & F_CONTENTLENGTH) != 0 && !reserve(r, p->content_length))
+		return -1;
+	return 0;
 }
 
 static int
@@ -202,6 +233,8 @@
 	    r->body->len + n > r->conn->srv->conf.max_request_entity_size;
 	if (r->too_large)
 		return -1;
+	if ((p->flags & F_CONTENTLENGTH) == 0 && !reserve(r, n))
+		return -1;
 	g_byte_array_append(r->body, (const guint8 *)at, (guint)n);
 	r->conn->progress = true;
 	return 0;
--- a/hsrv_req.c
+++ b/hsrv_req.c
@@ -69,6 +69,8 @@
 	g_array_free(r->out_bufs, TRUE);
 	if (r->body != NULL)
 		g_byte_array_free(r->body, TRUE);
+	if (r->reserved > 0)
+		r->conn->srv->room->held -= r->reserved;
 	g_free(r);
 }
 
@@ -95,7 +97,10 @@
 	if (r->req.input.path.base == NULL)
 		r->req.input.path = h2o_iovec_init(H2O_STRLIT("/"));
 	r->req.input.scheme = &H2O_URL_SCHEME_HTTP;
-	if (r->too_large)
+	if (r->no_room)
+		h2o_send_error_generic(&r->req, 503, "Service Unavailable",
+		    "there is no memory for the body now\n", 0);
+	else if (r->too_large)
 		h2o_send_error_generic(&r->req, 413, "Payload Too Large",
 		    "the body is too large\n", 0);
 	else
--- a/libgate.h
+++ b/libgate.h
@@ -47,6 +47,7 @@
 	struct str policy;
 	int route; /* one of enum gate_route */
 	int64_t body_max;
+	int64_t bodies_max; /* bytes of all bodies together */
 	int64_t leave_wait_ms;
 	int64_t grace_ms;
 	int64_t summary_ms;
@@ -122,6 +123,7 @@
 	GC_BOXES,
 	GC_INFLIGHT,
 	GC_OBJECTS,
+	GC_BODY_BYTES,
 	GC_LOG_DROPPED,
 	GC_CONTROL_IN,
 	GC_CONTROL_OUT,
@@ -223,6 +225,7 @@
 	struct cnt *cnt;
 	struct chart *chart_backend, *chart_request, *chart_box, *chart_roll;
 	struct hsrv *caller_server, *forward_server, *admin_server;
+	struct hsrv_room room; /* for the bodies of requests */
 	struct route_table *routes;
 	struct tmr_item rebuild;
 	GPtrArray *pending_changes; /* struct change *, not yet in the routes */
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -29,6 +29,7 @@
 	hsrv_handler_fn *handler;
 	hsrv_concurrent_fn *may_run_concurrently; /* NULL: none may */
 	void *handler_ctx;
+	struct hsrv_room *room; /* for request bodies; NULL: any */
 	char read_buf[64 * 1024]; /* shared read buffer of all connections */
 };
 
@@ -43,7 +44,8 @@
 	/* gsize; offsets in head_text of names and values, alternately */
 	GArray *offsets;
 	GByteArray *body;
-	bool too_large;
+	size_t reserved; /* bytes of hsrv.room */
+	bool too_large, no_room;
 	bool expects_continue; /* the caller waits for "100 Continue" */
 	bool complete; /* the whole request was read */
 	bool handled; /* it was passed to the handler or rejected */
@@ -103,7 +105,7 @@
 void hsrv_req_free(struct hsrv_req *);
 /* Passes a complete request to the handler. */
 void hsrv_req_handle(struct hsrv_req *);
-/* Responds with 400 or 413 to a request that cannot be read to its end. */
+/* Responds with 400, 413 or 503 to a request that is not read to its end. */
 void hsrv_req_reject(struct hsrv_req *);
 /* Formats the head of the response. */
 void hsrv_req_format_head(const struct hsrv_req *, GString *);
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -624,3 +624,36 @@
 	EXPECT_EQ(1, s.freed);
 	EXPECT_EQ(nullptr, s.reqs[0]);
 }
+
+/* Bodies took all memory of a box, as each was bounded by itself only. */
+TEST(Conn, BodiesBeyondTheRoomForAllAreRefusedAsNotRun)
+{
+	Server s;
+	Caller first(s), second(s), chunked(s), third(s);
+	struct hsrv_room room = {250, 0};
+	std::string body(150, 'x');
+
+	hsrv_limit_room(s.srv, &room);
+	first.send_text(post("/1", body));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	second.send_text(post("/2", body));
+	ASSERT_TRUE(second.receives_once(s, "HTTP/1.1 503"));
+	EXPECT_EQ(1, second.count("fern-error: no-room"));
+	EXPECT_EQ(1, second.count("fern-ran: no"));
+	EXPECT_EQ(1, second.count("retry-after: 1"));
+	chunked.send_text("POST /3 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+			  "chunked\r\n\r\n40\r\n" +
+	    std::string(64, 'x') + "\r\n40\r\n" + std::string(64, 'x') +
+	    "\r\n");
+	ASSERT_TRUE(chunked.receives_once(s, "HTTP/1.1 503"));
+	EXPECT_EQ(150u, room.held);
+	s.respond(0, "first.");
+	ASSERT_TRUE(first.receives_once(s, "first."));
+	ASSERT_TRUE(s.run_until([&] { return room.held == 0; }));
+	third.send_text(post("/4", body));
+	EXPECT_TRUE(s.run_until([&] { return s.reqs.size() == 2; }));
+	/* More than there can ever be. */
+	Caller large(s);
+	large.send_text(post("/5", body + body));
+	EXPECT_TRUE(large.receives_once(s, "HTTP/1.1 413"));
+}
--- a/regress/test_upload.cpp
+++ b/regress/test_upload.cpp
@@ -168,7 +168,8 @@
 }
 
 struct World : Fleet {
-	World() : Fleet(options_of())
+	explicit World(const std::string &settings = "")
+	    : Fleet(options_of(settings))
 	{
 		start();
 		put("service/dir", R"({"select":"app=dir"})");
@@ -181,12 +182,12 @@
 		early_address = ip(230) + ":9100";
 	}
 
-	static FleetOptions options_of()
+	static FleetOptions options_of(const std::string &settings)
 	{
 		FleetOptions o;
 
 		o.backends = {BackendOptions()};
-		o.gate_settings = "body_max = 4000000\n";
+		o.gate_settings = "body_max = 4000000\n" + settings;
 		return o;
 	}
 
@@ -218,3 +219,19 @@
 	EXPECT_EQ(60, statuses[200] + statuses[0]);
 	EXPECT_GT(statuses[200], statuses[0]);
 }
+
+/* One box, which owns the shard, held the bodies of all without a bound. */
+TEST(Upload, BodiesBeyondTheRoomOfABoxAreRefusedAsNotRun)
+{
+	World w("bodies_max = 4000000\n");
+
+	w.backends[0]->set("ms=200");
+	std::map<int, int> statuses = upload(w, 12);
+	EXPECT_EQ(12, statuses[200] + statuses[0]);
+	EXPECT_GT(statuses[200], 0);
+	EXPECT_GT(statuses[0], 0);
+	for (size_t i = 0; i < w.boxes.size(); i++)
+		EXPECT_TRUE(until([&] {
+			return w.metric(i, "fern_body_bytes") == 0;
+		})) << i;
+}
