--- a/regress/test_allowance.cpp
+++ b/regress/test_allowance.cpp
@@ -262,6 +262,37 @@
 		}
 	}
 
+	/*
+	 * Cuts gates off from the others.  3 s later each side takes the hubs
+	 * of the other one for dead.
+	 */
+	void part_off(const std::set<std::string> &part)
+	{
+		for (auto &a : gates)
+			for (auto &b : gates)
+				if (part.count(a.first) != part.count(b.first))
+					cut.insert({a.first, b.first});
+		for (auto &a : gates)
+			at(now + 3 * NS_S + random(500 * NS_MS),
+			    [this, name = a.first] {
+				    Gate *g = gates.at(name).get();
+
+				    for (auto &pair : cut)
+					    if (pair.first == name)
+						    g->list.erase(pair.second);
+				    update(g);
+			    });
+	}
+
+	/* Ends all cuts; the gates hear of each other soon. */
+	void join()
+	{
+		cut.clear();
+		for (auto &a : gates)
+			if (a.second->hub)
+				learn(a.first, 300 * NS_MS, 1 * NS_S);
+	}
+
 	void kill(const std::string &name)
 	{
 		Gate *g = gates.at(name).get();
@@ -910,6 +941,35 @@
 	EXPECT_EQ(static_cast<size_t>(f.asked), f.ran.size());
 }
 
+/*
+ * Halls are cut off from each other while a customer is in excess: each part
+ * had a gate that granted the whole limit.
+ */
+TEST(Granter, TheRateHoldsWhileHallsAreCutOff)
+{
+	for (uint64_t seed = 1; seed <= 40; seed++) {
+		Fleet f(seed);
+		int64_t from = f.now;
+		std::set<std::string> part;
+
+		/* One to three hubs, of any ranks, with as many leaves. */
+		for (int64_t n = 1 + f.random(3); n > 0; n--) {
+			std::string number = std::to_string(1 + f.random(6));
+
+			part.insert("h" + number);
+			part.insert("leaf" + number);
+		}
+		f.load(800, from + 30 * NS_S);
+		for (int64_t t = 3 * NS_S; t < 25 * NS_S; t += 11 * NS_S) {
+			f.at(from + t, [&f, part] { f.part_off(part); });
+			f.at(from + t + 5 * NS_S, [&f] { f.join(); });
+		}
+		f.run(from + 30 * NS_S);
+		EXPECT_LE(f.most_in_a_window(), f.bound()) << seed;
+		EXPECT_GE(f.ran.size(), 3 * f.limit()) << seed;
+	}
+}
+
 /*
  * Hubs of the ranking restart every second while others do not list them yet:
  * gates that do not know what was granted must not grant.  The bound holds as
