Small sockets and bodies of uploads in one place; no room is no verdict

Tests: net.h makes the sockets with small segments and buffers that three tests made alike, and early.h the bodies of uploads. gate_deputy.c: a refusal for want of memory says nothing of a deputy's connections, as one for want of time.

--- a/gate_deputy.c
+++ b/gate_deputy.c
@@ -82,12 +82,12 @@
 
 /*
  * Returns whether an error of a gate says nothing of its connections: it lacks
- * time for the request, or one of many requests there took too long.
+ * time or memory for the request, or one of many requests there took too long.
  */
 static bool
 is_undecided(const struct deputy *d, enum err_kind kind)
 {
-	return kind == ERR_BUSY ||
+	return kind == ERR_BUSY || kind == ERR_NO_ROOM ||
 	    (kind == ERR_DEADLINE && d->state == DEPUTY_SERVING);
 }
 
--- a/regress/early.h
+++ b/regress/early.h
@@ -11,24 +11,26 @@
 #ifndef EARLY_H
 #define EARLY_H
 
-#include <arpa/inet.h>
 #include <atomic>
-#include <cstdlib>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <set>
 #include <string>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 #include <vector>
 
+#include "net.h"
+
 namespace early
 {
 
 /* The body of each upload repeats one letter, by which it is known. */
 constexpr size_t UPLOAD = 1500000;
 
+inline std::string
+upload_body(int number)
+{
+	return std::string(UPLOAD, static_cast<char>('a' + number % 26));
+}
+
 /*
  * A backend server that answers each upload at its head and reads on later,
  * with buffers as on a network between machines.
@@ -41,21 +43,10 @@
 	Server(const std::string &address, const std::string &response)
 	    : reply(response)
 	{
-		size_t colon = address.find(':');
-		struct sockaddr_in sin = {};
-		int segment = 1400, receive = 32768, on = 1;
+		struct sockaddr_in sin = net::parse(address);
+		int on = 1;
 
-		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-		setsockopt(
-		    fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
-		setsockopt(
-		    fd, SOL_SOCKET, SO_RCVBUF, &receive, sizeof(receive));
-		sin.sin_family = AF_INET;
-		sin.sin_port = htons(
-		    static_cast<uint16_t>(atoi(address.c_str() + colon + 1)));
-		inet_pton(
-		    AF_INET, address.substr(0, colon).c_str(), &sin.sin_addr);
 		if (bind(fd, reinterpret_cast<struct sockaddr *>(&sin),
 			sizeof(sin)) != 0 ||
 		    listen(fd, 64) != 0)
@@ -130,7 +121,7 @@
 
 	std::string reply;
 	std::atomic<bool> stopping{false};
-	int fd;
+	int fd = net::small_socket(1400, 32768);
 	std::thread thread;
 	std::vector<std::thread> threads;
 };
--- a/regress/net.h
+++ b/regress/net.h
@@ -13,6 +13,8 @@
 
 #include <arpa/inet.h>
 #include <cstdlib>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -73,6 +75,35 @@
 	abort();
 }
 
+/* Reads "127.0.0.1:80". */
+inline struct sockaddr_in
+parse(const std::string &address)
+{
+	size_t colon = address.find(':');
+	struct sockaddr_in sin = {};
+
+	sin.sin_family = AF_INET;
+	sin.sin_port =
+	    htons(static_cast<uint16_t>(atoi(address.c_str() + colon + 1)));
+	inet_pton(AF_INET, address.substr(0, colon).c_str(), &sin.sin_addr);
+	return sin;
+}
+
+/*
+ * Returns a TCP socket with small segments and a small receive buffer, in
+ * bytes, as between machines; on loopback the kernel buffers megabytes
+ * otherwise.
+ */
+inline int
+small_socket(int segment, int receive)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive, sizeof(receive));
+	return fd;
+}
+
 /* Returns an address that only this process uses, for its listeners. */
 inline std::string
 own_ip()
--- a/regress/soak.cpp
+++ b/regress/soak.cpp
@@ -175,16 +175,14 @@
 
 	void send()
 	{
-		std::string body(
-		    early::UPLOAD, static_cast<char>('a' + sent % 26));
 		const Box &b =
 		    f.boxes[static_cast<size_t>(sent) % f.boxes.size()];
 
 		sent++;
 		open++;
 		http_start("POST", b.listen, "/up/x",
-		    {{"x-request-id", "up" + std::to_string(sent)}}, body,
-		    10000, [this](const Reply &r) {
+		    {{"x-request-id", "up" + std::to_string(sent)}},
+		    early::upload_body(sent), 10000, [this](const Reply &r) {
 			    open--;
 			    statuses[r.status]++;
 			    if (!stopped)
--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -9,15 +9,11 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 /* Which clock ends a request whose backend server is at work. */
-#include <arpa/inet.h>
 #include <csignal>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "fleet.h"
+#include "net.h"
 #include "version.h"
 
 namespace
@@ -142,27 +138,16 @@
 
 /* A caller that reads its response only when the test does. */
 struct SlowCaller {
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int fd = net::small_socket(536, 4096);
 
-	/* Small segments and buffers leave most of a response at the box. */
+	/* Most of a response is left at the box. */
 	SlowCaller(const std::string &address, const std::string &path)
 	{
-		size_t colon = address.find(':');
-		struct sockaddr_in sin = {};
-		int segment = 536, receive = 4096;
+		struct sockaddr_in sin = net::parse(address);
 		std::string request = "POST " + path +
 		    " HTTP/1.1\r\nhost: x\r\nx-request-id: slow\r\n"
 		    "content-length: 0\r\nconnection: close\r\n\r\n";
 
-		setsockopt(
-		    fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
-		setsockopt(
-		    fd, SOL_SOCKET, SO_RCVBUF, &receive, sizeof(receive));
-		sin.sin_family = AF_INET;
-		sin.sin_port = htons(
-		    static_cast<uint16_t>(atoi(address.c_str() + colon + 1)));
-		inet_pton(
-		    AF_INET, address.substr(0, colon).c_str(), &sin.sin_addr);
 		EXPECT_EQ(0,
 		    connect(fd, reinterpret_cast<struct sockaddr *>(&sin),
 			sizeof(sin)));
--- a/regress/test_upload.cpp
+++ b/regress/test_upload.cpp
@@ -32,8 +32,6 @@
 
 	while (sent < count || open > 0) {
 		while (sent < count && open < 3) {
-			std::string body(
-			    early::UPLOAD, static_cast<char>('a' + sent % 26));
 			const Box &b =
 			    f.boxes[static_cast<size_t>(sent) % f.boxes.size()];
 
@@ -41,7 +39,8 @@
 			open++;
 			http_start("POST", b.listen, "/dir/x",
 			    {{"x-request-id", "u" + std::to_string(sent)}},
-			    body, 5000, [&](const Reply &r) {
+			    early::upload_body(sent), 5000,
+			    [&](const Reply &r) {
 				    statuses[r.not_run() ? 0 : r.status]++;
 				    open--;
 			    });
