The test of unread responses looks that their requests are over at the boxes

make prove showed that it passed without hsrv_cut(): the server's slot was free, but the request stayed at the box until its caller read on. It now asks both boxes for their requests in flight: 1 without hsrv_cut(), 0 with it.

--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -678,6 +678,9 @@
 		EXPECT_EQ(1, count(w, "running")) << b.name;
 		pump(700);
 		EXPECT_EQ(0, count(w, "running")) << b.name;
+		for (size_t j = 0; j < w.boxes.size(); j++)
+			EXPECT_EQ(0, w.metric(j, "fern_requests_inflight"))
+			    << b.name;
 		EXPECT_LT(caller.read_body(), 64000000u) << b.name;
 	}
 	/* None of this speaks against the backend server. */
