--- a/regress/early.h
+++ b/regress/early.h
@@ -83,21 +83,35 @@
 		(void)!send(conn, text.data(), text.size(), MSG_NOSIGNAL);
 	}
 
+	/* Reads an upload, or what comes of it; returns whether it is whole. */
+	bool read_upload(int conn)
+	{
+		std::set<char> letters;
+		char buf[16384];
+		size_t got = 0;
+		ssize_t n;
+
+		while (got < UPLOAD && (n = read(conn, buf, sizeof(buf))) > 0) {
+			letters.insert(buf, buf + n);
+			got += static_cast<size_t>(n);
+		}
+		other_bytes += letters.size() > 1;
+		return got >= UPLOAD;
+	}
+
 	/* Serves a request; returns whether another one may follow. */
 	bool serve(int conn)
 	{
 		struct timeval limit = {5, 0};
 		std::string head;
-		std::set<char> letters;
-		char buf[16384];
-		ssize_t n;
+		char byte;
 
 		setsockopt(
 		    conn, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
 		while (head.find("\r\n\r\n") == std::string::npos) {
-			if (read(conn, buf, 1) != 1)
+			if (read(conn, &byte, 1) != 1)
 				return false;
-			head += buf[0];
+			head += byte;
 		}
 		if (head.compare(0, 4, "POST") != 0) {
 			say(conn,
@@ -107,15 +121,8 @@
 		answered++;
 		say(conn, reply);
 		usleep(150000);
-		for (size_t got = 0; got < UPLOAD;
-		     got += static_cast<size_t>(n)) {
-			n = read(conn, buf, sizeof(buf));
-			if (n <= 0)
-				return false;
-			letters.insert(buf, buf + n);
-		}
-		other_bytes += letters.size() > 1;
-		say(conn, "no");
+		if (read_upload(conn))
+			say(conn, "no");
 		return false;
 	}
 
