A box whose owners are all unusable asks those of other halls

Callers saw: 503, why=no-backend, at boxes whose hub had just left, for up to two seconds, while hubs of other halls served. Cause: after a refusal an owner is avoided for two seconds. fallback_owner() looked for another one in the first tier of gates that has any, though each of them may be avoided, and then took this gate, which on a weak box has no backend servers. Change: gates that are avoided do not count, and each tier is tried in turn. Result: Leaving.TheHubsOfAnotherHallServeAtOnceWhereAHubLeaves failed 12,381 times in 0.6 s and passes.

--- a/gate_owner.c
+++ b/gate_owner.c
@@ -217,16 +217,20 @@
 }
 
 /*
- * Returns the owner of a shard whose assigned gate cannot be used now: the gate
- * that has the highest weight among the others.  NULL: this gate.
+ * Finds the gate of a tier that has the highest weight for a shard among those
+ * that are not suspected; *best is NULL if it is this gate.  Returns whether
+ * there is one.
  */
-static struct gate_peer *
-fallback_owner(struct gate *g, struct str service, struct str hall, int64_t now)
+static bool
+heaviest_unsuspected(struct gate *g, struct str service, struct str hall,
+    enum tier tier, struct gate_peer **best)
 {
-	GArray *gates = best_gates(g, hall);
-	struct gate_peer *p, *best = NULL;
+	GArray *gates = gates_in_tier(g, hall, tier);
+	int64_t now = clk_ns(g->clk);
 	const struct assign_gate *gate;
 	uint64_t weight, best_weight = 0;
+	bool found = false;
+	struct gate_peer *p;
 	guint i;
 
 	for (i = 0; i < gates->len; i++) {
@@ -234,12 +238,29 @@
 		p = gate->data;
 		weight = assign_weight(service, hall, gate->box);
 		if ((p != NULL && now < p->suspect_until) ||
-		    weight < best_weight)
+		    (found && weight < best_weight))
 			continue;
-		best = p;
+		*best = p;
 		best_weight = weight;
+		found = true;
 	}
 	g_array_free(gates, TRUE);
+	return found;
+}
+
+/*
+ * Returns the owner of a shard whose assigned gate cannot be used now: a gate
+ * of the best tier that has one which is not suspected.  NULL: this gate.
+ */
+static struct gate_peer *
+fallback_owner(struct gate *g, struct str service, struct str hall)
+{
+	struct gate_peer *best = NULL;
+	enum tier tier;
+
+	for (tier = TIER_READY; tier < TIER_MAX; tier++)
+		if (heaviest_unsuspected(g, service, hall, tier, &best))
+			break;
 	return best;
 }
 
@@ -306,7 +327,7 @@
 
 	g_free(key);
 	if (!usable)
-		p = fallback_owner(g, service, hall, now);
+		p = fallback_owner(g, service, hall);
 	*self = p == NULL;
 	return p;
 }
