Boxes that leave hear of hubs that start and leave

Callers saw: refusals at boxes that were leaving, as these knew only hubs that had left before, for up to a second after others had started. Cause: a box that announced its leaving counted as gone at once, though it runs for seconds: it was in no list, and was told of nothing. Change: announcements go to boxes that run, and lists name those that leave if they were known alive.

--- a/gossip.c
+++ b/gossip.c
@@ -735,7 +735,8 @@
 	bool must_know = targets->self_is_hub ? in_own_hall || m->hub_rank >= 0
 					      : in_own_hall && m->hub_rank >= 0;
 
-	if (memb_is_alive(m) && must_know && m->sent_incarnation < g->announced)
+	if (memb_is_running(m) && must_know &&
+	    m->sent_incarnation < g->announced)
 		g_ptr_array_add(targets->boxes, (void *)m);
 }
 
--- a/memb.c
+++ b/memb.c
@@ -389,7 +389,7 @@
 bool
 memb_should_list(const struct memb *mb, const struct memb_member *m)
 {
-	return memb_is_alive(m) ||
+	return memb_is_alive(m) || (memb_is_running(m) && m->was_alive) ||
 	    (m->last_update != 0 && m->was_hub && !is_unreported_death(mb, m));
 }
 
@@ -467,6 +467,7 @@
 	memb_info_clear(&m->info);
 	memb_info_copy(&m->info, info);
 	m->found_dead_here = m->death_uncertain = false;
+	m->was_alive = m->was_alive || (!info->leaving && !info->dead);
 	m->last_update = now;
 	m->unanswered_since = 0;
 	m->sends_left = relay_count(mb);
@@ -730,6 +731,12 @@
 	return m->last_update != 0 && !m->info.dead && !m->info.leaving;
 }
 
+bool
+memb_is_running(const struct memb_member *m)
+{
+	return m->last_update != 0 && !m->info.dead;
+}
+
 void
 memb_each(const struct memb *mb, memb_visit_fn *visit, void *ctx)
 {
--- a/memb.h
+++ b/memb.h
@@ -84,6 +84,7 @@
 	uint64_t weight; /* orders the strong boxes of a hall */
 	bool strong; /* see MEMB_STRONG_RATIO */
 	bool was_hub; /* is a hub, or was one when it died or left */
+	bool was_alive; /* this box has known it alive */
 	bool found_dead_here; /* dead, and this box detected it */
 	bool death_uncertain; /* and this box received no messages meanwhile */
 	int hub_rank; /* position among the hubs of its hall; -1: not a hub */
@@ -178,6 +179,12 @@
 
 bool memb_is_alive(const struct memb_member *);
 
+/*
+ * Returns whether a box is alive or has announced that it is leaving: it needs
+ * to know the hubs until it has exited.
+ */
+bool memb_is_running(const struct memb_member *);
+
 /* Calls the function for all members except this box. */
 typedef void memb_visit_fn(void *, const struct memb_member *);
 void memb_each(const struct memb *, memb_visit_fn *, void *);
@@ -236,7 +243,8 @@
 
 /*
  * Returns whether a member belongs on a list sent to other boxes: it is alive,
- * or it was a hub and others have to learn that it died or left.
+ * or is leaving and was known alive here, or it was a hub and others have to
+ * learn that it died or left.
  */
 bool memb_should_list(const struct memb *, const struct memb_member *);
 
