--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -625,7 +625,6 @@
 	EXPECT_EQ(nullptr, s.reqs[0]);
 }
 
-/* Bodies took all memory of a box, as each was bounded by itself only. */
 /*
  * The connection was closed while the rest of a response was in its socket, and
  * bytes from the caller reset it.
@@ -666,6 +665,100 @@
 	EXPECT_EQ(1u, s.reqs.size());
 }
 
+/*
+ * Timers run before the sockets are read: a connection whose idle timeout
+ * passed while the loop was busy was closed, and the request in its socket
+ * dropped.
+ */
+TEST(Conn, ARequestThatCameWhileTheLoopWasBusyIsAnswered)
+{
+	Server s;
+	Caller kept(s), fresh(s);
+
+	hsrv_set_limits(s.srv, 1000, 200);
+	kept.send_text(get("/1"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	s.respond(0, "first.");
+	ASSERT_TRUE(kept.receives_once(s, "first."));
+	kept.send_text(get("/2"));
+	fresh.send_text(get("/3"));
+	usleep(300000);
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 3; }, 300));
+	s.respond(1, "second.");
+	s.respond(2, "third.");
+	EXPECT_TRUE(kept.receives_once(s, "second."));
+	EXPECT_TRUE(fresh.receives_once(s, "third."));
+}
+
+/* The same where a stop or a changed setting makes the timeout shorter. */
+TEST(Conn, ARequestThatCameBeforeTheIdleTimeoutWasCutIsAnswered)
+{
+	Server s;
+	Caller c(s);
+
+	c.send_text(get("/1"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	s.respond(0, "first.");
+	ASSERT_TRUE(c.receives_once(s, "first."));
+	s.run_for(50);
+	c.send_text(get("/2"));
+	uv_update_time(&s.loop);
+	hsrv_close_idle(s.srv, 1);
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 2; }, 300));
+	s.respond(1, "second.");
+	EXPECT_TRUE(c.receives_once(s, "second."));
+}
+
+/* What is in the socket does not keep a connection open without an end. */
+TEST(Conn, AnIncompleteRequestInTheSocketIsNotWaitedFor)
+{
+	Server s;
+	Caller c(s);
+
+	hsrv_set_limits(s.srv, 1000, 100);
+	s.run_for(20);
+	c.send_text("GET /1 HTTP/1.1\r\nHost");
+	usleep(150000);
+	EXPECT_TRUE(c.is_closed(s));
+	EXPECT_EQ(0u, s.reqs.size());
+}
+
+/* The last response ended the connection before the socket was read. */
+TEST(Pipeline, ARequestInTheSocketBehindTheLastResponseIsAnswered)
+{
+	Server s;
+	Caller c(s);
+
+	c.send_text(post("/1", "one"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	hsrv_shutdown(s.srv);
+	s.run_for();
+	c.send_text(post("/2", "two"));
+	s.respond(0, "first.");
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 2; }, 300));
+	s.respond(1, "second.");
+	EXPECT_TRUE(c.is_closed(s));
+	EXPECT_EQ(1, c.count("first."));
+	EXPECT_EQ(1, c.count("second."));
+}
+
+/* Connections that the kernel had accepted were reset with the listener. */
+TEST(Conn, AConnectionThatWaitsWhenTheListenerClosesIsServed)
+{
+	Server s;
+	Caller first(s), second(s);
+
+	for (Caller *c : {&first, &second})
+		c->send_text(get("/1"));
+	hsrv_stop_accepting(s.srv);
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 2; }, 300));
+	s.respond(0, "yes");
+	s.respond(1, "yes");
+	EXPECT_TRUE(first.receives_once(s, "yes"));
+	EXPECT_TRUE(second.receives_once(s, "yes"));
+}
+
+/* Bodies took all memory of a box, as each was bounded by itself only. */
 TEST(Conn, BodiesBeyondTheRoomForAllAreRefusedAsNotRun)
 {
 	Server s;
