Read a connection's socket before its idle timeout closes it

Callers saw a connection end without a response although their request had reached the box well before. Timers run before sockets are read. While the event loop is busy, for instance with building the routes of a changed configuration, the idle timeout of a kept or new connection can pass; the timer then closed the connection, and the request was read and discarded while it lingered. A shorter timeout, by a stop or a changed listener, makes this more likely: at a stop it is 100 ms.

When the timeout passes with bytes in the socket, the connection now stays for the linger time. The loop reads the bytes in between; a whole request stops the timeout, and anything else is closed at the end of that time.

--- a/hsrv.c
+++ b/hsrv.c
@@ -153,6 +153,15 @@
 	    (size_t)in_socket;
 }
 
+bool
+hsrv_tcp_has_unread(const uv_tcp_t *tcp)
+{
+	int fd, in_socket = 0;
+
+	return uv_fileno((const uv_handle_t *)tcp, &fd) == 0 &&
+	    ioctl(fd, FIONREAD, &in_socket) == 0 && in_socket > 0;
+}
+
 struct hsrv_open_count
 hsrv_count_open(const struct hsrv *s)
 {
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -155,12 +155,24 @@
 	uv_close((uv_handle_t *)c->tcp, on_closed);
 }
 
-/* The peer may still be reading the last response. */
+/*
+ * Timers run before sockets are read.  Bytes that came while the loop was busy
+ * may be a whole request, so they are read first, once for each timeout.
+ */
 static void
 on_idle(h2o_timeout_entry_t *e)
 {
-	shutdown_conn((struct hsrv_conn *)((char *)e -
-	    offsetof(struct hsrv_conn, idle_timeout)));
+	struct hsrv_conn *c = (struct hsrv_conn *)((char *)e -
+	    offsetof(struct hsrv_conn, idle_timeout));
+
+	if (!c->idle_delayed && hsrv_tcp_has_unread(c->tcp)) {
+		c->idle_delayed = true;
+		h2o_timeout_link(
+		    c->srv->loop, &c->srv->linger_timeout, &c->idle_timeout);
+		return;
+	}
+	/* The peer may still be reading the last response. */
+	shutdown_conn(c);
 }
 
 /*
@@ -490,8 +502,10 @@
 	h2o_timeout_t *timeout = &c->srv->ctx.http1.req_timeout;
 	struct hsrv_req *r = g_queue_peek_head(&c->reqs);
 
-	if (c->progress)
+	if (c->progress) {
 		h2o_timeout_unlink(&c->idle_timeout);
+		c->idle_delayed = false;
+	}
 	c->progress = false;
 	if (c->awaiting_peer_close || (r != NULL && r->handled))
 		h2o_timeout_unlink(&c->idle_timeout);
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -90,6 +90,7 @@
 	/* When it last had fewer, after the write side was shut; h2o_now() */
 	uint64_t taken_at;
 	bool protocol_unknown; /* the first bytes have not been inspected */
+	bool idle_delayed; /* the idle timeout passed with bytes unread */
 	bool reading_paused; /* too many bytes wait to be parsed */
 	/* A request began, its head is complete, or a part of its body came. */
 	bool progress;
@@ -109,6 +110,8 @@
  * the socket.
  */
 size_t hsrv_tcp_unacked(const uv_tcp_t *);
+/* Returns whether the socket holds bytes that have not been read. */
+bool hsrv_tcp_has_unread(const uv_tcp_t *);
 
 /* hsrv_conn.c: runs requests concurrently, sends responses in order. */
 
