Answer requests in the socket behind the last response at a stop

Callers that pipeline saw a connection end without a response to a request that had reached the box well before. At a shutdown the last response carries "connection: close" if nothing that was read is unanswered; a request that was still in the socket, as the event loop was busy, was then read and discarded. The socket is now checked too: with bytes in it, the response does not end the connection, and the request is read and answered.

Pipeline.ARequestInTheSocketBehindTheLastResponseIsAnswered failed before and passes now.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -321,7 +321,7 @@
  * Returns whether the connection ends with this response.  If it is to end,
  * but later requests are already being handled, it ends after their responses,
  * unless this response is delimited by the close.  At a shutdown it ends once
- * everything that was read has been answered.
+ * everything that was read, or waits in the socket, has been answered.
  */
 static bool
 ends_connection(struct hsrv_req *r)
@@ -330,7 +330,7 @@
 
 	if (!r->req.http1_is_persistent || is_close_delimited(r) ||
 	    (c->super.ctx->shutdown_requested && r->link.next == NULL &&
-		c->input->len == 0))
+		c->input->len == 0 && !hsrv_tcp_has_unread(c->tcp)))
 		c->no_more_requests = true;
 	if (!c->no_more_requests)
 		return false;
