Accept queued connections before the listener closes

Callers saw a new connection reset, and with it a whole request, at a planned stop. Closing the listener resets the connections in its queue, which grows while the event loop is busy. They are now accepted first, and their requests answered as those of any open connection.

Conn.AConnectionThatWaitsWhenTheListenerClosesIsServed failed before and passes now.

--- a/hsrv.c
+++ b/hsrv.c
@@ -11,6 +11,8 @@
 #include <arpa/inet.h>
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "field.h"
 #include "libhsrv.h"
@@ -194,6 +196,30 @@
 	hsrv_conn_open(s, &t->tcp);
 }
 
+/*
+ * Accepts the connections in the listener's queue, which its close would reset
+ * together with the requests that have come on them.
+ */
+static void
+accept_queued(struct hsrv *s)
+{
+	struct hsrv_tcp *t;
+	int listener, fd;
+
+	if (uv_fileno((uv_handle_t *)&s->listener, &listener) != 0)
+		return;
+	while ((fd = accept4(listener, NULL, NULL, SOCK_CLOEXEC)) >= 0) {
+		t = hsrv_tcp_new(s);
+		if (uv_tcp_open(&t->tcp, fd) != 0) {
+			close(fd);
+			uv_close((uv_handle_t *)&t->tcp, hsrv_tcp_free);
+			continue;
+		}
+		uv_tcp_nodelay(&t->tcp, 1);
+		hsrv_conn_open(s, &t->tcp);
+	}
+}
+
 static int
 on_request(h2o_handler_t *self, h2o_req_t *req)
 {
@@ -244,6 +270,7 @@
 	if (!s->listening)
 		return;
 	s->listening = false;
+	accept_queued(s);
 	uv_close((uv_handle_t *)&s->listener, NULL);
 }
 
