Test of a hall whose servers have just drained, failing

The logs of its processes show it at the gate of the other hall: its three slots were taken, the last capacity reported by the first hall was older than its drain, and the request was forwarded there three times within a millisecond.

--- a/regress/test_promises.cpp
+++ b/regress/test_promises.cpp
@@ -349,6 +349,40 @@
 	}));
 }
 
+/*
+ * The servers of a hall were full and those of the other one had just drained,
+ * which that hall had not reported yet: it was sent the request three times,
+ * and its refusal ended the request.
+ */
+TEST(Promise, ARequestWaitsWhereTheOtherHallHasJustDrained)
+{
+	FleetOptions o = small_fleet(2, 2, "ms=3");
+	bool done[3] = {};
+
+	o.gate_settings += "summary_ms = 1000\n";
+	Fleet f(o);
+	ASSERT_TRUE(up(f));
+	/* Reports come each second, and servers are cold before. */
+	for (double end = now_ms() + 2500; now_ms() < end;)
+		for (auto &b : f.boxes)
+			EXPECT_EQ(200, http("GET", b.listen, "/dir/x").status);
+	f.backends[1]->set("ms=500");
+	for (bool &d : done)
+		http_start("GET", f.boxes[1].listen, "/dir/x", {}, "", 5000,
+		    [&](const Reply &r) {
+			    EXPECT_EQ(200, r.status) << r.body;
+			    d = true;
+		    });
+	f.backends[0]->set("drain=1");
+	long before = f.backends[0]->count("ran");
+	EXPECT_EQ(200, http("GET", f.boxes[0].listen, "/dir/x").status);
+	EXPECT_EQ(before + 1, f.backends[0]->count("ran"));
+	Reply r = http("GET", f.boxes[0].listen, "/dir/x");
+	EXPECT_EQ(200, r.status) << r.body;
+	EXPECT_EQ(before + 1, f.backends[0]->count("ran"));
+	EXPECT_TRUE(until([&] { return done[0] && done[1] && done[2]; }));
+}
+
 TEST(Promise, ADrainIsKeptByItsOwnAnswers)
 {
 	FleetOptions o = small_fleet(1, 4, "ms=3");
