A request that another hall refuses waits here instead of going there again

Callers got 503 no-backend although a hall had a server that would have been free milliseconds later. The owner of a hall whose slots were taken forwarded a request by a capacity report of another hall that was older than the drain of its servers. That hall's refusal changed neither the report nor the hall of the request: it was sent there three times, and the third refusal was passed on. Now the refusal stands for a report of no capacity until the next one, and the request returns to the shard of this hall, where it waits for a slot.

--- a/disp.h
+++ b/disp.h
@@ -318,6 +318,9 @@
 void disp_set_hall_capacity(
     struct disp *, struct str hall, const struct disp_capacity *);
 
+/* Another hall has no usable backend server, until it reports anew. */
+void disp_set_hall_unusable(struct disp *, struct str hall);
+
 /* Returns the capacity of this shard, for the owners in other halls. */
 struct disp_capacity disp_capacity_of(const struct disp *);
 
--- a/disp_forward.c
+++ b/disp_forward.c
@@ -201,3 +201,9 @@
 	h->reported_at = clk_ns(d->clk);
 	disp_serve_queues(d);
 }
+
+void
+disp_set_hall_unusable(struct disp *d, struct str hall)
+{
+	find_or_add(d, hall)->capacity = (struct disp_capacity){0};
+}
--- a/gate_try.c
+++ b/gate_try.c
@@ -280,6 +280,19 @@
 	    disp_usable_backends(r->shard->disp) > 0;
 }
 
+/*
+ * Another hall has refused the request, and this one is to serve it: it is not
+ * forwarded there again by a report that is out of date.
+ */
+static void
+return_from_hall(struct gate_req *r)
+{
+	if (str_eq(r->hall, r->shard->hall))
+		return;
+	disp_set_hall_unusable(r->shard->disp, r->hall);
+	gate_req_set_hall(r, r->shard->hall);
+}
+
 /*
  * Returns whether the deputy of this gate's shard refused the request because
  * it reaches no backend server either.
@@ -355,6 +368,8 @@
 	}
 	if (kind == ERR_LEAVING)
 		gate_owner_avoid(r->gate, r->owner);
+	if (is_usable_here_only(r, kind))
+		return_from_hall(r);
 	gate_attempt_leave_owner(r);
 	return gate_attempt_route_again(r);
 }
