--- a/regress/test_disp.cpp
+++ b/regress/test_disp.cpp
@@ -675,3 +675,74 @@
 
 	EXPECT_EQ(a.trace, b.trace);
 }
+
+/* Another gate sends the request; its attempt holds the slot here. */
+TEST(Disp, ATransferredAttemptHoldsItsSlotUntilItsCopyEnds)
+{
+	World w;
+	struct disp_req copy = {};
+	Req moved, second, third;
+
+	moved.id = 1;
+	second.id = 2;
+	third.id = 3;
+	w.set_backends(1, 1);
+	w.warm_up(1);
+	w.on_send = [&](Req *r, struct pick_backend *) {
+		if (r == &moved)
+			disp_transfer(w.disp, &r->d, &copy);
+	};
+	w.arrive(&moved);
+	w.now += NS_MS;
+	EXPECT_EQ(nullptr, moved.d.backend);
+	ASSERT_NE(nullptr, copy.backend);
+	EXPECT_EQ(1u, disp_inflight(w.disp));
+	EXPECT_EQ(1, copy.backend->inflight);
+	/* What the caller of the original does then changes nothing. */
+	struct pick_backend *b = copy.backend;
+	moved.d = {};
+	w.arrive(&second);
+	EXPECT_TRUE(second.d.queued);
+	EXPECT_FALSE(disp_attempt_done(w.disp, &copy, DISP_CONN_BROKEN));
+	EXPECT_EQ(nullptr, copy.backend);
+	EXPECT_EQ(0, moved.sends - 1);
+	EXPECT_FALSE(moved.ended);
+	EXPECT_FALSE(second.d.queued);
+	EXPECT_EQ(b, second.d.backend);
+	EXPECT_EQ(1, b->inflight);
+	EXPECT_EQ(1u, disp_inflight(w.disp));
+	w.end_attempt(&second, DISP_OK);
+	EXPECT_EQ(0, b->inflight);
+	EXPECT_EQ(0u, disp_inflight(w.disp));
+}
+
+/* The oldest request of a server is the first one in flight there. */
+TEST(Disp, ATransferredAttemptKeepsTheOrderOfStarts)
+{
+	World w;
+	struct disp_req copy = {};
+	Req first, moved, last;
+
+	first.id = 1;
+	moved.id = 2;
+	last.id = 3;
+	w.set_backends(1, 3);
+	w.warm_up(1);
+	w.on_send = [&](Req *r, struct pick_backend *) {
+		if (r == &moved)
+			disp_transfer(w.disp, &r->d, &copy);
+	};
+	w.arrive(&first);
+	w.now += NS_MS;
+	w.arrive(&moved);
+	w.now += NS_MS;
+	w.arrive(&last);
+	ASSERT_EQ(3u, disp_inflight(w.disp));
+	struct pick_backend *b = copy.backend;
+	EXPECT_EQ(first.d.sent_at, b->oldest_sent_at);
+	w.end_attempt(&first, DISP_OK);
+	EXPECT_EQ(copy.sent_at, b->oldest_sent_at);
+	disp_attempt_done(w.disp, &copy, DISP_OK);
+	EXPECT_EQ(last.d.sent_at, b->oldest_sent_at);
+	w.end_attempt(&last, DISP_OK);
+}
--- a/regress/test_handover.cpp
+++ b/regress/test_handover.cpp
@@ -657,6 +657,31 @@
 		EXPECT_FALSE(msg_decode(bytes.data(), n, &m, nullptr));
 }
 
+/* The kind is newer than the others: to an older box it is an unknown one. */
+TEST(Handover, TheEndOfAnAttemptIsDecoded)
+{
+	struct msg in = {}, m;
+
+	in.kind = MSG_ATTEMPT_END;
+	in.from = STR_LIT("10.128.100.100:7200");
+	in.u.attempt_end.lease = UINT64_MAX - 1;
+	in.u.attempt_end.outcome = DISP_CONN_BROKEN;
+	std::string bytes = encode(&in);
+	ASSERT_TRUE(msg_decode(bytes.data(), bytes.size(), &m, nullptr));
+	EXPECT_EQ(MSG_ATTEMPT_END, m.kind);
+	EXPECT_TRUE(str_eq(in.from, m.from));
+	EXPECT_EQ(UINT64_MAX - 1, m.u.attempt_end.lease);
+	EXPECT_EQ(
+	    static_cast<uint64_t>(DISP_CONN_BROKEN), m.u.attempt_end.outcome);
+	msg_release(&m);
+	for (size_t n = 0; n < bytes.size(); n++)
+		EXPECT_FALSE(msg_decode(bytes.data(), n, &m, nullptr));
+	ASSERT_EQ(MSG_ATTEMPT_END, bytes[1]);
+	EXPECT_GT(MSG_ATTEMPT_END, MSG_RATE_USAGE);
+	bytes[1] = MSG_KIND_MAX;
+	EXPECT_FALSE(msg_decode(bytes.data(), bytes.size(), &m, nullptr));
+}
+
 /*
  * The message is sent once for each shard and move; a link of 10 Mbit/s carries
  * the largest one in some tens of milliseconds.
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -693,6 +693,86 @@
 	EXPECT_TRUE(f->has_feed(str_c(nullptr), "rollout"));
 }
 
+TEST(Forward, NextHeaderRoundTrip)
+{
+	struct gate_next in = {}, out = {};
+	char text[GATE_FORWARD_MAX];
+	size_t n;
+
+	in.to_server = true;
+	in.within_retry_budget = true;
+	in.attempts = 2;
+	in.lease = 999999999999999999; /* the longest */
+	in.name = STR_LIT("b7");
+	in.address = STR_LIT("10.0.0.1:8000");
+	n = gate_next_write(&in, text, sizeof(text));
+	ASSERT_TRUE(gate_next_read(str_n(text, n), &out));
+	EXPECT_TRUE(out.to_server);
+	EXPECT_TRUE(out.within_retry_budget);
+	EXPECT_EQ(2u, out.attempts);
+	EXPECT_EQ(999999999999999999u, out.lease);
+	EXPECT_TRUE(str_eq(in.name, out.name));
+	EXPECT_TRUE(str_eq(in.address, out.address));
+	/* No shorter text is one with another server. */
+	for (size_t i = 0; i + in.address.n <= n; i++)
+		EXPECT_FALSE(gate_next_read(str_n(text, i), &out)) << i;
+
+	in.to_server = in.within_retry_budget = false;
+	in.attempts = 0;
+	in.name = STR_LIT("s1");
+	in.hall = STR_LIT("south");
+	in.inbox = STR_LIT("10.0.0.2:7200");
+	in.target_hall = STR_LIT("north");
+	n = gate_next_write(&in, text, sizeof(text));
+	ASSERT_TRUE(gate_next_read(str_n(text, n), &out));
+	EXPECT_FALSE(out.to_server);
+	EXPECT_FALSE(out.within_retry_budget);
+	EXPECT_EQ(0u, out.attempts);
+	EXPECT_EQ(0u, out.lease);
+	EXPECT_TRUE(str_eq(in.name, out.name));
+	EXPECT_TRUE(str_eq(in.hall, out.hall));
+	EXPECT_TRUE(str_eq(in.inbox, out.inbox));
+	EXPECT_TRUE(str_eq(in.target_hall, out.target_hall));
+	EXPECT_TRUE(str_eq(in.address, out.address));
+	for (size_t i = 0; i + in.address.n <= n; i++)
+		EXPECT_FALSE(gate_next_read(str_n(text, i), &out)) << i;
+}
+
+TEST(Forward, AMalformedNextHeaderIsNotRead)
+{
+	struct gate_next out;
+
+	for (const char *bad : {"", "server", "other 1 0 b7 5 10.0.0.1:8000",
+		 "server x 0 b7 5 10.0.0.1:8000",
+		 "server -1 0 b7 5 10.0.0.1:8000",
+		 "server 2147483648 0 b7 5 10.0.0.1:8000",
+		 "server 1 x b7 5 10.0.0.1:8000", "server 1 0  5 10.0.0.1:8000",
+		 "server 1 0 b7 x 10.0.0.1:8000",
+		 "server 1 0 b7 18446744073709551616 10.0.0.1:8000",
+		 "server 1 0 b7 5 ", "owner 1 0 s1 south 10.0.0.2:7200 north "})
+		EXPECT_FALSE(gate_next_read(str_c(bad), &out)) << bad;
+}
+
+/* Of a text that is too long, no more is written than there is room for. */
+TEST(Forward, ANextHeaderStaysInItsBound)
+{
+	struct gate_next in = {};
+	std::string name(100, 'n'), text(200, '#');
+	size_t whole, n;
+
+	in.to_server = true;
+	in.name = str_c(name.c_str());
+	in.address = STR_LIT("10.0.0.1:8000");
+	whole = gate_next_write(&in, text.data(), text.size());
+	ASSERT_LT(whole, text.size());
+	for (size_t size = 1; size <= whole + 1; size++) {
+		text.assign(200, '#');
+		n = gate_next_write(&in, text.data(), size);
+		EXPECT_EQ(std::min(size - 1, whole), n);
+		EXPECT_EQ(std::string(200 - size, '#'), text.substr(size));
+	}
+}
+
 TEST(Forward, ForwardHeaderRoundTrip)
 {
 	struct gate_forward in = {}, out = {};
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -554,6 +554,31 @@
 	EXPECT_EQ(0u, memb_count_hubs(v.mb));
 }
 
+TEST(Memb, OnlyStrongBoxesThatLeaveAreOfUseWhereNoHubLives)
+{
+	static const std::vector<std::string> halls = {"north"};
+	Membership v(halls, 12);
+
+	v.infos[4].power = v.infos[5].power = v.infos[7].power = 500;
+	v.receive_announcements();
+	for (size_t i = 1; i < v.infos.size(); i++)
+		EXPECT_FALSE(memb_is_leaving_strong(
+		    v.mb, memb_find(v.mb, v.infos[i].box)));
+	v.infos[3].leaving = v.infos[4].leaving = v.infos[5].leaving = true;
+	v.receive_announcements();
+	for (size_t i = 1; i < v.infos.size(); i++)
+		EXPECT_EQ(i == 4 || i == 5,
+		    memb_is_leaving_strong(
+			v.mb, memb_find(v.mb, v.infos[i].box)))
+		    << i;
+	v.infos[5].dead = true;
+	v.receive_announcements();
+	EXPECT_TRUE(
+	    memb_is_leaving_strong(v.mb, memb_find(v.mb, v.infos[4].box)));
+	EXPECT_FALSE(
+	    memb_is_leaving_strong(v.mb, memb_find(v.mb, v.infos[5].box)));
+}
+
 TEST(Memb, EqualBoxesReplaceDeadHubs)
 {
 	static const std::vector<std::string> halls = {"north"};
