--- a/regress/test_disp.cpp
+++ b/regress/test_disp.cpp
@@ -720,29 +720,36 @@
 TEST(Disp, ATransferredAttemptKeepsTheOrderOfStarts)
 {
 	World w;
-	struct disp_req copy = {};
-	Req first, moved, last;
+	struct disp_req copy = {}, other = {};
+	Req first, moved, again, last;
 
 	first.id = 1;
 	moved.id = 2;
-	last.id = 3;
-	w.set_backends(1, 3);
+	again.id = 3;
+	last.id = 4;
+	w.set_backends(1, 4);
 	w.warm_up(1);
 	w.on_send = [&](Req *r, struct pick_backend *) {
 		if (r == &moved)
 			disp_transfer(w.disp, &r->d, &copy);
+		if (r == &again)
+			disp_transfer(w.disp, &r->d, &other);
 	};
 	w.arrive(&first);
 	w.now += NS_MS;
 	w.arrive(&moved);
 	w.now += NS_MS;
+	w.arrive(&again);
+	w.now += NS_MS;
 	w.arrive(&last);
-	ASSERT_EQ(3u, disp_inflight(w.disp));
+	ASSERT_EQ(4u, disp_inflight(w.disp));
 	struct pick_backend *b = copy.backend;
 	EXPECT_EQ(first.d.sent_at, b->oldest_sent_at);
 	w.end_attempt(&first, DISP_OK);
 	EXPECT_EQ(copy.sent_at, b->oldest_sent_at);
 	disp_attempt_done(w.disp, &copy, DISP_OK);
+	EXPECT_EQ(other.sent_at, b->oldest_sent_at);
+	disp_attempt_done(w.disp, &other, DISP_OK);
 	EXPECT_EQ(last.d.sent_at, b->oldest_sent_at);
 	w.end_attempt(&last, DISP_OK);
 }
