The lines of requests that expire name their time limit

Cause: a caller got a 504 after 5.0 s of a time-out of 6 s, and the log of the box that took the request could not tell which limit had applied: that of the rule, the service's default, the caller's, or what a forwarding gate had left. The same for durations in the store's configuration that cannot be read: they are still dropped, but logged. Result: three new tests pass; they were not run on the code without the change, which has no such fields and lines.

--- a/gate_admit.c
+++ b/gate_admit.c
@@ -54,48 +54,68 @@
 	return route_match(g->routes, &q);
 }
 
-/*
- * Returns the deadline by a limit of limit_ms, or by the caller's own limit
- * where that is shorter.
- */
-static int64_t
-deadline_from_limit(const struct gate_req *r, int64_t limit_ms)
+static const char *const limit_names[LIMIT_SOURCE_MAX] = {
+    "none", "rule", "default", "caller", "gate"};
+
+struct gate_limit_text
+gate_admit_limit(const struct gate_req *r)
 {
-	unsigned long long caller_ms;
+	struct gate_limit_text limit;
 
-	if (str_u64(hsrv_header(r->req, r->gate->dialect->deadline.p),
-		&caller_ms) &&
-	    (int64_t)caller_ms < limit_ms)
-		limit_ms = MAX((int64_t)caller_ms, DEADLINE_MIN_MS);
-	return r->arrived_at + limit_ms * NS_MS;
+	snprintf(limit.text, sizeof(limit.text), "limit_ms=%lld limit_from=%s",
+	    (long long)r->limit_ms, limit_names[r->limit_from]);
+	return limit;
 }
 
-static int64_t
-deadline_of(const struct gate_req *r, const struct route_rule *rule,
+static void
+set_limit(struct gate_req *r, int64_t limit_ms, enum limit_source from)
+{
+	r->limit_ms = MAX(limit_ms, DEADLINE_MIN_MS);
+	r->limit_from = from;
+	r->disp.deadline = r->arrived_at + r->limit_ms * NS_MS;
+	gate_req_set_deadline(r);
+}
+
+/*
+ * The limit is that of the rule or else the service, or the caller's own where
+ * that is shorter.
+ */
+static void
+set_limit_by_rule(struct gate_req *r, const struct route_rule *rule,
     const struct route_service *service)
 {
 	int64_t limit_ms = rule->obj->deadline_ms;
+	enum limit_source from = LIMIT_RULE;
+	unsigned long long caller_ms;
 
-	if (limit_ms == 0)
+	if (limit_ms == 0) {
 		limit_ms = service->obj->deadline_ms;
-	return deadline_from_limit(r, limit_ms);
+		from = LIMIT_DEFAULT;
+	}
+	if (str_u64(hsrv_header(r->req, r->gate->dialect->deadline.p),
+		&caller_ms) &&
+	    caller_ms < (unsigned long long)limit_ms) {
+		limit_ms = (int64_t)caller_ms;
+		from = LIMIT_CALLER;
+	}
+	set_limit(r, limit_ms, from);
 }
 
 /*
- * Returns the deadline of a request that another gate forwarded.  That gate has
- * applied the rule, which may allow more time than the service's default here.
+ * The gate that forwarded the request has applied the rule, which may allow
+ * more time than the service's default here.
  */
-static int64_t
-forwarded_deadline(
-    const struct gate_req *r, const struct route_service *service)
+static void
+set_limit_by_gate(struct gate_req *r, const struct route_service *service)
 {
 	unsigned long long left_ms;
 
-	if (!str_u64(
-		hsrv_header(r->req, r->gate->dialect->deadline.p), &left_ms) ||
-	    left_ms > OBJ_DEADLINE_MAX_MS)
-		left_ms = (unsigned long long)service->obj->deadline_ms;
-	return r->arrived_at + MAX((int64_t)left_ms, DEADLINE_MIN_MS) * NS_MS;
+	if (str_u64(
+		hsrv_header(r->req, r->gate->dialect->deadline.p), &left_ms) &&
+	    left_ms <= OBJ_DEADLINE_MAX_MS)
+		set_limit(r, (int64_t)left_ms, LIMIT_GATE);
+	else
+		set_limit(r, service->obj->deadline_ms, LIMIT_DEFAULT);
 }
 
 /*
@@ -174,8 +194,7 @@
 	}
 	if (forward.target_ms > 0)
 		r->disp.target = r->arrived_at + forward.target_ms * NS_MS;
-	r->disp.deadline = forwarded_deadline(r, service);
-	gate_req_set_deadline(r);
+	set_limit_by_gate(r, service);
 	gate_req_route(r);
 }
 
@@ -406,8 +425,7 @@
 	r->caller_deadline_ms = (int64_t)caller_limit_ms;
 	if (rule->obj->target_ms > 0)
 		r->disp.target = r->arrived_at + rule->obj->target_ms * NS_MS;
-	r->disp.deadline = deadline_of(r, rule, service);
-	gate_req_set_deadline(r);
+	set_limit_by_rule(r, rule, service);
 	if (over_limit(r, rule)) {
 		gate_respond(r, ERR_OVER_LIMIT, RAN_NO, 0);
 		return;
--- a/gate_conf.c
+++ b/gate_conf.c
@@ -195,6 +195,28 @@
 	g_ptr_array_set_size(g->pending_changes, 0);
 }
 
+/* Logs once for each version of the rules if some set no time limit. */
+static void
+log_default_limits(struct gate *g)
+{
+	const struct route_rule *rule;
+	unsigned count;
+
+	if (route_version(g->routes) == g->default_limits_version)
+		return;
+	g->default_limits_version = route_version(g->routes);
+	rule = route_rule_without_limit(g->routes, &count);
+	if (rule == NULL)
+		return;
+	slog(SLOG_CONF, "rules without a time limit",
+	    "rules=%u first=%.*s service=%.*s limit_ms=%lld conf=%llu", count,
+	    STR_ARG(rule->name), STR_ARG(rule->obj->service),
+	    rule->targets[0].service == NULL
+		? -1LL
+		: (long long)rule->targets[0].service->obj->deadline_ms,
+	    (unsigned long long)g->default_limits_version);
+}
+
 static void
 on_rebuild(void *ctx)
 {
@@ -206,6 +228,7 @@
 	apply_listener(g);
 	gate_conf_update_owners(g);
 	log_in_force(g);
+	log_default_limits(g);
 	cnt_set(g->cnt, GC_OBJECTS, conf_count(g->conf));
 	cnt_set(g->cnt, GC_EVACUATED, route_count_evacuations(g->routes));
 	gate_conf_report(g);
--- a/libgate.h
+++ b/libgate.h
@@ -231,6 +231,8 @@
 	GPtrArray *pending_changes; /* struct change *, not yet in the routes */
 	/* Box or platform that the rules in the routes came from. */
 	struct str rules_source;
+	/* The rules that log_default_limits() has looked at. */
+	uint64_t default_limits_version;
 	/*
 	 * When the routes got these rules, monotonic ns; 0: there are none yet.
 	 */
--- a/libreq.h
+++ b/libreq.h
@@ -37,6 +37,16 @@
 	REQ_EVENT_MAX
 };
 
+/* Where the time limit of a request comes from. */
+enum limit_source {
+	LIMIT_NONE, /* it was not admitted */
+	LIMIT_RULE,
+	LIMIT_DEFAULT, /* of the service */
+	LIMIT_CALLER,
+	LIMIT_GATE, /* the gate that forwarded it */
+	LIMIT_SOURCE_MAX
+};
+
 /*
  * Largest number of gates that forward a request; the next one dispatches it
  * itself.
@@ -71,6 +81,8 @@
 	int64_t arrived_at;
 	/* Time limit that its caller gave; 0: none. */
 	int64_t caller_deadline_ms;
+	int64_t limit_ms; /* that applies, from arrived_at; 0: none yet */
+	enum limit_source limit_from;
 	/*
 	 * Time that its caller had waited before, as far as is known; 0: none.
 	 */
@@ -256,6 +268,12 @@
 /* gate_early.c: queues a request until the first configuration. */
 void gate_early_wait(struct gate_req *);
 
+/* gate_admit.c: describes for the log the time limit of a request. */
+struct gate_limit_text {
+	char text[64];
+};
+struct gate_limit_text gate_admit_limit(const struct gate_req *);
+
 /*
  * gate_answer.c: ends a request with an error response.  retry_after is in ns;
  * 0: the default of the error kind.
--- a/regress/test_deadline.cpp
+++ b/regress/test_deadline.cpp
@@ -313,6 +313,111 @@
 	busy.expect(200, "at work");
 }
 
+/* The last line of that message in the log of a box. */
+std::string
+last_line(const Box &box, const std::string &msg)
+{
+	std::string log = box.gate.read_log();
+	size_t at = log.rfind("msg=\"" + msg + "\"");
+
+	return at == std::string::npos
+	    ? ""
+	    : log.substr(at, log.find('\n', at) - at);
+}
+
+/* The line did not say which limit applied, nor who had set it. */
+TEST(Deadline, TheLineOfARequestThatExpiresNamesItsLimit)
+{
+	struct {
+		int rule_ms;
+		const char *caller_ms, *limit;
+	} cases[] = {{800, "", "limit_ms=800 limit_from=rule"},
+	    {800, "700", "limit_ms=700 limit_from=caller"},
+	    {0, "", "limit_ms=300 limit_from=default"},
+	    {0, "200", "limit_ms=200 limit_from=caller"}};
+	FleetOptions o = options_of();
+
+	o.quiet = false;
+	World w(o);
+	ASSERT_TRUE(w.open());
+	size_t owner = w.owner();
+	const Box &box = w.boxes[owner];
+
+	/* The owner answers first, as the other box gives it less time. */
+	w.enforce_rules(800);
+	http("POST", w.boxes[1 - owner].listen, "/dir/x?ms=1500", {}, "body");
+	EXPECT_TRUE(until([&] {
+		return last_line(box, "refused").find("limit_from=gate") !=
+		    std::string::npos;
+	})) << last_line(box, "refused");
+	for (bool cut : {false, true})
+		for (auto &c : cases) {
+			std::vector<std::pair<std::string, std::string>>
+			    headers;
+			std::string line;
+
+			if (cut && c.rule_ms == 0)
+				continue;
+			w.enforce_rules(c.rule_ms);
+			if (c.caller_ms[0] != '\0')
+				headers.push_back(
+				    {"fern-deadline-ms", c.caller_ms});
+			/* A server that fails each time gets less. */
+			w.backends[0]->set("part=0");
+			ASSERT_TRUE(until([&] {
+				return http("POST", box.listen, "/dir/x", {},
+					   "body")
+					   .status == 200;
+			}));
+			w.backends[0]->set(cut ? "part=300" : "part=0");
+			http("POST", box.listen,
+			    cut ? "/dir/x" : "/dir/x?ms=1500", headers, "body");
+			EXPECT_TRUE(until([&] {
+				line = last_line(
+				    box, cut ? "answer was cut" : "refused");
+				return line.find(c.limit) != std::string::npos;
+			})) << c.limit
+			    << ": " << line;
+			for (const char *field :
+			    {" why=deadline ", " rule=dir ", " conf="})
+				EXPECT_NE(std::string::npos, line.find(field))
+				    << field << ": " << line;
+		}
+}
+
+/* A default applied without a word. */
+TEST(Deadline, RulesWithoutALimitAreLoggedOncePerVersion)
+{
+	const std::string msg = "msg=\"rules without a time limit\"";
+	World w;
+
+	ASSERT_TRUE(w.open());
+	for (auto &b : w.boxes)
+		EXPECT_EQ("", last_line(b, "rules without a time limit"));
+	for (int i = 1; i <= 2; i++) {
+		w.enforce_rules(0);
+		w.put("backend/other" + std::to_string(i),
+		    R"({"address":"127.0.0.1:1","hall":"other"})");
+		pump(300);
+		for (auto &b : w.boxes) {
+			std::string log = b.gate.read_log();
+			size_t lines = 0;
+
+			for (size_t at = log.find(msg); at != std::string::npos;
+			     at = log.find(msg, at + 1))
+				lines++;
+			EXPECT_GE(lines, static_cast<size_t>(i)) << b.name;
+			/* The two rules may come into force one by one. */
+			EXPECT_LE(lines, static_cast<size_t>(2 * i)) << b.name;
+			EXPECT_NE(std::string::npos,
+			    last_line(b, "rules without a time limit")
+				.find("rules=2 first=twice service=dir "
+				      "limit_ms=300 conf="))
+			    << b.name;
+		}
+	}
+}
+
 /* A change of configuration does not reach a request that is at work. */
 TEST(Deadline, ARunningRequestIsFinishedAfterEachChange)
 {
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -241,6 +241,22 @@
 	}
 }
 
+TEST(Platform, DurationsThatCannotBeReadAreCounted)
+{
+	const char *first = nullptr;
+	const json_t *value = nullptr;
+	Json good{std::string(config)};
+	Json bad(std::string(R"({"resources":[
+	    {"resourceType":"routes","spec":{"timeout":"6s","targetLatency":6}},
+	    {"resourceType":"routes","spec":{"timeout":"6 min"}},
+	    {"resourceType":"services","spec":{}}]})"));
+
+	EXPECT_EQ(0u, pf_unread_durations(good.v, &first, &value));
+	EXPECT_EQ(2u, pf_unread_durations(bad.v, &first, &value));
+	EXPECT_STREQ("targetLatency", first);
+	EXPECT_EQ(6, json_integer_value(value));
+}
+
 TEST(Platform, SplitsAreDrawnByWeightsThatAreFractions)
 {
 	for (const char *weights : {"0.9 0.1", "1.5 1.5", "62.5 37.5",
--- a/route.c
+++ b/route.c
@@ -391,6 +391,24 @@
 	return t->rules->len;
 }
 
+const struct route_rule *
+route_rule_without_limit(const struct route_table *t, unsigned *count)
+{
+	const struct route_rule *r, *found = NULL;
+	guint i;
+
+	*count = 0;
+	for (i = 0; i < t->rules->len; i++) {
+		r = g_ptr_array_index(t->rules, i);
+		if (r->obj->deadline_ms > 0)
+			continue;
+		if (found == NULL)
+			found = r;
+		++*count;
+	}
+	return found;
+}
+
 unsigned
 route_count_evacuations(const struct route_table *t)
 {
--- a/route.h
+++ b/route.h
@@ -113,6 +113,13 @@
 /* Returns the number of rules. */
 unsigned route_count_rules(const struct route_table *);
 
+/*
+ * Returns a rule that sets no time limit, so that the default of its service
+ * applies, and the number of such rules; NULL if there are none.
+ */
+const struct route_rule *
+route_rule_without_limit(const struct route_table *, unsigned *count);
+
 /* Returns the number of evacuated halls. */
 unsigned route_count_evacuations(const struct route_table *);
 
