The end of an assigned attempt is reported to the gate that assigned it

Cause: where a gate that leaves hands an assignment back to the gate before it, that one reported the end to the wrong gate, so that the slot stayed taken until the deadline. Change: the assignment names the inbox of the gate that has the lease. Result: Forward.NextHeaderRoundTrip covers the field; no test of the two hops.

--- a/gate_forward.c
+++ b/gate_forward.c
@@ -105,9 +105,10 @@
 
 /*
  * "server", the number of attempts, whether they are within a retry budget, the
- * name of the backend server, the number of the lease, and the address.  Or
- * "owner", the same two, the names of its box and hall, its inbox, the hall of
- * the shard, the start of its box in ms since 1970, and its address.
+ * name of the backend server, the inbox of the gate that has the lease, the
+ * number of the lease, and the address.  Or "owner", the same two, the names of
+ * its box, its hall and the hall of the shard, its inbox, the start of its box
+ * in ms since 1970, and its address.
  */
 bool
 gate_next_read(struct str text, struct gate_next *out)
@@ -125,10 +126,9 @@
 	out->to_server = str_eq(kind, str_c(TO_SERVER));
 	if (!out->to_server &&
 	    (!str_eq(kind, str_c(TO_OWNER)) || !next_field(&text, &out->hall) ||
-		!next_field(&text, &out->inbox) ||
 		!next_field(&text, &out->target_hall)))
 		return false;
-	if (!next_number(&text, &number))
+	if (!next_field(&text, &out->inbox) || !next_number(&text, &number))
 		return false;
 	*(out->to_server ? &out->lease : &out->started_ms) = number;
 	out->address = text;
@@ -141,16 +141,16 @@
 	int n;
 
 	if (next->to_server)
-		n = snprintf(out, size, "%s %u %u %.*s %llu %.*s", TO_SERVER,
-		    next->attempts, next->within_retry_budget,
-		    STR_ARG(next->name), (unsigned long long)next->lease,
-		    STR_ARG(next->address));
+		n = snprintf(out, size, "%s %u %u %.*s %.*s %llu %.*s",
+		    TO_SERVER, next->attempts, next->within_retry_budget,
+		    STR_ARG(next->name), STR_ARG(next->inbox),
+		    (unsigned long long)next->lease, STR_ARG(next->address));
 	else
 		n = snprintf(out, size,
 		    "%s %u %u %.*s %.*s %.*s %.*s %llu %.*s", TO_OWNER,
 		    next->attempts, next->within_retry_budget,
 		    STR_ARG(next->name), STR_ARG(next->hall),
-		    STR_ARG(next->inbox), STR_ARG(next->target_hall),
+		    STR_ARG(next->target_hall), STR_ARG(next->inbox),
 		    (unsigned long long)next->started_ms,
 		    STR_ARG(next->address));
 	return MIN((size_t)n, size - 1);
--- a/gate_next.c
+++ b/gate_next.c
@@ -110,8 +110,10 @@
 void
 gate_next_assign_server(struct gate_req *r, const struct pick_backend *b)
 {
-	struct gate_next next = {
-	    .to_server = true, .name = b->name, .address = b->address};
+	struct gate_next next = {.to_server = true,
+	    .name = b->name,
+	    .address = b->address,
+	    .inbox = r->gate->settings.inbox};
 
 	slog_decision(SLOG_PICK, "assigned, for the gate before to send it",
 	    "id=%.*s service=%.*s backend=%.*s left_ms=%lld tries=%d",
@@ -177,8 +179,8 @@
 	if (!gate_next_read(text, &next))
 		return false;
 	str_free(&r->lease_inbox);
-	if (next.to_server)
-		r->lease_inbox = str_dup(r->owner->info.gate_inbox);
+	if (next.to_server && !gate_next_is_due(r))
+		r->lease_inbox = str_dup(next.inbox);
 	gate_attempt_leave_owner(r);
 	gate_req_event(r, REQ_EV_RETRY);
 	r->disp.attempt_count = (int)next.attempts;
--- a/libreq.h
+++ b/libreq.h
@@ -192,8 +192,9 @@
 	/* These strings point into the header. */
 	struct str name; /* of the backend server or the owner's box */
 	struct str address;
-	/* Of an owner: its hall, its inbox, and the shard's hall. */
-	struct str hall, inbox, target_hall;
+	struct str inbox; /* of the gate that has the lease, or of the owner */
+	/* Of an owner: its hall and the shard's hall. */
+	struct str hall, target_hall;
 	uint64_t started_ms; /* of an owner: start of its box */
 };
 
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -720,6 +720,7 @@
 	in.attempts = 2;
 	in.lease = 999999999999999999; /* the longest */
 	in.name = STR_LIT("b7");
+	in.inbox = STR_LIT("10.0.0.9:7200");
 	in.address = STR_LIT("10.0.0.1:8000");
 	n = gate_next_write(&in, text, sizeof(text));
 	ASSERT_TRUE(gate_next_read(str_n(text, n), &out));
@@ -727,6 +728,7 @@
 	EXPECT_TRUE(out.within_retry_budget);
 	EXPECT_EQ(2u, out.attempts);
 	EXPECT_EQ(999999999999999999u, out.lease);
+	EXPECT_TRUE(str_eq(in.inbox, out.inbox));
 	EXPECT_TRUE(str_eq(in.name, out.name));
 	EXPECT_TRUE(str_eq(in.address, out.address));
 	/* No shorter text is one with another server. */
@@ -735,6 +737,7 @@
 
 	in.to_server = in.within_retry_budget = false;
 	in.attempts = 0;
+	in.started_ms = 1796398047000;
 	in.name = STR_LIT("s1");
 	in.hall = STR_LIT("south");
 	in.inbox = STR_LIT("10.0.0.2:7200");
@@ -745,6 +748,7 @@
 	EXPECT_FALSE(out.within_retry_budget);
 	EXPECT_EQ(0u, out.attempts);
 	EXPECT_EQ(0u, out.lease);
+	EXPECT_EQ(1796398047000u, out.started_ms);
 	EXPECT_TRUE(str_eq(in.name, out.name));
 	EXPECT_TRUE(str_eq(in.hall, out.hall));
 	EXPECT_TRUE(str_eq(in.inbox, out.inbox));
@@ -758,14 +762,20 @@
 {
 	struct gate_next out;
 
-	for (const char *bad : {"", "server", "other 1 0 b7 5 10.0.0.1:8000",
-		 "server x 0 b7 5 10.0.0.1:8000",
-		 "server -1 0 b7 5 10.0.0.1:8000",
-		 "server 2147483648 0 b7 5 10.0.0.1:8000",
-		 "server 1 x b7 5 10.0.0.1:8000", "server 1 0  5 10.0.0.1:8000",
-		 "server 1 0 b7 x 10.0.0.1:8000",
-		 "server 1 0 b7 18446744073709551616 10.0.0.1:8000",
-		 "server 1 0 b7 5 ", "owner 1 0 s1 south 10.0.0.2:7200 north "})
+	for (const char *bad :
+	    {"", "server", "other 1 0 b7 10.0.0.9:7200 5 10.0.0.1:8000",
+		"server x 0 b7 10.0.0.9:7200 5 10.0.0.1:8000",
+		"server -1 0 b7 10.0.0.9:7200 5 10.0.0.1:8000",
+		"server 2147483648 0 b7 10.0.0.9:7200 5 10.0.0.1:8000",
+		"server 1 x b7 10.0.0.9:7200 5 10.0.0.1:8000",
+		"server 1 0  10.0.0.9:7200 5 10.0.0.1:8000",
+		"server 1 0 b7 5 10.0.0.1:8000",
+		"server 1 0 b7 10.0.0.9:7200 x 10.0.0.1:8000",
+		"server 1 0 b7 10.0.0.9:7200 18446744073709551616 "
+		"10.0.0.1:8000",
+		"server 1 0 b7 10.0.0.9:7200 5 ",
+		"owner 1 0 s1 south north 10.0.0.2:7200 7 ",
+		"owner 1 0 s1 south north 10.0.0.2:7200 x 10.0.0.2:7100"})
 		EXPECT_FALSE(gate_next_read(str_c(bad), &out)) << bad;
 }
 
