An owner that names another one is not asked again for a while

Cause: a refusal of an owner that leaves had it avoided; its naming of another owner did not. Change: it is avoided where the other one can be used. A box without backend servers asks one that it avoids rather than none.

--- a/gate_next.c
+++ b/gate_next.c
@@ -153,15 +153,22 @@
 	gate_flow_send(r, next->address, !r->disp.repeatable);
 }
 
-/* Forwards the request to the owner that a gate that leaves has named. */
+/*
+ * Forwards the request to the owner that a gate that leaves has named.  Where
+ * the owner can be used, the gate that leaves is not asked for a while.
+ */
 static void
-forward_to_owner(struct gate_req *r, const struct gate_next *next)
+forward_to_owner(
+    struct gate_req *r, const struct gate_next *next, struct gate_peer *leaving)
 {
-	struct gate_peer *p = gate_owner_learn(r->gate, next);
+	struct gate *g = r->gate;
+	struct gate_peer *p = gate_owner_learn(g, next);
 
 	gate_req_set_hall(r, next->target_hall);
+	if (p != NULL || str_eq(next->name, g->settings.box))
+		gate_owner_avoid(g, leaving);
 	if (p == NULL || r->forwards > HOPS_MAX ||
-	    !gate_owner_is_allowed(r->gate, p, next->target_hall, r->regions)) {
+	    !gate_owner_is_allowed(g, p, next->target_hall, r->regions)) {
 		gate_req_route(r);
 		return;
 	}
@@ -174,6 +181,7 @@
 {
 	struct str text =
 	    dial_find_header(headers, n, STR_LIT(GATE_NEXT_HEADER));
+	struct gate_peer *owner = r->owner;
 	struct gate_next next;
 
 	if (!gate_next_read(text, &next))
@@ -190,7 +198,7 @@
 	else if (next.to_server)
 		send_to_server(r, &next);
 	else
-		forward_to_owner(r, &next);
+		forward_to_owner(r, &next, owner);
 	return true;
 }
 
--- a/gate_owner.c
+++ b/gate_owner.c
@@ -224,15 +224,14 @@
 
 /*
  * Finds the gate of a tier that has the highest weight for a shard among those
- * that are not suspected; *best is NULL if it is this gate.  Returns whether
- * there is one.
+ * that are not suspected at `now`; 0: among all.  *best is NULL if it is this
+ * gate.  Returns whether there is one.
  */
 static bool
 heaviest_unsuspected(struct gate *g, struct str service, struct str hall,
-    enum tier tier, struct gate_peer **best)
+    enum tier tier, int64_t now, struct gate_peer **best)
 {
 	GArray *gates = gates_in_tier(g, hall, tier);
-	int64_t now = clk_ns(g->clk);
 	const struct assign_gate *gate;
 	uint64_t weight, best_weight = 0;
 	bool found = false;
@@ -243,7 +242,7 @@
 		gate = &g_array_index(gates, struct assign_gate, i);
 		p = gate->data;
 		weight = assign_weight(service, hall, gate->box);
-		if ((p != NULL && now < p->suspect_until) ||
+		if ((p != NULL && now > 0 && now < p->suspect_until) ||
 		    (found && weight < best_weight))
 			continue;
 		*best = p;
@@ -256,16 +255,21 @@
 
 /*
  * Returns the owner of a shard whose assigned gate cannot be used now: a gate
- * of the best tier that has one which is not suspected.  NULL: this gate.
+ * of the best tier that has one which is not suspected.  NULL: this gate, which
+ * is of no use without backend servers, so that a suspected one is better.
  */
 static struct gate_peer *
 fallback_owner(struct gate *g, struct str service, struct str hall)
 {
+	int64_t now = clk_ns(g->clk);
 	struct gate_peer *best = NULL;
 	enum tier tier;
 
 	for (tier = TIER_READY; tier < TIER_MAX; tier++)
-		if (heaviest_unsuspected(g, service, hall, tier, &best))
+		if (heaviest_unsuspected(g, service, hall, tier, now, &best))
+			return best;
+	for (tier = TIER_LEAVING; g->sync.rules_only && tier < TIER_MAX; tier++)
+		if (heaviest_unsuspected(g, service, hall, tier, 0, &best))
 			break;
 	return best;
 }
