Log when a request that is refused or cut at a stop had come

Cause: the lines of requests that end at a planned stop did not tell those that came before the signal and outlast the grace from those that came late on a connection that stayed open. Change: "refused" and "answer was cut" have since_signal_ms and ahead (the requests of the connection that had to be answered before it) while the gate is leaving; "accepts no more connections" tells connections and requests. Stops.ASecondSignalAnswersWhatItCuts checks the fields.

--- a/gate_answer.c
+++ b/gate_answer.c
@@ -83,7 +83,7 @@
 	    "retry_after_ms=%lld rule=%.*s service=%.*s customer=%.*s "
 	    "over_share=%d "
 	    "conf=%llu "
-	    "conf_age_ms=%lld conf_held_ms=%lld conf_from=%.*s %s",
+	    "conf_age_ms=%lld conf_held_ms=%lld conf_from=%.*s %s%s",
 	    STR_ARG(r->request_id), FPRINT_ARG(r->disp.fingerprint), row->name,
 	    err_ran_name(ran), status,
 	    (long long)((clk_ns(r->gate->clk) - r->arrived_at) / NS_MS),
@@ -92,7 +92,7 @@
 	    r->disp.over_share, (unsigned long long)r->conf_version,
 	    (long long)sync_age_ms(&r->gate->sync),
 	    gate_conf_in_force_ms(r->gate), STR_ARG(r->gate->rules_source),
-	    gate_admit_limit(r).text);
+	    gate_admit_limit(r).text, gate_box_arrival(r).text);
 	if (req == NULL)
 		return;
 	add_header(req, "fern-error", row->name);
--- a/gate_box.c
+++ b/gate_box.c
@@ -9,8 +9,9 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include <signal.h>
+#include <stdio.h>
 
-#include "libgate.h"
+#include "libreq.h"
 #include "slog.h"
 
 /*
@@ -129,6 +130,20 @@
 	return g->state >= BOX_LEAVING;
 }
 
+struct gate_arrival_text
+gate_box_arrival(const struct gate_req *r)
+{
+	struct gate_arrival_text arrival = {""};
+
+	if (gate_box_leaving(r->gate))
+		snprintf(arrival.text, sizeof(arrival.text),
+		    " since_signal_ms=%lld ahead=%u",
+		    (long long)((r->arrived_at - r->gate->leaving_since) /
+			NS_MS),
+		    r->ahead);
+	return arrival;
+}
+
 void
 gate_box_log_exit(const struct gate *g)
 {
@@ -186,6 +201,18 @@
 	    deadline > g->leaving_since + forwarded_limit(g) - NO_NEW_NS;
 }
 
+/* Callers have had the time to go elsewhere. */
+static void
+stop_accepting_callers(struct gate *g)
+{
+	if (hsrv_stop_accepting(g->caller_server))
+		slog(SLOG_GATE, "accepts no more connections",
+		    "connections=%u requests=%u",
+		    hsrv_count_open(g->caller_server).connections,
+		    gate_req_count(g));
+	hsrv_close_idle(g->caller_server, IDLE_LEAVING_MS);
+}
+
 /* Returns whether callers or other gates have open connections. */
 static bool
 has_connections(const struct gate *g)
@@ -209,12 +236,8 @@
 
 	if (!gate_box_leaving(g) || elapsed < g->settings.leave_wait_ms * NS_MS)
 		return;
-	/*
-	 * Other gates may still forward requests; callers have had the time to
-	 * go elsewhere.
-	 */
-	hsrv_stop_accepting(g->caller_server);
-	hsrv_close_idle(g->caller_server, IDLE_LEAVING_MS);
+	/* Other gates may still forward requests. */
+	stop_accepting_callers(g);
 	g->refuses_new = elapsed > limit - NO_NEW_NS;
 	if (elapsed > limit - FINAL_RESPONSE_NS)
 		gate_req_end_all(g);
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -483,9 +483,11 @@
 cut(struct gate_req *r, enum err_kind kind)
 {
 	slog_decision(SLOG_GATE, "answer was cut",
-	    "id=%.*s why=%s %s rule=%.*s conf=%llu %s", STR_ARG(r->request_id),
-	    err_lookup(kind)->name, gate_flow_wait(r).text, STR_ARG(r->rule),
-	    (unsigned long long)r->conf_version, gate_admit_limit(r).text);
+	    "id=%.*s why=%s %s rule=%.*s conf=%llu %s%s",
+	    STR_ARG(r->request_id), err_lookup(kind)->name,
+	    gate_flow_wait(r).text, STR_ARG(r->rule),
+	    (unsigned long long)r->conf_version, gate_admit_limit(r).text,
+	    gate_box_arrival(r).text);
 	r->body_ended = true;
 	r->body_cut = true;
 }
--- a/gate_req.c
+++ b/gate_req.c
@@ -97,6 +97,7 @@
 	r->seq = ++g->last_seq;
 	r->request_id = request_id_of(g, req, r->seq);
 	r->arrived_at = clk_ns(g->clk);
+	r->ahead = hsrv_count_ahead(req);
 	r->state = (enum req_state)chart_start(g->chart_request);
 	r->link.data = r;
 	g_queue_push_tail_link(&g->reqs, &r->link);
--- a/hsrv.c
+++ b/hsrv.c
@@ -264,14 +264,15 @@
 	h2o_timeout_run(s->loop, idle, h2o_now(s->loop));
 }
 
-void
+bool
 hsrv_stop_accepting(struct hsrv *s)
 {
 	if (!s->listening)
-		return;
+		return false;
 	s->listening = false;
 	accept_queued(s);
 	uv_close((uv_handle_t *)&s->listener, NULL);
+	return true;
 }
 
 void
--- a/hsrv.h
+++ b/hsrv.h
@@ -47,8 +47,11 @@
 typedef bool hsrv_concurrent_fn(void *, const h2o_req_t *);
 void hsrv_allow_concurrent(struct hsrv *, hsrv_concurrent_fn *);
 
-/* Stops accepting connections; open connections continue. */
-void hsrv_stop_accepting(struct hsrv *);
+/*
+ * Stops accepting connections; open connections continue.  Returns false if it
+ * had been stopped before.
+ */
+bool hsrv_stop_accepting(struct hsrv *);
 
 /*
  * Sets the maximum size of a request body in bytes and the idle timeout of
@@ -111,6 +114,12 @@
  */
 bool hsrv_cut(h2o_req_t *);
 
+/*
+ * Returns how many requests of its HTTP/1.1 connection have to be answered
+ * before this one; 0 on HTTP/2.
+ */
+unsigned hsrv_count_ahead(const h2o_req_t *);
+
 /* Sends a complete response.  `type` is its content type. */
 void
 hsrv_send_response(h2o_req_t *, int status, const char *type, struct str body);
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -276,6 +276,20 @@
 	return true;
 }
 
+unsigned
+hsrv_count_ahead(const h2o_req_t *req)
+{
+	const struct hsrv_req *r = (const struct hsrv_req *)req;
+	const GList *link;
+	unsigned n = 0;
+
+	if (req->conn->callbacks != &callbacks)
+		return 0;
+	for (link = r->link.prev; link != NULL; link = link->prev)
+		n++;
+	return n;
+}
+
 /*
  * Shuts down the write side after the last response, and waits for the peer to
  * take it and to close.  If the connection were closed before, any bytes from
--- a/libreq.h
+++ b/libreq.h
@@ -79,6 +79,7 @@
 	bool takes_next; /* that gate understands GATE_NEXT_HEADER */
 	bool is_last_owner; /* that gate will ask no other owner */
 	int64_t arrived_at;
+	unsigned ahead; /* hsrv_count_ahead() when it arrived */
 	/* Time limit that its caller gave; 0: none. */
 	int64_t caller_deadline_ms;
 	int64_t limit_ms; /* that applies, from arrived_at; 0: none yet */
@@ -275,6 +276,16 @@
 };
 struct gate_limit_text gate_admit_limit(const struct gate_req *);
 
+/*
+ * gate_box.c: log fields that say when a request came: in ms after the stop
+ * signal, negative if before it, and behind how many requests of its
+ * connection.  Empty if the gate is not leaving.
+ */
+struct gate_arrival_text {
+	char text[56];
+};
+struct gate_arrival_text gate_box_arrival(const struct gate_req *);
+
 /*
  * gate_answer.c: ends a request with an error response.  retry_after is in ns;
  * 0: the default of the error kind.
--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -411,7 +411,10 @@
 /* Callers saw their connections close, and could not tell what had run. */
 TEST(Stops, ASecondSignalAnswersWhatItCuts)
 {
-	World w(World::options_of(1, "leave_wait_ms = 200\n"));
+	FleetOptions o = World::options_of(1, "leave_wait_ms = 200\n");
+
+	o.quiet = false;
+	World w(o);
 	Reply r;
 	bool done = false;
 
@@ -430,6 +433,10 @@
 	EXPECT_TRUE(r.complete);
 	EXPECT_GE(r.status, 500);
 	EXPECT_EQ("unknown", r.header("fern-ran"));
+	/* It had come before the first signal, on a connection of its own. */
+	std::string log = w.boxes[0].gate.read_log();
+	EXPECT_NE(std::string::npos, log.find(" since_signal_ms=-")) << log;
+	EXPECT_NE(std::string::npos, log.find(" ahead=0")) << log;
 }
 
 /* A connection that stays open does not hold the process for its grace. */
