Tests of connections that are never idle at a stop, known red

Cause: a caller that always has a request outstanding keeps its connection, and has requests begun, until the grace ends and cuts them. Change: a test with real processes, and one of the HTTP server alone.

--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -742,6 +742,32 @@
 	EXPECT_EQ(1, c.count("second."));
 }
 
+/*
+ * At a shutdown a connection ended only with a response behind which nothing
+ * had come, so never if its caller always had a request outstanding.
+ */
+TEST(Pipeline, AConnectionThatIsNeverIdleEndsAtAShutdown)
+{
+	const size_t ROUNDS = 20;
+	Server s;
+	Caller c(s);
+	size_t i;
+
+	c.send_text(get("/0"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	hsrv_shutdown(s.srv);
+	for (i = 0; i < ROUNDS && i < s.reqs.size(); i++) {
+		c.send_text(get("/" + std::to_string(i + 1)));
+		s.run_for();
+		s.respond(i, "answer.");
+		s.run_for();
+	}
+	EXPECT_TRUE(c.is_closed(s));
+	EXPECT_LE(s.reqs.size(), 3u);
+	EXPECT_EQ(static_cast<int>(s.reqs.size()), c.count("answer."));
+	EXPECT_EQ(1, c.count("connection: close"));
+}
+
 /* Connections that the kernel had accepted were reset with the listener. */
 TEST(Conn, AConnectionThatWaitsWhenTheListenerClosesIsServed)
 {
--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -485,3 +485,44 @@
 	EXPECT_GT(c.count("fern-ran: no"), 0);
 	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
 }
+
+/*
+ * A connection ended only with a response behind which nothing had come, which
+ * a caller that always has a request outstanding never got.  Its last requests
+ * were begun and cut at the end of the grace.
+ */
+TEST(Stops, AConnectionThatIsNeverIdleIsNotCutAtTheEndOfTheGrace)
+{
+	const int AHEAD = 6, GRACE_MS = 3000;
+	World w(World::options_of(1,
+	    "leave_wait_ms = 300\ngrace_ms = " + std::to_string(GRACE_MS) +
+		"\n"));
+	double began, next = 0;
+	int sent = 0;
+
+	w.options.backends[0].keys = "ms=400 spread=0 slots=40";
+	w.options.backends[0].slots = 40;
+	ASSERT_TRUE(w.open());
+	Caller c(w.boxes[0].listen);
+	auto step = [&] {
+		c.read_some();
+		if (!c.ended && now_ms() >= next &&
+		    sent - c.count("HTTP/1.1 ") < AHEAD) {
+			c.send_text(Caller::request(
+			    "GET", "/twice/x", "r" + std::to_string(sent++)));
+			next = now_ms() + 20;
+		}
+		return c.ended;
+	};
+	began = now_ms();
+	until([&] { return step() || now_ms() > began + 500; });
+	w.boxes[0].gate.signal(SIGTERM);
+	began = now_ms();
+	ASSERT_TRUE(until(step, 6000));
+	EXPECT_EQ(0, c.count("fern-ran: unknown"));
+	EXPECT_EQ(1, c.count("connection: close"));
+	EXPECT_LT(now_ms() - began, GRACE_MS / 2);
+	/* What came behind the last response was not begun. */
+	EXPECT_EQ(c.count("HTTP/1.1 200"), static_cast<int>(w.runs().size()));
+	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
+}
