End the input of connections that are never idle at a stop

Callers that pipeline got 502 or 503, with "fern-ran: unknown", for requests that their backend servers were working on, at the end of the grace period of the box that had taken them, up to its last 200 ms. Cause: at a shutdown a connection ended only with a response behind which nothing had been read and nothing waited in the socket. A caller that always has a request outstanding never gets such a response: its connection lived, and its requests were begun, until the grace ended. Change: once the first response after the signal is ready, or once the gate accepts no connections any more, the connection takes what has arrived as its last requests. They are answered, the last one with "connection: close"; what comes later is discarded, as is a request that has not arrived whole. Callers take requests behind such a response as not processed, whatever their kind, as RFC 9112 (9.3.2, 9.6) says, and none of them was handed on. Stops.ARequestBehindASlowResponseIsNotBegunLate fails without the second condition (five requests begun 0.9 s after the listener had closed). Stops.ARequestThatComesAtTheEndOfTheGraceIsRefused used such a connection to have requests come at the end of the grace, which cannot be any more; now its requests were read before the signal and wait for their turn. It checks as much and that each of 120 requests has an answer, and fails without the refusal (19 requests cut).

--- a/gate_box.c
+++ b/gate_box.c
@@ -205,11 +205,13 @@
 static void
 stop_accepting_callers(struct gate *g)
 {
-	if (hsrv_stop_accepting(g->caller_server))
+	if (hsrv_stop_accepting(g->caller_server)) {
 		slog(SLOG_GATE, "accepts no more connections",
 		    "connections=%u requests=%u",
 		    hsrv_count_open(g->caller_server).connections,
 		    gate_req_count(g));
+		hsrv_end_input(g->caller_server);
+	}
 	hsrv_close_idle(g->caller_server, IDLE_LEAVING_MS);
 }
 
--- a/hsrv.c
+++ b/hsrv.c
@@ -264,6 +264,19 @@
 	h2o_timeout_run(s->loop, idle, h2o_now(s->loop));
 }
 
+void
+hsrv_end_input(struct hsrv *s)
+{
+	const struct hsrv_tcp *t;
+	const GList *link;
+
+	for (link = s->connections.head; link != NULL; link = link->next) {
+		t = link->data;
+		if (t->conn != NULL)
+			hsrv_conn_end_input(t->conn);
+	}
+}
+
 bool
 hsrv_stop_accepting(struct hsrv *s)
 {
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -104,6 +104,7 @@
 	c->linger_timeout.cb = on_linger_timeout;
 	c->stall_timeout.cb = on_stall_timeout;
 	tcp->data = c;
+	((struct hsrv_tcp *)tcp)->conn = c;
 	hsrv_parser_init(c);
 	h2o_timeout_link(s->loop, &s->ctx.http1.req_timeout, &c->idle_timeout);
 	uv_read_start((uv_stream_t *)tcp, on_alloc, on_read);
@@ -331,20 +332,99 @@
 	return r->req.version < 0x101 && r->req.res.content_length == SIZE_MAX;
 }
 
+/* Returns the last request if it has not been handled, else NULL. */
+static struct hsrv_req *
+unhandled_req(struct hsrv_conn *c)
+{
+	struct hsrv_req *r = g_queue_peek_tail(&c->reqs);
+
+	return r != NULL && !r->handled ? r : NULL;
+}
+
+/* Rejects input that cannot be parsed; no further request is accepted. */
+static void
+reject_input(struct hsrv_conn *c)
+{
+	struct hsrv_req *r = unhandled_req(c);
+
+	c->no_more_requests = true;
+	if (r == NULL)
+		r = hsrv_req_new(c);
+	hsrv_req_reject(r);
+}
+
+/*
+ * Parses up to the end of the next request, which is then the last one.
+ * Returns false if there is nothing to parse, or if the last request has yet to
+ * be handled.
+ */
+static bool
+parse_input(struct hsrv_conn *c)
+{
+	const struct hsrv_req *r = unhandled_req(c);
+
+	if (c->closed || c->no_more_requests || c->input->len == 0 ||
+	    c->reqs.length >= IN_FLIGHT_MAX || (r != NULL && r->complete))
+		return false;
+	if (hsrv_parse_request(c))
+		return true;
+	reject_input(c);
+	return false;
+}
+
+/* Reads what has arrived, as far as INPUT_MAX allows. */
+static void
+read_socket(struct hsrv_conn *c)
+{
+	struct hsrv *s = c->srv;
+	ssize_t n;
+	int fd;
+
+	if (uv_fileno((uv_handle_t *)c->tcp, &fd) != 0)
+		return;
+	while (c->input->len < INPUT_MAX &&
+	    (n = recv(fd, s->read_buf, sizeof(s->read_buf), MSG_DONTWAIT)) > 0)
+		g_byte_array_append(
+		    c->input, (const guint8 *)s->read_buf, (guint)n);
+}
+
+/*
+ * Ends the input of a connection on which a request waits for its response:
+ * what has arrived is still parsed and answered, what comes later is discarded,
+ * as is a request that has not arrived whole.  The last response says that the
+ * connection closes, so that callers take the requests behind it as not
+ * processed.
+ */
+static void
+end_input(struct hsrv_conn *c)
+{
+	struct hsrv_req *r;
+
+	if (!c->input_ended)
+		read_socket(c);
+	c->input_ended = true;
+	parse_input(c);
+	r = unhandled_req(c);
+	if (r != NULL && !r->complete)
+		hsrv_req_free(r);
+}
+
 /*
  * Returns whether the connection ends with this response.  If it is to end,
  * but later requests are already being handled, it ends after their responses,
  * unless this response is delimited by the close.  At a shutdown it ends once
- * everything that was read, or waits in the socket, has been answered.
+ * everything that had arrived when the first response was ready is answered, as
+ * callers that pipeline may always have a request outstanding.
  */
 static bool
 ends_connection(struct hsrv_req *r)
 {
 	struct hsrv_conn *c = r->conn;
 
+	if (c->super.ctx->shutdown_requested)
+		end_input(c);
 	if (!r->req.http1_is_persistent || is_close_delimited(r) ||
-	    (c->super.ctx->shutdown_requested && r->link.next == NULL &&
-		c->input->len == 0 && !hsrv_tcp_has_unread(c->tcp)))
+	    (c->input_ended && r->link.next == NULL && c->input->len == 0))
 		c->no_more_requests = true;
 	if (!c->no_more_requests)
 		return false;
@@ -450,15 +530,6 @@
 	    c->srv->may_run_concurrently(c->srv->handler_ctx, &r->req);
 }
 
-/* Returns the last request if it has not been handled, else NULL. */
-static struct hsrv_req *
-unhandled_req(struct hsrv_conn *c)
-{
-	struct hsrv_req *r = g_queue_peek_tail(&c->reqs);
-
-	return r != NULL && !r->handled ? r : NULL;
-}
-
 /*
  * Handles the last request if it is complete.  Returns false if it has to wait
  * for the responses to earlier ones.
@@ -493,18 +564,6 @@
 		close_conn(c);
 }
 
-/* Rejects input that cannot be parsed; no further request is accepted. */
-static void
-reject_input(struct hsrv_conn *c)
-{
-	struct hsrv_req *r = unhandled_req(c);
-
-	c->no_more_requests = true;
-	if (r == NULL)
-		r = hsrv_req_new(c);
-	hsrv_req_reject(r);
-}
-
 /*
  * Starts or stops the idle timeout.  It runs while no request is being handled,
  * and so also limits the time for reading the head of a request, and the time
@@ -540,13 +599,8 @@
 static void
 process_input(struct hsrv_conn *c)
 {
-	while (!c->closed && handle_next(c) && !c->no_more_requests &&
-	    c->input->len > 0 && c->reqs.length < IN_FLIGHT_MAX) {
-		if (hsrv_parse_request(c))
-			continue;
-		reject_input(c);
-		break;
-	}
+	while (!c->closed && handle_next(c) && parse_input(c))
+		;
 	if (c->closed)
 		return;
 	send_continue(c);
@@ -555,6 +609,23 @@
 	resume_reading(c);
 }
 
+/*
+ * The last request whose response has not begun says that the connection
+ * closes.  Without one, requests that come have to be answered.
+ */
+void
+hsrv_conn_end_input(struct hsrv_conn *c)
+{
+	const struct hsrv_req *last = g_queue_peek_tail(&c->reqs);
+
+	if (last != NULL && !last->handled && !last->complete)
+		last = last->link.prev == NULL ? NULL : last->link.prev->data;
+	if (c->closed || last == NULL || last->head_sent)
+		return;
+	end_input(c);
+	process_input(c);
+}
+
 /* Recognizes the HTTP/2 preface and a request to upgrade to HTTP/2. */
 static bool
 is_http2(const char *p, size_t n)
@@ -606,6 +677,7 @@
 		((struct hsrv_tcp *)tcp)->linger_fd =
 		    fcntl(fd, F_DUPFD_CLOEXEC, 0);
 
+	((struct hsrv_tcp *)tcp)->conn = NULL;
 	uv_read_stop((uv_stream_t *)tcp);
 	free_reqs(c);
 	g_byte_array_free(c->input, TRUE);
@@ -662,7 +734,7 @@
 		close_conn(c);
 		return;
 	}
-	if (c->awaiting_peer_close || n == 0)
+	if (c->awaiting_peer_close || c->input_ended || n == 0)
 		return;
 	g_byte_array_append(c->input, (const guint8 *)buf->base, (guint)n);
 	if (c->input->len >= INPUT_MAX) {
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -20,6 +20,7 @@
 struct hsrv_tcp {
 	uv_tcp_t tcp;
 	struct hsrv *srv;
+	struct hsrv_conn *conn; /* NULL: h2o serves it */
 	GList link; /* in hsrv.connections */
 	/* Copy of the descriptor of an HTTP/2 connection; -1: none. */
 	int linger_fd;
@@ -96,6 +97,7 @@
 	bool progress;
 	bool writing;
 	bool no_more_requests; /* no further request is accepted */
+	bool input_ended; /* what comes from now on is discarded */
 	bool awaiting_peer_close; /* the write side was shut */
 	bool closed;
 };
@@ -117,6 +119,8 @@
 
 /* Serves an accepted connection; takes ownership of the handle. */
 void hsrv_conn_open(struct hsrv *, uv_tcp_t *);
+/* See hsrv_end_input(). */
+void hsrv_conn_end_input(struct hsrv_conn *);
 
 /* hsrv_parse.c: parses requests. */
 void hsrv_parser_init(struct hsrv_conn *);
--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -461,28 +461,29 @@
 	EXPECT_LT(now_ms() - began, 3000);
 }
 
-/* Requests that came with the last responses were begun, and cut at once. */
+/*
+ * Requests that had been read, and whose turn came with the last responses,
+ * were begun and cut at once.
+ */
 TEST(Stops, ARequestThatComesAtTheEndOfTheGraceIsRefused)
 {
-	const int AHEAD = 6;
+	const int REQUESTS = 120;
 	World w(World::options_of(1, "leave_wait_ms = 200\ngrace_ms = 600\n"));
-	int sent = 0;
+	std::string text;
 
 	ASSERT_TRUE(w.open());
 	Caller c(w.boxes[0].listen);
-	auto step = [&] {
-		c.read_some();
-		for (; !c.ended && sent - c.count("HTTP/1.1 ") < AHEAD; sent++)
-			c.send_text(Caller::request("GET", "/twice/x?ms=20",
-			    "r" + std::to_string(sent)));
-		return c.ended;
-	};
-	double began = now_ms();
-	until([&] { return step() || now_ms() > began + 200; });
+	for (int i = 0; i < REQUESTS; i++)
+		text += Caller::request(
+		    "POST", "/dir/x?ms=20", "r" + std::to_string(i));
+	ASSERT_TRUE(c.send_text(text));
+	ASSERT_TRUE(until([&] { return w.run_count("r1") == 1; }));
 	w.boxes[0].gate.signal(SIGTERM);
-	ASSERT_TRUE(until(step, 5000));
+	ASSERT_TRUE(c.reads_to_end(5000));
 	EXPECT_EQ(0, c.count("fern-ran: unknown"));
 	EXPECT_GT(c.count("fern-ran: no"), 0);
+	EXPECT_EQ(REQUESTS, c.count("HTTP/1.1 "));
+	EXPECT_EQ(c.count("HTTP/1.1 200"), static_cast<int>(w.runs().size()));
 	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
 }
 
@@ -526,3 +527,37 @@
 	EXPECT_EQ(c.count("HTTP/1.1 200"), static_cast<int>(w.runs().size()));
 	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
 }
+
+/*
+ * Behind a slow response, requests were begun as long as it took, and cut with
+ * it at the end of the grace.
+ */
+TEST(Stops, ARequestBehindASlowResponseIsNotBegunLate)
+{
+	const int LEAVE_WAIT_MS = 300, LATER = 5, WARM_UP = 30;
+	World w(World::options_of(1, "leave_wait_ms = 300\ngrace_ms = 2500\n"));
+
+	w.options.backends[0].keys = "ms=5 spread=0 slots=40";
+	w.options.backends[0].slots = 40;
+	ASSERT_TRUE(w.open());
+	/* A new server gets one request at a time. */
+	for (int i = 0; i < WARM_UP; i++)
+		http("GET", w.boxes[0].listen, "/twice/x",
+		    {{"x-request-id", "warm-up"}});
+	Caller c(w.boxes[0].listen);
+	c.send_text(Caller::request("GET", "/twice/x?ms=2200", "slow"));
+	ASSERT_TRUE(until([&] { return w.run_count("slow") == 1; }));
+	w.boxes[0].gate.signal(SIGTERM);
+	c.send_text(Caller::request("GET", "/twice/x?ms=400", "early"));
+	ASSERT_TRUE(until([&] { return w.run_count("early") == 1; }));
+	pump(LEAVE_WAIT_MS * 3);
+	for (int i = 0; i < LATER; i++)
+		c.send_text(Caller::request(
+		    "GET", "/twice/x?ms=400", "late" + std::to_string(i)));
+	ASSERT_TRUE(c.reads_to_end(5000));
+	EXPECT_EQ(2, c.count("HTTP/1.1 200")) << c.received;
+	for (int i = 0; i < LATER; i++)
+		EXPECT_EQ(0, w.run_count("late" + std::to_string(i)));
+	EXPECT_EQ(1, c.count("connection: close"));
+	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
+}
