End a cut response to an HTTP/1.0 caller with a reset

Callers by HTTP/1.0 took a part of a response for the whole one, status 200 with an empty or short body: where a backend server sent chunks and broke off, where one without a length was reset, where the deadline passed or where the gate stopped or was killed while the response was being sent.

Such a caller gets a response of unknown length without any framing; the end of the connection delimits it. The gate closed the connection of a cut response as that of a whole one, so both ended with a FIN.

The tests play a backend server that ends its connection, with a FIN or a reset, after each byte of 20 responses, to callers by HTTP/1.1, HTTP/1.0 and HTTP/2 through two boxes.

From the head of a response that the close delimits until its last byte is written, the socket is set to end with a reset (SO_LINGER of 0). This holds for each way in which the connection can end, the end of the process included.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -432,6 +432,25 @@
 	return r->link.next == NULL || is_close_delimited(r);
 }
 
+/*
+ * Sets whether the connection ends with a reset when it is closed, also by the
+ * end of the process.
+ */
+static void
+set_reset_on_close(struct hsrv_conn *c, bool on)
+{
+	struct linger linger = {.l_onoff = on};
+	int fd;
+
+	if (uv_fileno((uv_handle_t *)c->tcp, &fd) == 0)
+		(void)setsockopt(
+		    fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
+/*
+ * Until a response that the end of the connection delimits is written, the
+ * connection ends with a reset: without one the response would look whole.
+ */
 static void
 begin_response(struct hsrv_req *r)
 {
@@ -439,6 +458,8 @@
 
 	r->head_sent = true;
 	r->closes_conn = ends_connection(r);
+	if (is_close_delimited(r))
+		set_reset_on_close(r->conn, true);
 	hsrv_req_format_head(r, r->conn->head);
 	buf = uv_buf_init(r->conn->head->str, (unsigned)r->conn->head->len);
 	g_array_append_val(r->conn->out_bufs, buf);
@@ -486,6 +507,8 @@
 	bool ends =
 	    r->closes_conn || (c->no_more_requests && r->link.next == NULL);
 
+	if (!truncated && is_close_delimited(r))
+		set_reset_on_close(c, false);
 	hsrv_req_free(r);
 	if (truncated)
 		close_conn(c);
--- /dev/null
+++ b/regress/test_broken.cpp
@@ -0,0 +1,781 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+/*
+ * Responses of backend servers that break off, or that cannot be parsed: a
+ * caller must never take a part of one for a whole response.
+ */
+#include <atomic>
+#include <csignal>
+#include <cstring>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <poll.h>
+#include <thread>
+
+#include "raw_caller.h"
+
+namespace
+{
+
+enum End { FIN, RESET };
+enum Protocol { HTTP11, HTTP10, HTTP2, PROTOCOLS };
+
+const char *const protocol_names[] = {"HTTP/1.1", "HTTP/1.0", "HTTP/2"};
+
+/* A response, in which "$ID" stands for six characters of the request. */
+struct Response {
+	const char *what;
+	std::string text;
+	int status; /* for the caller; 0: it must not get a whole 2xx */
+	std::string body;
+	bool close_delimited = false;
+	const char *method = "GET";
+};
+
+std::string
+with_id(std::string text, const std::string &id)
+{
+	for (size_t at; (at = text.find("$ID")) != std::string::npos;)
+		text.replace(at, 3, id);
+	return text;
+}
+
+/* What a backend server sends, and how it ends the connection. */
+struct Play {
+	std::string text;
+	End end = FIN;
+	bool keeps = false; /* the connection */
+	bool waits = false; /* with the end, until the connection ends */
+};
+
+/* Plays a response to each request, by the id that its path ends with. */
+class BrokenServer
+{
+      public:
+	/* Gets the id and how often that was requested before. */
+	using Choose = std::function<Play(const std::string &id, int before)>;
+
+	std::atomic<int> served{0}, on_kept{0};
+
+	explicit BrokenServer(const std::string &address)
+	{
+		struct sockaddr_in sin = net::parse(address);
+		int on = 1;
+
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+		if (bind(fd, reinterpret_cast<struct sockaddr *>(&sin),
+			sizeof(sin)) != 0 ||
+		    listen(fd, 256) != 0)
+			abort();
+		thread = std::thread([this] { run(); });
+	}
+
+	~BrokenServer()
+	{
+		stopping = true;
+		shutdown(fd, SHUT_RDWR);
+		thread.join();
+		while (open > 0)
+			usleep(1000);
+		close(fd);
+	}
+
+	void set(Choose fn)
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+		choose = std::move(fn);
+		counts.clear();
+	}
+
+	int count(const std::string &id)
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+		return counts[id];
+	}
+
+      private:
+	void run()
+	{
+		int conn;
+
+		while (
+		    (conn = accept4(fd, nullptr, nullptr, SOCK_CLOEXEC)) >= 0) {
+			open++;
+			std::thread([this, conn] {
+				for (int n = 0; !stopping && serve(conn, n);
+				     n++)
+					;
+				close(conn);
+				open--;
+			}).detach();
+		}
+	}
+
+	static bool has_request(const std::string &in)
+	{
+		size_t end = in.find("\r\n\r\n"),
+		       at = in.find("content-length: ");
+
+		return end != std::string::npos &&
+		    (at == std::string::npos || at > end ||
+			in.size() >= end + 4 + std::stoul(in.substr(at + 16)));
+	}
+
+	Play chosen(const std::string &in, int n)
+	{
+		std::string path = in.substr(0, in.find(" HTTP/"));
+		std::string id = path.substr(path.rfind('/') + 1);
+		std::lock_guard<std::mutex> lock(mutex);
+
+		if (path.find(" /dir") == std::string::npos || id == "warm" ||
+		    !choose)
+			return {"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+			    FIN, true};
+		served++;
+		on_kept += n > 0;
+		return choose(id, counts[id]++);
+	}
+
+	/* Serves a request; returns whether another one may follow. */
+	bool serve(int conn, int n)
+	{
+		struct timeval limit = {0, 100000};
+		struct linger reset = {1, 0};
+		char buf[4096];
+		std::string in;
+		ssize_t got;
+		Play play;
+
+		setsockopt(
+		    conn, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+		while (!has_request(in)) {
+			got = read(conn, buf, sizeof(buf));
+			if (got == 0 || (got < 0 && errno != EAGAIN) ||
+			    stopping)
+				return false;
+			if (got > 0)
+				in.append(buf, static_cast<size_t>(got));
+		}
+		play = chosen(in, n);
+		(void)!send(
+		    conn, play.text.data(), play.text.size(), MSG_NOSIGNAL);
+		while (play.waits && !stopping &&
+		    ((got = read(conn, buf, 1)) > 0 ||
+			(got < 0 && errno == EAGAIN)))
+			;
+		if (play.end == RESET && !play.keeps)
+			setsockopt(
+			    conn, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		return play.keeps;
+	}
+
+	std::atomic<bool> stopping{false};
+	std::atomic<int> open{0};
+	std::mutex mutex;
+	Choose choose;
+	std::map<std::string, int> counts;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	std::thread thread;
+};
+
+/* What a caller can tell of a response. */
+struct Seen {
+	int status = 0;
+	bool whole = false;
+	std::string body, raw;
+};
+
+std::string
+h2_frame(int type, int flags, uint32_t stream, const std::string &payload)
+{
+	size_t n = payload.size();
+	const char head[] = {static_cast<char>(n >> 16),
+	    static_cast<char>(n >> 8), static_cast<char>(n),
+	    static_cast<char>(type), static_cast<char>(flags), 0, 0, 0,
+	    static_cast<char>(stream)};
+
+	return std::string(head, sizeof(head)) + payload;
+}
+
+std::string
+h2_text(const std::string &s)
+{
+	return std::string(1, static_cast<char>(s.size())) + s;
+}
+
+/* The preface, windows of 16 MiB, and a request on stream 1. */
+std::string
+h2_request(const std::string &method, const std::string &path)
+{
+	const std::string window("\x00\x04\x01\x00\x00\x00", 6);
+	std::string headers = "\x02" + h2_text(method) + "\x86\x04" +
+	    h2_text(path) + "\x01" + h2_text("x");
+
+	return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + h2_frame(4, 0, 0, window) +
+	    h2_frame(8, 0, 0, std::string("\x01\x00\x00\x00", 4)) +
+	    h2_frame(1, 5, 1, headers);
+}
+
+/* Statuses but those of the static table are taken for 500. */
+int
+h2_status(const std::string &payload)
+{
+	static const int statuses[] = {200, 204, 206, 304, 400, 404, 500};
+	size_t at = 0;
+	int index;
+
+	while (at < payload.size() && (payload[at] & 0xe0) == 0x20)
+		at++;
+	index = at < payload.size() ? payload[at] & 0xff : 0;
+	return index >= 0x88 && index <= 0x8e ? statuses[index - 0x88] : 500;
+}
+
+/* Returns whether the stream has ended, be it whole or not. */
+bool
+parse_h2(const Caller &c, Seen *seen)
+{
+	const std::string &in = c.received;
+	size_t at = 0, n;
+	int type, flags;
+
+	*seen = Seen();
+	for (; at + 9 <= in.size(); at += 9 + n) {
+		n = (in[at] & 0xffU) << 16 | (in[at + 1] & 0xffU) << 8 |
+		    (in[at + 2] & 0xffU);
+		type = in[at + 3];
+		flags = in[at + 4];
+		if (at + 9 + n > in.size())
+			break;
+		if (in[at + 8] != 1)
+			continue;
+		if (type == 1)
+			seen->status = h2_status(in.substr(at + 9, n));
+		if (type == 0)
+			seen->body += in.substr(at + 9, n);
+		if (type == 3)
+			return true;
+		if (type <= 1 && (flags & 1) != 0) {
+			seen->whole = true;
+			return true;
+		}
+	}
+	return c.ended;
+}
+
+/* Returns whether the last chunk and the trailer are there. */
+bool
+parse_chunks(const std::string &in, std::string *body)
+{
+	size_t at = 0, end, n;
+
+	while ((end = in.find("\r\n", at)) != std::string::npos) {
+		n = std::stoul("0" + in.substr(at, end - at), nullptr, 16);
+		if (n == 0)
+			return in.find("\r\n\r\n", at) != std::string::npos;
+		*body += in.substr(end + 2, n);
+		at = end + 2 + n + 2;
+		if (at > in.size())
+			return false;
+	}
+	return false;
+}
+
+std::string
+header_of(const std::string &head, const std::string &name)
+{
+	size_t at = head.find("\r\n" + name + ":");
+
+	if (at == std::string::npos)
+		return "";
+	at = head.find_first_not_of(' ', at + name.size() + 3);
+	return head.substr(at, head.find("\r\n", at) - at);
+}
+
+bool
+parse_h1(const Caller &c, const std::string &method, Seen *seen)
+{
+	const std::string &in = c.received;
+	size_t end = in.find("\r\n\r\n");
+	std::string head, length;
+
+	*seen = Seen();
+	if (end == std::string::npos)
+		return c.ended;
+	head = in.substr(0, end + 2);
+	seen->status = std::stoi(head.substr(9, 3));
+	length = header_of(head, "content-length");
+	if (method == "HEAD" || seen->status == 204 || seen->status == 304) {
+		seen->whole = true;
+	} else if (header_of(head, "transfer-encoding") == "chunked") {
+		seen->whole = parse_chunks(in.substr(end + 4), &seen->body);
+	} else if (!length.empty()) {
+		seen->body = in.substr(end + 4, std::stoul(length));
+		seen->whole = seen->body.size() == std::stoul(length);
+	} else {
+		seen->body = in.substr(end + 4);
+		seen->whole = c.ended && c.error == 0;
+	}
+	return seen->whole || c.ended;
+}
+
+/* A request, until its response has ended. */
+struct Asking {
+	Protocol protocol;
+	std::string method;
+	Caller caller;
+	Seen seen;
+
+	Asking(const std::string &address, Protocol p, const std::string &m,
+	    const std::string &path)
+	    : protocol(p), method(m), caller(address)
+	{
+		if (protocol == HTTP2)
+			caller.send_text(h2_request(method, path));
+		else
+			caller.send_text(method + " " + path + " " +
+			    protocol_names[protocol] + "\r\nhost: x\r\n" +
+			    (method == "POST" ? "content-length: 0\r\n" : "") +
+			    "\r\n");
+	}
+
+	bool ends()
+	{
+		size_t had;
+		bool done;
+
+		do {
+			had = caller.received.size();
+			caller.read_some(16384);
+		} while (caller.received.size() > had);
+		done = protocol == HTTP2 ? parse_h2(caller, &seen)
+					 : parse_h1(caller, method, &seen);
+		if (done)
+			seen.raw = caller.received;
+		return done;
+	}
+};
+
+/* A rule of each lane; the id of a request follows. */
+enum Rule { ONCE, KEPT, RETRIED, RULES };
+
+struct Ask {
+	Protocol protocol;
+	size_t box;
+	std::string method;
+	Rule rule;
+	std::string id;
+};
+
+/*
+ * Boxes with services that have a backend server each, all of them in this
+ * process.  A lane has one request at a time for its service.  A whole response
+ * comes before each other one, as servers that fail three times in a row get
+ * no requests.
+ */
+struct World {
+	static constexpr size_t LANES = 16;
+
+	std::unique_ptr<Fleet> fleet;
+	std::vector<std::unique_ptr<BrokenServer>> servers;
+	int next_id = 100000;
+
+	explicit World(int deadline_ms, const std::string &settings = "")
+	{
+		static const char *const rules[RULES] = {
+		    "once", "kept", "retried"};
+		static const char *const policies[RULES] = {
+		    R"("repeatable":"no")",
+		    R"("repeatable":"yes","attempts":1)",
+		    R"("repeatable":"yes","attempts":3)"};
+		FleetOptions o;
+
+		o.gate_settings = settings;
+		for (size_t i = 0; i < LANES; i++) {
+			o.backends.push_back(BackendOptions());
+			o.backends[i].name = "b" + std::to_string(i);
+			o.backends[i].app = "dir" + std::to_string(i);
+		}
+		fleet = std::make_unique<Fleet>(o);
+		fleet->start();
+		for (auto &b : fleet->backends) {
+			const std::string &dir = b->options.app;
+
+			fleet->put("service/" + dir,
+			    R"({"select":"app=)" + dir + "\"}");
+			for (int i = 0; i < RULES; i++)
+				fleet->put("rule/" + dir + "-" + rules[i],
+				    R"({"path":"/)" + dir + "/" + rules[i] +
+					R"(","service":")" + dir +
+					R"(","deadline_ms":)" +
+					std::to_string(deadline_ms) + "," +
+					policies[i] + "}");
+		}
+		EXPECT_TRUE(fleet->wait_ready());
+		EXPECT_TRUE(until(
+		    [&] { return fleet->in_force(LANES * (2 + RULES)); }));
+		for (auto &b : fleet->backends) {
+			b->process.kill9();
+			servers.push_back(
+			    std::make_unique<BrokenServer>(b->public_address));
+		}
+	}
+
+	std::string new_id()
+	{
+		return std::to_string(next_id++);
+	}
+
+	void set(const BrokenServer::Choose &fn)
+	{
+		for (auto &s : servers)
+			s->set(fn);
+	}
+
+	int count(const std::string &id)
+	{
+		int n = 0;
+
+		for (auto &s : servers)
+			n += s->count(id);
+		return n;
+	}
+
+	std::unique_ptr<Asking> start(const Ask &a, size_t lane)
+	{
+		static const char *const rules[RULES] = {
+		    "/once/", "/kept/", "/retried/"};
+
+		return std::make_unique<Asking>(fleet->boxes[a.box].listen,
+		    a.protocol, a.method,
+		    "/dir" + std::to_string(lane) + rules[a.rule] + a.id);
+	}
+
+	/* Sends all requests; returns what the callers saw. */
+	std::vector<Seen> ask_all(const std::vector<Ask> &asks)
+	{
+		std::vector<Seen> all(asks.size());
+		std::vector<std::unique_ptr<Asking>> open(LANES);
+		std::vector<size_t> next(LANES);
+		std::vector<bool> is_warm(LANES);
+		double limit = now_ms() + 60000;
+		size_t ended = 0;
+
+		for (size_t i = 0; i < LANES; i++)
+			next[i] = i;
+		while (ended < asks.size() && now_ms() < limit) {
+			std::vector<struct pollfd> fds;
+
+			for (size_t i = 0; i < LANES; i++) {
+				if (open[i] == nullptr &&
+				    next[i] < asks.size()) {
+					Ask a = asks[next[i]];
+
+					if (!is_warm[i])
+						a = {HTTP11, a.box, "GET", KEPT,
+						    "warm"};
+					open[i] = start(a, i);
+				}
+				fds.push_back(
+				    {open[i] != nullptr ? open[i]->caller.fd
+							: -1,
+					POLLIN, 0});
+			}
+			poll(fds.data(), fds.size(), 1000);
+			for (size_t i = 0; i < LANES; i++) {
+				if (fds[i].revents == 0 || !open[i]->ends())
+					continue;
+				if (is_warm[i]) {
+					all[next[i]] = open[i]->seen;
+					next[i] += LANES;
+					ended++;
+				}
+				is_warm[i] = !is_warm[i];
+				open[i].reset();
+			}
+		}
+		EXPECT_EQ(asks.size(), ended) << "some had no end";
+		return all;
+	}
+};
+
+const std::string OK = "HTTP/1.1 200 OK\r\nfern-x: $ID\r\n";
+const std::string LENGTH = OK + "content-length: 11\r\n\r\nbody-$ID";
+const std::string CHUNKS = "\r\n5\r\nbody-\r\n06;x=y\r\n$ID\r\n0\r\nx-t: "
+			   "v\r\n\r\n";
+const std::string CHUNKED = OK + "transfer-encoding: chunked\r\n" + CHUNKS;
+const std::string UNTIL_CLOSE = OK + "connection: close\r\n\r\nbody-$ID";
+
+const Response responses[] = {
+    {"a length", LENGTH, 200, "body-$ID"},
+    {"chunks", CHUNKED, 200, "body-$ID"},
+    {"connection: close", UNTIL_CLOSE, 200, "body-$ID", true},
+    {"neither", OK + "\r\nbody-$ID", 200, "body-$ID", true},
+    {"a length behind a 100", "HTTP/1.1 100 Continue\r\n\r\n" + LENGTH, 200,
+	"body-$ID"},
+    {"chunks behind a 103",
+	"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" + CHUNKED, 200,
+	"body-$ID"},
+    {"connection: close behind two 102",
+	"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" +
+	    UNTIL_CLOSE,
+	200, "body-$ID", true},
+    {"a length, bare line feeds",
+	"HTTP/1.1 200 OK\nfern-x: $ID\ncontent-length: 11\n\nbody-$ID", 200,
+	"body-$ID"},
+    {"neither, bare line feeds",
+	"HTTP/1.1 200 OK\nfern-x: $ID\nx: y\n\nbody-$ID", 200, "body-$ID",
+	true},
+    {"a folded header", OK + "x: a\r\n b\r\n\tc\r\n" + LENGTH.substr(OK.size()),
+	200, "body-$ID"},
+    {"a length, HTTP/1.0",
+	"HTTP/1.0 200 OK\r\ncontent-length: 11\r\n\r\nbody-$ID", 200,
+	"body-$ID"},
+    {"neither, HTTP/1.0", "HTTP/1.0 200 OK\r\nx: y\r\n\r\nbody-$ID", 200,
+	"body-$ID", true},
+    {"204", "HTTP/1.1 204 No Content\r\nfern-x: $ID\r\n\r\n", 204, ""},
+    {"304 with a length",
+	"HTTP/1.1 304 Not Modified\r\ncontent-length: 11\r\n\r\n", 304, ""},
+    {"HEAD with a length", OK + "content-length: 11\r\n\r\n", 200, "", false,
+	"HEAD"},
+    {"HEAD, chunked", OK + "transfer-encoding: chunked\r\n\r\n", 200, "", false,
+	"HEAD"},
+    {"HEAD, neither", OK + "\r\n", 200, "", false, "HEAD"},
+    {"POST with a length", LENGTH, 200, "body-$ID", false, "POST"},
+    {"POST, chunks", CHUNKED, 200, "body-$ID", false, "POST"},
+    {"POST, connection: close", UNTIL_CLOSE, 200, "body-$ID", true, "POST"},
+};
+
+/* Returns the offset of the body. */
+size_t
+body_at(const std::string &text)
+{
+	size_t at = text.rfind("body-");
+
+	return at == std::string::npos ? text.size() : at;
+}
+
+std::string
+printable(std::string s)
+{
+	for (char &c : s)
+		if (c != '\n' && (c < ' ' || c > '~'))
+			c = '.';
+	return s;
+}
+
+/* A response that ends after `cut` bytes. */
+struct Cut {
+	const Response *response;
+	std::string text; /* all of it, for this id */
+	size_t cut;
+	End end;
+	Ask ask;
+
+	/* Whether it is whole by the protocol. */
+	bool is_whole() const
+	{
+		if (response->close_delimited)
+			return end == FIN && cut >= body_at(text);
+		return cut == text.size();
+	}
+
+	std::string body() const
+	{
+		if (response->close_delimited)
+			return text.substr(body_at(text), cut - body_at(text));
+		return with_id(response->body, ask.id);
+	}
+
+	std::string str() const
+	{
+		return std::string(response->what) + ", " + ask.method +
+		    " by " + protocol_names[ask.protocol] + " to box " +
+		    std::to_string(ask.box) + ", after byte " +
+		    std::to_string(cut) + " of " + std::to_string(text.size()) +
+		    (end == FIN ? ", closed" : ", reset");
+	}
+};
+
+/* Half of the requests that may be repeated come on kept connections. */
+std::vector<Cut>
+all_cuts(World *w)
+{
+	std::vector<Cut> cuts;
+	Cut c;
+
+	for (const Response &r : responses)
+		for (End end : {FIN, RESET})
+			for (int p = 0; p < PROTOCOLS; p++)
+				for (size_t cut = 0;; cut++) {
+					bool kept = w->next_id / 2 % 2 == 0 &&
+					    r.method != std::string("POST");
+
+					c.response = &r;
+					c.cut = cut;
+					c.end = end;
+					c.ask = {static_cast<Protocol>(p),
+					    w->next_id % 2U, r.method,
+					    kept ? KEPT : ONCE, w->new_id()};
+					c.text = with_id(r.text, c.ask.id);
+					if (cut > c.text.size())
+						break;
+					cuts.push_back(c);
+				}
+	return cuts;
+}
+
+/* What callers saw of cut responses, for the log. */
+struct Tally {
+	std::map<std::string, int> looks_whole;
+	std::map<int, int> statuses;
+	int whole = 0, broken = 0, errors = 0;
+
+	void add(const Cut &c, const Seen &s)
+	{
+		statuses[s.status]++;
+		whole += s.whole && s.status < 400;
+		broken += !s.whole;
+		errors += s.whole && s.status >= 400;
+		if (!c.is_whole() && s.whole && s.status < 400)
+			looks_whole[protocol_names[c.ask.protocol]]++;
+	}
+
+	void print(World &w)
+	{
+		int served = 0, on_kept = 0;
+
+		for (auto &s : w.servers) {
+			served += s->served;
+			on_kept += s->on_kept;
+		}
+		std::cerr << served << " served, " << on_kept
+			  << " on kept connections; whole " << whole
+			  << ", broken " << broken << ", errors " << errors;
+		for (auto &e : statuses)
+			std::cerr << "; status " << e.first << ": " << e.second;
+		std::cerr << "\n";
+		for (auto &e : looks_whole)
+			std::cerr << e.first << ": " << e.second
+				  << " look whole and aren't\n";
+	}
+};
+
+/* Checks what the caller saw of a response that was cut, or of a whole one. */
+void
+check(const Cut &c, const Seen &s)
+{
+	bool whole = s.whole && s.status < 400;
+
+	if (!c.is_whole() && whole)
+		ADD_FAILURE() << "looks whole: " << c.str() << "\n"
+			      << printable(s.raw);
+	if (whole && c.is_whole() &&
+	    (s.body != c.body() || s.status != c.response->status))
+		ADD_FAILURE() << "other bytes: " << c.str() << "\n"
+			      << printable(s.raw);
+	if (!whole && c.is_whole() && c.end == FIN)
+		ADD_FAILURE() << "not whole: " << c.str() << "\n"
+			      << printable(s.raw);
+	if (!whole && s.whole && s.status != 502 && s.status != 500)
+		ADD_FAILURE() << "status: " << c.str() << "\n"
+			      << printable(s.raw);
+}
+
+} // namespace
+
+/*
+ * The end of a connection also ends a response without a length, so that a
+ * caller by HTTP/1.0 took each part of one for whole.
+ */
+TEST(Broken, NoPartOfAResponseLooksWhole)
+{
+	World w(3000);
+	std::vector<Cut> cuts = all_cuts(&w);
+	std::map<std::string, const Cut *> by_id;
+	std::vector<Ask> asks;
+	Tally tally;
+
+	for (const Cut &c : cuts) {
+		by_id[c.ask.id] = &c;
+		asks.push_back(c.ask);
+	}
+	w.set([&](const std::string &id, int) -> Play {
+		const Cut *c = by_id.at(id);
+
+		return {c->text.substr(0, c->cut), c->end};
+	});
+	std::vector<Seen> seen = w.ask_all(asks);
+	for (size_t i = 0; i < cuts.size(); i++) {
+		tally.add(cuts[i], seen[i]);
+		check(cuts[i], seen[i]);
+		EXPECT_EQ(1, w.count(cuts[i].ask.id)) << cuts[i].str();
+	}
+	std::cerr << cuts.size() << " sent, ";
+	tally.print(w);
+}
+
+/*
+ * A response is being sent when its deadline passes or the process of a box
+ * ends.  Callers by HTTP/1.0 took what they had of it for whole.
+ */
+TEST(Broken, AResponseThatABoxEndsDoesNotLookWhole)
+{
+	enum Way { DEADLINE, TERMINATED, KILLED, WAYS };
+	static const char *const names[WAYS] = {
+	    "deadline", "SIGTERM", "SIGKILL"};
+	const std::string large = std::string(4 << 20, 'x');
+	const std::string texts[] = {UNTIL_CLOSE, UNTIL_CLOSE + large,
+	    CHUNKED.substr(0, CHUNKED.rfind("0\r\n")),
+	    OK + "transfer-encoding: chunked\r\n\r\n40000b\r\nbody-$ID" +
+		large + "\r\n"};
+	World w(1500, "grace_ms = 300\n");
+
+	w.set([&](const std::string &id, int) -> Play {
+		return {
+		    with_id(texts[std::stoul(id) % 4], id), FIN, false, true};
+	});
+	for (int way = 0; way < WAYS; way++) {
+		std::vector<std::unique_ptr<Asking>> open;
+		size_t box = way == KILLED;
+
+		for (int p = 0; p < PROTOCOLS; p++)
+			for (size_t t = 0; t < 4; t++)
+				open.push_back(w.start(
+				    {static_cast<Protocol>(p), box, "GET", ONCE,
+					std::to_string(way * 1000 + p * 100) +
+					    std::to_string(t)},
+				    open.size()));
+		for (auto &o : open)
+			EXPECT_TRUE(until([&] {
+				o->caller.read_some(512);
+				return o->caller.received.find("body-") !=
+				    std::string::npos;
+			}));
+		Process &gate = w.fleet->boxes[box].gate;
+		if (way == DEADLINE) {
+			pump(1800);
+		} else if (way == KILLED) {
+			gate.kill9();
+		} else {
+			gate.signal(SIGTERM);
+			EXPECT_EQ(0, gate.wait_exit());
+		}
+		for (auto &o : open) {
+			EXPECT_TRUE(until([&] { return o->ends(); }));
+			EXPECT_FALSE(o->seen.whole)
+			    << names[way] << ", " << protocol_names[o->protocol]
+			    << ", " << o->caller.received.size() << " bytes, "
+			    << printable(o->caller.received.substr(0, 300));
+		}
+	}
+}
