Refuse a response in a transfer coding that is not undone

With "transfer-encoding: gzip, chunked" callers got the compressed bytes as a plain body; with "chunked;q=1", "chunked, gzip", an empty or another coding they got the chunk sizes as a part of the body, and a response that broke off looked whole, as its body went up to the end of the connection.

The gate does not pass the header on, and http_parser undoes nothing but a last coding named exactly "chunked"; with any other it reads up to the end of file.

The test plays 81 responses that are odd or not valid, each with a FIN and a reset to callers by HTTP/1.1, HTTP/1.0 and HTTP/2 through two boxes.

A response now has at most one coding, "chunked" or "identity", and the parser has to agree that it is chunked; else the attempt fails with 502 as one that is cut.

--- a/regress/test_broken.cpp
+++ b/regress/test_broken.cpp
@@ -555,6 +555,171 @@
     {"POST, connection: close", UNTIL_CLOSE, 200, "body-$ID", true, "POST"},
 };
 
+/* Header lines with which no whole response can be told, and those that do. */
+std::string
+with_length(const std::string &line, const std::string &body = "body-$ID")
+{
+	return OK + line + "\r\n\r\n" + body;
+}
+
+std::string
+with_chunks(const std::string &line, const std::string &chunks = CHUNKS)
+{
+	return OK + line + "\r\n" + chunks;
+}
+
+/* A status of 0: the caller must not get a whole 2xx, else it may. */
+const Response odd_responses[] = {
+    /* Of a body of 11 bytes five come. */
+    {"space before the colon", with_length("content-length : 11", "body-"), 0,
+	""},
+    {"space behind the length", with_length("content-length: 11 ", "body-"), 0,
+	""},
+    {"tab", with_length("content-length:\t11", "body-"), 0, ""},
+    {"folded length", with_length("content-length:\r\n 11", "body-"), 0, ""},
+    {"folded after 1", with_length("content-length: 1\r\n 1", "b"), 0, ""},
+    {"folded end", with_length("content-length: 11\r\n ", "body-"), 0, ""},
+    {"19 digits", with_length("content-length: 0000000000000000011", "body-"),
+	0, ""},
+    {"twice", with_length("content-length: 11\r\ncontent-length: 11", "body-"),
+	0, ""},
+    {"upper case", with_length("CONTENT-LENGTH: 11", "body-"), 0, ""},
+    /* All of the body comes. */
+    {"space before the colon", with_length("content-length : 11"), 200,
+	"body-$ID"},
+    {"space behind the length", with_length("content-length: 11 "), 200,
+	"body-$ID"},
+    {"folded length", with_length("content-length:\r\n 11"), 200, "body-$ID"},
+    {"folded end", with_length("content-length: 11\r\n "), 200, "body-$ID"},
+    {"19 digits", with_length("content-length: 0000000000000000011"), 200,
+	"body-$ID"},
+    {"twice", with_length("content-length: 11\r\ncontent-length: 11"), 200,
+	"body-$ID"},
+    {"two", with_length("content-length: 11\r\ncontent-length: 5"), 0, ""},
+    {"two", with_length("content-length: 5\r\ncontent-length: 11"), 0, ""},
+    {"too short", with_length("content-length: 5"), 200, "body-"},
+    /* Lengths that are not valid. */
+    {"empty", with_length("content-length:"), 0, ""},
+    {"blank", with_length("content-length:  "), 0, ""},
+    {"empty, then a length",
+	with_length("content-length:\r\ncontent-length: 11"), 200, "body-$ID"},
+    {"blank fold", with_length("content-length:\r\n "), 0, ""},
+    {"-5", with_length("content-length: -5"), 0, ""},
+    {"+11", with_length("content-length: +11"), 0, ""},
+    {"11, 11", with_length("content-length: 11, 11"), 0, ""},
+    {"1 1", with_length("content-length: 1 1"), 0, ""},
+    {"0x0b", with_length("content-length: 0x0b"), 0, ""},
+    {"eleven", with_length("content-length: eleven"), 0, ""},
+    {"11.0", with_length("content-length: 11.0"), 0, ""},
+    {"2^64-1", with_length("content-length: 18446744073709551615"), 0, ""},
+    {"2^64+11", with_length("content-length: 18446744073709551627"), 0, ""},
+    {"10^20", with_length("content-length: 99999999999999999999"), 0, ""},
+    /* Transfer codings. */
+    {"length and chunked",
+	with_chunks("content-length: 11\r\ntransfer-encoding: chunked"), 200,
+	"body-$ID"},
+    {"chunked and length",
+	with_chunks("transfer-encoding: chunked\r\ncontent-length: 11"), 200,
+	"body-$ID"},
+    {"gzip, chunked", with_chunks("transfer-encoding: gzip, chunked"), 0, ""},
+    {"gzip and chunked",
+	with_chunks("transfer-encoding: gzip\r\ntransfer-encoding: chunked"), 0,
+	""},
+    {"gzip", with_length("transfer-encoding: gzip"), 0, ""},
+    {"gzip and length",
+	with_length("transfer-encoding: gzip\r\ncontent-length: 11"), 0, ""},
+    {"identity", with_length("transfer-encoding: identity"), 200, "body-$ID"},
+    {"identity and a length, short",
+	with_length(
+	    "transfer-encoding: identity\r\ncontent-length: 11", "body-"),
+	0, ""},
+    {"chunked, gzip", with_chunks("transfer-encoding: chunked, gzip"), 0, ""},
+    {"chunked twice", with_chunks("transfer-encoding: chunked, chunked"), 0,
+	""},
+    {"xchunked", with_chunks("transfer-encoding: xchunked"), 0, ""},
+    {"chunkedx", with_chunks("transfer-encoding: chunkedx"), 0, ""},
+    {"chunked;q=1", with_chunks("transfer-encoding: chunked;q=1"), 0, ""},
+    {"no coding", with_chunks("transfer-encoding:"), 0, ""},
+    {"Chunked", with_chunks("Transfer-Encoding: Chunked"), 200, "body-$ID"},
+    {"space behind chunked", with_chunks("transfer-encoding: chunked "), 200,
+	"body-$ID"},
+    {"folded chunked", with_chunks("transfer-encoding:\r\n chunked"), 200,
+	"body-$ID"},
+    {"chunked, folded within", with_chunks("transfer-encoding: chun\r\n ked"),
+	0, ""},
+    {"space before the colon, chunked",
+	with_chunks("transfer-encoding : chunked"), 200, "body-$ID"},
+    {"space before the colon, chunked, cut",
+	with_chunks("transfer-encoding : chunked", "\r\n5\r\nbody-\r\n"), 0,
+	""},
+    {"HTTP/1.0, chunked, cut",
+	"HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nbody-"
+	"\r\n",
+	0, ""},
+    /* Chunks. */
+    {"size -5", with_chunks("transfer-encoding: chunked", "\r\n-5\r\nbody-"), 0,
+	""},
+    {"size +5",
+	with_chunks(
+	    "transfer-encoding: chunked", "\r\n+5\r\nbody-\r\n0\r\n\r\n"),
+	0, ""},
+    {"size 0x5",
+	with_chunks(
+	    "transfer-encoding: chunked", "\r\n0x5\r\nbody-\r\n0\r\n\r\n"),
+	0, ""},
+    {"no size",
+	with_chunks("transfer-encoding: chunked", "\r\n\r\nbody-\r\n0\r\n\r\n"),
+	0, ""},
+    {"size of 17 digits",
+	with_chunks("transfer-encoding: chunked",
+	    "\r\n10000000000000005\r\nbody-\r\n0\r\n\r\n"),
+	0, ""},
+    {"a length in the trailer",
+	with_chunks("transfer-encoding: chunked",
+	    "\r\n5\r\nbody-\r\n0\r\ncontent-length: 9\r\n\r\n"),
+	200, "body-"},
+    /* Statuses and versions. */
+    {"100 with a body",
+	"HTTP/1.1 100 Continue\r\ncontent-length: 11\r\n\r\nbody-$ID", 0, ""},
+    {"100 alone", "HTTP/1.1 100 Continue\r\n\r\n", 0, ""},
+    {"status 000", "HTTP/1.1 000 No\r\ncontent-length: 11\r\n\r\nbody-$ID", 0,
+	""},
+    {"status 99", "HTTP/1.1 99 No\r\ncontent-length: 11\r\n\r\nbody-$ID", 0,
+	""},
+    {"status 20", "HTTP/1.1 20 No\r\ncontent-length: 11\r\n\r\nbody-$ID", 0,
+	""},
+    {"status 999", "HTTP/1.1 999 No\r\ncontent-length: 11\r\n\r\nbody-$ID", 0,
+	""},
+    {"status 2000", "HTTP/1.1 2000 OK\r\ncontent-length: 11\r\n\r\nbody-$ID", 0,
+	""},
+    {"status -200", "HTTP/1.1 -200 OK\r\ncontent-length: 11\r\n\r\nbody-$ID", 0,
+	""},
+    {"no status", "HTTP/1.1\r\ncontent-length: 11\r\n\r\nbody-$ID", 0, ""},
+    {"HTTP/0.9", "HTTP/0.9 200 OK\r\ncontent-length: 11\r\n\r\nbody-$ID", 200,
+	"body-$ID"},
+    {"HTTP/2.0", "HTTP/2.0 200 OK\r\ncontent-length: 11\r\n\r\nbody-$ID", 200,
+	"body-$ID"},
+    {"http/1.1", "http/1.1 200 OK\r\ncontent-length: 11\r\n\r\nbody-$ID", 0,
+	""},
+    {"ICY", "ICY 200 OK\r\ncontent-length: 11\r\n\r\nbody-$ID", 0, ""},
+    {"a body without a head", "<html>hello</html>\n", 0, ""},
+    {"empty lines first", "\r\n\r\n" + LENGTH, 200, "body-$ID"},
+    {"a header without a colon", with_length("xyz\r\ncontent-length: 11"), 0,
+	""},
+    {"a NUL", with_length(std::string("x: a\0b", 6)), 0, ""},
+    {"a head of 100 KB",
+	with_length(
+	    "x: " + std::string(100000, 'x') + "\r\ncontent-length: 11"),
+	0, ""},
+    /* More than the response. */
+    {"twice", LENGTH + LENGTH, 200, "body-$ID"},
+    {"204 with a body", "HTTP/1.1 204 No\r\ncontent-length: 11\r\n\r\nbody-$ID",
+	204, ""},
+    {"304 with a body",
+	"HTTP/1.1 304 No\r\ntransfer-encoding: chunked\r\n" + CHUNKS, 304, ""},
+    {"HEAD with a body", LENGTH, 200, "", false, "HEAD"},
+};
+
 /* Returns the offset of the body. */
 size_t
 body_at(const std::string &text)
@@ -779,3 +944,43 @@
 		}
 	}
 }
+
+/*
+ * Responses whose end cannot be told, or whose bytes are not those that the
+ * server meant.
+ */
+TEST(Broken, AnOddResponseIsWholeAndRightOrAnError)
+{
+	World w(3000);
+	std::map<std::string, std::pair<const Response *, End>> by_id;
+	std::vector<Ask> asks;
+
+	for (const Response &r : odd_responses)
+		for (End end : {FIN, RESET})
+			for (int p = 0; p < PROTOCOLS; p++)
+				for (size_t box = 0; box < 2; box++) {
+					asks.push_back(
+					    {static_cast<Protocol>(p), box,
+						r.method, ONCE, w.new_id()});
+					by_id[asks.back().id] = {&r, end};
+				}
+	w.set([&](const std::string &id, int) -> Play {
+		auto &c = by_id.at(id);
+
+		return {with_id(c.first->text, id), c.second};
+	});
+	std::vector<Seen> seen = w.ask_all(asks);
+	for (size_t i = 0; i < asks.size(); i++) {
+		const Response &r = *by_id.at(asks[i].id).first;
+		const Seen &s = seen[i];
+		bool whole = s.whole && s.status < 400;
+
+		EXPECT_EQ(1, w.count(asks[i].id)) << r.what;
+		EXPECT_FALSE(whole &&
+		    (s.status != r.status ||
+			s.body != with_id(r.body, asks[i].id)))
+		    << r.what << " of " << printable(r.text.substr(0, 160))
+		    << "\nby " << protocol_names[asks[i].protocol] << "\n"
+		    << printable(s.raw);
+	}
+}
--- a/up_answer.c
+++ b/up_answer.c
@@ -123,16 +123,10 @@
 	    status == 304;
 }
 
-/* Returns 1 if no body follows, which http_parser does not conclude itself. */
-static int
-on_headers_complete(http_parser *parser)
+static size_t
+read_headers(struct up_conn *conn, h2o_header_t *headers, h2o_iovec_t *names)
 {
-	struct up_conn *conn = parser->data;
-	struct up_call *c = conn->call;
-	h2o_header_t headers[UP_HEADERS_MAX];
-	h2o_iovec_t names[UP_HEADERS_MAX];
-	const struct up_header_span *span;
-	int64_t idle_ns = IDLE_DEFAULT_NS;
+	struct up_header_span *span;
 	guint i;
 
 	for (i = 0; i < conn->header_spans->len; i++) {
@@ -143,17 +137,68 @@
 		headers[i] = (h2o_header_t){.name = &names[i],
 		    .value = h2o_iovec_init(
 			conn->header_text->str + span->value, span->nvalue)};
-		if (h2o_memis(
-			names[i].base, names[i].len, H2O_STRLIT("keep-alive")))
+	}
+	return i;
+}
+
+static bool
+has_name(const h2o_header_t *header, struct str name)
+{
+	return h2o_memis(header->name->base, header->name->len, name.p, name.n);
+}
+
+/*
+ * Returns whether the parser undoes the transfer coding of a response.  With
+ * any other than "chunked" it passes the body on as it is, up to the end of the
+ * connection.
+ */
+static bool
+undoes_coding(const http_parser *parser, const h2o_header_t *headers, size_t n)
+{
+	const h2o_iovec_t *value;
+	size_t i, codings = 0, len;
+	bool chunked = false;
+
+	for (i = 0; i < n; i++) {
+		if (!has_name(&headers[i], STR_LIT("transfer-encoding")))
+			continue;
+		value = &headers[i].value;
+		for (len = value->len;
+		     len > 0 && g_ascii_isspace(value->base[len - 1]); len--)
+			;
+		codings++;
+		chunked = len == strlen("chunked") &&
+		    g_ascii_strncasecmp(value->base, "chunked", len) == 0;
+		if (!chunked &&
+		    (len != strlen("identity") ||
+			g_ascii_strncasecmp(value->base, "identity", len) != 0))
+			return false;
+	}
+	return codings <= 1 && chunked == ((parser->flags & F_CHUNKED) != 0);
+}
+
+/* Returns 1 if no body follows, which http_parser does not conclude itself. */
+static int
+on_headers_complete(http_parser *parser)
+{
+	struct up_conn *conn = parser->data;
+	struct up_call *c = conn->call;
+	h2o_header_t headers[UP_HEADERS_MAX];
+	h2o_iovec_t names[UP_HEADERS_MAX];
+	int64_t idle_ns = IDLE_DEFAULT_NS;
+	size_t i, n = read_headers(conn, headers, names);
+
+	if (!undoes_coding(parser, headers, n))
+		return -1;
+	for (i = 0; i < n; i++)
+		if (has_name(&headers[i], STR_LIT("keep-alive")))
 			idle_ns = parse_keep_alive(
 			    str_n(headers[i].value.base, headers[i].value.len));
-	}
 	/* An interim response (1xx) precedes the final one. */
 	if (parser->status_code < 200)
 		return 1;
 	conn->idle_timeout_ns = idle_ns;
-	c->ops->head(
-	    c->ctx, c, parser->status_code, headers, conn->header_spans->len);
+	c->ops->head(c->ctx, c, parser->status_code, headers, n);
 	if (conn->closing)
 		return -1;
 	return has_no_body(c, parser->status_code) ? 1 : 0;
