Drop blanks between a header's name and the colon

A backend server that sends "content-length : 11" got its response passed on with this line next to the gate's own framing: 200 with both for the caller of the owner, 502 for one whose request was forwarded.

http_parser takes the line for a length, while the gate compared the name with the blank, and so neither used the length nor held the header back.

A proxy has to remove these blanks from a response (RFC 7230, 3.2.4).

--- a/regress/test_broken.cpp
+++ b/regress/test_broken.cpp
@@ -976,6 +976,9 @@
 		bool whole = s.whole && s.status < 400;
 
 		EXPECT_EQ(1, w.count(asks[i].id)) << r.what;
+		EXPECT_EQ(std::string::npos, s.raw.find(" : "))
+		    << r.what << "\n"
+		    << printable(s.raw);
 		EXPECT_FALSE(whole &&
 		    (s.status != r.status ||
 			s.body != with_id(r.body, asks[i].id)))
--- a/up_answer.c
+++ b/up_answer.c
@@ -123,6 +123,10 @@
 	    status == 304;
 }
 
+/*
+ * Stores the headers of the head.  Blanks before the colon, which the parser
+ * accepts, do not belong to the name.
+ */
 static size_t
 read_headers(struct up_conn *conn, h2o_header_t *headers, h2o_iovec_t *names)
 {
@@ -134,6 +138,9 @@
 		    conn->header_spans, struct up_header_span, i);
 		names[i] = h2o_iovec_init(
 		    conn->header_text->str + span->name, span->nname);
+		while (
+		    names[i].len > 0 && names[i].base[names[i].len - 1] == ' ')
+			names[i].len--;
 		headers[i] = (h2o_header_t){.name = &names[i],
 		    .value = h2o_iovec_init(
 			conn->header_text->str + span->value, span->nvalue)};
