Refuse a response with status 101

A backend server that switches protocols although nobody asked got what it sent next taken for the response: 200 with its bytes, in 12 of 12 requests of the new row of the test. With an Upgrade header http_parser stops at the 101 and drops the rest of what was read with it, so that a head which comes in a later read was still taken for the response.

The 101 was skipped as an interim response.

--- a/regress/test_broken.cpp
+++ b/regress/test_broken.cpp
@@ -679,6 +679,12 @@
 	    "\r\n5\r\nbody-\r\n0\r\ncontent-length: 9\r\n\r\n"),
 	200, "body-"},
     /* Statuses and versions. */
+    {"101", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + LENGTH, 0, ""},
+    {"101 with an upgrade",
+	"HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n"
+	"connection: upgrade\r\n\r\n" +
+	    LENGTH,
+	0, ""},
     {"100 with a body",
 	"HTTP/1.1 100 Continue\r\ncontent-length: 11\r\n\r\nbody-$ID", 0, ""},
     {"100 alone", "HTTP/1.1 100 Continue\r\n\r\n", 0, ""},
--- a/up_answer.c
+++ b/up_answer.c
@@ -201,6 +201,9 @@
 		if (has_name(&headers[i], STR_LIT("keep-alive")))
 			idle_ns = parse_keep_alive(
 			    str_n(headers[i].value.base, headers[i].value.len));
+	/* No request asks for another protocol. */
+	if (parser->status_code == 101)
+		return -1;
 	/* An interim response (1xx) precedes the final one. */
 	if (parser->status_code < 200)
 		return 1;
