Check the line ends of a response that the parser does not

Broken responses were whole for callers: a head with "\r\n\rX", or with "\n\r" as the line end throughout, ended at its first carriage return behind a line end, so that the rest of it became a body that ends with the connection (200); two bytes of a chunk that is longer than its size were dropped, and the rest was whole.

http_parser as Debian builds it is not strict: it takes any byte for the line feed that ends a head or a trailer, and any two for the line end behind a chunk.

The parser now stops at the last byte of a head, and that byte, the one that ends the trailer, and the two behind each chunk are checked; the head is passed on only then.

The line feed behind a chunk's size is not checked yet.

--- a/libup.h
+++ b/libup.h
@@ -50,6 +50,10 @@
 	bool idle, closing, reading, writing;
 	bool response_complete;
 	bool has_surplus; /* bytes were received after the response */
+	bool head_complete; /* and not yet passed to the call */
+	/* Bytes of the line end behind a chunk that are yet to come. */
+	size_t line_end_due;
+	const char *read_end; /* of the bytes that are being parsed */
 	int64_t idle_timeout_ns; /* according to the last response */
 	int64_t idle_until; /* not reused after this time, in ns */
 	http_parser parser;
@@ -100,5 +104,11 @@
 extern const http_parser_settings up_response_settings;
 /* Prepares the parser for the next response on the connection. */
 void up_response_begin(struct up_conn *);
+/*
+ * Parses received bytes, up to the end of the response, and stores how many
+ * were used.  Returns false if they are not valid.  The callbacks may close the
+ * connection.
+ */
+bool up_response_parse(struct up_conn *, const char *, size_t, size_t *used);
 
 #endif
--- a/regress/test_up.cpp
+++ b/regress/test_up.cpp
@@ -283,6 +283,60 @@
 	}
 }
 
+/*
+ * Any byte behind a carriage return ended a head, and any two ended a chunk, so
+ * that a broken response was whole.  Each part is read on its own.
+ */
+TEST(Up, LinesEndInTheirLineEndsInWhateverPartsTheyCome)
+{
+	static const struct {
+		std::string text;
+		const char *outcome, *body;
+	} cases[] = {
+	    {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+	     "transfer-encoding: chunked\r\n\r\n"
+	     "2\r\nab\r\n1\r\nc\r\n0\r\nx: y\r\n\r\n",
+		"whole", "abc"},
+	    {"HTTP/1.1 200 OK\n\nabc", "whole", "abc"},
+	    {"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc", "whole", "abc"},
+	    {"HTTP/1.1 200 OK\r\nx: y\r\n\rzabc", "cut", ""},
+	    {"HTTP/1.1 200 OK\n\rcontent-length: 3\n\r\n\rabc", "cut", ""},
+	    {"HTTP/1.1 100 Continue\r\n\rzHTTP/1.1 200 OK\r\n\r\nabc", "cut",
+		""},
+	    {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+	     "2\r\nabxy1\r\nc\r\n0\r\n\r\n",
+		"cut", nullptr},
+	    {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+	     "2\r\nab\rx1\r\nc\r\n0\r\n\r\n",
+		"cut", nullptr},
+	    {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+	     "2\r\nab\r\n0\r\n\rx",
+		"cut", nullptr},
+	};
+
+	for (auto &c : cases)
+		for (size_t cut = 1; cut < c.text.size(); cut++) {
+			Peer peer([&](int fd, int) {
+				int on = 1;
+
+				setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on,
+				    sizeof(on));
+				read_head(fd);
+				send_text(fd, c.text.substr(0, cut));
+				usleep(2000);
+				(void)!send(fd, c.text.data() + cut,
+				    c.text.size() - cut, MSG_NOSIGNAL);
+			});
+			Client client;
+			Call call = client.get(peer.address);
+
+			EXPECT_EQ(c.outcome, call.outcome)
+			    << c.text << " after " << cut;
+			EXPECT_TRUE(c.body == nullptr || c.body == call.body)
+			    << c.text << " after " << cut;
+		}
+}
+
 /*
  * The client waited for a body of the length that a 304 states, which is that
  * of the response to an unconditional request.
--- a/up_answer.c
+++ b/up_answer.c
@@ -48,6 +48,8 @@
 {
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
+	conn->head_complete = false;
+	conn->line_end_due = 0;
 	clear_headers(conn);
 }
 
@@ -184,34 +186,88 @@
 	return codings <= 1 && chunked == ((parser->flags & F_CHUNKED) != 0);
 }
 
-/* Returns 1 if no body follows, which http_parser does not conclude itself. */
+/*
+ * Returns 1 if no body follows, which http_parser does not conclude itself.
+ * The parser stops at the last byte of the head, for up_response_parse().
+ */
 static int
 on_headers_complete(http_parser *parser)
 {
 	struct up_conn *conn = parser->data;
+
+	conn->head_complete = true;
+	http_parser_pause(parser, 1);
+	return has_no_body(conn->call, parser->status_code) ? 1 : 0;
+}
+
+/* Passes the head to the call.  Returns false if it is not valid. */
+static bool
+pass_head(struct up_conn *conn)
+{
 	struct up_call *c = conn->call;
+	unsigned status = conn->parser.status_code;
 	h2o_header_t headers[UP_HEADERS_MAX];
 	h2o_iovec_t names[UP_HEADERS_MAX];
 	int64_t idle_ns = IDLE_DEFAULT_NS;
 	size_t i, n = read_headers(conn, headers, names);
 
-	if (!undoes_coding(parser, headers, n))
-		return -1;
+	/* No request asks for another protocol. */
+	if (status == 101 || !undoes_coding(&conn->parser, headers, n))
+		return false;
+	/* An interim response (1xx) precedes the final one. */
+	if (status < 200)
+		return true;
 	for (i = 0; i < n; i++)
 		if (has_name(&headers[i], STR_LIT("keep-alive")))
 			idle_ns = parse_keep_alive(
 			    str_n(headers[i].value.base, headers[i].value.len));
-	/* No request asks for another protocol. */
-	if (parser->status_code == 101)
-		return -1;
-	/* An interim response (1xx) precedes the final one. */
-	if (parser->status_code < 200)
-		return 1;
 	conn->idle_timeout_ns = idle_ns;
-	c->ops->head(c->ctx, c, parser->status_code, headers, n);
-	if (conn->closing)
-		return -1;
-	return has_no_body(c, parser->status_code) ? 1 : 0;
+	c->ops->head(c->ctx, c, (int)status, headers, n);
+	return true;
+}
+
+/* Checks the line end behind a chunk, of which a part may have come before. */
+static bool
+is_line_end(struct up_conn *conn, const char *p)
+{
+	size_t n = MIN((size_t)(conn->read_end - p), conn->line_end_due);
+	bool same = memcmp(p, "\r\n" + 2 - conn->line_end_due, n) == 0;
+
+	conn->line_end_due -= n;
+	return same;
+}
+
+/*
+ * http_parser as it is built by distributions takes any byte for the line feed
+ * behind a carriage return that ends a head, and any two for the line end
+ * behind a chunk, so these are checked here.
+ */
+bool
+up_response_parse(struct up_conn *conn, const char *p, size_t n, size_t *used)
+{
+	http_parser *parser = &conn->parser;
+
+	conn->read_end = p + n;
+	*used = 0;
+	if (!is_line_end(conn, p))
+		return false;
+	for (;;) {
+		*used += http_parser_execute(
+		    parser, &up_response_settings, p + *used, n - *used);
+		if (!conn->head_complete || conn->closing)
+			break;
+		conn->head_complete = false;
+		http_parser_pause(parser, 0);
+		if (p[*used] != '\n' || !pass_head(conn))
+			return false;
+		if (conn->closing)
+			break;
+	}
+	/* The line feed behind the last chunk or the trailer. */
+	if (conn->response_complete && (parser->flags & F_CHUNKED) != 0 &&
+	    (parser->flags & F_SKIPBODY) == 0 && p[*used - 1] != '\n')
+		return false;
+	return conn->response_complete || HTTP_PARSER_ERRNO(parser) == HPE_OK;
 }
 
 static int
@@ -220,6 +276,11 @@
 	struct up_conn *conn = parser->data;
 	struct up_call *c = conn->call;
 
+	if ((parser->flags & F_CHUNKED) != 0 && parser->content_length == 0) {
+		conn->line_end_due = 2;
+		if (!is_line_end(conn, p + n))
+			return -1;
+	}
 	if (c->ops == &up_drain_ops)
 		return 0;
 	h2o_buffer_reserve(&c->body, n);
--- a/up_conn.c
+++ b/up_conn.c
@@ -120,6 +120,7 @@
 on_read(uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
 {
 	struct up_conn *conn = stream->data;
+	bool valid;
 	size_t used;
 
 	if (nread == 0 || conn->closing)
@@ -133,15 +134,14 @@
 		up_conn_close(conn);
 		return;
 	}
-	used = http_parser_execute(
-	    &conn->parser, &up_response_settings, buf->base, (size_t)nread);
+	valid = up_response_parse(conn, buf->base, (size_t)nread, &used);
 	if (conn->closing)
 		return;
-	if (conn->response_complete) {
+	if (!valid) {
+		up_conn_fail(conn, ERR_CUT);
+	} else if (conn->response_complete) {
 		conn->has_surplus = used < (size_t)nread;
 		finish_call(conn);
-	} else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
-		up_conn_fail(conn, ERR_CUT);
 	}
 }
 
