Lose one entry of a list to an odd value, not the list

Operators saw: another writer left one odd entry among those of the backend servers, and from then on no change came into force on any box; a box that was restarted never served (503).

Cause: plat_parse_json() parses a response as one document, and the parser refuses all of it for one value: a number that does not fit, half a surrogate pair, a NUL in a member's name, NaN, or nesting beyond 2,048 levels. on_end() took that for a platform that is down.

json_mend() now writes a copy of a text that the parser refuses, or that is nested deeper than 64 levels, in which such a value is a string. A known field then has a wrong type, so that its entry is rejected alone, never a default; an unknown one is ignored. It works without recursion.

The stand-ins of both platforms can pass on raw text in place of a string.

--- a/plat.c
+++ b/plat.c
@@ -8,7 +8,10 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
+#include <string.h>
+
 #include "dial.h"
+#include "json_mend.h"
 #include "plat.h"
 #include "platform/platform.h"
 
@@ -45,16 +48,34 @@
 	return NULL;
 }
 
+static json_t *
+load(const char *p, size_t n)
+{
+	return json_loadb(p, n, JSON_ALLOW_NUL, NULL);
+}
+
 json_t *
-plat_parse_json(struct str text)
+plat_parse_mended(struct str text, struct json_mends *mends)
 {
-	json_t *body = json_loadb(text.p, text.n, JSON_ALLOW_NUL, NULL);
+	json_t *body = json_mend_is_deep(text) ? NULL : load(text.p, text.n);
+	GString *mended;
 	char *valid;
 
+	memset(mends, 0, sizeof(*mends));
 	if (body != NULL)
 		return body;
 	valid = g_utf8_make_valid(text.p, (gssize)text.n);
-	body = json_loadb(valid, strlen(valid), JSON_ALLOW_NUL, NULL);
+	mended = json_mend(str_c(valid), mends);
+	body = load(mended->str, mended->len);
+	g_string_free(mended, TRUE);
 	g_free(valid);
 	return body;
 }
+
+json_t *
+plat_parse_json(struct str text)
+{
+	struct json_mends mends;
+
+	return plat_parse_mended(text, &mends);
+}
--- a/plat.h
+++ b/plat.h
@@ -148,11 +148,16 @@
 
 /*
  * Parses JSON.  Returns NULL if it is malformed.  Bytes that are not valid
- * UTF-8 are replaced by the replacement character: they belong to one object,
- * and without this the whole list would be lost.  Strings may contain NUL.
+ * UTF-8 are replaced by the replacement character, and values that the parser
+ * refuses as json_mend() does: they belong to one object, and without this the
+ * whole list would be lost.  Strings may contain NUL.
  */
 json_t *plat_parse_json(struct str);
 
+/* The same; tells what json_mend() replaced. */
+struct json_mends;
+json_t *plat_parse_mended(struct str, struct json_mends *);
+
 /* Limits that the platform sets; zero if it sets none. */
 struct plat_bounds {
 	/* Retries allowed in each window: a share of the requests ... */
--- a/plat_http.c
+++ b/plat_http.c
@@ -11,7 +11,10 @@
 #include <string.h>
 
 #include "dial.h"
+#include "json_mend.h"
+#include "once.h"
 #include "plat.h"
+#include "slog.h"
 #include "tmr.h"
 #include "up.h"
 #include "version.h"
@@ -31,6 +34,7 @@
 	const struct clk *clk;
 	struct str address;
 	const struct plat_codec *codec;
+	struct once logged; /* faults in responses */
 };
 
 struct plat_call {
@@ -341,6 +345,59 @@
 		json_object_set(c->pages, "revision", page_rev);
 }
 
+/* Returns the name of an entry of a response, or "" if it has none. */
+static const char *
+entry_name(const json_t *entry)
+{
+	const json_t *event = json_object_get(entry, "object");
+	const json_t *object = event != NULL ? event : entry;
+	const json_t *meta = json_object_get(object, "metadata");
+	const char *name = json_string_value(
+	    json_object_get(meta != NULL ? meta : object, "name"));
+
+	return name == NULL ? "" : name;
+}
+
+/* Finds the entry of a path such as "items/3/spec/slots". */
+static const json_t *
+find_entry(const json_t *body, const char *path)
+{
+	char **steps = g_strsplit(path, "/", 3);
+	const json_t *list = json_object_get(body, steps[0]);
+	unsigned long long index;
+
+	if (json_is_array(list) && str_u64(str_c(steps[1]), &index))
+		body = json_array_get(list, (size_t)index);
+	g_strfreev(steps);
+	return body;
+}
+
+/* Logs what was replaced in a response, and in which of its entries. */
+static void
+log_mends(
+    struct plat_call *c, const json_t *body, const struct json_mends *mends)
+{
+	struct plat_http *h = c->http;
+	const struct json_mend *mend;
+	const char *name;
+	char *fault;
+	size_t i;
+
+	for (i = 0; i < MIN(mends->count, JSON_MENDS_KEPT); i++) {
+		mend = &mends->first[i];
+		name = entry_name(find_entry(body, mend->path));
+		fault = g_strdup_printf("%.*s %s %s", STR_ARG(c->rq.kind),
+		    name[0] != '\0' ? name : mend->path, mend->why);
+		if (once_is_new(&h->logged, clk_ns(h->clk), str_c(fault)))
+			slog_warn(SLOG_WATCH,
+			    "a value of the platform is replaced",
+			    "kind=%.*s at=%s replaced=%zu why=\"%s\" name=%s",
+			    STR_ARG(c->rq.kind), slog_quote(mend->path),
+			    mends->count, mend->why, slog_quote(name));
+		g_free(fault);
+	}
+}
+
 static void
 on_end(void *ctx, struct up_call *up)
 {
@@ -348,11 +405,15 @@
 	const struct plat_codec *codec = c->http->codec;
 	enum plat_result result = codec->result_from_status(&c->rq, c->status);
 	json_t *body, *page = NULL;
+	struct json_mends mends;
 	char *after = NULL;
 
 	append_body(c, up);
 	c->up = NULL;
-	body = plat_parse_json(str_n(c->response->str, c->response->len));
+	body = plat_parse_mended(
+	    str_n(c->response->str, c->response->len), &mends);
+	if (body != NULL)
+		log_mends(c, body, &mends);
 	if (body != NULL)
 		page = codec->decode(&c->rq, result, body, &after);
 	json_decref(body);
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -27,13 +27,22 @@
 	return std::string(s.p == nullptr ? "" : s.p, s.n);
 }
 
+/* The texts that stand for strings in responses; each stand-in has a thread. */
+thread_local std::map<std::string, std::string> raw_texts;
+
 void
 send(h2o_req_t *req, int status, json_t *body)
 {
-	char *text = json_dumps(body, JSON_COMPACT | JSON_ENCODE_ANY);
+	char *dumped = json_dumps(body, JSON_COMPACT | JSON_ENCODE_ANY);
+	std::string text = dumped;
 
-	hsrv_send_response(req, status, answer_type, str_c(text));
-	free(text);
+	for (auto &raw : raw_texts)
+		for (size_t at = text.find(raw.first); at != std::string::npos;
+		     at = text.find(raw.first, at + raw.second.size()))
+			text.replace(at, raw.first.size(), raw.second);
+	hsrv_send_response(
+	    req, status, answer_type, str_n(text.data(), text.size()));
+	free(dumped);
 	json_decref(body);
 }
 
@@ -181,6 +190,12 @@
 	});
 }
 
+void
+Objects::pass_raw(const std::string &value, const std::string &text)
+{
+	in_loop([&] { raw_texts["\"" + value + "\""] = text; });
+}
+
 void
 Objects::answer_all(int with)
 {
--- a/regress/objects.h
+++ b/regress/objects.h
@@ -105,6 +105,11 @@
 	void put(const std::string &kind, const std::string &name,
 	    const std::string &spec);
 	void remove(const std::string &kind, const std::string &name);
+	/*
+	 * From now on responses have this text, which need not be JSON, where
+	 * a member has the string `value` as its value.
+	 */
+	void pass_raw(const std::string &value, const std::string &text);
 	/* Answers every call with this HTTP status; 0: normal operation. */
 	void answer_all(int status);
 	/* Drops the change history: watches from earlier revisions get 410. */
--- a/regress/standin_platform.c
+++ b/regress/standin_platform.c
@@ -17,7 +17,9 @@
  *	POST /standin/set?restore=1	restore the copy, with the next epoch
  *	POST /standin/set?restore_at_write=1	the same at the next write,
  *which is refused POST /standin/boxes	set the JSON document for GET /v1/boxes
- *	GET /standin/counts	counts of calls by kind since the start
+ *	POST /standin/raw?value=STRING	responses have the text of the body,
+ *which need not be JSON, in place of the string GET /standin/counts
+ *counts of calls by kind since the start
  */
 #include <jansson.h>
 #include <signal.h>
@@ -54,6 +56,7 @@
 	uint64_t skipped; /* watches omit changes up to this revision */
 	GPtrArray *watches; /* struct waiter * */
 	json_t *boxes;
+	char *raw_value, *raw_text; /* NULL: none */
 	uint64_t reads, writes, waits;
 } st;
 
@@ -103,10 +106,26 @@
 	    H2O_STRLIT("fern-epoch"), 0, NULL, value.base, value.len);
 }
 
+/* Replaces a string of a response by the raw text that stands for it. */
+static char *
+pass_raw(char *text)
+{
+	GString *out;
+
+	if (st.raw_value == NULL)
+		return text;
+	out = g_string_new(text);
+	g_string_replace(out, st.raw_value, st.raw_text, 0);
+	free(text);
+	text = strdup(out->str);
+	g_string_free(out, TRUE);
+	return text;
+}
+
 static void
 send_json(h2o_req_t *req, int status, json_t *body)
 {
-	char *text = json_dumps(body, JSON_COMPACT);
+	char *text = pass_raw(json_dumps(body, JSON_COMPACT));
 
 	add_epoch(req);
 	hsrv_send_response(req, status, "application/json", str_c(text));
@@ -414,6 +433,13 @@
 		st.boxes =
 		    json_loadb(req->entity.base, req->entity.len, 0, NULL);
 	}
+	if (str_eq(path, STR_LIT("/standin/raw"))) {
+		g_free(st.raw_value);
+		g_free(st.raw_text);
+		st.raw_value = g_strdup_printf(
+		    "\"%.*s\"", STR_ARG(hsrv_query(req, "value")));
+		st.raw_text = g_strndup(req->entity.base, req->entity.len);
+	}
 	for (i = 0; i < G_N_ELEMENTS(mode_names); i++)
 		if (str_eq(mode, str_c(mode_names[i])))
 			st.mode = (enum mode)i;
--- /dev/null
+++ b/regress/test_entries.cpp
@@ -0,0 +1,202 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+/*
+ * What another writer left on the platform, with real processes: one odd value
+ * costs at most the entry that has it.
+ */
+#include <csignal>
+#include <gtest/gtest.h>
+
+#include "box.h"
+
+using box::World;
+
+namespace
+{
+
+std::string
+nested(size_t depth)
+{
+	return std::string(depth, '[') + "1" + std::string(depth, ']');
+}
+
+/* Values that a JSON parser may refuse, by what is odd about them. */
+const struct {
+	const char *name;
+	std::string text;
+} odd[] = {
+    {"a usual number", "7"},
+    {"a real number out of range", "1e999"},
+    {"an integer out of range", "99999999999999999999"},
+    {"a negative integer out of range", "-99999999999999999999"},
+    {"nested 2,000 deep", nested(2000)},
+    {"nested 100,000 deep", nested(100000)},
+    {"half a surrogate pair", R"("\ud800")"},
+    {"a NUL in the name of a member", R"({"a\u0000b":1})"},
+    {"a word that JSON lacks", "NaN"},
+};
+
+/* Those that are tried where each takes seconds. */
+const size_t few[] = {1, 5, 6};
+
+/* An entry of a server of another service, with further members. */
+std::string
+entry(const std::string &more, const std::string &service = "other")
+{
+	return R"({"service":")" + service +
+	    R"(","addr":"127.0.0.1:1","zone":"north","slots":3,)"
+	    R"("state":"ready")" +
+	    more + "}";
+}
+
+bool
+is_ready(World &w)
+{
+	return until([&] { return w.ready(); }) &&
+	    until([&] { return w.ask("/look/1").status == 200; });
+}
+
+bool
+serves(World &w, const std::string &path, int timeout_ms)
+{
+	return until([&] { return w.ask(path).status == 200; }, timeout_ms);
+}
+
+size_t
+count(const std::string &text, const std::string &part)
+{
+	size_t n = 0, at = 0;
+
+	for (; (at = text.find(part, at)) != std::string::npos; at++)
+		n++;
+	return n;
+}
+
+/* Adds a route for a path. */
+void
+add_route(World &w, const std::string &name)
+{
+	w.number++;
+	w.configure("till",
+	    R"({"resourceType":"routes","metadata":{"name":")" + name +
+		R"("},"spec":{"host":"shop.example","pathPrefix":"/)" + name +
+		R"(/","routeType":"safe","timeout":"900ms",
+		"targetLatency":"300ms","priority":1,"maxAttempts":2,
+		"service":"till"}},)");
+}
+
+} // namespace
+
+/*
+ * The whole list was refused for one value of one entry: a box followed
+ * nothing any more, and one that started never served.
+ */
+TEST(Entries, AnOddValueDoesNotEndTheListOfTheStore)
+{
+	for (auto &o : odd) {
+		SCOPED_TRACE(o.name);
+		World w;
+
+		ASSERT_TRUE(is_ready(w));
+		w.platform.pass_raw("@odd", o.text);
+		w.platform.put("servers", "i-odd", entry(R"(,"x":"@odd")"));
+		w.enter(0, "draining");
+		EXPECT_TRUE(until(
+		    [&] { return w.in_force("backend/i-0") == 2; }, 5000));
+		add_route(w, "new");
+		EXPECT_TRUE(serves(w, "/new/1", 5000));
+		w.box.kill9();
+		w.box.start();
+		EXPECT_TRUE(serves(w, "/look/1", 8000));
+	}
+}
+
+/*
+ * The value is that of a known field: the entry is rejected alone, is named in
+ * the log, and not with each list, and is in force again once it is right.
+ */
+TEST(Entries, AnOddEntryIsFollowedOnceItIsRight)
+{
+	const char *listed = "msg=\"listed\" kinds=backend";
+
+	for (size_t i : few) {
+		SCOPED_TRACE(odd[i].name);
+		World w(true, "", "", "list_ms = 1000\n");
+
+		ASSERT_TRUE(is_ready(w));
+		w.platform.pass_raw("@odd", odd[i].text);
+		w.platform.put("servers", "i-1",
+		    R"({"service":"till","addr":")" + w.ip +
+			R"(:9101","zone":"north","slots":"@odd",)"
+			R"("state":"ready"})");
+		EXPECT_TRUE(until(
+		    [&] { return w.logged("object is rejected"); }, 5000));
+		size_t ran = w.ran(1, 1);
+		for (int n = 0; n < 20; n++)
+			EXPECT_EQ(200, w.ask("/look/1").status);
+		EXPECT_EQ(ran, w.ran(1, 1));
+		size_t lists = count(w.box.read_log(), listed);
+		EXPECT_TRUE(until(
+		    [&] { return count(w.box.read_log(), listed) > lists + 1; },
+		    10000));
+		std::string log = w.box.read_log();
+		EXPECT_EQ(1u, count(log, "msg=\"object is rejected"));
+		EXPECT_EQ(
+		    1u, count(log, "a value of the platform is replaced"));
+		EXPECT_EQ(1u, count(log, "name=\"i-1\""));
+		w.enter(1, "ready");
+		EXPECT_TRUE(until(
+		    [&] {
+			    w.ask("/look/1");
+			    return w.ran(1, 1) > ran;
+		    },
+		    5000));
+	}
+}
+
+/* There one feed has all kinds, so that no rule came into force either. */
+TEST(Entries, AnOddValueDoesNotEndAListOfAllKinds)
+{
+	for (size_t i : few) {
+		SCOPED_TRACE(odd[i].name);
+		FleetOptions options;
+
+		options.boxes = 1;
+		options.backends.resize(1);
+		options.agent_settings = "hello_ms = 200\nlist_ms = 1000\n";
+		Fleet f(options);
+		auto serves = [&](const std::string &path) {
+			return until(
+			    [&] {
+				    return http("GET", f.boxes[0].listen, path)
+					       .status == 200;
+			    },
+			    5000);
+		};
+
+		f.start();
+		f.put("service/dir", R"({"select":"app=dir"})");
+		f.put("rule/dir", R"({"path":"/dir","service":"dir"})");
+		ASSERT_TRUE(serves("/dir"));
+		http("POST", f.platform_address, "/standin/raw?value=@odd", {},
+		    odd[i].text);
+		f.put("backend/odd",
+		    R"({"address":"127.0.0.1:1","hall":"north",)"
+		    R"("slots":3,"x":"@odd"})");
+		f.put("rule/new", R"({"path":"/new","service":"dir"})");
+		EXPECT_TRUE(serves("/new"));
+		f.boxes[0].gate.kill9();
+		f.boxes[0].agent_process.kill9();
+		f.start_box(0);
+		EXPECT_TRUE(serves("/dir"));
+		EXPECT_TRUE(serves("/new"));
+	}
+}
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -21,7 +21,9 @@
 extern "C" {
 #include "conf.h"
 #include "dial.h"
+#include "json_mend.h"
 #include "libreq.h"
+#include "once.h"
 #include "pace.h"
 #include "plat.h"
 #include "platform/platform.h"
@@ -392,6 +394,129 @@
 	EXPECT_EQ(nullptr, plat_parse_json(STR_LIT("no JSON")));
 }
 
+/* Returns a text nested so deep. */
+static std::string
+nested(size_t depth)
+{
+	return std::string(depth, '[') + "1" + std::string(depth, ']');
+}
+
+/*
+ * The parser refuses these values, and with one of them the whole list was
+ * lost.  What is nested deeply overflows the stack where it is copied.
+ */
+TEST(Platform, AnOddValueCostsItsEntryOnly)
+{
+	const struct {
+		std::string odd, mended;
+	} values[] = {
+	    {"99999999999999999999", R"("99999999999999999999")"},
+	    {"-99999999999999999999", R"("-99999999999999999999")"},
+	    {"9223372036854775808", R"("9223372036854775808")"},
+	    {"9223372036854775807", "9223372036854775807"},
+	    {"-9223372036854775808", "-9223372036854775808"},
+	    {"1e999", R"("1e999")"},
+	    {"-1.5E+400", R"("-1.5E+400")"},
+	    {"007", R"("007")"},
+	    {"NaN", R"("NaN")"},
+	    {"-Infinity", R"("-Infinity")"},
+	    {std::string(5000, '9'), "\"" + std::string(64, '9') + "\""},
+	    {R"("\ud800")", "\"\xef\xbf\xbd\""},
+	    {R"("\udc00\ud800x")", "\"\xef\xbf\xbd\xef\xbf\xbdx\""},
+	    {R"("\ud83d\ude00")", "\"\xf0\x9f\x98\x80\""},
+	    {R"("\q\"\u00zz")",
+		"\"\xef\xbf\xbd\\\"\xef\xbf\xbd"
+		"00zz\""},
+	    {"\"a\nb\"",
+		"\"a\xef\xbf\xbd"
+		"b\""},
+	    {R"({"a\u0000b":1})",
+		"{\"a\xef\xbf\xbd"
+		"b\":1}"},
+	    {nested(60), nested(60)},
+	    {nested(61), nested(61)},
+	    {nested(62),
+		std::string(61, '[') + "\"too deep\"" + std::string(61, ']')},
+	    {nested(1000000),
+		std::string(61, '[') + "\"too deep\"" + std::string(61, ']')},
+	    {R"({"a":)" + nested(2000) + R"(,"b":["]",{"c":1e999}]})",
+		R"({"a":)" + std::string(60, '[') + "\"too deep\"" +
+		    std::string(60, ']') + R"(,"b":["]",{"c":"1e999"}]})"},
+	};
+
+	for (auto &v : values) {
+		const std::string text =
+		    R"({"items":[{"metadata":{"name":"odd"},"x":)" + v.odd +
+		    R"(},{"metadata":{"name":"good"},"x":1}]})";
+		Json in(plat_parse_json(str_n(text.data(), text.size())));
+
+		ASSERT_NE(nullptr, in.v) << v.odd.substr(0, 100);
+		json_t *items = json_object_get(in.v, "items");
+		char *x =
+		    json_dumps(json_object_get(json_array_get(items, 0), "x"),
+			JSON_COMPACT | JSON_ENCODE_ANY);
+
+		EXPECT_EQ(v.mended, x);
+		free(x);
+		EXPECT_EQ(1,
+		    json_integer_value(
+			json_object_get(json_array_get(items, 1), "x")));
+	}
+}
+
+/* A log line names the entry by it. */
+TEST(Platform, AReplacedValueIsToldWithItsPlace)
+{
+	const std::string text =
+	    R"({"items":[{"a":[]},{"a":[0,{"b":1e999}],"c":NaN}],"d":[)" +
+	    nested(100) + "]}";
+	struct json_mends mends;
+	Json in(plat_parse_mended(str_n(text.data(), text.size()), &mends));
+
+	ASSERT_NE(nullptr, in.v);
+	ASSERT_EQ(3u, mends.count);
+	EXPECT_STREQ("items/1/a/1/b", mends.first[0].path);
+	EXPECT_STREQ("a number out of range", mends.first[0].why);
+	EXPECT_STREQ("items/1/c", mends.first[1].path);
+	EXPECT_EQ(0, strncmp("d/0/0/", mends.first[2].path, 6));
+	EXPECT_STREQ("nested too deeply", mends.first[2].why);
+}
+
+/* What ends within a value, or is no list at all, stays malformed. */
+TEST(Platform, ATextThatIsNoJsonStaysMalformed)
+{
+	const std::string text =
+	    R"({"items":[{"a":"\u12","b":1e999,"c":[[1]],"d":"\ud800"}]})";
+
+	for (size_t n = 0; n < text.size(); n++)
+		EXPECT_EQ(nullptr, plat_parse_json(str_n(text.data(), n))) << n;
+	for (std::string bad : {"", "{", "no JSON", "[1", "[1]]", "[1}", "{]",
+		 "[1] 2", "{\"a\":1,}", "{\"a\" 1}", "\"", "\\", "[\"\\",
+		 "[\"\\u", "\x80", "[,]"})
+		EXPECT_EQ(
+		    nullptr, plat_parse_json(str_n(bad.data(), bad.size())))
+		    << bad;
+	std::string deep(1000000, '[');
+	EXPECT_EQ(nullptr, plat_parse_json(str_n(deep.data(), deep.size())));
+}
+
+/* A fault that is there at each poll is not logged at each. */
+TEST(Platform, LinesOnTheSameFaultAreBounded)
+{
+	struct once o = {};
+	int64_t hour = 3600 * NS_S;
+	int n = 0;
+
+	EXPECT_TRUE(once_is_new(&o, 5, STR_LIT("a")));
+	EXPECT_FALSE(once_is_new(&o, hour, STR_LIT("a")));
+	EXPECT_TRUE(once_is_new(&o, hour, STR_LIT("b")));
+	EXPECT_TRUE(once_is_new(&o, hour + 5, STR_LIT("a")));
+	for (int i = 0; i < 1000; i++)
+		n += once_is_new(
+		    &o, hour + 6, str_c(("x" + std::to_string(i)).c_str()));
+	EXPECT_EQ(ONCE_MAX - 1, n);
+}
+
 TEST(Platform, CallsOfTheStore)
 {
 	EXPECT_EQ("GET /api/objects/servers",
