Ignore an object whose revision no write can have

Callers saw: requests with an idempotency key were refused with 503 on each box, from the moment at which another writer left one entry of a backend server with the revision -1, or one of 10^12 or more, and again after a restart.

Cause: a version holds the epoch of the platform above the revision. Such a revision, cast or added, told of a later epoch, and the box took the platform to have been restored from a copy, which it logged.

Evidence: Entries.AnOddRevisionCostsItsEntryOnly failed before: the five values beyond the range led to "platform was restored from a copy" and 503; with no revision, 0, 1.5 or a text the entry was ignored without a line. It passes now.

A revision out of range is that of none, 0.

--- a/agent_watch.c
+++ b/agent_watch.c
@@ -374,6 +374,33 @@
 	    slog_quote(rejection_reason(a, key, err)));
 }
 
+/* Returns whether a fault of an object is to be logged. */
+static bool
+is_new_fault(struct agent *a, const char *key, const char *why)
+{
+	char *fault = g_strdup_printf("%s %s", key, why);
+	bool is_new = once_is_new(&a->logged, clk_ns(a->clk), str_c(fault));
+
+	g_free(fault);
+	return is_new;
+}
+
+/*
+ * Ignores an object whose version is none.  What is in force stays, a backend
+ * server excepted: requests would go to one that may be gone.
+ */
+static void
+ignore_object(struct agent *a, const char *key, GHashTable *keys)
+{
+	bool is_backend = g_str_has_prefix(key, "backend/");
+
+	if (is_new_fault(a, key, "version"))
+		slog_warn(SLOG_CONF, "object is ignored, it has no version",
+		    "key=%s", slog_quote(key));
+	if (keys != NULL && !is_backend)
+		g_hash_table_add(keys, g_strdup(key));
+}
+
 static void
 offer_object(struct agent *a, json_t *json, GHashTable *keys)
 {
@@ -389,10 +416,15 @@
 	GError *err = NULL;
 	char *key;
 
-	if (kind == NULL || name == NULL || o.version == 0)
+	if (kind == NULL || name == NULL)
 		return;
 	key = g_strdup_printf("%s/%s", kind, name);
 	o.key = str_c(key);
+	if (o.version == 0) {
+		ignore_object(a, key, keys);
+		g_free(key);
+		return;
+	}
 	if (!o.deleted ||
 	    !agent_deletion_hold(a, conf_get(a->conf, o.key), o.version))
 		result = conf_offer(a->conf, &o,
--- a/libagent.h
+++ b/libagent.h
@@ -21,6 +21,7 @@
 #include "hsrv.h"
 #include "wire.h"
 #include "memb.h"
+#include "once.h"
 #include "plat.h"
 #include "probe.h"
 #include "reload.h"
@@ -148,6 +149,7 @@
 	/* The objects that are offered now come from the platform. */
 	bool offer_from_platform;
 	bool offer_may_be_stale; /* from a list that may be stale */
+	struct once logged; /* faults of objects */
 	bool platform_up; /* the platform answers, as far as is known */
 	/* Monotonic ns of the end of the last outage; 0: there was none. */
 	int64_t platform_up_at;
--- a/plat_http.c
+++ b/plat_http.c
@@ -277,13 +277,21 @@
 	append_body(ctx, up);
 }
 
-/* Adds the epoch to a version or revision of a response. */
+/*
+ * Adds the epoch to a version or revision of a response.  One that no write can
+ * have becomes 0, which is that of none: it would tell of another epoch.
+ */
 static void
 add_epoch(json_t *o, const char *key, uint64_t epoch)
 {
-	json_int_t revision = json_integer_value(json_object_get(o, key));
+	const json_t *value = json_object_get(o, key);
+	json_int_t revision = json_integer_value(value);
 
-	if (revision > 0)
+	if (value == NULL)
+		return;
+	if (revision <= 0 || (uint64_t)revision >= VERSION_EPOCH_STEP)
+		json_object_set_new(o, key, json_integer(0));
+	else
 		json_object_set_new(o, key,
 		    json_integer(
 			(json_int_t)version_make(epoch, (uint64_t)revision)));
@@ -296,8 +304,6 @@
 	json_t *o;
 	size_t i;
 
-	if (epoch == 0)
-		return;
 	add_epoch(page, "revision", epoch);
 	add_epoch(page, "version", epoch);
 	add_epoch(json_object_get(page, "current"), "version", epoch);
--- a/regress/test_entries.cpp
+++ b/regress/test_entries.cpp
@@ -200,3 +200,64 @@
 		EXPECT_TRUE(serves("/new"));
 	}
 }
+
+/* Revisions that no write has, by which a box would misjudge all others. */
+const char *const odd_revisions[] = {
+    "-1",
+    "0",
+    "1000000000000",
+    "5000000000007",
+    "9223372036854775807",
+    "-9223372036854775808",
+    "1.5",
+    "\"7\"",
+    "null",
+    "{}",
+};
+
+/* Makes a request that may run once for its key. */
+Reply
+buy(World &w, const std::string &key)
+{
+	return http("POST", w.ip + ":8080", "/buy/1",
+	    {{"Host", "shop.example"}, {"idempotency-key", key},
+		{"fernjunction-request-id", key},
+		{"fernjunction-deadline-ms", "800"}},
+	    "body", 2000);
+}
+
+/*
+ * The revision told of an epoch that has not begun: the platform was taken to
+ * have been restored, and what it told was out of date from then on.
+ */
+TEST(Entries, AnOddRevisionCostsItsEntryOnly)
+{
+	for (std::string odd : odd_revisions) {
+		SCOPED_TRACE(odd);
+		World w(true, "", "", "list_ms = 1000\n");
+
+		ASSERT_TRUE(is_ready(w));
+		w.platform.pass_raw("@odd",
+		    entry("") + R"(,"metadata":{"name":"i-odd","rev":)" + odd +
+			"}");
+		w.platform.put("servers", "i-odd", "\"@odd\"");
+		w.enter(0, "draining");
+		EXPECT_TRUE(until(
+		    [&] { return w.in_force("backend/i-0") == 2; }, 5000));
+		EXPECT_TRUE(
+		    until([&] { return w.logged("backend/i-odd"); }, 5000));
+		EXPECT_FALSE(w.logged("restored")) << "taken for restored";
+		EXPECT_EQ(200, buy(w, "k1").status);
+		add_route(w, "new");
+		EXPECT_TRUE(serves(w, "/new/1", 5000));
+		w.platform.remove("servers", "i-0");
+		w.box.kill9();
+		w.box.start();
+		EXPECT_TRUE(serves(w, "/new/1", 5000));
+		EXPECT_EQ(200, buy(w, "k2").status);
+		EXPECT_FALSE(w.logged("restored")) << "taken for restored";
+		w.platform.remove("servers", "i-1");
+		EXPECT_TRUE(until(
+		    [&] { return w.ask("/look/1").status == 503; }, 8000));
+	}
+}
