Go on with a list behind entries with odd names

Callers saw: a box that was started never served (503), and changes did not come into force, once another writer had left an entry whose name has a blank or another character that a request line cannot hold at the end of a page. With entries of no valid name alone on a page, the list ended there as if it were complete, and what is on later pages was withdrawn.

Cause: the next page was asked for after the last valid name, unescaped.

The next page begins after the last name, valid or not, escaped. A page without any name that says that more follow is malformed, and one that follows itself is not asked for again; a warning tells of a malformed response. An invalid name is quoted in the log, and logged once an hour, not with each list.

--- a/agent_watch.c
+++ b/agent_watch.c
@@ -366,11 +366,14 @@
 log_rejection(struct agent *a, const struct conf_object *o, const char *key,
     const GError *err)
 {
+	bool is_valid = conf_get(a->conf, o->key) != NULL;
+
 	slog(SLOG_CONF,
 	    str_has_prefix(o->key, STR_LIT("backend/"))
 		? "object is rejected, its last version is withdrawn"
 		: "object is rejected, its last valid version stays",
-	    "key=%s version=%llu why=%s", key, (unsigned long long)o->version,
+	    "key=%s version=%llu why=%s", is_valid ? key : slog_quote(key),
+	    (unsigned long long)o->version,
 	    slog_quote(rejection_reason(a, key, err)));
 }
 
@@ -431,7 +434,9 @@
 		    a->offer_may_be_stale ? STR_LIT("platform-copy")
 					  : STR_LIT("platform"),
 		    &err);
-	if (result == CONF_REJECTED)
+	/* One whose name is not valid is rejected with each list. */
+	if (result == CONF_REJECTED &&
+	    (conf_get(a->conf, o.key) != NULL || is_new_fault(a, key, "name")))
 		log_rejection(a, &o, key, err);
 	g_clear_error(&err);
 	agent_lastvalid_check(a, o.key);
--- a/plat_http.c
+++ b/plat_http.c
@@ -52,6 +52,7 @@
 	bool epoch_changed; /* between two pages */
 	GString *response;
 	json_t *pages; /* the decoded pages so far, joined */
+	char *after; /* where the last page that was asked for begins */
 };
 
 static struct plat_call *
@@ -183,6 +184,7 @@
 	g_string_free(c->response, TRUE);
 	exchange_clear(c);
 	json_decref(c->pages);
+	g_free(c->after);
 	str_free(&c->rq.kind);
 	str_free(&c->rq.name);
 	g_free(c);
@@ -404,6 +406,19 @@
 	}
 }
 
+static void
+log_malformed(struct plat_call *c)
+{
+	struct plat_http *h = c->http;
+	char *fault = g_strdup_printf("%.*s malformed", STR_ARG(c->rq.kind));
+
+	if (once_is_new(&h->logged, clk_ns(h->clk), str_c(fault)))
+		slog_warn(SLOG_WATCH, "a response of the platform is malformed",
+		    "kind=%.*s size=%zu", STR_ARG(c->rq.kind),
+		    c->response->len);
+	g_free(fault);
+}
+
 static void
 on_end(void *ctx, struct up_call *up)
 {
@@ -423,18 +438,27 @@
 	if (body != NULL)
 		page = codec->decode(&c->rq, result, body, &after);
 	json_decref(body);
-	if (page == NULL && result == PLAT_OK && c->rq.op != PLAT_DELETE)
+	if (page == NULL && result == PLAT_OK && c->rq.op != PLAT_DELETE) {
+		log_malformed(c);
 		result = c->read_only ? PLAT_UNAVAILABLE : PLAT_UNKNOWN;
+	}
 	result = result_by_epoch(c, result);
 	add_epoch_to_page(page, c->epoch);
 	if (page != NULL)
 		add_page(c, page);
 	json_decref(page);
-	if (after != NULL && result == PLAT_OK)
+	if (after != NULL && result == PLAT_OK &&
+	    g_strcmp0(after, c->after) != 0) {
+		g_free(c->after);
+		c->after = after;
 		send_request(c, str_c(after));
-	else
-		finish(c, result, c->pages);
+		return;
+	}
+	/* A page that is the last one again would be asked for forever. */
+	if (after != NULL && result == PLAT_OK)
+		result = PLAT_UNAVAILABLE;
 	g_free(after);
+	finish(c, result, c->pages);
 }
 
 static void
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -55,6 +55,16 @@
 	    1, nullptr, copy.base, copy.len);
 }
 
+std::string
+unescaped(struct str s)
+{
+	char *text = g_uri_unescape_string(text_of(s).c_str(), nullptr);
+	std::string out = text == nullptr ? "" : text;
+
+	g_free(text);
+	return out;
+}
+
 /* Returns "KIND[/NAME]" of the path "/api/objects/KIND[/NAME]". */
 std::string
 key_of(const h2o_req_t *req)
@@ -392,7 +402,7 @@
 void
 Objects::list(h2o_req_t *req, const std::string &kind)
 {
-	std::string after = text_of(hsrv_query(req, "after"));
+	std::string after = unescaped(hsrv_query(req, "after"));
 	json_t *items = json_array();
 	bool more = false;
 	bool may_be_old = hsrv_query(req, "allowStale").n > 0;
--- a/regress/test_entries.cpp
+++ b/regress/test_entries.cpp
@@ -261,3 +261,30 @@
 		    [&] { return w.ask("/look/1").status == 503; }, 8000));
 	}
 }
+
+/*
+ * A page of the list ended with an entry whose name broke the request for the
+ * next one, or with entries that count for nothing: the list ended there.
+ */
+TEST(Entries, EntriesWithOddNamesDoNotEndTheList)
+{
+	const std::string names[] = {"a a", "a&b", "a\"c", "a#d",
+	    "a" + std::string(300, 'e'), "a\nf", "\xc3\xa4", "b?g"};
+	World w(true, "", "", "list_ms = 1000\n");
+	const char *listed = "msg=\"listed\" kinds=backend";
+
+	ASSERT_TRUE(is_ready(w));
+	for (auto &name : names)
+		w.platform.put("servers", name, entry(""));
+	w.box.kill9();
+	w.box.start();
+	EXPECT_TRUE(serves(w, "/look/1", 5000));
+	add_route(w, "new");
+	EXPECT_TRUE(serves(w, "/new/1", 5000));
+	EXPECT_TRUE(
+	    until([&] { return count(w.box.read_log(), listed) >= 4; }, 10000));
+	std::string log = w.box.read_log();
+	size_t told = count(log, "key=\"backend/a a\" ");
+	EXPECT_TRUE(told == 1 || told == 2) << told << " from two starts";
+	EXPECT_EQ(0u, count(log, "msg=\"a watch failed"));
+}
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -551,6 +551,64 @@
 	free(ex.body);
 }
 
+/*
+ * Returns where the next page begins after a page of items, "-" if there is
+ * none, or "malformed".
+ */
+static std::string
+next_page(const std::string &items)
+{
+	struct plat_request rq = {};
+	char *after = nullptr;
+	std::string text =
+	    "{\"items\":[" + items + "],\"hasMore\":true,\"currentRev\":9}";
+
+	rq.op = PLAT_LIST;
+	rq.kind = STR_LIT("backend");
+	Json in(plat_parse_json(str_n(text.data(), text.size())));
+	Json out(pf_codec.decode(&rq, PLAT_OK, in.v, &after));
+	std::string next = out.v == nullptr ? "malformed"
+	    : after == nullptr		    ? "-"
+					    : after;
+	g_free(after);
+	return next;
+}
+
+/*
+ * A list of entries without valid names at the end of a page ended early, as if
+ * it were complete: what is on the further pages was withdrawn.
+ */
+TEST(Platform, APageOfOddNamesDoesNotEndAList)
+{
+	const std::string good = R"({"metadata":{"name":"i-1"}})";
+	const std::string nul = R"({"metadata":{"name":"i-\u0000x"}})";
+	const std::string none = R"({"metadata":7},{"x":1},7)";
+
+	EXPECT_EQ("i-1", next_page(good));
+	EXPECT_EQ("i-%00x", next_page(good + "," + nul));
+	EXPECT_EQ("i-%00x", next_page(nul));
+	EXPECT_EQ("i-1", next_page(good + "," + none));
+	EXPECT_EQ("malformed", next_page(none));
+	EXPECT_EQ("malformed", next_page(""));
+}
+
+/* A name is any text, and must not break the request for the next page. */
+TEST(Platform, TheNameBeforeAPageIsEscaped)
+{
+	for (std::string name : {"a b", "a&allowStale=0", "a#b", "a%00",
+		 "a\\r\\nx: y", "\xc3\xa4", "../x"}) {
+		std::string after =
+		    next_page("{\"metadata\":{\"name\":\"" + name + "\"}}");
+
+		EXPECT_EQ(std::string::npos, after.find_first_of(" &#\r\n/"))
+		    << after;
+		char *back = g_uri_unescape_string(after.c_str(), nullptr);
+		Json told("\"" + name + "\"");
+		EXPECT_STREQ(json_string_value(told.v), back);
+		g_free(back);
+	}
+}
+
 TEST(Platform, RepliesOfTheStore)
 {
 	std::string after;
