Keep the last valid configuration at a value of a wrong type

Callers would see: a route without its regions, its split, or at all, a tenant without its keys, and after a configuration that is no table no route at all, once a value of the configuration has a wrong type, as one that the parser refused has now. A time beyond the range of a number is another one on each kind of processor.

Each is passed on as a value that is rejected with the whole bundle, so that the last valid one holds. A string with a NUL is rejected: cut off there, it would stand for another, as the label of a service that has no such server.

--- a/field.c
+++ b/field.c
@@ -82,12 +82,20 @@
 	return false;
 }
 
+/* Cut off at a NUL, a string would stand for another one. */
+static bool
+is_text(const json_t *value)
+{
+	return json_is_string(value) &&
+	    strlen(json_string_value(value)) == json_string_length(value);
+}
+
 static bool
 read_str(const struct read_context *r, const struct field *f, json_t *value,
     void *out)
 {
-	if (!json_is_string(value))
-		return set_value_error(r, f, value, "a string");
+	if (!is_text(value))
+		return set_value_error(r, f, value, "a string without NUL");
 	*(struct str *)member(f, out) =
 	    str_dup(str_n(json_string_value(value), json_string_length(value)));
 	return true;
@@ -201,7 +209,7 @@
 		return set_value_error(
 		    r, f, value, "a table of names to strings");
 	json_object_foreach (value, key, item) {
-		if (!field_is_name(str_c(key)) || !json_is_string(item))
+		if (!field_is_name(str_c(key)) || !is_text(item))
 			return set_value_error(
 			    r, f, value, "a table of names to strings");
 	}
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -164,6 +164,13 @@
 	return out.text();
 }
 
+/* Returns a text nested so deep. */
+std::string
+nested(size_t depth)
+{
+	return std::string(depth, '[') + "1" + std::string(depth, ']');
+}
+
 } // namespace
 
 TEST(Platform, AConfigurationBecomesABundle)
@@ -366,6 +373,97 @@
 	g_error_free(err);
 }
 
+/*
+ * A value of a wrong type was taken for none: a route lost its regions or its
+ * split, a tenant its keys, and a configuration all of its routes.  Of a time
+ * that does not fit, the two kinds of processors made different ones.
+ */
+TEST(Platform, AnOddValueInAConfigurationKeepsTheLastValidOne)
+{
+	const std::string name = R"({"resources":[{"resourceType":"routes",
+	    "metadata":{"name":"r"},"spec":)";
+	const std::string route =
+	    name + R"({"host":"a.example","pathPrefix":"/","service":"x",)";
+	const std::string tenant = R"({"resources":[{"resourceType":"tenants",
+	    "metadata":{"name":"t"},"spec":{)";
+	const std::string named = R"({"resources":[{"spec":{"host":"a.example",
+	    "pathPrefix":"/","service":"x"},)";
+	const std::string odd[] = {
+	    "7",
+	    "null",
+	    "[]",
+	    R"({"resources":{}})",
+	    R"({"resources":"x"})",
+	    R"({"resources":[7]})",
+	    route + R"("timeout":"1e300s"}}]})",
+	    route + R"("timeout":"-1e300s"}}]})",
+	    route + R"("timeout":"infs"}}]})",
+	    route + R"("timeout":"-infms"}}]})",
+	    route + R"("timeout":"9223372036854775808ms"}}]})",
+	    route + R"("targetLatency":"1e18ms"}}]})",
+	    route + R"("priority":1e999}}]})",
+	    route + R"("priority":99999999999999999999}}]})",
+	    route + R"("priority":1.5}}]})",
+	    route + R"("maxAttempts":-1}}]})",
+	    route + R"("maxAttempts":"2"}}]})",
+	    route + R"("noAuth":1}}]})",
+	    route + R"("allowedRegions":"north"}}]})",
+	    route + R"("allowedRegions":{"north":true}}}]})",
+	    route + R"("allowedRegions":[7]}}]})",
+	    route + R"("allowedRegions":["north",7]}}]})",
+	    route + R"("trafficSplit":{"x":1}}}]})",
+	    route + R"("trafficSplit":7}}]})",
+	    name + R"({"trafficSplit":[{"service":"x"}]}}]})",
+	    name + R"({"trafficSplit":[{"service":"x","weight":1},7]}}]})",
+	    name + R"({"trafficSplit":[{"service":7,"weight":1},
+		{"service":"x","weight":1}]}}]})",
+	    name + R"({"trafficSplit":[{"service":"x","weight":1e999}]}}]})",
+	    name + R"({"trafficSplit":[{"service":"x","weight":-1}]}}]})",
+	    name + R"({"host":"a\u0000b","service":"x"}}]})",
+	    name + R"({"host":)" + nested(100) + R"(,"service":"x"}}]})",
+	    name + "7}]}",
+	    tenant + R"("apiKeys":"key"}}]})",
+	    tenant + R"("apiKeys":["key",7]}}]})",
+	    tenant + R"("ratePerS":1e999}}]})",
+	    tenant + R"("ratePerS":-1}}]})",
+	    tenant + R"("burst":"1"}}]})",
+	    R"({"resources":[{"resourceType":"limits",
+		"spec":{"maxBodyBytes":99999999999999999999}}]})",
+	    named + R"("resourceType":"routes"}]})",
+	    named + R"("resourceType":"routes","metadata":7}]})",
+	    named + R"("resourceType":"routes","metadata":{"name":7}}]})",
+	    named + R"("resourceType":"routes","metadata":{"name":""}}]})",
+	    named + R"("resourceType":"routes","metadata":{"name":"a b"}}]})",
+	    named + R"("resourceType":"routes",
+		"metadata":{"name":"r\u0000x"}}]})",
+	    named + R"("resourceType":7,"metadata":{"name":"r"}}]})",
+	    named + R"("metadata":{"name":"r"}}]})",
+	};
+	Json in{std::string(config)};
+	Json good(pf_bundle_spec(in.v));
+	uint64_t version = 7;
+	Table t;
+
+	ASSERT_EQ(CONF_APPLIED, t.offer("bundle/main", version, good.v));
+	for (auto &text : odd) {
+		std::string whole = "{\"spec\":" + text + "}";
+		Json object(plat_parse_json(str_n(whole.data(), whole.size())));
+
+		ASSERT_NE(nullptr, object.v) << text;
+		Json spec(pf_bundle_spec(json_object_get(object.v, "spec")));
+		EXPECT_EQ(
+		    CONF_REJECTED, t.offer("bundle/main", ++version, spec.v))
+		    << text;
+	}
+	t.build();
+	EXPECT_EQ("buy", t.match("shop.example", "/buy/1"));
+	Json nan(std::string(R"({"resources":[
+	    {"resourceType":"routes","spec":{"timeout":"nans"}}]})"));
+	const char *first;
+	const json_t *value;
+	EXPECT_EQ(1u, pf_unread_durations(nan.v, &first, &value));
+}
+
 /*
  * One entry has bytes that are not UTF-8, another a NUL in its name.  Neither
  * may make the whole list unreadable.
@@ -394,13 +492,6 @@
 	EXPECT_EQ(nullptr, plat_parse_json(STR_LIT("no JSON")));
 }
 
-/* Returns a text nested so deep. */
-static std::string
-nested(size_t depth)
-{
-	return std::string(depth, '[') + "1" + std::string(depth, ']');
-}
-
 /*
  * The parser refuses these values, and with one of them the whole list was
  * lost.  What is nested deeply overflows the stack where it is copied.
