Bound the reason of an object's rejection

Operators saw: nothing yet; found by reading. One value of any length in an object that is rejected went whole into the error, which stands in the status of each box: a status that is longer than the platform takes is refused, and a box without one is not on the list of boxes.

Evidence: Obj.TheReasonOfARejectionIsShort failed before in 10 of 10 cases (200,000 bytes) and passes now. That a platform refuses the status was not tried.

An error has at most 200 bytes of a value or name, cut between characters, as a status must be valid UTF-8.

--- a/field.c
+++ b/field.c
@@ -14,7 +14,11 @@
 #include "err.h"
 #include "field.h"
 
-enum { NAME_MAX_LEN = 128, WEIGHT_MAX = 1000000 };
+enum {
+	NAME_MAX_LEN = 128,
+	WEIGHT_MAX = 1000000,
+	FOUND_MAX = 200 /* bytes of a value or name in an error */
+};
 
 /* What the read functions need for their error messages. */
 struct read_context {
@@ -64,12 +68,27 @@
 	return (char *)out + f->offset;
 }
 
+/*
+ * Returns the start of a text, of whole characters.  Errors go into the log and
+ * the box's status, and another writer's values may have any length.
+ */
+static char *
+shorten(const char *text)
+{
+	const char *end = text + strlen(text);
+
+	if (end - text > FOUND_MAX)
+		end = g_utf8_find_prev_char(text, text + FOUND_MAX);
+	return g_strndup(text, (gsize)(end - text));
+}
+
 /* Sets an error with file and line, the value found and what is allowed. */
 static bool
 set_value_error(const struct read_context *r, const struct field *f,
     const json_t *value, const char *allowed)
 {
-	char *found = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+	char *dumped = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+	char *found = shorten(dumped == NULL ? "" : dumped);
 	int line = doc_line(r->doc, r->table, f->name);
 
 	if (line > 0)
@@ -78,7 +97,8 @@
 	else
 		err_set(r->err, r->kind, "%s: %s: found %s; allowed is %s",
 		    r->source, f->name, found, allowed);
-	free(found);
+	g_free(found);
+	free(dumped);
 	return false;
 }
 
@@ -275,6 +295,7 @@
 {
 	size_t i, d, best = SIZE_MAX;
 	const char *nearest = "";
+	char *start = shorten(name);
 	int line = doc_line(r->doc, r->table, name);
 
 	for (i = 0; i < n; i++) {
@@ -284,9 +305,11 @@
 			nearest = fields[i].name;
 		}
 	}
-	return err_set(r->err, r->kind,
+	err_set(r->err, r->kind,
 	    "%s:%d: %s: unknown; the nearest known name is %s", r->source, line,
-	    name, nearest);
+	    start, nearest);
+	g_free(start);
+	return false;
 }
 
 static void
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -170,6 +170,39 @@
 	EXPECT_FALSE(field_is_name(STR_LIT("")));
 }
 
+/*
+ * The reason of a rejection goes into the status of each box, which the
+ * platform refuses if it is too long: the box was not listed then.
+ */
+TEST(Obj, TheReasonOfARejectionIsShort)
+{
+	std::string umlauts;
+
+	for (int i = 0; i < 100000; i++)
+		umlauts += "\xc3\xa4";
+	for (std::string shift : {"", "a"}) {
+		const std::string text = "\"" + shift + umlauts + "\"";
+
+		for (std::string spec : {"{\"address\":" + text + "}",
+			 "{\"hall\":" + text + ",\"address\":\"1.2.3.4:5\"}",
+			 "{" + text + ":1}", "{\"address\":[" + text + "]}",
+			 R"({"hall":"n","address":"1.2.3.4:5","labels":{)" +
+			     text + R"(:"x"}})"}) {
+			json_t *json = json_loads(spec.c_str(), 0, nullptr);
+			GError *err = nullptr;
+
+			ASSERT_NE(nullptr, json);
+			EXPECT_EQ(nullptr,
+			    obj_read(OBJ_BACKEND, STR_LIT("b"), json, nullptr,
+				&err));
+			EXPECT_LT(strlen(err->message), 400u);
+			EXPECT_TRUE(g_utf8_validate(err->message, -1, nullptr));
+			g_error_free(err);
+			json_decref(json);
+		}
+	}
+}
+
 TEST(Obj, ValidAndInvalidObjects)
 {
 	struct {
