Read a NUL in the objects that a peer sends

Operators would see: boxes that never agree on the configuration and exchange it without end, once a rejected version of an object on the platform has a NUL in a string.

Cause: texts from the platform may contain an escaped NUL, those from peers were refused for it; the peer took the object for one without contents.

Evidence: Sync.PeersWithANulInAStringBecomeEqual failed before (other digests, five messages in a comparison after three rounds) and passes now.

--- a/regress/test_conf.cpp
+++ b/regress/test_conf.cpp
@@ -1456,6 +1456,49 @@
 	EXPECT_EQ(0u, net.sent);
 }
 
+/*
+ * The platform may tell of a NUL in a string.  Peers could not read what they
+ * were sent, had other digests for it and exchanged it without end.
+ */
+TEST(Sync, PeersWithANulInAStringBecomeEqual)
+{
+	Net net;
+	const std::string texts[] = {R"({"path":"/a","service":"s"})",
+	    R"({"path":"/a\u0000b","service":"s"})"};
+	uint64_t version = 70;
+
+	for (auto n : {"p0", "p1"})
+		net.add(n);
+	for (auto &text : texts) {
+		json_t *spec = json_loadb(
+		    text.data(), text.size(), JSON_ALLOW_NUL, nullptr);
+		struct conf_object o = {
+		    STR_LIT("rule/r"), ++version, 0, false, spec};
+
+		conf_offer(
+		    net.peers["p0"].conf, &o, STR_LIT("platform"), nullptr);
+		json_decref(spec);
+	}
+	for (int k = 0; k < 3; k++) {
+		net.compare("p0", "p1");
+		net.compare("p1", "p0");
+		while (!net.in_transit.empty())
+			net.deliver(false);
+	}
+	const struct conf_entry *e =
+	    conf_get(net.peers["p1"].conf, STR_LIT("rule/r"));
+	ASSERT_NE(nullptr, e);
+	EXPECT_EQ(71u, e->version);
+	EXPECT_EQ(72u, e->rejected_version);
+	EXPECT_EQ(conf_digest(net.peers["p0"].conf),
+	    conf_digest(net.peers["p1"].conf));
+	net.sent = 0;
+	net.compare("p0", "p1");
+	while (!net.in_transit.empty())
+		net.deliver(false);
+	EXPECT_EQ(0u, net.sent);
+}
+
 namespace
 {
 
--- a/sync_pack.c
+++ b/sync_pack.c
@@ -147,9 +147,10 @@
 	json_t *spec;
 
 	if (o->size == 0)
-		return json_loadb(o->spec.p, o->spec.n, 0, NULL);
+		return json_loadb(o->spec.p, o->spec.n, JSON_ALLOW_NUL, NULL);
 	text = zip_inflate(o->spec, o->size);
-	spec = json_loadb(text.n > 0 ? text.p : "", text.n, 0, NULL);
+	spec =
+	    json_loadb(text.n > 0 ? text.p : "", text.n, JSON_ALLOW_NUL, NULL);
 	str_free(&text);
 	return spec;
 }
