Bound the idle timeout that a backend server states

Operators would see: a new connection for each request to a server that states that it keeps idle ones for very long.

Cause: parse_keep_alive() multiplied the seconds without a bound, and the product overflowed.

--- a/regress/test_up.cpp
+++ b/regress/test_up.cpp
@@ -562,6 +562,34 @@
 	EXPECT_EQ(2, peer.connections);
 }
 
+/*
+ * The time overflowed: a connection was not kept that its server keeps for
+ * long.
+ */
+TEST(Up, ATimeoutOfAnyLengthIsBounded)
+{
+	const std::pair<const char *, int> timeouts[] = {
+	    {"9223372036854775807", 1}, {"99999999999999999999", 1},
+	    {"18446744073", 1}, {"99999999999", 1}, {"3600", 1}, {"0", 2},
+	    {"-1", 2}, {"-9223372036854775808", 2}};
+
+	for (auto &t : timeouts) {
+		std::string response =
+		    std::string("HTTP/1.1 200 OK\r\nkeep-alive: timeout=") +
+		    t.first + "\r\ncontent-length: 0\r\n\r\n";
+		Peer peer([&](int fd, int) {
+			while (read_head(fd))
+				send_text(fd, response);
+		});
+		Client client;
+
+		client.get(peer.address);
+		client.run_for(5);
+		client.get(peer.address);
+		EXPECT_EQ(t.second, peer.connections) << t.first;
+	}
+}
+
 TEST(Up, ANewConnectionIsUsedIfRequested)
 {
 	Peer peer([](int fd, int connection_number) {
--- a/up_answer.c
+++ b/up_answer.c
@@ -19,7 +19,10 @@
 #define IDLE_DEFAULT_NS (2 * NS_S)
 
 /* A connection is reused for this share of the server's idle timeout. */
-enum { IDLE_USED_PERCENT = 80 };
+enum {
+	IDLE_USED_PERCENT = 80,
+	IDLE_MAX_S = 24 * 3600 /* of a timeout that a server states */
+};
 
 static int on_header_field(http_parser *, const char *, size_t);
 static int on_header_value(http_parser *, const char *, size_t);
@@ -105,13 +108,14 @@
 	static const char key[] = "timeout=";
 	char text[64];
 	const char *found;
+	int64_t seconds;
 
 	snprintf(text, sizeof(text), "%.*s", STR_ARG(value));
 	found = strstr(text, key);
 	if (found == NULL)
 		return IDLE_DEFAULT_NS;
-	return g_ascii_strtoll(found + sizeof(key) - 1, NULL, 10) * NS_S / 100 *
-	    IDLE_USED_PERCENT;
+	seconds = g_ascii_strtoll(found + sizeof(key) - 1, NULL, 10);
+	return CLAMP(seconds, 0, IDLE_MAX_S) * NS_S / 100 * IDLE_USED_PERCENT;
 }
 
 /*
