Ignore a reported load that is beyond all bounds

Callers would see: requests that go to the wrong servers of a service. Found by reading, not seen. A number beyond an int was cut to another one, by sscanf(), which leaves it undefined, and running and waiting requests could overflow when added.

A load with a part above a million is malformed.

--- a/dial.c
+++ b/dial.c
@@ -9,13 +9,17 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include <glib.h>
-#include <stdio.h>
-
 #include "dial.h"
 
 /* Fernjunction's own dialect, and functions that parse headers. */
 
-enum { LATENCY_USUAL_PERCENT = 100, MS_PER_SECOND = 1000 };
+enum {
+	LATENCY_USUAL_PERCENT = 100,
+	MS_PER_SECOND = 1000,
+	LOAD_MAX = 1000000, /* of any part of a reported load */
+	LOAD_FIELDS_MIN = 3,
+	LOAD_FIELDS_MAX = 4
+};
 
 static bool not_executed(int, const h2o_header_t *, size_t);
 static bool address_reassigned(int, const h2o_header_t *, size_t);
@@ -52,21 +56,46 @@
 	return str_c(NULL);
 }
 
+/*
+ * Cuts a number and the comma after it off a text.  Returns false if there is
+ * no number.
+ */
+static bool
+cut_number(struct str *text, unsigned long long *out)
+{
+	const char *p = text->p, *end = text->p + text->n, *digits;
+
+	while (p < end && *p == ' ')
+		p++;
+	for (digits = p; p < end && g_ascii_isdigit(*p);)
+		p++;
+	if (!str_u64(str_n(digits, (size_t)(p - digits)), out))
+		return false;
+	while (p < end && *p++ != ',')
+		continue;
+	*text = str_n(p, (size_t)(end - p));
+	return true;
+}
+
 bool
 dial_parse_load(struct str text, struct dial_load *out)
 {
-	char copy[64];
-	int fields;
+	unsigned long long numbers[LOAD_FIELDS_MAX] = {
+	    0, 0, 0, LATENCY_USUAL_PERCENT};
+	unsigned n, i;
 
-	if (text.n == 0 || text.n >= sizeof(copy))
-		return false;
-	memcpy(copy, text.p, text.n);
-	copy[text.n] = '\0';
-	out->latency_percent = LATENCY_USUAL_PERCENT;
-	fields = sscanf(copy, "%d,%d,%d,%d", &out->running, &out->waiting,
-	    &out->slots, &out->latency_percent);
-	return fields >= 3 && out->running >= 0 && out->waiting >= 0 &&
-	    out->slots > 0 && out->latency_percent > 0;
+	for (n = 0; n < LOAD_FIELDS_MAX; n++)
+		if (!cut_number(&text, &numbers[n]))
+			break;
+	for (i = 0; i < n; i++)
+		if (numbers[i] > LOAD_MAX)
+			return false;
+	out->running = (int)numbers[0];
+	out->waiting = (int)numbers[1];
+	out->slots = (int)numbers[2];
+	out->latency_percent = (int)numbers[3];
+	return n >= LOAD_FIELDS_MIN && out->slots > 0 &&
+	    out->latency_percent > 0;
 }
 
 /*
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -828,7 +828,19 @@
 	d->parse_report(200, &h, 1, &report);
 	ASSERT_TRUE(report.has_load);
 	EXPECT_EQ(100, l.latency_percent);
-	for (const char *bad : {"", "3,0", "3,0,0", "a,b,c", "3,0,8,0"}) {
+	for (const char *odd : {"3, 0, 8, 100", "3,0,8,100.5", "3,0,8,100,7",
+		 "3,0,8,", "3,0,8,x"}) {
+		h.value = h2o_iovec_init(odd, strlen(odd));
+		d->parse_report(200, &h, 1, &report);
+		EXPECT_TRUE(report.has_load) << odd;
+		EXPECT_EQ(8, l.slots) << odd;
+		EXPECT_EQ(100, l.latency_percent) << odd;
+	}
+	/* Beyond an int, each kind of processor could make another number. */
+	for (const char *bad : {"", "3,0", "3,0,0", "a,b,c", "3,0,8,0",
+		 "99999999999,0,8", "3,4294967297,8", "3,0,2147483648",
+		 "3,0,8,2147483647", "2147483647,2147483647,8", "3,-1,8",
+		 "3,,8", "1000001,0,8", "3,0,8,999999999999"}) {
 		h.value = h2o_iovec_init(bad, strlen(bad));
 		d->parse_report(200, &h, 1, &report);
 		EXPECT_FALSE(report.has_load) << bad;
