Tests of pipelined uploads, cut requests and one process at a stop

Connections that are never idle are tested at a box whose gate and agent are one process, too: begun before the signal and after it, with requests that must not repeat, and while the settings of the listener change.

An upload that has come in part behind another request, also one that waits for "100 Continue", is not begun, and the response before it closes the connection. Where a request is cut, by the end of the grace or by a second signal, the responses behind it are delivered, and requests that waited behind it have not run.

--- a/regress/fleet.cpp
+++ b/regress/fleet.cpp
@@ -378,15 +378,19 @@
 	std::string gate = dir + "/" + b.name + "-gate.toml";
 	std::string agent = dir + "/" + b.name + "-agent.toml";
 
-	std::ofstream(gate)
-	    << "box = \"" << b.name << "\"\nhall = \"" << b.hall
-	    << "\"\nlisten = \"" << b.listen << "\"\npass_listen = \""
-	    << b.pass_listen << "\"\nadmin_listen = \"" << b.admin
-	    << "\"\ninbox = \"" << b.inbox << "\"\nagent = \"" << b.agent
-	    << "\"\nplatform = \"" << platform_public << "\"\ncharts = \""
-	    << root() << "/charts\"\n"
+	std::ofstream(gate, std::ios::trunc)
+	    << (options.one_process ? "[gate]\n" : "") << "box = \"" << b.name
+	    << "\"\nhall = \"" << b.hall << "\"\nlisten = \"" << b.listen
+	    << "\"\npass_listen = \"" << b.pass_listen
+	    << "\"\nadmin_listen = \"" << b.admin << "\"\ninbox = \"" << b.inbox
+	    << "\"\nagent = \"" << b.agent << "\"\nplatform = \""
+	    << platform_public << "\"\ncharts = \"" << root() << "/charts\"\n"
 	    << options.gate_settings;
-	std::ofstream(agent)
+	if (options.one_process)
+		std::ofstream(gate, std::ios::app) << "[agent]\n";
+	else
+		std::ofstream(agent, std::ios::trunc);
+	std::ofstream(options.one_process ? gate : agent, std::ios::app)
 	    << "box = \"" << b.name << "\"\nhall = \"" << b.hall
 	    << "\"\ninbox = \"" << b.agent << "\"\ngate_inbox = \"" << b.inbox
 	    << "\"\npass = \"" << b.pass << "\"\nadmin_listen = \""
@@ -394,7 +398,8 @@
 	    << "\"\nseeds = [\"" << boxes[0].agent << "\", \""
 	    << boxes[boxes.size() - 1].agent << "\"]\n"
 	    << options.agent_settings;
-	b.gate.argv = {root() + "/ferngate"};
+	b.gate.argv = {
+	    root() + (options.one_process ? "/fernbox" : "/ferngate")};
 	b.agent_process.argv = {root() + "/fernagent"};
 	if (options.quiet) {
 		if (!keeps_files()) {
@@ -408,7 +413,7 @@
 	b.agent_process.log = dir + "/" + b.name + "-agent.log";
 	if (!b.gate.running())
 		b.gate.start();
-	if (!b.agent_process.running())
+	if (!options.one_process && !b.agent_process.running())
 		b.agent_process.start();
 }
 
--- a/regress/fleet.h
+++ b/regress/fleet.h
@@ -111,6 +111,7 @@
 	std::string gate_settings, agent_settings; /* appended verbatim */
 	bool platform_proxied = false;
 	bool pass_proxied = false;
+	bool one_process = false; /* each box's gate and agent are a fernbox */
 	bool quiet = true;
 	int pass_delay_ms = 0;
 };
--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -19,6 +19,7 @@
 #include <random>
 #include <thread>
 
+#include "h2_caller.h"
 #include "raw_caller.h"
 #include "fleet.h"
 #include "version.h"
@@ -561,3 +562,312 @@
 	EXPECT_EQ(1, c.count("connection: close"));
 	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
 }
+
+namespace
+{
+
+/* Boxes and a server with many slots that takes `ms` for each request. */
+World
+boxes_for(int boxes, const std::string &gate, int ms, bool one_process = false)
+{
+	FleetOptions o = World::options_of(boxes, gate);
+
+	o.backends[0].keys = "ms=" + std::to_string(ms) + " spread=0 slots=60";
+	o.backends[0].slots = 60;
+	o.one_process = one_process;
+	return World(o);
+}
+
+/* A new server gets one request at a time. */
+void
+warm_up(World &w)
+{
+	const int REQUESTS = 30;
+
+	for (auto &b : w.boxes)
+		for (int i = 0; i < REQUESTS; i++)
+			http("GET", b.listen, "/twice/x?ms=5",
+			    {{"x-request-id", "warm-up"}});
+}
+
+/* A caller that pipelines, and knows which request each response is for. */
+struct Pipeline {
+	Caller c;
+	std::vector<std::string> sent;
+
+	explicit Pipeline(const World &w, size_t box = 0)
+	    : c(w.boxes[box].listen)
+	{
+	}
+
+	bool send(const std::string &method, const std::string &path,
+	    const std::string &id)
+	{
+		sent.push_back(id);
+		return c.send_text(Caller::request(method, path, id));
+	}
+
+	/* Sends only the head of an upload. */
+	void begin_upload(const std::string &id, int bytes,
+	    const std::string &more_headers = "")
+	{
+		sent.push_back(id);
+		c.send_text(
+		    "POST /dir/x HTTP/1.1\r\nhost: x\r\nx-request-id: " + id +
+		    "\r\n" + more_headers +
+		    "content-length: " + std::to_string(bytes) + "\r\n\r\n");
+	}
+
+	std::vector<int> statuses() const
+	{
+		const std::string start = "HTTP/1.1 ";
+		std::vector<int> all;
+		int status;
+
+		for (size_t at = c.received.find(start);
+		     at != std::string::npos;
+		     at = c.received.find(start, at + 1)) {
+			status = atoi(c.received.c_str() + at + start.size());
+			if (status >= 200)
+				all.push_back(status);
+		}
+		return all;
+	}
+
+	/*
+	 * Whatever was answered with 200 ran once, all else did not run, as
+	 * the caller sends it again.
+	 */
+	void expect_true(const World &w) const
+	{
+		std::vector<int> all = statuses();
+
+		ASSERT_LE(all.size(), sent.size());
+		EXPECT_EQ(0, c.error) << strerror(c.error);
+		EXPECT_EQ(0, c.count("fern-ran: unknown"));
+		EXPECT_EQ(1, c.count("connection: close"));
+		for (size_t i = 0; i < sent.size(); i++)
+			EXPECT_EQ(i < all.size() && all[i] == 200 ? 1 : 0,
+			    w.run_count(sent[i]))
+			    << sent[i] << " of " << sent.size() << ", "
+			    << all.size() << " answered";
+	}
+};
+
+/* Always has requests outstanding, until its connection ends. */
+struct BusyPipeline : Pipeline {
+	const size_t AHEAD = 5;
+	const int EVERY_MS = 20;
+	std::string method, path, name;
+	double next = 0, ended_at = 0;
+
+	BusyPipeline(const World &w, const std::string &m, const std::string &p,
+	    const std::string &prefix)
+	    : Pipeline(w), method(m), path(p), name(prefix)
+	{
+	}
+
+	bool step()
+	{
+		double now = now_ms();
+
+		c.read_some();
+		if (c.ended && ended_at == 0)
+			ended_at = now;
+		if (!c.ended && now >= next &&
+		    sent.size() - statuses().size() < AHEAD) {
+			send(method, path, name + std::to_string(sent.size()));
+			next = now + EVERY_MS;
+		}
+		return c.ended;
+	}
+};
+
+/* Keeps some streams open until it may not open more. */
+struct BusyH2 {
+	const int OPEN = 6, EVERY_MS = 20;
+	H2Caller c;
+	std::string name;
+	int sent = 0;
+	double next = 0, ended_at = 0;
+
+	BusyH2(const World &w, const std::string &prefix)
+	    : c(w.boxes[0].listen), name(prefix)
+	{
+	}
+
+	bool step()
+	{
+		double now = now_ms();
+
+		c.step();
+		if (c.conn.ended && ended_at == 0)
+			ended_at = now;
+		if (now >= next && c.open_streams() < OPEN &&
+		    c.begin("GET", "/twice/x", name + std::to_string(sent)) !=
+			0) {
+			sent++;
+			next = now + EVERY_MS;
+		}
+		return c.conn.ended;
+	}
+
+	/* Checks what callers may conclude from the last GOAWAY. */
+	void expect_true(const World &w) const
+	{
+		auto runs = w.runs();
+
+		EXPECT_EQ(0, c.conn.error) << strerror(c.conn.error);
+		for (auto &s : c.streams) {
+			if (s.first <= c.last_processed) {
+				EXPECT_TRUE(s.second.ended) << s.second.id;
+				EXPECT_TRUE(s.second.ok) << s.second.id;
+			} else {
+				EXPECT_EQ(0u, runs.count(s.second.id))
+				    << s.second.id;
+			}
+		}
+	}
+};
+
+} // namespace
+
+/* It has come in part when the response before it ends. */
+TEST(Stops, AnUploadBehindAnotherRequestIsAnsweredOrNotBegun)
+{
+	const char *const HEADERS[] = {"", "expect: 100-continue\r\n"};
+	World w = boxes_for(1, "leave_wait_ms = 200\ngrace_ms = 3000\n", 10);
+	std::list<Pipeline> callers;
+
+	ASSERT_TRUE(w.open());
+	warm_up(w);
+	for (auto headers : HEADERS) {
+		std::string n = std::to_string(callers.size());
+
+		callers.emplace_back(w);
+		callers.back().send("GET", "/twice/x?ms=500", "first" + n);
+		callers.back().begin_upload("upload" + n, 8, headers);
+	}
+	ASSERT_TRUE(until([&] {
+		return w.run_count("first0") == 1 && w.run_count("first1") == 1;
+	}));
+	w.boxes[0].gate.signal(SIGTERM);
+	pump(300);
+	for (auto &p : callers)
+		p.c.send_text("part");
+	for (auto &p : callers) {
+		until([&] {
+			p.c.read_some();
+			return p.c.ended || !p.statuses().empty();
+		});
+		p.c.send_text("part");
+		p.send("POST", "/dir/x", "behind-" + p.sent[0]);
+		ASSERT_TRUE(p.c.reads_to_end(4000));
+		ASSERT_FALSE(p.statuses().empty());
+		EXPECT_EQ(200, p.statuses()[0]);
+		p.expect_true(w);
+	}
+	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
+}
+
+/*
+ * The first one is cut, at the end of the grace or by a second signal.  The
+ * responses behind it are delivered all the same.
+ */
+TEST(Stops, ResponsesBehindARequestThatIsCutAreDelivered)
+{
+	World w = boxes_for(2, "leave_wait_ms = 200\ngrace_ms = 1000\n", 10);
+	std::list<Pipeline> callers;
+
+	ASSERT_TRUE(w.open());
+	warm_up(w);
+	for (size_t i = 0; i < 2; i++) {
+		std::string n = std::to_string(i);
+
+		callers.emplace_back(w, i);
+		callers.back().send("GET", "/twice/x?ms=4500", "slow" + n);
+		callers.back().send("GET", "/twice/x?ms=20", "done" + n);
+		callers.back().send("POST", "/dir/x", "waits" + n);
+	}
+	ASSERT_TRUE(until([&] {
+		return w.run_count("slow0") == 1 && w.run_count("done0") == 1 &&
+		    w.run_count("slow1") == 1 && w.run_count("done1") == 1;
+	}));
+	for (auto &b : w.boxes)
+		b.gate.signal(SIGTERM);
+	pump(500);
+	for (auto &p : callers)
+		p.send("GET", "/twice/x", "late-" + p.sent[0]);
+	w.boxes[1].gate.signal(SIGTERM);
+	for (auto &p : callers) {
+		ASSERT_TRUE(p.c.reads_to_end(4000));
+		ASSERT_GE(p.statuses().size(), 2u) << p.c.received;
+		EXPECT_EQ(503, p.statuses()[0]);
+		EXPECT_EQ(1, p.c.count("fern-ran: unknown"));
+		EXPECT_EQ(200, p.statuses()[1]);
+		/* Behind it, or refused. */
+		EXPECT_EQ(0, w.run_count(p.sent[2]));
+		EXPECT_EQ(0, w.run_count(p.sent[3]));
+	}
+	for (auto &b : w.boxes)
+		EXPECT_EQ(0, b.gate.wait_exit(2000));
+}
+
+/*
+ * Connections that are never idle, at a box whose gate and agent are one
+ * process: from before the signal and after it, and of requests that must not
+ * repeat.  The settings of the listener change in the middle.
+ */
+TEST(Stops, OneProcessEndsConnectionsThatAreNeverIdle)
+{
+	const int GRACE_MS = 3000, EARLY = 12;
+	World w =
+	    boxes_for(1, "leave_wait_ms = 500\ngrace_ms = 2500\n", 150, true);
+	std::list<BusyPipeline> callers;
+	double began;
+	int stage = 0;
+
+	ASSERT_TRUE(w.open());
+	warm_up(w);
+	callers.emplace_back(w, "GET", "/twice/x", "get");
+	callers.emplace_back(w, "POST", "/dir/x?ms=20", "post");
+	for (int i = 0; i < EARLY; i++)
+		callers.back().send(
+		    "POST", "/dir/x?ms=20", "early" + std::to_string(i));
+	auto step = [&] {
+		bool all = true;
+
+		for (auto &p : callers)
+			all = p.step() && all;
+		return all;
+	};
+	ASSERT_TRUE(until([&] {
+		step();
+		return w.run_count("early0") == 1 && w.run_count("get0") == 1;
+	}));
+	w.boxes[0].gate.signal(SIGTERM);
+	began = now_ms();
+	ASSERT_TRUE(until([&] {
+		if (stage == 0 && now_ms() > began + 100) {
+			stage++;
+			w.put("listener/main", R"({"idle_ms":60000})");
+		}
+		if (stage == 1 && now_ms() > began + 300) {
+			stage++;
+			callers.emplace_back(w, "GET", "/twice/x", "new");
+		}
+		if (stage == 2 && now_ms() > began + 400) {
+			stage++;
+			w.boxes[0].gate.signal(SIGHUP);
+		}
+		return step() && stage == 3;
+	}));
+	EXPECT_LT(now_ms() - began, GRACE_MS / 2);
+	for (auto &p : callers) {
+		p.expect_true(w);
+		EXPECT_FALSE(p.statuses().empty());
+	}
+	/* What had been read before the signal is answered. */
+	EXPECT_EQ(1, w.run_count("early" + std::to_string(EARLY - 1)));
+	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
+}
