Send GOAWAY to HTTP/2 connections that are opened late at a stop

Callers saw streams refused, and others could be cut, at the end of the grace, on connections that they had opened later than a second after the signal while the box still accepted them (leave_wait_ms). These connections got no GOAWAY.

h2o sends two when a shutdown is requested: one at once, without a limit, and one a second later, which names the last stream. Both go to the connections that are open then. A later one lived, and its streams were begun, as long as its caller always had one open.

Now the second GOAWAY is repeated a second after a connection was opened, if it is not due by then. Such a connection begins streams for a second and ends when they are answered; streams beyond the last one are not begun.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -688,6 +688,20 @@
 	shutdown_conn(c);
 }
 
+/*
+ * A second after a shutdown is requested, h2o tells the connections of that
+ * time which streams are the last ones.  This repeats it for those that are
+ * accepted later.
+ */
+static void
+announce_shutdown(struct hsrv *s)
+{
+	h2o_timeout_entry_t *e = &s->ctx.http2._graceful_shutdown_timeout;
+
+	if (s->ctx.shutdown_requested && !h2o_timeout_is_linked(e))
+		h2o_timeout_link(s->loop, &s->ctx.one_sec_timeout, e);
+}
+
 /* Passes an HTTP/2 connection to h2o. */
 static void
 pass_to_h2o(struct hsrv_conn *c)
@@ -709,6 +723,7 @@
 	free(c);
 	h2o_accept(&s->accept,
 	    h2o_uv_socket_create((uv_stream_t *)tcp, on_h2o_closed));
+	announce_shutdown(s);
 }
 
 /*
--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -732,6 +732,61 @@
 
 } // namespace
 
+/*
+ * The same over HTTP/2, where GOAWAY says which streams are processed.
+ * Connections that were opened later than a second after the signal got none,
+ * and lived until their last streams were refused or cut at the end of the
+ * grace.
+ */
+TEST(Stops, AnHttp2ConnectionThatIsOpenedLateEnds)
+{
+	const int LATE_MS = 1200, LAST_GOAWAY_MS = 1000, WORK_MS = 200;
+	World w =
+	    boxes_for(1, "leave_wait_ms = 1500\ngrace_ms = 2500\n", WORK_MS);
+	const size_t SIZE = 200000;
+	uint32_t reads_late;
+	double began;
+
+	ASSERT_TRUE(w.open());
+	warm_up(w);
+	H2Caller slow(w.boxes[0].listen);
+	slow.opens_windows = false;
+	reads_late =
+	    slow.begin("GET", "/twice/x?size=" + std::to_string(SIZE), "slow");
+	BusyH2 early(w, "early");
+	began = now_ms();
+	until([&] { return early.step() || now_ms() > began + WORK_MS; });
+	w.boxes[0].gate.signal(SIGTERM);
+	began = now_ms();
+	until([&] {
+		early.step();
+		return now_ms() > began + LATE_MS;
+	});
+	BusyH2 late(w, "late");
+	EXPECT_TRUE(until([&] {
+		slow.step();
+		early.step();
+		return late.step() && early.step();
+	}));
+	/* Its window is opened when both others have ended. */
+	EXPECT_FALSE(slow.streams[reads_late].ended);
+	slow.open_window(0, SIZE);
+	slow.open_window(reads_late, SIZE);
+	EXPECT_TRUE(until([&] {
+		slow.step();
+		return slow.conn.ended;
+	}));
+	EXPECT_TRUE(slow.streams[reads_late].ended);
+	EXPECT_EQ(SIZE, slow.streams[reads_late].body);
+	EXPECT_LT(early.ended_at - began, LAST_GOAWAY_MS + 4 * WORK_MS);
+	EXPECT_LT(
+	    late.ended_at - began, LATE_MS + LAST_GOAWAY_MS + 4 * WORK_MS);
+	early.expect_true(w);
+	late.expect_true(w);
+	EXPECT_GT(late.c.count_ok(), 0);
+	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
+}
+
 /* It has come in part when the response before it ends. */
 TEST(Stops, AnUploadBehindAnotherRequestIsAnsweredOrNotBegun)
 {
