Begin no request behind a response that is read slowly at a stop

Requests that came behind a response which their caller read slowly ran at a server and got no answer, where the grace ended before the caller had read that response.

A response whose head was sent before the signal cannot say any more that the connection ends, and what comes behind it is still to be answered. It is the same cause as with connections that are never idle: the input ends with a response that does not begin.

At a shutdown, requests now wait while the response before them is being written. They are begun when it has been, and the first of their responses ends the input; if the process ends before, they have not run.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -542,13 +542,20 @@
 
 /*
  * Returns whether the request can be handled now: either no other request of
- * the connection is in flight, or it may run concurrently with them.
+ * the connection is in flight, or it may run concurrently with them.  At a
+ * shutdown it waits behind a response that is being written and did not say
+ * that the connection ends, as it may take the peer longer to read that
+ * response than the process lives.
  */
 static bool
 can_handle(struct hsrv_conn *c, const struct hsrv_req *r)
 {
-	if (g_queue_peek_head(&c->reqs) == r)
+	const struct hsrv_req *first = g_queue_peek_head(&c->reqs);
+
+	if (first == r)
 		return true;
+	if (c->super.ctx->shutdown_requested && first->head_sent)
+		return false;
 	return c->srv->may_run_concurrently != NULL &&
 	    c->srv->may_run_concurrently(c->srv->handler_ctx, &r->req);
 }
--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -787,6 +787,73 @@
 	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
 }
 
+/*
+ * While a response is read slowly, nothing can say that the connection ends.
+ * Requests that came behind it were begun, and lost where the grace ended
+ * before they could be answered.
+ */
+TEST(Stops, ARequestBehindAResponseThatIsReadSlowlyIsNotLost)
+{
+	const int LATE = 6, EVERY_MS = 100;
+	/*
+	 * Only the last response is read to its end within the grace.  The
+	 * listener closes in between.
+	 */
+	const struct {
+		size_t step_bytes;
+		int first_ms;
+	} SETS[] = {{1000, 100}, {1000, 300}, {400000, 300}};
+	const size_t COUNT = sizeof(SETS) / sizeof(SETS[0]);
+	World w = boxes_for(1, "leave_wait_ms = 200\ngrace_ms = 2200\n", 10);
+	std::list<Pipeline> callers;
+	double began;
+
+	ASSERT_TRUE(w.open());
+	warm_up(w);
+	auto read = [&] {
+		const auto *set = SETS;
+		bool all = true;
+
+		for (auto &p : callers) {
+			p.c.read_some(set++->step_bytes);
+			all = all && !p.c.received.empty();
+		}
+		return all;
+	};
+	for (size_t i = 0; i < COUNT; i++) {
+		callers.emplace_back(w);
+		callers.back().send("GET", "/twice/x?size=40000000",
+		    "slow" + std::to_string(i));
+	}
+	ASSERT_TRUE(until(read));
+	w.boxes[0].gate.signal(SIGTERM);
+	began = now_ms();
+	EXPECT_TRUE(until([&] {
+		const auto *set = SETS;
+		int late;
+
+		read();
+		for (auto &p : callers) {
+			late = static_cast<int>(p.sent.size()) - 1;
+			if (late < LATE &&
+			    now_ms() > began + set->first_ms + late * EVERY_MS)
+				p.send("GET", "/twice/x?ms=50",
+				    p.sent[0] + "-" + std::to_string(late));
+			set++;
+		}
+		return w.boxes[0].gate.wait_exit(1) == 0;
+	}));
+	for (auto &p : callers) {
+		EXPECT_EQ(LATE + 1u, p.sent.size());
+		p.c.reads_to_end();
+		for (size_t i = p.statuses().size(); i < p.sent.size(); i++)
+			EXPECT_EQ(0, w.run_count(p.sent[i])) << p.sent[i];
+	}
+	EXPECT_EQ(1u, callers.front().statuses().size());
+	EXPECT_GT(callers.back().statuses().size(), 1u);
+	callers.back().expect_true(w);
+}
+
 /* It has come in part when the response before it ends. */
 TEST(Stops, AnUploadBehindAnotherRequestIsAnsweredOrNotBegun)
 {
