Close the listener for other gates before the grace ends

Requests that must not repeat got 502, ran=unknown, from the box that took them, where they were forwarded to a hub that leaves until the end of its grace, though they had not run.

The hub closed that listener only when no other gate had forwarded a request for 500 ms. Where one never stops, as the only hub of its hall is leaving, the process ended with the listener open, and the kernel reset the connections in its queue together with the requests that had come on them.

The listener is now closed as soon as new requests are refused, 400 ms before the end. What is in its queue is answered then, and later connections are refused, which tells the other gate that nothing ran. A hub without requests can also end then.

--- a/gate_box.c
+++ b/gate_box.c
@@ -248,7 +248,12 @@
 		step(g, BOX_EV_ENDED, "grace period expired");
 		return;
 	}
-	if (now - g->last_forwarded_in < FORWARD_QUIET_MS * NS_MS)
+	/*
+	 * Where other gates never stop, the listener closes before the last
+	 * requests could be cut off in its queue.
+	 */
+	if (!g->refuses_new &&
+	    now - g->last_forwarded_in < FORWARD_QUIET_MS * NS_MS)
 		return;
 	step(g, BOX_EV_WAITED, "");
 	hsrv_close_idle(g->forward_server, IDLE_LEAVING_MS);
--- a/regress/test_leaving.cpp
+++ b/regress/test_leaving.cpp
@@ -200,3 +200,52 @@
 	EXPECT_EQ(0u, r.header("fern-next").find("owner 2 0 "))
 	    << r.header("fern-next");
 }
+
+/*
+ * The listener for other gates closed only when none had forwarded a request
+ * for a while.  With a gate that never stops it was open until the process
+ * ended, and requests in its queue, which must not repeat, ended with 502.
+ */
+TEST(Leaving, RequestsThatAreForwardedUntilTheHubIsGoneGetATrueAnswer)
+{
+	const int OPEN = 8, AFTER_MS = 200;
+	Hall hall("2s");
+	std::map<std::string, int> untrue;
+	int sent = 0, open = 0, ok = 0;
+	bool ended = false;
+	double stop_at = 0;
+
+	auto step = [&] {
+		while (open < OPEN) {
+			open++;
+			http_start("POST", hall.weak->address, "/buy/1?ms=20",
+			    {{"Host", "shop.example"},
+				{"fernjunction-request-id",
+				    "buy" + std::to_string(sent++)},
+				{"fernjunction-deadline-ms", "800"}},
+			    "body", 2000, [&](const Reply &r) {
+				    open--;
+				    ok += r.status == 200;
+				    if (r.status != 200 && !r.not_run())
+					    untrue[std::to_string(r.status) +
+						" " + r.header("fern-error")]++;
+			    });
+		}
+	};
+	ASSERT_TRUE(until([&] {
+		step();
+		return ok > OPEN;
+	}));
+	hall.box.signal(SIGTERM);
+	ASSERT_TRUE(until([&] {
+		step();
+		if (!ended && hall.box.wait_exit(1) == 0) {
+			ended = true;
+			stop_at = now_ms() + AFTER_MS;
+		}
+		return ended && now_ms() > stop_at;
+	}));
+	EXPECT_TRUE(until([&] { return open == 0; }));
+	for (auto &u : untrue)
+		ADD_FAILURE() << u.second << " times " << u.first;
+}
