Give a request that has begun its time at a stop

Callers that sent an upload, or the head of a request, with pauses of more than 100 ms saw their connection close while they sent, where the box got a SIGTERM.

At a stop, connections that are idle are closed after 100 ms. The same timeout ran between two parts of a request.

The two now have timeouts of their own; hsrv_close_idle() shortens that of idle connections only. A request that has begun keeps the usual limit (idle_ms) between two parts, and is answered if it is complete within the grace. The process waits for it as long, at most until the grace ends.

--- a/hsrv.c
+++ b/hsrv.c
@@ -88,6 +88,8 @@
 	h2o_context_init(&s->ctx, loop, &s->conf);
 	h2o_timeout_init(loop, &s->linger_timeout, LINGER_MS);
 	h2o_timeout_init(loop, &s->stall_timeout, STALL_MS);
+	h2o_timeout_init(
+	    loop, &s->request_timeout, s->ctx.http1.req_timeout.timeout);
 	s->accept.ctx = &s->ctx;
 	s->accept.hosts = s->conf.hosts;
 	if (listen_on(s, address, err))
@@ -235,12 +237,16 @@
 	s->may_run_concurrently = fn;
 }
 
-/* h2o has one timeout for idle connections and for slow request heads. */
+/*
+ * Idle connections and slow requests have the same limit, until idle ones are
+ * closed earlier by hsrv_close_idle().
+ */
 void
 hsrv_set_limits(struct hsrv *s, size_t body_max, uint64_t idle_ms)
 {
 	s->conf.max_request_entity_size = body_max;
 	s->ctx.http1.req_timeout.timeout = idle_ms;
+	s->request_timeout.timeout = idle_ms;
 }
 
 void
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -597,13 +597,15 @@
 /*
  * Starts or stops the idle timeout.  It runs while no request is being handled,
  * and so also limits the time for reading the head of a request, and the time
- * between two parts of its body.
+ * between two parts of its body.  A request that has begun has the usual time
+ * at a stop, too.
  */
 static void
 update_idle_timeout(struct hsrv_conn *c)
 {
-	h2o_timeout_t *timeout = &c->srv->ctx.http1.req_timeout;
 	struct hsrv_req *r = g_queue_peek_head(&c->reqs);
+	h2o_timeout_t *timeout = r != NULL ? &c->srv->request_timeout
+					   : &c->srv->ctx.http1.req_timeout;
 
 	if (c->progress) {
 		h2o_timeout_unlink(&c->idle_timeout);
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -38,6 +38,7 @@
 	 */
 	h2o_timeout_t linger_timeout;
 	h2o_timeout_t stall_timeout; /* see hsrv_set_stall_limit() */
+	h2o_timeout_t request_timeout; /* between two parts of a request */
 	uv_tcp_t listener;
 	bool listening;
 	hsrv_handler_fn *handler;
--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -854,6 +854,36 @@
 	callers.back().expect_true(w);
 }
 
+/*
+ * Between two parts, the time limit of connections that are idle at a stop
+ * passed.
+ */
+TEST(Stops, AnUploadWithPausesIsAnswered)
+{
+	const int PARTS = 6, PAUSE_MS = 180;
+	World w = boxes_for(1, "leave_wait_ms = 200\ngrace_ms = 3000\n", 10);
+
+	ASSERT_TRUE(w.open());
+	Pipeline p(w), head(w);
+	p.begin_upload("upload", PARTS * 4);
+	head.sent.emplace_back("head");
+	head.c.send_text("GET /twice/x HTTP/1.1\r\nhost: x\r\n");
+	pump(50);
+	w.boxes[0].gate.signal(SIGTERM);
+	for (int i = 0; i < PARTS; i++) {
+		pump(PAUSE_MS);
+		p.c.send_text("part");
+	}
+	head.c.send_text("x-request-id: head\r\n\r\n");
+	ASSERT_TRUE(p.c.reads_to_end(4000));
+	ASSERT_TRUE(head.c.reads_to_end(4000));
+	EXPECT_EQ(std::vector<int>{200}, p.statuses());
+	EXPECT_EQ(std::vector<int>{200}, head.statuses());
+	p.expect_true(w);
+	head.expect_true(w);
+	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
+}
+
 /* It has come in part when the response before it ends. */
 TEST(Stops, AnUploadBehindAnotherRequestIsAnsweredOrNotBegun)
 {
