Test of an HTTP/2 upload at a stop, known red

Callers that upload over HTTP/2 in parts see their connection close at a stop, about a second after the signal, though the last GOAWAY named their stream as one that is processed. The request has not run, but they cannot tell.

h2o sends that GOAWAY a second after the shutdown was requested, and closes the connection as soon as no stream with a whole request is left. Where another stream is open, the upload has as long as that one. A box that serves it would have to delay the GOAWAY, or to send it itself.

--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -787,6 +787,37 @@
 	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
 }
 
+/*
+ * The last GOAWAY named the stream of an upload as one that is processed, and
+ * the connection then closed, as no other stream was open.
+ */
+TEST(Stops, AnHttp2UploadThatWasBegunIsAnswered)
+{
+	World w = boxes_for(1, "leave_wait_ms = 200\ngrace_ms = 3000\n", 10);
+	const int PARTS = 10, EVERY_MS = 140;
+	uint32_t n;
+
+	ASSERT_TRUE(w.open());
+	H2Caller c(w.boxes[0].listen);
+	n = c.begin("POST", "/dir/x", "upload", false);
+	c.send_part(n, "first", false);
+	pump(50);
+	w.boxes[0].gate.signal(SIGTERM);
+	for (int i = 0; i < PARTS; i++) {
+		pump(EVERY_MS);
+		c.step();
+		c.send_part(n, "part", i == PARTS - 1);
+	}
+	EXPECT_TRUE(until([&] {
+		c.step();
+		return c.conn.ended;
+	}));
+	EXPECT_GE(c.last_processed, n);
+	EXPECT_TRUE(c.streams[n].ok && c.streams[n].ended);
+	EXPECT_EQ(1, w.run_count("upload"));
+	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(4000));
+}
+
 /*
  * While a response is read slowly, nothing can say that the connection ends.
  * Requests that came behind it were begun, and lost where the grace ended
