Leave a connection that closes before "100 Continue" is sent

The process could crash where a caller sent "Expect: 100-continue" and reset its connection. Cause: where the line cannot be written the connection is closed, but its idle timeout was started afterwards, and ran on memory that had been freed. Evidence: Conn.ACallerThatResetsBeforeItIsToldToContinueIsLeft crashed in each run before, on too, with the address sanitizer as a use after free in on_idle(); now it passes. Nothing is done any more with a connection that was closed.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -633,9 +633,10 @@
 {
 	while (!c->closed && handle_next(c) && parse_input(c))
 		;
+	if (!c->closed)
+		send_continue(c);
 	if (c->closed)
 		return;
-	send_continue(c);
 	update_idle_timeout(c);
 	write_response(c);
 	resume_reading(c);
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -768,6 +768,33 @@
 	EXPECT_EQ(1, c.count("connection: close"));
 }
 
+/*
+ * The idle timeout of a connection was started after "100 Continue" could not
+ * be sent, and outlived the connection.
+ */
+TEST(Conn, ACallerThatResetsBeforeItIsToldToContinueIsLeft)
+{
+	const struct linger reset = {1, 0};
+	Server s;
+
+	hsrv_set_limits(s.srv, 1000, 50);
+	for (int i = 0; i < 20; i++) {
+		Caller c(s);
+
+		s.run_for(3);
+		c.send_text("POST /1 HTTP/1.1\r\nHost: a\r\n"
+			    "Content-Length: 5\r\n"
+			    "Expect: 100-continue\r\n\r\n");
+		setsockopt(c.fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		close(c.fd);
+		c.fd = -1;
+		s.run_for(10);
+	}
+	s.run_for(200);
+	EXPECT_EQ(0u, hsrv_count_open(s.srv).connections);
+	EXPECT_EQ(0u, s.reqs.size());
+}
+
 /* Connections that the kernel had accepted were reset with the listener. */
 TEST(Conn, AConnectionThatWaitsWhenTheListenerClosesIsServed)
 {
