End the input where the listener closes, and parse what has begun to come

Cause: the end of the input had two faults that a review showed. A request that had come in part behind seven others was freed while its rest lay unparsed, and the next parse crashed the process. And as it came with the first response after the signal, while new connections were accepted, a caller that came back to the same box met another end with each first response. Change: the rest of a request that has begun is parsed also where as many requests are in flight as may be. The input ends once the gate accepts no more connections, or after half of the time to its end, whichever is earlier; before it a connection ends, as before, with a response behind which nothing has come. What is in the socket when the next response is ready is still read, by the event loop. Pipeline.AConnectionThatIsNeverIdleEndsAtAShutdown now calls hsrv_end_input(), as hsrv_shutdown() alone leaves such callers their connection; what it asks is the same.

--- a/gate_box.c
+++ b/gate_box.c
@@ -205,13 +205,11 @@
 static void
 stop_accepting_callers(struct gate *g)
 {
-	if (hsrv_stop_accepting(g->caller_server)) {
+	if (hsrv_stop_accepting(g->caller_server))
 		slog(SLOG_GATE, "accepts no more connections",
 		    "connections=%u requests=%u",
 		    hsrv_count_open(g->caller_server).connections,
 		    gate_req_count(g));
-		hsrv_end_input(g->caller_server);
-	}
 	hsrv_close_idle(g->caller_server, IDLE_LEAVING_MS);
 }
 
@@ -226,17 +224,24 @@
 /*
  * Drives a planned shutdown.  Callers and other gates learn that the gate is
  * leaving and get time to go elsewhere; then the listeners close, the last
- * responses are sent, and connections are closed as they become idle.  The gate
- * exits after the last one: as long as a connection is open, a request may be
- * read from it.
+ * responses are sent, and connections are closed as they become idle.  Those
+ * that never are take no requests any more from half of the time at the latest.
+ * The gate exits after the last one: as long as a connection is open, a request
+ * may be read from it.
  */
 void
 gate_box_tick(struct gate *g, int64_t now)
 {
 	int64_t elapsed = now - g->leaving_since;
+	int64_t leave_wait = g->settings.leave_wait_ms * NS_MS;
 	int64_t limit = shutdown_limit(g);
+	int64_t input_end = MIN(leave_wait, limit / 2);
 
-	if (!gate_box_leaving(g) || elapsed < g->settings.leave_wait_ms * NS_MS)
+	if (!gate_box_leaving(g))
+		return;
+	if (elapsed >= input_end)
+		hsrv_end_input(g->caller_server);
+	if (elapsed < leave_wait)
 		return;
 	/* Other gates may still forward requests. */
 	stop_accepting_callers(g);
--- a/hsrv.c
+++ b/hsrv.c
@@ -276,6 +276,9 @@
 	const struct hsrv_tcp *t;
 	const GList *link;
 
+	if (s->input_ended)
+		return;
+	s->input_ended = true;
 	for (link = s->connections.head; link != NULL; link = link->next) {
 		t = link->data;
 		if (t->conn != NULL)
--- a/hsrv.h
+++ b/hsrv.h
@@ -86,8 +86,9 @@
 void hsrv_close_idle(struct hsrv *, uint64_t idle_ms);
 
 /*
- * From now on, HTTP/1.1 connections on which requests wait for their responses
- * read no further ones, and end with the last of these responses.
+ * Ends HTTP/1.1 connections whose callers always have a request outstanding:
+ * those on which requests wait for their responses read no further ones, and
+ * end with the last of these responses; others do so once a request has come.
  */
 void hsrv_end_input(struct hsrv *);
 
@@ -101,9 +102,8 @@
 struct hsrv_open_count hsrv_count_open(const struct hsrv *);
 
 /*
- * Begins a graceful shutdown: sends GOAWAY on HTTP/2 connections.  An HTTP/1.1
- * connection ends with the response to the last request that had arrived when
- * the next response was ready.
+ * Begins a graceful shutdown: sends GOAWAY on HTTP/2 connections, and ends
+ * HTTP/1.1 connections with the response to the last request that was read.
  */
 void hsrv_shutdown(struct hsrv *);
 
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -341,6 +341,20 @@
 	return r != NULL && !r->handled ? r : NULL;
 }
 
+/*
+ * Returns whether the response to the last whole request has not begun, so that
+ * it can say that the connection closes.
+ */
+static bool
+has_response_to_begin(struct hsrv_conn *c)
+{
+	const struct hsrv_req *r = g_queue_peek_tail(&c->reqs);
+
+	if (r != NULL && !r->handled && !r->complete)
+		r = r->link.prev == NULL ? NULL : r->link.prev->data;
+	return r != NULL && !r->head_sent;
+}
+
 /* Rejects input that cannot be parsed; no further request is accepted. */
 static void
 reject_input(struct hsrv_conn *c)
@@ -354,17 +368,18 @@
 }
 
 /*
- * Parses up to the end of the next request, which is then the last one.
- * Returns false if there is nothing to parse, or if the last request has yet to
- * be handled.
+ * Parses up to the end of the last request, or of a new one behind it.  Returns
+ * false if there is nothing to parse, or if the last request has yet to be
+ * handled.
  */
 static bool
 parse_input(struct hsrv_conn *c)
 {
 	const struct hsrv_req *r = unhandled_req(c);
 
-	if (c->closed || c->no_more_requests || c->input->len == 0 ||
-	    c->reqs.length >= IN_FLIGHT_MAX || (r != NULL && r->complete))
+	if (c->closed || c->no_more_requests || c->input->len == 0)
+		return false;
+	if (r != NULL ? r->complete : c->reqs.length >= IN_FLIGHT_MAX)
 		return false;
 	if (hsrv_parse_request(c))
 		return true;
@@ -372,59 +387,54 @@
 	return false;
 }
 
-/* Reads what has arrived, as far as INPUT_MAX allows. */
-static void
-read_socket(struct hsrv_conn *c)
-{
-	struct hsrv *s = c->srv;
-	ssize_t n;
-	int fd;
-
-	if (uv_fileno((uv_handle_t *)c->tcp, &fd) != 0)
-		return;
-	while (c->input->len < INPUT_MAX &&
-	    (n = recv(fd, s->read_buf, sizeof(s->read_buf), MSG_DONTWAIT)) > 0)
-		g_byte_array_append(
-		    c->input, (const guint8 *)s->read_buf, (guint)n);
-}
-
 /*
  * Ends the input of a connection on which a request waits for its response:
- * what has arrived is still parsed and answered, what comes later is discarded,
- * as is a request that has not arrived whole.  The last response says that the
+ * what has been read is still answered, what comes later is discarded, as is a
+ * request that has not been read whole.  The last response says that the
  * connection closes, so that callers take the requests behind it as not
  * processed.
  */
 static void
 end_input(struct hsrv_conn *c)
 {
-	struct hsrv_req *r;
+	struct hsrv_req *r = unhandled_req(c);
 
-	if (!c->input_ended)
-		read_socket(c);
 	c->input_ended = true;
-	parse_input(c);
-	r = unhandled_req(c);
 	if (r != NULL && !r->complete)
 		hsrv_req_free(r);
 }
 
+/*
+ * From hsrv_end_input() on, the next response ends the input, as callers that
+ * pipeline may always have a request outstanding.  What is in the socket then
+ * is read first, so that the response behind it ends the input.
+ */
+static void
+end_input_if_due(struct hsrv_conn *c)
+{
+	if (!c->srv->input_ended)
+		return;
+	if (c->input_due || !hsrv_tcp_has_unread(c->tcp))
+		end_input(c);
+	c->input_due = true;
+}
+
 /*
  * Returns whether the connection ends with this response.  If it is to end,
  * but later requests are already being handled, it ends after their responses,
  * unless this response is delimited by the close.  At a shutdown it ends once
- * everything that had arrived when the first response was ready is answered, as
- * callers that pipeline may always have a request outstanding.
+ * everything that was read, or waits in the socket, has been answered.
  */
 static bool
 ends_connection(struct hsrv_req *r)
 {
 	struct hsrv_conn *c = r->conn;
 
-	if (c->super.ctx->shutdown_requested)
-		end_input(c);
+	end_input_if_due(c);
 	if (!r->req.http1_is_persistent || is_close_delimited(r) ||
-	    (c->input_ended && r->link.next == NULL && c->input->len == 0))
+	    (c->super.ctx->shutdown_requested && r->link.next == NULL &&
+		c->input->len == 0 &&
+		(c->input_ended || !hsrv_tcp_has_unread(c->tcp))))
 		c->no_more_requests = true;
 	if (!c->no_more_requests)
 		return false;
@@ -642,21 +652,12 @@
 	resume_reading(c);
 }
 
-/*
- * The last request whose response has not begun says that the connection
- * closes.  Without one, requests that come have to be answered.
- */
+/* Without a response that says so, callers would not learn of the end. */
 void
 hsrv_conn_end_input(struct hsrv_conn *c)
 {
-	const struct hsrv_req *last = g_queue_peek_tail(&c->reqs);
-
-	if (last != NULL && !last->handled && !last->complete)
-		last = last->link.prev == NULL ? NULL : last->link.prev->data;
-	if (c->closed || last == NULL || last->head_sent)
-		return;
-	end_input(c);
-	process_input(c);
+	if (!c->closed && has_response_to_begin(c))
+		end_input(c);
 }
 
 /* Recognizes the HTTP/2 preface and a request to upgrade to HTTP/2. */
@@ -782,7 +783,8 @@
 		close_conn(c);
 		return;
 	}
-	if (c->awaiting_peer_close || c->input_ended || n == 0)
+	if (c->awaiting_peer_close || n == 0 ||
+	    (c->input_ended && has_response_to_begin(c)))
 		return;
 	g_byte_array_append(c->input, (const guint8 *)buf->base, (guint)n);
 	if (c->input->len >= INPUT_MAX) {
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -41,6 +41,7 @@
 	h2o_timeout_t request_timeout; /* between two parts of a request */
 	uv_tcp_t listener;
 	bool listening;
+	bool input_ended; /* hsrv_end_input() was called */
 	hsrv_handler_fn *handler;
 	hsrv_concurrent_fn *may_run_concurrently; /* NULL: none may */
 	void *handler_ctx;
@@ -98,6 +99,7 @@
 	bool progress;
 	bool writing;
 	bool no_more_requests; /* no further request is accepted */
+	bool input_due; /* it ends with the next response */
 	bool input_ended; /* what comes from now on is discarded */
 	bool awaiting_peer_close; /* the write side was shut */
 	bool closed;
--- a/libreq.h
+++ b/libreq.h
@@ -277,9 +277,9 @@
 struct gate_limit_text gate_admit_limit(const struct gate_req *);
 
 /*
- * gate_box.c: log fields that say when a request came: in ms after the stop
- * signal, negative if before it, and behind how many requests of its
- * connection.  Empty if the gate is not leaving.
+ * gate_box.c: log fields that say when the handling of a request began: in ms
+ * after the stop signal, negative if before it, and behind how many requests of
+ * its connection.  Empty if the gate is not leaving.
  */
 struct gate_arrival_text {
 	char text[56];
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -756,6 +756,7 @@
 	c.send_text(get("/0"));
 	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
 	hsrv_shutdown(s.srv);
+	hsrv_end_input(s.srv);
 	for (i = 0; i < ROUNDS && i < s.reqs.size(); i++) {
 		c.send_text(get("/" + std::to_string(i + 1)));
 		s.run_for();
@@ -768,6 +769,59 @@
 	EXPECT_EQ(1, c.count("connection: close"));
 }
 
+/*
+ * The end of the input freed a request that had come in part, while its rest
+ * was in the input: the next parse had no request, and the process crashed.
+ */
+TEST(Pipeline, ARequestInPartsBehindAFullConnectionSurvivesAShutdown)
+{
+	const size_t AHEAD = 7;
+	Server s;
+	Caller c(s);
+	std::string all;
+
+	for (size_t i = 0; i < AHEAD; i++)
+		all += get("/" + std::to_string(i));
+	c.send_text(all + "GET /last HTTP/1.1\r\nHo");
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == AHEAD; }));
+	c.send_text("st: a\r\n\r\n");
+	s.run_for();
+	hsrv_shutdown(s.srv);
+	for (size_t i = 0; i < s.reqs.size(); i++) {
+		s.respond(i, "answer.");
+		s.run_for();
+	}
+	EXPECT_TRUE(c.is_closed(s));
+	EXPECT_EQ(static_cast<int>(s.reqs.size()), c.count("answer."));
+	EXPECT_EQ(1, c.count("connection: close"));
+}
+
+/* The same where the input ends as the listener closes, and with a body. */
+TEST(Pipeline, ABodyInPartsBehindAFullConnectionSurvivesTheEndOfTheInput)
+{
+	const size_t AHEAD = 7;
+	Server s;
+	Caller c(s);
+	std::string all, last = post("/last", std::string(500, 'b'));
+
+	for (size_t i = 0; i < AHEAD; i++)
+		all += get("/" + std::to_string(i));
+	c.send_text(all + last.substr(0, last.size() - 100));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == AHEAD; }));
+	s.run_for();
+	c.send_text(std::string(100, 'b'));
+	s.run_for();
+	hsrv_shutdown(s.srv);
+	hsrv_end_input(s.srv);
+	for (size_t i = 0; i < s.reqs.size(); i++) {
+		s.respond(i, "answer.");
+		s.run_for();
+	}
+	EXPECT_TRUE(c.is_closed(s));
+	EXPECT_EQ(static_cast<int>(s.reqs.size()), c.count("answer."));
+	EXPECT_EQ(1, c.count("connection: close"));
+}
+
 /*
  * The idle timeout of a connection was started after "100 Continue" could not
  * be sent, and outlived the connection.
@@ -795,6 +849,51 @@
 	EXPECT_EQ(0u, s.reqs.size());
 }
 
+/*
+ * A caller of HTTP/2 that always has a request outstanding, on a connection
+ * opened before or after the shutdown.  Returns how long it stays open, in ms.
+ */
+static int
+http2_outlasts(bool opened_before)
+{
+	const std::string preface("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+				  "\0\0\0\4\0\0\0\0\0",
+	    33);
+	const int STEPS = 200, STEP_MS = 25, ALL_ANSWERED = 80;
+	const size_t OUTSTANDING = 4;
+	Server s;
+	std::string frame("\0\0\6\1\5\0\0\0\1\x82\x86\x84\x41\1a", 15);
+	size_t answered = 0, left;
+	int step;
+
+	if (!opened_before)
+		hsrv_shutdown(s.srv);
+	Caller c(s);
+	c.send_text(preface);
+	s.run_for();
+	for (step = 0; step < STEPS && !c.closed; step++) {
+		if (step == 4 && opened_before)
+			hsrv_shutdown(s.srv);
+		frame[7] = static_cast<char>((2 * step + 1) >> 8);
+		frame[8] = static_cast<char>(2 * step + 1);
+		if (write(c.fd, frame.data(), frame.size()) < 0)
+			break;
+		s.run_for(STEP_MS);
+		/* Until no more requests can come. */
+		left = step < ALL_ANSWERED ? OUTSTANDING : 0;
+		for (; answered + left < s.reqs.size(); answered++)
+			s.respond(answered, "answer.");
+		c.read_available();
+	}
+	return step * STEP_MS;
+}
+
+TEST(Conn, AnHttp2ConnectionThatIsNeverIdleEndsAtAShutdown)
+{
+	EXPECT_LT(http2_outlasts(true), 4000);
+	EXPECT_LT(http2_outlasts(false), 4000);
+}
+
 /* Connections that the kernel had accepted were reset with the listener. */
 TEST(Conn, AConnectionThatWaitsWhenTheListenerClosesIsServed)
 {
