Refuse requests that are begun late at a stop as not run

Callers got 502 or 503, ran=unknown, at the end of the grace for requests that were begun shortly before: as their body came late, as they had waited in the input of their connection, or as they came behind a response that had begun before the signal. Cause: whatever was read was begun up to 400 ms before the end, however long the backend servers need. Change: in the second half of the time between the end of the input and the end of the gate, requests of callers are refused, which is true and at once, and says that the connection closes. Requests of other gates are taken as before, as these may have no other owner.

--- a/gate_box.c
+++ b/gate_box.c
@@ -226,8 +226,10 @@
  * leaving and get time to go elsewhere; then the listeners close, the last
  * responses are sent, and connections are closed as they become idle.  Those
  * that never are take no requests any more from half of the time at the latest.
- * The gate exits after the last one: as long as a connection is open, a request
- * may be read from it.
+ * Requests that come all the same, as their body was late or as they waited
+ * behind others, are refused as not run in the second half of what is left, as
+ * their backend servers may need longer.  The gate exits after the last
+ * connection: as long as one is open, a request may be read from it.
  */
 void
 gate_box_tick(struct gate *g, int64_t now)
@@ -241,6 +243,7 @@
 		return;
 	if (elapsed >= input_end)
 		hsrv_end_input(g->caller_server);
+	g->refuses_callers = elapsed > (input_end + limit) / 2;
 	if (elapsed < leave_wait)
 		return;
 	/* Other gates may still forward requests. */
--- a/gate_req.c
+++ b/gate_req.c
@@ -114,7 +114,7 @@
 
 	r->forwarded = forwarded;
 	cnt_add(g->cnt, forwarded ? GC_FORWARDED_IN : GC_REQUESTS, 1);
-	if (g->refuses_new)
+	if (g->refuses_new || (g->refuses_callers && !forwarded))
 		gate_respond(r, ERR_LEAVING, RAN_NO, 0);
 	else if (g->configured_ms > 0)
 		gate_admit(r);
--- a/libgate.h
+++ b/libgate.h
@@ -283,6 +283,7 @@
 	int64_t configured_ms;
 	int64_t last_tick, last_forwarded_in, leaving_since;
 	bool refuses_new; /* requests; the shutdown is about to end */
+	bool refuses_callers; /* the same, of callers only, and earlier */
 	uint64_t seq_at_end; /* last_seq when the gate decided to exit */
 	unsigned live_boxes; /* gates that are alive, including this one */
 	enum box_state state;
--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -1054,3 +1054,104 @@
 	EXPECT_EQ(1, w.run_count("early" + std::to_string(EARLY - 1)));
 	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
 }
+
+/*
+ * Requests that had been read before the signal and waited for their turn were
+ * begun to the end of the grace, and cut while their server was at work.
+ */
+TEST(Stops, RequestsThatWaitOnAConnectionAreNotBegunToBeCut)
+{
+	const int REQUESTS = 80;
+	World w(World::options_of(1, "leave_wait_ms = 300\ngrace_ms = 2500\n"));
+	std::string text;
+
+	w.options.backends[0].keys = "ms=400 spread=0 slots=40";
+	w.options.backends[0].slots = 40;
+	ASSERT_TRUE(w.open());
+	Caller c(w.boxes[0].listen);
+	for (int i = 0; i < REQUESTS; i++)
+		text +=
+		    Caller::request("GET", "/twice/x", "r" + std::to_string(i));
+	ASSERT_TRUE(c.send_text(text));
+	ASSERT_TRUE(until([&] { return w.run_count("r1") == 1; }));
+	w.boxes[0].gate.signal(SIGTERM);
+	ASSERT_TRUE(c.reads_to_end(6000));
+	EXPECT_EQ(0, c.count("fern-ran: unknown"));
+	EXPECT_EQ(1, c.count("connection: close"));
+	EXPECT_EQ(c.count("HTTP/1.1 200"), static_cast<int>(w.runs().size()));
+	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
+}
+
+/*
+ * On a connection with nothing but a response that had begun before the signal,
+ * requests that came after the listener had closed were begun to the end of the
+ * grace, and cut.
+ */
+TEST(Stops, ARequestBehindABegunResponseIsNotCutAtTheEndOfTheGrace)
+{
+	const int LEAVE_WAIT_MS = 300, LATER = 60, WARM_UP = 30;
+	World w(World::options_of(1, "leave_wait_ms = 300\ngrace_ms = 2500\n"));
+	double next;
+	int sent = 0;
+
+	w.options.backends[0].keys = "ms=800 spread=0 slots=40";
+	w.options.backends[0].slots = 40;
+	ASSERT_TRUE(w.open());
+	/* A new server gets one request at a time. */
+	for (int i = 0; i < WARM_UP; i++)
+		http("GET", w.boxes[0].listen, "/twice/x?ms=5",
+		    {{"x-request-id", "warm-up"}});
+	w.backends[0]->set("part=1000&pause=100");
+	Caller c(w.boxes[0].listen);
+	c.send_text(Caller::request("GET", "/twice/x?size=20000", "long"));
+	ASSERT_TRUE(until([&] {
+		c.read_some();
+		return c.count("HTTP/1.1 200") == 1;
+	}));
+	w.boxes[0].gate.signal(SIGTERM);
+	pump(LEAVE_WAIT_MS * 2);
+	next = now_ms();
+	ASSERT_TRUE(until(
+	    [&] {
+		    c.read_some();
+		    if (!c.ended && sent < LATER && now_ms() >= next) {
+			    c.send_text(Caller::request("GET", "/twice/x",
+				"r" + std::to_string(sent++)));
+			    next = now_ms() + 50;
+		    }
+		    return c.ended;
+	    },
+	    6000));
+	EXPECT_EQ(0, c.count("fern-ran: unknown"));
+	EXPECT_EQ(
+	    c.count("HTTP/1.1 200"), static_cast<int>(w.runs().size()) - 1);
+	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
+}
+
+/*
+ * A body whose parts kept coming kept its connection open, and its request was
+ * begun near the end of the grace, and cut.
+ */
+TEST(Stops, ARequestWhoseBodyComesLateIsNotBegunToBeCut)
+{
+	const int BODY = 40, PART_MS = 50;
+	World w(World::options_of(1, "leave_wait_ms = 300\ngrace_ms = 2500\n"));
+
+	w.options.backends[0].keys = "ms=900 spread=0 slots=40";
+	ASSERT_TRUE(w.open());
+	Caller c(w.boxes[0].listen);
+	c.send_text("POST /dir/x HTTP/1.1\r\nhost: x\r\nx-request-id: up\r\n"
+		    "content-length: " +
+	    std::to_string(BODY) + "\r\n\r\n");
+	pump(PART_MS);
+	w.boxes[0].gate.signal(SIGTERM);
+	for (int i = 0; i < BODY && !c.ended; i++) {
+		c.send_text("x");
+		pump(PART_MS);
+		c.read_some();
+	}
+	ASSERT_TRUE(c.reads_to_end(4000));
+	EXPECT_EQ(0, c.count("fern-ran: unknown")) << c.received;
+	EXPECT_EQ(c.count("HTTP/1.1 200"), w.run_count("up"));
+	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
+}
