Check the line end behind the size of a chunk

The parser now stops behind this line as it does at the end of a head.

Before: 116 of the parts in the two new rows of the unit test end as whole; none after.

--- a/libup.h
+++ b/libup.h
@@ -51,6 +51,7 @@
 	bool response_complete;
 	bool has_surplus; /* bytes were received after the response */
 	bool head_complete; /* and not yet passed to the call */
+	bool chunk_begun; /* the line with its size has come */
 	/* Bytes of the line end behind a chunk that are yet to come. */
 	size_t line_end_due;
 	const char *read_end; /* of the bytes that are being parsed */
--- a/regress/test_up.cpp
+++ b/regress/test_up.cpp
@@ -312,6 +312,12 @@
 	    {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 	     "2\r\nab\r\n0\r\n\rx",
 		"cut", nullptr},
+	    {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+	     "2\rxab\r\n0\r\n\r\n",
+		"cut", nullptr},
+	    {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+	     "2\r\nab\r\n0\rx\r\n",
+		"cut", nullptr},
 	};
 
 	for (auto &c : cases)
--- a/up_answer.c
+++ b/up_answer.c
@@ -27,6 +27,7 @@
 static int on_header_field(http_parser *, const char *, size_t);
 static int on_header_value(http_parser *, const char *, size_t);
 static int on_headers_complete(http_parser *);
+static int on_chunk_header(http_parser *);
 static int on_body(http_parser *, const char *, size_t);
 static int on_message_complete(http_parser *);
 
@@ -34,6 +35,7 @@
     .on_header_field = on_header_field,
     .on_header_value = on_header_value,
     .on_headers_complete = on_headers_complete,
+    .on_chunk_header = on_chunk_header,
     .on_body = on_body,
     .on_message_complete = on_message_complete,
 };
@@ -51,7 +53,7 @@
 {
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
-	conn->head_complete = false;
+	conn->head_complete = conn->chunk_begun = false;
 	conn->line_end_due = 0;
 	clear_headers(conn);
 }
@@ -230,6 +232,17 @@
 	return true;
 }
 
+/* The parser stops behind the line with the size of a chunk. */
+static int
+on_chunk_header(http_parser *parser)
+{
+	struct up_conn *conn = parser->data;
+
+	conn->chunk_begun = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
 /* Checks the line end behind a chunk, of which a part may have come before. */
 static bool
 is_line_end(struct up_conn *conn, const char *p)
@@ -241,10 +254,27 @@
 	return same;
 }
 
+/*
+ * Continues where the parser has stopped before the last byte of a head or
+ * behind the line with the size of a chunk, with `next` as the next byte.
+ * Returns false if the line feed is missing or the head is not valid.
+ */
+static bool
+pass_stop(struct up_conn *conn, const char *next)
+{
+	bool head_complete = conn->head_complete;
+
+	conn->head_complete = conn->chunk_begun = false;
+	http_parser_pause(&conn->parser, 0);
+	if (!head_complete)
+		return next[-1] == '\n';
+	return *next == '\n' && pass_head(conn);
+}
+
 /*
  * http_parser as it is built by distributions takes any byte for the line feed
- * behind a carriage return that ends a head, and any two for the line end
- * behind a chunk, so these are checked here.
+ * behind a carriage return that ends a head, a trailer or the size of a chunk,
+ * and any two for the line end behind a chunk, so these are checked here.
  */
 bool
 up_response_parse(struct up_conn *conn, const char *p, size_t n, size_t *used)
@@ -255,19 +285,18 @@
 	*used = 0;
 	if (!is_line_end(conn, p))
 		return false;
-	for (;;) {
+	/* No bytes would be the end of the connection for the parser. */
+	while (*used < n) {
 		*used += http_parser_execute(
 		    parser, &up_response_settings, p + *used, n - *used);
-		if (!conn->head_complete || conn->closing)
+		if (conn->closing ||
+		    (!conn->head_complete && !conn->chunk_begun))
 			break;
-		conn->head_complete = false;
-		http_parser_pause(parser, 0);
-		if (p[*used] != '\n' || !pass_head(conn))
+		if (!pass_stop(conn, p + *used))
 			return false;
 		if (conn->closing)
 			break;
 	}
-	/* The line feed behind the last chunk or the trailer. */
 	if (conn->response_complete && (parser->flags & F_CHUNKED) != 0 &&
 	    (parser->flags & F_SKIPBODY) == 0 && p[*used - 1] != '\n')
 		return false;
