--- a/regress/test_broken.cpp
+++ b/regress/test_broken.cpp
@@ -948,14 +948,15 @@
 }
 
 /*
- * A response is being sent when its deadline passes or the process of a box
- * ends.  Callers by HTTP/1.0 took what they had of it for whole.
+ * A response is being sent when its deadline passes, the caller has closed its
+ * side, or the process of a box ends.  Callers by HTTP/1.0 took what they had
+ * of it for whole.
  */
 TEST(BrokenByABox, AResponseThatABoxEndsDoesNotLookWhole)
 {
-	enum Way { DEADLINE, TERMINATED, KILLED, WAYS };
+	enum Way { DEADLINE, HALF_CLOSED, TERMINATED, KILLED, WAYS };
 	static const char *const names[WAYS] = {
-	    "deadline", "SIGTERM", "SIGKILL"};
+	    "deadline", "half closed", "SIGTERM", "SIGKILL"};
 	const std::string large = std::string(4 << 20, 'x');
 	const std::string texts[] = {UNTIL_CLOSE, UNTIL_CLOSE + large,
 	    CHUNKED.substr(0, CHUNKED.rfind("0\r\n")),
@@ -987,6 +988,9 @@
 		Process &gate = w.fleet->boxes[box].gate;
 		if (way == DEADLINE) {
 			pump(1800);
+		} else if (way == HALF_CLOSED) {
+			for (auto &o : open)
+				shutdown(o->caller.fd, SHUT_WR);
 		} else if (way == KILLED) {
 			gate.kill9();
 		} else {
@@ -1224,3 +1228,58 @@
 		    << printable(seen[i].raw);
 	}
 }
+
+/*
+ * The rest of a response that is not passed on is discarded, and its connection
+ * is used again: the second response there is cut, or the discarded one.
+ */
+TEST_F(Broken, NoPartOfAResponseBehindADiscardedOneLooksWhole)
+{
+	const std::string busy =
+	    "HTTP/1.1 500 No\r\ncontent-length: 11\r\n\r\nbusy-$ID";
+	std::vector<Cut> all = all_cuts(&w), cuts;
+	std::map<std::string, const Cut *> by_id;
+	std::vector<Ask> asks;
+	Tally tally;
+	int repeated = 0;
+
+	for (size_t i = 0; i < all.size(); i++)
+		if ((i + i / 4) % 4 == 0 && all[i].ask.method == "GET")
+			cuts.push_back(all[i]);
+	for (Cut &c : cuts) {
+		c.ask.rule = RETRIED;
+		by_id[c.ask.id] = &c;
+		asks.push_back(c.ask);
+	}
+	w.set([&](const std::string &id, int before) -> Play {
+		const Cut &c = *by_id.at(id);
+		std::string first = with_id(busy, id);
+
+		if (before == 0 && c.cut % 8 == 0)
+			return {first.substr(0, first.size() - 1 - c.cut % 9),
+			    c.end};
+		if (before == 0)
+			return {first, FIN, true};
+		if (before == 1)
+			return {c.text.substr(0, c.cut), c.end};
+		return {c.text, FIN};
+	});
+	std::vector<Seen> seen = w.ask_all(asks);
+	for (size_t i = 0; i < cuts.size(); i++) {
+		const Cut &c = cuts[i];
+		const Seen &s = seen[i];
+		bool whole = s.whole && s.status < 400;
+
+		tally.add(c, s);
+		repeated += w.count(c.ask.id) > 1;
+		EXPECT_TRUE(!whole || (c.is_whole() && s.body == c.body()) ||
+		    (w.count(c.ask.id) > 2 &&
+			s.body == with_id(c.response->body, c.ask.id)))
+		    << c.str() << "\n"
+		    << printable(s.raw);
+	}
+	EXPECT_GT(repeated, 0);
+	std::cerr << cuts.size() << " sent, " << repeated << " repeated; ";
+	tally.looks_whole.clear();
+	tally.print(w);
+}
