Read all pages of the list of boxes

Callers and operators would see: boxes that do not find each other, each of which takes all shards for its own, where entries of other writers fill the first page of the list of boxes, or the boxes are more than a page holds (about 500).

Cause: the codec of the list of boxes ignored that there are further pages.

Evidence: Entries.StatusesOfOthersDoNotHideABox failed with the programs before (a second box that has no seeds was not found in 5 s) and passes now.

The pages are joined as those of other lists are.

--- a/plat_http.c
+++ b/plat_http.c
@@ -333,9 +333,9 @@
 }
 
 /*
- * Appends the objects of a page to those of earlier pages.  The list is only
- * complete at the oldest revision of its pages, and a stale page may be older
- * than the one before it.
+ * Appends the objects or boxes of a page to those of earlier pages.  The list
+ * is only complete at the oldest revision of its pages, and a stale page may be
+ * older than the one before it.
  */
 static void
 add_page(struct plat_call *c, json_t *page)
@@ -349,6 +349,8 @@
 	}
 	json_array_extend(json_object_get(c->pages, "objects"),
 	    json_object_get(page, "objects"));
+	json_array_extend(
+	    json_object_get(c->pages, "boxes"), json_object_get(page, "boxes"));
 	if (json_integer_value(page_rev) < json_integer_value(oldest_rev))
 		json_object_set(c->pages, "revision", page_rev);
 }
--- a/regress/test_entries.cpp
+++ b/regress/test_entries.cpp
@@ -288,3 +288,22 @@
 	EXPECT_TRUE(told == 1 || told == 2) << told << " from two starts";
 	EXPECT_EQ(0u, count(log, "msg=\"a watch failed"));
 }
+
+/*
+ * Of the list of boxes only the first page was read, so that entries of other
+ * writers, or many boxes, hid the boxes on the others.
+ */
+TEST(Entries, StatusesOfOthersDoNotHideABox)
+{
+	const char *hubs = "status_by = \"hubs\"\nstatus_ms = 3600000\n";
+	World w(true, "", "", hubs);
+	box::Further second(w, "b2", "north", "7", hubs);
+
+	ASSERT_TRUE(is_ready(w));
+	ASSERT_TRUE(until([&] { return w.has("boxes", "b1"); }));
+	for (auto name : {"a1", "a2", "a3", "a4"})
+		w.platform.put("boxes", name, "{}");
+	second.box.start();
+	EXPECT_TRUE(until([&] { return second.serves(); }, 5000));
+	EXPECT_TRUE(until([&] { return w.knows(2); }, 5000));
+}
