Ignore a status that cannot be that of a box

Callers saw: a route that was added did not come into force on any box, once another writer had left statuses of boxes whose power is below zero.

Cause: each entry of the list of boxes counted as one. A negative power, cast, was the highest of all, so that the boxes that do not exist were the hubs, and nobody read changes until they were found dead. A name with a NUL was cut to that of another box.

A status without a valid name, hall and address, or with a power that no setting allows, is ignored with a warning, once an hour. The time of a crash in a status can no longer overflow.

--- a/agent_box.c
+++ b/agent_box.c
@@ -9,10 +9,12 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #define XXH_INLINE_ALL
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <xxhash.h>
 
 #include "libagent.h"
+#include "slog.h"
 #include "version.h"
 
 /*
@@ -27,6 +29,8 @@
 enum {
 	/* Limit of status writes of all boxes together, per second. */
 	STATUS_FLEET_RATE = 150,
+	/* Of a box, in processors; the setting allows no more. */
+	POWER_MAX = 1024,
 	/* Multiplies the backoff, as a status is less urgent than a list. */
 	STATUS_BACKOFF_FACTOR = 4
 };
@@ -72,7 +76,9 @@
 static struct str
 get_text(const json_t *o, const char *key)
 {
-	return str_c(json_string_value(json_object_get(o, key)));
+	const json_t *text = json_object_get(o, key);
+
+	return str_n(json_string_value(text), json_string_length(text));
 }
 
 static bool
@@ -92,6 +98,41 @@
 	a->listed_at = clk_ns(a->clk);
 }
 
+/* Reads a status; returns false if it cannot be that of a box. */
+static bool
+read_box(const json_t *status, struct memb_info *out)
+{
+	const json_t *power = json_object_get(status, "power");
+	char ip[INET6_ADDRSTRLEN];
+	uint16_t port;
+
+	*out = (struct memb_info){
+	    .box = get_text(status, "name"),
+	    .hall = get_text(status, "hall"),
+	    .inbox = get_text(status, "inbox"),
+	    .power = (uint64_t)json_integer_value(power),
+	    .leaving = json_is_true(json_object_get(status, "leaving")),
+	};
+	return field_is_name(out->box) && field_is_name(out->hall) &&
+	    field_parse_address(out->inbox, ip, sizeof(ip), &port) &&
+	    (power == NULL || json_is_integer(power)) &&
+	    out->power <= (uint64_t)POWER_MAX * MEMB_POWER_ONE_CPU;
+}
+
+/* The box of a status that is not valid would not answer, but might be a hub.
+ */
+static void
+log_ignored(struct agent *a, const json_t *status)
+{
+	const char *name = json_string_value(json_object_get(status, "name"));
+	char *fault = g_strdup_printf("status %s", name == NULL ? "" : name);
+
+	if (once_is_new(&a->logged, clk_ns(a->clk), str_c(fault)))
+		slog_warn(SLOG_AGENT, "status of a box is ignored", "name=%s",
+		    slog_quote(name == NULL ? "" : name));
+	g_free(fault);
+}
+
 static void
 apply_boxes(struct agent *a, json_t *body)
 {
@@ -100,17 +141,12 @@
 
 	memb_list_begin(a->memb);
 	json_array_foreach (boxes, i, box) {
-		struct memb_info info = {
-		    .box = get_text(box, "name"),
-		    .hall = get_text(box, "hall"),
-		    .inbox = get_text(box, "inbox"),
-		    .power = (uint64_t)json_integer_value(
-			json_object_get(box, "power")),
-		    .leaving = json_is_true(json_object_get(box, "leaving")),
-		};
-
-		if (info.box.n == 0)
+		struct memb_info info;
+
+		if (!read_box(box, &info)) {
+			log_ignored(a, box);
 			continue;
+		}
 		memb_list_add(a->memb, &info);
 		agent_poison_merge_listed(a, json_object_get(box, "poison"));
 		if (!a->is_listed && is_own_entry(a, &info))
--- a/agent_poison.c
+++ b/agent_poison.c
@@ -115,7 +115,8 @@
 {
 	int64_t now = clk_ns(a->clk);
 	int64_t crashed_s = json_integer_value(json_object_get(o, "ended_s"));
-	int64_t age_ms = clk_wall_ms(a->clk) - crashed_s * MS_PER_S;
+	int64_t age_ms = clk_wall_ms(a->clk) -
+	    MIN(crashed_s, INT64_MAX / MS_PER_S) * MS_PER_S;
 	struct poison_record rec = {.fingerprint = {get_hex(o, "hi"),
 					get_hex(o, "lo"), get_hex(o, "caller")},
 	    .trial_ids = {get_hex(o, "first"), get_hex(o, "second")}};
--- a/regress/test_entries.cpp
+++ b/regress/test_entries.cpp
@@ -307,3 +307,55 @@
 	EXPECT_TRUE(until([&] { return second.serves(); }, 5000));
 	EXPECT_TRUE(until([&] { return w.knows(2); }, 5000));
 }
+
+/* Statuses that no box writes, by their members. */
+const char *const odd_statuses[] = {
+    R"("box":"x1","hall":"north","inbox":"nowhere","power":-1)",
+    R"("box":"x2","hall":"north","inbox":"127.0.0.1:99999","power":1e999)",
+    R"("box":"x3","hall":"north","inbox":"","power":-1)",
+    R"("box":"x4","hall":7,"inbox":"127.0.0.1:1","power":-1)",
+    R"("box":"x 5","hall":"north","inbox":"127.0.0.1:1","power":-1)",
+    R"("box":"b2\u0000x","hall":"south","inbox":"127.0.0.1:1","power":-1)",
+    R"("box":"x7","hall":"nor\u0000th","inbox":"127.0.0.1:1","power":-1)",
+    R"("box":7,"hall":"north","inbox":"127.0.0.1:1","power":-1)",
+    R"("box":"x9","hall":"north","inbox":"a.example:80","power":-1)",
+    R"("box":"x0","hall":"north","inbox":"127.0.0.1:1","power":-1,
+	"poison":[7,{"ended_s":9223372036854775807,"hi":7,"lo":[1]}])",
+};
+
+/*
+ * A status with the name of another box, or of one whose address is none, was
+ * taken for that of a box; with a power below zero it became a hub.
+ */
+TEST(Entries, AnOddStatusCostsItsBoxOnly)
+{
+	World w(false);
+	box::Further second(w, "b2", "north", "7");
+	int n = 0;
+
+	w.box.kill9();
+	for (auto &status : odd_statuses) {
+		std::string raw = "@odd" + std::to_string(++n);
+
+		w.platform.pass_raw(
+		    raw, std::string("{\"spec\":{") + status + "}}");
+		w.platform.put(
+		    "boxes", "x" + std::to_string(n), "\"" + raw + "\"");
+	}
+	w.configure("till");
+	w.box.start();
+	second.box.start();
+	EXPECT_TRUE(serves(w, "/look/1", 5000));
+	EXPECT_TRUE(until([&] { return second.serves(); }, 5000));
+	add_route(w, "new");
+	EXPECT_TRUE(serves(w, "/new/1", 3000));
+	EXPECT_TRUE(
+	    until([&] { return second.ask("/new/1").status == 200; }, 3000));
+	EXPECT_TRUE(until(
+	    [&] {
+		    return count(w.box.read_log(),
+			       "msg=\"status of a box is ignored\"") ==
+			sizeof(odd_statuses) / sizeof(odd_statuses[0]);
+	    },
+	    3000));
+}
