Reject the entry of a value that was replaced, in every field

Callers would see: a backend server in a hall "1e999", or one with its full share from its start although its slow start is a number.

Cause: a number that does not fit became a text, which is a valid name, and a time of a wrong type was taken for none.

Evidence: Platform.AnOddFieldRejectsItsEntry (8 fields, 86 values and 31 of single fields) failed before for a hall, a service and a version that are numbers, and a slow start of any wrong type; it passes now, as do the new cases of a configuration and Platform.AResponseWithoutItsListIsMalformed. With whole processes Entries.AnOddConfigurationKeepsTheLastValidOne passes, also after a restart.

Such a number is an array of an array now, which no known field is. A time that is a text which is not understood stays none, as it was, with its line in the log.

--- a/json_mend.c
+++ b/json_mend.c
@@ -313,10 +313,12 @@
 	g_string_append_c(out, '"');
 }
 
+/* What stands outside of all objects and arrays stays as it is. */
 static void
 scan_word(struct scan *s)
 {
-	const char *start = s->p, *why;
+	const struct level *l = s->depth > 0 ? &s->levels[s->depth - 1] : NULL;
+	const char *start = s->p, *why = NULL;
 	struct str text;
 
 	while (s->p < s->end && *s->p != '\0' &&
@@ -325,12 +327,15 @@
 	if (s->p == start)
 		s->p++;
 	text = str_n(start, (size_t)(s->p - start));
-	why = word_fault(text);
+	if (l != NULL)
+		why = word_fault(text);
 	if (why == NULL) {
 		g_string_append_len(s->out, text.p, (gssize)text.n);
 		return;
 	}
+	g_string_append(s->out, l->expects_key ? "" : "[[");
 	append_as_string(s->out, text);
+	g_string_append(s->out, l->expects_key ? "" : "]]");
 	note(s, why);
 }
 
--- a/json_mend.h
+++ b/json_mend.h
@@ -42,10 +42,11 @@
 
 /*
  * Returns a copy of a text of valid UTF-8 in which a number that does not fit
- * and a word that JSON lacks are strings of their text, a value that is nested
- * too deeply is the string "too deep", and what is no character in a string is
- * the replacement character.  So a known field gets a wrong type, never a
- * default, and is rejected with its object.  Other errors stay as they are.
+ * and a word that JSON lacks are an array of an array of their text, a value
+ * that is nested too deeply is the string "too deep", and what is no character
+ * in a string is the replacement character.  No known field is an array of
+ * arrays: it gets a wrong type, never a default or another text, and is
+ * rejected with its object.  Other errors stay as they are.
  */
 GString *json_mend(struct str, struct json_mends *);
 
--- a/regress/test_entries.cpp
+++ b/regress/test_entries.cpp
@@ -359,3 +359,34 @@
 	    },
 	    3000));
 }
+
+/* The configuration is one object: there the last valid version holds. */
+TEST(Entries, AnOddConfigurationKeepsTheLastValidOne)
+{
+	for (auto &o : odd) {
+		SCOPED_TRACE(o.name);
+		World w(true, "", "", "list_ms = 1000\n");
+
+		ASSERT_TRUE(is_ready(w));
+		w.platform.pass_raw("@odd", o.text == "7" ? "-7" : o.text);
+		w.number++;
+		w.of_route = R"(,"maxAttempts":"@odd")";
+		w.configure("till");
+		EXPECT_TRUE(until(
+		    [&] { return w.logged("object is rejected"); }, 5000));
+		EXPECT_EQ(200, w.ask("/look/1").status);
+		/* Its copy of the last valid version. */
+		ASSERT_TRUE(until(
+		    [&] { return w.has("lastvalid", "bundle-main"); }, 5000));
+		w.enter(0, "draining");
+		EXPECT_TRUE(until(
+		    [&] { return w.in_force("backend/i-0") == 2; }, 5000));
+		w.box.kill9();
+		w.box.start();
+		EXPECT_TRUE(serves(w, "/look/1", 8000));
+		w.number++;
+		w.of_route = "";
+		add_route(w, "new");
+		EXPECT_TRUE(serves(w, "/new/1", 5000));
+	}
+}
--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -401,6 +401,15 @@
 	    route + R"("timeout":"-infms"}}]})",
 	    route + R"("timeout":"9223372036854775808ms"}}]})",
 	    route + R"("targetLatency":"1e18ms"}}]})",
+	    route + R"("timeout":1e999}}]})",
+	    route + R"("timeout":6}}]})",
+	    route + R"("host":1e999}}]})",
+	    route + R"("allowedRegions":NaN}}]})",
+	    route + R"("trafficSplit":NaN}}]})",
+	    tenant + R"("apiKeys":NaN}}]})",
+	    tenant + R"("apiKeys":[NaN]}}]})",
+	    R"({"resources":[{"resourceType":"limits","spec":7}]})",
+	    R"({"resources":[{"resourceType":"limits","spec":NaN}]})",
 	    route + R"("priority":1e999}}]})",
 	    route + R"("priority":99999999999999999999}}]})",
 	    route + R"("priority":1.5}}]})",
@@ -464,6 +473,85 @@
 	EXPECT_EQ(1u, pf_unread_durations(nan.v, &first, &value));
 }
 
+/* Offers an entry of a backend server as a text; returns the result. */
+static enum conf_result
+offer_entry(Table &t, const std::string &text, uint64_t version)
+{
+	std::string whole = "{\"spec\":" + text + "}";
+	Json object(plat_parse_json(str_n(whole.data(), whole.size())));
+
+	if (object.v == nullptr) {
+		ADD_FAILURE() << text;
+		return CONF_STALE;
+	}
+	Json spec(pf_backend_spec(json_object_get(object.v, "spec")));
+	return t.offer("backend/i-1", version, spec.v);
+}
+
+/*
+ * Each known field with values that are out of its range or of a wrong type:
+ * the entry is rejected, and no other value is taken in its place.
+ */
+TEST(Platform, AnOddFieldRejectsItsEntry)
+{
+	const std::pair<const char *, const char *> fields[] = {
+	    {"addr", "\"127.0.0.1:80\""}, {"zone", "\"north\""}, {"slots", "3"},
+	    {"state", "\"ready\""}, {"service", "\"till\""},
+	    {"version", "\"v1\""}, {"born", "1700000000000"},
+	    {"slowStart_time", "\"5s\""}};
+	const std::string common[] = {"-1", "1.5", "1e999", "NaN", "null", "{}",
+	    "[]", "true", "99999999999999999999", nested(100), "\"\\u0000\""};
+	const std::pair<const char *, const char *> own[] = {
+	    {"addr", "\"127.0.0.1:0\""}, {"addr", "\"127.0.0.1:65536\""},
+	    {"addr", "\"127.0.0.1:99999\""}, {"addr", "\"127.0.0.1:-1\""},
+	    {"addr", "\"127.0.0.1:4294967376\""},
+	    {"addr", "\"127.0.0.1:80\\u00000\""}, {"addr", "\"127.0.0.1\""},
+	    {"addr", "\"a.example:80\""}, {"addr", "\"\""}, {"addr", "80"},
+	    {"addr", "\"\\ud800\""}, {"zone", "\"\""}, {"zone", "7"},
+	    {"zone", "\"a b\""}, {"zone", "\"\\ud800\""}, {"slots", "0"},
+	    {"slots", "4097"}, {"slots", "4294967299"}, {"slots", "\"3\""},
+	    {"slots", "3.0"}, {"state", "\"odd\""}, {"state", "\"\""},
+	    {"state", "7"}, {"service", "7"}, {"service", "\"till\\u0000x\""},
+	    {"version", "7"}, {"born", "9223372036854775808"},
+	    {"born", "\"7\""}, {"slowStart_time", "\"1e300s\""},
+	    {"slowStart_time", "\"-1s\""}, {"slowStart_time", "\"infs\""}};
+	uint64_t version = 1;
+	Table t;
+
+	auto entry = [&](const std::string &name, const std::string &value) {
+		std::string text;
+
+		for (auto &f : fields)
+			text += std::string(text.empty() ? "{" : ",") + "\"" +
+			    f.first +
+			    "\":" + (name == f.first ? value : f.second);
+		return text + "}";
+	};
+	/* A time that is no text, or none, is that of no slow start. */
+	auto is_default = [](const std::string &name,
+			      const std::string &value) {
+		return name == "slowStart_time" &&
+		    (value == "null" || value[0] == '"');
+	};
+	auto expect_rejected = [&](const char *name, const std::string &value) {
+		ASSERT_EQ(
+		    CONF_APPLIED, offer_entry(t, entry("", ""), ++version));
+		EXPECT_EQ(CONF_REJECTED,
+		    offer_entry(t, entry(name, value), ++version))
+		    << name << ": " << value;
+		EXPECT_TRUE(conf_get(t.conf, STR_LIT("backend/i-1"))->deleted);
+	};
+
+	for (auto &f : fields)
+		for (auto &value : common)
+			if (!is_default(f.first, value))
+				expect_rejected(f.first, value);
+	for (auto &o : own)
+		expect_rejected(o.first, o.second);
+	for (const char *spec : {"7", "null", "[]", "{}", "\"x\""})
+		EXPECT_EQ(CONF_REJECTED, offer_entry(t, spec, ++version));
+}
+
 /*
  * One entry has bytes that are not UTF-8, another a NUL in its name.  Neither
  * may make the whole list unreadable.
@@ -501,17 +589,17 @@
 	const struct {
 		std::string odd, mended;
 	} values[] = {
-	    {"99999999999999999999", R"("99999999999999999999")"},
-	    {"-99999999999999999999", R"("-99999999999999999999")"},
-	    {"9223372036854775808", R"("9223372036854775808")"},
+	    {"99999999999999999999", R"([["99999999999999999999"]])"},
+	    {"-99999999999999999999", R"([["-99999999999999999999"]])"},
+	    {"9223372036854775808", R"([["9223372036854775808"]])"},
 	    {"9223372036854775807", "9223372036854775807"},
 	    {"-9223372036854775808", "-9223372036854775808"},
-	    {"1e999", R"("1e999")"},
-	    {"-1.5E+400", R"("-1.5E+400")"},
-	    {"007", R"("007")"},
-	    {"NaN", R"("NaN")"},
-	    {"-Infinity", R"("-Infinity")"},
-	    {std::string(5000, '9'), "\"" + std::string(64, '9') + "\""},
+	    {"1e999", R"([["1e999"]])"},
+	    {"-1.5E+400", R"([["-1.5E+400"]])"},
+	    {"007", R"([["007"]])"},
+	    {"NaN", R"([["NaN"]])"},
+	    {"-Infinity", R"([["-Infinity"]])"},
+	    {std::string(5000, '9'), "[[\"" + std::string(64, '9') + "\"]]"},
 	    {R"("\ud800")", "\"\xef\xbf\xbd\""},
 	    {R"("\udc00\ud800x")", "\"\xef\xbf\xbd\xef\xbf\xbdx\""},
 	    {R"("\ud83d\ude00")", "\"\xf0\x9f\x98\x80\""},
@@ -532,7 +620,7 @@
 		std::string(61, '[') + "\"too deep\"" + std::string(61, ']')},
 	    {R"({"a":)" + nested(2000) + R"(,"b":["]",{"c":1e999}]})",
 		R"({"a":)" + std::string(60, '[') + "\"too deep\"" +
-		    std::string(60, ']') + R"(,"b":["]",{"c":"1e999"}]})"},
+		    std::string(60, ']') + R"(,"b":["]",{"c":[["1e999"]]}]})"},
 	};
 
 	for (auto &v : values) {
@@ -581,9 +669,9 @@
 
 	for (size_t n = 0; n < text.size(); n++)
 		EXPECT_EQ(nullptr, plat_parse_json(str_n(text.data(), n))) << n;
-	for (std::string bad : {"", "{", "no JSON", "[1", "[1]]", "[1}", "{]",
-		 "[1] 2", "{\"a\":1,}", "{\"a\" 1}", "\"", "\\", "[\"\\",
-		 "[\"\\u", "\x80", "[,]"})
+	for (std::string bad : {"", "7", "NaN", "busy", "\"busy\"", "{",
+		 "no JSON", "[1", "[1]]", "[1}", "{]", "[1] 2", "{\"a\":1,}",
+		 "{\"a\" 1}", "\"", "\\", "[\"\\", "[\"\\u", "\x80", "[,]"})
 		EXPECT_EQ(
 		    nullptr, plat_parse_json(str_n(bad.data(), bad.size())))
 		    << bad;
@@ -683,6 +771,23 @@
 	EXPECT_EQ("malformed", next_page(""));
 }
 
+/* An empty list would withdraw all that is in force. */
+TEST(Platform, AResponseWithoutItsListIsMalformed)
+{
+	for (const char *list : {"7", "{}", "\"x\"", "null", "true"}) {
+		std::string text = std::string("{\"items\":") + list +
+		    ",\"events\":" + list + ",\"currentRev\":9}";
+
+		for (enum plat_op op : {PLAT_LIST, PLAT_WATCH, PLAT_LIST_BOXES})
+			EXPECT_EQ("", decode(op, "backend", PLAT_OK, text));
+	}
+	for (enum plat_op op : {PLAT_LIST, PLAT_WATCH, PLAT_LIST_BOXES}) {
+		EXPECT_EQ("", decode(op, "backend", PLAT_OK, "[[7]]"));
+		EXPECT_NE(
+		    "", decode(op, "backend", PLAT_OK, R"({"currentRev":9})"));
+	}
+}
+
 /* A name is any text, and must not break the request for the next page. */
 TEST(Platform, TheNameBeforeAPageIsEscaped)
 {
