Ignore versions of a peer that cannot be

Callers would see: what a box of an older build has taken of an entry with an odd revision reaches the boxes that ignore it: they refuse keyed requests as after a restore of the platform.

An epoch or a revision beyond its range is that of no version.

--- a/regress/test_conf.cpp
+++ b/regress/test_conf.cpp
@@ -1068,6 +1068,59 @@
 	}
 }
 
+/*
+ * It may have taken an object whose revision no write can have.  The epochs of
+ * its versions must not spread.
+ */
+TEST(Sync, VersionsThatCannotBeAreIgnored)
+{
+	const std::pair<uint64_t, uint64_t> odd[] = {{709551611, 18446744},
+	    {7, VERSION_EPOCH_MAX + 1}, {7, UINT64_MAX},
+	    {VERSION_EPOCH_STEP, 1}, {UINT64_MAX, 1}, {UINT64_MAX, UINT64_MAX}};
+
+	for (auto &v : odd) {
+		Net net;
+		struct msg_conf_summary summary = {};
+		struct msg_object o = {};
+		struct msg m = {};
+
+		net.add("p");
+		struct conf *c = net.peers["p"].conf;
+		conf_note_epoch(c, 1);
+		offer(c, {"service/a", first(70), 'g'});
+		summary.floor = v.first;
+		summary.epoch = v.second;
+		sync_compare(&net.peers["p"].sync, STR_LIT("older"), &summary);
+		o.key = STR_LIT("service/b");
+		o.version = v.first;
+		o.epoch = v.second;
+		o.deleted = true;
+		m.kind = MSG_OBJECTS;
+		m.from = STR_LIT("older");
+		m.u.objects.objects = {&o, 1};
+		sync_on_message(&net.peers["p"].sync, &m);
+		EXPECT_EQ(1u, conf_epoch(c)) << v.first << " " << v.second;
+		EXPECT_EQ(0u, conf_floor(c));
+		EXPECT_EQ(std::to_string(first(70)), state(c, "service/a"));
+	}
+}
+
+/* What is nested deeply, or states more elements than it has, is malformed. */
+TEST(Sync, AnOddMessageIsMalformed)
+{
+	for (std::string bytes :
+	    {std::string(1000000, '\x91'), std::string(1000000, '\x81'),
+		std::string("\xdd\xff\xff\xff\xff"),
+		std::string("\x93\x01\xa1x\xdd\xff\xff\xff\xff"),
+		std::string("\x93\x01\xdb\xff\xff\xff\xff"),
+		std::string("\xdf\xff\xff\xff\xff"), std::string("\xc1")}) {
+		struct msg m;
+
+		EXPECT_FALSE(
+		    msg_decode(bytes.data(), bytes.size(), &m, nullptr));
+	}
+}
+
 /* Its floor deletes nothing that is of a later epoch. */
 TEST(Sync, SummariesOfAnOlderBuildAreOfTheFirstEpoch)
 {
--- a/sync.c
+++ b/sync.c
@@ -51,12 +51,14 @@
 /*
  * Returns the version that a peer sent as a revision and an epoch.  A peer of
  * an older build sends no epoch, and goes on as if the platform had not been
- * restored.
+ * restored; or it sends those of an object whose revision no write can have,
+ * which is that of none here.
  */
 static uint64_t
 version_of_peer(const struct sync *s, uint64_t revision, uint64_t epoch)
 {
-	if (revision == 0)
+	if (revision == 0 || revision >= VERSION_EPOCH_STEP ||
+	    epoch > VERSION_EPOCH_MAX)
 		return 0;
 	return version_make(
 	    epoch > 0 ? epoch : conf_first_epoch(s->conf), revision);
