Ignore an object whose name has a NUL, with the own adapter too

Callers saw: 503 to all requests of a service with one backend server, once another writer had left an entry with that server's name and a NUL behind it.

Cause: the name was cut off at the NUL, so that the entry replaced the other one. The codec of the users' store rejects such names, that of fernplatform(7) passes them on.

--- a/agent_lastvalid.c
+++ b/agent_lastvalid.c
@@ -243,8 +243,9 @@
 static bool
 is_version_of(const struct copy *c, const json_t *object)
 {
+	const json_t *text = json_object_get(object, "name");
 	struct str name =
-	    str_c(json_string_value(json_object_get(object, "name")));
+	    str_n(json_string_value(text), json_string_length(text));
 	size_t kind_len = kind_of(c).n + 1;
 
 	return str_eq(name, str_n(c->key.p + kind_len, c->key.n - kind_len));
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -404,11 +404,22 @@
 		g_hash_table_add(keys, g_strdup(key));
 }
 
+/* Cut off at a NUL, a name could be that of another object. */
+static const char *
+get_name(const json_t *json, const char *member)
+{
+	const json_t *value = json_object_get(json, member);
+	const char *name = json_string_value(value);
+
+	return name != NULL && strlen(name) == json_string_length(value) ? name
+									 : NULL;
+}
+
 static void
 offer_object(struct agent *a, json_t *json, GHashTable *keys)
 {
-	const char *kind = json_string_value(json_object_get(json, "kind"));
-	const char *name = json_string_value(json_object_get(json, "name"));
+	const char *kind = get_name(json, "kind");
+	const char *name = get_name(json, "name");
 	struct conf_object o = {.version = (uint64_t)json_integer_value(
 				    json_object_get(json, "version")),
 	    .serial =
@@ -419,8 +430,13 @@
 	GError *err = NULL;
 	char *key;
 
-	if (kind == NULL || name == NULL)
+	if (kind == NULL || name == NULL) {
+		if (is_new_fault(a, "", "name"))
+			slog_warn(SLOG_CONF,
+			    "object is ignored, it has no valid name",
+			    "version=%llu", (unsigned long long)o.version);
 		return;
+	}
 	key = g_strdup_printf("%s/%s", kind, name);
 	o.key = str_c(key);
 	if (o.version == 0) {
--- a/regress/test_entries.cpp
+++ b/regress/test_entries.cpp
@@ -390,3 +390,31 @@
 		EXPECT_TRUE(serves(w, "/new/1", 5000));
 	}
 }
+
+/* A name with a NUL was cut off there, and the entry replaced another one. */
+TEST(Entries, ANameWithANulIsNotThatOfAnother)
+{
+	FleetOptions options;
+
+	options.boxes = 1;
+	options.backends.resize(1);
+	options.agent_settings = "hello_ms = 200\nlist_ms = 1000\n";
+	Fleet f(options);
+	auto serves = [&](const std::string &path) {
+		return http("GET", f.boxes[0].listen, path).status == 200;
+	};
+
+	f.start();
+	f.put("service/dir", R"({"select":"app=dir"})");
+	f.put("rule/dir", R"({"path":"/dir","service":"dir"})");
+	ASSERT_TRUE(until([&] { return serves("/dir"); }, 5000));
+	http("POST", f.platform_address, "/standin/raw?value=@odd", {},
+	    R"({"address":"127.0.0.1:1","hall":"north","labels":{"app":"dir"}},)"
+	    "\"name\":\"" +
+		f.backends[0]->options.name + R"(\u0000x")");
+	f.put("backend/odd", "\"@odd\"");
+	f.put("rule/new", R"({"path":"/new","service":"dir"})");
+	EXPECT_TRUE(until([&] { return serves("/new"); }, 5000));
+	for (int i = 0; i < 20; i++)
+		EXPECT_TRUE(serves("/dir"));
+}
