Bound the pages of a list, and tell of entries without a name

Callers would see: a box that asks for the pages of a list forever, where the name at the end of a page has a NUL, which some query parsers take for no text at all.

A warning counts the entries without a valid name, once an hour for each kind.

--- a/plat.h
+++ b/plat.h
@@ -117,7 +117,7 @@
 /*
  * Encodes calls as HTTP requests and decodes the responses to a common format:
  *
- *	list, watch	{"revision": N, "objects": [OBJECT, ...]}
+ *	list, watch	{"revision": N, "objects": [OBJECT, ...], "ignored": N}
  *	get		OBJECT
  *	create, update, status	{"version": N}
  *	conflict	{"current": OBJECT or null}
@@ -125,7 +125,8 @@
  *			"poison"}, ...]}
  *
  * with OBJECT {"kind", "name", "version", "serial", "deleted", "spec",
- * "change"}; serial as in struct conf_object, 0 or missing if there is none.
+ * "change"}; serial as in struct conf_object, 0 or missing if there is none;
+ * ignored is the number of entries without a valid name, or missing.
  */
 struct plat_codec {
 	/* Name of the header that tells the epoch, in lower case. */
--- a/plat_http.c
+++ b/plat_http.c
@@ -23,6 +23,7 @@
 
 enum {
 	RESPONSE_MAX = 64 << 20, /* bytes of a response or page */
+	PAGES_MAX = 4096, /* of a list */
 	TIMEOUT_MS = 2000 /* default time limit of a call or page */
 };
 #define CONNECT_TIMEOUT_NS (1 * NS_S)
@@ -53,6 +54,7 @@
 	GString *response;
 	json_t *pages; /* the decoded pages so far, joined */
 	char *after; /* where the last page that was asked for begins */
+	unsigned npages; /* that were asked for after the first */
 };
 
 static struct plat_call *
@@ -408,6 +410,23 @@
 	}
 }
 
+static void
+log_ignored(struct plat_call *c, const json_t *page)
+{
+	struct plat_http *h = c->http;
+	long long count = json_integer_value(json_object_get(page, "ignored"));
+	char *fault;
+
+	if (count == 0)
+		return;
+	fault = g_strdup_printf("%.*s no name", STR_ARG(c->rq.kind));
+	if (once_is_new(&h->logged, clk_ns(h->clk), str_c(fault)))
+		slog_warn(SLOG_WATCH,
+		    "entries without a valid name are ignored",
+		    "kind=%.*s count=%lld", STR_ARG(c->rq.kind), count);
+	g_free(fault);
+}
+
 static void
 log_malformed(struct plat_call *c)
 {
@@ -444,19 +463,21 @@
 		log_malformed(c);
 		result = c->read_only ? PLAT_UNAVAILABLE : PLAT_UNKNOWN;
 	}
+	log_ignored(c, page);
 	result = result_by_epoch(c, result);
 	add_epoch_to_page(page, c->epoch);
 	if (page != NULL)
 		add_page(c, page);
 	json_decref(page);
 	if (after != NULL && result == PLAT_OK &&
-	    g_strcmp0(after, c->after) != 0) {
+	    g_strcmp0(after, c->after) != 0 && c->npages < PAGES_MAX) {
+		c->npages++;
 		g_free(c->after);
 		c->after = after;
 		send_request(c, str_c(after));
 		return;
 	}
-	/* A page that is the last one again would be asked for forever. */
+	/* Pages that come again would be asked for forever. */
 	if (after != NULL && result == PLAT_OK)
 		result = PLAT_UNAVAILABLE;
 	g_free(after);
--- a/regress/test_entries.cpp
+++ b/regress/test_entries.cpp
@@ -276,6 +276,9 @@
 	ASSERT_TRUE(is_ready(w));
 	for (auto &name : names)
 		w.platform.put("servers", name, entry(""));
+	w.platform.pass_raw(
+	    "@odd", entry("") + R"(,"metadata":{"name":"c\u0000d","rev":7})");
+	w.platform.put("servers", "cd", "\"@odd\"");
 	w.box.kill9();
 	w.box.start();
 	EXPECT_TRUE(serves(w, "/look/1", 5000));
@@ -287,6 +290,10 @@
 	size_t told = count(log, "key=\"backend/a a\" ");
 	EXPECT_TRUE(told == 1 || told == 2) << told << " from two starts";
 	EXPECT_EQ(0u, count(log, "msg=\"a watch failed"));
+	EXPECT_EQ(1u,
+	    count(log.substr(log.rfind("part=gate msg=\"started\"")),
+		"msg=\"entries without a valid name are ignored\" "
+		"kind=backend"));
 }
 
 /*
