--- a/regress/test_platform.cpp
+++ b/regress/test_platform.cpp
@@ -552,6 +552,53 @@
 		EXPECT_EQ(CONF_REJECTED, offer_entry(t, spec, ++version));
 }
 
+/* A roll-out goes on by its last valid version, whatever is written there. */
+TEST(Platform, AnOddRollOutKeepsTheLastValidOne)
+{
+	const std::string odd[] = {"7", "null", "[]", "{}",
+	    R"({"targetVersion":"v3"})", R"({"duration":"9s"})",
+	    R"({"targetVersion":7,"duration":"9s"})",
+	    R"({"targetVersion":"","duration":"9s"})",
+	    R"({"targetVersion":"v2\u0000x","duration":"9s"})",
+	    R"({"targetVersion":1e999,"duration":"9s"})",
+	    R"({"targetVersion":"v3","duration":9})",
+	    R"({"targetVersion":"v3","duration":NaN})",
+	    R"({"targetVersion":"v3","duration":"9"})",
+	    R"({"targetVersion":"v3","duration":"-9s"})",
+	    R"({"targetVersion":"v3","duration":"1e300s"})",
+	    R"({"targetVersion":"v3","duration":"nans"})",
+	    R"({"targetVersion":"v3","duration":[)" + nested(90) + "]}"};
+	Json good{std::string(R"({"targetVersion":"v2","duration":"9s"})")};
+	Json first(pf_rollout_spec(good.v, nullptr));
+	uint64_t version = 1;
+	Table t;
+
+	ASSERT_EQ(CONF_APPLIED, t.offer("rollout/till", version, first.v));
+	for (auto &text : odd) {
+		std::string whole = "{\"spec\":" + text + "}";
+		Json object(plat_parse_json(str_n(whole.data(), whole.size())));
+
+		ASSERT_NE(nullptr, object.v) << text;
+		Json spec(pf_rollout_spec(
+		    json_object_get(object.v, "spec"), nullptr));
+		EXPECT_EQ(
+		    CONF_REJECTED, t.offer("rollout/till", ++version, spec.v))
+		    << text;
+		EXPECT_EQ(
+		    1u, conf_get(t.conf, STR_LIT("rollout/till"))->version);
+	}
+	for (const char *status :
+	    {"7", "{}", R"({"state":7,"targetVersion":"v2"})",
+		R"({"state":"odd","targetVersion":"v2"})",
+		R"({"state":"completed","targetVersion":7})"}) {
+		Json in{std::string(status)};
+		Json spec(pf_rollout_spec(good.v, in.v));
+
+		EXPECT_STREQ("open",
+		    json_string_value(json_object_get(spec.v, "state")));
+	}
+}
+
 /*
  * One entry has bytes that are not UTF-8, another a NUL in its name.  Neither
  * may make the whole list unreadable.
