Soak of stops with callers that are never idle, uploads and whole halls

The soak of planned stops did not show the incident of connections that are never idle: its pipelining callers waited for a whole batch, so that their connections fell idle, and its servers answered within 25 ms. Two in five callers now send one more request every 0 to 120 ms while fewer than six are unanswered, until an answer closes the connection, to servers that take 220 ms on average; one in eight of these requests is an upload in parts, with pauses. What is behind an answer that closes the connection must not have run, whatever its kind. Each answer must be that of its own request. Whole halls stop at once, and a box that ends with an error is a violation. One that a signal ends before it handles signals is started again. With "fernbox" boxes are single processes, with the settings of deploy/box.toml for silent owners. The present kinds of callers stay as they were, with as many connections.

--- a/regress/soak_stops.cpp
+++ b/regress/soak_stops.cpp
@@ -9,19 +9,27 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 /*
- * A randomized soak of planned work alone: stops, restarts, reloads and changes
- * of real processes, in series that overlap, while backend servers have slow
- * periods.  Callers keep using their connections until these end: one request
- * after another, pipelined, or with a slow reader.
+ * A randomized soak of planned work alone: stops of boxes and of whole halls,
+ * restarts, reloads and changes of real processes, in series that overlap.
+ * Callers keep using their connections until these end: one request after
+ * another, in batches, or with a slow reader, at servers with slow periods; or
+ * with requests always outstanding, some of them uploads in parts, at servers
+ * that take longer.
  *
- *	soak_stops SECONDS [SEED [BOXES]]
+ *	soak_stops SECONDS [SEED [BOXES [fernbox]]]
+ *
+ * With "fernbox", boxes are single processes with the settings of
+ * deploy/box.toml, under which an owner that pauses briefly is not given up.
  *
  * The exit status is 1 if a caller did not get what planned work leaves it: an
  * answer to each request that was read, which is that of a backend server, or
- * says truly that it has not run.
+ * says truly that it has not run.  What is behind an answer that closes the
+ * connection was not read, and must not have run.
  */
 #include <csignal>
 #include <cstdio>
+#include <cstring>
+#include <deque>
 #include <list>
 #include <memory>
 #include <random>
@@ -38,34 +46,53 @@
 /* In ms: how long answers are waited for at the end. */
 const int DRAIN = 15000;
 
-enum { CALLERS_PER_BOX = 6, BACKENDS = 4, LARGE = 200000 };
+/* The time of a request that was not sent whole. */
+const double NEVER = 1e18;
+
+enum {
+	CALLERS_PER_BOX = 10,
+	BACKENDS = 4, /* of each service */
+	LARGE = 200000,
+	OUTSTANDING_MAX = 6,
+	PARTS = 4, /* of an upload */
+	PART = 1000
+};
+
+/* A STEADY caller never waits for its last response. */
+enum Kind { ONE, BATCH, SLOW, STEADY, KIND_MAX };
+
+const char *const kind_names[KIND_MAX] = {"one", "batch", "slow", "steady"};
 
 struct Sent {
 	std::string id;
 	bool repeatable;
 	double at;
+	/* An answer before it closed the connection. */
+	bool behind_close = false;
 	bool answered = false;
 	int status = 0;
-	std::string ran = "", error = "";
+	std::string ran = "", error = "", answer_of = "";
 };
 
 /* A connection and what was sent on it. */
 struct Conn {
 	Caller caller;
+	std::string box;
+	Kind kind;
 	std::list<Sent> sent;
+	std::deque<std::string> parts; /* of the last request, unsent */
 	size_t parsed = 0; /* bytes of caller.received */
-	int pipelined; /* requests at once */
-	bool slow;
+	int unanswered = 0, stray = 0;
+	bool closing = false; /* an answer said so */
 	double next = 0, ended_at = 0;
 
-	Conn(const std::string &address, int n, bool slow_reader)
-	    : caller(address, slow_reader ? 16384 : 0), pipelined(n),
-	      slow(slow_reader)
+	Conn(const Box &b, Kind k)
+	    : caller(b.listen, k == SLOW ? 16384 : 0), box(b.name), kind(k)
 	{
 	}
 
-	std::string
-	header(const std::string &head, const std::string &name) const
+	static std::string
+	header(const std::string &head, const std::string &name)
 	{
 		size_t at = head.find("\r\n" + name + ": ");
 
@@ -75,6 +102,36 @@
 		return head.substr(at, head.find("\r\n", at) - at);
 	}
 
+	void add(const std::string &id, bool repeatable, double at)
+	{
+		sent.push_back({id, repeatable, at, closing});
+		unanswered += !closing;
+	}
+
+	void answer(const std::string &head)
+	{
+		auto s = sent.begin();
+
+		while (s != sent.end() && (s->answered || s->behind_close))
+			++s;
+		if (s == sent.end()) {
+			stray++;
+			return;
+		}
+		s->answered = true;
+		s->status = atoi(head.c_str() + strlen("HTTP/1.1 "));
+		s->ran = header(head, "fern-ran");
+		s->error = header(head, "fern-error");
+		s->answer_of = header(head, "x-request-id");
+		unanswered--;
+		if (header(head, "connection") != "close")
+			return;
+		closing = true;
+		unanswered = 0;
+		while (++s != sent.end())
+			s->behind_close = true;
+	}
+
 	/* Assigns the complete responses to their requests, in order. */
 	void parse()
 	{
@@ -89,22 +146,23 @@
 			    atol(header(head, "content-length").c_str()));
 			if (in.size() < end + 4 + body)
 				return;
-			for (auto &s : sent) {
-				if (s.answered)
-					continue;
-				s.answered = true;
-				s.status = atoi(head.c_str() + 9);
-				s.ran = header(head, "fern-ran");
-				s.error = header(head, "fern-error");
-				break;
-			}
+			answer(head);
 			parsed = end + 4 + body;
 		}
 	}
 
-	bool waits() const
+	/* Except STEADY ones, callers send once more after a close. */
+	bool sends() const
+	{
+		if (kind == STEADY)
+			return !closing &&
+			    (!parts.empty() || unanswered < OUTSTANDING_MAX);
+		return sent.empty() || sent.back().answered;
+	}
+
+	bool is_done() const
 	{
-		return !sent.empty() && !sent.back().answered;
+		return closing || (unanswered == 0 && parts.empty());
 	}
 };
 
@@ -117,28 +175,36 @@
 	long id = 0;
 	int violations = 0;
 
-	static FleetOptions options_of(int boxes)
+	static FleetOptions options_of(int boxes, bool one_process)
 	{
 		FleetOptions o;
 
 		o.boxes = boxes;
 		o.halls = {"north", "south"};
-		o.backends.resize(BACKENDS);
-		for (int i = 0; i < BACKENDS; i++) {
-			BackendOptions &b = o.backends[static_cast<size_t>(i)];
+		o.one_process = one_process;
+		for (int i = 0; i < BACKENDS * 2; i++) {
+			BackendOptions b;
 
 			b.name = "b" + std::to_string(i);
 			b.hall = i % 2 == 0 ? "north" : "south";
-			b.slots = 8 + boxes * 2;
-			b.keys = "ms=25 spread=1 spell_every=1500 "
-				 "spell_ms=400 slots=" +
-			    std::to_string(b.slots);
+			b.app = i < BACKENDS ? "dir" : "long";
+			b.slots = i < BACKENDS ? 8 + boxes * 2 : boxes * 10;
+			b.keys = i < BACKENDS
+			    ? "ms=25 spread=1 spell_every=1500 spell_ms=400"
+			    : "ms=220 spread=1";
+			o.backends.push_back(b);
 		}
-		o.gate_settings = "leave_wait_ms = 300\ngrace_ms = 8000\n";
+		o.gate_settings = "leave_wait_ms = 300\ngrace_ms = 5100\n";
+		if (one_process)
+			o.gate_settings += "policy = \"pace\"\n"
+					   "silent_ms = 400\n"
+					   "ping_wait_ms = 600\n"
+					   "summary_ms = 100\n";
 		return o;
 	}
 
-	Soak(unsigned seed, int boxes) : f(options_of(boxes)), rng(seed)
+	Soak(unsigned seed, int boxes, bool one_process)
+	    : f(options_of(boxes, one_process)), rng(seed)
 	{
 	}
 
@@ -149,22 +215,26 @@
 
 	void configure(int ms)
 	{
-		std::string rest = R"(,"service":"dir","deadline_ms":)" +
-		    std::to_string(ms) + "}";
-
-		f.put("rule/dir", R"({"path":"/dir","repeatable":"no")" + rest);
-		f.put("rule/twice",
-		    R"({"path":"/twice","repeatable":"yes")" + rest);
+		for (std::string service : {"dir", "long"})
+			for (std::string repeatable : {"yes", "no"})
+				f.put("rule/" + service + "-" + repeatable,
+				    R"({"path":"/)" + service + "/" +
+					repeatable + R"(","repeatable":")" +
+					repeatable + R"(","service":")" +
+					service + R"(","deadline_ms":)" +
+					std::to_string(ms) + "}");
 	}
 
 	void start()
 	{
 		f.start();
 		stopping.assign(f.boxes.size(), false);
-		f.put("service/dir", R"({"select":"app=dir"})");
+		for (std::string service : {"dir", "long"})
+			f.put("service/" + service,
+			    R"({"select":"app=)" + service + R"("})");
 		configure(6000);
 		f.wait_ready();
-		until([&] { return f.in_force(3 + BACKENDS); });
+		until([&] { return f.in_force(6 + BACKENDS * 2); });
 	}
 
 	/* Planned work, of which several kinds overlap. */
@@ -172,34 +242,56 @@
 	{
 		size_t box = static_cast<size_t>(any((int)f.boxes.size()));
 		Box &b = f.boxes[box];
+		int what = any(13);
 
-		switch (any(6)) {
-		case 0:
-		case 1:
-		case 2:
-			if (stopping[box] || all_stopping(b.hall, box))
-				return;
-			done["stops"]++;
-			b.gate.signal(SIGTERM);
-			stopping[box] = true;
-			return;
-		case 3:
+		if (what < 6) {
+			if (!all_stopping(b.hall, box))
+				stop(box, "stops");
+		} else if (what < 8) {
 			done["reloads"]++;
 			b.gate.signal(SIGHUP);
-			return;
-		case 4:
-			done["restarts of agents"]++;
-			b.agent_process.signal(SIGTERM);
-			b.agent_process.wait_exit();
-			b.agent_process.start();
-			return;
-		default:
+		} else if (what < 10) {
+			restart_agent(b);
+		} else if (what < 12) {
 			done["changes"]++;
 			configure(5000 + any(2000));
+		} else if (any(2) == 0) {
+			stop_hall("north", "south");
+		} else {
+			stop_hall("south", "north");
 		}
 	}
 
-	/* Each hall keeps a box that does not stop. */
+	void stop(size_t box, const char *what)
+	{
+		if (stopping[box])
+			return;
+		done[what]++;
+		f.boxes[box].gate.signal(SIGTERM);
+		stopping[box] = true;
+	}
+
+	/* The other hall keeps a box that does not stop. */
+	void stop_hall(const std::string &hall, const std::string &other)
+	{
+		if (all_stopping(other, f.boxes.size()))
+			return;
+		for (size_t i = 0; i < f.boxes.size(); i++)
+			if (f.boxes[i].hall == hall)
+				stop(i, "stops with a hall");
+	}
+
+	void restart_agent(Box &b)
+	{
+		if (!b.agent_process.running())
+			return;
+		done["restarts of agents"]++;
+		b.agent_process.signal(SIGTERM);
+		b.agent_process.wait_exit();
+		b.agent_process.start();
+	}
+
+	/* Returns whether all but one box of a hall stop. */
 	bool all_stopping(const std::string &hall, size_t box) const
 	{
 		for (size_t i = 0; i < f.boxes.size(); i++)
@@ -208,11 +300,20 @@
 		return true;
 	}
 
-	void restart_stopped()
+	void restart_ended()
 	{
 		for (size_t i = 0; i < f.boxes.size(); i++) {
-			if (!stopping[i] || f.boxes[i].gate.wait_exit(0) == -1)
+			int status = f.boxes[i].gate.wait_exit(0);
+
+			if (status == -1)
 				continue;
+			/* One that has just begun handles no signals. */
+			if (status != 0 && status != 128 + SIGTERM &&
+			    status != 128 + SIGHUP) {
+				printf("violated: %s ended with %d\n",
+				    f.boxes[i].name.c_str(), status);
+				violations++;
+			}
 			f.boxes[i].gate.start();
 			stopping[i] = false;
 		}
@@ -225,35 +326,72 @@
 		for (int tries = 0; open.size() < want && tries < 8; tries++) {
 			size_t box =
 			    static_cast<size_t>(any((int)f.boxes.size()));
-			int kind = any(3);
-			auto c = std::make_unique<Conn>(f.boxes[box].listen,
-			    kind == 1 ? 2 + any(6) : 1, kind == 2);
+			/* STEADY ones are two in five. */
+			auto c = std::make_unique<Conn>(f.boxes[box],
+			    static_cast<Kind>(
+				std::min(any(KIND_MAX + 1), (int)STEADY)));
 
 			if (!c->caller.ended)
 				open.push_back(std::move(c));
 		}
 	}
 
+	std::string request(Conn &c, bool repeatable)
+	{
+		std::string path = c.kind == STEADY ? "/long/" : "/dir/";
+		std::string name = "s" + std::to_string(++id);
+
+		path += repeatable ? "yes/x" : "no/x";
+		if (c.kind == SLOW)
+			path += "?size=" + std::to_string(LARGE);
+		c.add(name, repeatable, now_ms());
+		return Caller::request(repeatable ? "GET" : "POST", path, name);
+	}
+
+	void send_part(Conn &c)
+	{
+		if (!c.caller.send_text(c.parts.front())) {
+			c.parts.clear();
+			return;
+		}
+		c.parts.pop_front();
+		if (c.parts.empty())
+			c.sent.back().at = now_ms();
+	}
+
+	void begin_upload(Conn &c)
+	{
+		std::string head = request(c, false);
+		std::string none = "content-length: 0";
+
+		c.sent.back().at = NEVER;
+		head.replace(head.find(none), none.size(),
+		    "content-length: " + std::to_string(PARTS * PART));
+		c.parts.assign(PARTS, std::string(PART, 'u'));
+		c.parts.push_front(head);
+		send_part(c);
+	}
+
 	void send_on(Conn &c)
 	{
+		size_t n = c.kind == BATCH ? 2 + (size_t)any(6) : 1;
 		std::string text;
 
-		for (int i = 0; i < c.pipelined; i++) {
-			bool repeatable = any(3) > 0;
-			std::string name = "s" + std::to_string(++id);
-
-			text += Caller::request(repeatable ? "GET" : "POST",
-			    (repeatable ? "/twice/x" : "/dir/x") +
-				std::string(c.slow
-					? "?size=" + std::to_string(LARGE)
-					: ""),
-			    name);
-			c.sent.push_back({name, repeatable, now_ms()});
-		}
-		if (!c.caller.send_text(text))
-			c.sent.resize(
-			    c.sent.size() - static_cast<size_t>(c.pipelined));
 		c.next = now_ms() + any(120);
+		if (!c.parts.empty()) {
+			send_part(c);
+			return;
+		}
+		if (c.kind == STEADY && any(8) == 0) {
+			begin_upload(c);
+			return;
+		}
+		for (size_t i = 0; i < n; i++)
+			text += request(c, any(3) > 0);
+		if (c.caller.send_text(text))
+			return;
+		for (auto s = c.sent.rbegin(); n-- > 0; ++s)
+			s->at = NEVER;
 	}
 
 	void step(bool sending)
@@ -261,30 +399,31 @@
 		for (auto it = open.begin(); it != open.end();) {
 			Conn &c = **it;
 
-			if (c.slow)
+			if (c.kind == SLOW)
 				c.caller.read_some(
 				    static_cast<size_t>(1000 + any(4000)));
 			else
 				c.caller.read_some();
 			c.parse();
-			if (c.caller.ended || (!sending && !c.waits())) {
+			if (c.caller.ended || (!sending && c.is_done())) {
 				c.ended_at = now_ms();
 				ended.push_back(std::move(*it));
 				it = open.erase(it);
 				continue;
 			}
-			if (sending && !c.waits() && now_ms() >= c.next)
+			if ((sending || !c.parts.empty()) && c.sends() &&
+			    now_ms() >= c.next)
 				send_on(c);
 			++it;
 		}
 	}
 
-	void violated(const Sent &s, const char *what)
+	void violated(const Conn &c, const Sent &s, const char *what)
 	{
 		violations++;
-		printf("violated: %s: %s status=%d ran=%s error=%s\n",
+		printf("violated: %s: %s status=%d ran=%s error=%s %s %s\n",
 		    s.id.c_str(), what, s.status, s.ran.c_str(),
-		    s.error.c_str());
+		    s.error.c_str(), kind_names[c.kind], c.box.c_str());
 	}
 
 	void check(const Conn &c, const Sent &s,
@@ -293,16 +432,23 @@
 		auto it = runs.find(s.id);
 		int n = it == runs.end() ? 0 : it->second;
 
+		if (s.behind_close) {
+			if (n > 0)
+				violated(c, s, "ran, behind a close");
+			return;
+		}
 		if (!s.repeatable && n > 1)
-			violated(s, "ran twice");
+			violated(c, s, "ran twice");
 		if (!s.answered && n > 0)
-			violated(s, "ran, and got no answer");
+			violated(c, s, "ran, and got no answer");
 		else if (!s.answered && c.ended_at - s.at > READ_BY)
-			violated(s, "was read, and got no answer");
+			violated(c, s, "was read, and got no answer");
 		if (s.ran == "no" && n > 0)
-			violated(s, "ran, and was refused as not run");
+			violated(c, s, "ran, and was refused as not run");
 		if (s.ran == "unknown")
-			violated(s, "was given up");
+			violated(c, s, "was given up");
+		if (s.status == 200 && s.answer_of != s.id)
+			violated(c, s, "got the answer of another");
 	}
 
 	int run(double seconds)
@@ -314,7 +460,7 @@
 		while (now_ms() < began + seconds * 1000) {
 			connect_callers();
 			step(true);
-			restart_stopped();
+			restart_ended();
 			if (now_ms() >= next) {
 				work();
 				next = now_ms() +
@@ -330,17 +476,21 @@
 		    },
 		    DRAIN);
 		auto runs = f.runs();
-		size_t requests = 0, answered = 0, refused = 0;
+		size_t requests = 0, answered = 0, refused = 0, behind = 0;
 		for (auto *list : {&ended, &open})
-			for (auto &c : *list)
+			for (auto &c : *list) {
+				violations += c->stray;
 				for (auto &s : c->sent) {
 					check(*c, s, runs);
 					requests++;
 					answered += s.status == 200;
 					refused += s.ran == "no";
+					behind += s.behind_close;
 				}
-		printf("%zu requests, %zu answered, %zu refused as not run;",
-		    requests, answered, refused);
+			}
+		printf("%zu requests, %zu answered, %zu refused as not run, "
+		       "%zu behind a close;",
+		    requests, answered, refused, behind);
 		for (auto &d : done)
 			printf(" %d %s,", d.second, d.first.c_str());
 		printf(" %d violations\n", violations);
@@ -356,7 +506,8 @@
 	double seconds = argc > 1 ? atof(argv[1]) : 10;
 	unsigned seed = argc > 2 ? static_cast<unsigned>(atoi(argv[2])) : 1;
 	int boxes = argc > 3 ? atoi(argv[3]) : 4;
-	Soak soak(seed, boxes);
+	bool one_process = argc > 4 && strcmp(argv[4], "fernbox") == 0;
+	Soak soak(seed, boxes, one_process);
 
 	return soak.run(seconds);
 }
