--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -609,13 +609,14 @@
 
 	/* Sends only the head of an upload. */
 	void begin_upload(const std::string &id, int bytes,
-	    const std::string &more_headers = "")
+	    const std::string &more_headers = "",
+	    const std::string &path = "/dir/x")
 	{
 		sent.push_back(id);
-		c.send_text(
-		    "POST /dir/x HTTP/1.1\r\nhost: x\r\nx-request-id: " + id +
-		    "\r\n" + more_headers +
-		    "content-length: " + std::to_string(bytes) + "\r\n\r\n");
+		c.send_text("POST " + path +
+		    " HTTP/1.1\r\nhost: x\r\nx-request-id: " + id + "\r\n" +
+		    more_headers + "content-length: " + std::to_string(bytes) +
+		    "\r\n\r\n");
 	}
 
 	std::vector<int> statuses() const
@@ -915,6 +916,44 @@
 	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
 }
 
+/*
+ * The last part came when less of the grace was left than its server took, so
+ * that it was begun and cut.
+ */
+TEST(Stops, AnUploadThatIsCompleteLateIsNotCut)
+{
+	const int LAST_PART_MS[] = {600, 1500};
+	World w = boxes_for(1, "leave_wait_ms = 200\ngrace_ms = 1800\n", 10);
+	std::list<Pipeline> callers;
+	double began;
+
+	ASSERT_TRUE(w.open());
+	warm_up(w);
+	for (int at : LAST_PART_MS) {
+		callers.emplace_back(w);
+		callers.back().begin_upload(
+		    "upload" + std::to_string(at), 8, "", "/dir/x?ms=600");
+		callers.back().c.send_text("part");
+	}
+	pump(50);
+	w.boxes[0].gate.signal(SIGTERM);
+	began = now_ms();
+	for (auto &p : callers) {
+		until([&] {
+			return now_ms() >=
+			    began + LAST_PART_MS[&p == &callers.back()];
+		});
+		p.c.send_text("part");
+	}
+	for (auto &p : callers) {
+		ASSERT_TRUE(p.c.reads_to_end(4000));
+		EXPECT_EQ(1u, p.statuses().size());
+		p.expect_true(w);
+	}
+	EXPECT_EQ(200, callers.front().statuses().at(0));
+	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
+}
+
 /* It has come in part when the response before it ends. */
 TEST(Stops, AnUploadBehindAnotherRequestIsAnsweredOrNotBegun)
 {
