Forward to a gate that leaves on new connections only

Requests that must not repeat got 502, ran=unknown, though they had not run, where the box that took them forwarded them to a hub that leaves, on a connection that the hub closed as idle in that moment.

The hub closes these connections half a second after the last request; what comes then is discarded. The other gate had known for long that the hub leaves, and used the connections that it had kept from before.

A request to a gate that is known to leave now gets a connection of its own. Where the hub accepts none any more, that is refused before anything is sent, so that the request is routed again. A gate that leaves closes each connection after its response anyway. A gate that does not know yet that the hub leaves may still cross the close.

--- a/gate_try.c
+++ b/gate_try.c
@@ -181,7 +181,10 @@
 	(void)b;
 }
 
-/* Forwards the request to r->owner. */
+/*
+ * Forwards the request to r->owner.  A gate that leaves closes connections that
+ * are idle, which a request could cross, so it gets one of its own.
+ */
 void
 gate_attempt_forward(struct gate_req *r)
 {
@@ -200,7 +203,7 @@
 	    (long long)((r->disp.deadline - clk_ns(r->gate->clk)) / NS_MS),
 	    (unsigned long long)r->conf_version,
 	    (long long)sync_age_ms(&r->gate->sync));
-	gate_flow_send(r, p->info.forward_address, false);
+	gate_flow_send(r, p->info.forward_address, p->info.leaving);
 }
 
 void
--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -1194,3 +1194,57 @@
 	EXPECT_EQ(c.count("HTTP/1.1 200"), w.run_count("up"));
 	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(2000));
 }
+
+/*
+ * The hub that leaves closed a connection that was idle, while another gate,
+ * which knew that it leaves, sent a request on it.
+ */
+TEST(Stops, ARequestDoesNotCrossTheCloseOfAnIdleConnectionBetweenBoxes)
+{
+	const int REQUESTS = 6, DELAY_MS = 30;
+	FleetOptions o = World::options_of(2, "leave_wait_ms = 1200\n");
+	std::vector<Reply> replies;
+
+	o.pass_proxied = true;
+	o.pass_delay_ms = DELAY_MS;
+	o.backends[0].keys = "ms=5 spread=0 slots=60";
+	o.backends[0].slots = 60;
+	World w(o);
+	ASSERT_TRUE(w.open());
+	/* The second box is too weak to be an owner. */
+	w.stop_box_hard(1);
+	w.options.agent_settings = "power = 0.1\n";
+	w.start_box(1);
+	ASSERT_TRUE(w.wait_ready());
+	auto post = [&](int n) {
+		for (int i = 0; i < n; i++)
+			http_start("POST", w.boxes[1].listen, "/dir/x?ms=60",
+			    {{"x-request-id",
+				"r" + std::to_string(replies.size()) + "-" +
+				    std::to_string(i)}},
+			    "body", 5000,
+			    [&](const Reply &r) { replies.push_back(r); });
+	};
+	auto forwarded = [&] {
+		return w.metric(0, "fern_passed_in_total");
+	};
+	ASSERT_TRUE(until([&] {
+		http("POST", w.boxes[1].listen, "/dir/x", {}, "body");
+		return forwarded() > 40;
+	}));
+	post(REQUESTS);
+	ASSERT_TRUE(until([&] { return replies.size() == REQUESTS; }));
+	replies.clear();
+	Caller idle(w.boxes[0].pass_listen);
+	pump(200);
+	w.boxes[0].gate.signal(SIGTERM);
+	ASSERT_TRUE(idle.reads_to_end(5000));
+	/* The hub's listener is closed as well. */
+	w.boxes[0].pass_proxy->set("mode=refuse_new");
+	post(REQUESTS);
+	ASSERT_TRUE(until([&] { return replies.size() == REQUESTS; }));
+	for (auto &r : replies)
+		EXPECT_TRUE(r.status == 200 || r.not_run())
+		    << r.status << " " << r.header("fern-error") << " "
+		    << r.header("fern-ran");
+}
