--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 BENCHES = regress/bench_load regress/bench_pick regress/bench_gate regress/bench_tail \
 	regress/bench_capacity regress/soak regress/soak_box regress/soak_stops regress/demo
 
-COMMON = caller.o chart.o clk.o cnt.o cold.o conc.o conf.o customer.o daemon.o deputy.o dial.o disp.o disp_cold.o disp_conc.o disp_crash.o disp_queue.o \
+COMMON = busy.o caller.o chart.o clk.o cnt.o cold.o conc.o conf.o customer.o daemon.o deputy.o dial.o disp.o disp_cold.o disp_conc.o disp_crash.o disp_queue.o \
 	disp_reassign.o disp_pace.o disp_forward.o disp_query.o disp_roll.o disp_set.o disp_state.o disp_stop.o disp_trial.o \
 	allowance.o granter.o disp_tally.o tally.o usage.o \
 	disp_report.o disp_work.o doc_toml.o err.o field.o fprint.o gossip.o assign.o hsrv.o hsrv_conn.o hsrv_parse.o hsrv_req.o json_mend.o limit.o memb.o msg.o obj.o once.o \
@@ -34,7 +34,7 @@
 	sync_pack.o tmr.o up.o up_answer.o up_call.o up_conn.o verdict.o wire_zmq.o report.o zip.o
 GATE = gate_admit.o gate_answer.o gate_box.o gate_claim.o gate_conf.o gate_deputy.o \
 	gate_early.o gate_flow.o gate_next.o gate_handover.o gate_owner.o gate_open.o gate_forward.o gate_query.o gate_poison.o \
-	gate_rate.o gate_renew.o gate_req.o gate_roll.o gate_stat.o gate_try.o gate_report.o gate_report_sync.o gate_stat_shards.o
+	gate_rate.o gate_renew.o gate_req.o gate_roll.o gate_stat.o gate_try.o gate_report.o gate_report_sync.o gate_stat_shards.o gate_trace.o
 AGENT = agent_box.o agent_gate.o agent_lapse.o agent_lastvalid.o agent_look.o agent_open.o \
 	agent_peer.o agent_poison.o agent_probe.o agent_push.o agent_restore.o agent_scope.o agent_stat.o agent_watch.o
 CTL = ctl_box.o ctl_call.o ctl_edit.o ctl_main.o ctl_show.o
--- a/clk.c
+++ b/clk.c
@@ -16,9 +16,11 @@
 
 static struct timespec sys_mono(void *);
 static struct timespec sys_wall(void *);
+static struct timespec thread_cpu(void *);
 static uint64_t sys_random(void *);
 
 static const struct clk sys_clk = {sys_mono, sys_wall, NULL};
+static const struct clk cpu_clk = {thread_cpu, sys_wall, NULL};
 static uint64_t sys_seed;
 static const struct rnd sys_rnd = {sys_random, &sys_seed};
 
@@ -48,6 +50,16 @@
 	return ts;
 }
 
+static struct timespec
+thread_cpu(void *ctx)
+{
+	struct timespec ts;
+
+	(void)ctx;
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
+	return ts;
+}
+
 static uint64_t
 sys_random(void *ctx)
 {
@@ -60,6 +72,12 @@
 	return &sys_clk;
 }
 
+const struct clk *
+clk_cpu(void)
+{
+	return &cpu_clk;
+}
+
 const struct rnd *
 rnd_system(void)
 {
--- a/clk.h
+++ b/clk.h
@@ -43,6 +43,9 @@
 const struct clk *clk_system(void);
 const struct rnd *rnd_system(void);
 
+/* Returns a clock whose monotonic time is the processor time of this thread. */
+const struct clk *clk_cpu(void);
+
 /* Returns the monotonic time in ns. */
 int64_t clk_ns(const struct clk *);
 
--- a/gate_open.c
+++ b/gate_open.c
@@ -272,8 +272,11 @@
 	gate_renew_open(g);
 	g->reports = reports_new();
 	gate_rate_open(g);
-	return gate_conf_open(g, err) && gate_req_open(g, err) &&
-	    open_listeners(g, err);
+	if (!gate_conf_open(g, err) || !gate_req_open(g, err) ||
+	    !open_listeners(g, err))
+		return false;
+	gate_trace_open(g);
+	return true;
 }
 
 /*
--- a/hsrv.c
+++ b/hsrv.c
@@ -261,6 +261,15 @@
 	s->stall_timeout.timeout = ms;
 }
 
+void
+hsrv_watch_ends(
+    struct hsrv *s, const struct clk *clk, hsrv_end_fn *fn, void *ctx)
+{
+	s->end_clk = clk;
+	s->on_end = fn;
+	s->end_ctx = ctx;
+}
+
 void
 hsrv_close_idle(struct hsrv *s, uint64_t idle_ms)
 {
--- a/hsrv.h
+++ b/hsrv.h
@@ -15,6 +15,7 @@
 #include <stdbool.h>
 #include <uv.h>
 
+#include "clk.h"
 #include "err.h"
 #include "str.h"
 
@@ -92,6 +93,32 @@
  */
 void hsrv_end_input(struct hsrv *);
 
+/* How an HTTP/1.1 connection ended. */
+struct hsrv_end {
+	const char *why; /* a word for logs */
+	unsigned unanswered; /* requests that had begun to arrive */
+	int64_t idle_ns; /* since the last request or response, when it ended */
+	/*
+	 * From the decision to shut the write side down until that was done; -1
+	 * if it was not.
+	 */
+	int64_t shutdown_ns;
+	/*
+	 * Bytes that were read after that decision and discarded, and the time
+	 * from the shutdown to the first of them; 0 if they came before it.
+	 */
+	size_t discarded;
+	int64_t discarded_ns;
+};
+
+/*
+ * Receives the end of each HTTP/1.1 connection from now on.  The first argument
+ * is a context.
+ */
+typedef void hsrv_end_fn(void *, const struct hsrv_end *);
+void
+hsrv_watch_ends(struct hsrv *, const struct clk *, hsrv_end_fn *, void *ctx);
+
 /* The open connections of a server, of either protocol. */
 struct hsrv_open_count {
 	unsigned connections;
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -44,10 +44,10 @@
 static void on_idle(h2o_timeout_entry_t *);
 static void on_linger_timeout(h2o_timeout_entry_t *);
 static void on_stall_timeout(h2o_timeout_entry_t *);
-static void close_conn(struct hsrv_conn *);
+static void close_conn(struct hsrv_conn *, const char *why);
 static void process_input(struct hsrv_conn *);
 static void resume_reading(struct hsrv_conn *);
-static void shutdown_conn(struct hsrv_conn *);
+static void shutdown_conn(struct hsrv_conn *, const char *why);
 static void write_response(struct hsrv_conn *);
 
 static socklen_t
@@ -83,6 +83,50 @@
     .get_socket = get_socket,
 };
 
+/* Returns the time for the report of the connection's end. */
+static int64_t
+end_now(const struct hsrv_conn *c)
+{
+	return c->srv->on_end != NULL ? clk_ns(c->srv->end_clk) : 0;
+}
+
+/* Notes why the connection ends; the first reason stays. */
+static void
+note_end(struct hsrv_conn *c, const char *why)
+{
+	if (c->why != NULL)
+		return;
+	c->why = why;
+	c->ended_at = end_now(c);
+}
+
+/* Notes that bytes are discarded, as the end of the connection was decided. */
+static void
+note_discarded(struct hsrv_conn *c, size_t n)
+{
+	if (n > 0 && c->discarded == 0)
+		c->discarded_at = end_now(c);
+	c->discarded += n;
+}
+
+static void
+report_end(struct hsrv_conn *c)
+{
+	struct hsrv_end end = {.why = c->why,
+	    .unanswered = c->reqs.length,
+	    .idle_ns = c->ended_at - c->active_at,
+	    .shutdown_ns = -1,
+	    .discarded = c->discarded};
+
+	if (c->srv->on_end == NULL)
+		return;
+	if (c->shutdown_at != 0) {
+		end.shutdown_ns = c->shutdown_at - c->ended_at;
+		end.discarded_ns = MAX(c->discarded_at - c->shutdown_at, 0);
+	}
+	c->srv->on_end(c->srv->end_ctx, &end);
+}
+
 static struct hsrv_conn *
 open_conn(struct hsrv *s, uv_tcp_t *tcp)
 {
@@ -105,6 +149,7 @@
 	c->stall_timeout.cb = on_stall_timeout;
 	tcp->data = c;
 	((struct hsrv_tcp *)tcp)->conn = c;
+	c->active_at = end_now(c);
 	hsrv_parser_init(c);
 	h2o_timeout_link(s->loop, &s->ctx.http1.req_timeout, &c->idle_timeout);
 	uv_read_start((uv_stream_t *)tcp, on_alloc, on_read);
@@ -147,11 +192,13 @@
 
 /* Closes the connection and aborts its requests. */
 static void
-close_conn(struct hsrv_conn *c)
+close_conn(struct hsrv_conn *c, const char *why)
 {
 	if (c->closed)
 		return;
 	c->closed = true;
+	note_end(c, why);
+	report_end(c);
 	free_reqs(c);
 	uv_close((uv_handle_t *)c->tcp, on_closed);
 }
@@ -173,7 +220,7 @@
 		return;
 	}
 	/* The peer may still be reading the last response. */
-	shutdown_conn(c);
+	shutdown_conn(c, c->reqs.length > 0 ? "slow-request" : "idle");
 }
 
 /*
@@ -205,7 +252,7 @@
 		h2o_timeout_link(
 		    c->srv->loop, &c->srv->linger_timeout, &c->linger_timeout);
 	else
-		close_conn(c);
+		close_conn(c, "write-error");
 }
 
 /* Begins to check that the peer takes what is being written. */
@@ -227,7 +274,7 @@
 	size_t unacked = hsrv_tcp_unacked(c->tcp);
 
 	if (unacked >= c->unacked) {
-		close_conn(c);
+		close_conn(c, "stalled");
 		return;
 	}
 	c->unacked = unacked;
@@ -238,8 +285,11 @@
 static void
 on_shutdown(uv_shutdown_t *req, int status)
 {
-	(void)req;
-	(void)status;
+	struct hsrv_conn *c = (struct hsrv_conn *)((char *)req -
+	    offsetof(struct hsrv_conn, shutdown));
+
+	if (status == 0)
+		c->shutdown_at = end_now(c);
 }
 
 void
@@ -256,6 +306,7 @@
 static void
 close_soon(struct hsrv_conn *c)
 {
+	note_end(c, "cut");
 	if (!h2o_timeout_is_linked(&c->linger_timeout))
 		h2o_timeout_link(c->srv->loop, &c->srv->ctx.zero_timeout,
 		    &c->linger_timeout);
@@ -298,18 +349,20 @@
  * lose the rest of the response.  Bytes that are read meanwhile are discarded.
  */
 static void
-shutdown_conn(struct hsrv_conn *c)
+shutdown_conn(struct hsrv_conn *c, const char *why)
 {
 	struct hsrv *s = c->srv;
 
+	note_end(c, why);
 	c->awaiting_peer_close = true;
 	c->unacked = SIZE_MAX;
+	note_discarded(c, c->input->len);
 	g_byte_array_set_size(c->input, 0);
 	resume_reading(c);
 	h2o_timeout_unlink(&c->idle_timeout);
 	h2o_timeout_link(s->loop, &s->linger_timeout, &c->linger_timeout);
 	if (uv_shutdown(&c->shutdown, (uv_stream_t *)c->tcp, on_shutdown) != 0)
-		close_conn(c);
+		close_conn(c, "write-error");
 }
 
 /*
@@ -520,10 +573,11 @@
 	if (!truncated && is_close_delimited(r))
 		set_reset_on_close(c, false);
 	hsrv_req_free(r);
+	c->active_at = end_now(c);
 	if (truncated)
-		close_conn(c);
+		close_conn(c, "cut");
 	else if (ends)
-		shutdown_conn(c);
+		shutdown_conn(c, "last-response");
 	else
 		process_input(c);
 }
@@ -540,7 +594,7 @@
 		return;
 	h2o_timeout_unlink(&c->stall_timeout);
 	if (status != 0) {
-		close_conn(c);
+		close_conn(c, "write-error");
 		return;
 	}
 	r = g_queue_peek_head(&c->reqs);
@@ -601,7 +655,7 @@
 		return;
 	r->expects_continue = false;
 	if (uv_try_write((uv_stream_t *)c->tcp, &buf, 1) != (int)buf.len)
-		close_conn(c);
+		close_conn(c, "write-error");
 }
 
 /*
@@ -696,7 +750,7 @@
 	}
 	c = open_conn(s, &copy->tcp);
 	c->protocol_unknown = false;
-	shutdown_conn(c);
+	shutdown_conn(c, "http2-ended");
 }
 
 /*
@@ -780,12 +834,15 @@
 		return;
 	}
 	if (n < 0) {
-		close_conn(c);
+		close_conn(c, n == UV_EOF ? "peer-closed" : "read-error");
 		return;
 	}
+	if (c->awaiting_peer_close)
+		note_discarded(c, (size_t)n);
 	if (c->awaiting_peer_close || n == 0 ||
 	    (c->input_ended && has_response_to_begin(c)))
 		return;
+	c->active_at = end_now(c);
 	g_byte_array_append(c->input, (const guint8 *)buf->base, (guint)n);
 	if (c->input->len >= INPUT_MAX) {
 		c->reading_paused = true;
--- a/libgate.h
+++ b/libgate.h
@@ -13,6 +13,7 @@
 
 #include <uv.h>
 
+#include "busy.h"
 #include "caller.h"
 #include "chart.h"
 #include "clk.h"
@@ -132,6 +133,9 @@
 	GC_EVACUATED,
 	GC_CONF_AGE,
 	GC_VERSIONS_REVERTED,
+	GC_IDLE_CLOSED,
+	GC_CLOSE_CROSSED,
+	GC_LOOP_BUSY,
 	GC_LATENCY,
 	GC_QUEUE_TIME,
 	GC_MAX
@@ -213,6 +217,7 @@
 	/* Time of the last report to the agent, monotonic ns. */
 	int64_t last_report;
 	uv_signal_t sigterm, sigint;
+	struct busy busy;
 	struct up *up;
 	struct wire *wire;
 	struct plat *plat;
@@ -302,6 +307,12 @@
 /* Makes sure that the next tick is soon, as there is work for it. */
 void gate_tick_soon(struct gate *);
 
+/*
+ * gate_trace.c: log lines and metrics on the ends of callers' connections and
+ * on the event loop.
+ */
+void gate_trace_open(struct gate *);
+
 /* gate_box.c: the states of the gate, from start to planned shutdown. */
 extern const struct chart_names gate_box_chart_names;
 void gate_box_open(struct gate *);
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -46,6 +46,9 @@
 	hsrv_concurrent_fn *may_run_concurrently; /* NULL: none may */
 	void *handler_ctx;
 	struct hsrv_room *room; /* for request bodies; NULL: any */
+	hsrv_end_fn *on_end; /* NULL: not watched */
+	const struct clk *end_clk;
+	void *end_ctx;
 	char read_buf[64 * 1024]; /* shared read buffer of all connections */
 };
 
@@ -103,6 +106,11 @@
 	bool input_ended; /* what comes from now on is discarded */
 	bool awaiting_peer_close; /* the write side was shut */
 	bool closed;
+	/* For hsrv_watch_ends(); times are in ns, 0 if they are not known. */
+	const char *why; /* why it ends; NULL: it does not */
+	int64_t active_at; /* time of the last request or response */
+	int64_t ended_at, shutdown_at, discarded_at;
+	size_t discarded; /* bytes read after the end was decided */
 };
 
 /* hsrv.c */
