--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -709,6 +709,76 @@
 	EXPECT_TRUE(c.receives_once(s, "second."));
 }
 
+/*
+ * The end of an idle connection was only carried out when the loop polled next:
+ * a request that came meanwhile was read and got no answer.
+ */
+TEST(Conn, ARequestBetweenAnIdleCloseAndTheNextPollIsNotSwallowed)
+{
+	Server s;
+	Caller c(s);
+
+	c.send_text(get("/1"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	s.respond(0, "first.");
+	ASSERT_TRUE(c.receives_once(s, "first."));
+	s.run_for(50);
+	uv_update_time(&s.loop);
+	hsrv_close_idle(s.srv, 1);
+	c.read_available();
+	EXPECT_TRUE(c.closed) << "the caller may still send a request";
+}
+
+/* Lets a caller send a request, unless it sees that its connection is closed.
+ */
+struct LateCaller {
+	uv_timer_t timer;
+	Caller *caller;
+	bool ran = false, sent = false;
+
+	LateCaller(Server &s, Caller &c, uint64_t in_ms) : caller(&c)
+	{
+		uv_timer_init(&s.loop, &timer);
+		timer.data = this;
+		uv_timer_start(&timer, run, in_ms, 0);
+	}
+
+	static void run(uv_timer_t *handle)
+	{
+		LateCaller *l = static_cast<LateCaller *>(handle->data);
+
+		l->ran = true;
+		l->caller->read_available();
+		if (l->caller->closed)
+			return;
+		l->caller->send_text(get("/2"));
+		l->sent = true;
+	}
+};
+
+/*
+ * The same by the timeout, where another timer that is due keeps the loop busy,
+ * as one that applies a change of the configuration does.
+ */
+TEST(Conn, ARequestBetweenAnIdleTimeoutAndTheNextPollIsNotSwallowed)
+{
+	Server s;
+	Caller c(s);
+
+	hsrv_set_limits(s.srv, 1000, 60);
+	c.send_text(get("/1"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	s.respond(0, "first.");
+	ASSERT_TRUE(c.receives_once(s, "first."));
+	s.run_for(5);
+
+	LateCaller late(s, c, 70);
+	usleep(100000);
+	ASSERT_TRUE(s.run_until([&] { return late.ran; }));
+	EXPECT_FALSE(late.sent) << "the caller may still send a request";
+	EXPECT_TRUE(c.is_closed(s));
+}
+
 /* What is in the socket does not keep a connection open without an end. */
 TEST(Conn, AnIncompleteRequestInTheSocketIsNotWaitedFor)
 {
