Log how much of a long iteration of the event loop went to timers

What a timer asks for, such as the end of an idle connection, waits for the other timers that are due, not for the events. The line on a long iteration now tells the two apart.

--- a/busy.c
+++ b/busy.c
@@ -14,6 +14,7 @@
 #define LONG_NS (50 * NS_MS)
 
 static void on_prepare(uv_prepare_t *);
+static void on_check(uv_check_t *);
 
 void
 busy_open(struct busy *b, uv_loop_t *loop, const struct clk *clk,
@@ -26,7 +27,11 @@
 	b->prepare.data = b;
 	uv_prepare_start(&b->prepare, on_prepare);
 	uv_unref((uv_handle_t *)&b->prepare);
-	b->last_ns = clk_ns(clk);
+	uv_check_init(loop, &b->check);
+	b->check.data = b;
+	uv_check_start(&b->check, on_check);
+	uv_unref((uv_handle_t *)&b->check);
+	b->last_ns = b->events_ns = clk_ns(clk);
 	b->last_cpu_ns = clk_ns(cpu);
 	b->last_wait_ns = uv_metrics_idle_time(loop);
 }
@@ -40,6 +45,7 @@
 	uint64_t wait = uv_metrics_idle_time(b->loop);
 	struct busy_report report = {
 	    .busy_ns = now - b->last_ns - (int64_t)(wait - b->last_wait_ns),
+	    .timers_ns = now - b->events_ns,
 	    .cpu_ns = cpu - b->last_cpu_ns};
 
 	b->last_ns = now;
@@ -48,3 +54,12 @@
 	if (report.busy_ns >= LONG_NS)
 		b->fn(b->ctx, &report);
 }
+
+/* Called once the events of an iteration have been handled. */
+static void
+on_check(uv_check_t *handle)
+{
+	struct busy *b = handle->data;
+
+	b->events_ns = clk_ns(b->clk);
+}
--- a/busy.h
+++ b/busy.h
@@ -22,6 +22,7 @@
 
 struct busy_report {
 	int64_t busy_ns; /* from the end of the wait to the next wait */
+	int64_t timers_ns; /* the part of it after the events, in timers */
 	/* Processor time; what is missing to busy_ns went to other processes.
 	 */
 	int64_t cpu_ns;
@@ -32,12 +33,14 @@
 
 struct busy {
 	uv_prepare_t prepare;
+	uv_check_t check;
 	uv_loop_t *loop;
 	const struct clk *clk;
 	const struct clk *cpu;
 	busy_fn *fn;
 	void *ctx;
 	int64_t last_ns, last_cpu_ns;
+	int64_t events_ns; /* when the events had been handled */
 	uint64_t last_wait_ns; /* of all iterations so far */
 };
 
--- a/gate_trace.c
+++ b/gate_trace.c
@@ -49,8 +49,9 @@
 	struct gate *g = ctx;
 
 	cnt_add(g->cnt, GC_LOOP_BUSY, 1);
-	slog(SLOG_GATE, "event loop was busy", "busy_ms=%lld cpu_ms=%lld",
-	    ms(report->busy_ns), ms(report->cpu_ns));
+	slog(SLOG_GATE, "event loop was busy",
+	    "busy_ms=%lld timers_ms=%lld cpu_ms=%lld", ms(report->busy_ns),
+	    ms(report->timers_ns), ms(report->cpu_ns));
 }
 
 void
