Close an idle connection at once, and read nothing after it

Cause: a decision that is carried out later, while what it rests on changes. on_idle() found nothing unread and asked libuv for a shutdown, which waits for the other timers that are due, such as the one that applies a configuration. A request that came in that time was read and discarded, as was one that crossed the close in the network, and its caller learned of it when the loop or the link was free again.

An idle connection is now closed in the call that decides it, if the peer has taken the last response. The kernel answers what comes later with a reset, so the caller knows that its request was not processed, however long the loop is busy. Where the connection was in use within 500 ms it lingers as before, but nothing more is read.

The write side of other connections is shut down at once, too.

--- a/gate_trace.c
+++ b/gate_trace.c
@@ -37,10 +37,9 @@
 	if (!by_timeout && end->unanswered == 0 && end->discarded == 0)
 		return;
 	slog_decision(SLOG_GATE, "caller's connection ended",
-	    "why=%s idle_ms=%lld unanswered=%u shutdown_ms=%lld discarded=%zu "
-	    "discarded_ms=%lld",
-	    end->why, ms(end->idle_ns), end->unanswered, ms(end->shutdown_ns),
-	    end->discarded, ms(end->discarded_ns));
+	    "why=%s idle_ms=%lld unanswered=%u discarded=%zu discarded_ms=%lld",
+	    end->why, ms(end->idle_ns), end->unanswered, end->discarded,
+	    ms(end->discarded_ns));
 }
 
 static void
--- a/hsrv.h
+++ b/hsrv.h
@@ -98,17 +98,9 @@
 	const char *why; /* a word for logs */
 	unsigned unanswered; /* requests that had begun to arrive */
 	int64_t idle_ns; /* since the last request or response, when it ended */
-	/*
-	 * From the decision to shut the write side down until that was done; -1
-	 * if it was not.
-	 */
-	int64_t shutdown_ns;
-	/*
-	 * Bytes that were read after that decision and discarded, and the time
-	 * from the shutdown to the first of them; 0 if they came before it.
-	 */
+	/* Bytes that were read and discarded after it ended, and when. */
 	size_t discarded;
-	int64_t discarded_ns;
+	int64_t discarded_ns; /* the first of them, after the end; 0: none */
 };
 
 /*
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -44,6 +44,7 @@
 static void on_idle(h2o_timeout_entry_t *);
 static void on_linger_timeout(h2o_timeout_entry_t *);
 static void on_stall_timeout(h2o_timeout_entry_t *);
+static void await_peer_close(struct hsrv_conn *);
 static void close_conn(struct hsrv_conn *, const char *why);
 static void process_input(struct hsrv_conn *);
 static void resume_reading(struct hsrv_conn *);
@@ -115,18 +116,21 @@
 	struct hsrv_end end = {.why = c->why,
 	    .unanswered = c->reqs.length,
 	    .idle_ns = c->ended_at - c->active_at,
-	    .shutdown_ns = -1,
-	    .discarded = c->discarded};
+	    .discarded = c->discarded,
+	    .discarded_ns = MAX(c->discarded_at - c->ended_at, 0)};
 
 	if (c->srv->on_end == NULL)
 		return;
-	if (c->shutdown_at != 0) {
-		end.shutdown_ns = c->shutdown_at - c->ended_at;
-		end.discarded_ns = MAX(c->discarded_at - c->shutdown_at, 0);
-	}
 	c->srv->on_end(c->srv->end_ctx, &end);
 }
 
+static void
+start_idle_timeout(struct hsrv_conn *c, h2o_timeout_t *timeout)
+{
+	c->idle_since = h2o_now(c->srv->loop);
+	h2o_timeout_link(c->srv->loop, timeout, &c->idle_timeout);
+}
+
 static struct hsrv_conn *
 open_conn(struct hsrv *s, uv_tcp_t *tcp)
 {
@@ -151,7 +155,7 @@
 	((struct hsrv_tcp *)tcp)->conn = c;
 	c->active_at = end_now(c);
 	hsrv_parser_init(c);
-	h2o_timeout_link(s->loop, &s->ctx.http1.req_timeout, &c->idle_timeout);
+	start_idle_timeout(c, &s->ctx.http1.req_timeout);
 	uv_read_start((uv_stream_t *)tcp, on_alloc, on_read);
 	return c;
 }
@@ -203,6 +207,42 @@
 	uv_close((uv_handle_t *)c->tcp, on_closed);
 }
 
+/* Ends the connection for this side.  Returns false if that fails. */
+static bool
+shutdown_writing(struct hsrv_conn *c)
+{
+	int fd;
+
+	/*
+	 * uv_shutdown() would wait for the timers that are due.  Nothing is
+	 * being written when a connection ends.
+	 */
+	return uv_fileno((uv_handle_t *)c->tcp, &fd) == 0 &&
+	    shutdown(fd, SHUT_WR) == 0;
+}
+
+/*
+ * Ends a connection without a request in flight.  From here on nothing is read:
+ * the caller of a request that comes now learns by the end or a reset of the
+ * connection that it was not processed, however long the loop is busy.  A reset
+ * might cost the peer the last response, so the connection lingers unless that
+ * was taken long ago.
+ */
+static void
+end_idle(struct hsrv_conn *c)
+{
+	struct hsrv *s = c->srv;
+
+	note_end(c, c->reqs.length > 0 ? "slow-request" : "idle");
+	if (h2o_now(s->loop) - c->idle_since >= s->linger_timeout.timeout &&
+	    hsrv_tcp_unacked(c->tcp) == 0) {
+		close_conn(c, c->why);
+		return;
+	}
+	uv_read_stop((uv_stream_t *)c->tcp);
+	await_peer_close(c);
+}
+
 /*
  * Timers run before sockets are read.  Bytes that came while the loop was busy
  * may be a whole request, so they are read first, once for each timeout.
@@ -219,8 +259,7 @@
 		    c->srv->loop, &c->srv->linger_timeout, &c->idle_timeout);
 		return;
 	}
-	/* The peer may still be reading the last response. */
-	shutdown_conn(c, c->reqs.length > 0 ? "slow-request" : "idle");
+	end_idle(c);
 }
 
 /*
@@ -282,16 +321,6 @@
 	    c->srv->loop, &c->srv->stall_timeout, &c->stall_timeout);
 }
 
-static void
-on_shutdown(uv_shutdown_t *req, int status)
-{
-	struct hsrv_conn *c = (struct hsrv_conn *)((char *)req -
-	    offsetof(struct hsrv_conn, shutdown));
-
-	if (status == 0)
-		c->shutdown_at = end_now(c);
-}
-
 void
 hsrv_abort(const h2o_req_t *req)
 {
@@ -342,6 +371,20 @@
 	return n;
 }
 
+/* Shuts down the write side and waits for the peer to close. */
+static void
+await_peer_close(struct hsrv_conn *c)
+{
+	struct hsrv *s = c->srv;
+
+	c->awaiting_peer_close = true;
+	c->unacked = SIZE_MAX;
+	h2o_timeout_unlink(&c->idle_timeout);
+	h2o_timeout_link(s->loop, &s->linger_timeout, &c->linger_timeout);
+	if (!shutdown_writing(c))
+		close_conn(c, "write-error");
+}
+
 /*
  * Shuts down the write side after the last response, and waits for the peer to
  * take it and to close.  If the connection were closed before, any bytes from
@@ -351,18 +394,11 @@
 static void
 shutdown_conn(struct hsrv_conn *c, const char *why)
 {
-	struct hsrv *s = c->srv;
-
 	note_end(c, why);
-	c->awaiting_peer_close = true;
-	c->unacked = SIZE_MAX;
 	note_discarded(c, c->input->len);
 	g_byte_array_set_size(c->input, 0);
 	resume_reading(c);
-	h2o_timeout_unlink(&c->idle_timeout);
-	h2o_timeout_link(s->loop, &s->linger_timeout, &c->linger_timeout);
-	if (uv_shutdown(&c->shutdown, (uv_stream_t *)c->tcp, on_shutdown) != 0)
-		close_conn(c, "write-error");
+	await_peer_close(c);
 }
 
 /*
@@ -679,7 +715,7 @@
 	if (c->awaiting_peer_close || (r != NULL && r->handled))
 		h2o_timeout_unlink(&c->idle_timeout);
 	else if (!h2o_timeout_is_linked(&c->idle_timeout))
-		h2o_timeout_link(c->srv->loop, timeout, &c->idle_timeout);
+		start_idle_timeout(c, timeout);
 }
 
 static void
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -87,10 +87,10 @@
 	GQueue reqs; /* struct hsrv_req, in the order received */
 	struct hsrv_req *parsing; /* the one that is being parsed, or NULL */
 	uv_write_t write;
-	uv_shutdown_t shutdown;
 	GString *head; /* of the response that is being written */
 	GArray *out_bufs; /* uv_buf_t; buffers that are being written */
 	h2o_timeout_entry_t idle_timeout, linger_timeout, stall_timeout;
+	uint64_t idle_since; /* start of the idle timeout; h2o_now() */
 	/* Bytes that the peer had not acknowledged at the last check. */
 	size_t unacked;
 	/* When it last had fewer, after the write side was shut; h2o_now() */
@@ -109,7 +109,7 @@
 	/* For hsrv_watch_ends(); times are in ns, 0 if they are not known. */
 	const char *why; /* why it ends; NULL: it does not */
 	int64_t active_at; /* time of the last request or response */
-	int64_t ended_at, shutdown_at, discarded_at;
+	int64_t ended_at, discarded_at;
 	size_t discarded; /* bytes read after the end was decided */
 };
 
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -779,6 +779,38 @@
 	EXPECT_TRUE(c.is_closed(s));
 }
 
+/*
+ * A request that was sent before its caller saw the end of the connection was
+ * read without an answer, so that the caller could not know that it had not
+ * run.
+ */
+TEST(Conn, ARequestThatCrossesAnIdleCloseIsNotRead)
+{
+	for (uint64_t rest_ms : {50, 600}) {
+		Server s;
+		Caller c(s);
+		size_t discarded = SIZE_MAX;
+
+		hsrv_watch_ends(
+		    s.srv, clk_system(),
+		    [](void *ctx, const struct hsrv_end *end) {
+			    *static_cast<size_t *>(ctx) = end->discarded;
+		    },
+		    &discarded);
+		c.send_text(get("/1"));
+		ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+		s.respond(0, "first.");
+		ASSERT_TRUE(c.receives_once(s, "first."));
+		s.run_for(static_cast<int>(rest_ms));
+		uv_update_time(&s.loop);
+		hsrv_close_idle(s.srv, 1);
+		c.send_text(get("/2"));
+		EXPECT_TRUE(s.run_until([&] { return discarded != SIZE_MAX; }));
+		EXPECT_EQ(0u, discarded) << "after a rest of " << rest_ms;
+		EXPECT_EQ(1u, s.reqs.size());
+	}
+}
+
 /* What is in the socket does not keep a connection open without an end. */
 TEST(Conn, AnIncompleteRequestInTheSocketIsNotWaitedFor)
 {
