State the idle time of callers' connections in Keep-Alive

HTTP lets the server tell its idle time instead.

Responses to callers now state one that is a fifth of the timeout shorter, and a second at least: that is how late a caller may see the close where the loop or the link of the box is busy. A lower limit of a new configuration holds for a connection from its next response on; before, it closed all that had rested for longer at once. A stop does not wait for that.

--- a/hsrv.c
+++ b/hsrv.c
@@ -22,7 +22,12 @@
 enum {
 	BACKLOG = 1024,
 	LINGER_MS = 500, /* time for a caller to read the last response */
-	STALL_MS = 15000
+	STALL_MS = 15000,
+	/*
+	 * A caller may be told of a close as late as this: the loop or the link
+	 * of the box may be busy.
+	 */
+	STATED_MARGIN_MS = 1000
 };
 
 struct request_handler {
@@ -244,6 +249,10 @@
 void
 hsrv_set_limits(struct hsrv *s, size_t body_max, uint64_t idle_ms)
 {
+	uint64_t margin_ms = MAX(idle_ms / 5, (uint64_t)STATED_MARGIN_MS);
+
+	s->stated_idle_s =
+	    idle_ms > margin_ms ? (idle_ms - margin_ms) / 1000 : 0;
 	s->conf.max_request_entity_size = body_max;
 	s->ctx.http1.req_timeout.timeout = idle_ms;
 	s->request_timeout.timeout = idle_ms;
@@ -275,6 +284,7 @@
 {
 	h2o_timeout_t *idle = &s->ctx.http1.req_timeout;
 
+	s->idle_ending = true;
 	idle->timeout = MIN(idle->timeout, idle_ms);
 	h2o_timeout_run(s->loop, idle, h2o_now(s->loop));
 }
--- a/hsrv.h
+++ b/hsrv.h
@@ -56,7 +56,10 @@
 
 /*
  * Sets the maximum size of a request body in bytes and the idle timeout of
- * HTTP/1.1 connections in ms.
+ * HTTP/1.1 connections in ms.  Responses state an idle time in Keep-Alive that
+ * is shorter by a fifth or a second, whichever is more, so that callers do not
+ * use a connection that is about to be closed.  A shorter timeout applies to a
+ * connection once its next response has stated it.
  */
 void hsrv_set_limits(struct hsrv *, size_t body_max, uint64_t idle_ms);
 
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -243,6 +243,17 @@
 	await_peer_close(c);
 }
 
+/*
+ * Returns whether the last response stated a longer idle time, as the limit was
+ * higher then.  A stop does not wait for that.
+ */
+static bool
+was_promised_longer(const struct hsrv_conn *c)
+{
+	return !c->srv->idle_ending && c->reqs.length == 0 &&
+	    h2o_now(c->srv->loop) - c->idle_since < c->promised_idle_ms;
+}
+
 /*
  * Timers run before sockets are read.  Bytes that came while the loop was busy
  * may be a whole request, so they are read first, once for each timeout.
@@ -252,14 +263,15 @@
 {
 	struct hsrv_conn *c = (struct hsrv_conn *)((char *)e -
 	    offsetof(struct hsrv_conn, idle_timeout));
+	bool unread = !c->idle_delayed && hsrv_tcp_has_unread(c->tcp);
 
-	if (!c->idle_delayed && hsrv_tcp_has_unread(c->tcp)) {
+	if (unread)
 		c->idle_delayed = true;
+	if (unread || was_promised_longer(c))
 		h2o_timeout_link(
 		    c->srv->loop, &c->srv->linger_timeout, &c->idle_timeout);
-		return;
-	}
-	end_idle(c);
+	else
+		end_idle(c);
 }
 
 /*
@@ -557,6 +569,9 @@
 
 	r->head_sent = true;
 	r->closes_conn = ends_connection(r);
+	r->conn->promised_idle_ms = r->conn->srv->stated_idle_s > 0
+	    ? r->conn->srv->ctx.http1.req_timeout.timeout
+	    : 0;
 	if (is_close_delimited(r))
 		set_reset_on_close(r->conn, true);
 	hsrv_req_format_head(r, r->conn->head);
--- a/hsrv_req.c
+++ b/hsrv_req.c
@@ -119,10 +119,14 @@
 {
 	const h2o_res_t *res = &r->req.res;
 	const h2o_timestamp_t *time = &r->req.processed_at;
+	const struct hsrv *srv = r->conn->srv;
 	size_t i;
 
 	g_string_printf(to, "HTTP/1.1 %d %s\r\nconnection: %s\r\n", res->status,
 	    res->reason, r->closes_conn ? "close" : "keep-alive");
+	if (!r->closes_conn && srv->stated_idle_s > 0)
+		g_string_append_printf(to, "keep-alive: timeout=%llu\r\n",
+		    (unsigned long long)srv->stated_idle_s);
 	append_iovec(
 	    to, h2o_iovec_init(H2O_STRLIT("server: fernjunction\r\n")));
 	if (time->str != NULL)
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -42,6 +42,9 @@
 	uv_tcp_t listener;
 	bool listening;
 	bool input_ended; /* hsrv_end_input() was called */
+	bool idle_ending; /* hsrv_close_idle() was called */
+	/* Idle time that responses state to callers, s; 0: none. */
+	uint64_t stated_idle_s;
 	hsrv_handler_fn *handler;
 	hsrv_concurrent_fn *may_run_concurrently; /* NULL: none may */
 	void *handler_ctx;
@@ -96,6 +99,8 @@
 	/* When it last had fewer, after the write side was shut; h2o_now() */
 	uint64_t taken_at;
 	bool protocol_unknown; /* the first bytes have not been inspected */
+	/* Idle timeout when the last response stated one, ms; 0: it did not. */
+	uint64_t promised_idle_ms;
 	bool idle_delayed; /* the idle timeout passed with bytes unread */
 	bool reading_paused; /* too many bytes wait to be parsed */
 	/* A request began, its head is complete, or a part of its body came. */
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -811,6 +811,64 @@
 	}
 }
 
+/*
+ * Callers used connections up to the moment at which the idle timeout closed
+ * them, as nothing told them of it.
+ */
+TEST(Conn, ResponsesStateAnIdleTimeBelowTheTimeout)
+{
+	Server s;
+	Caller c(s);
+
+	c.send_text(get("/1"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	s.respond(0, "first.");
+	ASSERT_TRUE(c.receives_once(s, "first."));
+	EXPECT_EQ(0, c.count("keep-alive: "));
+	hsrv_set_limits(s.srv, 1000, 15000);
+	c.send_text(get("/2"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 2; }));
+	s.respond(1, "second.");
+	ASSERT_TRUE(c.receives_once(s, "second."));
+	EXPECT_EQ(1, c.count("keep-alive: timeout=12\r\n"));
+	hsrv_set_limits(s.srv, 1000, 1500);
+	c.send_text(get("/3") + get("/4"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 4; }));
+	s.respond(2, "third.");
+	s.respond(3, "last.", false);
+	ASSERT_TRUE(c.receives_once(s, "last."));
+	EXPECT_EQ(1, c.count("keep-alive: "));
+}
+
+/*
+ * A lower limit closed all connections that had rested for longer at once, and
+ * the requests of callers that had been told a longer time met the close.
+ */
+TEST(Conn, AShorterIdleTimeoutKeepsWhatWasStated)
+{
+	Server s;
+	Caller c(s);
+
+	hsrv_set_limits(s.srv, 1000, 2500);
+	c.send_text(get("/1"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	s.respond(0, "first.");
+	ASSERT_TRUE(c.receives_once(s, "keep-alive: timeout=1\r\n"));
+	s.run_for(100);
+	hsrv_set_limits(s.srv, 1000, 50);
+	s.run_for(700);
+	c.read_available();
+	EXPECT_FALSE(c.closed);
+	c.send_text(get("/2"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 2; }));
+	s.respond(1, "second.");
+	ASSERT_TRUE(c.receives_once(s, "second."));
+	EXPECT_EQ(1, c.count("keep-alive: "));
+	EXPECT_TRUE(
+	    s.run_until([&] { return c.read_available() && c.closed; }, 1500))
+	    << "the new limit is not stated, and holds";
+}
+
 /* What is in the socket does not keep a connection open without an end. */
 TEST(Conn, AnIncompleteRequestInTheSocketIsNotWaitedFor)
 {
