Test of a slow reader whose stated idle time has passed

Responses state an idle time in Keep-Alive, from which callers count once they have read the response. The idle timeout counts from the moment at which the kernel has it. A caller that takes longer to read it than the timeout (300 KB that are left unread for 2.8 s, timeout 2.5 s, 1 s stated) met the end of the connection right behind the response, and its next request got no answer.

--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -840,6 +840,37 @@
 	EXPECT_EQ(1, c.count("keep-alive: "));
 }
 
+/*
+ * The idle time began when a response was handed to the kernel.  A caller that
+ * took longer to read it met the close right after, though it had been told an
+ * idle time.
+ */
+TEST(Conn, ASlowReaderHasTheStatedIdleTimeAfterItsResponse)
+{
+	Server s;
+	Caller c(s, 4096);
+	std::string body(300000, 'x');
+
+	hsrv_set_limits(s.srv, 1000, 2500);
+	c.send_text(get("/1"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	s.respond(0, body + "first.");
+	ASSERT_TRUE(s.run_until([&] { return s.freed == 1; }))
+	    << "the kernel holds the whole response";
+	s.run_for(2800);
+	ASSERT_TRUE(c.receives_once(s, "first."));
+	ASSERT_EQ(1, c.count("keep-alive: timeout=1\r\n"));
+	s.run_for(100);
+	c.read_available();
+	EXPECT_FALSE(c.closed) << "closed after 100 ms, 1 s was stated";
+	if (!c.closed) {
+		c.send_text(get("/2"));
+		ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 2; }));
+		s.respond(1, "second.");
+		EXPECT_TRUE(c.receives_once(s, "second."));
+	}
+}
+
 /*
  * A lower limit closed all connections that had rested for longer at once, and
  * the requests of callers that had been told a longer time met the close.
