Test of a stop that waits for connections both sides have closed

Since idle connections are closed without reading any more, those that were in use within 500 ms linger for as long, also where the caller closed at once when it saw the end.

--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -871,6 +871,31 @@
 	}
 }
 
+/*
+ * Nothing was read from a connection that had been closed as idle, not even
+ * that its caller had closed it too: a stop waited for the whole linger time.
+ */
+TEST(Conn, AnIdleConnectionThatItsCallerClosedDoesNotDelayAStop)
+{
+	Server s;
+	Caller c(s);
+
+	c.send_text(get("/1"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	s.respond(0, "first.");
+	ASSERT_TRUE(c.receives_once(s, "first."));
+	s.run_for(100);
+	uv_update_time(&s.loop);
+	hsrv_shutdown(s.srv);
+	hsrv_close_idle(s.srv, 50);
+	ASSERT_TRUE(c.is_closed(s));
+	close(c.fd);
+	c.fd = -1;
+	EXPECT_TRUE(s.run_until(
+	    [&] { return hsrv_count_open(s.srv).connections == 0; }, 200))
+	    << "both sides have closed it";
+}
+
 /*
  * A lower limit closed all connections that had rested for longer at once, and
  * the requests of callers that had been told a longer time met the close.
