Test of timers that fire before input after a second stall

Late timers are deferred once, so that input is read first. Where the events of the deferring iteration, or a timer behind it, keep the loop busy again, as a configuration that comes in several messages may, timers that expire in that time fire at once, before what came meanwhile: a connection that is up counts as not connected in time, a probe or a ping that was answered as failed.

--- a/regress/test_up.cpp
+++ b/regress/test_up.cpp
@@ -946,6 +946,94 @@
 namespace
 {
 
+/*
+ * A loop that stalls twice: in a timer, and in an event that is handled while
+ * late timers are deferred.  Input comes during the second stall.
+ */
+struct TwoStalls {
+	uv_loop_t *loop = uv_default_loop();
+	struct tmr tmr = {};
+	struct tmr_item stall = {}, late = {}, wait = {};
+	uv_poll_t busy = {}, input = {};
+	int busy_fds[2] = {-1, -1}, input_fds[2] = {-1, -1};
+	std::string order;
+
+	static void on_stall(void *ctx)
+	{
+		TwoStalls *s = static_cast<TwoStalls *>(ctx);
+
+		EXPECT_EQ(1, write(s->busy_fds[1], "x", 1));
+		usleep(60000);
+	}
+
+	static void on_late(void *ctx)
+	{
+		static_cast<TwoStalls *>(ctx)->order += "late ";
+	}
+
+	static void on_wait(void *ctx)
+	{
+		static_cast<TwoStalls *>(ctx)->order += "wait ";
+	}
+
+	static void on_busy(uv_poll_t *poll, int, int)
+	{
+		TwoStalls *s = static_cast<TwoStalls *>(poll->data);
+
+		uv_poll_stop(poll);
+		usleep(80000);
+		EXPECT_EQ(1, write(s->input_fds[1], "x", 1));
+	}
+
+	static void on_input(uv_poll_t *poll, int, int)
+	{
+		static_cast<TwoStalls *>(poll->data)->order += "read ";
+		uv_poll_stop(poll);
+	}
+
+	void watch(uv_poll_t *poll, int *fds, uv_poll_cb fn)
+	{
+		ASSERT_EQ(0, pipe(fds));
+		uv_poll_init(loop, poll, fds[0]);
+		poll->data = this;
+		uv_poll_start(poll, UV_READABLE, fn);
+	}
+};
+
+} // namespace
+
+/*
+ * Late timers were deferred once for all: one that expired during a stall of
+ * the deferring iteration fired before the input that had come in that time.
+ */
+TEST(Tmr, AfterASecondStallInputIsReadBeforeTimersFire)
+{
+	TwoStalls s;
+
+	tmr_open(&s.tmr, s.loop, clk_system());
+	s.watch(&s.busy, s.busy_fds, TwoStalls::on_busy);
+	s.watch(&s.input, s.input_fds, TwoStalls::on_input);
+	int64_t now = clk_ns(clk_system());
+	tmr_set(&s.tmr, &s.stall, now + 5 * NS_MS, TwoStalls::on_stall, &s);
+	tmr_set(&s.tmr, &s.late, now + 15 * NS_MS, TwoStalls::on_late, &s);
+	tmr_set(&s.tmr, &s.wait, now + 100 * NS_MS, TwoStalls::on_wait, &s);
+	for (int i = 0; i < 100 && s.order.size() < 15; i++)
+		uv_run(s.loop, UV_RUN_ONCE);
+	EXPECT_LT(s.order.find("read "), s.order.find("wait ")) << s.order;
+	tmr_close(&s.tmr);
+	uv_close(reinterpret_cast<uv_handle_t *>(&s.tmr.timer), nullptr);
+	uv_close(reinterpret_cast<uv_handle_t *>(&s.busy), nullptr);
+	uv_close(reinterpret_cast<uv_handle_t *>(&s.input), nullptr);
+	uv_run(s.loop, UV_RUN_NOWAIT);
+	for (int *fds : {s.busy_fds, s.input_fds}) {
+		close(fds[0]);
+		close(fds[1]);
+	}
+}
+
+namespace
+{
+
 /* A server that answers at once, but keeps a request for /wait. */
 struct Handler {
 	h2o_req_t *held_request = nullptr;
