Defer late timers after each stall of the event loop

Timers that are late by 20 ms or more are deferred, so that input which came in time is read before a timeout takes effect. That was done once until all due timers had run: one that expired while the deferring iteration stalled again, as it does where a configuration comes in several messages, fired before what had come meanwhile.

A timer is now deferred once for each time that it was found late: again if it expired after the last deferral, or if the timers before it took 20 ms. Each run still calls one at least, and one that is a second late runs at once.

--- a/tmr.c
+++ b/tmr.c
@@ -27,7 +27,7 @@
 {
 	uv_timer_init(loop, &t->timer);
 	t->timer.data = t;
-	t->deferred = false;
+	t->deferred_at = 0;
 	queue_init(&t->queue);
 	t->clk = clk;
 }
@@ -62,19 +62,23 @@
 }
 
 /*
- * Defers late timers once, so that pending I/O runs before them.  If the loop
- * was blocked, data may have arrived in time although its timeout has expired,
- * and libuv would run the timer first.  If the process was suspended, timers
- * run first, because overdue operations must end before anything is sent.
+ * Defers late timers once after each stall, so that pending I/O runs before
+ * them.  If the loop was blocked, data may have arrived in time although its
+ * timeout has expired, and libuv would run the timer first.  If the process was
+ * suspended, timers run first, because overdue operations must end before
+ * anything is sent.
  */
 static bool
-defer(struct tmr *t, const struct queue_item *first, int64_t now)
+defer(struct tmr *t, const struct queue_item *first, int64_t begun, int64_t now)
 {
 	int64_t late = now - first->deadline;
 
-	if (t->deferred || late < LATE_NS || late >= SUSPENDED_NS)
+	if (late < LATE_NS || late >= SUSPENDED_NS)
 		return false;
-	t->deferred = true;
+	/* The loop has stalled again if the timers before took long. */
+	if (first->deadline <= t->deferred_at && now - begun < LATE_NS)
+		return false;
+	t->deferred_at = now;
 	uv_update_time(t->timer.loop);
 	uv_timer_start(&t->timer, on_timer, DEFER_MS, 0);
 	return true;
@@ -86,21 +90,20 @@
 	struct tmr *t = timer->data;
 	struct queue_item *first;
 	struct tmr_item *item;
-	int64_t now;
+	int64_t begun = clk_ns(t->clk), now;
 
 	for (;;) {
 		first = queue_first(&t->queue);
 		now = clk_ns(t->clk);
 		if (first == NULL || first->deadline > now)
 			break;
-		if (defer(t, first, now))
+		if (defer(t, first, begun, now))
 			return;
 		queue_pop(&t->queue);
 		item = first->data;
 		item->armed = false;
 		item->callback(item->ctx);
 	}
-	t->deferred = false;
 	arm(t);
 }
 
--- a/tmr.h
+++ b/tmr.h
@@ -36,7 +36,8 @@
 	uv_timer_t timer;
 	struct queue queue;
 	const struct clk *clk;
-	bool deferred; /* late timers were deferred once, so that I/O runs */
+	/* Timers due by then were deferred, so that I/O runs; 0: none were. */
+	int64_t deferred_at;
 };
 
 void tmr_open(struct tmr *, uv_loop_t *, const struct clk *);
