See the caller's end of an idle connection, and wait for slow readers

The socket is now watched without reading from it.

The stated idle time began when the kernel had the response. A caller that took longer than the timeout to read it was told an idle time and met the close right behind the response. While the peer takes the response the connection is not idle, unless it takes nothing for the stall limit.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -8,6 +8,7 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
+#include <errno.h>
 #include <fcntl.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -128,6 +129,7 @@
 start_idle_timeout(struct hsrv_conn *c, h2o_timeout_t *timeout)
 {
 	c->idle_since = h2o_now(c->srv->loop);
+	c->unacked = SIZE_MAX;
 	h2o_timeout_link(c->srv->loop, timeout, &c->idle_timeout);
 }
 
@@ -239,19 +241,45 @@
 		close_conn(c, c->why);
 		return;
 	}
-	uv_read_stop((uv_stream_t *)c->tcp);
+	c->ends_unread = true;
+	if (c->reading_paused)
+		uv_read_start((uv_stream_t *)c->tcp, on_alloc, on_read);
 	await_peer_close(c);
 }
 
+/*
+ * Returns whether the peer has yet to take bytes, and has taken some within the
+ * stall limit.
+ */
+static bool
+still_takes(struct hsrv_conn *c, size_t unacked)
+{
+	uint64_t now = h2o_now(c->srv->loop);
+
+	if (unacked == 0)
+		return false;
+	if (unacked < c->unacked) {
+		c->unacked = unacked;
+		c->taken_at = now;
+	}
+	return now - c->taken_at < c->srv->stall_timeout.timeout;
+}
+
 /*
  * Returns whether the last response stated a longer idle time, as the limit was
- * higher then.  A stop does not wait for that.
+ * higher then, or as the peer has not taken that response yet.  A stop does not
+ * wait for that.
  */
 static bool
-was_promised_longer(const struct hsrv_conn *c)
+was_promised_longer(struct hsrv_conn *c)
 {
-	return !c->srv->idle_ending && c->reqs.length == 0 &&
-	    h2o_now(c->srv->loop) - c->idle_since < c->promised_idle_ms;
+	if (c->srv->idle_ending || c->reqs.length > 0)
+		return false;
+	if (still_takes(c, hsrv_tcp_unacked(c->tcp))) {
+		c->idle_since = h2o_now(c->srv->loop);
+		return true;
+	}
+	return h2o_now(c->srv->loop) - c->idle_since < c->promised_idle_ms;
 }
 
 /*
@@ -282,15 +310,9 @@
 takes_rest(struct hsrv_conn *c)
 {
 	size_t unacked = hsrv_tcp_unacked(c->tcp);
-	uint64_t now = h2o_now(c->srv->loop);
 
-	if (!c->awaiting_peer_close || unacked <= FIN_SIZE)
-		return false;
-	if (unacked < c->unacked) {
-		c->unacked = unacked;
-		c->taken_at = now;
-	}
-	return now - c->taken_at < c->srv->stall_timeout.timeout;
+	return c->awaiting_peer_close && unacked > FIN_SIZE &&
+	    still_takes(c, unacked);
 }
 
 static void
@@ -861,8 +883,28 @@
 }
 
 /*
- * Before the first bytes were inspected, an empty buffer makes libuv report
- * UV_ENOBUFS and read nothing.
+ * Called when a connection whose end is not read has something to read: the end
+ * of the peer closes it, bytes are left in the socket.
+ */
+static void
+inspect_unread(struct hsrv_conn *c)
+{
+	char byte;
+	ssize_t n;
+	int fd;
+
+	uv_fileno((uv_handle_t *)c->tcp, &fd);
+	n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (n > 0)
+		uv_read_stop((uv_stream_t *)c->tcp);
+	else if (n == 0 || errno != EAGAIN)
+		close_conn(c, "peer-closed");
+}
+
+/*
+ * Where no bytes may be read, an empty buffer makes libuv report UV_ENOBUFS and
+ * read nothing: before the first bytes were inspected, and after the end of an
+ * idle connection.
  */
 static void
 on_alloc(uv_handle_t *tcp, size_t n, uv_buf_t *buf)
@@ -871,7 +913,7 @@
 
 	(void)n;
 	*buf = uv_buf_init(c->srv->read_buf, sizeof(c->srv->read_buf));
-	if (c->protocol_unknown)
+	if (c->protocol_unknown || c->ends_unread)
 		buf->len = 0;
 }
 
@@ -881,7 +923,10 @@
 	struct hsrv_conn *c = tcp->data;
 
 	if (n == UV_ENOBUFS) {
-		detect_http2(c);
+		if (c->ends_unread)
+			inspect_unread(c);
+		else
+			detect_http2(c);
 		return;
 	}
 	if (n < 0) {
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -110,6 +110,7 @@
 	bool input_due; /* it ends with the next response */
 	bool input_ended; /* what comes from now on is discarded */
 	bool awaiting_peer_close; /* the write side was shut */
+	bool ends_unread; /* and nothing is read any more */
 	bool closed;
 	/* For hsrv_watch_ends(); times are in ns, 0 if they are not known. */
 	const char *why; /* why it ends; NULL: it does not */
