Look at a kept connection before it is used again

Requests to other boxes, which must not be sent twice, ended with 502, "cut", ran=unknown, although they cannot have run; others cost an attempt and counted as a sign that their server had crashed. An answer such as 408, which a server sends before it closes an idle connection, was taken for the answer to the next request.

Cause: the pool knows of the end of a connection only what the event loop has read. While the loop is busy, the end, a reset or bytes lie in the socket, and a request that is read in the same iteration is sent behind them.

up_conn_pop_idle() now peeks at the socket and closes a connection that holds anything but silence; the next kept one or a new one is used. A server that closes while the request is on its way can still be met.

--- a/regress/test_up.cpp
+++ b/regress/test_up.cpp
@@ -407,6 +407,49 @@
 	EXPECT_EQ(2, peer.connections);
 }
 
+/*
+ * A kept connection was reused although its end, a reset or bytes that belong
+ * to no response lay unread in its socket, as the loop had been busy: requests
+ * that cannot have run ended as if they might have.
+ */
+TEST(Up, AConnectionThatEndedWhileTheLoopWasBusyIsNotReused)
+{
+	enum { END, RESET, BYTES, BYTES_AND_END, KINDS };
+
+	for (int kind = 0; kind < KINDS; kind++) {
+		std::atomic<bool> left{false};
+		Peer peer([&](int fd, int connection_number) {
+			read_head(fd);
+			send_text(fd, OK_RESPONSE);
+			if (connection_number > 1) {
+				read_head(fd);
+				return;
+			}
+			/* The response has been read by itself. */
+			usleep(20000);
+			if (kind == RESET)
+				reset_on_close(fd);
+			if (kind == BYTES || kind == BYTES_AND_END)
+				send_text(fd,
+				    "HTTP/1.1 408 Request Timeout\r\n"
+				    "content-length: 0\r\n\r\n");
+			left = true;
+			if (kind == BYTES)
+				read_head(fd);
+		});
+		Client client;
+		Call c;
+
+		EXPECT_EQ(200, client.get(peer.address).status) << kind;
+		while (!left)
+			usleep(1000);
+		usleep(20000);
+		c = client.get(peer.address);
+		EXPECT_EQ("whole", c.outcome) << kind;
+		EXPECT_EQ(200, c.status) << kind;
+	}
+}
+
 namespace
 {
 
--- a/up_conn.c
+++ b/up_conn.c
@@ -8,6 +8,7 @@
  * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
+#include <errno.h>
 #include <netinet/tcp.h>
 
 #include "libup.h"
@@ -291,6 +292,21 @@
 	    on_start_timer, c);
 }
 
+/*
+ * Returns whether nothing has come on an idle connection since the last
+ * response: neither its end, nor an error, nor bytes, which no request asked
+ * for.  While the loop was busy, any of them may lie in the socket unread.
+ */
+static bool
+is_silent(struct up_conn *conn)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	return uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0 &&
+	    recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
 /*
  * The most recently used connection comes first, as the server is least likely
  * to have closed it.
@@ -302,7 +318,7 @@
 	struct up_conn *conn;
 
 	while ((conn = g_queue_peek_head(&pool->idle_conns)) != NULL) {
-		if (now < conn->idle_until) {
+		if (now < conn->idle_until && is_silent(conn)) {
 			g_queue_unlink(&pool->idle_conns, &conn->link);
 			conn->idle = false;
 			return conn;
