--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -1248,3 +1248,53 @@
 		    << r.status << " " << r.header("fern-error") << " "
 		    << r.header("fern-ran");
 }
+
+/*
+ * While a gate stood still, the owner's response and the end of its connection
+ * came, and between them a caller's request.  The gate sent that request on the
+ * ended connection, and told its caller that it may have run.
+ */
+TEST(Stops, AGateThatStoodStillSendsNothingOnAConnectionThatHasEnded)
+{
+	World w(World::options_of(2, "leave_wait_ms = 200\n"));
+
+	ASSERT_TRUE(w.open());
+	/* The second box is too weak to be an owner. */
+	w.stop_box_hard(1);
+	w.options.agent_settings = "power = 0.1\n";
+	w.start_box(1);
+	ASSERT_TRUE(w.wait_ready());
+	auto forwarded = [&] {
+		return w.metric(0, "fern_passed_in_total");
+	};
+	ASSERT_TRUE(until([&] {
+		http("POST", w.boxes[1].listen, "/dir/x", {}, "body");
+		return forwarded() > 10;
+	}));
+	/* The connections between the gates are not reused after 2 s. */
+	pump(2100);
+	Caller first(w.boxes[1].listen), second(w.boxes[1].listen);
+	for (Caller *c : {&first, &second}) {
+		c->send_text("GET /none HTTP/1.1\r\nhost: x\r\n\r\n");
+		ASSERT_TRUE(until([&] {
+			c->read_some();
+			return c->count("HTTP/1.1 404") == 1;
+		}));
+	}
+	first.send_text(Caller::request("POST", "/dir/x?ms=200", "first"));
+	ASSERT_TRUE(until([&] { return w.run_count("first") == 1; }));
+	w.boxes[1].gate.signal(SIGSTOP);
+	pump(300);
+	second.send_text(Caller::request("POST", "/dir/x?ms=1", "second"));
+	w.boxes[0].gate.signal(SIGTERM);
+	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(8000));
+	w.boxes[1].gate.signal(SIGCONT);
+	EXPECT_TRUE(until([&] {
+		first.read_some();
+		second.read_some();
+		return first.count("HTTP/1.1 ") > 1 &&
+		    second.count("HTTP/1.1 ") > 1;
+	}));
+	EXPECT_EQ(1, first.count("HTTP/1.1 200")) << first.received;
+	EXPECT_EQ(0, second.count("fern-ran: unknown")) << second.received;
+}
