Test of requests that cross the end of idle connections at a stop

No fault is mended: the test shows what a stop does to callers that rest for up to 1.2 s between requests, behind a link with 20 ms each way.

--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -1298,3 +1298,112 @@
 	EXPECT_EQ(1, first.count("HTTP/1.1 200")) << first.received;
 	EXPECT_EQ(0, second.count("fern-ran: unknown")) << second.received;
 }
+
+namespace
+{
+
+/* A caller that rests between requests, and never sends one before a response.
+ */
+struct Resting {
+	Caller c;
+	std::string prefix;
+	std::vector<std::string> sent;
+	double send_at, sent_at = 0, lost_after = 0;
+	size_t answered = 0;
+	bool told = false; /* by a response that the connection closes */
+
+	Resting(
+	    const std::string &address, const std::string &name, double first)
+	    : c(address), prefix(name), send_at(first)
+	{
+	}
+
+	bool waits() const
+	{
+		return sent.size() > answered;
+	}
+
+	void step(double rest_ms)
+	{
+		if (told || c.ended)
+			return;
+		c.read_some();
+		if (waits() &&
+		    c.count("HTTP/1.1 ") > static_cast<int>(answered)) {
+			answered++;
+			told = c.count("connection: close") > 0;
+			send_at = now_ms() + rest_ms;
+		}
+		if (c.ended && waits())
+			lost_after = now_ms() - sent_at;
+		if (c.ended || told || waits() || now_ms() < send_at)
+			return;
+		sent.push_back(prefix + std::to_string(sent.size()));
+		sent_at = now_ms();
+		c.send_text(
+		    Caller::request("POST", "/dir/x?ms=1", sent.back()));
+	}
+};
+
+} // namespace
+
+/*
+ * A connection that rests for all of the time between the signal and the end of
+ * idle connections gets no response that could say that it ends.  A request
+ * that crosses its end must not run, nor wait for an answer.
+ */
+TEST(Stops, ARequestThatCrossesTheEndOfAnIdleConnectionHasNotRun)
+{
+	const int CALLERS = 150, REST_MS = 1200, WAIT_MS = 400, DELAY_MS = 20;
+	World w = boxes_for(
+	    1, "leave_wait_ms = " + std::to_string(WAIT_MS) + "\n", 1);
+	std::minstd_rand rnd(3);
+	std::uniform_real_distribution<double> rest(1, REST_MS);
+	std::vector<std::unique_ptr<Resting>> all;
+	int told = 0, idle = 0, crossed = 0, answered = 0;
+	double signaled = 0, longest = 0;
+
+	ASSERT_TRUE(w.open());
+	warm_up(w);
+	auto link = w.proxy(w.boxes[0].listen);
+	link->set("delay_ms=" + std::to_string(DELAY_MS));
+	for (int i = 0; i < CALLERS; i++)
+		all.push_back(std::make_unique<Resting>(link->address,
+		    "c" + std::to_string(i) + "-", now_ms() + rest(rnd)));
+	double began = now_ms();
+	until(
+	    [&] {
+		    int open = 0;
+
+		    if (signaled == 0 && now_ms() > began + 2 * REST_MS) {
+			    signaled = now_ms();
+			    w.boxes[0].gate.signal(SIGTERM);
+		    }
+		    for (auto &r : all) {
+			    r->step(rest(rnd));
+			    open += !r->told && !r->c.ended;
+		    }
+		    return open == 0;
+	    },
+	    10000);
+	auto runs = w.runs();
+	for (auto &r : all) {
+		EXPECT_TRUE(r->told || r->c.ended);
+		answered += static_cast<int>(r->answered);
+		told += r->told;
+		idle += !r->told && !r->waits();
+		if (r->told || !r->waits())
+			continue;
+		crossed++;
+		longest = std::max(longest, r->lost_after);
+		EXPECT_EQ(0u, runs.count(r->sent.back())) << r->sent.back();
+	}
+	RecordProperty("told", told);
+	RecordProperty("idle", idle);
+	RecordProperty("crossed", crossed);
+	RecordProperty("longest_ms", static_cast<int>(longest));
+	EXPECT_GT(answered, CALLERS);
+	EXPECT_GT(told, 0);
+	EXPECT_GT(idle, 0);
+	EXPECT_EQ(0, w.boxes[0].gate.wait_exit(5000));
+}
