--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -27,7 +27,7 @@
 #include "net.h"
 
 extern "C" {
-#include "hsrv.h"
+#include "libhsrv.h"
 }
 
 namespace
@@ -1110,6 +1110,76 @@
 	EXPECT_LT(http2_outlasts(false), 4000);
 }
 
+namespace
+{
+
+/* Returns the last stream by the newest GOAWAY that was received; -1: none. */
+int
+last_stream(const std::string &received)
+{
+	const size_t HEAD = 9;
+	const int GOAWAY = 7;
+	size_t at, size;
+	int last = -1;
+	auto byte = [&](size_t i) {
+		return static_cast<unsigned char>(received[i]);
+	};
+
+	for (at = 0; at + HEAD <= received.size(); at += HEAD + size) {
+		size = static_cast<size_t>(
+		    byte(at) << 16 | byte(at + 1) << 8 | byte(at + 2));
+		if (byte(at + 3) == GOAWAY && at + HEAD + 4 < received.size())
+			last = byte(at + HEAD + 2) << 8 | byte(at + HEAD + 3);
+	}
+	return last;
+}
+
+} // namespace
+
+/*
+ * The idle timeout of an HTTP/2 connection passes while the loop is busy, and a
+ * request comes before or after it is noticed.  GOAWAY tells that the request
+ * was not processed, or there is a response.
+ */
+TEST(Conn, AnHttp2RequestThatMeetsTheIdleTimeoutIsNamedOrAnswered)
+{
+	const std::string preface("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+				  "\0\0\0\4\0\0\0\0\0",
+	    33);
+	const int IDLE_MS = 100;
+	std::string frame("\0\0\6\1\5\0\0\0\1\x82\x86\x84\x41\1a", 15);
+
+	for (int late_ms : {0, 60, 130}) {
+		Server s;
+
+		s.srv->ctx.http2.idle_timeout.timeout = IDLE_MS;
+		Caller c(s);
+		c.send_text(preface);
+		frame[8] = 1;
+		c.send_text(frame);
+		ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+		s.respond(0, "answer.");
+		s.run_for(50);
+		/* The loop is busy for 130 ms. */
+		frame[8] = 3;
+		usleep(static_cast<unsigned>(late_ms) * 1000);
+		if (late_ms < 130)
+			c.send_text(frame);
+		usleep(static_cast<unsigned>(130 - late_ms) * 1000);
+		if (late_ms == 130) {
+			uv_run(&s.loop, UV_RUN_NOWAIT);
+			c.send_text(frame);
+		}
+		EXPECT_TRUE(s.run_until([&] {
+			c.read_available();
+			return c.closed || s.reqs.size() == 2;
+		})) << late_ms;
+		if (s.reqs.size() == 2)
+			continue;
+		EXPECT_EQ(1, last_stream(c.received)) << late_ms;
+	}
+}
+
 /* Connections that the kernel had accepted were reset with the listener. */
 TEST(Conn, AConnectionThatWaitsWhenTheListenerClosesIsServed)
 {
