Let "100 Continue" wait for room in the socket

A request that asks to continue, pipelined behind a response, got none: its connection was closed.

Cause: send_continue() wrote with uv_try_write() and took a socket without room for a broken one. The rest of the response before it may fill the socket when libuv has handed it over.

The text is now written with a request of its own, in order behind what was written before, and only an error of that write closes the connection.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -694,7 +694,21 @@
 	return true;
 }
 
-/* Sends "100 Continue" if the caller waits for it before sending the body. */
+static void
+on_continue_written(uv_write_t *req, int status)
+{
+	struct hsrv_conn *c = (struct hsrv_conn *)((char *)req -
+	    offsetof(struct hsrv_conn, continue_write));
+
+	if (status != 0 && !c->closed && !c->awaiting_peer_close)
+		close_conn(c, "write-error");
+}
+
+/*
+ * Sends "100 Continue" if the caller waits for it before sending the body.  It
+ * may have to wait itself, behind the rest of an earlier response.  A second
+ * one is sent only after the response to this request, and so after this one.
+ */
 static void
 send_continue(struct hsrv_conn *c)
 {
@@ -705,7 +719,8 @@
 	if (r == NULL || !r->expects_continue)
 		return;
 	r->expects_continue = false;
-	if (uv_try_write((uv_stream_t *)c->tcp, &buf, 1) != (int)buf.len)
+	if (uv_write(&c->continue_write, (uv_stream_t *)c->tcp, &buf, 1,
+		on_continue_written) != 0)
 		close_conn(c, "write-error");
 }
 
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -90,6 +90,7 @@
 	GQueue reqs; /* struct hsrv_req, in the order received */
 	struct hsrv_req *parsing; /* the one that is being parsed, or NULL */
 	uv_write_t write;
+	uv_write_t continue_write; /* of "100 Continue" */
 	GString *head; /* of the response that is being written */
 	GArray *out_bufs; /* uv_buf_t; buffers that are being written */
 	h2o_timeout_entry_t idle_timeout, linger_timeout, stall_timeout;
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -393,6 +393,37 @@
 	EXPECT_EQ("POST /2 ok", s.requests[1]);
 }
 
+/*
+ * The rest of a response filled the socket, so that "100 Continue" behind it
+ * could not be written at once, and the connection was closed.
+ */
+TEST(Conn, ContinueWaitsForRoomInTheSocket)
+{
+	const int SEND_BUFFER = 4608, SIZES = 120;
+	const size_t FIRST = 2000, STEP = 100;
+	int fd;
+
+	for (int i = 0; i < SIZES; i++) {
+		Server s;
+
+		ASSERT_EQ(0, uv_fileno((uv_handle_t *)&s.srv->listener, &fd));
+		setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &SEND_BUFFER,
+		    sizeof(SEND_BUFFER));
+		Caller c(s, 1024);
+		c.send_text(get("/1") +
+		    "POST /2 HTTP/1.1\r\nHost: a\r\n"
+		    "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+		ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+		s.respond(0, std::string(FIRST + STEP * i, 'x'));
+		s.run_for(5);
+		ASSERT_TRUE(s.run_until([&] {
+			c.read_available();
+			return c.closed || c.count("100 Continue") == 1;
+		}));
+		EXPECT_EQ(1, c.count("100 Continue")) << i;
+	}
+}
+
 TEST(Conn, TooLargeBodiesAreRefused)
 {
 	for (bool chunked : {false, true}) {
