--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -17,9 +17,11 @@
 #include <functional>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <memory>
 #include <set>
 #include <stdexcept>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
@@ -1211,6 +1213,40 @@
 	}
 }
 
+/*
+ * Where no descriptors are left, connections were accepted and closed, and the
+ * callers of the requests on them got no answer.
+ */
+TEST(Conn, ARequestBeyondTheDescriptorsIsRefusedAsNotRun)
+{
+	const size_t CALLERS = 60, LEFT = 48;
+	struct rlimit before, few;
+	std::vector<std::unique_ptr<Caller>> all;
+	size_t refused = 0;
+	Server s;
+
+	for (size_t i = 0; i < CALLERS; i++) {
+		all.push_back(std::make_unique<Caller>(s));
+		all.back()->send_text(get("/x"));
+	}
+	ASSERT_EQ(0, getrlimit(RLIMIT_NOFILE, &before));
+	few = before;
+	few.rlim_cur = static_cast<rlim_t>(all.back()->fd) + 1 + LEFT;
+	ASSERT_EQ(0, setrlimit(RLIMIT_NOFILE, &few));
+	s.run_for(50);
+	for (size_t i = 0; i < s.reqs.size(); i++)
+		s.respond(i, "answer.");
+	s.run_for(50);
+	for (auto &c : all) {
+		c->read_available();
+		EXPECT_EQ(1, c->count("HTTP/1.1 "));
+		refused += c->count("fern-ran: no") > 0;
+	}
+	EXPECT_EQ(CALLERS, s.reqs.size() + refused);
+	EXPECT_GT(refused, 0u);
+	EXPECT_EQ(0, setrlimit(RLIMIT_NOFILE, &before));
+}
+
 /* Connections that the kernel had accepted were reset with the listener. */
 TEST(Conn, AConnectionThatWaitsWhenTheListenerClosesIsServed)
 {
