--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -17,9 +17,11 @@
 #include <functional>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <memory>
 #include <set>
 #include <stdexcept>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
@@ -27,7 +29,7 @@
 #include "net.h"
 
 extern "C" {
-#include "hsrv.h"
+#include "libhsrv.h"
 }
 
 namespace
@@ -393,6 +395,37 @@
 	EXPECT_EQ("POST /2 ok", s.requests[1]);
 }
 
+/*
+ * The rest of a response filled the socket, so that "100 Continue" behind it
+ * could not be written at once, and the connection was closed.
+ */
+TEST(Conn, ContinueWaitsForRoomInTheSocket)
+{
+	const int SEND_BUFFER = 4608, SIZES = 120;
+	const size_t FIRST = 2000, STEP = 100;
+	int fd;
+
+	for (int i = 0; i < SIZES; i++) {
+		Server s;
+
+		ASSERT_EQ(0, uv_fileno((uv_handle_t *)&s.srv->listener, &fd));
+		setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &SEND_BUFFER,
+		    sizeof(SEND_BUFFER));
+		Caller c(s, 1024);
+		c.send_text(get("/1") +
+		    "POST /2 HTTP/1.1\r\nHost: a\r\n"
+		    "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+		ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+		s.respond(0, std::string(FIRST + STEP * i, 'x'));
+		s.run_for(5);
+		ASSERT_TRUE(s.run_until([&] {
+			c.read_available();
+			return c.closed || c.count("100 Continue") == 1;
+		}));
+		EXPECT_EQ(1, c.count("100 Continue")) << i;
+	}
+}
+
 TEST(Conn, TooLargeBodiesAreRefused)
 {
 	for (bool chunked : {false, true}) {
@@ -1110,6 +1143,110 @@
 	EXPECT_LT(http2_outlasts(false), 4000);
 }
 
+namespace
+{
+
+/* Returns the last stream by the newest GOAWAY that was received; -1: none. */
+int
+last_stream(const std::string &received)
+{
+	const size_t HEAD = 9;
+	const int GOAWAY = 7;
+	size_t at, size;
+	int last = -1;
+	auto byte = [&](size_t i) {
+		return static_cast<unsigned char>(received[i]);
+	};
+
+	for (at = 0; at + HEAD <= received.size(); at += HEAD + size) {
+		size = static_cast<size_t>(
+		    byte(at) << 16 | byte(at + 1) << 8 | byte(at + 2));
+		if (byte(at + 3) == GOAWAY && at + HEAD + 4 < received.size())
+			last = byte(at + HEAD + 2) << 8 | byte(at + HEAD + 3);
+	}
+	return last;
+}
+
+} // namespace
+
+/*
+ * The idle timeout of an HTTP/2 connection passes while the loop is busy, and a
+ * request comes before or after it is noticed.  GOAWAY tells that the request
+ * was not processed, or there is a response.
+ */
+TEST(Conn, AnHttp2RequestThatMeetsTheIdleTimeoutIsNamedOrAnswered)
+{
+	const std::string preface("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+				  "\0\0\0\4\0\0\0\0\0",
+	    33);
+	const int IDLE_MS = 100;
+	std::string frame("\0\0\6\1\5\0\0\0\1\x82\x86\x84\x41\1a", 15);
+
+	for (int late_ms : {0, 60, 130}) {
+		Server s;
+
+		s.srv->ctx.http2.idle_timeout.timeout = IDLE_MS;
+		Caller c(s);
+		c.send_text(preface);
+		frame[8] = 1;
+		c.send_text(frame);
+		ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+		s.respond(0, "answer.");
+		s.run_for(50);
+		/* The loop is busy for 130 ms. */
+		frame[8] = 3;
+		usleep(static_cast<unsigned>(late_ms) * 1000);
+		if (late_ms < 130)
+			c.send_text(frame);
+		usleep(static_cast<unsigned>(130 - late_ms) * 1000);
+		if (late_ms == 130) {
+			uv_run(&s.loop, UV_RUN_NOWAIT);
+			c.send_text(frame);
+		}
+		EXPECT_TRUE(s.run_until([&] {
+			c.read_available();
+			return c.closed || s.reqs.size() == 2;
+		})) << late_ms;
+		if (s.reqs.size() == 2)
+			continue;
+		EXPECT_EQ(1, last_stream(c.received)) << late_ms;
+	}
+}
+
+/*
+ * Where no descriptors are left, connections were accepted and closed, and the
+ * callers of the requests on them got no answer.
+ */
+TEST(Conn, ARequestBeyondTheDescriptorsIsRefusedAsNotRun)
+{
+	const size_t CALLERS = 60, LEFT = 48;
+	struct rlimit before, few;
+	std::vector<std::unique_ptr<Caller>> all;
+	size_t refused = 0;
+	Server s;
+
+	for (size_t i = 0; i < CALLERS; i++) {
+		all.push_back(std::make_unique<Caller>(s));
+		all.back()->send_text(get("/x"));
+	}
+	ASSERT_EQ(0, getrlimit(RLIMIT_NOFILE, &before));
+	few = before;
+	few.rlim_cur = static_cast<rlim_t>(all.back()->fd) + 1 + LEFT;
+	ASSERT_EQ(0, setrlimit(RLIMIT_NOFILE, &few));
+	s.run_for(50);
+	for (size_t i = 0; i < s.reqs.size(); i++)
+		s.respond(i, "answer.");
+	s.run_for(50);
+	for (auto &c : all) {
+		c->read_available();
+		EXPECT_EQ(1, c->count("HTTP/1.1 "));
+		refused += c->count("fern-ran: no") > 0;
+	}
+	EXPECT_EQ(CALLERS, s.reqs.size() + refused);
+	EXPECT_GT(refused, 0u);
+	EXPECT_EQ(0, setrlimit(RLIMIT_NOFILE, &before));
+}
+
 /* Connections that the kernel had accepted were reset with the listener. */
 TEST(Conn, AConnectionThatWaitsWhenTheListenerClosesIsServed)
 {
