Read messages behind the events of an iteration, not in a timer

Cause: after each message that is sent, and twice a second, the inbox was read in a timer. Where a message with a configuration had come before its event was handled, all of it was read and applied there, before the other timers that were due and behind what earlier ones had asked for: the shutdown of an idle connection waited for it, and the sockets.

The inbox is now read once the loop has handled its next events.

--- a/regress/test_wire.cpp
+++ b/regress/test_wire.cpp
@@ -247,3 +247,41 @@
 	str_free(&compressed);
 	str_free(&twice);
 }
+
+/*
+ * Messages were handled by a timer, and so behind the end of whatever other
+ * timers had decided, and before the others that were due.  One with a large
+ * configuration delayed these for hundreds of milliseconds.
+ */
+TEST(Wire, AMessageIsHandledBehindTheTimersThatAreDue)
+{
+	std::string ip = net::own_ip();
+	Inbox a(ip + ":7000"), b(ip + ":7001");
+	std::string to = ip + ":7001";
+	struct msg m = {};
+	struct Timer {
+		uv_timer_t timer;
+		Inbox *inbox;
+		int received = -1; /* messages before it */
+	} t;
+
+	t.inbox = &b;
+	m.kind = MSG_MEMBERS;
+	uv_timer_init(uv_default_loop(), &t.timer);
+	t.timer.data = &t;
+	for (int i = 0; i < 3; i++) {
+		b.received = 0;
+		ASSERT_TRUE(wire_send(a.wire, str_n(to.data(), to.size()), &m));
+		uv_timer_start(
+		    &t.timer,
+		    [](uv_timer_t *timer) {
+			    Timer *self = static_cast<Timer *>(timer->data);
+
+			    self->received = self->inbox->received;
+		    },
+		    0, 0);
+		ASSERT_TRUE(run_until([&] { return b.received == 1; }, 1000));
+		EXPECT_EQ(0, t.received);
+	}
+	uv_close(reinterpret_cast<uv_handle_t *>(&t.timer), nullptr);
+}
--- a/wire_zmq.c
+++ b/wire_zmq.c
@@ -52,7 +52,9 @@
 struct wire {
 	void *inbox;
 	GQueue local_queue; /* GBytes *, from inboxes of this process */
-	uv_timer_t local_timer;
+	/* Active while messages are to be read behind the next events. */
+	uv_check_t read_check;
+	uv_idle_t no_wait; /* meanwhile the loop does not wait for events */
 	struct str address;
 	GHashTable *peers; /* char * address to struct peer * */
 	/* Deflated messages: uint64_t * hash of the message to GBytes *. */
@@ -71,10 +73,12 @@
 	GPtrArray *wires; /* struct wire * */
 } shared;
 
-static void deliver_local(uv_timer_t *);
+static void deliver_local(struct wire *);
 static void on_readable(uv_poll_t *, int, int);
 static void on_sweep(uv_timer_t *);
+static void on_read_check(uv_check_t *);
 static void read_inbox(struct wire *);
+static void read_soon(struct wire *);
 static void receive(struct wire *, const char *, size_t);
 static struct peer *get_peer(struct wire *, struct str);
 static void peer_free(void *);
@@ -151,8 +155,9 @@
 	w->poll.data = w;
 	uv_poll_start(&w->poll, UV_READABLE, on_readable);
 	g_queue_init(&w->local_queue);
-	uv_timer_init(loop, &w->local_timer);
-	w->local_timer.data = w;
+	uv_check_init(loop, &w->read_check);
+	w->read_check.data = w;
+	uv_idle_init(loop, &w->no_wait);
 	g_ptr_array_add(shared.wires, w);
 	uv_timer_init(loop, &w->sweep_timer);
 	w->sweep_timer.data = w;
@@ -179,7 +184,7 @@
 	struct wire *w = timer->data;
 
 	w->sweeps++;
-	read_inbox(w);
+	read_soon(w);
 	g_hash_table_remove_all(w->deflated);
 	if (w->sweeps % IDLE_SWEEPS == 0)
 		g_hash_table_foreach_remove(w->peers, is_idle, w);
@@ -207,17 +212,37 @@
 }
 
 static void
-on_local_timer(uv_timer_t *timer)
+on_no_wait(uv_idle_t *idle)
+{
+	(void)idle;
+}
+
+/*
+ * Reads all messages once the loop has handled its next events.  A timer would
+ * run before the other ones that are due, and a large message takes long.
+ */
+static void
+read_soon(struct wire *w)
+{
+	uv_check_start(&w->read_check, on_read_check);
+	uv_idle_start(&w->no_wait, on_no_wait);
+}
+
+static void
+on_read_check(uv_check_t *check)
 {
-	deliver_local(timer);
-	read_inbox(timer->data);
+	struct wire *w = check->data;
+
+	uv_check_stop(check);
+	uv_idle_stop(&w->no_wait);
+	deliver_local(w);
+	read_inbox(w);
 }
 
 /* Receives the messages that other inboxes of this process have sent. */
 static void
-deliver_local(uv_timer_t *timer)
+deliver_local(struct wire *w)
 {
-	struct wire *w = timer->data;
 	GBytes *bytes;
 	gconstpointer p;
 	gsize n;
@@ -398,14 +423,14 @@
 	if (local != NULL) {
 		g_queue_push_tail(
 		    &local->local_queue, g_bytes_new(buf.data, buf.size));
-		uv_timer_start(&local->local_timer, on_local_timer, 0, 0);
+		read_soon(local);
 	} else {
 		ok = send_remote(w, to, &buf);
 		/*
 		 * Sending may consume the event of a received message, so the
 		 * inbox is read afterwards.
 		 */
-		uv_timer_start(&w->local_timer, on_local_timer, 0, 0);
+		read_soon(w);
 	}
 	msgpack_sbuffer_destroy(&buf);
 	return ok;
@@ -416,7 +441,8 @@
 {
 	uv_poll_stop(&w->poll);
 	uv_timer_stop(&w->sweep_timer);
-	uv_timer_stop(&w->local_timer);
+	uv_check_stop(&w->read_check);
+	uv_idle_stop(&w->no_wait);
 	g_hash_table_destroy(w->deflated);
 	g_queue_clear_full(&w->local_queue, (GDestroyNotify)g_bytes_unref);
 	g_hash_table_destroy(w->peers);
