Let a shorter idle timeout hold at once

A lower idle timeout of the operator did not hold, at a start or after a change, until a timer for the former one had fired, up to 10 s later: in the soak of connections that rest, ones that sent nothing lived for 5.5 to 10.2 s with limits of 0.3 to 3 s. At a stop, connections that had rested for less than 100 ms stayed open likewise.

Cause: h2o sets its timer for the oldest entry when that is linked, and not when the timeout changes. The entries that are due were only looked at once.

The timer is now set anew with each change.

--- a/hsrv.c
+++ b/hsrv.c
@@ -38,6 +38,7 @@
 static int on_request(h2o_handler_t *, h2o_req_t *);
 static void on_connection(uv_stream_t *, int);
 static bool listen_on(struct hsrv *, struct str, GError **);
+static void change_timeout(struct hsrv *, h2o_timeout_t *, uint64_t);
 
 /*
  * Adds headers to the error responses that are sent before a handler gets the
@@ -242,6 +243,21 @@
 	s->may_run_concurrently = fn;
 }
 
+/*
+ * Changes a timeout of entries that may be linked.  h2o does not set its timer
+ * anew for them, so that a shorter timeout would wait for the former one.
+ */
+static void
+change_timeout(struct hsrv *s, h2o_timeout_t *timeout, uint64_t ms)
+{
+	timeout->timeout = ms;
+	h2o_timeout_run(s->loop, timeout, h2o_now(s->loop));
+	if (!h2o_linklist_is_empty(&timeout->_entries))
+		h2o_timeout__do_link(s->loop, timeout,
+		    H2O_STRUCT_FROM_MEMBER(
+			h2o_timeout_entry_t, _link, timeout->_entries.next));
+}
+
 /*
  * Idle connections and slow requests have the same limit, until idle ones are
  * closed earlier by hsrv_close_idle().
@@ -254,8 +270,8 @@
 	s->stated_idle_s =
 	    idle_ms > margin_ms ? (idle_ms - margin_ms) / 1000 : 0;
 	s->conf.max_request_entity_size = body_max;
-	s->ctx.http1.req_timeout.timeout = idle_ms;
-	s->request_timeout.timeout = idle_ms;
+	change_timeout(s, &s->ctx.http1.req_timeout, idle_ms);
+	change_timeout(s, &s->request_timeout, idle_ms);
 }
 
 void
@@ -285,8 +301,7 @@
 	h2o_timeout_t *idle = &s->ctx.http1.req_timeout;
 
 	s->idle_ending = true;
-	idle->timeout = MIN(idle->timeout, idle_ms);
-	h2o_timeout_run(s->loop, idle, h2o_now(s->loop));
+	change_timeout(s, idle, MIN(idle->timeout, idle_ms));
 }
 
 void
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -925,6 +925,35 @@
 	    << "the new limit is not stated, and holds";
 }
 
+/*
+ * The limit was lowered, but the timer still ran for the former one, and idle
+ * connections stayed open until then.
+ */
+TEST(Conn, AShorterIdleTimeoutDoesNotWaitForTheFormerOne)
+{
+	Server s;
+
+	hsrv_set_limits(s.srv, 1000, 10000);
+	Caller before(s);
+	s.run_for(50);
+	hsrv_set_limits(s.srv, 1000, 200);
+	Caller after(s);
+	EXPECT_TRUE(before.is_closed(s));
+	EXPECT_TRUE(after.is_closed(s));
+}
+
+/* The same at a stop, for a connection that has not been idle for long. */
+TEST(Conn, AConnectionThatJustBecameIdleIsClosedSoonAtAStop)
+{
+	Server s;
+
+	hsrv_set_limits(s.srv, 1000, 10000);
+	Caller c(s);
+	s.run_for(20);
+	hsrv_close_idle(s.srv, 200);
+	EXPECT_TRUE(c.is_closed(s));
+}
+
 /* What is in the socket does not keep a connection open without an end. */
 TEST(Conn, AnIncompleteRequestInTheSocketIsNotWaitedFor)
 {
