Read what came before the idle timeout, however long that takes

A request that came before the idle timeout of its connection was cut unread, and its caller learned that by a reset 1 to 1.8 s after it was sent.

Cause: bytes in the socket delay the timeout once, by 500 ms, in which the loop was taken to poll. A timer that sets the loop's time lets that delay pass in the same iteration if others take longer; and a poll that SIGSTOP and SIGCONT interrupt returns no events.

The connection now stays open until its socket was read once.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -283,19 +283,30 @@
 }
 
 /*
- * Timers run before sockets are read.  Bytes that came while the loop was busy
- * may be a whole request, so they are read first, once for each timeout.
+ * Returns whether bytes are in the socket that came while the loop was busy, as
+ * timers run before sockets are read.  They may be a whole request, so they are
+ * read first, once for each timeout.  The timeout may pass again before that,
+ * beside long timers and where a signal interrupts the poll.
  */
+static bool
+awaits_read(struct hsrv_conn *c)
+{
+	if (c->idle_delayed && (c->was_read || c->reading_paused))
+		return false;
+	if (!hsrv_tcp_has_unread(c->tcp))
+		return false;
+	c->idle_delayed = true;
+	c->was_read = false;
+	return true;
+}
+
 static void
 on_idle(h2o_timeout_entry_t *e)
 {
 	struct hsrv_conn *c = (struct hsrv_conn *)((char *)e -
 	    offsetof(struct hsrv_conn, idle_timeout));
-	bool unread = !c->idle_delayed && hsrv_tcp_has_unread(c->tcp);
 
-	if (unread)
-		c->idle_delayed = true;
-	if (unread || was_promised_longer(c))
+	if (awaits_read(c) || was_promised_longer(c))
 		h2o_timeout_link(
 		    c->srv->loop, &c->srv->linger_timeout, &c->idle_timeout);
 	else
@@ -933,6 +944,7 @@
 		close_conn(c, n == UV_EOF ? "peer-closed" : "read-error");
 		return;
 	}
+	c->was_read = true;
 	if (c->awaiting_peer_close)
 		note_discarded(c, (size_t)n);
 	if (c->awaiting_peer_close || n == 0 ||
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -102,6 +102,7 @@
 	/* Idle timeout when the last response stated one, ms; 0: it did not. */
 	uint64_t promised_idle_ms;
 	bool idle_delayed; /* the idle timeout passed with bytes unread */
+	bool was_read; /* since then */
 	bool reading_paused; /* too many bytes wait to be parsed */
 	/* A request began, its head is complete, or a part of its body came. */
 	bool progress;
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -925,6 +925,38 @@
 	    << "the new limit is not stated, and holds";
 }
 
+/*
+ * A request that came before the idle timeout was to be read at the next poll,
+ * at the latest 500 ms later.  A timer that kept the loop busy for longer let
+ * that time pass first, and the connection was cut with the request unread.
+ */
+TEST(Conn, ARequestBeforeTheIdleTimeoutIsReadAfterALongTimer)
+{
+	Server s;
+	Caller c(s);
+	uv_timer_t timer;
+
+	hsrv_set_limits(s.srv, 1000, 60);
+	c.send_text(get("/1"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	s.respond(0, "first.");
+	ASSERT_TRUE(c.receives_once(s, "first."));
+	s.run_for(5);
+	uv_timer_init(&s.loop, &timer);
+	uv_timer_start(
+	    &timer,
+	    [](uv_timer_t *t) {
+		    usleep(700000);
+		    uv_update_time(t->loop);
+	    },
+	    70, 0);
+	c.send_text(get("/2"));
+	usleep(100000);
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 2; }, 2000));
+	s.respond(1, "second.");
+	EXPECT_TRUE(c.receives_once(s, "second."));
+}
+
 /*
  * The limit was lowered, but the timer still ran for the former one, and idle
  * connections stayed open until then.
