Count the idle time from the response, not from the last poll

Connections ended as idle 1 ms after their response, with a limit of 300 ms (log of a box that was suspended in series).

Cause: the timeout was counted from the loop's time, which is that of the last poll. After a busy time it had passed already when it began.

The loop's time is now updated first.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -128,6 +128,8 @@
 static void
 start_idle_timeout(struct hsrv_conn *c, h2o_timeout_t *timeout)
 {
+	/* The loop's time is that of the last poll. */
+	uv_update_time(c->srv->loop);
 	c->idle_since = h2o_now(c->srv->loop);
 	c->unacked = SIZE_MAX;
 	h2o_timeout_link(c->srv->loop, timeout, &c->idle_timeout);
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -957,6 +957,31 @@
 	EXPECT_TRUE(c.receives_once(s, "second."));
 }
 
+/*
+ * The idle time was counted from the loop's time, which is that of the last
+ * poll, so that a connection could end right after a response where the loop
+ * was busy.
+ */
+TEST(Conn, TheIdleTimeoutBeginsAfterAResponseInABusyTime)
+{
+	Server s;
+	Caller c(s);
+	uv_timer_t timer;
+
+	hsrv_set_limits(s.srv, 1000, 1000);
+	c.send_text(get("/1"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	uv_timer_init(&s.loop, &timer);
+	uv_timer_start(
+	    &timer, [](uv_timer_t *) { usleep(1200000); }, 0, 0);
+	s.respond(0, "first.");
+	ASSERT_TRUE(c.receives_once(s, "first."));
+	s.run_for(100);
+	c.read_available();
+	EXPECT_FALSE(c.closed);
+	EXPECT_TRUE(c.is_closed(s));
+}
+
 /*
  * The limit was lowered, but the timer still ran for the former one, and idle
  * connections stayed open until then.
