A soak of connections that rest up to the idle timeout of busy boxes

No soak had callers that keep a connection up to its idle timeout, a timeout that the operator changes, or a loop that is kept busy. The new one runs the real programs; what it shares with the soak of stops is in soak_conn.h.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	regress/test_upload regress/test_stops regress/test_leaving regress/test_endless regress/test_broken regress/test_entries
 TESTS = $(UNIT_TESTS) $(FLEET_TESTS)
 BENCHES = regress/bench_load regress/bench_pick regress/bench_gate regress/bench_tail \
-	regress/bench_capacity regress/soak regress/soak_box regress/soak_stops regress/demo
+	regress/bench_capacity regress/soak regress/soak_box regress/soak_idle regress/soak_stops regress/demo
 
 COMMON = busy.o caller.o chart.o clk.o cnt.o cold.o conc.o conf.o customer.o daemon.o deputy.o dial.o disp.o disp_cold.o disp_conc.o disp_crash.o disp_queue.o \
 	disp_reassign.o disp_pace.o disp_forward.o disp_query.o disp_roll.o disp_set.o disp_state.o disp_stop.o disp_trial.o \
--- a/regress/soak_stops.cpp
+++ b/regress/soak_stops.cpp
@@ -34,8 +34,8 @@
 #include <memory>
 #include <random>
 
-#include "raw_caller.h"
 #include "fleet.h"
+#include "soak_conn.h"
 #include "version.h"
 
 namespace
@@ -63,92 +63,13 @@
 
 const char *const kind_names[KIND_MAX] = {"one", "batch", "slow", "steady"};
 
-struct Sent {
-	std::string id;
-	bool repeatable;
-	double at;
-	/* An answer before it closed the connection. */
-	bool behind_close = false;
-	bool answered = false;
-	int status = 0;
-	std::string ran = "", error = "", answer_of = "";
-};
-
-/* A connection and what was sent on it. */
-struct Conn {
-	Caller caller;
-	std::string box;
+struct Conn : SoakConn {
 	Kind kind;
-	std::list<Sent> sent;
 	std::deque<std::string> parts; /* of the last request, unsent */
-	size_t parsed = 0; /* bytes of caller.received */
-	int unanswered = 0, stray = 0;
-	bool closing = false; /* an answer said so */
-	double next = 0, ended_at = 0;
 
 	Conn(const Box &b, Kind k)
-	    : caller(b.listen, k == SLOW ? 16384 : 0), box(b.name), kind(k)
-	{
-	}
-
-	static std::string
-	header(const std::string &head, const std::string &name)
+	    : SoakConn(b.listen, b.name, k == SLOW ? 16384 : 0), kind(k)
 	{
-		size_t at = head.find("\r\n" + name + ": ");
-
-		if (at == std::string::npos)
-			return "";
-		at += name.size() + 4;
-		return head.substr(at, head.find("\r\n", at) - at);
-	}
-
-	void add(const std::string &id, bool repeatable, double at)
-	{
-		sent.push_back({id, repeatable, at, closing});
-		unanswered += !closing;
-	}
-
-	void answer(const std::string &head)
-	{
-		auto s = sent.begin();
-
-		while (s != sent.end() && (s->answered || s->behind_close))
-			++s;
-		if (s == sent.end()) {
-			stray++;
-			return;
-		}
-		s->answered = true;
-		s->status = atoi(head.c_str() + strlen("HTTP/1.1 "));
-		s->ran = header(head, "fern-ran");
-		s->error = header(head, "fern-error");
-		s->answer_of = header(head, "x-request-id");
-		unanswered--;
-		if (header(head, "connection") != "close")
-			return;
-		closing = true;
-		unanswered = 0;
-		while (++s != sent.end())
-			s->behind_close = true;
-	}
-
-	/* Assigns the complete responses to their requests, in order. */
-	void parse()
-	{
-		const std::string &in = caller.received;
-		size_t end, body;
-
-		while (
-		    (end = in.find("\r\n\r\n", parsed)) != std::string::npos) {
-			std::string head = in.substr(parsed, end + 2 - parsed);
-
-			body = static_cast<size_t>(
-			    atol(header(head, "content-length").c_str()));
-			if (in.size() < end + 4 + body)
-				return;
-			answer(head);
-			parsed = end + 4 + body;
-		}
 	}
 
 	/* Except STEADY ones, callers send once more after a close. */
@@ -429,26 +350,21 @@
 	void check(const Conn &c, const Sent &s,
 	    const std::map<std::string, int> &runs)
 	{
-		auto it = runs.find(s.id);
-		int n = it == runs.end() ? 0 : it->second;
+		int n = s.runs_in(runs);
 
 		if (s.behind_close) {
 			if (n > 0)
 				violated(c, s, "ran, behind a close");
 			return;
 		}
-		if (!s.repeatable && n > 1)
-			violated(c, s, "ran twice");
+		for (auto *what : s.broken(n))
+			violated(c, s, what);
 		if (!s.answered && n > 0)
 			violated(c, s, "ran, and got no answer");
 		else if (!s.answered && c.ended_at - s.at > READ_BY)
 			violated(c, s, "was read, and got no answer");
-		if (s.ran == "no" && n > 0)
-			violated(c, s, "ran, and was refused as not run");
 		if (s.answered && s.status != 200 && s.ran != "no")
 			violated(c, s, "was given up");
-		if (s.status == 200 && s.answer_of != s.id)
-			violated(c, s, "got the answer of another");
 	}
 
 	int run(double seconds)
@@ -506,11 +422,5 @@
 int
 main(int argc, char **argv)
 {
-	double seconds = argc > 1 ? atof(argv[1]) : 10;
-	unsigned seed = argc > 2 ? static_cast<unsigned>(atoi(argv[2])) : 1;
-	int boxes = argc > 3 ? atoi(argv[3]) : 4;
-	bool one_process = argc > 4 && strcmp(argv[4], "fernbox") == 0;
-	Soak soak(seed, boxes, one_process);
-
-	return soak.run(seconds);
+	return run_soak<Soak>(argc, argv);
 }
