--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -958,6 +958,92 @@
 	    << "the new limit is not stated, and holds";
 }
 
+/*
+ * A request that came before the idle timeout was to be read at the next poll,
+ * at the latest 500 ms later.  A timer that kept the loop busy for longer let
+ * that time pass first, and the connection was cut with the request unread.
+ */
+TEST(Conn, ARequestBeforeTheIdleTimeoutIsReadAfterALongTimer)
+{
+	Server s;
+	Caller c(s);
+	uv_timer_t timer;
+
+	hsrv_set_limits(s.srv, 1000, 60);
+	c.send_text(get("/1"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	s.respond(0, "first.");
+	ASSERT_TRUE(c.receives_once(s, "first."));
+	s.run_for(5);
+	uv_timer_init(&s.loop, &timer);
+	uv_timer_start(
+	    &timer,
+	    [](uv_timer_t *t) {
+		    usleep(700000);
+		    uv_update_time(t->loop);
+	    },
+	    70, 0);
+	c.send_text(get("/2"));
+	usleep(100000);
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 2; }, 2000));
+	s.respond(1, "second.");
+	EXPECT_TRUE(c.receives_once(s, "second."));
+}
+
+/*
+ * The idle time was counted from the loop's time, which is that of the last
+ * poll, so that a connection could end right after a response where the loop
+ * was busy.
+ */
+TEST(Conn, TheIdleTimeoutBeginsAfterAResponseInABusyTime)
+{
+	Server s;
+	Caller c(s);
+	uv_timer_t timer;
+
+	hsrv_set_limits(s.srv, 1000, 1000);
+	c.send_text(get("/1"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	uv_timer_init(&s.loop, &timer);
+	uv_timer_start(
+	    &timer, [](uv_timer_t *) { usleep(1200000); }, 0, 0);
+	s.respond(0, "first.");
+	ASSERT_TRUE(c.receives_once(s, "first."));
+	s.run_for(100);
+	c.read_available();
+	EXPECT_FALSE(c.closed);
+	EXPECT_TRUE(c.is_closed(s));
+}
+
+/*
+ * The limit was lowered, but the timer still ran for the former one, and idle
+ * connections stayed open until then.
+ */
+TEST(Conn, AShorterIdleTimeoutDoesNotWaitForTheFormerOne)
+{
+	Server s;
+
+	hsrv_set_limits(s.srv, 1000, 10000);
+	Caller before(s);
+	s.run_for(50);
+	hsrv_set_limits(s.srv, 1000, 200);
+	Caller after(s);
+	EXPECT_TRUE(before.is_closed(s));
+	EXPECT_TRUE(after.is_closed(s));
+}
+
+/* The same at a stop, for a connection that has not been idle for long. */
+TEST(Conn, AConnectionThatJustBecameIdleIsClosedSoonAtAStop)
+{
+	Server s;
+
+	hsrv_set_limits(s.srv, 1000, 10000);
+	Caller c(s);
+	s.run_for(20);
+	hsrv_close_idle(s.srv, 200);
+	EXPECT_TRUE(c.is_closed(s));
+}
+
 /* What is in the socket does not keep a connection open without an end. */
 TEST(Conn, AnIncompleteRequestInTheSocketIsNotWaitedFor)
 {
