Let the lower idle timeout pass in the test that keeps what was stated

Conn.AShorterIdleTimeoutKeepsWhatWasStated passed with was_promised_longer() switched off: the timer of a shorter timeout is only set anew when one passes, and none did in the test, so that no connection was looked at. An older connection now lets one pass.

--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -936,16 +936,18 @@
 TEST(Conn, AShorterIdleTimeoutKeepsWhatWasStated)
 {
 	Server s;
-	Caller c(s);
+	Caller older(s), c(s);
 
 	hsrv_set_limits(s.srv, 1000, 2500);
+	s.run_for(1000);
 	c.send_text(get("/1"));
 	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
 	s.respond(0, "first.");
 	ASSERT_TRUE(c.receives_once(s, "keep-alive: timeout=1\r\n"));
 	s.run_for(100);
 	hsrv_set_limits(s.srv, 1000, 50);
-	s.run_for(700);
+	/* The new limit is applied when the timeout of an older one passes. */
+	ASSERT_TRUE(older.is_closed(s));
 	c.read_available();
 	EXPECT_FALSE(c.closed);
 	c.send_text(get("/2"));
