Do not count the time for which a gate stood still as an owner's silence

Requests that may be repeated ran twice, and some of them ended with an error, after the box that had forwarded them to their owner was itself stopped for a moment.

A gate gives an owner up that does not answer a ping within ping_wait_ms. It compared the time of the ping with the clock in its tick. The first tick after a pause comes up to 1 ms after the first input is read (tmr.c); answers that were not yet sent, or that ZeroMQ's thread had not yet read, counted as missing. Pauses of a second or more were excused already (on_suspended()).

Now a ping counts as sent later by the time that the tick is late, so that the owner has the whole wait while this gate can read. The settings stay as they are.

--- a/gate_open.c
+++ b/gate_open.c
@@ -331,6 +331,7 @@
 	if (g->last_tick != 0 && gap > SUSPENDED_NS)
 		on_suspended(g, now, gap);
 	g->last_tick = now;
+	gate_owner_extend_pings(g, now - g->tick.item.deadline);
 	g_hash_table_iter_init(&it, g->shards);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		s = value;
--- a/gate_owner.c
+++ b/gate_owner.c
@@ -671,6 +671,19 @@
 	wire_send(g->wire, p->info.gate_inbox, &m);
 }
 
+void
+gate_owner_extend_pings(struct gate *g, int64_t late)
+{
+	struct gate_peer *p;
+	guint i;
+
+	for (i = 0; i < g->peers->len; i++) {
+		p = g_ptr_array_index(g->peers, i);
+		if (p->ping_sent != 0)
+			p->ping_sent += late;
+	}
+}
+
 void
 gate_owner_tick(struct gate *g, int64_t now)
 {
--- a/libgate.h
+++ b/libgate.h
@@ -147,7 +147,10 @@
 	/* No request is forwarded to it before this time. */
 	int64_t suspect_until;
 	int64_t last_seen; /* time of the last sign of life, monotonic ns */
-	/* Time of the unanswered ping, monotonic ns; 0: none. */
+	/*
+	 * Time of the unanswered ping, later by the time for which this gate
+	 * was stopped or busy since, monotonic ns; 0: none.
+	 */
 	int64_t ping_sent;
 	unsigned outstanding; /* requests forwarded to it and not finished */
 	bool listed; /* it is in the agent's latest member list */
@@ -416,6 +419,12 @@
 /* Sends a message to the owners of the service's shards in other halls. */
 void gate_owner_send_others(struct gate *, const struct gate_shard *,
     const struct route_service *, struct msg *);
+/*
+ * The tick was late by this time, for which the process was stopped or busy.
+ * What other gates sent meanwhile is not read yet, so the time does not count
+ * as their silence.
+ */
+void gate_owner_extend_pings(struct gate *, int64_t late);
 /* Pings silent owners that have requests, and sends capacity summaries. */
 void gate_owner_tick(struct gate *, int64_t now);
 /* Applies the capacity that the owner of another hall's shard reports. */
--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -66,6 +66,43 @@
 	}
 };
 
+/* Two boxes, one of which has a request running that the other one owns. */
+struct OwnedRequest : World {
+	size_t owner = 0;
+	bool done = false;
+	Reply r;
+
+	OwnedRequest() : World(options_of(2, "ping_wait_ms = 200\n"))
+	{
+	}
+
+	/* Sends a request that may be repeated; returns whether it runs. */
+	bool begin(int ms)
+	{
+		if (!open())
+			return false;
+		for (size_t i = 0; i < 2; i++)
+			http("POST", boxes[i].listen, "/twice/x", {}, "body");
+		owner = metric(0, "fern_passed_in_total") > 0 ? 0 : 1;
+		http_start("POST", boxes[1 - owner].listen,
+		    "/twice/x?ms=" + std::to_string(ms),
+		    {{"x-request-id", "r"}}, "body", ms * 4,
+		    [this](const Reply &reply) {
+			    r = reply;
+			    done = true;
+		    });
+		return until([this] { return run_count("r") == 1; });
+	}
+
+	/* Lets the other box send a ping that the owner has not answered. */
+	void stop_both()
+	{
+		boxes[owner].gate.signal(SIGSTOP);
+		pump(30);
+		boxes[1 - owner].gate.signal(SIGSTOP);
+	}
+};
+
 } // namespace
 
 /* The request behind the last response had been read, and was dropped. */
@@ -409,6 +446,31 @@
 	EXPECT_EQ(1, w.run_count("r"));
 }
 
+/*
+ * A box that was itself stopped counted that time as the silence of the owner:
+ * its timer ran before an answer to its ping could be read, and the request was
+ * taken away from the owner and began again.
+ */
+TEST(Stops, AnOwnerIsNotGivenUpByABoxThatWasItselfStopped)
+{
+	OwnedRequest w;
+
+	ASSERT_TRUE(w.begin(3500));
+	for (int i = 0; i < 5; i++) {
+		w.stop_both();
+		pump(400);
+		w.boxes[1 - w.owner].gate.signal(SIGCONT);
+		pump(5);
+		w.boxes[w.owner].gate.signal(SIGCONT);
+		pump(100);
+	}
+	EXPECT_TRUE(until([&] { return w.done; }));
+	EXPECT_EQ(200, w.r.status) << w.r.body;
+	EXPECT_EQ(1, w.run_count("r"));
+	EXPECT_EQ(std::string::npos,
+	    w.boxes[1 - w.owner].gate.read_log().find("owner is suspected"));
+}
+
 /* Callers saw their connections close, and could not tell what had run. */
 TEST(Stops, ASecondSignalAnswersWhatItCuts)
 {
