Keep an attempt at an owner that answers no ping

Callers got 502 cut (ran unknown) for requests that may be repeated, and that the owner of their shard was finishing, as the owner had not run for a moment.

An owner that misses its pings was given up: the connection of each request there was closed, and the request was routed again. Nothing was certain of that: the next owner admits such requests only within its retry budget, and one that starts or leaves refuses them.

Now the attempt at the owner goes on beside the next one (gate_kept.c). The request ends with the first response of a backend server; if the next attempt is refused or fails, it is left to the owner, as are requests without attempts left already. An owner may use all the attempts that a rule allows, so that requests with such a limit are handled as before.

--- a/gate_answer.c
+++ b/gate_answer.c
@@ -61,7 +61,7 @@
 	char body[160];
 	int n;
 
-	if (r->state == REQ_DONE)
+	if (r->state == REQ_DONE || gate_kept_resume(r))
 		return;
 	gate_req_event(r, REQ_EV_END);
 	r->waits_for_conf = false;
--- a/gate_flow.c
+++ b/gate_flow.c
@@ -216,6 +216,7 @@
 gate_flow_dispose(struct gate_req *r)
 {
 	gate_flow_stop(r);
+	gate_kept_end(r);
 	h2o_doublebuffer_dispose(&r->send_buffer);
 	h2o_buffer_dispose(&r->unsent_body);
 }
@@ -312,6 +313,10 @@
 	h2o_req_t *req = r->req;
 	struct gate *g = r->gate;
 
+	if (gate_kept_head(r, call, status, headers, n)) {
+		up_drain(call);
+		return;
+	}
 	if (r->owner == NULL && !is_own_response(r, status, headers, n)) {
 		gate_flow_stop(r);
 		on_fail(r, NULL, ERR_CUT);
@@ -328,6 +333,7 @@
 		return;
 	}
 	r->call = call;
+	gate_kept_end(r);
 	gate_req_event(r, REQ_EV_HEAD);
 	cnt_sample(g->cnt, GC_LATENCY, clk_ns(g->clk) - r->arrived_at);
 	req->res.status = status;
@@ -497,6 +503,8 @@
 {
 	struct gate_req *r = ctx;
 
+	if (gate_kept_failed(r, call))
+		return;
 	r->call = NULL;
 	if (!r->response_started) {
 		gate_attempt_failed(r, kind);
--- a/gate_try.c
+++ b/gate_try.c
@@ -362,7 +362,7 @@
 	if (kind == ERR_LEAVING && gate_next_take(r, headers, n))
 		return true;
 	if (outcome != DISP_REFUSED)
-		return false;
+		return kind != ERR_NONE && gate_kept_resume(r);
 	if (!can_route_again(r, kind, outcome)) {
 		if (r->maybe_ran)
 			return end_refused_by_owner(r, kind);
@@ -538,7 +538,7 @@
 }
 
 void
-gate_attempt_abandon(struct gate_req *r, enum disp_outcome outcome)
+gate_attempt_stop(struct gate_req *r, enum disp_outcome outcome)
 {
 	gate_flow_stop(r);
 	gate_attempt_leave_owner(r);
@@ -550,24 +550,43 @@
 		disp_attempt_done(r->shard->disp, &r->disp, outcome);
 }
 
+void
+gate_attempt_abandon(struct gate_req *r, enum disp_outcome outcome)
+{
+	gate_kept_end(r);
+	gate_attempt_stop(r, outcome);
+}
+
 /*
  * Returns whether a request is to be routed again as its owner does not answer.
- * The owner may only be slow: a request that has no attempts left stays there,
- * as its response may still come.
+ * The owner may only be slow: a request that has no attempts left, or that was
+ * refused elsewhere, stays there, as its response may still come.
  */
 static bool
 may_reroute(const struct gate_req *r)
 {
-	if (!r->disp.repeatable || r->response_started ||
+	if (!r->disp.repeatable || r->response_started || r->was_kept ||
 	    r->forwards > HOPS_MAX)
 		return false;
 	return r->state != REQ_SENT || r->disp.max_attempts == 0 ||
 	    r->disp.attempt_count + LOST_ATTEMPTS < r->disp.max_attempts;
 }
 
+/*
+ * Returns whether the attempt at an owner goes on while the request is routed
+ * again.  The owner may use all attempts that its rule allows, so there must be
+ * no limit of them.
+ */
+static bool
+may_keep(const struct gate_req *r)
+{
+	return r->state == REQ_SENT && !r->at_deputy && r->kept_call == NULL &&
+	    r->disp.max_attempts == 0;
+}
+
 /*
  * An owner answers no ping: requests there that may be repeated are routed
- * again.
+ * again.  Attempts there go on if may_keep().
  */
 void
 gate_req_owner_lost(struct gate *g, struct gate_peer *p)
@@ -586,6 +605,8 @@
 		r = g_ptr_array_index(rerouted, i);
 		if (r->state == REQ_SENT)
 			count_lost_attempts(r);
+		if (may_keep(r))
+			gate_kept_begin(r);
 		gate_flow_stop(r);
 		gate_attempt_leave_owner(r);
 		gate_attempt_route_again(r);
--- a/libreq.h
+++ b/libreq.h
@@ -108,6 +108,13 @@
 	struct gate_shard *shard; /* where it is queued or was sent from */
 	/* Owner that it was forwarded to; NULL: none. */
 	struct gate_peer *owner;
+	/*
+	 * The attempt at an owner that answers no ping, beside the current one;
+	 * NULL: none.
+	 */
+	struct up_call *kept_call;
+	struct gate_peer *kept_owner;
+	bool was_kept; /* `call` is such an attempt, as no other was possible */
 	bool at_deputy; /* `owner` is the deputy of `shard`, see deputy.h */
 	/*
 	 * Backend server that an owner has assigned and this gate sends it to,
@@ -337,6 +344,8 @@
  * passed.
  */
 void gate_attempt_abandon(struct gate_req *, enum disp_outcome);
+/* The same for the current attempt only, see gate_kept_begin(). */
+void gate_attempt_stop(struct gate_req *, enum disp_outcome);
 /* Forwards the request to its owner. */
 void gate_attempt_forward(struct gate_req *);
 /* The request is not at the owner that it was forwarded to any more. */
@@ -344,6 +353,26 @@
 /* Routes the request again after an attempt; always returns true. */
 bool gate_attempt_route_again(struct gate_req *);
 
+/* gate_kept.c: attempts at owners that answer no ping. */
+/* Keeps the current attempt; the request is routed again meanwhile. */
+void gate_kept_begin(struct gate_req *);
+/* Cancels the kept attempt, if there is one. */
+void gate_kept_end(struct gate_req *);
+/*
+ * The attempt beside the kept one has ended without the response of a backend
+ * server: makes the kept one the current one.  Returns false if there is none.
+ */
+bool gate_kept_resume(struct gate_req *);
+/*
+ * A call has received the head of its response.  If it is the kept one, either
+ * the current attempt is stopped and that call takes its place, or it is
+ * dropped and true is returned, as the response is an error of its owner.
+ */
+bool gate_kept_head(struct gate_req *, const struct up_call *, int status,
+    const h2o_header_t *, size_t);
+/* A call has failed.  Returns whether it was the kept one. */
+bool gate_kept_failed(struct gate_req *, const struct up_call *);
+
 /*
  * gate_deputy.c: a response to a request that this gate has forwarded to a
  * deputy: its error, or ERR_NONE if it is that of a backend server.  Has no
--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -471,6 +471,46 @@
 	    w.boxes[1 - w.owner].gate.read_log().find("owner is suspected"));
 }
 
+/*
+ * The owner was slow for longer than its pings are waited for.  Its requests
+ * were taken away from it and sent again, of which only some are allowed: the
+ * others ended with an error, although the owner would have answered them.
+ */
+TEST(Stops, ARequestThatCannotBeSentAgainIsLeftToASlowOwner)
+{
+	const int requests = 40;
+	FleetOptions o = World::options_of(2, "");
+	std::map<std::string, int> replies;
+	int done = 0;
+
+	o.backends[0].slots = 2 * requests;
+	World w(o);
+	ASSERT_TRUE(w.open());
+	for (size_t i = 0; i < 2; i++)
+		http("POST", w.boxes[i].listen, "/twice/x", {}, "body");
+	size_t owner = w.metric(0, "fern_passed_in_total") > 0 ? 0 : 1;
+	for (int i = 0; i < requests; i++)
+		http_start("POST", w.boxes[1 - owner].listen,
+		    "/twice/x?ms=1500", {}, "body", 10000, [&](const Reply &r) {
+			    replies[std::to_string(r.status) + " " +
+				r.header("fern-error")]++;
+			    done++;
+		    });
+	/* The first one is sent alone. */
+	ASSERT_TRUE(until(
+	    [&] { return w.backends[0]->count("running") >= requests / 2; }));
+	w.boxes[owner].gate.signal(SIGSTOP);
+	EXPECT_TRUE(until([&] {
+		return w.boxes[1 - owner].gate.read_log().find(
+			   "it does not answer") != std::string::npos;
+	}));
+	pump(100);
+	w.boxes[owner].gate.signal(SIGCONT);
+	EXPECT_TRUE(until([&] { return done == requests; }));
+	for (auto &reply : replies)
+		EXPECT_EQ("200 ", reply.first) << reply.second << " requests";
+}
+
 /* Callers saw their connections close, and could not tell what had run. */
 TEST(Stops, ASecondSignalAnswersWhatItCuts)
 {
