End a connection whose last request was read in part only

Once a box accepts no more connections, what comes on a connection with a response to begin is discarded, and that response says that the connection closes. Where a request waited for the response before it, bytes behind it were not parsed yet. If these were a part of a request, its rest was discarded; if the waiting request was answered at once, as when it is refused, its response was begun with input left and did not say that the connection closes. What the caller sent next was taken for the rest of that request: nothing was answered, and the connection ended with the process.

Now what was read is parsed before the last response begins: a whole request is answered behind it, a part of one is dropped, as elsewhere at the end of the input, and the response says that the connection closes.

Pipeline.ARequestInPartsBehindAWaitingOneDoesNotOutliveTheEndOfTheInput fails before (the connection stays open, no "connection: close") and passes in 5 of 5 runs after; the other 37 tests of test_hsrv pass.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -555,6 +555,18 @@
 	c->input_due = true;
 }
 
+/*
+ * Parses what was read behind the last request before the input ended.  A whole
+ * request will be answered; of one that is not whole the rest is discarded, so
+ * it must not keep the connection open.
+ */
+static void
+parse_rest(struct hsrv_conn *c)
+{
+	if (parse_input(c))
+		end_input(c);
+}
+
 /*
  * Returns whether the connection ends with this response.  If it is to end,
  * but later requests are already being handled, it ends after their responses,
@@ -567,6 +579,8 @@
 	struct hsrv_conn *c = r->conn;
 
 	end_input_if_due(c);
+	if (c->input_ended && r->link.next == NULL)
+		parse_rest(c);
 	if (!r->req.http1_is_persistent || is_close_delimited(r) ||
 	    (c->super.ctx->shutdown_requested && r->link.next == NULL &&
 		c->input->len == 0 &&
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -45,6 +45,7 @@
 	std::vector<h2o_req_t *> reqs; /* NULL: freed */
 	std::vector<std::string> requests; /* method, path and body */
 	int freed = 0;
+	bool responds_at_once = false; /* else the test responds */
 
 	struct Guard {
 		Server *server;
@@ -72,6 +73,8 @@
 		    std::string(req->path.base, req->path.len) + " " +
 		    std::string(req->entity.base ? req->entity.base : "",
 			req->entity.len));
+		if (s->responds_at_once)
+			s->respond(g->at, "answer.");
 	}
 
 	/* GET requests may run concurrently. */
@@ -1157,6 +1160,37 @@
 	EXPECT_EQ(1, c.count("connection: close"));
 }
 
+/*
+ * Behind two requests, of which the second had to wait, came a part of a third
+ * before the end of the input and its rest later.  That was discarded; the
+ * second response, which came at once, did not say so, as there was input left,
+ * and what was sent behind it was taken for the rest and never answered.
+ */
+TEST(Pipeline, ARequestInPartsBehindAWaitingOneDoesNotOutliveTheEndOfTheInput)
+{
+	std::string last = post("/3", std::string(500, 'b'));
+	Server s;
+	Caller c(s);
+
+	c.send_text(get("/1") + post("/2", "two"));
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
+	c.send_text(last.substr(0, last.size() - 100));
+	s.run_for();
+	hsrv_shutdown(s.srv);
+	hsrv_end_input(s.srv);
+	c.send_text(std::string(100, 'b') + get("/4"));
+	s.run_for();
+	s.responds_at_once = true;
+	s.respond(0, "answer.");
+	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 2; }));
+	s.run_for();
+	c.send_text(get("/5") + get("/6"));
+	EXPECT_TRUE(c.is_closed(s));
+	EXPECT_EQ(2u, s.reqs.size());
+	EXPECT_EQ(2, c.count("answer."));
+	EXPECT_EQ(1, c.count("connection: close"));
+}
+
 /*
  * The idle timeout of a connection was started after "100 Continue" could not
  * be sent, and outlived the connection.
