--- a/regress/test_stops.cpp
+++ b/regress/test_stops.cpp
@@ -66,6 +66,43 @@
 	}
 };
 
+/* Two boxes, one of which has a request running that the other one owns. */
+struct OwnedRequest : World {
+	size_t owner = 0;
+	bool done = false;
+	Reply r;
+
+	OwnedRequest() : World(options_of(2, "ping_wait_ms = 200\n"))
+	{
+	}
+
+	/* Sends a request that may be repeated; returns whether it runs. */
+	bool begin(int ms)
+	{
+		if (!open())
+			return false;
+		for (size_t i = 0; i < 2; i++)
+			http("POST", boxes[i].listen, "/twice/x", {}, "body");
+		owner = metric(0, "fern_passed_in_total") > 0 ? 0 : 1;
+		http_start("POST", boxes[1 - owner].listen,
+		    "/twice/x?ms=" + std::to_string(ms),
+		    {{"x-request-id", "r"}}, "body", ms * 4,
+		    [this](const Reply &reply) {
+			    r = reply;
+			    done = true;
+		    });
+		return until([this] { return run_count("r") == 1; });
+	}
+
+	/* Lets the other box send a ping that the owner has not answered. */
+	void stop_both()
+	{
+		boxes[owner].gate.signal(SIGSTOP);
+		pump(30);
+		boxes[1 - owner].gate.signal(SIGSTOP);
+	}
+};
+
 } // namespace
 
 /* The request behind the last response had been read, and was dropped. */
@@ -409,6 +446,71 @@
 	EXPECT_EQ(1, w.run_count("r"));
 }
 
+/*
+ * A box that was itself stopped counted that time as the silence of the owner:
+ * its timer ran before an answer to its ping could be read, and the request was
+ * taken away from the owner and began again.
+ */
+TEST(Stops, AnOwnerIsNotGivenUpByABoxThatWasItselfStopped)
+{
+	OwnedRequest w;
+
+	ASSERT_TRUE(w.begin(3500));
+	for (int i = 0; i < 5; i++) {
+		w.stop_both();
+		pump(400);
+		w.boxes[1 - w.owner].gate.signal(SIGCONT);
+		pump(5);
+		w.boxes[w.owner].gate.signal(SIGCONT);
+		pump(100);
+	}
+	EXPECT_TRUE(until([&] { return w.done; }));
+	EXPECT_EQ(200, w.r.status) << w.r.body;
+	EXPECT_EQ(1, w.run_count("r"));
+	EXPECT_EQ(std::string::npos,
+	    w.boxes[1 - w.owner].gate.read_log().find("owner is suspected"));
+}
+
+/*
+ * The owner was slow for longer than its pings are waited for.  Its requests
+ * were taken away from it and sent again, of which only some are allowed: the
+ * others ended with an error, although the owner would have answered them.
+ */
+TEST(Stops, ARequestThatCannotBeSentAgainIsLeftToASlowOwner)
+{
+	const int requests = 40;
+	FleetOptions o = World::options_of(2, "");
+	std::map<std::string, int> replies;
+	int done = 0;
+
+	o.backends[0].slots = 2 * requests;
+	World w(o);
+	ASSERT_TRUE(w.open());
+	for (size_t i = 0; i < 2; i++)
+		http("POST", w.boxes[i].listen, "/twice/x", {}, "body");
+	size_t owner = w.metric(0, "fern_passed_in_total") > 0 ? 0 : 1;
+	for (int i = 0; i < requests; i++)
+		http_start("POST", w.boxes[1 - owner].listen,
+		    "/twice/x?ms=1500", {}, "body", 10000, [&](const Reply &r) {
+			    replies[std::to_string(r.status) + " " +
+				r.header("fern-error")]++;
+			    done++;
+		    });
+	/* The first one is sent alone. */
+	ASSERT_TRUE(until(
+	    [&] { return w.backends[0]->count("running") >= requests / 2; }));
+	w.boxes[owner].gate.signal(SIGSTOP);
+	EXPECT_TRUE(until([&] {
+		return w.boxes[1 - owner].gate.read_log().find(
+			   "it does not answer") != std::string::npos;
+	}));
+	pump(100);
+	w.boxes[owner].gate.signal(SIGCONT);
+	EXPECT_TRUE(until([&] { return done == requests; }));
+	for (auto &reply : replies)
+		EXPECT_EQ("200 ", reply.first) << reply.second << " requests";
+}
+
 /* Callers saw their connections close, and could not tell what had run. */
 TEST(Stops, ASecondSignalAnswersWhatItCuts)
 {
