--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -218,8 +218,8 @@
 	int fd;
 
 	/*
-	 * uv_shutdown() would wait for the timers that are due.  Nothing is
-	 * being written when a connection ends.
+	 * uv_shutdown() would wait for the timers that are due.  No response
+	 * is being written when a connection ends.
 	 */
 	return uv_fileno((uv_handle_t *)c->tcp, &fd) == 0 &&
 	    shutdown(fd, SHUT_WR) == 0;
@@ -268,12 +268,12 @@
 }
 
 /*
- * Returns whether the last response stated a longer idle time, as the limit was
- * higher then, or as the peer has not taken that response yet.  A stop does not
- * wait for that.
+ * Returns whether the connection may rest beyond the timeout: the limit was
+ * higher when the last response stated an idle time, or the peer has not taken
+ * that response yet.  A stop does not wait for that.
  */
 static bool
-was_promised_longer(struct hsrv_conn *c)
+may_rest_longer(struct hsrv_conn *c)
 {
 	if (c->srv->idle_ending || c->reqs.length > 0)
 		return false;
@@ -308,7 +308,7 @@
 	struct hsrv_conn *c = (struct hsrv_conn *)((char *)e -
 	    offsetof(struct hsrv_conn, idle_timeout));
 
-	if (awaits_read(c) || was_promised_longer(c))
+	if (awaits_read(c) || may_rest_longer(c))
 		h2o_timeout_link(
 		    c->srv->loop, &c->srv->linger_timeout, &c->idle_timeout);
 	else
