--- a/regress/soak_idle.cpp
+++ b/regress/soak_idle.cpp
@@ -42,13 +42,14 @@
 {
 
 /*
- * In ms: until a caller that sent a request learns of a close that it crossed;
- * until a change of the timeout is in force; beyond the timeout, until an idle
+ * In ms: until a caller that sent a request learns of a close that it crossed,
+ * directly and where a proxy, which may be kept waiting, is the link; until a
+ * change of the timeout is in force; beyond the timeout, until an idle
  * connection has ended.
  */
-const double CROSSED = 200, APPLY = 5000, ENDED_BY = 2000;
-/* In ms: how long answers are waited for at the end. */
-const double DRAIN = 15000;
+const double CROSSED = 200, CROSSED_LINK = 1000, APPLY = 5000, ENDED_BY = 2000;
+/* In ms: how long answers are waited for at the end; limit of a request. */
+const double DRAIN = 15000, DEADLINE = 6000;
 
 enum {
 	CALLERS_MAX = 320, /* all together */
@@ -225,7 +226,8 @@
 			f.put("rule/dir-" + repeatable,
 			    R"({"path":"/dir/)" + repeatable +
 				R"(","repeatable":")" + repeatable +
-				R"(","service":"dir","deadline_ms":6000})");
+				R"(","service":"dir","deadline_ms":)" +
+				std::to_string((int)DEADLINE) + "}");
 		change_limit();
 		for (int n = any(4) * 1000; n > 0; n--)
 			write_rule();
@@ -494,13 +496,18 @@
 		const Trouble &t = troubles[c.of];
 		double end = end_of(c);
 		bool ended = c.caller.ended;
+		bool linked = t.link && c.habit != SLOW;
 		bool killed = overlap(t.kills, c.opened, end) > 0;
 		bool planned = killed || overlap(t.stops, c.opened, end) > 0;
 		bool no_answer = !c.sent.empty() && !c.sent.back().answered &&
 		    !c.sent.back().behind_close;
 		double sent_at = no_answer ? c.sent.back().at : 0;
-		/* A response that has begun ends with the owner's box. */
-		bool cut = !c.caller.received.empty() && any_kill(sent_at, end);
+		/*
+		 * A response that has begun ends with the box of its owner, and
+		 * at its deadline.
+		 */
+		bool cut = !c.caller.received.empty() &&
+		    (any_kill(sent_at, end) || end - sent_at > DEADLINE);
 		double bound = limit_between(c.before, c.quiet) + ENDED_BY +
 		    overlap(t.suspended, c.before, c.quiet);
 
@@ -508,9 +515,8 @@
 			violated(c, "got an answer too many", c.stray);
 		/* At a stop resets are allowed; the proxy hides them. */
 		if (no_answer && !killed && !cut &&
-		    c.quiet - sent_at > CROSSED &&
-		    (!planned ||
-			(c.caller.error == 0 && (!t.link || c.habit == SLOW))))
+		    c.quiet - sent_at > (linked ? CROSSED_LINK : CROSSED) &&
+		    (!planned || (c.caller.error == 0 && !linked)))
 			violated(c, "was sent, and got no answer",
 			    c.quiet - sent_at);
 		if (no_answer && !planned && ended && c.stated > 0 &&
