Look at the socket of an upstream connection in one place

Cause: closed_without_reset() and is_silent() each fetched the descriptor and peeked at it. Change: peek() does that for both; a comment in busy.h fits its line.

--- a/busy.h
+++ b/busy.h
@@ -23,9 +23,7 @@
 struct busy_report {
 	int64_t busy_ns; /* from the end of the wait to the next wait */
 	int64_t timers_ns; /* the part of it after the events, in timers */
-	/* Processor time; what is missing to busy_ns went to other processes.
-	 */
-	int64_t cpu_ns;
+	int64_t cpu_ns; /* processor time of it; the rest went to others */
 };
 
 /* Receives the iterations that took long; the first argument is a context. */
--- a/up_conn.c
+++ b/up_conn.c
@@ -81,20 +81,32 @@
 	*buf = uv_buf_init(conn->pool->up->read_buf, UP_READ_MAX);
 }
 
+/*
+ * Looks at the next byte in the socket without reading it.  Returns 0 at the
+ * end, and -1 with errno set on failure: EAGAIN if nothing has come.
+ */
+static ssize_t
+peek(struct up_conn *conn)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) != 0) {
+		errno = EBADF;
+		return -1;
+	}
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+}
+
 /*
  * Returns whether the server closed the connection without a reset.  libuv
- * reports a reset that follows data as an end of file, so this reads from the
+ * reports a reset that follows data as an end of file, so this looks at the
  * socket itself.
  */
 static bool
 closed_without_reset(struct up_conn *conn, ssize_t nread)
 {
-	uv_os_fd_t fd;
-	char byte;
-
-	return nread == UV_EOF &&
-	    uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0 &&
-	    recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+	return nread == UV_EOF && peek(conn) == 0;
 }
 
 /*
@@ -300,11 +312,7 @@
 static bool
 is_silent(struct up_conn *conn)
 {
-	uv_os_fd_t fd;
-	char byte;
-
-	return uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0 &&
-	    recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+	return peek(conn) < 0 && errno == EAGAIN;
 }
 
 /*
