--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -184,6 +184,16 @@
 		    [&] { return read_available() && count(text) == 1; });
 	}
 
+	/* Sends the first request of all; returns whether it is answered. */
+	bool is_served_first(Server &s)
+	{
+		send_text("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+		if (!s.run_until([&] { return s.reqs.size() == 1; }))
+			return false;
+		s.respond(0, "first.");
+		return receives_once(s, "first.");
+	}
+
 	/* Returns whether the server ends the connection in time. */
 	bool is_closed(Server &s)
 	{
@@ -732,10 +742,7 @@
 	Server s;
 	Caller c(s);
 
-	c.send_text(get("/1"));
-	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
-	s.respond(0, "first.");
-	ASSERT_TRUE(c.receives_once(s, "first."));
+	ASSERT_TRUE(c.is_served_first(s));
 	s.run_for(50);
 	c.send_text(get("/2"));
 	uv_update_time(&s.loop);
@@ -754,10 +761,7 @@
 	Server s;
 	Caller c(s);
 
-	c.send_text(get("/1"));
-	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
-	s.respond(0, "first.");
-	ASSERT_TRUE(c.receives_once(s, "first."));
+	ASSERT_TRUE(c.is_served_first(s));
 	s.run_for(50);
 	uv_update_time(&s.loop);
 	hsrv_close_idle(s.srv, 1);
@@ -765,8 +769,7 @@
 	EXPECT_TRUE(c.closed) << "the caller may still send a request";
 }
 
-/* Lets a caller send a request, unless it sees that its connection is closed.
- */
+/* Lets a caller send a request unless it sees that its connection has ended. */
 struct LateCaller {
 	uv_timer_t timer;
 	Caller *caller;
@@ -802,10 +805,7 @@
 	Caller c(s);
 
 	hsrv_set_limits(s.srv, 1000, 60);
-	c.send_text(get("/1"));
-	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
-	s.respond(0, "first.");
-	ASSERT_TRUE(c.receives_once(s, "first."));
+	ASSERT_TRUE(c.is_served_first(s));
 	s.run_for(5);
 
 	LateCaller late(s, c, 70);
@@ -833,10 +833,7 @@
 			    *static_cast<size_t *>(ctx) = end->discarded;
 		    },
 		    &discarded);
-		c.send_text(get("/1"));
-		ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
-		s.respond(0, "first.");
-		ASSERT_TRUE(c.receives_once(s, "first."));
+		ASSERT_TRUE(c.is_served_first(s));
 		s.run_for(static_cast<int>(rest_ms));
 		uv_update_time(&s.loop);
 		hsrv_close_idle(s.srv, 1);
@@ -856,10 +853,7 @@
 	Server s;
 	Caller c(s);
 
-	c.send_text(get("/1"));
-	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
-	s.respond(0, "first.");
-	ASSERT_TRUE(c.receives_once(s, "first."));
+	ASSERT_TRUE(c.is_served_first(s));
 	EXPECT_EQ(0, c.count("keep-alive: "));
 	hsrv_set_limits(s.srv, 1000, 15000);
 	c.send_text(get("/2"));
@@ -916,10 +910,7 @@
 	Server s;
 	Caller c(s);
 
-	c.send_text(get("/1"));
-	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
-	s.respond(0, "first.");
-	ASSERT_TRUE(c.receives_once(s, "first."));
+	ASSERT_TRUE(c.is_served_first(s));
 	s.run_for(100);
 	uv_update_time(&s.loop);
 	hsrv_shutdown(s.srv);
@@ -975,10 +966,7 @@
 	uv_timer_t timer;
 
 	hsrv_set_limits(s.srv, 1000, 60);
-	c.send_text(get("/1"));
-	ASSERT_TRUE(s.run_until([&] { return s.reqs.size() == 1; }));
-	s.respond(0, "first.");
-	ASSERT_TRUE(c.receives_once(s, "first."));
+	ASSERT_TRUE(c.is_served_first(s));
 	s.run_for(5);
 	uv_timer_init(&s.loop, &timer);
 	uv_timer_start(
