One set of options for the fleets of two soaks

Cause: soak_idle and soak_stops wrote the same halls and times of a stop. Change: soak_options(); each adds its backend servers.

--- a/regress/soak_conn.h
+++ b/regress/soak_conn.h
@@ -17,8 +17,22 @@
 #include <string>
 #include <vector>
 
+#include "fleet.h"
 #include "raw_caller.h"
 
+/* Boxes in two halls, without backend servers; short times at a stop. */
+inline FleetOptions
+soak_options(int boxes, bool one_process)
+{
+	FleetOptions o;
+
+	o.boxes = boxes;
+	o.halls = {"north", "south"};
+	o.one_process = one_process;
+	o.gate_settings = "leave_wait_ms = 300\ngrace_ms = 5100\n";
+	return o;
+}
+
 /* A request that a soak sent, and its answer. */
 struct Sent {
 	std::string id;
--- a/regress/soak_idle.cpp
+++ b/regress/soak_idle.cpp
@@ -161,12 +161,8 @@
 
 	static FleetOptions options_of(int boxes, bool one_process)
 	{
-		FleetOptions o;
+		FleetOptions o = soak_options(boxes, one_process);
 
-		o.boxes = boxes;
-		o.halls = {"north", "south"};
-		o.one_process = one_process;
-		o.gate_settings = "leave_wait_ms = 300\ngrace_ms = 5100\n";
 		for (int i = 0; i < BACKENDS; i++) {
 			BackendOptions b;
 
--- a/regress/soak_stops.cpp
+++ b/regress/soak_stops.cpp
@@ -98,11 +98,8 @@
 
 	static FleetOptions options_of(int boxes, bool one_process)
 	{
-		FleetOptions o;
+		FleetOptions o = soak_options(boxes, one_process);
 
-		o.boxes = boxes;
-		o.halls = {"north", "south"};
-		o.one_process = one_process;
 		for (int i = 0; i < BACKENDS * 2; i++) {
 			BackendOptions b;
 
@@ -115,7 +112,6 @@
 			    : "ms=220 spread=1";
 			o.backends.push_back(b);
 		}
-		o.gate_settings = "leave_wait_ms = 300\ngrace_ms = 5100\n";
 		if (one_process)
 			o.gate_settings += "policy = \"pace\"\n"
 					   "silent_ms = 400\n"
