A response whose upload met the reset is not whole (MIXED)

Callers got a part of a response without a length as a whole one: the backend server had answered an upload at once and reset the connection while that was still being written. Cause: a socket tells its error once. The write took ECONNRESET, which is passed over, as the response may still arrive; the read behind it, and the look at the socket, found a plain end of file, which ends such a response. Evidence: Up.AResponseThatIsResetWhileItsRequestIsWrittenIsNotWhole, which pauses reading until the write has met the reset, got "whole" before and gets "cut" now. An end of file behind a failed write is therefore not trusted; responses with a length or chunks end as before. All clients of backend servers, boxes, probes, load queries and the platform use this code.

--- a/libup.h
+++ b/libup.h
@@ -50,6 +50,7 @@
 	bool idle, closing, reading, writing;
 	bool response_complete;
 	bool has_surplus; /* bytes were received after the response */
+	bool write_failed; /* the socket has told its error */
 	bool head_complete; /* and not yet passed to the call */
 	bool chunk_begun; /* the line with its size has come */
 	/* Bytes of the line end behind a chunk that are yet to come. */
--- a/up_conn.c
+++ b/up_conn.c
@@ -101,12 +101,13 @@
 /*
  * Returns whether the server closed the connection without a reset.  libuv
  * reports a reset that follows data as an end of file, so this looks at the
- * socket itself.
+ * socket itself.  A socket tells its error once: after a write that has failed,
+ * an end of file may be that of a reset.
  */
 static bool
 closed_without_reset(struct up_conn *conn, ssize_t nread)
 {
-	return nread == UV_EOF && peek(conn) == 0;
+	return nread == UV_EOF && !conn->write_failed && peek(conn) == 0;
 }
 
 /*
@@ -164,6 +165,7 @@
 	struct up_conn *conn = req->data;
 
 	conn->writing = false;
+	conn->write_failed = status < 0;
 	/*
 	 * A server may respond before it has read the whole request, and then
 	 * stop reading.  Its response may still arrive.
@@ -205,7 +207,8 @@
 
 	conn->call = c;
 	c->conn = conn;
-	conn->response_complete = conn->has_surplus = false;
+	conn->response_complete = conn->has_surplus = conn->write_failed =
+	    false;
 	up_response_begin(conn);
 	conn->writing = true;
 	conn->write.data = conn;
