A response has a status of three digits, 100 to 599

Callers got a response behind one of status 000, which was taken for an interim response, and answers of status 600 or 0200 as they were. Cause: the parser accepts any number up to 999, of any count of digits. The beginning of each head is kept and looked at, of interim responses too, in whatever parts it comes.

--- a/libup.h
+++ b/libup.h
@@ -22,7 +22,8 @@
 
 enum {
 	UP_READ_MAX = 64 * 1024, /* bytes per read */
-	UP_HEADERS_MAX = 100 /* headers of a response */
+	UP_HEADERS_MAX = 100, /* headers of a response */
+	UP_STATUS_LINE = sizeof("HTTP/1.1 200 ") - 1
 };
 
 /* The idle connections to one address. */
@@ -59,6 +60,9 @@
 	int64_t idle_timeout_ns; /* according to the last response */
 	int64_t idle_until; /* not reused after this time, in ns */
 	http_parser parser;
+	/* The beginning of the head, with a line end behind a short one. */
+	char status_line[UP_STATUS_LINE];
+	size_t status_line_len;
 	GString *header_text; /* header names and values, concatenated */
 	GArray *header_spans; /* struct up_header_span */
 	bool in_value; /* the last part parsed was of a value */
--- a/up_answer.c
+++ b/up_answer.c
@@ -54,7 +54,7 @@
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
 	conn->head_complete = conn->chunk_begun = false;
-	conn->line_end_due = 0;
+	conn->line_end_due = conn->status_line_len = 0;
 	clear_headers(conn);
 }
 
@@ -206,6 +206,30 @@
 	return has_no_body(conn->call, parser->status_code) ? 1 : 0;
 }
 
+/* Keeps the beginning of the status line, behind empty lines. */
+static void
+read_status_line(struct up_conn *conn, const char *p, size_t n)
+{
+	for (; n > 0 && conn->status_line_len < UP_STATUS_LINE; p++, n--)
+		if (conn->status_line_len > 0 || (*p != '\r' && *p != '\n'))
+			conn->status_line[conn->status_line_len++] = *p;
+}
+
+/*
+ * Returns whether the status has three digits and is one that HTTP allows.  The
+ * parser accepts any number of digits, and any number up to 999.
+ */
+static bool
+has_valid_status(const struct up_conn *conn)
+{
+	const char *status = conn->status_line + strlen("HTTP/1.1 ");
+	unsigned code = conn->parser.status_code;
+
+	return code >= 100 && code < 600 &&
+	    (unsigned)(status[0] - '0') == code / 100 &&
+	    !g_ascii_isdigit(status[3]);
+}
+
 /* Passes the head to the call.  Returns false if it is not valid. */
 static bool
 pass_head(struct up_conn *conn)
@@ -217,12 +241,16 @@
 	int64_t idle_ns = IDLE_DEFAULT_NS;
 	size_t i, n = read_headers(conn, headers, names);
 
+	if (!has_valid_status(conn))
+		return false;
 	/* No request asks for another protocol. */
 	if (status == 101 || !undoes_coding(&conn->parser, headers, n))
 		return false;
 	/* An interim response (1xx) precedes the final one. */
-	if (status < 200)
+	if (status < 200) {
+		conn->status_line_len = 0;
 		return true;
+	}
 	for (i = 0; i < n; i++)
 		if (has_name(&headers[i], STR_LIT("keep-alive")))
 			idle_ns = parse_keep_alive(
@@ -287,6 +315,7 @@
 		return false;
 	/* No bytes would be the end of the connection for the parser. */
 	while (*used < n) {
+		read_status_line(conn, p + *used, n - *used);
 		*used += http_parser_execute(
 		    parser, &up_response_settings, p + *used, n - *used);
 		if (conn->closing ||
