A response whose header has a name that is none is not an answer

Callers got such answers, with the line passed on, or with a body that had another end: of "Content Length: 2" and seven bytes up to the end of the connection all seven. Cause: the parser, as distributions build it, accepts blanks in names, and knows no length or coding by such a name. A blank before the colon, which was removed, is one too. Heads of final and interim responses and trailers go through the one check, whoever answers.

--- a/str.c
+++ b/str.c
@@ -51,6 +51,19 @@
 	return true;
 }
 
+bool
+str_is_token(struct str s)
+{
+	size_t i;
+
+	for (i = 0; i < s.n; i++)
+		if (!g_ascii_isalnum(s.p[i]) &&
+		    (s.p[i] == '\0' ||
+			strchr("!#$%&'*+-.^_`|~", s.p[i]) == NULL))
+			return false;
+	return true;
+}
+
 size_t
 str_distance(struct str a, struct str b)
 {
--- a/str.h
+++ b/str.h
@@ -74,6 +74,10 @@
  */
 bool str_u64(struct str, unsigned long long *);
 
+/* Returns whether all bytes may be part of a header's name (RFC 9110, 5.6.2).
+ */
+bool str_is_token(struct str);
+
 /*
  * Returns the Levenshtein distance of two names, to suggest a similar name for
  * an unknown one; 64 if either is longer than 64 bytes.
--- a/up_answer.c
+++ b/up_answer.c
@@ -65,7 +65,11 @@
 	    conn->header_spans->len - 1);
 }
 
-/* Names are stored in lower case, because h2o looks them up that way. */
+/*
+ * Names are stored in lower case, because h2o looks them up that way.  The
+ * parser accepts blanks in them, also before the colon, and does not recognize
+ * a length or a coding by such a name.
+ */
 static int
 on_header_field(http_parser *parser, const char *p, size_t n)
 {
@@ -73,6 +77,8 @@
 	struct up_header_span span = {0};
 	size_t i;
 
+	if (!str_is_token(str_n(p, n)))
+		return -1;
 	if (conn->header_spans->len == 0 || conn->in_value) {
 		if (conn->header_spans->len == UP_HEADERS_MAX)
 			return -1;
@@ -131,10 +137,7 @@
 	    status == 304;
 }
 
-/*
- * Stores the headers of the head.  Blanks before the colon, which the parser
- * accepts, do not belong to the name.
- */
+/* Stores the headers of the head. */
 static size_t
 read_headers(struct up_conn *conn, h2o_header_t *headers, h2o_iovec_t *names)
 {
@@ -146,9 +149,6 @@
 		    conn->header_spans, struct up_header_span, i);
 		names[i] = h2o_iovec_init(
 		    conn->header_text->str + span->name, span->nname);
-		while (
-		    names[i].len > 0 && names[i].base[names[i].len - 1] == ' ')
-			names[i].len--;
 		headers[i] = (h2o_header_t){.name = &names[i],
 		    .value = h2o_iovec_init(
 			conn->header_text->str + span->value, span->nvalue)};
