A request whose header has a name that is none is refused

Such a line was passed on to backend servers, which may take "content-length : 5" for a length that the box did not see. Cause: the parser accepts blanks in names; the same as in responses.

--- a/hsrv_parse.c
+++ b/hsrv_parse.c
@@ -74,9 +74,15 @@
 	g_string_append_len(r->head_text, at, (gssize)n);
 }
 
+/*
+ * The parser accepts blanks in names, and knows no length by such a name, but a
+ * backend server may.
+ */
 static int
 on_header_field(http_parser *p, const char *at, size_t n)
 {
+	if (!str_is_token(str_n(at, n)))
+		return -1;
 	append_part(current_req(p), true, at, n);
 	return 0;
 }
--- a/regress/test_hsrv.cpp
+++ b/regress/test_hsrv.cpp
@@ -321,6 +321,22 @@
 	EXPECT_EQ(1, c.count("fern-ran: no"));
 }
 
+/* The line was passed on, and a backend server may take it for a length. */
+TEST(Pipeline, AHeaderWhoseNameIsNoneIsRefused)
+{
+	for (const char *line : {"content length: 5", "content-length : 5",
+		 "x y: z", "transfer-encoding : chunked"}) {
+		Server s;
+		Caller c(s);
+
+		c.send_text("GET /1 HTTP/1.1\r\nhost: x\r\na: b\r\n" +
+		    std::string(line) + "\r\nc: d\r\n\r\n");
+		ASSERT_TRUE(c.receives_once(s, "HTTP/1.1 400")) << line;
+		EXPECT_EQ(1, c.count("fern-ran: no"));
+		EXPECT_EQ(0u, s.reqs.size());
+	}
+}
+
 TEST(Pipeline, ConcurrentRequestsAreLimited)
 {
 	Server s;
