Requests to upgrade to HTTP/2 are served by HTTP/1.1

A box ended for lack of memory: uploads behind a request with "Upgrade: h2c" took 154 MB of the 64 allowed. Cause: such a connection was passed to h2o as a whole, whose own parser of HTTP/1.1 knows no bound of all bodies, also where the upgrade is not valid. The header asks for nothing that must be granted; connections that begin with HTTP/2 are served as before. Evidence: Crowd.UploadsBehindAnUpgrade failed before and passes.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -28,6 +28,9 @@
  * the connection is detected at once.
  */
 
+/* How a connection of HTTP/2 begins. */
+#define PREFACE "PRI * HTTP/2"
+
 enum {
 	/*
 	 * Requests in flight on a connection.  Each buffers at most 256 KiB of
@@ -35,7 +38,6 @@
 	 */
 	IN_FLIGHT_MAX = 8,
 	INPUT_MAX = 64 * 1024, /* unparsed bytes at which reading pauses */
-	HEAD_MAX = 4096, /* bytes inspected to detect HTTP/2 */
 	FIN_SIZE = 1 /* of the end of a stream, among unacknowledged bytes */
 };
 
@@ -829,16 +831,14 @@
 		end_input(c);
 }
 
-/* Recognizes the HTTP/2 preface and a request to upgrade to HTTP/2. */
+/*
+ * Recognizes the HTTP/2 preface.  A request to upgrade to HTTP/2 is served by
+ * HTTP/1.1, as h2o would take over its limits and those of requests behind it.
+ */
 static bool
 is_http2(const char *p, size_t n)
 {
-	static const char preface[] = "PRI * HTTP/2";
-
-	if (n >= sizeof(preface) - 1 &&
-	    memcmp(p, preface, sizeof(preface) - 1) == 0)
-		return true;
-	return memmem(p, n, "\r\nUpgrade: h2c\r\n", 16) != NULL;
+	return n == strlen(PREFACE) && memcmp(p, PREFACE, n) == 0;
 }
 
 /*
@@ -913,7 +913,7 @@
 static void
 detect_http2(struct hsrv_conn *c)
 {
-	char head[HEAD_MAX];
+	char head[sizeof(PREFACE) - 1];
 	ssize_t n;
 	int fd;
 
