Heads of requests are kept once, and trailers not at all

A crowd made a box hold much more than it sent: heads of 76 kB took 3 MB each, trailers were kept beside the head. Cause: offsets of eight bytes for each name and value, a copy of each name, a list of headers that leaves its former sizes in the memory pool, and the text itself, kept until the response. Now the list is made once, text and offsets go when the head is complete, trailers are skipped. The limit of a head is the server's own, it is answered with 431 as not run, and its time is a limit of its own, for a configuration to set.

--- a/hsrv.c
+++ b/hsrv.c
@@ -23,6 +23,7 @@
 	BACKLOG = 1024,
 	LINGER_MS = 500, /* time for a caller to read the last response */
 	STALL_MS = 15000,
+	HEAD_MAX = HTTP_MAX_HEADER_SIZE, /* default, in bytes */
 	/*
 	 * A caller may be told of a close as late as this: the loop or the link
 	 * of the box may be busy.
@@ -51,7 +52,7 @@
 	enum err_kind kind = ERR_BAD_REQUEST;
 
 	(void)self;
-	if (req->res.status == 413)
+	if (req->res.status == 413 || req->res.status == 431)
 		kind = ERR_TOO_LARGE;
 	if (req->res.status == 503)
 		kind = ERR_NO_ROOM;
@@ -96,6 +97,9 @@
 	h2o_timeout_init(loop, &s->stall_timeout, STALL_MS);
 	h2o_timeout_init(
 	    loop, &s->request_timeout, s->ctx.http1.req_timeout.timeout);
+	h2o_timeout_init(
+	    loop, &s->head_timeout, s->ctx.http1.req_timeout.timeout);
+	s->head_max = HEAD_MAX;
 	s->accept.ctx = &s->ctx;
 	s->accept.hosts = s->conf.hosts;
 	if (listen_on(s, address, err))
@@ -272,6 +276,16 @@
 	s->conf.max_request_entity_size = body_max;
 	change_timeout(s, &s->ctx.http1.req_timeout, idle_ms);
 	change_timeout(s, &s->request_timeout, idle_ms);
+	change_timeout(s, &s->head_timeout, idle_ms);
+}
+
+void
+hsrv_set_head_limits(struct hsrv *s, size_t max, uint64_t ms)
+{
+	s->head_max = max;
+	change_timeout(s, &s->head_timeout, ms);
+	/* One limit of all parsers, which also counts what is not kept. */
+	http_parser_set_max_header_size((uint32_t)MAX(max * 2, HEAD_MAX));
 }
 
 void
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -227,6 +227,17 @@
 	    shutdown(fd, SHUT_WR) == 0;
 }
 
+/* Returns why a connection ends whose timeout has passed. */
+static const char *
+end_by_timeout(const struct hsrv_conn *c)
+{
+	if (c->reqs.length == 0)
+		return "idle";
+	return c->parsing != NULL && c->parsing->head_text != NULL
+	    ? "slow-head"
+	    : "slow-request";
+}
+
 /*
  * Ends a connection without a request in flight.  From here on nothing is read:
  * the caller of a request that comes now learns by the end or a reset of the
@@ -239,7 +250,7 @@
 {
 	struct hsrv *s = c->srv;
 
-	note_end(c, c->reqs.length > 0 ? "slow-request" : "idle");
+	note_end(c, end_by_timeout(c));
 	if (h2o_now(s->loop) - c->idle_since >= s->linger_timeout.timeout &&
 	    hsrv_tcp_unacked(c->tcp) == 0) {
 		close_conn(c, c->why);
@@ -785,8 +796,11 @@
 update_idle_timeout(struct hsrv_conn *c)
 {
 	struct hsrv_req *r = g_queue_peek_head(&c->reqs);
-	h2o_timeout_t *timeout = r != NULL ? &c->srv->request_timeout
-					   : &c->srv->ctx.http1.req_timeout;
+	h2o_timeout_t *timeout = &c->srv->ctx.http1.req_timeout;
+
+	if (r != NULL)
+		timeout = r->head_text != NULL ? &c->srv->head_timeout
+					       : &c->srv->request_timeout;
 
 	if (c->progress) {
 		h2o_timeout_unlink(&c->idle_timeout);
--- a/hsrv_parse.c
+++ b/hsrv_parse.c
@@ -52,26 +52,47 @@
 	return 0;
 }
 
+/*
+ * Appends to the text of the head.  Returns -1, for the parser, if the head is
+ * larger than the limit.
+ */
 static int
-on_url(http_parser *p, const char *at, size_t n)
+append_text(struct hsrv_req *r, const char *at, size_t n)
 {
-	g_string_append_len(current_req(p)->head_text, at, (gssize)n);
+	/* A header takes a colon and a line end besides. */
+	size_t ends = r->offsets->len / 2 * strlen(":\r\n");
+
+	r->head_too_large =
+	    r->head_text->len + n + ends > r->conn->srv->head_max;
+	if (r->head_too_large)
+		return -1;
+	g_string_append_len(r->head_text, at, (gssize)n);
 	return 0;
 }
 
+static int
+on_url(http_parser *p, const char *at, size_t n)
+{
+	return append_text(current_req(p), at, n);
+}
+
 /*
  * Appends a part of a header name or value; the parser may split both.  The
  * number of offsets is odd while the last part belongs to a name: names and
- * values alternate, and the request target before them has no offset.
+ * values alternate, and the request target before them has no offset.  What
+ * comes behind the head is a trailer, which is not used.
  */
-static void
+static int
 append_part(struct hsrv_req *r, bool is_name, const char *at, size_t n)
 {
-	gsize offset = r->head_text->len;
+	uint32_t offset;
 
+	if (r->head_text == NULL)
+		return 0;
+	offset = (uint32_t)r->head_text->len;
 	if ((r->offsets->len % 2 == 0) == is_name)
 		g_array_append_val(r->offsets, offset);
-	g_string_append_len(r->head_text, at, (gssize)n);
+	return append_text(r, at, n);
 }
 
 /*
@@ -83,15 +104,13 @@
 {
 	if (!str_is_token(str_n(at, n)))
 		return -1;
-	append_part(current_req(p), true, at, n);
-	return 0;
+	return append_part(current_req(p), true, at, n);
 }
 
 static int
 on_header_value(http_parser *p, const char *at, size_t n)
 {
-	append_part(current_req(p), false, at, n);
-	return 0;
+	return append_part(current_req(p), false, at, n);
 }
 
 /* Sets a header that h2o does not keep in its header list. */
@@ -109,18 +128,17 @@
 add_header(struct hsrv_req *r, h2o_iovec_t name, h2o_iovec_t value)
 {
 	h2o_req_t *req = &r->req;
-	char *orig_name = h2o_strdup(&req->pool, name.base, name.len).base;
 	const h2o_token_t *token;
 
 	h2o_strtolower(name.base, name.len);
 	token = h2o_lookup_token(name.base, name.len);
 	if (token == NULL)
 		h2o_add_header_by_str(&req->pool, &req->headers, name.base,
-		    name.len, 0, orig_name, value.base, value.len);
+		    name.len, 0, NULL, value.base, value.len);
 	else if (token->is_init_header_special)
 		set_special(r, token, value);
 	else
-		h2o_add_header(&req->pool, &req->headers, token, orig_name,
+		h2o_add_header(&req->pool, &req->headers, token, NULL,
 		    value.base, value.len);
 }
 
@@ -133,7 +151,7 @@
 {
 	if (i >= r->offsets->len)
 		return text.base + text.len;
-	return text.base + g_array_index(r->offsets, gsize, i);
+	return text.base + g_array_index(r->offsets, uint32_t, i);
 }
 
 static void
@@ -142,6 +160,9 @@
 	char *name, *value, *end;
 	guint i;
 
+	/* A vector that grows leaves what it had in the memory pool. */
+	h2o_vector_reserve(
+	    &r->req.pool, &r->req.headers, MAX(r->offsets->len / 2, 1));
 	for (i = 0; i + 1 < r->offsets->len; i += 2) {
 		name = start_of(r, text, i);
 		value = start_of(r, text, i + 1);
@@ -176,6 +197,7 @@
 {
 	const char *method = http_method_str((enum http_method)p->method);
 	h2o_iovec_t text;
+	bool valid;
 
 	text = h2o_strdup(&r->req.pool, r->head_text->str, r->head_text->len);
 	r->req.input.method = h2o_iovec_init(method, strlen(method));
@@ -184,8 +206,10 @@
 	    MIN(p->http_major << 8 | p->http_minor, HTTP_VERSION_MAX);
 	r->req.http1_is_persistent = http_should_keep_alive(p) != 0;
 	add_headers(r, text);
-	return set_target(
+	valid = set_target(
 	    r, text.base, (size_t)(start_of(r, text, 0) - text.base));
+	hsrv_req_free_head(r);
+	return valid;
 }
 
 /*
@@ -280,6 +304,9 @@
 	    &c->parser, &settings, (const char *)c->input->data, c->input->len);
 	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED)
 		http_parser_pause(&c->parser, 0);
+	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_HEADER_OVERFLOW &&
+	    c->parsing != NULL)
+		c->parsing->head_too_large = true;
 	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
 		return false;
 	g_byte_array_remove_range(c->input, 0, (guint)n);
--- a/hsrv_req.c
+++ b/hsrv_req.c
@@ -50,13 +50,24 @@
 	r->req._ostr_top = &r->ostream;
 	r->conn = c;
 	r->head_text = g_string_new(NULL);
-	r->offsets = g_array_new(FALSE, FALSE, sizeof(gsize));
+	r->offsets = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	r->out_bufs = g_array_new(FALSE, FALSE, sizeof(uv_buf_t));
 	r->link.data = r;
 	g_queue_push_tail_link(&c->reqs, &r->link);
 	return r;
 }
 
+void
+hsrv_req_free_head(struct hsrv_req *r)
+{
+	if (r->head_text == NULL)
+		return;
+	g_string_free(r->head_text, TRUE);
+	g_array_free(r->offsets, TRUE);
+	r->head_text = NULL;
+	r->offsets = NULL;
+}
+
 void
 hsrv_req_free(struct hsrv_req *r)
 {
@@ -64,8 +75,7 @@
 	if (r->conn->parsing == r)
 		r->conn->parsing = NULL;
 	h2o_dispose_request(&r->req);
-	g_string_free(r->head_text, TRUE);
-	g_array_free(r->offsets, TRUE);
+	hsrv_req_free_head(r);
 	g_array_free(r->out_bufs, TRUE);
 	if (r->body != NULL)
 		g_byte_array_free(r->body, TRUE);
@@ -97,7 +107,11 @@
 	if (r->req.input.path.base == NULL)
 		r->req.input.path = h2o_iovec_init(H2O_STRLIT("/"));
 	r->req.input.scheme = &H2O_URL_SCHEME_HTTP;
-	if (r->no_room)
+	if (r->head_too_large)
+		h2o_send_error_generic(&r->req, 431,
+		    "Request Header Fields Too Large",
+		    "the head is too large\n", 0);
+	else if (r->no_room)
 		h2o_send_error_generic(&r->req, 503, "Service Unavailable",
 		    "there is no memory for the body now\n", 0);
 	else if (r->too_large)
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -39,6 +39,8 @@
 	h2o_timeout_t linger_timeout;
 	h2o_timeout_t stall_timeout; /* see hsrv_set_stall_limit() */
 	h2o_timeout_t request_timeout; /* between two parts of a request */
+	h2o_timeout_t head_timeout; /* for the head of a request */
+	size_t head_max; /* bytes of the head of a request */
 	uv_tcp_t listener;
 	bool listening;
 	bool input_ended; /* hsrv_end_input() was called */
@@ -61,13 +63,16 @@
 	h2o_ostream_t ostream; /* receives the response from h2o */
 	struct hsrv_conn *conn;
 	GList link; /* in hsrv_conn.reqs */
-	/* The request target, header names and values, one after another. */
+	/*
+	 * The request target, header names and values, one after another; NULL
+	 * once the head is complete.
+	 */
 	GString *head_text;
-	/* gsize; offsets in head_text of names and values, alternately */
+	/* uint32_t; offsets in head_text of names and values, alternately */
 	GArray *offsets;
 	GByteArray *body;
 	size_t reserved; /* bytes of hsrv.room */
-	bool too_large, no_room;
+	bool too_large, head_too_large, no_room;
 	bool expects_continue; /* the caller waits for "100 Continue" */
 	bool complete; /* the whole request was read */
 	bool handled; /* it was passed to the handler or rejected */
@@ -155,9 +160,12 @@
 /* Creates a request and appends it to those of the connection. */
 struct hsrv_req *hsrv_req_new(struct hsrv_conn *);
 void hsrv_req_free(struct hsrv_req *);
+/* Frees the text of the head, which is needed only while it is parsed. */
+void hsrv_req_free_head(struct hsrv_req *);
 /* Passes a complete request to the handler. */
 void hsrv_req_handle(struct hsrv_req *);
-/* Responds with 400, 413 or 503 to a request that is not read to its end. */
+/* Responds with 400, 413, 431 or 503 to a request that is not read to its end.
+ */
 void hsrv_req_reject(struct hsrv_req *);
 /* Formats the head of the response. */
 void hsrv_req_format_head(const struct hsrv_req *, GString *);
