What all connections hold is bounded together

A box ended for lack of memory beside callers with heads over the limit, heads without end or whole heads, whose bodies never came: 200 connections held 90 to 600 MB in a trial. Cause: each connection was bounded by itself, by the limit of its head and of its unread input; descriptors times that is more than a box has. Now the listeners of a gate share a pool that counts connections, input, heads and bodies; when it exceeds held_max, one and a half times bodies_max by default, the connection that holds most is closed. An ordinary request holds little, so it is served beside them. A buffer of input is freed when it is empty, a body with a length gets its memory once.

--- a/gate_open.c
+++ b/gate_open.c
@@ -90,6 +90,12 @@
 	.dflt = 1 << 27,
 	.min = 1,
 	.max = INT64_MAX},
+    {.name = "held_max",
+	.type = FIELD_INT,
+	.offset = F(held_max),
+	.dflt = 0,
+	.min = 0,
+	.max = INT64_MAX},
     {.name = "leave_wait_ms",
 	.type = FIELD_INT,
 	.offset = F(leave_wait_ms),
@@ -222,6 +228,23 @@
 	return open_charts(g, err);
 }
 
+/*
+ * Bounds what the callers of all listeners make the gate hold.  By default
+ * there is room for all bodies, and for heads and responses beside them.
+ */
+static void
+share_pool(struct gate *g)
+{
+	const struct gate_settings *set = &g->settings;
+
+	g->pool.held_max = (size_t)set->held_max;
+	if (set->held_max == 0)
+		g->pool.held_max = (size_t)set->bodies_max / 2 * 3;
+	hsrv_pool_add(&g->pool, g->caller_server);
+	hsrv_pool_add(&g->pool, g->forward_server);
+	hsrv_pool_add(&g->pool, g->admin_server);
+}
+
 /* Opens the sockets that the gate listens on. */
 static bool
 open_listeners(struct gate *g, GError **err)
@@ -247,8 +270,10 @@
 	hsrv_limit_room(g->forward_server, &g->room);
 	g->admin_server = hsrv_open(g->loop, g->settings.admin_listen,
 	    ADMIN_BODY_MAX, gate_stat_page, g, err);
-	return g->admin_server != NULL ||
-	    err_prefix_setting(err, "admin_listen");
+	if (g->admin_server == NULL)
+		return err_prefix_setting(err, "admin_listen");
+	share_pool(g);
+	return true;
 }
 
 bool
--- a/hsrv.c
+++ b/hsrv.c
@@ -151,6 +151,7 @@
 {
 	struct hsrv_tcp *t = (struct hsrv_tcp *)handle;
 
+	hsrv_tcp_leave_pool(t);
 	g_queue_unlink(&t->srv->connections, &t->link);
 	g_free(t);
 }
--- a/hsrv.h
+++ b/hsrv.h
@@ -83,6 +83,28 @@
  */
 void hsrv_limit_room(struct hsrv *, struct hsrv_room *);
 
+/* What the connections of several servers hold together. */
+struct hsrv_pool {
+	size_t held_max, held; /* bytes */
+	size_t ending; /* of those, by connections that are being closed */
+	uint64_t closed; /* connections that were closed for the limit */
+	GSList *servers; /* struct hsrv */
+};
+
+/*
+ * From now on the connections of a server, its input, requests and responses
+ * count in a pool.  When they hold more than its maximum, the connection that
+ * holds most is closed, with all requests on it.
+ */
+void hsrv_pool_add(struct hsrv_pool *, struct hsrv *);
+
+/*
+ * Records how many bytes the handler holds for a request, by its response for
+ * one; *held keeps the number, 0 at first.  It must be set to 0 before the
+ * request is freed.  The connection may be closed, though not at once.
+ */
+void hsrv_set_held(h2o_req_t *, size_t *held, size_t);
+
 /*
  * Sets after how long, in ms, an HTTP/1.1 connection is closed whose caller
  * takes nothing of the response being written; it may be twice as long.  The
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -38,6 +38,9 @@
 	 */
 	IN_FLIGHT_MAX = 8,
 	INPUT_MAX = 64 * 1024, /* unparsed bytes at which reading pauses */
+	INPUT_KEPT = 8 * 1024, /* size of an empty buffer that is kept */
+	/* About the bytes of a connection that has no request. */
+	CONN_SIZE = sizeof(struct hsrv_conn) + sizeof(struct hsrv_tcp) + 1024,
 	FIN_SIZE = 1 /* of the end of a stream, among unacknowledged bytes */
 };
 
@@ -137,6 +140,33 @@
 	h2o_timeout_link(c->srv->loop, timeout, &c->idle_timeout);
 }
 
+struct hsrv_tcp *
+hsrv_conn_tcp(const h2o_req_t *req)
+{
+	if (req->conn->callbacks != &callbacks)
+		return NULL;
+	return (struct hsrv_tcp *)((struct hsrv_conn *)req->conn)->tcp;
+}
+
+/* Counts what the connection holds, and frees a large buffer that is empty. */
+static void
+update_held(struct hsrv_conn *c)
+{
+	struct hsrv_tcp *t = (struct hsrv_tcp *)c->tcp;
+	const GList *link;
+	size_t n;
+
+	if (c->input->len == 0 && c->input_peak > INPUT_KEPT) {
+		g_byte_array_free(c->input, TRUE);
+		c->input = g_byte_array_new();
+		c->input_peak = 0;
+	}
+	n = CONN_SIZE + c->input_peak + t->handler_held;
+	for (link = c->reqs.head; link != NULL; link = link->next)
+		n += hsrv_req_count_held(link->data);
+	hsrv_tcp_set_held(t, n);
+}
+
 static struct hsrv_conn *
 open_conn(struct hsrv *s, uv_tcp_t *tcp)
 {
@@ -393,9 +423,9 @@
 
 /* Closes the connection once the caller of this function has returned. */
 static void
-close_soon(struct hsrv_conn *c)
+close_soon(struct hsrv_conn *c, const char *why)
 {
-	note_end(c, "cut");
+	note_end(c, why);
 	if (!h2o_timeout_is_linked(&c->linger_timeout))
 		h2o_timeout_link(c->srv->loop, &c->srv->ctx.zero_timeout,
 		    &c->linger_timeout);
@@ -413,10 +443,24 @@
 	r->send_state = H2O_SEND_STATE_ERROR;
 	r->output_ready = true;
 	if (g_queue_peek_head(&c->reqs) == r)
-		close_soon(c);
+		close_soon(c, "cut");
 	return true;
 }
 
+void
+hsrv_conn_end_now(struct hsrv_conn *c, const char *why, bool in_use)
+{
+	if (!in_use) {
+		close_conn(c, why);
+		return;
+	}
+	c->no_more_requests = true;
+	c->reading_paused = false;
+	uv_read_stop((uv_stream_t *)c->tcp);
+	h2o_timeout_unlink(&c->linger_timeout);
+	close_soon(c, why);
+}
+
 unsigned
 hsrv_count_ahead(const h2o_req_t *req)
 {
@@ -835,6 +879,7 @@
 	update_idle_timeout(c);
 	write_response(c);
 	resume_reading(c);
+	update_held(c);
 }
 
 /* Without a response that says so, callers would not learn of the end. */
@@ -997,6 +1042,7 @@
 		return;
 	c->active_at = end_now(c);
 	g_byte_array_append(c->input, (const guint8 *)buf->base, (guint)n);
+	c->input_peak = MAX(c->input_peak, c->input->len);
 	if (c->input->len >= INPUT_MAX) {
 		c->reading_paused = true;
 		uv_read_stop(tcp);
--- a/hsrv_parse.c
+++ b/hsrv_parse.c
@@ -15,6 +15,9 @@
 
 /* Parses the input of a connection into requests with http_parser. */
 
+/* Bytes of a header in h2o's list, and of its name there. */
+enum { FIELD_SIZE = sizeof(h2o_header_t) + 2 * sizeof(h2o_iovec_t) };
+
 /* Latest version of HTTP in which connections of this kind are served. */
 enum { HTTP_VERSION_MAX = 0x101 };
 
@@ -199,6 +202,8 @@
 	h2o_iovec_t text;
 	bool valid;
 
+	/* It is copied here, and once more when the request is sent. */
+	r->head_held = 2 * r->head_text->len + r->offsets->len / 2 * FIELD_SIZE;
 	text = h2o_strdup(&r->req.pool, r->head_text->str, r->head_text->len);
 	r->req.input.method = h2o_iovec_init(method, strlen(method));
 	/* h2o sends chunks to callers of exactly this version. */
@@ -257,13 +262,23 @@
 	return 0;
 }
 
+/* A body that grows would leave holes of its former sizes in the heap. */
+static GByteArray *
+new_body(const http_parser *p, size_t first)
+{
+	uint64_t rest =
+	    (p->flags & F_CONTENTLENGTH) != 0 ? p->content_length : 0;
+
+	return g_byte_array_sized_new((guint)(first + rest));
+}
+
 static int
 on_body(http_parser *p, const char *at, size_t n)
 {
 	struct hsrv_req *r = current_req(p);
 
 	if (r->body == NULL)
-		r->body = g_byte_array_new();
+		r->body = new_body(p, n);
 	r->too_large =
 	    r->body->len + n > r->conn->srv->conf.max_request_entity_size;
 	if (r->too_large)
--- a/hsrv_req.c
+++ b/hsrv_req.c
@@ -12,6 +12,9 @@
 
 /* Requests of a connection, and the output of their responses by h2o. */
 
+/* About the bytes of a request with the first part of its memory pool. */
+enum { REQ_SIZE = sizeof(struct hsrv_req) + 4096 };
+
 /*
  * Receives the next part of the response from h2o.  For a response that is
  * aborted, h2o passes an invalid chunk.  It is not sent, because with it a
@@ -57,6 +60,19 @@
 	return r;
 }
 
+size_t
+hsrv_req_count_held(const struct hsrv_req *r)
+{
+	size_t n = REQ_SIZE + r->head_held;
+
+	if (r->head_text != NULL)
+		n += r->head_text->allocated_len +
+		    2 * r->offsets->len * sizeof(uint32_t);
+	if (r->body != NULL)
+		n += r->body->len;
+	return n;
+}
+
 void
 hsrv_req_free_head(struct hsrv_req *r)
 {
--- a/libgate.h
+++ b/libgate.h
@@ -49,6 +49,7 @@
 	int route; /* one of enum gate_route */
 	int64_t body_max;
 	int64_t bodies_max; /* bytes of all bodies together */
+	int64_t held_max; /* bytes for all connections; 0: by bodies_max */
 	int64_t leave_wait_ms;
 	int64_t grace_ms;
 	int64_t summary_ms;
@@ -234,6 +235,7 @@
 	struct chart *chart_backend, *chart_request, *chart_box, *chart_roll;
 	struct hsrv *caller_server, *forward_server, *admin_server;
 	struct hsrv_room room; /* for the bodies of requests */
+	struct hsrv_pool pool; /* what all connections hold */
 	struct route_table *routes;
 	struct tmr_item rebuild;
 	GPtrArray *pending_changes; /* struct change *, not yet in the routes */
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -24,6 +24,9 @@
 	GList link; /* in hsrv.connections */
 	/* Copy of the descriptor of an HTTP/2 connection; -1: none. */
 	int linger_fd;
+	size_t held; /* bytes, in hsrv.pool */
+	size_t handler_held; /* of those, by the handler; see hsrv_set_held() */
+	bool ending; /* it is being closed for the pool */
 };
 
 struct hsrv {
@@ -51,6 +54,7 @@
 	hsrv_concurrent_fn *may_run_concurrently; /* NULL: none may */
 	void *handler_ctx;
 	struct hsrv_room *room; /* for request bodies; NULL: any */
+	struct hsrv_pool *pool; /* NULL: none */
 	hsrv_end_fn *on_end; /* NULL: not watched */
 	const struct clk *end_clk;
 	void *end_ctx;
@@ -72,6 +76,7 @@
 	GArray *offsets;
 	GByteArray *body;
 	size_t reserved; /* bytes of hsrv.room */
+	size_t head_held; /* bytes, about, that the complete head takes */
 	bool too_large, head_too_large, no_room;
 	bool expects_continue; /* the caller waits for "100 Continue" */
 	bool complete; /* the whole request was read */
@@ -92,6 +97,7 @@
 	void (*on_output_ready)(struct hsrv_conn *);
 	http_parser parser;
 	GByteArray *input; /* not parsed yet */
+	size_t input_peak; /* its greatest length so far */
 	GQueue reqs; /* struct hsrv_req, in the order received */
 	struct hsrv_req *parsing; /* the one that is being parsed, or NULL */
 	uv_write_t write;
@@ -145,6 +151,23 @@
 void hsrv_conn_open(struct hsrv *, uv_tcp_t *);
 /* See hsrv_end_input(). */
 void hsrv_conn_end_input(struct hsrv_conn *);
+/*
+ * Closes a connection, with all requests on it, at once or, if it is in use by
+ * a caller of this function, soon; nothing more is read then.
+ */
+void hsrv_conn_end_now(struct hsrv_conn *, const char *why, bool in_use);
+/* Returns the HTTP/1.1 connection of a request; NULL on HTTP/2. */
+struct hsrv_tcp *hsrv_conn_tcp(const h2o_req_t *);
+
+/* hsrv_pool.c: what all connections hold. */
+
+/*
+ * Sets how many bytes a connection holds.  This may close it soon, and others
+ * at once.
+ */
+void hsrv_tcp_set_held(struct hsrv_tcp *, size_t);
+/* Removes what a connection holds from the pool, before it is freed. */
+void hsrv_tcp_leave_pool(struct hsrv_tcp *);
 
 /* hsrv_parse.c: parses requests. */
 void hsrv_parser_init(struct hsrv_conn *);
@@ -162,6 +185,8 @@
 void hsrv_req_free(struct hsrv_req *);
 /* Frees the text of the head, which is needed only while it is parsed. */
 void hsrv_req_free_head(struct hsrv_req *);
+/* Returns about how many bytes a request holds, without its response. */
+size_t hsrv_req_count_held(const struct hsrv_req *);
 /* Passes a complete request to the handler. */
 void hsrv_req_handle(struct hsrv_req *);
 /* Responds with 400, 413, 431 or 503 to a request that is not read to its end.
