Responses that a caller does not read count for its connection

A box ended for lack of memory beside callers that pipeline requests and read no response: 142 MB of 64 allowed. Cause: up to 256 KiB of each response, for eight requests of a connection, in nobody's sum.

--- a/gate_flow.c
+++ b/gate_flow.c
@@ -405,6 +405,25 @@
 	h2o_send(r->req, &vec, vec.len > 0, state);
 }
 
+static size_t
+size_of(const h2o_buffer_t *buf)
+{
+	return buf->bytes != NULL ? buf->capacity : 0;
+}
+
+/* Counts what the request holds of its response for its connection. */
+static void
+count_held(struct gate_req *r)
+{
+	size_t n = size_of(r->send_buffer.buf) + size_of(r->unsent_body);
+
+	if (r->req == NULL)
+		return;
+	if (r->call != NULL)
+		n += size_of(*up_body(r->call));
+	hsrv_set_held(r->req, &r->held, n);
+}
+
 void
 gate_flow_proceed(h2o_generator_t *gen, h2o_req_t *req)
 {
@@ -414,6 +433,7 @@
 	(void)req;
 	if (r->send_buffer.bytes_inflight > 0)
 		h2o_doublebuffer_consume(&r->send_buffer);
+	count_held(r);
 	if (r->call != NULL && (*up_body(r->call))->size < BODY_BUFFER_MAX / 2)
 		up_resume(r->call);
 	send_more(r);
@@ -437,6 +457,7 @@
 
 	r->last_part_at = clk_ns(r->gate->clk);
 	send_more(r);
+	count_held(r);
 	if (r->call == call && (*up_body(call))->size >= BODY_BUFFER_MAX) {
 		r->caller_is_slow = true;
 		up_pause(call);
@@ -465,6 +486,7 @@
 
 	tmr_clear(&r->gate->tmr, &r->timer);
 	detach_body(r, call);
+	count_held(r);
 	gate_attempt_done(r);
 	send_more(r);
 }
--- a/gate_req.c
+++ b/gate_req.c
@@ -263,6 +263,7 @@
 	struct gate *g = r->gate;
 	bool not_run = gate_req_ran(r) == RAN_NO;
 
+	hsrv_set_held(r->req, &r->held, 0);
 	r->req = NULL;
 	tmr_clear(&g->tmr, &r->timer);
 	gate_rate_cancel(r);
--- a/libreq.h
+++ b/libreq.h
@@ -133,6 +133,7 @@
 	/* The head of a response was received, and was sent. */
 	bool response_started, head_sent;
 	bool body_ended, body_cut, final_sent;
+	size_t held; /* bytes of its buffers; see hsrv_set_held() */
 	/* Reading was paused once, as the caller had not taken enough of it. */
 	bool caller_is_slow;
 	int64_t last_part_at; /* when a part of it arrived, monotonic ns */
