What HTTP/2 connections hold counts as well

A box ended for lack of memory beside callers over HTTP/2: uploads that do not end took 276 MB, heads of many fields 1.8 GB, heads that refer to a field of 4 kB again and again 4.4 GB; 64 are allowed. Cause: h2o collects heads and bodies, 100 requests a connection, and nothing counted them; a reference of one byte in a compressed head costs about 100 bytes. Now the heads of frames are read before h2o gets them, heads, bodies, requests and answers to control frames count in the pool, and a connection that is over it is ended. While connections are being ended, nothing more is read.

--- a/gate_flow.c
+++ b/gate_flow.c
@@ -421,7 +421,7 @@
 		return;
 	if (r->call != NULL)
 		n += size_of(*up_body(r->call));
-	hsrv_set_held(r->req, &r->held, n);
+	hsrv_set_held(gate_req_server(r), r->req, &r->held, n);
 }
 
 void
--- a/gate_req.c
+++ b/gate_req.c
@@ -83,6 +83,12 @@
 	return str_dup(str_c(text));
 }
 
+struct hsrv *
+gate_req_server(const struct gate_req *r)
+{
+	return r->forwarded ? r->gate->forward_server : r->gate->caller_server;
+}
+
 static struct gate_req *
 req_new(struct gate *g, h2o_req_t *req)
 {
@@ -263,7 +269,7 @@
 	struct gate *g = r->gate;
 	bool not_run = gate_req_ran(r) == RAN_NO;
 
-	hsrv_set_held(r->req, &r->held, 0);
+	hsrv_set_held(gate_req_server(r), r->req, &r->held, 0);
 	r->req = NULL;
 	tmr_clear(&g->tmr, &r->timer);
 	gate_rate_cancel(r);
--- a/hsrv.c
+++ b/hsrv.c
@@ -238,7 +238,12 @@
 {
 	struct hsrv *s = ((struct request_handler *)self)->srv;
 
-	s->handler(s->handler_ctx, req);
+	if (hsrv_conn_tcp(req) == NULL && !hsrv_h2_begin(s, req))
+		h2o_send_error_generic(req, 431,
+		    "Request Header Fields Too Large",
+		    "the head is too large\n", 0);
+	else
+		s->handler(s->handler_ctx, req);
 	return 0;
 }
 
--- a/hsrv.h
+++ b/hsrv.h
@@ -103,7 +103,7 @@
  * one; *held keeps the number, 0 at first.  It must be set to 0 before the
  * request is freed.  The connection may be closed, though not at once.
  */
-void hsrv_set_held(h2o_req_t *, size_t *held, size_t);
+void hsrv_set_held(struct hsrv *, h2o_req_t *, size_t *held, size_t);
 
 /*
  * Sets after how long, in ms, an HTTP/1.1 connection is closed whose caller
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -913,6 +913,7 @@
 	int fd = t->linger_fd;
 	struct hsrv_conn *c;
 
+	hsrv_h2_free(t);
 	hsrv_tcp_free(handle);
 	if (fd < 0)
 		return;
@@ -947,6 +948,7 @@
 {
 	struct hsrv *s = c->srv;
 	uv_tcp_t *tcp = c->tcp;
+	h2o_socket_t *sock;
 	int fd;
 
 	if (uv_fileno((uv_handle_t *)tcp, &fd) == 0)
@@ -960,8 +962,9 @@
 	g_string_free(c->head, TRUE);
 	g_array_free(c->out_bufs, TRUE);
 	free(c);
-	h2o_accept(&s->accept,
-	    h2o_uv_socket_create((uv_stream_t *)tcp, on_h2o_closed));
+	sock = h2o_uv_socket_create((uv_stream_t *)tcp, on_h2o_closed);
+	hsrv_h2_open((struct hsrv_tcp *)tcp, sock);
+	h2o_accept(&s->accept, sock);
 	announce_shutdown(s);
 }
 
@@ -1004,8 +1007,8 @@
 
 /*
  * Where no bytes may be read, an empty buffer makes libuv report UV_ENOBUFS and
- * read nothing: before the first bytes were inspected, and after the end of an
- * idle connection.
+ * read nothing: before the first bytes were inspected, after the end of an idle
+ * connection, and while the pool waits for connections to be closed.
  */
 static void
 on_alloc(uv_handle_t *tcp, size_t n, uv_buf_t *buf)
@@ -1014,7 +1017,8 @@
 
 	(void)n;
 	*buf = uv_buf_init(c->srv->read_buf, sizeof(c->srv->read_buf));
-	if (c->protocol_unknown || c->ends_unread)
+	if (c->protocol_unknown || c->ends_unread ||
+	    hsrv_pool_must_wait((struct hsrv_tcp *)c->tcp))
 		buf->len = 0;
 }
 
@@ -1026,7 +1030,7 @@
 	if (n == UV_ENOBUFS) {
 		if (c->ends_unread)
 			inspect_unread(c);
-		else
+		else if (c->protocol_unknown)
 			detect_http2(c);
 		return;
 	}
--- a/hsrv_pool.c
+++ b/hsrv_pool.c
@@ -55,7 +55,10 @@
 	p->closed++;
 	t->ending = true;
 	p->ending += t->held;
-	hsrv_conn_end_now(t->conn, "memory", in_use);
+	if (t->conn != NULL)
+		hsrv_conn_end_now(t->conn, "memory", in_use);
+	else
+		hsrv_h2_end(t, in_use);
 }
 
 void
@@ -78,6 +81,14 @@
 		end(p, largest, largest == t);
 }
 
+bool
+hsrv_pool_must_wait(const struct hsrv_tcp *t)
+{
+	const struct hsrv_pool *p = t->srv->pool;
+
+	return p != NULL && p->ending > 0 && p->held > p->held_max;
+}
+
 void
 hsrv_tcp_leave_pool(struct hsrv_tcp *t)
 {
@@ -91,11 +102,13 @@
 }
 
 void
-hsrv_set_held(h2o_req_t *req, size_t *held, size_t n)
+hsrv_set_held(struct hsrv *s, h2o_req_t *req, size_t *held, size_t n)
 {
 	struct hsrv_tcp *t = hsrv_conn_tcp(req);
 	size_t before = *held;
 
+	if (t == NULL)
+		t = hsrv_h2_tcp(s, req);
 	*held = n;
 	if (t == NULL || n == before)
 		return;
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -24,6 +24,7 @@
 	GList link; /* in hsrv.connections */
 	/* Copy of the descriptor of an HTTP/2 connection; -1: none. */
 	int linger_fd;
+	struct hsrv_h2 *h2; /* NULL: it is not served by h2o */
 	size_t held; /* bytes, in hsrv.pool */
 	size_t handler_held; /* of those, by the handler; see hsrv_set_held() */
 	bool ending; /* it is being closed for the pool */
@@ -32,6 +33,9 @@
 struct hsrv {
 	uv_loop_t *loop;
 	GQueue connections; /* struct hsrv_tcp, until they are closed */
+	GQueue h2_conns; /* struct hsrv_h2 */
+	GHashTable *h2_socks; /* h2o_socket_t * to struct hsrv_tcp; or NULL */
+	uv_prepare_t h2_prepare; /* while there are HTTP/2 connections */
 	h2o_globalconf_t conf;
 	h2o_context_t ctx;
 	h2o_accept_ctx_t accept;
@@ -159,6 +163,23 @@
 /* Returns the HTTP/1.1 connection of a request; NULL on HTTP/2. */
 struct hsrv_tcp *hsrv_conn_tcp(const h2o_req_t *);
 
+/* hsrv_h2.c: what HTTP/2 connections hold. */
+
+/* Counts what a connection reads that is passed to h2o. */
+void hsrv_h2_open(struct hsrv_tcp *, h2o_socket_t *);
+/* h2o has closed the connection. */
+void hsrv_h2_free(struct hsrv_tcp *);
+/* Lets h2o close a connection, soon if it or h2o is a caller of this function.
+ */
+void hsrv_h2_end(struct hsrv_tcp *, bool in_use);
+/* Returns the HTTP/2 connection of a request; NULL if it has none. */
+struct hsrv_tcp *hsrv_h2_tcp(const struct hsrv *, const h2o_req_t *);
+/*
+ * Counts a whole request until it is freed.  Returns false if its head is
+ * larger than the limit.
+ */
+bool hsrv_h2_begin(struct hsrv *, h2o_req_t *);
+
 /* hsrv_pool.c: what all connections hold. */
 
 /*
@@ -166,6 +187,11 @@
  * at once.
  */
 void hsrv_tcp_set_held(struct hsrv_tcp *, size_t);
+/*
+ * Returns whether nothing is to be read from a connection now: the limit is
+ * exceeded, and connections that are being closed hold bytes still.
+ */
+bool hsrv_pool_must_wait(const struct hsrv_tcp *);
 /* Removes what a connection holds from the pool, before it is freed. */
 void hsrv_tcp_leave_pool(struct hsrv_tcp *);
 
--- a/libreq.h
+++ b/libreq.h
@@ -251,6 +251,8 @@
 void gate_req_settle_claim(struct gate_req *, bool not_run);
 /* Returns whether the request may have run, for an error response. */
 enum err_ran gate_req_ran(const struct gate_req *);
+/* Returns the server that a request came to. */
+struct hsrv *gate_req_server(const struct gate_req *);
 
 /*
  * gate_admit.c: applies the rule of a request, or what the forwarding gate
