Connections of callers leave descriptors for others

Callers got no answer while others kept connections open without a request, or with one that never ends: each descriptor of the box was theirs, and libuv closes what it cannot accept. Now the connections of a gate's listeners have three quarters of the descriptors; beyond that the one that has been silent for longest is closed, of those on which no request is being handled. The rest is for connections to backend servers and boxes.

--- a/hsrv.c
+++ b/hsrv.c
@@ -140,6 +140,8 @@
 
 	t->srv = s;
 	t->linger_fd = -1;
+	t->read_at = h2o_now(s->loop);
+	hsrv_pool_count_descriptors(s, 1);
 	t->link.data = t;
 	g_queue_push_tail_link(&s->connections, &t->link);
 	uv_tcp_init(s->loop, &t->tcp);
@@ -152,6 +154,7 @@
 	struct hsrv_tcp *t = (struct hsrv_tcp *)handle;
 
 	hsrv_tcp_leave_pool(t);
+	hsrv_pool_count_descriptors(t->srv, -1);
 	g_queue_unlink(&t->srv->connections, &t->link);
 	g_free(t);
 }
@@ -207,6 +210,7 @@
 	}
 	uv_tcp_nodelay(&t->tcp, 1);
 	hsrv_conn_open(s, &t->tcp);
+	hsrv_pool_bound_descriptors(s);
 }
 
 /*
--- a/hsrv.h
+++ b/hsrv.h
@@ -87,14 +87,18 @@
 struct hsrv_pool {
 	size_t held_max, held; /* bytes */
 	size_t ending; /* of those, by connections that are being closed */
-	uint64_t closed; /* connections that were closed for the limit */
+	/* Descriptors of connections, and how many they may have. */
+	unsigned descriptors, descriptors_max;
+	uint64_t accepted, closed; /* connections; closed for a limit */
 	GSList *servers; /* struct hsrv */
 };
 
 /*
  * From now on the connections of a server, its input, requests and responses
  * count in a pool.  When they hold more than its maximum, the connection that
- * holds most is closed, with all requests on it.
+ * holds most is closed, with all requests on it.  When they have more than
+ * three quarters of the process's descriptors, the one that has been silent for
+ * longest is closed, of those on which no request is being handled.
  */
 void hsrv_pool_add(struct hsrv_pool *, struct hsrv *);
 
--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -148,6 +148,14 @@
 	return (struct hsrv_tcp *)((struct hsrv_conn *)req->conn)->tcp;
 }
 
+bool
+hsrv_conn_is_handling(const struct hsrv_conn *c)
+{
+	const struct hsrv_req *r = g_queue_peek_head((GQueue *)&c->reqs);
+
+	return r != NULL && r->handled;
+}
+
 /* Counts what the connection holds, and frees a large buffer that is empty. */
 static void
 update_held(struct hsrv_conn *c)
@@ -917,6 +925,7 @@
 	hsrv_tcp_free(handle);
 	if (fd < 0)
 		return;
+	hsrv_pool_count_descriptors(s, -1);
 	copy = hsrv_tcp_new(s);
 	if (uv_tcp_open(&copy->tcp, fd) != 0) {
 		close(fd);
@@ -954,6 +963,8 @@
 	if (uv_fileno((uv_handle_t *)tcp, &fd) == 0)
 		((struct hsrv_tcp *)tcp)->linger_fd =
 		    fcntl(fd, F_DUPFD_CLOEXEC, 0);
+	if (((struct hsrv_tcp *)tcp)->linger_fd >= 0)
+		hsrv_pool_count_descriptors(s, 1);
 
 	((struct hsrv_tcp *)tcp)->conn = NULL;
 	uv_read_stop((uv_stream_t *)tcp);
@@ -1039,6 +1050,7 @@
 		return;
 	}
 	c->was_read = true;
+	((struct hsrv_tcp *)tcp)->read_at = h2o_now(c->srv->loop);
 	if (c->awaiting_peer_close)
 		note_discarded(c, (size_t)n);
 	if (c->awaiting_peer_close || n == 0 ||
--- a/hsrv_h2.c
+++ b/hsrv_h2.c
@@ -71,6 +71,7 @@
 	uint32_t left; /* bytes of the frame that are to come */
 	GHashTable *streams; /* uint32_t * to struct stream */
 	size_t held; /* by streams */
+	unsigned handling; /* requests that are being handled */
 	struct stream *opening; /* whose head is not complete; NULL: none */
 	size_t block; /* bytes of its head so far, with those of frames */
 	size_t answers; /* bytes of answers to frames, perhaps not sent yet */
@@ -289,6 +290,7 @@
 	if (n == UV_ENOBUFS)
 		return;
 	if (n > 0) {
+		h->tcp->read_at = h2o_now(h->tcp->srv->loop);
 		if (h->answers > ANSWERS_KEPT &&
 		    hsrv_tcp_unacked(&h->tcp->tcp) == 0)
 			h->answers = 0;
@@ -388,6 +390,12 @@
 	g_free(h);
 }
 
+bool
+hsrv_h2_is_handling(const struct hsrv_tcp *t)
+{
+	return t->h2->handling > 0;
+}
+
 struct hsrv_tcp *
 hsrv_h2_tcp(const struct hsrv *s, const h2o_req_t *req)
 {
@@ -427,6 +435,7 @@
 	if (s == NULL)
 		return;
 	h = s->h2;
+	h->handling--;
 	close_stream(s);
 	update_held(h);
 }
@@ -447,6 +456,7 @@
 		    h2o_mem_alloc_shared(&req->pool, sizeof(stream), on_freed);
 		*stream->guard = stream;
 		stream->handled = true;
+		t->h2->handling++;
 	}
 	return size <= s->head_max;
 }
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -28,6 +28,7 @@
 	size_t held; /* bytes, in hsrv.pool */
 	size_t handler_held; /* of those, by the handler; see hsrv_set_held() */
 	bool ending; /* it is being closed for the pool */
+	uint64_t read_at; /* when it was last read, or accepted; h2o_now() */
 };
 
 struct hsrv {
@@ -160,6 +161,8 @@
  * a caller of this function, soon; nothing more is read then.
  */
 void hsrv_conn_end_now(struct hsrv_conn *, const char *why, bool in_use);
+/* Returns whether a request is being handled. */
+bool hsrv_conn_is_handling(const struct hsrv_conn *);
 /* Returns the HTTP/1.1 connection of a request; NULL on HTTP/2. */
 struct hsrv_tcp *hsrv_conn_tcp(const h2o_req_t *);
 
@@ -172,6 +175,8 @@
 /* Lets h2o close a connection, soon if it or h2o is a caller of this function.
  */
 void hsrv_h2_end(struct hsrv_tcp *, bool in_use);
+/* Returns whether a request is being handled. */
+bool hsrv_h2_is_handling(const struct hsrv_tcp *);
 /* Returns the HTTP/2 connection of a request; NULL if it has none. */
 struct hsrv_tcp *hsrv_h2_tcp(const struct hsrv *, const h2o_req_t *);
 /*
@@ -187,6 +192,10 @@
  * at once.
  */
 void hsrv_tcp_set_held(struct hsrv_tcp *, size_t);
+/* Counts a descriptor more or less. */
+void hsrv_pool_count_descriptors(struct hsrv *, int);
+/* One was accepted: closes connections if there are too many. */
+void hsrv_pool_bound_descriptors(struct hsrv *);
 /*
  * Returns whether nothing is to be read from a connection now: the limit is
  * exceeded, and connections that are being closed hold bytes still.
