A connection that is closed for its memory does not linger besides

A box ended: an assertion of h2o that a timeout is linked once, in a sanitized run of Crowd.AHeadOverTheLimit. Cause: of a connection that was to be closed soon, the response that refused its head was written first and began to wait for the peer. Its close is set once now, and does not wait.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -130,6 +130,14 @@
 	c->srv->on_end(c->srv->end_ctx, &end);
 }
 
+/* Sets when the connection is closed at the latest, unless that is set. */
+static void
+link_linger(struct hsrv_conn *c, h2o_timeout_t *timeout)
+{
+	if (!h2o_timeout_is_linked(&c->linger_timeout))
+		h2o_timeout_link(c->srv->loop, timeout, &c->linger_timeout);
+}
+
 static void
 start_idle_timeout(struct hsrv_conn *c, h2o_timeout_t *timeout)
 {
@@ -375,8 +383,8 @@
 {
 	size_t unacked = hsrv_tcp_unacked(c->tcp);
 
-	return c->awaiting_peer_close && unacked > FIN_SIZE &&
-	    still_takes(c, unacked);
+	return !((struct hsrv_tcp *)c->tcp)->ending && c->awaiting_peer_close &&
+	    unacked > FIN_SIZE && still_takes(c, unacked);
 }
 
 static void
@@ -434,9 +442,7 @@
 close_soon(struct hsrv_conn *c, const char *why)
 {
 	note_end(c, why);
-	if (!h2o_timeout_is_linked(&c->linger_timeout))
-		h2o_timeout_link(c->srv->loop, &c->srv->ctx.zero_timeout,
-		    &c->linger_timeout);
+	link_linger(c, &c->srv->ctx.zero_timeout);
 }
 
 bool
@@ -492,7 +498,7 @@
 	c->awaiting_peer_close = true;
 	c->unacked = SIZE_MAX;
 	h2o_timeout_unlink(&c->idle_timeout);
-	h2o_timeout_link(s->loop, &s->linger_timeout, &c->linger_timeout);
+	link_linger(c, &s->linger_timeout);
 	if (!shutdown_writing(c))
 		close_conn(c, "write-error");
 }
@@ -718,8 +724,7 @@
 		 * Closing now would free the request while the caller of this
 		 * function still uses it.
 		 */
-		h2o_timeout_link(
-		    c->srv->loop, &c->srv->linger_timeout, &c->linger_timeout);
+		link_linger(c, &c->srv->linger_timeout);
 	else
 		watch_write(c);
 }
