All headers of a request are passed on

A backend server got a request without the headers behind the 123rd, with no word of it. Cause: an array of fixed size. It has the size of the request now. Evidence: Limits.AllFieldsReachTheBackendServer, with 300, failed before and passes.

--- a/gate_flow.c
+++ b/gate_flow.c
@@ -22,7 +22,6 @@
 enum {
 	/* Largest part of a response body that is buffered, in bytes. */
 	BODY_BUFFER_MAX = 256 * 1024,
-	HEADERS_MAX = 128, /* of a request that is sent */
 	ADDED_HEADERS_MAX = 5,
 	DEADLINE_MARGIN_MS = 5 /* see request_headers() */
 };
@@ -130,7 +129,8 @@
 }
 
 /*
- * Writes the headers of a request and returns their number.  The gate or
+ * Writes the headers of a request, at most ADDED_HEADERS_MAX more than it came
+ * with, and returns their number.  The gate or
  * backend server that it is sent to gets a deadline that is a little earlier,
  * so that its response arrives before this gate's deadline.
  */
@@ -145,7 +145,7 @@
 	struct str forward;
 	size_t i, n = 0;
 
-	for (i = 0; i < in->size && n < HEADERS_MAX - ADDED_HEADERS_MAX; i++)
+	for (i = 0; i < in->size; i++)
 		if (!is_hop_by_hop_header(in->entries[i].name, dialect))
 			out[n++] = in->entries[i];
 	snprintf(added->deadline, sizeof(added->deadline), "%lld",
@@ -184,9 +184,10 @@
 void
 gate_flow_send(struct gate_req *r, struct str address, bool new_connection)
 {
-	h2o_header_t headers[HEADERS_MAX];
-	struct added_headers added;
 	h2o_req_t *req = r->req;
+	h2o_header_t *headers =
+	    g_new(h2o_header_t, req->headers.size + ADDED_HEADERS_MAX);
+	struct added_headers added;
 	struct up_request up_req = {
 	    .address = address,
 	    .method = str_n(req->method.base, req->method.len),
@@ -200,6 +201,7 @@
 	up_req.nheaders = request_headers(r, headers, &added);
 	gate_req_event(r, REQ_EV_TRY);
 	r->call = up_start(r->gate->up, &up_req, &flow_ops, r);
+	g_free(headers);
 }
 
 void
