A body that drips gives way to others

Callers' uploads were refused as long as two others kept all the room for bodies with a byte now and then. Cause: a body takes room for its whole length at its head, and a part of it restarts its time. Where there is no room, a body that at its pace would take more than 30 s in all, judged after a second, is given up now. Evidence: Crowd.UploadsThatDripLeaveRoomForOthers failed before, for 30 s, and passes.

--- a/hsrv_conn.c
+++ b/hsrv_conn.c
@@ -38,6 +38,12 @@
 	 */
 	IN_FLIGHT_MAX = 8,
 	INPUT_MAX = 64 * 1024, /* unparsed bytes at which reading pauses */
+	/*
+	 * A body may take so long in all while there is no room for others, as
+	 * is judged after the first time.
+	 */
+	BODY_MAX_MS = 30000,
+	BODY_JUDGED_MS = 1000,
 	INPUT_KEPT = 8 * 1024, /* size of an empty buffer that is kept */
 	/* About the bytes of a connection that has no request. */
 	CONN_SIZE = sizeof(struct hsrv_conn) + sizeof(struct hsrv_tcp) + 1024,
@@ -164,6 +170,21 @@
 	return r != NULL && r->handled;
 }
 
+/* Returns whether a body would take longer than it may at its present pace. */
+static bool
+has_slow_body(const struct hsrv_conn *c, uint64_t now)
+{
+	const struct hsrv_req *r = c->parsing;
+	uint64_t taken_ms, got;
+
+	if (r == NULL || r->reserved == 0)
+		return false;
+	taken_ms = now - r->body_since;
+	got = r->body != NULL ? MAX(r->body->len, 1u) : 1;
+	return taken_ms >= BODY_JUDGED_MS &&
+	    taken_ms * r->reserved / got > BODY_MAX_MS;
+}
+
 /* Counts what the connection holds, and frees a large buffer that is empty. */
 static void
 update_held(struct hsrv_conn *c)
@@ -489,6 +510,22 @@
 	return n;
 }
 
+void
+hsrv_conn_end_slow_bodies(const struct hsrv_conn *c)
+{
+	uint64_t now = h2o_now(c->srv->loop);
+	struct hsrv_tcp *t;
+	GList *link, *next;
+
+	for (link = c->srv->connections.head; link != NULL; link = next) {
+		next = link->next;
+		t = link->data;
+		if (t->conn != NULL && t->conn != c && !t->conn->closed &&
+		    has_slow_body(t->conn, now))
+			close_conn(t->conn, "slow-body");
+	}
+}
+
 /* Shuts down the write side and waits for the peer to close. */
 static void
 await_peer_close(struct hsrv_conn *c)
--- a/hsrv_parse.c
+++ b/hsrv_parse.c
@@ -231,6 +231,8 @@
 	r->too_large = n > room->max - r->reserved;
 	if (r->too_large)
 		return false;
+	if (n > room->max - MIN(room->held, room->max))
+		hsrv_conn_end_slow_bodies(r->conn);
 	r->no_room = n > room->max - MIN(room->held, room->max);
 	if (r->no_room) {
 		slog_decision(SLOG_GATE, "no room for a body",
@@ -252,6 +254,7 @@
 	if (!set_head(r, p))
 		return -1;
 	r->conn->progress = true;
+	r->body_since = h2o_now(r->conn->srv->loop);
 	p->upgrade = 0;
 	r->too_large = (p->flags & F_CONTENTLENGTH) != 0 &&
 	    p->content_length > r->conn->srv->conf.max_request_entity_size;
--- a/libhsrv.h
+++ b/libhsrv.h
@@ -81,6 +81,7 @@
 	GArray *offsets;
 	GByteArray *body;
 	size_t reserved; /* bytes of hsrv.room */
+	uint64_t body_since; /* when its head was complete; h2o_now() */
 	size_t head_held; /* bytes, about, that the complete head takes */
 	bool too_large, head_too_large, no_room;
 	bool expects_continue; /* the caller waits for "100 Continue" */
@@ -166,6 +167,12 @@
 /* Returns the HTTP/1.1 connection of a request; NULL on HTTP/2. */
 struct hsrv_tcp *hsrv_conn_tcp(const h2o_req_t *);
 
+/*
+ * Closes the other connections of a server whose bodies arrive so slowly that
+ * they would keep their room for long.
+ */
+void hsrv_conn_end_slow_bodies(const struct hsrv_conn *);
+
 /* hsrv_h2.c: what HTTP/2 connections hold. */
 
 /* Counts what a connection reads that is passed to h2o. */
