The memory of a box bounds what its callers may take

A box with less memory than the default bounds allow, 128 MB of bodies, would end for lack of it; some boxes have 112 MB. With the setting memory_mb callers may take half of that, bodies three quarters of the half. Not shown by a test of its own: the bounds that it sets are those of regress/test_crowd.

--- a/gate_open.c
+++ b/gate_open.c
@@ -96,6 +96,12 @@
 	.dflt = 0,
 	.min = 0,
 	.max = INT64_MAX},
+    {.name = "memory_mb",
+	.type = FIELD_INT,
+	.offset = F(memory_mb),
+	.dflt = 0,
+	.min = 0,
+	.max = 1 << 24},
     {.name = "leave_wait_ms",
 	.type = FIELD_INT,
 	.offset = F(leave_wait_ms),
@@ -228,6 +234,20 @@
 	return open_charts(g, err);
 }
 
+/* Callers may take half of the memory, bodies three quarters of that. */
+static void
+bound_by_memory(struct gate_settings *set)
+{
+	int64_t half = set->memory_mb * (1 << 20) / 2;
+
+	if (half == 0)
+		return;
+	set->bodies_max = MIN(set->bodies_max, half / 4 * 3);
+	if (set->held_max == 0)
+		set->held_max = half;
+	set->held_max = MIN(set->held_max, half);
+}
+
 /*
  * Bounds what the callers of all listeners make the gate hold.  By default
  * there is room for all bodies, and for heads and responses beside them.
@@ -265,6 +285,7 @@
 	    BODY_MAX, gate_req_from_gate, g, err);
 	if (g->forward_server == NULL)
 		return err_prefix_setting(err, "pass_listen");
+	bound_by_memory(&g->settings);
 	g->room.max = (size_t)g->settings.bodies_max;
 	hsrv_limit_room(g->caller_server, &g->room);
 	hsrv_limit_room(g->forward_server, &g->room);
