Padded bodies over HTTP/2 are found again

A request whose body came in padded frames would have counted until its connection ended, as its frames are larger than its body. Found by reading; not shown by a test. The smallest stream that can hold the body is taken.

--- a/hsrv_h2.c
+++ b/hsrv_h2.c
@@ -405,6 +405,20 @@
 	    s->h2_socks, req->conn->callbacks->get_socket(req->conn));
 }
 
+/*
+ * Returns whether a stream may be that of a request, and more likely than
+ * another one.  A body is smaller than its frames if they are padded.
+ */
+static bool
+fits_better(const struct stream *s, const struct stream *other, size_t body)
+{
+	if (!s->whole || s->handled || s->body < body)
+		return false;
+	if (other == NULL || s->body != other->body)
+		return other == NULL || s->body < other->body;
+	return s->id < other->id;
+}
+
 /*
  * Returns the stream of a request.  h2o does not tell its number; of several
  * with bodies of one size, any counts alike.
@@ -419,8 +433,7 @@
 	g_hash_table_iter_init(&it, h->streams);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		s = value;
-		if (s->whole && !s->handled && s->body == req->entity.len &&
-		    (found == NULL || s->id < found->id))
+		if (fits_better(s, found, req->entity.len))
 			found = s;
 	}
 	return found;
