A single body of the greatest size has room whatever the memory

With the bound by memory a box of 112 MB would have refused bodies beyond 42 MB, which the users' pages allow up to 64 MB. Bodies have room for one of body_max at least, and all connections an eighth more. Evidence: Limits.ABodyOfTheGreatestSizeIsServedByASmallBox; a 64 MB upload gets 200, below 112 MB. The stand-in of backend servers takes such bodies.

--- a/gate_open.c
+++ b/gate_open.c
@@ -234,7 +234,10 @@
 	return open_charts(g, err);
 }
 
-/* Callers may take half of the memory, bodies three quarters of that. */
+/*
+ * Callers may take half of the memory, bodies three quarters of that.  A single
+ * body of the greatest size always has room.
+ */
 static void
 bound_by_memory(struct gate_settings *set)
 {
@@ -242,10 +245,12 @@
 
 	if (half == 0)
 		return;
-	set->bodies_max = MIN(set->bodies_max, half / 4 * 3);
+	set->bodies_max =
+	    MAX(MIN(set->bodies_max, half / 4 * 3), set->body_max);
 	if (set->held_max == 0)
 		set->held_max = half;
-	set->held_max = MIN(set->held_max, half);
+	set->held_max = MAX(
+	    MIN(set->held_max, half), set->bodies_max + set->bodies_max / 8);
 }
 
 /*
--- a/regress/objects.cpp
+++ b/regress/objects.cpp
@@ -798,7 +798,7 @@
 	GError *err = nullptr;
 
 	b->srv = hsrv_open(&loop, str_n(b->address.data(), b->address.size()),
-	    1 << 20, on_backend, b, &err);
+	    1 << 27, on_backend, b, &err);
 	if (b->srv == nullptr)
 		throw std::runtime_error(err->message);
 }
--- a/regress/test_crowd.cpp
+++ b/regress/test_crowd.cpp
@@ -47,7 +47,10 @@
 	size_t callers = 0;
 
 	explicit World(const std::string &settings = LOW)
-	    : box::World(false, "body_max = 4000000\n" + settings)
+	    : box::World(false,
+		  settings.find("body_max") == std::string::npos
+		      ? "body_max = 4000000\n" + settings
+		      : settings)
 	{
 		timeout = "20s";
 		configure("till");
@@ -710,6 +713,23 @@
 	EXPECT_EQ(200, w.ordinary());
 }
 
+/* The smallest box of the users takes the largest body of their pages. */
+TEST(Limits, ABodyOfTheGreatestSizeIsServedByASmallBox)
+{
+	const size_t BODY = 64 << 20;
+	World w("memory_mb = 112\nbody_max = 67108864\n");
+	std::string head = h1_head("POST", "/buy/1",
+	    "content-length: " + std::to_string(BODY) + "\r\n\r\n");
+
+	w.add(1, {head, std::string(16384, 'x'), head.size() + BODY});
+	w.crowd.talk();
+	EXPECT_TRUE(until([&] {
+		w.crowd.go_on(50);
+		return w.crowd.received("HTTP/1.1 200 ") == 1;
+	}));
+	EXPECT_LT(w.box.peak_kb(), 112 * 1024);
+}
+
 /* Of a request with many fields, those behind the 123rd were dropped. */
 TEST(Limits, AllFieldsReachTheBackendServer)
 {
