The agent's admin interface is bounded, too

The admin address of an agent held 65 MB of heads whose bodies never came, 64 are allowed, however low the gate's limits: its listener belongs to no gate. It has a pool of its own, of 8 MiB. Evidence: Crowd.WholeHeadsAtTheAgentsAdminInterface failed before and passes.

--- a/agent_open.c
+++ b/agent_open.c
@@ -20,7 +20,11 @@
  */
 
 /* Time to send the last messages before the process exits. */
-enum { SHUTDOWN_MS = 300, ADMIN_BODY_MAX = 4096 };
+enum {
+	SHUTDOWN_MS = 300,
+	ADMIN_BODY_MAX = 4096,
+	ADMIN_HELD_MAX = 8 << 20 /* bytes for all connections */
+};
 /*
  * A change is logged as late if the rules were confirmed longer ago than this.
  * A confirmation by the platform takes up to a second from box to box, and a
@@ -245,6 +249,8 @@
 		    ADMIN_BODY_MAX, agent_stat_page, a, err);
 		if (a->admin == NULL)
 			return err_prefix_setting(err, "admin_listen");
+		a->admin_pool.held_max = ADMIN_HELD_MAX;
+		hsrv_pool_add(&a->admin_pool, a->admin);
 	}
 	agent_restore_open(a);
 	agent_deletion_open(a);
--- a/libagent.h
+++ b/libagent.h
@@ -143,6 +143,7 @@
 	struct probe *probe;
 	struct cnt *cnt;
 	struct hsrv *admin;
+	struct hsrv_pool admin_pool; /* what its connections hold */
 	/* agent_watch.c */
 	struct agent_feed feeds[AGENT_FEEDS_MAX];
 	unsigned nfeeds;
--- a/regress/test_crowd.cpp
+++ b/regress/test_crowd.cpp
@@ -46,11 +46,13 @@
 	pid_t first_pid;
 	size_t callers = 0;
 
-	explicit World(const std::string &settings = LOW)
+	explicit World(
+	    const std::string &settings = LOW, const std::string &agent = "")
 	    : box::World(false,
 		  settings.find("body_max") == std::string::npos
 		      ? "body_max = 4000000\n" + settings
-		      : settings)
+		      : settings,
+		  "", agent)
 	{
 		timeout = "20s";
 		configure("till");
@@ -281,6 +283,18 @@
 	w.run();
 }
 
+TEST(Crowd, WholeHeadsAtTheAgentsAdminInterface)
+{
+	World w(LOW, "admin_listen = \"@:8580\"\n");
+
+	w.add(60,
+	    {h1_head("POST", "/ready",
+		 "content-length: 10\r\n" + many(19000, "a:\r\n") + "\r\n"),
+		"", 80000},
+	    ":8580");
+	w.run();
+}
+
 TEST(Crowd, TrailersWithoutEnd)
 {
 	World w;
