An object whose spec is no table does not end a box

Two of three boxes ended by SIGSEGV once when the platform gave a configuration with a null spec and a box started anew. Cause: a rejected spec is sent on to other boxes, and the text of one that is no table or list is NULL for jansson, unless it is asked for any value. Evidence: Sync.AnObjectWhoseSpecIsNoTableIsSent crashed before and passes. An old box does not read such a text and logs that, as it does with any it cannot decode.

--- a/regress/test_conf.cpp
+++ b/regress/test_conf.cpp
@@ -21,6 +21,7 @@
 
 extern "C" {
 #include "conf.h"
+#include "libsync.h"
 #include "sync.h"
 #include "version.h"
 }
@@ -1283,6 +1284,45 @@
 	conf_free(c);
 }
 
+/*
+ * An object without a spec is rejected, and told to others as such; its text
+ * was taken for one of a table, which ended the process.
+ */
+TEST(Sync, AnObjectWhoseSpecIsNoTableIsSent)
+{
+	for (json_t *spec : {json_null(), json_true(), json_integer(7),
+		 json_string("x"), json_array()}) {
+		std::vector<size_t> sent;
+		struct conf *c = conf_new(nullptr, nullptr);
+		struct sync s = {
+		    c, record_object_count, &sent, false, 0, nullptr, 0};
+		struct sync_pack *pack = sync_pack_new();
+		struct conf_object o = {};
+		struct msg_object m = {};
+		GError *err = nullptr;
+		json_t *restored;
+
+		o.key = STR_LIT("service/s1");
+		o.version = 1;
+		o.spec = spec;
+		EXPECT_EQ(CONF_REJECTED,
+		    conf_offer(c, &o, STR_LIT("platform"), &err));
+		g_clear_error(&err);
+		sync_pack_add(pack, conf_get(c, STR_LIT("service/s1")));
+		sync_pack_send(&s, pack, STR_LIT("p1"));
+		EXPECT_EQ((std::vector<size_t>{1}), sent);
+		char *text = json_dumps(spec, JSON_COMPACT | JSON_ENCODE_ANY);
+		m.spec = str_c(text);
+		restored = sync_decode_spec(&m);
+		EXPECT_TRUE(json_equal(spec, restored)) << text;
+		json_decref(restored);
+		free(text);
+		sync_pack_free(pack);
+		conf_free(c);
+		json_decref(spec);
+	}
+}
+
 /*
  * A large object is sent compressed.  The receiver restores it, and ignores it
  * when it is sent again.
--- a/sync_pack.c
+++ b/sync_pack.c
@@ -44,11 +44,14 @@
 	g_free(p);
 }
 
-/* Deflates large texts, as the links between boxes may be slow. */
+/*
+ * Deflates large texts, as the links between boxes may be slow.  A spec that is
+ * rejected need not be a table.
+ */
 static void
 encode_spec(struct msg_object *o, const json_t *spec)
 {
-	char *text = json_dumps(spec, JSON_COMPACT);
+	char *text = json_dumps(spec, JSON_COMPACT | JSON_ENCODE_ANY);
 	size_t size = strlen(text);
 	struct str deflated = {0};
 
@@ -145,12 +148,12 @@
 {
 	struct str text;
 	json_t *spec;
+	const size_t flags = JSON_ALLOW_NUL | JSON_DECODE_ANY;
 
 	if (o->size == 0)
-		return json_loadb(o->spec.p, o->spec.n, JSON_ALLOW_NUL, NULL);
+		return json_loadb(o->spec.p, o->spec.n, flags, NULL);
 	text = zip_inflate(o->spec, o->size);
-	spec =
-	    json_loadb(text.n > 0 ? text.p : "", text.n, JSON_ALLOW_NUL, NULL);
+	spec = json_loadb(text.n > 0 ? text.p : "", text.n, flags, NULL);
 	str_free(&text);
 	return spec;
 }
