A box whose log has lost its reader ends

A box did not end after SIGTERM and used a whole core. Cause: slog_close() repeats a write for as long as poll() says that the pipe is ready, which it says of one without a reader. It gives up then. Evidence: Log.ABoxWhoseLogHasNoReaderEnds failed before (20 s) and passes.

--- a/regress/test_crowd.cpp
+++ b/regress/test_crowd.cpp
@@ -16,6 +16,7 @@
  * is answered, beside the crowd and after it.
  */
 #include <atomic>
+#include <csignal>
 #include <cstring>
 #include <gtest/gtest.h>
 #include <sys/resource.h>
@@ -604,6 +605,28 @@
 	talking.join();
 }
 
+/*
+ * A box whose log had lost its reader did not end after SIGTERM, and used a
+ * whole core: its last lines could never be written.
+ */
+TEST(Log, ABoxWhoseLogHasNoReaderEnds)
+{
+	int ends[2];
+	World w;
+
+	w.box.kill9();
+	ASSERT_EQ(0, pipe2(ends, O_CLOEXEC));
+	w.box.log = "/proc/self/fd/" + std::to_string(ends[1]);
+	w.box.start();
+	close(ends[1]);
+	ASSERT_TRUE(until([&] { return w.ready(); }));
+	close(ends[0]);
+	for (int i = 0; i < 5; i++)
+		EXPECT_EQ(200, w.ordinary());
+	w.box.signal(SIGTERM);
+	EXPECT_EQ(0, w.box.wait_exit(20000));
+}
+
 namespace
 {
 
--- a/slog.c
+++ b/slog.c
@@ -286,8 +286,11 @@
 {
 	struct pollfd pfd = {STDOUT_FILENO, POLLOUT, 0};
 
+	/* Without a reader poll() says at once that a write would not block. */
 	while (ring.used > 0)
-		if (!ring_write() && poll(&pfd, 1, 100) <= 0)
+		if (!ring_write() &&
+		    (poll(&pfd, 1, 100) <= 0 ||
+			(pfd.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0))
 			return;
 }
 
