A connection that is being closed reads its end

A box answered nobody for up to 10 s beside callers over HTTP/2 that were more than held_max has room for. Cause: while connections are being closed for the pool nothing is read, and these were included, so their ends were not seen before the idle timeout of HTTP/2.

--- a/hsrv_pool.c
+++ b/hsrv_pool.c
@@ -167,7 +167,9 @@
 {
 	const struct hsrv_pool *p = t->srv->pool;
 
-	return p != NULL && p->ending > 0 && p->held > p->held_max;
+	/* One that is being closed has to read its end. */
+	return p != NULL && !t->ending && p->ending > 0 &&
+	    p->held > p->held_max;
 }
 
 void
--- a/regress/test_crowd.cpp
+++ b/regress/test_crowd.cpp
@@ -402,6 +402,25 @@
 	w.run();
 }
 
+/*
+ * Connections that were being closed waited themselves for others to be closed,
+ * and the box read nothing until the idle timeout of HTTP/2.  The crowds stay
+ * connected, so the box has to end them.
+ */
+TEST(Crowd, MoreHttp2ConnectionsThanThereIsRoomFor)
+{
+	/* That timeout of h2o, less what an answer takes on a busy machine. */
+	const double IDLE_MS = 10000 - 2000;
+	World w(std::string(LOW) + "held_max = 450000\n");
+
+	w.add(60, {h2::preface(), h2::frame(h2::PING, 0, 0, "12345678"), 8000});
+	w.crowd.talk();
+	double asked = now_ms();
+	EXPECT_EQ(200, w.ordinary());
+	EXPECT_LT(now_ms() - asked, IDLE_MS);
+	w.run();
+}
+
 TEST(Crowd, Http2HeadsWithoutEnd)
 {
 	World w;
