--- a/regress/test_crowd.cpp
+++ b/regress/test_crowd.cpp
@@ -44,7 +44,6 @@
 
 struct World : box::World {
 	Crowd crowd;
-	pid_t first_pid;
 	size_t callers = 0;
 
 	explicit World(
@@ -59,7 +58,6 @@
 		configure("till");
 		EXPECT_TRUE(until([&] { return ready(); }));
 		EXPECT_TRUE(until([&] { return ordinary() == 200; }));
-		first_pid = box.pid;
 	}
 
 	/* The status of one request by a new connection; 0: none. */
