A box that ends at its start says in its log which setting it was

The message went to standard error alone and named neither the key nor what was found; an empty file and a folder in the place of the file both read "[gate]: is missing".

Change: messages of malformed files quote the line found, empty files and folders are named, and the reason is a log line of part daemon too.

--- a/daemon.c
+++ b/daemon.c
@@ -31,7 +31,7 @@
 
 static bool
 parse_args(int, char **, const struct daemon_ops *, struct args *, int *);
-static int print_error(const char *, GError *);
+static int report_error(const char *, GError *);
 
 static void
 usage(const char *program, const char *about, void **table)
@@ -86,16 +86,21 @@
 	return run;
 }
 
-/* Prints and frees an error, if there is one; returns the exit status. */
+/*
+ * Prints and logs an error, if there is one, and frees it; returns the exit
+ * status.
+ */
 static int
-print_error(const char *program, GError *err)
+report_error(const char *program, GError *err)
 {
 	int status;
 
 	if (err == NULL)
 		return 0;
-	fprintf(stderr, "%s: %s\n", program, err->message);
 	status = err_lookup((enum err_kind)err->code)->exit_code;
+	fprintf(stderr, "%s: %s\n", program, err->message);
+	slog_warn(SLOG_DAEMON, "cannot start", "program=%s status=%d why=%s",
+	    program, status, slog_quote(err->message));
 	g_error_free(err);
 	return status;
 }
@@ -118,7 +123,8 @@
 		else if (ops->open(ops->ctx, &err))
 			ops->run(ops->ctx);
 	}
+	status = report_error(ops->program, err);
 	slog_close();
 	g_free(args.settings);
-	return print_error(ops->program, err);
+	return status;
 }
--- a/doc_toml.cpp
+++ b/doc_toml.cpp
@@ -12,6 +12,8 @@
  * TOML parsing by toml++ behind a C header.  This is the only C++ file of the
  * programs; Debian has no C library for TOML.
  */
+#include <algorithm>
+#include <cerrno>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -125,6 +127,21 @@
 	return value;
 }
 
+/* Returns a line of a text, counted from 1, without the blanks around it. */
+static std::string
+line_at(std::string_view text, size_t line)
+{
+	std::string_view blanks = " \t\r";
+	size_t from = 0, to;
+
+	for (; line > 1 && from < text.size(); line--)
+		from = std::min(text.find('\n', from), text.size() - 1) + 1;
+	text = text.substr(from, text.find('\n', from) - from);
+	from = std::min(text.find_first_not_of(blanks), text.size());
+	to = text.find_last_not_of(blanks) + 1;
+	return std::string(text.substr(from, std::max(to, from) - from));
+}
+
 extern "C" struct doc *
 doc_parse(const char *text, size_t n, const char *name, GError **err)
 {
@@ -150,8 +167,11 @@
 		return doc;
 	} catch (const toml::parse_error &e) {
 		std::string reason(e.description());
-		err_set(err, ERR_SETTINGS, "%s:%d: %s", name,
-		    static_cast<int>(e.source().begin.line), reason.c_str());
+		std::string found =
+		    line_at(std::string_view(text, n), e.source().begin.line);
+		err_set(err, ERR_SETTINGS, "%s:%d: %s; found: %s", name,
+		    static_cast<int>(e.source().begin.line), reason.c_str(),
+		    found.c_str());
 		return nullptr;
 	} catch (const std::exception &e) {
 		err_set(err, ERR_SETTINGS, "%s: %s", name, e.what());
@@ -165,6 +185,10 @@
 	std::ifstream in(file, std::ios::binary);
 	std::ostringstream text;
 
+	if (in && g_file_test(file, G_FILE_TEST_IS_DIR)) {
+		in.setstate(std::ios::failbit);
+		errno = EISDIR;
+	}
 	if (!in) {
 		err_set(err, ERR_SETTINGS, "%s: cannot be read: %s", file,
 		    g_strerror(errno));
--- a/set.c
+++ b/set.c
@@ -25,8 +25,11 @@
 	values =
 	    section == NULL ? doc->root : json_object_get(doc->root, section);
 	if (values == NULL)
-		ok = err_set(
-		    err, ERR_SETTINGS, "%s: [%s]: is missing", file, section);
+		ok = err_set(err, ERR_SETTINGS, "%s: [%s]: is missing%s", file,
+		    section,
+		    json_object_size(doc->root) == 0
+			? "; the file has no settings"
+			: "");
 	else
 		ok = field_read(
 		    fields, n, values, doc, file, ERR_SETTINGS, out, err);
--- a/slog.c
+++ b/slog.c
@@ -49,6 +49,7 @@
     [SLOG_PROBE] = "probe",
     [SLOG_WATCH] = "watch",
     [SLOG_AGENT] = "agent",
+    [SLOG_DAEMON] = "daemon",
     [SLOG_STANDIN] = "standin",
 };
 
