The dead do not come back to life because two survivors talk

What callers saw: the strong boxes of all halls are killed, the weak ones run on. Nothing is served for 8 to 30 s, and in two halls with one weak box each a second with refusals comes every 9 s for ever.

Cause: a death that a box finds while it hears of nobody is uncertain, and the next message from any box took all uncertain deaths back. Survivors hear of each other more seldom than the 3 s after which a silent box is dead: the dead were the only hubs again and again. Requests that were open at that message were forgotten, which delayed deaths further.

Change: with the first message after a silence the silent boxes are asked again and stay dead until they answer; a second request without a reply, or another box's report, makes the death certain. A box that knows a silent hub asks the others too, so that several deaths are found together; dead hubs do not count as silent ones.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	regress/test_report regress/test_rollout regress/test_customer \
 	regress/test_unattended regress/test_observe \
 	regress/test_restore regress/test_restore_own regress/test_cutoff regress/test_lastvalid \
-	regress/test_upload regress/test_stops regress/test_leaving regress/test_endless regress/test_broken regress/test_entries regress/test_crowd regress/test_deploy
+	regress/test_upload regress/test_stops regress/test_leaving regress/test_endless regress/test_broken regress/test_entries regress/test_crowd regress/test_deploy regress/test_survivors
 TESTS = $(UNIT_TESTS) $(FLEET_TESTS)
 BENCHES = regress/bench_load regress/bench_pick regress/bench_gate regress/bench_tail \
 	regress/bench_capacity regress/soak regress/soak_box regress/soak_idle regress/soak_stops regress/demo
--- a/gossip.c
+++ b/gossip.c
@@ -95,6 +95,7 @@
 	/* Incarnation of the own state that was announced; 0: none. */
 	uint64_t announced;
 	int64_t announce_at; /* the next batch; 0: sent to all */
+	int64_t recheck_at; /* the next batch of rechecks; 0: none are due */
 };
 
 struct gossip *
@@ -435,8 +436,7 @@
 		request_random(g, MEMB_OWN_HALL_LEAF);
 	if (is_hub || !sent_to_hub)
 		request_random(g, MEMB_OTHER_HALL_HUB);
-	else
-		g->fallback_at = now + REPLY_WAIT_NS;
+	g->fallback_at = now + REPLY_WAIT_NS;
 	if (is_hub)
 		contact_lost(g);
 	contact_seed(g);
@@ -477,38 +477,57 @@
 	g->round_at = g->turn_at = clk_ns(g->clk);
 }
 
+/* Returns whether a request was sent to a box without an unanswered one. */
+static bool
+request_responsive(struct gossip *g, enum memb_target target)
+{
+	const struct memb_member *m =
+	    memb_pick_responsive(g->memb, g->rnd, target);
+
+	if (m != NULL)
+		send_request(g, m);
+	return m != NULL;
+}
+
 /*
  * Sends requests to hubs of other halls, a few at a time until one replies, if
- * a hub of our hall does not reply.  Frozen hubs relay nothing, and are
- * declared dead only after three seconds: without this, changes of the
+ * a hub does not reply or our hall has none.  Frozen hubs relay nothing, and
+ * are declared dead only after three seconds: without this, changes of the
  * configuration reached the leaves of a hall with frozen hubs 2.7 s after they
- * were acknowledged, instead of within two seconds.
+ * were acknowledged, instead of within two seconds.  The other hubs of our hall
+ * are asked as well: several that died at once are found at about the same
+ * time.
  */
 static void
 run_fallback(struct gossip *g, int64_t now)
 {
-	const struct memb_member *m;
+	bool sent;
 	unsigned i;
 
 	g->fallback_at = 0;
-	if (!gossip_has_unresponsive_peer(g))
+	if (!memb_has_silent_hub(g->memb, now - REPLY_WAIT_NS) &&
+	    count_other_hubs(g) > 0)
 		return;
-	for (i = 0; i < FALLBACK_REQUESTS; i++) {
-		m = memb_pick_responsive(g->memb, g->rnd, MEMB_OTHER_HALL_HUB);
-		if (m == NULL)
-			return;
-		send_request(g, m);
+	sent = request_responsive(g, MEMB_OWN_HALL_HUB);
+	for (i = 0; i < FALLBACK_REQUESTS; i++)
+		sent = request_responsive(g, MEMB_OTHER_HALL_HUB) || sent;
+	if (sent)
 		g->fallback_at = now + REPLY_WAIT_NS;
-	}
 }
 
-/* Ends the fallback to other halls if a box of one of them has replied. */
+/*
+ * Ends the fallback if a box of another hall has replied, or if no other hall
+ * has hubs.
+ */
 static void
 end_fallback(struct gossip *g, struct str box)
 {
 	const struct memb_member *m = memb_find(g->memb, box);
 
-	if (m != NULL && !str_eq(m->info.hall, own_hall(g)))
+	if (m == NULL)
+		return;
+	if (!str_eq(m->info.hall, own_hall(g)) ||
+	    memb_count_hubs(g->memb) == count_other_hubs(g) + self_is_hub(g))
 		g->fallback_at = 0;
 }
 
@@ -736,6 +755,22 @@
 	return self_is_hub(g) && gossip_knows_relative_power(g);
 }
 
+/*
+ * Asks boxes again that are dead here, but perhaps only as this box was cut
+ * off.
+ */
+static void
+send_rechecks(struct gossip *g, int64_t now)
+{
+	const struct memb_member *members[ANNOUNCE_BATCH];
+	size_t n = memb_take_rechecks(g->memb, members, ANNOUNCE_BATCH), i;
+
+	for (i = 0; i < n; i++)
+		send_announcement(
+		    g, members[i]->info.inbox, members[i]->info.box, true);
+	g->recheck_at = n == ANNOUNCE_BATCH ? now + ANNOUNCE_GAP_NS : 0;
+}
+
 /* Announcements of a changed state. */
 
 struct announce_targets {
@@ -938,13 +973,15 @@
 		run_fallback(g, now);
 	if (g->contacted_at != 0 && now >= g->contacted_at + REPLY_WAIT_NS)
 		contact_more(g);
+	if (now >= g->recheck_at)
+		send_rechecks(g, now);
 	g->settled = g->settled || now >= g->settle_at;
 	if (g->list_at != 0 && now >= g->list_at)
 		start_list(g);
 	if (g->announce_at != 0 && now >= g->announce_at)
 		send_announcements(g, now, ANNOUNCE_BATCH);
 	next = earlier(earlier(g->round_at, g->list_at), g->announce_at);
-	next = earlier(next, g->fallback_at);
+	next = earlier(earlier(next, g->fallback_at), g->recheck_at);
 	if (g->contacted_at != 0)
 		next = MIN(next, g->contacted_at + REPLY_WAIT_NS);
 	if (g->awaiting_hub_since != 0 && !gossip_is_unattended(g))
--- a/memb.c
+++ b/memb.c
@@ -32,6 +32,7 @@
 	GPtrArray *halls; /* struct hall * */
 	int64_t last_contact; /* monotonic ns of the last message of any box */
 	bool hubs_stale; /* the hubs have to be computed again */
+	bool has_rechecks; /* some members may have `to_recheck` set */
 };
 
 static struct memb_member *find_member(const struct memb *, struct str);
@@ -421,7 +422,14 @@
 static int
 severity(const struct memb_info *info)
 {
-	return info->dead ? 2 : info->leaving ? 1 : 0;
+	return info->dead ? 3 : info->leaving ? 1 : 0;
+}
+
+/* The report of another box confirms a death that was uncertain here. */
+static int
+known_severity(const struct memb_member *m)
+{
+	return m->death_uncertain ? 2 : severity(&m->info);
 }
 
 /*
@@ -467,14 +475,14 @@
 		(info->started_ms == m->info.started_ms &&
 		    (info->incarnation < m->info.incarnation ||
 			(info->incarnation == m->info.incarnation &&
-			    severity(info) <= severity(&m->info))))))
+			    severity(info) <= known_severity(m))))))
 		return false;
 	/* A restarted box has not received our state. */
 	if (info->started_ms != m->info.started_ms)
 		m->sent_incarnation = 0;
 	memb_info_clear(&m->info);
 	memb_info_copy(&m->info, info);
-	m->found_dead_here = m->death_uncertain = false;
+	m->found_dead_here = m->death_uncertain = m->to_recheck = false;
 	m->was_alive = m->was_alive || (!info->leaving && !info->dead);
 	m->last_update = now;
 	m->unanswered_since = 0;
@@ -488,8 +496,10 @@
 {
 	struct memb_member *m = find_member(mb, box);
 
-	if (m != NULL && m->unanswered_since == 0 && m->last_update != 0)
-		m->unanswered_since = now;
+	if (m == NULL || m->unanswered_since != 0 || m->last_update == 0)
+		return;
+	m->unanswered_since = now;
+	m->asked_in_isolation = false;
 }
 
 static void
@@ -499,21 +509,10 @@
 	mb->hubs_stale = true;
 }
 
-static void
-cancel_requests(struct memb *mb)
-{
-	struct memb_member *m;
-	guint i;
-
-	for (i = 0; i < mb->members->len; i++) {
-		m = g_ptr_array_index(mb->members, i);
-		m->unanswered_since = 0;
-	}
-}
-
 /*
- * Revokes the uncertain deaths with the first message after a time without any
- * message.
+ * With the first message after a time without any, the boxes that did not reply
+ * meanwhile are to be asked again.  Those that are dead are not taken for alive
+ * before they reply: few boxes may be left, which hear of each other seldom.
  */
 static void
 end_isolation(struct memb *mb)
@@ -521,11 +520,11 @@
 	struct memb_member *m;
 	guint i;
 
-	cancel_requests(mb);
 	for (i = 0; i < mb->members->len; i++) {
 		m = g_ptr_array_index(mb->members, i);
-		if (m->death_uncertain)
-			mark_alive(mb, m);
+		m->asked_in_isolation = m->unanswered_since != 0;
+		m->to_recheck = m->death_uncertain || m->asked_in_isolation;
+		mb->has_rechecks = mb->has_rechecks || m->to_recheck;
 	}
 }
 
@@ -540,10 +539,31 @@
 	if (m == NULL)
 		return;
 	m->unanswered_since = 0;
+	m->to_recheck = false;
 	if (m->info.dead && m->found_dead_here)
 		mark_alive(mb, m);
 }
 
+size_t
+memb_take_rechecks(struct memb *mb, const struct memb_member **out, size_t max)
+{
+	struct memb_member *m;
+	size_t n = 0;
+	guint i;
+
+	if (!mb->has_rechecks)
+		return 0;
+	for (i = 0; i < mb->members->len && n < max; i++) {
+		m = g_ptr_array_index(mb->members, i);
+		if (!m->to_recheck)
+			continue;
+		m->to_recheck = false;
+		out[n++] = m;
+	}
+	mb->has_rechecks = n == max;
+	return n;
+}
+
 int64_t
 memb_oldest_unanswered(const struct memb *mb)
 {
@@ -560,6 +580,22 @@
 	return since;
 }
 
+bool
+memb_has_silent_hub(struct memb *mb, int64_t since)
+{
+	const struct memb_member *m;
+	guint i;
+
+	refresh_hubs(mb);
+	for (i = 0; i < mb->members->len; i++) {
+		m = g_ptr_array_index(mb->members, i);
+		if (m->hub_rank >= 0 && m->unanswered_since != 0 &&
+		    m->unanswered_since <= since)
+			return true;
+	}
+	return false;
+}
+
 void
 memb_self_sent(struct memb *mb, struct str box)
 {
@@ -694,21 +730,27 @@
 	mb->hubs_stale = true;
 }
 
+/* A death that is uncertain becomes certain by another unanswered request. */
 static bool
 has_timed_out(const struct memb_member *m, int64_t now)
 {
 	return m->unanswered_since != 0 &&
-	    now - m->unanswered_since > MEMB_REPLY_TIMEOUT_NS && !m->info.dead;
+	    now - m->unanswered_since > MEMB_REPLY_TIMEOUT_NS &&
+	    (!m->info.dead || m->death_uncertain);
 }
 
 static void
 mark_dead(struct memb *mb, struct memb_member *m, int64_t now)
 {
+	if (!m->info.dead)
+		m->last_update = now;
 	m->found_dead_here = true;
-	m->death_uncertain = mb->last_contact <= m->unanswered_since;
+	m->death_uncertain =
+	    m->asked_in_isolation || mb->last_contact <= m->unanswered_since;
 	m->info.dead = true;
 	m->unanswered_since = 0;
-	m->last_update = now;
+	m->to_recheck = m->asked_in_isolation;
+	mb->has_rechecks = mb->has_rechecks || m->to_recheck;
 	m->sends_left = is_unreported_death(mb, m) ? 0 : relay_count(mb);
 	mb->hubs_stale = true;
 }
@@ -740,8 +782,8 @@
 	for (i = mb->members->len; i-- > 0;) {
 		m = g_ptr_array_index(mb->members, i);
 		if (has_timed_out(m, now)) {
+			changed = changed || !m->info.dead;
 			mark_dead(mb, m, now);
-			changed = true;
 		}
 		changed = update_absence(mb, m, now) || changed;
 		if (!m->listed && (m->info.dead || m->info.leaving) &&
@@ -757,9 +799,9 @@
 	struct memb_member *m;
 	guint i;
 
-	cancel_requests(mb);
 	for (i = 0; i < mb->members->len; i++) {
 		m = g_ptr_array_index(mb->members, i);
+		m->unanswered_since = 0;
 		if (!m->lost)
 			m->absent_since = 0;
 	}
@@ -1010,7 +1052,8 @@
 
 	if (len == 0 || n == 0)
 		return 0;
-	if (recipient != NULL && recipient->info.dead)
+	if (recipient != NULL && recipient->info.dead &&
+	    !recipient->death_uncertain)
 		out[count++] = recipient;
 	start = (guint)rnd_below(rnd, len);
 	for (i = 0; i < len && count < n; i++) {
--- a/memb.h
+++ b/memb.h
@@ -99,6 +99,9 @@
 	bool lost; /* for MEMB_LOSS_TIMEOUT_NS */
 	bool found_dead_here; /* dead, and this box detected it */
 	bool death_uncertain; /* and this box received no messages meanwhile */
+	/* This box received no messages when it sent the unanswered request. */
+	bool asked_in_isolation;
+	bool to_recheck; /* it is to be asked again, see memb_tick() */
 	int hub_rank; /* position among the hubs of its hall; -1: not a hub */
 };
 
@@ -134,12 +137,22 @@
  */
 void memb_message_received(struct memb *, struct str box, int64_t now);
 
+/*
+ * Stores up to max boxes that are to be asked again now, see memb_tick(), and
+ * returns their number.  Each is returned once.
+ */
+size_t
+memb_take_rechecks(struct memb *, const struct memb_member **, size_t max);
+
 /*
  * Returns when the oldest unanswered request to a box of our hall was sent, in
  * monotonic ns, or 0 if there is none.
  */
 int64_t memb_oldest_unanswered(const struct memb *);
 
+/* Returns whether a live hub has not replied to a request sent by `since`. */
+bool memb_has_silent_hub(struct memb *, int64_t since);
+
 /* Records that our own state was sent to a box. */
 void memb_self_sent(struct memb *, struct str box);
 
@@ -177,10 +190,13 @@
  * Returns whether any box was declared dead or lost.
  *
  * If no message at all has been received since the request, this box itself
- * may be cut off: such deaths are not reported to others, and are revoked with
- * the next message from any box.  A death in another hall is not reported
- * either: the boxes of that hall know better, and a hall that was cut off would
- * otherwise report all others dead when its connection is restored.
+ * may be cut off: such deaths are uncertain.  They are not reported to others,
+ * and with the next message from any box the silent ones are to be asked again,
+ * see memb_take_rechecks().  A death becomes certain when a later request gets
+ * no reply while other boxes' messages come, or when another box reports it.  A
+ * death in another hall is not reported either: the boxes of that hall know
+ * better, and a hall that was cut off would otherwise report all others dead
+ * when its connection is restored.
  */
 bool memb_tick(struct memb *, int64_t now);
 
@@ -292,7 +308,7 @@
 
 /*
  * Stores up to n members to relay to a box and returns their number.  First
- * comes the box's own entry if it is held dead here, so that it can refute
+ * comes the box's own entry if it is certainly dead here, so that it can refute
  * that, then updates that remain to be relayed, and if there are none of either
  * a random member.  Only members that the box must know are stored.
  */
--- a/regress/test_gossip.cpp
+++ b/regress/test_gossip.cpp
@@ -801,6 +801,73 @@
 	}
 }
 
+/*
+ * Strong boxes die and weak ones live on, which hear of each other more seldom
+ * than a reply may take.  Each message between them took the deaths back: the
+ * dead were hubs again, and nothing was served until they were found dead anew.
+ */
+TEST(Gossip, TheDeadStayDeadWhenTheWeakBoxesThatAreLeftHearOfEachOther)
+{
+	const struct {
+		int boxes, halls;
+	} fleets[] = {{4, 1}, {5, 1}, {8, 2}, {18, 3}, {36, 3}};
+
+	for (auto &fleet : fleets)
+		for (uint64_t seed = 1; seed <= 10; seed++) {
+			auto f = settled_fleet(fleet.boxes, fleet.halls, seed);
+			int returned = 0;
+
+			for (auto &b : f->boxes)
+				if (b->strong)
+					f->stop(*b);
+			for (auto &b : f->boxes)
+				if (b->running)
+					f->suspect_owners(*b);
+			f->run_for(10 * NS_S);
+			for (int s = 0; s < 50; s++) {
+				returned += wrong_hubs(*f);
+				f->run_for(NS_S);
+			}
+			EXPECT_EQ(0, returned) << fleet.boxes << " " << seed;
+			for (auto &hall : f->halls)
+				EXPECT_EQ(1,
+				    share_with_hubs(*f, hall,
+					std::min<int>(MEMB_HUBS_MAX,
+					    fleet.boxes / fleet.halls - 3)))
+				    << fleet.boxes << " " << seed;
+		}
+}
+
+/*
+ * A box that was cut off from all others asks them anew when it hears of one,
+ * and knows them again at once.
+ */
+TEST(Gossip, ABoxThatWasCutOffKnowsTheOthersAgainAtOnce)
+{
+	for (uint64_t seed = 1; seed <= 10; seed++) {
+		auto f = settled_fleet(36, 3, seed);
+		Box &hub = *f->boxes[0], &leaf = *f->boxes[35];
+
+		ASSERT_TRUE(hub.strong && !leaf.strong);
+		hub.isolated = true;
+		f->run_for(20 * NS_S);
+		for (auto &b : f->boxes)
+			EXPECT_FALSE(b->strong && b.get() != &hub &&
+			    memb_is_hub(hub.memb, view(b->name)))
+			    << b->name;
+		hub.isolated = false;
+		f->run_for(3 * NS_S);
+		EXPECT_EQ(1, f->agreement()) << seed;
+		EXPECT_LE(18u, memb_count_alive(hub.memb)) << seed;
+		leaf.isolated = true;
+		f->run_for(20 * NS_S);
+		EXPECT_FALSE(memb_is_hub(leaf.memb, view(hub.name)));
+		leaf.isolated = false;
+		f->run_for(3 * NS_S);
+		EXPECT_EQ(1, f->agreement()) << seed;
+	}
+}
+
 /* Strong boxes that were only frozen are hubs again at once. */
 TEST(Gossip, StrongBoxesThatReturnAreTheHubsAgain)
 {
--- /dev/null
+++ b/regress/test_survivors.cpp
@@ -0,0 +1,136 @@
+/*
+ * Copyright (c) 2026 the fernjunction authors
+ *
+ * Permission to use, copy, modify, and distribute this software for any
+ * purpose with or without fee is hereby granted, provided that the above
+ * copyright notice and this permission notice appear in all copies.
+ *
+ * THE SOFTWARE IS PROVIDED "AS IS" AND THE AUTHOR DISCLAIMS ALL WARRANTIES
+ * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
+ */
+#include <gtest/gtest.h>
+#include <numeric>
+
+#include "box.h"
+
+/* Tests of weak boxes that live on while the strong ones of their hall die. */
+
+namespace
+{
+
+const char *const as_deployed =
+    "boxes_ms = 15000\ngather_ms = 600\nlook_ms = 1250\nlist_ms = 3600000\n"
+    "status_ms = 3600000\nstatus_by = \"hubs\"\n";
+
+const char *const hall_names[] = {"north", "south", "east"};
+
+/* Halls with strong and weak boxes, with one box each per port range. */
+struct Halls : box::World {
+	std::vector<std::unique_ptr<box::Further>> strong, weak;
+
+	Halls(int halls, int strong_each, int weak_each)
+	    : World(true, "", "",
+		  std::string(as_deployed) +
+		      "power = " + (strong_each > 0 ? "0.5\n" : "0.1\n"))
+	{
+		int digit = 10;
+
+		if (halls > 1)
+			enter(1, "ready", "south");
+		for (int hall = 0; hall < halls; hall++) {
+			for (int i = hall == 0; i < strong_each; i++)
+				add(strong, "s", hall, digit++, "0.5");
+			for (int i = 0; i < weak_each; i++)
+				add(weak, "w", hall, digit++, "0.1");
+		}
+		EXPECT_TRUE(until([&] { return ready() && all_serve(); }));
+		EXPECT_TRUE(until([&] {
+			return knows(
+			    1 + static_cast<int>(strong.size() + weak.size()));
+		}));
+	}
+
+	void add(std::vector<std::unique_ptr<box::Further>> &to,
+	    const std::string &kind, int hall, int digit,
+	    const std::string &power)
+	{
+		to.push_back(std::make_unique<box::Further>(*this,
+		    kind + std::to_string(digit), hall_names[hall],
+		    std::to_string(digit),
+		    std::string(as_deployed) + "power = " + power + "\n"));
+		to.back()->box.start();
+	}
+
+	bool all_serve() const
+	{
+		for (auto &b : weak)
+			if (!b->serves())
+				return false;
+		return true;
+	}
+
+	void kill_strong()
+	{
+		box.kill9();
+		for (auto &b : strong)
+			b->box.kill9();
+	}
+
+	/*
+	 * Asks each weak box in turn, and returns for each second how many of
+	 * the requests were not served.
+	 */
+	std::vector<int> refused_by_second(int seconds)
+	{
+		std::vector<int> refused(static_cast<size_t>(seconds));
+		double start = now_ms();
+
+		for (double t = 0; t < seconds * 1000; t = now_ms() - start) {
+			for (auto &b : weak)
+				refused[static_cast<size_t>(t / 1000)] +=
+				    !b->serves();
+			pump(20);
+		}
+		return refused;
+	}
+};
+
+/* Time after which all requests are served again, in s. */
+const int recover_s = 10;
+
+void
+expect_recovery(int halls, int strong_each, int weak_each)
+{
+	Halls w(halls, strong_each, weak_each);
+
+	w.kill_strong();
+	std::vector<int> refused = w.refused_by_second(35);
+	std::string series;
+	for (int n : refused)
+		series += " " + std::to_string(n);
+	std::printf("not served by second:%s\n", series.c_str());
+	EXPECT_EQ(
+	    0, std::accumulate(refused.begin() + recover_s, refused.end(), 0));
+}
+
+} // namespace
+
+/*
+ * Two weak boxes live on.  Each message between them took back the deaths of
+ * the others, which were the only hubs again: nothing was served for 30 s.
+ */
+TEST(Survivors, TwoWeakBoxesOfOneHallServe)
+{
+	expect_recovery(1, 2, 2);
+}
+
+/* The same; every 9 s, a third to two thirds of a second were refused. */
+TEST(Survivors, OneWeakBoxOfEachHallServes)
+{
+	expect_recovery(2, 2, 1);
+}
+
+TEST(Survivors, TheWeakBoxesOfThreeHallsServe)
+{
+	expect_recovery(3, 1, 2);
+}
