Weak boxes do not wait for strong ones whose process has ended

What callers saw: the strong boxes of a hall are killed, and for 8 to 9 s the weak ones refuse, though servers, store and links work.

Cause: a silent box is dead after 3 s, and its power counts for 5 s more. These leave strong boxes time to restart, and a box that is cut off itself time to hear of others. Where the host of the dead box refuses connections the network works and the process has been away for 3 s.

Change: a box connects to the inboxes of dead strong boxes (agent_reach.c); one that is refused is lost at once. Hosts that do not answer, and listed boxes that nobody has heard of since the start, have the 5 s as before. No message between boxes changes.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 	gate_early.o gate_flow.o gate_next.o gate_handover.o gate_kept.o gate_owner.o gate_open.o gate_forward.o gate_query.o gate_poison.o \
 	gate_rate.o gate_renew.o gate_req.o gate_roll.o gate_stat.o gate_try.o gate_report.o gate_report_sync.o gate_stat_shards.o gate_trace.o
 AGENT = agent_box.o agent_gate.o agent_lapse.o agent_lastvalid.o agent_look.o agent_open.o \
-	agent_peer.o agent_poison.o agent_probe.o agent_push.o agent_restore.o agent_scope.o agent_stat.o agent_watch.o
+	agent_peer.o agent_poison.o agent_probe.o agent_push.o agent_reach.o agent_restore.o agent_scope.o agent_stat.o agent_watch.o
 CTL = ctl_box.o ctl_call.o ctl_edit.o ctl_main.o ctl_show.o
 FLEET = regress/fleet.o regress/fleet_http.o regress/objects.o
 
--- a/agent_open.c
+++ b/agent_open.c
@@ -257,6 +257,7 @@
 	agent_lastvalid_open(a);
 	agent_push_open(a);
 	agent_probe_open(a);
+	agent_reach_open(a);
 	agent_watch_open(a);
 	agent_poll_open(a);
 	agent_scope_open(a);
@@ -302,6 +303,7 @@
 	}
 	a->last_tick_at = now;
 	agent_peer_tick(a, now);
+	agent_reach_tick(a, now);
 	agent_gate_tick(a, now);
 	agent_probe_tick(a, now);
 	slog_flush();
--- a/libagent.h
+++ b/libagent.h
@@ -195,6 +195,8 @@
 	/* No box that has contact with the platform answers this one. */
 	bool unattended;
 	struct spread_halls *halls; /* whose configuration differs from ours */
+	/* agent_reach.c */
+	GPtrArray *attempts; /* connections in progress */
 	/* agent_gate.c */
 	bool ready_sent; /* the gate was notified that it may serve */
 	uint64_t gate_started_ms; /* start time that the gate reported */
@@ -305,6 +307,10 @@
 struct msg agent_peer_own_announcement(const struct agent *);
 void agent_peer_announce_outage(struct agent *, bool unreachable);
 
+/* agent_reach.c: connections that show whether dead boxes have ended. */
+void agent_reach_open(struct agent *);
+void agent_reach_tick(struct agent *, int64_t now);
+
 /* agent_gate.c: messages between the agent and the gate of its box. */
 void agent_gate_send_announcement(struct agent *);
 void agent_gate_send_ready(struct agent *);
--- a/memb.c
+++ b/memb.c
@@ -793,6 +793,33 @@
 	return changed;
 }
 
+size_t
+memb_dead_strong(struct memb *mb, const struct memb_member **out, size_t max)
+{
+	const struct memb_member *m;
+	size_t n = 0;
+	guint i;
+
+	refresh_hubs(mb);
+	for (i = 0; i < mb->members->len && n < max; i++) {
+		m = g_ptr_array_index(mb->members, i);
+		if (m->info.dead && m->strong && !m->lost)
+			out[n++] = m;
+	}
+	return n;
+}
+
+bool
+memb_connection_refused(struct memb *mb, struct str box)
+{
+	struct memb_member *m = find_member(mb, box);
+
+	if (m == NULL || !m->info.dead || m->lost)
+		return false;
+	m->lost = mb->hubs_stale = true;
+	return true;
+}
+
 void
 memb_cancel_requests(struct memb *mb)
 {
--- a/memb.h
+++ b/memb.h
@@ -38,7 +38,8 @@
 #define MEMB_REPLY_TIMEOUT_NS (3 * NS_S)
 /*
  * A box that has not been alive for so long counts as lost: its power no longer
- * decides which boxes of its hall are strong.
+ * decides which boxes of its hall are strong.  This leaves strong boxes time to
+ * restart, and this box time to hear of others again if it was cut off itself.
  */
 #define MEMB_LOSS_TIMEOUT_NS (5 * NS_S)
 /* How long a dead or departed box is kept that the platform does not list. */
@@ -96,7 +97,8 @@
 	bool was_alive; /* this box has known it alive */
 	/* Since when it is dead, leaving or only listed; 0: it is alive. */
 	int64_t absent_since;
-	bool lost; /* for MEMB_LOSS_TIMEOUT_NS */
+	/* For MEMB_LOSS_TIMEOUT_NS, or dead and refusing connections. */
+	bool lost;
 	bool found_dead_here; /* dead, and this box detected it */
 	bool death_uncertain; /* and this box received no messages meanwhile */
 	/* This box received no messages when it sent the unanswered request. */
@@ -200,6 +202,19 @@
  */
 bool memb_tick(struct memb *, int64_t now);
 
+/*
+ * Stores up to max strong boxes that are dead and not lost yet, and returns
+ * their number.
+ */
+size_t memb_dead_strong(struct memb *, const struct memb_member **, size_t max);
+
+/*
+ * Records that the host of a dead box refused a connection to its inbox: its
+ * process has ended, and it counts as lost at once.  Returns whether it does
+ * from now on.
+ */
+bool memb_connection_refused(struct memb *, struct str box);
+
 /*
  * Forgets all unanswered requests and the absences that are no losses yet.  For
  * use after this process was paused, when missing replies say nothing about
--- a/regress/test_survivors.cpp
+++ b/regress/test_survivors.cpp
@@ -69,6 +69,13 @@
 		return true;
 	}
 
+	void start_strong()
+	{
+		box.start();
+		for (auto &b : strong)
+			b->box.start();
+	}
+
 	void kill_strong()
 	{
 		box.kill9();
@@ -95,24 +102,34 @@
 	}
 };
 
-/* Time after which all requests are served again, in s. */
-const int recover_s = 10;
+/*
+ * Time after a loss of the strong boxes, or after their return, from which all
+ * requests are served, in s.
+ */
+const int recover_s = 6;
 
 void
-expect_recovery(int halls, int strong_each, int weak_each)
+expect_served(Halls &w, int seconds)
 {
-	Halls w(halls, strong_each, weak_each);
-
-	w.kill_strong();
-	std::vector<int> refused = w.refused_by_second(35);
+	std::vector<int> refused = w.refused_by_second(seconds);
 	std::string series;
+
 	for (int n : refused)
 		series += " " + std::to_string(n);
-	std::printf("not served by second:%s\n", series.c_str());
+	std::printf("not served, by second:%s\n", series.c_str());
 	EXPECT_EQ(
 	    0, std::accumulate(refused.begin() + recover_s, refused.end(), 0));
 }
 
+void
+expect_recovery(int halls, int strong_each, int weak_each)
+{
+	Halls w(halls, strong_each, weak_each);
+
+	w.kill_strong();
+	expect_served(w, 25);
+}
+
 } // namespace
 
 /*
@@ -134,3 +151,27 @@
 {
 	expect_recovery(3, 1, 2);
 }
+
+/* They come back one second, or a few, after the weak ones have taken over. */
+TEST(Survivors, TheStrongBoxesTakeOverAgain)
+{
+	Halls w(2, 2, 2);
+
+	for (int ms : {1000, 3500, 6000}) {
+		w.kill_strong();
+		pump(ms);
+		w.start_strong();
+		expect_served(w, 8);
+	}
+}
+
+/* One of them is replaced at the same time, and knows only who is listed. */
+TEST(Survivors, AWeakBoxThatIsReplacedServes)
+{
+	Halls w(2, 2, 1);
+
+	w.kill_strong();
+	w.weak.pop_back();
+	w.add(w.weak, "n", 1, 30, "0.1");
+	expect_served(w, 25);
+}
--- a/regress/test_units.cpp
+++ b/regress/test_units.cpp
@@ -587,6 +587,35 @@
 	EXPECT_EQ(0u, memb_count_hubs(v.mb));
 }
 
+/* Weak boxes waited for 5 s, though the process was known to have ended. */
+TEST(Memb, ADeadBoxThatRefusesConnectionsIsLostAtOnce)
+{
+	static const std::vector<std::string> halls = {"north"};
+	const struct memb_member *out[4];
+	Membership v(halls, 3);
+
+	v.infos[1].power = 500;
+	v.receive_announcements();
+	EXPECT_FALSE(memb_is_strong(v.mb));
+	/* It only does not listen yet, or not any more. */
+	EXPECT_FALSE(memb_connection_refused(v.mb, v.infos[1].box));
+	EXPECT_EQ(0u, memb_dead_strong(v.mb, out, 4));
+	v.infos[1].dead = true;
+	v.receive_announcements();
+	EXPECT_EQ(1u, memb_dead_strong(v.mb, out, 4));
+	EXPECT_FALSE(memb_is_strong(v.mb));
+	EXPECT_TRUE(memb_connection_refused(v.mb, out[0]->info.box));
+	EXPECT_TRUE(memb_is_strong(v.mb));
+	EXPECT_EQ(2u, memb_count_hubs(v.mb));
+	EXPECT_EQ(0u, memb_dead_strong(v.mb, out, 4));
+	EXPECT_FALSE(memb_connection_refused(v.mb, v.infos[1].box));
+	/* It counts again with its first message. */
+	v.infos[1].dead = false;
+	v.infos[1].incarnation++;
+	v.receive_announcements();
+	EXPECT_FALSE(memb_is_strong(v.mb));
+}
+
 TEST(Memb, OnlyStrongBoxesThatLeaveAreOfUseWhereNoHubLives)
 {
 	static const std::vector<std::string> halls = {"north"};
--- a/up.c
+++ b/up.c
@@ -55,8 +55,8 @@
 	g_hash_table_destroy(up->pools);
 }
 
-static bool
-parse_address(struct str address, struct sockaddr_storage *sa)
+bool
+up_parse_address(struct str address, struct sockaddr_storage *sa)
 {
 	char ip[INET6_ADDRSTRLEN];
 	uint16_t port = 0;
@@ -80,7 +80,7 @@
 	}
 	pool = g_new0(struct up_pool, 1);
 	pool->up = up;
-	if (!parse_address(address, &pool->sa))
+	if (!up_parse_address(address, &pool->sa))
 		g_error("up: invalid address: %s", key);
 	g_queue_init(&pool->idle_conns);
 	g_hash_table_insert(up->pools, key, pool);
--- a/up.h
+++ b/up.h
@@ -64,6 +64,9 @@
 /* Closes the idle connections. */
 void up_close(struct up *);
 
+/* Parses "IP:PORT"; returns false if the text is malformed. */
+bool up_parse_address(struct str, struct sockaddr_storage *);
+
 /* Starts a call.  No callback but connected() is called before it returns. */
 struct up_call *
 up_start(struct up *, const struct up_request *, const struct up_ops *, void *);
