A test of a box that heard of nobody and finds the others again

Change: Survivors.ABoxThatHeardOfNobodyFindsTheOthersAgain lets all boxes but a weak one stand still until it serves alone, and then go on.

--- a/regress/box.h
+++ b/regress/box.h
@@ -73,6 +73,17 @@
 	return "version=" + std::to_string(version_make(1, revision));
 }
 
+/* Returns how many serving boxes a box counts, -1 if it does not answer. */
+inline int
+counted_boxes(const std::string &admin)
+{
+	static const std::string name = "\nfern_boxes ";
+	std::string page = http("GET", admin, "/metrics", {}, "", 500).body;
+	size_t at = page.find(name);
+
+	return at == std::string::npos ? -1 : atoi(&page[at + name.size()]);
+}
+
 /* Occupies a port of an address with another listener. */
 struct Taken {
 	std::string ip;
@@ -223,9 +234,7 @@
 	 */
 	bool knows(int boxes)
 	{
-		return http("GET", ip + ":8280", "/metrics", {}, "", 500)
-			   .body.find("\nfern_boxes " + std::to_string(boxes) +
-			       "\n") != std::string::npos;
+		return counted_boxes(ip + ":8280") == boxes;
 	}
 
 	/* Returns whether an object is in the store. */
@@ -271,13 +280,14 @@
 
 /* Another box on the same address; its ports start with `digit`. */
 struct Further {
-	std::string address, file;
+	std::string address, admin, file;
 	Process box;
 
 	Further(const World &w, const std::string &name,
 	    const std::string &hall, const std::string &digit,
 	    const std::string &agent = "", const std::string &bounds = "")
 	    : address(w.ip + ":" + digit + "080"),
+	      admin(w.ip + ":" + digit + "280"),
 	      file(w.dir + "/" + name + ".toml")
 	{
 		const char *root = getenv("FERN_ROOT");
@@ -325,6 +335,11 @@
 		    "", 2000);
 	}
 
+	int boxes() const
+	{
+		return counted_boxes(admin);
+	}
+
 	bool serves() const
 	{
 		return ask("/look/1").status == 200;
--- a/regress/test_survivors.cpp
+++ b/regress/test_survivors.cpp
@@ -175,3 +175,24 @@
 	w.add(w.weak, "n", 1, 30, "0.1");
 	expect_served(w, 25);
 }
+
+/*
+ * All others stand still for longer than the time after which they count as
+ * lost.  They are not taken for alive before they answer, and then at once.
+ */
+TEST(Survivors, ABoxThatHeardOfNobodyFindsTheOthersAgain)
+{
+	Halls w(1, 2, 2);
+	Process &other_weak = w.weak[1]->box;
+
+	for (Process *p : {&w.box, &w.strong[0]->box, &other_weak})
+		p->signal(SIGSTOP);
+	EXPECT_TRUE(until([&] { return w.weak[0]->serves(); }));
+	EXPECT_EQ(1, w.weak[0]->boxes());
+	for (Process *p : {&w.box, &w.strong[0]->box, &other_weak})
+		p->signal(SIGCONT);
+	EXPECT_TRUE(
+	    until([&] { return w.weak[0]->boxes() == 4; }, recover_s * 1000));
+	EXPECT_TRUE(until([&] { return w.knows(4); }, recover_s * 1000));
+	expect_served(w, 8);
+}
