Each watcher that the platform does not answer has a replacement

What callers saw: rules that were acknowledged are not in force for 3 s and more (404s, requests to the service that a route has left), though boxes with a path to the platform are there.

Cause: six boxes watch the platform; the next ones joined only when fewer than two of the six said that it answers them.

Change: hubs join until as many as are to watch are answered. Where all are answered nothing changes. Looks at the platform go on as before.

--- a/memb.c
+++ b/memb.c
@@ -1052,7 +1052,7 @@
 	before = count_before(mb, m, &with_platform);
 	return before < k ||
 	    (!m->info.platform_unreachable &&
-		with_platform < MEMB_WATCHERS_WITH_PLATFORM_MIN);
+		with_platform < MAX(k, MEMB_WATCHERS_WITH_PLATFORM_MIN));
 }
 
 bool
--- a/memb.h
+++ b/memb.h
@@ -310,8 +310,8 @@
 /*
  * Returns whether a box is one of the k that watch the platform for the fleet.
  * Hubs are chosen by rank: the first hubs of all halls, then the second ones,
- * and so on.  If fewer than MEMB_WATCHERS_WITH_PLATFORM_MIN of them can reach
- * the platform, the next hubs that can reach it watch as well.
+ * and so on.  If fewer than k of them, or MEMB_WATCHERS_WITH_PLATFORM_MIN, can
+ * reach the platform, the next hubs that can reach it watch as well.
  */
 bool memb_is_watcher(struct memb *, struct str box, int k);
 
