A watcher that gets no answer is replaced at once

What callers saw: as before, rules that are late where the platform is silent to those that watch.

Cause: a box noticed by a timer of a second that it has to watch, and the announcement that the platform is silent waited for the next round of gossip.

Change: the role is checked with each message and tick, and the announcement goes out at once. A box lists again one second after its last call at the earliest. Unattended boxes keep their random delay.

--- a/agent_peer.c
+++ b/agent_peer.c
@@ -161,6 +161,7 @@
 
 	check_peers_known(a);
 	check_unattended(a);
+	agent_watch_update_role(a);
 	tmr_set(&a->tmr, &a->gossip_timer, next, run_gossip, a);
 }
 
@@ -264,6 +265,7 @@
 		agent_gate_schedule_members(a);
 	}
 	agent_scope_update(a);
+	agent_watch_update_role(a);
 	agent_box_tick(a);
 }
 
@@ -274,6 +276,7 @@
 	memb_self(a->memb)->platform_unreachable = unreachable;
 	memb_self_changed(a->memb);
 	gossip_announce(a->gossip, false);
+	tmr_set(&a->tmr, &a->gossip_timer, clk_ns(a->clk), run_gossip, a);
 }
 
 /*
--- a/agent_watch.c
+++ b/agent_watch.c
@@ -255,6 +255,27 @@
 	}
 }
 
+void
+agent_watch_update_role(struct agent *a)
+{
+	bool watcher = agent_is_watcher(a);
+	struct agent_feed *f;
+	unsigned i;
+
+	if (watcher == a->was_watcher)
+		return;
+	a->was_watcher = watcher;
+	slog(SLOG_WATCH,
+	    watcher ? "watches the platform" : "watches the platform no longer",
+	    "hubs=%zu", memb_count_hubs(a->memb));
+	for (i = 0; watcher && i < a->nfeeds; i++) {
+		f = &a->feeds[i];
+		if (f->call == NULL && f->listed_revision > 0 &&
+		    clk_ns(a->clk) - f->call_started_at >= AGENT_RECHECK_NS)
+			schedule_call(f, 0);
+	}
+}
+
 void
 agent_watch_now(struct agent_feed *f)
 {
--- a/libagent.h
+++ b/libagent.h
@@ -151,6 +151,7 @@
 	bool offer_from_platform;
 	bool offer_may_be_stale; /* from a list that may be stale */
 	struct once logged; /* faults of objects */
+	bool was_watcher; /* when its role was last checked */
 	bool platform_up; /* the platform answers, as far as is known */
 	/* Monotonic ns of the end of the last outage; 0: there was none. */
 	int64_t platform_up_at;
@@ -240,6 +241,8 @@
 bool agent_watches_platform(struct agent *);
 void agent_watch_start_unattended(struct agent *);
 void agent_watch_now(struct agent_feed *);
+/* Starts lists at once if this box has become a watcher. */
+void agent_watch_update_role(struct agent *);
 struct plat_call *agent_platform_call(
     struct agent *, const struct plat_request *, plat_done_fn *, void *);
 void agent_platform_call_ended(struct agent *, enum plat_result);
--- a/regress/test_unattended.cpp
+++ b/regress/test_unattended.cpp
@@ -9,6 +9,7 @@
  * WITH REGARD TO THIS SOFTWARE.  See LICENSE for the whole text.
  */
 #include <gtest/gtest.h>
+#include <sstream>
 
 #include "box.h"
 
@@ -127,6 +128,105 @@
 	}
 };
 
+/* Three equal boxes, of which two watch, each with a proxy to the platform. */
+struct Watchers : box::World {
+	struct Path {
+		Proxy proxy;
+		Process *box;
+		std::string admin;
+	};
+	std::vector<std::unique_ptr<box::Further>> further;
+	std::vector<Path> paths;
+
+	static std::string agent_settings(const std::string &digit)
+	{
+		return as_deployed + ("admin_listen = \"@:" + digit) +
+		    "580\"\nwatch_ms = 1000\n";
+	}
+
+	Watchers() : World(true, "", "", agent_settings("8"))
+	{
+		box.kill9();
+		add_path(box, file, ip + ":8580");
+		for (const char *digit : {"6", "7"}) {
+			further.push_back(std::make_unique<box::Further>(*this,
+			    std::string("b") + digit, "north", digit,
+			    agent_settings(digit)));
+			add_path(further.back()->box, further.back()->file,
+			    ip + ":" + digit + "580");
+		}
+		for (Path &p : paths)
+			p.box->start();
+		EXPECT_TRUE(until([&] { return knows(3); }));
+		EXPECT_TRUE(until([&] { return watching().size() == 2; }));
+	}
+
+	~Watchers()
+	{
+		for (Path &p : paths) {
+			p.proxy.process.kill9();
+			unlink(p.proxy.process.log.c_str());
+		}
+	}
+
+	/* Lets a box reach the platform through a proxy of its own. */
+	void add_path(Process &process, const std::string &settings,
+	    const std::string &admin)
+	{
+		const char *root = getenv("FERN_ROOT");
+		size_t port = 9001 + 2 * paths.size();
+		Path path = {{}, &process, admin};
+		std::string text = Hall::read(settings);
+
+		path.proxy.address = ip + ":" + std::to_string(port);
+		path.proxy.control = ip + ":" + std::to_string(port + 1);
+		path.proxy.process.argv = {
+		    std::string(root ? root : ".") + "/regress/standin_proxy",
+		    path.proxy.address, ip + ":9000", path.proxy.control};
+		path.proxy.process.log = dir + "/proxy" + std::to_string(port);
+		path.proxy.process.start();
+		text = box::replaced(text, "platform = \"" + ip + ":9000\"",
+		    "platform = \"" + path.proxy.address + "\"");
+		std::ofstream(settings)
+		    << box::replaced(text, "watchers = 8", "watchers = 1");
+		paths.push_back(path);
+	}
+
+	std::vector<Path *> watching()
+	{
+		std::vector<Path *> found;
+
+		for (Path &p : paths)
+			if (http("GET", p.admin, "/metrics", {}, "", 500)
+				.body.find("\nfern_watching 1\n") !=
+			    std::string::npos)
+				found.push_back(&p);
+		return found;
+	}
+
+	/*
+	 * Returns the time of the first line of a box's log with a text that is
+	 * later than `after`, in s since 1970; 0 if there is none.
+	 */
+	static double
+	logged_at(Process &process, const std::string &text, double after)
+	{
+		std::istringstream log(process.read_log());
+		std::string line;
+
+		while (std::getline(log, line)) {
+			double at = atof(&line[line.find("time=") + 5]);
+
+			if (line.find(text) != std::string::npos && at > after)
+				return at;
+		}
+		return 0;
+	}
+};
+
+/* Time for a box to hear of a silence that another one has noticed, in s. */
+const double hear_s = 0.4;
+
 } // namespace
 
 TEST(Unattended, ARuleThatChangesWhileNoStrongBoxLivesIsInForceInTime)
@@ -200,3 +300,38 @@
 	w.weak->box.start();
 	EXPECT_TRUE(until([&] { return w.weak->serves(); }, recover_ms));
 }
+
+/*
+ * A box that had to replace a watcher without an answer of the platform began
+ * up to a second after it was told so, and rules were late.
+ */
+TEST(Unattended, AWatcherWithoutAnAnswerIsReplacedAtOnce)
+{
+	for (int round = 0; round < 4; round++) {
+		Watchers w;
+		std::vector<Watchers::Path *> silent = w.watching();
+		Process *next = nullptr;
+		double told = 0, listed = 0;
+		double start = static_cast<double>(time(nullptr));
+
+		ASSERT_EQ(2u, silent.size());
+		for (Watchers::Path &p : w.paths)
+			if (&p != silent[0] && &p != silent[1])
+				next = p.box;
+		pump(1500);
+		for (Watchers::Path *p : silent)
+			p->proxy.set("mode=freeze");
+		ASSERT_TRUE(until([&] {
+			for (Watchers::Path *p : silent)
+				if (told == 0)
+					told = w.logged_at(*p->box,
+					    "platform does not answer", start);
+			return told != 0;
+		}));
+		ASSERT_TRUE(until([&] {
+			listed = w.logged_at(*next, "msg=\"listed\"", told);
+			return listed != 0;
+		}));
+		EXPECT_GT(hear_s, listed - told);
+	}
+}
