Tests of deployed intervals share one text

Cause: a second copy of the intervals came with the tests of survivors, one condition there was always true, and a comment told the wrong moment. Change: box::as_deployed in regress/box.h; no bound or check changes.

--- a/regress/box.h
+++ b/regress/box.h
@@ -54,6 +54,11 @@
 retry_ms = 300
 )";
 
+/* Intervals of agents in deployed fleets. */
+inline const char *const as_deployed =
+    "boxes_ms = 15000\ngather_ms = 600\nlook_ms = 1250\nlist_ms = 3600000\n"
+    "status_ms = 3600000\nstatus_by = \"hubs\"\n";
+
 inline std::string
 replaced(std::string text, const std::string &what, const std::string &with)
 {
--- a/regress/test_survivors.cpp
+++ b/regress/test_survivors.cpp
@@ -18,10 +18,6 @@
 namespace
 {
 
-const char *const as_deployed =
-    "boxes_ms = 15000\ngather_ms = 600\nlook_ms = 1250\nlist_ms = 3600000\n"
-    "status_ms = 3600000\nstatus_by = \"hubs\"\n";
-
 const char *const hall_names[] = {"north", "south", "east"};
 
 /* Halls with strong and weak boxes, with one box each per port range. */
@@ -29,9 +25,8 @@
 	std::vector<std::unique_ptr<box::Further>> strong, weak;
 
 	Halls(int halls, int strong_each, int weak_each)
-	    : World(true, "", "",
-		  std::string(as_deployed) +
-		      "power = " + (strong_each > 0 ? "0.5\n" : "0.1\n"))
+	    : World(
+		  true, "", "", std::string(box::as_deployed) + "power = 0.5\n")
 	{
 		int digit = 10;
 
@@ -57,7 +52,7 @@
 		to.push_back(std::make_unique<box::Further>(*this,
 		    kind + std::to_string(digit), hall_names[hall],
 		    std::to_string(digit),
-		    std::string(as_deployed) + "power = " + power + "\n"));
+		    std::string(box::as_deployed) + "power = " + power + "\n"));
 		to.back()->box.start();
 	}
 
@@ -152,7 +147,7 @@
 	expect_recovery(3, 1, 2);
 }
 
-/* They come back one second, or a few, after the weak ones have taken over. */
+/* They come back before, while and after the weak ones take over. */
 TEST(Survivors, TheStrongBoxesTakeOverAgain)
 {
 	Halls w(2, 2, 2);
--- a/regress/test_unattended.cpp
+++ b/regress/test_unattended.cpp
@@ -30,10 +30,6 @@
 /* The age of stale responses, in ms. */
 const int lag_ms = 3000;
 
-const char *const as_deployed =
-    "boxes_ms = 15000\ngather_ms = 600\nlook_ms = 1250\nlist_ms = 3600000\n"
-    "status_ms = 3600000\nstatus_by = \"hubs\"\n";
-
 /*
  * A strong box that reaches the platform through a proxy, and a weak box in the
  * same hall.
@@ -42,7 +38,7 @@
 	Proxy platform_proxy;
 	std::unique_ptr<box::Further> weak;
 
-	Hall() : World(true, "", "", as_deployed)
+	Hall() : World(true, "", "", box::as_deployed)
 	{
 		const char *root = getenv("FERN_ROOT");
 
@@ -55,7 +51,7 @@
 		platform_proxy.process.log = dir + "/proxy.log";
 		platform_proxy.process.start();
 		std::string weak_set =
-		    std::string(as_deployed) + "power = 0.1\n";
+		    std::string(box::as_deployed) + "power = 0.1\n";
 
 		EXPECT_TRUE(until([&] { return ready(); }));
 		EXPECT_TRUE(until([&] { return has("boxes", "b1"); }));
@@ -140,7 +136,7 @@
 
 	static std::string agent_settings(const std::string &digit)
 	{
-		return as_deployed + ("admin_listen = \"@:" + digit) +
+		return box::as_deployed + ("admin_listen = \"@:" + digit) +
 		    "580\"\nwatch_ms = 1000\n";
 	}
 
